--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV ?= $(HOME)/.cache/peridotbend/venv
+BIN = $(VENV)/bin
+SEED ?= 1
+STEPS ?= 200
+
+.PHONY: setup demo test lint format fuzz model measure cost
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml requirements-dev.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.lock
+	$(BIN)/pip install --quiet --no-deps -e .
+	touch $@
+
+demo: setup
+	$(BIN)/python -m peridotbend_emulator.demo
+
+test: setup
+	$(BIN)/python -m nose2
+
+lint: setup
+	$(BIN)/pyink --check --quiet src tests tools model
+	$(BIN)/ruff check src tests tools model
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff check --fix --quiet src tests tools model
+	$(BIN)/pyink --quiet src tests tools model
--- /dev/null
+++ b/src/peridotbend/__init__.py
@@ -0,0 +1,3 @@
+"""Peridotbend schedules requests for unlike engines."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/peridotbend/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions and request state, free of any network library."""
--- /dev/null
+++ b/src/peridotbend/domain/events.py
@@ -0,0 +1,43 @@
+"""Catalogue of log events; each has a number that never changes.
+
+`docs/events.md` describes every event; a test holds the two together.
+"""
+
+import enum
+
+
+class Event(enum.Enum):
+    """A numbered log event."""
+
+    PROCESS_STARTED = 100
+    PROCESS_READY = 101
+    DRAIN_STARTED = 102
+    DRAIN_FINISHED = 103
+    TEXT_ACCEPTED = 200
+    TEXT_REFUSED = 201
+    TEXT_CONFLICT = 202
+    PLATFORM_UNREACHABLE = 203
+    PLATFORM_REACHED = 204
+    REQUEST_DISPATCHED = 300
+    REQUEST_ENDED = 301
+    REQUEST_FORWARDED = 302
+    REQUEST_REFUSED = 303
+    STREAM_RESUMED = 304
+    CONNECT_RETRIED = 305
+    TARGET_FAILED = 400
+    TARGET_LEAVING = 401
+    TARGET_STRAGGLING = 402
+    SUSPECT_RECORDED = 410
+    SUSPECT_QUARANTINED = 411
+    SUSPECT_CLEARED = 412
+    PEER_LIVE = 500
+    PEER_LOST = 501
+    HAND_OVER_SENT = 502
+    HAND_OVER_RECEIVED = 503
+    HAND_OVER_FAILED = 504
+    INTERNAL_ERROR = 900
+
+    @property
+    def label(self) -> str:
+        """The event's name in logs, for example `text-accepted`."""
+        return self.name.lower().replace("_", "-")
--- /dev/null
+++ b/src/peridotbend/domain/ports.py
@@ -0,0 +1,181 @@
+"""Ports: what the domain needs from the outside."""
+
+import dataclasses
+import enum
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol
+
+from result import Result
+
+from peridotbend.domain.events import Event
+from peridotbend.domain.text import Target
+from peridotbend.domain.verdicts import Verdict
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetCall:
+    """One call to a target."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes = dataclasses.field(repr=False)
+    # Time left for the whole call.
+    timeout_ms: int
+    # False for calls that may not be repeated: they use a fresh connection.
+    reuse_connection: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+
+class CallFailure(enum.StrEnum):
+    """How a call to a target failed."""
+
+    # No connection: nothing was written.
+    CONNECT = "connect"
+    # The gate refused just before the first byte: nothing was written.
+    GATE = "gate"
+    # The connection broke, or the target broke the protocol, after a write.
+    BROKEN = "broken"
+    TIMEOUT = "timeout"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallError:
+    """A failed call: `written` tells whether any byte may have left."""
+
+    failure: CallFailure
+    written: bool
+    detail: str = ""
+
+
+class TargetAnswer(Protocol):
+    """An answer whose head has arrived."""
+
+    @property
+    def head(self) -> AnswerHead:
+        """The status and headers."""
+        ...
+
+    def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields the body; an Err is the last item when the call breaks."""
+        ...
+
+
+class TargetClient(Protocol):
+    """Sends calls to targets."""
+
+    def open(
+        self, target: Target, call: TargetCall, gate: Callable[[], bool]
+    ) -> AbstractAsyncContextManager[Result[TargetAnswer, CallError]]:
+        """Sends a call and waits for the head of the answer.
+
+        `gate` is called once, after the connection stands and before the
+        first byte is written, with no await between it and the write. When
+        it returns False nothing is written.
+        """
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerCall:
+    """A request, or a fetch, forwarded to the instance that minted its ID."""
+
+    request_id: str
+    account: str
+    # False only fetches the answer and never starts the request.
+    may_start: bool
+    method: str = ""
+    path: str = ""
+    headers: Headers = ()
+    body: bytes = dataclasses.field(repr=False, default=b"")
+    offset: int = 0
+    # Time left as the caller asked for it; 0 takes the kind's deadline.
+    deadline_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerPart:
+    """A piece of an answer; the last one carries the verdict."""
+
+    head: AnswerHead | None = None
+    data: bytes = dataclasses.field(repr=False, default=b"")
+    verdict: Verdict | None = None
+
+
+class PeerUnreachableError(Exception):
+    """No peer that holds the record could be reached."""
+
+
+class PeerClient(Protocol):
+    """Forwards calls to other entry instances."""
+
+    def forward(
+        self, name: str, incarnation: int, call: PeerCall
+    ) -> AsyncIterator[AnswerPart]:
+        """Yields the parts of the answer from the instance that minted.
+
+        Falls back to the peers that may have taken over its records.
+
+        Raises:
+            PeerUnreachableError: nobody that holds the record answered.
+        """
+        ...
+
+    async def request_trial(self, fingerprint: bytes) -> "TrialAnswer":
+        """Asks the owner of the fingerprint for permission to run it."""
+        ...
+
+    async def report_trial(self, fingerprint: bytes, crashed: bool) -> None:
+        """Tells the owner how the trial ended."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialAnswer:
+    """The answer to a request for a trial permit."""
+
+    granted: bool
+    quarantined: bool = False
+    retry_after_ms: int = 0
+
+
+class EventLog(Protocol):
+    """Writes numbered log events."""
+
+    def emit(self, event: Event, **fields: object) -> None:
+        """Writes one event with its fields."""
+        ...
+
+
+class Meter(Protocol):
+    """Counts what the product is measured by."""
+
+    def count_verdict(self, service: str, tier: str, verdict: Verdict) -> None:
+        """Counts the verdict that a request ended with."""
+        ...
+
+    def count_goodput(self, service: str, tier: str) -> None:
+        """Counts a request that completed before its deadline."""
+        ...
+
+    def count_shed(self, service: str, tier: str) -> None:
+        """Counts a request that was shed."""
+        ...
+
+    def count_wasted_prefill(self, service: str, tokens: int) -> None:
+        """Counts prompt tokens whose processing was thrown away or redone."""
+        ...
+
+    def observe_queue_wait(self, tier: str, wait_ms: int) -> None:
+        """Records how long a request waited for a target."""
+        ...
--- /dev/null
+++ b/src/peridotbend/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and stubs of the protocol between entry instances."""
--- /dev/null
+++ b/src/peridotbend_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, engines and applications, and experiments."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of peridotbend."""
