Add the port types that cross module borders

Cause: membership, admission, routing and peers are written in parallel and exchange shares, fingerprints, load reports and handed-over records. Change: frozen data classes and protocols in domain/ports.py. Ruled out: protobuf messages in the domain, which would tie decisions to a codec.

--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -112,6 +112,55 @@
     verdict: Verdict | None = None
 
 
+class RecordState(enum.StrEnum):
+    """What has become of a request at the instance that minted its ID."""
+
+    # The ID was given out and nothing was sent with it yet.
+    RESERVED = "reserved"
+    QUEUED = "queued"
+    DISPATCHED = "dispatched"
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    # A peer may dispatch it now; this process never will.
+    HANDED_OVER = "handed-over"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandedRecord:
+    """A record that a process passes to a peer when it shuts down."""
+
+    request_id: str
+    account: str
+    service: str
+    kind: str
+    state: RecordState
+    # Time until the ID expires.
+    remaining_ms: int
+    method: str = ""
+    path: str = ""
+    headers: Headers = ()
+    body: bytes = dataclasses.field(repr=False, default=b"")
+    deadline_remaining_ms: int = 0
+    head: AnswerHead | None = None
+    answer: bytes = dataclasses.field(repr=False, default=b"")
+    verdict: Verdict | None = None
+
+
+class PeerHandler(Protocol):
+    """What the server side of the peer protocol calls."""
+
+    def serve_peer(self, call: PeerCall) -> AsyncIterator[AnswerPart]:
+        """Serves a call for an ID that this process minted or took over."""
+        ...
+
+    def import_records(
+        self, origin: str, incarnation: int, records: list[HandedRecord]
+    ) -> list[str]:
+        """Takes over records and returns the IDs that were accepted."""
+        ...
+
+
 class PeerUnreachableError(Exception):
     """No peer that holds the record could be reached."""
 
@@ -149,6 +198,91 @@
     retry_after_ms: int = 0
 
 
+class SuspectState(enum.Enum):
+    """What is known about a request fingerprint."""
+
+    CLEAN = 0
+    SUSPECT = 1
+    QUARANTINED = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FingerprintEntry:
+    """The state of a fingerprint as peers tell it to each other."""
+
+    value: bytes
+    # CLEAN here means cleared by a trial that succeeded.
+    state: SuspectState
+    remaining_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """The part of a target's window that one process may use."""
+
+    target: str
+    # Work units.
+    work: float
+    # Largest tier index that the division still served; -1 if none.
+    lowest_tier_served: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that an engine published; it may be seconds old."""
+
+    # Age of the report when it was received.
+    age_ms: int
+    running: int
+    waiting_tokens: int
+    incarnation: str
+
+
+class InstanceRole(enum.StrEnum):
+    """What an instance in the platform's list is."""
+
+    ENTRY = "entry"
+    TARGET = "target"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceInfo:
+    """One line of the platform's lagging list of instances."""
+
+    name: str
+    role: InstanceRole
+    zone: str
+    host: str
+    port: int
+    # Port of the peer protocol; 0 for targets.
+    peer_port: int
+    incarnation: str
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformError:
+    """The platform did not give an answer."""
+
+    detail: str
+
+
+class PlatformReader(Protocol):
+    """Reads what the platform publishes."""
+
+    async def watch_text(
+        self, newer_than: int, wait_ms: int
+    ) -> Result[str | None, PlatformError]:
+        """Returns a text published after that version, or None at the end."""
+        ...
+
+    async def watch_instances(
+        self, after_revision: int, wait_ms: int
+    ) -> Result[tuple[int, tuple[InstanceInfo, ...]] | None, PlatformError]:
+        """Returns a newer revision of the list, or None when the wait ends."""
+        ...
+
+
 class EventLog(Protocol):
     """Writes numbered log events."""
 
