--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the core protocol, checked with z3."""
--- /dev/null
+++ b/src/peridotbend/adapters/messages.py
@@ -0,0 +1,70 @@
+"""Sentences that tell a caller what happened and what to do."""
+
+from peridotbend.domain.verdicts import Reason
+
+_SENTENCES = {
+    Reason.BAD_INPUT: (
+        "The body is not what this kind of request needs; correct it."
+    ),
+    Reason.TOO_LARGE: "The body is larger than this kind of request accepts.",
+    Reason.UNKNOWN_KIND: (
+        "No kind of request in the text has this path and model."
+    ),
+    Reason.UNKNOWN_REQUEST: (
+        "No request with this ID is known here; check that the ID is whole."
+    ),
+    Reason.WRONG_METHOD: "This path exists but not with this method.",
+    Reason.WRONG_ACCOUNT: (
+        "This ID belongs to another client account; use the key that made it."
+    ),
+    Reason.FORGED_ID: "This ID was never given out; reserve one.",
+    Reason.EXPIRED: "The ID has expired; reserve a new one.",
+    Reason.NEEDS_RESERVATION: (
+        "This kind may not run twice, so it needs a reserved ID: POST"
+        ' {"service": ..., "kind": ...} to /v1/reservations, then send the'
+        " call with that ID as Idempotency-Key."
+    ),
+    Reason.ID_REUSED: (
+        "This ID was reserved for, or used with, another request."
+    ),
+    Reason.CLIENT_LIMIT: (
+        "The client account is over its limit; try again later."
+    ),
+    Reason.SHED: (
+        "The load is higher than the capacity for this tier; try again later."
+    ),
+    Reason.DEADLINE: "The deadline passed while the request was waiting.",
+    Reason.DRAINING: "This instance is shutting down; send the call again.",
+    Reason.NO_TARGET: "No target of this service can be reached.",
+    Reason.DEPENDENCY_DOWN: "A service that this one depends on is down.",
+    Reason.QUARANTINED: (
+        "Requests like this one have crashed targets and are held back."
+    ),
+    Reason.TRIAL_BUSY: (
+        "A request like this one was on a target that crashed; another copy"
+        " is being tried first. Try again later."
+    ),
+    Reason.AT_CAPACITY: "This instance has no memory left for more requests.",
+    Reason.NO_TEXT: "This instance has no accepted configuration yet.",
+    Reason.CONNECT_FAILED: "No target accepted a connection; try again later.",
+    Reason.TARGET_FAILED: (
+        "The target failed after the request was sent to it."
+    ),
+    Reason.TARGET_TIMEOUT: (
+        "The target did not answer in time; fetch the answer by its ID later."
+    ),
+    Reason.ANSWER_TOO_LARGE: "The answer is larger than the kind allows.",
+    Reason.ANSWER_EVICTED: "The answer was delivered and is no longer kept.",
+    Reason.MINTER_UNREACHABLE: (
+        "The instance that gave out this ID cannot be reached; ask again."
+    ),
+    Reason.FORGOTTEN: "The ID has expired and its outcome is forgotten.",
+    Reason.HANDED_OVER: "The request moved to another instance; ask again.",
+    Reason.INTERNAL_ERROR: "An internal error; ask again by the ID.",
+    Reason.NOT_STARTED: "The ID is reserved and no call was made with it yet.",
+}
+
+
+def explain_reason(reason: Reason) -> str:
+    """Returns the sentence for a reason."""
+    return _SENTENCES[reason]
--- /dev/null
+++ b/src/peridotbend/adapters/targets.py
@@ -0,0 +1,177 @@
+"""Calls targets over HTTP with httpcore."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import httpcore
+from result import Err, Ok, Result
+
+from peridotbend.domain.ports import (
+    AnswerHead,
+    CallError,
+    CallFailure,
+    TargetAnswer,
+    TargetCall,
+)
+from peridotbend.domain.text import Target
+
+CONNECT_TIMEOUT_S = 1.0
+KEEPALIVE_EXPIRY_S = 20.0
+MAX_CONNECTIONS = 4_096
+MAX_IDLE_CONNECTIONS = 256
+# The event that httpcore reports directly before it writes the first byte.
+BEFORE_FIRST_BYTE = "http11.send_request_headers.started"
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class GateClosedError(Exception):
+    """The gate refused the call; nothing was written."""
+
+
+class _WriteGate:
+    """Calls the gate before the first byte and remembers that it opened."""
+
+    def __init__(self, gate: Callable[[], bool]):
+        self._gate = gate
+        self.written = False
+
+    async def trace(self, event_name: str, info: dict[str, Any]) -> None:
+        if event_name != BEFORE_FIRST_BYTE:
+            return
+        # httpcore may try another idle connection, but only before a write.
+        if self.written or not self._gate():
+            raise GateClosedError
+        self.written = True
+
+
+class HttpAnswer:
+    """An answer of a target, read as it arrives."""
+
+    def __init__(self, response: httpcore.Response):
+        self._response = response
+        self.head = AnswerHead(
+            response.status,
+            tuple(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in response.headers
+                if name.lower().decode("latin-1") not in _HOP_BY_HOP
+            ),
+        )
+
+    async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields the body; an Err is the last item when the call breaks."""
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield Ok(chunk)
+        except httpcore.TimeoutException as error:
+            yield Err(_make_error(CallFailure.TIMEOUT, True, error))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            yield Err(_make_error(CallFailure.BROKEN, True, error))
+
+
+class HttpTargetClient:
+    """Sends calls to targets and knows whether a byte was written."""
+
+    def __init__(self) -> None:
+        self._shared = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE_EXPIRY_S,
+        )
+        # A reused connection may have been closed by the target unseen; the
+        # write then fails with an unknown outcome. Calls that may not be
+        # repeated pay for a new connection instead.
+        self._fresh = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+        )
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self._shared.aclose()
+        await self._fresh.aclose()
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, target: Target, call: TargetCall, gate: Callable[[], bool]
+    ) -> AsyncIterator[Result[TargetAnswer, CallError]]:
+        """Sends a call and waits for the head of the answer."""
+        pool = self._shared if call.reuse_connection else self._fresh
+        write_gate = _WriteGate(gate)
+        request = _make_request(target, call, write_gate)
+        try:
+            response = await pool.handle_async_request(request)
+        except GateClosedError as error:
+            yield Err(_make_error(CallFailure.GATE, False, error))
+            return
+        except httpcore.TimeoutException as error:
+            failure = (
+                CallFailure.TIMEOUT
+                if write_gate.written
+                else CallFailure.CONNECT
+            )
+            yield Err(_make_error(failure, write_gate.written, error))
+            return
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            failure = (
+                CallFailure.BROKEN
+                if write_gate.written
+                else CallFailure.CONNECT
+            )
+            yield Err(_make_error(failure, write_gate.written, error))
+            return
+        try:
+            yield Ok(HttpAnswer(response))
+        finally:
+            await response.aclose()
+
+
+def _make_request(
+    target: Target, call: TargetCall, write_gate: _WriteGate
+) -> httpcore.Request:
+    timeout_s = max(call.timeout_ms, 1) / 1000
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in call.headers
+        if name.lower() not in _HOP_BY_HOP
+    ]
+    headers.append((b"Host", f"{target.host}:{target.port}".encode()))
+    if call.body or call.method in ("POST", "PUT", "PATCH"):
+        headers.append((b"Content-Length", str(len(call.body)).encode()))
+    return httpcore.Request(
+        method=call.method,
+        url=httpcore.URL(
+            scheme=b"http",
+            host=target.host.encode(),
+            port=target.port,
+            target=call.path.encode("latin-1"),
+        ),
+        headers=headers,
+        content=call.body,
+        extensions={
+            "trace": write_gate.trace,
+            "timeout": {
+                "connect": min(CONNECT_TIMEOUT_S, timeout_s),
+                "pool": CONNECT_TIMEOUT_S,
+                "read": timeout_s,
+                "write": timeout_s,
+            },
+        },
+    )
+
+
+def _make_error(
+    failure: CallFailure, written: bool, error: Exception
+) -> CallError:
+    return CallError(failure, written, f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/src/peridotbend/domain/answers.py
@@ -0,0 +1,109 @@
+"""Answers kept in bounded memory so that callers can fetch them again."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+
+from peridotbend.domain.ports import AnswerHead, AnswerPart
+from peridotbend.domain.verdicts import Verdict
+
+
+class ByteBudget:
+    """A bound on bytes that several owners reserve from."""
+
+    def __init__(self, limit_bytes: int):
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    def reserve(self, size: int) -> bool:
+        """Takes `size` bytes, or nothing when they do not fit."""
+        if self.used_bytes + size > self.limit_bytes:
+            return False
+        self.used_bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Gives back bytes that were reserved."""
+        assert 0 <= size <= self.used_bytes, "released more than was reserved"
+        self.used_bytes -= size
+
+
+class AnswerBuffer:
+    """The answer to one request, as far as it has arrived."""
+
+    def __init__(self) -> None:
+        self.head: AnswerHead | None = None
+        self.verdict: Verdict | None = None
+        # True once a caller has received the last byte.
+        self.delivered = False
+        # True when the bytes were dropped to make room.
+        self.evicted = False
+        self._data = bytearray()
+        self._changed: anyio.Event | None = None
+
+    def __len__(self) -> int:
+        return len(self._data)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the verdict stands and no more bytes will come."""
+        return self.verdict is not None
+
+    def content(self) -> bytes:
+        """Returns all bytes that have arrived."""
+        return bytes(self._data)
+
+    def begin(self, head: AnswerHead) -> None:
+        """Records the status and the headers."""
+        self.head = head
+        self._wake()
+
+    def append(self, data: bytes) -> None:
+        """Adds bytes to the body."""
+        self._data += data
+        if self._changed is not None:
+            self._wake()
+
+    def end(self, verdict: Verdict) -> None:
+        """Records the verdict; the first one stands."""
+        if self.verdict is None:
+            self.verdict = verdict
+            self._wake()
+
+    def evict(self) -> int:
+        """Drops the body of an ended answer and returns its size."""
+        assert self.ended, "an answer that still grows cannot be evicted"
+        size = len(self._data)
+        self._data = bytearray()
+        self.evicted = True
+        return size
+
+    async def read(self, offset: int = 0) -> AsyncIterator[AnswerPart]:
+        """Yields the answer from an offset until its verdict."""
+        head_sent = False
+        while True:
+            head = None if head_sent else self.head
+            # A copy of the new part only, so that a long answer costs O(n).
+            data = bytes(memoryview(self._data)[offset:])
+            verdict = self.verdict
+            if head is not None or data or verdict is not None:
+                head_sent = head_sent or head is not None
+                offset += len(data)
+                yield AnswerPart(head, data, verdict)
+                if verdict is not None:
+                    # Not reached when the reader left before the last part.
+                    self.delivered = True
+                    return
+                continue
+            await self.wait()
+
+    async def wait(self) -> None:
+        """Waits until something was added."""
+        if self._changed is None:
+            self._changed = anyio.Event()
+        await self._changed.wait()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, None
+        if changed is not None:
+            changed.set()
--- /dev/null
+++ b/src/peridotbend/domain/kinds.py
@@ -0,0 +1,86 @@
+"""Finds the kind of a request from its method, path and model."""
+
+import json
+from collections import defaultdict
+
+from result import Err, Ok, Result
+
+from peridotbend.domain.text import FleetText, Kind, Service
+from peridotbend.domain.verdicts import Reason
+
+
+class KindIndex:
+    """Routes of one text, ready for lookup."""
+
+    def __init__(self, text: FleetText):
+        self._exact: dict[str, list[Kind]] = defaultdict(list)
+        self._prefixes: list[tuple[str, Kind]] = []
+        self._services = {service.name: service for service in text.services}
+        self._kinds: dict[tuple[str, str], Kind] = {}
+        for service in text.services:
+            for kind in service.kinds:
+                self._add(kind)
+        # The longest prefix wins.
+        self._prefixes.sort(key=lambda item: -len(item[0]))
+
+    def _add(self, kind: Kind) -> None:
+        self._kinds[kind.service, kind.name] = kind
+        if kind.path.endswith("*"):
+            self._prefixes.append((kind.path[:-1], kind))
+        else:
+            self._exact[kind.path].append(kind)
+
+    def find(self, service: str, kind: str) -> Kind | None:
+        """Returns a kind by its names."""
+        return self._kinds.get((service, kind))
+
+    def service_of(self, kind: Kind) -> Service:
+        """Returns the service of a kind of this text."""
+        return self._services[kind.service]
+
+    def max_body_bytes(self, path: str) -> int:
+        """Returns the largest body that any kind on a path accepts."""
+        return max(
+            (kind.max_body_bytes for kind in self._on_path(path)), default=0
+        )
+
+    def match(
+        self, method: str, path: str, body: bytes
+    ) -> Result[Kind, Reason]:
+        """Returns the kind that a call belongs to, or why there is none."""
+        kinds = self._on_path(path)
+        if not kinds:
+            return Err(Reason.UNKNOWN_KIND)
+        kinds = [kind for kind in kinds if kind.method == method]
+        if not kinds:
+            return Err(Reason.WRONG_METHOD)
+        if any(kind.model for kind in kinds):
+            matched = _match_model(kinds, body)
+        else:
+            matched = Ok(kinds[0])
+        return matched.and_then(lambda kind: _check_size(kind, body))
+
+    def _on_path(self, path: str) -> list[Kind]:
+        path = path.partition("?")[0]
+        return self._exact.get(path) or [
+            kind for prefix, kind in self._prefixes if path.startswith(prefix)
+        ]
+
+
+def _check_size(kind: Kind, body: bytes) -> Result[Kind, Reason]:
+    if len(body) > kind.max_body_bytes:
+        return Err(Reason.TOO_LARGE)
+    return Ok(kind)
+
+
+def _match_model(kinds: list[Kind], body: bytes) -> Result[Kind, Reason]:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        return Err(Reason.BAD_INPUT)
+    model = document.get("model") if isinstance(document, dict) else None
+    for kind in kinds:
+        if kind.model == model:
+            return Ok(kind)
+    fallback = next((kind for kind in kinds if not kind.model), None)
+    return Ok(fallback) if fallback else Err(Reason.UNKNOWN_KIND)
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -47,6 +47,7 @@
     # The connection broke, or the target broke the protocol, after a write.
     BROKEN = "broken"
     TIMEOUT = "timeout"
+    TOO_LARGE = "too-large"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +108,8 @@
 class AnswerPart:
     """A piece of an answer; the last one carries the verdict."""
 
+    # Set on the first part when the request has an ID.
+    request_id: str = dataclasses.field(repr=False, default="", kw_only=True)
     head: AnswerHead | None = None
     data: bytes = dataclasses.field(repr=False, default=b"")
     verdict: Verdict | None = None
--- /dev/null
+++ b/src/peridotbend/domain/records.py
@@ -0,0 +1,205 @@
+"""Records of requests at the process that may dispatch them."""
+
+import dataclasses
+from collections import OrderedDict
+from collections.abc import Iterator
+
+import anyio
+
+from peridotbend.domain.answers import AnswerBuffer, ByteBudget
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.ports import Headers, RecordState
+from peridotbend.domain.verdicts import (
+    Completed,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerCall:
+    """A request as a caller sent it."""
+
+    account: str
+    method: str
+    # With the query string.
+    path: str
+    headers: Headers
+    body: bytes = dataclasses.field(repr=False, default=b"")
+    # Idempotency-Key, or "".
+    key: str = dataclasses.field(repr=False, default="")
+    # Deadline that the caller asked for; 0 takes the kind's.
+    deadline_ms: int = 0
+
+
+class RequestRecord:
+    """One request: its state, its answer and its verdict."""
+
+    def __init__(
+        self,
+        token: str,
+        account: str,
+        service: str,
+        kind: str,
+        expires_at_ms: int,
+    ):
+        self.token = token
+        self.account = account
+        self.service = service
+        self.kind = kind
+        self.expires_at_ms = expires_at_ms
+        self.deadline_at_ms = 0
+        self.state = RecordState.RESERVED
+        self.answer = AnswerBuffer()
+        self.call: CallerCall | None = None
+        # Digest of method, path and body; a resend must match it.
+        self.digest = b""
+        self.target = ""
+        # Answer bytes reserved from the budget.
+        self.reserved_bytes = 0
+        # Stops the task that waits for a target, when the record moves away.
+        self.scope: anyio.CancelScope | None = None
+
+    @property
+    def log_key(self) -> str:
+        """The part of the ID that may appear in logs."""
+        return self.token[:8]
+
+    def start(
+        self, call: CallerCall, digest: bytes, deadline_at_ms: int
+    ) -> None:
+        """Moves a reserved request into the queue."""
+        assert self.state is RecordState.RESERVED, "started twice"
+        self.state = RecordState.QUEUED
+        self.call = call
+        self.digest = digest
+        self.deadline_at_ms = deadline_at_ms
+
+    def claim_dispatch(self, now_ms: int) -> bool:
+        """Takes the one right to dispatch; False when it must not be sent.
+
+        The caller writes the first byte directly after this returns True,
+        with no await in between: a process that was paused between its
+        decision and the write finds its deadline passed here.
+        """
+        if self.state is not RecordState.QUEUED:
+            return False
+        if now_ms >= self.expires_at_ms or now_ms >= self.deadline_at_ms:
+            return False
+        self.state = RecordState.DISPATCHED
+        return True
+
+    def end(self, verdict: Verdict) -> None:
+        """Records how the request ended."""
+        if isinstance(verdict, NotRun):
+            assert (
+                self.state is not RecordState.DISPATCHED
+            ), "a dispatched request cannot be 'not run'"
+            self.state = RecordState.NOT_RUN
+        elif isinstance(verdict, Completed):
+            self.state = RecordState.COMPLETED
+        else:
+            self.state = RecordState.MAY_HAVE_RUN
+        self.call = None
+        self.answer.end(verdict)
+
+    def hand_over(self) -> None:
+        """Gives up the right to dispatch, before a peer is told of it."""
+        assert self.state in (RecordState.RESERVED, RecordState.QUEUED)
+        self.state = RecordState.HANDED_OVER
+        if self.scope is not None:
+            self.scope.cancel()
+
+
+class RequestTable:
+    """All records of a process, bounded in number and in answer bytes."""
+
+    def __init__(self, clock: Clock, max_records: int, max_answer_bytes: int):
+        self._clock = clock
+        self._max_records = max_records
+        self._records: OrderedDict[str, RequestRecord] = OrderedDict()
+        self.budget = ByteBudget(max_answer_bytes)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[RequestRecord]:
+        return iter(self._records.values())
+
+    def add(self, record: RequestRecord) -> bool:
+        """Adds a record; False when the table is full of live records."""
+        if len(self._records) >= self._max_records and not self._make_room():
+            return False
+        self._records[record.token] = record
+        return True
+
+    def find(self, token: str) -> RequestRecord | None:
+        """Returns the record of an ID, if it is still kept."""
+        return self._records.get(token)
+
+    def forget(self, record: RequestRecord) -> None:
+        """Drops a record and what it reserved."""
+        if self._records.pop(record.token, None) is not None:
+            self._release(record)
+
+    def reserve_answer(self, record: RequestRecord, size: int) -> bool:
+        """Reserves room for the answer, evicting delivered ones if needed."""
+        if not self.budget.reserve(size):
+            self._evict_delivered(size)
+            if not self.budget.reserve(size):
+                return False
+        record.reserved_bytes += size
+        return True
+
+    def trim_answer(self, record: RequestRecord) -> None:
+        """Gives back what the complete answer did not use."""
+        unused = record.reserved_bytes - len(record.answer)
+        if unused > 0:
+            self.budget.release(unused)
+            record.reserved_bytes -= unused
+
+    def sweep(self) -> int:
+        """Drops expired records and returns how many went.
+
+        A dispatched request that has not ended by then ends as "may have
+        run"; its runner is stopped through its scope.
+        """
+        now_ms = self._clock.now_ms()
+        expired = [r for r in self if now_ms >= r.expires_at_ms]
+        for record in expired:
+            self._expire(record)
+        return len(expired)
+
+    def _expire(self, record: RequestRecord) -> None:
+        if not record.answer.ended:
+            if record.state in (RecordState.RESERVED, RecordState.QUEUED):
+                record.end(NotRun(Reason.EXPIRED))
+            else:
+                record.end(MayHaveRun(Reason.EXPIRED))
+        if record.scope is not None:
+            record.scope.cancel()
+        self.forget(record)
+
+    def _make_room(self) -> bool:
+        # A forgotten "not run" can only be answered by "may have run" later:
+        # less precise, but never false, and it is never dispatched.
+        for record in self:
+            if record.state is RecordState.NOT_RUN:
+                self.forget(record)
+                return True
+        return self.sweep() > 0
+
+    def _evict_delivered(self, wanted: int) -> None:
+        for record in self:
+            if self.budget.used_bytes + wanted <= self.budget.limit_bytes:
+                return
+            answer = record.answer
+            if answer.ended and answer.delivered and not answer.evicted:
+                answer.evict()
+                self._release(record)
+
+    def _release(self, record: RequestRecord) -> None:
+        self.budget.release(record.reserved_bytes)
+        record.reserved_bytes = 0
--- /dev/null
+++ b/src/peridotbend/domain/requestids.py
@@ -0,0 +1,110 @@
+"""Request IDs that name the only process that may dispatch the request."""
+
+import base64
+import binascii
+import dataclasses
+import hashlib
+import hmac
+import secrets
+import struct
+
+RANDOM_BYTES = 16
+MAC_BYTES = 16
+MAX_NAME_BYTES = 64
+# Characters of an ID that may appear in logs.
+KEY_LENGTH = 8
+_FIXED = struct.Struct(">QQ")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestId:
+    """A parsed request ID; its text form is a secret of the caller."""
+
+    token: str = dataclasses.field(repr=False)
+    minter: str
+    incarnation: int
+    # On the minter's monotonic clock; means nothing to other processes.
+    expires_at_ms: int
+
+    @property
+    def key(self) -> str:
+        """A short form for logs; it does not give access to the answer."""
+        return self.token[:KEY_LENGTH]
+
+
+class IdMinter:
+    """Mints and verifies the IDs of one process."""
+
+    def __init__(self, name: str, incarnation: int):
+        assert 0 < len(name.encode()) <= MAX_NAME_BYTES, "bad instance name"
+        self.name = name
+        self.incarnation = incarnation
+        self._mac_key = secrets.token_bytes(32)
+
+    def mint(self, expires_at_ms: int) -> RequestId:
+        """Returns a new ID that expires at the given time."""
+        rand = secrets.token_bytes(RANDOM_BYTES)
+        fixed = _FIXED.pack(self.incarnation, expires_at_ms)
+        signed = rand + fixed + self.name.encode()
+        token = _encode(rand) + "." + _encode(self._sign(signed) + signed[16:])
+        return RequestId(token, self.name, self.incarnation, expires_at_ms)
+
+    def is_own(self, request_id: RequestId) -> bool:
+        """Tells whether this incarnation claims to have minted the ID."""
+        return (
+            request_id.minter == self.name
+            and request_id.incarnation == self.incarnation
+        )
+
+    def verify(self, request_id: RequestId) -> bool:
+        """Tells whether this incarnation really minted the ID."""
+        rand, rest = _split(request_id.token)
+        mac, tail = rest[:MAC_BYTES], rest[MAC_BYTES:]
+        return hmac.compare_digest(mac, self._sign(rand + tail))
+
+    def _sign(self, message: bytes) -> bytes:
+        return hashlib.blake2b(
+            message, key=self._mac_key, digest_size=MAC_BYTES
+        ).digest()
+
+
+def make_incarnation() -> int:
+    """Returns a random number that tells process starts apart."""
+    return secrets.randbits(63) | 1
+
+
+def parse_request_id(token: str) -> RequestId | None:
+    """Parses an ID minted by any process; None when it is not one.
+
+    The result is only a claim: the MAC can be checked by its minter alone.
+    """
+    try:
+        rand, rest = _split(token)
+        incarnation, expires_at_ms = _FIXED.unpack_from(rest, MAC_BYTES)
+        name = rest[MAC_BYTES + _FIXED.size :].decode()
+    except (ValueError, struct.error, binascii.Error):
+        return None
+    if len(rand) != RANDOM_BYTES or not 0 < len(name) <= MAX_NAME_BYTES:
+        return None
+    if not name.isprintable():
+        return None
+    return RequestId(token, name, incarnation, expires_at_ms)
+
+
+def _split(token: str) -> tuple[bytes, bytes]:
+    rand, rest = token.split(".")
+    return _decode(rand), _decode(rest)
+
+
+def _encode(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def _decode(text: str) -> bytes:
+    data = base64.b64decode(
+        text + "=" * (-len(text) % 4), altchars=b"-_", validate=True
+    )
+    # Two spellings of one ID would be two records of one request.
+    if _encode(data) != text:
+        raise ValueError("not a canonical encoding")
+    return data
--- /dev/null
+++ b/src/peridotbend/domain/streams.py
@@ -0,0 +1,75 @@
+"""Server-sent events as they are copied from a target into an answer."""
+
+from peridotbend.domain.answers import AnswerBuffer
+from peridotbend.domain.ports import AnswerHead
+
+SEPARATOR = b"\n\n"
+CLOSING_EVENT = b"data: [DONE]\n\n"
+
+
+def find_header(head: AnswerHead, name: str) -> str:
+    """Returns the value of a header, or "" when the answer has none."""
+    name = name.lower()
+    return next((v for n, v in head.headers if n.lower() == name), "")
+
+
+class EventStream:
+    """Appends whole events only, so that a broken stream can be resumed.
+
+    Answers of another content type are copied as they come.
+    """
+
+    def __init__(self, answer: AnswerBuffer, head: AnswerHead):
+        self._answer = answer
+        content_type = find_header(head, "content-type")
+        self.is_events = content_type.startswith("text/event-stream")
+        self.token = find_header(head, "engine-stream")
+        self._partial = b""
+        self._last_event = b""
+        # Whether the closing event has arrived.
+        self.is_complete = False
+
+    @property
+    def can_resume(self) -> bool:
+        """Whether the target offered to continue the stream."""
+        return self.is_events and bool(self.token)
+
+    @property
+    def last_event_id(self) -> str:
+        """The ID of the last whole event; empty before the first."""
+        for line in reversed(self._last_event.splitlines()):
+            if line.startswith(b"id:"):
+                return line[3:].strip().decode()
+        return ""
+
+    def feed(self, data: bytes) -> None:
+        """Takes bytes of the body."""
+        if not self.is_events:
+            self._answer.append(data)
+            return
+        data = self._partial + data if self._partial else data
+        end = data.rfind(SEPARATOR)
+        if end < 0:
+            self._partial = data
+            return
+        end += len(SEPARATOR)
+        whole, self._partial = data[:end], data[end:]
+        start = whole.rfind(SEPARATOR, 0, end - len(SEPARATOR))
+        event = whole[start + len(SEPARATOR) :] if start >= 0 else whole
+        # The closing `[DONE]` event has no ID and needs no resume.
+        if b"id:" in event:
+            self._last_event = event
+        elif b"id:" in whole:
+            self._last_event = whole[: whole.rfind(event)]
+        self.is_complete = whole.endswith(CLOSING_EVENT)
+        self._answer.append(whole)
+
+    def discard_partial(self) -> None:
+        """Drops the start of an event; a resumed stream sends it again."""
+        self._partial = b""
+
+    def finish(self) -> None:
+        """Appends what is left when the body ended properly."""
+        if self._partial:
+            self._answer.append(self._partial)
+            self._partial = b""
--- a/src/peridotbend/domain/verdicts.py
+++ b/src/peridotbend/domain/verdicts.py
@@ -31,10 +31,12 @@
     TARGET_FAILED = "target-failed"
     TARGET_TIMEOUT = "target-timeout"
     ANSWER_TOO_LARGE = "answer-too-large"
+    ANSWER_EVICTED = "answer-evicted"
     MINTER_UNREACHABLE = "minter-unreachable"
     FORGOTTEN = "forgotten"
     HANDED_OVER = "handed-over"
     NOT_STARTED = "not-started"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,8 +91,10 @@
     Reason.TARGET_FAILED: 502,
     Reason.TARGET_TIMEOUT: 504,
     Reason.ANSWER_TOO_LARGE: 502,
+    Reason.ANSWER_EVICTED: 410,
     Reason.MINTER_UNREACHABLE: 503,
     Reason.FORGOTTEN: 410,
     Reason.HANDED_OVER: 503,
     Reason.NOT_STARTED: 409,
+    Reason.INTERNAL_ERROR: 500,
 }
--- /dev/null
+++ b/tests/test_inflight.py
@@ -0,0 +1,29 @@
+"""Tests of the in-flight table."""
+
+import unittest
+
+from peridotbend.domain.inflight import Crash, InFlightTable
+
+
+class InFlightTableTest(unittest.TestCase):
+    """What ran on a target that died."""
+
+    def test_one_death_is_reported_once(self) -> None:
+        """Guards against one crash counted for each request that saw it."""
+        table = InFlightTable()
+        table.begin("gpu-1", "a", b"fa", on_trial=False)
+        table.begin("gpu-1", "b", b"fb", on_trial=True)
+        table.begin("gpu-2", "c", b"fc", on_trial=False)
+        crash = table.take_crashed("gpu-1", "a")
+        assert crash == Crash(frozenset({b"fa", b"fb"}), b"fb")
+        assert table.take_crashed("gpu-1", "b") is None
+        assert table.count() == {"gpu-2": 1}
+
+    def test_ended_requests_are_not_suspected(self) -> None:
+        """Guards against suspecting a request that had its verdict."""
+        table = InFlightTable()
+        table.begin("gpu-1", "a", b"fa", on_trial=False)
+        table.begin("gpu-1", "b", b"fb", on_trial=False)
+        table.end("gpu-1", "a")
+        crash = table.take_crashed("gpu-1", "b")
+        assert crash == Crash(frozenset({b"fb"}), None)
--- /dev/null
+++ b/tests/test_requestids.py
@@ -0,0 +1,51 @@
+"""Tests of request IDs."""
+
+import unittest
+
+from peridotbend.domain.requestids import IdMinter, parse_request_id
+
+
+class RequestIdTest(unittest.TestCase):
+    """IDs that name their minter."""
+
+    def test_parsed_id_names_minter_and_incarnation(self) -> None:
+        """Guards against forwarding a call to the wrong process."""
+        minted = IdMinter("entry-a", 77).mint(5_000)
+        parsed = parse_request_id(minted.token)
+        assert parsed == minted
+
+    def test_altered_id_fails_verification(self) -> None:
+        """Guards against an ID whose expiry or minter was changed."""
+        minter = IdMinter("entry-a", 77)
+        token = minter.mint(5_000).token
+        for position in range(0, len(token), 5):
+            swapped = "A" if token[position] != "A" else "B"
+            altered = token[:position] + swapped + token[position + 1 :]
+            parsed = parse_request_id(altered)
+            assert parsed is None or not minter.verify(parsed), altered
+
+    def test_restarted_minter_does_not_own_earlier_ids(self) -> None:
+        """Guards against a restart that takes over unknown requests."""
+        minted = IdMinter("entry-a", 77).mint(5_000)
+        restarted = IdMinter("entry-a", 78)
+        assert not restarted.is_own(minted)
+        assert not restarted.verify(minted)
+
+    def test_other_text_is_no_id(self) -> None:
+        """Guards against a crash on a key of the caller's own."""
+        for token in ("", "order-17", "a.b", "é.x", "." * 200, "AA==.AA=="):
+            assert parse_request_id(token) is None, token
+
+    def test_an_id_has_one_spelling(self) -> None:
+        """Guards against two records for two spellings of one ID."""
+        token = IdMinter("entry-a", 77).mint(5_000).token
+        rand, rest = token.split(".")
+        # The last character of the random part carries four unused bits.
+        alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+        spellings = [f"{rand[:-1]}{last}.{rest}" for last in alphabet]
+        same = [
+            parsed
+            for parsed in map(parse_request_id, spellings)
+            if parsed and IdMinter("entry-a", 77).is_own(parsed)
+        ]
+        assert len({p.token.split(".")[0] for p in same}) == len(same) <= 4
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,50 @@
+"""Tests of copying server-sent events."""
+
+import unittest
+
+from peridotbend.domain.answers import AnswerBuffer
+from peridotbend.domain.ports import AnswerHead
+from peridotbend.domain.streams import EventStream
+
+HEAD = AnswerHead(
+    200, (("Content-Type", "text/event-stream"), ("Engine-Stream", "s1"))
+)
+EVENTS = [f"id: {n}\ndata: word{n}\n\n".encode() for n in range(6)]
+BODY = b"".join(EVENTS) + b"data: [DONE]\n\n"
+
+
+class EventStreamTest(unittest.TestCase):
+    """Whole events survive any cut of the connection."""
+
+    def test_resume_after_a_cut_at_any_byte_gives_the_whole_answer(
+        self,
+    ) -> None:
+        """Guards against lost or repeated events after a resume."""
+        for cut in range(len(BODY)):
+            answer = AnswerBuffer()
+            stream = EventStream(answer, HEAD)
+            for start in range(0, cut, 7):
+                stream.feed(BODY[start : min(start + 7, cut)])
+            stream.discard_partial()
+            last = stream.last_event_id
+            rest = EVENTS[int(last) + 1 :] if last else EVENTS
+            stream.feed(b"".join(rest) + b"data: [DONE]\n\n")
+            stream.finish()
+            assert answer.content() == BODY, cut
+
+    def test_closing_event_completes_the_answer(self) -> None:
+        """Guards against a resume that repeats the closing event."""
+        stream = EventStream(AnswerBuffer(), HEAD)
+        stream.feed(BODY[:-1])
+        assert not stream.is_complete
+        stream.feed(BODY[-1:])
+        assert stream.is_complete
+
+    def test_other_content_is_copied_unchanged(self) -> None:
+        """Guards against holding back bytes of a JSON answer."""
+        answer = AnswerBuffer()
+        stream = EventStream(answer, AnswerHead(200, ()))
+        stream.feed(b'{"a"')
+        stream.feed(b": 1}")
+        assert answer.content() == b'{"a": 1}'
+        assert not stream.can_resume
