Parse the text with lines, units and remedies

Cause: operators change the fleet only through the text, so every fault in it needs its line, key and remedy before it reaches a process.

--- /dev/null
+++ b/src/peridotbend/adapters/shapecheck.py
@@ -0,0 +1,114 @@
+"""Pydantic's findings told as problems with lines and remedies."""
+
+import difflib
+from collections.abc import Iterable
+from typing import TypeVar
+
+from pydantic import BaseModel, ValidationError
+from pydantic_core import ErrorDetails
+from result import Err, Ok, Result
+
+from peridotbend.adapters.textschema import CUSTOM_ERROR
+from peridotbend.adapters.yamlnodes import Node, TextProblem, join_path
+
+ShapeT = TypeVar("ShapeT", bound=BaseModel)
+
+_NAME_REMEDY = (
+    "write 1 to 63 letters, digits, dots, dashes or underscores that start "
+    "with a letter or digit"
+)
+# Problem and remedy of each pydantic error type that the shapes can raise.
+_WORDING = {
+    "missing": ("is missing", "add the key"),
+    "string_type": ("is not text", "write text; put numbers in quotes"),
+    "int_type": ("is not a whole number", "write digits without quotes"),
+    "bool_type": ("is not a boolean", "write true or false"),
+    "model_type": ("is not a mapping", "write `key: value` lines below it"),
+    "dict_type": ("is not a mapping", "write `key: value` lines below it"),
+    "list_type": ("is not a list", "write `- item` lines below it"),
+    "string_pattern_mismatch": ("is not a valid name", _NAME_REMEDY),
+    "greater_than": ("is too small", "write a whole number above zero"),
+    "greater_than_equal": ("is negative", "write 0 or more"),
+    "less_than_equal": ("is too large", "write a smaller number"),
+    "too_short": ("is empty", "add at least one entry"),
+}
+
+
+def suggest(word: str, known: Iterable[str]) -> str:
+    """Says which known word was probably meant, or lists all of them."""
+    words = sorted(known)
+    near = difflib.get_close_matches(word[:80], words, n=1, cutoff=0.6)
+    if near:
+        return f"did you mean {near[0]!r}?"
+    return f"use one of: {', '.join(words[:20])}" if words else "remove it"
+
+
+def check_shape(
+    shape: type[ShapeT], root: Node
+) -> Result[ShapeT, list[TextProblem]]:
+    """Checks the values of a document against a shape."""
+    try:
+        return Ok(shape.model_validate(root.data))
+    except ValidationError as error:
+        details = error.errors(include_url=False)
+        return Err([_describe(shape, root, detail) for detail in details])
+
+
+def _describe(
+    shape: type[BaseModel], root: Node, detail: ErrorDetails
+) -> TextProblem:
+    # Pydantic marks a fault in the name of a mapping entry by `[key]`.
+    path = tuple(key for key in detail["loc"] if key != "[key]")
+    node = root.locate(path)
+    problem, remedy = _word(shape, path, detail)
+    return TextProblem(node.line, node.column, join_path(path), problem, remedy)
+
+
+def _word(
+    shape: type[BaseModel], path: tuple[str | int, ...], detail: ErrorDetails
+) -> tuple[str, str]:
+    kind = detail["type"]
+    context = detail.get("ctx", {})
+    if kind == CUSTOM_ERROR:
+        return context["problem"], context["remedy"]
+    if kind == "extra_forbidden":
+        known = _find_fields(shape, path[:-1])
+        return "is an unknown key", suggest(str(path[-1]), known)
+    if not path:
+        return "is not a mapping of keys", "start with `key: value` lines"
+    if detail["input"] is None and kind != "missing":
+        return "has no value", "write a value or remove the key"
+    if path[-1:] == ("bearer_sha256",):
+        return (
+            "is not a SHA-256 in hexadecimal",
+            "write the 64 digits that `printf %s KEY | sha256sum` prints",
+        )
+    if kind == "literal_error":
+        return (
+            f"has the unknown value {str(detail['input'])[:40]!r}",
+            f"use {context['expected']}",
+        )
+    if kind in _WORDING:
+        return _WORDING[kind]
+    return f"is refused: {detail['msg']}", "correct the value"
+
+
+def _find_fields(
+    shape: type[BaseModel], path: tuple[str | int, ...]
+) -> list[str]:
+    """Returns the known keys of the shape that a path leads to."""
+    current = shape
+    for key in path:
+        field = current.model_fields.get(str(key))
+        if field is None:
+            # The name of a mapping entry or an index of a list.
+            continue
+        current = _find_model(field.annotation) or current
+    return list(current.model_fields)
+
+
+def _find_model(annotation: object) -> type[BaseModel] | None:
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    arguments = getattr(annotation, "__args__", ())
+    return next((m for a in arguments if (m := _find_model(a))), None)
