--- /dev/null
+++ b/src/peridotbend/adapters/logs.py
@@ -0,0 +1,143 @@
+"""Numbered log events as JSON lines on standard error."""
+
+import contextlib
+import enum
+import logging
+import sys
+from collections.abc import Mapping
+from typing import TextIO
+
+import structlog
+
+from peridotbend.domain.events import Event
+
+# Request IDs are secrets: whoever knows one can fetch the answer.
+REQUEST_PREFIX_LENGTH = 8
+MAX_VALUE_LENGTH = 300
+MAX_ENTRIES = 32
+WITHHELD = "[withheld]"
+
+_REQUEST_FIELDS = frozenset(("request", "request_id", "requests"))
+# Names, and ends of names after an underscore, of fields that stay out.
+_SECRET_NAMES = frozenset((
+    "answer", "authorization", "bearer", "body", "cookie", "data", "headers",
+    "key", "password", "prompt", "secret", "token",
+))  # fmt: skip
+
+_WARNINGS = frozenset(
+    (
+        Event.TEXT_REFUSED,
+        Event.TEXT_CONFLICT,
+        Event.PLATFORM_UNREACHABLE,
+        Event.TARGET_FAILED,
+        Event.TARGET_STRAGGLING,
+        Event.SUSPECT_RECORDED,
+        Event.SUSPECT_QUARANTINED,
+        Event.PEER_LOST,
+    )
+)
+_ERRORS = frozenset((Event.HAND_OVER_FAILED, Event.INTERNAL_ERROR))
+# One or more of these for each request: too many for a busy process.
+_DETAILS = frozenset(
+    (
+        Event.REQUEST_DISPATCHED,
+        Event.REQUEST_ENDED,
+        Event.REQUEST_FORWARDED,
+        Event.REQUEST_REFUSED,
+        Event.STREAM_RESUMED,
+        Event.CONNECT_RETRIED,
+    )
+)
+
+
+def find_level(event: Event) -> str:
+    """Returns the level that an event is logged at."""
+    if event in _ERRORS:
+        return "error"
+    if event in _WARNINGS:
+        return "warning"
+    return "debug" if event in _DETAILS else "info"
+
+
+class StructuredLog:
+    """Event log that writes one JSON object a line."""
+
+    def __init__(
+        self,
+        level: str = "info",
+        stream: TextIO | None = None,
+        **context: object,
+    ):
+        """Creates a log.
+
+        Args:
+            level: lowest level that is written.
+            stream: where to write; standard error by default.
+            **context: fields of every line, such as `instance`.
+        """
+        minimum = logging.getLevelNamesMapping()[level.upper()]
+        self._logger: structlog.typing.FilteringBoundLogger = (
+            structlog.wrap_logger(
+                structlog.WriteLogger(stream or sys.stderr),
+                processors=[
+                    structlog.processors.add_log_level,
+                    structlog.processors.TimeStamper(fmt="iso", utc=True),
+                    structlog.processors.JSONRenderer(),
+                ],
+                wrapper_class=structlog.make_filtering_bound_logger(minimum),
+            ).bind(**_clean_fields(context))
+        )
+
+    def emit(self, event: Event, **fields: object) -> None:
+        """Writes one event with its fields, without bodies and secrets."""
+        level = find_level(event)
+        if not self._logger.is_enabled_for(
+            logging.getLevelNamesMapping()[level.upper()]
+        ):
+            return
+        cleaned = _clean_fields(fields)
+        cleaned["number"] = event.value
+        write = getattr(self._logger, level)
+        # A closed or full pipe must not end the request that is logged.
+        with contextlib.suppress(OSError, ValueError):
+            write(event.label, **cleaned)
+
+
+def _clean_fields(fields: Mapping[str, object]) -> dict[str, object]:
+    # The names that structlog and this module set are not overwritten.
+    reserved = ("event", "level", "number", "timestamp")
+    return {
+        f"field_{name}" if name in reserved else name: _clean(name, value)
+        for name, value in list(fields.items())[:MAX_ENTRIES]
+    }
+
+
+def _clean(name: str, value: object) -> object:
+    lowered = name.lower()
+    if lowered in _REQUEST_FIELDS:
+        return _cut_request(value)
+    if lowered.rpartition("_")[2] in _SECRET_NAMES:
+        return WITHHELD
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    if isinstance(value, enum.Enum):
+        return _clean(name, value.value)
+    if isinstance(value, bytes | bytearray | memoryview):
+        return WITHHELD
+    if isinstance(value, Mapping):
+        entries = list(value.items())[:MAX_ENTRIES]
+        return {str(k)[:80]: _clean(str(k), v) for k, v in entries}
+    if isinstance(value, list | tuple | set | frozenset):
+        return [_clean(name, item) for item in list(value)[:MAX_ENTRIES]]
+    return str(value)[:MAX_VALUE_LENGTH]
+
+
+def _cut_request(value: object) -> object:
+    if value is None:
+        return None
+    if isinstance(value, list | tuple | set | frozenset):
+        return [_cut_request(item) for item in list(value)[:MAX_ENTRIES]]
+    text = (
+        value.decode("ascii", "replace") if isinstance(value, bytes) else value
+    )
+    return str(text)[:REQUEST_PREFIX_LENGTH]
--- /dev/null
+++ b/src/peridotbend/adapters/settings.py
@@ -0,0 +1,241 @@
+"""Process settings: a small YAML file overridden by the environment."""
+
+import dataclasses
+import ipaddress
+import urllib.parse
+from collections.abc import Mapping
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field
+from result import Err, Ok, Result
+
+from peridotbend.adapters.shapecheck import check_shape, suggest
+from peridotbend.adapters.textschema import (
+    Duration,
+    Name,
+    Positive,
+    Shape,
+    Size,
+    custom_error,
+)
+from peridotbend.adapters.yamlnodes import Node, TextProblem, read_nodes
+
+ENVIRON_PREFIX = "PERIDOTBEND_"
+# Variables with the prefix that are not settings: the file's path for the
+# daemon and the default of the command line's --operator-url.
+OTHER_VARIABLES = frozenset(
+    ("PERIDOTBEND_SETTINGS", "PERIDOTBEND_OPERATOR_URL")
+)
+MAX_SETTINGS_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Settings of one entry instance; a port of 0 lets the kernel choose."""
+
+    name: str
+    zone: str
+    # Base URL of the configuration service; empty when there is none.
+    platform_url: str
+    # Path of a text to start with; empty waits for peers or the platform.
+    text_file: str
+    caller_host: str
+    caller_port: int
+    operator_host: str
+    operator_port: int
+    peer_host: str
+    peer_port: int
+    # Most request records kept until their IDs expire.
+    max_records: int
+    # Most bytes of answers kept for callers.
+    max_answer_bytes: int
+    # Most requests that wait in all queues of the process.
+    max_waiting: int
+    # Most bytes of the headers of one call.
+    max_header_bytes: int
+    log_level: str
+    # Longest wait for dispatched requests at shutdown.
+    drain_timeout_ms: int
+
+
+def _check_ip(value: str) -> str:
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError:
+        raise custom_error(
+            f"is not an IP address ({value[:60]!r})",
+            "write an address of this instance, such as 127.0.0.1",
+        ) from None
+
+
+def _check_url(value: str) -> str:
+    remedy = "write the address as http://IP:port without a path"
+    try:
+        parts = urllib.parse.urlsplit(value)
+        usable = bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        usable = False
+    if not usable or parts.scheme != "http" or parts.path not in ("", "/"):
+        raise custom_error(f"is not a usable URL ({value[:60]!r})", remedy)
+    if parts.query or parts.fragment or parts.username is not None:
+        raise custom_error("has more than host and port", remedy)
+    return value.rstrip("/")
+
+
+Host = Annotated[str, AfterValidator(_check_ip)]
+Port = Annotated[int, Field(ge=0, le=65_535)]
+
+
+class SettingsShape(Shape):
+    """The settings as they are written."""
+
+    name: Name
+    zone: Name
+    platform_url: Annotated[str, AfterValidator(_check_url)] | None = None
+    text_file: str | None = None
+    caller_host: Host = "127.0.0.1"
+    caller_port: Port = 8080
+    # Operators see all request IDs of the process, so it stays on loopback.
+    operator_host: Host = "127.0.0.1"
+    operator_port: Port = 8081
+    peer_host: Host = "127.0.0.1"
+    peer_port: Port = 8082
+    max_records: Positive = 50_000
+    max_answers: Size = 64 << 20
+    max_waiting: Positive = 1_024
+    max_header: Size = 16 << 10
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    drain_timeout: Duration = 600_000
+
+
+def load_settings(
+    path: str | None, environ: Mapping[str, str]
+) -> Result[NodeSettings, list[TextProblem]]:
+    """Loads the settings of a process.
+
+    Args:
+        path: the YAML file, or None when all settings are in the environment.
+        environ: variables; `PERIDOTBEND_CALLER_PORT` overrides `caller_port`.
+
+    Returns:
+        The settings, or all problems that were found.
+    """
+    read = _read_file(path)
+    if isinstance(read, Err):
+        return read
+    root = read.ok_value
+    problems = _override(root, environ)
+    if problems:
+        return Err(problems)
+    checked = check_shape(SettingsShape, root)
+    if isinstance(checked, Err):
+        return Err([_name_variable(p, environ) for p in checked.err_value])
+    shape = checked.ok_value
+    if not shape.platform_url and not shape.text_file:
+        return Err(
+            [
+                _report(
+                    "platform_url",
+                    "is missing and so is text_file",
+                    "set one of the two, so that the process can get a text",
+                )
+            ]
+        )
+    return Ok(_build_settings(shape))
+
+
+def _report(key: str, problem: str, remedy: str) -> TextProblem:
+    return TextProblem(0, 0, key, problem, remedy)
+
+
+def _read_file(path: str | None) -> Result[Node, list[TextProblem]]:
+    if path is None:
+        return Ok(Node(0, 0, {}, {}))
+    try:
+        with open(path, "rb") as file:
+            content = file.read(MAX_SETTINGS_BYTES + 1)
+        source = content.decode()
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(
+            [
+                _report(
+                    "",
+                    f"{path} cannot be read: {error}",
+                    "pass the path of a readable UTF-8 file",
+                )
+            ]
+        )
+    if len(content) > MAX_SETTINGS_BYTES:
+        return Err(
+            [
+                _report(
+                    "",
+                    f"{path} has more than {MAX_SETTINGS_BYTES} bytes",
+                    "pass the process settings, not the text",
+                )
+            ]
+        )
+    return read_nodes(source)
+
+
+def _override(root: Node, environ: Mapping[str, str]) -> list[TextProblem]:
+    """Puts the values of the variables into the document."""
+    if not isinstance(root.data, dict) or root.children is None:
+        return []
+    problems = []
+    known = {
+        ENVIRON_PREFIX + field.upper(): field
+        for field in SettingsShape.model_fields
+    }
+    for variable, value in sorted(environ.items()):
+        if not variable.startswith(ENVIRON_PREFIX):
+            continue
+        if variable in known:
+            field = known[variable]
+            root.data[field] = _read_variable(field, value)
+            root.children[field] = Node(0, 0, value)
+        elif variable not in OTHER_VARIABLES:
+            problems.append(
+                _report(
+                    variable, "is an unknown variable", suggest(variable, known)
+                )
+            )
+    return problems
+
+
+def _read_variable(field: str, value: str) -> object:
+    """Reads digits as a number where the setting is one."""
+    numeric = field.endswith("_port") or field in ("max_records", "max_waiting")
+    digits = value.isascii() and value.isdecimal() and len(value) < 18
+    return int(value) if numeric and digits else value
+
+
+def _name_variable(
+    problem: TextProblem, environ: Mapping[str, str]
+) -> TextProblem:
+    """Names the variable instead of the key where the value came from it."""
+    variable = ENVIRON_PREFIX + problem.key.upper()
+    if variable not in environ:
+        return problem
+    return dataclasses.replace(problem, key=variable)
+
+
+def _build_settings(shape: SettingsShape) -> NodeSettings:
+    return NodeSettings(
+        name=shape.name,
+        zone=shape.zone,
+        platform_url=shape.platform_url or "",
+        text_file=shape.text_file or "",
+        caller_host=shape.caller_host,
+        caller_port=shape.caller_port,
+        operator_host=shape.operator_host,
+        operator_port=shape.operator_port,
+        peer_host=shape.peer_host,
+        peer_port=shape.peer_port,
+        max_records=shape.max_records,
+        max_answer_bytes=shape.max_answers,
+        max_waiting=shape.max_waiting,
+        max_header_bytes=shape.max_header,
+        log_level=shape.log_level,
+        drain_timeout_ms=shape.drain_timeout,
+    )
--- /dev/null
+++ b/src/peridotbend/cli.py
@@ -0,0 +1,173 @@
+"""Command line for operators."""
+
+import json
+import sys
+from typing import BinaryIO, NoReturn
+
+import click
+from result import Err, Result
+
+from peridotbend import __version__
+from peridotbend.adapters import operatorclient, tables
+from peridotbend.adapters.yamltext import MAX_TEXT_BYTES, parse_text
+
+EXIT_GOOD = 0
+EXIT_PROBLEMS = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+DEFAULT_OPERATOR_URL = "http://127.0.0.1:8081"
+
+EXIT_HELP = """
+\b
+Exit codes:
+  0  done; the text is good
+  1  the text has problems, or the daemon refused the call
+  2  wrong usage, or a file that cannot be read
+  3  the daemon cannot be reached
+"""
+
+
+def _check_url(
+    _context: click.Context, _parameter: click.Parameter, url: str
+) -> str:
+    problem = operatorclient.check_url(url)
+    if problem is not None:
+        raise click.BadParameter(problem)
+    return url
+
+
+operator_url_option = click.option(
+    "--operator-url",
+    default=DEFAULT_OPERATOR_URL,
+    show_default=True,
+    envvar="PERIDOTBEND_OPERATOR_URL",
+    callback=_check_url,
+    help="Operator address of a daemon.",
+)
+
+
+@click.group(epilog=EXIT_HELP)
+@click.version_option(__version__, prog_name="peridotbend")
+def main() -> None:
+    """Checks texts and asks running daemons about their state."""
+
+
+@main.command(epilog=EXIT_HELP)
+@click.argument("text", type=click.File("rb"))
+def check(text: BinaryIO) -> None:
+    """Checks the file TEXT as a daemon would (- reads standard input)."""
+    try:
+        content = text.read(MAX_TEXT_BYTES + 1)
+        source = content.decode()
+    except (OSError, UnicodeDecodeError) as error:
+        click.echo(f"{text.name}: cannot be read: {error}", err=True)
+        sys.exit(EXIT_USAGE)
+    parsed = parse_text(source)
+    if isinstance(parsed, Err):
+        for problem in parsed.err_value:
+            click.echo(f"{text.name}: {problem}", err=True)
+        sys.exit(EXIT_PROBLEMS)
+    found = parsed.ok_value
+    targets = sum(len(service.targets) for service in found.services)
+    click.echo(
+        f"{text.name}: version {found.version}, {len(found.services)} "
+        f"services, {targets} targets, {len(found.clients)} client accounts"
+    )
+
+
+@main.command(epilog=EXIT_HELP)
+@operator_url_option
+def dump(operator_url: str) -> None:
+    """Prints the whole state of a daemon as JSON."""
+    state = _expect(
+        operator_url,
+        operatorclient.call_operator(operator_url, "GET", "/v1/dump"),
+    )
+    click.echo(json.dumps(state, indent=2, sort_keys=True))
+
+
+@main.command(epilog=EXIT_HELP)
+@operator_url_option
+def status(operator_url: str) -> None:
+    """Prints a summary of a daemon's state for a person."""
+    state = _expect(
+        operator_url,
+        operatorclient.call_operator(operator_url, "GET", "/v1/status"),
+    )
+    click.echo(tables.render_object(state))
+
+
+@main.command(epilog=EXIT_HELP)
+@click.argument("request_id", metavar="ID")
+@operator_url_option
+def explain(request_id: str, operator_url: str) -> None:
+    """Prints what a daemon knows about the request ID."""
+    found = _expect(
+        operator_url,
+        operatorclient.call_operator(
+            operator_url, "GET", "/v1/explain", id=request_id
+        ),
+    )
+    click.echo(tables.render_object(found))
+
+
+@main.group(epilog=EXIT_HELP)
+def quarantine() -> None:
+    """Shows requests that crash the targets that run them."""
+
+
+@quarantine.command("list", epilog=EXIT_HELP)
+@operator_url_option
+def list_quarantine(operator_url: str) -> None:
+    """Prints the suspected and quarantined fingerprints."""
+    found = _expect(
+        operator_url,
+        operatorclient.call_operator(operator_url, "GET", "/v1/quarantine"),
+    )
+    if found.get("quarantine"):
+        click.echo(tables.render_object(found))
+    else:
+        click.echo("nothing is suspected or quarantined")
+
+
+@main.command(epilog=EXIT_HELP)
+@operator_url_option
+def drain(operator_url: str) -> None:
+    """Starts a graceful shutdown, as SIGTERM does."""
+    _expect(
+        operator_url,
+        operatorclient.call_operator(operator_url, "POST", "/v1/drain"),
+    )
+    click.echo("draining; the process exits when its requests are done")
+
+
+def _expect(
+    url: str,
+    answer: Result[
+        dict[str, object], operatorclient.Unreachable | operatorclient.Refused
+    ],
+) -> dict[str, object]:
+    """Returns the answer, or ends the command with a message."""
+    if isinstance(answer, Err):
+        _fail(url, answer.err_value)
+    return answer.ok_value
+
+
+def _fail(
+    url: str, failure: operatorclient.Unreachable | operatorclient.Refused
+) -> NoReturn:
+    if isinstance(failure, operatorclient.Refused):
+        click.echo(
+            f"{url} answered {failure.status}: {failure.message}", err=True
+        )
+        sys.exit(EXIT_PROBLEMS)
+    click.echo(
+        f"{url} cannot be reached: {failure.detail}; check that the daemon "
+        "runs and pass its operator address with --operator-url",
+        err=True,
+    )
+    sys.exit(EXIT_UNREACHABLE)
+
+
+if __name__ == "__main__":
+    main()
