--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -18,6 +18,8 @@
 WITHHELD = "[withheld]"
 
 _REQUEST_FIELDS = frozenset(("request", "request_id", "requests"))
+# Set by this module, or a parameter of structlog's own methods.
+_RESERVED = frozenset(("event", "level", "method_name", "number", "timestamp"))
 # Names, and ends of names after an underscore, of fields that stay out.
 _SECRET_NAMES = frozenset((
     "answer", "authorization", "bearer", "body", "cookie", "data", "headers",
@@ -104,10 +106,8 @@
 
 
 def _clean_fields(fields: Mapping[str, object]) -> dict[str, object]:
-    # The names that structlog and this module set are not overwritten.
-    reserved = ("event", "level", "number", "timestamp")
     return {
-        f"field_{name}" if name in reserved else name: _clean(name, value)
+        f"field_{name}" if name in _RESERVED else name: _clean(name, value)
         for name, value in list(fields.items())[:MAX_ENTRIES]
     }
 
--- a/src/peridotbend/adapters/operators.py
+++ b/src/peridotbend/adapters/operators.py
@@ -103,7 +103,11 @@
 
     def _answer_explain(self, scope: Scope) -> _Answer:
         query = scope["query_string"].decode("ascii", "replace")
-        values = urllib.parse.parse_qs(query, max_num_fields=8).get("id", [])
+        try:
+            fields = urllib.parse.parse_qs(query, max_num_fields=8)
+        except ValueError:
+            fields = {}
+        values = fields.get("id", [])
         if len(values) != 1 or len(values[0]) > MAX_ID_LENGTH:
             return _refuse(400, "bad-input", "pass one request ID as ?id=")
         found = self._hooks.explain(values[0])
--- a/src/peridotbend/cli.py
+++ b/src/peridotbend/cli.py
@@ -9,7 +9,7 @@
 
 from peridotbend import __version__
 from peridotbend.adapters import operatorclient, tables
-from peridotbend.adapters.yamltext import MAX_TEXT_BYTES, parse_text
+from peridotbend.adapters.yamltext import parse_text
 
 EXIT_GOOD = 0
 EXIT_PROBLEMS = 1
@@ -56,21 +56,21 @@
 @click.argument("text", type=click.File("rb"))
 def check(text: BinaryIO) -> None:
     """Checks the file TEXT as a daemon would (- reads standard input)."""
+    name = getattr(text, "name", "-")
     try:
-        content = text.read(MAX_TEXT_BYTES + 1)
-        source = content.decode()
+        source = text.read().decode()
     except (OSError, UnicodeDecodeError) as error:
-        click.echo(f"{text.name}: cannot be read: {error}", err=True)
+        click.echo(f"{name}: cannot be read: {error}", err=True)
         sys.exit(EXIT_USAGE)
     parsed = parse_text(source)
     if isinstance(parsed, Err):
         for problem in parsed.err_value:
-            click.echo(f"{text.name}: {problem}", err=True)
+            click.echo(f"{name}: {problem}", err=True)
         sys.exit(EXIT_PROBLEMS)
     found = parsed.ok_value
     targets = sum(len(service.targets) for service in found.services)
     click.echo(
-        f"{text.name}: version {found.version}, {len(found.services)} "
+        f"{name}: version {found.version}, {len(found.services)} "
         f"services, {targets} targets, {len(found.clients)} client accounts"
     )
 
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,96 @@
+"""Tests of the event log and of its page."""
+
+import io
+import json
+import pathlib
+import re
+import unittest
+from typing import Any
+
+from peridotbend.adapters.logs import StructuredLog, find_level
+from peridotbend.domain.events import Event
+from peridotbend.domain.verdicts import Reason
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "events.md"
+SECRET = "s3cr3t-value-of-a-caller"
+
+
+def emit(event: Event, minimum: str = "debug", **fields: object) -> list[Any]:
+    """Returns the JSON lines that one event leads to."""
+    stream = io.StringIO()
+    StructuredLog(minimum, stream, instance="e1").emit(event, **fields)
+    return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+
+class StructuredLogTest(unittest.TestCase):
+    """Lines of the event log."""
+
+    def test_line_has_number_name_level_and_fields(self) -> None:
+        """Guards against events that cannot be looked up in the page."""
+        (line,) = emit(
+            Event.TEXT_REFUSED, version=7, reason=Reason.BAD_INPUT, zones=["a"]
+        )
+        assert line.pop("timestamp").endswith("Z")
+        assert line == {
+            "event": "text-refused", "number": 201, "level": "warning",
+            "instance": "e1", "version": 7, "reason": "bad-input",
+            "zones": ["a"],
+        }  # fmt: skip
+
+    def test_request_ids_are_cut(self) -> None:
+        """Guards against whole request IDs, which are secrets, in logs."""
+        whole = "e1-0123456789abcdef"
+        (line,) = emit(
+            Event.REQUEST_ENDED,
+            request=whole,
+            request_id=whole.encode(),
+            requests=[whole],
+            nested={"request": whole},
+        )
+        assert line["request"] == line["request_id"] == whole[:8]
+        assert whole not in json.dumps(line)
+
+    def test_bodies_and_secrets_are_withheld(self) -> None:
+        """Guards against contents and credentials of callers in logs."""
+        (line,) = emit(
+            Event.INTERNAL_ERROR,
+            body=SECRET,
+            chunk=SECRET.encode(),
+            Authorization=f"Bearer {SECRET}",
+            idempotency_key=SECRET,
+            call={"headers": {"cookie": SECRET}, "parts": [SECRET.encode()]},
+        )
+        assert SECRET not in json.dumps(line)
+
+    def test_fields_cannot_replace_the_events_own(self) -> None:
+        """Guards against forged lines and exceptions through field names."""
+        (line,) = emit(Event.PEER_LIVE, number=1, level="error", method_name=2)
+        assert (line["number"], line["level"]) == (500, "info")
+        assert (line["field_number"], line["field_method_name"]) == (1, 2)
+
+    def test_lower_levels_are_not_written(self) -> None:
+        """Guards against a line for each request at the default level."""
+        assert emit(Event.REQUEST_DISPATCHED, "info") == []
+        assert len(emit(Event.REQUEST_DISPATCHED, "debug")) == 1
+        assert emit(Event.PEER_LOST, "error") == []
+
+    def test_closed_stream_does_not_raise(self) -> None:
+        """Guards against requests that fail because a log pipe is gone."""
+        stream = io.StringIO()
+        log = StructuredLog("info", stream)
+        stream.close()
+        log.emit(Event.PEER_LIVE)
+
+
+class EventsPageTest(unittest.TestCase):
+    """The page holds every event, and no other."""
+
+    def test_rows_match_the_catalogue(self) -> None:
+        """Guards against events without a description, or with a wrong one."""
+        rows = re.findall(
+            r"^\| (\d+) \| (\S+) \| (\w+) \| (.+?) \| (.+?) \|$",
+            PAGE.read_text(encoding="utf-8"),
+            re.MULTILINE,
+        )
+        found = [(int(number), name, level) for number, name, level, *_ in rows]
+        assert found == [(e.value, e.label, find_level(e)) for e in Event]
