Bound the work on texts with thousands of faults

Cause: suggestions were looked up for every unknown name, so a text of 1 MB with many unknown keys or dependencies kept the parser busy for each one. Change: 50 problems are described, in the order of lines, and the rest counted; suggestions stop at 500 known words; at most 16 tiers.

--- a/src/peridotbend/adapters/shapecheck.py
+++ b/src/peridotbend/adapters/shapecheck.py
@@ -9,7 +9,17 @@
 from result import Err, Ok, Result
 
 from peridotbend.adapters.textschema import CUSTOM_ERROR
-from peridotbend.adapters.yamlnodes import Node, TextProblem, join_path
+from peridotbend.adapters.yamlnodes import (
+    MAX_PROBLEMS,
+    Node,
+    TextProblem,
+    count_more,
+    join_path,
+)
+
+# Looking for similar words takes microseconds a word, and a text may have
+# thousands of services.
+MAX_SUGGESTION_WORDS = 500
 
 ShapeT = TypeVar("ShapeT", bound=BaseModel)
 
@@ -30,6 +40,7 @@
     "greater_than": ("is too small", "write a whole number above zero"),
     "greater_than_equal": ("is negative", "write 0 or more"),
     "less_than_equal": ("is too large", "write a smaller number"),
+    "too_long": ("has too many entries", "remove some of them"),
     "too_short": ("is empty", "add at least one entry"),
 }
 
@@ -37,6 +48,8 @@
 def suggest(word: str, known: Iterable[str]) -> str:
     """Says which known word was probably meant, or lists all of them."""
     words = sorted(known)
+    if len(words) > MAX_SUGGESTION_WORDS:
+        return f"use one of the {len(words)} names that the text defines"
     near = difflib.get_close_matches(word[:80], words, n=1, cutoff=0.6)
     if near:
         return f"did you mean {near[0]!r}?"
@@ -51,17 +64,27 @@
         return Ok(shape.model_validate(root.data))
     except ValidationError as error:
         details = error.errors(include_url=False)
-        return Err([_describe(shape, root, detail) for detail in details])
+    details.sort(key=lambda detail: _locate(root, detail)[1:])
+    found = [_describe(shape, root, d) for d in details[:MAX_PROBLEMS]]
+    return Err(found + count_more(len(details) - MAX_PROBLEMS))
 
 
-def _describe(
-    shape: type[BaseModel], root: Node, detail: ErrorDetails
-) -> TextProblem:
+def _locate(
+    root: Node, detail: ErrorDetails
+) -> tuple[tuple[str | int, ...], int, int]:
+    """Returns path, line and column of a fault."""
     # Pydantic marks a fault in the name of a mapping entry by `[key]`.
     path = tuple(key for key in detail["loc"] if key != "[key]")
     node = root.locate(path)
+    return path, node.line, node.column
+
+
+def _describe(
+    shape: type[BaseModel], root: Node, detail: ErrorDetails
+) -> TextProblem:
+    path, line, column = _locate(root, detail)
     problem, remedy = _word(shape, path, detail)
-    return TextProblem(node.line, node.column, join_path(path), problem, remedy)
+    return TextProblem(line, column, join_path(path), problem, remedy)
 
 
 def _word(
--- a/src/peridotbend/adapters/textchecks.py
+++ b/src/peridotbend/adapters/textchecks.py
@@ -1,7 +1,7 @@
 """Checks of the text that compare several of its entries."""
 
 import graphlib
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from peridotbend.adapters.shapecheck import suggest
 from peridotbend.adapters.textschema import (
@@ -9,7 +9,13 @@
     KindShape,
     TextShape,
 )
-from peridotbend.adapters.yamlnodes import Node, TextProblem, join_path
+from peridotbend.adapters.yamlnodes import (
+    MAX_PROBLEMS,
+    Node,
+    TextProblem,
+    count_more,
+    join_path,
+)
 
 Path = tuple[str | int, ...]
 
@@ -31,16 +37,18 @@
     """Finds faults that no single entry shows."""
     checker = _Checker(shape, root)
     checker.run()
-    return checker.problems
+    found = sorted(checker.problems, key=lambda p: (p.line, p.column))
+    return found + count_more(checker.count - len(found))
 
 
 class _Checker:
-    """Collects the problems of one text."""
+    """Collects the problems of one text; describes only the first ones."""
 
     def __init__(self, shape: TextShape, root: Node):
         self._shape = shape
         self._root = root
         self.problems: list[TextProblem] = []
+        self.count = 0
 
     def run(self) -> None:
         self._check_tiers()
@@ -50,12 +58,21 @@
         self._check_targets()
 
     def _report(self, path: Path, problem: str, remedy: str) -> None:
-        node = self._root.locate(path)
-        self.problems.append(
-            TextProblem(
-                node.line, node.column, join_path(path), problem, remedy
+        self.count += 1
+        if len(self.problems) < MAX_PROBLEMS:
+            node = self._root.locate(path)
+            self.problems.append(
+                TextProblem(
+                    node.line, node.column, join_path(path), problem, remedy
+                )
             )
-        )
+
+    def _report_unknown(
+        self, path: Path, noun: str, word: str, known: Collection[str]
+    ) -> None:
+        full = len(self.problems) >= MAX_PROBLEMS
+        remedy = "" if full else suggest(word, known)
+        self._report(path, f"names the unknown {noun} {word[:80]!r}", remedy)
 
     def _claim(
         self, seen: dict[object, Path], value: object, path: Path, noun: str
@@ -107,19 +124,17 @@
                 if needed in services:
                     graph[name].append(needed)
                     continue
-                self._report(
-                    ("services", name, "depends_on", index),
-                    f"names the unknown service {needed[:80]!r}",
-                    suggest(needed, services),
-                )
+                path = ("services", name, "depends_on", index)
+                self._report_unknown(path, "service", needed, services)
         try:
             graphlib.TopologicalSorter(graph).prepare()
         except graphlib.CycleError as error:
             # graphlib lists each service after the one that needs it.
             cycle: list[str] = list(reversed(error.args[1]))
+            shown = cycle if len(cycle) <= 12 else [*cycle[:11], "..."]
             self._report(
                 ("services", cycle[0], "depends_on"),
-                f"is part of a cycle: {' -> '.join(cycle)}",
+                f"is part of a cycle: {' -> '.join(shown)}",
                 "remove one of these dependencies",
             )
 
@@ -132,10 +147,8 @@
         seen: dict[object, Path] = {}
         for path, kind in self._kinds():
             if kind.tier not in self._shape.tiers:
-                self._report(
-                    (*path, "tier"),
-                    f"names the unknown tier {kind.tier[:80]!r}",
-                    suggest(kind.tier, self._shape.tiers),
+                self._report_unknown(
+                    (*path, "tier"), "tier", kind.tier, self._shape.tiers
                 )
             if find_keep_answer_ms(kind) < kind.deadline:
                 self._report(
--- a/src/peridotbend/adapters/textschema.py
+++ b/src/peridotbend/adapters/textschema.py
@@ -24,6 +24,7 @@
 DEFAULT_INITIAL_WINDOW = 8_192
 DEFAULT_MIN_WINDOW = 1_024
 DEFAULT_MAX_WINDOW = 65_536
+MAX_TIERS = 16
 DEFAULT_MAX_QUEUE = 256
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 DEFAULT_MAX_ANSWER_BYTES = 1 << 20
@@ -183,6 +184,6 @@
     """The whole text."""
 
     version: Positive
-    tiers: Annotated[list[Name], Field(min_length=1)]
+    tiers: Annotated[list[Name], Field(min_length=1, max_length=MAX_TIERS)]
     clients: dict[Name, ClientShape] = Field(default_factory=dict)
     services: Annotated[dict[Name, ServiceShape], Field(min_length=1)]
--- a/src/peridotbend/adapters/yamlnodes.py
+++ b/src/peridotbend/adapters/yamlnodes.py
@@ -9,6 +9,8 @@
 
 # The parser in C is about ten times as fast; some builds of PyYAML lack it.
 _LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+# More problems than a person mends in one go are only counted.
+MAX_PROBLEMS = 50
 _VALUE_EVENTS = (yaml.ScalarEvent, yaml.CollectionStartEvent)
 # The deepest value of a text is at level 7; the rest is a margin.
 MAX_DEPTH = 16
@@ -38,6 +40,14 @@
         return f"{place}{key}{self.problem}; {self.remedy}"
 
 
+def count_more(count: int) -> list[TextProblem]:
+    """Returns a closing entry for problems that are not described."""
+    if count <= 0:
+        return []
+    problem = f"has {count} more problems"
+    return [TextProblem(0, 0, "", problem, "correct the first ones")]
+
+
 @dataclasses.dataclass(slots=True)
 class Node:
     """A value with its place; mapping entries have the place of the key."""
@@ -101,7 +111,10 @@
                 )
             ]
         )
-    return Err(reader.problems) if reader.problems else Ok(root)
+    if not reader.problems:
+        return Ok(root)
+    more = count_more(len(reader.problems) - MAX_PROBLEMS)
+    return Err(reader.problems[:MAX_PROBLEMS] + more)
 
 
 class _RefusedError(Exception):
--- a/src/peridotbend/adapters/yamltext.py
+++ b/src/peridotbend/adapters/yamltext.py
@@ -15,7 +15,7 @@
     ServiceShape,
     TextShape,
 )
-from peridotbend.adapters.yamlnodes import TextProblem, read_nodes
+from peridotbend.adapters.yamlnodes import MAX_PROBLEMS, TextProblem, read_nodes
 from peridotbend.domain.text import (
     ClientAccount,
     EngineType,
@@ -29,8 +29,6 @@
 
 # The platform serves values up to 1 MB.
 MAX_TEXT_BYTES = 1_000_000
-# More problems than a person mends in one go are only counted.
-MAX_PROBLEMS = 50
 
 
 def parse_text(source: str) -> Result[FleetText, list[TextProblem]]:
@@ -47,14 +45,14 @@
         return encoded
     read = read_nodes(source)
     if isinstance(read, Err):
-        return Err(_limit(read.err_value))
+        return read
     checked = check_shape(TextShape, read.ok_value)
     if isinstance(checked, Err):
-        return Err(_limit(checked.err_value))
+        return checked
     shape = checked.ok_value
     problems = check_references(shape, read.ok_value)
     if problems:
-        return Err(_limit(problems))
+        return Err(problems)
     digest = hashlib.sha256(encoded.ok_value).digest()
     return Ok(_build_text(shape, source, digest))
 
@@ -85,19 +83,6 @@
     return Ok(encoded)
 
 
-def _limit(problems: list[TextProblem]) -> list[TextProblem]:
-    problems = sorted(problems, key=lambda p: (p.line, p.column))
-    rest = len(problems) - MAX_PROBLEMS
-    if rest <= 0:
-        return problems
-    return [
-        *problems[:MAX_PROBLEMS],
-        TextProblem(
-            0, 0, "", f"has {rest} more problems", "correct the first ones"
-        ),
-    ]
-
-
 def _build_text(shape: TextShape, source: str, digest: bytes) -> FleetText:
     clients = dict(shape.clients)
     clients.setdefault("anonymous", ClientShape())
@@ -131,7 +116,7 @@
     return Service(
         name=name,
         engine=EngineType(shape.engine),
-        depends_on=tuple(shape.depends_on),
+        depends_on=tuple(dict.fromkeys(shape.depends_on)),
         kinds=tuple(
             _build_kind(n, name, k, tiers) for n, k in shape.kinds.items()
         ),
--- a/tests/test_yamltext.py
+++ b/tests/test_yamltext.py
@@ -52,6 +52,7 @@
     ("version: 3", "version: 3\nversion: 4", 2, "version", "duplicate", "one"),
     ("version: 3\n", "", 1, "version", "missing", "add"),
     ("[high, low]", "[high, high]", 2, "tiers[1]", "same name", "own"),
+    ("[high, low]", f"[{'a,' * 17}]", 2, "tiers", "too many", "remove"),
     ("[high, low]", "&t [high]", 2, "tiers", "anchor", "remove"),
     ("[high, low]", "*t", 2, "tiers", "alias", "in full"),
     ("[high, low]", "!!seq [a]", 2, "tiers", "tag", "remove"),
@@ -194,6 +195,12 @@
         problems = parse_bad(GOOD + extra)
         assert len(problems) == yamltext.MAX_PROBLEMS + 1
         assert "30 more" in problems[-1].problem
+        unknown = ", ".join(f"s{i}" for i in range(80))
+        for source in (GOOD.replace("[stock]", f"[{unknown}]"), extra * 2):
+            problems = parse_bad(source)
+            assert len(problems) == yamltext.MAX_PROBLEMS + 1, source[:40]
+            assert "30 more" in problems[-1].problem
+            assert all(p.remedy for p in problems)
 
 
 class UnitsTest(unittest.TestCase):
