Test the nesting bound and the direction of cycles

Cause: of 39 trial mutations of the adapters, two passed the tests: no bound on nesting, and cycles told backwards. Change: a test for each.

--- a/tests/test_yamltext.py
+++ b/tests/test_yamltext.py
@@ -1,6 +1,7 @@
 """Tests of the text parser."""
 
 import hashlib
+import itertools
 import pathlib
 import unittest
 
@@ -182,6 +183,26 @@
             problem = parse_bad(source)[0]
             assert problem.problem and problem.remedy, source[:20]
 
+    def test_nesting_is_bounded(self) -> None:
+        """Guards against documents that exhaust the stack."""
+        assert "nested" in parse_bad("[" * 20 + "]" * 20)[0].problem
+
+    def test_cycle_is_told_in_the_order_of_dependence(self) -> None:
+        """Guards against a remedy that points to the wrong dependency."""
+        service = (
+            "  {0}: {{engine: model, depends_on: [{1}], targets: {{}}, kinds:"
+            " {{k: {{tier: a, idempotent: true, deadline: 1s,"
+            " route: {{path: /{0}}}}}}}}}\n"
+        )
+        pairs = (("x", "y"), ("y", "z"), ("z", "x"))
+        source = "version: 1\ntiers: [a]\nservices:\n" + "".join(
+            service.format(*pair) for pair in pairs
+        )
+        problem = parse_bad(source)[0].problem
+        told = problem.partition("cycle: ")[2].split(" -> ")
+        assert len(told) == 4, problem
+        assert set(itertools.pairwise(told)) == set(pairs), problem
+
     def test_size_limit_counts_bytes(self) -> None:
         """Guards against a text that the platform cannot serve."""
         filled = GOOD + "#" + "ì" * (499_999 - len(GOOD) // 2)
