Keep the parser's marks in YAML nodes

Cause: the place of every value was computed while reading, yet only values with problems need it. Change: nodes hold the parser's mark; line and column are properties. Ruled out: switching the garbage collector off while parsing, which a library must not do to its process.

--- a/src/peridotbend/adapters/settings.py
+++ b/src/peridotbend/adapters/settings.py
@@ -150,7 +150,7 @@
 
 def _read_file(path: str | None) -> Result[Node, list[TextProblem]]:
     if path is None:
-        return Ok(Node(0, 0, {}, {}))
+        return Ok(Node(None, {}, {}))
     try:
         with open(path, "rb") as file:
             content = file.read(MAX_SETTINGS_BYTES + 1)
@@ -193,7 +193,7 @@
         if variable in known:
             field = known[variable]
             root.data[field] = _read_variable(field, value)
-            root.children[field] = Node(0, 0, value)
+            root.children[field] = Node(None, value)
         elif variable not in OTHER_VARIABLES:
             problems.append(
                 _report(
--- a/src/peridotbend/adapters/yamlnodes.py
+++ b/src/peridotbend/adapters/yamlnodes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import re
 from collections.abc import Iterator
+from typing import Protocol
 
 import yaml
 from result import Err, Ok, Result
@@ -48,14 +49,37 @@
     return [TextProblem(0, 0, "", problem, "correct the first ones")]
 
 
-@dataclasses.dataclass(slots=True)
-class Node:
-    """A value with its place; mapping entries have the place of the key."""
+class Mark(Protocol):
+    """A place in the source as the parser counts it, from 0."""
 
     line: int
     column: int
-    data: object
-    children: dict[str | int, "Node"] | None = None
+
+
+class Node:
+    """A value with its place; mapping entries have the place of the key."""
+
+    __slots__ = ("children", "data", "mark")
+
+    def __init__(
+        self,
+        mark: Mark | None,
+        data: object,
+        children: dict[str | int, "Node"] | None = None,
+    ):
+        self.mark = mark
+        self.data = data
+        self.children = children
+
+    @property
+    def line(self) -> int:
+        """Line from 1; 0 for a value that does not come from a file."""
+        return self.mark.line + 1 if self.mark else 0
+
+    @property
+    def column(self) -> int:
+        """Column from 1; 0 for a value that does not come from a file."""
+        return self.mark.column + 1 if self.mark else 0
 
     def locate(self, path: tuple[str | int, ...]) -> "Node":
         """Returns the node at `path`, or the nearest one above it."""
@@ -138,7 +162,7 @@
         next(events)
         event = next(events)
         if isinstance(event, yaml.StreamEndEvent):
-            return Node(1, 1, None)
+            return Node(event.start_mark, None)
         root = self._read_value(next(events), events)
         next(events)
         event = next(events)
@@ -152,7 +176,7 @@
         self, event: yaml.Event, events: Iterator[yaml.Event]
     ) -> Node:
         self._check_features(event)
-        node = Node(*_find_place(event), None)
+        node = Node(event.start_mark, None)
         if isinstance(event, yaml.ScalarEvent):
             node.data = _resolve_scalar(event)
         elif isinstance(event, yaml.MappingStartEvent):
@@ -193,7 +217,7 @@
             key = event.value
             self._path.append(key)
             child = self._read_value(next(events), events)
-            child.line, child.column = _find_place(event)
+            child.mark = event.start_mark
             if key in data:
                 self._report_duplicate(child, children[key].line)
             else:
@@ -229,15 +253,11 @@
     def _refuse(
         self, event: yaml.Event, problem: str, remedy: str
     ) -> _RefusedError:
-        line, column = _find_place(event)
+        place = Node(event.start_mark, None)
         key = join_path(tuple(self._path))
-        return _RefusedError(TextProblem(line, column, key, problem, remedy))
-
-
-def _find_place(event: yaml.Event) -> tuple[int, int]:
-    mark = event.start_mark
-    assert mark is not None, "the parser marks every event"
-    return mark.line + 1, mark.column + 1
+        return _RefusedError(
+            TextProblem(place.line, place.column, key, problem, remedy)
+        )
 
 
 def _resolve_scalar(event: yaml.ScalarEvent) -> str | int | bool | None:
