--- a/src/peridotbend/domain/work.py
+++ b/src/peridotbend/domain/work.py
@@ -2,8 +2,26 @@
 
 import dataclasses
 import enum
+import json
+from collections import OrderedDict
 
-from peridotbend.domain.text import Kind
+import xxhash
+from result import Err, Ok, Result
+
+from peridotbend.domain.text import EngineType, Kind
+
+CHARACTERS_PER_TOKEN = 4
+PREFIX_BLOCK_BYTES = 256
+# 64 KiB of prompt; longer prompts rarely share more than that.
+MAX_PREFIX_BLOCKS = 256
+DEFAULT_OUTPUT_TOKENS = 256
+# No engine in use writes more; a larger limit in a body is a caller's
+# "no limit" and would not fit into any window.
+MAX_OUTPUT_TOKENS = 131_072
+# Images and audio have no characters to count.
+MEDIA_PART_TOKENS = 1_024
+# One unit, so that the window of an application counts concurrent calls.
+APPLICATION_WORK_UNITS = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,3 +64,150 @@
     # The target died or broke the stream after the dispatch.
     DIED = "died"
     TIMED_OUT = "timed-out"
+
+
+def estimate_work(
+    kind: Kind, engine: EngineType, body: bytes
+) -> Result[WorkEstimate, str]:
+    """Estimates what a request costs; an Err says what to correct."""
+    if engine is EngineType.APPLICATION:
+        return Ok(WorkEstimate(APPLICATION_WORK_UNITS, 0))
+    try:
+        request = json.loads(body)
+    except (ValueError, RecursionError) as problem:
+        return Err(
+            f"The body of a {kind.name} request is not valid JSON"
+            f" ({problem}); send a chat completion request."
+        )
+    if not isinstance(request, dict):
+        return Err("The body is not a JSON object; send an object.")
+    output = _read_output_limit(request)
+    if isinstance(output, Err):
+        return output
+    return _read_prompt(request).map(
+        lambda prompt: WorkEstimate(
+            prompt.tokens, output.ok_value, hash_prefix(prompt.text)
+        )
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Prompt:
+    text: str
+    tokens: int
+
+
+def _read_output_limit(request: dict[str, object]) -> Result[int, str]:
+    for name in ("max_completion_tokens", "max_tokens"):
+        limit = request.get(name)
+        if limit is None:
+            continue
+        if type(limit) is not int or limit < 1:
+            return Err(f"`{name}` must be a whole number of at least 1.")
+        return Ok(min(limit, MAX_OUTPUT_TOKENS))
+    return Ok(DEFAULT_OUTPUT_TOKENS)
+
+
+def _read_prompt(request: dict[str, object]) -> Result[_Prompt, str]:
+    """Joins what the engine reads, in the order in which it is cached."""
+    messages = request.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return Err("`messages` must be a list with at least one message.")
+    # The model comes first: engines never share a cache between models.
+    texts = [f"{request.get('model', '')}\n"]
+    if tools := request.get("tools"):
+        texts.append(_canonical(tools))
+    media_parts = 0
+    for position, message in enumerate(messages):
+        if not isinstance(message, dict):
+            return Err(f"`messages[{position}]` must be a JSON object.")
+        texts.append(f"{message.get('role', '')}\n")
+        for part in _split_content(message.get("content")):
+            if isinstance(part, str):
+                texts.append(part)
+            else:
+                media_parts += 1
+                texts.append(_canonical(part))
+        if calls := message.get("tool_calls"):
+            texts.append(_canonical(calls))
+        texts.append("\n")
+    text = "".join(texts)
+    counted = len(text) // CHARACTERS_PER_TOKEN
+    if media_parts:
+        # The encoded bytes of media are not prompt characters.
+        counted = _count_text(messages) // CHARACTERS_PER_TOKEN
+    return Ok(_Prompt(text, max(1, counted + media_parts * MEDIA_PART_TOKENS)))
+
+
+def _split_content(content: object) -> list[object]:
+    """Returns the parts of a message: strings for text, others unchanged."""
+    if content is None:
+        return []
+    if not isinstance(content, list):
+        return [content]
+    return [
+        part["text"]
+        if isinstance(part, dict) and isinstance(part.get("text"), str)
+        else part
+        for part in content
+    ]
+
+
+def _count_text(messages: list[dict[str, object]]) -> int:
+    return sum(
+        len(part)
+        for message in messages
+        for part in _split_content(message.get("content"))
+        if isinstance(part, str)
+    )
+
+
+def _canonical(value: object) -> str:
+    return json.dumps(value, sort_keys=True, separators=(",", ":"))
+
+
+def hash_prefix(text: str) -> tuple[int, ...]:
+    """Hashes the full blocks of a prompt, each with all blocks before it."""
+    limit = MAX_PREFIX_BLOCKS * PREFIX_BLOCK_BYTES
+    # JSON can hold lone surrogates, which strict UTF-8 refuses.
+    data = text[:limit].encode("utf-8", "surrogatepass")[:limit]
+    hashes: list[int] = []
+    seed = 0
+    for end in range(PREFIX_BLOCK_BYTES, len(data) + 1, PREFIX_BLOCK_BYTES):
+        block = data[end - PREFIX_BLOCK_BYTES : end]
+        seed = xxhash.xxh3_64_intdigest(block, seed=seed)
+        hashes.append(seed)
+    return tuple(hashes)
+
+
+class OutputLengthLearner:
+    """Corrects output estimates by what requests of each kind produced."""
+
+    # About the last ten answers of a kind count.
+    SAMPLE_WEIGHT = 0.1
+    MIN_RATIO = 0.02
+    # An answer exceeds its estimate only where the caller set no limit.
+    MAX_RATIO = 8.0
+    MAX_KINDS = 4_096
+
+    def __init__(self) -> None:
+        self._ratios: OrderedDict[tuple[str, str], float] = OrderedDict()
+
+    def record(self, kind: Kind, limit: int, actual: int) -> None:
+        """Notes that an answer with the estimate `limit` had `actual`."""
+        if limit < 1 or actual < 0:
+            return
+        key = (kind.service, kind.name)
+        sample = min(self.MAX_RATIO, max(self.MIN_RATIO, actual / limit))
+        ratio = self._ratios.pop(key, 1.0)
+        self._ratios[key] = ratio + self.SAMPLE_WEIGHT * (sample - ratio)
+        if len(self._ratios) > self.MAX_KINDS:
+            self._ratios.popitem(last=False)
+
+    def correct(self, kind: Kind, work: WorkEstimate) -> WorkEstimate:
+        """Returns the estimate with the output tokens that are likely."""
+        ratio = self._ratios.get((kind.service, kind.name), 1.0)
+        if not work.output_tokens or ratio == 1.0:
+            return work
+        tokens = max(1, round(work.output_tokens * ratio))
+        return dataclasses.replace(work, output_tokens=tokens)
