--- /dev/null
+++ b/src/peridotbend/domain/membership.py
@@ -0,0 +1,243 @@
+"""Entry instances that this process knows, and who is responsible for what."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from peridotbend.domain import rendezvous
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.peertable import Peer, PeerTable
+from peridotbend.domain.ports import EventLog, InstanceInfo, InstanceRole
+from peridotbend.domain.targetstates import LeavingMark, TargetStates
+from peridotbend.domain.text import Target
+
+READERS_PER_ZONE = 2
+
+
+class TargetView(Protocol):
+    """What the scheduler asks about targets and peers."""
+
+    def is_available(self, target: Target) -> bool:
+        """Tells whether a target is neither leaving nor seen dead."""
+        ...
+
+    def count_live_peers(self) -> int:
+        """Counts live entry instances, this process included."""
+        ...
+
+    def zone(self) -> str:
+        """Returns the zone of this process."""
+        ...
+
+
+class Roster:
+    """Peers and targets as this process sees them.
+
+    Views of different processes differ for a while. That costs capacity or a
+    refusal, never a second dispatch.
+    """
+
+    def __init__(
+        self, own: Peer, clock: Clock, log: EventLog, rng: random.Random
+    ):
+        assert own.incarnation > 0, "incarnation 0 stands for an unknown one"
+        self._own = own
+        self._clock = clock
+        self._table = PeerTable(own.zone, clock, log, rng)
+        self._dividers: dict[tuple[str, str], str] = {}
+        self._dividers_key: tuple[int, bool] = (-1, False)
+        self._urgent_callbacks: list[Callable[[], None]] = []
+        self.targets = TargetStates(clock, log)
+
+    # Learning.
+
+    def apply_list(self, instances: Iterable[InstanceInfo]) -> None:
+        """Learns from the platform's list; absence from it means nothing."""
+        news = False
+        for info in instances:
+            if info.role is InstanceRole.ENTRY:
+                if info.name != self._own.name and info.peer_port:
+                    self._table.add_candidate(info)
+                continue
+            if info.leaving:
+                news |= self.targets.mark_leaving(info.name, info.incarnation)
+            else:
+                self.targets.record_incarnation(info.name, info.incarnation)
+        if news:
+            self.notify_urgent()
+
+    def record_heartbeat(self, peer: Peer) -> bool:
+        """Notes a heartbeat that came from the peer itself."""
+        return self._learn(peer, self._clock.now_ms(), True)
+
+    def record_member(self, peer: Peer, age_ms: int) -> None:
+        """Notes what a peer heard of another one `age_ms` ago."""
+        self._learn(peer, self._clock.now_ms() - max(0, age_ms), False)
+
+    def mark_leaving(self, marks: Iterable[LeavingMark]) -> None:
+        """Notes leaving marks; news is passed on at once."""
+        news = False
+        for mark in marks:
+            news |= self.targets.mark_leaving(*mark)
+        if news:
+            self.notify_urgent()
+
+    def record_target_incarnation(self, name: str, incarnation: str) -> None:
+        """Notes the incarnation that a target itself reported."""
+        self.targets.record_incarnation(name, incarnation)
+
+    def record_target_failure(self, name: str) -> None:
+        """Takes a target out that this process saw dead."""
+        self.targets.record_failure(name)
+
+    def record_target_success(self, name: str) -> None:
+        """Ends the backoff of a target that answered."""
+        self.targets.record_success(name)
+
+    def set_draining(self) -> None:
+        """Tells peers that this process takes over nothing any more."""
+        self._own = dataclasses.replace(self._own, draining=True)
+        self.notify_urgent()
+
+    def set_address(self, host: str, port: int) -> None:
+        """Sets the address at which peers reach this process."""
+        self._own = dataclasses.replace(self._own, host=host, port=port)
+
+    def subscribe_urgent(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` on news that must not wait for a heartbeat."""
+        self._urgent_callbacks.append(callback)
+
+    def notify_urgent(self) -> None:
+        """Makes the links send their next digest at once."""
+        for callback in self._urgent_callbacks:
+            callback()
+
+    # Peers.
+
+    def own(self) -> Peer:
+        """Returns this process as its peers see it."""
+        return self._own
+
+    def find_peer(self, name: str) -> Peer | None:
+        """Returns a peer by name, live or not."""
+        if name == self._own.name:
+            return self._own
+        return self._table.find(name)
+
+    def is_live(self, name: str) -> bool:
+        """Tells whether a peer was heard of recently."""
+        return name == self._own.name or self._table.is_live(name)
+
+    def find_age(self, name: str) -> int | None:
+        """Returns milliseconds since a peer was last heard of."""
+        return self._table.find_age(name)
+
+    def live_peers(self) -> tuple[Peer, ...]:
+        """Returns the live peers without this process."""
+        return self._table.live()
+
+    def known_peers(self) -> tuple[Peer, ...]:
+        """Returns all known peers without this process."""
+        return self._table.known()
+
+    def is_full_mesh(self) -> bool:
+        """Tells whether every known peer is a neighbour."""
+        return self._table.is_full_mesh()
+
+    def sample_live(self, limit: int) -> list[Peer]:
+        """Returns at most `limit` random live peers."""
+        return self._table.sample_live(limit)
+
+    def neighbours(self, dividers: Iterable[str] = ()) -> tuple[Peer, ...]:
+        """Returns the peers to keep a stream to."""
+        return self._table.neighbours(dividers)
+
+    # Responsibilities.
+
+    def find_divider(self, target: Target) -> str:
+        """Returns the name of the instance that divides a target's window."""
+        # A fleet has thousands of targets, each asked for every 200 ms.
+        view = (self._table.view(), self._own.draining)
+        if view != self._dividers_key:
+            self._dividers, self._dividers_key = {}, view
+        found = self._dividers.get((target.name, target.zone))
+        if found is None:
+            found = self._choose_divider(target)
+            self._dividers[target.name, target.zone] = found
+        return found
+
+    def find_owner(self, key: bytes) -> str:
+        """Returns the name of the instance that grants trials for a key."""
+        return rendezvous.rank(b"owner:" + key, self._able(), _name)[0].name
+
+    def rank_heirs(
+        self, name: str, incarnation: int, *, with_draining: bool = False
+    ) -> tuple[Peer, ...]:
+        """Returns who takes over the records of an incarnation, best first.
+
+        Look-ups ask draining peers too: they may have taken over records
+        before they began to drain.
+        """
+        peers = [p for p in (*self.live_peers(), self._own) if p.name != name]
+        able = [p for p in peers if with_draining or not p.draining]
+        key = f"heir:{name}:{incarnation}".encode()
+        return tuple(rendezvous.rank(key, able, _name))
+
+    def is_reader(self, zone: str | None = None) -> bool:
+        """Tells whether this process watches the platform for a zone."""
+        zone = self._own.zone if zone is None else zone
+        able = [p for p in self._able() if p.zone == zone]
+        key = b"reader:" + zone.encode()
+        first = rendezvous.rank(key, able, _name)[:READERS_PER_ZONE]
+        return self._own.name in {p.name for p in first}
+
+    # The view of the scheduler.
+
+    def is_available(self, target: Target) -> bool:
+        """Tells whether a target is neither leaving nor seen dead."""
+        return self.targets.is_available(target.name)
+
+    def is_leaving(self, target: str, incarnation: str) -> bool:
+        """Tells whether an incarnation was ever marked as leaving."""
+        return self.targets.is_leaving(target, incarnation)
+
+    def count_live_peers(self) -> int:
+        """Counts live entry instances, this process included."""
+        return 1 + len(self.live_peers())
+
+    def zone(self) -> str:
+        """Returns the zone of this process."""
+        return self._own.zone
+
+    def dump(self) -> dict[str, object]:
+        """Returns what operators may want to see."""
+        return {
+            "own": self._own.name,
+            "zone": self._own.zone,
+            "draining": self._own.draining,
+            "reader": self.is_reader(),
+            "peers": self._table.dump(),
+            "targets": self.targets.dump(),
+        }
+
+    # Internals.
+
+    def _choose_divider(self, target: Target) -> str:
+        able = self._able()
+        near = [p for p in able if p.zone == target.zone]
+        key = b"divider:" + target.name.encode()
+        return rendezvous.rank(key, near or able, _name)[0].name
+
+    def _able(self) -> list[Peer]:
+        live = [*self.live_peers(), self._own]
+        return [p for p in live if not p.draining] or live
+
+    def _learn(self, peer: Peer, heard_at_ms: int, direct: bool) -> bool:
+        if peer.name == self._own.name or not peer.incarnation:
+            return False
+        return self._table.learn(peer, heard_at_ms, direct)
+
+
+def _name(peer: Peer) -> str:
+    return peer.name
--- /dev/null
+++ b/src/peridotbend/domain/targetstates.py
@@ -0,0 +1,139 @@
+"""What is known about targets: incarnations, leaving marks and failures."""
+
+import dataclasses
+from collections import deque
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
+
+FIRST_BACKOFF_MS = 1_000
+MAX_BACKOFF_MS = 10_000
+# More than twice the restarts that the largest fleet sees in a day.
+MAX_LEAVING = 8_192
+MAX_TARGETS = 16_384
+# Incarnations of one name that are known to have been replaced.
+MAX_REPLACED = 8
+
+LeavingMark = tuple[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class _Failure:
+    until_ms: int
+    backoff_ms: int
+
+
+class TargetStates:
+    """Leaving marks that never lapse, and failures seen by this process."""
+
+    def __init__(self, clock: Clock, log: EventLog):
+        self._clock = clock
+        self._log = log
+        self._incarnations: dict[str, str] = {}
+        self._replaced: dict[str, deque[str]] = {}
+        # Insertion order is the order of learning, which links rely on.
+        self._leaving: dict[LeavingMark, int] = {}
+        self._leaving_by_name: dict[str, int] = {}
+        self._next_mark = 0
+        self._failures: dict[str, _Failure] = {}
+
+    def record_incarnation(self, name: str, incarnation: str) -> None:
+        """Notes the incarnation of a target, unless it was replaced before.
+
+        The platform's list can lag; an incarnation that another one has
+        already replaced does not come back.
+        """
+        known = self._incarnations.get(name)
+        replaced = self._replaced.get(name, ())
+        if known == incarnation or incarnation in replaced:
+            return
+        if known is None and len(self._incarnations) >= MAX_TARGETS:
+            return
+        self._incarnations[name] = incarnation
+        if known is not None:
+            old = self._replaced.setdefault(name, deque(maxlen=MAX_REPLACED))
+            old.append(known)
+            # The failures were those of the process that is gone.
+            self._failures.pop(name, None)
+
+    def mark_leaving(self, name: str, incarnation: str) -> bool:
+        """Marks an incarnation as leaving; True if that is news."""
+        mark = (name, incarnation)
+        if mark in self._leaving:
+            return False
+        if len(self._leaving) >= MAX_LEAVING:
+            self._forget_oldest_mark()
+        self._leaving[mark] = self._next_mark
+        self._next_mark += 1
+        count = self._leaving_by_name.get(name, 0)
+        self._leaving_by_name[name] = count + 1
+        self.record_incarnation(name, incarnation)
+        self._log.emit(
+            Event.TARGET_LEAVING, target=name, incarnation=incarnation
+        )
+        return True
+
+    def is_leaving(self, name: str, incarnation: str) -> bool:
+        """Tells whether that incarnation was ever marked as leaving."""
+        return (name, incarnation) in self._leaving
+
+    def marks_from(
+        self, cursor: int, limit: int
+    ) -> tuple[list[LeavingMark], int]:
+        """Returns the marks learnt since `cursor`, and the next cursor."""
+        if cursor >= self._next_mark:
+            return [], cursor
+        marks = [m for m, at in self._leaving.items() if at >= cursor][:limit]
+        if not marks:
+            return [], self._next_mark
+        return marks, self._leaving[marks[-1]] + 1
+
+    def record_failure(self, name: str) -> None:
+        """Takes a target out for a backoff that doubles with each failure."""
+        now = self._clock.now_ms()
+        failure = self._failures.get(name)
+        # Requests in flight fail together; they count as one failure.
+        if failure is not None and now < failure.until_ms:
+            return
+        backoff = FIRST_BACKOFF_MS
+        if failure is not None:
+            backoff = min(2 * failure.backoff_ms, MAX_BACKOFF_MS)
+        elif len(self._failures) >= MAX_TARGETS:
+            self._failures.pop(next(iter(self._failures)))
+        self._failures[name] = _Failure(now + backoff, backoff)
+
+    def record_success(self, name: str) -> None:
+        """Forgets the failures of a target that works."""
+        self._failures.pop(name, None)
+
+    def is_available(self, name: str) -> bool:
+        """Tells whether a target may get new work."""
+        failure = self._failures.get(name)
+        if failure is not None and self._clock.now_ms() < failure.until_ms:
+            return False
+        if not self._leaving_by_name.get(name):
+            return True
+        incarnation = self._incarnations.get(name)
+        return incarnation is not None and not self.is_leaving(
+            name, incarnation
+        )
+
+    def dump(self) -> dict[str, object]:
+        """Returns what operators may want to see."""
+        now = self._clock.now_ms()
+        return {
+            "leaving": [list(mark) for mark in list(self._leaving)[-64:]],
+            "failing": {
+                name: failure.until_ms - now
+                for name, failure in self._failures.items()
+                if failure.until_ms > now
+            },
+        }
+
+    def _forget_oldest_mark(self) -> None:
+        oldest = next(iter(self._leaving))
+        del self._leaving[oldest]
+        self._leaving_by_name[oldest[0]] -= 1
+        if not self._leaving_by_name[oldest[0]]:
+            del self._leaving_by_name[oldest[0]]
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,281 @@
+"""Tests of the roster."""
+
+import dataclasses
+import random
+import unittest
+
+from peridotbend.domain import rendezvous
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.events import Event
+from peridotbend.domain.membership import Roster
+from peridotbend.domain.peertable import (
+    MAX_PEERS,
+    REDRAW_MS,
+    SILENCE_MS,
+    Peer,
+)
+from peridotbend.domain.ports import InstanceInfo, InstanceRole
+from peridotbend.domain.text import Target
+from tests.peernodes import RecordingLog, make_entry
+
+
+def make_peer(name: str, incarnation: int = 1, sequence: int = 1) -> Peer:
+    """Makes a peer in zone a."""
+    return Peer(name, incarnation, "a", "127.0.0.1", 9, sequence=sequence)
+
+
+def make_target(name: str, zone: str = "a") -> Target:
+    """Makes a target."""
+    return Target(name, "s", zone, "127.0.0.1", 80)
+
+
+def list_target(name: str, incarnation: str, leaving: bool) -> InstanceInfo:
+    """Makes a line of the platform's list for a target."""
+    role = InstanceRole.TARGET
+    return InstanceInfo(name, role, "a", "h", 80, 0, incarnation, leaving)
+
+
+class RosterCase(unittest.TestCase):
+    """Makes a roster under a manual clock."""
+
+    def setUp(self) -> None:
+        """Makes a roster that knows nobody."""
+        self.clock = ManualClock()
+        self.log = RecordingLog()
+        self.roster = self.make_roster("e0")
+
+    def make_roster(self, name: str) -> Roster:
+        """Makes the roster of the named instance."""
+        rng = random.Random(1)
+        return Roster(make_peer(name, 99), self.clock, self.log, rng)
+
+    def hear(self, *names: str, sequence: int = 1) -> None:
+        """Receives a heartbeat from each of the names."""
+        for name in names:
+            self.roster.record_heartbeat(make_peer(name, sequence=sequence))
+
+
+class LivenessTest(RosterCase):
+    """Heartbeats, silence and incarnations."""
+
+    def test_list_alone_is_no_life_sign(self) -> None:
+        """Guards against a stale list that makes dead peers count."""
+        self.roster.apply_list([make_entry("e1", 10)])
+        assert self.roster.count_live_peers() == 1
+        assert [p.name for p in self.roster.known_peers()] == ["e1"]
+
+    def test_empty_list_removes_nobody(self) -> None:
+        """Guards against a failing platform that empties the roster."""
+        self.hear("e1")
+        self.roster.apply_list([])
+        assert self.roster.is_live("e1")
+
+    def test_silent_peer_is_lost_once(self) -> None:
+        """Guards against a dead peer that stays in use, or repeated logs."""
+        self.hear("e1")
+        self.clock.advance(SILENCE_MS - 1)
+        assert self.roster.is_live("e1")
+        self.clock.advance(1)
+        assert not self.roster.is_live("e1")
+        assert not self.roster.live_peers()
+        assert self.log.count(Event.PEER_LOST) == 1
+
+    def test_old_sequence_is_no_life_sign(self) -> None:
+        """Guards against repeated samples that keep a dead peer alive."""
+        self.hear("e1", sequence=5)
+        self.clock.advance(SILENCE_MS)
+        self.roster.record_member(make_peer("e1", sequence=5), 0)
+        assert not self.roster.is_live("e1")
+        self.roster.record_member(make_peer("e1", sequence=6), 10)
+        assert self.roster.is_live("e1")
+
+    def test_new_incarnation_replaces_at_once(self) -> None:
+        """Guards against a restarted peer taken for the old process."""
+        self.hear("e1")
+        self.roster.record_heartbeat(make_peer("e1", 2))
+        found = self.roster.find_peer("e1")
+        assert found is not None
+        assert found.incarnation == 2
+
+    def test_replaced_incarnation_never_returns(self) -> None:
+        """Guards against a paused process that resumes as its successor."""
+        self.roster.record_heartbeat(make_peer("e1", 1))
+        self.roster.record_heartbeat(make_peer("e1", 2))
+        self.clock.advance(60_000)
+        assert not self.roster.record_heartbeat(make_peer("e1", 1, 900))
+        self.roster.record_member(make_peer("e1", 1, 901), 0)
+        found = self.roster.find_peer("e1")
+        assert found is not None
+        assert found.incarnation == 2
+        assert not self.roster.is_live("e1")
+
+    def test_older_news_of_unknown_incarnation_is_ignored(self) -> None:
+        """Guards against a late sample of a process that is gone."""
+        self.hear("e1")
+        self.roster.record_member(make_peer("e1", 5, 500), 900)
+        found = self.roster.find_peer("e1")
+        assert found is not None
+        assert found.incarnation == 1
+
+    def test_number_of_peers_is_bounded(self) -> None:
+        """Guards against memory that grows with invented names."""
+        for number in range(MAX_PEERS + 50):
+            self.roster.apply_list([make_entry(f"x{number}", 10)])
+        self.hear("e1")
+        assert len(self.roster.known_peers()) == MAX_PEERS
+        assert self.roster.is_live("e1")
+
+
+class TargetsTest(RosterCase):
+    """Leaving marks and failures of targets."""
+
+    def test_leaving_is_sticky_against_a_stale_list(self) -> None:
+        """Guards against new work for a target that is leaving."""
+        target = make_target("t1")
+        self.roster.apply_list([list_target("t1", "i1", True)])
+        assert not self.roster.is_available(target)
+        self.roster.apply_list([list_target("t1", "i1", False)])
+        assert not self.roster.is_available(target)
+        assert self.roster.is_leaving("t1", "i1")
+
+    def test_next_incarnation_is_available(self) -> None:
+        """Guards against a restarted target that is never used again."""
+        self.roster.mark_leaving([("t1", "i1")])
+        assert not self.roster.is_available(make_target("t1"))
+        self.roster.record_target_incarnation("t1", "i2")
+        assert self.roster.is_available(make_target("t1"))
+        self.roster.apply_list([list_target("t1", "i1", False)])
+        assert self.roster.is_available(make_target("t1"))
+
+    def test_mark_of_an_unknown_incarnation_counts(self) -> None:
+        """Guards against a peer's news lost to an outdated list."""
+        self.roster.apply_list([list_target("t1", "i1", False)])
+        self.roster.mark_leaving([("t1", "i2")])
+        self.roster.apply_list([list_target("t1", "i1", False)])
+        assert not self.roster.is_available(make_target("t1"))
+
+    def test_news_is_urgent_and_given_once(self) -> None:
+        """Guards against marks that wait, or that fill every digest."""
+        calls: list[int] = []
+        self.roster.subscribe_urgent(lambda: calls.append(1))
+        self.roster.mark_leaving([("t1", "i1"), ("t2", "i1")])
+        self.roster.mark_leaving([("t1", "i1")])
+        assert len(calls) == 1
+        marks, cursor = self.roster.targets.marks_from(0, 1)
+        assert marks == [("t1", "i1")]
+        marks, cursor = self.roster.targets.marks_from(cursor, 256)
+        assert marks == [("t2", "i1")]
+        assert self.roster.targets.marks_from(cursor, 256)[0] == []
+
+    def test_failures_back_off_and_recover(self) -> None:
+        """Guards against hammering a dead target, or losing it for good."""
+        target = make_target("t1")
+        waits = []
+        for _ in range(6):
+            self.roster.record_target_failure("t1")
+            self.roster.record_target_failure("t1")
+            waited = 0
+            while not self.roster.is_available(target):
+                self.clock.advance(500)
+                waited += 500
+            waits.append(waited)
+        assert waits == [1_000, 2_000, 4_000, 8_000, 10_000, 10_000]
+        self.roster.record_target_failure("t1")
+        self.roster.record_target_success("t1")
+        assert self.roster.is_available(target)
+
+
+class ResponsibilityTest(RosterCase):
+    """Dividers, owners, heirs and readers."""
+
+    def test_all_instances_agree(self) -> None:
+        """Guards against two dividers, owners or heirs with equal views."""
+        names = [f"e{n}" for n in range(5)]
+        answers = set()
+        for name in names:
+            roster = self.make_roster(name)
+            for other in names:
+                roster.record_heartbeat(make_peer(other))
+            heirs = roster.rank_heirs("gone", 4)
+            answers.add(
+                (
+                    roster.find_divider(make_target("t1")),
+                    roster.find_owner(b"print"),
+                    tuple(p.name for p in heirs),
+                )
+            )
+        assert len(answers) == 1
+
+    def test_readers_are_two_in_each_zone(self) -> None:
+        """Guards against a zone without a reader, or one full of them."""
+        names = [f"e{n}" for n in range(6)]
+        readers = []
+        for name in names:
+            roster = self.make_roster(name)
+            for other in names:
+                roster.record_heartbeat(make_peer(other))
+            readers.append(roster.is_reader())
+        assert sum(readers) == 2
+        assert self.roster.is_reader()
+        assert not self.roster.is_reader("b")
+
+    def test_divider_moves_when_it_dies(self) -> None:
+        """Guards against shares that wait for a dead divider."""
+        self.hear("e1", "e2", "e3")
+        targets = [make_target(f"t{n}") for n in range(40)]
+        before = {self.roster.find_divider(t) for t in targets}
+        assert before == {"e0", "e1", "e2", "e3"}
+        self.clock.advance(SILENCE_MS)
+        assert {self.roster.find_divider(t) for t in targets} == {"e0"}
+
+    def test_divider_is_of_the_zone_if_it_has_one(self) -> None:
+        """Guards against a divider across a partition between zones."""
+        far = dataclasses.replace(make_peer("far"), zone="b")
+        self.roster.record_heartbeat(far)
+        self.hear("e1")
+        target = make_target("t1", "b")
+        assert self.roster.find_divider(target) == "far"
+        assert self.roster.find_divider(make_target("t1", "c"))
+
+    def test_draining_peer_takes_over_nothing(self) -> None:
+        """Guards against a hand-over to a process that stops as well."""
+        drain = dataclasses.replace(make_peer("e1"), draining=True)
+        self.roster.record_heartbeat(drain)
+        self.hear("e2")
+        heirs = [p.name for p in self.roster.rank_heirs("e0", 99)]
+        assert heirs == ["e2"]
+        asked = self.roster.rank_heirs("e0", 99, with_draining=True)
+        assert {p.name for p in asked} == {"e1", "e2"}
+        targets = [make_target(f"t{n}") for n in range(40)]
+        found = {self.roster.find_divider(t) for t in targets}
+        assert found == {"e0", "e2"}
+
+    def test_rank_is_stable_when_names_come_and_go(self) -> None:
+        """Guards against a change that moves every responsibility."""
+        names = [f"e{n}" for n in range(20)]
+        whole = rendezvous.rank(b"k", names, str)
+        part = rendezvous.rank(b"k", names[:-5], str)
+        assert [n for n in whole if n in part] == part
+
+
+class NeighbourTest(RosterCase):
+    """The choice of neighbours."""
+
+    def test_small_fleet_is_a_full_mesh(self) -> None:
+        """Guards against a small fleet that gossips through others."""
+        self.hear(*[f"e{n}" for n in range(1, 17)])
+        assert len(self.roster.neighbours()) == 16
+
+    def test_large_fleet_draws_few_and_redraws(self) -> None:
+        """Guards against links that grow with the fleet, or a fixed graph."""
+        for number in range(60):
+            peer = make_peer(f"p{number}")
+            zone = "a" if number < 30 else "b"
+            self.roster.record_heartbeat(dataclasses.replace(peer, zone=zone))
+        first = self.roster.neighbours(["p59", "unknown"])
+        assert 10 <= len(first) <= 11
+        assert "p59" in {p.name for p in first}
+        assert sum(p.zone == "a" for p in first) == 8
+        assert self.roster.neighbours(["p59"]) == first
+        self.clock.advance(REDRAW_MS)
+        assert self.roster.neighbours(["p59"]) != first
--- /dev/null
+++ b/tests/test_textstore.py
@@ -0,0 +1,59 @@
+"""Tests of the text in force."""
+
+import unittest
+
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.events import Event
+from peridotbend.domain.textstore import OfferOutcome, TextStore
+from tests.peernodes import RecordingLog, make_text
+
+
+class TextStoreTest(unittest.TestCase):
+    """Which texts come into force."""
+
+    def setUp(self) -> None:
+        """Makes an empty store."""
+        self.clock = ManualClock()
+        self.log = RecordingLog()
+        self.store = TextStore(self.clock, self.log)
+
+    def test_version_never_falls(self) -> None:
+        """Guards against a stale copy that reverts the text."""
+        versions = [3, 1, 5, 4, 5, 2, 9, 8]
+        in_force = []
+        for version in versions:
+            self.store.offer(make_text(version))
+            in_force.append(self.store.version())
+        assert in_force == [3, 3, 5, 5, 5, 5, 9, 9]
+
+    def test_outcomes(self) -> None:
+        """Guards against an older or equal text reported as accepted."""
+        offer = self.store.offer
+        assert self.store.version() == -1
+        assert offer(make_text(2)) is OfferOutcome.ACCEPTED
+        assert offer(make_text(1)) is OfferOutcome.OLDER
+        assert offer(make_text(2)) is OfferOutcome.SAME
+
+    def test_conflict_keeps_first_text(self) -> None:
+        """Guards against two texts of one version that flap."""
+        first = make_text(2, "a")
+        self.store.offer(first)
+        other = make_text(2, "b")
+        assert self.store.offer(other) is OfferOutcome.CONFLICT
+        self.store.note_digest(2, other.digest)
+        assert self.store.current() is first
+        assert self.log.count(Event.TEXT_CONFLICT) == 1
+        conflict = self.store.conflict()
+        assert conflict is not None
+        assert conflict.refused_digest == other.digest
+
+    def test_subscribers_and_time(self) -> None:
+        """Guards against a text in force that nobody was told about."""
+        seen: list[int] = []
+        self.store.subscribe(lambda text: seen.append(text.version))
+        self.store.offer(make_text(1))
+        self.clock.advance(500)
+        self.store.offer(make_text(1))
+        self.store.offer(make_text(4))
+        assert seen == [1, 4]
+        assert self.store.accepted_at_ms() == self.clock.now_ms()
