--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,134 @@
+"""Tests of the platform client, against a scripted HTTP server."""
+
+import asyncio
+import json
+import unittest
+from collections.abc import Sequence
+
+from result import Err, Ok
+
+from peridotbend.adapters import platform as platform_module
+from peridotbend.adapters.platform import HttpPlatform
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.ports import InstanceRole
+
+LINE = {
+    "name": "t1",
+    "role": "target",
+    "zone": "a",
+    "address": "127.0.0.1:80",
+    "incarnation": "i1",
+    "state": "leaving",
+}
+ENTRY = {
+    "name": "e1",
+    "role": "entry",
+    "zone": "a",
+    "address": "127.0.0.1:81",
+    "peer_address": "127.0.0.1:82",
+    "state": "live",
+}
+
+
+class HttpPlatformTest(unittest.IsolatedAsyncioTestCase):
+    """What the client makes of the platform's answers."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a server that gives the same answer to every call."""
+        self.status = 200
+        self.body = b""
+        self.paths: list[str] = []
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.clock = ManualClock()
+        self.reader = HttpPlatform(f"http://127.0.0.1:{port}", self.clock)
+
+    async def asyncTearDown(self) -> None:
+        """Closes all sockets."""
+        await self.reader.aclose()
+        self.server.close()
+
+    async def test_text(self) -> None:
+        """Guards against a text that is not passed on as published."""
+        self.body = "version: 7\n# é\n".encode()
+        assert await self.reader.watch_text(6, 100) == Ok(self.body.decode())
+        assert self.paths == ["/v1/text?after=6&wait_ms=100"]
+
+    async def test_nothing_newer(self) -> None:
+        """Guards against the end of a wait taken for a failure."""
+        self.status = 304
+        assert await self.reader.watch_text(6, 0) == Ok(None)
+        assert await self.reader.watch_instances(6, 0) == Ok(None)
+
+    async def test_failures_are_errors(self) -> None:
+        """Guards against an exception, or an empty list, on a failure."""
+        for status in (429, 503, 500):
+            self.status = status
+            assert isinstance(await self.reader.watch_text(0, 0), Err)
+            assert isinstance(await self.reader.watch_instances(0, 0), Err)
+        self.server.close()
+        await self.reader.aclose()
+        await self.server.wait_closed()
+        assert isinstance(await self.reader.watch_text(0, 0), Err)
+
+    async def test_instances(self) -> None:
+        """Guards against a line of the list that is read wrongly."""
+        self.body = _pack([LINE, ENTRY])
+        answer = await self.reader.watch_instances(0, 0)
+        assert isinstance(answer, Ok)
+        assert answer.ok_value is not None
+        revision, (target, entry) = answer.ok_value
+        assert revision == 3
+        assert target.role is InstanceRole.TARGET
+        assert (target.incarnation, target.leaving) == ("i1", True)
+        assert (entry.host, entry.peer_port) == ("127.0.0.1", 82)
+        assert not entry.leaving
+
+    async def test_malformed_answers_are_errors(self) -> None:
+        """Guards against a crash on a platform that sends garbage."""
+        bad_lines = [
+            LINE | {"address": "nowhere"},
+            LINE | {"role": "king"},
+            LINE | {"state": "maybe"},
+            LINE | {"name": 5},
+        ]
+        bodies = [_pack([line]) for line in bad_lines]
+        bodies += [b"", b"[]", b"{}", b"[" * 200_000, b"\xff\xfe"]
+        for body in bodies:
+            self.body = body
+            answer = await self.reader.watch_instances(0, 0)
+            assert isinstance(answer, Err), body[:80]
+        self.body = b"\xff\xfe"
+        assert isinstance(await self.reader.watch_text(0, 0), Err)
+
+    async def test_size_is_bounded(self) -> None:
+        """Guards against a value that fills the memory."""
+        self.body = b"x" * (platform_module.MAX_TEXT_BYTES + 1)
+        assert isinstance(await self.reader.watch_text(0, 0), Err)
+
+    async def test_calls_are_counted(self) -> None:
+        """Guards against a rate that the status page cannot show."""
+        self.status = 304
+        for _ in range(5):
+            await self.reader.watch_text(0, 0)
+        assert self.reader.count_calls() == 5
+        assert self.reader.calls_per_s() == 0.5
+        self.clock.advance(platform_module.RATE_WINDOW_MS)
+        assert self.reader.calls_per_s() == 0.0
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.paths.append(head.split()[1].decode())
+        length = 0 if self.status == 304 else len(self.body)
+        writer.write(
+            f"HTTP/1.1 {self.status} X\r\nContent-Length: {length}\r\n"
+            "Connection: close\r\n\r\n".encode()
+        )
+        writer.write(self.body[:length])
+        writer.close()
+
+
+def _pack(lines: Sequence[object]) -> bytes:
+    return json.dumps({"revision": 3, "instances": lines}).encode()
