Add peer links, forwards, hand-over and text synchronisation

Cause: entry instances exchange heartbeats, demand, shares and texts, and forward calls to the instance that minted the ID.

Change: one task for each neighbour keeps an Exchange stream; a server answers on it only if it has no stream of its own to that peer. Forwards go to the minter, then to heirs, and name the incarnation they are meant for. A batch of records goes to a second heir only if the first surely did not take it. TextSync asks peers before the platform at the start.

Ruled out: grpclib's own limits, which do not bound the message length; the read of each stream is wrapped instead.

--- /dev/null
+++ b/src/peridotbend/adapters/peerdigest.py
@@ -0,0 +1,275 @@
+"""Builds the digests that peers exchange, and applies those received."""
+
+import dataclasses
+import itertools
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from peridotbend.adapters.peerwire import clamp_ms, split_address
+from peridotbend.domain.membership import Roster
+from peridotbend.domain.peertable import Peer
+from peridotbend.domain.ports import FingerprintEntry, Share, SuspectState
+from peridotbend.domain.textstore import TextStore
+from peridotbend.wire import peer_pb2 as pb
+
+MAX_MEMBERS = 64
+# In a full mesh every peer is heard directly; samples only help a peer that
+# the platform's list does not show yet.
+MESH_MEMBERS = 1
+# Keeps a digest of a large fleet near 250 bytes: 50 digests/s make 13 KB/s.
+SAMPLE_MEMBERS = 4
+MAX_LEAVING = 256
+MAX_FINGERPRINTS = 256
+MAX_TARGETS = 1_024
+MAX_TIERS = 16
+MAX_NAME_CHARS = 256
+# Unchanged fingerprints are repeated this often, for the time left on them.
+REPEAT_FINGERPRINTS = 50
+
+_STATES = {
+    SuspectState.SUSPECT: pb.Fingerprint.SUSPECT,
+    SuspectState.QUARANTINED: pb.Fingerprint.QUARANTINED,
+    SuspectState.CLEAN: pb.Fingerprint.CLEARED,
+}
+_STATES_BACK = {value: state for state, value in _STATES.items()}
+
+
+class BadDigestError(Exception):
+    """A peer sent a digest that breaks the protocol."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeHooks:
+    """What the links carry for the scheduler."""
+
+    # Suspects and quarantined fingerprints, at most as many as asked for.
+    export_fingerprints: Callable[[int], list[FingerprintEntry]]
+    merge_fingerprints: Callable[[Iterable[FingerprintEntry]], None]
+    # Own demand by tier at the targets that the named peer divides.
+    find_demand: Callable[[str], Mapping[str, Sequence[float]]]
+    # Peer, target, work by tier.
+    record_demand: Callable[[str, str, Sequence[float]], None]
+    # Shares for the named peer at the targets that this process divides.
+    find_shares: Callable[[str], Iterable[Share]]
+    update_share: Callable[[Share], None]
+    # Names of the dividers of the targets in use.
+    dividers: Callable[[], Iterable[str]]
+
+
+class DigestSource:
+    """Builds digests; one for each process."""
+
+    def __init__(self, roster: Roster, store: TextStore, hooks: ExchangeHooks):
+        self.roster = roster
+        self.store = store
+        self.hooks = hooks
+        self._sequence = itertools.count(1)
+
+    def next_sequence(self) -> int:
+        """Returns the next heartbeat number."""
+        return next(self._sequence)
+
+
+class DigestStream:
+    """Builds the digests of one stream, which carries news only once."""
+
+    def __init__(self, source: DigestSource):
+        self._source = source
+        self._cursor = 0
+        self._first = True
+        self._sent_fingerprints: set[tuple[bytes, SuspectState]] = set()
+        self._since_fingerprints = 0
+
+    def build(self, peer: str) -> pb.Digest:
+        """Returns the next digest for the named peer."""
+        source = self._source
+        own = source.roster.own()
+        text = source.store.current()
+        marks, self._cursor = source.roster.targets.marks_from(
+            self._cursor, MAX_LEAVING
+        )
+        digest = pb.Digest(
+            name=own.name,
+            incarnation=own.incarnation,
+            zone=own.zone,
+            peer_address=f"{own.host}:{own.port}",
+            sequence=source.next_sequence(),
+            draining=own.draining,
+            text_version=source.store.version(),
+            text_digest=text.digest if text else b"",
+            members=self._sample(peer),
+            leaving=[pb.LeavingTarget(name=n, incarnation=i) for n, i in marks],
+            fingerprints=self._pick_fingerprints(),
+            demands=_pack_demands(source.hooks.find_demand(peer)),
+            shares=_pack_shares(source.hooks.find_shares(peer)),
+        )
+        self._first = False
+        return digest
+
+    def _sample(self, receiver: str) -> list[pb.Member]:
+        roster = self._source.roster
+        count = MESH_MEMBERS if roster.is_full_mesh() else SAMPLE_MEMBERS
+        peers = roster.sample_live(MAX_MEMBERS if self._first else count)
+        return [
+            pb.Member(
+                name=peer.name,
+                incarnation=peer.incarnation,
+                zone=peer.zone,
+                peer_address=f"{peer.host}:{peer.port}",
+                sequence=peer.sequence,
+                draining=peer.draining,
+                age_ms=clamp_ms(roster.find_age(peer.name) or 0),
+            )
+            for peer in peers
+            if peer.name != receiver
+        ]
+
+    def _pick_fingerprints(self) -> list[pb.Fingerprint]:
+        entries = self._source.hooks.export_fingerprints(MAX_FINGERPRINTS)
+        entries = entries[:MAX_FINGERPRINTS]
+        present = {(entry.value, entry.state) for entry in entries}
+        self._since_fingerprints += 1
+        due = self._since_fingerprints >= REPEAT_FINGERPRINTS
+        if not due and present == self._sent_fingerprints:
+            return []
+        sent = set() if due else self._sent_fingerprints
+        if due:
+            self._since_fingerprints = 0
+        self._sent_fingerprints = present
+        return [
+            pb.Fingerprint(
+                value=entry.value,
+                state=_STATES[entry.state],
+                remaining_ms=clamp_ms(entry.remaining_ms),
+            )
+            for entry in entries
+            if (entry.value, entry.state) not in sent
+        ]
+
+
+class DigestSink:
+    """Checks received digests and passes on what they tell."""
+
+    def __init__(
+        self,
+        roster: Roster,
+        hooks: ExchangeHooks,
+        note_text: Callable[[str, int, bytes], None],
+    ):
+        self._roster = roster
+        self._hooks = hooks
+        self._note_text = note_text
+
+    def apply(self, digest: pb.Digest) -> str:
+        """Applies a digest and returns the name of its sender.
+
+        Raises:
+            BadDigestError: the digest breaks the protocol; nothing of it
+                was applied.
+        """
+        sender = _read_sender(digest)
+        marks = [(m.name, m.incarnation) for m in digest.leaving[:MAX_LEAVING]]
+        for mark in marks:
+            _check_name(mark[0])
+            _check_name(mark[1], may_be_empty=True)
+        demands, shares = _read_demands(digest), _read_shares(digest)
+        self._roster.record_heartbeat(sender)
+        for member in digest.members[:MAX_MEMBERS]:
+            self._apply_member(member)
+        self._roster.mark_leaving(marks)
+        known = self._roster.find_peer(sender.name)
+        if known is None or known.incarnation != sender.incarnation:
+            # A replaced process that resumed, or one over the bound of
+            # peers: its demand and shares count for nothing.
+            return sender.name
+        self._hooks.merge_fingerprints(_read_fingerprints(digest))
+        for target, work in demands:
+            self._hooks.record_demand(sender.name, target, work)
+        for share in shares:
+            self._hooks.update_share(share)
+        self._note_text(sender.name, digest.text_version, digest.text_digest)
+        return sender.name
+
+    def _apply_member(self, member: pb.Member) -> None:
+        address = split_address(member.peer_address)
+        if address is None or not 0 < len(member.name) <= MAX_NAME_CHARS:
+            return
+        peer = Peer(
+            name=member.name,
+            incarnation=member.incarnation,
+            zone=member.zone[:MAX_NAME_CHARS],
+            host=address[0],
+            port=address[1],
+            draining=member.draining,
+            sequence=member.sequence,
+        )
+        self._roster.record_member(peer, member.age_ms)
+
+
+def _read_sender(digest: pb.Digest) -> Peer:
+    _check_name(digest.name)
+    _check_name(digest.zone, may_be_empty=True)
+    address = split_address(digest.peer_address)
+    if address is None or not digest.incarnation:
+        raise BadDigestError("digest without an address or an incarnation")
+    return Peer(
+        name=digest.name,
+        incarnation=digest.incarnation,
+        zone=digest.zone,
+        host=address[0],
+        port=address[1],
+        draining=digest.draining,
+        sequence=digest.sequence,
+    )
+
+
+def _check_name(name: str, may_be_empty: bool = False) -> None:
+    if len(name) > MAX_NAME_CHARS or not (name or may_be_empty):
+        raise BadDigestError(f"name of {len(name)} characters")
+
+
+def _read_demands(digest: pb.Digest) -> list[tuple[str, tuple[float, ...]]]:
+    demands = []
+    for demand in digest.demands[:MAX_TARGETS]:
+        _check_name(demand.target)
+        work = tuple(demand.work_by_tier[:MAX_TIERS])
+        if not all(math.isfinite(w) and w >= 0 for w in work):
+            raise BadDigestError("demand that is no amount of work")
+        demands.append((demand.target, work))
+    return demands
+
+
+def _read_shares(digest: pb.Digest) -> list[Share]:
+    shares = []
+    for share in digest.shares[:MAX_TARGETS]:
+        _check_name(share.target)
+        if not (math.isfinite(share.work) and share.work >= 0):
+            raise BadDigestError("share that is no amount of work")
+        shares.append(Share(share.target, share.work, share.lowest_tier_served))
+    return shares
+
+
+def _read_fingerprints(digest: pb.Digest) -> list[FingerprintEntry]:
+    return [
+        FingerprintEntry(f.value, _STATES_BACK[f.state], f.remaining_ms)
+        for f in digest.fingerprints[:MAX_FINGERPRINTS]
+        if f.state in _STATES_BACK and 0 < len(f.value) <= 32
+    ]
+
+
+def _pack_demands(demands: Mapping[str, Sequence[float]]) -> list[pb.Demand]:
+    return [
+        pb.Demand(target=target, work_by_tier=work[:MAX_TIERS])
+        for target, work in itertools.islice(demands.items(), MAX_TARGETS)
+    ]
+
+
+def _pack_shares(shares: Iterable[Share]) -> list[pb.Share]:
+    return [
+        pb.Share(
+            target=share.target,
+            work=share.work,
+            lowest_tier_served=share.lowest_tier_served,
+        )
+        for share in itertools.islice(shares, MAX_TARGETS)
+    ]
--- /dev/null
+++ b/src/peridotbend/adapters/peerserver.py
@@ -0,0 +1,217 @@
+"""Server side of the peer protocol."""
+
+import socket
+from collections.abc import AsyncIterator, Mapping
+from typing import TypeVar
+
+import anyio
+import grpclib.server
+from google.protobuf.message import Message
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from peridotbend.adapters import peerwire
+from peridotbend.adapters.peerlinks import PeerLinks
+from peridotbend.adapters.peers import (
+    INCARNATION_KEY,
+    PEER_ERRORS,
+    AnyStream,
+    PeerLimits,
+    TrialKeeper,
+    bound_messages,
+    make_configuration,
+)
+from peridotbend.domain.events import Event
+from peridotbend.domain.membership import Roster
+from peridotbend.domain.ports import AnswerPart, EventLog, PeerHandler
+from peridotbend.domain.textstore import TextStore
+from peridotbend.wire import peer_pb2 as pb
+from peridotbend.wire.peer_grpc import PeersBase
+
+T = TypeVar("T")
+R = TypeVar("R")
+
+RECEIVE_S = 5.0
+FINGERPRINT_BYTES = 32
+
+
+class PeerServer(PeersBase):
+    """Answers the calls of peers; bounded in time and size."""
+
+    def __init__(
+        self,
+        roster: Roster,
+        store: TextStore,
+        handler: PeerHandler,
+        keeper: TrialKeeper,
+        links: PeerLinks,
+        log: EventLog,
+        limits: PeerLimits,
+    ):
+        self._roster = roster
+        self._store = store
+        self._handler = handler
+        self._keeper = keeper
+        self._links = links
+        self._log = log
+        self._limits = limits
+        self._forwards = 0
+        self._server: grpclib.server.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens for peers and returns the port."""
+        listener = socket.create_server((host, port))
+        listener.setblocking(False)
+        server = grpclib.server.Server([self], config=make_configuration())
+        await server.start(sock=listener)
+        self._server = server
+        bound_port: int = listener.getsockname()[1]
+        return bound_port
+
+    async def stop(self) -> None:
+        """Stops listening and cancels the calls that still run."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+            self._server = None
+
+    async def Exchange(  # noqa: N802 (name of the protocol)
+        self, stream: "grpclib.server.Stream[pb.Digest, pb.Digest]"
+    ) -> None:
+        """Serves a neighbour's stream of digests."""
+        await self._links.serve(stream)
+
+    async def Forward(  # noqa: N802 (name of the protocol)
+        self, stream: "grpclib.server.Stream[pb.ForwardCall, pb.AnswerChunk]"
+    ) -> None:
+        """Serves a call that another instance received."""
+        self._check_incarnation(stream)
+        if self._forwards >= self._limits.max_forwards:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "too many forwards")
+        self._forwards += 1
+        try:
+            call = await self._receive(stream, self._limits.max_forward_bytes)
+            parts = self._handler.serve_peer(peerwire.unpack_call(call))
+            with anyio.fail_after(self._limits.forward_s):
+                await self._send_parts(stream, parts, max(0, call.offset))
+        except TimeoutError as error:
+            raise GRPCError(Status.DEADLINE_EXCEEDED) from error
+        finally:
+            self._forwards -= 1
+
+    async def HandOver(  # noqa: N802 (name of the protocol)
+        self,
+        stream: "grpclib.server.Stream[pb.HandOverBatch, pb.HandOverReply]",
+    ) -> None:
+        """Takes over records of an instance that shuts down."""
+        self._check_incarnation(stream)
+        if self._roster.own().draining:
+            raise GRPCError(Status.FAILED_PRECONDITION, "draining")
+        batch = await self._receive(stream, self._limits.max_batch_bytes)
+        try:
+            records = [peerwire.unpack_record(r) for r in batch.records]
+        except (KeyError, ValueError) as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        accepted = self._handler.import_records(
+            batch.from_name, batch.from_incarnation, records
+        )
+        self._log.emit(
+            Event.HAND_OVER_RECEIVED,
+            peer=batch.from_name,
+            offered=len(records),
+            accepted=len(accepted),
+        )
+        await self._reply(stream, pb.HandOverReply(accepted=accepted))
+
+    async def GetText(  # noqa: N802 (name of the protocol)
+        self, stream: "grpclib.server.Stream[pb.TextRequest, pb.TextReply]"
+    ) -> None:
+        """Gives the text in force if it is newer than asked for."""
+        request = await self._receive(stream, self._limits.max_small_bytes)
+        reply = pb.TextReply(version=self._store.version())
+        text = self._store.current()
+        if text is not None and text.version > request.newer_than:
+            reply.yaml = text.source
+        await self._reply(stream, reply)
+
+    async def GrantTrial(  # noqa: N802 (name of the protocol)
+        self, stream: "grpclib.server.Stream[pb.TrialRequest, pb.TrialReply]"
+    ) -> None:
+        """Grants or refuses the trial of a suspect."""
+        request = await self._receive(stream, self._limits.max_small_bytes)
+        _check_fingerprint(request.fingerprint)
+        answer = self._keeper.grant_trial(request.fingerprint, request.holder)
+        reason = "quarantined" if answer.quarantined else "busy"
+        reply = pb.TrialReply(
+            granted=answer.granted,
+            reason="" if answer.granted else reason,
+            retry_after_ms=peerwire.clamp_ms(answer.retry_after_ms),
+        )
+        await self._reply(stream, reply)
+
+    async def ReportTrial(  # noqa: N802 (name of the protocol)
+        self,
+        stream: "grpclib.server.Stream[pb.TrialReport, pb.TrialReportReply]",
+    ) -> None:
+        """Notes how a trial ended."""
+        report = await self._receive(stream, self._limits.max_small_bytes)
+        _check_fingerprint(report.fingerprint)
+        self._keeper.finish_trial(report.fingerprint, report.crashed)
+        await self._reply(stream, pb.TrialReportReply())
+
+    def _check_incarnation(self, stream: "grpclib.server.Stream[T, R]") -> None:
+        metadata: Mapping[str, object] = stream.metadata or {}
+        wanted = metadata.get(INCARNATION_KEY)
+        if wanted != str(self._roster.own().incarnation):
+            raise GRPCError(Status.FAILED_PRECONDITION, "other incarnation")
+
+    async def _receive(
+        self, stream: "grpclib.server.Stream[T, R]", max_bytes: int
+    ) -> "T":
+        bound_messages(stream, max_bytes)
+        try:
+            with anyio.fail_after(RECEIVE_S):
+                message = await stream.recv_message()
+        except PEER_ERRORS as error:
+            detail = type(error).__name__
+            raise GRPCError(Status.INVALID_ARGUMENT, detail) from error
+        if message is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "no message")
+        return message
+
+    async def _reply(self, stream: AnyStream, message: Message) -> None:
+        try:
+            with anyio.fail_after(self._limits.send_s):
+                await stream.send_message(message)
+        except TimeoutError as error:
+            raise GRPCError(Status.DEADLINE_EXCEEDED) from error
+
+    async def _send_parts(
+        self, stream: AnyStream, parts: AsyncIterator[AnswerPart], offset: int
+    ) -> None:
+        size = self._limits.max_chunk_bytes
+        async for part in parts:
+            for chunk in split_part(part, offset, size):
+                await self._reply(stream, chunk)
+            offset += len(part.data)
+
+
+def split_part(
+    part: AnswerPart, offset: int, size: int
+) -> list[pb.AnswerChunk]:
+    """Converts a part to chunks of at most `size` bytes of data."""
+    starts = range(0, max(1, len(part.data)), size)
+    chunks = [
+        pb.AnswerChunk(data=part.data[at : at + size], offset=offset + at)
+        for at in starts
+    ]
+    if part.head is not None:
+        chunks[0].head.CopyFrom(peerwire.pack_head(part.head))
+    if part.verdict is not None:
+        chunks[-1].verdict.CopyFrom(peerwire.pack_verdict(part.verdict))
+    return chunks
+
+
+def _check_fingerprint(value: bytes) -> None:
+    if not 0 < len(value) <= FINGERPRINT_BYTES:
+        raise GRPCError(Status.INVALID_ARGUMENT, "fingerprint size")
--- /dev/null
+++ b/src/peridotbend/adapters/peerwire.py
@@ -0,0 +1,178 @@
+"""Conversions between peer messages and domain types."""
+
+from collections.abc import Iterable
+
+from peridotbend.domain import ports, verdicts
+from peridotbend.domain.ports import RecordState
+from peridotbend.wire import peer_pb2 as pb
+
+
+def split_address(text: str) -> tuple[str, int] | None:
+    """Splits `ip:port`; None if it is not that."""
+    host, _, port = text.rpartition(":")
+    if not host or len(host) > 64 or not port.isascii() or len(port) > 5:
+        return None
+    if not port.isdigit() or not 0 < int(port) < 65_536:
+        return None
+    return host.strip("[]"), int(port)
+
+
+def pack_headers(headers: ports.Headers) -> list[pb.Header]:
+    """Converts headers to messages."""
+    return [pb.Header(name=name, value=value) for name, value in headers]
+
+
+def unpack_headers(headers: Iterable[pb.Header]) -> ports.Headers:
+    """Converts header messages back."""
+    return tuple((h.name, h.value) for h in headers)
+
+
+def pack_call(call: ports.PeerCall) -> pb.ForwardCall:
+    """Converts a forwarded call to a message."""
+    return pb.ForwardCall(
+        request_id=call.request_id,
+        account=call.account,
+        may_start=call.may_start,
+        method=call.method,
+        path=call.path,
+        headers=pack_headers(call.headers),
+        body=call.body,
+        offset=call.offset,
+        deadline_ms=clamp_ms(call.deadline_ms),
+    )
+
+
+def unpack_call(message: pb.ForwardCall) -> ports.PeerCall:
+    """Converts a message back to a forwarded call."""
+    return ports.PeerCall(
+        request_id=message.request_id,
+        account=message.account,
+        may_start=message.may_start,
+        method=message.method,
+        path=message.path,
+        headers=unpack_headers(message.headers),
+        body=message.body,
+        offset=max(0, message.offset),
+        deadline_ms=message.deadline_ms,
+    )
+
+
+def pack_verdict(verdict: verdicts.Verdict) -> pb.VerdictMessage:
+    """Converts a verdict to a message."""
+    if isinstance(verdict, verdicts.Completed):
+        return pb.VerdictMessage(kind=pb.VerdictMessage.COMPLETED)
+    kind = pb.VerdictMessage.MAY_HAVE_RUN
+    if isinstance(verdict, verdicts.NotRun):
+        kind = pb.VerdictMessage.NOT_RUN
+    return pb.VerdictMessage(
+        kind=kind,
+        reason=verdict.reason.value,
+        retry_after_ms=clamp_ms(verdict.retry_after_ms),
+    )
+
+
+def unpack_verdict(message: pb.VerdictMessage) -> verdicts.Verdict:
+    """Converts a message back to a verdict.
+
+    Raises:
+        ValueError: the kind or the reason is unknown.
+    """
+    if message.kind == pb.VerdictMessage.COMPLETED:
+        return verdicts.Completed()
+    reason = verdicts.Reason(message.reason)
+    if message.kind == pb.VerdictMessage.NOT_RUN:
+        return verdicts.NotRun(reason, message.retry_after_ms)
+    if message.kind == pb.VerdictMessage.MAY_HAVE_RUN:
+        return verdicts.MayHaveRun(reason, message.retry_after_ms)
+    raise ValueError(f"unknown verdict kind {message.kind}")
+
+
+def pack_head(head: ports.AnswerHead) -> pb.AnswerHead:
+    """Converts the head of an answer to a message."""
+    return pb.AnswerHead(status=head.status, headers=pack_headers(head.headers))
+
+
+def unpack_head(message: pb.AnswerHead) -> ports.AnswerHead:
+    """Converts a message back to the head of an answer."""
+    return ports.AnswerHead(message.status, unpack_headers(message.headers))
+
+
+def unpack_chunk(message: pb.AnswerChunk) -> ports.AnswerPart:
+    """Converts a message to a part of an answer."""
+    return ports.AnswerPart(
+        head=unpack_head(message.head) if message.HasField("head") else None,
+        data=message.data,
+        verdict=(
+            unpack_verdict(message.verdict)
+            if message.HasField("verdict")
+            else None
+        ),
+    )
+
+
+_STATES = {
+    RecordState.RESERVED: pb.HandedRecord.RESERVED,
+    RecordState.QUEUED: pb.HandedRecord.QUEUED,
+    RecordState.COMPLETED: pb.HandedRecord.COMPLETED,
+    RecordState.NOT_RUN: pb.HandedRecord.NOT_RUN,
+    RecordState.MAY_HAVE_RUN: pb.HandedRecord.MAY_HAVE_RUN,
+}
+_STATES_BACK = {value: state for state, value in _STATES.items()}
+
+
+def pack_record(record: ports.HandedRecord) -> pb.HandedRecord:
+    """Converts a record to a message.
+
+    Raises:
+        KeyError: the record is dispatched or handed over, so it stays.
+    """
+    return pb.HandedRecord(
+        request_id=record.request_id,
+        account=record.account,
+        service=record.service,
+        kind=record.kind,
+        state=_STATES[record.state],
+        remaining_ms=clamp_ms(record.remaining_ms),
+        method=record.method,
+        path=record.path,
+        headers=pack_headers(record.headers),
+        body=record.body,
+        deadline_remaining_ms=clamp_ms(record.deadline_remaining_ms),
+        head=pack_head(record.head) if record.head else None,
+        answer=record.answer,
+        verdict=pack_verdict(record.verdict) if record.verdict else None,
+    )
+
+
+def unpack_record(message: pb.HandedRecord) -> ports.HandedRecord:
+    """Converts a message back to a record.
+
+    Raises:
+        ValueError: the verdict is unknown.
+        KeyError: the state is unknown.
+    """
+    return ports.HandedRecord(
+        request_id=message.request_id,
+        account=message.account,
+        service=message.service,
+        kind=message.kind,
+        state=_STATES_BACK[message.state],
+        remaining_ms=message.remaining_ms,
+        method=message.method,
+        path=message.path,
+        headers=unpack_headers(message.headers),
+        body=message.body,
+        deadline_remaining_ms=message.deadline_remaining_ms,
+        head=unpack_head(message.head) if message.HasField("head") else None,
+        answer=message.answer,
+        verdict=(
+            unpack_verdict(message.verdict)
+            if message.HasField("verdict")
+            else None
+        ),
+    )
+
+
+def clamp_ms(ms: int) -> int:
+    """Returns a duration that fits the unsigned field of a message."""
+    return max(0, min(ms, 2**32 - 1))
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,130 @@
+"""Tests of links between peers over loopback streams."""
+
+import asyncio
+
+import anyio
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from peridotbend.adapters.peerdigest import (
+    BadDigestError,
+    DigestSink,
+    DigestSource,
+    DigestStream,
+)
+from peridotbend.domain.ports import (
+    FingerprintEntry,
+    SuspectState,
+)
+from peridotbend.wire import peer_pb2 as pb
+from peridotbend.wire.peer_grpc import PeersStub
+from tests.peernodes import (
+    PeersCase,
+    make_text,
+    running,
+    wait_until,
+)
+
+
+class LinkTest(PeersCase):
+    """What the digests carry."""
+
+    async def test_news_demand_and_shares_arrive(self) -> None:
+        """Guards against leaving marks, suspects or shares that get lost."""
+        nodes = await self.start(3)
+        entry = FingerprintEntry(b"f" * 8, SuspectState.QUARANTINED, 900)
+        async with running(*nodes):
+            await self.meet(nodes)
+            nodes[0].roster.mark_leaving([("t9", "i1")])
+            nodes[1].scheduler.fingerprints.append(entry)
+            nodes[2].roster.set_draining()
+            await wait_until(
+                lambda: all(n.roster.is_leaving("t9", "i1") for n in nodes)
+            )
+            merged = nodes[0].scheduler.merged
+            await wait_until(lambda: entry in merged)
+            known = nodes[0].roster.find_peer
+            await wait_until(lambda: bool((p := known("e2")) and p.draining))
+            demands = nodes[0].scheduler.demands
+            await wait_until(lambda: ("e1", "t1") in demands)
+            assert demands["e1", "t1"] == (2.0, 1.0)
+            assert nodes[0].scheduler.shares
+
+    async def test_garbage_harms_nobody(self) -> None:
+        """Guards against a peer that breaks the protocol and the server."""
+        nodes = await self.start(2)
+        own = nodes[0].roster.own()
+        good = pb.Digest(
+            name="evil", incarnation=3, peer_address=f"127.0.0.1:{own.port}"
+        )
+        nan = pb.Demand(target="t", work_by_tier=[float("nan")])
+        bad = [
+            pb.Digest(),
+            pb.Digest(name="x" * 10_000, incarnation=1),
+            pb.Digest(name="evil", incarnation=1, peer_address="here"),
+            _merge(good, pb.Digest(demands=[nan])),
+            _merge(good, pb.Digest(shares=[pb.Share(target="t", work=-1)])),
+            _merge(good, pb.Digest(text_digest=b"x" * 1_000_000)),
+        ]
+        async with running(*nodes):
+            await self.meet(nodes)
+            for digest in bad:
+                channel = Channel("127.0.0.1", nodes[0].port)
+                with self.assertRaises((GRPCError, StreamTerminatedError)):
+                    async with PeersStub(channel).Exchange.open() as stream:
+                        await stream.send_message(digest)
+                        with anyio.fail_after(10):
+                            while await stream.recv_message() is not None:
+                                pass
+                channel.close()
+            _, writer = await asyncio.open_connection(
+                "127.0.0.1", nodes[0].port
+            )
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            writer.close()
+            assert nodes[0].roster.find_peer("evil") is None
+            nodes[1].store.offer(make_text(2))
+            await wait_until(lambda: nodes[0].store.version() == 2)
+
+    async def test_fingerprints_are_sent_on_change(self) -> None:
+        """Guards against digests that repeat 256 fingerprints each time."""
+        (node,) = await self.start(1)
+        hooks = node.scheduler.hooks()
+        source = DigestSource(node.roster, node.store, hooks)
+        stream = DigestStream(source)
+        value = b"f" * 8
+        entries = node.scheduler.fingerprints
+        entries.append(FingerprintEntry(value, SuspectState.SUSPECT, 9))
+        sizes = [len(stream.build("e1").fingerprints) for _ in range(3)]
+        entries[0] = FingerprintEntry(value, SuspectState.CLEAN, 9)
+        sizes += [len(stream.build("e1").fingerprints) for _ in range(50)]
+        assert sizes[:5] == [1, 0, 0, 1, 0]
+        assert sum(sizes) == 3
+        await node.stop()
+
+    async def test_replaced_process_counts_for_nothing(self) -> None:
+        """Guards against demand of a process that a new one replaced."""
+        (node,) = await self.start(1)
+        sink = DigestSink(
+            node.roster, node.scheduler.hooks(), node.sync.note_text
+        )
+        address = "127.0.0.1:9"
+        for incarnation, work in ((1, 1.0), (2, 2.0), (1, 3.0)):
+            digest = pb.Digest(name="e5", peer_address=address, sequence=9)
+            digest.incarnation = incarnation
+            digest.demands.add(target="t", work_by_tier=[work])
+            sink.apply(digest)
+        assert node.scheduler.demands == {("e5", "t"): (2.0,)}
+        found = node.roster.find_peer("e5")
+        assert found is not None
+        assert found.incarnation == 2
+        with self.assertRaises(BadDigestError):
+            sink.apply(pb.Digest(name="e5", peer_address=address))
+        await node.stop()
+
+
+def _merge(first: pb.Digest, second: pb.Digest) -> pb.Digest:
+    merged = pb.Digest()
+    merged.CopyFrom(first)
+    merged.MergeFrom(second)
+    return merged
--- /dev/null
+++ b/tests/test_textsync.py
@@ -0,0 +1,173 @@
+"""Tests of how a text spreads over loopback streams."""
+
+import asyncio
+import contextlib
+
+from peridotbend.domain.events import Event
+from tests.peernodes import (
+    FakePlatform,
+    Node,
+    PeersCase,
+    make_entry,
+    make_text,
+    running,
+    wait_until,
+)
+
+
+class Relay:
+    """TCP relay in front of a node, which a test cuts and heals."""
+
+    def __init__(self, port: int):
+        self._target = port
+        self._cut = False
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listens on a port of the kernel's choice."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def cut(self) -> None:
+        """Breaks all connections and refuses new ones."""
+        self._cut = True
+        for writer in self._writers:
+            writer.close()
+
+    def heal(self) -> None:
+        """Lets connections pass again."""
+        self._cut = False
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self.cut()
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._cut:
+            writer.close()
+            return
+        far_reader, far_writer = await asyncio.open_connection(
+            "127.0.0.1", self._target
+        )
+        self._writers |= {writer, far_writer}
+        try:
+            await asyncio.gather(
+                _pump(reader, far_writer), _pump(far_reader, writer)
+            )
+        finally:
+            self._writers -= {writer, far_writer}
+
+
+async def _pump(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    with contextlib.suppress(OSError):
+        while data := await reader.read(65_536):
+            writer.write(data)
+    writer.close()
+
+
+class TextSpreadTest(PeersCase):
+    """How a text comes into force everywhere."""
+
+    async def test_text_at_a_reader_reaches_eight_nodes(self) -> None:
+        """Guards against a text that stays at the readers."""
+        nodes = await self.start(8)
+        async with running(*nodes):
+            await self.meet(nodes)
+            nodes[0].platform.publish(make_text(4).source)
+            await wait_until(lambda: all(n.store.version() == 4 for n in nodes))
+            nodes[0].platform.publish(make_text(9).source)
+            await wait_until(lambda: all(n.store.version() == 9 for n in nodes))
+        assert [n.log.count(Event.TEXT_ACCEPTED) for n in nodes] == [2] * 8
+
+    async def test_stale_platform_never_reverts_the_text(self) -> None:
+        """Guards against a lagging replica that brings an old text back."""
+        nodes = await self.start(3)
+        async with running(*nodes):
+            nodes[0].platform.publish(make_text(5).source)
+            await wait_until(lambda: all(n.store.version() == 5 for n in nodes))
+            seen: list[int] = []
+            for node in nodes:
+                node.store.subscribe(lambda text: seen.append(text.version))
+            nodes[0].platform.publish(make_text(2).source)
+            served = nodes[0].platform.served
+            await wait_until(lambda: make_text(2).source in served)
+            nodes[0].platform.publish(make_text(6).source)
+            await wait_until(lambda: all(n.store.version() == 6 for n in nodes))
+        assert seen == [6, 6, 6]
+
+    async def test_new_process_asks_peers_before_a_stale_platform(self) -> None:
+        """Guards against a restart that puts an old text in force."""
+        nodes = await self.start(3)
+        for node in nodes[:2]:
+            node.store.offer(make_text(8))
+        nodes[0].platform.source = make_text(3).source
+        seen: list[int] = []
+        nodes[2].store.subscribe(lambda text: seen.append(text.version))
+        async with running(*nodes):
+            await wait_until(lambda: nodes[2].store.version() == 8)
+        assert seen == [8]
+
+    async def test_cut_and_heal_converge_to_the_highest_version(self) -> None:
+        """Guards against sides of a partition that stay apart after it."""
+        platforms = [FakePlatform(), FakePlatform()]
+        nodes = [Node(f"e{n}", platforms[n], n + 1) for n in range(2)]
+        relays = []
+        for number, node in enumerate(nodes):
+            await node.listen()
+            relay = Relay(node.port)
+            await relay.start()
+            # Peers reach a node through its relay only.
+            node.roster.set_address("127.0.0.1", relay.port)
+            other = platforms[1 - number]
+            other.instances = (make_entry(node.name, relay.port),)
+            relays.append(relay)
+        async with running(*nodes):
+            await self.meet(nodes)
+            for relay in relays:
+                relay.cut()
+            await wait_until(
+                lambda: all(n.roster.count_live_peers() == 1 for n in nodes)
+            )
+            platforms[0].publish(make_text(3).source)
+            platforms[1].publish(make_text(7).source)
+            await wait_until(
+                lambda: [n.store.version() for n in nodes] == [3, 7]
+            )
+            for relay in relays:
+                relay.heal()
+            await wait_until(lambda: all(n.store.version() == 7 for n in nodes))
+        for relay in relays:
+            relay.stop()
+
+    async def test_platform_events_once_per_change(self) -> None:
+        """Guards against a log line for every failed call."""
+        (node,) = await self.start(1)
+        node.platform.down = True
+        async with running(node):
+            await wait_until(lambda: not node.sync.is_platform_reachable())
+            node.platform.source = make_text(1).source
+            node.platform.down = False
+            await wait_until(lambda: node.store.version() == 1)
+        assert node.log.count(Event.PLATFORM_UNREACHABLE) == 1
+        assert node.log.count(Event.PLATFORM_REACHED) == 1
+
+    async def test_refused_text_leaves_the_old_one(self) -> None:
+        """Guards against a bad text in force, or a loop of refusals."""
+        (node,) = await self.start(1)
+        urgent: list[int] = []
+        node.roster.subscribe_urgent(lambda: urgent.append(1))
+        node.store.offer(make_text(1))
+        assert urgent, "an accepted text does not wait for a heartbeat"
+        for _ in range(2):
+            assert await node.sync.offer_source("oops") is None
+        assert node.store.version() == 1
+        assert node.log.count(Event.TEXT_REFUSED) == 1
+        await node.stop()
