--- /dev/null
+++ b/src/peridotbend_emulator/serving.py
@@ -0,0 +1,277 @@
+"""What every stand-in program shares: calls, routes and the HTTP server."""
+
+import asyncio
+import dataclasses
+import json
+import socket
+import urllib.parse
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Coroutine,
+    Mapping,
+    MutableMapping,
+)
+from typing import Any
+
+import anyio
+import click
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+HOST = "127.0.0.1"
+TRANSPORT_KEY = "peridotbend.transport"
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+Message = MutableMapping[str, Any]
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+
+class CallError(Exception):
+    """A call that is answered with an error status."""
+
+    def __init__(self, status: int, message: str):
+        super().__init__(message)
+        self.status = status
+
+
+class ClientGoneError(Exception):
+    """The connection was closed before the whole body arrived."""
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One HTTP call and the means to answer it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    # What the `*` at the end of the route stood for.
+    tail: str
+    transport: asyncio.Transport
+    receive: Receive
+    send: Send
+
+    def query_int(self, name: str, default: int) -> int:
+        """Returns an integer of the query string."""
+        try:
+            return int(self.query.get(name, default))
+        except ValueError:
+            raise CallError(400, f"{name} is not an integer") from None
+
+    def json(self) -> dict[str, Any]:
+        """Returns the body as a JSON object."""
+        try:
+            value = json.loads(self.body)
+        except ValueError:
+            raise CallError(400, "the body is not JSON") from None
+        if not isinstance(value, dict):
+            raise CallError(400, "the body is not a JSON object")
+        return value
+
+    def json_int(self, name: str, default: int) -> int:
+        """Returns an integer of the JSON body."""
+        value = self.json().get(name, default)
+        if not isinstance(value, int):
+            raise CallError(400, f"{name} is not an integer")
+        return value
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Sends the head of the answer."""
+        pairs = [
+            (k.lower().encode(), v.encode("latin-1"))
+            for k, v in headers.items()
+        ]
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": pairs}
+        )
+
+    async def write(self, data: bytes, more: bool = True) -> None:
+        """Sends a piece of the body; `more=False` ends it."""
+        await self.send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+    async def reply(
+        self, status: int, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        """Sends a whole answer."""
+        head = dict(headers or {})
+        if status not in (204, 304):
+            head["content-length"] = str(len(body))
+        await self.start(status, head)
+        await self.write(body, more=False)
+
+    async def reply_json(
+        self, status: int, value: object, headers: dict[str, str] | None = None
+    ) -> None:
+        """Sends a whole JSON answer."""
+        head = {"content-type": "application/json", **(headers or {})}
+        await self.reply(status, json.dumps(value).encode(), head)
+
+    def break_connection(self) -> None:
+        """Closes the connection at once, whatever was sent so far."""
+        self.transport.abort()
+
+    def close_connection(self) -> None:
+        """Closes the connection once what was sent so far is written."""
+        self.transport.close()
+
+    async def wait_disconnect(self) -> None:
+        """Returns when the client has closed the connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+
+Handler = Callable[[Call], Awaitable[None]]
+
+
+class App:
+    """ASGI application that finds a handler by method and path."""
+
+    def __init__(self) -> None:
+        self._exact: dict[tuple[str, str], Handler] = {}
+        self._prefixes: list[tuple[str, str, Handler]] = []
+
+    def route(self, method: str, path: str, handler: Handler) -> None:
+        """Adds a handler; a path that ends in `*` matches any tail."""
+        if path.endswith("*"):
+            self._prefixes.append((method, path[:-1], handler))
+        else:
+            self._exact[method, path] = handler
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serves one call."""
+        if scope["type"] != "http":
+            return
+        handler, tail = self._find(scope["method"], scope["path"])
+        call = _make_call(scope, tail, receive, send)
+        try:
+            call.body = await _read_body(receive)
+            await handler(call)
+        except CallError as error:
+            await call.reply_json(error.status, {"error": str(error)})
+        except ClientGoneError:
+            call.break_connection()
+
+    def _find(self, method: str, path: str) -> tuple[Handler, str]:
+        handler = self._exact.get((method, path))
+        if handler is not None:
+            return handler, ""
+        for wanted, prefix, candidate in self._prefixes:
+            if method == wanted and path.startswith(prefix):
+                return candidate, path[len(prefix) :]
+        return _refuse_unknown, ""
+
+
+async def _refuse_unknown(call: Call) -> None:
+    raise CallError(404, f"no route for {call.method} {call.path}")
+
+
+def _make_call(scope: Scope, tail: str, receive: Receive, send: Send) -> Call:
+    query = urllib.parse.parse_qsl(scope["query_string"].decode("latin-1"))
+    return Call(
+        method=scope["method"],
+        path=scope["path"],
+        query=dict(query),
+        headers={
+            k.decode("latin-1").lower(): v.decode("latin-1")
+            for k, v in scope["headers"]
+        },
+        body=b"",
+        tail=tail,
+        transport=scope["extensions"][TRANSPORT_KEY],
+        receive=receive,
+        send=send,
+    )
+
+
+async def _read_body(receive: Receive) -> bytes:
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ClientGoneError
+        body += message.get("body", b"")
+        if len(body) > MAX_BODY_BYTES:
+            raise CallError(413, "the body is too large")
+        if not message.get("more_body", False):
+            return bytes(body)
+
+
+class _Protocol(HttpToolsProtocol):
+    """HTTP protocol that gives the application its transport.
+
+    ASGI has no way to break a connection before the head of the answer: a
+    handler that raises or returns early gets a 500 in its place.
+    """
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        extensions: dict[str, Any] = {TRANSPORT_KEY: self.transport}
+        self.scope["extensions"] = extensions
+
+
+class _Server(uvicorn.Server):
+    """Server that prints one line of JSON when it listens."""
+
+    def __init__(self, config: uvicorn.Config, about: Mapping[str, str]):
+        super().__init__(config)
+        self._about = about
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        port = self.servers[0].sockets[0].getsockname()[1]
+        ready = {"ready": True, "port": port, **self._about}
+        print(json.dumps(ready), flush=True)
+
+
+async def serve(
+    app: App,
+    port: int,
+    about: Mapping[str, str],
+    background: Callable[[], Coroutine[Any, Any, None]] | None = None,
+) -> None:
+    """Serves on loopback until SIGTERM, beside an optional background task.
+
+    Args:
+        app: Answers the calls.
+        port: 0 lets the kernel choose.
+        about: Further fields of the line that is printed when it listens.
+        background: Runs as long as the server does.
+    """
+    config = uvicorn.Config(
+        app,
+        host=HOST,
+        port=port,
+        loop="asyncio",
+        http=_Protocol,
+        ws="none",
+        lifespan="off",
+        access_log=False,
+        # Broken connections are deliberate here and not worth a log line.
+        log_level="critical",
+        timeout_graceful_shutdown=1,
+    )
+    async with anyio.create_task_group() as tasks:
+        if background is not None:
+            tasks.start_soon(background)
+        await _Server(config, about).serve()
+        tasks.cancel_scope.cancel()
+
+
+def common_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Adds the options that every stand-in has."""
+    for option in (
+        click.option("--zone", default="z1", help="Availability zone."),
+        click.option("--name", default="", help="Name of the instance."),
+        click.option("--port", default=0, help="0 lets the kernel choose."),
+    ):
+        command = option(command)
+    return command
