Add the model engine stand-in

Cause: routing, resume and wasted prefill need an engine whose answers and costs are known exactly. Ruled out: cancelling a broken stream at once, since a resume must find it; a whole JSON answer is cancelled at once, since nobody has its token.

--- /dev/null
+++ b/src/peridotbend_emulator/engine.py
@@ -0,0 +1,299 @@
+"""Stand-in for a model engine: `python -m peridotbend_emulator.engine`."""
+
+import dataclasses
+import functools
+import os
+import secrets
+from typing import Any
+
+import anyio
+import anyio.abc
+import click
+
+from peridotbend.domain.clock import Clock, SystemClock
+from peridotbend_emulator import serving
+from peridotbend_emulator.enginemodel import (
+    EngineModel,
+    EngineSettings,
+    EventKind,
+)
+from peridotbend_emulator.enginestream import (
+    Stream,
+    count_prompt_tokens,
+    hash_prefixes,
+    hash_prompt,
+    join_prompt,
+    parse_chat,
+    write_events,
+)
+from peridotbend_emulator.ranlog import RanLog, request_key
+from peridotbend_emulator.serving import App, Call, CallError
+
+CRASH_MARKER = "CRASH-ENGINE"
+# EX_SOFTWARE of sysexits.h, so that tests can tell a crash from a signal.
+CRASH_EXIT_CODE = 70
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgramSettings:
+    """Settings of the engine program beside those of its model."""
+
+    # How long a stream without a reader waits to be resumed.
+    resume_window_ms: int
+    ran_file: str | None
+
+
+class EngineProgram:
+    """Serves the engine protocol from an `EngineModel` in real time."""
+
+    def __init__(
+        self, model: EngineModel, settings: ProgramSettings, clock: Clock
+    ):
+        self.incarnation = secrets.token_hex(8)
+        self._model = model
+        self._settings = settings
+        self._clock = clock
+        self._ran = RanLog(settings.ran_file)
+        self._streams: dict[str, Stream] = {}
+        self._submitted = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._break_after: int | None = None
+        self._breaks_left = 0
+
+    def make_app(self) -> App:
+        """Returns the application with all routes."""
+        app = App()
+        app.route("POST", "/v1/chat/completions", self._complete)
+        app.route("GET", "/v1/streams/*", self._resume)
+        app.route("DELETE", "/v1/streams/*", self._cancel)
+        app.route("GET", "/v1/load", self._send_load)
+        app.route("GET", "/v1/stats", self._send_stats)
+        app.route("GET", "/v1/ran", self._ran.handle)
+        app.route("POST", "/control/speed", self._control_speed)
+        app.route("POST", "/control/break", self._control_break)
+        return app
+
+    async def run(self) -> None:
+        """Runs engine steps for ever."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                while True:
+                    await self._run_until_idle()
+                    await self._submitted.wait()
+                    self._submitted = anyio.Event()
+        finally:
+            self._tasks = None
+
+    async def _run_until_idle(self) -> None:
+        due_ms = float(self._clock.now_ms())
+        while not self._model.is_idle:
+            result = self._model.step()
+            # Counting from the time that was due keeps timer delays from
+            # adding up, but a pause is not made up for by faster steps.
+            now_ms = self._clock.now_ms()
+            due_ms = max(due_ms, now_ms - result.elapsed_ms)
+            due_ms += result.elapsed_ms
+            await anyio.sleep(max(0.0, due_ms - now_ms) / 1000)
+            for event in result.events:
+                stream = self._streams.get(event.request_id)
+                if stream is not None:
+                    self._apply(stream, event.kind, event.prefill_tokens)
+
+    def _apply(
+        self, stream: Stream, kind: EventKind, prefill_tokens: int
+    ) -> None:
+        stream.prefill_tokens = prefill_tokens
+        if kind is EventKind.FINISHED:
+            stream.finished = True
+        else:
+            stream.produced += 1
+        stream.notify()
+
+    async def _complete(self, call: Call) -> None:
+        body = call.json()
+        messages, max_tokens = parse_chat(body)
+        self._ran.record(request_key(call))
+        prompt = join_prompt(messages)
+        if CRASH_MARKER in prompt:
+            os._exit(CRASH_EXIT_CODE)
+        stream = self._submit(prompt, max_tokens, str(body.get("model", "")))
+        if body.get("stream") is True:
+            await self._send_stream(call, stream, 0)
+        else:
+            await self._send_whole(call, stream)
+
+    def _submit(self, prompt: str, max_tokens: int, model: str) -> Stream:
+        stream = Stream(
+            token=secrets.token_hex(16),
+            model=model,
+            seed=hash_prompt(prompt),
+            prompt_tokens=count_prompt_tokens(prompt),
+        )
+        self._streams[stream.token] = stream
+        self._model.submit(
+            stream.token,
+            stream.prompt_tokens,
+            hash_prefixes(prompt),
+            max_tokens,
+        )
+        self._submitted.set()
+        return stream
+
+    async def _resume(self, call: Call) -> None:
+        stream = self._find_stream(call.tail)
+        try:
+            after = int(call.headers.get("last-event-id", "0"))
+        except ValueError:
+            raise CallError(400, "Last-Event-ID is not an integer") from None
+        if not 0 <= after <= stream.produced:
+            raise CallError(400, "Last-Event-ID is not an event that was sent")
+        await self._send_stream(call, stream, after)
+
+    async def _cancel(self, call: Call) -> None:
+        self._drop(self._find_stream(call.tail))
+        await call.reply(204, b"")
+
+    def _find_stream(self, token: str) -> Stream:
+        stream = self._streams.get(token)
+        if stream is None:
+            raise CallError(404, "no such stream")
+        return stream
+
+    def _drop(self, stream: Stream) -> None:
+        """Forgets a stream; its prefill is wasted unless it was delivered."""
+        self._streams.pop(stream.token, None)
+        stream.cancelled = True
+        if not self._model.cancel(stream.token) and not stream.delivered:
+            self._model.count_thrown_away(stream.prefill_tokens)
+        stream.notify()
+
+    async def _send_stream(
+        self, call: Call, stream: Stream, after: int
+    ) -> None:
+        stream.readers += 1
+        stream.attachments += 1
+        try:
+            async with anyio.create_task_group() as tasks:
+                watch = functools.partial(_cancel_when_gone, call)
+                tasks.start_soon(watch, tasks.cancel_scope)
+                await write_events(call, stream, after, self._take_break(after))
+                tasks.cancel_scope.cancel()
+        finally:
+            stream.readers -= 1
+            if self._tasks is not None:
+                self._tasks.start_soon(self._expire, stream, stream.attachments)
+
+    def _take_break(self, after: int) -> int | None:
+        if self._break_after is None or self._breaks_left == 0:
+            return None
+        self._breaks_left -= 1
+        return after + self._break_after
+
+    async def _expire(self, stream: Stream, attachments: int) -> None:
+        await anyio.sleep(self._settings.resume_window_ms / 1000)
+        is_unused = stream.readers == 0 and stream.attachments == attachments
+        if is_unused and stream.token in self._streams:
+            self._drop(stream)
+
+    async def _send_whole(self, call: Call, stream: Stream) -> None:
+        async with anyio.create_task_group() as tasks:
+            watch = functools.partial(_cancel_when_gone, call)
+            tasks.start_soon(watch, tasks.cancel_scope)
+            while not stream.finished and not stream.cancelled:
+                await stream.changed.wait()
+            if not stream.cancelled:
+                headers = {"engine-stream": stream.token}
+                whole = stream.render_whole()
+                await call.reply_json(200, whole, headers)
+                stream.delivered = not call.transport.is_closing()
+            tasks.cancel_scope.cancel()
+        # Without a reader nobody can resume: only the answer has the token.
+        if not stream.cancelled:
+            self._drop(stream)
+        if not stream.delivered:
+            call.break_connection()
+
+    async def _send_load(self, call: Call) -> None:
+        sample = self._model.load()
+        load = {
+            "at_ms": sample.at_ms,
+            # The reader's clock may differ; the report's age is now - at.
+            "now_ms": self._clock.now_ms(),
+            "running": sample.running,
+            "waiting_tokens": sample.waiting_tokens,
+            "incarnation": self.incarnation,
+        }
+        await call.reply_json(200, load)
+
+    async def _send_stats(self, call: Call) -> None:
+        stats = self._model.stats
+        await call.reply_json(
+            200,
+            {
+                "prefill_computed": stats.computed,
+                "prefill_reused": stats.reused,
+                "prefill_thrown_away": stats.thrown_away,
+                "open_streams": len(self._streams),
+            },
+        )
+
+    async def _control_speed(self, call: Call) -> None:
+        speed = call.json().get("speed")
+        if not isinstance(speed, int | float) or speed <= 0:
+            raise CallError(400, "speed is not a number above 0")
+        self._model.set_speed(float(speed))
+        await call.reply(204, b"")
+
+    async def _control_break(self, call: Call) -> None:
+        """Breaks the next `times` streams after `after_events` events."""
+        self._break_after = call.json_int("after_events", 0)
+        self._breaks_left = call.json_int("times", 1)
+        await call.reply(204, b"")
+
+
+async def _cancel_when_gone(call: Call, scope: anyio.CancelScope) -> None:
+    await call.wait_disconnect()
+    scope.cancel()
+
+
+_DEFAULTS = EngineSettings()
+
+
+@click.command()
+@serving.common_options
+@click.option("--speed", default=_DEFAULTS.speed, help="2 is twice as fast.")
+@click.option("--max-batch", default=_DEFAULTS.max_batch)
+@click.option("--step-prefill-tokens", default=_DEFAULTS.step_prefill_tokens)
+@click.option("--step-ms", default=_DEFAULTS.step_ms)
+@click.option("--prefill-ms-per-token", default=_DEFAULTS.prefill_ms_per_token)
+@click.option(
+    "--decode-ms-per-request", default=_DEFAULTS.decode_ms_per_request
+)
+@click.option("--cache-blocks", default=_DEFAULTS.cache_blocks)
+@click.option("--load-lag-ms", default=_DEFAULTS.load_lag_ms)
+@click.option("--resume-window-ms", default=10_000)
+@click.option("--ran-file", default=None, help="Also append each key here.")
+def main(
+    port: int,
+    name: str,
+    zone: str,
+    resume_window_ms: int,
+    ran_file: str | None,
+    **model_options: Any,
+) -> None:
+    """Runs a model engine stand-in on loopback."""
+    clock = SystemClock()
+    model = EngineModel(EngineSettings(**model_options), clock)
+    settings = ProgramSettings(resume_window_ms, ran_file)
+
+    async def run() -> None:
+        program = EngineProgram(model, settings, clock)
+        about = {"name": name, "zone": zone, "incarnation": program.incarnation}
+        await serving.serve(program.make_app(), port, about, program.run)
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/peridotbend_emulator/enginestream.py
@@ -0,0 +1,142 @@
+"""Prompts, deterministic answers and streams of the engine stand-in."""
+
+import dataclasses
+import json
+from collections.abc import Sequence
+from typing import Any
+
+import anyio
+import xxhash
+
+from peridotbend_emulator.enginemodel import BLOCK_TOKENS
+from peridotbend_emulator.serving import Call, CallError
+
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 16
+DONE = b"data: [DONE]\n\n"
+
+
+def parse_chat(body: dict[str, Any]) -> tuple[list[dict[str, Any]], int]:
+    """Returns the messages and the output length of a request body."""
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not all(
+        isinstance(m, dict) and isinstance(m.get("content"), str)
+        for m in messages
+    ):
+        raise CallError(400, "messages is not a list with text contents")
+    max_tokens = body.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if not isinstance(max_tokens, int) or max_tokens < 1:
+        raise CallError(400, "max_tokens is not an integer above 0")
+    return messages, max_tokens
+
+
+def join_prompt(messages: Sequence[dict[str, Any]]) -> str:
+    """Returns the text of all messages."""
+    return "".join(message["content"] for message in messages)
+
+
+def count_prompt_tokens(prompt: str) -> int:
+    """Returns the length of a prompt, rounded up to whole tokens."""
+    return max(1, -(-len(prompt) // CHARACTERS_PER_TOKEN))
+
+
+def hash_prefixes(prompt: str) -> tuple[int, ...]:
+    """Returns a hash for each full block that covers all text before it."""
+    block = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
+    state = xxhash.xxh64()
+    hashes = []
+    for end in range(block, len(prompt) + 1, block):
+        state.update(prompt[end - block : end].encode())
+        hashes.append(state.intdigest())
+    return tuple(hashes)
+
+
+def hash_prompt(prompt: str) -> int:
+    """Returns the seed of the answer to a prompt."""
+    return xxhash.xxh64_intdigest(prompt.encode())
+
+
+def make_token(seed: int, index: int) -> str:
+    """Returns one token of an answer."""
+    value = xxhash.xxh64_intdigest(index.to_bytes(4, "big"), seed=seed)
+    return f"{value & 0xFFFFFF:06x} "
+
+
+def find_answer(messages: Sequence[dict[str, Any]], max_tokens: int) -> str:
+    """Returns the whole answer that any engine gives to these messages."""
+    seed = hash_prompt(join_prompt(messages))
+    return "".join(make_token(seed, index) for index in range(max_tokens))
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Stream:
+    """An answer that is being produced, and what was sent of it."""
+
+    token: str
+    model: str
+    seed: int
+    prompt_tokens: int
+    produced: int = 0
+    prefill_tokens: int = 0
+    finished: bool = False
+    cancelled: bool = False
+    delivered: bool = False
+    readers: int = 0
+    # Readers that ever attached; unchanged means that nobody resumed.
+    attachments: int = 0
+    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def notify(self) -> None:
+        """Wakes the readers."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def render_event(self, index: int) -> bytes:
+        """Returns the server-sent event of a token; IDs count from 1."""
+        choice = {
+            "index": 0,
+            "delta": {"content": make_token(self.seed, index)},
+        }
+        data = json.dumps({"choices": [choice]})
+        return f"id: {index + 1}\ndata: {data}\n\n".encode()
+
+    def render_whole(self) -> dict[str, object]:
+        """Returns the answer as one JSON object."""
+        tokens = (make_token(self.seed, i) for i in range(self.produced))
+        message = {"role": "assistant", "content": "".join(tokens)}
+        choice = {"index": 0, "message": message, "finish_reason": "length"}
+        return {
+            "id": self.token,
+            "object": "chat.completion",
+            "model": self.model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.prompt_tokens,
+                "completion_tokens": self.produced,
+            },
+        }
+
+
+async def write_events(
+    call: Call, stream: Stream, after: int, break_at: int | None
+) -> None:
+    """Sends the events after `after` as they come, then `[DONE]`.
+
+    Breaks the connection after event `break_at`, or when the stream is
+    cancelled: an answer that is not whole never ends as if it were.
+    """
+    head = {"content-type": "text/event-stream"}
+    await call.start(200, {**head, "engine-stream": stream.token})
+    while not stream.cancelled:
+        changed = stream.changed
+        while after < stream.produced and after != break_at:
+            await call.write(stream.render_event(after))
+            after += 1
+        if after == break_at:
+            break
+        if stream.finished:
+            await call.write(DONE, more=False)
+            stream.delivered = not call.transport.is_closing()
+            return
+        await changed.wait()
+    call.close_connection()
