Limit client accounts by work per second and concurrency

A client account needs bounds of its own, so that one caller cannot fill the queues of all. ClientLimits holds a token bucket of work units and a count of concurrent requests for each account. A request larger than the bucket is admitted by a full bucket and leaves it in debt; refusing it was ruled out, because no wait would ever make it admissible. Work that was not run is credited back.

A rate refusal names the first millisecond at which the same request is admitted if nothing else arrives. A concurrency refusal gives the mean holding time divided by the places, which is an estimate.

--- /dev/null
+++ b/src/peridotbend/domain/accounts.py
@@ -0,0 +1,116 @@
+"""Limits of client accounts: work per second and concurrent requests."""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.text import ClientAccount
+from peridotbend.domain.verdicts import NotRun, Reason
+
+ANONYMOUS = "anonymous"
+# An account may save up this much of its rate while it sends nothing.
+BURST_MS = 2_000
+# Holding time assumed until the first request of an account has ended.
+DEFAULT_HOLD_MS = 1_000
+HOLD_SMOOTHING = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class _Usage:
+    level: float
+    refilled_at_ms: int
+    concurrent: int = 0
+    mean_hold_ms: float = DEFAULT_HOLD_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountHold:
+    """The use of an account by one request; given back by `release`."""
+
+    account: str
+    work: float
+    taken_at_ms: int
+
+
+class ClientLimits:
+    """Admits requests within the limits of their accounts.
+
+    Accounts that the text does not list use the limits of `anonymous`.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._accounts: dict[str, ClientAccount] = {}
+        self._usage: dict[str, _Usage] = {}
+
+    def apply(self, clients: Iterable[ClientAccount]) -> None:
+        """Puts the limits of a new text in force; holds are kept."""
+        self._accounts = {client.name: client for client in clients}
+        self._usage = {
+            name: usage
+            for name, usage in self._usage.items()
+            if name in self._accounts or usage.concurrent
+        }
+
+    def find_weight(self, account: str) -> int:
+        """Returns the weight of an account in fair sharing."""
+        return max(1, self._find(account).weight)
+
+    def admit(self, account: str, work: float) -> AccountHold | NotRun:
+        """Takes the account's tokens and one concurrent place, or refuses.
+
+        A request larger than the whole bucket is admitted by a full bucket,
+        which it leaves in debt, so that no size is refused for ever.
+        """
+        client = self._find(account)
+        usage = self._refill(client)
+        if 0 < client.max_concurrent <= usage.concurrent:
+            wait_ms = usage.mean_hold_ms / usage.concurrent
+            return NotRun(Reason.CLIENT_LIMIT, max(1, math.ceil(wait_ms)))
+        if client.work_per_s > 0:
+            needed = min(work, _burst(client)) - usage.level
+            if needed > 0:
+                wait_ms = needed * 1_000 / client.work_per_s
+                return NotRun(Reason.CLIENT_LIMIT, math.ceil(wait_ms))
+            usage.level -= work
+        usage.concurrent += 1
+        return AccountHold(client.name, work, self._clock.now_ms())
+
+    def release(self, hold: AccountHold, ran: bool) -> None:
+        """Ends a hold; work that was not run is credited back."""
+        usage = self._usage[hold.account]
+        usage.concurrent -= 1
+        if ran:
+            held_ms = self._clock.now_ms() - hold.taken_at_ms
+            gap_ms = held_ms - usage.mean_hold_ms
+            usage.mean_hold_ms += HOLD_SMOOTHING * gap_ms
+            return
+        client = self._find(hold.account)
+        usage.level = min(usage.level + hold.work, _burst(client))
+
+    def dump(self) -> dict[str, object]:
+        """Returns the use of each account."""
+        return {
+            name: {"concurrent": usage.concurrent, "level": usage.level}
+            for name, usage in self._usage.items()
+        }
+
+    def _find(self, account: str) -> ClientAccount:
+        found = self._accounts.get(account) or self._accounts.get(ANONYMOUS)
+        return found or ClientAccount(ANONYMOUS)
+
+    def _refill(self, client: ClientAccount) -> _Usage:
+        now_ms = self._clock.now_ms()
+        usage = self._usage.get(client.name)
+        if usage is None:
+            usage = _Usage(_burst(client), now_ms)
+            self._usage[client.name] = usage
+        gained = client.work_per_s * (now_ms - usage.refilled_at_ms) / 1_000
+        usage.level = min(usage.level + gained, _burst(client))
+        usage.refilled_at_ms = now_ms
+        return usage
+
+
+def _burst(client: ClientAccount) -> float:
+    return client.work_per_s * BURST_MS / 1_000
