--- /dev/null
+++ b/src/peridotbend/domain/targetuse.py
@@ -0,0 +1,146 @@
+"""What this process has in flight at targets and may send there."""
+
+import dataclasses
+from collections import defaultdict
+from typing import Protocol
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.text import FleetText, Service, Target
+from peridotbend.domain.windows import ShareTable, TargetWindow
+from peridotbend.domain.work import WorkItem
+
+
+class TargetView(Protocol):
+    """What is known of targets and peers at the moment."""
+
+    def is_available(self, target: Target) -> bool:
+        """Tells whether a target is neither leaving nor seen dead."""
+        ...
+
+    def count_live_peers(self) -> int:
+        """Counts live entry instances, this process included."""
+        ...
+
+    def zone(self) -> str:
+        """Returns the zone of this process."""
+        ...
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class TargetUse:
+    """What this process has in flight at one target."""
+
+    window: TargetWindow
+    grants: int = 0
+    trials: int = 0
+    in_flight_work: float = 0.0
+    work_by_tier: dict[int, float] = dataclasses.field(
+        default_factory=lambda: defaultdict(float)
+    )
+
+    def add(self, item: WorkItem) -> None:
+        """Takes room in the window."""
+        self.grants += 1
+        self.trials += item.on_trial
+        self.work_by_tier[item.kind.tier] += item.work.units
+        self.in_flight_work += item.work.units
+
+    def remove(self, item: WorkItem) -> None:
+        """Gives the room back."""
+        self.grants -= 1
+        self.trials -= item.on_trial
+        self.work_by_tier[item.kind.tier] -= item.work.units
+        self.in_flight_work -= item.work.units
+        if self.grants == 0:
+            # Drops what float rounding left over.
+            self.work_by_tier.clear()
+            self.in_flight_work = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allowance:
+    """What this process may have in flight at one target."""
+
+    work: float
+    # Lowest tier that the last division served; None when unknown.
+    lowest_tier_served: int | None
+
+
+class TargetUses:
+    """The use of every target of the text and of those still in flight."""
+
+    def __init__(self, clock: Clock, view: TargetView):
+        self._view = view
+        self._listed: set[str] = set()
+        self.by_name: dict[str, TargetUse] = {}
+        self.shares = ShareTable(clock)
+
+    def apply_text(self, text: FleetText) -> list[str]:
+        """Follows the targets of a text; returns the names dropped.
+
+        A target that left the text is kept while grants are in flight there,
+        so that it cannot be overfilled when a later text lists it again.
+        """
+        self._listed = set()
+        for service in text.services:
+            for target in service.targets:
+                self._list(service, target)
+        gone = [n for n in self.by_name if not self._is_needed(n)]
+        for name in gone:
+            del self.by_name[name]
+            self.shares.drop(name)
+        return gone
+
+    def release(self, target: Target, use: TargetUse, item: WorkItem) -> bool:
+        """Gives room back; True when the target is forgotten with it."""
+        use.remove(item)
+        if self._is_needed(target.name):
+            return False
+        self.by_name.pop(target.name, None)
+        self.shares.drop(target.name)
+        return True
+
+    def find_available(self, service: Service) -> list[Target]:
+        """Returns the targets of a service that can take work."""
+        return [t for t in service.targets if self.is_available(t)]
+
+    def is_available(self, target: Target) -> bool:
+        """Tells whether a target can take work."""
+        return self._view.is_available(target)
+
+    def find_allowance(self, name: str) -> Allowance:
+        """Returns what this process may have in flight at a target."""
+        size = self.by_name[name].window.size
+        peers = self._view.count_live_peers()
+        work = self.shares.find_allowance(name, size, peers)
+        return Allowance(work, self.shares.lowest_tier_served((name,)))
+
+    def dump(self) -> dict[str, object]:
+        """Returns the window and the use of each target."""
+        return {
+            name: {
+                "window": use.window.size,
+                "in_flight_work": use.in_flight_work,
+                "grants": use.grants,
+                "listed": name in self._listed,
+            }
+            for name, use in self.by_name.items()
+        }
+
+    def _list(self, service: Service, target: Target) -> None:
+        if target.name in self._listed:
+            # The first of the services that share a target sets its window.
+            return
+        self._listed.add(target.name)
+        use = self.by_name.get(target.name)
+        if use is not None:
+            use.window.set_bounds(service.min_window, service.max_window)
+            return
+        window = TargetWindow(
+            service.initial_window, service.min_window, service.max_window
+        )
+        self.by_name[target.name] = TargetUse(window)
+
+    def _is_needed(self, name: str) -> bool:
+        use = self.by_name.get(name)
+        return name in self._listed or (use is not None and use.grants > 0)
