Add a tool that measures what an entry instance costs

Cause: no figure stood behind the bounds on processor time, memory and control traffic of the size to design for. Ruled out: the engine stand-in as the target, whose own processor time limits a run of 4,000 events/s; network counters of the machine, which other work shares (the write calls of /proc/PID/io do not).

--- /dev/null
+++ b/src/peridotbend_emulator/costcaller.py
@@ -0,0 +1,116 @@
+"""Callers for cost runs: `python -m peridotbend_emulator.costcaller`.
+
+Prints one line of JSON with what the callers saw.
+"""
+
+import asyncio
+import json
+import os
+import time
+
+# libuv can use io_uring; it reads this before the first loop starts.
+os.environ["UV_USE_IO_URING"] = "0"
+
+import click
+import uvloop
+
+MAX_RUN_S = 120
+
+
+def make_call(path: str, body: bytes) -> bytes:
+    """Returns a POST as it is written."""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: cost\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+class Caller:
+    """One connection that sends calls one after another."""
+
+    def __init__(self, address: str, call: bytes):
+        self._host, _, self._port = address.partition(":")
+        self._call = call
+        self.latencies_ms: list[float] = []
+        self.first_event_ms: list[float] = []
+        self.failures = 0
+
+    async def run(self, count: int, delay_s: float) -> None:
+        """Sends `count` calls after a delay."""
+        await asyncio.sleep(delay_s)
+        reader, writer = await asyncio.open_connection(
+            self._host, int(self._port)
+        )
+        for _ in range(count):
+            start_s = time.perf_counter()
+            writer.write(self._call)
+            try:
+                await self._read_answer(reader, start_s)
+            except (asyncio.IncompleteReadError, OSError):
+                self.failures += 1
+                break
+            self.latencies_ms.append((time.perf_counter() - start_s) * 1000)
+        writer.close()
+
+    async def _read_answer(
+        self, reader: asyncio.StreamReader, start_s: float
+    ) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        if b" 200 " not in head[:20] and b" 201 " not in head[:20]:
+            self.failures += 1
+        _, found, tail = head.partition(b"content-length:")
+        if found:
+            await reader.readexactly(int(tail.split(b"\r\n", 1)[0]))
+            return
+        end = b""
+        while not end.endswith(b"\r\n0\r\n\r\n"):
+            data = await reader.read(65_536)
+            if not data:
+                raise asyncio.IncompleteReadError(end, None)
+            if not end:
+                elapsed_ms = (time.perf_counter() - start_s) * 1000
+                self.first_event_ms.append(elapsed_ms)
+            end = (end + data)[-16:]
+
+
+async def run(
+    address: str, call: bytes, callers: int, count: int, spread_ms: float
+) -> dict[str, object]:
+    """Runs all callers, started evenly within `spread_ms`."""
+    all_callers = [Caller(address, call) for _ in range(callers)]
+    async with asyncio.timeout(MAX_RUN_S):
+        await asyncio.gather(
+            *(
+                caller.run(count, spread_ms * index / callers / 1000)
+                for index, caller in enumerate(all_callers)
+            )
+        )
+    return {
+        "latencies_ms": [t for c in all_callers for t in c.latencies_ms],
+        "first_event_ms": [t for c in all_callers for t in c.first_event_ms],
+        "failures": sum(c.failures for c in all_callers),
+    }
+
+
+@click.command()
+@click.argument("address")
+@click.argument("path")
+@click.argument("body")
+@click.option("--callers", default=1, type=click.IntRange(1, 4_096))
+@click.option("--count", default=1, type=click.IntRange(1, 100_000))
+@click.option("--spread-ms", default=0.0)
+def main(
+    address: str,
+    path: str,
+    body: str,
+    callers: int,
+    count: int,
+    spread_ms: float,
+) -> None:
+    """Sends COUNT calls on each of CALLERS connections to ADDRESS."""
+    call = make_call(path, body.encode())
+    print(json.dumps(uvloop.run(run(address, call, callers, count, spread_ms))))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/peridotbend_emulator/fleet.py
+++ b/src/peridotbend_emulator/fleet.py
@@ -38,12 +38,15 @@
         zones: Sequence[str],
         entries_per_zone: int,
         entry_settings: Mapping[str, Any] | None = None,
+        entry_command: Sequence[str] = ("peridotbend.daemon",),
     ):
         self._services = services
         self._backends = backends
         self._zones = zones
         self._entries_per_zone = entries_per_zone
         self._entry_settings = dict(entry_settings or {})
+        # The module to run and the options before those of the daemon.
+        self._entry_command = entry_command
         self._launcher = Launcher()
         self._folder = tempfile.TemporaryDirectory(prefix="peridotbend-")
         self.targets: dict[str, Child] = {}
@@ -95,7 +98,7 @@
         path = pathlib.Path(self._folder.name) / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
         child = self._launcher.spawn(
-            "peridotbend.daemon", "--settings", str(path), name=name
+            *self._entry_command, "--settings", str(path), name=name
         )
         self.entries[name] = child
         self.entry_zones[name] = zone
