Keep free target connections in a pool of our own

Cause: a profile of short calls (10 targets, 16 callers) had 9.4 of 44 s in the list of idle connections that httpcore's AsyncConnectionPool builds for every connection whenever a call starts or ends (n squared), 6.5 s in has_expired() with a poll() for each idle connection, and 4.5 s in the failing import of sniffio that its cancellation shield repeats. Change: ConnectionPool keeps httpcore's AsyncHTTP11Connection objects by target and looks only at those that it takes or drops. The gate is still called by the trace event before the first byte, and calls that may not run twice still get a new connection. Ruled out: one AsyncConnectionPool for each target; it keeps the import and the poll() for each idle connection.

--- /dev/null
+++ b/src/peridotbend/adapters/connections.py
@@ -0,0 +1,100 @@
+"""Keeps the HTTP connections to targets that are free for the next call."""
+
+from collections import OrderedDict
+
+import anyio
+import httpcore
+
+MAX_CONNECTIONS = 4_096
+MAX_IDLE_CONNECTIONS = 256
+KEEPALIVE_EXPIRY_S = 20.0
+
+Connection = httpcore.AsyncHTTP11Connection
+
+
+class ConnectionPool:
+    """Connections by target, each used by one call at a time.
+
+    httpcore's own pool looks at every pair of its connections, with a system
+    call for each, whenever a call starts or ends; this one looks only at the
+    connections that it takes or drops.
+    """
+
+    def __init__(self) -> None:
+        self._backend = httpcore.AnyIOBackend()
+        self._places = anyio.Semaphore(MAX_CONNECTIONS, fast_acquire=True)
+        # Of all targets; the one that was free for the longest time first.
+        self._idle: OrderedDict[Connection, httpcore.Origin] = OrderedDict()
+        self._idle_by_target: dict[tuple[bytes, int], list[Connection]] = {}
+
+    async def take(
+        self, origin: httpcore.Origin, reuse: bool, timeout_s: float
+    ) -> Connection:
+        """Returns a connection that no other call uses.
+
+        Raises:
+            httpcore.TimeoutException: no connection in time.
+            httpcore.NetworkError: the target refused the connection.
+        """
+        idle = self._idle_by_target.get((origin.host, origin.port), ())
+        while reuse and idle:
+            connection = idle[-1]
+            self._forget(connection)
+            # Reports a connection that the target has closed, too.
+            if not connection.has_expired():
+                return connection
+            await self._close(connection)
+        return await self._connect(origin, timeout_s)
+
+    async def release(
+        self, connection: Connection, origin: httpcore.Origin, reuse: bool
+    ) -> None:
+        """Keeps a connection for later calls, or closes it."""
+        if not reuse or not connection.is_idle():
+            await self._close(connection)
+            return
+        self._idle[connection] = origin
+        key = (origin.host, origin.port)
+        self._idle_by_target.setdefault(key, []).append(connection)
+        while self._idle:
+            oldest = next(iter(self._idle))
+            is_over = len(self._idle) > MAX_IDLE_CONNECTIONS
+            if not is_over and not oldest.has_expired():
+                return
+            self._forget(oldest)
+            await self._close(oldest)
+
+    async def aclose(self) -> None:
+        """Closes the connections that are free."""
+        for connection in list(self._idle):
+            self._forget(connection)
+            await self._close(connection)
+
+    def _forget(self, connection: Connection) -> None:
+        origin = self._idle.pop(connection)
+        key = (origin.host, origin.port)
+        idle = self._idle_by_target[key]
+        idle.remove(connection)
+        if not idle:
+            del self._idle_by_target[key]
+
+    async def _connect(
+        self, origin: httpcore.Origin, timeout_s: float
+    ) -> Connection:
+        try:
+            with anyio.fail_after(timeout_s):
+                await self._places.acquire()
+        except TimeoutError as error:
+            raise httpcore.PoolTimeout("all connections are in use") from error
+        try:
+            stream = await self._backend.connect_tcp(
+                origin.host.decode(), origin.port, timeout_s
+            )
+        except BaseException:
+            self._places.release()
+            raise
+        return Connection(origin, stream, KEEPALIVE_EXPIRY_S)
+
+    async def _close(self, connection: Connection) -> None:
+        self._places.release()
+        await connection.aclose()
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -4,9 +4,11 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
+import anyio
 import httpcore
 from result import Err, Ok, Result
 
+from peridotbend.adapters.connections import ConnectionPool
 from peridotbend.domain.ports import (
     AnswerHead,
     CallError,
@@ -17,9 +19,6 @@
 from peridotbend.domain.text import Target
 
 CONNECT_TIMEOUT_S = 1.0
-KEEPALIVE_EXPIRY_S = 20.0
-MAX_CONNECTIONS = 4_096
-MAX_IDLE_CONNECTIONS = 256
 # The event that httpcore reports directly before it writes the first byte.
 BEFORE_FIRST_BYTE = "http11.send_request_headers.started"
 _HOP_BY_HOP = frozenset(
@@ -50,7 +49,6 @@
     async def trace(self, event_name: str, info: dict[str, Any]) -> None:
         if event_name != BEFORE_FIRST_BYTE:
             return
-        # httpcore may try another idle connection, but only before a write.
         if self.written or not self._gate():
             raise GateClosedError
         self.written = True
@@ -85,56 +83,64 @@
     """Sends calls to targets and knows whether a byte was written."""
 
     def __init__(self) -> None:
-        self._shared = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-        )
-        # A reused connection may have been closed by the target unseen; the
-        # write then fails with an unknown outcome. Calls that may not be
-        # repeated pay for a new connection instead.
-        self._fresh = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
-        )
+        self._pool = ConnectionPool()
 
     async def aclose(self) -> None:
-        """Closes all connections."""
-        await self._shared.aclose()
-        await self._fresh.aclose()
+        """Closes all connections that are free."""
+        await self._pool.aclose()
 
     @contextlib.asynccontextmanager
     async def open(
         self, target: Target, call: TargetCall, gate: Callable[[], bool]
     ) -> AsyncIterator[Result[TargetAnswer, CallError]]:
         """Sends a call and waits for the head of the answer."""
-        pool = self._shared if call.reuse_connection else self._fresh
         write_gate = _WriteGate(gate)
         request = _make_request(target, call, write_gate)
+        origin = request.url.origin
+        # A reused connection may have been closed by the target unseen; the
+        # write then fails with an unknown outcome. Calls that may not be
+        # repeated pay for a new connection instead.
+        reuse = call.reuse_connection
         try:
-            response = await pool.handle_async_request(request)
-        except GateClosedError as error:
-            yield Err(_make_error(CallFailure.GATE, False, error))
-            return
-        except httpcore.TimeoutException as error:
-            failure = (
-                CallFailure.TIMEOUT
-                if write_gate.written
-                else CallFailure.CONNECT
-            )
-            yield Err(_make_error(failure, write_gate.written, error))
-            return
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            failure = (
-                CallFailure.BROKEN
-                if write_gate.written
-                else CallFailure.CONNECT
+            connection = await self._pool.take(
+                origin, reuse, request.extensions["timeout"]["connect"]
             )
-            yield Err(_make_error(failure, write_gate.written, error))
+        except (httpcore.TimeoutException, httpcore.NetworkError) as error:
+            yield Err(_make_error(CallFailure.CONNECT, False, error))
             return
         try:
-            yield Ok(HttpAnswer(response))
+            opened = await _send(connection, request, write_gate)
+            try:
+                yield opened.map(HttpAnswer)
+            finally:
+                if isinstance(opened, Ok):
+                    with anyio.CancelScope(shield=True):
+                        await opened.ok_value.aclose()
         finally:
-            await response.aclose()
+            with anyio.CancelScope(shield=True):
+                await self._pool.release(connection, origin, reuse)
+
+
+async def _send(
+    connection: httpcore.AsyncHTTP11Connection,
+    request: httpcore.Request,
+    write_gate: _WriteGate,
+) -> Result[httpcore.Response, CallError]:
+    try:
+        return Ok(await connection.handle_async_request(request))
+    except GateClosedError as error:
+        return Err(_make_error(CallFailure.GATE, False, error))
+    except (
+        httpcore.TimeoutException,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+    ) as error:
+        failure = CallFailure.BROKEN
+        if isinstance(error, httpcore.TimeoutException):
+            failure = CallFailure.TIMEOUT
+        if not write_gate.written:
+            failure = CallFailure.CONNECT
+        return Err(_make_error(failure, write_gate.written, error))
 
 
 def _make_request(
@@ -163,7 +169,6 @@
             "trace": write_gate.trace,
             "timeout": {
                 "connect": min(CONNECT_TIMEOUT_S, timeout_s),
-                "pool": CONNECT_TIMEOUT_S,
                 "read": timeout_s,
                 "write": timeout_s,
             },
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,124 @@
+"""Tests of the pool of connections to targets."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from unittest import mock
+
+import anyio
+import httpcore
+from anyio.abc import SocketAttribute, SocketStream
+
+from peridotbend.adapters import connections
+from peridotbend.adapters.connections import ConnectionPool
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+def _run(
+    check: Callable[
+        [ConnectionPool, httpcore.URL, list[SocketStream]], Awaitable[None]
+    ],
+) -> None:
+    """Runs a check against a server that lists its connections."""
+    accepted: list[SocketStream] = []
+
+    async def serve(stream: SocketStream) -> None:
+        accepted.append(stream)
+        try:
+            while await stream.receive():
+                await stream.send(ANSWER)
+        except (anyio.EndOfStream, anyio.ClosedResourceError):
+            await stream.aclose()
+
+    async def run() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        pool = ConnectionPool()
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            url = httpcore.URL(
+                scheme=b"http", host=b"127.0.0.1", port=port, target=b"/"
+            )
+            await check(pool, url, accepted)
+            await pool.aclose()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def _call(
+    pool: ConnectionPool, url: httpcore.URL, reuse: bool = True
+) -> None:
+    connection = await pool.take(url.origin, reuse, 5.0)
+    request = httpcore.Request("GET", url, headers=[("Host", "test")])
+    response = await connection.handle_async_request(request)
+    await response.aread()
+    await response.aclose()
+    await pool.release(connection, url.origin, reuse)
+
+
+class ConnectionPoolTest(unittest.TestCase):
+    """Which connection a call gets."""
+
+    def test_only_reusable_calls_share_a_connection(self) -> None:
+        """Guards against an order sent on a connection that may be dead."""
+
+        async def check(
+            pool: ConnectionPool,
+            url: httpcore.URL,
+            accepted: list[SocketStream],
+        ) -> None:
+            await _call(pool, url)
+            await _call(pool, url)
+            assert len(accepted) == 1
+            await _call(pool, url, reuse=False)
+            assert len(accepted) == 2
+            await _call(pool, url)
+            assert len(accepted) == 2
+
+        _run(check)
+
+    def test_connection_that_the_target_closed_is_not_used(self) -> None:
+        """Guards against "may have run" for a call to a restarted target."""
+
+        async def check(
+            pool: ConnectionPool,
+            url: httpcore.URL,
+            accepted: list[SocketStream],
+        ) -> None:
+            await _call(pool, url)
+            await accepted[0].aclose()
+            await anyio.sleep(0.01)
+            await _call(pool, url)
+            assert len(accepted) == 2
+
+        _run(check)
+
+    def test_bounds_count_each_connection_once(self) -> None:
+        """Guards against places that are lost, which ends all calls."""
+
+        async def check(
+            pool: ConnectionPool,
+            url: httpcore.URL,
+            accepted: list[SocketStream],
+        ) -> None:
+            for _ in range(3):
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(2):
+                        tasks.start_soon(_call, pool, url)
+                await _call(pool, url, reuse=False)
+            first = await pool.take(url.origin, False, 5.0)
+            second = await pool.take(url.origin, True, 5.0)
+            try:
+                await pool.take(url.origin, False, 0.01)
+                raise AssertionError("more connections than the bound")
+            except httpcore.PoolTimeout:
+                pass
+            for connection in (first, second):
+                await pool.release(connection, url.origin, False)
+
+        with (
+            mock.patch.object(connections, "MAX_CONNECTIONS", 2),
+            mock.patch.object(connections, "MAX_IDLE_CONNECTIONS", 1),
+        ):
+            _run(check)
