Skip empty queues when demand is summed up

Cause: five times a second find_demand added zero work to each tier of each target, and looked up which targets are available, for services that have nothing waiting. Change: services without waiting requests are skipped. The next step would be to divide only targets that have demand, which changes what an idle peer gets and is left open.

--- a/src/peridotbend/domain/scheduler.py
+++ b/src/peridotbend/domain/scheduler.py
@@ -148,6 +148,8 @@
             for name, use in self._uses.by_name.items()
         }
         for source in self._queues:
+            if not len(source.queue):
+                continue
             available = self._uses.find_available(source.service)
             for target, tier in itertools.product(available, range(tiers)):
                 part = source.queue.find_work(tier) / len(available)
