--- a/src/peridotbend_emulator/costrun.py
+++ b/src/peridotbend_emulator/costrun.py
@@ -40,6 +40,9 @@
     repeats: int
 
 
+Slopes = dict[str, Spread]
+
+
 def find_spread(samples: Sequence[float]) -> Spread:
     """Returns the median and the range of repeated measurements."""
     return Spread(
@@ -104,14 +107,18 @@
 
     def publish_only(self, window: Any = None) -> None:
         """Publishes the next text."""
-        self.fleet.version += 1
         targets = [
             {"name": f"target-{number}", "address": address}
             for number, address in enumerate(self._addresses)
         ]
-        document = make_document(
-            self.fleet.version, {ZONE: targets}, window or WIDE_WINDOW
+        self.publish_document(
+            make_document(0, {ZONE: targets}, window or WIDE_WINDOW)
         )
+
+    def publish_document(self, document: dict[str, Any]) -> None:
+        """Publishes a text of one's own as the next version."""
+        self.fleet.version += 1
+        document["version"] = self.fleet.version
         source = yaml.safe_dump(document, sort_keys=False).encode()
         self.fleet.control("PUT", "/control/text", source)
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -5,7 +5,7 @@
 import unittest
 
 from peridotbend.adapters.yamltext import parse_text
-from peridotbend_emulator.cost import RUNNERS, make_full_text
+from peridotbend_emulator.costcontrol import RUNNERS, make_full_text
 from peridotbend_emulator.costrun import find_percentile, find_spread
 from peridotbend_emulator.costtarget import EVENT_BYTES, make_event
 from peridotbend_emulator.procstat import (
