Stop work whose answer nobody can fetch

Cause: a caller that leaves a one-shot call before the response headers never learns its ID, yet the request went on to use a runner. Change: such a request ends as may-have-run or not-run with caller-gone; a stream of an expired or abandoned request is cancelled at the engine; verdicts of cancelled requests are counted. A second write of one call is an assertion. Ruled out: cancelling when a reserved ID or a caller's key was used, since the caller can still fetch or send again.

--- a/src/peridotbend/adapters/callers.py
+++ b/src/peridotbend/adapters/callers.py
@@ -21,7 +21,7 @@
 from peridotbend.domain.ports import AnswerHead, AnswerPart, EventLog
 from peridotbend.domain.records import CallerCall
 from peridotbend.domain.requests import Reservation
-from peridotbend.domain.streams import find_header
+from peridotbend.domain.streams import is_event_stream
 from peridotbend.domain.verdicts import (
     STATUS_BY_REASON,
     Completed,
@@ -343,7 +343,7 @@
             token = part.request_id or token
             if part.head is not None:
                 head = part.head
-                streaming = _is_event_stream(head)
+                streaming = is_event_stream(head)
                 if streaming:
                     await self._begin(head.status, _stream_headers(head, token))
             if streaming:
@@ -476,10 +476,6 @@
     ]
 
 
-def _is_event_stream(head: AnswerHead) -> bool:
-    return find_header(head, "content-type").startswith("text/event-stream")
-
-
 def _format_verdict_event(verdict: Verdict) -> bytes:
     reason = getattr(verdict, "reason", None)
     document = {
--- a/src/peridotbend/adapters/messages.py
+++ b/src/peridotbend/adapters/messages.py
@@ -35,6 +35,7 @@
     ),
     Reason.DEADLINE: "The deadline passed while the request was waiting.",
     Reason.DRAINING: "This instance is shutting down; send the call again.",
+    Reason.CALLER_GONE: "The caller left before it could know the ID.",
     Reason.NO_TARGET: "No target of this service can be reached.",
     Reason.DEPENDENCY_DOWN: "A service that this one depends on is down.",
     Reason.QUARANTINED: (
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -50,8 +50,10 @@
     async def trace(self, event_name: str, info: dict[str, Any]) -> None:
         if event_name != BEFORE_FIRST_BYTE:
             return
-        # httpcore may try another idle connection, but only before a write.
-        if self.written or not self._gate():
+        # httpcore tries another connection only before it has written; a
+        # second write of one call must never happen.
+        assert not self.written, "a call was about to be written twice"
+        if not self._gate():
             raise GateClosedError
         self.written = True
 
--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -11,7 +11,6 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.inflight import InFlightTable
 from peridotbend.domain.ports import (
-    AnswerHead,
     CallError,
     CallFailure,
     EventLog,
@@ -28,7 +27,7 @@
 from peridotbend.domain.records import CallerCall, RequestRecord, RequestTable
 from peridotbend.domain.retries import RetryBudget
 from peridotbend.domain.scheduler import Grant, Scheduler
-from peridotbend.domain.streams import EventStream
+from peridotbend.domain.streams import EventStream, is_event_stream
 from peridotbend.domain.text import EngineType, Kind, Service, Target
 from peridotbend.domain.verdicts import (
     Completed,
@@ -40,6 +39,7 @@
 from peridotbend.domain.work import GrantOutcome, WorkEstimate, WorkItem
 
 RESUME_DELAYS_MS = (50, 200, 800)
+CANCEL_TIMEOUT_MS = 500
 # Pause before another target is tried after a failed connection.
 CONNECT_RETRY_DELAY_MS = 20
 SUSPECT_RETRY_MS = 2_000
@@ -115,6 +115,11 @@
             try:
                 verdict = await self._run_checked(job)
                 self._finish(job, verdict)
+            except anyio.get_cancelled_exc_class():
+                # The record expired, moved, or its caller left.
+                if record.answer.verdict is not None:
+                    self._count(job, record.answer.verdict)
+                raise
             finally:
                 record.scope = None
                 self._ports.table.trim_answer(record)
@@ -191,11 +196,15 @@
             await anyio.sleep(CONNECT_RETRY_DELAY_MS / 1000)
 
     def _finish(self, job: Job, verdict: Verdict) -> None:
-        ports, record = self._ports, job.record
+        record = job.record
         if record.state is RecordState.HANDED_OVER or record.answer.ended:
             # The record moved away or expired while the attempt ended.
             return
         record.end(verdict)
+        self._count(job, verdict)
+
+    def _count(self, job: Job, verdict: Verdict) -> None:
+        ports, record = self._ports, job.record
         ports.meter.count_verdict(job.service.name, job.tier, verdict)
         if isinstance(verdict, Completed):
             if ports.clock.now_ms() <= record.deadline_at_ms:
@@ -239,6 +248,7 @@
         self._fingerprint = fingerprint
         self._on_trial = on_trial
         self._outcome = GrantOutcome.NOT_WRITTEN
+        self._stream: EventStream | None = None
 
     async def run(self) -> Verdict | None:
         """Calls the target; None means that nothing was written."""
@@ -250,6 +260,9 @@
             return NotRun(Reason.AT_CAPACITY, CAPACITY_RETRY_MS)
         try:
             return await self._call()
+        except anyio.get_cancelled_exc_class():
+            await self._cancel_stream()
+            raise
         finally:
             self._in_flight.end(self._target.name, record.log_key)
             self._grant.finish(self._outcome, self._count_output_tokens())
@@ -265,6 +278,7 @@
             self._ports.health.record_target_success(self._target.name)
             self._job.record.answer.begin(answer.head)
             stream = EventStream(self._job.record.answer, answer.head)
+            self._stream = stream
             broken = await self._relay(answer, stream)
         if broken is not None and stream.can_resume:
             broken = await self._resume(stream, broken)
@@ -368,6 +382,27 @@
                 return Err(None)
             return Ok(await self._relay(opened.ok_value, stream))
 
+    async def _cancel_stream(self) -> None:
+        """Tells the engine to stop an answer that nobody can fetch.
+
+        The prefill is lost either way; the decoding would only keep others
+        waiting.
+        """
+        if self._stream is None or not self._stream.can_resume:
+            return
+        call = TargetCall(
+            "DELETE",
+            f"/v1/streams/{self._stream.token}",
+            (),
+            b"",
+            CANCEL_TIMEOUT_MS,
+        )
+        with anyio.CancelScope(shield=True):
+            async with self._ports.targets.open(
+                self._target, call, lambda: True
+            ):
+                pass
+
     def _judge_unopened(self, error: CallError) -> Verdict | None:
         record = self._job.record
         if error.written:
@@ -408,7 +443,7 @@
         answer = self._job.record.answer
         if self._outcome is not GrantOutcome.COMPLETED or answer.head is None:
             return 0
-        if _is_event_stream(answer.head):
+        if is_event_stream(answer.head):
             return answer.content().count(b"\n\n")
         return self._job.work.output_tokens
 
@@ -419,10 +454,3 @@
     if verdict == MayHaveRun(Reason.TARGET_FAILED):
         return TrialOutcome.CRASHED
     return TrialOutcome.INCONCLUSIVE
-
-
-def _is_event_stream(head: AnswerHead) -> bool:
-    return any(
-        name.lower() == "content-type" and value.startswith("text/event-stream")
-        for name, value in head.headers
-    )
--- a/src/peridotbend/domain/records.py
+++ b/src/peridotbend/domain/records.py
@@ -59,6 +59,8 @@
         self.target = ""
         # Answer bytes reserved from the budget.
         self.reserved_bytes = 0
+        # Whether a caller may know the ID and fetch the answer with it.
+        self.is_disclosed = True
         # Stops the task that waits for a target, when the record moves away.
         self.scope: anyio.CancelScope | None = None
 
--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -24,6 +24,7 @@
     RequestId,
     parse_request_id,
 )
+from peridotbend.domain.streams import is_event_stream
 from peridotbend.domain.text import FleetText, Kind
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 from peridotbend.domain.work import estimate_work
@@ -114,9 +115,12 @@
         if isinstance(decision, RefuseKey):
             yield AnswerPart(verdict=NotRun(decision.reason))
             return
-        if isinstance(decision, MintId | Coalesce):
-            own_key = decision.key if isinstance(decision, Coalesce) else ""
-            found = self._find_or_mint(call.account, own_key, kind)
+        if isinstance(decision, MintId):
+            found = self._mint(call.account, kind)
+            if isinstance(found, Ok):
+                found.ok_value.is_disclosed = False
+        elif isinstance(decision, Coalesce):
+            found = self._find_or_mint(call.account, decision.key, kind)
         else:
             local = self._find_local(decision.request_id, call.account)
             if local is None:
@@ -224,8 +228,6 @@
     def _find_or_mint(
         self, account: str, own_key: str, kind: Kind
     ) -> Result[RequestRecord, Verdict]:
-        if not own_key:
-            return self._mint(account, kind)
         token = self._own_keys.get((account, own_key), "")
         known = self._ports.table.find(token)
         if known is not None:
@@ -276,8 +278,29 @@
             yield AnswerPart(verdict=refusal, request_id=record.token)
             return
         yield AnswerPart(request_id=record.token)
-        async for part in self._follow(record, 0, call=call):
-            yield part
+        try:
+            async for part in self._follow(record, 0, call=call):
+                if part.head is not None and is_event_stream(part.head):
+                    # The response headers with the ID go out with this part.
+                    record.is_disclosed = True
+                yield part
+        finally:
+            if not record.is_disclosed:
+                self._abandon(record)
+
+    def _abandon(self, record: RequestRecord) -> None:
+        """Ends a request whose caller left without knowing its ID.
+
+        Nobody can fetch its answer, so running it would be wasted work.
+        """
+        if record.answer.ended or record.state is RecordState.HANDED_OVER:
+            return
+        if record.state is RecordState.DISPATCHED:
+            record.end(MayHaveRun(Reason.CALLER_GONE))
+        else:
+            record.end(NotRun(Reason.CALLER_GONE))
+        if record.scope is not None:
+            record.scope.cancel()
 
     def _start(
         self, record: RequestRecord, kind: Kind, call: CallerCall
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -13,6 +13,11 @@
     return next((v for n, v in head.headers if n.lower() == name), "")
 
 
+def is_event_stream(head: AnswerHead) -> bool:
+    """Tells whether an answer consists of server-sent events."""
+    return find_header(head, "content-type").startswith("text/event-stream")
+
+
 class EventStream:
     """Appends whole events only, so that a broken stream can be resumed.
 
@@ -21,8 +26,7 @@
 
     def __init__(self, answer: AnswerBuffer, head: AnswerHead):
         self._answer = answer
-        content_type = find_header(head, "content-type")
-        self.is_events = content_type.startswith("text/event-stream")
+        self.is_events = is_event_stream(head)
         self.token = find_header(head, "engine-stream")
         self._partial = b""
         self._last_event = b""
--- a/src/peridotbend/domain/verdicts.py
+++ b/src/peridotbend/domain/verdicts.py
@@ -21,6 +21,7 @@
     SHED = "shed"
     DEADLINE = "deadline"
     DRAINING = "draining"
+    CALLER_GONE = "caller-gone"
     NO_TARGET = "no-target"
     DEPENDENCY_DOWN = "dependency-down"
     QUARANTINED = "quarantined"
@@ -81,6 +82,7 @@
     Reason.SHED: 503,
     Reason.DEADLINE: 504,
     Reason.DRAINING: 503,
+    Reason.CALLER_GONE: 499,
     Reason.NO_TARGET: 503,
     Reason.DEPENDENCY_DOWN: 503,
     Reason.QUARANTINED: 503,
