Send peers the difference between texts

Change: an entry instance keeps the last three texts and answers a peer that has one of them with the changed lines; the digest of the whole is checked, and a mismatch asks for the whole text. Ruled out: one replaced region between common start and end, since the version line at the top makes the region half of the text (232,934 characters).

--- a/src/peridotbend/adapters/peerclient.py
+++ b/src/peridotbend/adapters/peerclient.py
@@ -1,6 +1,7 @@
 """Client side of the peer protocol: forwards, hand-over, trials, texts."""
 
 import asyncio
+import hashlib
 from collections.abc import AsyncGenerator, AsyncIterator, Iterator
 from contextlib import aclosing
 
@@ -30,6 +31,8 @@
     TrialAnswer,
     TrialOutcome,
 )
+from peridotbend.domain.text import FleetText
+from peridotbend.domain.textdelta import Hunk, apply_delta
 from peridotbend.domain.verdicts import Completed, NotRun, Reason, Verdict
 from peridotbend.wire import peer_pb2 as pb
 from peridotbend.wire.peer_grpc import PeersStub
@@ -162,20 +165,40 @@
         return await self._hand_over.run(records)
 
     async def fetch_text(
-        self, peer: Peer, newer_than: int
+        self, peer: Peer, current: FleetText | None
     ) -> Result[str | None, str]:
-        """Returns a peer's text, or None if it has none that is newer."""
+        """Returns a peer's text, or None if it has none that is newer.
+
+        Only the difference from the current text travels where the peer
+        still knows that text.
+        """
+        fetched = await self._request_text(peer, current)
+        if isinstance(fetched, Err):
+            return fetched
+        source = read_text_reply(fetched.ok_value, current)
+        if source is None and fetched.ok_value.hunks:
+            fetched = await self._request_text(peer, None)
+            if isinstance(fetched, Err):
+                return fetched
+            source = read_text_reply(fetched.ok_value, None)
+        return Ok(source)
+
+    async def _request_text(
+        self, peer: Peer, current: FleetText | None
+    ) -> Result[pb.TextReply, str]:
+        request = pb.TextRequest(
+            newer_than=current.version if current else -1,
+            digest=current.digest if current else b"",
+        )
         try:
             async with asyncio.timeout(self._limits.unary_s):
                 async with self._stub(peer).GetText.open() as stream:
-                    await stream.send_message(
-                        pb.TextRequest(newer_than=newer_than), end=True
-                    )
+                    await stream.send_message(request, end=True)
                     bound_messages(stream, self._limits.max_text_bytes)
                     reply = await stream.recv_message()
         except PEER_ERRORS as error:
             return Err(f"{peer.name}: {type(error).__name__}")
-        return Ok(reply.yaml if reply and reply.yaml else None)
+        return Ok(reply or pb.TextReply())
 
     def _stub(self, peer: Peer) -> PeersStub:
         return PeersStub(self._channels.open(peer.host, peer.port))
@@ -267,6 +290,18 @@
         return chunk
 
 
+def read_text_reply(
+    reply: pb.TextReply, current: FleetText | None
+) -> str | None:
+    """Returns the source in a reply; None if there is none or it is wrong."""
+    if reply.yaml or not reply.hunks or current is None:
+        return reply.yaml or None
+    hunks = [Hunk(hunk.start, hunk.end, hunk.text) for hunk in reply.hunks]
+    source = apply_delta(current.source, hunks)
+    digest = hashlib.sha256(source.encode()).digest()
+    return source if digest == reply.digest else None
+
+
 def is_no_holder(verdict: Verdict, is_minter: bool) -> bool:
     """Tells whether a verdict means that the record is elsewhere."""
     if isinstance(verdict, Completed):
--- a/src/peridotbend/adapters/peerserver.py
+++ b/src/peridotbend/adapters/peerserver.py
@@ -30,6 +30,8 @@
     PeerHandler,
     TrialOutcome,
 )
+from peridotbend.domain.text import FleetText
+from peridotbend.domain.textdelta import Hunk, make_delta
 from peridotbend.domain.textstore import TextStore
 from peridotbend.wire import peer_pb2 as pb
 from peridotbend.wire.peer_grpc import PeersBase
@@ -62,6 +64,9 @@
         self._log = log
         self._limits = limits
         self._forwards = 0
+        # Deltas from past texts to the text with this digest.
+        self._deltas_to = b""
+        self._deltas: dict[bytes, list[Hunk]] = {}
         self._server: grpclib.server.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
@@ -134,11 +139,30 @@
     ) -> None:
         """Gives the text in force if it is newer than asked for."""
         request = await self._receive(stream, self._limits.max_small_bytes)
-        reply = pb.TextReply(version=self._store.version())
+        await self._reply(stream, self.make_text_reply(request))
+
+    def make_text_reply(self, request: pb.TextRequest) -> pb.TextReply:
+        """Returns the text in force, as a difference where that is known."""
         text = self._store.current()
-        if text is not None and text.version > request.newer_than:
+        if text is None or text.version <= request.newer_than:
+            return pb.TextReply(version=self._store.version())
+        reply = pb.TextReply(version=text.version, digest=text.digest)
+        base = self._store.find_past(request.newer_than, request.digest)
+        if base is None:
             reply.yaml = text.source
-        await self._reply(stream, reply)
+            return reply
+        for hunk in self._find_delta(base, text):
+            reply.hunks.add(start=hunk.start, end=hunk.end, text=hunk.text)
+        return reply
+
+    def _find_delta(self, base: FleetText, text: FleetText) -> list[Hunk]:
+        """Returns the delta, made once for all peers that ask for it."""
+        if self._deltas_to != text.digest:
+            self._deltas_to = text.digest
+            self._deltas.clear()
+        if base.digest not in self._deltas:
+            self._deltas[base.digest] = make_delta(base.source, text.source)
+        return self._deltas[base.digest]
 
     async def GrantTrial(  # noqa: N802 (name of the protocol)
         self, stream: "grpclib.server.Stream[pb.TrialRequest, pb.TrialReply]"
--- a/src/peridotbend/adapters/textsync.py
+++ b/src/peridotbend/adapters/textsync.py
@@ -29,7 +29,9 @@
 LIST_REFRESH_S = 30.0
 
 Parse = Callable[[str], Result[FleetText, Sequence[object]]]
-FetchText = Callable[[Peer, int], Awaitable[Result[str | None, str]]]
+FetchText = Callable[
+    [Peer, FleetText | None], Awaitable[Result[str | None, str]]
+]
 
 
 class TextSync:
@@ -131,7 +133,7 @@
     async def _fetch_from(
         self, peer: Peer, claim: tuple[int, bytes] | None = None
     ) -> bool:
-        fetched = await self._fetch(peer, self._store.version())
+        fetched = await self._fetch(peer, self._store.current())
         if isinstance(fetched, Err):
             return False
         if fetched.ok_value is None:
--- /dev/null
+++ b/src/peridotbend/domain/textdelta.py
@@ -0,0 +1,67 @@
+"""The difference between two sources of the text, for peers.
+
+A change of configuration touches the version and a few lines of a text that
+may be a megabyte long. At 11,000 changes a day, whole texts would exceed the
+bytes a second that control may use.
+"""
+
+import dataclasses
+import difflib
+from collections.abc import Iterable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hunk:
+    """Replaces the lines from `start` to before `end` of the old text."""
+
+    start: int
+    end: int
+    text: str = dataclasses.field(repr=False)
+
+
+def make_delta(old: str, new: str) -> list[Hunk]:
+    """Returns the hunks that turn `old` into `new`, in order."""
+    old_lines, new_lines = _split(old), _split(new)
+    start, end = _count_common_ends(old_lines, new_lines)
+    changed = new_lines[start : len(new_lines) - end]
+    # The automatic junk heuristic bounds the time on texts whose lines repeat
+    # thousands of times; the result is longer then, but never wrong.
+    matcher = difflib.SequenceMatcher(
+        None, old_lines[start : len(old_lines) - end], changed, autojunk=True
+    )
+    return [
+        Hunk(start + i1, start + i2, "".join(changed[j1:j2]))
+        for tag, i1, i2, j1, j2 in matcher.get_opcodes()
+        if tag != "equal"
+    ]
+
+
+def apply_delta(old: str, hunks: Iterable[Hunk]) -> str:
+    """Returns the new source; the caller checks its digest."""
+    lines = _split(old)
+    parts: list[str] = []
+    position = 0
+    for hunk in hunks:
+        parts += lines[position : hunk.start]
+        parts.append(hunk.text)
+        position = hunk.end
+    return "".join(parts + lines[position:])
+
+
+def _split(source: str) -> list[str]:
+    """Splits at line feeds alone; joining the lines gives the source back."""
+    lines = [line + "\n" for line in source.split("\n")]
+    lines[-1] = lines[-1][:-1]
+    return lines
+
+
+def _count_common_ends(old: list[str], new: list[str]) -> tuple[int, int]:
+    """Returns how many first and last lines are the same."""
+    longest = min(len(old), len(new))
+    start = 0
+    while start < longest and old[start] == new[start]:
+        start += 1
+    end = 0
+    while end < longest - start and old[-1 - end] == new[-1 - end]:
+        end += 1
+    return start, end
--- a/src/peridotbend/domain/textstore.py
+++ b/src/peridotbend/domain/textstore.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections import deque
 from collections.abc import Callable
 
 from peridotbend.domain.clock import Clock
@@ -9,6 +10,9 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.domain.text import FleetText
 
+# 11,000 changes a day are one in 8 s; a peer rarely lags by more than one.
+MAX_PAST_TEXTS = 3
+
 
 class OfferOutcome(enum.Enum):
     """What became of an offered text."""
@@ -37,6 +41,8 @@
         self._text: FleetText | None = None
         self._accepted_at_ms: int | None = None
         self._conflict: TextConflict | None = None
+        # Replaced texts, from which peers that lag take differences.
+        self._past: deque[FleetText] = deque(maxlen=MAX_PAST_TEXTS)
         self._callbacks: list[Callable[[FleetText], None]] = []
 
     def offer(self, text: FleetText) -> OfferOutcome:
@@ -46,6 +52,8 @@
             return OfferOutcome.OLDER
         if current is not None and text.version == current.version:
             return self._compare(current, text)
+        if current is not None:
+            self._past.append(current)
         self._text = text
         self._accepted_at_ms = self._clock.now_ms()
         self._conflict = None
@@ -66,6 +74,13 @@
         """Returns the version in force, or -1 before the first text."""
         return -1 if self._text is None else self._text.version
 
+    def find_past(self, version: int, digest: bytes) -> FleetText | None:
+        """Returns a text that was in force lately."""
+        for text in self._past:
+            if text.version == version and text.digest == digest:
+                return text
+        return None
+
     def accepted_at_ms(self) -> int | None:
         """Returns when the text in force was accepted."""
         return self._accepted_at_ms
--- a/tests/test_peerclient.py
+++ b/tests/test_peerclient.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from result import Ok
+
 from peridotbend.adapters import peerwire
 from peridotbend.adapters.peerhandover import split_batches
 from peridotbend.domain.events import Event
@@ -21,9 +23,11 @@
     Reason,
     Verdict,
 )
+from peridotbend.wire import peer_pb2 as pb
 from tests.peernodes import (
     Node,
     PeersCase,
+    make_text,
     running,
 )
 
@@ -35,6 +39,19 @@
 ]
 
 
+def replies_of(node: Node) -> list[pb.TextReply]:
+    """Collects the replies to requests for a text that a node sends."""
+    replies: list[pb.TextReply] = []
+    make = node.server.make_text_reply
+
+    def make_and_keep(request: pb.TextRequest) -> pb.TextReply:
+        replies.append(make(request))
+        return replies[-1]
+
+    node.server.make_text_reply = make_and_keep  # type: ignore[method-assign]
+    return replies
+
+
 def make_refusal(verdict: Verdict) -> list[AnswerPart]:
     """Makes the answer of a peer that refuses."""
     return [
@@ -243,6 +260,26 @@
             assert len(node.scheduler.trials) == expected
             assert len(node.scheduler.reports) == expected
 
+    async def test_text_travels_as_a_difference(self) -> None:
+        """Guards against whole texts, or wrong ones, for small changes."""
+        nodes = await self.start(2)
+        current, text = make_text(1, "x" * 900), make_text(2, "x" * 901)
+        new = text.source
+        nodes[0].store.offer(current)
+        nodes[0].store.offer(text)
+        replies = replies_of(nodes[0])
+        peer, fetch = nodes[0].roster.own(), nodes[1].client.fetch_text
+        assert await fetch(peer, current) == Ok(new)
+        assert [bool(reply.yaml) for reply in replies] == [False]
+        # A caller with another text of that version gets it whole.
+        other = dataclasses.replace(current, source="z", digest=b"other")
+        assert await fetch(peer, other) == Ok(new)
+        # A wrong base is noticed by the digest and fetched whole.
+        wrong = dataclasses.replace(current, source="y" * 902)
+        assert await fetch(peer, wrong) == Ok(new)
+        for node in nodes:
+            await node.stop()
+
     async def test_silent_owner_refuses(self) -> None:
         """Guards against a suspect that runs without its owner's word."""
         nodes = await self.start(2)
--- /dev/null
+++ b/tests/test_textdelta.py
@@ -0,0 +1,31 @@
+"""Tests of differences between texts."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from peridotbend.domain.textdelta import Hunk, apply_delta, make_delta
+
+TEXTS = st.text(alphabet="ab\né", max_size=30)
+
+
+class TextDeltaTest(unittest.TestCase):
+    """A delta rebuilds the new text from the old one."""
+
+    @settings(derandomize=True, database=None, max_examples=300)
+    @given(TEXTS, TEXTS)
+    def test_delta_rebuilds_any_text(self, old: str, new: str) -> None:
+        """Guards against a peer that puts a wrong text in force."""
+        assert apply_delta(old, make_delta(old, new)) == new
+
+    def test_small_change_gives_a_small_delta(self) -> None:
+        """Guards against sending the whole text for one changed line."""
+        lines = [f"target-{n}: 10.0.0.{n}\n" for n in range(2_000)]
+        old = "version: 1\n" + "".join(lines)
+        lines[1_000] = "target-1000: 10.9.9.9\n"
+        new = "version: 2\n" + "".join(lines)
+        assert make_delta(old, new) == [
+            Hunk(0, 1, "version: 2\n"),
+            Hunk(1_001, 1_002, "target-1000: 10.9.9.9\n"),
+        ]
