Bound the waits of the stand-in tests

Cause: with a fault in a stand-in, some tests waited without end instead of failing. Change: read timeouts on HTTP calls and proxy reads; shorter long answers.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -35,6 +35,7 @@
 LONG_MS = 3_600_000
 # Only ends a test that would hang.
 HANG_TIMEOUT_S = 30.0
+TIMEOUTS = {"timeout": {"read": HANG_TIMEOUT_S}}
 Headers = Sequence[tuple[bytes | str, bytes | str]]
 BROKEN = (httpcore.ReadError, httpcore.RemoteProtocolError)
 
@@ -49,7 +50,9 @@
     """Sends one call; a body that is not bytes is sent as JSON."""
     content = body if isinstance(body, bytes) else json.dumps(body).encode()
     url = f"http://{child.address}{path}"
-    return httpcore.request(method, url, headers=headers, content=content)
+    return httpcore.request(
+        method, url, headers=headers, content=content, extensions=TIMEOUTS
+    )
 
 
 def get_json(child: Child, path: str) -> Any:
@@ -70,7 +73,7 @@
     headers: Headers = [("Last-Event-ID", str(after))]
     text = ""
     with httpcore.stream(
-        method, url, headers=headers, content=content
+        method, url, headers=headers, content=content, extensions=TIMEOUTS
     ) as answer:
         token = dict(answer.headers)[b"engine-stream"].decode()
         with contextlib.suppress(*BROKEN):
@@ -100,6 +103,14 @@
         return probe.connect_ex(("127.0.0.1", port)) != 0
 
 
+async def receive(reader: asyncio.StreamReader) -> bytes:
+    """Returns the next three bytes, or nothing at the end."""
+    async with asyncio.timeout(HANG_TIMEOUT_S):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            return await reader.readexactly(3)
+    return b""
+
+
 def make_chat(prompt: str, max_tokens: int, stream: bool) -> dict[str, Any]:
     """Returns a chat request."""
     messages = [{"role": "user", "content": prompt}]
@@ -240,7 +251,7 @@
         """Breaks a stream and cancels it or lets its window pass."""
         engine = self.start("engine", "--resume-window-ms", window_ms)
         call(engine, "POST", "/control/break", {"after_events": 1})
-        chat = make_chat("x" * 400, 100_000, True)
+        chat = make_chat("x" * 400, 2000, True)
         path = "/v1/chat/completions"
         token, _ = read_stream(engine, "POST", path, chat)
         if is_cancelled:
@@ -464,7 +475,7 @@
         """Guards against a stall that loses or passes data."""
         reader, writer = await self.connect()
         writer.write(b"one")
-        assert await reader.readexactly(3) == b"one"
+        assert await receive(reader) == b"one"
         await self.proxy.stall()
         late_reader, late_writer = await self.connect()
         for stalled in (writer, late_writer):
@@ -472,21 +483,22 @@
         with self.assertRaises(TimeoutError):
             await asyncio.wait_for(reader.read(1), 0.05)
         await self.proxy.heal()
-        assert await reader.readexactly(3) == b"two"
-        assert await late_reader.readexactly(3) == b"two"
+        assert await receive(reader) == b"two"
+        assert await receive(late_reader) == b"two"
 
     async def test_cut_drops_and_refuses_until_heal(self) -> None:
         """Guards against a cut that accepts connections or lets some live."""
         reader, writer = await self.connect()
         writer.write(b"one")
-        await reader.readexactly(3)
+        await receive(reader)
         await self.proxy.cut()
         with contextlib.suppress(ConnectionError):
-            assert await reader.read(1) == b""
+            assert await receive(reader) == b""
         with self.assertRaises(ConnectionRefusedError):
             await self.connect()
         await self.proxy.heal()
         reader, writer = await self.connect()
         writer.write(b"two")
         writer.write_eof()
-        assert await reader.read() == b"two"
+        assert await receive(reader) == b"two"
+        assert await receive(reader) == b""
