Read the age of a load report from the engine's own clock

Cause: reports were taken as fresh, although engines publish them late. Change: the age is the difference of two times of the engine's clock. Ruled out: comparing with this process's clock, since clocks of instances may differ by more than the lag. Conclusion: the discount by age in the router now has its input.

--- a/src/peridotbend/adapters/loads.py
+++ b/src/peridotbend/adapters/loads.py
@@ -80,15 +80,16 @@
 
 
 def _parse_report(body: bytes) -> LoadReport | None:
-    """Returns the report; its age is unknown to us and taken as 0.
+    """Returns the report, or None when it is no report.
 
-    Clocks of targets and of this process are not comparable, so `at_ms` only
-    orders the reports of one target.
+    The clocks of a target and of this process are not comparable, so the age
+    is the difference of two times of the target's own clock.
     """
     try:
         document = json.loads(body)
+        age_ms = int(document.get("now_ms", document["at_ms"]))
         return LoadReport(
-            0,
+            max(0, age_ms - int(document["at_ms"])),
             int(document["running"]),
             int(document["waiting_tokens"]),
             str(document["incarnation"]),
