Parse only the services of a text that changed

Change: TextParser splits a text into services and reuses the ones whose lines are the same; anything unusual or wrong is parsed whole, so acceptance and the words of a refusal do not depend on earlier texts. Ruled out: trusting the split alone; a service must also be a whole document by itself.

--- a/src/peridotbend/adapters/yamltext.py
+++ b/src/peridotbend/adapters/yamltext.py
@@ -40,7 +40,7 @@
     Returns:
         The frozen text, or its problems in the order of their lines.
     """
-    encoded = _encode(source)
+    encoded = encode_text(source)
     if isinstance(encoded, Err):
         return encoded
     read = read_nodes(source)
@@ -53,11 +53,11 @@
     problems = check_references(shape, read.ok_value)
     if problems:
         return Err(problems)
-    digest = hashlib.sha256(encoded.ok_value).digest()
-    return Ok(_build_text(shape, source, digest))
+    return Ok(build_text(shape, source, encoded.ok_value))
 
 
-def _encode(source: str) -> Result[bytes, list[TextProblem]]:
+def encode_text(source: str) -> Result[bytes, list[TextProblem]]:
+    """Returns the bytes of a text, unless there are too many."""
     try:
         encoded = source.encode()
     except UnicodeEncodeError:
@@ -83,7 +83,8 @@
     return Ok(encoded)
 
 
-def _build_text(shape: TextShape, source: str, digest: bytes) -> FleetText:
+def build_text(shape: TextShape, source: str, encoded: bytes) -> FleetText:
+    """Returns the domain's text of a checked shape."""
     clients = dict(shape.clients)
     clients.setdefault("anonymous", ClientShape())
     tiers = tuple(shape.tiers)
@@ -95,7 +96,7 @@
             _build_service(n, s, tiers) for n, s in shape.services.items()
         ),
         source=source,
-        digest=digest,
+        digest=hashlib.sha256(encoded).digest(),
     )
 
 
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -25,8 +25,8 @@
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.adapters.settings import NodeSettings
 from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.adapters.textcache import TextParser
 from peridotbend.adapters.textsync import TextSync
-from peridotbend.adapters.yamltext import parse_text
 from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.dispatch import Dispatcher, DispatchPorts
 from peridotbend.domain.events import Event
@@ -220,7 +220,7 @@
             self.roster,
             platform,
             self.peers.fetch_text,
-            parse_text,
+            TextParser().parse,
             self.clock,
             self._rng,
             self._log,
