--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -49,7 +49,9 @@
     async def trace(self, event_name: str, info: dict[str, Any]) -> None:
         if event_name != BEFORE_FIRST_BYTE:
             return
-        if self.written or not self._gate():
+        # A second write of one call must never happen.
+        assert not self.written, "a call was about to be written twice"
+        if not self._gate():
             raise GateClosedError
         self.written = True
 
--- a/src/peridotbend_emulator/costcontrol.py
+++ b/src/peridotbend_emulator/costcontrol.py
@@ -1,6 +1,7 @@
 """Costs of control: idle instances, texts, tables and single roles."""
 
 import time
+from typing import Any
 
 import yaml
 
@@ -28,6 +29,7 @@
 TEXT_POLL_S = 0.01
 # Of the size to design for (docs/design.md, "Users and sizes").
 RUNNERS = 7_600
+MODELS = 38
 ZONES = 9
 
 
@@ -104,13 +106,18 @@
         key = f"text in force on {size} instances (s)"
         slopes[key] = find_spread(elapsed_s)
     source = make_full_text()
-    costs = [measure_text_cost(source) for _ in range(repeats)]
+    costs = [
+        measure_text_cost(source, make_full_text(2)) for _ in range(repeats)
+    ]
     where = f"a text of {RUNNERS} targets"
     return {
         **slopes,
         f"processor time to parse {where} (s)": find_spread(
             [cost.parse_s for cost in costs]
         ),
+        f"processor time to parse a change of {where} (s)": find_spread(
+            [cost.change_s for cost in costs]
+        ),
         f"memory of {where} (MiB)": find_spread(
             [cost.parsed_bytes / 2**20 for cost in costs]
         ),
@@ -129,10 +136,38 @@
     return time.monotonic() - start_s
 
 
-def make_full_text() -> str:
-    """Returns a text with the runners of the size to design for."""
-    document = make_document(1, _list_runners("10.{}.{}.{}:8000"), {})
-    return yaml.safe_dump(document, sort_keys=False)
+def make_full_text(version: int = 1) -> str:
+    """Returns a text with the runners of the size to design for.
+
+    Each model is a service; the last one changes with the version.
+    """
+    zones = _list_runners("10.{}.{}.{}:8000")
+    document = make_document(version, {}, {})
+    service = document["services"].pop("cost")
+    for model in range(MODELS):
+        targets = {zone: part[model::MODELS] for zone, part in zones.items()}
+        chat = {**service["kinds"]["chat"]}
+        chat["route"] = {**chat["route"], "model": f"model-{model}"}
+        document["services"][f"model-{model}"] = {
+            **service,
+            "kinds": {"chat": chat},
+            "targets": targets,
+            "max_queue": 1_000 + version * (model == MODELS - 1),
+        }
+    return _Dumper.dump_text(document)
+
+
+class _Dumper(yaml.SafeDumper):
+    """Writes no anchors, as a text written by hand has none."""
+
+    def ignore_aliases(self, data: Any) -> bool:
+        """Tells that repeated values are written again."""
+        return True
+
+    @classmethod
+    def dump_text(cls, document: dict[str, Any]) -> str:
+        """Returns the document as YAML."""
+        return str(yaml.dump(document, Dumper=cls, sort_keys=False))
 
 
 def _list_runners(form: str) -> dict[str, list[dict[str, str]]]:
--- a/src/peridotbend_emulator/costroles.py
+++ b/src/peridotbend_emulator/costroles.py
@@ -6,7 +6,7 @@
 import tracemalloc
 from collections.abc import Callable
 
-from peridotbend.adapters.yamltext import parse_text
+from peridotbend.adapters.textcache import TextParser
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.quarantine import SuspectTable
 from peridotbend.domain.windows import WindowDivider
@@ -67,23 +67,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TextCost:
-    """What one text costs the process that parses it."""
+    """What texts cost the process that parses them."""
 
+    # Of the first text, and of a second one that changes one service.
     parse_s: float
+    change_s: float
     parsed_bytes: int
 
 
-def measure_text_cost(source: str) -> TextCost:
-    """Returns the processor time and the memory of one parsed text."""
+def measure_text_cost(source: str, changed: str) -> TextCost:
+    """Returns the processor time and the memory of parsed texts."""
+    parser = TextParser()
     start_s = time.process_time()
-    text = parse_text(source).unwrap()
-    parse_s = time.process_time() - start_s
-    del text
+    parser.parse(source).unwrap()
+    parsed_s = time.process_time()
+    parser.parse(changed).unwrap()
+    changed_s = time.process_time()
     gc.collect()
     tracemalloc.start()
-    text = parse_text(source).unwrap()
+    text = TextParser().parse(source).unwrap()
     gc.collect()
     used_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    assert text is not None
-    return TextCost(parse_s, used_bytes)
+    assert text.version > 0
+    return TextCost(parsed_s - start_s, changed_s - parsed_s, used_bytes)
