Look up the usual costs once for each choice of a target

Change: choose() finds the time and the usual costs once; prompts without a whole block skip the search. Ruled out: choosing from a sample of the targets, which changes routing. The cost of a call still grows with the number of its service's targets, here and in Placement.

--- a/src/peridotbend/domain/routing.py
+++ b/src/peridotbend/domain/routing.py
@@ -68,9 +68,10 @@
             probe = self._find_probe(item, free)
             if probe is not None:
                 return probe
+        usual = traffic.find_usual(self._estimates, now_ms)
         best = min(
             self._narrow(item, free),
-            key=lambda c: (self.expected_ms(item, c), c.target.name),
+            key=lambda c: (self._expect(item, c, now_ms, usual), c.target.name),
         )
         busy = [c for c in usable if not fits(item, c)]
         if self._should_wait(item, best, busy):
@@ -80,11 +81,23 @@
     def expected_ms(self, item: WorkItem, candidate: Candidate) -> float:
         """Returns the time until the request would end there."""
         now_ms = self._clock.now_ms()
+        traffic = self._find_traffic(item.kind.service)
+        usual = traffic.find_usual(self._estimates, now_ms)
+        return self._expect(item, candidate, now_ms, usual)
+
+    def _expect(
+        self,
+        item: WorkItem,
+        candidate: Candidate,
+        now_ms: int,
+        usual: TokenCosts,
+    ) -> float:
         name = candidate.target.name
         ahead = candidate.in_flight_work
-        costs, weight = self._find_costs(name, item), 1.0
+        costs, weight = usual, 1.0
         estimate = self._estimates.get(name)
         if estimate is not None:
+            costs = estimate.find_costs(now_ms, usual)
             ahead += estimate.find_load(now_ms)
             if self._settings.straggler_handling:
                 weight = estimate.standing.weight
@@ -200,9 +213,10 @@
             self._affinity.record_payoff(name, saved)
 
     def _find_cached(self, name: str, item: WorkItem) -> float:
-        if not self._settings.prefix_affinity:
+        hashes = item.work.prefix_hashes
+        if not hashes or not self._settings.prefix_affinity:
             return 0.0
-        matched = self._affinity.match(name, item.work.prefix_hashes)
+        matched = self._affinity.match(name, hashes)
         matched = min(matched, item.work.prompt_tokens)
         return matched * self._affinity.find_belief(name)
 
