Leave tiers without work out of the demand in digests

Cause: each digest carries the demand at every target that the receiver divides, with a number of 8 bytes for each tier, though nearly all are 0: an idle instance with 200 targets sent 39 to 82 KB/s for control. Change: the last tiers without work are left out; the divider takes what is missing as 0. A target without demand is still named, so that an idle peer still gets its part of the headroom. Ruled out: leaving out targets without demand; an idle peer would then count on the even share while others are given the whole window.

--- a/src/peridotbend/adapters/peerdigest.py
+++ b/src/peridotbend/adapters/peerdigest.py
@@ -258,11 +258,19 @@
 
 def _pack_demands(demands: Mapping[str, Sequence[float]]) -> list[pb.Demand]:
     return [
-        pb.Demand(target=target, work_by_tier=work[:MAX_TIERS])
+        pb.Demand(target=target, work_by_tier=_drop_idle_tiers(work))
         for target, work in itertools.islice(demands.items(), MAX_TARGETS)
     ]
 
 
+def _drop_idle_tiers(work: Sequence[float]) -> Sequence[float]:
+    """Leaves out the last tiers without work, which the divider takes as 0."""
+    count = min(len(work), MAX_TIERS)
+    while count and not work[count - 1]:
+        count -= 1
+    return work[:count]
+
+
 def _pack_shares(shares: Iterable[Share]) -> list[pb.Share]:
     return [
         pb.Share(
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -121,6 +121,12 @@
         loose = divide_window(190, demands)
         assert [s.work for s in loose.values()] == [120, 60, 10]
 
+    def test_tiers_without_work_may_be_left_out(self) -> None:
+        """Guards against other shares for demand that digests shorten."""
+        whole = {"a": (0.0, 5.0, 0.0), "b": (0.0, 0.0, 0.0), "c": (9.0, 0, 0)}
+        short = {"a": (0.0, 5.0), "b": (), "c": (9.0,)}
+        assert divide_window(12.0, whole) == divide_window(12.0, short)
+
 
 class WindowDividerTest(unittest.TestCase):
     """WindowDivider."""
