--- a/src/peridotbend_emulator/costcontrol.py
+++ b/src/peridotbend_emulator/costcontrol.py
@@ -8,6 +8,7 @@
 from peridotbend_emulator.costroles import (
     DIVIDED_TARGETS,
     ZONE_PEERS,
+    measure_demand_bytes,
     measure_fingerprint_bytes,
     measure_text_cost,
     time_check,
@@ -94,6 +95,9 @@
         f"processor time of a division, {where} (us)": find_spread(division),
         "processor time to check a fingerprint (us)": find_spread(check),
         "memory per fingerprint (bytes)": find_spread(memory),
+        "size of a demand of nothing (bytes)": find_spread(
+            [measure_demand_bytes()]
+        ),
     }
 
 
--- a/src/peridotbend_emulator/costroles.py
+++ b/src/peridotbend_emulator/costroles.py
@@ -10,6 +10,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.quarantine import SuspectTable
 from peridotbend.domain.windows import WindowDivider
+from peridotbend.wire import peer_pb2 as pb
 
 # What falls to one of 720 nodes in 9 zones with 7,600 runners.
 DIVIDED_TARGETS = 11
@@ -58,6 +59,15 @@
     return used_bytes / FINGERPRINTS
 
 
+def measure_demand_bytes() -> float:
+    """Returns what a digest carries for a target without demand."""
+    demands = [
+        pb.Demand(target=f"runner-{number}")
+        for number in range(1_000, 1_000 + LOOPS)
+    ]
+    return pb.Digest(demands=demands).ByteSize() / LOOPS
+
+
 def _fill_suspects() -> SuspectTable:
     table = SuspectTable(ManualClock())
     for number in range(FINGERPRINTS):
