Work out the capacity page from measured slopes

Cause: no page told which parts of the size to design for fit one node. `make cost` and `make capacity` run both.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 STEPS ?= 200
 
-.PHONY: setup demo test lint format fuzz model measure cost
+.PHONY: setup demo test lint format fuzz model measure cost capacity
 
 setup: $(VENV)/.installed
 
@@ -31,3 +31,11 @@
 
 model: setup
 	$(BIN)/python -m model.identity
+
+# Takes about 20 minutes; `make cost PARTS=relay` measures one part.
+cost: setup
+	$(BIN)/python -m peridotbend_emulator.cost $(PARTS) \
+		--output docs/slopes.json
+
+capacity: setup
+	$(BIN)/python tools/capacity.py
