Let calls for a moved reservation follow it

A call for a reserved ID that reached the draining minter itself got "may-have-run" (id-reused): serve_peer compared the body with the digest of a record that had never started. 12 of 24 orders sent around a SIGTERM were told so. Records that were handed over now answer with the hand-over, which leads the call to the heir. DrainTest fails without the change.

--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -153,7 +153,12 @@
         elif record.state is RecordState.RESERVED:
             yield AnswerPart(verdict=NotRun(Reason.NOT_STARTED))
             return
-        elif call.may_start and _digest_peer_call(call) != record.digest:
+        elif (
+            call.may_start
+            # A reservation that moved away has no digest here.
+            and record.state is not RecordState.HANDED_OVER
+            and _digest_peer_call(call) != record.digest
+        ):
             yield AnswerPart(verdict=MayHaveRun(Reason.ID_REUSED))
             return
         async for part in self._follow(record, call.offset, peer=True):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -335,6 +335,46 @@
         return self.fleet.read_ran(*targets).total()
 
 
+class DrainTest(unittest.TestCase):
+    """Graceful shutdown of an entry instance."""
+
+    def test_drain_interrupts_nothing(self) -> None:
+        """Guards against a SIGTERM that costs a caller its request."""
+        services = make_services()
+        services["orders"]["window"] = NARROW
+        runner = Backend("runner-1", "assistant", "hcm-1", "engine")
+        victim, other = "hcm-1-entry-1", "hcm-2-entry-1"
+        with (
+            Fleet(services, [ORDERS_1, runner], ZONES, 1) as fleet,
+            concurrent.futures.ThreadPoolExecutor() as pool,
+        ):
+            finished = send_chat(fleet, victim, "finished")
+            reserved, late = reserve(fleet, victim), reserve(fleet, victim)
+            set_delay(fleet, "orders-1", 300)
+            stream = pool.submit(send_chat, fleet, victim, "long", 400)
+            burst = OrderBurst(fleet, victim, 2 * BURST)
+            wait_until(lambda: burst.count_in_flight() > 2, "work in flight")
+            child = fleet.entries[victim]
+            child.terminate()
+            wait_until(
+                lambda: fleet.read_status(victim)["draining"], "the drain"
+            )
+            assert send_order(fleet, victim, late) == "completed"
+            burst.finish()
+            reply = stream.result()
+            assert child.wait(30) == 0, child.output
+            assert read_stream(reply.body) == expect_answer("long", 400)
+            assert reply.verdict == "completed"
+            told = [burst.verdicts[token] for token in burst.tokens]
+            assert told == [["completed"]] * len(told)
+            assert send_order(fleet, other, reserved) == "completed"
+            again = fetch(fleet, other, finished.request_id)
+            assert read_stream(again.body) == expect_answer("finished", 8)
+            ran = fleet.read_ran()
+            tokens = [*burst.tokens, reserved, late, finished.request_id]
+            assert [ran[t] for t in tokens] == [1] * len(tokens)
+
+
 class TextSpreadTest(unittest.TestCase):
     """A text in force on eight processes, and the platform failing."""
 
