Tell peers of a crash before its caller can send again

A crashing request sent again at once through four instances killed four engines in 74 ms: fingerprints left with the next heartbeat, up to 200 ms later. A changed fingerprint now leaves at once, and the verdict of a request whose target failed is held for 200 ms. The hold also slows a caller down whose instance cannot reach its peers; acknowledged digests would bound it exactly, but block the verdict on the slowest peer.

CrashingRequestTest fails with the hold off (3 engines), with suspects off (all 4) and passes with both.

--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -44,6 +44,10 @@
 CONNECT_RETRY_DELAY_MS = 20
 SUSPECT_RETRY_MS = 2_000
 CAPACITY_RETRY_MS = 1_000
+# A caller that learns of a crash can send the request again at once, through
+# an instance that has not heard of it: four engines died within 74 ms that
+# way. By the end of this time the digests have told all connected peers.
+CRASH_HOLD_MS = 200
 
 
 class TargetHealth(Protocol):
@@ -114,6 +118,8 @@
             record.scope = scope
             try:
                 verdict = await self._run_checked(job)
+                if verdict == MayHaveRun(Reason.TARGET_FAILED):
+                    await anyio.sleep(CRASH_HOLD_MS / 1000)
                 self._finish(job, verdict)
             finally:
                 record.scope = None
--- a/src/peridotbend/domain/quarantine.py
+++ b/src/peridotbend/domain/quarantine.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.ports import (
@@ -72,6 +72,11 @@
         self._quarantined: OrderedDict[bytes, _Entry] = OrderedDict()
         self._others: OrderedDict[bytes, _Entry] = OrderedDict()
         self._trials: OrderedDict[bytes, _Trial] = OrderedDict()
+        self._callbacks: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` when the state of a fingerprint changes."""
+        self._callbacks.append(callback)
 
     def record_crash(
         self, fingerprints: Collection[bytes], on_trial: bytes | None
@@ -233,6 +238,7 @@
         self._others.pop(fingerprint, None)
 
     def _put(self, fingerprint: bytes, entry: _Entry) -> None:
+        known = self._find(fingerprint)
         self._remove(fingerprint)
         if len(self) >= self._settings.max_entries:
             victims = self._others or self._quarantined
@@ -240,6 +246,9 @@
         quarantined = entry.state is SuspectState.QUARANTINED
         table = self._quarantined if quarantined else self._others
         table[fingerprint] = entry
+        if known is None or known.state is not entry.state:
+            for callback in self._callbacks:
+                callback()
 
     def _lapse_trials(self) -> None:
         now_ms = self._clock.now_ms()
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -82,6 +82,7 @@
         self.roster = Roster(own, self.clock, log, self._rng)
         self.store = TextStore(self.clock, log)
         self.suspects = SuspectTable(self.clock)
+        self.suspects.subscribe(self.roster.notify_urgent)
         self.router = Router(self.clock, settings.zone)
         self.scheduler = Scheduler(
             self.clock,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -375,6 +375,52 @@
             assert [ran[t] for t in tokens] == [1] * len(tokens)
 
 
+class CrashingRequestTest(unittest.TestCase):
+    """A request that crashes each engine which runs it."""
+
+    def test_crashes_are_bounded(self) -> None:
+        """Guards against a third dead engine and refused innocents."""
+        backends = [
+            Backend(f"runner-{n}", "assistant", ZONES[n % 2], "engine")
+            for n in range(1, 5)
+        ]
+        services = make_services()
+        del services["orders"]
+        with (
+            Fleet(services, backends, ZONES, 2) as fleet,
+            concurrent.futures.ThreadPoolExecutor() as pool,
+        ):
+            entries = fleet.list_running()
+            innocents = [
+                pool.submit(self._send_until_served, fleet, number)
+                for number in range(8)
+            ]
+            verdicts = []
+            for number in range(12):
+                entry = entries[number % len(entries)]
+                reply = send_chat(fleet, entry, "CRASH-ENGINE now")
+                verdicts.append((reply.verdict, reply.code))
+            for number, job in enumerate(innocents):
+                answer = read_stream(job.result())
+                wanted = expect_answer(f"innocent {number}", 60)
+                assert answer == wanted
+            dead = [
+                c for c in fleet.targets.values() if c.exit_code is not None
+            ]
+            assert len(dead) <= 2, verdicts
+            assert verdicts[-1] == ("not-run", "quarantined")
+
+    def _send_until_served(self, fleet: Fleet, number: int) -> bytes:
+        entries = fleet.list_running()
+        for attempt in range(40):
+            entry = entries[(number + attempt) % len(entries)]
+            reply = send_chat(fleet, entry, f"innocent {number}", 60)
+            if reply.verdict == "completed":
+                return reply.body
+            time.sleep(0.25)
+        return b""
+
+
 class TextSpreadTest(unittest.TestCase):
     """A text in force on eight processes, and the platform failing."""
 
