--- /dev/null
+++ b/tests/oracle.py
@@ -0,0 +1,256 @@
+"""What callers were told, held against what targets really ran."""
+
+import dataclasses
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from typing import Any
+
+from peridotbend.domain.ports import AnswerPart, RecordState
+from peridotbend.domain.records import CallerCall
+from peridotbend.domain.verdicts import (
+    Completed,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+)
+from tests.fakes import MAX_ANSWER_BYTES, MAX_RECORDS, SimNode, World
+
+TEXT_LIMIT_MS = 3_000
+# Verdicts that a dispatched request must not get from a shutdown.
+CUT_OFF = (
+    Reason.HANDED_OVER,
+    Reason.MINTER_UNREACHABLE,
+    Reason.FORGOTTEN,
+    Reason.UNKNOWN_REQUEST,
+)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Caller:
+    """One connection of a caller and what it was told."""
+
+    node: SimNode
+    account: str
+    # The account that made the request; another one only tries to read it.
+    owner: str
+    # Names the request in the headers that targets see; "" for a fetch.
+    uid: str = ""
+    token: str = ""
+    offset: int = 0
+    status: int = 0
+    data: bytes = b""
+    verdict: Verdict | None = None
+    # The call as it was sent, for copies of it.
+    call: CallerCall | None = None
+    task: Any = None
+    gone: bool = False
+    began_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Drain:
+    node: SimNode
+    task: Any
+    callers: list[Caller]
+    dispatched: frozenset[str]
+    began_ms: int
+    ended_ms: int | None = None
+
+
+class Oracle:
+    """Sends requests to a world and checks the invariants."""
+
+    def __init__(self, world: World):
+        self.world = world
+        self.callers: list[Caller] = []
+        self.drains: list[_Drain] = []
+        self._versions: dict[int, int] = {}
+        self._uids_not_run: set[str] = set()
+        self._tokens_not_run: set[str] = set()
+        self.text_ms = world.clock.now_ms()
+        self.fragile: set[str] = set()
+
+    # Callers.
+
+    def send(self, node: SimNode, call: CallerCall, owner: str) -> Caller:
+        """Sends a request through an instance."""
+        uid = dict(call.headers)["x-uid"]
+        caller = Caller(node, call.account, owner, uid, call.key, call=call)
+        self._attach(caller, node.service.serve(call))
+        return caller
+
+    def fetch(
+        self, node: SimNode, token: str, account: str, owner: str, offset: int
+    ) -> Caller:
+        """Fetches an answer through an instance."""
+        caller = Caller(node, account, owner, token=token, offset=offset)
+        self._attach(caller, node.service.fetch(token, account, offset))
+        return caller
+
+    def leave(self, caller: Caller) -> None:
+        """Closes the connection of a caller before its answer is whole."""
+        caller.gone = True
+        caller.task.cancel()
+
+    def _attach(self, caller: Caller, parts: Any) -> None:
+        self.callers.append(caller)
+        caller.began_ms = self.world.clock.now_ms()
+        # A connection to a process that stopped is accepted by its kernel
+        # and served when the process goes on.
+        caller.task = self.world.loop.spawn(
+            caller.node.process, self._follow(caller, parts)
+        )
+
+    async def _follow(
+        self, caller: Caller, parts: AsyncIterator[AnswerPart]
+    ) -> None:
+        caller.node.callers.attached += 1
+        try:
+            async with aclosing(parts):  # type: ignore[type-var]
+                async for part in parts:
+                    self._take(caller, part)
+        except Exception as problem:
+            self.world.faults.append(f"caller: {problem!r}")
+        finally:
+            caller.node.callers.attached -= 1
+
+    def _take(self, caller: Caller, part: AnswerPart) -> None:
+        caller.token = part.request_id or caller.token
+        if part.head is not None:
+            caller.status = part.head.status
+        caller.data += part.data
+        if part.verdict is not None:
+            if caller.verdict is not None:
+                self._fail("a caller was told two verdicts")
+            caller.verdict = part.verdict
+            self._judge(caller)
+
+    def _judge(self, caller: Caller) -> None:
+        verdict, answers = caller.verdict, self.world.answers
+        if caller.account != caller.owner and (
+            caller.status or caller.data or isinstance(verdict, Completed)
+        ):
+            self._fail("an answer went to another account")
+        if isinstance(verdict, Completed):
+            whole = answers.get(caller.token, b"")
+            if caller.data != whole[caller.offset :]:
+                self._fail("a completed answer is not the target's answer")
+        elif isinstance(verdict, NotRun):
+            self._note_not_run(caller, verdict)
+
+    def _note_not_run(self, caller: Caller, verdict: NotRun) -> None:
+        if caller.uid:
+            self._uids_not_run.add(caller.uid)
+        elif verdict.reason is Reason.NOT_STARTED:
+            # True until the owner sends the request, perhaps meanwhile.
+            runs = self.world.runs.get(caller.token, [])
+            if any(run.at_ms < caller.began_ms for run in runs):
+                self._fail("not-started was told of a request that ran")
+        else:
+            self._tokens_not_run.add(caller.token)
+
+    # Shutdown.
+
+    def drain(self, node: SimNode) -> None:
+        """Begins a graceful shutdown."""
+        dispatched = frozenset(
+            r.token for r in node.table if r.state is RecordState.DISPATCHED
+        )
+        callers = [c for c in self.callers if c.verdict is None and not c.gone]
+        now_ms = self.world.clock.now_ms()
+        task = self.world.node_tasks[id(node)]
+        self.drains.append(_Drain(node, task, callers, dispatched, now_ms))
+        node.start_drain()
+
+    def forget_drain(self, node: SimNode) -> None:
+        """Expects nothing of a shutdown that was paused or killed."""
+        self.drains = [d for d in self.drains if d.node is not node]
+
+    def _check_drains(self) -> None:
+        now_ms = self.world.clock.now_ms()
+        for drain in list(self.drains):
+            if drain.ended_ms is None and drain.task.done():
+                self.world.counts["drained"] += 1
+                drain.ended_ms = now_ms
+                for caller in drain.callers:
+                    self._check_attached(caller, drain)
+            # Forwards of other instances find the heir a little later.
+            if drain.ended_ms is not None and now_ms > drain.ended_ms + 2_000:
+                self.drains.remove(drain)
+                for caller in drain.callers:
+                    self._check_dispatched(caller, drain)
+
+    def _check_attached(self, caller: Caller, drain: _Drain) -> None:
+        if caller.node is not drain.node or caller.gone:
+            return
+        if caller.verdict is None:
+            self._fail("a shutdown left an attached caller unanswered")
+        self._check_dispatched(caller, drain)
+
+    def _check_dispatched(self, caller: Caller, drain: _Drain) -> None:
+        verdict = caller.verdict
+        calm = self.world.moved_ms <= drain.began_ms
+        if caller.token in drain.dispatched and (
+            calm or caller.node is drain.node
+        ):
+            if isinstance(verdict, MayHaveRun) and verdict.reason in CUT_OFF:
+                self._fail(f"a shutdown cut a dispatched request: {verdict}")
+
+    # Checks after each step.
+
+    def check(self) -> None:
+        """Checks all that must hold at any moment."""
+        self._check_drains()
+        world = self.world
+        for token, runs in world.runs.items():
+            if len(runs) > 1:
+                self._fail(f"dispatched {len(runs)} times: {runs}")
+            if token in self._tokens_not_run:
+                self._fail("a fetch was told not-run, but the request ran")
+        for uid in self._uids_not_run & world.uids_run:
+            told = [c.verdict for c in self.callers if c.uid == uid]
+            self._fail(f"not-run was told, but request {uid} ran: {told}")
+        for node in world.nodes.values():
+            self._check_node(node)
+        self._check_text()
+        assert not world.faults, world.faults
+
+    def _check_node(self, node: SimNode) -> None:
+        version = node.store.version()
+        if version < self._versions.get(node.incarnation, -1):
+            self._fail("the text of a process went back")
+        self._versions[node.incarnation] = version
+        table = node.table
+        kept = sum(len(record.answer) for record in table)
+        if len(table) > MAX_RECORDS or kept > MAX_ANSWER_BYTES:
+            self._fail(f"{len(table)} records with {kept} bytes")
+        if table.budget.used_bytes > MAX_ANSWER_BYTES:
+            self._fail(f"{table.budget.used_bytes} answer bytes reserved")
+
+    def _check_text(self) -> None:
+        changed_ms = max(self.world.moved_ms, self.text_ms)
+        if self.world.clock.now_ms() - changed_ms <= TEXT_LIMIT_MS:
+            return
+        live = self.world.live()
+        for node in live:
+            side = [
+                other.store.version()
+                for other in live
+                if self.world.is_linked(node.process, other.process)
+            ]
+            if node.store.version() < max(side):
+                self._fail(f"text {node.store.version()}, not {max(side)}")
+
+    def check_end(self) -> None:
+        """Checks that every caller of a surviving process was answered."""
+        for caller in self.callers:
+            process = caller.node.process
+            if caller.verdict is None and not caller.gone:
+                if not process.dead:
+                    self._fail(f"no verdict at {process.name}: {caller.uid}")
+
+    def _fail(self, message: str) -> None:
+        if message not in self.world.faults:
+            self.world.faults.append(message)
+
