Answer copies of a refused call truthfully

A call refused at capacity, or by its minter's text, stayed reserved, so a late copy of it could run after "not run" was told.

Keeping the record reserved for another attempt was ruled out: the caller cannot tell which copy the refusal was about.

--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -107,7 +107,7 @@
         """Serves a caller's request; the last part carries the verdict."""
         matched = self.match_kind(call.method, call.path, call.body)
         if isinstance(matched, Err):
-            yield AnswerPart(verdict=matched.err_value)
+            yield AnswerPart(verdict=_judge_unmatched(matched.err_value, call))
             return
         kind = matched.ok_value
         decision = self._policy.decide(call.key, kind)
@@ -285,7 +285,8 @@
         if (record.service, record.kind) != (kind.service, kind.name):
             return NotRun(Reason.ID_REUSED)
         if not self._ports.table.reserve_answer(record, len(call.body)):
-            return NotRun(Reason.AT_CAPACITY, UNREACHABLE_RETRY_MS)
+            refusal = NotRun(Reason.AT_CAPACITY, UNREACHABLE_RETRY_MS)
+            return _refuse(record, call, refusal)
         deadline_ms = min(
             call.deadline_ms or kind.deadline_ms, kind.deadline_ms
         )
@@ -302,9 +303,10 @@
         self, record: RequestRecord, call: PeerCall
     ) -> Verdict | None:
         matched = self.match_kind(call.method, call.path, call.body)
+        caller_call = _make_caller_call(call)
         if isinstance(matched, Err):
-            return matched.err_value
-        return self._start(record, matched.ok_value, _make_caller_call(call))
+            return _refuse(record, caller_call, matched.err_value)
+        return self._start(record, matched.ok_value, caller_call)
 
     async def _follow(
         self,
@@ -392,6 +394,26 @@
         )
 
 
+def _refuse(
+    record: RequestRecord, call: CallerCall, refusal: Verdict
+) -> Verdict:
+    """Ends a request that did not start, so that no later copy runs."""
+    record.digest = digest_call(call)
+    record.end(refusal)
+    return refusal
+
+
+def _judge_unmatched(refusal: Verdict, call: CallerCall) -> Verdict:
+    """Returns what is true of a call that fits no kind of the text here.
+
+    A call with a minted ID may be a copy of one that ran under another text
+    or through another instance.
+    """
+    if isinstance(refusal, NotRun) and parse_request_id(call.key) is not None:
+        return MayHaveRun(refusal.reason, refusal.retry_after_ms)
+    return refusal
+
+
 def _digest_parts(method: str, path: str, body: bytes) -> bytes:
     hasher = hashlib.blake2b(digest_size=16)
     hasher.update(f"{method} {path}\n".encode())
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,6 @@
 from typing import Any
 from unittest import mock
 
-import anyio
 from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
@@ -22,6 +21,7 @@
     InstanceRole,
     PlatformError,
 )
+from peridotbend.domain.requestids import parse_request_id
 from peridotbend.domain.text import (
     EngineType,
     FleetText,
@@ -31,7 +31,7 @@
 )
 from peridotbend.domain.verdicts import Verdict
 from peridotbend.node import Node
-from tests.fakepeers import LATENCY_MS, FakeChannels, ClientHalf, Half
+from tests.fakepeers import LATENCY_MS, ClientHalf, FakeChannels, Half
 from tests.faketargets import FakeTarget, FakeTargetClient, Run
 from tests.simloop import SimLoop, SimProcess, current_process
 
@@ -248,7 +248,7 @@
         self.node_tasks: dict[int, asyncio.Task[Any] | None] = {}
         # What the checks compare with.
         self.runs: dict[str, list[Run]] = defaultdict(list)
-        self.uids_run: set[str] = set()
+        self.runs_of_uid: dict[str, list[Run]] = defaultdict(list)
         self.answers: dict[str, bytes] = {}
         self.crashes: Counter[bytes] = Counter()
         self.leaving_seen: dict[tuple[Any, ...], int] = {}
@@ -398,9 +398,7 @@
         """Returns the platform's list."""
         host, entry = "127.0.0.1", InstanceRole.ENTRY
         entries = [
-            InstanceInfo(
-                name, entry, zone, host, 1, 9_000 + index, "", False
-            )
+            InstanceInfo(name, entry, zone, host, 1, 9_000 + index, "", False)
             for index, (name, zone) in enumerate(ENTRY_ZONES.items())
         ]
         targets = [
@@ -414,13 +412,15 @@
 
     # What targets tell.
 
-    def note_run(
-        self, run: Run, fake: FakeTarget, process: SimProcess
-    ) -> None:
+    def note_run(self, run: Run, fake: FakeTarget, process: SimProcess) -> None:
         """Notes a dispatch and checks that it was allowed."""
         self.counts["runs"] += 1
-        self.uids_run.add(run.uid)
         self.runs[run.token].append(run)
+        self.runs_of_uid[run.uid].append(run)
+        request_id = parse_request_id(run.token)
+        assert request_id is not None
+        if run.at_ms >= request_id.expires_at_ms:
+            self.faults.append("dispatched after the ID expired")
         key = (self.zones[process.name], fake.name, str(fake.incarnation))
         seen_ms = self.leaving_seen.get(key)
         node = self.nodes[process.name]
@@ -440,11 +440,13 @@
 
     def close(self) -> None:
         """Ends all tasks and restores what was patched."""
-        for task in asyncio.all_tasks(self.loop):
-            task.cancel()
-        for process in self._processes:
-            self.loop.wake(process)
-        self.loop.run_for(10_000)
+        # What runs while tasks are cancelled may start others.
+        for _ in range(5):
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            for process in self._processes:
+                self.loop.wake(process)
+            self.loop.run_for(2_000)
         self.loop.run_until_complete(self.loop.shutdown_asyncgens())
         self.loop.close()
         self._patches.close()
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -30,12 +30,15 @@
     "break",
     "hang",
     "too-large",
+    "slow",
 )
 CRASH_WORD = b"crash"
 FIRST_MS = 120
 PIECE_MS = 30
 PIECE_BYTES = 37
 CONNECT_MS = 2
+# Longer than the deadline of any kind.
+SLOW_MS = 8_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +50,7 @@
     target: str
     node: str
     at_ms: int
+    path: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -215,6 +219,8 @@
             fake.stop()
             return CallError(CallFailure.BROKEN, True, "died")
         ready_ms = stream.began_ms + FIRST_MS
+        if stream.plan == "slow":
+            ready_ms += SLOW_MS
         if stream.plan == "hang":
             ready_ms = until_ms + 1
         return await self.wait(fake, stream, ready_ms, until_ms)
@@ -232,12 +238,11 @@
             skip = stream.answer.index(b"\n\n", line) + 2
         return Ok(_FakeAnswer(self, fake, stream, skip, until_ms))
 
-    def _note_run(
-        self, fake: FakeTarget, call: TargetCall, token: str
-    ) -> None:
+    def _note_run(self, fake: FakeTarget, call: TargetCall, token: str) -> None:
         uid = dict(call.headers).get("x-uid", "")
         now_ms = self._world.clock.now_ms()
-        run = Run(token, uid, fake.name, self._process.name, now_ms)
+        node = self._process.name
+        run = Run(token, uid, fake.name, node, now_ms, call.path)
         self._world.note_run(run, fake, self._process)
 
     def _is_linked(self, fake: FakeTarget) -> bool:
--- /dev/null
+++ b/tests/fleettest.py
@@ -0,0 +1,67 @@
+"""Base of tests over a small simulated fleet without random steps."""
+
+import unittest
+
+from peridotbend.domain.verdicts import Reason, Verdict
+from tests.fakes import ENTRY_ZONES, SimNode, World
+from tests.machine import SERVICES, make_call
+from tests.oracle import Caller, Oracle
+
+
+class FleetTest(unittest.TestCase):
+    """Three instances that know each other and the text."""
+
+    def setUp(self) -> None:
+        self.world = World()
+        self.addCleanup(self.world.close)
+        self.oracle = Oracle(self.world)
+        for name in ENTRY_ZONES:
+            self.world.start(name)
+        self.world.run_for(1_500)
+        self.a1, self.a2 = self.world.nodes["a1"], self.world.nodes["a2"]
+
+    def reserve(self, node: SimNode, kind: str = "confirm") -> str:
+        """Reserves an ID and returns it."""
+        service = SERVICES.get(kind, "chat")
+        return node.service.reserve("shop", service, kind).unwrap().token
+
+    def send(
+        self,
+        node: SimNode,
+        kind: str = "quote",
+        key: str = "",
+        uid: str = "u1",
+        ms: int = 1_500,
+        text: str = "",
+    ) -> Caller:
+        """Sends a request and lets time pass."""
+        call = make_call(kind, "shop", uid, key, text)
+        caller = self.oracle.send(node, call, "shop")
+        self.run_for(ms)
+        return caller
+
+    def fetch(
+        self, node: SimNode, token: str, offset: int = 0, account: str = "shop"
+    ) -> Caller:
+        """Fetches an answer."""
+        caller = self.oracle.fetch(node, token, account, "shop", offset)
+        self.run_for(1_000)
+        return caller
+
+    def plan(self, plan: str, service: str = "m") -> None:
+        """Lets all targets of a service treat their next request so."""
+        for name, target in self.world.targets.items():
+            if name.startswith(service):
+                target.plans.append(plan)
+
+    def run_for(self, ms: int) -> None:
+        """Lets time pass and checks the invariants."""
+        self.world.run_for(ms)
+        self.oracle.check()
+
+
+def tell(caller: Caller) -> tuple[str, Reason | None]:
+    """Returns the label and the reason that a caller was told."""
+    verdict: Verdict | None = caller.verdict
+    assert verdict is not None, "no verdict yet"
+    return verdict.label, getattr(verdict, "reason", None)
--- a/tests/simloop.py
+++ b/tests/simloop.py
@@ -67,6 +67,9 @@
     def __init__(self, clock: ManualClock):
         self._clock = clock
         self._sim = _ClockSelector(clock)
+        # The tasks of a killed process must not be collected at a moment
+        # that differs between runs.
+        self._kept: list[asyncio.Task[Any]] = []
         super().__init__(self._sim)
         self._sim.stop = self.stop
 
@@ -74,6 +77,14 @@
         """Returns simulated seconds."""
         return self._clock.now_ms() / 1_000
 
+    def create_task(self, *args: Any, **options: Any) -> "asyncio.Task[Any]":
+        """Starts a task and keeps it."""
+        task = super().create_task(*args, **options)
+        self._kept.append(task)
+        if len(self._kept) > 5_000:
+            self._kept = [task for task in self._kept if not task.done()]
+        return task
+
     def run_for(self, ms: int) -> None:
         """Runs all processes until the clock has moved by `ms`."""
         self._sim.limit_ms = self._clock.now_ms() + ms
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,121 @@
+"""Tests of the service that callers and peers use."""
+
+from peridotbend.domain.requestids import parse_request_id
+from peridotbend.domain.verdicts import Reason
+from tests.fakes import MAX_ANSWER_BYTES
+from tests.fleettest import FleetTest, tell
+
+MAYBE = "may-have-run"
+
+
+class IdentityTest(FleetTest):
+    """What an ID stands for."""
+
+    def test_other_account_gets_no_answer(self) -> None:
+        """Guards against an answer that goes to another account."""
+        first = self.send(self.a1)
+        for node in (self.a1, self.a2):
+            thief = self.fetch(node, first.token, account="gym")
+            assert tell(thief) == (MAYBE, Reason.WRONG_ACCOUNT)
+            assert not thief.data
+
+    def test_other_body_with_a_used_id_is_refused(self) -> None:
+        """Guards against one request's answer being taken for another's."""
+        token = self.reserve(self.a1)
+        assert tell(self.send(self.a1, "confirm", token))[0] == "completed"
+        for node in (self.a1, self.a2):
+            other = self.send(node, "confirm", token, uid="u2")
+            assert tell(other) == (MAYBE, Reason.ID_REUSED)
+
+    def test_reserved_id_is_for_its_kind_only(self) -> None:
+        """Guards against a reservation that is used for another kind."""
+        token = self.reserve(self.a1)
+        other = self.send(self.a1, "status", token, uid="u2")
+        assert tell(other) == ("not-run", Reason.ID_REUSED)
+        assert tell(self.send(self.a1, "confirm", token))[0] == "completed"
+
+    def test_copy_at_an_instance_without_text_may_have_run(self) -> None:
+        """Guards against "not run" for a request that ran elsewhere."""
+        token = self.reserve(self.a1)
+        assert tell(self.send(self.a1, "confirm", token))[0] == "completed"
+        self.world.platform.down = True
+        self.world.cut("z1", "z2")
+        self.world.kill(self.world.nodes["b1"])
+        self.world.start("b1")
+        self.world.run_for(1_000)
+        copy = self.send(self.world.nodes["b1"], "confirm", token)
+        assert tell(copy) == (MAYBE, Reason.NO_TEXT)
+
+    def test_call_refused_at_capacity_never_runs_later(self) -> None:
+        """Guards against a late copy that runs after "not run" was told."""
+        token = self.reserve(self.a1)
+        budget = self.a1.table.budget
+        assert budget.reserve(MAX_ANSWER_BYTES)
+        assert tell(self.send(self.a1, "confirm", token)) == (
+            "not-run",
+            Reason.AT_CAPACITY,
+        )
+        budget.release(MAX_ANSWER_BYTES)
+        copy = self.send(self.a2, "confirm", token)
+        assert tell(copy) == ("not-run", Reason.AT_CAPACITY)
+
+    def test_forgotten_id_may_have_run(self) -> None:
+        """Guards against "not run" for a request whose record is gone."""
+        first = self.send(self.a1, ms=32_000)
+        for node in (self.a1, self.a2):
+            late = self.fetch(node, first.token)
+            assert tell(late) == (MAYBE, Reason.FORGOTTEN)
+
+
+class AnswerTest(FleetTest):
+    """The whole answer, however it is asked for."""
+
+    def test_broken_forward_goes_on_at_its_offset(self) -> None:
+        """Guards against bytes lost or doubled when a forward breaks."""
+        token = self.reserve(self.a1, "quote")
+        caller = self.send(self.a2, "quote", token, ms=180)
+        begun = len(caller.data)
+        for stream in list(self.world.streams):
+            if stream.method == "Forward" and stream.server is not None:
+                stream.server.reset(ConnectionResetError("cut"))
+        self.run_for(1_500)
+        assert tell(caller)[0] == "completed"
+        assert 0 < begun < len(caller.data)
+        assert self.world.counts["forward-broken"] == 0
+        assert caller.data == self.world.answers[token]
+
+    def test_fetch_yields_the_rest_from_any_instance(self) -> None:
+        """Guards against answers that only the first instance has whole."""
+        first = self.send(self.a1)
+        for name in ("a1", "a2", "b1"):
+            rest = self.fetch(self.world.nodes[name], first.token, offset=17)
+            assert rest.data == self.world.answers[first.token][17:]
+
+    def test_evicted_answer_is_not_completed_with_no_bytes(self) -> None:
+        """Guards against an empty body in the place of a dropped answer."""
+        first = self.send(self.a1)
+        record = self.a1.table.find(first.token)
+        assert record is not None
+        record.answer.evict()
+        again = self.fetch(self.a1, first.token)
+        assert not again.data
+        assert again.verdict is not None and again.status == 0
+
+    def test_request_past_its_deadline_can_be_fetched_later(self) -> None:
+        """Guards against an answer thrown away when its caller timed out."""
+        self.plan("slow")
+        first = self.send(self.a1, ms=6_100)
+        assert tell(first) == (MAYBE, Reason.TARGET_TIMEOUT)
+        self.run_for(4_000)
+        later = self.fetch(self.a2, first.token)
+        assert tell(later)[0] == "completed"
+        assert later.data == self.world.answers[first.token]
+
+    def test_minter_that_is_gone_leaves_the_outcome_open(self) -> None:
+        """Guards against "not run" from an instance that cannot know."""
+        first = self.send(self.a1)
+        assert parse_request_id(first.token) is not None
+        self.world.kill(self.a1)
+        self.run_for(2_000)
+        late = self.fetch(self.a2, first.token)
+        assert tell(late) == (MAYBE, Reason.MINTER_UNREACHABLE)
