--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,89 @@
+"""Tests of the hand-over at shutdown."""
+
+from peridotbend.domain.ports import RecordState
+from peridotbend.domain.verdicts import Reason
+from tests.fakes import SimNode
+from tests.fleettest import FleetTest, tell
+from tests.oracle import Caller
+
+
+class HandOverTest(FleetTest):
+    """Records that move while their callers wait."""
+
+    def _fill(self, node: SimNode) -> list[Caller]:
+        """Sends more than the windows of the targets hold."""
+        callers = [
+            self.send(node, uid=f"u{number}", ms=0) for number in range(5)
+        ]
+        self.run_for(30)
+        states = {record.state for record in node.table}
+        assert RecordState.QUEUED in states and len(states) > 1
+        return callers
+
+    def test_attached_callers_get_their_answers(self) -> None:
+        """Guards against a shutdown that interrupts requests."""
+        callers = self._fill(self.a1)
+        self.oracle.drain(self.a1)
+        self.run_for(6_000)
+        assert self.a1.process.dead
+        assert {tell(c)[0] for c in callers} == {"completed"}
+
+    def test_lost_reply_leaves_the_outcome_open(self) -> None:
+        """Guards against "not run" for records that the heir may run."""
+        callers = self._fill(self.a1)
+        self.world.lost_replies.add("HandOver")
+        self.oracle.drain(self.a1)
+        self.run_for(12_000)
+        told = {tell(c) for c in callers}
+        assert told == {
+            ("completed", None),
+            ("may-have-run", Reason.HANDED_OVER),
+        }
+        assert all(len(runs) == 1 for runs in self.world.runs.values())
+        assert len(self.world.runs) == len(callers), "the heir ran them"
+
+    def test_reservation_outlives_its_minter(self) -> None:
+        """Guards against a reserved ID that a restart makes useless."""
+        token = self.reserve(self.a1)
+        self.oracle.drain(self.a1)
+        self.run_for(2_000)
+        caller = self.send(self.a2, "confirm", token)
+        assert tell(caller)[0] == "completed"
+
+    def test_finished_answer_outlives_its_minter(self) -> None:
+        """Guards against answers that are lost at a shutdown."""
+        first = self.send(self.a1)
+        self.oracle.drain(self.a1)
+        self.run_for(2_000)
+        later = self.fetch(self.a2, first.token, offset=5)
+        assert tell(later)[0] == "completed"
+        assert later.data == self.world.answers[first.token][5:]
+
+    def test_batch_that_arrives_twice_starts_once(self) -> None:
+        """Guards against a second dispatch by a repeated batch."""
+        token = self.reserve(self.a1, "quote")
+        self.send(self.a1, "quote", token, ms=0)
+        self.world.run_for(1)
+        found = self.a1.table.find(token)
+        assert found is not None
+        handed = [self.a1.transfer._pack(found)]
+        self.world.kill(self.a1)
+
+        async def take() -> None:
+            taken = self.a2.transfer.import_records("a1", 1, handed)
+            assert taken == [token]
+
+        for _ in range(2):
+            self.world.loop.spawn(self.a2.process, take())
+            self.world.run_for(20)
+        self.run_for(1_500)
+        assert len(self.world.runs[token]) == 1
+
+    def test_draining_instance_takes_nothing_over(self) -> None:
+        """Guards against records that move to an instance that ends too."""
+        token = self.reserve(self.a1)
+        found = self.a1.table.find(token)
+        assert found is not None
+        handed = [self.a1.transfer._pack(found)]
+        self.a2.service.draining = True
+        assert self.a2.transfer.import_records("a1", 1, handed) == []
--- /dev/null
+++ b/tests/test_oracle.py
@@ -0,0 +1,49 @@
+"""The eight invariants over a simulated fleet, with failures at random."""
+
+import unittest
+
+from tests.fakes import ENTRY_ZONES, World
+from tests.fuzz import run_machine
+from tests.machine import make_call
+from tests.oracle import Oracle
+
+RUNS = 24
+STEPS = 45
+
+
+class InvariantsTest(unittest.TestCase):
+    """Random runs; `make fuzz` makes longer ones with other seeds."""
+
+    def test_random_runs_keep_the_invariants(self) -> None:
+        """Guards against any breach of the eight invariants of the design."""
+        counts = run_machine(STEPS, RUNS)
+        # Runs in which nothing happens would pass too.
+        for name in ("runs", "shed", "drained", "target-failed"):
+            assert counts[name] >= 5, (name, counts)
+
+    def test_same_seed_gives_same_run(self) -> None:
+        """Guards against failures that cannot be reproduced."""
+        assert run_machine(30, 3, seed=7) == run_machine(30, 3, seed=7)
+
+
+class OracleTest(unittest.TestCase):
+    """The oracle reports what it is told to look for."""
+
+    def setUp(self) -> None:
+        self.world = World()
+        self.addCleanup(self.world.close)
+        self.oracle = Oracle(self.world)
+        for name in ENTRY_ZONES:
+            self.world.start(name)
+        self.world.run_for(1_500)
+
+    def test_second_run_of_one_request_is_reported(self) -> None:
+        """Guards against an oracle that accepts a second dispatch."""
+        call = make_call("quote", "shop", "u1")
+        caller = self.oracle.send(self.world.nodes["a1"], call, "shop")
+        self.world.run_for(1_000)
+        self.oracle.check()
+        assert caller.verdict is not None
+        self.world.runs[caller.token] *= 2
+        with self.assertRaisesRegex(AssertionError, "dispatched 2 times"):
+            self.oracle.check()
