--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 model: setup
 	$(BIN)/python -m model.identity
+
+fuzz: setup
+	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
