--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -280,7 +280,8 @@
         yield AnswerPart(request_id=record.token)
         try:
             async for part in self._follow(record, 0, call=call):
-                if part.head is not None and is_event_stream(part.head):
+                begins = part.head is not None and is_event_stream(part.head)
+                if begins or part.verdict is not None:
                     # The response headers with the ID go out with this part.
                     record.is_disclosed = True
                 yield part
