--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import hashlib
 import random
 import types
 from collections import Counter, defaultdict, deque
@@ -85,9 +86,8 @@
         make_kind("confirm", "orders", "/v1/confirm", 1, False),
     )
     source = str(version)
-    return FleetText(
-        version, TIERS, (), (chat, orders), source, source.encode()
-    )
+    digest = hashlib.sha256(source.encode()).digest()
+    return FleetText(version, TIERS, (), (chat, orders), source, digest)
 
 
 class FakePlatform:
@@ -274,7 +274,9 @@
             "HttpTargetClient": lambda: FakeTargetClient(self, _own()),
             "ChannelPool": lambda: FakeChannels(self, _own()),
             "make_platform": lambda url, clock: self.platform,
-            "parse_text": lambda source: Ok(make_text(int(source))),
+            "TextParser": lambda: types.SimpleNamespace(
+                parse=lambda source: Ok(make_text(int(source)))
+            ),
             # The scheduler's own period of 20 ms takes most of the time.
             "SchedulerLimits": functools.partial(
                 SchedulerLimits, check_every_ms=CHECK_EVERY_MS
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -228,7 +228,10 @@
     def _resume(
         self, fake: FakeTarget, call: TargetCall, until_ms: int
     ) -> Result[_FakeAnswer, CallError]:
-        stream = fake.streams.get(call.path.rpartition("/")[2])
+        token = call.path.rpartition("/")[2]
+        if call.method == "DELETE":
+            fake.streams.pop(token, None)
+        stream = fake.streams.get(token)
         if stream is None or not fake.up or not self._is_linked(fake):
             return Err(CallError(CallFailure.CONNECT, False, "no stream"))
         last = dict(call.headers)["Last-Event-ID"].encode()
