Check shedding where requests end, with small memory bounds

The check now covers refusals at capacity too, and the budget is 20 kB, five answers of the largest size.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -18,6 +18,7 @@
 from peridotbend.adapters.settings import NodeSettings
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
+from peridotbend.domain.grants import Waiter
 from peridotbend.domain.ports import (
     InstanceInfo,
     InstanceRole,
@@ -32,7 +33,7 @@
     Service,
     Target,
 )
-from peridotbend.domain.verdicts import Verdict
+from peridotbend.domain.verdicts import Reason, Verdict
 from peridotbend.node import Node
 from tests.fakepeers import LATENCY_MS, ClientHalf, FakeChannels, Half
 from tests.faketargets import FakeTarget, FakeTargetClient, Run
@@ -42,7 +43,7 @@
 LEAVING_LIMIT_MS = 2_000
 CHECK_EVERY_MS = 100
 MAX_RECORDS = 64
-MAX_ANSWER_BYTES = 60_000
+MAX_ANSWER_BYTES = 20_000
 CHAT = "/v1/chat/completions"
 ENTRY_ZONES = {"a1": "z1", "a2": "z1", "b1": "z2"}
 TARGET_ZONES = {"m1": "z1", "m2": "z2", "o1": "z1", "o2": "z2"}
@@ -136,22 +137,14 @@
 
 
 class FakeMeter:
-    """Checks at each shed that no lower tier waits."""
+    """Counts what the checks need."""
 
-    def __init__(self, world: "World", process: SimProcess):
+    def __init__(self, world: "World"):
         self._world = world
-        self._process = process
 
     def count_shed(self, service: str, tier: str) -> None:
-        """Notes a shed request and what waited beside it."""
+        """Counts shed requests."""
         self._world.counts["shed"] += 1
-        node = self._world.nodes[self._process.name]
-        for source in node.scheduler._queues:
-            lower = range(TIERS.index(tier) + 1, len(TIERS))
-            if source.service.name == service and any(
-                source.queue.find_work(t) for t in lower
-            ):
-                self._world.faults.append(f"{tier} shed before a lower tier")
 
     def count_verdict(self, service: str, tier: str, verdict: Verdict) -> None:
         """Counts verdicts by label."""
@@ -202,9 +195,23 @@
         zone = ENTRY_ZONES[name]
         settings = NodeSettings(
             name, zone, "", "", "127.0.0.1", 1, "127.0.0.1", 1, "127.0.0.1",
-            port, MAX_RECORDS, MAX_ANSWER_BYTES, 12, 1_000, "info", 60_000,
+            port, MAX_RECORDS, MAX_ANSWER_BYTES, 12, 1_000, "info", 36_000,
         )  # fmt: skip
         super().__init__(settings, FakeLog(world, zone))
+        self._end_waiter = self.scheduler._end
+        self.scheduler._end = self._end_checked  # type: ignore[method-assign]
+
+    def _end_checked(self, waiter: Waiter, reason: Reason) -> None:
+        """Checks at each shed request that no lower tier waits."""
+        queues = self.scheduler._queues
+        kind = waiter.item.kind
+        beside = {
+            Reason.SHED: queues.find_group(kind.service).queues,
+            Reason.AT_CAPACITY: list(queues),
+        }.get(reason, [])
+        if any(max(q.queue.bands(), default=0) > kind.tier for q in beside):
+            self._world.faults.append(f"{kind.name} shed before a lower tier")
+        self._end_waiter(waiter, reason)
 
     @property
     def server(self) -> Any:
@@ -270,7 +277,7 @@
         )
         names = {
             "SystemClock": lambda: self.clock,
-            "PrometheusMeter": lambda clock: FakeMeter(self, _own()),
+            "PrometheusMeter": lambda clock: FakeMeter(self),
             "HttpTargetClient": lambda: FakeTargetClient(self, _own()),
             "ChannelPool": lambda: FakeChannels(self, _own()),
             "make_platform": lambda url, clock: self.platform,
--- a/tests/machine.py
+++ b/tests/machine.py
@@ -82,7 +82,7 @@
         for target in self.world.targets.values():
             target.plans.clear()
         # Until the last ID has expired, if need be.
-        for _ in range(16):
+        for _ in range(20):
             self.world.run_for(2_000)
             if self.oracle.is_quiet():
                 return
