--- a/src/peridotbend_emulator/fleet.py
+++ b/src/peridotbend_emulator/fleet.py
@@ -61,6 +61,7 @@
         entry_settings: Mapping[str, Any] | None = None,
         clients: Mapping[str, Mapping[str, Any]] | None = None,
         cuttable: bool = False,
+        entry_command: Sequence[str] = ("peridotbend.daemon",),
     ):
         """Describes a fleet.
 
@@ -72,6 +73,8 @@
             entry_settings: Settings of each entry instance.
             clients: The client accounts of the text.
             cuttable: Puts proxies between the zones and the platform.
+            entry_command: The module of an entry instance and the options
+                before those of the daemon.
         """
         self._services = services
         self._backends = backends
@@ -79,6 +82,8 @@
         self._entries_per_zone = entries_per_zone
         self._entry_settings = dict(entry_settings or {})
         self._clients = dict(clients or {})
+        # The module to run and the options before those of the daemon.
+        self._entry_command = entry_command
         self._launcher = Launcher()
         self._folder = tempfile.TemporaryDirectory(prefix="peridotbend-")
         self._path = pathlib.Path(self._folder.name)
@@ -185,7 +190,7 @@
         }
         path = self._path / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings), encoding="utf-8")
-        command = ["peridotbend.daemon", "--settings", str(path)]
+        command = [*self._entry_command, "--settings", str(path)]
         if self.links is not None:
             links = str(self.links.find_file(zone))
             command = [f"{__package__}.redirect", links, *command]
