Measure scheduling policies in virtual time

Cause: the design states goodput by tier and wasted prefill as the two quantities to measure, and no tool measured them.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,8 @@
 
 model: setup
 	$(BIN)/python -m model.identity
+
+SEEDS ?= 3
+
+measure: setup
+	$(BIN)/python -m peridotbend_emulator.measure --seed $(SEED) --seeds $(SEEDS)
