Grow a window that is used up to the share of a process

Cause: a window grew only when this process alone had half of the whole window in flight. With 8 entry instances each has an eighth, so windows never rose above their initial size: traces showed 5 to 10 of 16 batch slots in use with no queue at the runners while 130 answers waited. Change: use is compared with the allowance of the process at the grant. Ruled out: a longer queueing slack alone (100 to 500 ms), which left the windows at their initial size.

--- a/src/peridotbend/domain/grants.py
+++ b/src/peridotbend/domain/grants.py
@@ -41,6 +41,7 @@
         self._release = release
         self._granted_at_ms = clock.now_ms()
         self._in_flight_before = use.in_flight_work
+        self._allowance = use.allowance
         self._had_first_output = False
         self._finished = False
         use.add(item)
@@ -57,6 +58,7 @@
             elapsed_ms,
             self._in_flight_before,
             self._granted_at_ms,
+            self._allowance,
         )
         self._router.record_first_output(
             self.target.name, self.item, elapsed_ms
--- a/src/peridotbend/domain/targetuse.py
+++ b/src/peridotbend/domain/targetuse.py
@@ -34,6 +34,8 @@
     grants: int = 0
     trials: int = 0
     in_flight_work: float = 0.0
+    # The allowance looked up last; None before the first time.
+    allowance: float | None = None
     work_by_tier: dict[int, float] = dataclasses.field(
         default_factory=lambda: defaultdict(float)
     )
@@ -110,9 +112,10 @@
 
     def find_allowance(self, name: str) -> Allowance:
         """Returns what this process may have in flight at a target."""
-        size = self.by_name[name].window.size
+        use = self.by_name[name]
         peers = self._view.count_live_peers()
-        work = self.shares.find_allowance(name, size, peers)
+        work = self.shares.find_allowance(name, use.window.size, peers)
+        use.allowance = work
         return Allowance(work, self.shares.lowest_tier_served((name,)))
 
     def dump(self) -> dict[str, object]:
--- a/src/peridotbend/domain/windows.py
+++ b/src/peridotbend/domain/windows.py
@@ -13,7 +13,8 @@
 QUEUEING_FACTOR = 2.0
 QUEUEING_SLACK_MS = 20.0
 DECREASE_FACTOR = 0.7
-# A window's worth of work that met no queueing adds this part of the minimum.
+# An allowance's worth of work that met no queueing adds this part of the
+# minimum.
 INCREASE_PART = 0.25
 # Fixed cost of a call, expressed in prompt tokens.
 CALL_OVERHEAD_TOKENS = 64
@@ -53,11 +54,15 @@
         elapsed_ms: float,
         in_flight_before: float,
         dispatched_at_ms: int,
+        allowance: float | None = None,
     ) -> None:
         """Adapts the window to the latency of one first output.
 
-        `in_flight_before` is the work in flight just before the dispatch.
+        `in_flight_before` is the work that this process had in flight just
+        before the dispatch, and `allowance` what it might have had then; the
+        whole window by default.
         """
+        allowed = self.size if allowance is None else allowance
         predicted_ms = self.predict_ms(prompt_tokens)
         idle = in_flight_before <= 0
         self._learn_speed(prompt_tokens, elapsed_ms, idle)
@@ -66,10 +71,10 @@
         limit_ms = predicted_ms * QUEUEING_FACTOR + QUEUEING_SLACK_MS
         if elapsed_ms > limit_ms:
             self._decrease(dispatched_at_ms, dispatched_at_ms + elapsed_ms)
-        elif in_flight_before >= self.size / 2:
-            # A window that is not used says nothing about a larger one.
-            work = prompt_tokens / self.size
-            self._resize(self.size + INCREASE_PART * self._minimum * work)
+        elif in_flight_before >= allowed / 2:
+            # An allowance that is not used says nothing about a larger one.
+            part = min(1.0, prompt_tokens / max(allowed, 1.0))
+            self._resize(self.size + INCREASE_PART * self._minimum * part)
 
     def record_timeout(self, dispatched_at_ms: int, now_ms: int) -> None:
         """Shrinks the window after a request that got no answer in time."""
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -64,6 +64,14 @@
         self._record(170, in_flight=100)
         assert self.window.size == 1_000
 
+    def test_used_share_grows_the_window(self) -> None:
+        """Guards against windows that stay small when peers share them."""
+        for in_flight, grows in ((50, False), (100, True)):
+            self.window.record_first_output(
+                100, 170, in_flight, self.now_ms, allowance=125
+            )
+            assert (self.window.size > 1_000) is grows
+
     def test_speed_follows_idle_samples(self) -> None:
         """Guards against a slowed target that keeps its window for ever."""
         for _ in range(30):
