Tolerate one prefill step before a window shrinks

Cause: a first output 20 ms over twice the unloaded time counted as queueing, but a step that computes another request's long prompt takes 100 ms at speed 1; short requests shrank windows of targets without a queue. Change: slack of 100 ms, and twice the minimum for each allowance used.

--- a/src/peridotbend/domain/windows.py
+++ b/src/peridotbend/domain/windows.py
@@ -11,11 +11,13 @@
 # First output may take this much longer than an unloaded target needs before
 # it counts as queueing: batching alone slows a prefill by up to about half.
 QUEUEING_FACTOR = 2.0
-QUEUEING_SLACK_MS = 20.0
+# A step that computes 2,048 tokens of another prompt takes about this long.
+# With less, each short request that met a long prompt shrank the window.
+QUEUEING_SLACK_MS = 100.0
 DECREASE_FACTOR = 0.7
 # An allowance's worth of work that met no queueing adds this part of the
-# minimum.
-INCREASE_PART = 0.25
+# minimum. With a quarter, a window needed minutes to reach a full batch.
+INCREASE_PART = 2.0
 # Fixed cost of a call, expressed in prompt tokens.
 CALL_OVERHEAD_TOKENS = 64
 IDLE_SMOOTHING = 0.2
