Start windows by doubling until the first queueing

Change: until a window shrinks for the first time, an allowance's worth of work without queueing doubles it.

--- a/src/peridotbend/domain/windows.py
+++ b/src/peridotbend/domain/windows.py
@@ -76,12 +76,19 @@
         elif in_flight_before >= allowed / 2:
             # An allowance that is not used says nothing about a larger one.
             part = min(1.0, prompt_tokens / max(allowed, 1.0))
-            self._resize(self.size + INCREASE_PART * self._minimum * part)
+            self._resize(self.size + self._find_step() * part)
 
     def record_timeout(self, dispatched_at_ms: int, now_ms: int) -> None:
         """Shrinks the window after a request that got no answer in time."""
         self._decrease(dispatched_at_ms, now_ms)
 
+    def _find_step(self) -> float:
+        """Returns what an allowance's worth of work adds."""
+        if self._decreased_at_ms is None:
+            # Slow start: the initial size is a guess that may be far off.
+            return self.size
+        return INCREASE_PART * self._minimum
+
     def _decrease(self, dispatched_at_ms: int, now_ms: float) -> None:
         """Shrinks once for all requests sent under the same size."""
         last_ms = self._decreased_at_ms
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -64,6 +64,18 @@
         self._record(170, in_flight=100)
         assert self.window.size == 1_000
 
+    def test_slow_start_ends_with_the_first_queueing(self) -> None:
+        """Guards against a start that takes minutes, or never ends."""
+        window = TargetWindow(1_000, 400, 100_000)
+        window.record_first_output(100, 164, 0, 0)
+        for now_ms in range(1, 11):
+            window.record_first_output(100, 170, 1e6, now_ms)
+        assert window.size > 1_900
+        window.record_first_output(100, 900, 1e6, 11)
+        shrunk = window.size
+        window.record_first_output(100, 170, 1e6, 1_000)
+        assert shrunk < window.size < shrunk + 2.0 * 400
+
     def test_used_share_grows_the_window(self) -> None:
         """Guards against windows that stay small when peers share them."""
         for in_flight, grows in ((50, False), (100, True)):
