--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,8 @@
 
 fuzz: setup
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
+
+SEEDS ?= 3
+
+measure: setup
+	$(BIN)/python -m peridotbend_emulator.measure --seed $(SEED) --seeds $(SEEDS)
