--- /dev/null
+++ b/tests/failures.py
@@ -0,0 +1,203 @@
+"""Rules by which a simulated fleet starts, fails and recovers."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.fakenode import ENTRY_ZONES, SimNode
+from tests.fakes import World
+from tests.faketargets import PLANS
+from tests.oracle import Oracle, make_call
+
+INDEX = st.integers(0, 30)
+
+
+def has_live(machine: "FailureMachine") -> bool:
+    """Tells whether an instance can be called."""
+    return bool(machine.world.live())
+
+
+def has_spare(machine: "FailureMachine") -> bool:
+    """Tells whether an instance can fail while another one works."""
+    return len(machine.world.live()) > 1
+
+
+class FailureMachine(RuleBasedStateMachine):
+    """Failures and time, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+        self.oracle = Oracle(self.world)
+        self.count = 0
+        self.steps = 0
+
+    def teardown(self) -> None:
+        """Restores the fleet; then every caller must get a verdict."""
+        try:
+            if not self.world.faults:
+                self._restore()
+                self.oracle.check()
+                self.oracle.check_end()
+                self.oracle.check()
+        finally:
+            self.world.close()
+
+    def _restore(self) -> None:
+        self.heal()
+        self.platform_works()
+        for node in self._paused():
+            self.world.loop.wake(node.process)
+        for target in self.world.targets.values():
+            target.plans.clear()
+        # Until the last ID has expired, if need be.
+        for _ in range(20):
+            self.world.run_for(2_000)
+            if self.oracle.is_quiet():
+                return
+
+    @initialize(seed=st.integers(0, 3))
+    def start(self, seed: int) -> None:
+        """Starts all instances."""
+        self.world.rng.seed(seed)
+        for name in ENTRY_ZONES:
+            self.world.start(name)
+        self.world.run_for(1_500)
+
+    @invariant()
+    def holds(self) -> None:
+        """Checks the invariants."""
+        self.steps += 1
+        self.oracle.check()
+
+    def _live(self, index: int) -> SimNode:
+        live = self.world.live()
+        return live[index % len(live)]
+
+    def _paused(self) -> list[SimNode]:
+        nodes = self.world.nodes.values()
+        return [n for n in nodes if n.process.stopped and not n.process.dead]
+
+    def _next_uid(self) -> str:
+        self.count += 1
+        return f"u{self.count}"
+
+    @rule(ms=st.sampled_from([1, 20, 150, 500, 1_500, 3_500, 7_000, 31_000]))
+    def advance(self, ms: int) -> None:
+        """Lets time pass."""
+        self.world.run_for(ms)
+
+    @precondition(has_spare)
+    @rule(at=INDEX)
+    def kill(self, at: int) -> None:
+        """Kills an instance."""
+        node = self._live(at)
+        self.oracle.forget_drain(node)
+        self.world.kill(node)
+
+    @rule()
+    def restart(self) -> None:
+        """Starts the instances that ended, under their old names."""
+        for name, node in sorted(self.world.nodes.items()):
+            if node.process.dead:
+                self.world.start(name)
+        self.world.run_for(1_000)
+
+    @precondition(has_spare)
+    @rule(at=INDEX, ms=st.sampled_from([100, 2_000, 9_000, 40_000]))
+    def pause(self, at: int, ms: int) -> None:
+        """Pauses an instance, perhaps beyond every timeout."""
+        node = self._live(at)
+        self.oracle.forget_drain(node)
+        node.process.stopped = True
+        self.world.note_move()
+        self.world.run_for(ms)
+
+    @precondition(lambda self: self._paused())
+    @rule(ms=st.integers(0, 300))
+    def wake(self, ms: int) -> None:
+        """Lets paused instances go on."""
+        for node in self._paused():
+            self.world.loop.wake(node.process)
+            node.started_ms = self.world.clock.now_ms()
+        self.world.note_move()
+        self.world.run_for(ms)
+
+    @rule()
+    def cut(self) -> None:
+        """Cuts the zones off from each other."""
+        self.world.cut("z1", "z2")
+
+    @rule()
+    def heal(self) -> None:
+        """Joins the zones again."""
+        self.world.heal()
+
+    @precondition(has_spare)
+    @rule(
+        at=INDEX,
+        lose=st.booleans(),
+        load=st.integers(0, 6),
+        ms=st.sampled_from([0, 100, 1_000, 6_000]),
+    )
+    def shut_down(self, at: int, lose: bool, load: int, ms: int) -> None:
+        """Shuts an instance down; the hand-over's reply may be lost."""
+        node = self._live(at)
+        if node.service.draining:
+            return
+        for n in range(load):
+            got = node.service.reserve("shop", "chat", "quote")
+            key = got.unwrap().token if got.is_ok() else ""
+            call = make_call("quote", "shop", self._next_uid(), key)
+            through = self._live(at + (n % 2) * bool(key))
+            self.oracle.send(through, call, "shop")
+        self.world.run_for(10 * load)
+        self.world.lost_replies = {"HandOver"} if lose else set()
+        self.oracle.drain(node)
+        self.world.run_for(ms)
+
+    @rule(
+        which=st.sampled_from(["m1", "m2", "o1", "o2"]),
+        plan=st.sampled_from(PLANS),
+    )
+    def plan(self, which: str, plan: str) -> None:
+        """Lets a target fail its next request in some way."""
+        self.world.targets[which].plans.append(plan)
+
+    @rule(which=st.sampled_from(["m1", "m2", "o1", "o2"]))
+    def restart_target(self, which: str) -> None:
+        """Restarts a target."""
+        self.world.targets[which].restart()
+        self.world.platform.revision += 1
+
+    @rule(which=st.sampled_from(["m1", "o1", "o2"]))
+    def target_leaves(self, which: str) -> None:
+        """The platform announces that a target leaves."""
+        self.world.targets[which].leaving = True
+        self.world.platform.revision += 1
+
+    @rule()
+    def new_text(self) -> None:
+        """The platform publishes a new text."""
+        self.world.platform.version += 1
+        self.oracle.text_ms = self.world.clock.now_ms()
+
+    @rule(down=st.booleans(), back=st.integers(0, 2))
+    def platform_fails(self, down: bool, back: int) -> None:
+        """The platform goes down, or serves an old text."""
+        platform = self.world.platform
+        platform.down = down
+        platform.stale_version = max(1, platform.version - back)
+        self.oracle.text_ms = self.world.clock.now_ms()
+
+    @rule()
+    def platform_works(self) -> None:
+        """The platform works again."""
+        self.world.platform.down = False
+        self.world.platform.stale_version = 0
+        self.oracle.text_ms = self.world.clock.now_ms()
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -13,6 +13,7 @@
     AnswerHead,
     CallError,
     CallFailure,
+    Headers,
     TargetCall,
 )
 from peridotbend.domain.text import Target
@@ -94,7 +95,7 @@
         if self.is_model:
             events = [f"id: {n}\ndata: {token[:9]} {n}\n\n" for n in range(6)]
             body = "".join(events) + "data: [DONE]\n\n"
-            headers = (
+            headers: Headers = (
                 ("content-type", "text/event-stream"),
                 ("engine-stream", token),
             )
--- a/tests/fleettest.py
+++ b/tests/fleettest.py
@@ -3,9 +3,10 @@
 import unittest
 
 from peridotbend.domain.verdicts import Reason, Verdict
-from tests.fakes import ENTRY_ZONES, SimNode, World
-from tests.machine import SERVICES, make_call
-from tests.oracle import Caller, Oracle
+from tests.fakenode import ENTRY_ZONES, SimNode
+from tests.fakes import World
+from tests.machine import SERVICES
+from tests.oracle import Caller, Oracle, make_call
 
 
 class FleetTest(unittest.TestCase):
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -1,6 +1,7 @@
 """What callers were told, held against what targets really ran."""
 
 import dataclasses
+import json
 from collections.abc import AsyncIterator
 from contextlib import aclosing
 from typing import Any
@@ -14,9 +15,11 @@
     Reason,
     Verdict,
 )
-from tests.fakes import MAX_ANSWER_BYTES, MAX_RECORDS, SimNode, World
+from tests.fakenode import CHAT, MAX_ANSWER_BYTES, MAX_RECORDS, SimNode
+from tests.fakes import World
 
 TEXT_LIMIT_MS = 3_000
+PATHS = {"status": "/v1/status", "confirm": "/v1/confirm"}
 # Verdicts that a dispatched request must not get from a shutdown.
 CUT_OFF = (
     Reason.HANDED_OVER,
@@ -274,3 +277,20 @@
     def _fail(self, message: str) -> None:
         if message not in self.world.faults:
             self.world.faults.append(message)
+
+
+def make_call(
+    kind: str, account: str, uid: str, key: str = "", text: str = ""
+) -> CallerCall:
+    """Returns a request whose headers tell targets its `uid`."""
+    content = text or uid
+    body = json.dumps(
+        {
+            "model": kind,
+            "max_tokens": 20,
+            "messages": [{"role": "user", "content": content}],
+        }
+    ).encode()
+    path = PATHS.get(kind, CHAT)
+    headers = (("x-uid", uid),)
+    return CallerCall(account, "POST", path, headers, body, key)
--- a/tests/simloop.py
+++ b/tests/simloop.py
@@ -112,7 +112,7 @@
             if not handle.cancelled():
                 super().call_soon(callback, *args, context=context)
 
-    def call_soon(
+    def call_soon(  # type: ignore[override]
         self,
         callback: Callback,
         *args: Any,
@@ -126,7 +126,7 @@
         owner.late.append((handle, callback, args, context))
         return handle
 
-    def call_at(
+    def call_at(  # type: ignore[override]
         self,
         when: float,
         callback: Callback,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,7 +2,7 @@
 
 from peridotbend.domain.ports import RecordState
 from peridotbend.domain.verdicts import Reason
-from tests.fakes import SimNode
+from tests.fakenode import SimNode
 from tests.fleettest import FleetTest, tell
 from tests.oracle import Caller
 
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from tests.fakes import ENTRY_ZONES, World
+from tests.fakenode import ENTRY_ZONES
+from tests.fakes import World
 from tests.fuzz import run_machine
-from tests.machine import make_call
-from tests.oracle import Oracle
+from tests.oracle import Oracle, make_call
 
 RUNS = 24
 STEPS = 45
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,7 +2,7 @@
 
 from peridotbend.domain.requestids import parse_request_id
 from peridotbend.domain.verdicts import Reason
-from tests.fakes import MAX_ANSWER_BYTES
+from tests.fakenode import MAX_ANSWER_BYTES
 from tests.fleettest import FleetTest, tell
 
 MAYBE = "may-have-run"
