--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -160,6 +160,12 @@
             else:
                 stream.server.reset(error)
 
+    def break_forwards(self) -> None:
+        """Resets the connections over which answers are forwarded."""
+        for stream in sorted(self.streams, key=lambda s: s.number):
+            if stream.method == "Forward" and stream.server is not None:
+                stream.server.reset(ConnectionResetError("cut"))
+
     def note_move(self) -> None:
         """Notes a change of processes or links."""
         self.moved_ms = self.clock.now_ms()
@@ -237,6 +243,9 @@
         assert request_id is not None
         if run.at_ms >= request_id.expires_at_ms:
             self.faults.append("dispatched after the ID expired")
+        record = self.nodes[process.name].table.find(run.token)
+        if record is not None and run.at_ms >= record.deadline_at_ms:
+            self.faults.append("dispatched after its deadline")
         key = (self.zones[process.name], fake.name, str(fake.incarnation))
         seen_ms = self.leaving_seen.get(key)
         node = self.nodes[process.name]
