--- a/src/peridotbend_emulator/fleet.py
+++ b/src/peridotbend_emulator/fleet.py
@@ -98,7 +98,7 @@
 
     def __exit__(self, *_: object) -> None:
         for child in self.entries.values():
-            # A SIGKILL is the doing of a test; any other end is a fault.
+            # Tests send SIGKILL; any other end is a fault.
             if child.exit_code not in (None, 0, -signal.SIGKILL):
                 print(f"{child.name} ended: {child.output}")
         self._launcher.close()
