--- a/src/peridotbend_emulator/instances.py
+++ b/src/peridotbend_emulator/instances.py
@@ -163,7 +163,7 @@
             grant.finish(GrantOutcome.DIED)
 
     async def _poll(self) -> None:
-        """Reads load reports; their age is unknown, as in `LoadPoller`."""
+        """Reads load reports, as `LoadPoller` does."""
         while True:
             for name, runner in self._world.runners.items():
                 report = runner.report_load()
--- a/src/peridotbend_emulator/runners.py
+++ b/src/peridotbend_emulator/runners.py
@@ -154,9 +154,12 @@
         if not self.alive:
             return None
         load = self._model.load()
-        # The age is not known to the reader, as in the daemon.
+        # Both times are of the engine's clock, as `LoadPoller` reads them.
         return LoadReport(
-            0, load.running, load.waiting_tokens, str(self._incarnation)
+            self._clock.now_ms() - load.at_ms,
+            load.running,
+            load.waiting_tokens,
+            str(self._incarnation),
         )
 
     def _deliver(self, event: EngineEvent) -> None:
