--- a/tests/machine.py
+++ b/tests/machine.py
@@ -22,6 +22,7 @@
     token: str
     account: str
     kind: str
+    uid: str
 
 
 class FleetMachine(FailureMachine):
@@ -40,7 +41,8 @@
         got = node.service.reserve(account, SERVICES.get(kind, "chat"), kind)
         if got.is_ok():
             token = got.unwrap().token
-            self.tickets.append(Ticket(token, account, kind))
+            uid = self._next_uid()
+            self.tickets.append(Ticket(token, account, kind, uid))
 
     @precondition(has_live)
     @rule(at=INDEX, kind=st.sampled_from(KINDS), wait_ms=st.integers(0, 300))
@@ -64,8 +66,7 @@
     ) -> None:
         """Sends a reserved request, for the first time or again."""
         ticket = self.tickets[-1 - which % len(self.tickets)]
-        uid = f"r{self.tickets.index(ticket)}"
-        call = make_call(ticket.kind, ticket.account, uid, ticket.token)
+        call = make_call(ticket.kind, ticket.account, ticket.uid, ticket.token)
         for copy in range(copies):
             self.oracle.send(self._live(at + copy), call, ticket.account)
         self.world.run_for(wait_ms)
