--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -64,6 +64,26 @@
         self._record(170, in_flight=100)
         assert self.window.size == 1_000
 
+    def test_slow_start_ends_with_the_first_queueing(self) -> None:
+        """Guards against a start that takes minutes, or never ends."""
+        window = TargetWindow(1_000, 400, 100_000)
+        window.record_first_output(100, 164, 0, 0)
+        for now_ms in range(1, 11):
+            window.record_first_output(100, 170, 1e6, now_ms)
+        assert window.size > 1_900
+        window.record_first_output(100, 900, 1e6, 11)
+        shrunk = window.size
+        window.record_first_output(100, 170, 1e6, 1_000)
+        assert shrunk < window.size < shrunk + 2.0 * 400
+
+    def test_used_share_grows_the_window(self) -> None:
+        """Guards against windows that stay small when peers share them."""
+        for in_flight, grows in ((50, False), (100, True)):
+            self.window.record_first_output(
+                100, 170, in_flight, self.now_ms, allowance=125
+            )
+            assert (self.window.size > 1_000) is grows
+
     def test_speed_follows_idle_samples(self) -> None:
         """Guards against a slowed target that keeps its window for ever."""
         for _ in range(30):
@@ -121,6 +141,12 @@
         loose = divide_window(190, demands)
         assert [s.work for s in loose.values()] == [120, 60, 10]
 
+    def test_tiers_without_work_may_be_left_out(self) -> None:
+        """Guards against other shares for demand that digests shorten."""
+        whole = {"a": (0.0, 5.0, 0.0), "b": (0.0, 0.0, 0.0), "c": (9.0, 0, 0)}
+        short = {"a": (0.0, 5.0), "b": (), "c": (9.0,)}
+        assert divide_window(12.0, whole) == divide_window(12.0, short)
+
 
 class WindowDividerTest(unittest.TestCase):
     """WindowDivider."""
