Check that only orders on the wire run after a pause

Change: the order stand-in lists the calls whose head arrived; an order that runs after SIGCONT must be one of them.

Waiting for all eight in flight was ruled out: it times out on a fresh fleet.

--- a/src/peridotbend_emulator/orders.py
+++ b/src/peridotbend_emulator/orders.py
@@ -54,6 +54,8 @@
         self._delay_ms = delay_ms
         self._ran = RanLog(settings.ran_file)
         self._orders: list[Order] = []
+        # Keys of calls whose head arrived, whether or not the body did.
+        self._received: set[str] = set()
         self._largest_fence = -1
         self._break_point = BreakPoint.NONE
         self._breaks_left = 0
@@ -61,6 +63,8 @@
     def make_app(self) -> App:
         """Returns the application with all routes."""
         app = App()
+        app.on_head = lambda call: self._received.add(request_key(call))
+        app.route("GET", "/v1/received", self._send_received)
         app.route("GET", "/v1/ran", self._ran.handle)
         app.route("GET", "/v1/orders/*", self._send_status)
         app.route("POST", "/control/break", self._control_break)
@@ -121,6 +125,9 @@
             200, {"order": number, "key": order.key, "status": "confirmed"}
         )
 
+    async def _send_received(self, call: Call) -> None:
+        await call.reply_json(200, {"keys": sorted(self._received)})
+
     async def _control_break(self, call: Call) -> None:
         try:
             self._break_point = BreakPoint(str(call.json().get("point")))
--- a/src/peridotbend_emulator/serving.py
+++ b/src/peridotbend_emulator/serving.py
@@ -136,6 +136,8 @@
     def __init__(self) -> None:
         self._exact: dict[tuple[str, str], Handler] = {}
         self._prefixes: list[tuple[str, str, Handler]] = []
+        # Called with each call once its head has arrived.
+        self.on_head: Callable[[Call], None] = lambda call: None
 
     def route(self, method: str, path: str, handler: Handler) -> None:
         """Adds a handler; a path that ends in `*` matches any tail."""
@@ -152,6 +154,7 @@
             return
         handler, tail = self._find(scope["method"], scope["path"])
         call = _make_call(scope, tail, receive, send)
+        self.on_head(call)
         try:
             call.body = await _read_body(receive)
             await handler(call)
