--- a/src/peridotbend/domain/scheduler.py
+++ b/src/peridotbend/domain/scheduler.py
@@ -1,6 +1,7 @@
 """Grants targets to requests: admission, waiting, shedding and windows."""
 
 import dataclasses
+import functools
 import itertools
 from collections import Counter
 from collections.abc import Iterable
@@ -19,6 +20,7 @@
     DeadlineOrder,
     QueueOrder,
 )
+from peridotbend.domain.pauses import PauseDetector
 from peridotbend.domain.placement import Placement, PlacementLimits
 from peridotbend.domain.placement import RoutingPolicy as RoutingPolicy
 from peridotbend.domain.ports import EventLog, Meter, Share
@@ -72,6 +74,7 @@
         self._log = log
         self._meter = meter
         self._clients = ClientLimits(clock)
+        self._pauses = PauseDetector(clock)
         self._uses = TargetUses(clock, targets)
         self._text: FleetText | None = None
         self._queues = ServiceQueues(
@@ -134,6 +137,7 @@
     async def run(self) -> None:
         """Calls `expire` until cancelled."""
         while True:
+            self._pauses.tick()
             await anyio.sleep(self._limits.check_every_ms / 1_000)
             self.expire()
 
@@ -148,6 +152,8 @@
             for name, use in self._uses.by_name.items()
         }
         for source in self._queues:
+            if not len(source.queue):
+                continue
             available = self._uses.find_available(source.service)
             for target, tier in itertools.product(available, range(tiers)):
                 part = source.queue.find_work(tier) / len(available)
@@ -216,12 +222,9 @@
             self._end(victim, Reason.AT_CAPACITY)
 
     def _place_all(self) -> None:
-        """Looks up all allowances again and uses what they give room for."""
+        """Uses what room shares, lapses and returned targets give."""
         for group in self._queues.groups:
-            names = {t.name for s in group.queues for t in s.service.targets}
-            group.allowances = {
-                name: self._uses.find_allowance(name) for name in names
-            }
+            group.is_stale = True
             group.epoch += 1
             self._place(group)
 
@@ -232,8 +235,12 @@
             for waiter in source.queue.remove_expired(now_ms):
                 self._end(waiter, Reason.DEADLINE)
         if any(len(source.queue) for source in group.queues):
+            if group.is_stale:
+                group.renew_allowances(self._uses)
             look = self._lookahead
-            Placement(group, self._uses, self._router, look, self._grant).run()
+            give_up = functools.partial(self._end, reason=Reason.DEADLINE)
+            ports = (self._router, look, self._grant, give_up)
+            Placement(group, self._uses, *ports).run()
 
     def _grant(self, waiter: Waiter, candidate: Candidate) -> None:
         grant = Grant(
@@ -243,6 +250,7 @@
             self._uses.by_name[candidate.target.name],
             self._router,
             self._clock,
+            self._pauses,
             self._release,
         )
         wait_ms = self._clock.now_ms() - waiter.enqueued_at_ms
