--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STEPS ?= 200
 SEEDS ?= 3
 
-.PHONY: setup demo test lint format fuzz model measure cost
+.PHONY: setup demo test lint format fuzz model measure cost capacity
 
 setup: $(VENV)/.installed
 
@@ -36,7 +36,13 @@
 fuzz: setup
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
 
-
-
 measure: setup
 	$(BIN)/python -m peridotbend_emulator.measure --seed $(SEED) --seeds $(SEEDS)
+
+# Takes about 12 minutes; `make cost PARTS=relay` measures one part.
+cost: setup
+	$(BIN)/python -m peridotbend_emulator.cost $(PARTS) \
+		--output docs/slopes.json
+
+capacity: setup
+	$(BIN)/python tools/capacity.py
