Tell that an evicted answer's request completed

Cause: an evicted answer was reported as "may have run" although the record knew that it completed. A reader that was behind when another reader's delivery let the answer be evicted got the rest as empty and "completed". Change: Completed carries a reason when its answer cannot be sent; it goes through the peer protocol in the field that refusals use. A reader whose offset is before the end of an evicted answer is told so. Ruled out: a new verdict kind, which every match on verdicts would have to learn.

--- a/src/peridotbend/adapters/peerwire.py
+++ b/src/peridotbend/adapters/peerwire.py
@@ -60,7 +60,9 @@
 def pack_verdict(verdict: verdicts.Verdict) -> pb.VerdictMessage:
     """Converts a verdict to a message."""
     if isinstance(verdict, verdicts.Completed):
-        return pb.VerdictMessage(kind=pb.VerdictMessage.COMPLETED)
+        return pb.VerdictMessage(
+            kind=pb.VerdictMessage.COMPLETED, reason=verdict.reason or ""
+        )
     kind = pb.VerdictMessage.MAY_HAVE_RUN
     if isinstance(verdict, verdicts.NotRun):
         kind = pb.VerdictMessage.NOT_RUN
@@ -77,9 +79,11 @@
     Raises:
         ValueError: the kind or the reason is unknown.
     """
-    if message.kind == pb.VerdictMessage.COMPLETED:
+    if message.kind == pb.VerdictMessage.COMPLETED and not message.reason:
         return verdicts.Completed()
     reason = verdicts.Reason(message.reason)
+    if message.kind == pb.VerdictMessage.COMPLETED:
+        return verdicts.Completed(reason)
     if message.kind == pb.VerdictMessage.NOT_RUN:
         return verdicts.NotRun(reason, message.retry_after_ms)
     if message.kind == pb.VerdictMessage.MAY_HAVE_RUN:
--- a/src/peridotbend/domain/answers.py
+++ b/src/peridotbend/domain/answers.py
@@ -5,7 +5,7 @@
 import anyio
 
 from peridotbend.domain.ports import AnswerHead, AnswerPart
-from peridotbend.domain.verdicts import Verdict
+from peridotbend.domain.verdicts import Completed, Reason, Verdict
 
 
 class ByteBudget:
@@ -38,6 +38,7 @@
         self.delivered = False
         # True when the bytes were dropped to make room.
         self.evicted = False
+        self._evicted_bytes = 0
         self._data = bytearray()
         self._changed: anyio.Event | None = None
 
@@ -76,6 +77,7 @@
         size = len(self._data)
         self._data = bytearray()
         self.evicted = True
+        self._evicted_bytes = size
         return size
 
     async def read(self, offset: int = 0) -> AsyncIterator[AnswerPart]:
@@ -86,6 +88,8 @@
             # A copy of the new part only, so that a long answer costs O(n).
             data = bytes(memoryview(self._data)[offset:])
             verdict = self.verdict
+            if self.evicted and offset < self._evicted_bytes:
+                verdict = self.judge_evicted()
             if head is not None or data or verdict is not None:
                 head_sent = head_sent or head is not None
                 offset += len(data)
@@ -97,6 +101,12 @@
                 continue
             await self.wait()
 
+    def judge_evicted(self) -> Verdict | None:
+        """Returns the verdict for a reader that has not got all bytes."""
+        if isinstance(self.verdict, Completed):
+            return Completed(Reason.ANSWER_EVICTED)
+        return self.verdict
+
     async def wait(self) -> None:
         """Waits until something was added."""
         if self._changed is None:
--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -318,7 +318,7 @@
             yield AnswerPart(verdict=MayHaveRun(Reason.TARGET_TIMEOUT))
             return
         if record.answer.evicted:
-            yield AnswerPart(verdict=MayHaveRun(Reason.ANSWER_EVICTED))
+            yield AnswerPart(verdict=record.answer.judge_evicted())
             return
         moved = NotRun(Reason.HANDED_OVER)
         async for part in record.answer.read(offset):
--- a/src/peridotbend/domain/verdicts.py
+++ b/src/peridotbend/domain/verdicts.py
@@ -61,6 +61,8 @@
 class Completed:
     """The target answered and the whole answer was received."""
 
+    # Set when the request completed and its answer cannot be sent.
+    reason: Reason | None = None
     label: str = dataclasses.field(default="completed", init=False)
 
 
