Keep a fault in one dispatch from ending the process

Cause: each dispatch runs in the node's task group, so an unexpected exception cancelled the node and every other request with it. Change: the dispatcher logs the type of the error and ends the request: "not run" while it is queued, else "may have run".

--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -113,7 +113,12 @@
         with anyio.CancelScope() as scope:
             record.scope = scope
             try:
-                verdict = await self._run_checked(job)
+                try:
+                    verdict = await self._run_checked(job)
+                except Exception as error:
+                    # Left alone, it would end the process and with it all
+                    # other requests.
+                    verdict = self._judge_error(record, error)
                 self._finish(job, verdict)
             finally:
                 record.scope = None
@@ -190,6 +195,16 @@
             )
             await anyio.sleep(CONNECT_RETRY_DELAY_MS / 1000)
 
+    def _judge_error(self, record: RequestRecord, error: Exception) -> Verdict:
+        self._ports.log.emit(
+            Event.INTERNAL_ERROR,
+            request=record.token,
+            error=type(error).__name__,
+        )
+        if record.state is RecordState.QUEUED:
+            return NotRun(Reason.INTERNAL_ERROR)
+        return MayHaveRun(Reason.INTERNAL_ERROR)
+
     def _finish(self, job: Job, verdict: Verdict) -> None:
         ports, record = self._ports, job.record
         if record.state is RecordState.HANDED_OVER or record.answer.ended:
