Correct output estimates by what answers had

Change: the estimate is corrected before the request is queued; a complete answer of a model with status 200 is recorded: events of a stream, or the last completion_tokens in the last 1,024 bytes of another answer. Ruled out: parsing the whole answer as JSON for one number.

--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -11,7 +11,6 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.inflight import InFlightTable
 from peridotbend.domain.ports import (
-    AnswerHead,
     CallError,
     CallFailure,
     EventLog,
@@ -28,7 +27,7 @@
 from peridotbend.domain.records import CallerCall, RequestRecord, RequestTable
 from peridotbend.domain.retries import RetryBudget
 from peridotbend.domain.scheduler import Grant, Scheduler
-from peridotbend.domain.streams import EventStream
+from peridotbend.domain.streams import EventStream, count_output_tokens
 from peridotbend.domain.text import EngineType, Kind, Service, Target
 from peridotbend.domain.verdicts import (
     Completed,
@@ -37,7 +36,12 @@
     Reason,
     Verdict,
 )
-from peridotbend.domain.work import GrantOutcome, WorkEstimate, WorkItem
+from peridotbend.domain.work import (
+    GrantOutcome,
+    OutputLengthLearner,
+    WorkEstimate,
+    WorkItem,
+)
 
 RESUME_DELAYS_MS = (50, 200, 800)
 # Pause before another target is tried after a failed connection.
@@ -84,6 +88,8 @@
     tier: str
     call: CallerCall
     work: WorkEstimate
+    # Output tokens before the correction by what was learned.
+    output_limit: int
 
     @property
     def is_prompt(self) -> bool:
@@ -106,6 +112,7 @@
     def __init__(self, ports: DispatchPorts):
         self._ports = ports
         self.in_flight = InFlightTable()
+        self.outputs = OutputLengthLearner()
 
     async def run(self, job: Job) -> None:
         """Takes one request to its verdict and records it."""
@@ -248,6 +255,7 @@
     ):
         self._ports = dispatcher.ports
         self._in_flight = dispatcher.in_flight
+        self._outputs = dispatcher.outputs
         self._job = job
         self._grant = grant
         self._target: Target = grant.target
@@ -267,7 +275,7 @@
             return await self._call()
         finally:
             self._in_flight.end(self._target.name, record.log_key)
-            self._grant.finish(self._outcome, self._count_output_tokens())
+            self._grant.finish(self._outcome, self._learn_output_tokens())
 
     async def _call(self) -> Verdict | None:
         call = self._make_call()
@@ -418,14 +426,19 @@
             detail=error.detail,
         )
 
-    def _count_output_tokens(self) -> int:
-        """Approximates generated tokens; a stream has one event for each."""
-        answer = self._job.record.answer
+    def _learn_output_tokens(self) -> int:
+        """Returns the tokens of a complete answer and notes how many came."""
+        job, answer = self._job, self._job.record.answer
         if self._outcome is not GrantOutcome.COMPLETED or answer.head is None:
             return 0
-        if _is_event_stream(answer.head):
-            return answer.content().count(b"\n\n")
-        return self._job.work.output_tokens
+        # An error of the target tells nothing about the length of answers.
+        if not job.is_prompt or answer.head.status != 200:
+            return job.work.output_tokens
+        tokens = count_output_tokens(answer.head, answer.content())
+        if tokens is None:
+            return job.work.output_tokens
+        self._outputs.record(job.kind, job.output_limit, tokens)
+        return tokens
 
 
 def _judge_trial(verdict: Verdict) -> TrialOutcome:
@@ -434,10 +447,3 @@
     if verdict == MayHaveRun(Reason.TARGET_FAILED):
         return TrialOutcome.CRASHED
     return TrialOutcome.INCONCLUSIVE
-
-
-def _is_event_stream(head: AnswerHead) -> bool:
-    return any(
-        name.lower() == "content-type" and value.startswith("text/event-stream")
-        for name, value in head.headers
-    )
--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -204,7 +204,8 @@
             service,
             self._text.tiers[kind.tier],
             call,
-            estimated.ok_value,
+            self._dispatcher.outputs.correct(kind, estimated.ok_value),
+            estimated.ok_value.output_tokens,
         )
         self._tasks.start_soon(self._dispatcher.run, job)
         return Ok(None)
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -1,9 +1,15 @@
 """Server-sent events as they are copied from a target into an answer."""
 
+import re
+
 from peridotbend.domain.answers import AnswerBuffer
 from peridotbend.domain.ports import AnswerHead
 
 SEPARATOR = b"\n\n"
+# The usage stands at the end of an answer; all of it is not parsed for this.
+USAGE_TAIL_BYTES = 1_024
+# A quote inside a JSON string is escaped, so text cannot look like this.
+_USAGE = re.compile(rb'"completion_tokens"\s*:\s*(\d{1,9})\b')
 CLOSING_EVENT = b"data: [DONE]\n\n"
 
 
@@ -13,6 +19,17 @@
     return next((v for n, v in head.headers if n.lower() == name), "")
 
 
+def count_output_tokens(head: AnswerHead, content: bytes) -> int | None:
+    """Returns how many tokens a whole answer has, None when it is unknown.
+
+    A stream has about one event for each token; other answers say it.
+    """
+    if find_header(head, "content-type").startswith("text/event-stream"):
+        return content.count(SEPARATOR)
+    told = _USAGE.findall(content[-USAGE_TAIL_BYTES:])
+    return int(told[-1]) if told else None
+
+
 class EventStream:
     """Appends whole events only, so that a broken stream can be resumed.
 
