Bound and answer what callers send wrongly

The daemon exits with 3 when it cannot listen and with 1 when text_file cannot be read. Ruled out: uvicorn's limit_concurrency, whose 503 has no verdict and cannot know whether the call carries the ID of a request that ran; reserving declared lengths, by which callers could use up the bound with no bytes.

--- a/src/peridotbend/adapters/peerserver.py
+++ b/src/peridotbend/adapters/peerserver.py
@@ -1,6 +1,5 @@
 """Server side of the peer protocol."""
 
-import socket
 from collections.abc import AsyncIterator, Mapping
 from typing import TypeVar
 
@@ -22,6 +21,7 @@
     finish_trial,
     make_configuration,
 )
+from peridotbend.adapters.serving import listen
 from peridotbend.domain.events import Event
 from peridotbend.domain.membership import Roster
 from peridotbend.domain.ports import (
@@ -66,7 +66,7 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listens for peers and returns the port."""
-        listener = socket.create_server((host, port))
+        listener = listen(host, port)
         listener.setblocking(False)
         server = grpclib.server.Server([self], config=make_configuration())
         await server.start(sock=listener)
--- a/src/peridotbend/adapters/serving.py
+++ b/src/peridotbend/adapters/serving.py
@@ -1,18 +1,29 @@
 """Runs an ASGI application on a socket with uvicorn."""
 
+import asyncio
 import contextlib
+import functools
 import socket
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, cast
 
 import anyio
 import uvicorn
 
+from peridotbend.adapters.connections import (
+    BoundedConnection,
+    ConnectionLimits,
+)
+
 # Longer than the platform's balancer keeps idle connections.
 KEEPALIVE_S = 75
 BACKLOG = 2_048
 
 
+class ListenError(Exception):
+    """An address of the settings cannot be listened on."""
+
+
 class _Server(uvicorn.Server):
     """Leaves signals to the daemon."""
 
@@ -25,15 +36,25 @@
 class HttpServer:
     """One HTTP listener; it starts no process and reads no environment."""
 
-    def __init__(self, app: Any, listener: socket.socket):
+    def __init__(
+        self,
+        app: Any,
+        listener: socket.socket,
+        limits: ConnectionLimits | None = None,
+    ):
+        protocol = functools.partial(
+            BoundedConnection, (limits or ConnectionLimits()).fit_open_files()
+        )
         config = uvicorn.Config(
             app,
             lifespan="off",
             log_config=None,
+            # Its messages are no events, and its tracebacks may hold secrets.
+            log_level="critical",
             access_log=False,
             server_header=False,
             timeout_keep_alive=KEEPALIVE_S,
-            http="httptools",
+            http=cast(type[asyncio.Protocol], protocol),
             ws="none",
             loop="none",
         )
@@ -41,6 +62,14 @@
         self._server = _Server(config)
         self._stopped = anyio.Event()
 
+    def count_connections(self) -> int:
+        """Returns the number of open connections."""
+        return len(self._server.server_state.connections)
+
+    def count_tasks(self) -> int:
+        """Returns the number of calls that are being served."""
+        return len(self._server.server_state.tasks)
+
     async def run(self) -> None:
         """Serves until stopped."""
         try:
@@ -55,6 +84,18 @@
 
 
 def listen(host: str, port: int) -> socket.socket:
-    """Returns a listening socket; port 0 lets the kernel choose."""
+    """Returns a listening socket; port 0 lets the kernel choose.
+
+    Raises:
+        ListenError: the address is in use or not of this instance.
+    """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=BACKLOG)
+    try:
+        return socket.create_server(
+            (host, port), family=family, backlog=BACKLOG
+        )
+    except OSError as error:
+        raise ListenError(
+            f"cannot listen on {host} port {port}: {error.strerror}; end the"
+            " process that uses it, or change the address in the settings"
+        ) from error
--- a/src/peridotbend/adapters/settings.py
+++ b/src/peridotbend/adapters/settings.py
@@ -27,6 +27,8 @@
     ("PERIDOTBEND_SETTINGS", "PERIDOTBEND_OPERATOR_URL")
 )
 MAX_SETTINGS_BYTES = 65_536
+# Settings that are numbers without a unit, beside the ports.
+COUNTS = frozenset(("max_connections", "max_records", "max_waiting"))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +55,10 @@
     max_waiting: int
     # Most bytes of the headers of one call.
     max_header_bytes: int
+    # Most connections of callers.
+    max_connections: int
+    # Most bytes of request bodies in memory, before and while they wait.
+    max_body_bytes: int
     log_level: str
     # Longest wait for dispatched requests at shutdown.
     drain_timeout_ms: int
@@ -104,6 +110,8 @@
     max_answers: Size = 64 << 20
     max_waiting: Positive = 1_024
     max_header: Size = 16 << 10
+    max_connections: Positive = 4_096
+    max_bodies: Size = 64 << 20
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     drain_timeout: Duration = 600_000
 
@@ -205,7 +213,7 @@
 
 def _read_variable(field: str, value: str) -> object:
     """Reads digits as a number where the setting is one."""
-    numeric = field.endswith("_port") or field in ("max_records", "max_waiting")
+    numeric = field.endswith("_port") or field in COUNTS
     digits = value.isascii() and value.isdecimal() and len(value) < 18
     return int(value) if numeric and digits else value
 
@@ -236,6 +244,8 @@
         max_answer_bytes=shape.max_answers,
         max_waiting=shape.max_waiting,
         max_header_bytes=shape.max_header,
+        max_connections=shape.max_connections,
+        max_body_bytes=shape.max_bodies,
         log_level=shape.log_level,
         drain_timeout_ms=shape.drain_timeout,
     )
--- a/src/peridotbend/daemon.py
+++ b/src/peridotbend/daemon.py
@@ -9,17 +9,20 @@
 import json
 import signal
 import sys
+from typing import NoReturn
 
 import anyio
 import click
 from result import Err
 
 from peridotbend.adapters.logs import StructuredLog
+from peridotbend.adapters.serving import ListenError
 from peridotbend.adapters.settings import NodeSettings, load_settings
 from peridotbend.domain.ports import EventLog
-from peridotbend.node import Node
+from peridotbend.node import Node, TextFileError
 
 EXIT_BAD_SETTINGS = 1
+EXIT_CANNOT_LISTEN = 3
 
 
 @click.command()
@@ -34,7 +37,7 @@
     """Serves callers, peers and operators until SIGTERM has drained it.
 
     Prints one line of JSON with the bound ports when it is ready to serve.
-    Exit codes: 0 drained, 1 bad settings, 2 bad usage.
+    Exit codes: 0 drained, 1 bad settings, 2 bad usage, 3 an address is in use.
     """
     loaded = load_settings(path, os.environ)
     if isinstance(loaded, Err):
@@ -43,7 +46,20 @@
         sys.exit(EXIT_BAD_SETTINGS)
     settings = loaded.ok_value
     log = StructuredLog(settings.log_level, instance=settings.name)
-    anyio.run(run_node, settings, log, backend_options={"use_uvloop": True})
+    try:
+        anyio.run(run_node, settings, log, backend_options={"use_uvloop": True})
+    except* TextFileError as failed:
+        _exit(failed, EXIT_BAD_SETTINGS)
+    except* ListenError as failed:
+        _exit(failed, EXIT_CANNOT_LISTEN)
+
+
+def _exit(failed: BaseExceptionGroup[Exception], code: int) -> NoReturn:
+    error: BaseException = failed
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    click.echo(str(error), err=True)
+    sys.exit(code)
 
 
 async def run_node(settings: NodeSettings, log: EventLog) -> None:
--- a/src/peridotbend/domain/kinds.py
+++ b/src/peridotbend/domain/kinds.py
@@ -38,28 +38,37 @@
         """Returns the service of a kind of this text."""
         return self._services[kind.service]
 
-    def max_body_bytes(self, path: str) -> int:
-        """Returns the largest body that any kind on a path accepts."""
-        return max(
-            (kind.max_body_bytes for kind in self._on_path(path)), default=0
+    def find_body_limit(self, method: str, path: str) -> Result[int, Reason]:
+        """Returns the largest body that any kind of a route accepts."""
+        return self._on_route(method, path).map(
+            lambda kinds: max(kind.max_body_bytes for kind in kinds)
         )
 
+    def list_methods(self, path: str) -> tuple[str, ...]:
+        """Returns the methods of a path."""
+        return tuple(sorted({kind.method for kind in self._on_path(path)}))
+
     def match(
         self, method: str, path: str, body: bytes
     ) -> Result[Kind, Reason]:
         """Returns the kind that a call belongs to, or why there is none."""
-        kinds = self._on_path(path)
-        if not kinds:
-            return Err(Reason.UNKNOWN_KIND)
-        kinds = [kind for kind in kinds if kind.method == method]
-        if not kinds:
-            return Err(Reason.WRONG_METHOD)
+        found = self._on_route(method, path)
+        if isinstance(found, Err):
+            return found
+        kinds = found.ok_value
         if any(kind.model for kind in kinds):
             matched = _match_model(kinds, body)
         else:
             matched = Ok(kinds[0])
         return matched.and_then(lambda kind: _check_size(kind, body))
 
+    def _on_route(self, method: str, path: str) -> Result[list[Kind], Reason]:
+        kinds = self._on_path(path)
+        if not kinds:
+            return Err(Reason.UNKNOWN_KIND)
+        kinds = [kind for kind in kinds if kind.method == method]
+        return Ok(kinds) if kinds else Err(Reason.WRONG_METHOD)
+
     def _on_path(self, path: str) -> list[Kind]:
         path = path.partition("?")[0]
         return self._exact.get(path) or [
--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -83,11 +83,31 @@
             return Err(NotRun(Reason.NO_TEXT, UNREACHABLE_RETRY_MS))
         return self._kinds.match(method, path, body).map_err(NotRun)
 
-    def max_body_bytes(self, path: str) -> int:
-        """Returns the largest body that any kind on this path accepts."""
+    def find_body_limit(self, method: str, path: str) -> Result[int, Verdict]:
+        """Returns the largest body accepted on a route, or a refusal."""
         if self._kinds is None:
-            return 0
-        return self._kinds.max_body_bytes(path)
+            return Err(NotRun(Reason.NO_TEXT, UNREACHABLE_RETRY_MS))
+        return self._kinds.find_body_limit(method, path).map_err(NotRun)
+
+    def list_methods(self, path: str) -> tuple[str, ...]:
+        """Returns the methods of a path."""
+        return self._kinds.list_methods(path) if self._kinds else ()
+
+    def judge_refusal(self, key: str, refusal: Verdict) -> Verdict:
+        """Returns what the refusal of a call means for the ID it carries.
+
+        The call did not run, but an earlier call with the same ID may have.
+        """
+        request_id = parse_request_id(key) if key else None
+        if request_id is None or not isinstance(refusal, NotRun):
+            return refusal
+        record = self._ports.table.find(key)
+        if record is not None:
+            if record.state in (RecordState.RESERVED, RecordState.NOT_RUN):
+                return refusal
+        elif self._is_forged(request_id):
+            return refusal
+        return MayHaveRun(refusal.reason, refusal.retry_after_ms)
 
     def reserve(
         self, account: str, service: str, kind_name: str
@@ -107,7 +127,8 @@
         """Serves a caller's request; the last part carries the verdict."""
         matched = self.match_kind(call.method, call.path, call.body)
         if isinstance(matched, Err):
-            yield AnswerPart(verdict=matched.err_value)
+            refusal = self.judge_refusal(call.key, matched.err_value)
+            yield AnswerPart(verdict=refusal)
             return
         kind = matched.ok_value
         decision = self._policy.decide(call.key, kind)
@@ -238,8 +259,9 @@
 
     def forget_expired(self) -> None:
         """Drops expired records and the callers' keys that named them."""
-        if self._ports.table.sweep():
-            table = self._ports.table
+        table = self._ports.table
+        # The table also drops records to make room, without a sweep.
+        if table.sweep() or len(self._own_keys) > len(table):
             self._own_keys = {
                 key: token
                 for key, token in self._own_keys.items()
@@ -259,10 +281,14 @@
             return Ok(record)
         if not self._minter.is_own(request_id):
             return None
-        if not self._minter.verify(request_id):
+        if self._is_forged(request_id):
             return Err(NotRun(Reason.FORGED_ID))
         return Err(MayHaveRun(Reason.FORGOTTEN))
 
+    def _is_forged(self, request_id: RequestId) -> bool:
+        own = self._minter.is_own(request_id)
+        return own and not self._minter.verify(request_id)
+
     async def _start_and_follow(
         self, record: RequestRecord, kind: Kind, call: CallerCall
     ) -> AsyncGenerator[AnswerPart]:
--- a/src/peridotbend/inspection.py
+++ b/src/peridotbend/inspection.py
@@ -52,6 +52,8 @@
         "platform_calls_per_s": node.platform.calls_per_s(),
         "records": len(node.table),
         "answer_bytes": node.table.budget.used_bytes,
+        "connections": node.caller_server.count_connections(),
+        "body_bytes": node.caller_app.bodies.used_bytes,
         "peers": [
             {"peer": peer.name, "zone": peer.zone, "draining": peer.draining}
             for peer in node.roster.live_peers()
@@ -71,6 +73,17 @@
         "membership": node.roster.dump(),
         "scheduler": node.scheduler.dump(),
         "quarantine": list_quarantine(node),
+        "targets": [
+            {
+                "target": target.name,
+                "service": target.service,
+                "zone": target.zone,
+                "address": f"{target.host}:{target.port}",
+                # Recorded only: requests carry no fencing number.
+                "checks_fencing": target.checks_fencing,
+            }
+            for target in node.targets
+        ],
         "records": [describe_record(node, record) for record in records],
     }
 
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from peridotbend.adapters.callers import CallerApp, CallerSettings
+from peridotbend.adapters.connections import ConnectionLimits
 from peridotbend.adapters.loads import LoadPoller
 from peridotbend.adapters.metrics import PrometheusMeter
 from peridotbend.adapters.operators import OperatorApp
@@ -53,6 +54,10 @@
 DRAIN_POLL_S = 0.05
 
 
+class TextFileError(Exception):
+    """The text of the settings cannot be read."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListenPorts:
     """The ports that a node listens on."""
@@ -113,6 +118,11 @@
             await self._drain_requests()
             tasks.cancel_scope.cancel()
 
+    @property
+    def targets(self) -> tuple[Target, ...]:
+        """The targets of the text in force."""
+        return tuple(self._targets.values())
+
     def start_drain(self) -> None:
         """Begins a graceful shutdown; returns at once."""
         self._drain.set()
@@ -138,14 +148,24 @@
             peer_port,
         )
         await self._load_text_file()
-        caller_app = CallerApp(
+        self.caller_app = CallerApp(
             self.service,
-            CallerSettings(self.settings.max_header_bytes),
+            CallerSettings(
+                max_header_bytes=self.settings.max_header_bytes,
+                max_body_bytes=self.settings.max_body_bytes,
+            ),
             self._log,
         )
         operator_app = OperatorApp(make_operator_hooks(self))
-        self._caller_server = HttpServer(caller_app, caller_socket)
-        tasks.start_soon(self._caller_server.run)
+        self.caller_server = HttpServer(
+            self.caller_app,
+            caller_socket,
+            ConnectionLimits(
+                max_connections=self.settings.max_connections,
+                max_header_bytes=self.settings.max_header_bytes,
+            ),
+        )
+        tasks.start_soon(self.caller_server.run)
         tasks.start_soon(HttpServer(operator_app, operator_socket).run)
         tasks.start_soon(self.links.run)
         tasks.start_soon(self.sync.run)
@@ -246,9 +266,17 @@
 
     async def _load_text_file(self) -> None:
         """Offers the text of the settings, for a start without platform."""
-        if self.settings.text_file:
-            path = anyio.Path(self.settings.text_file)
-            await self.sync.offer_source(await path.read_text("utf-8"))
+        if not self.settings.text_file:
+            return
+        path = anyio.Path(self.settings.text_file)
+        try:
+            source = await path.read_text("utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise TextFileError(
+                f"text_file: {path} cannot be read: {error}; pass the path of"
+                " a readable UTF-8 file"
+            ) from error
+        await self.sync.offer_source(source)
 
     def _apply_text(self, text: FleetText) -> None:
         self.scheduler.apply_text(text)
@@ -308,7 +336,7 @@
             if self._has_heir():
                 await self.transfer.copy_ended(self.peers.hand_over)
             # Waits for the callers that still read their answers.
-            await self._caller_server.stop()
+            await self.caller_server.stop()
         self._log.emit(
             Event.DRAIN_FINISHED,
             unfinished=self.transfer.count_unfinished(),
