Bound what load reports can do to their reader

Cause: a report with the number 1e999 raised OverflowError and ended the process; a number of hundreds of digits would do so later in the estimates; a report that trickled in held up the round of all targets. Change: counts are clamped to 0..1e9, the whole poll is bounded in time. Conclusion: shown by tests/test_loads.py.

--- a/src/peridotbend/adapters/loads.py
+++ b/src/peridotbend/adapters/loads.py
@@ -12,6 +12,7 @@
 
 POLL_INTERVAL_S = 1.0
 POLL_TIMEOUT_MS = 800
+MAX_COUNT = 10**9
 MAX_REPORT_BYTES = 4_096
 # A poll costs about as much as a request; more targets are polled in turn.
 MAX_POLLS_PER_ROUND = 64
@@ -52,7 +53,7 @@
         while True:
             async with anyio.create_task_group() as tasks:
                 for target in self._take_round():
-                    tasks.start_soon(self._poll, target)
+                    tasks.start_soon(self._poll_bounded, target)
                 await anyio.sleep(POLL_INTERVAL_S)
 
     def _take_round(self) -> list[Target]:
@@ -63,6 +64,12 @@
         self._next = start + MAX_POLLS_PER_ROUND
         return (runners + runners)[start : start + MAX_POLLS_PER_ROUND]
 
+    async def _poll_bounded(self, target: Target) -> None:
+        # The timeout of the call is for each read; a report that trickles in
+        # would hold up the round of all targets.
+        with anyio.move_on_after(POLL_TIMEOUT_MS / 1_000):
+            await self._poll(target)
+
     async def _poll(self, target: Target) -> None:
         call = TargetCall("GET", "/v1/load", (), b"", POLL_TIMEOUT_MS)
         body = b""
@@ -89,9 +96,14 @@
         document = json.loads(body)
         return LoadReport(
             0,
-            int(document["running"]),
-            int(document["waiting_tokens"]),
+            _bound(document["running"]),
+            _bound(document["waiting_tokens"]),
             str(document["incarnation"]),
         )
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return None
+
+
+def _bound(count: float) -> int:
+    """Returns a count that the estimates can add up as numbers."""
+    return min(max(0, int(count)), MAX_COUNT)
