Keep io_uring out of the daemon's event loop

The tests of the edge run on the daemon's loop. Ruled out: asyncio's loop everywhere, before its cost is measured. Figures: UV_USE_IO_URING=0 and a uvloop loop, descriptors named io_uring: 0.21.0 none, 0.22.1 none, 0.23.0 one.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -19,6 +19,10 @@
 OTHER_FILES = 256
 # Time for a caller to read a refusal before the connection is closed.
 LINGER_S = 1.0
+# For calls whose headers were not all seen, so that they may carry an ID.
+EARLIER_CALL = (
+    " This call did not run; an earlier one with the same ID may have."
+)
 _KEY_HEADER = b"idempotency-key"
 _PHRASES = {
     400: "Bad Request",
@@ -152,20 +156,22 @@
 
     def send_400_response(self, msg: str) -> None:
         """Refuses what is no HTTP."""
-        self._refuse(
-            400,
-            self._judge(Reason.BAD_INPUT),
+        verdict = self._judge(Reason.BAD_INPUT)
+        message = (
             "This is no valid HTTP/1.1 request; correct its request line,"
-            " headers or framing.",
+            " headers or framing."
         )
+        if isinstance(verdict, MayHaveRun):
+            message += EARLIER_CALL
+        self._refuse(400, verdict, message)
 
     def _refuse_headers(self) -> None:
         limit = self._limits.max_header_bytes
         self._refuse(
             431,
             MayHaveRun(Reason.TOO_LARGE),
-            f"The headers are larger than {limit} bytes; send fewer. This call"
-            " did not run; an earlier one with the same ID may have.",
+            f"The headers are larger than {limit} bytes; send fewer."
+            + EARLIER_CALL,
         )
 
     def _end_slow_headers(self) -> None:
@@ -176,8 +182,8 @@
         self._refuse(
             408,
             MayHaveRun(Reason.BAD_INPUT),
-            "The headers did not arrive in time; send them faster. This call"
-            " did not run; an earlier one with the same ID may have.",
+            "The headers did not arrive in time; send them faster."
+            + EARLIER_CALL,
         )
 
     def _judge(self, reason: Reason) -> Verdict:
--- a/src/peridotbend/daemon.py
+++ b/src/peridotbend/daemon.py
@@ -6,6 +6,7 @@
 os.environ["UV_USE_IO_URING"] = "0"
 
 import dataclasses
+import importlib.metadata
 import json
 import signal
 import sys
@@ -21,6 +22,12 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.node import Node, TextFileError
 
+# From 0.23 on, uvloop opens an io_uring whatever the variable says; the
+# loop of asyncio takes its place there.
+BACKEND_OPTIONS = {
+    "use_uvloop": importlib.metadata.version("uvloop").split(".")[:2]
+    <= ["0", "22"]
+}
 EXIT_BAD_SETTINGS = 1
 EXIT_CANNOT_LISTEN = 3
 
@@ -47,7 +54,7 @@
     settings = loaded.ok_value
     log = StructuredLog(settings.log_level, instance=settings.name)
     try:
-        anyio.run(run_node, settings, log, backend_options={"use_uvloop": True})
+        anyio.run(run_node, settings, log, backend_options=BACKEND_OPTIONS)
     except* TextFileError as failed:
         _exit(failed, EXIT_BAD_SETTINGS)
     except* ListenError as failed:
--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -13,6 +13,7 @@
 import yaml
 
 from peridotbend.adapters.settings import load_settings
+from peridotbend.daemon import BACKEND_OPTIONS
 from peridotbend.node import Node
 from tests.peernodes import RecordingLog
 
@@ -307,4 +308,4 @@
                 await test(edge)
                 await edge.check_nothing_leaked()
 
-    anyio.run(run_bounded)
+    anyio.run(run_bounded, backend_options=BACKEND_OPTIONS)
