--- a/src/peridotbend/adapters/answerheads.py
+++ b/src/peridotbend/adapters/answerheads.py
@@ -3,7 +3,6 @@
 import json
 
 from peridotbend.domain.ports import AnswerHead
-from peridotbend.domain.streams import find_header
 from peridotbend.domain.verdicts import Verdict
 
 VERDICT_EVENT = "peridotbend-verdict"
@@ -42,11 +41,6 @@
     return [*list_headers(head, token), ("Cache-Control", "no-store")]
 
 
-def is_event_stream(head: AnswerHead) -> bool:
-    """Tells whether an answer is sent as it arrives."""
-    return find_header(head, "content-type").startswith("text/event-stream")
-
-
 def format_verdict_event(verdict: Verdict) -> bytes:
     """Returns the last event of a stream."""
     document = {
--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -1,260 +1,99 @@
-"""A connection of a caller: bounds and refusals below the application."""
+"""Keeps the HTTP connections to targets that are free for the next call."""
 
-import asyncio
-import dataclasses
-import json
-import resource
-from typing import Any
+from collections import OrderedDict
 
-from uvicorn.config import Config
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
-from uvicorn.server import ServerState
+import anyio
+import httpcore
 
-from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
+from peridotbend.adapters.sockets import connect
 
-# Connections above the limit that are kept for the time of one refusal; those
-# above both are closed without an answer.
-MAX_OVER_LIMIT = 256
-# Files that are left to peers, targets and the platform.
-OTHER_FILES = 256
-# Time for a caller to read a refusal before the connection is closed.
-LINGER_S = 1.0
-# For calls whose headers were not all seen, so that they may carry an ID.
-EARLIER_CALL = (
-    " This call did not run; an earlier one with the same ID may have."
-)
-_KEY_HEADER = b"idempotency-key"
-_PHRASES = {
-    400: "Bad Request",
-    408: "Request Timeout",
-    431: "Request Header Fields Too Large",
-}
+MAX_CONNECTIONS = 4_096
+MAX_IDLE_CONNECTIONS = 256
+KEEPALIVE_EXPIRY_S = 20.0
 
+Connection = httpcore.AsyncHTTP11Connection
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """Bounds of the connections of one listener."""
 
-    # About 7 KB of memory each while idle, 11 KB with one answered request.
-    max_connections: int = 2_048
-    max_header_bytes: int = 16_384
-    # From the first byte, or from the connect, to the end of the headers.
-    header_timeout_s: float = 10.0
-    # How long a caller may read nothing of an answer.
-    write_stall_s: float = 30.0
+class ConnectionPool:
+    """Connections by target, each used by one call at a time.
 
-    def fit_open_files(self) -> "ConnectionLimits":
-        """Returns limits that the process has file descriptors for."""
-        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        room = max(1, files - MAX_OVER_LIMIT - OTHER_FILES)
-        if files == resource.RLIM_INFINITY or room >= self.max_connections:
-            return self
-        return dataclasses.replace(self, max_connections=room)
-
-
-class BoundedConnection(HttpToolsProtocol):
-    """uvicorn's protocol with bounds on headers, time and connections.
-
-    uvicorn itself reads headers of any size for any time, answers what it
-    cannot parse in plain text, and waits for ever for a caller that does not
-    read.
+    httpcore's own pool looks at every pair of its connections, with a system
+    call for each, whenever a call starts or ends; this one looks only at the
+    connections that it takes or drops.
     """
 
-    def __init__(
-        self,
-        limits: ConnectionLimits,
-        config: Config,
-        server_state: ServerState,
-        app_state: dict[str, Any],
-        _loop: asyncio.AbstractEventLoop | None = None,
-    ):
-        super().__init__(config, server_state, app_state, _loop)
-        self._limits = limits
-        self._last_read = b""
-        self._messages_begun = 0
-        self._in_headers = False
-        # Bytes of headers from reads after the one in which they began.
-        self._header_bytes = 0
-        # True once a refusal was sent and the rest of the input is dropped.
-        self._refused = False
-        self._header_timer: asyncio.TimerHandle | None = None
-        self._stall_timer: asyncio.TimerHandle | None = None
-
-    def connection_made(  # type: ignore[override]
-        self, transport: asyncio.Transport
+    def __init__(self) -> None:
+        self._places = anyio.Semaphore(MAX_CONNECTIONS, fast_acquire=True)
+        # Of all targets; the one that was free for the longest time first.
+        self._idle: OrderedDict[Connection, httpcore.Origin] = OrderedDict()
+        self._idle_by_target: dict[tuple[bytes, int], list[Connection]] = {}
+
+    async def take(
+        self, origin: httpcore.Origin, reuse: bool, timeout_s: float
+    ) -> Connection:
+        """Returns a connection that no other call uses.
+
+        Raises:
+            httpcore.TimeoutException: no connection in time.
+            httpcore.NetworkError: the target refused the connection.
+        """
+        idle = self._idle_by_target.get((origin.host, origin.port), ())
+        while reuse and idle:
+            connection = idle[-1]
+            self._forget(connection)
+            # Reports a connection that the target has closed, too.
+            if not connection.has_expired():
+                return connection
+            await self._close(connection)
+        return await self._connect(origin, timeout_s)
+
+    async def release(
+        self, connection: Connection, origin: httpcore.Origin, reuse: bool
     ) -> None:
-        """Takes a connection, or closes it far above the limit."""
-        super().connection_made(transport)
-        excess = len(self.connections) - self._limits.max_connections
-        if excess > MAX_OVER_LIMIT:
-            transport.abort()
-            return
-        if excess > 0:
-            # The application refuses: only it sees which ID a call carries.
-            self.app_state = {**self.app_state, "over_limit": True}
-        self._watch_headers()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Forgets the connection."""
-        super().connection_lost(exc)
-        self._stop_header_timer()
-        self._stop_stall_timer()
-        self._refused = True
-
-    def data_received(self, data: bytes) -> None:
-        """Parses what arrived, unless the connection was refused."""
-        if self._refused:
+        """Keeps a connection for later calls, or closes it."""
+        if not reuse or not connection.is_idle():
+            await self._close(connection)
             return
-        counted = self._messages_begun if self._in_headers else 0
-        self._last_read = data
-        super().data_received(data)
-        self._last_read = b""
-        if self._in_headers and counted == self._messages_begun:
-            self._header_bytes += len(data)
-            if self._header_bytes > self._limits.max_header_bytes:
-                self._refuse_headers()
-        elif not self._is_busy():
-            # Bytes that begin no request, such as empty lines, count as one.
-            self._watch_headers()
-
-    def on_message_begin(self) -> None:
-        """Notes that headers begin."""
-        super().on_message_begin()
-        self._messages_begun += 1
-        self._in_headers = True
-        self._header_bytes = 0
-        self._watch_headers()
-
-    def on_headers_complete(self) -> None:
-        """Starts the request."""
-        self._in_headers = False
-        self._stop_header_timer()
-        super().on_headers_complete()
-
-    def on_response_complete(self) -> None:
-        """Goes on with the next request, or sees the connection closed."""
-        super().on_response_complete()
-        if self.transport.is_closing():
-            self._watch_reader()
-
-    def timeout_keep_alive_handler(self) -> None:
-        """Closes an idle connection, also when the answer was not read."""
-        if self.transport.get_write_buffer_size():
-            self.transport.abort()
-        else:
-            super().timeout_keep_alive_handler()
-
-    def pause_writing(self) -> None:
-        """Stops the application until the caller has read."""
-        super().pause_writing()
-        self._watch_reader()
-
-    def resume_writing(self) -> None:
-        """Lets the application send again."""
-        super().resume_writing()
-        if not self.transport.is_closing():
-            self._stop_stall_timer()
-
-    def send_400_response(self, msg: str) -> None:
-        """Refuses what is no HTTP."""
-        verdict = self._judge(Reason.BAD_INPUT)
-        message = (
-            "This is no valid HTTP/1.1 request; correct its request line,"
-            " headers or framing."
-        )
-        if isinstance(verdict, MayHaveRun):
-            message += EARLIER_CALL
-        self._refuse(400, verdict, message)
-
-    def _refuse_headers(self) -> None:
-        limit = self._limits.max_header_bytes
-        self._refuse(
-            431,
-            MayHaveRun(Reason.TOO_LARGE),
-            f"The headers are larger than {limit} bytes; send fewer."
-            + EARLIER_CALL,
-        )
-
-    def _end_slow_headers(self) -> None:
-        self._header_timer = None
-        if not self._in_headers and not self._is_busy():
-            self.transport.close()
-            return
-        self._refuse(
-            408,
-            MayHaveRun(Reason.BAD_INPUT),
-            "The headers did not arrive in time; send them faster."
-            + EARLIER_CALL,
-        )
-
-    def _judge(self, reason: Reason) -> Verdict:
-        """Returns "not run" only when surely no ID was sent."""
-        headers = self.headers or []
-        named = any(name == _KEY_HEADER for name, _ in headers)
-        named = named or _KEY_HEADER in self._last_read.lower()
-        ended = b"\n\r\n" in self._last_read or b"\n\n" in self._last_read
-        if named or (self._in_headers and not ended):
-            return MayHaveRun(reason)
-        return NotRun(reason)
-
-    def _is_busy(self) -> bool:
-        cycle = self.cycle
-        return cycle is not None and not cycle.response_complete
-
-    def _refuse(self, status: int, verdict: Verdict, message: str) -> None:
-        """Answers in place of the application and closes the connection."""
-        self._refused = True
-        self._stop_header_timer()
-        cycle = self.cycle
-        if self._is_busy():
-            # Anything written now would be taken for the answer of the
-            # request before, unless that one still sends its body.
-            if self.pipeline or not cycle.more_body or cycle.response_started:
-                cycle.keep_alive = False
+        self._idle[connection] = origin
+        key = (origin.host, origin.port)
+        self._idle_by_target.setdefault(key, []).append(connection)
+        while self._idle:
+            oldest = next(iter(self._idle))
+            is_over = len(self._idle) > MAX_IDLE_CONNECTIONS
+            if not is_over and not oldest.has_expired():
                 return
-            cycle.disconnected = True
-            cycle.message_event.set()
-        assert verdict.reason is not None
-        error = {
-            "code": verdict.reason.value,
-            "message": message,
-            "verdict": verdict.label,
-            "request": None,
-            "retry_after_ms": 0,
-        }
-        body = json.dumps({"error": error}).encode()
-        head = (
-            f"HTTP/1.1 {status} {_PHRASES[status]}\r\n"
-            f"peridotbend-verdict: {verdict.label}\r\n"
-            "content-type: application/json\r\n"
-            f"content-length: {len(body)}\r\n"
-            "connection: close\r\n\r\n"
-        )
-        self.transport.write(head.encode() + body)
-        self._stop_stall_timer()
-        self._stall_timer = self.loop.call_later(LINGER_S, self._abort)
-
-    def _watch_headers(self) -> None:
-        if self._header_timer is None:
-            self._header_timer = self.loop.call_later(
-                self._limits.header_timeout_s, self._end_slow_headers
-            )
-
-    def _watch_reader(self) -> None:
-        if self._stall_timer is None:
-            self._stall_timer = self.loop.call_later(
-                self._limits.write_stall_s, self._abort
-            )
-
-    def _abort(self) -> None:
-        self.transport.abort()
-
-    def _stop_header_timer(self) -> None:
-        if self._header_timer is not None:
-            self._header_timer.cancel()
-            self._header_timer = None
-
-    def _stop_stall_timer(self) -> None:
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
-            self._stall_timer = None
+            self._forget(oldest)
+            await self._close(oldest)
+
+    async def aclose(self) -> None:
+        """Closes the connections that are free."""
+        for connection in list(self._idle):
+            self._forget(connection)
+            await self._close(connection)
+
+    def _forget(self, connection: Connection) -> None:
+        origin = self._idle.pop(connection)
+        key = (origin.host, origin.port)
+        idle = self._idle_by_target[key]
+        idle.remove(connection)
+        if not idle:
+            del self._idle_by_target[key]
+
+    async def _connect(
+        self, origin: httpcore.Origin, timeout_s: float
+    ) -> Connection:
+        try:
+            with anyio.fail_after(timeout_s):
+                await self._places.acquire()
+        except TimeoutError as error:
+            raise httpcore.PoolTimeout("all connections are in use") from error
+        try:
+            stream = await connect(origin.host.decode(), origin.port, timeout_s)
+        except BaseException:
+            self._places.release()
+            raise
+        return Connection(origin, stream, KEEPALIVE_EXPIRY_S)
+
+    async def _close(self, connection: Connection) -> None:
+        self._places.release()
+        await connection.aclose()
--- a/src/peridotbend/adapters/exchanges.py
+++ b/src/peridotbend/adapters/exchanges.py
@@ -18,6 +18,7 @@
 from peridotbend.adapters.messages import explain_reason
 from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.ports import AnswerHead, AnswerPart
+from peridotbend.domain.streams import is_event_stream
 from peridotbend.domain.verdicts import (
     STATUS_BY_REASON,
     Completed,
@@ -159,7 +160,7 @@
             self.token = part.request_id or self.token
             if part.head is not None:
                 head = part.head
-                streaming = answerheads.is_event_stream(head)
+                streaming = is_event_stream(head)
                 if streaming:
                     await self._begin(
                         answerheads.find_status(head),
--- a/src/peridotbend/adapters/messages.py
+++ b/src/peridotbend/adapters/messages.py
@@ -45,6 +45,7 @@
         " or with a longer deadline."
     ),
     Reason.DRAINING: "This instance is shutting down; send the call again.",
+    Reason.CALLER_GONE: "The caller left before it could know the ID.",
     Reason.NO_TARGET: (
         "No target of this service can be reached; try again later."
     ),
--- a/src/peridotbend/adapters/serving.py
+++ b/src/peridotbend/adapters/serving.py
@@ -10,7 +10,7 @@
 import anyio
 import uvicorn
 
-from peridotbend.adapters.connections import (
+from peridotbend.adapters.boundedconnections import (
     BoundedConnection,
     ConnectionLimits,
 )
--- a/src/peridotbend/adapters/settings.py
+++ b/src/peridotbend/adapters/settings.py
@@ -55,13 +55,13 @@
     max_waiting: int
     # Most bytes of the headers of one call.
     max_header_bytes: int
-    # Most connections of callers.
-    max_connections: int
-    # Most bytes of request bodies in memory, before and while they wait.
-    max_body_bytes: int
     log_level: str
     # Longest wait for dispatched requests at shutdown.
     drain_timeout_ms: int
+    # Most connections of callers.
+    max_connections: int = 2_048
+    # Most bytes of request bodies in memory, before and while they wait.
+    max_body_bytes: int = 32 << 20
 
 
 def _check_ip(value: str) -> str:
--- a/src/peridotbend/domain/answers.py
+++ b/src/peridotbend/domain/answers.py
@@ -1,9 +1,8 @@
 """Answers kept in bounded memory so that callers can fetch them again."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
-import anyio
-
 from peridotbend.domain.ports import AnswerHead, AnswerPart
 from peridotbend.domain.verdicts import Completed, Reason, Verdict
 
@@ -40,7 +39,9 @@
         self.evicted = False
         self._evicted_bytes = 0
         self._data = bytearray()
-        self._changed: anyio.Event | None = None
+        # Bare futures: an event of anyio costs ten times as much to make,
+        # and a stream needs one for each token.
+        self._waiting: list[asyncio.Future[None]] = []
 
     def __len__(self) -> int:
         return len(self._data)
@@ -62,7 +63,7 @@
     def append(self, data: bytes) -> None:
         """Adds bytes to the body."""
         self._data += data
-        if self._changed is not None:
+        if self._waiting:
             self._wake()
 
     def end(self, verdict: Verdict) -> None:
@@ -107,13 +108,22 @@
             return Completed(Reason.ANSWER_EVICTED)
         return self.verdict
 
+    def count_waiting(self) -> int:
+        """Counts the readers that wait for more."""
+        return len(self._waiting)
+
     async def wait(self) -> None:
         """Waits until something was added."""
-        if self._changed is None:
-            self._changed = anyio.Event()
-        await self._changed.wait()
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiting.append(waiter)
+        try:
+            await waiter
+        finally:
+            if waiter.cancelled() and waiter in self._waiting:
+                self._waiting.remove(waiter)
 
     def _wake(self) -> None:
-        changed, self._changed = self._changed, None
-        if changed is not None:
-            changed.set()
+        waiting, self._waiting = self._waiting, []
+        for waiter in waiting:
+            if not waiter.done():
+                waiter.set_result(None)
--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -44,10 +44,15 @@
 )
 
 RESUME_DELAYS_MS = (50, 200, 800)
+CANCEL_TIMEOUT_MS = 500
 # Pause before another target is tried after a failed connection.
 CONNECT_RETRY_DELAY_MS = 20
 SUSPECT_RETRY_MS = 2_000
 CAPACITY_RETRY_MS = 1_000
+# A caller that learns of a crash can send the request again at once, through
+# an instance that has not heard of it: four engines died within 74 ms that
+# way. By the end of this time the digests have told all connected peers.
+CRASH_HOLD_MS = 200
 
 
 class TargetHealth(Protocol):
@@ -126,7 +131,14 @@
                     # Left alone, it would end the process and with it all
                     # other requests.
                     verdict = self._judge_error(record, error)
+                if verdict == MayHaveRun(Reason.TARGET_FAILED):
+                    await anyio.sleep(CRASH_HOLD_MS / 1000)
                 self._finish(job, verdict)
+            except anyio.get_cancelled_exc_class():
+                # The record expired, moved, or its caller left.
+                if record.answer.verdict is not None:
+                    self._count(job, record.answer.verdict)
+                raise
             finally:
                 record.scope = None
                 self._ports.table.trim_answer(record)
@@ -213,11 +225,15 @@
         return MayHaveRun(Reason.INTERNAL_ERROR)
 
     def _finish(self, job: Job, verdict: Verdict) -> None:
-        ports, record = self._ports, job.record
+        record = job.record
         if record.state is RecordState.HANDED_OVER or record.answer.ended:
             # The record moved away or expired while the attempt ended.
             return
         record.end(verdict)
+        self._count(job, verdict)
+
+    def _count(self, job: Job, verdict: Verdict) -> None:
+        ports, record = self._ports, job.record
         ports.meter.count_verdict(job.service.name, job.tier, verdict)
         if isinstance(verdict, Completed):
             if ports.clock.now_ms() <= record.deadline_at_ms:
@@ -262,6 +278,7 @@
         self._fingerprint = fingerprint
         self._on_trial = on_trial
         self._outcome = GrantOutcome.NOT_WRITTEN
+        self._stream: EventStream | None = None
 
     async def run(self) -> Verdict | None:
         """Calls the target; None means that nothing was written."""
@@ -273,6 +290,9 @@
             return NotRun(Reason.AT_CAPACITY, CAPACITY_RETRY_MS)
         try:
             return await self._call()
+        except anyio.get_cancelled_exc_class():
+            await self._cancel_stream()
+            raise
         finally:
             self._in_flight.end(self._target.name, record.log_key)
             self._grant.finish(self._outcome, self._learn_output_tokens())
@@ -288,6 +308,7 @@
             self._ports.health.record_target_success(self._target.name)
             self._job.record.answer.begin(answer.head)
             stream = EventStream(self._job.record.answer, answer.head)
+            self._stream = stream
             broken = await self._relay(answer, stream)
         if broken is not None and stream.can_resume:
             broken = await self._resume(stream, broken)
@@ -391,6 +412,27 @@
                 return Err(None)
             return Ok(await self._relay(opened.ok_value, stream))
 
+    async def _cancel_stream(self) -> None:
+        """Tells the engine to stop an answer that nobody can fetch.
+
+        The prefill is lost either way; the decoding would only keep others
+        waiting.
+        """
+        if self._stream is None or not self._stream.can_resume:
+            return
+        call = TargetCall(
+            "DELETE",
+            f"/v1/streams/{self._stream.token}",
+            (),
+            b"",
+            CANCEL_TIMEOUT_MS,
+        )
+        with anyio.CancelScope(shield=True):
+            async with self._ports.targets.open(
+                self._target, call, lambda: True
+            ):
+                pass
+
     def _judge_unopened(self, error: CallError) -> Verdict | None:
         record = self._job.record
         if error.written:
--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -24,6 +24,7 @@
     RequestId,
     parse_request_id,
 )
+from peridotbend.domain.streams import is_event_stream
 from peridotbend.domain.text import FleetText, Kind
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 from peridotbend.domain.work import estimate_work
@@ -135,9 +136,12 @@
         if isinstance(decision, RefuseKey):
             yield AnswerPart(verdict=NotRun(decision.reason))
             return
-        if isinstance(decision, MintId | Coalesce):
-            own_key = decision.key if isinstance(decision, Coalesce) else ""
-            found = self._find_or_mint(call.account, own_key, kind)
+        if isinstance(decision, MintId):
+            found = self._mint(call.account, kind)
+            if isinstance(found, Ok):
+                found.ok_value.is_disclosed = False
+        elif isinstance(decision, Coalesce):
+            found = self._find_or_mint(call.account, decision.key, kind)
         else:
             local = self._find_local(decision.request_id, call.account)
             if local is None:
@@ -174,7 +178,12 @@
         elif record.state is RecordState.RESERVED:
             yield AnswerPart(verdict=NotRun(Reason.NOT_STARTED))
             return
-        elif call.may_start and _digest_peer_call(call) != record.digest:
+        elif (
+            call.may_start
+            # A reservation that moved away has no digest here.
+            and record.state is not RecordState.HANDED_OVER
+            and _digest_peer_call(call) != record.digest
+        ):
             yield AnswerPart(verdict=MayHaveRun(Reason.ID_REUSED))
             return
         async for part in self._follow(record, call.offset, peer=True):
@@ -246,8 +255,6 @@
     def _find_or_mint(
         self, account: str, own_key: str, kind: Kind
     ) -> Result[RequestRecord, Verdict]:
-        if not own_key:
-            return self._mint(account, kind)
         token = self._own_keys.get((account, own_key), "")
         known = self._ports.table.find(token)
         if known is not None:
@@ -303,8 +310,30 @@
             yield AnswerPart(verdict=refusal, request_id=record.token)
             return
         yield AnswerPart(request_id=record.token)
-        async for part in self._follow(record, 0, call=call):
-            yield part
+        try:
+            async for part in self._follow(record, 0, call=call):
+                begins = part.head is not None and is_event_stream(part.head)
+                if begins or part.verdict is not None:
+                    # The response headers with the ID go out with this part.
+                    record.is_disclosed = True
+                yield part
+        finally:
+            if not record.is_disclosed:
+                self._abandon(record)
+
+    def _abandon(self, record: RequestRecord) -> None:
+        """Ends a request whose caller left without knowing its ID.
+
+        Nobody can fetch its answer, so running it would be wasted work.
+        """
+        if record.answer.ended or record.state is RecordState.HANDED_OVER:
+            return
+        if record.state is RecordState.DISPATCHED:
+            record.end(MayHaveRun(Reason.CALLER_GONE))
+        else:
+            record.end(NotRun(Reason.CALLER_GONE))
+        if record.scope is not None:
+            record.scope.cancel()
 
     def _start(
         self, record: RequestRecord, kind: Kind, call: CallerCall
@@ -312,7 +341,8 @@
         if (record.service, record.kind) != (kind.service, kind.name):
             return NotRun(Reason.ID_REUSED)
         if not self._ports.table.reserve_answer(record, len(call.body)):
-            return NotRun(Reason.AT_CAPACITY, UNREACHABLE_RETRY_MS)
+            refusal = NotRun(Reason.AT_CAPACITY, UNREACHABLE_RETRY_MS)
+            return _refuse(record, call, refusal)
         deadline_ms = min(
             call.deadline_ms or kind.deadline_ms, kind.deadline_ms
         )
@@ -329,9 +359,10 @@
         self, record: RequestRecord, call: PeerCall
     ) -> Verdict | None:
         matched = self.match_kind(call.method, call.path, call.body)
+        caller_call = _make_caller_call(call)
         if isinstance(matched, Err):
-            return matched.err_value
-        return self._start(record, matched.ok_value, _make_caller_call(call))
+            return _refuse(record, caller_call, matched.err_value)
+        return self._start(record, matched.ok_value, caller_call)
 
     async def _follow(
         self,
@@ -419,6 +450,15 @@
         )
 
 
+def _refuse(
+    record: RequestRecord, call: CallerCall, refusal: Verdict
+) -> Verdict:
+    """Ends a request that did not start, so that no later copy runs."""
+    record.digest = digest_call(call)
+    record.end(refusal)
+    return refusal
+
+
 def _digest_parts(method: str, path: str, body: bytes) -> bytes:
     hasher = hashlib.blake2b(digest_size=16)
     hasher.update(f"{method} {path}\n".encode())
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -24,12 +24,17 @@
 
     A stream has about one event for each token; other answers say it.
     """
-    if find_header(head, "content-type").startswith("text/event-stream"):
+    if is_event_stream(head):
         return content.count(SEPARATOR)
     told = _USAGE.findall(content[-USAGE_TAIL_BYTES:])
     return int(told[-1]) if told else None
 
 
+def is_event_stream(head: AnswerHead) -> bool:
+    """Tells whether an answer consists of server-sent events."""
+    return find_header(head, "content-type").startswith("text/event-stream")
+
+
 class EventStream:
     """Appends whole events only, so that a broken stream can be resumed.
 
@@ -38,8 +43,7 @@
 
     def __init__(self, answer: AnswerBuffer, head: AnswerHead):
         self._answer = answer
-        content_type = find_header(head, "content-type")
-        self.is_events = content_type.startswith("text/event-stream")
+        self.is_events = is_event_stream(head)
         self.token = find_header(head, "engine-stream")
         self._partial = b""
         self._last_event = b""
@@ -64,6 +68,13 @@
         if not self.is_events:
             self._answer.append(data)
             return
+        if not self._partial and data.find(SEPARATOR) + 2 == len(data) > 1:
+            # The usual case: one event for each token.
+            if b"id:" in data:
+                self._last_event = data
+            self.is_complete = data == CLOSING_EVENT
+            self._answer.append(data)
+            return
         data = self._partial + data if self._partial else data
         end = data.rfind(SEPARATOR)
         if end < 0:
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -8,8 +8,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from peridotbend.adapters.boundedconnections import ConnectionLimits
 from peridotbend.adapters.callers import CallerApp, CallerSettings
-from peridotbend.adapters.connections import ConnectionLimits
 from peridotbend.adapters.loads import LoadPoller
 from peridotbend.adapters.metrics import PrometheusMeter
 from peridotbend.adapters.operators import OperatorApp
@@ -26,8 +26,8 @@
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.adapters.settings import NodeSettings
 from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.adapters.textcache import TextParser
 from peridotbend.adapters.textsync import TextSync
-from peridotbend.adapters.yamltext import parse_text
 from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.dispatch import Dispatcher, DispatchPorts
 from peridotbend.domain.events import Event
@@ -87,6 +87,7 @@
         self.roster = Roster(own, self.clock, log, self._rng)
         self.store = TextStore(self.clock, log)
         self.suspects = SuspectTable(self.clock)
+        self.suspects.subscribe(self.roster.notify_urgent)
         self.router = Router(self.clock, settings.zone)
         self.scheduler = Scheduler(
             self.clock,
@@ -240,7 +241,7 @@
             self.roster,
             platform,
             self.peers.fetch_text,
-            parse_text,
+            TextParser().parse,
             self.clock,
             self._rng,
             self._log,
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -21,7 +21,7 @@
 from peridotbend.domain.text import EngineType, FleetText, Service, Target
 from tests.scheduling import make_service
 
-GOOD = b'{"running": 2, "waiting_tokens": 30, "incarnation": "i"}'
+GOOD = b'{"at_ms": 5, "running": 2, "waiting_tokens": 30, "incarnation": "i"}'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from peridotbend.adapters.connections import ConnectionLimits
+from peridotbend.adapters.boundedconnections import ConnectionLimits
 from peridotbend.adapters.exchanges import Receive, Scope, Send
 from peridotbend.adapters.serving import HttpServer, ListenError, listen
 from peridotbend.daemon import BACKEND_OPTIONS
