--- a/tests/fakenode.py
+++ b/tests/fakenode.py
@@ -207,7 +207,7 @@
     async def _start(self, stack: AsyncExitStack, tasks: TaskGroup) -> None:
         self._build_service(stack, tasks)
         self.roster.set_address("127.0.0.1", self.port)
-        self._caller_server = self.callers  # type: ignore[assignment]
+        self.caller_server = self.callers  # type: ignore[assignment]
         for run in (
             self.links.run,
             self.sync.run,
