--- a/src/peridotbend/domain/answers.py
+++ b/src/peridotbend/domain/answers.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 
 from peridotbend.domain.ports import AnswerHead, AnswerPart
-from peridotbend.domain.verdicts import Verdict
+from peridotbend.domain.verdicts import Completed, Reason, Verdict
 
 
 class ByteBudget:
@@ -37,6 +37,7 @@
         self.delivered = False
         # True when the bytes were dropped to make room.
         self.evicted = False
+        self._evicted_bytes = 0
         self._data = bytearray()
         # Bare futures: an event of anyio costs ten times as much to make,
         # and a stream needs one for each token.
@@ -77,6 +78,7 @@
         size = len(self._data)
         self._data = bytearray()
         self.evicted = True
+        self._evicted_bytes = size
         return size
 
     async def read(self, offset: int = 0) -> AsyncIterator[AnswerPart]:
@@ -87,6 +89,8 @@
             # A copy of the new part only, so that a long answer costs O(n).
             data = bytes(memoryview(self._data)[offset:])
             verdict = self.verdict
+            if self.evicted and offset < self._evicted_bytes:
+                verdict = self.judge_evicted()
             if head is not None or data or verdict is not None:
                 head_sent = head_sent or head is not None
                 offset += len(data)
@@ -98,6 +102,12 @@
                 continue
             await self.wait()
 
+    def judge_evicted(self) -> Verdict | None:
+        """Returns the verdict for a reader that has not got all bytes."""
+        if isinstance(self.verdict, Completed):
+            return Completed(Reason.ANSWER_EVICTED)
+        return self.verdict
+
     def count_waiting(self) -> int:
         """Counts the readers that wait for more."""
         return len(self._waiting)
--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -27,7 +27,7 @@
 from peridotbend.domain.records import CallerCall, RequestRecord, RequestTable
 from peridotbend.domain.retries import RetryBudget
 from peridotbend.domain.scheduler import Grant, Scheduler
-from peridotbend.domain.streams import EventStream, is_event_stream
+from peridotbend.domain.streams import EventStream, count_output_tokens
 from peridotbend.domain.text import EngineType, Kind, Service, Target
 from peridotbend.domain.verdicts import (
     Completed,
@@ -36,7 +36,12 @@
     Reason,
     Verdict,
 )
-from peridotbend.domain.work import GrantOutcome, WorkEstimate, WorkItem
+from peridotbend.domain.work import (
+    GrantOutcome,
+    OutputLengthLearner,
+    WorkEstimate,
+    WorkItem,
+)
 
 RESUME_DELAYS_MS = (50, 200, 800)
 CANCEL_TIMEOUT_MS = 500
@@ -88,6 +93,8 @@
     tier: str
     call: CallerCall
     work: WorkEstimate
+    # Output tokens before the correction by what was learned.
+    output_limit: int
 
     @property
     def is_prompt(self) -> bool:
@@ -110,6 +117,7 @@
     def __init__(self, ports: DispatchPorts):
         self._ports = ports
         self.in_flight = InFlightTable()
+        self.outputs = OutputLengthLearner()
 
     async def run(self, job: Job) -> None:
         """Takes one request to its verdict and records it."""
@@ -117,7 +125,12 @@
         with anyio.CancelScope() as scope:
             record.scope = scope
             try:
-                verdict = await self._run_checked(job)
+                try:
+                    verdict = await self._run_checked(job)
+                except Exception as error:
+                    # Left alone, it would end the process and with it all
+                    # other requests.
+                    verdict = self._judge_error(record, error)
                 if verdict == MayHaveRun(Reason.TARGET_FAILED):
                     await anyio.sleep(CRASH_HOLD_MS / 1000)
                 self._finish(job, verdict)
@@ -201,6 +214,16 @@
             )
             await anyio.sleep(CONNECT_RETRY_DELAY_MS / 1000)
 
+    def _judge_error(self, record: RequestRecord, error: Exception) -> Verdict:
+        self._ports.log.emit(
+            Event.INTERNAL_ERROR,
+            request=record.token,
+            error=type(error).__name__,
+        )
+        if record.state is RecordState.QUEUED:
+            return NotRun(Reason.INTERNAL_ERROR)
+        return MayHaveRun(Reason.INTERNAL_ERROR)
+
     def _finish(self, job: Job, verdict: Verdict) -> None:
         record = job.record
         if record.state is RecordState.HANDED_OVER or record.answer.ended:
@@ -248,6 +271,7 @@
     ):
         self._ports = dispatcher.ports
         self._in_flight = dispatcher.in_flight
+        self._outputs = dispatcher.outputs
         self._job = job
         self._grant = grant
         self._target: Target = grant.target
@@ -271,7 +295,7 @@
             raise
         finally:
             self._in_flight.end(self._target.name, record.log_key)
-            self._grant.finish(self._outcome, self._count_output_tokens())
+            self._grant.finish(self._outcome, self._learn_output_tokens())
 
     async def _call(self) -> Verdict | None:
         call = self._make_call()
@@ -444,14 +468,19 @@
             detail=error.detail,
         )
 
-    def _count_output_tokens(self) -> int:
-        """Approximates generated tokens; a stream has one event for each."""
-        answer = self._job.record.answer
+    def _learn_output_tokens(self) -> int:
+        """Returns the tokens of a complete answer and notes how many came."""
+        job, answer = self._job, self._job.record.answer
         if self._outcome is not GrantOutcome.COMPLETED or answer.head is None:
             return 0
-        if is_event_stream(answer.head):
-            return answer.content().count(b"\n\n")
-        return self._job.work.output_tokens
+        # An error of the target tells nothing about the length of answers.
+        if not job.is_prompt or answer.head.status != 200:
+            return job.work.output_tokens
+        tokens = count_output_tokens(answer.head, answer.content())
+        if tokens is None:
+            return job.work.output_tokens
+        self._outputs.record(job.kind, job.output_limit, tokens)
+        return tokens
 
 
 def _judge_trial(verdict: Verdict) -> TrialOutcome:
