Divide only the windows of targets in demand

Cause: an idle process with a text of 7,600 targets used 44% of a core; the profile showed windows divided, and demand of nothing recorded, for targets that nobody used. Change: demand lists only targets with work, and a divider divides only those, for all live peers, so that a peer without demand gets no even part of a window whose lower tiers are not served. Ruled out: shares for peers with demand alone, since a newcomer would start a low tier on an even part while higher ones wait.

--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -38,7 +38,6 @@
 )
 from peridotbend.domain.work import (
     GrantOutcome,
-    OutputLengthLearner,
     WorkEstimate,
     WorkItem,
 )
@@ -93,8 +92,6 @@
     tier: str
     call: CallerCall
     work: WorkEstimate
-    # Output tokens before the correction by what was learned.
-    output_limit: int
 
     @property
     def is_prompt(self) -> bool:
@@ -117,7 +114,6 @@
     def __init__(self, ports: DispatchPorts):
         self._ports = ports
         self.in_flight = InFlightTable()
-        self.outputs = OutputLengthLearner()
 
     async def run(self, job: Job) -> None:
         """Takes one request to its verdict and records it."""
@@ -271,7 +267,6 @@
     ):
         self._ports = dispatcher.ports
         self._in_flight = dispatcher.in_flight
-        self._outputs = dispatcher.outputs
         self._job = job
         self._grant = grant
         self._target: Target = grant.target
@@ -295,7 +290,7 @@
             raise
         finally:
             self._in_flight.end(self._target.name, record.log_key)
-            self._grant.finish(self._outcome, self._learn_output_tokens())
+            self._grant.finish(self._outcome, self._count_output_tokens())
 
     async def _call(self) -> Verdict | None:
         call = self._make_call()
@@ -468,8 +463,8 @@
             detail=error.detail,
         )
 
-    def _learn_output_tokens(self) -> int:
-        """Returns the tokens of a complete answer and notes how many came."""
+    def _count_output_tokens(self) -> int:
+        """Returns the tokens of a complete answer, as far as they are known."""
         job, answer = self._job, self._job.record.answer
         if self._outcome is not GrantOutcome.COMPLETED or answer.head is None:
             return 0
@@ -477,10 +472,7 @@
         if not job.is_prompt or answer.head.status != 200:
             return job.work.output_tokens
         tokens = count_output_tokens(answer.head, answer.content())
-        if tokens is None:
-            return job.work.output_tokens
-        self._outputs.record(job.kind, job.output_limit, tokens)
-        return tokens
+        return job.work.output_tokens if tokens is None else tokens
 
 
 def _judge_trial(verdict: Verdict) -> TrialOutcome:
--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -234,8 +234,7 @@
             service,
             self._text.tiers[kind.tier],
             call,
-            self._dispatcher.outputs.correct(kind, estimated.ok_value),
-            estimated.ok_value.output_tokens,
+            estimated.ok_value,
         )
         self._tasks.start_soon(self._dispatcher.run, job)
         return Ok(None)
--- a/src/peridotbend/domain/routing.py
+++ b/src/peridotbend/domain/routing.py
@@ -43,7 +43,7 @@
         self._settings = settings
         self._estimates: OrderedDict[str, TargetEstimate] = OrderedDict()
         self._affinity = PrefixAffinity()
-        self._lengths = OutputLengthLearner()
+        self.lengths = OutputLengthLearner()
         self._traffic: OrderedDict[str, ServiceTraffic] = OrderedDict()
         # When a request was first made to wait for a busy target.
         self._waiting: OrderedDict[str, int] = OrderedDict()
@@ -130,7 +130,7 @@
     def _find_own_ms(
         self, costs: TokenCosts, item: WorkItem, prefill_tokens: float
     ) -> float:
-        output = item.work.output_tokens * self._lengths.find_ratio(item.kind)
+        output = item.work.output_tokens * self.lengths.find_ratio(item.kind)
         return prefill_tokens * costs.prefill_ms + output * costs.decode_ms
 
     def record_dispatch(self, target_name: str, item: WorkItem) -> None:
@@ -174,7 +174,7 @@
             costs = self._find_costs(target_name, item)
             first_ms = running.split(output_tokens, elapsed_ms, costs)
             self._end_prefill(target_name, estimate, running, first_ms)
-        self._lengths.record(item.kind, item.work.output_tokens, output_tokens)
+        self.lengths.record(item.kind, item.work.output_tokens, output_tokens)
         now_ms = self._clock.now_ms()
         estimate.finish(running, output_tokens, elapsed_ms, now_ms)
 
--- a/src/peridotbend/domain/scheduler.py
+++ b/src/peridotbend/domain/scheduler.py
@@ -146,10 +146,16 @@
 
         Waiting work is spread evenly over the available targets.
         """
+        return self._find_demand(self._uses.by_name)
+
+    def _find_demand(
+        self, names: Iterable[str]
+    ) -> dict[str, tuple[float, ...]]:
         tiers = len(self._text.tiers) if self._text else 0
+        uses = self._uses.by_name
         demand = {
-            name: [use.work_by_tier.get(tier, 0.0) for tier in range(tiers)]
-            for name, use in self._uses.by_name.items()
+            name: [uses[name].work_by_tier.get(t, 0.0) for t in range(tiers)]
+            for name in names
         }
         for source in self._queues:
             if not len(source.queue):
@@ -160,6 +166,25 @@
                 demand[target.name][tier] += part
         return {name: tuple(work) for name, work in demand.items()}
 
+    def find_active_demand(self) -> dict[str, tuple[float, ...]]:
+        """Returns the demand for targets that have any.
+
+        Most targets of a large fleet have none from one process.
+        """
+        active = {
+            name for name, use in self._uses.by_name.items() if use.work_by_tier
+        }
+        for source in self._queues:
+            if len(source.queue):
+                available = self._uses.find_available(source.service)
+                active.update(target.name for target in available)
+        return self._find_demand(active)
+
+    def find_window_size(self, target_name: str) -> float | None:
+        """Returns the whole window of a target of the text."""
+        use = self._uses.by_name.get(target_name)
+        return use.window.size if use else None
+
     def find_window_sizes(self) -> dict[str, float]:
         """Returns the whole window of each target, for the divider."""
         return {n: use.window.size for n, use in self._uses.by_name.items()}
--- a/src/peridotbend/domain/windows.py
+++ b/src/peridotbend/domain/windows.py
@@ -181,18 +181,27 @@
         self._demands.setdefault(target, {})[peer] = demand
         self._heard_at_ms[peer] = now_ms
 
-    def divide(self, sizes: Mapping[str, float]) -> dict[str, list[Share]]:
-        """Returns the shares of each peer heard of lately.
+    def find_targets(self) -> list[str]:
+        """Returns the targets that any peer has demanded lately."""
+        self._drop_old()
+        return list(self._demands)
+
+    def divide(
+        self, sizes: Mapping[str, float], live_peers: Iterable[str] = ()
+    ) -> dict[str, list[Share]]:
+        """Returns the shares of each peer that is live or was heard of lately.
 
-        A peer with demand for one target gets headroom at the others too.
+        A peer without demand for a target gets a share too: without one it
+        would take an even part, also for work of a tier that is not served.
         """
         self._drop_old()
-        shares: dict[str, list[Share]] = {p: [] for p in self._heard_at_ms}
+        peers = dict.fromkeys([*self._heard_at_ms, *live_peers])
+        shares: dict[str, list[Share]] = {peer: [] for peer in peers}
         for target, size in sizes.items():
             known = self._demands.get(target, {})
             demands = {
                 peer: known[peer].work_by_tier if peer in known else ()
-                for peer in self._heard_at_ms
+                for peer in peers
             }
             for peer, share in divide_window(size, demands, target).items():
                 shares[peer].append(share)
--- a/src/peridotbend/domain/work.py
+++ b/src/peridotbend/domain/work.py
@@ -181,7 +181,7 @@
 
 
 class OutputLengthLearner:
-    """Corrects output estimates by what requests of each kind produced."""
+    """Learns what part of its estimated output a kind really produces."""
 
     # About the last ten answers of a kind count.
     SAMPLE_WEIGHT = 0.1
@@ -207,11 +207,3 @@
     def find_ratio(self, kind: Kind) -> float:
         """Returns the usual length of an answer as a part of its estimate."""
         return self._ratios.get((kind.service, kind.name), 1.0)
-
-    def correct(self, kind: Kind, work: WorkEstimate) -> WorkEstimate:
-        """Returns the estimate with the output tokens that are likely."""
-        ratio = self.find_ratio(kind)
-        if not work.output_tokens or ratio == 1.0:
-            return work
-        tokens = max(1, round(work.output_tokens * ratio))
-        return dataclasses.replace(work, output_tokens=tokens)
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -299,21 +299,26 @@
         own = self.settings.name
         while True:
             demand: dict[str, dict[str, Sequence[float]]] = {}
-            for name, work in self.scheduler.find_demand().items():
+            for name, work in self.scheduler.find_active_demand().items():
                 divider = self._find_divider(name)
                 demand.setdefault(divider, {})[name] = work
             self._demand = demand
             for target, work_by_tier in demand.get(own, {}).items():
                 self.divider.record_demand(own, target, work_by_tier)
-            sizes = {
-                name: size
-                for name, size in self.scheduler.find_window_sizes().items()
-                if name in demand.get(own, {})
-            }
-            self._shares = self.divider.divide(sizes)
+            live = [own, *(peer.name for peer in self.roster.live_peers())]
+            self._shares = self.divider.divide(self._find_divided(own), live)
             self.scheduler.update_shares(self._shares.get(own, ()))
             await anyio.sleep(DIVIDE_INTERVAL_S)
 
+    def _find_divided(self, own: str) -> dict[str, float]:
+        """Returns the window of each target in demand that we divide."""
+        sizes: dict[str, float] = {}
+        for name in self.divider.find_targets():
+            size = self.scheduler.find_window_size(name)
+            if size is not None and self._find_divider(name) == own:
+                sizes[name] = size
+        return sizes
+
     def _find_divider(self, target_name: str) -> str:
         target = self._targets.get(target_name)
         return self.roster.find_divider(target) if target else ""
--- a/src/peridotbend_emulator/instances.py
+++ b/src/peridotbend_emulator/instances.py
@@ -121,7 +121,9 @@
         """Follows the steps of `Dispatcher`, without HTTP."""
         offer, work = trace.offer, trace.offer.work
         if self._switches.learn_output:
-            work = self._learner.correct(offer.kind, work)
+            ratio = self._learner.find_ratio(offer.kind)
+            tokens = max(1, round(work.output_tokens * ratio))
+            work = dataclasses.replace(work, output_tokens=tokens)
         item = WorkItem(
             key, offer.kind, offer.account, work, trace.deadline_at_ms
         )
@@ -176,17 +178,17 @@
         await asyncio.sleep(self._phase_s)
         loop = asyncio.get_running_loop()
         while True:
-            own: dict[str, float] = {}
-            sizes = self.scheduler.find_window_sizes()
-            for name, work in self.scheduler.find_demand().items():
+            for name, work in self.scheduler.find_active_demand().items():
                 divider = self._find_divider(name)
                 record = divider.divider.record_demand
                 if divider is self:
-                    own[name] = sizes[name]
                     record(self.name, name, work)
                 else:
                     loop.call_later(PEER_DELAY_S, record, self.name, name, work)
-            self._send_shares(self.divider.divide(own))
+            sizes = self.scheduler.find_window_sizes()
+            own = {n: sizes[n] for n in self.divider.find_targets()}
+            live = [peer.name for peer in self.peers]
+            self._send_shares(self.divider.divide(own, live))
             await asyncio.sleep(EXCHANGE_S)
 
     def _send_shares(self, shares: dict[str, list[Share]]) -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,7 +10,6 @@
 from peridotbend.daemon import BACKEND_OPTIONS
 from peridotbend.domain.events import Event
 from peridotbend.domain.verdicts import STATUS_BY_REASON, Reason
-from peridotbend.domain.work import WorkEstimate
 from tests.edgenode import (
     BOUND_S,
     EVENT,
@@ -461,18 +460,17 @@
     """Estimates that follow what requests of a kind produced."""
 
     def test_output_of_answers_is_learned(self) -> None:
-        """Guards against windows that count tokens nobody generates."""
+        """Guards against expected times for tokens nobody generates."""
 
         async def test(edge: EdgeNode) -> None:
             for stream in (False, True):
                 await edge.call("POST", CHAT, write_chat(stream))
-            outputs = edge.node.dispatcher.outputs
+            lengths = edge.node.router.lengths
             assert edge.node.store.current() is not None
             kind = edge.node.service.match_kind("POST", CHAT, b"{}").unwrap()
             # Of 256 by default, 16 and then 5 came: 1.0 goes to 0.906 and
             # on to 0.818.
-            corrected = outputs.correct(kind, WorkEstimate(10, 256))
-            assert corrected.output_tokens == 209
+            assert round(256 * lengths.find_ratio(kind)) == 209
 
         run_edge(test)
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -78,14 +78,13 @@
     def test_converges_within_bounds(self) -> None:
         """Guards against estimates that stay at the caller's limit."""
         learner = work.OutputLengthLearner()
-        start = work.WorkEstimate(10, 1_000)
-        assert learner.correct(KIND, start) == start
+        assert learner.find_ratio(KIND) == 1.0
         for _ in range(100):
             learner.record(KIND, 1_000, 100)
-        assert abs(learner.correct(KIND, start).output_tokens - 100) <= 1
+        assert abs(learner.find_ratio(KIND) - 0.1) <= 0.001
         for _ in range(200):
             learner.record(KIND, 1, 10**9)
-        assert learner.correct(KIND, start).output_tokens <= 8_000
+        assert learner.find_ratio(KIND) <= 8
         for _ in range(200):
             learner.record(KIND, 1_000, 0)
-        assert learner.correct(KIND, start).output_tokens >= 20
+        assert learner.find_ratio(KIND) >= 0.02
