Keep "not run" for IDs that can never run

Cause: a reserved ID answered "not run" to a fetch, to a refused call and to a call of another kind, and ran when the right call came afterwards; a caller that orders again on that word gets two effects. Found by reading. Change: while an ID can still be used, these answers say may-have-run. The state machine no longer exempts not-started: "not run" must stay true for ever. Ruled out: ending the reservation at the first refusal, which would punish a body that is too long with a new reservation.

--- a/src/peridotbend/adapters/messages.py
+++ b/src/peridotbend/adapters/messages.py
@@ -95,7 +95,8 @@
         " request has one."
     ),
     Reason.NOT_STARTED: (
-        "The ID is reserved and no call was made with it yet; make the call."
+        "The ID is reserved and no call with it has arrived; make the call, or"
+        " send it again if one may be on its way."
     ),
 }
 
--- /dev/null
+++ b/src/peridotbend/domain/attempts.py
@@ -0,0 +1,251 @@
+"""One use of a granted target, from the gate to the end of the answer."""
+
+import anyio
+from result import Err, Ok, Result
+
+from peridotbend.domain.events import Event
+from peridotbend.domain.inflight import InFlightTable
+from peridotbend.domain.jobs import DispatchPorts, Job
+from peridotbend.domain.ports import (
+    CallError,
+    CallFailure,
+    TargetAnswer,
+    TargetCall,
+)
+from peridotbend.domain.scheduler import Grant
+from peridotbend.domain.streams import EventStream, count_output_tokens
+from peridotbend.domain.text import Target
+from peridotbend.domain.verdicts import (
+    Completed,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+)
+from peridotbend.domain.work import GrantOutcome
+
+RESUME_DELAYS_MS = (50, 200, 800)
+CANCEL_TIMEOUT_MS = 500
+CAPACITY_RETRY_MS = 1_000
+
+
+class Attempt:
+    """One use of a granted target; at most one attempt dispatches."""
+
+    def __init__(
+        self,
+        ports: DispatchPorts,
+        in_flight: InFlightTable,
+        job: Job,
+        grant: Grant,
+        fingerprint: bytes,
+        on_trial: bool,
+    ):
+        self._ports = ports
+        self._in_flight = in_flight
+        self._job = job
+        self._grant = grant
+        self._target: Target = grant.target
+        self._fingerprint = fingerprint
+        self._on_trial = on_trial
+        self._outcome = GrantOutcome.NOT_WRITTEN
+        self._stream: EventStream | None = None
+
+    async def run(self) -> Verdict | None:
+        """Calls the target; None means that nothing was written."""
+        record = self._job.record
+        if not self._ports.table.reserve_answer(
+            record, self._job.kind.max_answer_bytes
+        ):
+            self._grant.finish(GrantOutcome.NOT_WRITTEN)
+            return NotRun(Reason.AT_CAPACITY, CAPACITY_RETRY_MS)
+        try:
+            return await self._call()
+        except anyio.get_cancelled_exc_class():
+            await self._cancel_stream()
+            raise
+        finally:
+            self._in_flight.end(self._target.name, record.log_key)
+            self._grant.finish(self._outcome, self._count_output_tokens())
+
+    async def _call(self) -> Verdict | None:
+        call = self._make_call()
+        async with self._ports.targets.open(
+            self._target, call, self._claim
+        ) as opened:
+            if isinstance(opened, Err):
+                return self._judge_unopened(opened.err_value)
+            answer = opened.ok_value
+            self._ports.health.record_target_success(self._target.name)
+            self._job.record.answer.begin(answer.head)
+            stream = EventStream(self._job.record.answer, answer.head)
+            self._stream = stream
+            broken = await self._relay(answer, stream)
+        if broken is not None and stream.can_resume:
+            broken = await self._resume(stream, broken)
+        if broken is None:
+            self._outcome = GrantOutcome.COMPLETED
+            return Completed()
+        return self._judge_broken(broken)
+
+    def _claim(self) -> bool:
+        """The dispatch gate: called directly before the first byte."""
+        ports, record = self._ports, self._job.record
+        if not record.claim_dispatch(ports.clock.now_ms()):
+            return False
+        record.target = self._target.name
+        self._in_flight.begin(
+            self._target.name,
+            record.log_key,
+            self._fingerprint,
+            self._on_trial,
+        )
+        # Anything that ends the attempt from here on may have run.
+        self._outcome = GrantOutcome.DIED
+        ports.retries.record_dispatch()
+        return True
+
+    def _make_call(self) -> TargetCall:
+        record, call = self._job.record, self._job.call
+        headers = (
+            *call.headers,
+            ("Idempotency-Key", record.token),
+            ("Peridotbend-Request", record.token),
+        )
+        return TargetCall(
+            call.method,
+            call.path,
+            headers,
+            call.body,
+            record.expires_at_ms - self._ports.clock.now_ms(),
+            reuse_connection=self._job.kind.idempotent,
+        )
+
+    async def _relay(
+        self, answer: TargetAnswer, stream: EventStream
+    ) -> CallError | None:
+        """Copies the body into the record; returns the error, if any."""
+        limit = self._job.kind.max_answer_bytes
+        buffer = self._job.record.answer
+        first = True
+        async for chunk in answer.chunks():
+            if isinstance(chunk, Err):
+                return None if stream.is_complete else chunk.err_value
+            if first:
+                self._grant.record_first_output()
+                first = False
+            stream.feed(chunk.ok_value)
+            if len(buffer) > limit:
+                return CallError(CallFailure.TOO_LARGE, written=True)
+        stream.finish()
+        return None
+
+    async def _resume(
+        self, stream: EventStream, broken: CallError
+    ) -> CallError | None:
+        """Continues a broken stream on the same target.
+
+        The engine goes on generating; this is a read and no dispatch.
+        """
+        for delay_ms in RESUME_DELAYS_MS:
+            if broken.failure is CallFailure.TOO_LARGE:
+                return broken
+            await anyio.sleep(delay_ms / 1000)
+            outcome = await self._resume_once(stream)
+            if isinstance(outcome, Ok):
+                self._ports.log.emit(
+                    Event.STREAM_RESUMED,
+                    request=self._job.record.token,
+                    target=self._target.name,
+                )
+                if outcome.ok_value is None:
+                    return None
+                broken = outcome.ok_value
+        return broken
+
+    async def _resume_once(
+        self, stream: EventStream
+    ) -> Result[CallError | None, None]:
+        """Err when the target does not know the stream or is gone."""
+        record = self._job.record
+        call = TargetCall(
+            "GET",
+            f"/v1/streams/{stream.token}",
+            (("Last-Event-ID", stream.last_event_id),),
+            b"",
+            record.expires_at_ms - self._ports.clock.now_ms(),
+        )
+        stream.discard_partial()
+        async with self._ports.targets.open(
+            self._target, call, lambda: True
+        ) as opened:
+            if isinstance(opened, Err) or opened.ok_value.head.status != 200:
+                return Err(None)
+            return Ok(await self._relay(opened.ok_value, stream))
+
+    async def _cancel_stream(self) -> None:
+        """Tells the engine to stop an answer that nobody can fetch.
+
+        The prefill is lost either way; the decoding would only keep others
+        waiting.
+        """
+        if self._stream is None or not self._stream.can_resume:
+            return
+        call = TargetCall(
+            "DELETE",
+            f"/v1/streams/{self._stream.token}",
+            (),
+            b"",
+            CANCEL_TIMEOUT_MS,
+        )
+        with anyio.CancelScope(shield=True):
+            async with self._ports.targets.open(
+                self._target, call, lambda: True
+            ):
+                pass
+
+    def _judge_unopened(self, error: CallError) -> Verdict | None:
+        record = self._job.record
+        if error.written:
+            return self._judge_broken(error)
+        if error.failure is CallFailure.GATE:
+            now_ms = self._ports.clock.now_ms()
+            late = now_ms >= record.deadline_at_ms
+            return NotRun(Reason.DEADLINE if late else Reason.EXPIRED)
+        self._outcome = GrantOutcome.CONNECT_FAILED
+        return None
+
+    def _judge_broken(self, error: CallError) -> Verdict:
+        if error.failure is CallFailure.TIMEOUT:
+            self._outcome = GrantOutcome.TIMED_OUT
+            return MayHaveRun(Reason.TARGET_TIMEOUT)
+        if error.failure is CallFailure.TOO_LARGE:
+            self._outcome = GrantOutcome.TIMED_OUT
+            return MayHaveRun(Reason.ANSWER_TOO_LARGE)
+        self._record_crash(error)
+        return MayHaveRun(Reason.TARGET_FAILED)
+
+    def _record_crash(self, error: CallError) -> None:
+        ports, name = self._ports, self._target.name
+        crash = self._in_flight.take_crashed(name, self._job.record.log_key)
+        if crash is None:
+            return
+        ports.health.record_target_failure(name)
+        ports.suspects.record_crash(crash.fingerprints, crash.on_trial)
+        ports.log.emit(
+            Event.TARGET_FAILED,
+            target=name,
+            in_flight=len(crash.fingerprints),
+            detail=error.detail,
+        )
+
+    def _count_output_tokens(self) -> int:
+        """Returns the tokens of a complete answer, as far as they are known."""
+        job, answer = self._job, self._job.record.answer
+        if self._outcome is not GrantOutcome.COMPLETED or answer.head is None:
+            return 0
+        # An error of the target tells nothing about the length of answers.
+        if not job.is_prompt or answer.head.status != 200:
+            return job.work.output_tokens
+        tokens = count_output_tokens(answer.head, answer.content())
+        return job.work.output_tokens if tokens is None else tokens
--- /dev/null
+++ b/src/peridotbend/domain/following.py
@@ -0,0 +1,119 @@
+"""Follows a request to its verdict, wherever its record is."""
+
+import dataclasses
+from collections.abc import AsyncGenerator
+
+import anyio
+
+from peridotbend.domain.calls import make_peer_call
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import (
+    AnswerPart,
+    EventLog,
+    PeerCall,
+    PeerClient,
+    PeerUnreachableError,
+    RecordState,
+)
+from peridotbend.domain.records import CallerCall, RequestRecord
+from peridotbend.domain.requestids import RequestId, parse_request_id
+from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
+
+FORWARD_ATTEMPTS = 3
+FORWARD_RETRY_DELAY_MS = 100
+UNREACHABLE_RETRY_MS = 1_000
+
+
+class Follower:
+    """Yields answers as they arrive, from here or from a peer."""
+
+    def __init__(self, clock: Clock, peers: PeerClient, log: EventLog):
+        self._clock = clock
+        self._peers = peers
+        self._log = log
+
+    async def follow(
+        self,
+        record: RequestRecord,
+        offset: int,
+        call: CallerCall | None = None,
+        peer: bool = False,
+    ) -> AsyncGenerator[AnswerPart]:
+        """Yields a record's answer, wherever the record has moved."""
+        if not await self._wait_for_head(record):
+            yield AnswerPart(verdict=MayHaveRun(Reason.TARGET_TIMEOUT))
+            return
+        if record.answer.evicted:
+            yield AnswerPart(verdict=record.answer.judge_evicted())
+            return
+        moved = NotRun(Reason.HANDED_OVER)
+        async for part in record.answer.read(offset):
+            if part.verdict == moved and not peer:
+                break
+            yield part
+        else:
+            return
+        request_id = parse_request_id(record.token)
+        assert request_id is not None
+        peer_call = (
+            make_peer_call(request_id, call)
+            if call is not None
+            else PeerCall(record.token, record.account, False, offset=offset)
+        )
+        async for part in self.forward(request_id, peer_call):
+            yield part
+
+    async def _wait_for_head(self, record: RequestRecord) -> bool:
+        """Waits for the first part; False when the deadline came first.
+
+        Only a dispatched request can still be open at its deadline: the
+        scheduler ends the ones that wait.
+        """
+        answer = record.answer
+        while answer.head is None and not answer.ended:
+            left_ms = record.deadline_at_ms - self._clock.now_ms()
+            dispatched = record.state is RecordState.DISPATCHED
+            if left_ms <= 0 and dispatched:
+                return False
+            # A queued request gets its verdict from the scheduler soon
+            # after the deadline, so this loop looks again shortly.
+            with anyio.move_on_after(max(left_ms, 50) / 1000):
+                await answer.wait()
+        return True
+
+    async def forward(
+        self, request_id: RequestId, call: PeerCall
+    ) -> AsyncGenerator[AnswerPart]:
+        """Follows a request at the process that minted or holds it.
+
+        Sending the same call twice is safe: its record starts only once.
+        """
+        self._log.emit(
+            Event.REQUEST_FORWARDED,
+            request=request_id.token,
+            minter=request_id.minter,
+        )
+        offset = call.offset
+        head_sent = False
+        for _ in range(FORWARD_ATTEMPTS):
+            resumed = dataclasses.replace(call, offset=offset)
+            try:
+                async for part in self._peers.forward(
+                    request_id.minter, request_id.incarnation, resumed
+                ):
+                    offset += len(part.data)
+                    if part.head is not None and head_sent:
+                        part = dataclasses.replace(part, head=None)
+                    head_sent = head_sent or part.head is not None
+                    if part.verdict == NotRun(Reason.HANDED_OVER):
+                        break
+                    yield part
+                    if part.verdict is not None:
+                        return
+            except PeerUnreachableError:
+                pass
+            await anyio.sleep(FORWARD_RETRY_DELAY_MS / 1000)
+        yield AnswerPart(
+            verdict=MayHaveRun(Reason.MINTER_UNREACHABLE, UNREACHABLE_RETRY_MS)
+        )
--- a/src/peridotbend/domain/handover.py
+++ b/src/peridotbend/domain/handover.py
@@ -4,6 +4,7 @@
 
 from result import Err
 
+from peridotbend.domain.calls import digest_call
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.ports import (
     AnswerPart,
@@ -16,7 +17,7 @@
     RequestRecord,
     RequestTable,
 )
-from peridotbend.domain.requests import RequestService, digest_call
+from peridotbend.domain.requests import RequestService
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 
 # Offers records to heirs and returns the IDs that surely were accepted.
--- /dev/null
+++ b/src/peridotbend/domain/jobs.py
@@ -0,0 +1,69 @@
+"""Admitted requests, and what is needed to run them."""
+
+import dataclasses
+from typing import Protocol
+
+import xxhash
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.ports import EventLog, Meter, PeerClient, TargetClient
+from peridotbend.domain.quarantine import SuspectTable
+from peridotbend.domain.records import CallerCall, RequestRecord, RequestTable
+from peridotbend.domain.retries import RetryBudget
+from peridotbend.domain.scheduler import Scheduler
+from peridotbend.domain.text import EngineType, Kind, Service
+from peridotbend.domain.work import WorkEstimate
+
+
+class TargetHealth(Protocol):
+    """Learns from calls which targets are alive."""
+
+    def record_target_failure(self, name: str) -> None:
+        """Notes that a connection to the target failed."""
+        ...
+
+    def record_target_success(self, name: str) -> None:
+        """Notes that the target answered."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchPorts:
+    """What a dispatcher works with."""
+
+    clock: Clock
+    table: RequestTable
+    scheduler: Scheduler
+    targets: TargetClient
+    health: TargetHealth
+    suspects: SuspectTable
+    peers: PeerClient
+    retries: RetryBudget
+    log: EventLog
+    meter: Meter
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """A request that was admitted to the queue."""
+
+    record: RequestRecord
+    kind: Kind
+    service: Service
+    tier: str
+    call: CallerCall
+    work: WorkEstimate
+
+    @property
+    def is_prompt(self) -> bool:
+        """Whether a model engine computes a prefill for the request."""
+        return self.service.engine is EngineType.MODEL
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Identifies requests that would do the same to a target."""
+        hasher = xxhash.xxh3_128()
+        for part in (self.service.name, self.kind.name, self.call.path):
+            hasher.update(part.encode() + b"\0")
+        hasher.update(self.call.body)
+        return hasher.digest()
--- a/src/peridotbend/domain/requests.py
+++ b/src/peridotbend/domain/requests.py
@@ -1,23 +1,23 @@
 """The service that callers and peers use: identify, start, follow, fetch."""
 
 import dataclasses
-import hashlib
 from collections.abc import AsyncGenerator
 
-import anyio
 from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
-from peridotbend.domain.dispatch import Dispatcher, DispatchPorts, Job
-from peridotbend.domain.events import Event
+from peridotbend.domain.calls import (
+    digest_call,
+    digest_peer_call,
+    make_caller_call,
+    make_peer_call,
+)
+from peridotbend.domain.dispatch import Dispatcher
+from peridotbend.domain.following import UNREACHABLE_RETRY_MS, Follower
+from peridotbend.domain.jobs import DispatchPorts, Job
 from peridotbend.domain.keys import Coalesce, KeyPolicy, MintId, RefuseKey
 from peridotbend.domain.kinds import KindIndex
-from peridotbend.domain.ports import (
-    AnswerPart,
-    PeerCall,
-    PeerUnreachableError,
-    RecordState,
-)
+from peridotbend.domain.ports import AnswerPart, PeerCall, RecordState
 from peridotbend.domain.records import CallerCall, RequestRecord
 from peridotbend.domain.requestids import (
     IdMinter,
@@ -29,10 +29,6 @@
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 from peridotbend.domain.work import estimate_work
 
-FORWARD_ATTEMPTS = 3
-FORWARD_RETRY_DELAY_MS = 100
-UNREACHABLE_RETRY_MS = 1_000
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reservation:
@@ -57,6 +53,8 @@
         self._dispatcher = dispatcher
         self._ports: DispatchPorts = dispatcher.ports
         self._tasks = tasks
+        ports = dispatcher.ports
+        self._follower = Follower(ports.clock, ports.peers, ports.log)
         self._text: FleetText | None = None
         self._kinds: KindIndex | None = None
         # Callers' own keys of idempotent kinds: (account, key) -> ID.
@@ -104,7 +102,8 @@
             return refusal
         record = self._ports.table.find(key)
         if record is not None:
-            if record.state in (RecordState.RESERVED, RecordState.NOT_RUN):
+            # A reserved ID can still be used, by a call on its way too.
+            if record.state is RecordState.NOT_RUN:
                 return refusal
         elif self._is_forged(request_id):
             return refusal
@@ -145,8 +144,10 @@
         else:
             local = self._find_local(decision.request_id, call.account)
             if local is None:
-                peer_call = _make_peer_call(decision.request_id, call)
-                async for part in self._forward(decision.request_id, peer_call):
+                peer_call = make_peer_call(decision.request_id, call)
+                async for part in self._follower.forward(
+                    decision.request_id, peer_call
+                ):
                     yield part
                 return
             found = local
@@ -176,17 +177,17 @@
                 yield AnswerPart(verdict=refusal)
                 return
         elif record.state is RecordState.RESERVED:
-            yield AnswerPart(verdict=NotRun(Reason.NOT_STARTED))
+            yield AnswerPart(verdict=MayHaveRun(Reason.NOT_STARTED))
             return
         elif (
             call.may_start
             # A reservation that moved away has no digest here.
             and record.state is not RecordState.HANDED_OVER
-            and _digest_peer_call(call) != record.digest
+            and digest_peer_call(call) != record.digest
         ):
             yield AnswerPart(verdict=MayHaveRun(Reason.ID_REUSED))
             return
-        async for part in self._follow(record, call.offset, peer=True):
+        async for part in self._follower.follow(record, call.offset, peer=True):
             yield part
 
     async def fetch(
@@ -201,7 +202,7 @@
         found = self._find_local(request_id, account)
         if found is None:
             call = PeerCall(token, account, may_start=False, offset=offset)
-            async for part in self._forward(request_id, call):
+            async for part in self._follower.forward(request_id, call):
                 yield part
             return
         if isinstance(found, Err):
@@ -209,9 +210,9 @@
             return
         record = found.ok_value
         if record.state is RecordState.RESERVED:
-            yield AnswerPart(verdict=NotRun(Reason.NOT_STARTED))
+            yield AnswerPart(verdict=MayHaveRun(Reason.NOT_STARTED))
             return
-        async for part in self._follow(record, offset):
+        async for part in self._follower.follow(record, offset):
             yield part
 
     def start_queued(self, record: RequestRecord) -> Result[None, Verdict]:
@@ -310,7 +311,7 @@
             return
         yield AnswerPart(request_id=record.token)
         try:
-            async for part in self._follow(record, 0, call=call):
+            async for part in self._follower.follow(record, 0, call=call):
                 begins = part.head is not None and is_event_stream(part.head)
                 if begins or part.verdict is not None:
                     # The response headers with the ID go out with this part.
@@ -338,7 +339,8 @@
         self, record: RequestRecord, kind: Kind, call: CallerCall
     ) -> Verdict | None:
         if (record.service, record.kind) != (kind.service, kind.name):
-            return NotRun(Reason.ID_REUSED)
+            # The call that the ID was reserved for may be on its way.
+            return MayHaveRun(Reason.ID_REUSED)
         if not self._ports.table.reserve_answer(record, len(call.body)):
             refusal = NotRun(Reason.AT_CAPACITY, UNREACHABLE_RETRY_MS)
             return _refuse(record, call, refusal)
@@ -358,96 +360,11 @@
         self, record: RequestRecord, call: PeerCall
     ) -> Verdict | None:
         matched = self.match_kind(call.method, call.path, call.body)
-        caller_call = _make_caller_call(call)
+        caller_call = make_caller_call(call)
         if isinstance(matched, Err):
             return _refuse(record, caller_call, matched.err_value)
         return self._start(record, matched.ok_value, caller_call)
 
-    async def _follow(
-        self,
-        record: RequestRecord,
-        offset: int,
-        call: CallerCall | None = None,
-        peer: bool = False,
-    ) -> AsyncGenerator[AnswerPart]:
-        """Yields a record's answer, wherever the record has moved."""
-        if not await self._wait_for_head(record):
-            yield AnswerPart(verdict=MayHaveRun(Reason.TARGET_TIMEOUT))
-            return
-        if record.answer.evicted:
-            yield AnswerPart(verdict=record.answer.judge_evicted())
-            return
-        moved = NotRun(Reason.HANDED_OVER)
-        async for part in record.answer.read(offset):
-            if part.verdict == moved and not peer:
-                break
-            yield part
-        else:
-            return
-        request_id = parse_request_id(record.token)
-        assert request_id is not None
-        peer_call = (
-            _make_peer_call(request_id, call)
-            if call is not None
-            else PeerCall(record.token, record.account, False, offset=offset)
-        )
-        async for part in self._forward(request_id, peer_call):
-            yield part
-
-    async def _wait_for_head(self, record: RequestRecord) -> bool:
-        """Waits for the first part; False when the deadline came first.
-
-        Only a dispatched request can still be open at its deadline: the
-        scheduler ends the ones that wait.
-        """
-        answer = record.answer
-        while answer.head is None and not answer.ended:
-            left_ms = record.deadline_at_ms - self._ports.clock.now_ms()
-            dispatched = record.state is RecordState.DISPATCHED
-            if left_ms <= 0 and dispatched:
-                return False
-            # A queued request gets its verdict from the scheduler soon
-            # after the deadline, so this loop looks again shortly.
-            with anyio.move_on_after(max(left_ms, 50) / 1000):
-                await answer.wait()
-        return True
-
-    async def _forward(
-        self, request_id: RequestId, call: PeerCall
-    ) -> AsyncGenerator[AnswerPart]:
-        """Follows a request at the process that minted or holds it.
-
-        Sending the same call twice is safe: its record starts only once.
-        """
-        self._ports.log.emit(
-            Event.REQUEST_FORWARDED,
-            request=request_id.token,
-            minter=request_id.minter,
-        )
-        offset = call.offset
-        head_sent = False
-        for _ in range(FORWARD_ATTEMPTS):
-            resumed = dataclasses.replace(call, offset=offset)
-            try:
-                async for part in self._ports.peers.forward(
-                    request_id.minter, request_id.incarnation, resumed
-                ):
-                    offset += len(part.data)
-                    if part.head is not None and head_sent:
-                        part = dataclasses.replace(part, head=None)
-                    head_sent = head_sent or part.head is not None
-                    if part.verdict == NotRun(Reason.HANDED_OVER):
-                        break
-                    yield part
-                    if part.verdict is not None:
-                        return
-            except PeerUnreachableError:
-                pass
-            await anyio.sleep(FORWARD_RETRY_DELAY_MS / 1000)
-        yield AnswerPart(
-            verdict=MayHaveRun(Reason.MINTER_UNREACHABLE, UNREACHABLE_RETRY_MS)
-        )
-
 
 def _refuse(
     record: RequestRecord, call: CallerCall, refusal: Verdict
@@ -456,44 +373,3 @@
     record.digest = digest_call(call)
     record.end(refusal)
     return refusal
-
-
-def _digest_parts(method: str, path: str, body: bytes) -> bytes:
-    hasher = hashlib.blake2b(digest_size=16)
-    hasher.update(f"{method} {path}\n".encode())
-    hasher.update(body)
-    return hasher.digest()
-
-
-def digest_call(call: CallerCall) -> bytes:
-    """Returns what must be the same when an ID is used again."""
-    return _digest_parts(call.method, call.path, call.body)
-
-
-def _digest_peer_call(call: PeerCall) -> bytes:
-    return _digest_parts(call.method, call.path, call.body)
-
-
-def _make_peer_call(request_id: RequestId, call: CallerCall) -> PeerCall:
-    return PeerCall(
-        request_id.token,
-        call.account,
-        may_start=True,
-        method=call.method,
-        path=call.path,
-        headers=call.headers,
-        body=call.body,
-        deadline_ms=call.deadline_ms,
-    )
-
-
-def _make_caller_call(call: PeerCall) -> CallerCall:
-    return CallerCall(
-        call.account,
-        call.method,
-        call.path,
-        call.headers,
-        call.body,
-        call.request_id,
-        call.deadline_ms,
-    )
--- a/src/peridotbend/domain/scheduler.py
+++ b/src/peridotbend/domain/scheduler.py
@@ -12,7 +12,6 @@
 from peridotbend.domain.accounts import ClientLimits
 from peridotbend.domain.candidates import Candidate
 from peridotbend.domain.clock import Clock
-from peridotbend.domain.events import Event
 from peridotbend.domain.grants import UNSENT, Waiter
 from peridotbend.domain.grants import Grant as Grant
 from peridotbend.domain.ordering import (
@@ -284,9 +283,7 @@
 
     def _release(self, grant: Grant, outcome: GrantOutcome) -> None:
         self._clients.release(grant.hold, ran=outcome not in UNSENT)
-        name, service = grant.target.name, grant.target.service
-        if outcome is GrantOutcome.DIED:
-            self._log.emit(Event.TARGET_FAILED, target=name, service=service)
+        name = grant.target.name
         if self._uses.release(grant.target, grant.use, grant.item):
             self._router.forget(name)
         group = self._queues.find_users(name)
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -29,9 +29,10 @@
 from peridotbend.adapters.textcache import TextParser
 from peridotbend.adapters.textsync import TextSync
 from peridotbend.domain.clock import SystemClock
-from peridotbend.domain.dispatch import Dispatcher, DispatchPorts
+from peridotbend.domain.dispatch import Dispatcher
 from peridotbend.domain.events import Event
 from peridotbend.domain.handover import RecordTransfer
+from peridotbend.domain.jobs import DispatchPorts
 from peridotbend.domain.keys import MintedKeyPolicy
 from peridotbend.domain.membership import Roster
 from peridotbend.domain.peertable import Peer
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -157,11 +157,6 @@
     def _note_not_run(self, caller: Caller, verdict: NotRun) -> None:
         if caller.uid:
             self._uids_not_run.add(caller.uid)
-        elif verdict.reason is Reason.NOT_STARTED:
-            # True until the owner sends the request, perhaps meanwhile.
-            runs = self.world.runs.get(caller.token, [])
-            if any(run.at_ms < caller.began_ms for run in runs):
-                self._fail("not-started was told of a request that ran")
         else:
             self._tokens_not_run.add(caller.token)
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -202,7 +202,9 @@
             token = await edge.reserve()
             key = f"Idempotency-Key: {token}"
             path = f"/v1/requests/{token}"
-            check_refusal(await edge.call("GET", path), 409, "not-started")
+            # A call with the ID may be on its way.
+            reply = await edge.call("GET", path)
+            check_refusal(reply, 409, "not-started", "may-have-run")
             forged = token[:-60] + ("A" if token[-60] != "A" else "B")
             forged += token[-59:]
             reply = await edge.call("GET", "/v1/requests/" + forged)
@@ -234,7 +236,8 @@
             key = f"Idempotency-Key: {token}"
             large = b"x" * (MAX_BODY + 1)
             reply = await edge.call("POST", ORDERS, large, key)
-            check_refusal(reply, 413, "too-large")
+            # The ID can still be used, as the next call does.
+            check_refusal(reply, 413, "too-large", "may-have-run")
             await edge.call("POST", ORDERS, b"1", key)
             for status, code, path, body in (
                 (413, "too-large", ORDERS, large),
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -31,7 +31,8 @@
         """Guards against a reservation that is used for another kind."""
         token = self.reserve(self.a1)
         other = self.send(self.a1, "status", token, uid="u2")
-        assert tell(other) == ("not-run", Reason.ID_REUSED)
+        # The ID still runs for its own kind, as the next call does.
+        assert tell(other) == (MAYBE, Reason.ID_REUSED)
         assert tell(self.send(self.a1, "confirm", token))[0] == "completed"
 
     def test_copy_at_an_instance_without_text_may_have_run(self) -> None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,7 +8,6 @@
 from result import Ok, Result
 
 from peridotbend.domain.clock import ManualClock
-from peridotbend.domain.events import Event
 from peridotbend.domain.ordering import ArrivalOrder, QueueOrder
 from peridotbend.domain.ports import EventLog, Meter, Share
 from peridotbend.domain.scheduler import Grant, Scheduler, SchedulerLimits
@@ -145,9 +144,8 @@
             (await self.grant(make_item("a"))).finish(outcome)
         assert self.router.record_failure.call_count == 3
         self.router.record_unsent.assert_called_once()
-        self.log.emit.assert_called_once_with(
-            Event.TARGET_FAILED, target="t1", service="model"
-        )
+        # The dispatcher logs a death once, not for each request on the target.
+        self.log.emit.assert_not_called()
 
     async def test_even_share_until_the_divider_is_heard(self) -> None:
         """Guards against processes that together overfill a target."""
