End a node cleanly when its task is cancelled

Cause: two linked nodes in one process spun at 96% of a core for ever when they were cancelled from outside. The exit stack was closed inside the cancelled task group; contextlib then makes a CancelledError its own context, and anyio walks that chain without end (seen with gc in the stuck process). Change: the stack is closed after the task group, shielded and bounded to 5 s. Ruled out: a fault in the peer links; draining the same nodes took 0.2 s.

--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -53,6 +53,7 @@
 SWEEP_INTERVAL_S = 1.0
 DIVIDE_INTERVAL_S = 0.2
 DRAIN_POLL_S = 0.05
+CLOSE_TIMEOUT_S = 5.0
 
 
 class TextFileError(Exception):
@@ -111,14 +112,20 @@
 
     async def run(self, started: anyio.Event | None = None) -> None:
         """Serves until drained."""
-        async with contextlib.AsyncExitStack() as stack:
-            tasks = await stack.enter_async_context(anyio.create_task_group())
-            await self._start(stack, tasks)
-            if started is not None:
-                started.set()
-            await self._drain.wait()
-            await self._drain_requests()
-            tasks.cancel_scope.cancel()
+        stack = contextlib.AsyncExitStack()
+        try:
+            async with anyio.create_task_group() as tasks:
+                await self._start(stack, tasks)
+                if started is not None:
+                    started.set()
+                await self._drain.wait()
+                await self._drain_requests()
+                tasks.cancel_scope.cancel()
+        finally:
+            # A stack that is closed while its task is being cancelled makes an
+            # exception its own context, and anyio follows that for ever.
+            with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+                await stack.aclose()
 
     @property
     def targets(self) -> tuple[Target, ...]:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,6 +15,7 @@
     read_reply,
     run_edge,
     start_edge_node,
+    start_edge_pair,
     write_call,
 )
 
@@ -151,3 +152,19 @@
                 assert reply.error["code"] == "no-text"
 
         anyio.run(test)
+
+
+class CancelTest(unittest.TestCase):
+    """A node whose task is cancelled."""
+
+    def test_linked_nodes_end_when_they_are_cancelled(self) -> None:
+        """Guards against an event loop that spins for ever at the end."""
+
+        async def test() -> None:
+            with anyio.move_on_after(BOUND_S) as scope:
+                async with start_edge_pair():
+                    scope.cancel()
+                    await anyio.sleep(BOUND_S)
+            assert scope.cancel_called
+
+        anyio.run(test)
