Let requests with long deadlines outlast an outage

Cause: a forecast that is due in the morning was refused as soon as all runners were away for a moment; nobody sends it again at night. Change: a request with at least 60 s left waits while its service has no available target, and tries seldom when the retry budget is spent. With less time left it is refused at once, as before. Ruled out: waiting for all requests, since an early "not run" lets a caller at the counter do something else.

--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -20,6 +20,10 @@
 
 # Pause before another target is tried after a failed connection.
 CONNECT_RETRY_DELAY_MS = 20
+# A request with this much time left waits for its targets to come back, and
+# tries this seldom, so that many of them do not add up to a burst.
+OUTAGE_WAIT_MS = 60_000
+OUTAGE_RETRY_DELAY_MS = 5_000
 SUSPECT_RETRY_MS = 2_000
 # A caller that learns of a crash can send the request again at once, through
 # an instance that has not heard of it: four engines died within 74 ms that
@@ -116,10 +120,14 @@
             verdict = await attempt.run()
             if verdict is not None:
                 return verdict
-            failed |= {grant.target.name}
             ports.health.record_target_failure(grant.target.name)
-            if not ports.retries.try_spend():
-                return NotRun(Reason.CONNECT_FAILED, CAPACITY_RETRY_MS)
+            left_ms = record.deadline_at_ms - ports.clock.now_ms()
+            if left_ms < OUTAGE_WAIT_MS:
+                failed |= {grant.target.name}
+                if not ports.retries.try_spend():
+                    return NotRun(Reason.CONNECT_FAILED, CAPACITY_RETRY_MS)
+            elif not ports.retries.try_spend():
+                await anyio.sleep(OUTAGE_RETRY_DELAY_MS / 1000)
             ports.log.emit(
                 Event.CONNECT_RETRIED,
                 request=record.token,
--- a/src/peridotbend/domain/scheduler.py
+++ b/src/peridotbend/domain/scheduler.py
@@ -46,6 +46,10 @@
     max_passes: int = 16
     # Time between two checks for deadlines, lapsed shares and lost targets.
     check_every_ms: int = 20
+    # With this much time left a request waits for targets to come back: nobody
+    # sends an overnight forecast again. With less, an early refusal lets its
+    # caller do something else.
+    outage_wait_ms: int = 60_000
     # Advice to callers that were shed; long enough to thin out a burst.
     retry_after_ms: int = 500
     fair_quantum_work: float = FAIR_QUANTUM_WORK
@@ -212,10 +216,16 @@
         if not all(s and self._uses.find_available(s) for s in services):
             return NotRun(Reason.DEPENDENCY_DOWN, self._limits.retry_after_ms)
         available = self._uses.find_available(source.service)
+        if not available and self._can_outlast_outage(item):
+            return None
         if all(target.name in exclude for target in available):
             return NotRun(Reason.NO_TARGET, self._limits.retry_after_ms)
         return None
 
+    def _can_outlast_outage(self, item: WorkItem) -> bool:
+        left_ms = item.deadline_at_ms - self._clock.now_ms()
+        return left_ms >= self._limits.outage_wait_ms
+
     def _admit(self, waiter: Waiter) -> None:
         source = self._queues.find(waiter.item.kind.service)
         assert source is not None, "the kind was looked up before"
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -388,6 +388,19 @@
         refusal = refused(await self.start(make_item("d")))
         assert refusal.retry_after_ms == 2_000
 
+    async def test_long_deadline_outlasts_an_outage(self) -> None:
+        """Guards against overnight work refused for a short outage."""
+        self.view.down.add("t1")
+        soon = await self.start(make_item("a"))
+        assert refused(soon).reason is Reason.NO_TARGET
+        later = make_item("b", deadline_at_ms=1_000_000 + 8 * 3_600_000)
+        task = await self.start(later)
+        assert not task.done()
+        self.view.down.clear()
+        self.scheduler.expire()
+        await settle()
+        await end(task.result().unwrap())
+
     async def test_nowhere_to_run(self) -> None:
         """Guards against requests that wait for what cannot come."""
         exclude = frozenset({"t1"})
