Name functions by verbs in membership and the text store

Cause: the house style wants verbs for functions; getters were called live, known, own or current, and TargetView stood twice. Change: list_live_peers, list_known_peers, choose_neighbours, find_lowest_tier; values without arguments are properties; one TargetView. Conclusion: no behaviour changes.

--- a/src/peridotbend/adapters/peerclient.py
+++ b/src/peridotbend/adapters/peerclient.py
@@ -115,7 +115,7 @@
         self, fingerprint: bytes, permit_ms: int
     ) -> TrialAnswer:
         """Asks the owner of the fingerprint for permission to run it."""
-        own = self._roster.own().name
+        own = self._roster.own.name
         owner = self._roster.find_peer(self._roster.find_owner(fingerprint))
         if owner is None or owner.name == own:
             return self._keeper.grant_trial(fingerprint, own, permit_ms)
@@ -141,7 +141,7 @@
         A report that is lost costs time only: the owner's permit lapses, and
         a crash also spreads with the fingerprints in the digests.
         """
-        own = self._roster.own().name
+        own = self._roster.own.name
         owner = self._roster.find_peer(self._roster.find_owner(fingerprint))
         if owner is None or owner.name == own:
             finish_trial(self._keeper, fingerprint, own, outcome)
@@ -243,7 +243,7 @@
     async def _read(
         self, peer: Peer, call: PeerCall
     ) -> AsyncGenerator[AnswerPart, None]:
-        if peer.name == self._roster.own().name:
+        if peer.name == self._roster.own.name:
             ended = False
             assert self._handler is not None, "no handler was attached"
             async for part in self._handler.serve_peer(call):
--- a/src/peridotbend/adapters/peerdigest.py
+++ b/src/peridotbend/adapters/peerdigest.py
@@ -83,8 +83,8 @@
     def build(self, peer: str) -> pb.Digest:
         """Returns the next digest for the named peer."""
         source = self._source
-        own = source.roster.own()
-        text = source.store.current()
+        own = source.roster.own
+        text = source.store.current
         marks, self._cursor = source.roster.targets.marks_from(
             self._cursor, MAX_LEAVING
         )
@@ -95,7 +95,7 @@
             peer_address=f"{own.host}:{own.port}",
             sequence=source.next_sequence(),
             draining=own.draining,
-            text_version=source.store.version(),
+            text_version=source.store.version,
             text_digest=text.digest if text else b"",
             members=self._sample(peer),
             leaving=[pb.LeavingTarget(name=n, incarnation=i) for n, i in marks],
--- a/src/peridotbend/adapters/peerhandover.py
+++ b/src/peridotbend/adapters/peerhandover.py
@@ -44,7 +44,7 @@
         A batch goes to the next heir only when it surely was not taken over
         by the one before: nothing was sent, or the reply refused a record.
         """
-        own = self._roster.own()
+        own = self._roster.own
         accepted: list[str] = []
         left = records
         heirs = self._roster.rank_heirs(own.name, own.incarnation)
@@ -63,7 +63,7 @@
         self, heir: Peer, batch: list[HandedRecord]
     ) -> tuple[list[str], list[HandedRecord]]:
         """Offers a batch; returns IDs taken and records for the next heir."""
-        own = self._roster.own()
+        own = self._roster.own
         message = pb.HandOverBatch(
             from_name=own.name,
             from_incarnation=own.incarnation,
--- a/src/peridotbend/adapters/peerlinks.py
+++ b/src/peridotbend/adapters/peerlinks.py
@@ -128,7 +128,9 @@
     def _adjust(self, group: TaskGroup) -> None:
         wanted = {
             peer.name: peer
-            for peer in self._roster.neighbours(self._source.hooks.dividers())
+            for peer in self._roster.choose_neighbours(
+                self._source.hooks.dividers()
+            )
         }
         for name, (peer, scope) in list(self._tasks.items()):
             now = wanted.get(name)
--- a/src/peridotbend/adapters/peerserver.py
+++ b/src/peridotbend/adapters/peerserver.py
@@ -116,7 +116,7 @@
     ) -> None:
         """Takes over records of an instance that shuts down."""
         self._check_incarnation(stream)
-        if self._roster.own().draining:
+        if self._roster.own.draining:
             raise GRPCError(Status.FAILED_PRECONDITION, "draining")
         batch = await self._receive(stream, self._limits.max_batch_bytes)
         try:
@@ -143,9 +143,9 @@
 
     def make_text_reply(self, request: pb.TextRequest) -> pb.TextReply:
         """Returns the text in force, as a difference where that is known."""
-        text = self._store.current()
+        text = self._store.current
         if text is None or text.version <= request.newer_than:
-            return pb.TextReply(version=self._store.version())
+            return pb.TextReply(version=self._store.version)
         reply = pb.TextReply(version=text.version, digest=text.digest)
         base = self._store.find_past(request.newer_than, request.digest)
         if base is None:
@@ -199,7 +199,7 @@
     def _check_incarnation(self, stream: "grpclib.server.Stream[T, R]") -> None:
         metadata: Mapping[str, object] = stream.metadata or {}
         wanted = metadata.get(INCARNATION_KEY)
-        if wanted != str(self._roster.own().incarnation):
+        if wanted != str(self._roster.own.incarnation):
             raise GRPCError(Status.FAILED_PRECONDITION, "other incarnation")
 
     async def _receive(
--- a/src/peridotbend/adapters/textsync.py
+++ b/src/peridotbend/adapters/textsync.py
@@ -72,7 +72,7 @@
     def note_text(self, peer: str, version: int, digest: bytes) -> None:
         """Notes what a peer's digest says about its text."""
         self._store.note_digest(version, digest)
-        if version <= self._store.version():
+        if version <= self._store.version:
             self._claims.pop(peer, None)
         elif (version, digest) not in self._refused_claims:
             self._claims[peer] = (version, digest)
@@ -110,7 +110,7 @@
             group.start_soon(self._watch_text)
 
     async def _ask_peers(self) -> None:
-        peers = list(self._roster.known_peers())
+        peers = list(self._roster.list_known_peers())
         asked = self._rng.sample(peers, min(ASKED_PEERS, len(peers)))
         async with anyio.create_task_group() as group:
             for peer in asked:
@@ -124,7 +124,7 @@
                 name = max(self._claims, key=lambda n: self._claims[n][0])
                 claim = self._claims.pop(name)
                 peer = self._roster.find_peer(name)
-                if peer is None or claim[0] <= self._store.version():
+                if peer is None or claim[0] <= self._store.version:
                     continue
                 if not await self._fetch_from(peer, claim):
                     # The peer's next digest repeats the claim.
@@ -133,7 +133,7 @@
     async def _fetch_from(
         self, peer: Peer, claim: tuple[int, bytes] | None = None
     ) -> bool:
-        fetched = await self._fetch(peer, self._store.current())
+        fetched = await self._fetch(peer, self._store.current)
         if isinstance(fetched, Err):
             return False
         if fetched.ok_value is None:
@@ -152,7 +152,7 @@
             if not await self._may_read():
                 await anyio.sleep(self._jitter(ROLE_CHECK_S))
                 continue
-            version = self._store.version()
+            version = self._store.version
             began_ms = self._clock.now_ms()
             read = await self._platform.watch_text(version, WATCH_MS)
             self._note_platform(read)
@@ -213,7 +213,8 @@
 
     def _are_peers_silent(self) -> bool:
         ages = [
-            self._roster.find_age(p.name) for p in self._roster.live_peers()
+            self._roster.find_age(p.name)
+            for p in self._roster.list_live_peers()
         ]
         return all(age is None or age > PEERS_SILENT_MS for age in ages)
 
--- a/src/peridotbend/domain/membership.py
+++ b/src/peridotbend/domain/membership.py
@@ -3,7 +3,6 @@
 import dataclasses
 import random
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 from peridotbend.domain import rendezvous
 from peridotbend.domain.clock import Clock
@@ -15,22 +14,6 @@
 READERS_PER_ZONE = 2
 
 
-class TargetView(Protocol):
-    """What the scheduler asks about targets and peers."""
-
-    def is_available(self, target: Target) -> bool:
-        """Tells whether a target is neither leaving nor seen dead."""
-        ...
-
-    def count_live_peers(self) -> int:
-        """Counts live entry instances, this process included."""
-        ...
-
-    def zone(self) -> str:
-        """Returns the zone of this process."""
-        ...
-
-
 class Roster:
     """Peers and targets as this process sees them.
 
@@ -115,8 +98,9 @@
 
     # Peers.
 
+    @property
     def own(self) -> Peer:
-        """Returns this process as its peers see it."""
+        """This process as its peers see it."""
         return self._own
 
     def find_peer(self, name: str) -> Peer | None:
@@ -133,13 +117,13 @@
         """Returns milliseconds since a peer was last heard of."""
         return self._table.find_age(name)
 
-    def live_peers(self) -> tuple[Peer, ...]:
+    def list_live_peers(self) -> tuple[Peer, ...]:
         """Returns the live peers without this process."""
-        return self._table.live()
+        return self._table.list_live()
 
-    def known_peers(self) -> tuple[Peer, ...]:
+    def list_known_peers(self) -> tuple[Peer, ...]:
         """Returns all known peers without this process."""
-        return self._table.known()
+        return self._table.list_known()
 
     def is_full_mesh(self) -> bool:
         """Tells whether every known peer is a neighbour."""
@@ -149,16 +133,18 @@
         """Returns at most `limit` random live peers."""
         return self._table.sample_live(limit)
 
-    def neighbours(self, dividers: Iterable[str] = ()) -> tuple[Peer, ...]:
+    def choose_neighbours(
+        self, dividers: Iterable[str] = ()
+    ) -> tuple[Peer, ...]:
         """Returns the peers to keep a stream to."""
-        return self._table.neighbours(dividers)
+        return self._table.choose_neighbours(dividers)
 
     # Responsibilities.
 
     def find_divider(self, target: Target) -> str:
         """Returns the name of the instance that divides a target's window."""
         # A fleet has thousands of targets, each asked for every 200 ms.
-        view = (self._table.view(), self._own.draining)
+        view = (self._table.count_changes(), self._own.draining)
         if view != self._dividers_key:
             self._dividers, self._dividers_key = {}, view
         found = self._dividers.get((target.name, target.zone))
@@ -179,7 +165,9 @@
         Look-ups ask draining peers too: they may have taken over records
         before they began to drain.
         """
-        peers = [p for p in (*self.live_peers(), self._own) if p.name != name]
+        peers = [
+            p for p in (*self.list_live_peers(), self._own) if p.name != name
+        ]
         able = [p for p in peers if with_draining or not p.draining]
         key = f"heir:{name}:{incarnation}".encode()
         return tuple(rendezvous.rank(key, able, _name))
@@ -204,10 +192,11 @@
 
     def count_live_peers(self) -> int:
         """Counts live entry instances, this process included."""
-        return 1 + len(self.live_peers())
+        return 1 + len(self.list_live_peers())
 
+    @property
     def zone(self) -> str:
-        """Returns the zone of this process."""
+        """The zone of this process."""
         return self._own.zone
 
     def dump(self) -> dict[str, object]:
@@ -230,7 +219,7 @@
         return rendezvous.rank(key, near or able, _name)[0].name
 
     def _able(self) -> list[Peer]:
-        live = [*self.live_peers(), self._own]
+        live = [*self.list_live_peers(), self._own]
         return [p for p in live if not p.draining] or live
 
     def _learn(self, peer: Peer, heard_at_ms: int, direct: bool) -> bool:
--- a/src/peridotbend/domain/peertable.py
+++ b/src/peridotbend/domain/peertable.py
@@ -63,7 +63,7 @@
         self._linked: frozenset[str] = frozenset()
         self._live: tuple[Peer, ...] = ()
         self._live_at_ms: int | None = None
-        self._view = 0
+        self._changes = 0
 
     def add_candidate(self, info: InstanceInfo) -> None:
         """Adds a peer that the platform lists; that alone is no life sign."""
@@ -115,7 +115,7 @@
             return None
         return max(0, self._clock.now_ms() - entry.heard_at_ms)
 
-    def live(self) -> tuple[Peer, ...]:
+    def list_live(self) -> tuple[Peer, ...]:
         """Returns the live peers."""
         now = self._clock.now_ms()
         if self._live_at_ms != now:
@@ -123,16 +123,16 @@
                 e.peer for e in self._entries.values() if self._check_live(e)
             )
             if _summarize(live) != _summarize(self._live):
-                self._view += 1
+                self._changes += 1
             self._live, self._live_at_ms = live, now
         return self._live
 
-    def view(self) -> int:
-        """Returns a number that changes when the live peers change."""
-        self.live()
-        return self._view
+    def count_changes(self) -> int:
+        """Counts how often the live peers changed."""
+        self.list_live()
+        return self._changes
 
-    def known(self) -> tuple[Peer, ...]:
+    def list_known(self) -> tuple[Peer, ...]:
         """Returns all known peers."""
         return tuple(e.peer for e in self._entries.values())
 
@@ -142,10 +142,10 @@
 
     def sample_live(self, limit: int) -> list[Peer]:
         """Returns at most `limit` random live peers."""
-        live = self.live()
+        live = self.list_live()
         return self._rng.sample(live, min(limit, len(live)))
 
-    def neighbours(self, dividers: Iterable[str]) -> tuple[Peer, ...]:
+    def choose_neighbours(self, dividers: Iterable[str]) -> tuple[Peer, ...]:
         """Returns the peers to keep a stream to."""
         if self.is_full_mesh():
             names = frozenset(self._entries)
@@ -217,10 +217,10 @@
         if drawn is not None and now - drawn < REDRAW_MS:
             return
         self._drawn_at_ms = now
-        drawn_names = self._draw(self.live())
+        drawn_names = self._draw(self.list_live())
         if len(self._live) <= FULL_MESH_PEERS:
             # After a start or a partition most peers do not count as live.
-            drawn_names |= self._draw(self.known())
+            drawn_names |= self._draw(self.list_known())
         self._drawn = drawn_names
 
     def _draw(self, peers: tuple[Peer, ...]) -> frozenset[str]:
--- a/src/peridotbend/domain/scheduler.py
+++ b/src/peridotbend/domain/scheduler.py
@@ -237,7 +237,7 @@
     def _shed_excess(self, source: Queue) -> None:
         """Brings the queue, and all of them together, within the bounds."""
         names = [target.name for target in source.service.targets]
-        lowest = self._uses.shares.lowest_tier_served(names)
+        lowest = self._uses.shares.find_lowest_tier(names)
         while len(source.queue) > source.service.max_queue:
             victim = source.queue.find_victim()
             if victim is None or not self._queues.may_shed(
--- a/src/peridotbend/domain/targetuse.py
+++ b/src/peridotbend/domain/targetuse.py
@@ -21,8 +21,9 @@
         """Counts live entry instances, this process included."""
         ...
 
+    @property
     def zone(self) -> str:
-        """Returns the zone of this process."""
+        """The zone of this process."""
         ...
 
 
@@ -116,7 +117,7 @@
         peers = self._view.count_live_peers()
         work = self.shares.find_allowance(name, use.window.size, peers)
         use.allowance = work
-        return Allowance(work, self.shares.lowest_tier_served((name,)))
+        return Allowance(work, self.shares.find_lowest_tier((name,)))
 
     def dump(self) -> dict[str, object]:
         """Returns the window and the use of each target."""
--- a/src/peridotbend/domain/textstore.py
+++ b/src/peridotbend/domain/textstore.py
@@ -66,12 +66,14 @@
             callback(text)
         return OfferOutcome.ACCEPTED
 
+    @property
     def current(self) -> FleetText | None:
-        """Returns the text in force, or None before the first one."""
+        """The text in force, or None before the first one."""
         return self._text
 
+    @property
     def version(self) -> int:
-        """Returns the version in force, or -1 before the first text."""
+        """The version in force, or -1 before the first text."""
         return -1 if self._text is None else self._text.version
 
     def find_past(self, version: int, digest: bytes) -> FleetText | None:
@@ -81,12 +83,14 @@
                 return text
         return None
 
+    @property
     def accepted_at_ms(self) -> int | None:
-        """Returns when the text in force was accepted."""
+        """When the text in force was accepted."""
         return self._accepted_at_ms
 
+    @property
     def conflict(self) -> TextConflict | None:
-        """Returns the last conflict with the version in force."""
+        """The last conflict with the version in force."""
         return self._conflict
 
     def subscribe(self, callback: Callable[[FleetText], None]) -> None:
--- a/src/peridotbend/domain/windows.py
+++ b/src/peridotbend/domain/windows.py
@@ -248,7 +248,7 @@
             return window / max(1, live_peers)
         return min(share.work, window)
 
-    def lowest_tier_served(self, targets: Iterable[str]) -> int | None:
+    def find_lowest_tier(self, targets: Iterable[str]) -> int | None:
         """Returns the lowest tier with work in the last divisions.
 
         None means that no share is in force or that nothing was served.
--- a/src/peridotbend/inspection.py
+++ b/src/peridotbend/inspection.py
@@ -30,20 +30,20 @@
 
 def is_ready(node: "Node") -> bool:
     """Tells whether new requests are accepted."""
-    return node.store.current() is not None and not node.service.draining
+    return node.store.current is not None and not node.service.draining
 
 
 def summarize_node(node: "Node") -> dict[str, object]:
     """Returns the few values that a person looks at first."""
-    accepted_at_ms = node.store.accepted_at_ms()
-    conflict = node.store.conflict()
+    accepted_at_ms = node.store.accepted_at_ms
+    conflict = node.store.conflict
     return {
         "instance": node.settings.name,
         "zone": node.settings.zone,
         "incarnation": node.incarnation,
         "ready": is_ready(node),
         "draining": node.service.draining,
-        "text_version": node.store.version(),
+        "text_version": node.store.version,
         "text_age_ms": (
             node.clock.now_ms() - accepted_at_ms if accepted_at_ms else None
         ),
@@ -56,7 +56,7 @@
         "body_bytes": node.caller_app.bodies.used_bytes,
         "peers": [
             {"peer": peer.name, "zone": peer.zone, "draining": peer.draining}
-            for peer in node.roster.live_peers()
+            for peer in node.roster.list_live_peers()
         ],
         "in_flight": [
             {"target": name, "requests": count}
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -313,7 +313,7 @@
             self._demand = demand
             for target, work_by_tier in demand.get(own, {}).items():
                 self.divider.record_demand(own, target, work_by_tier)
-            live = [own, *(peer.name for peer in self.roster.live_peers())]
+            live = [own, *(peer.name for peer in self.roster.list_live_peers())]
             self._shares = self.divider.divide(self._find_divided(own), live)
             self.scheduler.update_shares(self._shares.get(own, ()))
             await anyio.sleep(DIVIDE_INTERVAL_S)
@@ -358,5 +358,5 @@
         )
 
     def _has_heir(self) -> bool:
-        own = self.roster.own()
+        own = self.roster.own
         return bool(self.roster.rank_heirs(own.name, own.incarnation))
--- a/src/peridotbend_emulator/instances.py
+++ b/src/peridotbend_emulator/instances.py
@@ -67,8 +67,9 @@
         """Counts all entries."""
         return ENTRIES
 
+    @property
     def zone(self) -> str:
-        """Returns the zone of the entry."""
+        """The zone of the entry."""
         return self._zone
 
 
--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -267,12 +267,15 @@
             for edge in both:
                 edge.node.roster.apply_list(lines)
             for edge in both:
-                await edge.wait_for(
-                    lambda edge=edge: len(edge.node.roster.live_peers()) > 0  # type: ignore[misc]
-                )
+                await edge.wait_for(has_live_peer(edge))
             yield both
 
 
+def has_live_peer(edge: EdgeNode) -> Callable[[], bool]:
+    """Returns a check that the node hears from another one."""
+    return lambda: edge.node.roster.count_live_peers() > 1
+
+
 def make_text_document(runner_port: int, orders_port: int) -> dict[str, object]:
     """Returns a text with a model and an application on one address each."""
 
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -234,7 +234,7 @@
         assert not world.faults, world.faults
 
     def _check_node(self, node: SimNode) -> None:
-        version = node.store.version()
+        version = node.store.version
         if version < self._versions.get(node.incarnation, -1):
             self._fail("the text of a process went back")
         self._versions[node.incarnation] = version
@@ -252,12 +252,12 @@
         live = self.world.live()
         for node in live:
             side = [
-                other.store.version()
+                other.store.version
                 for other in live
                 if self.world.is_linked(node.process, other.process)
             ]
-            if node.store.version() < max(side):
-                self._fail(f"text {node.store.version()}, not {max(side)}")
+            if node.store.version < max(side):
+                self._fail(f"text {node.store.version}, not {max(side)}")
 
     def check_end(self) -> None:
         """Checks that every caller of a surviving process was answered."""
--- a/tests/scheduling.py
+++ b/tests/scheduling.py
@@ -85,6 +85,7 @@
         """Returns `peers`."""
         return self.peers
 
+    @property
     def zone(self) -> str:
         """Returns one zone for all."""
         return "z1"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -62,7 +62,7 @@
         """Guards against a stale list that makes dead peers count."""
         self.roster.apply_list([make_entry("e1", 10)])
         assert self.roster.count_live_peers() == 1
-        assert [p.name for p in self.roster.known_peers()] == ["e1"]
+        assert [p.name for p in self.roster.list_known_peers()] == ["e1"]
 
     def test_empty_list_removes_nobody(self) -> None:
         """Guards against a failing platform that empties the roster."""
@@ -77,7 +77,7 @@
         assert self.roster.is_live("e1")
         self.clock.advance(1)
         assert not self.roster.is_live("e1")
-        assert not self.roster.live_peers()
+        assert not self.roster.list_live_peers()
         assert self.log.count(Event.PEER_LOST) == 1
 
     def test_old_sequence_is_no_life_sign(self) -> None:
@@ -122,7 +122,7 @@
         for number in range(MAX_PEERS + 50):
             self.roster.apply_list([make_entry(f"x{number}", 10)])
         self.hear("e1")
-        assert len(self.roster.known_peers()) == MAX_PEERS
+        assert len(self.roster.list_known_peers()) == MAX_PEERS
         assert self.roster.is_live("e1")
 
 
@@ -264,7 +264,7 @@
     def test_small_fleet_is_a_full_mesh(self) -> None:
         """Guards against a small fleet that gossips through others."""
         self.hear(*[f"e{n}" for n in range(1, 17)])
-        assert len(self.roster.neighbours()) == 16
+        assert len(self.roster.choose_neighbours()) == 16
 
     def test_large_fleet_draws_few_and_redraws(self) -> None:
         """Guards against links that grow with the fleet, or a fixed graph."""
@@ -272,10 +272,10 @@
             peer = make_peer(f"p{number}")
             zone = "a" if number < 30 else "b"
             self.roster.record_heartbeat(dataclasses.replace(peer, zone=zone))
-        first = self.roster.neighbours(["p59", "unknown"])
+        first = self.roster.choose_neighbours(["p59", "unknown"])
         assert 10 <= len(first) <= 11
         assert "p59" in {p.name for p in first}
         assert sum(p.zone == "a" for p in first) == 8
-        assert self.roster.neighbours(["p59"]) == first
+        assert self.roster.choose_neighbours(["p59"]) == first
         self.clock.advance(REDRAW_MS)
-        assert self.roster.neighbours(["p59"]) != first
+        assert self.roster.choose_neighbours(["p59"]) != first
--- a/tests/test_peerclient.py
+++ b/tests/test_peerclient.py
@@ -152,7 +152,7 @@
         """Guards against a restart between the look-up and the call."""
         nodes = await self.start(2)
         nodes[1].handler.parts = ANSWER
-        old = dataclasses.replace(nodes[1].roster.own(), incarnation=55)
+        old = dataclasses.replace(nodes[1].roster.own, incarnation=55)
         nodes[0].roster.record_heartbeat(old)
         with self.assertRaises(PeerUnreachableError):
             await self.collect(nodes[0], "e1", 55)
@@ -268,7 +268,7 @@
         nodes[0].store.offer(current)
         nodes[0].store.offer(text)
         replies = replies_of(nodes[0])
-        peer, fetch = nodes[0].roster.own(), nodes[1].client.fetch_text
+        peer, fetch = nodes[0].roster.own, nodes[1].client.fetch_text
         assert await fetch(peer, current) == Ok(new)
         assert [bool(reply.yaml) for reply in replies] == [False]
         # A caller with another text of that version gets it whole.
@@ -283,7 +283,7 @@
     async def test_silent_owner_refuses(self) -> None:
         """Guards against a suspect that runs without its owner's word."""
         nodes = await self.start(2)
-        nodes[0].roster.record_heartbeat(nodes[1].roster.own())
+        nodes[0].roster.record_heartbeat(nodes[1].roster.own)
         await nodes[1].stop()
         key = next(
             bytes([n])
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -53,7 +53,7 @@
     async def test_garbage_harms_nobody(self) -> None:
         """Guards against a peer that breaks the protocol and the server."""
         nodes = await self.start(2)
-        own = nodes[0].roster.own()
+        own = nodes[0].roster.own
         good = pb.Digest(
             name="evil", incarnation=3, peer_address=f"127.0.0.1:{own.port}"
         )
@@ -84,7 +84,7 @@
             writer.close()
             assert nodes[0].roster.find_peer("evil") is None
             nodes[1].store.offer(make_text(2))
-            await wait_until(lambda: nodes[0].store.version() == 2)
+            await wait_until(lambda: nodes[0].store.version == 2)
 
     async def test_fingerprints_are_sent_on_change(self) -> None:
         """Guards against digests that repeat 256 fingerprints each time."""
--- a/tests/test_textstore.py
+++ b/tests/test_textstore.py
@@ -23,13 +23,13 @@
         in_force = []
         for version in versions:
             self.store.offer(make_text(version))
-            in_force.append(self.store.version())
+            in_force.append(self.store.version)
         assert in_force == [3, 3, 5, 5, 5, 5, 9, 9]
 
     def test_outcomes(self) -> None:
         """Guards against an older or equal text reported as accepted."""
         offer = self.store.offer
-        assert self.store.version() == -1
+        assert self.store.version == -1
         assert offer(make_text(2)) is OfferOutcome.ACCEPTED
         assert offer(make_text(1)) is OfferOutcome.OLDER
         assert offer(make_text(2)) is OfferOutcome.SAME
@@ -41,9 +41,9 @@
         other = make_text(2, "b")
         assert self.store.offer(other) is OfferOutcome.CONFLICT
         self.store.note_digest(2, other.digest)
-        assert self.store.current() is first
+        assert self.store.current is first
         assert self.log.count(Event.TEXT_CONFLICT) == 1
-        conflict = self.store.conflict()
+        conflict = self.store.conflict
         assert conflict is not None
         assert conflict.refused_digest == other.digest
 
@@ -56,4 +56,4 @@
         self.store.offer(make_text(1))
         self.store.offer(make_text(4))
         assert seen == [1, 4]
-        assert self.store.accepted_at_ms() == self.clock.now_ms()
+        assert self.store.accepted_at_ms == self.clock.now_ms()
--- a/tests/test_textsync.py
+++ b/tests/test_textsync.py
@@ -69,9 +69,9 @@
         async with running(*nodes):
             await self.meet(nodes)
             nodes[0].platform.publish(make_text(4).source)
-            await wait_until(lambda: all(n.store.version() == 4 for n in nodes))
+            await wait_until(lambda: all(n.store.version == 4 for n in nodes))
             nodes[0].platform.publish(make_text(9).source)
-            await wait_until(lambda: all(n.store.version() == 9 for n in nodes))
+            await wait_until(lambda: all(n.store.version == 9 for n in nodes))
         assert [n.log.count(Event.TEXT_ACCEPTED) for n in nodes] == [2] * 8
 
     async def test_stale_platform_never_reverts_the_text(self) -> None:
@@ -79,7 +79,7 @@
         nodes = await self.start(3)
         async with running(*nodes):
             nodes[0].platform.publish(make_text(5).source)
-            await wait_until(lambda: all(n.store.version() == 5 for n in nodes))
+            await wait_until(lambda: all(n.store.version == 5 for n in nodes))
             seen: list[int] = []
             for node in nodes:
                 node.store.subscribe(lambda text: seen.append(text.version))
@@ -87,7 +87,7 @@
             served = nodes[0].platform.served
             await wait_until(lambda: make_text(2).source in served)
             nodes[0].platform.publish(make_text(6).source)
-            await wait_until(lambda: all(n.store.version() == 6 for n in nodes))
+            await wait_until(lambda: all(n.store.version == 6 for n in nodes))
         assert seen == [6, 6, 6]
 
     async def test_new_process_asks_peers_before_a_stale_platform(self) -> None:
@@ -99,7 +99,7 @@
         seen: list[int] = []
         nodes[2].store.subscribe(lambda text: seen.append(text.version))
         async with running(*nodes):
-            await wait_until(lambda: nodes[2].store.version() == 8)
+            await wait_until(lambda: nodes[2].store.version == 8)
         assert seen == [8]
 
     async def test_cut_and_heal_converge_to_the_highest_version(self) -> None:
@@ -125,12 +125,10 @@
             )
             platforms[0].publish(make_text(3).source)
             platforms[1].publish(make_text(7).source)
-            await wait_until(
-                lambda: [n.store.version() for n in nodes] == [3, 7]
-            )
+            await wait_until(lambda: [n.store.version for n in nodes] == [3, 7])
             for relay in relays:
                 relay.is_cut = False
-            await wait_until(lambda: all(n.store.version() == 7 for n in nodes))
+            await wait_until(lambda: all(n.store.version == 7 for n in nodes))
         for relay in relays:
             relay.stop()
 
@@ -142,7 +140,7 @@
             await wait_until(lambda: not node.sync.is_platform_reachable())
             node.platform.source = make_text(1).source
             node.platform.down = False
-            await wait_until(lambda: node.store.version() == 1)
+            await wait_until(lambda: node.store.version == 1)
         assert node.log.count(Event.PLATFORM_UNREACHABLE) == 1
         assert node.log.count(Event.PLATFORM_REACHED) == 1
 
@@ -155,6 +153,6 @@
         assert urgent, "an accepted text does not wait for a heartbeat"
         for _ in range(2):
             assert await node.sync.offer_source("oops") is None
-        assert node.store.version() == 1
+        assert node.store.version == 1
         assert node.log.count(Event.TEXT_REFUSED) == 1
         await node.stop()
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -188,10 +188,10 @@
 
     def test_lowest_tier_over_targets(self) -> None:
         """Guards against a tier shed while a lower one is served."""
-        assert self.table.lowest_tier_served(["t", "u"]) is None
+        assert self.table.find_lowest_tier(["t", "u"]) is None
         self.table.update(Share("t", 300, -1))
-        assert self.table.lowest_tier_served(["t", "u"]) is None
+        assert self.table.find_lowest_tier(["t", "u"]) is None
         self.table.update(Share("u", 300, 2))
-        assert self.table.lowest_tier_served(["t", "u"]) == 2
+        assert self.table.find_lowest_tier(["t", "u"]) == 2
         self.clock.advance(SHARE_LIFETIME_MS)
-        assert self.table.lowest_tier_served(["t", "u"]) is None
+        assert self.table.find_lowest_tier(["t", "u"]) is None
