Move the sum of demand out of the scheduler

Change: domain/demand.py; Router.estimate_ms. Conclusion: no behaviour changes; tests of scheduler, router, measurement and oracle pass.

--- a/src/peridotbend/domain/routing.py
+++ b/src/peridotbend/domain/routing.py
@@ -83,7 +83,7 @@
             return None
         return best
 
-    def expected_ms(self, item: WorkItem, candidate: Candidate) -> float:
+    def estimate_ms(self, item: WorkItem, candidate: Candidate) -> float:
         """Returns the time until the request would end there."""
         now_ms = self._clock.now_ms()
         traffic = self._find_traffic(item.kind.service)
@@ -282,7 +282,7 @@
         # other target that ends in time is better.
         if item.kind.idempotent or not self._is_straggling(best):
             gain = self._settings.wait_gain
-            limit_ms = min(limit_ms, self.expected_ms(item, best) / gain)
+            limit_ms = min(limit_ms, self.estimate_ms(item, best) / gain)
         if not any(self._is_worth_waiting(item, c, limit_ms) for c in busy):
             return False
         since_ms = self._waiting.setdefault(item.key, now_ms)
@@ -304,7 +304,7 @@
         drain_ms = (item.work.units - busy.room) * costs.prefill_ms
         if drain_ms > self._settings.max_wait_ms:
             return False
-        return self.expected_ms(item, busy) < limit_ms
+        return self.estimate_ms(item, busy) < limit_ms
 
     def _is_straggling(self, candidate: Candidate) -> bool:
         estimate = self._estimates.get(candidate.target.name)
--- a/src/peridotbend/domain/scheduler.py
+++ b/src/peridotbend/domain/scheduler.py
@@ -12,6 +12,7 @@
 from peridotbend.domain.accounts import ClientLimits
 from peridotbend.domain.candidates import Candidate
 from peridotbend.domain.clock import Clock
+from peridotbend.domain.demand import find_active_targets, sum_demand
 from peridotbend.domain.grants import UNSENT, Waiter
 from peridotbend.domain.grants import Grant as Grant
 from peridotbend.domain.ordering import (
@@ -145,43 +146,16 @@
             self.expire()
 
     def find_demand(self) -> dict[str, tuple[float, ...]]:
-        """Returns for each target the work by tier, in flight and waiting.
-
-        Waiting work is spread evenly over the available targets.
-        """
-        return self._find_demand(self._uses.by_name)
-
-    def _find_demand(
-        self, names: Iterable[str]
-    ) -> dict[str, tuple[float, ...]]:
+        """Returns for each target the work by tier, in flight and waiting."""
         tiers = len(self._text.tiers) if self._text else 0
-        uses = self._uses.by_name
-        demand = {
-            name: [uses[name].work_by_tier.get(t, 0.0) for t in range(tiers)]
-            for name in names
-        }
-        for source in self._queues:
-            if not len(source.queue):
-                continue
-            available = self._uses.find_available(source.service)
-            for target, tier in itertools.product(available, range(tiers)):
-                part = source.queue.find_work(tier) / len(available)
-                demand[target.name][tier] += part
-        return {name: tuple(work) for name, work in demand.items()}
+        names = self._uses.by_name
+        return sum_demand(self._uses, self._queues, tiers, names)
 
     def find_active_demand(self) -> dict[str, tuple[float, ...]]:
-        """Returns the demand for targets that have any.
-
-        Most targets of a large fleet have none from one process.
-        """
-        active = {
-            name for name, use in self._uses.by_name.items() if use.work_by_tier
-        }
-        for source in self._queues:
-            if len(source.queue):
-                available = self._uses.find_available(source.service)
-                active.update(target.name for target in available)
-        return self._find_demand(active)
+        """Returns the demand for targets that have any."""
+        tiers = len(self._text.tiers) if self._text else 0
+        names = find_active_targets(self._uses, self._queues)
+        return sum_demand(self._uses, self._queues, tiers, names)
 
     def find_window_size(self, target_name: str) -> float | None:
         """Returns the whole window of a target of the text."""
