--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= $(HOME)/.cache/peridotbend/venv
 BIN = $(VENV)/bin
 SEED ?= 1
-STEPS ?= 200
+STEPS ?= 3000
 SEEDS ?= 3
 
 .PHONY: setup demo test lint format fuzz model measure cost capacity
