Use one constant for the type of the metrics page

Cause: a last reading found the Prometheus content type written twice, one of the two unused, and an exit code constant that nothing used. Change: the operators' app takes the type from adapters/metrics; EXIT_GOOD is gone, since click exits with 0 by itself. Ruled out: merging MAX_TEXT_BYTES of platform.py (1,048,576) and yamltext.py (1,000,000): they differ, and the stricter one decides. Conclusion: no behaviour changes.

--- a/src/peridotbend/adapters/operators.py
+++ b/src/peridotbend/adapters/operators.py
@@ -6,12 +6,13 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+from peridotbend.adapters.metrics import CONTENT_TYPE
+
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 JSON_TYPE = "application/json"
 MAX_ID_LENGTH = 512
 
@@ -86,7 +87,7 @@
         return handler(scope)
 
     def _answer_metrics(self, _: Scope) -> _Answer:
-        return _Answer(200, self._hooks.render_metrics(), METRICS_TYPE)
+        return _Answer(200, self._hooks.render_metrics(), CONTENT_TYPE)
 
     def _answer_health(self, _: Scope) -> _Answer:
         return _write_json(200, {"healthy": True})
--- a/src/peridotbend/cli.py
+++ b/src/peridotbend/cli.py
@@ -11,7 +11,6 @@
 from peridotbend.adapters import operatorclient, tables
 from peridotbend.adapters.yamltext import parse_text
 
-EXIT_GOOD = 0
 EXIT_PROBLEMS = 1
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
