--- /dev/null
+++ b/src/peridotbend/adapters/publishedpeers.py
@@ -0,0 +1,112 @@
+"""Passes on between instances what the platform published."""
+
+from collections.abc import Mapping
+
+import anyio
+import grpclib.server
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from peridotbend.adapters.peers import (
+    PEER_ERRORS,
+    ChannelPool,
+    bound_messages,
+    make_configuration,
+)
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
+from peridotbend.edge.feeds import Feed
+from peridotbend.edge.published import Changes, Item
+from peridotbend.wire import edge_pb2 as pb
+from peridotbend.wire.edge_grpc import PublishedBase, PublishedStub
+
+FETCH_S = 1.0
+MAX_REQUEST_BYTES = 16_384
+# A configuration may have 1 MB.
+MAX_REPLY_BYTES = 16 * 1_048_576
+
+
+class PublishedServer(PublishedBase):
+    """Answers peers that lack changes."""
+
+    def __init__(self, feeds: Mapping[str, Feed]):
+        self._feeds = feeds
+        self._server = grpclib.server.Server(
+            [self], config=make_configuration()
+        )
+
+    async def start(self, host: str, port: int) -> None:
+        """Starts listening."""
+        await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Ends the calls and stops listening."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def ListChanges(  # noqa: N802 (name fixed by the protocol)
+        self,
+        stream: "grpclib.server.Stream[pb.ChangesRequest, pb.ChangesReply]",
+    ) -> None:
+        """Sends what is known to have changed after a revision."""
+        bound_messages(stream, MAX_REQUEST_BYTES)
+        request = await stream.recv_message()
+        feed = self._feeds.get(request.prefix) if request else None
+        if request is None or feed is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "unknown prefix")
+        await stream.send_message(_pack(feed.items.list_changes(request.after)))
+
+
+class PublishedFetcher:
+    """Asks peers for changes."""
+
+    def __init__(self, channels: ChannelPool, port: int, log: EventLog):
+        self._channels = channels
+        self._port = port
+        self._log = log
+
+    async def fetch(self, host: str, prefix: str, after: int) -> Changes | None:
+        """Returns what a peer knows more, or None if it does not answer."""
+        channel = self._channels.open(host, self._port)
+        try:
+            with anyio.fail_after(FETCH_S):
+                request = pb.ChangesRequest(prefix=prefix, after=after)
+                stub = PublishedStub(channel)
+                async with stub.ListChanges.open() as stream:
+                    await stream.send_message(request, end=True)
+                    bound_messages(stream, MAX_REPLY_BYTES)
+                    reply = await stream.recv_message()
+        except (*PEER_ERRORS, TimeoutError) as error:
+            self._channels.drop(host, self._port)
+            self._log.emit(
+                Event.PEER_FETCH_FAILED,
+                peer=host,
+                prefix=prefix,
+                detail=f"{type(error).__name__}: {error}",
+            )
+            return None
+        return _unpack(reply) if reply is not None else None
+
+
+def _pack(changes: Changes) -> pb.ChangesReply:
+    return pb.ChangesReply(
+        items=[
+            pb.PublishedItem(
+                key=item.key,
+                revision=item.revision,
+                value=item.value or b"",
+                removed=item.value is None,
+            )
+            for item in changes.items
+        ],
+        revision=changes.revision,
+        whole=changes.is_whole,
+    )
+
+
+def _unpack(reply: pb.ChangesReply) -> Changes:
+    items = tuple(
+        Item(item.key, item.revision, None if item.removed else item.value)
+        for item in reply.items
+    )
+    return Changes(items, reply.revision, reply.whole)
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -84,8 +84,9 @@
 class HttpTargetClient:
     """Sends calls to targets and knows whether a byte was written."""
 
-    def __init__(self) -> None:
+    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         self._pool = ConnectionPool()
+        self._connect_timeout_s = connect_timeout_s
 
     async def aclose(self) -> None:
         """Closes all connections that are free."""
@@ -97,7 +98,9 @@
     ) -> AsyncIterator[Result[TargetAnswer, CallError]]:
         """Sends a call and waits for the head of the answer."""
         write_gate = _WriteGate(gate)
-        request = _make_request(target, call, write_gate)
+        request = _make_request(
+            target, call, write_gate, self._connect_timeout_s
+        )
         origin = request.url.origin
         # A reused connection may have been closed by the target unseen; the
         # write then fails with an unknown outcome. Calls that may not be
@@ -146,7 +149,10 @@
 
 
 def _make_request(
-    target: Target, call: TargetCall, write_gate: _WriteGate
+    target: Target,
+    call: TargetCall,
+    write_gate: _WriteGate,
+    connect_timeout_s: float,
 ) -> httpcore.Request:
     timeout_s = max(call.timeout_ms, 1) / 1000
     headers = [
@@ -154,7 +160,8 @@
         for name, value in call.headers
         if name.lower() not in _HOP_BY_HOP
     ]
-    headers.append((b"Host", f"{target.host}:{target.port}".encode()))
+    if not any(name.lower() == b"host" for name, _ in headers):
+        headers.append((b"Host", f"{target.host}:{target.port}".encode()))
     if call.body or call.method in ("POST", "PUT", "PATCH"):
         headers.append((b"Content-Length", str(len(call.body)).encode()))
     return httpcore.Request(
@@ -170,7 +177,7 @@
         extensions={
             "trace": write_gate.trace,
             "timeout": {
-                "connect": min(CONNECT_TIMEOUT_S, timeout_s),
+                "connect": min(connect_timeout_s, timeout_s),
                 "read": timeout_s,
                 "write": timeout_s,
             },
--- a/src/peridotbend/daemon.py
+++ b/src/peridotbend/daemon.py
@@ -1,13 +1,8 @@
 """The daemon `peridotbendd`: one process on each entry instance."""
 
-import os
-
-# libuv can use io_uring; it reads this before the first loop starts.
-os.environ["UV_USE_IO_URING"] = "0"
-
 import dataclasses
-import importlib.metadata
 import json
+import os
 import signal
 import sys
 from typing import NoReturn
@@ -16,18 +11,13 @@
 import click
 from result import Err
 
+from peridotbend.adapters.eventloop import BACKEND_OPTIONS
 from peridotbend.adapters.logs import StructuredLog
 from peridotbend.adapters.serving import ListenError
 from peridotbend.adapters.settings import NodeSettings, load_settings
 from peridotbend.domain.ports import EventLog
 from peridotbend.node import Node, TextFileError
 
-# From 0.23 on, uvloop opens an io_uring whatever the variable says; the
-# loop of asyncio takes its place there.
-BACKEND_OPTIONS = {
-    "use_uvloop": importlib.metadata.version("uvloop").split(".")[:2]
-    <= ["0", "22"]
-}
 EXIT_BAD_SETTINGS = 1
 EXIT_CANNOT_LISTEN = 3
 
--- a/src/peridotbend/domain/verdicts.py
+++ b/src/peridotbend/domain/verdicts.py
@@ -13,6 +13,7 @@
     UNKNOWN_REQUEST = "unknown-request"
     WRONG_METHOD = "wrong-method"
     WRONG_ACCOUNT = "wrong-account"
+    UNKNOWN_KEY = "unknown-key"
     FORGED_ID = "forged-id"
     EXPIRED = "expired"
     NEEDS_RESERVATION = "needs-reservation"
@@ -76,6 +77,7 @@
     Reason.UNKNOWN_REQUEST: 404,
     Reason.WRONG_METHOD: 405,
     Reason.WRONG_ACCOUNT: 403,
+    Reason.UNKNOWN_KEY: 401,
     Reason.FORGED_ID: 400,
     Reason.EXPIRED: 410,
     Reason.NEEDS_RESERVATION: 428,
--- /dev/null
+++ b/src/peridotbend/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an entry instance whose callers name their own attempts."""
--- /dev/null
+++ b/src/peridotbend/edge/backlog.py
@@ -0,0 +1,150 @@
+"""Requests that wait for a place at a target, and how long they may."""
+
+import dataclasses
+import itertools
+from collections.abc import Callable
+
+import anyio
+from result import Err, Ok, Result
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.verdicts import NotRun, Reason
+from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.selection import Selector, Wish
+from peridotbend.edge.targets import EdgeTarget, TargetList
+
+# A request that finds no place within this share of its objective is refused
+# while its caller can still do something else.
+PATIENCE_SHARE = 0.12
+MIN_PATIENCE_MS = 20
+# Between two looks for deadlines, lapsed reports and returned targets.
+CHECK_MS = 10
+MAX_WAITING = 2_000
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Waiter:
+    wish: Wish
+    sequence: int
+    give_up_at_ms: int
+    # Why it ends when it is given up.
+    reason: Reason
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    result: "Result[Place, NotRun] | None" = None
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Highest rank first, then the order of arrival."""
+        return self.wish.rank, self.sequence
+
+
+class Place:
+    """A place at a target; given back by `release`."""
+
+    def __init__(self, target: EdgeTarget, give_back: Callable[[], None]):
+        self.target = target
+        self._give_back = give_back
+        self._released = False
+
+    def release(self) -> None:
+        """Gives the place back, once."""
+        if not self._released:
+            self._released = True
+            self._give_back()
+
+
+class Backlog:
+    """Grants places in order of rank."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        targets: TargetList,
+        occupancy: Occupancy,
+        selector: Selector,
+        find_retry_after: Callable[[Wish], int],
+    ):
+        self._clock = clock
+        self._targets = targets
+        self._occupancy = occupancy
+        self._selector = selector
+        self._find_retry_after = find_retry_after
+        self._sequence = itertools.count()
+        self._waiting: dict[str, list[_Waiter]] = {}
+
+    def count_waiting(self, service: str) -> int:
+        """Returns how many requests of a service wait here."""
+        return len(self._waiting.get(service, ()))
+
+    async def acquire(
+        self, wish: Wish, goal_ms: int, end_at_ms: int
+    ) -> Result[Place, NotRun]:
+        """Waits for a place, for a share of the objective at most.
+
+        A caller that is cancelled leaves nothing behind.
+        """
+        now_ms = self._clock.now_ms()
+        patience_ms = max(MIN_PATIENCE_MS, round(PATIENCE_SHARE * goal_ms))
+        give_up_at_ms = min(end_at_ms, now_ms + patience_ms)
+        waiter = _Waiter(wish, next(self._sequence), give_up_at_ms, Reason.SHED)
+        queue = self._waiting.setdefault(wish.service, [])
+        if len(queue) >= MAX_WAITING:
+            return Err(NotRun(Reason.AT_CAPACITY, self._find_retry_after(wish)))
+        queue.append(waiter)
+        queue.sort(key=lambda w: w.order)
+        self.place(wish.service)
+        try:
+            if waiter.result is None:
+                await waiter.done.wait()
+        except BaseException:
+            self._abandon(waiter)
+            raise
+        assert waiter.result is not None
+        return waiter.result
+
+    def place(self, service: str) -> None:
+        """Grants places to the requests of a service that wait."""
+        queue = self._waiting.get(service)
+        if not queue:
+            return
+        now_ms = self._clock.now_ms()
+        targets = self._targets.list_for(service)
+        left: list[_Waiter] = []
+        for waiter in queue:
+            target = self._selector.choose(waiter.wish, targets)
+            if target is not None and waiter.give_up_at_ms > now_ms:
+                self._grant(waiter, target)
+            elif waiter.give_up_at_ms <= now_ms:
+                self._refuse(waiter, targets)
+            else:
+                left.append(waiter)
+        self._waiting[service] = left
+
+    async def run(self) -> None:
+        """Looks again and again, for news and for deadlines."""
+        while True:
+            await anyio.sleep(CHECK_MS / 1_000)
+            for service in list(self._waiting):
+                self.place(service)
+
+    def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
+        self._occupancy.add(target.name)
+
+        def give_back() -> None:
+            self._occupancy.remove(target.name)
+            self.place(waiter.wish.service)
+
+        waiter.result = Ok(Place(target, give_back))
+        waiter.done.set()
+
+    def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
+        reason = waiter.reason if targets else Reason.NO_TARGET
+        waiter.result = Err(NotRun(reason, self._find_retry_after(waiter.wish)))
+        waiter.done.set()
+
+    def _abandon(self, waiter: _Waiter) -> None:
+        queue = self._waiting.get(waiter.wish.service, [])
+        if waiter in queue:
+            queue.remove(waiter)
+        elif waiter.result is not None and isinstance(waiter.result, Ok):
+            waiter.result.ok_value.release()
--- /dev/null
+++ b/src/peridotbend/edge/events.py
@@ -0,0 +1,48 @@
+"""Splits a stream of server-sent events into whole events."""
+
+SEPARATOR = b"\n\n"
+
+
+class EventSplitter:
+    """Passes on whole events only, so that a broken stream can be resumed.
+
+    A target may stop in the middle of an event; that part is dropped and
+    comes again from the target that resumes the stream.
+    """
+
+    def __init__(self) -> None:
+        self._partial = b""
+        # ID of the last event passed on; empty before the first.
+        self.last_event_id = ""
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the whole events that are there after these bytes."""
+        data = self._partial + data
+        end = data.rfind(SEPARATOR)
+        if end < 0:
+            self._partial = data
+            return b""
+        end += len(SEPARATOR)
+        whole, self._partial = data[:end], data[end:]
+        self._note_last_id(whole)
+        return whole
+
+    def take_rest(self) -> bytes:
+        """Returns what follows the last whole event at a proper end."""
+        rest, self._partial = self._partial, b""
+        return rest
+
+    def drop_partial(self) -> None:
+        """Drops the begun event of a stream that broke."""
+        self._partial = b""
+
+    def _note_last_id(self, whole: bytes) -> None:
+        start = whole.rfind(b"\nid:")
+        if start >= 0:
+            start += 1
+        elif whole.startswith(b"id:"):
+            start = 0
+        else:
+            return
+        line = whole[start + 3 : whole.index(b"\n", start)]
+        self.last_event_id = line.strip().decode("latin-1")
--- /dev/null
+++ b/src/peridotbend/edge/feeds.py
@@ -0,0 +1,137 @@
+"""Keeps a copy of each published prefix up to date."""
+
+from collections.abc import Awaitable, Callable, Mapping
+
+import anyio
+from result import Err, Result
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
+from peridotbend.edge.ports import (
+    PublishedReader,
+    StoreError,
+    StoreFailure,
+)
+from peridotbend.edge.published import Changes, Item, PublishedItems
+
+# A watch whose connection has gone silent is noticed after this time, well
+# before a change must be in force.
+WATCH_MS = 2_000
+# Changes that come together share a call: each call is priced.
+PAUSE_MS = 100
+FIRST_BACKOFF_MS = 100
+MAX_BACKOFF_MS = 500
+# A peer that knows more for this long has news that no watch brings here.
+BEHIND_MS = 250
+
+FetchChanges = Callable[[str, str, int], Awaitable[Changes | None]]
+
+
+class Feed:
+    """The copy of one prefix, fed by the store and by peers."""
+
+    def __init__(
+        self,
+        prefix: str,
+        reader: PublishedReader,
+        apply: Callable[[list[Item]], None],
+        clock: Clock,
+        log: EventLog,
+        note_store: Callable[[bool], None],
+    ):
+        self.prefix = prefix
+        self.items = PublishedItems()
+        self._reader = reader
+        self._apply = apply
+        self._clock = clock
+        self._log = log
+        self._note_store = note_store
+        self._reached = True
+        # Since when a peer knows more than this process, and which.
+        self._behind_since_ms: int | None = None
+        self._ahead_peer = ""
+
+    async def run(self) -> None:
+        """Follows the store until cancelled."""
+        backoff_ms = FIRST_BACKOFF_MS
+        must_list = True
+        while True:
+            result = await self._read(must_list)
+            if isinstance(result, Err):
+                error = result.err_value
+                if error.failure is StoreFailure.COMPACTED:
+                    must_list = True
+                    continue
+                self._note_reached(False, error)
+                await anyio.sleep(backoff_ms / 1_000)
+                backoff_ms = min(2 * backoff_ms, MAX_BACKOFF_MS)
+                continue
+            self._note_reached(True)
+            must_list = False
+            backoff_ms = FIRST_BACKOFF_MS
+            if self.merge(result.ok_value):
+                await anyio.sleep(PAUSE_MS / 1_000)
+
+    def merge(self, changes: Changes) -> bool:
+        """Takes over changes; tells whether there was anything new."""
+        changed = self.items.merge(changes)
+        if changed:
+            self._apply(changed)
+        return bool(changed)
+
+    def note_peer(self, host: str, revision: int) -> None:
+        """Notes up to which revision a peer knows the prefix."""
+        if revision <= self.items.revision:
+            if host == self._ahead_peer:
+                self._behind_since_ms = None
+            return
+        self._ahead_peer = host
+        if self._behind_since_ms is None:
+            self._behind_since_ms = self._clock.now_ms()
+
+    def find_source(self) -> str:
+        """Returns the peer to ask for what it knows more, or ""."""
+        since_ms = self._behind_since_ms
+        if since_ms is None:
+            return ""
+        waited_ms = self._clock.now_ms() - since_ms
+        if self.items.revision and waited_ms < BEHIND_MS:
+            return ""
+        self._behind_since_ms = None
+        return self._ahead_peer
+
+    async def _read(self, must_list: bool) -> "Result[Changes, StoreError]":
+        if must_list or not self.items.revision:
+            return await self._reader.list_items()
+        return await self._reader.watch(self.items.revision, WATCH_MS)
+
+    def _note_reached(
+        self, reached: bool, error: StoreError | None = None
+    ) -> None:
+        self._note_store(reached)
+        if reached is self._reached:
+            return
+        self._reached = reached
+        if error is None:
+            self._log.emit(Event.PLATFORM_REACHED, prefix=self.prefix)
+            return
+        self._log.emit(
+            Event.PLATFORM_UNREACHABLE,
+            prefix=self.prefix,
+            failure=error.failure.value,
+            detail=error.detail,
+        )
+
+
+async def catch_up(feeds: Mapping[str, Feed], fetch: FetchChanges) -> None:
+    """Asks peers for what they know more, until cancelled."""
+    while True:
+        await anyio.sleep(0.05)
+        for feed in feeds.values():
+            host = feed.find_source()
+            if not host:
+                continue
+            changes = await fetch(host, feed.prefix, feed.items.revision)
+            if changes is not None:
+                feed.merge(changes)
--- /dev/null
+++ b/src/peridotbend/edge/inflight.py
@@ -0,0 +1,96 @@
+"""Watches requests in flight and ends those whose target is silent."""
+
+import contextlib
+import dataclasses
+from collections.abc import Iterator
+
+import anyio
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.pauses import PauseDetector
+from peridotbend.edge.config import Route, RouteKind
+from peridotbend.edge.health import TargetHealth
+
+CHECK_MS = 50
+# Other streams of a live target have some 30 events a second, so a target
+# that is silent on all of them for this long is dead or cut off.
+STREAM_SILENCE_MS = 800
+# The first event waits for a place in the batch and for the prompt, which
+# takes longest when no other stream tells that the target lives.
+FIRST_EVENT_GOALS = 2.5
+# A plain answer is small: after this many objectives another target is asked.
+PLAIN_GOALS = 2.0
+# At most this share of the time limit, so that the other one can answer.
+PLAIN_TIMEOUT_SHARE = 0.4
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Send:
+    """A request at a target."""
+
+    target: str
+    route: Route
+    sent_at_ms: int
+    scope: anyio.CancelScope
+    clock: Clock
+    health: TargetHealth
+    has_data: bool = False
+    # Set while the caller does not read: nothing is read from the target
+    # then, which says nothing about it.
+    is_blocked: bool = False
+
+    def note_data(self) -> None:
+        """Notes that a part of the answer arrived."""
+        self.has_data = True
+        self.health.note_heard(self.target)
+
+
+class InFlight:
+    """All sends of this process."""
+
+    def __init__(self, clock: Clock, health: TargetHealth):
+        self._clock = clock
+        self._health = health
+        self._pauses = PauseDetector(clock)
+        self._sends: set[Send] = set()
+
+    @contextlib.contextmanager
+    def track(self, target: str, route: Route) -> Iterator[Send]:
+        """Watches a send; the block is left when its target is silent."""
+        with anyio.CancelScope() as scope:
+            now_ms = self._clock.now_ms()
+            send = Send(target, route, now_ms, scope, self._clock, self._health)
+            self._sends.add(send)
+            try:
+                yield send
+            finally:
+                self._sends.discard(send)
+
+    def check(self) -> None:
+        """Ends the sends that may be repeated and whose target is silent."""
+        for send in list(self._sends):
+            if send.is_blocked or not send.route.may_repeat:
+                continue
+            if self._pauses.covers(send.sent_at_ms):
+                continue
+            if self._is_silent(send):
+                send.scope.cancel()
+
+    async def run(self) -> None:
+        """Checks again and again."""
+        while True:
+            self._pauses.tick()
+            await anyio.sleep(CHECK_MS / 1_000)
+            self.check()
+
+    def _is_silent(self, send: Send) -> bool:
+        route = send.route
+        silence_ms = self._health.find_silence_ms(send.target, send.sent_at_ms)
+        if route.kind is RouteKind.STREAM:
+            if send.has_data:
+                return silence_ms > STREAM_SILENCE_MS
+            return silence_ms > FIRST_EVENT_GOALS * route.goal_ms
+        waited_ms = self._clock.now_ms() - send.sent_at_ms
+        return waited_ms > min(
+            PLAIN_GOALS * route.goal_ms, PLAIN_TIMEOUT_SHARE * route.timeout_ms
+        )
--- /dev/null
+++ b/src/peridotbend/edge/occupancy.py
@@ -0,0 +1,51 @@
+"""Requests in flight at each target, counted over all instances."""
+
+from collections.abc import Mapping
+
+from peridotbend.domain.clock import Clock
+
+# A peer silent for this long no longer sends to targets, or is cut off.
+PEER_USE_MS = 1_500
+
+
+class Occupancy:
+    """Own requests in flight, and those that peers told."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._own: dict[str, int] = {}
+        self._peers: dict[str, tuple[int, Mapping[str, int]]] = {}
+
+    @property
+    def own(self) -> Mapping[str, int]:
+        """Own requests in flight by target."""
+        return self._own
+
+    def add(self, target: str) -> None:
+        """Counts a request that is sent."""
+        self._own[target] = self._own.get(target, 0) + 1
+
+    def remove(self, target: str) -> None:
+        """Counts the end of a request."""
+        left = self._own[target] - 1
+        if left:
+            self._own[target] = left
+        else:
+            del self._own[target]
+
+    def record_peer(self, peer: str, use: Mapping[str, int]) -> None:
+        """Takes over what a peer has in flight."""
+        self._peers[peer] = (self._clock.now_ms(), use)
+
+    def forget_peer(self, peer: str) -> None:
+        """Drops what a peer had in flight."""
+        self._peers.pop(peer, None)
+
+    def count(self, target: str) -> int:
+        """Returns the requests in flight at a target."""
+        oldest_ms = self._clock.now_ms() - PEER_USE_MS
+        return self._own.get(target, 0) + sum(
+            use.get(target, 0)
+            for heard_at_ms, use in self._peers.values()
+            if heard_at_ms >= oldest_ms
+        )
--- /dev/null
+++ b/src/peridotbend/edge/peers.py
@@ -0,0 +1,124 @@
+"""The other instances: which are alive, and what they told."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
+
+# Digests are sent at least every 300 ms.
+SILENCE_MS = 1_500
+# A silent instance may still take callers on its side of a partition. After
+# this time it is taken to be gone.
+FORGET_MS = 60_000
+MAX_PEERS = 1_024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digest:
+    """What an instance tells the others, several times a second."""
+
+    name: str
+    # Differs for each start of a process.
+    incarnation: int
+    sequence: int
+    host: str
+    is_draining: bool
+    known_hosts: tuple[str, ...]
+    # Up to which revision each prefix is known.
+    revisions: Mapping[str, int]
+    # Requests in flight by target.
+    in_flight: Mapping[str, int]
+    # Tokens spent since the start by account.
+    spent: Mapping[str, float]
+    # Targets that died with a request in flight, by its fingerprint.
+    crashes: Mapping[int, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    host: str
+    incarnation: int = 0
+    sequence: int = -1
+    heard_at_ms: int | None = None
+    is_draining: bool = False
+    is_live: bool = False
+
+
+class PeerBook:
+    """Peers by host."""
+
+    def __init__(self, own_host: str, clock: Clock, log: EventLog):
+        self._own_host = own_host
+        self._clock = clock
+        self._log = log
+        self._peers: dict[str, _Peer] = {}
+
+    def add_candidate(self, host: str) -> None:
+        """Adds a host to send digests to; that alone is no life sign."""
+        if host != self._own_host and len(self._peers) < MAX_PEERS:
+            self._peers.setdefault(host, _Peer(host))
+
+    def accept(self, digest: Digest) -> bool:
+        """Notes a digest; False if a newer one of its sender came first."""
+        if digest.host == self._own_host:
+            return False
+        self.add_candidate(digest.host)
+        peer = self._peers.get(digest.host)
+        if peer is None:
+            return False
+        if peer.incarnation == digest.incarnation:
+            if digest.sequence <= peer.sequence:
+                return False
+        peer.incarnation = digest.incarnation
+        peer.sequence = digest.sequence
+        peer.heard_at_ms = self._clock.now_ms()
+        peer.is_draining = digest.is_draining
+        for host in digest.known_hosts:
+            self.add_candidate(host)
+        return True
+
+    def check(self, lose: Callable[[str], None]) -> None:
+        """Notices peers that came or fell silent, and forgets old ones."""
+        now_ms = self._clock.now_ms()
+        for host, peer in list(self._peers.items()):
+            live = self._is_live(peer, now_ms)
+            if live is not peer.is_live:
+                peer.is_live = live
+                event = Event.PEER_LIVE if live else Event.PEER_LOST
+                self._log.emit(event, peer=host, incarnation=peer.incarnation)
+                if not live:
+                    lose(host)
+            heard = peer.heard_at_ms
+            if heard is not None and now_ms - heard > FORGET_MS:
+                del self._peers[host]
+
+    def list_hosts(self) -> list[str]:
+        """Returns the hosts that digests go to."""
+        return list(self._peers)
+
+    def list_live_hosts(self) -> list[str]:
+        """Returns the hosts that were heard of lately."""
+        now_ms = self._clock.now_ms()
+        return [h for h, p in self._peers.items() if self._is_live(p, now_ms)]
+
+    def count_instances(self) -> int:
+        """Returns how many instances may take callers, with this one."""
+        heard = [p for p in self._peers.values() if p.heard_at_ms is not None]
+        return 1 + len(heard)
+
+    def find_heard_share(self) -> float:
+        """Returns the live instances as a share of those that may be."""
+        now_ms = self._clock.now_ms()
+        expected = [
+            peer
+            for peer in self._peers.values()
+            if peer.heard_at_ms is not None and not peer.is_draining
+        ]
+        live = sum(self._is_live(peer, now_ms) for peer in expected)
+        return (1 + live) / (1 + len(expected))
+
+    def _is_live(self, peer: _Peer, now_ms: int) -> bool:
+        heard = peer.heard_at_ms
+        return heard is not None and now_ms - heard < SILENCE_MS
--- /dev/null
+++ b/src/peridotbend/edge/published.py
@@ -0,0 +1,91 @@
+"""A copy of what the platform publishes, merged by revision.
+
+Instances pass changes on to each other, so an instance that is cut off from
+the platform keeps up as long as it reaches a peer that is not.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+# Removed keys that are still told to peers. A peer that is further behind
+# gets a whole copy.
+MAX_REMOVED = 2_048
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A key as of its last change; no value means that it was removed."""
+
+    key: str
+    revision: int
+    value: bytes | None = dataclasses.field(repr=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """All that changed after a revision, up to `revision`."""
+
+    items: tuple[Item, ...]
+    revision: int
+    # Keys that are not among the items do not exist.
+    is_whole: bool
+
+
+class PublishedItems:
+    """The newest known state of the keys below one prefix."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, Item] = {}
+        self._removed: dict[str, Item] = {}
+        self._oldest_removal = 0
+        # All changes up to this revision are known; 0 before the first copy.
+        self.revision = 0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def merge(self, changes: Changes) -> list[Item]:
+        """Takes over what is newer, and returns the items that changed."""
+        changed = [item for item in changes.items if self._put(item)]
+        if changes.is_whole:
+            listed = {item.key for item in changes.items}
+            for key, known in list(self._items.items()):
+                if key in listed or known.revision > changes.revision:
+                    continue
+                removal = Item(key, changes.revision, None)
+                if self._put(removal):
+                    changed.append(removal)
+        self.revision = max(self.revision, changes.revision)
+        return changed
+
+    def list_changes(self, after: int) -> Changes:
+        """Returns what a peer lacks that knows all changes up to `after`."""
+        if after < self._oldest_removal or after == 0:
+            items = tuple(self._items.values())
+            return Changes(items, self.revision, is_whole=True)
+        newer = [
+            item
+            for table in (self._items, self._removed)
+            for item in table.values()
+            if item.revision > after
+        ]
+        return Changes(tuple(newer), self.revision, is_whole=False)
+
+    def list_items(self) -> Iterable[Item]:
+        """Returns the items that exist."""
+        return self._items.values()
+
+    def _put(self, item: Item) -> bool:
+        known = self._items.get(item.key) or self._removed.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return False
+        self._items.pop(item.key, None)
+        self._removed.pop(item.key, None)
+        if item.value is not None:
+            self._items[item.key] = item
+            return True
+        self._removed[item.key] = item
+        while len(self._removed) > MAX_REMOVED:
+            oldest = self._removed.pop(next(iter(self._removed)))
+            self._oldest_removal = max(self._oldest_removal, oldest.revision)
+        return known is not None and known.value is not None
--- /dev/null
+++ b/src/peridotbend/edge/relay.py
@@ -0,0 +1,441 @@
+"""Takes one attempt of a caller through to its answer or its refusal."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+import anyio
+from result import Err, Result
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import (
+    AnswerHead,
+    CallError,
+    CallFailure,
+    EventLog,
+)
+from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
+from peridotbend.edge.allowances import Allowances
+from peridotbend.edge.backlog import Backlog, Place
+from peridotbend.edge.config import Account, Route, RouteKind
+from peridotbend.edge.configholder import ConfigHolder
+from peridotbend.edge.events import EventSplitter
+from peridotbend.edge.health import TargetHealth
+from peridotbend.edge.inflight import InFlight, Send
+from peridotbend.edge.ports import (
+    AnswerBrokenError,
+    EdgeAnswer,
+    EdgeCall,
+    EdgeTargetClient,
+    Rejection,
+    Responder,
+    TargetSend,
+)
+from peridotbend.edge.selection import Wish
+from peridotbend.edge.sendbudget import SendBudget
+from peridotbend.edge.targets import EdgeTarget, TargetList
+
+# A target ends a request at the deadline that it was given and says so; its
+# answer goes before one of this process.
+DEADLINE_MARGIN_MS = 100
+# No target could do anything with a request of which less is left.
+MIN_SEND_MS = 20
+# Plain answers up to this size are held until they are whole, so that a
+# broken one can be asked for again.
+MAX_HELD_BYTES = 262_144
+# Connections that fail before a byte is written are no dispatch; the bound
+# only ends a request whose targets are all unreachable.
+MAX_CONNECT_FAILURES = 6
+NO_CONFIG_RETRY_MS = 500
+ERROR_STATUS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayParts:
+    """What a relay works with."""
+
+    clock: Clock
+    holder: ConfigHolder
+    targets: TargetList
+    backlog: Backlog
+    health: TargetHealth
+    in_flight: InFlight
+    allowances: Allowances
+    budget: SendBudget
+    client: EdgeTargetClient
+    log: EventLog
+    rng: random.Random
+    # Instances that may take callers, this one included.
+    count_instances: Callable[[], int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """The state of one request."""
+
+    call: EdgeCall
+    route: Route
+    service: str
+    account: Account | None
+    tokens: float
+    # When the request is ended here.
+    end_at_ms: int
+    # Targets that it was sent to, and those that failed it.
+    sent_to: set[str] = dataclasses.field(default_factory=set)
+    failed_at: set[str] = dataclasses.field(default_factory=set)
+    connect_failures: int = 0
+    may_have_run: bool = False
+    head_sent: bool = False
+    # An error that a target answered, for the case that no other does better.
+    held: tuple[AnswerHead, bytes] | None = None
+    events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
+
+
+class Relay:
+    """Serves the calls of one entry instance."""
+
+    def __init__(self, parts: RelayParts):
+        self._parts = parts
+        self._clock = parts.clock
+
+    async def serve(self, call: EdgeCall, out: Responder) -> None:
+        """Answers a call; cancelling it ends its run at the target.
+
+        Raises:
+            AnswerBrokenError: the answer has begun and cannot be completed.
+        """
+        admitted = self._admit(call)
+        if not isinstance(admitted, _Run):
+            await self._refuse(call, out, admitted)
+            return
+        run = admitted
+        left_ms = run.end_at_ms + DEADLINE_MARGIN_MS - self._clock.now_ms()
+        try:
+            with anyio.move_on_after(left_ms / 1_000) as scope:
+                await self._run(run, out)
+            if scope.cancelled_caught:
+                await self._end_late(run, out)
+        finally:
+            if not run.may_have_run and run.account is not None:
+                self._parts.allowances.give_back(run.account.name, run.tokens)
+
+    def _admit(self, call: EdgeCall) -> "_Run | Verdict":
+        config = self._parts.holder.config
+        if config is None:
+            return NotRun(Reason.NO_TEXT, NO_CONFIG_RETRY_MS)
+        route = config.find_route(call.host, call.path.partition("?")[0])
+        if route is None:
+            return NotRun(Reason.UNKNOWN_KIND)
+        account = None
+        if config.accounts and not route.is_public:
+            account = config.find_account(call.key)
+            if account is None:
+                return NotRun(Reason.UNKNOWN_KEY)
+        if len(call.body) > config.limits.max_body_bytes:
+            return NotRun(Reason.TOO_LARGE)
+        tokens = 0.0
+        if account is not None:
+            tokens = _count_tokens(call, account)
+            wait_ms = self._parts.allowances.try_take(account.name, tokens)
+            if wait_ms is not None:
+                return NotRun(Reason.CLIENT_LIMIT, wait_ms)
+        service = self._choose_service(route)
+        self._parts.budget.record_request(service)
+        limit_ms = route.timeout_ms
+        if call.deadline_ms is not None:
+            limit_ms = min(limit_ms, call.deadline_ms)
+        end_at_ms = self._clock.now_ms() + limit_ms
+        return _Run(call, route, service, account, tokens, end_at_ms)
+
+    def _choose_service(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0].name
+        weights = [share.weight for share in route.services]
+        return self._parts.rng.choices(route.services, weights)[0].name
+
+    async def _run(self, run: _Run, out: Responder) -> None:
+        while True:
+            acquired = await self._acquire(run)
+            if isinstance(acquired, Err):
+                await self._end(run, out, acquired.err_value)
+                return
+            place = acquired.ok_value
+            try:
+                refusal = await self._send(run, place.target, out)
+            finally:
+                place.release()
+            if refusal is None:
+                return
+            if not self._may_send_again(run):
+                await self._end(run, out, refusal)
+                return
+
+    async def _acquire(self, run: _Run) -> "Result[Place, NotRun]":
+        route = run.route
+        rank = route.rank
+        wish = Wish(
+            run.service,
+            route.is_generation,
+            rank,
+            run.call.session,
+            frozenset(run.failed_at),
+        )
+        return await self._parts.backlog.acquire(
+            wish, route.goal_ms, run.end_at_ms - MIN_SEND_MS
+        )
+
+    def _may_send_again(self, run: _Run) -> bool:
+        if run.connect_failures > MAX_CONNECT_FAILURES:
+            return False
+        if run.may_have_run and not run.route.may_repeat:
+            return False
+        if self._clock.now_ms() + MIN_SEND_MS >= run.end_at_ms:
+            return False
+        if not run.sent_to:
+            # No byte was written yet.
+            return True
+        if len(run.sent_to) >= run.route.max_attempts:
+            return False
+        return self._parts.budget.try_spend(
+            run.service, self._parts.count_instances()
+        )
+
+    async def _send(
+        self, run: _Run, target: EdgeTarget, out: Responder
+    ) -> NotRun | MayHaveRun | None:
+        """Sends to a target; returns None when the caller has its answer.
+
+        Otherwise returns what to tell the caller if there is no other try.
+        """
+        earlier = run.may_have_run
+
+        def open_gate() -> bool:
+            if not self._parts.targets.is_current(target):
+                return False
+            if self._clock.now_ms() >= run.end_at_ms:
+                return False
+            run.may_have_run = True
+            run.sent_to.add(target.name)
+            return True
+
+        self._log(Event.REQUEST_DISPATCHED, run, target=target.name)
+        send = TargetSend(
+            run.call,
+            target,
+            run.account.name if run.account else "",
+            run.end_at_ms - self._clock.now_ms(),
+            run.events.last_event_id,
+            reuse_connection=run.route.may_repeat,
+        )
+        with self._parts.in_flight.track(target.name, run.route) as flight:
+            async with self._parts.client.open(send, open_gate) as reply:
+                if isinstance(reply, Rejection):
+                    run.may_have_run = earlier
+                    return self._note_rejection(run, target, reply)
+                if isinstance(reply, CallError):
+                    return self._note_error(run, target, reply)
+                return await self._deliver(run, target, reply, flight, out)
+        # The tracker ended the send: the target is silent.
+        silent = CallError(CallFailure.TIMEOUT, True, "silent target")
+        return self._note_error(run, target, silent)
+
+    def _note_rejection(
+        self, run: _Run, target: EdgeTarget, rejection: Rejection
+    ) -> NotRun | MayHaveRun:
+        run.failed_at.add(target.name)
+        if rejection is Rejection.MISDIRECTED:
+            self._parts.health.note_failure(target.name)
+        self._log(
+            Event.TARGET_REJECTED,
+            run,
+            target=target.name,
+            reason=rejection.value,
+        )
+        if run.may_have_run:
+            return MayHaveRun(Reason.TARGET_FAILED)
+        return NotRun(Reason.SHED, run.route.goal_ms)
+
+    def _note_error(
+        self, run: _Run, target: EdgeTarget, error: CallError
+    ) -> NotRun | MayHaveRun:
+        run.failed_at.add(target.name)
+        if error.failure is not CallFailure.GATE:
+            self._parts.health.note_failure(target.name)
+        if not error.written:
+            run.connect_failures += 1
+        self._log(
+            Event.TARGET_CALL_FAILED,
+            run,
+            target=target.name,
+            failure=error.failure.value,
+            written=error.written,
+            detail=error.detail,
+        )
+        if run.may_have_run:
+            return MayHaveRun(Reason.TARGET_FAILED)
+        return NotRun(Reason.CONNECT_FAILED, run.route.goal_ms)
+
+    async def _deliver(
+        self,
+        run: _Run,
+        target: EdgeTarget,
+        answer: EdgeAnswer,
+        flight: Send,
+        out: Responder,
+    ) -> NotRun | MayHaveRun | None:
+        if run.route.kind is RouteKind.STREAM and answer.is_event_stream:
+            return await self._deliver_stream(run, target, answer, flight, out)
+        if run.head_sent:
+            # The target does not resume the stream.
+            return self._note_error(run, target, _no_stream(answer))
+        return await self._deliver_plain(run, target, answer, out)
+
+    async def _deliver_plain(
+        self,
+        run: _Run,
+        target: EdgeTarget,
+        answer: EdgeAnswer,
+        out: Responder,
+    ) -> NotRun | MayHaveRun | None:
+        body = bytearray()
+        async for chunk in answer.chunks():
+            if isinstance(chunk, Err):
+                if run.head_sent:
+                    self._note_error(run, target, chunk.err_value)
+                    raise AnswerBrokenError
+                return self._note_error(run, target, chunk.err_value)
+            body += chunk.ok_value
+            if len(body) > MAX_HELD_BYTES or run.head_sent:
+                if not run.head_sent:
+                    run.head_sent = True
+                    await out.start(answer.head)
+                await out.send(bytes(body))
+                body.clear()
+        failed = answer.head.status >= ERROR_STATUS
+        self._parts.health.note_answer(target.name, failed)
+        if failed and not run.head_sent and run.route.may_repeat:
+            run.held = (answer.head, bytes(body))
+            run.failed_at.add(target.name)
+            return MayHaveRun(Reason.TARGET_FAILED)
+        if not run.head_sent:
+            await out.start(answer.head)
+        if body:
+            await out.send(bytes(body))
+        await out.finish()
+        self._log(
+            Event.REQUEST_ENDED,
+            run,
+            target=target.name,
+            status=answer.head.status,
+        )
+        return None
+
+    async def _deliver_stream(
+        self,
+        run: _Run,
+        target: EdgeTarget,
+        answer: EdgeAnswer,
+        flight: Send,
+        out: Responder,
+    ) -> NotRun | MayHaveRun | None:
+        async for chunk in answer.chunks():
+            if isinstance(chunk, Err):
+                run.events.drop_partial()
+                return self._note_error(run, target, chunk.err_value)
+            flight.note_data()
+            events = run.events.feed(chunk.ok_value)
+            if events:
+                flight.is_blocked = True
+                await self._start_once(run, answer, out)
+                await out.send(events)
+                flight.is_blocked = False
+                flight.note_data()
+        await self._start_once(run, answer, out)
+        rest = run.events.take_rest()
+        if rest:
+            await out.send(rest)
+        await out.finish()
+        self._parts.health.note_answer(target.name, failed=False)
+        self._log(
+            Event.REQUEST_ENDED,
+            run,
+            target=target.name,
+            status=answer.head.status,
+            last_event=run.events.last_event_id,
+        )
+        return None
+
+    async def _start_once(
+        self, run: _Run, answer: EdgeAnswer, out: Responder
+    ) -> None:
+        if not run.head_sent:
+            run.head_sent = True
+            await out.start(answer.head)
+
+    async def _end(
+        self, run: _Run, out: Responder, refusal: NotRun | MayHaveRun
+    ) -> None:
+        """Ends a request that no target answers any more."""
+        if run.head_sent:
+            self._log(Event.ANSWER_BROKEN, run)
+            raise AnswerBrokenError
+        if run.held is not None:
+            head, body = run.held
+            await out.start(head)
+            await out.send(body)
+            await out.finish()
+            self._log(Event.REQUEST_ENDED, run, status=head.status)
+            return
+        if run.may_have_run and isinstance(refusal, NotRun):
+            refusal = MayHaveRun(Reason.TARGET_FAILED)
+        await self._refuse(run.call, out, refusal, run)
+
+    async def _end_late(self, run: _Run, out: Responder) -> None:
+        if run.may_have_run:
+            await self._end(run, out, MayHaveRun(Reason.TARGET_TIMEOUT))
+        else:
+            await self._end(run, out, NotRun(Reason.DEADLINE))
+
+    async def _refuse(
+        self,
+        call: EdgeCall,
+        out: Responder,
+        verdict: Verdict,
+        run: _Run | None = None,
+    ) -> None:
+        await out.refuse(verdict)
+        self._parts.log.emit(
+            Event.REQUEST_REFUSED,
+            attempt=call.attempt,
+            route=run.route.name if run else None,
+            account=run.account.name if run and run.account else None,
+            verdict=verdict.label,
+            reason=verdict.reason,
+            config=self._find_version(),
+        )
+
+    def _log(self, event: Event, run: _Run, **fields: object) -> None:
+        self._parts.log.emit(
+            event,
+            attempt=run.call.attempt,
+            route=run.route.name,
+            left_ms=run.end_at_ms - self._clock.now_ms(),
+            config=self._find_version(),
+            **fields,
+        )
+
+    def _find_version(self) -> int | None:
+        config = self._parts.holder.config
+        return config.version if config else None
+
+
+def _count_tokens(call: EdgeCall, account: Account) -> float:
+    if call.prompt_tokens is None:
+        return account.default_tokens
+    return float(call.prompt_tokens + call.max_output_tokens)
+
+
+def _no_stream(answer: EdgeAnswer) -> CallError:
+    detail = f"status {answer.head.status} in place of the rest of a stream"
+    return CallError(CallFailure.BROKEN, True, detail)
--- /dev/null
+++ b/src/peridotbend/edgedaemon.py
@@ -0,0 +1,101 @@
+"""The daemon of an entry instance on the users' platform."""
+
+from peridotbend.adapters.eventloop import BACKEND_OPTIONS
+
+# isort: split
+import os
+import signal
+import sys
+
+import anyio
+import click
+from result import Err
+
+from peridotbend.adapters.logs import StructuredLog
+from peridotbend.adapters.serving import ListenError
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
+from peridotbend.edgenode import EdgeNode
+from peridotbend.platform.settings import load_settings
+
+EXIT_BAD_SETTINGS = 1
+EXIT_CANNOT_LISTEN = 3
+# The platform may change the file without a signal.
+SETTINGS_CHECK_S = 0.5
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    envvar="PERIDOTBEND_CONFIG",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="YAML file with the settings of this process.",
+)
+def main(path: str) -> None:
+    """Serves callers until SIGTERM has drained it.
+
+    Exit codes: 0 drained, 1 bad settings, 2 bad usage, 3 an address is in use.
+    """
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        click.echo(loaded.err_value, err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    settings = loaded.ok_value
+    log = StructuredLog("debug", sys.stdout, instance=settings.name)
+    try:
+        node = EdgeNode(settings, log)
+        anyio.run(_run, node, path, log, backend_options=BACKEND_OPTIONS)
+    except* ListenError as failed:
+        click.echo(str(failed.exceptions[0]), err=True)
+        sys.exit(EXIT_CANNOT_LISTEN)
+
+
+async def _run(node: EdgeNode, path: str, log: EventLog) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, node, path, log)
+        tasks.start_soon(_watch_settings, node, path, log)
+        await node.run()
+        tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(node: EdgeNode, path: str, log: EventLog) -> None:
+    watched = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    with anyio.open_signal_receiver(*watched) as signals:
+        async for received in signals:
+            if received == signal.SIGHUP:
+                _reload(node, path, log)
+            else:
+                node.start_drain()
+
+
+async def _watch_settings(node: EdgeNode, path: str, log: EventLog) -> None:
+    changed = _find_change(path)
+    while True:
+        await anyio.sleep(SETTINGS_CHECK_S)
+        seen = _find_change(path)
+        if seen is not None and seen != changed:
+            changed = seen
+            _reload(node, path, log)
+
+
+def _find_change(path: str) -> tuple[int, int] | None:
+    try:
+        status = os.stat(path)
+    except OSError:
+        # The file is being replaced; the next look finds the new one.
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
+def _reload(node: EdgeNode, path: str, log: EventLog) -> None:
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        log.emit(Event.SETTINGS_REFUSED, problem=loaded.err_value)
+    else:
+        node.apply_settings(loaded.ok_value)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/peridotbend/edgenode.py
@@ -0,0 +1,289 @@
+"""Wires one entry instance on the users' platform."""
+
+import contextlib
+import random
+import secrets
+import time
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err
+
+from peridotbend.adapters.gossip import Gossip
+from peridotbend.adapters.peers import ChannelPool
+from peridotbend.adapters.publishedpeers import (
+    PublishedFetcher,
+    PublishedServer,
+)
+from peridotbend.adapters.serving import HttpServer, listen
+from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.domain.clock import SystemClock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
+from peridotbend.edge.allowances import Allowances
+from peridotbend.edge.backlog import Backlog
+from peridotbend.edge.config import EdgeConfig
+from peridotbend.edge.configholder import ConfigHolder
+from peridotbend.edge.feeds import Feed, catch_up
+from peridotbend.edge.health import TargetHealth
+from peridotbend.edge.inflight import InFlight
+from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.peers import Digest, PeerBook
+from peridotbend.edge.published import Item
+from peridotbend.edge.relay import Relay, RelayParts
+from peridotbend.edge.selection import Selector, Wish
+from peridotbend.edge.sendbudget import SendBudget
+from peridotbend.edge.settings import EdgeSettings
+from peridotbend.edge.targets import TargetList
+from peridotbend.platform import wire
+from peridotbend.platform.documents import decode_config, decode_target
+from peridotbend.platform.ingress import EdgeApp, HealthApp
+from peridotbend.platform.runners import RunnerClient
+from peridotbend.platform.store import StoreClient
+
+# The platform takes an instance out after two missed checks, one a second.
+# Until then it sends new connections here.
+LEAVE_ROTATION_MS = 2_600
+# Kept free at the end of the time that the platform gives for a shutdown.
+EXIT_MARGIN_MS = 500
+DRAIN_POLL_S = 0.02
+CLOSE_TIMEOUT_S = 0.3
+# Connecting to a live target takes milliseconds, also between zones.
+CONNECT_TIMEOUT_S = 0.25
+SHED_RETRY_MS = 1_000
+
+
+class EdgeNode:
+    """One entry instance."""
+
+    def __init__(self, settings: EdgeSettings, log: EventLog):
+        self._settings = settings
+        self._log = log
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._incarnation = secrets.randbits(64)
+        self._drain = anyio.Event()
+        host = settings.peers[0]
+        self._book = PeerBook(host, self._clock, log)
+        for seed_host, _ in settings.seeds:
+            self._book.add_candidate(seed_host)
+        self._holder = ConfigHolder()
+        self._targets = TargetList(self._clock)
+        self._occupancy = Occupancy(self._clock)
+        self._health = TargetHealth(self._clock)
+        self._in_flight = InFlight(self._clock, self._health)
+        self._allowances = Allowances(self._clock, self._book.find_heard_share)
+        self._holder.subscribe(self._apply_config)
+
+    def start_drain(self) -> None:
+        """Begins a graceful shutdown; returns at once."""
+        self._drain.set()
+
+    def apply_settings(self, settings: EdgeSettings) -> None:
+        """Takes over the seeds of changed settings."""
+        for host, _ in settings.seeds:
+            self._book.add_candidate(host)
+        self._log.emit(Event.SETTINGS_RELOADED, seeds=len(settings.seeds))
+
+    async def run(self) -> None:
+        """Serves until drained."""
+        async with contextlib.AsyncExitStack() as stack:
+            async with anyio.create_task_group() as tasks:
+                await self._start(stack, tasks)
+                await self._drain.wait()
+                await self._finish_requests()
+                tasks.cancel_scope.cancel()
+
+    async def _start(
+        self, stack: contextlib.AsyncExitStack, tasks: TaskGroup
+    ) -> None:
+        settings = self._settings
+        client = HttpTargetClient(CONNECT_TIMEOUT_S)
+        self._build_relay(client)
+        self._build_feeds(client)
+        self._app = EdgeApp(self._relay, self._log)
+        channels = ChannelPool()
+        stack.callback(channels.close)
+        fetcher = PublishedFetcher(channels, settings.peers[1], self._log)
+        self._server = HttpServer(self._app, listen(*settings.callers))
+        health = HttpServer(HealthApp(self._is_ready), listen(*settings.health))
+        peer_server = PublishedServer(self._feeds)
+        await peer_server.start(*settings.peers)
+        gossip = Gossip(
+            settings.digests,
+            self._book,
+            self._build_digest,
+            self._apply_digest,
+            self._occupancy.forget_peer,
+            self._clock,
+        )
+        for task in (
+            self._server.run,
+            health.run,
+            gossip.run,
+            self._backlog.run,
+            self._in_flight.run,
+            *(feed.run for feed in self._feeds.values()),
+        ):
+            tasks.start_soon(task)
+        tasks.start_soon(catch_up, self._feeds, fetcher.fetch)
+        self._log.emit(
+            Event.PROCESS_STARTED,
+            instance=settings.name,
+            zone=settings.zone,
+            incarnation=self._incarnation,
+        )
+
+    def _build_relay(self, client: HttpTargetClient) -> None:
+        selector = Selector(self._settings.zone, self._occupancy, self._health)
+        self._backlog = Backlog(
+            self._clock,
+            self._targets,
+            self._occupancy,
+            selector,
+            self._find_retry_after,
+        )
+        self._relay = Relay(
+            RelayParts(
+                clock=self._clock,
+                holder=self._holder,
+                targets=self._targets,
+                backlog=self._backlog,
+                health=self._health,
+                in_flight=self._in_flight,
+                allowances=self._allowances,
+                budget=SendBudget(self._clock, self._settings),
+                client=RunnerClient(client),
+                log=self._log,
+                rng=self._rng,
+                count_instances=self._book.count_instances,
+            )
+        )
+
+    def _build_feeds(self, client: HttpTargetClient) -> None:
+        store = StoreClient(self._settings.store, client)
+        appliers = {
+            wire.CONFIG_PREFIX: self._apply_config_items,
+            wire.TARGET_PREFIX: self._apply_target_items,
+        }
+        self._feeds = {
+            prefix: Feed(
+                prefix,
+                store.read_prefix(prefix),
+                apply,
+                self._clock,
+                self._log,
+                self._note_store,
+            )
+            for prefix, apply in appliers.items()
+        }
+
+    def _find_retry_after(self, wish: Wish) -> int:
+        return round(SHED_RETRY_MS * self._rng.uniform(0.7, 1.3))
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._drain.is_set()
+            and self._holder.config is not None
+            and len(self._targets) > 0
+        )
+
+    def _note_store(self, reached: bool) -> None:
+        if reached:
+            self._targets.note_store_back()
+        else:
+            self._targets.note_store_away()
+
+    def _apply_config_items(self, items: list[Item]) -> None:
+        for item in items:
+            if item.key != wire.CONFIG_KEY or item.value is None:
+                continue
+            decoded = decode_config(item.value)
+            if isinstance(decoded, Err):
+                self._log.emit(
+                    Event.CONFIG_REFUSED,
+                    revision=item.revision,
+                    problem=decoded.err_value,
+                )
+                continue
+            if self._holder.offer(decoded.ok_value):
+                self._log.emit(
+                    Event.CONFIG_ACCEPTED,
+                    version=decoded.ok_value.version,
+                    revision=item.revision,
+                )
+
+    def _apply_config(self, config: EdgeConfig) -> None:
+        self._allowances.apply(config.accounts)
+
+    def _apply_target_items(self, items: list[Item]) -> None:
+        for item in items:
+            name = item.key.removeprefix(wire.TARGET_PREFIX)
+            if item.value is None:
+                self._remove_target(name, item.revision)
+                continue
+            decoded = decode_target(name, item.value)
+            if isinstance(decoded, Err):
+                self._log.emit(
+                    Event.ENTRY_SKIPPED,
+                    entry=item.key,
+                    revision=item.revision,
+                    problem=decoded.err_value,
+                )
+                self._remove_target(name, item.revision)
+                continue
+            target = decoded.ok_value
+            known = self._targets.find(name)
+            if known and known.started_at_ms != target.started_at_ms:
+                self._health.forget(name)
+            self._targets.put(target)
+            event = Event.TARGET_LISTED
+            if target.is_leaving:
+                event = Event.TARGET_LEAVING
+            self._log.emit(event, target=name, revision=item.revision)
+        for service in {target.service for target in self._targets}:
+            self._backlog.place(service)
+
+    def _remove_target(self, name: str, revision: int) -> None:
+        if self._targets.find(name) is not None:
+            self._targets.remove(name)
+            self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
+
+    def _build_digest(self, sequence: int) -> Digest:
+        return Digest(
+            name=self._settings.name,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            host=self._settings.peers[0],
+            is_draining=self._drain.is_set(),
+            known_hosts=tuple(self._book.list_live_hosts()),
+            revisions={
+                prefix: feed.items.revision
+                for prefix, feed in self._feeds.items()
+            },
+            in_flight=dict(self._occupancy.own),
+            spent=dict(self._allowances.list_spent()),
+        )
+
+    def _apply_digest(self, digest: Digest) -> None:
+        self._occupancy.record_peer(digest.host, digest.in_flight)
+        self._allowances.record_peer(
+            digest.host, digest.incarnation, digest.spent
+        )
+        for prefix, revision in digest.revisions.items():
+            feed = self._feeds.get(prefix)
+            if feed is not None:
+                feed.note_peer(digest.host, revision)
+
+    async def _finish_requests(self) -> None:
+        """Leaves the rotation, then finishes what was read."""
+        started_at = time.monotonic()
+        self._log.emit(Event.DRAIN_STARTED, active=self._app.active)
+        self._app.is_closing = True
+        await anyio.sleep(LEAVE_ROTATION_MS / 1_000)
+        left_s = (self._settings.grace_ms - EXIT_MARGIN_MS) / 1_000 - (
+            time.monotonic() - started_at
+        )
+        with anyio.move_on_after(max(0.1, left_s)):
+            await self._server.stop()
+        self._log.emit(Event.DRAIN_FINISHED, active=self._app.active)
--- /dev/null
+++ b/src/peridotbend/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the project's types and the users' platform."""
--- /dev/null
+++ b/src/peridotbend/platform/runners.py
@@ -0,0 +1,108 @@
+"""Sends requests to targets in the platform's protocol."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+from result import Err, Result
+
+from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.domain.ports import (
+    AnswerHead,
+    CallError,
+    CallFailure,
+    TargetAnswer,
+    TargetCall,
+)
+from peridotbend.domain.streams import find_header, is_event_stream
+from peridotbend.domain.text import Target
+from peridotbend.edge.ports import Rejection, Reply, TargetSend
+from peridotbend.platform import wire
+
+MISDIRECTED = 421
+# Below this a target has no time to do anything; it takes 0 for no limit.
+MIN_DEADLINE_MS = 1
+
+
+class RunnerAnswer:
+    """The answer to the request that was sent."""
+
+    def __init__(self, answer: TargetAnswer):
+        self._answer = answer
+        self.head = answer.head
+        self.is_event_stream = is_event_stream(answer.head)
+
+    def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields the body; an Err is the last item when the call breaks."""
+        return self._answer.chunks()
+
+
+class RunnerClient:
+    """Adds what targets need to know to each request, and reads verdicts."""
+
+    def __init__(self, client: HttpTargetClient):
+        self._client = client
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, send: TargetSend, gate: Callable[[], bool]
+    ) -> AsyncIterator[Reply]:
+        """Sends a request and waits for the head of the answer."""
+        target = send.target
+        address = Target(
+            target.name, target.service, target.zone, target.host, target.port
+        )
+        async with self._client.open(address, _make_call(send), gate) as opened:
+            if isinstance(opened, Err):
+                yield opened.err_value
+            else:
+                yield _read_reply(opened.ok_value, send.call.attempt)
+
+
+def _make_call(send: TargetSend) -> TargetCall:
+    call = send.call
+    deadline_ms = max(MIN_DEADLINE_MS, send.deadline_ms)
+    headers = [
+        *call.headers,
+        (wire.ATTEMPT_ID, call.attempt),
+        (wire.DEADLINE_MS, str(deadline_ms)),
+        (wire.EXPECT_INSTANCE, send.target.name),
+    ]
+    if send.account:
+        headers.append((wire.ACCOUNT, send.account))
+    if send.last_event_id:
+        headers.append((wire.LAST_EVENT_ID, send.last_event_id))
+    return TargetCall(
+        call.method,
+        call.path,
+        tuple(headers),
+        call.body,
+        deadline_ms,
+        send.reuse_connection,
+    )
+
+
+def _read_reply(answer: TargetAnswer, attempt: str) -> Reply:
+    head = answer.head
+    told = find_header(head, wire.ATTEMPT_ID)
+    if told and told != attempt:
+        # A late second answer to an earlier request on this connection.
+        return CallError(CallFailure.BROKEN, True, "answer to another attempt")
+    if head.status == MISDIRECTED:
+        return Rejection.MISDIRECTED
+    if find_header(head, wire.NOT_EXECUTED):
+        return Rejection.UNAVAILABLE
+    problem = _find_problem(head)
+    if problem:
+        return CallError(CallFailure.BROKEN, True, problem)
+    return RunnerAnswer(answer)
+
+
+def _find_problem(head: AnswerHead) -> str:
+    """Tells why an answer is not one that the target made."""
+    if not find_header(head, wire.ATTEMPT_ID):
+        return "the answer has no attempt ID"
+    if not find_header(head, wire.SERVER_STAMP):
+        return "the answer has no stamp of its target"
+    if find_header(head, "content-encoding"):
+        return "the answer is encoded, which nobody asked for"
+    return ""
--- /dev/null
+++ b/src/peridotbend/platform/settings.py
@@ -0,0 +1,70 @@
+"""Reads the settings file that the platform writes for each process."""
+
+import yaml
+from result import Err, Ok, Result
+
+from peridotbend.edge.settings import Address, EdgeSettings
+from peridotbend.platform.fields import (
+    BadFieldError,
+    Fields,
+    read_address,
+    read_text,
+)
+
+
+def parse_settings(text: str) -> Result[EdgeSettings, str]:
+    """Returns the settings, or which field is wrong."""
+    try:
+        return Ok(_read_settings(Fields(yaml.safe_load(text))))
+    except (yaml.YAMLError, BadFieldError) as error:
+        return Err(str(error))
+
+
+def load_settings(path: str) -> Result[EdgeSettings, str]:
+    """Reads and parses a settings file."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(f"cannot read {path}: {error}")
+    return parse_settings(text).map_err(lambda problem: f"{path}: {problem}")
+
+
+def _read_settings(fields: Fields) -> EdgeSettings:
+    listen = fields.get_table("listen")
+    bounds = fields.get_table("bounds")
+    ip = fields.get_text("ip")
+    ports = fields.get_list("internal_ports", _read_port, optional=False)
+    if len(ports) != 2 or ports[1] - ports[0] < 1:
+        raise BadFieldError("internal_ports: must be the first and last port")
+    return EdgeSettings(
+        name=fields.get_text("node_name"),
+        zone=fields.get_text("zone"),
+        callers=_read_listen(listen, "frontend"),
+        health=_read_listen(listen, "ready"),
+        peers=_read_listen(listen, "control_plane"),
+        digests=(ip, ports[0]),
+        metrics=(ip, ports[0] + 1),
+        seeds=tuple(
+            read_address(seed, f"seeds[{index}]")
+            for index, seed in enumerate(fields.get_list("seeds", read_text))
+        ),
+        store=_read_listen(fields.get_table("platform"), "address"),
+        grace_ms=round(bounds.get_number("grace_s", 8.0) * 1_000),
+        max_files=fields.get_table("limits").get_whole("max_fds", 1_024),
+        resend_share=bounds.get_number("retry_budget_ratio", 0.1),
+        resend_slack=bounds.get_number("retry_slack", 8.0),
+        resend_window_ms=round(
+            bounds.get_number("retry_window_s", 10.0) * 1_000
+        ),
+    )
+
+
+def _read_listen(fields: Fields, name: str) -> Address:
+    return read_address(fields.get_text(name), name)
+
+
+def _read_port(value: object, path: str) -> int:
+    if not isinstance(value, int) or not 0 < value < 65_536:
+        raise BadFieldError(f"{path}: must be a port")
+    return value
--- /dev/null
+++ b/src/peridotbend/platform/store.py
@@ -0,0 +1,170 @@
+"""The one client of the platform's store."""
+
+import base64
+import binascii
+import json
+import urllib.parse
+from typing import Any
+
+import anyio
+from result import Err, Ok, Result
+
+from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.domain.ports import TargetCall
+from peridotbend.domain.text import Target
+from peridotbend.edge.ports import StoreError, StoreFailure
+from peridotbend.edge.published import Changes, Item
+from peridotbend.edge.settings import Address
+from peridotbend.platform import wire
+
+# The store answers in milliseconds, and a slow one within some hundred.
+CALL_TIMEOUT_S = 1.5
+# Beyond the time that a watch was asked to wait.
+WATCH_MARGIN_S = 1.0
+# A page holds about 1 MB of values, a third more in base64.
+MAX_ANSWER_BYTES = 4 * 1_048_576
+MAX_PAGES = 10_000
+_BUSY = frozenset((429, 503))
+
+
+class StoreClient:
+    """Lists and watches keys of the store.
+
+    A call whose answer is lost ends by its timeout, and its connection is
+    closed with it, so the next call uses another one.
+    """
+
+    def __init__(self, address: Address, client: HttpTargetClient):
+        host, port = address
+        self._target = Target("store", "store", "", host, port)
+        self._client = client
+
+    def read_prefix(self, prefix: str) -> "PrefixReader":
+        """Returns a reader of the keys below a prefix."""
+        return PrefixReader(self, prefix)
+
+    async def get(
+        self, call: str, query: dict[str, str], timeout_s: float
+    ) -> Result[dict[str, Any], StoreError]:
+        """Returns the decoded answer of a call."""
+        path = f"{call}?{urllib.parse.urlencode(query)}"
+        request = TargetCall("GET", path, (), b"", round(timeout_s * 1_000))
+        body = bytearray()
+        try:
+            with anyio.fail_after(timeout_s):
+                async with self._client.open(
+                    self._target, request, lambda: True
+                ) as opened:
+                    if isinstance(opened, Err):
+                        return _fail_call(opened.err_value.detail)
+                    answer = opened.ok_value
+                    async for chunk in answer.chunks():
+                        if isinstance(chunk, Err):
+                            return _fail_call(chunk.err_value.detail)
+                        body += chunk.ok_value
+                        if len(body) > MAX_ANSWER_BYTES:
+                            return _fail_answer("answer too large")
+        except TimeoutError:
+            return _fail_call(f"no answer in {timeout_s} s")
+        return _decode_answer(answer.head.status, bytes(body))
+
+
+class PrefixReader:
+    """Reads the keys below one prefix."""
+
+    def __init__(self, client: StoreClient, prefix: str):
+        self._client = client
+        self._prefix = prefix
+
+    async def list_items(self) -> Result[Changes, StoreError]:
+        """Returns all keys.
+
+        Pages are no snapshot: the result counts as of the first page, and
+        what changed since comes again with the first watch.
+        """
+        items: list[Item] = []
+        revision = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"path_prefix": self._prefix}
+            if after:
+                query["after"] = after
+            got = await self._client.get(wire.RANGE_CALL, query, CALL_TIMEOUT_S)
+            if isinstance(got, Err):
+                return got
+            page = got.ok_value
+            decoded = _decode_page(page, "items")
+            if isinstance(decoded, Err):
+                return decoded
+            found, page_revision = decoded.ok_value
+            items.extend(found)
+            revision = page_revision if revision is None else revision
+            if not page.get("has_more") or not found:
+                return Ok(Changes(tuple(items), revision, is_whole=True))
+            after = found[-1].key
+        return _fail_answer("more pages than bounded")
+
+    async def watch(
+        self, after: int, wait_ms: int
+    ) -> Result[Changes, StoreError]:
+        """Returns what changed after a revision, nothing after `wait_ms`."""
+        query = {
+            "path_prefix": self._prefix,
+            "after": str(after),
+            "wait_ms": str(wait_ms),
+        }
+        timeout_s = wait_ms / 1_000 + WATCH_MARGIN_S
+        got = await self._client.get(wire.WATCH_CALL, query, timeout_s)
+        if isinstance(got, Err):
+            return got
+        decoded = _decode_page(got.ok_value, "events")
+        return decoded.map(lambda page: Changes(tuple(page[0]), page[1], False))
+
+
+def _decode_answer(
+    status: int, body: bytes
+) -> Result[dict[str, Any], StoreError]:
+    if status == 410:
+        return Err(StoreError(StoreFailure.COMPACTED))
+    if status in _BUSY:
+        return Err(StoreError(StoreFailure.BUSY, f"status {status}"))
+    if status != 200:
+        return _fail_answer(f"status {status}")
+    try:
+        decoded = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return _fail_answer(str(error))
+    if not isinstance(decoded, dict):
+        return _fail_answer("not a table")
+    return Ok(decoded)
+
+
+def _decode_page(
+    page: dict[str, Any], name: str
+) -> Result[tuple[list[Item], int], StoreError]:
+    """Returns the items of an answer and the revision of the store."""
+    entries = page.get(name)
+    revision = page.get("store_revision")
+    if not isinstance(entries, list) or not isinstance(revision, int):
+        return _fail_answer(f"no {name} or store_revision")
+    try:
+        return Ok(([_decode_item(entry) for entry in entries], revision))
+    except (KeyError, TypeError, binascii.Error) as error:
+        return _fail_answer(f"bad entry: {type(error).__name__} {error}")
+
+
+def _decode_item(entry: dict[str, Any]) -> Item:
+    key, revision = entry["key"], entry["revision"]
+    if not isinstance(key, str) or not isinstance(revision, int):
+        raise TypeError("key or revision")
+    if entry.get("deleted"):
+        return Item(key, revision, None)
+    return Item(key, revision, base64.b64decode(entry["value"], validate=True))
+
+
+def _fail_call(detail: str) -> Err[StoreError]:
+    return Err(StoreError(StoreFailure.UNREACHABLE, detail))
+
+
+def _fail_answer(detail: str) -> Err[StoreError]:
+    return Err(StoreError(StoreFailure.BAD_ANSWER, detail))
--- /dev/null
+++ b/src/peridotbend/platform/wire.py
@@ -0,0 +1,63 @@
+"""Names on the platform's wire that the adapter reads or writes.
+
+Nothing outside this folder uses them; a test searches the rest of the sources
+for each name of HEADERS, CALLS and KEYS.
+"""
+
+# Headers of requests and answers, in lower case as ASGI gives them.
+ATTEMPT_ID = "x-attempt-id"
+DEADLINE_MS = "x-deadline-ms"
+EXPECT_INSTANCE = "x-expect-instance"
+EXPECT_VERSION = "x-expect-version"
+# The client account, told to targets in place of the caller's key.
+ACCOUNT = "x-tenant"
+MODEL = "x-model"
+# Prompt tokens and the most output tokens, separated by a comma.
+TOKEN_COUNT = "x-token-count"
+PROMPT_PREFIX = "x-prompt-prefix"
+LAST_EVENT_ID = "last-event-id"
+NOT_EXECUTED = "x-not-executed"
+# Stands in every answer that a target made, and holds its digest.
+SERVER_STAMP = "x-server-stamp"
+KV_FROM = "kv-from"
+KV_FETCH = "kv-fetch"
+KV_HOLD = "x-kv-hold"
+KV_BACKUP = "x-kv-backup"
+PIN_MS = "x-pin-ms"
+
+HEADERS = (
+    ATTEMPT_ID,
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    EXPECT_VERSION,
+    ACCOUNT,
+    MODEL,
+    TOKEN_COUNT,
+    PROMPT_PREFIX,
+    NOT_EXECUTED,
+    SERVER_STAMP,
+    KV_FROM,
+    KV_FETCH,
+    KV_HOLD,
+    KV_BACKUP,
+    PIN_MS,
+)
+
+# Headers that only the system sets; what a caller sent under these names is
+# not passed on.
+SYSTEM_HEADERS = frozenset((
+    DEADLINE_MS, EXPECT_INSTANCE, EXPECT_VERSION, ACCOUNT, KV_FROM, KV_FETCH,
+    KV_HOLD, KV_BACKUP, PIN_MS,
+))  # fmt: skip
+
+# Calls of the store and of the platform's health check.
+READY_PATH = "/-/readyz"
+RANGE_CALL = "/-/kv-range"
+WATCH_CALL = "/-/kv-watch"
+CALLS = (READY_PATH, RANGE_CALL, WATCH_CALL)
+
+# Keys of the store.
+CONFIG_KEY = "op/config"
+CONFIG_PREFIX = "op/"
+TARGET_PREFIX = "servers/"
+KEYS = (CONFIG_KEY, CONFIG_PREFIX, TARGET_PREFIX)
