Keep a resumed stream, a reset answer and an allowance apart

Restarted processes began with a tenth of each allowance; they now go on from the level that peers tell.

--- a/src/peridotbend/adapters/gossip.py
+++ b/src/peridotbend/adapters/gossip.py
@@ -11,6 +11,7 @@
 from google.protobuf.message import DecodeError
 
 from peridotbend.domain.clock import Clock
+from peridotbend.edge.allowances import AllowanceUse
 from peridotbend.edge.peers import Digest, PeerBook
 from peridotbend.edge.settings import Address
 from peridotbend.wire import edge_pb2 as pb
@@ -62,7 +63,8 @@
             await anyio.sleep(MIN_INTERVAL_MS / 1_000)
             self._book.check(self._lose)
             digest = self._build(self._sequence)
-            news = digest.in_flight, digest.spent, digest.is_draining
+            spent = {n: use.spent for n, use in digest.allowances.items()}
+            news = digest.in_flight, spent, digest.is_draining
             now_ms = self._clock.now_ms()
             if news == last_news and now_ms - sent_at_ms < MAX_INTERVAL_MS:
                 continue
@@ -104,8 +106,10 @@
             for target, count in digest.in_flight.items()
         ],
         accounts=[
-            pb.AccountUse(account=account, spent_tokens=spent)
-            for account, spent in digest.spent.items()
+            pb.AccountUse(
+                account=account, spent_tokens=use.spent, level_tokens=use.level
+            )
+            for account, use in digest.allowances.items()
         ],
         crashes=[
             pb.CrashCount(fingerprint=fingerprint, crashes=count)
@@ -137,6 +141,9 @@
         known_hosts=tuple(message.known_hosts[:MAX_ENTRIES]),
         revisions={feed.prefix: feed.revision for feed in message.feeds},
         in_flight={use.target: use.in_flight for use in message.uses},
-        spent={use.account: use.spent_tokens for use in message.accounts},
+        allowances={
+            use.account: AllowanceUse(use.spent_tokens, use.level_tokens)
+            for use in message.accounts
+        },
         crashes={c.fingerprint: c.crashes for c in message.crashes},
     )
--- a/src/peridotbend/adapters/sockets.py
+++ b/src/peridotbend/adapters/sockets.py
@@ -1,6 +1,8 @@
 """TCP streams towards targets that cost little for each small read."""
 
 import asyncio
+import os
+from socket import SO_ERROR, SOL_SOCKET
 from typing import Any, cast
 
 import anyio
@@ -46,6 +48,12 @@
 
     def eof_received(self) -> bool:
         """Keeps the transport open until it is closed here."""
+        # libuv reports a reset that follows data as an end of file; only the
+        # socket still tells that the target did not end the answer.
+        socket = self._transport.get_extra_info("socket")
+        code = socket.getsockopt(SOL_SOCKET, SO_ERROR) if socket else 0
+        if code:
+            self._error = ConnectionResetError(code, os.strerror(code))
         self._ended = True
         self._wake_reader()
         return True
@@ -53,7 +61,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the reads and writes that wait."""
         self._ended = True
-        self._error = exc
+        self._error = self._error or exc
         self._wake_reader()
         self.resume_writing()
         self._stop_timer()
--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -12,12 +12,24 @@
 INITIAL_SHARE = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllowanceUse:
+    """The use of one account as an instance sees it, in tokens."""
+
+    # All that the instance spent since its start.
+    spent: float
+    # What it holds to be left.
+    level: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Bucket:
     level: float
     refilled_at_ms: int
     # All that was spent here since the start of the process.
     spent: float = 0.0
+    # Whether the level was compared with a peer's since the start.
+    is_synced: bool = False
 
 
 class Allowances:
@@ -45,11 +57,13 @@
 
     def apply(self, accounts: Iterable[Account]) -> None:
         """Puts the allowances of a new configuration in force."""
+        for account in self._accounts.values():
+            # The old rate holds until now.
+            self._refill(account)
         self._accounts = {account.name: account for account in accounts}
-        for name, bucket in self._buckets.items():
-            account = self._accounts.get(name)
-            if account is not None:
-                bucket.level = min(bucket.level, account.burst_tokens)
+        for account in self._accounts.values():
+            bucket = self._refill(account)
+            bucket.level = min(bucket.level, account.burst_tokens)
 
     def try_take(self, name: str, tokens: float) -> int | None:
         """Takes tokens; returns in how many ms they are there, or None.
@@ -75,26 +89,34 @@
             bucket.level = min(account.burst_tokens, bucket.level + tokens)
             bucket.spent -= tokens
 
-    def list_spent(self) -> Mapping[str, float]:
-        """Returns what was spent here since the start, by account."""
-        return {name: bucket.spent for name, bucket in self._buckets.items()}
+    def list_uses(self) -> dict[str, AllowanceUse]:
+        """Returns what peers are told of the own buckets."""
+        return {
+            name: AllowanceUse(bucket.spent, bucket.level)
+            for name, bucket in self._buckets.items()
+        }
 
     def record_peer(
-        self, peer: str, incarnation: int, spent: Mapping[str, float]
+        self, peer: str, incarnation: int, uses: Mapping[str, AllowanceUse]
     ) -> None:
         """Takes out what a peer spent since its last digest."""
-        told = self._told.get((peer, incarnation))
-        if told is None:
-            self._told[peer, incarnation] = dict(spent)
-            return
-        for name, total in spent.items():
+        known = self._told.get((peer, incarnation))
+        told = self._told.setdefault((peer, incarnation), {})
+        for name, use in uses.items():
             account = self._accounts.get(name)
-            if account is not None and account.tokens_per_s > 0:
-                bucket = self._refill(account)
-                bucket.level -= total - told.get(name, 0.0)
-                # Returned tokens may come back here, too.
-                bucket.level = min(bucket.level, account.burst_tokens)
-            told[name] = total
+            if account is None or account.tokens_per_s <= 0:
+                continue
+            bucket = self._refill(account)
+            if not bucket.is_synced:
+                # A process that has just started goes on from the level that
+                # the others have.
+                bucket.is_synced = True
+                bucket.level = max(bucket.level, use.level - bucket.spent)
+            if known is not None:
+                bucket.level -= use.spent - told.get(name, 0.0)
+            # Returned tokens may come back here, too.
+            bucket.level = min(bucket.level, account.burst_tokens)
+            told[name] = use.spent
 
     def forget_peer(self, peer: str, incarnation: int) -> None:
         """Drops what a peer told."""
--- a/src/peridotbend/edge/events.py
+++ b/src/peridotbend/edge/events.py
@@ -10,10 +10,10 @@
     comes again from the target that resumes the stream.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, last_event_id: str = "") -> None:
         self._partial = b""
-        # ID of the last event passed on; empty before the first.
-        self.last_event_id = ""
+        # ID of the last event that the caller has; empty before the first.
+        self.last_event_id = last_event_id
 
     def feed(self, data: bytes) -> bytes:
         """Returns the whole events that are there after these bytes."""
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -6,6 +6,7 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
+from peridotbend.edge.allowances import AllowanceUse
 
 # Digests are sent at least every 300 ms.
 SILENCE_MS = 1_500
@@ -30,8 +31,8 @@
     revisions: Mapping[str, int]
     # Requests in flight by target.
     in_flight: Mapping[str, int]
-    # Tokens spent since the start by account.
-    spent: Mapping[str, float]
+    # Use of the allowances by account.
+    allowances: Mapping[str, AllowanceUse]
     # Targets that died with a request in flight, by its fingerprint.
     crashes: Mapping[int, int] = dataclasses.field(default_factory=dict)
 
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -146,7 +146,15 @@
         if call.deadline_ms is not None:
             limit_ms = min(limit_ms, call.deadline_ms)
         end_at_ms = self._clock.now_ms() + limit_ms
-        return _Run(call, route, service, account, tokens, end_at_ms)
+        return _Run(
+            call,
+            route,
+            service,
+            account,
+            tokens,
+            end_at_ms,
+            events=EventSplitter(call.last_event_id),
+        )
 
     def _choose_service(self, route: Route) -> str:
         if len(route.services) == 1:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -262,13 +262,13 @@
                 for prefix, feed in self._feeds.items()
             },
             in_flight=dict(self._occupancy.own),
-            spent=dict(self._allowances.list_spent()),
+            allowances=self._allowances.list_uses(),
         )
 
     def _apply_digest(self, digest: Digest) -> None:
         self._occupancy.record_peer(digest.host, digest.in_flight)
         self._allowances.record_peer(
-            digest.host, digest.incarnation, digest.spent
+            digest.host, digest.incarnation, digest.allowances
         )
         for prefix, revision in digest.revisions.items():
             feed = self._feeds.get(prefix)
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -77,7 +77,8 @@
         async def watch_caller() -> None:
             while (await receive())["type"] != "http.disconnect":
                 pass
-            self._log.emit(Event.CALLER_GONE, attempt=call.attempt)
+            if not out.is_finished:
+                self._log.emit(Event.CALLER_GONE, attempt=call.attempt)
             group.cancel_scope.cancel()
 
         try:
@@ -97,6 +98,7 @@
     def __init__(self, send: SendMessage, app: EdgeApp):
         self._send = send
         self._app = app
+        self.is_finished = False
 
     async def start(self, head: AnswerHead) -> None:
         """Sends the status and headers of a target."""
@@ -114,6 +116,7 @@
 
     async def finish(self) -> None:
         """Ends the body."""
+        self.is_finished = True
         await self._send({"type": "http.response.body", "body": b""})
 
     async def refuse(self, verdict: Verdict) -> None:
