Count crashing requests and bound the log; test the edge decisions

A request with which three targets died is refused, with counts from all instances; a broken connection counts only once its target refuses connections, restarts or is no longer listed. Log lines go to standard output at a bounded rate and never wait for a full pipe.

--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -2,10 +2,13 @@
 
 import contextlib
 import enum
+import json
 import logging
+import os
 import sys
+import time
 from collections.abc import Mapping
-from typing import TextIO
+from typing import TextIO, cast
 
 import structlog
 
@@ -16,6 +19,8 @@
 MAX_VALUE_LENGTH = 300
 MAX_ENTRIES = 32
 WITHHELD = "[withheld]"
+# About 60 KB/s, and two lines for each of 100 requests a second.
+LINES_PER_S = 200
 
 _REQUEST_FIELDS = frozenset(("request", "request_id", "requests"))
 # Set by this module, or a parameter of structlog's own methods.
@@ -36,6 +41,10 @@
         Event.SUSPECT_RECORDED,
         Event.SUSPECT_QUARANTINED,
         Event.PEER_LOST,
+        Event.CONFIG_REFUSED,
+        Event.ENTRY_SKIPPED,
+        Event.SETTINGS_REFUSED,
+        Event.LINES_DROPPED,
     )
 )
 _ERRORS = frozenset((Event.HAND_OVER_FAILED, Event.INTERNAL_ERROR))
@@ -48,6 +57,10 @@
         Event.REQUEST_REFUSED,
         Event.STREAM_RESUMED,
         Event.CONNECT_RETRIED,
+        Event.TARGET_REJECTED,
+        Event.TARGET_CALL_FAILED,
+        Event.ANSWER_BROKEN,
+        Event.CALLER_GONE,
     )
 )
 
@@ -67,7 +80,7 @@
     def __init__(
         self,
         level: str = "info",
-        stream: TextIO | None = None,
+        stream: "TextIO | BoundedStream | None" = None,
         **context: object,
     ):
         """Creates a log.
@@ -80,7 +93,7 @@
         minimum = logging.getLevelNamesMapping()[level.upper()]
         self._logger: structlog.typing.FilteringBoundLogger = (
             structlog.wrap_logger(
-                structlog.WriteLogger(stream or sys.stderr),
+                structlog.WriteLogger(cast(TextIO, stream or sys.stderr)),
                 processors=[
                     structlog.processors.add_log_level,
                     structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -141,3 +154,52 @@
         value.decode("ascii", "replace") if isinstance(value, bytes) else value
     )
     return str(text)[:REQUEST_PREFIX_LENGTH]
+
+
+class BoundedStream:
+    """Writes lines to a file descriptor without ever waiting.
+
+    Lines over the rate, and those that a full pipe does not take, are dropped
+    and counted; the next line that is written tells how many.
+    """
+
+    def __init__(self, descriptor: int, lines_per_s: int = LINES_PER_S):
+        """Makes the descriptor non-blocking.
+
+        Args:
+            descriptor: where to write.
+            lines_per_s: lines that are written at most, on average; a burst
+                may have as many at once.
+        """
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rate = lines_per_s
+        self._room = float(lines_per_s)
+        self._refilled_at_s = time.monotonic()
+        self.dropped = 0
+
+    def write(self, text: str) -> int:
+        """Writes a line, or drops it."""
+        now_s = time.monotonic()
+        gained = (now_s - self._refilled_at_s) * self._rate
+        self._room = min(self._rate, self._room + gained)
+        self._refilled_at_s = now_s
+        if self._room < 1:
+            self.dropped += 1
+            return len(text)
+        self._room -= 1
+        line = text
+        if self.dropped:
+            note = {"event": Event.LINES_DROPPED.label, "lines": self.dropped}
+            note["number"] = Event.LINES_DROPPED.value
+            line = f"{json.dumps(note)}\n{text}"
+        try:
+            os.write(self._descriptor, line.encode())
+        except OSError:
+            self.dropped += 1
+        else:
+            self.dropped = 0
+        return len(text)
+
+    def flush(self) -> None:
+        """Does nothing: each line is written at once."""
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -69,9 +69,9 @@
         peer = self._peers.get(digest.host)
         if peer is None:
             return False
-        if peer.incarnation == digest.incarnation:
-            if digest.sequence <= peer.sequence:
-                return False
+        is_same = peer.incarnation == digest.incarnation
+        if is_same and digest.sequence <= peer.sequence:
+            return False
         peer.incarnation = digest.incarnation
         peer.sequence = digest.sequence
         peer.heard_at_ms = self._clock.now_ms()
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -20,6 +20,7 @@
 from peridotbend.edge.backlog import Backlog, Place
 from peridotbend.edge.config import Account, Route, RouteKind
 from peridotbend.edge.configholder import ConfigHolder
+from peridotbend.edge.crashes import CrashList, make_fingerprint
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.inflight import InFlight, Send
@@ -48,6 +49,8 @@
 # only ends a request whose targets are all unreachable.
 MAX_CONNECT_FAILURES = 6
 NO_CONFIG_RETRY_MS = 500
+# The caller of a crashing request does best to ask for something else.
+QUARANTINED_RETRY_MS = 60_000
 ERROR_STATUS = 500
 
 
@@ -60,6 +63,7 @@
     targets: TargetList
     backlog: Backlog
     health: TargetHealth
+    crashes: CrashList
     in_flight: InFlight
     allowances: Allowances
     budget: SendBudget
@@ -78,6 +82,8 @@
     route: Route
     service: str
     account: Account | None
+    # Names the request itself, whatever its attempt.
+    fingerprint: int
     tokens: float
     # When the request is ended here.
     end_at_ms: int
@@ -120,6 +126,15 @@
             if not run.may_have_run and run.account is not None:
                 self._parts.allowances.give_back(run.account.name, run.tokens)
 
+    def note_death(self, target: str) -> None:
+        """Notes that a target refuses connections or is gone."""
+        for fingerprint in self._parts.crashes.note_death(target):
+            self._parts.log.emit(
+                Event.SUSPECT_RECORDED,
+                target=target,
+                fingerprint=f"{fingerprint:016x}",
+            )
+
     def _admit(self, call: EdgeCall) -> "_Run | Verdict":
         config = self._parts.holder.config
         if config is None:
@@ -132,8 +147,10 @@
             account = config.find_account(call.key)
             if account is None:
                 return NotRun(Reason.UNKNOWN_KEY)
-        if len(call.body) > config.limits.max_body_bytes:
-            return NotRun(Reason.TOO_LARGE)
+        name = account.name if account else ""
+        fingerprint = make_fingerprint(call, name)
+        if self._parts.crashes.is_quarantined(fingerprint):
+            return NotRun(Reason.QUARANTINED, QUARANTINED_RETRY_MS)
         tokens = 0.0
         if account is not None:
             tokens = _count_tokens(call, account)
@@ -151,6 +168,7 @@
             route,
             service,
             account,
+            fingerprint,
             tokens,
             end_at_ms,
             events=EventSplitter(call.last_event_id),
@@ -270,8 +288,11 @@
         run.failed_at.add(target.name)
         if error.failure is not CallFailure.GATE:
             self._parts.health.note_failure(target.name)
-        if not error.written:
+        if error.failure is CallFailure.BROKEN:
+            self._parts.crashes.note_break(target.name, run.fingerprint)
+        if error.failure is CallFailure.CONNECT:
             run.connect_failures += 1
+            self.note_death(target.name)
         self._log(
             Event.TARGET_CALL_FAILED,
             run,
@@ -322,6 +343,7 @@
                 body.clear()
         failed = answer.head.status >= ERROR_STATUS
         self._parts.health.note_answer(target.name, failed)
+        self._parts.crashes.note_success(run.fingerprint)
         if failed and not run.head_sent and run.route.may_repeat:
             run.held = (answer.head, bytes(body))
             run.failed_at.add(target.name)
@@ -365,6 +387,7 @@
             await out.send(rest)
         await out.finish()
         self._parts.health.note_answer(target.name, failed=False)
+        self._parts.crashes.note_success(run.fingerprint)
         self._log(
             Event.REQUEST_ENDED,
             run,
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -19,7 +19,6 @@
     # are the same on all instances.
     peers: Address
     digests: Address
-    metrics: Address
     # Peer addresses of some instances, which may be down.
     seeds: tuple[Address, ...]
     store: Address
--- a/src/peridotbend/edgedaemon.py
+++ b/src/peridotbend/edgedaemon.py
@@ -11,7 +11,7 @@
 import click
 from result import Err
 
-from peridotbend.adapters.logs import StructuredLog
+from peridotbend.adapters.logs import BoundedStream, StructuredLog
 from peridotbend.adapters.serving import ListenError
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
@@ -43,7 +43,8 @@
         click.echo(loaded.err_value, err=True)
         sys.exit(EXIT_BAD_SETTINGS)
     settings = loaded.ok_value
-    log = StructuredLog("debug", sys.stdout, instance=settings.name)
+    stream = BoundedStream(sys.stdout.fileno())
+    log = StructuredLog("debug", stream, instance=settings.name)
     try:
         node = EdgeNode(settings, log)
         anyio.run(_run, node, path, log, backend_options=BACKEND_OPTIONS)
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -24,6 +24,7 @@
 from peridotbend.edge.backlog import Backlog
 from peridotbend.edge.config import EdgeConfig
 from peridotbend.edge.configholder import ConfigHolder
+from peridotbend.edge.crashes import CrashList
 from peridotbend.edge.feeds import Feed, catch_up
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.inflight import InFlight
@@ -51,6 +52,8 @@
 # Connecting to a live target takes milliseconds, also between zones.
 CONNECT_TIMEOUT_S = 0.25
 SHED_RETRY_MS = 1_000
+# Holds until a configuration tells another.
+MAX_BODY_BYTES = 4 * 1_048_576
 
 
 class EdgeNode:
@@ -71,6 +74,7 @@
         self._targets = TargetList(self._clock)
         self._occupancy = Occupancy(self._clock)
         self._health = TargetHealth(self._clock)
+        self._crashes = CrashList(self._clock)
         self._in_flight = InFlight(self._clock, self._health)
         self._allowances = Allowances(self._clock, self._book.find_heard_share)
         self._holder.subscribe(self._apply_config)
@@ -87,12 +91,14 @@
 
     async def run(self) -> None:
         """Serves until drained."""
-        async with contextlib.AsyncExitStack() as stack:
-            async with anyio.create_task_group() as tasks:
-                await self._start(stack, tasks)
-                await self._drain.wait()
-                await self._finish_requests()
-                tasks.cancel_scope.cancel()
+        async with (
+            contextlib.AsyncExitStack() as stack,
+            anyio.create_task_group() as tasks,
+        ):
+            await self._start(stack, tasks)
+            await self._drain.wait()
+            await self._finish_requests()
+            tasks.cancel_scope.cancel()
 
     async def _start(
         self, stack: contextlib.AsyncExitStack, tasks: TaskGroup
@@ -101,7 +107,7 @@
         client = HttpTargetClient(CONNECT_TIMEOUT_S)
         self._build_relay(client)
         self._build_feeds(client)
-        self._app = EdgeApp(self._relay, self._log)
+        self._app = EdgeApp(self._relay, self._find_body_limit, self._log)
         channels = ChannelPool()
         stack.callback(channels.close)
         fetcher = PublishedFetcher(channels, settings.peers[1], self._log)
@@ -150,6 +156,7 @@
                 targets=self._targets,
                 backlog=self._backlog,
                 health=self._health,
+                crashes=self._crashes,
                 in_flight=self._in_flight,
                 allowances=self._allowances,
                 budget=SendBudget(self._clock, self._settings),
@@ -181,6 +188,10 @@
     def _find_retry_after(self, wish: Wish) -> int:
         return round(SHED_RETRY_MS * self._rng.uniform(0.7, 1.3))
 
+    def _find_body_limit(self) -> int:
+        config = self._holder.config
+        return config.limits.max_body_bytes if config else MAX_BODY_BYTES
+
     def _is_ready(self) -> bool:
         return (
             not self._drain.is_set()
@@ -236,6 +247,7 @@
             known = self._targets.find(name)
             if known and known.started_at_ms != target.started_at_ms:
                 self._health.forget(name)
+                self._relay.note_death(name)
             self._targets.put(target)
             event = Event.TARGET_LISTED
             if target.is_leaving:
@@ -245,8 +257,11 @@
             self._backlog.place(service)
 
     def _remove_target(self, name: str, revision: int) -> None:
-        if self._targets.find(name) is not None:
+        known = self._targets.find(name)
+        if known is not None:
             self._targets.remove(name)
+            if not known.is_leaving:
+                self._relay.note_death(name)
             self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
 
     def _build_digest(self, sequence: int) -> Digest:
@@ -263,6 +278,7 @@
             },
             in_flight=dict(self._occupancy.own),
             allowances=self._allowances.list_uses(),
+            crashes=self._crashes.list_told(),
         )
 
     def _apply_digest(self, digest: Digest) -> None:
@@ -270,6 +286,7 @@
         self._allowances.record_peer(
             digest.host, digest.incarnation, digest.allowances
         )
+        self._crashes.record_peer(digest.host, digest.crashes)
         for prefix, revision in digest.revisions.items():
             feed = self._feeds.get(prefix)
             if feed is not None:
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -42,8 +42,11 @@
 class EdgeApp:
     """ASGI application for callers."""
 
-    def __init__(self, relay: Relay, log: EventLog):
+    def __init__(
+        self, relay: Relay, find_body_limit: Callable[[], int], log: EventLog
+    ):
         self._relay = relay
+        self._find_body_limit = find_body_limit
         self._log = log
         # Set when the process ends: answers then close their connections.
         self.is_closing = False
@@ -66,9 +69,12 @@
     ) -> None:
         out = AsgiResponder(send, self)
         try:
-            body = await _read_body(receive)
+            body = await _read_body(receive, self._find_body_limit())
         except CallerGoneError:
             return
+        if body is None:
+            await out.refuse(NotRun(Reason.TOO_LARGE))
+            return
         call = decode_call(scope, body)
         if call is None:
             await out.refuse(NotRun(Reason.BAD_INPUT))
@@ -206,13 +212,18 @@
     return tuple((name, value) for name, value in raw if name not in dropped)
 
 
-async def _read_body(receive: Receive) -> bytes:
+async def _read_body(receive: Receive, limit: int) -> bytes | None:
+    """Returns the body, or None if it is larger than the limit."""
     parts = []
+    left = limit
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerGoneError
         parts.append(message.get("body", b""))
+        left -= len(parts[-1])
+        if left < 0:
+            return None
         if not message.get("more_body"):
             return b"".join(parts)
 
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -44,7 +44,6 @@
         health=_read_listen(listen, "ready"),
         peers=_read_listen(listen, "control_plane"),
         digests=(ip, ports[0]),
-        metrics=(ip, ports[0] + 1),
         seeds=tuple(
             read_address(seed, f"seeds[{index}]")
             for index, seed in enumerate(fields.get_list("seeds", read_text))
--- /dev/null
+++ b/tests/edgefakes.py
@@ -0,0 +1,287 @@
+"""Stand-ins for the ports of the edge package."""
+
+import contextlib
+import dataclasses
+import random
+from collections.abc import AsyncIterator, Callable, Sequence
+
+import anyio
+from result import Err, Ok, Result
+
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
+from peridotbend.domain.verdicts import Verdict
+from peridotbend.edge.allowances import Allowances
+from peridotbend.edge.backlog import Backlog
+from peridotbend.edge.config import (
+    Account,
+    CallerLimits,
+    EdgeConfig,
+    EdgeService,
+    Route,
+    RouteKind,
+    WeightedService,
+)
+from peridotbend.edge.configholder import ConfigHolder
+from peridotbend.edge.crashes import CrashList
+from peridotbend.edge.health import TargetHealth
+from peridotbend.edge.inflight import InFlight
+from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.ports import EdgeCall, Rejection, Reply, TargetSend
+from peridotbend.edge.relay import Relay, RelayParts
+from peridotbend.edge.selection import Selector
+from peridotbend.edge.sendbudget import SendBudget
+from peridotbend.edge.settings import EdgeSettings
+from peridotbend.edge.targets import EdgeTarget, TargetList
+
+ROUTE = Route(
+    name="quotes",
+    host="shop.example",
+    path_prefix="/quotes/",
+    kind=RouteKind.STREAM,
+    services=(WeightedService("engine", 1.0),),
+    max_attempts=2,
+    timeout_ms=15_000,
+    goal_ms=800,
+    gap_goal_ms=400,
+    rank=0,
+    is_public=False,
+    is_generation=True,
+    can_resume=True,
+)
+ORDERS = dataclasses.replace(
+    ROUTE,
+    name="orders",
+    path_prefix="/orders/",
+    kind=RouteKind.NON_IDEMPOTENT,
+    services=(WeightedService("shop", 1.0),),
+    max_attempts=1,
+    timeout_ms=800,
+    goal_ms=100,
+    is_generation=False,
+    can_resume=False,
+)
+LOOKUPS = dataclasses.replace(
+    ORDERS,
+    name="lookups",
+    path_prefix="/lookups/",
+    kind=RouteKind.IDEMPOTENT,
+    max_attempts=2,
+)
+ACCOUNT = Account("acme", frozenset(("key-1",)), None, 0.0, 0.0, 200.0)
+LIMITS = CallerLimits(16_384, 4_194_304, 3_000, 15_000)
+CONFIG = EdgeConfig(
+    version=3,
+    routes=(ROUTE, ORDERS, LOOKUPS),
+    services={
+        "engine": EdgeService("engine", 370, True),
+        "shop": EdgeService("shop", 110, False),
+    },
+    accounts=(ACCOUNT,),
+    limits=LIMITS,
+)
+TARGET = EdgeTarget("i-1", "engine", "127.0.0.1", 8_000, "zone-a", 10, False, 0)
+SETTINGS = EdgeSettings(
+    name="edge-1",
+    zone="zone-a",
+    callers=("127.0.0.1", 8_221),
+    health=("127.0.0.1", 8_224),
+    peers=("127.0.0.1", 8_229),
+    digests=("127.0.0.1", 7_600),
+    seeds=(),
+    store=("127.0.0.1", 8_225),
+    grace_ms=8_000,
+    max_files=4_100,
+    resend_share=0.2,
+    resend_slack=56.0,
+    resend_window_ms=10_000,
+)
+CALL = EdgeCall(
+    attempt="attempt-1",
+    method="POST",
+    host="shop.example",
+    path="/quotes/2f",
+    headers=(("host", "shop.example"),),
+    body=b"plan",
+    key="key-1",
+    deadline_ms=15_000,
+    prompt_tokens=1_000,
+    max_output_tokens=100,
+)
+
+
+def make_target(name: str, service: str = "engine") -> EdgeTarget:
+    """Returns a ready target."""
+    return dataclasses.replace(TARGET, name=name, service=service)
+
+
+def make_event(number: int) -> bytes:
+    """Returns one event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+class RecordingLog:
+    """Keeps the events that were logged."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[Event, dict[str, object]]] = []
+
+    def emit(self, event: Event, **fields: object) -> None:
+        """Keeps an event."""
+        self.events.append((event, fields))
+
+    def count(self, event: Event) -> int:
+        """Returns how often an event was logged."""
+        return sum(found is event for found, _ in self.events)
+
+
+class RecordingResponder:
+    """Keeps what a caller would get."""
+
+    def __init__(self) -> None:
+        self.head: AnswerHead | None = None
+        self.body = b""
+        self.is_complete = False
+        self.verdict: Verdict | None = None
+
+    async def start(self, head: AnswerHead) -> None:
+        """Keeps the head, which comes once."""
+        assert self.head is None, "the answer was started twice"
+        self.head = head
+
+    async def send(self, data: bytes) -> None:
+        """Keeps a part of the body."""
+        assert self.head is not None
+        self.body += data
+
+    async def finish(self) -> None:
+        """Notes the proper end."""
+        self.is_complete = True
+
+    async def refuse(self, verdict: Verdict) -> None:
+        """Keeps the refusal."""
+        assert self.head is None, "a refusal after the head"
+        self.verdict = verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Script:
+    """How a target answers one request."""
+
+    reply: Rejection | CallError | None = None
+    status: int = 200
+    chunks: Sequence[bytes] = ()
+    # Whether the connection breaks after the chunks.
+    breaks: bool = False
+    # Whether nothing more arrives after the chunks.
+    hangs: bool = False
+    is_event_stream: bool = True
+    # Whether the request never got a byte out.
+    unsent: bool = False
+
+
+class _Answer:
+    """The answer of a script."""
+
+    def __init__(self, script: Script, target: str):
+        self._script = script
+        self.is_event_stream = script.is_event_stream
+        self.head = AnswerHead(script.status, (("made-by", target),))
+
+    async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields the chunks of the script."""
+        for chunk in self._script.chunks:
+            yield Ok(chunk)
+        if self._script.hangs:
+            await anyio.sleep_forever()
+        if self._script.breaks:
+            yield Err(CallError(CallFailure.BROKEN, True, "reset"))
+
+
+class ScriptedTargets:
+    """A client whose targets answer by scripts, in the order of the sends."""
+
+    def __init__(self, *scripts: Script):
+        self._scripts = list(scripts)
+        self.sends: list[TargetSend] = []
+        # Sends whose gate opened, so that bytes may have left.
+        self.written: list[TargetSend] = []
+        self.before_gate: Callable[[], None] = lambda: None
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, send: TargetSend, gate: Callable[[], bool]
+    ) -> AsyncIterator[Reply]:
+        """Answers with the next script."""
+        self.sends.append(send)
+        script = self._scripts.pop(0)
+        if script.unsent:
+            yield CallError(CallFailure.CONNECT, False, "refused")
+            return
+        self.before_gate()
+        if not gate():
+            yield CallError(CallFailure.GATE, False)
+            return
+        self.written.append(send)
+        if script.reply is not None:
+            yield script.reply
+        else:
+            yield _Answer(script, send.target.name)
+
+
+class EdgeBench:
+    """A relay with scripted targets."""
+
+    def __init__(
+        self, *scripts: Script, config: EdgeConfig | None = CONFIG
+    ) -> None:
+        self.clock = ManualClock()
+        self.log = RecordingLog()
+        self.client = ScriptedTargets(*scripts)
+        self.holder = ConfigHolder()
+        self.targets = TargetList(self.clock)
+        self.occupancy = Occupancy(self.clock)
+        self.health = TargetHealth(self.clock)
+        self.crashes = CrashList(self.clock)
+        self.in_flight = InFlight(self.clock, self.health)
+        self.allowances = Allowances(self.clock, lambda: 1.0)
+        self.holder.subscribe(
+            lambda config: self.allowances.apply(config.accounts)
+        )
+        if config is not None:
+            self.holder.offer(config)
+        for name in ("i-1", "i-2", "i-3"):
+            self.targets.put(make_target(name))
+            self.targets.put(make_target(f"s{name}", "shop"))
+        selector = Selector("zone-a", self.occupancy, self.health)
+        self.backlog = Backlog(
+            self.clock,
+            self.targets,
+            self.occupancy,
+            selector,
+            lambda wish: 1_000,
+        )
+        self.relay = Relay(
+            RelayParts(
+                clock=self.clock,
+                holder=self.holder,
+                targets=self.targets,
+                backlog=self.backlog,
+                health=self.health,
+                crashes=self.crashes,
+                in_flight=self.in_flight,
+                allowances=self.allowances,
+                budget=SendBudget(self.clock, SETTINGS),
+                client=self.client,
+                log=self.log,
+                rng=random.Random(1),
+                count_instances=lambda: 1,
+            )
+        )
+
+    async def serve(self, call: EdgeCall = CALL) -> RecordingResponder:
+        """Serves one call to its end."""
+        out = RecordingResponder()
+        await self.relay.serve(call, out)
+        return out
--- /dev/null
+++ b/tests/test_edge_relay.py
@@ -0,0 +1,290 @@
+"""Tests of the relay: what callers are told and what targets run."""
+
+import dataclasses
+import unittest
+
+import anyio
+
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import CallError, CallFailure
+from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
+from peridotbend.edge.config import Account
+from peridotbend.edge.ports import AnswerBrokenError, EdgeCall, Rejection
+from tests.edgefakes import (
+    CALL,
+    CONFIG,
+    EdgeBench,
+    RecordingResponder,
+    Script,
+    make_event,
+)
+
+ORDER = dataclasses.replace(CALL, path="/orders/7", prompt_tokens=None)
+LOOKUP = dataclasses.replace(
+    CALL, method="GET", path="/lookups/7", body=b"", prompt_tokens=None
+)
+BROKEN = CallError(CallFailure.BROKEN, True, "reset")
+PLAIN = Script(chunks=(b"done",), is_event_stream=False)
+ERROR = Script(status=500, chunks=(b"sorry",), is_event_stream=False)
+
+
+def _serve(bench: EdgeBench, call: EdgeCall = CALL) -> RecordingResponder:
+    async def run() -> RecordingResponder:
+        return await bench.serve(call)
+
+    return anyio.run(run)
+
+
+class RefusalTest(unittest.TestCase):
+    """Requests that never reach a target."""
+
+    def test_process_without_configuration_asks_to_come_back(self) -> None:
+        """Guards against a 404 for routes that a new process cannot know."""
+        out = _serve(EdgeBench(config=None))
+        assert isinstance(out.verdict, NotRun)
+        assert out.verdict.reason is Reason.NO_TEXT
+        assert out.verdict.retry_after_ms > 0
+
+    def test_unknown_route_and_key(self) -> None:
+        """Guards against requests that reach a service without a route."""
+        bench = EdgeBench()
+        stray = dataclasses.replace(CALL, path="/other/1")
+        assert _serve(bench, stray).verdict == NotRun(Reason.UNKNOWN_KIND)
+        thief = dataclasses.replace(CALL, key="key-2")
+        assert _serve(bench, thief).verdict == NotRun(Reason.UNKNOWN_KEY)
+        assert not bench.client.sends
+
+    def test_refused_request_costs_no_allowance(self) -> None:
+        """Guards against tokens lost by requests that did not run."""
+        account = Account("acme", frozenset(("key-1",)), None, 1.0, 5_000.0, 1)
+        config = dataclasses.replace(CONFIG, accounts=(account,))
+        bench = EdgeBench(
+            Script(reply=Rejection.UNAVAILABLE),
+            Script(reply=Rejection.UNAVAILABLE),
+            config=config,
+        )
+        bench.clock.advance(10_000_000)
+        before = bench.allowances.list_uses()["acme"].spent
+        assert isinstance(_serve(bench).verdict, NotRun)
+        assert bench.allowances.list_uses()["acme"].spent == before
+
+    def test_allowance_tells_when_to_come_back(self) -> None:
+        """Guards against a Retry-After at which the tokens still lack."""
+        account = Account("acme", frozenset(("key-1",)), None, 100.0, 100.0, 1)
+        config = dataclasses.replace(CONFIG, accounts=(account,))
+        bench = EdgeBench(config=config)
+        out = _serve(bench)
+        assert out.verdict == NotRun(Reason.CLIENT_LIMIT, 900)
+
+
+class NonIdempotentTest(unittest.TestCase):
+    """Requests that may run at most once."""
+
+    def test_order_whose_connection_breaks_is_not_sent_again(self) -> None:
+        """Guards against an order that takes effect twice."""
+        bench = EdgeBench(Script(reply=BROKEN), PLAIN)
+        out = _serve(bench, ORDER)
+        assert out.verdict == MayHaveRun(Reason.TARGET_FAILED)
+        assert len(bench.client.written) == 1
+
+    def test_order_is_tried_elsewhere_only_while_unsent(self) -> None:
+        """Guards against orders lost to a target that refuses connections."""
+        bench = EdgeBench(Script(unsent=True), PLAIN)
+        out = _serve(bench, ORDER)
+        assert out.body == b"done"
+        assert out.is_complete
+        assert len(bench.client.written) == 1
+
+    def test_order_that_a_target_rejects_is_said_not_to_have_run(self) -> None:
+        """Guards against "may have run" where the target promised it did not.
+
+        The route allows one target, so no second one is asked.
+        """
+        bench = EdgeBench(Script(reply=Rejection.MISDIRECTED))
+        out = _serve(bench, ORDER)
+        assert isinstance(out.verdict, NotRun)
+        assert len(bench.client.sends) == 1
+
+    def test_nothing_is_written_to_a_target_that_began_to_leave(self) -> None:
+        """Guards against a request sent late to a leaving target."""
+        bench = EdgeBench(*(PLAIN for _ in range(8)))
+
+        def leave() -> None:
+            for name in ("si-1", "si-2", "si-3"):
+                bench.targets.remove(name)
+
+        bench.client.before_gate = leave
+        out = _serve(bench, ORDER)
+        assert isinstance(out.verdict, NotRun)
+        assert not bench.client.written
+
+    def test_error_of_a_target_is_passed_on(self) -> None:
+        """Guards against a failure that bears another status than its run."""
+        out = _serve(EdgeBench(ERROR), ORDER)
+        assert out.head is not None
+        assert out.head.status == 500
+        assert out.body == b"sorry"
+
+
+class IdempotentTest(unittest.TestCase):
+    """Requests that may run again."""
+
+    def test_lookup_is_asked_of_a_second_target(self) -> None:
+        """Guards against lookups lost to one broken or failing target."""
+        for first in (Script(reply=BROKEN), ERROR):
+            bench = EdgeBench(first, PLAIN)
+            out = _serve(bench, LOOKUP)
+            assert out.body == b"done"
+            names = {send.target.name for send in bench.client.written}
+            assert len(names) == 2
+
+    def test_at_most_as_many_targets_as_the_route_allows(self) -> None:
+        """Guards against a failing request that visits every target."""
+        bench = EdgeBench(ERROR, ERROR, PLAIN)
+        out = _serve(bench, LOOKUP)
+        assert out.head is not None
+        assert out.head.status == 500
+        assert len(bench.client.written) == 2
+
+    def test_broken_answer_is_not_delivered(self) -> None:
+        """Guards against half an answer that looks whole."""
+        half = Script(chunks=(b"do",), breaks=True, is_event_stream=False)
+        bench = EdgeBench(half, half)
+        out = _serve(bench, LOOKUP)
+        assert out.verdict == MayHaveRun(Reason.TARGET_FAILED)
+
+    def test_extra_sends_end_with_the_budget(self) -> None:
+        """Guards against an outage that doubles the load on what is left."""
+        count = 200
+        bench = EdgeBench(*(ERROR for _ in range(2 * count)))
+        for _ in range(count):
+            _serve(bench, LOOKUP)
+        extra = len(bench.client.written) - count
+        assert 0 < extra <= 0.2 * count + 56
+
+
+class StreamTest(unittest.TestCase):
+    """Streams of events."""
+
+    def test_broken_stream_goes_on_at_another_target(self) -> None:
+        """Guards against a lost or doubled event at the seam."""
+        first = Script(
+            chunks=(make_event(1), make_event(2), b"id: 3\nda"), breaks=True
+        )
+        second = Script(chunks=(make_event(3), make_event(4)))
+        bench = EdgeBench(first, second)
+        out = _serve(bench)
+        expected = b"".join(make_event(n) for n in (1, 2, 3, 4))
+        assert out.body == expected
+        assert out.is_complete
+        assert bench.client.sends[1].last_event_id == "2"
+        assert out.head is not None
+        # The caller keeps the head of the first run.
+        first_name = bench.client.sends[0].target.name
+        assert ("made-by", first_name) in out.head.headers
+
+    def test_callers_own_last_event_goes_on_to_the_target(self) -> None:
+        """Guards against events that come twice after a caller resumed.
+
+        Seen on all days with a final fault: a caller that came back with the
+        last event it had got the stream from its start.
+        """
+        bench = EdgeBench(Script(chunks=(make_event(13),)))
+        _serve(bench, dataclasses.replace(CALL, last_event_id="12"))
+        assert bench.client.sends[0].last_event_id == "12"
+
+    def test_stream_that_cannot_go_on_looks_incomplete(self) -> None:
+        """Guards against a broken stream that ends like a whole one."""
+        broken = Script(chunks=(make_event(1),), breaks=True)
+        bench = EdgeBench(broken, broken)
+        out = RecordingResponder()
+
+        async def run() -> None:
+            try:
+                await bench.relay.serve(CALL, out)
+            except AnswerBrokenError:
+                return
+            raise AssertionError("the broken stream was ended properly")
+
+        anyio.run(run)
+        assert not out.is_complete
+
+    def test_stream_of_a_route_that_cannot_resume_runs_once(self) -> None:
+        """Guards against pieces of two runs joined in one answer."""
+        route = dataclasses.replace(CONFIG.routes[0], can_resume=False)
+        config = dataclasses.replace(CONFIG, routes=(route,))
+        bench = EdgeBench(
+            Script(reply=BROKEN), Script(chunks=(make_event(1),)), config=config
+        )
+        out = _serve(bench)
+        assert out.verdict == MayHaveRun(Reason.TARGET_FAILED)
+        assert len(bench.client.written) == 1
+
+    def test_silent_target_loses_its_resumable_streams(self) -> None:
+        """Guards against callers that wait for a target that went dark."""
+        hung = Script(chunks=(make_event(1),), hangs=True)
+        rest = Script(chunks=(make_event(2),))
+        bench = EdgeBench(hung, rest)
+        out = RecordingResponder()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(bench.relay.serve, CALL, out)
+                await anyio.sleep(0.01)
+                bench.clock.advance(2_000)
+                bench.in_flight.check()
+
+        anyio.run(run)
+        assert out.body == make_event(1) + make_event(2)
+        assert out.is_complete
+
+
+class DeadlineTest(unittest.TestCase):
+    """Requests whose time is up."""
+
+    def test_target_gets_no_more_time_than_is_left(self) -> None:
+        """Guards against runs that go on after their caller has given up."""
+        bench = EdgeBench(Script(chunks=(make_event(1),)))
+        call = dataclasses.replace(CALL, deadline_ms=1_200)
+        _serve(bench, call)
+        assert bench.client.sends[0].deadline_ms <= 1_200
+
+    def test_route_timeout_bounds_the_request(self) -> None:
+        """Guards against requests held past what the operators allow."""
+        bench = EdgeBench(PLAIN)
+        _serve(bench, ORDER)
+        assert bench.client.sends[0].deadline_ms <= 800
+
+    def test_sent_request_that_times_out_may_have_run(self) -> None:
+        """Guards against "not run" for an order that a target works on."""
+        hung = Script(hangs=True, is_event_stream=False)
+        bench = EdgeBench(hung)
+        call = dataclasses.replace(ORDER, deadline_ms=30)
+        out = _serve(bench, call)
+        assert out.verdict == MayHaveRun(Reason.TARGET_TIMEOUT)
+
+
+class CrashTest(unittest.TestCase):
+    """Requests that crash their targets."""
+
+    def test_third_crash_ends_the_request_for_all(self) -> None:
+        """Guards against a request that takes one target after the other."""
+        bench = EdgeBench(*(Script(reply=BROKEN) for _ in range(3)), PLAIN)
+        for number in range(3):
+            attempt = f"attempt-{number}"
+            _serve(bench, dataclasses.replace(ORDER, attempt=attempt))
+            bench.relay.note_death(bench.client.sends[-1].target.name)
+        out = _serve(bench, dataclasses.replace(ORDER, attempt="last"))
+        assert isinstance(out.verdict, NotRun)
+        assert out.verdict.reason is Reason.QUARANTINED
+        assert len(bench.client.sends) == 3
+        assert bench.log.count(Event.SUSPECT_RECORDED) == 3
+
+    def test_other_requests_of_the_caller_go_on(self) -> None:
+        """Guards against one bad request that locks its whole account out."""
+        bench = EdgeBench(*(Script(reply=BROKEN) for _ in range(3)), PLAIN)
+        for _ in range(3):
+            _serve(bench, ORDER)
+            bench.relay.note_death(bench.client.sends[-1].target.name)
+        out = _serve(bench, dataclasses.replace(ORDER, body=b"other"))
+        assert out.is_complete
