--- /dev/null
+++ b/tests/test_edge_peers.py
@@ -0,0 +1,250 @@
+"""Tests of what instances tell each other and how copies are merged."""
+
+import dataclasses
+import random
+import unittest
+
+import anyio
+from result import Err, Ok, Result
+
+from peridotbend.adapters.gossip import (
+    MAX_BYTES,
+    decode_digest,
+    encode_digest,
+)
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.events import Event
+from peridotbend.edge.allowances import AllowanceUse
+from peridotbend.edge.configholder import ConfigHolder
+from peridotbend.edge.feeds import BEHIND_MS, Feed
+from peridotbend.edge.peers import SILENCE_MS, Digest, PeerBook
+from peridotbend.edge.ports import StoreError, StoreFailure
+from peridotbend.edge.published import Changes, Item, PublishedItems
+from tests.edgefakes import CONFIG, RecordingLog
+
+DIGEST = Digest(
+    name="edge-2",
+    incarnation=2**63 + 1,
+    sequence=1,
+    host="10.0.0.2",
+    is_draining=False,
+    known_hosts=("10.0.0.3",),
+    revisions={"op/": 12},
+    in_flight={"i-1": 4},
+    allowances={"acme": AllowanceUse(10.5, -3.0)},
+    crashes={2**64 - 1: 2},
+)
+
+
+def _change(revision: int, *items: Item, is_whole: bool = False) -> Changes:
+    return Changes(items, revision, is_whole)
+
+
+class DigestTest(unittest.TestCase):
+    """Digests as datagrams."""
+
+    def test_digest_survives_the_wire(self) -> None:
+        """Guards against fields lost between instances."""
+        assert decode_digest(encode_digest(DIGEST)) == DIGEST
+
+    def test_datagram_stays_in_one_packet(self) -> None:
+        """Guards against digests that are lost with any of their packets."""
+        in_flight = {f"i-{number:010}": 3 for number in range(2_000)}
+        large = dataclasses.replace(DIGEST, in_flight=in_flight)
+        data = encode_digest(large)
+        assert len(data) <= MAX_BYTES
+        decoded = decode_digest(data)
+        assert decoded is not None
+        assert decoded.revisions == DIGEST.revisions
+
+    def test_other_datagrams_are_ignored(self) -> None:
+        """Guards against a crash on bytes from anywhere."""
+        rng = random.Random(5)
+        for _ in range(500):
+            decode_digest(rng.randbytes(rng.randrange(60)))
+        assert decode_digest(b"") is None
+
+
+class PeerBookTest(unittest.TestCase):
+    """Which instances are alive."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.log = RecordingLog()
+        self.book = PeerBook("10.0.0.1", self.clock, self.log)
+
+    def test_late_digest_does_not_replace_a_newer_one(self) -> None:
+        """Guards against use of targets that goes back."""
+        assert self.book.accept(dataclasses.replace(DIGEST, sequence=5))
+        assert not self.book.accept(dataclasses.replace(DIGEST, sequence=4))
+        # A restarted process counts from the start again.
+        assert self.book.accept(
+            dataclasses.replace(DIGEST, incarnation=7, sequence=0)
+        )
+
+    def test_peers_of_peers_become_known(self) -> None:
+        """Guards against instances that only know the seeds."""
+        self.book.accept(DIGEST)
+        assert set(self.book.list_hosts()) == {"10.0.0.2", "10.0.0.3"}
+
+    def test_silent_peer_is_lost_and_lowers_the_heard_share(self) -> None:
+        """Guards against a partition in which each side spends all."""
+        lost: list[str] = []
+        self.book.accept(DIGEST)
+        self.book.check(lost.append)
+        assert self.book.find_heard_share() == 1.0
+        self.clock.advance(SILENCE_MS)
+        self.book.check(lost.append)
+        assert lost == ["10.0.0.2"]
+        assert self.book.find_heard_share() == 0.5
+        assert self.log.count(Event.PEER_LOST) == 1
+        # It may still take callers on its side.
+        assert self.book.count_instances() == 2
+
+    def test_peer_that_left_in_order_takes_nothing_with_it(self) -> None:
+        """Guards against refusals for an allowance that nobody spends."""
+        self.book.accept(dataclasses.replace(DIGEST, is_draining=True))
+        self.clock.advance(SILENCE_MS)
+        assert self.book.find_heard_share() == 1.0
+
+
+class PublishedItemsTest(unittest.TestCase):
+    """Merging by revision."""
+
+    def test_older_changes_do_not_win(self) -> None:
+        """Guards against a stale copy that brings back an old value."""
+        items = PublishedItems()
+        items.merge(_change(5, Item("a", 5, b"new"), is_whole=True))
+        assert not items.merge(_change(4, Item("a", 4, b"old")))
+        items.merge(_change(6, Item("a", 6, None)))
+        assert not items.merge(_change(5, Item("a", 5, b"new")))
+        assert len(items) == 0
+        assert items.revision == 6
+
+    def test_whole_copy_removes_what_it_lacks(self) -> None:
+        """Guards against gone targets after the history was dropped.
+
+        What was written after the copy was made stays.
+        """
+        items = PublishedItems()
+        items.merge(_change(5, Item("a", 3, b"x"), Item("b", 9, b"y")))
+        changed = items.merge(_change(6, is_whole=True))
+        assert [(item.key, item.value) for item in changed] == [("a", None)]
+        assert [item.key for item in items.list_items()] == ["b"]
+
+    def test_peer_gets_what_it_lacks(self) -> None:
+        """Guards against removals that a peer never hears of."""
+        items = PublishedItems()
+        items.merge(_change(2, Item("a", 1, b"x"), Item("b", 2, b"y")))
+        items.merge(_change(4, Item("a", 4, None)))
+        peer = PublishedItems()
+        peer.merge(_change(2, Item("a", 1, b"x"), Item("b", 2, b"y")))
+        peer.merge(items.list_changes(peer.revision))
+        assert [item.key for item in peer.list_items()] == ["b"]
+        fresh = PublishedItems()
+        fresh.merge(items.list_changes(0))
+        assert [item.key for item in fresh.list_items()] == ["b"]
+        assert fresh.revision == 4
+
+
+class ConfigHolderTest(unittest.TestCase):
+    """The configuration in force."""
+
+    def test_versions_only_grow(self) -> None:
+        """Guards against a configuration that reverts."""
+        holder = ConfigHolder()
+        assert holder.offer(CONFIG)
+        assert not holder.offer(CONFIG)
+        assert not holder.offer(dataclasses.replace(CONFIG, version=2))
+        assert holder.config is CONFIG
+
+
+class _Reader:
+    """Answers lists and watches from a script."""
+
+    def __init__(self, *answers: Result[Changes, StoreError]):
+        self._answers = list(answers)
+        self.calls: list[str] = []
+
+    async def list_items(self) -> Result[Changes, StoreError]:
+        """Returns the next answer."""
+        return await self._next("list")
+
+    async def watch(
+        self, after: int, wait_ms: int
+    ) -> Result[Changes, StoreError]:
+        """Returns the next answer."""
+        return await self._next(f"watch {after}")
+
+    async def _next(self, call: str) -> Result[Changes, StoreError]:
+        self.calls.append(call)
+        if not self._answers:
+            await anyio.sleep_forever()
+        return self._answers.pop(0)
+
+
+class FeedTest(unittest.TestCase):
+    """Following the store."""
+
+    def _make(
+        self, *answers: Result[Changes, StoreError]
+    ) -> tuple[Feed, _Reader, list[bool], ManualClock]:
+        reader = _Reader(*answers)
+        reached: list[bool] = []
+        clock = ManualClock()
+        feed = Feed(
+            "op/", reader, lambda items: None, clock, RecordingLog(),
+            reached.append,
+        )  # fmt: skip
+        return feed, reader, reached, clock
+
+    def test_lost_history_is_followed_by_a_list(self) -> None:
+        """Guards against changes missed when the store drops its history."""
+        feed, reader, _, _ = self._make(
+            Ok(_change(3, Item("op/a", 3, b"x"), is_whole=True)),
+            Err(StoreError(StoreFailure.COMPACTED)),
+            Ok(_change(9, Item("op/b", 8, b"y"), is_whole=True)),
+        )
+
+        async def run() -> None:
+            with anyio.move_on_after(0.5):
+                await feed.run()
+
+        anyio.run(run)
+        assert reader.calls == ["list", "watch 3", "list", "watch 9"]
+        assert [item.key for item in feed.items.list_items()] == ["op/b"]
+
+    def test_outage_is_told_and_outlasted(self) -> None:
+        """Guards against a feed that ends with the first failed call."""
+        feed, reader, reached, _ = self._make(
+            Err(StoreError(StoreFailure.UNREACHABLE)),
+            Ok(_change(3, is_whole=True)),
+        )
+
+        async def run() -> None:
+            with anyio.move_on_after(0.5):
+                await feed.run()
+
+        anyio.run(run)
+        assert reached == [False, True]
+        assert reader.calls == ["list", "list", "watch 3"][: len(reader.calls)]
+
+    def test_peer_is_asked_only_when_the_own_watch_lags(self) -> None:
+        """Guards against a call to a peer for each change."""
+        feed, _, _, clock = self._make()
+        feed.merge(_change(3, Item("op/a", 3, b"x"), is_whole=True))
+        feed.note_peer("10.0.0.2", 4)
+        assert not feed.find_source()
+        clock.advance(BEHIND_MS)
+        assert feed.find_source() == "10.0.0.2"
+        feed.note_peer("10.0.0.2", 5)
+        feed.merge(_change(5, Item("op/a", 5, b"y")))
+        feed.note_peer("10.0.0.2", 5)
+        clock.advance(BEHIND_MS)
+        assert not feed.find_source()
+
+    def test_process_that_knows_nothing_asks_at_once(self) -> None:
+        """Guards against a slow start while the store is away."""
+        feed, _, _, _ = self._make()
+        feed.note_peer("10.0.0.2", 4)
+        assert feed.find_source() == "10.0.0.2"
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,12 +2,13 @@
 
 import io
 import json
+import os
 import pathlib
 import re
 import unittest
 from typing import Any
 
-from peridotbend.adapters.logs import StructuredLog, find_level
+from peridotbend.adapters.logs import BoundedStream, StructuredLog, find_level
 from peridotbend.domain.events import Event
 from peridotbend.domain.verdicts import Reason
 
@@ -94,3 +95,38 @@
         )
         found = [(int(number), name, level) for number, name, level, *_ in rows]
         assert found == [(e.value, e.label, find_level(e)) for e in Event]
+
+
+class BoundedStreamTest(unittest.TestCase):
+    """Lines that never make a process wait."""
+
+    def setUp(self) -> None:
+        self._reader, writer = os.pipe()
+        self.addCleanup(os.close, self._reader)
+        self.addCleanup(os.close, writer)
+        os.set_blocking(self._reader, False)
+        self._writer = writer
+
+    def _read(self) -> list[str]:
+        return os.read(self._reader, 1 << 20).decode().splitlines()
+
+    def test_full_pipe_drops_lines_and_says_so(self) -> None:
+        """Guards against requests that wait for whoever reads the log."""
+        stream = BoundedStream(self._writer, lines_per_s=1_000_000)
+        line = "x" * 1_000 + "\n"
+        for _ in range(1_000):
+            stream.write(line)
+        assert stream.dropped > 0
+        dropped = stream.dropped
+        self._read()
+        stream.write("end\n")
+        notes = [json.loads(x) for x in self._read() if x.startswith("{")]
+        assert notes[0]["event"] == "lines-dropped"
+        assert notes[0]["lines"] == dropped
+
+    def test_rate_is_bounded(self) -> None:
+        """Guards against a log that grows without bound under load."""
+        stream = BoundedStream(self._writer, lines_per_s=10)
+        for _ in range(1_000):
+            stream.write("x\n")
+        assert len(self._read()) < 20
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,5 +1,7 @@
 """Tests of the TCP streams towards targets."""
 
+import socket
+import struct
 import unittest
 from collections.abc import Awaitable, Callable
 from unittest import mock
@@ -118,3 +120,37 @@
                 pass
 
         anyio.run(run)
+
+
+class ResetTest(unittest.TestCase):
+    """Connections that a target resets."""
+
+    def test_reset_after_data_is_no_proper_end(self) -> None:
+        """Guards against a cut answer without length that looks whole.
+
+        libuv reports a reset that follows data as an end of file, so half an
+        answer was passed on as complete when its target crashed.
+        """
+
+        async def check_once() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                near = await connect("127.0.0.1", port, 5.0)
+                far, _ = listener.accept()
+                far.sendall(b"half")
+                # Closing with a linger time of 0 resets the connection.
+                linger = struct.pack("ii", 1, 0)
+                far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                far.close()
+                received = b""
+                with self.assertRaises(httpcore.ReadError):
+                    while data := await near.read(10, LONG_S):
+                        received += data
+                await near.aclose()
+
+        async def check() -> None:
+            for _ in range(20):
+                await check_once()
+
+        anyio.run(check)
+        anyio.run(check, backend_options={"use_uvloop": True})
