--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -7,6 +7,9 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.edge.config import Account
 
+# Generations leave this share of a bucket to plain requests, which cost next
+# to nothing and are never to be lost to the generations of their account.
+PLAIN_RESERVE = 0.05
 # A bucket starts nearly empty: all instances may start at once after an
 # outage, with an allowance that was spent just before.
 INITIAL_SHARE = 0.1
@@ -65,7 +68,9 @@
             bucket = self._refill(account)
             bucket.level = min(bucket.level, account.burst_tokens)
 
-    def try_take(self, name: str, tokens: float) -> int | None:
+    def try_take(
+        self, name: str, tokens: float, is_generation: bool = False
+    ) -> int | None:
         """Takes tokens; returns in how many ms they are there, or None.
 
         A request larger than the whole bucket is admitted by a full one.
@@ -74,7 +79,10 @@
         if account is None or account.tokens_per_s <= 0:
             return None
         bucket = self._refill(account)
-        lacking = min(tokens, account.burst_tokens) - bucket.level
+        needed = tokens
+        if is_generation:
+            needed += PLAIN_RESERVE * account.burst_tokens
+        lacking = min(needed, account.burst_tokens) - bucket.level
         if lacking > 0:
             return math.ceil(lacking * 1_000 / account.tokens_per_s)
         bucket.level -= tokens
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -33,7 +33,7 @@
     result: "Result[Place, NotRun] | None" = None
 
     @property
-    def order(self) -> tuple[int, int]:
+    def order(self) -> tuple[tuple[int, int], int]:
         """Highest rank first, then the order of arrival."""
         return self.wish.rank, self.sequence
 
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -154,7 +154,9 @@
         tokens = 0.0
         if account is not None:
             tokens = _count_tokens(call, account)
-            wait_ms = self._parts.allowances.try_take(account.name, tokens)
+            wait_ms = self._parts.allowances.try_take(
+                name, tokens, route.is_generation
+            )
             if wait_ms is not None:
                 return NotRun(Reason.CLIENT_LIMIT, wait_ms)
         service = self._choose_service(route)
@@ -199,11 +201,11 @@
 
     async def _acquire(self, run: _Run) -> "Result[Place, NotRun]":
         route = run.route
-        rank = route.rank
+        account_rank = run.account.rank if run.account else None
         wish = Wish(
             run.service,
             route.is_generation,
-            rank,
+            (account_rank or 0, route.rank),
             run.call.session,
             frozenset(run.failed_at),
         )
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -19,7 +19,7 @@
 from peridotbend.edge.targets import LAPSE_GRACE_MS, EdgeTarget, TargetList
 from tests.edgefakes import SETTINGS, make_target
 
-WISH = Wish("engine", True, 1)
+WISH = Wish("engine", True, (0, 1))
 
 
 class _Placing:
@@ -78,7 +78,9 @@
         placing = _Placing("i-1")
         placing.fill("i-1", 9)
         assert placing.choose() is None
-        assert placing.choose(dataclasses.replace(WISH, rank=0)) is not None
+        assert (
+            placing.choose(dataclasses.replace(WISH, rank=(0, 0))) is not None
+        )
 
     def test_target_that_refuses_connections_is_avoided_for_a_while(
         self,
@@ -138,7 +140,7 @@
         granted: list[int] = []
 
         async def acquire(rank: int) -> None:
-            wish = dataclasses.replace(WISH, rank=rank)
+            wish = dataclasses.replace(WISH, rank=(0, rank))
             end_at_ms = placing.clock.now_ms() + 10_000
             result = await placing.backlog.acquire(wish, 10_000, end_at_ms)
             if isinstance(result, Ok):
@@ -310,6 +312,13 @@
         assert allowances.try_take("acme", 251.0) is not None
         assert allowances.try_take("acme", 249.0) is None
 
+    def test_generations_leave_room_for_plain_requests(self) -> None:
+        """Guards against orders refused for the tokens of chat answers."""
+        _, allowances = self._make()
+        while allowances.try_take("acme", 50.0, is_generation=True) is None:
+            pass
+        assert allowances.try_take("acme", 40.0) is None
+
     def test_lowered_limit_holds_at_once(self) -> None:
         """Guards against a bucket that keeps the level of the old limit."""
         _, allowances = self._make()
