Cut a silent run only when another target has a place

The check also cut runs of routes that allow no further attempt. A stream that broke midway now waits up to half of its caller's patience, before all ranks.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -9,6 +9,7 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.verdicts import NotRun, Reason
+from peridotbend.edge.config import Route
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.selection import Selector, Wish
 from peridotbend.edge.targets import EdgeTarget, TargetList
@@ -17,6 +18,10 @@
 # while its caller can still do something else.
 PATIENCE_SHARE = 0.12
 MIN_PATIENCE_MS = 20
+# A stream that broke midway waits for this share of its caller's patience.
+RESUME_PATIENCE_SHARE = 0.5
+# Before all ranks: what is half delivered is lost if it does not go on.
+RESUME_RANK = (-1, -1)
 # Between two looks for deadlines, lapsed reports and returned targets.
 CHECK_MS = 10
 MAX_WAITING = 2_000
@@ -76,15 +81,30 @@
         """Returns how many requests of a service wait here."""
         return len(self._waiting.get(service, ()))
 
+    def has_place(self, wish: Wish) -> bool:
+        """Tells whether a request would find a place at once."""
+        targets = self._targets.list_for(wish.service)
+        return self._selector.choose(wish, targets) is not None
+
     async def acquire(
-        self, wish: Wish, goal_ms: int, end_at_ms: int
+        self, wish: Wish, route: Route, end_at_ms: int, resumes: bool = False
     ) -> Result[Place, NotRun]:
-        """Waits for a place, for a share of the objective at most.
+        """Waits for a place.
 
         A caller that is cancelled leaves nothing behind.
+
+        Args:
+            wish: what the request asks of its target.
+            route: its route, with the objective and the caller's patience.
+            end_at_ms: when its time is up.
+            resumes: whether the caller has a part of the answer.
         """
         now_ms = self._clock.now_ms()
-        patience_ms = max(MIN_PATIENCE_MS, round(PATIENCE_SHARE * goal_ms))
+        patience_ms = round(PATIENCE_SHARE * route.goal_ms)
+        if resumes:
+            patience_ms = round(RESUME_PATIENCE_SHARE * route.patience_ms)
+            wish = dataclasses.replace(wish, rank=RESUME_RANK)
+        patience_ms = max(MIN_PATIENCE_MS, patience_ms)
         give_up_at_ms = min(end_at_ms, now_ms + patience_ms)
         waiter = _Waiter(wish, next(self._sequence), give_up_at_ms, Reason.SHED)
         queue = self._waiting.setdefault(wish.service, [])
--- a/src/peridotbend/edge/config.py
+++ b/src/peridotbend/edge/config.py
@@ -8,6 +8,12 @@
 import functools
 from collections.abc import Mapping
 
+# Callers abandon a stream after the longest of these without an event, also
+# before the first: a fixed time, and multiples of the two objectives.
+CALLER_SILENCE_MS = 2_000
+CALLER_SILENCE_GOALS = 4
+CALLER_SILENCE_GAPS = 8
+
 
 class RouteKind(enum.Enum):
     """What may be repeated about the requests of a route."""
@@ -52,6 +58,17 @@
     # Whether a broken stream may go on at another target.
     can_resume: bool
 
+    @property
+    def patience_ms(self) -> int:
+        """How long callers wait for the next event, or a whole answer."""
+        if self.kind is not RouteKind.STREAM:
+            return self.timeout_ms
+        return max(
+            CALLER_SILENCE_MS,
+            CALLER_SILENCE_GOALS * self.goal_ms,
+            CALLER_SILENCE_GAPS * self.gap_goal_ms,
+        )
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request may run again after it may have run."""
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 
@@ -32,8 +32,9 @@
     route: Route
     sent_at_ms: int
     scope: anyio.CancelScope
-    clock: Clock
     health: TargetHealth
+    # Whether another target can take over at once.
+    can_move: Callable[[], bool]
     has_data: bool = False
     # Set while the caller does not read: nothing is read from the target
     # then, which says nothing about it.
@@ -55,11 +56,13 @@
         self._sends: set[Send] = set()
 
     @contextlib.contextmanager
-    def track(self, target: str, route: Route) -> Iterator[Send]:
+    def track(
+        self, target: str, route: Route, can_move: Callable[[], bool]
+    ) -> Iterator[Send]:
         """Watches a send; the block is left when its target is silent."""
         with anyio.CancelScope() as scope:
             now_ms = self._clock.now_ms()
-            send = Send(target, route, now_ms, scope, self._clock, self._health)
+            send = Send(target, route, now_ms, scope, self._health, can_move)
             self._sends.add(send)
             try:
                 yield send
@@ -73,7 +76,7 @@
                 continue
             if self._pauses.covers(send.sent_at_ms):
                 continue
-            if self._is_silent(send):
+            if self._is_silent(send) and send.can_move():
                 send.scope.cancel()
 
     async def run(self) -> None:
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -200,35 +200,55 @@
                 return
 
     async def _acquire(self, run: _Run) -> "Result[Place, NotRun]":
-        route = run.route
+        return await self._parts.backlog.acquire(
+            self._make_wish(run),
+            run.route,
+            run.end_at_ms - MIN_SEND_MS,
+            resumes=run.head_sent,
+        )
+
+    def _make_wish(self, run: _Run, avoid: str = "") -> Wish:
         account_rank = run.account.rank if run.account else None
-        wish = Wish(
+        return Wish(
             run.service,
-            route.is_generation,
-            (account_rank or 0, route.rank),
+            run.route.is_generation,
+            (account_rank or 0, run.route.rank),
             run.call.session,
-            frozenset(run.failed_at),
+            frozenset(run.failed_at | {avoid} if avoid else run.failed_at),
         )
-        return await self._parts.backlog.acquire(
-            wish, route.goal_ms, run.end_at_ms - MIN_SEND_MS
+
+    def _can_move(self, run: _Run, target: str) -> bool:
+        """Tells whether another target can take over from a silent one.
+
+        Otherwise the run stays: a silent target may go on any moment.
+        """
+        return (
+            self._has_attempts(run)
+            and self._parts.budget.has_room(
+                run.service, self._parts.count_instances()
+            )
+            and self._parts.backlog.has_place(self._make_wish(run, target))
         )
 
     def _may_send_again(self, run: _Run) -> bool:
         if run.connect_failures > MAX_CONNECT_FAILURES:
             return False
-        if run.may_have_run and not run.route.may_repeat:
-            return False
-        if self._clock.now_ms() + MIN_SEND_MS >= run.end_at_ms:
+        if not self._has_attempts(run):
             return False
         if not run.sent_to:
             # No byte was written yet.
             return True
-        if len(run.sent_to) >= run.route.max_attempts:
-            return False
         return self._parts.budget.try_spend(
             run.service, self._parts.count_instances()
         )
 
+    def _has_attempts(self, run: _Run) -> bool:
+        if run.may_have_run and not run.route.may_repeat:
+            return False
+        if len(run.sent_to) >= run.route.max_attempts:
+            return False
+        return self._clock.now_ms() + MIN_SEND_MS < run.end_at_ms
+
     async def _send(
         self, run: _Run, target: EdgeTarget, out: Responder
     ) -> NotRun | MayHaveRun | None:
@@ -256,7 +276,13 @@
             run.events.last_event_id,
             reuse_connection=run.route.may_repeat,
         )
-        with self._parts.in_flight.track(target.name, run.route) as flight:
+
+        def can_move() -> bool:
+            return self._can_move(run, target.name)
+
+        with self._parts.in_flight.track(
+            target.name, run.route, can_move
+        ) as flight:
             async with self._parts.client.open(send, open_gate) as reply:
                 if isinstance(reply, Rejection):
                     run.may_have_run = earlier
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -74,7 +74,7 @@
     def _find_limit(self, wish: Wish, target: EdgeTarget) -> float:
         if not wish.is_generation:
             return max(1.0, PLAIN_FILL * target.slots)
-        fill = TOP_RANK_FILL if wish.rank[1] == 0 else ENGINE_FILL
+        fill = TOP_RANK_FILL if wish.rank[1] <= 0 else ENGINE_FILL
         return max(1.0, fill * target.slots)
 
     def _make_cost(
--- a/src/peridotbend/edge/sendbudget.py
+++ b/src/peridotbend/edge/sendbudget.py
@@ -48,6 +48,13 @@
 
     def try_spend(self, service: str, instances: int) -> bool:
         """Takes one extra send; False means that the budget is used up."""
+        if not self.has_room(service, instances):
+            return False
+        self._find(self._extra, service).add()
+        return True
+
+    def has_room(self, service: str, instances: int) -> bool:
+        """Tells whether one extra send is allowed."""
         settings = self._settings
         extra = self._find(self._extra, service)
         requests = self._find(self._requests, service).count()
@@ -55,10 +62,7 @@
             settings.resend_share * requests
             + settings.resend_slack / max(1, instances)
         )
-        if extra.count() + 1 > allowed:
-            return False
-        extra.add()
-        return True
+        return extra.count() + 1 <= allowed
 
     def _find(self, table: dict[str, _Window], service: str) -> _Window:
         window = table.get(service)
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -17,9 +17,11 @@
 from peridotbend.edge.selection import Selector, Wish
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.targets import LAPSE_GRACE_MS, EdgeTarget, TargetList
-from tests.edgefakes import SETTINGS, make_target
+from tests.edgefakes import ROUTE, SETTINGS, make_target
 
 WISH = Wish("engine", True, (0, 1))
+# Its requests wait for more than a second.
+PATIENT = dataclasses.replace(ROUTE, goal_ms=10_000)
 
 
 class _Placing:
@@ -142,7 +144,7 @@
         async def acquire(rank: int) -> None:
             wish = dataclasses.replace(WISH, rank=(0, rank))
             end_at_ms = placing.clock.now_ms() + 10_000
-            result = await placing.backlog.acquire(wish, 10_000, end_at_ms)
+            result = await placing.backlog.acquire(wish, PATIENT, end_at_ms)
             if isinstance(result, Ok):
                 granted.append(rank)
 
@@ -174,7 +176,7 @@
 
             async def acquire() -> None:
                 end_at_ms = placing.clock.now_ms() + 10_000
-                result = await placing.backlog.acquire(WISH, 800, end_at_ms)
+                result = await placing.backlog.acquire(WISH, ROUTE, end_at_ms)
                 refusals.append(result.unwrap_err())
 
             async with anyio.create_task_group() as group:
@@ -196,7 +198,7 @@
             async with anyio.create_task_group() as group:
                 end_at_ms = placing.clock.now_ms() + 10_000
                 group.start_soon(
-                    placing.backlog.acquire, WISH, 10_000, end_at_ms
+                    placing.backlog.acquire, WISH, PATIENT, end_at_ms
                 )
                 await anyio.sleep(0.01)
                 assert placing.backlog.count_waiting("engine") == 1
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -238,6 +238,84 @@
         assert out.body == make_event(1) + make_event(2)
         assert out.is_complete
 
+    def test_silent_target_keeps_a_stream_that_has_nowhere_to_go(self) -> None:
+        """Guards against a run that is cut while no target has a place.
+
+        Seen as LOST on a day with more load than targets: a stalled stream
+        was cut, waited for a place and was broken off.
+        """
+        hung = Script(chunks=(make_event(1),), hangs=True)
+        bench = EdgeBench(hung, Script(chunks=(make_event(2),)))
+        out = RecordingResponder()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(bench.relay.serve, CALL, out)
+                await anyio.sleep(0.01)
+                for name in ("i-1", "i-2", "i-3"):
+                    for _ in range(12):
+                        bench.occupancy.add(name)
+                bench.clock.advance(2_000)
+                bench.in_flight.check()
+                await anyio.sleep(0.01)
+                assert bench.log.count(Event.TARGET_CALL_FAILED) == 0
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_silent_target_keeps_a_stream_without_attempts(self) -> None:
+        """Guards against a run that is cut though no other may follow."""
+        route = dataclasses.replace(CONFIG.routes[0], max_attempts=1)
+        config = dataclasses.replace(CONFIG, routes=(route,))
+        hung = Script(chunks=(make_event(1),), hangs=True)
+        bench = EdgeBench(hung, config=config)
+        out = RecordingResponder()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(bench.relay.serve, CALL, out)
+                await anyio.sleep(0.01)
+                bench.clock.advance(2_000)
+                bench.in_flight.check()
+                await anyio.sleep(0.01)
+                assert out.verdict is None
+                assert bench.log.count(Event.ANSWER_BROKEN) == 0
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_broken_stream_waits_for_a_place_to_go_on(self) -> None:
+        """Guards against streams broken off midway for want of a moment."""
+        broken = Script(chunks=(make_event(1),), breaks=True)
+        bench = EdgeBench(broken, Script(chunks=(make_event(2),)))
+        out = RecordingResponder()
+        names = ("i-1", "i-2", "i-3")
+
+        def fill() -> None:
+            for name in names:
+                for _ in range(12):
+                    bench.occupancy.add(name)
+
+        bench.client.before_gate = fill
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(bench.relay.serve, CALL, out)
+                await anyio.sleep(0.01)
+                # Longer than a request waits that has not begun.
+                bench.clock.advance(400)
+                bench.backlog.place("engine")
+                await anyio.sleep(0.01)
+                bench.client.before_gate = lambda: None
+                for name in names:
+                    for _ in range(12):
+                        bench.occupancy.remove(name)
+                bench.backlog.place("engine")
+
+        anyio.run(run)
+        assert out.is_complete
+        assert out.body == make_event(1) + make_event(2)
+
 
 class DeadlineTest(unittest.TestCase):
     """Requests whose time is up."""
