--- /dev/null
+++ b/src/peridotbend/adapters/edgemetrics.py
@@ -0,0 +1,86 @@
+"""Metrics of an entry instance on the users' platform."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from peridotbend.adapters.metrics import CONTENT_TYPE
+
+METRICS_PATH = "/metrics"
+# From the objective of a plain call to the longest time limit.
+LATENCY_BUCKETS_S = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30,
+)  # fmt: skip
+
+
+class EdgeMetrics:
+    """Counters and latencies; labels come from enums, never from callers."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "peridotbend_edge_requests",
+            "Requests by the kind of their route and how they ended.",
+            ("kind", "outcome"),
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "peridotbend_edge_request_seconds",
+            "Time from the whole request to the end of its answer.",
+            ("kind",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._sends = Counter(
+            "peridotbend_edge_sends",
+            "Sends to targets by how they ended.",
+            ("outcome",),
+            registry=self._registry,
+        )
+
+    def add_gauge(
+        self, name: str, text: str, read: Callable[[], float]
+    ) -> None:
+        """Adds a value that is read when the page is fetched."""
+        gauge = Gauge(f"peridotbend_edge_{name}", text, registry=self._registry)
+        gauge.set_function(read)
+
+    def observe_end(self, kind: str, outcome: str, took_ms: int) -> None:
+        """Counts the end of a request; kind is that of its route."""
+        self._requests.labels(kind, outcome).inc()
+        self._latency.labels(kind).observe(took_ms / 1_000)
+
+    def count_send(self, outcome: str) -> None:
+        """Counts a send to a target that ended."""
+        self._sends.labels(outcome).inc()
+
+    async def __call__(
+        self,
+        scope: dict[str, Any],
+        receive: Callable[[], Awaitable[dict[str, Any]]],
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+    ) -> None:
+        """Serves the page as an ASGI application."""
+        if scope["type"] != "http":
+            return
+        found = scope["path"] == METRICS_PATH
+        body = generate_latest(self._registry) if found else b""
+        headers = [
+            (b"content-type", CONTENT_TYPE.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200 if found else 404,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -46,8 +46,15 @@
 class Place:
     """A place at a target; given back by `release`."""
 
-    def __init__(self, target: EdgeTarget, give_back: Callable[[], None]):
+    def __init__(
+        self,
+        target: EdgeTarget,
+        give_back: Callable[[], None],
+        in_flight: int = 1,
+    ):
         self.target = target
+        # Requests at the target, this one included, as known here.
+        self.in_flight = in_flight
         self._give_back = give_back
         self._released = False
 
@@ -81,6 +88,10 @@
         """Returns how many requests of a service wait here."""
         return len(self._waiting.get(service, ()))
 
+    def count_all(self) -> int:
+        """Returns how many requests wait here."""
+        return sum(len(queue) for queue in self._waiting.values())
+
     def has_place(self, wish: Wish) -> bool:
         """Tells whether a request would find a place at once."""
         targets = self._targets.list_for(wish.service)
@@ -154,7 +165,8 @@
             self._occupancy.remove(target.name)
             self.place(waiter.wish.service)
 
-        waiter.result = Ok(Place(target, give_back))
+        in_flight = self._occupancy.count(target.name)
+        waiter.result = Ok(Place(target, give_back, in_flight))
         waiter.done.set()
 
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -122,6 +122,18 @@
     """The answer cannot go on; the caller must see that it is incomplete."""
 
 
+class EdgeMeter(Protocol):
+    """Counts what became of requests."""
+
+    def observe_end(self, kind: str, outcome: str, took_ms: int) -> None:
+        """Counts the end of a request; kind is that of its route."""
+        ...
+
+    def count_send(self, outcome: str) -> None:
+        """Counts a send to a target that ended."""
+        ...
+
+
 class StoreFailure(enum.Enum):
     """Why the platform's store gave no changes."""
 
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -28,6 +28,7 @@
     AnswerBrokenError,
     EdgeAnswer,
     EdgeCall,
+    EdgeMeter,
     EdgeTargetClient,
     Rejection,
     Responder,
@@ -69,6 +70,7 @@
     budget: SendBudget
     client: EdgeTargetClient
     log: EventLog
+    meter: EdgeMeter
     rng: random.Random
     # Instances that may take callers, this one included.
     count_instances: Callable[[], int]
@@ -85,6 +87,7 @@
     # Names the request itself, whatever its attempt.
     fingerprint: int
     tokens: float
+    started_at_ms: int
     # When the request is ended here.
     end_at_ms: int
     # Targets that it was sent to, and those that failed it.
@@ -164,7 +167,7 @@
         limit_ms = route.timeout_ms
         if call.deadline_ms is not None:
             limit_ms = min(limit_ms, call.deadline_ms)
-        end_at_ms = self._clock.now_ms() + limit_ms
+        now_ms = self._clock.now_ms()
         return _Run(
             call,
             route,
@@ -172,7 +175,8 @@
             account,
             fingerprint,
             tokens,
-            end_at_ms,
+            now_ms,
+            now_ms + limit_ms,
             events=EventSplitter(call.last_event_id),
         )
 
@@ -190,7 +194,7 @@
                 return
             place = acquired.ok_value
             try:
-                refusal = await self._send(run, place.target, out)
+                refusal = await self._send(run, place, out)
             finally:
                 place.release()
             if refusal is None:
@@ -250,12 +254,13 @@
         return self._clock.now_ms() + MIN_SEND_MS < run.end_at_ms
 
     async def _send(
-        self, run: _Run, target: EdgeTarget, out: Responder
+        self, run: _Run, place: Place, out: Responder
     ) -> NotRun | MayHaveRun | None:
         """Sends to a target; returns None when the caller has its answer.
 
         Otherwise returns what to tell the caller if there is no other try.
         """
+        target = place.target
         earlier = run.may_have_run
 
         def open_gate() -> bool:
@@ -267,7 +272,12 @@
             run.sent_to.add(target.name)
             return True
 
-        self._log(Event.REQUEST_DISPATCHED, run, target=target.name)
+        self._log(
+            Event.REQUEST_DISPATCHED,
+            run,
+            target=target.name,
+            in_flight=place.in_flight,
+        )
         send = TargetSend(
             run.call,
             target,
@@ -300,6 +310,7 @@
         run.failed_at.add(target.name)
         if rejection is Rejection.MISDIRECTED:
             self._parts.health.note_failure(target.name)
+        self._parts.meter.count_send("rejected")
         self._log(
             Event.TARGET_REJECTED,
             run,
@@ -321,6 +332,7 @@
         if error.failure is CallFailure.CONNECT:
             run.connect_failures += 1
             self.note_death(target.name)
+        self._parts.meter.count_send(error.failure.value)
         self._log(
             Event.TARGET_CALL_FAILED,
             run,
@@ -381,12 +393,7 @@
         if body:
             await out.send(bytes(body))
         await out.finish()
-        self._log(
-            Event.REQUEST_ENDED,
-            run,
-            target=target.name,
-            status=answer.head.status,
-        )
+        self._note_end(run, answer.head.status, target=target.name)
         return None
 
     async def _deliver_stream(
@@ -416,11 +423,10 @@
         await out.finish()
         self._parts.health.note_answer(target.name, failed=False)
         self._parts.crashes.note_success(run.fingerprint)
-        self._log(
-            Event.REQUEST_ENDED,
+        self._note_end(
             run,
+            answer.head.status,
             target=target.name,
-            status=answer.head.status,
             last_event=run.events.last_event_id,
         )
         return None
@@ -438,13 +444,14 @@
         """Ends a request that no target answers any more."""
         if run.head_sent:
             self._log(Event.ANSWER_BROKEN, run)
+            self._observe(run, "broken")
             raise AnswerBrokenError
         if run.held is not None:
             head, body = run.held
             await out.start(head)
             await out.send(body)
             await out.finish()
-            self._log(Event.REQUEST_ENDED, run, status=head.status)
+            self._note_end(run, head.status)
             return
         if run.may_have_run and isinstance(refusal, NotRun):
             refusal = MayHaveRun(Reason.TARGET_FAILED)
@@ -464,6 +471,11 @@
         run: _Run | None = None,
     ) -> None:
         await out.refuse(verdict)
+        assert verdict.reason is not None
+        if run is not None:
+            self._observe(run, verdict.reason.value)
+        else:
+            self._parts.meter.observe_end("none", verdict.reason.value, 0)
         self._parts.log.emit(
             Event.REQUEST_REFUSED,
             attempt=call.attempt,
@@ -471,9 +483,20 @@
             account=run.account.name if run and run.account else None,
             verdict=verdict.label,
             reason=verdict.reason,
+            retry_after_ms=getattr(verdict, "retry_after_ms", 0),
             config=self._find_version(),
         )
 
+    def _note_end(self, run: _Run, status: int, **fields: object) -> None:
+        self._parts.meter.count_send("answered")
+        self._observe(run, f"status-{status}")
+        self._log(Event.REQUEST_ENDED, run, status=status, **fields)
+
+    def _observe(self, run: _Run, outcome: str) -> None:
+        took_ms = self._clock.now_ms() - run.started_at_ms
+        kind = run.route.kind.value
+        self._parts.meter.observe_end(kind, outcome, took_ms)
+
     def _log(self, event: Event, run: _Run, **fields: object) -> None:
         self._parts.log.emit(
             event,
--- a/src/peridotbend/edgedaemon.py
+++ b/src/peridotbend/edgedaemon.py
@@ -20,6 +20,8 @@
 
 EXIT_BAD_SETTINGS = 1
 EXIT_CANNOT_LISTEN = 3
+# The deploy file names the same port.
+DEFAULT_METRICS_PORT = 9_464
 # The platform may change the file without a signal.
 SETTINGS_CHECK_S = 0.5
 
@@ -33,7 +35,14 @@
     type=click.Path(dir_okay=False),
     help="YAML file with the settings of this process.",
 )
-def main(path: str) -> None:
+@click.option(
+    "--metrics-port",
+    type=click.IntRange(0, 65_535),
+    default=DEFAULT_METRICS_PORT,
+    show_default=True,
+    help="Port of the metrics page; 0 lets the kernel choose.",
+)
+def main(path: str, metrics_port: int) -> None:
     """Serves callers until SIGTERM has drained it.
 
     Exit codes: 0 drained, 1 bad settings, 2 bad usage, 3 an address is in use.
@@ -46,7 +55,7 @@
     stream = BoundedStream(sys.stdout.fileno())
     log = StructuredLog("debug", stream, instance=settings.name)
     try:
-        node = EdgeNode(settings, log)
+        node = EdgeNode(settings, log, metrics_port)
         anyio.run(_run, node, path, log, backend_options=BACKEND_OPTIONS)
     except* ListenError as failed:
         click.echo(str(failed.exceptions[0]), err=True)
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 from result import Err
 
+from peridotbend.adapters.edgemetrics import EdgeMetrics
 from peridotbend.adapters.gossip import Gossip
 from peridotbend.adapters.peers import ChannelPool
 from peridotbend.adapters.publishedpeers import (
@@ -59,8 +60,12 @@
 class EdgeNode:
     """One entry instance."""
 
-    def __init__(self, settings: EdgeSettings, log: EventLog):
+    def __init__(
+        self, settings: EdgeSettings, log: EventLog, metrics_port: int
+    ):
         self._settings = settings
+        self._metrics_port = metrics_port
+        self._metrics = EdgeMetrics()
         self._log = log
         self._clock = SystemClock()
         self._rng = random.Random()
@@ -113,6 +118,10 @@
         fetcher = PublishedFetcher(channels, settings.peers[1], self._log)
         self._server = HttpServer(self._app, listen(*settings.callers))
         health = HttpServer(HealthApp(self._is_ready), listen(*settings.health))
+        metrics = HttpServer(
+            self._metrics, listen(settings.peers[0], self._metrics_port)
+        )
+        self._add_gauges()
         peer_server = PublishedServer(self._feeds)
         await peer_server.start(*settings.peers)
         gossip = Gossip(
@@ -126,6 +135,7 @@
         for task in (
             self._server.run,
             health.run,
+            metrics.run,
             gossip.run,
             self._backlog.run,
             self._in_flight.run,
@@ -162,11 +172,32 @@
                 budget=SendBudget(self._clock, self._settings),
                 client=RunnerClient(client),
                 log=self._log,
+                meter=self._metrics,
                 rng=self._rng,
                 count_instances=self._book.count_instances,
             )
         )
 
+    def _add_gauges(self) -> None:
+        add = self._metrics.add_gauge
+        add("active_calls", "Calls being served.", lambda: self._app.active)
+        add(
+            "waiting_requests",
+            "Requests that wait for a place at a target.",
+            self._backlog.count_all,
+        )
+        add(
+            "live_peers",
+            "Other instances heard of lately.",
+            lambda: len(self._book.list_live_hosts()),
+        )
+        add("listed_targets", "Known targets.", lambda: len(self._targets))
+        add(
+            "config_version",
+            "Version of the configuration in force; 0 for none.",
+            lambda: self._holder.config.version if self._holder.config else 0,
+        )
+
     def _build_feeds(self, client: HttpTargetClient) -> None:
         store = StoreClient(self._settings.store, client)
         appliers = {
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -136,6 +136,23 @@
         return sum(found is event for found, _ in self.events)
 
 
+class RecordingMeter:
+    """Keeps the outcomes that were counted."""
+
+    def __init__(self) -> None:
+        self.ends: list[tuple[str, str]] = []
+        self.sends: list[str] = []
+
+    def observe_end(self, kind: str, outcome: str, took_ms: int) -> None:
+        """Keeps the end of a request."""
+        assert took_ms >= 0
+        self.ends.append((kind, outcome))
+
+    def count_send(self, outcome: str) -> None:
+        """Keeps the end of a send."""
+        self.sends.append(outcome)
+
+
 class RecordingResponder:
     """Keeps what a caller would get."""
 
@@ -238,6 +255,7 @@
     ) -> None:
         self.clock = ManualClock()
         self.log = RecordingLog()
+        self.meter = RecordingMeter()
         self.client = ScriptedTargets(*scripts)
         self.holder = ConfigHolder()
         self.targets = TargetList(self.clock)
@@ -275,6 +293,7 @@
                 budget=SendBudget(self.clock, SETTINGS),
                 client=self.client,
                 log=self.log,
+                meter=self.meter,
                 rng=random.Random(1),
                 count_instances=lambda: 1,
             )
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -14,12 +14,14 @@
 import yaml
 
 from peridotbend.adapters.serving import HttpServer, listen
+from peridotbend.edgedaemon import DEFAULT_METRICS_PORT
 from peridotbend.platform import wire
 from peridotbend_emulator.launch import Child, Launcher
 from tests.edgestandins import StandInStore, StandInTarget
 from tests.test_edge_platform import DOCUMENT, ENTRY, SETTINGS_FILE
 
 MODULE = "peridotbend.edgedaemon"
+METRICS_PORT = DEFAULT_METRICS_PORT
 # Generous: the machine may be busy with other tests.
 WAIT_S = 30.0
 HOSTS = ("127.0.0.21", "127.0.0.22")
@@ -164,6 +166,17 @@
             answer = await fleet.call(HOSTS[0], "/orders/1", "a4", "stolen")
             assert answer.status == 401
             assert fleet.target.started == ["a1", "a2"]
+            url = f"http://{HOSTS[0]}:{METRICS_PORT}/metrics"
+            page = (await fleet.client.request("GET", url)).content.decode()
+            for line in (
+                'peridotbend_edge_requests_total{kind="stream",'
+                'outcome="status-200"} 1.0',
+                'peridotbend_edge_requests_total{kind="none",'
+                'outcome="unknown-key"} 1.0',
+                "peridotbend_edge_config_version 7.0",
+                "peridotbend_edge_listed_targets 1.0",
+            ):
+                assert line in page, page
 
         self._run(check)
 
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -366,3 +366,20 @@
             bench.relay.note_death(bench.client.sends[-1].target.name)
         out = _serve(bench, dataclasses.replace(ORDER, body=b"other"))
         assert out.is_complete
+
+
+class MeterTest(unittest.TestCase):
+    """What is counted."""
+
+    def test_each_request_ends_once(self) -> None:
+        """Guards against requests that metrics miss or count twice."""
+        bench = EdgeBench(Script(reply=BROKEN), PLAIN, ERROR)
+        _serve(bench, LOOKUP)
+        _serve(bench, ORDER)
+        _serve(bench, dataclasses.replace(CALL, key="key-2"))
+        assert bench.meter.ends == [
+            ("idempotent", "status-200"),
+            ("non-idempotent", "status-500"),
+            ("none", "unknown-key"),
+        ]
+        assert bench.meter.sends == ["broken", "answered", "answered"]
