Bound the memory of bodies and close gaps found by reading

- Bodies of all callers together take 48 MB at most; beyond that a request is refused, which has not run.
- Seeds count as instances before they are heard of, so that a restart of all does not multiply the budget of extra sends.
- An instance that knows the configuration and the list is ready also while no target is left: it can answer truthfully.
- Events whose lines end with CR LF are passed on as they come.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import random
 from collections.abc import Callable
 
 import anyio
@@ -25,11 +26,15 @@
 # Between two looks for deadlines, lapsed reports and returned targets.
 CHECK_MS = 10
 MAX_WAITING = 2_000
+SHED_RETRY_MS = 1_000
+SHED_RETRY_SHARE = 0.25
+SHED_RETRY_SPREAD = (0.7, 1.3)
 
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Waiter:
     wish: Wish
+    route: Route
     sequence: int
     give_up_at_ms: int
     # Why it ends when it is given up.
@@ -74,13 +79,13 @@
         targets: TargetList,
         occupancy: Occupancy,
         selector: Selector,
-        find_retry_after: Callable[[Wish], int],
+        rng: random.Random,
     ):
         self._clock = clock
         self._targets = targets
         self._occupancy = occupancy
         self._selector = selector
-        self._find_retry_after = find_retry_after
+        self._rng = rng
         self._sequence = itertools.count()
         self._waiting: dict[str, list[_Waiter]] = {}
 
@@ -117,10 +122,13 @@
             wish = dataclasses.replace(wish, rank=RESUME_RANK)
         patience_ms = max(MIN_PATIENCE_MS, patience_ms)
         give_up_at_ms = min(end_at_ms, now_ms + patience_ms)
-        waiter = _Waiter(wish, next(self._sequence), give_up_at_ms, Reason.SHED)
+        waiter = _Waiter(
+            wish, route, next(self._sequence), give_up_at_ms, Reason.SHED
+        )
         queue = self._waiting.setdefault(wish.service, [])
         if len(queue) >= MAX_WAITING:
-            return Err(NotRun(Reason.AT_CAPACITY, self._find_retry_after(wish)))
+            retry_after_ms = self._find_retry_after(route)
+            return Err(NotRun(Reason.AT_CAPACITY, retry_after_ms))
         queue.append(waiter)
         queue.sort(key=lambda w: w.order)
         self.place(wish.service)
@@ -158,6 +166,15 @@
             for service in list(self._waiting):
                 self.place(service)
 
+    def _find_retry_after(self, route: Route) -> int:
+        """Returns when a refused caller should come again.
+
+        Bursts take some seconds. Callers of short requests have less time,
+        and different times keep those refused together from coming together.
+        """
+        wait_ms = min(SHED_RETRY_MS, SHED_RETRY_SHARE * route.timeout_ms)
+        return round(wait_ms * self._rng.uniform(*SHED_RETRY_SPREAD))
+
     def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
         self._occupancy.add(target.name)
 
@@ -171,7 +188,9 @@
 
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
         reason = waiter.reason if targets else Reason.NO_TARGET
-        waiter.result = Err(NotRun(reason, self._find_retry_after(waiter.wish)))
+        waiter.result = Err(
+            NotRun(reason, self._find_retry_after(waiter.route))
+        )
         waiter.done.set()
 
     def _abandon(self, waiter: _Waiter) -> None:
--- a/src/peridotbend/edge/events.py
+++ b/src/peridotbend/edge/events.py
@@ -1,6 +1,7 @@
 """Splits a stream of server-sent events into whole events."""
 
-SEPARATOR = b"\n\n"
+# An empty line ends an event, whichever way its lines end.
+SEPARATORS = (b"\n\n", b"\r\n\r\n")
 
 
 class EventSplitter:
@@ -18,11 +19,8 @@
     def feed(self, data: bytes) -> bytes:
         """Returns the whole events that are there after these bytes."""
         data = self._partial + data
-        end = data.rfind(SEPARATOR)
-        if end < 0:
-            self._partial = data
-            return b""
-        end += len(SEPARATOR)
+        ends = (data.rfind(s) + len(s) for s in SEPARATORS if s in data)
+        end = max(ends, default=0)
         whole, self._partial = data[:end], data[end:]
         self._note_last_id(whole)
         return whole
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -105,9 +105,12 @@
         return [h for h, p in self._peers.items() if self._is_live(p, now_ms)]
 
     def count_instances(self) -> int:
-        """Returns how many instances may take callers, with this one."""
-        heard = [p for p in self._peers.values() if p.heard_at_ms is not None]
-        return 1 + len(heard)
+        """Returns how many instances may take callers, with this one.
+
+        Seeds and peers of peers count before they are heard of: a process
+        that has just started must not take the parts of all others.
+        """
+        return 1 + len(self._peers)
 
     def find_heard_share(self) -> float:
         """Returns the live instances as a share of those that may be."""
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -33,7 +33,7 @@
 from peridotbend.edge.peers import Digest, PeerBook
 from peridotbend.edge.published import Item
 from peridotbend.edge.relay import Relay, RelayParts
-from peridotbend.edge.selection import Selector, Wish
+from peridotbend.edge.selection import Selector
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.targets import TargetList
@@ -52,7 +52,6 @@
 CLOSE_TIMEOUT_S = 0.3
 # Connecting to a live target takes milliseconds, also between zones.
 CONNECT_TIMEOUT_S = 0.25
-SHED_RETRY_MS = 1_000
 # Holds until a configuration tells another.
 MAX_BODY_BYTES = 4 * 1_048_576
 
@@ -157,7 +156,7 @@
             self._targets,
             self._occupancy,
             selector,
-            self._find_retry_after,
+            self._rng,
         )
         self._relay = Relay(
             RelayParts(
@@ -216,19 +215,19 @@
             for prefix, apply in appliers.items()
         }
 
-    def _find_retry_after(self, wish: Wish) -> int:
-        return round(SHED_RETRY_MS * self._rng.uniform(0.7, 1.3))
-
     def _find_body_limit(self) -> int:
         config = self._holder.config
         return config.limits.max_body_bytes if config else MAX_BODY_BYTES
 
     def _is_ready(self) -> bool:
-        return (
-            not self._drain.is_set()
-            and self._holder.config is not None
-            and len(self._targets) > 0
-        )
+        """Tells whether callers may come.
+
+        An instance that knows the configuration and the list of targets can
+        answer truthfully, also while no target is left.
+        """
+        knows_all = all(feed.items.revision for feed in self._feeds.values())
+        has_config = self._holder.config is not None
+        return has_config and knows_all and not self._drain.is_set()
 
     def _note_store(self, reached: bool) -> None:
         if reached:
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import AnswerHead, EventLog
 from peridotbend.domain.verdicts import (
@@ -31,6 +32,8 @@
 # Read into fields of the call, which the sends are made from.
 _DECODED_HEADERS = frozenset((wire.ATTEMPT_ID, wire.LAST_EVENT_ID))
 _KEY_SCHEME = "token "
+# All bodies together; the smallest machines have 150 MB.
+MAX_BODIES_BYTES = 48 * 1_048_576
 # Used where a request that has not run gets no better advice.
 DEFAULT_RETRY_AFTER_MS = 1_000
 
@@ -48,6 +51,7 @@
         self._relay = relay
         self._find_body_limit = find_body_limit
         self._log = log
+        self._bodies = ByteBudget(MAX_BODIES_BYTES)
         # Set when the process ends: answers then close their connections.
         self.is_closing = False
         self.active = 0
@@ -68,13 +72,21 @@
         self, scope: Scope, receive: Receive, send: SendMessage
     ) -> None:
         out = AsgiResponder(send, self)
+        taken = BodyBytes(self._bodies, self._find_body_limit())
         try:
-            body = await _read_body(receive, self._find_body_limit())
+            body = await _read_body(receive, taken)
+            if isinstance(body, NotRun):
+                await out.refuse(body)
+            else:
+                await self._answer(scope, body, receive, out)
         except CallerGoneError:
             return
-        if body is None:
-            await out.refuse(NotRun(Reason.TOO_LARGE))
-            return
+        finally:
+            taken.release()
+
+    async def _answer(
+        self, scope: Scope, body: bytes, receive: Receive, out: "AsgiResponder"
+    ) -> None:
         call = decode_call(scope, body)
         if call is None:
             await out.refuse(NotRun(Reason.BAD_INPUT))
@@ -212,18 +224,40 @@
     return tuple((name, value) for name, value in raw if name not in dropped)
 
 
-async def _read_body(receive: Receive, limit: int) -> bytes | None:
-    """Returns the body, or None if it is larger than the limit."""
+class BodyBytes:
+    """The memory that one body takes."""
+
+    def __init__(self, budget: ByteBudget, limit_bytes: int):
+        self._budget = budget
+        self._limit_bytes = limit_bytes
+        self._taken_bytes = 0
+
+    def take(self, size: int) -> NotRun | None:
+        """Takes memory for a part of the body, or tells why not."""
+        if self._taken_bytes + size > self._limit_bytes:
+            return NotRun(Reason.TOO_LARGE)
+        if not self._budget.reserve(size):
+            return NotRun(Reason.AT_CAPACITY)
+        self._taken_bytes += size
+        return None
+
+    def release(self) -> None:
+        """Gives the memory back."""
+        self._budget.release(self._taken_bytes)
+        self._taken_bytes = 0
+
+
+async def _read_body(receive: Receive, taken: BodyBytes) -> bytes | NotRun:
+    """Returns the body, or a refusal if there is no room for it."""
     parts = []
-    left = limit
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerGoneError
         parts.append(message.get("body", b""))
-        left -= len(parts[-1])
-        if left < 0:
-            return None
+        refusal = taken.take(len(parts[-1]))
+        if refusal is not None:
+            return refusal
         if not message.get("more_body"):
             return b"".join(parts)
 
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -15,13 +15,18 @@
 from result import Err, Ok
 
 from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.ports import CallError, CallFailure
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 from peridotbend.edge.config import RouteKind
 from peridotbend.edge.ports import Rejection, Reply, StoreFailure, TargetSend
 from peridotbend.platform import wire
 from peridotbend.platform.documents import decode_config, decode_target
-from peridotbend.platform.ingress import decode_call, judge_status
+from peridotbend.platform.ingress import (
+    BodyBytes,
+    decode_call,
+    judge_status,
+)
 from peridotbend.platform.runners import RunnerClient
 from peridotbend.platform.settings import load_settings, parse_settings
 from peridotbend.platform.store import StoreClient
@@ -278,6 +283,22 @@
         assert call.deadline_ms is None
 
 
+class BodyTest(unittest.TestCase):
+    """Memory that the bodies of callers take."""
+
+    def test_bounds_of_one_body_and_of_all(self) -> None:
+        """Guards against callers who together exhaust the memory."""
+        budget = ByteBudget(100)
+        first, second = BodyBytes(budget, 80), BodyBytes(budget, 80)
+        assert first.take(60) is None
+        assert first.take(30) == NotRun(Reason.TOO_LARGE)
+        assert second.take(60) == NotRun(Reason.AT_CAPACITY)
+        first.release()
+        assert second.take(60) is None
+        second.release()
+        assert budget.used_bytes == 0
+
+
 class StatusTest(unittest.TestCase):
     """The status of a refusal."""
 
