Weigh engines by the pace of their streams

Cause: engines of one service differ severalfold in speed, and placement by requests in flight alone filled slow ones as much as fast ones, so a third of the answers at high load came late. The time between two events of a stream is smoothed for each target; a request costs its share of the slots times that pace, against the mean of the service.

Ruled out: that late answers come from waiting here; requests are refused after an eighth of their objective.

--- a/src/peridotbend/edge/health.py
+++ b/src/peridotbend/edge/health.py
@@ -13,6 +13,10 @@
 # A target may fail this much more of its requests than the best of its
 # service before it gets fewer.
 FAILURE_SLACK = 0.2
+# Weight of the newest pause between two events of a stream.
+PACE_SMOOTHING = 0.05
+# A longer pause tells of one long prompt and counts as this.
+MAX_PAUSE_MS = 300
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,6 +26,8 @@
     failure_share: float = 0.0
     # When anything last arrived from the target.
     heard_at_ms: int = 0
+    # Smoothed time between two events of a stream; 0 before the first.
+    pace_ms: float = 0.0
 
 
 class TargetHealth:
@@ -43,6 +49,19 @@
         """Notes that something arrived from the target."""
         self._find(target).heard_at_ms = self._clock.now_ms()
 
+    def note_pause(self, target: str, pause_ms: int) -> None:
+        """Notes the time between two events of one stream."""
+        record = self._find(target)
+        pause_ms = min(pause_ms, MAX_PAUSE_MS)
+        if not record.pace_ms:
+            record.pace_ms = float(pause_ms)
+        record.pace_ms += PACE_SMOOTHING * (pause_ms - record.pace_ms)
+
+    def find_pace_ms(self, target: str) -> float:
+        """Returns the time between two events of a stream; 0 if unknown."""
+        record = self._records.get(target)
+        return record.pace_ms if record else 0.0
+
     def note_failure(self, target: str) -> None:
         """Notes a connection that failed or broke, or a silent target."""
         record = self._find(target)
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -35,14 +35,18 @@
     health: TargetHealth
     # Whether another target can take over at once.
     can_move: Callable[[], bool]
-    has_data: bool = False
+    # When the last part arrived, None before the first.
+    last_data_ms: int | None = None
     # Set while the caller does not read: nothing is read from the target
     # then, which says nothing about it.
     is_blocked: bool = False
 
-    def note_data(self) -> None:
+    def note_data(self, arrived_at_ms: int) -> None:
         """Notes that a part of the answer arrived."""
-        self.has_data = True
+        if self.last_data_ms is not None:
+            pause_ms = arrived_at_ms - self.last_data_ms
+            self.health.note_pause(self.target, pause_ms)
+        self.last_data_ms = arrived_at_ms
         self.health.note_heard(self.target)
 
 
@@ -90,7 +94,7 @@
         route = send.route
         silence_ms = self._health.find_silence_ms(send.target, send.sent_at_ms)
         if route.kind is RouteKind.STREAM:
-            if send.has_data:
+            if send.last_data_ms is not None:
                 return silence_ms > STREAM_SILENCE_MS
             return silence_ms > FIRST_EVENT_GOALS * route.goal_ms
         waited_ms = self._clock.now_ms() - send.sent_at_ms
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -408,14 +408,14 @@
             if isinstance(chunk, Err):
                 run.events.drop_partial()
                 return self._note_error(run, target, chunk.err_value)
-            flight.note_data()
+            flight.note_data(self._clock.now_ms())
             events = run.events.feed(chunk.ok_value)
             if events:
                 flight.is_blocked = True
                 await self._start_once(run, answer, out)
                 await out.send(events)
                 flight.is_blocked = False
-                flight.note_data()
+                self._parts.health.note_heard(target.name)
         await self._start_once(run, answer, out)
         rest = run.events.take_rest()
         if rest:
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -82,13 +82,20 @@
     ) -> Callable[[EdgeTarget], tuple[float, str]]:
         shares = [self._health.find_failure_share(t.name) for t in candidates]
         worst_share = min(shares) + FAILURE_SLACK
+        paces = {t.name: self._health.find_pace_ms(t.name) for t in candidates}
+        known = [pace for pace in paces.values() if pace]
+        mean_pace = sum(known) / len(known) if known else 1.0
         home = ""
         if wish.session:
             key = wish.session.encode()
             home = rank(key, candidates, lambda t: t.name)[0].name
 
         def find_cost(target: EdgeTarget) -> tuple[float, str]:
-            cost = self._occupancy.count(target.name) / target.slots
+            cost = (self._occupancy.count(target.name) + 1) / target.slots
+            if wish.is_generation:
+                # Engines differ severalfold; what a request costs at one is
+                # its share of the slots for as long as it takes there.
+                cost *= (paces[target.name] or mean_pace) / mean_pace
             if target.name == home:
                 cost -= SESSION_BONUS
             if target.zone != self._zone:
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -110,6 +110,33 @@
         assert target is not None
         assert target.name == "i-2"
 
+    def test_faster_engine_gets_more(self) -> None:
+        """Guards against late streams on slow engines beside idle fast ones.
+
+        Replays a load at which all engines are equally full.
+        """
+        placing = _Placing("i-1", "i-2")
+        for _ in range(20):
+            placing.health.note_pause("i-1", 60)
+            placing.health.note_pause("i-2", 20)
+        counts = {"i-1": 0, "i-2": 0}
+        for _ in range(10):
+            target = placing.choose()
+            assert target is not None
+            counts[target.name] += 1
+            placing.fill(target.name, 1)
+        assert counts["i-2"] >= 2 * counts["i-1"]
+        assert counts["i-1"] > 0
+
+    def test_engine_of_unknown_pace_is_tried(self) -> None:
+        """Guards against new engines that never get a request."""
+        placing = _Placing("i-1", "i-2")
+        placing.health.note_pause("i-1", 20)
+        placing.fill("i-1", 2)
+        target = placing.choose()
+        assert target is not None
+        assert target.name == "i-2"
+
     def test_errors_that_all_targets_give_change_nothing(self) -> None:
         """Guards against avoiding targets for errors of the requests."""
         placing = _Placing("i-1", "i-2")
