Dump the state on request, check settings, bound the digests' fan-out

In fleets of more than 17 instances each digest goes to 16 random peers. Tests hold that the daemon imports only what it runs and that the run-time lock is part of the development lock.

--- a/Makefile
+++ b/Makefile
@@ -22,13 +22,13 @@
 	$(BIN)/python -m nose2
 
 lint: setup
-	$(BIN)/pyink --check --quiet src tests tools model
-	$(BIN)/ruff check src tests tools model
+	$(BIN)/pyink --check --quiet src tests tools model deploy
+	$(BIN)/ruff check src tests tools model deploy
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/ruff check --fix --quiet src tests tools model
-	$(BIN)/pyink --quiet src tests tools model
+	$(BIN)/ruff check --fix --quiet src tests tools model deploy
+	$(BIN)/pyink --quiet src tests tools model deploy
 
 model: setup
 	$(BIN)/python -m model.identity
--- a/src/peridotbend/adapters/gossip.py
+++ b/src/peridotbend/adapters/gossip.py
@@ -71,7 +71,7 @@
             last_news, sent_at_ms = news, now_ms
             self._sequence += 1
             data = encode_digest(digest)
-            for host in self._book.list_hosts():
+            for host in self._book.choose_hosts():
                 try:
                     await socket.sendto(data, host, port)
                 except OSError:
--- a/src/peridotbend/edge/health.py
+++ b/src/peridotbend/edge/health.py
@@ -90,6 +90,18 @@
         heard_at_ms = record.heard_at_ms if record else 0
         return self._clock.now_ms() - max(heard_at_ms, since_ms)
 
+    def dump(self) -> dict[str, object]:
+        """Returns what operators may want to see."""
+        now_ms = self._clock.now_ms()
+        return {
+            name: {
+                "avoided_ms": max(0, record.avoid_until_ms - now_ms),
+                "failure_share": round(record.failure_share, 3),
+                "pace_ms": round(record.pace_ms, 1),
+            }
+            for name, record in self._records.items()
+        }
+
     def forget(self, target: str) -> None:
         """Drops what was learnt of a target that restarted or is gone."""
         self._records.pop(target, None)
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -1,6 +1,7 @@
 """The other instances: which are alive, and what they told."""
 
 import dataclasses
+import random
 from collections.abc import Callable, Mapping
 
 from peridotbend.domain.clock import Clock
@@ -14,6 +15,9 @@
 # this time it is taken to be gone.
 FORGET_MS = 60_000
 MAX_PEERS = 1_024
+# In a larger fleet each digest goes to as many random peers: the cost of an
+# instance stays the same, and its news arrives later.
+MAX_FANOUT = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,8 +54,11 @@
 class PeerBook:
     """Peers by host."""
 
-    def __init__(self, own_host: str, clock: Clock, log: EventLog):
+    def __init__(
+        self, own_host: str, clock: Clock, log: EventLog, rng: random.Random
+    ):
         self._own_host = own_host
+        self._rng = rng
         self._clock = clock
         self._log = log
         self._peers: dict[str, _Peer] = {}
@@ -95,9 +102,29 @@
             if heard is not None and now_ms - heard > FORGET_MS:
                 del self._peers[host]
 
-    def list_hosts(self) -> list[str]:
-        """Returns the hosts that digests go to."""
-        return list(self._peers)
+    def choose_hosts(self) -> list[str]:
+        """Returns the hosts that the next digest goes to."""
+        hosts = list(self._peers)
+        if len(hosts) <= MAX_FANOUT:
+            return hosts
+        return self._rng.sample(hosts, MAX_FANOUT)
+
+    def dump(self) -> list[dict[str, object]]:
+        """Returns what operators may want to see."""
+        now_ms = self._clock.now_ms()
+        return [
+            {
+                "host": host,
+                "live": self._is_live(peer, now_ms),
+                "draining": peer.is_draining,
+                "age_ms": (
+                    None
+                    if peer.heard_at_ms is None
+                    else now_ms - peer.heard_at_ms
+                ),
+            }
+            for host, peer in self._peers.items()
+        ]
 
     def list_live_hosts(self) -> list[str]:
         """Returns the hosts that were heard of lately."""
--- a/src/peridotbend/edgedaemon.py
+++ b/src/peridotbend/edgedaemon.py
@@ -42,9 +42,15 @@
     show_default=True,
     help="Port of the metrics page; 0 lets the kernel choose.",
 )
-def main(path: str, metrics_port: int) -> None:
+@click.option(
+    "--check",
+    is_flag=True,
+    help="Only read the settings, and say whether they are valid.",
+)
+def main(path: str, metrics_port: int, check: bool) -> None:
     """Serves callers until SIGTERM has drained it.
 
+    SIGHUP reads the settings again, SIGUSR1 logs the state.
     Exit codes: 0 drained, 1 bad settings, 2 bad usage, 3 an address is in use.
     """
     loaded = load_settings(path)
@@ -52,6 +58,9 @@
         click.echo(loaded.err_value, err=True)
         sys.exit(EXIT_BAD_SETTINGS)
     settings = loaded.ok_value
+    if check:
+        click.echo(f"{path}: valid")
+        return
     stream = BoundedStream(sys.stdout.fileno())
     log = StructuredLog("debug", stream, instance=settings.name)
     try:
@@ -71,11 +80,13 @@
 
 
 async def _watch_signals(node: EdgeNode, path: str, log: EventLog) -> None:
-    watched = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    watched = signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1
     with anyio.open_signal_receiver(*watched) as signals:
         async for received in signals:
             if received == signal.SIGHUP:
                 _reload(node, path, log)
+            elif received == signal.SIGUSR1:
+                log.emit(Event.STATE_DUMPED, state=node.dump())
             else:
                 node.start_drain()
 
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -71,7 +71,7 @@
         self._incarnation = secrets.randbits(64)
         self._drain = anyio.Event()
         host = settings.peers[0]
-        self._book = PeerBook(host, self._clock, log)
+        self._book = PeerBook(host, self._clock, log, self._rng)
         for seed_host, _ in settings.seeds:
             self._book.add_candidate(seed_host)
         self._holder = ConfigHolder()
@@ -87,6 +87,35 @@
         """Begins a graceful shutdown; returns at once."""
         self._drain.set()
 
+    def dump(self) -> dict[str, object]:
+        """Returns the state for operators."""
+        config = self._holder.config
+        return {
+            "config": config.version if config else None,
+            "revisions": {
+                prefix: feed.items.revision
+                for prefix, feed in self._feeds.items()
+            },
+            "targets": {
+                target.name: {
+                    "service": target.service,
+                    "leaving": target.is_leaving,
+                    "in_flight": self._occupancy.count(target.name),
+                    "own": self._occupancy.own.get(target.name, 0),
+                }
+                for target in self._targets
+            },
+            "health": self._health.dump(),
+            "peers": self._book.dump(),
+            "waiting": self._backlog.count_all(),
+            "active": self._app.active,
+            "allowances": {
+                name: round(use.level)
+                for name, use in self._allowances.list_uses().items()
+            },
+            "crashes": len(self._crashes.list_told()),
+        }
+
     def apply_settings(self, settings: EdgeSettings) -> None:
         """Takes over the seeds of changed settings."""
         for host, _ in settings.seeds:
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -18,7 +18,7 @@
 from peridotbend.edge.configholder import ConfigHolder
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.feeds import BEHIND_MS, Feed
-from peridotbend.edge.peers import SILENCE_MS, Digest, PeerBook
+from peridotbend.edge.peers import MAX_FANOUT, SILENCE_MS, Digest, PeerBook
 from peridotbend.edge.ports import StoreError, StoreFailure
 from peridotbend.edge.published import Changes, Item, PublishedItems
 from tests.edgefakes import CONFIG, RecordingLog
@@ -72,7 +72,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.log = RecordingLog()
-        self.book = PeerBook("10.0.0.1", self.clock, self.log)
+        self.book = PeerBook("10.0.0.1", self.clock, self.log, random.Random(1))
 
     def test_late_digest_does_not_replace_a_newer_one(self) -> None:
         """Guards against use of targets that goes back."""
@@ -86,7 +86,7 @@
     def test_peers_of_peers_become_known(self) -> None:
         """Guards against instances that only know the seeds."""
         self.book.accept(DIGEST)
-        assert set(self.book.list_hosts()) == {"10.0.0.2", "10.0.0.3"}
+        assert set(self.book.choose_hosts()) == {"10.0.0.2", "10.0.0.3"}
 
     def test_silent_peer_is_lost_and_lowers_the_heard_share(self) -> None:
         """Guards against a partition in which each side spends all."""
@@ -102,6 +102,17 @@
         # It may still take callers on its side.
         assert self.book.count_instances() == 3
 
+    def test_fanout_is_bounded_and_reaches_all(self) -> None:
+        """Guards against a cost of digests that grows with the fleet."""
+        for number in range(2, 62):
+            self.book.add_candidate(f"10.0.0.{number}")
+        reached: set[str] = set()
+        for _ in range(100):
+            hosts = self.book.choose_hosts()
+            assert len(hosts) == MAX_FANOUT
+            reached.update(hosts)
+        assert len(reached) == 60
+
     def test_unheard_seeds_count_as_instances(self) -> None:
         """Guards against a restart of all that multiplies the send budget."""
         for host in ("10.0.0.2", "10.0.0.3"):
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -4,6 +4,8 @@
 import os
 import pathlib
 import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -12,9 +14,10 @@
 import anyio
 import httpcore
 import yaml
+from click.testing import CliRunner
 
 from peridotbend.adapters.serving import HttpServer, listen
-from peridotbend.edgedaemon import DEFAULT_METRICS_PORT
+from peridotbend.edgedaemon import DEFAULT_METRICS_PORT, main
 from peridotbend.platform import wire
 from peridotbend_emulator.launch import Child, Launcher
 from tests.edgestandins import StandInStore, StandInTarget
@@ -261,6 +264,24 @@
 
         self._run(check)
 
+    def test_state_is_dumped_on_request(self) -> None:
+        """Guards against on-call engineers who see no state."""
+
+        async def check(fleet: _Fleet) -> None:
+            child = fleet.spawn(HOSTS[0])
+            await fleet.wait_ready(HOSTS[0])
+            os.kill(child.pid, signal.SIGUSR1)
+            await _wait_for_event(child, "state-dumped")
+            line = next(
+                json.loads(line)
+                for line in child.output.splitlines()
+                if '"state-dumped"' in line
+            )
+            assert line["state"]["config"] == 7
+            assert line["state"]["targets"]["i-1"]["in_flight"] == 0
+
+        self._run(check)
+
     def test_reload_takes_new_seeds_and_logs_the_outcome(self) -> None:
         """Guards against a reload that stops the process or goes unseen."""
 
@@ -287,3 +308,40 @@
                     assert json.loads(line)["event"] == event
                     return
             await anyio.sleep(0.02)
+
+
+class EdgeCommandTest(unittest.TestCase):
+    """The command line of the edge daemon."""
+
+    def test_check_names_the_wrong_field(self) -> None:
+        """Guards against settings that are found wrong only by a restart."""
+        runner = CliRunner()
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.yaml"
+            path.write_text(yaml.safe_dump(SETTINGS_FILE))
+            result = runner.invoke(main, ["--settings", str(path), "--check"])
+            assert result.exit_code == 0, result.output
+            path.write_text(yaml.safe_dump({**SETTINGS_FILE, "zone": 4}))
+            result = runner.invoke(main, ["--settings", str(path), "--check"])
+            assert result.exit_code == 1
+            assert "zone" in result.output
+
+    def test_daemon_imports_only_what_it_runs(self) -> None:
+        """Guards against memory for parts of the product that it never uses."""
+        code = (
+            "import sys, peridotbend.edgedaemon;"
+            "print([n for n in ('pydantic', 'peridotbend.node',"
+            " 'peridotbend.domain.scheduler', 'peridotbend.wire.peer_pb2')"
+            " if n in sys.modules])"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, check=True
+        )
+        assert done.stdout.strip() == b"[]"
+
+    def test_run_time_lock_is_part_of_the_development_lock(self) -> None:
+        """Guards against tests with other packages than those that run."""
+        root = pathlib.Path(__file__).parent.parent
+        locked = (root / "requirements-dev.lock").read_text().split()
+        for line in (root / "requirements.txt").read_text().split():
+            assert line in locked, line
