Apply the configuration's limits and ask an only target again

The bounds on headers, header time and idle connections follow the published configuration. A repeatable request whose service has one target may go to it again, within its attempts and the budget. Fields and functions that nothing used are gone.

--- a/src/peridotbend/adapters/messages.py
+++ b/src/peridotbend/adapters/messages.py
@@ -18,6 +18,9 @@
     Reason.WRONG_METHOD: (
         "This path does not have this method; use one that Allow names."
     ),
+    Reason.UNKNOWN_KEY: (
+        "No client account has this key; send the key of one."
+    ),
     Reason.WRONG_ACCOUNT: (
         "This ID belongs to another client account; use the key that made it."
     ),
--- a/src/peridotbend/adapters/serving.py
+++ b/src/peridotbend/adapters/serving.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-import functools
+import dataclasses
+import math
 import socket
 from collections.abc import Iterator
 from typing import Any, cast
@@ -42,10 +43,12 @@
         listener: socket.socket,
         limits: ConnectionLimits | None = None,
     ):
-        protocol = functools.partial(
-            BoundedConnection, (limits or ConnectionLimits()).fit_open_files()
-        )
-        config = uvicorn.Config(
+        self._limits = (limits or ConnectionLimits()).fit_open_files()
+
+        def make_connection(*args: Any, **kwargs: Any) -> BoundedConnection:
+            return BoundedConnection(self._limits, *args, **kwargs)
+
+        self._config = uvicorn.Config(
             app,
             lifespan="off",
             log_config=None,
@@ -54,14 +57,25 @@
             access_log=False,
             server_header=False,
             timeout_keep_alive=KEEPALIVE_S,
-            http=cast(type[asyncio.Protocol], protocol),
+            http=cast(type[asyncio.Protocol], make_connection),
             ws="none",
             loop="none",
         )
         self._listener = listener
-        self._server = _Server(config)
+        self._server = _Server(self._config)
         self._stopped = anyio.Event()
 
+    def apply_limits(
+        self, max_header_bytes: int, header_timeout_s: float, idle_s: float
+    ) -> None:
+        """Changes the bounds of connections that are made from now on."""
+        self._limits = dataclasses.replace(
+            self._limits,
+            max_header_bytes=max_header_bytes,
+            header_timeout_s=header_timeout_s,
+        )
+        self._config.timeout_keep_alive = math.ceil(idle_s)
+
     def count_connections(self) -> int:
         """Returns the number of open connections."""
         return len(self._server.server_state.connections)
--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -55,8 +55,8 @@
         self._find_heard_share = find_heard_share
         self._accounts: dict[str, Account] = {}
         self._buckets: dict[str, _Bucket] = {}
-        # What each peer has told last, by its incarnation.
-        self._told: dict[tuple[str, int], dict[str, float]] = {}
+        # Incarnation of each peer and what it told last.
+        self._told: dict[str, tuple[int, dict[str, float]]] = {}
 
     def apply(self, accounts: Iterable[Account]) -> None:
         """Puts the allowances of a new configuration in force."""
@@ -108,8 +108,12 @@
         self, peer: str, incarnation: int, uses: Mapping[str, AllowanceUse]
     ) -> None:
         """Takes out what a peer spent since its last digest."""
-        known = self._told.get((peer, incarnation))
-        told = self._told.setdefault((peer, incarnation), {})
+        known_incarnation, told = self._told.get(peer, (None, {}))
+        is_known = known_incarnation == incarnation
+        if not is_known:
+            # A restarted process counts from the start again.
+            told = {}
+        self._told[peer] = incarnation, told
         for name, use in uses.items():
             account = self._accounts.get(name)
             if account is None or account.tokens_per_s <= 0:
@@ -120,16 +124,12 @@
                 # the others have.
                 bucket.is_synced = True
                 bucket.level = max(bucket.level, use.level - bucket.spent)
-            if known is not None:
+            if is_known:
                 bucket.level -= use.spent - told.get(name, 0.0)
             # Returned tokens may come back here, too.
             bucket.level = min(bucket.level, account.burst_tokens)
             told[name] = use.spent
 
-    def forget_peer(self, peer: str, incarnation: int) -> None:
-        """Drops what a peer told."""
-        self._told.pop((peer, incarnation), None)
-
     def _refill(self, account: Account) -> _Bucket:
         now_ms = self._clock.now_ms()
         bucket = self._buckets.get(account.name)
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -37,8 +37,6 @@
     route: Route
     sequence: int
     give_up_at_ms: int
-    # Why it ends when it is given up.
-    reason: Reason
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     result: "Result[Place, NotRun] | None" = None
 
@@ -122,9 +120,7 @@
             wish = dataclasses.replace(wish, rank=RESUME_RANK)
         patience_ms = max(MIN_PATIENCE_MS, patience_ms)
         give_up_at_ms = min(end_at_ms, now_ms + patience_ms)
-        waiter = _Waiter(
-            wish, route, next(self._sequence), give_up_at_ms, Reason.SHED
-        )
+        waiter = _Waiter(wish, route, next(self._sequence), give_up_at_ms)
         queue = self._waiting.setdefault(wish.service, [])
         if len(queue) >= MAX_WAITING:
             retry_after_ms = self._find_retry_after(route)
@@ -187,7 +183,7 @@
         waiter.done.set()
 
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
-        reason = waiter.reason if targets else Reason.NO_TARGET
+        reason = Reason.SHED if targets else Reason.NO_TARGET
         waiter.result = Err(
             NotRun(reason, self._find_retry_after(waiter.route))
         )
--- a/src/peridotbend/edge/config.py
+++ b/src/peridotbend/edge/config.py
@@ -6,7 +6,6 @@
 import dataclasses
 import enum
 import functools
-from collections.abc import Mapping
 
 # Callers abandon a stream after the longest of these without an event, also
 # before the first: a fixed time, and multiples of the two objectives.
@@ -77,17 +76,6 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EdgeService:
-    """A service behind the routes."""
-
-    name: str
-    # Connections that each target accepts from all callers together.
-    max_connections: int
-    # Whether its targets are model engines.
-    is_engine: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Account:
     """A client account with its keys and its allowance."""
@@ -119,7 +107,6 @@
 
     version: int
     routes: tuple[Route, ...]
-    services: Mapping[str, EdgeService]
     accounts: tuple[Account, ...]
     limits: CallerLimits
 
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -15,7 +15,7 @@
     CallFailure,
     EventLog,
 )
-from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
+from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 from peridotbend.edge.allowances import Allowances
 from peridotbend.edge.backlog import Backlog, Place
 from peridotbend.edge.config import Account, Route, RouteKind
@@ -90,8 +90,9 @@
     started_at_ms: int
     # When the request is ended here.
     end_at_ms: int
-    # Targets that it was sent to, and those that failed it.
-    sent_to: set[str] = dataclasses.field(default_factory=set)
+    # How often bytes of it went to a target.
+    sends: int = 0
+    # Targets that failed it.
     failed_at: set[str] = dataclasses.field(default_factory=set)
     connect_failures: int = 0
     may_have_run: bool = False
@@ -138,7 +139,7 @@
                 fingerprint=f"{fingerprint:016x}",
             )
 
-    def _admit(self, call: EdgeCall) -> "_Run | Verdict":
+    def _admit(self, call: EdgeCall) -> "_Run | NotRun":
         config = self._parts.holder.config
         if config is None:
             return NotRun(Reason.NO_TEXT, NO_CONFIG_RETRY_MS)
@@ -213,12 +214,19 @@
 
     def _make_wish(self, run: _Run, avoid: str = "") -> Wish:
         account_rank = run.account.rank if run.account else None
+        exclude = set(run.failed_at)
+        targets = self._parts.targets.list_for(run.service)
+        if all(target.name in exclude for target in targets):
+            # A service may have one target only; it may have recovered.
+            exclude.clear()
+        if avoid:
+            exclude.add(avoid)
         return Wish(
             run.service,
             run.route.is_generation,
             (account_rank or 0, run.route.rank),
             run.call.session,
-            frozenset(run.failed_at | {avoid} if avoid else run.failed_at),
+            frozenset(exclude),
         )
 
     def _can_move(self, run: _Run, target: str) -> bool:
@@ -239,7 +247,7 @@
             return False
         if not self._has_attempts(run):
             return False
-        if not run.sent_to:
+        if not run.sends:
             # No byte was written yet.
             return True
         return self._parts.budget.try_spend(
@@ -249,7 +257,7 @@
     def _has_attempts(self, run: _Run) -> bool:
         if run.may_have_run and not run.route.may_repeat:
             return False
-        if len(run.sent_to) >= run.route.max_attempts:
+        if run.sends >= run.route.max_attempts:
             return False
         return self._clock.now_ms() + MIN_SEND_MS < run.end_at_ms
 
@@ -269,7 +277,7 @@
             if self._clock.now_ms() >= run.end_at_ms:
                 return False
             run.may_have_run = True
-            run.sent_to.add(target.name)
+            run.sends += 1
             return True
 
         self._log(
@@ -467,11 +475,10 @@
         self,
         call: EdgeCall,
         out: Responder,
-        verdict: Verdict,
+        verdict: NotRun | MayHaveRun,
         run: _Run | None = None,
     ) -> None:
         await out.refuse(verdict)
-        assert verdict.reason is not None
         if run is not None:
             self._observe(run, verdict.reason.value)
         else:
@@ -483,7 +490,7 @@
             account=run.account.name if run and run.account else None,
             verdict=verdict.label,
             reason=verdict.reason,
-            retry_after_ms=getattr(verdict, "retry_after_ms", 0),
+            retry_after_ms=verdict.retry_after_ms,
             config=self._find_version(),
         )
 
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -60,13 +60,6 @@
             return None
         return min(free, key=self._make_cost(wish, candidates))
 
-    def count_free(self, wish: Wish, targets: Iterable[EdgeTarget]) -> float:
-        """Returns the places that are free for a request."""
-        return sum(
-            max(0.0, self._find_limit(wish, t) - self._occupancy.count(t.name))
-            for t in targets
-        )
-
     def _has_room(self, wish: Wish, target: EdgeTarget) -> bool:
         limit = self._find_limit(wish, target)
         return self._occupancy.count(target.name) < limit
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -24,7 +24,6 @@
     store: Address
     # From SIGTERM until the platform kills the process.
     grace_ms: int
-    max_files: int
     # Extra sends that all instances together may make in the window: a share
     # of the requests plus a fixed number.
     resend_share: float
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -1,6 +1,7 @@
 """The targets that the platform lists, and which of them take requests."""
 
 import dataclasses
+from collections.abc import Iterator
 
 from peridotbend.domain.clock import Clock
 
@@ -99,7 +100,7 @@
     def __len__(self) -> int:
         return len(self._targets)
 
-    def __iter__(self):  # type: ignore[no-untyped-def]
+    def __iter__(self) -> Iterator[EdgeTarget]:
         return iter(self._targets.values())
 
     def _find_grace_end(self) -> int | None:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -285,6 +285,12 @@
 
     def _apply_config(self, config: EdgeConfig) -> None:
         self._allowances.apply(config.accounts)
+        limits = config.limits
+        self._server.apply_limits(
+            limits.max_header_bytes,
+            limits.header_timeout_ms / 1_000,
+            limits.idle_timeout_ms / 1_000,
+        )
 
     def _apply_target_items(self, items: list[Item]) -> None:
         for item in items:
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -8,7 +8,6 @@
     Account,
     CallerLimits,
     EdgeConfig,
-    EdgeService,
     Route,
     RouteKind,
     WeightedService,
@@ -49,11 +48,9 @@
 
 
 def _read_config(fields: Fields) -> EdgeConfig:
-    services = fields.get_list("services", _read_service, optional=False)
     return EdgeConfig(
         version=fields.get_whole("version"),
         routes=tuple(fields.get_list("routes", _read_route, optional=False)),
-        services={service.name: service for service in services},
         accounts=tuple(fields.get_list("tenants", _read_account)),
         limits=_read_limits(fields.get_table("limits")),
     )
@@ -109,15 +106,6 @@
     )
 
 
-def _read_service(value: object, path: str) -> EdgeService:
-    fields = Fields(value, path)
-    return EdgeService(
-        name=fields.get_text("name"),
-        max_connections=fields.get_whole("max_conns", 1, least=1),
-        is_engine="engine" in fields,
-    )
-
-
 def _read_account(value: object, path: str) -> Account:
     fields = Fields(value, path)
     return Account(
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -50,7 +50,6 @@
         ),
         store=_read_listen(fields.get_table("platform"), "address"),
         grace_ms=round(bounds.get_number("grace_s", 8.0) * 1_000),
-        max_files=fields.get_table("limits").get_whole("max_fds", 1_024),
         resend_share=bounds.get_number("retry_budget_ratio", 0.1),
         resend_slack=bounds.get_number("retry_slack", 8.0),
         resend_window_ms=round(
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -18,7 +18,6 @@
     Account,
     CallerLimits,
     EdgeConfig,
-    EdgeService,
     Route,
     RouteKind,
     WeightedService,
@@ -74,10 +73,6 @@
 CONFIG = EdgeConfig(
     version=3,
     routes=(ROUTE, ORDERS, LOOKUPS),
-    services={
-        "engine": EdgeService("engine", 370, True),
-        "shop": EdgeService("shop", 110, False),
-    },
     accounts=(ACCOUNT,),
     limits=LIMITS,
 )
@@ -92,7 +87,6 @@
     seeds=(),
     store=("127.0.0.1", 8_225),
     grace_ms=8_000,
-    max_files=4_100,
     resend_share=0.2,
     resend_slack=56.0,
     resend_window_ms=10_000,
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -264,6 +264,33 @@
 
         self._run(check)
 
+    def test_limits_of_the_configuration_hold_for_callers(self) -> None:
+        """Guards against idle and slow callers that keep connections."""
+
+        async def check(fleet: _Fleet) -> None:
+            limits = {**CONFIG["limits"], "idle_timeout_ms": 900}
+            limits["max_body_bytes"] = 3
+            fleet.store.put(
+                "op/config", {**CONFIG, "version": 9, "limits": limits}
+            )
+            fleet.spawn(HOSTS[0])
+            await fleet.wait_ready(HOSTS[0])
+            answer = await fleet.call(HOSTS[0], "/orders/1", "a1")
+            assert answer.status == 413
+            port = fleet.ports["callers"]
+            async with await anyio.connect_tcp(HOSTS[0], port) as stream:
+                await stream.send(
+                    b"GET /none/ HTTP/1.1\r\nHost: shop.example\r\n"
+                    b"X-Attempt-Id: a2\r\n\r\n"
+                )
+                assert b" 404 " in await stream.receive()
+                # The connection is kept, and closed when it stays idle.
+                with anyio.fail_after(WAIT_S):
+                    with self.assertRaises(anyio.EndOfStream):
+                        await stream.receive()
+
+        self._run(check)
+
     def test_state_is_dumped_on_request(self) -> None:
         """Guards against on-call engineers who see no state."""
 
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -153,6 +153,20 @@
         out = _serve(bench, LOOKUP)
         assert out.verdict == MayHaveRun(Reason.TARGET_FAILED)
 
+    def test_only_target_of_a_service_is_asked_again(self) -> None:
+        """Guards against services of one target that lose every reset call."""
+        bench = EdgeBench(Script(reply=BROKEN), PLAIN)
+        for name in ("si-2", "si-3"):
+            bench.targets.remove(name)
+        out = _serve(bench, LOOKUP)
+        assert out.body == b"done"
+        bench = EdgeBench(*(Script(reply=BROKEN) for _ in range(4)))
+        for name in ("si-2", "si-3"):
+            bench.targets.remove(name)
+        out = _serve(bench, LOOKUP)
+        assert out.verdict == MayHaveRun(Reason.TARGET_FAILED)
+        assert len(bench.client.written) == 2
+
     def test_extra_sends_end_with_the_budget(self) -> None:
         """Guards against an outage that doubles the load on what is left."""
         count = 200
