--- a/src/peridotbend/adapters/gossip.py
+++ b/src/peridotbend/adapters/gossip.py
@@ -21,7 +21,8 @@
 MAX_INTERVAL_MS = 300
 # Larger digests would be cut into several packets, and lost with any one.
 MAX_BYTES = 1_400
-MAX_ENTRIES = 64
+# Hosts told in one digest; the rest is learnt from other peers.
+MAX_HOSTS = 64
 
 
 class Gossip:
@@ -96,7 +97,7 @@
         sequence=digest.sequence,
         host=digest.host,
         draining=digest.is_draining,
-        known_hosts=digest.known_hosts[:MAX_ENTRIES],
+        known_hosts=digest.known_hosts[:MAX_HOSTS],
         feeds=[
             pb.FeedState(prefix=prefix, revision=revision)
             for prefix, revision in digest.revisions.items()
@@ -138,7 +139,7 @@
         sequence=message.sequence,
         host=message.host,
         is_draining=message.draining,
-        known_hosts=tuple(message.known_hosts[:MAX_ENTRIES]),
+        known_hosts=tuple(message.known_hosts[:MAX_HOSTS]),
         revisions={feed.prefix: feed.revision for feed in message.feeds},
         in_flight={use.target: use.in_flight for use in message.uses},
         allowances={
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -18,6 +18,7 @@
 # A request that finds no place within this share of its objective is refused
 # while its caller can still do something else.
 PATIENCE_SHARE = 0.12
+# Two looks at the queue, for routes with an objective of a few ms.
 MIN_PATIENCE_MS = 20
 # A stream that broke midway waits for this share of its caller's patience.
 RESUME_PATIENCE_SHARE = 0.5
@@ -25,9 +26,14 @@
 RESUME_RANK = (-1, -1)
 # Between two looks for deadlines, lapsed reports and returned targets.
 CHECK_MS = 10
+# Only bounds memory: no more than some hundred find places in their patience.
 MAX_WAITING = 2_000
+# Bursts last some seconds, and callers come again once: 1 and 3 s made no
+# difference in trials, and the shorter one leaves more time to be served.
 SHED_RETRY_MS = 1_000
+# Callers honour at most a third of the time that they have left.
 SHED_RETRY_SHARE = 0.25
+# Keeps callers that were refused together from coming again together.
 SHED_RETRY_SPREAD = (0.7, 1.3)
 
 
@@ -163,11 +169,7 @@
                 self.place(service)
 
     def _find_retry_after(self, route: Route) -> int:
-        """Returns when a refused caller should come again.
-
-        Bursts take some seconds. Callers of short requests have less time,
-        and different times keep those refused together from coming together.
-        """
+        """Returns when a refused caller should come again."""
         wait_ms = min(SHED_RETRY_MS, SHED_RETRY_SHARE * route.timeout_ms)
         return round(wait_ms * self._rng.uniform(*SHED_RETRY_SPREAD))
 
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -11,6 +11,7 @@
 from peridotbend.edge.config import Route, RouteKind
 from peridotbend.edge.health import TargetHealth
 
+# Short against the silences below.
 CHECK_MS = 50
 # Other streams of a live target have some 30 events a second, so a target
 # that is silent on all of them for this long is dead or cut off.
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -49,6 +49,7 @@
 # Connections that fail before a byte is written are no dispatch; the bound
 # only ends a request whose targets are all unreachable.
 MAX_CONNECT_FAILURES = 6
+# A new process has the configuration within some 100 ms if anyone tells it.
 NO_CONFIG_RETRY_MS = 500
 # The caller of a crashing request does best to ask for something else.
 QUARANTINED_RETRY_MS = 60_000
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -20,6 +20,7 @@
 SESSION_BONUS = 0.15
 # Failing targets rank behind all that do not.
 FAILING_PENALTY = 10.0
+# Breaks ties: bytes between zones cost, a place in a batch costs far more.
 OTHER_ZONE_PENALTY = 0.02
 
 
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -48,8 +48,6 @@
 LEAVE_ROTATION_MS = 2_600
 # Kept free at the end of the time that the platform gives for a shutdown.
 EXIT_MARGIN_MS = 500
-DRAIN_POLL_S = 0.02
-CLOSE_TIMEOUT_S = 0.3
 # Connecting to a live target takes milliseconds, also between zones.
 CONNECT_TIMEOUT_S = 0.25
 # Holds until a configuration tells another.
