Answer a request for the state while the start is under way

Found by reading: SIGUSR1 in the first moments of a process ended it, since the dump used parts that were not made yet. Its test failed with an AttributeError before.

--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -68,6 +68,7 @@
         self._rng = random.Random()
         self._incarnation = secrets.randbits(64)
         self._drain = anyio.Event()
+        self._is_started = False
         host = settings.peers[0]
         self._book = PeerBook(host, self._clock, log, self._rng)
         for seed_host, _ in settings.seeds:
@@ -87,8 +88,11 @@
 
     def dump(self) -> dict[str, object]:
         """Returns the state for operators."""
+        if not self._is_started:
+            return {"started": False}
         config = self._holder.config
         return {
+            "started": True,
             "config": config.version if config else None,
             "revisions": {
                 prefix: feed.items.revision
@@ -127,6 +131,7 @@
             anyio.create_task_group() as tasks,
         ):
             await self._start(stack, tasks)
+            self._is_started = True
             await self._drain.wait()
             await self._finish_requests()
             tasks.cancel_scope.cancel()
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -18,8 +18,10 @@
 
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.edgedaemon import DEFAULT_METRICS_PORT, main
+from peridotbend.edgenode import EdgeNode
 from peridotbend.platform import wire
 from peridotbend_emulator.launch import Child, Launcher
+from tests.edgefakes import SETTINGS, RecordingLog
 from tests.edgestandins import StandInStore, StandInTarget
 from tests.test_edge_platform import DOCUMENT, ENTRY, SETTINGS_FILE
 
@@ -353,6 +355,14 @@
             assert result.exit_code == 1
             assert "zone" in result.output
 
+    def test_dump_before_the_start_is_complete(self) -> None:
+        """Guards against a process that a request for its state ends."""
+
+        async def dump() -> dict[str, object]:
+            return EdgeNode(SETTINGS, RecordingLog(), 0).dump()
+
+        assert anyio.run(dump) == {"started": False}
+
     def test_daemon_imports_only_what_it_runs(self) -> None:
         """Guards against memory for parts of the product that it never uses."""
         code = (
