Let one piece of code serve where the edge had written it again

Found by reading the whole change: - An answer is begun in one place, which notes it first. Before, a plain answer whose caller did not read was refused in its middle at the time limit. - A plain answer that breaks ends like a stream, with its log line and count, and a send that ends with an error status is counted where it ends. - Both daemons share exit codes and the message of a failed start. The edge printed a sentence about task groups in place of the occupied port. - Small ASGI answers, addresses in settings and entries, and the clock of the shutdown and of the log come from one place each. The set of headers that are never forwarded is made once, not for each call.

New tests: a caller that does not read, an occupied port; both fail without the change. test_daemon failed once with a vanished descriptor. Traced: of 200 answered calls, 159 closed a descriptor within the 5 ms after, so a descriptor may go between the listing and its reading. The test now lists anew as a whole and checks as much as before.

--- /dev/null
+++ b/src/peridotbend/adapters/asgi.py
@@ -0,0 +1,16 @@
+"""What the small ASGI applications share."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+async def respond(
+    send: Send, status: int, headers: list[tuple[bytes, bytes]], content: bytes
+) -> None:
+    """Sends a whole answer; the headers tell its length."""
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": content})
--- a/src/peridotbend/adapters/edgemetrics.py
+++ b/src/peridotbend/adapters/edgemetrics.py
@@ -11,6 +11,7 @@
     generate_latest,
 )
 
+from peridotbend.adapters.asgi import Send, respond
 from peridotbend.adapters.metrics import CONTENT_TYPE
 
 METRICS_PATH = "/metrics"
@@ -65,7 +66,7 @@
         self,
         scope: dict[str, Any],
         receive: Callable[[], Awaitable[dict[str, Any]]],
-        send: Callable[[dict[str, Any]], Awaitable[None]],
+        send: Send,
     ) -> None:
         """Serves the page as an ASGI application."""
         if scope["type"] != "http":
@@ -76,11 +77,4 @@
             (b"content-type", CONTENT_TYPE.encode()),
             (b"content-length", str(len(body)).encode()),
         ]
-        await send(
-            {
-                "type": "http.response.start",
-                "status": 200 if found else 404,
-                "headers": headers,
-            }
-        )
-        await send({"type": "http.response.body", "body": body})
+        await respond(send, 200 if found else 404, headers, body)
--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -6,12 +6,12 @@
 import logging
 import os
 import sys
-import time
 from collections.abc import Mapping
 from typing import TextIO, cast
 
 import structlog
 
+from peridotbend.domain.clock import Clock, SystemClock
 from peridotbend.domain.events import Event
 
 # Request IDs are secrets: whoever knows one can fetch the answer.
@@ -163,27 +163,34 @@
     and counted; the next line that is written tells how many.
     """
 
-    def __init__(self, descriptor: int, lines_per_s: int = LINES_PER_S):
+    def __init__(
+        self,
+        descriptor: int,
+        lines_per_s: int = LINES_PER_S,
+        clock: Clock | None = None,
+    ):
         """Makes the descriptor non-blocking.
 
         Args:
             descriptor: where to write.
             lines_per_s: lines that are written at most, on average; a burst
                 may have as many at once.
+            clock: source of time; that of the system by default.
         """
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._rate = lines_per_s
         self._room = float(lines_per_s)
-        self._refilled_at_s = time.monotonic()
+        self._clock = clock or SystemClock()
+        self._refilled_at_ms = self._clock.now_ms()
         self.dropped = 0
 
     def write(self, text: str) -> int:
         """Writes a line, or drops it."""
-        now_s = time.monotonic()
-        gained = (now_s - self._refilled_at_s) * self._rate
+        now_ms = self._clock.now_ms()
+        gained = (now_ms - self._refilled_at_ms) * self._rate / 1_000
         self._room = min(self._rate, self._room + gained)
-        self._refilled_at_s = now_s
+        self._refilled_at_ms = now_ms
         if self._room < 1:
             self.dropped += 1
             return len(text)
--- a/src/peridotbend/adapters/operators.py
+++ b/src/peridotbend/adapters/operators.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+from peridotbend.adapters.asgi import respond
 from peridotbend.adapters.metrics import CONTENT_TYPE
 
 Scope = MutableMapping[str, Any]
@@ -165,12 +166,5 @@
     ]
     if answer.allow:
         headers.append((b"allow", answer.allow.encode()))
-    await send(
-        {
-            "type": "http.response.start",
-            "status": answer.status,
-            "headers": headers,
-        }
-    )
     content = b"" if head_only else answer.content
-    await send({"type": "http.response.body", "body": content})
+    await respond(send, answer.status, headers, content)
--- a/src/peridotbend/daemon.py
+++ b/src/peridotbend/daemon.py
@@ -5,22 +5,23 @@
 import os
 import signal
 import sys
-from typing import NoReturn
 
 import anyio
 import click
 from result import Err
 
 from peridotbend.adapters.eventloop import BACKEND_OPTIONS
+from peridotbend.adapters.exits import (
+    EXIT_BAD_SETTINGS,
+    EXIT_CANNOT_LISTEN,
+    exit_with,
+)
 from peridotbend.adapters.logs import StructuredLog
 from peridotbend.adapters.serving import ListenError
 from peridotbend.adapters.settings import NodeSettings, load_settings
 from peridotbend.domain.ports import EventLog
 from peridotbend.node import Node, TextFileError
 
-EXIT_BAD_SETTINGS = 1
-EXIT_CANNOT_LISTEN = 3
-
 
 @click.command()
 @click.option(
@@ -46,17 +47,9 @@
     try:
         anyio.run(run_node, settings, log, backend_options=BACKEND_OPTIONS)
     except* TextFileError as failed:
-        _exit(failed, EXIT_BAD_SETTINGS)
+        exit_with(failed, EXIT_BAD_SETTINGS)
     except* ListenError as failed:
-        _exit(failed, EXIT_CANNOT_LISTEN)
-
-
-def _exit(failed: BaseExceptionGroup[Exception], code: int) -> NoReturn:
-    error: BaseException = failed
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    click.echo(str(error), err=True)
-    sys.exit(code)
+        exit_with(failed, EXIT_CANNOT_LISTEN)
 
 
 async def run_node(settings: NodeSettings, log: EventLog) -> None:
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -379,26 +379,22 @@
         body = bytearray()
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
+                refusal = self._note_error(run, target, chunk.err_value)
                 if run.head_sent:
-                    self._note_error(run, target, chunk.err_value)
-                    raise AnswerBrokenError
-                return self._note_error(run, target, chunk.err_value)
+                    await self._end(run, out, refusal)
+                return refusal
             body += chunk.ok_value
             if len(body) > MAX_HELD_BYTES or run.head_sent:
-                if not run.head_sent:
-                    run.head_sent = True
-                    await out.start(answer.head)
+                await self._start_once(run, answer.head, out)
                 await out.send(bytes(body))
                 body.clear()
         failed = answer.head.status >= ERROR_STATUS
-        self._parts.health.note_answer(target.name, failed)
-        self._parts.crashes.note_success(run.fingerprint)
+        self._note_answer(run, target, failed)
         if failed and not run.head_sent and run.route.may_repeat:
             run.held = (answer.head, bytes(body))
             run.failed_at.add(target.name)
             return MayHaveRun(Reason.TARGET_FAILED)
-        if not run.head_sent:
-            await out.start(answer.head)
+        await self._start_once(run, answer.head, out)
         if body:
             await out.send(bytes(body))
         await out.finish()
@@ -421,17 +417,16 @@
             events = run.events.feed(chunk.ok_value)
             if events:
                 flight.is_blocked = True
-                await self._start_once(run, answer, out)
+                await self._start_once(run, answer.head, out)
                 await out.send(events)
                 flight.is_blocked = False
                 self._parts.health.note_heard(target.name)
-        await self._start_once(run, answer, out)
+        await self._start_once(run, answer.head, out)
         rest = run.events.take_rest()
         if rest:
             await out.send(rest)
         await out.finish()
-        self._parts.health.note_answer(target.name, failed=False)
-        self._parts.crashes.note_success(run.fingerprint)
+        self._note_answer(run, target, failed=False)
         self._note_end(
             run,
             answer.head.status,
@@ -440,12 +435,18 @@
         )
         return None
 
+    def _note_answer(self, run: _Run, target: EdgeTarget, failed: bool) -> None:
+        """Notes a whole answer of a target."""
+        self._parts.health.note_answer(target.name, failed)
+        self._parts.crashes.note_success(run.fingerprint)
+        self._parts.meter.count_send("answered")
+
     async def _start_once(
-        self, run: _Run, answer: EdgeAnswer, out: Responder
+        self, run: _Run, head: AnswerHead, out: Responder
     ) -> None:
         if not run.head_sent:
             run.head_sent = True
-            await out.start(answer.head)
+            await out.start(head)
 
     async def _end(
         self, run: _Run, out: Responder, refusal: NotRun | MayHaveRun
@@ -457,7 +458,7 @@
             raise AnswerBrokenError
         if run.held is not None:
             head, body = run.held
-            await out.start(head)
+            await self._start_once(run, head, out)
             await out.send(body)
             await out.finish()
             self._note_end(run, head.status)
@@ -496,7 +497,6 @@
         )
 
     def _note_end(self, run: _Run, status: int, **fields: object) -> None:
-        self._parts.meter.count_send("answered")
         self._observe(run, f"status-{status}")
         self._log(Event.REQUEST_ENDED, run, status=status, **fields)
 
--- a/src/peridotbend/edgedaemon.py
+++ b/src/peridotbend/edgedaemon.py
@@ -1,8 +1,5 @@
 """The daemon of an entry instance on the users' platform."""
 
-from peridotbend.adapters.eventloop import BACKEND_OPTIONS
-
-# isort: split
 import os
 import signal
 import sys
@@ -11,6 +8,12 @@
 import click
 from result import Err
 
+from peridotbend.adapters.eventloop import BACKEND_OPTIONS
+from peridotbend.adapters.exits import (
+    EXIT_BAD_SETTINGS,
+    EXIT_CANNOT_LISTEN,
+    exit_with,
+)
 from peridotbend.adapters.logs import BoundedStream, StructuredLog
 from peridotbend.adapters.serving import ListenError
 from peridotbend.domain.events import Event
@@ -18,8 +21,6 @@
 from peridotbend.edgenode import EdgeNode
 from peridotbend.platform.settings import load_settings
 
-EXIT_BAD_SETTINGS = 1
-EXIT_CANNOT_LISTEN = 3
 # The deploy file names the same port.
 DEFAULT_METRICS_PORT = 9_464
 # The platform may change the file without a signal.
@@ -67,8 +68,7 @@
         node = EdgeNode(settings, log, metrics_port)
         anyio.run(_run, node, path, log, backend_options=BACKEND_OPTIONS)
     except* ListenError as failed:
-        click.echo(str(failed.exceptions[0]), err=True)
-        sys.exit(EXIT_CANNOT_LISTEN)
+        exit_with(failed, EXIT_CANNOT_LISTEN)
 
 
 async def _run(node: EdgeNode, path: str, log: EventLog) -> None:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -3,7 +3,6 @@
 import contextlib
 import random
 import secrets
-import time
 
 import anyio
 from anyio.abc import TaskGroup
@@ -48,6 +47,8 @@
 LEAVE_ROTATION_MS = 2_600
 # Kept free at the end of the time that the platform gives for a shutdown.
 EXIT_MARGIN_MS = 500
+# Lets answers that are ready leave, however short the time is.
+MIN_STOP_MS = 100
 # Connecting to a live target takes milliseconds, also between zones.
 CONNECT_TIMEOUT_S = 0.25
 # Holds until a configuration tells another.
@@ -362,13 +363,12 @@
 
     async def _finish_requests(self) -> None:
         """Leaves the rotation, then finishes what was read."""
-        started_at = time.monotonic()
+        started_at_ms = self._clock.now_ms()
         self._log.emit(Event.DRAIN_STARTED, active=self._app.active)
         self._app.is_closing = True
         await anyio.sleep(LEAVE_ROTATION_MS / 1_000)
-        left_s = (self._settings.grace_ms - EXIT_MARGIN_MS) / 1_000 - (
-            time.monotonic() - started_at
-        )
-        with anyio.move_on_after(max(0.1, left_s)):
+        end_at_ms = started_at_ms + self._settings.grace_ms - EXIT_MARGIN_MS
+        left_ms = max(MIN_STOP_MS, end_at_ms - self._clock.now_ms())
+        with anyio.move_on_after(left_ms / 1_000):
             await self._server.stop()
         self._log.emit(Event.DRAIN_FINISHED, active=self._app.active)
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -16,7 +16,6 @@
 from peridotbend.platform.fields import (
     BadFieldError,
     Fields,
-    read_address,
     read_text,
 )
 
@@ -122,7 +121,7 @@
     state = fields.get_text("state")
     if state not in _STATES:
         raise BadFieldError(f"state: unknown state {state[:80]!r}")
-    host, port = read_address(fields.get_text("address"), "address")
+    host, port = fields.get_address("address")
     started_at_ms = 0
     if "born" in fields:
         started_at_ms = fields.get_whole("born", least=MIN_START_MS)
--- a/src/peridotbend/platform/fields.py
+++ b/src/peridotbend/platform/fields.py
@@ -55,6 +55,10 @@
             raise self._fail(name, "true or false", value)
         return value
 
+    def get_address(self, name: str) -> tuple[str, int]:
+        """Returns host and port of an address."""
+        return read_address(self.get_text(name), self._join(name))
+
     def get_table(self, name: str) -> "Fields":
         """Returns the fields of a table inside this one."""
         return Fields(self._find(name, None), self._join(name))
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from peridotbend.adapters.asgi import Send, respond
 from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import AnswerHead, EventLog
@@ -21,7 +22,6 @@
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
-SendMessage = Callable[[dict[str, Any]], Awaitable[None]]
 
 # Headers that concern one connection, and the framing that is made anew.
 _CONNECTION_HEADERS = frozenset((
@@ -31,6 +31,13 @@
 ))  # fmt: skip
 # Read into fields of the call, which the sends are made from.
 _DECODED_HEADERS = frozenset((wire.ATTEMPT_ID, wire.LAST_EVENT_ID))
+# The key is for this system only.
+_DROPPED_HEADERS = (
+    _CONNECTION_HEADERS
+    | _DECODED_HEADERS
+    | wire.SYSTEM_HEADERS
+    | {"authorization"}
+)
 _KEY_SCHEME = "token "
 # All bodies together; the smallest machines have 150 MB.
 MAX_BODIES_BYTES = 48 * 1_048_576
@@ -57,7 +64,7 @@
         self.active = 0
 
     async def __call__(
-        self, scope: Scope, receive: Receive, send: SendMessage
+        self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Serves one request."""
         if scope["type"] != "http":
@@ -68,9 +75,7 @@
         finally:
             self.active -= 1
 
-    async def _serve(
-        self, scope: Scope, receive: Receive, send: SendMessage
-    ) -> None:
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         out = AsgiResponder(send, self)
         taken = BodyBytes(self._bodies, self._find_body_limit())
         try:
@@ -113,7 +118,7 @@
 class AsgiResponder:
     """Writes one answer."""
 
-    def __init__(self, send: SendMessage, app: EdgeApp):
+    def __init__(self, send: Send, app: EdgeApp):
         self._send = send
         self._app = app
         self.is_finished = False
@@ -214,14 +219,19 @@
     raw: list[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
     """Returns the headers that go on to a target."""
-    dropped = set(_CONNECTION_HEADERS | _DECODED_HEADERS | wire.SYSTEM_HEADERS)
-    # The key is for this system only.
-    dropped.add("authorization")
-    for name, value in raw:
-        if name == "connection":
-            dropped.update(part.strip().lower() for part in value.split(","))
-    dropped.discard("host")
-    return tuple((name, value) for name, value in raw if name not in dropped)
+    named = {
+        part.strip().lower()
+        for name, value in raw
+        if name == "connection"
+        for part in value.split(",")
+    }
+    # Targets need to know the host whatever a caller says of it.
+    named.discard("host")
+    return tuple(
+        (name, value)
+        for name, value in raw
+        if name not in _DROPPED_HEADERS and name not in named
+    )
 
 
 class BodyBytes:
@@ -290,7 +300,7 @@
         self._is_ready = is_ready
 
     async def __call__(
-        self, scope: Scope, receive: Receive, send: SendMessage
+        self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Answers 200 while callers may come."""
         if scope["type"] != "http":
@@ -298,11 +308,4 @@
         status = 404
         if scope["path"] == wire.READY_PATH:
             status = 200 if self._is_ready() else 503
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": [(b"content-length", b"0")],
-            }
-        )
-        await send({"type": "http.response.body", "body": b""})
+        await respond(send, status, [(b"content-length", b"0")], b"")
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -3,7 +3,7 @@
 import yaml
 from result import Err, Ok, Result
 
-from peridotbend.edge.settings import Address, EdgeSettings
+from peridotbend.edge.settings import EdgeSettings
 from peridotbend.platform.fields import (
     BadFieldError,
     Fields,
@@ -40,15 +40,15 @@
     return EdgeSettings(
         name=fields.get_text("node_name"),
         zone=fields.get_text("zone"),
-        callers=_read_listen(listen, "frontend"),
-        health=_read_listen(listen, "ready"),
-        peers=_read_listen(listen, "control_plane"),
+        callers=listen.get_address("frontend"),
+        health=listen.get_address("ready"),
+        peers=listen.get_address("control_plane"),
         digests=(ip, ports[0]),
         seeds=tuple(
             read_address(seed, f"seeds[{index}]")
             for index, seed in enumerate(fields.get_list("seeds", read_text))
         ),
-        store=_read_listen(fields.get_table("platform"), "address"),
+        store=fields.get_table("platform").get_address("address"),
         grace_ms=round(bounds.get_number("grace_s", 8.0) * 1_000),
         resend_share=bounds.get_number("retry_budget_ratio", 0.1),
         resend_slack=bounds.get_number("retry_slack", 8.0),
@@ -58,10 +58,6 @@
     )
 
 
-def _read_listen(fields: Fields, name: str) -> Address:
-    return read_address(fields.get_text(name), name)
-
-
 def _read_port(value: object, path: str) -> int:
     if not isinstance(value, int) or not 0 < value < 65_536:
         raise BadFieldError(f"{path}: must be a port")
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import tempfile
+import time
 import unittest
 
 import yaml
@@ -58,7 +59,7 @@
         address = f"127.0.0.1:{child.about['operator']}"
         assert call_http("GET", address, "/readyz").status == 200
         process = pathlib.Path("/proc") / str(child.pid)
-        open_files = [os.readlink(fd) for fd in (process / "fd").iterdir()]
+        open_files = _list_open_files(process)
         assert any("socket:" in name for name in open_files)
         assert not [name for name in open_files if "io_uring" in name]
         started = [
@@ -91,3 +92,18 @@
                 assert child.wait(WAIT_S) == 3, child.output
                 assert str(port) in child.output, child.output
                 assert "Traceback" not in child.output
+
+
+def _list_open_files(process: pathlib.Path) -> list[str]:
+    """Returns what all descriptors of a process refer to.
+
+    The connection of a call that was just answered closes at any moment; a
+    list in which a descriptor vanished is made anew as a whole.
+    """
+    end_at_s = time.monotonic() + WAIT_S
+    while True:
+        try:
+            return [os.readlink(fd) for fd in (process / "fd").iterdir()]
+        except FileNotFoundError:
+            if time.monotonic() > end_at_s:
+                raise
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -355,6 +355,33 @@
             assert result.exit_code == 1
             assert "zone" in result.output
 
+    def test_occupied_port_is_named(self) -> None:
+        """Guards against a message about task groups in place of the port.
+
+        The error arrives inside nested groups.
+        """
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            listen("127.0.0.1", 0) as taken,
+        ):
+            port = taken.getsockname()[1]
+            address = f"127.0.0.1:{port}"
+            names = SETTINGS_FILE["listen"]
+            path = pathlib.Path(folder) / "settings.yaml"
+            document = {
+                **SETTINGS_FILE,
+                "listen": dict.fromkeys(names, address),
+            }
+            path.write_text(yaml.safe_dump(document))
+            done = subprocess.run(
+                [sys.executable, "-m", MODULE, "--settings", str(path)],
+                capture_output=True,
+                text=True,
+                timeout=WAIT_S,
+            )
+        assert done.returncode == 3, done.stderr
+        assert f"cannot listen on 127.0.0.1 port {port}" in done.stderr
+
     def test_dump_before_the_start_is_complete(self) -> None:
         """Guards against a process that a request for its state ends."""
 
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -382,6 +382,39 @@
         assert out.is_complete
 
 
+class SlowCallerTest(unittest.TestCase):
+    """Callers that do not read their answer."""
+
+    def test_answer_that_has_begun_is_not_refused_at_the_time_limit(
+        self,
+    ) -> None:
+        """Guards against a refusal in the middle of an answer."""
+
+        class Stalled(RecordingResponder):
+
+            async def send(self, data: bytes) -> None:
+                await super().send(data)
+                await anyio.sleep_forever()
+
+        for script in (PLAIN, ERROR):
+            bench = EdgeBench(script, Script(reply=Rejection.UNAVAILABLE))
+            out = Stalled()
+            call = dataclasses.replace(LOOKUP, deadline_ms=50)
+
+            async def run(
+                bench: EdgeBench = bench,
+                out: Stalled = out,
+                call: EdgeCall = call,
+            ) -> None:
+                with self.assertRaises(AnswerBrokenError):
+                    await bench.relay.serve(call, out)
+
+            anyio.run(run)
+            assert out.verdict is None
+            assert not out.is_complete
+            assert bench.log.count(Event.ANSWER_BROKEN) == 1
+
+
 class MeterTest(unittest.TestCase):
     """What is counted."""
 
