--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -127,6 +127,15 @@
                 await self._run(run, out)
             if scope.cancelled_caught:
                 await self._end_late(run, out)
+        except anyio.get_cancelled_exc_class():
+            self._log(
+                Event.CALLER_GONE,
+                run,
+                sends=run.sends,
+                answer_begun=run.head_sent,
+                last_event=run.events.last_event_id,
+            )
+            raise
         finally:
             if not run.may_have_run and run.account is not None:
                 self._parts.allowances.give_back(run.account.name, run.tokens)
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -144,7 +144,7 @@
         client = HttpTargetClient(CONNECT_TIMEOUT_S)
         self._build_relay(client)
         self._build_feeds(client)
-        self._app = EdgeApp(self._relay, self._find_body_limit, self._log)
+        self._app = EdgeApp(self._relay, self._find_body_limit)
         channels = ChannelPool()
         stack.callback(channels.close)
         fetcher = PublishedFetcher(channels, settings.peers[1], self._log)
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -8,8 +8,7 @@
 
 from peridotbend.adapters.asgi import Send, respond
 from peridotbend.domain.answers import ByteBudget
-from peridotbend.domain.events import Event
-from peridotbend.domain.ports import AnswerHead, EventLog
+from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import (
     STATUS_BY_REASON,
     NotRun,
@@ -52,12 +51,9 @@
 class EdgeApp:
     """ASGI application for callers."""
 
-    def __init__(
-        self, relay: Relay, find_body_limit: Callable[[], int], log: EventLog
-    ):
+    def __init__(self, relay: Relay, find_body_limit: Callable[[], int]):
         self._relay = relay
         self._find_body_limit = find_body_limit
-        self._log = log
         self._bodies = ByteBudget(MAX_BODIES_BYTES)
         # Set when the process ends: answers then close their connections.
         self.is_closing = False
@@ -100,8 +96,6 @@
         async def watch_caller() -> None:
             while (await receive())["type"] != "http.disconnect":
                 pass
-            if not out.is_finished:
-                self._log.emit(Event.CALLER_GONE, attempt=call.attempt)
             group.cancel_scope.cancel()
 
         try:
--- a/tools/days.py
+++ b/tools/days.py
@@ -152,9 +152,7 @@
     "reuse-drain": 'kind = "replace_with_reuse", share = 0.3, how = "drain"',
     "node-freeze": 'kind = "node_freeze", share = 0.4, for_s = 3.0',
     "node-slow": 'kind = "node_slow", share = 0.3, x = 6.0, for_s = 6.0',
-    "clock-step": (
-        'kind = "clock_step", x = 4000.0, share = 0.5, for_s = 5.0'
-    ),
+    "clock-step": ('kind = "clock_step", x = 4000.0, share = 0.5, for_s = 5.0'),
     "clock-back": (
         'kind = "clock_step", x = 4000.0, share = 0.5, for_s = 5.0, '
         'how = "back"'
