Move streams that stall while their target serves others

Change: half of the caller's patience without an event moves a stream that may be repeated. Ruled out: long outputs placed by the pace of engines; the number of output tokens in a request is the same bound for all of its kind.

--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -16,16 +16,13 @@
 # Other streams of a live target have some 30 events a second, so a target
 # that is silent on all of them for this long is dead or cut off.
 STREAM_SILENCE_MS = 800
-# A stream whose target serves others meanwhile is stuck by itself: five times
-# the pause that a caller accepts, at least this long.
-STALL_GAPS = 5
-MIN_STALL_MS = 1_500
+# A stream whose target serves others meanwhile is stuck by itself after this
+# share of the time that its caller waits for an event; the rest is for the
+# target that takes over.
+STALL_PATIENCE_SHARE = 0.5
 # The first event waits for a place in the batch and for the prompt, which
 # takes longest when no other stream tells that the target lives.
 FIRST_EVENT_GOALS = 2.5
-# The same where other streams of the target go on: the place in the batch was
-# granted before the send, so the wait cannot be that long.
-FIRST_EVENT_STALL_GOALS = 5
 # A plain answer is small: after this many objectives another target is asked.
 PLAIN_GOALS = 2.0
 # At most this share of the time limit, so that the other one can answer.
@@ -82,13 +79,13 @@
                 self._sends.discard(send)
 
     def check(self) -> None:
-        """Ends the sends that may be repeated and whose target is silent."""
+        """Ends the sends that stall, where another target can take over."""
         for send in list(self._sends):
             if send.is_blocked or not send.route.may_repeat:
                 continue
             if self._pauses.covers(send.sent_at_ms):
                 continue
-            if self._is_silent(send) and send.can_move():
+            if self._is_stalled(send) and send.can_move():
                 send.scope.cancel()
 
     async def run(self) -> None:
@@ -98,20 +95,17 @@
             await anyio.sleep(CHECK_MS / 1_000)
             self.check()
 
-    def _is_silent(self, send: Send) -> bool:
+    def _is_stalled(self, send: Send) -> bool:
         route = send.route
         silence_ms = self._health.find_silence_ms(send.target, send.sent_at_ms)
         waited_ms = self._clock.now_ms() - send.sent_at_ms
         if route.kind is RouteKind.STREAM:
+            stall_ms = STALL_PATIENCE_SHARE * route.patience_ms
             if send.last_data_ms is None:
-                return (
-                    silence_ms > FIRST_EVENT_GOALS * route.goal_ms
-                    or waited_ms > FIRST_EVENT_STALL_GOALS * route.goal_ms
-                )
+                silent = silence_ms > FIRST_EVENT_GOALS * route.goal_ms
+                return silent or waited_ms > stall_ms
             stalled_ms = self._clock.now_ms() - send.last_data_ms
-            return silence_ms > STREAM_SILENCE_MS or stalled_ms > max(
-                MIN_STALL_MS, STALL_GAPS * route.gap_goal_ms
-            )
+            return silence_ms > STREAM_SILENCE_MS or stalled_ms > stall_ms
         return waited_ms > min(
             PLAIN_GOALS * route.goal_ms, PLAIN_TIMEOUT_SHARE * route.timeout_ms
         )
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -252,6 +252,31 @@
         assert out.body == make_event(1) + make_event(2)
         assert out.is_complete
 
+    def test_stream_that_stalls_by_itself_moves(self) -> None:
+        """Guards against a stream that hangs while others of its target go on.
+
+        Seen while a runner hung on half of its requests: chat tags ended at
+        their caller's deadline.
+        """
+        hung = Script(chunks=(make_event(1),), hangs=True)
+        bench = EdgeBench(hung, Script(chunks=(make_event(2),)))
+        out = RecordingResponder()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(bench.relay.serve, CALL, out)
+                await anyio.sleep(0.01)
+                hung_at = bench.client.sends[0].target.name
+                for _ in range(17):
+                    bench.clock.advance(100)
+                    bench.health.note_heard(hung_at)
+                    bench.in_flight.check()
+                    await anyio.sleep(0)
+
+        anyio.run(run)
+        assert out.body == make_event(1) + make_event(2)
+        assert out.is_complete
+
     def test_silent_target_keeps_a_stream_that_has_nowhere_to_go(self) -> None:
         """Guards against a run that is cut while no target has a place.
 
