Keep the allowance in sum through cuts and starts

Cause: while peers were not heard each side refilled its part only, and after the cut took out all that the other side had spent, so accounts were refused for seconds. A process that started cut off counted only the peers that it had heard, and so refilled the whole allowance. Change: a bucket keeps the level of all and, while some are silent, the part of those that are heard; seeds that were never heard count as silent. The settings tell by how much the sum may exceed an allowance; a restart and a partition use 0.4 of that each.

--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -6,13 +6,20 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.edge.config import Account
+from peridotbend.edge.settings import EdgeSettings
 
 # Generations leave this share of a bucket to plain requests, which cost next
 # to nothing and are never to be lost to the generations of their account.
 PLAIN_RESERVE = 0.05
-# A bucket starts nearly empty: all instances may start at once after an
-# outage, with an allowance that was spent just before.
-INITIAL_SHARE = 0.1
+# The settings tell by how much all instances together may exceed an allowance
+# within a window. A restart of all may use this part of it, since nobody
+# knows then what was spent just before.
+RESTART_PART = 0.4
+# A partition may use this part; what is left covers digests under way.
+PARTITION_PART = 0.4
+# Within this time of its start a process takes the lowest level that a peer
+# tells: some peers may have started with it and know as little.
+SYNC_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,31 +34,45 @@
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
+    # What is left for all instances, as far as their spending is known.
     level: float
     refilled_at_ms: int
+    # While some instances are not heard: what is left of the part of those
+    # that are. The others may be spending theirs.
+    part: float = 0.0
+    # The instances that are heard, as a share of all.
+    heard_share: float = 1.0
     # All that was spent here since the start of the process.
     spent: float = 0.0
-    # Whether the level was compared with a peer's since the start.
-    is_synced: bool = False
+    # When the level was first compared with a peer's; None before.
+    synced_at_ms: int | None = None
 
 
 class Allowances:
     """A token bucket for each account.
 
     What peers spend is taken out of the own buckets as their digests tell
-    it. An instance that does not hear some of the others uses only its part
-    of the allowance, since they spend from the same.
+    it. While some of the others are not heard, their part of the bucket and
+    of its refill is withheld, since they may be spending it; when they are
+    heard again, what they did spend is taken out instead.
     """
 
-    def __init__(self, clock: Clock, find_heard_share: Callable[[], float]):
+    def __init__(
+        self,
+        clock: Clock,
+        settings: EdgeSettings,
+        find_heard_share: Callable[[], float],
+    ):
         """Creates buckets.
 
         Args:
             clock: source of time.
+            settings: by how much the allowances may be exceeded in sum.
             find_heard_share: returns the instances heard of, the own one
                 included, as a share of all that may take callers.
         """
         self._clock = clock
+        self._settings = settings
         self._find_heard_share = find_heard_share
         self._accounts: dict[str, Account] = {}
         self._buckets: dict[str, _Bucket] = {}
@@ -82,10 +103,12 @@
         needed = tokens
         if is_generation:
             needed += PLAIN_RESERVE * account.burst_tokens
-        lacking = min(needed, account.burst_tokens) - bucket.level
+        needed = min(needed, account.burst_tokens)
+        lacking = needed - self._find_available(account, bucket)
         if lacking > 0:
             return math.ceil(lacking * 1_000 / account.tokens_per_s)
         bucket.level -= tokens
+        bucket.part -= tokens
         bucket.spent += tokens
         return None
 
@@ -95,6 +118,7 @@
         account = self._accounts.get(name)
         if bucket is not None and account is not None:
             bucket.level = min(account.burst_tokens, bucket.level + tokens)
+            bucket.part += tokens
             bucket.spent -= tokens
 
     def list_uses(self) -> dict[str, AllowanceUse]:
@@ -119,27 +143,63 @@
             if account is None or account.tokens_per_s <= 0:
                 continue
             bucket = self._refill(account)
-            if not bucket.is_synced:
-                # A process that has just started goes on from the level that
-                # the others have.
-                bucket.is_synced = True
-                bucket.level = max(bucket.level, use.level - bucket.spent)
             if is_known:
-                bucket.level -= use.spent - told.get(name, 0.0)
+                spent = use.spent - told.get(name, 0.0)
+                bucket.level -= spent
+                bucket.part -= spent
+            else:
+                self._sync(bucket, use)
             # Returned tokens may come back here, too.
             bucket.level = min(bucket.level, account.burst_tokens)
             told[name] = use.spent
 
+    def _sync(self, bucket: _Bucket, use: AllowanceUse) -> None:
+        """Takes over the level of a peer that is heard for the first time.
+
+        Only a process that has just started does so: it does not know what
+        the others spent before.
+        """
+        level = use.level - bucket.spent
+        now_ms = self._clock.now_ms()
+        if bucket.synced_at_ms is None:
+            bucket.synced_at_ms = now_ms
+            bucket.level = level
+        elif now_ms - bucket.synced_at_ms < SYNC_MS:
+            bucket.level = min(bucket.level, level)
+
+    def _find_available(self, account: Account, bucket: _Bucket) -> float:
+        """Returns what may be spent here."""
+        if bucket.heard_share >= 1:
+            return bucket.level
+        tolerance = PARTITION_PART * self._find_tolerance(account)
+        return min(bucket.level, bucket.part + bucket.heard_share * tolerance)
+
+    def _find_tolerance(self, account: Account) -> float:
+        """Returns by how much all may exceed the allowance in a window."""
+        settings = self._settings
+        refilled = account.tokens_per_s * settings.allowance_window_ms / 1_000
+        full = account.burst_tokens + refilled
+        return settings.allowance_overage * full + settings.allowance_slack
+
     def _refill(self, account: Account) -> _Bucket:
         now_ms = self._clock.now_ms()
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            level = account.burst_tokens * INITIAL_SHARE
+            level = min(
+                account.burst_tokens,
+                RESTART_PART * self._find_tolerance(account),
+            )
             bucket = self._buckets[account.name] = _Bucket(level, now_ms)
         elapsed_ms = now_ms - bucket.refilled_at_ms
-        if elapsed_ms > 0:
-            rate = account.tokens_per_s * self._find_heard_share()
-            gained = rate * elapsed_ms / 1_000
-            bucket.level = min(account.burst_tokens, bucket.level + gained)
-            bucket.refilled_at_ms = now_ms
+        gained = account.tokens_per_s * elapsed_ms / 1_000
+        bucket.level = min(account.burst_tokens, bucket.level + gained)
+        bucket.refilled_at_ms = now_ms
+        share = self._find_heard_share()
+        if share != bucket.heard_share:
+            whole = bucket.level if bucket.heard_share >= 1 else bucket.part
+            bucket.part = whole * share / bucket.heard_share
+            bucket.heard_share = share
+        bucket.part = min(
+            share * account.burst_tokens, bucket.part + share * gained
+        )
         return bucket
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -44,6 +44,7 @@
 @dataclasses.dataclass(slots=True)
 class _Peer:
     host: str
+    added_at_ms: int
     incarnation: int = 0
     sequence: int = -1
     heard_at_ms: int | None = None
@@ -66,7 +67,7 @@
     def add_candidate(self, host: str) -> None:
         """Adds a host to send digests to; that alone is no life sign."""
         if host != self._own_host and len(self._peers) < MAX_PEERS:
-            self._peers.setdefault(host, _Peer(host))
+            self._peers.setdefault(host, _Peer(host, self._clock.now_ms()))
 
     def accept(self, digest: Digest) -> bool:
         """Notes a digest; False if a newer one of its sender came first."""
@@ -98,8 +99,8 @@
                 self._log.emit(event, peer=host, incarnation=peer.incarnation)
                 if not live:
                     lose(host)
-            heard = peer.heard_at_ms
-            if heard is not None and now_ms - heard > FORGET_MS:
+            last_ms = peer.heard_at_ms or peer.added_at_ms
+            if now_ms - last_ms > FORGET_MS:
                 del self._peers[host]
 
     def choose_hosts(self) -> list[str]:
@@ -140,13 +141,13 @@
         return 1 + len(self._peers)
 
     def find_heard_share(self) -> float:
-        """Returns the live instances as a share of those that may be."""
+        """Returns the live instances as a share of those that may be.
+
+        Those that were never heard count, too: a process that starts cut off
+        from the others has seeds only.
+        """
         now_ms = self._clock.now_ms()
-        expected = [
-            peer
-            for peer in self._peers.values()
-            if peer.heard_at_ms is not None and not peer.is_draining
-        ]
+        expected = [p for p in self._peers.values() if not p.is_draining]
         live = sum(self._is_live(peer, now_ms) for peer in expected)
         return (1 + live) / (1 + len(expected))
 
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -29,3 +29,9 @@
     resend_share: float
     resend_slack: float
     resend_window_ms: int
+    # What all instances together may admit beyond the allowance of an account
+    # within the window, since each knows the spending of the others late: a
+    # share of the allowance plus a fixed number of tokens.
+    allowance_window_ms: int
+    allowance_overage: float
+    allowance_slack: float
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -80,7 +80,9 @@
         self._health = TargetHealth(self._clock)
         self._crashes = CrashList(self._clock)
         self._in_flight = InFlight(self._clock, self._health)
-        self._allowances = Allowances(self._clock, self._book.find_heard_share)
+        self._allowances = Allowances(
+            self._clock, settings, self._book.find_heard_share
+        )
         self._holder.subscribe(self._apply_config)
 
     def start_drain(self) -> None:
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -55,6 +55,11 @@
         resend_window_ms=round(
             bounds.get_number("retry_window_s", 10.0) * 1_000
         ),
+        allowance_window_ms=round(
+            bounds.get_number("quota_window_s", 8.0) * 1_000
+        ),
+        allowance_overage=bounds.get_number("quota_overage", 0.0),
+        allowance_slack=bounds.get_number("quota_slack", 0.0),
     )
 
 
