--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -73,6 +73,7 @@
         account = Account("acme", frozenset(("key-1",)), None, 100.0, 100.0, 1)
         config = dataclasses.replace(CONFIG, accounts=(account,))
         bench = EdgeBench(config=config)
+        assert bench.allowances.try_take("acme", 90.0) is None
         out = _serve(bench)
         assert out.verdict == NotRun(Reason.CLIENT_LIMIT, 900)
 
