--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -15,6 +15,9 @@
 # within a window. A restart of all may use this part of it, since nobody
 # knows then what was spent just before.
 RESTART_PART = 0.4
+# Where nothing may be exceeded a process starts with this share of the burst:
+# an empty bucket would refuse all of its first requests.
+MIN_START_SHARE = 0.1
 # A partition may use this part; what is left covers digests under way.
 PARTITION_PART = 0.4
 # Within this time of its start a process takes the lowest level that a peer
@@ -187,7 +190,10 @@
         if bucket is None:
             level = min(
                 account.burst_tokens,
-                RESTART_PART * self._find_tolerance(account),
+                max(
+                    RESTART_PART * self._find_tolerance(account),
+                    MIN_START_SHARE * account.burst_tokens,
+                ),
             )
             bucket = self._buckets[account.name] = _Bucket(level, now_ms)
         elapsed_ms = now_ms - bucket.refilled_at_ms
--- /dev/null
+++ b/tests/edgefleet.py
@@ -0,0 +1,157 @@
+"""Edge daemons as real processes, beside a stand-in store and target."""
+
+import json
+import pathlib
+import tempfile
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import httpcore
+import yaml
+
+from peridotbend.adapters.serving import HttpServer, listen
+from peridotbend.platform import wire
+from peridotbend_emulator.launch import Child, Launcher
+from tests.edgestandins import StandInStore, StandInTarget
+from tests.test_edge_platform import DOCUMENT, ENTRY, SETTINGS_FILE
+
+MODULE = "peridotbend.edgedaemon"
+# Generous: the machine may be busy with other tests.
+WAIT_S = 30.0
+HOSTS = ("127.0.0.21", "127.0.0.22")
+CONFIG = {
+    **DOCUMENT,
+    "routes": [
+        {**DOCUMENT["routes"][0], "split": None, "service": "engine"},
+        {
+            "name": "r-3",
+            "host": "shop.example",
+            "path_prefix": "/orders/",
+            "route_kind": "non_idempotent",
+            "timeout_ms": 5000,
+            "service": "engine",
+        },
+    ],
+}
+
+
+class EdgeFleet:
+    """Stand-ins and daemons of one test."""
+
+    def __init__(self, folder: str, launcher: Launcher):
+        self._folder = pathlib.Path(folder)
+        self._launcher = launcher
+        self.store = StandInStore()
+        self.target = StandInTarget("i-1")
+        self.ports: dict[str, int] = {}
+        self.client = httpcore.AsyncConnectionPool()
+
+    def write_settings(self, host: str, **changes: object) -> pathlib.Path:
+        """Writes the settings file of an instance."""
+        document = {
+            **SETTINGS_FILE,
+            "node_name": f"edge-{host}",
+            "ip": host,
+            "listen": {
+                "frontend": f"{host}:{self.ports['callers']}",
+                "ready": f"{host}:{self.ports['health']}",
+                "control_plane": f"{host}:{self.ports['peers']}",
+            },
+            "internal_ports": [
+                self.ports["digests"],
+                self.ports["digests"] + 1,
+            ],
+            "seeds": [f"{HOSTS[0]}:{self.ports['peers']}"],
+            "platform": {"address": f"127.0.0.1:{self.ports['store']}"},
+            **changes,
+        }
+        path = self._folder / f"{host}.yaml"
+        path.write_text(yaml.safe_dump(document))
+        return path
+
+    def spawn(self, host: str, **changes: object) -> Child:
+        """Starts a daemon."""
+        path = self.write_settings(host, **changes)
+        return self._launcher.spawn(MODULE, "--settings", str(path))
+
+    async def wait_ready(self, host: str) -> None:
+        """Waits until an instance takes callers."""
+        url = f"http://{host}:{self.ports['health']}{wire.READY_PATH}"
+        with anyio.fail_after(WAIT_S):
+            while True:
+                try:
+                    response = await self.client.request("GET", url)
+                    if response.status == 200:
+                        return
+                except httpcore.ConnectError:
+                    pass
+                await anyio.sleep(0.02)
+
+    async def call(
+        self, host: str, path: str, attempt: str, key: str = "key-1"
+    ) -> httpcore.Response:
+        """Sends a request of a caller."""
+        return await self.client.request(
+            "POST",
+            f"http://{host}:{self.ports['callers']}{path}",
+            headers={
+                "Host": "shop.example",
+                "Authorization": f"Token {key}",
+                wire.ATTEMPT_ID: attempt,
+                wire.DEADLINE_MS: "10000",
+            },
+            content=b"body",
+        )
+
+
+@asynccontextmanager
+async def serve_fleet(fleet: EdgeFleet) -> AsyncIterator[None]:
+    """Runs the stand-ins of a fleet."""
+    apps = {"store": fleet.store, "target": fleet.target}
+    sockets = {name: listen("127.0.0.1", 0) for name in apps}
+    for name, socket in sockets.items():
+        fleet.ports[name] = socket.getsockname()[1]
+    # The instances share their ports and differ by host, so free ports are
+    # found on one host and used on all.
+    for name in ("callers", "health", "peers", "digests"):
+        with listen(HOSTS[0], 0) as found:
+            fleet.ports[name] = found.getsockname()[1]
+    address = f"127.0.0.1:{fleet.ports['target']}"
+    fleet.store.put("op/config", CONFIG)
+    fleet.store.put("servers/i-1", {**ENTRY, "address": address})
+    fleet.store.put("servers/foreign", {"service": 7})
+    async with anyio.create_task_group() as tasks:
+        for name, app in apps.items():
+            tasks.start_soon(HttpServer(app, sockets[name]).run)
+        try:
+            yield
+        finally:
+            await fleet.client.aclose()
+            tasks.cancel_scope.cancel()
+
+
+def run_fleet(check: Callable[[EdgeFleet], Awaitable[None]]) -> None:
+    """Runs a check beside stand-ins and daemons, and ends them."""
+
+    async def run() -> None:
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            Launcher() as launcher,
+        ):
+            fleet = EdgeFleet(folder, launcher)
+            async with serve_fleet(fleet):
+                await check(fleet)
+
+    anyio.run(run)
+
+
+async def wait_for_event(child: Child, event: str) -> None:
+    """Waits until a daemon logs an event."""
+    with anyio.fail_after(WAIT_S):
+        while True:
+            for line in child.output.splitlines():
+                if f'"{event}"' in line:
+                    assert json.loads(line)["event"] == event
+                    return
+            await anyio.sleep(0.02)
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -8,157 +8,36 @@
 import sys
 import tempfile
 import unittest
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
 
 import anyio
 import httpcore
 import yaml
 from click.testing import CliRunner
 
-from peridotbend.adapters.serving import HttpServer, listen
+from peridotbend.adapters.serving import listen
 from peridotbend.edgedaemon import DEFAULT_METRICS_PORT, main
 from peridotbend.edgenode import EdgeNode
 from peridotbend.platform import wire
-from peridotbend_emulator.launch import Child, Launcher
 from tests.edgefakes import SETTINGS, RecordingLog
-from tests.edgestandins import StandInStore, StandInTarget
-from tests.test_edge_platform import DOCUMENT, ENTRY, SETTINGS_FILE
-
-MODULE = "peridotbend.edgedaemon"
-METRICS_PORT = DEFAULT_METRICS_PORT
-# Generous: the machine may be busy with other tests.
-WAIT_S = 30.0
-HOSTS = ("127.0.0.21", "127.0.0.22")
-CONFIG = {
-    **DOCUMENT,
-    "routes": [
-        {**DOCUMENT["routes"][0], "split": None, "service": "engine"},
-        {
-            "name": "r-3",
-            "host": "shop.example",
-            "path_prefix": "/orders/",
-            "route_kind": "non_idempotent",
-            "timeout_ms": 5000,
-            "service": "engine",
-        },
-    ],
-}
-
-
-class _Fleet:
-    """Stand-ins and daemons of one test."""
-
-    def __init__(self, folder: str, launcher: Launcher):
-        self._folder = pathlib.Path(folder)
-        self._launcher = launcher
-        self.store = StandInStore()
-        self.target = StandInTarget("i-1")
-        self.ports: dict[str, int] = {}
-        self.client = httpcore.AsyncConnectionPool()
-
-    def write_settings(self, host: str, **changes: object) -> pathlib.Path:
-        """Writes the settings file of an instance."""
-        document = {
-            **SETTINGS_FILE,
-            "node_name": f"edge-{host}",
-            "ip": host,
-            "listen": {
-                "frontend": f"{host}:{self.ports['callers']}",
-                "ready": f"{host}:{self.ports['health']}",
-                "control_plane": f"{host}:{self.ports['peers']}",
-            },
-            "internal_ports": [
-                self.ports["digests"],
-                self.ports["digests"] + 1,
-            ],
-            "seeds": [f"{HOSTS[0]}:{self.ports['peers']}"],
-            "platform": {"address": f"127.0.0.1:{self.ports['store']}"},
-            **changes,
-        }
-        path = self._folder / f"{host}.yaml"
-        path.write_text(yaml.safe_dump(document))
-        return path
-
-    def spawn(self, host: str, **changes: object) -> Child:
-        """Starts a daemon."""
-        path = self.write_settings(host, **changes)
-        return self._launcher.spawn(MODULE, "--settings", str(path))
-
-    async def wait_ready(self, host: str) -> None:
-        """Waits until an instance takes callers."""
-        url = f"http://{host}:{self.ports['health']}{wire.READY_PATH}"
-        with anyio.fail_after(WAIT_S):
-            while True:
-                try:
-                    response = await self.client.request("GET", url)
-                    if response.status == 200:
-                        return
-                except httpcore.ConnectError:
-                    pass
-                await anyio.sleep(0.02)
-
-    async def call(
-        self, host: str, path: str, attempt: str, key: str = "key-1"
-    ) -> httpcore.Response:
-        """Sends a request of a caller."""
-        return await self.client.request(
-            "POST",
-            f"http://{host}:{self.ports['callers']}{path}",
-            headers={
-                "Host": "shop.example",
-                "Authorization": f"Token {key}",
-                wire.ATTEMPT_ID: attempt,
-                wire.DEADLINE_MS: "10000",
-            },
-            content=b"body",
-        )
-
-
-@asynccontextmanager
-async def _serve(fleet: _Fleet) -> AsyncIterator[None]:
-    apps = {"store": fleet.store, "target": fleet.target}
-    sockets = {name: listen("127.0.0.1", 0) for name in apps}
-    for name, socket in sockets.items():
-        fleet.ports[name] = socket.getsockname()[1]
-    # The instances share their ports and differ by host, so free ports are
-    # found on one host and used on all.
-    for name in ("callers", "health", "peers", "digests"):
-        with listen(HOSTS[0], 0) as found:
-            fleet.ports[name] = found.getsockname()[1]
-    address = f"127.0.0.1:{fleet.ports['target']}"
-    fleet.store.put("op/config", CONFIG)
-    fleet.store.put("servers/i-1", {**ENTRY, "address": address})
-    fleet.store.put("servers/foreign", {"service": 7})
-    async with anyio.create_task_group() as tasks:
-        for name, app in apps.items():
-            tasks.start_soon(HttpServer(app, sockets[name]).run)
-        try:
-            yield
-        finally:
-            await fleet.client.aclose()
-            tasks.cancel_scope.cancel()
+from tests.edgefleet import (
+    CONFIG,
+    HOSTS,
+    MODULE,
+    WAIT_S,
+    EdgeFleet,
+    run_fleet,
+    wait_for_event,
+)
+from tests.test_edge_platform import SETTINGS_FILE
 
 
 class EdgeProcessTest(unittest.TestCase):
     """Real daemons, the store, a target and callers."""
 
-    def _run(self, check: Callable[[_Fleet], Awaitable[None]]) -> None:
-        async def run() -> None:
-            with (
-                tempfile.TemporaryDirectory() as folder,
-                Launcher() as launcher,
-            ):
-                fleet = _Fleet(folder, launcher)
-                async with _serve(fleet):
-                    await check(fleet)
-
-        anyio.run(run)
-
     def test_requests_are_served_and_refused(self) -> None:
         """Guards against a path that does not hold from end to end."""
 
-        async def check(fleet: _Fleet) -> None:
+        async def check(fleet: EdgeFleet) -> None:
             fleet.spawn(HOSTS[0])
             await fleet.wait_ready(HOSTS[0])
             answer = await fleet.call(HOSTS[0], "/quotes/1", "a1")
@@ -171,7 +50,7 @@
             answer = await fleet.call(HOSTS[0], "/orders/1", "a4", "stolen")
             assert answer.status == 401
             assert fleet.target.started == ["a1", "a2"]
-            url = f"http://{HOSTS[0]}:{METRICS_PORT}/metrics"
+            url = f"http://{HOSTS[0]}:{DEFAULT_METRICS_PORT}/metrics"
             page = (await fleet.client.request("GET", url)).content.decode()
             for line in (
                 'peridotbend_edge_requests_total{kind="stream",'
@@ -183,7 +62,7 @@
             ):
                 assert line in page, page
 
-        self._run(check)
+        run_fleet(check)
 
     def test_instance_without_the_store_learns_from_a_peer(self) -> None:
         """Guards against an instance that a cut from the store stops.
@@ -191,7 +70,7 @@
         It also follows changes that are made while it is cut off.
         """
 
-        async def check(fleet: _Fleet) -> None:
+        async def check(fleet: EdgeFleet) -> None:
             fleet.spawn(HOSTS[0])
             await fleet.wait_ready(HOSTS[0])
             fleet.spawn(HOSTS[1], platform={"address": "127.0.0.1:9"})
@@ -209,12 +88,12 @@
             answer = await fleet.call(HOSTS[1], "/moved/1", "a3")
             assert answer.status == 200
 
-        self._run(check)
+        run_fleet(check)
 
     def test_shutdown_cuts_no_request(self) -> None:
         """Guards against answers cut by a planned stop, and a late exit."""
 
-        async def check(fleet: _Fleet) -> None:
+        async def check(fleet: EdgeFleet) -> None:
             fleet.target.pause_s = 0.5
             fleet.target.events = 8
             child = fleet.spawn(HOSTS[0])
@@ -248,12 +127,12 @@
             code = await anyio.to_thread.run_sync(child.wait, WAIT_S)
             assert code == 0
 
-        self._run(check)
+        run_fleet(check)
 
     def test_run_ends_when_its_caller_leaves(self) -> None:
         """Guards against targets that work for nobody."""
 
-        async def check(fleet: _Fleet) -> None:
+        async def check(fleet: EdgeFleet) -> None:
             fleet.target.pause_s = 0.05
             fleet.target.events = 10_000
             fleet.spawn(HOSTS[0])
@@ -264,12 +143,12 @@
                 while not fleet.target.ended["left"]:
                     await anyio.sleep(0.01)
 
-        self._run(check)
+        run_fleet(check)
 
     def test_limits_of_the_configuration_hold_for_callers(self) -> None:
         """Guards against idle and slow callers that keep connections."""
 
-        async def check(fleet: _Fleet) -> None:
+        async def check(fleet: EdgeFleet) -> None:
             limits = {**CONFIG["limits"], "idle_timeout_ms": 900}
             limits["max_body_bytes"] = 3
             fleet.store.put(
@@ -291,16 +170,16 @@
                     with self.assertRaises(anyio.EndOfStream):
                         await stream.receive()
 
-        self._run(check)
+        run_fleet(check)
 
     def test_state_is_dumped_on_request(self) -> None:
         """Guards against on-call engineers who see no state."""
 
-        async def check(fleet: _Fleet) -> None:
+        async def check(fleet: EdgeFleet) -> None:
             child = fleet.spawn(HOSTS[0])
             await fleet.wait_ready(HOSTS[0])
             os.kill(child.pid, signal.SIGUSR1)
-            await _wait_for_event(child, "state-dumped")
+            await wait_for_event(child, "state-dumped")
             line = next(
                 json.loads(line)
                 for line in child.output.splitlines()
@@ -309,34 +188,24 @@
             assert line["state"]["config"] == 7
             assert line["state"]["targets"]["i-1"]["in_flight"] == 0
 
-        self._run(check)
+        run_fleet(check)
 
     def test_reload_takes_new_seeds_and_logs_the_outcome(self) -> None:
         """Guards against a reload that stops the process or goes unseen."""
 
-        async def check(fleet: _Fleet) -> None:
+        async def check(fleet: EdgeFleet) -> None:
             child = fleet.spawn(HOSTS[0])
             await fleet.wait_ready(HOSTS[0])
             fleet.write_settings(HOSTS[0], seeds="nowhere")
             os.kill(child.pid, signal.SIGHUP)
-            await _wait_for_event(child, "settings-refused")
+            await wait_for_event(child, "settings-refused")
             # A changed file counts without a signal.
             fleet.write_settings(HOSTS[0], seeds=[f"{HOSTS[1]}:1"])
-            await _wait_for_event(child, "settings-reloaded")
+            await wait_for_event(child, "settings-reloaded")
             answer = await fleet.call(HOSTS[0], "/orders/1", "a1")
             assert answer.status == 200
 
-        self._run(check)
-
-
-async def _wait_for_event(child: Child, event: str) -> None:
-    with anyio.fail_after(WAIT_S):
-        while True:
-            for line in child.output.splitlines():
-                if f'"{event}"' in line:
-                    assert json.loads(line)["event"] == event
-                    return
-            await anyio.sleep(0.02)
+        run_fleet(check)
 
 
 class EdgeCommandTest(unittest.TestCase):
