--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -27,7 +27,13 @@
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.inflight import InFlight
 from peridotbend.edge.occupancy import Occupancy
-from peridotbend.edge.ports import EdgeCall, Rejection, Reply, TargetSend
+from peridotbend.edge.ports import (
+    EdgeCall,
+    EdgeTargetClient,
+    Rejection,
+    Reply,
+    TargetSend,
+)
 from peridotbend.edge.relay import Relay, RelayParts
 from peridotbend.edge.selection import Selector
 from peridotbend.edge.sendbudget import SendBudget
@@ -222,6 +228,9 @@
         # Sends whose gate opened, so that bytes may have left.
         self.written: list[TargetSend] = []
         self.before_gate: Callable[[], None] = lambda: None
+        # Sends whose connection is open, and the most there were at once.
+        self.open_now = 0
+        self.most_open = 0
 
     @contextlib.asynccontextmanager
     async def open(
@@ -229,6 +238,18 @@
     ) -> AsyncIterator[Reply]:
         """Answers with the next script."""
         self.sends.append(send)
+        self.open_now += 1
+        self.most_open = max(self.most_open, self.open_now)
+        try:
+            async with self._answer(send, gate) as reply:
+                yield reply
+        finally:
+            self.open_now -= 1
+
+    @contextlib.asynccontextmanager
+    async def _answer(
+        self, send: TargetSend, gate: Callable[[], bool]
+    ) -> AsyncIterator[Reply]:
         script = self._scripts.pop(0)
         if script.unsent:
             yield CallError(CallFailure.CONNECT, False, "refused")
@@ -248,9 +269,13 @@
     """A relay with scripted targets."""
 
     def __init__(
-        self, *scripts: Script, config: EdgeConfig | None = CONFIG
+        self,
+        *scripts: Script,
+        config: EdgeConfig | None = CONFIG,
+        clock: ManualClock | None = None,
+        client: EdgeTargetClient | None = None,
     ) -> None:
-        self.clock = ManualClock()
+        self.clock = clock or ManualClock()
         self.log = RecordingLog()
         self.meter = RecordingMeter()
         self.client = ScriptedTargets(*scripts)
@@ -288,7 +313,7 @@
                 in_flight=self.in_flight,
                 allowances=self.allowances,
                 budget=SendBudget(self.clock, SETTINGS),
-                client=self.client,
+                client=client or self.client,
                 log=self.log,
                 meter=self.meter,
                 rng=random.Random(1),
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -525,6 +525,57 @@
             assert reply.written
 
 
+class EarlyAnswerTest(unittest.TestCase):
+    """Targets that answer before they have read a long body."""
+
+    def test_rest_of_a_body_is_followed_by_no_other_bytes(self) -> None:
+        """Guards against a next request in the place of the rest of a body."""
+        body = b"a" * 2_000_000
+        seen: list[bytes] = []
+        statuses: list[Reply] = []
+
+        async def serve(stream: SocketStream) -> None:
+            data = bytearray()
+            async with stream:
+                with contextlib.suppress(
+                    anyio.EndOfStream, anyio.BrokenResourceError
+                ):
+                    while True:
+                        while b"\r\n\r\n" not in data:
+                            data += await stream.receive()
+                        head, _, rest = bytes(data).partition(b"\r\n\r\n")
+                        seen.append(head)
+                        rejected = "X-Not-Executed: 1"
+                        await stream.send(
+                            _make_answer("503 Busy", b"", rejected)
+                        )
+                        while len(rest) < len(body):
+                            rest += await stream.receive()
+                        seen.append(rest[: len(body)])
+                        data = bytearray(rest[len(body) :])
+
+        async def run() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(SocketAttribute.local_port)
+            client = HttpTargetClient()
+            target = dataclasses.replace(TARGET, port=port)
+            call = dataclasses.replace(CALL, body=body)
+            send = TargetSend(call, target, "acme", 5_000, "", True)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                for _ in range(3):
+                    runner = RunnerClient(client)
+                    async with runner.open(send, lambda: True) as reply:
+                        statuses.append(reply)
+                await client.aclose()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+        assert statuses == [Rejection.UNAVAILABLE] * 3
+        for part in seen:
+            assert part.startswith(b"POST ") or part == body, part[:80]
+
+
 class BoundaryTest(unittest.TestCase):
     """The platform's names stay in the adapter."""
 
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -253,6 +253,14 @@
         assert out.body == make_event(1) + make_event(2)
         assert out.is_complete
 
+    def test_first_run_has_ended_before_the_next_begins(self) -> None:
+        """Guards against two targets that work on one request at a time."""
+        broken = Script(chunks=(make_event(1),), breaks=True)
+        bench = EdgeBench(broken, Script(chunks=(make_event(2),)))
+        assert _serve(bench).is_complete
+        assert len(bench.client.written) == 2
+        assert bench.client.most_open == 1
+
     def test_stream_that_stalls_by_itself_moves(self) -> None:
         """Guards against a stream that hangs while others of its target go on.
 
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,383 @@
+"""Switches off one mechanism of the edge at a time and runs its tests.
+
+A mechanism whose tests pass without it is not guarded. Run
+`python tools/mutants.py` from the repository's root, or name some mutants.
+"""
+
+import concurrent.futures
+import contextlib
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import threading
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EDGE = "src/peridotbend/edge/"
+# A mutant may hang a test.
+TIMEOUT_S = 400
+PARALLEL = 3
+# Tests of real processes share their addresses and run one at a time.
+PROCESS_TESTS = ("test_edge_processes", "test_edge_failures")
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutant:
+    """A mechanism switched off by a change of the text of one module."""
+
+    name: str
+    # The rule of the users' pages that the mechanism keeps.
+    rule: str
+    path: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+MUTANTS = (
+    Mutant(
+        "error-passed-as-success",
+        "MIXED",
+        EDGE + "relay.py",
+        "failed = answer.head.status >= ERROR_STATUS",
+        "failed = False",
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "answer-of-another-attempt",
+        "MIXED",
+        "src/peridotbend/platform/runners.py",
+        "if told and told != attempt:",
+        "if False:",
+        ("test_edge_platform",),
+    ),
+    Mutant(
+        "reset-taken-for-the-end",
+        "MIXED",
+        "src/peridotbend/adapters/sockets.py",
+        "SO_ERROR",
+        "SO_TYPE",
+        ("test_sockets",),
+    ),
+    Mutant(
+        "partial-event-kept",
+        "ORDER",
+        EDGE + "events.py",
+        'self._partial = b""\n\n    def _note',
+        "pass\n\n    def _note",
+        ("test_edge_peers", "test_edge_relay"),
+    ),
+    Mutant(
+        "resume-from-the-start",
+        "ORDER",
+        EDGE + "relay.py",
+        "            run.events.last_event_id,\n            reuse",
+        '            "",\n            reuse',
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "stream-that-cannot-resume-repeated",
+        "ORDER",
+        EDGE + "config.py",
+        "return self.can_resume",
+        "return True",
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "system-headers-passed-on",
+        "UNASKED",
+        "src/peridotbend/platform/ingress.py",
+        "| wire.SYSTEM_HEADERS",
+        "| frozenset()",
+        ("test_edge_platform",),
+    ),
+    Mutant(
+        "order-sent-again",
+        "TWICE",
+        EDGE + "relay.py",
+        "if run.may_have_run and not run.route.may_repeat:",
+        "if False:",
+        ("test_edge_relay", "test_edge_oracle"),
+    ),
+    Mutant(
+        "dispatch-not-marked",
+        "REFUSED",
+        EDGE + "relay.py",
+        "            run.may_have_run = True\n            run.sends += 1",
+        "            run.sends += 1",
+        ("test_edge_relay", "test_edge_oracle"),
+    ),
+    Mutant(
+        "rejection-forgets-earlier-runs",
+        "REFUSED",
+        EDGE + "relay.py",
+        "run.may_have_run = earlier",
+        "run.may_have_run = False",
+        ("test_edge_oracle", "test_edge_relay"),
+    ),
+    Mutant(
+        "not-found-before-the-configuration",
+        "DENIED",
+        EDGE + "relay.py",
+        "return NotRun(Reason.NO_TEXT, NO_CONFIG_RETRY_MS)",
+        "return NotRun(Reason.UNKNOWN_KIND)",
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "attempts-unbounded",
+        "BUDGET",
+        EDGE + "relay.py",
+        "if run.sends >= run.route.max_attempts:",
+        "if run.sends >= 100:",
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "whole-time-limit-given-on",
+        "BUDGET",
+        EDGE + "relay.py",
+        "            run.end_at_ms - self._clock.now_ms(),\n"
+        "            run.events",
+        "            run.route.timeout_ms,\n            run.events",
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "resends-not-shared",
+        "BUDGET",
+        EDGE + "sendbudget.py",
+        "settings.resend_slack / max(1, instances)",
+        "settings.resend_slack",
+        ("test_edge_decisions", "test_edge_shares"),
+    ),
+    Mutant(
+        "seeds-not-counted",
+        "BUDGET",
+        EDGE + "peers.py",
+        "return 1 + len(self._peers)",
+        "return 1 + len(self.list_live_hosts())",
+        ("test_edge_peers", "test_edge_shares"),
+    ),
+    Mutant(
+        "crashes-of-peers-ignored",
+        "BUDGET",
+        EDGE + "crashes.py",
+        "told.get(fingerprint, 0) for told",
+        "0 for told",
+        ("test_edge_decisions", "test_edge_shares"),
+    ),
+    Mutant(
+        "caller-not-watched",
+        "GONE",
+        "src/peridotbend/platform/ingress.py",
+        "            group.cancel_scope.cancel()\n\n        try",
+        "            return\n\n        try",
+        ("test_edge_processes",),
+    ),
+    Mutant(
+        "stop-without-waiting",
+        "LOST",
+        "src/peridotbend/edgenode.py",
+        "await self._server.stop()",
+        "pass",
+        ("test_edge_processes",),
+    ),
+    Mutant(
+        "silent-run-cut-without-a-place",
+        "LOST",
+        EDGE + "relay.py",
+        "and self._parts.backlog.has_place(self._make_wish(run, target))",
+        "",
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "route-timeout-ignored",
+        "CONFIG",
+        EDGE + "relay.py",
+        "limit_ms = min(limit_ms, call.deadline_ms)",
+        "limit_ms = call.deadline_ms",
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "older-configuration-taken",
+        "CONFIG",
+        EDGE + "configholder.py",
+        "config.version <= self.config.version",
+        "config.version == self.config.version",
+        ("test_edge_peers", "test_edge_oracle"),
+    ),
+    Mutant(
+        "older-item-taken",
+        "CONFIG",
+        EDGE + "published.py",
+        "known.revision >= item.revision",
+        "known.revision == item.revision",
+        ("test_edge_peers",),
+    ),
+    Mutant(
+        "peers-not-asked",
+        "CONFIG",
+        EDGE + "feeds.py",
+        "        return self._ahead_peer\n",
+        '        return ""\n',
+        ("test_edge_peers", "test_edge_processes"),
+    ),
+    Mutant(
+        "target-not-named",
+        "ROUTE",
+        "src/peridotbend/platform/runners.py",
+        "(wire.EXPECT_INSTANCE, ",
+        '("x-unused", ',
+        ("test_edge_platform",),
+    ),
+    Mutant(
+        "unknown-key-served",
+        "ROUTE",
+        EDGE + "relay.py",
+        "            if account is None:\n"
+        "                return NotRun(Reason.UNKNOWN_KEY)",
+        "",
+        ("test_edge_relay",),
+    ),
+    Mutant(
+        "gate-left-open",
+        "DRAIN",
+        EDGE + "relay.py",
+        "if not self._parts.targets.is_current(target):",
+        "if False:",
+        ("test_edge_relay", "test_edge_oracle"),
+    ),
+    Mutant(
+        "leaving-target-listed",
+        "DRAIN",
+        EDGE + "targets.py",
+        "if target.service == service and not target.is_leaving",
+        "if target.service == service",
+        ("test_edge_decisions",),
+    ),
+    Mutant(
+        "ready-while-draining",
+        "DRAIN",
+        "src/peridotbend/edgenode.py",
+        "return has_config and knows_all and not self._drain.is_set()",
+        "return has_config and knows_all",
+        ("test_edge_processes",),
+    ),
+    Mutant(
+        "peers-spending-ignored",
+        "QUOTA",
+        EDGE + "allowances.py",
+        "                bucket.level -= spent\n",
+        "",
+        ("test_edge_decisions", "test_edge_shares"),
+    ),
+    Mutant(
+        "whole-allowance-in-a-partition",
+        "QUOTA",
+        EDGE + "allowances.py",
+        "if bucket.heard_share >= 1:",
+        "if True:",
+        ("test_edge_decisions", "test_edge_shares"),
+    ),
+    Mutant(
+        "full-bucket-at-each-start",
+        "QUOTA",
+        EDGE + "allowances.py",
+        "            bucket.level = level\n        elif",
+        "            pass\n        elif",
+        ("test_edge_decisions", "test_edge_shares"),
+    ),
+    Mutant(
+        "ready-without-the-lists",
+        "RECOVER",
+        "src/peridotbend/edgenode.py",
+        "return has_config and knows_all and not self._drain.is_set()",
+        "return not self._drain.is_set()",
+        ("test_edge_failures",),
+    ),
+    Mutant(
+        "rank-ignored",
+        "Starved",
+        EDGE + "backlog.py",
+        "return self.wish.rank, self.sequence",
+        "return (0, 0), self.sequence",
+        ("test_edge_decisions",),
+    ),
+)
+
+
+_process_tests = threading.Lock()
+
+
+def _run_tests(copy: pathlib.Path, tests: tuple[str, ...]) -> str | None:
+    """Returns the names of the tests that fail in a copy, or None."""
+    alone = any(name in PROCESS_TESTS for name in tests)
+    with _process_tests if alone else contextlib.nullcontext():
+        done = subprocess.run(
+            [sys.executable, "-m", "nose2", "-s", "tests", *tests],
+            cwd=copy,
+            env={**os.environ, "PYTHONPATH": str(copy / "src")},
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+    if done.returncode == 0:
+        return None
+    failed = {
+        line.partition("(")[2].partition(")")[0].partition(".")[2]
+        for line in done.stderr.splitlines()
+        if line.startswith(("FAIL:", "ERROR:"))
+    }
+    return ", ".join(sorted(failed)) or "an import error"
+
+
+def _copy_tree(folder: str) -> pathlib.Path:
+    copy = pathlib.Path(folder) / "copy"
+    shutil.copytree(
+        ROOT,
+        copy,
+        ignore=shutil.ignore_patterns("__pycache__", ".git", "journal"),
+    )
+    return copy
+
+
+def judge(mutant: Mutant) -> str:
+    """Returns what became of a mutant: killed, alive or not applicable."""
+    text = (ROOT / mutant.path).read_text(encoding="utf-8")
+    if mutant.old not in text:
+        return "text not found"
+    with tempfile.TemporaryDirectory() as folder:
+        copy = _copy_tree(folder)
+        changed = text.replace(mutant.old, mutant.new)
+        (copy / mutant.path).write_text(changed, encoding="utf-8")
+        try:
+            failed = _run_tests(copy, mutant.tests)
+        except subprocess.TimeoutExpired:
+            return "killed by a hang"
+    return f"killed by {failed}" if failed else "ALIVE"
+
+
+def check_baseline(tests: set[str]) -> str | None:
+    """Returns the tests that fail without any change."""
+    with tempfile.TemporaryDirectory() as folder:
+        return _run_tests(_copy_tree(folder), tuple(sorted(tests)))
+
+
+def main() -> None:
+    """Judges the named mutants, or all."""
+    named = set(sys.argv[1:])
+    chosen = [m for m in MUTANTS if not named or m.name in named]
+    failed = check_baseline({test for m in chosen for test in m.tests})
+    if failed:
+        sys.exit(f"these fail without any change: {failed}")
+    alive = 0
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
+        for mutant, result in zip(chosen, pool.map(judge, chosen), strict=True):
+            print(f"{mutant.rule:8} {mutant.name}: {result}", flush=True)
+            alive += not result.startswith("killed by")
+    sys.exit(1 if alive else 0)
+
+
+if __name__ == "__main__":
+    main()
