Model an attempt, the configuration and an allowance of the edge

Delay of digests and the cap of the bucket are not part of the model; tests/test_edge_shares.py has them.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STEPS ?= 3000
 SEEDS ?= 3
 
-.PHONY: setup demo test lint format fuzz model measure cost capacity
+.PHONY: setup demo test lint format fuzz model mutants measure cost capacity
 
 setup: $(VENV)/.installed
 
@@ -32,6 +32,11 @@
 
 model: setup
 	$(BIN)/python -m model.identity
+	$(BIN)/python -m model.edge
+
+# Takes some minutes; `make mutants NAMES=order-sent-again` judges one.
+mutants: setup
+	$(BIN)/python tools/mutants.py $(NAMES)
 
 fuzz: setup
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
