--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -89,7 +89,12 @@
                 await anyio.sleep(0.02)
 
     async def call(
-        self, host: str, path: str, attempt: str, key: str = "key-1"
+        self,
+        host: str,
+        path: str,
+        attempt: str,
+        key: str = "key-1",
+        deadline_ms: int = 10_000,
     ) -> httpcore.Response:
         """Sends a request of a caller."""
         return await self.client.request(
@@ -99,7 +104,7 @@
                 "Host": "shop.example",
                 "Authorization": f"Token {key}",
                 wire.ATTEMPT_ID: attempt,
-                wire.DEADLINE_MS: "10000",
+                wire.DEADLINE_MS: str(deadline_ms),
             },
             content=b"body",
         )
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -145,6 +145,30 @@
 
         run_fleet(check)
 
+    def test_silent_run_ends_when_its_caller_leaves(self) -> None:
+        """Guards against a caller that is missed only at the next bytes."""
+
+        async def check(fleet: EdgeFleet) -> None:
+            # Far later than the test waits.
+            end_ms = round(10_000 * WAIT_S)
+            fleet.target.pause_s = end_ms / 1_000
+            routes = [{**r, "timeout_ms": end_ms} for r in CONFIG["routes"]]
+            fleet.store.put("op/config", {**CONFIG, "routes": routes})
+            fleet.spawn(HOSTS[0])
+            await fleet.wait_ready(HOSTS[0])
+            for path, attempt in (("/orders/1", "a1"), ("/quotes/1", "a2")):
+                before = fleet.target.ended["left"]
+                with anyio.move_on_after(0.5):
+                    await fleet.call(
+                        HOSTS[0], path, attempt, deadline_ms=end_ms
+                    )
+                assert fleet.target.started[-1] == attempt
+                with anyio.fail_after(WAIT_S):
+                    while fleet.target.ended["left"] == before:
+                        await anyio.sleep(0.01)
+
+        run_fleet(check)
+
     def test_limits_of_the_configuration_hold_for_callers(self) -> None:
         """Guards against idle and slow callers that keep connections."""
 
