--- a/src/peridotbend/cli.py
+++ b/src/peridotbend/cli.py
@@ -1,14 +1,15 @@
 """Command line for operators."""
 
+import itertools
 import json
 import sys
-from typing import BinaryIO, NoReturn
+from typing import BinaryIO, NoReturn, TextIO
 
 import click
 from result import Err, Result
 
 from peridotbend import __version__
-from peridotbend.adapters import operatorclient, tables
+from peridotbend.adapters import explanations, operatorclient, tables
 from peridotbend.adapters.yamltext import parse_text
 
 EXIT_PROBLEMS = 1
@@ -20,7 +21,8 @@
 \b
 Exit codes:
   0  done; the text is good
-  1  the text has problems, or the daemon refused the call
+  1  the text has problems, the daemon refused the call, or no line of the
+     logs names the request
   2  wrong usage, or a file that cannot be read
   3  the daemon cannot be reached
 """
@@ -98,9 +100,27 @@
 
 @main.command(epilog=EXIT_HELP)
 @click.argument("request_id", metavar="ID")
+@click.option(
+    "--log",
+    "logs",
+    type=click.File("r", encoding="utf-8", errors="replace"),
+    multiple=True,
+    help="Read this log of an entry instance (- for standard input) in place "
+    "of asking a daemon; may be given for several instances.",
+)
 @operator_url_option
-def explain(request_id: str, operator_url: str) -> None:
-    """Prints what a daemon knows about the request ID."""
+def explain(
+    request_id: str, logs: tuple[TextIO, ...], operator_url: str
+) -> None:
+    """Prints why the request ID ended as it did.
+
+    With --log, ID is the caller's attempt ID; the process may be gone.
+    """
+    if logs:
+        lines = explanations.read_lines(itertools.chain(*logs))
+        told = explanations.explain_attempt(lines, request_id)
+        click.echo("\n".join(told.texts))
+        sys.exit(0 if told.is_found else EXIT_PROBLEMS)
     found = _expect(
         operator_url,
         operatorclient.call_operator(
