Log what decided a refusal; split the state and reports out of the relay

A refusal tells the targets, slots, requests in flight and waiting, or the tokens left and the share of instances heard; each line of a request has the time spent.

--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -124,6 +124,19 @@
             bucket.part += tokens
             bucket.spent -= tokens
 
+    def describe(self, name: str) -> dict[str, object]:
+        """Returns what a decision on an account rests on, for logs."""
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return {}
+        described: dict[str, object] = {
+            "tokens_left": round(bucket.level),
+            "heard_share": round(bucket.heard_share, 2),
+        }
+        if bucket.heard_share < 1:
+            described["tokens_of_part"] = round(bucket.part)
+        return described
+
     def list_uses(self) -> dict[str, AllowanceUse]:
         """Returns what peers are told of the own buckets."""
         return {
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -24,6 +24,7 @@
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.inflight import InFlight, Send
+from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ports import (
     AnswerBrokenError,
     EdgeAnswer,
@@ -34,6 +35,8 @@
     Responder,
     TargetSend,
 )
+from peridotbend.edge.reports import RunReport
+from peridotbend.edge.runs import Run
 from peridotbend.edge.selection import Wish
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.targets import EdgeTarget, TargetList
@@ -64,6 +67,7 @@
     holder: ConfigHolder
     targets: TargetList
     backlog: Backlog
+    occupancy: Occupancy
     health: TargetHealth
     crashes: CrashList
     in_flight: InFlight
@@ -77,38 +81,15 @@
     count_instances: Callable[[], int]
 
 
-@dataclasses.dataclass(slots=True)
-class _Run:
-    """The state of one request."""
-
-    call: EdgeCall
-    route: Route
-    service: str
-    account: Account | None
-    # Names the request itself, whatever its attempt.
-    fingerprint: int
-    tokens: float
-    started_at_ms: int
-    # When the request is ended here.
-    end_at_ms: int
-    # How often bytes of it went to a target.
-    sends: int = 0
-    # Targets that failed it.
-    failed_at: set[str] = dataclasses.field(default_factory=set)
-    connect_failures: int = 0
-    may_have_run: bool = False
-    head_sent: bool = False
-    # An error that a target answered, for the case that no other does better.
-    held: tuple[AnswerHead, bytes] | None = None
-    events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
-
-
 class Relay:
     """Serves the calls of one entry instance."""
 
     def __init__(self, parts: RelayParts):
         self._parts = parts
         self._clock = parts.clock
+        self._report = RunReport(
+            parts.clock, parts.holder, parts.log, parts.meter
+        )
 
     async def serve(self, call: EdgeCall, out: Responder) -> None:
         """Answers a call; cancelling it ends its run at the target.
@@ -117,7 +98,7 @@
             AnswerBrokenError: the answer has begun and cannot be completed.
         """
         admitted = self._admit(call)
-        if not isinstance(admitted, _Run):
+        if not isinstance(admitted, Run):
             await self._refuse(call, out, admitted)
             return
         run = admitted
@@ -128,7 +109,7 @@
             if scope.cancelled_caught:
                 await self._end_late(run, out)
         except anyio.get_cancelled_exc_class():
-            self._log(
+            self._report.log(
                 Event.CALLER_GONE,
                 run,
                 sends=run.sends,
@@ -149,7 +130,7 @@
                 fingerprint=f"{fingerprint:016x}",
             )
 
-    def _admit(self, call: EdgeCall) -> "_Run | NotRun":
+    def _admit(self, call: EdgeCall) -> Run | NotRun:
         config = self._parts.holder.config
         if config is None:
             return NotRun(Reason.NO_TEXT, NO_CONFIG_RETRY_MS)
@@ -179,7 +160,7 @@
         if call.deadline_ms is not None:
             limit_ms = min(limit_ms, call.deadline_ms)
         now_ms = self._clock.now_ms()
-        return _Run(
+        return Run(
             call,
             route,
             service,
@@ -197,7 +178,7 @@
         weights = [share.weight for share in route.services]
         return self._parts.rng.choices(route.services, weights)[0].name
 
-    async def _run(self, run: _Run, out: Responder) -> None:
+    async def _run(self, run: Run, out: Responder) -> None:
         while True:
             acquired = await self._acquire(run)
             if isinstance(acquired, Err):
@@ -214,7 +195,7 @@
                 await self._end(run, out, refusal)
                 return
 
-    async def _acquire(self, run: _Run) -> "Result[Place, NotRun]":
+    async def _acquire(self, run: Run) -> "Result[Place, NotRun]":
         return await self._parts.backlog.acquire(
             self._make_wish(run),
             run.route,
@@ -222,7 +203,7 @@
             resumes=run.head_sent,
         )
 
-    def _make_wish(self, run: _Run, avoid: str = "") -> Wish:
+    def _make_wish(self, run: Run, avoid: str = "") -> Wish:
         account_rank = run.account.rank if run.account else None
         exclude = set(run.failed_at)
         targets = self._parts.targets.list_for(run.service)
@@ -239,7 +220,7 @@
             frozenset(exclude),
         )
 
-    def _can_move(self, run: _Run, target: str) -> bool:
+    def _can_move(self, run: Run, target: str) -> bool:
         """Tells whether another target can take over from a silent one.
 
         Otherwise the run stays: a silent target may go on any moment.
@@ -252,7 +233,7 @@
             and self._parts.backlog.has_place(self._make_wish(run, target))
         )
 
-    def _may_send_again(self, run: _Run) -> bool:
+    def _may_send_again(self, run: Run) -> bool:
         if run.connect_failures > MAX_CONNECT_FAILURES:
             return False
         if not self._has_attempts(run):
@@ -264,7 +245,7 @@
             run.service, self._parts.count_instances()
         )
 
-    def _has_attempts(self, run: _Run) -> bool:
+    def _has_attempts(self, run: Run) -> bool:
         if run.may_have_run and not run.route.may_repeat:
             return False
         if run.sends >= run.route.max_attempts:
@@ -272,7 +253,7 @@
         return self._clock.now_ms() + MIN_SEND_MS < run.end_at_ms
 
     async def _send(
-        self, run: _Run, place: Place, out: Responder
+        self, run: Run, place: Place, out: Responder
     ) -> NotRun | MayHaveRun | None:
         """Sends to a target; returns None when the caller has its answer.
 
@@ -290,11 +271,12 @@
             run.sends += 1
             return True
 
-        self._log(
+        self._report.log(
             Event.REQUEST_DISPATCHED,
             run,
             target=target.name,
             in_flight=place.in_flight,
+            slots=target.slots,
         )
         send = TargetSend(
             run.call,
@@ -323,13 +305,13 @@
         return self._note_error(run, target, silent)
 
     def _note_rejection(
-        self, run: _Run, target: EdgeTarget, rejection: Rejection
+        self, run: Run, target: EdgeTarget, rejection: Rejection
     ) -> NotRun | MayHaveRun:
         run.failed_at.add(target.name)
         if rejection is Rejection.MISDIRECTED:
             self._parts.health.note_failure(target.name)
         self._parts.meter.count_send("rejected")
-        self._log(
+        self._report.log(
             Event.TARGET_REJECTED,
             run,
             target=target.name,
@@ -340,7 +322,7 @@
         return NotRun(Reason.SHED, run.route.goal_ms)
 
     def _note_error(
-        self, run: _Run, target: EdgeTarget, error: CallError
+        self, run: Run, target: EdgeTarget, error: CallError
     ) -> NotRun | MayHaveRun:
         run.failed_at.add(target.name)
         if error.failure is not CallFailure.GATE:
@@ -352,7 +334,7 @@
         if error.failure is CallFailure.REFUSED:
             self.note_death(target.name)
         self._parts.meter.count_send(error.failure.value)
-        self._log(
+        self._report.log(
             Event.TARGET_CALL_FAILED,
             run,
             target=target.name,
@@ -366,7 +348,7 @@
 
     async def _deliver(
         self,
-        run: _Run,
+        run: Run,
         target: EdgeTarget,
         answer: EdgeAnswer,
         flight: Send,
@@ -381,7 +363,7 @@
 
     async def _deliver_plain(
         self,
-        run: _Run,
+        run: Run,
         target: EdgeTarget,
         answer: EdgeAnswer,
         out: Responder,
@@ -408,12 +390,12 @@
         if body:
             await out.send(bytes(body))
         await out.finish()
-        self._note_end(run, answer.head.status, target=target.name)
+        self._report.note_end(run, answer.head.status, target=target.name)
         return None
 
     async def _deliver_stream(
         self,
-        run: _Run,
+        run: Run,
         target: EdgeTarget,
         answer: EdgeAnswer,
         flight: Send,
@@ -437,7 +419,7 @@
             await out.send(rest)
         await out.finish()
         self._note_answer(run, target, failed=False)
-        self._note_end(
+        self._report.note_end(
             run,
             answer.head.status,
             target=target.name,
@@ -445,7 +427,7 @@
         )
         return None
 
-    def _note_answer(self, run: _Run, target: EdgeTarget, failed: bool) -> None:
+    def _note_answer(self, run: Run, target: EdgeTarget, failed: bool) -> None:
         """Notes a whole answer of a target."""
         self._parts.health.note_answer(target.name, failed)
         self._parts.crashes.note_success(run.fingerprint)
@@ -453,32 +435,32 @@
         self._parts.meter.count_send("answered")
 
     async def _start_once(
-        self, run: _Run, head: AnswerHead, out: Responder
+        self, run: Run, head: AnswerHead, out: Responder
     ) -> None:
         if not run.head_sent:
             run.head_sent = True
             await out.start(head)
 
     async def _end(
-        self, run: _Run, out: Responder, refusal: NotRun | MayHaveRun
+        self, run: Run, out: Responder, refusal: NotRun | MayHaveRun
     ) -> None:
         """Ends a request that no target answers any more."""
         if run.head_sent:
-            self._log(Event.ANSWER_BROKEN, run)
-            self._observe(run, "broken")
+            self._report.log(Event.ANSWER_BROKEN, run)
+            self._report.observe(run, "broken")
             raise AnswerBrokenError
         if run.held is not None:
             head, body = run.held
             await self._start_once(run, head, out)
             await out.send(body)
             await out.finish()
-            self._note_end(run, head.status)
+            self._report.note_end(run, head.status)
             return
         if run.may_have_run and isinstance(refusal, NotRun):
             refusal = MayHaveRun(Reason.TARGET_FAILED)
         await self._refuse(run.call, out, refusal, run)
 
-    async def _end_late(self, run: _Run, out: Responder) -> None:
+    async def _end_late(self, run: Run, out: Responder) -> None:
         if run.may_have_run:
             await self._end(run, out, MayHaveRun(Reason.TARGET_TIMEOUT))
         else:
@@ -489,46 +471,37 @@
         call: EdgeCall,
         out: Responder,
         verdict: NotRun | MayHaveRun,
-        run: _Run | None = None,
+        run: Run | None = None,
     ) -> None:
         await out.refuse(verdict)
-        if run is not None:
-            self._observe(run, verdict.reason.value)
-        else:
-            self._parts.meter.observe_end("none", verdict.reason.value, 0)
-        self._parts.log.emit(
-            Event.REQUEST_REFUSED,
-            attempt=call.attempt,
-            route=run.route.name if run else None,
-            account=run.account.name if run and run.account else None,
-            verdict=verdict.label,
-            reason=verdict.reason,
-            retry_after_ms=verdict.retry_after_ms,
-            config=self._find_version(),
+        self._report.note_refusal(
+            call, verdict, run, **self._describe_cause(call, verdict, run)
         )
 
-    def _note_end(self, run: _Run, status: int, **fields: object) -> None:
-        self._observe(run, f"status-{status}")
-        self._log(Event.REQUEST_ENDED, run, status=status, **fields)
-
-    def _observe(self, run: _Run, outcome: str) -> None:
-        took_ms = self._clock.now_ms() - run.started_at_ms
-        kind = run.route.kind.value
-        self._parts.meter.observe_end(kind, outcome, took_ms)
-
-    def _log(self, event: Event, run: _Run, **fields: object) -> None:
-        self._parts.log.emit(
-            event,
-            attempt=run.call.attempt,
-            route=run.route.name,
-            left_ms=run.end_at_ms - self._clock.now_ms(),
-            config=self._find_version(),
-            **fields,
-        )
-
-    def _find_version(self) -> int | None:
-        config = self._parts.holder.config
-        return config.version if config else None
+    def _describe_cause(
+        self, call: EdgeCall, verdict: NotRun | MayHaveRun, run: Run | None
+    ) -> dict[str, object]:
+        """Returns what decided a refusal, for the log."""
+        parts = self._parts
+        if verdict.reason is Reason.CLIENT_LIMIT:
+            config = parts.holder.config
+            account = config.find_account(call.key) if config else None
+            if account is None:
+                return {}
+            return {
+                "account": account.name,
+                **parts.allowances.describe(account.name),
+            }
+        if run is None or not isinstance(verdict, NotRun):
+            return {}
+        targets = parts.targets.list_for(run.service)
+        return {
+            "service": run.service,
+            "targets": len(targets),
+            "slots": sum(target.slots for target in targets),
+            "in_flight": sum(parts.occupancy.count(t.name) for t in targets),
+            "waiting": parts.backlog.count_waiting(run.service),
+        }
 
 
 def _count_tokens(call: EdgeCall, account: Account) -> float:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -199,6 +199,7 @@
                 holder=self._holder,
                 targets=self._targets,
                 backlog=self._backlog,
+                occupancy=self._occupancy,
                 health=self._health,
                 crashes=self._crashes,
                 in_flight=self._in_flight,
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -308,6 +308,7 @@
                 holder=self.holder,
                 targets=self.targets,
                 backlog=self.backlog,
+                occupancy=self.occupancy,
                 health=self.health,
                 crashes=self.crashes,
                 in_flight=self.in_flight,
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -78,6 +78,53 @@
         assert out.verdict == NotRun(Reason.CLIENT_LIMIT, 900)
 
 
+class RefusalLogTest(unittest.TestCase):
+    """What the log tells of a refusal."""
+
+    def _find_refusal(self, bench: EdgeBench) -> dict[str, object]:
+        return next(
+            fields
+            for event, fields in bench.log.events
+            if event is Event.REQUEST_REFUSED
+        )
+
+    def test_shed_request_tells_what_was_taken(self) -> None:
+        """Guards against a refusal that no engineer can check afterwards."""
+        bench = EdgeBench()
+        for name in ("i-1", "i-2", "i-3"):
+            for _ in range(12):
+                bench.occupancy.add(name)
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(bench.serve)
+                await anyio.sleep(0.01)
+                bench.clock.advance(200)
+                bench.backlog.place("engine")
+
+        anyio.run(run)
+        fields = self._find_refusal(bench)
+        assert fields["reason"] is Reason.SHED
+        assert fields["targets"] == 3
+        assert fields["slots"] == 30
+        assert fields["in_flight"] == 36
+        assert fields["spent_ms"] == 200
+        assert fields["config"] == CONFIG.version
+
+    def test_refused_allowance_tells_its_level(self) -> None:
+        """Guards against a 429 whose account and tokens are unknown."""
+        account = Account("acme", frozenset(("key-1",)), None, 100.0, 100.0, 1)
+        bench = EdgeBench(
+            config=dataclasses.replace(CONFIG, accounts=(account,))
+        )
+        assert bench.allowances.try_take("acme", 90.0) is None
+        _serve(bench)
+        fields = self._find_refusal(bench)
+        assert fields["account"] == "acme"
+        assert fields["tokens_left"] == 10
+        assert fields["heard_share"] == 1.0
+
+
 class NonIdempotentTest(unittest.TestCase):
     """Requests that may run at most once."""
 
