--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STEPS ?= 3000
 SEEDS ?= 3
 
-.PHONY: setup demo test lint format fuzz model mutants measure cost capacity
+.PHONY: setup demo test lint format fuzz model mutants replay measure cost capacity
 
 setup: $(VENV)/.installed
 
@@ -41,6 +41,10 @@
 fuzz: setup
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
 
+# Takes two minutes; `make replay ARGS="--pattern bursts --details"` takes less.
+replay: setup
+	$(BIN)/python -m peridotbend_emulator.replay $(ARGS)
+
 measure: setup
 	$(BIN)/python -m peridotbend_emulator.measure --seed $(SEED) --seeds $(SEEDS)
 
