--- a/src/peridotbend/adapters/explanations.py
+++ b/src/peridotbend/adapters/explanations.py
@@ -159,7 +159,7 @@
         )
         told.append(
             f"target {target}, {AROUND_S:.0f} s before and after: "
-            f"{counts['request-ended']} requests ended there, "
+            f"{counts[Event.REQUEST_ENDED.label]} requests ended there, "
             f"{failed} failed or were rejected"
         )
     return told
@@ -183,7 +183,7 @@
     )
     places = ", ".join(f"{n} at {name}" for name, n in by_instance.items())
     told = [f"refused as {reason}, {AROUND_S:.0f} s before and after: {places}"]
-    if reason == "client-limit":
+    if reason == Reason.CLIENT_LIMIT:
         count = sum(line.entry.get("account") == account for line in same)
         told.append(f"of these, {count} of account {account}")
     return told
