Take out only what a peer spent since a digest that counted

Cause: a new process hears digests before its configuration. Found with the level that refusals are logged with. Ruled out: cuts (all instances were heard).

--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -149,8 +149,7 @@
     ) -> None:
         """Takes out what a peer spent since its last digest."""
         known_incarnation, told = self._told.get(peer, (None, {}))
-        is_known = known_incarnation == incarnation
-        if not is_known:
+        if known_incarnation != incarnation:
             # A restarted process counts from the start again.
             told = {}
         self._told[peer] = incarnation, told
@@ -159,11 +158,13 @@
             if account is None or account.tokens_per_s <= 0:
                 continue
             bucket = self._refill(account)
-            if is_known:
-                spent = use.spent - told.get(name, 0.0)
+            if name in told:
+                spent = use.spent - told[name]
                 bucket.level -= spent
                 bucket.part -= spent
             else:
+                # Also an account that came into force after the last digest:
+                # what the peer spent of it before is in its level.
                 self._sync(bucket, use)
             # Returned tokens may come back here, too.
             bucket.level = min(bucket.level, account.burst_tokens)
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -344,6 +344,24 @@
         assert allowances.try_take("acme", 500.0) is None
         assert allowances.try_take("acme", 500.0) is not None
 
+    def test_digests_before_the_configuration_cost_nothing(self) -> None:
+        """Guards against a restart that pays for all that peers ever spent.
+
+        Seen on a recorded day: after each restart an instance refused an
+        account for seconds, its level being that of its peers less all that
+        they had spent since their starts.
+        """
+        clock = ManualClock()
+        allowances = Allowances(clock, STRICT, lambda: 1.0)
+        told = {"acme": AllowanceUse(50_000.0, 700.0)}
+        for peer in ("a", "b", "c"):
+            allowances.record_peer(peer, 1, told)
+        allowances.apply([self.ACCOUNT])
+        for peer in ("a", "b", "c"):
+            allowances.record_peer(peer, 1, told)
+        assert allowances.try_take("acme", 700.0) is None
+        assert allowances.try_take("acme", 100.0) is not None
+
     def test_cut_off_instance_uses_its_part(self) -> None:
         """Guards against a partition that doubles an allowance."""
         clock, allowances = self._make(share=0.25)
