--- a/src/peridotbend/adapters/callers.py
+++ b/src/peridotbend/adapters/callers.py
@@ -20,7 +20,7 @@
     Scope,
     Send,
 )
-from peridotbend.domain.answers import ByteBudget
+from peridotbend.domain.answers import BudgetPart, ByteBudget
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import AnswerPart, EventLog
 from peridotbend.domain.records import CallerCall
@@ -232,14 +232,14 @@
 
         The bytes of a body that is returned are still taken from the budget.
         """
-        used = _Taken(self.bodies)
+        used = BudgetPart(self.bodies)
         body = None
         try:
             with anyio.move_on_after(self.body_timeout_s) as scope:
                 body = await exchange.read_body(limit, used)
         finally:
             if body is None or isinstance(body, Err):
-                self.bodies.release(used.used_bytes)
+                used.release(used.used_bytes)
         if scope.cancelled_caught:
             message = "The body did not arrive in time; send it faster."
             await self._refuse(exchange, Reason.BAD_INPUT, message, status=408)
@@ -273,18 +273,6 @@
         await exchange.refuse(verdict, message, status, allow)
 
 
-class _Taken(ByteBudget):
-    """What one body took from the budget of all bodies."""
-
-    def __init__(self, shared: ByteBudget):
-        super().__init__(shared.limit_bytes)
-        self._shared = shared
-
-    def reserve(self, size: int) -> bool:
-        """Takes `size` bytes from the shared budget and notes them."""
-        return self._shared.reserve(size) and super().reserve(size)
-
-
 def _locate(error: BaseException) -> str:
     """Returns the type and place of an error; its text may hold secrets."""
     while isinstance(error, BaseExceptionGroup):
--- a/src/peridotbend/domain/answers.py
+++ b/src/peridotbend/domain/answers.py
@@ -27,6 +27,33 @@
         self.used_bytes -= size
 
 
+class BudgetPart(ByteBudget):
+    """What one owner took from a budget that several share."""
+
+    def __init__(self, shared: ByteBudget, limit_bytes: int | None = None):
+        """Creates a part.
+
+        Args:
+            shared: the budget of all owners.
+            limit_bytes: bound on this part; that of all if not given.
+        """
+        super().__init__(
+            shared.limit_bytes if limit_bytes is None else limit_bytes
+        )
+        self._shared = shared
+
+    def reserve(self, size: int) -> bool:
+        """Takes bytes from the shared budget and notes them."""
+        if self.used_bytes + size > self.limit_bytes:
+            return False
+        return self._shared.reserve(size) and super().reserve(size)
+
+    def release(self, size: int) -> None:
+        """Gives bytes back to the shared budget."""
+        super().release(size)
+        self._shared.release(size)
+
+
 class AnswerBuffer:
     """The answer to one request, as far as it has arrived."""
 
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -120,7 +120,7 @@
             resumes: whether the caller has a part of the answer.
         """
         now_ms = self._clock.now_ms()
-        patience_ms = round(PATIENCE_SHARE * route.goal_ms)
+        patience_ms = round(PATIENCE_SHARE * route.objective_ms)
         if resumes:
             patience_ms = round(RESUME_PATIENCE_SHARE * route.patience_ms)
             wish = dataclasses.replace(wish, rank=RESUME_RANK)
--- a/src/peridotbend/edge/config.py
+++ b/src/peridotbend/edge/config.py
@@ -10,7 +10,7 @@
 # Callers abandon a stream after the longest of these without an event, also
 # before the first: a fixed time, and multiples of the two objectives.
 CALLER_SILENCE_MS = 2_000
-CALLER_SILENCE_GOALS = 4
+CALLER_SILENCE_OBJECTIVES = 4
 CALLER_SILENCE_GAPS = 8
 
 
@@ -37,7 +37,7 @@
     name: str
     host: str
     # Begins and ends with a slash.
-    path_prefix: str
+    prefix: str
     kind: RouteKind
     services: tuple[WeightedService, ...]
     # Targets that one request may be sent to.
@@ -45,9 +45,9 @@
     # How long a request may take; it is ended then.
     timeout_ms: int
     # Response-time objective; for streams up to the first event.
-    goal_ms: int
+    objective_ms: int
     # Longest pause between events of a stream that is still on time; 0: none.
-    gap_goal_ms: int
+    gap_objective_ms: int
     # 0 is served first.
     rank: int
     # Whether callers need no key.
@@ -64,8 +64,8 @@
             return self.timeout_ms
         return max(
             CALLER_SILENCE_MS,
-            CALLER_SILENCE_GOALS * self.goal_ms,
-            CALLER_SILENCE_GAPS * self.gap_goal_ms,
+            CALLER_SILENCE_OBJECTIVES * self.objective_ms,
+            CALLER_SILENCE_GAPS * self.gap_objective_ms,
         )
 
     @property
@@ -132,7 +132,7 @@
         by_host: dict[str, dict[str, Route]] = {}
         for route in self.routes:
             prefixes = by_host.setdefault(route.host.lower(), {})
-            prefixes[route.path_prefix] = route
+            prefixes[route.prefix] = route
         return by_host
 
     @functools.cached_property
--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -24,6 +24,8 @@
 MAX_BACKOFF_MS = 500
 # A peer that knows more for this long has news that no watch brings here.
 BEHIND_MS = 250
+# Between two looks for such peers; digests come as often.
+CATCH_UP_MS = 50
 
 FetchChanges = Callable[[str, str, int], Awaitable[Changes | None]]
 
@@ -127,7 +129,7 @@
 async def catch_up(feeds: Mapping[str, Feed], fetch: FetchChanges) -> None:
     """Asks peers for what they know more, until cancelled."""
     while True:
-        await anyio.sleep(0.05)
+        await anyio.sleep(CATCH_UP_MS / 1_000)
         for feed in feeds.values():
             host = feed.find_source()
             if not host:
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -22,9 +22,9 @@
 STALL_PATIENCE_SHARE = 0.5
 # The first event waits for a place in the batch and for the prompt, which
 # takes longest when no other stream tells that the target lives.
-FIRST_EVENT_GOALS = 2.5
+FIRST_EVENT_OBJECTIVES = 2.5
 # A plain answer is small: after this many objectives another target is asked.
-PLAIN_GOALS = 2.0
+PLAIN_OBJECTIVES = 2.0
 # At most this share of the time limit, so that the other one can answer.
 PLAIN_TIMEOUT_SHARE = 0.4
 
@@ -102,10 +102,13 @@
         if route.kind is RouteKind.STREAM:
             stall_ms = STALL_PATIENCE_SHARE * route.patience_ms
             if send.last_data_ms is None:
-                silent = silence_ms > FIRST_EVENT_GOALS * route.goal_ms
+                silent = (
+                    silence_ms > FIRST_EVENT_OBJECTIVES * route.objective_ms
+                )
                 return silent or waited_ms > stall_ms
             stalled_ms = self._clock.now_ms() - send.last_data_ms
             return silence_ms > STREAM_SILENCE_MS or stalled_ms > stall_ms
         return waited_ms > min(
-            PLAIN_GOALS * route.goal_ms, PLAIN_TIMEOUT_SHARE * route.timeout_ms
+            PLAIN_OBJECTIVES * route.objective_ms,
+            PLAIN_TIMEOUT_SHARE * route.timeout_ms,
         )
--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -3,9 +3,7 @@
 from collections.abc import Mapping
 
 from peridotbend.domain.clock import Clock
-
-# A peer silent for this long no longer sends to targets, or is cut off.
-PEER_USE_MS = 1_500
+from peridotbend.edge.peers import SILENCE_MS
 
 
 class Occupancy:
@@ -43,7 +41,7 @@
 
     def count(self, target: str) -> int:
         """Returns the requests in flight at a target."""
-        oldest_ms = self._clock.now_ms() - PEER_USE_MS
+        oldest_ms = self._clock.now_ms() - SILENCE_MS
         return self._own.get(target, 0) + sum(
             use.get(target, 0)
             for heard_at_ms, use in self._peers.values()
--- /dev/null
+++ b/src/peridotbend/edge/parts.py
@@ -0,0 +1,89 @@
+"""The decisions of one instance, wired to each other."""
+
+import dataclasses
+import random
+from typing import Protocol
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.ports import EventLog
+from peridotbend.edge.allowances import Allowances
+from peridotbend.edge.backlog import Backlog
+from peridotbend.edge.configholder import ConfigHolder
+from peridotbend.edge.crashes import CrashList
+from peridotbend.edge.health import TargetHealth
+from peridotbend.edge.inflight import InFlight
+from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.ports import EdgeMeter, EdgeTargetClient
+from peridotbend.edge.selection import Selector
+from peridotbend.edge.sendbudget import SendBudget
+from peridotbend.edge.settings import EdgeSettings
+from peridotbend.edge.targets import TargetList
+
+
+class Fleet(Protocol):
+    """What shared budgets need to know of the other instances."""
+
+    def count_instances(self) -> int:
+        """Returns how many instances may take callers, with this one."""
+        ...
+
+    def find_heard_share(self) -> float:
+        """Returns the instances heard of as a share of all that may be."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayParts:
+    """What a relay works with."""
+
+    clock: Clock
+    holder: ConfigHolder
+    targets: TargetList
+    backlog: Backlog
+    occupancy: Occupancy
+    health: TargetHealth
+    crashes: CrashList
+    in_flight: InFlight
+    allowances: Allowances
+    budget: SendBudget
+    client: EdgeTargetClient
+    log: EventLog
+    meter: EdgeMeter
+    rng: random.Random
+    fleet: Fleet
+
+
+def make_parts(
+    settings: EdgeSettings,
+    clock: Clock,
+    client: EdgeTargetClient,
+    fleet: Fleet,
+    log: EventLog,
+    meter: EdgeMeter,
+    rng: random.Random,
+) -> RelayParts:
+    """Returns the parts of an instance that knows nothing yet."""
+    holder = ConfigHolder()
+    targets = TargetList(clock)
+    occupancy = Occupancy(clock)
+    health = TargetHealth(clock)
+    allowances = Allowances(clock, settings, fleet.find_heard_share)
+    holder.subscribe(lambda config: allowances.apply(config.accounts))
+    selector = Selector(settings.zone, occupancy, health)
+    return RelayParts(
+        clock=clock,
+        holder=holder,
+        targets=targets,
+        backlog=Backlog(clock, targets, occupancy, selector, rng),
+        occupancy=occupancy,
+        health=health,
+        crashes=CrashList(clock),
+        in_flight=InFlight(clock, health),
+        allowances=allowances,
+        budget=SendBudget(clock, settings),
+        client=client,
+        log=log,
+        meter=meter,
+        rng=rng,
+        fleet=fleet,
+    )
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -9,7 +9,8 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.allowances import AllowanceUse
 
-# Digests are sent at least every 300 ms.
+# Digests are sent at least every 300 ms. A peer silent for this long has ended
+# or is cut off; what it had in flight no longer counts.
 SILENCE_MS = 1_500
 # A silent instance may still take callers on its side of a partition. After
 # this time it is taken to be gone.
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -1,36 +1,25 @@
 """Takes one attempt of a caller through to its answer or its refusal."""
 
-import dataclasses
-import random
-from collections.abc import Callable
-
 import anyio
 from result import Err, Result
 
-from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import (
     AnswerHead,
     CallError,
     CallFailure,
-    EventLog,
 )
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
-from peridotbend.edge.allowances import Allowances
-from peridotbend.edge.backlog import Backlog, Place
+from peridotbend.edge.backlog import Place
 from peridotbend.edge.config import Account, Route, RouteKind
-from peridotbend.edge.configholder import ConfigHolder
-from peridotbend.edge.crashes import CrashList, make_fingerprint
+from peridotbend.edge.crashes import make_fingerprint
 from peridotbend.edge.events import EventSplitter
-from peridotbend.edge.health import TargetHealth
-from peridotbend.edge.inflight import InFlight, Send
-from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.inflight import Send
+from peridotbend.edge.parts import RelayParts
 from peridotbend.edge.ports import (
     AnswerBrokenError,
     EdgeAnswer,
     EdgeCall,
-    EdgeMeter,
-    EdgeTargetClient,
     Rejection,
     Responder,
     TargetSend,
@@ -38,8 +27,7 @@
 from peridotbend.edge.reports import RunReport
 from peridotbend.edge.runs import Run
 from peridotbend.edge.selection import Wish
-from peridotbend.edge.sendbudget import SendBudget
-from peridotbend.edge.targets import EdgeTarget, TargetList
+from peridotbend.edge.targets import EdgeTarget
 
 # A target ends a request at the deadline that it was given and says so; its
 # answer goes before one of this process.
@@ -59,28 +47,6 @@
 ERROR_STATUS = 500
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayParts:
-    """What a relay works with."""
-
-    clock: Clock
-    holder: ConfigHolder
-    targets: TargetList
-    backlog: Backlog
-    occupancy: Occupancy
-    health: TargetHealth
-    crashes: CrashList
-    in_flight: InFlight
-    allowances: Allowances
-    budget: SendBudget
-    client: EdgeTargetClient
-    log: EventLog
-    meter: EdgeMeter
-    rng: random.Random
-    # Instances that may take callers, this one included.
-    count_instances: Callable[[], int]
-
-
 class Relay:
     """Serves the calls of one entry instance."""
 
@@ -228,7 +194,7 @@
         return (
             self._has_attempts(run)
             and self._parts.budget.has_room(
-                run.service, self._parts.count_instances()
+                run.service, self._parts.fleet.count_instances()
             )
             and self._parts.backlog.has_place(self._make_wish(run, target))
         )
@@ -242,7 +208,7 @@
             # No byte was written yet.
             return True
         return self._parts.budget.try_spend(
-            run.service, self._parts.count_instances()
+            run.service, self._parts.fleet.count_instances()
         )
 
     def _has_attempts(self, run: Run) -> bool:
@@ -319,7 +285,7 @@
         )
         if run.may_have_run:
             return MayHaveRun(Reason.TARGET_FAILED)
-        return NotRun(Reason.SHED, run.route.goal_ms)
+        return NotRun(Reason.SHED, run.route.objective_ms)
 
     def _note_error(
         self, run: Run, target: EdgeTarget, error: CallError
@@ -344,7 +310,7 @@
         )
         if run.may_have_run:
             return MayHaveRun(Reason.TARGET_FAILED)
-        return NotRun(Reason.CONNECT_FAILED, run.route.goal_ms)
+        return NotRun(Reason.CONNECT_FAILED, run.route.objective_ms)
 
     async def _deliver(
         self,
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -20,22 +20,13 @@
 from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
-from peridotbend.edge.allowances import Allowances
-from peridotbend.edge.backlog import Backlog
 from peridotbend.edge.config import EdgeConfig
-from peridotbend.edge.configholder import ConfigHolder
-from peridotbend.edge.crashes import CrashList
 from peridotbend.edge.feeds import Feed, catch_up
-from peridotbend.edge.health import TargetHealth
-from peridotbend.edge.inflight import InFlight
-from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.parts import make_parts
 from peridotbend.edge.peers import Digest, PeerBook
 from peridotbend.edge.published import Item
-from peridotbend.edge.relay import Relay, RelayParts
-from peridotbend.edge.selection import Selector
-from peridotbend.edge.sendbudget import SendBudget
+from peridotbend.edge.relay import Relay
 from peridotbend.edge.settings import EdgeSettings
-from peridotbend.edge.targets import TargetList
 from peridotbend.platform import wire
 from peridotbend.platform.documents import decode_config, decode_target
 from peridotbend.platform.ingress import EdgeApp, HealthApp
@@ -74,16 +65,18 @@
         self._book = PeerBook(host, self._clock, log, self._rng)
         for seed_host, _ in settings.seeds:
             self._book.add_candidate(seed_host)
-        self._holder = ConfigHolder()
-        self._targets = TargetList(self._clock)
-        self._occupancy = Occupancy(self._clock)
-        self._health = TargetHealth(self._clock)
-        self._crashes = CrashList(self._clock)
-        self._in_flight = InFlight(self._clock, self._health)
-        self._allowances = Allowances(
-            self._clock, settings, self._book.find_heard_share
+        self._client = HttpTargetClient(CONNECT_TIMEOUT_S)
+        self._parts = make_parts(
+            settings,
+            self._clock,
+            RunnerClient(self._client),
+            self._book,
+            log,
+            self._metrics,
+            self._rng,
         )
-        self._holder.subscribe(self._apply_config)
+        self._relay = Relay(self._parts)
+        self._parts.holder.subscribe(self._apply_limits)
 
     def start_drain(self) -> None:
         """Begins a graceful shutdown; returns at once."""
@@ -93,7 +86,7 @@
         """Returns the state for operators."""
         if not self._is_started:
             return {"started": False}
-        config = self._holder.config
+        config = self._parts.holder.config
         return {
             "started": True,
             "config": config.version if config else None,
@@ -105,20 +98,20 @@
                 target.name: {
                     "service": target.service,
                     "leaving": target.is_leaving,
-                    "in_flight": self._occupancy.count(target.name),
-                    "own": self._occupancy.own.get(target.name, 0),
+                    "in_flight": self._parts.occupancy.count(target.name),
+                    "own": self._parts.occupancy.own.get(target.name, 0),
                 }
-                for target in self._targets
+                for target in self._parts.targets
             },
-            "health": self._health.dump(),
+            "health": self._parts.health.dump(),
             "peers": self._book.dump(),
-            "waiting": self._backlog.count_all(),
+            "waiting": self._parts.backlog.count_all(),
             "active": self._app.active,
             "allowances": {
                 name: round(use.level)
-                for name, use in self._allowances.list_uses().items()
+                for name, use in self._parts.allowances.list_uses().items()
             },
-            "crashes": len(self._crashes.list_told()),
+            "crashes": len(self._parts.crashes.list_told()),
         }
 
     def apply_settings(self, settings: EdgeSettings) -> None:
@@ -143,9 +136,7 @@
         self, stack: contextlib.AsyncExitStack, tasks: TaskGroup
     ) -> None:
         settings = self._settings
-        client = HttpTargetClient(CONNECT_TIMEOUT_S)
-        self._build_relay(client)
-        self._build_feeds(client)
+        self._build_feeds()
         self._app = EdgeApp(self._relay, self._find_body_limit)
         channels = ChannelPool()
         stack.callback(channels.close)
@@ -163,7 +154,7 @@
             self._book,
             self._build_digest,
             self._apply_digest,
-            self._occupancy.forget_peer,
+            self._parts.occupancy.forget_peer,
             self._clock,
         )
         for task in (
@@ -171,8 +162,8 @@
             health.run,
             metrics.run,
             gossip.run,
-            self._backlog.run,
-            self._in_flight.run,
+            self._parts.backlog.run,
+            self._parts.in_flight.run,
             *(feed.run for feed in self._feeds.values()),
         ):
             tasks.start_soon(task)
@@ -184,57 +175,32 @@
             incarnation=self._incarnation,
         )
 
-    def _build_relay(self, client: HttpTargetClient) -> None:
-        selector = Selector(self._settings.zone, self._occupancy, self._health)
-        self._backlog = Backlog(
-            self._clock,
-            self._targets,
-            self._occupancy,
-            selector,
-            self._rng,
-        )
-        self._relay = Relay(
-            RelayParts(
-                clock=self._clock,
-                holder=self._holder,
-                targets=self._targets,
-                backlog=self._backlog,
-                occupancy=self._occupancy,
-                health=self._health,
-                crashes=self._crashes,
-                in_flight=self._in_flight,
-                allowances=self._allowances,
-                budget=SendBudget(self._clock, self._settings),
-                client=RunnerClient(client),
-                log=self._log,
-                meter=self._metrics,
-                rng=self._rng,
-                count_instances=self._book.count_instances,
-            )
-        )
-
     def _add_gauges(self) -> None:
         add = self._metrics.add_gauge
         add("active_calls", "Calls being served.", lambda: self._app.active)
         add(
             "waiting_requests",
             "Requests that wait for a place at a target.",
-            self._backlog.count_all,
+            self._parts.backlog.count_all,
         )
         add(
             "live_peers",
             "Other instances heard of lately.",
             lambda: len(self._book.list_live_hosts()),
         )
-        add("listed_targets", "Known targets.", lambda: len(self._targets))
+        add(
+            "listed_targets", "Known targets.", lambda: len(self._parts.targets)
+        )
         add(
             "config_version",
             "Version of the configuration in force; 0 for none.",
-            lambda: self._holder.config.version if self._holder.config else 0,
+            lambda: self._parts.holder.config.version
+            if self._parts.holder.config
+            else 0,
         )
 
-    def _build_feeds(self, client: HttpTargetClient) -> None:
-        store = StoreClient(self._settings.store, client)
+    def _build_feeds(self) -> None:
+        store = StoreClient(self._settings.store, self._client)
         appliers = {
             wire.CONFIG_PREFIX: self._apply_config_items,
             wire.TARGET_PREFIX: self._apply_target_items,
@@ -252,7 +218,7 @@
         }
 
     def _find_body_limit(self) -> int:
-        config = self._holder.config
+        config = self._parts.holder.config
         return config.limits.max_body_bytes if config else MAX_BODY_BYTES
 
     def _is_ready(self) -> bool:
@@ -262,14 +228,14 @@
         answer truthfully, also while no target is left.
         """
         knows_all = all(feed.items.revision for feed in self._feeds.values())
-        has_config = self._holder.config is not None
+        has_config = self._parts.holder.config is not None
         return has_config and knows_all and not self._drain.is_set()
 
     def _note_store(self, reached: bool) -> None:
         if reached:
-            self._targets.note_store_back()
+            self._parts.targets.note_store_back()
         else:
-            self._targets.note_store_away()
+            self._parts.targets.note_store_away()
 
     def _apply_config_items(self, items: list[Item]) -> None:
         for item in items:
@@ -283,15 +249,14 @@
                     problem=decoded.err_value,
                 )
                 continue
-            if self._holder.offer(decoded.ok_value):
+            if self._parts.holder.offer(decoded.ok_value):
                 self._log.emit(
                     Event.CONFIG_ACCEPTED,
                     version=decoded.ok_value.version,
                     revision=item.revision,
                 )
 
-    def _apply_config(self, config: EdgeConfig) -> None:
-        self._allowances.apply(config.accounts)
+    def _apply_limits(self, config: EdgeConfig) -> None:
         limits = config.limits
         self._server.apply_limits(
             limits.max_header_bytes,
@@ -316,24 +281,24 @@
                 self._remove_target(name, item.revision)
                 continue
             target = decoded.ok_value
-            known = self._targets.find(name)
+            known = self._parts.targets.find(name)
             if known and known.started_at_ms != target.started_at_ms:
-                self._health.forget(name)
+                self._parts.health.forget(name)
                 self._relay.note_death(name)
-            self._targets.put(target)
+            self._parts.targets.put(target)
             # A process that crashed comes back under another name.
-            self._crashes.note_alive(name)
+            self._parts.crashes.note_alive(name)
             event = Event.TARGET_LISTED
             if target.is_leaving:
                 event = Event.TARGET_LEAVING
             self._log.emit(event, target=name, revision=item.revision)
-        for service in {target.service for target in self._targets}:
-            self._backlog.place(service)
+        for service in {target.service for target in self._parts.targets}:
+            self._parts.backlog.place(service)
 
     def _remove_target(self, name: str, revision: int) -> None:
-        known = self._targets.find(name)
+        known = self._parts.targets.find(name)
         if known is not None:
-            self._targets.remove(name)
+            self._parts.targets.remove(name)
             if not known.is_leaving:
                 self._relay.note_death(name)
             self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
@@ -350,17 +315,17 @@
                 prefix: feed.items.revision
                 for prefix, feed in self._feeds.items()
             },
-            in_flight=dict(self._occupancy.own),
-            allowances=self._allowances.list_uses(),
-            crashes=self._crashes.list_told(),
+            in_flight=dict(self._parts.occupancy.own),
+            allowances=self._parts.allowances.list_uses(),
+            crashes=self._parts.crashes.list_told(),
         )
 
     def _apply_digest(self, digest: Digest) -> None:
-        self._occupancy.record_peer(digest.host, digest.in_flight)
-        self._allowances.record_peer(
+        self._parts.occupancy.record_peer(digest.host, digest.in_flight)
+        self._parts.allowances.record_peer(
             digest.host, digest.incarnation, digest.allowances
         )
-        self._crashes.record_peer(digest.host, digest.crashes)
+        self._parts.crashes.record_peer(digest.host, digest.crashes)
         for prefix, revision in digest.revisions.items():
             feed = self._feeds.get(prefix)
             if feed is not None:
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -7,7 +7,7 @@
 import anyio
 
 from peridotbend.adapters.asgi import Send, respond
-from peridotbend.domain.answers import ByteBudget
+from peridotbend.domain.answers import BudgetPart, ByteBudget
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import (
     STATUS_BY_REASON,
@@ -232,23 +232,19 @@
     """The memory that one body takes."""
 
     def __init__(self, budget: ByteBudget, limit_bytes: int):
-        self._budget = budget
-        self._limit_bytes = limit_bytes
-        self._taken_bytes = 0
+        self._part = BudgetPart(budget, limit_bytes)
 
     def take(self, size: int) -> NotRun | None:
         """Takes memory for a part of the body, or tells why not."""
-        if self._taken_bytes + size > self._limit_bytes:
+        if self._part.used_bytes + size > self._part.limit_bytes:
             return NotRun(Reason.TOO_LARGE)
-        if not self._budget.reserve(size):
+        if not self._part.reserve(size):
             return NotRun(Reason.AT_CAPACITY)
-        self._taken_bytes += size
         return None
 
     def release(self) -> None:
         """Gives the memory back."""
-        self._budget.release(self._taken_bytes)
-        self._taken_bytes = 0
+        self._part.release(self._part.used_bytes)
 
 
 async def _read_body(receive: Receive, taken: BodyBytes) -> bytes | NotRun:
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -8,10 +8,9 @@
 import collections
 import contextlib
 import dataclasses
-import importlib
 import math
 import random
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 
 import anyio
 import click
@@ -20,27 +19,33 @@
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import Verdict
 from peridotbend.edge import config as edge_config
-from peridotbend.edge.allowances import Allowances
-from peridotbend.edge.backlog import Backlog
-from peridotbend.edge.configholder import ConfigHolder
-from peridotbend.edge.crashes import CrashList
-from peridotbend.edge.health import TargetHealth
-from peridotbend.edge.inflight import InFlight
-from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.parts import make_parts
 from peridotbend.edge.ports import AnswerBrokenError, EdgeCall
-from peridotbend.edge.relay import Relay, RelayParts
-from peridotbend.edge.selection import Selector
-from peridotbend.edge.sendbudget import SendBudget
+from peridotbend.edge.relay import Relay
 from peridotbend.edge.settings import EdgeSettings
-from peridotbend.edge.targets import EdgeTarget, TargetList
-from peridotbend_emulator.replayengine import ReplayClient, ReplayEngine
+from peridotbend.edge.targets import EdgeTarget
+from peridotbend_emulator.replayengine import (
+    EVENT_TOKENS,
+    ReplayClient,
+    ReplayEngine,
+)
+from peridotbend_emulator.replayload import (
+    GAP_OBJECTIVE_MS,
+    KINDS,
+    LENGTH_MS,
+    PATTERNS,
+    POLICIES,
+    Kind,
+    Pattern,
+    Policy,
+    apply_policy,
+)
 from peridotbend_emulator.virtualtime import run_virtual
 
 HOST = "replay.example"
 SERVICE = "engine"
 INSTANCES = 8
 SLOTS = 11
-LENGTH_MS = 20_000
 # Callers that were refused come back once, as the users' do.
 RETRIES = 1
 # Outputs differ widely around their mean.
@@ -48,79 +53,6 @@
 PROMPT_SIGMA = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Kind:
-    """A kind of request; figures are those of the users' first sheet."""
-
-    name: str
-    per_s: float
-    prompt_tokens: int
-    events: int
-    goal_ms: int
-    timeout_ms: int
-    worth: float
-    worth_late: float
-    rank: int
-
-
-KINDS = (
-    Kind("layout-quote", 6.9, 6_670, 64, 800, 15_000, 11.0, 3.2, 0),
-    Kind("product-answer", 20.3, 688, 49, 400, 12_000, 1.7, 0.5, 1),
-    Kind("chat-tag", 11.6, 1_860, 4, 400, 3_000, 0.5, 0.15, 2),
-)
-GAP_GOAL_MS = 400
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pattern:
-    """A load and what befalls the engines."""
-
-    name: str
-    # Times the calm rate, within each span of ms.
-    bursts: tuple[tuple[int, int, float], ...] = ()
-    # Times that a step takes at each engine. The users' engines differ from
-    # 0.55 to 2.8; together these do what five of the nominal speed do.
-    slowness: tuple[float, ...] = (0.55, 0.8, 1.0, 1.4, 2.8)
-    # Engine that is down within a span of ms.
-    crash: tuple[int, int, int] | None = None
-
-
-PATTERNS = (
-    Pattern("calm"),
-    Pattern("bursts", ((3_000, 8_000, 1.8), (13_000, 15_500, 2.0))),
-    Pattern("overload", ((0, LENGTH_MS, 1.7),)),
-    Pattern("crash", ((3_000, 8_000, 1.6),), crash=(0, 9_000, 13_000)),
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Policy:
-    """Constants of the decisions, by module and name."""
-
-    name: str
-    constants: Mapping[tuple[str, str], float] = dataclasses.field(
-        default_factory=dict
-    )
-    # Whether instances tell each other what they have in flight.
-    shares_use: bool = True
-    digest_ms: int = 50
-
-
-POLICIES = (
-    Policy("as-is"),
-    Policy("own-use-only", shares_use=False),
-    Policy("wait-3-goals", {("backlog", "PATIENCE_SHARE"): 3.0}),
-    Policy("pace-ignored", {("health", "PACE_SMOOTHING"): 0.0}),
-    Policy(
-        "fill-1.3",
-        {
-            ("selection", "ENGINE_FILL"): 1.3,
-            ("selection", "TOP_RANK_FILL"): 1.45,
-        },
-    ),
-)
-
-
 @dataclasses.dataclass(slots=True)
 class _Count:
     asked: int = 0
@@ -197,13 +129,13 @@
     return edge_config.Route(
         name=kind.name,
         host=HOST,
-        path_prefix=f"/{kind.name}/",
+        prefix=f"/{kind.name}/",
         kind=edge_config.RouteKind.STREAM,
         services=(edge_config.WeightedService(SERVICE, 1.0),),
         max_attempts=2,
         timeout_ms=kind.timeout_ms,
-        goal_ms=kind.goal_ms,
-        gap_goal_ms=GAP_GOAL_MS,
+        objective_ms=kind.objective_ms,
+        gap_objective_ms=GAP_OBJECTIVE_MS,
         rank=kind.rank,
         is_public=True,
         is_generation=True,
@@ -237,41 +169,30 @@
 )
 
 
+class _Fleet:
+    """All instances, which hear each other."""
+
+    def count_instances(self) -> int:
+        """Returns how many there are."""
+        return INSTANCES
+
+    def find_heard_share(self) -> float:
+        """Returns 1: nothing cuts them off."""
+        return 1.0
+
+
 class _Instance:
     """The decisions of one entry instance."""
 
     def __init__(
         self, clock: ManualClock, client: ReplayClient, rng: random.Random
     ):
-        holder = ConfigHolder()
-        holder.offer(CONFIG)
-        targets = TargetList(clock)
-        health = TargetHealth(clock)
         silence = _Silence()
-        self.occupancy = Occupancy(clock)
-        self.in_flight = InFlight(clock, health)
-        selector = Selector(SETTINGS.zone, self.occupancy, health)
-        self.backlog = Backlog(clock, targets, self.occupancy, selector, rng)
-        self.targets = targets
-        self.relay = Relay(
-            RelayParts(
-                clock=clock,
-                holder=holder,
-                targets=targets,
-                backlog=self.backlog,
-                occupancy=self.occupancy,
-                health=health,
-                crashes=CrashList(clock),
-                in_flight=self.in_flight,
-                allowances=Allowances(clock, SETTINGS, lambda: 1.0),
-                budget=SendBudget(clock, SETTINGS),
-                client=client,
-                log=silence,
-                meter=silence,
-                rng=rng,
-                count_instances=lambda: INSTANCES,
-            )
+        self.parts = make_parts(
+            SETTINGS, clock, client, _Fleet(), silence, silence, rng
         )
+        self.parts.holder.offer(CONFIG)
+        self.relay = Relay(self.parts)
 
 
 class Replay:
@@ -289,7 +210,7 @@
 
     def run(self) -> Outcome:
         """Plays the pattern to its end."""
-        with _apply(self._policy):
+        with apply_policy(self._policy):
             run_virtual(self._clock, self._play())
         return Outcome(
             self._counts,
@@ -320,13 +241,13 @@
                 name, SERVICE, HOST, 1, SETTINGS.zone, SLOTS, False, 0
             )
             for instance in instances:
-                instance.targets.put(target)
+                instance.parts.targets.put(target)
         async with anyio.create_task_group() as tasks:
             for engine in engines.values():
                 tasks.start_soon(engine.run)
             for instance in instances:
-                tasks.start_soon(instance.backlog.run)
-                tasks.start_soon(instance.in_flight.run)
+                tasks.start_soon(instance.parts.backlog.run)
+                tasks.start_soon(instance.parts.in_flight.run)
             if self._policy.shares_use:
                 tasks.start_soon(self._share_use, instances)
             if self._pattern.crash is not None:
@@ -358,11 +279,13 @@
     async def _share_use(self, instances: list[_Instance]) -> None:
         while True:
             await anyio.sleep(self._policy.digest_ms / 1_000)
-            uses = [dict(instance.occupancy.own) for instance in instances]
+            uses = [
+                dict(instance.parts.occupancy.own) for instance in instances
+            ]
             for instance in instances:
                 for number, use in enumerate(uses):
                     if instances[number] is not instance:
-                        instance.occupancy.record_peer(str(number), use)
+                        instance.parts.occupancy.record_peer(str(number), use)
 
     async def _crash(
         self,
@@ -381,7 +304,8 @@
         """Asks until it is answered, out of time or refused once too often."""
         prompt = self._draw(kind.prompt_tokens, PROMPT_SIGMA)
         events = self._draw(kind.events, OUTPUT_SIGMA)
-        size = min(4.0, 0.3 + 0.7 * (prompt + 60 * events) / _find_mean(kind))
+        tokens = prompt + 10 * EVENT_TOKENS * events
+        size = min(4.0, 0.3 + 0.7 * tokens / kind.mean_size)
         count = self._counts[kind.name]
         count.asked += 1
         count.owed += kind.worth * size
@@ -424,8 +348,8 @@
             count.failed += caller.verdict is None
             return
         took_ms = caller.first_ms - asked_at_ms
-        gap_is_kept = caller.longest_gap_ms <= GAP_GOAL_MS
-        if took_ms <= kind.goal_ms and gap_is_kept:
+        gap_is_kept = caller.longest_gap_ms <= GAP_OBJECTIVE_MS
+        if took_ms <= kind.objective_ms and gap_is_kept:
             count.on_time += 1
             count.earned += kind.worth * size
         else:
@@ -438,26 +362,6 @@
         return max(1, round(self._rng.lognormvariate(mu, sigma)))
 
 
-def _find_mean(kind: Kind) -> float:
-    # Ten times the tokens out count beside the tokens in; an event has six.
-    return kind.prompt_tokens + 60 * kind.events
-
-
-@contextlib.contextmanager
-def _apply(policy: Policy) -> Iterator[None]:
-    """Sets the constants of a policy for one replay."""
-    before = {}
-    for (module_name, name), value in policy.constants.items():
-        module = importlib.import_module(f"peridotbend.edge.{module_name}")
-        before[module, name] = getattr(module, name)
-        setattr(module, name, value)
-    try:
-        yield
-    finally:
-        for (module, name), value in before.items():
-            setattr(module, name, value)
-
-
 def format_outcome(outcome: Outcome) -> str:
     """Returns a table of one replay."""
     lines = [f"  worth {outcome.worth:.3f}"]
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -12,8 +12,6 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
 from peridotbend.domain.verdicts import Verdict
-from peridotbend.edge.allowances import Allowances
-from peridotbend.edge.backlog import Backlog
 from peridotbend.edge.config import (
     Account,
     CallerLimits,
@@ -22,11 +20,7 @@
     RouteKind,
     WeightedService,
 )
-from peridotbend.edge.configholder import ConfigHolder
-from peridotbend.edge.crashes import CrashList
-from peridotbend.edge.health import TargetHealth
-from peridotbend.edge.inflight import InFlight
-from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.parts import make_parts
 from peridotbend.edge.ports import (
     EdgeCall,
     EdgeTargetClient,
@@ -34,22 +28,20 @@
     Reply,
     TargetSend,
 )
-from peridotbend.edge.relay import Relay, RelayParts
-from peridotbend.edge.selection import Selector
-from peridotbend.edge.sendbudget import SendBudget
+from peridotbend.edge.relay import Relay
 from peridotbend.edge.settings import EdgeSettings
-from peridotbend.edge.targets import EdgeTarget, TargetList
+from peridotbend.edge.targets import EdgeTarget
 
 ROUTE = Route(
     name="quotes",
     host="shop.example",
-    path_prefix="/quotes/",
+    prefix="/quotes/",
     kind=RouteKind.STREAM,
     services=(WeightedService("engine", 1.0),),
     max_attempts=2,
     timeout_ms=15_000,
-    goal_ms=800,
-    gap_goal_ms=400,
+    objective_ms=800,
+    gap_objective_ms=400,
     rank=0,
     is_public=False,
     is_generation=True,
@@ -58,19 +50,19 @@
 ORDERS = dataclasses.replace(
     ROUTE,
     name="orders",
-    path_prefix="/orders/",
+    prefix="/orders/",
     kind=RouteKind.NON_IDEMPOTENT,
     services=(WeightedService("shop", 1.0),),
     max_attempts=1,
     timeout_ms=800,
-    goal_ms=100,
+    objective_ms=100,
     is_generation=False,
     can_resume=False,
 )
 LOOKUPS = dataclasses.replace(
     ORDERS,
     name="lookups",
-    path_prefix="/lookups/",
+    prefix="/lookups/",
     kind=RouteKind.IDEMPOTENT,
     max_attempts=2,
 )
@@ -265,6 +257,18 @@
             yield _Answer(script, send.target.name)
 
 
+class LoneFleet:
+    """A fleet of one instance."""
+
+    def count_instances(self) -> int:
+        """Returns 1."""
+        return 1
+
+    def find_heard_share(self) -> float:
+        """Returns 1."""
+        return 1.0
+
+
 class EdgeBench:
     """A relay with scripted targets."""
 
@@ -279,48 +283,29 @@
         self.log = RecordingLog()
         self.meter = RecordingMeter()
         self.client = ScriptedTargets(*scripts)
-        self.holder = ConfigHolder()
-        self.targets = TargetList(self.clock)
-        self.occupancy = Occupancy(self.clock)
-        self.health = TargetHealth(self.clock)
-        self.crashes = CrashList(self.clock)
-        self.in_flight = InFlight(self.clock, self.health)
-        self.allowances = Allowances(self.clock, SETTINGS, lambda: 1.0)
-        self.holder.subscribe(
-            lambda config: self.allowances.apply(config.accounts)
+        parts = make_parts(
+            SETTINGS,
+            self.clock,
+            client or self.client,
+            LoneFleet(),
+            self.log,
+            self.meter,
+            random.Random(1),
         )
+        self.holder = parts.holder
+        self.targets = parts.targets
+        self.occupancy = parts.occupancy
+        self.health = parts.health
+        self.crashes = parts.crashes
+        self.in_flight = parts.in_flight
+        self.allowances = parts.allowances
+        self.backlog = parts.backlog
+        self.relay = Relay(parts)
         if config is not None:
             self.holder.offer(config)
         for name in ("i-1", "i-2", "i-3"):
             self.targets.put(make_target(name))
             self.targets.put(make_target(f"s{name}", "shop"))
-        selector = Selector("zone-a", self.occupancy, self.health)
-        self.backlog = Backlog(
-            self.clock,
-            self.targets,
-            self.occupancy,
-            selector,
-            random.Random(1),
-        )
-        self.relay = Relay(
-            RelayParts(
-                clock=self.clock,
-                holder=self.holder,
-                targets=self.targets,
-                backlog=self.backlog,
-                occupancy=self.occupancy,
-                health=self.health,
-                crashes=self.crashes,
-                in_flight=self.in_flight,
-                allowances=self.allowances,
-                budget=SendBudget(self.clock, SETTINGS),
-                client=client or self.client,
-                log=self.log,
-                meter=self.meter,
-                rng=random.Random(1),
-                count_instances=lambda: 1,
-            )
-        )
 
     async def serve(self, call: EdgeCall = CALL) -> RecordingResponder:
         """Serves one call to its end."""
--- /dev/null
+++ b/tests/test_edge_clients.py
@@ -0,0 +1,296 @@
+"""Tests of the clients of the store and of targets, on raw connections."""
+
+import base64
+import contextlib
+import dataclasses
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+from result import Ok
+
+from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.domain.ports import CallError, CallFailure
+from peridotbend.edge.ports import Rejection, Reply, StoreFailure, TargetSend
+from peridotbend.platform import wire
+from peridotbend.platform.runners import RunnerClient
+from peridotbend.platform.store import StoreClient
+from tests.edgefakes import CALL, TARGET
+from tests.test_edge_platform import encode_document
+
+Handler = Callable[[SocketStream, bytes], Awaitable[None]]
+
+
+async def _serve_raw(
+    answer: Handler, check: Callable[[int], Awaitable[None]]
+) -> None:
+    """Runs a check against a server that answers raw requests."""
+
+    async def serve(stream: SocketStream) -> None:
+        request = b""
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream):
+                while True:
+                    request += await stream.receive()
+                    if b"\r\n\r\n" in request:
+                        await answer(stream, request)
+                        request = b""
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        await check(port)
+        tasks.cancel_scope.cancel()
+
+
+def _make_answer(status: str, body: bytes, *headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class StoreClientTest(unittest.TestCase):
+    """Calls to the store."""
+
+    def _run(
+        self,
+        answer: Handler,
+        check: Callable[[StoreClient], Awaitable[None]],
+    ) -> None:
+        async def connect(port: int) -> None:
+            client = HttpTargetClient()
+            await check(StoreClient(("127.0.0.1", port), client))
+            await client.aclose()
+
+        anyio.run(_serve_raw, answer, connect)
+
+    def test_all_pages_are_read(self) -> None:
+        """Guards against targets missing that stand on the second page."""
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            second = b"after=servers%2Fa" in request
+            key = "servers/b" if second else "servers/a"
+            item = {
+                "key": key,
+                "value": base64.b64encode(b"{}").decode(),
+                "revision": 5,
+            }
+            page = {
+                "items": [item],
+                "has_more": not second,
+                "store_revision": 9 if second else 8,
+            }
+            await stream.send(_make_answer("200 OK", encode_document(page)))
+
+        async def check(store: StoreClient) -> None:
+            changes = (
+                await store.read_prefix("servers/").list_items()
+            ).unwrap()
+            assert [item.key for item in changes.items] == [
+                "servers/a",
+                "servers/b",
+            ]
+            # Pages are no snapshot: what changed between them comes again.
+            assert changes.revision == 8
+            assert changes.is_whole
+
+        self._run(answer, check)
+
+    def test_deletions_and_lost_history(self) -> None:
+        """Guards against gone targets that stay, and a watch stuck on 410."""
+        answers = [
+            _make_answer(
+                "200 OK",
+                encode_document(
+                    {
+                        "events": [
+                            {"key": "servers/a", "revision": 7, "deleted": True}
+                        ],
+                        "store_revision": 7,
+                    }
+                ),
+            ),
+            _make_answer("410 Gone", b"{}"),
+            _make_answer("503 Service Unavailable", b""),
+            _make_answer("200 OK", b"<html>"),
+        ]
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            await stream.send(answers.pop(0))
+
+        async def check(store: StoreClient) -> None:
+            reader = store.read_prefix("servers/")
+            changes = (await reader.watch(3, 1_000)).unwrap()
+            assert changes.items[0].value is None
+            for failure in (
+                StoreFailure.COMPACTED,
+                StoreFailure.BUSY,
+                StoreFailure.BAD_ANSWER,
+            ):
+                error = (await reader.watch(7, 1_000)).unwrap_err()
+                assert error.failure is failure
+
+        self._run(answer, check)
+
+    def test_lost_answer_ends_by_the_timeout(self) -> None:
+        """Guards against a channel that returns nothing for ever."""
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            await anyio.sleep_forever()
+
+        async def check(store: StoreClient) -> None:
+            got = await store.get(wire.RANGE_CALL, {}, 0.05)
+            assert got.unwrap_err().failure is StoreFailure.UNREACHABLE
+
+        self._run(answer, check)
+
+
+class RunnerClientTest(unittest.TestCase):
+    """Sends to targets."""
+
+    def _send(self, raw: bytes) -> tuple[Reply | None, list[Any], bytes]:
+        seen: list[bytes] = []
+        replies: list[Reply] = []
+        chunks: list[Any] = []
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            seen.append(request)
+            await stream.send(raw)
+
+        async def check(port: int) -> None:
+            client = HttpTargetClient()
+            target = dataclasses.replace(TARGET, port=port)
+            send = TargetSend(CALL, target, "acme", 1_500, "4", False)
+            async with RunnerClient(client).open(send, lambda: True) as reply:
+                replies.append(reply)
+                if not isinstance(reply, Rejection | CallError):
+                    async for chunk in reply.chunks():
+                        chunks.append(chunk)
+            await client.aclose()
+
+        anyio.run(_serve_raw, answer, check)
+        return replies[0], chunks, seen[0]
+
+    def test_target_is_told_what_it_needs_and_no_more(self) -> None:
+        """Guards against a key that leaves the system, or a missing name."""
+        raw = _make_answer(
+            "200 OK", b"x", f"{wire.ATTEMPT_ID}: attempt-1", "X-Server-Stamp: s"
+        )
+        reply, chunks, seen = self._send(raw)
+        assert not isinstance(reply, Rejection | CallError)
+        assert chunks == [Ok(b"x")]
+        lines = seen.decode().lower().split("\r\n")
+        for expected in (
+            "x-attempt-id: attempt-1",
+            "x-expect-instance: i-1",
+            "x-tenant: acme",
+            "x-deadline-ms: 1500",
+            "last-event-id: 4",
+            "host: shop.example",
+        ):
+            assert lines.count(expected) == 1, expected
+        assert "key-1" not in seen.decode()
+
+    def test_rejections_are_told_from_runs(self) -> None:
+        """Guards against "not run" for a 503 that a run ended with."""
+        own = f"{wire.ATTEMPT_ID}: attempt-1"
+        stamp = "X-Server-Stamp: s"
+        reply, _, _ = self._send(
+            _make_answer("503 Busy", b"", "X-Not-Executed: 1")
+        )
+        assert reply is Rejection.UNAVAILABLE
+        reply, _, _ = self._send(_make_answer("421 Misdirected", b""))
+        assert reply is Rejection.MISDIRECTED
+        reply, _, _ = self._send(_make_answer("503 Busy", b"", own, stamp))
+        assert not isinstance(reply, Rejection | CallError)
+
+    def test_port_without_a_listener_is_told_from_a_silent_host(self) -> None:
+        """Guards against a cut that is taken for a crash, or the reverse."""
+
+        async def run() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(SocketAttribute.local_port)
+            await listener.aclose()
+            client = HttpTargetClient()
+            target = dataclasses.replace(TARGET, port=port)
+            for reuse in (False, True):
+                send = TargetSend(CALL, target, "acme", 1_500, "", reuse)
+                async with RunnerClient(client).open(
+                    send, lambda: True
+                ) as reply:
+                    assert isinstance(reply, CallError)
+                    assert reply.failure is CallFailure.REFUSED
+                    assert not reply.written
+            await client.aclose()
+
+        anyio.run(run)
+
+    def test_answers_of_others_are_not_taken(self) -> None:
+        """Guards against answers that crossed or were made up on the way."""
+        stamp = "X-Server-Stamp: s"
+        other = f"{wire.ATTEMPT_ID}: attempt-0"
+        own = f"{wire.ATTEMPT_ID}: attempt-1"
+        for headers in (
+            (other, stamp),
+            (stamp,),
+            (own,),
+            (own, stamp, "Content-Encoding: gzip"),
+            (other, "X-Not-Executed: 1"),
+        ):
+            reply, _, _ = self._send(_make_answer("200 OK", b"x", *headers))
+            assert isinstance(reply, CallError), headers
+            assert reply.failure is CallFailure.BROKEN
+            assert reply.written
+
+
+class EarlyAnswerTest(unittest.TestCase):
+    """Targets that answer before they have read a long body."""
+
+    def test_rest_of_a_body_is_followed_by_no_other_bytes(self) -> None:
+        """Guards against a next request in the place of the rest of a body."""
+        body = b"a" * 2_000_000
+        seen: list[bytes] = []
+        statuses: list[Reply] = []
+
+        async def serve(stream: SocketStream) -> None:
+            data = bytearray()
+            async with stream:
+                with contextlib.suppress(
+                    anyio.EndOfStream, anyio.BrokenResourceError
+                ):
+                    while True:
+                        while b"\r\n\r\n" not in data:
+                            data += await stream.receive()
+                        head, _, rest = bytes(data).partition(b"\r\n\r\n")
+                        seen.append(head)
+                        rejected = "X-Not-Executed: 1"
+                        await stream.send(
+                            _make_answer("503 Busy", b"", rejected)
+                        )
+                        while len(rest) < len(body):
+                            rest += await stream.receive()
+                        seen.append(rest[: len(body)])
+                        data = bytearray(rest[len(body) :])
+
+        async def run() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(SocketAttribute.local_port)
+            client = HttpTargetClient()
+            target = dataclasses.replace(TARGET, port=port)
+            call = dataclasses.replace(CALL, body=body)
+            send = TargetSend(call, target, "acme", 5_000, "", True)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                for _ in range(3):
+                    runner = RunnerClient(client)
+                    async with runner.open(send, lambda: True) as reply:
+                        statuses.append(reply)
+                await client.aclose()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+        assert statuses == [Rejection.UNAVAILABLE] * 3
+        for part in seen:
+            assert part.startswith(b"POST ") or part == body, part[:80]
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -5,8 +5,9 @@
 import anyio
 
 from peridotbend.domain.clock import ManualClock
-from peridotbend_emulator.replay import PATTERNS, POLICIES, Outcome, Replay
+from peridotbend_emulator.replay import Outcome, Replay
 from peridotbend_emulator.replayengine import ReplayEngine
+from peridotbend_emulator.replayload import PATTERNS, POLICIES
 from peridotbend_emulator.virtualtime import run_virtual
 
 SEED = 3
@@ -34,7 +35,7 @@
 
     def test_early_refusal_serves_more_than_waiting(self) -> None:
         """Guards against queues in which all that wait come late."""
-        assert self.as_is.worth > _replay("bursts", "wait-3-goals").worth
+        assert self.as_is.worth > _replay("bursts", "wait-3-objectives").worth
 
     def test_engines_short_of_full_serve_more(self) -> None:
         """Guards against requests that wait where no order by rank holds."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -52,7 +52,7 @@
         "src/peridotbend/platform/runners.py",
         "if told and told != attempt:",
         "if False:",
-        ("test_edge_platform",),
+        ("test_edge_clients",),
     ),
     Mutant(
         "reset-taken-for-the-end",
@@ -68,7 +68,7 @@
         EDGE + "events.py",
         'self._partial = b""\n\n    def _note',
         "pass\n\n    def _note",
-        ("test_edge_peers", "test_edge_relay"),
+        ("test_edge_peers", "test_edge_streams"),
     ),
     Mutant(
         "resume-from-the-start",
@@ -76,7 +76,7 @@
         EDGE + "relay.py",
         "            run.events.last_event_id,\n            reuse",
         '            "",\n            reuse',
-        ("test_edge_relay",),
+        ("test_edge_streams",),
     ),
     Mutant(
         "stream-that-cannot-resume-repeated",
@@ -84,7 +84,7 @@
         EDGE + "config.py",
         "return self.can_resume",
         "return True",
-        ("test_edge_relay",),
+        ("test_edge_streams",),
     ),
     Mutant(
         "system-headers-passed-on",
@@ -149,7 +149,7 @@
         EDGE + "sendbudget.py",
         "settings.resend_slack / max(1, instances)",
         "settings.resend_slack",
-        ("test_edge_decisions", "test_edge_shares"),
+        ("test_edge_budgets", "test_edge_shares"),
     ),
     Mutant(
         "seeds-not-counted",
@@ -165,7 +165,7 @@
         EDGE + "crashes.py",
         "told.get(fingerprint, 0) for told",
         "0 for told",
-        ("test_edge_decisions", "test_edge_shares"),
+        ("test_edge_budgets", "test_edge_shares"),
     ),
     Mutant(
         "caller-not-watched",
@@ -189,7 +189,7 @@
         EDGE + "relay.py",
         "and self._parts.backlog.has_place(self._make_wish(run, target))",
         "",
-        ("test_edge_relay",),
+        ("test_edge_streams",),
     ),
     Mutant(
         "route-timeout-ignored",
@@ -229,7 +229,7 @@
         "src/peridotbend/platform/runners.py",
         "(wire.EXPECT_INSTANCE, ",
         '("x-unused", ',
-        ("test_edge_platform",),
+        ("test_edge_clients",),
     ),
     Mutant(
         "unknown-key-served",
@@ -270,7 +270,7 @@
         EDGE + "allowances.py",
         "                bucket.level -= spent\n",
         "",
-        ("test_edge_decisions", "test_edge_shares"),
+        ("test_edge_budgets", "test_edge_shares"),
     ),
     Mutant(
         "whole-allowance-in-a-partition",
@@ -278,7 +278,7 @@
         EDGE + "allowances.py",
         "if bucket.heard_share >= 1:",
         "if True:",
-        ("test_edge_decisions", "test_edge_shares"),
+        ("test_edge_budgets", "test_edge_shares"),
     ),
     Mutant(
         "full-bucket-at-each-start",
@@ -286,7 +286,7 @@
         EDGE + "allowances.py",
         "            bucket.level = level\n        elif",
         "            pass\n        elif",
-        ("test_edge_decisions", "test_edge_shares"),
+        ("test_edge_budgets", "test_edge_shares"),
     ),
     Mutant(
         "ready-without-the-lists",
