Check runs in flight in the order in which they were sent

The test of equal figures passed as the policy it played moves few runs. Change: they are kept in order. Test: test_runs_that_move_repeat_too, which failed before.

--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -62,7 +62,9 @@
         self._clock = clock
         self._health = health
         self._pauses = PauseDetector(clock)
-        self._sends: set[Send] = set()
+        # Keys only, in order: the oldest is checked first, and a replay
+        # repeats.
+        self._sends: dict[Send, None] = {}
 
     @contextlib.contextmanager
     def track(
@@ -72,11 +74,11 @@
         with anyio.CancelScope() as scope:
             now_ms = self._clock.now_ms()
             send = Send(target, route, now_ms, scope, self._health, can_move)
-            self._sends.add(send)
+            self._sends[send] = None
             try:
                 yield send
             finally:
-                self._sends.discard(send)
+                del self._sends[send]
 
     def check(self) -> None:
         """Ends the sends that stall, where another target can take over."""
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -56,6 +56,14 @@
         assert again.worth == self.as_is.worth
         assert again.refusals == self.as_is.refusals
 
+    def test_runs_that_move_repeat_too(self) -> None:
+        """Guards against figures that hang on the order of a set.
+
+        Stalled runs were checked in the order of their memory addresses.
+        """
+        first = _replay("bursts", "own-use-only")
+        assert _replay("bursts", "own-use-only").worth == first.worth
+
 
 class ReplayEngineTest(unittest.TestCase):
     """The stand-in engine in virtual time."""
