--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -386,9 +386,9 @@
     chosen = [p for p in PATTERNS if only in (None, p.name)]
     if not chosen:
         raise click.BadParameter(f"no pattern is named {only}")
-    click.echo(f"{'policy':15}" + "".join(f"{p.name:>10}" for p in chosen))
+    click.echo(f"{'policy':18}" + "".join(f"{p.name:>10}" for p in chosen))
     for policy in POLICIES:
-        row = f"{policy.name:15}"
+        row = f"{policy.name:18}"
         tables = []
         for pattern in chosen:
             outcomes = [
