--- /dev/null
+++ b/src/peridotbend/adapters/digests.py
@@ -0,0 +1,179 @@
+"""Encoding of digests as datagrams."""
+
+import math
+import socket
+from collections.abc import Iterable, Sequence
+from typing import TypeVar
+
+from google.protobuf.message import DecodeError
+
+from peridotbend.edge.allowances import AllowanceUse
+from peridotbend.edge.peers import Digest, Member, Scope
+from peridotbend.wire import edge_pb2 as pb
+
+# A larger datagram would be fragmented, and lost with any of its fragments.
+MAX_DATAGRAM_BYTES = 1_400
+# Reserved for the echo, which differs for each receiver.
+ECHO_BYTES = 32
+# Hosts listed in one digest; receivers learn the others from other peers.
+MAX_KNOWN_HOSTS = 64
+MAX_NAME_CHARS = 256
+Value = TypeVar("Value", int, float)
+# Unit of the ages of members.
+AGE_UNIT_MS = 100
+# Lists of a digest in the order in which entries are omitted from one that is
+# too large; the least urgent first.
+_OMITTED_FIRST = ("crashes", "known_hosts", "members", "accounts", "uses")
+
+_SCOPES = {
+    Scope.OWN: pb.OWN,
+    Scope.GROUP: pb.GROUP,
+    Scope.FLEET: pb.FLEET,
+}
+_SCOPES_BY_NUMBER = {number: scope for scope, number in _SCOPES.items()}
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """Returns a datagram.
+
+    A datagram that would be too large omits its least urgent entries.
+    """
+    message = pb.UseDigest(
+        name=digest.name,
+        incarnation=digest.incarnation,
+        sequence=digest.sequence,
+        host=digest.host,
+        draining=digest.is_draining,
+        known_hosts=digest.known_hosts[:MAX_KNOWN_HOSTS],
+        feeds=[
+            pb.FeedState(prefix=prefix, revision=revision)
+            for prefix, revision in digest.revisions.items()
+        ],
+        uses=[
+            pb.TargetUse(target=target, in_flight=count)
+            for target, count in digest.in_flight.items()
+        ],
+        accounts=[
+            pb.AccountUse(
+                account=account, spent_tokens=use.spent, level_tokens=use.level
+            )
+            for account, use in digest.allowances.items()
+        ],
+        crashes=[
+            pb.CrashCount(fingerprint=fingerprint, crashes=count)
+            for fingerprint, count in digest.crashes.items()
+        ],
+        scope=_SCOPES[digest.scope],
+        zone=digest.zone,
+        store_reachable=digest.is_store_reachable,
+        live_instances=digest.live_instances,
+        expected_instances=digest.expected_instances,
+        target_hashes=digest.target_counts.keys(),
+        target_counts=digest.target_counts.values(),
+        partial_counts=digest.is_partial,
+        members=_pack_members(digest.members),
+    )
+    if digest.account_levels:
+        message.account_hashes.extend(digest.account_levels.keys())
+        message.account_levels.extend(digest.account_levels.values())
+    elif digest.account_spent:
+        message.account_hashes.extend(digest.account_spent.keys())
+        message.account_spent.extend(digest.account_spent.values())
+    for name in _OMITTED_FIRST:
+        entries = getattr(message, name)
+        while message.ByteSize() > MAX_DATAGRAM_BYTES - ECHO_BYTES and entries:
+            del entries[len(entries) // 2 :]
+    return message.SerializeToString()
+
+
+def encode_echo(echo: tuple[int, int]) -> bytes:
+    """Returns what to append to a datagram for one receiver."""
+    return pb.UseDigest(
+        echoed_incarnation=echo[0], echoed_sequence=max(0, echo[1])
+    ).SerializeToString()
+
+
+def decode_digest(data: bytes) -> Digest | None:
+    """Returns a digest, or None if the datagram is malformed."""
+    message = pb.UseDigest()
+    try:
+        message.ParseFromString(data)
+    except DecodeError:
+        return None
+    if not message.name or not message.host:
+        return None
+    scope = _SCOPES_BY_NUMBER.get(message.scope)
+    if scope is None or len(message.zone) > MAX_NAME_CHARS:
+        return None
+    levels = _zip_dict(message.account_hashes, message.account_levels)
+    spent = _zip_dict(message.account_hashes, message.account_spent)
+    uses = {
+        use.account: AllowanceUse(use.spent_tokens, use.level_tokens)
+        for use in message.accounts
+    }
+    amounts = [*levels.values(), *spent.values()]
+    amounts += [
+        amount for use in uses.values() for amount in (use.spent, use.level)
+    ]
+    if not all(map(math.isfinite, amounts)):
+        return None
+    return Digest(
+        name=message.name,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        host=message.host,
+        is_draining=message.draining,
+        known_hosts=tuple(message.known_hosts[:MAX_KNOWN_HOSTS]),
+        revisions={feed.prefix: feed.revision for feed in message.feeds},
+        in_flight={use.target: use.in_flight for use in message.uses},
+        allowances=uses,
+        crashes={c.fingerprint: c.crashes for c in message.crashes},
+        scope=scope,
+        zone=message.zone,
+        is_store_reachable=message.store_reachable,
+        live_instances=message.live_instances,
+        expected_instances=message.expected_instances,
+        target_counts=_zip_dict(message.target_hashes, message.target_counts),
+        is_partial=message.partial_counts,
+        account_levels=levels,
+        account_spent=spent,
+        members=_unpack_members(message.members),
+        echo=(message.echoed_incarnation, message.echoed_sequence),
+    )
+
+
+def _pack_members(members: Sequence[Member]) -> list[pb.ZoneMembers]:
+    by_zone: dict[str, pb.ZoneMembers] = {}
+    for member in members:
+        try:
+            packed = socket.inet_aton(member.host)
+        except OSError:
+            # A seed whose host is no IPv4 address; only its own digests can
+            # make it known.
+            continue
+        zone = by_zone.setdefault(member.zone, pb.ZoneMembers(zone=member.zone))
+        zone.hosts.append(int.from_bytes(packed, "big"))
+        zone.ages.append(max(0, member.age_ms) // AGE_UNIT_MS)
+        zone.draining.append(member.is_draining)
+    return list(by_zone.values())
+
+
+def _unpack_members(zones: Sequence[pb.ZoneMembers]) -> tuple[Member, ...]:
+    return tuple(
+        Member(
+            socket.inet_ntoa(host.to_bytes(4, "big")),
+            zone.zone,
+            age * AGE_UNIT_MS,
+            is_draining,
+        )
+        for zone in zones
+        if len(zone.zone) <= MAX_NAME_CHARS
+        for host, age, is_draining in zip(
+            zone.hosts, zone.ages, zone.draining, strict=False
+        )
+    )
+
+
+def _zip_dict(keys: Iterable[int], values: Iterable[Value]) -> dict[int, Value]:
+    """Returns a dictionary; a malformed digest may have fewer values."""
+    return dict(zip(keys, values, strict=False))
--- a/src/peridotbend/adapters/gossip.py
+++ b/src/peridotbend/adapters/gossip.py
@@ -1,6 +1,6 @@
 """Exchanges digests with the other instances in UDP datagrams.
 
-A digest is current for about 50 ms, and the next one replaces it if it is
+A digest is current for about 100 ms, and the next one replaces it if it is
 lost. On a link with packet loss, a stream would delay all later digests.
 """
 
@@ -8,22 +8,14 @@
 
 import anyio
 from anyio.abc import UDPSocket
-from google.protobuf.message import DecodeError
 
-from peridotbend.domain.clock import Clock
-from peridotbend.edge.allowances import AllowanceUse
-from peridotbend.edge.peers import Digest, PeerRegistry
+from peridotbend.adapters.digests import (
+    decode_digest,
+    encode_digest,
+    encode_echo,
+)
+from peridotbend.edge.exchange import DigestExchange, Outgoing
 from peridotbend.edge.settings import Address
-from peridotbend.wire import edge_pb2 as pb
-
-# Digests are sent at least the minimum interval apart; one without changes is
-# sent after the maximum interval.
-MIN_SEND_INTERVAL_MS = 50
-MAX_SEND_INTERVAL_MS = 300
-# A larger datagram would be fragmented, and lost with any of its fragments.
-MAX_DATAGRAM_BYTES = 1_400
-# Hosts listed in one digest; receivers learn the others from other peers.
-MAX_KNOWN_HOSTS = 64
 
 
 class Gossip:
@@ -32,19 +24,25 @@
     def __init__(
         self,
         listen_address: Address,
-        peers: PeerRegistry,
-        build_digest: Callable[[int], Digest],
-        apply_digest: Callable[[Digest], None],
-        on_peer_lost: Callable[[str], None],
-        clock: Clock,
+        exchange: DigestExchange,
+        on_collected: Callable[[], None],
     ):
+        """Creates the exchange of datagrams.
+
+        Args:
+            listen_address: where digests arrive; the port is the same on all
+                instances.
+            exchange: decides what to send, and applies what arrives.
+            on_collected: called after each update of what the exchange knows.
+        """
         self._listen_address = listen_address
-        self._peers = peers
-        self._build_digest = build_digest
-        self._apply_digest = apply_digest
-        self._on_peer_lost = on_peer_lost
-        self._clock = clock
-        self._sequence = 0
+        self._exchange = exchange
+        self._on_collected = on_collected
+        self._changed = anyio.Event()
+
+    def note_change(self) -> None:
+        """Makes digests due, for example after a request started."""
+        self._changed.set()
 
     async def run(self) -> None:
         """Exchanges digests until cancelled."""
@@ -59,99 +57,36 @@
             await self._send(socket, port)
 
     async def _send(self, socket: UDPSocket, port: int) -> None:
-        last_content: object = None
-        sent_at_ms = 0
         while True:
-            await anyio.sleep(MIN_SEND_INTERVAL_MS / 1_000)
-            self._peers.check(self._on_peer_lost)
-            digest = self._build_digest(self._sequence)
-            spent = {n: use.spent for n, use in digest.allowances.items()}
-            content = digest.in_flight, spent, digest.is_draining
-            now_ms = self._clock.now_ms()
-            if (
-                content == last_content
-                and now_ms - sent_at_ms < MAX_SEND_INTERVAL_MS
-            ):
-                continue
-            last_content, sent_at_ms = content, now_ms
-            self._sequence += 1
-            data = encode_digest(digest)
-            for host in self._peers.choose_hosts():
-                try:
-                    await socket.sendto(data, host, port)
-                except OSError:
-                    # The next digest follows after 50 to 300 ms; PeerRegistry
-                    # logs a peer that stays unreachable.
-                    continue
+            self._changed = anyio.Event()
+            for outgoing in self._exchange.collect():
+                await _send_to_all(socket, port, outgoing)
+            self._on_collected()
+            # Changes within this time share a digest.
+            await anyio.sleep(self._exchange.find_min_interval_ms() / 1_000)
+            with anyio.move_on_after(self._exchange.find_wait_ms() / 1_000):
+                await self._changed.wait()
 
     async def _receive(self, socket: UDPSocket) -> None:
         async for data, (host, _port) in socket:
             digest = decode_digest(data)
             if digest is None or digest.host != host:
                 continue
-            if self._peers.accept(digest):
-                self._apply_digest(digest)
-
-
-def encode_digest(digest: Digest) -> bytes:
-    """Returns a datagram.
-
-    A datagram that would be too large omits its least urgent entries.
-    """
-    message = pb.UseDigest(
-        name=digest.name,
-        incarnation=digest.incarnation,
-        sequence=digest.sequence,
-        host=digest.host,
-        draining=digest.is_draining,
-        known_hosts=digest.known_hosts[:MAX_KNOWN_HOSTS],
-        feeds=[
-            pb.FeedState(prefix=prefix, revision=revision)
-            for prefix, revision in digest.revisions.items()
-        ],
-        uses=[
-            pb.TargetUse(target=target, in_flight=count)
-            for target, count in digest.in_flight.items()
-        ],
-        accounts=[
-            pb.AccountUse(
-                account=account, spent_tokens=use.spent, level_tokens=use.level
-            )
-            for account, use in digest.allowances.items()
-        ],
-        crashes=[
-            pb.CrashCount(fingerprint=fingerprint, crashes=count)
-            for fingerprint, count in digest.crashes.items()
-        ],
-    )
-    for name in ("crashes", "known_hosts", "accounts", "uses"):
-        entries = getattr(message, name)
-        while message.ByteSize() > MAX_DATAGRAM_BYTES and entries:
-            del entries[len(entries) // 2 :]
-    return message.SerializeToString()
-
-
-def decode_digest(data: bytes) -> Digest | None:
-    """Returns a digest, or None if the datagram is malformed."""
-    message = pb.UseDigest()
-    try:
-        message.ParseFromString(data)
-    except DecodeError:
-        return None
-    if not message.name or not message.host:
-        return None
-    return Digest(
-        name=message.name,
-        incarnation=message.incarnation,
-        sequence=message.sequence,
-        host=message.host,
-        is_draining=message.draining,
-        known_hosts=tuple(message.known_hosts[:MAX_KNOWN_HOSTS]),
-        revisions={feed.prefix: feed.revision for feed in message.feeds},
-        in_flight={use.target: use.in_flight for use in message.uses},
-        allowances={
-            use.account: AllowanceUse(use.spent_tokens, use.level_tokens)
-            for use in message.accounts
-        },
-        crashes={c.fingerprint: c.crashes for c in message.crashes},
-    )
+            if self._exchange.receive(digest):
+                self._changed.set()
+
+
+async def _send_to_all(
+    socket: UDPSocket, port: int, outgoing: Outgoing
+) -> None:
+    data = encode_digest(outgoing.digest)
+    for index, host in enumerate(outgoing.hosts):
+        echo = b""
+        if outgoing.echoes:
+            echo = encode_echo(outgoing.echoes[index])
+        try:
+            await socket.sendto(data + echo, host, port)
+        except OSError:
+            # The next digest follows soon; PeerRegistry logs a peer that
+            # stays unreachable.
+            continue
--- a/src/peridotbend/domain/pauses.py
+++ b/src/peridotbend/domain/pauses.py
@@ -25,6 +25,10 @@
             self._resumed_at_ms = now_ms
         self._last_tick_ms = now_ms
 
+    def reset(self) -> None:
+        """Records that the ticks stop; the time until the next is no pause."""
+        self._last_tick_ms = None
+
     def paused_since(self, since_ms: int) -> bool:
         """Tells whether the process has been suspended since `since_ms`."""
         # After a pause, other tasks may run before the task that ticks.
--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -6,6 +6,7 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.edge.config import Account
+from peridotbend.edge.hashes import hash_name
 from peridotbend.edge.settings import EdgeSettings
 
 # Fraction of a bucket that is reserved for requests other than generations.
@@ -50,6 +51,8 @@
     live_share: float = 1.0
     # Total spent by this instance since the start of the process.
     spent: float = 0.0
+    # Total spent by the instances of the group, as far as reported here.
+    group_spent: float = 0.0
     # When the level was first synced with a peer; None before that.
     synced_at_ms: int | None = None
 
@@ -82,6 +85,7 @@
         self._find_live_share = find_live_share
         self._accounts: dict[str, Account] = {}
         self._buckets: dict[str, _Bucket] = {}
+        self._names_by_hash: dict[int, str] = {}
         # Incarnation and last reported spending by account, for each peer.
         self._reported_by_peer: dict[str, tuple[int, dict[str, float]]] = {}
 
@@ -91,6 +95,7 @@
             # The old rate applies up to now.
             self._refill(account)
         self._accounts = {account.name: account for account in accounts}
+        self._names_by_hash = {hash_name(name): name for name in self._accounts}
         for account in self._accounts.values():
             bucket = self._refill(account)
             bucket.level = min(bucket.level, account.burst_tokens)
@@ -120,6 +125,7 @@
         bucket.level -= tokens
         bucket.partition_level -= tokens
         bucket.spent += tokens
+        bucket.group_spent += tokens
         return None
 
     def refund(self, name: str, tokens: float) -> None:
@@ -130,6 +136,7 @@
             bucket.level = min(account.burst_tokens, bucket.level + tokens)
             bucket.partition_level += tokens
             bucket.spent -= tokens
+            bucket.group_spent -= tokens
 
     def describe(self, name: str) -> dict[str, object]:
         """Returns the state behind a decision on an account, for logs."""
@@ -151,10 +158,69 @@
             for name, bucket in self._buckets.items()
         }
 
+    def list_levels(self) -> dict[int, float]:
+        """Returns the tokens left by hash of the account, for the members."""
+        return {
+            hash_name(name): self._find_available(
+                account, self._refill(account)
+            )
+            for name, account in self._accounts.items()
+            if account.tokens_per_s > 0
+        }
+
+    def list_group_spent(self) -> dict[int, float]:
+        """Returns the spending of the group by hash of the account."""
+        return {
+            hash_name(name): bucket.group_spent
+            for name, bucket in self._buckets.items()
+            if name in self._accounts
+        }
+
+    def adopt_levels(
+        self, levels: Mapping[int, float], included: Mapping[str, float]
+    ) -> None:
+        """Adopts the levels of a relay.
+
+        Args:
+            levels: tokens left for all instances by hash of the account.
+            included: total spending of this instance that they include.
+        """
+        for hashed, left in levels.items():
+            name = self._names_by_hash.get(hashed)
+            if name is None:
+                continue
+            account = self._accounts[name]
+            bucket = self._refill(account)
+            level = left - (bucket.spent - included.get(name, 0.0))
+            bucket.level = min(account.burst_tokens, level)
+            bucket.partition_level = bucket.level
+            if bucket.synced_at_ms is None:
+                bucket.synced_at_ms = self._clock.now_ms()
+
+    def record_group(
+        self, source: str, incarnation: int, spent: Mapping[int, float]
+    ) -> None:
+        """Deducts what another group has spent since its last digest."""
+        uses = {
+            self._names_by_hash[hashed]: AllowanceUse(total, math.inf)
+            for hashed, total in spent.items()
+            if hashed in self._names_by_hash
+        }
+        self._record(source, incarnation, uses, is_own_group=False)
+
     def record_peer(
         self, peer: str, incarnation: int, uses: Mapping[str, AllowanceUse]
     ) -> None:
         """Deducts what a peer has spent since its last digest."""
+        self._record(peer, incarnation, uses, is_own_group=True)
+
+    def _record(
+        self,
+        peer: str,
+        incarnation: int,
+        uses: Mapping[str, AllowanceUse],
+        is_own_group: bool,
+    ) -> None:
         known_incarnation, reported = self._reported_by_peer.get(
             peer, (None, {})
         )
@@ -171,7 +237,9 @@
                 spent = use.spent - reported[name]
                 bucket.level -= spent
                 bucket.partition_level -= spent
-            else:
+                if is_own_group:
+                    bucket.group_spent += spent
+            elif is_own_group:
                 # The first report for this account. It may have been added to
                 # the configuration after the last digest; the level of the
                 # peer then includes what the peer spent before.
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -98,6 +98,7 @@
         self._rng = rng
         self._sequence = itertools.count()
         self._waiting: dict[str, list[_Waiter]] = {}
+        self._has_waiting = anyio.Event()
 
     def count_waiting(self, service: str) -> int:
         """Returns the number of waiting requests of a service."""
@@ -149,6 +150,7 @@
         self.grant_slots(criteria.service)
         try:
             if waiter.result is None:
+                self._has_waiting.set()
                 await waiter.done.wait()
         except BaseException:
             self._cancel(waiter)
@@ -164,8 +166,17 @@
         now_ms = self._clock.now_ms()
         targets = self._targets.list_for(service)
         still_waiting: list[_Waiter] = []
+        # Criteria for which all targets are full. Within this call slots are
+        # only taken, so other requests with the same criteria would find none.
+        full_for: set[TargetCriteria] = set()
         for waiter in queue:
-            target = self._selector.choose(waiter.criteria, targets)
+            target = None
+            # The session only affects which of the free targets is chosen.
+            criteria = dataclasses.replace(waiter.criteria, session="")
+            if criteria not in full_for:
+                target = self._selector.choose(waiter.criteria, targets)
+                if target is None:
+                    full_for.add(criteria)
             if target is not None and waiter.wait_until_ms > now_ms:
                 self._grant(waiter, target)
             elif waiter.wait_until_ms <= now_ms:
@@ -175,11 +186,14 @@
         self._waiting[service] = still_waiting
 
     async def run(self) -> None:
-        """Grants slots and refuses expired requests periodically."""
+        """Grants slots and refuses expired requests, while any wait."""
         while True:
-            await anyio.sleep(CHECK_INTERVAL_MS / 1_000)
-            for service in list(self._waiting):
-                self.grant_slots(service)
+            await self._has_waiting.wait()
+            self._has_waiting = anyio.Event()
+            while self.count_all():
+                await anyio.sleep(CHECK_INTERVAL_MS / 1_000)
+                for service in list(self._waiting):
+                    self.grant_slots(service)
 
     def _find_retry_after(self, route: Route) -> int:
         """Returns after how many ms a refused caller should retry."""
--- a/src/peridotbend/edge/crashes.py
+++ b/src/peridotbend/edge/crashes.py
@@ -50,6 +50,8 @@
             int, tuple[set[str], int]
         ] = collections.OrderedDict()
         self._peer_counts: dict[str, Mapping[int, int]] = {}
+        # Counts of a relay, which include those of this instance.
+        self._fleet_counts: Mapping[int, int] = {}
         # Requests that completed here and thus do not crash targets.
         self._cleared: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
@@ -93,7 +95,7 @@
 
     def note_success(self, fingerprint: int) -> None:
         """Records that a request completed."""
-        if not (self._dead_targets or self._peer_counts):
+        if not (self._dead_targets or self._peer_counts or self._fleet_counts):
             return
         self._dead_targets.pop(fingerprint, None)
         self._cleared[fingerprint] = None
@@ -124,8 +126,30 @@
         else:
             self._peer_counts.pop(peer, None)
 
+    def set_fleet_counts(self, counts: Mapping[int, int]) -> None:
+        """Replaces the counts of a relay, summed over all instances."""
+        self._fleet_counts = counts
+
+    def list_sum(self, sources: set[str]) -> dict[int, int]:
+        """Returns the sums of own counts and those of the sources."""
+        totals = dict(self.list_for_digest())
+        for source, counts in self._peer_counts.items():
+            if source in sources:
+                for fingerprint, count in counts.items():
+                    totals[fingerprint] = totals.get(fingerprint, 0) + count
+        return dict(list(totals.items())[-MAX_DIGEST_ENTRIES:])
+
+    def list_totals(self) -> dict[int, int]:
+        """Returns the counts of all instances as known here."""
+        fingerprints = [*self._dead_targets, *self._fleet_counts]
+        for counts in self._peer_counts.values():
+            fingerprints.extend(counts)
+        newest = dict.fromkeys(fingerprints[-MAX_DIGEST_ENTRIES:])
+        return {fingerprint: self._count(fingerprint) for fingerprint in newest}
+
     def _count(self, fingerprint: int) -> int:
         dead, _ = self._dead_targets.get(fingerprint, (set(), 0))
-        return len(dead) + sum(
+        direct = len(dead) + sum(
             counts.get(fingerprint, 0) for counts in self._peer_counts.values()
         )
+        return max(direct, self._fleet_counts.get(fingerprint, 0))
--- /dev/null
+++ b/src/peridotbend/edge/exchange.py
@@ -0,0 +1,395 @@
+"""Decides which digests an instance sends to whom, and what it believes.
+
+Independent of sockets: the caller sends what `collect` returns and passes on
+what it receives.
+"""
+
+import dataclasses
+from collections.abc import Callable, Sequence
+
+from peridotbend.domain.clock import Clock
+from peridotbend.edge.groups import GroupDirectory, GroupKey
+from peridotbend.edge.peers import (
+    PEER_TIMEOUT_MS,
+    Digest,
+    Member,
+    PeerRegistry,
+    Scope,
+)
+from peridotbend.edge.sharedstate import SharedState
+
+# In a small fleet, digests follow changes within this time.
+MESH_INTERVAL_MS = 50
+MESH_MAX_INTERVAL_MS = 300
+# In a larger fleet, state passes through two relays.
+GROUP_INTERVAL_MS = 100
+GROUP_MAX_INTERVAL_MS = 400
+# Interval of the second relay of a group, whose digests are only needed when
+# the first one fails.
+STANDBY_INTERVAL_MS = 300
+# A relay that read the store is taken to read it for this time after its last
+# digest.
+READER_TIMEOUT_MS = 1_000
+# Age at which the totals of the first relay are replaced by those of another.
+SWITCH_RELAY_MS = 500
+# Entries of the list of instances in one digest.
+MAX_MEMBERS = 24
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """One digest and the hosts that it goes to."""
+
+    digest: Digest
+    hosts: Sequence[str]
+    # For each host, incarnation and sequence of its digest that is included.
+    echoes: Sequence[tuple[int, int]] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Source:
+    """The newest digest of a relay."""
+
+    host: str
+    # Incarnation and sequence of the digest.
+    version: tuple[int, int]
+    at_ms: int
+    live: int
+    expected: int
+
+
+class FleetStatus:
+    """How many instances serve callers, as far as this one knows."""
+
+    def __init__(self, peers: PeerRegistry, directory: GroupDirectory):
+        self._peers = peers
+        self._directory = directory
+        self._live = 1
+        self._expected = 1
+
+    def set_counts(self, live: int, expected: int) -> None:
+        """Sets the numbers of live and expected instances of all groups."""
+        self._live = live
+        self._expected = max(1, live, expected)
+
+    def count_instances(self) -> int:
+        """Returns how many instances may serve callers, including this one."""
+        return max(self._expected, self._peers.count_instances())
+
+    def find_live_share(self) -> float:
+        """Returns the live instances as a fraction of all expected ones."""
+        if self._directory.is_mesh:
+            return self._peers.find_live_share()
+        return self._live / self._expected
+
+
+class DigestExchange:
+    """The part of an instance in the exchange of digests."""
+
+    def __init__(
+        self,
+        state: SharedState,
+        peers: PeerRegistry,
+        directory: GroupDirectory,
+        status: FleetStatus,
+        clock: Clock,
+        note_revision: Callable[[str, str, int], None],
+    ):
+        """Creates the exchange.
+
+        Args:
+            state: what digests describe.
+            peers: all known instances.
+            directory: the groups and their relays.
+            status: receives the numbers of instances.
+            clock: source of time.
+            note_revision: called with host, prefix and revision for each
+                prefix that another instance knows.
+        """
+        self._state = state
+        self._peers = peers
+        self._directory = directory
+        self._status = status
+        self._clock = clock
+        self._note_revision = note_revision
+        self._identity = state.identity
+        self._sequence = 0
+        self._sent_at_ms: dict[Scope, int] = {}
+        self._last_content: object = None
+        # The relay whose totals are in use; None while own sums are.
+        self._view: _Source | None = None
+        self._groups: dict[GroupKey, _Source] = {}
+        # When a digest of each relay that reads the store arrived.
+        self._readers: dict[str, int] = {}
+        self._members_cursor = 0
+        # Live instances that this one knows of by digests or by sums.
+        self._live = 1
+        self._expected = 1
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this instance sums the state of its group."""
+        if self._directory.is_mesh:
+            return False
+        return self._identity.host in self._find_own_relays()
+
+    def should_read_store(self) -> bool:
+        """Tells whether this instance reads the store itself.
+
+        The first relay of each group does. The others get changes from it, and
+        read for themselves while it is silent or does not reach the store.
+        """
+        if self._directory.is_mesh:
+            return True
+        relays = self._find_own_relays()
+        if relays[0] == self._identity.host:
+            return True
+        oldest_ms = self._clock.now_ms() - READER_TIMEOUT_MS
+        return all(at_ms < oldest_ms for at_ms in self._readers.values())
+
+    def find_wait_ms(self) -> int:
+        """Returns the time until digests are due without any change."""
+        sent_at_ms = min(
+            self._sent_at_ms.get(scope, 0) for scope in self._list_scopes()
+        )
+        max_interval_ms = (
+            MESH_MAX_INTERVAL_MS
+            if self._directory.is_mesh
+            else GROUP_MAX_INTERVAL_MS
+        )
+        return max(1, sent_at_ms + max_interval_ms - self._clock.now_ms())
+
+    def find_min_interval_ms(self) -> int:
+        """Returns the minimum time between digests."""
+        if self._directory.is_mesh:
+            return MESH_INTERVAL_MS
+        return GROUP_INTERVAL_MS
+
+    def collect(self) -> list[Outgoing]:
+        """Returns the digests that are due."""
+        self._peers.check(self._state.drop_source)
+        self._sequence += 1
+        if self._directory.is_mesh:
+            self._drop_view()
+            return self._collect_own(self._peers.list_hosts())
+        self._check_sources()
+        relays = self._find_own_relays()
+        others = [host for host in relays if host != self._identity.host]
+        if self._view is None and not self.is_relay:
+            # A new instance finds the others through any that it knows.
+            others.append(self._peers.choose_any())
+        outgoing = self._collect_own(others)
+        interval_ms = GROUP_INTERVAL_MS
+        if self.is_relay and relays[0] != self._identity.host:
+            interval_ms = STANDBY_INTERVAL_MS
+        outgoing += self._collect_fleet(interval_ms)
+        if self.is_relay:
+            outgoing += self._collect_group(interval_ms)
+        return outgoing
+
+    def receive(self, digest: Digest) -> bool:
+        """Applies a digest; returns whether anybody should be told of it."""
+        if digest.host == self._identity.host:
+            return False
+        if digest.scope is Scope.OWN:
+            return self._receive_own(digest)
+        self._peers.add_member(
+            Member(digest.host, digest.zone, 0, digest.is_draining)
+        )
+        for member in digest.members:
+            if member.host != self._identity.host:
+                self._peers.add_member(member)
+        for prefix, revision in digest.revisions.items():
+            self._note_revision(digest.host, prefix, revision)
+        if self._directory.is_mesh:
+            return False
+        self._directory.note_answer(digest.host)
+        if digest.scope is Scope.GROUP:
+            return self._receive_group(digest)
+        self._receive_fleet(digest)
+        return False
+
+    def _receive_own(self, digest: Digest) -> bool:
+        if not self._peers.accept(digest):
+            return False
+        for prefix, revision in digest.revisions.items():
+            self._note_revision(digest.host, prefix, revision)
+        key = self._directory.find_key(digest.host)
+        if not self._directory.is_mesh and key != self._directory.own_key:
+            return True
+        self._state.apply_own(digest)
+        return not self._directory.is_mesh
+
+    def _receive_group(self, digest: Digest) -> bool:
+        key = self._directory.find_key(digest.host)
+        if key is None or key == self._directory.own_key:
+            return False
+        if not self._is_better(self._groups.get(key), digest, key):
+            return False
+        self._groups[key] = self._make_source(digest)
+        self._state.apply_group(_format_key(key), digest)
+        return True
+
+    def _receive_fleet(self, digest: Digest) -> None:
+        key = self._directory.own_key
+        # Only a direct reader counts: two instances could otherwise each take
+        # the other for the reader.
+        if digest.is_store_reachable and key == self._directory.find_key(
+            digest.host
+        ):
+            self._readers[digest.host] = self._clock.now_ms()
+        else:
+            self._readers.pop(digest.host, None)
+        if not self._is_better(self._view, digest, key):
+            return
+        if self.is_relay and digest.live_instances <= self._live:
+            # Own sums are at least as complete.
+            return
+        self._view = self._make_source(digest)
+        self._update_status()
+        self._state.apply_fleet(digest)
+
+    def _is_better(
+        self, current: _Source | None, digest: Digest, key: GroupKey
+    ) -> bool:
+        """Tells whether a digest is preferred to the source in use."""
+        if current is None:
+            return True
+        if current.host == digest.host:
+            incarnation, sequence = current.version
+            # An older digest may arrive late.
+            return (
+                incarnation != digest.incarnation or sequence < digest.sequence
+            )
+        if self._clock.now_ms() - current.at_ms > SWITCH_RELAY_MS:
+            return True
+        return self._directory.choose_relays(key)[0] == digest.host
+
+    def _make_source(self, digest: Digest) -> _Source:
+        return _Source(
+            digest.host,
+            (digest.incarnation, digest.sequence),
+            self._clock.now_ms(),
+            digest.live_instances,
+            digest.expected_instances,
+        )
+
+    def _check_sources(self) -> None:
+        """Drops outdated totals and sums, and counts the live instances."""
+        oldest_ms = self._clock.now_ms() - PEER_TIMEOUT_MS
+        for key, source in list(self._groups.items()):
+            if source.at_ms < oldest_ms:
+                del self._groups[key]
+                self._state.drop_source(_format_key(key))
+        if self._view is not None and self._view.at_ms < oldest_ms:
+            self._drop_view()
+        self._live = len(self._list_live_members()) + 1
+        self._live += sum(source.live for source in self._groups.values())
+        self._expected = max(self._live, self._peers.count_expected())
+        has_better_sums = (
+            self._view is not None and self._view.live <= self._live
+        )
+        if has_better_sums and self.is_relay:
+            self._drop_view()
+        self._update_status()
+
+    def _update_status(self) -> None:
+        if self._view is None:
+            self._status.set_counts(self._live, self._expected)
+        else:
+            self._status.set_counts(self._view.live, self._view.expected)
+
+    def _drop_view(self) -> None:
+        if self._view is not None:
+            self._view = None
+            self._state.drop_fleet()
+
+    def _list_live_members(self) -> set[str]:
+        """Returns the hosts of the own group that are heard of directly."""
+        own_key = self._directory.own_key
+        return {
+            host
+            for host in self._peers.list_live_hosts()
+            if self._directory.find_key(host) == own_key
+        }
+
+    def _find_own_relays(self) -> list[str]:
+        return self._directory.choose_relays(self._directory.own_key)
+
+    def _list_scopes(self) -> list[Scope]:
+        return [Scope.OWN, Scope.FLEET] if self.is_relay else [Scope.OWN]
+
+    def _collect_own(self, hosts: list[str]) -> list[Outgoing]:
+        digest = self._state.describe_own(self._sequence)
+        spent = {n: use.spent for n, use in digest.allowances.items()}
+        content = (
+            digest.in_flight,
+            spent,
+            digest.is_draining,
+            digest.revisions,
+            digest.crashes,
+        )
+        max_interval_ms = (
+            MESH_MAX_INTERVAL_MS
+            if self._directory.is_mesh
+            else GROUP_MAX_INTERVAL_MS
+        )
+        is_unchanged = content == self._last_content
+        if is_unchanged and not self._is_due(Scope.OWN, max_interval_ms):
+            return []
+        self._last_content = content
+        self._sent_at_ms[Scope.OWN] = self._clock.now_ms()
+        if self._directory.is_mesh:
+            known_hosts = tuple(self._peers.list_live_hosts())
+            digest = dataclasses.replace(digest, known_hosts=known_hosts)
+        return [Outgoing(digest, [host for host in hosts if host])]
+
+    def _collect_fleet(self, interval_ms: int) -> list[Outgoing]:
+        """Answers the instances that sent their digest to this one."""
+        hosts = self._peers.list_live_hosts()
+        if not hosts or not self._is_due(Scope.FLEET, interval_ms):
+            return []
+        self._sent_at_ms[Scope.FLEET] = self._clock.now_ms()
+        live, expected = self._live, self._expected
+        if self._view is not None:
+            live, expected = self._view.live, self._view.expected
+        digest = self._state.describe_fleet(self._sequence, live, expected)
+        digest = dataclasses.replace(digest, members=self._select_members())
+        echoes = [self._peers.find_last_sequence(host) for host in hosts]
+        return [Outgoing(digest, hosts, echoes)]
+
+    def _collect_group(self, interval_ms: int) -> list[Outgoing]:
+        """Informs the relays of all other groups."""
+        if not self._is_due(Scope.GROUP, interval_ms):
+            return []
+        self._sent_at_ms[Scope.GROUP] = self._clock.now_ms()
+        members = self._list_live_members()
+        digest = self._state.describe_group(
+            self._sequence, members, len(members) + 1
+        )
+        digest = dataclasses.replace(digest, members=self._select_members())
+        hosts: list[str] = []
+        for key in self._directory.list_keys():
+            if key != self._directory.own_key:
+                hosts.extend(self._directory.choose_relays(key))
+        return [Outgoing(digest, hosts)]
+
+    def _is_due(self, scope: Scope, interval_ms: int) -> bool:
+        sent_at_ms = self._sent_at_ms.get(scope)
+        if sent_at_ms is None:
+            return True
+        # Timers fire a little early or late.
+        return self._clock.now_ms() - sent_at_ms >= interval_ms - 5
+
+    def _select_members(self) -> tuple[Member, ...]:
+        members = self._peers.list_members()
+        if len(members) <= MAX_MEMBERS:
+            return tuple(members)
+        start = self._members_cursor % len(members)
+        self._members_cursor = start + MAX_MEMBERS
+        return tuple((members + members)[start : start + MAX_MEMBERS])
+
+
+def _format_key(key: GroupKey) -> str:
+    zone, index = key
+    return f"{zone}/{index}"
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -67,6 +67,7 @@
         # A dictionary serves as an ordered set: the oldest send is checked
         # first, and replays are deterministic.
         self._sends: dict[TrackedSend, None] = {}
+        self._has_sends = anyio.Event()
 
     @contextlib.contextmanager
     def track(
@@ -79,6 +80,7 @@
                 target, route, now_ms, scope, self._health, can_fail_over
             )
             self._sends[send] = None
+            self._has_sends.set()
             try:
                 yield send
             finally:
@@ -95,11 +97,15 @@
                 send.scope.cancel()
 
     async def run(self) -> None:
-        """Checks for stalled sends periodically."""
+        """Checks for stalled sends periodically, while there are any."""
         while True:
-            self._pauses.tick()
-            await anyio.sleep(CHECK_INTERVAL_MS / 1_000)
-            self.check()
+            await self._has_sends.wait()
+            self._has_sends = anyio.Event()
+            while self._sends:
+                self._pauses.tick()
+                await anyio.sleep(CHECK_INTERVAL_MS / 1_000)
+                self.check()
+            self._pauses.reset()
 
     def _is_stalled(self, send: TrackedSend) -> bool:
         route = send.route
--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -1,18 +1,30 @@
 """Requests in flight at each target, summed over all instances."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from peridotbend.domain.clock import Clock
+from peridotbend.edge.hashes import hash_name
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
 
 
 class Occupancy:
-    """Counts own requests in flight and those reported by live peers."""
+    """Counts own requests in flight and those reported by other instances.
+
+    Reports are replaced as a whole, and the totals are updated by the
+    difference, so that a count is one look-up whatever the size of the fleet.
+    """
 
     def __init__(self, clock: Clock):
         self._clock = clock
         self._own: dict[str, int] = {}
-        self._peers: dict[str, tuple[int, Mapping[str, int]]] = {}
+        self._hashes: dict[str, int] = {}
+        # Time and counts of the last report, by source; the oldest first.
+        self._reports: dict[str, tuple[int, Mapping[int, int]]] = {}
+        self._totals: dict[int, int] = {}
+        # Called when an own request starts or ends.
+        self.on_change: Callable[[], None] = lambda: None
+        # The counts of a relay, which replace the reports while it is set.
+        self._view: Mapping[int, int] | None = None
 
     @property
     def own(self) -> Mapping[str, int]:
@@ -22,6 +34,7 @@
     def add(self, target: str) -> None:
         """Counts the start of a request at a target."""
         self._own[target] = self._own.get(target, 0) + 1
+        self.on_change()
 
     def remove(self, target: str) -> None:
         """Counts the end of a request at a target."""
@@ -30,20 +43,80 @@
             self._own[target] = left
         else:
             del self._own[target]
+        self.on_change()
 
     def record_peer(self, peer: str, use: Mapping[str, int]) -> None:
         """Replaces the requests in flight reported by a peer."""
-        self._peers[peer] = (self._clock.now_ms(), use)
+        counts = {self.find_hash(name): count for name, count in use.items()}
+        self.record_group(peer, counts)
+
+    def record_group(self, source: str, counts: Mapping[int, int]) -> None:
+        """Replaces the requests in flight reported by a source."""
+        self.forget_peer(source)
+        self._reports[source] = self._clock.now_ms(), counts
+        for target, count in counts.items():
+            self._totals[target] = self._totals.get(target, 0) + count
+
+    def forget_peer(self, source: str) -> None:
+        """Drops the requests in flight reported by a source."""
+        _, counts = self._reports.pop(source, (0, {}))
+        for target, count in counts.items():
+            left = self._totals[target] - count
+            if left:
+                self._totals[target] = left
+            else:
+                del self._totals[target]
 
-    def forget_peer(self, peer: str) -> None:
-        """Drops the requests in flight reported by a peer."""
-        self._peers.pop(peer, None)
+    def set_view(self, counts: Mapping[int, int] | None) -> None:
+        """Sets the counts of all other instances, or None to use reports."""
+        self._view = counts
 
     def count(self, target: str) -> int:
         """Returns the requests in flight at a target."""
+        self._drop_outdated()
+        others = self._totals if self._view is None else self._view
+        if not others:
+            return self._own.get(target, 0)
+        count = others.get(self.find_hash(target), 0)
+        return self._own.get(target, 0) + max(0, count)
+
+    def list_totals(self) -> dict[int, int]:
+        """Returns the requests of all instances in flight, by target hash."""
+        self._drop_outdated()
+        others = self._totals if self._view is None else self._view
+        return self._add_own({t: n for t, n in others.items() if n > 0})
+
+    def list_sum(self, sources: set[str]) -> dict[int, int]:
+        """Returns the sum of own requests and of the reports of sources."""
+        self._drop_outdated()
+        totals: dict[int, int] = {}
+        for source, (_, counts) in self._reports.items():
+            if source in sources:
+                for target, count in counts.items():
+                    totals[target] = totals.get(target, 0) + count
+        return self._add_own(totals)
+
+    def find_hash(self, target: str) -> int:
+        """Returns the hash that stands for a target in digests."""
+        found = self._hashes.get(target)
+        if found is None:
+            found = self._hashes[target] = hash_name(target)
+        return found
+
+    def forget_target(self, target: str) -> None:
+        """Drops what is kept about a removed target."""
+        self._hashes.pop(target, None)
+
+    def _add_own(self, totals: dict[int, int]) -> dict[int, int]:
+        for name, count in self._own.items():
+            target = self.find_hash(name)
+            totals[target] = totals.get(target, 0) + count
+        return totals
+
+    def _drop_outdated(self) -> None:
         oldest_ms = self._clock.now_ms() - PEER_TIMEOUT_MS
-        return self._own.get(target, 0) + sum(
-            use.get(target, 0)
-            for last_digest_at_ms, use in self._peers.values()
-            if last_digest_at_ms >= oldest_ms
-        )
+        while self._reports:
+            source = next(iter(self._reports))
+            if self._reports[source][0] >= oldest_ms:
+                return
+            self.forget_peer(source)
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -1,6 +1,7 @@
 """The other instances: membership, liveness and digests."""
 
 import dataclasses
+import enum
 import random
 from collections.abc import Callable, Mapping
 
@@ -16,9 +17,28 @@
 # partition. After this time it is assumed to have stopped.
 PEER_EXPIRY_MS = 60_000
 MAX_PEERS = 1_024
-# Maximum number of peers per digest. In a larger fleet they are chosen at
-# random: the cost per instance stays constant, and state spreads more slowly.
-MAX_FANOUT = 16
+
+
+class Scope(enum.Enum):
+    """The instances whose state a digest contains."""
+
+    # The sender alone.
+    OWN = 0
+    # The group of the sender, for the relays of other groups.
+    GROUP = 1
+    # All groups, for the members of the sender's group.
+    FLEET = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An instance as last known by the sender of a digest."""
+
+    host: str
+    zone: str
+    # Time since any instance received a digest from it.
+    age_ms: int
+    is_draining: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,12 +61,36 @@
     # Number of targets that died with a request in flight, by the fingerprint
     # of the request.
     crashes: Mapping[int, int] = dataclasses.field(default_factory=dict)
+    scope: Scope = Scope.OWN
+    zone: str = ""
+    # Whether the sender reads the store itself, and reaches it.
+    is_store_reachable: bool = False
+    # Live instances that the counts cover, and those that should be live.
+    live_instances: int = 0
+    expected_instances: int = 0
+    # Requests in flight by the hash of the target's name; used in place of
+    # `in_flight` by digests that cover several instances.
+    target_counts: Mapping[int, int] = dataclasses.field(default_factory=dict)
+    # Whether targets that are not listed keep their last count.
+    is_partial: bool = False
+    # By the hash of the account's name: tokens left, in FLEET digests.
+    account_levels: Mapping[int, float] = dataclasses.field(
+        default_factory=dict
+    )
+    # By the hash of the account's name: total spent, in GROUP digests.
+    account_spent: Mapping[int, float] = dataclasses.field(default_factory=dict)
+    members: tuple[Member, ...] = ()
+    # Incarnation and sequence of the receiver's digest that the counts of a
+    # FLEET digest include; zero if they include none.
+    echo: tuple[int, int] = (0, 0)
 
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
     host: str
+    # When it was added, or last heard of by another instance.
     added_at_ms: int
+    zone: str = ""
     incarnation: int = 0
     sequence: int = -1
     last_digest_at_ms: int | None = None
@@ -65,11 +109,67 @@
         self._clock = clock
         self._log = log
         self._peers: dict[str, _Peer] = {}
+        # Changes whenever a host or its zone becomes known or is removed.
+        self.version = 0
+
+    def __len__(self) -> int:
+        return len(self._peers)
 
     def add_candidate(self, host: str) -> None:
         """Adds a host to send digests to; only its own digest makes it live."""
-        if host != self._own_host and len(self._peers) < MAX_PEERS:
-            self._peers.setdefault(host, _Peer(host, self._clock.now_ms()))
+        if host == self._own_host or host in self._peers:
+            return
+        if len(self._peers) < MAX_PEERS:
+            self._peers[host] = _Peer(host, self._clock.now_ms())
+            self.version += 1
+
+    def add_member(self, member: Member) -> None:
+        """Records what another instance knows about an instance."""
+        if member.age_ms > PEER_EXPIRY_MS:
+            return
+        self.add_candidate(member.host)
+        peer = self._peers.get(member.host)
+        if peer is None:
+            return
+        heard_at_ms = self._clock.now_ms() - member.age_ms
+        if heard_at_ms > max(peer.added_at_ms, peer.last_digest_at_ms or 0):
+            peer.is_draining = member.is_draining
+            peer.added_at_ms = heard_at_ms
+        self._set_zone(peer, member.zone)
+
+    def list_members(self) -> list[Member]:
+        """Returns the known instances of known zone, without this one."""
+        now_ms = self._clock.now_ms()
+        return [
+            Member(
+                host,
+                peer.zone,
+                now_ms - max(peer.added_at_ms, peer.last_digest_at_ms or 0),
+                peer.is_draining,
+            )
+            for host, peer in self._peers.items()
+            if peer.zone
+        ]
+
+    def find_zone(self, host: str) -> str:
+        """Returns the zone of a host, or an empty string."""
+        peer = self._peers.get(host)
+        return peer.zone if peer else ""
+
+    def is_live(self, host: str) -> bool:
+        """Tells whether a digest of the host arrived lately."""
+        peer = self._peers.get(host)
+        return peer is not None and self._is_live(peer, self._clock.now_ms())
+
+    def find_last_sequence(self, host: str) -> tuple[int, int]:
+        """Returns incarnation and sequence of a host's newest digest."""
+        peer = self._peers.get(host)
+        return (peer.incarnation, peer.sequence) if peer else (0, 0)
+
+    def _set_zone(self, peer: _Peer, zone: str) -> None:
+        if zone and peer.zone != zone:
+            peer.zone = zone
+            self.version += 1
 
     def accept(self, digest: Digest) -> bool:
         """Records a digest; returns False if it is ignored.
@@ -90,8 +190,11 @@
         peer.sequence = digest.sequence
         peer.last_digest_at_ms = self._clock.now_ms()
         peer.is_draining = digest.is_draining
+        self._set_zone(peer, digest.zone)
         for host in digest.known_hosts:
             self.add_candidate(host)
+        for member in digest.members:
+            self.add_member(member)
         return True
 
     def check(self, on_peer_lost: Callable[[str], None]) -> None:
@@ -105,16 +208,18 @@
                 self._log.emit(event, peer=host, incarnation=peer.incarnation)
                 if not live:
                     on_peer_lost(host)
-            last_ms = peer.last_digest_at_ms or peer.added_at_ms
+            last_ms = max(peer.last_digest_at_ms or 0, peer.added_at_ms)
             if now_ms - last_ms > PEER_EXPIRY_MS:
                 del self._peers[host]
+                self.version += 1
 
-    def choose_hosts(self) -> list[str]:
-        """Returns the hosts to send the next digest to."""
-        hosts = list(self._peers)
-        if len(hosts) <= MAX_FANOUT:
-            return hosts
-        return self._rng.sample(hosts, MAX_FANOUT)
+    def list_hosts(self) -> list[str]:
+        """Returns all known hosts."""
+        return list(self._peers)
+
+    def choose_any(self) -> str:
+        """Returns a random known host, or an empty string."""
+        return self._rng.choice(list(self._peers)) if self._peers else ""
 
     def dump(self) -> list[dict[str, object]]:
         """Returns the state for the operator API."""
@@ -122,6 +227,7 @@
         return [
             {
                 "host": host,
+                "zone": peer.zone,
                 "live": self._is_live(peer, now_ms),
                 "draining": peer.is_draining,
                 "age_ms": (
@@ -158,6 +264,10 @@
         live = sum(self._is_live(peer, now_ms) for peer in expected)
         return (1 + live) / (1 + len(expected))
 
+    def count_expected(self) -> int:
+        """Returns how many instances should be live, including this one."""
+        return 1 + sum(not peer.is_draining for peer in self._peers.values())
+
     def _is_live(self, peer: _Peer, now_ms: int) -> bool:
         last_digest_at_ms = peer.last_digest_at_ms
         return (
--- /dev/null
+++ b/src/peridotbend/edge/sharedstate.py
@@ -0,0 +1,243 @@
+"""The state that instances share, as contents of digests."""
+
+import collections
+import dataclasses
+import itertools
+from collections.abc import Callable, Mapping
+from typing import TypeVar
+
+from peridotbend.edge.allowances import Allowances
+from peridotbend.edge.crashes import CrashTracker
+from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.peers import Digest, Scope
+
+# Entries in one digest, so that it fits into one packet. The remaining ones
+# follow in the next digests.
+MAX_COUNTS = 128
+MAX_ACCOUNTS = 24
+# An answer of a relay refers to one of the last few digests.
+MAX_KEPT_DIGESTS = 64
+
+Value = TypeVar("Value", int, float)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceIdentity:
+    """What identifies one run of a process to its peers."""
+
+    name: str
+    host: str
+    zone: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FeedStatus:
+    """What this instance knows of the platform's store."""
+
+    # Revision up to which each prefix is known.
+    revisions: Mapping[str, int]
+    # Whether this instance reads the store itself, and reaches it.
+    reads_store: bool
+
+
+class _Rotation:
+    """Selects a part of a table at a time, and all of it in turn."""
+
+    def __init__(self, size: int):
+        self._size = size
+        self._cursor = 0
+
+    def select(self, table: Mapping[int, Value]) -> dict[int, Value]:
+        """Returns the next part."""
+        if len(table) <= self._size:
+            return dict(table)
+        keys = sorted(table)
+        start = self._cursor % len(keys)
+        self._cursor = start + self._size
+        chosen = itertools.islice(
+            itertools.cycle(keys), start, start + self._size
+        )
+        return {key: table[key] for key in chosen}
+
+
+class SharedState:
+    """Reads and updates the components that digests describe."""
+
+    def __init__(
+        self,
+        identity: InstanceIdentity,
+        occupancy: Occupancy,
+        allowances: Allowances,
+        crashes: CrashTracker,
+        find_feed_status: Callable[[], FeedStatus],
+        is_draining: Callable[[], bool],
+    ):
+        self._identity = identity
+        self._occupancy = occupancy
+        self._allowances = allowances
+        self._crashes = crashes
+        self._find_feed_status = find_feed_status
+        self._is_draining = is_draining
+        # The latest own digests by sequence, to subtract what a relay includes.
+        self._own: collections.OrderedDict[int, Digest] = (
+            collections.OrderedDict()
+        )
+        # Targets with a count lately: a partial digest has to say which counts
+        # have become zero.
+        self._counted: dict[Scope, dict[int, int]] = {
+            Scope.GROUP: {},
+            Scope.FLEET: {},
+        }
+        self._count_rotations = {
+            scope: _Rotation(MAX_COUNTS) for scope in self._counted
+        }
+        self._account_rotations = {
+            scope: _Rotation(MAX_ACCOUNTS) for scope in self._counted
+        }
+        self._view: dict[int, int] = {}
+        self._group_counts: dict[str, dict[int, int]] = {}
+
+    @property
+    def identity(self) -> InstanceIdentity:
+        """The identity of this run of the process."""
+        return self._identity
+
+    def describe_own(self, sequence: int) -> Digest:
+        """Returns the digest of this instance alone."""
+        digest = dataclasses.replace(
+            self._make_base(sequence),
+            in_flight=dict(self._occupancy.own),
+            allowances=self._allowances.list_uses(),
+            crashes=self._crashes.list_for_digest(),
+        )
+        self._own[sequence] = digest
+        if len(self._own) > MAX_KEPT_DIGESTS:
+            self._own.popitem(last=False)
+        return digest
+
+    def describe_group(
+        self, sequence: int, members: set[str], live: int
+    ) -> Digest:
+        """Returns the sums over the group, for relays of other groups."""
+        counts, is_partial = self._select_counts(
+            Scope.GROUP, self._occupancy.list_sum(members)
+        )
+        return dataclasses.replace(
+            self._make_base(sequence),
+            scope=Scope.GROUP,
+            crashes=self._crashes.list_sum(members),
+            live_instances=live,
+            target_counts=counts,
+            is_partial=is_partial,
+            account_spent=self._account_rotations[Scope.GROUP].select(
+                self._allowances.list_group_spent()
+            ),
+        )
+
+    def describe_fleet(self, sequence: int, live: int, expected: int) -> Digest:
+        """Returns the totals over all groups, for the members of the own."""
+        counts, is_partial = self._select_counts(
+            Scope.FLEET, self._occupancy.list_totals()
+        )
+        return dataclasses.replace(
+            self._make_base(sequence),
+            scope=Scope.FLEET,
+            crashes=self._crashes.list_totals(),
+            live_instances=live,
+            expected_instances=expected,
+            target_counts=counts,
+            is_partial=is_partial,
+            account_levels=self._account_rotations[Scope.FLEET].select(
+                self._allowances.list_levels()
+            ),
+        )
+
+    def apply_own(self, digest: Digest) -> None:
+        """Applies the digest of another instance."""
+        self._occupancy.record_peer(digest.host, digest.in_flight)
+        self._allowances.record_peer(
+            digest.host, digest.incarnation, digest.allowances
+        )
+        self._crashes.record_peer(digest.host, digest.crashes)
+
+    def apply_group(self, source: str, digest: Digest) -> None:
+        """Applies the sums of another group."""
+        counts = _merge_counts(self._group_counts.get(source, {}), digest)
+        self._group_counts[source] = counts
+        self._occupancy.record_group(source, counts)
+        self._allowances.record_group(
+            source, digest.incarnation, digest.account_spent
+        )
+        self._crashes.record_peer(source, digest.crashes)
+
+    def apply_fleet(self, digest: Digest) -> None:
+        """Applies the totals of a relay in place of all other reports."""
+        incarnation, sequence = digest.echo
+        included = None
+        if incarnation == self._identity.incarnation:
+            included = self._own.get(sequence)
+        self._view = _merge_counts(self._view, digest)
+        others = dict(self._view)
+        spent: dict[str, float] = {}
+        if included is not None:
+            spent = {n: use.spent for n, use in included.allowances.items()}
+            for name, count in included.in_flight.items():
+                target = self._occupancy.find_hash(name)
+                others[target] = others.get(target, 0) - count
+        self._occupancy.set_view(others)
+        self._allowances.adopt_levels(digest.account_levels, spent)
+        self._crashes.set_fleet_counts(digest.crashes)
+
+    def drop_fleet(self) -> None:
+        """Returns to the reports of instances and groups."""
+        self._view = {}
+        self._occupancy.set_view(None)
+
+    def drop_source(self, source: str) -> None:
+        """Drops the state of an instance or a group that is not heard of."""
+        self._group_counts.pop(source, None)
+        self._occupancy.forget_peer(source)
+
+    def _make_base(self, sequence: int) -> Digest:
+        feeds = self._find_feed_status()
+        return Digest(
+            name=self._identity.name,
+            incarnation=self._identity.incarnation,
+            sequence=sequence,
+            host=self._identity.host,
+            is_draining=self._is_draining(),
+            known_hosts=(),
+            revisions=feeds.revisions,
+            in_flight={},
+            allowances={},
+            zone=self._identity.zone,
+            is_store_reachable=feeds.reads_store,
+        )
+
+    def _select_counts(
+        self, scope: Scope, counts: Mapping[int, int]
+    ) -> tuple[dict[int, int], bool]:
+        """Returns the counts for a digest, and whether they are only a part."""
+        counted = self._counted[scope]
+        if len(counts) <= MAX_COUNTS and len(counted) <= MAX_COUNTS:
+            self._counted[scope] = dict.fromkeys(counts, 0)
+            return dict(counts), False
+        table = {**counted, **counts}
+        chosen = self._count_rotations[scope].select(table)
+        # A target whose zero is included now need not be listed again.
+        self._counted[scope] = {
+            target: 0
+            for target in table
+            if target in counts or target not in chosen
+        }
+        return chosen, True
+
+
+def _merge_counts(
+    previous: Mapping[int, int], digest: Digest
+) -> dict[int, int]:
+    if not digest.is_partial:
+        return dict(digest.target_counts)
+    merged = {**previous, **digest.target_counts}
+    return {target: count for target, count in merged.items() if count}
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -21,12 +21,19 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.config import EdgeConfig
-from peridotbend.edge.feeds import Feed, catch_up
+from peridotbend.edge.exchange import DigestExchange, FleetStatus
+from peridotbend.edge.feeds import Feed, ReaderRole
+from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.parts import make_dependencies
-from peridotbend.edge.peers import Digest, PeerRegistry
+from peridotbend.edge.peers import PeerRegistry
 from peridotbend.edge.published import Item
 from peridotbend.edge.relay import Relay
 from peridotbend.edge.settings import EdgeSettings
+from peridotbend.edge.sharedstate import (
+    FeedStatus,
+    InstanceIdentity,
+    SharedState,
+)
 from peridotbend.platform import wire
 from peridotbend.platform.documents import decode_config, decode_target
 from peridotbend.platform.ingress import EdgeApp, HealthApp
@@ -65,22 +72,52 @@
         self._peers = PeerRegistry(host, self._clock, log, self._rng)
         for seed_host, _ in settings.seeds:
             self._peers.add_candidate(seed_host)
+        directory = GroupDirectory(
+            host, settings.zone, self._peers, self._clock
+        )
+        status = FleetStatus(self._peers, directory)
+        self._reader_role = ReaderRole(self._rng)
         self._http_client = HttpTargetClient(CONNECT_TIMEOUT_S)
         self._dependencies = make_dependencies(
             settings,
             self._clock,
             PlatformTargetClient(self._http_client),
-            self._peers,
+            status,
             log,
             self._metrics,
             self._rng,
         )
         self._relay = Relay(self._dependencies)
+        identity = InstanceIdentity(
+            settings.name, host, settings.zone, self._incarnation
+        )
+        state = SharedState(
+            identity,
+            self._dependencies.occupancy,
+            self._dependencies.allowances,
+            self._dependencies.crashes,
+            self._find_feed_status,
+            self._drain_requested.is_set,
+        )
+        self._exchange = DigestExchange(
+            state,
+            self._peers,
+            directory,
+            status,
+            self._clock,
+            self._note_peer_revision,
+        )
+        self._gossip = Gossip(
+            settings.digests, self._exchange, self._apply_reader_role
+        )
+        self._dependencies.occupancy.on_change = self._gossip.note_change
+        self._build_feeds()
         self._dependencies.holder.subscribe(self._apply_limits)
 
     def start_drain(self) -> None:
         """Starts a graceful shutdown and returns at once."""
         self._drain_requested.set()
+        self._gossip.note_change()
 
     def dump(self) -> dict[str, object]:
         """Returns the state for operators."""
@@ -138,7 +175,6 @@
         self, stack: contextlib.AsyncExitStack, tasks: TaskGroup
     ) -> None:
         settings = self._settings
-        self._build_feeds()
         self._app = EdgeApp(self._relay, self._get_max_body_bytes)
         channels = ChannelPool()
         stack.callback(channels.close)
@@ -151,25 +187,18 @@
         self._add_gauges()
         peer_server = PublishedServer(self._feeds)
         await peer_server.start(*settings.peers)
-        gossip = Gossip(
-            settings.digests,
-            self._peers,
-            self._build_digest,
-            self._apply_digest,
-            self._dependencies.occupancy.forget_peer,
-            self._clock,
-        )
         for task in (
             self._server.run,
             health.run,
             metrics.run,
-            gossip.run,
+            self._gossip.run,
             self._dependencies.backlog.run,
             self._dependencies.stall_detector.run,
             *(feed.run for feed in self._feeds.values()),
         ):
             tasks.start_soon(task)
-        tasks.start_soon(catch_up, self._feeds, fetcher.fetch)
+        for feed in self._feeds.values():
+            tasks.start_soon(feed.catch_up, fetcher.fetch)
         self._log.emit(
             Event.PROCESS_STARTED,
             instance=settings.name,
@@ -219,6 +248,7 @@
                 self._clock,
                 self._log,
                 self._record_store_reachability,
+                self._reader_role,
             )
             for prefix, apply in appliers.items()
         }
@@ -239,8 +269,8 @@
         has_config = self._dependencies.holder.config is not None
         return has_config and has_feeds and not self._drain_requested.is_set()
 
-    def _record_store_reachability(self, is_reachable: bool) -> None:
-        if is_reachable:
+    def _record_store_reachability(self) -> None:
+        if self._is_store_reachable():
             self._dependencies.targets.note_store_reachable()
         else:
             self._dependencies.targets.note_store_unreachable()
@@ -314,33 +344,32 @@
                 self._relay.note_target_dead(name)
             self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
 
-    def _build_digest(self, sequence: int) -> Digest:
-        return Digest(
-            name=self._settings.name,
-            incarnation=self._incarnation,
-            sequence=sequence,
-            host=self._settings.peers[0],
-            is_draining=self._drain_requested.is_set(),
-            known_hosts=tuple(self._peers.list_live_hosts()),
-            revisions={
-                prefix: feed.items.revision
-                for prefix, feed in self._feeds.items()
-            },
-            in_flight=dict(self._dependencies.occupancy.own),
-            allowances=self._dependencies.allowances.list_uses(),
-            crashes=self._dependencies.crashes.list_for_digest(),
+    def _find_feed_status(self) -> FeedStatus:
+        revisions = {
+            prefix: feed.items.revision for prefix, feed in self._feeds.items()
+        }
+        reads_store = self._reader_role.is_reader and all(
+            feed.is_store_reachable for feed in self._feeds.values()
         )
+        return FeedStatus(revisions, reads_store)
 
-    def _apply_digest(self, digest: Digest) -> None:
-        self._dependencies.occupancy.record_peer(digest.host, digest.in_flight)
-        self._dependencies.allowances.record_peer(
-            digest.host, digest.incarnation, digest.allowances
-        )
-        self._dependencies.crashes.record_peer(digest.host, digest.crashes)
-        for prefix, revision in digest.revisions.items():
-            feed = self._feeds.get(prefix)
-            if feed is not None:
-                feed.note_peer(digest.host, revision)
+    def _is_store_reachable(self) -> bool:
+        """Tells whether changes in the store arrive, directly or by a relay."""
+        if not self._reader_role.is_reader:
+            return True
+        return all(feed.is_store_reachable for feed in self._feeds.values())
+
+    def _note_peer_revision(
+        self, host: str, prefix: str, revision: int
+    ) -> None:
+        feed = self._feeds.get(prefix)
+        if feed is not None:
+            feed.note_peer(host, revision)
+
+    def _apply_reader_role(self) -> None:
+        """Reads the store, or stops it, as the relays are heard of."""
+        self._reader_role.assign(self._exchange.should_read_store())
+        self._record_store_reachability()
 
     async def _finish_requests(self) -> None:
         """Waits to leave the rotation, then finishes requests already read."""
