Keep outdated totals from circulating between new relays

Cause: when both relays of a group died, the two that replaced them each took the other's totals, which it had from the old relays, as more complete than its own sums. The group then counted only its own requests for good.

Change: totals that an instance has from a relay are not passed on as its own sums. Tests of groups, counts, readers and sums in virtual time.

--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -240,6 +240,8 @@
             self._readers[digest.host] = self._clock.now_ms()
         else:
             self._readers.pop(digest.host, None)
+        if not digest.live_instances:
+            return
         if not self._is_better(self._view, digest, key):
             return
         if self.is_relay and digest.live_instances <= self._live:
@@ -350,9 +352,10 @@
         if not hosts or not self._is_due(Scope.FLEET, interval_ms):
             return []
         self._sent_at_ms[Scope.FLEET] = self._clock.now_ms()
-        live, expected = self._live, self._expected
-        if self._view is not None:
-            live, expected = self._view.live, self._view.expected
+        # Totals that come from another relay are not passed on as own sums: two
+        # relays would otherwise confirm each other's outdated totals.
+        live = self._live if self._view is None else 0
+        expected = self._expected
         digest = self._state.describe_fleet(self._sequence, live, expected)
         digest = dataclasses.replace(digest, members=self._select_members())
         echoes = [self._peers.find_last_sequence(host) for host in hosts]
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -65,7 +65,8 @@
     zone: str = ""
     # Whether the sender reads the store itself, and reaches it.
     is_store_reachable: bool = False
-    # Live instances that the counts cover, and those that should be live.
+    # Live instances that the counts cover, and those that should be live. Zero
+    # if the sender has no sums of its own.
     live_instances: int = 0
     expected_instances: int = 0
     # Requests in flight by the hash of the target's name; used in place of
--- /dev/null
+++ b/tests/edgegroups.py
@@ -0,0 +1,177 @@
+"""A fleet of instances that exchange digests, in virtual time."""
+
+import dataclasses
+import random
+
+from peridotbend.adapters.digests import (
+    decode_digest,
+    encode_digest,
+    encode_echo,
+)
+from peridotbend.domain.clock import ManualClock
+from peridotbend.edge.allowances import Allowances
+from peridotbend.edge.crashes import CrashTracker
+from peridotbend.edge.exchange import DigestExchange, FleetStatus
+from peridotbend.edge.groups import GroupDirectory
+from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.peers import PeerRegistry
+from peridotbend.edge.sendbudget import SendBudget
+from peridotbend.edge.sharedstate import (
+    FeedStatus,
+    InstanceIdentity,
+    SharedState,
+)
+from tests.edgefakes import SETTINGS, RecordingLog
+
+STEP_MS = 50
+PREFIX = "servers/"
+
+
+class GroupInstance:
+    """One run of a process, without sockets."""
+
+    def __init__(
+        self,
+        host: str,
+        zone: str,
+        seeds: tuple[str, ...],
+        clock: ManualClock,
+        rng: random.Random,
+    ) -> None:
+        self.host = host
+        self.zone = zone
+        self.clock = clock
+        self.revision = 0
+        self.can_reach_store = True
+        self.is_draining = False
+        self.peers = PeerRegistry(host, clock, RecordingLog(), rng)
+        for seed in seeds:
+            self.peers.add_candidate(seed)
+        self.directory = GroupDirectory(host, zone, self.peers, clock)
+        self.status = FleetStatus(self.peers, self.directory)
+        self.occupancy = Occupancy(clock)
+        self.allowances = Allowances(
+            clock, SETTINGS, self.status.find_live_share
+        )
+        self.budget = SendBudget(clock, SETTINGS)
+        self.crashes = CrashTracker(clock)
+        state = SharedState(
+            InstanceIdentity(host, host, zone, rng.getrandbits(63)),
+            self.occupancy,
+            self.allowances,
+            self.crashes,
+            self._find_feed_status,
+            lambda: self.is_draining,
+        )
+        self.exchange = DigestExchange(
+            state,
+            self.peers,
+            self.directory,
+            self.status,
+            clock,
+            self._note_revision,
+        )
+        self._next_ms = clock.now_ms() + rng.randrange(300)
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether the instance reads the store."""
+        return self.exchange.should_read_store()
+
+    def is_due(self) -> bool:
+        """Tells whether the instance collects its digests in this step."""
+        if self.clock.now_ms() < self._next_ms:
+            return False
+        interval_ms = self.exchange.find_min_interval_ms()
+        self._next_ms = self.clock.now_ms() + interval_ms
+        return True
+
+    def _find_feed_status(self) -> FeedStatus:
+        reads_store = self.is_reader and self.can_reach_store
+        return FeedStatus({PREFIX: self.revision}, reads_store)
+
+    def _note_revision(self, host: str, prefix: str, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Bytes and datagrams of one instance."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    datagrams: int = 0
+
+
+class GroupFleet:
+    """Instances in zones; zones and instances can be cut off."""
+
+    def __init__(self, zones: int, per_zone: int, seed: int = 1) -> None:
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.instances: dict[str, GroupInstance] = {}
+        self.traffic: dict[str, Traffic] = {}
+        # Zones of different sides cannot reach each other.
+        self.side_by_zone: dict[str, int] = {}
+        self.store_revision = 1
+        self.loss = 0.0
+        hosts = [
+            (f"10.{zone + 1}.0.{number + 1}", f"zone-{zone}")
+            for zone in range(zones)
+            for number in range(per_zone)
+        ]
+        self.seeds = tuple(host for host, _ in hosts[:: max(1, per_zone)][:3])
+        for host, zone in hosts:
+            self.start(host, zone)
+
+    def start(self, host: str, zone: str) -> GroupInstance:
+        """Starts a process without state, in place of a running one."""
+        instance = GroupInstance(host, zone, self.seeds, self.clock, self.rng)
+        self.instances[host] = instance
+        self.traffic.setdefault(host, Traffic())
+        return instance
+
+    def run(self, duration_ms: int) -> None:
+        """Exchanges digests for some time."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.step()
+
+    def step(self) -> None:
+        """Lets all instances that are due exchange their digests."""
+        self.clock.advance(STEP_MS)
+        for instance in list(self.instances.values()):
+            if instance.is_reader and instance.can_reach_store:
+                instance.revision = self.store_revision
+            if instance.is_due():
+                self._send_all(instance)
+
+    def reset_traffic(self) -> None:
+        """Starts to count bytes from zero."""
+        for host in self.traffic:
+            self.traffic[host] = Traffic()
+
+    def _send_all(self, sender: GroupInstance) -> None:
+        for outgoing in sender.exchange.collect():
+            data = encode_digest(outgoing.digest)
+            for index, host in enumerate(outgoing.hosts):
+                echo = b""
+                if outgoing.echoes:
+                    echo = encode_echo(outgoing.echoes[index])
+                self._deliver(sender, host, data + echo)
+
+    def _deliver(self, sender: GroupInstance, host: str, data: bytes) -> None:
+        traffic = self.traffic[sender.host]
+        traffic.sent_bytes += len(data)
+        traffic.datagrams += 1
+        receiver = self.instances.get(host)
+        if receiver is None or self.rng.random() < self.loss:
+            return
+        sides = self.side_by_zone
+        if sides.get(sender.zone, 0) != sides.get(receiver.zone, 0):
+            return
+        digest = decode_digest(data)
+        assert digest is not None
+        self.traffic[host].received_bytes += len(data)
+        self.traffic[host].datagrams += 1
+        receiver.exchange.receive(digest)
