End streams that make no progress, and events without an end

Cause: any byte of a stream counted as progress, so that a stalled target that sends a byte or a comment now and then kept its callers waiting until their deadline; an event without an end was collected without a limit.

Change: only events with data are progress; an incomplete event is limited to 256 KiB, after which the send ends and the stream resumes elsewhere.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -48,6 +48,7 @@
 # caller should change the request.
 QUARANTINED_RETRY_MS = 60_000
 ERROR_STATUS = 500
+_OVERSIZED_EVENT = CallError(CallFailure.BROKEN, True, "event without an end")
 
 
 class Relay:
@@ -400,8 +401,14 @@
             if isinstance(chunk, Err):
                 request.events.drop_partial()
                 return self._note_error(request, target, chunk.err_value)
-            tracked_send.note_data(self._clock.now_ms())
             events = request.events.feed(chunk.ok_value)
+            if request.events.is_oversized:
+                request.events.drop_partial()
+                return self._note_error(request, target, _OVERSIZED_EVENT)
+            if request.events.has_data(events):
+                # Other bytes are no progress: a stalled target may send a few
+                # now and then.
+                tracked_send.note_data(self._clock.now_ms())
             if events:
                 tracked_send.is_blocked = True
                 await self._start_once(request, answer.head, responder)
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -189,6 +189,8 @@
     breaks_connection: bool = False
     # Whether the answer stays open without data after the last chunk.
     hangs: bool = False
+    # Sent again and again after the last chunk.
+    drip: bytes = b""
     is_event_stream: bool = True
     # Whether no connection is established, so that no byte is written.
     fails_to_connect: bool = False
@@ -206,6 +208,9 @@
         """Yields the chunks of the reply."""
         for chunk in self._reply.chunks:
             yield Ok(chunk)
+        while self._reply.drip:
+            yield Ok(self._reply.drip)
+            await anyio.sleep(0.001)
         if self._reply.hangs:
             await anyio.sleep_forever()
         if self._reply.breaks_connection:
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -96,6 +96,62 @@
         assert responder.verdict == MayHaveRun(Reason.TARGET_FAILED)
         assert len(harness.client.written_sends) == 1
 
+    def test_stalled_stream_that_drips_fails_over(self) -> None:
+        """Guards against a stalled stream that a byte now and then keeps open.
+
+        Neither a part of an event nor a comment is progress for the caller.
+        """
+        for drip in (b"x", b": still here\n\n"):
+            with self.subTest(drip=drip):
+                dripping = ScriptedReply(chunks=(make_event(1),), drip=drip)
+                remainder = ScriptedReply(chunks=(make_event(2),))
+                harness = RelayHarness(dripping, remainder)
+                responder = RecordingResponder()
+
+                async def run(
+                    harness: RelayHarness = harness,
+                    responder: RecordingResponder = responder,
+                ) -> None:
+                    async with anyio.create_task_group() as group:
+                        group.start_soon(harness.relay.serve, CALL, responder)
+                        for _ in range(4):
+                            await anyio.sleep(0.02)
+                            harness.clock.advance(500)
+                            harness.stall_detector.check()
+                        await anyio.sleep(0.02)
+                        group.cancel_scope.cancel()
+
+                anyio.run(run)
+                assert responder.is_complete
+                assert responder.body.endswith(make_event(2))
+
+    def test_slow_but_sound_stream_is_not_cut(self) -> None:
+        """Guards against ending a stream that makes progress slowly."""
+        slow = ScriptedReply(drip=make_event(1))
+        harness = RelayHarness(slow)
+        responder = RecordingResponder()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.relay.serve, CALL, responder)
+                for _ in range(10):
+                    await anyio.sleep(0.02)
+                    harness.clock.advance(700)
+                    harness.stall_detector.check()
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        assert len(harness.client.sends) == 1
+
+    def test_event_without_end_ends_the_send(self) -> None:
+        """Guards against bytes without end that fill the memory."""
+        endless = ScriptedReply(chunks=(make_event(1),), drip=b"x" * 65_536)
+        remainder = ScriptedReply(chunks=(make_event(2),))
+        harness = RelayHarness(endless, remainder)
+        responder = _serve(harness)
+        assert responder.is_complete
+        assert responder.body == make_event(1) + make_event(2)
+
     def test_stream_of_a_silent_target_fails_over(self) -> None:
         """Guards against callers that wait for a target that sends nothing."""
         hanging = ScriptedReply(chunks=(make_event(1),), hangs=True)
