--- a/src/peridotbend/edge/events.py
+++ b/src/peridotbend/edge/events.py
@@ -2,8 +2,8 @@
 
 # An empty line ends an event. Lines end with LF or CRLF.
 SEPARATORS = (b"\n\n", b"\r\n\r\n")
-# A target in trouble may send bytes without end that complete no event. An event
-# holds a few tokens.
+# A target in trouble may send bytes without end that complete no event. A sound
+# event holds a few tokens.
 MAX_EVENT_BYTES = 262_144
 
 
@@ -28,6 +28,11 @@
         self._update_last_event_id(whole)
         return whole
 
+    @staticmethod
+    def has_data(events: bytes) -> bool:
+        """Tells whether events carry data, and not only comments."""
+        return events.startswith(b"data") or b"\ndata" in events
+
     @property
     def is_oversized(self) -> bool:
         """Whether the incomplete event exceeds the limit."""
@@ -42,11 +47,6 @@
         """Drops the incomplete event of a broken stream."""
         self._partial = b""
 
-    @staticmethod
-    def has_data(events: bytes) -> bool:
-        """Tells whether events carry data, and not only comments."""
-        return events.startswith(b"data") or b"\ndata" in events
-
     def _update_last_event_id(self, whole: bytes) -> None:
         start = whole.rfind(b"\nid:")
         if start >= 0:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -144,6 +144,8 @@
             },
             "health": self._dependencies.health.dump(),
             "peers": self._peers.dump(),
+            "reads_store": self._reader_role.is_reader,
+            "is_relay": self._exchange.is_relay,
             "waiting": self._dependencies.backlog.count_all(),
             "active": self._app.active,
             "allowances": {
