Apply changed settings as a whole

Cause: a reload used new seeds only, while the log said that the settings were reloaded.

Change: limits, the address of the store and seeds are in force at once. If a name, a zone or a listening address differs, nothing changes and the log says which of them need a restart.

--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -100,6 +100,10 @@
             bucket = self._refill(account)
             bucket.level = min(bucket.level, account.burst_tokens)
 
+    def apply_settings(self, settings: EdgeSettings) -> None:
+        """Applies changed limits on exceeding the allowances."""
+        self._settings = settings
+
     def try_take(
         self, name: str, tokens: float, is_generation: bool = False
     ) -> int | None:
--- a/src/peridotbend/edge/sendbudget.py
+++ b/src/peridotbend/edge/sendbudget.py
@@ -15,14 +15,14 @@
 
     def __init__(self, clock: Clock, span_ms: int):
         self._clock = clock
-        self._span_ms = span_ms
+        self.span_ms = span_ms
         self._times: collections.deque[int] = collections.deque()
 
     def add(self) -> None:
         self._times.append(self._clock.now_ms())
 
     def count(self) -> int:
-        oldest_ms = self._clock.now_ms() - self._span_ms
+        oldest_ms = self._clock.now_ms() - self.span_ms
         while self._times and self._times[0] <= oldest_ms:
             self._times.popleft()
         return len(self._times)
@@ -43,6 +43,13 @@
         self._requests: dict[str, _SlidingWindow] = {}
         self._extra: dict[str, _SlidingWindow] = {}
 
+    def apply_settings(self, settings: EdgeSettings) -> None:
+        """Applies changed limits; what was counted still counts."""
+        self._settings = settings
+        for table in (self._requests, self._extra):
+            for window in table.values():
+                window.span_ms = settings.resend_window_ms
+
     def record_request(self, service: str) -> None:
         """Counts a request from a caller."""
         self._get_window(self._requests, service).add()
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -4,6 +4,9 @@
 
 Address = tuple[str, int]
 
+# Peers and the platform know a running process by these.
+_FIXED_SETTINGS = ("name", "zone", "callers", "health", "peers", "digests")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EdgeSettings:
@@ -35,3 +38,11 @@
     allowance_window_ms: int
     allowance_overage: float
     allowance_slack: float
+
+    def find_fixed_changes(self, changed: "EdgeSettings") -> tuple[str, ...]:
+        """Returns the names of changed settings that need a restart."""
+        return tuple(
+            name
+            for name in _FIXED_SETTINGS
+            if getattr(self, name) != getattr(changed, name)
+        )
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -156,9 +156,21 @@
         }
 
     def apply_settings(self, settings: EdgeSettings) -> None:
-        """Adds the seeds of changed settings; other changes have no effect."""
+        """Applies changed settings as a whole, or logs why it does not."""
+        fixed = self._settings.find_fixed_changes(settings)
+        if fixed:
+            self._log.emit(
+                Event.SETTINGS_REFUSED,
+                problem=f"changing {', '.join(fixed)} needs a restart; all"
+                " settings stay as they were",
+            )
+            return
+        self._settings = settings
         for host, _ in settings.seeds:
             self._peers.add_candidate(host)
+        self._store.set_address(settings.store)
+        self._dependencies.allowances.apply_settings(settings)
+        self._dependencies.budget.apply_settings(settings)
         self._log.emit(Event.SETTINGS_RELOADED, seeds=len(settings.seeds))
 
     async def run(self) -> None:
@@ -237,7 +249,7 @@
         )
 
     def _build_feeds(self) -> None:
-        store = StoreClient(self._settings.store, self._http_client)
+        self._store = StoreClient(self._settings.store, self._http_client)
         appliers = {
             wire.CONFIG_PREFIX: self._apply_config_items,
             wire.TARGET_PREFIX: self._apply_target_items,
@@ -245,7 +257,7 @@
         self._feeds = {
             prefix: Feed(
                 prefix,
-                store.make_prefix_reader(prefix),
+                self._store.make_prefix_reader(prefix),
                 apply,
                 self._clock,
                 self._log,
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -36,9 +36,13 @@
     """
 
     def __init__(self, address: Address, client: HttpTargetClient):
+        self._client = client
+        self.set_address(address)
+
+    def set_address(self, address: Address) -> None:
+        """Uses another address from the next call on."""
         host, port = address
         self._target = Target("store", "store", "", host, port)
-        self._client = client
 
     def make_prefix_reader(self, prefix: str) -> "PrefixReader":
         """Returns a reader for the keys below a prefix."""
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -1,5 +1,6 @@
 """Tests of the edge daemon as a real process, with a fake store and target."""
 
+import dataclasses
 import json
 import os
 import pathlib
@@ -15,6 +16,7 @@
 from click.testing import CliRunner
 
 from peridotbend.adapters.serving import listen
+from peridotbend.domain.events import Event
 from peridotbend.edgedaemon import DEFAULT_METRICS_PORT, main
 from peridotbend.edgenode import EdgeNode
 from peridotbend.platform import wire
@@ -232,6 +234,46 @@
         run_with_fleet(check)
 
 
+class SettingsReloadTest(unittest.TestCase):
+    """Settings that change while the process runs."""
+
+    def test_changed_limits_are_in_force(self) -> None:
+        """Guards against a reload that is logged but not applied.
+
+        Only new seeds were used; changed limits waited for a restart.
+        """
+
+        async def check() -> None:
+            log = RecordingLog()
+            node = EdgeNode(SETTINGS, log, 0)
+            budget = node._dependencies.budget
+            assert budget.has_budget("engine", 1)
+            changed = dataclasses.replace(
+                SETTINGS, resend_share=0.0, resend_slack=0.0
+            )
+            node.apply_settings(changed)
+            assert not budget.has_budget("engine", 1)
+            assert log.count(Event.SETTINGS_RELOADED) == 1
+
+        anyio.run(check)
+
+    def test_settings_that_need_a_restart_change_nothing(self) -> None:
+        """Guards against settings of which only a part is in force."""
+
+        async def check() -> None:
+            log = RecordingLog()
+            node = EdgeNode(SETTINGS, log, 0)
+            changed = dataclasses.replace(
+                SETTINGS, zone="zone-z", resend_share=0.0, resend_slack=0.0
+            )
+            node.apply_settings(changed)
+            assert node._dependencies.budget.has_budget("engine", 1)
+            assert log.count(Event.SETTINGS_REFUSED) == 1
+            assert log.count(Event.SETTINGS_RELOADED) == 0
+
+        anyio.run(check)
+
+
 class EdgeCommandTest(unittest.TestCase):
     """The command line of the edge daemon."""
 
