Let crash counts of silent peers and clearings expire

Cause: counts of a peer that is gone, and fingerprints cleared once, were kept for good.

Change: both expire after ENTRY_TTL_MS.

--- a/src/peridotbend/edge/allowances.py
+++ b/src/peridotbend/edge/allowances.py
@@ -138,7 +138,10 @@
         account = self._accounts.get(name)
         if bucket is not None and account is not None:
             bucket.level = min(account.burst_tokens, bucket.level + tokens)
-            bucket.partition_level += tokens
+            bucket.partition_level = min(
+                bucket.live_share * account.burst_tokens,
+                bucket.partition_level + tokens,
+            )
             bucket.spent -= tokens
             bucket.group_spent -= tokens
 
--- a/src/peridotbend/edge/crashes.py
+++ b/src/peridotbend/edge/crashes.py
@@ -49,11 +49,12 @@
         self._dead_targets: collections.OrderedDict[
             int, tuple[set[str], int]
         ] = collections.OrderedDict()
-        self._peer_counts: dict[str, Mapping[int, int]] = {}
+        # Counts of each peer and when they arrived, the oldest first.
+        self._peer_counts: dict[str, tuple[int, Mapping[int, int]]] = {}
         # Counts of a relay, which include those of this instance.
         self._fleet_counts: Mapping[int, int] = {}
-        # Requests that completed here and thus do not crash targets.
-        self._cleared: collections.OrderedDict[int, None] = (
+        # Requests that completed here and thus do not crash targets, and when.
+        self._cleared: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
         )
 
@@ -98,13 +99,18 @@
         if not (self._dead_targets or self._peer_counts or self._fleet_counts):
             return
         self._dead_targets.pop(fingerprint, None)
-        self._cleared[fingerprint] = None
+        self._cleared.pop(fingerprint, None)
+        self._cleared[fingerprint] = self._clock.now_ms()
         while len(self._cleared) > MAX_ENTRIES:
             self._cleared.popitem(last=False)
 
     def is_quarantined(self, fingerprint: int) -> bool:
         """Tells whether a request must no longer be sent."""
-        if fingerprint in self._cleared:
+        cleared_at_ms = self._cleared.get(fingerprint)
+        if (
+            cleared_at_ms is not None
+            and self._clock.now_ms() - cleared_at_ms <= ENTRY_TTL_MS
+        ):
             return False
         return self._count(fingerprint) >= MAX_CRASHES
 
@@ -121,10 +127,9 @@
 
     def record_peer(self, peer: str, counts: Mapping[int, int]) -> None:
         """Replaces the counts reported by a peer."""
+        self._peer_counts.pop(peer, None)
         if counts:
-            self._peer_counts[peer] = counts
-        else:
-            self._peer_counts.pop(peer, None)
+            self._peer_counts[peer] = self._clock.now_ms(), counts
 
     def set_fleet_counts(self, counts: Mapping[int, int]) -> None:
         """Replaces the counts of a relay, summed over all instances."""
@@ -133,7 +138,7 @@
     def list_sum(self, sources: set[str]) -> dict[int, int]:
         """Returns the sums of own counts and those of the sources."""
         totals = dict(self.list_for_digest())
-        for source, counts in self._peer_counts.items():
+        for source, counts in self._list_peer_counts():
             if source in sources:
                 for fingerprint, count in counts.items():
                     totals[fingerprint] = totals.get(fingerprint, 0) + count
@@ -142,7 +147,7 @@
     def list_totals(self) -> dict[int, int]:
         """Returns the counts of all instances as known here."""
         fingerprints = [*self._dead_targets, *self._fleet_counts]
-        for counts in self._peer_counts.values():
+        for _, counts in self._list_peer_counts():
             fingerprints.extend(counts)
         newest = dict.fromkeys(fingerprints[-MAX_DIGEST_ENTRIES:])
         return {fingerprint: self._count(fingerprint) for fingerprint in newest}
@@ -150,6 +155,18 @@
     def _count(self, fingerprint: int) -> int:
         dead, _ = self._dead_targets.get(fingerprint, (set(), 0))
         direct = len(dead) + sum(
-            counts.get(fingerprint, 0) for counts in self._peer_counts.values()
+            counts.get(fingerprint, 0) for _, counts in self._list_peer_counts()
         )
         return max(direct, self._fleet_counts.get(fingerprint, 0))
+
+    def _list_peer_counts(self) -> list[tuple[str, Mapping[int, int]]]:
+        """Returns the counts by peer; those of peers long silent expire."""
+        oldest_ms = self._clock.now_ms() - ENTRY_TTL_MS
+        while self._peer_counts:
+            peer = next(iter(self._peer_counts))
+            if self._peer_counts[peer][0] >= oldest_ms:
+                break
+            del self._peer_counts[peer]
+        return [
+            (peer, counts) for peer, (_, counts) in self._peer_counts.items()
+        ]
--- a/tests/test_edge_budgets.py
+++ b/tests/test_edge_budgets.py
@@ -6,7 +6,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.edge.allowances import Allowances, AllowanceUse
 from peridotbend.edge.config import Account
-from peridotbend.edge.crashes import MAX_CRASHES, CrashTracker
+from peridotbend.edge.crashes import ENTRY_TTL_MS, MAX_CRASHES, CrashTracker
 from peridotbend.edge.sendbudget import SendBudget
 from tests.edgefakes import SETTINGS
 
@@ -47,6 +47,15 @@
             )
         assert allowances.try_take("acme", 1_000.0) is None
 
+    def test_refund_does_not_exceed_the_part(self) -> None:
+        """Guards against a part that refunds raise above its allowance."""
+        _, allowances = self._make_allowances(share=0.5)
+        assert allowances.try_take("acme", 400.0) is None
+        allowances.refund("acme", 400.0)
+        allowances.refund("acme", 400.0)
+        assert allowances.try_take("acme", 500.0) is None
+        assert allowances.try_take("acme", 100.0) is not None
+
     def test_new_process_starts_from_the_level_of_its_peers(self) -> None:
         """Guards against granting the full allowance after each restart.
 
@@ -185,3 +194,22 @@
         assert crashes.is_quarantined(7)
         crashes.note_success(7)
         assert not crashes.is_quarantined(7)
+
+    def test_counts_of_a_peer_that_is_gone_expire(self) -> None:
+        """Guards against refusing a request for good after its last crash."""
+        clock = ManualClock()
+        crashes = CrashTracker(clock)
+        crashes.record_peer("10.0.0.2", {7: MAX_CRASHES})
+        assert crashes.is_quarantined(7)
+        clock.advance(ENTRY_TTL_MS + 1)
+        assert not crashes.is_quarantined(7)
+
+    def test_cleared_request_is_counted_again_later(self) -> None:
+        """Guards against a request that may crash targets for good."""
+        clock = ManualClock()
+        crashes = CrashTracker(clock)
+        crashes.record_peer("10.0.0.2", {7: MAX_CRASHES})
+        crashes.note_success(7)
+        clock.advance(ENTRY_TTL_MS + 1)
+        crashes.record_peer("10.0.0.2", {7: MAX_CRASHES})
+        assert crashes.is_quarantined(7)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -166,8 +166,8 @@
         "crashes-of-peers-ignored",
         "BUDGET",
         EDGE + "crashes.py",
-        "counts.get(fingerprint, 0) for counts",
-        "0 for counts",
+        "counts.get(fingerprint, 0) for _, counts",
+        "0 for _, counts",
         ("test_edge_budgets", "test_edge_shares"),
     ),
     Mutant(
