Cut off targets that send interim answers without end

Heads, header lines, chunk sizes, extensions and trailers were bounded already; their tests stand as guards.

Change: more than eight interim answers end the send as broken.

Ruled out: a limit on bytes at the socket, which cannot tell a head from a body; httpcore has no setting for it.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -1,8 +1,10 @@
 """Pool of HTTP connections to targets."""
 
 from collections import OrderedDict
+from typing import Any
 
 import anyio
+import h11
 import httpcore
 
 from peridotbend.adapters.sockets import connect
@@ -11,7 +13,27 @@
 MAX_IDLE_CONNECTIONS = 256
 KEEPALIVE_EXPIRY_S = 20.0
 
-Connection = httpcore.AsyncHTTP11Connection
+# Sound targets send at most one interim answer, such as 100 or 103.
+MAX_INTERIM_ANSWERS = 8
+
+
+class Connection(httpcore.AsyncHTTP11Connection):
+    """An HTTP connection that limits interim answers.
+
+    httpcore skips them in a loop, and has no setting to end it.
+    """
+
+    _interim_answers = 0
+
+    async def _receive_event(self, timeout: float | None = None) -> Any:
+        event = await super()._receive_event(timeout)
+        if not isinstance(event, h11.InformationalResponse):
+            self._interim_answers = 0
+            return event
+        self._interim_answers += 1
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            raise httpcore.RemoteProtocolError("too many interim answers")
+        return event
 
 
 class ConnectionPool:
