Log which relay an instance follows and who reads the store

Cause: in a large fleet a member hears no peer directly, so 500 and 501 and the gauge of live peers said nothing about what it depends on.

--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Sequence
 
 from peridotbend.domain.clock import Clock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
 from peridotbend.edge.groups import GroupDirectory, GroupKey
 from peridotbend.edge.peers import (
     PEER_TIMEOUT_MS,
@@ -72,6 +74,12 @@
         self._live = live
         self._expected = max(1, live, expected)
 
+    def count_live_peers(self) -> int:
+        """Returns how many other instances are live."""
+        if self._directory.is_mesh:
+            return len(self._peers.list_live_hosts())
+        return self._live - 1
+
     def count_instances(self) -> int:
         """Returns how many instances may serve callers, including this one."""
         return max(self._expected, self._peers.count_instances())
@@ -93,6 +101,7 @@
         directory: GroupDirectory,
         status: FleetStatus,
         clock: Clock,
+        log: EventLog,
         note_revision: Callable[[str, str, int], None],
     ):
         """Creates the exchange.
@@ -103,6 +112,7 @@
             directory: the groups and their relays.
             status: receives the numbers of instances.
             clock: source of time.
+            log: receives changes of the relay that is followed.
             note_revision: called with host, prefix and revision for each
                 prefix that another instance knows.
         """
@@ -111,6 +121,7 @@
         self._directory = directory
         self._status = status
         self._clock = clock
+        self._log = log
         self._note_revision = note_revision
         self._identity = state.identity
         self._sequence = 0
@@ -247,6 +258,12 @@
         if self.is_relay and digest.live_instances <= self._live:
             # Own sums are at least as complete.
             return
+        if self._view is None or self._view.host != digest.host:
+            self._log.emit(
+                Event.RELAY_FOLLOWED,
+                peer=digest.host,
+                live=digest.live_instances,
+            )
         self._view = self._make_source(digest)
         self._update_status()
         self._state.apply_fleet(digest)
@@ -303,6 +320,9 @@
 
     def _drop_view(self) -> None:
         if self._view is not None:
+            self._log.emit(
+                Event.RELAY_LOST, peer=self._view.host, is_relay=self.is_relay
+            )
             self._view = None
             self._state.drop_fleet()
 
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -75,7 +75,7 @@
         directory = GroupDirectory(
             host, settings.zone, self._peers, self._clock
         )
-        status = FleetStatus(self._peers, directory)
+        self._status = status = FleetStatus(self._peers, directory)
         self._reader_role = ReaderRole(self._rng)
         self._http_client = HttpTargetClient(CONNECT_TIMEOUT_S)
         self._dependencies = make_dependencies(
@@ -105,6 +105,7 @@
             directory,
             status,
             self._clock,
+            log,
             self._note_peer_revision,
         )
         self._gossip = Gossip(
@@ -233,7 +234,7 @@
         add_gauge(
             "live_peers",
             "Other instances heard of lately.",
-            lambda: len(self._peers.list_live_hosts()),
+            self._status.count_live_peers,
         )
         add_gauge(
             "listed_targets",
@@ -382,7 +383,15 @@
 
     def _apply_reader_role(self) -> None:
         """Reads the store, or stops it, as the relays are heard of."""
-        self._reader_role.assign(self._exchange.should_read_store())
+        is_reader = self._exchange.should_read_store()
+        if is_reader is not self._reader_role.is_reader:
+            self._log.emit(
+                Event.STORE_READING_STARTED
+                if is_reader
+                else Event.STORE_READING_STOPPED,
+                is_relay=self._exchange.is_relay,
+            )
+        self._reader_role.assign(is_reader)
         self._record_store_reachability()
 
     async def _finish_requests(self) -> None:
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -69,6 +69,7 @@
             self.directory,
             self.status,
             clock,
+            RecordingLog(),
             self._note_revision,
         )
         self._next_ms = clock.now_ms() + rng.randrange(300)
