Do not count draining instances as live

Cause: live instances that drain are not expected to serve, but made up in the live share for others that were silent: with three draining and three cut off, the share was 1, and both sides could spend the whole allowance.

Change: both numbers leave out those that drain.

--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -302,7 +302,7 @@
                 self._state.drop_source(_format_key(key))
         if self._view is not None and self._view.at_ms < oldest_ms:
             self._drop_view()
-        self._live = len(self._list_live_members()) + 1
+        self._live = self._count_live(self._list_live_members())
         self._live += sum(source.live for source in self._groups.values())
         self._expected = max(self._live, self._peers.count_expected())
         has_better_sums = (
@@ -335,6 +335,13 @@
             if self._directory.find_key(host) == own_key
         }
 
+    def _count_live(self, members: set[str]) -> int:
+        """Returns how many expected instances of the own group are live.
+
+        Those that drain are not expected, so they must not make up for others.
+        """
+        return 1 + sum(not self._peers.is_draining(host) for host in members)
+
     def _find_own_relays(self) -> list[str]:
         return self._directory.choose_relays(self._directory.own_key)
 
@@ -388,7 +395,7 @@
         self._sent_at_ms[Scope.GROUP] = self._clock.now_ms()
         members = self._list_live_members()
         digest = self._state.describe_group(
-            self._sequence, members, len(members) + 1
+            self._sequence, members, self._count_live(members)
         )
         digest = dataclasses.replace(digest, members=self._select_members())
         hosts: list[str] = []
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -162,6 +162,11 @@
         peer = self._peers.get(host)
         return peer is not None and self._is_live(peer, self._clock.now_ms())
 
+    def is_draining(self, host: str) -> bool:
+        """Tells whether a host said that it drains."""
+        peer = self._peers.get(host)
+        return peer is not None and peer.is_draining
+
     def find_last_sequence(self, host: str) -> tuple[int, int]:
         """Returns incarnation and sequence of a host's newest digest."""
         peer = self._peers.get(host)
--- a/tests/test_edge_groups.py
+++ b/tests/test_edge_groups.py
@@ -267,6 +267,24 @@
         for instance in fleet.instances.values():
             assert instance.crashes.is_quarantined(7), instance.host
 
+    def test_draining_instances_do_not_replace_silent_ones(self) -> None:
+        """Guards against a part of an allowance that two sides spend.
+
+        Instances that drain are live but not expected, so they must not make up
+        for others that may be cut off.
+        """
+        fleet = _start_fleet()
+        hosts = sorted(fleet.instances)
+        for host in hosts[:3]:
+            fleet.instances[host].is_draining = True
+        fleet.run(SPREAD_MS)
+        for host in hosts[-3:]:
+            del fleet.instances[host]
+        fleet.run(4_000)
+        for instance in fleet.instances.values():
+            share = instance.status.find_live_share()
+            assert share <= 1 - 2 / len(hosts), (instance.host, share)
+
     def test_lost_datagrams_do_not_lose_what_was_spent(self) -> None:
         """Guards against an allowance that leaks with each lost packet."""
         fleet = _start_fleet()
