--- a/tests/test_edge_groups.py
+++ b/tests/test_edge_groups.py
@@ -4,6 +4,7 @@
 import statistics
 import unittest
 
+from peridotbend.adapters.digests import decode_digest, encode_digest
 from peridotbend.edge.config import Account
 from peridotbend.edge.crashes import MAX_CRASHES
 from peridotbend.edge.groups import MAX_GROUP_SIZE, RELAYS_PER_GROUP
@@ -337,3 +338,26 @@
         for instance in members:
             level = instance.allowances.list_uses()[ACCOUNT.name].level
             assert level < 15_000.0, (instance.host, level)
+
+    def test_damaged_digests_end_no_process(self) -> None:
+        """Guards against one malformed message that ends a process."""
+        fleet = _start_fleet()
+        relay = next(i for i in fleet.instances.values() if i.exchange.is_relay)
+        receiver = next(
+            i
+            for i in fleet.instances.values()
+            if i.zone == relay.zone and not i.exchange.is_relay
+        )
+        for _ in range(300):
+            fleet.step()
+            for outgoing in relay.exchange.collect():
+                data = bytearray(encode_digest(outgoing.digest))
+                for _ in range(fleet.rng.randrange(1, 4)):
+                    data[fleet.rng.randrange(len(data))] = fleet.rng.randrange(
+                        256
+                    )
+                digest = decode_digest(bytes(data))
+                if digest is not None:
+                    receiver.exchange.receive(digest)
+            receiver.exchange.collect()
+        receiver.allowances.try_take(ACCOUNT.name, 1.0)
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -11,21 +11,26 @@
     MAX_DATAGRAM_BYTES,
     decode_digest,
     encode_digest,
+    encode_echo,
 )
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
 from peridotbend.edge.allowances import AllowanceUse
 from peridotbend.edge.configholder import ConfigHolder
 from peridotbend.edge.events import EventSplitter
+from peridotbend.edge.exchange import MAX_MEMBERS
 from peridotbend.edge.feeds import CATCH_UP_DELAY_MS, Feed, ReaderRole
 from peridotbend.edge.peers import (
     PEER_EXPIRY_MS,
     PEER_TIMEOUT_MS,
     Digest,
+    Member,
     PeerRegistry,
+    Scope,
 )
 from peridotbend.edge.ports import StoreError, StoreFailure
 from peridotbend.edge.published import Changes, Item, PublishedItems
+from peridotbend.edge.sharedstate import MAX_ACCOUNTS, MAX_COUNTS
 from tests.edgefakes import CONFIG, RecordingLog
 
 DIGEST = Digest(
@@ -65,6 +70,56 @@
         assert decoded is not None
         assert decoded.revisions == DIGEST.revisions
 
+    def test_digests_of_relays_survive_the_wire(self) -> None:
+        """Guards against fields of sums that are not encoded or decoded."""
+        base = dataclasses.replace(
+            DIGEST,
+            in_flight={},
+            allowances={},
+            zone="zone-a",
+            is_store_reachable=True,
+            live_instances=31,
+            expected_instances=33,
+            target_counts={2**32 - 1: 4, 7: 0},
+            is_partial=True,
+            members=(Member("10.0.0.9", "zone-b", 300, True),),
+        )
+        group = dataclasses.replace(
+            base, scope=Scope.GROUP, account_spent={9: 1e12 + 0.5}
+        )
+        assert decode_digest(encode_digest(group)) == group
+        fleet = dataclasses.replace(
+            base, scope=Scope.FLEET, account_levels={9: -2.5}
+        )
+        echoed = decode_digest(encode_digest(fleet) + encode_echo((2**63, 5)))
+        assert echoed == dataclasses.replace(fleet, echo=(2**63, 5))
+
+    def test_full_digest_of_a_relay_stays_in_one_packet(self) -> None:
+        """Guards against sums that are fragmented in a large fleet."""
+        hashes = range(2**32 - MAX_COUNTS, 2**32)
+        full = dataclasses.replace(
+            DIGEST,
+            scope=Scope.GROUP,
+            in_flight={},
+            allowances={},
+            zone="a-zone-with-a-long-name",
+            target_counts=dict.fromkeys(hashes, 200),
+            account_spent=dict.fromkeys(hashes[:MAX_ACCOUNTS], 1e9),
+            crashes=dict.fromkeys(hashes[:32], 3),
+            members=tuple(
+                Member(
+                    f"10.9.9.{n}", f"a-zone-with-a-long-name-{n % 9}", 9, False
+                )
+                for n in range(MAX_MEMBERS)
+            ),
+        )
+        data = encode_digest(full) + encode_echo((2**64 - 1, 2**40))
+        assert len(data) <= MAX_DATAGRAM_BYTES
+        decoded = decode_digest(data)
+        assert decoded is not None
+        assert decoded.target_counts == full.target_counts
+        assert decoded.account_spent == full.account_spent
+
     def test_other_datagrams_are_ignored(self) -> None:
         """Guards against a crash on datagrams from other senders."""
         rng = random.Random(5)
