--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -355,6 +355,7 @@
         previous = self._dependencies.targets.find(name)
         if previous is not None:
             self._dependencies.targets.remove(name)
+            self._dependencies.occupancy.forget_target(name)
             if not previous.is_leaving:
                 self._relay.note_target_dead(name)
             self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
--- a/tests/test_edge_groups.py
+++ b/tests/test_edge_groups.py
@@ -319,6 +319,20 @@
                 total = sum(report.get(name, 0) for report in reports.values())
                 assert occupancy.count(name) == total
 
+    def test_removed_targets_leave_nothing(self) -> None:
+        """Guards against a table that grows with each restart of a target."""
+        fleet = GroupFleet(1, 1)
+        occupancy = Occupancy(fleet.clock)
+        for number in range(100):
+            name = f"i-{number}"
+            occupancy.add(name)
+            assert occupancy.count(name) == 1
+            occupancy.find_hash(name)
+            occupancy.remove(name)
+            occupancy.forget_target(name)
+        assert not occupancy.own
+        assert not occupancy._hashes
+
 
 class PartialDigestTest(unittest.TestCase):
     """Digests that are restored from datagrams."""
