Return to the relays at once after a cut

Cause: an instance that was cut off gave up its relays one after the other, took itself for the only relay and sent nothing to anybody of its group until the first was due again, up to 5 s after its link was back.

Change: the first digest after a silence of 1 s gives all relays another chance, and an instance that nobody answers asks any host that it knows.

Measured: in virtual time, all counts are right again 2 s after the cut.

--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -10,7 +10,11 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
-from peridotbend.edge.groups import GroupDirectory, GroupKey
+from peridotbend.edge.groups import (
+    RELAY_TIMEOUT_MS,
+    GroupDirectory,
+    GroupKey,
+)
 from peridotbend.edge.peers import (
     PEER_TIMEOUT_MS,
     Digest,
@@ -133,6 +137,8 @@
         # When a digest of each relay that reads the store arrived.
         self._readers: dict[str, int] = {}
         self._members_cursor = 0
+        # When the last digest arrived.
+        self._heard_at_ms = clock.now_ms()
         # Live instances that this one knows of by digests or by sums.
         self._live = 1
         self._expected = 1
@@ -186,8 +192,9 @@
         self._check_sources()
         relays = self._find_own_relays()
         others = [host for host in relays if host != self._identity.host]
-        if self._view is None and not self.is_relay:
-            # A new instance finds the others through any that it knows.
+        if self._view is None and (not self.is_relay or self._is_isolated()):
+            # An instance that is new, or that nobody answers, finds the others
+            # through any that it knows.
             others.append(self._peers.choose_any())
         outgoing = self._collect_own(others)
         interval_ms = GROUP_INTERVAL_MS
@@ -202,6 +209,9 @@
         """Applies a digest; returns whether anybody should be told of it."""
         if digest.host == self._identity.host:
             return False
+        if self._is_isolated():
+            self._directory.reset_failures()
+        self._heard_at_ms = self._clock.now_ms()
         if digest.scope is Scope.OWN:
             return self._receive_own(digest)
         self._peers.add_member(
@@ -220,6 +230,11 @@
         self._receive_fleet(digest)
         return False
 
+    def _is_isolated(self) -> bool:
+        """Tells whether no digest arrives, so that the fault may be here."""
+        silence_ms = self._clock.now_ms() - self._heard_at_ms
+        return silence_ms > RELAY_TIMEOUT_MS
+
     def _receive_own(self, digest: Digest) -> bool:
         if not self._peers.accept(digest):
             return False
--- a/src/peridotbend/edge/groups.py
+++ b/src/peridotbend/edge/groups.py
@@ -82,6 +82,13 @@
         state.answered_at_ms = now_ms
         state.avoid_until_ms = 0
 
+    def reset_failures(self) -> None:
+        """Gives all relays another chance, after this instance was cut off."""
+        now_ms = self._clock.now_ms()
+        for state in self._relays.values():
+            state.avoid_until_ms = 0
+            state.chosen_at_ms = now_ms
+
     def choose_relays(self, key: GroupKey) -> list[str]:
         """Returns the relays of a group, the first one first.
 
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -114,6 +114,8 @@
         self.traffic: dict[str, Traffic] = {}
         # Zones of different sides cannot reach each other.
         self.side_by_zone: dict[str, int] = {}
+        # Hosts that reach nobody.
+        self.cut_hosts: set[str] = set()
         self.store_revision = 1
         self.loss = 0.0
         hosts = [
@@ -168,6 +170,8 @@
         receiver = self.instances.get(host)
         if receiver is None or self.rng.random() < self.loss:
             return
+        if self.cut_hosts & {sender.host, host}:
+            return
         sides = self.side_by_zone
         if sides.get(sender.zone, 0) != sides.get(receiver.zone, 0):
             return
--- a/tests/test_edge_groups.py
+++ b/tests/test_edge_groups.py
@@ -161,6 +161,21 @@
         fleet.run(8_000)
         assert _count_at(fleet, "i-1") == {ZONES * PER_ZONE}
 
+    def test_instances_that_were_cut_off_return_at_once(self) -> None:
+        """Guards against an instance that is blind after its link is back.
+
+        It had given up its relays one after the other, took itself for the only
+        relay and asked nobody until the first of them was due again.
+        """
+        fleet = _start_fleet()
+        fleet.cut_hosts = {f"10.1.0.{number}" for number in (2, 3, 4)}
+        fleet.run(9_000)
+        for instance in fleet.instances.values():
+            instance.occupancy.add("i-1")
+        fleet.cut_hosts = set()
+        fleet.run(2_000)
+        assert _count_at(fleet, "i-1") == {ZONES * PER_ZONE}
+
 
 class GroupReaderTest(unittest.TestCase):
     """Instances that read the store for their group."""
