Log the shared prompt parts of a request, and withdrawn suspects

Change: 300 lists the parts that other requests share, 307 has the fingerprint and the last event of the failed attempt, 413 tells of a suspect that is no longer blamed, and a gauge counts suspects. No decision changes.

Measured: tests of the relay, platform, digests and logs pass (111).

--- a/src/peridotbend/edge/crashes.py
+++ b/src/peridotbend/edge/crashes.py
@@ -83,16 +83,19 @@
             self._dead_targets.popitem(last=False)
         return sorted(suspects)
 
-    def note_target_alive(self, target: str) -> None:
-        """Records that a target is alive, and withdraws it from all counts."""
+    def note_target_alive(self, target: str) -> list[int]:
+        """Records that a target is alive; returns requests not blamed now."""
         self._broken_connections.pop(target, None)
+        withdrawn = []
         for fingerprint, (dead, at_ms) in list(self._dead_targets.items()):
             if target in dead:
+                withdrawn.append(fingerprint)
                 remaining = dead - {target}
                 if remaining:
                     self._dead_targets[fingerprint] = remaining, at_ms
                 else:
                     del self._dead_targets[fingerprint]
+        return withdrawn
 
     def note_success(self, fingerprint: int) -> None:
         """Records that a request completed."""
@@ -104,6 +107,10 @@
         while len(self._cleared) > MAX_ENTRIES:
             self._cleared.popitem(last=False)
 
+    def count_suspects(self) -> int:
+        """Returns how many requests are suspected by this instance."""
+        return len(self._dead_targets)
+
     def is_quarantined(self, fingerprint: int) -> bool:
         """Tells whether a request must no longer be sent."""
         cleared_at_ms = self._cleared.get(fingerprint)
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -35,6 +35,8 @@
     max_output_tokens: int = 0
     # ID of the last prompt prefix, which is the same within a session.
     session: str = ""
+    # IDs of the prompt parts before the last one. Other requests share them.
+    shared_parts: tuple[str, ...] = ()
     # Last event that the caller received of a broken stream.
     last_event_id: str = ""
 
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -107,6 +107,16 @@
                 fingerprint=f"{fingerprint:016x}",
             )
 
+    def note_target_alive(self, target: str) -> None:
+        """Records that a target is alive, so that it was not crashed."""
+        crashes = self._dependencies.crashes
+        for fingerprint in crashes.note_target_alive(target):
+            self._dependencies.log.emit(
+                Event.SUSPECT_WITHDRAWN,
+                target=target,
+                fingerprint=f"{fingerprint:016x}",
+            )
+
     def _admit(self, call: EdgeCall) -> ActiveRequest | NotRun:
         config = self._dependencies.holder.config
         if config is None:
@@ -263,6 +273,7 @@
             target=target.name,
             in_flight=slot.in_flight,
             slots=target.slots,
+            parts=request.call.shared_parts,
         )
         send = TargetSend(
             request.call,
@@ -331,6 +342,8 @@
             failure=error.failure.value,
             written=error.written,
             detail=error.detail,
+            fingerprint=f"{request.fingerprint:016x}",
+            last_event=request.events.last_event_id,
         )
         if request.may_have_run:
             return MayHaveRun(Reason.TARGET_FAILED)
@@ -435,7 +448,7 @@
         """Records a complete answer of a target."""
         self._dependencies.health.note_answer(target.name, failed)
         self._dependencies.crashes.note_success(request.fingerprint)
-        self._dependencies.crashes.note_target_alive(target.name)
+        self.note_target_alive(target.name)
         self._dependencies.meter.count_send("answered")
 
     async def _start_once(
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -241,6 +241,11 @@
             "Known targets.",
             lambda: len(self._dependencies.targets),
         )
+        add_gauge(
+            "suspected_requests",
+            "Requests that were in flight at a target when it died.",
+            self._dependencies.crashes.count_suspects,
+        )
         add_gauge(
             "config_version",
             "Version of the configuration in force; 0 for none.",
@@ -341,7 +346,7 @@
             self._dependencies.targets.put(target)
             # The target is alive under the same name; a crashed process would
             # return under another one.
-            self._dependencies.crashes.note_target_alive(name)
+            self._relay.note_target_alive(name)
             event = Event.TARGET_LISTED
             if target.is_leaving:
                 event = Event.TARGET_LEAVING
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -200,6 +200,7 @@
     authorization = headers.get("authorization", "")
     has_key = authorization.lower().startswith(_KEY_SCHEME)
     tokens = _parse_token_counts(headers.get(wire.TOKEN_COUNT, ""))
+    parts = _parse_prompt_parts(headers.get(wire.PROMPT_PREFIX, ""))
     return EdgeCall(
         attempt=attempt,
         method=scope["method"],
@@ -211,7 +212,8 @@
         deadline_ms=_parse_number(headers.get(wire.DEADLINE_MS, "")),
         prompt_tokens=tokens[0] if tokens else None,
         max_output_tokens=tokens[1] if tokens else 0,
-        session=_parse_session(headers.get(wire.PROMPT_PREFIX, "")),
+        session=parts[-1],
+        shared_parts=parts[:-1],
         last_event_id=headers.get(wire.LAST_EVENT_ID, ""),
     )
 
@@ -271,9 +273,9 @@
             return b"".join(parts)
 
 
-def _parse_session(prefix: str) -> str:
-    """Returns the last ID of a prompt prefix in the form ID:TOKENS,..."""
-    return prefix.rpartition(",")[2].partition(":")[0].strip()
+def _parse_prompt_parts(prefix: str) -> tuple[str, ...]:
+    """Returns the IDs of a prompt prefix in the form ID:TOKENS,..."""
+    return tuple(part.partition(":")[0].strip() for part in prefix.split(","))
 
 
 def _parse_token_counts(text: str) -> tuple[int, int] | None:
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -236,6 +236,7 @@
         assert call.key == "key-1"
         assert (call.prompt_tokens, call.max_output_tokens) == (1460, 80)
         assert call.session == "e440"
+        assert call.shared_parts == ("5c1e",)
         assert call.deadline_ms == 12_000
         assert ("x-model", "m") in call.headers
         assert ("host", "shop.example:80") in call.headers
