Reproduce the prompt part that crashes runner after runner

Eight instances and five runners in virtual time; sound requests share caller, first part and subject with bad ones, no two of which are alike.

--- /dev/null
+++ b/tests/edgerunners.py
@@ -0,0 +1,350 @@
+"""Instances in front of shared runners that crash, in virtual time."""
+
+import contextlib
+import dataclasses
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from peridotbend.adapters.digests import (
+    decode_digest,
+    encode_digest,
+    encode_echo,
+)
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
+from peridotbend.edge.config import EdgeConfig
+from peridotbend.edge.exchange import DigestExchange, FleetStatus
+from peridotbend.edge.groups import GroupDirectory
+from peridotbend.edge.parts import make_dependencies
+from peridotbend.edge.peers import PeerRegistry
+from peridotbend.edge.ports import (
+    AnswerBrokenError,
+    EdgeCall,
+    Reply,
+    TargetSend,
+)
+from peridotbend.edge.relay import Relay
+from peridotbend.edge.sharedstate import (
+    FeedStatus,
+    InstanceIdentity,
+    SharedState,
+)
+from peridotbend_emulator.virtualtime import run_virtual
+from tests.edgefakes import (
+    CALL,
+    CONFIG,
+    SETTINGS,
+    RecordingLog,
+    RecordingMeter,
+    RecordingResponder,
+    make_event,
+    make_target,
+)
+
+CONNECT_MS = 1
+FIRST_EVENT_MS = 60
+EVENT_INTERVAL_MS = 30
+EVENTS = 20
+# A runner that crashed is back after this time, under another name.
+RESTART_MS = 3_000
+# The platform removes the entry of a silent runner after this time.
+LEASE_MS = 3_600
+DIGEST_INTERVAL_MS = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request as it reached a runner."""
+
+    at_ms: int
+    host: str
+    call: EdgeCall
+
+
+class Runner:
+    """One run of a model runner."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.is_down = False
+        self.crashed = anyio.Event()
+
+    def crash(self) -> None:
+        """Breaks all connections; new ones are refused."""
+        self.is_down = True
+        self.crashed.set()
+
+
+class _Answer:
+    """The stream of one request at a runner."""
+
+    def __init__(self, runner: Runner, note_begin: Callable[[], bool]):
+        self.is_event_stream = True
+        self.head = AnswerHead(200, ())
+        self._runner = runner
+        self._note_begin = note_begin
+
+    async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields the events, or an error when the runner crashes."""
+        for number in range(EVENTS):
+            wait_ms = EVENT_INTERVAL_MS if number else FIRST_EVENT_MS
+            with anyio.move_on_after(wait_ms / 1_000):
+                await self._runner.crashed.wait()
+            if not number and not self._runner.is_down and self._note_begin():
+                self._runner.crash()
+            if self._runner.is_down:
+                yield Err(CallError(CallFailure.BROKEN, True, "reset"))
+                return
+            yield Ok(make_event(number + 1))
+
+
+class _RunnerClient:
+    """Sends the requests of one instance to the runners."""
+
+    def __init__(self, fleet: "RunnerFleet", host: str):
+        self._fleet = fleet
+        self._host = host
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, send: TargetSend, gate: Callable[[], bool]
+    ) -> AsyncIterator[Reply]:
+        """Sends a request to its runner."""
+        runner = self._fleet.runners[send.target.name]
+        await anyio.sleep(CONNECT_MS / 1_000)
+        if runner.is_down:
+            yield CallError(CallFailure.REFUSED, False, "refused")
+            return
+        if not gate():
+            yield CallError(CallFailure.GATE, False)
+            return
+        self._fleet.note_arrival(self._host, send.call)
+
+        def note_begin() -> bool:
+            return self._fleet.note_begin(runner, send.call)
+
+        yield _Answer(runner, note_begin)
+
+
+class RunnerInstance:
+    """One run of an edge process, without sockets."""
+
+    def __init__(
+        self, fleet: "RunnerFleet", host: str, zone: str, seeds: list[str]
+    ):
+        rng = fleet.rng
+        self.host = host
+        self.zone = zone
+        self.log = RecordingLog()
+        peers = PeerRegistry(host, fleet.clock, self.log, rng)
+        for seed in seeds:
+            peers.add_candidate(seed)
+        directory = GroupDirectory(host, zone, peers, fleet.clock)
+        status = FleetStatus(peers, directory)
+        self.dependencies = make_dependencies(
+            SETTINGS,
+            fleet.clock,
+            _RunnerClient(fleet, host),
+            status,
+            self.log,
+            RecordingMeter(),
+            rng,
+        )
+        self.dependencies.holder.offer(fleet.config)
+        self.relay = Relay(self.dependencies)
+        state = SharedState(
+            InstanceIdentity(host, host, zone, rng.getrandbits(63)),
+            self.dependencies.occupancy,
+            self.dependencies.allowances,
+            self.dependencies.crashes,
+            lambda: FeedStatus({}, True),
+            lambda: False,
+        )
+        self.exchange = DigestExchange(
+            state,
+            peers,
+            directory,
+            status,
+            fleet.clock,
+            self.log,
+            lambda host, prefix, revision: None,
+        )
+
+    async def run(self) -> None:
+        """Runs the tasks of the process."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.dependencies.backlog.run)
+            tasks.start_soon(self.dependencies.stall_detector.run)
+
+
+class RunnerFleet:
+    """Instances that share their runners and exchange digests."""
+
+    def __init__(
+        self,
+        zones: int = 4,
+        per_zone: int = 2,
+        runners: int = 5,
+        config: EdgeConfig = CONFIG,
+        seed: int = 1,
+    ) -> None:
+        self.clock = ManualClock()
+        self.config = config
+        self.rng = random.Random(seed)
+        self.runners: dict[str, Runner] = {}
+        self.instances: dict[str, RunnerInstance] = {}
+        self.arrivals: list[Arrival] = []
+        # Attempts on which a runner began to write an answer.
+        self.begun: set[str] = set()
+        # Times of all crashes.
+        self.crashes: list[int] = []
+        # A runner that begins to write on a prompt with this part crashes.
+        self.bad_part = ""
+        # Hosts that exchange no digests with the others.
+        self.cut_hosts: set[str] = set()
+        self._zones_by_host = {
+            f"10.{zone + 1}.0.{number + 1}": f"zone-{zone}"
+            for zone in range(zones)
+            for number in range(per_zone)
+        }
+        self._runner_count = runners
+        self._started = 0
+        self._attempts = 0
+        self._started_at_ms = self.clock.now_ms()
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._tasks: TaskGroup | None = None
+
+    @property
+    def hosts(self) -> list[str]:
+        """The hosts of all instances."""
+        return list(self._zones_by_host)
+
+    @property
+    def now_ms(self) -> int:
+        """Time since the start."""
+        return self.clock.now_ms() - self._started_at_ms
+
+    def run(self, script: Callable[[], Awaitable[None]]) -> None:
+        """Runs an asynchronous script beside the fleet, in virtual time."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                for host in self.hosts:
+                    self.start(host)
+                for _ in range(self._runner_count):
+                    self._start_runner()
+                tasks.start_soon(self._exchange_digests)
+                await anyio.sleep(1)
+                await script()
+                tasks.cancel_scope.cancel()
+
+        run_virtual(self.clock, main())
+
+    def start(self, host: str) -> None:
+        """Starts a process without state, in place of a running one."""
+        assert self._tasks is not None
+        if host in self._scopes:
+            self._scopes[host].cancel()
+        zone = self._zones_by_host[host]
+        seeds = [seed for seed in self.hosts[:3] if seed != host]
+        instance = RunnerInstance(self, host, zone, seeds)
+        self.instances[host] = instance
+        for name, runner in self.runners.items():
+            if not runner.is_down:
+                instance.dependencies.targets.put(make_target(name))
+        scope = self._scopes[host] = anyio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await instance.run()
+
+        self._tasks.start_soon(run)
+
+    def send(self, host: str, *parts: str) -> str:
+        """Sends a request with a body of its own; returns its attempt ID."""
+        assert self._tasks is not None
+        self._attempts += 1
+        attempt = f"a{self._attempts}"
+        call = dataclasses.replace(
+            CALL,
+            attempt=attempt,
+            body=attempt.encode(),
+            session=f"session-{attempt}",
+            shared_parts=parts,
+        )
+        self._tasks.start_soon(self._serve, self.instances[host], call)
+        return attempt
+
+    def note_arrival(self, host: str, call: EdgeCall) -> None:
+        """Records a request that reaches a runner."""
+        self.arrivals.append(Arrival(self.now_ms, host, call))
+
+    def note_begin(self, runner: Runner, call: EdgeCall) -> bool:
+        """Records that an answer begins; returns whether the runner crashes."""
+        if self.bad_part not in call.shared_parts:
+            self.begun.add(call.attempt)
+            return False
+        self.crash(runner)
+        return True
+
+    def crash(self, runner: Runner) -> None:
+        """Crashes a runner, and starts it again after some time."""
+        assert self._tasks is not None
+        runner.crash()
+        self.crashes.append(self.now_ms)
+        self._tasks.start_soon(self._replace_runner, runner)
+
+    def list_bad_arrivals(self, after_ms: int) -> list[Arrival]:
+        """Returns the later arrivals of requests with the bad part."""
+        return [
+            arrival
+            for arrival in self.arrivals
+            if self.bad_part in arrival.call.shared_parts
+            and arrival.at_ms > after_ms
+        ]
+
+    async def _serve(self, instance: RunnerInstance, call: EdgeCall) -> None:
+        with contextlib.suppress(AnswerBrokenError):
+            await instance.relay.serve(call, RecordingResponder())
+
+    def _start_runner(self) -> None:
+        self._started += 1
+        name = f"i-{self._started}"
+        self.runners[name] = Runner(name)
+        for instance in self.instances.values():
+            instance.dependencies.targets.put(make_target(name))
+            instance.dependencies.backlog.grant_slots("engine")
+
+    async def _replace_runner(self, runner: Runner) -> None:
+        await anyio.sleep(RESTART_MS / 1_000)
+        self._start_runner()
+        await anyio.sleep((LEASE_MS - RESTART_MS) / 1_000)
+        for instance in self.instances.values():
+            if instance.dependencies.targets.find(runner.name) is not None:
+                instance.dependencies.targets.remove(runner.name)
+                instance.relay.note_target_dead(runner.name)
+
+    async def _exchange_digests(self) -> None:
+        while True:
+            await anyio.sleep(DIGEST_INTERVAL_MS / 1_000)
+            for sender in list(self.instances.values()):
+                for outgoing in sender.exchange.collect():
+                    data = encode_digest(outgoing.digest)
+                    for index, host in enumerate(outgoing.hosts):
+                        echo = b""
+                        if outgoing.echoes:
+                            echo = encode_echo(outgoing.echoes[index])
+                        self._deliver(sender.host, host, data + echo)
+
+    def _deliver(self, sender: str, host: str, data: bytes) -> None:
+        receiver = self.instances.get(host)
+        if receiver is None or self.cut_hosts & {sender, host}:
+            return
+        digest = decode_digest(data)
+        assert digest is not None
+        receiver.exchange.receive(digest)
