--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import DecodeError
 
 from peridotbend.edge.allowances import AllowanceUse
+from peridotbend.edge.evidence import Death, Suspicion
 from peridotbend.edge.peers import Digest, Member, Scope
 from peridotbend.wire import edge_pb2 as pb
 
@@ -19,7 +20,7 @@
 MAX_KNOWN_HOSTS = 64
 MAX_NAME_CHARS = 256
 Value = TypeVar("Value", int, float)
-# Unit of the ages of members.
+# Unit of the ages of members and of deaths.
 AGE_UNIT_MS = 100
 # Lists of a digest in the order in which entries are omitted from one that is
 # too large; the least urgent first.
@@ -59,10 +60,7 @@
             )
             for account, use in digest.allowances.items()
         ],
-        crashes=[
-            pb.CrashCount(fingerprint=fingerprint, crashes=count)
-            for fingerprint, count in digest.crashes.items()
-        ],
+        crashes=map(_pack_suspicion, digest.crashes),
         scope=_SCOPES[digest.scope],
         zone=digest.zone,
         store_reachable=digest.is_store_reachable,
@@ -127,7 +125,7 @@
         revisions={feed.prefix: feed.revision for feed in message.feeds},
         in_flight={use.target: use.in_flight for use in message.uses},
         allowances=uses,
-        crashes={c.fingerprint: c.crashes for c in message.crashes},
+        crashes=tuple(map(_unpack_suspicion, message.crashes)),
         scope=scope,
         zone=message.zone,
         is_store_reachable=message.store_reachable,
@@ -142,6 +140,27 @@
     )
 
 
+def _pack_suspicion(suspicion: Suspicion) -> pb.Suspicion:
+    deaths = suspicion.deaths
+    return pb.Suspicion(
+        trait=suspicion.trait,
+        targets=[death.target for death in deaths],
+        ages=[max(0, death.age_ms) // AGE_UNIT_MS for death in deaths],
+        withdrawn=[death.is_withdrawn for death in deaths],
+        was_sound=suspicion.was_sound,
+    )
+
+
+def _unpack_suspicion(packed: pb.Suspicion) -> Suspicion:
+    deaths = tuple(
+        Death(target, age * AGE_UNIT_MS, is_withdrawn)
+        for target, age, is_withdrawn in zip(
+            packed.targets, packed.ages, packed.withdrawn, strict=False
+        )
+    )
+    return Suspicion(packed.trait, deaths, packed.was_sound)
+
+
 def _pack_members(members: Sequence[Member]) -> list[pb.ZoneMembers]:
     by_zone: dict[str, pb.ZoneMembers] = {}
     for member in members:
--- a/src/peridotbend/adapters/explanations.py
+++ b/src/peridotbend/adapters/explanations.py
@@ -35,6 +35,7 @@
     Event.TARGET_REMOVED.label,
     Event.TARGET_LEAVING.label,
     Event.SUSPECT_RECORDED.label,
+    Event.CRASH_CAUSE_FOUND.label,
     Event.LINES_DROPPED.label,
 }
 _CAUSE_BY_REASON: dict[str, str] = {
--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -44,6 +44,7 @@
         Event.TARGET_STRAGGLING,
         Event.SUSPECT_RECORDED,
         Event.SUSPECT_QUARANTINED,
+        Event.CRASH_CAUSE_FOUND,
         Event.PEER_LOST,
         Event.CONFIG_REFUSED,
         Event.ENTRY_SKIPPED,
--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -1,6 +1,7 @@
 """The state of a request that is served by the relay."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.edge.config import Account, Route
@@ -16,8 +17,9 @@
     route: Route
     service: str
     account: Account | None
-    # The same for all attempts of a request.
-    fingerprint: int
+    # What the request has in common with others that may crash targets, with
+    # a label for logs.
+    traits: Mapping[int, str]
     tokens: float
     started_at_ms: int
     # Time at which this process ends the request.
--- a/src/peridotbend/edge/crashes.py
+++ b/src/peridotbend/edge/crashes.py
@@ -1,179 +1,280 @@
 """Detection of requests that crash their targets, across all instances."""
 
 import collections
-from collections.abc import Mapping
+import dataclasses
+from collections.abc import Collection, Mapping, Sequence
+from typing import Any
 
 import xxhash
 
 from peridotbend.domain.clock import Clock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
+from peridotbend.edge.evidence import (
+    EVIDENCE_TTL_MS,
+    REFRESH_INTERVAL_MS,
+    EvidenceTable,
+    Suspicion,
+)
+from peridotbend.edge.hashes import hash_name
+from peridotbend.edge.peers import Scope
 from peridotbend.edge.ports import EdgeCall
+from peridotbend.edge.targets import EdgeTarget
 
-# A request that was in flight at this many targets when they died is
-# quarantined.
-MAX_CRASHES = 3
 # A broken connection is attributed to the death of the target if that is
 # detected within this time. The platform drops the entry of a dead target after
 # three missed heartbeats.
 CONFIRMATION_WINDOW_MS = 6_000
-# Counts expire after this time without another crash, so that requests are sent
-# again once a runner has been fixed.
-ENTRY_TTL_MS = 600_000
-MAX_ENTRIES = 2_048
-# A digest contains only the newest entries.
-MAX_DIGEST_ENTRIES = 32
+# An answer shows that its target lives only if it ends this long after the
+# break: answers that were complete before a crash may be read after it.
+ALIVE_MARGIN_MS = 1_000
+# A request crashes its target when its answer begins. One whose answer goes on
+# for this time after its first event does not.
+SURVIVAL_MS = 500
+MAX_BROKEN = 2_048
+# Bounds on memory: traits of requests that were answered, and targets.
+MAX_SOUND_TRAITS = 4_096
+MAX_TARGETS = 8_192
+# Label of the trait that only exact repeats of a request share.
+FINGERPRINT_LABEL = "request"
 
 
-def make_fingerprint(call: EdgeCall, account: str) -> int:
-    """Returns a hash that is the same for all attempts of a request."""
-    digest = xxhash.xxh3_64(call.body)
-    for part in (account, call.method, call.host, call.path):
-        digest.update(part.encode("latin-1", "replace") + b"\0")
-    return digest.intdigest()
+def make_traits(call: EdgeCall, account: str) -> dict[int, str]:
+    """Returns the traits by which a request that crashes targets is known.
+
+    These are the request as a whole, for repeats of it, and the parts of its
+    prompt that other requests share. The values are labels for logs.
+    """
+    fingerprint = xxhash.xxh3_64(call.body)
+    for field in (account, call.method, call.host, call.path):
+        fingerprint.update(field.encode("latin-1", "replace") + b"\0")
+    traits = {fingerprint.intdigest(): FINGERPRINT_LABEL}
+    for part in call.shared_parts:
+        traits[_hash_part(part)] = part
+    return traits
+
+
+def _hash_part(part: str) -> int:
+    return xxhash.xxh3_64_intdigest(b"part\0" + part.encode("utf-8", "replace"))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _BrokenConnection:
+    at_ms: int
+    target: EdgeTarget
+    # Of the request, with their labels.
+    traits: Mapping[int, str]
 
 
 class CrashTracker:
-    """Counts the targets that died with a request in flight, by fingerprint.
+    """Finds what the requests have in common under which targets die.
 
     A broken connection does not prove a crash. It is counted once the target
-    refuses connections, restarts or is no longer listed. A network partition
-    can look the same, so the count is withdrawn when the same target turns
-    out to be alive.
+    refuses connections, restarts, is no longer listed, or is dead according to
+    another instance. A network partition can look the same, so the evidence is
+    withdrawn when the same target turns out to be alive.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, log: EventLog):
         self._clock = clock
-        # Time and fingerprint of each broken connection, by target.
-        self._broken_connections: dict[str, list[tuple[int, int]]] = {}
-        # By fingerprint: the dead targets counted by this instance, and when
-        # the last one died.
-        self._dead_targets: collections.OrderedDict[
-            int, tuple[set[str], int]
-        ] = collections.OrderedDict()
-        # Counts of each peer and when they arrived, the oldest first.
-        self._peer_counts: dict[str, tuple[int, Mapping[int, int]]] = {}
-        # Counts of a relay, which include those of this instance.
-        self._fleet_counts: Mapping[int, int] = {}
-        # Requests that completed here and thus do not crash targets, and when.
-        self._cleared: collections.OrderedDict[int, int] = (
+        self._log = log
+        self._evidence = EvidenceTable(clock)
+        # By the target's hash.
+        self._broken: dict[int, list[_BrokenConnection]] = {}
+        # Target and time of its last complete answer, by the target's hash.
+        self._alive: collections.OrderedDict[int, tuple[EdgeTarget, int]] = (
             collections.OrderedDict()
         )
+        # Targets taken for dead because their entry was removed.
+        self._removed: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        # When a request with each prompt part was last answered.
+        self._sound_at_ms: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+        self._known_causes: set[frozenset[int]] = set()
+        self._refreshed_at_ms: dict[Scope, int] = {}
+        self._cursors: collections.Counter[Scope] = collections.Counter()
 
-    def note_broken_connection(self, target: str, fingerprint: int) -> None:
-        """Records a connection that broke while the request ran."""
-        broken = self._broken_connections.setdefault(target, [])
-        broken.append((self._clock.now_ms(), fingerprint))
-        del broken[:-MAX_ENTRIES]
+    @property
+    def version(self) -> int:
+        """A number that changes with the evidence."""
+        return self._evidence.version
 
-    def note_target_dead(self, target: str) -> list[int]:
-        """Records the death of a target; returns the suspected requests."""
-        oldest_ms = self._clock.now_ms() - CONFIRMATION_WINDOW_MS
-        suspects = {
-            fingerprint
-            for at_ms, fingerprint in self._broken_connections.pop(target, ())
-            if at_ms >= oldest_ms
+    def note_broken_connection(
+        self, target: EdgeTarget, traits: Mapping[int, str]
+    ) -> None:
+        """Records a connection that broke before or as an answer began."""
+        broken = self._broken.setdefault(_hash_target(target), [])
+        broken.append(_BrokenConnection(self._clock.now_ms(), target, traits))
+        del broken[:-MAX_BROKEN]
+
+    def note_target_dead(self, target: EdgeTarget) -> None:
+        """Records that a target refuses connections or was replaced."""
+        self._confirm_death(_hash_target(target))
+
+    def note_target_removed(self, target: EdgeTarget) -> None:
+        """Records that the entry of a target is gone.
+
+        That also happens to a target that cannot reach the platform.
+        """
+        key = _hash_target(target)
+        self._removed[key] = None
+        _trim(self._removed, MAX_TARGETS)
+        self._confirm_death(key)
+
+    def note_target_listed(self, target: EdgeTarget) -> None:
+        """Records that a target is listed; it lives if it was not before."""
+        key = _hash_target(target)
+        if key in self._removed:
+            del self._removed[key]
+            self._note_alive(target, self._clock.now_ms())
+
+    def note_target_alive(self, target: EdgeTarget) -> None:
+        """Records a complete answer of a target."""
+        key = _hash_target(target)
+        self._alive[key] = target, self._clock.now_ms()
+        self._alive.move_to_end(key)
+        _trim(self._alive, MAX_TARGETS)
+        self._note_alive(target, self._clock.now_ms() - ALIVE_MARGIN_MS)
+
+    def note_sound(self, traits: Mapping[int, str]) -> None:
+        """Records that a request was answered, so that it crashes nothing."""
+        now_ms = self._clock.now_ms()
+        for trait, label in traits.items():
+            self._evidence.note_sound(trait, now_ms)
+            if label != FINGERPRINT_LABEL or trait in self._evidence:
+                self._sound_at_ms[trait] = now_ms
+                self._sound_at_ms.move_to_end(trait)
+        _trim(self._sound_at_ms, MAX_SOUND_TRAITS)
+        self._log_changed_causes()
+
+    def find_cause(self, traits: Collection[int]) -> frozenset[int] | None:
+        """Returns which traits of a request crash targets; None if none do."""
+        return self._evidence.find_cause(traits)
+
+    def count_targets(self, cause: frozenset[int]) -> int:
+        """Returns how many targets died under a cause."""
+        return max(len(self._evidence.list_dead_targets(t)) for t in cause)
+
+    def count_suspects(self) -> int:
+        """Returns how many traits were in flight at the death of a target."""
+        return len(self._evidence)
+
+    def count_causes(self) -> int:
+        """Returns how many causes of crashes are known."""
+        return len(self._evidence.list_causes())
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state for operators."""
+        return {
+            "suspects": self.count_suspects(),
+            "causes": [
+                {
+                    "traits": list(map(_format_trait, sorted(cause))),
+                    "targets": self.count_targets(cause),
+                }
+                for cause in self._evidence.list_causes()
+            ],
         }
-        for fingerprint in suspects:
-            self._cleared.pop(fingerprint, None)
-            dead, _ = self._dead_targets.pop(fingerprint, (set(), 0))
-            self._dead_targets[fingerprint] = (
-                dead | {target},
-                self._clock.now_ms(),
-            )
-        while len(self._dead_targets) > MAX_ENTRIES:
-            self._dead_targets.popitem(last=False)
-        return sorted(suspects)
-
-    def note_target_alive(self, target: str) -> list[int]:
-        """Records that a target is alive; returns requests not blamed now."""
-        self._broken_connections.pop(target, None)
-        withdrawn = []
-        for fingerprint, (dead, at_ms) in list(self._dead_targets.items()):
-            if target in dead:
-                withdrawn.append(fingerprint)
-                remaining = dead - {target}
-                if remaining:
-                    self._dead_targets[fingerprint] = remaining, at_ms
-                else:
-                    del self._dead_targets[fingerprint]
-        return withdrawn
-
-    def note_success(self, fingerprint: int) -> None:
-        """Records that a request completed."""
-        if not (self._dead_targets or self._peer_counts or self._fleet_counts):
+
+    def list_for_digest(self, scope: Scope) -> tuple[Suspicion, ...]:
+        """Returns the evidence for the next digest of a scope."""
+        now_ms = self._clock.now_ms()
+        last_ms = self._refreshed_at_ms.get(scope)
+        refresh = last_ms is None or now_ms - last_ms >= REFRESH_INTERVAL_MS
+        selected = self._evidence.select(self._cursors[scope], refresh)
+        if refresh:
+            self._refreshed_at_ms[scope] = now_ms
+            self._cursors[scope] += len(selected)
+        return tuple(selected)
+
+    def merge(self, suspicions: Sequence[Suspicion]) -> None:
+        """Adds the evidence of another instance."""
+        if not suspicions:
             return
-        self._dead_targets.pop(fingerprint, None)
-        self._cleared.pop(fingerprint, None)
-        self._cleared[fingerprint] = self._clock.now_ms()
-        while len(self._cleared) > MAX_ENTRIES:
-            self._cleared.popitem(last=False)
+        now_ms = self._clock.now_ms()
+        for suspicion in suspicions:
+            self._evidence.merge(suspicion)
+            self._apply_own_answers(suspicion.trait)
+            for death in suspicion.deaths:
+                answered = self._alive.get(death.target)
+                died_at_ms = now_ms - death.age_ms
+                if answered and died_at_ms < answered[1] - ALIVE_MARGIN_MS:
+                    self._note_alive(answered[0], answered[1] - ALIVE_MARGIN_MS)
+                elif not death.is_withdrawn and death.target in self._broken:
+                    self._confirm_death(death.target)
+        self._log_changed_causes()
 
-    def count_suspects(self) -> int:
-        """Returns how many requests are suspected by this instance."""
-        return len(self._dead_targets)
-
-    def is_quarantined(self, fingerprint: int) -> bool:
-        """Tells whether a request must no longer be sent."""
-        cleared_at_ms = self._cleared.get(fingerprint)
-        if (
-            cleared_at_ms is not None
-            and self._clock.now_ms() - cleared_at_ms <= ENTRY_TTL_MS
-        ):
-            return False
-        return self._count(fingerprint) >= MAX_CRASHES
-
-    def list_for_digest(self) -> dict[int, int]:
-        """Returns the newest counts of this instance for its digest."""
-        oldest_ms = self._clock.now_ms() - ENTRY_TTL_MS
-        while self._dead_targets:
-            fingerprint, (_, at_ms) = next(iter(self._dead_targets.items()))
-            if at_ms >= oldest_ms:
-                break
-            del self._dead_targets[fingerprint]
-        newest = list(self._dead_targets.items())[-MAX_DIGEST_ENTRIES:]
-        return {fingerprint: len(dead) for fingerprint, (dead, _) in newest}
-
-    def record_peer(self, peer: str, counts: Mapping[int, int]) -> None:
-        """Replaces the counts reported by a peer."""
-        self._peer_counts.pop(peer, None)
-        if counts:
-            self._peer_counts[peer] = self._clock.now_ms(), counts
-
-    def set_fleet_counts(self, counts: Mapping[int, int]) -> None:
-        """Replaces the counts of a relay, summed over all instances."""
-        self._fleet_counts = counts
-
-    def list_sum(self, sources: set[str]) -> dict[int, int]:
-        """Returns the sums of own counts and those of the sources."""
-        totals = dict(self.list_for_digest())
-        for source, counts in self._list_peer_counts():
-            if source in sources:
-                for fingerprint, count in counts.items():
-                    totals[fingerprint] = totals.get(fingerprint, 0) + count
-        return dict(list(totals.items())[-MAX_DIGEST_ENTRIES:])
-
-    def list_totals(self) -> dict[int, int]:
-        """Returns the counts of all instances as known here."""
-        fingerprints = [*self._dead_targets, *self._fleet_counts]
-        for _, counts in self._list_peer_counts():
-            fingerprints.extend(counts)
-        newest = dict.fromkeys(fingerprints[-MAX_DIGEST_ENTRIES:])
-        return {fingerprint: self._count(fingerprint) for fingerprint in newest}
-
-    def _count(self, fingerprint: int) -> int:
-        dead, _ = self._dead_targets.get(fingerprint, (set(), 0))
-        direct = len(dead) + sum(
-            counts.get(fingerprint, 0) for _, counts in self._list_peer_counts()
-        )
-        return max(direct, self._fleet_counts.get(fingerprint, 0))
-
-    def _list_peer_counts(self) -> list[tuple[str, Mapping[int, int]]]:
-        """Returns the counts by peer; those of peers long silent expire."""
-        oldest_ms = self._clock.now_ms() - ENTRY_TTL_MS
-        while self._peer_counts:
-            peer = next(iter(self._peer_counts))
-            if self._peer_counts[peer][0] >= oldest_ms:
-                break
-            del self._peer_counts[peer]
-        return [
-            (peer, counts) for peer, (_, counts) in self._peer_counts.items()
+    def _confirm_death(self, target: int) -> None:
+        oldest_ms = self._clock.now_ms() - CONFIRMATION_WINDOW_MS
+        for broken in self._broken.pop(target, ()):
+            if broken.at_ms < oldest_ms:
+                continue
+            for trait in broken.traits:
+                self._evidence.add_death(trait, target, broken.at_ms)
+                self._apply_own_answers(trait)
+            self._log.emit(
+                Event.SUSPECT_RECORDED,
+                target=broken.target.name,
+                traits={
+                    label: _format_trait(trait)
+                    for trait, label in broken.traits.items()
+                },
+            )
+        self._log_changed_causes()
+
+    def _apply_own_answers(self, trait: int) -> None:
+        """Clears a trait if a request with it was answered after the deaths."""
+        sound_at_ms = self._sound_at_ms.get(trait)
+        oldest_ms = self._clock.now_ms() - EVIDENCE_TTL_MS
+        if sound_at_ms is not None and sound_at_ms >= oldest_ms:
+            self._evidence.note_sound(trait, sound_at_ms)
+
+    def _note_alive(self, target: EdgeTarget, before_ms: int) -> None:
+        """Clears what is blamed on the death of a target before some time."""
+        key = _hash_target(target)
+        broken = [
+            broken
+            for broken in self._broken.pop(key, ())
+            if broken.at_ms > before_ms
         ]
+        if broken:
+            self._broken[key] = broken
+        withdrawn = self._evidence.withdraw_target(key, before_ms)
+        if withdrawn:
+            self._log.emit(
+                Event.SUSPECT_WITHDRAWN,
+                target=target.name,
+                traits=list(map(_format_trait, withdrawn)),
+            )
+            self._log_changed_causes()
+
+    def _log_changed_causes(self) -> None:
+        causes = set(self._evidence.list_causes())
+        for event, changed in (
+            (Event.CRASH_CAUSE_FOUND, causes - self._known_causes),
+            (Event.CRASH_CAUSE_DROPPED, self._known_causes - causes),
+        ):
+            for cause in changed:
+                self._log.emit(
+                    event,
+                    traits=list(map(_format_trait, sorted(cause))),
+                    targets=self.count_targets(cause),
+                )
+        self._known_causes = causes
+
+
+def _hash_target(target: EdgeTarget) -> int:
+    """Returns the hash of one run of a target, which may keep its name."""
+    return hash_name(f"{target.name}/{target.started_at_ms}")
+
+
+def _format_trait(trait: int) -> str:
+    return f"{trait:016x}"
+
+
+def _trim(table: "collections.OrderedDict[int, Any]", size: int) -> None:
+    while len(table) > size:
+        table.popitem(last=False)
--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -371,7 +371,7 @@
             spent,
             digest.is_draining,
             digest.revisions,
-            digest.crashes,
+            self._state.crash_version,
         )
         max_interval_ms = (
             MESH_MAX_INTERVAL_MS
@@ -383,6 +383,7 @@
             return []
         self._last_content = content
         self._sent_at_ms[Scope.OWN] = self._clock.now_ms()
+        digest = self._state.add_crashes(digest)
         if self._directory.is_mesh:
             known_hosts = tuple(self._peers.list_live_hosts())
             digest = dataclasses.replace(digest, known_hosts=known_hosts)
@@ -399,6 +400,7 @@
         live = self._live if self._view is None else 0
         expected = self._expected
         digest = self._state.describe_fleet(self._sequence, live, expected)
+        digest = self._state.add_crashes(digest)
         digest = dataclasses.replace(digest, members=self._select_members())
         echoes = [self._peers.find_last_sequence(host) for host in hosts]
         return [Outgoing(digest, hosts, echoes)]
@@ -412,6 +414,7 @@
         digest = self._state.describe_group(
             self._sequence, members, self._count_live(members)
         )
+        digest = self._state.add_crashes(digest)
         digest = dataclasses.replace(digest, members=self._select_members())
         hosts: list[str] = []
         for key in self._directory.list_keys():
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -42,7 +42,8 @@
     health: TargetHealth
     # Tells whether another target can take over at once.
     can_fail_over: Callable[[], bool]
-    # When the last data arrived; None before the first.
+    # When the first and the last data arrived; None before the first.
+    first_data_ms: int | None = None
     last_data_ms: int | None = None
     # Set while data is being written to the caller. A slow caller blocks
     # reading from the target, so the silence is not the fault of the target.
@@ -53,9 +54,18 @@
         if self.last_data_ms is not None:
             interval_ms = arrived_at_ms - self.last_data_ms
             self.health.note_event_interval(self.target, interval_ms)
+        else:
+            self.first_data_ms = arrived_at_ms
         self.last_data_ms = arrived_at_ms
         self.health.note_activity(self.target)
 
+    @property
+    def flowed_ms(self) -> int:
+        """Time between the first and the last data."""
+        if self.first_data_ms is None or self.last_data_ms is None:
+            return 0
+        return self.last_data_ms - self.first_data_ms
+
 
 class StallDetector:
     """Watches all sends of this process."""
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -77,7 +77,7 @@
         backlog=Backlog(clock, targets, occupancy, selector, rng),
         occupancy=occupancy,
         health=health,
-        crashes=CrashTracker(clock),
+        crashes=CrashTracker(clock, log),
         stall_detector=StallDetector(clock, health),
         allowances=allowances,
         budget=SendBudget(clock, settings),
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -9,6 +9,7 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.allowances import AllowanceUse
+from peridotbend.edge.evidence import Suspicion
 
 # Digests are sent at least every 300 ms. A peer without a digest for this long
 # has stopped or is unreachable; its requests in flight are no longer counted.
@@ -58,9 +59,8 @@
     in_flight: Mapping[str, int]
     # Use of the allowances by account.
     allowances: Mapping[str, AllowanceUse]
-    # Number of targets that died with a request in flight, by the fingerprint
-    # of the request.
-    crashes: Mapping[int, int] = dataclasses.field(default_factory=dict)
+    # Evidence of all instances, as far as the sender knows it.
+    crashes: tuple[Suspicion, ...] = ()
     scope: Scope = Scope.OWN
     zone: str = ""
     # Whether the sender reads the store itself, and reaches it.
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -13,7 +13,7 @@
 from peridotbend.edge.activerequests import ActiveRequest
 from peridotbend.edge.backlog import Slot
 from peridotbend.edge.config import Account, Route, RouteKind
-from peridotbend.edge.crashes import make_fingerprint
+from peridotbend.edge.crashes import SURVIVAL_MS, make_traits
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.inflight import TrackedSend
 from peridotbend.edge.parts import RelayDependencies
@@ -48,6 +48,7 @@
 # caller should change the request.
 QUARANTINED_RETRY_MS = 60_000
 ERROR_STATUS = 500
+_QUARANTINED = NotRun(Reason.QUARANTINED, QUARANTINED_RETRY_MS)
 _OVERSIZED_EVENT = CallError(CallFailure.BROKEN, True, "event without an end")
 
 
@@ -98,25 +99,6 @@
                     request.account.name, request.tokens
                 )
 
-    def note_target_dead(self, target: str) -> None:
-        """Records that a target refuses connections, restarted or is gone."""
-        for fingerprint in self._dependencies.crashes.note_target_dead(target):
-            self._dependencies.log.emit(
-                Event.SUSPECT_RECORDED,
-                target=target,
-                fingerprint=f"{fingerprint:016x}",
-            )
-
-    def note_target_alive(self, target: str) -> None:
-        """Records that a target is alive, so that it was not crashed."""
-        crashes = self._dependencies.crashes
-        for fingerprint in crashes.note_target_alive(target):
-            self._dependencies.log.emit(
-                Event.SUSPECT_WITHDRAWN,
-                target=target,
-                fingerprint=f"{fingerprint:016x}",
-            )
-
     def _admit(self, call: EdgeCall) -> ActiveRequest | NotRun:
         config = self._dependencies.holder.config
         if config is None:
@@ -130,9 +112,9 @@
             if account is None:
                 return NotRun(Reason.UNKNOWN_KEY)
         account_name = account.name if account else ""
-        fingerprint = make_fingerprint(call, account_name)
-        if self._dependencies.crashes.is_quarantined(fingerprint):
-            return NotRun(Reason.QUARANTINED, QUARANTINED_RETRY_MS)
+        traits = make_traits(call, account_name)
+        if self._dependencies.crashes.find_cause(traits) is not None:
+            return _QUARANTINED
         tokens = 0.0
         if account is not None:
             tokens = _count_tokens(call, account)
@@ -152,7 +134,7 @@
             route,
             service,
             account,
-            fingerprint,
+            traits,
             tokens,
             now_ms,
             now_ms + time_limit_ms,
@@ -175,6 +157,10 @@
                 return
             slot = acquired.ok_value
             try:
+                # A cause may have been found while the request waited or ran.
+                if self._find_cause(request) is not None:
+                    await self._end(request, responder, _QUARANTINED)
+                    return
                 refusal = await self._send(request, slot, responder)
             finally:
                 slot.release()
@@ -184,6 +170,9 @@
                 await self._end(request, responder, refusal)
                 return
 
+    def _find_cause(self, request: ActiveRequest) -> frozenset[int] | None:
+        return self._dependencies.crashes.find_cause(request.traits)
+
     async def _acquire(self, request: ActiveRequest) -> "Result[Slot, NotRun]":
         return await self._dependencies.backlog.acquire(
             self._make_criteria(request),
@@ -309,6 +298,7 @@
         request.failed_targets.add(target.name)
         if rejection is Rejection.MISDIRECTED:
             self._dependencies.health.note_failure(target.name)
+            self._dependencies.crashes.note_target_dead(target)
         self._dependencies.meter.count_send("rejected")
         self._report.log(
             Event.TARGET_REJECTED,
@@ -321,19 +311,31 @@
         return NotRun(Reason.SHED, request.route.objective_ms)
 
     def _note_error(
-        self, request: ActiveRequest, target: EdgeTarget, error: CallError
+        self,
+        request: ActiveRequest,
+        target: EdgeTarget,
+        error: CallError,
+        has_survived: bool = False,
     ) -> NotRun | MayHaveRun:
+        """Records a failed send.
+
+        Args:
+            request: the request that failed.
+            target: where it was sent.
+            error: what failed.
+            has_survived: whether its answer had gone on for some time.
+        """
         request.failed_targets.add(target.name)
         if error.failure is not CallFailure.GATE:
             self._dependencies.health.note_failure(target.name)
-        if error.failure is CallFailure.BROKEN:
+        if error.failure is CallFailure.BROKEN and not has_survived:
             self._dependencies.crashes.note_broken_connection(
-                target.name, request.fingerprint
+                target, request.traits
             )
         if error.failure in (CallFailure.CONNECT, CallFailure.REFUSED):
             request.connect_failures += 1
         if error.failure is CallFailure.REFUSED:
-            self.note_target_dead(target.name)
+            self._dependencies.crashes.note_target_dead(target)
         self._dependencies.meter.count_send(error.failure.value)
         self._report.log(
             Event.TARGET_CALL_FAILED,
@@ -342,7 +344,6 @@
             failure=error.failure.value,
             written=error.written,
             detail=error.detail,
-            fingerprint=f"{request.fingerprint:016x}",
             last_event=request.events.last_event_id,
         )
         if request.may_have_run:
@@ -410,10 +411,13 @@
         tracked_send: TrackedSend,
         responder: Responder,
     ) -> NotRun | MayHaveRun | None:
+        has_survived = False
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
                 request.events.drop_partial()
-                return self._note_error(request, target, chunk.err_value)
+                return self._note_error(
+                    request, target, chunk.err_value, has_survived
+                )
             events = request.events.feed(chunk.ok_value)
             if request.events.is_oversized:
                 request.events.drop_partial()
@@ -422,6 +426,9 @@
                 # Other bytes are no progress: a stalled target may send a few
                 # now and then.
                 tracked_send.note_data(self._clock.now_ms())
+                if not has_survived and tracked_send.flowed_ms >= SURVIVAL_MS:
+                    has_survived = True
+                    self._dependencies.crashes.note_sound(request.traits)
             if events:
                 tracked_send.is_blocked = True
                 await self._start_once(request, answer.head, responder)
@@ -447,8 +454,8 @@
     ) -> None:
         """Records a complete answer of a target."""
         self._dependencies.health.note_answer(target.name, failed)
-        self._dependencies.crashes.note_success(request.fingerprint)
-        self.note_target_alive(target.name)
+        self._dependencies.crashes.note_sound(request.traits)
+        self._dependencies.crashes.note_target_alive(target)
         self._dependencies.meter.count_send("answered")
 
     async def _start_once(
@@ -522,6 +529,8 @@
                 "account": account.name,
                 **dependencies.allowances.describe(account.name),
             }
+        if verdict.reason is Reason.QUARANTINED:
+            return self._describe_crashes(call)
         if request is None or not isinstance(verdict, NotRun):
             return {}
         targets = dependencies.targets.list_for(request.service)
@@ -535,6 +544,19 @@
             "waiting": dependencies.backlog.count_waiting(request.service),
         }
 
+    def _describe_crashes(self, call: EdgeCall) -> dict[str, object]:
+        """Returns which parts of a request crash targets, for the log."""
+        config = self._dependencies.holder.config
+        account = config.find_account(call.key) if config else None
+        traits = make_traits(call, account.name if account else "")
+        cause = self._dependencies.crashes.find_cause(traits)
+        if cause is None:
+            return {}
+        return {
+            "cause": [traits[trait] for trait in cause],
+            "crashed_targets": self._dependencies.crashes.count_targets(cause),
+        }
+
 
 def _count_tokens(call: EdgeCall, account: Account) -> float:
     if call.prompt_tokens is None:
--- a/src/peridotbend/edge/sharedstate.py
+++ b/src/peridotbend/edge/sharedstate.py
@@ -103,13 +103,22 @@
         """The identity of this run of the process."""
         return self._identity
 
+    @property
+    def crash_version(self) -> int:
+        """A number that changes with the evidence of crashes."""
+        return self._crashes.version
+
+    def add_crashes(self, digest: Digest) -> Digest:
+        """Returns a digest with the evidence that is due in its scope."""
+        crashes = self._crashes.list_for_digest(digest.scope)
+        return dataclasses.replace(digest, crashes=crashes)
+
     def describe_own(self, sequence: int) -> Digest:
         """Returns the digest of this instance alone."""
         digest = dataclasses.replace(
             self._make_base(sequence),
             in_flight=dict(self._occupancy.own),
             allowances=self._allowances.list_uses(),
-            crashes=self._crashes.list_for_digest(),
         )
         self._own[sequence] = digest
         if len(self._own) > MAX_KEPT_DIGESTS:
@@ -126,7 +135,6 @@
         return dataclasses.replace(
             self._make_base(sequence),
             scope=Scope.GROUP,
-            crashes=self._crashes.list_sum(members),
             live_instances=live,
             target_counts=counts,
             is_partial=is_partial,
@@ -143,7 +151,6 @@
         return dataclasses.replace(
             self._make_base(sequence),
             scope=Scope.FLEET,
-            crashes=self._crashes.list_totals(),
             live_instances=live,
             expected_instances=expected,
             target_counts=counts,
@@ -159,7 +166,7 @@
         self._allowances.record_peer(
             digest.host, digest.incarnation, digest.allowances
         )
-        self._crashes.record_peer(digest.host, digest.crashes)
+        self._crashes.merge(digest.crashes)
 
     def apply_group(self, source: str, digest: Digest) -> None:
         """Applies the sums of another group."""
@@ -169,7 +176,7 @@
         self._allowances.record_group(
             source, digest.incarnation, digest.account_spent
         )
-        self._crashes.record_peer(source, digest.crashes)
+        self._crashes.merge(digest.crashes)
 
     def apply_fleet(self, digest: Digest) -> None:
         """Applies the totals of a relay in place of all other reports."""
@@ -187,7 +194,7 @@
                 others[target] = others.get(target, 0) - count
         self._occupancy.set_view(others)
         self._allowances.adopt_levels(digest.account_levels, spent)
-        self._crashes.set_fleet_counts(digest.crashes)
+        self._crashes.merge(digest.crashes)
 
     def drop_fleet(self) -> None:
         """Returns to the reports of instances and groups."""
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -153,7 +153,7 @@
                 n: round(use.level)
                 for n, use in self._dependencies.allowances.list_uses().items()
             },
-            "crashes": len(self._dependencies.crashes.list_for_digest()),
+            "crashes": self._dependencies.crashes.dump(),
         }
 
     def apply_settings(self, settings: EdgeSettings) -> None:
@@ -242,10 +242,15 @@
             lambda: len(self._dependencies.targets),
         )
         add_gauge(
-            "suspected_requests",
-            "Requests that were in flight at a target when it died.",
+            "suspected_traits",
+            "Requests and prompt parts in flight at a target when it died.",
             self._dependencies.crashes.count_suspects,
         )
+        add_gauge(
+            "crash_causes",
+            "Requests and prompt parts that are refused as they crash targets.",
+            self._dependencies.crashes.count_causes,
+        )
         add_gauge(
             "config_version",
             "Version of the configuration in force; 0 for none.",
@@ -342,11 +347,10 @@
             previous = self._dependencies.targets.find(name)
             if previous and previous.started_at_ms != target.started_at_ms:
                 self._dependencies.health.forget(name)
-                self._relay.note_target_dead(name)
+                self._dependencies.crashes.note_target_dead(previous)
             self._dependencies.targets.put(target)
-            # The target is alive under the same name; a crashed process would
-            # return under another one.
-            self._relay.note_target_alive(name)
+            if previous is None:
+                self._dependencies.crashes.note_target_listed(target)
             event = Event.TARGET_LISTED
             if target.is_leaving:
                 event = Event.TARGET_LEAVING
@@ -362,7 +366,7 @@
             self._dependencies.targets.remove(name)
             self._dependencies.occupancy.forget_target(name)
             if not previous.is_leaving:
-                self._relay.note_target_dead(name)
+                self._dependencies.crashes.note_target_removed(previous)
             self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
 
     def _find_feed_status(self) -> FeedStatus:
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -3,7 +3,7 @@
 import contextlib
 import dataclasses
 import random
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 
 import anyio
 from result import Err, Ok, Result
@@ -20,6 +20,7 @@
     RouteKind,
     WeightedService,
 )
+from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.parts import make_dependencies
 from peridotbend.edge.ports import (
     EdgeCall,
@@ -111,6 +112,15 @@
     return dataclasses.replace(TARGET, name=name, service=service)
 
 
+def note_death(
+    crashes: CrashTracker, name: str, traits: Mapping[int, str]
+) -> None:
+    """Records the death of a target while a request was in flight."""
+    target = make_target(name)
+    crashes.note_broken_connection(target, traits)
+    crashes.note_target_dead(target)
+
+
 def make_event(number: int) -> bytes:
     """Returns one server-sent event."""
     return f"id: {number}\ndata: piece {number}\n\n".encode()
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -54,7 +54,7 @@
             clock, SETTINGS, self.status.find_live_share
         )
         self.budget = SendBudget(clock, SETTINGS)
-        self.crashes = CrashTracker(clock)
+        self.crashes = CrashTracker(clock, RecordingLog())
         state = SharedState(
             InstanceIdentity(host, host, zone, rng.getrandbits(63)),
             self.occupancy,
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -325,9 +325,10 @@
         self._start_runner()
         await anyio.sleep((LEASE_MS - RESTART_MS) / 1_000)
         for instance in self.instances.values():
-            if instance.dependencies.targets.find(runner.name) is not None:
+            target = instance.dependencies.targets.find(runner.name)
+            if target is not None:
                 instance.dependencies.targets.remove(runner.name)
-                instance.relay.note_target_dead(runner.name)
+                instance.dependencies.crashes.note_target_removed(target)
 
     async def _exchange_digests(self) -> None:
         while True:
--- a/tests/test_edge_budgets.py
+++ b/tests/test_edge_budgets.py
@@ -1,4 +1,4 @@
-"""Tests of the allowances, extra sends and crash counts of one instance."""
+"""Tests of allowances, extra sends and evidence of crashes."""
 
 import dataclasses
 import unittest
@@ -6,9 +6,22 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.edge.allowances import Allowances, AllowanceUse
 from peridotbend.edge.config import Account
-from peridotbend.edge.crashes import ENTRY_TTL_MS, MAX_CRASHES, CrashTracker
+from peridotbend.edge.crashes import (
+    ALIVE_MARGIN_MS,
+    FINGERPRINT_LABEL,
+    CrashTracker,
+)
+from peridotbend.edge.evidence import (
+    EVIDENCE_TTL_MS,
+    MAX_CRASHES,
+    MAX_TRAITS,
+    MOMENT_MS,
+)
+from peridotbend.edge.peers import Scope
 from peridotbend.edge.sendbudget import SendBudget
-from tests.edgefakes import SETTINGS
+from tests.edgefakes import SETTINGS, RecordingLog, make_target, note_death
+
+REQUEST = {7: FINGERPRINT_LABEL}
 
 # Without overage and slack, so that the sums below are exact.
 EXACT_SETTINGS = dataclasses.replace(
@@ -139,18 +152,51 @@
         assert budget.try_spend("shop", 1)
 
 
-class CrashListTest(unittest.TestCase):
-    """Counts of the crashes by one request, over all instances."""
+class CrashEvidenceTest(unittest.TestCase):
+    """Evidence of one request that crashes targets, over all instances."""
+
+    def setUp(self) -> None:
+        """Creates the tracker of one instance, and that of a peer."""
+        self.clock = ManualClock()
+        self.crashes = CrashTracker(self.clock, RecordingLog())
+        self.peer = CrashTracker(self.clock, RecordingLog())
 
-    def test_counts_of_peers_add_up(self) -> None:
+    def _is_quarantined(self) -> bool:
+        return self.crashes.find_cause(REQUEST) is not None
+
+    def _tell_peer_deaths(self, *names: str) -> None:
+        """Lets the peer see deaths, and report them."""
+        for name in names:
+            note_death(self.peer, name, REQUEST)
+        self.crashes.merge(self.peer.list_for_digest(Scope.OWN))
+
+    def test_deaths_seen_by_peers_add_up(self) -> None:
         """Guards against a request that crashes one target per instance."""
-        crashes = CrashTracker(ManualClock())
-        crashes.note_broken_connection("i-1", 7)
-        assert crashes.note_target_dead("i-1") == [7]
-        crashes.record_peer("10.0.0.2", {7: 1})
-        assert not crashes.is_quarantined(7)
-        crashes.record_peer("10.0.0.3", {7: 1})
-        assert crashes.is_quarantined(7)
+        note_death(self.crashes, "i-1", REQUEST)
+        assert self.crashes.count_suspects() == 1
+        self._tell_peer_deaths("i-2")
+        assert not self._is_quarantined()
+        third = CrashTracker(self.clock, RecordingLog())
+        note_death(third, "i-3", REQUEST)
+        self.crashes.merge(third.list_for_digest(Scope.OWN))
+        assert self._is_quarantined()
+
+    def test_death_that_two_instances_saw_counts_once(self) -> None:
+        """Guards against refusing a request after a single crash."""
+        note_death(self.crashes, "i-1", REQUEST)
+        note_death(self.crashes, "i-2", REQUEST)
+        self._tell_peer_deaths("i-1", "i-2")
+        assert not self._is_quarantined()
+
+    def test_peer_that_saw_no_death_confirms_it(self) -> None:
+        """Guards against deaths that count only where a connect was refused."""
+        self.crashes.note_broken_connection(make_target("i-1"), REQUEST)
+        self._tell_peer_deaths("i-1")
+        assert self.crashes.count_targets(frozenset(REQUEST)) == 1
+        other = {8: "part"}
+        self.crashes.note_broken_connection(make_target("i-2"), other)
+        self._tell_peer_deaths("i-2")
+        assert self.crashes.count_targets(frozenset(other)) == 1
 
     def test_partition_from_targets_quarantines_no_request(self) -> None:
         """Guards against refusing valid requests for ten minutes.
@@ -159,57 +205,166 @@
         in an unreachable zone were counted as crashed by one request that its
         caller had retried.
         """
-        crashes = CrashTracker(ManualClock())
-        targets = [f"i-{number}" for number in range(4)]
-        for target in targets:
-            crashes.note_broken_connection(target, 7)
-            crashes.note_target_dead(target)
-        assert crashes.is_quarantined(7)
+        names = [f"i-{number}" for number in range(4)]
+        for name in names:
+            note_death(self.crashes, name, REQUEST)
+        assert self._is_quarantined()
+        self.clock.advance(ALIVE_MARGIN_MS + 1)
+        for name in names:
+            self.crashes.note_target_alive(make_target(name))
+        assert not self._is_quarantined()
+        assert not self.crashes.count_targets(frozenset(REQUEST))
+
+    def test_answer_of_a_target_clears_what_a_cut_off_peer_blames(self) -> None:
+        """Guards against a quarantine that a partition leaves behind."""
+        names = [f"i-{number}" for number in range(4)]
+        for name in names:
+            note_death(self.peer, name, REQUEST)
+        self.clock.advance(ALIVE_MARGIN_MS + 1)
+        for name in names:
+            self.crashes.note_target_alive(make_target(name))
+        self._tell_peer_deaths()
+        assert not self._is_quarantined()
+        self.peer.merge(self.crashes.list_for_digest(Scope.OWN))
+        assert self.peer.find_cause(REQUEST) is None
+
+    def test_target_whose_entry_returns_was_not_crashed(self) -> None:
+        """Guards against blaming requests for entries that only lapsed."""
+        targets = [make_target(f"i-{number}") for number in range(3)]
         for target in targets:
-            crashes.note_target_alive(target)
-        assert not crashes.is_quarantined(7)
-        assert not crashes.list_for_digest()
+            self.crashes.note_broken_connection(target, REQUEST)
+            self.crashes.note_target_removed(target)
+        assert self._is_quarantined()
+        self.crashes.note_target_listed(targets[0])
+        assert not self._is_quarantined()
+
+    def test_late_answer_of_a_crashed_target_clears_nothing(self) -> None:
+        """Guards against answers that were complete before the crash."""
+        for name in ("i-1", "i-2", "i-3"):
+            self.crashes.note_broken_connection(make_target(name), REQUEST)
+            self.crashes.note_target_alive(make_target(name))
+            self.crashes.note_target_dead(make_target(name))
+            self.crashes.note_target_alive(make_target(name))
+        assert self._is_quarantined()
 
     def test_one_target_counts_once(self) -> None:
         """Guards against counting one crash for each attempt of a caller."""
-        crashes = CrashTracker(ManualClock())
         for _ in range(MAX_CRASHES):
-            crashes.note_broken_connection("i-1", 7)
-            crashes.note_target_dead("i-1")
-        assert not crashes.is_quarantined(7)
+            note_death(self.crashes, "i-1", REQUEST)
+        assert not self._is_quarantined()
+
+    def test_target_that_restarts_under_its_name_counts_again(self) -> None:
+        """Guards against one target that a request crashes for good."""
+        for started_at_ms in range(MAX_CRASHES):
+            target = dataclasses.replace(
+                make_target("i-1"), started_at_ms=started_at_ms
+            )
+            self.crashes.note_broken_connection(target, REQUEST)
+            self.crashes.note_target_dead(target)
+        assert self._is_quarantined()
 
     def test_broken_connections_alone_do_not_count_as_crashes(self) -> None:
         """Guards against refusing valid requests after connection resets."""
-        crashes = CrashTracker(ManualClock())
-        for _ in range(10):
-            crashes.note_broken_connection("i-1", 7)
-        assert not crashes.is_quarantined(7)
+        for number in range(10):
+            self.crashes.note_broken_connection(
+                make_target(f"i-{number}"), REQUEST
+            )
+        assert not self._is_quarantined()
 
-    def test_success_clears_the_crash_count(self) -> None:
+    def test_success_clears_the_evidence(self) -> None:
         """Guards against refusing a request that ran beside the faulty one."""
-        crashes = CrashTracker(ManualClock())
-        for target in ("i-1", "i-2", "i-3"):
-            crashes.note_broken_connection(target, 7)
-            crashes.note_target_dead(target)
-        assert crashes.is_quarantined(7)
-        crashes.note_success(7)
-        assert not crashes.is_quarantined(7)
-
-    def test_counts_of_a_peer_that_is_gone_expire(self) -> None:
+        for name in ("i-1", "i-2", "i-3"):
+            note_death(self.crashes, name, REQUEST)
+        assert self._is_quarantined()
+        self.crashes.note_sound(REQUEST)
+        assert not self._is_quarantined()
+
+    def test_evidence_of_a_peer_that_is_gone_expires(self) -> None:
         """Guards against refusing a request for good after its last crash."""
-        clock = ManualClock()
-        crashes = CrashTracker(clock)
-        crashes.record_peer("10.0.0.2", {7: MAX_CRASHES})
-        assert crashes.is_quarantined(7)
-        clock.advance(ENTRY_TTL_MS + 1)
-        assert not crashes.is_quarantined(7)
+        self._tell_peer_deaths("i-1", "i-2", "i-3")
+        assert self._is_quarantined()
+        self.clock.advance(EVIDENCE_TTL_MS + 1)
+        assert not self._is_quarantined()
+        assert not self.crashes.list_for_digest(Scope.OWN)
+
+    def test_evidence_that_circulates_expires(self) -> None:
+        """Guards against reports that renew each other."""
+        self._tell_peer_deaths("i-1", "i-2", "i-3")
+        for _ in range(EVIDENCE_TTL_MS // 1_000 + 2):
+            self.clock.advance(1_000)
+            reports = self.crashes.list_for_digest(Scope.OWN)
+            # A datagram is underway for some time.
+            self.clock.advance(20)
+            self.peer.merge(reports)
+            self.crashes.merge(self.peer.list_for_digest(Scope.OWN))
+        assert not self._is_quarantined()
 
     def test_cleared_request_is_counted_again_later(self) -> None:
         """Guards against a request that may crash targets for good."""
-        clock = ManualClock()
-        crashes = CrashTracker(clock)
-        crashes.record_peer("10.0.0.2", {7: MAX_CRASHES})
-        crashes.note_success(7)
-        clock.advance(ENTRY_TTL_MS + 1)
-        crashes.record_peer("10.0.0.2", {7: MAX_CRASHES})
-        assert crashes.is_quarantined(7)
+        self._tell_peer_deaths("i-1", "i-2", "i-3")
+        self.crashes.note_sound(REQUEST)
+        self.clock.advance(EVIDENCE_TTL_MS + 1)
+        self._tell_peer_deaths("i-4", "i-5", "i-6")
+        assert self._is_quarantined()
+
+
+class CrashCauseTest(unittest.TestCase):
+    """Which of the traits that were in flight together is the cause."""
+
+    def setUp(self) -> None:
+        """Creates the tracker of one instance."""
+        self.clock = ManualClock()
+        self.crashes = CrashTracker(self.clock, RecordingLog())
+
+    def _note_deaths(self, first: int, count: int, *traits: int) -> None:
+        for number in range(first, first + count):
+            self.clock.advance(100)
+            note_death(self.crashes, f"i-{number}", dict.fromkeys(traits, "x"))
+
+    def test_parts_beside_the_cause_stay_usable(self) -> None:
+        """Guards against refusing sound requests that share other parts."""
+        self._note_deaths(0, 2, 1, 2, 9)
+        self._note_deaths(2, 2, 1, 3, 9)
+        self.crashes.note_sound({1: "x", 2: "x"})
+        assert self.crashes.find_cause({1, 2, 9}) == {9}
+        assert self.crashes.find_cause({1, 2}) is None
+        assert self.crashes.find_cause({1, 3}) is None
+
+    def test_parts_that_always_came_together_are_refused_together(self) -> None:
+        """Guards against guessing between parts that cannot be told apart."""
+        self._note_deaths(0, 3, 1, 9)
+        assert self.crashes.find_cause({1, 9, 5}) == {1, 9}
+        assert self.crashes.find_cause({1, 5}) is None
+        assert self.crashes.find_cause({9, 5}) is None
+        # One more death without the other part tells which one it is.
+        self._note_deaths(3, 1, 2, 9)
+        assert self.crashes.find_cause({9, 5}) == {9}
+        assert self.crashes.find_cause({1, 5}) is None
+
+    def test_two_causes_at_a_time_are_both_found(self) -> None:
+        """Guards against a second bad part that hides behind the first."""
+        self._note_deaths(0, 3, 1, 8)
+        self._note_deaths(3, 4, 1, 9)
+        self.crashes.note_sound({1: "x"})
+        assert self.crashes.find_cause({8}) == {8}
+        assert self.crashes.find_cause({9}) == {9}
+
+    def test_part_that_turns_bad_is_found(self) -> None:
+        """Guards against trusting a part for good after one answer."""
+        self.crashes.note_sound({9: "x"})
+        self._note_deaths(0, MAX_CRASHES, 9)
+        assert self.crashes.find_cause({9}) is None
+        self.clock.advance(MOMENT_MS)
+        self._note_deaths(3, 1, 9)
+        self.clock.advance(MOMENT_MS)
+        self._note_deaths(4, 1, 9)
+        assert self.crashes.find_cause({9}) == {9}
+
+    def test_flood_of_suspects_keeps_the_cause(self) -> None:
+        """Guards against a cause that many other deaths push out."""
+        self._note_deaths(0, MAX_CRASHES, 9)
+        assert self.crashes.find_cause({9}) == {9}
+        for trait in range(100, 100 + MAX_TRAITS + 10):
+            note_death(self.crashes, "i-9", {trait: "x"})
+        assert self.crashes.count_suspects() == MAX_TRAITS
+        assert self.crashes.find_cause({9}) == {9}
--- a/tests/test_edge_crashes.py
+++ b/tests/test_edge_crashes.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from tests.edgerunners import RunnerFleet
+from tests.edgerunners import RESTART_MS, RunnerFleet
 
 BAD_PART = "bad"
 # The users' bounds on prompts with a part that crashes runners: how many may
@@ -87,3 +87,125 @@
 
                 fleet.run(script)
                 self._check(fleet, traffic)
+
+    def test_evidence_passes_through_relays_of_a_large_fleet(self) -> None:
+        """Guards against a part that crashes one runner for each group."""
+        fleet = _make_fleet(zones=4, per_zone=10)
+        traffic = _Traffic(fleet, seed=4)
+
+        async def script() -> None:
+            await traffic.run_for(10_000)
+            traffic.bad_per_s = BAD_PER_S
+            await traffic.run_for(20_000)
+
+        fleet.run(script)
+        self._check(fleet, traffic)
+
+    def test_evidence_outlives_the_instances_that_saw_it(self) -> None:
+        """Guards against counts that end with the process that counted."""
+        fleet = _make_fleet()
+        traffic = _Traffic(fleet, seed=5)
+
+        async def script() -> None:
+            await traffic.run_for(10_000)
+            traffic.bad_per_s = BAD_PER_S
+            await traffic.run_for(8_000)
+            # In series, so that each process learns from the ones before it.
+            for host in fleet.hosts:
+                fleet.start(host)
+                await traffic.run_for(2_000)
+            await traffic.run_for(5_000)
+
+        fleet.run(script)
+        self._check(fleet, traffic)
+
+    def test_instances_that_were_cut_off_learn_the_cause(self) -> None:
+        """Guards against an instance that sends bad requests after a cut."""
+        fleet = _make_fleet()
+        traffic = _Traffic(fleet, seed=6)
+        cut = fleet.hosts[:2]
+        healed_ms = 0
+
+        async def script() -> None:
+            nonlocal healed_ms
+            await traffic.run_for(10_000)
+            fleet.cut_hosts.update(cut)
+            traffic.bad_per_s = BAD_PER_S
+            await traffic.run_for(10_000)
+            fleet.cut_hosts.clear()
+            healed_ms = fleet.now_ms
+            await traffic.run_for(10_000)
+
+        fleet.run(script)
+        after_ms = fleet.crashes[4] + CONTACT_MS
+        later = [
+            arrival
+            for arrival in fleet.list_bad_arrivals(after_ms)
+            if arrival.host not in cut or arrival.at_ms > healed_ms + CONTACT_MS
+        ]
+        assert len(later) <= MAX_LATER_SENDS, later
+
+    def test_all_processes_restarted_learn_the_cause_again(self) -> None:
+        """Guards against a crash loop after all instances lost their state."""
+        fleet = _make_fleet()
+        traffic = _Traffic(fleet, seed=7)
+        restarted_ms = 0
+
+        async def script() -> None:
+            nonlocal restarted_ms
+            await traffic.run_for(10_000)
+            traffic.bad_per_s = BAD_PER_S
+            await traffic.run_for(10_000)
+            restarted_ms = fleet.now_ms
+            for host in fleet.hosts:
+                fleet.start(host)
+            await traffic.run_for(15_000)
+
+        fleet.run(script)
+        later = [
+            arrival
+            for arrival in fleet.list_bad_arrivals(
+                fleet.crashes[4] + CONTACT_MS
+            )
+            if not restarted_ms < arrival.at_ms < restarted_ms + CONTACT_MS
+        ]
+        assert len(later) <= MAX_LATER_SENDS, later
+
+
+class OtherCrashesTest(unittest.TestCase):
+    """Runners that crash whatever they run."""
+
+    def test_loss_of_all_runners_quarantines_no_common_part(self) -> None:
+        """Guards against parts refused because a rack failed under them."""
+        fleet = _make_fleet()
+        traffic = _Traffic(fleet, seed=8)
+
+        async def script() -> None:
+            await traffic.run_for(10_000)
+            for _ in range(3):
+                for runner in list(fleet.runners.values()):
+                    if not runner.is_down:
+                        fleet.crash(runner)
+                await traffic.run_for(6_000)
+
+        fleet.run(script)
+        back_ms = fleet.crashes[-1] + RESTART_MS + 500
+        assert traffic.find_begun_share(back_ms, fleet.now_ms - 500) > 0.95
+        for instance in fleet.instances.values():
+            assert not instance.dependencies.crashes.count_causes()
+
+    def test_random_crashes_quarantine_nothing(self) -> None:
+        """Guards against parts refused because runners are unreliable."""
+        fleet = _make_fleet()
+        traffic = _Traffic(fleet, seed=9)
+
+        async def script() -> None:
+            for _ in range(15):
+                await traffic.run_for(2_000)
+                live = [r for r in fleet.runners.values() if not r.is_down]
+                if live:
+                    fleet.crash(fleet.rng.choice(live))
+
+        fleet.run(script)
+        for instance in fleet.instances.values():
+            assert not instance.dependencies.crashes.count_causes()
--- a/tests/test_edge_groups.py
+++ b/tests/test_edge_groups.py
@@ -6,10 +6,10 @@
 
 from peridotbend.adapters.digests import decode_digest, encode_digest
 from peridotbend.edge.config import Account
-from peridotbend.edge.crashes import MAX_CRASHES
+from peridotbend.edge.evidence import MAX_CRASHES
 from peridotbend.edge.groups import MAX_GROUP_SIZE, RELAYS_PER_GROUP
 from peridotbend.edge.occupancy import Occupancy
-from tests.edgefakes import SETTINGS
+from tests.edgefakes import SETTINGS, note_death
 from tests.edgegroups import GroupFleet, GroupInstance
 
 ZONES = 3
@@ -277,11 +277,10 @@
         fleet = _start_fleet()
         for zone in range(MAX_CRASHES):
             crashes = fleet.instances[f"10.{zone + 1}.0.3"].crashes
-            crashes.note_broken_connection(f"i-{zone}", 7)
-            crashes.note_target_dead(f"i-{zone}")
+            note_death(crashes, f"i-{zone}", {7: "request"})
         fleet.run(SPREAD_MS)
         for instance in fleet.instances.values():
-            assert instance.crashes.is_quarantined(7), instance.host
+            assert instance.crashes.find_cause({7}), instance.host
 
     def test_draining_instances_do_not_replace_silent_ones(self) -> None:
         """Guards against a part of an allowance that two sides spend.
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -18,6 +18,12 @@
 from peridotbend.edge.allowances import AllowanceUse
 from peridotbend.edge.configholder import ConfigHolder
 from peridotbend.edge.events import EventSplitter
+from peridotbend.edge.evidence import (
+    EVIDENCE_TTL_MS,
+    MAX_DIGEST_TRAITS,
+    Death,
+    Suspicion,
+)
 from peridotbend.edge.exchange import MAX_MEMBERS
 from peridotbend.edge.feeds import CATCH_UP_DELAY_MS, Feed, ReaderRole
 from peridotbend.edge.peers import (
@@ -43,7 +49,13 @@
     revisions={"op/": 12},
     in_flight={"i-1": 4},
     allowances={"acme": AllowanceUse(10.5, -3.0)},
-    crashes={2**64 - 1: 2},
+    crashes=(
+        Suspicion(
+            2**64 - 1,
+            (Death(2**32 - 1, 200, True), Death(5, 900, False)),
+            True,
+        ),
+    ),
 )
 
 
@@ -105,7 +117,12 @@
             zone="a-zone-with-a-long-name",
             target_counts=dict.fromkeys(hashes, 200),
             account_spent=dict.fromkeys(hashes[:MAX_ACCOUNTS], 1e9),
-            crashes=dict.fromkeys(hashes[:32], 3),
+            crashes=tuple(
+                Suspicion(
+                    2**64 - n, (Death(2**32 - 1, EVIDENCE_TTL_MS, False),), True
+                )
+                for n in range(1, MAX_DIGEST_TRAITS + 1)
+            ),
             members=tuple(
                 Member(
                     f"10.9.9.{n}", f"a-zone-with-a-long-name-{n % 9}", 9, False
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -284,7 +284,7 @@
         for number in range(3):
             attempt = f"attempt-{number}"
             _serve(harness, dataclasses.replace(ORDER, attempt=attempt))
-            harness.relay.note_target_dead(harness.client.sends[-1].target.name)
+            harness.crashes.note_target_dead(harness.client.sends[-1].target)
         responder = _serve(harness, dataclasses.replace(ORDER, attempt="last"))
         assert isinstance(responder.verdict, NotRun)
         assert responder.verdict.reason is Reason.QUARANTINED
@@ -318,7 +318,7 @@
         )
         for _ in range(3):
             _serve(harness, ORDER)
-            harness.relay.note_target_dead(harness.client.sends[-1].target.name)
+            harness.crashes.note_target_dead(harness.client.sends[-1].target)
         responder = _serve(harness, dataclasses.replace(ORDER, body=b"other"))
         assert responder.is_complete
 
--- a/tests/test_edge_shares.py
+++ b/tests/test_edge_shares.py
@@ -9,10 +9,11 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.edge.allowances import Allowances
 from peridotbend.edge.config import Account
-from peridotbend.edge.crashes import MAX_CRASHES, CrashTracker
-from peridotbend.edge.peers import Digest, PeerRegistry
+from peridotbend.edge.crashes import CrashTracker
+from peridotbend.edge.evidence import MAX_CRASHES
+from peridotbend.edge.peers import Digest, PeerRegistry, Scope
 from peridotbend.edge.sendbudget import SendBudget
-from tests.edgefakes import SETTINGS, RecordingLog
+from tests.edgefakes import SETTINGS, RecordingLog, note_death
 
 ACCOUNT = Account("acme", frozenset(("k",)), None, 36_000.0, 70_000.0, 200.0)
 STEP_MS = 50
@@ -39,7 +40,7 @@
         )
         self.allowances.apply([ACCOUNT])
         self.budget = SendBudget(clock, SETTINGS)
-        self.crashes = CrashTracker(clock)
+        self.crashes = CrashTracker(clock, RecordingLog())
 
     def make_digest(self, host: str) -> Digest:
         """Returns the digest for the peers."""
@@ -54,7 +55,7 @@
             revisions={},
             in_flight={},
             allowances=self.allowances.list_uses(),
-            crashes=self.crashes.list_for_digest(),
+            crashes=self.crashes.list_for_digest(Scope.OWN),
         )
 
     def receive(self, digest: Digest) -> None:
@@ -63,7 +64,7 @@
             self.allowances.record_peer(
                 digest.host, digest.incarnation, digest.allowances
             )
-            self.crashes.record_peer(digest.host, digest.crashes)
+            self.crashes.merge(digest.crashes)
 
 
 class _Cluster:
@@ -324,21 +325,18 @@
         cluster = _Cluster(1)
         for host in HOSTS[:MAX_CRASHES]:
             crashes = cluster.instances[host].crashes
-            assert not crashes.is_quarantined(7)
-            crashes.note_broken_connection(f"i-{host}", 7)
-            crashes.note_target_dead(f"i-{host}")
+            assert not crashes.find_cause({7})
+            note_death(crashes, f"i-{host}", {7: "request"})
             cluster.step(0, 0.0)
         for instance in cluster.instances.values():
-            assert instance.crashes.is_quarantined(7)
+            assert instance.crashes.find_cause({7})
 
     def test_new_process_learns_the_crashes_from_its_peers(self) -> None:
         """Guards against one more crash per restart of an instance."""
         cluster = _Cluster(1)
         for host in HOSTS[:MAX_CRASHES]:
-            cluster.instances[host].crashes.note_broken_connection(
-                f"i-{host}", 7
-            )
-            cluster.instances[host].crashes.note_target_dead(f"i-{host}")
+            crashes = cluster.instances[host].crashes
+            note_death(crashes, f"i-{host}", {7: "request"})
         cluster.start(HOSTS[-1])
         cluster.step(0, 0.0)
-        assert cluster.instances[HOSTS[-1]].crashes.is_quarantined(7)
+        assert cluster.instances[HOSTS[-1]].crashes.find_cause({7})
