Take a stream that ends inside an event for broken

Such an end was passed on as a complete answer, and would have cleared the prompt part that crashed its runner.

Cause: the bytes after the last event were sent as the end of the answer.

Change: such a stream goes on at another target, or breaks. So does one without a length or chunks that ends before any event; an empty end after the event that the caller named stays complete.

Both tests in test_edge_streams failed before (the part of an event was passed on; the empty answer was complete) and pass now.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -71,6 +71,7 @@
                 for name, value in response.headers
                 if name.lower().decode("latin-1") not in _HOP_BY_HOP
             ),
+            _is_delimited(response),
         )
 
     async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
@@ -191,6 +192,14 @@
     )
 
 
+def _is_delimited(response: httpcore.Response) -> bool:
+    """Returns whether the body has a length or chunks."""
+    return any(
+        name.lower() in (b"content-length", b"transfer-encoding")
+        for name, _ in response.headers
+    )
+
+
 def _is_connection_refused(error: BaseException | None) -> bool:
     """Returns whether any cause of the error is a refused connection."""
     while error is not None:
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -35,6 +35,9 @@
 
     status: int
     headers: Headers
+    # Whether the body has a length or chunks. If not, it ends with its
+    # connection, also when the target crashes.
+    is_delimited: bool = True
 
 
 class CallFailure(enum.StrEnum):
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -49,6 +49,7 @@
 QUARANTINED_RETRY_MS = 60_000
 ERROR_STATUS = 500
 _QUARANTINED = NotRun(Reason.QUARANTINED, QUARANTINED_RETRY_MS)
+_CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
 _OVERSIZED_EVENT = CallError(CallFailure.BROKEN, True, "event without an end")
 
 
@@ -412,6 +413,8 @@
         responder: Responder,
     ) -> NotRun | MayHaveRun | None:
         has_survived = False
+        # A resumed stream may have no event left.
+        has_events = bool(request.events.last_event_id)
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
                 request.events.drop_partial()
@@ -430,15 +433,17 @@
                     has_survived = True
                     self._dependencies.crashes.note_sound(request.traits)
             if events:
+                has_events = True
                 tracked_send.is_blocked = True
                 await self._start_once(request, answer.head, responder)
                 await responder.send(events)
                 tracked_send.is_blocked = False
                 self._dependencies.health.note_activity(target.name)
+        # A stream without a length also ends when its target crashes.
+        is_cut = not answer.head.is_delimited and not has_events
+        if request.events.take_remainder().strip() or is_cut:
+            return self._note_error(request, target, _CUT_STREAM, has_survived)
         await self._start_once(request, answer.head, responder)
-        remainder = request.events.take_remainder()
-        if remainder:
-            await responder.send(remainder)
         await responder.finish()
         self._note_answer(request, target, failed=False)
         self._report.note_end(
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -202,6 +202,8 @@
     # Sent again and again after the last chunk.
     drip: bytes = b""
     is_event_stream: bool = True
+    # Whether the answer has a length or chunks.
+    is_delimited: bool = True
     # Whether no connection is established, so that no byte is written.
     fails_to_connect: bool = False
 
@@ -212,7 +214,9 @@
     def __init__(self, reply: ScriptedReply, target: str):
         self._reply = reply
         self.is_event_stream = reply.is_event_stream
-        self.head = AnswerHead(reply.status, (("made-by", target),))
+        self.head = AnswerHead(
+            reply.status, (("made-by", target),), reply.is_delimited
+        )
 
     async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
         """Yields the chunks of the reply."""
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -57,6 +57,32 @@
         first_name = harness.client.sends[0].target.name
         assert ("made-by", first_name) in responder.head.headers
 
+    def test_stream_that_ends_inside_an_event_goes_on_elsewhere(self) -> None:
+        """Guards against a part of an event that looks like the end.
+
+        A stream without a length ends with its connection, also in a crash.
+        """
+        first = ScriptedReply(
+            chunks=(make_event(1), b"id: 2\nda"), is_delimited=False
+        )
+        second = ScriptedReply(chunks=(make_event(2),))
+        harness = RelayHarness(first, second)
+        responder = _serve(harness)
+        assert responder.body == make_event(1) + make_event(2)
+        assert responder.is_complete
+        assert harness.client.sends[1].last_event_id == "1"
+
+    def test_stream_that_ends_before_its_first_event_is_broken(self) -> None:
+        """Guards against an empty answer after a crash."""
+        first = ScriptedReply(is_delimited=False)
+        harness = RelayHarness(first, ScriptedReply(chunks=(make_event(1),)))
+        responder = _serve(harness)
+        assert responder.body == make_event(1)
+        # A target has nothing left to send after the last event.
+        done = RelayHarness(ScriptedReply(is_delimited=False))
+        resumed = dataclasses.replace(CALL, last_event_id="12")
+        assert _serve(done, resumed).is_complete
+
     def test_last_event_id_of_the_caller_is_forwarded(self) -> None:
         """Guards against repeated events after a caller resumes.
 
