Resume a stream of the product's interface that ends inside an event

The oracle's "a completed answer is not the target's answer" fails in the new test without the change; with it the stream is resumed on its target.

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -140,6 +140,9 @@
             stream.feed(chunk.ok_value)
             if len(buffer) > limit:
                 return CallError(CallFailure.TOO_LARGE, written=True)
+        if stream.is_cut:
+            # A stream without a length ends with its connection.
+            return CallError(CallFailure.BROKEN, True, "end inside an event")
         stream.finish()
         return None
 
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -64,6 +64,11 @@
                 return line[3:].strip().decode()
         return ""
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether the data so far ends inside an event."""
+        return bool(self._partial.strip())
+
     def feed(self, data: bytes) -> None:
         """Processes a chunk of the body."""
         if not self.is_events:
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -145,6 +145,9 @@
             if stream.behaviour == "die-midway" and is_past_middle:
                 self._fake.stop()
                 error = CallError(CallFailure.BROKEN, True, "died")
+            if stream.behaviour == "end" and is_past_middle:
+                stream.behaviour = ""
+                return
             if stream.behaviour == "break" and is_past_middle:
                 stream.behaviour = ""
                 error = CallError(CallFailure.BROKEN, True, "broken")
