--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -45,6 +45,7 @@
         Event.SUSPECT_RECORDED,
         Event.SUSPECT_QUARANTINED,
         Event.CRASH_CAUSE_FOUND,
+        Event.TARGET_LIMIT_NAMED,
         Event.PEER_LOST,
         Event.CONFIG_REFUSED,
         Event.ENTRY_SKIPPED,
--- a/src/peridotbend/edge/crashes.py
+++ b/src/peridotbend/edge/crashes.py
@@ -16,7 +16,6 @@
     EvidenceTable,
     Suspicion,
 )
-from peridotbend.edge.hashes import hash_name
 from peridotbend.edge.peers import Scope
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.edge.targets import EdgeTarget
@@ -106,34 +105,34 @@
         self, target: EdgeTarget, traits: Mapping[int, str]
     ) -> None:
         """Records a connection that broke before or as an answer began."""
-        broken = self._broken.setdefault(_hash_target(target), [])
+        broken = self._broken.setdefault(target.run_hash, [])
         broken.append(_BrokenConnection(self._clock.now_ms(), target, traits))
         del broken[:-MAX_BROKEN]
 
     def note_target_dead(self, target: EdgeTarget) -> None:
         """Records that a target refuses connections or was replaced."""
-        self._confirm_death(_hash_target(target))
+        self._confirm_death(target.run_hash)
 
     def note_target_removed(self, target: EdgeTarget) -> None:
         """Records that the entry of a target is gone.
 
         That also happens to a target that cannot reach the platform.
         """
-        key = _hash_target(target)
+        key = target.run_hash
         self._removed[key] = None
         _trim(self._removed, MAX_TARGETS)
         self._confirm_death(key)
 
     def note_target_listed(self, target: EdgeTarget) -> None:
         """Records that a target is listed; it lives if it was not before."""
-        key = _hash_target(target)
+        key = target.run_hash
         if key in self._removed:
             del self._removed[key]
             self._note_alive(target, self._clock.now_ms())
 
     def note_target_alive(self, target: EdgeTarget) -> None:
         """Records a complete answer of a target."""
-        key = _hash_target(target)
+        key = target.run_hash
         self._alive[key] = target, self._clock.now_ms()
         self._alive.move_to_end(key)
         _trim(self._alive, MAX_TARGETS)
@@ -234,7 +233,7 @@
 
     def _note_alive(self, target: EdgeTarget, before_ms: int) -> None:
         """Clears what is blamed on the death of a target before some time."""
-        key = _hash_target(target)
+        key = target.run_hash
         broken = [
             broken
             for broken in self._broken.pop(key, ())
@@ -266,11 +265,6 @@
         self._known_causes = causes
 
 
-def _hash_target(target: EdgeTarget) -> int:
-    """Returns the hash of one run of a target, which may keep its name."""
-    return hash_name(f"{target.name}/{target.started_at_ms}")
-
-
 def _format_trait(trait: int) -> str:
     return f"{trait:016x}"
 
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -14,6 +14,7 @@
 from peridotbend.edge.inflight import StallDetector
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ports import EdgeMeter, EdgeTargetClient
+from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.selection import Selector
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.settings import EdgeSettings
@@ -43,6 +44,7 @@
     occupancy: Occupancy
     health: TargetHealth
     crashes: CrashTracker
+    rate_limits: RateLimits
     stall_detector: StallDetector
     allowances: Allowances
     budget: SendBudget
@@ -78,6 +80,7 @@
         occupancy=occupancy,
         health=health,
         crashes=CrashTracker(clock, log),
+        rate_limits=RateLimits(clock, log),
         stall_detector=StallDetector(clock, health),
         allowances=allowances,
         budget=SendBudget(clock, settings),
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -53,6 +53,9 @@
     # The stream is resumed after this event; empty to start from the beginning.
     last_event_id: str
     reuse_connection: bool
+    # Called with the requests a second that the target takes from all
+    # instances, or None if its answer names no limit.
+    note_limit: Callable[[float | None], None] = lambda per_s: None
 
 
 class Rejection(enum.Enum):
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -265,6 +265,10 @@
             slots=target.slots,
             parts=request.call.shared_parts,
         )
+
+        def note_limit(per_s: float | None) -> None:
+            self._dependencies.rate_limits.note_answer(target, per_s)
+
         send = TargetSend(
             request.call,
             target,
@@ -272,6 +276,7 @@
             request.deadline_at_ms - self._clock.now_ms(),
             request.events.last_event_id,
             reuse_connection=request.route.may_repeat,
+            note_limit=note_limit,
         )
 
         def can_fail_over() -> bool:
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from peridotbend.domain.clock import Clock
+from peridotbend.edge.hashes import hash_name
 
 # Entries can expire while the store is down, and the platform restores them
 # within about 2 s after the store recovers. The grace period is a little
@@ -28,6 +29,11 @@
     # Unix time of the start; changes when a target restarts under its name.
     started_at_ms: int
 
+    @property
+    def run_hash(self) -> int:
+        """The hash that stands for this run of the target in digests."""
+        return hash_name(f"{self.name}/{self.started_at_ms}")
+
 
 class TargetList:
     """All listed targets, indexed by name and service.
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -241,6 +241,11 @@
             "Known targets.",
             lambda: len(self._dependencies.targets),
         )
+        add_gauge(
+            "limited_targets",
+            "Targets that name a limit on the rate of requests.",
+            lambda: len(self._dependencies.rate_limits),
+        )
         add_gauge(
             "suspected_traits",
             "Requests and prompt parts in flight at a target when it died.",
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -1,6 +1,7 @@
 """Client of targets that use the platform's protocol."""
 
 import contextlib
+import math
 from collections.abc import AsyncIterator, Callable
 
 from result import Err, Result
@@ -55,7 +56,10 @@
             if isinstance(opened, Err):
                 yield opened.err_value
             else:
-                yield _read_reply(opened.ok_value, send.call.attempt)
+                reply = _read_reply(opened.ok_value, send.call.attempt)
+                if _is_from_target(reply):
+                    send.note_limit(_parse_limit(opened.ok_value.head))
+                yield reply
 
 
 def _make_call(send: TargetSend) -> TargetCall:
@@ -99,6 +103,22 @@
     return PlatformTargetAnswer(answer)
 
 
+def _is_from_target(reply: Reply) -> bool:
+    """Tells whether the target that was meant has answered this request."""
+    return not isinstance(reply, CallError) and (
+        reply is not Rejection.MISDIRECTED
+    )
+
+
+def _parse_limit(head: AnswerHead) -> float | None:
+    """Returns the requests a second that the target takes; None for any."""
+    try:
+        per_s = float(find_header(head, wire.SERVER_LIMIT))
+    except ValueError:
+        return None
+    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+
+
 def _find_problem(head: AnswerHead) -> str:
     """Returns why an answer does not come from the target, or ""."""
     if not find_header(head, wire.ATTEMPT_ID):
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -17,6 +17,8 @@
 PROMPT_PREFIX = "x-prompt-prefix"
 LAST_EVENT_ID = "last-event-id"
 NOT_EXECUTED = "x-not-executed"
+# Requests a second that a target in need takes from all instances together.
+SERVER_LIMIT = "server-limit"
 # Present in every answer created by a target; contains the digest of the
 # answer.
 SERVER_STAMP = "x-server-stamp"
@@ -36,6 +38,7 @@
     TOKEN_COUNT,
     PROMPT_PREFIX,
     NOT_EXECUTED,
+    SERVER_LIMIT,
     SERVER_STAMP,
     KV_FROM,
     KV_FETCH,
--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -151,6 +151,10 @@
 class RunnerClientTest(unittest.TestCase):
     """Sends to targets."""
 
+    def setUp(self) -> None:
+        """Starts with no limit named."""
+        self.limits: list[float | None] = []
+
     def _send(self, raw_answer: bytes) -> tuple[Reply | None, list[Any], bytes]:
         received: list[bytes] = []
         replies: list[Reply] = []
@@ -163,7 +167,9 @@
         async def check(port: int) -> None:
             client = HttpTargetClient()
             target = dataclasses.replace(TARGET, port=port)
-            send = TargetSend(CALL, target, "acme", 1_500, "4", False)
+            send = TargetSend(
+                CALL, target, "acme", 1_500, "4", False, self.limits.append
+            )
             async with PlatformTargetClient(client).open(
                 send, lambda: True
             ) as reply:
@@ -176,6 +182,26 @@
         anyio.run(_serve_raw, answer, check)
         return replies[0], chunks, received[0]
 
+    def test_limit_is_read_from_answers_and_rejections(self) -> None:
+        """Guards against a limit that only complete answers make known."""
+        own = (f"{wire.ATTEMPT_ID}: attempt-1", "X-Server-Stamp: s")
+        named = f"{wire.SERVER_LIMIT}: 2.5"
+        rejected = f"{wire.NOT_EXECUTED}: full"
+        self._send(_make_answer("200 OK", b"x", *own, named))
+        self._send(_make_answer("503 Busy", b"", *own, named, rejected))
+        self._send(_make_answer("200 OK", b"x", *own))
+        unreadable = f"{wire.SERVER_LIMIT}: few"
+        self._send(_make_answer("200 OK", b"x", *own, unreadable))
+        assert self.limits == [2.5, 2.5, None, None]
+
+    def test_limit_of_another_target_is_not_read(self) -> None:
+        """Guards against the limit of a process that took over an address."""
+        named = f"{wire.SERVER_LIMIT}: 2.5"
+        other = f"{wire.ATTEMPT_ID}: attempt-9"
+        self._send(_make_answer("200 OK", b"x", other, named))
+        self._send(_make_answer("421 Misdirected", b"", named))
+        assert not self.limits
+
     def test_target_gets_the_required_headers_and_no_key(self) -> None:
         """Guards against forwarding the key or omitting a required name."""
         raw_answer = _make_answer(
