Reproduce runners that get more than the limit they named

Eight instances and five runners in virtual time, 40 requests a second; two runners name 3.1 and 3.9 a second in all answers.

--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -46,6 +46,7 @@
 )
 
 CONNECT_MS = 1
+HEAD_MS = 5
 FIRST_EVENT_MS = 60
 EVENT_INTERVAL_MS = 30
 EVENTS = 20
@@ -62,6 +63,7 @@
 
     at_ms: int
     host: str
+    runner: str
     call: EdgeCall
 
 
@@ -71,6 +73,10 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.is_down = False
+        # Named in all answers; None for no limit.
+        self.limit_per_s: float | None = None
+        # When each instance first passed on an answer that names a limit.
+        self.told_at_ms: dict[str, int] = {}
         self.crashed = anyio.Event()
 
     def crash(self) -> None:
@@ -122,11 +128,14 @@
         if not gate():
             yield CallError(CallFailure.GATE, False)
             return
-        self._fleet.note_arrival(self._host, send.call)
+        self._fleet.note_arrival(self._host, runner, send.call)
 
         def note_begin() -> bool:
             return self._fleet.note_begin(runner, send.call)
 
+        await anyio.sleep(HEAD_MS / 1_000)
+        self._fleet.note_answer(self._host, runner)
+        send.note_limit(runner.limit_per_s)
         yield _Answer(runner, note_begin)
 
 
@@ -280,9 +289,14 @@
         self._tasks.start_soon(self._serve, self.instances[host], call)
         return attempt
 
-    def note_arrival(self, host: str, call: EdgeCall) -> None:
+    def note_arrival(self, host: str, runner: Runner, call: EdgeCall) -> None:
         """Records a request that reaches a runner."""
-        self.arrivals.append(Arrival(self.now_ms, host, call))
+        self.arrivals.append(Arrival(self.now_ms, host, runner.name, call))
+
+    def note_answer(self, host: str, runner: Runner) -> None:
+        """Records that an instance gets the head of an answer."""
+        if runner.limit_per_s is not None:
+            runner.told_at_ms.setdefault(host, self.now_ms)
 
     def note_begin(self, runner: Runner, call: EdgeCall) -> bool:
         """Records that an answer begins; returns whether the runner crashes."""
