Send the evidence of crashes in a datagram of its own

The sums of a relay fill its datagram, and evidence was what it left out first, so a group did not learn a cause from the others.

Change: scope NEWS carries only the evidence, to everybody that a digest goes to, while some is due: changes for 500 ms, once a second the causes and a part of the rest.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -24,12 +24,13 @@
 AGE_UNIT_MS = 100
 # Lists of a digest in the order in which entries are omitted from one that is
 # too large; the least urgent first.
-_OMITTED_FIRST = ("crashes", "known_hosts", "members", "accounts", "uses")
+_OMITTED_FIRST = ("known_hosts", "members", "accounts", "uses", "crashes")
 
 _SCOPES = {
     Scope.OWN: pb.OWN,
     Scope.GROUP: pb.GROUP,
     Scope.FLEET: pb.FLEET,
+    Scope.NEWS: pb.NEWS,
 }
 _SCOPES_BY_NUMBER = {number: scope for scope, number in _SCOPES.items()}
 
--- a/src/peridotbend/edge/crashes.py
+++ b/src/peridotbend/edge/crashes.py
@@ -12,11 +12,11 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.evidence import (
     EVIDENCE_TTL_MS,
+    MAX_DIGEST_TRAITS,
     REFRESH_INTERVAL_MS,
     EvidenceTable,
     Suspicion,
 )
-from peridotbend.edge.peers import Scope
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.edge.targets import EdgeTarget
 
@@ -93,13 +93,9 @@
             collections.OrderedDict()
         )
         self._known_causes: set[frozenset[int]] = set()
-        self._refreshed_at_ms: dict[Scope, int] = {}
-        self._cursors: collections.Counter[Scope] = collections.Counter()
-
-    @property
-    def version(self) -> int:
-        """A number that changes with the evidence."""
-        return self._evidence.version
+        self._refreshed_at_ms = clock.now_ms() - REFRESH_INTERVAL_MS
+        # Selects the part of the evidence in the next digest.
+        self._cursor = 0
 
     def note_broken_connection(
         self, target: EdgeTarget, traits: Mapping[int, str]
@@ -178,15 +174,15 @@
             ],
         }
 
-    def list_for_digest(self, scope: Scope) -> tuple[Suspicion, ...]:
-        """Returns the evidence for the next digest of a scope."""
+    def list_for_digest(self) -> tuple[Suspicion, ...]:
+        """Returns the evidence that is due for the next digest."""
         now_ms = self._clock.now_ms()
-        last_ms = self._refreshed_at_ms.get(scope)
-        refresh = last_ms is None or now_ms - last_ms >= REFRESH_INTERVAL_MS
-        selected = self._evidence.select(self._cursors[scope], refresh)
+        refresh = now_ms - self._refreshed_at_ms >= REFRESH_INTERVAL_MS
+        selected = self._evidence.select(self._cursor, refresh)
+        # A datagram may not hold all that was selected.
+        self._cursor += MAX_DIGEST_TRAITS // 4
         if refresh:
-            self._refreshed_at_ms[scope] = now_ms
-            self._cursors[scope] += len(selected)
+            self._refreshed_at_ms = now_ms
         return tuple(selected)
 
     def merge(self, suspicions: Sequence[Suspicion]) -> None:
--- a/src/peridotbend/edge/evidence.py
+++ b/src/peridotbend/edge/evidence.py
@@ -29,8 +29,9 @@
 MAX_DEATHS = 16
 # Traits in one digest; the others follow in the next ones.
 MAX_DIGEST_TRAITS = 20
-# Changes are repeated in all digests for this time, as datagrams get lost.
-REPEAT_MS = 1_000
+# Changes are repeated in all digests for this time, as datagrams get lost. It
+# exceeds the longest interval between digests.
+REPEAT_MS = 500
 # Interval at which all evidence is sent in turn, for instances that are new or
 # were cut off.
 REFRESH_INTERVAL_MS = 1_000
--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -188,7 +188,8 @@
         self._sequence += 1
         if self._directory.is_mesh:
             self._drop_view()
-            return self._collect_own(self._peers.list_hosts())
+            hosts = self._peers.list_hosts()
+            return self._collect_own(hosts) + self._collect_news(hosts)
         self._check_sources()
         relays = self._find_own_relays()
         others = [host for host in relays if host != self._identity.host]
@@ -201,9 +202,11 @@
         if self.is_relay and relays[0] != self._identity.host:
             interval_ms = STANDBY_INTERVAL_MS
         outgoing += self._collect_fleet(interval_ms)
+        hosts = [*others, *self._peers.list_live_hosts()]
         if self.is_relay:
             outgoing += self._collect_group(interval_ms)
-        return outgoing
+            hosts += self._list_other_relays()
+        return outgoing + self._collect_news(hosts)
 
     def receive(self, digest: Digest) -> bool:
         """Applies a digest; returns whether anybody should be told of it."""
@@ -212,6 +215,9 @@
         if self._is_isolated():
             self._directory.reset_failures()
         self._heard_at_ms = self._clock.now_ms()
+        if digest.scope is Scope.NEWS:
+            self._state.apply_news(digest)
+            return False
         if digest.scope is Scope.OWN:
             return self._receive_own(digest)
         self._peers.add_member(
@@ -371,7 +377,6 @@
             spent,
             digest.is_draining,
             digest.revisions,
-            self._state.crash_version,
         )
         max_interval_ms = (
             MESH_MAX_INTERVAL_MS
@@ -383,7 +388,6 @@
             return []
         self._last_content = content
         self._sent_at_ms[Scope.OWN] = self._clock.now_ms()
-        digest = self._state.add_crashes(digest)
         if self._directory.is_mesh:
             known_hosts = tuple(self._peers.list_live_hosts())
             digest = dataclasses.replace(digest, known_hosts=known_hosts)
@@ -400,7 +404,6 @@
         live = self._live if self._view is None else 0
         expected = self._expected
         digest = self._state.describe_fleet(self._sequence, live, expected)
-        digest = self._state.add_crashes(digest)
         digest = dataclasses.replace(digest, members=self._select_members())
         echoes = [self._peers.find_last_sequence(host) for host in hosts]
         return [Outgoing(digest, hosts, echoes)]
@@ -414,13 +417,24 @@
         digest = self._state.describe_group(
             self._sequence, members, self._count_live(members)
         )
-        digest = self._state.add_crashes(digest)
         digest = dataclasses.replace(digest, members=self._select_members())
+        return [Outgoing(digest, self._list_other_relays())]
+
+    def _collect_news(self, hosts: list[str]) -> list[Outgoing]:
+        """Passes on what is known of crashes."""
+        digest = self._state.describe_news(self._sequence)
+        if digest is None:
+            return []
+        unique = dict.fromkeys(host for host in hosts if host)
+        return [Outgoing(digest, list(unique))]
+
+    def _list_other_relays(self) -> list[str]:
+        """Returns the relays of all other groups."""
         hosts: list[str] = []
         for key in self._directory.list_keys():
             if key != self._directory.own_key:
                 hosts.extend(self._directory.choose_relays(key))
-        return [Outgoing(digest, hosts)]
+        return hosts
 
     def _is_due(self, scope: Scope, interval_ms: int) -> bool:
         sent_at_ms = self._sent_at_ms.get(scope)
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -29,6 +29,9 @@
     GROUP = 1
     # All groups, for the members of the sender's group.
     FLEET = 2
+    # The evidence of crashes, which every instance passes on. In a datagram of
+    # its own, which sums of a large fleet would fill.
+    NEWS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotbend/edge/sharedstate.py
+++ b/src/peridotbend/edge/sharedstate.py
@@ -103,15 +103,23 @@
         """The identity of this run of the process."""
         return self._identity
 
-    @property
-    def crash_version(self) -> int:
-        """A number that changes with the evidence of crashes."""
-        return self._crashes.version
+    def describe_news(self, sequence: int) -> Digest | None:
+        """Returns what every instance passes on; None if nothing is due.
+
+        It is merged, not summed up, so it may reach an instance in many ways.
+        """
+        crashes = self._crashes.list_for_digest()
+        if not crashes:
+            return None
+        return dataclasses.replace(
+            self._make_base(sequence),
+            scope=Scope.NEWS,
+            crashes=crashes,
+        )
 
-    def add_crashes(self, digest: Digest) -> Digest:
-        """Returns a digest with the evidence that is due in its scope."""
-        crashes = self._crashes.list_for_digest(digest.scope)
-        return dataclasses.replace(digest, crashes=crashes)
+    def apply_news(self, digest: Digest) -> None:
+        """Applies what another instance passes on."""
+        self._crashes.merge(digest.crashes)
 
     def describe_own(self, sequence: int) -> Digest:
         """Returns the digest of this instance alone."""
@@ -166,7 +174,6 @@
         self._allowances.record_peer(
             digest.host, digest.incarnation, digest.allowances
         )
-        self._crashes.merge(digest.crashes)
 
     def apply_group(self, source: str, digest: Digest) -> None:
         """Applies the sums of another group."""
@@ -176,7 +183,6 @@
         self._allowances.record_group(
             source, digest.incarnation, digest.account_spent
         )
-        self._crashes.merge(digest.crashes)
 
     def apply_fleet(self, digest: Digest) -> None:
         """Applies the totals of a relay in place of all other reports."""
@@ -194,7 +200,6 @@
                 others[target] = others.get(target, 0) - count
         self._occupancy.set_view(others)
         self._allowances.adopt_levels(digest.account_levels, spent)
-        self._crashes.merge(digest.crashes)
 
     def drop_fleet(self) -> None:
         """Returns to the reports of instances and groups."""
