Keep to the limit that a target names, over all instances

Nobody read the header; sends were bounded by requests in flight only. Class: a contract of the other side that the adapter did not decode.

Change: the limit of an answer, or of a rejection, binds the instance at once and reaches the others with NEWS. A few instances, 3 and 2 more for each request a second, chosen by rendezvous hashing over those heard of in the last 5 s, may send to the target; each has an equal part of nine tenths of the limit and a burst of one request. So at most 3 + 2 L arrive at once and 4 L in 4 s, without any count from others, in fleets of any size and on each side of a cut. Requests that find no room go to other targets or wait. An answer without the limit lifts it after 1 s; ages of reports are overstated, so that reports never confirm each other.

Ruled out: counts exchanged like allowances; they are 50 to 400 ms old, in which every instance of a large fleet may send. A bucket of the whole limit in each instance; eight times the limit.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -10,6 +10,7 @@
 from peridotbend.edge.allowances import AllowanceUse
 from peridotbend.edge.evidence import Death, Suspicion
 from peridotbend.edge.peers import Digest, Member, Scope
+from peridotbend.edge.ratelimits import NamedLimit
 from peridotbend.wire import edge_pb2 as pb
 
 # A larger datagram would be fragmented, and lost with any of its fragments.
@@ -62,6 +63,7 @@
             for account, use in digest.allowances.items()
         ],
         crashes=map(_pack_suspicion, digest.crashes),
+        limits=map(_pack_limit, digest.limits),
         scope=_SCOPES[digest.scope],
         zone=digest.zone,
         store_reachable=digest.is_store_reachable,
@@ -127,6 +129,11 @@
         in_flight={use.target: use.in_flight for use in message.uses},
         allowances=uses,
         crashes=tuple(map(_unpack_suspicion, message.crashes)),
+        limits=tuple(
+            _unpack_limit(packed)
+            for packed in message.limits
+            if math.isfinite(packed.per_s)
+        ),
         scope=scope,
         zone=message.zone,
         is_store_reachable=message.store_reachable,
@@ -162,6 +169,21 @@
     return Suspicion(packed.trait, deaths, packed.was_sound)
 
 
+def _pack_limit(limit: NamedLimit) -> pb.TargetLimit:
+    return pb.TargetLimit(
+        target=limit.target,
+        per_s=limit.per_s or 0.0,
+        # Rounded up, as a report must not look newer than it is.
+        age=math.ceil(max(0, limit.age_ms) / AGE_UNIT_MS),
+        lifted=limit.per_s is None,
+    )
+
+
+def _unpack_limit(packed: pb.TargetLimit) -> NamedLimit:
+    per_s = None if packed.lifted else packed.per_s
+    return NamedLimit(packed.target, per_s, packed.age * AGE_UNIT_MS)
+
+
 def _pack_members(members: Sequence[Member]) -> list[pb.ZoneMembers]:
     by_zone: dict[str, pb.ZoneMembers] = {}
     for member in members:
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -12,6 +12,7 @@
 from peridotbend.domain.verdicts import NotRun, Reason
 from peridotbend.edge.config import Route
 from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.selection import Selector, TargetCriteria
 from peridotbend.edge.targets import EdgeTarget, TargetList
 
@@ -88,12 +89,14 @@
         clock: Clock,
         targets: TargetList,
         occupancy: Occupancy,
+        rate_limits: RateLimits,
         selector: Selector,
         rng: random.Random,
     ):
         self._clock = clock
         self._targets = targets
         self._occupancy = occupancy
+        self._rate_limits = rate_limits
         self._selector = selector
         self._rng = rng
         self._sequence = itertools.count()
@@ -202,6 +205,7 @@
 
     def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
         self._occupancy.add(target.name)
+        self._rate_limits.take(target)
 
         def on_release() -> None:
             self._occupancy.remove(target.name)
--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -84,6 +84,10 @@
             return len(self._peers.list_live_hosts())
         return self._live - 1
 
+    def list_recent_hosts(self) -> list[str]:
+        """Returns the hosts of other instances that may serve callers now."""
+        return self._peers.list_recent_hosts()
+
     def count_instances(self) -> int:
         """Returns how many instances may serve callers, including this one."""
         return max(self._expected, self._peers.count_instances())
@@ -421,7 +425,7 @@
         return [Outgoing(digest, self._list_other_relays())]
 
     def _collect_news(self, hosts: list[str]) -> list[Outgoing]:
-        """Passes on what is known of crashes."""
+        """Passes on what is known of crashes and limits."""
         digest = self._state.describe_news(self._sequence)
         if digest is None:
             return []
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -32,6 +32,10 @@
         """Returns the live instances as a fraction of all expected ones."""
         ...
 
+    def list_recent_hosts(self) -> list[str]:
+        """Returns the hosts of other instances that may serve callers now."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayDependencies:
@@ -71,16 +75,19 @@
     health = TargetHealth(clock)
     allowances = Allowances(clock, settings, fleet.find_live_share)
     holder.subscribe(lambda config: allowances.apply(config.accounts))
-    selector = Selector(settings.zone, occupancy, health)
+    rate_limits = RateLimits(
+        clock, log, settings.peers[0], fleet.list_recent_hosts
+    )
+    selector = Selector(settings.zone, occupancy, health, rate_limits)
     return RelayDependencies(
         clock=clock,
         holder=holder,
         targets=targets,
-        backlog=Backlog(clock, targets, occupancy, selector, rng),
+        backlog=Backlog(clock, targets, occupancy, rate_limits, selector, rng),
         occupancy=occupancy,
         health=health,
         crashes=CrashTracker(clock, log),
-        rate_limits=RateLimits(clock, log),
+        rate_limits=rate_limits,
         stall_detector=StallDetector(clock, health),
         allowances=allowances,
         budget=SendBudget(clock, settings),
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -10,6 +10,7 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.allowances import AllowanceUse
 from peridotbend.edge.evidence import Suspicion
+from peridotbend.edge.ratelimits import NamedLimit
 
 # Digests are sent at least every 300 ms. A peer without a digest for this long
 # has stopped or is unreachable; its requests in flight are no longer counted.
@@ -17,6 +18,9 @@
 # A peer without a digest may still serve callers on its side of a network
 # partition. After this time it is assumed to have stopped.
 PEER_EXPIRY_MS = 60_000
+# Nobody has heard of a peer for this long: its part of a shared rate is given
+# to others. In a large fleet, news of a peer passes through several instances.
+RECENT_MS = 5_000
 MAX_PEERS = 1_024
 
 
@@ -29,8 +33,8 @@
     GROUP = 1
     # All groups, for the members of the sender's group.
     FLEET = 2
-    # The evidence of crashes, which every instance passes on. In a datagram of
-    # its own, which sums of a large fleet would fill.
+    # What every instance passes on: evidence of crashes, and limits. In a
+    # datagram of its own, which sums of a large fleet would fill.
     NEWS = 3
 
 
@@ -64,6 +68,8 @@
     allowances: Mapping[str, AllowanceUse]
     # Evidence of all instances, as far as the sender knows it.
     crashes: tuple[Suspicion, ...] = ()
+    # Limits that targets named, to any instance.
+    limits: tuple[NamedLimit, ...] = ()
     scope: Scope = Scope.OWN
     zone: str = ""
     # Whether the sender reads the store itself, and reaches it.
@@ -253,6 +259,19 @@
         now_ms = self._clock.now_ms()
         return [h for h, p in self._peers.items() if self._is_live(p, now_ms)]
 
+    def list_recent_hosts(self) -> list[str]:
+        """Returns the hosts of peers that may serve callers now.
+
+        Includes those that only another instance has heard of lately.
+        """
+        oldest_ms = self._clock.now_ms() - RECENT_MS
+        return [
+            host
+            for host, peer in self._peers.items()
+            if not peer.is_draining
+            and max(peer.added_at_ms, peer.last_digest_at_ms or 0) >= oldest_ms
+        ]
+
     def count_instances(self) -> int:
         """Returns how many instances may serve callers, including this one.
 
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -6,6 +6,7 @@
 from peridotbend.domain.rendezvous import rank
 from peridotbend.edge.health import FAILURE_SLACK, TargetHealth
 from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.targets import EdgeTarget
 
 # Limit on the requests in flight at a runner, as a fraction of its slots. It is
@@ -46,7 +47,14 @@
 class Selector:
     """Chooses the target with the lowest cost among those below their limit."""
 
-    def __init__(self, zone: str, occupancy: Occupancy, health: TargetHealth):
+    def __init__(
+        self,
+        zone: str,
+        occupancy: Occupancy,
+        health: TargetHealth,
+        rate_limits: RateLimits,
+    ):
+        self._rate_limits = rate_limits
         self._zone = zone
         self._occupancy = occupancy
         self._health = health
@@ -70,7 +78,9 @@
 
     def _has_room(self, criteria: TargetCriteria, target: EdgeTarget) -> bool:
         limit = self._find_limit(criteria, target)
-        return self._occupancy.count(target.name) < limit
+        return self._occupancy.count(
+            target.name
+        ) < limit and self._rate_limits.has_room(target)
 
     def _find_limit(
         self, criteria: TargetCriteria, target: EdgeTarget
--- a/src/peridotbend/edge/sharedstate.py
+++ b/src/peridotbend/edge/sharedstate.py
@@ -10,6 +10,7 @@
 from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import Digest, Scope
+from peridotbend.edge.ratelimits import RateLimits
 
 # Entries in one digest, so that it fits into one packet. The remaining ones
 # follow in the next digests.
@@ -70,6 +71,7 @@
         occupancy: Occupancy,
         allowances: Allowances,
         crashes: CrashTracker,
+        rate_limits: RateLimits,
         find_feed_status: Callable[[], FeedStatus],
         is_draining: Callable[[], bool],
     ):
@@ -77,6 +79,7 @@
         self._occupancy = occupancy
         self._allowances = allowances
         self._crashes = crashes
+        self._rate_limits = rate_limits
         self._find_feed_status = find_feed_status
         self._is_draining = is_draining
         # The latest own digests by sequence, to subtract what a relay includes.
@@ -109,17 +112,20 @@
         It is merged, not summed up, so it may reach an instance in many ways.
         """
         crashes = self._crashes.list_for_digest()
-        if not crashes:
+        limits = self._rate_limits.list_for_digest()
+        if not crashes and not limits:
             return None
         return dataclasses.replace(
             self._make_base(sequence),
             scope=Scope.NEWS,
             crashes=crashes,
+            limits=limits,
         )
 
     def apply_news(self, digest: Digest) -> None:
         """Applies what another instance passes on."""
         self._crashes.merge(digest.crashes)
+        self._rate_limits.merge(digest.limits)
 
     def describe_own(self, sequence: int) -> Digest:
         """Returns the digest of this instance alone."""
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -96,6 +96,7 @@
             self._dependencies.occupancy,
             self._dependencies.allowances,
             self._dependencies.crashes,
+            self._dependencies.rate_limits,
             self._find_feed_status,
             self._drain_requested.is_set,
         )
@@ -154,6 +155,7 @@
                 for n, use in self._dependencies.allowances.list_uses().items()
             },
             "crashes": self._dependencies.crashes.dump(),
+            "limits": self._dependencies.rate_limits.dump(),
         }
 
     def apply_settings(self, settings: EdgeSettings) -> None:
@@ -244,7 +246,7 @@
         add_gauge(
             "limited_targets",
             "Targets that name a limit on the rate of requests.",
-            lambda: len(self._dependencies.rate_limits),
+            self._dependencies.rate_limits.count_limited,
         )
         add_gauge(
             "suspected_traits",
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -187,6 +187,10 @@
         """Returns 1, as no instance is cut off."""
         return 1.0
 
+    def list_recent_hosts(self) -> list[str]:
+        """Returns no hosts; the engines name no limits."""
+        return []
+
 
 class _Instance:
     """The decision code of one instance."""
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -289,6 +289,10 @@
         """Returns 1."""
         return 1.0
 
+    def list_recent_hosts(self) -> list[str]:
+        """Returns no others."""
+        return []
+
 
 class RelayHarness:
     """A relay with fake ports and scripted targets."""
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -15,6 +15,7 @@
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PeerRegistry
+from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.sharedstate import (
     FeedStatus,
@@ -60,6 +61,7 @@
             self.occupancy,
             self.allowances,
             self.crashes,
+            RateLimits(clock, RecordingLog(), host, list),
             self._find_feed_status,
             lambda: self.is_draining,
         )
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -155,7 +155,7 @@
         directory = GroupDirectory(host, zone, peers, fleet.clock)
         status = FleetStatus(peers, directory)
         self.dependencies = make_dependencies(
-            SETTINGS,
+            dataclasses.replace(SETTINGS, peers=(host, 8_229)),
             fleet.clock,
             _RunnerClient(fleet, host),
             status,
@@ -170,6 +170,7 @@
             self.dependencies.occupancy,
             self.dependencies.allowances,
             self.dependencies.crashes,
+            self.dependencies.rate_limits,
             lambda: FeedStatus({}, True),
             lambda: False,
         )
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -13,9 +13,10 @@
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
+from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.selection import Selector, TargetCriteria
 from peridotbend.edge.targets import REMOVAL_GRACE_MS, EdgeTarget, TargetList
-from tests.edgefakes import STREAM_ROUTE, make_target
+from tests.edgefakes import STREAM_ROUTE, RecordingLog, make_target
 
 CRITERIA = TargetCriteria("engine", True, (0, 1))
 # Its requests wait for a slot for more than a second.
@@ -32,11 +33,15 @@
             self.targets.put(make_target(name))
         self.occupancy = Occupancy(self.clock)
         self.health = TargetHealth(self.clock)
-        self.selector = Selector("zone-a", self.occupancy, self.health)
+        rate_limits = RateLimits(self.clock, RecordingLog(), "10.0.0.1", list)
+        self.selector = Selector(
+            "zone-a", self.occupancy, self.health, rate_limits
+        )
         self.backlog = Backlog(
             self.clock,
             self.targets,
             self.occupancy,
+            rate_limits,
             self.selector,
             random.Random(1),
         )
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -37,6 +37,7 @@
 )
 from peridotbend.edge.ports import StoreError, StoreFailure
 from peridotbend.edge.published import Changes, Item, PublishedItems
+from peridotbend.edge.ratelimits import MAX_DIGEST_LIMITS, NamedLimit
 from peridotbend.edge.sharedstate import MAX_ACCOUNTS, MAX_COUNTS
 from tests.edgefakes import CONFIG, RecordingLog
 
@@ -57,6 +58,7 @@
             True,
         ),
     ),
+    limits=(NamedLimit(2**32 - 1, 3.1, 300), NamedLimit(5, None, 900)),
 )
 
 
@@ -132,7 +134,7 @@
         assert decoded.target_counts == full.target_counts
         assert decoded.account_spent == full.account_spent
 
-    def test_news_keeps_causes_in_one_packet(self) -> None:
+    def test_news_keeps_causes_and_limits_in_one_packet(self) -> None:
         """Guards against evidence that is fragmented, or left out for good."""
         deaths = tuple(
             Death(2**32 - n, EVIDENCE_TTL_MS, False)
@@ -147,11 +149,16 @@
                 Suspicion(2**64 - n, deaths, True)
                 for n in range(1, MAX_DIGEST_TRAITS + 1)
             ),
+            limits=tuple(
+                NamedLimit(2**32 - n, 3.1, 900)
+                for n in range(1, MAX_DIGEST_LIMITS + 1)
+            ),
         )
         data = encode_digest(news)
         assert len(data) <= MAX_DATAGRAM_BYTES
         decoded = decode_digest(data)
         assert decoded is not None
+        assert decoded.limits == news.limits
         # Causes come first, the rest follows in turn.
         assert len(decoded.crashes) >= 5
         assert decoded.crashes == news.crashes[: len(decoded.crashes)]
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -170,6 +170,14 @@
         "",
         ("test_edge_budgets", "test_edge_shares"),
     ),
+    Mutant(
+        "limit-not-divided",
+        "LIMIT",
+        EDGE + "ratelimits.py",
+        "limit.share_per_s = rate_per_s / senders",
+        "limit.share_per_s = rate_per_s",
+        ("test_edge_limits",),
+    ),
     Mutant(
         "prompt-parts-not-suspected",
         "BUDGET",
