--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -25,6 +25,7 @@
     Responder,
     TargetSend,
 )
+from peridotbend.edge.refusals import describe_refusal
 from peridotbend.edge.reports import RequestReporter
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.edge.targets import EdgeTarget
@@ -519,54 +520,9 @@
             call,
             verdict,
             request,
-            **self._describe_cause(call, verdict, request),
+            **describe_refusal(self._dependencies, call, verdict, request),
         )
 
-    def _describe_cause(
-        self,
-        call: EdgeCall,
-        verdict: NotRun | MayHaveRun,
-        request: ActiveRequest | None,
-    ) -> dict[str, object]:
-        """Returns the state that led to a refusal, for the log."""
-        dependencies = self._dependencies
-        if verdict.reason is Reason.CLIENT_LIMIT:
-            config = dependencies.holder.config
-            account = config.find_account(call.key) if config else None
-            if account is None:
-                return {}
-            return {
-                "account": account.name,
-                **dependencies.allowances.describe(account.name),
-            }
-        if verdict.reason is Reason.QUARANTINED:
-            return self._describe_crashes(call)
-        if request is None or not isinstance(verdict, NotRun):
-            return {}
-        targets = dependencies.targets.list_for(request.service)
-        return {
-            "service": request.service,
-            "targets": len(targets),
-            "slots": sum(target.slots for target in targets),
-            "in_flight": sum(
-                dependencies.occupancy.count(t.name) for t in targets
-            ),
-            "waiting": dependencies.backlog.count_waiting(request.service),
-        }
-
-    def _describe_crashes(self, call: EdgeCall) -> dict[str, object]:
-        """Returns which parts of a request crash targets, for the log."""
-        config = self._dependencies.holder.config
-        account = config.find_account(call.key) if config else None
-        traits = make_traits(call, account.name if account else "")
-        cause = self._dependencies.crashes.find_cause(traits)
-        if cause is None:
-            return {}
-        return {
-            "cause": [traits[trait] for trait in cause],
-            "crashed_targets": self._dependencies.crashes.count_targets(cause),
-        }
-
 
 def _count_tokens(call: EdgeCall, account: Account) -> float:
     if call.prompt_tokens is None:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -21,8 +21,9 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.config import EdgeConfig
-from peridotbend.edge.exchange import DigestExchange, FleetStatus
+from peridotbend.edge.exchange import DigestExchange
 from peridotbend.edge.feeds import Feed, ReaderRole
+from peridotbend.edge.fleetstatus import FleetStatus
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.parts import make_dependencies
 from peridotbend.edge.peers import PeerRegistry
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -11,7 +11,8 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.edge.allowances import Allowances
 from peridotbend.edge.crashes import CrashTracker
-from peridotbend.edge.exchange import DigestExchange, FleetStatus
+from peridotbend.edge.exchange import DigestExchange
+from peridotbend.edge.fleetstatus import FleetStatus
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PeerRegistry
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -17,7 +17,8 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
 from peridotbend.edge.config import EdgeConfig
-from peridotbend.edge.exchange import DigestExchange, FleetStatus
+from peridotbend.edge.exchange import DigestExchange
+from peridotbend.edge.fleetstatus import FleetStatus
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.parts import make_dependencies
 from peridotbend.edge.peers import PeerRegistry
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -290,6 +290,9 @@
         assert responder.verdict.reason is Reason.QUARANTINED
         assert len(harness.client.sends) == 3
         assert harness.log.count(Event.SUSPECT_RECORDED) == 3
+        fields = harness.log.events[-1][1]
+        assert fields["cause"] == ["request"]
+        assert fields["crashed_targets"] == 3
 
     def test_unreachable_targets_are_not_crashed(self) -> None:
         """Guards against quarantining requests because of a network partition.
