Let only successful answers clear a suspect

Cause, found in the last read: any complete answer cleared the traits of its request, also the error of a target that fails requests before it runs them. Such a target would have set the count of a bad prompt part back.

Change: only a status of 2xx does. An error still shows that its target lives.

test_error_of_a_target_clears_no_suspect failed before (the sixth attempt was sent) and passes.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -48,6 +48,9 @@
 # Long, because retrying a request that crashes its targets does not help; the
 # caller should change the request.
 QUARANTINED_RETRY_MS = 60_000
+# A target may answer with another status before it runs a request.
+SUCCESS_STATUS = 200
+REDIRECT_STATUS = 300
 ERROR_STATUS = 500
 _QUARANTINED = NotRun(Reason.QUARANTINED, QUARANTINED_RETRY_MS)
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
@@ -397,8 +400,11 @@
                 await self._start_once(request, answer.head, responder)
                 await responder.send(bytes(body))
                 body.clear()
-        failed = answer.head.status >= ERROR_STATUS
+        status = answer.head.status
+        failed = status >= ERROR_STATUS
         self._note_answer(request, target, failed)
+        if SUCCESS_STATUS <= status < REDIRECT_STATUS:
+            self._dependencies.crashes.note_sound(request.traits)
         if failed and not request.head_sent and request.route.may_repeat:
             request.held_error = (answer.head, bytes(body))
             request.failed_targets.add(target.name)
@@ -452,6 +458,7 @@
         await self._start_once(request, answer.head, responder)
         await responder.finish()
         self._note_answer(request, target, failed=False)
+        self._dependencies.crashes.note_sound(request.traits)
         self._report.note_end(
             request,
             answer.head.status,
@@ -465,7 +472,6 @@
     ) -> None:
         """Records a complete answer of a target."""
         self._dependencies.health.note_answer(target.name, failed)
-        self._dependencies.crashes.note_sound(request.traits)
         self._dependencies.crashes.note_target_alive(target)
         self._dependencies.meter.count_send("answered")
 
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -294,6 +294,24 @@
         assert fields["cause"] == ["request"]
         assert fields["crashed_targets"] == 3
 
+    def test_error_of_a_target_clears_no_suspect(self) -> None:
+        """Guards against targets that fail requests before they run them."""
+        error = ScriptedReply(
+            status=500, chunks=(b"sorry",), is_event_stream=False
+        )
+        broken = ScriptedReply(failure=CONNECTION_RESET)
+        harness = RelayHarness(broken, error, broken, error, broken)
+        for number in range(5):
+            attempt = f"attempt-{number}"
+            _serve(harness, dataclasses.replace(ORDER, attempt=attempt))
+            if number % 2 == 0:
+                target = harness.client.sends[-1].target
+                harness.crashes.note_target_dead(target)
+                harness.targets.remove(target.name)
+        responder = _serve(harness, dataclasses.replace(ORDER, attempt="last"))
+        assert isinstance(responder.verdict, NotRun)
+        assert responder.verdict.reason is Reason.QUARANTINED
+
     def test_unreachable_targets_are_not_crashed(self) -> None:
         """Guards against quarantining requests because of a network partition.
 
