Make room for new deaths of a part with many old ones

A part that was in flight at many deaths and answered after each, as common first parts are, could not be found if it turned bad later.

Change: a new death takes the place of the oldest cleared one. A cleared death from a report takes no place, since instances would go on exchanging them.

test_part_with_many_old_deaths_can_turn_bad failed before and passes. 78 tests of relay, budgets, crashes and streams pass.

--- a/src/peridotbend/edge/evidence.py
+++ b/src/peridotbend/edge/evidence.py
@@ -72,6 +72,16 @@
     # By the hash of one run of the target.
     deaths: dict[int, _Death] = dataclasses.field(default_factory=dict)
 
+    def make_room(self) -> bool:
+        """Makes room for a death in place of a cleared one, if it is needed."""
+        if len(self.deaths) < MAX_DEATHS:
+            return True
+        cleared = [t for t, death in self.deaths.items() if death.is_withdrawn]
+        if not cleared:
+            return False
+        del self.deaths[min(cleared, key=lambda t: self.deaths[t].at_ms)]
+        return True
+
     def list_open(self, oldest_ms: int) -> dict[int, int]:
         """Returns the times of the deaths that count, by target."""
         return {
@@ -106,7 +116,7 @@
         """Records that a target died with the trait in flight."""
         self._drop_expired()
         record = self._get_record(trait)
-        if target not in record.deaths and len(record.deaths) < MAX_DEATHS:
+        if target not in record.deaths and record.make_room():
             record.deaths[target] = _Death(at_ms)
             self._note_change(trait, record)
 
@@ -151,7 +161,12 @@
                 continue
             death = record.deaths.get(reported.target)
             if death is None:
-                if len(record.deaths) >= MAX_DEATHS:
+                # Cleared deaths replace no others: two instances that keep
+                # different ones would go on exchanging them.
+                has_room = len(record.deaths) < MAX_DEATHS
+                if not has_room and reported.is_withdrawn:
+                    continue
+                if not record.make_room():
                     continue
                 death = record.deaths[reported.target] = _Death(at_ms)
                 is_changed = True
--- a/tests/test_edge_budgets.py
+++ b/tests/test_edge_budgets.py
@@ -14,6 +14,8 @@
 from peridotbend.edge.evidence import (
     EVIDENCE_TTL_MS,
     MAX_CRASHES,
+    MAX_CRASHES_IF_SOUND,
+    MAX_DEATHS,
     MAX_TRAITS,
     MOMENT_MS,
 )
@@ -359,6 +361,20 @@
         self._note_deaths(4, 1, 9)
         assert self.crashes.find_cause({9}) == {9}
 
+    def test_part_with_many_old_deaths_can_turn_bad(self) -> None:
+        """Guards against cleared deaths that leave no room for new ones."""
+        for number in range(MAX_DEATHS):
+            note_death(self.crashes, f"old-{number}", {9: "x"})
+            self.crashes.note_sound({9: "x"})
+        for number in range(MAX_CRASHES_IF_SOUND):
+            self.clock.advance(MOMENT_MS)
+            note_death(self.crashes, f"i-{number}", {9: "x"})
+        assert self.crashes.find_cause({9}) == {9}
+        # The others learn it too, although their records are as full.
+        peer = CrashTracker(self.clock, RecordingLog())
+        peer.merge(self.crashes.list_for_digest())
+        assert peer.find_cause({9}) == {9}
+
     def test_flood_of_suspects_keeps_the_cause(self) -> None:
         """Guards against a cause that many other deaths push out."""
         self._note_deaths(0, MAX_CRASHES, 9)
