Keep answers from walking the evidence of crashes

Cause, found in the last read: every complete answer of a target looked through all traits for deaths of that target, up to 2,048 of them.

Change: the table knows which targets have deaths that count; nearly every answer finds its target is not among them.

--- a/src/peridotbend/edge/evidence.py
+++ b/src/peridotbend/edge/evidence.py
@@ -100,6 +100,9 @@
         self._records: collections.OrderedDict[int, _Record] = (
             collections.OrderedDict()
         )
+        # Targets with deaths that count. Every answer of a target asks for its
+        # deaths, and nearly always there are none.
+        self._blamed_targets: set[int] = set()
         # Changes with every change of the evidence.
         self.version = 0
         self._causes: list[frozenset[int]] = []
@@ -118,6 +121,7 @@
         record = self._get_record(trait)
         if target not in record.deaths and record.make_room():
             record.deaths[target] = _Death(at_ms)
+            self._blamed_targets.add(target)
             self._note_change(trait, record)
 
     def note_sound(self, trait: int, answered_at_ms: int) -> None:
@@ -139,13 +143,20 @@
 
     def withdraw_target(self, target: int, before_ms: int) -> list[int]:
         """Clears the deaths of a target that lives; returns their traits."""
+        if target not in self._blamed_targets:
+            return []
+        self._blamed_targets.discard(target)
         withdrawn = []
         for trait, record in list(self._records.items()):
             death = record.deaths.get(target)
-            if death and not death.is_withdrawn and death.at_ms <= before_ms:
-                death.is_withdrawn = True
-                withdrawn.append(trait)
-                self._note_change(trait, record)
+            if death is None or death.is_withdrawn:
+                continue
+            if death.at_ms > before_ms:
+                self._blamed_targets.add(target)
+                continue
+            death.is_withdrawn = True
+            withdrawn.append(trait)
+            self._note_change(trait, record)
         return withdrawn
 
     def merge(self, suspicion: Suspicion) -> None:
@@ -169,6 +180,7 @@
                 if not record.make_room():
                     continue
                 death = record.deaths[reported.target] = _Death(at_ms)
+                self._blamed_targets.add(reported.target)
                 is_changed = True
             if reported.is_withdrawn and not death.is_withdrawn:
                 death.is_withdrawn = True
@@ -309,6 +321,8 @@
             ]
 
     def _drop_expired(self) -> None:
+        if not self._records:
+            self._blamed_targets.clear()
         oldest_ms = self._clock.now_ms() - EVIDENCE_TTL_MS
         while self._records:
             trait, record = next(iter(self._records.items()))
