Choose different ports for the daemons of a test

Cause: the ports of a fleet were chosen one after the other, each freed before the next, so two could be the same. The daemon then listens on one of them, fails on the second and exits; the kernel resets what it had not accepted.

Change: the ports are held while they are chosen. wait_ready raises the exit code and output of a daemon that has exited; a reset by a daemon that runs still fails. test_daemon_that_exits_is_not_a_connection_reset failed before with ReadError.

--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -4,7 +4,7 @@
 import pathlib
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 
 import anyio
 import httpcore
@@ -12,7 +12,7 @@
 
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.platform import wire
-from peridotbend_emulator.launch import Child, Launcher
+from peridotbend_emulator.launch import Child, Launcher, LaunchError
 from tests.edgestandins import FakeStore, FakeTarget
 from tests.test_edge_platform import (
     CONFIG_DOCUMENT,
@@ -23,6 +23,8 @@
 MODULE = "peridotbend.edgedaemon"
 # Long, since the machine may be busy with other tests.
 WAIT_TIMEOUT_S = 30.0
+# A process that failed to start has exited this long after a reset at most.
+EXIT_TIMEOUT_S = 10.0
 HOSTS = ("127.0.0.21", "127.0.0.22")
 CONFIG = {
     **CONFIG_DOCUMENT,
@@ -49,6 +51,7 @@
         self.store = FakeStore()
         self.target = FakeTarget("i-1")
         self.ports: dict[str, int] = {}
+        self._children: dict[str, Child] = {}
         self.client = httpcore.AsyncConnectionPool()
 
     def write_settings(self, host: str, **changes: object) -> pathlib.Path:
@@ -77,10 +80,16 @@
     def spawn(self, host: str, **changes: object) -> Child:
         """Starts a daemon."""
         path = self.write_settings(host, **changes)
-        return self._launcher.spawn(MODULE, "--settings", str(path))
+        child = self._launcher.spawn(MODULE, "--settings", str(path))
+        self._children[host] = child
+        return child
 
     async def wait_ready(self, host: str) -> None:
-        """Waits until an instance is ready to serve callers."""
+        """Waits until an instance is ready to serve callers.
+
+        Raises:
+            LaunchError: the daemon has exited; the error has its output.
+        """
         url = f"http://{host}:{self.ports['health']}{wire.READY_PATH}"
         with anyio.fail_after(WAIT_TIMEOUT_S):
             while True:
@@ -89,9 +98,24 @@
                     if response.status == 200:
                         return
                 except httpcore.ConnectError:
-                    pass
+                    self._check_running(host)
+                except httpcore.ReadError:
+                    # An exit resets connections that were not accepted yet.
+                    with anyio.move_on_after(EXIT_TIMEOUT_S):
+                        while True:
+                            self._check_running(host)
+                            await anyio.sleep(0.02)
+                    raise
                 await anyio.sleep(0.02)
 
+    def _check_running(self, host: str) -> None:
+        child = self._children[host]
+        if child.exit_code is not None:
+            raise LaunchError(
+                f"the daemon on {host} exited with code {child.exit_code};"
+                f" its output: {child.output}"
+            )
+
     async def call(
         self,
         host: str,
@@ -114,6 +138,19 @@
         )
 
 
+def _choose_ports(names: tuple[str, ...]) -> dict[str, int]:
+    """Returns free ports, all different.
+
+    All instances use the same ports on different hosts, so a port that is free
+    on one host is used on all.
+    """
+    with ExitStack() as listeners:
+        return {
+            name: listeners.enter_context(listen(HOSTS[0], 0)).getsockname()[1]
+            for name in names
+        }
+
+
 @asynccontextmanager
 async def serve_fleet(fleet: EdgeFleet) -> AsyncIterator[None]:
     """Runs the fake store and target of a fleet."""
@@ -121,11 +158,9 @@
     sockets = {name: listen("127.0.0.1", 0) for name in apps}
     for name, socket in sockets.items():
         fleet.ports[name] = socket.getsockname()[1]
-    # All instances use the same ports on different hosts, so a port that is
-    # free on one host is used on all.
-    for name in ("callers", "health", "peers", "digests"):
-        with listen(HOSTS[0], 0) as listener:
-            fleet.ports[name] = listener.getsockname()[1]
+    fleet.ports.update(
+        _choose_ports(("callers", "health", "peers", "digests"))
+    )
     address = f"127.0.0.1:{fleet.ports['target']}"
     fleet.store.put("op/config", CONFIG)
     fleet.store.put("servers/i-1", {**TARGET_ENTRY, "address": address})
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -20,6 +20,7 @@
 from peridotbend.edgedaemon import DEFAULT_METRICS_PORT, main
 from peridotbend.edgenode import EdgeNode
 from peridotbend.platform import wire
+from peridotbend_emulator.launch import LaunchError
 from tests.edgefakes import SETTINGS, RecordingLog
 from tests.edgefleet import (
     CONFIG,
@@ -234,6 +235,28 @@
         run_with_fleet(check)
 
 
+class FleetStartTest(unittest.TestCase):
+    """Daemons that cannot start."""
+
+    def test_daemon_that_exits_is_not_a_connection_reset(self) -> None:
+        """Guards against a failed start without a cause.
+
+        Seen once in CI: a readiness check was reset, and nothing said why.
+        """
+
+        async def check(fleet: EdgeFleet) -> None:
+            fleet.ports["peers"] = fleet.ports["health"]
+            fleet.spawn(HOSTS[0])
+            try:
+                await fleet.wait_ready(HOSTS[0])
+            except LaunchError as error:
+                assert str(fleet.ports["health"]) in str(error), error
+            else:
+                raise AssertionError("the daemon started")
+
+        run_with_fleet(check)
+
+
 class SettingsReloadTest(unittest.TestCase):
     """Settings that change while the process runs."""
 
