--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -158,9 +158,7 @@
     sockets = {name: listen("127.0.0.1", 0) for name in apps}
     for name, socket in sockets.items():
         fleet.ports[name] = socket.getsockname()[1]
-    fleet.ports.update(
-        _choose_ports(("callers", "health", "peers", "digests"))
-    )
+    fleet.ports.update(_choose_ports(("callers", "health", "peers", "digests")))
     address = f"127.0.0.1:{fleet.ports['target']}"
     fleet.store.put("op/config", CONFIG)
     fleet.store.put("servers/i-1", {**TARGET_ENTRY, "address": address})
