--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -325,6 +325,7 @@
         request: ActiveRequest,
         target: EdgeTarget,
         error: CallError,
+        head: AnswerHead | None = None,
         has_survived: bool = False,
     ) -> NotRun | MayHaveRun:
         """Records a failed send.
@@ -333,6 +334,7 @@
             request: the request that failed.
             target: where it was sent.
             error: what failed.
+            head: of the answer, if it had begun.
             has_survived: whether its answer had gone on for some time.
         """
         request.failed_targets.add(target.name)
@@ -355,6 +357,7 @@
             written=error.written,
             detail=error.detail,
             last_event=request.events.last_event_id,
+            delimited=head.is_delimited if head else None,
         )
         if request.may_have_run:
             return MayHaveRun(Reason.TARGET_FAILED)
@@ -375,7 +378,7 @@
         if request.head_sent:
             # The answer to the resumption of a stream is not a stream.
             return self._note_error(
-                request, target, _make_no_stream_error(answer)
+                request, target, _make_no_stream_error(answer), answer.head
             )
         return await self._deliver_unstreamed(
             request, target, answer, responder
@@ -391,7 +394,9 @@
         body = bytearray()
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
-                refusal = self._note_error(request, target, chunk.err_value)
+                refusal = self._note_error(
+                    request, target, chunk.err_value, answer.head
+                )
                 if request.head_sent:
                     await self._end(request, responder, refusal)
                 return refusal
@@ -413,7 +418,12 @@
         if body:
             await responder.send(bytes(body))
         await responder.finish()
-        self._report.note_end(request, answer.head.status, target=target.name)
+        self._report.note_end(
+            request,
+            answer.head.status,
+            target=target.name,
+            delimited=answer.head.is_delimited,
+        )
         return None
 
     async def _deliver_stream(
@@ -431,12 +441,18 @@
             if isinstance(chunk, Err):
                 request.events.drop_partial()
                 return self._note_error(
-                    request, target, chunk.err_value, has_survived
+                    request,
+                    target,
+                    chunk.err_value,
+                    answer.head,
+                    has_survived,
                 )
             events = request.events.feed(chunk.ok_value)
             if request.events.is_oversized:
                 request.events.drop_partial()
-                return self._note_error(request, target, _OVERSIZED_EVENT)
+                return self._note_error(
+                    request, target, _OVERSIZED_EVENT, answer.head
+                )
             if request.events.has_data(events):
                 # Other bytes are no progress: a stalled target may send a few
                 # now and then.
@@ -454,7 +470,9 @@
         # A stream without a length also ends when its target crashes.
         is_cut = not answer.head.is_delimited and not has_events
         if request.events.take_remainder().strip() or is_cut:
-            return self._note_error(request, target, _CUT_STREAM, has_survived)
+            return self._note_error(
+                request, target, _CUT_STREAM, answer.head, has_survived
+            )
         await self._start_once(request, answer.head, responder)
         await responder.finish()
         self._note_answer(request, target, failed=False)
@@ -464,6 +482,7 @@
             answer.head.status,
             target=target.name,
             last_event=request.events.last_event_id,
+            delimited=answer.head.is_delimited,
         )
         return None
 
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -71,6 +71,10 @@
         assert responder.body == make_event(1) + make_event(2)
         assert responder.is_complete
         assert harness.client.sends[1].last_event_id == "1"
+        # The log tells which of the answers ended with its connection.
+        fields = dict(harness.log.events)
+        assert fields[Event.TARGET_CALL_FAILED]["delimited"] is False
+        assert fields[Event.REQUEST_ENDED]["delimited"] is True
 
     def test_stream_that_ends_before_its_first_event_is_broken(self) -> None:
         """Guards against an empty answer after a crash."""
