--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -87,6 +87,27 @@
         resumed = dataclasses.replace(CALL, last_event_id="12")
         assert _serve(done, resumed).is_complete
 
+    def test_resumption_that_ends_before_an_event_is_broken(self) -> None:
+        """Guards against a broken-off stream that is framed as complete.
+
+        Without a length, an answer without events is no sign of an end.
+        """
+        first = ScriptedReply(
+            chunks=(make_event(1), b"id: 2\nda"), is_delimited=False
+        )
+        empty = ScriptedReply(is_delimited=False)
+        responder = RecordingResponder()
+
+        async def run(harness: RelayHarness, call: EdgeCall) -> None:
+            try:
+                await harness.relay.serve(call, responder)
+            except AnswerBrokenError:
+                return
+
+        anyio.run(run, RelayHarness(first, empty), CALL)
+        assert responder.body == make_event(1)
+        assert not responder.is_complete
+
     def test_last_event_id_of_the_caller_is_forwarded(self) -> None:
         """Guards against repeated events after a caller resumes.
 
