--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -33,6 +33,8 @@
     "too-large",
     "slow",
 )
+# The answer has neither a length nor chunks, and its connection ends within it.
+UNDELIMITED_BEHAVIOURS = ("end", "end-between")
 CRASH_MARKER = b"crash"
 FIRST_CHUNK_MS = 120
 CHUNK_INTERVAL_MS = 30
@@ -105,7 +107,8 @@
         answer = body.encode()
         if behaviour == "too-large":
             answer = b"id: 9\ndata: " + b"x" * 9_000 + b"\n\n"
-        head = AnswerHead(200, headers)
+        is_delimited = behaviour not in UNDELIMITED_BEHAVIOURS
+        head = AnswerHead(200, headers, is_delimited)
         stream = _Stream(head, answer, now_ms, self.incarnation, behaviour)
         self.streams[token] = stream
         return stream
@@ -148,6 +151,11 @@
             if stream.behaviour == "end" and is_past_middle:
                 stream.behaviour = ""
                 return
+            if stream.behaviour == "end-between" and is_past_middle:
+                stream.behaviour = ""
+                end = stream.answer.index(b"\n\n", at) + 2
+                yield Ok(stream.answer[at:end])
+                return
             if stream.behaviour == "break" and is_past_middle:
                 stream.behaviour = ""
                 error = CallError(CallFailure.BROKEN, True, "broken")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -50,6 +50,16 @@
         assert self.world.counts["stream-resumed"] == 1
         assert caller.data == self.world.answers[caller.token]
 
+    def test_stream_that_ends_without_its_closing_event_is_resumed(
+        self,
+    ) -> None:
+        """Guards against a broken-off stream that counts as complete."""
+        self.plan_failure("end-between")
+        caller = self.send(self.a1)
+        assert get_verdict(caller)[0] == "completed"
+        assert self.world.counts["stream-resumed"] == 1
+        assert caller.data == self.world.answers[caller.token]
+
     def test_answer_over_the_limit_of_its_kind_is_cut(self) -> None:
         """Guards against unbounded memory use by a large answer."""
         self.plan_failure("too-large")
