Take an empty answer without a length for a broken resumption

Callers saw: a stream that had been broken off ended as if it were complete, when the target that went on with it ended before its first event.

Cause: an answer without a length or chunks ends with its connection, also in a crash. One without any event counted as complete if an event had been received before, since a resumed stream may have no event left.

Change: without a length or chunks, an answer without events is broken. It is asked for again if the route and the budget allow it; else the caller's connection is closed, so that the answer does not look complete.

test_resumption_that_ends_before_an_event_is_broken failed before. The check in test_stream_that_ends_before_its_first_event_is_broken that such an empty answer is complete when the caller named its last event was wrong: the same bytes come from a target that crashed before it went on. It is replaced by two: an empty answer with a length is complete, and one without is asked for again.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -435,8 +435,7 @@
         responder: Responder,
     ) -> NotRun | MayHaveRun | None:
         has_survived = False
-        # A resumed stream may have no event left.
-        has_events = bool(request.events.last_event_id)
+        has_events = False
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
                 request.events.drop_partial()
@@ -467,7 +466,8 @@
                 await responder.send(events)
                 tracked_send.is_blocked = False
                 self._dependencies.health.note_activity(target.name)
-        # A stream without a length also ends when its target crashes.
+        # A stream without a length also ends when its target crashes, so that
+        # the end alone does not tell that no event is left to resume.
         is_cut = not answer.head.is_delimited and not has_events
         if request.events.take_remainder().strip() or is_cut:
             return self._note_error(
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -82,10 +82,16 @@
         harness = RelayHarness(first, ScriptedReply(chunks=(make_event(1),)))
         responder = _serve(harness)
         assert responder.body == make_event(1)
-        # A target has nothing left to send after the last event.
-        done = RelayHarness(ScriptedReply(is_delimited=False))
+        # A target has nothing left to send after the last event. Only an answer
+        # with a length or chunks says so.
         resumed = dataclasses.replace(CALL, last_event_id="12")
+        done = RelayHarness(ScriptedReply())
         assert _serve(done, resumed).is_complete
+        asked_again = RelayHarness(
+            ScriptedReply(is_delimited=False), ScriptedReply()
+        )
+        assert _serve(asked_again, resumed).is_complete
+        assert len(asked_again.client.written_sends) == 2
 
     def test_resumption_that_ends_before_an_event_is_broken(self) -> None:
         """Guards against a broken-off stream that is framed as complete.
