--- a/tools/days.py
+++ b/tools/days.py
@@ -229,6 +229,127 @@
     ("lossy", "config-tenant", 1.0),
     ("reset-conns", "burst", 0.0),
 )
+# The store returns from a copy that is x seconds old. RESTORES says what happens
+# around it.
+STORE_RESTORES = {
+    "store-restored": (
+        'kind = "platform_down", how = "restored", x = 9.0, for_s = 2.0'
+    ),
+    "store-restored-short": (
+        'kind = "platform_down", how = "restored", x = 4.0, for_s = 1.0'
+    ),
+}
+# The users' day with a restored store, as they wrote it.
+RESTORED_DAY = """\
+name = "restored"
+faults = [{ at = 15.0, kind = "platform_down", how = "restored", x = 9.0, for_s = 2.0 }]
+plan = [{ at = 5.0, kind = "config_change", how = "route" }, { at = 9.0, kind = "config_change", how = "route" }, { at = 12.0, kind = "config_change", how = "idle" }, { at = 21.5, kind = "config_change", how = "route" }, { at = 22.0, kind = "scale_in", share = 0.1 }]
+"""  # noqa: E501
+# Events around a restore of the store: names, and starts in s. In the lost
+# seconds, while the store is away, and after its return.
+RESTORES: dict[str, tuple[tuple[str, float], ...]] = {
+    "restored-short": (
+        ("config-route", 5.0),
+        ("store-restored-short", 10.0),
+        ("config-route", 11.5),
+    ),
+    "restored-twice": (
+        ("config-route", 5.0),
+        ("store-restored-short", 9.0),
+        ("config-route", 11.0),
+        ("store-restored", 15.0),
+        ("config-route", 18.0),
+    ),
+    "restored-and-scale-in": (
+        ("scale-in", 9.0),
+        ("config-route", 12.0),
+        ("store-restored", 15.0),
+        ("scale-in", 18.0),
+    ),
+    "restored-and-release": (
+        ("release", 8.0),
+        ("store-restored", 15.0),
+        ("config-route", 18.0),
+    ),
+    "restored-and-srv-gone": (
+        ("srv-gone", 8.0),
+        ("store-restored", 14.0),
+        ("srv-crash", 15.0),
+        ("config-weights", 17.0),
+    ),
+    "restored-and-revoke": (
+        ("revoke", 9.0),
+        ("config-tenant", 12.0),
+        ("store-restored", 14.0),
+        ("revoke-last", 18.0),
+    ),
+    "restored-and-config-storm": (
+        ("config-storm", 9.5),
+        ("store-restored", 13.0),
+        ("config-storm", 16.0),
+    ),
+    "restored-and-node-cut": (
+        ("config-route", 8.0),
+        ("node-cut", 11.0),
+        ("store-restored", 13.0),
+        ("config-route", 16.0),
+    ),
+    "restored-and-node-cut-all": (
+        ("node-cut-all", 9.0),
+        ("config-route", 11.0),
+        ("store-restored", 12.0),
+        ("config-route", 15.0),
+    ),
+    "restored-and-core-cut": (
+        ("config-route", 8.0),
+        ("core-cut", 11.0),
+        ("store-restored", 13.0),
+        ("config-route", 15.5),
+    ),
+    "restored-and-node-freeze": (
+        ("config-route", 9.0),
+        ("store-restored", 13.0),
+        ("node-freeze", 13.5),
+        ("config-route", 16.0),
+    ),
+    "restored-and-node-kill": (
+        ("config-route", 9.0),
+        ("config-tenant", 12.0),
+        ("store-restored", 13.0),
+        ("node-kill", 14.0),
+        ("config-route", 17.0),
+    ),
+    "restored-and-herd-kill": (
+        ("config-route", 9.0),
+        ("store-restored", 13.0),
+        ("herd-kill", 14.0),
+        ("config-route", 18.0),
+    ),
+    "restored-and-roll-term": (
+        ("config-route", 9.0),
+        ("roll-term", 12.0),
+        ("store-restored", 13.0),
+        ("config-route", 17.0),
+    ),
+    "restored-and-zone-cut": (
+        ("config-route", 8.0),
+        ("zone-cut", 11.0),
+        ("store-restored", 12.0),
+        ("config-route", 15.0),
+    ),
+    "restored-and-store-some": (
+        ("config-route", 9.0),
+        ("store-restored", 12.0),
+        ("store-some", 13.0),
+        ("config-route", 16.0),
+    ),
+    "restored-and-store-compact": (
+        ("config-route", 9.0),
+        ("store-restored", 12.0),
+        ("store-compact", 15.0),
+        ("config-route", 17.0),
+    ),
+}
 FINAL_FAULTS = {
     "closing-power-off": '{ kind = "power_off_all", down_s = 1.3 }',
     "closing-kill": '{ kind = "kill_all", down_s = 0.7 }',
@@ -243,7 +364,8 @@
     """Returns the entries of one event for the plan and for the faults."""
     if name in PLANNED_CHANGES:
         return (f"at = {at_s}, {PLANNED_CHANGES[name]}",), ()
-    return (), (f"at = {at_s}, {FAULTS[name]}",)
+    fault = FAULTS.get(name) or STORE_RESTORES[name]
+    return (), (f"at = {at_s}, {fault}",)
 
 
 def list_scenarios() -> list[Scenario]:
@@ -268,6 +390,16 @@
     for name, closing in FINAL_FAULTS.items():
         plan, faults = _schedule_event("config-tenant", FIRST_EVENT_AT_S)
         scenarios.append(Scenario(name, plan, faults, closing, FINAL_FAULT_S))
+    for name, events in RESTORES.items():
+        parts = [_schedule_event(event, at_s) for event, at_s in events]
+        scenarios.append(
+            Scenario(
+                name,
+                tuple(entry for plan, _ in parts for entry in plan),
+                tuple(entry for _, faults in parts for entry in faults),
+                length_s=EVENT_PAIR_S,
+            )
+        )
     return scenarios
 
 
@@ -312,6 +444,7 @@
     for number, scenario in enumerate(list_scenarios()):
         path = OUTPUT_DIR / f"{scenario.name}.toml"
         path.write_text(format_scenario(scenario, number))
+    (OUTPUT_DIR / "restored.toml").write_text(RESTORED_DAY)
 
 
 if __name__ == "__main__":
