--- a/tools/days.py
+++ b/tools/days.py
@@ -229,8 +229,8 @@
     ("lossy", "config-tenant", 1.0),
     ("reset-conns", "burst", 0.0),
 )
-# The store returns from a copy that is x seconds old. RESTORES says what happens
-# around it.
+# The store returns from a copy that is x seconds old, in the scenarios of
+# RESTORES.
 STORE_RESTORES = {
     "store-restored": (
         'kind = "platform_down", how = "restored", x = 9.0, for_s = 2.0'
