Log the era of the store and entries that are older than known

The logs had no era, no line for an entry that was dropped as older than the known one, and so could not tell the hypotheses apart. 210 names the era and the revisions when an answer is of a later one, 211 an entry that is ignored, with both revisions. No logic changes.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -91,6 +91,8 @@
         # Whether the last call to the store succeeded.
         self.is_store_reachable = True
         self._must_list = True
+        # The last era of the store that is known.
+        self._era = 0
         # Set while a peer is ahead.
         self._is_behind = anyio.Event()
         # Since when a peer has been ahead of this process, and which one.
@@ -122,11 +124,19 @@
             self._note_store_status(False, error)
             return None
         self._note_store_status(True)
+        self._note_era(result.ok_value)
         self._must_list = False
         return self.merge(result.ok_value)
 
     def merge(self, changes: Changes) -> bool:
         """Merges changes; tells whether any of them was new."""
+        for item, known in self.items.find_outdated(changes):
+            self._log.emit(
+                Event.ENTRY_OUTDATED,
+                entry=item.key,
+                revision=item.revision,
+                known_revision=known.revision,
+            )
         changed = self.items.merge(changes)
         if changed:
             self._apply(changed)
@@ -184,6 +194,18 @@
             return await self._reader.list_items()
         return await self._reader.watch(self.items.revision, wait_ms)
 
+    def _note_era(self, changes: Changes) -> None:
+        if changes.era > self._era and self.items.revision:
+            self._log.emit(
+                Event.STORE_RESTORED,
+                prefix=self.prefix,
+                era=changes.era,
+                revision=changes.revision,
+                known_era=self._era,
+                known_revision=self.items.revision,
+            )
+        self._era = max(self._era, changes.era)
+
     def _note_store_status(
         self, is_reachable: bool, error: StoreError | None = None
     ) -> None:
--- a/src/peridotbend/edge/published.py
+++ b/src/peridotbend/edge/published.py
@@ -29,6 +29,8 @@
     revision: int
     # Whether this is a full copy: keys that are not included do not exist.
     is_whole: bool
+    # How many times the store was restored from an older copy; 0 if unknown.
+    era: int = 0
 
 
 class PublishedItems:
@@ -58,6 +60,15 @@
         self.revision = max(self.revision, changes.revision)
         return changed
 
+    def find_outdated(self, changes: Changes) -> list[tuple[Item, Item]]:
+        """Returns items that are older than the known ones, with those."""
+        pairs = []
+        for item in changes.items:
+            known = self._find(item.key)
+            if known is not None and known.revision > item.revision:
+                pairs.append((item, known))
+        return pairs
+
     def list_changes(self, after: int) -> Changes:
         """Returns the changes for a peer that is at revision `after`."""
         if after < self._compacted_revision or after == 0:
@@ -75,8 +86,11 @@
         """Returns the existing items, without tombstones."""
         return self._items.values()
 
+    def _find(self, key: str) -> Item | None:
+        return self._items.get(key) or self._tombstones.get(key)
+
     def _merge_item(self, item: Item) -> bool:
-        known = self._items.get(item.key) or self._tombstones.get(item.key)
+        known = self._find(item.key)
         if known is not None and known.revision >= item.revision:
             return False
         self._items.pop(item.key, None)
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import dataclasses
 import json
 import urllib.parse
 from typing import Any
@@ -10,7 +11,8 @@
 from result import Err, Ok, Result
 
 from peridotbend.adapters.targets import HttpTargetClient
-from peridotbend.domain.ports import TargetCall
+from peridotbend.domain.ports import AnswerHead, TargetCall
+from peridotbend.domain.streams import find_header
 from peridotbend.domain.text import Target
 from peridotbend.edge.ports import StoreError, StoreFailure
 from peridotbend.edge.published import Changes, Item
@@ -28,6 +30,14 @@
 _BUSY_STATUSES = frozenset((429, 503))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """A successful answer of the store."""
+
+    body: dict[str, Any]
+    era: int
+
+
 class StoreClient:
     """Lists and watches keys of the store.
 
@@ -50,7 +60,7 @@
 
     async def get(
         self, call: str, query: dict[str, str], timeout_s: float
-    ) -> Result[dict[str, Any], StoreError]:
+    ) -> Result["StoreAnswer", StoreError]:
         """Returns the decoded answer of a call."""
         path = f"{call}?{urllib.parse.urlencode(query)}"
         request = TargetCall("GET", path, (), b"", round(timeout_s * 1_000))
@@ -75,7 +85,9 @@
                             )
         except TimeoutError:
             return _make_unreachable_error(f"no answer in {timeout_s} s")
-        return _decode_answer(answer.head.status, bytes(body))
+        decoded = _decode_answer(answer.head.status, bytes(body))
+        era = _parse_era(answer.head)
+        return decoded.map(lambda body: StoreAnswer(body, era))
 
 
 class PrefixReader:
@@ -103,7 +115,7 @@
             )
             if isinstance(result, Err):
                 return result
-            page = result.ok_value
+            page = result.ok_value.body
             decoded = _decode_page(page, "items")
             if isinstance(decoded, Err):
                 return decoded
@@ -111,7 +123,8 @@
             items.extend(page_items)
             revision = page_revision if revision is None else revision
             if not page.get("has_more") or not page_items:
-                return Ok(Changes(tuple(items), revision, is_whole=True))
+                era = result.ok_value.era
+                return Ok(Changes(tuple(items), revision, True, era))
             after = page_items[-1].key
         return _make_bad_answer_error("the listing has too many pages")
 
@@ -128,8 +141,15 @@
         result = await self._client.get(wire.WATCH_CALL, query, timeout_s)
         if isinstance(result, Err):
             return result
-        decoded = _decode_page(result.ok_value, "events")
-        return decoded.map(lambda page: Changes(tuple(page[0]), page[1], False))
+        answer = result.ok_value
+        return _decode_page(answer.body, "events").map(
+            lambda page: Changes(tuple(page[0]), page[1], False, answer.era)
+        )
+
+
+def _parse_era(head: AnswerHead) -> int:
+    text = find_header(head, wire.STORE_ERA)
+    return int(text) if text.isascii() and text.isdigit() else 0
 
 
 def _decode_answer(
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -22,6 +22,9 @@
 # Present in every answer created by a target; contains the digest of the
 # answer.
 SERVER_STAMP = "x-server-stamp"
+# In all answers of the store; rises by one when it is restored from an older
+# copy.
+STORE_ERA = "store-era"
 KV_FROM = "kv-from"
 KV_FETCH = "kv-fetch"
 KV_HOLD = "x-kv-hold"
@@ -40,6 +43,7 @@
     NOT_EXECUTED,
     SERVER_LIMIT,
     SERVER_STAMP,
+    STORE_ERA,
     KV_FROM,
     KV_FETCH,
     KV_HOLD,
