Reproduce a store that is restored from an older copy

Two real daemons and a stand-in of the store that goes back: the change after the restore is never in force, and the calls to the store do not stop.

--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -1,6 +1,7 @@
 """Fakes of the store and of targets that implement the platform's protocol."""
 
 import base64
+import dataclasses
 import json
 import urllib.parse
 from collections import Counter
@@ -27,11 +28,22 @@
     await send({"type": "http.response.body", "body": body})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The content of a store at one moment."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+
+
 class FakeStore:
     """A store whose keys can be listed and watched by revision."""
 
     def __init__(self) -> None:
         self.revision = 100
+        # How many times the store was restored.
+        self.era = 1
         self.calls: Counter[str] = Counter()
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -53,6 +65,18 @@
             {"key": key, "revision": self.revision, "deleted": True}
         )
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy to restore."""
+        return StoreCopy(self.revision, dict(self._items), list(self._history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Goes back to a copy; what was written since is lost."""
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._wake_watches()
+
     async def __call__(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
@@ -63,10 +87,15 @@
             page = self._list(query["path_prefix"])
         else:
             page = await self._watch(query)
-        await respond(send, 200, json.dumps(page).encode())
+        body = json.dumps(page or {"store_revision": self.revision}).encode()
+        era = (wire.STORE_ERA, str(self.era))
+        await respond(send, 410 if page is None else 200, body, era)
 
     def _append_event(self, event: dict[str, Any]) -> None:
         self._history.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
 
@@ -78,10 +107,13 @@
             "store_revision": self.revision,
         }
 
-    async def _watch(self, query: dict[str, str]) -> dict[str, Any]:
+    async def _watch(self, query: dict[str, str]) -> dict[str, Any] | None:
+        """Returns events; None if the history does not go back so far."""
         events: list[dict[str, Any]] = []
         with anyio.move_on_after(int(query["wait_ms"]) / 1_000):
             while not events:
+                if int(query["after"]) > self.revision:
+                    return None
                 changed = self._changed
                 events = [
                     event
