Order what the store publishes by its era and by its writers

Cause: keys, digests and fetches were ordered by the revision alone. A restored store gives revisions out again, so what it said was dropped as older, and after 410 the listing was ignored and the same watch sent again.

Change: a position is the era of the store and a revision in it. In one era, positions decide. Between eras the order of a key is the one that its writer gives: the version of a configuration, start and sequence of a target. A version never goes back. A target that has begun to leave or was removed does not return with the copy, until it writes again or the store has listed it for four heartbeats. What the copy lacks is removed after the grace time of an outage. Digests carry era and version, so an instance that was cut off follows the new era, and one that alone knows a newer version passes it on; a new process asks a peer for all that the store may have forgotten. A watch answered in another era is followed by a listing, an answer of an earlier one is ignored, 410 right after a listing waits.

Ruled out: a local count of restores, which instances could not compare; taking every listing as it is, which undoes confirmed versions and revives targets that left.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -10,6 +10,7 @@
 from peridotbend.edge.allowances import AllowanceUse
 from peridotbend.edge.evidence import Death, Suspicion
 from peridotbend.edge.peers import Digest, Member, Scope
+from peridotbend.edge.published import FeedState, Position
 from peridotbend.edge.ratelimits import NamedLimit
 from peridotbend.wire import edge_pb2 as pb
 
@@ -49,8 +50,13 @@
         draining=digest.is_draining,
         known_hosts=digest.known_hosts[:MAX_KNOWN_HOSTS],
         feeds=[
-            pb.FeedState(prefix=prefix, revision=revision)
-            for prefix, revision in digest.revisions.items()
+            pb.FeedState(
+                prefix=prefix,
+                revision=state.position.revision,
+                era=state.position.era,
+                version=state.version,
+            )
+            for prefix, state in digest.feeds.items()
         ],
         uses=[
             pb.TargetUse(target=target, in_flight=count)
@@ -125,7 +131,12 @@
         host=message.host,
         is_draining=message.draining,
         known_hosts=tuple(message.known_hosts[:MAX_KNOWN_HOSTS]),
-        revisions={feed.prefix: feed.revision for feed in message.feeds},
+        feeds={
+            feed.prefix: FeedState(
+                Position(feed.era, feed.revision), feed.version
+            )
+            for feed in message.feeds
+        },
         in_flight={use.target: use.in_flight for use in message.uses},
         allowances=uses,
         crashes=tuple(map(_unpack_suspicion, message.crashes)),
--- a/src/peridotbend/adapters/publishedpeers.py
+++ b/src/peridotbend/adapters/publishedpeers.py
@@ -16,7 +16,7 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.feeds import Feed
-from peridotbend.edge.published import Changes, Item
+from peridotbend.edge.published import Changes, FeedState, Item, Position
 from peridotbend.wire import edge_pb2 as pb
 from peridotbend.wire.edge_grpc import PublishedBase, PublishedStub
 
@@ -48,15 +48,14 @@
         self,
         stream: "grpclib.server.Stream[pb.ChangesRequest, pb.ChangesReply]",
     ) -> None:
-        """Sends the known changes after a revision."""
+        """Sends what is known beyond the state of the caller."""
         limit_message_size(stream, MAX_REQUEST_BYTES)
         request = await stream.recv_message()
         feed = self._feeds.get(request.prefix) if request else None
         if request is None or feed is None:
             raise GRPCError(Status.INVALID_ARGUMENT, "unknown prefix")
-        await stream.send_message(
-            _pack_changes(feed.items.list_changes(request.after))
-        )
+        after = FeedState(Position(request.era, request.after), request.version)
+        await stream.send_message(_pack_changes(feed.items.list_changes(after)))
 
 
 class PublishedFetcher:
@@ -67,12 +66,19 @@
         self._port = port
         self._log = log
 
-    async def fetch(self, host: str, prefix: str, after: int) -> Changes | None:
-        """Returns a peer's changes after a revision, or None on failure."""
+    async def fetch(
+        self, host: str, prefix: str, after: FeedState
+    ) -> Changes | None:
+        """Returns what a peer knows beyond a state, or None on failure."""
         channel = self._channels.open(host, self._port)
         try:
             with anyio.fail_after(FETCH_TIMEOUT_S):
-                request = pb.ChangesRequest(prefix=prefix, after=after)
+                request = pb.ChangesRequest(
+                    prefix=prefix,
+                    after=after.position.revision,
+                    era=after.position.era,
+                    version=after.version,
+                )
                 stub = PublishedStub(channel)
                 async with stub.ListChanges.open() as stream:
                     await stream.send_message(request, end=True)
@@ -95,20 +101,29 @@
         items=[
             pb.PublishedItem(
                 key=item.key,
-                revision=item.revision,
+                revision=item.position.revision,
                 value=item.value or b"",
                 removed=item.value is None,
+                era=item.position.era,
+                first_order=item.order[0],
+                second_order=item.order[1],
             )
             for item in changes.items
         ],
-        revision=changes.revision,
+        revision=changes.position.revision,
         whole=changes.is_whole,
+        era=changes.position.era,
     )
 
 
 def _unpack_changes(reply: pb.ChangesReply) -> Changes:
     items = tuple(
-        Item(item.key, item.revision, None if item.removed else item.value)
+        Item(
+            item.key,
+            Position(item.era, item.revision),
+            None if item.removed else item.value,
+            (item.first_order, item.second_order),
+        )
         for item in reply.items
     )
-    return Changes(items, reply.revision, reply.whole)
+    return Changes(items, Position(reply.era, reply.revision), reply.whole)
--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -23,6 +23,7 @@
     PeerRegistry,
     Scope,
 )
+from peridotbend.edge.published import FeedState
 from peridotbend.edge.sharedstate import SharedState
 
 # In a small fleet, digests follow changes within this time.
@@ -76,7 +77,7 @@
         status: FleetStatus,
         clock: Clock,
         log: EventLog,
-        note_revision: Callable[[str, str, int], None],
+        note_feed_state: Callable[[str, str, FeedState], None],
     ):
         """Creates the exchange.
 
@@ -87,8 +88,8 @@
             status: receives the numbers of instances.
             clock: source of time.
             log: receives changes of the relay that is followed.
-            note_revision: called with host, prefix and revision for each
-                prefix that another instance knows.
+            note_feed_state: called with host, prefix and how far another
+                instance knows the prefix.
         """
         self._state = state
         self._peers = peers
@@ -96,7 +97,7 @@
         self._status = status
         self._clock = clock
         self._log = log
-        self._note_revision = note_revision
+        self._note_feed_state = note_feed_state
         self._identity = state.identity
         self._sequence = 0
         self._sent_at_ms: dict[Scope, int] = {}
@@ -196,8 +197,8 @@
         for member in digest.members:
             if member.host != self._identity.host:
                 self._peers.add_member(member)
-        for prefix, revision in digest.revisions.items():
-            self._note_revision(digest.host, prefix, revision)
+        for prefix, state in digest.feeds.items():
+            self._note_feed_state(digest.host, prefix, state)
         if self._directory.is_mesh:
             return False
         self._directory.note_answer(digest.host)
@@ -214,8 +215,8 @@
     def _receive_own(self, digest: Digest) -> bool:
         if not self._peers.accept(digest):
             return False
-        for prefix, revision in digest.revisions.items():
-            self._note_revision(digest.host, prefix, revision)
+        for prefix, state in digest.feeds.items():
+            self._note_feed_state(digest.host, prefix, state)
         key = self._directory.find_key(digest.host)
         if not self._directory.is_mesh and key != self._directory.own_key:
             return True
@@ -346,7 +347,7 @@
             digest.in_flight,
             spent,
             digest.is_draining,
-            digest.revisions,
+            digest.feeds,
         )
         max_interval_ms = (
             MESH_MAX_INTERVAL_MS
--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -1,5 +1,6 @@
 """Local copies of the key prefixes that the platform publishes."""
 
+import dataclasses
 import random
 from collections.abc import Awaitable, Callable
 
@@ -14,7 +15,13 @@
     StoreError,
     StoreFailure,
 )
-from peridotbend.edge.published import Changes, Item, PublishedItems
+from peridotbend.edge.published import (
+    Changes,
+    FeedState,
+    Item,
+    Position,
+    PublishedItems,
+)
 
 # Maximum duration of a watch call. It bounds the time until a dead connection
 # is detected, well before a change has to be active.
@@ -33,7 +40,10 @@
 # this one.
 READER_JITTER_MS = 200
 
-FetchChanges = Callable[[str, str, int], Awaitable[Changes | None]]
+# Lines that one merge may log on outdated entries.
+MAX_OUTDATED_LINES = 20
+
+FetchChanges = Callable[[str, str, FeedState], Awaitable[Changes | None]]
 
 
 class ReaderRole:
@@ -67,6 +77,18 @@
             await anyio.sleep(self._rng.uniform(0, READER_JITTER_MS / 1_000))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreRules:
+    """What a feed does when the store was restored from an older copy."""
+
+    # Whether the values have versions that must never go back.
+    is_versioned: bool
+    # How long entries are withheld that their writer has replaced or removed.
+    withhold_ms: int
+    # Called before the first changes of an era are applied.
+    on_restored: Callable[[], None]
+
+
 class Feed:
     """The copy of one prefix, updated from the store and from peers."""
 
@@ -79,20 +101,26 @@
         log: EventLog,
         report_store_status: Callable[[], None],
         role: ReaderRole,
+        rules: RestoreRules,
     ):
         self.prefix = prefix
-        self.items = PublishedItems()
+        self.items = PublishedItems(rules.is_versioned)
         self._reader = reader
         self._apply = apply
         self._clock = clock
         self._log = log
         self._report_store_status = report_store_status
         self._role = role
+        self._rules = rules
+        # Since when entries of a restored store have been withheld.
+        self._withheld_since_ms: int | None = None
         # Whether the last call to the store succeeded.
         self.is_store_reachable = True
         self._must_list = True
-        # The last era of the store that is known.
-        self._era = 0
+        # Whether nothing was watched since the last listing.
+        self._is_listing_new = False
+        # Whether no peer has been asked for what the store may have forgotten.
+        self._must_ask = True
         # Set while a peer is ahead.
         self._is_behind = anyio.Event()
         # Since when a peer has been ahead of this process, and which one.
@@ -109,7 +137,8 @@
                 await anyio.sleep(backoff_ms / 1_000)
                 backoff_ms = min(2 * backoff_ms, MAX_BACKOFF_MS)
                 continue
-            backoff_ms = INITIAL_BACKOFF_MS
+            if not self._is_listing_new:
+                backoff_ms = INITIAL_BACKOFF_MS
             if outcome:
                 await anyio.sleep(BATCH_DELAY_MS / 1_000)
 
@@ -120,31 +149,92 @@
             error = result.err_value
             if error.failure is StoreFailure.COMPACTED:
                 self._must_list = True
-                return False
+                # A listing should have made the next watch possible; without a
+                # pause, the two would follow each other.
+                is_repeated, self._is_listing_new = self._is_listing_new, False
+                return None if is_repeated else False
+            self._note_store_status(False, error)
+            return None
+        changes = result.ok_value
+        era = self.items.position.era
+        if changes.position.era < era:
+            detail = f"an answer of era {changes.position.era}, after era {era}"
+            error = StoreError(StoreFailure.OUTDATED, detail)
             self._note_store_status(False, error)
             return None
         self._note_store_status(True)
-        self._note_era(result.ok_value)
+        if not changes.is_whole and changes.position.era > era:
+            # The revision that was watched is one of another history.
+            self._must_list = True
+            return False
         self._must_list = False
-        return self.merge(result.ok_value)
+        self._is_listing_new = changes.is_whole
+        return self.merge(changes)
+
+    def merge(self, changes: Changes, source: str = "store") -> bool:
+        """Merges changes; tells whether any of them was new.
 
-    def merge(self, changes: Changes) -> bool:
-        """Merges changes; tells whether any of them was new."""
-        for item, known in self.items.find_outdated(changes):
+        Args:
+            changes: from the store or from a peer.
+            source: the host of the peer.
+        """
+        known = self.items.position
+        is_restored = self.items.is_known and changes.position.era > known.era
+        if is_restored:
+            self._withheld_since_ms = None
+            self._log.emit(
+                Event.STORE_RESTORED,
+                prefix=self.prefix,
+                source=source,
+                era=changes.position.era,
+                revision=changes.position.revision,
+                known_era=known.era,
+                known_revision=known.revision,
+            )
+            self._rules.on_restored()
+        outcome = self.items.merge(changes)
+        for item, newer in outcome.outdated[:MAX_OUTDATED_LINES]:
             self._log.emit(
                 Event.ENTRY_OUTDATED,
                 entry=item.key,
-                revision=item.revision,
-                known_revision=known.revision,
+                source=source,
+                era=item.position.era,
+                revision=item.position.revision,
+                order=item.order,
+                known_era=newer.position.era,
+                known_revision=newer.position.revision,
+                known_order=newer.order,
+                is_removed=newer.value is None,
             )
-        changed = self.items.merge(changes)
-        if changed:
-            self._apply(changed)
-        return bool(changed)
-
-    def note_peer(self, host: str, revision: int) -> None:
-        """Records the revision up to which a peer knows the prefix."""
-        if revision <= self.items.revision:
+        if self.items.has_withheld and self._withheld_since_ms is None:
+            self._withheld_since_ms = self._clock.now_ms()
+        if outcome.changed:
+            self._apply(list(outcome.changed))
+        return bool(outcome.changed)
+
+    def release_withheld(self) -> None:
+        """Takes over what a restored store still offers after some time."""
+        if self._withheld_since_ms is None:
+            return
+        waited_ms = self._clock.now_ms() - self._withheld_since_ms
+        if waited_ms < self._rules.withhold_ms:
+            return
+        self._withheld_since_ms = None
+        released = self.items.release_withheld()
+        for item in released:
+            self._log.emit(
+                Event.ENTRY_RELEASED,
+                entry=item.key,
+                era=item.position.era,
+                revision=item.position.revision,
+                waited_ms=waited_ms,
+            )
+        if released:
+            self._apply(list(released))
+
+    def note_peer(self, host: str, state: FeedState) -> None:
+        """Records how far a peer knows the prefix."""
+        if not self._is_ahead(state):
             if host == self._peer_ahead:
                 self._behind_since_ms = None
             return
@@ -163,7 +253,7 @@
             return ""
         waited_ms = self._clock.now_ms() - since_ms
         # The own watch of a reader normally delivers the change as well.
-        has_watch = self.items.revision and self._role.is_reader
+        has_watch = self.items.is_known and self._role.is_reader
         if has_watch and waited_ms < CATCH_UP_DELAY_MS:
             return ""
         self._behind_since_ms = None
@@ -182,29 +272,56 @@
                     await anyio.sleep(CATCH_UP_INTERVAL_MS / 1_000)
 
     async def _fetch(self, host: str, fetch: FetchChanges) -> None:
-        changes = await fetch(host, self.prefix, self.items.revision)
+        # A new process also needs what peers keep of an earlier era, which is
+        # part of full copies only.
+        after = FeedState() if self._must_ask else self.items.state
+        changes = await fetch(host, self.prefix, after)
         if changes is not None:
-            self.merge(changes)
+            self._must_ask = False
+            changes = self._place(changes)
+            era = self.items.position.era
+            if changes.is_whole or changes.position.era == era:
+                self.merge(changes, host)
         elif not self._role.is_reader:
             # The relay is slow or gone; its next digest shows which.
             await self._read_once(wait_ms=0)
 
+    def _is_ahead(self, state: FeedState) -> bool:
+        """Tells whether a peer knows something that this instance does not."""
+        own = self.items.state
+        position = state.position
+        if not position.era:
+            # A version of the program that does not tell eras apart.
+            position = Position(own.position.era, position.revision)
+        if not position.revision:
+            return False
+        return (
+            self._must_ask
+            or position > own.position
+            or state.version > own.version
+        )
+
+    def _place(self, changes: Changes) -> Changes:
+        """Returns changes of a peer that does not know eras, in the own one."""
+        era = self.items.position.era
+        if changes.position.era or not era:
+            return changes
+        return Changes(
+            tuple(
+                dataclasses.replace(
+                    item, position=Position(era, item.position.revision)
+                )
+                for item in changes.items
+            ),
+            Position(era, changes.position.revision),
+            changes.is_whole,
+        )
+
     async def _read(self, wait_ms: int) -> "Result[Changes, StoreError]":
-        if self._must_list or not self.items.revision:
+        if self._must_list or not self.items.is_known:
             return await self._reader.list_items()
-        return await self._reader.watch(self.items.revision, wait_ms)
-
-    def _note_era(self, changes: Changes) -> None:
-        if changes.era > self._era and self.items.revision:
-            self._log.emit(
-                Event.STORE_RESTORED,
-                prefix=self.prefix,
-                era=changes.era,
-                revision=changes.revision,
-                known_era=self._era,
-                known_revision=self.items.revision,
-            )
-        self._era = max(self._era, changes.era)
+        revision = self.items.position.revision
+        return await self._reader.watch(revision, wait_ms)
 
     def _note_store_status(
         self, is_reachable: bool, error: StoreError | None = None
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -10,6 +10,7 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.allowances import AllowanceUse
 from peridotbend.edge.evidence import Suspicion
+from peridotbend.edge.published import FeedState
 from peridotbend.edge.ratelimits import NamedLimit
 
 # Digests are sent at least every 300 ms. A peer without a digest for this long
@@ -60,8 +61,8 @@
     host: str
     is_draining: bool
     known_hosts: tuple[str, ...]
-    # Revision up to which each prefix is known.
-    revisions: Mapping[str, int]
+    # How far each prefix is known.
+    feeds: Mapping[str, FeedState]
     # Requests in flight by target.
     in_flight: Mapping[str, int]
     # Use of the allowances by account.
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -150,6 +150,8 @@
     BUSY = "busy"
     # The history since the requested revision is no longer available.
     COMPACTED = "compacted"
+    # The answer is older than a restore of the store that is known.
+    OUTDATED = "outdated"
     BAD_ANSWER = "bad-answer"
 
 
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -25,6 +25,8 @@
     # Peer addresses of some instances, not all of which have to be running.
     seeds: tuple[Address, ...]
     store: Address
+    # Interval at which targets renew their entries in the store.
+    heartbeat_ms: int
     # Time between SIGTERM and SIGKILL by the platform.
     grace_ms: int
     # Limit on the extra sends of all instances within the window: a share of
--- a/src/peridotbend/edge/sharedstate.py
+++ b/src/peridotbend/edge/sharedstate.py
@@ -10,6 +10,7 @@
 from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import Digest, Scope
+from peridotbend.edge.published import FeedState
 from peridotbend.edge.ratelimits import RateLimits
 
 # Entries in one digest, so that it fits into one packet. The remaining ones
@@ -36,8 +37,8 @@
 class FeedStatus:
     """What this instance knows of the platform's store."""
 
-    # Revision up to which each prefix is known.
-    revisions: Mapping[str, int]
+    # How far each prefix is known.
+    states: Mapping[str, FeedState]
     # Whether this instance reads the store itself, and reaches it.
     reads_store: bool
 
@@ -226,7 +227,7 @@
             host=self._identity.host,
             is_draining=self._is_draining(),
             known_hosts=(),
-            revisions=feeds.revisions,
+            feeds=feeds.states,
             in_flight={},
             allowances={},
             zone=self._identity.zone,
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -64,6 +64,13 @@
             self._is_store_unreachable = False
             self._store_recovered_at_ms = self._clock.now_ms()
 
+    def note_store_restored(self) -> None:
+        """Records that the store came back from an older copy.
+
+        Entries that are missing in it are written again.
+        """
+        self._store_recovered_at_ms = self._clock.now_ms()
+
     def put(self, target: EdgeTarget) -> None:
         """Adds or updates a target."""
         self._targets[target.name] = target
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 import secrets
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -22,12 +23,12 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.config import EdgeConfig
 from peridotbend.edge.exchange import DigestExchange
-from peridotbend.edge.feeds import Feed, ReaderRole
+from peridotbend.edge.feeds import Feed, ReaderRole, RestoreRules
 from peridotbend.edge.fleetstatus import FleetStatus
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.parts import make_dependencies
 from peridotbend.edge.peers import PeerRegistry
-from peridotbend.edge.published import Item
+from peridotbend.edge.published import FeedState, Item, WriteOrder
 from peridotbend.edge.relay import Relay
 from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.sharedstate import (
@@ -36,7 +37,12 @@
     SharedState,
 )
 from peridotbend.platform import wire
-from peridotbend.platform.documents import decode_config, decode_target
+from peridotbend.platform.documents import (
+    decode_config,
+    decode_target,
+    read_config_order,
+    read_target_order,
+)
 from peridotbend.platform.ingress import EdgeApp, HealthApp
 from peridotbend.platform.runners import PlatformTargetClient
 from peridotbend.platform.store import StoreClient
@@ -48,6 +54,9 @@
 EXIT_MARGIN_MS = 500
 # Minimum time for sending completed answers, however little is left.
 MIN_STOP_TIMEOUT_MS = 100
+# The platform removes the entry of a target after three silent intervals. What
+# a restored store still lists after this time is kept up by a live target.
+WITHHOLD_HEARTBEATS = 4
 # Connecting to a live target takes milliseconds, even in another zone.
 CONNECT_TIMEOUT_S = 0.25
 # Applies until a configuration sets the limit.
@@ -108,10 +117,10 @@
             status,
             self._clock,
             log,
-            self._note_peer_revision,
+            self._note_peer_state,
         )
         self._gossip = Gossip(
-            settings.digests, self._exchange, self._apply_reader_role
+            settings.digests, self._exchange, self._update_feeds
         )
         self._dependencies.occupancy.on_change = self._gossip.note_change
         self._build_feeds()
@@ -131,7 +140,11 @@
             "started": True,
             "config": config.version if config else None,
             "revisions": {
-                prefix: feed.items.revision
+                prefix: feed.items.position.revision
+                for prefix, feed in self._feeds.items()
+            },
+            "eras": {
+                prefix: feed.items.position.era
                 for prefix, feed in self._feeds.items()
             },
             "targets": {
@@ -269,23 +282,44 @@
 
     def _build_feeds(self) -> None:
         self._store = StoreClient(self._settings.store, self._http_client)
-        appliers = {
-            wire.CONFIG_PREFIX: self._apply_config_items,
-            wire.TARGET_PREFIX: self._apply_target_items,
-        }
         self._feeds = {
-            prefix: Feed(
-                prefix,
-                self._store.make_prefix_reader(prefix),
-                apply,
-                self._clock,
-                self._log,
-                self._record_store_reachability,
-                self._reader_role,
-            )
-            for prefix, apply in appliers.items()
+            wire.CONFIG_PREFIX: self._make_feed(
+                wire.CONFIG_PREFIX,
+                read_config_order,
+                self._apply_config_items,
+                is_versioned=True,
+            ),
+            wire.TARGET_PREFIX: self._make_feed(
+                wire.TARGET_PREFIX,
+                read_target_order,
+                self._apply_target_items,
+                is_versioned=False,
+            ),
         }
 
+    def _make_feed(
+        self,
+        prefix: str,
+        read_order: Callable[[bytes], WriteOrder],
+        apply: Callable[[list[Item]], None],
+        is_versioned: bool,
+    ) -> Feed:
+        rules = RestoreRules(
+            is_versioned,
+            WITHHOLD_HEARTBEATS * self._settings.heartbeat_ms,
+            self._dependencies.targets.note_store_restored,
+        )
+        return Feed(
+            prefix,
+            self._store.make_prefix_reader(prefix, read_order),
+            apply,
+            self._clock,
+            self._log,
+            self._record_store_reachability,
+            self._reader_role,
+            rules,
+        )
+
     def _get_max_body_bytes(self) -> int:
         config = self._dependencies.holder.config
         return (
@@ -298,7 +332,7 @@
         An instance that has the configuration and the list of targets can give
         correct answers, even if the list is empty.
         """
-        has_feeds = all(feed.items.revision for feed in self._feeds.values())
+        has_feeds = all(feed.items.is_known for feed in self._feeds.values())
         has_config = self._dependencies.holder.config is not None
         return has_config and has_feeds and not self._drain_requested.is_set()
 
@@ -316,7 +350,7 @@
             if isinstance(decoded, Err):
                 self._log.emit(
                     Event.CONFIG_REFUSED,
-                    revision=item.revision,
+                    revision=item.position.revision,
                     problem=decoded.err_value,
                 )
                 continue
@@ -324,7 +358,7 @@
                 self._log.emit(
                     Event.CONFIG_ACCEPTED,
                     version=decoded.ok_value.version,
-                    revision=item.revision,
+                    revision=item.position.revision,
                 )
 
     def _apply_limits(self, config: EdgeConfig) -> None:
@@ -339,17 +373,17 @@
         for item in items:
             name = item.key.removeprefix(wire.TARGET_PREFIX)
             if item.value is None:
-                self._remove_target(name, item.revision)
+                self._remove_target(name, item.position.revision)
                 continue
             decoded = decode_target(name, item.value)
             if isinstance(decoded, Err):
                 self._log.emit(
                     Event.ENTRY_SKIPPED,
                     entry=item.key,
-                    revision=item.revision,
+                    revision=item.position.revision,
                     problem=decoded.err_value,
                 )
-                self._remove_target(name, item.revision)
+                self._remove_target(name, item.position.revision)
                 continue
             target = decoded.ok_value
             previous = self._dependencies.targets.find(name)
@@ -362,7 +396,7 @@
             event = Event.TARGET_LISTED
             if target.is_leaving:
                 event = Event.TARGET_LEAVING
-            self._log.emit(event, target=name, revision=item.revision)
+            self._log.emit(event, target=name, revision=item.position.revision)
         for service in {
             target.service for target in self._dependencies.targets
         }:
@@ -378,13 +412,13 @@
             self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
 
     def _find_feed_status(self) -> FeedStatus:
-        revisions = {
-            prefix: feed.items.revision for prefix, feed in self._feeds.items()
+        states = {
+            prefix: feed.items.state for prefix, feed in self._feeds.items()
         }
         reads_store = self._reader_role.is_reader and all(
             feed.is_store_reachable for feed in self._feeds.values()
         )
-        return FeedStatus(revisions, reads_store)
+        return FeedStatus(states, reads_store)
 
     def _is_store_reachable(self) -> bool:
         """Tells whether changes in the store arrive, directly or by a relay."""
@@ -392,12 +426,18 @@
             return True
         return all(feed.is_store_reachable for feed in self._feeds.values())
 
-    def _note_peer_revision(
-        self, host: str, prefix: str, revision: int
+    def _note_peer_state(
+        self, host: str, prefix: str, state: FeedState
     ) -> None:
         feed = self._feeds.get(prefix)
         if feed is not None:
-            feed.note_peer(host, revision)
+            feed.note_peer(host, state)
+
+    def _update_feeds(self) -> None:
+        """Applies what is due after an exchange of digests."""
+        self._apply_reader_role()
+        for feed in self._feeds.values():
+            feed.release_withheld()
 
     def _apply_reader_role(self) -> None:
         """Reads the store, or stops it, as the relays are heard of."""
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -12,6 +12,7 @@
     RouteKind,
     WeightedService,
 )
+from peridotbend.edge.published import WriteOrder
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.platform.fields import (
     BadFieldError,
@@ -28,6 +29,8 @@
 # Earliest valid start time of a target, as Unix time in ms (2001). A smaller
 # number is not in milliseconds.
 MIN_START_MS = 1_000_000_000_000
+# Largest number that peers exchange.
+MAX_ORDER = 2**63 - 1
 
 
 def decode_config(body: bytes) -> Result[EdgeConfig, str]:
@@ -46,6 +49,28 @@
         return Err(str(error))
 
 
+def read_config_order(body: bytes) -> WriteOrder:
+    """Returns the version of a configuration."""
+    return _read_order(body, "version"), 0
+
+
+def read_target_order(body: bytes) -> WriteOrder:
+    """Returns start and sequence of the entry of a target.
+
+    A restart begins the sequence anew.
+    """
+    return _read_order(body, "born"), _read_order(body, "sequence")
+
+
+def _read_order(body: bytes, name: str) -> int:
+    """Returns a number of a document, 0 if it has none."""
+    try:
+        number = Fields(json.loads(body)).get_int(name, 0)
+    except (ValueError, RecursionError, BadFieldError):
+        return 0
+    return number if number <= MAX_ORDER else 0
+
+
 def _read_config(fields: Fields) -> EdgeConfig:
     return EdgeConfig(
         version=fields.get_int("version"),
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -51,6 +51,7 @@
             for index, seed in enumerate(fields.get_list("seeds", read_str))
         ),
         store=fields.get_mapping("platform").get_address("address"),
+        heartbeat_ms=fields.get_int("heartbeat_ms", 2_000, minimum=1),
         grace_ms=round(bounds.get_number("grace_s", 8.0) * 1_000),
         resend_share=bounds.get_number("retry_budget_ratio", 0.1),
         resend_slack=bounds.get_number("retry_slack", 8.0),
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import urllib.parse
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -15,7 +16,7 @@
 from peridotbend.domain.streams import find_header
 from peridotbend.domain.text import Target
 from peridotbend.edge.ports import StoreError, StoreFailure
-from peridotbend.edge.published import Changes, Item
+from peridotbend.edge.published import Changes, Item, Position, WriteOrder
 from peridotbend.edge.settings import Address
 from peridotbend.platform import wire
 
@@ -27,6 +28,8 @@
 # A page contains about 1 MB of values, and base64 adds a third.
 MAX_ANSWER_BYTES = 4 * 1_048_576
 MAX_PAGES = 10_000
+# Fits into the 64 bits that peers exchange.
+MAX_ERA_DIGITS = 18
 _BUSY_STATUSES = frozenset((429, 503))
 
 
@@ -35,6 +38,8 @@
     """A successful answer of the store."""
 
     body: dict[str, Any]
+    # How many times the store was restored from an older copy; 0 if it does not
+    # say so.
     era: int
 
 
@@ -54,9 +59,16 @@
         host, port = address
         self._target = Target("store", "store", "", host, port)
 
-    def make_prefix_reader(self, prefix: str) -> "PrefixReader":
-        """Returns a reader for the keys below a prefix."""
-        return PrefixReader(self, prefix)
+    def make_prefix_reader(
+        self, prefix: str, read_order: Callable[[bytes], WriteOrder]
+    ) -> "PrefixReader":
+        """Returns a reader for the keys below a prefix.
+
+        Args:
+            prefix: of the keys.
+            read_order: returns what the writer of a value counts itself.
+        """
+        return PrefixReader(self, prefix, read_order)
 
     async def get(
         self, call: str, query: dict[str, str], timeout_s: float
@@ -86,16 +98,26 @@
         except TimeoutError:
             return _make_unreachable_error(f"no answer in {timeout_s} s")
         decoded = _decode_answer(answer.head.status, bytes(body))
+        if isinstance(decoded, Err):
+            return decoded
         era = _parse_era(answer.head)
-        return decoded.map(lambda body: StoreAnswer(body, era))
+        if era is None:
+            return _make_bad_answer_error("the era is not a number")
+        return Ok(StoreAnswer(decoded.ok_value, era))
 
 
 class PrefixReader:
     """Reads the keys below one prefix."""
 
-    def __init__(self, client: StoreClient, prefix: str):
+    def __init__(
+        self,
+        client: StoreClient,
+        prefix: str,
+        read_order: Callable[[bytes], WriteOrder],
+    ):
         self._client = client
         self._prefix = prefix
+        self._read_order = read_order
 
     async def list_items(self) -> Result[Changes, StoreError]:
         """Returns all items.
@@ -104,7 +126,7 @@
         page, so the first watch returns all changes since then again.
         """
         items: list[Item] = []
-        revision = None
+        position = None
         after = ""
         for _ in range(MAX_PAGES):
             query = {"path_prefix": self._prefix}
@@ -115,16 +137,19 @@
             )
             if isinstance(result, Err):
                 return result
-            page = result.ok_value.body
-            decoded = _decode_page(page, "items")
+            page = result.ok_value
+            decoded = self._decode_page(page, "items")
             if isinstance(decoded, Err):
                 return decoded
-            page_items, page_revision = decoded.ok_value
+            page_items, page_position = decoded.ok_value
             items.extend(page_items)
-            revision = page_revision if revision is None else revision
-            if not page.get("has_more") or not page_items:
-                era = result.ok_value.era
-                return Ok(Changes(tuple(items), revision, True, era))
+            position = page_position if position is None else position
+            if page_position.era != position.era:
+                return _make_bad_answer_error(
+                    "the store was restored between two pages of a listing"
+                )
+            if not page.body.get("has_more") or not page_items:
+                return Ok(Changes(tuple(items), position, is_whole=True))
             after = page_items[-1].key
         return _make_bad_answer_error("the listing has too many pages")
 
@@ -141,15 +166,45 @@
         result = await self._client.get(wire.WATCH_CALL, query, timeout_s)
         if isinstance(result, Err):
             return result
-        answer = result.ok_value
-        return _decode_page(answer.body, "events").map(
-            lambda page: Changes(tuple(page[0]), page[1], False, answer.era)
-        )
+        decoded = self._decode_page(result.ok_value, "events")
+        return decoded.map(lambda page: Changes(tuple(page[0]), page[1], False))
+
+    def _decode_page(
+        self, answer: StoreAnswer, name: str
+    ) -> Result[tuple[list[Item], Position], StoreError]:
+        """Returns the items of a page and the position of the store."""
+        entries = answer.body.get(name)
+        revision = answer.body.get("store_revision")
+        if not isinstance(entries, list) or not isinstance(revision, int):
+            return _make_bad_answer_error(
+                f"{name} or store_revision is missing or invalid"
+            )
+        try:
+            items = [self._decode_item(entry, answer.era) for entry in entries]
+        except (KeyError, TypeError, binascii.Error) as error:
+            return _make_bad_answer_error(
+                f"invalid entry: {type(error).__name__} {error}"
+            )
+        return Ok((items, Position(answer.era, revision)))
 
+    def _decode_item(self, entry: dict[str, Any], era: int) -> Item:
+        key, revision = entry["key"], entry["revision"]
+        if not isinstance(key, str) or not isinstance(revision, int):
+            raise TypeError("key or revision has the wrong type")
+        position = Position(era, revision)
+        if entry.get("deleted"):
+            return Item(key, position, None)
+        value = base64.b64decode(entry["value"], validate=True)
+        return Item(key, position, value, self._read_order(value))
 
-def _parse_era(head: AnswerHead) -> int:
-    text = find_header(head, wire.STORE_ERA)
-    return int(text) if text.isascii() and text.isdigit() else 0
+
+def _parse_era(head: AnswerHead) -> int | None:
+    """Returns the era of an answer, 0 if it names none; None if invalid."""
+    text = find_header(head, wire.STORE_ERA).strip()
+    if not text:
+        return 0
+    is_number = text.isascii() and text.isdigit()
+    return int(text) if is_number and len(text) <= MAX_ERA_DIGITS else None
 
 
 def _decode_answer(
@@ -170,33 +225,6 @@
     return Ok(decoded)
 
 
-def _decode_page(
-    page: dict[str, Any], name: str
-) -> Result[tuple[list[Item], int], StoreError]:
-    """Returns the items of a page and the revision of the store."""
-    entries = page.get(name)
-    revision = page.get("store_revision")
-    if not isinstance(entries, list) or not isinstance(revision, int):
-        return _make_bad_answer_error(
-            f"{name} or store_revision is missing or invalid"
-        )
-    try:
-        return Ok(([_decode_item(entry) for entry in entries], revision))
-    except (KeyError, TypeError, binascii.Error) as error:
-        return _make_bad_answer_error(
-            f"invalid entry: {type(error).__name__} {error}"
-        )
-
-
-def _decode_item(entry: dict[str, Any]) -> Item:
-    key, revision = entry["key"], entry["revision"]
-    if not isinstance(key, str) or not isinstance(revision, int):
-        raise TypeError("key or revision has the wrong type")
-    if entry.get("deleted"):
-        return Item(key, revision, None)
-    return Item(key, revision, base64.b64decode(entry["value"], validate=True))
-
-
 def _make_unreachable_error(detail: str) -> Err[StoreError]:
     return Err(StoreError(StoreFailure.UNREACHABLE, detail))
 
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -166,6 +166,7 @@
     digests=_UNUSED_ADDRESS,
     seeds=(),
     store=_UNUSED_ADDRESS,
+    heartbeat_ms=1_200,
     grace_ms=8_000,
     resend_share=0.2,
     resend_slack=56.0,
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -85,6 +85,7 @@
     digests=("127.0.0.1", 7_600),
     seeds=(),
     store=("127.0.0.1", 8_225),
+    heartbeat_ms=1_200,
     grace_ms=8_000,
     resend_share=0.2,
     resend_slack=56.0,
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -16,6 +16,7 @@
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PeerRegistry
+from peridotbend.edge.published import FeedState, Position
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.sharedstate import (
@@ -73,7 +74,7 @@
             self.status,
             clock,
             RecordingLog(),
-            self._note_revision,
+            self._note_state,
         )
         self._next_ms = clock.now_ms() + rng.randrange(300)
 
@@ -92,10 +93,11 @@
 
     def _find_feed_status(self) -> FeedStatus:
         reads_store = self.is_reader and self.can_reach_store
-        return FeedStatus({PREFIX: self.revision}, reads_store)
+        state = FeedState(Position(1, self.revision))
+        return FeedStatus({PREFIX: state}, reads_store)
 
-    def _note_revision(self, host: str, prefix: str, revision: int) -> None:
-        self.revision = max(self.revision, revision)
+    def _note_state(self, host: str, prefix: str, state: FeedState) -> None:
+        self.revision = max(self.revision, state.position.revision)
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -14,7 +14,9 @@
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.ports import CallError, CallFailure
 from peridotbend.edge.ports import Rejection, Reply, StoreFailure, TargetSend
+from peridotbend.edge.published import Position
 from peridotbend.platform import wire
+from peridotbend.platform.documents import read_target_order
 from peridotbend.platform.runners import PlatformTargetClient
 from peridotbend.platform.store import StoreClient
 from tests.edgefakes import CALL, TARGET
@@ -86,7 +88,9 @@
 
         async def check(store: StoreClient) -> None:
             changes = (
-                await store.make_prefix_reader("servers/").list_items()
+                await store.make_prefix_reader(
+                    "servers/", read_target_order
+                ).list_items()
             ).unwrap()
             assert [item.key for item in changes.items] == [
                 "servers/a",
@@ -94,7 +98,7 @@
             ]
             # The pages are not a snapshot. The lowest revision is used, so that
             # changes made between them are watched again.
-            assert changes.revision == 8
+            assert changes.position == Position(0, 8)
             assert changes.is_whole
 
         self._run_store_check(answer, check)
@@ -122,7 +126,7 @@
             await stream.send(answers.pop(0))
 
         async def check(store: StoreClient) -> None:
-            reader = store.make_prefix_reader("servers/")
+            reader = store.make_prefix_reader("servers/", read_target_order)
             changes = (await reader.watch(3, 1_000)).unwrap()
             assert changes.items[0].value is None
             for failure in (
@@ -135,6 +139,63 @@
 
         self._run_store_check(answer, check)
 
+    def test_era_of_an_answer_is_read(self) -> None:
+        """Guards against a restore of the store that nobody notices."""
+        entry = {"born": 1_700_000_000_000, "sequence": 32}
+        page = {
+            "items": [
+                {
+                    "key": "servers/a",
+                    "value": base64.b64encode(encode_document(entry)).decode(),
+                    "revision": 5,
+                }
+            ],
+            "has_more": False,
+            "store_revision": 9,
+        }
+        body = encode_document(page)
+        eras = ["Store-Era: 3", "store-era: 4", "X: 1", "Store-Era: new"]
+        answers = [_make_answer("200 OK", body, era) for era in eras]
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            await stream.send(answers.pop(0))
+
+        async def check(store: StoreClient) -> None:
+            reader = store.make_prefix_reader("servers/", read_target_order)
+            for era in (3, 4, 0):
+                changes = (await reader.list_items()).unwrap()
+                assert changes.position == Position(era, 9)
+                assert changes.items[0].position == Position(era, 5)
+                assert changes.items[0].order == (1_700_000_000_000, 32)
+            error = (await reader.list_items()).unwrap_err()
+            assert error.failure is StoreFailure.BAD_ANSWER
+
+        self._run_store_check(answer, check)
+
+    def test_pages_of_two_eras_are_no_listing(self) -> None:
+        """Guards against a listing that mixes two histories."""
+        item = {
+            "key": "servers/a",
+            "value": base64.b64encode(b"{}").decode(),
+            "revision": 5,
+        }
+        page = {"items": [item], "has_more": True, "store_revision": 9}
+        body = encode_document(page)
+        answers = [
+            _make_answer("200 OK", body, f"Store-Era: {era}") for era in (3, 4)
+        ]
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            await stream.send(answers.pop(0))
+
+        async def check(store: StoreClient) -> None:
+            reader = store.make_prefix_reader("servers/", read_target_order)
+            error = (await reader.list_items()).unwrap_err()
+            assert error.failure is StoreFailure.BAD_ANSWER
+            assert "restored" in error.detail
+
+        self._run_store_check(answer, check)
+
     def test_lost_answer_ends_at_the_timeout(self) -> None:
         """Guards against a call that waits forever for a lost answer."""
 
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -26,7 +26,12 @@
     Suspicion,
 )
 from peridotbend.edge.exchange import MAX_MEMBERS
-from peridotbend.edge.feeds import CATCH_UP_DELAY_MS, Feed, ReaderRole
+from peridotbend.edge.feeds import (
+    CATCH_UP_DELAY_MS,
+    Feed,
+    ReaderRole,
+    RestoreRules,
+)
 from peridotbend.edge.peers import (
     PEER_EXPIRY_MS,
     PEER_TIMEOUT_MS,
@@ -36,11 +41,18 @@
     Scope,
 )
 from peridotbend.edge.ports import StoreError, StoreFailure
-from peridotbend.edge.published import Changes, Item, PublishedItems
+from peridotbend.edge.published import (
+    Changes,
+    FeedState,
+    Item,
+    Position,
+    PublishedItems,
+)
 from peridotbend.edge.ratelimits import MAX_DIGEST_LIMITS, NamedLimit
 from peridotbend.edge.sharedstate import MAX_ACCOUNTS, MAX_COUNTS
 from tests.edgefakes import CONFIG, RecordingLog
 
+RESTORE_RULES = RestoreRules(True, 4_800, lambda: None)
 DIGEST = Digest(
     name="edge-2",
     incarnation=2**63 + 1,
@@ -48,7 +60,7 @@
     host="10.0.0.2",
     is_draining=False,
     known_hosts=("10.0.0.3",),
-    revisions={"op/": 12},
+    feeds={"op/": FeedState(Position(3, 12), 7)},
     in_flight={"i-1": 4},
     allowances={"acme": AllowanceUse(10.5, -3.0)},
     crashes=(
@@ -65,7 +77,7 @@
 def _make_changes(
     revision: int, *items: Item, is_whole: bool = False
 ) -> Changes:
-    return Changes(items, revision, is_whole)
+    return Changes(items, Position(1, revision), is_whole)
 
 
 class DigestTest(unittest.TestCase):
@@ -83,7 +95,7 @@
         assert len(data) <= MAX_DATAGRAM_BYTES
         decoded = decode_digest(data)
         assert decoded is not None
-        assert decoded.revisions == DIGEST.revisions
+        assert decoded.feeds == DIGEST.feeds
 
     def test_digests_of_relays_survive_the_wire(self) -> None:
         """Guards against fields of sums that are not encoded or decoded."""
@@ -238,12 +250,14 @@
     def test_older_changes_do_not_win(self) -> None:
         """Guards against a stale copy that restores an old value."""
         items = PublishedItems()
-        items.merge(_make_changes(5, Item("a", 5, b"new"), is_whole=True))
-        assert not items.merge(_make_changes(4, Item("a", 4, b"old")))
-        items.merge(_make_changes(6, Item("a", 6, None)))
-        assert not items.merge(_make_changes(5, Item("a", 5, b"new")))
+        new = Item("a", Position(1, 5), b"new")
+        old = Item("a", Position(1, 4), b"old")
+        items.merge(_make_changes(5, new, is_whole=True))
+        assert not items.merge(_make_changes(4, old)).changed
+        items.merge(_make_changes(6, Item("a", Position(1, 6), None)))
+        assert not items.merge(_make_changes(5, new)).changed
         assert len(items) == 0
-        assert items.revision == 6
+        assert items.position == Position(1, 6)
 
     def test_whole_copy_removes_what_it_lacks(self) -> None:
         """Guards against keeping removed targets after a compaction.
@@ -251,24 +265,42 @@
         Items written after the copy was made are kept.
         """
         items = PublishedItems()
-        items.merge(_make_changes(5, Item("a", 3, b"x"), Item("b", 9, b"y")))
-        changed = items.merge(_make_changes(6, is_whole=True))
+        items.merge(
+            _make_changes(
+                5,
+                Item("a", Position(1, 3), b"x"),
+                Item("b", Position(1, 9), b"y"),
+            )
+        )
+        changed = items.merge(_make_changes(6, is_whole=True)).changed
         assert [(item.key, item.value) for item in changed] == [("a", None)]
         assert [item.key for item in items.list_items()] == ["b"]
 
     def test_peer_gets_what_it_lacks(self) -> None:
         """Guards against removals that do not reach a peer."""
         items = PublishedItems()
-        items.merge(_make_changes(2, Item("a", 1, b"x"), Item("b", 2, b"y")))
-        items.merge(_make_changes(4, Item("a", 4, None)))
+        items.merge(
+            _make_changes(
+                2,
+                Item("a", Position(1, 1), b"x"),
+                Item("b", Position(1, 2), b"y"),
+            )
+        )
+        items.merge(_make_changes(4, Item("a", Position(1, 4), None)))
         peer = PublishedItems()
-        peer.merge(_make_changes(2, Item("a", 1, b"x"), Item("b", 2, b"y")))
-        peer.merge(items.list_changes(peer.revision))
+        peer.merge(
+            _make_changes(
+                2,
+                Item("a", Position(1, 1), b"x"),
+                Item("b", Position(1, 2), b"y"),
+            )
+        )
+        peer.merge(items.list_changes(peer.state))
         assert [item.key for item in peer.list_items()] == ["b"]
         new_peer = PublishedItems()
-        new_peer.merge(items.list_changes(0))
+        new_peer.merge(items.list_changes(FeedState()))
         assert [item.key for item in new_peer.list_items()] == ["b"]
-        assert new_peer.revision == 4
+        assert new_peer.position == Position(1, 4)
 
 
 class ConfigHolderTest(unittest.TestCase):
@@ -324,15 +356,24 @@
             RecordingLog(),
             lambda: reachable_states.append(feed.is_store_reachable),
             ReaderRole(random.Random(1)),
+            RESTORE_RULES,
         )
         return feed, reader, reachable_states, clock
 
     def test_lost_history_is_followed_by_a_list(self) -> None:
         """Guards against changes missed when the store compacts its history."""
         feed, reader, _, _ = self._make_feed(
-            Ok(_make_changes(3, Item("op/a", 3, b"x"), is_whole=True)),
+            Ok(
+                _make_changes(
+                    3, Item("op/a", Position(1, 3), b"x"), is_whole=True
+                )
+            ),
             Err(StoreError(StoreFailure.COMPACTED)),
-            Ok(_make_changes(9, Item("op/b", 8, b"y"), is_whole=True)),
+            Ok(
+                _make_changes(
+                    9, Item("op/b", Position(1, 8), b"y"), is_whole=True
+                )
+            ),
         )
 
         async def run() -> None:
@@ -360,22 +401,35 @@
 
     def test_peer_is_asked_only_when_the_own_watch_lags(self) -> None:
         """Guards against a call to a peer for each change."""
+
+        async def fetch(host: str, prefix: str, after: FeedState) -> Changes:
+            return _make_changes(3)
+
         feed, _, _, clock = self._make_feed()
-        feed.merge(_make_changes(3, Item("op/a", 3, b"x"), is_whole=True))
-        feed.note_peer("10.0.0.2", 4)
+        item = Item("op/a", Position(1, 3), b"x")
+        feed.merge(_make_changes(3, item, is_whole=True))
+
+        async def ask_at_the_start() -> None:
+            feed.note_peer("10.0.0.2", FeedState(Position(1, 3)))
+            clock.advance(CATCH_UP_DELAY_MS)
+            with anyio.move_on_after(0.1):
+                await feed.catch_up(fetch)
+
+        anyio.run(ask_at_the_start)
+        feed.note_peer("10.0.0.2", FeedState(Position(1, 4)))
         assert not feed.take_peer_ahead()
         clock.advance(CATCH_UP_DELAY_MS)
         assert feed.take_peer_ahead() == "10.0.0.2"
-        feed.note_peer("10.0.0.2", 5)
-        feed.merge(_make_changes(5, Item("op/a", 5, b"y")))
-        feed.note_peer("10.0.0.2", 5)
+        feed.note_peer("10.0.0.2", FeedState(Position(1, 5)))
+        feed.merge(_make_changes(5, Item("op/a", Position(1, 5), b"y")))
+        feed.note_peer("10.0.0.2", FeedState(Position(1, 5)))
         clock.advance(CATCH_UP_DELAY_MS)
         assert not feed.take_peer_ahead()
 
     def test_feed_without_data_asks_a_peer_at_once(self) -> None:
         """Guards against a slow start while the store is unreachable."""
         feed, _, _, _ = self._make_feed()
-        feed.note_peer("10.0.0.2", 4)
+        feed.note_peer("10.0.0.2", FeedState(Position(1, 4)))
         assert feed.take_peer_ahead() == "10.0.0.2"
 
 
--- a/tests/test_edge_shares.py
+++ b/tests/test_edge_shares.py
@@ -52,7 +52,7 @@
             host=host,
             is_draining=False,
             known_hosts=tuple(self.peer_registry.list_live_hosts()),
-            revisions={},
+            feeds={},
             in_flight={},
             allowances=self.allowances.list_uses(),
             crashes=self.crashes.list_for_digest(),
