Read the instance list again after an outage of the platform

Targets that leave were not marked meanwhile. The text was safe: its versions never go back, and a new process asks its peers first.

Change: an instance that finds the platform unreachable asks for the whole list next. The stand-in of the platform answers as soon as the revision differs from the known one, also with a lower one; readers that did not see the outage get the list in this way.

test_list_of_a_restored_platform_is_read and test_reader_that_is_ahead_of_the_list_gets_it failed before.

--- a/src/peridotbend/adapters/textsync.py
+++ b/src/peridotbend/adapters/textsync.py
@@ -237,6 +237,9 @@
             return
         self._is_reachable = is_reachable
         if isinstance(read, Err):
+            # The platform may come back from an older copy, with revisions
+            # that are lower than the known one.
+            self._revision = 0
             self._log.emit(
                 Event.PLATFORM_UNREACHABLE, detail=read.err_value.detail
             )
--- a/src/peridotbend_emulator/platform.py
+++ b/src/peridotbend_emulator/platform.py
@@ -83,7 +83,7 @@
         while True:
             self._check_available()
             visible = self._state.get_visible_list()
-            if visible.revision > after:
+            if visible.revision != after:
                 instances = list(visible.instances.values())
                 answer = {"revision": visible.revision, "instances": instances}
                 await call.reply_json(200, answer)
--- a/tests/peernodes.py
+++ b/tests/peernodes.py
@@ -106,8 +106,9 @@
             return Err(PlatformError("down"))
         if after_revision == 0:
             return Ok((1, self.instances))
-        await anyio.sleep(wait_ms / 1_000)
-        return Ok(None)
+        with anyio.move_on_after(wait_ms / 1_000):
+            await self._changed.wait()
+        return Err(PlatformError("down")) if self.down else Ok(None)
 
 
 class FakeHandler:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -367,6 +367,13 @@
         clock.advance(1)
         assert state.get_visible_list().revision == 1
 
+    def test_reader_that_is_ahead_of_the_list_gets_it(self) -> None:
+        """Guards against readers that keep the list of before a restore."""
+        platform = self.start("platform")
+        call(platform, "PUT", "/control/instances", {"instances": []})
+        seen = get_json(platform, "/v1/instances?after=9")
+        assert seen == {"revision": 1, "instances": []}
+
     def test_instance_is_marked_as_leaving(self) -> None:
         """Guards against a state change that loses the other fields."""
         platform = self.start("platform")
--- a/tests/test_textsync.py
+++ b/tests/test_textsync.py
@@ -144,6 +144,22 @@
         assert node.log.count(Event.PLATFORM_UNREACHABLE) == 1
         assert node.log.count(Event.PLATFORM_REACHED) == 1
 
+    async def test_list_of_a_restored_platform_is_read(self) -> None:
+        """Guards against an outdated list after the platform lost revisions.
+
+        Its list has the revision that the node knows already.
+        """
+        (node,) = await self.start(1)
+        node.platform.instances += (make_entry_info("e8", 8),)
+        async with run_nodes(node):
+            await wait_until(lambda: node.roster.find_peer("e8") is not None)
+            node.platform.down = True
+            node.platform.publish(make_config(2).source)
+            await wait_until(lambda: not node.sync.is_platform_reachable())
+            node.platform.instances += (make_entry_info("e9", 9),)
+            node.platform.down = False
+            await wait_until(lambda: node.roster.find_peer("e9") is not None)
+
     async def test_refused_text_leaves_the_old_one(self) -> None:
         """Guards against applying a bad text or refusing it again and again."""
         (node,) = await self.start(1)
