Test restores of the store in groups with relays

The virtual fleet of test_edge_groups now runs real feeds: readers read a store with eras, members fetch what digests name. Four tests: a change after a restore reaches all groups, a zone that missed the restore follows, a version that one zone alone knows is passed on, processes that start afterwards ask the others.

What to ask a peer for, and merging its answer, are methods of the feed without input and output for this; no change of behaviour.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -271,17 +271,26 @@
                 else:
                     await anyio.sleep(CATCH_UP_INTERVAL_MS / 1_000)
 
+    def find_fetch_state(self) -> FeedState:
+        """Returns the state after which a peer is asked for changes.
+
+        A new process also needs what peers keep of an earlier era, which is
+        part of full copies only.
+        """
+        return FeedState() if self._must_ask else self.items.state
+
+    def merge_fetched(self, host: str, changes: Changes) -> None:
+        """Merges what a peer has answered."""
+        self._must_ask = False
+        changes = self._place(changes)
+        era = self.items.position.era
+        if changes.is_whole or changes.position.era == era:
+            self.merge(changes, host)
+
     async def _fetch(self, host: str, fetch: FetchChanges) -> None:
-        # A new process also needs what peers keep of an earlier era, which is
-        # part of full copies only.
-        after = FeedState() if self._must_ask else self.items.state
-        changes = await fetch(host, self.prefix, after)
+        changes = await fetch(host, self.prefix, self.find_fetch_state())
         if changes is not None:
-            self._must_ask = False
-            changes = self._place(changes)
-            era = self.items.position.era
-            if changes.is_whole or changes.position.era == era:
-                self.merge(changes, host)
+            self.merge_fetched(host, changes)
         elif not self._role.is_reader:
             # The relay is slow or gone; its next digest shows which.
             await self._read_once(wait_ms=0)
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -3,6 +3,8 @@
 import dataclasses
 import random
 
+from result import Result
+
 from peridotbend.adapters.digests import (
     decode_digest,
     encode_digest,
@@ -12,11 +14,13 @@
 from peridotbend.edge.allowances import Allowances
 from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.exchange import DigestExchange
+from peridotbend.edge.feeds import Feed, ReaderRole, RestoreRules
 from peridotbend.edge.fleetstatus import FleetStatus
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PeerRegistry
-from peridotbend.edge.published import FeedState, Position
+from peridotbend.edge.ports import StoreError
+from peridotbend.edge.published import Changes, FeedState, Item, Position
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.sharedstate import (
@@ -27,7 +31,49 @@
 from tests.edgefakes import SETTINGS, RecordingLog
 
 STEP_MS = 50
-PREFIX = "servers/"
+PREFIX = "op/"
+WITHHOLD_MS = 4_800
+
+
+class UnusedReader:
+    """Stands for the store, which the fleet reads for its instances."""
+
+    async def list_items(self) -> Result[Changes, StoreError]:
+        """Is not called."""
+        raise NotImplementedError
+
+    async def watch(
+        self, after: int, wait_ms: int
+    ) -> Result[Changes, StoreError]:
+        """Is not called."""
+        raise NotImplementedError
+
+
+class SingleKeyStore:
+    """A store with one key, whose value has a version."""
+
+    def __init__(self) -> None:
+        self.era = 1
+        self.revision = 1
+        self.version = 1
+
+    def write(self, version: int) -> None:
+        """Writes a version."""
+        self.revision += 1
+        self.version = version
+
+    def restore(self, revision: int, version: int) -> None:
+        """Goes back to an older copy."""
+        self.era += 1
+        self.revision = revision
+        self.version = version
+
+    def read(self) -> Changes:
+        """Returns a full copy."""
+        position = Position(self.era, self.revision)
+        value = str(self.version).encode()
+        item = Item(PREFIX + "key", position, value, (self.version, 0))
+        return Changes((item,), position, is_whole=True)
 
 
 class GroupInstance:
@@ -44,7 +90,17 @@
         self.host = host
         self.zone = zone
         self.clock = clock
-        self.revision = 0
+        self.role = ReaderRole(rng)
+        self.feed = Feed(
+            PREFIX,
+            UnusedReader(),
+            lambda items: None,
+            clock,
+            RecordingLog(),
+            lambda: None,
+            self.role,
+            RestoreRules(True, WITHHOLD_MS, lambda: None),
+        )
         self.can_reach_store = True
         self.is_draining = False
         self.peers = PeerRegistry(host, clock, RecordingLog(), rng)
@@ -78,6 +134,16 @@
         )
         self._next_ms = clock.now_ms() + rng.randrange(300)
 
+    @property
+    def revision(self) -> int:
+        """The revision up to which the instance knows the store."""
+        return self.feed.items.position.revision
+
+    @property
+    def version(self) -> int:
+        """The highest version that the instance knows."""
+        return self.feed.items.state.version
+
     @property
     def is_reader(self) -> bool:
         """Whether the instance reads the store."""
@@ -93,11 +159,10 @@
 
     def _find_feed_status(self) -> FeedStatus:
         reads_store = self.is_reader and self.can_reach_store
-        state = FeedState(Position(1, self.revision))
-        return FeedStatus({PREFIX: state}, reads_store)
+        return FeedStatus({PREFIX: self.feed.items.state}, reads_store)
 
     def _note_state(self, host: str, prefix: str, state: FeedState) -> None:
-        self.revision = max(self.revision, state.position.revision)
+        self.feed.note_peer(host, state)
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,7 +186,7 @@
         self.side_by_zone: dict[str, int] = {}
         # Hosts that reach nobody.
         self.cut_hosts: set[str] = set()
-        self.store_revision = 1
+        self.store = SingleKeyStore()
         self.loss = 0.0
         hosts = [
             (f"10.{zone + 1}.0.{number + 1}", f"zone-{zone}")
@@ -149,11 +214,29 @@
         """Lets all instances that are due exchange their digests."""
         self.clock.advance(STEP_MS)
         for instance in list(self.instances.values()):
+            instance.role.assign(instance.is_reader)
             if instance.is_reader and instance.can_reach_store:
-                instance.revision = self.store_revision
+                instance.feed.merge(self.store.read())
+            self._fetch(instance)
             if instance.is_due():
                 self._send_all(instance)
 
+    def _fetch(self, instance: GroupInstance) -> None:
+        """Fetches changes from a peer, if one is ahead."""
+        host = instance.feed.take_peer_ahead()
+        peer = self.instances.get(host)
+        if peer is None or not self._are_linked(instance, peer):
+            return
+        after = instance.feed.find_fetch_state()
+        changes = peer.feed.items.list_changes(after)
+        instance.feed.merge_fetched(host, changes)
+
+    def _are_linked(self, first: GroupInstance, second: GroupInstance) -> bool:
+        if self.cut_hosts & {first.host, second.host}:
+            return False
+        sides = self.side_by_zone
+        return sides.get(first.zone, 0) == sides.get(second.zone, 0)
+
     def reset_traffic(self) -> None:
         """Starts to count bytes from zero."""
         for host in self.traffic:
@@ -175,10 +258,7 @@
         receiver = self.instances.get(host)
         if receiver is None or self.rng.random() < self.loss:
             return
-        if self.cut_hosts & {sender.host, host}:
-            return
-        sides = self.side_by_zone
-        if sides.get(sender.zone, 0) != sides.get(receiver.zone, 0):
+        if not self._are_linked(sender, receiver):
             return
         digest = decode_digest(data)
         assert digest is not None
--- a/tests/test_edge_groups.py
+++ b/tests/test_edge_groups.py
@@ -193,7 +193,7 @@
         fleet = _start_fleet()
         for reader in self._list_readers(fleet):
             reader.can_reach_store = False
-        fleet.store_revision = 7
+        fleet.store.revision = 7
         fleet.run(3_000)
         assert {i.revision for i in fleet.instances.values()} == {7}
 
@@ -202,11 +202,92 @@
         fleet = _start_fleet()
         for reader in self._list_readers(fleet):
             del fleet.instances[reader.host]
-        fleet.store_revision = 7
+        fleet.store.revision = 7
         fleet.run(3_000)
         assert {i.revision for i in fleet.instances.values()} == {7}
 
 
+class GroupRestoreTest(unittest.TestCase):
+    """Groups whose store is restored from an older copy."""
+
+    def _start_with_version(self, version: int) -> GroupFleet:
+        fleet = _start_fleet()
+        fleet.store.write(version)
+        fleet.store.revision = 50
+        fleet.run(SPREAD_MS)
+        assert self._list_versions(fleet) == {version}
+        return fleet
+
+    def _list_versions(self, fleet: GroupFleet) -> set[int]:
+        return {i.version for i in fleet.instances.values()}
+
+    def _cut_off_zone(self, fleet: GroupFleet) -> list[GroupInstance]:
+        fleet.side_by_zone["zone-0"] = 1
+        members = [i for i in fleet.instances.values() if i.zone == "zone-0"]
+        for instance in members:
+            instance.can_reach_store = False
+        return members
+
+    def test_change_after_a_restore_reaches_all(self) -> None:
+        """Guards against members that follow the revision alone."""
+        fleet = self._start_with_version(16)
+        fleet.store.restore(revision=20, version=12)
+        fleet.run(SPREAD_MS)
+        # The version that was confirmed stays in force.
+        assert self._list_versions(fleet) == {16}
+        fleet.store.write(17)
+        fleet.run(SPREAD_MS)
+        assert self._list_versions(fleet) == {17}
+        assert {i.revision for i in fleet.instances.values()} == {21}
+
+    def test_zone_that_missed_the_restore_follows(self) -> None:
+        """Guards against a zone that brings the earlier era back."""
+        fleet = self._start_with_version(16)
+        members = self._cut_off_zone(fleet)
+        fleet.store.restore(revision=20, version=12)
+        fleet.store.write(17)
+        fleet.run(6_000)
+        assert {i.version for i in members} == {16}
+        fleet.side_by_zone.clear()
+        fleet.run(3_000)
+        assert self._list_versions(fleet) == {17}
+        assert {i.revision for i in fleet.instances.values()} == {21}
+
+    def test_version_that_one_zone_alone_knows_is_passed_on(self) -> None:
+        """Guards against losing a confirmed version with the store."""
+        fleet = self._start_with_version(16)
+        members = self._cut_off_zone(fleet)
+        for instance in members:
+            instance.can_reach_store = True
+        others = [i for i in fleet.instances.values() if i not in members]
+        for instance in others:
+            instance.can_reach_store = False
+        fleet.store.write(17)
+        fleet.run(SPREAD_MS)
+        for instance in members:
+            instance.can_reach_store = False
+        fleet.store.restore(revision=20, version=12)
+        for instance in others:
+            instance.can_reach_store = True
+        fleet.run(SPREAD_MS)
+        assert {i.version for i in others} == {16}
+        fleet.side_by_zone.clear()
+        fleet.run(3_000)
+        assert self._list_versions(fleet) == {17}
+
+    def test_processes_that_start_after_a_restore_ask_the_others(self) -> None:
+        """Guards against new processes that trust the restored store."""
+        fleet = self._start_with_version(16)
+        fleet.store.restore(revision=20, version=12)
+        fleet.run(SPREAD_MS)
+        # One of them becomes the reader of its group.
+        hosts = [host for host in fleet.instances if host.startswith("10.1.")]
+        for host in hosts[: len(hosts) // 2]:
+            fleet.start(host, "zone-0")
+        fleet.run(SPREAD_MS)
+        assert self._list_versions(fleet) == {16}
+
+
 class GroupSumTest(unittest.TestCase):
     """Limits on the sums over all instances."""
 
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -302,7 +302,6 @@
         assert [item.key for item in new_peer.list_items()] == ["b"]
         assert new_peer.position == Position(1, 4)
 
-
     def test_removal_before_the_first_copy_of_a_peer_is_passed_on(
         self,
     ) -> None:
