Withhold entries of a restored store while it is out of reach

Found by reading: an instance that was cut off after a restore released what it withheld after four heartbeats, though it could not have seen that the entry expired in the store; so a target that had left could be used again.

Change: the time counts up to the last answer of the store, or, for members of a group, the last digest of a peer that knows as much.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -114,6 +114,9 @@
         self._rules = rules
         # Since when entries of a restored store have been withheld.
         self._withheld_since_ms: int | None = None
+        # When the store, or the relay that reads it, last showed that nothing
+        # is missing here.
+        self._confirmed_at_ms = clock.now_ms()
         # Whether the last call to the store succeeded.
         self.is_store_reachable = True
         self._must_list = True
@@ -169,6 +172,7 @@
             return False
         self._must_list = False
         self._is_listing_new = changes.is_whole
+        self._confirmed_at_ms = self._clock.now_ms()
         return self.merge(changes)
 
     def merge(self, changes: Changes, source: str = "store") -> bool:
@@ -216,7 +220,8 @@
         """Takes over what a restored store still offers after some time."""
         if self._withheld_since_ms is None:
             return
-        waited_ms = self._clock.now_ms() - self._withheld_since_ms
+        # An instance that is cut off would not see that an entry expires.
+        waited_ms = self._confirmed_at_ms - self._withheld_since_ms
         if waited_ms < self._rules.withhold_ms:
             return
         self._withheld_since_ms = None
@@ -235,6 +240,9 @@
     def note_peer(self, host: str, state: FeedState) -> None:
         """Records how far a peer knows the prefix."""
         if not self._is_ahead(state):
+            is_level = state.position == self.items.position
+            if is_level and not self._role.is_reader:
+                self._confirmed_at_ms = self._clock.now_ms()
             if host == self._peer_ahead:
                 self._behind_since_ms = None
             return
--- a/src/peridotbend/edge/published.py
+++ b/src/peridotbend/edge/published.py
@@ -157,7 +157,11 @@
         ):
             # What a restored store has forgotten comes first, so that it is
             # known when the entries that it offers are merged.
-            kept = [t for t in self._tombstones.values() if self._is_kept(t)]
+            kept = [
+                t
+                for t in self._tombstones.values()
+                if self._is_of_earlier_era(t)
+            ]
             items = (
                 *kept,
                 *self._items.values(),
@@ -180,7 +184,7 @@
     def _find(self, key: str) -> Item | None:
         return self._items.get(key) or self._tombstones.get(key)
 
-    def _is_kept(self, item: Item) -> bool:
+    def _is_of_earlier_era(self, item: Item) -> bool:
         """Tells whether an item is of an era before the current one."""
         return item.position.era < self.position.era
 
@@ -190,7 +194,7 @@
         return (
             is_missing
             and item.value is not None
-            and self._is_kept(item)
+            and self._is_of_earlier_era(item)
             and not self._is_versioned
         )
 
--- a/tests/test_edge_eras.py
+++ b/tests/test_edge_eras.py
@@ -276,6 +276,7 @@
         self.log = RecordingLog()
         self.clock = ManualClock()
         self.applied: list[Item] = []
+        self.role = ReaderRole(random.Random(1))
         return Feed(
             "op/",
             self.reader,
@@ -283,7 +284,7 @@
             self.clock,
             self.log,
             lambda: None,
-            ReaderRole(random.Random(1)),
+            self.role,
             RestoreRules(is_versioned, WITHHOLD_MS, on_restored),
         )
 
@@ -408,18 +409,43 @@
 
     def test_withheld_entries_are_released_after_some_time(self) -> None:
         """Guards against entries that are withheld for ever."""
-        feed = self._make_feed(is_versioned=False)
+        unchanged: Result[Changes, StoreError] = Ok(
+            make_copy(2, 10, make_item("a", 2, 10, order=(1, 1)))
+        )
+        feed = self._make_feed(unchanged, is_versioned=False)
         feed.merge(make_copy(1, 10, make_item("a", 1, 10, order=(1, 1))))
         feed.merge(make_watched(1, 11, make_item("a", 1, 11, None)))
         feed.merge(make_copy(2, 10, make_item("a", 2, 10, order=(1, 1))))
         feed.release_withheld()
         assert not len(feed.items)
         self.clock.advance(WITHHOLD_MS)
+        # Cut off from the store, the feed would not see the entry expire.
+        feed.note_peer("10.0.0.2", FeedState(Position(2, 10)))
+        feed.release_withheld()
+        assert not len(feed.items)
+        self._run(feed)
         feed.release_withheld()
         assert list_values(feed.items) == {"a": b"value"}
         assert self.applied[-1].value == b"value"
         assert self.log.count(Event.ENTRY_RELEASED) == 1
 
+    def test_member_of_a_group_releases_withheld_entries(self) -> None:
+        """Guards against entries that only instances that read release."""
+        feed = self._make_feed(is_versioned=False)
+        self.role.assign(False)
+        feed.merge(make_copy(1, 10, make_item("a", 1, 10, order=(1, 1))))
+        feed.merge(make_watched(1, 11, make_item("a", 1, 11, None)))
+        feed.merge(make_copy(2, 10, make_item("a", 2, 10, order=(1, 1))))
+        self.clock.advance(WITHHOLD_MS)
+        # A relay that is behind says nothing about the entry.
+        feed.note_peer("10.0.0.2", FeedState(Position(1, 90)))
+        feed.release_withheld()
+        assert not len(feed.items)
+        feed.merge_fetched("10.0.0.2", make_watched(2, 10))
+        feed.note_peer("10.0.0.2", FeedState(Position(2, 10)))
+        feed.release_withheld()
+        assert list_values(feed.items) == {"a": b"value"}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StoreState:
