--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -27,8 +27,10 @@
     EdgeTargetClient,
     Rejection,
     Reply,
+    StoreError,
     TargetSend,
 )
+from peridotbend.edge.published import Changes
 from peridotbend.edge.relay import Relay
 from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.targets import EdgeTarget
@@ -142,6 +144,30 @@
         return sum(found is event for found, _ in self.events)
 
 
+class ScriptedReader:
+    """A reader of the store that returns scripted results."""
+
+    def __init__(self, *results: Result[Changes, StoreError]):
+        self._results = list(results)
+        self.calls: list[str] = []
+
+    async def list_items(self) -> Result[Changes, StoreError]:
+        """Returns the next result."""
+        return await self._next("list")
+
+    async def watch(
+        self, after: int, wait_ms: int
+    ) -> Result[Changes, StoreError]:
+        """Returns the next result."""
+        return await self._next(f"watch {after}")
+
+    async def _next(self, call: str) -> Result[Changes, StoreError]:
+        self.calls.append(call)
+        if not self._results:
+            await anyio.sleep_forever()
+        return self._results.pop(0)
+
+
 class RecordingMeter:
     """Records the counted outcomes."""
 
--- a/tests/test_edge_eras.py
+++ b/tests/test_edge_eras.py
@@ -21,7 +21,7 @@
     WriteOrder,
 )
 from peridotbend.edge.targets import REMOVAL_GRACE_MS, TargetList
-from tests.edgefakes import TARGET, RecordingLog
+from tests.edgefakes import TARGET, RecordingLog, ScriptedReader
 
 WITHHOLD_MS = 4_800
 TARGET_KEY = "servers/i-1"
@@ -239,30 +239,6 @@
         assert not targets.list_for(TARGET.service)
 
 
-class _ScriptedReader:
-    """Returns scripted results, and stops the feed after the last one."""
-
-    def __init__(self, *results: Result[Changes, StoreError]):
-        self._results = list(results)
-        self.calls: list[str] = []
-
-    async def list_items(self) -> Result[Changes, StoreError]:
-        """Returns the next result."""
-        return await self._next("list")
-
-    async def watch(
-        self, after: int, wait_ms: int
-    ) -> Result[Changes, StoreError]:
-        """Returns the next result."""
-        return await self._next(f"watch {after}")
-
-    async def _next(self, call: str) -> Result[Changes, StoreError]:
-        if not self._results:
-            await anyio.sleep_forever()
-        self.calls.append(call)
-        return self._results.pop(0)
-
-
 class FeedEraTest(unittest.TestCase):
     """What a feed reads, and from whom, around a restore."""
 
@@ -272,7 +248,7 @@
         is_versioned: bool = True,
         on_restored: Callable[[], None] = lambda: None,
     ) -> Feed:
-        self.reader = _ScriptedReader(*results)
+        self.reader = ScriptedReader(*results)
         self.log = RecordingLog()
         self.clock = ManualClock()
         self.applied: list[Item] = []
@@ -308,7 +284,7 @@
             on_restored=lambda: restores.append(feed.items.position),
         )
         self._run(feed)
-        assert self.reader.calls == ["list", "watch 50", "list"]
+        assert self.reader.calls == ["list", "watch 50", "list", "watch 52"]
         assert feed.items.state == FeedState(Position(2, 52), 18)
         # Called before the new era is applied.
         assert restores == [Position(1, 50)]
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -50,7 +50,7 @@
 )
 from peridotbend.edge.ratelimits import MAX_DIGEST_LIMITS, NamedLimit
 from peridotbend.edge.sharedstate import MAX_ACCOUNTS, MAX_COUNTS
-from tests.edgefakes import CONFIG, RecordingLog
+from tests.edgefakes import CONFIG, RecordingLog, ScriptedReader
 
 RESTORE_RULES = RestoreRules(True, 4_800, lambda: None)
 DIGEST = Digest(
@@ -331,37 +331,13 @@
         assert holder.config is CONFIG
 
 
-class _ScriptedReader:
-    """Returns scripted results for lists and watches."""
-
-    def __init__(self, *results: Result[Changes, StoreError]):
-        self._results = list(results)
-        self.calls: list[str] = []
-
-    async def list_items(self) -> Result[Changes, StoreError]:
-        """Returns the next result."""
-        return await self._next("list")
-
-    async def watch(
-        self, after: int, wait_ms: int
-    ) -> Result[Changes, StoreError]:
-        """Returns the next result."""
-        return await self._next(f"watch {after}")
-
-    async def _next(self, call: str) -> Result[Changes, StoreError]:
-        self.calls.append(call)
-        if not self._results:
-            await anyio.sleep_forever()
-        return self._results.pop(0)
-
-
 class FeedTest(unittest.TestCase):
     """Updates of a feed from the store and from peers."""
 
     def _make_feed(
         self, *results: Result[Changes, StoreError]
-    ) -> tuple[Feed, _ScriptedReader, list[bool], ManualClock]:
-        reader = _ScriptedReader(*results)
+    ) -> tuple[Feed, ScriptedReader, list[bool], ManualClock]:
+        reader = ScriptedReader(*results)
         reachable_states: list[bool] = []
         clock = ManualClock()
         feed = Feed(
