Log the software of targets, and what is taken up

The logs of the incident could not tell a resumption inside one answer from a take-up by a client, nor which versions a stream passed through. 403 and 401 now name service, software and start of a target, 300 names its software, the last event and the attempt that is taken up. The version of an entry and the header of a take-up are decoded; nothing decides by them yet.

--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -39,6 +39,8 @@
     shared_parts: tuple[str, ...] = ()
     # Last event that the caller received of a broken stream.
     last_event_id: str = ""
+    # Attempt that brought the first event of that stream.
+    resumes: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -268,6 +268,9 @@
             in_flight=slot.in_flight,
             slots=target.slots,
             parts=request.call.shared_parts,
+            software=target.software,
+            last_event=request.events.last_event_id,
+            resumes=request.call.resumes,
         )
 
         def note_limit(per_s: float | None) -> None:
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -28,6 +28,9 @@
     is_leaving: bool
     # Unix time of the start; changes when a target restarts under its name.
     started_at_ms: int
+    # Version of the target's software. What two versions write does not fit
+    # together in one stream. Empty if unknown.
+    software: str = ""
 
     @property
     def run_hash(self) -> int:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -396,7 +396,14 @@
             event = Event.TARGET_LISTED
             if target.is_leaving:
                 event = Event.TARGET_LEAVING
-            self._log.emit(event, target=name, revision=item.position.revision)
+            self._log.emit(
+                event,
+                target=name,
+                revision=item.position.revision,
+                service=target.service,
+                software=target.software,
+                started_at_ms=target.started_at_ms,
+            )
         for service in {
             target.service for target in self._dependencies.targets
         }:
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -161,4 +161,5 @@
         slots=fields.get_int("slots", minimum=1),
         is_leaving=state == "draining",
         started_at_ms=started_at_ms,
+        software=fields.get_str("version"),
     )
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -215,6 +215,7 @@
         session=parts[-1],
         shared_parts=parts[:-1],
         last_event_id=headers.get(wire.LAST_EVENT_ID, ""),
+        resumes=headers.get(wire.RESUMES, ""),
     )
 
 
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -16,6 +16,8 @@
 TOKEN_COUNT = "x-token-count"
 PROMPT_PREFIX = "x-prompt-prefix"
 LAST_EVENT_ID = "last-event-id"
+# Attempt that brought the first event of a stream that a client takes up again.
+RESUMES = "resumes"
 NOT_EXECUTED = "x-not-executed"
 # Requests a second that a target in need takes from all instances together.
 SERVER_LIMIT = "server-limit"
