--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -13,13 +13,19 @@
 
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.ports import CallError, CallFailure
-from peridotbend.edge.ports import Rejection, Reply, StoreFailure, TargetSend
+from peridotbend.edge.ports import (
+    EdgeCall,
+    Rejection,
+    Reply,
+    StoreFailure,
+    TargetSend,
+)
 from peridotbend.edge.published import Position
 from peridotbend.platform import wire
 from peridotbend.platform.documents import read_target_order
 from peridotbend.platform.runners import PlatformTargetClient
 from peridotbend.platform.store import StoreClient
-from tests.edgefakes import CALL, TARGET
+from tests.edgefakes import CALL, TARGET, RelayHarness, ScriptedReply
 from tests.test_edge_platform import encode_document
 
 RawHandler = Callable[[SocketStream, bytes], Awaitable[None]]
@@ -337,6 +343,100 @@
             assert reply.written
 
 
+class KeptConnectionTest(unittest.TestCase):
+    """Refusals that a target writes once more on a connection in use again."""
+
+    def _send_each(
+        self, calls: tuple[EdgeCall, ...], *answers: bytes
+    ) -> tuple[list[Reply], int]:
+        """Sends calls one by one; returns the replies and the connections."""
+        replies: list[Reply] = []
+        left = list(answers)
+        connections = 0
+
+        async def serve(stream: SocketStream) -> None:
+            nonlocal connections
+            connections += 1
+            async with stream:
+                with contextlib.suppress(
+                    anyio.EndOfStream, anyio.BrokenResourceError
+                ):
+                    while left:
+                        await stream.receive()
+                        await stream.send(left.pop(0))
+                    await stream.receive()
+
+        async def check(port: int) -> None:
+            client = HttpTargetClient()
+            target = dataclasses.replace(TARGET, port=port)
+            for call in calls:
+                send = TargetSend(call, target, "acme", 5_000, "", True)
+                async with PlatformTargetClient(client).open(
+                    send, lambda: True
+                ) as reply:
+                    replies.append(reply)
+                    if not isinstance(reply, Rejection | CallError):
+                        async for _ in reply.chunks():
+                            pass
+            await client.aclose()
+
+        async def run() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                await check(port)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+        return replies, connections
+
+    def test_refusal_of_no_attempt_on_a_kept_connection(self) -> None:
+        """Guards against "not run" for a request that a target runs.
+
+        On a connection that had an earlier answer, only the attempt ID tells
+        which request a refusal belongs to.
+        """
+        own = (f"{wire.ATTEMPT_ID}: attempt-1", "X-Server-Stamp: s")
+        success = _make_answer("200 OK", b"x", *own)
+        for refusal in (
+            _make_answer("503 Busy", b"", "X-Not-Executed: 1"),
+            _make_answer("421 Misdirected", b""),
+        ):
+            replies, connections = self._send_each(
+                (CALL, CALL), success, refusal
+            )
+            assert connections == 1
+            assert isinstance(replies[1], CallError), replies[1]
+            assert replies[1].failure is CallFailure.BROKEN
+            assert replies[1].written
+
+    def test_attempt_is_not_sent_again_where_it_was_refused(self) -> None:
+        """Guards against an earlier refusal of the same attempt.
+
+        Nothing tells it from one of the attempt that was sent again.
+        """
+        own = f"{wire.ATTEMPT_ID}: attempt-1"
+        for refusal in (
+            _make_answer("503 Busy", b"", own, "X-Not-Executed: 1"),
+            _make_answer("421 Misdirected", b"", own),
+        ):
+            replies, connections = self._send_each(
+                (CALL, CALL), refusal, refusal
+            )
+            assert connections == 2, replies
+
+    def test_request_that_may_run_once_gets_its_own_connection(self) -> None:
+        """Guards against any earlier answer for a request that runs once."""
+        reuses = {}
+        for path in ("/orders/7", "/lookups/7"):
+            harness = RelayHarness(ScriptedReply(is_event_stream=False))
+            call = dataclasses.replace(CALL, path=path, prompt_tokens=None)
+            anyio.run(harness.serve, call)
+            reuses[path] = harness.client.sends[0].reuse_connection
+        assert reuses == {"/orders/7": False, "/lookups/7": True}
+
+
 class EarlyAnswerTest(unittest.TestCase):
     """Targets that answer before they have read a long body."""
 
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -1,5 +1,6 @@
 """Tests of event streams that pass through a relay."""
 
+import contextlib
 import dataclasses
 import unittest
 
@@ -124,6 +125,38 @@
         _serve(harness, dataclasses.replace(CALL, last_event_id="12"))
         assert harness.client.sends[0].last_event_id == "12"
 
+    def test_error_as_an_event_stream_is_kept_out_of_a_stream(self) -> None:
+        """Guards against the text of an error between the events."""
+        first = ScriptedReply(chunks=(make_event(1),), breaks_connection=True)
+        error = ScriptedReply(
+            status=500, chunks=(b"data: the engine has failed\n\n",)
+        )
+        responder = RecordingResponder()
+
+        async def run() -> None:
+            with contextlib.suppress(AnswerBrokenError):
+                await RelayHarness(first, error).relay.serve(CALL, responder)
+
+        anyio.run(run)
+        assert responder.body == make_event(1)
+        assert not responder.is_complete
+
+    def test_head_of_an_answer_inside_a_stream_ends_the_send(self) -> None:
+        """Guards against the head of an error between the events.
+
+        A body without a length takes in whatever the target writes next.
+        """
+        error_head = b"HTTP/1.1 500 Failed\r\nContent-Length: 3\r\n\r\n"
+        for garbage in (error_head + b"no\n", b"id: 2\nda" + error_head):
+            first = ScriptedReply(
+                chunks=(make_event(1), garbage), is_delimited=False
+            )
+            second = ScriptedReply(chunks=(make_event(2),))
+            harness = RelayHarness(first, second)
+            responder = _serve(harness)
+            assert responder.body == make_event(1) + make_event(2)
+            assert harness.client.sends[1].last_event_id == "1"
+
     def test_stream_that_cannot_go_on_looks_incomplete(self) -> None:
         """Guards against a broken stream that looks complete."""
         broken = ScriptedReply(chunks=(make_event(1),), breaks_connection=True)
