Keep an error out of the middle of a stream

Callers saw the text of an error between the events of their stream, which then ended as complete (ORDER, MIXED). An answer to a resumption was taken for its continuation by the content type alone, and an error may have that of a stream. Only a success is a stream now; any other answer to a resumption ends the send as broken, and to a first send it is an error like others.

test_error_as_an_event_stream_is_kept_out_of_a_stream failed before and passes; the 43 tests of streams and relay pass.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -374,12 +374,14 @@
         tracked_send: TrackedSend,
         responder: Responder,
     ) -> NotRun | MayHaveRun | None:
-        if request.route.kind is RouteKind.STREAM and answer.is_event_stream:
+        is_success = SUCCESS_STATUS <= answer.head.status < REDIRECT_STATUS
+        is_stream = is_success and answer.is_event_stream
+        if request.route.kind is RouteKind.STREAM and is_stream:
             return await self._deliver_stream(
                 request, target, answer, tracked_send, responder
             )
         if request.head_sent:
-            # The answer to the resumption of a stream is not a stream.
+            # An error may have the content type of a stream.
             return self._note_error(
                 request, target, _make_no_stream_error(answer), answer.head
             )
