End a send whose stream holds the head of another answer

A body without a length ends with its connection, so that what a faulty target writes next is read as a part of it, and the empty line after a head looks like the end of an event. An event with a status line and lines that are no fields of an event ends the send as broken; the stream goes on elsewhere after the last sound event. Text that mentions a status line is passed on.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -54,6 +54,7 @@
 ERROR_STATUS = 500
 _QUARANTINED = NotRun(Reason.QUARANTINED, QUARANTINED_RETRY_MS)
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
+_FOREIGN_HEAD = CallError(CallFailure.BROKEN, True, "a head inside a stream")
 _OVERSIZED_EVENT = CallError(CallFailure.BROKEN, True, "event without an end")
 
 
@@ -471,6 +472,11 @@
                 await responder.send(events)
                 tracked_send.is_blocked = False
                 self._dependencies.health.note_activity(target.name)
+            if request.events.has_foreign_head:
+                request.events.drop_partial()
+                return self._note_error(
+                    request, target, _FOREIGN_HEAD, answer.head, has_survived
+                )
         # A stream without a length also ends when its target crashes, so that
         # the end alone does not tell that no event is left to resume.
         is_cut = not answer.head.is_delimited and not has_events
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -157,6 +157,13 @@
             assert responder.body == make_event(1) + make_event(2)
             assert harness.client.sends[1].last_event_id == "1"
 
+    def test_text_about_a_status_line_is_passed_on(self) -> None:
+        """Guards against cutting a stream that explains the protocol."""
+        text = b"x-of-a-target: 3\nid: 1\ndata: HTTP/1.1 404 means\n\n"
+        reply = ScriptedReply(chunks=(text, make_event(2)), is_delimited=False)
+        responder = _serve(RelayHarness(reply))
+        assert responder.body == text + make_event(2)
+
     def test_stream_that_cannot_go_on_looks_incomplete(self) -> None:
         """Guards against a broken stream that looks complete."""
         broken = ScriptedReply(chunks=(make_event(1),), breaks_connection=True)
