Trust a refusal on a kept connection only for the attempt it names

Callers were told "not run" for a request that a target ran (REFUSED): a faulty target wrote an earlier refusal once more on a kept connection, and one without an attempt ID was taken for the answer to whatever was sent next. On a connection that carried an earlier call, an answer without an attempt ID is now broken, so that the request may have run. On a new connection it can only belong to the request that was sent there.

test_refusal_of_no_attempt_on_a_kept_connection failed before and passes. The other form is ruled out by two tests that passed before: a refusal of the same attempt is never met again, since the connection that brought it is closed, and a request that may run once has a connection of its own.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -24,6 +24,8 @@
     """
 
     _interim_answers = 0
+    # Whether a call was sent here before the current one.
+    is_reused = False
 
     async def _receive_event(self, timeout: float | None = None) -> Any:
         event = await super()._receive_event(timeout)
@@ -67,6 +69,7 @@
             self._remove_idle(connection)
             # Also True for a connection that the target has closed.
             if not connection.has_expired():
+                connection.is_reused = True
                 return connection
             await self._close(connection)
         return await self._connect(origin, timeout_s)
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -62,7 +62,7 @@
 class HttpAnswer:
     """A target's response, whose body is read as it arrives."""
 
-    def __init__(self, response: httpcore.Response):
+    def __init__(self, response: httpcore.Response, is_reused: bool):
         self._response = response
         self.head = AnswerHead(
             response.status,
@@ -72,6 +72,7 @@
                 if name.lower().decode("latin-1") not in _HOP_BY_HOP
             ),
             _is_delimited(response),
+            is_reused,
         )
 
     async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
@@ -123,7 +124,10 @@
         try:
             opened = await _send(connection, request, write_gate)
             try:
-                yield opened.map(HttpAnswer)
+                is_reused = connection.is_reused
+                yield opened.map(
+                    lambda response: HttpAnswer(response, is_reused)
+                )
             finally:
                 if isinstance(opened, Ok):
                     with anyio.CancelScope(shield=True):
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -38,6 +38,8 @@
     # Whether the body has a length or chunks. If not, it ends with its
     # connection, also when the target crashes.
     is_delimited: bool = True
+    # Whether its connection had carried an earlier call.
+    is_reused_connection: bool = False
 
 
 class CallFailure(enum.StrEnum):
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -93,6 +93,11 @@
         return CallError(
             CallFailure.BROKEN, True, "the answer is for another attempt"
         )
+    if not answered_attempt and head.is_reused_connection:
+        # It may belong to any earlier request on this connection.
+        return CallError(
+            CallFailure.BROKEN, True, "the answer names no attempt"
+        )
     if head.status == MISDIRECTED_STATUS:
         return Rejection.MISDIRECTED
     if find_header(head, wire.NOT_EXECUTED):
