Let a stream go on only at the version that began it

The version of the target that brings the first event is now kept with the request, and only targets of that version are candidates for the rest; without one the stream ends as broken. A target that restarts under its name with other software is another one.

--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -31,6 +31,8 @@
     connect_failures: int = 0
     may_have_run: bool = False
     head_sent: bool = False
+    # Software version at which the stream began; None before that.
+    software: str | None = None
     # Error answer of a target, delivered if no other target succeeds.
     held_error: tuple[AnswerHead, bytes] | None = None
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -146,7 +146,7 @@
         waiter = _Waiter(criteria, route, next(self._sequence), wait_until_ms)
         queue = self._waiting.setdefault(criteria.service, [])
         if len(queue) >= MAX_WAITING:
-            retry_after_ms = self._find_retry_after(route)
+            retry_after_ms = self.find_retry_after(route)
             return Err(NotRun(Reason.AT_CAPACITY, retry_after_ms))
         queue.append(waiter)
         queue.sort(key=lambda w: w.order)
@@ -198,7 +198,7 @@
                 for service in list(self._waiting):
                     self.grant_slots(service)
 
-    def _find_retry_after(self, route: Route) -> int:
+    def find_retry_after(self, route: Route) -> int:
         """Returns after how many ms a refused caller should retry."""
         wait_ms = min(SHED_RETRY_MS, SHED_RETRY_SHARE * route.timeout_ms)
         return round(wait_ms * self._rng.uniform(*SHED_RETRY_JITTER))
@@ -216,10 +216,9 @@
         waiter.done.set()
 
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
-        reason = Reason.SHED if targets else Reason.NO_TARGET
-        waiter.result = Err(
-            NotRun(reason, self._find_retry_after(waiter.route))
-        )
+        has_target = any(map(waiter.criteria.admits, targets))
+        reason = Reason.SHED if has_target else Reason.NO_TARGET
+        waiter.result = Err(NotRun(reason, self.find_retry_after(waiter.route)))
         waiter.done.set()
 
     def _cancel(self, waiter: _Waiter) -> None:
--- a/src/peridotbend/edge/config.py
+++ b/src/peridotbend/edge/config.py
@@ -69,6 +69,11 @@
             CALLER_TIMEOUT_GAPS * self.gap_objective_ms,
         )
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether the answers are streams that another target may go on."""
+        return self.kind is RouteKind.STREAM and self.can_resume
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request that may have run may be sent again."""
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -193,7 +193,11 @@
         account_rank = request.account.rank if request.account else None
         exclude = set(request.failed_targets)
         targets = self._dependencies.targets.list_for(request.service)
-        if all(target.name in exclude for target in targets):
+        if all(
+            target.name in exclude
+            for target in targets
+            if request.software in (None, target.software)
+        ):
             # No other target is left, for example in a service with a single
             # target. A target that failed may have recovered.
             exclude.clear()
@@ -205,6 +209,7 @@
             (account_rank or 0, request.route.rank),
             request.call.session,
             frozenset(exclude),
+            request.software,
         )
 
     def _can_fail_over(self, request: ActiveRequest, target: str) -> bool:
@@ -467,6 +472,8 @@
                     self._dependencies.crashes.note_sound(request.traits)
             if events:
                 has_events = True
+                if not request.head_sent:
+                    request.software = target.software
                 tracked_send.is_blocked = True
                 await self._start_once(request, answer.head, responder)
                 await responder.send(events)
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -42,6 +42,12 @@
     session: str = ""
     # Names of targets that have already failed the request.
     exclude: frozenset[str] = frozenset()
+    # Software version that the target must have; None for any.
+    software: str | None = None
+
+    def admits(self, target: EdgeTarget) -> bool:
+        """Tells whether a target may serve the request at all."""
+        return self.software is None or target.software == self.software
 
 
 class Selector:
@@ -63,7 +69,11 @@
         self, criteria: TargetCriteria, targets: Iterable[EdgeTarget]
     ) -> EdgeTarget | None:
         """Returns the best target below its limit, or None if all are full."""
-        usable = [t for t in targets if t.name not in criteria.exclude]
+        usable = [
+            t
+            for t in targets
+            if t.name not in criteria.exclude and criteria.admits(t)
+        ]
         healthy = [t for t in usable if not self._health.should_avoid(t.name)]
         # If all of them failed recently, trying one is no worse than waiting.
         candidates = healthy or usable
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -118,6 +118,7 @@
             known is not None
             and not known.is_leaving
             and known.started_at_ms == target.started_at_ms
+            and known.software == target.software
         )
 
     def __len__(self) -> int:
