Find out at which version a stream began that is taken up

While several versions serve, new streams of routes that may resume are placed by weighted rendezvous hashing of the attempt's ID over the versions, by their slots, and every instance can compute that again. It keeps which targets accepted requests over the last minute; one that has just started reads the kept history of the store, on the first take-up that needs it. A stream began in the window that its age and the caller's time limit leave. If the placement is the same throughout, the version is certain and costs nothing. Otherwise the targets of the service tell which of them keep the stream's prompt. If that is one version, the stream goes on there, before new streams; if not, it is refused as not run (origin-unknown). Instances that do not place streams so, or that were not heard of for a while, widen the window.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -79,6 +79,7 @@
         target_counts=digest.target_counts.values(),
         partial_counts=digest.is_partial,
         members=_pack_members(digest.members),
+        places_by_version=digest.places_by_version,
     )
     if digest.account_levels:
         message.account_hashes.extend(digest.account_levels.keys())
@@ -156,6 +157,7 @@
         account_spent=spent,
         members=_unpack_members(message.members),
         echo=(message.echoed_incarnation, message.echoed_sequence),
+        places_by_version=message.places_by_version,
     )
 
 
--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -59,6 +59,7 @@
 _DEBUG_EVENTS = frozenset(
     (
         Event.REQUEST_DISPATCHED,
+        Event.STREAM_TAKEN_UP,
         Event.REQUEST_ENDED,
         Event.REQUEST_FORWARDED,
         Event.REQUEST_REFUSED,
--- a/src/peridotbend/adapters/messages.py
+++ b/src/peridotbend/adapters/messages.py
@@ -59,6 +59,10 @@
         "Requests like this one have crashed targets and are held back; do"
         " not send it again before an operator has looked at it."
     ),
+    Reason.ORIGIN_UNKNOWN: (
+        "It is not known at which software version this stream began, so it"
+        " cannot go on; begin it anew."
+    ),
     Reason.TRIAL_BUSY: (
         "A request like this one was on a target that crashed; another copy"
         " is being tried first. Try again later."
--- a/src/peridotbend/domain/clock.py
+++ b/src/peridotbend/domain/clock.py
@@ -1,4 +1,4 @@
-"""Clocks: the only sources of time, in monotonic milliseconds."""
+"""Clocks: the only sources of time, in milliseconds."""
 
 import time
 from typing import Protocol
@@ -11,6 +11,10 @@
         """Returns milliseconds since an arbitrary fixed point."""
         ...
 
+    def wall_ms(self) -> int:
+        """Returns the Unix time, which may jump."""
+        ...
+
 
 class SystemClock:
     """The monotonic clock of the operating system.
@@ -23,17 +27,29 @@
         """Returns the monotonic time of the operating system."""
         return time.monotonic_ns() // 1_000_000
 
+    def wall_ms(self) -> int:
+        """Returns the time of day of the operating system."""
+        return time.time_ns() // 1_000_000
+
 
 class ManualClock:
     """Clock that only moves when `advance` is called."""
 
+    # Unix time at the start of the clock.
+    WALL_START_MS = 1_782_800_000_000
+
     def __init__(self, start_ms: int = 1_000_000):
         self._now_ms = start_ms
+        self._wall_offset_ms = self.WALL_START_MS - start_ms
 
     def now_ms(self) -> int:
         """Returns the current time of this clock."""
         return self._now_ms
 
+    def wall_ms(self) -> int:
+        """Returns the Unix time of this clock."""
+        return self._now_ms + self._wall_offset_ms
+
     def advance(self, ms: int) -> None:
         """Moves the time forward by `ms` milliseconds."""
         assert ms >= 0, "a monotonic clock cannot go backwards"
--- a/src/peridotbend/domain/verdicts.py
+++ b/src/peridotbend/domain/verdicts.py
@@ -24,6 +24,7 @@
     DRAINING = "draining"
     CALLER_GONE = "caller-gone"
     NO_TARGET = "no-target"
+    ORIGIN_UNKNOWN = "origin-unknown"
     DEPENDENCY_DOWN = "dependency-down"
     QUARANTINED = "quarantined"
     TRIAL_BUSY = "trial-busy"
@@ -88,6 +89,7 @@
     Reason.DRAINING: 503,
     Reason.CALLER_GONE: 499,
     Reason.NO_TARGET: 503,
+    Reason.ORIGIN_UNKNOWN: 503,
     Reason.DEPENDENCY_DOWN: 503,
     Reason.QUARANTINED: 503,
     Reason.TRIAL_BUSY: 503,
--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -36,3 +36,10 @@
     # Error answer of a target, delivered if no other target succeeds.
     held_error: tuple[AnswerHead, bytes] | None = None
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller already has a part of the answer."""
+        return self.head_sent or (
+            self.route.is_resumable_stream and self.call.takes_up
+        )
--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -98,6 +98,11 @@
         self._clock = clock
         self._log = log
         self._note_feed_state = note_feed_state
+        # Called on news of an instance that places streams without regard to
+        # the versions of targets.
+        self.on_legacy_peer: Callable[[], None] = lambda: None
+        # Tells whether there was such news lately.
+        self.has_legacy_peers: Callable[[], bool] = lambda: False
         self._identity = state.identity
         self._sequence = 0
         self._sent_at_ms: dict[Scope, int] = {}
@@ -186,6 +191,8 @@
         if self._is_isolated():
             self._directory.reset_failures()
         self._heard_at_ms = self._clock.now_ms()
+        if not digest.places_by_version:
+            self.on_legacy_peer()
         if digest.scope is Scope.NEWS:
             self._state.apply_news(digest)
             return False
@@ -375,7 +382,7 @@
         live = self._live if self._view is None else 0
         expected = self._expected
         digest = self._state.describe_fleet(self._sequence, live, expected)
-        digest = dataclasses.replace(digest, members=self._select_members())
+        digest = self._complete_sums(digest)
         echoes = [self._peers.find_last_sequence(host) for host in hosts]
         return [Outgoing(digest, hosts, echoes)]
 
@@ -388,9 +395,16 @@
         digest = self._state.describe_group(
             self._sequence, members, self._count_live(members)
         )
-        digest = dataclasses.replace(digest, members=self._select_members())
+        digest = self._complete_sums(digest)
         return [Outgoing(digest, self._list_other_relays())]
 
+    def _complete_sums(self, digest: Digest) -> Digest:
+        return dataclasses.replace(
+            digest,
+            members=self._select_members(),
+            places_by_version=not self.has_legacy_peers(),
+        )
+
     def _collect_news(self, hosts: list[str]) -> list[Outgoing]:
         """Passes on what is known of crashes and limits."""
         digest = self._state.describe_news(self._sequence)
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -13,12 +13,15 @@
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.inflight import StallDetector
 from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.origins import StreamOrigins
 from peridotbend.edge.ports import EdgeMeter, EdgeTargetClient
+from peridotbend.edge.promptparts import PromptParts
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.selection import Selector
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.targets import TargetList
+from peridotbend.edge.versions import VersionTimeline
 
 
 class Fleet(Protocol):
@@ -50,6 +53,8 @@
     crashes: CrashTracker
     rate_limits: RateLimits
     stall_detector: StallDetector
+    timeline: VersionTimeline
+    origins: StreamOrigins
     allowances: Allowances
     budget: SendBudget
     client: EdgeTargetClient
@@ -73,6 +78,7 @@
     targets = TargetList(clock)
     occupancy = Occupancy(clock)
     health = TargetHealth(clock)
+    timeline = VersionTimeline(clock, targets)
     allowances = Allowances(clock, settings, fleet.find_live_share)
     holder.subscribe(lambda config: allowances.apply(config.accounts))
     rate_limits = RateLimits(
@@ -89,6 +95,10 @@
         crashes=CrashTracker(clock, log),
         rate_limits=rate_limits,
         stall_detector=StallDetector(clock, health),
+        timeline=timeline,
+        origins=StreamOrigins(
+            clock, timeline, PromptParts(clock, targets, client), log
+        ),
         allowances=allowances,
         budget=SendBudget(clock, settings),
         client=client,
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -42,6 +42,11 @@
     # Attempt that brought the first event of that stream.
     resumes: str = ""
 
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller takes up a stream that broke off."""
+        return bool(self.resumes or self.last_event_id)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetSend:
@@ -105,6 +110,12 @@
         """
         ...
 
+    async def list_prompt_parts(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> frozenset[str] | None:
+        """Returns the prompt parts that a target keeps; None if not told."""
+        ...
+
 
 class Responder(Protocol):
     """Sends the answer to one call."""
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -156,6 +156,10 @@
     async def _send_until_answered(
         self, request: ActiveRequest, responder: Responder
     ) -> None:
+        not_run = await self._find_origin(request)
+        if not_run is not None:
+            await self._end(request, responder, not_run)
+            return
         while True:
             acquired = await self._acquire(request)
             if isinstance(acquired, Err):
@@ -184,7 +188,40 @@
             self._make_criteria(request),
             request.route,
             request.deadline_at_ms - MIN_SEND_MS,
-            is_resumed=request.head_sent,
+            is_resumed=request.is_resumed,
+        )
+
+    async def _find_origin(self, request: ActiveRequest) -> NotRun | None:
+        """Finds the version of a stream that a caller takes up.
+
+        Returns:
+            the refusal if the stream can't go on.
+        """
+        call, route = request.call, request.route
+        if not route.is_resumable_stream:
+            return None
+        origins = self._dependencies.origins
+        origins.note_call(call, route)
+        if not call.takes_up:
+            return None
+        retry_after_ms = self._dependencies.backlog.find_retry_after(route)
+        software = await origins.find(call, route, request.service)
+        if software is None:
+            return NotRun(Reason.ORIGIN_UNKNOWN, retry_after_ms)
+        request.software = software
+        targets = self._dependencies.targets.list_for(request.service)
+        if all(target.software != software for target in targets):
+            return NotRun(Reason.NO_TARGET, retry_after_ms)
+        return None
+
+    def _choose_software(self, request: ActiveRequest) -> str | None:
+        """Returns the version that has to serve a request; None for any."""
+        if request.software is not None:
+            return request.software
+        if not request.route.is_resumable_stream:
+            return None
+        return self._dependencies.timeline.choose(
+            request.service, request.call.attempt
         )
 
     def _make_criteria(
@@ -192,11 +229,12 @@
     ) -> TargetCriteria:
         account_rank = request.account.rank if request.account else None
         exclude = set(request.failed_targets)
+        software = self._choose_software(request)
         targets = self._dependencies.targets.list_for(request.service)
         if all(
             target.name in exclude
             for target in targets
-            if request.software in (None, target.software)
+            if software in (None, target.software)
         ):
             # No other target is left, for example in a service with a single
             # target. A target that failed may have recovered.
@@ -209,7 +247,7 @@
             (account_rank or 0, request.route.rank),
             request.call.session,
             frozenset(exclude),
-            request.software,
+            software,
         )
 
     def _can_fail_over(self, request: ActiveRequest, target: str) -> bool:
@@ -472,8 +510,7 @@
                     self._dependencies.crashes.note_sound(request.traits)
             if events:
                 has_events = True
-                if not request.head_sent:
-                    request.software = target.software
+                self._note_begun(request, target)
                 tracked_send.is_blocked = True
                 await self._start_once(request, answer.head, responder)
                 await responder.send(events)
@@ -504,6 +541,13 @@
         )
         return None
 
+    def _note_begun(self, request: ActiveRequest, target: EdgeTarget) -> None:
+        """Binds a stream to the version of its first event."""
+        if request.head_sent or not request.route.is_resumable_stream:
+            return
+        request.software = target.software
+        self._dependencies.origins.note_begun(request.call, target.software)
+
     def _note_answer(
         self, request: ActiveRequest, target: EdgeTarget, failed: bool
     ) -> None:
--- /dev/null
+++ b/src/peridotbend/edge/versions.py
@@ -0,0 +1,209 @@
+"""Which software version of a service begins streams, now and earlier.
+
+A stream may go on only at the version that began it. After a restart nobody
+remembers which one that was, so new streams are placed by a function of the
+attempt's ID and of the targets that accept requests. Every instance can
+compute it again for the time at which a stream may have begun.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping, Sequence
+
+import xxhash
+
+from peridotbend.domain.clock import Clock
+from peridotbend.edge.targets import EdgeTarget, TargetList
+
+# How much later than this instance another one may learn of a change.
+VIEW_LAG_MS = 500
+# Longer than any stream.
+KEPT_MS = 60_000
+# Bounds memory. The oldest state is dropped, and its time is then not covered.
+MAX_STATES = 256
+# Bounds memory: two generations of the targets of the largest fleet.
+MAX_STARTS = 16_384
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionMix:
+    """The targets of a service that accept requests, by software version."""
+
+    # Sorted by version.
+    slots: tuple[tuple[str, int], ...]
+    # Slots of targets that are gone and whose version is not known.
+    unknown_slots: int = 0
+
+    def choose(self, attempt: str) -> str:
+        """Returns the version that begins the stream of an attempt."""
+        return _choose_by_slots(attempt, self.slots)
+
+    def list_choices(self, attempt: str) -> set[str]:
+        """Returns the versions that may have begun the stream."""
+        return {
+            _choose_by_slots(attempt, slots)
+            for slots in self._list_possible_slots()
+            if slots
+        }
+
+    def _list_possible_slots(self) -> Iterable[tuple[tuple[str, int], ...]]:
+        """Returns the slots for each version that unknown targets may have."""
+        yield self.slots
+        if self.unknown_slots:
+            for version, _ in self.slots:
+                yield tuple(
+                    (v, slots + self.unknown_slots * (v == version))
+                    for v, slots in self.slots
+                )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PastMix:
+    """A mix that was replaced."""
+
+    mix: VersionMix
+    # When it was replaced at the latest.
+    until_ms: int
+
+
+class VersionTimeline:
+    """The mixes of all services over the last minute."""
+
+    def __init__(self, clock: Clock, targets: TargetList):
+        self._clock = clock
+        self._targets = targets
+        self._current: dict[str, VersionMix] = {}
+        self._past: dict[str, collections.deque[PastMix]] = {}
+        # The list of targets from which each current mix was made.
+        self._sources: dict[str, Sequence[EdgeTarget]] = {}
+        # When each run of a target started, in the time of this process.
+        self._starts: dict[int, int] = {}
+        # Since when all changes are known; None before the first listing.
+        self.covered_since_ms: int | None = None
+
+    def note_listing(self) -> None:
+        """Records that a full copy of the list of targets has arrived."""
+        if self.covered_since_ms is None:
+            self.covered_since_ms = self._clock.now_ms()
+
+    def update(self, service: str) -> VersionMix:
+        """Records which targets accept requests now."""
+        source = self._targets.list_for(service)
+        if self._sources.get(service) is source:
+            return self._current[service]
+        self._sources[service] = source
+        previous = self._current.get(service)
+        mix = make_mix(source)
+        now_ms = self._clock.now_ms()
+        if previous is not None and mix != previous:
+            self._append(service, PastMix(previous, now_ms))
+        self._current[service] = mix
+        return mix
+
+    def choose(self, service: str, attempt: str) -> str | None:
+        """Returns the version that begins a new stream; None if none can."""
+        mix = self.update(service)
+        if not mix.slots:
+            return None
+        return mix.choose(attempt)
+
+    def list_choices(
+        self, service: str, attempt: str, since_ms: int
+    ) -> set[str]:
+        """Returns the versions that an attempt since then may have begun at."""
+        choices: set[str] = set()
+        for mix in self._list_mixes(service, since_ms):
+            choices |= mix.list_choices(attempt)
+        return choices
+
+    def list_versions(self, service: str, since_ms: int) -> set[str]:
+        """Returns all versions that have accepted requests since then."""
+        return {
+            version
+            for mix in self._list_mixes(service, since_ms)
+            for version, _ in mix.slots
+        }
+
+    def insert_history(
+        self,
+        past_by_service: Mapping[str, list[PastMix]],
+        covered_since_ms: int,
+    ) -> None:
+        """Adds what happened before this process listed the targets.
+
+        Args:
+            past_by_service: the earlier mixes, the oldest first.
+            covered_since_ms: since when all changes are known.
+        """
+        for service, past in past_by_service.items():
+            known = self._past.setdefault(service, collections.deque())
+            known.extendleft(reversed(past))
+        assert self.covered_since_ms is not None
+        self.covered_since_ms = min(self.covered_since_ms, covered_since_ms)
+
+    def find_start(self, target: EdgeTarget) -> int | None:
+        """Returns when a target started, in the time of this process."""
+        if not target.started_at_ms:
+            return None
+        start_ms = self._starts.get(target.run_hash)
+        if start_ms is None:
+            now_ms = self._clock.now_ms()
+            age_ms = self._clock.wall_ms() - target.started_at_ms
+            start_ms = now_ms - max(0, age_ms)
+            if len(self._starts) >= MAX_STARTS:
+                self._starts.clear()
+            self._starts[target.run_hash] = start_ms
+        return start_ms
+
+    def _list_mixes(self, service: str, since_ms: int) -> Iterable[VersionMix]:
+        for past in self._past.get(service, ()):
+            if past.until_ms >= since_ms:
+                yield past.mix
+        yield self.update(service)
+
+    def _append(self, service: str, past: PastMix) -> None:
+        kept = self._past.setdefault(service, collections.deque())
+        kept.append(past)
+        oldest_ms = self._clock.now_ms() - KEPT_MS
+        while kept and kept[0].until_ms < oldest_ms:
+            kept.popleft()
+        if len(kept) > MAX_STATES:
+            dropped = kept.popleft()
+            assert self.covered_since_ms is not None
+            self.covered_since_ms = max(self.covered_since_ms, dropped.until_ms)
+
+
+def make_mix(
+    targets: Iterable[EdgeTarget], unknown_slots: int = 0
+) -> VersionMix:
+    """Returns the mix of targets that accept requests.
+
+    Args:
+        targets: that accept requests.
+        unknown_slots: of further targets whose version is not known.
+    """
+    slots: dict[str, int] = {}
+    for target in targets:
+        slots[target.software] = slots.get(target.software, 0) + target.slots
+    return VersionMix(tuple(sorted(slots.items())), unknown_slots)
+
+
+def _choose_by_slots(attempt: str, slots: tuple[tuple[str, int], ...]) -> str:
+    """Returns a version by weighted rendezvous hashing.
+
+    Each version gets its part of the attempts, and a change of the slots moves
+    as few attempts as possible to another version.
+    """
+    if len(slots) == 1:
+        return slots[0][0]
+
+    def weigh(entry: tuple[str, int]) -> tuple[float, str]:
+        version, count = entry
+        digest = xxhash.xxh3_64_intdigest(
+            f"{len(version)}:{version}{attempt}".encode()
+        )
+        share = (digest + 1) / (2**64 + 1)
+        return -count / math.log(share), version
+
+    return max(slots, key=weigh)[0]
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -36,6 +36,7 @@
     InstanceIdentity,
     SharedState,
 )
+from peridotbend.edge.targethistory import TargetHistory
 from peridotbend.platform import wire
 from peridotbend.platform.documents import (
     decode_config,
@@ -123,6 +124,9 @@
             settings.digests, self._exchange, self._update_feeds
         )
         self._dependencies.occupancy.on_change = self._gossip.note_change
+        origins = self._dependencies.origins
+        self._exchange.on_legacy_peer = origins.note_legacy_peer
+        self._exchange.has_legacy_peers = origins.has_legacy_peers
         self._build_feeds()
         self._dependencies.holder.subscribe(self._apply_limits)
 
@@ -296,6 +300,16 @@
                 is_versioned=False,
             ),
         }
+        self._history = TargetHistory(
+            self._store.make_prefix_reader(
+                wire.TARGET_PREFIX, read_target_order
+            ),
+            lambda key, value: decode_target(_find_target_name(key), value),
+            self._dependencies.timeline,
+            self._clock,
+            self._settings.store_history_ms,
+        )
+        self._dependencies.origins.history = self._history
 
     def _make_feed(
         self,
@@ -371,7 +385,7 @@
 
     def _apply_target_items(self, items: list[Item]) -> None:
         for item in items:
-            name = item.key.removeprefix(wire.TARGET_PREFIX)
+            name = _find_target_name(item.key)
             if item.value is None:
                 self._remove_target(name, item.position.revision)
                 continue
@@ -404,9 +418,18 @@
                 software=target.software,
                 started_at_ms=target.started_at_ms,
             )
+        if not self._history.has_listing:
+            self._history.note_listing(
+                self._feeds[wire.TARGET_PREFIX].items.position,
+                {
+                    wire.TARGET_PREFIX + target.name: target
+                    for target in self._dependencies.targets
+                },
+            )
         for service in {
             target.service for target in self._dependencies.targets
         }:
+            self._dependencies.timeline.update(service)
             self._dependencies.backlog.grant_slots(service)
 
     def _remove_target(self, name: str, revision: int) -> None:
@@ -443,6 +466,9 @@
     def _update_feeds(self) -> None:
         """Applies what is due after an exchange of digests."""
         self._apply_reader_role()
+        self._dependencies.origins.note_fleet(
+            self._status.find_live_share() >= 1
+        )
         for feed in self._feeds.values():
             feed.release_withheld()
 
@@ -470,3 +496,7 @@
         with anyio.move_on_after(left_ms / 1_000):
             await self._server.stop()
         self._log.emit(Event.DRAIN_FINISHED, active=self._app.active)
+
+
+def _find_target_name(key: str) -> str:
+    return key.removeprefix(wire.TARGET_PREFIX)
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -49,6 +49,15 @@
         return Err(str(error))
 
 
+def decode_prompt_parts(body: bytes) -> Result[frozenset[str], str]:
+    """Decodes the IDs of the prompt parts that a target keeps."""
+    try:
+        held = Fields(json.loads(body)).get_list("held", _read_part)
+    except (ValueError, RecursionError, BadFieldError) as error:
+        return Err(str(error))
+    return Ok(frozenset(held))
+
+
 def read_config_order(body: bytes) -> WriteOrder:
     """Returns the version of a configuration."""
     return _read_order(body, "version"), 0
@@ -163,3 +172,10 @@
         started_at_ms=started_at_ms,
         software=fields.get_str("version"),
     )
+
+
+def _read_part(value: object, path: str) -> str:
+    # A list whose second entry is the ID.
+    if not isinstance(value, list) or len(value) < 2:
+        raise BadFieldError(f"{path}: must be a list with an ID")
+    return read_str(value[1], path)
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -17,11 +17,15 @@
 from peridotbend.domain.streams import find_header, is_event_stream
 from peridotbend.domain.text import Target
 from peridotbend.edge.ports import Rejection, Reply, TargetSend
+from peridotbend.edge.targets import EdgeTarget
 from peridotbend.platform import wire
+from peridotbend.platform.documents import decode_prompt_parts
 
 MISDIRECTED_STATUS = 421
 # Lower bound of the deadline header, since targets take 0 as no deadline.
 MIN_DEADLINE_MS = 1
+# A part takes some 40 bytes.
+MAX_PARTS_BYTES = 1_048_576
 
 
 class PlatformTargetAnswer:
@@ -43,15 +47,31 @@
     def __init__(self, client: HttpTargetClient):
         self._client = client
 
+    async def list_prompt_parts(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> frozenset[str] | None:
+        """Returns the prompt parts that a target keeps; None if not told."""
+        call = TargetCall("GET", wire.PARTS_CALL, (), b"", timeout_ms)
+        body = bytearray()
+        async with self._client.open(
+            _make_address(target), call, lambda: True
+        ) as opened:
+            if isinstance(opened, Err) or opened.ok_value.head.status != 200:
+                return None
+            async for chunk in opened.ok_value.chunks():
+                if isinstance(chunk, Err):
+                    return None
+                body += chunk.ok_value
+                if len(body) > MAX_PARTS_BYTES:
+                    return None
+        return decode_prompt_parts(bytes(body)).ok()
+
     @contextlib.asynccontextmanager
     async def open(
         self, send: TargetSend, gate: Callable[[], bool]
     ) -> AsyncIterator[Reply]:
         """Sends a request and waits for the head of the answer."""
-        target = send.target
-        address = Target(
-            target.name, target.service, target.zone, target.host, target.port
-        )
+        address = _make_address(send.target)
         async with self._client.open(address, _make_call(send), gate) as opened:
             if isinstance(opened, Err):
                 yield opened.err_value
@@ -62,6 +82,12 @@
                 yield reply
 
 
+def _make_address(target: EdgeTarget) -> Target:
+    return Target(
+        target.name, target.service, target.zone, target.host, target.port
+    )
+
+
 def _make_call(send: TargetSend) -> TargetCall:
     call = send.call
     deadline_ms = max(MIN_DEADLINE_MS, send.deadline_ms)
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -39,6 +39,7 @@
         raise BadFieldError(
             "internal_ports: must be a list of the first and the last port"
         )
+    store = fields.get_mapping("platform")
     return EdgeSettings(
         name=fields.get_str("node_name"),
         zone=fields.get_str("zone"),
@@ -50,7 +51,8 @@
             read_address(seed, f"seeds[{index}]")
             for index, seed in enumerate(fields.get_list("seeds", read_str))
         ),
-        store=fields.get_mapping("platform").get_address("address"),
+        store=store.get_address("address"),
+        store_history_ms=round(store.get_number("history_s", 0.0) * 1_000),
         heartbeat_ms=fields.get_int("heartbeat_ms", 2_000, minimum=1),
         grace_ms=round(bounds.get_number("grace_s", 8.0) * 1_000),
         resend_share=bounds.get_number("retry_budget_ratio", 0.1),
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -63,7 +63,8 @@
 READY_PATH = "/-/readyz"
 RANGE_CALL = "/-/kv-range"
 WATCH_CALL = "/-/kv-watch"
-CALLS = (READY_PATH, RANGE_CALL, WATCH_CALL)
+PARTS_CALL = "/-/kv-list"
+CALLS = (READY_PATH, RANGE_CALL, WATCH_CALL, PARTS_CALL)
 
 # Keys and key prefixes in the store.
 CONFIG_KEY = "op/config"
--- a/src/peridotbend_emulator/replayengine.py
+++ b/src/peridotbend_emulator/replayengine.py
@@ -11,6 +11,7 @@
 
 from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
 from peridotbend.edge.ports import Reply, TargetSend
+from peridotbend.edge.targets import EdgeTarget
 
 # From the users' data sheets: the duration of a step of the batch, the prompt
 # tokens that are processed per ms, and the tokens in one event of an answer.
@@ -142,6 +143,12 @@
         self._engines = engines
         self._count_events = count_events
 
+    async def list_prompt_parts(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> frozenset[str] | None:
+        """Returns None: these engines tell nothing of their prompts."""
+        return None
+
     @contextlib.asynccontextmanager
     async def open(
         self, send: TargetSend, gate: Callable[[], bool]
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -271,6 +271,16 @@
         # Number of concurrently open sends, and its maximum.
         self.open_count = 0
         self.max_open_count = 0
+        # The prompt parts that each target keeps, by its name.
+        self.parts: dict[str, frozenset[str]] = {}
+        self.parts_calls = 0
+
+    async def list_prompt_parts(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> frozenset[str] | None:
+        """Returns the prompt parts of a target."""
+        self.parts_calls += 1
+        return self.parts.get(target.name, frozenset())
 
     @contextlib.asynccontextmanager
     async def open(
@@ -352,6 +362,11 @@
         self.stall_detector = dependencies.stall_detector
         self.allowances = dependencies.allowances
         self.backlog = dependencies.backlog
+        self.timeline = dependencies.timeline
+        self.origins = dependencies.origins
+        # The instance has run for longer than any stream.
+        self.timeline.note_listing()
+        self.clock.advance(60_000)
         self.relay = Relay(dependencies)
         if config is not None:
             self.holder.offer(config)
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -34,6 +34,7 @@
     InstanceIdentity,
     SharedState,
 )
+from peridotbend.edge.targets import EdgeTarget
 from peridotbend_emulator.virtualtime import run_virtual
 from tests.edgefakes import (
     CALL,
@@ -116,6 +117,12 @@
         self._fleet = fleet
         self._host = host
 
+    async def list_prompt_parts(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> frozenset[str] | None:
+        """Returns no prompt parts."""
+        return None
+
     @contextlib.asynccontextmanager
     async def open(
         self, send: TargetSend, gate: Callable[[], bool]
