Test what is known of the versions of streams

The timeline of versions, the history of the store, peers of an older build, instances that are not heard of, and the parts that targets keep; also entries of targets whose version is missing, empty or of another type.

--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -12,7 +12,11 @@
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 from peridotbend.edge.config import RouteKind
 from peridotbend.platform import wire
-from peridotbend.platform.documents import decode_config, decode_target
+from peridotbend.platform.documents import (
+    decode_config,
+    decode_prompt_parts,
+    decode_target,
+)
 from peridotbend.platform.ingress import (
     BodyReservation,
     decode_call,
@@ -197,6 +201,9 @@
             {"address": "10.0.0.1"},
             {"service": None},
             {"born": 12.5},
+            {"version": None},
+            {"version": ""},
+            {"version": 2},
         ):
             result = decode_target(
                 "i-1", encode_document({**TARGET_ENTRY, **change})
@@ -205,6 +212,20 @@
         for body in (b"", b"null", b"\x80", b'"text"'):
             assert isinstance(decode_target("i-1", body), Err)
 
+    def test_prompt_parts_of_another_form_are_not_told(self) -> None:
+        """Guards against a doubt that a malformed answer decides."""
+        held = [["", "a1", 800, "m"], ["", "b2", 20, "m"]]
+        body = encode_document({"epoch": 1, "next": 3, "held": held})
+        assert decode_prompt_parts(body).unwrap() == {"a1", "b2"}
+        for malformed in (
+            b"",
+            b"[]",
+            b'{"held": {}}',
+            b'{"held": [["", 7]]}',
+            b'{"held": ["a1"]}',
+        ):
+            assert isinstance(decode_prompt_parts(malformed), Err), malformed
+
 
 class CallerHeadersTest(unittest.TestCase):
     """Decoding of requests from callers."""
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -4,10 +4,27 @@
 import unittest
 
 import anyio
+from result import Err, Ok, Result
 
-from peridotbend.edge.ports import AnswerBrokenError, EdgeCall
+from peridotbend.adapters.digests import decode_digest, encode_digest
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.verdicts import NotRun, Reason
+from peridotbend.edge.peers import Digest
+from peridotbend.edge.ports import (
+    AnswerBrokenError,
+    EdgeCall,
+    StoreError,
+    StoreFailure,
+)
+from peridotbend.edge.promptparts import MAX_ASKED
+from peridotbend.edge.published import Changes, Item, Position
+from peridotbend.edge.targethistory import TargetHistory
+from peridotbend.edge.targets import EdgeTarget, TargetList
+from peridotbend.edge.versions import VersionTimeline
+from peridotbend.wire import edge_pb2
 from tests.edgefakes import (
     CALL,
+    STREAM_ROUTE,
     RecordingResponder,
     RelayHarness,
     ScriptedReply,
@@ -16,6 +33,25 @@
 )
 
 TARGETS = ("i-1", "i-2", "i-3")
+# Versions of the first attempts, with three versions of equal slots.
+PLACED_ALIKE = [
+    "v1",
+    "v3",
+    "v2",
+    "v2",
+    "v3",
+    "v1",
+    "v2",
+    "v1",
+    "v2",
+    "v2",
+    "v1",
+    "v1",
+]
+# Taken up 10 s after the first attempt.
+TAKE_UP = dataclasses.replace(
+    CALL, resumes="a1", last_event_id="1", session="s", deadline_ms=5_000
+)
 
 
 def _list_targets(harness: RelayHarness, **software: str) -> None:
@@ -40,6 +76,16 @@
     return responder
 
 
+def _find_attempt(harness: RelayHarness, version: str) -> str:
+    """Returns an attempt that begins at a version."""
+    attempts = (f"a{number}" for number in range(1_000))
+    return next(
+        attempt
+        for attempt in attempts
+        if harness.timeline.choose("engine", attempt) == version
+    )
+
+
 class FailoverVersionTest(unittest.TestCase):
     """Streams that go on at another target within one answer."""
 
@@ -79,3 +125,318 @@
             _serve(restarted, take_up)
             (first,), (second,) = begun.client.sends, restarted.client.sends
             assert first.target.software == second.target.software
+
+    def test_certain_version_without_a_target_is_refused(self) -> None:
+        """Guards against a wait for a version that has left."""
+        harness = RelayHarness()
+        _list_targets(harness, i_1="v1")
+        harness.timeline.update("engine")
+        harness.clock.advance(1_000)
+        _list_targets(harness, i_2="v2")
+        harness.client.parts["i-2"] = frozenset(("other",))
+        responder = _serve(harness, TAKE_UP)
+        assert isinstance(responder.verdict, NotRun)
+        assert responder.verdict.reason is Reason.ORIGIN_UNKNOWN
+        # Long after, only the version that is left may have begun streams.
+        harness.clock.advance(60_000)
+        harness.timeline.update("engine")
+        _list_targets(harness)
+        responder = _serve(harness, TAKE_UP)
+        assert isinstance(responder.verdict, NotRun)
+        assert not harness.client.sends
+
+    def test_target_that_keeps_the_prompt_decides_a_doubt(self) -> None:
+        """Guards against refusing each take-up after a rollout."""
+        for keepers, expected in (
+            ({"i-2"}, "v2"),
+            ({"i-2", "i-3"}, "v2"),
+            ({"i-1", "i-2"}, None),
+            (set(), None),
+        ):
+            harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+            _list_targets(harness, i_1="v1")
+            harness.timeline.update("engine")
+            harness.clock.advance(1_000)
+            _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+            for name in keepers:
+                harness.client.parts[name] = frozenset(("s",))
+            moved = _find_attempt(harness, "v2")
+            responder = _serve(
+                harness, dataclasses.replace(TAKE_UP, resumes=moved)
+            )
+            sent = [send.target.software for send in harness.client.sends]
+            assert sent == ([expected] if expected else []), keepers
+            assert (responder.verdict is None) is bool(expected)
+
+    def test_take_ups_of_a_moment_share_the_calls_to_targets(self) -> None:
+        """Guards against a call to each target for each take-up."""
+        harness = RelayHarness()
+        _list_targets(harness, i_1="v1")
+        harness.timeline.update("engine")
+        _list_targets(harness, i_2="v2", i_3="v2")
+        for number in range(20):
+            _serve(harness, dataclasses.replace(TAKE_UP, resumes=f"a{number}"))
+        assert harness.client.parts_calls == 2
+        for number in range(3 * MAX_ASKED):
+            target = make_target(f"j-{number}")
+            harness.targets.put(dataclasses.replace(target, software="v2"))
+        harness.clock.advance(1_000)
+        _serve(harness, TAKE_UP)
+        assert harness.client.parts_calls <= 2 + MAX_ASKED
+
+    def test_own_stream_is_remembered(self) -> None:
+        """Guards against doubt about a stream of the same instance."""
+        broken = ScriptedReply(chunks=(make_event(1),), breaks_connection=True)
+        rest = ScriptedReply(chunks=(make_event(2),))
+        harness = RelayHarness(broken, broken, rest)
+        _list_targets(harness, i_1="v1")
+        _serve(harness)
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        take_up = dataclasses.replace(
+            CALL, attempt="b", resumes=CALL.attempt, last_event_id="1"
+        )
+        _serve(harness, take_up)
+        assert harness.client.sends[-1].target.name == "i-1"
+
+    def test_peer_of_an_older_build_makes_placement_uncertain(self) -> None:
+        """Guards against trust in a placement that not all instances make."""
+        harness = RelayHarness()
+        _list_targets(harness, i_1="v1", i_2="v2")
+        harness.timeline.update("engine")
+
+        async def find() -> str | None:
+            return await harness.origins.find(TAKE_UP, STREAM_ROUTE, "engine")
+
+        harness.clock.advance(60_000)
+        assert anyio.run(find) in ("v1", "v2")
+        harness.origins.note_legacy_peer()
+        assert anyio.run(find) is None
+        harness.clock.advance(60_000)
+        assert anyio.run(find) in ("v1", "v2")
+
+    def test_digest_of_an_older_build_says_nothing_of_placement(self) -> None:
+        """Guards against taking a missing field for a promise."""
+        digest = Digest("e", 1, 1, "10.0.0.1", False, (), {}, {}, {})
+        data = encode_digest(digest)
+        message = edge_pb2.UseDigest.FromString(data)
+        message.ClearField("places_by_version")
+        decoded = decode_digest(data)
+        older = decode_digest(message.SerializeToString())
+        assert decoded is not None and decoded.places_by_version
+        assert older is not None and not older.places_by_version
+
+    def test_instance_that_is_not_heard_of_widens_the_window(self) -> None:
+        """Guards against an instance that is cut off and places as before."""
+        harness = RelayHarness()
+        _list_targets(harness, i_1="v1")
+        harness.timeline.update("engine")
+        harness.origins.note_fleet(True)
+        harness.clock.advance(5_000)
+        harness.origins.note_fleet(False)
+        harness.clock.advance(1_000)
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        harness.timeline.update("engine")
+        harness.clock.advance(20_000)
+        take_up = dataclasses.replace(
+            TAKE_UP, resumes=_find_attempt(harness, "v2")
+        )
+
+        async def find() -> str | None:
+            return await harness.origins.find(take_up, STREAM_ROUTE, "engine")
+
+        assert anyio.run(find) is None
+        harness.origins.note_fleet(True)
+        assert anyio.run(find) is None
+        harness.clock.advance(40_000)
+        assert anyio.run(find) == "v2"
+
+
+class PlacementTest(unittest.TestCase):
+    """Where new streams begin while several versions serve."""
+
+    def test_versions_get_streams_by_their_slots(self) -> None:
+        """Guards against a version that is overloaded during a rollout."""
+        harness = RelayHarness()
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        chosen = [
+            harness.timeline.choose("engine", f"a{number}")
+            for number in range(3_000)
+        ]
+        assert 900 < chosen.count("v1") < 1_100
+
+    def test_change_of_slots_moves_few_streams(self) -> None:
+        """Guards against doubt about streams that a change does not touch."""
+        harness = RelayHarness()
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        attempts = [f"a{number}" for number in range(1_000)]
+        choose = harness.timeline.choose
+        before = [choose("engine", attempt) for attempt in attempts]
+        harness.targets.remove("i-3")
+        after = [choose("engine", attempt) for attempt in attempts]
+        moved = [
+            (old, new)
+            for old, new in zip(before, after, strict=True)
+            if old != new
+        ]
+        assert set(moved) == {("v2", "v1")}
+        assert len(moved) < 250
+
+    def test_streams_are_placed_alike_on_all_machines(self) -> None:
+        """Guards against a hash that depends on the kind of machine."""
+        harness = RelayHarness()
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v3")
+        chosen = [
+            harness.timeline.choose("engine", f"a{number}")
+            for number in range(len(PLACED_ALIKE))
+        ]
+        assert tuple(chosen) == PLACED_ALIKE, chosen
+
+
+KEPT_MS = 20_000
+PREFIX = "targets/"
+# Unix time of the first listing.
+LISTED_AT_MS = ManualClock.WALL_START_MS
+
+
+class _HistoryStore:
+    """A store that keeps the changes after a revision."""
+
+    def __init__(self, oldest: int, items: list[Item]):
+        self._oldest = oldest
+        self._items = items
+        self.calls = 0
+
+    async def list_items(self) -> Result[Changes, StoreError]:
+        """Not used."""
+        raise AssertionError("the history has no listing")
+
+    async def watch(
+        self, after: int, wait_ms: int
+    ) -> Result[Changes, StoreError]:
+        """Returns the kept changes after a revision."""
+        assert not wait_ms
+        self.calls += 1
+        if after < self._oldest:
+            return Err(StoreError(StoreFailure.COMPACTED))
+        items = [i for i in self._items if i.position.revision > after]
+        return Ok(Changes(tuple(items), Position(0, 900), is_whole=False))
+
+
+class HistoryTest(unittest.TestCase):
+    """What an instance that has just started learns from the store."""
+
+    def _read(
+        self,
+        changes: list[tuple[int, str, str | None]],
+        listed: dict[str, EdgeTarget],
+        oldest: int = 800,
+    ) -> tuple[VersionTimeline, int]:
+        """Reads a history of revision, name and encoded entry."""
+        clock = ManualClock()
+        targets = TargetList(clock)
+        for target in listed.values():
+            targets.put(target)
+        timeline = VersionTimeline(clock, targets)
+        store = _HistoryStore(
+            oldest,
+            [
+                Item(
+                    PREFIX + name,
+                    Position(0, revision),
+                    entry.encode() if entry else None,
+                )
+                for revision, name, entry in changes
+            ],
+        )
+        history = TargetHistory(
+            store, self._decode, timeline, clock, kept_ms=KEPT_MS
+        )
+        keyed = {PREFIX + name: target for name, target in listed.items()}
+        history.note_listing(Position(0, 900), keyed)
+        timeline.update("engine")
+        assert anyio.run(history.read)
+        assert store.calls < 25
+        return timeline, clock.now_ms()
+
+    def _decode(self, key: str, value: bytes) -> Result[EdgeTarget, str]:
+        software, age_ms, state = value.decode().split()
+        return Ok(
+            dataclasses.replace(
+                make_target(key.removeprefix(PREFIX)),
+                software=software,
+                started_at_ms=LISTED_AT_MS - int(age_ms),
+                is_leaving=state == "leaving",
+            )
+        )
+
+    def _make(self, name: str, entry: str) -> EdgeTarget:
+        return self._decode(PREFIX + name, entry.encode()).unwrap()
+
+    def test_version_that_has_left_is_known(self) -> None:
+        """Guards against certainty after the old version has left."""
+        listed = {"n": self._make("n", "v2 5000 ready")}
+        timeline, now_ms = self._read(
+            [
+                (810, "n", "v2 5000 ready"),
+                (820, "o", "v1 90000 leaving"),
+                (830, "o", None),
+            ],
+            listed,
+        )
+        assert timeline.list_versions("engine", now_ms - 9_000) == {"v1", "v2"}
+        assert timeline.covered_since_ms == now_ms - KEPT_MS
+        choices = [
+            timeline.list_choices("engine", f"a{number}", now_ms - 3_000)
+            for number in range(20)
+        ]
+        # When the old target left is not known, but it may have been just now.
+        assert {"v2"} in choices
+        assert {"v1", "v2"} in choices
+
+    def test_start_bounds_when_the_states_before_it_ended(self) -> None:
+        """Guards against doubt about changes long before a start."""
+        listed = {"n": self._make("n", "v2 5000 ready")}
+        timeline, now_ms = self._read(
+            [(820, "o", "v1 90000 leaving"), (830, "n", "v2 5000 ready")],
+            listed,
+        )
+        assert timeline.list_versions("engine", now_ms - 4_000) == {"v2"}
+        assert timeline.list_versions("engine", now_ms - 6_000) == {"v1", "v2"}
+
+    def test_target_that_left_unannounced_has_any_known_version(self) -> None:
+        """Guards against certainty about a target whose entry is lost."""
+        listed = {
+            "n": self._make("n", "v2 90000 ready"),
+            "o": self._make("o", "v1 90000 ready"),
+        }
+        timeline, now_ms = self._read([(820, "gone", None)], listed)
+        sets = [
+            timeline.list_choices("engine", f"a{number}", now_ms - 1_000)
+            for number in range(200)
+        ]
+        assert {"v1", "v2"} in sets
+        assert {"v1"} in sets
+
+    def test_history_that_goes_back_to_the_start_covers_all(self) -> None:
+        """Guards against doubt in a store that has lost nothing."""
+        listed = {"n": self._make("n", "v2 5000 ready")}
+        timeline, now_ms = self._read(
+            [(830, "n", "v2 5000 ready")], listed, oldest=0
+        )
+        assert timeline.covered_since_ms is not None
+        assert timeline.covered_since_ms < now_ms - 10 * KEPT_MS
+        assert timeline.list_versions("engine", 0) == {"v2"}
+
+    def test_history_that_cannot_be_read_covers_nothing(self) -> None:
+        """Guards against certainty while the store is out of reach."""
+        clock = ManualClock()
+        timeline = VersionTimeline(clock, TargetList(clock))
+        lost = _HistoryStore(10_000, [])
+        for kept_ms in (0, KEPT_MS):
+            history = TargetHistory(
+                lost, self._decode, timeline, clock, kept_ms
+            )
+            assert not anyio.run(history.read)
+            history.note_listing(Position(0, 900), {})
+            assert not anyio.run(history.read)
+            assert timeline.covered_since_ms == clock.now_ms()
