Let a stream go on only at the service that began it

Found while looking for the same cause elsewhere: on a route that is split over several services, a take-up chose its service at random, so that the stream went on at other software although the version text may be the same. Resumable streams now choose by weighted rendezvous hashing of the attempt that began, as they choose the version. A change of the weights still moves a part of the attempts; a take-up in between may come to the other service.

test_take_up_goes_on_at_the_service_that_began failed before and passes.

--- a/src/peridotbend/domain/rendezvous.py
+++ b/src/peridotbend/domain/rendezvous.py
@@ -1,6 +1,7 @@
 """Rendezvous hashing over names."""
 
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Callable, Iterable, Sequence
 from typing import TypeVar
 
 import xxhash
@@ -25,3 +26,26 @@
         return xxhash.xxh3_64_intdigest(prefix + label.encode()), label
 
     return sorted(items, key=weigh, reverse=True)
+
+
+def choose_weighted(key: str, entries: Sequence[tuple[str, float]]) -> str:
+    """Returns one of several names, each with its part of all keys.
+
+    A change of the weights moves as few keys as possible to another name.
+
+    Args:
+        key: for which to choose.
+        entries: names and weights, of which one at least is above 0.
+    """
+    if len(entries) == 1:
+        return entries[0][0]
+
+    def weigh(entry: tuple[str, float]) -> tuple[float, str]:
+        name, weight = entry
+        # The length tells apart names and keys whose concatenations are equal.
+        label = f"{len(name)}:{name}{key}".encode()
+        # Between 0 and 1, without either.
+        share = ((xxhash.xxh3_64_intdigest(label) >> 12) + 0.5) / 2**52
+        return -weight / math.log(share), name
+
+    return max(entries, key=weigh)[0]
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -9,6 +9,7 @@
     CallError,
     CallFailure,
 )
+from peridotbend.domain.rendezvous import choose_weighted
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 from peridotbend.edge.activerequests import ActiveRequest
 from peridotbend.edge.backlog import Slot
@@ -129,7 +130,7 @@
             )
             if wait_ms is not None:
                 return NotRun(Reason.CLIENT_LIMIT, wait_ms)
-        service = self._choose_service(route)
+        service = self._choose_service(route, call)
         self._dependencies.budget.record_request(service)
         time_limit_ms = route.timeout_ms
         if call.deadline_ms is not None:
@@ -147,9 +148,15 @@
             events=EventSplitter(call.last_event_id),
         )
 
-    def _choose_service(self, route: Route) -> str:
+    def _choose_service(self, route: Route, call: EdgeCall) -> str:
         if len(route.services) == 1:
             return route.services[0].name
+        if route.is_resumable_stream:
+            # What takes the stream up has to come to the same service.
+            return choose_weighted(
+                call.resumes or call.attempt,
+                [(share.name, share.weight) for share in route.services],
+            )
         weights = [share.weight for share in route.services]
         return self._dependencies.rng.choices(route.services, weights)[0].name
 
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -8,12 +8,10 @@
 
 import collections
 import dataclasses
-import math
 from collections.abc import Iterable, Mapping, Sequence
 
-import xxhash
-
 from peridotbend.domain.clock import Clock
+from peridotbend.domain.rendezvous import choose_weighted
 from peridotbend.edge.targets import EdgeTarget, TargetList
 
 # How much later than this instance another one may learn of a change.
@@ -37,12 +35,12 @@
 
     def choose(self, attempt: str) -> str:
         """Returns the version that begins the stream of an attempt."""
-        return _choose_by_slots(attempt, self.slots)
+        return choose_weighted(attempt, self.slots)
 
     def list_choices(self, attempt: str) -> set[str]:
         """Returns the versions that may have begun the stream."""
         return {
-            _choose_by_slots(attempt, slots)
+            choose_weighted(attempt, slots)
             for slots in self._list_possible_slots()
             if slots
         }
@@ -187,23 +185,3 @@
     for target in targets:
         slots[target.software] = slots.get(target.software, 0) + target.slots
     return VersionMix(tuple(sorted(slots.items())), unknown_slots)
-
-
-def _choose_by_slots(attempt: str, slots: tuple[tuple[str, int], ...]) -> str:
-    """Returns a version by weighted rendezvous hashing.
-
-    Each version gets its part of the attempts, and a change of the slots moves
-    as few attempts as possible to another version.
-    """
-    if len(slots) == 1:
-        return slots[0][0]
-
-    def weigh(entry: tuple[str, int]) -> tuple[float, str]:
-        version, count = entry
-        digest = xxhash.xxh3_64_intdigest(
-            f"{len(version)}:{version}{attempt}".encode()
-        )
-        share = (digest + 1) / (2**64 + 1)
-        return -count / math.log(share), version
-
-    return max(slots, key=weigh)[0]
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -345,6 +345,7 @@
         self.log = RecordingLog()
         self.meter = RecordingMeter()
         self.client = ScriptedTargetClient(*replies)
+        self.rng = random.Random(1)
         dependencies = make_dependencies(
             SETTINGS,
             self.clock,
@@ -352,7 +353,7 @@
             SingleInstanceFleet(),
             self.log,
             self.meter,
-            random.Random(1),
+            self.rng,
         )
         self.holder = dependencies.holder
         self.targets = dependencies.targets
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -9,6 +9,7 @@
 from peridotbend.adapters.digests import decode_digest, encode_digest
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.verdicts import NotRun, Reason
+from peridotbend.edge.config import WeightedService
 from peridotbend.edge.peers import Digest
 from peridotbend.edge.ports import (
     AnswerBrokenError,
@@ -24,6 +25,7 @@
 from peridotbend.wire import edge_pb2
 from tests.edgefakes import (
     CALL,
+    CONFIG,
     STREAM_ROUTE,
     RecordingResponder,
     RelayHarness,
@@ -126,6 +128,28 @@
             (first,), (second,) = begun.client.sends, restarted.client.sends
             assert first.target.software == second.target.software
 
+    def test_take_up_goes_on_at_the_service_that_began(self) -> None:
+        """Guards against joined streams on a route split over services."""
+        shares = (WeightedService("engine", 1.0), WeightedService("other", 1.0))
+        route = dataclasses.replace(STREAM_ROUTE, services=shares)
+        config = dataclasses.replace(CONFIG, routes=(route,))
+        began = set()
+        for number in range(20):
+            services = []
+            for call in (
+                dataclasses.replace(CALL, attempt=f"a{number}"),
+                dataclasses.replace(TAKE_UP, resumes=f"a{number}"),
+            ):
+                reply = ScriptedReply(chunks=(make_event(1),))
+                harness = RelayHarness(reply, config=config)
+                harness.targets.put(make_target("o-1", "other"))
+                harness.rng.seed(len(services))
+                _serve(harness, call)
+                services.append(harness.client.sends[0].target.service)
+            assert services[0] == services[1]
+            began.add(services[0])
+        assert began == {"engine", "other"}
+
     def test_certain_version_without_a_target_is_refused(self) -> None:
         """Guards against a wait for a version that has left."""
         harness = RelayHarness()
