Ask targets about streams that began before this process

The store had discarded its history before all instances lost power, so that the version that had left was not in it, and the only one left looked certain. Nothing tells how much of a history is missing. What a process has not seen itself is now only believed if the targets agree, or if they tell nothing of their prompts.

test_history_that_the_store_has_lost_is_not_trusted failed before and passes.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -45,7 +45,8 @@
 
     An instance remembers its own streams. For others it computes where they
     were placed. If the result is not the same for all times at which they may
-    have begun, the targets tell which of them have read the prompt.
+    have begun, or if this process has not run for that long, the targets tell
+    which of them have read the prompt.
     """
 
     def __init__(
@@ -132,12 +133,15 @@
             choices = self._timeline.list_choices(
                 service, call.resumes, since_ms
             )
-        holders: set[str] = set()
-        if len(choices) != 1 or not is_covered:
+        observed_ms = self._timeline.observed_since_ms
+        is_observed = observed_ms is not None and observed_ms <= since_ms
+        holders: set[str] | None = None
+        if len(choices) != 1 or not is_observed:
             holders = await self._parts.find_versions(service, call.session)
-            if is_covered:
-                holders &= choices
-            choices = holders
+        if holders is not None:
+            choices = holders & choices if is_covered else holders
+        elif not is_covered:
+            choices = set()
         self._log.emit(
             Event.STREAM_TAKEN_UP,
             attempt=call.attempt,
@@ -146,7 +150,8 @@
             window_ms=self._clock.now_ms() - since_ms,
             is_covered=is_covered,
             versions=sorted(versions),
-            holders=sorted(holders),
+            is_observed=is_observed,
+            holders=None if holders is None else sorted(holders),
             choices=sorted(choices),
         )
         return choices.pop() if len(choices) == 1 else None
--- a/src/peridotbend/edge/promptparts.py
+++ b/src/peridotbend/edge/promptparts.py
@@ -32,18 +32,24 @@
         self._cached: dict[int, tuple[int, frozenset[str]]] = {}
         self._asking = anyio.Lock()
 
-    async def find_versions(self, service: str, part: str) -> set[str]:
-        """Returns the software versions of the targets that keep a part."""
+    async def find_versions(self, service: str, part: str) -> set[str] | None:
+        """Returns the software versions of the targets that keep a part.
+
+        None if no target tells.
+        """
         if not part:
-            return set()
+            return None
         targets = [t for t in self._targets if t.service == service]
         asked = rank(part.encode(), targets, lambda t: t.name)[:MAX_ASKED]
         async with self._asking:
             await self._ask(asked)
+        told = [target for target in asked if target.run_hash in self._cached]
+        if not told:
+            return None
         return {
             target.software
-            for target in asked
-            if part in self._cached.get(target.run_hash, (0, ()))[1]
+            for target in told
+            if part in self._cached[target.run_hash][1]
         }
 
     async def _ask(self, targets: list[EdgeTarget]) -> None:
@@ -55,6 +61,7 @@
                 for target in targets:
                     known = self._cached.get(target.run_hash)
                     if known is None or known[0] < oldest_ms:
+                        self._cached.pop(target.run_hash, None)
                         tasks.start_soon(self._ask_one, target)
 
     async def _ask_one(self, target: EdgeTarget) -> None:
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -79,11 +79,15 @@
         self._starts: dict[int, int] = {}
         # Since when all changes are known; None before the first listing.
         self.covered_since_ms: int | None = None
+        # Since when this process has seen all of them itself. The store may
+        # have lost a part of its history.
+        self.observed_since_ms: int | None = None
 
     def note_listing(self) -> None:
         """Records that a full copy of the list of targets has arrived."""
         if self.covered_since_ms is None:
             self.covered_since_ms = self._clock.now_ms()
+            self.observed_since_ms = self.covered_since_ms
 
     def update(self, service: str) -> VersionMix:
         """Records which targets accept requests now."""
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -272,7 +272,7 @@
         self.open_count = 0
         self.max_open_count = 0
         # The prompt parts that each target keeps, by its name.
-        self.parts: dict[str, frozenset[str]] = {}
+        self.parts: dict[str, frozenset[str] | None] = {}
         self.parts_calls = 0
 
     async def list_prompt_parts(
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -192,6 +192,27 @@
             assert sent == ([expected] if expected else []), keepers
             assert (responder.verdict is None) is bool(expected)
 
+    def test_history_that_the_store_has_lost_is_not_trusted(self) -> None:
+        """Guards against certainty after the store discarded its history.
+
+        Seen on binhminh-orders, rejoined-and-store-compact, seed 11: the
+        version that had left was not in the history.
+        """
+        for told, expected in (
+            (None, "v2"),
+            (frozenset(("s",)), "v2"),
+            (frozenset(("other",)), None),
+        ):
+            harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+            _list_targets(harness, i_2="v2", i_3="v2")
+            now_ms = harness.clock.now_ms()
+            harness.timeline.observed_since_ms = now_ms
+            for name in ("i-2", "i-3"):
+                harness.client.parts[name] = told
+            _serve(harness, TAKE_UP)
+            sent = [send.target.software for send in harness.client.sends]
+            assert sent == ([expected] if expected else []), told
+
     def test_take_ups_of_a_moment_share_the_calls_to_targets(self) -> None:
         """Guards against a call to each target for each take-up."""
         harness = RelayHarness()
