--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -9,13 +9,12 @@
     CallError,
     CallFailure,
 )
-from peridotbend.domain.rendezvous import choose_weighted
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 from peridotbend.edge.activerequests import ActiveRequest
+from peridotbend.edge.admission import QUARANTINED, Admission
 from peridotbend.edge.backlog import Slot
-from peridotbend.edge.config import Account, Route, RouteKind
-from peridotbend.edge.crashes import SURVIVAL_MS, make_traits
-from peridotbend.edge.events import EventSplitter
+from peridotbend.edge.config import RouteKind
+from peridotbend.edge.crashes import SURVIVAL_MS
 from peridotbend.edge.inflight import TrackedSend
 from peridotbend.edge.parts import RelayDependencies
 from peridotbend.edge.ports import (
@@ -43,17 +42,10 @@
 # A connection that fails before a byte is written does not count as a send.
 # This limit only ends requests whose targets are all unreachable.
 MAX_CONNECT_FAILURES = 6
-# A new process receives the configuration within about 100 ms, if the store or
-# a peer is reachable.
-NO_CONFIG_RETRY_MS = 500
-# Long, because retrying a request that crashes its targets does not help; the
-# caller should change the request.
-QUARANTINED_RETRY_MS = 60_000
 # A target may answer with another status before it runs a request.
 SUCCESS_STATUS = 200
 REDIRECT_STATUS = 300
 ERROR_STATUS = 500
-_QUARANTINED = NotRun(Reason.QUARANTINED, QUARANTINED_RETRY_MS)
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
 _FOREIGN_HEAD = CallError(CallFailure.BROKEN, True, "a head inside a stream")
 _OVERSIZED_EVENT = CallError(CallFailure.BROKEN, True, "event without an end")
@@ -65,6 +57,7 @@
     def __init__(self, dependencies: RelayDependencies):
         self._dependencies = dependencies
         self._clock = dependencies.clock
+        self._admission = Admission(dependencies)
         self._report = RequestReporter(
             dependencies.clock,
             dependencies.holder,
@@ -78,7 +71,7 @@
         Raises:
             AnswerBrokenError: the answer has begun and cannot be completed.
         """
-        admitted = self._admit(call)
+        admitted = self._admission.admit(call)
         if not isinstance(admitted, ActiveRequest):
             await self._refuse(call, responder, admitted)
             return
@@ -106,60 +99,6 @@
                     request.account.name, request.tokens
                 )
 
-    def _admit(self, call: EdgeCall) -> ActiveRequest | NotRun:
-        config = self._dependencies.holder.config
-        if config is None:
-            return NotRun(Reason.NO_TEXT, NO_CONFIG_RETRY_MS)
-        route = config.find_route(call.host, call.path.partition("?")[0])
-        if route is None:
-            return NotRun(Reason.UNKNOWN_KIND)
-        account = None
-        if config.accounts and not route.is_public:
-            account = config.find_account(call.key)
-            if account is None:
-                return NotRun(Reason.UNKNOWN_KEY)
-        account_name = account.name if account else ""
-        traits = make_traits(call, account_name)
-        if self._dependencies.crashes.find_cause(traits) is not None:
-            return _QUARANTINED
-        tokens = 0.0
-        if account is not None:
-            tokens = _count_tokens(call, account)
-            wait_ms = self._dependencies.allowances.try_take(
-                account_name, tokens, route.is_generation
-            )
-            if wait_ms is not None:
-                return NotRun(Reason.CLIENT_LIMIT, wait_ms)
-        service = self._choose_service(route, call)
-        self._dependencies.budget.record_request(service)
-        time_limit_ms = route.timeout_ms
-        if call.deadline_ms is not None:
-            time_limit_ms = min(time_limit_ms, call.deadline_ms)
-        now_ms = self._clock.now_ms()
-        return ActiveRequest(
-            call,
-            route,
-            service,
-            account,
-            traits,
-            tokens,
-            now_ms,
-            now_ms + time_limit_ms,
-            events=EventSplitter(call.last_event_id),
-        )
-
-    def _choose_service(self, route: Route, call: EdgeCall) -> str:
-        if len(route.services) == 1:
-            return route.services[0].name
-        if route.is_resumable_stream:
-            # What takes the stream up has to come to the same service.
-            return choose_weighted(
-                call.resumes or call.attempt,
-                [(share.name, share.weight) for share in route.services],
-            )
-        weights = [share.weight for share in route.services]
-        return self._dependencies.rng.choices(route.services, weights)[0].name
-
     async def _send_until_answered(
         self, request: ActiveRequest, responder: Responder
     ) -> None:
@@ -176,7 +115,7 @@
             try:
                 # A cause may have been found while the request waited or ran.
                 if self._find_cause(request) is not None:
-                    await self._end(request, responder, _QUARANTINED)
+                    await self._end(request, responder, QUARANTINED)
                     return
                 refusal = await self._send(request, slot, responder)
             finally:
@@ -618,12 +557,6 @@
         )
 
 
-def _count_tokens(call: EdgeCall, account: Account) -> float:
-    if call.prompt_tokens is None:
-        return account.default_tokens
-    return float(call.prompt_tokens + call.max_output_tokens)
-
-
 def _make_no_stream_error(answer: EdgeAnswer) -> CallError:
     detail = f"expected a resumed event stream, got status {answer.head.status}"
     return CallError(CallFailure.BROKEN, True, detail)
