Report an older build from its own digests only

Relays passed on what other relays had told them of instances that place streams without regard to versions, so the word circulated and every take-up would have stayed in doubt long after an upgrade. Sums for other groups now follow the digests of members alone, totals for members those of members and other groups.

A test of the product's own interface shows that an engine that has restarted does not go on with a stream: a resumption reads the output of one process by its token.

--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -40,6 +40,9 @@
 READER_TIMEOUT_MS = 1_000
 # Age at which the totals of the first relay are replaced by those of another.
 SWITCH_RELAY_MS = 500
+# An instance of an older build is reported for this time after its last digest,
+# more than the longest interval between digests.
+LEGACY_REPORT_MS = 1_000
 # Entries of the list of instances in one digest.
 MAX_MEMBERS = 24
 
@@ -101,8 +104,8 @@
         # Called on news of an instance that places streams without regard to
         # the versions of targets.
         self.on_legacy_peer: Callable[[], None] = lambda: None
-        # Tells whether there was such news lately.
-        self.has_legacy_peers: Callable[[], bool] = lambda: False
+        # When a digest of each scope last told of such an instance.
+        self._legacy_at_ms: dict[Scope, int] = {}
         self._identity = state.identity
         self._sequence = 0
         self._sent_at_ms: dict[Scope, int] = {}
@@ -192,6 +195,7 @@
             self._directory.reset_failures()
         self._heard_at_ms = self._clock.now_ms()
         if not digest.places_by_version:
+            self._legacy_at_ms[digest.scope] = self._heard_at_ms
             self.on_legacy_peer()
         if digest.scope is Scope.NEWS:
             self._state.apply_news(digest)
@@ -382,7 +386,7 @@
         live = self._live if self._view is None else 0
         expected = self._expected
         digest = self._state.describe_fleet(self._sequence, live, expected)
-        digest = self._complete_sums(digest)
+        digest = self._complete_sums(digest, (Scope.OWN, Scope.GROUP))
         echoes = [self._peers.find_last_sequence(host) for host in hosts]
         return [Outgoing(digest, hosts, echoes)]
 
@@ -395,14 +399,26 @@
         digest = self._state.describe_group(
             self._sequence, members, self._count_live(members)
         )
-        digest = self._complete_sums(digest)
+        digest = self._complete_sums(digest, (Scope.OWN,))
         return [Outgoing(digest, self._list_other_relays())]
 
-    def _complete_sums(self, digest: Digest) -> Digest:
+    def _complete_sums(
+        self, digest: Digest, sources: tuple[Scope, ...]
+    ) -> Digest:
+        """Adds the list of instances, and whether any is of an older build.
+
+        What relays tell each other must come from the instances themselves:
+        it would otherwise circulate after the last one was replaced.
+        """
+        oldest_ms = self._clock.now_ms() - LEGACY_REPORT_MS
+        has_legacy = any(
+            self._legacy_at_ms.get(scope, oldest_ms) > oldest_ms
+            for scope in sources
+        )
         return dataclasses.replace(
             digest,
             members=self._select_members(),
-            places_by_version=not self.has_legacy_peers(),
+            places_by_version=not has_legacy,
         )
 
     def _collect_news(self, hosts: list[str]) -> list[Outgoing]:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -124,9 +124,9 @@
             settings.digests, self._exchange, self._update_feeds
         )
         self._dependencies.occupancy.on_change = self._gossip.note_change
-        origins = self._dependencies.origins
-        self._exchange.on_legacy_peer = origins.note_legacy_peer
-        self._exchange.has_legacy_peers = origins.has_legacy_peers
+        self._exchange.on_legacy_peer = (
+            self._dependencies.origins.note_legacy_peer
+        )
         self._build_feeds()
         self._dependencies.holder.subscribe(self._apply_limits)
 
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -191,6 +191,9 @@
             self.log,
             lambda host, prefix, revision: None,
         )
+        self.exchange.on_legacy_peer = (
+            self.dependencies.origins.note_legacy_peer
+        )
 
     async def run(self) -> None:
         """Runs the tasks of the process."""
@@ -224,6 +227,8 @@
         self.bad_part = ""
         # Hosts that exchange no digests with the others.
         self.cut_hosts: set[str] = set()
+        # Hosts of an older build, which says nothing of software versions.
+        self.older_hosts: set[str] = set()
         self._zones_by_host = {
             f"10.{zone + 1}.0.{number + 1}": f"zone-{zone}"
             for zone in range(zones)
@@ -371,4 +376,6 @@
             return
         digest = decode_digest(data)
         assert digest is not None
+        if sender in self.older_hosts:
+            digest = dataclasses.replace(digest, places_by_version=False)
         receiver.exchange.receive(digest)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -60,6 +60,23 @@
         assert self.world.counts["stream-resumed"] == 1
         assert caller.data == self.world.answers[caller.token]
 
+    def test_stream_does_not_go_on_in_an_engine_that_restarted(self) -> None:
+        """Guards against a stream that is joined from two software versions.
+
+        Only the process that began a stream knows its token.
+        """
+        self.plan_failure("die-midway")
+        caller = self.send(self.a1, ms=400)
+        engines = [t for n, t in self.world.targets.items() if n[0] == "m"]
+        for engine in engines:
+            if not engine.up:
+                engine.restart()
+        assert all(engine.up for engine in engines)
+        self.run_for(3_000)
+        assert get_verdict(caller) == (MAY_HAVE_RUN, Reason.TARGET_FAILED)
+        assert self.world.counts["stream-resumed"] == 0
+        assert len(self.world.runs[caller.token]) == 1
+
     def test_answer_over_the_limit_of_its_kind_is_cut(self) -> None:
         """Guards against unbounded memory use by a large answer."""
         self.plan_failure("too-large")
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -10,6 +10,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.verdicts import NotRun, Reason
 from peridotbend.edge.config import WeightedService
+from peridotbend.edge.origins import DISTRUST_MS
 from peridotbend.edge.peers import Digest
 from peridotbend.edge.ports import (
     AnswerBrokenError,
@@ -33,6 +34,7 @@
     make_event,
     make_target,
 )
+from tests.edgerunners import RunnerFleet
 
 TARGETS = ("i-1", "i-2", "i-3")
 # Versions of the first attempts, with three versions of equal slots.
@@ -296,6 +298,43 @@
         assert anyio.run(find) == "v2"
 
 
+class OlderBuildTest(unittest.TestCase):
+    """Fleets in which some instances run an older build."""
+
+    def test_all_instances_learn_of_an_older_build(self) -> None:
+        """Guards against trust in placement in other groups or meshes."""
+        for per_zone in (2, 10):
+            fleet = RunnerFleet(zones=4, per_zone=per_zone)
+            fleet.older_hosts = {fleet.hosts[-1]}
+
+            async def script(fleet: RunnerFleet = fleet) -> None:
+                await anyio.sleep(3)
+                for host, instance in fleet.instances.items():
+                    origins = instance.dependencies.origins
+                    is_told = origins.has_legacy_peers()
+                    assert is_told or host in fleet.older_hosts, host
+
+            fleet.run(script)
+
+    def test_fleet_of_one_build_is_trusted(self) -> None:
+        """Guards against doubt that relays keep up among themselves."""
+        for per_zone in (2, 10):
+            fleet = RunnerFleet(zones=4, per_zone=per_zone)
+
+            async def script(fleet: RunnerFleet = fleet) -> None:
+                await anyio.sleep(3)
+                older = fleet.hosts[-1]
+                fleet.older_hosts = {older}
+                await anyio.sleep(3)
+                fleet.older_hosts = set()
+                await anyio.sleep(DISTRUST_MS / 1_000 + 5)
+                for host, instance in fleet.instances.items():
+                    origins = instance.dependencies.origins
+                    assert not origins.has_legacy_peers(), host
+
+            fleet.run(script)
+
+
 class PlacementTest(unittest.TestCase):
     """Where new streams begin while several versions serve."""
 
