Ask targets about streams while an instance is cut off

Found by reading: an instance that reaches neither the store nor a relay does not see a rollout, takes the only version it knows for certain, and sends the take-up of a stream that began elsewhere at the new version there (ORDER). What it has observed counts only while its list of targets is confirmed; else the targets have to agree, as after a start.

test_instance_that_is_cut_off_asks_targets failed before and passes.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -116,7 +116,7 @@
         self._withheld_since_ms: int | None = None
         # When the store, or the relay that reads it, last showed that nothing
         # is missing here.
-        self._confirmed_at_ms = clock.now_ms()
+        self.confirmed_at_ms = clock.now_ms()
         # Whether the last call to the store succeeded.
         self.is_store_reachable = True
         self._must_list = True
@@ -172,7 +172,7 @@
             return False
         self._must_list = False
         self._is_listing_new = changes.is_whole
-        self._confirmed_at_ms = self._clock.now_ms()
+        self.confirmed_at_ms = self._clock.now_ms()
         return self.merge(changes)
 
     def merge(self, changes: Changes, source: str = "store") -> bool:
@@ -221,7 +221,7 @@
         if self._withheld_since_ms is None:
             return
         # An instance that is cut off would not see that an entry expires.
-        waited_ms = self._confirmed_at_ms - self._withheld_since_ms
+        waited_ms = self.confirmed_at_ms - self._withheld_since_ms
         if waited_ms < self._rules.withhold_ms:
             return
         self._withheld_since_ms = None
@@ -242,7 +242,7 @@
         if not self._is_ahead(state):
             is_level = state.position == self.items.position
             if is_level and not self._role.is_reader:
-                self._confirmed_at_ms = self._clock.now_ms()
+                self.confirmed_at_ms = self._clock.now_ms()
             if host == self._peer_ahead:
                 self._behind_since_ms = None
             return
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -1,6 +1,7 @@
 """Finds out at which software version a stream began that is taken up."""
 
 import collections
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -20,6 +21,9 @@
 DISTRUST_MS = 30_000
 # Another instance counts as lost only this long after its last digest.
 LOSS_NOTICE_MS = 2_000
+# While the store or a relay responds, the list of targets is confirmed every
+# 2 s. One that was not confirmed for this long may lack changes.
+CONFIRMED_MS = 3_500
 # Pause after a failed attempt to read the history.
 READ_RETRY_MS = 500
 
@@ -45,8 +49,8 @@
 
     An instance remembers its own streams. For others it computes where they
     were placed. If the result is not the same for all times at which they may
-    have begun, or if this process has not run for that long, the targets tell
-    which of them have read the prompt.
+    have begun, or if this process has not seen all that changed since then,
+    the targets tell which of them have read the prompt.
     """
 
     def __init__(
@@ -61,6 +65,8 @@
         self._timeline = timeline
         self._log = log
         self.history: History = NoHistory()
+        # Returns when the list of targets was last known to lack nothing.
+        self.find_confirmed_ms: Callable[[], int] = clock.now_ms
         # Version and time of the own streams, the oldest first.
         self._begun: collections.OrderedDict[str, tuple[str, int]] = (
             collections.OrderedDict()
@@ -133,8 +139,7 @@
             choices = self._timeline.list_choices(
                 service, call.resumes, since_ms
             )
-        observed_ms = self._timeline.observed_since_ms
-        is_observed = observed_ms is not None and observed_ms <= since_ms
+        is_observed = self._is_observed(since_ms)
         holders: set[str] | None = None
         if len(choices) != 1 or not is_observed:
             holders = await self._parts.find_versions(service, call.session)
@@ -156,6 +161,15 @@
         )
         return choices.pop() if len(choices) == 1 else None
 
+    def _is_observed(self, since_ms: int) -> bool:
+        """Tells whether this process has seen all changes since then itself."""
+        observed_ms = self._timeline.observed_since_ms
+        if observed_ms is None or observed_ms > since_ms:
+            return False
+        # An instance that is cut off does not see what the others do.
+        age_ms = self._clock.now_ms() - self.find_confirmed_ms()
+        return age_ms <= CONFIRMED_MS
+
     def _find_earliest_begin(self, call: EdgeCall, route: Route) -> int:
         now_ms = self._clock.now_ms()
         longest_ms = max(route.timeout_ms, self._longest_ms.get(route.name, 0))
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -310,6 +310,10 @@
             self._settings.store_history_ms,
         )
         self._dependencies.origins.history = self._history
+        feed = self._feeds[wire.TARGET_PREFIX]
+        self._dependencies.origins.find_confirmed_ms = (
+            lambda: feed.confirmed_at_ms
+        )
 
     def _make_feed(
         self,
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -215,6 +215,22 @@
             sent = [send.target.software for send in harness.client.sends]
             assert sent == ([expected] if expected else []), told
 
+    def test_instance_that_is_cut_off_asks_targets(self) -> None:
+        """Guards against certainty about a rollout that is not seen."""
+        harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+        _list_targets(harness, i_1="v1", i_2="v1")
+        harness.timeline.update("engine")
+        harness.clock.advance(60_000)
+        lost_at_ms = harness.clock.now_ms()
+        harness.clock.advance(5_000)
+        harness.origins.find_confirmed_ms = lambda: lost_at_ms
+        responder = _serve(harness, TAKE_UP)
+        assert isinstance(responder.verdict, NotRun)
+        harness.client.parts["i-1"] = frozenset(("s",))
+        harness.clock.advance(1_000)
+        _serve(harness, TAKE_UP)
+        assert harness.client.sends[0].target.software == "v1"
+
     def test_take_ups_of_a_moment_share_the_calls_to_targets(self) -> None:
         """Guards against a call to each target for each take-up."""
         harness = RelayHarness()
