Date a change in the history only by a start within it

Found by reading: a later change of an entry whose target had started long before was dated by that start, and with it all earlier changes, so that they fell out of the window and a version looked certain. Only the first entry of a target that started within the kept history is its start.

test_change_of_an_old_entry_is_not_taken_for_a_start failed before and passes.

--- a/src/peridotbend/edge/targethistory.py
+++ b/src/peridotbend/edge/targethistory.py
@@ -33,8 +33,7 @@
     name: str
     # None after its removal, or if the entry names no usable target.
     target: EdgeTarget | None
-    # Bounds of the time of the change.
-    from_ms: int
+    # The latest time at which it may have happened.
     until_ms: int
 
 
@@ -133,7 +132,6 @@
 
     def _insert(self, changes: Changes, covered_since_ms: int) -> None:
         assert self._listed_at is not None
-        assert self._timeline.covered_since_ms is not None
         items = sorted(
             (
                 item
@@ -142,7 +140,7 @@
             ),
             key=lambda item: item.position.revision,
         )
-        steps = self._date(items, self._timeline.covered_since_ms)
+        steps = self._date(items, covered_since_ms)
         state = self._find_state_before(steps, covered_since_ms)
         mixes = {service: state.make_mix(service) for service in state.ready}
         past: dict[str, list[PastMix]] = {}
@@ -155,21 +153,26 @@
                     past.setdefault(service, []).append(entry)
         self._timeline.insert_history(past, covered_since_ms)
 
-    def _date(self, items: list[Item], listed_ms: int) -> list[_Change]:
-        """Returns the changes with bounds of their times."""
+    def _date(self, items: list[Item], covered_since_ms: int) -> list[_Change]:
+        """Returns the changes, each with its latest possible time."""
+        listed_ms = self._timeline.covered_since_ms
+        assert listed_ms is not None
         steps: list[_Change] = []
-        earliest_ms = _ALWAYS_MS
+        seen: set[str] = set()
         for item in items:
             target = None
             if item.value is not None:
                 target = self._decode(item.key, item.value).ok()
             until_ms = listed_ms
-            if target is not None and not target.is_leaving:
+            start_ms = None
+            is_first = item.key not in seen
+            if target is not None and is_first and not target.is_leaving:
                 start_ms = self._timeline.find_start(target)
-                if start_ms is not None and start_ms >= earliest_ms:
-                    earliest_ms = start_ms
-                    until_ms = min(listed_ms, start_ms + REGISTER_MS)
-            steps.append(_Change(item.key, target, earliest_ms, until_ms))
+            # The first entry of a target that started within the history.
+            if start_ms is not None and start_ms >= covered_since_ms:
+                until_ms = min(listed_ms, start_ms + REGISTER_MS)
+            seen.add(item.key)
+            steps.append(_Change(item.key, target, until_ms))
         latest_ms = listed_ms
         for index in reversed(range(len(steps))):
             latest_ms = min(latest_ms, steps[index].until_ms)
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -517,6 +517,22 @@
         assert {"v1", "v2"} in sets
         assert {"v1"} in sets
 
+    def test_change_of_an_old_entry_is_not_taken_for_a_start(self) -> None:
+        """Guards against changes that are dated long before they happened."""
+        listed = {
+            "n": self._make("n", "v2 90000 ready"),
+            "o": self._make("o", "v1 90000 ready"),
+        }
+        timeline, now_ms = self._read(
+            [(820, "p", "v1 90000 leaving"), (830, "n", "v2 90000 ready")],
+            listed,
+        )
+        sets = [
+            timeline.list_choices("engine", f"a{number}", now_ms - 1_000)
+            for number in range(100)
+        ]
+        assert {"v1", "v2"} in sets
+
     def test_history_that_goes_back_to_the_start_covers_all(self) -> None:
         """Guards against doubt in a store that has lost nothing."""
         listed = {"n": self._make("n", "v2 5000 ready")}
