--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -14,7 +14,7 @@
 from peridotbend.edge.promptparts import PromptParts
 from peridotbend.edge.versions import KEPT_MS, VIEW_LAG_MS, VersionTimeline
 
-# Bounds memory, at about 150 bytes each.
+# Bounds memory, at about 220 bytes each.
 MAX_ATTEMPTS = 20_000
 # Streams of an instance that was not heard of, or of an older version of this
 # program, may go on for this long after it is heard of or was replaced.
