--- a/src/peridotbend/edge/targethistory.py
+++ b/src/peridotbend/edge/targethistory.py
@@ -186,7 +186,7 @@
         first: dict[str, _Change] = {}
         for step in steps:
             first.setdefault(step.name, step)
-        state = _State(self._timeline)
+        state = _State()
         for name, target in self._listed_targets.items():
             if name not in first and not target.is_leaving:
                 state.add(name, target)
@@ -205,11 +205,11 @@
 class _State:
     """The targets that accept requests, at one point of the history."""
 
-    def __init__(self, timeline: VersionTimeline):
-        self._timeline = timeline
+    def __init__(self) -> None:
         # By service and key.
         self.ready: dict[str, dict[str, EdgeTarget]] = {}
-        # Keys of targets that leave later and have no entry in the history.
+        # Keys of targets that are removed later and whose entries are older
+        # than the history, so that neither service nor version is known.
         self.unknown: set[str] = set()
         self._services: dict[str, str] = {}
 
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -59,7 +59,8 @@
     KV_HOLD, KV_BACKUP, PIN_MS,
 ))  # fmt: skip
 
-# Paths of the store's calls and of the platform's readiness check.
+# Paths of the platform's readiness check, of the store's calls, and of the call
+# that lists the prompt parts that a target keeps.
 READY_PATH = "/-/readyz"
 RANGE_CALL = "/-/kv-range"
 WATCH_CALL = "/-/kv-watch"
