--- /dev/null
+++ b/tests/test_edge_feeds.py
@@ -0,0 +1,163 @@
+"""Tests of how fast a change arrives while calls hang, in virtual time."""
+
+import random
+import unittest
+
+import anyio
+from result import Err, Ok, Result
+
+from peridotbend.adapters.publishedpeers import FETCH_TIMEOUT_S
+from peridotbend.domain.clock import ManualClock
+from peridotbend.edge.feeds import Feed, ReaderRole, RestoreRules
+from peridotbend.edge.ports import StoreError, StoreFailure
+from peridotbend.edge.published import Changes, FeedState, Item, Position
+from peridotbend_emulator.virtualtime import run_virtual
+from tests.edgefakes import RecordingLog
+
+# A confirmed change has to be in force everywhere within this time.
+IN_FORCE_MS = 2_000
+# A change that is not in force after this time may never be.
+GIVE_UP_MS = 10_000
+# Peers send digests at this interval at least.
+DIGEST_INTERVAL_MS = 300
+# A call to a sound peer, or to the store, over a new connection.
+ANSWER_MS = 10
+# The store's calls end after this time beyond the wait that they ask for.
+CALL_MARGIN_MS = 1_000
+OLD = Item("op/config", Position(1, 3), b"old", (3, 0))
+NEW = Item("op/config", Position(1, 4), b"new", (4, 0))
+OLD_COPY = Changes((OLD,), OLD.position, is_whole=True)
+NEW_COPY = Changes((NEW,), NEW.position, is_whole=True)
+
+
+class HangingStore:
+    """A store whose first watch hangs, as on a connection that went silent."""
+
+    def __init__(self, is_new_visible: bool) -> None:
+        # Whether calls after the first watch succeed, with the new item.
+        self._is_new_visible = is_new_visible
+        self._lists = self._watches = 0
+
+    async def list_items(self) -> Result[Changes, StoreError]:
+        """Returns the old copy at first."""
+        self._lists += 1
+        if self._lists == 1:
+            return Ok(OLD_COPY)
+        return await self._answer(CALL_MARGIN_MS)
+
+    async def watch(
+        self, after: int, wait_ms: int
+    ) -> Result[Changes, StoreError]:
+        """Hangs until the timeout of the call."""
+        self._watches += 1
+        if self._watches == 1:
+            await anyio.sleep((wait_ms + CALL_MARGIN_MS) / 1_000)
+            return Err(StoreError(StoreFailure.UNREACHABLE, "timeout"))
+        if after >= NEW.position.revision:
+            await anyio.sleep(wait_ms / 1_000)
+            return Ok(Changes((), NEW.position, is_whole=False))
+        return await self._answer(wait_ms + CALL_MARGIN_MS)
+
+    async def _answer(self, timeout_ms: int) -> Result[Changes, StoreError]:
+        if not self._is_new_visible:
+            await anyio.sleep(timeout_ms / 1_000)
+            return Err(StoreError(StoreFailure.UNREACHABLE, "timeout"))
+        await anyio.sleep(ANSWER_MS / 1_000)
+        return Ok(NEW_COPY)
+
+
+class HangingWatchTest(unittest.TestCase):
+    """A change that is confirmed just after the own watch went silent."""
+
+    def _measure_delay(
+        self,
+        silent_peers: int,
+        sound_peers: int,
+        is_store_sound: bool = False,
+        is_relay_member: bool = False,
+    ) -> int:
+        """Returns after how many ms the change is in force.
+
+        Args:
+            silent_peers: peers whose channels hang; heard of last.
+            sound_peers: peers that answer calls.
+            is_store_sound: whether a new call to the store would succeed.
+            is_relay_member: whether the instance leaves reading to relays.
+        """
+        clock = ManualClock()
+        role = ReaderRole(random.Random(1))
+        in_force = anyio.Event()
+
+        def apply(items: list[Item]) -> None:
+            if NEW in items:
+                in_force.set()
+
+        feed = Feed(
+            "op/",
+            HangingStore(is_store_sound),
+            apply,
+            clock,
+            RecordingLog(),
+            lambda: None,
+            role,
+            RestoreRules(True, 4_800, lambda: None),
+        )
+        sound = [f"10.0.1.{number}" for number in range(sound_peers)]
+        silent = [f"10.0.2.{number}" for number in range(silent_peers)]
+
+        async def fetch(
+            host: str, prefix: str, after: FeedState
+        ) -> Changes | None:
+            if host in silent:
+                await anyio.sleep(FETCH_TIMEOUT_S)
+                return None
+            await anyio.sleep(ANSWER_MS / 1_000)
+            return NEW_COPY
+
+        async def send_digests() -> None:
+            while True:
+                for host in sound + silent:
+                    feed.note_peer(host, FeedState(NEW.position, 4))
+                await anyio.sleep(DIGEST_INTERVAL_MS / 1_000)
+
+        async def run() -> int:
+            async with anyio.create_task_group() as tasks:
+                feed.merge_fetched("10.0.1.0", OLD_COPY)
+                tasks.start_soon(feed.run)
+                tasks.start_soon(feed.catch_up, fetch)
+                await anyio.sleep(0.1)
+                if is_relay_member:
+                    role.assign(False)
+                confirmed_at_ms = clock.now_ms()
+                await anyio.sleep(DIGEST_INTERVAL_MS / 1_000)
+                tasks.start_soon(send_digests)
+                with anyio.move_on_after(GIVE_UP_MS / 1_000):
+                    await in_force.wait()
+                tasks.cancel_scope.cancel()
+                return clock.now_ms() - confirmed_at_ms
+
+        return run_virtual(clock, run())
+
+    def test_one_silent_peer_does_not_delay_a_change(self) -> None:
+        """Guards against waiting for the peer that was heard of last."""
+        assert self._measure_delay(1, 1) <= IN_FORCE_MS
+
+    def test_silent_peers_in_a_row_do_not_delay_a_change(self) -> None:
+        """Guards against asking one peer after the other, each to its end."""
+        for silent_peers in (2, 3):
+            with self.subTest(silent_peers=silent_peers):
+                assert self._measure_delay(silent_peers, 1) <= IN_FORCE_MS
+
+    def test_member_of_a_group_does_not_wait_for_silent_relays(self) -> None:
+        """Guards against a silent first relay that hides the second one."""
+        delay_ms = self._measure_delay(1, 1, is_relay_member=True)
+        assert delay_ms <= IN_FORCE_MS
+
+    def test_own_watch_that_hangs_is_started_again(self) -> None:
+        """Guards against a dead connection to the store, with no peer left."""
+        for silent_peers in (1, 3):
+            with self.subTest(silent_peers=silent_peers):
+                delay_ms = self._measure_delay(
+                    silent_peers, 0, is_store_sound=True
+                )
+                assert delay_ms <= IN_FORCE_MS
