--- a/src/peridotbend/domain/events.py
+++ b/src/peridotbend/domain/events.py
@@ -62,6 +62,7 @@
     RELAY_LOST = 507
     STORE_READING_STARTED = 508
     STORE_READING_STOPPED = 509
+    CHANGES_FETCHED = 510
     INTERNAL_ERROR = 900
 
     @property
--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -129,6 +129,8 @@
         # Since when a peer has been ahead of this process, and which one.
         self._behind_since_ms: int | None = None
         self._peer_ahead = ""
+        # Since when the peer that is asked has been ahead.
+        self._asked_since_ms = 0
 
     async def run(self) -> None:
         """Lists and watches the store until cancelled."""
@@ -265,6 +267,7 @@
         if has_watch and waited_ms < CATCH_UP_DELAY_MS:
             return ""
         self._behind_since_ms = None
+        self._asked_since_ms = since_ms
         return self._peer_ahead
 
     async def catch_up(self, fetch: FetchChanges) -> None:
@@ -296,8 +299,19 @@
             self.merge(changes, host)
 
     async def _fetch(self, host: str, fetch: FetchChanges) -> None:
+        started_at_ms = self._clock.now_ms()
         changes = await fetch(host, self.prefix, self.find_fetch_state())
         if changes is not None:
+            now_ms = self._clock.now_ms()
+            self._log.emit(
+                Event.CHANGES_FETCHED,
+                peer=host,
+                prefix=self.prefix,
+                items=len(changes.items),
+                revision=changes.position.revision,
+                behind_ms=now_ms - self._asked_since_ms,
+                took_ms=now_ms - started_at_ms,
+            )
             self.merge_fetched(host, changes)
         elif not self._role.is_reader:
             # The relay is slow or gone; its next digest shows which.
