--- a/src/peridotbend/adapters/publishedpeers.py
+++ b/src/peridotbend/adapters/publishedpeers.py
@@ -93,6 +93,11 @@
                 detail=f"{type(error).__name__}: {error}",
             )
             return None
+        except anyio.get_cancelled_exc_class():
+            # Another peer was faster. The connection may be dead, and the next
+            # call would hang as well.
+            self._channels.drop(host, self._port)
+            raise
         return _unpack_changes(reply) if reply is not None else None
 
 
--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import anyio
 from result import Err, Result
@@ -36,6 +36,13 @@
 CATCH_UP_DELAY_MS = 250
 # Interval of the checks for such peers; digests arrive at the same rate.
 CATCH_UP_INTERVAL_MS = 50
+# A peer that has not answered for this long is not waited for alone: the next
+# one is asked as well. Calls to sound peers take milliseconds.
+HEDGE_DELAY_MS = 200
+# Peers asked for one change. If all of them hang, this instance is the fault.
+MAX_ASKED_PEERS = 4
+# Bounds the table of peers that are ahead; those heard of last are kept.
+MAX_PEERS_AHEAD = 16
 # Instances that lose their relays together start to read at random times within
 # this one.
 READER_JITTER_MS = 200
@@ -126,11 +133,12 @@
         self._must_ask = True
         # Set while a peer is ahead.
         self._is_behind = anyio.Event()
-        # Since when a peer has been ahead of this process, and which one.
+        # Since when peers have been ahead of this process, and how far they
+        # are, the one heard of last at the end.
         self._behind_since_ms: int | None = None
-        self._peer_ahead = ""
-        # Since when the peer that is asked has been ahead.
-        self._asked_since_ms = 0
+        self._peers_ahead: dict[str, FeedState] = {}
+        # Peers whose last call failed, the latest at the end.
+        self._failed_peers: dict[str, None] = {}
 
     async def run(self) -> None:
         """Lists and watches the store until cancelled."""
@@ -214,6 +222,7 @@
             )
         if self.items.has_withheld and self._withheld_since_ms is None:
             self._withheld_since_ms = self._clock.now_ms()
+        self._forget_overtaken()
         if outcome.changed:
             self._apply(list(outcome.changed))
         return bool(outcome.changed)
@@ -241,22 +250,29 @@
 
     def note_peer(self, host: str, state: FeedState) -> None:
         """Records how far a peer knows the prefix."""
+        self._peers_ahead.pop(host, None)
         if not self._is_ahead(state):
             is_level = state.position == self.items.position
             if is_level and not self._role.is_reader:
                 self.confirmed_at_ms = self._clock.now_ms()
-            if host == self._peer_ahead:
+            if not self._peers_ahead:
                 self._behind_since_ms = None
             return
-        self._peer_ahead = host
+        self._peers_ahead[host] = state
+        if len(self._peers_ahead) > MAX_PEERS_AHEAD:
+            del self._peers_ahead[next(iter(self._peers_ahead))]
         if self._behind_since_ms is None:
             self._behind_since_ms = self._clock.now_ms()
         self._is_behind.set()
 
-    def take_peer_ahead(self) -> str:
+    def take_peer_ahead(self, exclude: Collection[str] = ()) -> str:
         """Returns a peer from which to fetch missing changes, or "".
 
-        Each peer is returned once, until it is reported as ahead again.
+        Each peer is returned once, until it is reported as ahead again. Those
+        that failed lately come last.
+
+        Args:
+            exclude: peers that are being asked.
         """
         since_ms = self._behind_since_ms
         if since_ms is None:
@@ -266,19 +282,25 @@
         has_watch = self.items.is_known and self._role.is_reader
         if has_watch and waited_ms < CATCH_UP_DELAY_MS:
             return ""
-        self._behind_since_ms = None
-        self._asked_since_ms = since_ms
-        return self._peer_ahead
+        hosts = [host for host in self._peers_ahead if host not in exclude]
+        if not hosts:
+            return ""
+        failures = {host: n for n, host in enumerate(self._failed_peers)}
+        host = min(reversed(hosts), key=lambda h: failures.get(h, -1))
+        del self._peers_ahead[host]
+        if not self._peers_ahead:
+            self._behind_since_ms = None
+        return host
 
     async def catch_up(self, fetch: FetchChanges) -> None:
         """Fetches missing changes from peers until cancelled."""
         while True:
             await self._is_behind.wait()
             self._is_behind = anyio.Event()
-            while self._behind_since_ms is not None:
+            while (since_ms := self._behind_since_ms) is not None:
                 host = self.take_peer_ahead()
                 if host:
-                    await self._fetch(host, fetch)
+                    await self._fetch_from_any(host, since_ms, fetch)
                 else:
                     await anyio.sleep(CATCH_UP_INTERVAL_MS / 1_000)
 
@@ -298,24 +320,80 @@
         if changes.is_whole or changes.position.era == era:
             self.merge(changes, host)
 
-    async def _fetch(self, host: str, fetch: FetchChanges) -> None:
+    async def _fetch_from_any(
+        self, host: str, since_ms: int, fetch: FetchChanges
+    ) -> None:
+        """Asks peers until one answers, without waiting for silent ones.
+
+        Args:
+            host: the first peer to ask.
+            since_ms: since when peers have been ahead.
+            fetch: asks one peer.
+        """
+        has_answer = False
+        failed = anyio.Event()
+        asked: set[str] = set()
+
+        async def ask(host: str) -> None:
+            nonlocal has_answer
+            if await self._fetch(host, since_ms, fetch):
+                has_answer = True
+                tasks.cancel_scope.cancel()
+            failed.set()
+
+        async with anyio.create_task_group() as tasks:
+            while host:
+                asked.add(host)
+                failed = anyio.Event()
+                tasks.start_soon(ask, host)
+                with anyio.move_on_after(HEDGE_DELAY_MS / 1_000):
+                    await failed.wait()
+                host = ""
+                if len(asked) < MAX_ASKED_PEERS:
+                    host = self.take_peer_ahead(asked)
+        if not has_answer and not self._role.is_reader:
+            # The relays are slow or gone; their next digests show which.
+            await self._read_once(wait_ms=0)
+
+    async def _fetch(
+        self, host: str, since_ms: int, fetch: FetchChanges
+    ) -> bool:
+        """Fetches changes from one peer; tells whether it answered."""
         started_at_ms = self._clock.now_ms()
+        # Also holds for a call that is cancelled before its end.
+        self._note_failed_peer(host)
         changes = await fetch(host, self.prefix, self.find_fetch_state())
-        if changes is not None:
-            now_ms = self._clock.now_ms()
-            self._log.emit(
-                Event.CHANGES_FETCHED,
-                peer=host,
-                prefix=self.prefix,
-                items=len(changes.items),
-                revision=changes.position.revision,
-                behind_ms=now_ms - self._asked_since_ms,
-                took_ms=now_ms - started_at_ms,
-            )
-            self.merge_fetched(host, changes)
-        elif not self._role.is_reader:
-            # The relay is slow or gone; its next digest shows which.
-            await self._read_once(wait_ms=0)
+        if changes is None:
+            return False
+        self._failed_peers.pop(host, None)
+        now_ms = self._clock.now_ms()
+        self._log.emit(
+            Event.CHANGES_FETCHED,
+            peer=host,
+            prefix=self.prefix,
+            items=len(changes.items),
+            revision=changes.position.revision,
+            behind_ms=now_ms - since_ms,
+            took_ms=now_ms - started_at_ms,
+        )
+        self.merge_fetched(host, changes)
+        return True
+
+    def _note_failed_peer(self, host: str) -> None:
+        self._failed_peers.pop(host, None)
+        self._failed_peers[host] = None
+        if len(self._failed_peers) > MAX_PEERS_AHEAD:
+            del self._failed_peers[next(iter(self._failed_peers))]
+
+    def _forget_overtaken(self) -> None:
+        """Forgets the peers that are no longer ahead."""
+        self._peers_ahead = {
+            host: state
+            for host, state in self._peers_ahead.items()
+            if self._is_ahead(state)
+        }
+        if not self._peers_ahead:
+            self._behind_since_ms = None
 
     def _is_ahead(self, state: FeedState) -> bool:
         """Tells whether a peer knows something that this instance does not."""
