--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -133,6 +133,9 @@
         self._must_ask = True
         # Set while a peer is ahead.
         self._is_behind = anyio.Event()
+        # The call to the store that waits for changes, and since when.
+        self._watch_scope: anyio.CancelScope | None = None
+        self._watch_since_ms = clock.now_ms()
         # Since when peers have been ahead of this process, and how far they
         # are, the one heard of last at the end.
         self._behind_since_ms: int | None = None
@@ -145,7 +148,12 @@
         backoff_ms = INITIAL_BACKOFF_MS
         while True:
             await self._role.wait_until_reader()
-            outcome = await self._read_once(WATCH_WAIT_MS)
+            outcome: bool | None = False
+            with anyio.CancelScope() as scope:
+                self._watch_scope = scope
+                self._watch_since_ms = self._clock.now_ms()
+                outcome = await self._read_once(WATCH_WAIT_MS)
+            self._watch_scope = None
             if outcome is None:
                 await anyio.sleep(backoff_ms / 1_000)
                 backoff_ms = min(2 * backoff_ms, MAX_BACKOFF_MS)
@@ -348,6 +356,7 @@
                 tasks.start_soon(ask, host)
                 with anyio.move_on_after(HEDGE_DELAY_MS / 1_000):
                     await failed.wait()
+                self._restart_watch(since_ms)
                 host = ""
                 if len(asked) < MAX_ASKED_PEERS:
                     host = self.take_peer_ahead(asked)
@@ -355,6 +364,26 @@
             # The relays are slow or gone; their next digests show which.
             await self._read_once(wait_ms=0)
 
+    def _restart_watch(self, since_ms: int) -> None:
+        """Ends a watch that has not delivered what peers know.
+
+        Its connection may be dead, and peers may not answer either.
+
+        Args:
+            since_ms: since when peers have been ahead.
+        """
+        if self._watch_scope is None or self._watch_since_ms > since_ms:
+            return
+        self._watch_since_ms = now_ms = self._clock.now_ms()
+        self._log.emit(
+            Event.STORE_WATCH_RESTARTED,
+            prefix=self.prefix,
+            revision=self.items.position.revision,
+            behind_ms=now_ms - since_ms,
+        )
+        self._watch_scope.cancel()
+        self._watch_scope = None
+
     async def _fetch(
         self, host: str, since_ms: int, fetch: FetchChanges
     ) -> bool:
