--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -92,6 +92,13 @@
             self._remove_idle(oldest)
             await self._close(oldest)
 
+    async def close_idle(self, origin: httpcore.Origin) -> None:
+        """Closes the idle connections to one target."""
+        key = (origin.host, origin.port)
+        for connection in list(self._idle_by_target.get(key, ())):
+            self._remove_idle(connection)
+            await self._close(connection)
+
     async def aclose(self) -> None:
         """Closes the idle connections."""
         for connection in list(self._idle):
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -97,6 +97,11 @@
         """Closes all idle connections."""
         await self._pool.aclose()
 
+    async def close_idle(self, target: Target) -> None:
+        """Closes the idle connections to a target."""
+        with anyio.CancelScope(shield=True):
+            await self._pool.close_idle(_make_url(target, "/").origin)
+
     @contextlib.asynccontextmanager
     async def open(
         self, target: Target, call: TargetCall, gate: Callable[[], bool]
@@ -177,12 +182,7 @@
         headers.append((b"Content-Length", str(len(call.body)).encode()))
     return httpcore.Request(
         method=call.method,
-        url=httpcore.URL(
-            scheme=b"http",
-            host=target.host.encode(),
-            port=target.port,
-            target=call.path.encode("latin-1"),
-        ),
+        url=_make_url(target, call.path),
         headers=headers,
         content=call.body,
         extensions={
@@ -196,6 +196,15 @@
     )
 
 
+def _make_url(target: Target, path: str) -> httpcore.URL:
+    return httpcore.URL(
+        scheme=b"http",
+        host=target.host.encode(),
+        port=target.port,
+        target=path.encode("latin-1"),
+    )
+
+
 def _is_delimited(response: httpcore.Response) -> bool:
     """Returns whether the body has a length or chunks."""
     return any(
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -46,8 +46,9 @@
 class StoreClient:
     """Lists and watches keys of the store.
 
-    A call whose answer is lost ends by its timeout, which closes the
-    connection, so that the next call uses another one.
+    A call whose answer is lost ends by its timeout, or by its caller. Idle
+    connections are closed with its own: they may have gone silent as well, and
+    each would cost the next call its timeout.
     """
 
     def __init__(self, address: Address, client: HttpTargetClient):
@@ -96,7 +97,11 @@
                                 "the answer is too large"
                             )
         except TimeoutError:
+            await self._client.close_idle(self._target)
             return _make_unreachable_error(f"no answer in {timeout_s} s")
+        except anyio.get_cancelled_exc_class():
+            await self._client.close_idle(self._target)
+            raise
         decoded = _decode_answer(answer.head.status, bytes(body))
         if isinstance(decoded, Err):
             return decoded
--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -145,6 +145,32 @@
 
         self._run_store_check(answer, check)
 
+    def test_silent_connections_fail_one_call_only(self) -> None:
+        """Guards against one timeout for each connection that went silent."""
+        silent: set[int] = set()
+        answered: list[int] = []
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            if id(stream) in silent:
+                return
+            answered.append(id(stream))
+            # Calls overlap, so that each uses a connection of its own.
+            await anyio.sleep(0.05)
+            page = encode_document({"events": [], "store_revision": 9})
+            await stream.send(_make_answer("200 OK", page))
+
+        async def check(store: StoreClient) -> None:
+            reader = store.make_prefix_reader("op/", read_target_order)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(3):
+                    tasks.start_soon(reader.watch, 7, 0)
+            assert len(set(answered)) == 3
+            silent.update(answered)
+            assert (await reader.watch(7, 0)).is_err()
+            assert (await reader.watch(7, 0)).is_ok()
+
+        self._run_store_check(answer, check)
+
     def test_era_of_an_answer_is_read(self) -> None:
         """Guards against a restore of the store that nobody notices."""
         entry = {"born": 1_700_000_000_000, "sequence": 32}
