--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -50,6 +50,9 @@
 # Lines that one merge may log on outdated entries.
 MAX_OUTDATED_LINES = 20
 
+# A watch that fails so would fail again; a listing has what is missing.
+_UNREADABLE_HISTORY = (StoreFailure.COMPACTED, StoreFailure.TOO_LARGE)
+
 FetchChanges = Callable[[str, str, FeedState], Awaitable[Changes | None]]
 
 
@@ -168,7 +171,7 @@
         result = await self._read(wait_ms)
         if isinstance(result, Err):
             error = result.err_value
-            if error.failure is StoreFailure.COMPACTED:
+            if error.failure in _UNREADABLE_HISTORY and not self._must_list:
                 self._must_list = True
                 # A listing should have made the next watch possible; without a
                 # pause, the two would follow each other.
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -163,6 +163,8 @@
     BUSY = "busy"
     # The history since the requested revision is no longer available.
     COMPACTED = "compacted"
+    # More than this process takes at once.
+    TOO_LARGE = "too-large"
     # The answer is older than a restore of the store that is known.
     OUTDATED = "outdated"
     BAD_ANSWER = "bad-answer"
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -93,9 +93,7 @@
                             )
                         body += chunk.ok_value
                         if len(body) > MAX_ANSWER_BYTES:
-                            return _make_bad_answer_error(
-                                "the answer is too large"
-                            )
+                            return Err(StoreError(StoreFailure.TOO_LARGE))
         except TimeoutError:
             await self._client.close_idle(self._target)
             return _make_unreachable_error(f"no answer in {timeout_s} s")
--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -24,7 +24,7 @@
 from peridotbend.platform import wire
 from peridotbend.platform.documents import read_target_order
 from peridotbend.platform.runners import PlatformTargetClient
-from peridotbend.platform.store import StoreClient
+from peridotbend.platform.store import MAX_ANSWER_BYTES, StoreClient
 from tests.edgefakes import CALL, TARGET, RelayHarness, ScriptedReply
 from tests.test_edge_platform import encode_document
 
@@ -171,6 +171,22 @@
 
         self._run_store_check(answer, check)
 
+    def test_history_that_is_too_large_is_told_apart(self) -> None:
+        """Guards against a watch that is repeated from the same revision."""
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.send(
+                    _make_answer("200 OK", b" " * (MAX_ANSWER_BYTES + 1))
+                )
+
+        async def check(store: StoreClient) -> None:
+            reader = store.make_prefix_reader("op/", read_target_order)
+            error = (await reader.watch(7, 0)).unwrap_err()
+            assert error.failure is StoreFailure.TOO_LARGE
+
+        self._run_store_check(answer, check)
+
     def test_era_of_an_answer_is_read(self) -> None:
         """Guards against a restore of the store that nobody notices."""
         entry = {"born": 1_700_000_000_000, "sequence": 32}
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -354,13 +354,20 @@
 
     def test_lost_history_is_followed_by_a_list(self) -> None:
         """Guards against changes missed when the store compacts its history."""
+        self._check_list_after(StoreFailure.COMPACTED)
+
+    def test_history_that_is_too_large_is_followed_by_a_list(self) -> None:
+        """Guards against reading the same history again and again."""
+        self._check_list_after(StoreFailure.TOO_LARGE)
+
+    def _check_list_after(self, failure: StoreFailure) -> None:
         feed, reader, _, _ = self._make_feed(
             Ok(
                 _make_changes(
                     3, Item("op/a", Position(1, 3), b"x"), is_whole=True
                 )
             ),
-            Err(StoreError(StoreFailure.COMPACTED)),
+            Err(StoreError(failure)),
             Ok(
                 _make_changes(
                     9, Item("op/b", Position(1, 8), b"y"), is_whole=True
