--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -1,6 +1,8 @@
 """Decodes documents from the platform's store into configuration types."""
 
+import ipaddress
 import json
+import re
 
 from result import Err, Ok, Result
 
@@ -29,8 +31,15 @@
 # Earliest valid start time of a target, as Unix time in ms (2001). A smaller
 # number is not in milliseconds.
 MIN_START_MS = 1_000_000_000_000
+# Latest valid start time (the end of the year 9999).
+MAX_START_MS = 253_402_300_799_999
+# More requests at once than any target has connections for.
+MAX_SLOTS = 65_536
 # Largest number that peers exchange.
 MAX_ORDER = 2**63 - 1
+# Names of targets are sent in a header. A backslash is left of a key that was
+# no text.
+_TARGET_NAME = re.compile(r"[!-\[\]-~]+")
 
 
 def decode_config(body: bytes) -> Result[EdgeConfig, str]:
@@ -157,17 +166,27 @@
     state = fields.get_str("state")
     if state not in _TARGET_STATES:
         raise BadFieldError(f"state: unknown state {state[:80]!r}")
+    if not _TARGET_NAME.fullmatch(name):
+        raise BadFieldError(f"name: {ascii(name)[:80]} is no name of a target")
     host, port = fields.get_address("address")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise BadFieldError(f"address: {str(error)!a}") from error
     started_at_ms = 0
     if "born" in fields:
-        started_at_ms = fields.get_int("born", minimum=MIN_START_MS)
+        started_at_ms = fields.get_int(
+            "born", minimum=MIN_START_MS, maximum=MAX_START_MS
+        )
+    # Only orders the entries; an entry damaged here may be damaged elsewhere.
+    fields.get_int("sequence", 0, maximum=MAX_ORDER)
     return EdgeTarget(
         name=name,
         service=fields.get_str("service"),
         host=host,
         port=port,
         zone=fields.get_str("zone"),
-        slots=fields.get_int("slots", minimum=1),
+        slots=fields.get_int("slots", minimum=1, maximum=MAX_SLOTS),
         is_leaving=state == "draining",
         started_at_ms=started_at_ms,
         software=fields.get_str("version"),
--- a/src/peridotbend/platform/fields.py
+++ b/src/peridotbend/platform/fields.py
@@ -25,15 +25,23 @@
         value = self._get(name, default)
         if not isinstance(value, str) or not (value or default == ""):
             raise self._make_error(name, "a non-empty string", value)
+        if not is_encodable(value):
+            raise self._make_error(name, "a text", ascii(value))
         return value
 
     def get_int(
-        self, name: str, default: int | None = None, minimum: int = 0
+        self,
+        name: str,
+        default: int | None = None,
+        minimum: int = 0,
+        maximum: int | None = None,
     ) -> int:
-        """Returns an integer that is at least `minimum`."""
+        """Returns an integer from `minimum` to `maximum`."""
         number = self.get_number(name, default, minimum)
         if number != int(number):
             raise self._make_error(name, "an integer", number)
+        if maximum is not None and number > maximum:
+            raise self._make_error(name, f"at most {maximum}", number)
         return int(number)
 
     def get_number(
@@ -46,9 +54,14 @@
             raise self._make_error(
                 name, f"a number of at least {minimum}", value
             )
-        if math.isinf(value):
+        try:
+            number = float(value)
+        except OverflowError:
+            # An integer of more than 308 digits.
+            number = math.inf
+        if math.isinf(number):
             raise self._make_error(name, "a finite number", value)
-        return float(value)
+        return number
 
     def get_bool(self, name: str, default: bool | None = None) -> bool:
         """Returns a boolean."""
@@ -101,6 +114,15 @@
         )
 
 
+def is_encodable(text: str) -> bool:
+    """Tells whether a text can be sent; JSON may hold half a character."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def read_str(value: object, path: str) -> str:
     """Decodes a list entry that must be a non-empty string."""
     if not isinstance(value, str) or not value:
@@ -111,6 +133,7 @@
 def read_address(value: str, path: str) -> tuple[str, int]:
     """Splits an address of the form IP:PORT."""
     host, colon, port = value.rpartition(":")
-    if not (host and colon and port.isdecimal() and 0 < int(port) < 65_536):
+    is_number = port.isascii() and port.isdecimal() and len(port) <= 5
+    if not (host and colon and is_number and 0 < int(port) < 65_536):
         raise BadFieldError(f"{path}: must be IP:PORT, not {value[:80]!r}")
     return host, int(port)
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -19,6 +19,7 @@
 from peridotbend.edge.published import Changes, Item, Position, WriteOrder
 from peridotbend.edge.settings import Address
 from peridotbend.platform import wire
+from peridotbend.platform.fields import is_encodable
 
 # The store normally answers within milliseconds, and a slow one within a few
 # hundred.
@@ -194,6 +195,9 @@
         key, revision = entry["key"], entry["revision"]
         if not isinstance(key, str) or not isinstance(revision, int):
             raise TypeError("key or revision has the wrong type")
+        if not is_encodable(key):
+            # Names no target, but peers are told of it like of any other key.
+            key = key.encode(errors="backslashreplace").decode()
         position = Position(era, revision)
         if entry.get("deleted"):
             return Item(key, position, None)
--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -187,6 +187,38 @@
 
         self._run_store_check(answer, check)
 
+    def test_odd_entry_does_not_hide_the_others(self) -> None:
+        """Guards against a list that nobody can follow any more."""
+        documents: dict[str, Any] = {
+            "servers/a": {"sequence": 4},
+            "servers/b": {"sequence": 10**400},
+            "servers/\ud800": {"sequence": 5},
+        }
+        page = {
+            "items": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(encode_document(value)).decode(),
+                    "revision": 5,
+                }
+                for key, value in documents.items()
+            ],
+            "store_revision": 9,
+        }
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            await stream.send(_make_answer("200 OK", encode_document(page)))
+
+        async def check(store: StoreClient) -> None:
+            reader = store.make_prefix_reader("servers/", read_target_order)
+            items = (await reader.list_items()).unwrap().items
+            assert [item.order for item in items] == [(0, 4), (0, 0), (0, 5)]
+            for item in items:
+                # Peers get the keys as text.
+                item.key.encode()
+
+        self._run_store_check(answer, check)
+
     def test_era_of_an_answer_is_read(self) -> None:
         """Guards against a restore of the store that nobody notices."""
         entry = {"born": 1_700_000_000_000, "sequence": 32}
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -13,9 +13,12 @@
 from peridotbend.edge.config import RouteKind
 from peridotbend.platform import wire
 from peridotbend.platform.documents import (
+    MAX_ORDER,
     decode_config,
     decode_prompt_parts,
     decode_target,
+    read_config_order,
+    read_target_order,
 )
 from peridotbend.platform.ingress import (
     BodyReservation,
@@ -212,6 +215,54 @@
         for body in (b"", b"null", b"\x80", b'"text"'):
             assert isinstance(decode_target("i-1", body), Err)
 
+    def test_odd_values_raise_no_other_error(self) -> None:
+        """Guards against an entry that ends the task that reads the list."""
+        digits_401 = 10**400
+        for change in (
+            *({name: digits_401} for name in ("slots", "born", "sequence")),
+            *({name: 1e300} for name in ("slots", "born")),
+            {"slots": 10**30},
+            {"born": 10**18},
+            {"address": "10.0.0.1:65536"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:" + "9" * 5_000},
+            {"address": "10.0.0.1:\u0661"},
+            {"address": "\ud800:80"},
+            {"address": "some host:80"},
+            {"service": "\ud800"},
+            {"zone": "\ud800"},
+            {"version": "\ud800"},
+        ):
+            body = encode_document({**TARGET_ENTRY, **change})
+            assert isinstance(decode_target("i-1", body), Err), change
+            assert read_target_order(body) <= (MAX_ORDER, MAX_ORDER)
+        for body in (
+            b'{"slots": ' + b"9" * 5_000 + b"}",
+            b'{"slots": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        ):
+            assert isinstance(decode_target("i-1", body), Err)
+            assert read_target_order(body) == (0, 0)
+
+    def test_name_that_no_header_can_hold_names_no_target(self) -> None:
+        """Guards against an entry that fails each request sent to it."""
+        body = encode_document(TARGET_ENTRY)
+        for name in (
+            "",
+            "i 1",
+            "i-1\r\nx: y",
+            "i-\u00e9",
+            "i-\u0416",
+            "\\ud800",
+        ):
+            assert isinstance(decode_target(name, body), Err), name
+
+    def test_odd_number_does_not_damage_a_configuration(self) -> None:
+        """Guards against the same fault in the configuration's reader."""
+        for change in ({"version": 10**400}, {"routes": 10**400}):
+            body = encode_document({**CONFIG_DOCUMENT, **change})
+            assert isinstance(decode_config(body), Err)
+            assert read_config_order(body)[0] <= MAX_ORDER
+
     def test_prompt_parts_of_another_form_are_not_told(self) -> None:
         """Guards against a doubt that a malformed answer decides."""
         held = [["", "a1", 800, "m"], ["", "b2", 20, "m"]]
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -31,7 +31,7 @@
     run_with_fleet,
     wait_for_event,
 )
-from tests.test_edge_platform import SETTINGS_DOCUMENT
+from tests.test_edge_platform import SETTINGS_DOCUMENT, TARGET_ENTRY
 
 
 class EdgeProcessTest(unittest.TestCase):
@@ -67,6 +67,37 @@
 
         run_with_fleet(check)
 
+    def test_odd_entries_end_no_process(self) -> None:
+        """Guards against a foreign entry that ends the list, or the process."""
+
+        async def check(fleet: EdgeFleet) -> None:
+            child = fleet.spawn(HOSTS[0])
+            await fleet.wait_ready(HOSTS[0])
+            for number, change in enumerate(
+                ({"slots": 10**400}, {"sequence": 10**400}, {"born": 1e300})
+            ):
+                entry = {**TARGET_ENTRY, **change}
+                fleet.store.put(f"servers/odd-{number}", entry)
+            fleet.store.put("servers/\ud800", TARGET_ENTRY)
+            # The list is still followed, and so it is after a restart.
+            fleet.store.delete("servers/i-1")
+            await wait_for_event(child, "target-removed")
+            fleet.store.put(
+                "servers/i-1",
+                {
+                    **TARGET_ENTRY,
+                    "address": f"127.0.0.1:{fleet.ports['target']}",
+                },
+            )
+            fleet.spawn(HOSTS[1])
+            await fleet.wait_ready(HOSTS[1])
+            for host in HOSTS:
+                answer = await fleet.call(host, "/orders/1", f"a-{host}")
+                assert answer.status == 200, (answer.status, child.output)
+            assert child.exit_code is None
+
+        run_with_fleet(check)
+
     def test_instance_without_the_store_learns_from_a_peer(self) -> None:
         """Guards against an instance that cannot work without the store.
 
