--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -1,8 +1,12 @@
 """Tests of the clients of the store and of targets, on TCP connections."""
 
+import asyncio
 import base64
 import contextlib
 import dataclasses
+import itertools
+import socket
+import struct
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -12,6 +16,7 @@
 from result import Ok
 
 from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.daemon import BACKEND_OPTIONS
 from peridotbend.domain.ports import CallError, CallFailure
 from peridotbend.edge.ports import (
     EdgeCall,
@@ -511,6 +516,82 @@
         assert reuses == {"/orders/7": False, "/lookups/7": True}
 
 
+class CutHeadTest(unittest.TestCase):
+    """Targets that close in the middle of the head of an answer."""
+
+    OWN = (f"{wire.ATTEMPT_ID}: attempt-1", "X-Server-Stamp: s")
+
+    def _list_heads(self) -> list[bytes]:
+        whole = _make_answer("200 OK", b"", *self.OWN)
+        chunked = "\r\n".join(
+            ("HTTP/1.1 200 OK", *self.OWN, "Transfer-Encoding: chunked", "", "")
+        ).encode()
+        unframed = chunked.replace(b"Transfer-Encoding: chunked\r\n", b"")
+        hints = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        return [whole, chunked, unframed, hints + whole, hints + unframed]
+
+    def _check_cuts(self, head: bytes, is_kept: bool, is_reset: bool) -> None:
+        """Checks that no part of a head becomes an answer."""
+        first = _make_answer("200 OK", b"x", *self.OWN)
+        parts = [head[:end] for end in range(len(head))]
+        replies: list[tuple[bytes, Reply]] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            if is_kept:
+                await reader.readuntil(b"\r\n\r\nplan")
+                writer.write(first)
+            await reader.readuntil(b"\r\n\r\nplan")
+            writer.write(parts[len(replies)])
+            await writer.drain()
+            if is_reset:
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+            writer.close()
+
+        async def run() -> None:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            client = HttpTargetClient()
+            send = TargetSend(
+                CALL,
+                dataclasses.replace(TARGET, port=port),
+                "acme",
+                5_000,
+                "",
+                reuse_connection=is_kept,
+            )
+            for part in parts:
+                if is_kept:
+                    async with PlatformTargetClient(client).open(
+                        send, lambda: True
+                    ) as reply:
+                        assert not isinstance(reply, Rejection | CallError)
+                        async for chunk in reply.chunks():
+                            assert chunk.is_ok()
+                async with PlatformTargetClient(client).open(
+                    send, lambda: True
+                ) as reply:
+                    replies.append((part, reply))
+            await client.aclose()
+            server.close()
+
+        anyio.run(run, backend_options=BACKEND_OPTIONS)
+        for part, reply in replies:
+            assert isinstance(reply, CallError), part
+            assert reply.written
+
+    def test_part_of_a_head_is_no_answer(self) -> None:
+        """Guards against a success whose body is empty and framed as whole."""
+        for head in self._list_heads():
+            for is_kept, is_reset in itertools.product((False, True), repeat=2):
+                with self.subTest(head=head, kept=is_kept, reset=is_reset):
+                    self._check_cuts(head, is_kept, is_reset)
+
+
 class EarlyAnswerTest(unittest.TestCase):
     """Targets that answer before they have read a long body."""
 
