--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -57,6 +57,9 @@
     def __init__(self, dependencies: RelayDependencies):
         self._dependencies = dependencies
         self._clock = dependencies.clock
+        # Those of the requests that are being served.
+        self._scopes: set[anyio.CancelScope] = set()
+        self._is_ending = False
         self._admission = Admission(dependencies)
         self._report = RequestReporter(
             dependencies.clock,
@@ -81,6 +84,7 @@
         )
         try:
             with anyio.move_on_after(remaining_ms / 1_000) as scope:
+                self._scopes.add(scope)
                 await self._send_until_answered(request, responder)
             if scope.cancelled_caught:
                 await self._end_after_deadline(request, responder)
@@ -94,11 +98,18 @@
             )
             raise
         finally:
+            self._scopes.discard(scope)
             if not request.may_have_run and request.account is not None:
                 self._dependencies.allowances.refund(
                     request.account.name, request.tokens
                 )
 
+    def end_all(self) -> None:
+        """Ends all requests with an answer, as the process has to exit."""
+        self._is_ending = True
+        for scope in self._scopes:
+            scope.cancel()
+
     async def _send_until_answered(
         self, request: ActiveRequest, responder: Responder
     ) -> None:
@@ -538,6 +549,8 @@
             await self._end(
                 request, responder, MayHaveRun(Reason.TARGET_TIMEOUT)
             )
+        elif self._is_ending:
+            await self._end(request, responder, NotRun(Reason.DRAINING))
         else:
             await self._end(request, responder, NotRun(Reason.DEADLINE))
 
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -55,6 +55,8 @@
 EXIT_MARGIN_MS = 500
 # Minimum time for sending completed answers, however little is left.
 MIN_STOP_TIMEOUT_MS = 100
+# Time for the refusals of requests that are still being served then.
+REFUSAL_TIMEOUT_MS = 200
 # The platform removes the entry of a target after three silent intervals. What
 # a restored store still lists after this time is kept up by a live target.
 WITHHOLD_HEARTBEATS = 4
@@ -490,15 +492,26 @@
         self._record_store_reachability()
 
     async def _finish_requests(self) -> None:
-        """Waits to leave the rotation, then finishes requests already read."""
+        """Waits to leave the rotation, then finishes requests already read.
+
+        Those that are not finished in time are told so, instead of being cut.
+        """
         started_at_ms = self._clock.now_ms()
         self._log.emit(Event.DRAIN_STARTED, active=self._app.active)
         self._app.is_closing = True
         await anyio.sleep(LEAVE_ROTATION_MS / 1_000)
+        self._app.is_refusing = True
         end_at_ms = started_at_ms + self._settings.grace_ms - EXIT_MARGIN_MS
-        left_ms = max(MIN_STOP_TIMEOUT_MS, end_at_ms - self._clock.now_ms())
-        with anyio.move_on_after(left_ms / 1_000):
+        left_ms = max(
+            MIN_STOP_TIMEOUT_MS,
+            end_at_ms - REFUSAL_TIMEOUT_MS - self._clock.now_ms(),
+        )
+        with anyio.move_on_after(left_ms / 1_000) as scope:
             await self._server.stop()
+        if scope.cancelled_caught:
+            self._relay.end_all()
+            with anyio.move_on_after(REFUSAL_TIMEOUT_MS / 1_000):
+                await self._server.stop()
         self._log.emit(Event.DRAIN_FINISHED, active=self._app.active)
 
 
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -60,6 +60,8 @@
         self._bodies = ByteBudget(MAX_BODIES_BYTES)
         # Set when shutdown begins; answers then close their connections.
         self.is_closing = False
+        # Set when what comes now could not be completed any more.
+        self.is_refusing = False
         self.active = 0
 
     async def __call__(
@@ -81,6 +83,8 @@
             body = await _read_body(receive, reservation)
             if isinstance(body, NotRun):
                 await responder.refuse(body)
+            elif self.is_refusing:
+                await responder.refuse(NotRun(Reason.DRAINING))
             else:
                 await self._answer(scope, body, receive, responder)
         except CallerGoneError:
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -1,5 +1,6 @@
 """Edge daemons as real processes, with a fake store and target."""
 
+import asyncio
 import json
 import pathlib
 import tempfile
@@ -116,6 +117,18 @@
                 f" its output: {child.output}"
             )
 
+    async def connect(
+        self, host: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a connection as a caller."""
+        return await asyncio.open_connection(host, self.ports["callers"])
+
+    async def wait_started(self, count: int) -> None:
+        """Waits until the target has begun to run so many requests."""
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while len(self.target.started_attempts) < count:
+                await anyio.sleep(0.01)
+
     async def call(
         self,
         host: str,
@@ -138,6 +151,19 @@
         )
 
 
+def make_order(attempt: str) -> bytes:
+    """Returns a request that may run once."""
+    lines = (
+        "POST /orders/1 HTTP/1.1",
+        "Host: shop.example",
+        "Authorization: Token key-1",
+        f"{wire.ATTEMPT_ID}: {attempt}",
+        f"{wire.DEADLINE_MS}: 30000",
+        "Content-Length: 4",
+    )
+    return ("\r\n".join(lines) + "\r\n\r\nbody").encode()
+
+
 def _choose_ports(names: tuple[str, ...]) -> dict[str, int]:
     """Returns free ports, all different.
 
--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -28,11 +28,15 @@
     MODULE,
     WAIT_TIMEOUT_S,
     EdgeFleet,
+    make_order,
     run_with_fleet,
     wait_for_event,
 )
+from tests.edgenode import Reply, read_reply
 from tests.test_edge_platform import SETTINGS_DOCUMENT, TARGET_ENTRY
 
+SHORT_GRACE = {**SETTINGS_DOCUMENT["bounds"], "grace_s": 4}
+
 
 class EdgeProcessTest(unittest.TestCase):
     """Real daemons with a fake store, a fake target and callers."""
@@ -163,6 +167,68 @@
 
         run_with_fleet(check)
 
+    def test_request_at_work_when_the_grace_ends_is_answered(self) -> None:
+        """Guards against a planned stop that cuts requests without an answer.
+
+        Callers do not repeat an order whose connection was closed, and do not
+        learn that it may have run.
+        """
+
+        async def check(fleet: EdgeFleet) -> None:
+            fleet.target.delay_s = 60.0
+            child = fleet.spawn(HOSTS[0], bounds=SHORT_GRACE)
+            await fleet.wait_ready(HOSTS[0])
+            replies: dict[str, Reply] = {}
+
+            async def call(attempt: str) -> None:
+                reader, writer = await fleet.connect(HOSTS[0])
+                writer.write(make_order(attempt))
+                with anyio.fail_after(WAIT_TIMEOUT_S):
+                    replies[attempt] = await read_reply(reader)
+                writer.close()
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call, "a1")
+                await fleet.wait_started(1)
+                child.terminate()
+                await wait_for_event(child, "drain-started")
+                tasks.start_soon(call, "a2")
+                await fleet.wait_started(2)
+            statuses = {a: reply.status for a, reply in replies.items()}
+            assert statuses == {"a1": 504, "a2": 504}
+            code = await anyio.to_thread.run_sync(child.wait, WAIT_TIMEOUT_S)
+            assert code == 0
+
+        run_with_fleet(check)
+
+    def test_request_that_comes_late_in_a_stop_is_not_passed_on(self) -> None:
+        """Guards against a request that the end of the stop would cut."""
+
+        async def check(fleet: EdgeFleet) -> None:
+            child = fleet.spawn(HOSTS[0])
+            await fleet.wait_ready(HOSTS[0])
+            reader, writer = await fleet.connect(HOSTS[0])
+            order = make_order("a1")
+            writer.write(order[:-2])
+            await writer.drain()
+            child.terminate()
+            with anyio.fail_after(WAIT_TIMEOUT_S):
+                while True:
+                    try:
+                        _, other = await fleet.connect(HOSTS[0])
+                    except ConnectionRefusedError:
+                        break
+                    other.close()
+                    await anyio.sleep(0.02)
+                writer.write(order[-2:])
+                reply = await read_reply(reader)
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+            assert not fleet.target.started_attempts
+            writer.close()
+
+        run_with_fleet(check)
+
     def test_run_ends_when_its_caller_disconnects(self) -> None:
         """Guards against runs that continue without a caller."""
 
