--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -49,6 +49,10 @@
         self._history: list[dict[str, Any]] = []
         self._changed = anyio.Event()
 
+    def clear(self) -> None:
+        """Goes back to the state of a new store."""
+        self.__init__()  # type: ignore[misc]
+
     def put(self, key: str, document: object) -> None:
         """Writes a key."""
         self.revision += 1
@@ -135,6 +139,8 @@
         self.delay_s = delay_s
         self.event_count = event_count
         self.started_attempts: list[str] = []
+        # Whether it stands for several targets at one address.
+        self.accepts_any_name = False
         # Ended runs: "left" if the caller disconnected, "whole" if complete.
         self.end_counts: Counter[str] = Counter()
 
@@ -143,7 +149,8 @@
     ) -> None:
         """Answers one request."""
         headers = {n.decode(): v.decode() for n, v in scope["headers"]}
-        if headers.get(wire.EXPECT_INSTANCE) != self.name:
+        is_meant = headers.get(wire.EXPECT_INSTANCE) == self.name
+        if not (is_meant or self.accepts_any_name):
             await respond(send, 421, b"")
             return
         attempt = headers[wire.ATTEMPT_ID]
