--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -1,13 +1,14 @@
 """Pool of HTTP connections to targets."""
 
 from collections import OrderedDict
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 import h11
 import httpcore
 
 from peridotbend.adapters.sockets import connect
+from peridotbend.domain.text import Target
 
 MAX_CONNECTIONS = 4_096
 MAX_IDLE_CONNECTIONS = 256
@@ -17,6 +18,46 @@
 MAX_INTERIM_ANSWERS = 8
 
 
+class PeerLostError(httpcore.ReadError):
+    """A peer between here and the target broke off.
+
+    That tells nothing of the target.
+    """
+
+
+class Dialer(Protocol):
+    """Opens connections to targets."""
+
+    def allows_reuse(self, target: Target) -> bool:
+        """Tells whether connections to a target may be kept."""
+        ...
+
+    async def connect(
+        self, target: Target, timeout_s: float
+    ) -> httpcore.AsyncNetworkStream:
+        """Connects to a target.
+
+        Raises:
+            httpcore.ConnectTimeout: no connection was established in time.
+            httpcore.ConnectError: the connection failed or was refused.
+        """
+        ...
+
+
+class DirectDialer:
+    """Connects to the address of the target."""
+
+    def allows_reuse(self, target: Target) -> bool:
+        """Tells that all connections may be kept."""
+        return True
+
+    async def connect(
+        self, target: Target, timeout_s: float
+    ) -> httpcore.AsyncNetworkStream:
+        """Connects to a target."""
+        return await connect(target.host, target.port, timeout_s)
+
+
 class Connection(httpcore.AsyncHTTP11Connection):
     """An HTTP connection that limits interim answers.
 
@@ -26,6 +67,8 @@
     _interim_answers = 0
     # Whether a call was sent here before the current one.
     is_reused = False
+    # Whether the connection may serve another call.
+    may_keep = True
 
     async def _receive_event(self, timeout: float | None = None) -> Any:
         event = await super()._receive_event(timeout)
@@ -46,7 +89,8 @@
     connections that it hands out or closes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, dialer: Dialer | None = None) -> None:
+        self._dialer = dialer or DirectDialer()
         self._connection_slots = anyio.Semaphore(
             MAX_CONNECTIONS, fast_acquire=True
         )
@@ -55,7 +99,11 @@
         self._idle_by_target: dict[tuple[bytes, int], list[Connection]] = {}
 
     async def acquire(
-        self, origin: httpcore.Origin, reuse: bool, timeout_s: float
+        self,
+        origin: httpcore.Origin,
+        reuse: bool,
+        timeout_s: float,
+        target: Target,
     ) -> Connection:
         """Returns a connection for the exclusive use of one call.
 
@@ -63,6 +111,8 @@
             httpcore.TimeoutException: no connection became available in time.
             httpcore.NetworkError: the target refused the connection.
         """
+        if reuse and not self._dialer.allows_reuse(target):
+            await self.close_idle(origin)
         idle = self._idle_by_target.get((origin.host, origin.port), ())
         while reuse and idle:
             connection = idle[-1]
@@ -72,13 +122,13 @@
                 connection.is_reused = True
                 return connection
             await self._close(connection)
-        return await self._connect(origin, timeout_s)
+        return await self._connect(origin, timeout_s, target)
 
     async def release(
         self, connection: Connection, origin: httpcore.Origin, reuse: bool
     ) -> None:
         """Returns a connection to the pool, or closes it."""
-        if not reuse or not connection.is_idle():
+        if not (reuse and connection.may_keep and connection.is_idle()):
             await self._close(connection)
             return
         self._idle[connection] = origin
@@ -114,7 +164,7 @@
             del self._idle_by_target[key]
 
     async def _connect(
-        self, origin: httpcore.Origin, timeout_s: float
+        self, origin: httpcore.Origin, timeout_s: float, target: Target
     ) -> Connection:
         try:
             with anyio.fail_after(timeout_s):
@@ -122,12 +172,23 @@
         except TimeoutError as error:
             raise httpcore.PoolTimeout("all connections are in use") from error
         try:
-            stream = await connect(origin.host.decode(), origin.port, timeout_s)
+            stream = await self._dialer.connect(target, timeout_s)
         except BaseException:
             self._connection_slots.release()
             raise
-        return Connection(origin, stream, KEEPALIVE_EXPIRY_S)
+        connection = Connection(origin, stream, KEEPALIVE_EXPIRY_S)
+        connection.may_keep = self._dialer.allows_reuse(target)
+        return connection
 
     async def _close(self, connection: Connection) -> None:
         self._connection_slots.release()
         await connection.aclose()
+
+
+def is_connection_refused(error: BaseException | None) -> bool:
+    """Returns whether any cause of the error is a refused connection."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__ or error.__context__
+    return False
--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -41,6 +41,7 @@
         Event.TEXT_CONFLICT,
         Event.PLATFORM_UNREACHABLE,
         Event.TARGET_FAILED,
+        Event.TARGET_LINKS_LOST,
         Event.TARGET_STRAGGLING,
         Event.SUSPECT_RECORDED,
         Event.SUSPECT_QUARANTINED,
--- /dev/null
+++ b/src/peridotbend/adapters/pathclient.py
@@ -0,0 +1,311 @@
+"""Reaches targets through other instances while the own links are cut."""
+
+import collections
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import grpclib.client
+import httpcore
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from peridotbend.adapters.connections import (
+    PeerLostError,
+    is_connection_refused,
+)
+from peridotbend.adapters.pathserver import MAX_MESSAGE_BYTES, split_data
+from peridotbend.adapters.peers import (
+    PEER_ERRORS,
+    ChannelPool,
+    limit_message_size,
+)
+from peridotbend.adapters.sockets import connect
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import EventLog
+from peridotbend.domain.text import Target
+from peridotbend.edge.paths import PathPeers, TargetPaths
+from peridotbend.edge.targets import EdgeTarget, TargetList
+from peridotbend.wire import edge_pb2 as pb
+from peridotbend.wire.edge_grpc import PathsStub
+
+# A peer that has not connected by then is not waited for alone. It is on its
+# way to another machine and to the target, milliseconds each.
+HEDGE_DELAY_S = 0.1
+# Peers asked for one connection, which bounds what a dead target costs.
+MAX_ASKED_PEERS = 4
+# Added to the connect timeout for the way to the peer and back.
+PEER_MARGIN_S = 0.1
+# Interval and timeout of the direct connects that find out whether the links
+# are back.
+PROBE_INTERVAL_S = 0.5
+PROBE_TIMEOUT_S = 0.25
+
+_Stream = grpclib.client.Stream[pb.PathChunk, pb.PathChunk]
+
+
+class RelayedStream(httpcore.AsyncNetworkStream):
+    """A connection to a target that a peer holds."""
+
+    def __init__(self, stream: _Stream, on_close: Callable[[], None]):
+        self._stream = stream
+        self._on_close = on_close
+        self._is_closed = False
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Returns the next data, or b"" at the end of the stream."""
+        try:
+            with anyio.fail_after(timeout):
+                chunk = await self._stream.recv_message()
+        except TimeoutError as error:
+            raise httpcore.ReadTimeout(
+                f"nothing arrived in {timeout} s"
+            ) from error
+        except PEER_ERRORS as error:
+            raise PeerLostError(_describe(error)) from error
+        if chunk is None:
+            raise PeerLostError("the peer ended the call")
+        if chunk.state == pb.ENDED:
+            return b""
+        if chunk.state != pb.OPEN:
+            raise httpcore.ReadError(chunk.detail)
+        return chunk.data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Writes data, and waits while the peer does not take it."""
+        try:
+            with anyio.fail_after(timeout):
+                for part in split_data(buffer):
+                    await self._stream.send_message(pb.PathChunk(data=part))
+        except TimeoutError as error:
+            raise httpcore.WriteTimeout(
+                f"the peer took nothing in {timeout} s"
+            ) from error
+        except PEER_ERRORS as error:
+            raise httpcore.WriteError(_describe(error)) from error
+
+    async def aclose(self) -> None:
+        """Ends the connection, which ends the request at the target."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._on_close()
+            await _reset(self._stream)
+
+    def get_extra_info(self, info: str) -> Any:
+        """Returns nothing; the connection is not kept."""
+        return None
+
+
+class PathDialer:
+    """Connects directly, or through a peer when the own links are cut."""
+
+    def __init__(
+        self,
+        paths: TargetPaths,
+        peers: PathPeers,
+        targets: TargetList,
+        channels: ChannelPool,
+        port: int,
+        log: EventLog,
+    ):
+        """Creates the dialer.
+
+        Args:
+            paths: the state of the own links.
+            peers: chooses the instances to ask.
+            targets: the listed targets, for probes.
+            channels: connections to peers.
+            port: on which all instances serve their peers.
+            log: tells which peers fail.
+        """
+        self._paths = paths
+        self._peers = peers
+        self._targets = targets
+        self._channels = channels
+        self._port = port
+        self._log = log
+        # Connections held by each peer.
+        self._active: collections.Counter[str] = collections.Counter()
+
+    def allows_reuse(self, target: Target) -> bool:
+        """Tells whether connections to a target may be kept.
+
+        Those that were open when the links were cut may hang.
+        """
+        service = target.service
+        return not (
+            self._paths.is_lost(service) or self._paths.is_suspect(service)
+        )
+
+    async def connect(
+        self, target: Target, timeout_s: float
+    ) -> httpcore.AsyncNetworkStream:
+        """Connects to a target."""
+        if self._paths.is_lost(target.service):
+            return await self._connect_by_peer(target, timeout_s)
+        try:
+            stream = await connect(target.host, target.port, timeout_s)
+        except (httpcore.ConnectTimeout, httpcore.ConnectError) as error:
+            self._paths.note_failed(target.service, target.name)
+            if not self._paths.is_suspect(target.service):
+                raise
+            with contextlib.suppress(_NoPeerError):
+                return await self._connect_by_peer(target, timeout_s)
+            if is_connection_refused(error):
+                # Not known to be the target's own refusal.
+                raise httpcore.ConnectError(str(error)) from None
+            raise
+        self._paths.note_connected(target.service, target.name)
+        return stream
+
+    async def probe(self) -> None:
+        """Finds out whether lost links are back, until cancelled."""
+        turn = 0
+        while True:
+            await anyio.sleep(PROBE_INTERVAL_S)
+            turn += 1
+            for service in self._paths.list_lost():
+                targets = self._targets.list_for(service)
+                for offset in range(len(targets)):
+                    target = targets[(turn + offset) % len(targets)]
+                    if not await self._probe(target):
+                        break
+                    if not self._paths.is_lost(service):
+                        break
+
+    async def _probe(self, target: EdgeTarget) -> bool:
+        try:
+            stream = await connect(target.host, target.port, PROBE_TIMEOUT_S)
+        except (httpcore.ConnectTimeout, httpcore.ConnectError):
+            self._paths.note_failed(target.service, target.name)
+            return False
+        await stream.aclose()
+        self._paths.note_connected(target.service, target.name)
+        return True
+
+    async def _connect_by_peer(
+        self, target: Target, timeout_s: float
+    ) -> RelayedStream:
+        """Connects through the first peer that can.
+
+        Raises:
+            _NoPeerError: no peer was there to ask.
+            httpcore.ConnectError: no peer that was asked could connect.
+        """
+        found: list[RelayedStream] = []
+        errors: list[Exception] = []
+        asked: set[str] = set()
+        answered = anyio.Event()
+
+        async def ask(host: str) -> None:
+            try:
+                with anyio.fail_after(timeout_s + PEER_MARGIN_S):
+                    stream = await self._open(host, target)
+            except (*PEER_ERRORS, TimeoutError, _NotConnectedError) as error:
+                errors.append(error)
+                self._note_failed_peer(host, target, error)
+            else:
+                self._peers.note_connected(host)
+                self._paths.note_relayed(target.service, target.name, host)
+                if found:
+                    await stream.aclose()
+                else:
+                    found.append(stream)
+                    tasks.cancel_scope.cancel()
+            answered.set()
+
+        try:
+            async with anyio.create_task_group() as tasks:
+                while len(asked) < MAX_ASKED_PEERS:
+                    host = self._peers.choose(target.service, asked)
+                    if not host:
+                        break
+                    asked.add(host)
+                    answered = anyio.Event()
+                    tasks.start_soon(ask, host)
+                    with anyio.move_on_after(HEDGE_DELAY_S):
+                        await answered.wait()
+        except BaseException:
+            for stream in found:
+                await stream.aclose()
+            raise
+        if found:
+            return found[0]
+        if not asked:
+            raise _NoPeerError(f"no peer to reach {target.name}")
+        if any(
+            isinstance(error, _NotConnectedError) and error.state == pb.REFUSED
+            for error in errors
+        ):
+            raise httpcore.ConnectError(
+                "refused, also at a peer"
+            ) from ConnectionRefusedError()
+        raise httpcore.ConnectError("not reached by any peer that was asked")
+
+    async def _open(self, host: str, target: Target) -> RelayedStream:
+        """Lets a peer connect to a target.
+
+        Raises:
+            _NotConnectedError: the peer answered that it could not.
+        """
+        channel = self._channels.open(host, self._port)
+        stream = PathsStub(channel).Connect.open()
+        await stream.__aenter__()
+        try:
+            await stream.send_message(pb.PathChunk(target=target.name))
+            limit_message_size(stream, MAX_MESSAGE_BYTES)
+            first = await stream.recv_message()
+            if first is None:
+                # Raises the status of the call.
+                await stream.recv_trailing_metadata()
+                raise GRPCError(Status.UNKNOWN, "no answer")
+            if first.state != pb.OPEN:
+                raise _NotConnectedError(first.state, first.detail)
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await _reset(stream)
+            raise
+        self._active[host] += 1
+        return RelayedStream(stream, lambda: self._active.subtract((host,)))
+
+    def _note_failed_peer(
+        self, host: str, target: Target, error: Exception
+    ) -> None:
+        self._log.emit(
+            Event.PEER_PATH_FAILED,
+            peer=host,
+            target=target.name,
+            detail=_describe(error),
+        )
+        if isinstance(error, _NotConnectedError):
+            if error.state == pb.UNABLE:
+                self._peers.note_failed(host, target.service)
+            return
+        self._peers.note_failed(host)
+        if not self._active[host]:
+            # Its connection may be dead; no other call depends on it.
+            self._channels.drop(host, self._port)
+
+
+class _NotConnectedError(Exception):
+    """A peer could not connect to a target."""
+
+    def __init__(self, state: pb.PathState, detail: str):
+        super().__init__(f"{pb.PathState.Name(state)}: {detail}")
+        self.state = state
+
+
+class _NoPeerError(httpcore.ConnectError):
+    """There is no peer to ask."""
+
+
+async def _reset(stream: _Stream) -> None:
+    """Ends a call at once, whatever its state."""
+    error = ConnectionAbortedError()
+    with contextlib.suppress(*PEER_ERRORS):
+        await stream.__aexit__(type(error), error, None)
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/src/peridotbend/adapters/pathserver.py
@@ -0,0 +1,158 @@
+"""Connects to targets for instances that do not reach them."""
+
+import ipaddress
+from collections.abc import Callable, Iterator
+
+import anyio
+import grpclib.protocol
+import grpclib.server
+import httpcore
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from peridotbend.adapters.connections import is_connection_refused
+from peridotbend.adapters.peers import limit_message_size
+from peridotbend.adapters.sockets import TargetStream, connect
+from peridotbend.edge.paths import TargetPaths
+from peridotbend.edge.targets import TargetList
+from peridotbend.wire import edge_pb2 as pb
+from peridotbend.wire.edge_grpc import PathsBase
+
+# Limit on what one message carries; longer data is divided.
+MAX_CHUNK_BYTES = 65_536
+MAX_MESSAGE_BYTES = MAX_CHUNK_BYTES + 1_024
+# Connections that one instance holds for others. Each takes a descriptor, and
+# up to 256 KB for a caller that reads slowly.
+MAX_CONNECTIONS = 128
+# How long the instance that asked may take to name the target, and to end the
+# call after the last message.
+FIRST_MESSAGE_TIMEOUT_S = 1.0
+END_TIMEOUT_S = 1.0
+
+_Stream = grpclib.server.Stream[pb.PathChunk, pb.PathChunk]
+
+
+class PathServer(PathsBase):
+    """Passes on the bytes between another instance and a target.
+
+    Only listed targets are reached, at the address that is listed here, and
+    only by instances that this one knows.
+    """
+
+    def __init__(
+        self,
+        targets: TargetList,
+        paths: TargetPaths,
+        is_known_host: Callable[[str], bool],
+        connect_timeout_s: float,
+    ):
+        self._targets = targets
+        self._paths = paths
+        self._is_known_host = is_known_host
+        self._connect_timeout_s = connect_timeout_s
+        self._idle = anyio.Event()
+        self.active = 0
+        # Set when shutdown begins.
+        self.is_closing = False
+
+    async def wait_idle(self) -> None:
+        """Returns when no connection is held for another instance."""
+        while self.active:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def Connect(  # noqa: N802 (name fixed by the protocol)
+        self, stream: _Stream
+    ) -> None:
+        """Serves one connection to a target."""
+        limit_message_size(stream, MAX_MESSAGE_BYTES)
+        if not self._is_instance(stream.peer):
+            raise GRPCError(Status.PERMISSION_DENIED, "not an instance")
+        first = None
+        with anyio.move_on_after(FIRST_MESSAGE_TIMEOUT_S):
+            first = await stream.recv_message()
+        if first is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "no target was named")
+        self.active += 1
+        try:
+            last = await self._serve(stream, first.target)
+            await stream.send_message(last)
+            # Until the other instance has read it, and ends the call.
+            with anyio.move_on_after(END_TIMEOUT_S):
+                while await stream.recv_message() is not None:
+                    pass
+        finally:
+            self.active -= 1
+            if not self.active:
+                self._idle.set()
+
+    def _is_instance(self, peer: grpclib.protocol.Peer | None) -> bool:
+        address = peer.addr() if peer is not None else None
+        if address is None:
+            return False
+        host = address[0]
+        is_local = ipaddress.ip_address(host).is_loopback
+        return is_local or self._is_known_host(host)
+
+    async def _serve(self, stream: _Stream, name: str) -> pb.PathChunk:
+        """Serves a connection to its end; returns the last message."""
+        target = self._targets.find(name)
+        problem = ""
+        if target is None:
+            problem = "unknown target"
+        elif self.is_closing:
+            problem = "draining"
+        elif self.active > MAX_CONNECTIONS:
+            problem = "too many connections"
+        elif self._paths.is_lost(target.service):
+            problem = "no own links"
+        if problem or target is None:
+            return pb.PathChunk(state=pb.UNABLE, detail=problem)
+        try:
+            connection = await connect(
+                target.host, target.port, self._connect_timeout_s
+            )
+        except (httpcore.ConnectTimeout, httpcore.ConnectError) as error:
+            self._paths.note_failed(target.service, target.name)
+            state = pb.UNREACHABLE
+            if self._paths.is_suspect(target.service):
+                # The links of this instance may be cut as well.
+                state = pb.UNABLE
+            elif is_connection_refused(error):
+                state = pb.REFUSED
+            return pb.PathChunk(state=state, detail=str(error))
+        self._paths.note_connected(target.service, target.name)
+        try:
+            await stream.send_message(pb.PathChunk())
+            return await _pass_on(stream, connection)
+        finally:
+            await connection.aclose()
+
+
+async def _pass_on(stream: _Stream, connection: TargetStream) -> pb.PathChunk:
+    """Passes bytes both ways; returns how the target ended the connection."""
+    last = pb.PathChunk(state=pb.ENDED)
+
+    async def send_to_target() -> None:
+        while (chunk := await stream.recv_message()) is not None:
+            await connection.write(chunk.data, None)
+        # The other instance has ended the call.
+        tasks.cancel_scope.cancel()
+
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send_to_target)
+            while data := await connection.read(MAX_CHUNK_BYTES, None):
+                for part in split_data(data):
+                    await stream.send_message(pb.PathChunk(data=part))
+            tasks.cancel_scope.cancel()
+    except* httpcore.NetworkError as errors:
+        detail = str(errors.exceptions[0])
+        last = pb.PathChunk(state=pb.REFUSED, detail=detail)
+    return last
+
+
+def split_data(data: bytes) -> Iterator[bytes]:
+    """Yields data in parts that fit into a message."""
+    for start in range(0, len(data), MAX_CHUNK_BYTES):
+        yield data[start : start + MAX_CHUNK_BYTES]
--- a/src/peridotbend/adapters/publishedpeers.py
+++ b/src/peridotbend/adapters/publishedpeers.py
@@ -11,7 +11,6 @@
     PEER_ERRORS,
     ChannelPool,
     limit_message_size,
-    make_http2_configuration,
 )
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
@@ -31,18 +30,6 @@
 
     def __init__(self, feeds: Mapping[str, Feed]):
         self._feeds = feeds
-        self._server = grpclib.server.Server(
-            [self], config=make_http2_configuration()
-        )
-
-    async def start(self, host: str, port: int) -> None:
-        """Starts listening."""
-        await self._server.start(host, port)
-
-    async def stop(self) -> None:
-        """Cancels the calls in progress and stops listening."""
-        self._server.close()
-        await self._server.wait_closed()
 
     async def ListChanges(  # noqa: N802 (name fixed by the protocol)
         self,
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -8,7 +8,12 @@
 import httpcore
 from result import Err, Ok, Result
 
-from peridotbend.adapters.connections import ConnectionPool
+from peridotbend.adapters.connections import (
+    ConnectionPool,
+    Dialer,
+    PeerLostError,
+    is_connection_refused,
+)
 from peridotbend.domain.ports import (
     AnswerHead,
     CallError,
@@ -89,8 +94,12 @@
 class HttpTargetClient:
     """Sends calls to targets and tracks whether any byte was written."""
 
-    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
-        self._pool = ConnectionPool()
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        dialer: Dialer | None = None,
+    ) -> None:
+        self._pool = ConnectionPool(dialer)
         self._connect_timeout_s = connect_timeout_s
 
     async def aclose(self) -> None:
@@ -118,11 +127,11 @@
         reuse = call.reuse_connection
         try:
             connection = await self._pool.acquire(
-                origin, reuse, request.extensions["timeout"]["connect"]
+                origin, reuse, request.extensions["timeout"]["connect"], target
             )
         except (httpcore.TimeoutException, httpcore.NetworkError) as error:
             failure = CallFailure.CONNECT
-            if _is_connection_refused(error):
+            if is_connection_refused(error):
                 failure = CallFailure.REFUSED
             yield Err(_make_error(failure, False, error))
             return
@@ -213,16 +222,12 @@
     )
 
 
-def _is_connection_refused(error: BaseException | None) -> bool:
-    """Returns whether any cause of the error is a refused connection."""
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        error = error.__cause__ or error.__context__
-    return False
-
-
 def _make_error(
     failure: CallFailure, written: bool, error: Exception
 ) -> CallError:
-    return CallError(failure, written, f"{type(error).__name__}: {error}")
+    return CallError(
+        failure,
+        written,
+        f"{type(error).__name__}: {error}",
+        blames_target=not isinstance(error, PeerLostError),
+    )
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -64,6 +64,8 @@
     failure: CallFailure
     written: bool
     detail: str = ""
+    # Whether it may tell something of the target.
+    blames_target: bool = True
 
 
 class TargetAnswer(Protocol):
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -72,10 +72,23 @@
     log: EventLog,
     meter: EdgeMeter,
     rng: random.Random,
+    targets: TargetList | None = None,
 ) -> RelayDependencies:
-    """Returns the components of an instance, without any state."""
+    """Returns the components of an instance, without any state.
+
+    Args:
+        settings: of the process.
+        clock: source of time.
+        client: sends requests to targets.
+        fleet: what is known of the other instances.
+        log: receives events.
+        meter: counts outcomes.
+        rng: source of randomness.
+        targets: the list of targets, if the client uses it as well.
+    """
     holder = ConfigHolder()
-    targets = TargetList(clock)
+    if targets is None:
+        targets = TargetList(clock)
     occupancy = Occupancy(clock)
     health = TargetHealth(clock)
     timeline = VersionTimeline(clock, targets)
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -165,6 +165,10 @@
             if peer.zone
         ]
 
+    def is_known(self, host: str) -> bool:
+        """Tells whether a host is that of an instance."""
+        return host in self._peers
+
     def find_zone(self, host: str) -> str:
         """Returns the zone of a host, or an empty string."""
         peer = self._peers.get(host)
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -342,9 +342,10 @@
             has_survived: whether its answer had gone on for some time.
         """
         request.failed_targets.add(target.name)
-        if error.failure is not CallFailure.GATE:
+        if error.blames_target and error.failure is not CallFailure.GATE:
             self._dependencies.health.note_failure(target.name)
-        if error.failure is CallFailure.BROKEN and not has_survived:
+        is_broken = error.failure is CallFailure.BROKEN
+        if error.blames_target and is_broken and not has_survived:
             self._dependencies.crashes.note_broken_connection(
                 target, request.traits
             )
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 
 import anyio
+import grpclib.server
 from anyio.abc import TaskGroup
 from result import Err
 
 from peridotbend.adapters.edgemetrics import EdgeMetrics
 from peridotbend.adapters.gossip import Gossip
-from peridotbend.adapters.peers import ChannelPool
+from peridotbend.adapters.peerpaths import PeerPaths
+from peridotbend.adapters.peers import ChannelPool, make_http2_configuration
 from peridotbend.adapters.publishedpeers import (
     PublishedFetcher,
     PublishedServer,
@@ -37,6 +39,7 @@
     SharedState,
 )
 from peridotbend.edge.targethistory import TargetHistory
+from peridotbend.edge.targets import TargetList
 from peridotbend.platform import wire
 from peridotbend.platform.documents import (
     decode_config,
@@ -90,15 +93,28 @@
         )
         self._status = status = FleetStatus(self._peers, directory)
         self._reader_role = ReaderRole(self._rng)
-        self._http_client = HttpTargetClient(CONNECT_TIMEOUT_S)
+        targets = TargetList(self._clock)
+        self._paths = PeerPaths(
+            settings,
+            self._clock,
+            targets,
+            self._peers,
+            status,
+            log,
+            self._rng,
+            CONNECT_TIMEOUT_S,
+        )
         self._dependencies = make_dependencies(
             settings,
             self._clock,
-            PlatformTargetClient(self._http_client),
+            PlatformTargetClient(
+                HttpTargetClient(CONNECT_TIMEOUT_S, self._paths.dialer)
+            ),
             status,
             log,
             self._metrics,
             self._rng,
+            targets,
         )
         self._relay = Relay(self._dependencies)
         identity = InstanceIdentity(
@@ -176,6 +192,8 @@
             },
             "crashes": self._dependencies.crashes.dump(),
             "limits": self._dependencies.rate_limits.dump(),
+            "lost_links": self._paths.state.list_lost(),
+            "relayed": self._paths.server.active,
         }
 
     def apply_settings(self, settings: EdgeSettings) -> None:
@@ -215,6 +233,7 @@
         self._app = EdgeApp(self._relay, self._get_max_body_bytes)
         channels = ChannelPool()
         stack.callback(channels.close)
+        stack.callback(self._paths.channels.close)
         fetcher = PublishedFetcher(channels, settings.peers[1], self._log)
         self._server = HttpServer(self._app, listen(*settings.callers))
         health = HttpServer(HealthApp(self._is_ready), listen(*settings.health))
@@ -222,13 +241,17 @@
             self._metrics, listen(settings.peers[0], self._metrics_port)
         )
         self._add_gauges()
-        peer_server = PublishedServer(self._feeds)
+        peer_server = grpclib.server.Server(
+            [PublishedServer(self._feeds), self._paths.server],
+            config=make_http2_configuration(),
+        )
         await peer_server.start(*settings.peers)
         for task in (
             self._server.run,
             health.run,
             metrics.run,
             self._gossip.run,
+            self._paths.dialer.probe,
             self._dependencies.backlog.run,
             self._dependencies.stall_detector.run,
             *(feed.run for feed in self._feeds.values()),
@@ -278,6 +301,16 @@
             "Requests and prompt parts that are refused as they crash targets.",
             self._dependencies.crashes.count_causes,
         )
+        add_gauge(
+            "lost_links",
+            "Services whose targets are reached through peers only.",
+            lambda: len(self._paths.state.list_lost()),
+        )
+        add_gauge(
+            "relayed_connections",
+            "Connections to targets that are held for peers.",
+            lambda: self._paths.server.active,
+        )
         add_gauge(
             "config_version",
             "Version of the configuration in force; 0 for none.",
@@ -287,7 +320,9 @@
         )
 
     def _build_feeds(self) -> None:
-        self._store = StoreClient(self._settings.store, self._http_client)
+        self._store = StoreClient(
+            self._settings.store, HttpTargetClient(CONNECT_TIMEOUT_S)
+        )
         self._feeds = {
             wire.CONFIG_PREFIX: self._make_feed(
                 wire.CONFIG_PREFIX,
@@ -499,6 +534,7 @@
         started_at_ms = self._clock.now_ms()
         self._log.emit(Event.DRAIN_STARTED, active=self._app.active)
         self._app.is_closing = True
+        self._paths.server.is_closing = True
         await anyio.sleep(LEAVE_ROTATION_MS / 1_000)
         self._app.is_refusing = True
         end_at_ms = started_at_ms + self._settings.grace_ms - EXIT_MARGIN_MS
@@ -508,6 +544,7 @@
         )
         with anyio.move_on_after(left_ms / 1_000) as scope:
             await self._server.stop()
+            await self._paths.server.wait_idle()
         if scope.cancelled_caught:
             self._relay.end_all()
             with anyio.move_on_after(REFUSAL_TIMEOUT_MS / 1_000):
--- a/src/peridotbend/wire/edge_grpc.py
+++ b/src/peridotbend/wire/edge_grpc.py
@@ -38,3 +38,31 @@
             edge_pb2.ChangesRequest,
             edge_pb2.ChangesReply,
         )
+
+
+class PathsBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Connect(self, stream: 'grpclib.server.Stream[edge_pb2.PathChunk, edge_pb2.PathChunk]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/peridotbend.edge.Paths/Connect': grpclib.const.Handler(
+                self.Connect,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                edge_pb2.PathChunk,
+                edge_pb2.PathChunk,
+            ),
+        }
+
+
+class PathsStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Connect = grpclib.client.StreamStreamMethod(
+            channel,
+            '/peridotbend.edge.Paths/Connect',
+            edge_pb2.PathChunk,
+            edge_pb2.PathChunk,
+        )
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,6 +10,7 @@
 
 from peridotbend.adapters import connections
 from peridotbend.adapters.connections import ConnectionPool
+from peridotbend.domain.text import Target
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -46,10 +47,15 @@
     anyio.run(run)
 
 
+def _make_target(url: httpcore.URL) -> Target:
+    assert url.port is not None
+    return Target("t-1", "service", "zone", url.host.decode(), url.port)
+
+
 async def _call(
     pool: ConnectionPool, url: httpcore.URL, reuse: bool = True
 ) -> None:
-    connection = await pool.acquire(url.origin, reuse, 5.0)
+    connection = await pool.acquire(url.origin, reuse, 5.0, _make_target(url))
     request = httpcore.Request("GET", url, headers=[("Host", "test")])
     response = await connection.handle_async_request(request)
     await response.aread()
@@ -110,10 +116,14 @@
                     for _ in range(2):
                         tasks.start_soon(_call, pool, url)
                 await _call(pool, url, reuse=False)
-            first = await pool.acquire(url.origin, False, 5.0)
-            second = await pool.acquire(url.origin, True, 5.0)
+            first = await pool.acquire(
+                url.origin, False, 5.0, _make_target(url)
+            )
+            second = await pool.acquire(
+                url.origin, True, 5.0, _make_target(url)
+            )
             try:
-                await pool.acquire(url.origin, False, 0.01)
+                await pool.acquire(url.origin, False, 0.01, _make_target(url))
                 raise AssertionError("more connections than the bound")
             except httpcore.PoolTimeout:
                 pass
