--- a/tools/days.py
+++ b/tools/days.py
@@ -419,12 +419,64 @@
         ("power-off", 12.0),
     ),
 }
+# Instances lose their links to all targets, in the scenarios of UNREACHABLES.
+LINK_CUTS = {
+    "links-cut": (
+        'kind = "srv_cut", share = 1.0, x = 0.5, for_s = 10.0, how = "some all"'
+    ),
+    "links-cut-most": (
+        'kind = "srv_cut", share = 1.0, x = 0.8, for_s = 10.0, how = "some all"'
+    ),
+    "links-reset": (
+        'kind = "srv_cut", share = 1.0, x = 0.5, for_s = 10.0, '
+        'how = "some all reset"'
+    ),
+    "links-one-way": (
+        'kind = "srv_cut", share = 1.0, x = 0.5, for_s = 10.0, '
+        'how = "some all one_way"'
+    ),
+    "links-short": (
+        'kind = "srv_cut", share = 1.0, x = 0.5, for_s = 3.0, how = "some all"'
+    ),
+}
+UNREACHABLES = {
+    "unreachable": (("links-cut", 5.0),),
+    "unreachable-most": (("links-cut-most", 5.0),),
+    "unreachable-reset": (("links-reset", 5.0),),
+    "unreachable-one-way": (("links-one-way", 5.0),),
+    "unreachable-often": (
+        ("links-short", 4.0),
+        ("links-reset", 8.0),
+        ("links-short", 20.0),
+    ),
+    "unreachable-and-node-kill": (("links-cut", 5.0), ("node-kill", 9.0)),
+    "unreachable-and-node-power": (("links-cut", 5.0), ("node-power", 9.0)),
+    "unreachable-and-node-freeze": (("links-cut", 5.0), ("node-freeze", 9.0)),
+    "unreachable-and-roll-term": (("links-reset", 5.0), ("roll-term", 6.0)),
+    "unreachable-and-zone-cut": (("links-cut", 5.0), ("zone-cut", 9.0)),
+    "unreachable-and-core-cut": (("links-cut", 5.0), ("core-cut", 8.0)),
+    "unreachable-and-srv-crash": (("links-cut", 5.0), ("srv-crash", 9.0)),
+    "unreachable-and-release": (("links-reset", 5.0), ("release", 8.0)),
+    "unreachable-and-config-storm": (("links-cut", 5.0), ("config-storm", 8.0)),
+    "unreachable-and-burst": (("links-cut", 5.0), ("burst", 9.0)),
+    "unreachable-and-reset-conns": (("links-cut", 5.0), ("reset-conns", 9.0)),
+}
 FINAL_FAULTS = {
     "closing-power-off": '{ kind = "power_off_all", down_s = 1.3 }',
     "closing-kill": '{ kind = "kill_all", down_s = 0.7 }',
     "closing-wipe": '{ kind = "wipe_after_ack", down_s = 1.0 }',
 }
 FIRST_EVENT_AT_S = 5.0
+# The users' day on which instances lose their links to all targets.
+UNREACHABLE_DAY = """\
+name = "unreachable-targets"
+length_s = 45.0
+plan = []
+faults = [
+  { at = 5.0, kind = "srv_cut", how = "some all", share = 1.0, x = 0.5, for_s = 12.0 },
+  { at = 27.0, kind = "srv_cut", how = "some all reset", share = 1.0, x = 0.5, for_s = 12.0 },
+]
+"""  # noqa: E501
 
 
 def _schedule_event(
@@ -436,7 +488,7 @@
         return (f"at = {at_s}, {planned}",), ()
     if name == "power-off":
         return (), (f"at = {at_s}, {POWER_OFF}",)
-    fault = FAULTS.get(name) or STORE_RESTORES[name]
+    fault = FAULTS.get(name) or STORE_RESTORES.get(name) or LINK_CUTS[name]
     return (), (f"at = {at_s}, {fault}",)
 
 
@@ -462,7 +514,11 @@
     for name, closing in FINAL_FAULTS.items():
         plan, faults = _schedule_event("config-tenant", FIRST_EVENT_AT_S)
         scenarios.append(Scenario(name, plan, faults, closing, FINAL_FAULT_S))
-    for name, events in (*RESTORES.items(), *REJOINS.items()):
+    for name, events in (
+        *RESTORES.items(),
+        *REJOINS.items(),
+        *UNREACHABLES.items(),
+    ):
         parts = [_schedule_event(event, at_s) for event, at_s in events]
         scenarios.append(
             Scenario(
@@ -518,6 +574,7 @@
         path.write_text(format_scenario(scenario, number))
     (OUTPUT_DIR / "restored.toml").write_text(RESTORED_DAY)
     (OUTPUT_DIR / "rejoined.toml").write_text(REJOINED_DAY)
+    (OUTPUT_DIR / "unreachable-targets.toml").write_text(UNREACHABLE_DAY)
 
 
 if __name__ == "__main__":
