--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -70,6 +70,7 @@
         ],
         crashes=map(_pack_suspicion, digest.crashes),
         limits=map(_pack_limit, digest.limits),
+        brittle=map(_pack_limit, digest.brittle),
         scope=_SCOPES[digest.scope],
         zone=digest.zone,
         store_reachable=digest.is_store_reachable,
@@ -141,11 +142,8 @@
         in_flight={use.target: use.in_flight for use in message.uses},
         allowances=uses,
         crashes=tuple(map(_unpack_suspicion, message.crashes)),
-        limits=tuple(
-            _unpack_limit(packed)
-            for packed in message.limits
-            if math.isfinite(packed.per_s)
-        ),
+        limits=_unpack_limits(message.limits),
+        brittle=_unpack_limits(message.brittle),
         scope=scope,
         zone=message.zone,
         is_store_reachable=message.store_reachable,
@@ -192,6 +190,16 @@
     )
 
 
+def _unpack_limits(
+    limits: Iterable[pb.TargetLimit],
+) -> tuple[NamedLimit, ...]:
+    return tuple(
+        _unpack_limit(packed)
+        for packed in limits
+        if math.isfinite(packed.per_s)
+    )
+
+
 def _unpack_limit(packed: pb.TargetLimit) -> NamedLimit:
     per_s = None if packed.lifted else packed.per_s
     return NamedLimit(packed.target, per_s, packed.age * AGE_UNIT_MS)
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -10,6 +10,7 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.verdicts import NotRun, Reason
+from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.config import Route
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ratelimits import RateLimits
@@ -73,6 +74,8 @@
         self.in_flight = in_flight
         self._on_release = on_release
         self._released = False
+        # Whether the target had no room.
+        self.is_rejected = False
 
     def release(self) -> None:
         """Frees the slot; further calls have no effect."""
@@ -90,6 +93,7 @@
         targets: TargetList,
         occupancy: Occupancy,
         rate_limits: RateLimits,
+        brittle: BrittleTargets,
         selector: Selector,
         rng: random.Random,
     ):
@@ -97,6 +101,7 @@
         self._targets = targets
         self._occupancy = occupancy
         self._rate_limits = rate_limits
+        self._brittle = brittle
         self._selector = selector
         self._rng = rng
         self._sequence = itertools.count()
@@ -204,15 +209,27 @@
         return round(wait_ms * self._rng.uniform(*SHED_RETRY_JITTER))
 
     def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
+        is_borrowed = self._brittle.is_brittle(
+            target.service
+        ) and self._brittle.take(
+            target,
+            self._occupancy.own.get(target.name, 0),
+            waiter.criteria.is_generation,
+        )
         self._occupancy.add(target.name)
         self._rate_limits.take(target)
 
         def on_release() -> None:
             self._occupancy.remove(target.name)
+            if slot.is_rejected:
+                self._brittle.note_rejection(target)
+            elif is_borrowed:
+                self._brittle.give_back(target)
             self.grant_slots(waiter.criteria.service)
 
         in_flight = self._occupancy.count(target.name)
-        waiter.result = Ok(Slot(target, on_release, in_flight))
+        slot = Slot(target, on_release, in_flight)
+        waiter.result = Ok(slot)
         waiter.done.set()
 
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -8,6 +8,7 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.allowances import Allowances
 from peridotbend.edge.backlog import Backlog
+from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.configholder import ConfigHolder
 from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.health import TargetHealth
@@ -52,6 +53,7 @@
     health: TargetHealth
     crashes: CrashTracker
     rate_limits: RateLimits
+    brittle: BrittleTargets
     stall_detector: StallDetector
     timeline: VersionTimeline
     origins: StreamOrigins
@@ -97,16 +99,22 @@
     rate_limits = RateLimits(
         clock, log, settings.peers[0], fleet.list_recent_hosts
     )
-    selector = Selector(settings.zone, occupancy, health, rate_limits)
+    brittle = BrittleTargets(
+        clock, log, settings.peers[0], fleet.list_recent_hosts
+    )
+    selector = Selector(settings.zone, occupancy, health, rate_limits, brittle)
     return RelayDependencies(
         clock=clock,
         holder=holder,
         targets=targets,
-        backlog=Backlog(clock, targets, occupancy, rate_limits, selector, rng),
+        backlog=Backlog(
+            clock, targets, occupancy, rate_limits, brittle, selector, rng
+        ),
         occupancy=occupancy,
         health=health,
         crashes=CrashTracker(clock, log),
         rate_limits=rate_limits,
+        brittle=brittle,
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
         origins=StreamOrigins(
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -34,7 +34,7 @@
     GROUP = 1
     # All groups, for the members of the sender's group.
     FLEET = 2
-    # What every instance passes on: evidence of crashes, and limits. In a
+    # What every instance passes on: crashes, limits and brittle services. In a
     # datagram of its own, which sums of a large fleet would fill.
     NEWS = 3
 
@@ -71,6 +71,9 @@
     crashes: tuple[Suspicion, ...] = ()
     # Limits that targets named, to any instance.
     limits: tuple[NamedLimit, ...] = ()
+    # Services whose targets are brittle, by the hash of their name, with the
+    # rejections in a second that each target survives.
+    brittle: tuple[NamedLimit, ...] = ()
     scope: Scope = Scope.OWN
     zone: str = ""
     # Whether the sender reads the store itself, and reaches it.
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -63,6 +63,9 @@
     # Called with the requests a second that the target takes from all
     # instances, or None if its answer names no limit.
     note_limit: Callable[[float | None], None] = lambda per_s: None
+    # Called with the rejections for want of room that the target survives in a
+    # second, from all instances, or None if its answer names no such number.
+    note_brittle: Callable[[float | None], None] = lambda count: None
 
 
 class Rejection(enum.Enum):
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -277,6 +277,9 @@
         def note_limit(per_s: float | None) -> None:
             self._dependencies.rate_limits.note_answer(target, per_s)
 
+        def note_brittle(max_rejections: float | None) -> None:
+            self._dependencies.brittle.note_answer(target, max_rejections)
+
         send = TargetSend(
             request.call,
             target,
@@ -285,6 +288,7 @@
             request.events.last_event_id,
             reuse_connection=request.route.may_repeat,
             note_limit=note_limit,
+            note_brittle=note_brittle,
         )
 
         def can_fail_over() -> bool:
@@ -296,6 +300,7 @@
             async with self._dependencies.client.open(send, open_gate) as reply:
                 if isinstance(reply, Rejection):
                     request.may_have_run = may_have_run_before
+                    slot.is_rejected = reply is Rejection.UNAVAILABLE
                     return self._note_rejection(request, target, reply)
                 if isinstance(reply, CallError):
                     return self._note_error(request, target, reply)
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from peridotbend.domain.rendezvous import rank
+from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.health import FAILURE_SLACK, TargetHealth
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ratelimits import RateLimits
@@ -59,7 +60,9 @@
         occupancy: Occupancy,
         health: TargetHealth,
         rate_limits: RateLimits,
+        brittle: BrittleTargets,
     ):
+        self._brittle = brittle
         self._rate_limits = rate_limits
         self._zone = zone
         self._occupancy = occupancy
@@ -88,13 +91,20 @@
 
     def _has_room(self, criteria: TargetCriteria, target: EdgeTarget) -> bool:
         limit = self._find_limit(criteria, target)
-        return self._occupancy.count(
-            target.name
-        ) < limit and self._rate_limits.has_room(target)
+        if self._occupancy.count(target.name) >= limit:
+            return False
+        if self._brittle.is_brittle(target.service):
+            own = self._occupancy.own.get(target.name, 0)
+            is_generation = criteria.is_generation
+            if not self._brittle.has_room(target, own, is_generation):
+                return False
+        return self._rate_limits.has_room(target)
 
     def _find_limit(
         self, criteria: TargetCriteria, target: EdgeTarget
     ) -> float:
+        if self._brittle.is_brittle(target.service):
+            return self._brittle.find_limit(target, criteria.is_generation)
         if not criteria.is_generation:
             return max(1.0, NON_RUNNER_FILL * target.slots)
         fill = TOP_RANK_FILL if criteria.rank[1] <= 0 else ENGINE_FILL
--- a/src/peridotbend/edge/sharedstate.py
+++ b/src/peridotbend/edge/sharedstate.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from peridotbend.edge.allowances import Allowances
+from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import Digest, Scope
@@ -73,6 +74,7 @@
         allowances: Allowances,
         crashes: CrashTracker,
         rate_limits: RateLimits,
+        brittle: BrittleTargets,
         find_feed_status: Callable[[], FeedStatus],
         is_draining: Callable[[], bool],
     ):
@@ -81,6 +83,7 @@
         self._allowances = allowances
         self._crashes = crashes
         self._rate_limits = rate_limits
+        self._brittle = brittle
         self._find_feed_status = find_feed_status
         self._is_draining = is_draining
         # The latest own digests by sequence, to subtract what a relay includes.
@@ -114,19 +117,22 @@
         """
         crashes = self._crashes.list_for_digest()
         limits = self._rate_limits.list_for_digest()
-        if not crashes and not limits:
+        brittle = self._brittle.list_for_digest()
+        if not (crashes or limits or brittle):
             return None
         return dataclasses.replace(
             self._make_base(sequence),
             scope=Scope.NEWS,
             crashes=crashes,
             limits=limits,
+            brittle=brittle,
         )
 
     def apply_news(self, digest: Digest) -> None:
         """Applies what another instance passes on."""
         self._crashes.merge(digest.crashes)
         self._rate_limits.merge(digest.limits)
+        self._brittle.merge(digest.brittle)
 
     def describe_own(self, sequence: int) -> Digest:
         """Returns the digest of this instance alone."""
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -126,6 +126,7 @@
             self._dependencies.allowances,
             self._dependencies.crashes,
             self._dependencies.rate_limits,
+            self._dependencies.brittle,
             self._find_feed_status,
             self._drain_requested.is_set,
         )
@@ -192,6 +193,7 @@
             },
             "crashes": self._dependencies.crashes.dump(),
             "limits": self._dependencies.rate_limits.dump(),
+            "brittle": self._dependencies.brittle.dump(),
             "lost_links": self._paths.state.list_lost(),
             "relayed": self._paths.server.active,
         }
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -78,7 +78,9 @@
             else:
                 reply = _read_reply(opened.ok_value, send.call.attempt)
                 if _is_from_target(reply):
-                    send.note_limit(_parse_limit(opened.ok_value.head))
+                    head = opened.ok_value.head
+                    send.note_limit(_parse_count(head, wire.SERVER_LIMIT))
+                    send.note_brittle(_parse_count(head, wire.SERVER_BRITTLE))
                 yield reply
 
 
@@ -141,13 +143,13 @@
     )
 
 
-def _parse_limit(head: AnswerHead) -> float | None:
-    """Returns the requests a second that the target takes; None for any."""
+def _parse_count(head: AnswerHead, name: str) -> float | None:
+    """Returns a number that a header holds; None if it holds none."""
     try:
-        per_s = float(find_header(head, wire.SERVER_LIMIT))
+        count = float(find_header(head, name))
     except ValueError:
         return None
-    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+    return count if math.isfinite(count) and count >= 0 else None
 
 
 def _find_problem(head: AnswerHead) -> str:
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -21,6 +21,8 @@
 NOT_EXECUTED = "x-not-executed"
 # Requests a second that a target in need takes from all instances together.
 SERVER_LIMIT = "server-limit"
+# Rejections in a second for want of room that a brittle target survives.
+SERVER_BRITTLE = "server-brittle"
 # Present in every answer created by a target; contains the digest of the
 # answer.
 SERVER_STAMP = "x-server-stamp"
@@ -44,6 +46,7 @@
     PROMPT_PREFIX,
     NOT_EXECUTED,
     SERVER_LIMIT,
+    SERVER_BRITTLE,
     SERVER_STAMP,
     STORE_ERA,
     KV_FROM,
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -12,6 +12,7 @@
 )
 from peridotbend.domain.clock import ManualClock
 from peridotbend.edge.allowances import Allowances
+from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.exchange import DigestExchange
 from peridotbend.edge.feeds import Feed, ReaderRole, RestoreRules
@@ -120,6 +121,7 @@
             self.allowances,
             self.crashes,
             RateLimits(clock, RecordingLog(), host, list),
+            BrittleTargets(clock, RecordingLog(), host, list),
             self._find_feed_status,
             lambda: self.is_draining,
         )
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -25,6 +25,7 @@
 from peridotbend.edge.ports import (
     AnswerBrokenError,
     EdgeCall,
+    Rejection,
     Reply,
     TargetSend,
 )
@@ -80,6 +81,15 @@
         # When each instance first passed on an answer that names a limit.
         self.told_at_ms: dict[str, int] = {}
         self.crashed = anyio.Event()
+        # How many requests run at once, and how many more may wait; None for
+        # any number.
+        self.slots: int | None = None
+        self.queue = 0
+        # Rejections in one second that the runner survives; named in all
+        # answers. None if it is not brittle.
+        self.max_rejections: int | None = None
+        self.rejected_at_ms: list[int] = []
+        self.active = 0
 
     def crash(self) -> None:
         """Breaks all connections; new ones are refused."""
@@ -138,9 +148,36 @@
             return
         self._fleet.note_arrival(self._host, runner, send.call)
 
+        send.note_brittle(runner.max_rejections)
+        if self._fleet.note_rejection(runner):
+            yield Rejection.UNAVAILABLE
+            return
+
         def note_begin() -> bool:
             return self._fleet.note_begin(runner, send.call)
 
+        runner.active += 1
+        try:
+            async for reply in self._run(send, runner, note_begin):
+                yield reply
+        finally:
+            runner.active -= 1
+
+    async def _run(
+        self,
+        send: TargetSend,
+        runner: Runner,
+        note_begin: Callable[[], bool],
+    ) -> AsyncIterator[Reply]:
+        """Waits for a slot, and answers."""
+        while runner.slots is not None and runner.active > runner.slots:
+            # Order does not matter here.
+            await anyio.sleep(HEAD_MS / 1_000)
+            if runner.is_down:
+                yield CallError(CallFailure.BROKEN, True, "reset")
+                return
+            if runner.active <= runner.slots + self._fleet.rng.randrange(2):
+                break
         await anyio.sleep(HEAD_MS / 1_000)
         self._fleet.note_answer(self._host, runner)
         send.note_limit(runner.limit_per_s)
@@ -179,6 +216,7 @@
             self.dependencies.allowances,
             self.dependencies.crashes,
             self.dependencies.rate_limits,
+            self.dependencies.brittle,
             lambda: FeedStatus({}, True),
             lambda: False,
         )
@@ -225,6 +263,8 @@
         self.crashes: list[int] = []
         # A runner that begins to write on a prompt with this part crashes.
         self.bad_part = ""
+        # Called with each runner that starts.
+        self.prepare_runner: Callable[[Runner], None] = lambda runner: None
         # Hosts that exchange no digests with the others.
         self.cut_hosts: set[str] = set()
         # Hosts of an older build, which says nothing of software versions.
@@ -312,6 +352,21 @@
         if runner.limit_per_s is not None:
             runner.told_at_ms.setdefault(host, self.now_ms)
 
+    def note_rejection(self, runner: Runner) -> bool:
+        """Records a rejection if a runner is full; tells whether it is.
+
+        A brittle runner that rejects too many in a second falls over.
+        """
+        if runner.slots is None or runner.active < runner.slots + runner.queue:
+            return False
+        now_ms = self.now_ms
+        runner.rejected_at_ms.append(now_ms)
+        recent = sum(at > now_ms - 1_000 for at in runner.rejected_at_ms)
+        limit = runner.max_rejections
+        if limit is not None and recent > limit and not runner.is_down:
+            self.crash(runner)
+        return True
+
     def note_begin(self, runner: Runner, call: EdgeCall) -> bool:
         """Records that an answer begins; returns whether the runner crashes."""
         if self.bad_part not in call.shared_parts:
@@ -344,6 +399,7 @@
         self._started += 1
         name = f"i-{self._started}"
         self.runners[name] = Runner(name)
+        self.prepare_runner(self.runners[name])
         for instance in self.instances.values():
             instance.dependencies.targets.put(make_target(name))
             instance.dependencies.backlog.grant_slots("engine")
--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -300,6 +300,7 @@
     def setUp(self) -> None:
         """Starts with no limit named."""
         self.limits: list[float | None] = []
+        self.brittle: list[float | None] = []
 
     def _send(self, raw_answer: bytes) -> tuple[Reply | None, list[Any], bytes]:
         received: list[bytes] = []
@@ -314,7 +315,14 @@
             client = HttpTargetClient()
             target = dataclasses.replace(TARGET, port=port)
             send = TargetSend(
-                CALL, target, "acme", 1_500, "4", False, self.limits.append
+                CALL,
+                target,
+                "acme",
+                1_500,
+                "4",
+                False,
+                self.limits.append,
+                self.brittle.append,
             )
             async with PlatformTargetClient(client).open(
                 send, lambda: True
@@ -340,6 +348,20 @@
         self._send(_make_answer("200 OK", b"x", *own, unreadable))
         assert self.limits == [2.5, 2.5, None, None]
 
+    def test_brittleness_is_read_from_answers_and_rejections(self) -> None:
+        """Guards against rejections that tell nothing of what is survived."""
+        own = (f"{wire.ATTEMPT_ID}: attempt-1", "X-Server-Stamp: s")
+        named = f"{wire.SERVER_BRITTLE}: 6"
+        rejected = f"{wire.NOT_EXECUTED}: full"
+        self._send(_make_answer("200 OK", b"x", *own, named))
+        self._send(_make_answer("503 Busy", b"", *own, named, rejected))
+        self._send(_make_answer("200 OK", b"x", *own))
+        for unreadable in ("nan", "-1", "inf", "9" * 400):
+            header = f"{wire.SERVER_BRITTLE}: {unreadable}"
+            self._send(_make_answer("200 OK", b"x", *own, header))
+        assert self.brittle == [6.0, 6.0, None, None, None, None, None]
+        assert self.limits == [None] * 7
+
     def test_limit_of_another_target_is_not_read(self) -> None:
         """Guards against the limit of a process that took over an address."""
         named = f"{wire.SERVER_LIMIT}: 2.5"
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -10,6 +10,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.verdicts import NotRun, Reason
 from peridotbend.edge.backlog import Backlog, Slot
+from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
@@ -34,14 +35,16 @@
         self.occupancy = Occupancy(self.clock)
         self.health = TargetHealth(self.clock)
         rate_limits = RateLimits(self.clock, RecordingLog(), "10.0.0.1", list)
+        brittle = BrittleTargets(self.clock, RecordingLog(), "10.0.0.1", list)
         self.selector = Selector(
-            "zone-a", self.occupancy, self.health, rate_limits
+            "zone-a", self.occupancy, self.health, rate_limits, brittle
         )
         self.backlog = Backlog(
             self.clock,
             self.targets,
             self.occupancy,
             rate_limits,
+            brittle,
             self.selector,
             random.Random(1),
         )
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -16,6 +16,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
 from peridotbend.edge.allowances import AllowanceUse
+from peridotbend.edge.brittle import MAX_REPORTED
 from peridotbend.edge.configholder import ConfigHolder
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.evidence import (
@@ -71,6 +72,7 @@
         ),
     ),
     limits=(NamedLimit(2**32 - 1, 3.1, 300), NamedLimit(5, None, 900)),
+    brittle=(NamedLimit(7, 6.0, 300),),
 )
 
 
@@ -165,12 +167,17 @@
                 NamedLimit(2**32 - n, 3.1, 900)
                 for n in range(1, MAX_DIGEST_LIMITS + 1)
             ),
+            brittle=tuple(
+                NamedLimit(2**32 - n, 6.0, 900)
+                for n in range(1, MAX_REPORTED + 1)
+            ),
         )
         data = encode_digest(news)
         assert len(data) <= MAX_DATAGRAM_BYTES
         decoded = decode_digest(data)
         assert decoded is not None
         assert decoded.limits == news.limits
+        assert decoded.brittle == news.brittle
         # Causes come first, the rest follows in turn.
         assert len(decoded.crashes) >= 5
         assert decoded.crashes == news.crashes[: len(decoded.crashes)]
