--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -281,6 +281,8 @@
         if isinstance(error, _NotConnectedError):
             if error.state == pb.UNABLE:
                 self._peers.note_failed(host, target.service)
+            elif error.state == pb.UNREACHABLE:
+                self._peers.note_unreachable(host)
             return
         self._peers.note_failed(host)
         if not self._active[host]:
--- a/src/peridotbend/adapters/pathserver.py
+++ b/src/peridotbend/adapters/pathserver.py
@@ -114,11 +114,11 @@
             )
         except (httpcore.ConnectTimeout, httpcore.ConnectError) as error:
             self._paths.note_failed(target.service, target.name)
+            # The links of this instance may be cut as well, so that it is not
+            # the target that refuses.
+            is_own_fault = self._paths.is_suspect(target.service)
             state = pb.UNREACHABLE
-            if self._paths.is_suspect(target.service):
-                # The links of this instance may be cut as well.
-                state = pb.UNABLE
-            elif is_connection_refused(error):
+            if is_connection_refused(error) and not is_own_fault:
                 state = pb.REFUSED
             return pb.PathChunk(state=state, detail=str(error))
         self._paths.note_connected(target.service, target.name)
--- a/src/peridotbend/edge/paths.py
+++ b/src/peridotbend/edge/paths.py
@@ -26,6 +26,8 @@
 AVOID_PEER_MS = 1_000
 # Peers among which the connections are spread, once they have been found.
 PROVEN_PEERS = 3
+# Fraction of the connections for which another peer is tried until then.
+EXPLORE_SHARE = 0.1
 # The list of peers is derived anew at this interval: in a large fleet it is too
 # long to walk for each connection.
 REFRESH_MS = 500
@@ -143,9 +145,11 @@
     def choose(self, service: str, exclude: Collection[str]) -> str:
         """Returns a peer that may reach the targets of a service, or ""."""
         self._refresh()
-        pools = [self._near, self._far, list(self._proven)]
-        if len(self._proven) >= PROVEN_PEERS:
-            pools.reverse()
+        proven = list(self._proven)
+        pools = [proven, self._near, self._far]
+        is_exploring = self._rng.random() < EXPLORE_SHARE
+        if is_exploring and len(proven) < PROVEN_PEERS:
+            pools = [self._near, self._far, proven]
         for pool in pools:
             hosts = [
                 host
@@ -163,6 +167,13 @@
         if len(self._proven) > PROVEN_PEERS:
             del self._proven[next(iter(self._proven))]
 
+    def note_unreachable(self, host: str) -> None:
+        """Records that a peer did not reach a target.
+
+        It may reach others, so that it is only asked after those that did.
+        """
+        self._proven.pop(host, None)
+
     def note_failed(self, host: str, service: str = "") -> None:
         """Records that a peer did not answer, or takes no connections.
 
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -404,6 +404,29 @@
 
         run_paths(harness, check)
 
+    def test_peer_that_reaches_some_targets_is_asked_for_others(self) -> None:
+        """Guards against passing over the only peer that can help.
+
+        Two of its targets are down, which looks like a cut to that peer.
+        """
+        target = RawTarget(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        other = OtherInstance(HOSTS[1])
+        harness = PathHarness(target, other)
+
+        async def check() -> None:
+            await harness.lose_links()
+            with refuse_connections() as port:
+                for name in ("i-3", "i-4"):
+                    for targets in (harness.targets, other.targets):
+                        targets.put(
+                            dataclasses.replace(TARGET, name=name, port=port)
+                        )
+                for name in ("i-3", "i-4", "i-3"):
+                    assert isinstance(await harness.call(name), CallError)
+                assert await harness.call() == []
+
+        run_paths(harness, check)
+
     def test_only_listed_targets_are_reached(self) -> None:
         """Guards against an instance that connects to any address."""
         other = OtherInstance(HOSTS[1])
