--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -8,7 +8,7 @@
 import httpcore
 
 from peridotbend.adapters.sockets import connect
-from peridotbend.domain.text import Target
+from peridotbend.domain.paths import Endpoint
 
 MAX_CONNECTIONS = 4_096
 MAX_IDLE_CONNECTIONS = 256
@@ -28,12 +28,12 @@
 class Dialer(Protocol):
     """Opens connections to targets."""
 
-    def allows_reuse(self, target: Target) -> bool:
+    def allows_reuse(self, target: Endpoint) -> bool:
         """Tells whether connections to a target may be kept."""
         ...
 
     async def connect(
-        self, target: Target, timeout_s: float
+        self, target: Endpoint, timeout_s: float
     ) -> httpcore.AsyncNetworkStream:
         """Connects to a target.
 
@@ -47,12 +47,12 @@
 class DirectDialer:
     """Connects to the address of the target."""
 
-    def allows_reuse(self, target: Target) -> bool:
+    def allows_reuse(self, target: Endpoint) -> bool:
         """Tells that all connections may be kept."""
         return True
 
     async def connect(
-        self, target: Target, timeout_s: float
+        self, target: Endpoint, timeout_s: float
     ) -> httpcore.AsyncNetworkStream:
         """Connects to a target."""
         return await connect(target.host, target.port, timeout_s)
@@ -103,7 +103,7 @@
         origin: httpcore.Origin,
         reuse: bool,
         timeout_s: float,
-        target: Target,
+        target: Endpoint,
     ) -> Connection:
         """Returns a connection for the exclusive use of one call.
 
@@ -164,7 +164,7 @@
             del self._idle_by_target[key]
 
     async def _connect(
-        self, origin: httpcore.Origin, timeout_s: float, target: Target
+        self, origin: httpcore.Origin, timeout_s: float, target: Endpoint
     ) -> Connection:
         try:
             with anyio.fail_after(timeout_s):
--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -2,7 +2,7 @@
 
 import collections
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import anyio
@@ -12,6 +12,8 @@
 from grpclib.exceptions import GRPCError
 
 from peridotbend.adapters.connections import (
+    Dialer,
+    DirectDialer,
     PeerLostError,
     is_connection_refused,
 )
@@ -21,18 +23,22 @@
     ChannelPool,
     limit_message_size,
 )
-from peridotbend.adapters.sockets import connect
 from peridotbend.domain.events import Event
+from peridotbend.domain.hedging import try_in_turn
+from peridotbend.domain.paths import (
+    Endpoint,
+    PathPeers,
+    PeerChoice,
+    TargetLookup,
+    TargetPaths,
+)
 from peridotbend.domain.ports import EventLog
-from peridotbend.domain.text import Target
-from peridotbend.edge.paths import PathPeers, TargetPaths
-from peridotbend.edge.targets import EdgeTarget, TargetList
 from peridotbend.wire import edge_pb2 as pb
 from peridotbend.wire.edge_grpc import PathsStub
 
 # A peer that has not connected by then is not waited for alone. It is on its
 # way to another machine and to the target, milliseconds each.
-HEDGE_DELAY_S = 0.1
+HEDGE_DELAY_MS = 100
 # Peers asked for one connection, which bounds what a dead target costs.
 MAX_ASKED_PEERS = 4
 # Added to the connect timeout for the way to the peer and back.
@@ -103,32 +109,36 @@
     def __init__(
         self,
         paths: TargetPaths,
+        targets: TargetLookup,
         peers: PathPeers,
-        targets: TargetList,
-        channels: ChannelPool,
-        port: int,
+        choice: PeerChoice,
         log: EventLog,
     ):
         """Creates the dialer.
 
         Args:
             paths: the state of the own links.
-            peers: chooses the instances to ask.
             targets: the listed targets, for probes.
-            channels: connections to peers.
-            port: on which all instances serve their peers.
-            log: tells which peers fail.
+            peers: the instances to ask.
+            choice: chooses among them.
+            log: tells which of them fail.
         """
+        # Connects over the links of this instance.
+        self.direct: Dialer = DirectDialer()
         self._paths = paths
-        self._peers = peers
         self._targets = targets
-        self._channels = channels
-        self._port = port
+        self._peers = peers
+        self._choice = choice
+        self._channels = ChannelPool()
         self._log = log
         # Connections held by each peer.
         self._active: collections.Counter[str] = collections.Counter()
 
-    def allows_reuse(self, target: Target) -> bool:
+    def close(self) -> None:
+        """Closes the connections to peers."""
+        self._channels.close()
+
+    def allows_reuse(self, target: Endpoint) -> bool:
         """Tells whether connections to a target may be kept.
 
         Those that were open when the links were cut may hang.
@@ -139,13 +149,13 @@
         )
 
     async def connect(
-        self, target: Target, timeout_s: float
+        self, target: Endpoint, timeout_s: float
     ) -> httpcore.AsyncNetworkStream:
         """Connects to a target."""
         if self._paths.is_lost(target.service):
             return await self._connect_by_peer(target, timeout_s)
         try:
-            stream = await connect(target.host, target.port, timeout_s)
+            stream = await self.direct.connect(target, timeout_s)
         except (httpcore.ConnectTimeout, httpcore.ConnectError) as error:
             self._paths.note_failed(target.service, target.name)
             if not self._paths.is_suspect(target.service):
@@ -174,9 +184,9 @@
                     if not self._paths.is_lost(service):
                         break
 
-    async def _probe(self, target: EdgeTarget) -> bool:
+    async def _probe(self, target: Endpoint) -> bool:
         try:
-            stream = await connect(target.host, target.port, PROBE_TIMEOUT_S)
+            stream = await self.direct.connect(target, PROBE_TIMEOUT_S)
         except (httpcore.ConnectTimeout, httpcore.ConnectError):
             self._paths.note_failed(target.service, target.name)
             return False
@@ -185,7 +195,7 @@
         return True
 
     async def _connect_by_peer(
-        self, target: Target, timeout_s: float
+        self, target: Endpoint, timeout_s: float
     ) -> RelayedStream:
         """Connects through the first peer that can.
 
@@ -195,44 +205,35 @@
         """
         found: list[RelayedStream] = []
         errors: list[Exception] = []
-        asked: set[str] = set()
-        answered = anyio.Event()
 
-        async def ask(host: str) -> None:
+        async def ask(peer: str) -> bool:
             try:
                 with anyio.fail_after(timeout_s + PEER_MARGIN_S):
-                    stream = await self._open(host, target)
+                    stream = await self._open(peer, target)
             except (*PEER_ERRORS, TimeoutError, _NotConnectedError) as error:
                 errors.append(error)
-                self._note_failed_peer(host, target, error)
-            else:
-                self._peers.note_connected(host)
-                self._paths.note_relayed(target.service, target.name, host)
-                if found:
-                    await stream.aclose()
-                else:
-                    found.append(stream)
-                    tasks.cancel_scope.cancel()
-            answered.set()
+                self._note_failed_peer(peer, target, error)
+                return False
+            found.append(stream)
+            self._choice.note_connected(peer)
+            self._paths.note_relayed(target.service, target.name, peer)
+            return True
 
         try:
-            async with anyio.create_task_group() as tasks:
-                while len(asked) < MAX_ASKED_PEERS:
-                    host = self._peers.choose(target.service, asked)
-                    if not host:
-                        break
-                    asked.add(host)
-                    answered = anyio.Event()
-                    tasks.start_soon(ask, host)
-                    with anyio.move_on_after(HEDGE_DELAY_S):
-                        await answered.wait()
+            await try_in_turn(
+                lambda tried: self._choice.choose(target.service, tried),
+                ask,
+                HEDGE_DELAY_MS,
+                MAX_ASKED_PEERS,
+            )
         except BaseException:
-            for stream in found:
-                await stream.aclose()
+            await _close_all(found)
             raise
+        # Two may have connected at the same moment.
+        await _close_all(found[1:])
         if found:
             return found[0]
-        if not asked:
+        if not errors:
             raise _NoPeerError(f"no peer to reach {target.name}")
         if any(
             isinstance(error, _NotConnectedError) and error.state == pb.REFUSED
@@ -243,13 +244,13 @@
             ) from ConnectionRefusedError()
         raise httpcore.ConnectError("not reached by any peer that was asked")
 
-    async def _open(self, host: str, target: Target) -> RelayedStream:
+    async def _open(self, peer: str, target: Endpoint) -> RelayedStream:
         """Lets a peer connect to a target.
 
         Raises:
             _NotConnectedError: the peer answered that it could not.
         """
-        channel = self._channels.open(host, self._port)
+        channel = self._channels.open(*self._peers.locate(peer))
         stream = PathsStub(channel).Connect.open()
         await stream.__aenter__()
         try:
@@ -266,28 +267,28 @@
             with anyio.CancelScope(shield=True):
                 await _reset(stream)
             raise
-        self._active[host] += 1
-        return RelayedStream(stream, lambda: self._active.subtract((host,)))
+        self._active[peer] += 1
+        return RelayedStream(stream, lambda: self._active.subtract((peer,)))
 
     def _note_failed_peer(
-        self, host: str, target: Target, error: Exception
+        self, peer: str, target: Endpoint, error: Exception
     ) -> None:
         self._log.emit(
             Event.PEER_PATH_FAILED,
-            peer=host,
+            peer=peer,
             target=target.name,
             detail=_describe(error),
         )
         if isinstance(error, _NotConnectedError):
             if error.state == pb.UNABLE:
-                self._peers.note_failed(host, target.service)
+                self._choice.note_failed(peer, target.service)
             elif error.state == pb.UNREACHABLE:
-                self._peers.note_unreachable(host)
+                self._choice.note_unreachable(peer)
             return
-        self._peers.note_failed(host)
-        if not self._active[host]:
+        self._choice.note_failed(peer)
+        if not self._active[peer]:
             # Its connection may be dead; no other call depends on it.
-            self._channels.drop(host, self._port)
+            self._channels.drop(*self._peers.locate(peer))
 
 
 class _NotConnectedError(Exception):
@@ -302,6 +303,11 @@
     """There is no peer to ask."""
 
 
+async def _close_all(streams: Iterable[RelayedStream]) -> None:
+    for stream in streams:
+        await stream.aclose()
+
+
 async def _reset(stream: _Stream) -> None:
     """Ends a call at once, whatever its state."""
     error = ConnectionAbortedError()
--- a/src/peridotbend/adapters/pathserver.py
+++ b/src/peridotbend/adapters/pathserver.py
@@ -1,7 +1,7 @@
 """Connects to targets for instances that do not reach them."""
 
 import ipaddress
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import anyio
 import grpclib.protocol
@@ -13,8 +13,7 @@
 from peridotbend.adapters.connections import is_connection_refused
 from peridotbend.adapters.peers import limit_message_size
 from peridotbend.adapters.sockets import TargetStream, connect
-from peridotbend.edge.paths import TargetPaths
-from peridotbend.edge.targets import TargetList
+from peridotbend.domain.paths import PathPeers, TargetLookup, TargetPaths
 from peridotbend.wire import edge_pb2 as pb
 from peridotbend.wire.edge_grpc import PathsBase
 
@@ -41,14 +40,14 @@
 
     def __init__(
         self,
-        targets: TargetList,
+        targets: TargetLookup,
         paths: TargetPaths,
-        is_known_host: Callable[[str], bool],
+        peers: PathPeers,
         connect_timeout_s: float,
     ):
         self._targets = targets
         self._paths = paths
-        self._is_known_host = is_known_host
+        self._peers = peers
         self._connect_timeout_s = connect_timeout_s
         self._idle = anyio.Event()
         self.active = 0
@@ -92,7 +91,7 @@
             return False
         host = address[0]
         is_local = ipaddress.ip_address(host).is_loopback
-        return is_local or self._is_known_host(host)
+        return is_local or self._peers.is_instance(host)
 
     async def _serve(self, stream: _Stream, name: str) -> pb.PathChunk:
         """Serves a connection to its end; returns the last message."""
--- a/src/peridotbend/edge/paths.py
+++ b/src/peridotbend/domain/paths.py
@@ -7,12 +7,12 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Collection, Sequence
+from typing import Protocol
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
-from peridotbend.edge.targets import TargetList
 
 # Targets of one service to which connects fail one after the other before a
 # peer is asked. A single one is more likely to be down itself.
@@ -33,6 +33,62 @@
 REFRESH_MS = 500
 
 
+class Endpoint(Protocol):
+    """A target, as far as connections to it are concerned."""
+
+    @property
+    def name(self) -> str:
+        """The name, which differs for each target."""
+        ...
+
+    @property
+    def service(self) -> str:
+        """The service that the target is part of."""
+        ...
+
+    @property
+    def host(self) -> str:
+        """Where the target listens."""
+        ...
+
+    @property
+    def port(self) -> int:
+        """Where the target listens."""
+        ...
+
+
+class TargetLookup(Protocol):
+    """The targets that an instance knows."""
+
+    def find(self, name: str) -> Endpoint | None:
+        """Returns a target by name."""
+        ...
+
+    def list_for(self, service: str) -> Sequence[Endpoint]:
+        """Returns the targets of a service."""
+        ...
+
+
+class PathPeers(Protocol):
+    """The other instances, by a name that identifies each of them."""
+
+    def list_serving(self) -> list[str]:
+        """Returns the instances that may serve callers now."""
+        ...
+
+    def is_near(self, peer: str) -> bool:
+        """Tells whether an instance is in the availability zone of this one."""
+        ...
+
+    def locate(self, peer: str) -> tuple[str, int]:
+        """Returns the address at which an instance serves its peers."""
+        ...
+
+    def is_instance(self, host: str) -> bool:
+        """Tells whether a host is that of an instance."""
+        ...
+
+
 @dataclasses.dataclass(slots=True)
 class _ServicePath:
     # Time of the last failed connect by target, since the last that succeeded.
@@ -45,7 +101,7 @@
 class TargetPaths:
     """The state of this instance's own links, by service."""
 
-    def __init__(self, clock: Clock, log: EventLog, targets: TargetList):
+    def __init__(self, clock: Clock, log: EventLog, targets: TargetLookup):
         self._clock = clock
         self._log = log
         self._targets = targets
@@ -109,31 +165,20 @@
         return max(1, min(count, len(self._targets.list_for(service))))
 
 
-class PathPeers:
+class PeerChoice:
     """Chooses the instances that connect to targets for this one."""
 
-    def __init__(
-        self,
-        clock: Clock,
-        rng: random.Random,
-        zone: str,
-        list_hosts: Callable[[], list[str]],
-        find_zone: Callable[[str], str],
-    ):
+    def __init__(self, clock: Clock, rng: random.Random, peers: PathPeers):
         """Creates the choice.
 
         Args:
             clock: source of time.
             rng: spreads the connections.
-            zone: of this instance. Peers of the same zone cost less to reach.
-            list_hosts: returns the instances that may serve callers now.
-            find_zone: returns the zone of an instance.
+            peers: the instances; those of the same zone cost less to reach.
         """
         self._clock = clock
         self._rng = rng
-        self._zone = zone
-        self._list_hosts = list_hosts
-        self._find_zone = find_zone
+        self._peers = peers
         self._near: list[str] = []
         self._far: list[str] = []
         self._refreshed_at_ms: int | None = None
@@ -198,9 +243,9 @@
         if last_ms is not None and now_ms - last_ms < REFRESH_MS:
             return
         self._refreshed_at_ms = now_ms
-        hosts = self._list_hosts()
-        self._near = [h for h in hosts if self._find_zone(h) == self._zone]
-        self._far = [h for h in hosts if self._find_zone(h) != self._zone]
+        hosts = self._peers.list_serving()
+        self._near = [h for h in hosts if self._peers.is_near(h)]
+        self._far = [h for h in hosts if not self._peers.is_near(h)]
         known = set(hosts)
         self._proven = {h: None for h in self._proven if h in known}
         self._avoid_until_ms = {
--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -9,6 +9,7 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
+from peridotbend.domain.hedging import try_in_turn
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.ports import (
     PublishedReader,
@@ -341,28 +342,19 @@
             since_ms: since when peers have been ahead.
             fetch: asks one peer.
         """
-        has_answer = False
-        failed = anyio.Event()
-        asked: set[str] = set()
-
-        async def ask(host: str) -> None:
-            nonlocal has_answer
-            if await self._fetch(host, since_ms, fetch):
-                has_answer = True
-                tasks.cancel_scope.cancel()
-            failed.set()
-
-        async with anyio.create_task_group() as tasks:
-            while host:
-                asked.add(host)
-                failed = anyio.Event()
-                tasks.start_soon(ask, host)
-                with anyio.move_on_after(HEDGE_DELAY_MS / 1_000):
-                    await failed.wait()
-                self._restart_watch(since_ms)
-                host = ""
-                if len(asked) < MAX_ASKED_PEERS:
-                    host = self.take_peer_ahead(asked)
+
+        def choose(tried: Collection[str]) -> str:
+            if not tried:
+                return host
+            self._restart_watch(since_ms)
+            return self.take_peer_ahead(tried)
+
+        has_answer = await try_in_turn(
+            choose,
+            lambda peer: self._fetch(peer, since_ms, fetch),
+            HEDGE_DELAY_MS,
+            MAX_ASKED_PEERS,
+        )
         if not has_answer and not self._role.is_reader:
             # The relays are slow or gone; their next digests show which.
             await self._read_once(wait_ms=0)
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -12,7 +12,7 @@
 
 from peridotbend.adapters.edgemetrics import EdgeMetrics
 from peridotbend.adapters.gossip import Gossip
-from peridotbend.adapters.peerpaths import PeerPaths
+from peridotbend.adapters.peerpaths import PeerPaths, RegistryPeers
 from peridotbend.adapters.peers import ChannelPool, make_http2_configuration
 from peridotbend.adapters.publishedpeers import (
     PublishedFetcher,
@@ -95,13 +95,13 @@
         self._reader_role = ReaderRole(self._rng)
         targets = TargetList(self._clock)
         self._paths = PeerPaths(
-            settings,
             self._clock,
+            self._rng,
             targets,
-            self._peers,
-            status,
+            RegistryPeers(
+                self._peers, status, settings.zone, settings.peers[1]
+            ),
             log,
-            self._rng,
             CONNECT_TIMEOUT_S,
         )
         self._dependencies = make_dependencies(
@@ -235,7 +235,7 @@
         self._app = EdgeApp(self._relay, self._get_max_body_bytes)
         channels = ChannelPool()
         stack.callback(channels.close)
-        stack.callback(self._paths.channels.close)
+        stack.callback(self._paths.dialer.close)
         fetcher = PublishedFetcher(channels, settings.peers[1], self._log)
         self._server = HttpServer(self._app, listen(*settings.callers))
         health = HttpServer(HealthApp(self._is_ready), listen(*settings.health))
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -9,7 +9,6 @@
 import struct
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from unittest import mock
 
 import anyio
 import grpclib.server
@@ -19,13 +18,19 @@
 from peridotbend.adapters import pathclient
 from peridotbend.adapters.pathclient import PathDialer
 from peridotbend.adapters.pathserver import PathServer
-from peridotbend.adapters.peers import ChannelPool
 from peridotbend.adapters.publishedpeers import PublishedServer
 from peridotbend.adapters.serving import HttpServer, listen
-from peridotbend.adapters.sockets import TargetStream, connect
+from peridotbend.adapters.sockets import connect
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.daemon import BACKEND_OPTIONS
 from peridotbend.domain.clock import ManualClock, SystemClock
+from peridotbend.domain.paths import (
+    FAILURE_TTL_MS,
+    REFRESH_MS,
+    Endpoint,
+    PeerChoice,
+    TargetPaths,
+)
 from peridotbend.domain.ports import (
     CallError,
     CallFailure,
@@ -33,12 +38,6 @@
     TargetCall,
 )
 from peridotbend.domain.text import Target
-from peridotbend.edge.paths import (
-    FAILURE_TTL_MS,
-    REFRESH_MS,
-    PathPeers,
-    TargetPaths,
-)
 from peridotbend.edge.targets import TargetList
 from peridotbend.platform import wire
 from tests.edgefakes import TARGET, RecordingLog, make_target
@@ -190,6 +189,36 @@
         self.ended.set()
 
 
+class FixedPeers:
+    """Instances on given hosts, all near unless a zone is given."""
+
+    def __init__(
+        self, hosts: list[str] | None = None, port: int = 0, zone: str = ""
+    ) -> None:
+        self._hosts = hosts or []
+        self._port = port
+        self._zone = zone
+        # How often the hosts were listed.
+        self.lists = 0
+
+    def list_serving(self) -> list[str]:
+        """Returns all hosts."""
+        self.lists += 1
+        return self._hosts
+
+    def is_near(self, peer: str) -> bool:
+        """Tells whether a host is in the zone, which begins its address."""
+        return peer.startswith(self._zone)
+
+    def locate(self, peer: str) -> tuple[str, int]:
+        """Returns the address of an instance."""
+        return peer, self._port
+
+    def is_instance(self, host: str) -> bool:
+        """Tells whether a host is that of an instance."""
+        return host in HOSTS
+
+
 class OtherInstance:
     """An instance that connects to targets for others."""
 
@@ -242,38 +271,36 @@
             peer_port = unused.getsockname()[1]
         for other in self.others:
             await other.start(peer_port)
-        self.channels = ChannelPool()
+        peers = FixedPeers([other.host for other in self.others], peer_port)
         self.dialer = PathDialer(
             self.paths,
-            PathPeers(
-                self.clock,
-                random.Random(1),
-                "zone-a",
-                lambda: [other.host for other in self.others],
-                lambda host: "zone-a",
-            ),
             self.targets,
-            self.channels,
-            peer_port,
+            peers,
+            PeerChoice(self.clock, random.Random(1), peers),
             self.log,
         )
+        self.dialer.direct = self
         self.client = HttpTargetClient(0.2, self.dialer)
-        with mock.patch.object(pathclient, "connect", self._connect):
-            with anyio.fail_after(TIMEOUT_S):
-                await check()
+        with anyio.fail_after(TIMEOUT_S):
+            await check()
         await self.client.aclose()
-        self.channels.close()
+        self.dialer.close()
         for other in self.others:
             await other.stop()
         server.close()
 
-    async def _connect(
-        self, host: str, port: int, timeout_s: float
-    ) -> TargetStream:
+    def allows_reuse(self, target: Endpoint) -> bool:
+        """Tells that connections may be kept."""
+        return True
+
+    async def connect(
+        self, target: Endpoint, timeout_s: float
+    ) -> httpcore.AsyncNetworkStream:
+        """Connects directly, unless the links are cut."""
         self.connects += 1
         if self.is_cut:
             raise httpcore.ConnectTimeout("cut")
-        return await connect(host, port, timeout_s)
+        return await connect(target.host, target.port, timeout_s)
 
     async def call(self, name: str = "i-1") -> "list[bytes] | CallError":
         """Sends a call; returns the chunks of its answer, or the error."""
@@ -358,7 +385,7 @@
                 chunks = opened.unwrap().chunks()
                 assert (await anext(chunks)).unwrap() == b"half"
                 # What a process that is killed does to its connections.
-                harness.channels.close()
+                harness.dialer.close()
                 error = (await anext(chunks)).unwrap_err()
                 assert error.failure is CallFailure.BROKEN
                 assert error.written
@@ -535,7 +562,7 @@
         assert not self.paths.is_lost("engine")
 
 
-class PathPeersTest(unittest.TestCase):
+class PeerChoiceTest(unittest.TestCase):
     """Which instances are asked to connect."""
 
     def test_half_of_a_large_fleet_may_be_cut_off_too(self) -> None:
@@ -544,20 +571,8 @@
         hosts = [f"10.{n // 240}.0.{n % 240}" for n in range(719)]
         # All of the own zone, and half of the others.
         cut = {h for n, h in enumerate(hosts) if n < 240 or n % 2}
-        lists = 0
-
-        def list_hosts() -> list[str]:
-            nonlocal lists
-            lists += 1
-            return hosts
-
-        peers = PathPeers(
-            clock,
-            random.Random(7),
-            "10.0",
-            list_hosts,
-            lambda host: host[:4],
-        )
+        all_peers = FixedPeers(hosts, zone="10.0")
+        peers = PeerChoice(clock, random.Random(7), all_peers)
         asked: collections.Counter[str] = collections.Counter()
         failed = 0
         for _ in range(1_000):
@@ -576,4 +591,4 @@
         # Only while all peers of the own zone are still untried.
         assert failed <= 240 / pathclient.MAX_ASKED_PEERS
         assert sum(n for h, n in asked.items() if h in cut) <= 2 * len(cut)
-        assert lists <= 5 * 1_000 / REFRESH_MS + 1
+        assert all_peers.lists <= 5 * 1_000 / REFRESH_MS + 1
