--- a/src/peridotbend/adapters/peerserver.py
+++ b/src/peridotbend/adapters/peerserver.py
@@ -34,6 +34,7 @@
 from peridotbend.domain.textdelta import Hunk, make_delta
 from peridotbend.domain.textstore import ConfigStore
 from peridotbend.wire import peer_pb2 as pb
+from peridotbend.wire.edge_grpc import PathsBase
 from peridotbend.wire.peer_grpc import PeersBase
 
 T = TypeVar("T")
@@ -55,7 +56,23 @@
         links: PeerLinks,
         log: EventLog,
         limits: PeerLimits,
+        paths: PathsBase | None = None,
     ):
+        """Creates the server.
+
+        Args:
+            roster: the known instances.
+            store: the text in force.
+            handler: serves calls of peers.
+            trials: permits to run suspected requests.
+            links: streams of digests.
+            log: receives events.
+            limits: on time and size.
+            paths: connects to targets for peers, at the same address.
+        """
+        self._services: list[PeersBase | PathsBase] = [self]
+        if paths is not None:
+            self._services.append(paths)
         self._roster = roster
         self._store = store
         self._handler = handler
@@ -75,7 +92,7 @@
         listener = listen(host, port)
         listener.setblocking(False)
         server = grpclib.server.Server(
-            [self], config=make_http2_configuration()
+            self._services, config=make_http2_configuration()
         )
         await server.start(sock=listener)
         self._server = server
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -12,12 +12,13 @@
 
 from peridotbend.adapters.edgemetrics import EdgeMetrics
 from peridotbend.adapters.gossip import Gossip
-from peridotbend.adapters.peerpaths import PeerPaths, RegistryPeers
+from peridotbend.adapters.peerpaths import PeerPaths
 from peridotbend.adapters.peers import ChannelPool, make_http2_configuration
 from peridotbend.adapters.publishedpeers import (
     PublishedFetcher,
     PublishedServer,
 )
+from peridotbend.adapters.registrypeers import RegistryPeers
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.clock import SystemClock
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -20,12 +20,14 @@
     ExchangeHooks,
 )
 from peridotbend.adapters.peerlinks import PeerLinks
+from peridotbend.adapters.peerpaths import PeerPaths
 from peridotbend.adapters.peers import ChannelPool, PeerLimits
 from peridotbend.adapters.peerserver import PeerServer
 from peridotbend.adapters.platform import make_platform
+from peridotbend.adapters.rosterpeers import RosterPeers
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.adapters.settings import NodeSettings
-from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.adapters.targets import CONNECT_TIMEOUT_S, HttpTargetClient
 from peridotbend.adapters.textcache import TextParser
 from peridotbend.adapters.textsync import TextSync
 from peridotbend.domain.clock import SystemClock
@@ -44,6 +46,7 @@
 from peridotbend.domain.retries import RetryBudget
 from peridotbend.domain.routing import Router
 from peridotbend.domain.scheduler import Scheduler, SchedulerLimits
+from peridotbend.domain.targetindex import TargetIndex
 from peridotbend.domain.text import FleetConfig, Target
 from peridotbend.domain.textstore import ConfigStore
 from peridotbend.domain.windows import WindowDivider
@@ -103,7 +106,7 @@
         self.records = RequestTable(
             self.clock, settings.max_records, settings.max_answer_bytes
         )
-        self._targets: dict[str, Target] = {}
+        self.target_index = TargetIndex()
         # Work by tier, by divider and target, at the last division.
         self._demand_by_divider: dict[str, dict[str, Sequence[float]]] = {}
         # Shares by peer, for the targets whose windows this process divides.
@@ -131,7 +134,7 @@
     @property
     def targets(self) -> tuple[Target, ...]:
         """The targets of the configuration in force."""
-        return tuple(self._targets.values())
+        return self.target_index.list_all()
 
     def start_drain(self) -> None:
         """Starts a graceful shutdown and returns at once."""
@@ -181,6 +184,7 @@
         tasks.start_soon(self.text_sync.run)
         tasks.start_soon(self.scheduler.run)
         tasks.start_soon(self.load_poller.run)
+        tasks.start_soon(self.paths.dialer.probe)
         tasks.start_soon(self._divide_windows)
         tasks.start_soon(self._expire_records)
         self._log.emit(
@@ -194,7 +198,16 @@
     def _build_service(
         self, stack: contextlib.AsyncExitStack, tasks: TaskGroup
     ) -> None:
-        targets = HttpTargetClient()
+        self.paths = PeerPaths(
+            self.clock,
+            self._rng,
+            self.target_index,
+            RosterPeers(self.roster),
+            self._log,
+            CONNECT_TIMEOUT_S,
+        )
+        stack.callback(self.paths.dialer.close)
+        targets = HttpTargetClient(CONNECT_TIMEOUT_S, self.paths.dialer)
         stack.push_async_callback(targets.aclose)
         self.load_poller = LoadPoller(
             targets, self.clock, self.settings.zone, self._record_load
@@ -274,6 +287,7 @@
             self.peer_links,
             self._log,
             PEER_LIMITS,
+            self.paths.server,
         )
 
     async def _load_text_file(self) -> None:
@@ -295,11 +309,7 @@
         self.service.apply_config(config)
         self.load_poller.apply_config(config)
         self.meter.record_text(config.version)
-        self._targets = {
-            target.name: target
-            for service in config.services
-            for target in service.targets
-        }
+        self.target_index.apply_config(config)
 
     def _record_load(self, target: str, report: LoadReport) -> None:
         self.router.record_load(target, report)
@@ -337,7 +347,7 @@
         return sizes
 
     def _find_divider(self, target_name: str) -> str:
-        target = self._targets.get(target_name)
+        target = self.target_index.find(target_name)
         return self.roster.find_window_divider(target) if target else ""
 
     async def _expire_records(self) -> None:
@@ -352,6 +362,7 @@
         """
         self._log.emit(Event.DRAIN_STARTED, records=len(self.records))
         self.service.draining = True
+        self.paths.server.is_closing = True
         self.roster.set_draining()
         timeout_s = self.settings.drain_timeout_ms / 1_000
         with anyio.move_on_after(timeout_s) as scope:
@@ -365,8 +376,10 @@
                 await self.record_transfer.copy_ended(
                     self.peer_client.hand_over
                 )
-            # Waits for callers that are still reading their answers.
+            # Waits for callers that are still reading their answers, here and
+            # at the instances that reach targets through this one.
             await self.caller_server.stop()
+            await self.paths.server.wait_idle()
         self._log.emit(
             Event.DRAIN_FINISHED,
             unfinished=self.record_transfer.count_unfinished(),
