--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -1,7 +1,6 @@
 """Local copies of the key prefixes that the platform publishes."""
 
 import dataclasses
-import random
 from collections.abc import Awaitable, Callable, Collection
 
 import anyio
@@ -23,6 +22,7 @@
     Position,
     PublishedItems,
 )
+from peridotbend.edge.readerrole import ReaderRole
 
 # Maximum duration of a watch call. It bounds the time until a dead connection
 # is detected, well before a change has to be active.
@@ -44,9 +44,6 @@
 MAX_ASKED_PEERS = 4
 # Bounds the table of peers that are ahead; those heard of last are kept.
 MAX_PEERS_AHEAD = 16
-# Instances that lose their relays together start to read at random times within
-# this one.
-READER_JITTER_MS = 200
 
 # Lines that one merge may log on outdated entries.
 MAX_OUTDATED_LINES = 20
@@ -57,37 +54,6 @@
 FetchChanges = Callable[[str, str, FeedState], Awaitable[Changes | None]]
 
 
-class ReaderRole:
-    """Whether this instance reads the store itself or follows a relay."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._turn = anyio.Event()
-        self._turn.set()
-        self._is_reader = True
-
-    @property
-    def is_reader(self) -> bool:
-        """Whether this instance reads the store itself."""
-        return self._is_reader
-
-    def assign(self, is_reader: bool) -> None:
-        """Sets the role."""
-        if is_reader is self._is_reader:
-            return
-        self._is_reader = is_reader
-        if is_reader:
-            self._turn.set()
-        else:
-            self._turn = anyio.Event()
-
-    async def wait_until_reader(self) -> None:
-        """Returns when this instance has to read the store."""
-        while not self._is_reader:
-            await self._turn.wait()
-            await anyio.sleep(self._rng.uniform(0, READER_JITTER_MS / 1_000))
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RestoreRules:
     """What a feed does when the store was restored from an older copy."""
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -26,12 +26,13 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.config import EdgeConfig
 from peridotbend.edge.exchange import DigestExchange
-from peridotbend.edge.feeds import Feed, ReaderRole, RestoreRules
+from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.fleetstatus import FleetStatus
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.parts import make_dependencies
 from peridotbend.edge.peers import PeerRegistry
 from peridotbend.edge.published import FeedState, Item, WriteOrder
+from peridotbend.edge.readerrole import ReaderRole
 from peridotbend.edge.relay import Relay
 from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.sharedstate import (
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -15,7 +15,7 @@
 from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.exchange import DigestExchange
-from peridotbend.edge.feeds import Feed, ReaderRole, RestoreRules
+from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.fleetstatus import FleetStatus
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.occupancy import Occupancy
@@ -23,6 +23,7 @@
 from peridotbend.edge.ports import StoreError
 from peridotbend.edge.published import Changes, FeedState, Item, Position
 from peridotbend.edge.ratelimits import RateLimits
+from peridotbend.edge.readerrole import ReaderRole
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.sharedstate import (
     FeedStatus,
--- a/tests/test_edge_eras.py
+++ b/tests/test_edge_eras.py
@@ -10,7 +10,7 @@
 
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
-from peridotbend.edge.feeds import Feed, ReaderRole, RestoreRules
+from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.ports import StoreError, StoreFailure
 from peridotbend.edge.published import (
     Changes,
@@ -20,6 +20,7 @@
     PublishedItems,
     WriteOrder,
 )
+from peridotbend.edge.readerrole import ReaderRole
 from peridotbend.edge.targets import REMOVAL_GRACE_MS, TargetList
 from tests.edgefakes import TARGET, RecordingLog, ScriptedReader
 
--- a/tests/test_edge_feeds.py
+++ b/tests/test_edge_feeds.py
@@ -8,9 +8,10 @@
 
 from peridotbend.adapters.publishedpeers import FETCH_TIMEOUT_S
 from peridotbend.domain.clock import ManualClock
-from peridotbend.edge.feeds import Feed, ReaderRole, RestoreRules
+from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.ports import StoreError, StoreFailure
 from peridotbend.edge.published import Changes, FeedState, Item, Position
+from peridotbend.edge.readerrole import ReaderRole
 from peridotbend_emulator.virtualtime import run_virtual
 from tests.edgefakes import RecordingLog
 
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -30,7 +30,6 @@
 from peridotbend.edge.feeds import (
     CATCH_UP_DELAY_MS,
     Feed,
-    ReaderRole,
     RestoreRules,
 )
 from peridotbend.edge.peers import (
@@ -50,6 +49,7 @@
     PublishedItems,
 )
 from peridotbend.edge.ratelimits import MAX_DIGEST_LIMITS, NamedLimit
+from peridotbend.edge.readerrole import ReaderRole
 from peridotbend.edge.sharedstate import MAX_ACCOUNTS, MAX_COUNTS
 from tests.edgefakes import CONFIG, RecordingLog, ScriptedReader
 
