--- a/tests/test_edge_processes.py
+++ b/tests/test_edge_processes.py
@@ -80,9 +80,12 @@
             for number, change in enumerate(
                 ({"slots": 10**400}, {"sequence": 10**400}, {"born": 1e300})
             ):
-                entry = {**TARGET_ENTRY, **change}
+                # An address of this machine, in case an entry is used.
+                entry = {**TARGET_ENTRY, "address": "127.0.0.1:1", **change}
                 fleet.store.put(f"servers/odd-{number}", entry)
-            fleet.store.put("servers/\ud800", TARGET_ENTRY)
+            fleet.store.put(
+                "servers/\ud800", {**TARGET_ENTRY, "address": "127.0.0.1:1"}
+            )
             # The list is still followed, and so it is after a restart.
             fleet.store.delete("servers/i-1")
             await wait_for_event(child, "target-removed")
@@ -99,6 +102,8 @@
                 answer = await fleet.call(host, "/orders/1", f"a-{host}")
                 assert answer.status == 200, (answer.status, child.output)
             assert child.exit_code is None
+            assert '"target": "odd' not in child.output
+            assert '"target": "\\\\ud' not in child.output
 
         run_with_fleet(check)
 
