Show how late a change is after the store comes back

A watch that is sent just before the store comes back is lost and hangs for its wait and its margin; a backoff and the next call follow. Instances that started together do so in step, so no peer is ahead.

--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -20,7 +20,7 @@
 from peridotbend.edge.groups import GroupDirectory
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PeerRegistry
-from peridotbend.edge.ports import StoreError
+from peridotbend.edge.ports import PublishedReader, StoreError
 from peridotbend.edge.published import Changes, FeedState, Item, Position
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.readerrole import ReaderRole
@@ -88,6 +88,7 @@
         seeds: tuple[str, ...],
         clock: ManualClock,
         rng: random.Random,
+        reader: PublishedReader | None = None,
     ) -> None:
         self.host = host
         self.zone = zone
@@ -95,7 +96,7 @@
         self.role = ReaderRole(rng)
         self.feed = Feed(
             PREFIX,
-            UnusedReader(),
+            reader or UnusedReader(),
             lambda items: None,
             clock,
             RecordingLog(),
@@ -160,6 +161,9 @@
         self._next_ms = self.clock.now_ms() + interval_ms
         return True
 
+    def note_change(self) -> None:
+        """Makes digests due; a fleet in steps collects them anyway."""
+
     def _find_feed_status(self) -> FeedStatus:
         reads_store = self.is_reader and self.can_reach_store
         return FeedStatus({PREFIX: self.feed.items.state}, reads_store)
@@ -180,8 +184,14 @@
 class GroupFleet:
     """Instances in zones; zones and instances can be cut off."""
 
-    def __init__(self, zones: int, per_zone: int, seed: int = 1) -> None:
-        self.clock = ManualClock()
+    def __init__(
+        self,
+        zones: int,
+        per_zone: int,
+        seed: int = 1,
+        clock: ManualClock | None = None,
+    ) -> None:
+        self.clock = clock or ManualClock()
         self.rng = random.Random(seed)
         self.instances: dict[str, GroupInstance] = {}
         self.traffic: dict[str, Traffic] = {}
@@ -200,9 +210,13 @@
         for host, zone in hosts:
             self.start(host, zone)
 
+    def make_instance(self, host: str, zone: str) -> GroupInstance:
+        """Returns a process that has not been started."""
+        return GroupInstance(host, zone, self.seeds, self.clock, self.rng)
+
     def start(self, host: str, zone: str) -> GroupInstance:
         """Starts a process without state, in place of a running one."""
-        instance = GroupInstance(host, zone, self.seeds, self.clock, self.rng)
+        instance = self.make_instance(host, zone)
         self.instances[host] = instance
         self.traffic.setdefault(host, Traffic())
         return instance
@@ -222,19 +236,20 @@
                 instance.feed.merge(self.store.read())
             self._fetch(instance)
             if instance.is_due():
-                self._send_all(instance)
+                self.send_all(instance)
 
     def _fetch(self, instance: GroupInstance) -> None:
         """Fetches changes from a peer, if one is ahead."""
         host = instance.feed.take_peer_ahead()
         peer = self.instances.get(host)
-        if peer is None or not self._are_linked(instance, peer):
+        if peer is None or not self.are_linked(instance, peer):
             return
         after = instance.feed.find_fetch_state()
         changes = peer.feed.items.list_changes(after)
         instance.feed.merge_fetched(host, changes)
 
-    def _are_linked(self, first: GroupInstance, second: GroupInstance) -> bool:
+    def are_linked(self, first: GroupInstance, second: GroupInstance) -> bool:
+        """Tells whether two instances reach each other."""
         if self.cut_hosts & {first.host, second.host}:
             return False
         sides = self.side_by_zone
@@ -245,7 +260,8 @@
         for host in self.traffic:
             self.traffic[host] = Traffic()
 
-    def _send_all(self, sender: GroupInstance) -> None:
+    def send_all(self, sender: GroupInstance) -> None:
+        """Sends the digests of an instance that are due."""
         for outgoing in sender.exchange.collect():
             data = encode_digest(outgoing.digest)
             for index, host in enumerate(outgoing.hosts):
@@ -261,10 +277,11 @@
         receiver = self.instances.get(host)
         if receiver is None or self.rng.random() < self.loss:
             return
-        if not self._are_linked(sender, receiver):
+        if not self.are_linked(sender, receiver):
             return
         digest = decode_digest(data)
         assert digest is not None
         self.traffic[host].received_bytes += len(data)
         self.traffic[host].datagrams += 1
-        receiver.exchange.receive(digest)
+        if receiver.exchange.receive(digest):
+            receiver.note_change()
