--- a/tools/days.py
+++ b/tools/days.py
@@ -363,6 +363,7 @@
     ),
     "newer-one": 'kind = "release", how = "newer", count = 1, service = "@s0"',
 }
+ROLL_TERM_SOME = 'kind = "roll_term", share = 0.25, gap_s = 1.0'
 POWER_OFF = 'kind = "herd_kill", how = "power", share = 1.0, for_s = 2.2'
 # The users' day, as they wrote it but for the names of a site.
 REJOINED_DAY = """\
@@ -477,6 +478,73 @@
   { at = 27.0, kind = "srv_cut", how = "some all reset", share = 1.0, x = 0.5, for_s = 12.0 },
 ]
 """  # noqa: E501
+# The users' day on which all instances start together, and the store falls
+# silent later.
+JOINT_START_DAY = """\
+name = "silent-after-joint-start"
+length_s = 29.0
+plan = [
+  { at = 21.1, kind = "revoke", count = 5, gap_s = 0.05 },
+  { at = 21.2, kind = "config_change", how = "tenant" },
+  { at = 21.3, kind = "config_change", how = "route" },
+  { at = 21.4, kind = "config_change", how = "tenant" },
+  { at = 21.5, kind = "config_change", how = "route" },
+]
+faults = [
+  { at = 13, kind = "herd_kill", share = 1.0, for_s = 1.0 },
+  { at = 17.5, kind = "platform_down", how = "silent", for_s = 4.49 },
+]
+"""
+# Outages of the store by the phase in which it comes back to instances that
+# started together: how, and the length in seconds.
+OUTAGES = {
+    "silent-return-a": ("silent", 3.0),
+    "silent-return-b": ("silent", 3.4),
+    "silent-return-c": ("silent", 3.8),
+    "silent-return-d": ("silent", 4.2),
+    "silent-return-e": ("silent", 4.6),
+    "silent-return-f": ("silent", 5.0),
+    "silent-return-short": ("silent", 0.4),
+    "busy-return": ("busy", 4.4),
+    "reset-return": ("reset", 4.4),
+    "lapse-return": ("silent lapse", 4.4),
+}
+JOINT_START_AT_S = 5.0
+OUTAGE_AT_S = 9.0
+# Changes are sent before the return, and confirmed with it.
+CHANGES_BEFORE_RETURN_S = (("config-tenant", 0.3), ("config-route", 0.2))
+# What else happens during an outage that is silent for 4.2 s.
+RETURN_EVENTS = {
+    "silent-return-and-roll-term": ("roll-term-some", 0.5),
+    "silent-return-and-zone-cut": ("zone-cut", 1.0),
+    "silent-return-and-hup": ("hup", 3.0),
+    "silent-return-and-node-freeze": ("node-freeze", 3.5),
+    "silent-return-and-scale-in": ("scale-in", 4.4),
+}
+
+
+def _schedule_outage(
+    name: str, how: str, length_s: float, extra: tuple[str, float] | None = None
+) -> Scenario:
+    """Returns a scenario in which the store comes back after a joint start."""
+    plan, faults = _schedule_event("herd-kill", JOINT_START_AT_S)
+    end_s = OUTAGE_AT_S + length_s
+    events = [
+        (change, round(end_s - before_s, 2))
+        for change, before_s in CHANGES_BEFORE_RETURN_S
+    ]
+    events.append(("revoke", round(end_s + 0.1, 2)))
+    if extra is not None:
+        events.append((extra[0], OUTAGE_AT_S + extra[1]))
+    for event, at_s in events:
+        more_plan, more_faults = _schedule_event(event, at_s)
+        plan += more_plan
+        faults += more_faults
+    faults += (
+        f'at = {OUTAGE_AT_S}, kind = "platform_down", for_s = {length_s}, '
+        f'how = "{how}"',
+    )
+    return Scenario(name, plan, faults, length_s=EVENT_PAIR_S)
 
 
 def _schedule_event(
@@ -486,6 +554,8 @@
     planned = PLANNED_CHANGES.get(name) or VERSION_CHANGES.get(name)
     if planned:
         return (f"at = {at_s}, {planned}",), ()
+    if name == "roll-term-some":
+        return (f"at = {at_s}, {ROLL_TERM_SOME}",), ()
     if name == "power-off":
         return (), (f"at = {at_s}, {POWER_OFF}",)
     fault = FAULTS.get(name) or STORE_RESTORES.get(name) or LINK_CUTS[name]
@@ -528,6 +598,13 @@
                 length_s=EVENT_PAIR_S,
             )
         )
+    scenarios += [
+        _schedule_outage(name, *outage) for name, outage in OUTAGES.items()
+    ]
+    scenarios += [
+        _schedule_outage(name, *OUTAGES["silent-return-d"], event)
+        for name, event in RETURN_EVENTS.items()
+    ]
     return scenarios
 
 
@@ -575,6 +652,7 @@
     (OUTPUT_DIR / "restored.toml").write_text(RESTORED_DAY)
     (OUTPUT_DIR / "rejoined.toml").write_text(REJOINED_DAY)
     (OUTPUT_DIR / "unreachable-targets.toml").write_text(UNREACHABLE_DAY)
+    (OUTPUT_DIR / "silent-after-joint-start.toml").write_text(JOINT_START_DAY)
 
 
 if __name__ == "__main__":
