Bound the time from the store's return to a change in force

The time from the store's return to the change is a sum: the rest of a lost call (a watch: 3.0 s), a pause of up to 0.5 s, the next call, and the way to members of groups. Each part was below its own bound; the sum was not, and instances that started together all paid it at the same moment.

A watch now waits 1.0 s with a margin of 0.4 s, and every other call ends after 1.0 s. After a failed call the next ones do not wait at the store. Pauses are random, in the upper half of their range. Changes and a store that was lost or reached make digests due at once, and a member that hears that its reader lost the store looks for its role at once.

--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -215,8 +215,7 @@
         self._directory.note_answer(digest.host)
         if digest.scope is Scope.GROUP:
             return self._receive_group(digest)
-        self._receive_fleet(digest)
-        return False
+        return self._receive_fleet(digest)
 
     def _is_isolated(self) -> bool:
         """Tells whether no digest arrives, so that the fault may be here."""
@@ -244,8 +243,10 @@
         self._state.apply_group(_format_key(key), digest)
         return True
 
-    def _receive_fleet(self, digest: Digest) -> None:
+    def _receive_fleet(self, digest: Digest) -> bool:
+        """Applies totals; tells whether the reader of the group was lost."""
         key = self._directory.own_key
+        is_lost = False
         # Only a direct reader counts: two instances could otherwise each take
         # the other for the reader.
         if digest.is_store_reachable and key == self._directory.find_key(
@@ -253,7 +254,11 @@
         ):
             self._readers[digest.host] = self._clock.now_ms()
         else:
-            self._readers.pop(digest.host, None)
+            is_lost = self._readers.pop(digest.host, None) is not None
+        self._apply_totals(digest, key)
+        return is_lost
+
+    def _apply_totals(self, digest: Digest, key: GroupKey) -> None:
         if not digest.live_instances:
             return
         if not self._is_better(self._view, digest, key):
--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -24,9 +24,10 @@
 )
 from peridotbend.edge.readerrole import ReaderRole
 
-# Maximum duration of a watch call. It bounds the time until a dead connection
-# is detected, well before a change has to be active.
-WATCH_WAIT_MS = 2_000
+# Maximum duration of a watch call. A call that is lost with its connection, or
+# just before the store comes back, delays changes by this time and its margin;
+# docs/platform.md adds up what else does.
+WATCH_WAIT_MS = 1_000
 # Delay after a change, so that further changes share the next call: each call
 # to the store is charged for.
 BATCH_DELAY_MS = 100
@@ -76,17 +77,30 @@
         apply: Callable[[list[Item]], None],
         clock: Clock,
         log: EventLog,
-        report_store_status: Callable[[], None],
+        on_update: Callable[[], None],
         role: ReaderRole,
         rules: RestoreRules,
     ):
+        """Creates an empty copy.
+
+        Args:
+            prefix: of the keys.
+            reader: reads them from the store.
+            apply: receives the items that have changed.
+            clock: source of time.
+            log: receives what the copy learns, and from where.
+            on_update: called when the store is reached or lost, and after
+                changes.
+            role: whether this instance reads the store.
+            rules: what follows when the store was restored.
+        """
         self.prefix = prefix
         self.items = PublishedItems(rules.is_versioned)
         self._reader = reader
         self._apply = apply
         self._clock = clock
         self._log = log
-        self._report_store_status = report_store_status
+        self._on_update = on_update
         self._role = role
         self._rules = rules
         # Since when entries of a restored store have been withheld.
@@ -122,10 +136,15 @@
             with anyio.CancelScope() as scope:
                 self._watch_scope = scope
                 self._watch_since_ms = self._clock.now_ms()
-                outcome = await self._read_once(WATCH_WAIT_MS)
+                # A store that did not answer is not trusted with a wait: a call
+                # that is lost as it comes back ends soon.
+                outcome = await self._read_once(
+                    WATCH_WAIT_MS if self.is_store_reachable else 0
+                )
             self._watch_scope = None
             if outcome is None:
-                await anyio.sleep(backoff_ms / 1_000)
+                delay_ms = self._role.choose_retry_delay_ms(backoff_ms)
+                await anyio.sleep(delay_ms / 1_000)
                 backoff_ms = min(2 * backoff_ms, MAX_BACKOFF_MS)
                 continue
             if not self._is_listing_new:
@@ -203,6 +222,7 @@
         self._forget_overtaken()
         if outcome.changed:
             self._apply(list(outcome.changed))
+            self._on_update()
         return bool(outcome.changed)
 
     def release_withheld(self) -> None:
@@ -428,7 +448,7 @@
         if is_reachable is self.is_store_reachable:
             return
         self.is_store_reachable = is_reachable
-        self._report_store_status()
+        self._on_update()
         if error is None:
             self._log.emit(Event.PLATFORM_REACHED, prefix=self.prefix)
             return
--- a/src/peridotbend/edge/readerrole.py
+++ b/src/peridotbend/edge/readerrole.py
@@ -33,6 +33,16 @@
         else:
             self._turn = anyio.Event()
 
+    def choose_retry_delay_ms(self, backoff_ms: int) -> float:
+        """Returns the time until a failed call is repeated.
+
+        Instances that fail together would otherwise also call together.
+
+        Args:
+            backoff_ms: the longest time.
+        """
+        return self._rng.uniform(backoff_ms / 2, backoff_ms)
+
     async def wait_until_reader(self) -> None:
         """Returns when this instance has to read the store."""
         while not self._is_reader:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -374,7 +374,7 @@
             apply,
             self._clock,
             self._log,
-            self._record_store_reachability,
+            self._note_feed_update,
             self._reader_role,
             rules,
         )
@@ -395,6 +395,11 @@
         has_config = self._dependencies.holder.config is not None
         return has_config and has_feeds and not self._drain_requested.is_set()
 
+    def _note_feed_update(self) -> None:
+        """Tells peers of changes, and of a store that was reached or lost."""
+        self._record_store_reachability()
+        self._gossip.note_change()
+
     def _record_store_reachability(self) -> None:
         if self._is_store_reachable():
             self._dependencies.targets.note_store_reachable()
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -23,9 +23,9 @@
 
 # The store normally answers within milliseconds, and a slow one within a few
 # hundred.
-CALL_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 1.0
 # Added to the wait time of a watch to get the timeout of its call.
-WATCH_MARGIN_S = 1.0
+WATCH_MARGIN_S = 0.4
 # A page contains about 1 MB of values, and base64 adds a third.
 MAX_ANSWER_BYTES = 4 * 1_048_576
 MAX_PAGES = 10_000
@@ -160,13 +160,17 @@
     async def watch(
         self, after: int, wait_ms: int
     ) -> Result[Changes, StoreError]:
-        """Returns the changes after a revision; none after `wait_ms`."""
+        """Returns the changes after a revision; none after `wait_ms`.
+
+        Without a wait the call gets as much time as a listing, so that a store
+        too slow for the margin is still read.
+        """
         query = {
             "path_prefix": self._prefix,
             "after": str(after),
             "wait_ms": str(wait_ms),
         }
-        timeout_s = wait_ms / 1_000 + WATCH_MARGIN_S
+        timeout_s = max(wait_ms / 1_000 + WATCH_MARGIN_S, CALL_TIMEOUT_S)
         result = await self._client.get(wire.WATCH_CALL, query, timeout_s)
         if isinstance(result, Err):
             return result
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -100,7 +100,7 @@
             lambda items: None,
             clock,
             RecordingLog(),
-            lambda: None,
+            self.note_change,
             self.role,
             RestoreRules(True, WITHHOLD_MS, lambda: None),
         )
