Read the targets again before a stream is taken up

Shown by OutOfStepTest, whose three tests failed before: the stale instance sent the rest to v1, and was certain of v2 where a peer with an old list had begun at v1.

An instance now reads the list again before it computes a version, unless it did in the last 200 ms, and changes of the last 2 s leave a doubt. The clock type tells the time since the boot, which counts suspensions. What a cut instance still risks: if it reaches neither the store nor the new targets, but old targets that keep a part of the same session, they decide.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -46,6 +46,13 @@
 # Bounds the table of peers that are ahead; those heard of last are kept.
 MAX_PEERS_AHEAD = 16
 
+# A copy that was read this lately lacks nothing that matters to a caller.
+FRESH_MS = 200
+# A caller waits this long for a copy to be read again.
+CONFIRM_TIMEOUT_MS = 500
+# Time after a failure in which no other caller waits.
+CONFIRM_RETRY_MS = 500
+
 # Lines that one merge may log on outdated entries.
 MAX_OUTDATED_LINES = 20
 
@@ -108,6 +115,10 @@
         # When the store, or the relay that reads it, last showed that nothing
         # is missing here.
         self.confirmed_at_ms = clock.now_ms()
+        # The same for the store alone, on the clock that counts suspensions.
+        self._read_at_ms: int | None = None
+        self._confirming = anyio.Lock()
+        self._confirm_after_ms = clock.boot_ms()
         # Whether the last call to the store succeeded.
         self.is_store_reachable = True
         self._must_list = True
@@ -152,6 +163,25 @@
             if outcome:
                 await anyio.sleep(BATCH_DELAY_MS / 1_000)
 
+    async def confirm(self) -> bool:
+        """Tells whether the copy lacks nothing, after reading it if need be.
+
+        Callers of a moment share one call to the store.
+        """
+        async with self._confirming:
+            now_ms = self._clock.boot_ms()
+            read_at_ms = self._read_at_ms
+            if read_at_ms is not None and now_ms - read_at_ms <= FRESH_MS:
+                return True
+            is_lost = self._role.is_reader and not self.is_store_reachable
+            if is_lost or now_ms < self._confirm_after_ms:
+                return False
+            with anyio.move_on_after(CONFIRM_TIMEOUT_MS / 1_000):
+                if await self._read_once(wait_ms=0) is not None:
+                    return True
+            self._confirm_after_ms = self._clock.boot_ms() + CONFIRM_RETRY_MS
+            return False
+
     async def _read_once(self, wait_ms: int) -> bool | None:
         """Reads the store; tells whether there were changes, None if failed."""
         result = await self._read(wait_ms)
@@ -180,6 +210,7 @@
         self._must_list = False
         self._is_listing_new = changes.is_whole
         self.confirmed_at_ms = self._clock.now_ms()
+        self._read_at_ms = self._clock.boot_ms()
         return self.merge(changes)
 
     def merge(self, changes: Changes, source: str = "store") -> bool:
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -1,7 +1,7 @@
 """Finds out at which software version a stream began that is taken up."""
 
 import collections
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import anyio
@@ -21,9 +21,6 @@
 DISTRUST_MS = 30_000
 # Another instance counts as lost only this long after its last digest.
 LOSS_NOTICE_MS = 2_000
-# While the store or a relay responds, the list of targets is confirmed every
-# 2 s. One that was not confirmed for this long may lack changes.
-CONFIRMED_MS = 3_500
 # Pause after a failed attempt to read the history.
 READ_RETRY_MS = 500
 
@@ -44,6 +41,11 @@
         return False
 
 
+async def _trust_list() -> bool:
+    """Stands for a list of targets that always lacks nothing."""
+    return True
+
+
 class StreamOrigins:
     """The versions at which streams began, as far as they can be known.
 
@@ -65,8 +67,9 @@
         self._timeline = timeline
         self._log = log
         self.history: History = NoHistory()
-        # Returns when the list of targets was last known to lack nothing.
-        self.find_confirmed_ms: Callable[[], int] = clock.now_ms
+        # Tells whether the list of targets lacks nothing, after it has been
+        # read again if need be.
+        self.confirm_targets: Callable[[], Awaitable[bool]] = _trust_list
         # Version and time of the own streams, the oldest first.
         self._begun: collections.OrderedDict[str, tuple[str, int]] = (
             collections.OrderedDict()
@@ -127,6 +130,8 @@
         known = self._begun.get(call.resumes)
         if known is not None:
             return known[0]
+        # An instance that is cut off, or stood still, lacks what others know.
+        is_current = await self.confirm_targets()
         since_ms = self._find_earliest_begin(call, route)
         covered_ms = self._timeline.covered_since_ms
         if covered_ms is None or covered_ms > since_ms:
@@ -139,7 +144,7 @@
             choices = self._timeline.list_choices(
                 service, call.resumes, since_ms
             )
-        is_observed = self._is_observed(since_ms)
+        is_observed = is_current and self._is_observed(since_ms)
         holders: set[str] | None = None
         if len(choices) != 1 or not is_observed:
             holders = await self._parts.find_versions(service, call.session)
@@ -164,11 +169,7 @@
     def _is_observed(self, since_ms: int) -> bool:
         """Tells whether this process has seen all changes since then itself."""
         observed_ms = self._timeline.observed_since_ms
-        if observed_ms is None or observed_ms > since_ms:
-            return False
-        # An instance that is cut off does not see what the others do.
-        age_ms = self._clock.now_ms() - self.find_confirmed_ms()
-        return age_ms <= CONFIRMED_MS
+        return observed_ms is not None and observed_ms <= since_ms
 
     def _find_earliest_begin(self, call: EdgeCall, route: Route) -> int:
         now_ms = self._clock.now_ms()
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -14,8 +14,9 @@
 from peridotbend.domain.rendezvous import choose_weighted
 from peridotbend.edge.targets import EdgeTarget, TargetList
 
-# How much later than this instance another one may learn of a change.
-VIEW_LAG_MS = 500
+# How much later than this instance another one may learn of a change: one that
+# stood still counts as lost after 1.5 s and the time until that is checked.
+VIEW_LAG_MS = 2_000
 # Longer than any stream.
 KEPT_MS = 60_000
 # Bounds memory. The oldest state is dropped, and its time is then not covered.
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -351,10 +351,9 @@
             self._settings.store_history_ms,
         )
         self._dependencies.origins.history = self._history
-        feed = self._feeds[wire.TARGET_PREFIX]
-        self._dependencies.origins.find_confirmed_ms = (
-            lambda: feed.confirmed_at_ms
-        )
+        self._dependencies.origins.confirm_targets = self._feeds[
+            wire.TARGET_PREFIX
+        ].confirm
 
     def _make_feed(
         self,
--- a/tests/test_edge_feeds.py
+++ b/tests/test_edge_feeds.py
@@ -13,7 +13,7 @@
 from peridotbend.edge.published import Changes, FeedState, Item, Position
 from peridotbend.edge.readerrole import ReaderRole
 from peridotbend_emulator.virtualtime import run_virtual
-from tests.edgefakes import RecordingLog
+from tests.edgefakes import RecordingLog, ScriptedReader
 
 # A confirmed change has to be in force everywhere within this time.
 IN_FORCE_MS = 2_000
@@ -162,3 +162,54 @@
                     silent_peers, 0, is_store_sound=True
                 )
                 assert delay_ms <= IN_FORCE_MS
+
+
+class ConfirmedCopyTest(unittest.TestCase):
+    """A copy that is confirmed before a caller's answer depends on it."""
+
+    def _make_feed(self, clock: ManualClock, store: ScriptedReader) -> Feed:
+        return Feed(
+            "servers/",
+            store,
+            lambda items: None,
+            clock,
+            RecordingLog(),
+            lambda: None,
+            ReaderRole(random.Random(1)),
+            RestoreRules(False, 4_800, lambda: None),
+        )
+
+    def test_machine_that_was_suspended_reads_again(self) -> None:
+        """Guards against a copy that looks fresh on a clock that stood."""
+        clock = ManualClock()
+        empty = Changes((), OLD.position, is_whole=False)
+        store = ScriptedReader(Ok(OLD_COPY), Ok(NEW_COPY), Ok(empty))
+        feed = self._make_feed(clock, store)
+
+        async def run() -> list[bytes | None]:
+            assert await feed.confirm()
+            assert await feed.confirm(), "a copy that was just read"
+            clock.suspend(3_000)
+            assert await feed.confirm()
+            return [item.value for item in feed.items.list_items()]
+
+        assert run_virtual(clock, run()) == [NEW.value]
+        assert len(store.calls) == 2, "callers of a moment share a call"
+
+    def test_store_that_is_away_does_not_hold_up_callers(self) -> None:
+        """Guards against callers that wait for one timeout after another."""
+        clock = ManualClock()
+        failure: Result[Changes, StoreError] = Err(
+            StoreError(StoreFailure.UNREACHABLE, "timeout")
+        )
+        store = ScriptedReader(Ok(OLD_COPY), failure)
+        feed = self._make_feed(clock, store)
+
+        async def run() -> None:
+            assert await feed.confirm()
+            await anyio.sleep(1.0)
+            for _ in range(5):
+                assert not await feed.confirm()
+
+        run_virtual(clock, run())
+        assert len(store.calls) == 2
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -221,9 +221,12 @@
         _list_targets(harness, i_1="v1", i_2="v1")
         harness.timeline.update("engine")
         harness.clock.advance(60_000)
-        lost_at_ms = harness.clock.now_ms()
         harness.clock.advance(5_000)
-        harness.origins.find_confirmed_ms = lambda: lost_at_ms
+
+        async def confirm() -> bool:
+            return False
+
+        harness.origins.confirm_targets = confirm
         responder = _serve(harness, TAKE_UP)
         assert isinstance(responder.verdict, NotRun)
         harness.client.parts["i-1"] = frozenset(("s",))
@@ -314,6 +317,73 @@
         assert anyio.run(find) == "v2"
 
 
+class OutOfStepTest(unittest.TestCase):
+    """Instances whose lists of targets differ while new versions join."""
+
+    def _take_up_at_stale_instance(
+        self, can_read: bool
+    ) -> tuple[list[str], RecordingResponder]:
+        """Takes up a stream that began at a version not listed here."""
+        stale = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+        _list_targets(stale, i_1="v1")
+        stale.timeline.update("engine")
+        # The others list a target of v2, and begin all streams there.
+        stale.clock.advance(60_000)
+
+        async def confirm() -> bool:
+            if can_read:
+                _list_targets(stale, i_1="v1", i_2="v2")
+            return can_read
+
+        stale.origins.confirm_targets = confirm
+        fresh = RelayHarness()
+        _list_targets(fresh, i_1="v1", i_2="v2")
+        attempt = _find_attempt(fresh, "v2")
+        take_up = dataclasses.replace(
+            TAKE_UP, resumes=attempt, deadline_ms=CALL.deadline_ms
+        )
+        responder = _serve(stale, take_up)
+        sends = [send.target.software for send in stale.client.sends]
+        return sends, responder
+
+    def test_instance_that_missed_a_new_version_reads_before_it_answers(
+        self,
+    ) -> None:
+        """Guards against a version that is computed from an old list."""
+        sends, _ = self._take_up_at_stale_instance(can_read=True)
+        assert "v1" not in sends, sends
+
+    def test_instance_that_cannot_read_refuses(self) -> None:
+        """Guards against certainty of an instance that was cut off lately."""
+        sends, responder = self._take_up_at_stale_instance(can_read=False)
+        assert not sends, sends
+        assert isinstance(responder.verdict, NotRun)
+
+    def test_stream_of_an_instance_with_an_old_list_is_in_doubt(self) -> None:
+        """Guards against peers that stood still when a new version joined.
+
+        They are heard of, and place streams by the old list until they have
+        caught up.
+        """
+        harness = RelayHarness()
+        _list_targets(harness, i_1="v1")
+        harness.timeline.update("engine")
+        harness.clock.advance(60_000)
+        _list_targets(harness, i_1="v1", i_2="v2")
+        harness.timeline.update("engine")
+        attempt = _find_attempt(harness, "v2")
+        # Shorter than the time after which a peer counts as lost.
+        harness.clock.advance(1_400)
+        take_up = dataclasses.replace(
+            TAKE_UP, resumes=attempt, deadline_ms=CALL.deadline_ms
+        )
+
+        async def find() -> str | None:
+            return await harness.origins.find(take_up, STREAM_ROUTE, "engine")
+
+        assert anyio.run(find) is None
+
+
 class OlderBuildTest(unittest.TestCase):
     """Fleets in which some instances run an older build."""
 
