Send nothing to targets that say themselves that they leave

The run of the target is ruled out at selection and at the gate before the first byte. Other instances learn of it with the news for 1.5 s, in a field that older builds skip, since a target counts a connection through a peer as the peer's; peers make no connections to it. Placement by version keeps to the entries, which all instances share.

--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -34,8 +34,8 @@
     GROUP = 1
     # All groups, for the members of the sender's group.
     FLEET = 2
-    # What every instance passes on: crashes, limits and brittle services. In a
-    # datagram of its own, which sums of a large fleet would fill.
+    # What every instance passes on: crashes, limits, brittle services, leaving
+    # targets. In a datagram of its own, which sums of a large fleet would fill.
     NEWS = 3
 
 
@@ -74,6 +74,8 @@
     # Services whose targets are brittle, by the hash of their name, with the
     # rejections in a second that each target survives.
     brittle: tuple[NamedLimit, ...] = ()
+    # Hashes of the runs of targets that have said that they leave.
+    leaving: tuple[int, ...] = ()
     scope: Scope = Scope.OWN
     zone: str = ""
     # Whether the sender reads the store itself, and reaches it.
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -66,6 +66,8 @@
     # Called with the rejections for want of room that the target survives in a
     # second, from all instances, or None if its answer names no such number.
     note_brittle: Callable[[float | None], None] = lambda count: None
+    # Called if the answer says that the target leaves.
+    note_leaving: Callable[[], None] = lambda: None
 
 
 class Rejection(enum.Enum):
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -280,6 +280,14 @@
         def note_brittle(max_rejections: float | None) -> None:
             self._dependencies.brittle.note_answer(target, max_rejections)
 
+        def note_leaving() -> None:
+            if self._dependencies.targets.note_leaving(target):
+                self._dependencies.log.emit(
+                    Event.TARGET_SAID_LEAVING,
+                    target=target.name,
+                    service=target.service,
+                )
+
         send = TargetSend(
             request.call,
             target,
@@ -289,6 +297,7 @@
             reuse_connection=request.route.may_repeat,
             note_limit=note_limit,
             note_brittle=note_brittle,
+            note_leaving=note_leaving,
         )
 
         def can_fail_over() -> bool:
--- a/src/peridotbend/edge/sharedstate.py
+++ b/src/peridotbend/edge/sharedstate.py
@@ -13,6 +13,7 @@
 from peridotbend.edge.peers import Digest, Scope
 from peridotbend.edge.published import FeedState
 from peridotbend.edge.ratelimits import RateLimits
+from peridotbend.edge.targets import TargetList
 
 # Entries in one digest, so that it fits into one packet. The remaining ones
 # follow in the next digests.
@@ -75,6 +76,7 @@
         crashes: CrashTracker,
         rate_limits: RateLimits,
         brittle: BrittleTargets,
+        targets: TargetList,
         find_feed_status: Callable[[], FeedStatus],
         is_draining: Callable[[], bool],
     ):
@@ -84,6 +86,7 @@
         self._crashes = crashes
         self._rate_limits = rate_limits
         self._brittle = brittle
+        self._targets = targets
         self._find_feed_status = find_feed_status
         self._is_draining = is_draining
         # The latest own digests by sequence, to subtract what a relay includes.
@@ -118,7 +121,8 @@
         crashes = self._crashes.list_for_digest()
         limits = self._rate_limits.list_for_digest()
         brittle = self._brittle.list_for_digest()
-        if not (crashes or limits or brittle):
+        leaving = self._targets.list_leaving_for_digest()
+        if not (crashes or limits or brittle or leaving):
             return None
         return dataclasses.replace(
             self._make_base(sequence),
@@ -126,6 +130,7 @@
             crashes=crashes,
             limits=limits,
             brittle=brittle,
+            leaving=leaving,
         )
 
     def apply_news(self, digest: Digest) -> None:
@@ -133,6 +138,7 @@
         self._crashes.merge(digest.crashes)
         self._rate_limits.merge(digest.limits)
         self._brittle.merge(digest.brittle)
+        self._targets.merge_leaving(digest.leaving)
 
     def describe_own(self, sequence: int) -> Digest:
         """Returns the digest of this instance alone."""
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -1,10 +1,11 @@
 """The targets listed by the platform, and which of them accept requests."""
 
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 from peridotbend.domain.clock import Clock
 from peridotbend.edge.hashes import hash_name
+from peridotbend.edge.leavingruns import LeavingRuns
 
 # Entries can expire while the store is down, and the platform restores them
 # within about 2 s after the store recovers. The grace period is a little
@@ -41,8 +42,9 @@
 class TargetList:
     """All listed targets, indexed by name and service.
 
-    While the store is unreachable, and for a grace period after it recovers,
-    a removal may only mean that the entry expired, so it is deferred.
+    A target accepts requests unless its entry or its own answers say that it
+    leaves. While the store is unreachable, and for a grace period after it
+    recovers, a removal may only mean that the entry expired, so it is deferred.
     """
 
     def __init__(self, clock: Clock):
@@ -50,7 +52,11 @@
         self._targets: dict[str, EdgeTarget] = {}
         # Time at which each deferred removal takes effect, by target name.
         self._removals_due_ms: dict[str, int] = {}
+        # By service, those that accept requests, and those whose entries say
+        # so.
         self._by_service: dict[str, list[EdgeTarget]] = {}
+        self._listed_by_service: dict[str, list[EdgeTarget]] = {}
+        self._leaving_runs = LeavingRuns(clock)
         self._store_recovered_at_ms: int | None = None
         self._is_store_unreachable = False
 
@@ -74,11 +80,25 @@
         """
         self._store_recovered_at_ms = self._clock.now_ms()
 
+    def note_leaving(self, target: EdgeTarget) -> bool:
+        """Records that a target said that it leaves; tells if it is new."""
+        self._by_service.clear()
+        return self._leaving_runs.add(target.run_hash)
+
+    def merge_leaving(self, runs: Iterable[int]) -> None:
+        """Records the targets that told another instance that they leave."""
+        if self._leaving_runs.merge(runs):
+            self._by_service.clear()
+
+    def list_leaving_for_digest(self) -> tuple[int, ...]:
+        """Returns the runs that other instances should learn of."""
+        return self._leaving_runs.list_for_digest()
+
     def put(self, target: EdgeTarget) -> None:
         """Adds or updates a target."""
         self._targets[target.name] = target
         self._removals_due_ms.pop(target.name, None)
-        self._by_service.clear()
+        self._clear_indexes()
 
     def remove(self, name: str) -> None:
         """Removes a target; deferred if its entry may only have expired."""
@@ -91,7 +111,7 @@
             return
         del self._targets[name]
         self._removals_due_ms.pop(name, None)
-        self._by_service.clear()
+        self._clear_indexes()
 
     def find(self, name: str) -> EdgeTarget | None:
         """Returns a target by name."""
@@ -102,13 +122,29 @@
         """Returns the targets of a service that accept new requests."""
         self._remove_overdue()
         found = self._by_service.get(service)
+        if found is None:
+            found = [
+                target
+                for target in self.list_listed(service)
+                if not self._has_said_leaving(target)
+            ]
+            self._by_service[service] = found
+        return found
+
+    def list_listed(self, service: str) -> list[EdgeTarget]:
+        """Returns the targets of a service whose entries accept requests.
+
+        All instances that read the store have the same.
+        """
+        self._remove_overdue()
+        found = self._listed_by_service.get(service)
         if found is None:
             found = [
                 target
                 for target in self._targets.values()
                 if target.service == service and not target.is_leaving
             ]
-            self._by_service[service] = found
+            self._listed_by_service[service] = found
         return found
 
     def is_current(self, target: EdgeTarget) -> bool:
@@ -119,6 +155,7 @@
             and not known.is_leaving
             and known.started_at_ms == target.started_at_ms
             and known.software == target.software
+            and not self._has_said_leaving(target)
         )
 
     def __len__(self) -> int:
@@ -127,6 +164,14 @@
     def __iter__(self) -> Iterator[EdgeTarget]:
         return iter(self._targets.values())
 
+    def _has_said_leaving(self, target: EdgeTarget) -> bool:
+        runs = self._leaving_runs
+        return bool(runs) and target.run_hash in runs
+
+    def _clear_indexes(self) -> None:
+        self._by_service.clear()
+        self._listed_by_service.clear()
+
     def _find_grace_end(self) -> int | None:
         now_ms = self._clock.now_ms()
         if self._is_store_unreachable:
@@ -144,4 +189,24 @@
             if due_ms <= now_ms:
                 del self._removals_due_ms[name]
                 self._targets.pop(name, None)
-                self._by_service.clear()
+                self._clear_indexes()
+
+
+class AcceptingTargets:
+    """The targets to which peers may connect through this instance.
+
+    A target counts what arrives over such a connection as coming from here.
+    """
+
+    def __init__(self, targets: TargetList):
+        self._targets = targets
+
+    def find(self, name: str) -> EdgeTarget | None:
+        """Returns a target that accepts requests."""
+        target = self._targets.find(name)
+        is_accepting = target is not None and self._targets.is_current(target)
+        return target if is_accepting else None
+
+    def list_for(self, service: str) -> Sequence[EdgeTarget]:
+        """Returns the targets of a service that accept requests."""
+        return self._targets.list_for(service)
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -91,8 +91,11 @@
             self.observed_since_ms = self.covered_since_ms
 
     def update(self, service: str) -> VersionMix:
-        """Records which targets accept requests now."""
-        source = self._targets.list_for(service)
+        """Records which targets accept requests now, by their entries.
+
+        What a target has told this instance alone must not move streams.
+        """
+        source = self._targets.list_listed(service)
         if self._sources.get(service) is source:
             return self._current[service]
         self._sources[service] = source
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -41,7 +41,7 @@
     SharedState,
 )
 from peridotbend.edge.targethistory import TargetHistory
-from peridotbend.edge.targets import TargetList
+from peridotbend.edge.targets import AcceptingTargets, TargetList
 from peridotbend.platform import wire
 from peridotbend.platform.documents import (
     decode_config,
@@ -99,7 +99,7 @@
         self._paths = PeerPaths(
             self._clock,
             self._rng,
-            targets,
+            AcceptingTargets(targets),
             RegistryPeers(
                 self._peers, status, settings.zone, settings.peers[1]
             ),
@@ -129,6 +129,7 @@
             self._dependencies.crashes,
             self._dependencies.rate_limits,
             self._dependencies.brittle,
+            targets,
             self._find_feed_status,
             self._drain_requested.is_set,
         )
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -81,6 +81,8 @@
                     head = opened.ok_value.head
                     send.note_limit(_parse_count(head, wire.SERVER_LIMIT))
                     send.note_brittle(_parse_count(head, wire.SERVER_BRITTLE))
+                    if _parse_count(head, wire.SERVER_LEAVING):
+                        send.note_leaving()
                 yield reply
 
 
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -23,6 +23,8 @@
 SERVER_LIMIT = "server-limit"
 # Rejections in a second for want of room that a brittle target survives.
 SERVER_BRITTLE = "server-brittle"
+# 1 in all answers of a target that leaves, whatever the store lists.
+SERVER_LEAVING = "server-leaving"
 # Present in every answer created by a target; contains the digest of the
 # answer.
 SERVER_STAMP = "x-server-stamp"
@@ -47,6 +49,7 @@
     NOT_EXECUTED,
     SERVER_LIMIT,
     SERVER_BRITTLE,
+    SERVER_LEAVING,
     SERVER_STAMP,
     STORE_ERA,
     KV_FROM,
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -233,6 +233,8 @@
     is_delimited: bool = True
     # Whether no connection is established, so that no byte is written.
     fails_to_connect: bool = False
+    # Whether the answer says that the target leaves.
+    is_leaving: bool = False
 
 
 class _ScriptedAnswer:
@@ -309,6 +311,8 @@
             yield CallError(CallFailure.GATE, False)
             return
         self.written_sends.append(send)
+        if reply.is_leaving:
+            send.note_leaving()
         if reply.failure is not None:
             yield reply.failure
         else:
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -30,6 +30,7 @@
     InstanceIdentity,
     SharedState,
 )
+from peridotbend.edge.targets import TargetList
 from tests.edgefakes import SETTINGS, RecordingLog
 
 STEP_MS = 50
@@ -117,6 +118,7 @@
         )
         self.budget = SendBudget(clock, SETTINGS)
         self.crashes = CrashTracker(clock, RecordingLog())
+        self.targets = TargetList(clock)
         state = SharedState(
             InstanceIdentity(host, host, zone, rng.getrandbits(63)),
             self.occupancy,
@@ -124,6 +126,7 @@
             self.crashes,
             RateLimits(clock, RecordingLog(), host, list),
             BrittleTargets(clock, RecordingLog(), host, list),
+            self.targets,
             self._find_feed_status,
             lambda: self.is_draining,
         )
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -80,6 +80,10 @@
         self.limit_per_s: float | None = None
         # When each instance first passed on an answer that names a limit.
         self.told_at_ms: dict[str, int] = {}
+        # Whether its answers say that it leaves, and when each instance first
+        # passed on one that does.
+        self.is_leaving = False
+        self.left_at_ms: dict[str, int] = {}
         self.crashed = anyio.Event()
         # How many requests run at once, and how many more may wait; None for
         # any number.
@@ -149,6 +153,9 @@
         self._fleet.note_arrival(self._host, runner, send.call)
 
         send.note_brittle(runner.max_rejections)
+        if runner.is_leaving:
+            self._fleet.note_leaving(self._host, runner)
+            send.note_leaving()
         if self._fleet.note_rejection(runner):
             yield Rejection.UNAVAILABLE
             return
@@ -217,6 +224,7 @@
             self.dependencies.crashes,
             self.dependencies.rate_limits,
             self.dependencies.brittle,
+            self.dependencies.targets,
             lambda: FeedStatus({}, True),
             lambda: False,
         )
@@ -352,6 +360,10 @@
         if runner.limit_per_s is not None:
             runner.told_at_ms.setdefault(host, self.now_ms)
 
+    def note_leaving(self, host: str, runner: Runner) -> None:
+        """Records that an instance gets an answer of a leaving runner."""
+        runner.left_at_ms.setdefault(host, self.now_ms)
+
     def note_rejection(self, runner: Runner) -> bool:
         """Records a rejection if a runner is full; tells whether it is.
 
