Keep the pause that a target names when it is full

The header was read nowhere, so the next request went to the same target as soon as its counted load allowed.

The pause belongs to the run of the target and to this instance alone; it holds at selection and at the gate. A request that no target can take in time is refused at once, with the end of the first pause as Retry-After, in place of waiting in vain and of a random time.

Not covered: a peer through which this instance reaches the target is not told of the pause, although the target means the peer.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -187,7 +187,10 @@
                     full_for.add(criteria)
             if target is not None and waiter.wait_until_ms > now_ms:
                 self._grant(waiter, target)
-            elif waiter.wait_until_ms <= now_ms:
+            elif waiter.wait_until_ms <= now_ms + self._find_pause_ms(
+                waiter, targets
+            ):
+                # Its time is over, or will be before a target takes requests.
                 self._refuse(waiter, targets)
             else:
                 still_waiting.append(waiter)
@@ -235,9 +238,16 @@
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
         has_target = any(map(waiter.criteria.admits, targets))
         reason = Reason.SHED if has_target else Reason.NO_TARGET
-        waiter.result = Err(NotRun(reason, self.find_retry_after(waiter.route)))
+        retry_after_ms = max(
+            self.find_retry_after(waiter.route),
+            self._find_pause_ms(waiter, targets),
+        )
+        waiter.result = Err(NotRun(reason, retry_after_ms))
         waiter.done.set()
 
+    def _find_pause_ms(self, waiter: _Waiter, targets: list[EdgeTarget]) -> int:
+        return self._selector.find_pause_ms(waiter.criteria, targets)
+
     def _cancel(self, waiter: _Waiter) -> None:
         queue = self._waiting.get(waiter.criteria.service, [])
         if waiter in queue:
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -21,6 +21,7 @@
 from peridotbend.edge.selection import Selector
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.settings import EdgeSettings
+from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VersionTimeline
 
@@ -54,6 +55,7 @@
     crashes: CrashTracker
     rate_limits: RateLimits
     brittle: BrittleTargets
+    pauses: TargetPauses
     stall_detector: StallDetector
     timeline: VersionTimeline
     origins: StreamOrigins
@@ -102,7 +104,10 @@
     brittle = BrittleTargets(
         clock, log, settings.peers[0], fleet.list_recent_hosts
     )
-    selector = Selector(settings.zone, occupancy, health, rate_limits, brittle)
+    pauses = TargetPauses(clock)
+    selector = Selector(
+        settings.zone, occupancy, health, rate_limits, brittle, pauses
+    )
     return RelayDependencies(
         clock=clock,
         holder=holder,
@@ -115,10 +120,11 @@
         crashes=CrashTracker(clock, log),
         rate_limits=rate_limits,
         brittle=brittle,
+        pauses=pauses,
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
         origins=StreamOrigins(
-            clock, timeline, PromptParts(clock, targets, client), log
+            clock, timeline, PromptParts(clock, targets, client, pauses), log
         ),
         allowances=allowances,
         budget=SendBudget(clock, settings),
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -68,6 +68,9 @@
     note_brittle: Callable[[float | None], None] = lambda count: None
     # Called if the answer says that the target leaves.
     note_leaving: Callable[[], None] = lambda: None
+    # Called if the target turned the request away, with the time for which it
+    # wants nothing from this instance.
+    note_pause: Callable[[int], None] = lambda pause_ms: None
 
 
 class Rejection(enum.Enum):
--- a/src/peridotbend/edge/promptparts.py
+++ b/src/peridotbend/edge/promptparts.py
@@ -5,6 +5,7 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.rendezvous import rank
 from peridotbend.edge.ports import EdgeTargetClient
+from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import EdgeTarget, TargetList
 
 # A part of a stream that broke off before is kept for longer. All streams that
@@ -23,11 +24,16 @@
     """The prompt parts that targets keep, as they tell on request."""
 
     def __init__(
-        self, clock: Clock, targets: TargetList, client: EdgeTargetClient
+        self,
+        clock: Clock,
+        targets: TargetList,
+        client: EdgeTargetClient,
+        pauses: TargetPauses,
     ):
         self._clock = clock
         self._targets = targets
         self._client = client
+        self._pauses = pauses
         # Time of the answer and the parts, by the run of the target.
         self._cached: dict[int, tuple[int, frozenset[str]]] = {}
         self._asking = anyio.Lock()
@@ -39,7 +45,11 @@
         """
         if not part:
             return None
-        targets = [t for t in self._targets if t.service == service]
+        targets = [
+            target
+            for target in self._targets
+            if target.service == service and not self._pauses.is_paused(target)
+        ]
         asked = rank(part.encode(), targets, lambda t: t.name)[:MAX_ASKED]
         async with self._asking:
             await self._ask(asked)
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -256,6 +256,8 @@
         def open_gate() -> bool:
             if not self._dependencies.targets.is_current(target):
                 return False
+            if self._dependencies.pauses.is_paused(target):
+                return False
             if self._clock.now_ms() >= request.deadline_at_ms:
                 return False
             request.may_have_run = True
@@ -288,6 +290,12 @@
                     service=target.service,
                 )
 
+        def note_pause(pause_ms: int) -> None:
+            self._dependencies.pauses.note(target, pause_ms)
+            self._dependencies.log.emit(
+                Event.TARGET_PAUSED, target=target.name, pause_ms=pause_ms
+            )
+
         send = TargetSend(
             request.call,
             target,
@@ -298,6 +306,7 @@
             note_limit=note_limit,
             note_brittle=note_brittle,
             note_leaving=note_leaving,
+            note_pause=note_pause,
         )
 
         def can_fail_over() -> bool:
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -8,6 +8,7 @@
 from peridotbend.edge.health import FAILURE_SLACK, TargetHealth
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ratelimits import RateLimits
+from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import EdgeTarget
 
 # Limit on the requests in flight at a runner, as a fraction of its slots. It is
@@ -61,7 +62,9 @@
         health: TargetHealth,
         rate_limits: RateLimits,
         brittle: BrittleTargets,
+        pauses: TargetPauses,
     ):
+        self._pauses = pauses
         self._brittle = brittle
         self._rate_limits = rate_limits
         self._zone = zone
@@ -75,7 +78,9 @@
         usable = [
             t
             for t in targets
-            if t.name not in criteria.exclude and criteria.admits(t)
+            if t.name not in criteria.exclude
+            and criteria.admits(t)
+            and not self._pauses.is_paused(t)
         ]
         healthy = [t for t in usable if not self._health.should_avoid(t.name)]
         # If all of them failed recently, trying one is no worse than waiting.
@@ -89,6 +94,22 @@
             with_room, key=self._make_cost_function(criteria, candidates)
         )
 
+    def find_pause_ms(
+        self, criteria: TargetCriteria, targets: Iterable[EdgeTarget]
+    ) -> int:
+        """Returns after how many ms a target ends its pause; 0 if one has none.
+
+        Targets that have failed the request count as well.
+        """
+        if not self._pauses:
+            return 0
+        pauses_ms = (
+            self._pauses.find_left_ms(target)
+            for target in targets
+            if criteria.admits(target)
+        )
+        return min(pauses_ms, default=0)
+
     def _has_room(self, criteria: TargetCriteria, target: EdgeTarget) -> bool:
         limit = self._find_limit(criteria, target)
         if self._occupancy.count(target.name) >= limit:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -197,6 +197,7 @@
             "crashes": self._dependencies.crashes.dump(),
             "limits": self._dependencies.rate_limits.dump(),
             "brittle": self._dependencies.brittle.dump(),
+            "pauses": self._dependencies.pauses.dump(),
             "lost_links": self._paths.state.list_lost(),
             "relayed": self._paths.server.active,
         }
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -22,6 +22,7 @@
 from peridotbend.platform.documents import decode_prompt_parts
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 # Lower bound of the deadline header, since targets take 0 as no deadline.
 MIN_DEADLINE_MS = 1
 # A part takes some 40 bytes.
@@ -83,6 +84,9 @@
                     send.note_brittle(_parse_count(head, wire.SERVER_BRITTLE))
                     if _parse_count(head, wire.SERVER_LEAVING):
                         send.note_leaving()
+                    pause_s = _parse_count(head, wire.RETRY_AFTER)
+                    if head.status == UNAVAILABLE_STATUS and pause_s:
+                        send.note_pause(round(pause_s * 1_000))
                 yield reply
 
 
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -25,6 +25,9 @@
 SERVER_BRITTLE = "server-brittle"
 # 1 in all answers of a target that leaves, whatever the store lists.
 SERVER_LEAVING = "server-leaving"
+# In a refusal of a target: the seconds for which it wants nothing from the
+# instance that it refuses.
+RETRY_AFTER = "retry-after"
 # Present in every answer created by a target; contains the digest of the
 # answer.
 SERVER_STAMP = "x-server-stamp"
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -235,6 +235,8 @@
     fails_to_connect: bool = False
     # Whether the answer says that the target leaves.
     is_leaving: bool = False
+    # For how long the target wants nothing more; 0 if it names no time.
+    pause_ms: int = 0
 
 
 class _ScriptedAnswer:
@@ -313,6 +315,8 @@
         self.written_sends.append(send)
         if reply.is_leaving:
             send.note_leaving()
+        if reply.pause_ms:
+            send.note_pause(reply.pause_ms)
         if reply.failure is not None:
             yield reply.failure
         else:
@@ -367,6 +371,7 @@
         self.stall_detector = dependencies.stall_detector
         self.allowances = dependencies.allowances
         self.backlog = dependencies.backlog
+        self.pauses = dependencies.pauses
         self.timeline = dependencies.timeline
         self.origins = dependencies.origins
         # The instance has run for longer than any stream.
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -84,6 +84,10 @@
         # passed on one that does.
         self.is_leaving = False
         self.left_at_ms: dict[str, int] = {}
+        # Time for which it wants nothing from an instance that it turned away,
+        # and when it said so to whom.
+        self.pause_ms = 0
+        self.paused_at_ms: list[tuple[str, int]] = []
         self.crashed = anyio.Event()
         # How many requests run at once, and how many more may wait; None for
         # any number.
@@ -157,6 +161,9 @@
             self._fleet.note_leaving(self._host, runner)
             send.note_leaving()
         if self._fleet.note_rejection(runner):
+            if runner.pause_ms:
+                self._fleet.note_pause(self._host, runner)
+                send.note_pause(runner.pause_ms)
             yield Rejection.UNAVAILABLE
             return
 
@@ -364,6 +371,10 @@
         """Records that an instance gets an answer of a leaving runner."""
         runner.left_at_ms.setdefault(host, self.now_ms)
 
+    def note_pause(self, host: str, runner: Runner) -> None:
+        """Records that a runner wants nothing from an instance for a time."""
+        runner.paused_at_ms.append((host, self.now_ms))
+
     def note_rejection(self, runner: Runner) -> bool:
         """Records a rejection if a runner is full; tells whether it is.
 
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -16,6 +16,7 @@
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.selection import Selector, TargetCriteria
+from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import REMOVAL_GRACE_MS, EdgeTarget, TargetList
 from tests.edgefakes import STREAM_ROUTE, RecordingLog, make_target
 
@@ -37,7 +38,12 @@
         rate_limits = RateLimits(self.clock, RecordingLog(), "10.0.0.1", list)
         brittle = BrittleTargets(self.clock, RecordingLog(), "10.0.0.1", list)
         self.selector = Selector(
-            "zone-a", self.occupancy, self.health, rate_limits, brittle
+            "zone-a",
+            self.occupancy,
+            self.health,
+            rate_limits,
+            brittle,
+            TargetPauses(self.clock),
         )
         self.backlog = Backlog(
             self.clock,
--- a/tests/test_edge_notices.py
+++ b/tests/test_edge_notices.py
@@ -29,11 +29,16 @@
     make_event,
     make_target,
 )
-from tests.edgerunners import RunnerFleet
+from tests.edgerunners import Runner, RunnerFleet
 
 # An instance sends a leaving target nothing later than this after it passed on
 # an answer that says so.
 DRAIN_MS = 2_000
+# A paused target gets at most this many requests of an instance from this time
+# after it was turned away, until the pause ends.
+MAX_PAUSED_ARRIVALS = 2
+PAUSE_NOTICE_MS = 500
+PAUSE_MS = 3_000
 REJECTED = ScriptedReply(failure=Rejection.UNAVAILABLE)
 LEAVING = ScriptedReply(chunks=(make_event(1),), is_leaving=True)
 SOUND = ScriptedReply(chunks=(make_event(1),))
@@ -268,3 +273,129 @@
         older = dataclasses.replace(digest, leaving=())
         decoded = decode_digest(encode_digest(older))
         assert decoded is not None and not decoded.leaving
+
+
+class PauseHeaderTest(unittest.TestCase):
+    """The header by which a target names a pause."""
+
+    def _read_pause(self, status: int, value: str) -> list[int]:
+        headers = (
+            (wire.ATTEMPT_ID, CALL.attempt),
+            (wire.SERVER_STAMP, "stamp"),
+            (wire.NOT_EXECUTED, "1"),
+            (wire.RETRY_AFTER, value),
+        )
+        client = PlatformTargetClient(
+            _FixedClient(AnswerHead(status, headers))  # type: ignore[arg-type]
+        )
+        noted: list[int] = []
+        send = TargetSend(
+            CALL,
+            TARGET,
+            "acme",
+            1_000,
+            "",
+            reuse_connection=True,
+            note_pause=noted.append,
+        )
+
+        async def run() -> None:
+            async with client.open(send, lambda: True):
+                pass
+
+        anyio.run(run)
+        return noted
+
+    def test_seconds_of_a_refusal_are_read(self) -> None:
+        """Guards against fractions that are lost, and against other answers."""
+        assert self._read_pause(503, "2.5") == [2_500]
+        for value in ("", "0", "soon", "-1", "inf", "nan"):
+            assert not self._read_pause(503, value), value
+        assert not self._read_pause(429, "2.5")
+
+
+class PausedTargetTest(unittest.TestCase):
+    """Targets that want nothing from this instance for some time."""
+
+    def test_paused_target_gets_nothing_until_the_pause_ends(self) -> None:
+        """Guards against the next request, which would be turned away."""
+        paused = dataclasses.replace(REJECTED, pause_ms=PAUSE_MS)
+        harness = RelayHarness(paused, *[SOUND] * 40)
+        harness.targets.remove("i-3")
+        first, second = _serve(harness)
+        assert first != second
+        harness.clock.advance(PAUSE_MS - 1)
+        assert first not in _serve(harness, 10)
+        harness.clock.advance(1)
+        harness.targets.remove(second)
+        assert _serve(harness) == [first]
+
+    def test_callers_are_told_when_a_target_takes_requests_again(self) -> None:
+        """Guards against callers that come back too early, or wait in vain."""
+        paused = dataclasses.replace(REJECTED, pause_ms=PAUSE_MS)
+        harness = RelayHarness(paused)
+        for name in ("i-2", "i-3"):
+            harness.targets.remove(name)
+        started_ms = harness.clock.now_ms()
+        responder = RecordingResponder()
+        anyio.run(harness.relay.serve, CALL, responder)
+        assert isinstance(responder.verdict, NotRun)
+        assert responder.verdict.retry_after_ms == PAUSE_MS
+        assert harness.clock.now_ms() == started_ms, "answered at once"
+
+    def test_request_that_has_its_slot_is_not_written(self) -> None:
+        """Guards against all requests that were placed before the answer."""
+        harness = RelayHarness(*[SOUND] * 2)
+
+        def pause() -> None:
+            target = harness.client.sends[0].target
+            harness.pauses.note(target, PAUSE_MS)
+            harness.client.before_gate = lambda: None
+
+        harness.client.before_gate = pause
+        (written,) = _serve(harness)
+        assert written != harness.client.sends[0].target.name
+
+    def test_target_that_started_again_is_not_paused(self) -> None:
+        """Guards against a pause that another run has asked for."""
+        harness = RelayHarness(SOUND)
+        for name in ("i-2", "i-3"):
+            harness.targets.remove(name)
+        target = harness.targets.find("i-1")
+        assert target is not None
+        harness.pauses.note(target, PAUSE_MS)
+        restarted = dataclasses.replace(target, started_at_ms=9)
+        harness.targets.put(restarted)
+        assert _serve(harness) == ["i-1"]
+
+    def test_instances_that_are_turned_away_stay_away(self) -> None:
+        """Guards against a burst at targets that are full."""
+        fleet = RunnerFleet(runners=3)
+        rng = random.Random(2)
+
+        def prepare(runner: Runner) -> None:
+            runner.slots = 4
+            runner.pause_ms = PAUSE_MS
+
+        fleet.prepare_runner = prepare
+
+        async def script() -> None:
+            for _ in range(600):
+                await anyio.sleep(0.02)
+                fleet.send(rng.choice(fleet.hosts))
+
+        fleet.run(script)
+        pauses = 0
+        for runner in fleet.runners.values():
+            for host, at_ms in runner.paused_at_ms:
+                pauses += 1
+                arrived = sum(
+                    arrival.host == host
+                    and arrival.runner == runner.name
+                    and at_ms + PAUSE_NOTICE_MS
+                    < arrival.at_ms
+                    < at_ms + PAUSE_MS
+                    for arrival in fleet.arrivals
+                )
+                assert arrived <= MAX_PAUSED_ARRIVALS, (host, at_ms, arrived)
+        assert pauses > 10, "the targets were full"
