Bound the time to a text on the product's own interface too

A watch waits 1.0 s with a margin of 0.5 s, does not wait while the platform does not answer, and is repeated within 0.5 s. Only the two readers of a zone watch, so 720 instances make 36 calls/s of 2,000. Peers are asked in turn with a hedge of 0.2 s, as for the users' platform.

--- a/src/peridotbend/adapters/platform.py
+++ b/src/peridotbend/adapters/platform.py
@@ -15,9 +15,9 @@
     PlatformError,
 )
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 # Added to the requested wait.
-READ_TIMEOUT_MARGIN_S = 2.0
+READ_TIMEOUT_MARGIN_S = 0.5
 MAX_TEXT_BYTES = 1_048_576
 # Enough for 8,000 targets and 720 entry instances at about 200 bytes each.
 MAX_LIST_BYTES = 8 * 1_048_576
--- a/src/peridotbend/adapters/textsync.py
+++ b/src/peridotbend/adapters/textsync.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 
 import anyio
 import anyio.to_thread
@@ -12,23 +12,31 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
+from peridotbend.domain.hedging import try_in_turn
 from peridotbend.domain.membership import Roster
 from peridotbend.domain.peertable import Peer
 from peridotbend.domain.ports import EventLog, PlatformError, PlatformReader
 from peridotbend.domain.text import FleetConfig
 from peridotbend.domain.textstore import ConfigStore, OfferOutcome
 
-# The platform counts a pending watch as one call, so a few long watches are
-# cheap.
-WATCH_MS = 25_000
+# A watch that is lost as the platform comes back delays a change by this time
+# and the margin of the call. Only the two readers of a zone watch, so the
+# platform can bear short ones.
+WATCH_MS = 1_000
 PEER_SILENCE_MS = 1_000
 # How long a new process waits for its peers' text before it reads the platform.
 PEER_TEXT_TIMEOUT_S = 1.0
 MAX_PEERS_ASKED = 3
 ROLE_CHECK_INTERVAL_S = 0.5
 FIRST_BACKOFF_S = 0.2
-MAX_BACKOFF_S = 2.0
+MAX_BACKOFF_S = 0.5
 FETCH_RETRY_DELAY_S = 0.1
+# A peer that has not answered for this long is not waited for alone.
+HEDGE_DELAY_MS = 200
+# Peers asked for one change. If all of them hang, this instance is the fault.
+MAX_HEDGED_PEERS = 4
+# Pause of the reader of a list that cannot be read.
+LIST_RETRY_S = 2.0
 # How often instances that are not readers read the list; 720 of them make 24
 # calls/s.
 LIST_REFRESH_INTERVAL_S = 30.0
@@ -127,17 +135,32 @@
             await self._text_advertised.wait()
             self._text_advertised = anyio.Event()
             while self._advertised:
-                name = max(
-                    self._advertised, key=lambda n: self._advertised[n][0]
+                has_text = await try_in_turn(
+                    self._take_advertised,
+                    self._fetch_by_name,
+                    HEDGE_DELAY_MS,
+                    MAX_HEDGED_PEERS,
                 )
-                advertised = self._advertised.pop(name)
-                peer = self._roster.find_peer(name)
-                if peer is None or advertised[0] <= self._store.version:
-                    continue
-                if not await self._fetch_from_peer(peer, advertised):
-                    # The peer's next digest advertises the version again.
+                if not has_text:
+                    # A peer's next digest advertises the version again.
                     await anyio.sleep(FETCH_RETRY_DELAY_S)
 
+    def _take_advertised(self, tried: Collection[str]) -> str:
+        """Returns a peer with a newer text that has not been tried, or ""."""
+        for name, (version, _) in list(self._advertised.items()):
+            if version <= self._store.version:
+                del self._advertised[name]
+        names = [name for name in self._advertised if name not in tried]
+        return max(names, key=lambda n: self._advertised[n][0], default="")
+
+    async def _fetch_by_name(self, name: str) -> bool:
+        """Fetches an advertised text; tells whether it is in force now."""
+        advertised = self._advertised.pop(name)
+        peer = self._roster.find_peer(name)
+        return peer is not None and await self._fetch_from_peer(
+            peer, advertised
+        )
+
     async def _fetch_from_peer(
         self, peer: Peer, advertised: tuple[int, bytes] | None = None
     ) -> bool:
@@ -163,7 +186,9 @@
                 continue
             version = self._store.version
             started_at_ms = self._clock.now_ms()
-            read = await self._platform.watch_config(version, WATCH_MS)
+            # A platform that did not answer is not trusted with a wait.
+            wait_ms = WATCH_MS if self._is_reachable else 0
+            read = await self._platform.watch_config(version, wait_ms)
             self._record_reachability(read)
             if isinstance(read, Ok) and read.ok_value is None:
                 backoff_s = FIRST_BACKOFF_S
@@ -186,7 +211,7 @@
             started_at_ms = self._clock.now_ms()
             succeeded = await self._read_list(WATCH_MS if is_reader else 0)
             if not succeeded:
-                await anyio.sleep(self._jitter(MAX_BACKOFF_S))
+                await anyio.sleep(self._jitter(LIST_RETRY_S))
             elif not is_reader:
                 await self._wait_until_reader(
                     self._jitter(LIST_REFRESH_INTERVAL_S)
--- a/tests/test_textsync.py
+++ b/tests/test_textsync.py
@@ -2,18 +2,42 @@
 
 import asyncio
 import contextlib
+import random
+import unittest
+from collections.abc import Callable
+from unittest import mock
 
+import anyio
+from result import Err, Ok, Result
+
+from peridotbend.adapters.platform import READ_TIMEOUT_MARGIN_S
+from peridotbend.adapters.textsync import TextSync
+from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
+from peridotbend.domain.membership import Roster
+from peridotbend.domain.peertable import Peer
+from peridotbend.domain.ports import InstanceInfo, PlatformError
+from peridotbend.domain.text import FleetConfig
+from peridotbend.domain.textstore import ConfigStore
+from peridotbend_emulator.virtualtime import run_virtual
 from tests.peernodes import (
     FakePlatform,
     PeerNode,
     PeersCase,
+    RecordingLog,
     make_config,
     make_entry_info,
+    parse_fake_config,
     run_nodes,
     wait_until,
 )
 
+# A change is in force everywhere within this time.
+IN_FORCE_MS = 3_000
+GIVE_UP_MS = 40_000
+# A call to a peer that hangs ends after this time.
+PEER_CALL_MS = 1_000
+
 
 class Relay:
     """TCP relay in front of a node that simulates a network partition.
@@ -172,3 +196,135 @@
         assert node.store.version == 1
         assert node.log.count(Event.TEXT_REFUSED) == 1
         await node.stop()
+
+
+class _SilentPlatform(FakePlatform):
+    """A platform that answers no call that it got while it was silent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._silent_count = 0
+        self._is_silent = False
+
+    def fall_silent(self) -> None:
+        """Loses all calls that are waiting, and new ones."""
+        self._silent_count += 1
+        self._is_silent = True
+
+    def return_with(self, source: str) -> None:
+        """Answers new calls again, with another configuration."""
+        self._is_silent = False
+        self.source = source
+
+    async def watch_config(
+        self, newer_than: int, wait_ms: int
+    ) -> Result[str | None, PlatformError]:
+        """Answers, or hangs until the timeout of the call."""
+        count = self._silent_count
+        timeout_s = wait_ms / 1_000 + READ_TIMEOUT_MARGIN_S
+        with anyio.move_on_after(timeout_s):
+            if not self._is_silent:
+                answer = await super().watch_config(newer_than, wait_ms)
+                if count == self._silent_count:
+                    return answer
+            await anyio.sleep_forever()
+        return Err(PlatformError("timeout"))
+
+    async def watch_instances(
+        self, after_revision: int, wait_ms: int
+    ) -> Result[tuple[int, tuple[InstanceInfo, ...]] | None, PlatformError]:
+        """Answers always."""
+        if after_revision:
+            await anyio.sleep(wait_ms / 1_000)
+            return Ok(None)
+        return Ok((1, self.instances))
+
+
+async def _run_inline(
+    function: Callable[[str], object], argument: str
+) -> object:
+    """Stands for a thread, which virtual time does not wait for."""
+    return function(argument)
+
+
+class LateTextTest(unittest.TestCase):
+    """Delays of a text while calls hang, in virtual time."""
+
+    def _measure_delay(
+        self, silence_ms: int, silent_peers: int, sound_peers: int
+    ) -> int:
+        """Returns after how many ms a change is in force.
+
+        Args:
+            silence_ms: for how long the platform is silent before the change;
+                0 if it stays silent afterwards.
+            silent_peers: peers that have the change and whose calls hang.
+            sound_peers: peers that have it and answer.
+        """
+        clock = ManualClock()
+        log = RecordingLog()
+        rng = random.Random(1)
+        platform = _SilentPlatform()
+        platform.source = make_config(1).source
+        own = Peer("e0", 1, "a", "127.0.0.1", 1)
+        roster = Roster(own, clock, log, rng)
+        silent = [f"s{number}" for number in range(silent_peers)]
+        sound = [f"t{number}" for number in range(sound_peers)]
+        platform.instances = tuple(
+            make_entry_info(name, port + 2)
+            for port, name in enumerate(["e0", *silent, *sound])
+        )
+        changed = make_config(2)
+
+        async def fetch(
+            peer: Peer, config: FleetConfig | None
+        ) -> Result[str | None, str]:
+            if config is None:
+                return Ok(None)
+            if peer.name in silent:
+                await anyio.sleep(PEER_CALL_MS / 1_000)
+                return Err("timeout")
+            return Ok(changed.source)
+
+        store = ConfigStore(clock, log)
+        sync = TextSync(
+            store, roster, platform, fetch, parse_fake_config, clock, rng, log
+        )
+
+        async def run() -> int:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(sync.run)
+                while store.version < 1:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(1.5)
+                platform.fall_silent()
+                await anyio.sleep(silence_ms / 1_000)
+                if silence_ms:
+                    platform.return_with(changed.source)
+                changed_ms = clock.now_ms()
+                for name in (*silent, *sound):
+                    sync.record_peer_text(name, 2, changed.digest)
+                with anyio.move_on_after(GIVE_UP_MS / 1_000):
+                    while store.version < 2:
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+                return clock.now_ms() - changed_ms
+
+        with mock.patch("anyio.to_thread.run_sync", _run_inline):
+            return run_virtual(clock, run())
+
+    def test_watch_that_was_lost_does_not_delay_a_change(self) -> None:
+        """Guards against a long watch that hangs when the platform is back."""
+        delays = {
+            silence_ms: self._measure_delay(silence_ms, 0, 0)
+            for silence_ms in range(100, 6_000, 300)
+        }
+        late = {n: ms for n, ms in delays.items() if ms > IN_FORCE_MS}
+        assert not late, f"delay by the time of silence: {late}"
+
+    def test_silent_peers_in_a_row_do_not_delay_a_change(self) -> None:
+        """Guards against asking one peer after the other, each to its end."""
+        for silent_peers in (1, 3):
+            with self.subTest(silent_peers=silent_peers):
+                delay_ms = self._measure_delay(0, silent_peers, 1)
+                assert delay_ms <= IN_FORCE_MS, delay_ms
