--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -78,10 +78,21 @@
         path.write_text(yaml.safe_dump(document))
         return path
 
-    def spawn(self, host: str, **changes: object) -> Child:
-        """Starts a daemon."""
+    def spawn(
+        self, host: str, source: pathlib.Path | None = None, **changes: object
+    ) -> Child:
+        """Starts a daemon, by default of the sources under test.
+
+        Args:
+            host: of the instance.
+            source: the folder of the packages of another build.
+            **changes: of the settings.
+        """
         path = self.write_settings(host, **changes)
-        child = self._launcher.spawn(MODULE, "--settings", str(path))
+        environ = {"PYTHONPATH": str(source)} if source else None
+        child = self._launcher.spawn(
+            MODULE, "--settings", str(path), environ=environ
+        )
         self._children[host] = child
         return child
 
--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -141,6 +141,8 @@
         self.started_attempts: list[str] = []
         # Whether it stands for several targets at one address.
         self.accepts_any_name = False
+        # Further headers of all answers.
+        self.more_headers: tuple[tuple[str, str], ...] = ()
         # Ended runs: "left" if the caller disconnected, "whole" if complete.
         self.end_counts: Counter[str] = Counter()
 
@@ -158,6 +160,7 @@
         answer_headers = (
             (wire.ATTEMPT_ID, attempt),
             (wire.SERVER_STAMP, self.name),
+            *self.more_headers,
         )
 
         async def watch_for_disconnect() -> None:
