--- a/tests/test_edge_notices.py
+++ b/tests/test_edge_notices.py
@@ -235,7 +235,12 @@
         async def script() -> None:
             leaving = next(iter(fleet.runners.values()))
             leaving.is_leaving = True
-            for _ in range(400):
+            # The others have no answer of their own that tells them.
+            while not leaving.left_at_ms:
+                fleet.send(fleet.hosts[0])
+                await anyio.sleep(0.05)
+            await anyio.sleep(DRAIN_MS / 1_000)
+            for _ in range(200):
                 await anyio.sleep(0.02)
                 fleet.send(rng.choice(fleet.hosts))
 
