Confirm a copy only by an answer that has its items

Found by reading the change: a call whose history is gone, or that shows a newer era, only tells that a listing is needed, and counted as a confirmation of the list of targets, so a stream could be taken up by an old list (ORDER) right after the store had dropped its history. The listing is now made at once.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -115,7 +115,7 @@
         # When the store, or the relay that reads it, last showed that nothing
         # is missing here.
         self.confirmed_at_ms = clock.now_ms()
-        # The same for the store alone, on the clock that counts suspensions.
+        # When the store was last read, on the clock that counts suspensions.
         self._read_at_ms: int | None = None
         self._confirming = anyio.Lock()
         self._confirm_after_ms = clock.boot_ms()
@@ -170,18 +170,23 @@
         """
         async with self._confirming:
             now_ms = self._clock.boot_ms()
-            read_at_ms = self._read_at_ms
-            if read_at_ms is not None and now_ms - read_at_ms <= FRESH_MS:
+            if self._was_read_since(now_ms - FRESH_MS):
                 return True
             is_lost = self._role.is_reader and not self.is_store_reachable
             if is_lost or now_ms < self._confirm_after_ms:
                 return False
             with anyio.move_on_after(CONFIRM_TIMEOUT_MS / 1_000):
-                if await self._read_once(wait_ms=0) is not None:
-                    return True
+                while await self._read_once(wait_ms=0) is not None:
+                    # The first call may only show that a listing is needed.
+                    if self._was_read_since(now_ms):
+                        return True
             self._confirm_after_ms = self._clock.boot_ms() + CONFIRM_RETRY_MS
             return False
 
+    def _was_read_since(self, since_ms: int) -> bool:
+        """Tells whether the store was read since then, by `boot_ms`."""
+        return self._read_at_ms is not None and self._read_at_ms >= since_ms
+
     async def _read_once(self, wait_ms: int) -> bool | None:
         """Reads the store; tells whether there were changes, None if failed."""
         result = await self._read(wait_ms)
--- a/tests/test_edge_feeds.py
+++ b/tests/test_edge_feeds.py
@@ -213,3 +213,21 @@
 
         run_virtual(clock, run())
         assert len(store.calls) == 2
+
+    def test_history_that_is_gone_does_not_count_as_read(self) -> None:
+        """Guards against a call that only showed that a listing is needed."""
+        clock = ManualClock()
+        gone: Result[Changes, StoreError] = Err(
+            StoreError(StoreFailure.COMPACTED)
+        )
+        empty = Changes((), OLD.position, is_whole=False)
+        store = ScriptedReader(Ok(OLD_COPY), Ok(empty), gone, Ok(NEW_COPY))
+        feed = self._make_feed(clock, store)
+
+        async def run() -> list[bytes | None]:
+            for _ in range(3):
+                assert await feed.confirm()
+                await anyio.sleep(1.0)
+            return [item.value for item in feed.items.list_items()]
+
+        assert run_virtual(clock, run()) == [NEW.value]
