--- a/src/peridotbend/adapters/textsync.py
+++ b/src/peridotbend/adapters/textsync.py
@@ -35,7 +35,7 @@
 HEDGE_DELAY_MS = 200
 # Peers asked for one change. If all of them hang, this instance is the fault.
 MAX_HEDGED_PEERS = 4
-# Pause of the reader of a list that cannot be read.
+# Longest pause before a list that could not be read is read again.
 LIST_RETRY_S = 2.0
 # How often instances that are not readers read the list; 720 of them make 24
 # calls/s.
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -28,6 +28,7 @@
 from peridotbend.edge.refusals import describe_refusal
 from peridotbend.edge.reports import RequestReporter
 from peridotbend.edge.selection import TargetCriteria
+from peridotbend.edge.sendnotices import SendNotices
 from peridotbend.edge.targets import EdgeTarget
 
 # Time beyond the deadline for which this process waits. A target ends a request
@@ -276,26 +277,7 @@
             resumes=request.call.resumes,
         )
 
-        def note_limit(per_s: float | None) -> None:
-            self._dependencies.rate_limits.note_answer(target, per_s)
-
-        def note_brittle(max_rejections: float | None) -> None:
-            self._dependencies.brittle.note_answer(target, max_rejections)
-
-        def note_leaving() -> None:
-            if self._dependencies.targets.note_leaving(target):
-                self._dependencies.log.emit(
-                    Event.TARGET_SAID_LEAVING,
-                    target=target.name,
-                    service=target.service,
-                )
-
-        def note_pause(pause_ms: int) -> None:
-            self._dependencies.pauses.note(target, pause_ms)
-            self._dependencies.log.emit(
-                Event.TARGET_PAUSED, target=target.name, pause_ms=pause_ms
-            )
-
+        notices = SendNotices(self._dependencies, target)
         send = TargetSend(
             request.call,
             target,
@@ -303,10 +285,10 @@
             request.deadline_at_ms - self._clock.now_ms(),
             request.events.last_event_id,
             reuse_connection=request.route.may_repeat,
-            note_limit=note_limit,
-            note_brittle=note_brittle,
-            note_leaving=note_leaving,
-            note_pause=note_pause,
+            note_limit=notices.note_limit,
+            note_brittle=notices.note_brittle,
+            note_leaving=notices.note_leaving,
+            note_pause=notices.note_pause,
         )
 
         def can_fail_over() -> bool:
--- a/tests/test_edge_notices.py
+++ b/tests/test_edge_notices.py
@@ -69,6 +69,18 @@
         yield Ok(_FixedAnswer(self._head))
 
 
+def _open(head: AnswerHead, **callbacks: Callable[..., None]) -> None:
+    """Opens a send whose answer has a head."""
+    client = PlatformTargetClient(_FixedClient(head))  # type: ignore[arg-type]
+    send = TargetSend(CALL, TARGET, "acme", 1_000, "", True, **callbacks)
+
+    async def run() -> None:
+        async with client.open(send, lambda: True):
+            pass
+
+    anyio.run(run)
+
+
 def _serve(harness: RelayHarness, number: int = 1) -> list[str]:
     """Serves calls; returns the targets that bytes were written to."""
     before = len(harness.client.written_sends)
@@ -95,23 +107,8 @@
         if status != 200:
             headers.append((wire.NOT_EXECUTED, "1"))
         head = AnswerHead(status, tuple(headers))
-        client = PlatformTargetClient(_FixedClient(head))  # type: ignore[arg-type]
         noted: list[bool] = []
-        send = TargetSend(
-            CALL,
-            TARGET,
-            "acme",
-            1_000,
-            "",
-            reuse_connection=True,
-            note_leaving=lambda: noted.append(True),
-        )
-
-        async def run() -> None:
-            async with client.open(send, lambda: True):
-                pass
-
-        anyio.run(run)
+        _open(head, note_leaving=lambda: noted.append(True))
         return bool(noted)
 
     def test_answers_and_refusals_of_a_leaving_target_are_noted(self) -> None:
@@ -290,25 +287,8 @@
             (wire.NOT_EXECUTED, "1"),
             (wire.RETRY_AFTER, value),
         )
-        client = PlatformTargetClient(
-            _FixedClient(AnswerHead(status, headers))  # type: ignore[arg-type]
-        )
         noted: list[int] = []
-        send = TargetSend(
-            CALL,
-            TARGET,
-            "acme",
-            1_000,
-            "",
-            reuse_connection=True,
-            note_pause=noted.append,
-        )
-
-        async def run() -> None:
-            async with client.open(send, lambda: True):
-                pass
-
-        anyio.run(run)
+        _open(AnswerHead(status, headers), note_pause=noted.append)
         return noted
 
     def test_seconds_of_a_refusal_are_read(self) -> None:
