--- a/review/harness.py
+++ b/review/harness.py
@@ -64,7 +64,8 @@
     def say(self, text: str) -> None:
         """Writes a line, also to standard output."""
         self.write(text)
-        print(text, flush=True)
+        with contextlib.suppress(OSError):
+            print(text, flush=True)
 
 
 # --- HTTP, as little as the stand-ins need --------------------------------
@@ -862,7 +863,6 @@
     except (CannotRunError, OSError, TimeoutError) as error:
         record.say(f"could not run: {type(error).__name__}: {error}")
     record.say({0: "HELD", 1: "BROKEN", 2: "COULD NOT RUN"}[code])
-    sys.stdout.flush()
     os._exit(code)
 
 
