Show that streams go on at another version after a crash

Cause: where the version of a stream is not certain, the runners that keep the prompt of its session decide, and an earlier request may have left it there.

--- a/review/harness.py
+++ b/review/harness.py
@@ -327,6 +327,8 @@
         self.ran: list[tuple[float, Request]] = []
         self._server: asyncio.Server | None = None
         self.connections: set[asyncio.StreamWriter] = set()
+        # Returns the body of the call that lists the kept prompt parts.
+        self.list_kept: Callable[[], bytes] | None = None
 
     def describe(self, state: str = "ready") -> dict[str, Any]:
         """Returns the entry in the store."""
@@ -377,6 +379,10 @@
         self.connections.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
+                if request.target.startswith("/-/kv-list") and self.list_kept:
+                    writer.write(make_answer(200, self.list_kept()))
+                    await writer.drain()
+                    continue
                 if request.target.startswith("/-/"):
                     writer.write(make_answer(404))
                     await writer.drain()
