--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
-"""Answers of one runner have no end; all other requests wait as well."""
+"""A runner crashes during a release; streams go on at the other version."""
 
 import asyncio
+import collections
+import json
 import pathlib
-import subprocess
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
@@ -10,178 +11,220 @@
 
 import harness  # noqa: E402
 
-# The figures of the order desk: order-confirm and status-check.
-TIMEOUT_MS = 1_500
-WORK_S = 0.0225
-# Clients wait for longer than the operator wants them to.
-CLIENT_DEADLINE_MS = 4_000
-LATE_S = TIMEOUT_MS / 1_000
-BOUND_S = LATE_S + 0.5
-MIN_REQUESTS = 8
-REQUESTS = 240
-INTERVAL_S = 0.04
-# A longer stall of this script would spoil its own figures.
-MAX_LAG_S = 0.3
-
-
-async def send(
-    fleet: harness.Fleet, address: tuple[str, int], path: str
+TIMEOUT_MS = 15_000
+# One runner serves an attempt, as on the sheet's product-answer.
+ROUTE = {
+    "timeout_ms": TIMEOUT_MS,
+    "goal_ms": 800,
+    "gap_goal_ms": 400,
+    "priority": 0,
+    "max_attempts": 1,
+    "resumable": True,
+}
+SLOTS = 80
+SESSIONS = 200
+# Requests of a session before the one that is watched.
+EARLIER_TURNS = 3
+SHORT_EVENTS = 2
+LONG_EVENTS = 30
+EVENT_INTERVAL_S = 0.2
+TOKENS_PER_EVENT = 6
+# The rule allows two.
+ALLOWED = 2
+
+
+class VersionRunner:
+    """A sound runner of one software version, with its kept prompt parts."""
+
+    def __init__(self) -> None:
+        self.kept: dict[str, int] = {}
+
+    async def behave(
+        self,
+        runner: harness.Runner,
+        request: harness.Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Streams as many events as the client asks for."""
+        runner.note_run(request)
+        for part in request.get("x-prompt-prefix").split(","):
+            name, _, tokens = part.partition(":")
+            self.kept[name] = int(tokens)
+        count = int(request.get("x-token-count").split(",")[1])
+        count //= TOKENS_PER_EVENT
+        await harness.start_stream(runner, request, writer)
+        first = int(request.get("last-event-id") or 0) + 1
+        for number in range(first, count + 1):
+            event = harness.make_event(number, f"{runner.version} piece")
+            harness.write_chunk(writer, event)
+            await writer.drain()
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    def list_kept(self) -> bytes:
+        """Returns the body of the call that lists the kept parts."""
+        held = [["", name, tokens, "m"] for name, tokens in self.kept.items()]
+        page = {"epoch": 1, "next": len(held), "held": held}
+        return json.dumps(page).encode()
+
+
+def count_events(body: bytes) -> int:
+    """Returns how many whole events a client received."""
+    return body.count(b"\n\n")
+
+
+async def ask(
+    fleet: harness.Fleet,
+    instance: harness.Instance,
+    session: int,
+    events: int,
+    deadline_ms: int,
+    headers: tuple[tuple[str, str], ...] = (),
 ) -> harness.Answer:
-    """Sends one request and reads the answer without parsing its chunks."""
-    attempt = fleet.make_attempt()
-    answer = harness.Answer(attempt, harness.now())
-    is_idempotent = path.startswith("/status/")
-    method = "GET" if is_idempotent else "POST"
-    writer = None
-    fleet.record.write(f"SENT {attempt} {address[0]} {method} {path}")
-    try:
-        async with asyncio.timeout(CLIENT_DEADLINE_MS / 1_000):
-            reader, writer = await asyncio.open_connection(*address)
-            writer.write(
-                f"{method} {path} HTTP/1.1\r\nHost: {harness.HOST_NAME}\r\n"
-                f"X-Attempt-Id: {attempt}\r\n"
-                f"X-Deadline-Ms: {CLIENT_DEADLINE_MS}\r\n"
-                f"Authorization: Token {harness.KEY}\r\n"
-                "Content-Length: 0\r\n\r\n".encode()
-            )
-            head = await reader.readuntil(b"\r\n\r\n")
-            answer.status = int(head.split(b" ", 2)[1])
-            if b"chunked" in head.lower():
-                tail = b""
-                while not tail.endswith(b"0\r\n\r\n"):
-                    data = await reader.read(262_144)
-                    if not data:
-                        raise asyncio.IncompleteReadError(b"", 1)
-                    tail = (tail + data)[-5:]
-            else:
-                length = int(
-                    head.lower().split(b"content-length:")[1].split(b"\r")[0]
-                )
-                await reader.readexactly(length)
-            answer.outcome = "answered"
-    except TimeoutError:
-        answer.outcome = "none"
-    except (OSError, asyncio.IncompleteReadError):
-        # A closed channel ends the request as well.
-        answer.outcome = "closed"
-    answer.ended_at = harness.now()
-    if writer is not None:
-        writer.transport.abort()
-    fleet.record.write(
-        f"ANSWER {attempt} {answer.outcome} status={answer.status}"
-        f" took={answer.took_s:.3f}"
+    """Sends one attempt of a session's request."""
+    client = harness.Client(fleet, instance.frontend)
+    answer = await client.send(
+        "POST",
+        f"/quotes/{session}",
+        deadline_ms,
+        f"question {session}".encode(),
+        (
+            ("X-Model", "m"),
+            ("X-Token-Count", f"700,{events * TOKENS_PER_EVENT}"),
+            ("X-Prompt-Prefix", f"5c1e07a2:60,{session + 256:08x}:640"),
+            *headers,
+        ),
     )
+    client.close()
     return answer
 
 
+async def stream_to_end(fleet: harness.Fleet, session: int) -> bytes:
+    """Reads a long stream, and takes it up again if it breaks.
+
+    Returns:
+        the whole events of all attempts, in order.
+    """
+    start = harness.now()
+    begun_by = ""
+    received = b""
+    for attempt_number in range(3):
+        # Retries reach other nodes.
+        instance = fleet.instances[(session + attempt_number) % 2]
+        left_ms = TIMEOUT_MS - round(1_000 * (harness.now() - start))
+        if left_ms < 500:
+            break
+        headers: tuple[tuple[str, str], ...] = ()
+        if begun_by:
+            headers = (
+                ("Resumes", begun_by),
+                ("Last-Event-Id", str(count_events(received))),
+            )
+        answer = await ask(
+            fleet, instance, session, LONG_EVENTS, left_ms, headers
+        )
+        if answer.status == 200:
+            whole = answer.body[: answer.body.rfind(b"\n\n") + 2]
+            if whole and not begun_by:
+                begun_by = answer.attempt
+            received += whole
+        if answer.status == 200 and answer.is_complete:
+            break
+        wait_s = float(answer.get("retry-after") or 0.05)
+        await asyncio.sleep(min(wait_s, left_ms / 3_000))
+    return received
+
+
 async def play(folder: pathlib.Path, record: harness.Record) -> bool:
     """Tells whether the rule held."""
     fleet = harness.Fleet(folder, record, 2)
-    trouble_log = folder / "trouble"
-    process = None
     with harness.stopping(fleet):
-        for index in range(4):
-            fleet.add_runner(
-                f"i-{index}",
-                "order-app",
-                harness.make_whole_answer(WORK_S),
-                slots=6,
+        for name, version in (
+            ("a-1", "v1"),
+            ("a-2", "v1"),
+            ("b-1", "v2"),
+            ("b-2", "v2"),
+        ):
+            add_runner(fleet, name, version)
+        route = harness.make_route(
+            "/quotes/", "streaming", "assistant-llm", **ROUTE
+        )
+        await fleet.start(harness.make_config(7, [route]))
+        await asyncio.sleep(1.0)
+        for turn in range(EARLIER_TURNS):
+            answers = await asyncio.gather(
+                *(
+                    ask(
+                        fleet,
+                        fleet.instances[session % 2],
+                        session,
+                        SHORT_EVENTS,
+                        TIMEOUT_MS,
+                    )
+                    for session in range(SESSIONS)
+                )
             )
+            served = sum(answer.is_complete for answer in answers)
+            record.say(f"turn {turn + 1}: {served} answers were whole")
+        # The instances have observed the list of runners for longer than a
+        # stream may last.
+        await asyncio.sleep(20.0)
+        streams = [
+            asyncio.create_task(stream_to_end(fleet, session))
+            for session in range(SESSIONS)
+        ]
+        await asyncio.sleep(1.5)
+        runner = add_runner(fleet, "b-3", "v2")
+        await runner.start()
+        fleet.put_runner(runner)
+        record.write("the release starts b-3")
+        await asyncio.sleep(1.5)
         if harness.has_trouble():
-            runner = fleet.runners.pop(0)
-            runner.port = harness.find_free_port(runner.host)
-            script = pathlib.Path(__file__).with_name("runner_in_trouble.py")
-            process = subprocess.Popen(
-                [sys.executable, str(script), runner.host, str(runner.port),
-                 runner.name, str(trouble_log)]
-            )
-            fleet.put_runner(runner)
-        try:
-            return await play_traffic(fleet, record, trouble_log)
-        finally:
-            if process is not None:
-                process.kill()
-                process.wait()
-
-
-async def play_traffic(
-    fleet: harness.Fleet, record: harness.Record, trouble_log: pathlib.Path
-) -> bool:
-    """Sends the requests and applies the rule."""
-    if harness.has_trouble():
-        while not (trouble_log / "record.txt").exists():
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(0.5)
-    routes = [
-        harness.make_route(
-            "/status/", "idempotent", "order-app", timeout_ms=TIMEOUT_MS
-        ),
-        harness.make_route(
-            "/orders/",
-            "non_idempotent",
-            "order-app",
-            timeout_ms=TIMEOUT_MS,
-            max_attempts=1,
-        ),
-    ]
-    await fleet.start(harness.make_config(7, routes))
-    max_lag_s = 0.0
-    checks: list[str] = []
-
-    async def watch_lag() -> None:
-        nonlocal max_lag_s
-        while True:
-            before = harness.now()
-            await asyncio.sleep(0.02)
-            max_lag_s = max(max_lag_s, harness.now() - before - 0.02)
-
-    async def check_ready() -> None:
-        """Asks once a second, as the platform does."""
-        while True:
-            before = harness.now()
-            found = [await i.is_ready(1.0) for i in fleet.instances]
-            checks.append("".join("+" if ready else "-" for ready in found))
-            await asyncio.sleep(max(0.0, before + 1.0 - harness.now()))
-
-    helpers = [
-        asyncio.create_task(watch_lag()),
-        asyncio.create_task(check_ready()),
-    ]
-    tasks = []
-    for number in range(REQUESTS):
-        instance = fleet.instances[number % 2]
-        path = "/orders/1" if number % 3 == 0 else f"/status/{number}"
-        tasks.append(
-            asyncio.create_task(send(fleet, instance.frontend, path))
-        )
-        await asyncio.sleep(INTERVAL_S)
-    answers = await asyncio.gather(*tasks)
-    for helper in helpers:
-        helper.cancel()
-    sent_there = ""
-    if harness.has_trouble():
-        sent_there = (trouble_log / "record.txt").read_text(encoding="utf-8")
-        record.write("what the runner in trouble ran:\n" + sent_there)
-    unanswered = [a for a in answers if a.took_s > LATE_S]
-    over = [a for a in unanswered if a.took_s > BOUND_S]
-    elsewhere = [a for a in over if a.attempt not in sent_there]
-    record.say(
-        f"{len(answers)} requests; {len(unanswered)} without a final answer at"
-        f" timeout_ms, {len(over)} of these without one 0.5 s later;"
-        f" {len(elsewhere)} of those were never sent to the runner in trouble"
-    )
-    record.say(
-        f"readiness checks (one sign for each instance): {' '.join(checks)}"
-    )
-    record.say(f"longest stall of this script: {max_lag_s:.3f} s")
-    if max_lag_s > MAX_LAG_S:
-        raise harness.CannotRunError("this script itself was held up")
-    # CONFIG: more than half of those that are unanswered at timeout_ms. Eight
-    # is the least number that the second form of the rule names.
-    is_broken = len(unanswered) >= MIN_REQUESTS and (
-        2 * len(over) > len(unanswered)
+            record.write("a-1 crashes")
+            await fleet.runners[0].crash()
+        texts = await asyncio.gather(*streams)
+        for instance in fleet.instances:
+            log = instance.log_path.read_text(encoding="utf-8")
+            for line in log.splitlines():
+                if '"stream-taken-up"' in line:
+                    record.write(f"LOG {instance.host} {line}")
+        return judge(record, texts)
+
+
+def add_runner(
+    fleet: harness.Fleet, name: str, version: str
+) -> harness.Runner:
+    """Adds a runner that lists the prompt parts that it keeps."""
+    kept = VersionRunner()
+    runner = fleet.add_runner(
+        name, "assistant-llm", kept.behave, slots=SLOTS, version=version
     )
-    return not is_broken
+    runner.list_kept = kept.list_kept
+    return runner
+
+
+def judge(record: harness.Record, texts: list[bytes]) -> bool:
+    """Counts the streams that hold events of two versions."""
+    mixed = 0
+    kinds: collections.Counter[str] = collections.Counter()
+    for session, text in enumerate(texts):
+        versions = {
+            line.split()[1].decode()
+            for line in text.split(b"\n")
+            if line.startswith(b"data:")
+        }
+        is_whole = count_events(text) == LONG_EVENTS
+        label = "+".join(sorted(versions))
+        kinds[f"{label} {'whole' if is_whole else 'cut'}"] += 1
+        if len(versions) > 1:
+            mixed += 1
+            record.write(f"MIXED session {session}: {text!r}")
+    record.say(f"streams by versions of their events: {dict(kinds)}")
+    record.say(f"{mixed} streams hold events of two versions")
+    return mixed <= ALLOWED
 
 
 harness.run_case(__file__, play)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A sound runner is silent for a second; long answers are broken off."""
+"""A sound runner is silent for a second; streams are broken off for that."""
 
 import asyncio
 import pathlib
@@ -10,79 +10,138 @@
 
 import harness  # noqa: E402
 
-# The figures of the order desk: status-check, with a long list as its answer.
-TIMEOUT_MS = 1_500
-GOAL_MS = 125
-WORK_S = 0.0225
-SLOTS = 6
-RUNNERS = 4
-ANSWER_BYTES = 600_000
-FIRST_BYTES = 400_000
+# The figures of the order desk: layout-quote, and its runners.
+TIMEOUT_MS = 15_000
+ROUTE = {
+    "timeout_ms": TIMEOUT_MS,
+    "goal_ms": 800,
+    "gap_goal_ms": 400,
+    "priority": 0,
+    "max_attempts": 2,
+    "resumable": True,
+}
+SLOTS = 11
+RUNNERS = 3
+EVENTS = 64
+EVENT_INTERVAL_S = 0.12
+FIRST_EVENT_S = 0.1
+# As many streams as the runners have places for, less one for each runner.
+STREAMS = RUNNERS * (SLOTS - 1)
 # "For a second or so".
-SILENCE_S = 0.8
-REQUESTS = 12
+SILENCE_S = 1.1
+INSTANCES = 2
 
 
-def make_behaviour(record: harness.Record) -> harness.Behaviour:
-    """Returns a sound runner that may be silent in the middle of an answer."""
+class StreamRunner:
+    """A sound runner: some slots, a queue, and all streams at one pace."""
+
+    def __init__(self, record: harness.Record) -> None:
+        self._record = record
+        self._slots = asyncio.Semaphore(SLOTS)
+        self._may_flow = asyncio.Event()
+        self._may_flow.set()
+
+    async def be_silent(self, name: str) -> None:
+        """Sends nothing for a while, and then goes on."""
+        self._record.write(f"SILENT {name}")
+        self._may_flow.clear()
+        await asyncio.sleep(SILENCE_S)
+        self._may_flow.set()
+        self._record.write(f"GOES ON {name}")
 
     async def behave(
+        self,
         runner: harness.Runner,
         request: harness.Request,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        runner.note_run(request)
-        await asyncio.sleep(WORK_S)
-        body = b"s" * ANSWER_BYTES
-        answer = harness.make_answer(
-            200, body, *runner.answer_headers(request)
-        )
-        split = len(answer) - ANSWER_BYTES + FIRST_BYTES
-        writer.write(answer[:split])
-        await writer.drain()
-        if harness.has_trouble():
-            await asyncio.sleep(SILENCE_S)
-        writer.write(answer[split:])
-        await writer.drain()
-        record.write(f"WHOLE {runner.name} {request.get('x-attempt-id')}")
-        return True
+        """Answers one request; drops it when its connection closes."""
+        work = asyncio.ensure_future(self._work(runner, request, writer))
+        left = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait({work, left}, return_when=asyncio.FIRST_COMPLETED)
+        attempt = request.get("x-attempt-id")
+        if not work.done():
+            self._record.write(f"CALLER GONE {runner.name} {attempt}")
+        for task in (work, left):
+            task.cancel()
+        await asyncio.gather(work, left, return_exceptions=True)
+        return False
 
-    return behave
+    async def _work(
+        self,
+        runner: harness.Runner,
+        request: harness.Request,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        attempt = request.get("x-attempt-id")
+        first = int(request.get("last-event-id") or 0) + 1
+        async with self._slots:
+            runner.note_run(request)
+            self._record.write(f"FROM {runner.name} {attempt} event {first}")
+            await asyncio.sleep(FIRST_EVENT_S)
+            await self._may_flow.wait()
+            await harness.start_stream(runner, request, writer)
+            for number in range(first, EVENTS + 1):
+                await self._may_flow.wait()
+                event = harness.make_event(number, f"piece-{number}")
+                harness.write_chunk(writer, event)
+                await writer.drain()
+                await asyncio.sleep(EVENT_INTERVAL_S)
+            await self._may_flow.wait()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            self._record.write(f"WHOLE {runner.name} {attempt}")
 
 
 async def play(folder: pathlib.Path, record: harness.Record) -> bool:
     """Tells whether the rule held."""
-    fleet = harness.Fleet(folder, record, 2)
+    fleet = harness.Fleet(folder, record, INSTANCES)
+    behaviours = []
     with harness.stopping(fleet):
         for index in range(RUNNERS):
+            behaviours.append(StreamRunner(record))
             fleet.add_runner(
-                f"i-{index}", "order-app", make_behaviour(record), slots=SLOTS
+                f"i-{index}",
+                "assistant-llm",
+                behaviours[-1].behave,
+                slots=SLOTS,
             )
         route = harness.make_route(
-            "/status/",
-            "idempotent",
-            "order-app",
-            timeout_ms=TIMEOUT_MS,
-            goal_ms=GOAL_MS,
-            max_attempts=2,
+            "/quotes/", "streaming", "assistant-llm", **ROUTE
         )
         await fleet.start(harness.make_config(7, [route]))
         await asyncio.sleep(1.0)
-        clients = [
-            harness.Client(fleet, fleet.instances[number % 2].frontend)
-            for number in range(REQUESTS)
-        ]
+        tasks = []
+        for number in range(STREAMS):
+            instance = fleet.instances[number % INSTANCES]
+            client = harness.Client(fleet, instance.frontend)
+            headers = (
+                ("X-Model", "m"),
+                ("X-Token-Count", "700,400"),
+                ("X-Prompt-Prefix", f"5c1e07a2:60,{number + 1:08x}:640"),
+            )
+            tasks.append(
+                asyncio.create_task(
+                    client.send(
+                        "POST",
+                        f"/quotes/{number}",
+                        TIMEOUT_MS,
+                        b"plan" * 100,
+                        headers,
+                    )
+                )
+            )
+            await asyncio.sleep(0.03)
+        await asyncio.sleep(0.5)
+        record.write("the settings change; SIGHUP to all instances")
         for instance in fleet.instances:
             instance.write_settings(a_new_field=1)
             instance.send_signal(signal.SIGHUP)
-        await asyncio.sleep(0.1)
-        answers = await asyncio.gather(
-            *(
-                client.send("GET", f"/status/{number}", TIMEOUT_MS)
-                for number, client in enumerate(clients)
-            )
-        )
+        await asyncio.sleep(0.5)
+        if harness.has_trouble():
+            await behaviours[0].be_silent("i-0")
+        answers = await asyncio.gather(*tasks)
         return judge(fleet, record, answers)
 
 
@@ -90,29 +149,30 @@
     fleet: harness.Fleet, record: harness.Record, answers: list[harness.Answer]
 ) -> bool:
     """Applies the rule to what the clients saw."""
-    runs = [
+    passed_on = {
         request.get("x-attempt-id")
         for runner in fleet.runners
         for _, request in runner.ran
-    ]
+    }
     cut = [
         answer
         for answer in answers
         if answer.outcome in ("closed", "reset")
         and not answer.is_complete
-        and answer.attempt in runs
+        and answer.attempt in passed_on
         # Not because of the time limit or the timeout of the route.
         and answer.took_s < 0.9 * TIMEOUT_MS / 1_000
     ]
+    whole = sum(answer.is_complete for answer in answers)
     record.say(
-        f"{len(answers)} requests, of which"
-        f" {sum(a.is_complete for a in answers)} got a whole answer and"
-        f" {len(cut)} channels ended in the middle of one; {len(runs)} runs"
+        f"{len(answers)} streams, of which {whole} were complete and"
+        f" {len(cut)} ended early after they were passed on"
     )
     for answer in cut:
+        events = answer.body.count(b"\n\n")
         record.say(
-            f"cut: {answer.attempt} after {len(answer.body)} of"
-            f" {ANSWER_BYTES} bytes, {answer.took_s:.2f} s after it was sent"
+            f"cut: {answer.attempt} after {events} of {EVENTS} events,"
+            f" {answer.took_s:.1f} s after it was sent"
         )
     return not cut
 
