--- a/review/1/case.py
+++ b/review/1/case.py
@@ -208,9 +208,7 @@
     record.write(f"{old.name} has left")
 
 
-def add_runner(
-    fleet: harness.Fleet, name: str, version: str
-) -> harness.Runner:
+def add_runner(fleet: harness.Fleet, name: str, version: str) -> harness.Runner:
     """Adds a runner that lists the prompt parts that it keeps."""
     kept = VersionRunner()
     runner = fleet.add_runner(
--- a/review/harness.py
+++ b/review/harness.py
@@ -15,7 +15,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -68,7 +67,7 @@
             print(text, flush=True)
 
 
-# --- HTTP, as little as the stand-ins need --------------------------------
+# --- HTTP, as little as the stand-ins need ---
 
 
 @dataclasses.dataclass
@@ -193,7 +192,7 @@
         answer.outcome = "reset"
 
 
-# --- the platform's store ---------------------------------------------------
+# --- the platform's store ---
 
 
 class Store:
@@ -286,7 +285,7 @@
                 await asyncio.wait_for(changed.wait(), max(0.0, end - now()))
 
 
-# --- targets ------------------------------------------------------------------
+# --- targets ---
 
 Behaviour = Callable[
     ["Runner", Request, asyncio.StreamReader, asyncio.StreamWriter],
@@ -432,9 +431,7 @@
     return f"id: {number}\ndata: {text}\n\n".encode()
 
 
-def make_stream(
-    count: int, gap_s: float, first_s: float = 0.02
-) -> Behaviour:
+def make_stream(count: int, gap_s: float, first_s: float = 0.02) -> Behaviour:
     """Returns the behaviour of a sound runner of streams."""
 
     async def behave(
@@ -474,7 +471,7 @@
     writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
 
 
-# --- configuration ------------------------------------------------------------
+# --- configuration ---
 
 
 def make_route(
@@ -532,7 +529,7 @@
     }
 
 
-# --- instances ------------------------------------------------------------------
+# --- instances ---
 
 
 class Instance:
@@ -574,8 +571,14 @@
                 for instance in self.fleet.instances[:3]
             ],
             "first_start": True,
-            "limits": {"cpu_share": 0.537, "cores": 2, "memory_mb": 300,
-                       "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+            "limits": {
+                "cpu_share": 0.537,
+                "cores": 2,
+                "memory_mb": 300,
+                "max_fds": 4100,
+                "link_mbps": 1000.0,
+                "disk_mb": 0,
+            },
             "data_dir": None,
             "discovery": "platform",
             "heartbeat_ms": 1_200,
@@ -837,7 +840,7 @@
         self.reader = self.writer = None
 
 
-# --- main ------------------------------------------------------------------------
+# --- main ---
 
 
 def has_trouble() -> bool:
