Log where a taken-up stream was placed, and sends that stall

Cause: lines 311 told what the placement and the targets left together, so that a wrong placement could not be told from a wrong target. Nothing told that the stall detector had cancelled a send, nor what it knew of the places at other targets.

Change: 311 has `placed`, the versions by placement alone. 312 (send-stalled) has the target, the silence and the requests at each target.

--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -62,6 +62,7 @@
     (
         Event.REQUEST_DISPATCHED,
         Event.STREAM_TAKEN_UP,
+        Event.SEND_STALLED,
         Event.REQUEST_ENDED,
         Event.REQUEST_FORWARDED,
         Event.REQUEST_REFUSED,
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -144,6 +144,7 @@
             choices = self._timeline.list_choices(
                 service, call.resumes, since_ms
             )
+        placed = sorted(choices)
         is_observed = is_current and self._is_observed(since_ms)
         holders: set[str] | None = None
         if len(choices) != 1 or not is_observed:
@@ -160,6 +161,7 @@
             window_ms=self._clock.now_ms() - since_ms,
             is_covered=is_covered,
             versions=sorted(versions),
+            placed=placed,
             is_observed=is_observed,
             holders=None if holders is None else sorted(holders),
             choices=sorted(choices),
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -43,6 +43,8 @@
 # A connection that fails before a byte is written does not count as a send.
 # This limit only ends requests whose targets are all unreachable.
 MAX_CONNECT_FAILURES = 6
+# Bounds a log line.
+MAX_LOGGED_TARGETS = 16
 # A target may answer with another status before it runs a request.
 SUCCESS_STATUS = 200
 REDIRECT_STATUS = 300
@@ -308,6 +310,19 @@
                     request, target, reply, tracked_send, responder
                 )
         # The stall detector cancelled the send, since the target is silent.
+        self._report.log(
+            Event.SEND_STALLED,
+            request,
+            target=target.name,
+            waited_ms=self._clock.now_ms() - tracked_send.sent_at_ms,
+            flowed_ms=tracked_send.flowed_ms,
+            in_flight={
+                other.name: self._dependencies.occupancy.count(other.name)
+                for other in self._dependencies.targets.list_for(
+                    request.service
+                )[:MAX_LOGGED_TARGETS]
+            },
+        )
         silent_error = CallError(CallFailure.TIMEOUT, True, "silent target")
         return self._note_error(request, target, silent_error)
 
