Continue a taken-up stream only at a version that is proven

Cause: if a change of the targets left a doubt about the version at which a stream began, the version of the targets that keep the prompt decided it. A target also keeps the prompt of an earlier request of the session, and the one that began the stream had left with its memory. Evidence was taken for proof.

Change: the instance that began a stream is asked, and it has told two others, in other zones, of each stream that placement leaves in doubt. Only if none of them answers, what targets keep counts, and then a version is chosen only when all others are ruled out: all of their targets have answered without the prompt, and none has gone or restarted since. The list of kept parts of another run of a target is not believed either. If the past is not covered and several versions are known, the stream is refused.

Why this works: a take-up is served by knowledge of the run itself, or by exclusion, and never because a version looks familiar with the session.

--- /dev/null
+++ b/src/peridotbend/edge/originpeers.py
@@ -0,0 +1,171 @@
+"""What instances tell each other of the versions at which streams began."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Protocol
+
+import anyio
+
+from peridotbend.edge.streamrecords import (
+    BegunStream,
+    StreamRecords,
+    hash_attempt,
+)
+
+# How long a caller that takes up a stream waits for the other instances. They
+# answer within milliseconds, also in another zone.
+ANSWER_TIMEOUT_S = 0.25
+# Datagrams are lost occasionally, so a question is repeated.
+REPEAT_INTERVAL_S = 0.08
+# Instances that are told of each stream in doubt. One may be killed together
+# with the instance that tells them.
+HOLDERS = 2
+# Entries of one datagram, so that it is not fragmented.
+MAX_ASKED = 128
+MAX_TOLD = 16
+MAX_VERSION_CHARS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginNotice:
+    """The content of a datagram; attempts are named by their hash."""
+
+    # Streams that the sender wants to know about.
+    asked: tuple[int, ...] = ()
+    # The versions at which streams began.
+    told: Mapping[int, str] = dataclasses.field(default_factory=dict)
+    # Streams that the receiver asked about and the sender does not know.
+    unknown: tuple[int, ...] = ()
+
+
+class OriginMembers(Protocol):
+    """The other instances."""
+
+    def list_hosts(self) -> list[str]:
+        """Returns all known hosts."""
+        ...
+
+    def list_recent_hosts(self) -> list[str]:
+        """Returns the hosts of instances that may serve callers now."""
+        ...
+
+    def find_zone(self, host: str) -> str:
+        """Returns the zone of a host, or an empty string."""
+        ...
+
+    def is_known(self, host: str) -> bool:
+        """Tells whether a host is that of an instance."""
+        ...
+
+
+class _Question:
+    """A question that is under way to the other instances."""
+
+    def __init__(self, hosts: Iterable[str]):
+        self.unanswered = set(hosts)
+        self.done = anyio.Event()
+
+
+class OriginPeers:
+    """Asks the other instances, and tells them what they could not compute."""
+
+    def __init__(
+        self,
+        zone: str,
+        members: OriginMembers,
+        records: StreamRecords,
+        rng: random.Random,
+    ):
+        self._zone = zone
+        self._members = members
+        self._records = records
+        self._rng = rng
+        self._questions: dict[int, _Question] = {}
+        # Notices that are due.
+        self._asked: set[int] = set()
+        self._told: dict[str, dict[int, str]] = {}
+        # Called when notices are due.
+        self.on_due: Callable[[], None] = lambda: None
+
+    async def ask(self, attempt: str) -> str | None:
+        """Returns the version at which a stream began; None if nobody knows."""
+        key = hash_attempt(attempt)
+        known = self._records.find(key)
+        if known is not None:
+            return known
+        question = self._questions.get(key)
+        if question is None:
+            question = _Question(self._members.list_hosts())
+            if not question.unanswered:
+                return None
+            self._questions[key] = question
+        try:
+            with anyio.move_on_after(ANSWER_TIMEOUT_S):
+                while not question.done.is_set():
+                    self._asked.add(key)
+                    self.on_due()
+                    with anyio.move_on_after(REPEAT_INTERVAL_S):
+                        await question.done.wait()
+        finally:
+            self._questions.pop(key, None)
+        return self._records.find(key)
+
+    def tell(self, stream: BegunStream) -> None:
+        """Tells other instances of an own stream.
+
+        They are in other zones as far as possible, since zones fail as a whole.
+        """
+        if len(stream.software) > MAX_VERSION_CHARS:
+            return
+        hosts = self._members.list_recent_hosts()
+        self._rng.shuffle(hosts)
+        hosts.sort(key=lambda h: self._members.find_zone(h) == self._zone)
+        key = hash_attempt(stream.attempt)
+        for host in hosts[:HOLDERS]:
+            self._told.setdefault(host, {})[key] = stream.software
+        self.on_due()
+
+    def collect(self) -> Iterator[tuple[OriginNotice, list[str]]]:
+        """Yields the notices that are due, each with its receivers."""
+        asked, self._asked = sorted(self._asked), set()
+        hosts = self._members.list_hosts()
+        for start in range(0, len(asked), MAX_ASKED):
+            part = tuple(asked[start : start + MAX_ASKED])
+            yield OriginNotice(asked=part), hosts
+        told_by_host, self._told = self._told, {}
+        for host, told in told_by_host.items():
+            for notice in _divide(told):
+                yield notice, [host]
+
+    def receive(self, host: str, notice: OriginNotice) -> list[OriginNotice]:
+        """Applies a notice; returns the answers to its sender."""
+        if not self._members.is_known(host):
+            return []
+        for key, software in notice.told.items():
+            if software:
+                self._records.note_told(key, software)
+                self._end_question(key)
+        for key in notice.unknown:
+            question = self._questions.get(key)
+            if question is not None:
+                question.unanswered.discard(host)
+                if not question.unanswered:
+                    self._end_question(key)
+        found = {key: self._records.find(key) for key in notice.asked}
+        unknown = tuple(key for key, known in found.items() if known is None)
+        answers = [OriginNotice(unknown=unknown)] if unknown else []
+        known = {key: version for key, version in found.items() if version}
+        return answers + list(_divide(known))
+
+    def _end_question(self, key: int) -> None:
+        question = self._questions.pop(key, None)
+        if question is not None:
+            question.done.set()
+
+
+def _divide(told: Mapping[int, str]) -> Iterator[OriginNotice]:
+    """Divides what is told into notices that fit into a datagram."""
+    entries = list(told.items())
+    for start in range(0, len(entries), MAX_TOLD):
+        yield OriginNotice(told=dict(entries[start : start + MAX_TOLD]))
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -1,6 +1,5 @@
 """Finds out at which software version a stream began that is taken up."""
 
-import collections
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -11,11 +10,15 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.config import Route
 from peridotbend.edge.ports import EdgeCall
-from peridotbend.edge.promptparts import PromptParts
-from peridotbend.edge.versions import KEPT_MS, VIEW_LAG_MS, VersionTimeline
+from peridotbend.edge.promptparts import PartSurvey, PromptParts
+from peridotbend.edge.streamrecords import (
+    BegunStream,
+    StreamRecords,
+    hash_attempt,
+)
+from peridotbend.edge.targets import EdgeTarget
+from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 
-# Bounds memory, at about 220 bytes each.
-MAX_ATTEMPTS = 20_000
 # Streams of an instance that was not heard of, or of an older version of this
 # program, may go on for this long after it is heard of or was replaced.
 DISTRUST_MS = 30_000
@@ -41,6 +44,29 @@
         return False
 
 
+class OriginWitnesses(Protocol):
+    """The other instances, which have seen streams begin."""
+
+    async def ask(self, attempt: str) -> str | None:
+        """Returns the version at which a stream began; None if not known."""
+        ...
+
+    def tell(self, stream: BegunStream) -> None:
+        """Tells others of a stream of this instance."""
+        ...
+
+
+class NoWitnesses:
+    """There are no other instances."""
+
+    async def ask(self, attempt: str) -> str | None:
+        """Returns None."""
+        return None
+
+    def tell(self, stream: BegunStream) -> None:
+        """Does nothing."""
+
+
 async def _trust_list() -> bool:
     """Stands for a list of targets that always lacks nothing."""
     return True
@@ -52,13 +78,17 @@
     An instance remembers its own streams. For others it computes where they
     were placed. If the result is not the same for all times at which they may
     have begun, or if this process has not seen all that changed since then,
-    the targets tell which of them have read the prompt.
+    it asks the other instances: the one that began a stream knows, and has
+    told others of each stream whose placement is in doubt. Only if none of
+    them is left, the targets tell which of them keep the prompt. A target may
+    keep it from an earlier request, so the other versions have to be ruled out.
     """
 
     def __init__(
         self,
         clock: Clock,
         timeline: VersionTimeline,
+        records: StreamRecords,
         parts: PromptParts,
         log: EventLog,
     ):
@@ -66,14 +96,12 @@
         self._parts = parts
         self._timeline = timeline
         self._log = log
+        self._records = records
         self.history: History = NoHistory()
+        self.witnesses: OriginWitnesses = NoWitnesses()
         # Tells whether the list of targets lacks nothing, after it has been
         # read again if need be.
         self.confirm_targets: Callable[[], Awaitable[bool]] = _trust_list
-        # Version and time of the own streams, the oldest first.
-        self._begun: collections.OrderedDict[str, tuple[str, int]] = (
-            collections.OrderedDict()
-        )
         # The longest time that a caller of each route was ready to wait.
         self._longest_ms: dict[str, int] = {}
         self._is_whole = False
@@ -84,25 +112,37 @@
         self._legacy_until_ms: int | None = None
         self._reading = anyio.Lock()
         self._read_after_ms = 0
+        timeline.on_change = self._tell_moved
 
     def note_call(self, call: EdgeCall, route: Route) -> None:
         """Records how long callers of a route are ready to wait."""
-        if call.deadline_ms is not None:
-            longest_ms = self._longest_ms.get(route.name, 0)
-            self._longest_ms[route.name] = max(longest_ms, call.deadline_ms)
+        self._longest_ms[route.name] = max(
+            route.timeout_ms,
+            call.deadline_ms or 0,
+            self._longest_ms.get(route.name, 0),
+        )
 
-    def note_begun(self, call: EdgeCall, software: str) -> None:
-        """Records the version at which the stream of a call began."""
-        now_ms = self._clock.now_ms()
+    def note_begun(self, call: EdgeCall, target: EdgeTarget) -> None:
+        """Records the target at which the stream of a call began."""
         attempt = call.resumes or call.attempt
-        self._begun[attempt] = software, now_ms
-        self._begun.move_to_end(attempt)
-        while self._begun:
-            oldest = next(iter(self._begun))
-            is_old = self._begun[oldest][1] < now_ms - KEPT_MS
-            if not is_old and len(self._begun) <= MAX_ATTEMPTS:
-                return
-            del self._begun[oldest]
+        stream = self._records.note_begun(
+            attempt, target.service, target.software
+        )
+        since_ms = self._clock.now_ms() - self._find_longest_ms() - VIEW_LAG_MS
+        choices = self._timeline.list_choices(target.service, attempt, since_ms)
+        if choices != {target.software}:
+            self.witnesses.tell(stream)
+
+    def _tell_moved(self, service: str) -> None:
+        """Tells others of the streams that would now be placed elsewhere."""
+        since_ms = self._clock.now_ms() - self._find_longest_ms()
+        for stream in self._records.list_begun(service, since_ms):
+            chosen = self._timeline.choose(service, stream.attempt)
+            if chosen != stream.software:
+                self.witnesses.tell(stream)
+
+    def _find_longest_ms(self) -> int:
+        return max(self._longest_ms.values(), default=0)
 
     def note_fleet(self, is_whole: bool) -> None:
         """Records whether all other instances are heard of."""
@@ -127,9 +167,16 @@
         self, call: EdgeCall, route: Route, service: str
     ) -> str | None:
         """Returns the version at which a stream began, None if not certain."""
-        known = self._begun.get(call.resumes)
+        known = self._records.find(hash_attempt(call.resumes))
         if known is not None:
-            return known[0]
+            self._log.emit(
+                Event.STREAM_TAKEN_UP,
+                attempt=call.attempt,
+                resumes=call.resumes,
+                last_event=call.last_event_id,
+                recorded=known,
+            )
+            return known
         # An instance that is cut off, or stood still, lacks what others know.
         is_current = await self.confirm_targets()
         since_ms = self._find_earliest_begin(call, route)
@@ -139,20 +186,29 @@
             covered_ms = self._timeline.covered_since_ms
         is_covered = covered_ms is not None and covered_ms <= since_ms
         versions = self._timeline.list_versions(service, since_ms)
-        choices = versions
+        placed = versions
         if call.resumes and not self.has_legacy_peers():
-            choices = self._timeline.list_choices(
+            placed = self._timeline.list_choices(
                 service, call.resumes, since_ms
             )
-        placed = sorted(choices)
         is_observed = is_current and self._is_observed(since_ms)
-        holders: set[str] | None = None
-        if len(choices) != 1 or not is_observed:
-            holders = await self._parts.find_versions(service, call.session)
-        if holders is not None:
-            choices = holders & choices if is_covered else holders
-        elif not is_covered:
-            choices = set()
+        choices = placed
+        told: str | None = None
+        survey: PartSurvey | None = None
+        if len(placed) != 1 or not (is_covered and is_observed):
+            if call.resumes:
+                told = await self.witnesses.ask(call.resumes)
+            if told is None:
+                survey = await self._parts.find_holders(service, call.session)
+            if told is not None:
+                choices = {told}
+            elif not is_covered:
+                choices = versions & survey.holders if survey else set()
+                if len(versions) > 1:
+                    # A target that has gone unseen may have kept the prompt.
+                    choices = set()
+            elif survey is not None:
+                choices = self._narrow(placed, survey, service, since_ms)
         self._log.emit(
             Event.STREAM_TAKEN_UP,
             attempt=call.attempt,
@@ -161,12 +217,34 @@
             window_ms=self._clock.now_ms() - since_ms,
             is_covered=is_covered,
             versions=sorted(versions),
-            placed=placed,
+            placed=sorted(placed),
             is_observed=is_observed,
-            holders=None if holders is None else sorted(holders),
+            recorded=told,
+            holders=sorted(survey.holders) if survey else None,
+            without=sorted(survey.without) if survey else None,
             choices=sorted(choices),
         )
-        return choices.pop() if len(choices) == 1 else None
+        return next(iter(choices)) if len(choices) == 1 else None
+
+    def _narrow(
+        self,
+        placed: set[str],
+        survey: PartSurvey,
+        service: str,
+        since_ms: int,
+    ) -> set[str]:
+        """Returns the versions that what the targets keep leaves possible.
+
+        A version is ruled out if none of its targets keeps the prompt, and none
+        that may have kept it has gone.
+        """
+        left = {
+            version
+            for version in placed
+            if version not in survey.without
+            or self._timeline.has_lost_target(service, version, since_ms)
+        }
+        return left if len(left) > 1 else left & survey.holders
 
     def _is_observed(self, since_ms: int) -> bool:
         """Tells whether this process has seen all changes since then itself."""
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -21,6 +21,7 @@
 from peridotbend.edge.selection import Selector
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.settings import EdgeSettings
+from peridotbend.edge.streamrecords import StreamRecords
 from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VersionTimeline
@@ -58,6 +59,7 @@
     pauses: TargetPauses
     stall_detector: StallDetector
     timeline: VersionTimeline
+    records: StreamRecords
     origins: StreamOrigins
     allowances: Allowances
     budget: SendBudget
@@ -105,6 +107,7 @@
         clock, log, settings.peers[0], fleet.list_recent_hosts
     )
     pauses = TargetPauses(clock)
+    records = StreamRecords(clock)
     selector = Selector(
         settings.zone, occupancy, health, rate_limits, brittle, pauses
     )
@@ -123,8 +126,13 @@
         pauses=pauses,
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
+        records=records,
         origins=StreamOrigins(
-            clock, timeline, PromptParts(clock, targets, client, pauses), log
+            clock,
+            timeline,
+            records,
+            PromptParts(clock, targets, client, pauses),
+            log,
         ),
         allowances=allowances,
         budget=SendBudget(clock, settings),
--- a/src/peridotbend/edge/promptparts.py
+++ b/src/peridotbend/edge/promptparts.py
@@ -1,5 +1,7 @@
 """Asks targets which parts of prompts they keep in memory."""
 
+import dataclasses
+
 import anyio
 
 from peridotbend.domain.clock import Clock
@@ -20,6 +22,16 @@
 MAX_CACHED = 256
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartSurvey:
+    """Which software versions keep a part of a prompt."""
+
+    # At least one of their targets does.
+    holders: frozenset[str]
+    # All of their listed targets have answered, and none does.
+    without: frozenset[str]
+
+
 class PromptParts:
     """The prompt parts that targets keep, as they tell on request."""
 
@@ -38,29 +50,29 @@
         self._cached: dict[int, tuple[int, frozenset[str]]] = {}
         self._asking = anyio.Lock()
 
-    async def find_versions(self, service: str, part: str) -> set[str] | None:
-        """Returns the software versions of the targets that keep a part.
+    async def find_holders(self, service: str, part: str) -> PartSurvey | None:
+        """Finds out which software versions keep a part.
 
         None if no target tells.
         """
         if not part:
             return None
-        targets = [
-            target
-            for target in self._targets
-            if target.service == service and not self._pauses.is_paused(target)
-        ]
+        listed = [t for t in self._targets if t.service == service]
+        targets = [t for t in listed if not self._pauses.is_paused(t)]
         asked = rank(part.encode(), targets, lambda t: t.name)[:MAX_ASKED]
         async with self._asking:
             await self._ask(asked)
-        told = [target for target in asked if target.run_hash in self._cached]
+        told = {t.name: t for t in asked if t.run_hash in self._cached}
         if not told:
             return None
-        return {
+        holders = frozenset(
             target.software
-            for target in told
+            for target in told.values()
             if part in self._cached[target.run_hash][1]
-        }
+        )
+        silent = {t.software for t in listed if t.name not in told}
+        versions = {target.software for target in told.values()}
+        return PartSurvey(holders, frozenset(versions - holders - silent))
 
     async def _ask(self, targets: list[EdgeTarget]) -> None:
         oldest_ms = self._clock.now_ms() - CACHE_MS
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -524,7 +524,7 @@
         if request.head_sent or not request.route.is_resumable_stream:
             return
         request.software = target.software
-        self._dependencies.origins.note_begun(request.call, target.software)
+        self._dependencies.origins.note_begun(request.call, target)
 
     def _note_answer(
         self, request: ActiveRequest, target: EdgeTarget, failed: bool
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -5,7 +5,15 @@
 Address = tuple[str, int]
 
 # Peers and the platform know a running process by these.
-_FIXED_SETTINGS = ("name", "zone", "callers", "health", "peers", "digests")
+_FIXED_SETTINGS = (
+    "name",
+    "zone",
+    "callers",
+    "health",
+    "peers",
+    "digests",
+    "origins",
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,10 +26,11 @@
     callers: Address
     # Listening address for the readiness check of the platform.
     health: Address
-    # Listening addresses for calls of peers and for their digests. The ports
-    # are the same on all instances.
+    # Listening addresses for calls of peers, for their digests and for notices
+    # on the origins of streams. The ports are the same on all instances.
     peers: Address
     digests: Address
+    origins: Address
     # Peer addresses of some instances, not all of which have to be running.
     seeds: tuple[Address, ...]
     store: Address
--- /dev/null
+++ b/src/peridotbend/edge/streamrecords.py
@@ -0,0 +1,102 @@
+"""The software versions at which streams began, as instances have seen them."""
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+import xxhash
+
+from peridotbend.domain.clock import Clock
+from peridotbend.edge.versions import KEPT_MS
+
+# Bounds memory, at about 300 bytes each.
+MAX_RECORDS = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BegunStream:
+    """A stream whose first event passed through this instance."""
+
+    attempt: str
+    service: str
+    software: str
+    begun_at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ToldStream:
+    """What another instance said of a stream."""
+
+    # Empty if two instances contradicted each other.
+    software: str
+    told_at_ms: int
+
+
+class StreamRecords:
+    """The streams of the last minute: own ones, and those of other instances.
+
+    Attempts of others are known by the hash of their ID alone.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        # By the hash of the attempt, the oldest first.
+        self._begun: collections.OrderedDict[int, BegunStream] = (
+            collections.OrderedDict()
+        )
+        self._told: collections.OrderedDict[int, _ToldStream] = (
+            collections.OrderedDict()
+        )
+
+    def note_begun(
+        self, attempt: str, service: str, software: str
+    ) -> BegunStream:
+        """Records an own stream that begins or goes on."""
+        now_ms = self._clock.now_ms()
+        stream = BegunStream(attempt, service, software, now_ms)
+        key = hash_attempt(attempt)
+        self._begun[key] = stream
+        self._begun.move_to_end(key)
+        oldest_ms = now_ms - KEPT_MS
+        while (
+            len(self._begun) > MAX_RECORDS
+            or next(iter(self._begun.values())).begun_at_ms < oldest_ms
+        ):
+            self._begun.popitem(last=False)
+        return stream
+
+    def note_told(self, key: int, software: str) -> None:
+        """Records what another instance says of a stream."""
+        now_ms = self._clock.now_ms()
+        known = self._told.get(key)
+        if known is not None and known.software != software:
+            software = ""
+        self._told[key] = _ToldStream(software, now_ms)
+        self._told.move_to_end(key)
+        oldest_ms = now_ms - KEPT_MS
+        while (
+            len(self._told) > MAX_RECORDS
+            or next(iter(self._told.values())).told_at_ms < oldest_ms
+        ):
+            self._told.popitem(last=False)
+
+    def find(self, key: int) -> str | None:
+        """Returns the version of a stream; None if it is not certain."""
+        begun = self._begun.get(key)
+        if begun is not None:
+            return begun.software
+        told = self._told.get(key)
+        return told.software or None if told is not None else None
+
+    def list_begun(self, service: str, since_ms: int) -> Iterator[BegunStream]:
+        """Yields the own streams of a service since a time, newest first."""
+        for stream in reversed(self._begun.values()):
+            if stream.begun_at_ms < since_ms:
+                return
+            if stream.service == service:
+                yield stream
+
+
+def hash_attempt(attempt: str) -> int:
+    """Returns the 64-bit hash that stands for an attempt between instances."""
+    return xxhash.xxh3_64_intdigest(attempt.encode())
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -8,7 +8,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.rendezvous import choose_weighted
@@ -76,6 +76,15 @@
         self._past: dict[str, collections.deque[PastMix]] = {}
         # The list of targets from which each current mix was made.
         self._sources: dict[str, Sequence[EdgeTarget]] = {}
+        # The software of each run of a target that is listed, by service. Those
+        # that leave are included.
+        self._runs: dict[str, dict[tuple[str, int], str]] = {}
+        # When a run of a target was last removed, by service and software.
+        self._lost_at_ms: dict[tuple[str, str], int] = {}
+        # The same for targets of which only the removal is known.
+        self._unknown_lost_at_ms: int | None = None
+        # Called with the service when new streams may be placed differently.
+        self.on_change: Callable[[str], None] = lambda service: None
         # When each run of a target started, in the time of this process.
         self._starts: dict[int, int] = {}
         # Since when all changes are known; None before the first listing.
@@ -99,12 +108,15 @@
         if self._sources.get(service) is source:
             return self._current[service]
         self._sources[service] = source
+        self._update_runs(service)
         previous = self._current.get(service)
         mix = make_mix(source)
         now_ms = self._clock.now_ms()
         if previous is not None and mix != previous:
             self._append(service, PastMix(previous, now_ms))
         self._current[service] = mix
+        if previous is not None and mix != previous:
+            self.on_change(service)
         return mix
 
     def choose(self, service: str, attempt: str) -> str | None:
@@ -131,6 +143,29 @@
             for version, _ in mix.slots
         }
 
+    def has_lost_target(
+        self, service: str, software: str, since_ms: int
+    ) -> bool:
+        """Tells whether a target of a version may have gone since a time.
+
+        What it kept, for example of a prompt, is gone with it.
+        """
+        self.update(service)
+        times_ms = (
+            self._lost_at_ms.get((service, software)),
+            self._unknown_lost_at_ms,
+        )
+        return any(t is not None and t >= since_ms for t in times_ms)
+
+    def note_lost_target(self, target: EdgeTarget | None, at_ms: int) -> None:
+        """Records the removal of a target; None if it is not known."""
+        if target is None:
+            last_ms = self._unknown_lost_at_ms
+            self._unknown_lost_at_ms = max(at_ms, last_ms or at_ms)
+            return
+        key = target.service, target.software
+        self._lost_at_ms[key] = max(at_ms, self._lost_at_ms.get(key, at_ms))
+
     def insert_history(
         self,
         past_by_service: Mapping[str, list[PastMix]],
@@ -162,6 +197,19 @@
             self._starts[target.run_hash] = start_ms
         return start_ms
 
+    def _update_runs(self, service: str) -> None:
+        """Records which runs of targets are no longer listed."""
+        runs = {
+            (target.name, target.started_at_ms): target.software
+            for target in self._targets
+            if target.service == service
+        }
+        now_ms = self._clock.now_ms()
+        for run, software in self._runs.get(service, {}).items():
+            if run not in runs:
+                self._lost_at_ms[service, software] = now_ms
+        self._runs[service] = runs
+
     def _list_mixes(self, service: str, since_ms: int) -> Iterable[VersionMix]:
         for past in self._past.get(service, ()):
             if past.until_ms >= since_ms:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -12,6 +12,7 @@
 
 from peridotbend.adapters.edgemetrics import EdgeMetrics
 from peridotbend.adapters.gossip import Gossip
+from peridotbend.adapters.originlink import OriginLink
 from peridotbend.adapters.peerpaths import PeerPaths
 from peridotbend.adapters.peers import ChannelPool, make_http2_configuration
 from peridotbend.adapters.publishedpeers import (
@@ -29,6 +30,7 @@
 from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.fleetstatus import FleetStatus
 from peridotbend.edge.groups import GroupDirectory
+from peridotbend.edge.originpeers import OriginPeers
 from peridotbend.edge.parts import make_dependencies
 from peridotbend.edge.peers import PeerRegistry
 from peridotbend.edge.published import FeedState, Item, WriteOrder
@@ -149,6 +151,11 @@
         self._exchange.on_legacy_peer = (
             self._dependencies.origins.note_legacy_peer
         )
+        witnesses = OriginPeers(
+            settings.zone, self._peers, self._dependencies.records, self._rng
+        )
+        self._origin_link = OriginLink(settings.origins, witnesses)
+        self._dependencies.origins.witnesses = witnesses
         self._build_feeds()
         self._dependencies.holder.subscribe(self._apply_limits)
 
@@ -257,6 +264,7 @@
             health.run,
             metrics.run,
             self._gossip.run,
+            self._origin_link.run,
             self._paths.dialer.probe,
             self._dependencies.backlog.run,
             self._dependencies.stall_detector.run,
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -58,12 +58,24 @@
         return Err(str(error))
 
 
-def decode_prompt_parts(body: bytes) -> Result[frozenset[str], str]:
-    """Decodes the IDs of the prompt parts that a target keeps."""
+def decode_prompt_parts(
+    body: bytes, started_at_ms: int
+) -> Result[frozenset[str], str]:
+    """Decodes the IDs of the prompt parts that a target keeps.
+
+    Args:
+        body: of the answer.
+        started_at_ms: the listed start of the target, 0 if none. Another run
+            under its name tells nothing of what this one kept.
+    """
     try:
-        held = Fields(json.loads(body)).get_list("held", _read_part)
+        fields = Fields(json.loads(body))
+        held = fields.get_list("held", _read_part)
+        born_ms = fields.get_int("born", started_at_ms)
     except (ValueError, RecursionError, BadFieldError) as error:
         return Err(str(error))
+    if started_at_ms and born_ms != started_at_ms:
+        return Err("the target was restarted")
     return Ok(frozenset(held))
 
 
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -65,7 +65,7 @@
                 body += chunk.ok_value
                 if len(body) > MAX_PARTS_BYTES:
                     return None
-        return decode_prompt_parts(bytes(body)).ok()
+        return decode_prompt_parts(bytes(body), target.started_at_ms).ok()
 
     @contextlib.asynccontextmanager
     async def open(
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -47,6 +47,7 @@
         health=listen.get_address("ready"),
         peers=listen.get_address("control_plane"),
         digests=(ip, ports[0]),
+        origins=(ip, ports[0] + 1),
         seeds=tuple(
             read_address(seed, f"seeds[{index}]")
             for index, seed in enumerate(fields.get_list("seeds", read_str))
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -164,6 +164,7 @@
     health=_UNUSED_ADDRESS,
     peers=_UNUSED_ADDRESS,
     digests=_UNUSED_ADDRESS,
+    origins=_UNUSED_ADDRESS,
     seeds=(),
     store=_UNUSED_ADDRESS,
     heartbeat_ms=1_200,
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -85,6 +85,7 @@
     health=("127.0.0.1", 8_224),
     peers=("127.0.0.1", 8_229),
     digests=("127.0.0.1", 7_600),
+    origins=("127.0.0.1", 7_601),
     seeds=(),
     store=("127.0.0.1", 8_225),
     heartbeat_ms=1_200,
--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -139,6 +139,8 @@
         self.delay_s = delay_s
         self.event_count = event_count
         self.started_attempts: list[str] = []
+        # The names of the targets that they were meant for.
+        self.started_names: list[str] = []
         # Whether it stands for several targets at one address.
         self.accepts_any_name = False
         # Further headers of all answers.
@@ -157,6 +159,7 @@
             return
         attempt = headers[wire.ATTEMPT_ID]
         self.started_attempts.append(attempt)
+        self.started_names.append(headers[wire.EXPECT_INSTANCE])
         answer_headers = (
             (wire.ATTEMPT_ID, attempt),
             (wire.SERVER_STAMP, self.name),
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -267,7 +267,7 @@
         """Guards against a doubt that a malformed answer decides."""
         held = [["", "a1", 800, "m"], ["", "b2", 20, "m"]]
         body = encode_document({"epoch": 1, "next": 3, "held": held})
-        assert decode_prompt_parts(body).unwrap() == {"a1", "b2"}
+        assert decode_prompt_parts(body, 0).unwrap() == {"a1", "b2"}
         for malformed in (
             b"",
             b"[]",
@@ -275,7 +275,23 @@
             b'{"held": [["", 7]]}',
             b'{"held": ["a1"]}',
         ):
-            assert isinstance(decode_prompt_parts(malformed), Err), malformed
+            assert isinstance(decode_prompt_parts(malformed, 0), Err), malformed
+
+    def test_parts_of_another_run_are_not_those_of_the_listed_one(self) -> None:
+        """Guards against a restarted target that seems to have kept nothing."""
+        for born, started_at_ms, is_valid in (
+            (None, 7, True),
+            (7, 7, True),
+            (8, 7, False),
+            (8, 0, True),
+            ("x", 7, False),
+        ):
+            page = {"held": [], "born": born}
+            if born is None:
+                del page["born"]
+            body = encode_document(page)
+            result = decode_prompt_parts(body, started_at_ms)
+            assert isinstance(result, Err) is not is_valid, (born, result)
 
 
 class CallerHeadersTest(unittest.TestCase):
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -194,6 +194,66 @@
             assert sent == ([expected] if expected else []), keepers
             assert (responder.verdict is None) is bool(expected)
 
+    def test_prompt_kept_from_an_earlier_request_is_no_proof(self) -> None:
+        """Guards against a stream that goes on at a version of its session.
+
+        The target that began the stream has left with what it kept, and one of
+        the other version keeps the prompt of the session's last request.
+        """
+        harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+        _list_targets(harness, i_1="v1")
+        harness.timeline.update("engine")
+        harness.clock.advance(1_000)
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        harness.timeline.update("engine")
+        moved = _find_attempt(harness, "v2")
+        harness.clock.advance(1_000)
+        _list_targets(harness, i_2="v2", i_3="v2")
+        harness.client.parts["i-2"] = frozenset(("s",))
+        responder = _serve(harness, dataclasses.replace(TAKE_UP, resumes=moved))
+        assert not harness.client.sends
+        assert isinstance(responder.verdict, NotRun)
+        assert responder.verdict.reason is Reason.ORIGIN_UNKNOWN
+
+    def test_restarted_target_rules_no_version_out(self) -> None:
+        """Guards against the empty memory of a target that was restarted."""
+        harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+        _list_targets(harness, i_1="v1")
+        harness.timeline.update("engine")
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        harness.timeline.update("engine")
+        moved = _find_attempt(harness, "v2")
+        first = harness.targets.find("i-1")
+        assert first is not None
+        harness.targets.put(dataclasses.replace(first, started_at_ms=7))
+        harness.client.parts["i-2"] = frozenset(("s",))
+        _serve(harness, dataclasses.replace(TAKE_UP, resumes=moved))
+        assert not harness.client.sends
+
+    def test_target_that_does_not_answer_rules_no_version_out(self) -> None:
+        """Guards against silence that is taken for an empty memory."""
+        harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+        _list_targets(harness, i_1="v1")
+        harness.timeline.update("engine")
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        harness.timeline.update("engine")
+        moved = _find_attempt(harness, "v2")
+        harness.client.parts["i-1"] = None
+        harness.client.parts["i-2"] = frozenset(("s",))
+        _serve(harness, dataclasses.replace(TAKE_UP, resumes=moved))
+        assert not harness.client.sends
+
+    def test_unknown_past_of_several_versions_is_a_doubt(self) -> None:
+        """Guards against targets that left before this process started."""
+        harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        now_ms = harness.clock.now_ms()
+        harness.timeline.observed_since_ms = now_ms
+        harness.timeline.covered_since_ms = now_ms
+        harness.client.parts["i-2"] = frozenset(("s",))
+        _serve(harness, TAKE_UP)
+        assert not harness.client.sends
+
     def test_history_that_the_store_has_lost_is_not_trusted(self) -> None:
         """Guards against certainty after the store discarded its history.
 
@@ -542,6 +602,29 @@
     def _make(self, name: str, entry: str) -> EdgeTarget:
         return self._decode(PREFIX + name, entry.encode()).unwrap()
 
+    def test_targets_that_left_before_the_start_are_known(self) -> None:
+        """Guards against what a target kept that was gone at the start."""
+        listed = {
+            "n": self._make("n", "v2 5000 ready"),
+            "p": self._make("p", "v3 500 ready"),
+        }
+        timeline, now_ms = self._read(
+            [
+                (810, "n", "v2 5000 ready"),
+                (820, "o", "v1 90000 leaving"),
+                (825, "o", None),
+                (830, "p", "v3 500 ready"),
+            ],
+            listed,
+        )
+        assert timeline.has_lost_target("engine", "v1", now_ms - 1_000)
+        assert not timeline.has_lost_target("engine", "v1", now_ms + 1_000)
+        assert not timeline.has_lost_target("engine", "v2", 0)
+        assert not timeline.has_lost_target("engine", "v3", 0)
+        # The version of a target whose entry is lost may be any.
+        timeline, _ = self._read([(820, "gone", None)], listed)
+        assert timeline.has_lost_target("engine", "v2", 0)
+
     def test_version_that_has_left_is_known(self) -> None:
         """Guards against certainty after the old version has left."""
         listed = {"n": self._make("n", "v2 5000 ready")}
