Reserve the place of each stream that leaves a silent target

Cause: the stall detector asked for each stalled send by itself whether another target had a free place and the budget an extra send, and cancelled all of a pass on the same answer. Those that found no place waited 1.6 s, with the silent target excluded although only that one had room, and were cut.

The three last were the three cut, by 308, 1.6 s later. Rejections (306) and a spent budget are ruled out: no line 306, and a spent budget would have ended them at once.

Change: a stalled send is cancelled only once its slot and its extra send are reserved, and it is sent on in that slot. If the other target turns it away, since an instance whose counts are older took the place, the rejection does not use up an attempt of a stream that has begun (three at most), and the silent target may take it back.

Why this works: each decision of a pass changes the counts that the next one sees, and a stream keeps its place until it has another.

The same cause elsewhere, by reading: grants of the queue, rate limits, brittle places, allowances and the resumption after a crash each change their counts with every decision.

--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from peridotbend.domain.ports import AnswerHead
+from peridotbend.edge.backlog import Slot
 from peridotbend.edge.config import Account, Route
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.ports import EdgeCall
@@ -28,7 +29,13 @@
     sends: int = 0
     # Names of targets that failed the request.
     failed_targets: set[str] = dataclasses.field(default_factory=set)
+    # Names of those among them that were silent.
+    silent_targets: set[str] = dataclasses.field(default_factory=set)
+    # The slot at the target that takes over from a silent one.
+    failover_slot: Slot | None = None
     connect_failures: int = 0
+    # Rejections that do not count as sends.
+    rejections: int = 0
     may_have_run: bool = False
     head_sent: bool = False
     # Software version at which the stream began; None before that.
@@ -37,6 +44,19 @@
     held_error: tuple[AnswerHead, bytes] | None = None
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
 
+    def take_failover_slot(self) -> Slot | None:
+        """Returns the reserved slot, which its taker releases."""
+        slot, self.failover_slot = self.failover_slot, None
+        return slot
+
+    def allow_silent_targets(self) -> None:
+        """Lets silent targets take the request again.
+
+        A sound target that was silent for a moment still has the room that the
+        request had taken there.
+        """
+        self.failed_targets -= self.silent_targets
+
     @property
     def is_resumed(self) -> bool:
         """Whether the caller already has a part of the answer."""
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -116,10 +116,11 @@
         """Returns the number of waiting requests of all services."""
         return sum(len(queue) for queue in self._waiting.values())
 
-    def has_free_slot(self, criteria: TargetCriteria) -> bool:
-        """Tells whether a request would be granted a slot at once."""
+    def try_acquire(self, criteria: TargetCriteria) -> Slot | None:
+        """Returns a slot that is free now, or None."""
         targets = self._targets.list_for(criteria.service)
-        return self._selector.choose(criteria, targets) is not None
+        target = self._selector.choose(criteria, targets)
+        return self._make_slot(criteria, target) if target else None
 
     async def acquire(
         self,
@@ -212,12 +213,16 @@
         return round(wait_ms * self._rng.uniform(*SHED_RETRY_JITTER))
 
     def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
+        waiter.result = Ok(self._make_slot(waiter.criteria, target))
+        waiter.done.set()
+
+    def _make_slot(self, criteria: TargetCriteria, target: EdgeTarget) -> Slot:
         is_borrowed = self._brittle.is_brittle(
             target.service
         ) and self._brittle.take(
             target,
             self._occupancy.own.get(target.name, 0),
-            waiter.criteria.is_generation,
+            criteria.is_generation,
         )
         self._occupancy.add(target.name)
         self._rate_limits.take(target)
@@ -228,12 +233,11 @@
                 self._brittle.note_rejection(target)
             elif is_borrowed:
                 self._brittle.give_back(target)
-            self.grant_slots(waiter.criteria.service)
+            self.grant_slots(criteria.service)
 
         in_flight = self._occupancy.count(target.name)
         slot = Slot(target, on_release, in_flight)
-        waiter.result = Ok(slot)
-        waiter.done.set()
+        return slot
 
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
         has_target = any(map(waiter.criteria.admits, targets))
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -40,8 +40,9 @@
     sent_at_ms: int
     scope: anyio.CancelScope
     health: TargetHealth
-    # Tells whether another target can take over at once.
-    can_fail_over: Callable[[], bool]
+    # Reserves what another target needs to take over at once, and tells
+    # whether that succeeded.
+    reserve_failover: Callable[[], bool]
     # When the first and the last data arrived; None before the first.
     first_data_ms: int | None = None
     last_data_ms: int | None = None
@@ -81,13 +82,13 @@
 
     @contextlib.contextmanager
     def track(
-        self, target: str, route: Route, can_fail_over: Callable[[], bool]
+        self, target: str, route: Route, reserve_failover: Callable[[], bool]
     ) -> Iterator[TrackedSend]:
         """Watches a send; the block is cancelled when the send stalls."""
         with anyio.CancelScope() as scope:
             now_ms = self._clock.now_ms()
             send = TrackedSend(
-                target, route, now_ms, scope, self._health, can_fail_over
+                target, route, now_ms, scope, self._health, reserve_failover
             )
             self._sends[send] = None
             self._has_sends.set()
@@ -97,13 +98,17 @@
                 del self._sends[send]
 
     def check(self) -> None:
-        """Cancels stalled sends that another target can take over."""
+        """Cancels stalled sends that another target takes over.
+
+        Each one reserves its place before it is cancelled, so that those of
+        the same pass do not count on the same free place.
+        """
         for send in list(self._sends):
             if send.is_blocked or not send.route.may_repeat:
                 continue
             if self._pauses.paused_since(send.sent_at_ms):
                 continue
-            if self._is_stalled(send) and send.can_fail_over():
+            if self._is_stalled(send) and send.reserve_failover():
                 send.scope.cancel()
 
     async def run(self) -> None:
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -45,6 +45,9 @@
 MAX_CONNECT_FAILURES = 6
 # Bounds a log line.
 MAX_LOGGED_TARGETS = 16
+# Rejections of a stream that has begun which do not count as sends. Counts of
+# other instances are some 50 ms old, so that several may take the same place.
+MAX_FREE_REJECTIONS = 3
 # A target may answer with another status before it runs a request.
 SUCCESS_STATUS = 200
 REDIRECT_STATUS = 300
@@ -102,6 +105,9 @@
             raise
         finally:
             self._scopes.discard(scope)
+            unused_slot = request.take_failover_slot()
+            if unused_slot is not None:
+                unused_slot.release()
             if not request.may_have_run and request.account is not None:
                 self._dependencies.allowances.refund(
                     request.account.name, request.tokens
@@ -121,11 +127,13 @@
             await self._end(request, responder, not_run)
             return
         while True:
-            acquired = await self._acquire(request)
-            if isinstance(acquired, Err):
-                await self._end(request, responder, acquired.err_value)
-                return
-            slot = acquired.ok_value
+            slot = request.take_failover_slot()
+            if slot is None:
+                acquired = await self._acquire(request)
+                if isinstance(acquired, Err):
+                    await self._end(request, responder, acquired.err_value)
+                    return
+                slot = acquired.ok_value
             try:
                 # A cause may have been found while the request waited or ran.
                 if self._find_cause(request) is not None:
@@ -210,22 +218,34 @@
             software,
         )
 
-    def _can_fail_over(self, request: ActiveRequest, target: str) -> bool:
-        """Tells whether another target can take over from a silent one.
+    def _reserve_failover(self, request: ActiveRequest, target: str) -> bool:
+        """Reserves a slot for a request whose target is silent.
 
-        If not, the request stays, since the silent target may still continue.
+        Returns:
+            whether there is one. If not, the request stays, since the silent
+            target may still continue.
         """
-        return (
-            self._has_attempts_left(request)
-            and self._dependencies.budget.has_budget(
-                request.service, self._dependencies.fleet.count_instances()
-            )
-            and self._dependencies.backlog.has_free_slot(
-                self._make_criteria(request, target)
-            )
+        if request.failover_slot is not None:
+            return True
+        if not self._has_attempts_left(request):
+            return False
+        slot = self._dependencies.backlog.try_acquire(
+            self._make_criteria(request, target)
         )
+        if slot is None:
+            return False
+        if not self._dependencies.budget.try_spend(
+            request.service, self._dependencies.fleet.count_instances()
+        ):
+            slot.release()
+            return False
+        request.failover_slot = slot
+        return True
 
     def _may_send_again(self, request: ActiveRequest) -> bool:
+        if request.failover_slot is not None:
+            # The extra send was counted when the slot was reserved.
+            return True
         if request.connect_failures > MAX_CONNECT_FAILURES:
             return False
         if not self._has_attempts_left(request):
@@ -293,11 +313,11 @@
             note_pause=notices.note_pause,
         )
 
-        def can_fail_over() -> bool:
-            return self._can_fail_over(request, target.name)
+        def reserve_failover() -> bool:
+            return self._reserve_failover(request, target.name)
 
         with self._dependencies.stall_detector.track(
-            target.name, request.route, can_fail_over
+            target.name, request.route, reserve_failover
         ) as tracked_send:
             async with self._dependencies.client.open(send, open_gate) as reply:
                 if isinstance(reply, Rejection):
@@ -323,6 +343,7 @@
                 )[:MAX_LOGGED_TARGETS]
             },
         )
+        request.silent_targets.add(target.name)
         silent_error = CallError(CallFailure.TIMEOUT, True, "silent target")
         return self._note_error(request, target, silent_error)
 
@@ -330,6 +351,11 @@
         self, request: ActiveRequest, target: EdgeTarget, rejection: Rejection
     ) -> NotRun | MayHaveRun:
         request.failed_targets.add(target.name)
+        if request.head_sent and request.rejections < MAX_FREE_REJECTIONS:
+            # Nothing ran there, and the caller has a part of the answer.
+            request.rejections += 1
+            request.sends -= 1
+            request.allow_silent_targets()
         if rejection is Rejection.MISDIRECTED:
             self._dependencies.health.note_failure(target.name)
             self._dependencies.crashes.note_target_dead(target)
@@ -371,6 +397,7 @@
             )
         if error.failure in (CallFailure.CONNECT, CallFailure.REFUSED):
             request.connect_failures += 1
+            request.allow_silent_targets()
         if error.failure is CallFailure.REFUSED:
             self._dependencies.crashes.note_target_dead(target)
         self._dependencies.meter.count_send(error.failure.value)
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -372,6 +372,7 @@
         self.stall_detector = dependencies.stall_detector
         self.allowances = dependencies.allowances
         self.backlog = dependencies.backlog
+        self.budget = dependencies.budget
         self.pauses = dependencies.pauses
         self.timeline = dependencies.timeline
         self.origins = dependencies.origins
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -9,14 +9,16 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallError, CallFailure
 from peridotbend.domain.verdicts import MayHaveRun, Reason
-from peridotbend.edge.ports import AnswerBrokenError, EdgeCall
+from peridotbend.edge.ports import AnswerBrokenError, EdgeCall, Rejection
 from tests.edgefakes import (
     CALL,
     CONFIG,
+    SETTINGS,
     RecordingResponder,
     RelayHarness,
     ScriptedReply,
     make_event,
+    make_target,
 )
 
 ORDER = dataclasses.replace(CALL, path="/orders/7", prompt_tokens=None)
@@ -37,6 +39,13 @@
     return anyio.run(run)
 
 
+async def _serve_part(
+    harness: RelayHarness, call: EdgeCall, responder: RecordingResponder
+) -> None:
+    with contextlib.suppress(AnswerBrokenError):
+        await harness.relay.serve(call, responder)
+
+
 class StreamTest(unittest.TestCase):
     """Failover and stalls of event streams."""
 
@@ -325,6 +334,112 @@
 
         anyio.run(run)
 
+    def _stall_all(
+        self, harness: RelayHarness, count: int, free: int
+    ) -> list[RecordingResponder]:
+        """Stalls some streams at one target while others have few places.
+
+        The silent target goes on after the check.
+        """
+        responders = [RecordingResponder() for _ in range(count)]
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                for name in ("i-2", "i-3"):
+                    harness.pauses.note(make_target(name), 1_000)
+                for number, responder in enumerate(responders):
+                    call = dataclasses.replace(CALL, attempt=f"a{number}")
+                    group.start_soon(_serve_part, harness, call, responder)
+                await anyio.sleep(0.02)
+                # Ends the pauses.
+                harness.clock.advance(2_000)
+                for name in ("i-2", "i-3"):
+                    for _ in range(11):
+                        harness.occupancy.add(name)
+                for _ in range(free):
+                    harness.occupancy.remove("i-2")
+                harness.stall_detector.check()
+                await anyio.sleep(0.05)
+                # The wait of a stream without a place would end now.
+                harness.clock.advance(5_000)
+                harness.backlog.grant_slots("engine")
+                await anyio.sleep(0.02)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        return responders
+
+    def test_streams_of_one_check_do_not_count_on_the_same_place(self) -> None:
+        """Guards against streams that are cut when a sound target is silent.
+
+        All of its streams stall together, and the others have two free places.
+        """
+        silent = ScriptedReply(chunks=(make_event(1),), hangs=True)
+        rest = ScriptedReply(chunks=(make_event(2),), hangs=True)
+        harness = RelayHarness(*[silent] * 10, *[rest] * 10)
+        responders = self._stall_all(harness, 10, free=2)
+        assert harness.log.count(Event.ANSWER_BROKEN) == 0
+        assert harness.log.count(Event.SEND_STALLED) == 2
+        assert sum(r.body.endswith(make_event(2)) for r in responders) == 2
+        # The slots of the streams that moved or ended are free again.
+        own = harness.occupancy.own
+        assert own.get("i-1", 0) == 0, own
+
+    def test_streams_of_one_check_do_not_count_on_the_same_budget(self) -> None:
+        """Guards against cancelled streams that may not be sent again."""
+        silent = ScriptedReply(chunks=(make_event(1),), hangs=True)
+        rest = ScriptedReply(chunks=(make_event(2),), hangs=True)
+        harness = RelayHarness(*[silent] * 10, *[rest] * 10)
+        allowed = 4
+        spent = 0
+        while harness.budget.try_spend("engine", 1):
+            spent += 1
+        # The window slides on; the last extra sends are still within it.
+        harness.clock.advance(SETTINGS.resend_window_ms + 1)
+        for _ in range(spent - allowed):
+            assert harness.budget.try_spend("engine", 1)
+        self._stall_all(harness, 10, free=11)
+        assert harness.log.count(Event.ANSWER_BROKEN) == 0
+        # Ten requests add to the budget a share of their number.
+        assert allowed <= harness.log.count(Event.SEND_STALLED) < 10
+
+    def test_stream_goes_back_when_another_instance_took_its_place(
+        self,
+    ) -> None:
+        """Guards against a cut after a rejection that ran nothing.
+
+        The counts of other instances are old, so that a place that was free
+        may be taken. The first target goes on meanwhile, and has room.
+        """
+        silent = ScriptedReply(chunks=(make_event(1),), hangs=True)
+        full = ScriptedReply(failure=Rejection.UNAVAILABLE)
+        rest = ScriptedReply(chunks=(make_event(2),))
+        harness = RelayHarness(silent, full, rest)
+        responder = RecordingResponder()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.relay.serve, CALL, responder)
+                await anyio.sleep(0.01)
+                first = harness.client.sends[0].target.name
+                for name in {"i-1", "i-2", "i-3"} - {first}:
+                    for _ in range(11):
+                        harness.occupancy.add(name)
+                harness.occupancy.remove(min({"i-1", "i-2", "i-3"} - {first}))
+                harness.clock.advance(900)
+                harness.stall_detector.check()
+                await anyio.sleep(0.02)
+                harness.clock.advance(300)
+                harness.backlog.grant_slots("engine")
+                await anyio.sleep(0.02)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        assert responder.body == make_event(1) + make_event(2)
+        assert responder.is_complete
+        names = [send.target.name for send in harness.client.sends]
+        assert names[2] == names[0] != names[1]
+
     def test_stalled_stream_stays_without_attempts_left(self) -> None:
         """Guards against cancelling a run that may not be retried."""
         route = dataclasses.replace(CONFIG.routes[0], max_attempts=1)
