Keep streams going after a rollout and the loss of all instances

After a kill of all instances nobody knows the streams, the history has no times, and a target that left long before the kill counted as gone just now.

Change: only targets count that this process itself has seen go. Whoever was alive until the kill had moved to another target of its version. If the only targets that keep the prompt have started since the stream may have begun, their version is taken: they cannot keep it from before. docs/guarantees.md has what this leaves open.

--- a/src/peridotbend/adapters/originlink.py
+++ b/src/peridotbend/adapters/originlink.py
@@ -27,6 +27,8 @@
         self._listen_address = listen_address
         self._peers = peers
         self._due = anyio.Event()
+        # Answers and own notices are sent by two tasks.
+        self._sending = anyio.Lock()
         peers.on_due = self._note_due
 
     async def run(self) -> None:
@@ -61,7 +63,8 @@
 
     async def _send(self, socket: UDPSocket, data: bytes, host: str) -> None:
         try:
-            await socket.sendto(data, host, self._listen_address[1])
+            async with self._sending:
+                await socket.sendto(data, host, self._listen_address[1])
         except OSError:
             # An instance that is away does not answer; who asks does not
             # depend on any single one.
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -203,12 +203,13 @@
             if told is not None:
                 choices = {told}
             elif not is_covered:
-                choices = versions & survey.holders if survey else set()
-                if len(versions) > 1:
-                    # A target that has gone unseen may have kept the prompt.
-                    choices = set()
+                # A target that has gone unseen may have kept the prompt.
+                choices = versions if len(versions) == 1 else set()
+                choices = choices & survey.holders.keys() if survey else set()
             elif survey is not None:
-                choices = self._narrow(placed, survey, service, since_ms)
+                choices = self._find_new_holder(survey, since_ms) or (
+                    self._narrow(placed, survey, service, since_ms)
+                )
         self._log.emit(
             Event.STREAM_TAKEN_UP,
             attempt=call.attempt,
@@ -221,7 +222,7 @@
             is_observed=is_observed,
             recorded=told,
             holders=sorted(survey.holders) if survey else None,
-            without=sorted(survey.without) if survey else None,
+            possible=sorted(survey.possible) if survey else None,
             choices=sorted(choices),
         )
         return next(iter(choices)) if len(choices) == 1 else None
@@ -235,16 +236,33 @@
     ) -> set[str]:
         """Returns the versions that what the targets keep leaves possible.
 
-        A version is ruled out if none of its targets keeps the prompt, and none
-        that may have kept it has gone.
+        A version is ruled out if all of its targets have answered and do not
+        keep the prompt, and this process has seen none of them go since the
+        stream may have begun. One that went before this process started does
+        not count: a stream that was alive until then had moved to another
+        target of its version, which has read the prompt as well.
         """
         left = {
             version
             for version in placed
-            if version not in survey.without
+            if version in survey.possible
             or self._timeline.has_lost_target(service, version, since_ms)
         }
-        return left if len(left) > 1 else left & survey.holders
+        return left if len(left) > 1 else left & survey.holders.keys()
+
+    def _find_new_holder(self, survey: PartSurvey, since_ms: int) -> set[str]:
+        """Returns the version of the only targets that keep the prompt.
+
+        Empty unless all of them have started since the stream may have begun.
+        Older ones may keep it from any earlier request of the session; these
+        have read it while the stream ran, or a moment before.
+        """
+        if len(survey.holders) != 1:
+            return set()
+        ((version, targets),) = survey.holders.items()
+        starts_ms = [self._timeline.find_start(target) for target in targets]
+        is_new = all(t is not None and t >= since_ms for t in starts_ms)
+        return {version} if is_new else set()
 
     def _is_observed(self, since_ms: int) -> bool:
         """Tells whether this process has seen all changes since then itself."""
--- a/src/peridotbend/edge/promptparts.py
+++ b/src/peridotbend/edge/promptparts.py
@@ -1,6 +1,7 @@
 """Asks targets which parts of prompts they keep in memory."""
 
 import dataclasses
+from collections.abc import Mapping
 
 import anyio
 
@@ -26,10 +27,10 @@
 class PartSurvey:
     """Which software versions keep a part of a prompt."""
 
-    # At least one of their targets does.
-    holders: frozenset[str]
-    # All of their listed targets have answered, and none does.
-    without: frozenset[str]
+    # The targets that do, by version.
+    holders: Mapping[str, tuple[EdgeTarget, ...]]
+    # One of their targets does, or has not answered.
+    possible: frozenset[str]
 
 
 class PromptParts:
@@ -65,14 +66,13 @@
         told = {t.name: t for t in asked if t.run_hash in self._cached}
         if not told:
             return None
-        holders = frozenset(
-            target.software
-            for target in told.values()
-            if part in self._cached[target.run_hash][1]
-        )
+        holders: dict[str, tuple[EdgeTarget, ...]] = {}
+        for target in told.values():
+            if part in self._cached[target.run_hash][1]:
+                known = holders.get(target.software, ())
+                holders[target.software] = (*known, target)
         silent = {t.software for t in listed if t.name not in told}
-        versions = {target.software for target in told.values()}
-        return PartSurvey(holders, frozenset(versions - holders - silent))
+        return PartSurvey(holders, frozenset(silent | holders.keys()))
 
     async def _ask(self, targets: list[EdgeTarget]) -> None:
         oldest_ms = self._clock.now_ms() - CACHE_MS
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -81,8 +81,6 @@
         self._runs: dict[str, dict[tuple[str, int], str]] = {}
         # When a run of a target was last removed, by service and software.
         self._lost_at_ms: dict[tuple[str, str], int] = {}
-        # The same for targets of which only the removal is known.
-        self._unknown_lost_at_ms: int | None = None
         # Called with the service when new streams may be placed differently.
         self.on_change: Callable[[str], None] = lambda service: None
         # When each run of a target started, in the time of this process.
@@ -146,25 +144,13 @@
     def has_lost_target(
         self, service: str, software: str, since_ms: int
     ) -> bool:
-        """Tells whether a target of a version may have gone since a time.
+        """Tells whether this process has seen a target go since a time.
 
         What it kept, for example of a prompt, is gone with it.
         """
         self.update(service)
-        times_ms = (
-            self._lost_at_ms.get((service, software)),
-            self._unknown_lost_at_ms,
-        )
-        return any(t is not None and t >= since_ms for t in times_ms)
-
-    def note_lost_target(self, target: EdgeTarget | None, at_ms: int) -> None:
-        """Records the removal of a target; None if it is not known."""
-        if target is None:
-            last_ms = self._unknown_lost_at_ms
-            self._unknown_lost_at_ms = max(at_ms, last_ms or at_ms)
-            return
-        key = target.service, target.software
-        self._lost_at_ms[key] = max(at_ms, self._lost_at_ms.get(key, at_ms))
+        lost_at_ms = self._lost_at_ms.get((service, software))
+        return lost_at_ms is not None and lost_at_ms >= since_ms
 
     def insert_history(
         self,
--- a/tests/test_edge_origins.py
+++ b/tests/test_edge_origins.py
@@ -253,6 +253,51 @@
         anyio.run(run)
 
 
+class OriginLinkTest(unittest.TestCase):
+    """Notices on real sockets."""
+
+    def test_answers_and_questions_may_be_sent_together(self) -> None:
+        """Guards against an error of the socket that ends the process.
+
+        Seen on binhminh-orders, rejoined, seed 11, in a trial.
+        """
+        hosts = ("127.0.0.63", "127.0.0.64")
+        clock = ManualClock()
+
+        async def run() -> None:
+            records = [StreamRecords(clock) for _ in hosts]
+            async with anyio.create_task_group() as tasks:
+                peers = []
+                for index, host in enumerate(hosts):
+                    members = _Members("")
+                    # Most are gone, as after a failure of their zone.
+                    gone = [f"127.0.1.{number}" for number in range(1, 100)]
+                    members._hosts = [hosts[1 - index], *gone]
+                    peers.append(
+                        OriginPeers(
+                            "a", members, records[index], random.Random(1)
+                        )
+                    )
+                    link = OriginLink((host, 17_602), peers[index])
+                    tasks.start_soon(link.run)
+                await anyio.sleep(0.1)
+                for number in range(300):
+                    records[number % 2].note_begun(f"a{number}", "e", "v1")
+
+                async def ask(number: int) -> None:
+                    asker = peers[1 - number % 2]
+                    assert await asker.ask(f"a{number}") == "v1"
+
+                async with anyio.create_task_group() as asks:
+                    for number in range(300):
+                        asks.start_soon(ask, number)
+                        if number % 10 == 0:
+                            await anyio.sleep(0.004)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+
 class _Witnesses:
     """Records what an instance tells, and answers as scripted."""
 
