Bound the work that answers in tiny parts make

Memory stays flat, so that the tests of endless heads and bodies did not show it.

Cause: what has arrived is buffered, up to 256 KB or some 40,000 such chunks. Reading a part that is there never waits, so that one answer was parsed to the end of the buffer before anything else ran, and again with the next one.

Change: a connection may bring 128 parts at once and 200 a second; what goes beyond is read in batches of 32, at 1,000 parts a second over all connections together. Parts of 256 bytes or more are not counted, but other tasks run after each 128. This holds for targets, for the store, for the lists of prompt parts and for connections through peers, which all use the same class.

Why this works: the loop is held up by 128 parts at most, and the sum over all connections in trouble is bounded, not only that of each one.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -7,6 +7,7 @@
 import h11
 import httpcore
 
+from peridotbend.adapters.pacing import ConnectionPace, SharedPace
 from peridotbend.adapters.sockets import connect
 from peridotbend.domain.paths import Endpoint
 
@@ -59,11 +60,12 @@
 
 
 class Connection(httpcore.AsyncHTTP11Connection):
-    """An HTTP connection that limits interim answers.
+    """An HTTP connection that limits interim answers, and the pace of parts.
 
-    httpcore skips them in a loop, and has no setting to end it.
+    httpcore skips interim answers in a loop, and has no setting to end it.
     """
 
+    pace: ConnectionPace
     _interim_answers = 0
     # Whether a call was sent here before the current one.
     is_reused = False
@@ -71,7 +73,10 @@
     may_keep = True
 
     async def _receive_event(self, timeout: float | None = None) -> Any:
+        await self.pace.wait_turn()
         event = await super()._receive_event(timeout)
+        if isinstance(event, h11.Data):
+            self.pace.note_size(len(event.data))
         if not isinstance(event, h11.InformationalResponse):
             self._interim_answers = 0
             return event
@@ -91,6 +96,7 @@
 
     def __init__(self, dialer: Dialer | None = None) -> None:
         self._dialer = dialer or DirectDialer()
+        self._shared_pace = SharedPace()
         self._connection_slots = anyio.Semaphore(
             MAX_CONNECTIONS, fast_acquire=True
         )
@@ -177,6 +183,7 @@
             self._connection_slots.release()
             raise
         connection = Connection(origin, stream, KEEPALIVE_EXPIRY_S)
+        connection.pace = ConnectionPace(self._shared_pace)
         connection.may_keep = self._dialer.allows_reuse(target)
         return connection
 
