Choose a version only among those where the attempt may be placed

A new target that alone keeps the prompt decided also against the placement. The choice by what targets keep is one function now.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -198,18 +198,18 @@
         if len(placed) != 1 or not (is_covered and is_observed):
             if call.resumes:
                 told = await self.witnesses.ask(call.resumes)
-            if told is None:
-                survey = await self._parts.find_holders(service, call.session)
             if told is not None:
                 choices = {told}
-            elif not is_covered:
-                # A target that has gone unseen may have kept the prompt.
-                choices = versions if len(versions) == 1 else set()
-                choices = choices & survey.holders.keys() if survey else set()
-            elif survey is not None:
-                choices = self._find_new_holder(survey, since_ms) or (
-                    self._narrow(placed, survey, service, since_ms)
-                )
+            else:
+                survey = await self._parts.find_holders(service, call.session)
+                choices = versions
+                if is_covered:
+                    choices = self._narrow(placed, survey, service, since_ms)
+                elif survey is None or len(versions) != 1:
+                    # A target that has gone unseen may have kept the prompt.
+                    choices = set()
+                else:
+                    choices = versions & survey.holders.keys()
         self._log.emit(
             Event.STREAM_TAKEN_UP,
             attempt=call.attempt,
@@ -230,7 +230,7 @@
     def _narrow(
         self,
         placed: set[str],
-        survey: PartSurvey,
+        survey: PartSurvey | None,
         service: str,
         since_ms: int,
     ) -> set[str]:
@@ -242,27 +242,25 @@
         not count: a stream that was alive until then had moved to another
         target of its version, which has read the prompt as well.
         """
+        if survey is None:
+            return placed
+        holders = placed & survey.holders.keys()
+        if holders == survey.holders.keys() and len(holders) == 1:
+            (targets,) = survey.holders.values()
+            if all(self._has_started_since(t, since_ms) for t in targets):
+                # Older ones may keep it from any request of the session.
+                return holders
         left = {
             version
             for version in placed
             if version in survey.possible
             or self._timeline.has_lost_target(service, version, since_ms)
         }
-        return left if len(left) > 1 else left & survey.holders.keys()
+        return left if len(left) > 1 else left & holders
 
-    def _find_new_holder(self, survey: PartSurvey, since_ms: int) -> set[str]:
-        """Returns the version of the only targets that keep the prompt.
-
-        Empty unless all of them have started since the stream may have begun.
-        Older ones may keep it from any earlier request of the session; these
-        have read it while the stream ran, or a moment before.
-        """
-        if len(survey.holders) != 1:
-            return set()
-        ((version, targets),) = survey.holders.items()
-        starts_ms = [self._timeline.find_start(target) for target in targets]
-        is_new = all(t is not None and t >= since_ms for t in starts_ms)
-        return {version} if is_new else set()
+    def _has_started_since(self, target: EdgeTarget, since_ms: int) -> bool:
+        start_ms = self._timeline.find_start(target)
+        return start_ms is not None and start_ms >= since_ms
 
     def _is_observed(self, since_ms: int) -> bool:
         """Tells whether this process has seen all changes since then itself."""
