--- a/src/peridotbend/adapters/pacing.py
+++ b/src/peridotbend/adapters/pacing.py
@@ -3,8 +3,7 @@
 import anyio
 
 # Parts of answers that a connection may bring at once, and a second. A sound
-# stream has some 30 events a second, and some 100 wait after a pause. A part
-# takes some 50 microseconds, so that a burst holds others up for 6 ms.
+# stream has some 30 events a second, and some 100 wait after a pause.
 BURST_PARTS = 128
 PARTS_PER_S = 200.0
 # Parts beyond that which all connections together may bring in a second.
@@ -23,7 +22,7 @@
         self._free_at_s = 0.0
 
     def reserve(self) -> float:
-        """Reserves time for a batch; returns after how many s it begins."""
+        """Reserves time for a batch; returns the s until that time is over."""
         now_s = anyio.current_time()
         start_s = max(now_s, self._free_at_s)
         self._free_at_s = start_s + BATCH_PARTS / SHARED_PARTS_PER_S
--- a/src/peridotbend/edge/streamrecords.py
+++ b/src/peridotbend/edge/streamrecords.py
@@ -9,7 +9,7 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.edge.versions import KEPT_MS
 
-# Bounds memory, at about 300 bytes each.
+# Bounds memory, at about 240 bytes each.
 MAX_RECORDS = 20_000
 
 
