--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -15,6 +15,8 @@
     PARTS_PER_S,
     SHARED_PARTS_PER_S,
     SOUND_PART_BYTES,
+    TURN_PARTS,
+    Turns,
 )
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.clock import ManualClock
@@ -28,6 +30,8 @@
 
 TARGET = Target("t", "engine", "zone-a", "127.0.0.1", 1)
 CALL = TargetCall("GET", "/", (), b"", 1_000_000)
+# Some milliseconds of work, also on a slow instance.
+MAX_TURN_BYTES = 524_288
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -114,9 +118,50 @@
                 longest = self._find_longest_run(_make_chunks(b"x" * size, 512))
                 assert longest <= BURST_PARTS + 1, longest
 
-    def _find_longest_run(self, data: bytes) -> int:
-        """Returns how many parts are read in a row, without other tasks."""
-        longest = run = 0
+    def test_connections_take_turns(self) -> None:
+        """Guards against many connections that all read on in each turn.
+
+        Seen on a slow instance with three targets in trouble: each of their
+        answers gave way to others, but only after a burst, so that requests of
+        others were late by a second.
+        """
+        for size in (1, SOUND_PART_BYTES, 16_384):
+            with self.subTest(size=size):
+                data = _make_chunks(b"x" * size, 64)
+                longest = self._find_longest_run(data, connections=30)
+                assert longest <= 2 * TURN_PARTS, longest
+                assert longest * size <= MAX_TURN_BYTES, longest
+
+    def test_cancelled_connection_gives_up_its_turn(self) -> None:
+        """Guards against answers that wait for one that was cancelled."""
+
+        async def run() -> None:
+            turns = Turns()
+            order: list[int] = []
+
+            async def wait(number: int) -> None:
+                await turns.wait()
+                order.append(number)
+
+            async with anyio.create_task_group() as tasks:
+                with anyio.CancelScope() as scope:
+                    scope.cancel()
+                    await turns.wait()
+                for number in range(3):
+                    tasks.start_soon(wait, number)
+            assert order == [0, 1, 2]
+
+        anyio.run(run)
+
+    def _find_longest_run(self, data: bytes, connections: int = 1) -> int:
+        """Returns how many parts are read in a row, without other tasks.
+
+        Args:
+            data: what each connection has ready.
+            connections: their number. What they read as they begin is left
+                out.
+        """
+        longest = run = total = 0
 
         async def count_turns() -> None:
             nonlocal run
@@ -124,18 +169,23 @@
                 run = 0
                 await anyio.sleep(0)
 
+        async def read(client: HttpTargetClient) -> None:
+            nonlocal longest, run, total
+            async for _ in _read_parts(client):
+                run += 1
+                total += 1
+                if connections == 1 or total > TURN_PARTS * connections:
+                    longest = max(longest, run)
+                if total >= max(4 * TURN_PARTS * connections, 8 * BURST_PARTS):
+                    break
+
         async def main() -> None:
-            nonlocal longest, run
             client = HttpTargetClient(dialer=_ReadyDialer(data))
-            total = 0
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(count_turns)
-                async for _ in _read_parts(client):
-                    run += 1
-                    total += 1
-                    longest = max(longest, run)
-                    if total >= 8 * BURST_PARTS:
-                        break
+                async with anyio.create_task_group() as readers:
+                    for _ in range(connections):
+                        readers.start_soon(read, client)
                 tasks.cancel_scope.cancel()
 
         anyio.run(main)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -242,6 +242,14 @@
         "",
         ("test_pacing.PacingTest.test_other_tasks_run_between_parts",),
     ),
+    Mutant(
+        "connections-read-on-together",
+        "CONFIG",
+        "src/peridotbend/adapters/pacing.py",
+        "await self._shared.turns.wait()",
+        "await anyio.sleep(0)",
+        ("test_pacing.PacingTest.test_connections_take_turns",),
+    ),
     Mutant(
         "route-timeout-ignored",
         "CONFIG",
