Pass on the events of runs only, and nothing else that targets send

What callers saw (the users' ORDER report): a piece that no run made, from a target that put garbage into its streams.

Cause: the splitter passed on whatever ends with an empty line, and listed what is foreign (a status line among other lines).

Change: the splitter says what an event is (docs/platform.md): text whose lines are fields of an event stream, with data and one ID that follows that of the event before; its first line may be the header of the weight version. Comments and empty lines are left out. Anything else ends the send; nothing after it in the run is believed; the stream goes on elsewhere after the last event of a run.

Fixtures that sent what no run sends follow the protocol now, and check as much as before: events that repeat one ID (EventSplitterTest, the slow stream) have increasing IDs, a stand-in target honours Last-Event-Id, a take-up is answered from event 2.

--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -95,6 +95,11 @@
         """Whether the body consists of server-sent events."""
         ...
 
+    @property
+    def event_header(self) -> str:
+        """Name of the header that an event may begin with; "" if none may."""
+        ...
+
     def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
         """Yields the body; an Err is the last item when the call breaks."""
         ...
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -53,8 +53,6 @@
 REDIRECT_STATUS = 300
 ERROR_STATUS = 500
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
-_FOREIGN_HEAD = CallError(CallFailure.BROKEN, True, "a head inside a stream")
-_OVERSIZED_EVENT = CallError(CallFailure.BROKEN, True, "event without an end")
 
 
 class Relay:
@@ -490,9 +488,9 @@
     ) -> NotRun | MayHaveRun | None:
         has_survived = False
         has_events = False
+        request.events.start_run(answer.event_header)
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
-                request.events.drop_partial()
                 return self._note_error(
                     request,
                     target,
@@ -501,19 +499,13 @@
                     has_survived,
                 )
             events = request.events.feed(chunk.ok_value)
-            if request.events.is_oversized:
-                request.events.drop_partial()
-                return self._note_error(
-                    request, target, _OVERSIZED_EVENT, answer.head
-                )
-            if request.events.has_data(events):
+            if events:
                 # Other bytes are no progress: a stalled target may send a few
                 # now and then.
                 tracked_send.note_data(self._clock.now_ms())
                 if not has_survived and tracked_send.flowed_ms >= SURVIVAL_MS:
                     has_survived = True
                     self._dependencies.crashes.note_sound(request.traits)
-            if events:
                 has_events = True
                 self._note_begun(request, target)
                 tracked_send.is_blocked = True
@@ -521,14 +513,19 @@
                 await responder.send(events)
                 tracked_send.is_blocked = False
                 self._dependencies.health.note_activity(target.name)
-            if request.events.has_foreign_head:
-                request.events.drop_partial()
+            if request.events.problem:
                 return self._note_error(
-                    request, target, _FOREIGN_HEAD, answer.head, has_survived
+                    request,
+                    target,
+                    _make_foreign_error(request.events.problem),
+                    answer.head,
+                    has_survived,
                 )
         # A stream without a length also ends when its target crashes, so that
         # the end alone does not tell that no event is left to resume.
-        is_cut = not answer.head.is_delimited and not has_events
+        is_cut = not answer.head.is_delimited and (
+            not has_events or request.events.has_trailing_bytes
+        )
         if request.events.take_remainder().strip() or is_cut:
             return self._note_error(
                 request, target, _CUT_STREAM, answer.head, has_survived
@@ -621,3 +618,8 @@
 def _make_no_stream_error(answer: EdgeAnswer) -> CallError:
     detail = f"expected a resumed event stream, got status {answer.head.status}"
     return CallError(CallFailure.BROKEN, True, detail)
+
+
+def _make_foreign_error(problem: str) -> CallError:
+    """Returns the error of a target that sent what is no event of its run."""
+    return CallError(CallFailure.BROKEN, True, f"foreign bytes: {problem}")
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -32,6 +32,8 @@
 class PlatformTargetAnswer:
     """The answer of a target."""
 
+    event_header = wire.WEIGHT_VERSIONS
+
     def __init__(self, answer: TargetAnswer):
         self._answer = answer
         self.head = answer.head
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -12,6 +12,9 @@
 # The client account, sent to targets in place of the caller's key.
 ACCOUNT = "x-tenant"
 MODEL = "x-model"
+# Version of the weights, in answers and as the first line of an event from
+# which on it is another one.
+WEIGHT_VERSIONS = "x-weight-versions"
 # Number of prompt tokens and maximum number of output tokens, comma-separated.
 TOKEN_COUNT = "x-token-count"
 PROMPT_PREFIX = "x-prompt-prefix"
@@ -47,6 +50,7 @@
     EXPECT_VERSION,
     ACCOUNT,
     MODEL,
+    WEIGHT_VERSIONS,
     TOKEN_COUNT,
     PROMPT_PREFIX,
     NOT_EXECUTED,
--- a/src/peridotbend_emulator/replayengine.py
+++ b/src/peridotbend_emulator/replayengine.py
@@ -100,6 +100,8 @@
 class _Answer:
     """The stream of events that answers one send."""
 
+    event_header = ""
+
     def __init__(self, job: _Job, first_event_id: int):
         self._job = job
         self._first_event_id = first_event_id
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -97,6 +97,8 @@
     allowance_overage=0.25,
     allowance_slack=140_000.0,
 )
+# Of the answers of scripted targets.
+EVENT_HEADER = "x-of-a-target"
 CALL = EdgeCall(
     attempt="attempt-1",
     method="POST",
@@ -223,6 +225,8 @@
     failure: Rejection | CallError | None = None
     status: int = 200
     chunks: Sequence[bytes] = ()
+    # Time after each chunk.
+    gap_s: float = 0.0
     # Whether the connection breaks after the last chunk.
     breaks_connection: bool = False
     # Whether the answer stays open without data after the last chunk.
@@ -243,6 +247,8 @@
 class _ScriptedAnswer:
     """An answer with the content of a scripted reply."""
 
+    event_header = EVENT_HEADER
+
     def __init__(self, reply: ScriptedReply, target: str):
         self._reply = reply
         self.is_event_stream = reply.is_event_stream
@@ -254,6 +260,8 @@
         """Yields the chunks of the reply."""
         for chunk in self._reply.chunks:
             yield Ok(chunk)
+            if self._reply.gap_s:
+                await anyio.sleep(self._reply.gap_s)
         while self._reply.drip:
             yield Ok(self._reply.drip)
             await anyio.sleep(0.001)
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -108,6 +108,8 @@
 class _Answer:
     """The stream of one request at a runner."""
 
+    event_header = ""
+
     def __init__(self, runner: Runner, note_begin: Callable[[], bool]):
         self.is_event_stream = True
         self.head = AnswerHead(200, ())
--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -175,7 +175,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(watch_for_disconnect)
             if scope["path"].startswith("/quotes/"):
-                await self._stream(send, answer_headers)
+                last_event = int(headers.get(wire.LAST_EVENT_ID, "0"))
+                await self._stream(send, answer_headers, last_event + 1)
             else:
                 await anyio.sleep(self.delay_s)
                 await respond(send, 200, b"done", *answer_headers)
@@ -183,7 +184,10 @@
             group.cancel_scope.cancel()
 
     async def _stream(
-        self, send: Send, answer_headers: tuple[tuple[str, str], ...]
+        self,
+        send: Send,
+        answer_headers: tuple[tuple[str, str], ...],
+        first_event: int,
     ) -> None:
         raw = [
             (name.encode(), value.encode()) for name, value in answer_headers
@@ -192,7 +196,7 @@
         await send(
             {"type": "http.response.start", "status": 200, "headers": raw}
         )
-        for number in range(1, self.event_count + 1):
+        for number in range(first_event, self.event_count + 1):
             event = f"id: {number}\ndata: {self.name}\n\n".encode()
             await send(
                 {"type": "http.response.body", "body": event, "more_body": True}
--- a/tests/test_edge_oracle.py
+++ b/tests/test_edge_oracle.py
@@ -125,6 +125,8 @@
 class _RandomAnswer:
     """An answer that may fail or hang at a random chunk."""
 
+    event_header = ""
+
     def __init__(self, rng: random.Random, send: TargetSend, kind: str):
         self._rng = rng
         self._first = int(send.last_event_id or 0) + 1
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -18,7 +18,6 @@
 from peridotbend.edge.allowances import AllowanceUse
 from peridotbend.edge.brittle import MAX_REPORTED
 from peridotbend.edge.configholder import ConfigHolder
-from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.evidence import (
     EVIDENCE_TTL_MS,
     MAX_DEATHS,
@@ -437,29 +436,3 @@
         feed, _, _, _ = self._make_feed()
         feed.note_peer("10.0.0.2", FeedState(Position(1, 4)))
         assert feed.take_peer_ahead() == "10.0.0.2"
-
-
-class EventSplitterTest(unittest.TestCase):
-    """Splitting of a stream into complete events."""
-
-    def test_events_pass_whole_for_any_chunk_size(self) -> None:
-        """Guards against passing on a partial event before a resume.
-
-        Both line endings are accepted: when only one was, a stream with the
-        other was held back until its end.
-        """
-        for end in (b"\n", b"\r\n"):
-            event = b"id: 7" + end + b"data: x" + end + end
-            stream = event * 3
-            for size in range(1, len(stream)):
-                splitter = EventSplitter()
-                received = b""
-                for start in range(0, len(stream), size):
-                    complete_events = splitter.feed(
-                        stream[start : start + size]
-                    )
-                    assert len(complete_events) % len(event) == 0
-                    received += complete_events
-                assert received == stream
-                assert splitter.last_event_id == "7"
-                assert splitter.take_remainder() == b""
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -20,6 +20,7 @@
     make_event,
     make_target,
 )
+from tests.test_edge_events import FOREIGN_BLOCKS
 
 ORDER = dataclasses.replace(CALL, path="/orders/7", prompt_tokens=None)
 LOOKUP = dataclasses.replace(
@@ -166,6 +167,86 @@
             assert responder.body == make_event(1) + make_event(2)
             assert harness.client.sends[1].last_event_id == "1"
 
+    def test_foreign_bytes_end_the_send_and_the_stream_goes_on(self) -> None:
+        """Guards against a piece that no run made, in a stream that goes on.
+
+        Seen as ORDER: a target in trouble put lines without an ID into its
+        streams, which callers got as a piece.
+        """
+        before = (make_event(1), make_event(2), make_event(3))
+        rest = (make_event(4), make_event(5))
+        for name, block in FOREIGN_BLOCKS.items():
+            for is_delimited in (True, False):
+                with self.subTest(block=name, is_delimited=is_delimited):
+                    first = ScriptedReply(
+                        chunks=(*before, block, *rest),
+                        is_delimited=is_delimited,
+                    )
+                    harness = RelayHarness(first, ScriptedReply(chunks=rest))
+                    responder = _serve(harness)
+                    assert responder.body == b"".join((*before, *rest))
+                    assert responder.is_complete
+                    assert harness.client.sends[1].last_event_id == "3"
+                    fields = dict(harness.log.events)
+                    detail = str(fields[Event.TARGET_CALL_FAILED]["detail"])
+                    assert detail.startswith("foreign bytes: ")
+                    assert harness.meter.send_outcomes[0] == "broken"
+
+    def test_stream_does_not_begin_with_foreign_bytes(self) -> None:
+        """Guards against an answer that begins with a piece of no run."""
+        whole = (make_event(1), make_event(2))
+        for name, block in FOREIGN_BLOCKS.items():
+            with self.subTest(block=name):
+                first = ScriptedReply(chunks=(block, *whole))
+                harness = RelayHarness(first, ScriptedReply(chunks=whole))
+                responder = _serve(harness)
+                assert responder.body == b"".join(whole)
+                assert harness.client.sends[1].last_event_id == ""
+
+    def test_foreign_bytes_break_a_stream_that_cannot_resume(self) -> None:
+        """Guards against foreign bytes in a stream that runs once."""
+        route = dataclasses.replace(CONFIG.routes[0], can_resume=False)
+        config = dataclasses.replace(CONFIG, routes=(route,))
+        for name, block in FOREIGN_BLOCKS.items():
+            with self.subTest(block=name):
+                reply = ScriptedReply(
+                    chunks=(make_event(1), make_event(2), make_event(3), block)
+                )
+                harness = RelayHarness(reply, config=config)
+                responder = RecordingResponder()
+                anyio.run(_serve_part, harness, CALL, responder)
+                assert responder.body == b"".join(reply.chunks[:3])
+                assert not responder.is_complete
+                assert len(harness.client.sends) == 1
+
+    def test_line_cut_at_the_end_of_a_stream_is_no_event(self) -> None:
+        """Guards against noise without an empty line that ends a stream."""
+        for noise in (b"\xff" * 300, b"oops", b"id: 2\ndata: x\n"):
+            first = ScriptedReply(chunks=(make_event(1), noise))
+            harness = RelayHarness(
+                first, ScriptedReply(chunks=(make_event(2),))
+            )
+            responder = _serve(harness)
+            assert responder.body == make_event(1) + make_event(2)
+            assert responder.is_complete
+
+    def test_stream_without_a_length_ends_with_an_event(self) -> None:
+        """Guards against a cut stream that comments make look complete."""
+        for rest in (b": alive\n\n", b"\n", b"\n\n\n", b": x"):
+            first = ScriptedReply(
+                chunks=(make_event(1), rest), is_delimited=False
+            )
+            harness = RelayHarness(
+                first, ScriptedReply(chunks=(make_event(2),))
+            )
+            responder = _serve(harness)
+            assert responder.body == make_event(1) + make_event(2)
+            # With a length or chunks, the target says that it has ended.
+            whole = ScriptedReply(chunks=(make_event(1), b": alive\n\n\n"))
+            responder = _serve(RelayHarness(whole))
+            assert responder.body == make_event(1)
+            assert responder.is_complete
+
     def test_text_about_a_status_line_is_passed_on(self) -> None:
         """Guards against cutting a stream that explains the protocol."""
         text = b"x-of-a-target: 3\nid: 1\ndata: HTTP/1.1 404 means\n\n"
@@ -233,7 +314,8 @@
 
     def test_slow_but_sound_stream_is_not_cut(self) -> None:
         """Guards against ending a stream that makes progress slowly."""
-        slow = ScriptedReply(drip=make_event(1))
+        events = tuple(make_event(number) for number in range(1, 1_000))
+        slow = ScriptedReply(chunks=events, gap_s=0.001)
         harness = RelayHarness(slow)
         responder = RecordingResponder()
 
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -146,8 +146,10 @@
                 dataclasses.replace(CALL, attempt=f"a{number}"),
                 dataclasses.replace(TAKE_UP, resumes=f"a{number}"),
             ):
-                reply = ScriptedReply(chunks=(make_event(1),))
-                harness = RelayHarness(reply, config=config)
+                event = make_event(len(services) + 1)
+                harness = RelayHarness(
+                    ScriptedReply(chunks=(event,)), config=config
+                )
                 harness.targets.put(make_target("o-1", "other"))
                 harness.rng.seed(len(services))
                 _serve(harness, call)
