Explain requests whose IDs begin with a hyphen

IDs are random, one in 64 begins with a hyphen, and `peridotbend explain` took it for an option. Not caused by load.

Change: the command passes unknown options on as arguments. The new test failed before with exit code 2.

--- a/src/peridotbend/cli.py
+++ b/src/peridotbend/cli.py
@@ -99,7 +99,10 @@
     click.echo(tables.render_object(state))
 
 
-@main.command(epilog=EXIT_HELP)
+# IDs may begin with a hyphen.
+@main.command(
+    epilog=EXIT_HELP, context_settings={"ignore_unknown_options": True}
+)
 @click.argument("request_id", metavar="ID")
 @click.option(
     "--log",
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -125,6 +125,17 @@
         assert result.exit_code == 1
         assert "404" in result.output
 
+    def test_ids_may_begin_like_an_option(self) -> None:
+        """Guards against an ID that is taken for an option of the command.
+
+        IDs are random, and one in 64 begins with a hyphen.
+        """
+        with serve(FakeNode()) as url:
+            for request_id in ("-Q5xyz", "--Q5", "-_", "-o", "--log5"):
+                result = invoke("explain", request_id, f"--operator-url={url}")
+                assert result.exit_code == 1, result.output
+                assert "404" in result.output, result.output
+
     def test_unreachable_daemon(self) -> None:
         """Guards against a traceback, or success, when nothing listens."""
         with socket.create_server(("127.0.0.1", 0)) as closed:
