--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -68,9 +68,9 @@
         "partial-event-kept",
         "ORDER",
         EDGE + "events.py",
-        'self._partial = b""\n        self.problem = ""\n\n    def feed',
-        'self.problem = ""\n\n    def feed',
-        ("test_edge_events", "test_edge_streams"),
+        'self._partial = b""\n        self._has_skipped = False\n',
+        "self._has_skipped = False\n",
+        ("test_edge_events.ForeignBytesTest", "test_edge_streams"),
     ),
     Mutant(
         "foreign-line-passed",
@@ -78,7 +78,7 @@
         EDGE + "events.py",
         'return "line that is no field"',
         "pass",
-        ("test_edge_events", "test_edge_streams"),
+        ("test_edge_events.ForeignBytesTest", "test_edge_streams"),
     ),
     Mutant(
         "event-id-not-followed",
@@ -86,7 +86,7 @@
         EDGE + "events.py",
         'return "event ID that does not follow"',
         "pass",
-        ("test_edge_events", "test_edge_streams"),
+        ("test_edge_events.ForeignBytesTest", "test_edge_streams"),
     ),
     Mutant(
         "run-believed-after-foreign-bytes",
