--- a/src/peridotbend/edge/events.py
+++ b/src/peridotbend/edge/events.py
@@ -148,6 +148,8 @@
             return "event without data"
         event_id = fields[names.index(b"id")][1].strip()
         if self._next_id is None and _ID.fullmatch(event_id):
+            # Any number may begin the rest of a stream that the caller has
+            # named by something else.
             self._next_id = int(event_id)
         if event_id != b"%d" % (self._next_id or 0):
             return "event ID that does not follow"
