--- a/src/peridotbend/adapters/pacing.py
+++ b/src/peridotbend/adapters/pacing.py
@@ -16,8 +16,8 @@
 # A part of so many bytes is not counted against the rates: it is worth its
 # work. Its connection still takes turns with the others.
 SOUND_PART_BYTES = 256
-# Work of a connection between two of its turns, in parts. So many bytes count as
-# one more part, since large parts take time to copy.
+# Work of a connection between two of its turns, in parts. So many bytes count
+# as one more part, since large parts take time to copy.
 TURN_PARTS = 32
 COUNTED_PART_BYTES = 4_096
 
