--- a/tests/test_edge_events.py
+++ b/tests/test_edge_events.py
@@ -271,7 +271,7 @@
     def test_callers_get_the_events_of_runs_only(self) -> None:
         """Guards against a piece that no run made, on real connections.
 
-        18 clients in a row got one on 6828f11 for most of these blocks.
+        Callers got blocks like these as events of their streams.
         """
         route = {
             **CONFIG["routes"][0],
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -30,7 +30,7 @@
 
 TARGET = Target("t", "engine", "zone-a", "127.0.0.1", 1)
 CALL = TargetCall("GET", "/", (), b"", 1_000_000)
-# Some milliseconds of work, also on a slow instance.
+# A few times the bytes of one turn.
 MAX_TURN_BYTES = 524_288
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
