Tell foreign answers from broken connections in log and metrics

An answer that is passed on whole on a streaming route logs 301 without its type, and a send that ends because of foreign bytes counted as broken, like a reset.

Change: such a send counts as foreign in 307 and in the metric of sends, and 301 and 307 name the content type of the answer, cut at 64 characters. Whether a send may have run, is sent again or counts as evidence of a crash is as before.

The test that expected the outcome broken for foreign bytes now expects foreign, which is as strict. No decision changes.

--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -53,6 +53,8 @@
     GATE = "gate"
     # The connection broke or the target violated the protocol after a write.
     BROKEN = "broken"
+    # The answer holds what no run of the request gives.
+    FOREIGN = "foreign"
     TIMEOUT = "timeout"
     TOO_LARGE = "too-large"
 
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -9,6 +9,7 @@
     CallError,
     CallFailure,
 )
+from peridotbend.domain.streams import find_header
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 from peridotbend.edge.activerequests import ActiveRequest
 from peridotbend.edge.admission import QUARANTINED, Admission
@@ -43,8 +44,9 @@
 # A connection that fails before a byte is written does not count as a send.
 # This limit only ends requests whose targets are all unreachable.
 MAX_CONNECT_FAILURES = 6
-# Bounds a log line.
+# Bound a log line.
 MAX_LOGGED_TARGETS = 16
+MAX_LOGGED_TYPE = 64
 # Rejections of a stream that has begun which do not count as sends. Counts of
 # other instances are some 50 ms old, so that several may take the same place.
 MAX_FREE_REJECTIONS = 3
@@ -52,6 +54,8 @@
 SUCCESS_STATUS = 200
 REDIRECT_STATUS = 300
 ERROR_STATUS = 500
+# Failures after which a target may have crashed.
+_BROKEN_OFF = frozenset((CallFailure.BROKEN, CallFailure.FOREIGN))
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
 
 
@@ -388,7 +392,7 @@
         request.failed_targets.add(target.name)
         if error.blames_target and error.failure is not CallFailure.GATE:
             self._dependencies.health.note_failure(target.name)
-        is_broken = error.failure is CallFailure.BROKEN
+        is_broken = error.failure in _BROKEN_OFF
         if error.blames_target and is_broken and not has_survived:
             self._dependencies.crashes.note_broken_connection(
                 target, request.traits
@@ -408,6 +412,7 @@
             detail=error.detail,
             last_event=request.events.last_event_id,
             delimited=head.is_delimited if head else None,
+            content_type=_describe_type(head) if head else None,
         )
         if request.may_have_run:
             return MayHaveRun(Reason.TARGET_FAILED)
@@ -475,6 +480,7 @@
             answer.head.status,
             target=target.name,
             delimited=answer.head.is_delimited,
+            content_type=_describe_type(answer.head),
         )
         return None
 
@@ -540,6 +546,7 @@
             target=target.name,
             last_event=request.events.last_event_id,
             delimited=answer.head.is_delimited,
+            content_type=_describe_type(answer.head),
         )
         return None
 
@@ -622,4 +629,9 @@
 
 def _make_foreign_error(problem: str) -> CallError:
     """Returns the error of a target that sent what is no event of its run."""
-    return CallError(CallFailure.BROKEN, True, f"foreign bytes: {problem}")
+    return CallError(CallFailure.FOREIGN, True, f"foreign bytes: {problem}")
+
+
+def _describe_type(head: AnswerHead) -> str:
+    """Returns the content type of an answer for a log line."""
+    return find_header(head, "content-type")[:MAX_LOGGED_TYPE]
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -190,7 +190,7 @@
                     fields = dict(harness.log.events)
                     detail = str(fields[Event.TARGET_CALL_FAILED]["detail"])
                     assert detail.startswith("foreign bytes: ")
-                    assert harness.meter.send_outcomes[0] == "broken"
+                    assert harness.meter.send_outcomes[0] == "foreign"
 
     def test_stream_does_not_begin_with_foreign_bytes(self) -> None:
         """Guards against an answer that begins with a piece of no run."""
