--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -15,6 +15,7 @@
 from peridotbend.platform import wire
 from peridotbend_emulator.launch import Child, Launcher, LaunchError
 from tests.edgestandins import FakeStore, FakeTarget
+from tests.hosts import make_host
 from tests.test_edge_platform import (
     CONFIG_DOCUMENT,
     SETTINGS_DOCUMENT,
@@ -26,7 +27,7 @@
 WAIT_TIMEOUT_S = 30.0
 # A process that failed to start has exited this long after a reset at most.
 EXIT_TIMEOUT_S = 10.0
-HOSTS = ("127.0.0.21", "127.0.0.22")
+HOSTS = (make_host(21), make_host(22))
 CONFIG = {
     **CONFIG_DOCUMENT,
     "routes": [
--- /dev/null
+++ b/tests/hosts.py
@@ -0,0 +1,12 @@
+"""Loopback addresses of the daemons that tests start."""
+
+import os
+
+# The first three numbers of the addresses. Work trees whose tests run side by
+# side set different ones, since each daemon listens on a fixed metrics port.
+LOOPBACK_NET = os.environ.get("PERIDOTBEND_TEST_NET", "127.0.0")
+
+
+def make_host(number: int) -> str:
+    """Returns the address of an instance."""
+    return f"{LOOPBACK_NET}.{number}"
--- a/tests/test_edge_large.py
+++ b/tests/test_edge_large.py
@@ -17,9 +17,10 @@
     run_with_fleet,
     wait_for_event,
 )
+from tests.hosts import make_host
 
 FLEET_HOSTS = tuple(
-    f"127.0.0.{number}" for number in range(21, 21 + MAX_MESH_PEERS + 2)
+    make_host(number) for number in range(21, 21 + MAX_MESH_PEERS + 2)
 )
 # One reader ends a watch of each of the two prefixes every 2 s.
 WINDOW_S = 3.0
--- a/tests/test_edge_origins.py
+++ b/tests/test_edge_origins.py
@@ -38,6 +38,7 @@
     make_target,
 )
 from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
+from tests.hosts import make_host
 from tests.test_edge_platform import TARGET_ENTRY
 
 ZONES = {"10.0.0.1": "a", "10.0.0.2": "a", "10.0.1.1": "b", "10.0.1.2": "b"}
@@ -221,7 +222,7 @@
     def test_link_carries_notices(self) -> None:
         """Guards against an exchange that works without sockets only."""
         clock = ManualClock()
-        hosts = ("127.0.0.61", "127.0.0.62")
+        hosts = (make_host(61), make_host(62))
 
         class _Pair(_Members):
 
@@ -261,7 +262,7 @@
 
         Seen on binhminh-orders, rejoined, seed 11, in a trial.
         """
-        hosts = ("127.0.0.63", "127.0.0.64")
+        hosts = (make_host(63), make_host(64))
         clock = ManualClock()
 
         async def run() -> None:
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -43,6 +43,7 @@
 from tests.edgefakes import TARGET, RecordingLog, make_target
 from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
 from tests.edgestandins import FakeStore
+from tests.hosts import make_host
 from tests.test_edge_platform import TARGET_ENTRY
 
 TIMEOUT_S = 20.0
@@ -412,9 +413,9 @@
     def test_peers_that_cannot_help_are_passed_over(self) -> None:
         """Guards against requests that fail since the wrong peer was asked."""
         older = OtherInstance(HOSTS[0], is_older_build=True)
-        draining = OtherInstance("127.0.0.23")
+        draining = OtherInstance(make_host(23))
         draining.server.is_closing = True
-        cut_off = OtherInstance("127.0.0.24")
+        cut_off = OtherInstance(make_host(24))
         for name in ("i-1", "i-2"):
             cut_off.targets.put(make_target(name))
             cut_off.paths.note_failed("engine", name)
