--- /dev/null
+++ b/tests/test_edge_answers.py
@@ -0,0 +1,250 @@
+"""Tests of which answers on a streaming route are taken for those of a run."""
+
+import dataclasses
+import unittest
+
+import anyio
+
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import AnswerHead
+from peridotbend.domain.streams import is_event_stream
+from peridotbend.domain.verdicts import MayHaveRun, Reason
+from peridotbend.edge.ports import AnswerBrokenError, EdgeCall
+from tests.edgefakes import (
+    CALL,
+    CONFIG,
+    RecordingResponder,
+    RelayHarness,
+    ScriptedReply,
+    make_event,
+)
+
+EVENTS = tuple(make_event(number) for number in range(1, 6))
+WHOLE = ScriptedReply(chunks=EVENTS)
+REST = ScriptedReply(chunks=EVENTS[3:])
+# Breaks off after three events.
+CUT = ScriptedReply(chunks=EVENTS[:3], breaks_connection=True)
+EMPTY = ScriptedReply()
+THREE_SENDS = dataclasses.replace(
+    CONFIG, routes=(dataclasses.replace(CONFIG.routes[0], max_attempts=3),)
+)
+NO_RESUMPTION = dataclasses.replace(
+    CONFIG,
+    routes=(dataclasses.replace(CONFIG.routes[0], can_resume=False),),
+)
+# A caller that has the first three events.
+TAKE_UP = dataclasses.replace(CALL, last_event_id="3")
+# Successes and redirections of all kinds.
+STATUSES_OF_NO_FAILURE = (200, 201, 202, 203, 204, 205, 206, 226, 299, 300,
+                          302, 304, 307, 399)  # fmt: skip
+FOREIGN_BODIES = {
+    "nothing": (),
+    "data without an ID": (b"data: x\n\n",),
+    "text": (b"out of memory\n",),
+    "bytes that are no text": (b"\xff\xfe\0" * 40,),
+    "bytes after events": (*EVENTS[:3], b"\xff\xfe\n\n"),
+    "events": EVENTS,
+}
+
+
+def _serve(harness: RelayHarness, call: EdgeCall = CALL) -> RecordingResponder:
+    responder = RecordingResponder()
+
+    async def run() -> None:
+        try:
+            await harness.relay.serve(call, responder)
+        except AnswerBrokenError:
+            assert not responder.is_complete
+
+    anyio.run(run)
+    return responder
+
+
+def _list_foreign_answers() -> list[tuple[str, ScriptedReply]]:
+    """Returns answers without a failure that are no event stream."""
+    return [
+        (
+            f"{status}, {name}, delimited={is_delimited}",
+            ScriptedReply(
+                status=status,
+                chunks=chunks,
+                is_event_stream=False,
+                is_delimited=is_delimited,
+            ),
+        )
+        for status in STATUSES_OF_NO_FAILURE
+        for name, chunks in FOREIGN_BODIES.items()
+        for is_delimited in (True, False)
+    ]
+
+
+class NoEventStreamTest(unittest.TestCase):
+    """Answers on a streaming route that are neither a stream nor a failure."""
+
+    def test_answer_that_is_no_event_stream_reaches_no_caller(self) -> None:
+        """Guards against bytes of no run in an answer that looks whole.
+
+        Seen as ORDER: callers got the body of such an answer as a piece.
+        """
+        for name, foreign in _list_foreign_answers():
+            with self.subTest(answer=name):
+                harness = RelayHarness(foreign, WHOLE)
+                responder = _serve(harness)
+                assert responder.body == b"".join(EVENTS)
+                assert responder.is_complete
+                assert responder.head is not None
+                assert responder.head.status == 200
+                assert harness.meter.send_outcomes[0] == "foreign"
+                fields = dict(harness.log.events)
+                detail = str(fields[Event.TARGET_CALL_FAILED]["detail"])
+                assert str(foreign.status) in detail
+
+    def test_such_an_answer_does_not_go_on_with_a_stream(self) -> None:
+        """Guards against such bytes between the events of two runs."""
+        for name, foreign in _list_foreign_answers():
+            with self.subTest(answer=name):
+                harness = RelayHarness(CUT, foreign, REST, config=THREE_SENDS)
+                responder = _serve(harness)
+                assert responder.body == b"".join(EVENTS)
+                assert responder.is_complete
+                assert harness.client.sends[2].last_event_id == "3"
+
+    def test_such_an_answer_does_not_go_on_for_a_caller(self) -> None:
+        """Guards against such bytes after a caller takes up a stream."""
+        for name, foreign in _list_foreign_answers():
+            with self.subTest(answer=name):
+                harness = RelayHarness(foreign, REST)
+                responder = _serve(harness, TAKE_UP)
+                assert responder.body == b"".join(EVENTS[3:])
+                assert responder.is_complete
+
+    def test_caller_of_a_stream_that_runs_once_learns_the_truth(self) -> None:
+        """Guards against a success, or "not run", for such an answer."""
+        for name, foreign in _list_foreign_answers():
+            with self.subTest(answer=name):
+                harness = RelayHarness(foreign, config=NO_RESUMPTION)
+                responder = _serve(harness)
+                assert responder.head is None
+                assert responder.verdict == MayHaveRun(Reason.TARGET_FAILED)
+                assert len(harness.client.sends) == 1
+
+    def test_failures_of_runs_pass_unchanged(self) -> None:
+        """Guards against hiding what a run says of its failure."""
+        for status in (400, 404, 409, 422, 500, 504, 599):
+            for is_stream in (True, False):
+                with self.subTest(status=status, stream=is_stream):
+                    failure = ScriptedReply(
+                        status=status,
+                        chunks=(b"sorry",),
+                        is_event_stream=is_stream,
+                    )
+                    harness = RelayHarness(failure, config=NO_RESUMPTION)
+                    responder = _serve(harness)
+                    assert responder.head is not None
+                    assert responder.head.status == status
+                    assert responder.body == b"sorry"
+                    assert responder.is_complete
+
+
+class EmptyStreamTest(unittest.TestCase):
+    """Event streams that end properly without an event."""
+
+    def test_stream_without_an_event_is_no_whole_stream(self) -> None:
+        """Guards against a stream that ends before its first event."""
+        for blank in ((), (b"\n",), (b": wait\n\n",)):
+            with self.subTest(chunks=blank):
+                first = ScriptedReply(chunks=blank)
+                responder = _serve(RelayHarness(first, WHOLE))
+                assert responder.body == b"".join(EVENTS)
+                assert responder.is_complete
+                harness = RelayHarness(first, config=NO_RESUMPTION)
+                responder = _serve(harness)
+                assert responder.verdict == MayHaveRun(Reason.TARGET_FAILED)
+                assert harness.meter.send_outcomes == ["foreign"]
+
+    def test_one_target_alone_does_not_end_a_stream(self) -> None:
+        """Guards against a stream that looks complete before its last event.
+
+        An empty answer to a resumed send says that no event is left. So may a
+        target in trouble.
+        """
+        for head, call in ((CUT, CALL), (None, TAKE_UP)):
+            with self.subTest(head=head):
+                begun = [] if head is None else [head]
+                harness = RelayHarness(*begun, EMPTY, REST, config=THREE_SENDS)
+                responder = _serve(harness, call)
+                assert responder.body.endswith(b"".join(EVENTS[3:]))
+                assert responder.is_complete
+
+    def test_last_send_alone_does_not_end_a_stream(self) -> None:
+        """Guards against such an end when no send is left.
+
+        The caller can take the stream up if its connection is closed.
+        """
+        responder = _serve(RelayHarness(CUT, EMPTY))
+        assert responder.body == b"".join(EVENTS[:3])
+        assert not responder.is_complete
+
+    def test_two_targets_that_agree_end_a_stream(self) -> None:
+        """Guards against a stream that never ends after its last event."""
+        for head, call in ((CUT, CALL), (None, TAKE_UP)):
+            with self.subTest(head=head):
+                begun = [] if head is None else [head]
+                harness = RelayHarness(*begun, EMPTY, EMPTY, config=THREE_SENDS)
+                responder = _serve(harness, call)
+                assert responder.is_complete
+                assert responder.body == b"".join(EVENTS[:3] if begun else ())
+
+    def test_empty_answers_of_two_kinds_do_not_agree(self) -> None:
+        """Guards against counting a foreign answer as a second voice."""
+        foreign = ScriptedReply(is_event_stream=False)
+        unframed = ScriptedReply(is_delimited=False)
+        for other in (foreign, unframed):
+            for replies in ((EMPTY, other), (other, EMPTY)):
+                harness = RelayHarness(*replies, REST, config=THREE_SENDS)
+                responder = _serve(harness, TAKE_UP)
+                assert responder.body == b"".join(EVENTS[3:])
+                assert responder.is_complete
+
+
+class EventStreamTypeTest(unittest.TestCase):
+    """Which content types are those of an event stream."""
+
+    def test_type_is_read_as_in_http(self) -> None:
+        """Guards against streams that pass unread because of their type.
+
+        Types are compared without case; parameters may follow.
+        """
+        for content_type in (
+            "text/event-stream",
+            "TEXT/Event-Stream; charset=utf-8",
+            "text/event-stream;charset=utf-8",
+            " text/event-stream ; a=b",
+        ):
+            assert _is_stream(("Content-Type", content_type)), content_type
+            assert _is_stream(("CONTENT-TYPE", content_type)), content_type
+
+    def test_other_types_are_no_event_stream(self) -> None:
+        """Guards against a type that only begins like that of a stream."""
+        for content_type in (
+            "",
+            "text/plain",
+            "application/json",
+            "text/event-streams",
+            "text/event-stream-2; charset=utf-8",
+            "text/event-stream, text/plain",
+            "text/plain; type=text/event-stream",
+        ):
+            assert not _is_stream(("Content-Type", content_type)), content_type
+        assert not _is_stream()
+
+    def test_two_types_are_none(self) -> None:
+        """Guards against the first of two types that contradict each other."""
+        stream = ("Content-Type", "text/event-stream")
+        other = ("Content-Type", "text/plain")
+        assert not _is_stream(stream, other)
+        assert not _is_stream(other, stream)
+
+
+def _is_stream(*headers: tuple[str, str]) -> bool:
+    return is_event_stream(AnswerHead(200, headers))
--- /dev/null
+++ b/tests/test_edge_trouble.py
@@ -0,0 +1,222 @@
+"""Tests of real daemons beside a target that sends what no run gives."""
+
+import asyncio
+import contextlib
+import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+import httpcore
+
+from peridotbend.adapters.serving import HttpServer, listen
+from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
+from tests.edgestandins import FakeStore
+from tests.test_edge_paths import refuse_connections
+from tests.test_edge_platform import SETTINGS_DOCUMENT, TARGET_ENTRY
+from tests.troubledtargets import (
+    FOREIGN_HEADS,
+    WHOLE,
+    ForeignAnswer,
+    Place,
+    TroubledTarget,
+    list_foreign_answers,
+)
+
+# More than the calls that are made at a time.
+SLOTS = 200
+CONCURRENT_CALLS = 24
+RESUMABLE_PATH = "/trouble/"
+SINGLE_RUN_PATH = "/once/"
+ROUTE = {**CONFIG["routes"][0], "service": "trouble", "max_attempts": 3}
+TROUBLE_CONFIG = {
+    **CONFIG,
+    "routes": [
+        *CONFIG["routes"],
+        {
+            **ROUTE,
+            "name": "r-8",
+            "path_prefix": RESUMABLE_PATH,
+            "resumable": True,
+        },
+        {
+            **ROUTE,
+            "name": "r-9",
+            "path_prefix": SINGLE_RUN_PATH,
+            "resumable": False,
+        },
+    ],
+    "services": [*CONFIG["services"], {"name": "trouble"}],
+}
+# Many attempts are sent again within seconds.
+BOUNDS = {**SETTINGS_DOCUMENT["bounds"], "retry_slack": 100_000}
+
+
+class TroubledFleet:
+    """A fleet with a service whose target answers as one in trouble."""
+
+    def __init__(self, fleet: EdgeFleet, answers: list[ForeignAnswer]) -> None:
+        self.fleet = fleet
+        self.answers = answers
+        self.target = TroubledTarget(answers)
+
+    @contextlib.asynccontextmanager
+    async def serve_target(self) -> AsyncIterator[int]:
+        """Runs the target and yields its port."""
+        server = await asyncio.start_server(self.target.serve, "127.0.0.1", 0)
+        try:
+            yield server.sockets[0].getsockname()[1]
+        finally:
+            server.close()
+
+    async def call(self, path: str) -> httpcore.Response | None:
+        """Calls an instance; returns None if the answer breaks off."""
+        try:
+            return await self.fleet.call(HOSTS[0], path, path)
+        except (httpcore.RemoteProtocolError, httpcore.ReadError):
+            return None
+
+    async def list_problems(self, prefix: str, *places: Place) -> list[str]:
+        """Returns what callers got that is neither whole nor a refusal.
+
+        Each answer is given once at each place.
+        """
+        problems: list[str] = []
+        limiter = anyio.CapacityLimiter(CONCURRENT_CALLS)
+
+        async def check(number: int, place: Place) -> None:
+            path = f"{prefix}{number}/{place.value}/x"
+            async with limiter:
+                answer = await self.call(path)
+            problem = self._find_problem(answer, path, prefix)
+            if problem:
+                name = self.answers[number].name
+                problems.append(f"{place.value}, {name}: {problem}")
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(len(self.answers)):
+                for place in places:
+                    tasks.start_soon(check, number, place)
+        return problems
+
+    def _find_problem(
+        self, answer: httpcore.Response | None, path: str, prefix: str
+    ) -> str:
+        if answer is None:
+            return "broken off"
+        if prefix == RESUMABLE_PATH:
+            # The caller keeps the head of the run that began its stream.
+            is_success = answer.status in (200, 201)
+            if not is_success or answer.content != WHOLE:
+                return f"{answer.status} {answer.content[-80:]!r}"
+            return ""
+        if answer.status != 502 or answer.content:
+            return f"{answer.status} {answer.content[-80:]!r}"
+        if self.target.sends[path] != 1:
+            return f"{self.target.sends[path]} sends"
+        return ""
+
+
+def put_service(store: FakeStore, port: int) -> None:
+    """Lists targets of the service in trouble, all at one port."""
+    store.put("op/config", TROUBLE_CONFIG)
+    for name in ("i-7", "i-8", "i-9"):
+        entry = {
+            **TARGET_ENTRY,
+            "service": "trouble",
+            "slots": SLOTS,
+            "address": f"127.0.0.1:{port}",
+        }
+        store.put(f"servers/{name}", entry)
+
+
+def run_with_trouble(
+    answers: list[ForeignAnswer],
+    check: Callable[[TroubledFleet], Awaitable[None]],
+) -> None:
+    """Runs a check with an instance that reaches the target directly."""
+
+    async def start(fleet: EdgeFleet) -> None:
+        troubled = TroubledFleet(fleet, answers)
+        async with troubled.serve_target() as port:
+            put_service(fleet.store, port)
+            fleet.spawn(HOSTS[0], bounds=BOUNDS)
+            await fleet.wait_ready(HOSTS[0])
+            await check(troubled)
+
+    run_with_fleet(start)
+
+
+def run_with_peer(
+    answers: list[ForeignAnswer],
+    check: Callable[[TroubledFleet], Awaitable[None]],
+) -> None:
+    """Runs a check with an instance that reaches targets through a peer only.
+
+    Its store names a port that refuses connections for all of them.
+    """
+
+    async def start(fleet: EdgeFleet) -> None:
+        troubled = TroubledFleet(fleet, answers)
+        cut_store = FakeStore()
+        listener = listen("127.0.0.1", 0)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        async with troubled.serve_target() as port:
+            with refuse_connections() as unused_port:
+                put_service(fleet.store, port)
+                put_service(cut_store, unused_port)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(HttpServer(cut_store, listener).run)
+                    cut_child = fleet.spawn(
+                        HOSTS[0], platform={"address": address}, bounds=BOUNDS
+                    )
+                    fleet.spawn(HOSTS[1])
+                    for host in HOSTS:
+                        await fleet.wait_ready(host)
+                    while '"peer-live"' not in cut_child.output:
+                        await anyio.sleep(0.02)
+                    # Its links count as lost after this.
+                    await troubled.call(f"{SINGLE_RUN_PATH}0/resumed/links")
+                    await check(troubled)
+                    assert '"target-links-lost"' in cut_child.output
+                    tasks.cancel_scope.cancel()
+
+    run_with_fleet(start)
+
+
+class ForeignAnswerProcessTest(unittest.TestCase):
+    """Answers that no run gives, on real connections."""
+
+    def test_callers_of_streams_that_go_on_get_events_of_runs_only(
+        self,
+    ) -> None:
+        """Guards against bytes that no run made, beside event streams.
+
+        Callers got answers of other types, and empty streams, as whole.
+        """
+
+        async def check(troubled: TroubledFleet) -> None:
+            problems = await troubled.list_problems(RESUMABLE_PATH, *Place)
+            assert not problems, "\n".join(problems)
+
+        for run in (run_with_trouble, run_with_peer):
+            with self.subTest(run=run.__name__):
+                run(list_foreign_answers(), check)
+
+    def test_callers_of_streams_that_run_once_get_no_success(self) -> None:
+        """Guards against a success, or a second run, for such an answer."""
+        heads = set(FOREIGN_HEADS)
+        answers = [
+            answer
+            for answer in list_foreign_answers()
+            if answer.name.partition(";")[0] in heads
+        ]
+
+        async def check(troubled: TroubledFleet) -> None:
+            problems = await troubled.list_problems(
+                SINGLE_RUN_PATH, Place.FIRST
+            )
+            assert not problems, "\n".join(problems)
+
+        for run in (run_with_trouble, run_with_peer):
+            with self.subTest(run=run.__name__):
+                run(answers, check)
