Take only event streams and failures for answers of runs

On a streaming route, a success of another content type or of none, and a redirection, went the way of whole answers, where any bytes pass: each caller sent to a target in trouble held them, as the first answer or after taking up a stream. Streams that have begun were already kept free of such answers.

Cause: what is foreign was listed. An answer that the relay did not recognise as an event stream counted as a whole answer of the run.

Failures pass as before.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -53,6 +53,7 @@
 # A target may answer with another status before it runs a request.
 SUCCESS_STATUS = 200
 REDIRECT_STATUS = 300
+FAILURE_STATUS = 400
 ERROR_STATUS = 500
 # Failures after which a target may have crashed.
 _BROKEN_OFF = frozenset((CallFailure.BROKEN, CallFailure.FOREIGN))
@@ -426,17 +427,18 @@
         tracked_send: TrackedSend,
         responder: Responder,
     ) -> NotRun | MayHaveRun | None:
-        is_success = SUCCESS_STATUS <= answer.head.status < REDIRECT_STATUS
-        is_stream = is_success and answer.is_event_stream
-        if request.route.kind is RouteKind.STREAM and is_stream:
-            return await self._deliver_stream(
-                request, target, answer, tracked_send, responder
-            )
-        if request.head_sent:
-            # An error may have the content type of a stream.
-            return self._note_error(
-                request, target, _make_no_stream_error(answer), answer.head
-            )
+        if request.route.kind is RouteKind.STREAM:
+            # A run either fails or answers with an event stream.
+            status = answer.head.status
+            is_success = SUCCESS_STATUS <= status < REDIRECT_STATUS
+            if is_success and answer.is_event_stream:
+                return await self._deliver_stream(
+                    request, target, answer, tracked_send, responder
+                )
+            if status < FAILURE_STATUS or request.head_sent:
+                return self._note_error(
+                    request, target, _make_no_stream_error(answer), answer.head
+                )
         return await self._deliver_unstreamed(
             request, target, answer, responder
         )
@@ -623,8 +625,13 @@
 
 
 def _make_no_stream_error(answer: EdgeAnswer) -> CallError:
-    detail = f"expected a resumed event stream, got status {answer.head.status}"
-    return CallError(CallFailure.BROKEN, True, detail)
+    status = answer.head.status
+    is_failure = status >= FAILURE_STATUS
+    return CallError(
+        CallFailure.BROKEN if is_failure else CallFailure.FOREIGN,
+        True,
+        f"expected an event stream, got status {status}",
+    )
 
 
 def _make_foreign_error(problem: str) -> CallError:
