Compare the content type of event streams as HTTP does

A type that only begins like that of an event stream, or the first of two types that contradict each other, counted as one.

Cause: the type was compared as the beginning of a string, with case, and only the first of several headers was looked at.

Change: the media type is compared whole and without case, parameters may follow, and all Content-Type headers have to agree.

--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -10,6 +10,7 @@
 USAGE_TAIL_BYTES = 1_024
 # Quotes within JSON strings are escaped, so generated text cannot match this.
 _COMPLETION_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d{1,9})\b')
+EVENT_STREAM_TYPE = "text/event-stream"
 CLOSING_EVENT = b"data: [DONE]\n\n"
 
 
@@ -33,7 +34,13 @@
 
 def is_event_stream(head: AnswerHead) -> bool:
     """Tells whether an answer consists of server-sent events."""
-    return find_header(head, "content-type").startswith("text/event-stream")
+    types = [v for n, v in head.headers if n.lower() == "content-type"]
+    return bool(types) and all(map(_is_event_stream_type, types))
+
+
+def _is_event_stream_type(content_type: str) -> bool:
+    # Types are compared without case, and parameters may follow.
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
 
 
 class EventStream:
