Do not end a stream before its first event

What callers saw: a whole answer without a piece, from a target in trouble that sent the head of an event stream and then an empty body with a length, or the last chunk at once.

Cause: an event stream with a length or chunks was believed to be complete wherever it ended. Only one without them had to have an event.

Change: a stream that ends without an event, while its caller has none either, is no answer of a run, however it is framed. The send ends as foreign.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -58,6 +58,7 @@
 # Failures after which a target may have crashed.
 _BROKEN_OFF = frozenset((CallFailure.BROKEN, CallFailure.FOREIGN))
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
+_EMPTY_STREAM = CallError(CallFailure.FOREIGN, True, "stream without an event")
 
 
 class Relay:
@@ -538,6 +539,8 @@
             return self._note_error(
                 request, target, _CUT_STREAM, answer.head, has_survived
             )
+        if not request.events.last_event_id:
+            return self._note_error(request, target, _EMPTY_STREAM, answer.head)
         await self._start_once(request, answer.head, responder)
         await responder.finish()
         self._note_answer(request, target, failed=False)
