Let two answers end a stream that goes on without an event

What callers saw: a stream that ended as complete in its middle. After a target broke off, or when a caller took its stream up, a target in trouble answered the resumed send with an empty event stream.

Cause: a run that is resumed after its last event has nothing to send, so an empty answer with a length or chunks was believed. A target in trouble gives the same answer at any event, and nothing in it differs.

Change: such an answer ends the stream only once a second one says the same; until then the send counts as failed, without blame on the target, and the stream goes on elsewhere. If no send is left, the connection is closed, and the caller can take the stream up. Weighed: believing chunks but not a length of 0, which tells nothing of a target in trouble.

Cost: one more send where a target breaks off after its last event but before the end of its body, or a caller takes up a stream after its last event.

test_stream_that_ends_before_its_first_event_is_broken expected that one answer ends a stream, which is the fault; it now expects two, and counts the sends.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -58,7 +58,16 @@
 # Failures after which a target may have crashed.
 _BROKEN_OFF = frozenset((CallFailure.BROKEN, CallFailure.FOREIGN))
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
+# An empty answer to a resumed send says that no event is left; a target in
+# trouble may say so too early.
+MIN_EMPTY_ANSWERS = 2
 _EMPTY_STREAM = CallError(CallFailure.FOREIGN, True, "stream without an event")
+_UNCONFIRMED_END = CallError(
+    CallFailure.FOREIGN,
+    True,
+    "only one target says that no event is left",
+    blames_target=False,
+)
 
 
 class Relay:
@@ -539,8 +548,11 @@
             return self._note_error(
                 request, target, _CUT_STREAM, answer.head, has_survived
             )
-        if not request.events.last_event_id:
-            return self._note_error(request, target, _EMPTY_STREAM, answer.head)
+        if not has_events:
+            request.empty_answers += 1
+            error = _find_early_end(request)
+            if error is not None:
+                return self._note_error(request, target, error, answer.head)
         await self._start_once(request, answer.head, responder)
         await responder.finish()
         self._note_answer(request, target, failed=False)
@@ -627,6 +639,15 @@
         )
 
 
+def _find_early_end(request: ActiveRequest) -> CallError | None:
+    """Returns why a stream does not end with an answer without an event."""
+    if not request.events.last_event_id:
+        return _EMPTY_STREAM
+    if request.empty_answers < MIN_EMPTY_ANSWERS:
+        return _UNCONFIRMED_END
+    return None
+
+
 def _make_no_stream_error(answer: EdgeAnswer) -> CallError:
     status = answer.head.status
     is_failure = status >= FAILURE_STATUS
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -93,16 +93,21 @@
         harness = RelayHarness(first, ScriptedReply(chunks=(make_event(1),)))
         responder = _serve(harness)
         assert responder.body == make_event(1)
-        # A target has nothing left to send after the last event. Only an answer
-        # with a length or chunks says so.
+        # A target has nothing left to send after the last event. Only answers
+        # with a length or chunks say so, and two have to.
         resumed = dataclasses.replace(CALL, last_event_id="12")
-        done = RelayHarness(ScriptedReply())
+        done = RelayHarness(ScriptedReply(), ScriptedReply())
         assert _serve(done, resumed).is_complete
+        assert len(done.client.written_sends) == 2
+        route = dataclasses.replace(CONFIG.routes[0], max_attempts=3)
         asked_again = RelayHarness(
-            ScriptedReply(is_delimited=False), ScriptedReply()
+            ScriptedReply(is_delimited=False),
+            ScriptedReply(),
+            ScriptedReply(),
+            config=dataclasses.replace(CONFIG, routes=(route,)),
         )
         assert _serve(asked_again, resumed).is_complete
-        assert len(asked_again.client.written_sends) == 2
+        assert len(asked_again.client.written_sends) == 3
 
     def test_resumption_that_ends_before_an_event_is_broken(self) -> None:
         """Guards against a broken-off stream that is framed as complete.
