Take an answer whose status is none of HTTP for a broken one

What callers saw: a connection closed without an answer, on any route, where the target in trouble answered with the status 700 or 999, although another target could have served them. The server that writes the answer raised KeyError.

Cause: the HTTP library reads any three digits as a status and gives an answer to an offer of another protocol (101) as a final one; what is read was taken for the status of a run.

Change: a status outside of 200 to 599 is no answer of the target.

Evidence: test_status_that_is_none_of_http_is_no_answer failed before.

--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -443,6 +443,21 @@
             assert reply.failure is CallFailure.BROKEN
             assert reply.written
 
+    def test_status_that_is_none_of_http_is_no_answer(self) -> None:
+        """Guards against a head that no caller can be sent.
+
+        Callers saw their connection closed, also where another target could
+        have served them.
+        """
+        own = (f"{wire.ATTEMPT_ID}: attempt-1", "X-Server-Stamp: s")
+        for status in ("600 Odd", "999 Odd", "101 Switching Protocols"):
+            reply, _, _ = self._send(_make_answer(status, b"x", *own))
+            assert isinstance(reply, CallError), status
+            assert reply.written
+        for status in ("200 OK", "404 Not Found", "599 Odd"):
+            reply, _, _ = self._send(_make_answer(status, b"x", *own))
+            assert not isinstance(reply, Rejection | CallError), status
+
 
 class KeptConnectionTest(unittest.TestCase):
     """Refusals that a target writes once more on a connection in use again."""
