Do not bound a stream by the length that its first run named

What callers saw: a stream cut in its middle, or never whole, although another target was ready to go on. The first run, of a target in trouble or one that sends comments, named the length of its own bytes.

Cause: the head of the first run was passed on with its Content-Length, while the body is made of the events of all runs. The server refuses to write more, and the caller waits for more where comments were left out.

Change: the head of a stream is passed on without a length; its end is told by chunks, or by its connection for HTTP/1.0.

Evidence: test_length_of_one_run_does_not_cut_a_stream_of_two and test_sound_streams_with_a_length_are_sent_once failed before.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -1,5 +1,7 @@
 """Serves one call: admission, target selection, retries and the answer."""
 
+import dataclasses
+
 import anyio
 from result import Err, Result
 
@@ -506,6 +508,7 @@
     ) -> NotRun | MayHaveRun | None:
         has_survived = False
         has_events = False
+        head = _drop_length(answer.head)
         request.events.start_run(answer.event_header)
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
@@ -527,7 +530,7 @@
                 has_events = True
                 self._note_begun(request, target)
                 tracked_send.is_blocked = True
-                await self._start_once(request, answer.head, responder)
+                await self._start_once(request, head, responder)
                 await responder.send(events)
                 tracked_send.is_blocked = False
                 self._dependencies.health.note_activity(target.name)
@@ -553,7 +556,7 @@
             error = _find_early_end(request)
             if error is not None:
                 return self._note_error(request, target, error, answer.head)
-        await self._start_once(request, answer.head, responder)
+        await self._start_once(request, head, responder)
         await responder.finish()
         self._note_answer(request, target, failed=False)
         self._dependencies.crashes.note_sound(request.traits)
@@ -639,6 +642,16 @@
         )
 
 
+def _drop_length(head: AnswerHead) -> AnswerHead:
+    """Returns the head of an answer without the length of its body.
+
+    A caller may get fewer bytes, as comments are left out, or more, as another
+    run goes on with the stream.
+    """
+    headers = (h for h in head.headers if h[0].lower() != "content-length")
+    return dataclasses.replace(head, headers=tuple(headers))
+
+
 def _find_early_end(request: ActiveRequest) -> CallError | None:
     """Returns why a stream does not end with an answer without an event."""
     if not request.events.last_event_id:
--- a/tests/test_edge_trouble.py
+++ b/tests/test_edge_trouble.py
@@ -14,9 +14,12 @@
 from tests.test_edge_paths import refuse_connections
 from tests.test_edge_platform import SETTINGS_DOCUMENT, TARGET_ENTRY
 from tests.troubledtargets import (
+    FOREIGN_BODIES,
     FOREIGN_HEADS,
+    STREAM_HEADS,
     WHOLE,
     ForeignAnswer,
+    Framing,
     Place,
     TroubledTarget,
     list_foreign_answers,
@@ -176,8 +179,9 @@
                         await anyio.sleep(0.02)
                     # Its links count as lost after this.
                     await troubled.call(f"{SINGLE_RUN_PATH}0/resumed/links")
+                    while '"target-links-lost"' not in cut_child.output:
+                        await anyio.sleep(0.02)
                     await check(troubled)
-                    assert '"target-links-lost"' in cut_child.output
                     tasks.cancel_scope.cancel()
 
     run_with_fleet(start)
@@ -220,3 +224,46 @@
         for run in (run_with_trouble, run_with_peer):
             with self.subTest(run=run.__name__):
                 run(answers, check)
+
+    def test_length_of_one_run_does_not_cut_a_stream_of_two(self) -> None:
+        """Guards against streams cut at the length that their first run named.
+
+        The target in trouble names the length of its own bytes. The events of
+        the two runs together have another one.
+        """
+        head = STREAM_HEADS["stream"]
+        answers = [
+            ForeignAnswer(name, *head, body, Framing.LENGTH)
+            for name, body in FOREIGN_BODIES.items()
+        ]
+
+        async def check(troubled: TroubledFleet) -> None:
+            problems = await troubled.list_problems(RESUMABLE_PATH, Place.FIRST)
+            assert not problems, "\n".join(problems)
+
+        run_with_trouble(answers, check)
+
+    def test_sound_streams_with_a_length_are_sent_once(self) -> None:
+        """Guards against refusing or cutting a stream whose length is known.
+
+        Comments are left out, so that the caller gets fewer bytes.
+        """
+        head = STREAM_HEADS["stream"]
+        answers = [
+            ForeignAnswer("events", *head, WHOLE, framing)
+            for framing in Framing
+        ] + [
+            ForeignAnswer("comments", *head, b": ping\n\n" + WHOLE, framing)
+            for framing in Framing
+        ]
+
+        async def check(troubled: TroubledFleet) -> None:
+            for prefix in (RESUMABLE_PATH, SINGLE_RUN_PATH):
+                for number in range(len(answers)):
+                    path = f"{prefix}{number}/first/x"
+                    answer = await troubled.call(path)
+                    assert answer is not None, path
+                    assert (answer.status, answer.content) == (200, WHOLE)
+                    assert troubled.target.sends[path] == 1
+
+        run_with_trouble(answers, check)
