Do not take foreign bytes for a crash of their target

Cause: a send that ended because of foreign bytes counted as evidence that its request crashes targets, like a connection that broke, as soon as the target in trouble went for whatever reason. Since whole foreign answers end sends too, each of them would have become such evidence; before, they counted as signs of life.

Change: only a connection that broke is evidence. Foreign bytes tell that the target answered. They count against its health as before.

Evidence: test_request_is_not_blamed_for_a_target_in_trouble failed in its three cases before.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -57,8 +57,6 @@
 REDIRECT_STATUS = 300
 FAILURE_STATUS = 400
 ERROR_STATUS = 500
-# Failures after which a target may have crashed.
-_BROKEN_OFF = frozenset((CallFailure.BROKEN, CallFailure.FOREIGN))
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
 # An empty answer to a resumed send says that no event is left; a target in
 # trouble may say so too early.
@@ -405,7 +403,7 @@
         request.failed_targets.add(target.name)
         if error.blames_target and error.failure is not CallFailure.GATE:
             self._dependencies.health.note_failure(target.name)
-        is_broken = error.failure in _BROKEN_OFF
+        is_broken = error.failure is CallFailure.BROKEN
         if error.blames_target and is_broken and not has_survived:
             self._dependencies.crashes.note_broken_connection(
                 target, request.traits
--- a/tests/test_edge_answers.py
+++ b/tests/test_edge_answers.py
@@ -128,6 +128,22 @@
                 assert responder.verdict == MayHaveRun(Reason.TARGET_FAILED)
                 assert len(harness.client.sends) == 1
 
+    def test_request_is_not_blamed_for_a_target_in_trouble(self) -> None:
+        """Guards against sound requests that count as crashing a target.
+
+        A target that answers has not crashed; one in trouble may end later.
+        """
+        events = ScriptedReply(chunks=(*EVENTS[:3], b"data: x\n\n"))
+        for foreign in (ScriptedReply(is_event_stream=False), EMPTY, events):
+            with self.subTest(answer=foreign):
+                harness = RelayHarness(foreign, ScriptedReply(chunks=EVENTS))
+                _serve(harness)
+                harness.crashes.note_target_removed(
+                    harness.client.sends[0].target
+                )
+                logged = [event for event, _ in harness.log.events]
+                assert Event.SUSPECT_RECORDED not in logged
+
     def test_failures_of_runs_pass_unchanged(self) -> None:
         """Guards against hiding what a run says of its failure."""
         for status in (400, 404, 409, 422, 500, 504, 599):
