--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -23,7 +23,11 @@
 MAX_PARALLEL_MUTANTS = 3
 # Tests that start processes on fixed addresses; only one mutant at a time may
 # run them.
-PROCESS_TESTS = ("test_edge_processes", "test_edge_failures")
+PROCESS_TESTS = (
+    "test_edge_processes",
+    "test_edge_failures",
+    "test_edge_trouble",
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -674,10 +678,66 @@
         "error-inside-a-stream",
         "MIXED",
         EDGE + "relay.py",
-        "is_stream = is_success and answer.is_event_stream",
-        "is_stream = answer.is_event_stream",
+        "if is_success and answer.is_event_stream:",
+        "if answer.is_event_stream:",
         ("test_edge_streams",),
     ),
+    Mutant(
+        "whole-answer-on-a-streaming-route",
+        "ORDER",
+        EDGE + "relay.py",
+        "if status < FAILURE_STATUS or request.head_sent:",
+        "if request.head_sent:",
+        ("test_edge_answers",),
+    ),
+    Mutant(
+        "stream-ended-before-its-first-event",
+        "ORDER",
+        EDGE + "relay.py",
+        "return _EMPTY_STREAM",
+        "return None",
+        ("test_edge_answers",),
+    ),
+    Mutant(
+        "stream-ended-by-one-target",
+        "ORDER",
+        EDGE + "relay.py",
+        "if request.empty_answers < MIN_EMPTY_ANSWERS:",
+        "if False:",
+        ("test_edge_answers",),
+    ),
+    Mutant(
+        "length-of-one-run-kept",
+        "ORDER",
+        EDGE + "relay.py",
+        "head = _drop_length(answer.head)",
+        "head = answer.head",
+        ("test_edge_trouble",),
+    ),
+    Mutant(
+        "first-of-two-types",
+        "ORDER",
+        "src/peridotbend/domain/streams.py",
+        "all(map(_is_event_stream_type, types))",
+        "_is_event_stream_type(types[0])",
+        ("test_edge_answers",),
+    ),
+    Mutant(
+        "any-status-passed",
+        "MIXED",
+        "src/peridotbend/platform/runners.py",
+        "if not MIN_STATUS <= head.status <= MAX_STATUS:",
+        "if False:",
+        ("test_edge_clients",),
+    ),
+    Mutant(
+        "foreign-bytes-taken-for-a-crash",
+        "LOST",
+        EDGE + "relay.py",
+        "is_broken = error.failure is CallFailure.BROKEN",
+        "is_broken = True",
+        ("test_edge_answers",),
+    ),
     Mutant(
         "refusal-of-no-attempt",
         "REFUSED",
