Test the mutant error-inside-a-stream with the answers of runs

It was alive when only test_edge_streams ran: what an error holds is no event, so that the splitter drops it as well. test_failures_of_runs_pass_unchanged kills it.

--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -680,7 +680,7 @@
         EDGE + "relay.py",
         "if is_success and answer.is_event_stream:",
         "if answer.is_event_stream:",
-        ("test_edge_streams",),
+        ("test_edge_answers", "test_edge_streams"),
     ),
     Mutant(
         "whole-answer-on-a-streaming-route",
