--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -646,6 +646,8 @@
     A caller may get fewer bytes, as comments are left out, or more, as another
     run goes on with the stream.
     """
+    if not find_header(head, "content-length"):
+        return head
     headers = (h for h in head.headers if h[0].lower() != "content-length")
     return dataclasses.replace(head, headers=tuple(headers))
 
