Add failing tests of heads and numbers that targets in trouble send

Two more faults are in the changes themselves: two empty answers may be of one target, and foreign heads and complete failures still count as evidence of a crash.

The code is not changed.

--- a/tests/test_edge_answers.py
+++ b/tests/test_edge_answers.py
@@ -2,14 +2,17 @@
 
 import dataclasses
 import unittest
+from collections.abc import AsyncIterator
 
 import anyio
+from result import Result
 
 from peridotbend.domain.events import Event
-from peridotbend.domain.ports import AnswerHead
+from peridotbend.domain.ports import AnswerHead, CallError
 from peridotbend.domain.streams import is_event_stream
 from peridotbend.domain.verdicts import MayHaveRun, Reason
 from peridotbend.edge.ports import AnswerBrokenError, EdgeCall
+from peridotbend.platform.runners import _read_reply
 from tests.edgefakes import (
     CALL,
     CONFIG,
@@ -222,6 +225,64 @@
                 assert responder.body == b"".join(EVENTS[3:])
                 assert responder.is_complete
 
+    def test_one_target_does_not_agree_with_itself(self) -> None:
+        """Guards against a second answer of the target that gave the first.
+
+        A target that failed is tried again once no other is left.
+        """
+        for head, call in ((CUT, CALL), (None, TAKE_UP)):
+            with self.subTest(head=head):
+                begun = [] if head is None else [head]
+                config = dataclasses.replace(
+                    CONFIG,
+                    routes=(
+                        dataclasses.replace(CONFIG.routes[0], max_attempts=4),
+                    ),
+                )
+                harness = RelayHarness(
+                    *begun, EMPTY, EMPTY, REST, config=config
+                )
+                for name in ("i-2", "i-3") if head is None else ("i-3",):
+                    harness.targets.remove(name)
+                responder = _serve(harness, call)
+                assert not responder.is_complete or responder.body.endswith(
+                    EVENTS[-1]
+                )
+
+
+class CrashEvidenceTest(unittest.TestCase):
+    """Complete answers, which tell that their target has not crashed."""
+
+    def test_failure_of_a_resumed_run_is_no_crash(self) -> None:
+        """Guards against sound requests that count as crashing a target."""
+        failure = ScriptedReply(status=500, is_event_stream=False)
+        harness = RelayHarness(CUT, failure, REST, config=THREE_SENDS)
+        _serve(harness)
+        harness.crashes.note_target_removed(harness.client.sends[1].target)
+        logged = [event for event, _ in harness.log.events]
+        assert Event.SUSPECT_RECORDED not in logged
+
+    def test_foreign_head_is_no_crash(self) -> None:
+        """Guards against the same for a head that no run gives."""
+        attempt, stamp = ("x-attempt-id", CALL.attempt), ("x-server-stamp", "s")
+        for status, headers in (
+            (200, (attempt,)),
+            (200, (stamp,)),
+            (700, (attempt, stamp)),
+            (200, (attempt, stamp, ("content-encoding", "gzip"))),
+        ):
+            with self.subTest(status=status, headers=headers):
+                reply = _read_reply(
+                    _HeadAnswer(AnswerHead(status, headers)), CALL.attempt
+                )
+                assert isinstance(reply, CallError)
+                harness = RelayHarness(ScriptedReply(failure=reply), WHOLE)
+                _serve(harness)
+                target = harness.client.sends[0].target
+                harness.crashes.note_target_removed(target)
+                logged = [event for event, _ in harness.log.events]
+                assert Event.SUSPECT_RECORDED not in logged
+
 
 class EventStreamTypeTest(unittest.TestCase):
     """Which content types are those of an event stream."""
@@ -262,5 +323,17 @@
         assert not _is_stream(other, stream)
 
 
+class _HeadAnswer:
+    """An answer whose body is not read."""
+
+    def __init__(self, head: AnswerHead) -> None:
+        self.head = head
+
+    async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields nothing."""
+        for chunk in ():
+            yield chunk
+
+
 def _is_stream(*headers: tuple[str, str]) -> bool:
     return is_event_stream(AnswerHead(200, headers))
