Bound the numbers that targets name in their answers

What callers saw: status 500 for all requests of a service, at all instances, after one answer with Server-Limit: 1e308, until the process ended; 500 or a cut stream for the request that a target turned away with Retry-After: 1e306.

Cause: any finite number was believed. As an integer, three times the limit or a thousand times the pause is infinite, which raises OverflowError; the limit is shared, and no answer can lift it since no request gets out.

Change: numbers above 1e9 are read as none. The share of a limit is also computed so that one from an instance of an older build can't overflow.

--- a/src/peridotbend/edge/ratelimits.py
+++ b/src/peridotbend/edge/ratelimits.py
@@ -211,8 +211,8 @@
         hosts = [self._own_host, *self._list_other_hosts()]
         ranked = rank(target.to_bytes(8, "big"), hosts, lambda host: host)
         place = ranked.index(self._own_host)
-        senders = min(
-            len(hosts), MIN_SENDERS + int(SENDERS_PER_LIMIT * limit.per_s)
+        senders = int(
+            min(len(hosts), MIN_SENDERS + SENDERS_PER_LIMIT * limit.per_s)
         )
         if limit.share_per_s is None:
             # The senders begin one after the other.
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -1,7 +1,6 @@
 """Client of targets that use the platform's protocol."""
 
 import contextlib
-import math
 from collections.abc import AsyncIterator, Callable
 
 from result import Err, Result
@@ -28,6 +27,9 @@
 MAX_STATUS = 599
 # Lower bound of the deadline header, since targets take 0 as no deadline.
 MIN_DEADLINE_MS = 1
+# Bounds the numbers that targets name, which are requests a second, rejections
+# a second and seconds.
+MAX_COUNT = 1e9
 # A part takes some 40 bytes.
 MAX_PARTS_BYTES = 1_048_576
 
@@ -155,12 +157,12 @@
 
 
 def _parse_count(head: AnswerHead, name: str) -> float | None:
-    """Returns a number that a header holds; None if it holds none."""
+    """Returns a number that a header holds; None if it holds none in range."""
     try:
         count = float(find_header(head, name))
     except ValueError:
         return None
-    return count if math.isfinite(count) and count >= 0 else None
+    return count if 0 <= count <= MAX_COUNT else None
 
 
 def _find_problem(head: AnswerHead) -> str:
