Let two targets, not two answers, end a stream without an event

Cause: a target that failed a request is tried again once no other is left, so that the same target confirmed itself.

Change: the targets that gave an empty answer are counted, not the answers. The send that waits for a second voice has an outcome of its own, unconfirmed, since the target may well be sound.

Evidence: test_one_target_does_not_agree_with_itself failed in both cases before.

--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -55,6 +55,8 @@
     BROKEN = "broken"
     # The answer holds what no run of the request gives.
     FOREIGN = "foreign"
+    # The answer says that a stream has ended, and nothing else does.
+    UNCONFIRMED = "unconfirmed"
     TIMEOUT = "timeout"
     TOO_LARGE = "too-large"
 
--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -36,8 +36,8 @@
     connect_failures: int = 0
     # Rejections that do not count as sends.
     rejections: int = 0
-    # Answers that ended properly without an event.
-    empty_answers: int = 0
+    # Names of targets whose answers ended properly without an event.
+    empty_targets: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     head_sent: bool = False
     # Software version at which the stream began; None before that.
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -60,10 +60,10 @@
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
 # An empty answer to a resumed send says that no event is left; a target in
 # trouble may say so too early.
-MIN_EMPTY_ANSWERS = 2
+MIN_EMPTY_TARGETS = 2
 _EMPTY_STREAM = CallError(CallFailure.FOREIGN, True, "stream without an event")
 _UNCONFIRMED_END = CallError(
-    CallFailure.FOREIGN,
+    CallFailure.UNCONFIRMED,
     True,
     "only one target says that no event is left",
     blames_target=False,
@@ -550,7 +550,7 @@
                 request, target, _CUT_STREAM, answer.head, has_survived
             )
         if not has_events:
-            request.empty_answers += 1
+            request.empty_targets.add(target.name)
             error = _find_early_end(request)
             if error is not None:
                 return self._note_error(request, target, error, answer.head)
@@ -656,7 +656,7 @@
     """Returns why a stream does not end with an answer without an event."""
     if not request.events.last_event_id:
         return _EMPTY_STREAM
-    if request.empty_answers < MIN_EMPTY_ANSWERS:
+    if len(request.empty_targets) < MIN_EMPTY_TARGETS:
         return _UNCONFIRMED_END
     return None
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -702,7 +702,7 @@
         "stream-ended-by-one-target",
         "ORDER",
         EDGE + "relay.py",
-        "if request.empty_answers < MIN_EMPTY_ANSWERS:",
+        "if len(request.empty_targets) < MIN_EMPTY_TARGETS:",
         "if False:",
         ("test_edge_answers",),
     ),
