Take a head that contradicts itself for none of a run

What callers saw: answers with two attempt IDs or two server stamps, of which one is of another run, as successes and as failures, on all kinds of routes.

Cause: only the first header of a name was looked at.

Change: all attempt IDs have to be that of the request, and all stamps alike.

--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -16,8 +16,13 @@
 
 def find_header(head: AnswerHead, name: str) -> str:
     """Returns the value of a header, or "" if it is missing."""
+    return next(iter(list_header_values(head, name)), "")
+
+
+def list_header_values(head: AnswerHead, name: str) -> list[str]:
+    """Returns the values of all headers with a name."""
     name = name.lower()
-    return next((v for n, v in head.headers if n.lower() == name), "")
+    return [v for n, v in head.headers if n.lower() == name]
 
 
 def count_output_tokens(head: AnswerHead, content: bytes) -> int | None:
@@ -34,7 +39,7 @@
 
 def is_event_stream(head: AnswerHead) -> bool:
     """Tells whether an answer consists of server-sent events."""
-    types = [v for n, v in head.headers if n.lower() == "content-type"]
+    types = list_header_values(head, "content-type")
     return bool(types) and all(map(_is_event_stream_type, types))
 
 
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -14,7 +14,11 @@
     TargetAnswer,
     TargetCall,
 )
-from peridotbend.domain.streams import find_header, is_event_stream
+from peridotbend.domain.streams import (
+    find_header,
+    is_event_stream,
+    list_header_values,
+)
 from peridotbend.domain.text import Target
 from peridotbend.edge.ports import Rejection, Reply, TargetSend
 from peridotbend.edge.targets import EdgeTarget
@@ -131,13 +135,13 @@
 
 def _read_reply(answer: TargetAnswer, attempt: str) -> Reply:
     head = answer.head
-    answered_attempt = find_header(head, wire.ATTEMPT_ID)
-    if answered_attempt and answered_attempt != attempt:
+    answered_attempts = list_header_values(head, wire.ATTEMPT_ID)
+    if any(answered != attempt for answered in answered_attempts):
         # A late duplicate answer to an earlier request on this connection.
         return CallError(
             CallFailure.BROKEN, True, "the answer is for another attempt"
         )
-    if not answered_attempt and head.is_reused_connection:
+    if not answered_attempts and head.is_reused_connection:
         # It may belong to any earlier request on this connection.
         return CallError(
             CallFailure.BROKEN, True, "the answer names no attempt"
@@ -174,8 +178,9 @@
         return f"{head.status} is no status of an answer"
     if not find_header(head, wire.ATTEMPT_ID):
         return "the answer has no attempt ID"
-    if not find_header(head, wire.SERVER_STAMP):
-        return "the answer has no server stamp"
+    stamps = set(list_header_values(head, wire.SERVER_STAMP))
+    if len(stamps) != 1 or "" in stamps:
+        return f"the answer has {len(stamps - {''})} server stamps"
     if find_header(head, "content-encoding"):
         return "the answer has a content encoding that was not requested"
     if any(_CONTROL_CHARACTER.search(value) for _, value in head.headers):
