Do not take a whole foreign answer or a failure for a crash

Cause: spared requests whose stream held foreign bytes. A head that no run gives, and a complete failure in answer to a resumed send, still counted as evidence that the request crashes its target, though the target has answered.

Change: a head that no run gives ends the send as foreign. A failure in place of a resumed stream shows that the request does not crash the target.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -398,7 +398,8 @@
             target: where it was sent.
             error: what failed.
             head: of the answer, if it had begun.
-            has_survived: whether its answer had gone on for some time.
+            has_survived: whether its answer shows that the request does not
+                crash the target.
         """
         request.failed_targets.add(target.name)
         if error.blames_target and error.failure is not CallFailure.GATE:
@@ -447,7 +448,11 @@
                 )
             if status < FAILURE_STATUS or request.head_sent:
                 return self._note_error(
-                    request, target, _make_no_stream_error(answer), answer.head
+                    request,
+                    target,
+                    _make_no_stream_error(answer),
+                    answer.head,
+                    has_survived=True,
                 )
         return await self._deliver_unstreamed(
             request, target, answer, responder
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -152,7 +152,7 @@
         return Rejection.UNAVAILABLE
     problem = _find_problem(head)
     if problem:
-        return CallError(CallFailure.BROKEN, True, problem)
+        return CallError(CallFailure.FOREIGN, True, problem)
     return PlatformTargetAnswer(answer)
 
 
