Void a length that stands beside chunks

What callers saw: a whole answer or a failure cut at a length that its body has not, on any route, where a target sent Content-Length beside chunks.

Cause: the body was read by its chunks, as HTTP asks, but the length was passed on with the head, and bound what the caller got.

Change: the client of targets leaves the length out where there are chunks, for both interfaces.

Evidence: test_length_beside_chunks_does_not_cut_a_failure failed before.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -40,6 +40,10 @@
 )
 
 
+# A body with one of these does not end with its connection.
+_DELIMITERS = frozenset((b"content-length", b"transfer-encoding"))
+
+
 class GateClosedError(Exception):
     """The gate callback denied the call before any byte was written."""
 
@@ -69,15 +73,20 @@
 
     def __init__(self, response: httpcore.Response, is_reused: bool):
         self._response = response
+        names = {name.lower() for name, _ in response.headers}
+        dropped = _HOP_BY_HOP
+        if b"transfer-encoding" in names:
+            # The chunks tell the length; one beside them is void.
+            dropped = _HOP_BY_HOP | {"content-length"}
         self.head = AnswerHead(
             response.status,
             tuple(
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in response.headers
-                if name.lower().decode("latin-1") not in _HOP_BY_HOP
+                if name.lower().decode("latin-1") not in dropped
             ),
-            _is_delimited(response),
-            is_reused,
+            is_delimited=not names.isdisjoint(_DELIMITERS),
+            is_reused_connection=is_reused,
         )
 
     async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
@@ -214,14 +223,6 @@
     )
 
 
-def _is_delimited(response: httpcore.Response) -> bool:
-    """Returns whether the body has a length or chunks."""
-    return any(
-        name.lower() in (b"content-length", b"transfer-encoding")
-        for name, _ in response.headers
-    )
-
-
 def _make_error(
     failure: CallFailure, written: bool, error: Exception
 ) -> CallError:
