Pass on a promise of no run only if the target has rejected the request

What callers saw: 408, 429 or 503 from a target that did not say that it had not run the request, on routes whose requests may run once. Callers take these statuses for the promise that it has not run and never will, and send it again.

Cause: whatever failure a target names was passed on. The users' page says that no answer but one with X-Not-Executed states that a request has not run.

Change: such a status without a rejection is no answer of a run. The request goes on elsewhere if it may; otherwise the caller gets 502, which promises nothing.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -57,11 +57,16 @@
 REDIRECT_STATUS = 300
 FAILURE_STATUS = 400
 ERROR_STATUS = 500
+# Callers take these for a promise that a request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
 # An empty answer to a resumed send says that no event is left; a target in
 # trouble may say so too early.
 MIN_EMPTY_TARGETS = 2
 _EMPTY_STREAM = CallError(CallFailure.FOREIGN, True, "stream without an event")
+_EMPTY_PROMISE = CallError(
+    CallFailure.FOREIGN, True, "status of a rejection that is none"
+)
 _UNCONFIRMED_END = CallError(
     CallFailure.UNCONFIRMED,
     True,
@@ -438,6 +443,15 @@
         tracked_send: TrackedSend,
         responder: Responder,
     ) -> NotRun | MayHaveRun | None:
+        if answer.head.status in NOT_RUN_STATUSES:
+            # Rejections are told by another header and don't come here.
+            return self._note_error(
+                request,
+                target,
+                _EMPTY_PROMISE,
+                answer.head,
+                has_survived=True,
+            )
         if request.route.kind is RouteKind.STREAM:
             # A run either fails or answers with an event stream.
             status = answer.head.status
