--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -742,8 +742,8 @@
         "control-character-passed",
         "MIXED",
         "src/peridotbend/platform/runners.py",
-        "if any(_CONTROL_CHARACTER.search(value) for _, value in head.headers):",
-        "if False:",
+        "if any(_CONTROL_CHARACTER.search(value)",
+        "if any(False",
         ("test_edge_trouble",),
     ),
     Mutant(
