Do not keep a connection that holds bytes after an answer

What callers saw: the answer to another call, with the verdict `completed`, or "may have run" for a call that a sound target would have answered. The target in trouble had sent bytes behind the length or the last chunk of the answer before, such as a second answer.

Cause: httpcore keeps what it has read beyond an answer, and reads the next answer on the connection from there. It closes an idle connection only if more bytes wait in its socket. The users' interface tells such answers by their attempt ID; the product's own interface has nothing of the kind.

Change: a connection on which bytes are left after an answer is closed, not kept. Bytes that arrive only while the next call waits for its answer can't be told from it.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -72,6 +72,14 @@
     # Whether the connection may serve another call.
     may_keep = True
 
+    @property
+    def has_extra_bytes(self) -> bool:
+        """Whether bytes arrived that belong to no answer.
+
+        httpcore would take them for the beginning of the next answer.
+        """
+        return bool(self._h11_state.trailing_data[0])
+
     async def _receive_event(self, timeout: float | None = None) -> Any:
         await self.pace.wait_turn()
         event = await super()._receive_event(timeout)
@@ -134,7 +142,8 @@
         self, connection: Connection, origin: httpcore.Origin, reuse: bool
     ) -> None:
         """Returns a connection to the pool, or closes it."""
-        if not (reuse and connection.may_keep and connection.is_idle()):
+        may_keep = reuse and connection.may_keep and connection.is_idle()
+        if not may_keep or connection.has_extra_bytes:
             await self._close(connection)
             return
         self._idle[connection] = origin
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -1,7 +1,8 @@
 """Tests of the HTTP client for targets."""
 
+import contextlib
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 from anyio.abc import SocketStream
@@ -32,6 +33,43 @@
                 await stream.send(self.reply)
 
 
+async def _call_in_turn(
+    answers: Sequence[bytes], method: str = "GET"
+) -> list[tuple[int, bytes]]:
+    """Sends one call after the other, each answered with the next bytes.
+
+    Returns the status and the body of each answer; the status is 0 if there
+    was none.
+    """
+    pending = list(answers)
+
+    async def handle(stream: SocketStream) -> None:
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream):
+                while await stream.receive():
+                    await stream.send(pending.pop(0))
+
+    results: list[tuple[int, bytes]] = []
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    target = Target("t", "s", "z", "127.0.0.1", port)
+    call = TargetCall(method, "/x", (), b"", 5_000)
+    client = HttpTargetClient()
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, handle)
+        for _ in answers:
+            async with client.open(target, call, lambda: True) as opened:
+                if isinstance(opened, Err):
+                    results.append((0, b""))
+                    continue
+                answer = opened.ok_value
+                chunks = [chunk.unwrap() async for chunk in answer.chunks()]
+                results.append((answer.head.status, b"".join(chunks)))
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+    return results
+
+
 async def _call(
     reply: bytes, gate: Callable[[], bool], reuse: bool = True
 ) -> tuple[list[bytes], CallError | None, bytes]:
@@ -106,3 +144,20 @@
 
         error = anyio.run(run)
         assert error.failure is CallFailure.REFUSED and not error.written
+
+
+class ForeignAnswerTest(unittest.TestCase):
+    """Bytes of a target in trouble that are no answer to the call."""
+
+    def test_bytes_after_an_answer_do_not_answer_the_next_call(self) -> None:
+        """Guards against a caller that gets the answer to another call."""
+        sound = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
+        chunked = (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"5\r\nhello\r\n0\r\n\r\n"
+        )
+        for first in (ANSWER, chunked):
+            for extra in (ANSWER, b"\xff\xfe\x00", b"HTTP/1.1 200"):
+                with self.subTest(first=first, extra=extra):
+                    results = anyio.run(_call_in_turn, [first + extra, sound])
+                    assert results == [(200, b"hello"), (200, b"sound")]
