Take a status that is none of HTTP for no answer of a target

What callers of the product's own interface saw: status 502 with the verdict `completed` and the bytes of a target in trouble, which had answered with the status 101, 700 or 999; in a stream, these bytes and a `completed` at its end.

Cause: the HTTP library reads any three digits as a status.

Change: an answer with a status outside of 200 to 599 is foreign. Nothing of it is passed on, the caller learns that the request may have run, and the target backs off. A foreign answer is no crash: it makes no request a suspect, and proves nothing in a trial. What a trial shows is therefore said by its attempt, no longer concluded from the verdict.

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -7,10 +7,12 @@
 from peridotbend.domain.inflight import InFlightTable
 from peridotbend.domain.jobs import DispatchPorts, Job
 from peridotbend.domain.ports import (
+    AnswerHead,
     CallError,
     CallFailure,
     TargetAnswer,
     TargetCall,
+    TrialOutcome,
 )
 from peridotbend.domain.scheduler import Grant
 from peridotbend.domain.streams import EventStream, count_output_tokens
@@ -27,6 +29,9 @@
 RESUME_DELAYS_MS = (50, 200, 800)
 CANCEL_TIMEOUT_MS = 500
 CAPACITY_RETRY_MS = 1_000
+# The statuses of final answers that HTTP defines.
+MIN_STATUS = 200
+MAX_STATUS = 599
 
 
 class Attempt:
@@ -52,8 +57,18 @@
         self._fingerprint = fingerprint
         self._on_trial = on_trial
         self._outcome = GrantOutcome.NOT_WRITTEN
+        self._has_crashed = False
         self._stream: EventStream | None = None
 
+    @property
+    def trial_outcome(self) -> TrialOutcome:
+        """What the attempt tells of a request that runs on trial."""
+        if self._outcome is GrantOutcome.COMPLETED:
+            return TrialOutcome.SUCCEEDED
+        if self._has_crashed:
+            return TrialOutcome.CRASHED
+        return TrialOutcome.INCONCLUSIVE
+
     async def run(self) -> Verdict | None:
         """Calls the target; returns None if nothing was written to it."""
         record = self._job.record
@@ -79,6 +94,11 @@
             if isinstance(opened, Err):
                 return self._handle_open_error(opened.err_value)
             answer = opened.ok_value
+            problem = _find_foreign_head(answer.head)
+            if problem:
+                return self._handle_call_error(
+                    CallError(CallFailure.FOREIGN, True, problem)
+                )
             self._ports.health.record_target_success(self._target.name)
             self._job.record.answer.begin(answer.head)
             stream = EventStream(self._job.record.answer, answer.head)
@@ -228,9 +248,24 @@
         if error.failure is CallFailure.TOO_LARGE:
             self._outcome = GrantOutcome.TIMED_OUT
             return MayHaveRun(Reason.ANSWER_TOO_LARGE)
-        self._record_crash(error)
+        if error.failure is CallFailure.FOREIGN:
+            self._record_foreign_answer(error)
+        else:
+            self._has_crashed = True
+            self._record_crash(error)
         return MayHaveRun(Reason.TARGET_FAILED)
 
+    def _record_foreign_answer(self, error: CallError) -> None:
+        # The target lives, so its requests are no suspects.
+        ports, name = self._ports, self._target.name
+        ports.health.record_target_failure(name)
+        ports.log.emit(
+            Event.TARGET_FAILED,
+            target=name,
+            in_flight=self._in_flight.count().get(name, 0),
+            detail=error.detail,
+        )
+
     def _record_crash(self, error: CallError) -> None:
         ports, name = self._ports, self._target.name
         crash = self._in_flight.take_crashed(name, self._job.record.log_key)
@@ -256,3 +291,10 @@
             return job.work.output_tokens
         tokens = count_output_tokens(answer.head, answer.content())
         return job.work.output_tokens if tokens is None else tokens
+
+
+def _find_foreign_head(head: AnswerHead) -> str:
+    """Returns why no run gives an answer with this head, or ""."""
+    if not MIN_STATUS <= head.status <= MAX_STATUS:
+        return f"{head.status} is no status of an answer"
+    return ""
--- a/src/peridotbend/domain/dispatch.py
+++ b/src/peridotbend/domain/dispatch.py
@@ -71,7 +71,9 @@
         if state is SuspectState.QUARANTINED:
             return NotRun(Reason.QUARANTINED, SUSPECT_RETRY_MS)
         if state is SuspectState.CLEAN:
-            verdict = await self._run_attempts(job, fingerprint, on_trial=False)
+            verdict, _ = await self._run_attempts(
+                job, fingerprint, on_trial=False
+            )
             # A target may have crashed meanwhile with this fingerprint in
             # flight. Since this run completed, it is no longer a suspect.
             if isinstance(verdict, Completed) and (
@@ -89,8 +91,9 @@
             return NotRun(reason, permit.retry_after_ms or SUSPECT_RETRY_MS)
         outcome = TrialOutcome.INCONCLUSIVE
         try:
-            verdict = await self._run_attempts(job, fingerprint, on_trial=True)
-            outcome = _classify_trial(verdict)
+            verdict, outcome = await self._run_attempts(
+                job, fingerprint, on_trial=True
+            )
             return verdict
         finally:
             # Without a report the permit blocks the next trial until it
@@ -100,8 +103,11 @@
 
     async def _run_attempts(
         self, job: Job, fingerprint: bytes, on_trial: bool
-    ) -> Verdict:
-        """Tries targets until one gets the request or the time is over."""
+    ) -> tuple[Verdict, TrialOutcome]:
+        """Tries targets until one gets the request or the time is over.
+
+        Returns the verdict, and what a trial of the request has shown.
+        """
         ports, record = self._ports, job.record
         item = WorkItem(
             record.log_key,
@@ -115,20 +121,21 @@
         while True:
             granted = await ports.scheduler.acquire(item, failed)
             if isinstance(granted, Err):
-                return granted.err_value
+                return granted.err_value, TrialOutcome.INCONCLUSIVE
             grant = granted.ok_value
             attempt = Attempt(
                 ports, self.in_flight, job, grant, fingerprint, on_trial
             )
             verdict = await attempt.run()
             if verdict is not None:
-                return verdict
+                return verdict, attempt.trial_outcome
             ports.health.record_target_failure(grant.target.name)
             remaining_ms = record.deadline_at_ms - ports.clock.now_ms()
             if remaining_ms < OUTAGE_WAIT_THRESHOLD_MS:
                 failed |= {grant.target.name}
                 if not ports.retries.try_spend():
-                    return NotRun(Reason.CONNECT_FAILED, CAPACITY_RETRY_MS)
+                    refusal = NotRun(Reason.CONNECT_FAILED, CAPACITY_RETRY_MS)
+                    return refusal, TrialOutcome.INCONCLUSIVE
             elif not ports.retries.try_spend():
                 await anyio.sleep(OUTAGE_RETRY_DELAY_MS / 1000)
             ports.log.emit(
@@ -182,11 +189,3 @@
     def ports(self) -> DispatchPorts:
         """The ports, shared with the request service."""
         return self._ports
-
-
-def _classify_trial(verdict: Verdict) -> TrialOutcome:
-    if isinstance(verdict, Completed):
-        return TrialOutcome.SUCCEEDED
-    if verdict == MayHaveRun(Reason.TARGET_FAILED):
-        return TrialOutcome.CRASHED
-    return TrialOutcome.INCONCLUSIVE
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -14,6 +14,7 @@
     CallError,
     CallFailure,
     Headers,
+    TargetAnswer,
     TargetCall,
 )
 from peridotbend.domain.text import Target
@@ -67,6 +68,32 @@
     behaviour: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScriptedAnswer:
+    """An answer that a target gives to one call instead of its own."""
+
+    head: AnswerHead
+    chunks: tuple[bytes, ...] = ()
+    # Whether the connection breaks after the chunks.
+    breaks: bool = False
+
+    async def read(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields the chunks."""
+        for chunk in self.chunks:
+            await asyncio.sleep(CHUNK_INTERVAL_MS / 1_000)
+            yield Ok(chunk)
+        if self.breaks:
+            yield Err(CallError(CallFailure.BROKEN, True, "broken"))
+
+
+class _ScriptedTargetAnswer:
+    """A scripted answer as read over one connection."""
+
+    def __init__(self, answer: ScriptedAnswer):
+        self.head = answer.head
+        self.chunks = answer.read
+
+
 class FakeTarget:
     """A back end that runs what it receives and can be stopped."""
 
@@ -78,6 +105,8 @@
         self.leaving = False
         self.incarnation = 1
         self.behaviours: deque[str] = deque()
+        # Answers to the next calls, also to those that resume a stream.
+        self.scripted: deque[ScriptedAnswer] = deque()
         self.streams: dict[str, _Stream] = {}
 
     def stop(self) -> None:
@@ -193,7 +222,7 @@
     @contextlib.asynccontextmanager
     async def open(
         self, target: Target, call: TargetCall, gate: Callable[[], bool]
-    ) -> AsyncIterator[Result[_FakeAnswer, CallError]]:
+    ) -> AsyncIterator[Result[TargetAnswer, CallError]]:
         """Sends a call and waits for the response head."""
         fake = self._world.targets[target.name]
         until_ms = self._world.clock.now_ms() + call.timeout_ms
@@ -221,6 +250,8 @@
         error = await self._wait_for_head(fake, call, stream, until_ms)
         if error is not None:
             yield Err(error)
+        elif fake.scripted:
+            yield Ok(_ScriptedTargetAnswer(fake.scripted.popleft()))
         else:
             yield Ok(_FakeAnswer(self, fake, stream, 0, until_ms))
 
@@ -241,13 +272,15 @@
 
     def _resume(
         self, fake: FakeTarget, call: TargetCall, until_ms: int
-    ) -> Result[_FakeAnswer, CallError]:
+    ) -> Result[TargetAnswer, CallError]:
         token = call.path.rpartition("/")[2]
         if call.method == "DELETE":
             fake.streams.pop(token, None)
         stream = fake.streams.get(token)
         if stream is None or not fake.up or not self._is_linked(fake):
             return Err(CallError(CallFailure.CONNECT, False, "no stream"))
+        if fake.scripted:
+            return Ok(_ScriptedTargetAnswer(fake.scripted.popleft()))
         last_event = dict(call.headers)["Last-Event-ID"].encode()
         offset = 0
         if last_event:
--- a/tests/fleettest.py
+++ b/tests/fleettest.py
@@ -5,6 +5,7 @@
 from peridotbend.domain.verdicts import Reason, Verdict
 from tests.fakenode import ENTRY_ZONES, SimNode
 from tests.fakes import World
+from tests.faketargets import ScriptedAnswer
 from tests.machine import SERVICES
 from tests.oracle import Caller, Oracle, make_call
 
@@ -37,9 +38,10 @@
         uid: str = "u1",
         ms: int = 1_500,
         text: str = "",
+        stream: bool = False,
     ) -> Caller:
         """Sends a request and runs the simulation for `ms`."""
-        call = make_call(kind, "shop", uid, key, text)
+        call = make_call(kind, "shop", uid, key, text, stream)
         caller = self.oracle.send(node, call, "shop")
         self.run_for(ms)
         return caller
@@ -62,6 +64,12 @@
             if name.startswith(service):
                 target.behaviours.append(failure)
 
+    def script(self, *answers: ScriptedAnswer, service: str = "m") -> None:
+        """Makes each target of a service answer its next calls with these."""
+        for name, target in self.world.targets.items():
+            if name.startswith(service):
+                target.scripted.extend(answers)
+
     def run_for(self, ms: int) -> None:
         """Runs the simulation for `ms` and checks the invariants."""
         self.world.run_for(ms)
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -296,7 +296,12 @@
 
 
 def make_call(
-    kind: str, account: str, uid: str, key: str = "", text: str = ""
+    kind: str,
+    account: str,
+    uid: str,
+    key: str = "",
+    text: str = "",
+    stream: bool = False,
 ) -> CallerCall:
     """Returns a request with a header that shows its `uid` to targets."""
     content = text or uid
@@ -305,6 +310,7 @@
             "model": kind,
             "max_tokens": 20,
             "messages": [{"role": "user", "content": content}],
+            "stream": stream,
         }
     ).encode()
     path = PATHS.get(kind, CHAT)
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,59 @@
+"""Tests of answers that no run of a request gives."""
+
+from peridotbend.domain.ports import AnswerHead, SuspectState
+from peridotbend.domain.verdicts import Reason
+from tests.faketargets import ScriptedAnswer
+from tests.fleettest import FleetTest, get_verdict
+
+FAILED = ("may-have-run", Reason.TARGET_FAILED)
+JSON = (("content-type", "application/json"),)
+
+
+class ForeignHeadTest(FleetTest):
+    """Heads of answers that come from no run."""
+
+    def test_status_that_is_none_of_http_is_no_answer(self) -> None:
+        """Guards against "completed" for bytes that are no answer."""
+        for status in (101, 199, 600, 700, 999):
+            for kind, service in (("status", "o"), ("quote", "m")):
+                with self.subTest(status=status, kind=kind):
+                    head = AnswerHead(status, JSON)
+                    self.script(ScriptedAnswer(head, (b"x",)), service=service)
+                    caller = self.send(self.a1, kind, uid=f"{kind}{status}")
+                    assert get_verdict(caller) == FAILED
+                    assert caller.status == 0 and caller.data == b""
+                    self._end_trouble()
+
+    def test_request_is_not_blamed_for_a_foreign_answer(self) -> None:
+        """Guards against the quarantine of a request that harms no target."""
+        self.script(*[ScriptedAnswer(AnswerHead(700, ()))] * 4)
+        for number in range(4):
+            self.send(self.a1, uid=f"u{number}", text="same", ms=11_000)
+        for node in self.world.nodes.values():
+            assert not node.suspects.export(9)
+        self._end_trouble()
+        caller = self.send(self.a1, uid="u9", text="same")
+        assert get_verdict(caller) == ("completed", None)
+
+    def test_foreign_answer_on_trial_proves_no_crash(self) -> None:
+        """Guards against the quarantine of a suspect by another fault."""
+        self.plan_failure("die-unanswered")
+        self.send(self.a1, text="same", ms=1_000)
+        for target in self.world.targets.values():
+            target.behaviours.clear()
+            target.restart()
+        self.world.platform.revision += 1
+        self.run_for(2_000)
+        self.script(ScriptedAnswer(AnswerHead(700, ())))
+        caller = self.send(self.a1, uid="u2", text="same")
+        assert get_verdict(caller) == FAILED
+        self._end_trouble()
+        states = [entry.state for entry in self.a1.suspects.export(9)]
+        assert states == [SuspectState.SUSPECT]
+        caller = self.send(self.a1, uid="u3", text="same")
+        assert get_verdict(caller) == ("completed", None)
+
+    def _end_trouble(self) -> None:
+        for target in self.world.targets.values():
+            target.scripted.clear()
+        self.run_for(10_000)
