Take no success but an event stream as the answer to a streaming call

What callers of the product's own interface saw: the verdict `completed` for a page of text, JSON or noise that a target in trouble sent in answer to a call with `"stream": true`; with a status such as 204 and the type of an event stream, a response that holds more than its status allows.

Cause: the content type of the answer alone decided how it was passed on. A success of another type went the way of whole answers, where any bytes pass.

Change: the call decides. A run of an engine answers a streaming call with an event stream and the status 200, or with an error; anything else is foreign. Types were and are compared without case and without parameters. Calls that ask for no stream, and those to applications, may be answered by any type, as before.

Evidence: the eight cases of test_streaming_call_is_answered_by_an_event_stream failed before (python -m nose2 tests.test_attempts). The two tests on types in other letters and on errors passed before and after.

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -15,7 +15,11 @@
     TrialOutcome,
 )
 from peridotbend.domain.scheduler import Grant
-from peridotbend.domain.streams import EventStream, count_output_tokens
+from peridotbend.domain.streams import (
+    EventStream,
+    count_output_tokens,
+    is_event_stream,
+)
 from peridotbend.domain.text import Target
 from peridotbend.domain.verdicts import (
     Completed,
@@ -32,6 +36,7 @@
 # The statuses of final answers that HTTP defines.
 MIN_STATUS = 200
 MAX_STATUS = 599
+MIN_ERROR_STATUS = 400
 
 
 class Attempt:
@@ -94,7 +99,7 @@
             if isinstance(opened, Err):
                 return self._handle_open_error(opened.err_value)
             answer = opened.ok_value
-            problem = _find_foreign_head(answer.head)
+            problem = _find_foreign_head(answer.head, self._job)
             if problem:
                 return self._handle_call_error(
                     CallError(CallFailure.FOREIGN, True, problem)
@@ -293,8 +298,14 @@
         return job.work.output_tokens if tokens is None else tokens
 
 
-def _find_foreign_head(head: AnswerHead) -> str:
-    """Returns why no run gives an answer with this head, or ""."""
+def _find_foreign_head(head: AnswerHead, job: Job) -> str:
+    """Returns why no run of a request gives an answer with this head, or ""."""
     if not MIN_STATUS <= head.status <= MAX_STATUS:
         return f"{head.status} is no status of an answer"
+    # Errors of an engine may have any type.
+    if job.work.is_streaming and head.status < MIN_ERROR_STATUS:
+        if head.status != 200:
+            return f"{head.status} is no status of a stream"
+        if not is_event_stream(head):
+            return "the answer to a streaming call is no event stream"
     return ""
--- a/src/peridotbend/domain/work.py
+++ b/src/peridotbend/domain/work.py
@@ -33,6 +33,8 @@
     # Hashes of the consecutive blocks at the start of the prompt; each one also
     # covers all blocks before.
     prefix_hashes: tuple[int, ...] = ()
+    # Whether a model engine is asked for an event stream.
+    is_streaming: bool = False
 
     @property
     def units(self) -> float:
@@ -88,7 +90,10 @@
         return output
     return _read_prompt(request).map(
         lambda prompt: WorkEstimate(
-            prompt.tokens, output.ok_value, hash_prefix(prompt.text)
+            prompt.tokens,
+            output.ok_value,
+            hash_prefix(prompt.text),
+            request.get("stream") is True,
         )
     )
 
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -76,6 +76,8 @@
     chunks: tuple[bytes, ...] = ()
     # Whether the connection breaks after the chunks.
     breaks: bool = False
+    # Whether it is what a run of the request gives.
+    is_sound: bool = False
 
     async def read(self) -> AsyncIterator[Result[bytes, CallError]]:
         """Yields the chunks."""
@@ -251,7 +253,10 @@
         if error is not None:
             yield Err(error)
         elif fake.scripted:
-            yield Ok(_ScriptedTargetAnswer(fake.scripted.popleft()))
+            answer = fake.scripted.popleft()
+            if answer.is_sound:
+                self._world.answers[token] = b"".join(answer.chunks)
+            yield Ok(_ScriptedTargetAnswer(answer))
         else:
             yield Ok(_FakeAnswer(self, fake, stream, 0, until_ms))
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -7,6 +7,8 @@
 
 FAILED = ("may-have-run", Reason.TARGET_FAILED)
 JSON = (("content-type", "application/json"),)
+EVENTS = (("content-type", "text/event-stream"),)
+DONE = b"data: [DONE]\n\n"
 
 
 class ForeignHeadTest(FleetTest):
@@ -24,6 +26,49 @@
                     assert caller.status == 0 and caller.data == b""
                     self._end_trouble()
 
+    def test_streaming_call_is_answered_by_an_event_stream(self) -> None:
+        """Guards against "completed" for bytes that no engine generated."""
+        stream_id = ("engine-stream", "s1")
+        for status, headers in (
+            (200, ()),
+            (200, JSON),
+            (200, (*JSON, stream_id)),
+            (200, (("content-type", "text/event-stream-2"),)),
+            (200, (*EVENTS, *JSON)),
+            (204, EVENTS),
+            (206, EVENTS),
+            (302, EVENTS),
+        ):
+            with self.subTest(status=status, headers=headers):
+                head = AnswerHead(status, headers)
+                self.script(ScriptedAnswer(head, (b"data: x\n\n", DONE)))
+                caller = self.send(
+                    self.a1, uid=f"{status}{headers}", stream=True
+                )
+                assert get_verdict(caller) == FAILED
+                assert caller.status == 0 and caller.data == b""
+                self._end_trouble()
+
+    def test_type_of_a_stream_may_be_written_in_any_case(self) -> None:
+        """Guards against the loss of a stream of a sound engine."""
+        typed = ("Content-Type", "TEXT/Event-Stream; charset=utf-8")
+        head = AnswerHead(200, (typed,))
+        chunks = (b"id: 1\ndata: x\n\n", DONE)
+        self.script(ScriptedAnswer(head, chunks, is_sound=True))
+        caller = self.send(self.a1, stream=True)
+        assert get_verdict(caller) == ("completed", None)
+
+    def test_error_of_an_engine_may_have_any_type(self) -> None:
+        """Guards against the loss of what a run says about its failure."""
+        for status in (400, 404, 500, 503):
+            with self.subTest(status=status):
+                head = AnswerHead(status, JSON)
+                self.script(ScriptedAnswer(head, (b"no",), is_sound=True))
+                caller = self.send(self.a1, uid=f"u{status}", stream=True)
+                assert caller.status == status
+                assert get_verdict(caller) == ("completed", None)
+                self._end_trouble()
+
     def test_request_is_not_blamed_for_a_foreign_answer(self) -> None:
         """Guards against the quarantine of a request that harms no target."""
         self.script(*[ScriptedAnswer(AnswerHead(700, ()))] * 4)
