Take a stream of an engine for whole only with its closing event

What callers of the product's own interface saw: the verdict `completed` after some events of their stream, or after none. The engine in trouble had ended its body in order, with a length or chunks, at first or when its stream was resumed.

Cause: the closing event was asked for only where neither a length nor chunks tell the end of the body. Both tell only that the target has ended the body.

Change: the framing decides nothing for successes of engines. A stream that ends before `data: [DONE]` is resumed where the engine offers that, and otherwise the caller learns that it may have run. Streams of applications, of which nothing else is known, still end with their body.

The scripted target of tests/edgenode.py ended its streams without the closing event, against the interface of docs/design.md; it now sends it, and test_callers expects its bytes in the answers.

Evidence: test_stream_without_its_closing_event_is_resumed (4 cases), test_stream_whose_resumptions_are_empty_is_not_whole and test_stream_that_cannot_resume_needs_its_closing_event (3 cases) failed before (python -m nose2 tests.test_attempts). The test on applications passed before and after.

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -106,7 +106,9 @@
                 )
             self._ports.health.record_target_success(self._target.name)
             self._job.record.answer.begin(answer.head)
-            stream = EventStream(self._job.record.answer, answer.head)
+            stream = EventStream(
+                self._job.record.answer, answer.head, self._job.has_prefill
+            )
             self._stream = stream
             call_error = await self._relay(answer, stream)
         if call_error is not None and stream.can_resume:
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -49,10 +49,19 @@
     Answers with other content types are copied unchanged.
     """
 
-    def __init__(self, answer: AnswerBuffer, head: AnswerHead):
+    def __init__(self, answer: AnswerBuffer, head: AnswerHead, is_engine: bool):
+        """Creates a stream without events.
+
+        Args:
+            answer: what the events are appended to.
+            head: of the answer that begins the stream.
+            is_engine: whether a model engine gives the answer.
+        """
         self._answer = answer
         self.is_events = is_event_stream(head)
         self.stream_id = find_header(head, "engine-stream")
+        self._is_success = 200 <= head.status < 300
+        self._is_engine = is_engine
         self._partial = b""
         self._last_event = b""
         # Whether the closing event has arrived.
@@ -74,17 +83,21 @@
     def is_cut(self, head: AnswerHead) -> bool:
         """Tells whether an answer that ended here was broken off.
 
-        Without a length or chunks, the end of the connection says nothing. Only
-        the closing event shows that a stream of an engine is whole.
+        Only the closing event shows that a stream of an engine is whole,
+        since a target in trouble may also end its body in order. For other
+        streams, the end of a connection without a length or chunks says
+        nothing.
 
         Args:
             head: of the answer that ended, which may resume an earlier one.
         """
         if self._partial.strip():
             return True
-        if head.is_delimited or not self.is_events or self.is_complete:
+        if not self.is_events or self.is_complete:
             return False
-        return self.can_resume or len(self._answer) == 0
+        if self.can_resume or (self._is_engine and self._is_success):
+            return True
+        return not head.is_delimited and len(self._answer) == 0
 
     def feed(self, data: bytes) -> None:
         """Processes a chunk of the body."""
--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -20,6 +20,7 @@
 TEST_TIMEOUT_S = 30.0
 MAX_BODY_BYTES = 8_192
 EVENT_FORMAT = b'id: %d\ndata: {"n": %d}\n\n'
+CLOSING_EVENT = b"data: [DONE]\n\n"
 SHOP_KEY_SHA256 = (
     "44cfdcdd88354fa1412781f5a01a901c9112db33bfa8b165fbec9b618d9cf112"
 )
@@ -145,6 +146,7 @@
 
     async def _stream(self, writer: asyncio.StreamWriter) -> None:
         events = [EVENT_FORMAT % (n, n) for n in range(self.event_count)]
+        events.append(CLOSING_EVENT)
         content = b"".join(events)
         writer.write(
             b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -76,8 +76,8 @@
     chunks: tuple[bytes, ...] = ()
     # Whether the connection breaks after the chunks.
     breaks: bool = False
-    # Whether it is what a run of the request gives.
-    is_sound: bool = False
+    # What the run of the request gives in all, if it gives anything.
+    whole: bytes | None = None
 
     async def read(self) -> AsyncIterator[Result[bytes, CallError]]:
         """Yields the chunks."""
@@ -254,8 +254,8 @@
             yield Err(error)
         elif fake.scripted:
             answer = fake.scripted.popleft()
-            if answer.is_sound:
-                self._world.answers[token] = b"".join(answer.chunks)
+            if answer.whole is not None:
+                self._world.answers[token] = answer.whole
             yield Ok(_ScriptedTargetAnswer(answer))
         else:
             yield Ok(_FakeAnswer(self, fake, stream, 0, until_ms))
@@ -281,11 +281,11 @@
         token = call.path.rpartition("/")[2]
         if call.method == "DELETE":
             fake.streams.pop(token, None)
+        elif fake.scripted:
+            return Ok(_ScriptedTargetAnswer(fake.scripted.popleft()))
         stream = fake.streams.get(token)
         if stream is None or not fake.up or not self._is_linked(fake):
             return Err(CallError(CallFailure.CONNECT, False, "no stream"))
-        if fake.scripted:
-            return Ok(_ScriptedTargetAnswer(fake.scripted.popleft()))
         last_event = dict(call.headers)["Last-Event-ID"].encode()
         offset = 0
         if last_event:
--- a/tests/fleettest.py
+++ b/tests/fleettest.py
@@ -70,6 +70,12 @@
             if name.startswith(service):
                 target.scripted.extend(answers)
 
+    def end_trouble(self) -> None:
+        """Ends all scripted answers, and the pauses of targets after them."""
+        for target in self.world.targets.values():
+            target.scripted.clear()
+        self.run_for(10_000)
+
     def run_for(self, ms: int) -> None:
         """Runs the simulation for `ms` and checks the invariants."""
         self.world.run_for(ms)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,9 +8,21 @@
 FAILED = ("may-have-run", Reason.TARGET_FAILED)
 JSON = (("content-type", "application/json"),)
 EVENTS = (("content-type", "text/event-stream"),)
+STREAM = (*EVENTS, ("engine-stream", "s1"))
 DONE = b"data: [DONE]\n\n"
 
 
+def make_events(first: int, last: int) -> tuple[bytes, ...]:
+    """Returns the events of a stream with these IDs and all between."""
+    return tuple(
+        b"id: %d\ndata: word %d\n\n" % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
+WHOLE = b"".join((*make_events(1, 5), DONE))
+
+
 class ForeignHeadTest(FleetTest):
     """Heads of answers that come from no run."""
 
@@ -24,7 +36,7 @@
                     caller = self.send(self.a1, kind, uid=f"{kind}{status}")
                     assert get_verdict(caller) == FAILED
                     assert caller.status == 0 and caller.data == b""
-                    self._end_trouble()
+                    self.end_trouble()
 
     def test_streaming_call_is_answered_by_an_event_stream(self) -> None:
         """Guards against "completed" for bytes that no engine generated."""
@@ -47,14 +59,14 @@
                 )
                 assert get_verdict(caller) == FAILED
                 assert caller.status == 0 and caller.data == b""
-                self._end_trouble()
+                self.end_trouble()
 
     def test_type_of_a_stream_may_be_written_in_any_case(self) -> None:
         """Guards against the loss of a stream of a sound engine."""
         typed = ("Content-Type", "TEXT/Event-Stream; charset=utf-8")
         head = AnswerHead(200, (typed,))
         chunks = (b"id: 1\ndata: x\n\n", DONE)
-        self.script(ScriptedAnswer(head, chunks, is_sound=True))
+        self.script(ScriptedAnswer(head, chunks, whole=b"".join(chunks)))
         caller = self.send(self.a1, stream=True)
         assert get_verdict(caller) == ("completed", None)
 
@@ -63,11 +75,11 @@
         for status in (400, 404, 500, 503):
             with self.subTest(status=status):
                 head = AnswerHead(status, JSON)
-                self.script(ScriptedAnswer(head, (b"no",), is_sound=True))
+                self.script(ScriptedAnswer(head, (b"no",), whole=b"no"))
                 caller = self.send(self.a1, uid=f"u{status}", stream=True)
                 assert caller.status == status
                 assert get_verdict(caller) == ("completed", None)
-                self._end_trouble()
+                self.end_trouble()
 
     def test_request_is_not_blamed_for_a_foreign_answer(self) -> None:
         """Guards against the quarantine of a request that harms no target."""
@@ -76,7 +88,7 @@
             self.send(self.a1, uid=f"u{number}", text="same", ms=11_000)
         for node in self.world.nodes.values():
             assert not node.suspects.export(9)
-        self._end_trouble()
+        self.end_trouble()
         caller = self.send(self.a1, uid="u9", text="same")
         assert get_verdict(caller) == ("completed", None)
 
@@ -92,13 +104,60 @@
         self.script(ScriptedAnswer(AnswerHead(700, ())))
         caller = self.send(self.a1, uid="u2", text="same")
         assert get_verdict(caller) == FAILED
-        self._end_trouble()
+        self.end_trouble()
         states = [entry.state for entry in self.a1.suspects.export(9)]
         assert states == [SuspectState.SUSPECT]
         caller = self.send(self.a1, uid="u3", text="same")
         assert get_verdict(caller) == ("completed", None)
 
-    def _end_trouble(self) -> None:
-        for target in self.world.targets.values():
-            target.scripted.clear()
-        self.run_for(10_000)
+
+class CutStreamTest(FleetTest):
+    """Streams that end in order before the closing event."""
+
+    def test_stream_without_its_closing_event_is_resumed(self) -> None:
+        """Guards against a part of a stream that counts as its whole."""
+        head = AnswerHead(200, STREAM)
+        for sent in range(4):
+            with self.subTest(sent=sent):
+                events = make_events(1, sent)
+                rest = (*make_events(sent + 1, 5), DONE)
+                self.script(
+                    ScriptedAnswer(head, events, whole=WHOLE),
+                    ScriptedAnswer(head, rest),
+                )
+                caller = self.send(self.a1, uid=f"u{sent}", ms=2_500)
+                assert caller.data == WHOLE
+                assert get_verdict(caller) == ("completed", None)
+                self.end_trouble()
+
+    def test_stream_whose_resumptions_are_empty_is_not_whole(self) -> None:
+        """Guards against an empty body that ends a stream in its middle."""
+        head = AnswerHead(200, STREAM)
+        first = ScriptedAnswer(head, make_events(1, 3), breaks=True)
+        self.script(first, *[ScriptedAnswer(head)] * 3)
+        caller = self.send(self.a1, ms=3_000)
+        assert caller.data == b"".join(make_events(1, 3))
+        assert get_verdict(caller) == FAILED
+
+    def test_stream_that_cannot_resume_needs_its_closing_event(self) -> None:
+        """Guards against "completed" for no event, or for some of them."""
+        for sent in range(3):
+            with self.subTest(sent=sent):
+                head = AnswerHead(200, EVENTS)
+                self.script(ScriptedAnswer(head, make_events(1, sent)))
+                caller = self.send(self.a1, uid=f"u{sent}")
+                assert get_verdict(caller) == FAILED
+                self.end_trouble()
+
+    def test_streams_of_applications_need_no_closing_event(self) -> None:
+        """Guards against the loss of a sound stream of events."""
+        head = AnswerHead(200, EVENTS)
+        for sent in range(3):
+            with self.subTest(sent=sent):
+                events = make_events(1, sent)
+                whole = b"".join(events)
+                answer = ScriptedAnswer(head, events, whole=whole)
+                self.script(answer, service="o")
+                caller = self.send(self.a1, "status", uid=f"u{sent}")
+                assert get_verdict(caller) == ("completed", None)
+                self.end_trouble()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,6 +11,7 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.verdicts import STATUS_BY_REASON, Reason
 from tests.edgenode import (
+    CLOSING_EVENT,
     EVENT_FORMAT,
     MAX_BODY_BYTES,
     TEST_TIMEOUT_S,
@@ -27,7 +28,7 @@
 CHAT = "/v1/chat/completions"
 ORDERS = "/v1/orders"
 RESERVATIONS = "/v1/reservations"
-ALL_EVENTS = b"".join(EVENT_FORMAT % (n, n) for n in range(5))
+ALL_EVENTS = b"".join(EVENT_FORMAT % (n, n) for n in range(5)) + CLOSING_EVENT
 
 
 def check_error_reply(
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -22,7 +22,7 @@
         """Guards against lost or repeated events after a resume."""
         for cut in range(len(BODY)):
             answer = AnswerBuffer()
-            stream = EventStream(answer, HEAD)
+            stream = EventStream(answer, HEAD, True)
             for start in range(0, cut, 7):
                 stream.feed(BODY[start : min(start + 7, cut)])
             stream.discard_partial()
@@ -35,7 +35,7 @@
     def test_resume_point_follows_each_whole_event(self) -> None:
         """Guards against repeated events when each arrives on its own."""
         answer = AnswerBuffer()
-        stream = EventStream(answer, HEAD)
+        stream = EventStream(answer, HEAD, True)
         for number, event in enumerate(EVENTS):
             stream.feed(event)
             assert stream.last_event_id == str(number)
@@ -46,7 +46,7 @@
 
     def test_closing_event_completes_the_answer(self) -> None:
         """Guards against a resume that repeats the closing event."""
-        stream = EventStream(AnswerBuffer(), HEAD)
+        stream = EventStream(AnswerBuffer(), HEAD, True)
         stream.feed(BODY[:-1])
         assert not stream.is_complete
         stream.feed(BODY[-1:])
@@ -55,7 +55,7 @@
     def test_other_content_is_copied_unchanged(self) -> None:
         """Guards against delaying the bytes of a JSON answer."""
         answer = AnswerBuffer()
-        stream = EventStream(answer, AnswerHead(200, ()))
+        stream = EventStream(answer, AnswerHead(200, ()), True)
         stream.feed(b'{"a"')
         stream.feed(b": 1}")
         assert answer.content() == b'{"a": 1}'
