Resume a stream only with the same stream

What callers of the product's own interface saw: bytes of a page, of JSON or of another caller's stream behind their own events, with the verdict `completed` if the closing event came along. The target in trouble answered so when a broken stream was resumed.

Cause: any answer with the status 200 was read as the rest of the stream.

Change: only an event stream with the status 200 continues a stream, and if it names a stream, it must be the same one. The interface does not promise the name when a stream is resumed, so it may be missing.

Evidence: in test_only_the_same_stream_goes_on the four cases with the status 200 failed before; those with other statuses passed (python -m nose2 tests.test_attempts).

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -212,7 +212,9 @@
         async with self._ports.targets.open(
             self._target, call, lambda: True
         ) as opened:
-            if isinstance(opened, Err) or opened.ok_value.head.status != 200:
+            if isinstance(opened, Err) or not stream.is_resumed_by(
+                opened.ok_value.head
+            ):
                 return Err(None)
             return Ok(await self._relay(opened.ok_value, stream))
 
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -80,6 +80,15 @@
                 return line[3:].strip().decode()
         return ""
 
+    def is_resumed_by(self, head: AnswerHead) -> bool:
+        """Tells whether an answer with this head may continue the stream."""
+        stream_id = find_header(head, "engine-stream")
+        return (
+            head.status == 200
+            and is_event_stream(head)
+            and stream_id in ("", self.stream_id)
+        )
+
     def is_cut(self, head: AnswerHead) -> bool:
         """Tells whether an answer that ended here was broken off.
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,6 +4,7 @@
 from peridotbend.domain.verdicts import Reason
 from tests.faketargets import ScriptedAnswer
 from tests.fleettest import FleetTest, get_verdict
+from tests.oracle import Caller
 
 FAILED = ("may-have-run", Reason.TARGET_FAILED)
 JSON = (("content-type", "application/json"),)
@@ -161,3 +162,46 @@
                 caller = self.send(self.a1, "status", uid=f"u{sent}")
                 assert get_verdict(caller) == ("completed", None)
                 self.end_trouble()
+
+
+class ResumedStreamTest(FleetTest):
+    """Answers to a call that resumes a stream after its third event."""
+
+    def test_only_the_same_stream_goes_on(self) -> None:
+        """Guards against a stream that continues with foreign bytes."""
+        other = ("engine-stream", "s2")
+        for status, headers in (
+            (206, STREAM),
+            (404, STREAM),
+            (500, STREAM),
+            (700, STREAM),
+            (200, ()),
+            (200, JSON),
+            (200, (*JSON, STREAM[-1])),
+            (200, (*EVENTS, other)),
+        ):
+            with self.subTest(status=status, headers=headers):
+                foreign = ScriptedAnswer(
+                    AnswerHead(status, headers), (b"data: foreign\n\n", DONE)
+                )
+                caller = self.resume(foreign)
+                assert caller.data == WHOLE
+                assert get_verdict(caller) == ("completed", None)
+
+    def test_resumption_need_not_name_its_stream(self) -> None:
+        """Guards against the loss of a stream of a sound engine."""
+        rest = (*make_events(4, 5), DONE)
+        caller = self.resume(ScriptedAnswer(AnswerHead(200, EVENTS), rest))
+        assert caller.data == WHOLE
+        assert get_verdict(caller) == ("completed", None)
+
+    def resume(self, answer: ScriptedAnswer) -> Caller:
+        """Resumes a stream with an answer, and again with a sound one."""
+        head = AnswerHead(200, STREAM)
+        events = make_events(1, 3)
+        first = ScriptedAnswer(head, events, breaks=True, whole=WHOLE)
+        rest = ScriptedAnswer(head, (*make_events(4, 5), DONE))
+        self.script(first, answer, rest)
+        caller = self.send(self.a1, uid=f"u{self.world.clock.now_ms()}")
+        self.end_trouble()
+        return caller
