Do not pass on events of a stream twice

What callers of the product's own interface saw: events that they had already got, in a stream with the verdict `completed`. The engine in trouble had begun again when a broken stream was resumed. An ID that is no ASCII text ended the attempt in an internal error.

Cause: the last ID was sent to the engine, but nothing compared the IDs of what came with it.

Change: in a stream that may be resumed, IDs are numbers that increase, as in docs/design.md; `last_event_id` is the last of them. Events without an ID pass, and gaps too, since the interface does not number each event. Events that break the rule are foreign: they are dropped, and the stream is resumed again after the last event of a run, at most three times in all as before.

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -164,7 +164,9 @@
             if first:
                 self._grant.record_first_output()
                 first = False
-            stream.feed(chunk.ok_value)
+            problem = stream.feed(chunk.ok_value)
+            if problem:
+                return CallError(CallFailure.FOREIGN, True, problem)
             if len(buffer) > limit:
                 return CallError(CallFailure.TOO_LARGE, written=True)
         if stream.is_cut(answer.head):
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -10,6 +10,8 @@
 USAGE_TAIL_BYTES = 1_024
 # Quotes within JSON strings are escaped, so generated text cannot match this.
 _COMPLETION_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d{1,9})\b')
+_ID_LINE = re.compile(rb"^id:(.+)", re.MULTILINE)
+_EVENT_ID = re.compile(rb"[0-9]{1,18}")
 EVENT_STREAM_TYPE = "text/event-stream"
 CLOSING_EVENT = b"data: [DONE]\n\n"
 
@@ -60,25 +62,26 @@
         self._answer = answer
         self.is_events = is_event_stream(head)
         self.stream_id = find_header(head, "engine-stream")
-        self._is_success = 200 <= head.status < 300
-        self._is_engine = is_engine
+        # Errors are no streams of an engine, whatever their type.
+        self._is_engine_stream = (
+            self.is_events
+            and 200 <= head.status < 300
+            and (is_engine or bool(self.stream_id))
+        )
         self._partial = b""
-        self._last_event = b""
+        self._last_id = b""
         # Whether the closing event has arrived.
         self.is_complete = False
 
     @property
     def can_resume(self) -> bool:
         """Whether the target offered to continue the stream."""
-        return self.is_events and bool(self.stream_id)
+        return self._is_engine_stream and bool(self.stream_id)
 
     @property
     def last_event_id(self) -> str:
-        """The ID of the last whole event, or "" if there is none."""
-        for line in reversed(self._last_event.splitlines()):
-            if line.startswith(b"id:"):
-                return line[3:].strip().decode()
-        return ""
+        """The ID of the last event that has one, or "" if there is none."""
+        return self._last_id.decode("latin-1")
 
     def is_resumed_by(self, head: AnswerHead) -> bool:
         """Tells whether an answer with this head may continue the stream."""
@@ -104,39 +107,47 @@
             return True
         if not self.is_events or self.is_complete:
             return False
-        if self.can_resume or (self._is_engine and self._is_success):
+        if self._is_engine_stream:
             return True
         return not head.is_delimited and len(self._answer) == 0
 
-    def feed(self, data: bytes) -> None:
-        """Processes a chunk of the body."""
+    def feed(self, data: bytes) -> str:
+        """Processes a chunk of the body.
+
+        Returns why no run gives the events in it, or "". Nothing of a chunk
+        that no run gives is appended.
+        """
         if not self.is_events:
             self._answer.append(data)
-            return
-        if not self._partial and data.find(SEPARATOR) + 2 == len(data) > 1:
-            # Fast path for the most common case: a chunk that is one event.
-            if b"id:" in data:
-                self._last_event = data
-            self.is_complete = data == CLOSING_EVENT
-            self._answer.append(data)
-            return
+            return ""
         data = self._partial + data if self._partial else data
         end = data.rfind(SEPARATOR)
         if end < 0:
             self._partial = data
-            return
+            return ""
         end += len(SEPARATOR)
         whole, self._partial = data[:end], data[end:]
-        start = whole.rfind(SEPARATOR, 0, end - len(SEPARATOR))
-        event = whole[start + len(SEPARATOR) :] if start >= 0 else whole
-        # The closing `[DONE]` event has no ID, so the stream is never resumed
-        # after it.
-        if b"id:" in event:
-            self._last_event = event
-        elif b"id:" in whole:
-            self._last_event = whole[: whole.rfind(event)]
+        problem = self._follow_ids(whole) if self.can_resume else ""
+        if problem:
+            return problem
         self.is_complete = whole.endswith(CLOSING_EVENT)
         self._answer.append(whole)
+        return ""
+
+    def _follow_ids(self, whole: bytes) -> str:
+        """Follows the IDs of events; returns why they are foreign, or ""."""
+        last_id = self._last_id
+        for found in _ID_LINE.findall(whole):
+            event_id = found.strip()
+            if not event_id:
+                continue
+            if not _EVENT_ID.fullmatch(event_id):
+                return "an event has an ID that is no number"
+            if last_id and int(event_id) <= int(last_id):
+                return f"event {int(event_id)} follows {int(last_id)}"
+            last_id = event_id
+        self._last_id = last_id
+        return ""
 
     def discard_partial(self) -> None:
         """Drops an incomplete event, which a resumed stream sends again."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -195,6 +195,22 @@
         assert caller.data == WHOLE
         assert get_verdict(caller) == ("completed", None)
 
+    def test_events_are_not_repeated(self) -> None:
+        """Guards against a stream that goes on from its start."""
+        head = AnswerHead(200, STREAM)
+        for events in (
+            (*make_events(1, 5), DONE),
+            (*make_events(3, 5), DONE),
+            (WHOLE,),
+            (b"id: x\ndata: foreign\n\n",),
+            (b"id: \xff\xe2\x98\x83\ndata: foreign\n\n",),
+            (b"id: " + b"9" * 5_000 + b"\ndata: foreign\n\n",),
+        ):
+            with self.subTest(events=events):
+                caller = self.resume(ScriptedAnswer(head, events))
+                assert caller.data == WHOLE
+                assert get_verdict(caller) == ("completed", None)
+
     def resume(self, answer: ScriptedAnswer) -> Caller:
         """Resumes a stream with an answer, and again with a sound one."""
         head = AnswerHead(200, STREAM)
