Pass on only fields of events in a stream of an engine

What callers of the product's own interface saw: noise, lines of text or the head of another answer between the events of their stream, with the verdict `completed`. An engine in trouble had sent them.

Cause: whatever ended with an empty line was taken for an event.

Change: a line of an event is a field of an event stream (`data`, `id`, `event`, `retry`), a comment or empty, and events are text without NUL bytes. Anything else is foreign: the chunk with it is dropped, the stream is resumed after the last event of a run, or broken off where it can't be resumed. Unlike on the users' interface, an event needs no ID there, so `data` without an ID can't be told from an event. Streams of applications are passed on unchanged, as before.

--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -10,7 +10,9 @@
 USAGE_TAIL_BYTES = 1_024
 # Quotes within JSON strings are escaped, so generated text cannot match this.
 _COMPLETION_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d{1,9})\b')
-_ID_LINE = re.compile(rb"^id:(.+)", re.MULTILINE)
+# The empty name stands for comments and empty lines.
+_FIELDS = frozenset((b"data", b"id", b"event", b"retry", b""))
+_COMMON_EVENT = re.compile(rb"id: ([0-9]{1,18})\ndata: [^\n]*+\n\n")
 _EVENT_ID = re.compile(rb"[0-9]{1,18}")
 EVENT_STREAM_TYPE = "text/event-stream"
 CLOSING_EVENT = b"data: [DONE]\n\n"
@@ -68,20 +70,17 @@
             and 200 <= head.status < 300
             and (is_engine or bool(self.stream_id))
         )
+        # Whether the target offered to continue the stream.
+        self.can_resume = self._is_engine_stream and bool(self.stream_id)
         self._partial = b""
-        self._last_id = b""
+        self._last_number = -1
         # Whether the closing event has arrived.
         self.is_complete = False
 
-    @property
-    def can_resume(self) -> bool:
-        """Whether the target offered to continue the stream."""
-        return self._is_engine_stream and bool(self.stream_id)
-
     @property
     def last_event_id(self) -> str:
         """The ID of the last event that has one, or "" if there is none."""
-        return self._last_id.decode("latin-1")
+        return "" if self._last_number < 0 else str(self._last_number)
 
     def is_resumed_by(self, head: AnswerHead) -> bool:
         """Tells whether an answer with this head may continue the stream."""
@@ -127,26 +126,35 @@
             return ""
         end += len(SEPARATOR)
         whole, self._partial = data[:end], data[end:]
-        problem = self._follow_ids(whole) if self.can_resume else ""
+        problem = self._read_events(whole) if self._is_engine_stream else ""
         if problem:
             return problem
         self.is_complete = whole.endswith(CLOSING_EVENT)
         self._answer.append(whole)
         return ""
 
-    def _follow_ids(self, whole: bytes) -> str:
-        """Follows the IDs of events; returns why they are foreign, or ""."""
-        last_id = self._last_id
-        for found in _ID_LINE.findall(whole):
-            event_id = found.strip()
-            if not event_id:
-                continue
-            if not _EVENT_ID.fullmatch(event_id):
-                return "an event has an ID that is no number"
-            if last_id and int(event_id) <= int(last_id):
-                return f"event {int(event_id)} follows {int(last_id)}"
-            last_id = event_id
-        self._last_id = last_id
+    def _read_events(self, whole: bytes) -> str:
+        """Reads whole events; returns why they are foreign, or ""."""
+        if b"\0" in whole or not _is_text(whole):
+            return "an event is no text"
+        # Fast path for the most common case: a chunk that is one event.
+        common = _COMMON_EVENT.fullmatch(whole)
+        if common and (number := int(common[1])) > self._last_number:
+            self._last_number = number
+            return ""
+        last_number = self._last_number
+        for line in whole.split(b"\n"):
+            field, _, value = line.partition(b":")
+            event_id = value.strip()
+            if field == b"id" and event_id and self.can_resume:
+                if not _EVENT_ID.fullmatch(event_id):
+                    return "an event has an ID that is no number"
+                if int(event_id) <= last_number:
+                    return f"event {int(event_id)} follows {last_number}"
+                last_number = int(event_id)
+            elif field not in _FIELDS:
+                return "a line is no field of an event"
+        self._last_number = last_number
         return ""
 
     def discard_partial(self) -> None:
@@ -158,3 +166,13 @@
         if self._partial:
             self._answer.append(self._partial)
             self._partial = b""
+
+
+def _is_text(data: bytes) -> bool:
+    if data.isascii():
+        return True
+    try:
+        data.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -221,3 +221,69 @@
         caller = self.send(self.a1, uid=f"u{self.world.clock.now_ms()}")
         self.end_trouble()
         return caller
+
+
+class ForeignBytesTest(FleetTest):
+    """Bytes between the events of a stream that are no events."""
+
+    FOREIGN = (
+        b"noise\n\n",
+        b"no field: x\n\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\n\n",
+        b'{"error": "x"}\n\n',
+        b"data: \xff\xfe\n\n",
+        b"data: x\0\n\n",
+        b"\xff\xfe\x00\x9c\n\n",
+        b"id: 4\nnoise\n\n",
+        b"data: word\nnoise\n\n",
+        b" data: x\n\n",
+    )
+
+    def test_stream_goes_on_after_the_last_event_of_a_run(self) -> None:
+        """Guards against a stream with bytes that no engine generated."""
+        head = AnswerHead(200, STREAM)
+        for sent in (0, 3):
+            rest = (*make_events(sent + 1, 5), DONE)
+            for foreign in self.FOREIGN:
+                for chunks in ((foreign, *rest), (foreign + b"".join(rest),)):
+                    with self.subTest(foreign=foreign, sent=sent):
+                        events = (*make_events(1, sent), *chunks)
+                        first = ScriptedAnswer(head, events, whole=WHOLE)
+                        self.script(first, ScriptedAnswer(head, rest))
+                        uid = f"u{self.world.clock.now_ms()}"
+                        caller = self.send(self.a1, uid=uid)
+                        assert caller.data == WHOLE
+                        assert get_verdict(caller) == ("completed", None)
+                        self.end_trouble()
+
+    def test_stream_that_cannot_resume_is_broken_off(self) -> None:
+        """Guards against "completed" for bytes that no engine generated."""
+        head = AnswerHead(200, EVENTS)
+        for foreign in self.FOREIGN:
+            with self.subTest(foreign=foreign):
+                events = (*make_events(1, 3), foreign, *make_events(4, 5), DONE)
+                self.script(ScriptedAnswer(head, events, whole=WHOLE))
+                uid = f"u{self.world.clock.now_ms()}"
+                caller = self.send(self.a1, uid=uid)
+                assert caller.data == b"".join(make_events(1, 3))
+                assert get_verdict(caller) == FAILED
+                self.end_trouble()
+
+    def test_fields_that_carry_no_text_are_no_foreign_bytes(self) -> None:
+        """Guards against the loss of a stream of a sound engine."""
+        events = (
+            b": ping\n\n",
+            b"retry: 100\n\n",
+            "event: word\nid: 7\ndata: \u2603\ndata\n\n".encode(),
+            b"data: no ID\n\n",
+            DONE,
+        )
+        for headers in (EVENTS, STREAM):
+            with self.subTest(headers=headers):
+                head = AnswerHead(200, headers)
+                whole = b"".join(events)
+                self.script(ScriptedAnswer(head, events, whole=whole))
+                caller = self.send(self.a1, uid=f"u{len(headers)}")
+                assert caller.data == whole
+                assert get_verdict(caller) == ("completed", None)
+                self.end_trouble()
