Let nothing follow the closing event of a stream

What callers of the product's own interface saw: bytes behind `data: [DONE]`, a second closing event or a whole second stream, with the verdict `completed`; or "may have run" for a stream that they had whole, because noise came behind it.

Cause: the closing event was looked for at the end of each chunk, and any further chunk took it back. Text that ends with the same characters counted as well.

Change: the closing event is a line of its own, anywhere in a chunk. What comes after it in a stream of an engine is dropped, and the answer is not read further, so that its connection is closed. Events of applications are passed on as before.

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -161,6 +161,8 @@
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
                 return None if stream.is_complete else chunk.err_value
+            if stream.has_ended:
+                return None
             if first:
                 self._grant.record_first_output()
                 first = False
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -16,6 +16,7 @@
 _EVENT_ID = re.compile(rb"[0-9]{1,18}")
 EVENT_STREAM_TYPE = "text/event-stream"
 CLOSING_EVENT = b"data: [DONE]\n\n"
+_CLOSING_LINE = b"\n" + CLOSING_EVENT
 
 
 def find_header(head: AnswerHead, name: str) -> str:
@@ -77,6 +78,11 @@
         # Whether the closing event has arrived.
         self.is_complete = False
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether any further bytes belong to no run."""
+        return self._is_engine_stream and self.is_complete
+
     @property
     def last_event_id(self) -> str:
         """The ID of the last event that has one, or "" if there is none."""
@@ -126,10 +132,14 @@
             return ""
         end += len(SEPARATOR)
         whole, self._partial = data[:end], data[end:]
-        problem = self._read_events(whole) if self._is_engine_stream else ""
-        if problem:
-            return problem
-        self.is_complete = whole.endswith(CLOSING_EVENT)
+        end = _find_end(whole)
+        if self._is_engine_stream:
+            if end:
+                whole, self._partial = whole[:end], b""
+            problem = self._read_events(whole)
+            if problem:
+                return problem
+        self.is_complete = end == len(whole)
         self._answer.append(whole)
         return ""
 
@@ -168,6 +178,14 @@
             self._partial = b""
 
 
+def _find_end(whole: bytes) -> int:
+    """Returns where the closing event ends, or 0 if there is none."""
+    if whole.startswith(CLOSING_EVENT):
+        return len(CLOSING_EVENT)
+    at = whole.find(_CLOSING_LINE)
+    return at + len(_CLOSING_LINE) if at >= 0 else 0
+
+
 def _is_text(data: bytes) -> bool:
     if data.isascii():
         return True
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -269,6 +269,28 @@
                 assert get_verdict(caller) == FAILED
                 self.end_trouble()
 
+    def test_nothing_follows_the_closing_event(self) -> None:
+        """Guards against bytes of no run behind a whole stream."""
+        for headers in (EVENTS, STREAM):
+            for foreign in (*self.FOREIGN, b"noise", DONE, WHOLE):
+                for chunks in ((DONE, foreign), (DONE + foreign,)):
+                    with self.subTest(foreign=foreign, headers=headers):
+                        events = (*make_events(1, 5), *chunks)
+                        head = AnswerHead(200, headers)
+                        self.script(ScriptedAnswer(head, events, whole=WHOLE))
+                        uid = f"u{self.world.clock.now_ms()}"
+                        caller = self.send(self.a1, uid=uid)
+                        assert caller.data == WHOLE
+                        assert get_verdict(caller) == ("completed", None)
+                        self.end_trouble()
+
+    def test_text_of_an_event_does_not_end_its_stream(self) -> None:
+        """Guards against a cut stream whose text names the closing event."""
+        text = b"id: 1\ndata: text data: [DONE]\n\n"
+        answer = ScriptedAnswer(AnswerHead(200, EVENTS), (text,))
+        self.script(answer)
+        assert get_verdict(self.send(self.a1)) == FAILED
+
     def test_fields_that_carry_no_text_are_no_foreign_bytes(self) -> None:
         """Guards against the loss of a stream of a sound engine."""
         events = (
