Count an incomplete event toward the limit on answers

What callers of the product's own interface saw: no answer until the time limit of their request, while an engine in trouble sent bytes without a line end; the instance kept all of them, beyond the bytes that it had reserved for the answer.

Cause: only whole events counted toward the limit.

Change: the incomplete event counts as well, and the attempt ends as for any answer that is too large.

Evidence: the two cases of test_event_without_end_is_bounded failed before (python -m nose2 tests.test_attempts).

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -169,7 +169,7 @@
             problem = stream.feed(chunk.ok_value)
             if problem:
                 return CallError(CallFailure.FOREIGN, True, problem)
-            if len(buffer) > limit:
+            if len(buffer) + stream.partial_bytes > limit:
                 return CallError(CallFailure.TOO_LARGE, written=True)
         if stream.is_cut(answer.head):
             return CallError(CallFailure.BROKEN, True, "end within the stream")
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -78,6 +78,11 @@
         # Whether the closing event has arrived.
         self.is_complete = False
 
+    @property
+    def partial_bytes(self) -> int:
+        """The size of the event that is incomplete so far."""
+        return len(self._partial)
+
     @property
     def has_ended(self) -> bool:
         """Whether any further bytes belong to no run."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -269,6 +269,19 @@
                 assert get_verdict(caller) == FAILED
                 self.end_trouble()
 
+    def test_event_without_end_is_bounded(self) -> None:
+        """Guards against memory that grows with bytes without a line end."""
+        for headers in (EVENTS, STREAM):
+            with self.subTest(headers=headers):
+                chunks = (b"data: " + b"x" * 2_000, *[b"x" * 2_000] * 400)
+                self.script(ScriptedAnswer(AnswerHead(200, headers), chunks))
+                caller = self.send(self.a1, uid=f"u{len(headers)}", ms=1_000)
+                assert get_verdict(caller) == (
+                    "may-have-run",
+                    Reason.ANSWER_TOO_LARGE,
+                )
+                self.end_trouble()
+
     def test_nothing_follows_the_closing_event(self) -> None:
         """Guards against bytes of no run behind a whole stream."""
         for headers in (EVENTS, STREAM):
