Do not resume a stream after an event without an ID

What callers of the product's own interface saw: an event twice, in a stream with the verdict `completed`. The stream had broken off after an event without an ID, and was resumed after the last event that has one.

Cause: a resumed stream names the last ID, so that the engine repeats what it sent after that event. An engine that is sound does the same.

Change: such a stream is not resumed; the caller learns that it may have run. It can be resumed again as soon as an event with an ID has come. Comments and fields without data do no harm when they are repeated.

Evidence: the four cases of test_event_without_an_id_is_not_repeated failed before; test_numbered_event_after_one_without_an_id_is_resumed passed before and after (python -m nose2 tests.test_attempts).

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -185,7 +185,8 @@
         its output, so it is not a second dispatch.
         """
         for delay_ms in RESUME_DELAYS_MS:
-            if call_error.failure is CallFailure.TOO_LARGE:
+            is_too_large = call_error.failure is CallFailure.TOO_LARGE
+            if is_too_large or not stream.is_after_numbered_event:
                 return call_error
             await anyio.sleep(delay_ms / 1000)
             outcome = await self._resume_once(stream)
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -75,9 +75,17 @@
         self.can_resume = self._is_engine_stream and bool(self.stream_id)
         self._partial = b""
         self._last_number = -1
+        # Whether an event without an ID came last, which a resumed stream
+        # would repeat.
+        self._has_unnumbered_end = False
         # Whether the closing event has arrived.
         self.is_complete = False
 
+    @property
+    def is_after_numbered_event(self) -> bool:
+        """Whether the next event is the one after `last_event_id`."""
+        return not self._has_unnumbered_end
+
     @property
     def partial_bytes(self) -> int:
         """The size of the event that is incomplete so far."""
@@ -156,10 +164,17 @@
         common = _COMMON_EVENT.fullmatch(whole)
         if common and (number := int(common[1])) > self._last_number:
             self._last_number = number
+            self._has_unnumbered_end = False
             return ""
         last_number = self._last_number
+        has_data = has_id = False
+        has_unnumbered_end = self._has_unnumbered_end
         for line in whole.split(b"\n"):
+            if not line and has_data:
+                has_unnumbered_end = not has_id
+                has_data = has_id = False
             field, _, value = line.partition(b":")
+            has_data = has_data or field == b"data"
             event_id = value.strip()
             if field == b"id" and event_id and self.can_resume:
                 if not _EVENT_ID.fullmatch(event_id):
@@ -167,9 +182,11 @@
                 if int(event_id) <= last_number:
                     return f"event {int(event_id)} follows {last_number}"
                 last_number = int(event_id)
+                has_id = True
             elif field not in _FIELDS:
                 return "a line is no field of an event"
         self._last_number = last_number
+        self._has_unnumbered_end = has_unnumbered_end
         return ""
 
     def discard_partial(self) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -211,6 +211,42 @@
                 assert caller.data == WHOLE
                 assert get_verdict(caller) == ("completed", None)
 
+    def test_event_without_an_id_is_not_repeated(self) -> None:
+        """Guards against a stream that goes on before its last event."""
+        head = AnswerHead(200, STREAM)
+        unnumbered = b"data: no ID\n\n"
+        ping = b": ping\n\n"
+        for events in (
+            (unnumbered,),
+            (*make_events(1, 3), unnumbered),
+            (*make_events(1, 3), unnumbered, ping),
+            (b"".join((*make_events(1, 3), unnumbered, unnumbered)),),
+        ):
+            with self.subTest(events=events):
+                rest = ScriptedAnswer(head, (unnumbered, DONE))
+                self.script(ScriptedAnswer(head, events, breaks=True), rest)
+                uid = f"u{self.world.clock.now_ms()}"
+                caller = self.send(self.a1, uid=uid)
+                assert caller.data == b"".join(events)
+                assert get_verdict(caller) == FAILED
+                self.end_trouble()
+
+    def test_numbered_event_after_one_without_an_id_is_resumed(self) -> None:
+        """Guards against the loss of a stream of a sound engine."""
+        head = AnswerHead(200, STREAM)
+        start = (b"data: no ID\n\n", *make_events(1, 3), b": ping\n\n")
+        rest = (*make_events(4, 5), DONE)
+        for events in (start, (b"".join(start),)):
+            with self.subTest(events=events):
+                whole = b"".join((*start, *rest))
+                first = ScriptedAnswer(head, events, breaks=True, whole=whole)
+                self.script(first, ScriptedAnswer(head, rest))
+                uid = f"u{self.world.clock.now_ms()}"
+                caller = self.send(self.a1, uid=uid)
+                assert caller.data == whole
+                assert get_verdict(caller) == ("completed", None)
+                self.end_trouble()
+
     def resume(self, answer: ScriptedAnswer) -> Caller:
         """Resumes a stream with an answer, and again with a sound one."""
         head = AnswerHead(200, STREAM)
