Take a header with a control character for no answer

What callers saw, on both interfaces' code path: their connection closed without a response, for an answer that the target in trouble had given with a byte such as 0x01 in a header.

Cause: h11 lets control characters in headers pass, and the server that writes the response raises RuntimeError for them.

Change: the client for targets takes such an answer for a foreign one, like other heads that are no HTTP: the caller learns that its request may have run, or on the users' interface it is sent elsewhere if it may be. Tabs, and bytes above 0x7f, pass as before.

Evidence: test_header_with_a_control_character_is_no_answer failed before (python -m nose2 tests.test_targets). A scratch script against a whole instance got no byte before, and 502 with `may-have-run` now.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -1,6 +1,7 @@
 """HTTP client for targets, built on httpcore."""
 
 import contextlib
+import re
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -26,6 +27,7 @@
 CONNECT_TIMEOUT_S = 1.0
 # Trace event that httpcore emits immediately before it writes the first byte.
 REQUEST_WRITE_STARTED = "http11.send_request_headers.started"
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -157,7 +159,7 @@
     write_gate: _WriteGate,
 ) -> Result[httpcore.Response, CallError]:
     try:
-        return Ok(await connection.handle_async_request(request))
+        response = await connection.handle_async_request(request)
     except GateClosedError as error:
         return Err(_make_error(CallFailure.GATE, False, error))
     except (
@@ -171,6 +173,11 @@
         if not write_gate.written:
             failure = CallFailure.CONNECT
         return Err(_make_error(failure, write_gate.written, error))
+    # h11 lets these pass, but they could not be sent to a caller.
+    if any(_CONTROL_CHARACTER.search(value) for _, value in response.headers):
+        problem = "a header holds a control character"
+        return Err(CallError(CallFailure.FOREIGN, True, problem))
+    return Ok(response)
 
 
 def _make_request(
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -161,3 +161,18 @@
                 with self.subTest(first=first, extra=extra):
                     results = anyio.run(_call_in_turn, [first + extra, sound])
                     assert results == [(200, b"hello"), (200, b"sound")]
+
+    def test_header_with_a_control_character_is_no_answer(self) -> None:
+        """Guards against a head that no server can send to its caller."""
+        for byte in (*range(1, 9), *range(14, 32), 127):
+            head = b"HTTP/1.1 200 OK\r\nX-Any: a%cb\r\n" % byte
+            reply = head + b"Content-Length: 0\r\n\r\n"
+            _, error, _ = anyio.run(_call, reply, lambda: True)
+            assert error and error.written, byte
+            assert error.failure is CallFailure.FOREIGN, byte
+
+    def test_header_with_other_characters_is_passed_on(self) -> None:
+        """Guards against the loss of the answer of a sound target."""
+        reply = b"HTTP/1.1 200 OK\r\nX-Any: a\tb \xe9\xff~\r\n" + ANSWER[17:]
+        chunks, error, _ = anyio.run(_call, reply, lambda: True)
+        assert chunks == [b"hello"] and error is None
