Take no answer without a body for an event stream

What callers of the product's own interface saw: a 204 or 304 without any verdict, and a 205 with bytes that its status does not allow. A target had given it the type of an event stream.

Cause: the type alone made it a stream, whose verdict follows as an event; there is no place for it behind such a head, so that the server dropped it.

Change: an answer with the status 204, 205 or 304 is no event stream; its verdict is in its header like that of other answers.

Evidence: test_each_answer_tells_its_verdict failed before at the first such answer (python -m nose2 tests.test_callers).

--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -14,6 +14,7 @@
 _FIELDS = frozenset((b"data", b"id", b"event", b"retry", b""))
 _COMMON_EVENT = re.compile(rb"id: ([0-9]{1,18})\ndata: [^\n]*+\n\n")
 _EVENT_ID = re.compile(rb"[0-9]{1,18}")
+_STATUSES_WITHOUT_BODY = frozenset((204, 205, 304))
 EVENT_STREAM_TYPE = "text/event-stream"
 CLOSING_EVENT = b"data: [DONE]\n\n"
 _CLOSING_LINE = b"\n" + CLOSING_EVENT
@@ -39,6 +40,8 @@
 
 def is_event_stream(head: AnswerHead) -> bool:
     """Tells whether an answer consists of server-sent events."""
+    if head.status in _STATUSES_WITHOUT_BODY:
+        return False
     types = [v for n, v in head.headers if n.lower() == "content-type"]
     return bool(types) and all(map(_is_event_stream_type, types))
 
--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -103,6 +103,8 @@
         self.event_count = 5
         # True closes the connection after the first event of a stream.
         self.breaks_streams = False
+        # If set, what requests are answered with; the connection is closed.
+        self.reply = b""
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -129,6 +131,10 @@
             self._write(writer, {**report, "incarnation": "1"})
             return
         self.ran.append(path)
+        if self.reply:
+            writer.write(self.reply)
+            await writer.drain()
+            raise ConnectionError
         if b'"stream": true' in body:
             await self._stream(writer)
         else:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -480,6 +480,37 @@
         run_with_entry(test)
 
 
+class OddAnswerTest(unittest.TestCase):
+    """Answers of targets that servers and clients rarely see."""
+
+    def test_each_answer_tells_its_verdict(self) -> None:
+        """Guards against a response that leaves the request's fate open."""
+        event_stream = b"Content-Type: text/event-stream\r\n"
+
+        async def test(entry: EntryNode) -> None:
+            for status, headers, verdict in (
+                (200, b"Content-Length: 0\r\n", "completed"),
+                (204, event_stream, "completed"),
+                (205, event_stream + b"Content-Length: 0\r\n", "completed"),
+                (304, event_stream, "completed"),
+                (200, b"X-Any: \x01\r\n", "may-have-run"),
+                (101, b"Upgrade: any\r\n", "may-have-run"),
+                (999, b"Content-Length: 0\r\n", "may-have-run"),
+            ):
+                entry.target.reply = (
+                    b"HTTP/1.1 %d Any\r\n" % status + headers + b"\r\n"
+                )
+                token = await entry.reserve()
+                key = f"Idempotency-Key: {token}"
+                request = encode_request("POST", ORDERS, b"1", key)
+                reply = await entry.send(request, head_only=True)
+                assert reply.verdict == verdict, (status, headers)
+                entry.node.roster.record_target_success("orders")
+            entry.target.reply = b""
+
+        run_with_entry(test)
+
+
 class LearnedOutputTest(unittest.TestCase):
     """Output estimates learned from earlier answers of a kind."""
 
