--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -7,13 +7,19 @@
 from peridotbend.domain.inflight import InFlightTable
 from peridotbend.domain.jobs import DispatchPorts, Job
 from peridotbend.domain.ports import (
+    AnswerHead,
     CallError,
     CallFailure,
     TargetAnswer,
     TargetCall,
+    TrialOutcome,
 )
 from peridotbend.domain.scheduler import Grant
-from peridotbend.domain.streams import EventStream, count_output_tokens
+from peridotbend.domain.streams import (
+    EventStream,
+    count_output_tokens,
+    is_event_stream,
+)
 from peridotbend.domain.text import Target
 from peridotbend.domain.verdicts import (
     Completed,
@@ -27,6 +33,10 @@
 RESUME_DELAYS_MS = (50, 200, 800)
 CANCEL_TIMEOUT_MS = 500
 CAPACITY_RETRY_MS = 1_000
+# The statuses of final answers that HTTP defines.
+MIN_STATUS = 200
+MAX_STATUS = 599
+MIN_ERROR_STATUS = 400
 
 
 class Attempt:
@@ -52,8 +62,18 @@
         self._fingerprint = fingerprint
         self._on_trial = on_trial
         self._outcome = GrantOutcome.NOT_WRITTEN
+        self._has_crashed = False
         self._stream: EventStream | None = None
 
+    @property
+    def trial_outcome(self) -> TrialOutcome:
+        """What the attempt tells of a request that runs on trial."""
+        if self._outcome is GrantOutcome.COMPLETED:
+            return TrialOutcome.SUCCEEDED
+        if self._has_crashed:
+            return TrialOutcome.CRASHED
+        return TrialOutcome.INCONCLUSIVE
+
     async def run(self) -> Verdict | None:
         """Calls the target; returns None if nothing was written to it."""
         record = self._job.record
@@ -79,9 +99,16 @@
             if isinstance(opened, Err):
                 return self._handle_open_error(opened.err_value)
             answer = opened.ok_value
+            problem = _find_foreign_head(answer.head, self._job)
+            if problem:
+                return self._handle_call_error(
+                    CallError(CallFailure.FOREIGN, True, problem)
+                )
             self._ports.health.record_target_success(self._target.name)
             self._job.record.answer.begin(answer.head)
-            stream = EventStream(self._job.record.answer, answer.head)
+            stream = EventStream(
+                self._job.record.answer, answer.head, self._job.has_prefill
+            )
             self._stream = stream
             call_error = await self._relay(answer, stream)
         if call_error is not None and stream.can_resume:
@@ -134,11 +161,15 @@
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
                 return None if stream.is_complete else chunk.err_value
+            if stream.has_ended:
+                return None
             if first:
                 self._grant.record_first_output()
                 first = False
-            stream.feed(chunk.ok_value)
-            if len(buffer) > limit:
+            problem = stream.feed(chunk.ok_value)
+            if problem:
+                return CallError(CallFailure.FOREIGN, True, problem)
+            if len(buffer) + stream.partial_bytes > limit:
                 return CallError(CallFailure.TOO_LARGE, written=True)
         if stream.is_cut(answer.head):
             return CallError(CallFailure.BROKEN, True, "end within the stream")
@@ -154,7 +185,8 @@
         its output, so it is not a second dispatch.
         """
         for delay_ms in RESUME_DELAYS_MS:
-            if call_error.failure is CallFailure.TOO_LARGE:
+            is_too_large = call_error.failure is CallFailure.TOO_LARGE
+            if is_too_large or not stream.is_after_numbered_event:
                 return call_error
             await anyio.sleep(delay_ms / 1000)
             outcome = await self._resume_once(stream)
@@ -185,7 +217,9 @@
         async with self._ports.targets.open(
             self._target, call, lambda: True
         ) as opened:
-            if isinstance(opened, Err) or opened.ok_value.head.status != 200:
+            if isinstance(opened, Err) or not stream.is_resumed_by(
+                opened.ok_value.head
+            ):
                 return Err(None)
             return Ok(await self._relay(opened.ok_value, stream))
 
@@ -228,9 +262,24 @@
         if error.failure is CallFailure.TOO_LARGE:
             self._outcome = GrantOutcome.TIMED_OUT
             return MayHaveRun(Reason.ANSWER_TOO_LARGE)
-        self._record_crash(error)
+        if error.failure is CallFailure.FOREIGN:
+            self._record_foreign_answer(error)
+        else:
+            self._has_crashed = True
+            self._record_crash(error)
         return MayHaveRun(Reason.TARGET_FAILED)
 
+    def _record_foreign_answer(self, error: CallError) -> None:
+        # The target lives, so its requests are no suspects.
+        ports, name = self._ports, self._target.name
+        ports.health.record_target_failure(name)
+        ports.log.emit(
+            Event.TARGET_FAILED,
+            target=name,
+            in_flight=self._in_flight.count().get(name, 0),
+            detail=error.detail,
+        )
+
     def _record_crash(self, error: CallError) -> None:
         ports, name = self._ports, self._target.name
         crash = self._in_flight.take_crashed(name, self._job.record.log_key)
@@ -256,3 +305,16 @@
             return job.work.output_tokens
         tokens = count_output_tokens(answer.head, answer.content())
         return job.work.output_tokens if tokens is None else tokens
+
+
+def _find_foreign_head(head: AnswerHead, job: Job) -> str:
+    """Returns why no run of a request gives an answer with this head, or ""."""
+    if not MIN_STATUS <= head.status <= MAX_STATUS:
+        return f"{head.status} is no status of an answer"
+    # Errors of an engine may have any type.
+    if job.work.is_streaming and head.status < MIN_ERROR_STATUS:
+        if head.status != 200:
+            return f"{head.status} is no status of a stream"
+        if not is_event_stream(head):
+            return "the answer to a streaming call is no event stream"
+    return ""
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -10,8 +10,14 @@
 USAGE_TAIL_BYTES = 1_024
 # Quotes within JSON strings are escaped, so generated text cannot match this.
 _COMPLETION_TOKENS = re.compile(rb'"completion_tokens"\s*:\s*(\d{1,9})\b')
+# The empty name stands for comments and empty lines.
+_FIELDS = frozenset((b"data", b"id", b"event", b"retry", b""))
+_COMMON_EVENT = re.compile(rb"id: ([0-9]{1,18})\ndata: [^\n]*+\n\n")
+_EVENT_ID = re.compile(rb"[0-9]{1,18}")
+_STATUSES_WITHOUT_BODY = frozenset((204, 205, 304))
 EVENT_STREAM_TYPE = "text/event-stream"
 CLOSING_EVENT = b"data: [DONE]\n\n"
+_CLOSING_LINE = b"\n" + CLOSING_EVENT
 
 
 def find_header(head: AnswerHead, name: str) -> str:
@@ -39,6 +45,8 @@
 
 def is_event_stream(head: AnswerHead) -> bool:
     """Tells whether an answer consists of server-sent events."""
+    if head.status in _STATUSES_WITHOUT_BODY:
+        return False
     types = list_header_values(head, "content-type")
     return bool(types) and all(map(_is_event_stream_type, types))
 
@@ -54,72 +62,140 @@
     Answers with other content types are copied unchanged.
     """
 
-    def __init__(self, answer: AnswerBuffer, head: AnswerHead):
+    def __init__(self, answer: AnswerBuffer, head: AnswerHead, is_engine: bool):
+        """Creates a stream without events.
+
+        Args:
+            answer: what the events are appended to.
+            head: of the answer that begins the stream.
+            is_engine: whether a model engine gives the answer.
+        """
         self._answer = answer
         self.is_events = is_event_stream(head)
         self.stream_id = find_header(head, "engine-stream")
+        # Errors are no streams of an engine, whatever their type.
+        self._is_engine_stream = (
+            self.is_events
+            and 200 <= head.status < 300
+            and (is_engine or bool(self.stream_id))
+        )
+        # Whether the target offered to continue the stream.
+        self.can_resume = self._is_engine_stream and bool(self.stream_id)
         self._partial = b""
-        self._last_event = b""
+        self._last_number = -1
+        # Whether an event without an ID came last, which a resumed stream
+        # would repeat.
+        self._has_unnumbered_end = False
         # Whether the closing event has arrived.
         self.is_complete = False
 
     @property
-    def can_resume(self) -> bool:
-        """Whether the target offered to continue the stream."""
-        return self.is_events and bool(self.stream_id)
+    def is_after_numbered_event(self) -> bool:
+        """Whether the next event is the one after `last_event_id`."""
+        return not self._has_unnumbered_end
+
+    @property
+    def partial_bytes(self) -> int:
+        """The size of the event that is incomplete so far."""
+        return len(self._partial)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether any further bytes belong to no run."""
+        return self._is_engine_stream and self.is_complete
 
     @property
     def last_event_id(self) -> str:
-        """The ID of the last whole event, or "" if there is none."""
-        for line in reversed(self._last_event.splitlines()):
-            if line.startswith(b"id:"):
-                return line[3:].strip().decode()
-        return ""
+        """The ID of the last event that has one, or "" if there is none."""
+        return "" if self._last_number < 0 else str(self._last_number)
+
+    def is_resumed_by(self, head: AnswerHead) -> bool:
+        """Tells whether an answer with this head may continue the stream."""
+        stream_id = find_header(head, "engine-stream")
+        return (
+            head.status == 200
+            and is_event_stream(head)
+            and stream_id in ("", self.stream_id)
+        )
 
     def is_cut(self, head: AnswerHead) -> bool:
         """Tells whether an answer that ended here was broken off.
 
-        Without a length or chunks, the end of the connection says nothing. Only
-        the closing event shows that a stream of an engine is whole.
+        Only the closing event shows that a stream of an engine is whole,
+        since a target in trouble may also end its body in order. For other
+        streams, the end of a connection without a length or chunks says
+        nothing.
 
         Args:
             head: of the answer that ended, which may resume an earlier one.
         """
         if self._partial.strip():
             return True
-        if head.is_delimited or not self.is_events or self.is_complete:
+        if not self.is_events or self.is_complete:
             return False
-        return self.can_resume or len(self._answer) == 0
+        if self._is_engine_stream:
+            return True
+        return not head.is_delimited and len(self._answer) == 0
+
+    def feed(self, data: bytes) -> str:
+        """Processes a chunk of the body.
 
-    def feed(self, data: bytes) -> None:
-        """Processes a chunk of the body."""
+        Returns why no run gives the events in it, or "". Nothing of a chunk
+        that no run gives is appended.
+        """
         if not self.is_events:
             self._answer.append(data)
-            return
-        if not self._partial and data.find(SEPARATOR) + 2 == len(data) > 1:
-            # Fast path for the most common case: a chunk that is one event.
-            if b"id:" in data:
-                self._last_event = data
-            self.is_complete = data == CLOSING_EVENT
-            self._answer.append(data)
-            return
+            return ""
         data = self._partial + data if self._partial else data
         end = data.rfind(SEPARATOR)
         if end < 0:
             self._partial = data
-            return
+            return ""
         end += len(SEPARATOR)
         whole, self._partial = data[:end], data[end:]
-        start = whole.rfind(SEPARATOR, 0, end - len(SEPARATOR))
-        event = whole[start + len(SEPARATOR) :] if start >= 0 else whole
-        # The closing `[DONE]` event has no ID, so the stream is never resumed
-        # after it.
-        if b"id:" in event:
-            self._last_event = event
-        elif b"id:" in whole:
-            self._last_event = whole[: whole.rfind(event)]
-        self.is_complete = whole.endswith(CLOSING_EVENT)
+        end = _find_end(whole)
+        if self._is_engine_stream:
+            if end:
+                whole, self._partial = whole[:end], b""
+            problem = self._read_events(whole)
+            if problem:
+                return problem
+        self.is_complete = end == len(whole)
         self._answer.append(whole)
+        return ""
+
+    def _read_events(self, whole: bytes) -> str:
+        """Reads whole events; returns why they are foreign, or ""."""
+        if b"\0" in whole or not _is_text(whole):
+            return "an event is no text"
+        # Fast path for the most common case: a chunk that is one event.
+        common = _COMMON_EVENT.fullmatch(whole)
+        if common and (number := int(common[1])) > self._last_number:
+            self._last_number = number
+            self._has_unnumbered_end = False
+            return ""
+        last_number = self._last_number
+        has_data = has_id = False
+        has_unnumbered_end = self._has_unnumbered_end
+        for line in whole.split(b"\n"):
+            if not line and has_data:
+                has_unnumbered_end = not has_id
+                has_data = has_id = False
+            field, _, value = line.partition(b":")
+            has_data = has_data or field == b"data"
+            event_id = value.strip()
+            if field == b"id" and event_id and self.can_resume:
+                if not _EVENT_ID.fullmatch(event_id):
+                    return "an event has an ID that is no number"
+                if int(event_id) <= last_number:
+                    return f"event {int(event_id)} follows {last_number}"
+                last_number = int(event_id)
+                has_id = True
+            elif field not in _FIELDS:
+                return "a line is no field of an event"
+        self._last_number = last_number
+        self._has_unnumbered_end = has_unnumbered_end
+        return ""
 
     def discard_partial(self) -> None:
         """Drops an incomplete event, which a resumed stream sends again."""
@@ -130,3 +206,21 @@
         if self._partial:
             self._answer.append(self._partial)
             self._partial = b""
+
+
+def _find_end(whole: bytes) -> int:
+    """Returns where the closing event ends, or 0 if there is none."""
+    if whole.startswith(CLOSING_EVENT):
+        return len(CLOSING_EVENT)
+    at = whole.find(_CLOSING_LINE)
+    return at + len(_CLOSING_LINE) if at >= 0 else 0
+
+
+def _is_text(data: bytes) -> bool:
+    if data.isascii():
+        return True
+    try:
+        data.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -20,6 +20,7 @@
 TEST_TIMEOUT_S = 30.0
 MAX_BODY_BYTES = 8_192
 EVENT_FORMAT = b'id: %d\ndata: {"n": %d}\n\n'
+CLOSING_EVENT = b"data: [DONE]\n\n"
 SHOP_KEY_SHA256 = (
     "44cfdcdd88354fa1412781f5a01a901c9112db33bfa8b165fbec9b618d9cf112"
 )
@@ -102,6 +103,8 @@
         self.event_count = 5
         # True closes the connection after the first event of a stream.
         self.breaks_streams = False
+        # If set, what requests are answered with; the connection is closed.
+        self.reply = b""
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -128,6 +131,10 @@
             self._write(writer, {**report, "incarnation": "1"})
             return
         self.ran.append(path)
+        if self.reply:
+            writer.write(self.reply)
+            await writer.drain()
+            raise ConnectionError
         if b'"stream": true' in body:
             await self._stream(writer)
         else:
@@ -145,6 +152,7 @@
 
     async def _stream(self, writer: asyncio.StreamWriter) -> None:
         events = [EVENT_FORMAT % (n, n) for n in range(self.event_count)]
+        events.append(CLOSING_EVENT)
         content = b"".join(events)
         writer.write(
             b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
