--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -4,7 +4,8 @@
 import json
 import pathlib
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable
+import types
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import ExitStack, asynccontextmanager
 
 import anyio
@@ -27,6 +28,7 @@
 WAIT_TIMEOUT_S = 30.0
 # A process that failed to start has exited this long after a reset at most.
 EXIT_TIMEOUT_S = 10.0
+NO_HEADERS: Mapping[str, str] = types.MappingProxyType({})
 HOSTS = (make_host(21), make_host(22))
 CONFIG = {
     **CONFIG_DOCUMENT,
@@ -148,6 +150,7 @@
         attempt: str,
         key: str = "key-1",
         deadline_ms: int = 10_000,
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> httpcore.Response:
         """Sends a request as a caller."""
         return await self.client.request(
@@ -158,6 +161,7 @@
                 "Authorization": f"Token {key}",
                 wire.ATTEMPT_ID: attempt,
                 wire.DEADLINE_MS: str(deadline_ms),
+                **headers,
             },
             content=b"body",
         )
--- a/tests/test_edge_trouble.py
+++ b/tests/test_edge_trouble.py
@@ -3,17 +3,40 @@
 import asyncio
 import contextlib
 import unittest
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Mapping,
+    Sequence,
+)
 
 import anyio
 import httpcore
 
+from peridotbend.adapters.edgemetrics import METRICS_PATH
+from peridotbend.adapters.explanations import (
+    LogLine,
+    explain_attempt,
+    read_lines,
+)
 from peridotbend.adapters.serving import HttpServer, listen
-from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
+from peridotbend.domain.streams import EVENT_STREAM_TYPE
+from peridotbend.edgedaemon import DEFAULT_METRICS_PORT
+from peridotbend_emulator.launch import Child
+from tests.edgefleet import (
+    CONFIG,
+    HOSTS,
+    NO_HEADERS,
+    WAIT_TIMEOUT_S,
+    EdgeFleet,
+    run_with_fleet,
+)
 from tests.edgestandins import FakeStore
 from tests.test_edge_paths import refuse_connections
 from tests.test_edge_platform import SETTINGS_DOCUMENT, TARGET_ENTRY
 from tests.troubledtargets import (
+    ENDLESS_HEADS,
     FOREIGN_BODIES,
     FOREIGN_HEADS,
     STREAM_HEADS,
@@ -21,6 +44,7 @@
     ForeignAnswer,
     Framing,
     Place,
+    TroubledAnswer,
     TroubledTarget,
     list_foreign_answers,
 )
@@ -30,6 +54,11 @@
 CONCURRENT_CALLS = 24
 RESUMABLE_PATH = "/trouble/"
 SINGLE_RUN_PATH = "/once/"
+# Routes with a time limit at which a silent target is given up soon.
+SLOW_PATH = "/slow/"
+SLOW_ONCE_PATH = "/slow-once/"
+IDEMPOTENT_PATH = "/lookup/"
+NON_IDEMPOTENT_PATH = "/change/"
 ROUTE = {**CONFIG["routes"][0], "service": "trouble", "max_attempts": 3}
 TROUBLE_CONFIG = {
     **CONFIG,
@@ -47,9 +76,38 @@
             "path_prefix": SINGLE_RUN_PATH,
             "resumable": False,
         },
+        {
+            **ROUTE,
+            "name": "r-10",
+            "path_prefix": SLOW_PATH,
+            "resumable": True,
+            "timeout_ms": 4_000,
+        },
+        {
+            **ROUTE,
+            "name": "r-11",
+            "path_prefix": SLOW_ONCE_PATH,
+            "resumable": False,
+            "timeout_ms": 1_000,
+        },
+        {
+            **ROUTE,
+            "name": "r-12",
+            "path_prefix": IDEMPOTENT_PATH,
+            "route_kind": "idempotent",
+            "resumable": False,
+        },
+        {
+            **ROUTE,
+            "name": "r-13",
+            "path_prefix": NON_IDEMPOTENT_PATH,
+            "route_kind": "non_idempotent",
+            "resumable": False,
+        },
     ],
     "services": [*CONFIG["services"], {"name": "trouble"}],
 }
+TROUBLED = (Place.FIRST, Place.RESUMED)
 # Many attempts are sent again within seconds.
 BOUNDS = {**SETTINGS_DOCUMENT["bounds"], "retry_slack": 100_000}
 
@@ -57,7 +115,9 @@
 class TroubledFleet:
     """A fleet with a service whose target answers as one in trouble."""
 
-    def __init__(self, fleet: EdgeFleet, answers: list[ForeignAnswer]) -> None:
+    def __init__(
+        self, fleet: EdgeFleet, answers: Sequence[TroubledAnswer]
+    ) -> None:
         self.fleet = fleet
         self.answers = answers
         self.target = TroubledTarget(answers)
@@ -71,17 +131,31 @@
         finally:
             server.close()
 
-    async def call(self, path: str) -> httpcore.Response | None:
+    async def call(
+        self, path: str, headers: Mapping[str, str] = NO_HEADERS
+    ) -> httpcore.Response | None:
         """Calls an instance; returns None if the answer breaks off."""
         try:
-            return await self.fleet.call(HOSTS[0], path, path)
+            return await self.fleet.call(HOSTS[0], path, path, headers=headers)
         except (httpcore.RemoteProtocolError, httpcore.ReadError):
             return None
 
-    async def list_problems(self, prefix: str, *places: Place) -> list[str]:
+    async def list_problems(
+        self,
+        prefix: str,
+        *places: Place,
+        headers: Mapping[str, str] = NO_HEADERS,
+        expected: bytes = WHOLE,
+    ) -> list[str]:
         """Returns what callers got that is neither whole nor a refusal.
 
         Each answer is given once at each place.
+
+        Args:
+            prefix: of the route.
+            *places: of the foreign answers.
+            headers: more of them, of all callers.
+            expected: the events that callers get on a route that goes on.
         """
         problems: list[str] = []
         limiter = anyio.CapacityLimiter(CONCURRENT_CALLS)
@@ -89,8 +163,8 @@
         async def check(number: int, place: Place) -> None:
             path = f"{prefix}{number}/{place.value}/x"
             async with limiter:
-                answer = await self.call(path)
-            problem = self._find_problem(answer, path, prefix)
+                answer = await self.call(path, headers)
+            problem = self._find_problem(answer, path, prefix, expected)
             if problem:
                 name = self.answers[number].name
                 problems.append(f"{place.value}, {name}: {problem}")
@@ -102,17 +176,23 @@
         return problems
 
     def _find_problem(
-        self, answer: httpcore.Response | None, path: str, prefix: str
+        self,
+        answer: httpcore.Response | None,
+        path: str,
+        prefix: str,
+        expected: bytes,
     ) -> str:
         if answer is None:
             return "broken off"
-        if prefix == RESUMABLE_PATH:
+        if prefix in (RESUMABLE_PATH, SLOW_PATH):
             # The caller keeps the head of the run that began its stream.
             is_success = answer.status in (200, 201)
-            if not is_success or answer.content != WHOLE:
+            if not is_success or answer.content != expected:
                 return f"{answer.status} {answer.content[-80:]!r}"
             return ""
-        if answer.status != 502 or answer.content:
+        # A target in trouble may also be silent up to the time limit.
+        failures = (502, 504) if prefix == SLOW_ONCE_PATH else (502,)
+        if answer.status not in failures or answer.content:
             return f"{answer.status} {answer.content[-80:]!r}"
         if self.target.sends[path] != 1:
             return f"{self.target.sends[path]} sends"
@@ -132,9 +212,9 @@
         store.put(f"servers/{name}", entry)
 
 
-def run_with_trouble(
-    answers: list[ForeignAnswer],
-    check: Callable[[TroubledFleet], Awaitable[None]],
+def run_with_child(
+    answers: Sequence[TroubledAnswer],
+    check: Callable[[TroubledFleet, Child], Awaitable[None]],
 ) -> None:
     """Runs a check with an instance that reaches the target directly."""
 
@@ -142,15 +222,23 @@
         troubled = TroubledFleet(fleet, answers)
         async with troubled.serve_target() as port:
             put_service(fleet.store, port)
-            fleet.spawn(HOSTS[0], bounds=BOUNDS)
+            child = fleet.spawn(HOSTS[0], bounds=BOUNDS)
             await fleet.wait_ready(HOSTS[0])
-            await check(troubled)
+            await check(troubled, child)
 
     run_with_fleet(start)
 
 
+def run_with_trouble(
+    answers: Sequence[TroubledAnswer],
+    check: Callable[[TroubledFleet], Awaitable[None]],
+) -> None:
+    """Runs a check that needs nothing of the process itself."""
+    run_with_child(answers, lambda troubled, _: check(troubled))
+
+
 def run_with_peer(
-    answers: list[ForeignAnswer],
+    answers: Sequence[TroubledAnswer],
     check: Callable[[TroubledFleet], Awaitable[None]],
 ) -> None:
     """Runs a check with an instance that reaches targets through a peer only.
@@ -199,7 +287,7 @@
         """
 
         async def check(troubled: TroubledFleet) -> None:
-            problems = await troubled.list_problems(RESUMABLE_PATH, *Place)
+            problems = await troubled.list_problems(RESUMABLE_PATH, *TROUBLED)
             assert not problems, "\n".join(problems)
 
         for run in (run_with_trouble, run_with_peer):
@@ -267,3 +355,184 @@
                     assert troubled.target.sends[path] == 1
 
         run_with_trouble(answers, check)
+
+
+class HeadInPiecesTest(unittest.TestCase):
+    """Heads that come in pieces, or never to their end."""
+
+    def test_pieces_of_an_answer_change_nothing(self) -> None:
+        """Guards against refusing sound answers whose bytes come one by one.
+
+        Foreign ones are found out as if they had come at once.
+        """
+        sound = [
+            ForeignAnswer(name, *head, WHOLE, framing, is_slow=True)
+            for name, head in STREAM_HEADS.items()
+            for framing in Framing
+        ]
+        foreign = [
+            ForeignAnswer(name, *head, b"x\n", is_slow=True)
+            for name, head in FOREIGN_HEADS.items()
+        ]
+        answers = sound + foreign
+
+        async def check(troubled: TroubledFleet) -> None:
+            problems = await troubled.list_problems(RESUMABLE_PATH, *TROUBLED)
+            assert not problems, "\n".join(problems)
+            problems = await troubled.list_problems(
+                SINGLE_RUN_PATH, Place.FIRST
+            )
+            refused = [p for p in problems if f" {WHOLE[-80:]!r}" not in p]
+            assert not refused, "\n".join(refused)
+            assert len(problems) == len(sound), "\n".join(problems)
+            for number in range(len(sound)):
+                path = f"{RESUMABLE_PATH}{number}/first/x"
+                assert troubled.target.sends[path] == 1
+
+        run_with_trouble(answers, check)
+
+    def test_head_without_an_end_holds_up_its_own_caller_only(self) -> None:
+        """Guards against callers that wait for a head that never ends.
+
+        A caller whose stream may go on gets it from another target; sound
+        callers are served meanwhile, and no connection stays open.
+        """
+
+        async def check(troubled: TroubledFleet) -> None:
+            problems: list[str] = []
+            served: list[str] = []
+
+            async def call(prefix: str) -> None:
+                problems.extend(
+                    await troubled.list_problems(prefix, Place.FIRST)
+                )
+
+            async def call_beside() -> None:
+                while True:
+                    path = f"{RESUMABLE_PATH}0/none/{len(served)}"
+                    answer = await troubled.call(path)
+                    assert answer is not None, path
+                    assert (answer.status, answer.content) == (200, WHOLE)
+                    served.append(path)
+
+            with anyio.fail_after(WAIT_TIMEOUT_S):
+                async with anyio.create_task_group() as beside:
+                    beside.start_soon(call_beside)
+                    async with anyio.create_task_group() as tasks:
+                        for prefix in (SLOW_PATH, SLOW_ONCE_PATH):
+                            tasks.start_soon(call, prefix)
+                    beside.cancel_scope.cancel()
+                assert not problems, "\n".join(problems)
+                assert len(served) > len(ENDLESS_HEADS)
+                while troubled.target.active:
+                    await anyio.sleep(0.02)
+
+        run_with_trouble(ENDLESS_HEADS, check)
+
+
+class ForeignAnswerReportTest(unittest.TestCase):
+    """What an instance tells of answers that no run gives."""
+
+    def test_log_metrics_and_explanation_name_such_answers(self) -> None:
+        """Guards against trouble that looks like a lost connection.
+
+        Each send has one outcome; 307 names the type and the framing, 301 the
+        same of the answer that was passed on.
+        """
+        heads = FOREIGN_HEADS | STREAM_HEADS
+        answers = [
+            ForeignAnswer("text", *heads["text/plain"], b"x\n"),
+            ForeignAnswer(
+                "no type", *heads["no type"], b"x\n", Framing.CONNECTION
+            ),
+            ForeignAnswer("JSON", *heads["JSON"], b"{}", Framing.LENGTH),
+            ForeignAnswer("partial", *heads["206, text/plain"], b"x\n"),
+            ForeignAnswer("moved", *heads["302, text/plain"], b""),
+            ForeignAnswer("no event", *heads["stream"], b""),
+            ForeignAnswer("no ID", *heads["stream"], b"data: x\n\n"),
+            # These are not taken for answers at all.
+            ForeignAnswer("compressed", *heads["compressed"], b"x"),
+            ForeignAnswer(
+                "cut", *heads["stream"], b"id: 1\n", Framing.CONNECTION
+            ),
+        ]
+        expected = {
+            "text": ("foreign", "got status 200", "text/plain", True),
+            "no type": ("foreign", "got status 200", "", False),
+            "JSON": ("foreign", "got status 200", "application/json", True),
+            "partial": ("foreign", "got status 206", "text/plain", True),
+            "moved": ("foreign", "got status 302", "text/plain", True),
+            "no event": (
+                "foreign",
+                "without an event",
+                EVENT_STREAM_TYPE,
+                True,
+            ),
+            "no ID": ("foreign", "without one ID", EVENT_STREAM_TYPE, True),
+            "compressed": ("broken", "content encoding", None, None),
+            "cut": ("broken", "inside an event", EVENT_STREAM_TYPE, False),
+        }
+
+        async def check(troubled: TroubledFleet, child: Child) -> None:
+            problems = await troubled.list_problems(RESUMABLE_PATH, Place.FIRST)
+            assert not problems, "\n".join(problems)
+            paths = [
+                f"{RESUMABLE_PATH}{number}/first/x"
+                for number in range(len(answers))
+            ]
+            while not all(
+                explain_attempt(_read_log(child), path)
+                .report[0]
+                .endswith("answered with status 200 by its target")
+                for path in paths
+            ):
+                await anyio.sleep(0.02)
+            for path, answer in zip(paths, answers, strict=True):
+                with self.subTest(answer=answer.name):
+                    self._check_report(child, path, expected[answer.name])
+            metrics = await _read_metrics(troubled.fleet)
+            counts = {
+                "foreign": sum(e[0] == "foreign" for e in expected.values()),
+                "broken": sum(e[0] == "broken" for e in expected.values()),
+                "answered": len(answers),
+            }
+            for outcome, count in counts.items():
+                line = f'sends_total{{outcome="{outcome}"}} {count:.1f}'
+                assert f"peridotbend_edge_{line}" in metrics, metrics
+
+        run_with_child(answers, check)
+
+    def _check_report(
+        self,
+        child: Child,
+        path: str,
+        expected: tuple[str, str, str | None, bool | None],
+    ) -> None:
+        failure, detail, content_type, is_delimited = expected
+        entries = {
+            line.entry["event"]: line.entry
+            for line in _read_log(child)
+            if line.entry.get("attempt") == path
+        }
+        failed = entries["target-call-failed"]
+        assert failed["failure"] == failure, failed
+        assert detail in str(failed["detail"]), failed
+        assert failed.get("content_type") == content_type, failed
+        assert failed.get("delimited") == is_delimited, failed
+        assert failed["written"] is True, failed
+        ended = entries["request-ended"]
+        assert ended["content_type"] == EVENT_STREAM_TYPE, ended
+        assert (ended["last_event"], ended["delimited"]) == ("8", True)
+        report = "\n".join(explain_attempt(_read_log(child), path).report)
+        assert f"failure={failure}" in report, report
+        assert detail in report, report
+        assert f"target {failed['target']}, 2 s before and after" in report
+
+
+def _read_log(child: Child) -> list[LogLine]:
+    return list(read_lines(child.output.splitlines()))
+
+
+async def _read_metrics(fleet: EdgeFleet) -> str:
+    url = f"http://{HOSTS[0]}:{DEFAULT_METRICS_PORT}{METRICS_PATH}"
+    return (await fleet.client.request("GET", url)).content.decode()
--- a/tests/troubledtargets.py
+++ b/tests/troubledtargets.py
@@ -8,6 +8,8 @@
 import socket
 import struct
 from collections import Counter
+from collections.abc import AsyncIterator, Mapping, Sequence
+from typing import Protocol
 
 from peridotbend.platform import wire
 from tests.edgefakes import make_event
@@ -15,7 +17,19 @@
 EVENTS = 8
 # Events before a sound run breaks off.
 EVENTS_BEFORE_CUT = 3
-WHOLE = b"".join(make_event(number) for number in range(1, EVENTS + 1))
+
+
+def make_events(first: int, last: int) -> bytes:
+    """Returns the events of a run from one to another."""
+    return b"".join(make_event(number) for number in range(first, last + 1))
+
+
+WHOLE = make_events(1, EVENTS)
+# Gaps inside an answer that comes byte by byte, and longer ones after each line
+# of its head.
+BYTE_GAP_S = 0.001
+LINE_GAP_S = 0.03
+DRIP_GAP_S = 0.02
 NOISE = b"\xff\xfe\x00\x9c" * 16
 
 
@@ -34,6 +48,21 @@
     FIRST = "first"
     # The first send gets three events and a reset.
     RESUMED = "resumed"
+    # None; all are sound.
+    NONE = "none"
+
+
+class TroubledAnswer(Protocol):
+    """What the target sends in place of a sound answer."""
+
+    @property
+    def name(self) -> str:
+        """Names the answer in a report."""
+        ...
+
+    def list_pieces(self, attempt: str) -> AsyncIterator[bytes]:
+        """Yields the bytes for an attempt, with pauses in between."""
+        ...
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +75,20 @@
     headers: tuple[str, ...] = ()
     body: bytes = b""
     framing: Framing = Framing.CHUNKS
+    # Whether each byte comes by itself.
+    is_slow: bool = False
+
+    async def list_pieces(self, attempt: str) -> AsyncIterator[bytes]:
+        """Yields the answer, in one piece or byte by byte."""
+        data = self.encode(attempt)
+        if not self.is_slow:
+            yield data
+            return
+        body_start = data.index(b"\r\n\r\n") + 4
+        for position, byte in enumerate(data):
+            yield bytes((byte,))
+            is_line_end = byte == ord("\n") and position < body_start
+            await asyncio.sleep(LINE_GAP_S if is_line_end else BYTE_GAP_S)
 
     def encode(self, attempt: str) -> bytes:
         """Returns the bytes of the answer to an attempt."""
@@ -61,6 +104,24 @@
         return ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndlessHead:
+    """A head that never ends."""
+
+    name: str
+    start: bytes
+    # Sent again and again; nothing more is sent if it is empty.
+    drip: bytes = b""
+
+    async def list_pieces(self, attempt: str) -> AsyncIterator[bytes]:
+        """Yields bytes until the caller closes."""
+        yield self.start.replace(b"ATTEMPT", attempt.encode())
+        while self.drip:
+            await asyncio.sleep(DRIP_GAP_S)
+            yield self.drip
+        await asyncio.Event().wait()
+
+
 # Heads of successes and redirections that are not those of an event stream.
 FOREIGN_HEADS: dict[str, tuple[str, tuple[str, ...]]] = {
     "no type": ("200 OK", ()),
@@ -109,7 +170,7 @@
     ),
     "201, stream": ("201 Created", ("Content-Type: text/event-stream",)),
 }
-_EVENTS_BEFORE = b"".join(make_event(number) for number in (1, 2, 3))
+_EVENTS_BEFORE = make_events(1, 3)
 FOREIGN_BODIES: dict[str, bytes] = {
     "nothing": b"",
     "data without an ID": b"data: x\n\n",
@@ -120,19 +181,64 @@
 }
 
 
-def list_foreign_answers() -> list[ForeignAnswer]:
+# The event after which callers take up a stream.
+TAKEN_UP_AFTER = 3
+_EVENTS_NEXT = make_events(4, 6)
+# Answers to a caller that has the first three events.
+TAKE_UP_BODIES: dict[str, bytes] = {
+    "nothing": b"",
+    "data without an ID": b"data: x\n\n",
+    "text": b"Internal Server Error\n",
+    "noise": NOISE,
+    "data without an ID after events": _EVENTS_NEXT + b"data: x\n\n",
+    "noise after events": _EVENTS_NEXT + NOISE + b"\n\n",
+    "events from the first": WHOLE,
+}
+_HEAD_START = (
+    b"HTTP/1.1 200 OK\r\n"
+    + f"{wire.ATTEMPT_ID}: ATTEMPT\r\n{wire.SERVER_STAMP}: s\r\n".encode()
+)
+ENDLESS_HEADS: list[TroubledAnswer] = [
+    EndlessHead("no byte", b""),
+    EndlessHead("half of a status line", b"HTTP/1.1 20"),
+    EndlessHead("half of a header line", _HEAD_START + b"Content-Ty"),
+    EndlessHead("no empty line", _HEAD_START),
+    EndlessHead("status line without end", b"HTTP/1.1 200 ", b"O"),
+    EndlessHead("header line without end", _HEAD_START + b"a: ", b"b"),
+    EndlessHead("header lines without end", _HEAD_START, b"a: b\r\n"),
+    EndlessHead("line without end, no HTTP", b"", b"\xff"),
+]
+
+
+def list_foreign_answers(
+    bodies: Mapping[str, bytes] = FOREIGN_BODIES,
+) -> list[ForeignAnswer]:
     """Returns all combinations of heads, bodies and framings."""
     heads = FOREIGN_HEADS | STREAM_HEADS
     return [
         ForeignAnswer(
             f"{head}; {body}; {framing.value}",
             *heads[head],
-            FOREIGN_BODIES[body],
+            bodies[body],
             framing,
         )
-        for head, body, framing in itertools.product(
-            heads, FOREIGN_BODIES, Framing
-        )
+        for head, body, framing in itertools.product(heads, bodies, Framing)
+    ]
+
+
+def list_fewer_answers(bodies: Mapping[str, bytes]) -> list[ForeignAnswer]:
+    """Returns all combinations of heads and bodies, each in one framing.
+
+    Each head and each body comes in all framings.
+    """
+    answers = list_foreign_answers(bodies)
+    # Those of one head follow each other, and so do those of one body in it.
+    per_head = len(bodies) * len(Framing)
+    return [
+        answer
+        for number, answer in enumerate(answers)
+        if (number // per_head + number // len(Framing) + number) % len(Framing)
+        == 0
     ]
 
 
@@ -142,18 +248,24 @@
     The path names the answer and the place. All other sends are sound.
     """
 
-    def __init__(self, answers: list[ForeignAnswer]) -> None:
+    def __init__(self, answers: Sequence[TroubledAnswer]) -> None:
         self._answers = answers
         # The number of sends of each attempt.
         self.sends: Counter[str] = Counter()
+        # Connections on which an answer is being sent.
+        self.active = 0
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one request and closes the connection."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await self._serve(reader, writer)
-        writer.close()
+        self.active += 1
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await self._serve(reader, writer)
+        finally:
+            self.active -= 1
+            writer.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -168,11 +280,12 @@
         send = self.sends[attempt]
         self.sends[attempt] += 1
         first_event = int(headers.get(wire.LAST_EVENT_ID, "0")) + 1
-        if send == (place is Place.RESUMED):
-            writer.write(self._answers[int(number)].encode(attempt))
-            await writer.drain()
+        if place is not Place.NONE and send == (place is Place.RESUMED):
+            pieces = self._answers[int(number)].list_pieces(attempt)
+            await _write_until_closed(pieces, reader, writer)
         elif place is Place.RESUMED and send == 0:
-            writer.write(_encode_sound(attempt, 1, EVENTS_BEFORE_CUT)[:-5])
+            last_event = first_event + EVENTS_BEFORE_CUT - 1
+            writer.write(_encode_sound(attempt, first_event, last_event)[:-5])
             await writer.drain()
             # Lets the instance read the events before the reset.
             await asyncio.sleep(0.02)
@@ -185,6 +298,31 @@
             await writer.drain()
 
 
+async def _write_until_closed(
+    pieces: AsyncIterator[bytes],
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Writes pieces to their end, or until the other side closes."""
+
+    async def write() -> None:
+        async for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+
+    writing = asyncio.create_task(write())
+    closing = asyncio.create_task(reader.read(1))
+    try:
+        await asyncio.wait(
+            (writing, closing), return_when=asyncio.FIRST_COMPLETED
+        )
+        if writing.done():
+            await writing
+    finally:
+        writing.cancel()
+        closing.cancel()
+
+
 def _encode_sound(attempt: str, first: int, last: int) -> bytes:
     head = _encode_head(
         "200 OK",
@@ -192,8 +330,7 @@
         "Content-Type: text/event-stream",
         "Transfer-Encoding: chunked",
     )
-    events = b"".join(make_event(number) for number in range(first, last + 1))
-    return head + _encode_body(events, Framing.CHUNKS)
+    return head + _encode_body(make_events(first, last), Framing.CHUNKS)
 
 
 def _encode_head(status: str, attempt: str, *headers: str) -> bytes:
