Test foreign answers in a fleet in groups

Cause: such answers were tried at one and two instances only.

Change: a runner of the fleet in virtual time may give a scripted answer to all requests. Its 63 instances in groups get one that is no event stream from one of 20 runners, which ends later. Callers get whole streams or 502, and no instance has evidence against requests or their shared part.

--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -244,7 +244,7 @@
     pause_ms: int = 0
 
 
-class _ScriptedAnswer:
+class ScriptedAnswer:
     """An answer with the content of a scripted reply."""
 
     event_header = EVENT_HEADER
@@ -329,7 +329,7 @@
         if reply.failure is not None:
             yield reply.failure
         else:
-            yield _ScriptedAnswer(reply, send.target.name)
+            yield ScriptedAnswer(reply, send.target.name)
 
 
 class SingleInstanceFleet:
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -44,6 +44,8 @@
     RecordingLog,
     RecordingMeter,
     RecordingResponder,
+    ScriptedAnswer,
+    ScriptedReply,
     make_event,
     make_target,
 )
@@ -97,6 +99,9 @@
         # answers. None if it is not brittle.
         self.max_rejections: int | None = None
         self.rejected_at_ms: list[int] = []
+        # Its answer to all requests, which is none of a run; None if it is
+        # sound.
+        self.foreign: ScriptedReply | None = None
         self.active = 0
 
     def crash(self) -> None:
@@ -197,6 +202,9 @@
         await anyio.sleep(HEAD_MS / 1_000)
         self._fleet.note_answer(self._host, runner)
         send.note_limit(runner.limit_per_s)
+        if runner.foreign is not None:
+            yield ScriptedAnswer(runner.foreign, runner.name)
+            return
         yield _Answer(runner, note_begin)
 
 
@@ -276,6 +284,8 @@
         self.arrivals: list[Arrival] = []
         # Attempts on which a runner began to write an answer.
         self.begun: set[str] = set()
+        # What the callers got, by attempt.
+        self.responders: dict[str, RecordingResponder] = {}
         # Times of all crashes.
         self.crashes: list[int] = []
         # A runner that begins to write on a prompt with this part crashes.
@@ -417,8 +427,9 @@
         ]
 
     async def _serve(self, instance: RunnerInstance, call: EdgeCall) -> None:
+        responder = self.responders[call.attempt] = RecordingResponder()
         with contextlib.suppress(AnswerBrokenError):
-            await instance.relay.serve(call, RecordingResponder())
+            await instance.relay.serve(call, responder)
 
     def _start_runner(self) -> None:
         self._started += 1
--- a/tests/test_edge_answers.py
+++ b/tests/test_edge_answers.py
@@ -18,6 +18,8 @@
     ScriptedReply,
     make_event,
 )
+from tests.edgerunners import EVENTS as RUN_EVENTS
+from tests.edgerunners import LEASE_MS, RunnerFleet
 
 EVENTS = tuple(make_event(number) for number in range(1, 6))
 WHOLE = ScriptedReply(chunks=EVENTS)
@@ -162,6 +164,46 @@
                     assert responder.is_complete
 
 
+class LargeFleetAnswerTest(unittest.TestCase):
+    """Such answers at the instances of a fleet in groups, in virtual time."""
+
+    def test_no_instance_passes_them_on_or_blames_requests(self) -> None:
+        """Guards against evidence that adds up over the groups of a fleet.
+
+        All requests share a prompt part, and their target ends later.
+        """
+        fleet = RunnerFleet(zones=3, per_zone=21, runners=20)
+
+        async def script() -> None:
+            runner = fleet.runners["i-1"]
+            runner.foreign = ScriptedReply(
+                chunks=(b"data: x\n\n",), is_event_stream=False
+            )
+            for host in fleet.hosts * 5:
+                fleet.send(host, "part")
+                await anyio.sleep(0.005)
+            await anyio.sleep(2)
+            fleet.crash(runner)
+            await anyio.sleep(LEASE_MS / 1_000 + 0.1)
+
+        fleet.run(script)
+        whole = b"".join(make_event(number + 1) for number in range(RUN_EVENTS))
+        answers = fleet.responders.values()
+        assert len(answers) == 5 * len(fleet.hosts)
+        for answer in answers:
+            if answer.is_complete:
+                assert answer.body == whole
+            else:
+                assert answer.head is None
+                assert answer.verdict == MayHaveRun(Reason.TARGET_FAILED)
+        logs = [instance.log for instance in fleet.instances.values()]
+        assert sum(log.count(Event.TARGET_CALL_FAILED) for log in logs) >= len(
+            fleet.hosts
+        )
+        for event in (Event.SUSPECT_RECORDED, Event.CRASH_CAUSE_FOUND):
+            assert not any(log.count(event) for log in logs)
+
+
 class EmptyStreamTest(unittest.TestCase):
     """Event streams that end properly without an event."""
 
