--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -156,13 +156,13 @@
         return await self.client.request(
             "POST",
             f"http://{host}:{self.ports['callers']}{path}",
-            headers={
-                "Host": "shop.example",
-                "Authorization": f"Token {key}",
-                wire.ATTEMPT_ID: attempt,
-                wire.DEADLINE_MS: str(deadline_ms),
-                **headers,
-            },
+            headers=[
+                ("Host", "shop.example"),
+                ("Authorization", f"Token {key}"),
+                (wire.ATTEMPT_ID, attempt),
+                (wire.DEADLINE_MS, str(deadline_ms)),
+                *headers.items(),
+            ],
             content=b"body",
         )
 
