--- a/tests/test_edge_trouble.py
+++ b/tests/test_edge_trouble.py
@@ -12,6 +12,7 @@
 )
 from peridotbend.domain.streams import EVENT_STREAM_TYPE
 from peridotbend.edgedaemon import DEFAULT_METRICS_PORT
+from peridotbend.platform import wire
 from peridotbend_emulator.launch import Child
 from tests.edgefleet import HOSTS, WAIT_TIMEOUT_S, EdgeFleet
 from tests.troubledfleet import (
@@ -28,6 +29,7 @@
 )
 from tests.troubledtargets import (
     ENDLESS_HEADS,
+    EVENTS,
     FOREIGN_BODIES,
     FOREIGN_HEADS,
     STREAM_HEADS,
@@ -291,13 +293,8 @@
                 f"{RESUMABLE_PATH}{number}/first/x"
                 for number in range(len(answers))
             ]
-            while not all(
-                explain_attempt(_read_log(child), path)
-                .report[0]
-                .endswith("answered with status 200 by its target")
-                for path in paths
-            ):
-                await anyio.sleep(0.02)
+            for path in paths:
+                await _wait_until_ended(child, path)
             for path, answer in zip(paths, answers, strict=True):
                 with self.subTest(answer=answer.name):
                     self._check_report(child, path, expected[answer.name])
@@ -310,6 +307,16 @@
             for outcome, count in counts.items():
                 line = f'sends_total{{outcome="{outcome}"}} {count:.1f}'
                 assert f"peridotbend_edge_{line}" in metrics, metrics
+            # A sound target that has no event left makes such a line as well.
+            path = f"{RESUMABLE_PATH}0/none/ended"
+            ended = {wire.RESUMES: paths[0], wire.LAST_EVENT_ID: str(EVENTS)}
+            got = await troubled.call(path, ended)
+            assert got is not None
+            assert (got.status, got.content) == (200, b"")
+            await _wait_until_ended(child, path)
+            detail = "only one target says that no event is left"
+            unconfirmed = ("foreign", detail, EVENT_STREAM_TYPE, True)
+            self._check_report(child, path, unconfirmed)
 
         run_with_child(answers, check)
 
@@ -340,6 +347,15 @@
         assert f"target {failed['target']}, 2 s before and after" in report
 
 
+async def _wait_until_ended(child: Child, path: str) -> None:
+    with anyio.fail_after(WAIT_TIMEOUT_S):
+        while (
+            explain_attempt(_read_log(child), path).report[0]
+            != f"attempt {path}: answered with status 200 by its target"
+        ):
+            await anyio.sleep(0.02)
+
+
 def _read_log(child: Child) -> list[LogLine]:
     return list(read_lines(child.output.splitlines()))
 
