--- a/tests/test_edge_trouble.py
+++ b/tests/test_edge_trouble.py
@@ -1,19 +1,35 @@
 """Tests of real daemons beside a target that sends what no run gives."""
 
-import asyncio
-import contextlib
 import unittest
-from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
-import httpcore
 
-from peridotbend.adapters.serving import HttpServer, listen
-from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
-from tests.edgestandins import FakeStore
-from tests.test_edge_paths import refuse_connections
-from tests.test_edge_platform import SETTINGS_DOCUMENT, TARGET_ENTRY
+from peridotbend.adapters.edgemetrics import METRICS_PATH
+from peridotbend.adapters.explanations import (
+    LogLine,
+    explain_attempt,
+    read_lines,
+)
+from peridotbend.domain.streams import EVENT_STREAM_TYPE
+from peridotbend.edgedaemon import DEFAULT_METRICS_PORT
+from peridotbend.platform import wire
+from peridotbend_emulator.launch import Child
+from tests.edgefleet import HOSTS, WAIT_TIMEOUT_S, EdgeFleet
+from tests.troubledfleet import (
+    IDEMPOTENT_PATH,
+    NON_IDEMPOTENT_PATH,
+    RESUMABLE_PATH,
+    SINGLE_RUN_PATH,
+    SLOW_ONCE_PATH,
+    SLOW_PATH,
+    TroubledFleet,
+    run_with_child,
+    run_with_peer,
+    run_with_trouble,
+)
 from tests.troubledtargets import (
+    ENDLESS_HEADS,
+    EVENTS,
     FOREIGN_BODIES,
     FOREIGN_HEADS,
     STREAM_HEADS,
@@ -21,170 +37,20 @@
     ForeignAnswer,
     Framing,
     Place,
-    TroubledTarget,
+    list_fewer_answers,
     list_foreign_answers,
 )
 
-# More than the calls that are made at a time.
-SLOTS = 200
-CONCURRENT_CALLS = 24
-RESUMABLE_PATH = "/trouble/"
-SINGLE_RUN_PATH = "/once/"
-ROUTE = {**CONFIG["routes"][0], "service": "trouble", "max_attempts": 3}
-TROUBLE_CONFIG = {
-    **CONFIG,
-    "routes": [
-        *CONFIG["routes"],
-        {
-            **ROUTE,
-            "name": "r-8",
-            "path_prefix": RESUMABLE_PATH,
-            "resumable": True,
-        },
-        {
-            **ROUTE,
-            "name": "r-9",
-            "path_prefix": SINGLE_RUN_PATH,
-            "resumable": False,
-        },
-    ],
-    "services": [*CONFIG["services"], {"name": "trouble"}],
-}
-# Many attempts are sent again within seconds.
-BOUNDS = {**SETTINGS_DOCUMENT["bounds"], "retry_slack": 100_000}
-
-
-class TroubledFleet:
-    """A fleet with a service whose target answers as one in trouble."""
-
-    def __init__(self, fleet: EdgeFleet, answers: list[ForeignAnswer]) -> None:
-        self.fleet = fleet
-        self.answers = answers
-        self.target = TroubledTarget(answers)
-
-    @contextlib.asynccontextmanager
-    async def serve_target(self) -> AsyncIterator[int]:
-        """Runs the target and yields its port."""
-        server = await asyncio.start_server(self.target.serve, "127.0.0.1", 0)
-        try:
-            yield server.sockets[0].getsockname()[1]
-        finally:
-            server.close()
-
-    async def call(self, path: str) -> httpcore.Response | None:
-        """Calls an instance; returns None if the answer breaks off."""
-        try:
-            return await self.fleet.call(HOSTS[0], path, path)
-        except (httpcore.RemoteProtocolError, httpcore.ReadError):
-            return None
-
-    async def list_problems(self, prefix: str, *places: Place) -> list[str]:
-        """Returns what callers got that is neither whole nor a refusal.
-
-        Each answer is given once at each place.
-        """
-        problems: list[str] = []
-        limiter = anyio.CapacityLimiter(CONCURRENT_CALLS)
-
-        async def check(number: int, place: Place) -> None:
-            path = f"{prefix}{number}/{place.value}/x"
-            async with limiter:
-                answer = await self.call(path)
-            problem = self._find_problem(answer, path, prefix)
-            if problem:
-                name = self.answers[number].name
-                problems.append(f"{place.value}, {name}: {problem}")
-
-        async with anyio.create_task_group() as tasks:
-            for number in range(len(self.answers)):
-                for place in places:
-                    tasks.start_soon(check, number, place)
-        return problems
-
-    def _find_problem(
-        self, answer: httpcore.Response | None, path: str, prefix: str
-    ) -> str:
-        if answer is None:
-            return "broken off"
-        if prefix == RESUMABLE_PATH:
-            # The caller keeps the head of the run that began its stream.
-            is_success = answer.status in (200, 201)
-            if not is_success or answer.content != WHOLE:
-                return f"{answer.status} {answer.content[-80:]!r}"
-            return ""
-        if answer.status != 502 or answer.content:
-            return f"{answer.status} {answer.content[-80:]!r}"
-        if self.target.sends[path] != 1:
-            return f"{self.target.sends[path]} sends"
-        return ""
-
-
-def put_service(store: FakeStore, port: int) -> None:
-    """Lists targets of the service in trouble, all at one port."""
-    store.put("op/config", TROUBLE_CONFIG)
-    for name in ("i-7", "i-8", "i-9"):
-        entry = {
-            **TARGET_ENTRY,
-            "service": "trouble",
-            "slots": SLOTS,
-            "address": f"127.0.0.1:{port}",
-        }
-        store.put(f"servers/{name}", entry)
-
-
-def run_with_trouble(
-    answers: list[ForeignAnswer],
-    check: Callable[[TroubledFleet], Awaitable[None]],
-) -> None:
-    """Runs a check with an instance that reaches the target directly."""
-
-    async def start(fleet: EdgeFleet) -> None:
-        troubled = TroubledFleet(fleet, answers)
-        async with troubled.serve_target() as port:
-            put_service(fleet.store, port)
-            fleet.spawn(HOSTS[0], bounds=BOUNDS)
-            await fleet.wait_ready(HOSTS[0])
-            await check(troubled)
-
-    run_with_fleet(start)
-
-
-def run_with_peer(
-    answers: list[ForeignAnswer],
-    check: Callable[[TroubledFleet], Awaitable[None]],
-) -> None:
-    """Runs a check with an instance that reaches targets through a peer only.
-
-    Its store names a port that refuses connections for all of them.
-    """
-
-    async def start(fleet: EdgeFleet) -> None:
-        troubled = TroubledFleet(fleet, answers)
-        cut_store = FakeStore()
-        listener = listen("127.0.0.1", 0)
-        address = f"127.0.0.1:{listener.getsockname()[1]}"
-        async with troubled.serve_target() as port:
-            with refuse_connections() as unused_port:
-                put_service(fleet.store, port)
-                put_service(cut_store, unused_port)
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(HttpServer(cut_store, listener).run)
-                    cut_child = fleet.spawn(
-                        HOSTS[0], platform={"address": address}, bounds=BOUNDS
-                    )
-                    fleet.spawn(HOSTS[1])
-                    for host in HOSTS:
-                        await fleet.wait_ready(host)
-                    while '"peer-live"' not in cut_child.output:
-                        await anyio.sleep(0.02)
-                    # Its links count as lost after this.
-                    await troubled.call(f"{SINGLE_RUN_PATH}0/resumed/links")
-                    while '"target-links-lost"' not in cut_child.output:
-                        await anyio.sleep(0.02)
-                    await check(troubled)
-                    tasks.cancel_scope.cancel()
-
-    run_with_fleet(start)
+# No answer of a run has these, on any route.
+REFUSED_HEADS = frozenset(
+    (
+        "status of no class",
+        "status of no class, stream",
+        "switched protocols",
+        "compressed",
+    )
+)
+TROUBLED = (Place.FIRST, Place.RESUMED)
 
 
 class ForeignAnswerProcessTest(unittest.TestCase):
@@ -199,7 +65,7 @@
         """
 
         async def check(troubled: TroubledFleet) -> None:
-            problems = await troubled.list_problems(RESUMABLE_PATH, *Place)
+            problems = await troubled.list_problems(RESUMABLE_PATH, *TROUBLED)
             assert not problems, "\n".join(problems)
 
         for run in (run_with_trouble, run_with_peer):
@@ -269,129 +135,231 @@
         run_with_trouble(answers, check)
 
 
-_STREAM_TYPE = "Content-Type: text/event-stream"
-# Heads that the HTTP library reads, with what no run says.
-ODD_HEADERS = {
-    "control character": "X-Odd: a\x01b",
-    "escape": "X-Odd: a\x1bb",
-    "delete": "X-Odd: a\x7fb",
-    "second attempt ID": "X-Attempt-Id: another",
-    "second stamp": "X-Server-Stamp: another",
-}
-
+class WholeAnswerProcessTest(unittest.TestCase):
+    """The same answers on routes whose answers are of any type."""
 
-class OddHeadProcessTest(unittest.TestCase):
-    """Heads with values that no run gives, on real connections."""
+    def test_answers_that_a_run_may_give_pass_unchanged(self) -> None:
+        """Guards against altering, or merging, what a target answered.
 
-    def _check_odd_headers(self, names: tuple[str, ...]) -> None:
-        answers = [
-            ForeignAnswer(f"{status}; {name}", status, headers, WHOLE)
-            for name in names
-            for status, headers in (
-                ("200 OK", (_STREAM_TYPE, ODD_HEADERS[name])),
-                ("400 Bad Request", (ODD_HEADERS[name],)),
-            )
-        ]
+        Any type and any body may be that of a run here. Without a length or
+        chunks, an answer ends with its connection.
+        """
+        answers = list_fewer_answers(FOREIGN_BODIES)
 
         async def check(troubled: TroubledFleet) -> None:
-            problems = await troubled.list_problems(RESUMABLE_PATH, *Place)
-            problems += await troubled.list_problems(
-                SINGLE_RUN_PATH, Place.FIRST
-            )
-            assert not problems, "\n".join(problems)
+            for number, answer in enumerate(answers):
+                is_refused = answer.name.partition(";")[0] in REFUSED_HEADS
+                status = int(answer.status.partition(" ")[0])
+                once = (502, b"") if is_refused else (status, answer.body)
+                again = (200, WHOLE) if is_refused else once
+                for prefix, expected, sends in (
+                    (NON_IDEMPOTENT_PATH, once, 1),
+                    (IDEMPOTENT_PATH, again, 1 + is_refused),
+                ):
+                    path = f"{prefix}{number}/first/x"
+                    got = await troubled.call(path)
+                    assert got is not None, answer.name
+                    assert (
+                        got.status,
+                        got.content,
+                    ) == expected, (
+                        f"{prefix}, {answer.name}: {got.status} {got.content!r}"
+                    )
+                    assert troubled.target.sends[path] == sends, answer.name
 
         run_with_trouble(answers, check)
 
-    def test_header_that_cannot_be_passed_on_is_no_answer(self) -> None:
-        """Guards against connections that close without an answer.
-
-        The server that writes the answer refuses control characters, which the
-        library that reads it takes.
-        """
-        self._check_odd_headers(("control character", "escape", "delete"))
 
-    def test_head_that_contradicts_itself_is_no_answer(self) -> None:
-        """Guards against an answer that may belong to another request."""
-        self._check_odd_headers(("second attempt ID", "second stamp"))
+class HeadInPiecesTest(unittest.TestCase):
+    """Heads that come in pieces, or never to their end."""
 
-    def test_limit_out_of_range_does_not_stop_a_service(self) -> None:
-        """Guards against one answer after which all requests are refused.
+    def test_pieces_of_an_answer_change_nothing(self) -> None:
+        """Guards against refusing sound answers whose bytes come one by one.
 
-        All instances share the limits that targets name.
+        Foreign ones are found out as if they had come at once.
         """
-        sound = ForeignAnswer("sound", headers=(_STREAM_TYPE,), body=WHOLE)
-        limited = ForeignAnswer(
-            "limit", headers=(_STREAM_TYPE, "Server-Limit: 1e308"), body=WHOLE
-        )
+        sound = [
+            ForeignAnswer(name, *head, WHOLE, framing, is_slow=True)
+            for name, head in STREAM_HEADS.items()
+            for framing in Framing
+        ]
+        foreign = [
+            ForeignAnswer(name, *head, b"x\n", is_slow=True)
+            for name, head in FOREIGN_HEADS.items()
+        ]
+        answers = sound + foreign
 
         async def check(troubled: TroubledFleet) -> None:
-            for number in (0, 1, 0):
-                for attempt in ("x", "y", "z"):
-                    path = f"{RESUMABLE_PATH}{number}/first/{attempt}"
-                    answer = await troubled.call(path)
-                    assert answer is not None, path
-                    assert answer.status == 200, (path, answer.status)
-                    assert answer.content == WHOLE
+            problems = await troubled.list_problems(RESUMABLE_PATH, *TROUBLED)
+            assert not problems, "\n".join(problems)
+            problems = await troubled.list_problems(
+                SINGLE_RUN_PATH, Place.FIRST
+            )
+            refused = [p for p in problems if f" {WHOLE[-80:]!r}" not in p]
+            assert not refused, "\n".join(refused)
+            assert len(problems) == len(sound), "\n".join(problems)
+            for number in range(len(sound)):
+                path = f"{RESUMABLE_PATH}{number}/first/x"
+                assert troubled.target.sends[path] == 1
 
-        run_with_trouble([sound, limited], check)
+        run_with_trouble(answers, check)
+
+    def test_head_without_an_end_holds_up_its_own_caller_only(self) -> None:
+        """Guards against callers that wait for a head that never ends.
 
-    def test_pause_out_of_range_does_not_end_a_request(self) -> None:
-        """Guards against a failure of this process for one of its targets."""
-        headers = ("X-Not-Executed: 1", "Retry-After: 1e306")
-        rejection = ForeignAnswer("pause", "503 Service Unavailable", headers)
+        A caller whose stream may go on gets it from another target; sound
+        callers are served meanwhile, and no connection stays open.
+        """
 
         async def check(troubled: TroubledFleet) -> None:
-            problems = await troubled.list_problems(RESUMABLE_PATH, *Place)
-            assert not problems, "\n".join(problems)
+            problems: list[str] = []
+            served: list[str] = []
 
-        run_with_trouble([rejection], check)
+            async def call(prefix: str) -> None:
+                problems.extend(
+                    await troubled.list_problems(prefix, Place.FIRST)
+                )
 
-    def test_length_beside_chunks_does_not_cut_a_failure(self) -> None:
-        """Guards against a failure cut at a length that its body has not.
+            async def call_beside() -> None:
+                while True:
+                    path = f"{RESUMABLE_PATH}0/none/{len(served)}"
+                    answer = await troubled.call(path)
+                    assert answer is not None, path
+                    assert (answer.status, answer.content) == (200, WHOLE)
+                    served.append(path)
 
-        The chunks tell the length; a Content-Length beside them is void.
-        """
-        failures = [
-            ForeignAnswer(
-                f"length {length}",
-                "400 Bad Request",
-                (f"Content-Length: {length}",),
-                b"sorry",
-            )
-            for length in (3, 30)
-        ]
+            with anyio.fail_after(WAIT_TIMEOUT_S):
+                async with anyio.create_task_group() as beside:
+                    beside.start_soon(call_beside)
+                    async with anyio.create_task_group() as tasks:
+                        for prefix in (SLOW_PATH, SLOW_ONCE_PATH):
+                            tasks.start_soon(call, prefix)
+                    beside.cancel_scope.cancel()
+                assert not problems, "\n".join(problems)
+                assert len(served) > len(ENDLESS_HEADS)
+                while troubled.target.active:
+                    await anyio.sleep(0.02)
+
+        run_with_trouble(ENDLESS_HEADS, check)
 
-        async def check(troubled: TroubledFleet) -> None:
-            for number, failure in enumerate(failures):
-                path = f"{RESUMABLE_PATH}{number}/first/x"
-                answer = await troubled.call(path)
-                assert answer is not None, failure.name
-                # It may also be sent elsewhere.
-                passed = answer.status, answer.content
-                assert passed in ((400, b"sorry"), (200, WHOLE)), passed
 
-        run_with_trouble(failures, check)
+class ForeignAnswerReportTest(unittest.TestCase):
+    """What an instance tells of answers that no run gives."""
 
-    def test_status_that_promises_no_run_needs_a_rejection(self) -> None:
-        """Guards against "not run" for a request that may have run.
+    def test_log_metrics_and_explanation_name_such_answers(self) -> None:
+        """Guards against trouble that looks like a lost connection.
 
-        Callers take these statuses for a promise. Only X-Not-Executed and 421
-        of a target promise the same.
+        Each send has one outcome; 307 names the type and the framing, 301 the
+        same of the answer that was passed on.
         """
+        heads = FOREIGN_HEADS | STREAM_HEADS
         answers = [
-            ForeignAnswer(status, status, (), b"sorry", framing)
-            for status in (
-                "408 Request Timeout",
-                "429 Too Many Requests",
-                "503 Service Unavailable",
-            )
-            for framing in Framing
+            ForeignAnswer("text", *heads["text/plain"], b"x\n"),
+            ForeignAnswer(
+                "no type", *heads["no type"], b"x\n", Framing.CONNECTION
+            ),
+            ForeignAnswer("JSON", *heads["JSON"], b"{}", Framing.LENGTH),
+            ForeignAnswer("partial", *heads["206, text/plain"], b"x\n"),
+            ForeignAnswer("moved", *heads["302, text/plain"], b""),
+            ForeignAnswer("no event", *heads["stream"], b""),
+            ForeignAnswer("no ID", *heads["stream"], b"data: x\n\n"),
+            # These are not taken for answers at all.
+            ForeignAnswer("compressed", *heads["compressed"], b"x"),
+            ForeignAnswer(
+                "cut", *heads["stream"], b"id: 1\n", Framing.CONNECTION
+            ),
         ]
+        expected = {
+            "text": ("foreign", "got status 200", "text/plain", True),
+            "no type": ("foreign", "got status 200", "", False),
+            "JSON": ("foreign", "got status 200", "application/json", True),
+            "partial": ("foreign", "got status 206", "text/plain", True),
+            "moved": ("foreign", "got status 302", "text/plain", True),
+            "no event": (
+                "foreign",
+                "without an event",
+                EVENT_STREAM_TYPE,
+                True,
+            ),
+            "no ID": ("foreign", "without one ID", EVENT_STREAM_TYPE, True),
+            "compressed": ("foreign", "content encoding", None, None),
+            "cut": ("broken", "inside an event", EVENT_STREAM_TYPE, False),
+        }
 
-        async def check(troubled: TroubledFleet) -> None:
-            problems = await troubled.list_problems(
-                SINGLE_RUN_PATH, Place.FIRST
-            )
+        async def check(troubled: TroubledFleet, child: Child) -> None:
+            problems = await troubled.list_problems(RESUMABLE_PATH, Place.FIRST)
             assert not problems, "\n".join(problems)
-
-        run_with_trouble(answers, check)
+            paths = [
+                f"{RESUMABLE_PATH}{number}/first/x"
+                for number in range(len(answers))
+            ]
+            for path in paths:
+                await _wait_until_ended(child, path)
+            for path, answer in zip(paths, answers, strict=True):
+                with self.subTest(answer=answer.name):
+                    self._check_report(child, path, expected[answer.name])
+            metrics = await _read_metrics(troubled.fleet)
+            counts = {
+                "foreign": sum(e[0] == "foreign" for e in expected.values()),
+                "broken": sum(e[0] == "broken" for e in expected.values()),
+                "answered": len(answers),
+            }
+            for outcome, count in counts.items():
+                line = f'sends_total{{outcome="{outcome}"}} {count:.1f}'
+                assert f"peridotbend_edge_{line}" in metrics, metrics
+            # A sound target that has no event left makes such a line as well.
+            path = f"{RESUMABLE_PATH}0/none/ended"
+            ended = {wire.RESUMES: paths[0], wire.LAST_EVENT_ID: str(EVENTS)}
+            got = await troubled.call(path, ended)
+            assert got is not None
+            assert (got.status, got.content) == (200, b"")
+            await _wait_until_ended(child, path)
+            detail = "only one target says that no event is left"
+            unconfirmed = ("unconfirmed", detail, EVENT_STREAM_TYPE, True)
+            self._check_report(child, path, unconfirmed)
+
+        run_with_child(answers, check)
+
+    def _check_report(
+        self,
+        child: Child,
+        path: str,
+        expected: tuple[str, str, str | None, bool | None],
+    ) -> None:
+        failure, detail, content_type, is_delimited = expected
+        entries = {
+            line.entry["event"]: line.entry
+            for line in _read_log(child)
+            if line.entry.get("attempt") == path
+        }
+        failed = entries["target-call-failed"]
+        assert failed["failure"] == failure, failed
+        assert detail in str(failed["detail"]), failed
+        assert failed.get("content_type") == content_type, failed
+        assert failed.get("delimited") == is_delimited, failed
+        assert failed["written"] is True, failed
+        ended = entries["request-ended"]
+        assert ended["content_type"] == EVENT_STREAM_TYPE, ended
+        assert (ended["last_event"], ended["delimited"]) == ("8", True)
+        report = "\n".join(explain_attempt(_read_log(child), path).report)
+        assert f"failure={failure}" in report, report
+        assert detail in report, report
+        assert f"target {failed['target']}, 2 s before and after" in report
+
+
+async def _wait_until_ended(child: Child, path: str) -> None:
+    with anyio.fail_after(WAIT_TIMEOUT_S):
+        while (
+            explain_attempt(_read_log(child), path).report[0]
+            != f"attempt {path}: answered with status 200 by its target"
+        ):
+            await anyio.sleep(0.02)
+
+
+def _read_log(child: Child) -> list[LogLine]:
+    return list(read_lines(child.output.splitlines()))
+
+
+async def _read_metrics(fleet: EdgeFleet) -> str:
+    url = f"http://{HOSTS[0]}:{DEFAULT_METRICS_PORT}{METRICS_PATH}"
+    return (await fleet.client.request("GET", url)).content.decode()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -27,6 +27,7 @@
     "test_edge_processes",
     "test_edge_failures",
     "test_edge_trouble",
+    "test_edge_heads",
 )
 
 
@@ -736,7 +737,7 @@
         EDGE + "relay.py",
         "if answer.head.status in NOT_RUN_STATUSES:",
         "if False:",
-        ("test_edge_trouble",),
+        ("test_edge_heads",),
     ),
     Mutant(
         "control-character-passed",
@@ -744,7 +745,7 @@
         "src/peridotbend/adapters/targets.py",
         "if any(_CONTROL_CHARACTER.search(value)",
         "if any(False",
-        ("test_edge_trouble",),
+        ("test_edge_heads",),
     ),
     Mutant(
         "first-of-two-stamps",
@@ -752,7 +753,7 @@
         "src/peridotbend/platform/runners.py",
         'if len(stamps) != 1 or "" in stamps:',
         "if not stamps:",
-        ("test_edge_trouble",),
+        ("test_edge_heads",),
     ),
     Mutant(
         "length-beside-chunks-kept",
@@ -760,7 +761,7 @@
         "src/peridotbend/adapters/targets.py",
         'dropped = _HOP_BY_HOP | {"content-length"}',
         "pass",
-        ("test_edge_trouble",),
+        ("test_edge_heads",),
     ),
     Mutant(
         "numbers-without-a-bound",
@@ -768,7 +769,7 @@
         "src/peridotbend/platform/runners.py",
         "return count if 0 <= count <= MAX_COUNT else None",
         "return count if 0 <= count else None",
-        ("test_edge_trouble",),
+        ("test_edge_heads",),
     ),
     Mutant(
         "failure-taken-for-a-crash",
