Do not suspect requests because of bytes that are no HTTP

What callers of the product's own interface saw: harmless requests refused as `trial-busy` or `quarantined`. A target in trouble had answered them, or others that ran there at the time, with noise in place of a head or of a chunk.

Cause: the HTTP library reports such bytes like a connection that breaks off, and a broken connection counts as a crash of the target under its requests.

Change: the client tells both apart (`CallError.is_garbled`): the parser has refused bytes, and the other side has not closed. Such a call ends like other foreign answers: the caller learns that it may have run, the target backs off, and no request becomes a suspect. A target that dies within a head or a chunk still counts as crashed.

Tried first: CallFailure.FOREIGN for these calls. Tests of the users' interface expect BROKEN for endless heads (test_edge_endless and others, 6 failures), so the failure stays as it was there.

Evidence: test_noise_makes_no_request_a_suspect and test_bytes_that_are_no_answer_are_no_broken_connection failed before (python -m nose2 tests.test_callers.OddAnswerTest tests.test_targets).

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -26,6 +26,10 @@
     """
 
 
+class ForeignBytesError(httpcore.RemoteProtocolError):
+    """The other side sent what is no HTTP, without having closed."""
+
+
 class Dialer(Protocol):
     """Opens connections to targets."""
 
@@ -82,7 +86,15 @@
 
     async def _receive_event(self, timeout: float | None = None) -> Any:
         await self.pace.wait_turn()
-        event = await super()._receive_event(timeout)
+        try:
+            event = await super()._receive_event(timeout)
+        except httpcore.RemoteProtocolError as error:
+            # Without such a cause, or behind the end of the connection, what
+            # is missing is an answer or the rest of one.
+            is_parsed = isinstance(error.__cause__, h11.RemoteProtocolError)
+            if is_parsed and not self._h11_state.trailing_data[1]:
+                raise ForeignBytesError(str(error)) from error
+            raise
         if isinstance(event, h11.Data):
             self.pace.note_size(len(event.data))
         if not isinstance(event, h11.InformationalResponse):
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -12,6 +12,7 @@
 from peridotbend.adapters.connections import (
     ConnectionPool,
     Dialer,
+    ForeignBytesError,
     PeerLostError,
     is_connection_refused,
 )
@@ -237,4 +238,5 @@
         written,
         f"{type(error).__name__}: {error}",
         blames_target=not isinstance(error, PeerLostError),
+        is_garbled=isinstance(error, ForeignBytesError),
     )
--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -262,7 +262,7 @@
         if error.failure is CallFailure.TOO_LARGE:
             self._outcome = GrantOutcome.TIMED_OUT
             return MayHaveRun(Reason.ANSWER_TOO_LARGE)
-        if error.failure is CallFailure.FOREIGN:
+        if error.failure is CallFailure.FOREIGN or error.is_garbled:
             self._record_foreign_answer(error)
         else:
             self._has_crashed = True
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -68,6 +68,8 @@
     detail: str = ""
     # Whether it may tell something of the target.
     blames_target: bool = True
+    # Whether bytes came that are no HTTP, and the other side had not closed.
+    is_garbled: bool = False
 
 
 class TargetAnswer(Protocol):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -510,6 +510,22 @@
 
         run_with_entry(test)
 
+    def test_noise_makes_no_request_a_suspect(self) -> None:
+        """Guards against the quarantine of a request that harms no target."""
+
+        async def test(entry: EntryNode) -> None:
+            for reply in (b"noise\r\n\r\n", b"\xff\xfe\x00\r\n\r\n"):
+                entry.target.reply = reply
+                token = await entry.reserve()
+                key = f"Idempotency-Key: {token}"
+                answer = await entry.call("POST", ORDERS, b"1", key)
+                check_error_reply(answer, 502, "target-failed", "may-have-run")
+                assert not entry.node.suspects.export(9)
+                entry.node.roster.record_target_success("orders")
+            entry.target.reply = b""
+
+        run_with_entry(test)
+
 
 class LearnedOutputTest(unittest.TestCase):
     """Output estimates learned from earlier answers of a kind."""
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -176,3 +176,36 @@
         reply = b"HTTP/1.1 200 OK\r\nX-Any: a\tb \xe9\xff~\r\n" + ANSWER[17:]
         chunks, error, _ = anyio.run(_call, reply, lambda: True)
         assert chunks == [b"hello"] and error is None
+
+    def test_bytes_that_are_no_answer_are_no_broken_connection(self) -> None:
+        """Guards against requests blamed for a target that lives."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for reply in (
+            b"\xff\xfe\x00\x9c\r\n\r\n",
+            b"noise\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nno header\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+            chunked + b"noise\r\n",
+            chunked + b"5\r\nhello\r\nnoise\r\n",
+        ):
+            _, error, _ = anyio.run(_call, reply, lambda: True)
+            assert error and error.written, reply
+            assert error.failure is CallFailure.BROKEN, reply
+            assert error.is_garbled, reply
+
+    def test_answer_that_is_cut_is_a_broken_connection(self) -> None:
+        """Guards against crashes of targets that count as foreign bytes."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for reply in (
+            b"",
+            b"HTT",
+            b"HTTP/1.1 200 OK\r\nContent-",
+            ANSWER[:-1],
+            chunked,
+            chunked + b"5\r\nhel",
+            chunked + b"5\r\nhello\r\n",
+        ):
+            _, error, _ = anyio.run(_call, reply, lambda: True)
+            assert error and error.written, reply
+            assert error.failure is CallFailure.BROKEN, reply
+            assert not error.is_garbled, reply
