Take a stream that ends in order for no crash of its engine

What callers of the product's own interface saw: a request refused as `trial-busy`, or `quarantined` after a second such answer, because an engine in trouble had ended its stream before the closing event.

Cause: such an end counted as a broken connection, and so as a crash, also with a length or chunks.

Change: an end that a length or chunks tell is that of an engine that lives, and is foreign.

Evidence: test_only_an_end_that_may_be_a_crash_makes_a_suspect failed before (python -m nose2 tests.test_attempts).

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -172,7 +172,10 @@
             if len(buffer) + stream.partial_bytes > limit:
                 return CallError(CallFailure.TOO_LARGE, written=True)
         if stream.is_cut(answer.head):
-            return CallError(CallFailure.BROKEN, True, "end within the stream")
+            # A target that dies does not end its body in order.
+            is_ordered = answer.head.is_delimited
+            failure = CallFailure.FOREIGN if is_ordered else CallFailure.BROKEN
+            return CallError(failure, True, "end within the stream")
         stream.finish()
         return None
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -150,6 +150,16 @@
                 assert get_verdict(caller) == FAILED
                 self.end_trouble()
 
+    def test_only_an_end_that_may_be_a_crash_makes_a_suspect(self) -> None:
+        """Guards against the quarantine of a request that harms no target."""
+        for is_delimited in (True, False):
+            with self.subTest(is_delimited=is_delimited):
+                head = AnswerHead(200, EVENTS, is_delimited)
+                self.script(ScriptedAnswer(head))
+                assert get_verdict(self.send(self.a1, uid="u1")) == FAILED
+                assert bool(self.a1.suspects.export(9)) == (not is_delimited)
+                self.end_trouble()
+
     def test_streams_of_applications_need_no_closing_event(self) -> None:
         """Guards against the loss of a sound stream of events."""
         head = AnswerHead(200, EVENTS)
