Say once which statuses and headers of answers are dropped

The bounds on a status stood in both interfaces and in the heads for callers, and a set was made anew for each answer with chunks. No behaviour changes; the tests of clients, heads, attempts and targets pass (58).

--- a/src/peridotbend/adapters/answerheads.py
+++ b/src/peridotbend/adapters/answerheads.py
@@ -23,7 +23,7 @@
 
 def find_status(head: AnswerHead) -> int:
     """Returns the status to send; 502 if the target's is not valid in HTTP."""
-    return head.status if 200 <= head.status <= 599 else 502
+    return head.status if head.has_final_status else 502
 
 
 def list_headers(head: AnswerHead, request_id: str) -> list[tuple[str, str]]:
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -42,7 +42,8 @@
     }
 )
 
-
+# The chunks tell the length; one that is named beside them is void.
+_DROPPED_WITH_CHUNKS = _HOP_BY_HOP | {"content-length"}
 # A body with one of these does not end with its connection.
 _DELIMITERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -77,10 +78,8 @@
     def __init__(self, response: httpcore.Response, is_reused: bool):
         self._response = response
         names = {name.lower() for name, _ in response.headers}
-        dropped = _HOP_BY_HOP
-        if b"transfer-encoding" in names:
-            # The chunks tell the length; one beside them is void.
-            dropped = _HOP_BY_HOP | {"content-length"}
+        has_chunks = b"transfer-encoding" in names
+        dropped = _DROPPED_WITH_CHUNKS if has_chunks else _HOP_BY_HOP
         self.head = AnswerHead(
             response.status,
             tuple(
--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -33,9 +33,6 @@
 RESUME_DELAYS_MS = (50, 200, 800)
 CANCEL_TIMEOUT_MS = 500
 CAPACITY_RETRY_MS = 1_000
-# The statuses of final answers that HTTP defines.
-MIN_STATUS = 200
-MAX_STATUS = 599
 MIN_ERROR_STATUS = 400
 
 
@@ -312,7 +309,7 @@
 
 def _find_foreign_head(head: AnswerHead, job: Job) -> str:
     """Returns why no run of a request gives an answer with this head, or ""."""
-    if not MIN_STATUS <= head.status <= MAX_STATUS:
+    if not head.has_final_status:
         return f"{head.status} is no status of an answer"
     # Errors of an engine may have any type.
     if job.work.is_streaming and head.status < MIN_ERROR_STATUS:
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -41,6 +41,11 @@
     # Whether its connection had carried an earlier call.
     is_reused_connection: bool = False
 
+    @property
+    def has_final_status(self) -> bool:
+        """Whether HTTP defines the status, and not for an interim answer."""
+        return 200 <= self.status <= 599
+
 
 class CallFailure(enum.StrEnum):
     """How a call to a target failed."""
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -26,9 +26,6 @@
 
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
-# Lower ones are of interim answers; HTTP defines no higher ones.
-MIN_STATUS = 200
-MAX_STATUS = 599
 # Lower bound of the deadline header, since targets take 0 as no deadline.
 MIN_DEADLINE_MS = 1
 # Bounds the numbers that targets name, which are requests a second, rejections
@@ -171,7 +168,7 @@
 
 def _find_problem(head: AnswerHead) -> str:
     """Returns why an answer does not come from the target, or ""."""
-    if not MIN_STATUS <= head.status <= MAX_STATUS:
+    if not head.has_final_status:
         return f"{head.status} is no status of an answer"
     if not find_header(head, wire.ATTEMPT_ID):
         return "the answer has no attempt ID"
