--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -64,8 +64,8 @@
 # trouble may say so too early.
 MIN_EMPTY_TARGETS = 2
 _EMPTY_STREAM = CallError(CallFailure.FOREIGN, True, "stream without an event")
-_EMPTY_PROMISE = CallError(
-    CallFailure.FOREIGN, True, "status of a rejection that is none"
+_FALSE_REJECTION = CallError(
+    CallFailure.FOREIGN, True, "status of a rejection, but none is stated"
 )
 _UNCONFIRMED_END = CallError(
     CallFailure.UNCONFIRMED,
@@ -448,7 +448,7 @@
             return self._note_error(
                 request,
                 target,
-                _EMPTY_PROMISE,
+                _FALSE_REJECTION,
                 answer.head,
                 has_survived=True,
             )
--- a/tests/test_edge_answers.py
+++ b/tests/test_edge_answers.py
@@ -257,7 +257,7 @@
                 assert responder.body == b"".join(EVENTS[:3] if begun else ())
 
     def test_empty_answers_of_two_kinds_do_not_agree(self) -> None:
-        """Guards against counting a foreign answer as a second voice."""
+        """Guards against counting a foreign answer as the second one."""
         foreign = ScriptedReply(is_event_stream=False)
         unframed = ScriptedReply(is_delimited=False)
         for other in (foreign, unframed):
