Divide the relay into the request, one send and its answer

Change: relay.py keeps admission, choice of the target, retries and the end of a request; sends.py sends to one target and records failures; delivery.py passes an answer on. An answer that broke after its head now marks the request as final, in place of ending it inside the send. No decision changes. Mutants follow their source text.

--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -40,6 +40,8 @@
     empty_targets: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     head_sent: bool = False
+    # Whether no other target can complete the answer that has begun.
+    is_final: bool = False
     # Software version at which the stream began; None before that.
     software: str | None = None
     # Error answer of a target, delivered if no other target succeeds.
--- a/src/peridotbend/edge/reports.py
+++ b/src/peridotbend/edge/reports.py
@@ -2,12 +2,16 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
-from peridotbend.domain.ports import EventLog
+from peridotbend.domain.ports import AnswerHead, EventLog
+from peridotbend.domain.streams import find_header
 from peridotbend.domain.verdicts import MayHaveRun, NotRun
 from peridotbend.edge.activerequests import ActiveRequest
 from peridotbend.edge.configholder import ConfigHolder
 from peridotbend.edge.ports import EdgeCall, EdgeMeter
 
+# Bounds a log line.
+MAX_LOGGED_TYPE = 64
+
 
 class RequestReporter:
     """Logs events of requests and counts their outcomes."""
@@ -85,3 +89,8 @@
     def _get_config_version(self) -> int | None:
         config = self._holder.config
         return config.version if config else None
+
+
+def describe_type(head: AnswerHead) -> str:
+    """Returns the content type of an answer for a log line."""
+    return find_header(head, "content-type")[:MAX_LOGGED_TYPE]
--- /dev/null
+++ b/src/peridotbend/edge/sends.py
@@ -0,0 +1,225 @@
+"""Sends a request to one target, and records how that ends."""
+
+from collections.abc import Callable
+
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
+from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
+from peridotbend.edge.activerequests import ActiveRequest
+from peridotbend.edge.backlog import Slot
+from peridotbend.edge.delivery import Delivery, FailedAnswer
+from peridotbend.edge.inflight import TrackedSend
+from peridotbend.edge.parts import RelayDependencies
+from peridotbend.edge.ports import EdgeAnswer, Rejection, Responder, TargetSend
+from peridotbend.edge.reports import RequestReporter, describe_type
+from peridotbend.edge.sendnotices import SendNotices
+from peridotbend.edge.targets import EdgeTarget
+
+# Bounds a log line.
+MAX_LOGGED_TARGETS = 16
+# Rejections of a stream that has begun which do not count as sends. Counts of
+# other instances are some 50 ms old, so that several may take the same place.
+MAX_FREE_REJECTIONS = 3
+
+
+class Sender:
+    """Sends requests to targets, one target at a time."""
+
+    def __init__(
+        self,
+        dependencies: RelayDependencies,
+        report: RequestReporter,
+        reserve_failover: Callable[[ActiveRequest, str], bool],
+    ):
+        """Creates a sender.
+
+        Args:
+            dependencies: the components of the instance.
+            report: logs what happens to requests.
+            reserve_failover: reserves a slot for a request whose target is
+                silent, and tells whether there is one.
+        """
+        self._dependencies = dependencies
+        self._clock = dependencies.clock
+        self._report = report
+        self._reserve_failover = reserve_failover
+        self._delivery = Delivery(dependencies, report)
+
+    async def send(
+        self, request: ActiveRequest, slot: Slot, responder: Responder
+    ) -> NotRun | MayHaveRun | None:
+        """Sends a request to a target and delivers the answer.
+
+        Returns:
+            None if the caller received an answer, otherwise the refusal for
+            the caller in case the request is not sent again.
+        """
+        target = slot.target
+        may_have_run_before = request.may_have_run
+
+        def open_gate() -> bool:
+            if not self._dependencies.targets.is_current(target):
+                return False
+            if self._dependencies.pauses.is_paused(target):
+                return False
+            if self._clock.now_ms() >= request.deadline_at_ms:
+                return False
+            request.may_have_run = True
+            request.sends += 1
+            return True
+
+        self._report.log(
+            Event.REQUEST_DISPATCHED,
+            request,
+            target=target.name,
+            in_flight=slot.in_flight,
+            slots=target.slots,
+            parts=request.call.shared_parts,
+            software=target.software,
+            last_event=request.events.last_event_id,
+            resumes=request.call.resumes,
+        )
+
+        def reserve_failover() -> bool:
+            return self._reserve_failover(request, target.name)
+
+        with self._dependencies.stall_detector.track(
+            target.name, request.route, reserve_failover
+        ) as tracked_send:
+            async with self._dependencies.client.open(
+                self._make_send(request, target), open_gate
+            ) as reply:
+                if isinstance(reply, Rejection):
+                    request.may_have_run = may_have_run_before
+                    slot.is_rejected = reply is Rejection.UNAVAILABLE
+                    return self._note_rejection(request, target, reply)
+                if isinstance(reply, CallError):
+                    return self._note_error(request, target, reply)
+                return await self._deliver(
+                    request, target, reply, tracked_send, responder
+                )
+        # The stall detector cancelled the send, since the target is silent.
+        self._report.log(
+            Event.SEND_STALLED,
+            request,
+            target=target.name,
+            waited_ms=self._clock.now_ms() - tracked_send.sent_at_ms,
+            flowed_ms=tracked_send.flowed_ms,
+            in_flight={
+                other.name: self._dependencies.occupancy.count(other.name)
+                for other in self._dependencies.targets.list_for(
+                    request.service
+                )[:MAX_LOGGED_TARGETS]
+            },
+        )
+        request.silent_targets.add(target.name)
+        silent_error = CallError(CallFailure.TIMEOUT, True, "silent target")
+        return self._note_error(request, target, silent_error)
+
+    def _make_send(
+        self, request: ActiveRequest, target: EdgeTarget
+    ) -> TargetSend:
+        notices = SendNotices(self._dependencies, target)
+        return TargetSend(
+            request.call,
+            target,
+            request.account.name if request.account else "",
+            request.deadline_at_ms - self._clock.now_ms(),
+            request.events.last_event_id,
+            reuse_connection=request.route.may_repeat,
+            note_limit=notices.note_limit,
+            note_brittle=notices.note_brittle,
+            note_leaving=notices.note_leaving,
+            note_pause=notices.note_pause,
+        )
+
+    async def _deliver(
+        self,
+        request: ActiveRequest,
+        target: EdgeTarget,
+        answer: EdgeAnswer,
+        tracked_send: TrackedSend,
+        responder: Responder,
+    ) -> NotRun | MayHaveRun | None:
+        delivered = await self._delivery.deliver(
+            request, target, answer, tracked_send, responder
+        )
+        if not isinstance(delivered, FailedAnswer):
+            return delivered
+        return self._note_error(
+            request,
+            target,
+            delivered.error,
+            delivered.head,
+            delivered.has_survived,
+        )
+
+    def _note_rejection(
+        self, request: ActiveRequest, target: EdgeTarget, rejection: Rejection
+    ) -> NotRun | MayHaveRun:
+        request.failed_targets.add(target.name)
+        if request.head_sent and request.rejections < MAX_FREE_REJECTIONS:
+            # Nothing ran there, and the caller has a part of the answer.
+            request.rejections += 1
+            request.sends -= 1
+            request.allow_silent_targets()
+        if rejection is Rejection.MISDIRECTED:
+            self._dependencies.health.note_failure(target.name)
+            self._dependencies.crashes.note_target_dead(target)
+        self._dependencies.meter.count_send("rejected")
+        self._report.log(
+            Event.TARGET_REJECTED,
+            request,
+            target=target.name,
+            reason=rejection.value,
+        )
+        if request.may_have_run:
+            return MayHaveRun(Reason.TARGET_FAILED)
+        return NotRun(Reason.SHED, request.route.objective_ms)
+
+    def _note_error(
+        self,
+        request: ActiveRequest,
+        target: EdgeTarget,
+        error: CallError,
+        head: AnswerHead | None = None,
+        has_survived: bool = False,
+    ) -> NotRun | MayHaveRun:
+        """Records a failed send.
+
+        Args:
+            request: the request that failed.
+            target: where it was sent.
+            error: what failed.
+            head: of the answer, if it had begun.
+            has_survived: whether its answer shows that the request does not
+                crash the target.
+        """
+        request.failed_targets.add(target.name)
+        if error.blames_target and error.failure is not CallFailure.GATE:
+            self._dependencies.health.note_failure(target.name)
+        is_broken = error.failure is CallFailure.BROKEN
+        if error.blames_target and is_broken and not has_survived:
+            self._dependencies.crashes.note_broken_connection(
+                target, request.traits
+            )
+        if error.failure in (CallFailure.CONNECT, CallFailure.REFUSED):
+            request.connect_failures += 1
+            request.allow_silent_targets()
+        if error.failure is CallFailure.REFUSED:
+            self._dependencies.crashes.note_target_dead(target)
+        self._dependencies.meter.count_send(error.failure.value)
+        self._report.log(
+            Event.TARGET_CALL_FAILED,
+            request,
+            target=target.name,
+            failure=error.failure.value,
+            written=error.written,
+            detail=error.detail,
+            last_event=request.events.last_event_id,
+            delimited=head.is_delimited if head else None,
+            content_type=describe_type(head) if head else None,
+        )
+        if request.may_have_run:
+            return MayHaveRun(Reason.TARGET_FAILED)
+        return NotRun(Reason.CONNECT_FAILED, request.route.objective_ms)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -48,7 +48,7 @@
     Mutant(
         "error-passed-as-success",
         "MIXED",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "failed = status >= ERROR_STATUS",
         "failed = False",
         ("test_edge_relay",),
@@ -96,7 +96,7 @@
     Mutant(
         "run-believed-after-foreign-bytes",
         "ORDER",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "if request.events.problem:",
         "if False:",
         ("test_edge_streams",),
@@ -104,7 +104,7 @@
     Mutant(
         "resume-from-the-start",
         "ORDER",
-        EDGE + "relay.py",
+        EDGE + "sends.py",
         "            request.events.last_event_id,\n            reuse",
         '            "",\n            reuse',
         ("test_edge_streams",),
@@ -136,7 +136,7 @@
     Mutant(
         "dispatch-not-marked",
         "REFUSED",
-        EDGE + "relay.py",
+        EDGE + "sends.py",
         "            request.may_have_run = True\n"
         "            request.sends += 1",
         "            request.sends += 1",
@@ -145,7 +145,7 @@
     Mutant(
         "rejection-forgets-earlier-runs",
         "REFUSED",
-        EDGE + "relay.py",
+        EDGE + "sends.py",
         "request.may_have_run = may_have_run_before",
         "request.may_have_run = False",
         ("test_edge_oracle", "test_edge_relay"),
@@ -169,7 +169,7 @@
     Mutant(
         "whole-time-limit-given-on",
         "BUDGET",
-        EDGE + "relay.py",
+        EDGE + "sends.py",
         "            request.deadline_at_ms - self._clock.now_ms(),\n"
         "            request.events",
         "            request.route.timeout_ms,\n            request.events",
@@ -258,7 +258,7 @@
     Mutant(
         "rejected-stream-cut",
         "LOST",
-        EDGE + "relay.py",
+        EDGE + "sends.py",
         "MAX_FREE_REJECTIONS = 3",
         "MAX_FREE_REJECTIONS = 0",
         ("test_edge_streams",),
@@ -364,7 +364,7 @@
     Mutant(
         "empty-resumption-taken-for-the-end",
         "ORDER",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "        has_events = False\n",
         "        has_events = bool(request.events.last_event_id)\n",
         ("test_edge_streams",),
@@ -531,7 +531,7 @@
     Mutant(
         "gate-left-open",
         "DRAIN",
-        EDGE + "relay.py",
+        EDGE + "sends.py",
         "if not self._dependencies.targets.is_current(target):",
         "if False:",
         ("test_edge_relay", "test_edge_oracle"),
@@ -678,7 +678,7 @@
     Mutant(
         "error-inside-a-stream",
         "MIXED",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "if is_success and answer.is_event_stream:",
         "if answer.is_event_stream:",
         ("test_edge_answers", "test_edge_streams"),
@@ -686,7 +686,7 @@
     Mutant(
         "whole-answer-on-a-streaming-route",
         "ORDER",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "if status < FAILURE_STATUS or request.head_sent:",
         "if request.head_sent:",
         ("test_edge_answers",),
@@ -694,7 +694,7 @@
     Mutant(
         "stream-ended-before-its-first-event",
         "ORDER",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "return _EMPTY_STREAM",
         "return None",
         ("test_edge_answers",),
@@ -702,7 +702,7 @@
     Mutant(
         "stream-ended-by-one-target",
         "ORDER",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "if len(request.empty_targets) < MIN_EMPTY_TARGETS:",
         "if False:",
         ("test_edge_answers",),
@@ -710,7 +710,7 @@
     Mutant(
         "length-of-one-run-kept",
         "ORDER",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "head = _drop_length(answer.head)",
         "head = answer.head",
         ("test_edge_trouble",),
@@ -734,7 +734,7 @@
     Mutant(
         "promise-without-a-rejection",
         "REFUSED",
-        EDGE + "relay.py",
+        EDGE + "delivery.py",
         "if answer.head.status in NOT_RUN_STATUSES:",
         "if False:",
         ("test_edge_heads",),
@@ -774,15 +774,15 @@
     Mutant(
         "failure-taken-for-a-crash",
         "LOST",
-        EDGE + "relay.py",
-        "answer.head,\n                    has_survived=True,",
-        "answer.head,",
+        EDGE + "delivery.py",
+        "_make_no_stream_error(answer), answer.head, True",
+        "_make_no_stream_error(answer), answer.head",
         ("test_edge_answers",),
     ),
     Mutant(
         "foreign-bytes-taken-for-a-crash",
         "LOST",
-        EDGE + "relay.py",
+        EDGE + "sends.py",
         "is_broken = error.failure is CallFailure.BROKEN",
         "is_broken = True",
         ("test_edge_answers",),
