Log who a target says it is once a connection to it has ended

A send (300) names the version by the entry alone, and nothing says whether the process that ended a stream without a length lives on.

Change: after a stream broke, and after an answer without length or chunks, the target is asked for its start, and 419 (target-asked) logs it beside the listed one. 300 names the listed start, 301 and 307 the age of the connection. Nothing is decided by it yet.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -9,6 +9,7 @@
 
 from peridotbend.adapters.pacing import ConnectionPace, SharedPace
 from peridotbend.adapters.sockets import connect
+from peridotbend.domain.clock import Clock, SystemClock
 from peridotbend.domain.paths import Endpoint
 
 MAX_CONNECTIONS = 4_096
@@ -70,6 +71,7 @@
     """
 
     pace: ConnectionPace
+    connected_at_ms = 0
     _interim_answers = 0
     # Whether a call was sent here before the current one.
     is_reused = False
@@ -114,8 +116,11 @@
     connections that it hands out or closes.
     """
 
-    def __init__(self, dialer: Dialer | None = None) -> None:
+    def __init__(
+        self, dialer: Dialer | None = None, clock: Clock | None = None
+    ) -> None:
         self._dialer = dialer or DirectDialer()
+        self._clock = clock or SystemClock()
         self._shared_pace = SharedPace()
         self._connection_slots = anyio.Semaphore(
             MAX_CONNECTIONS, fast_acquire=True
@@ -205,6 +210,7 @@
             raise
         connection = Connection(origin, stream, KEEPALIVE_EXPIRY_S)
         connection.pace = ConnectionPace(self._shared_pace)
+        connection.connected_at_ms = self._clock.now_ms()
         connection.may_keep = self._dialer.allows_reuse(target)
         return connection
 
--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -70,6 +70,7 @@
         Event.CONNECT_RETRIED,
         Event.TARGET_REJECTED,
         Event.TARGET_CALL_FAILED,
+        Event.TARGET_ASKED,
         Event.ANSWER_BROKEN,
         Event.CALLER_GONE,
     )
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -16,6 +16,7 @@
     PeerLostError,
     is_connection_refused,
 )
+from peridotbend.domain.clock import Clock
 from peridotbend.domain.ports import (
     AnswerHead,
     CallError,
@@ -75,7 +76,12 @@
 class HttpAnswer:
     """A target's response, whose body is read as it arrives."""
 
-    def __init__(self, response: httpcore.Response, is_reused: bool):
+    def __init__(
+        self,
+        response: httpcore.Response,
+        is_reused: bool,
+        connected_at_ms: int = 0,
+    ):
         self._response = response
         names = {name.lower() for name, _ in response.headers}
         has_chunks = b"transfer-encoding" in names
@@ -89,6 +95,7 @@
             ),
             is_delimited=not names.isdisjoint(_DELIMITERS),
             is_reused_connection=is_reused,
+            connected_at_ms=connected_at_ms,
         )
 
     async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
@@ -109,8 +116,9 @@
         self,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         dialer: Dialer | None = None,
+        clock: Clock | None = None,
     ) -> None:
-        self._pool = ConnectionPool(dialer)
+        self._pool = ConnectionPool(dialer, clock)
         self._connect_timeout_s = connect_timeout_s
 
     async def aclose(self) -> None:
@@ -150,8 +158,11 @@
             opened = await _send(connection, request, write_gate)
             try:
                 is_reused = connection.is_reused
+                connected_at_ms = connection.connected_at_ms
                 yield opened.map(
-                    lambda response: HttpAnswer(response, is_reused)
+                    lambda response: HttpAnswer(
+                        response, is_reused, connected_at_ms
+                    )
                 )
             finally:
                 if isinstance(opened, Ok):
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -40,6 +40,8 @@
     is_delimited: bool = True
     # Whether its connection had carried an earlier call.
     is_reused_connection: bool = False
+    # When its connection was established. One process answers on it.
+    connected_at_ms: int = 0
 
     @property
     def has_final_status(self) -> bool:
--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -180,6 +180,8 @@
             early_end = _find_early_end(request)
             if early_end is not None:
                 return FailedAnswer(early_end, answer.head)
+        if not answer.head.is_delimited:
+            await self._dependencies.runs.ask(target, "end")
         await self._start_once(request, head, responder)
         await responder.finish()
         self._note_answer(target, failed=False)
@@ -191,6 +193,7 @@
             last_event=request.events.last_event_id,
             delimited=answer.head.is_delimited,
             content_type=describe_type(answer.head),
+            connected_ms=self._clock.now_ms() - answer.head.connected_at_ms,
         )
         return None
 
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -23,6 +23,7 @@
 from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.streamrecords import StreamRecords
 from peridotbend.edge.targetpauses import TargetPauses
+from peridotbend.edge.targetruns import TargetRuns
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VersionTimeline
 
@@ -57,6 +58,7 @@
     rate_limits: RateLimits
     brittle: BrittleTargets
     pauses: TargetPauses
+    runs: TargetRuns
     stall_detector: StallDetector
     timeline: VersionTimeline
     records: StreamRecords
@@ -124,6 +126,7 @@
         rate_limits=rate_limits,
         brittle=brittle,
         pauses=pauses,
+        runs=TargetRuns(clock, log, client),
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
         records=records,
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -129,6 +129,15 @@
         """Returns the prompt parts that a target keeps; None if not told."""
         ...
 
+    async def read_start(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> Result[int | None, CallError]:
+        """Returns the start that the process at a target's address names.
+
+        That is its Unix time in ms; None if the process answers without it.
+        """
+        ...
+
 
 class Responder(Protocol):
     """Sends the answer to one call."""
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -76,6 +76,7 @@
             slots=target.slots,
             parts=request.call.shared_parts,
             software=target.software,
+            started_at_ms=target.started_at_ms,
             last_event=request.events.last_event_id,
             resumes=request.call.resumes,
         )
@@ -146,6 +147,8 @@
         )
         if not isinstance(delivered, FailedAnswer):
             return delivered
+        if request.head_sent:
+            await self._dependencies.runs.ask(target, "broken")
         return self._note_error(
             request,
             target,
@@ -219,6 +222,9 @@
             last_event=request.events.last_event_id,
             delimited=head.is_delimited if head else None,
             content_type=describe_type(head) if head else None,
+            connected_ms=(
+                self._clock.now_ms() - head.connected_at_ms if head else None
+            ),
         )
         if request.may_have_run:
             return MayHaveRun(Reason.TARGET_FAILED)
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -79,6 +79,19 @@
     return Ok(frozenset(held))
 
 
+def decode_start(body: bytes) -> int | None:
+    """Decodes the start in what a target says of itself; None if it has none.
+
+    The start is a Unix time in ms.
+    """
+    try:
+        return Fields(json.loads(body)).get_int(
+            "born", minimum=MIN_START_MS, maximum=MAX_START_MS
+        )
+    except (ValueError, RecursionError, BadFieldError):
+        return None
+
+
 def read_config_order(body: bytes) -> WriteOrder:
     """Returns the version of a configuration."""
     return _read_order(body, "version"), 0
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -3,7 +3,8 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
-from result import Err, Result
+import anyio
+from result import Err, Ok, Result
 
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.ports import (
@@ -22,7 +23,10 @@
 from peridotbend.edge.ports import Rejection, Reply, TargetSend
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.platform import wire
-from peridotbend.platform.documents import decode_prompt_parts
+from peridotbend.platform.documents import (
+    decode_prompt_parts,
+    decode_start,
+)
 
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
@@ -33,6 +37,8 @@
 MAX_COUNT = 1e9
 # A part takes some 40 bytes.
 MAX_PARTS_BYTES = 1_048_576
+# What a target says of itself grows with the requests that it runs.
+MAX_REPORT_BYTES = 262_144
 
 
 class PlatformTargetAnswer:
@@ -61,19 +67,39 @@
     ) -> frozenset[str] | None:
         """Returns the prompt parts that a target keeps; None if not told."""
         call = TargetCall("GET", wire.PARTS_CALL, (), b"", timeout_ms)
+        answer = await self._ask(target, call, MAX_PARTS_BYTES)
+        if isinstance(answer, Err) or answer.ok_value is None:
+            return None
+        return decode_prompt_parts(answer.ok_value, target.started_at_ms).ok()
+
+    async def read_start(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> Result[int | None, CallError]:
+        """Returns the start that a process names; None if it names none."""
+        call = TargetCall("GET", wire.REPORT_CALL, (), b"", timeout_ms)
+        answer = await self._ask(target, call, MAX_REPORT_BYTES)
+        return answer.map(lambda body: decode_start(body) if body else None)
+
+    async def _ask(
+        self, target: EdgeTarget, call: TargetCall, max_bytes: int
+    ) -> Result[bytes | None, CallError]:
+        """Returns the body of an answer; None if it is a failure."""
         body = bytearray()
-        async with self._client.open(
-            _make_address(target), call, lambda: True
-        ) as opened:
-            if isinstance(opened, Err) or opened.ok_value.head.status != 200:
-                return None
-            async for chunk in opened.ok_value.chunks():
-                if isinstance(chunk, Err):
-                    return None
-                body += chunk.ok_value
-                if len(body) > MAX_PARTS_BYTES:
-                    return None
-        return decode_prompt_parts(bytes(body), target.started_at_ms).ok()
+        with anyio.move_on_after(call.timeout_ms / 1_000):
+            async with self._client.open(
+                _make_address(target), call, lambda: True
+            ) as opened:
+                if isinstance(opened, Err):
+                    return opened
+                is_told = opened.ok_value.head.status == 200
+                async for chunk in opened.ok_value.chunks():
+                    if isinstance(chunk, Err):
+                        return chunk
+                    body += chunk.ok_value
+                    if len(body) > max_bytes:
+                        return Ok(None)
+            return Ok(bytes(body) if is_told else None)
+        return Err(CallError(CallFailure.TIMEOUT, True, "no answer in time"))
 
     @contextlib.asynccontextmanager
     async def open(
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -72,13 +72,14 @@
     KV_HOLD, KV_BACKUP, PIN_MS,
 ))  # fmt: skip
 
-# Paths of the platform's readiness check, of the store's calls, and of the call
-# that lists the prompt parts that a target keeps.
+# Paths of the platform's readiness check, of the store's calls, and of calls to
+# targets: the prompt parts that one keeps, and what it says of itself.
 READY_PATH = "/-/readyz"
 RANGE_CALL = "/-/kv-range"
 WATCH_CALL = "/-/kv-watch"
 PARTS_CALL = "/-/kv-list"
-CALLS = (READY_PATH, RANGE_CALL, WATCH_CALL, PARTS_CALL)
+REPORT_CALL = "/-/report"
+CALLS = (READY_PATH, RANGE_CALL, WATCH_CALL, PARTS_CALL, REPORT_CALL)
 
 # Keys and key prefixes in the store.
 CONFIG_KEY = "op/config"
--- a/src/peridotbend_emulator/replayengine.py
+++ b/src/peridotbend_emulator/replayengine.py
@@ -145,6 +145,12 @@
         self._engines = engines
         self._count_events = count_events
 
+    async def read_start(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> Result[int | None, CallError]:
+        """Returns the listed start, as no engine restarts."""
+        return Ok(target.started_at_ms or None)
+
     async def list_prompt_parts(
         self, target: EdgeTarget, timeout_ms: int
     ) -> frozenset[str] | None:
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -287,6 +287,16 @@
         # The prompt parts that each target keeps, by its name.
         self.parts: dict[str, frozenset[str] | None] = {}
         self.parts_calls = 0
+        # What each target tells of its start, by name; None if nothing.
+        self.starts: dict[str, Result[int | None, CallError]] = {}
+        self.asked: list[str] = []
+
+    async def read_start(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> Result[int | None, CallError]:
+        """Returns the start that a target names, by default the listed one."""
+        self.asked.append(target.name)
+        return self.starts.get(target.name, Ok(target.started_at_ms or None))
 
     async def list_prompt_parts(
         self, target: EdgeTarget, timeout_ms: int
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -148,6 +148,15 @@
         """Returns no prompt parts."""
         return None
 
+    async def read_start(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> Result[int | None, CallError]:
+        """Returns the listed start while the runner lives."""
+        await anyio.sleep(CONNECT_MS / 1_000)
+        if self._fleet.runners[target.name].is_down:
+            return Err(CallError(CallFailure.REFUSED, False, "refused"))
+        return Ok(target.started_at_ms or None)
+
     @contextlib.asynccontextmanager
     async def open(
         self, send: TargetSend, gate: Callable[[], bool]
