Reproduce restarts that no entry tells of and ends that look whole

Real daemons and stand-ins of targets that answer /-/report, restart under their name with another version before their entry is written, or die as a killed process does.

A stream that i-1 (v1) broke off went on at i-2, listed as v1 and by then v2; one that began at such a target went on at a true v1; a stream without a length ended as complete after 3 of 6 events, and so did a body on an idempotent route (MIXED).

--- /dev/null
+++ b/tests/edgerestarts.py
@@ -0,0 +1,317 @@
+"""Targets that die, and start again under their name, for real daemons."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import Any
+
+from peridotbend.platform import wire
+from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
+from tests.test_edge_platform import TARGET_ENTRY
+
+# The start that entries name, as Unix time in ms.
+FIRST_START_MS = 1_790_000_000_000
+SERVICE = "engine"
+EVENTS = 6
+# Longer than any call may take.
+CALL_TIMEOUT_S = 15.0
+# Long enough that a stream has events under way when a test interferes.
+EVENT_GAP_S = 0.02
+
+
+class RestartableTarget:
+    """A target of streams and of short requests, which names its software."""
+
+    def __init__(self, name: str, software: str = "v1"):
+        self.name = name
+        self.software = software
+        self.started_at_ms = FIRST_START_MS
+        # Whether answers have neither length nor chunks.
+        self.is_unframed = False
+        # After so many events the process breaks off each stream with a reset;
+        # 0 for never.
+        self.resets_after = 0
+        # After so many events, or parts of a body, the process dies and the
+        # kernel closes its connections in order; 0 for never.
+        self.dies_after = 0
+        # Attempts in order of arrival.
+        self.ran: list[str] = []
+        self.asked = 0
+        self.connected = 0
+        self._server: asyncio.Server | None = None
+        self._port = 0
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listens, at the same address after a restart."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self._port
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    def die(self) -> None:
+        """Ends as a killed process does: connections close in order."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def restart(self, software: str) -> None:
+        """Starts again under its name, before any entry says so."""
+        self.die()
+        self.software = software
+        self.started_at_ms += 60_000
+        await self.start()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the entry in the store."""
+        return {
+            **TARGET_ENTRY,
+            "service": SERVICE,
+            "address": f"127.0.0.1:{self._port}",
+            "version": self.software,
+            "born": self.started_at_ms,
+        }
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        self.connected += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while await self._answer(await _read_call(reader), writer):
+                pass
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _answer(
+        self, call: tuple[str, dict[str, str]], writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answers one call; tells whether the connection may be kept."""
+        path, headers = call
+        if path == wire.REPORT_CALL:
+            self.asked += 1
+            body = json.dumps({"born": self.started_at_ms}).encode()
+            writer.write(_make_head(200, {"Content-Length": str(len(body))}))
+            writer.write(body)
+            return True
+        if path.startswith("/-/"):
+            writer.write(_make_head(404, {"Content-Length": "0"}))
+            return True
+        if headers.get(wire.EXPECT_INSTANCE) != self.name:
+            writer.write(_make_head(421, {"Content-Length": "0"}))
+            return True
+        attempt = headers[wire.ATTEMPT_ID]
+        self.ran.append(attempt)
+        is_stream = path.startswith("/quotes/")
+        writer.write(self._make_answer_head(attempt, is_stream))
+        parts = _list_parts(self.software, headers, is_stream)
+        for count, part in enumerate(parts):
+            if count and count == self.resets_after:
+                _reset(writer)
+                return False
+            if count and count == self.dies_after:
+                self.die()
+                return False
+            writer.write(part if self.is_unframed else _make_chunk(part))
+            await writer.drain()
+            await asyncio.sleep(EVENT_GAP_S)
+        if not self.is_unframed:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return not self.is_unframed
+
+    def _make_answer_head(self, attempt: str, is_stream: bool) -> bytes:
+        kind = "text/event-stream" if is_stream else "text/plain"
+        framing = {"Transfer-Encoding": "chunked"}
+        if self.is_unframed:
+            framing = {"Connection": "close"}
+        return _make_head(
+            200,
+            {
+                "Content-Type": kind,
+                wire.ATTEMPT_ID: attempt,
+                wire.SERVER_STAMP: f"{self.name}.{attempt}",
+                **framing,
+            },
+        )
+
+
+def _list_parts(
+    software: str, headers: dict[str, str], is_stream: bool
+) -> list[bytes]:
+    """Returns the events of a run, or the parts of another body."""
+    if not is_stream:
+        return [f"{software}-{number};".encode() for number in range(EVENTS)]
+    first = int(headers.get(wire.LAST_EVENT_ID, "0")) + 1
+    return [
+        f"id: {number}\ndata: {software}\n\n".encode()
+        for number in range(first, EVENTS + 1)
+    ]
+
+
+def _make_head(status: int, headers: dict[str, str]) -> bytes:
+    lines = [f"HTTP/1.1 {status} Answer"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _make_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def _read_call(
+    reader: asyncio.StreamReader,
+) -> tuple[str, dict[str, str]]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.split("\r\n")[:-2]
+    pairs = (line.partition(":") for line in lines)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    await reader.readexactly(int(headers.get("content-length", "0")))
+    return first.split(" ")[1], headers
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection instead of closing it in order."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
+
+
+class RestartFleet:
+    """Real daemons in front of targets that can be restarted."""
+
+    def __init__(self, fleet: EdgeFleet, targets: Sequence[RestartableTarget]):
+        self._fleet = fleet
+        self.targets = targets
+        self._attempts = 0
+        self.host = HOSTS[0]
+
+    async def start(self, count: int) -> None:
+        """Lists the targets and starts so many daemons."""
+        # Its process is not the one that the tests are about.
+        self._fleet.store.delete("servers/i-1")
+        route = CONFIG["routes"][0]
+        extra = {
+            "name": "r-lookups",
+            "host": route["host"],
+            "path_prefix": "/lookups/",
+            "route_kind": "idempotent",
+            "timeout_ms": 5_000,
+            "service": SERVICE,
+            "max_attempts": 2,
+        }
+        config = {**CONFIG, "version": CONFIG["version"] + 1}
+        config["routes"] = [*CONFIG["routes"], extra]
+        self._fleet.store.put("op/config", config)
+        for target in self.targets:
+            await target.start()
+            self.list_target(target)
+        for host in HOSTS[:count]:
+            self._fleet.spawn(host)
+        for host in HOSTS[:count]:
+            await self._fleet.wait_ready(host)
+
+    def list_target(self, target: RestartableTarget) -> None:
+        """Writes the entry of a target as it is now."""
+        self._fleet.store.put(f"servers/{target.name}", target.describe())
+
+    async def call(
+        self, path: str, host: str = "", last_event: int = 0, resumes: str = ""
+    ) -> "CallerAnswer":
+        """Sends a call, or takes a stream up that an attempt began."""
+        self._attempts += 1
+        attempt = f"t{self._attempts}"
+        lines = [
+            f"POST {path} HTTP/1.1",
+            "Host: shop.example",
+            "Authorization: Token key-1",
+            f"{wire.ATTEMPT_ID}: {attempt}",
+            f"{wire.DEADLINE_MS}: 10000",
+            "Content-Length: 4",
+        ]
+        if resumes:
+            lines.append(f"{wire.RESUMES}: {resumes}")
+            lines.append(f"{wire.LAST_EVENT_ID}: {last_event}")
+        reader, writer = await self._fleet.connect(host or self.host)
+        try:
+            writer.write(("\r\n".join(lines) + "\r\n\r\nbody").encode())
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await _read_caller_answer(reader, attempt)
+        finally:
+            writer.close()
+
+
+class CallerAnswer:
+    """What a caller received."""
+
+    def __init__(self, attempt: str, status: int, body: bytes, is_whole: bool):
+        self.attempt = attempt
+        self.status = status
+        self.body = body
+        self.is_whole = is_whole
+
+    def __repr__(self) -> str:
+        return f"{self.status} {self.body!r} whole={self.is_whole}"
+
+    @property
+    def software(self) -> list[str]:
+        """The version that wrote each event."""
+        return [
+            line.removeprefix("data: ")
+            for line in self.body.decode().split("\n")
+            if line.startswith("data: ")
+        ]
+
+
+async def _read_caller_answer(
+    reader: asyncio.StreamReader, attempt: str
+) -> CallerAnswer:
+    status, headers, body = 0, {}, b""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.split("\r\n")[:-2]
+        status = int(first.split(" ")[1])
+        pairs = (line.partition(":") for line in lines)
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        if "transfer-encoding" not in headers:
+            body = await reader.readexactly(
+                int(headers.get("content-length", "0"))
+            )
+            return CallerAnswer(attempt, status, body, True)
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readuntil(b"\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return CallerAnswer(attempt, status, body, False)
+    return CallerAnswer(attempt, status, body, True)
+
+
+def run_with_targets(
+    targets: Sequence[RestartableTarget],
+    check: Callable[[RestartFleet], Awaitable[None]],
+    instances: int = 1,
+) -> None:
+    """Runs a check with real daemons and targets."""
+
+    @contextlib.asynccontextmanager
+    async def serve(fleet: EdgeFleet) -> AsyncIterator[RestartFleet]:
+        restarts = RestartFleet(fleet, targets)
+        try:
+            await restarts.start(instances)
+            yield restarts
+        finally:
+            for target in targets:
+                target.die()
+
+    async def run(fleet: EdgeFleet) -> None:
+        async with serve(fleet) as restarts:
+            await check(restarts)
+
+    run_with_fleet(run)
--- /dev/null
+++ b/tests/test_edge_restarts.py
@@ -0,0 +1,129 @@
+"""Tests of targets that restart or die while real daemons serve streams."""
+
+import unittest
+
+from tests.edgefleet import HOSTS
+from tests.edgerestarts import (
+    EVENTS,
+    RestartableTarget,
+    RestartFleet,
+    run_with_targets,
+)
+
+CALLS = 6
+
+
+class UnlistedRestartTest(unittest.TestCase):
+    """Targets that start again with other software before an entry says so."""
+
+    def test_stream_does_not_go_on_at_another_process_of_the_name(self) -> None:
+        """Guards against a stream that is joined from two versions."""
+        breaking, restarted = RestartableTarget("i-1"), RestartableTarget("i-2")
+        breaking.resets_after = 2
+
+        async def check(fleet: RestartFleet) -> None:
+            await restarted.restart("v2")
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert len(set(answer.software)) <= 1, answer
+            assert breaking.ran
+
+        run_with_targets([breaking, restarted], check)
+
+    def test_stream_of_an_unlisted_process_does_not_go_on_elsewhere(
+        self,
+    ) -> None:
+        """Guards against a begin that counts as one of the listed version."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            await restarted.restart("v2")
+            restarted.resets_after = 2
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert len(set(answer.software)) <= 1, answer
+            assert restarted.ran
+
+        run_with_targets([restarted, sound], check)
+
+    def test_take_up_elsewhere_does_not_join_versions(self) -> None:
+        """Guards against an instance that computes a begin from old entries."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            await restarted.restart("v2")
+            restarted.resets_after = 2
+            joined = []
+            for number in range(CALLS):
+                path = f"/quotes/{number}"
+                answer = await fleet.call(path)
+                if answer.is_whole or not answer.software:
+                    continue
+                rest = await fleet.call(
+                    path, HOSTS[1], len(answer.software), answer.attempt
+                )
+                if len({*answer.software, *rest.software}) > 1:
+                    joined.append((answer, rest))
+            assert not joined, joined
+
+        run_with_targets([restarted, sound], check, instances=2)
+
+    def test_streams_go_on_once_the_entry_is_written(self) -> None:
+        """Guards against streams that are cut although all is known."""
+        breaking, restarted = RestartableTarget("i-1"), RestartableTarget("i-2")
+        breaking.resets_after = 2
+
+        async def check(fleet: RestartFleet) -> None:
+            await restarted.restart("v1")
+            fleet.list_target(restarted)
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert answer.is_whole, answer
+                assert answer.software == ["v1"] * EVENTS, answer
+            assert breaking.ran
+
+        run_with_targets([breaking, restarted], check)
+
+
+class DyingTargetTest(unittest.TestCase):
+    """Targets whose death closes their connections in order."""
+
+    def test_stream_of_a_dying_target_does_not_look_whole(self) -> None:
+        """Guards against a stream without a length that ends too early."""
+        dying, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        dying.is_unframed = True
+        dying.dies_after = 3
+
+        async def check(fleet: RestartFleet) -> None:
+            answer = await fleet.call("/quotes/1")
+            assert dying.ran
+            assert answer.is_whole and len(answer.software) == EVENTS, answer
+
+        run_with_targets([dying, sound], check)
+
+    def test_body_of_a_dying_target_does_not_look_whole(self) -> None:
+        """Guards against a body without a length that ends too early."""
+        dying, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        dying.is_unframed = True
+        dying.dies_after = 3
+
+        async def check(fleet: RestartFleet) -> None:
+            answer = await fleet.call("/lookups/1")
+            assert dying.ran
+            assert answer.body.count(b";") == EVENTS, answer
+
+        run_with_targets([dying, sound], check)
+
+    def test_sound_stream_without_a_length_is_sent_once(self) -> None:
+        """Guards against doubt that costs sound streams another send."""
+        first, second = RestartableTarget("i-1"), RestartableTarget("i-2")
+        for target in (first, second):
+            target.is_unframed = True
+
+        async def check(fleet: RestartFleet) -> None:
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert answer.is_whole and len(answer.software) == EVENTS
+            assert len(first.ran) + len(second.ran) == CALLS
+
+        run_with_targets([first, second], check)
