Believe the end of an answer without a length only if its target lives on

Cause: the kernel closes the connections of a killed process in order. An answer with neither length nor chunks then looks whole wherever it stops between two events. The end of the connection was taken for the end of the run, while it only says that nothing more comes over it.

Change: after such an end the target is asked for its start, over a kept connection if there is one. If the listed process does not answer, the send has failed: a stream goes on at another target, and if that one has nothing left either, two targets agree on the end. A body that may be repeated is sent again, and what can't be made good does not look whole. Answers to HEAD, 204 and 304 have no body that could be cut.

Ruled out: to wait for the other connections to the target, which close together. It costs nothing where there are others, but silent connections look like open ones.

--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -42,6 +42,7 @@
         Event.PLATFORM_UNREACHABLE,
         Event.TARGET_FAILED,
         Event.TARGET_LINKS_LOST,
+        Event.TARGET_REPLACED,
         Event.SERVICE_BRITTLE,
         Event.TARGET_STRAGGLING,
         Event.SUSPECT_RECORDED,
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -45,6 +45,7 @@
 
 # The chunks tell the length; one that is named beside them is void.
 _DROPPED_WITH_CHUNKS = _HOP_BY_HOP | {"content-length"}
+_BODILESS_STATUSES = frozenset((204, 304))
 # A body with one of these does not end with its connection.
 _DELIMITERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -81,6 +82,7 @@
         response: httpcore.Response,
         is_reused: bool,
         connected_at_ms: int = 0,
+        has_body: bool = True,
     ):
         self._response = response
         names = {name.lower() for name, _ in response.headers}
@@ -93,7 +95,7 @@
                 for name, value in response.headers
                 if name.lower().decode("latin-1") not in dropped
             ),
-            is_delimited=not names.isdisjoint(_DELIMITERS),
+            is_delimited=not has_body or not names.isdisjoint(_DELIMITERS),
             is_reused_connection=is_reused,
             connected_at_ms=connected_at_ms,
         )
@@ -161,7 +163,13 @@
                 connected_at_ms = connection.connected_at_ms
                 yield opened.map(
                     lambda response: HttpAnswer(
-                        response, is_reused, connected_at_ms
+                        response,
+                        is_reused,
+                        connected_at_ms,
+                        has_body=(
+                            call.method != "HEAD"
+                            and response.status not in _BODILESS_STATUSES
+                        ),
                     )
                 )
             finally:
--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -27,6 +27,9 @@
 # Callers take these for a promise that a request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _CUT_STREAM = CallError(CallFailure.BROKEN, True, "end inside an event")
+_DEAD_END = CallError(
+    CallFailure.BROKEN, True, "not known to have outlived its answer"
+)
 # An empty answer to a resumed send says that no event is left; a target in
 # trouble may say so too early.
 MIN_EMPTY_TARGETS = 2
@@ -113,6 +116,9 @@
                 await self._start_once(request, answer.head, responder)
                 await responder.send(bytes(body))
                 body.clear()
+        if not await self._outlives(target, answer.head):
+            request.is_final = request.head_sent
+            return FailedAnswer(_DEAD_END, answer.head)
         status = answer.head.status
         failed = status >= ERROR_STATUS
         self._note_answer(target, failed)
@@ -180,8 +186,10 @@
             early_end = _find_early_end(request)
             if early_end is not None:
                 return FailedAnswer(early_end, answer.head)
-        if not answer.head.is_delimited:
-            await self._dependencies.runs.ask(target, "end")
+        if not await self._outlives(target, answer.head):
+            # If another target has nothing left either, this was the end.
+            request.empty_targets.add(target.name)
+            return FailedAnswer(_DEAD_END, answer.head, has_survived)
         await self._start_once(request, head, responder)
         await responder.finish()
         self._note_answer(target, failed=False)
@@ -197,6 +205,15 @@
         )
         return None
 
+    async def _outlives(self, target: EdgeTarget, head: AnswerHead) -> bool:
+        """Tells whether the end of an answer was not the death of its target.
+
+        Only a body without length or chunks leaves that open.
+        """
+        return head.is_delimited or await self._dependencies.runs.confirm_end(
+            target, self._clock.now_ms()
+        )
+
     def _note_begun(self, request: ActiveRequest, target: EdgeTarget) -> None:
         """Binds a stream to the version of its first event."""
         if request.head_sent or not request.route.is_resumable_stream:
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -126,7 +126,7 @@
         rate_limits=rate_limits,
         brittle=brittle,
         pauses=pauses,
-        runs=TargetRuns(clock, log, client),
+        runs=TargetRuns(clock, log, targets, client, settings.heartbeat_ms),
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
         records=records,
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -147,8 +147,6 @@
         )
         if not isinstance(delivered, FailedAnswer):
             return delivered
-        if request.head_sent:
-            await self._dependencies.runs.ask(target, "broken")
         return self._note_error(
             request,
             target,
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -7,18 +7,37 @@
 has ended, nothing tells who answers next, unless the target is asked.
 """
 
+import collections
+import dataclasses
 import enum
+from collections.abc import Callable, Iterable
 
+import anyio
 from result import Ok
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallFailure, EventLog
 from peridotbend.edge.ports import EdgeTargetClient
-from peridotbend.edge.targets import EdgeTarget
+from peridotbend.edge.targets import EdgeTarget, TargetList
 
 # A live target answers within milliseconds, also in another zone.
 ASK_TIMEOUT_MS = 250
+# Two attempts: the first may meet a connection that is about to be reset.
+MAX_END_QUESTIONS = 2
+# The platform removes an entry after three heartbeats without a write, so the
+# writer of a listed entry was alive that long before.
+LEASE_HEARTBEATS = 3
+# Time for a write to reach the store, and for the store to remove the entry.
+LEASE_MARGIN_MS = 500
+# An entry that names another start for this long may do so for good.
+REPLACED_TTL_MS = 10_000
+# All streams that are taken up within this time share the questions.
+SURVEY_TTL_MS = 500
+# Limits the questions in large services.
+MAX_SURVEYED = 32
+# Bounds memory: two generations of the targets of the largest fleet.
+MAX_RUNS = 16_384
 
 
 class RunState(enum.StrEnum):
@@ -36,26 +55,204 @@
     UNREACHABLE = "unreachable"
 
 
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """What is known of one run of a target."""
+
+    # The latest time at which it is known to have had its name.
+    proven_ms: int | None = None
+    # When a connection to it first ended since then.
+    ended_ms: int | None = None
+    # When another process first said that it has the name.
+    replaced_ms: int | None = None
+    # When the target was last asked, and what followed.
+    asked_ms: int = 0
+    state: RunState | None = None
+
+
 class TargetRuns:
     """The runs of targets, by what they and their connections tell."""
 
-    def __init__(self, clock: Clock, log: EventLog, client: EdgeTargetClient):
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        targets: TargetList,
+        client: EdgeTargetClient,
+        heartbeat_ms: int,
+    ):
+        """Creates the table.
+
+        Args:
+            clock: source of time.
+            log: receives what targets tell.
+            targets: those that are listed.
+            client: asks targets.
+            heartbeat_ms: how often a target writes its entry.
+        """
         self._clock = clock
         self._log = log
+        self._targets = targets
         self._client = client
+        self._lease_ms = LEASE_HEARTBEATS * heartbeat_ms + LEASE_MARGIN_MS
+        # Returns the time as of which the list of targets is known.
+        self.find_listing_ms: Callable[[], int | None] = lambda: None
+        # By the hash of the run, the one that changed last at the end.
+        self._runs: collections.OrderedDict[int, _Run] = (
+            collections.OrderedDict()
+        )
+        # Set when the question that is under way to a run has ended.
+        self._asking: dict[int, anyio.Event] = {}
+
+    def note_end(self, target: EdgeTarget) -> None:
+        """Records that a connection to a target ended unexpectedly."""
+        run = self._get_run(target)
+        if run.ended_ms is None:
+            run.ended_ms = self._clock.now_ms()
+
+    def note_unlisted(self, target: EdgeTarget) -> None:
+        """Records that a run is no longer listed, or is about to be."""
+        self._get_run(target).proven_ms = self._find_proven_ms(target)
+
+    def note_start(
+        self, target: EdgeTarget, told_ms: int | None, asked_at_ms: int
+    ) -> RunState:
+        """Records the start that the process at a target's address names."""
+        run = self._get_run(target)
+        if told_ms is None or not target.started_at_ms:
+            return RunState.UNNAMED
+        if told_ms == target.started_at_ms:
+            run.proven_ms = max(run.proven_ms or 0, asked_at_ms)
+            run.replaced_ms = None
+            if run.ended_ms is not None and run.ended_ms <= asked_at_ms:
+                run.ended_ms = None
+            return RunState.LIVES
+        if run.replaced_ms is None:
+            run.replaced_ms = self._clock.now_ms()
+            self._log.emit(
+                Event.TARGET_REPLACED,
+                target=target.name,
+                service=target.service,
+                software=target.software,
+                started_at_ms=target.started_at_ms,
+                told_start_ms=told_ms,
+            )
+        return RunState.REPLACED
+
+    def is_proven(self, target: EdgeTarget, connected_at_ms: int) -> bool:
+        """Tells whether a connection is known to lead to a run.
+
+        The run had its name after the connection was established.
+        """
+        if not target.started_at_ms:
+            # Its runs can't be told apart.
+            return True
+        proven_ms = self._find_proven_ms(target)
+        return proven_ms is not None and proven_ms >= connected_at_ms
+
+    def is_replaced(self, target: EdgeTarget) -> bool:
+        """Tells whether another process has the name of a listed target."""
+        run = self._runs.get(target.run_hash)
+        if run is None or run.replaced_ms is None:
+            return False
+        return self._clock.now_ms() < run.replaced_ms + REPLACED_TTL_MS
+
+    def is_doubtful(self, target: EdgeTarget) -> bool:
+        """Tells whether a connection has ended since a run was last proven."""
+        run = self._runs.get(target.run_hash)
+        if run is None or run.ended_ms is None:
+            return False
+        proven_ms = self._find_proven_ms(target)
+        return proven_ms is None or proven_ms < run.ended_ms
+
+    def make_check(self, target: EdgeTarget) -> "RunCheck":
+        """Returns the check of the connections of one send."""
+        return RunCheck(self, target)
+
+    async def confirm_begin(
+        self, target: EdgeTarget, connected_at_ms: int
+    ) -> bool:
+        """Tells whether what came over a connection was written by a run.
 
-    async def ask(self, target: EdgeTarget, purpose: str) -> RunState:
-        """Asks a target who it is."""
+        If not, an unlisted process with the same name may have written it.
+        """
+        if self.is_proven(target, connected_at_ms):
+            return True
+        listed = self._targets.find(target.name)
+        if listed is not None and listed.run_hash != target.run_hash:
+            # It was one of the two.
+            return listed.software == target.software
+        state = await self._ask_since(target, connected_at_ms, "origin")
+        if state in (RunState.LIVES, RunState.UNNAMED):
+            return True
+        if state is RunState.REPLACED:
+            return False
+        # Its death explains that. An earlier end may have been its death, and
+        # another process that has died since may have answered.
+        ended_ms = self._get_run(target).ended_ms
+        return ended_ms is None or ended_ms > connected_at_ms
+
+    async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
+        """Tells whether a run outlived the end of an answer.
+
+        The connections of a process that dies may close in order as well.
+        """
+        for _ in range(MAX_END_QUESTIONS):
+            state = await self._ask_since(target, ended_at_ms, "end")
+            if state is not RunState.UNREACHABLE:
+                break
+            ended_at_ms = self._clock.now_ms() + 1
+        return state in (RunState.LIVES, RunState.UNNAMED)
+
+    async def find_replaced(self, targets: Iterable[EdgeTarget]) -> list[str]:
+        """Returns the targets whose names other processes have."""
+        since_ms = self._clock.now_ms() - SURVEY_TTL_MS
+        replaced: list[str] = []
+
+        async def ask(target: EdgeTarget) -> None:
+            state = await self._ask_since(target, since_ms, "take-up")
+            if state is RunState.REPLACED:
+                replaced.append(target.name)
+
+        asked = [target for target in targets if target.started_at_ms]
+        async with anyio.create_task_group() as tasks:
+            for target in asked[:MAX_SURVEYED]:
+                tasks.start_soon(ask, target)
+        return sorted(replaced)
+
+    async def _ask_since(
+        self, target: EdgeTarget, since_ms: int, purpose: str
+    ) -> RunState:
+        """Returns what a target has answered since a time; asks it if need be.
+
+        Requests that need to know at the same moment share a question.
+        """
+        run = self._get_run(target)
+        while run.state is None or run.asked_ms < since_ms:
+            done = self._asking.get(target.run_hash)
+            if done is not None:
+                await done.wait()
+                continue
+            done = self._asking[target.run_hash] = anyio.Event()
+            try:
+                await self._ask(target, run, purpose)
+            finally:
+                del self._asking[target.run_hash]
+                done.set()
+        return run.state
+
+    async def _ask(self, target: EdgeTarget, run: _Run, purpose: str) -> None:
         asked_at_ms = self._clock.now_ms()
         told = await self._client.read_start(target, ASK_TIMEOUT_MS)
         told_start_ms: int | None = None
         if isinstance(told, Ok):
             told_start_ms = told.ok_value
-            state = _compare_starts(target, told_start_ms)
+            state = self.note_start(target, told_start_ms, asked_at_ms)
         elif told.err_value.failure is CallFailure.REFUSED:
             state = RunState.GONE
         else:
             state = RunState.UNREACHABLE
+        run.asked_ms, run.state = asked_at_ms, state
         self._log.emit(
             Event.TARGET_ASKED,
             target=target.name,
@@ -65,12 +262,41 @@
             told_start_ms=told_start_ms,
             took_ms=self._clock.now_ms() - asked_at_ms,
         )
-        return state
 
+    def _find_proven_ms(self, target: EdgeTarget) -> int | None:
+        run = self._runs.get(target.run_hash)
+        proven_ms = run.proven_ms if run is not None else None
+        listed = self._targets.find(target.name)
+        listing_ms = self.find_listing_ms()
+        if listed is None or listing_ms is None:
+            return proven_ms
+        if listed.run_hash != target.run_hash:
+            return proven_ms
+        listed_ms = listing_ms - self._lease_ms
+        return listed_ms if proven_ms is None else max(proven_ms, listed_ms)
+
+    def _get_run(self, target: EdgeTarget) -> _Run:
+        key = target.run_hash
+        run = self._runs.get(key)
+        if run is None:
+            run = self._runs[key] = _Run()
+            if len(self._runs) > MAX_RUNS:
+                self._runs.popitem(last=False)
+        return run
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunCheck:
+    """Finds out whether a connection leads to the listed run of a target."""
+
+    runs: TargetRuns
+    target: EdgeTarget
+
+    def is_needed(self, connected_at_ms: int) -> bool:
+        """Tells whether the target has to be asked on a connection."""
+        return not self.runs.is_proven(self.target, connected_at_ms)
 
-def _compare_starts(target: EdgeTarget, told_start_ms: int | None) -> RunState:
-    if told_start_ms is None or not target.started_at_ms:
-        return RunState.UNNAMED
-    if told_start_ms == target.started_at_ms:
-        return RunState.LIVES
-    return RunState.REPLACED
+    def accepts(self, told_start_ms: int | None, asked_at_ms: int) -> bool:
+        """Tells whether a process is the listed run, by its own words."""
+        state = self.runs.note_start(self.target, told_start_ms, asked_at_ms)
+        return state is not RunState.REPLACED
--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -37,6 +37,8 @@
         # After so many events, or parts of a body, the process dies and the
         # kernel closes its connections in order; 0 for never.
         self.dies_after = 0
+        # Size of the parts of a body, filled up; 0 for as long as they are.
+        self.part_bytes = 0
         # Attempts in order of arrival.
         self.ran: list[str] = []
         self.asked = 0
@@ -109,7 +111,7 @@
         self.ran.append(attempt)
         is_stream = path.startswith("/quotes/")
         writer.write(self._make_answer_head(attempt, is_stream))
-        parts = _list_parts(self.software, headers, is_stream)
+        parts = self._list_parts(headers, is_stream)
         for count, part in enumerate(parts):
             if count and count == self.resets_after:
                 _reset(writer)
@@ -125,6 +127,21 @@
         await writer.drain()
         return not self.is_unframed
 
+    def _list_parts(
+        self, headers: dict[str, str], is_stream: bool
+    ) -> list[bytes]:
+        """Returns the events of a run, or the parts of another body."""
+        if not is_stream:
+            return [
+                f"{self.software}-{number};".encode().ljust(self.part_bytes)
+                for number in range(EVENTS)
+            ]
+        first = int(headers.get(wire.LAST_EVENT_ID, "0")) + 1
+        return [
+            f"id: {number}\ndata: {self.software}\n\n".encode()
+            for number in range(first, EVENTS + 1)
+        ]
+
     def _make_answer_head(self, attempt: str, is_stream: bool) -> bytes:
         kind = "text/event-stream" if is_stream else "text/plain"
         framing = {"Transfer-Encoding": "chunked"}
@@ -141,19 +158,6 @@
         )
 
 
-def _list_parts(
-    software: str, headers: dict[str, str], is_stream: bool
-) -> list[bytes]:
-    """Returns the events of a run, or the parts of another body."""
-    if not is_stream:
-        return [f"{software}-{number};".encode() for number in range(EVENTS)]
-    first = int(headers.get(wire.LAST_EVENT_ID, "0")) + 1
-    return [
-        f"id: {number}\ndata: {software}\n\n".encode()
-        for number in range(first, EVENTS + 1)
-    ]
-
-
 def _make_head(status: int, headers: dict[str, str]) -> bytes:
     lines = [f"HTTP/1.1 {status} Answer"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
--- a/tests/test_edge_restarts.py
+++ b/tests/test_edge_restarts.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from peridotbend.edge.delivery import MAX_HELD_BYTES
 from tests.edgefleet import HOSTS
 from tests.edgerestarts import (
     EVENTS,
@@ -125,5 +126,47 @@
                 answer = await fleet.call(f"/quotes/{number}")
                 assert answer.is_whole and len(answer.software) == EVENTS
             assert len(first.ran) + len(second.ran) == CALLS
+            assert first.asked + second.asked <= CALLS
 
         run_with_targets([first, second], check)
+
+    def test_sound_stream_in_chunks_asks_nothing(self) -> None:
+        """Guards against questions and connections for sound streams."""
+        first, second = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert answer.is_whole and len(answer.software) == EVENTS
+            assert first.asked + second.asked == 0
+            assert first.connected + second.connected <= 2
+
+        run_with_targets([first, second], check)
+
+    def test_long_body_of_a_dying_target_is_cut(self) -> None:
+        """Guards against a body that is passed on in parts and looks whole."""
+        dying, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        for target in (dying, sound):
+            target.part_bytes = MAX_HELD_BYTES
+        dying.is_unframed = True
+        dying.dies_after = 3
+
+        async def check(fleet: RestartFleet) -> None:
+            answer = await fleet.call("/lookups/1")
+            assert dying.ran
+            assert not answer.is_whole, len(answer.body)
+
+        run_with_targets([dying, sound], check)
+
+    def test_stream_that_cannot_resume_is_cut(self) -> None:
+        """Guards against an end that nobody can make good."""
+        dying = RestartableTarget("i-1")
+        dying.is_unframed = True
+        dying.dies_after = 3
+
+        async def check(fleet: RestartFleet) -> None:
+            answer = await fleet.call("/quotes/1")
+            assert dying.ran
+            assert not answer.is_whole, answer
+
+        run_with_targets([dying], check)
