Let a stream go on only where it is known which process answers

Callers saw: a stream whose events come from two software versions (ORDER), after a target had started again under its ID with other software and before its entry said so.

Cause: a target was what its entry said last. The name and the address outlive a process; one that starts again under the name accepts what was meant for the process before. So events of the new process counted as those of the listed version, both where a stream began and where it went on. What an instance knows of a process lasts as long as its connections to it.

Change: a connection knows since when it stands, and leads to one process. It is known to be the listed one if the list of targets was read later, by more than the lease of an entry, or if the process has named its start (`born`) on a question sent later. A resumed send asks on its connection unless that is known, and so does the first send after a connection to the target broke. A stream whose connection broke goes on only if its begin is confirmed: the target is asked, and if it is gone, that one death explains the break.

Ruled out: a question on each new connection.

Measured: test_stream_does_not_go_on_at_another_process_of_the_name and test_stream_of_an_unlisted_process_does_not_go_on_elsewhere failed before and pass.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -10,23 +10,27 @@
 from result import Err, Ok, Result
 
 from peridotbend.adapters.connections import (
+    Connection,
     ConnectionPool,
     Dialer,
     ForeignBytesError,
     PeerLostError,
     is_connection_refused,
 )
-from peridotbend.domain.clock import Clock
+from peridotbend.domain.clock import Clock, SystemClock
 from peridotbend.domain.ports import (
     AnswerHead,
     CallError,
     CallFailure,
+    ConnectionCheck,
     TargetAnswer,
     TargetCall,
 )
 from peridotbend.domain.text import Target
 
 CONNECT_TIMEOUT_S = 1.0
+# What a target says of itself grows with the requests that it runs.
+MAX_QUESTION_BYTES = 262_144
 # Trace event that httpcore emits immediately before it writes the first byte.
 REQUEST_WRITE_STARTED = "http11.send_request_headers.started"
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -120,7 +124,8 @@
         dialer: Dialer | None = None,
         clock: Clock | None = None,
     ) -> None:
-        self._pool = ConnectionPool(dialer, clock)
+        self._clock = clock or SystemClock()
+        self._pool = ConnectionPool(dialer, self._clock)
         self._connect_timeout_s = connect_timeout_s
 
     async def aclose(self) -> None:
@@ -141,21 +146,11 @@
         request = _make_request(
             target, call, write_gate, self._connect_timeout_s
         )
-        origin = request.url.origin
-        # The target may have closed an idle connection without this process
-        # having noticed; a write to it fails with an unknown outcome. Calls
-        # that must not be repeated therefore open a new connection.
-        reuse = call.reuse_connection
-        try:
-            connection = await self._pool.acquire(
-                origin, reuse, request.extensions["timeout"]["connect"], target
-            )
-        except (httpcore.TimeoutException, httpcore.NetworkError) as error:
-            failure = CallFailure.CONNECT
-            if is_connection_refused(error):
-                failure = CallFailure.REFUSED
-            yield Err(_make_error(failure, False, error))
+        acquired = await self._acquire(target, call, request)
+        if isinstance(acquired, Err):
+            yield acquired
             return
+        connection = acquired.ok_value
         try:
             opened = await _send(connection, request, write_gate)
             try:
@@ -176,9 +171,99 @@
                 if isinstance(opened, Ok):
                     with anyio.CancelScope(shield=True):
                         await opened.ok_value.aclose()
+        finally:
+            await self._release(connection, call, request)
+
+    async def _acquire(
+        self, target: Target, call: TargetCall, request: httpcore.Request
+    ) -> Result[Connection, CallError]:
+        """Returns a connection on which the call may be sent."""
+        opened = await self._connect(target, call, request)
+        if isinstance(opened, Err) or call.check is None:
+            return opened
+        connection = opened.ok_value
+        is_usable = False
+        try:
+            problem = await self._check(connection, target, call.check)
+            # Some targets close a connection after any answer.
+            is_usable = problem is None and not connection.is_closed()
+        finally:
+            if not is_usable:
+                await self._release(connection, call, request)
+        if problem is not None:
+            return Err(problem)
+        if is_usable:
+            return Ok(connection)
+        return await self._connect(target, call, request)
+
+    async def _connect(
+        self, target: Target, call: TargetCall, request: httpcore.Request
+    ) -> Result[Connection, CallError]:
+        # The target may have closed an idle connection without this process
+        # having noticed; a write to it fails with an unknown outcome. Calls
+        # that must not be repeated therefore open a new connection.
+        try:
+            connection = await self._pool.acquire(
+                request.url.origin,
+                call.reuse_connection,
+                request.extensions["timeout"]["connect"],
+                target,
+            )
+        except (httpcore.TimeoutException, httpcore.NetworkError) as error:
+            failure = CallFailure.CONNECT
+            if is_connection_refused(error):
+                failure = CallFailure.REFUSED
+            return Err(_make_error(failure, False, error))
+        return Ok(connection)
+
+    async def _release(
+        self,
+        connection: Connection,
+        call: TargetCall,
+        request: httpcore.Request,
+    ) -> None:
+        with anyio.CancelScope(shield=True):
+            await self._pool.release(
+                connection, request.url.origin, call.reuse_connection
+            )
+
+    async def _check(
+        self, connection: Connection, target: Target, check: ConnectionCheck
+    ) -> CallError | None:
+        """Asks who answers on a connection, if that is not known."""
+        if not check.is_needed(connection.connected_at_ms):
+            return None
+        asked_at_ms = self._clock.now_ms()
+        gate = _WriteGate(lambda: True)
+        request = _make_request(
+            target, check.question, gate, self._connect_timeout_s
+        )
+        opened = await _send(connection, request, gate)
+        if isinstance(opened, Err):
+            detail = f"asked who it is: {opened.err_value.detail}"
+            return CallError(CallFailure.CONNECT, False, detail)
+        answer = HttpAnswer(opened.ok_value, connection.is_reused)
+        body = bytearray()
+        try:
+            async for chunk in answer.chunks():
+                if isinstance(chunk, Err):
+                    detail = f"asked who it is: {chunk.err_value.detail}"
+                    return CallError(CallFailure.CONNECT, False, detail)
+                body += chunk.ok_value
+                if len(body) > MAX_QUESTION_BYTES:
+                    break
         finally:
             with anyio.CancelScope(shield=True):
-                await self._pool.release(connection, origin, reuse)
+                await opened.ok_value.aclose()
+        problem = check.find_problem(
+            answer.head.status, bytes(body), asked_at_ms
+        )
+        if problem:
+            return CallError(
+                CallFailure.REPLACED, False, problem, blames_target=False
+            )
+        connection.is_reused = True
+        return None
 
 
 async def _send(
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -15,6 +15,23 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+class ConnectionCheck(Protocol):
+    """Finds out who answers on a connection before a call is sent on it."""
+
+    @property
+    def question(self) -> "TargetCall":
+        """The call that is sent first."""
+        ...
+
+    def is_needed(self, connected_at_ms: int) -> bool:
+        """Tells whether the question has to be asked on a connection."""
+        ...
+
+    def find_problem(self, status: int, body: bytes, asked_at_ms: int) -> str:
+        """Returns why the call must not be sent, or "" if it may be."""
+        ...
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetCall:
     """One call to a target."""
@@ -27,6 +44,8 @@
     timeout_ms: int
     # False for calls that must not be repeated: they use a new connection.
     reuse_connection: bool = True
+    # Asked before the call; None if it does not matter who answers.
+    check: ConnectionCheck | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +75,8 @@
     CONNECT = "connect"
     # The host is up but nothing listens on the port. Nothing was written.
     REFUSED = "refused"
+    # Another process than the listed one answers. Nothing was written.
+    REPLACED = "replaced"
     # The gate refused right before the first byte, so nothing was written.
     GATE = "gate"
     # The connection broke or the target violated the protocol after a write.
--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -8,6 +8,7 @@
 from peridotbend.edge.config import Account, Route
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.ports import EdgeCall
+from peridotbend.edge.streamrecords import BegunStream
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +45,8 @@
     is_final: bool = False
     # Software version at which the stream began; None before that.
     software: str | None = None
+    # What sent the first event of the answer; None before that.
+    begun: BegunStream | None = None
     # Error answer of a target, delivered if no other target succeeds.
     held_error: tuple[AnswerHead, bytes] | None = None
     events: EventSplitter = dataclasses.field(default_factory=EventSplitter)
--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -165,7 +165,7 @@
                     has_survived = True
                     self._dependencies.crashes.note_sound(request.traits)
                 has_events = True
-                self._note_begun(request, target)
+                self._note_begun(request, target, answer.head)
                 tracked_send.is_blocked = True
                 await self._start_once(request, head, responder)
                 await responder.send(events)
@@ -214,12 +214,16 @@
             target, self._clock.now_ms()
         )
 
-    def _note_begun(self, request: ActiveRequest, target: EdgeTarget) -> None:
+    def _note_begun(
+        self, request: ActiveRequest, target: EdgeTarget, head: AnswerHead
+    ) -> None:
         """Binds a stream to the version of its first event."""
         if request.head_sent or not request.route.is_resumable_stream:
             return
         request.software = target.software
-        self._dependencies.origins.note_begun(request.call, target)
+        request.begun = self._dependencies.origins.note_begun(
+            request.call, target, head.connected_at_ms
+        )
 
     def _note_answer(self, target: EdgeTarget, failed: bool) -> None:
         """Records a complete answer of a target."""
--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -23,6 +23,7 @@
     PublishedItems,
 )
 from peridotbend.edge.readerrole import ReaderRole
+from peridotbend.edge.versions import VIEW_LAG_MS
 
 # Maximum duration of a watch call. A call that is lost with its connection, or
 # just before the store comes back, delays changes by this time and its margin;
@@ -115,6 +116,8 @@
         # When the store, or the relay that reads it, last showed that nothing
         # is missing here.
         self.confirmed_at_ms = clock.now_ms()
+        # As of when the copy is known to lack nothing; None before that.
+        self.known_as_of_ms: int | None = None
         # When the store was last read, on the clock that counts suspensions.
         self._read_at_ms: int | None = None
         self._confirming = anyio.Lock()
@@ -189,6 +192,7 @@
 
     async def _read_once(self, wait_ms: int) -> bool | None:
         """Reads the store; tells whether there were changes, None if failed."""
+        asked_at_ms = self._clock.now_ms()
         result = await self._read(wait_ms)
         if isinstance(result, Err):
             error = result.err_value
@@ -216,7 +220,9 @@
         self._is_listing_new = changes.is_whole
         self.confirmed_at_ms = self._clock.now_ms()
         self._read_at_ms = self._clock.boot_ms()
-        return self.merge(changes)
+        has_changes = self.merge(changes)
+        self.known_as_of_ms = asked_at_ms
+        return has_changes
 
     def merge(self, changes: Changes, source: str = "store") -> bool:
         """Merges changes; tells whether any of them was new.
@@ -289,6 +295,7 @@
             is_level = state.position == self.items.position
             if is_level and not self._role.is_reader:
                 self.confirmed_at_ms = self._clock.now_ms()
+                self.known_as_of_ms = self.confirmed_at_ms - VIEW_LAG_MS
             if not self._peers_ahead:
                 self._behind_since_ms = None
             return
--- a/src/peridotbend/edge/originpeers.py
+++ b/src/peridotbend/edge/originpeers.py
@@ -33,7 +33,7 @@
 
     # Streams that the sender wants to know about.
     asked: tuple[int, ...] = ()
-    # The versions at which streams began.
+    # The versions at which streams began; empty if nobody can tell.
     told: Mapping[int, str] = dataclasses.field(default_factory=dict)
     # Streams that the receiver asked about and the sender does not know.
     unknown: tuple[int, ...] = ()
@@ -92,7 +92,7 @@
         """Returns the version at which a stream began; None if nobody knows."""
         key = hash_attempt(attempt)
         known = self._records.find(key)
-        if known is not None:
+        if known is not None or self._records.is_uncertain(key):
             return known
         question = self._questions.get(key)
         if question is None:
@@ -122,8 +122,11 @@
         self._rng.shuffle(hosts)
         hosts.sort(key=lambda h: self._members.find_zone(h) == self._zone)
         key = hash_attempt(stream.attempt)
-        for host in hosts[:HOLDERS]:
-            self._told.setdefault(host, {})[key] = stream.software
+        # All may be asked to continue a stream that nobody can place.
+        holders = hosts if stream.is_uncertain else hosts[:HOLDERS]
+        software = "" if stream.is_uncertain else stream.software
+        for host in holders:
+            self._told.setdefault(host, {})[key] = software
         self.on_due()
 
     def collect(self) -> Iterator[tuple[OriginNotice, list[str]]]:
@@ -143,9 +146,8 @@
         if not self._members.is_known(host):
             return []
         for key, software in notice.told.items():
-            if software:
-                self._records.note_told(key, software)
-                self._end_question(key)
+            self._records.note_told(key, software)
+            self._end_question(key)
         for key in notice.unknown:
             question = self._questions.get(key)
             if question is not None:
@@ -153,9 +155,13 @@
                 if not question.unanswered:
                     self._end_question(key)
         found = {key: self._records.find(key) for key in notice.asked}
-        unknown = tuple(key for key, known in found.items() if known is None)
+        known = {
+            key: version or ""
+            for key, version in found.items()
+            if version is not None or self._records.is_uncertain(key)
+        }
+        unknown = tuple(key for key in found if key not in known)
         answers = [OriginNotice(unknown=unknown)] if unknown else []
-        known = {key: version for key, version in found.items() if version}
         return answers + list(_divide(known))
 
     def _end_question(self, key: int) -> None:
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -16,6 +16,7 @@
     StreamRecords,
     hash_attempt,
 )
+from peridotbend.edge.targetruns import TargetRuns
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 
@@ -90,9 +91,11 @@
         timeline: VersionTimeline,
         records: StreamRecords,
         parts: PromptParts,
+        runs: TargetRuns,
         log: EventLog,
     ):
         self._clock = clock
+        self._runs = runs
         self._parts = parts
         self._timeline = timeline
         self._log = log
@@ -122,16 +125,46 @@
             self._longest_ms.get(route.name, 0),
         )
 
-    def note_begun(self, call: EdgeCall, target: EdgeTarget) -> None:
-        """Records the target at which the stream of a call began."""
+    def note_begun(
+        self, call: EdgeCall, target: EdgeTarget, connected_at_ms: int = 0
+    ) -> BegunStream:
+        """Records what sent the first event of the stream of a call.
+
+        Args:
+            call: that the target answers.
+            target: as it is listed.
+            connected_at_ms: when the connection to it was established.
+        """
         attempt = call.resumes or call.attempt
         stream = self._records.note_begun(
-            attempt, target.service, target.software
+            attempt, target.service, target.software, target, connected_at_ms
         )
         since_ms = self._clock.now_ms() - self._find_longest_ms() - VIEW_LAG_MS
         choices = self._timeline.list_choices(target.service, attempt, since_ms)
         if choices != {target.software}:
             self.witnesses.tell(stream)
+        return stream
+
+    async def confirm(self, stream: BegunStream) -> bool:
+        """Tells whether an own stream began at the version that is recorded.
+
+        Others are told if nobody can know.
+        """
+        if stream.is_uncertain:
+            return False
+        if stream.target is None or await self._runs.confirm_begin(
+            stream.target, stream.connected_at_ms
+        ):
+            return True
+        self._log.emit(
+            Event.STREAM_ORIGIN_UNCERTAIN,
+            attempt=stream.attempt,
+            target=stream.target.name,
+            software=stream.software,
+            started_at_ms=stream.target.started_at_ms,
+        )
+        self.witnesses.tell(self._records.note_uncertain(stream))
+        return False
 
     def _tell_moved(self, service: str) -> None:
         """Tells others of the streams that would now be placed elsewhere."""
@@ -167,8 +200,12 @@
         self, call: EdgeCall, route: Route, service: str
     ) -> str | None:
         """Returns the version at which a stream began, None if not certain."""
-        known = self._records.find(hash_attempt(call.resumes))
-        if known is not None:
+        key = hash_attempt(call.resumes)
+        begun = self._records.find_begun(key)
+        if begun is not None:
+            await self.confirm(begun)
+        known = self._records.find(key)
+        if known is not None or self._records.is_uncertain(key):
             self._log.emit(
                 Event.STREAM_TAKEN_UP,
                 attempt=call.attempt,
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -110,6 +110,7 @@
     )
     pauses = TargetPauses(clock)
     records = StreamRecords(clock)
+    runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
     selector = Selector(
         settings.zone, occupancy, health, rate_limits, brittle, pauses
     )
@@ -126,7 +127,7 @@
         rate_limits=rate_limits,
         brittle=brittle,
         pauses=pauses,
-        runs=TargetRuns(clock, log, targets, client, settings.heartbeat_ms),
+        runs=runs,
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
         records=records,
@@ -135,6 +136,7 @@
             timeline,
             records,
             PromptParts(clock, targets, client, pauses),
+            runs,
             log,
         ),
         allowances=allowances,
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -48,6 +48,18 @@
         return bool(self.resumes or self.last_event_id)
 
 
+class RunCheck(Protocol):
+    """Finds out whether a connection leads to the listed run of a target."""
+
+    def is_needed(self, connected_at_ms: int) -> bool:
+        """Tells whether the target has to be asked on a connection."""
+        ...
+
+    def accepts(self, told_start_ms: int | None, asked_at_ms: int) -> bool:
+        """Tells whether a process is the listed run, by its own words."""
+        ...
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetSend:
     """A request as sent to one target."""
@@ -71,6 +83,8 @@
     # Called if the target turned the request away, with the time for which it
     # wants nothing from this instance.
     note_pause: Callable[[int], None] = lambda pause_ms: None
+    # Passed before the request is written; None if any process may answer.
+    check: RunCheck | None = None
 
 
 class Rejection(enum.Enum):
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -116,7 +116,10 @@
                 slot.release()
             if refusal is None:
                 return
-            if not self._may_send_again(request):
+            if not (
+                await self._may_continue(request)
+                and self._may_send_again(request)
+            ):
                 await self._end(request, responder, refusal)
                 return
 
@@ -171,14 +174,20 @@
         exclude = set(request.failed_targets)
         software = self._choose_software(request)
         targets = self._dependencies.targets.list_for(request.service)
+        replaced: set[str] = set()
+        if request.route.is_resumable_stream:
+            is_replaced = self._dependencies.runs.is_replaced
+            replaced = {t.name for t in targets if is_replaced(t)}
         if all(
             target.name in exclude
             for target in targets
             if software in (None, target.software)
+            and target.name not in replaced
         ):
             # No other target is left, for example in a service with a single
             # target. A target that failed may have recovered.
             exclude.clear()
+        exclude |= replaced
         if avoid:
             exclude.add(avoid)
         return TargetCriteria(
@@ -214,6 +223,13 @@
         request.failover_slot = slot
         return True
 
+    async def _may_continue(self, request: ActiveRequest) -> bool:
+        """Tells whether it is certain which version sent what has arrived."""
+        stream = request.begun
+        if stream is None or not self._has_attempts_left(request):
+            return True
+        return await self._dependencies.origins.confirm(stream)
+
     def _may_send_again(self, request: ActiveRequest) -> bool:
         if request.is_final:
             return False
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -10,7 +10,13 @@
 from peridotbend.edge.delivery import Delivery, FailedAnswer
 from peridotbend.edge.inflight import TrackedSend
 from peridotbend.edge.parts import RelayDependencies
-from peridotbend.edge.ports import EdgeAnswer, Rejection, Responder, TargetSend
+from peridotbend.edge.ports import (
+    EdgeAnswer,
+    Rejection,
+    Responder,
+    RunCheck,
+    TargetSend,
+)
 from peridotbend.edge.reports import RequestReporter, describe_type
 from peridotbend.edge.sendnotices import SendNotices
 from peridotbend.edge.targets import EdgeTarget
@@ -20,6 +26,18 @@
 # Rejections of a stream that has begun which do not count as sends. Counts of
 # other instances are some 50 ms old, so that several may take the same place.
 MAX_FREE_REJECTIONS = 3
+_UNSENT = frozenset(
+    (CallFailure.CONNECT, CallFailure.REFUSED, CallFailure.REPLACED)
+)
+# After these, nothing tells which process answers next.
+_ENDS = frozenset(
+    (
+        CallFailure.CONNECT,
+        CallFailure.REFUSED,
+        CallFailure.BROKEN,
+        CallFailure.TIMEOUT,
+    )
+)
 
 
 class Sender:
@@ -128,12 +146,28 @@
             request.deadline_at_ms - self._clock.now_ms(),
             request.events.last_event_id,
             reuse_connection=request.route.may_repeat,
+            check=self._make_check(request, target),
             note_limit=notices.note_limit,
             note_brittle=notices.note_brittle,
             note_leaving=notices.note_leaving,
             note_pause=notices.note_pause,
         )
 
+    def _make_check(
+        self, request: ActiveRequest, target: EdgeTarget
+    ) -> RunCheck | None:
+        """Returns a check that the listed run of a target answers.
+
+        A stream that goes on depends on it, and one that begins where a
+        connection has just ended could not go on later.
+        """
+        if not request.route.is_resumable_stream:
+            return None
+        runs = self._dependencies.runs
+        if request.is_resumed or runs.is_doubtful(target):
+            return runs.make_check(target)
+        return None
+
     async def _deliver(
         self,
         request: ActiveRequest,
@@ -204,7 +238,9 @@
             self._dependencies.crashes.note_broken_connection(
                 target, request.traits
             )
-        if error.failure in (CallFailure.CONNECT, CallFailure.REFUSED):
+        if error.failure in _ENDS:
+            self._dependencies.runs.note_end(target)
+        if error.failure in _UNSENT:
             request.connect_failures += 1
             request.allow_silent_targets()
         if error.failure is CallFailure.REFUSED:
--- a/src/peridotbend/edge/streamrecords.py
+++ b/src/peridotbend/edge/streamrecords.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from peridotbend.domain.clock import Clock
+from peridotbend.edge.targets import EdgeTarget
 from peridotbend.edge.versions import KEPT_MS
 
 # Bounds memory, at about 240 bytes each.
@@ -19,8 +20,14 @@
 
     attempt: str
     service: str
+    # As listed for its target.
     software: str
     begun_at_ms: int
+    # What sent the first event, and when the connection to it was established.
+    target: EdgeTarget | None = None
+    connected_at_ms: int = 0
+    # Whether another process may have sent it, of which nothing is known.
+    is_uncertain: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,11 +56,18 @@
         )
 
     def note_begun(
-        self, attempt: str, service: str, software: str
+        self,
+        attempt: str,
+        service: str,
+        software: str,
+        target: EdgeTarget | None = None,
+        connected_at_ms: int = 0,
     ) -> BegunStream:
         """Records an own stream that begins or goes on."""
         now_ms = self._clock.now_ms()
-        stream = BegunStream(attempt, service, software, now_ms)
+        stream = BegunStream(
+            attempt, service, software, now_ms, target, connected_at_ms
+        )
         key = hash_attempt(attempt)
         self._begun[key] = stream
         self._begun.move_to_end(key)
@@ -80,11 +94,29 @@
         ):
             self._told.popitem(last=False)
 
+    def note_uncertain(self, stream: BegunStream) -> BegunStream:
+        """Records that nobody can tell at which version a stream began."""
+        stream = dataclasses.replace(stream, is_uncertain=True)
+        self._begun[hash_attempt(stream.attempt)] = stream
+        return stream
+
+    def find_begun(self, key: int) -> BegunStream | None:
+        """Returns an own stream."""
+        return self._begun.get(key)
+
+    def is_uncertain(self, key: int) -> bool:
+        """Tells whether a stream is known whose version nobody can tell."""
+        begun = self._begun.get(key)
+        if begun is not None:
+            return begun.is_uncertain
+        told = self._told.get(key)
+        return told is not None and not told.software
+
     def find(self, key: int) -> str | None:
         """Returns the version of a stream; None if it is not certain."""
         begun = self._begun.get(key)
         if begun is not None:
-            return begun.software
+            return None if begun.is_uncertain else begun.software
         told = self._told.get(key)
         return told.software or None if told is not None else None
 
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -152,6 +152,8 @@
 
     def is_replaced(self, target: EdgeTarget) -> bool:
         """Tells whether another process has the name of a listed target."""
+        if not self._runs:
+            return False
         run = self._runs.get(target.run_hash)
         if run is None or run.replaced_ms is None:
             return False
@@ -165,9 +167,9 @@
         proven_ms = self._find_proven_ms(target)
         return proven_ms is None or proven_ms < run.ended_ms
 
-    def make_check(self, target: EdgeTarget) -> "RunCheck":
+    def make_check(self, target: EdgeTarget) -> "TargetRunCheck":
         """Returns the check of the connections of one send."""
-        return RunCheck(self, target)
+        return TargetRunCheck(self, target)
 
     async def confirm_begin(
         self, target: EdgeTarget, connected_at_ms: int
@@ -286,7 +288,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RunCheck:
+class TargetRunCheck:
     """Finds out whether a connection leads to the listed run of a target."""
 
     runs: TargetRuns
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -360,6 +360,9 @@
             self._clock,
             self._settings.store_history_ms,
         )
+        self._dependencies.runs.find_listing_ms = lambda: self._feeds[
+            wire.TARGET_PREFIX
+        ].known_as_of_ms
         self._dependencies.origins.history = self._history
         self._dependencies.origins.confirm_targets = self._feeds[
             wire.TARGET_PREFIX
@@ -463,6 +466,7 @@
             if previous and previous.started_at_ms != target.started_at_ms:
                 self._dependencies.health.forget(name)
                 self._dependencies.crashes.note_target_dead(previous)
+                self._dependencies.runs.note_unlisted(previous)
             self._dependencies.targets.put(target)
             if previous is None:
                 self._dependencies.crashes.note_target_listed(target)
@@ -494,6 +498,7 @@
     def _remove_target(self, name: str, revision: int) -> None:
         previous = self._dependencies.targets.find(name)
         if previous is not None:
+            self._dependencies.runs.note_unlisted(previous)
             self._dependencies.targets.remove(name)
             self._dependencies.occupancy.forget_target(name)
             if not previous.is_leaving:
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -1,6 +1,7 @@
 """Client of targets that use the platform's protocol."""
 
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator, Callable
 
 import anyio
@@ -20,7 +21,8 @@
     list_header_values,
 )
 from peridotbend.domain.text import Target
-from peridotbend.edge.ports import Rejection, Reply, TargetSend
+from peridotbend.edge.ports import Rejection, Reply, RunCheck, TargetSend
+from peridotbend.edge.targetruns import ASK_TIMEOUT_MS
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.platform import wire
 from peridotbend.platform.documents import (
@@ -56,6 +58,31 @@
         return self._answer.chunks()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StartCheck:
+    """Asks a target for its start on the connection of a call."""
+
+    run: RunCheck
+    timeout_ms: int
+
+    @property
+    def question(self) -> TargetCall:
+        """The call that is sent first."""
+        timeout_ms = min(ASK_TIMEOUT_MS, self.timeout_ms)
+        return TargetCall("GET", wire.REPORT_CALL, (), b"", timeout_ms)
+
+    def is_needed(self, connected_at_ms: int) -> bool:
+        """Tells whether the question has to be asked on a connection."""
+        return self.run.is_needed(connected_at_ms)
+
+    def find_problem(self, status: int, body: bytes, asked_at_ms: int) -> str:
+        """Returns why the call must not be sent, or "" if it may be."""
+        told_start_ms = decode_start(body) if status == 200 else None
+        if self.run.accepts(told_start_ms, asked_at_ms):
+            return ""
+        return f"it started at {told_start_ms}, which is not listed"
+
+
 class PlatformTargetClient:
     """Sends requests in the platform's protocol, and classifies the answers."""
 
@@ -150,6 +177,7 @@
         call.body,
         deadline_ms,
         send.reuse_connection,
+        _StartCheck(send.check, deadline_ms) if send.check else None,
     )
 
 
--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from peridotbend.platform import wire
+from peridotbend_emulator.launch import Child
 from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
 from tests.test_edge_platform import TARGET_ENTRY
 
@@ -195,6 +196,7 @@
         self._fleet = fleet
         self.targets = targets
         self._attempts = 0
+        self._children: list[Child] = []
         self.host = HOSTS[0]
 
     async def start(self, count: int) -> None:
@@ -218,7 +220,7 @@
             await target.start()
             self.list_target(target)
         for host in HOSTS[:count]:
-            self._fleet.spawn(host)
+            self._children.append(self._fleet.spawn(host))
         for host in HOSTS[:count]:
             await self._fleet.wait_ready(host)
 
@@ -226,6 +228,17 @@
         """Writes the entry of a target as it is now."""
         self._fleet.store.put(f"servers/{target.name}", target.describe())
 
+    async def wait_listed(self, target: RestartableTarget) -> None:
+        """Waits until all daemons know the entry of a target as it is now."""
+        start = f'"started_at_ms": {target.started_at_ms}'
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            for child in self._children:
+                while not any(
+                    start in line and '"target-listed"' in line
+                    for line in child.output.splitlines()
+                ):
+                    await asyncio.sleep(0.02)
+
     async def call(
         self, path: str, host: str = "", last_event: int = 0, resumes: str = ""
     ) -> "CallerAnswer":
--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -138,6 +138,8 @@
         # Delay after each event, or before a body.
         self.delay_s = delay_s
         self.event_count = event_count
+        # As its entry says.
+        self.started_at_ms = 1_782_800_000_000
         self.started_attempts: list[str] = []
         # The names of the targets that they were meant for.
         self.started_names: list[str] = []
@@ -153,6 +155,10 @@
     ) -> None:
         """Answers one request."""
         headers = {n.decode(): v.decode() for n, v in scope["headers"]}
+        if scope["path"] == wire.REPORT_CALL:
+            report = json.dumps({"born": self.started_at_ms}).encode()
+            await respond(send, 200, report)
+            return
         is_meant = headers.get(wire.EXPECT_INSTANCE) == self.name
         if not (is_meant or self.accepts_any_name):
             await respond(send, 421, b"")
--- a/tests/test_edge_restarts.py
+++ b/tests/test_edge_restarts.py
@@ -77,6 +77,7 @@
         async def check(fleet: RestartFleet) -> None:
             await restarted.restart("v1")
             fleet.list_target(restarted)
+            await fleet.wait_listed(restarted)
             for number in range(CALLS):
                 answer = await fleet.call(f"/quotes/{number}")
                 assert answer.is_whole, answer
