Keep the version of a run when its entry changes before its process

Callers would see: a stream joined from two versions, where an entry names the new version while the old process still serves.

Cause: the version of a target was that of its latest entry. A process keeps its software; what the entry of the same start says later was written for the process to come.

Change: an entry with the start of the listed run changes all but the version. The next start brings the new one.

Measured: test_run_keeps_the_version_of_its_first_entry failed before (put() returned nothing and the version was v2). Also here: unit tests of what proves that a connection leads to a run, and a second question after an end that the first one did not decide.

An instance that starts between the two entries knows the second one only; the entries don't tell more.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -23,8 +23,6 @@
 
 # A live target answers within milliseconds, also in another zone.
 ASK_TIMEOUT_MS = 250
-# Two attempts: the first may meet a connection that is about to be reset.
-MAX_END_QUESTIONS = 2
 # The platform removes an entry after three heartbeats without a write, so the
 # writer of a listed entry was alive that long before.
 LEASE_HEARTBEATS = 3
@@ -199,11 +197,12 @@
 
         The connections of a process that dies may close in order as well.
         """
-        for _ in range(MAX_END_QUESTIONS):
-            state = await self._ask_since(target, ended_at_ms, "end")
-            if state is not RunState.UNREACHABLE:
-                break
-            ended_at_ms = self._clock.now_ms() + 1
+        state = await self._ask_since(target, ended_at_ms, "end")
+        if state is RunState.UNREACHABLE:
+            # It may have met a connection that was about to be reset.
+            run = self._get_run(target)
+            await self._ask_together(target, run, "end")
+            state = run.state or RunState.UNREACHABLE
         return state in (RunState.LIVES, RunState.UNNAMED)
 
     async def find_replaced(self, targets: Iterable[EdgeTarget]) -> list[str]:
@@ -225,24 +224,30 @@
     async def _ask_since(
         self, target: EdgeTarget, since_ms: int, purpose: str
     ) -> RunState:
-        """Returns what a target has answered since a time; asks it if need be.
-
-        Requests that need to know at the same moment share a question.
-        """
+        """Returns what a target has answered since a time; asks if need be."""
         run = self._get_run(target)
         while run.state is None or run.asked_ms < since_ms:
-            done = self._asking.get(target.run_hash)
-            if done is not None:
-                await done.wait()
-                continue
-            done = self._asking[target.run_hash] = anyio.Event()
-            try:
-                await self._ask(target, run, purpose)
-            finally:
-                del self._asking[target.run_hash]
-                done.set()
+            await self._ask_together(target, run, purpose)
         return run.state
 
+    async def _ask_together(
+        self, target: EdgeTarget, run: _Run, purpose: str
+    ) -> None:
+        """Asks a target, or waits for the question that is under way.
+
+        Requests that need to know at the same moment share a question.
+        """
+        done = self._asking.get(target.run_hash)
+        if done is not None:
+            await done.wait()
+            return
+        done = self._asking[target.run_hash] = anyio.Event()
+        try:
+            await self._ask(target, run, purpose)
+        finally:
+            del self._asking[target.run_hash]
+            done.set()
+
     async def _ask(self, target: EdgeTarget, run: _Run, purpose: str) -> None:
         asked_at_ms = self._clock.now_ms()
         told = await self._client.read_start(target, ASK_TIMEOUT_MS)
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -94,11 +94,24 @@
         """Returns the runs that other instances should learn of."""
         return self._leaving_runs.list_for_digest()
 
-    def put(self, target: EdgeTarget) -> None:
-        """Adds or updates a target."""
+    def put(self, target: EdgeTarget) -> EdgeTarget:
+        """Adds or updates a target; returns it as it is used.
+
+        A process keeps its software. An entry that names another version for
+        the same run was changed before its process was.
+        """
+        known = self._targets.get(target.name)
+        is_same_run = (
+            known is not None
+            and known.started_at_ms == target.started_at_ms
+            and bool(target.started_at_ms)
+        )
+        if known is not None and is_same_run:
+            target = dataclasses.replace(target, software=known.software)
         self._targets[target.name] = target
         self._removals_due_ms.pop(target.name, None)
         self._clear_indexes()
+        return target
 
     def remove(self, name: str) -> None:
         """Removes a target; deferred if its entry may only have expired."""
--- /dev/null
+++ b/tests/test_edge_runs.py
@@ -0,0 +1,233 @@
+"""Tests of what an instance knows of the processes behind names."""
+
+import dataclasses
+import unittest
+
+import anyio
+from result import Err, Ok
+
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import CallError, CallFailure
+from peridotbend.edge.targetruns import (
+    LEASE_HEARTBEATS,
+    LEASE_MARGIN_MS,
+    REPLACED_TTL_MS,
+    TargetRuns,
+)
+from peridotbend.edge.targets import EdgeTarget, TargetList
+from tests.edgefakes import (
+    SETTINGS,
+    RecordingLog,
+    ScriptedTargetClient,
+    make_target,
+)
+
+FIRST_START_MS = 1_790_000_000_000
+SECOND_START_MS = FIRST_START_MS + 60_000
+LEASE_MS = LEASE_HEARTBEATS * SETTINGS.heartbeat_ms + LEASE_MARGIN_MS
+GONE = Err(CallError(CallFailure.REFUSED, False, "refused"))
+SILENT = Err(CallError(CallFailure.TIMEOUT, True, "silent"))
+
+
+class _RunsTest(unittest.TestCase):
+    """A table of runs with one listed target."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.log = RecordingLog()
+        self.client = ScriptedTargetClient()
+        self.targets = TargetList(self.clock)
+        self.runs = TargetRuns(
+            self.clock,
+            self.log,
+            self.targets,
+            self.client,
+            SETTINGS.heartbeat_ms,
+        )
+        self.target = self.put("i-1", FIRST_START_MS)
+
+    def put(
+        self, name: str, started_at_ms: int, software: str = "v1"
+    ) -> EdgeTarget:
+        """Lists a target."""
+        target = dataclasses.replace(
+            make_target(name), started_at_ms=started_at_ms, software=software
+        )
+        return self.targets.put(target)
+
+    def confirm_begin(self, target: EdgeTarget, connected_at_ms: int) -> bool:
+        """Asks whether a connection led to a run."""
+        return anyio.run(self.runs.confirm_begin, target, connected_at_ms)
+
+    def confirm_end(self) -> bool:
+        """Asks whether the target outlived an end at this moment."""
+        return anyio.run(
+            self.runs.confirm_end, self.target, self.clock.now_ms()
+        )
+
+
+class ProofTest(_RunsTest):
+    """What proves that a connection leads to the listed run."""
+
+    def test_entry_proves_nothing_of_younger_connections(self) -> None:
+        """Guards against an entry that is believed for what came after it."""
+        now_ms = self.clock.now_ms()
+        assert not self.runs.is_proven(self.target, 0)
+        self.runs.find_listing_ms = lambda: now_ms
+        assert self.runs.is_proven(self.target, now_ms - LEASE_MS)
+        assert not self.runs.is_proven(self.target, now_ms - LEASE_MS + 1)
+
+    def test_proof_of_a_run_does_not_grow_after_its_entry(self) -> None:
+        """Guards against an entry of the next run that speaks for this one."""
+        listed_ms = [self.clock.now_ms()]
+        self.runs.find_listing_ms = lambda: listed_ms[0]
+        self.runs.note_unlisted(self.target)
+        self.put("i-1", SECOND_START_MS)
+        listed_ms[0] += 60_000
+        proven_ms = self.clock.now_ms() - LEASE_MS
+        assert self.runs.is_proven(self.target, proven_ms)
+        assert not self.runs.is_proven(self.target, proven_ms + 1)
+
+    def test_target_that_names_its_start_proves_older_connections(self) -> None:
+        """Guards against further questions about the same connections."""
+        connected_at_ms = self.clock.now_ms()
+        assert self.confirm_begin(self.target, connected_at_ms)
+        assert self.confirm_begin(self.target, connected_at_ms - 1_000)
+        assert self.client.asked == ["i-1"]
+        self.clock.advance(10)
+        assert self.confirm_begin(self.target, connected_at_ms + 5)
+        assert self.client.asked == ["i-1", "i-1"]
+
+
+class BeginTest(_RunsTest):
+    """Whether the listed run sent the first part of a stream."""
+
+    def test_other_process_under_the_name_is_no_proof(self) -> None:
+        """Guards against a begin at a target that has started again."""
+        self.client.starts["i-1"] = Ok(SECOND_START_MS)
+        assert not self.confirm_begin(self.target, self.clock.now_ms())
+        assert self.runs.is_replaced(self.target)
+        assert self.log.count(Event.TARGET_REPLACED) == 1
+        self.clock.advance(REPLACED_TTL_MS)
+        assert not self.runs.is_replaced(self.target)
+
+    def test_death_explains_a_break(self) -> None:
+        """Guards against streams that are cut whenever a target dies."""
+        self.client.starts["i-1"] = GONE
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(100)
+        self.runs.note_end(self.target)
+        assert self.confirm_begin(self.target, connected_at_ms)
+
+    def test_second_death_in_a_row_is_a_doubt(self) -> None:
+        """Guards against a process that came and went without an entry."""
+        self.client.starts["i-1"] = GONE
+        self.runs.note_end(self.target)
+        self.clock.advance(100)
+        connected_at_ms = self.clock.now_ms()
+        assert self.runs.is_doubtful(self.target)
+        self.runs.note_end(self.target)
+        assert not self.confirm_begin(self.target, connected_at_ms)
+
+    def test_entry_of_the_next_run_decides_by_its_version(self) -> None:
+        """Guards against a cut after a restart with the same software."""
+        for start_ms, software, expected in (
+            (SECOND_START_MS, "v1", True),
+            (SECOND_START_MS + 1, "v2", False),
+        ):
+            self.put("i-1", start_ms, software)
+            connected_at_ms = self.clock.now_ms()
+            certain = self.confirm_begin(self.target, connected_at_ms)
+            assert certain is expected, software
+        assert not self.client.asked
+
+    def test_target_without_a_start_is_believed(self) -> None:
+        """Guards against cuts where nothing could ever be known."""
+        target = self.put("i-2", 0)
+        assert self.confirm_begin(target, self.clock.now_ms())
+        assert not self.client.asked
+
+
+class EndTest(_RunsTest):
+    """Whether a target outlived the end of an answer."""
+
+    def test_only_an_answer_shows_life(self) -> None:
+        """Guards against an end that is believed without evidence."""
+        for told, expected in (
+            (Ok(FIRST_START_MS), True),
+            (Ok(None), True),
+            (Ok(SECOND_START_MS), False),
+            (GONE, False),
+            (SILENT, False),
+        ):
+            self.client.starts["i-1"] = told
+            self.clock.advance(1)
+            assert self.confirm_end() is expected, told
+
+    def test_ends_of_a_moment_share_a_question(self) -> None:
+        """Guards against a question for each of many streams."""
+
+        async def confirm_all() -> None:
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tasks.start_soon(
+                        self.runs.confirm_end, self.target, self.clock.now_ms()
+                    )
+
+        anyio.run(confirm_all)
+        assert len(self.client.asked) == 1
+
+    def test_cancelled_question_leaves_others_an_answer(self) -> None:
+        """Guards against waiters of a question whose request was cancelled."""
+        is_slow = True
+
+        async def read_start(target: EdgeTarget, timeout_ms: int) -> object:
+            if is_slow:
+                await anyio.sleep_forever()
+            return Ok(FIRST_START_MS)
+
+        self.client.read_start = read_start  # type: ignore[method-assign,assignment]
+
+        async def run() -> None:
+            nonlocal is_slow
+            results: list[bool] = []
+
+            async def confirm() -> None:
+                results.append(
+                    await self.runs.confirm_end(
+                        self.target, self.clock.now_ms()
+                    )
+                )
+
+            async with (
+                anyio.create_task_group() as tasks,
+                anyio.create_task_group() as cancelled,
+            ):
+                cancelled.start_soon(confirm)
+                await anyio.sleep(0.01)
+                tasks.start_soon(confirm)
+                await anyio.sleep(0.01)
+                is_slow = False
+                cancelled.cancel_scope.cancel()
+            assert results == [True]
+
+        anyio.run(run)
+
+
+class InPlaceChangeTest(unittest.TestCase):
+    """Targets that change their version under their name."""
+
+    def test_run_keeps_the_version_of_its_first_entry(self) -> None:
+        """Guards against an entry that changes before its process does."""
+        targets = TargetList(ManualClock())
+        target = dataclasses.replace(
+            make_target("i-1"), started_at_ms=1, software="v1"
+        )
+        targets.put(target)
+        early = dataclasses.replace(target, software="v2", slots=7)
+        kept = targets.put(early)
+        assert (kept.software, kept.slots) == ("v1", 7)
+        assert targets.find("i-1") == kept
+        restarted = dataclasses.replace(early, started_at_ms=2)
+        assert targets.put(restarted).software == "v2"
