Ask the targets before a stream goes on that nobody here saw begin

Cause: an instance that has no record computes where a stream was placed from the entries. They may be out of date for the time at which it began, and once the new entry is there, that time is not remembered.

Change: before such a stream goes on, the targets of its version are asked for their starts, together and once for all take-ups of half a second. When an entry shows another version under the same name, streams that may have begun before count as possibly of either; records of other instances and kept prompts decide as for any other doubt. The history that the store tells is read in the same way.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -247,6 +247,12 @@
                     choices = set()
                 else:
                     choices = versions & survey.holders.keys()
+        replaced: list[str] = []
+        if len(choices) == 1:
+            # The list of targets may lag behind one that began the stream.
+            replaced = await self._find_replaced(service, min(choices))
+            if replaced:
+                choices = set()
         self._log.emit(
             Event.STREAM_TAKEN_UP,
             attempt=call.attempt,
@@ -260,10 +266,19 @@
             recorded=told,
             holders=sorted(survey.holders) if survey else None,
             possible=sorted(survey.possible) if survey else None,
+            replaced=replaced,
             choices=sorted(choices),
         )
         return next(iter(choices)) if len(choices) == 1 else None
 
+    async def _find_replaced(self, service: str, software: str) -> list[str]:
+        """Returns the targets of a version that are other processes now."""
+        return await self._runs.find_replaced(
+            target
+            for target in self._timeline.list_targets(service)
+            if target.software == software
+        )
+
     def _narrow(
         self,
         placed: set[str],
--- a/src/peridotbend/edge/targethistory.py
+++ b/src/peridotbend/edge/targethistory.py
@@ -11,6 +11,7 @@
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.edge.versions import (
     PastMix,
+    VersionChange,
     VersionMix,
     VersionTimeline,
     make_mix,
@@ -144,14 +145,18 @@
         state = self._find_state_before(steps, covered_since_ms)
         mixes = {service: state.make_mix(service) for service in state.ready}
         past: dict[str, list[PastMix]] = {}
+        replaced: dict[str, list[VersionChange]] = {}
         for step in steps:
+            change = state.find_change(step)
+            if change is not None and step.target is not None:
+                replaced.setdefault(step.target.service, []).append(change)
             for service in state.apply(step):
                 previous = mixes.get(service)
                 mixes[service] = state.make_mix(service)
                 if previous is not None and mixes[service] != previous:
                     entry = PastMix(previous, step.until_ms)
                     past.setdefault(service, []).append(entry)
-        self._timeline.insert_history(past, covered_since_ms)
+        self._timeline.insert_history(past, covered_since_ms, replaced)
 
     def _date(self, items: list[Item], covered_since_ms: int) -> list[_Change]:
         """Returns the changes, each with its latest possible time."""
@@ -218,6 +223,16 @@
         self.ready.setdefault(target.service, {})[name] = target
         self._services[name] = target.service
 
+    def find_change(self, step: _Change) -> VersionChange | None:
+        """Returns the change of version that a step makes under one name."""
+        before = self.ready.get(self._services.get(step.name, ""), {}).get(
+            step.name
+        )
+        after = step.target
+        if before is None or after is None or before.software == after.software:
+            return None
+        return VersionChange(before.software, after.software, step.until_ms)
+
     def apply(self, step: _Change) -> set[str]:
         """Applies a change; returns the services whose targets it changes."""
         was_unknown = step.name in self.unknown
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -66,6 +66,19 @@
     until_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionChange:
+    """A target that started again under its name with another version.
+
+    It may have begun streams while its old entry still placed them.
+    """
+
+    before: str
+    after: str
+    # When its new entry was known at the latest.
+    until_ms: int
+
+
 class VersionTimeline:
     """The mixes of all services over the last minute."""
 
@@ -74,6 +87,7 @@
         self._targets = targets
         self._current: dict[str, VersionMix] = {}
         self._past: dict[str, collections.deque[PastMix]] = {}
+        self._changes: dict[str, collections.deque[VersionChange]] = {}
         # The list of targets from which each current mix was made.
         self._sources: dict[str, Sequence[EdgeTarget]] = {}
         # The software of each run of a target that is listed, by service. Those
@@ -131,8 +145,15 @@
         choices: set[str] = set()
         for mix in self._list_mixes(service, since_ms):
             choices |= mix.list_choices(attempt)
+        for change in self._changes.get(service, ()):
+            if change.until_ms >= since_ms and change.before in choices:
+                choices.add(change.after)
         return choices
 
+    def list_targets(self, service: str) -> list[EdgeTarget]:
+        """Returns the listed targets of a service, also those that leave."""
+        return [t for t in self._targets if t.service == service]
+
     def list_versions(self, service: str, since_ms: int) -> set[str]:
         """Returns all versions that have accepted requests since then."""
         return {
@@ -156,13 +177,18 @@
         self,
         past_by_service: Mapping[str, list[PastMix]],
         covered_since_ms: int,
+        changes_by_service: Mapping[str, list[VersionChange]] | None = None,
     ) -> None:
         """Adds what happened before this process listed the targets.
 
         Args:
             past_by_service: the earlier mixes, the oldest first.
             covered_since_ms: since when all changes are known.
+            changes_by_service: the targets that changed their versions.
         """
+        for service, changes in (changes_by_service or {}).items():
+            for change in changes:
+                self._note_change(service, change)
         for service, past in past_by_service.items():
             known = self._past.setdefault(service, collections.deque())
             known.extendleft(reversed(past))
@@ -191,11 +217,23 @@
             if target.service == service
         }
         now_ms = self._clock.now_ms()
+        software_by_name = {name: s for (name, _), s in runs.items()}
         for run, software in self._runs.get(service, {}).items():
-            if run not in runs:
-                self._lost_at_ms[service, software] = now_ms
+            if run in runs:
+                continue
+            self._lost_at_ms[service, software] = now_ms
+            after = software_by_name.get(run[0], software)
+            if after != software:
+                change = VersionChange(software, after, now_ms)
+                self._note_change(service, change)
         self._runs[service] = runs
 
+    def _note_change(self, service: str, change: VersionChange) -> None:
+        changes = self._changes.setdefault(
+            service, collections.deque(maxlen=MAX_STATES)
+        )
+        changes.append(change)
+
     def _list_mixes(self, service: str, since_ms: int) -> Iterable[VersionMix]:
         for past in self._past.get(service, ()):
             if past.until_ms >= since_ms:
--- a/tests/test_edge_restarts.py
+++ b/tests/test_edge_restarts.py
@@ -1,8 +1,10 @@
 """Tests of targets that restart or die while real daemons serve streams."""
 
+import asyncio
 import unittest
 
 from peridotbend.edge.delivery import MAX_HELD_BYTES
+from peridotbend.edge.versions import VIEW_LAG_MS
 from tests.edgefleet import HOSTS
 from tests.edgerestarts import (
     EVENTS,
@@ -69,6 +71,24 @@
 
         run_with_targets([restarted, sound], check, instances=2)
 
+    def test_take_up_after_a_kill_does_not_join_versions(self) -> None:
+        """Guards against the same when nobody has seen the stream begin."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            # A process that is younger knows that it has not seen all.
+            await asyncio.sleep((VIEW_LAG_MS + 500) / 1_000)
+            await restarted.restart("v2")
+            path = "/quotes/1"
+            answer = await fleet.call_until_killed(path, events=2)
+            assert set(answer.software) == {"v2"}, answer
+            rest = await fleet.call(
+                path, HOSTS[1], len(answer.software), answer.attempt
+            )
+            assert set(rest.software) <= {"v2"}, rest
+
+        run_with_targets([restarted, sound], check, instances=2)
+
     def test_streams_go_on_once_the_entry_is_written(self) -> None:
         """Guards against streams that are cut although all is known."""
         breaking, restarted = RestartableTarget("i-1"), RestartableTarget("i-2")
