Doubt a run that takes over the name of another one until it answers

Callers would see: a stream joined from two versions, where the entry of the next process is written while the old one still serves.

Cause: the same as for a late entry, the other way round: the entry describes a process that does not answer yet. A stream began at the old process under the version of the new one; its break was the old process's death, which explained itself.

Change: a run that takes over a listed name counts as one to which a connection has just ended: the first stream on a connection that is not known to lead to it asks. A target at which another process has answered gets no streams for a second, and is then asked again, so that an entry with a wrong start does not take it out of use for long.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -28,8 +28,9 @@
 LEASE_HEARTBEATS = 3
 # Time for a write to reach the store, and for the store to remove the entry.
 LEASE_MARGIN_MS = 500
-# An entry that names another start for this long may do so for good.
-REPLACED_TTL_MS = 10_000
+# How long a target gets no streams after another process has answered. It is
+# then asked again.
+REPLACED_TTL_MS = 1_000
 # All streams that are taken up within this time share the questions.
 SURVEY_TTL_MS = 500
 # Limits the questions in large services.
@@ -61,7 +62,7 @@
     proven_ms: int | None = None
     # When a connection to it first ended since then.
     ended_ms: int | None = None
-    # When another process first said that it has the name.
+    # When another process last said that it has the name.
     replaced_ms: int | None = None
     # When the target was last asked, and what followed.
     asked_ms: int = 0
@@ -125,8 +126,10 @@
             if run.ended_ms is not None and run.ended_ms <= asked_at_ms:
                 run.ended_ms = None
             return RunState.LIVES
-        if run.replaced_ms is None:
+        if not self.is_replaced(target):
             run.replaced_ms = self._clock.now_ms()
+            if run.ended_ms is None:
+                run.ended_ms = run.replaced_ms
             self._log.emit(
                 Event.TARGET_REPLACED,
                 target=target.name,
--- a/tests/test_edge_restarts.py
+++ b/tests/test_edge_restarts.py
@@ -89,6 +89,23 @@
 
         run_with_targets([restarted, sound], check, instances=2)
 
+    def test_entry_before_its_process_does_not_join_versions(self) -> None:
+        """Guards against an entry of the process that is yet to start."""
+        early, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        sound.software = "v2"
+
+        async def check(fleet: RestartFleet) -> None:
+            early.dies_after = 2
+            old_start_ms = early.started_at_ms
+            early.software, early.started_at_ms = "v2", old_start_ms + 60_000
+            fleet.list_target(early)
+            await fleet.wait_listed(early)
+            early.software, early.started_at_ms = "v1", old_start_ms
+            answer = await fleet.call("/quotes/1")
+            assert len(set(answer.software)) <= 1, answer
+
+        run_with_targets([early, sound], check)
+
     def test_streams_go_on_once_the_entry_is_written(self) -> None:
         """Guards against streams that are cut although all is known."""
         breaking, restarted = RestartableTarget("i-1"), RestartableTarget("i-2")
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -112,6 +112,7 @@
         assert self.log.count(Event.TARGET_REPLACED) == 1
         self.clock.advance(REPLACED_TTL_MS)
         assert not self.runs.is_replaced(self.target)
+        assert self.runs.is_doubtful(self.target)
 
     def test_death_explains_a_break(self) -> None:
         """Guards against streams that are cut whenever a target dies."""
