Clear no death by an answer of the process that came after

Callers would see: a request that crashes its targets is sent on, since a target that started again under its name answers others (BUDGET).

Cause: an answer counted as a sign of life of the listed run, whichever process gave it. After a restart that no entry tells of, it cleared the deaths that the request is blamed for.

Change: an answer shows that its process lived since its connection was established. That clears deaths before only if the connection is known to lead to the listed run.

Measured: test_answer_of_the_next_process_clears_no_death failed before (0 deaths left of 1) and passes; test_answer_of_the_same_process_clears_its_ death holds that a partition still blames nobody. 86 tests of runs, crashes, budgets, relay and shares pass.

--- a/src/peridotbend/edge/crashes.py
+++ b/src/peridotbend/edge/crashes.py
@@ -65,6 +65,19 @@
     traits: Mapping[int, str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answered:
+    """A complete answer of a target, which lived for the time that it names."""
+
+    target: EdgeTarget
+    since_ms: int
+    until_ms: int
+
+    def refutes(self, died_at_ms: int) -> bool:
+        """Tells whether the target was alive after it is said to have died."""
+        return self.since_ms <= died_at_ms < self.until_ms
+
+
 class CrashTracker:
     """Finds what the requests have in common under which targets die.
 
@@ -80,8 +93,8 @@
         self._evidence = EvidenceTable(clock)
         # By the target's hash.
         self._broken: dict[int, list[_BrokenConnection]] = {}
-        # Target and time of its last complete answer, by the target's hash.
-        self._alive: collections.OrderedDict[int, tuple[EdgeTarget, int]] = (
+        # Its last complete answer, by the target's hash.
+        self._alive: collections.OrderedDict[int, _Answered] = (
             collections.OrderedDict()
         )
         # Targets taken for dead because their entry was removed.
@@ -126,13 +139,22 @@
             del self._removed[key]
             self._note_alive(target, self._clock.now_ms())
 
-    def note_target_alive(self, target: EdgeTarget) -> None:
-        """Records a complete answer of a target."""
+    def note_target_alive(self, target: EdgeTarget, since_ms: int = 0) -> None:
+        """Records a complete answer of a target.
+
+        Args:
+            target: as it is listed.
+            since_ms: when the process that answered was first seen; 0 if it is
+                known to be the listed one. A process that has started again
+                tells nothing of the one before.
+        """
         key = target.run_hash
-        self._alive[key] = target, self._clock.now_ms()
+        until_ms = self._clock.now_ms() - ALIVE_MARGIN_MS
+        answered = _Answered(target, since_ms, until_ms)
+        self._alive[key] = answered
         self._alive.move_to_end(key)
         _trim(self._alive, MAX_TARGETS)
-        self._note_alive(target, self._clock.now_ms() - ALIVE_MARGIN_MS)
+        self._note_alive(target, until_ms, since_ms)
 
     def note_sound(self, traits: Mapping[int, str]) -> None:
         """Records that a request was answered, so that it crashes nothing."""
@@ -196,8 +218,10 @@
             for death in suspicion.deaths:
                 answered = self._alive.get(death.target)
                 died_at_ms = now_ms - death.age_ms
-                if answered and died_at_ms < answered[1] - ALIVE_MARGIN_MS:
-                    self._note_alive(answered[0], answered[1] - ALIVE_MARGIN_MS)
+                if answered and answered.refutes(died_at_ms):
+                    self._note_alive(
+                        answered.target, answered.until_ms, answered.since_ms
+                    )
                 elif not death.is_withdrawn and death.target in self._broken:
                     self._confirm_death(death.target)
         self._log_changed_causes()
@@ -227,17 +251,19 @@
         if sound_at_ms is not None and sound_at_ms >= oldest_ms:
             self._evidence.note_sound(trait, sound_at_ms)
 
-    def _note_alive(self, target: EdgeTarget, before_ms: int) -> None:
-        """Clears what is blamed on the death of a target before some time."""
+    def _note_alive(
+        self, target: EdgeTarget, before_ms: int, since_ms: int = 0
+    ) -> None:
+        """Clears what is blamed on the death of a target within some time."""
         key = target.run_hash
         broken = [
             broken
             for broken in self._broken.pop(key, ())
-            if broken.at_ms > before_ms
+            if not since_ms <= broken.at_ms <= before_ms
         ]
         if broken:
             self._broken[key] = broken
-        withdrawn = self._evidence.withdraw_target(key, before_ms)
+        withdrawn = self._evidence.withdraw_target(key, before_ms, since_ms)
         if withdrawn:
             self._log.emit(
                 Event.SUSPECT_WITHDRAWN,
--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -121,7 +121,7 @@
             return FailedAnswer(_DEAD_END, answer.head)
         status = answer.head.status
         failed = status >= ERROR_STATUS
-        self._note_answer(target, failed)
+        self._note_answer(target, answer.head, failed)
         if SUCCESS_STATUS <= status < REDIRECT_STATUS:
             self._dependencies.crashes.note_sound(request.traits)
         if failed and not request.head_sent and request.route.may_repeat:
@@ -192,7 +192,7 @@
             return FailedAnswer(_DEAD_END, answer.head, has_survived)
         await self._start_once(request, head, responder)
         await responder.finish()
-        self._note_answer(target, failed=False)
+        self._note_answer(target, answer.head, failed=False)
         self._dependencies.crashes.note_sound(request.traits)
         self._report.note_end(
             request,
@@ -225,10 +225,16 @@
             request.call, target, head.connected_at_ms
         )
 
-    def _note_answer(self, target: EdgeTarget, failed: bool) -> None:
+    def _note_answer(
+        self, target: EdgeTarget, head: AnswerHead, failed: bool
+    ) -> None:
         """Records a complete answer of a target."""
         self._dependencies.health.note_answer(target.name, failed)
-        self._dependencies.crashes.note_target_alive(target)
+        connected_at_ms = head.connected_at_ms
+        is_proven = self._dependencies.runs.is_proven(target, connected_at_ms)
+        self._dependencies.crashes.note_target_alive(
+            target, 0 if is_proven else connected_at_ms
+        )
         self._dependencies.meter.count_send("answered")
 
     async def _start_once(
--- a/src/peridotbend/edge/evidence.py
+++ b/src/peridotbend/edge/evidence.py
@@ -141,8 +141,16 @@
         if is_changed:
             self._note_change(trait, record)
 
-    def withdraw_target(self, target: int, before_ms: int) -> list[int]:
-        """Clears the deaths of a target that lives; returns their traits."""
+    def withdraw_target(
+        self, target: int, before_ms: int, since_ms: int = 0
+    ) -> list[int]:
+        """Clears the deaths of a target that lives; returns their traits.
+
+        Args:
+            target: the hash of its run.
+            before_ms: until when it is known to have lived.
+            since_ms: since when.
+        """
         if target not in self._blamed_targets:
             return []
         self._blamed_targets.discard(target)
@@ -151,7 +159,7 @@
             death = record.deaths.get(target)
             if death is None or death.is_withdrawn:
                 continue
-            if death.at_ms > before_ms:
+            if not since_ms <= death.at_ms <= before_ms:
                 self._blamed_targets.add(target)
                 continue
             death.is_withdrawn = True
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -290,6 +290,8 @@
         # What each target tells of its start, by name; None if nothing.
         self.starts: dict[str, Result[int | None, CallError]] = {}
         self.asked: list[str] = []
+        # When the connections of all answers were established.
+        self.connected_at_ms = 0
 
     async def read_start(
         self, target: EdgeTarget, timeout_ms: int
@@ -339,7 +341,11 @@
         if reply.failure is not None:
             yield reply.failure
         else:
-            yield ScriptedAnswer(reply, send.target.name)
+            answer = ScriptedAnswer(reply, send.target.name)
+            answer.head = dataclasses.replace(
+                answer.head, connected_at_ms=self.connected_at_ms
+            )
+            yield answer
 
 
 class SingleInstanceFleet:
@@ -394,6 +400,7 @@
         self.pauses = dependencies.pauses
         self.timeline = dependencies.timeline
         self.origins = dependencies.origins
+        self.runs = dependencies.runs
         # The instance has run for longer than any stream.
         self.timeline.note_listing()
         self.clock.advance(60_000)
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -9,6 +9,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallError, CallFailure
+from peridotbend.edge.crashes import ALIVE_MARGIN_MS, make_traits
 from peridotbend.edge.targetruns import (
     LEASE_HEARTBEATS,
     LEASE_MARGIN_MS,
@@ -18,16 +19,23 @@
 from peridotbend.edge.targets import EdgeTarget, TargetList
 from peridotbend.edge.versions import VersionTimeline
 from tests.edgefakes import (
+    ACCOUNT,
+    CALL,
     SETTINGS,
     RecordingLog,
+    RelayHarness,
+    ScriptedReply,
     ScriptedTargetClient,
+    make_event,
     make_target,
 )
 
 FIRST_START_MS = 1_790_000_000_000
 SECOND_START_MS = FIRST_START_MS + 60_000
 LEASE_MS = LEASE_HEARTBEATS * SETTINGS.heartbeat_ms + LEASE_MARGIN_MS
-GONE = Err(CallError(CallFailure.REFUSED, False, "refused"))
+REFUSED = CallError(CallFailure.REFUSED, False, "refused")
+BROKEN = CallError(CallFailure.BROKEN, True, "reset")
+GONE = Err(REFUSED)
 SILENT = Err(CallError(CallFailure.TIMEOUT, True, "silent"))
 
 
@@ -257,3 +265,43 @@
         assert targets.find("i-1") == kept
         restarted = dataclasses.replace(early, started_at_ms=2)
         assert targets.put(restarted).software == "v2"
+
+
+class CrashEvidenceTest(unittest.TestCase):
+    """Deaths that requests are blamed for, and processes that come after."""
+
+    def _serve_after_death(self, told_start_ms: int | None) -> int:
+        """Returns how many suspects an answer after a death leaves."""
+        broken = ScriptedReply(failure=BROKEN)
+        refused = ScriptedReply(failure=REFUSED)
+        harness = RelayHarness(
+            broken, refused, ScriptedReply(chunks=(make_event(1),))
+        )
+        for name in ("i-1", "i-2", "i-3"):
+            harness.targets.remove(name)
+        target = dataclasses.replace(
+            make_target("i-1"), started_at_ms=FIRST_START_MS
+        )
+        harness.targets.put(target)
+        harness.client.starts["i-1"] = Ok(told_start_ms)
+        anyio.run(harness.serve)
+        assert harness.crashes.count_suspects()
+        harness.clock.advance(ALIVE_MARGIN_MS + 1)
+        harness.client.connected_at_ms = harness.clock.now_ms()
+        if told_start_ms == FIRST_START_MS:
+            anyio.run(
+                harness.runs.confirm_begin, target, harness.clock.now_ms()
+            )
+        harness.clock.advance(ALIVE_MARGIN_MS + 1)
+        call = dataclasses.replace(CALL, attempt="b", body=b"other")
+        assert anyio.run(harness.serve, call).is_complete
+        traits = make_traits(CALL, ACCOUNT.name)
+        return harness.crashes.count_targets(frozenset(traits))
+
+    def test_answer_of_the_next_process_clears_no_death(self) -> None:
+        """Guards against a crash that is forgotten after a restart."""
+        assert self._serve_after_death(None) == 1
+
+    def test_answer_of_the_same_process_clears_its_death(self) -> None:
+        """Guards against requests that are blamed for a partition."""
+        assert self._serve_after_death(FIRST_START_MS) == 0
