Let the stand-ins of targets say who they are

Cause: stand-ins of targets in trouble took the call by which an instance asks a target who it is for a request of theirs, and closed the connection. The runners of the platform answer it (PROTOCOL.md, /-/report), with the start that their entries name.

Change: the stand-ins answer it as well. What they send in trouble and what is checked stay as they were.

Measured: test_edge_events failed in ForeignBytesProcessTest before (streams without a length were cut, as no target answered) and passes; takeups, trouble, heads and paths: 42 passed.

--- a/tests/test_edge_events.py
+++ b/tests/test_edge_events.py
@@ -11,6 +11,7 @@
 from tests.edgefakes import EVENT_HEADER, make_event
 from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
 from tests.test_edge_platform import SETTINGS_DOCUMENT, TARGET_ENTRY
+from tests.troubledtargets import encode_report
 
 NOISE = bytes(range(128, 256)) + b"no answer at all"
 # What a target in trouble may send in place of its next event, the fourth.
@@ -234,6 +235,10 @@
         """Serves one request."""
         request = await reader.readuntil(b"\r\n\r\n")
         lines = request.decode().split("\r\n")
+        if lines[0].split()[1] == wire.REPORT_CALL:
+            writer.write(encode_report())
+            writer.close()
+            return
         block_number, place, has_chunks = map(int, lines[0].split("/")[2:5])
         headers = dict(line.lower().split(": ", 1) for line in lines[1:-2])
         block = list(FOREIGN_BLOCKS.values())[block_number]
--- a/tests/troubledtargets.py
+++ b/tests/troubledtargets.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import itertools
+import json
 import socket
 import struct
 from collections import Counter
@@ -15,6 +16,8 @@
 from tests.edgefakes import make_event
 
 EVENTS = 8
+# As its entries say.
+STARTED_AT_MS = 1_782_800_000_000
 # Events before a sound run breaks off.
 EVENTS_BEFORE_CUT = 3
 
@@ -272,6 +275,10 @@
     ) -> None:
         request = await reader.readuntil(b"\r\n\r\n")
         lines = request.decode().split("\r\n")
+        if lines[0].split()[1] == wire.REPORT_CALL:
+            writer.write(encode_report())
+            await writer.drain()
+            return
         headers = dict(line.lower().split(": ", 1) for line in lines[1:-2])
         await reader.readexactly(int(headers["content-length"]))
         number, place_name = lines[0].split("/")[2:4]
@@ -323,6 +330,13 @@
         closing.cancel()
 
 
+def encode_report() -> bytes:
+    """Returns what a target says of itself, in accord with its entry."""
+    body = json.dumps({"born": STARTED_AT_MS}).encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+    return f"{head}Connection: close\r\n\r\n".encode() + body
+
+
 def _encode_sound(attempt: str, first: int, last: int) -> bytes:
     head = _encode_head(
         "200 OK",
