Take no older connection for one to the run that took over a name

Cause: the list of targets proved that a run had its name until some time, and every older connection counted as one to it. A kept connection from before the run was listed may lead to the process that had the name before and still serves.

Change: what is known of a run is an interval. It begins when the run is listed under the name of another one, or with the connection on which it first named its start. Before that, it was one of the two, and only equal versions settle it.

Measured: test_connection_from_before_is_of_either_run failed before.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -256,7 +256,10 @@
             with anyio.CancelScope(shield=True):
                 await opened.ok_value.aclose()
         problem = check.find_problem(
-            answer.head.status, bytes(body), asked_at_ms
+            answer.head.status,
+            bytes(body),
+            connection.connected_at_ms,
+            asked_at_ms,
         )
         if problem:
             return CallError(
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -27,7 +27,9 @@
         """Tells whether the question has to be asked on a connection."""
         ...
 
-    def find_problem(self, status: int, body: bytes, asked_at_ms: int) -> str:
+    def find_problem(
+        self, status: int, body: bytes, connected_at_ms: int, asked_at_ms: int
+    ) -> str:
         """Returns why the call must not be sent, or "" if it may be."""
         ...
 
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -55,7 +55,9 @@
         """Tells whether the target has to be asked on a connection."""
         ...
 
-    def accepts(self, told_start_ms: int | None, asked_at_ms: int) -> bool:
+    def accepts(
+        self, told_start_ms: int | None, connected_at_ms: int, asked_at_ms: int
+    ) -> bool:
         """Tells whether a process is the listed run, by its own words."""
         ...
 
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -56,8 +56,16 @@
 
 @dataclasses.dataclass(slots=True)
 class _Run:
-    """What is known of one run of a target."""
+    """What is known of one run of a target.
 
+    Connections that were established between `since_ms` and `proven_ms` lead
+    to it.
+    """
+
+    # Version of the run that had the name before, and since when this one is
+    # known to have it; None and 0 if no other is known.
+    software_before: str | None = None
+    since_ms: int = 0
     # The latest time at which it is known to have had its name.
     proven_ms: int | None = None
     # When a connection to it first ended since then.
@@ -109,20 +117,43 @@
         if run.ended_ms is None:
             run.ended_ms = self._clock.now_ms()
 
+    def note_taken_over(self, target: EdgeTarget, before: EdgeTarget) -> None:
+        """Records that a run is listed under the name of another one.
+
+        The old process may still answer, or the new one not yet.
+        """
+        run = self._get_run(target)
+        run.software_before = before.software
+        run.since_ms = run.ended_ms = self._clock.now_ms()
+
     def note_unlisted(self, target: EdgeTarget) -> None:
         """Records that a run is no longer listed, or is about to be."""
         self._get_run(target).proven_ms = self._find_proven_ms(target)
 
     def note_start(
-        self, target: EdgeTarget, told_ms: int | None, asked_at_ms: int
+        self,
+        target: EdgeTarget,
+        told_ms: int | None,
+        asked_at_ms: int,
+        connected_at_ms: int | None = None,
     ) -> RunState:
-        """Records the start that the process at a target's address names."""
+        """Records the start that the process at a target's address names.
+
+        Args:
+            target: as it is listed.
+            told_ms: the start; None if the process names none.
+            asked_at_ms: when it was asked.
+            connected_at_ms: when the connection was established on which it
+                was asked, if that is known.
+        """
         run = self._get_run(target)
         if told_ms is None or not target.started_at_ms:
             return RunState.UNNAMED
         if told_ms == target.started_at_ms:
             run.proven_ms = max(run.proven_ms or 0, asked_at_ms)
             run.replaced_ms = None
+            if connected_at_ms is not None:
+                run.since_ms = min(run.since_ms, connected_at_ms)
             if run.ended_ms is not None and run.ended_ms <= asked_at_ms:
                 run.ended_ms = None
             return RunState.LIVES
@@ -148,6 +179,9 @@
         if not target.started_at_ms:
             # Its runs can't be told apart.
             return True
+        run = self._runs.get(target.run_hash)
+        if run is not None and connected_at_ms < run.since_ms:
+            return False
         proven_ms = self._find_proven_ms(target)
         return proven_ms is not None and proven_ms >= connected_at_ms
 
@@ -181,9 +215,13 @@
         """
         if self.is_proven(target, connected_at_ms):
             return True
+        run = self._get_run(target)
+        if connected_at_ms < run.since_ms:
+            # It was this run or the one before.
+            return run.software_before == target.software
         listed = self._targets.find(target.name)
         if listed is not None and listed.run_hash != target.run_hash:
-            # It was one of the two.
+            # It was this run or the next one.
             return listed.software == target.software
         state = await self._ask_since(target, connected_at_ms, "origin")
         if state in (RunState.LIVES, RunState.UNNAMED):
@@ -192,8 +230,7 @@
             return False
         # Its death explains that. An earlier end may have been its death, and
         # another process that has died since may have answered.
-        ended_ms = self._get_run(target).ended_ms
-        return ended_ms is None or ended_ms > connected_at_ms
+        return run.ended_ms is None or run.ended_ms > connected_at_ms
 
     async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
         """Tells whether a run outlived the end of an answer.
@@ -306,7 +343,11 @@
         """Tells whether the target has to be asked on a connection."""
         return not self.runs.is_proven(self.target, connected_at_ms)
 
-    def accepts(self, told_start_ms: int | None, asked_at_ms: int) -> bool:
+    def accepts(
+        self, told_start_ms: int | None, connected_at_ms: int, asked_at_ms: int
+    ) -> bool:
         """Tells whether a process is the listed run, by its own words."""
-        state = self.runs.note_start(self.target, told_start_ms, asked_at_ms)
+        state = self.runs.note_start(
+            self.target, told_start_ms, asked_at_ms, connected_at_ms
+        )
         return state is not RunState.REPLACED
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -467,8 +467,7 @@
                 self._dependencies.health.forget(name)
                 self._dependencies.crashes.note_target_dead(previous)
                 self._dependencies.runs.note_unlisted(previous)
-                # The old process may still answer, or the new one not yet.
-                self._dependencies.runs.note_end(target)
+                self._dependencies.runs.note_taken_over(target, previous)
             self._dependencies.targets.put(target)
             if previous is None:
                 self._dependencies.crashes.note_target_listed(target)
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -75,10 +75,12 @@
         """Tells whether the question has to be asked on a connection."""
         return self.run.is_needed(connected_at_ms)
 
-    def find_problem(self, status: int, body: bytes, asked_at_ms: int) -> str:
+    def find_problem(
+        self, status: int, body: bytes, connected_at_ms: int, asked_at_ms: int
+    ) -> str:
         """Returns why the call must not be sent, or "" if it may be."""
         told_start_ms = decode_start(body) if status == 200 else None
-        if self.run.accepts(told_start_ms, asked_at_ms):
+        if self.run.accepts(told_start_ms, connected_at_ms, asked_at_ms):
             return ""
         return f"it started at {told_start_ms}, which is not listed"
 
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -109,6 +109,36 @@
         assert self.client.asked == ["i-1", "i-1"]
 
 
+class TakeOverTest(_RunsTest):
+    """Runs that are listed under the name of another one."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.old_connection_ms = self.clock.now_ms()
+        self.clock.advance(60_000)
+        self.next = self.put("i-1", SECOND_START_MS, "v2")
+        self.runs.note_taken_over(self.next, self.target)
+        self.clock.advance(60_000)
+        self.runs.find_listing_ms = self.clock.now_ms
+
+    def test_connection_from_before_is_of_either_run(self) -> None:
+        """Guards against a kept connection to the process before."""
+        assert not self.runs.is_proven(self.next, self.old_connection_ms)
+        assert not self.confirm_begin(self.next, self.old_connection_ms)
+        self.runs.note_taken_over(self.next, self.next)
+        assert self.confirm_begin(self.next, self.old_connection_ms)
+        assert not self.client.asked
+
+    def test_start_that_is_named_on_it_decides(self) -> None:
+        """Guards against doubt about a process that registers late."""
+        check = self.runs.make_check(self.next)
+        assert check.is_needed(self.old_connection_ms)
+        now_ms = self.clock.now_ms()
+        assert not check.accepts(FIRST_START_MS, self.old_connection_ms, now_ms)
+        assert check.accepts(SECOND_START_MS, self.old_connection_ms, now_ms)
+        assert not check.is_needed(self.old_connection_ms)
+
+
 class BeginTest(_RunsTest):
     """Whether the listed run sent the first part of a stream."""
 
