Tell other instances of the version of a stream only once it is known

Cause: what an instance tells of its own streams was the version of the entry at the time at which they began. Only its own take-ups confirmed it.

If nobody can know the version, that is told.

Streams whose connection is known to lead to the listed run are told at once, as before.

--- a/src/peridotbend/edge/originpeers.py
+++ b/src/peridotbend/edge/originpeers.py
@@ -87,6 +87,10 @@
         self._told: dict[str, dict[int, str]] = {}
         # Called when notices are due.
         self.on_due: Callable[[], None] = lambda: None
+        # Tells whether the version of an own stream is known to be right, and
+        # has that found out.
+        self.is_certain: Callable[[BegunStream], bool] = lambda stream: True
+        self.confirm_later: Callable[[BegunStream], None] = lambda stream: None
 
     async def ask(self, attempt: str) -> str | None:
         """Returns the version at which a stream began; None if nobody knows."""
@@ -154,7 +158,8 @@
                 question.unanswered.discard(host)
                 if not question.unanswered:
                     self._end_question(key)
-        found = {key: self._records.find(key) for key in notice.asked}
+        asked = [key for key in notice.asked if self._is_settled(key)]
+        found = {key: self._records.find(key) for key in asked}
         known = {
             key: version or ""
             for key, version in found.items()
@@ -164,6 +169,17 @@
         answers = [OriginNotice(unknown=unknown)] if unknown else []
         return answers + list(_divide(known))
 
+    def _is_settled(self, key: int) -> bool:
+        """Tells whether a question can be answered now.
+
+        If not, whoever asks repeats it while the answer is found out.
+        """
+        begun = self._records.find_begun(key)
+        if begun is None or begun.is_uncertain or self.is_certain(begun):
+            return True
+        self.confirm_later(begun)
+        return False
+
     def _end_question(self, key: int) -> None:
         question = self._questions.pop(key, None)
         if question is not None:
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -113,6 +113,9 @@
         self._lost_at_ms: int | None = None
         self._distrust_until_ms = 0
         self._legacy_until_ms: int | None = None
+        # Own streams of which others ask, or are to be told, by attempt.
+        self._unconfirmed: dict[str, tuple[BegunStream, bool]] = {}
+        self._has_unconfirmed = anyio.Event()
         self._reading = anyio.Lock()
         self._read_after_ms = 0
         timeline.on_change = self._tell_moved
@@ -142,7 +145,7 @@
         since_ms = self._clock.now_ms() - self._find_longest_ms() - VIEW_LAG_MS
         choices = self._timeline.list_choices(target.service, attempt, since_ms)
         if choices != {target.software}:
-            self.witnesses.tell(stream)
+            self._tell(stream)
         return stream
 
     async def confirm(self, stream: BegunStream) -> bool:
@@ -150,11 +153,14 @@
 
         Others are told if nobody can know.
         """
-        if stream.is_uncertain:
-            return False
-        if stream.target is None or await self._runs.confirm_begin(
+        if stream.is_uncertain or self.is_certain(stream):
+            return not stream.is_uncertain
+        assert stream.target is not None, "others are certain"
+        is_right = await self._runs.confirm_begin(
             stream.target, stream.connected_at_ms
-        ):
+        )
+        outcome = self._records.note_outcome(stream, is_right)
+        if is_right:
             return True
         self._log.emit(
             Event.STREAM_ORIGIN_UNCERTAIN,
@@ -163,16 +169,53 @@
             software=stream.software,
             started_at_ms=stream.target.started_at_ms,
         )
-        self.witnesses.tell(self._records.note_uncertain(stream))
+        self.witnesses.tell(outcome)
         return False
 
+    def is_certain(self, stream: BegunStream) -> bool:
+        """Tells whether the version of an own stream is known to be right."""
+        return (
+            stream.target is None
+            or stream.is_confirmed
+            or self._runs.is_proven(stream.target, stream.connected_at_ms)
+        )
+
+    def confirm_later(self, stream: BegunStream) -> None:
+        """Finds out whether the version of an own stream is right."""
+        self._unconfirmed.setdefault(stream.attempt, (stream, False))
+        self._has_unconfirmed.set()
+
+    async def run(self) -> None:
+        """Confirms the streams that others need to know, until cancelled."""
+        while True:
+            await self._has_unconfirmed.wait()
+            self._has_unconfirmed = anyio.Event()
+            due, self._unconfirmed = self._unconfirmed, {}
+            async with anyio.create_task_group() as tasks:
+                for stream, is_told in due.values():
+                    tasks.start_soon(self._confirm_and_tell, stream, is_told)
+
+    def _tell(self, stream: BegunStream) -> None:
+        """Tells others of an own stream once its version is known."""
+        if self.is_certain(stream):
+            self.witnesses.tell(stream)
+            return
+        self._unconfirmed[stream.attempt] = (stream, True)
+        self._has_unconfirmed.set()
+
+    async def _confirm_and_tell(
+        self, stream: BegunStream, is_told: bool
+    ) -> None:
+        if await self.confirm(stream) and is_told:
+            self.witnesses.tell(stream)
+
     def _tell_moved(self, service: str) -> None:
         """Tells others of the streams that would now be placed elsewhere."""
         since_ms = self._clock.now_ms() - self._find_longest_ms()
         for stream in self._records.list_begun(service, since_ms):
             chosen = self._timeline.choose(service, stream.attempt)
-            if chosen != stream.software:
-                self.witnesses.tell(stream)
+            if chosen != stream.software and not stream.is_uncertain:
+                self._tell(stream)
 
     def _find_longest_ms(self) -> int:
         return max(self._longest_ms.values(), default=0)
--- a/src/peridotbend/edge/streamrecords.py
+++ b/src/peridotbend/edge/streamrecords.py
@@ -26,7 +26,8 @@
     # What sent the first event, and when the connection to it was established.
     target: EdgeTarget | None = None
     connected_at_ms: int = 0
-    # Whether another process may have sent it, of which nothing is known.
+    # Whether the version is known to be right, and whether nobody can know it.
+    is_confirmed: bool = False
     is_uncertain: bool = False
 
 
@@ -94,11 +95,15 @@
         ):
             self._told.popitem(last=False)
 
-    def note_uncertain(self, stream: BegunStream) -> BegunStream:
-        """Records that nobody can tell at which version a stream began."""
-        stream = dataclasses.replace(stream, is_uncertain=True)
-        self._begun[hash_attempt(stream.attempt)] = stream
-        return stream
+    def note_outcome(self, stream: BegunStream, is_right: bool) -> BegunStream:
+        """Records whether the version of an own stream is right."""
+        outcome = dataclasses.replace(
+            stream, is_confirmed=is_right, is_uncertain=not is_right
+        )
+        key = hash_attempt(stream.attempt)
+        if self._begun.get(key) is stream:
+            self._begun[key] = outcome
+        return outcome
 
     def find_begun(self, key: int) -> BegunStream | None:
         """Returns an own stream."""
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -155,7 +155,10 @@
             settings.zone, self._peers, self._dependencies.records, self._rng
         )
         self._origin_link = OriginLink(settings.origins, witnesses)
-        self._dependencies.origins.witnesses = witnesses
+        origins = self._dependencies.origins
+        origins.witnesses = witnesses
+        witnesses.is_certain = origins.is_certain
+        witnesses.confirm_later = origins.confirm_later
         self._build_feeds()
         self._dependencies.holder.subscribe(self._apply_limits)
 
@@ -265,6 +268,7 @@
             metrics.run,
             self._gossip.run,
             self._origin_link.run,
+            self._dependencies.origins.run,
             self._paths.dialer.probe,
             self._dependencies.backlog.run,
             self._dependencies.stall_detector.run,
--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -269,6 +269,15 @@
         finally:
             writer.close()
 
+    async def call_and_leave(self, path: str, events: int) -> "CallerAnswer":
+        """Sends a call and closes its connection after so many events."""
+
+        def leave(body: bytes) -> None:
+            if body.count(b"\n\n") == events:
+                raise ConnectionAbortedError
+
+        return await self.call(path, on_data=leave)
+
     async def call_until_killed(self, path: str, events: int) -> "CallerAnswer":
         """Sends a call whose instance is killed after so many events."""
 
--- a/tests/test_edge_restarts.py
+++ b/tests/test_edge_restarts.py
@@ -89,6 +89,30 @@
 
         run_with_targets([restarted, sound], check, instances=2)
 
+    def test_record_of_another_instance_does_not_join_versions(self) -> None:
+        """Guards against a version that is told as the old entry named it."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            await restarted.restart("v2")
+            begun = [
+                await fleet.call_and_leave(f"/quotes/{number}", events=2)
+                for number in range(CALLS)
+            ]
+            fleet.list_target(restarted)
+            await fleet.wait_listed(restarted)
+            joined = []
+            for number, answer in enumerate(begun):
+                rest = await fleet.call(
+                    f"/quotes/{number}", HOSTS[1], 2, answer.attempt
+                )
+                if len({*answer.software, *rest.software}) > 1:
+                    joined.append((answer, rest))
+            assert not joined, joined
+            assert restarted.ran
+
+        run_with_targets([restarted, sound], check, instances=2)
+
     def test_entry_before_its_process_does_not_join_versions(self) -> None:
         """Guards against an entry of the process that is yet to start."""
         early, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
