Take nothing for a proof of who sent the first part of a stream

Callers would see: a stream joined from two versions after a process came and went without an entry, or after a question met a dying connection.

Cause, found by the review: a connection that failed while the target was asked counted as the death of the target; and after an unexplained end any number of processes may have had the name, while only the listed one and the next were considered. In a service of more than 32 targets of one version, those that were not asked before a take-up counted as sound.

Change: a question whose connection failed is asked again; after an end before the connection was established the begin is not confirmed; up to 256 targets are asked.

Measured: test_process_between_two_runs_is_a_doubt and test_question_that_was_reset_is_asked_again failed before and pass.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -33,8 +33,8 @@
 REPLACED_TTL_MS = 1_000
 # All streams that are taken up within this time share the questions.
 SURVEY_TTL_MS = 500
-# Limits the questions in large services.
-MAX_SURVEYED = 32
+# Limits the questions in the largest services; others are not asked.
+MAX_SURVEYED = 256
 # Bounds memory: two generations of the targets of the largest fleet.
 MAX_RUNS = 16_384
 
@@ -50,10 +50,18 @@
     UNNAMED = "unnamed"
     # Nothing listens there.
     GONE = "gone"
-    # No answer, which tells nothing.
+    # No answer in time, which tells nothing.
+    SILENT = "silent"
+    # The connection failed, which tells nothing.
     UNREACHABLE = "unreachable"
 
 
+_STATE_BY_FAILURE = {
+    CallFailure.REFUSED: RunState.GONE,
+    CallFailure.TIMEOUT: RunState.SILENT,
+}
+
+
 @dataclasses.dataclass(slots=True)
 class _Run:
     """What is known of one run of a target.
@@ -62,9 +70,9 @@
     to it.
     """
 
-    # Version of the run that had the name before, and since when this one is
-    # known to have it; None and 0 if no other is known.
-    software_before: str | None = None
+    # The run that had the name before, and since when this one is known to
+    # have it; None and 0 if no other is known.
+    before: EdgeTarget | None = None
     since_ms: int = 0
     # The latest time at which it is known to have had its name.
     proven_ms: int | None = None
@@ -123,7 +131,7 @@
         The old process may still answer, or the new one not yet.
         """
         run = self._get_run(target)
-        run.software_before = before.software
+        run.before = before
         run.since_ms = run.ended_ms = self._clock.now_ms()
 
     def note_unlisted(self, target: EdgeTarget) -> None:
@@ -216,33 +224,32 @@
         if self.is_proven(target, connected_at_ms):
             return True
         run = self._get_run(target)
-        if connected_at_ms < run.since_ms:
+        if run.before is not None and connected_at_ms < run.since_ms:
             # It was this run or the one before.
-            return run.software_before == target.software
+            return (
+                run.before.software == target.software
+                and not self._has_ended(run.before, connected_at_ms)
+            )
         listed = self._targets.find(target.name)
         if listed is not None and listed.run_hash != target.run_hash:
             # It was this run or the next one.
-            return listed.software == target.software
-        state = await self._ask_since(target, connected_at_ms, "origin")
+            return listed.software == target.software and not self._has_ended(
+                target, connected_at_ms
+            )
+        state = await self._ask_firmly(target, connected_at_ms, "origin")
         if state in (RunState.LIVES, RunState.UNNAMED):
             return True
         if state is RunState.REPLACED:
             return False
-        # Its death explains that. An earlier end may have been its death, and
-        # another process that has died since may have answered.
-        return run.ended_ms is None or run.ended_ms > connected_at_ms
+        # One death or cut explains that.
+        return not self._has_ended(target, connected_at_ms)
 
     async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
         """Tells whether a run outlived the end of an answer.
 
         The connections of a process that dies may close in order as well.
         """
-        state = await self._ask_since(target, ended_at_ms, "end")
-        if state is RunState.UNREACHABLE:
-            # It may have met a connection that was about to be reset.
-            run = self._get_run(target)
-            await self._ask_together(target, run, "end")
-            state = run.state or RunState.UNREACHABLE
+        state = await self._ask_firmly(target, ended_at_ms, "end")
         return state in (RunState.LIVES, RunState.UNNAMED)
 
     async def find_replaced(self, targets: Iterable[EdgeTarget]) -> list[str]:
@@ -261,6 +268,29 @@
                 tasks.start_soon(ask, target)
         return sorted(replaced)
 
+    def _has_ended(self, target: EdgeTarget, before_ms: int) -> bool:
+        """Tells whether a run may have ended before a time.
+
+        After an end of a connection that was not explained, any number of
+        processes may have had the name.
+        """
+        run = self._get_run(target)
+        return run.ended_ms is not None and run.ended_ms <= before_ms
+
+    async def _ask_firmly(
+        self, target: EdgeTarget, since_ms: int, purpose: str
+    ) -> RunState:
+        """Asks as `_ask_since`, and once more if the connection failed.
+
+        A kept one may have been about to be reset.
+        """
+        state = await self._ask_since(target, since_ms, purpose)
+        if state is not RunState.UNREACHABLE:
+            return state
+        run = self._get_run(target)
+        await self._ask_together(target, run, purpose)
+        return run.state or state
+
     async def _ask_since(
         self, target: EdgeTarget, since_ms: int, purpose: str
     ) -> RunState:
@@ -295,10 +325,10 @@
         if isinstance(told, Ok):
             told_start_ms = told.ok_value
             state = self.note_start(target, told_start_ms, asked_at_ms)
-        elif told.err_value.failure is CallFailure.REFUSED:
-            state = RunState.GONE
         else:
-            state = RunState.UNREACHABLE
+            state = _STATE_BY_FAILURE.get(
+                told.err_value.failure, RunState.UNREACHABLE
+            )
         run.asked_ms, run.state = asked_at_ms, state
         self._log.emit(
             Event.TARGET_ASKED,
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -160,6 +160,24 @@
         self.runs.note_end(self.target)
         assert self.confirm_begin(self.target, connected_at_ms)
 
+    def test_process_between_two_runs_is_a_doubt(self) -> None:
+        """Guards against a process that died before the next entry came."""
+        self.runs.note_end(self.target)
+        self.clock.advance(100)
+        connected_at_ms = self.clock.now_ms()
+        self.put("i-1", SECOND_START_MS, "v1")
+        assert not self.confirm_begin(self.target, connected_at_ms)
+
+    def test_question_that_was_reset_is_asked_again(self) -> None:
+        """Guards against a kept connection that decides for the process."""
+        answers = [Err(BROKEN), Ok(SECOND_START_MS)]
+
+        async def read_start(target: EdgeTarget, timeout_ms: int) -> object:
+            return answers.pop(0)
+
+        self.client.read_start = read_start  # type: ignore[method-assign,assignment]
+        assert not self.confirm_begin(self.target, self.clock.now_ms())
+
     def test_second_death_in_a_row_is_a_doubt(self) -> None:
         """Guards against a process that came and went without an entry."""
         self.client.starts["i-1"] = GONE
@@ -200,6 +218,7 @@
             (Ok(SECOND_START_MS), False),
             (GONE, False),
             (SILENT, False),
+            (Err(BROKEN), False),
         ):
             self.client.starts["i-1"] = told
             self.clock.advance(1)
