Do not count the end of a dead target as one of two that agree

Callers would see: a stream that looks whole in its middle, where a target died and the one that should go on answered with nothing.

Cause: that two targets have to agree on the end of a stream guards against one that says so too early. The end of a target that is not known to have outlived it says nothing.

Change: such an end no longer counts.

--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -187,8 +187,6 @@
             if early_end is not None:
                 return FailedAnswer(early_end, answer.head)
         if not await self._outlives(target, answer.head):
-            # If another target has nothing left either, this was the end.
-            request.empty_targets.add(target.name)
             return FailedAnswer(_DEAD_END, answer.head, has_survived)
         await self._start_once(request, head, responder)
         await responder.finish()
