Bound the question that is asked on the connection of a call

Cause, found by the review: the timeouts of a connection start anew with each byte, so that a target which drips its answer held the call; and after a target had answered and closed the connection, the next one was used whenever it was established.

Change: the question ends with its time limit, and a connection that takes its place must follow within 50 ms, in which no process starts.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -29,6 +29,8 @@
 from peridotbend.domain.text import Target
 
 CONNECT_TIMEOUT_S = 1.0
+# No process ends and starts again within this time.
+RESTART_MS = 50
 # What a target says of itself grows with the requests that it runs.
 MAX_QUESTION_BYTES = 262_144
 # Trace event that httpcore emits immediately before it writes the first byte.
@@ -54,6 +56,11 @@
 _DELIMITERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
+_UNANSWERED = CallError(
+    CallFailure.CONNECT, False, "asked who it is: no answer in time"
+)
+
+
 class GateClosedError(Exception):
     """The gate callback denied the call before any byte was written."""
 
@@ -184,7 +191,10 @@
         connection = opened.ok_value
         is_usable = False
         try:
-            problem = await self._check(connection, target, call.check)
+            checked_at_ms = self._clock.now_ms()
+            problem: CallError | None = _UNANSWERED
+            with anyio.move_on_after(call.check.question.timeout_ms / 1_000):
+                problem = await self._check(connection, target, call.check)
             # Some targets close a connection after any answer.
             is_usable = problem is None and not connection.is_closed()
         finally:
@@ -194,7 +204,14 @@
             return Err(problem)
         if is_usable:
             return Ok(connection)
-        return await self._connect(target, call, request)
+        opened = await self._connect(target, call, request)
+        if isinstance(opened, Err):
+            return opened
+        connection = opened.ok_value
+        if connection.connected_at_ms - checked_at_ms <= RESTART_MS:
+            return Ok(connection)
+        await self._release(connection, call, request)
+        return Err(_UNANSWERED)
 
     async def _connect(
         self, target: Target, call: TargetCall, request: httpcore.Request
