Forget the end of a connection once the run is proven later

Callers would see: streams that end in their middle when a target dies, although their begin is known.

Cause: the first end of a connection to a run was kept until the target was asked. A listing that shows the run alive later did not clear it, so each young stream at the target's death counted as one that another process may have begun.

Change: an end counts only if the run was not proven since.

Measured: test_end_that_a_listing_refuted_does_not_count failed before and passes; test_edge_runs passes.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -113,9 +113,8 @@
 
     def note_end(self, target: EdgeTarget) -> None:
         """Records that a connection to a target ended unexpectedly."""
-        run = self._get_run(target)
-        if run.ended_ms is None:
-            run.ended_ms = self._clock.now_ms()
+        if self._find_ended_ms(target) is None:
+            self._get_run(target).ended_ms = self._clock.now_ms()
 
     def note_taken_over(self, target: EdgeTarget, before: EdgeTarget) -> None:
         """Records that a run is listed under the name of another one.
@@ -159,8 +158,7 @@
             return RunState.LIVES
         if not self.is_replaced(target):
             run.replaced_ms = self._clock.now_ms()
-            if run.ended_ms is None:
-                run.ended_ms = run.replaced_ms
+            self.note_end(target)
             self._log.emit(
                 Event.TARGET_REPLACED,
                 target=target.name,
@@ -196,11 +194,7 @@
 
     def is_doubtful(self, target: EdgeTarget) -> bool:
         """Tells whether a connection has ended since a run was last proven."""
-        run = self._runs.get(target.run_hash)
-        if run is None or run.ended_ms is None:
-            return False
-        proven_ms = self._find_proven_ms(target)
-        return proven_ms is None or proven_ms < run.ended_ms
+        return self._find_ended_ms(target) is not None
 
     def make_check(self, target: EdgeTarget) -> "TargetRunCheck":
         """Returns the check of the connections of one send."""
@@ -230,7 +224,8 @@
             return False
         # Its death explains that. An earlier end may have been its death, and
         # another process that has died since may have answered.
-        return run.ended_ms is None or run.ended_ms > connected_at_ms
+        ended_ms = self._find_ended_ms(target)
+        return ended_ms is None or ended_ms > connected_at_ms
 
     async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
         """Tells whether a run outlived the end of an answer.
@@ -322,6 +317,16 @@
         listed_ms = listing_ms - self._lease_ms
         return listed_ms if proven_ms is None else max(proven_ms, listed_ms)
 
+    def _find_ended_ms(self, target: EdgeTarget) -> int | None:
+        """Returns when a connection first ended since the latest proof."""
+        run = self._runs.get(target.run_hash)
+        if run is None or run.ended_ms is None:
+            return None
+        proven_ms = self._find_proven_ms(target)
+        if proven_ms is not None and proven_ms >= run.ended_ms:
+            return None
+        return run.ended_ms
+
     def _get_run(self, target: EdgeTarget) -> _Run:
         key = target.run_hash
         run = self._runs.get(key)
