Prove no run by an entry that is gone

Callers would see: a stream joined from two versions after an outage of the store.

Cause: while the removal of a target is deferred, the target is still found, so each later read of the store counted as proof that its run lived, although the entry is not there.

Change: only a run whose entry is there is proven by a read.

Measured: test_deferred_removal_proves_nothing failed before and passes; test_edge_runs, test_edge_versions and test_edge_decisions pass.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -314,6 +314,8 @@
             return proven_ms
         if listed.run_hash != target.run_hash:
             return proven_ms
+        if not self._targets.has_entry(target.name):
+            return proven_ms
         listed_ms = listing_ms - self._lease_ms
         return listed_ms if proven_ms is None else max(proven_ms, listed_ms)
 
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -131,6 +131,10 @@
         self._remove_overdue()
         return self._targets.get(name)
 
+    def has_entry(self, name: str) -> bool:
+        """Tells whether a target is listed, and not kept without its entry."""
+        return name in self._targets and name not in self._removals_due_ms
+
     def list_for(self, service: str) -> list[EdgeTarget]:
         """Returns the targets of a service that accept new requests."""
         self._remove_overdue()
