Remember the version of a run whose entry expired before the next one

Callers would see: a stream joined from two versions, taken up after its instance was killed.

Cause: a change of version under a name was noted only if the old entry was still there when the new one came. If it had expired in between, streams that the new process had begun under the old entry were placed at the old version alone.

Change: the version of a run that is gone is kept for as long as streams may last, in the history that the store tells as well.

The path through the history has no test of its own.

--- a/src/peridotbend/edge/targethistory.py
+++ b/src/peridotbend/edge/targethistory.py
@@ -217,6 +217,8 @@
         # than the history, so that neither service nor version is known.
         self.unknown: set[str] = set()
         self._services: dict[str, str] = {}
+        # The last entries of targets that were removed, by key.
+        self._gone: dict[str, EdgeTarget] = {}
 
     def add(self, name: str, target: EdgeTarget) -> None:
         """Adds a target that accepts requests."""
@@ -225,9 +227,8 @@
 
     def find_change(self, step: _Change) -> VersionChange | None:
         """Returns the change of version that a step makes under one name."""
-        before = self.ready.get(self._services.get(step.name, ""), {}).get(
-            step.name
-        )
+        ready = self.ready.get(self._services.get(step.name, ""), {})
+        before = ready.get(step.name) or self._gone.get(step.name)
         after = step.target
         if before is None or after is None or before.software == after.software:
             return None
@@ -239,7 +240,7 @@
         self.unknown.discard(step.name)
         service = self._services.pop(step.name, None)
         if service is not None:
-            del self.ready[service][step.name]
+            self._gone[step.name] = self.ready[service].pop(step.name)
         target = step.target
         if target is not None and not target.is_leaving:
             self.add(step.name, target)
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -93,6 +93,9 @@
         # The software of each run of a target that is listed, by service. Those
         # that leave are included.
         self._runs: dict[str, dict[tuple[str, int], str]] = {}
+        # The software of the last run of each target that is gone, and when it
+        # went, by service and name; the one that went last at the end.
+        self._gone: dict[tuple[str, str], tuple[str, int]] = {}
         # When a run of a target was last removed, by service and software.
         self._lost_at_ms: dict[tuple[str, str], int] = {}
         # Called with the service when new streams may be placed differently.
@@ -217,17 +220,29 @@
             if target.service == service
         }
         now_ms = self._clock.now_ms()
-        software_by_name = {name: s for (name, _), s in runs.items()}
-        for run, software in self._runs.get(service, {}).items():
-            if run in runs:
+        known = self._runs.get(service, {})
+        for run, software in known.items():
+            if run not in runs:
+                self._lost_at_ms[service, software] = now_ms
+                self._note_gone((service, run[0]), software)
+        for run, after in runs.items():
+            if run in known:
                 continue
-            self._lost_at_ms[service, software] = now_ms
-            after = software_by_name.get(run[0], software)
-            if after != software:
-                change = VersionChange(software, after, now_ms)
+            # Its process may have begun streams before the old entry expired.
+            before, _ = self._gone.pop((service, run[0]), (after, now_ms))
+            if before != after:
+                change = VersionChange(before, after, now_ms)
                 self._note_change(service, change)
         self._runs[service] = runs
 
+    def _note_gone(self, key: tuple[str, str], software: str) -> None:
+        now_ms = self._clock.now_ms()
+        self._gone.pop(key, None)
+        self._gone[key] = software, now_ms
+        oldest_ms = now_ms - KEPT_MS
+        while next(iter(self._gone.values()))[1] < oldest_ms:
+            del self._gone[next(iter(self._gone))]
+
     def _note_change(self, service: str, change: VersionChange) -> None:
         changes = self._changes.setdefault(
             service, collections.deque(maxlen=MAX_STATES)
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -1,5 +1,12 @@
 """Tests of what proves which process of a name sent the events of a stream."""
 
+import dataclasses
+import unittest
+
+from peridotbend.domain.clock import ManualClock
+from peridotbend.edge.targets import TargetList
+from peridotbend.edge.versions import VersionTimeline
+from tests.edgefakes import make_target
 from tests.test_edge_runs import GONE, LEASE_MS, _RunsTest
 
 
@@ -32,3 +39,30 @@
         listing_ms[0] = self.clock.now_ms()
         assert self.targets.find(self.target.name) is not None
         assert not self.runs.is_proven(self.target, connected_at_ms)
+
+
+class LateEntryTest(unittest.TestCase):
+    """Targets whose next entry comes after the last one has expired."""
+
+    def test_expired_entry_does_not_hide_a_change(self) -> None:
+        """Guards against streams that are placed by the old entry alone."""
+        clock = ManualClock()
+        targets = TargetList(clock)
+        timeline = VersionTimeline(clock, targets)
+        timeline.note_listing()
+        for name in ("i-1", "i-2"):
+            target = dataclasses.replace(make_target(name), software="v1")
+            targets.put(dataclasses.replace(target, started_at_ms=1))
+        timeline.update("engine")
+        clock.advance(10_000)
+        begun_at_ms = clock.now_ms()
+        clock.advance(500)
+        targets.remove("i-1")
+        timeline.update("engine")
+        clock.advance(200)
+        changed = dataclasses.replace(make_target("i-1"), software="v2")
+        targets.put(dataclasses.replace(changed, started_at_ms=2))
+        timeline.update("engine")
+        for number in range(20):
+            choices = timeline.list_choices("engine", f"a{number}", begun_at_ms)
+            assert choices == {"v1", "v2"}, choices
