Limit the time of the question on the connection of a send

Callers would see: a stream that waits until its deadline.

Cause: only the single reads of the answer had a time limit, so a target that sends it byte by byte held the request and its slot.

Change: the whole question has the time limit that it names.

Measured: test_question_that_is_answered_slowly_ends failed before (no end within 1 s) and passes; test_targets passes.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -233,6 +233,16 @@
         """Asks who answers on a connection, if that is not known."""
         if not check.is_needed(connection.connected_at_ms):
             return None
+        # The timeouts of the connection start anew with each byte.
+        with anyio.move_on_after(check.question.timeout_ms / 1_000):
+            return await self._ask(connection, target, check)
+        return CallError(
+            CallFailure.CONNECT, False, "asked who it is: no answer"
+        )
+
+    async def _ask(
+        self, connection: Connection, target: Target, check: ConnectionCheck
+    ) -> CallError | None:
         asked_at_ms = self._clock.now_ms()
         gate = _WriteGate(lambda: True)
         request = _make_request(
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -1,13 +1,28 @@
 """Tests of what proves which process of a name sent the events of a stream."""
 
+import contextlib
 import dataclasses
 import unittest
 
+import anyio
+from anyio.abc import SocketStream
+
+from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.ports import CallError
+from peridotbend.edge.ports import TargetSend
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VersionTimeline
-from tests.edgefakes import make_target
-from tests.test_edge_runs import GONE, LEASE_MS, _RunsTest
+from peridotbend.platform.runners import PlatformTargetClient
+from tests.edgefakes import (
+    CALL,
+    make_target,
+)
+from tests.test_edge_runs import (
+    GONE,
+    LEASE_MS,
+    _RunsTest,
+)
 
 
 class BeginProofTest(_RunsTest):
@@ -66,3 +81,46 @@
         for number in range(20):
             choices = timeline.list_choices("engine", f"a{number}", begun_at_ms)
             assert choices == {"v1", "v2"}, choices
+
+
+class QuestionTest(unittest.TestCase):
+    """The question that is asked on the connection of a call."""
+
+    def test_question_that_is_answered_slowly_ends(self) -> None:
+        """Guards against a slot that a dripping target holds."""
+
+        class _Check:
+
+            def is_needed(self, connected_at_ms: int) -> bool:
+                return True
+
+            def accepts(self, *args: object) -> bool:
+                return True
+
+        async def drip(stream: SocketStream) -> None:
+            async with stream:
+                await stream.receive()
+                await stream.send(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n"
+                )
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    while True:
+                        await stream.send(b" ")
+                        await anyio.sleep(0.05)
+
+        async def run() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            target = dataclasses.replace(make_target("i-1"), port=port)
+            http = HttpTargetClient()
+            client = PlatformTargetClient(http)
+            send = TargetSend(CALL, target, "", 5_000, "", True, check=_Check())
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, drip)
+                with anyio.fail_after(1.0):
+                    async with client.open(send, lambda: True) as reply:
+                        assert isinstance(reply, CallError), reply
+                tasks.cancel_scope.cancel()
+            await http.aclose()
+
+        anyio.run(run)
