--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -192,9 +192,7 @@
         is_usable = False
         try:
             checked_at_ms = self._clock.now_ms()
-            problem: CallError | None = _UNANSWERED
-            with anyio.move_on_after(call.check.question.timeout_ms / 1_000):
-                problem = await self._check(connection, target, call.check)
+            problem = await self._check(connection, target, call.check)
             # Some targets close a connection after any answer.
             is_usable = problem is None and not connection.is_closed()
         finally:
@@ -250,6 +248,14 @@
         """Asks who answers on a connection, if that is not known."""
         if not check.is_needed(connection.connected_at_ms):
             return None
+        # The timeouts of the connection start anew with each byte.
+        with anyio.move_on_after(check.question.timeout_ms / 1_000):
+            return await self._ask(connection, target, check)
+        return _UNANSWERED
+
+    async def _ask(
+        self, connection: Connection, target: Target, check: ConnectionCheck
+    ) -> CallError | None:
         asked_at_ms = self._clock.now_ms()
         gate = _WriteGate(lambda: True)
         request = _make_request(
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -121,9 +121,8 @@
 
     def note_end(self, target: EdgeTarget) -> None:
         """Records that a connection to a target ended unexpectedly."""
-        run = self._get_run(target)
-        if run.ended_ms is None:
-            run.ended_ms = self._clock.now_ms()
+        if self._find_ended_ms(target) is None:
+            self._get_run(target).ended_ms = self._clock.now_ms()
 
     def note_taken_over(self, target: EdgeTarget, before: EdgeTarget) -> None:
         """Records that a run is listed under the name of another one.
@@ -167,8 +166,7 @@
             return RunState.LIVES
         if not self.is_replaced(target):
             run.replaced_ms = self._clock.now_ms()
-            if run.ended_ms is None:
-                run.ended_ms = run.replaced_ms
+            self.note_end(target)
             self._log.emit(
                 Event.TARGET_REPLACED,
                 target=target.name,
@@ -204,11 +202,7 @@
 
     def is_doubtful(self, target: EdgeTarget) -> bool:
         """Tells whether a connection has ended since a run was last proven."""
-        run = self._runs.get(target.run_hash)
-        if run is None or run.ended_ms is None:
-            return False
-        proven_ms = self._find_proven_ms(target)
-        return proven_ms is None or proven_ms < run.ended_ms
+        return self._find_ended_ms(target) is not None
 
     def make_check(self, target: EdgeTarget) -> "TargetRunCheck":
         """Returns the check of the connections of one send."""
@@ -274,8 +268,8 @@
         After an end of a connection that was not explained, any number of
         processes may have had the name.
         """
-        run = self._get_run(target)
-        return run.ended_ms is not None and run.ended_ms <= before_ms
+        ended_ms = self._find_ended_ms(target)
+        return ended_ms is not None and ended_ms <= before_ms
 
     async def _ask_firmly(
         self, target: EdgeTarget, since_ms: int, purpose: str
@@ -349,9 +343,21 @@
             return proven_ms
         if listed.run_hash != target.run_hash:
             return proven_ms
+        if not self._targets.has_entry(target.name):
+            return proven_ms
         listed_ms = listing_ms - self._lease_ms
         return listed_ms if proven_ms is None else max(proven_ms, listed_ms)
 
+    def _find_ended_ms(self, target: EdgeTarget) -> int | None:
+        """Returns when a connection first ended since the latest proof."""
+        run = self._runs.get(target.run_hash)
+        if run is None or run.ended_ms is None:
+            return None
+        proven_ms = self._find_proven_ms(target)
+        if proven_ms is not None and proven_ms >= run.ended_ms:
+            return None
+        return run.ended_ms
+
     def _get_run(self, target: EdgeTarget) -> _Run:
         key = target.run_hash
         run = self._runs.get(key)
--- /dev/null
+++ b/tests/test_edge_runs_review.py
@@ -0,0 +1,126 @@
+"""Tests of what proves which process of a name sent the events of a stream."""
+
+import contextlib
+import dataclasses
+import unittest
+
+import anyio
+from anyio.abc import SocketStream
+
+from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.ports import CallError
+from peridotbend.edge.ports import TargetSend
+from peridotbend.edge.targets import TargetList
+from peridotbend.edge.versions import VersionTimeline
+from peridotbend.platform.runners import PlatformTargetClient
+from tests.edgefakes import (
+    CALL,
+    make_target,
+)
+from tests.test_edge_runs import (
+    GONE,
+    LEASE_MS,
+    _RunsTest,
+)
+
+
+class BeginProofTest(_RunsTest):
+    """What an instance may conclude of the process that began a stream."""
+
+    def test_end_that_a_listing_refuted_does_not_count(self) -> None:
+        """Guards against streams that are cut after an old, harmless break."""
+        self.runs.find_listing_ms = self.clock.now_ms
+        self.runs.note_end(self.target)
+        self.clock.advance(60_000)
+        assert not self.runs.is_doubtful(self.target)
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(100)
+        self.runs.note_end(self.target)
+        self.client.starts["i-1"] = GONE
+        assert self.confirm_begin(self.target, connected_at_ms)
+
+    def test_deferred_removal_proves_nothing(self) -> None:
+        """Guards against a proof by an entry that is no longer there."""
+        listing_ms = [self.clock.now_ms()]
+        self.runs.find_listing_ms = lambda: listing_ms[0]
+        self.targets.note_store_unreachable()
+        self.clock.advance(10_000)
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(LEASE_MS)
+        self.targets.note_store_reachable()
+        self.runs.note_unlisted(self.target)
+        self.targets.remove(self.target.name)
+        listing_ms[0] = self.clock.now_ms()
+        assert self.targets.find(self.target.name) is not None
+        assert not self.runs.is_proven(self.target, connected_at_ms)
+
+
+class LateEntryTest(unittest.TestCase):
+    """Targets whose next entry comes after the last one has expired."""
+
+    def test_expired_entry_does_not_hide_a_change(self) -> None:
+        """Guards against streams that are placed by the old entry alone."""
+        clock = ManualClock()
+        targets = TargetList(clock)
+        timeline = VersionTimeline(clock, targets)
+        timeline.note_listing()
+        for name in ("i-1", "i-2"):
+            target = dataclasses.replace(make_target(name), software="v1")
+            targets.put(dataclasses.replace(target, started_at_ms=1))
+        timeline.update("engine")
+        clock.advance(10_000)
+        begun_at_ms = clock.now_ms()
+        clock.advance(500)
+        targets.remove("i-1")
+        timeline.update("engine")
+        clock.advance(200)
+        changed = dataclasses.replace(make_target("i-1"), software="v2")
+        targets.put(dataclasses.replace(changed, started_at_ms=2))
+        timeline.update("engine")
+        for number in range(20):
+            choices = timeline.list_choices("engine", f"a{number}", begun_at_ms)
+            assert choices == {"v1", "v2"}, choices
+
+
+class QuestionTest(unittest.TestCase):
+    """The question that is asked on the connection of a call."""
+
+    def test_question_that_is_answered_slowly_ends(self) -> None:
+        """Guards against a slot that a dripping target holds."""
+
+        class _Check:
+
+            def is_needed(self, connected_at_ms: int) -> bool:
+                return True
+
+            def accepts(self, *args: object) -> bool:
+                return True
+
+        async def drip(stream: SocketStream) -> None:
+            async with stream:
+                await stream.receive()
+                await stream.send(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n"
+                )
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    while True:
+                        await stream.send(b" ")
+                        await anyio.sleep(0.05)
+
+        async def run() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            target = dataclasses.replace(make_target("i-1"), port=port)
+            http = HttpTargetClient()
+            client = PlatformTargetClient(http)
+            send = TargetSend(CALL, target, "", 5_000, "", True, check=_Check())
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, drip)
+                with anyio.fail_after(1.0):
+                    async with client.open(send, lambda: True) as reply:
+                        assert isinstance(reply, CallError), reply
+                tasks.cancel_scope.cancel()
+            await http.aclose()
+
+        anyio.run(run)
