Let no listing prove who lives until leases run again after an outage

Callers would see: a stream joined from two versions after the store was away or came back from a copy.

Cause, found by the review: a listed entry proves that its writer lived some heartbeats before, as the platform removes it otherwise. While the store is away leases may stand still, and a copy lists what was long gone.

Change: after an outage or a restore, the time as of which the list is known stays as it was for four heartbeats.

Measured: test_listing_after_an_outage_proves_nothing_at_first failed before and passes.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -118,6 +118,8 @@
         self.confirmed_at_ms = clock.now_ms()
         # As of when the copy is known to lack nothing; None before that.
         self.known_as_of_ms: int | None = None
+        # Until then, entries may be listed whose writers ended long before.
+        self._unsettled_until_ms = 0
         # When the store was last read, on the clock that counts suspensions.
         self._read_at_ms: int | None = None
         self._confirming = anyio.Lock()
@@ -221,7 +223,7 @@
         self.confirmed_at_ms = self._clock.now_ms()
         self._read_at_ms = self._clock.boot_ms()
         has_changes = self.merge(changes)
-        self.known_as_of_ms = asked_at_ms
+        self._note_known(asked_at_ms)
         return has_changes
 
     def merge(self, changes: Changes, source: str = "store") -> bool:
@@ -235,6 +237,7 @@
         is_restored = self.items.is_known and changes.position.era > known.era
         if is_restored:
             self._withheld_since_ms = None
+            self._note_unsettled()
             self._log.emit(
                 Event.STORE_RESTORED,
                 prefix=self.prefix,
@@ -267,6 +270,20 @@
             self._on_update()
         return bool(outcome.changed)
 
+    def _note_known(self, as_of_ms: int) -> None:
+        """Records that the copy lacks nothing as of a time."""
+        if as_of_ms >= self._unsettled_until_ms:
+            self.known_as_of_ms = as_of_ms
+
+    def _note_unsettled(self) -> None:
+        """Records that the store was away, or came back from a copy.
+
+        Meanwhile, leases may not have run out.
+        """
+        self._unsettled_until_ms = (
+            self._clock.now_ms() + self._rules.withhold_ms
+        )
+
     def release_withheld(self) -> None:
         """Takes over what a restored store still offers after some time."""
         if self._withheld_since_ms is None:
@@ -295,7 +312,7 @@
             is_level = state.position == self.items.position
             if is_level and not self._role.is_reader:
                 self.confirmed_at_ms = self._clock.now_ms()
-                self.known_as_of_ms = self.confirmed_at_ms - VIEW_LAG_MS
+                self._note_known(self.confirmed_at_ms - VIEW_LAG_MS)
             if not self._peers_ahead:
                 self._behind_since_ms = None
             return
@@ -491,6 +508,7 @@
         if is_reachable is self.is_store_reachable:
             return
         self.is_store_reachable = is_reachable
+        self._note_unsettled()
         self._on_update()
         if error is None:
             self._log.emit(Event.PLATFORM_REACHED, prefix=self.prefix)
--- a/tests/test_edge_feeds.py
+++ b/tests/test_edge_feeds.py
@@ -9,7 +9,11 @@
 from peridotbend.adapters.publishedpeers import FETCH_TIMEOUT_S
 from peridotbend.domain.clock import ManualClock
 from peridotbend.edge.feeds import Feed, RestoreRules
-from peridotbend.edge.ports import StoreError, StoreFailure
+from peridotbend.edge.ports import (
+    PublishedReader,
+    StoreError,
+    StoreFailure,
+)
 from peridotbend.edge.published import Changes, FeedState, Item, Position
 from peridotbend.edge.readerrole import ReaderRole
 from peridotbend_emulator.virtualtime import run_virtual
@@ -25,6 +29,10 @@
 ANSWER_MS = 10
 # The store's calls end after this time beyond the wait that they ask for.
 CALL_MARGIN_MS = 1_000
+# Four heartbeats.
+WITHHOLD_MS = 4_800
+# When the store is away.
+AWAY_MS = (4_500, 6_000)
 OLD = Item("op/config", Position(1, 3), b"old", (3, 0))
 NEW = Item("op/config", Position(1, 4), b"new", (4, 0))
 OLD_COPY = Changes((OLD,), OLD.position, is_whole=True)
@@ -164,10 +172,32 @@
                 assert delay_ms <= IN_FORCE_MS
 
 
+class _AwayStore:
+    """A store that is away for a time, and whose keys never change."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self._start_ms = clock.now_ms()
+
+    async def list_items(self) -> Result[Changes, StoreError]:
+        """Returns the only copy."""
+        return Ok(OLD_COPY)
+
+    async def watch(
+        self, after: int, wait_ms: int
+    ) -> Result[Changes, StoreError]:
+        """Waits, or fails at once while the store is away."""
+        begin_ms, end_ms = AWAY_MS
+        if begin_ms <= self._clock.now_ms() - self._start_ms < end_ms:
+            return Err(StoreError(StoreFailure.UNREACHABLE, "refused"))
+        await anyio.sleep(wait_ms / 1_000)
+        return Ok(Changes((), OLD.position, is_whole=False))
+
+
 class ConfirmedCopyTest(unittest.TestCase):
     """A copy that is confirmed before a caller's answer depends on it."""
 
-    def _make_feed(self, clock: ManualClock, store: ScriptedReader) -> Feed:
+    def _make_feed(self, clock: ManualClock, store: PublishedReader) -> Feed:
         return Feed(
             "servers/",
             store,
@@ -176,7 +206,7 @@
             RecordingLog(),
             lambda: None,
             ReaderRole(random.Random(1)),
-            RestoreRules(False, 4_800, lambda: None),
+            RestoreRules(False, WITHHOLD_MS, lambda: None),
         )
 
     def test_machine_that_was_suspended_reads_again(self) -> None:
@@ -196,6 +226,28 @@
         assert run_virtual(clock, run()) == [NEW.value]
         assert len(store.calls) == 2, "callers of a moment share a call"
 
+    def test_listing_after_an_outage_proves_nothing_at_first(self) -> None:
+        """Guards against entries whose leases did not run out meanwhile."""
+        clock = ManualClock()
+        feed = self._make_feed(clock, _AwayStore(clock))
+        known_ms: list[int] = []
+        start_ms = clock.now_ms()
+
+        async def run() -> None:
+            with anyio.move_on_after(20.0):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(feed.run)
+                    for _ in range(18):
+                        await anyio.sleep(1.0)
+                        assert feed.known_as_of_ms is not None
+                        known_ms.append(feed.known_as_of_ms - start_ms)
+
+        run_virtual(clock, run())
+        settled_ms = AWAY_MS[1] + WITHHOLD_MS
+        unsettled = [ms for ms in known_ms if AWAY_MS[0] < ms < settled_ms]
+        assert not unsettled, known_ms
+        assert known_ms[-1] >= settled_ms, known_ms
+
     def test_store_that_is_away_does_not_hold_up_callers(self) -> None:
         """Guards against callers that wait for one timeout after another."""
         clock = ManualClock()
