Take silence for no death while several versions serve

Callers would see: a stream joined from two versions, where the process that began it stalls, also when it is asked who it is.

Cause, found by the review: a target that did not answer counted as the listed run that had died or was cut off. A process that stalls may be one that no entry describes.

Measured: test_silence_is_no_death_while_versions_differ failed before.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -209,11 +209,20 @@
         return TargetRunCheck(self, target)
 
     async def confirm_begin(
-        self, target: EdgeTarget, connected_at_ms: int
+        self,
+        target: EdgeTarget,
+        connected_at_ms: int,
+        trusts_silence: bool = True,
     ) -> bool:
         """Tells whether what came over a connection was written by a run.
 
         If not, an unlisted process with the same name may have written it.
+
+        Args:
+            target: as it was listed.
+            connected_at_ms: when the connection was established.
+            trusts_silence: whether a target that does not answer is taken for
+                the listed run. A process that stalls may be another one.
         """
         if self.is_proven(target, connected_at_ms):
             return True
@@ -235,6 +244,8 @@
             return True
         if state is RunState.REPLACED:
             return False
+        if state is not RunState.GONE and not trusts_silence:
+            return False
         # One death or cut explains that.
         return not self._has_ended(target, connected_at_ms)
 
