Doubt a target only for ends of its own connections

Cause, found by the review: a peer that was lost on the way, and a connect that timed out in this process, counted as an end of a connection to the target, and cut the young streams of a target that died later.

Change: only failures that blame the target count, after something was sent or refused.

--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -31,12 +31,7 @@
 )
 # After these, nothing tells which process answers next.
 _ENDS = frozenset(
-    (
-        CallFailure.CONNECT,
-        CallFailure.REFUSED,
-        CallFailure.BROKEN,
-        CallFailure.TIMEOUT,
-    )
+    (CallFailure.REFUSED, CallFailure.BROKEN, CallFailure.TIMEOUT)
 )
 
 
@@ -238,7 +233,7 @@
             self._dependencies.crashes.note_broken_connection(
                 target, request.traits
             )
-        if error.failure in _ENDS:
+        if error.failure in _ENDS and error.blames_target:
             self._dependencies.runs.note_end(target)
         if error.failure in _UNSENT:
             request.connect_failures += 1
