Let a waiting stream go to a target once its entry is written

Callers would see: a refusal, or a cut after half of their time, although a target could have served the stream.

Cause: targets of which another process has the name were excluded by name when the stream began to wait. It did not see that the entry of that process came, or that the target may be asked again.

Change: the choice of a target looks at it each time, as for pauses.

Measured: test_waiting_stream_goes_to_the_target_once_it_is_listed failed before (no send) and passes; relay, decisions, runs, restarts and versions pass.

--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -112,7 +112,13 @@
     records = StreamRecords(clock)
     runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
     selector = Selector(
-        settings.zone, occupancy, health, rate_limits, brittle, pauses
+        settings.zone,
+        occupancy,
+        health,
+        rate_limits,
+        brittle,
+        pauses,
+        runs.is_replaced,
     )
     return RelayDependencies(
         clock=clock,
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -174,20 +174,17 @@
         exclude = set(request.failed_targets)
         software = self._choose_software(request)
         targets = self._dependencies.targets.list_for(request.service)
-        replaced: set[str] = set()
-        if request.route.is_resumable_stream:
-            is_replaced = self._dependencies.runs.is_replaced
-            replaced = {t.name for t in targets if is_replaced(t)}
+        needs_listed_run = request.route.is_resumable_stream
+        is_replaced = self._dependencies.runs.is_replaced
         if all(
             target.name in exclude
             for target in targets
             if software in (None, target.software)
-            and target.name not in replaced
+            and not (needs_listed_run and is_replaced(target))
         ):
             # No other target is left, for example in a service with a single
             # target. A target that failed may have recovered.
             exclude.clear()
-        exclude |= replaced
         if avoid:
             exclude.add(avoid)
         return TargetCriteria(
@@ -197,6 +194,7 @@
             request.call.session,
             frozenset(exclude),
             software,
+            needs_listed_run,
         )
 
     def _reserve_failover(self, request: ActiveRequest, target: str) -> bool:
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -46,6 +46,8 @@
     exclude: frozenset[str] = frozenset()
     # Software version that the target must have; None for any.
     software: str | None = None
+    # Whether the process that is listed for the target has to answer.
+    needs_listed_run: bool = False
 
     def admits(self, target: EdgeTarget) -> bool:
         """Tells whether a target may serve the request at all."""
@@ -63,8 +65,11 @@
         rate_limits: RateLimits,
         brittle: BrittleTargets,
         pauses: TargetPauses,
+        is_replaced: Callable[[EdgeTarget], bool] = lambda target: False,
     ):
         self._pauses = pauses
+        # Tells whether another process has the name of a listed target.
+        self._is_replaced = is_replaced
         self._brittle = brittle
         self._rate_limits = rate_limits
         self._zone = zone
@@ -81,6 +86,7 @@
             if t.name not in criteria.exclude
             and criteria.admits(t)
             and not self._pauses.is_paused(t)
+            and not (criteria.needs_listed_run and self._is_replaced(t))
         ]
         healthy = [t for t in usable if not self._health.should_avoid(t.name)]
         # If all of them failed recently, trying one is no worse than waiting.
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -16,11 +16,16 @@
 from peridotbend.platform.runners import PlatformTargetClient
 from tests.edgefakes import (
     CALL,
+    RelayHarness,
+    ScriptedReply,
+    make_event,
     make_target,
 )
 from tests.test_edge_runs import (
+    FIRST_START_MS,
     GONE,
     LEASE_MS,
+    SECOND_START_MS,
     _RunsTest,
 )
 
@@ -83,6 +88,74 @@
             assert choices == {"v1", "v2"}, choices
 
 
+class _StreamTest(unittest.TestCase):
+    """Streams of targets that restart, by a relay with scripted targets."""
+
+    def make_harness(
+        self, *replies: ScriptedReply, software: str = "v1"
+    ) -> RelayHarness:
+        """Returns a relay with the targets i-1, i-2 and i-3."""
+        harness = RelayHarness(*replies)
+        for name in ("i-1", "i-2", "i-3"):
+            harness.targets.put(
+                dataclasses.replace(
+                    make_target(name),
+                    started_at_ms=FIRST_START_MS,
+                    software=software,
+                )
+            )
+        return harness
+
+
+class WaitTest(_StreamTest):
+    """Requests that wait for a target of which another process has the name."""
+
+    def test_waiting_stream_goes_to_the_target_once_it_is_listed(self) -> None:
+        """Guards against a wait for a target that could serve long ago."""
+        clock = ManualClock()
+        harness = RelayHarness(
+            ScriptedReply(
+                chunks=(make_event(1), make_event(2)), breaks_connection=True
+            ),
+            ScriptedReply(chunks=(make_event(3),)),
+            clock=clock,
+        )
+        for name in ("i-1", "i-2", "i-3"):
+            harness.targets.remove(name)
+        target = dataclasses.replace(
+            make_target("i-1"), started_at_ms=FIRST_START_MS, software="v1"
+        )
+        harness.targets.put(target)
+        other = dataclasses.replace(target, name="i-2")
+        harness.targets.put(other)
+        for busy in (other,):
+            for _ in range(20):
+                harness.occupancy.add(busy.name)
+        harness.runs.find_listing_ms = clock.now_ms
+        replaced = dataclasses.replace(target, started_at_ms=SECOND_START_MS)
+
+        async def run() -> bool:
+            complete = False
+
+            async def serve() -> None:
+                nonlocal complete
+                complete = (await harness.serve()).is_complete
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.backlog.run)
+                # Another process has answered, in place of the only free one.
+                harness.runs.note_start(target, SECOND_START_MS, clock.now_ms())
+                tasks.start_soon(serve)
+                await anyio.sleep(0.03)
+                harness.targets.put(replaced)
+                harness.backlog.grant_slots("engine")
+                await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+            return bool(harness.client.sends)
+
+        assert anyio.run(run)
+
+
 class QuestionTest(unittest.TestCase):
     """The question that is asked on the connection of a call."""
 
