Doubt a run whose name was not listed for a time

Callers saw, in a test with real daemons: a stream of two events of v1 and four of v2 (ORDER).

Cause: a run counted as one that takes over a name only if the entry of the run before was still there. A target may serve on after its entry was removed, and the next entry of its name may come before the process.

Change: the last run of a name is remembered after its entry is gone.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -116,6 +116,10 @@
         self._runs: collections.OrderedDict[int, _Run] = (
             collections.OrderedDict()
         )
+        # By name, the last run that is no longer listed, the latest at the end.
+        self._unlisted: collections.OrderedDict[str, EdgeTarget] = (
+            collections.OrderedDict()
+        )
         # Set when the question that is under way to a run has ended.
         self._asking: dict[int, anyio.Event] = {}
 
@@ -124,6 +128,12 @@
         if self._find_ended_ms(target) is None:
             self._get_run(target).ended_ms = self._clock.now_ms()
 
+    def note_listed(self, target: EdgeTarget) -> None:
+        """Records that a run is listed, perhaps after another of its name."""
+        before = self._unlisted.pop(target.name, None)
+        if before is not None and before.run_hash != target.run_hash:
+            self.note_taken_over(target, before)
+
     def note_taken_over(self, target: EdgeTarget, before: EdgeTarget) -> None:
         """Records that a run is listed under the name of another one.
 
@@ -136,6 +146,10 @@
     def note_unlisted(self, target: EdgeTarget) -> None:
         """Records that a run is no longer listed, or is about to be."""
         self._get_run(target).proven_ms = self._find_proven_ms(target)
+        self._unlisted.pop(target.name, None)
+        self._unlisted[target.name] = target
+        if len(self._unlisted) > MAX_RUNS:
+            self._unlisted.popitem(last=False)
 
     def note_start(
         self,
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -471,7 +471,7 @@
                 self._dependencies.health.forget(name)
                 self._dependencies.crashes.note_target_dead(previous)
                 self._dependencies.runs.note_unlisted(previous)
-                self._dependencies.runs.note_taken_over(target, previous)
+            self._dependencies.runs.note_listed(target)
             self._dependencies.targets.put(target)
             if previous is None:
                 self._dependencies.crashes.note_target_listed(target)
--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -228,6 +228,18 @@
         """Writes the entry of a target as it is now."""
         self._fleet.store.put(f"servers/{target.name}", target.describe())
 
+    async def remove_target(self, target: RestartableTarget) -> None:
+        """Removes the entry of a target, and waits until all daemons know."""
+        self._fleet.store.delete(f"servers/{target.name}")
+        name = f'"target": "{target.name}"'
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            for child in self._children:
+                while not any(
+                    name in line and '"target-removed"' in line
+                    for line in child.output.splitlines()
+                ):
+                    await asyncio.sleep(0.02)
+
     async def wait_listed(self, target: RestartableTarget) -> None:
         """Waits until all daemons know the entry of a target as it is now."""
         start = f'"started_at_ms": {target.started_at_ms}'
--- /dev/null
+++ b/tests/test_edge_restarts_review.py
@@ -0,0 +1,34 @@
+"""Tests of targets whose names were not listed between two processes."""
+
+import unittest
+
+from tests.edgerestarts import (
+    RestartableTarget,
+    RestartFleet,
+    run_with_targets,
+)
+
+
+class ExpiredEntryTest(unittest.TestCase):
+    """Names that were not listed for a time between two entries."""
+
+    def test_entry_after_a_removal_does_not_join_versions(self) -> None:
+        """Guards against a process that serves on without its entry.
+
+        The next entry of its name is that of a process that is yet to start.
+        """
+        early, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        sound.software = "v2"
+
+        async def check(fleet: RestartFleet) -> None:
+            early.dies_after = 2
+            await fleet.remove_target(early)
+            old_start_ms = early.started_at_ms
+            early.software, early.started_at_ms = "v2", old_start_ms + 60_000
+            fleet.list_target(early)
+            await fleet.wait_listed(early)
+            early.software, early.started_at_ms = "v1", old_start_ms
+            answer = await fleet.call("/quotes/1")
+            assert len(set(answer.software)) <= 1, answer
+
+        run_with_targets([early, sound], check)
