Read no text of the platform whose end is that of its connection

What callers saw: after a platform process died while it sent the text, an instance served with the part that had arrived. Services, targets or client accounts at the end of the text were unknown, and the part stayed in force, since its version was not offered again.

Cause: a body without a length or chunks ends with its connection, and a process that is killed closes its connections in order. A part of a YAML text may be a valid text. A list of instances is JSON, of which no part is valid, and texts from peers come with a digest.

Change: a text without a length or chunks is an error of the platform, and is read again like after any other. The stand-in sends a length.

Evidence: test_part_of_a_text_is_not_read failed before and passes now; test_list_without_a_length_shows_its_own_end passed before.

--- a/src/peridotbend/adapters/platform.py
+++ b/src/peridotbend/adapters/platform.py
@@ -27,6 +27,8 @@
 # window is reported as this number.
 MAX_RATE_CALLS = 4_096
 ABSENT_MIN_WAIT_MS = 1_000
+# A body with one of these does not end with its connection.
+_DELIMITERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class HttpPlatform:
@@ -64,7 +66,10 @@
     ) -> Result[str | None, PlatformError]:
         """Returns a text newer than the version, or None when the wait ends."""
         path = f"/v1/text?after={newer_than}&wait_ms={wait_ms}"
-        body = await self._get(path, wait_ms, MAX_TEXT_BYTES)
+        # A part of a text may be a valid text with fewer services.
+        body = await self._get(
+            path, wait_ms, MAX_TEXT_BYTES, must_be_delimited=True
+        )
         if isinstance(body, Err):
             return body
         if body.ok_value is None:
@@ -90,7 +95,11 @@
             return Err(PlatformError(f"malformed instance list: {error!r}"))
 
     async def _get(
-        self, path: str, wait_ms: int, max_bytes: int
+        self,
+        path: str,
+        wait_ms: int,
+        max_bytes: int,
+        must_be_delimited: bool = False,
     ) -> Result[bytes | None, PlatformError]:
         self._call_count += 1
         self._recent_calls_ms.append(self._clock.now_ms())
@@ -104,6 +113,9 @@
             async with self._pool.stream(
                 "GET", self._base_url + path, extensions={"timeout": timeouts}
             ) as response:
+                if must_be_delimited and not _is_delimited(response):
+                    problem = "the answer has neither a length nor chunks"
+                    return Err(PlatformError(problem))
                 return await _read_body(response, max_bytes)
         except (
             httpcore.NetworkError,
@@ -170,6 +182,11 @@
     return value
 
 
+def _is_delimited(response: httpcore.Response) -> bool:
+    names = {name.lower() for name, _ in response.headers}
+    return response.status != 200 or not names.isdisjoint(_DELIMITERS)
+
+
 async def _read_body(
     response: httpcore.Response, max_bytes: int
 ) -> Result[bytes | None, PlatformError]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,6 +37,7 @@
         """Starts a server that gives the same answer to every call."""
         self.status = 200
         self.body = b""
+        self.has_length = True
         self.paths: list[str] = []
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
@@ -106,6 +107,25 @@
         self.body = b"x" * (platform_module.MAX_TEXT_BYTES + 1)
         assert isinstance(await self.reader.watch_config(0, 0), Err)
 
+    async def test_part_of_a_text_is_not_read(self) -> None:
+        """Guards against a text that lost its end with the platform.
+
+        A part of a text may be valid, and would stay in force as its version.
+        """
+        self.has_length = False
+        self.body = b"version: 7\n"
+        assert isinstance(await self.reader.watch_config(6, 0), Err)
+
+    async def test_list_without_a_length_shows_its_own_end(self) -> None:
+        """Guards against a part of the list, and the loss of a whole one."""
+        self.has_length = False
+        self.body = _encode_list([TARGET_ENTRY, INSTANCE_ENTRY])
+        assert isinstance(await self.reader.watch_instances(0, 0), Ok)
+        whole = self.body
+        for end in range(0, len(whole), 7):
+            self.body = whole[:end]
+            assert isinstance(await self.reader.watch_instances(0, 0), Err)
+
     async def test_calls_are_counted(self) -> None:
         """Guards against a wrong call rate in the status."""
         self.status = 304
@@ -122,8 +142,9 @@
         head = await reader.readuntil(b"\r\n\r\n")
         self.paths.append(head.split()[1].decode())
         length = 0 if self.status == 304 else len(self.body)
+        framing = f"Content-Length: {length}\r\n" if self.has_length else ""
         writer.write(
-            f"HTTP/1.1 {self.status} X\r\nContent-Length: {length}\r\n"
+            f"HTTP/1.1 {self.status} X\r\n{framing}"
             "Connection: close\r\n\r\n".encode()
         )
         writer.write(self.body[:length])
