Ask whether a target lives where only its connection ended an answer

What callers saw: on the product's own interface, a part of a JSON or plain body, or of an application's stream of events, with 200 and the verdict "completed", after the target had died while it sent it. The part was kept for fetches through any instance. The request that killed its target was cleared as if it had run to its end.

Cause: a body with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process in order. The end of the connection was taken for that of the run. Streams of engines were safe, since they need their closing event.

Change: such an answer is whole if its bytes show it (closing event, valid JSON that is no number), or if a new connection to its target is neither refused nor reset within 50 ms.

Answers with a length, chunks, a closing event or a JSON value: no connection, by test.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -12,6 +12,7 @@
 from peridotbend.adapters.connections import (
     ConnectionPool,
     Dialer,
+    DirectDialer,
     ForeignBytesError,
     PeerLostError,
     is_connection_refused,
@@ -27,6 +28,8 @@
 from peridotbend.domain.text import Target
 
 CONNECT_TIMEOUT_S = 1.0
+# Within this time the kernel has closed all sockets of a process that ended.
+LISTENER_CLOSE_S = 0.05
 # Trace event that httpcore emits immediately before it writes the first byte.
 REQUEST_WRITE_STARTED = "http11.send_request_headers.started"
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -118,7 +121,8 @@
         dialer: Dialer | None = None,
         clock: Clock | None = None,
     ) -> None:
-        self._pool = ConnectionPool(dialer, clock)
+        self._dialer = dialer or DirectDialer()
+        self._pool = ConnectionPool(self._dialer, clock)
         self._connect_timeout_s = connect_timeout_s
 
     async def aclose(self) -> None:
@@ -149,10 +153,7 @@
                 origin, reuse, request.extensions["timeout"]["connect"], target
             )
         except (httpcore.TimeoutException, httpcore.NetworkError) as error:
-            failure = CallFailure.CONNECT
-            if is_connection_refused(error):
-                failure = CallFailure.REFUSED
-            yield Err(_make_error(failure, False, error))
+            yield Err(_make_connect_error(error))
             return
         try:
             opened = await _send(connection, request, write_gate)
@@ -172,6 +173,30 @@
             with anyio.CancelScope(shield=True):
                 await self._pool.release(connection, origin, reuse)
 
+    async def check_listening(self, target: Target) -> CallError | None:
+        """Connects to a target, and returns why that failed, if it did.
+
+        The kernel closes the connections of a dead process before or after
+        the socket on which it listened. A connection made in between is reset.
+        """
+        try:
+            stream = await self._dialer.connect(target, self._connect_timeout_s)
+        except (httpcore.TimeoutException, httpcore.NetworkError) as error:
+            return _make_connect_error(error)
+        try:
+            if await stream.read(1, LISTENER_CLOSE_S):
+                return None
+        except httpcore.ReadTimeout:
+            return None
+        except httpcore.NetworkError as error:
+            is_reset = not isinstance(error, PeerLostError)
+            failure = CallFailure.REFUSED if is_reset else CallFailure.CONNECT
+            return _make_error(failure, False, error)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await stream.aclose()
+        return CallError(CallFailure.CONNECT, False, "closed unused")
+
 
 async def _send(
     connection: httpcore.AsyncHTTP11Connection,
@@ -241,6 +266,12 @@
     )
 
 
+def _make_connect_error(error: Exception) -> CallError:
+    is_refused = is_connection_refused(error)
+    failure = CallFailure.REFUSED if is_refused else CallFailure.CONNECT
+    return _make_error(failure, False, error)
+
+
 def _make_error(
     failure: CallFailure, written: bool, error: Exception
 ) -> CallError:
--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -34,6 +34,8 @@
 CANCEL_TIMEOUT_MS = 500
 CAPACITY_RETRY_MS = 1_000
 MIN_ERROR_STATUS = 400
+# Failures that do not show that the target has died.
+_LIVING_FAILURES = frozenset((CallFailure.FOREIGN, CallFailure.UNCONFIRMED))
 
 
 class Attempt:
@@ -172,10 +174,25 @@
             # A target that dies does not end its body in order.
             is_ordered = answer.head.is_delimited
             failure = CallFailure.FOREIGN if is_ordered else CallFailure.BROKEN
-            return CallError(failure, True, "end within the stream")
+            return CallError(failure, True, "end within the answer")
+        if not stream.shows_end(answer.head):
+            error = await self._check_end()
+            if error is not None:
+                return error
         stream.finish()
         return None
 
+    async def _check_end(self) -> CallError | None:
+        """Returns an error unless the target lives after its answer's end."""
+        if self._job.call.method == "HEAD":
+            return None
+        error = await self._ports.targets.check_listening(self._target)
+        if error is None:
+            return None
+        is_dead = error.failure is CallFailure.REFUSED
+        failure = CallFailure.BROKEN if is_dead else CallFailure.UNCONFIRMED
+        return CallError(failure, True, f"end of the answer; {error.detail}")
+
     async def _resume(
         self, stream: EventStream, call_error: CallError
     ) -> CallError | None:
@@ -262,7 +279,7 @@
         if error.failure is CallFailure.TOO_LARGE:
             self._outcome = GrantOutcome.TIMED_OUT
             return MayHaveRun(Reason.ANSWER_TOO_LARGE)
-        if error.failure is CallFailure.FOREIGN or error.is_garbled:
+        if error.failure in _LIVING_FAILURES or error.is_garbled:
             self._record_foreign_answer(error)
         else:
             self._has_crashed = True
@@ -270,7 +287,7 @@
         return MayHaveRun(Reason.TARGET_FAILED)
 
     def _record_foreign_answer(self, error: CallError) -> None:
-        # The target lives, so its requests are no suspects.
+        # The target lives, or may live, so its requests are no suspects.
         ports, name = self._ports, self._target.name
         ports.health.record_target_failure(name)
         ports.log.emit(
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -62,7 +62,7 @@
     BROKEN = "broken"
     # The answer holds what no run of the request gives.
     FOREIGN = "foreign"
-    # The answer says that a stream has ended, and nothing else does.
+    # The answer has ended, and nothing shows that it is whole.
     UNCONFIRMED = "unconfirmed"
     TIMEOUT = "timeout"
     TOO_LARGE = "too-large"
@@ -108,6 +108,10 @@
         """
         ...
 
+    async def check_listening(self, target: Target) -> CallError | None:
+        """Connects to a target, and returns why that failed, if it did."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerCall:
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -1,5 +1,6 @@
 """Copies server-sent events from a target into an answer."""
 
+import json
 import re
 
 from peridotbend.domain.answers import AnswerBuffer
@@ -14,7 +15,12 @@
 _FIELDS = frozenset((b"data", b"id", b"event", b"retry", b""))
 _COMMON_EVENT = re.compile(rb"id: ([0-9]{1,18})\ndata: [^\n]*+\n\n")
 _EVENT_ID = re.compile(rb"[0-9]{1,18}")
+# Larger bodies are not parsed, since that would delay other requests.
+MAX_PARSED_BYTES = 262_144
 _STATUSES_WITHOUT_BODY = frozenset((204, 205, 304))
+# With these, HTTP has no body, and neither a length nor chunks.
+_STATUSES_WITHOUT_LENGTH = frozenset((204, 304))
+_NUMBER_STARTS = frozenset(bytes((byte,)) for byte in b"-0123456789")
 EVENT_STREAM_TYPE = "text/event-stream"
 CLOSING_EVENT = b"data: [DONE]\n\n"
 _CLOSING_LINE = b"\n" + CLOSING_EVENT
@@ -123,7 +129,7 @@
 
         Only the closing event shows that a stream of an engine is whole,
         since a target in trouble may also end its body in order. For other
-        streams, the end of a connection without a length or chunks says
+        answers, the end of a connection without a length or chunks says
         nothing.
 
         Args:
@@ -131,12 +137,47 @@
         """
         if self._partial.strip():
             return True
-        if not self.is_events or self.is_complete:
+        if not self.is_events:
+            is_open = not head.is_delimited and self._is_json(head)
+            return is_open and not self._is_whole_json()
+        if self.is_complete:
             return False
         if self._is_engine_stream:
             return True
         return not head.is_delimited and len(self._answer) == 0
 
+    def shows_end(self, head: AnswerHead) -> bool:
+        """Tells whether the answer itself shows that nothing is missing.
+
+        The connection of a body without a length or chunks also ends with
+        the process that sends it.
+        """
+        if head.is_delimited or head.status in _STATUSES_WITHOUT_LENGTH:
+            return True
+        if self.is_events:
+            return self.is_complete
+        return self._is_json(head)
+
+    def _is_json(self, head: AnswerHead) -> bool:
+        """Tells whether parts of the body are known not to be valid."""
+        if len(self._answer) > MAX_PARSED_BYTES:
+            return False
+        if list_header_values(head, "content-encoding"):
+            return False
+        types = list_header_values(head, "content-type")
+        name = types[0].partition(";")[0].strip().lower() if types else ""
+        if name != "application/json" and not name.endswith("+json"):
+            return False
+        # A part of a number may be a number.
+        return self._answer.content().lstrip()[:1] not in _NUMBER_STARTS
+
+    def _is_whole_json(self) -> bool:
+        try:
+            json.loads(self._answer.content())
+        except (ValueError, RecursionError):
+            return False
+        return True
+
     def feed(self, data: bytes) -> str:
         """Processes a chunk of the body.
 
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -29,13 +29,14 @@
     "die-before",
     "die-unanswered",
     "die-midway",
+    "die-in-order",
     "break",
     "hang",
     "too-large",
     "slow",
 )
 # The answer has neither a length nor chunks, and its connection ends within it.
-UNDELIMITED_BEHAVIOURS = ("end", "end-between")
+UNDELIMITED_BEHAVIOURS = ("end", "end-between", "die-in-order")
 CRASH_MARKER = b"crash"
 FIRST_CHUNK_MS = 120
 CHUNK_INTERVAL_MS = 30
@@ -76,24 +77,30 @@
     chunks: tuple[bytes, ...] = ()
     # Whether the connection breaks after the chunks.
     breaks: bool = False
+    # Whether the target dies after the chunks, and the kernel closes its
+    # connections in order.
+    dies: bool = False
     # What the run of the request gives in all, if it gives anything.
     whole: bytes | None = None
 
-    async def read(self) -> AsyncIterator[Result[bytes, CallError]]:
-        """Yields the chunks."""
-        for chunk in self.chunks:
-            await asyncio.sleep(CHUNK_INTERVAL_MS / 1_000)
-            yield Ok(chunk)
-        if self.breaks:
-            yield Err(CallError(CallFailure.BROKEN, True, "broken"))
-
 
 class _ScriptedTargetAnswer:
     """A scripted answer as read over one connection."""
 
-    def __init__(self, answer: ScriptedAnswer):
+    def __init__(self, answer: ScriptedAnswer, fake: "FakeTarget"):
         self.head = answer.head
-        self.chunks = answer.read
+        self._answer = answer
+        self._fake = fake
+
+    async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields the chunks."""
+        for chunk in self._answer.chunks:
+            await asyncio.sleep(CHUNK_INTERVAL_MS / 1_000)
+            yield Ok(chunk)
+        if self._answer.dies:
+            self._fake.stop()
+        if self._answer.breaks:
+            yield Err(CallError(CallFailure.BROKEN, True, "broken"))
 
 
 class FakeTarget:
@@ -179,6 +186,9 @@
             if stream.behaviour == "die-midway" and is_past_middle:
                 self._fake.stop()
                 error = CallError(CallFailure.BROKEN, True, "died")
+            if stream.behaviour == "die-in-order" and is_past_middle:
+                self._fake.stop()
+                return
             if stream.behaviour == "end" and is_past_middle:
                 stream.behaviour = ""
                 return
@@ -256,10 +266,22 @@
             answer = fake.scripted.popleft()
             if answer.whole is not None:
                 self._world.answers[token] = answer.whole
-            yield Ok(_ScriptedTargetAnswer(answer))
+            yield Ok(_ScriptedTargetAnswer(answer, fake))
         else:
             yield Ok(_FakeAnswer(self, fake, stream, 0, until_ms))
 
+    async def check_listening(self, target: Target) -> CallError | None:
+        """Connects to a target, and returns why that failed, if it did."""
+        fake = self._world.targets[target.name]
+        self._world.counts["checks"] += 1
+        await asyncio.sleep(CONNECT_MS / 1_000)
+        if not self._is_linked(fake):
+            await asyncio.sleep(1.0)
+            return CallError(CallFailure.CONNECT, False, "timeout")
+        if not fake.up:
+            return CallError(CallFailure.REFUSED, False, "refused")
+        return None
+
     async def _wait_for_head(
         self, fake: FakeTarget, call: TargetCall, stream: _Stream, until_ms: int
     ) -> CallError | None:
@@ -282,7 +304,7 @@
         if call.method == "DELETE":
             fake.streams.pop(token, None)
         elif fake.scripted:
-            return Ok(_ScriptedTargetAnswer(fake.scripted.popleft()))
+            return Ok(_ScriptedTargetAnswer(fake.scripted.popleft(), fake))
         stream = fake.streams.get(token)
         if stream is None or not fake.up or not self._is_linked(fake):
             return Err(CallError(CallFailure.CONNECT, False, "no stream"))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,8 +1,16 @@
 """Tests of answers that no run of a request gives."""
 
-from peridotbend.domain.ports import AnswerHead, SuspectState
+from unittest import mock
+
+from peridotbend.domain.ports import (
+    AnswerHead,
+    CallError,
+    CallFailure,
+    Headers,
+    SuspectState,
+)
 from peridotbend.domain.verdicts import Reason
-from tests.faketargets import ScriptedAnswer
+from tests.faketargets import FakeTarget, FakeTargetClient, ScriptedAnswer
 from tests.fleettest import FleetTest, get_verdict
 from tests.oracle import Caller
 
@@ -174,6 +182,141 @@
                 self.end_trouble()
 
 
+class UndelimitedAnswerTest(FleetTest):
+    """Answers with neither a length nor chunks.
+
+    Their end is that of their connection, which a dying process also closes.
+    """
+
+    TEXT = (("content-type", "text/plain"),)
+
+    def answer(
+        self, headers: Headers, *chunks: bytes, dies: bool, status: int = 200
+    ) -> Caller:
+        """Sends a request that an application answers with these chunks."""
+        head = AnswerHead(status, headers, is_delimited=False)
+        whole = None if dies else b"".join(chunks)
+        answer = ScriptedAnswer(head, chunks, dies=dies, whole=whole)
+        self.script(answer, service="o")
+        caller = self.send(
+            self.a1, "status", uid=f"u{self.world.clock.now_ms()}"
+        )
+        for target in self.world.targets.values():
+            if not target.up:
+                target.restart()
+        self.end_trouble()
+        return caller
+
+    def test_answer_of_a_target_that_died_is_not_whole(self) -> None:
+        """Guards against a part of an answer that counts as its whole."""
+        for headers, chunks in (
+            (self.TEXT, (b"order 12 of ",)),
+            (self.TEXT, ()),
+            ((), (b"x",)),
+            (JSON, (b'{"order": ',)),
+            (JSON, ()),
+            (EVENTS, make_events(1, 3)),
+            (EVENTS, ()),
+        ):
+            with self.subTest(headers=headers, chunks=chunks):
+                caller = self.answer(headers, *chunks, dies=True)
+                assert get_verdict(caller) == FAILED
+
+    def test_kept_answer_of_a_target_that_died_is_not_whole(self) -> None:
+        """Guards against a part that a fetch through a peer takes for all."""
+        caller = self.answer(self.TEXT, b"order 12 of ", dies=True)
+        for node in (self.a1, self.a2):
+            assert get_verdict(self.fetch(node, caller.token)) == FAILED
+
+    def test_request_that_kills_its_target_in_order_is_suspected(self) -> None:
+        """Guards against a killer that is cleared by its part of an answer."""
+        self.answer(self.TEXT, b"order 12 of ", dies=True)
+        states = [entry.state for entry in self.a1.suspects.export(9)]
+        assert states == [SuspectState.SUSPECT]
+
+    def test_answer_of_a_target_that_lives_is_whole(self) -> None:
+        """Guards against the loss of answers of sound applications."""
+        for headers, chunks in (
+            (self.TEXT, (b"order 12 ", b"done")),
+            (self.TEXT, ()),
+            (EVENTS, make_events(1, 3)),
+        ):
+            with self.subTest(headers=headers, chunks=chunks):
+                caller = self.answer(headers, *chunks, dies=False)
+                assert get_verdict(caller) == ("completed", None)
+                assert caller.data == b"".join(chunks)
+
+    def test_json_and_closing_events_show_their_end(self) -> None:
+        """Guards against a check of what the answer itself tells."""
+        coded = (*JSON, ("content-encoding", "gzip"))
+        problem = (("Content-Type", "Application/Problem+JSON; charset=utf-8"),)
+        for headers, chunks, checks in (
+            (JSON, (b'{"order": ', b'"1"}\n'), 0),
+            (problem, (b"[]",), 0),
+            (EVENTS, (*make_events(1, 3), DONE), 0),
+            (JSON, (b"12",), 1),
+            (coded, (b"{}",), 1),
+        ):
+            with self.subTest(headers=headers, chunks=chunks):
+                before = self.world.counts["checks"]
+                caller = self.answer(headers, *chunks, dies=False)
+                assert get_verdict(caller) == ("completed", None)
+                assert self.world.counts["checks"] - before == checks
+
+    def test_part_of_a_json_answer_is_not_whole(self) -> None:
+        """Guards against "completed" while another process listens already.
+
+        Only the answer tells that its process is gone.
+        """
+        for part in (b"", b"[1, 2", b'{"a": {}', b'"text'):
+            with self.subTest(part=part):
+                caller = self.answer(JSON, part, dies=False)
+                assert get_verdict(caller) == FAILED
+
+    def test_process_that_is_replaced_at_once_seems_to_live(self) -> None:
+        """Guards against a promise of more than the end of a body shows.
+
+        Neither the text nor its connection tells that another process, or
+        one that shares the socket, accepts the next connection.
+        """
+        restarts: list[str] = []
+
+        def restart(target: FakeTarget) -> None:
+            target.incarnation += 1
+            restarts.append(target.name)
+
+        with mock.patch.object(FakeTarget, "stop", restart):
+            head = AnswerHead(200, self.TEXT, is_delimited=False)
+            answer = ScriptedAnswer(head, (b"x",), dies=True, whole=b"x")
+            self.script(answer, service="o")
+            caller = self.send(self.a1, "status")
+        assert len(restarts) == 1
+        assert get_verdict(caller) == ("completed", None)
+
+    def test_answers_that_show_their_end_are_not_checked(self) -> None:
+        """Guards against connections for sound answers."""
+        for kind, service in (("status", "o"), ("quote", "m")):
+            whole = b"".join((*make_events(1, 2), DONE))
+            head = AnswerHead(200, EVENTS if service == "m" else self.TEXT)
+            self.script(ScriptedAnswer(head, (whole,), whole=whole))
+            assert get_verdict(self.send(self.a1, kind)) == ("completed", None)
+            self.end_trouble()
+        caller = self.answer(self.TEXT, dies=False, status=204)
+        assert get_verdict(caller) == ("completed", None)
+        assert self.world.counts["checks"] == 0
+
+    def test_end_that_nothing_shows_accuses_no_request(self) -> None:
+        """Guards against a suspect while the target cannot be reached."""
+
+        async def time_out(*_: object) -> CallError:
+            return CallError(CallFailure.CONNECT, False, "timeout")
+
+        with mock.patch.object(FakeTargetClient, "check_listening", time_out):
+            caller = self.answer(self.TEXT, b"x", dies=True)
+        assert get_verdict(caller) == FAILED
+        assert not self.a1.suspects.export(9)
+
+
 class ResumedStreamTest(FleetTest):
     """Answers to a call that resumes a stream after its third event."""
 
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -62,6 +62,10 @@
         else:
             yield Ok(FakeAnswer(content))
 
+    async def check_listening(self, target: Target) -> CallError | None:
+        """Tells that every target listens."""
+        return None
+
 
 def poll(
     contents: dict[str, bytes | None], text: FleetConfig, rounds: int = 1
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -1,6 +1,9 @@
 """Tests of the HTTP client for targets."""
 
+import asyncio
 import contextlib
+import socket
+import struct
 import unittest
 from collections.abc import Callable, Sequence
 
@@ -146,6 +149,57 @@
         assert error.failure is CallFailure.REFUSED and not error.written
 
 
+class ListeningTest(unittest.TestCase):
+    """Whether a process listens at the address of a target."""
+
+    def check(
+        self, after_connect: Callable[[socket.socket], None]
+    ) -> CallError | None:
+        """Checks a target that does something after the connection."""
+
+        async def run() -> CallError | None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                target = Target("t", "s", "z", "127.0.0.1", port)
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.01, after_connect, listener)
+                return await HttpTargetClient().check_listening(target)
+
+        return anyio.run(run)
+
+    def test_process_that_listens_is_alive(self) -> None:
+        """Guards against the loss of whole answers of sound targets."""
+        assert self.check(lambda _: None) is None
+        held: list[object] = []
+        assert self.check(lambda s: held.append(s.accept())) is None
+
+    def test_refused_or_reset_connection_shows_that_it_ended(self) -> None:
+        """Guards against a process that seems to live while it is ended.
+
+        The kernel may close its connections before it stops listening.
+        """
+        for action in (socket.socket.close, _reset_accepted):
+            error = self.check(action)
+            assert error and error.failure is CallFailure.REFUSED
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+        target = Target("t", "s", "z", "127.0.0.1", port)
+        error = anyio.run(HttpTargetClient().check_listening, target)
+        assert error and error.failure is CallFailure.REFUSED
+
+    def test_connection_that_is_closed_shows_nothing(self) -> None:
+        """Guards against a living target that counts as dead."""
+        error = self.check(lambda s: s.accept()[0].close())
+        assert error and error.failure is CallFailure.CONNECT
+
+
+def _reset_accepted(listener: socket.socket) -> None:
+    connection, _ = listener.accept()
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
 class ForeignAnswerTest(unittest.TestCase):
     """Bytes of a target in trouble that are no answer to the call."""
 
