Resume and cancel streams only at the process that began them

What callers saw: an answer that began with the events of their own request and went on with those of another, with the verdict "completed", when an engine was restarted under its name within a stream and its new process used the same token again. A caller that left at that time ended the other caller's stream.

Cause: a stream was resumed at the name of its target, and nothing compared the process there with the one that had begun it.

Change: an attempt notes the incarnation known when the request is sent. After the resuming call is answered, the engine is asked for its load, and the stream goes on only if it names the same incarnation. Incarnations never return, so the resuming answer then came from the same process. A cancel after a break asks as well. The report counts like a polled one. Where no incarnation was known, the token alone tells, as before.

Evidence: test_stream_of_another_process_is_not_joined and the replaced case of test_stream_of_another_process_is_not_cancelled failed before and pass now; test_unknown_process_is_told_by_the_token_alone states the limit; test_sound_streams_ask_nothing holds.

--- a/src/peridotbend/adapters/loads.py
+++ b/src/peridotbend/adapters/loads.py
@@ -54,7 +54,7 @@
         while True:
             async with anyio.create_task_group() as tasks:
                 for target in self._select_round():
-                    tasks.start_soon(self._poll_with_timeout, target)
+                    tasks.start_soon(self.read_report, target)
                 await anyio.sleep(POLL_INTERVAL_S)
 
     def _select_round(self) -> list[Target]:
@@ -65,26 +65,29 @@
         self._next_index = start + MAX_POLLS_PER_ROUND
         return (runners + runners)[start : start + MAX_POLLS_PER_ROUND]
 
-    async def _poll_with_timeout(self, target: Target) -> None:
+    async def read_report(self, target: Target) -> LoadReport | None:
+        """Asks a runner for its report and records it."""
         # The timeout of the call applies to each read, so a report that arrives
         # slowly would delay the polls of all other targets.
         with anyio.move_on_after(POLL_TIMEOUT_MS / 1_000):
-            await self._poll(target)
+            report = await self._read_report(target)
+            if report is not None:
+                self._record(target.name, report)
+            return report
+        return None
 
-    async def _poll(self, target: Target) -> None:
+    async def _read_report(self, target: Target) -> LoadReport | None:
         call = TargetCall("GET", "/v1/load", (), b"", POLL_TIMEOUT_MS)
         body = b""
         async with self._targets.open(target, call, lambda: True) as opened:
             if isinstance(opened, Err) or opened.ok_value.head.status != 200:
-                return
+                return None
             async for chunk in opened.ok_value.chunks():
                 if isinstance(chunk, Err) or len(body) > MAX_REPORT_BYTES:
-                    return
+                    return None
                 if isinstance(chunk, Ok):
                     body += chunk.ok_value
-        report = _parse_report(body)
-        if report is not None:
-            self._record(target.name, report)
+        return _parse_report(body)
 
 
 def _parse_report(body: bytes) -> LoadReport | None:
--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -63,6 +63,10 @@
         self._outcome = GrantOutcome.NOT_WRITTEN
         self._has_crashed = False
         self._stream: EventStream | None = None
+        # The incarnation of the target that the request was sent to, or "".
+        self._incarnation = ""
+        # Whether the process that began the stream may have been replaced.
+        self._may_be_replaced = False
 
     @property
     def trial_outcome(self) -> TrialOutcome:
@@ -123,6 +127,9 @@
         if not record.claim_dispatch(ports.clock.now_ms()):
             return False
         record.target = self._target.name
+        self._incarnation = ports.health.find_target_incarnation(
+            self._target.name
+        )
         self._in_flight.begin(
             self._target.name,
             record.log_key,
@@ -196,11 +203,12 @@
     async def _resume(
         self, stream: EventStream, call_error: CallError
     ) -> CallError | None:
-        """Resumes a broken stream on the same target.
+        """Resumes a broken stream at the process that began it.
 
         The engine keeps generating after a disconnect. Resuming only reads
         its output, so it is not a second dispatch.
         """
+        self._may_be_replaced = True
         for delay_ms in RESUME_DELAYS_MS:
             is_too_large = call_error.failure is CallFailure.TOO_LARGE
             if is_too_large or not stream.is_after_numbered_event:
@@ -221,7 +229,7 @@
     async def _resume_once(
         self, stream: EventStream
     ) -> Result[CallError | None, None]:
-        """Returns Err if the target is unreachable or lacks the stream."""
+        """Returns Err unless the process that began the stream resumes it."""
         record = self._job.record
         call = TargetCall(
             "GET",
@@ -238,7 +246,24 @@
                 opened.ok_value.head
             ):
                 return Err(None)
-            return Ok(await self._relay(opened.ok_value, stream))
+            # A process that is still the same after its answer has begun has
+            # also given it. Another one may use the token for another stream.
+            if not await self._is_same_process():
+                return Err(None)
+            self._may_be_replaced = False
+            call_error = await self._relay(opened.ok_value, stream)
+            self._may_be_replaced = True
+            return Ok(call_error)
+
+    async def _is_same_process(self) -> bool:
+        """Tells whether the target is the process that got the request.
+
+        A target of unknown incarnation counts as the same.
+        """
+        if not self._incarnation:
+            return True
+        report = await self._ports.loads.read_report(self._target)
+        return report is not None and report.incarnation == self._incarnation
 
     async def _cancel_stream(self) -> None:
         """Tells the engine to stop generating an answer nobody can fetch.
@@ -248,6 +273,9 @@
         """
         if self._stream is None or not self._stream.can_resume:
             return
+        with anyio.CancelScope(shield=True):
+            if self._may_be_replaced and not await self._is_same_process():
+                return
         call = TargetCall(
             "DELETE",
             f"/v1/streams/{self._stream.stream_id}",
--- a/src/peridotbend/domain/jobs.py
+++ b/src/peridotbend/domain/jobs.py
@@ -6,7 +6,13 @@
 import xxhash
 
 from peridotbend.domain.clock import Clock
-from peridotbend.domain.ports import EventLog, Meter, PeerClient, TargetClient
+from peridotbend.domain.ports import (
+    EventLog,
+    LoadReader,
+    Meter,
+    PeerClient,
+    TargetClient,
+)
 from peridotbend.domain.quarantine import SuspectTable
 from peridotbend.domain.records import CallerCall, RequestRecord, RequestTable
 from peridotbend.domain.retries import RetryBudget
@@ -26,6 +32,10 @@
         """Records that the target answered."""
         ...
 
+    def find_target_incarnation(self, name: str) -> str:
+        """Returns the last known incarnation of a target, or ""."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatchPorts:
@@ -35,6 +45,7 @@
     table: RequestTable
     scheduler: Scheduler
     targets: TargetClient
+    loads: LoadReader
     health: TargetHealth
     suspects: SuspectTable
     peers: PeerClient
--- a/src/peridotbend/domain/membership.py
+++ b/src/peridotbend/domain/membership.py
@@ -74,6 +74,10 @@
         """Records the incarnation that a target itself reported."""
         self.targets.record_incarnation(name, incarnation)
 
+    def find_target_incarnation(self, name: str) -> str:
+        """Returns the last known incarnation of a target, or ""."""
+        return self.targets.find_incarnation(name)
+
     def record_target_failure(self, name: str) -> None:
         """Takes a target out of use that failed for this process."""
         self.targets.record_failure(name)
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -275,6 +275,14 @@
     incarnation: str
 
 
+class LoadReader(Protocol):
+    """Asks runners for their load."""
+
+    async def read_report(self, target: Target) -> LoadReport | None:
+        """Returns what a runner reports now, or None without a valid report."""
+        ...
+
+
 class InstanceRole(enum.StrEnum):
     """Role of an instance in the platform's list."""
 
--- a/src/peridotbend/domain/targetstates.py
+++ b/src/peridotbend/domain/targetstates.py
@@ -60,6 +60,10 @@
             # The failures belong to the replaced incarnation.
             self._failures.pop(name, None)
 
+    def find_incarnation(self, name: str) -> str:
+        """Returns the last known incarnation of a target, or ""."""
+        return self._incarnations.get(name, "")
+
     def mark_leaving(self, name: str, incarnation: str) -> bool:
         """Marks an incarnation as leaving; returns True if the mark is new."""
         mark = (name, incarnation)
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -227,6 +227,7 @@
                 self.records,
                 self.scheduler,
                 targets,
+                self.load_poller,
                 self.roster,
                 self.suspects,
                 self.peer_client,
--- a/tests/faketargets.py
+++ b/tests/faketargets.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from typing import TYPE_CHECKING
@@ -117,6 +118,8 @@
         # Answers to the next calls, also to those that resume a stream.
         self.scripted: deque[ScriptedAnswer] = deque()
         self.streams: dict[str, _Stream] = {}
+        # Tokens of the streams that this process was told to cancel.
+        self.cancelled: list[str] = []
 
     def stop(self) -> None:
         """Stops abruptly and loses all requests in progress."""
@@ -129,6 +132,7 @@
         self.up = True
         self.leaving = False
         self.incarnation += 1
+        self.cancelled.clear()
 
     def start_stream(self, token: str, behaviour: str, now_ms: int) -> _Stream:
         """Starts an answer, whose bytes depend on the request alone."""
@@ -239,6 +243,10 @@
         fake = self._world.targets[target.name]
         until_ms = self._world.clock.now_ms() + call.timeout_ms
         await asyncio.sleep(CONNECT_MS / 1_000)
+        if call.path == "/v1/load":
+            self._world.counts["load calls"] += 1
+            yield self._report_load(fake)
+            return
         if call.path.startswith("/v1/streams/"):
             yield self._resume(fake, call, until_ms)
             return
@@ -297,11 +305,26 @@
             ready_ms = until_ms + 1
         return await self.wait(fake, stream, ready_ms, until_ms)
 
+    def _report_load(self, fake: FakeTarget) -> Result[TargetAnswer, CallError]:
+        if not fake.up or not self._is_linked(fake):
+            return Err(CallError(CallFailure.CONNECT, False, "no report"))
+        report = {
+            "at_ms": 0,
+            "running": 0,
+            "waiting_tokens": 0,
+            "incarnation": str(fake.incarnation),
+        }
+        answer = ScriptedAnswer(
+            AnswerHead(200, ()), (json.dumps(report).encode(),)
+        )
+        return Ok(_ScriptedTargetAnswer(answer, fake))
+
     def _resume(
         self, fake: FakeTarget, call: TargetCall, until_ms: int
     ) -> Result[TargetAnswer, CallError]:
         token = call.path.rpartition("/")[2]
         if call.method == "DELETE":
+            fake.cancelled.append(token)
             fake.streams.pop(token, None)
         elif fake.scripted:
             return Ok(_ScriptedTargetAnswer(fake.scripted.popleft(), fake))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -412,6 +412,74 @@
         return caller
 
 
+class ReplacedEngineTest(FleetTest):
+    """Streams of an engine that another process replaces under its name.
+
+    The instance list does not tell of it yet, and the new process has a
+    stream of another request with the same token.
+    """
+
+    def break_stream(self) -> tuple[Caller, FakeTarget]:
+        """Returns a caller whose stream has broken with its engine."""
+        head = AnswerHead(200, STREAM)
+        first = ScriptedAnswer(head, make_events(1, 3), breaks=True, dies=True)
+        self.script(first)
+        caller = self.send(self.a1, ms=1)
+        engines = [t for n, t in self.world.targets.items() if n[0] == "m"]
+        while all(engine.up for engine in engines):
+            self.run_for(5)
+        return caller, next(e for e in engines if not e.up)
+
+    def test_stream_of_another_process_is_not_joined(self) -> None:
+        """Guards against an answer with the events of another request."""
+        caller, engine = self.break_stream()
+        engine.restart()
+        rest = (*make_events(4, 5), DONE)
+        self.script(*[ScriptedAnswer(AnswerHead(200, STREAM), rest)] * 3)
+        self.run_for(3_000)
+        assert caller.data == b"".join(make_events(1, 3))
+        assert get_verdict(caller) == FAILED
+        assert self.world.counts["stream-resumed"] == 0
+
+    def test_stream_of_another_process_is_not_cancelled(self) -> None:
+        """Guards against the end of another caller's stream."""
+        for is_replaced in (True, False):
+            with self.subTest(is_replaced=is_replaced):
+                caller, engine = self.break_stream()
+                if is_replaced:
+                    engine.restart()
+                else:
+                    engine.up = True
+                record = self.a1.records.find(caller.token)
+                assert record is not None and record.cancel_scope is not None
+                cancel = record.cancel_scope.cancel
+                self.world.loop.call_later_detached(1, cancel)
+                self.run_for(500)
+                assert bool(engine.cancelled) == (not is_replaced)
+                engine.restart()
+                self.world.platform.revision += 1
+                self.end_trouble()
+
+    def test_unknown_process_is_told_by_the_token_alone(self) -> None:
+        """Guards against the loss of streams of engines without a name."""
+        with mock.patch.object(
+            self.a1.roster.targets, "find_incarnation", lambda _: ""
+        ):
+            caller, engine = self.break_stream()
+            engine.restart()
+            rest = (*make_events(4, 5), DONE)
+            self.script(ScriptedAnswer(AnswerHead(200, STREAM), rest))
+            self.world.answers[caller.token] = WHOLE
+            self.run_for(3_000)
+        assert caller.data == WHOLE
+        assert get_verdict(caller) == ("completed", None)
+
+    def test_sound_streams_ask_nothing(self) -> None:
+        """Guards against calls for streams that do not break."""
+        assert get_verdict(self.send(self.a1)) == ("completed", None)
+        assert self.world.counts["load calls"] == 0
+
+
 class ForeignBytesTest(FleetTest):
     """Bytes between the events of a stream that are no events."""
 
