Blame only requests sent before the break of a stream for its crash

What callers saw: after an engine died within a stream and was restarted within a second, requests in flight at the new process became suspects: refused as "trial-busy" when repeated, and quarantined if they were on trial. The new process, which had answered, got no work for a second.

Cause: a crash is reported once no resumption of the stream has succeeded, a second after the break. It was then held against everything that ran under the name of the target, and against the target itself.

Change: each dispatch has a number, and an attempt notes the last one when its stream breaks. Only requests up to it are taken as crashed. A failure seen before the target last answered, or before a new incarnation of it became known, is ignored.

Evidence: test_requests_of_the_next_process_are_no_suspects and test_next_process_that_answers_stays_in_use failed before and pass now; test_requests_that_died_together_are_suspects held before and holds.

No further call or connection.

--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -67,6 +67,9 @@
         self._incarnation = ""
         # Whether the process that began the stream may have been replaced.
         self._may_be_replaced = False
+        # When the connection last broke, and the dispatches until then.
+        self._broke_at_ms: int | None = None
+        self._dispatches_at_break = 0
 
     @property
     def trial_outcome(self) -> TrialOutcome:
@@ -208,7 +211,7 @@
         The engine keeps generating after a disconnect. Resuming only reads
         its output, so it is not a second dispatch.
         """
-        self._may_be_replaced = True
+        self._record_break()
         for delay_ms in RESUME_DELAYS_MS:
             is_too_large = call_error.failure is CallFailure.TOO_LARGE
             if is_too_large or not stream.is_after_numbered_event:
@@ -252,9 +255,15 @@
                 return Err(None)
             self._may_be_replaced = False
             call_error = await self._relay(opened.ok_value, stream)
-            self._may_be_replaced = True
+            self._record_break()
             return Ok(call_error)
 
+    def _record_break(self) -> None:
+        """Records that later requests may be sent to another process."""
+        self._may_be_replaced = True
+        self._broke_at_ms = self._ports.clock.now_ms()
+        self._dispatches_at_break = self._in_flight.dispatches
+
     async def _is_same_process(self) -> bool:
         """Tells whether the target is the process that got the request.
 
@@ -317,7 +326,7 @@
     def _record_foreign_answer(self, error: CallError) -> None:
         # The target lives, or may live, so its requests are no suspects.
         ports, name = self._ports, self._target.name
-        ports.health.record_target_failure(name)
+        ports.health.record_target_failure(name, self._broke_at_ms)
         ports.log.emit(
             Event.TARGET_FAILED,
             target=name,
@@ -327,10 +336,14 @@
 
     def _record_crash(self, error: CallError) -> None:
         ports, name = self._ports, self._target.name
-        crash = self._in_flight.take_crashed(name, self._job.record.log_key)
+        if self._broke_at_ms is None:
+            self._record_break()
+        crash = self._in_flight.take_crashed(
+            name, self._job.record.log_key, self._dispatches_at_break
+        )
         if crash is None:
             return
-        ports.health.record_target_failure(name)
+        ports.health.record_target_failure(name, self._broke_at_ms)
         ports.suspects.record_crash(crash.fingerprints, crash.on_trial)
         ports.log.emit(
             Event.TARGET_FAILED,
--- a/src/peridotbend/domain/jobs.py
+++ b/src/peridotbend/domain/jobs.py
@@ -24,8 +24,10 @@
 class TargetHealth(Protocol):
     """Tracks from the results of calls which targets are alive."""
 
-    def record_target_failure(self, name: str) -> None:
-        """Records that a connection to the target failed."""
+    def record_target_failure(
+        self, name: str, seen_at_ms: int | None = None
+    ) -> None:
+        """Records that a connection to the target failed, by default now."""
         ...
 
     def record_target_success(self, name: str) -> None:
--- a/src/peridotbend/domain/membership.py
+++ b/src/peridotbend/domain/membership.py
@@ -78,9 +78,11 @@
         """Returns the last known incarnation of a target, or ""."""
         return self.targets.find_incarnation(name)
 
-    def record_target_failure(self, name: str) -> None:
+    def record_target_failure(
+        self, name: str, seen_at_ms: int | None = None
+    ) -> None:
         """Takes a target out of use that failed for this process."""
-        self.targets.record_failure(name)
+        self.targets.record_failure(name, seen_at_ms)
 
     def record_target_success(self, name: str) -> None:
         """Ends the backoff of a target that has answered."""
--- a/src/peridotbend/domain/targetstates.py
+++ b/src/peridotbend/domain/targetstates.py
@@ -38,6 +38,8 @@
         self._leaving_by_name: dict[str, int] = {}
         self._next_mark_number = 0
         self._failures: dict[str, _Failure] = {}
+        # When each target last answered, or was seen to be replaced.
+        self._alive_at_ms: dict[str, int] = {}
 
     def record_incarnation(self, name: str, incarnation: str) -> None:
         """Records the incarnation of a target, unless it was replaced before.
@@ -58,7 +60,7 @@
             )
             old.append(known)
             # The failures belong to the replaced incarnation.
-            self._failures.pop(name, None)
+            self.record_success(name)
 
     def find_incarnation(self, name: str) -> str:
         """Returns the last known incarnation of a target, or ""."""
@@ -96,9 +98,17 @@
             return [], self._next_mark_number
         return marks, self._leaving[marks[-1]] + 1
 
-    def record_failure(self, name: str) -> None:
-        """Excludes a target for a backoff that doubles with each failure."""
+    def record_failure(self, name: str, seen_at_ms: int | None = None) -> None:
+        """Excludes a target for a backoff that doubles with each failure.
+
+        A failure seen before the target last answered is ignored.
+        """
         now = self._clock.now_ms()
+        if (
+            seen_at_ms is not None
+            and self._alive_at_ms.get(name, seen_at_ms) > seen_at_ms
+        ):
+            return
         failure = self._failures.get(name)
         # Requests in flight fail together and count as one failure.
         if failure is not None and now < failure.until_ms:
@@ -113,6 +123,9 @@
     def record_success(self, name: str) -> None:
         """Clears the failures of a target that works."""
         self._failures.pop(name, None)
+        if len(self._alive_at_ms) >= MAX_TARGETS:
+            self._alive_at_ms.pop(next(iter(self._alive_at_ms)))
+        self._alive_at_ms[name] = self._clock.now_ms()
 
     def is_available(self, name: str) -> bool:
         """Tells whether a target may get new work."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """Tests of dispatching: from the grant of a target to the verdict."""
 
 from peridotbend.domain.ports import SuspectState
+from peridotbend.domain.text import Target
 from peridotbend.domain.verdicts import Reason
 from tests.fleettest import FleetTest, get_verdict
 
@@ -94,6 +95,70 @@
         assert not self.world.runs[caller.token]
 
 
+class LateCrashTest(FleetTest):
+    """Crashes that are reported once no resumption has succeeded.
+
+    Until then another process may have begun to serve under the same name.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world.targets["m2"].up = False
+        self.engine = self.world.targets["m1"]
+        # Excludes the other engine for the longest backoff.
+        for _ in range(5):
+            self.a1.roster.record_target_failure("m2")
+            self.run_for(10_000)
+        self.a1.roster.record_target_failure("m2")
+
+    def find_target(self, name: str) -> Target:
+        """Returns a configured target."""
+        target = self.a1.target_index.find(name)
+        assert target is not None
+        return target
+
+    def break_stream(self) -> None:
+        """Lets the engine die within a stream and restart at once."""
+        self.engine.behaviours.append("die-midway")
+        self.send(self.a1, uid="old", text="old", ms=1)
+        while self.engine.up:
+            self.run_for(5)
+        self.engine.restart()
+
+    def list_suspects(self) -> int:
+        """Returns the number of suspected requests."""
+        return len(self.a1.suspects.export(9))
+
+    def test_requests_of_the_next_process_are_no_suspects(self) -> None:
+        """Guards against the blame of requests that no process died with."""
+        self.break_stream()
+        self.engine.behaviours.append("slow")
+        for number in range(2):
+            uid = f"new{number}"
+            self.send(self.a1, uid=uid, text=uid, ms=50)
+        assert len(self.a1.dispatcher.in_flight.count()) == 1
+        self.run_for(2_000)
+        assert self.list_suspects() == 1
+
+    def test_requests_that_died_together_are_suspects(self) -> None:
+        """Guards against a killer that is not suspected beside others."""
+        self.engine.behaviours.extend(("slow", "die-midway"))
+        self.send(self.a1, uid="other", text="other", ms=1)
+        self.break_stream()
+        self.run_for(2_000)
+        assert self.list_suspects() == 2
+
+    def test_next_process_that_answers_stays_in_use(self) -> None:
+        """Guards against a pause of a process that has not failed."""
+        self.break_stream()
+        caller = self.send(self.a1, uid="new", text="new", ms=500)
+        assert get_verdict(caller)[0] == "completed"
+        for _ in range(20):
+            self.run_for(50)
+            assert self.a1.roster.is_available(self.find_target("m1"))
+        assert self.list_suspects() == 1
+
+
 class TrialTest(FleetTest):
     """Requests that were in flight on a target when it crashed."""
 
