Let a runner's own report outweigh the leaving marks of its past

What callers saw: an entry instance that had just started refused requests as "no-target", or sent all of them to the other targets, although a runner was live. It lasted until the runner's next restart.

Cause: a leaving mark from a peer made its incarnation the current one. An instance that had already learnt the present incarnation, from the list or from the runner's load report, took the mark of the process before for news and the present process for a replaced one, whose reports it then ignored. Peers send all marks that they ever saw to a new instance.

Change: the incarnation that a target reports of itself becomes the current one even if it counted as replaced; the next report thus ends the exclusion. Marks that are older than a report naming another incarnation are not sent to peers. Marks stay in force at their process as before.

Evidence: test_mark_of_an_earlier_process_does_not_last and test_mark_of_an_earlier_process_is_not_passed_on failed before and pass now; test_mark_that_follows_a_report_is_passed_on holds.

One dictionary entry for each load report; no further call.

--- a/src/peridotbend/domain/membership.py
+++ b/src/peridotbend/domain/membership.py
@@ -72,7 +72,7 @@
 
     def record_target_incarnation(self, name: str, incarnation: str) -> None:
         """Records the incarnation that a target itself reported."""
-        self.targets.record_incarnation(name, incarnation)
+        self.targets.record_report(name, incarnation)
 
     def find_target_incarnation(self, name: str) -> str:
         """Returns the last known incarnation of a target, or ""."""
--- a/src/peridotbend/domain/targetstates.py
+++ b/src/peridotbend/domain/targetstates.py
@@ -32,6 +32,9 @@
         self._log = log
         self._incarnations: dict[str, str] = {}
         self._replaced: dict[str, deque[str]] = {}
+        # What targets said of themselves last: the incarnation, and the number
+        # of the next leaving mark at that time.
+        self._reported: dict[str, tuple[str, int]] = {}
         # Sequence number of each mark, in the order in which the marks became
         # known; the links to peers depend on this order.
         self._leaving: dict[LeavingMark, int] = {}
@@ -62,6 +65,19 @@
             # The failures belong to the replaced incarnation.
             self.record_success(name)
 
+    def record_report(self, name: str, incarnation: str) -> None:
+        """Records the incarnation that a target itself reported.
+
+        Unlike lists and marks, it is never out of date.
+        """
+        if name not in self._reported and len(self._reported) >= MAX_TARGETS:
+            return
+        self._reported[name] = incarnation, self._next_mark_number
+        replaced = self._replaced.get(name)
+        if replaced is not None and incarnation in replaced:
+            replaced.remove(incarnation)
+        self.record_incarnation(name, incarnation)
+
     def find_incarnation(self, name: str) -> str:
         """Returns the last known incarnation of a target, or ""."""
         return self._incarnations.get(name, "")
@@ -90,10 +106,18 @@
     def list_marks_from(
         self, cursor: int, limit: int
     ) -> tuple[list[LeavingMark], int]:
-        """Returns up to `limit` marks from `cursor` on, and the next cursor."""
+        """Returns up to `limit` marks from `cursor` on, and the next cursor.
+
+        Omits marks of processes that have ended: an instance that started
+        since then would take such a mark for the newest incarnation.
+        """
         if cursor >= self._next_mark_number:
             return [], cursor
-        marks = [m for m, at in self._leaving.items() if at >= cursor][:limit]
+        marks = [
+            mark
+            for mark, number in self._leaving.items()
+            if number >= cursor and not self._has_ended(mark, number)
+        ][:limit]
         if not marks:
             return [], self._next_mark_number
         return marks, self._leaving[marks[-1]] + 1
@@ -151,6 +175,14 @@
             },
         }
 
+    def _has_ended(self, mark: LeavingMark, number: int) -> bool:
+        """Tells whether a later report of the target names another process."""
+        name, incarnation = mark
+        reported = self._reported.get(name)
+        if reported is None:
+            return False
+        return reported[0] != incarnation and number < reported[1]
+
     def _forget_oldest_mark(self) -> None:
         oldest = next(iter(self._leaving))
         del self._leaving[oldest]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -159,6 +159,41 @@
         self.roster.apply_list([make_target_entry("t1", "i1", False)])
         assert not self.roster.is_available(make_target("t1"))
 
+    def test_mark_of_an_earlier_process_does_not_last(self) -> None:
+        """Guards against a target that a new instance never uses.
+
+        A mark may be older than the process that the target itself names.
+        """
+        target = make_target("t1")
+        self.roster.apply_list([make_target_entry("t1", "i2", False)])
+        self.roster.record_target_incarnation("t1", "i2")
+        self.roster.mark_leaving([("t1", "i1")])
+        self.roster.record_target_incarnation("t1", "i2")
+        assert self.roster.is_available(target)
+        self.roster.mark_leaving([("t1", "i2")])
+        assert not self.roster.is_available(target)
+
+    def test_mark_of_an_earlier_process_is_not_passed_on(self) -> None:
+        """Guards against old marks that new instances take for news."""
+        targets = self.roster.targets
+        self.roster.mark_leaving([("t1", "i1"), ("t2", "i1")])
+        self.roster.record_target_incarnation("t1", "i2")
+        assert targets.list_marks_from(0, 9)[0] == [("t2", "i1")]
+        self.roster.mark_leaving([("t1", "i2")])
+        marks = targets.list_marks_from(0, 9)[0]
+        assert marks == [("t2", "i1"), ("t1", "i2")]
+        assert self.roster.is_leaving("t1", "i1")
+
+    def test_mark_that_follows_a_report_is_passed_on(self) -> None:
+        """Guards against the loss of a mark that may be the newest.
+
+        The target has not named the marked process yet.
+        """
+        self.roster.record_target_incarnation("t1", "i1")
+        self.roster.mark_leaving([("t1", "i2")])
+        assert not self.roster.is_available(make_target("t1"))
+        assert self.roster.targets.list_marks_from(0, 9)[0] == [("t1", "i2")]
+
     def test_news_is_urgent_and_given_once(self) -> None:
         """Guards against marks that are delayed or repeated in every digest."""
         calls: list[int] = []
