--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -224,6 +224,43 @@
 
         self._run_store_check(answer, check)
 
+    def test_malformed_pages_are_errors(self) -> None:
+        """Guards against a value of the store that ends the process.
+
+        Peers exchange revisions in 64 bits.
+        """
+        item = {"key": "servers/a", "value": "e30=", "revision": 5}
+        numbers = (-1, 2**63, 10**400, True, 1.5, "5", None)
+        bad_items = [
+            item | {"value": value}
+            for value in ("é", "e3\u00b2=", "\ud800", "e", "e30", " ", 5, None)
+        ]
+        bad_items += [item | {"revision": number} for number in numbers]
+        bad_items += [item | {"key": key} for key in (5, None, [])]
+        bad_items += [{}, {"key": "servers/a", "revision": 5}]
+        pages: list[object] = [
+            {"items": [bad], "store_revision": 9} for bad in bad_items
+        ]
+        pages += [
+            {"items": [item], "store_revision": number} for number in numbers
+        ]
+        pages += [[], 5, {}, {"items": 5, "store_revision": 9}]
+        pages.append({"items": [5, [], None], "store_revision": 9})
+        remaining = iter(pages)
+
+        async def answer(stream: SocketStream, request: bytes) -> None:
+            body = encode_document(next(remaining))
+            await stream.send(_make_answer("200 OK", body))
+
+        async def check(store: StoreClient) -> None:
+            reader = store.make_prefix_reader("servers/", read_target_order)
+            for page in pages:
+                with self.subTest(page=str(page)[:80]):
+                    error = (await reader.list_items()).unwrap_err()
+                    assert error.failure is StoreFailure.BAD_ANSWER
+
+        self._run_store_check(answer, check)
+
     def test_era_of_an_answer_is_read(self) -> None:
         """Guards against a restore of the store that nobody notices."""
         entry = {"born": 1_700_000_000_000, "sequence": 32}
