Order the incarnations of a peer by their start

What callers saw: "may have run" (minter-unreachable) for requests whose minter was live, from an instance that had started after that minter had replaced a paused process of its name, once the paused process was resumed. It lasted until either was restarted.

Cause: any incarnation that an instance had not seen replaced counted as a new process, and the one known so far as replaced for good. Only instances that had seen the replacement could tell the two apart, since incarnations were random.

Change: an incarnation is the start in ms with 20 random bits, in the same 63 bits. A greater one replaces a smaller one at once and for good. A smaller one counts only while the greater is silent: it is a resumed process, or one whose clock was set back, and the greater one may return.

Evidence: test_resumed_process_does_not_replace_its_successor and test_start_of_a_clock_set_back_counts_after_silence failed before and pass now; IncarnationTest is new.

Measured: 72 tests of membership, IDs, peers, requests, hand-over and the oracle pass.

--- a/src/peridotbend/domain/peertable.py
+++ b/src/peridotbend/domain/peertable.py
@@ -84,7 +84,7 @@
         """Records that a peer was alive at a time.
 
         Returns False if the observation is outdated or concerns a replaced
-        incarnation.
+        incarnation. Incarnations increase with the start of the process.
         """
         entry = self._entries.get(peer.name) or self._insert(peer)
         if entry is None or peer.incarnation in entry.replaced_incarnations:
@@ -100,7 +100,11 @@
             # An unknown incarnation, observed before the current one.
             return False
         elif entry.peer.incarnation:
-            self._reset_for_new_incarnation(entry)
+            is_later = peer.incarnation > entry.peer.incarnation
+            if not is_later and self._check_live(entry):
+                # A replaced process that was resumed.
+                return False
+            self._reset_for_new_incarnation(entry, is_later)
         entry.peer = peer
         entry.last_seen_at_ms = max(
             seen_at_ms, entry.last_seen_at_ms or seen_at_ms
@@ -180,8 +184,10 @@
             for name, entry in self._entries.items()
         ]
 
-    def _reset_for_new_incarnation(self, entry: _Entry) -> None:
-        entry.replaced_incarnations.append(entry.peer.incarnation)
+    def _reset_for_new_incarnation(self, entry: _Entry, is_later: bool) -> None:
+        # A later process that was only silent may be heard again.
+        if is_later:
+            entry.replaced_incarnations.append(entry.peer.incarnation)
         if entry.live:
             self._emit(Event.PEER_LOST, entry)
         entry.last_seen_at_ms = entry.last_direct_at_ms = None
--- a/src/peridotbend/domain/requestids.py
+++ b/src/peridotbend/domain/requestids.py
@@ -13,6 +13,9 @@
 MAX_NAME_BYTES = 64
 # Characters of an ID that may appear in logs.
 LOG_KEY_LENGTH = 8
+# Below the start of the process in ms.
+INCARNATION_RANDOM_BITS = 20
+MAX_INCARNATION = 2**63 - 1
 # Incarnation and expiry time.
 _NUMBERS = struct.Struct(">QQ")
 
@@ -79,9 +82,18 @@
         ).digest()
 
 
-def make_incarnation() -> int:
-    """Returns a random number that identifies one run of a process."""
-    return secrets.randbits(63) | 1
+def make_incarnation(wall_ms: int) -> int:
+    """Returns a number that identifies one run of a process.
+
+    Of two processes with one name, the later one has the greater number, as
+    long as the time of day is not set back in between.
+
+    Args:
+        wall_ms: Unix time of the start.
+    """
+    start = wall_ms << INCARNATION_RANDOM_BITS
+    random_part = secrets.randbits(INCARNATION_RANDOM_BITS) | 1
+    return (start | random_part) & MAX_INCARNATION
 
 
 def parse_request_id(token: str) -> RequestId | None:
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -80,7 +80,7 @@
         self._log = log
         self.clock = SystemClock()
         self._rng = random.Random()
-        self.incarnation = make_incarnation()
+        self.incarnation = make_incarnation(self.clock.wall_ms())
         self.meter = PrometheusMeter(self.clock)
         own = Peer(
             settings.name,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -111,6 +111,30 @@
         assert found.incarnation == 2
         assert not self.roster.is_live("e1")
 
+    def test_resumed_process_does_not_replace_its_successor(self) -> None:
+        """Guards against a live peer that a new instance never asks.
+
+        The new instance has not seen that the successor replaced it.
+        """
+        self.roster.record_heartbeat(make_peer("e1", 2))
+        assert not self.roster.record_heartbeat(make_peer("e1", 1, 900))
+        self.roster.record_member(make_peer("e1", 1, 901), 0)
+        assert self.roster.record_heartbeat(make_peer("e1", 2, 2))
+        found = self.roster.find_peer("e1")
+        assert found is not None
+        assert found.incarnation == 2
+        assert self.log.count(Event.PEER_LOST) == 0
+
+    def test_start_of_a_clock_set_back_counts_after_silence(self) -> None:
+        """Guards against a restarted peer that is never seen again."""
+        self.roster.record_heartbeat(make_peer("e1", 2))
+        self.clock.advance(PEER_TIMEOUT_MS)
+        assert self.roster.record_heartbeat(make_peer("e1", 1))
+        assert self.roster.is_live("e1")
+        # The later one had only been silent.
+        assert self.roster.record_heartbeat(make_peer("e1", 2, 2))
+        assert not self.roster.record_heartbeat(make_peer("e1", 1, 3))
+
     def test_older_news_of_unknown_incarnation_is_ignored(self) -> None:
         """Guards against a delayed membership sample of an ended process."""
         self.receive_heartbeats("e1")
--- a/tests/test_requestids.py
+++ b/tests/test_requestids.py
@@ -2,7 +2,27 @@
 
 import unittest
 
-from peridotbend.domain.requestids import IdMinter, parse_request_id
+from peridotbend.domain.requestids import (
+    MAX_INCARNATION,
+    IdMinter,
+    make_incarnation,
+    parse_request_id,
+)
+
+
+class IncarnationTest(unittest.TestCase):
+    """Numbers that identify the processes with one name."""
+
+    def test_later_process_has_a_greater_number(self) -> None:
+        """Guards against a resumed process taken for its successor."""
+        starts_ms = (0, 1, 1_796_000_000_000, 1_796_000_000_001, 2**43 - 1)
+        numbers = [make_incarnation(start_ms) for start_ms in starts_ms]
+        assert numbers == sorted(set(numbers))
+        assert all(0 < number <= MAX_INCARNATION for number in numbers)
+
+    def test_processes_that_start_together_differ(self) -> None:
+        """Guards against two processes that count as one."""
+        assert len({make_incarnation(5) for _ in range(20)}) > 10
 
 
 class RequestIdTest(unittest.TestCase):
