State what a new owner of a fingerprint knows of running trials

Cause: "one trial at a time fleet-wide" held only as long as the owner lived. A permit is known to its owner and its holder; after the owner is lost or restarted, or membership changes, the next owner may grant one more trial of the same request while the first still runs. Nothing that peers exchange tells of it.

No change of behaviour.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -184,6 +184,32 @@
             == "completed"
         )
 
+    def test_new_owner_allows_at_most_one_more_trial(self) -> None:
+        """Guards against more trials than one for each owner that is lost.
+
+        A permit is known to its owner and its holder alone.
+        """
+        self.plan_failure("die-unanswered")
+        assert get_verdict(self.send(self.a1, text="same"))[0] == MAY_HAVE_RUN
+        for target in self.world.targets.values():
+            target.behaviours.clear()
+            target.restart()
+            target.behaviours.extend(["slow"] * 3)
+        self.world.platform.revision += 1
+        self.run_for(2_000)
+        fingerprint = self.a1.suspects.export(1)[0].value
+        owner = self.a1.roster.find_trial_owner(fingerprint)
+        holder, other = (
+            node for name, node in self.world.nodes.items() if name != owner
+        )
+        self.send(holder, uid="u2", text="same", ms=30)
+        self.world.kill(self.world.nodes[owner])
+        self.run_for(2_000)
+        second = self.send(other, uid="u3", text="same", ms=30)
+        third = self.send(holder, uid="u4", text="same", ms=30)
+        assert second.verdict is None
+        assert get_verdict(third) == ("not-run", Reason.TRIAL_BUSY)
+
     def test_crash_on_trial_is_quarantined_everywhere(self) -> None:
         """Guards against one request that crashes a third target."""
         for number in range(4):
