Bound the numbers of a digest where it is decoded

What callers saw: refused connections. One datagram in the name of a peer ended each instance of the edge that it reached, by an error in the task that sends digests, or in the one that receives them.

Cause: an age near 2^32 was sent on when it had grown beyond its field. Two peers that reported a count of 0 for one target removed its total twice (KeyError). Counts and instances near 2^32, and amounts near the greatest number, could be added up beyond what can be sent.

Change: counts, instances and amounts are bounded when a digest is decoded, so that sums over all peers fit; a count of 0 is dropped unless it takes one back; ages are sent at most as their field allows.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -22,6 +22,12 @@
 MAX_KNOWN_HOSTS = 64
 MAX_NAME_CHARS = 256
 Value = TypeVar("Value", int, float)
+# Bounds of numbers in one digest. The sums over all peers fit the fields that
+# they are sent in.
+MAX_IN_FLIGHT = 1_000_000
+MAX_INSTANCES = 65_536
+MAX_AMOUNT = 1e18
+MAX_AGE = 2**32 - 1
 # Unit of the ages of members and of deaths.
 AGE_UNIT_MS = 100
 # Lists of a digest in the order in which entries are omitted from one that is
@@ -125,7 +131,8 @@
     amounts += [
         amount for use in uses.values() for amount in (use.spent, use.level)
     ]
-    if not all(map(math.isfinite, amounts)):
+    # Also refuses amounts that are no numbers.
+    if not all(-MAX_AMOUNT <= amount <= MAX_AMOUNT for amount in amounts):
         return None
     return Digest(
         name=message.name,
@@ -140,7 +147,11 @@
             )
             for feed in message.feeds
         },
-        in_flight={use.target: use.in_flight for use in message.uses},
+        in_flight={
+            use.target: min(use.in_flight, MAX_IN_FLIGHT)
+            for use in message.uses
+            if use.in_flight
+        },
         allowances=uses,
         crashes=tuple(map(_unpack_suspicion, message.crashes)),
         limits=_unpack_limits(message.limits),
@@ -149,9 +160,9 @@
         scope=scope,
         zone=message.zone,
         is_store_reachable=message.store_reachable,
-        live_instances=message.live_instances,
-        expected_instances=message.expected_instances,
-        target_counts=_zip_dict(message.target_hashes, message.target_counts),
+        live_instances=min(message.live_instances, MAX_INSTANCES),
+        expected_instances=min(message.expected_instances, MAX_INSTANCES),
+        target_counts=_unpack_counts(message),
         is_partial=message.partial_counts,
         account_levels=levels,
         account_spent=spent,
@@ -161,12 +172,22 @@
     )
 
 
+def _unpack_counts(message: pb.UseDigest) -> dict[int, int]:
+    """Returns counts by target; only a partial list takes some back with 0."""
+    counts = _zip_dict(message.target_hashes, message.target_counts)
+    return {
+        target: min(count, MAX_IN_FLIGHT)
+        for target, count in counts.items()
+        if count or message.partial_counts
+    }
+
+
 def _pack_suspicion(suspicion: Suspicion) -> pb.Suspicion:
     deaths = suspicion.deaths
     return pb.Suspicion(
         trait=suspicion.trait,
         targets=[death.target for death in deaths],
-        ages=[max(0, death.age_ms) // AGE_UNIT_MS for death in deaths],
+        ages=[_pack_age(death.age_ms) for death in deaths],
         withdrawn=[death.is_withdrawn for death in deaths],
         was_sound=suspicion.was_sound,
     )
@@ -182,12 +203,16 @@
     return Suspicion(packed.trait, deaths, packed.was_sound)
 
 
+def _pack_age(age_ms: int) -> int:
+    return min(max(0, age_ms) // AGE_UNIT_MS, MAX_AGE)
+
+
 def _pack_limit(limit: NamedLimit) -> pb.TargetLimit:
     return pb.TargetLimit(
         target=limit.target,
         per_s=limit.per_s or 0.0,
         # Rounded up, as a report must not look newer than it is.
-        age=math.ceil(max(0, limit.age_ms) / AGE_UNIT_MS),
+        age=_pack_age(limit.age_ms + AGE_UNIT_MS - 1),
         lifted=limit.per_s is None,
     )
 
@@ -218,7 +243,7 @@
             continue
         zone = by_zone.setdefault(member.zone, pb.ZoneMembers(zone=member.zone))
         zone.hosts.append(int.from_bytes(packed, "big"))
-        zone.ages.append(max(0, member.age_ms) // AGE_UNIT_MS)
+        zone.ages.append(_pack_age(member.age_ms))
         zone.draining.append(member.is_draining)
     return list(by_zone.values())
 
--- /dev/null
+++ b/tests/test_digests.py
@@ -0,0 +1,190 @@
+"""Tests of digests whose numbers no sound peer sends."""
+
+import dataclasses
+import random
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from peridotbend.adapters.digests import (
+    MAX_AMOUNT,
+    MAX_IN_FLIGHT,
+    MAX_INSTANCES,
+    decode_digest,
+    encode_digest,
+    encode_echo,
+)
+from peridotbend.domain.clock import ManualClock
+from peridotbend.edge.evidence import Death, Suspicion
+from peridotbend.edge.peers import Member
+from peridotbend.edge.ratelimits import NamedLimit
+from peridotbend.wire import edge_pb2 as pb
+from tests.edgegroups import GroupInstance
+
+HOSTS = [f"10.0.0.{number}" for number in range(1, 7)]
+STEP_MS = (1, 60, 300, 2_000)
+TEXTS = st.sampled_from(["", "a", "op/", "x" * 300, "\u2603"])
+UINT32 = st.sampled_from([0, 1, 2**31, 2**32 - 2, 2**32 - 1])
+UINT64 = st.sampled_from([0, 1, 2**32, 2**63, 2**64 - 1])
+DOUBLES = st.floats()
+FLOATS = st.floats(width=32)
+
+
+def make_lists(items: Any) -> Any:
+    """Returns a strategy for short lists."""
+    return st.lists(items, max_size=3)
+
+
+LIMITS = st.builds(
+    pb.TargetLimit,
+    target=UINT32,
+    per_s=FLOATS,
+    age=UINT32,
+    lifted=st.booleans(),
+)
+DIGESTS = st.builds(
+    pb.UseDigest,
+    name=st.sampled_from(["a", "b"]),
+    host=st.sampled_from(HOSTS[1:]),
+    incarnation=UINT64,
+    sequence=UINT64 | st.integers(0, 9),
+    zone=st.sampled_from(["", "y", "z"]),
+    draining=st.booleans(),
+    known_hosts=make_lists(TEXTS | st.sampled_from(HOSTS)),
+    feeds=make_lists(
+        st.builds(
+            pb.FeedState,
+            prefix=TEXTS,
+            revision=UINT64,
+            era=UINT64,
+            version=UINT64,
+        )
+    ),
+    uses=make_lists(st.builds(pb.TargetUse, target=TEXTS, in_flight=UINT32)),
+    accounts=make_lists(
+        st.builds(
+            pb.AccountUse,
+            account=TEXTS,
+            spent_tokens=DOUBLES,
+            level_tokens=DOUBLES,
+        )
+    ),
+    scope=st.sampled_from([0, 1, 2, 3]),
+    store_reachable=st.booleans(),
+    live_instances=UINT32,
+    expected_instances=UINT32,
+    target_hashes=make_lists(UINT32),
+    target_counts=make_lists(UINT32),
+    partial_counts=st.booleans(),
+    account_hashes=make_lists(UINT32),
+    account_levels=make_lists(FLOATS),
+    account_spent=make_lists(DOUBLES),
+    members=make_lists(
+        st.builds(
+            pb.ZoneMembers,
+            zone=TEXTS,
+            hosts=make_lists(UINT32),
+            ages=make_lists(UINT32),
+            draining=make_lists(st.booleans()),
+        )
+    ),
+    echoed_incarnation=UINT64,
+    echoed_sequence=UINT64,
+    crashes=make_lists(
+        st.builds(
+            pb.Suspicion,
+            trait=UINT64,
+            targets=make_lists(UINT32),
+            ages=make_lists(UINT32),
+            withdrawn=make_lists(st.booleans()),
+            was_sound=st.booleans(),
+        )
+    ),
+    limits=make_lists(LIMITS),
+    brittle=make_lists(LIMITS),
+    leaving=make_lists(UINT32),
+    places_by_version=st.booleans(),
+)
+
+
+class UnsoundDigestTest(unittest.TestCase):
+    """Digests with numbers at the bounds of their format."""
+
+    def exchange(self, steps: list[tuple[Any, int]]) -> GroupInstance:
+        """Receives digests, and sends what is due after each of them."""
+        clock = ManualClock()
+        rng = random.Random(0)
+        own = GroupInstance(HOSTS[0], "z", tuple(HOSTS[1:]), clock, rng)
+        for message, step_ms in steps:
+            digest = decode_digest(message.SerializeToString())
+            if digest is not None:
+                own.exchange.receive(digest)
+            clock.advance(step_ms)
+            for outgoing in own.exchange.collect():
+                encode_digest(outgoing.digest)
+                for echo in outgoing.echoes or ():
+                    encode_echo(echo)
+        return own
+
+    @settings(derandomize=True, database=None, max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(DIGESTS, st.sampled_from(STEP_MS)),
+            min_size=3,
+            max_size=12,
+        )
+    )
+    def test_no_numbers_end_a_process(
+        self, steps: list[tuple[Any, int]]
+    ) -> None:
+        """Guards against one datagram that ends the processes it reaches."""
+        self.exchange(steps)
+
+    def test_ages_stay_within_their_field(self) -> None:
+        """Guards against a report of the greatest age that grows older."""
+        limit = pb.TargetLimit(target=1, per_s=1.0, age=2**32 - 1)
+        message = pb.UseDigest(name="a", host=HOSTS[1], limits=[limit])
+        digest = decode_digest(message.SerializeToString())
+        assert digest is not None
+        age_ms = digest.limits[0].age_ms + 100_000
+        aged = dataclasses.replace(
+            digest,
+            limits=(NamedLimit(1, 1.0, age_ms),),
+            crashes=(Suspicion(1, (Death(1, age_ms, False),), False),),
+            members=(Member("10.0.0.1", "z", age_ms, False),),
+        )
+        assert decode_digest(encode_digest(aged)) is not None
+
+    def test_counts_of_zero_are_no_reports(self) -> None:
+        """Guards against the removal of a total that is gone already."""
+        use = pb.TargetUse(target="t", in_flight=0)
+        messages = [
+            pb.UseDigest(name=host, host=host, uses=[use])
+            for host in HOSTS[1:3]
+        ]
+        steps = [(message, 1) for message in messages]
+        self.exchange([*steps, (messages[0], 60_000), (messages[0], 1)])
+
+    def test_numbers_are_bounded(self) -> None:
+        """Guards against sums that fit no field, and amounts that fill it."""
+        message = pb.UseDigest(
+            name="a",
+            host=HOSTS[1],
+            uses=[pb.TargetUse(target="t", in_flight=2**32 - 1)],
+            target_hashes=[1, 2],
+            target_counts=[2**32 - 1, 0],
+            live_instances=2**32 - 1,
+            expected_instances=2**32 - 1,
+        )
+        digest = decode_digest(message.SerializeToString())
+        assert digest is not None
+        assert digest.in_flight == {"t": MAX_IN_FLIGHT}
+        assert digest.target_counts == {1: MAX_IN_FLIGHT}
+        assert digest.live_instances == MAX_INSTANCES
+        assert digest.expected_instances == MAX_INSTANCES
+        for amount in (2 * MAX_AMOUNT, -2 * MAX_AMOUNT, float("nan")):
+            message.accounts.add(account="a", spent_tokens=amount)
+            assert decode_digest(message.SerializeToString()) is None
+            message.accounts.pop()
