Accuse no request of JSON that its living target has not ended

An application that sends invalid JSON without a length would have had its requests suspected and, sent twice, quarantined. An answer to HEAD without a length would have counted as a part of a JSON value.

Cause: a part of a JSON value counted as a crash, also where the target still listens. Whether an answer has a body at all was not known where its end is judged.

Change: the target of such a part is asked like any other. Only a refused or reset connection is a crash; otherwise the outcome is "may have run" without suspects. The client of the targets counts answers to HEAD, 204 and 304 as delimited.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -50,6 +50,7 @@
 _DROPPED_WITH_CHUNKS = _HOP_BY_HOP | {"content-length"}
 # A body with one of these does not end with its connection.
 _DELIMITERS = frozenset((b"content-length", b"transfer-encoding"))
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class GateClosedError(Exception):
@@ -84,8 +85,12 @@
         response: httpcore.Response,
         is_reused: bool,
         connected_at_ms: int = 0,
+        method: str = "GET",
     ):
         self._response = response
+        has_body = (
+            method != "HEAD" and response.status not in _STATUSES_WITHOUT_BODY
+        )
         names = {name.lower() for name, _ in response.headers}
         has_chunks = b"transfer-encoding" in names
         dropped = _DROPPED_WITH_CHUNKS if has_chunks else _HOP_BY_HOP
@@ -96,7 +101,7 @@
                 for name, value in response.headers
                 if name.lower().decode("latin-1") not in dropped
             ),
-            is_delimited=not names.isdisjoint(_DELIMITERS),
+            is_delimited=not has_body or not names.isdisjoint(_DELIMITERS),
             is_reused_connection=is_reused,
             connected_at_ms=connected_at_ms,
         )
@@ -162,7 +167,7 @@
                 connected_at_ms = connection.connected_at_ms
                 yield opened.map(
                     lambda response: HttpAnswer(
-                        response, is_reused, connected_at_ms
+                        response, is_reused, connected_at_ms, call.method
                     )
                 )
             finally:
--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -184,18 +184,19 @@
             # A target that dies does not end its body in order.
             is_ordered = answer.head.is_delimited
             failure = CallFailure.FOREIGN if is_ordered else CallFailure.BROKEN
-            return CallError(failure, True, "end within the answer")
+            return CallError(failure, True, "end within the stream")
         if not stream.shows_end(answer.head):
             error = await self._check_end()
             if error is not None:
                 return error
+            if stream.shows_cut(answer.head):
+                problem = "the answer is a part of a JSON value"
+                return CallError(CallFailure.UNCONFIRMED, True, problem)
         stream.finish()
         return None
 
     async def _check_end(self) -> CallError | None:
         """Returns an error unless the target lives after its answer's end."""
-        if self._job.call.method == "HEAD":
-            return None
         error = await self._ports.targets.check_listening(self._target)
         if error is None:
             return None
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -35,8 +35,8 @@
 
     status: int
     headers: Headers
-    # Whether the body has a length or chunks. If not, it ends with its
-    # connection, also when the target crashes.
+    # Whether the body has a length or chunks, or there is none. If not, it
+    # ends with its connection, also when the target crashes.
     is_delimited: bool = True
     # Whether its connection had carried an earlier call.
     is_reused_connection: bool = False
--- a/src/peridotbend/domain/streams.py
+++ b/src/peridotbend/domain/streams.py
@@ -18,8 +18,6 @@
 # Larger bodies are not parsed, since that would delay other requests.
 MAX_PARSED_BYTES = 262_144
 _STATUSES_WITHOUT_BODY = frozenset((204, 205, 304))
-# With these, HTTP has no body, and neither a length nor chunks.
-_STATUSES_WITHOUT_LENGTH = frozenset((204, 304))
 _NUMBER_STARTS = frozenset(bytes((byte,)) for byte in b"-0123456789")
 EVENT_STREAM_TYPE = "text/event-stream"
 CLOSING_EVENT = b"data: [DONE]\n\n"
@@ -137,10 +135,7 @@
         """
         if self._partial.strip():
             return True
-        if not self.is_events:
-            is_open = not head.is_delimited and self._is_json(head)
-            return is_open and not self._is_whole_json()
-        if self.is_complete:
+        if not self.is_events or self.is_complete:
             return False
         if self._is_engine_stream:
             return True
@@ -152,10 +147,16 @@
         The connection of a body without a length or chunks also ends with
         the process that sends it.
         """
-        if head.is_delimited or head.status in _STATUSES_WITHOUT_LENGTH:
+        if head.is_delimited:
             return True
         if self.is_events:
             return self.is_complete
+        return self._is_json(head) and self._is_whole_json()
+
+    def shows_cut(self, head: AnswerHead) -> bool:
+        """Tells whether the answer itself shows that something is missing."""
+        if self.is_events or self.shows_end(head):
+            return False
         return self._is_json(head)
 
     def _is_json(self, head: AnswerHead) -> bool:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -12,7 +12,12 @@
 from result import Err, Ok
 
 from peridotbend.adapters.targets import HttpTargetClient
-from peridotbend.domain.ports import CallError, CallFailure, TargetCall
+from peridotbend.domain.ports import (
+    AnswerHead,
+    CallError,
+    CallFailure,
+    TargetCall,
+)
 from peridotbend.domain.text import Target
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
@@ -149,6 +154,46 @@
         assert error.failure is CallFailure.REFUSED and not error.written
 
 
+class DelimitedAnswerTest(unittest.TestCase):
+    """Whether the end of an answer is that of its connection."""
+
+    def test_answer_without_a_body_does_not_end_its_connection(self) -> None:
+        """Guards against the check of answers that have no body."""
+        typed = b"\r\nContent-Type: application/json\r\n\r\n"
+        for method, status, is_delimited in (
+            ("GET", b"200 OK", False),
+            ("HEAD", b"200 OK", True),
+            ("GET", b"204 No Content", True),
+            ("GET", b"304 Not Modified", True),
+        ):
+            with self.subTest(method=method, status=status):
+                answer = b"HTTP/1.1 " + status + typed
+                head = anyio.run(_read_head, answer, method)
+                assert head.is_delimited == is_delimited
+
+
+async def _read_head(reply: bytes, method: str) -> AnswerHead:
+    async def handle(stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(reply)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    target = Target("t", "s", "z", "127.0.0.1", port)
+    call = TargetCall(method, "/x", (), b"", 5_000)
+    client = HttpTargetClient()
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, handle)
+        async with client.open(target, call, lambda: True) as opened:
+            head = opened.unwrap().head
+            async for chunk in opened.unwrap().chunks():
+                assert chunk.is_ok()
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+    return head
+
+
 class ListeningTest(unittest.TestCase):
     """Whether a process listens at the address of a target."""
 
