Test ends and resumptions with a whole instance and real sockets

A stream that breaks is resumed at the same process and not at one that reports another incarnation, through HttpTargetClient and LoadPoller; a text without a length is passed on whole. The scripted target can give a list of answers and name its incarnation.

--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -105,6 +105,9 @@
         self.breaks_streams = False
         # If set, what requests are answered with; the connection is closed.
         self.reply = b""
+        # Answers to the next requests, each in place of `reply`.
+        self.next_replies: list[bytes] = []
+        self.incarnation = "1"
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -128,11 +131,12 @@
     ) -> None:
         if path == "/v1/load":
             report = {"at_ms": 1, "running": 0, "waiting_tokens": 0}
-            self._write(writer, {**report, "incarnation": "1"})
+            self._write(writer, {**report, "incarnation": self.incarnation})
             return
         self.ran.append(path)
-        if self.reply:
-            writer.write(self.reply)
+        reply = self.next_replies.pop(0) if self.next_replies else self.reply
+        if reply:
+            writer.write(reply)
             await writer.drain()
             raise ConnectionError
         if b'"stream": true' in body:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,6 +12,7 @@
 from tests.edgenode import (
     TEST_TIMEOUT_S,
     EntryNode,
+    encode_chat_body,
     encode_request,
     read_reply,
     run_with_entry,
@@ -124,6 +125,52 @@
         anyio.run(run_with_timeout)
 
 
+class ClosedConnectionTest(unittest.TestCase):
+    """Answers of targets that end their connections in order."""
+
+    HEAD = (
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+        b"engine-stream: s1\r\n\r\n"
+    )
+    FIRST, REST = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\ndata: [DONE]\n\n"
+
+    def test_stream_goes_on_at_the_same_process_only(self) -> None:
+        """Guards against a stream joined from two, or a lost resumption."""
+
+        async def test(entry: EntryNode) -> None:
+            roster = entry.node.roster
+            await entry.wait_for(
+                lambda: roster.find_target_incarnation("runner") == "1"
+            )
+            for incarnation, is_whole in (("1", True), ("2", False)):
+                replies = [self.HEAD + self.FIRST, *[self.HEAD + self.REST] * 3]
+                entry.target.next_replies = replies
+                entry.target.incarnation = incarnation
+                reply = await entry.call(
+                    "POST", "/v1/chat/completions", encode_chat_body(True)
+                )
+                assert reply.body.startswith(self.FIRST)
+                assert (self.REST in reply.body) == is_whole
+                verdict = b"completed" if is_whole else b"may-have-run"
+                assert verdict in reply.body
+                entry.target.next_replies = []
+
+        run_with_entry(test)
+
+    def test_text_without_a_length_is_passed_on(self) -> None:
+        """Guards against the loss of whole answers of sound applications."""
+
+        async def test(entry: EntryNode) -> None:
+            head = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"
+            entry.target.reply = head + b"whole"
+            reply = await entry.call("GET", ORDERS + "/1")
+            assert (reply.status, reply.body) == (200, b"whole")
+            assert reply.verdict == "completed"
+            entry.target.reply = b""
+
+        run_with_entry(test)
+
+
 class StartTest(unittest.TestCase):
     """Starts without the platform or without a configuration."""
 
