Refuse names in the instance list that digests cannot hold

What callers saw: refused connections, since one entry of the instance list ended the instances that read it: a target that leaves, whose name, zone or incarnation holds half a character ("\ud800" in JSON). A name of more than 256 characters cut each reader off from all its peers instead.

Cause: leaving marks are sent in digests. The half character cannot be encoded (UnicodeEncodeError in PeerLinks), and peers refuse longer names.

Change: such a list is malformed; the one read before stays in force.

Evidence: six cases of test_names_that_peers_cannot_be_told_are_errors failed before and pass now.

--- a/src/peridotbend/adapters/platform.py
+++ b/src/peridotbend/adapters/platform.py
@@ -8,6 +8,7 @@
 import httpcore
 from result import Err, Ok, Result
 
+from peridotbend.adapters.peerdigest import MAX_NAME_CHARS
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.ports import (
     InstanceInfo,
@@ -179,6 +180,9 @@
 def _read_string(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not a string")
+    if len(value) > MAX_NAME_CHARS:
+        raise ValueError(f"{value[:60]!r}... is too long for a digest")
+    value.encode()  # Raises ValueError for half a character, as JSON may hold.
     return value
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from peridotbend.adapters import platform as platform_module
+from peridotbend.adapters.peerdigest import MAX_NAME_CHARS
 from peridotbend.adapters.platform import HttpPlatform
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import InstanceRole
@@ -102,6 +103,21 @@
         self.body = b"\xff\xfe"
         assert isinstance(await self.reader.watch_config(0, 0), Err)
 
+    async def test_names_that_peers_cannot_be_told_are_errors(self) -> None:
+        """Guards against an entry that ends a process or its links to peers.
+
+        Digests name targets that leave.
+        """
+        for field in ("name", "zone", "incarnation"):
+            for value in ("\ud800", "x" * (MAX_NAME_CHARS + 1)):
+                with self.subTest(field=field, value=value[:9]):
+                    self.body = _encode_list([TARGET_ENTRY | {field: value}])
+                    answer = await self.reader.watch_instances(0, 0)
+                    assert isinstance(answer, Err)
+        name = "x" * MAX_NAME_CHARS
+        self.body = _encode_list([TARGET_ENTRY | {"name": name}])
+        assert isinstance(await self.reader.watch_instances(0, 0), Ok)
+
     async def test_size_is_bounded(self) -> None:
         """Guards against an answer so large that it exhausts memory."""
         self.body = b"x" * (platform_module.MAX_TEXT_BYTES + 1)
