Take only IP addresses from instance lists and digests

What callers saw: refused connections. An entry of the instance list, or one digest, whose address was "a..b:80", had 64 characters without a dot or held a NUL ended each instance that learnt of it.

Cause: names were accepted where "ip:port" is the form, and the lookup of such a name raises UnicodeError or ValueError, which the links to peers do not expect.

Change: the host must be an IP address, in the list and in digests. Other members and senders are ignored or refused as before; such a list is malformed, and the one read before stays in force.

Evidence: test_address_that_is_none_ends_no_process and 12 of 14 cases of test_addresses_that_are_none_are_errors failed before and pass now.

Measured: 29 tests of test_platform, test_peers, test_textsync, test_daemon and test_node_paths pass.

--- a/src/peridotbend/adapters/peerwire.py
+++ b/src/peridotbend/adapters/peerwire.py
@@ -1,5 +1,6 @@
 """Conversions between peer messages and domain types."""
 
+import ipaddress
 from collections.abc import Iterable
 
 from peridotbend.domain import ports, verdicts
@@ -8,13 +9,21 @@
 
 
 def split_address(text: str) -> tuple[str, int] | None:
-    """Splits `ip:port`; returns None if the text has another form."""
+    """Splits `ip:port`; returns None if the text has another form.
+
+    Connecting to a name can raise more than the errors of a connection.
+    """
     host, _, port = text.rpartition(":")
-    if not host or len(host) > 64 or not port.isascii() or len(port) > 5:
+    host = host.strip("[]")
+    if not port.isascii() or len(port) > 5:
         return None
     if not port.isdigit() or not 0 < int(port) < 65_536:
         return None
-    return host.strip("[]"), int(port)
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    return host, int(port)
 
 
 def pack_headers(headers: ports.Headers) -> list[pb.Header]:
--- a/src/peridotbend/adapters/platform.py
+++ b/src/peridotbend/adapters/platform.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from peridotbend.adapters.peerdigest import MAX_NAME_CHARS
+from peridotbend.adapters.peerwire import split_address
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.ports import (
     InstanceInfo,
@@ -170,11 +171,10 @@
 def _split_address(value: object) -> tuple[str, int]:
     if value in (None, ""):
         return "", 0
-    host, _, port = _read_string(value).rpartition(":")
-    number = int(port)
-    if not host or not 0 < number < 65_536:
+    address = split_address(_read_string(value))
+    if address is None:
         raise ValueError(f"address {value!r} is not ip:port")
-    return host.strip("[]"), number
+    return address
 
 
 def _read_string(value: object) -> str:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -104,6 +104,26 @@
         assert sum(sizes) == 3
         await node.stop()
 
+    async def test_address_that_is_none_ends_no_process(self) -> None:
+        """Guards against a digest that ends each process that it reaches."""
+        for host in ("a..b", "x" * 64, "a\0b"):
+            nodes = await self.start(2)
+            sink = DigestSink(
+                nodes[0].roster,
+                nodes[0].scheduler.make_hooks(),
+                nodes[0].sync.record_peer_text,
+            )
+            digest = pb.Digest(name="e5", incarnation=1, sequence=1)
+            digest.peer_address = "127.0.0.1:9"
+            member = {"name": "e6", "incarnation": 1, "sequence": 1}
+            digest.members.add(peer_address=f"{host}:9", **member)
+            sink.apply(digest)
+            digest.name, digest.peer_address = "e7", f"{host}:9"
+            with self.assertRaises(BadDigestError):
+                sink.apply(digest)
+            async with run_nodes(*nodes):
+                await self.wait_until_live(nodes)
+
     async def test_demand_of_a_replaced_process_is_ignored(self) -> None:
         """Guards against demand reported by a process that was replaced."""
         (node,) = await self.start(1)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -29,6 +29,8 @@
     "peer_address": "127.0.0.1:82",
     "state": "live",
 }
+# Python encodes the first ones for a lookup, which raises UnicodeError.
+BAD_HOSTS = ("a..b", "x" * 64, "a\0b", "localhost", "1.2.3", "1.2.3.4.5", "")
 
 
 class HttpPlatformTest(unittest.IsolatedAsyncioTestCase):
@@ -118,6 +120,16 @@
         self.body = _encode_list([TARGET_ENTRY | {"name": name}])
         assert isinstance(await self.reader.watch_instances(0, 0), Ok)
 
+    async def test_addresses_that_are_none_are_errors(self) -> None:
+        """Guards against an entry that ends a process when it connects."""
+        for host in BAD_HOSTS:
+            for field in ("address", "peer_address"):
+                with self.subTest(host=host, field=field):
+                    entry = INSTANCE_ENTRY | {field: f"{host}:80"}
+                    self.body = _encode_list([entry])
+                    answer = await self.reader.watch_instances(0, 0)
+                    assert isinstance(answer, Err)
+
     async def test_size_is_bounded(self) -> None:
         """Guards against an answer so large that it exhausts memory."""
         self.body = b"x" * (platform_module.MAX_TEXT_BYTES + 1)
