Send no digests to hosts that are no addresses

What callers saw: refused connections. One datagram in the name of a peer that listed "no such" among the hosts it knows ended each instance of the edge that it reached.

Cause: hosts were taken over from digests as they were. Sending a datagram to one raises ValueError, and only OSError was expected.

Change: known hosts that are no IP addresses are dropped when a digest is decoded.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -1,5 +1,7 @@
 """Encoding of digests as datagrams."""
 
+import functools
+import ipaddress
 import math
 import socket
 from collections.abc import Iterable, Sequence
@@ -140,7 +142,9 @@
         sequence=message.sequence,
         host=message.host,
         is_draining=message.draining,
-        known_hosts=tuple(message.known_hosts[:MAX_KNOWN_HOSTS]),
+        known_hosts=tuple(
+            filter(_is_ip, message.known_hosts[:MAX_KNOWN_HOSTS])
+        ),
         feeds={
             feed.prefix: FeedState(
                 Position(feed.era, feed.revision), feed.version
@@ -172,6 +176,15 @@
     )
 
 
+@functools.lru_cache(maxsize=4_096)
+def _is_ip(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def _unpack_counts(message: pb.UseDigest) -> dict[int, int]:
     """Returns counts by target; only a partial list takes some back with 0."""
     counts = _zip_dict(message.target_hashes, message.target_counts)
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 import random
+import socket
 import unittest
 from typing import Any
 
+import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -16,9 +18,12 @@
     encode_digest,
     encode_echo,
 )
+from peridotbend.adapters.eventloop import BACKEND_OPTIONS
+from peridotbend.adapters.gossip import Gossip
 from peridotbend.domain.clock import ManualClock
 from peridotbend.edge.evidence import Death, Suspicion
-from peridotbend.edge.peers import Member
+from peridotbend.edge.exchange import Outgoing
+from peridotbend.edge.peers import Digest, Member
 from peridotbend.edge.ratelimits import NamedLimit
 from peridotbend.wire import edge_pb2 as pb
 from tests.edgegroups import GroupInstance
@@ -109,6 +114,71 @@
 )
 
 
+class _ScriptedExchange:
+    """Sends one digest to hosts, some of which are no addresses."""
+
+    def __init__(self, digest: Digest, hosts: tuple[str, ...]):
+        self._outgoing = Outgoing(digest, hosts)
+        self.received = anyio.Event()
+
+    def collect(self) -> list[Outgoing]:
+        """Returns the digest."""
+        return [self._outgoing]
+
+    def find_min_interval_ms(self) -> int:
+        """Returns a short interval."""
+        return 5
+
+    def find_wait_ms(self) -> int:
+        """Returns a short wait."""
+        return 5
+
+    def receive(self, digest: Digest) -> bool:
+        """Records that a digest has arrived."""
+        self.received.set()
+        return False
+
+
+class UnsoundHostTest(unittest.TestCase):
+    """Hosts that no datagram can be sent to."""
+
+    def test_hosts_that_are_no_addresses_are_left_out(self) -> None:
+        """Guards against a list of hosts that ends its receivers."""
+        hosts = ["no such", "a..b", "x" * 64, "a\0b", "", "\u2603", "1.2.3"]
+        message = pb.UseDigest(
+            name="a", host=HOSTS[1], known_hosts=[*hosts, HOSTS[2]]
+        )
+        digest = decode_digest(message.SerializeToString())
+        assert digest is not None
+        assert digest.known_hosts == (HOSTS[2],)
+
+    def test_other_hosts_still_get_digests(self) -> None:
+        """Guards against a host in the settings that ends its process."""
+        own = ("127.0.0.1", _find_free_port())
+        message = pb.UseDigest(name="a", host=own[0])
+        digest = decode_digest(message.SerializeToString())
+        assert digest is not None
+        hosts = ("no such", "::1", "a\0b", own[0])
+
+        async def run() -> None:
+            exchange = _ScriptedExchange(digest, hosts)
+            gossip = Gossip(own, exchange, lambda: None)  # type: ignore[arg-type]
+            with anyio.fail_after(5):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(gossip.run)
+                    await exchange.received.wait()
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(run, backend_options=BACKEND_OPTIONS)
+
+
+def _find_free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        free.bind(("127.0.0.1", 0))
+        port: int = free.getsockname()[1]
+        return port
+
+
 class UnsoundDigestTest(unittest.TestCase):
     """Digests with numbers at the bounds of their format."""
 
