--- a/src/peridotbend/adapters/platform.py
+++ b/src/peridotbend/adapters/platform.py
@@ -8,6 +8,8 @@
 import httpcore
 from result import Err, Ok, Result
 
+from peridotbend.adapters.peerdigest import MAX_NAME_CHARS
+from peridotbend.adapters.peerwire import split_address
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.ports import (
     InstanceInfo,
@@ -27,6 +29,8 @@
 # window is reported as this number.
 MAX_RATE_CALLS = 4_096
 ABSENT_MIN_WAIT_MS = 1_000
+# A body with one of these does not end with its connection.
+_DELIMITERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class HttpPlatform:
@@ -64,7 +68,10 @@
     ) -> Result[str | None, PlatformError]:
         """Returns a text newer than the version, or None when the wait ends."""
         path = f"/v1/text?after={newer_than}&wait_ms={wait_ms}"
-        body = await self._get(path, wait_ms, MAX_TEXT_BYTES)
+        # A part of a text may be a valid text with fewer services.
+        body = await self._get(
+            path, wait_ms, MAX_TEXT_BYTES, must_be_delimited=True
+        )
         if isinstance(body, Err):
             return body
         if body.ok_value is None:
@@ -90,7 +97,11 @@
             return Err(PlatformError(f"malformed instance list: {error!r}"))
 
     async def _get(
-        self, path: str, wait_ms: int, max_bytes: int
+        self,
+        path: str,
+        wait_ms: int,
+        max_bytes: int,
+        must_be_delimited: bool = False,
     ) -> Result[bytes | None, PlatformError]:
         self._call_count += 1
         self._recent_calls_ms.append(self._clock.now_ms())
@@ -104,6 +115,9 @@
             async with self._pool.stream(
                 "GET", self._base_url + path, extensions={"timeout": timeouts}
             ) as response:
+                if must_be_delimited and not _is_delimited(response):
+                    problem = "the answer has neither a length nor chunks"
+                    return Err(PlatformError(problem))
                 return await _read_body(response, max_bytes)
         except (
             httpcore.NetworkError,
@@ -157,19 +171,26 @@
 def _split_address(value: object) -> tuple[str, int]:
     if value in (None, ""):
         return "", 0
-    host, _, port = _read_string(value).rpartition(":")
-    number = int(port)
-    if not host or not 0 < number < 65_536:
+    address = split_address(_read_string(value))
+    if address is None:
         raise ValueError(f"address {value!r} is not ip:port")
-    return host.strip("[]"), number
+    return address
 
 
 def _read_string(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not a string")
+    if len(value) > MAX_NAME_CHARS:
+        raise ValueError(f"{value[:60]!r}... is too long for a digest")
+    value.encode()  # Raises ValueError for half a character, as JSON may hold.
     return value
 
 
+def _is_delimited(response: httpcore.Response) -> bool:
+    names = {name.lower() for name, _ in response.headers}
+    return response.status != 200 or not names.isdisjoint(_DELIMITERS)
+
+
 async def _read_body(
     response: httpcore.Response, max_bytes: int
 ) -> Result[bytes | None, PlatformError]:
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -13,6 +13,7 @@
     Connection,
     ConnectionPool,
     Dialer,
+    DirectDialer,
     ForeignBytesError,
     PeerLostError,
     is_connection_refused,
@@ -33,6 +34,8 @@
 RESTART_MS = 50
 # What a target says of itself grows with the requests that it runs.
 MAX_QUESTION_BYTES = 262_144
+# Within this time the kernel has closed all sockets of a process that ended.
+LISTENER_CLOSE_S = 0.05
 # Trace event that httpcore emits immediately before it writes the first byte.
 REQUEST_WRITE_STARTED = "http11.send_request_headers.started"
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -51,9 +54,9 @@
 
 # The chunks tell the length; one that is named beside them is void.
 _DROPPED_WITH_CHUNKS = _HOP_BY_HOP | {"content-length"}
-_BODILESS_STATUSES = frozenset((204, 304))
 # A body with one of these does not end with its connection.
 _DELIMITERS = frozenset((b"content-length", b"transfer-encoding"))
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 _UNANSWERED = CallError(
@@ -93,9 +96,12 @@
         response: httpcore.Response,
         is_reused: bool,
         connected_at_ms: int = 0,
-        has_body: bool = True,
+        method: str = "GET",
     ):
         self._response = response
+        has_body = (
+            method != "HEAD" and response.status not in _STATUSES_WITHOUT_BODY
+        )
         names = {name.lower() for name, _ in response.headers}
         has_chunks = b"transfer-encoding" in names
         dropped = _DROPPED_WITH_CHUNKS if has_chunks else _HOP_BY_HOP
@@ -132,7 +138,8 @@
         clock: Clock | None = None,
     ) -> None:
         self._clock = clock or SystemClock()
-        self._pool = ConnectionPool(dialer, self._clock)
+        self._dialer = dialer or DirectDialer()
+        self._pool = ConnectionPool(self._dialer, self._clock)
         self._connect_timeout_s = connect_timeout_s
 
     async def aclose(self) -> None:
@@ -165,13 +172,7 @@
                 connected_at_ms = connection.connected_at_ms
                 yield opened.map(
                     lambda response: HttpAnswer(
-                        response,
-                        is_reused,
-                        connected_at_ms,
-                        has_body=(
-                            call.method != "HEAD"
-                            and response.status not in _BODILESS_STATUSES
-                        ),
+                        response, is_reused, connected_at_ms, call.method
                     )
                 )
             finally:
@@ -225,10 +226,7 @@
                 target,
             )
         except (httpcore.TimeoutException, httpcore.NetworkError) as error:
-            failure = CallFailure.CONNECT
-            if is_connection_refused(error):
-                failure = CallFailure.REFUSED
-            return Err(_make_error(failure, False, error))
+            return Err(_make_connect_error(error))
         return Ok(connection)
 
     async def _release(
@@ -291,6 +289,30 @@
         connection.is_reused = True
         return None
 
+    async def check_listening(self, target: Target) -> CallError | None:
+        """Connects to a target, and returns why that failed, if it did.
+
+        The kernel closes the connections of a dead process before or after
+        the socket on which it listened. A connection made in between is reset.
+        """
+        try:
+            stream = await self._dialer.connect(target, self._connect_timeout_s)
+        except (httpcore.TimeoutException, httpcore.NetworkError) as error:
+            return _make_connect_error(error)
+        try:
+            if await stream.read(1, LISTENER_CLOSE_S):
+                return None
+        except httpcore.ReadTimeout:
+            return None
+        except httpcore.NetworkError as error:
+            is_reset = not isinstance(error, PeerLostError)
+            failure = CallFailure.REFUSED if is_reset else CallFailure.CONNECT
+            return _make_error(failure, False, error)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await stream.aclose()
+        return CallError(CallFailure.CONNECT, False, "closed unused")
+
 
 async def _send(
     connection: httpcore.AsyncHTTP11Connection,
@@ -360,6 +382,12 @@
     )
 
 
+def _make_connect_error(error: Exception) -> CallError:
+    is_refused = is_connection_refused(error)
+    failure = CallFailure.REFUSED if is_refused else CallFailure.CONNECT
+    return _make_error(failure, False, error)
+
+
 def _make_error(
     failure: CallFailure, written: bool, error: Exception
 ) -> CallError:
--- a/src/peridotbend/domain/attempts.py
+++ b/src/peridotbend/domain/attempts.py
@@ -34,6 +34,8 @@
 CANCEL_TIMEOUT_MS = 500
 CAPACITY_RETRY_MS = 1_000
 MIN_ERROR_STATUS = 400
+# Failures that do not show that the target has died.
+_LIVING_FAILURES = frozenset((CallFailure.FOREIGN, CallFailure.UNCONFIRMED))
 
 
 class Attempt:
@@ -61,6 +63,13 @@
         self._outcome = GrantOutcome.NOT_WRITTEN
         self._has_crashed = False
         self._stream: EventStream | None = None
+        # The incarnation of the target that the request was sent to, or "".
+        self._incarnation = ""
+        # Whether the process that began the stream may have been replaced.
+        self._may_be_replaced = False
+        # When the connection last broke, and the dispatches until then.
+        self._broke_at_ms: int | None = None
+        self._dispatches_at_break = 0
 
     @property
     def trial_outcome(self) -> TrialOutcome:
@@ -121,6 +130,9 @@
         if not record.claim_dispatch(ports.clock.now_ms()):
             return False
         record.target = self._target.name
+        self._incarnation = ports.health.find_target_incarnation(
+            self._target.name
+        )
         self._in_flight.begin(
             self._target.name,
             record.log_key,
@@ -173,17 +185,34 @@
             is_ordered = answer.head.is_delimited
             failure = CallFailure.FOREIGN if is_ordered else CallFailure.BROKEN
             return CallError(failure, True, "end within the stream")
+        if not stream.shows_end(answer.head):
+            error = await self._check_end()
+            if error is not None:
+                return error
+            if stream.shows_cut(answer.head):
+                problem = "the answer is a part of a JSON value"
+                return CallError(CallFailure.UNCONFIRMED, True, problem)
         stream.finish()
         return None
 
+    async def _check_end(self) -> CallError | None:
+        """Returns an error unless the target lives after its answer's end."""
+        error = await self._ports.targets.check_listening(self._target)
+        if error is None:
+            return None
+        is_dead = error.failure is CallFailure.REFUSED
+        failure = CallFailure.BROKEN if is_dead else CallFailure.UNCONFIRMED
+        return CallError(failure, True, f"end of the answer; {error.detail}")
+
     async def _resume(
         self, stream: EventStream, call_error: CallError
     ) -> CallError | None:
-        """Resumes a broken stream on the same target.
+        """Resumes a broken stream at the process that began it.
 
         The engine keeps generating after a disconnect. Resuming only reads
         its output, so it is not a second dispatch.
         """
+        self._record_break()
         for delay_ms in RESUME_DELAYS_MS:
             is_too_large = call_error.failure is CallFailure.TOO_LARGE
             if is_too_large or not stream.is_after_numbered_event:
@@ -204,7 +233,7 @@
     async def _resume_once(
         self, stream: EventStream
     ) -> Result[CallError | None, None]:
-        """Returns Err if the target is unreachable or lacks the stream."""
+        """Returns Err unless the process that began the stream resumes it."""
         record = self._job.record
         call = TargetCall(
             "GET",
@@ -221,7 +250,30 @@
                 opened.ok_value.head
             ):
                 return Err(None)
-            return Ok(await self._relay(opened.ok_value, stream))
+            # A process that is still the same after its answer has begun has
+            # also given it. Another one may use the token for another stream.
+            if not await self._is_same_process():
+                return Err(None)
+            self._may_be_replaced = False
+            call_error = await self._relay(opened.ok_value, stream)
+            self._record_break()
+            return Ok(call_error)
+
+    def _record_break(self) -> None:
+        """Records that later requests may be sent to another process."""
+        self._may_be_replaced = True
+        self._broke_at_ms = self._ports.clock.now_ms()
+        self._dispatches_at_break = self._in_flight.dispatches
+
+    async def _is_same_process(self) -> bool:
+        """Tells whether the target is the process that got the request.
+
+        A target of unknown incarnation counts as the same.
+        """
+        if not self._incarnation:
+            return True
+        report = await self._ports.loads.read_report(self._target)
+        return report is not None and report.incarnation == self._incarnation
 
     async def _cancel_stream(self) -> None:
         """Tells the engine to stop generating an answer nobody can fetch.
@@ -231,6 +283,9 @@
         """
         if self._stream is None or not self._stream.can_resume:
             return
+        with anyio.CancelScope(shield=True):
+            if self._may_be_replaced and not await self._is_same_process():
+                return
         call = TargetCall(
             "DELETE",
             f"/v1/streams/{self._stream.stream_id}",
@@ -262,7 +317,7 @@
         if error.failure is CallFailure.TOO_LARGE:
             self._outcome = GrantOutcome.TIMED_OUT
             return MayHaveRun(Reason.ANSWER_TOO_LARGE)
-        if error.failure is CallFailure.FOREIGN or error.is_garbled:
+        if error.failure in _LIVING_FAILURES or error.is_garbled:
             self._record_foreign_answer(error)
         else:
             self._has_crashed = True
@@ -270,9 +325,9 @@
         return MayHaveRun(Reason.TARGET_FAILED)
 
     def _record_foreign_answer(self, error: CallError) -> None:
-        # The target lives, so its requests are no suspects.
+        # The target lives, or may live, so its requests are no suspects.
         ports, name = self._ports, self._target.name
-        ports.health.record_target_failure(name)
+        ports.health.record_target_failure(name, self._broke_at_ms)
         ports.log.emit(
             Event.TARGET_FAILED,
             target=name,
@@ -282,10 +337,14 @@
 
     def _record_crash(self, error: CallError) -> None:
         ports, name = self._ports, self._target.name
-        crash = self._in_flight.take_crashed(name, self._job.record.log_key)
+        if self._broke_at_ms is None:
+            self._record_break()
+        crash = self._in_flight.take_crashed(
+            name, self._job.record.log_key, self._dispatches_at_break
+        )
         if crash is None:
             return
-        ports.health.record_target_failure(name)
+        ports.health.record_target_failure(name, self._broke_at_ms)
         ports.suspects.record_crash(crash.fingerprints, crash.on_trial)
         ports.log.emit(
             Event.TARGET_FAILED,
--- a/src/peridotbend/domain/jobs.py
+++ b/src/peridotbend/domain/jobs.py
@@ -6,7 +6,13 @@
 import xxhash
 
 from peridotbend.domain.clock import Clock
-from peridotbend.domain.ports import EventLog, Meter, PeerClient, TargetClient
+from peridotbend.domain.ports import (
+    EventLog,
+    LoadReader,
+    Meter,
+    PeerClient,
+    TargetClient,
+)
 from peridotbend.domain.quarantine import SuspectTable
 from peridotbend.domain.records import CallerCall, RequestRecord, RequestTable
 from peridotbend.domain.retries import RetryBudget
@@ -18,14 +24,20 @@
 class TargetHealth(Protocol):
     """Tracks from the results of calls which targets are alive."""
 
-    def record_target_failure(self, name: str) -> None:
-        """Records that a connection to the target failed."""
+    def record_target_failure(
+        self, name: str, seen_at_ms: int | None = None
+    ) -> None:
+        """Records that a connection to the target failed, by default now."""
         ...
 
     def record_target_success(self, name: str) -> None:
         """Records that the target answered."""
         ...
 
+    def find_target_incarnation(self, name: str) -> str:
+        """Returns the last known incarnation of a target, or ""."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatchPorts:
@@ -35,6 +47,7 @@
     table: RequestTable
     scheduler: Scheduler
     targets: TargetClient
+    loads: LoadReader
     health: TargetHealth
     suspects: SuspectTable
     peers: PeerClient
--- a/src/peridotbend/domain/membership.py
+++ b/src/peridotbend/domain/membership.py
@@ -72,11 +72,17 @@
 
     def record_target_incarnation(self, name: str, incarnation: str) -> None:
         """Records the incarnation that a target itself reported."""
-        self.targets.record_incarnation(name, incarnation)
+        self.targets.record_report(name, incarnation)
 
-    def record_target_failure(self, name: str) -> None:
+    def find_target_incarnation(self, name: str) -> str:
+        """Returns the last known incarnation of a target, or ""."""
+        return self.targets.find_incarnation(name)
+
+    def record_target_failure(
+        self, name: str, seen_at_ms: int | None = None
+    ) -> None:
         """Takes a target out of use that failed for this process."""
-        self.targets.record_failure(name)
+        self.targets.record_failure(name, seen_at_ms)
 
     def record_target_success(self, name: str) -> None:
         """Ends the backoff of a target that has answered."""
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -56,8 +56,8 @@
 
     status: int
     headers: Headers
-    # Whether the body has a length or chunks. If not, it ends with its
-    # connection, also when the target crashes.
+    # Whether the body has a length or chunks, or there is none. If not, it
+    # ends with its connection, also when the target crashes.
     is_delimited: bool = True
     # Whether its connection had carried an earlier call.
     is_reused_connection: bool = False
@@ -85,7 +85,7 @@
     BROKEN = "broken"
     # The answer holds what no run of the request gives.
     FOREIGN = "foreign"
-    # The answer says that a stream has ended, and nothing else does.
+    # The answer has ended, and nothing shows that it is whole.
     UNCONFIRMED = "unconfirmed"
     TIMEOUT = "timeout"
     TOO_LARGE = "too-large"
@@ -131,6 +131,10 @@
         """
         ...
 
+    async def check_listening(self, target: Target) -> CallError | None:
+        """Connects to a target, and returns why that failed, if it did."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerCall:
@@ -294,6 +298,14 @@
     incarnation: str
 
 
+class LoadReader(Protocol):
+    """Asks runners for their load."""
+
+    async def read_report(self, target: Target) -> LoadReport | None:
+        """Returns what a runner reports now, or None without a valid report."""
+        ...
+
+
 class InstanceRole(enum.StrEnum):
     """Role of an instance in the platform's list."""
 
--- a/src/peridotbend/domain/targetstates.py
+++ b/src/peridotbend/domain/targetstates.py
@@ -32,12 +32,17 @@
         self._log = log
         self._incarnations: dict[str, str] = {}
         self._replaced: dict[str, deque[str]] = {}
+        # What targets said of themselves last: the incarnation, and the number
+        # of the next leaving mark at that time.
+        self._reported: dict[str, tuple[str, int]] = {}
         # Sequence number of each mark, in the order in which the marks became
         # known; the links to peers depend on this order.
         self._leaving: dict[LeavingMark, int] = {}
         self._leaving_by_name: dict[str, int] = {}
         self._next_mark_number = 0
         self._failures: dict[str, _Failure] = {}
+        # When each target last answered, or was seen to be replaced.
+        self._alive_at_ms: dict[str, int] = {}
 
     def record_incarnation(self, name: str, incarnation: str) -> None:
         """Records the incarnation of a target, unless it was replaced before.
@@ -58,7 +63,24 @@
             )
             old.append(known)
             # The failures belong to the replaced incarnation.
-            self._failures.pop(name, None)
+            self.record_success(name)
+
+    def record_report(self, name: str, incarnation: str) -> None:
+        """Records the incarnation that a target itself reported.
+
+        Unlike lists and marks, it is never out of date.
+        """
+        if name not in self._reported and len(self._reported) >= MAX_TARGETS:
+            return
+        self._reported[name] = incarnation, self._next_mark_number
+        replaced = self._replaced.get(name)
+        if replaced is not None and incarnation in replaced:
+            replaced.remove(incarnation)
+        self.record_incarnation(name, incarnation)
+
+    def find_incarnation(self, name: str) -> str:
+        """Returns the last known incarnation of a target, or ""."""
+        return self._incarnations.get(name, "")
 
     def mark_leaving(self, name: str, incarnation: str) -> bool:
         """Marks an incarnation as leaving; returns True if the mark is new."""
@@ -84,17 +106,33 @@
     def list_marks_from(
         self, cursor: int, limit: int
     ) -> tuple[list[LeavingMark], int]:
-        """Returns up to `limit` marks from `cursor` on, and the next cursor."""
+        """Returns up to `limit` marks from `cursor` on, and the next cursor.
+
+        Omits marks of processes that have ended: an instance that started
+        since then would take such a mark for the newest incarnation.
+        """
         if cursor >= self._next_mark_number:
             return [], cursor
-        marks = [m for m, at in self._leaving.items() if at >= cursor][:limit]
+        marks = [
+            mark
+            for mark, number in self._leaving.items()
+            if number >= cursor and not self._has_ended(mark, number)
+        ][:limit]
         if not marks:
             return [], self._next_mark_number
         return marks, self._leaving[marks[-1]] + 1
 
-    def record_failure(self, name: str) -> None:
-        """Excludes a target for a backoff that doubles with each failure."""
+    def record_failure(self, name: str, seen_at_ms: int | None = None) -> None:
+        """Excludes a target for a backoff that doubles with each failure.
+
+        A failure seen before the target last answered is ignored.
+        """
         now = self._clock.now_ms()
+        if (
+            seen_at_ms is not None
+            and self._alive_at_ms.get(name, seen_at_ms) > seen_at_ms
+        ):
+            return
         failure = self._failures.get(name)
         # Requests in flight fail together and count as one failure.
         if failure is not None and now < failure.until_ms:
@@ -109,6 +147,9 @@
     def record_success(self, name: str) -> None:
         """Clears the failures of a target that works."""
         self._failures.pop(name, None)
+        if len(self._alive_at_ms) >= MAX_TARGETS:
+            self._alive_at_ms.pop(next(iter(self._alive_at_ms)))
+        self._alive_at_ms[name] = self._clock.now_ms()
 
     def is_available(self, name: str) -> bool:
         """Tells whether a target may get new work."""
@@ -134,6 +175,14 @@
             },
         }
 
+    def _has_ended(self, mark: LeavingMark, number: int) -> bool:
+        """Tells whether a later report of the target names another process."""
+        name, incarnation = mark
+        reported = self._reported.get(name)
+        if reported is None:
+            return False
+        return reported[0] != incarnation and number < reported[1]
+
     def _forget_oldest_mark(self) -> None:
         oldest = next(iter(self._leaving))
         del self._leaving[oldest]
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,8 +1,16 @@
 """Tests of answers that no run of a request gives."""
 
-from peridotbend.domain.ports import AnswerHead, SuspectState
+from unittest import mock
+
+from peridotbend.domain.ports import (
+    AnswerHead,
+    CallError,
+    CallFailure,
+    Headers,
+    SuspectState,
+)
 from peridotbend.domain.verdicts import Reason
-from tests.faketargets import ScriptedAnswer
+from tests.faketargets import FakeTarget, FakeTargetClient, ScriptedAnswer
 from tests.fleettest import FleetTest, get_verdict
 from tests.oracle import Caller
 
@@ -174,6 +182,139 @@
                 self.end_trouble()
 
 
+class UndelimitedAnswerTest(FleetTest):
+    """Answers with neither a length nor chunks.
+
+    Their end is that of their connection, which a dying process also closes.
+    """
+
+    TEXT = (("content-type", "text/plain"),)
+
+    def answer(self, headers: Headers, *chunks: bytes, dies: bool) -> Caller:
+        """Sends a request that an application answers with these chunks."""
+        head = AnswerHead(200, headers, is_delimited=False)
+        whole = None if dies else b"".join(chunks)
+        answer = ScriptedAnswer(head, chunks, dies=dies, whole=whole)
+        self.script(answer, service="o")
+        caller = self.send(
+            self.a1, "status", uid=f"u{self.world.clock.now_ms()}"
+        )
+        for target in self.world.targets.values():
+            if not target.up:
+                target.restart()
+        self.end_trouble()
+        return caller
+
+    def test_answer_of_a_target_that_died_is_not_whole(self) -> None:
+        """Guards against a part of an answer that counts as its whole."""
+        for headers, chunks in (
+            (self.TEXT, (b"order 12 of ",)),
+            (self.TEXT, ()),
+            ((), (b"x",)),
+            (JSON, (b'{"order": ',)),
+            (JSON, ()),
+            (EVENTS, make_events(1, 3)),
+            (EVENTS, ()),
+        ):
+            with self.subTest(headers=headers, chunks=chunks):
+                caller = self.answer(headers, *chunks, dies=True)
+                assert get_verdict(caller) == FAILED
+
+    def test_kept_answer_of_a_target_that_died_is_not_whole(self) -> None:
+        """Guards against a part that a fetch through a peer takes for all."""
+        caller = self.answer(self.TEXT, b"order 12 of ", dies=True)
+        for node in (self.a1, self.a2):
+            assert get_verdict(self.fetch(node, caller.token)) == FAILED
+
+    def test_request_that_kills_its_target_in_order_is_suspected(self) -> None:
+        """Guards against a killer that is cleared by its part of an answer."""
+        self.answer(self.TEXT, b"order 12 of ", dies=True)
+        states = [entry.state for entry in self.a1.suspects.export(9)]
+        assert states == [SuspectState.SUSPECT]
+
+    def test_answer_of_a_target_that_lives_is_whole(self) -> None:
+        """Guards against the loss of answers of sound applications."""
+        for headers, chunks in (
+            (self.TEXT, (b"order 12 ", b"done")),
+            (self.TEXT, ()),
+            (EVENTS, make_events(1, 3)),
+        ):
+            with self.subTest(headers=headers, chunks=chunks):
+                caller = self.answer(headers, *chunks, dies=False)
+                assert get_verdict(caller) == ("completed", None)
+                assert caller.data == b"".join(chunks)
+
+    def test_json_and_closing_events_show_their_end(self) -> None:
+        """Guards against a check of what the answer itself tells."""
+        coded = (*JSON, ("content-encoding", "gzip"))
+        problem = (("Content-Type", "Application/Problem+JSON; charset=utf-8"),)
+        for headers, chunks, checks in (
+            (JSON, (b'{"order": ', b'"1"}\n'), 0),
+            (problem, (b"[]",), 0),
+            (EVENTS, (*make_events(1, 3), DONE), 0),
+            (JSON, (b"12",), 1),
+            (coded, (b"{}",), 1),
+        ):
+            with self.subTest(headers=headers, chunks=chunks):
+                before = self.world.counts["checks"]
+                caller = self.answer(headers, *chunks, dies=False)
+                assert get_verdict(caller) == ("completed", None)
+                assert self.world.counts["checks"] - before == checks
+
+    def test_part_of_a_json_answer_is_not_whole(self) -> None:
+        """Guards against "completed" while another process listens already.
+
+        Only the answer tells that its process is gone. It may as well be a
+        target that sends invalid JSON, so no request is suspected.
+        """
+        for part in (b"", b"[1, 2", b'{"a": {}', b'"text'):
+            with self.subTest(part=part):
+                caller = self.answer(JSON, part, dies=False)
+                assert get_verdict(caller) == FAILED
+                assert not self.a1.suspects.export(9)
+
+    def test_process_that_is_replaced_at_once_seems_to_live(self) -> None:
+        """Guards against a promise of more than the end of a body shows.
+
+        Neither the text nor its connection tells that another process, or
+        one that shares the socket, accepts the next connection.
+        """
+        restarts: list[str] = []
+
+        def restart(target: FakeTarget) -> None:
+            target.incarnation += 1
+            restarts.append(target.name)
+
+        with mock.patch.object(FakeTarget, "stop", restart):
+            head = AnswerHead(200, self.TEXT, is_delimited=False)
+            answer = ScriptedAnswer(head, (b"x",), dies=True, whole=b"x")
+            self.script(answer, service="o")
+            caller = self.send(self.a1, "status")
+        assert len(restarts) == 1
+        assert get_verdict(caller) == ("completed", None)
+
+    def test_answers_that_show_their_end_are_not_checked(self) -> None:
+        """Guards against connections for sound answers."""
+        for kind, service in (("status", "o"), ("quote", "m")):
+            whole = b"".join((*make_events(1, 2), DONE))
+            head = AnswerHead(200, EVENTS if service == "m" else self.TEXT)
+            self.script(ScriptedAnswer(head, (whole,), whole=whole))
+            assert get_verdict(self.send(self.a1, kind)) == ("completed", None)
+            self.end_trouble()
+        assert self.world.counts["checks"] == 0
+
+    def test_end_that_nothing_shows_accuses_no_request(self) -> None:
+        """Guards against a suspect while the target cannot be reached."""
+
+        async def time_out(*_: object) -> CallError:
+            return CallError(CallFailure.CONNECT, False, "timeout")
+
+        with mock.patch.object(FakeTargetClient, "check_listening", time_out):
+            caller = self.answer(self.TEXT, b"x", dies=True)
+        assert get_verdict(caller) == FAILED
+        assert not self.a1.suspects.export(9)
+
+
 class ResumedStreamTest(FleetTest):
     """Answers to a call that resumes a stream after its third event."""
 
@@ -269,6 +410,74 @@
         return caller
 
 
+class ReplacedEngineTest(FleetTest):
+    """Streams of an engine that another process replaces under its name.
+
+    The instance list does not tell of it yet, and the new process has a
+    stream of another request with the same token.
+    """
+
+    def break_stream(self) -> tuple[Caller, FakeTarget]:
+        """Returns a caller whose stream has broken with its engine."""
+        head = AnswerHead(200, STREAM)
+        first = ScriptedAnswer(head, make_events(1, 3), breaks=True, dies=True)
+        self.script(first)
+        caller = self.send(self.a1, ms=1)
+        engines = [t for n, t in self.world.targets.items() if n[0] == "m"]
+        while all(engine.up for engine in engines):
+            self.run_for(5)
+        return caller, next(e for e in engines if not e.up)
+
+    def test_stream_of_another_process_is_not_joined(self) -> None:
+        """Guards against an answer with the events of another request."""
+        caller, engine = self.break_stream()
+        engine.restart()
+        rest = (*make_events(4, 5), DONE)
+        self.script(*[ScriptedAnswer(AnswerHead(200, STREAM), rest)] * 3)
+        self.run_for(3_000)
+        assert caller.data == b"".join(make_events(1, 3))
+        assert get_verdict(caller) == FAILED
+        assert self.world.counts["stream-resumed"] == 0
+
+    def test_stream_of_another_process_is_not_cancelled(self) -> None:
+        """Guards against the end of another caller's stream."""
+        for is_replaced in (True, False):
+            with self.subTest(is_replaced=is_replaced):
+                caller, engine = self.break_stream()
+                if is_replaced:
+                    engine.restart()
+                else:
+                    engine.up = True
+                record = self.a1.records.find(caller.token)
+                assert record is not None and record.cancel_scope is not None
+                cancel = record.cancel_scope.cancel
+                self.world.loop.call_later_detached(1, cancel)
+                self.run_for(500)
+                assert bool(engine.cancelled) == (not is_replaced)
+                engine.restart()
+                self.world.platform.revision += 1
+                self.end_trouble()
+
+    def test_unknown_process_is_told_by_the_token_alone(self) -> None:
+        """Guards against the loss of streams of engines without a name."""
+        with mock.patch.object(
+            self.a1.roster.targets, "find_incarnation", lambda _: ""
+        ):
+            caller, engine = self.break_stream()
+            engine.restart()
+            rest = (*make_events(4, 5), DONE)
+            self.script(ScriptedAnswer(AnswerHead(200, STREAM), rest))
+            self.world.answers[caller.token] = WHOLE
+            self.run_for(3_000)
+        assert caller.data == WHOLE
+        assert get_verdict(caller) == ("completed", None)
+
+    def test_sound_streams_ask_nothing(self) -> None:
+        """Guards against calls for streams that do not break."""
+        assert get_verdict(self.send(self.a1)) == ("completed", None)
+        assert self.world.counts["load calls"] == 0
+
+
 class ForeignBytesTest(FleetTest):
     """Bytes between the events of a stream that are no events."""
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -111,6 +111,30 @@
         assert found.incarnation == 2
         assert not self.roster.is_live("e1")
 
+    def test_resumed_process_does_not_replace_its_successor(self) -> None:
+        """Guards against a live peer that a new instance never asks.
+
+        The new instance has not seen that the successor replaced it.
+        """
+        self.roster.record_heartbeat(make_peer("e1", 2))
+        assert not self.roster.record_heartbeat(make_peer("e1", 1, 900))
+        self.roster.record_member(make_peer("e1", 1, 901), 0)
+        assert self.roster.record_heartbeat(make_peer("e1", 2, 2))
+        found = self.roster.find_peer("e1")
+        assert found is not None
+        assert found.incarnation == 2
+        assert self.log.count(Event.PEER_LOST) == 0
+
+    def test_start_of_a_clock_set_back_counts_after_silence(self) -> None:
+        """Guards against a restarted peer that is never seen again."""
+        self.roster.record_heartbeat(make_peer("e1", 2))
+        self.clock.advance(PEER_TIMEOUT_MS)
+        assert self.roster.record_heartbeat(make_peer("e1", 1))
+        assert self.roster.is_live("e1")
+        # The later one had only been silent.
+        assert self.roster.record_heartbeat(make_peer("e1", 2, 2))
+        assert not self.roster.record_heartbeat(make_peer("e1", 1, 3))
+
     def test_older_news_of_unknown_incarnation_is_ignored(self) -> None:
         """Guards against a delayed membership sample of an ended process."""
         self.receive_heartbeats("e1")
@@ -159,6 +183,41 @@
         self.roster.apply_list([make_target_entry("t1", "i1", False)])
         assert not self.roster.is_available(make_target("t1"))
 
+    def test_mark_of_an_earlier_process_does_not_last(self) -> None:
+        """Guards against a target that a new instance never uses.
+
+        A mark may be older than the process that the target itself names.
+        """
+        target = make_target("t1")
+        self.roster.apply_list([make_target_entry("t1", "i2", False)])
+        self.roster.record_target_incarnation("t1", "i2")
+        self.roster.mark_leaving([("t1", "i1")])
+        self.roster.record_target_incarnation("t1", "i2")
+        assert self.roster.is_available(target)
+        self.roster.mark_leaving([("t1", "i2")])
+        assert not self.roster.is_available(target)
+
+    def test_mark_of_an_earlier_process_is_not_passed_on(self) -> None:
+        """Guards against old marks that new instances take for news."""
+        targets = self.roster.targets
+        self.roster.mark_leaving([("t1", "i1"), ("t2", "i1")])
+        self.roster.record_target_incarnation("t1", "i2")
+        assert targets.list_marks_from(0, 9)[0] == [("t2", "i1")]
+        self.roster.mark_leaving([("t1", "i2")])
+        marks = targets.list_marks_from(0, 9)[0]
+        assert marks == [("t2", "i1"), ("t1", "i2")]
+        assert self.roster.is_leaving("t1", "i1")
+
+    def test_mark_that_follows_a_report_is_passed_on(self) -> None:
+        """Guards against the loss of a mark that may be the newest.
+
+        The target has not named the marked process yet.
+        """
+        self.roster.record_target_incarnation("t1", "i1")
+        self.roster.mark_leaving([("t1", "i2")])
+        assert not self.roster.is_available(make_target("t1"))
+        assert self.roster.targets.list_marks_from(0, 9)[0] == [("t1", "i2")]
+
     def test_news_is_urgent_and_given_once(self) -> None:
         """Guards against marks that are delayed or repeated in every digest."""
         calls: list[int] = []
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from peridotbend.adapters import platform as platform_module
+from peridotbend.adapters.peerdigest import MAX_NAME_CHARS
 from peridotbend.adapters.platform import HttpPlatform
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import InstanceRole
@@ -28,6 +29,8 @@
     "peer_address": "127.0.0.1:82",
     "state": "live",
 }
+# Python encodes the first ones for a lookup, which raises UnicodeError.
+BAD_HOSTS = ("a..b", "x" * 64, "a\0b", "localhost", "1.2.3", "1.2.3.4.5", "")
 
 
 class HttpPlatformTest(unittest.IsolatedAsyncioTestCase):
@@ -37,6 +40,7 @@
         """Starts a server that gives the same answer to every call."""
         self.status = 200
         self.body = b""
+        self.has_length = True
         self.paths: list[str] = []
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
@@ -101,11 +105,55 @@
         self.body = b"\xff\xfe"
         assert isinstance(await self.reader.watch_config(0, 0), Err)
 
+    async def test_names_that_peers_cannot_be_told_are_errors(self) -> None:
+        """Guards against an entry that ends a process or its links to peers.
+
+        Digests name targets that leave.
+        """
+        for field in ("name", "zone", "incarnation"):
+            for value in ("\ud800", "x" * (MAX_NAME_CHARS + 1)):
+                with self.subTest(field=field, value=value[:9]):
+                    self.body = _encode_list([TARGET_ENTRY | {field: value}])
+                    answer = await self.reader.watch_instances(0, 0)
+                    assert isinstance(answer, Err)
+        name = "x" * MAX_NAME_CHARS
+        self.body = _encode_list([TARGET_ENTRY | {"name": name}])
+        assert isinstance(await self.reader.watch_instances(0, 0), Ok)
+
+    async def test_addresses_that_are_none_are_errors(self) -> None:
+        """Guards against an entry that ends a process when it connects."""
+        for host in BAD_HOSTS:
+            for field in ("address", "peer_address"):
+                with self.subTest(host=host, field=field):
+                    entry = INSTANCE_ENTRY | {field: f"{host}:80"}
+                    self.body = _encode_list([entry])
+                    answer = await self.reader.watch_instances(0, 0)
+                    assert isinstance(answer, Err)
+
     async def test_size_is_bounded(self) -> None:
         """Guards against an answer so large that it exhausts memory."""
         self.body = b"x" * (platform_module.MAX_TEXT_BYTES + 1)
         assert isinstance(await self.reader.watch_config(0, 0), Err)
 
+    async def test_part_of_a_text_is_not_read(self) -> None:
+        """Guards against a text that lost its end with the platform.
+
+        A part of a text may be valid, and would stay in force as its version.
+        """
+        self.has_length = False
+        self.body = b"version: 7\n"
+        assert isinstance(await self.reader.watch_config(6, 0), Err)
+
+    async def test_list_without_a_length_shows_its_own_end(self) -> None:
+        """Guards against a part of the list, and the loss of a whole one."""
+        self.has_length = False
+        self.body = _encode_list([TARGET_ENTRY, INSTANCE_ENTRY])
+        assert isinstance(await self.reader.watch_instances(0, 0), Ok)
+        whole = self.body
+        for end in range(0, len(whole), 7):
+            self.body = whole[:end]
+            assert isinstance(await self.reader.watch_instances(0, 0), Err)
+
     async def test_calls_are_counted(self) -> None:
         """Guards against a wrong call rate in the status."""
         self.status = 304
@@ -122,8 +170,9 @@
         head = await reader.readuntil(b"\r\n\r\n")
         self.paths.append(head.split()[1].decode())
         length = 0 if self.status == 304 else len(self.body)
+        framing = f"Content-Length: {length}\r\n" if self.has_length else ""
         writer.write(
-            f"HTTP/1.1 {self.status} X\r\nContent-Length: {length}\r\n"
+            f"HTTP/1.1 {self.status} X\r\n{framing}"
             "Connection: close\r\n\r\n".encode()
         )
         writer.write(self.body[:length])
