Bound chunk extensions and trailers of callers

Cause: the limit on headers ended with the head of a request. uvicorn appends trailers to the headers, so that a caller filled the memory with them, and a trailer replaced the header of its name: a request ran under the attempt ID of its trailer. Chunk extensions and leading zeros of a chunk size were read for as long as they came.

Change: trailers are dropped.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -17,6 +17,8 @@
 MAX_REFUSED_CONNECTIONS = 256
 # File descriptors reserved for peers, targets and the platform.
 RESERVED_FILES = 256
+# More than the size line of a chunk and the end of its data take.
+CHUNK_FRAMING_BYTES = 24
 # Time for a caller to read an error response before the connection is closed.
 LINGERING_CLOSE_S = 1.0
 # For calls whose headers were not read completely and may contain an ID.
@@ -75,6 +77,8 @@
         self._reading_headers = False
         # Header bytes in reads after the one in which the headers started.
         self._header_bytes = 0
+        # Bytes of the current body that are neither data nor chunk sizes.
+        self._framing_bytes = 0
         # True once an error response was sent; further input is discarded.
         self._refused = False
         self._header_timer: asyncio.TimerHandle | None = None
@@ -108,12 +112,18 @@
             return
         messages_before = self._messages_started if self._reading_headers else 0
         self._last_read = data
+        self._framing_bytes += len(data)
         super().data_received(data)
         self._last_read = b""
-        if self._reading_headers and messages_before == self._messages_started:
+        self._framing_bytes = max(0, self._framing_bytes)
+        is_same_head = messages_before == self._messages_started
+        if self._is_reading_body():
+            if self._framing_bytes > self._limits.max_header_bytes:
+                self._refuse_too_large("chunk extensions and trailers")
+        elif self._reading_headers and is_same_head:
             self._header_bytes += len(data)
             if self._header_bytes > self._limits.max_header_bytes:
-                self._refuse_headers()
+                self._refuse_too_large("headers")
         elif not self._is_serving_request():
             # Bytes that start no request, such as empty lines, start the timer
             # as well.
@@ -127,12 +137,30 @@
         self._header_bytes = 0
         self._start_header_timer()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes over a header, but no trailer.
+
+        uvicorn appends trailers to the headers, without a limit.
+        """
+        if self._reading_headers:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Starts the request."""
         self._reading_headers = False
+        self._framing_bytes = 0
         self._stop_header_timer()
         super().on_headers_complete()
 
+    def on_chunk_header(self) -> None:
+        """Allows for the framing of one chunk."""
+        self._framing_bytes -= CHUNK_FRAMING_BYTES
+
+    def on_body(self, body: bytes) -> None:
+        """Takes over a part of the body."""
+        self._framing_bytes -= len(body)
+        super().on_body(body)
+
     def on_response_complete(self) -> None:
         """Continues with the next request.
 
@@ -172,12 +200,12 @@
             message += EARLIER_CALL_NOTE
         self._refuse(400, verdict, message)
 
-    def _refuse_headers(self) -> None:
+    def _refuse_too_large(self, part: str) -> None:
         limit = self._limits.max_header_bytes
         self._refuse(
             431,
             MayHaveRun(Reason.TOO_LARGE),
-            f"The headers are larger than {limit} bytes; send fewer."
+            f"The {part} are larger than {limit} bytes; send fewer."
             + EARLIER_CALL_NOTE,
         )
 
@@ -205,6 +233,11 @@
             return MayHaveRun(reason)
         return NotRun(reason)
 
+    def _is_reading_body(self) -> bool:
+        if self._reading_headers or not self._is_serving_request():
+            return False
+        return bool(self.cycle.more_body)
+
     def _is_serving_request(self) -> bool:
         cycle = self.cycle
         return cycle is not None and not cycle.response_complete
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -131,6 +131,11 @@
                 f" its output: {child.output}"
             )
 
+    def kill_all(self) -> None:
+        """Ends all daemons without a planned stop, which takes seconds."""
+        for child in self._children.values():
+            child.kill()
+
     async def connect(
         self, host: str
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -28,6 +28,8 @@
     "test_edge_failures",
     "test_edge_trouble",
     "test_edge_heads",
+    "test_endless_processes",
+    "test_stories",
 )
 
 
@@ -787,6 +789,31 @@
         "is_broken = True",
         ("test_edge_answers",),
     ),
+    Mutant(
+        "trailers-kept",
+        "MIXED",
+        "src/peridotbend/adapters/boundedconnections.py",
+        "        if self._reading_headers:\n"
+        "            super().on_header(name, value)\n",
+        "        super().on_header(name, value)\n",
+        ("test_endless_processes.EndlessCallerTest",),
+    ),
+    Mutant(
+        "chunk-extensions-without-a-bound",
+        "LOST",
+        "src/peridotbend/adapters/boundedconnections.py",
+        "if self._framing_bytes > self._limits.max_header_bytes:",
+        "if False:",
+        ("test_endless_processes.EndlessCallerTest",),
+    ),
+    Mutant(
+        "store-answer-without-a-bound",
+        "LOST",
+        "src/peridotbend/platform/store.py",
+        "if len(body) > MAX_ANSWER_BYTES:",
+        "if False:",
+        ("test_endless_processes.EndlessStoreTest",),
+    ),
     Mutant(
         "refusal-of-no-attempt",
         "REFUSED",
@@ -803,7 +830,9 @@
 
 def _run_tests(copy: pathlib.Path, tests: tuple[str, ...]) -> str | None:
     """Returns the tests that fail in a copy of the tree, or None."""
-    starts_processes = any(name in PROCESS_TESTS for name in tests)
+    starts_processes = any(
+        name.partition(".")[0] in PROCESS_TESTS for name in tests
+    )
     with _process_tests_lock if starts_processes else contextlib.nullcontext():
         result = subprocess.run(
             [sys.executable, "-m", "nose2", "-s", "tests", *tests],
