Refuse pages of the store with odd revisions or values

Cause: a value that is no ASCII raised a ValueError that no one expected, and a revision beyond 64 bits failed when the next digest was packed. Both ended the process.

Change: a page with a revision outside of 64 bits, or with a value that cannot be decoded, is a bad answer, as other damaged pages are.

Measured: MalformedMessageTest.test_pages_of_the_store fails before (the process exits with code 1) and passes after; the tests of test_edge_clients pass.

--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -1,12 +1,11 @@
 """Client of the platform's store."""
 
 import base64
-import binascii
 import dataclasses
 import json
 import urllib.parse
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeGuard
 
 import anyio
 from result import Err, Ok, Result
@@ -29,8 +28,9 @@
 # A page contains about 1 MB of values, and base64 adds a third.
 MAX_ANSWER_BYTES = 4 * 1_048_576
 MAX_PAGES = 10_000
-# Fits into the 64 bits that peers exchange.
+# Both fit into the 64 bits that peers exchange.
 MAX_ERA_DIGITS = 18
+MAX_REVISION = 2**63 - 1
 _BUSY_STATUSES = frozenset((429, 503))
 
 
@@ -183,13 +183,13 @@
         """Returns the items of a page and the position of the store."""
         entries = answer.body.get(name)
         revision = answer.body.get("store_revision")
-        if not isinstance(entries, list) or not isinstance(revision, int):
+        if not isinstance(entries, list) or not _is_revision(revision):
             return _make_bad_answer_error(
                 f"{name} or store_revision is missing or invalid"
             )
         try:
             items = [self._decode_item(entry, answer.era) for entry in entries]
-        except (KeyError, TypeError, binascii.Error) as error:
+        except (KeyError, TypeError, ValueError) as error:
             return _make_bad_answer_error(
                 f"invalid entry: {type(error).__name__} {error}"
             )
@@ -197,8 +197,8 @@
 
     def _decode_item(self, entry: dict[str, Any], era: int) -> Item:
         key, revision = entry["key"], entry["revision"]
-        if not isinstance(key, str) or not isinstance(revision, int):
-            raise TypeError("key or revision has the wrong type")
+        if not isinstance(key, str) or not _is_revision(revision):
+            raise TypeError("key or revision is invalid")
         if not is_encodable(key):
             # Names no target, but peers are told of it like of any other key.
             key = key.encode(errors="backslashreplace").decode()
@@ -209,6 +209,10 @@
         return Item(key, position, value, self._read_order(value))
 
 
+def _is_revision(value: object) -> TypeGuard[int]:
+    return isinstance(value, int) and 0 <= value <= MAX_REVISION
+
+
 def _parse_era(head: AnswerHead) -> int | None:
     """Returns the era of an answer, 0 if it names none; None if invalid."""
     text = find_header(head, wire.STORE_ERA).strip()
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -220,6 +220,16 @@
             tasks.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def serve_app(app: object) -> AsyncIterator[str]:
+    """Runs another fake; yields its address."""
+    listener = listen("127.0.0.1", 0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(HttpServer(app, listener).run)
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+        tasks.cancel_scope.cancel()
+
+
 def run_with_fleet(check: Callable[[EdgeFleet], Awaitable[None]]) -> None:
     """Runs a check with a fleet, and stops its daemons and fakes afterwards."""
 
@@ -244,3 +254,10 @@
                     assert json.loads(line)["event"] == event
                     return
             await anyio.sleep(0.02)
+
+
+async def wait_for_version(child: Child, version: int) -> None:
+    """Waits until a daemon has applied a version of the configuration."""
+    with anyio.fail_after(WAIT_TIMEOUT_S):
+        while f'"version": {version}' not in child.output:
+            await anyio.sleep(0.02)
--- a/tests/test_edge_failures.py
+++ b/tests/test_edge_failures.py
@@ -11,7 +11,6 @@
 from anyio.abc import SocketStream
 
 from peridotbend.platform import wire
-from peridotbend_emulator.launch import Child
 from tests.edgefleet import (
     CONFIG,
     HOSTS,
@@ -19,6 +18,7 @@
     EdgeFleet,
     run_with_fleet,
     wait_for_event,
+    wait_for_version,
 )
 
 RECEIVE_PERIOD_S = 0.3
@@ -209,7 +209,7 @@
                     "op/config",
                     {**CONFIG, "version": 9, "routes": [CONFIG["routes"][1]]},
                 )
-                await _wait_for_version(child, 9)
+                await wait_for_version(child, 9)
                 answer = await fleet.call(HOSTS[0], "/quotes/1", "a2")
                 assert answer.status == 404
                 body = await response.aread()
@@ -232,7 +232,7 @@
                 fleet.store.put(
                     "op/config", {**CONFIG, "version": 9, "tenants": accounts}
                 )
-                await _wait_for_version(child, 9)
+                await wait_for_version(child, 9)
                 await stream.send(_make_request("a2", length))
                 assert b" 401 " in await _receive_answer(stream)
             assert fleet.target.started_attempts == ["a1"]
@@ -247,10 +247,3 @@
         while True:
             received += await stream.receive()
     return received
-
-
-async def _wait_for_version(child: Child, version: int) -> None:
-    """Waits until a daemon has applied a version of the configuration."""
-    with anyio.fail_after(WAIT_TIMEOUT_S):
-        while f'"version": {version}' not in child.output:
-            await anyio.sleep(0.02)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -30,6 +30,7 @@
     "test_edge_heads",
     "test_endless_processes",
     "test_stories",
+    "test_stories_processes",
 )
 
 
@@ -814,6 +815,14 @@
         "if False:",
         ("test_endless_processes.EndlessStoreTest",),
     ),
+    Mutant(
+        "revision-of-any-size",
+        "Fault",
+        "src/peridotbend/platform/store.py",
+        "isinstance(value, int) and 0 <= value <= MAX_REVISION",
+        "isinstance(value, int)",
+        ("test_stories_processes.MalformedMessageTest",),
+    ),
     Mutant(
         "refusal-of-no-attempt",
         "REFUSED",
