Let no value of a digest end the process

Cause: a digest may name a host that is no address, and so may a seed in the settings: uvloop raised a ValueError when the next datagram was sent there. Ages and counts near 2^32 no longer fitted once they had grown or been added, and sums of amounts near 1e308 became infinite: callers got a 500.

Change: hosts that are no address are dropped, and not sent to; ages and counts are capped, and digests with amounts beyond 1e15 are ignored.

Measured: MalformedMessageTest.test_datagrams_of_peers (2,400 datagrams with random fields, seed 1) fails before and passes after, as does DigestTest.test_values_at_the_end_of_a_range_can_be_passed_on.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -21,6 +21,11 @@
 # Hosts listed in one digest; receivers learn the others from other peers.
 MAX_KNOWN_HOSTS = 64
 MAX_NAME_CHARS = 256
+# Sums of larger amounts would not stay finite.
+MAX_TOKENS = 1e15
+# Sums of larger counts, and older ages, would not fit into 32 bits.
+MAX_COUNT = 2**20
+MAX_AGE_UNITS = 2**31
 Value = TypeVar("Value", int, float)
 # Unit of the ages of members and of deaths.
 AGE_UNIT_MS = 100
@@ -125,7 +130,7 @@
     amounts += [
         amount for use in uses.values() for amount in (use.spent, use.level)
     ]
-    if not all(map(math.isfinite, amounts)):
+    if not all(abs(amount) <= MAX_TOKENS for amount in amounts):
         return None
     return Digest(
         name=message.name,
@@ -133,14 +138,18 @@
         sequence=message.sequence,
         host=message.host,
         is_draining=message.draining,
-        known_hosts=tuple(message.known_hosts[:MAX_KNOWN_HOSTS]),
+        known_hosts=tuple(
+            filter(_is_address, message.known_hosts[:MAX_KNOWN_HOSTS])
+        ),
         feeds={
             feed.prefix: FeedState(
                 Position(feed.era, feed.revision), feed.version
             )
             for feed in message.feeds
         },
-        in_flight={use.target: use.in_flight for use in message.uses},
+        in_flight={
+            use.target: min(use.in_flight, MAX_COUNT) for use in message.uses
+        },
         allowances=uses,
         crashes=tuple(map(_unpack_suspicion, message.crashes)),
         limits=_unpack_limits(message.limits),
@@ -149,9 +158,12 @@
         scope=scope,
         zone=message.zone,
         is_store_reachable=message.store_reachable,
-        live_instances=message.live_instances,
-        expected_instances=message.expected_instances,
-        target_counts=_zip_dict(message.target_hashes, message.target_counts),
+        live_instances=min(message.live_instances, MAX_COUNT),
+        expected_instances=min(message.expected_instances, MAX_COUNT),
+        target_counts=_zip_dict(
+            message.target_hashes,
+            (min(count, MAX_COUNT) for count in message.target_counts),
+        ),
         is_partial=message.partial_counts,
         account_levels=levels,
         account_spent=spent,
@@ -161,6 +173,16 @@
     )
 
 
+def _is_address(host: str) -> bool:
+    """Tells whether datagrams can be sent to a host."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        socket.inet_pton(family, host)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 def _pack_suspicion(suspicion: Suspicion) -> pb.Suspicion:
     deaths = suspicion.deaths
     return pb.Suspicion(
@@ -174,7 +196,7 @@
 
 def _unpack_suspicion(packed: pb.Suspicion) -> Suspicion:
     deaths = tuple(
-        Death(target, age * AGE_UNIT_MS, is_withdrawn)
+        Death(target, _unpack_age(age), is_withdrawn)
         for target, age, is_withdrawn in zip(
             packed.targets, packed.ages, packed.withdrawn, strict=False
         )
@@ -204,7 +226,7 @@
 
 def _unpack_limit(packed: pb.TargetLimit) -> NamedLimit:
     per_s = None if packed.lifted else packed.per_s
-    return NamedLimit(packed.target, per_s, packed.age * AGE_UNIT_MS)
+    return NamedLimit(packed.target, per_s, _unpack_age(packed.age))
 
 
 def _pack_members(members: Sequence[Member]) -> list[pb.ZoneMembers]:
@@ -228,7 +250,7 @@
         Member(
             socket.inet_ntoa(host.to_bytes(4, "big")),
             zone.zone,
-            age * AGE_UNIT_MS,
+            _unpack_age(age),
             is_draining,
         )
         for zone in zones
@@ -239,6 +261,10 @@
     )
 
 
+def _unpack_age(units: int) -> int:
+    return min(units, MAX_AGE_UNITS) * AGE_UNIT_MS
+
+
 def _zip_dict(keys: Iterable[int], values: Iterable[Value]) -> dict[int, Value]:
     """Returns a dictionary; a malformed digest may have fewer values."""
     return dict(zip(keys, values, strict=False))
--- a/src/peridotbend/adapters/gossip.py
+++ b/src/peridotbend/adapters/gossip.py
@@ -86,7 +86,7 @@
             echo = encode_echo(outgoing.echoes[index])
         try:
             await socket.sendto(data + echo, host, port)
-        except OSError:
+        except (OSError, ValueError):
             # The next digest follows soon; PeerRegistry logs a peer that
-            # stays unreachable.
+            # stays unreachable. A host that is no address is a ValueError.
             continue
--- a/src/peridotbend/adapters/originlink.py
+++ b/src/peridotbend/adapters/originlink.py
@@ -65,9 +65,10 @@
         try:
             async with self._sending:
                 await socket.sendto(data, host, self._listen_address[1])
-        except OSError:
+        except (OSError, ValueError):
             # An instance that is away does not answer; who asks does not
-            # depend on any single one.
+            # depend on any single one. A host that is no address is a
+            # ValueError.
             return
 
 
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -50,6 +50,7 @@
 from peridotbend.edge.ratelimits import MAX_DIGEST_LIMITS, NamedLimit
 from peridotbend.edge.readerrole import ReaderRole
 from peridotbend.edge.sharedstate import MAX_ACCOUNTS, MAX_COUNTS
+from peridotbend.wire import edge_pb2 as pb
 from tests.edgefakes import CONFIG, RecordingLog, ScriptedReader
 
 RESTORE_RULES = RestoreRules(True, 4_800, lambda: None)
@@ -181,6 +182,57 @@
         assert len(decoded.crashes) >= 5
         assert decoded.crashes == news.crashes[: len(decoded.crashes)]
 
+    def test_values_at_the_end_of_a_range_can_be_passed_on(self) -> None:
+        """Guards against a process that ends when it packs what it received.
+
+        Ages go on growing, and counts and amounts of several peers are added.
+        """
+        largest = 2**32 - 1
+        message = pb.UseDigest(
+            name="edge-2",
+            host="10.0.0.2",
+            known_hosts=["10.0.0.3", "engine", "10.0.0.4\0", "::1", ""],
+            uses=[pb.TargetUse(target="i-1", in_flight=largest)],
+            target_hashes=[1],
+            target_counts=[largest],
+            live_instances=largest,
+            expected_instances=largest,
+            members=[pb.ZoneMembers(hosts=[1], ages=[largest], draining=[0])],
+            crashes=[
+                pb.Suspicion(targets=[1], ages=[largest], withdrawn=[False])
+            ],
+            limits=[pb.TargetLimit(target=1, per_s=1.0, age=largest)],
+        )
+        digest = decode_digest(message.SerializeToString())
+        assert digest is not None
+        assert digest.known_hosts == ("10.0.0.3", "::1")
+        later_ms = 86_400_000
+        (death,) = digest.crashes[0].deaths
+        death = dataclasses.replace(death, age_ms=death.age_ms + later_ms)
+        encode_digest(
+            dataclasses.replace(
+                digest,
+                in_flight={"i-1": 16 * digest.in_flight["i-1"]},
+                target_counts={1: 16 * digest.target_counts[1]},
+                live_instances=16 * digest.live_instances,
+                expected_instances=16 * digest.expected_instances,
+                members=tuple(
+                    dataclasses.replace(m, age_ms=m.age_ms + later_ms)
+                    for m in digest.members
+                ),
+                crashes=(
+                    dataclasses.replace(digest.crashes[0], deaths=(death,)),
+                ),
+                limits=tuple(
+                    dataclasses.replace(n, age_ms=n.age_ms + later_ms)
+                    for n in digest.limits
+                ),
+            )
+        )
+        # Sums of such an amount would become infinite.
+        message.accounts.add(account="acme", spent_tokens=1e308)
+        assert decode_digest(message.SerializeToString()) is None
+
     def test_other_datagrams_are_ignored(self) -> None:
         """Guards against a crash on datagrams from other senders."""
         rng = random.Random(5)
--- a/tests/test_stories_processes.py
+++ b/tests/test_stories_processes.py
@@ -1,12 +1,15 @@
 """Real daemons that get malformed messages."""
 
 import json
+import random
+import socket
 import unittest
 from typing import Any
 
 import anyio
 
 from peridotbend.platform import wire
+from peridotbend.wire import edge_pb2 as pb
 from tests.edgefleet import (
     CONFIG,
     HOSTS,
@@ -17,6 +20,7 @@
     wait_for_version,
 )
 from tests.edgestandins import FakeStore, Receive, Send, respond
+from tests.randommessages import fill_message
 
 ODD_PAGES: dict[str, dict[str, object]] = {
     "revision beyond 64 bits": {"items": [], "store_revision": 10**30},
@@ -36,6 +40,9 @@
     "items that are no items": {"items": [None], "store_revision": 1_000},
     "nothing": {},
 }
+# Datagrams of each kind, and how many are sent at a time.
+DATAGRAMS = 1_200
+BURST = 20
 
 
 class _OddStore:
@@ -92,3 +99,53 @@
                 fleet.kill_all()
 
         run_with_fleet(check)
+
+    def test_datagrams_of_peers(self) -> None:
+        """Guards against a digest whose values end the process.
+
+        So did a seed that is no address.
+        """
+
+        async def check(fleet: EdgeFleet) -> None:
+            child = fleet.spawn(HOSTS[0], seeds=["nowhere.example:1"])
+            await fleet.wait_ready(HOSTS[0])
+            rng = random.Random(1)
+            digests = fleet.ports["digests"]
+            with (
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as digest_link,
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as origin_link,
+            ):
+                digest_link.bind((HOSTS[1], digests))
+                origin_link.bind((HOSTS[1], digests + 1))
+                for number in range(1, DATAGRAMS + 1):
+                    digest = pb.UseDigest()
+                    fill_message(digest, rng)
+                    digest.name = "peer"
+                    digest.host = HOSTS[1]
+                    digest.incarnation = 1
+                    digest.sequence = number
+                    digest.scope = rng.choice(list(pb.Scope.values()))
+                    digest_link.sendto(
+                        digest.SerializeToString(), (HOSTS[0], digests)
+                    )
+                    notice = pb.OriginNotice()
+                    fill_message(notice, rng)
+                    origin_link.sendto(
+                        notice.SerializeToString(), (HOSTS[0], digests + 1)
+                    )
+                    if number % BURST == 0:
+                        await anyio.sleep(0.01)
+                        assert child.exit_code is None, child.output
+                    if number % (10 * BURST) == 0:
+                        attempt = f"a{number}"
+                        answer = await fleet.call(
+                            HOSTS[0], "/orders/1", attempt
+                        )
+                        assert answer.status in (200, 429, 503), answer
+            with anyio.fail_after(WAIT_TIMEOUT_S):
+                while answer.status != 200:
+                    await anyio.sleep(0.1)
+                    answer = await fleet.call(HOSTS[0], "/orders/1", "last")
+            fleet.kill_all()
+
+        run_with_fleet(check)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -823,6 +823,22 @@
         "isinstance(value, int)",
         ("test_stories_processes.MalformedMessageTest",),
     ),
+    Mutant(
+        "hosts-that-are-no-address",
+        "Fault",
+        "src/peridotbend/adapters/gossip.py",
+        "except (OSError, ValueError):",
+        "except ZeroDivisionError:",
+        ("test_stories_processes.MalformedMessageTest",),
+    ),
+    Mutant(
+        "ages-of-any-size",
+        "Fault",
+        "src/peridotbend/adapters/digests.py",
+        "return min(units, MAX_AGE_UNITS) * AGE_UNIT_MS",
+        "return units * AGE_UNIT_MS",
+        ("test_edge_peers.DigestTest",),
+    ),
     Mutant(
         "refusal-of-no-attempt",
         "REFUSED",
