Keep keys removed that a peer behind still has

Cause: a new process lists the store and then asks a peer for all that it knows. A key that was removed before the listing has no tombstone here, so that a full copy of a peer that had missed the removal brought it back: requests went to a target that had left, until its address refused them.

Change: a value that the own full copy lacks, of a revision that the copy covers, is not taken over.

The mutant removal-before-the-first-copy-forgotten is killed.

--- a/src/peridotbend/edge/published.py
+++ b/src/peridotbend/edge/published.py
@@ -122,6 +122,8 @@
             known = self._find(item.key)
             if self._is_forgotten(item, known):
                 continue
+            if known is None and self._is_removed(item):
+                continue
             if known is None or self._supersedes(item, known):
                 if self._take(item, known):
                     changed.append(item)
@@ -198,6 +200,15 @@
             and not self._is_versioned
         )
 
+    def _is_removed(self, item: Item) -> bool:
+        """Tells whether a peer offers what a full copy no longer had."""
+        return (
+            item.value is not None
+            and item.position.era == self._compacted.era
+            and item.position <= self._compacted
+            and not self._is_versioned
+        )
+
     def _take(self, item: Item, known: Item | None) -> bool:
         """Takes over an item; tells whether the value of its key changes."""
         if known is None:
--- a/tests/test_edge_peers.py
+++ b/tests/test_edge_peers.py
@@ -334,6 +334,23 @@
         assert [(item.key, item.value) for item in changed] == [("a", None)]
         assert [item.key for item in items.list_items()] == ["b"]
 
+    def test_peer_that_is_behind_brings_no_removed_key_back(self) -> None:
+        """Guards against a target that had left, after a restart.
+
+        A new process asks a peer for all that it knows, and has no tombstones
+        of what was removed before its own first copy.
+        """
+        items = PublishedItems()
+        kept = Item("a", Position(1, 3), b"x")
+        items.merge(_make_changes(6, kept, is_whole=True))
+        left = Item("b", Position(1, 5), b"y")
+        behind = _make_changes(5, kept, left, is_whole=True)
+        assert not items.merge(behind).changed
+        assert list(items.list_items()) == [kept]
+        # A target that is listed again has a later revision.
+        back = Item("b", Position(1, 7), b"y")
+        assert items.merge(_make_changes(7, back)).changed == (back,)
+
     def test_peer_gets_what_it_lacks(self) -> None:
         """Guards against removals that do not reach a peer."""
         items = PublishedItems()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -839,6 +839,14 @@
         "return units * AGE_UNIT_MS",
         ("test_edge_peers.DigestTest",),
     ),
+    Mutant(
+        "removal-before-the-first-copy-forgotten",
+        "DRAIN",
+        EDGE + "published.py",
+        "if known is None and self._is_removed(item):",
+        "if False:",
+        ("test_edge_peers.PublishedItemsTest",),
+    ),
     Mutant(
         "refusal-of-no-attempt",
         "REFUSED",
