Be ready after a restart once a peer was asked

Cause: a new process was ready as soon as it had listed the store. A store that was restored from an older copy still lists a withdrawn key and a target that has left, and peers were asked only 250 ms after they were heard: until then both were in use again.

Change: a new process asks a peer as soon as it hears one, and is ready once the store was read or does not answer, and a peer has told what it knows; it waits 1 s at most for the first peer, and not at all when it knows none. Callers that come before are served as until now.

Tests of feeds, eras, peers, restores, returns and group restores (70), and of processes, builds and large (23) pass. The mutants ready-before-a-peer-was-asked, new-process-trusts-the-store and removal-before-the-first-copy-forgotten are killed by RestartTest.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -138,6 +138,17 @@
         # Peers whose last call failed, the latest at the end.
         self._failed_peers: dict[str, None] = {}
 
+    @property
+    def has_asked_store(self) -> bool:
+        """Whether the store has been read, unless it does not answer."""
+        is_reader = self._role.is_reader and self.is_store_reachable
+        return self._read_at_ms is not None or not is_reader
+
+    @property
+    def has_asked_peer(self) -> bool:
+        """Whether a peer has told what the store may have forgotten."""
+        return not self._must_ask
+
     async def run(self) -> None:
         """Lists and watches the store until cancelled."""
         backoff_ms = INITIAL_BACKOFF_MS
@@ -314,7 +325,7 @@
         waited_ms = self._clock.now_ms() - since_ms
         # The own watch of a reader normally delivers the change as well.
         has_watch = self.items.is_known and self._role.is_reader
-        if has_watch and waited_ms < CATCH_UP_DELAY_MS:
+        if has_watch and not self._must_ask and waited_ms < CATCH_UP_DELAY_MS:
             return ""
         hosts = [host for host in self._peers_ahead if host not in exclude]
         if not hosts:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -69,6 +69,9 @@
 WITHHOLD_HEARTBEATS = 4
 # Connecting to a live target takes milliseconds, even in another zone.
 CONNECT_TIMEOUT_S = 0.25
+# How long a new instance waits for the first answer of a peer before it is
+# ready. Peers normally answer within 200 ms.
+ASK_PEERS_TIMEOUT_MS = 1_000
 # Applies until a configuration sets the limit.
 DEFAULT_MAX_BODY_BYTES = 4 * 1_048_576
 
@@ -88,6 +91,8 @@
         self._incarnation = secrets.randbits(64)
         self._drain_requested = anyio.Event()
         self._is_started = False
+        self._created_at_ms = self._clock.now_ms()
+        self._has_asked = False
         host = settings.peers[0]
         self._peers = PeerRegistry(host, self._clock, log, self._rng)
         for seed_host, _ in settings.seeds:
@@ -400,10 +405,27 @@
         An instance that has the configuration and the list of targets can give
         correct answers, even if the list is empty.
         """
-        has_feeds = all(feed.items.is_known for feed in self._feeds.values())
+        has_feeds = self._has_asked_others() and all(
+            feed.items.is_known for feed in self._feeds.values()
+        )
         has_config = self._dependencies.holder.config is not None
         return has_config and has_feeds and not self._drain_requested.is_set()
 
+    def _has_asked_others(self) -> bool:
+        """Tells whether the store and a peer were asked since the start.
+
+        Either may be behind, and still have what was withdrawn.
+        """
+        if not self._has_asked:
+            feeds = self._feeds.values()
+            waited_ms = self._clock.now_ms() - self._created_at_ms
+            self._has_asked = all(feed.has_asked_store for feed in feeds) and (
+                all(feed.has_asked_peer for feed in feeds)
+                or len(self._peers) == 0
+                or waited_ms >= ASK_PEERS_TIMEOUT_MS
+            )
+        return self._has_asked
+
     def _note_feed_update(self) -> None:
         """Tells peers of changes, and of a store that was reached or lost."""
         self._record_store_reachability()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -346,7 +346,7 @@
         EDGE + "feeds.py",
         "return FeedState() if self._must_ask else self.items.state",
         "return self.items.state",
-        ("test_edge_eras",),
+        ("test_edge_eras", "test_stories_processes.RestartTest"),
     ),
     Mutant(
         "withheld-for-ever",
@@ -845,7 +845,18 @@
         EDGE + "published.py",
         "if known is None and self._is_removed(item):",
         "if False:",
-        ("test_edge_peers.PublishedItemsTest",),
+        (
+            "test_edge_peers.PublishedItemsTest",
+            "test_stories_processes.RestartTest",
+        ),
+    ),
+    Mutant(
+        "ready-before-a-peer-was-asked",
+        "CONFIG",
+        "src/peridotbend/edgenode.py",
+        "has_feeds = self._has_asked_others() and all(",
+        "has_feeds = all(",
+        ("test_stories_processes.RestartTest",),
     ),
     Mutant(
         "refusal-of-no-attempt",
