--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -28,8 +28,9 @@
 # they are sent in.
 MAX_IN_FLIGHT = 1_000_000
 MAX_INSTANCES = 65_536
-MAX_AMOUNT = 1e18
-MAX_AGE = 2**32 - 1
+MAX_AMOUNT = 1e15
+# Leaves room for an age to grow until it is passed on.
+MAX_AGE_UNITS = 2**31
 # Unit of the ages of members and of deaths.
 AGE_UNIT_MS = 100
 # Lists of a digest in the order in which entries are omitted from one that is
@@ -208,7 +209,7 @@
 
 def _unpack_suspicion(packed: pb.Suspicion) -> Suspicion:
     deaths = tuple(
-        Death(target, age * AGE_UNIT_MS, is_withdrawn)
+        Death(target, _unpack_age(age), is_withdrawn)
         for target, age, is_withdrawn in zip(
             packed.targets, packed.ages, packed.withdrawn, strict=False
         )
@@ -217,7 +218,7 @@
 
 
 def _pack_age(age_ms: int) -> int:
-    return min(max(0, age_ms) // AGE_UNIT_MS, MAX_AGE)
+    return min(max(0, age_ms) // AGE_UNIT_MS, MAX_AGE_UNITS)
 
 
 def _pack_limit(limit: NamedLimit) -> pb.TargetLimit:
@@ -242,7 +243,7 @@
 
 def _unpack_limit(packed: pb.TargetLimit) -> NamedLimit:
     per_s = None if packed.lifted else packed.per_s
-    return NamedLimit(packed.target, per_s, packed.age * AGE_UNIT_MS)
+    return NamedLimit(packed.target, per_s, _unpack_age(packed.age))
 
 
 def _pack_members(members: Sequence[Member]) -> list[pb.ZoneMembers]:
@@ -266,7 +267,7 @@
         Member(
             socket.inet_ntoa(host.to_bytes(4, "big")),
             zone.zone,
-            age * AGE_UNIT_MS,
+            _unpack_age(age),
             is_draining,
         )
         for zone in zones
@@ -277,6 +278,10 @@
     )
 
 
+def _unpack_age(units: int) -> int:
+    return min(units, MAX_AGE_UNITS) * AGE_UNIT_MS
+
+
 def _zip_dict(keys: Iterable[int], values: Iterable[Value]) -> dict[int, Value]:
     """Returns a dictionary; a malformed digest may have fewer values."""
     return dict(zip(keys, values, strict=False))
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -28,9 +28,8 @@
 # A page contains about 1 MB of values, and base64 adds a third.
 MAX_ANSWER_BYTES = 4 * 1_048_576
 MAX_PAGES = 10_000
-# Fits into the 64 bits that peers exchange.
+# Both fit into the 64 bits that peers exchange.
 MAX_ERA_DIGITS = 18
-# Peers exchange revisions in 64 bits.
 MAX_REVISION = 2**63 - 1
 _BUSY_STATUSES = frozenset((429, 503))
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -28,6 +28,9 @@
     "test_edge_failures",
     "test_edge_trouble",
     "test_edge_heads",
+    "test_endless_processes",
+    "test_stories",
+    "test_stories_processes",
 )
 
 
@@ -343,7 +346,7 @@
         EDGE + "feeds.py",
         "return FeedState() if self._must_ask else self.items.state",
         "return self.items.state",
-        ("test_edge_eras",),
+        ("test_edge_eras", "test_stories_processes.RestartTest"),
     ),
     Mutant(
         "withheld-for-ever",
@@ -787,6 +790,74 @@
         "is_broken = True",
         ("test_edge_answers",),
     ),
+    Mutant(
+        "trailers-kept",
+        "MIXED",
+        "src/peridotbend/adapters/boundedconnections.py",
+        "        if self._reading_headers:\n"
+        "            super().on_header(name, value)\n",
+        "        super().on_header(name, value)\n",
+        ("test_endless_processes.EndlessCallerTest",),
+    ),
+    Mutant(
+        "chunk-extensions-without-a-bound",
+        "LOST",
+        "src/peridotbend/adapters/boundedconnections.py",
+        "if self._framing_bytes > self._limits.max_header_bytes:",
+        "if False:",
+        ("test_endless_processes.EndlessCallerTest",),
+    ),
+    Mutant(
+        "store-answer-without-a-bound",
+        "LOST",
+        "src/peridotbend/platform/store.py",
+        "if len(body) > MAX_ANSWER_BYTES:",
+        "if False:",
+        ("test_endless_processes.EndlessStoreTest",),
+    ),
+    Mutant(
+        "revision-of-any-size",
+        "Fault",
+        "src/peridotbend/platform/store.py",
+        "return 0 <= value <= MAX_REVISION",
+        "return True",
+        ("test_stories_processes.MalformedMessageTest",),
+    ),
+    Mutant(
+        "hosts-that-are-no-address",
+        "Fault",
+        "src/peridotbend/adapters/gossip.py",
+        "except (OSError, ValueError):",
+        "except ZeroDivisionError:",
+        ("test_stories_processes.MalformedMessageTest",),
+    ),
+    Mutant(
+        "ages-of-any-size",
+        "Fault",
+        "src/peridotbend/adapters/digests.py",
+        "return min(units, MAX_AGE_UNITS) * AGE_UNIT_MS",
+        "return units * AGE_UNIT_MS",
+        ("test_edge_peers.DigestTest",),
+    ),
+    Mutant(
+        "removal-before-the-first-copy-forgotten",
+        "DRAIN",
+        EDGE + "published.py",
+        "if known is None and self._is_removed(item):",
+        "if False:",
+        (
+            "test_edge_peers.PublishedItemsTest",
+            "test_stories_processes.RestartTest",
+        ),
+    ),
+    Mutant(
+        "ready-before-a-peer-was-asked",
+        "CONFIG",
+        "src/peridotbend/edgenode.py",
+        "has_feeds = self._has_asked_others() and all(",
+        "has_feeds = all(",
+        ("test_stories_processes.RestartTest",),
+    ),
     Mutant(
         "refusal-of-no-attempt",
         "REFUSED",
@@ -803,7 +874,9 @@
 
 def _run_tests(copy: pathlib.Path, tests: tuple[str, ...]) -> str | None:
     """Returns the tests that fail in a copy of the tree, or None."""
-    starts_processes = any(name in PROCESS_TESTS for name in tests)
+    starts_processes = any(
+        name.partition(".")[0] in PROCESS_TESTS for name in tests
+    )
     with _process_tests_lock if starts_processes else contextlib.nullcontext():
         result = subprocess.run(
             [sys.executable, "-m", "nose2", "-s", "tests", *tests],
