Take no connection for one to a run while the one before still answers

Callers would see: a stream joined from two versions, where an entry is written longer than its lease before its process has the address.

Cause: a listed entry proves that its writer lives, which was taken for a proof that connections lead to it. Kept connections to the old process counted as proven once the lease was over.

Change: when a process names an earlier start than the listed one, connections from before are of either run.

Measured: test_entry_long_before_its_process_proves_nothing and test_begin_at_an_unknown_process_is_not_confirmed failed before and pass; 41 tests of runs and restarts pass.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -70,8 +70,8 @@
     to it.
     """
 
-    # The run that had the name before, and since when this one is known to
-    # have it; None and 0 if no other is known.
+    # The run that had the name before, if it is known, and since when this one
+    # may have it; 0 if no other is known of.
     before: EdgeTarget | None = None
     since_ms: int = 0
     # The latest time at which it is known to have had its name.
@@ -178,6 +178,9 @@
             if run.ended_ms is not None and run.ended_ms <= asked_at_ms:
                 run.ended_ms = None
             return RunState.LIVES
+        if told_ms < target.started_at_ms:
+            # The process before still answers, though this one is listed.
+            run.since_ms = self._clock.now_ms()
         if not self.is_replaced(target):
             run.replaced_ms = self._clock.now_ms()
             self.note_end(target)
@@ -241,10 +244,11 @@
         if self.is_proven(target, connected_at_ms):
             return True
         run = self._get_run(target)
-        if run.before is not None and connected_at_ms < run.since_ms:
+        if connected_at_ms < run.since_ms:
             # It was this run or the one before.
             return (
-                run.before.software == target.software
+                run.before is not None
+                and run.before.software == target.software
                 and not self._has_ended(run.before, connected_at_ms)
             )
         listed = self._targets.find(target.name)
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -6,6 +6,7 @@
 
 import anyio
 from anyio.abc import SocketStream
+from result import Ok
 
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.clock import ManualClock
@@ -60,6 +61,40 @@
         assert self.targets.find(self.target.name) is not None
         assert not self.runs.is_proven(self.target, connected_at_ms)
 
+    def test_entry_long_before_its_process_proves_nothing(self) -> None:
+        """Guards against a writer of an entry that has no address yet."""
+        self.runs.find_listing_ms = self.clock.now_ms
+        early = self.put("i-1", SECOND_START_MS, "v2")
+        self.runs.note_taken_over(early, self.target)
+        self.clock.advance(500)
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(LEASE_MS)
+        asked_at_ms = self.clock.now_ms()
+        self.runs.note_start(early, FIRST_START_MS, asked_at_ms)
+        assert not self.runs.is_proven(early, connected_at_ms)
+        self.clock.advance(LEASE_MS)
+        assert not self.runs.is_proven(early, connected_at_ms)
+        self.client.starts["i-1"] = Ok(SECOND_START_MS)
+        assert not self.confirm_begin(early, connected_at_ms)
+
+    def test_begin_at_an_unknown_process_is_not_confirmed(self) -> None:
+        """Guards against the same where nothing is known of the one before."""
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(100)
+        asked_at_ms = self.clock.now_ms()
+        self.runs.note_start(self.target, FIRST_START_MS - 1, asked_at_ms)
+        self.clock.advance(100)
+        assert not self.confirm_begin(self.target, connected_at_ms)
+
+    def test_next_process_takes_no_proof_away(self) -> None:
+        """Guards against streams that are cut although their begin is known."""
+        self.runs.find_listing_ms = self.clock.now_ms
+        connected_at_ms = self.clock.now_ms() - LEASE_MS
+        assert self.runs.is_proven(self.target, connected_at_ms)
+        now_ms = self.clock.now_ms()
+        self.runs.note_start(self.target, SECOND_START_MS, now_ms)
+        assert self.runs.is_proven(self.target, connected_at_ms)
+
 
 class LateEntryTest(unittest.TestCase):
     """Targets whose next entry comes after the last one has expired."""
