Let no listing prove who lives after an outage that a relay saw end

Callers would see: a stream joined from two versions after the store was away, in a fleet large enough for relays.

Cause: an instance that reads the store in place of its relay, and follows the relay again once that reaches the store, has no read of its own that ends the outage. So its wait for the leases was counted from the begin of the outage, and a digest of the relay proved the old entries.

Change: the wait begins when the relay is level again.

Measured: test_outage_that_ends_at_a_relay_settles_late failed before and passes; test_edge_feeds and test_edge_eras pass.

--- a/src/peridotbend/edge/feeds.py
+++ b/src/peridotbend/edge/feeds.py
@@ -120,6 +120,9 @@
         self.known_as_of_ms: int | None = None
         # Until then, entries may be listed whose writers ended long before.
         self._unsettled_until_ms = 0
+        # Whether the store was away when this instance last read it, and no
+        # relay has read it since.
+        self._is_store_away = False
         # When the store was last read, on the clock that counts suspensions.
         self._read_at_ms: int | None = None
         self._confirming = anyio.Lock()
@@ -311,6 +314,9 @@
         if not self._is_ahead(state):
             is_level = state.position == self.items.position
             if is_level and not self._role.is_reader:
+                if self._is_store_away:
+                    self._is_store_away = False
+                    self._note_unsettled()
                 self.confirmed_at_ms = self._clock.now_ms()
                 self._note_known(self.confirmed_at_ms - VIEW_LAG_MS)
             if not self._peers_ahead:
@@ -508,6 +514,7 @@
         if is_reachable is self.is_store_reachable:
             return
         self.is_store_reachable = is_reachable
+        self._is_store_away = not is_reachable
         self._note_unsettled()
         self._on_update()
         if error is None:
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -2,26 +2,32 @@
 
 import contextlib
 import dataclasses
+import random
 import unittest
 
 import anyio
 from anyio.abc import SocketStream
-from result import Ok
+from result import Err, Ok
 
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import CallError
-from peridotbend.edge.ports import TargetSend
+from peridotbend.edge.feeds import Feed, RestoreRules
+from peridotbend.edge.ports import StoreError, StoreFailure, TargetSend
+from peridotbend.edge.readerrole import ReaderRole
 from peridotbend.edge.targets import TargetList
-from peridotbend.edge.versions import VersionTimeline
+from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 from peridotbend.platform.runners import PlatformTargetClient
 from tests.edgefakes import (
     CALL,
+    RecordingLog,
     RelayHarness,
+    ScriptedReader,
     ScriptedReply,
     make_event,
     make_target,
 )
+from tests.test_edge_eras import WITHHOLD_MS, make_copy, make_item
 from tests.test_edge_runs import (
     FIRST_START_MS,
     GONE,
@@ -232,3 +238,41 @@
             await http.aclose()
 
         anyio.run(run)
+
+
+class ListingTimeTest(unittest.TestCase):
+    """As of when a copy of the entries proves that a run lived."""
+
+    def test_outage_that_ends_at_a_relay_settles_late(self) -> None:
+        """Guards against entries whose leases did not run out meanwhile.
+
+        The instance read the store itself in vain, and follows a relay again.
+        """
+        clock = ManualClock()
+        role = ReaderRole(random.Random(1))
+        copy = make_copy(1, 50, make_item("servers/i-1", 1, 50))
+        failure = StoreError(StoreFailure.UNREACHABLE, "down")
+        feed = Feed(
+            "servers/",
+            ScriptedReader(Ok(copy), Err(failure)),
+            lambda items: None,
+            clock,
+            RecordingLog(),
+            lambda: None,
+            role,
+            RestoreRules(False, WITHHOLD_MS, lambda: None),
+        )
+        anyio.run(feed.confirm)
+        feed.merge_fetched("10.0.0.2", copy)
+        clock.advance(1_000)
+        anyio.run(feed.confirm)
+        clock.advance(2 * WITHHOLD_MS)
+        role.assign(False)
+        before_ms = feed.known_as_of_ms
+        feed.note_peer("10.0.0.2", feed.items.state)
+        clock.advance(WITHHOLD_MS - 1)
+        feed.note_peer("10.0.0.2", feed.items.state)
+        assert feed.known_as_of_ms == before_ms
+        clock.advance(VIEW_LAG_MS + 1)
+        feed.note_peer("10.0.0.2", feed.items.state)
+        assert feed.known_as_of_ms == clock.now_ms() - VIEW_LAG_MS
