--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -2,25 +2,32 @@
 
 import contextlib
 import dataclasses
+import random
 import unittest
 
 import anyio
 from anyio.abc import SocketStream
+from result import Err, Ok
 
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import CallError
-from peridotbend.edge.ports import TargetSend
+from peridotbend.edge.feeds import Feed, RestoreRules
+from peridotbend.edge.ports import StoreError, StoreFailure, TargetSend
+from peridotbend.edge.readerrole import ReaderRole
 from peridotbend.edge.targets import TargetList
-from peridotbend.edge.versions import VersionTimeline
+from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 from peridotbend.platform.runners import PlatformTargetClient
 from tests.edgefakes import (
     CALL,
+    RecordingLog,
     RelayHarness,
+    ScriptedReader,
     ScriptedReply,
     make_event,
     make_target,
 )
+from tests.test_edge_eras import WITHHOLD_MS, make_copy, make_item
 from tests.test_edge_runs import (
     FIRST_START_MS,
     GONE,
@@ -60,6 +67,40 @@
         assert self.targets.find(self.target.name) is not None
         assert not self.runs.is_proven(self.target, connected_at_ms)
 
+    def test_entry_long_before_its_process_proves_nothing(self) -> None:
+        """Guards against a writer of an entry that has no address yet."""
+        self.runs.find_listing_ms = self.clock.now_ms
+        early = self.put("i-1", SECOND_START_MS, "v2")
+        self.runs.note_taken_over(early, self.target)
+        self.clock.advance(500)
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(LEASE_MS)
+        asked_at_ms = self.clock.now_ms()
+        self.runs.note_start(early, FIRST_START_MS, asked_at_ms)
+        assert not self.runs.is_proven(early, connected_at_ms)
+        self.clock.advance(LEASE_MS)
+        assert not self.runs.is_proven(early, connected_at_ms)
+        self.client.starts["i-1"] = Ok(SECOND_START_MS)
+        assert not self.confirm_begin(early, connected_at_ms)
+
+    def test_begin_at_an_unknown_process_is_not_confirmed(self) -> None:
+        """Guards against the same where nothing is known of the one before."""
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(100)
+        asked_at_ms = self.clock.now_ms()
+        self.runs.note_start(self.target, FIRST_START_MS - 1, asked_at_ms)
+        self.clock.advance(100)
+        assert not self.confirm_begin(self.target, connected_at_ms)
+
+    def test_next_process_takes_no_proof_away(self) -> None:
+        """Guards against streams that are cut although their begin is known."""
+        self.runs.find_listing_ms = self.clock.now_ms
+        connected_at_ms = self.clock.now_ms() - LEASE_MS
+        assert self.runs.is_proven(self.target, connected_at_ms)
+        now_ms = self.clock.now_ms()
+        self.runs.note_start(self.target, SECOND_START_MS, now_ms)
+        assert self.runs.is_proven(self.target, connected_at_ms)
+
 
 class LateEntryTest(unittest.TestCase):
     """Targets whose next entry comes after the last one has expired."""
@@ -197,3 +238,41 @@
             await http.aclose()
 
         anyio.run(run)
+
+
+class ListingTimeTest(unittest.TestCase):
+    """As of when a copy of the entries proves that a run lived."""
+
+    def test_outage_that_ends_at_a_relay_settles_late(self) -> None:
+        """Guards against entries whose leases did not run out meanwhile.
+
+        The instance read the store itself in vain, and follows a relay again.
+        """
+        clock = ManualClock()
+        role = ReaderRole(random.Random(1))
+        copy = make_copy(1, 50, make_item("servers/i-1", 1, 50))
+        failure = StoreError(StoreFailure.UNREACHABLE, "down")
+        feed = Feed(
+            "servers/",
+            ScriptedReader(Ok(copy), Err(failure)),
+            lambda items: None,
+            clock,
+            RecordingLog(),
+            lambda: None,
+            role,
+            RestoreRules(False, WITHHOLD_MS, lambda: None),
+        )
+        anyio.run(feed.confirm)
+        feed.merge_fetched("10.0.0.2", copy)
+        clock.advance(1_000)
+        anyio.run(feed.confirm)
+        clock.advance(2 * WITHHOLD_MS)
+        role.assign(False)
+        before_ms = feed.known_as_of_ms
+        feed.note_peer("10.0.0.2", feed.items.state)
+        clock.advance(WITHHOLD_MS - 1)
+        feed.note_peer("10.0.0.2", feed.items.state)
+        assert feed.known_as_of_ms == before_ms
+        clock.advance(VIEW_LAG_MS + 1)
+        feed.note_peer("10.0.0.2", feed.items.state)
+        assert feed.known_as_of_ms == clock.now_ms() - VIEW_LAG_MS
