Take silence for no death of a target at all

Cause: silence counted as a death while one version of a service was known, which is so just when a release begins.

Change: a stream whose begin is not known goes on only if its target says who it is, or refuses connections.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -18,7 +18,7 @@
 )
 from peridotbend.edge.targetruns import TargetRuns
 from peridotbend.edge.targets import EdgeTarget
-from peridotbend.edge.versions import KEPT_MS, VIEW_LAG_MS, VersionTimeline
+from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 
 # Streams of an instance that was not heard of, or of an older version of this
 # program, may go on for this long after it is heard of or was replaced.
@@ -156,12 +156,8 @@
         if stream.is_uncertain or self.is_certain(stream):
             return not stream.is_uncertain
         assert stream.target is not None, "others are certain"
-        since_ms = self._clock.now_ms() - KEPT_MS
-        versions = self._timeline.list_versions(stream.service, since_ms)
         is_right = await self._runs.confirm_begin(
-            stream.target,
-            stream.connected_at_ms,
-            trusts_silence=len(versions) <= 1,
+            stream.target, stream.connected_at_ms
         )
         outcome = self._records.note_outcome(stream, is_right)
         if is_right:
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -226,20 +226,13 @@
         return TargetRunCheck(self, target)
 
     async def confirm_begin(
-        self,
-        target: EdgeTarget,
-        connected_at_ms: int,
-        trusts_silence: bool = True,
+        self, target: EdgeTarget, connected_at_ms: int
     ) -> bool:
         """Tells whether what came over a connection was written by a run.
 
-        If not, an unlisted process with the same name may have written it.
-
-        Args:
-            target: as it was listed.
-            connected_at_ms: when the connection was established.
-            trusts_silence: whether a target that does not answer is taken for
-                the listed run. A process that stalls may be another one.
+        If not, an unlisted process with the same name may have written it. A
+        target that does not answer tells nothing: a process that stalls may be
+        such a one.
         """
         if self.is_proven(target, connected_at_ms):
             return True
@@ -260,12 +253,10 @@
         state = await self._ask_firmly(target, connected_at_ms, "origin")
         if state in (RunState.LIVES, RunState.UNNAMED):
             return True
-        if state is RunState.REPLACED:
-            return False
-        if state is not RunState.GONE and not trusts_silence:
-            return False
-        # One death or cut explains that.
-        return not self._has_ended(target, connected_at_ms)
+        # One death explains that it is gone.
+        return state is RunState.GONE and not self._has_ended(
+            target, connected_at_ms
+        )
 
     async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
         """Tells whether a run outlived the end of an answer.
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -178,18 +178,10 @@
         self.client.read_start = read_start  # type: ignore[method-assign,assignment]
         assert not self.confirm_begin(self.target, self.clock.now_ms())
 
-    def test_silence_is_no_death_while_versions_differ(self) -> None:
+    def test_silence_is_no_death(self) -> None:
         """Guards against an unlisted process that stalls when it is asked."""
         self.client.starts["i-1"] = SILENT
-        connected_at_ms = self.clock.now_ms()
-        for trusts_silence in (True, False):
-
-            async def confirm(trusts: bool = trusts_silence) -> bool:
-                return await self.runs.confirm_begin(
-                    self.target, connected_at_ms, trusts_silence=trusts
-                )
-
-            assert anyio.run(confirm) is trusts_silence
+        assert not self.confirm_begin(self.target, self.clock.now_ms())
 
     def test_second_death_in_a_row_is_a_doubt(self) -> None:
         """Guards against a process that came and went without an entry."""
