Give a busy target time to say who it is

Cause: a target whose machine is busy answered after 250 to 700 ms in a test that floods the instance, and sound streams did not go on. Callers abandon a stream after a gap of two seconds at the earliest. Change: 1.5 s for a question that one stream waits for; a survey before a take-up still ends after 250 ms.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -21,8 +21,11 @@
 from peridotbend.edge.ports import EdgeTargetClient
 from peridotbend.edge.targets import EdgeTarget, TargetList
 
-# A live target answers within milliseconds, also in another zone.
-ASK_TIMEOUT_MS = 250
+# A live target answers within milliseconds, but may be busy. Callers abandon a
+# stream after a gap of two seconds at the earliest.
+ASK_TIMEOUT_MS = 1_500
+# A caller that takes up a stream waits for the answers of all targets.
+SURVEY_TIMEOUT_MS = 250
 # The platform removes an entry after three heartbeats without a write, so the
 # writer of a listed entry was alive that long before.
 LEASE_HEARTBEATS = 3
@@ -277,9 +280,10 @@
                 replaced.append(target.name)
 
         asked = [target for target in targets if target.started_at_ms]
-        async with anyio.create_task_group() as tasks:
-            for target in asked[:MAX_SURVEYED]:
-                tasks.start_soon(ask, target)
+        with anyio.move_on_after(SURVEY_TIMEOUT_MS / 1_000):
+            async with anyio.create_task_group() as tasks:
+                for target in asked[:MAX_SURVEYED]:
+                    tasks.start_soon(ask, target)
         return sorted(replaced)
 
     def _has_ended(self, target: EdgeTarget, before_ms: int) -> bool:
--- a/tests/test_edge_oracle.py
+++ b/tests/test_edge_oracle.py
@@ -161,6 +161,18 @@
     simulator: _TargetSimulator
     is_current: Callable[[TargetSend], bool]
 
+    async def read_start(
+        self, target: EdgeTarget, timeout_ms: int
+    ) -> Result[int | None, CallError]:
+        """Returns the listed start, or that of another run, or a failure."""
+        outcome = self.simulator.rng.random()
+        await anyio.sleep(0)
+        if outcome < 0.1:
+            return Err(CallError(CallFailure.REFUSED, False, "refused"))
+        if outcome < 0.2:
+            return Err(CallError(CallFailure.TIMEOUT, True, "silent"))
+        return Ok(target.started_at_ms + (outcome < 0.3))
+
     def open(
         self, send: TargetSend, gate: Callable[[], bool]
     ) -> contextlib.AbstractAsyncContextManager[Reply]:
