Count an extra send once, however many targets it is offered to

Callers would see: streams that end although the budget of extra sends was spent on sends that were never made.

Cause: each target at which another process answered, or that did not accept a connection, took another share of the budget that all instances have for a service.

Change: a share that was taken stays with the request until a byte is written.

Measured: test_send_that_was_not_made_is_not_counted failed before (three shares for one extra send) and passes; 162 tests of the relay, budgets, streams, answers, decisions, the oracle, runs and restarts pass.

--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -43,6 +43,8 @@
     head_sent: bool = False
     # Whether no other target can complete the answer that has begun.
     is_final: bool = False
+    # Whether an extra send was counted in the budget that was not made yet.
+    has_paid: bool = False
     # Software version at which the stream began; None before that.
     software: str | None = None
     # What sent the first event of the answer; None before that.
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -213,12 +213,13 @@
         )
         if slot is None:
             return False
-        if not self._dependencies.budget.try_spend(
+        if not request.has_paid and not self._dependencies.budget.try_spend(
             request.service, self._dependencies.fleet.count_instances()
         ):
             slot.release()
             return False
         request.failover_slot = slot
+        request.has_paid = True
         return True
 
     async def _may_continue(self, request: ActiveRequest) -> bool:
@@ -238,12 +239,13 @@
             return False
         if not self._has_attempts_left(request):
             return False
-        if not request.sends:
-            # No byte was written, so this is not an extra send.
+        if not request.sends or request.has_paid:
+            # No byte was written, so this is not a further send.
             return True
-        return self._dependencies.budget.try_spend(
+        request.has_paid = self._dependencies.budget.try_spend(
             request.service, self._dependencies.fleet.count_instances()
         )
+        return request.has_paid
 
     def _has_attempts_left(self, request: ActiveRequest) -> bool:
         if request.may_have_run and not request.route.may_repeat:
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -79,6 +79,7 @@
                 return False
             request.may_have_run = True
             request.sends += 1
+            request.has_paid = False
             return True
 
         self._report.log(
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import unittest
+import unittest.mock
 
 import anyio
 from anyio.abc import SocketStream
@@ -148,6 +149,32 @@
         return harness
 
 
+class BudgetTest(_StreamTest):
+    """The budget of extra sends that all instances share."""
+
+    def test_send_that_was_not_made_is_not_counted(self) -> None:
+        """Guards against a budget that is spent on other processes."""
+        harness = self.make_harness(
+            ScriptedReply(chunks=(make_event(1),), breaks_connection=True),
+            ScriptedReply(fails_to_connect=True),
+            ScriptedReply(fails_to_connect=True),
+            ScriptedReply(chunks=(make_event(2),)),
+        )
+        spent: list[str] = []
+        try_spend = harness.budget.try_spend
+
+        def note_spent(service: str, instances: int) -> bool:
+            spent.append(service)
+            return try_spend(service, instances)
+
+        with unittest.mock.patch.object(
+            harness.budget, "try_spend", note_spent
+        ):
+            assert anyio.run(harness.serve).is_complete
+        assert len(harness.client.written_sends) == 2
+        assert spent == ["engine"]
+
+
 class WaitTest(_StreamTest):
     """Requests that wait for a target of which another process has the name."""
 
