--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -38,6 +38,10 @@
         # After so many events, or parts of a body, the process dies and the
         # kernel closes its connections in order; 0 for never.
         self.dies_after = 0
+        # After so many events the process falls silent, also when it is asked;
+        # 0 for never.
+        self.stalls_after = 0
+        self._is_silent = False
         # Size of the parts of a body, filled up; 0 for as long as they are.
         self.part_bytes = 0
         # Attempts in order of arrival.
@@ -96,6 +100,8 @@
     ) -> bool:
         """Answers one call; tells whether the connection may be kept."""
         path, headers = call
+        if self._is_silent:
+            await asyncio.sleep(CALL_TIMEOUT_S)
         if path == wire.REPORT_CALL:
             self.asked += 1
             body = json.dumps({"born": self.started_at_ms}).encode()
@@ -117,6 +123,9 @@
             if count and count == self.resets_after:
                 _reset(writer)
                 return False
+            if count and count == self.stalls_after:
+                self._is_silent = True
+                await asyncio.sleep(CALL_TIMEOUT_S)
             if count and count == self.dies_after:
                 self.die()
                 return False
--- a/tests/test_edge_restarts_review.py
+++ b/tests/test_edge_restarts_review.py
@@ -8,6 +8,8 @@
     run_with_targets,
 )
 
+CALLS = 6
+
 
 class ExpiredEntryTest(unittest.TestCase):
     """Names that were not listed for a time between two entries."""
@@ -32,3 +34,21 @@
             assert len(set(answer.software)) <= 1, answer
 
         run_with_targets([early, sound], check)
+
+
+class UnlistedProcessTest(unittest.TestCase):
+    """Processes that cannot be asked any more before an entry is written."""
+
+    def test_first_process_of_a_release_that_stalls_does_not_join(self) -> None:
+        """Guards against silence that is trusted where one version is known."""
+        stalling, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            await stalling.restart("v2")
+            stalling.stalls_after = 2
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert len(set(answer.software)) <= 1, answer
+            assert stalling.ran
+
+        run_with_targets([stalling, sound], check)
