Show a stream joined after two deaths that nobody saw apart

What is open: a target dies while an instance has no send at it, a process of another version starts under its name, begins a stream before its entry is written, and dies as well. The instance knows of one death only, which is taken to explain the break (GONE in confirm_begin).

--- a/tests/test_edge_restarts_review.py
+++ b/tests/test_edge_restarts_review.py
@@ -52,3 +52,20 @@
             assert stalling.ran
 
         run_with_targets([stalling, sound], check)
+
+    def test_first_process_of_a_release_that_dies_does_not_join(self) -> None:
+        """Guards against a death that explains itself.
+
+        The instance had no use of the process before when that one died.
+        """
+        dying, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            await dying.restart("v2")
+            dying.dies_after = 2
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert len(set(answer.software)) <= 1, answer
+            assert dying.ran
+
+        run_with_targets([dying, sound], check)
