Place no stream by kept prompts that its own instance cannot place

Callers would see: a stream joined from two versions.

Cause: an instance that answers that nobody can know the version of a stream was taken for one that does not know the stream, so the prompts that targets keep decided. Only streams told of before the question were refused.

Change: such an answer ends the search.

Measured: test_kept_prompt_does_not_place_an_uncertain_stream failed before (a send at v2) and passes; test_edge_versions and test_edge_origins pass.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -280,6 +280,9 @@
                 told = await self.witnesses.ask(call.resumes)
             if told is not None:
                 choices = {told}
+            elif self._records.is_uncertain(key):
+                # Its own instance says that nobody can know.
+                choices = set()
             else:
                 survey = await self._parts.find_holders(service, call.session)
                 choices = versions
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -13,9 +13,15 @@
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import CallError
+from peridotbend.domain.verdicts import NotRun
 from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.ports import StoreError, StoreFailure, TargetSend
 from peridotbend.edge.readerrole import ReaderRole
+from peridotbend.edge.streamrecords import (
+    BegunStream,
+    StreamRecords,
+    hash_attempt,
+)
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 from peridotbend.platform.runners import PlatformTargetClient
@@ -224,6 +230,53 @@
         assert anyio.run(run)
 
 
+class _DoubtingWitness:
+    """Another instance, which says that nobody can place a stream."""
+
+    def __init__(self, records: StreamRecords):
+        self._records = records
+
+    async def ask(self, attempt: str) -> str | None:
+        self._records.note_told(hash_attempt(attempt), "")
+        return self._records.find(hash_attempt(attempt))
+
+    def tell(self, stream: BegunStream) -> None:
+        """Does nothing."""
+
+
+class UncertainStreamTest(unittest.TestCase):
+    """Streams of which their own instance can't tell the version."""
+
+    def _list(self, harness: RelayHarness, *versions: str) -> None:
+        for number, software in enumerate(versions, start=1):
+            target = make_target(f"i-{number}")
+            target = dataclasses.replace(target, software=software)
+            harness.targets.put(target)
+        harness.timeline.update("engine")
+
+    def test_kept_prompt_does_not_place_an_uncertain_stream(self) -> None:
+        """Guards against a guess where the answer is that nobody knows."""
+        harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+        self._list(harness, "v1", "v1", "v1")
+        harness.clock.advance(60_000)
+        self._list(harness, "v1", "v2", "v2")
+        moved = next(
+            f"a{number}"
+            for number in range(100)
+            if harness.timeline.choose("engine", f"a{number}") == "v2"
+        )
+        # A target keeps the prompt from an earlier request of the session.
+        harness.client.parts["i-2"] = frozenset(("s",))
+        witness = _DoubtingWitness(harness.origins._records)
+        harness.origins.witnesses = witness
+        take_up = dataclasses.replace(
+            CALL, resumes=moved, last_event_id="1", session="s"
+        )
+        responder = anyio.run(harness.serve, take_up)
+        assert not harness.client.sends
+        assert isinstance(responder.verdict, NotRun)
+
+
 class QuestionTest(unittest.TestCase):
     """The question that is asked on the connection of a call."""
 
