Ask a target again that was silent when it was last asked

Callers would see: a stream that ends, or is not taken up, although its target answers.

Cause: what a target told since the connection was established counts for as long as that connection's streams go on. Silence was remembered like an answer.

Change: silence counts for half a second, within which streams that break together share it.

Measured: test_target_that_was_silent_for_a_moment_is_asked_again failed before and passes; test_edge_runs passes.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -31,7 +31,8 @@
 # How long a target gets no streams after another process has answered. It is
 # then asked again.
 REPLACED_TTL_MS = 1_000
-# All streams that are taken up within this time share the questions.
+# All streams that are taken up within this time share the questions, and all
+# that broke share those that were not answered.
 SURVEY_TTL_MS = 500
 # Limits the questions in the largest services; others are not asked.
 MAX_SURVEYED = 256
@@ -60,6 +61,7 @@
     CallFailure.REFUSED: RunState.GONE,
     CallFailure.TIMEOUT: RunState.SILENT,
 }
+_UNANSWERED = frozenset((RunState.SILENT, RunState.UNREACHABLE))
 
 
 @dataclasses.dataclass(slots=True)
@@ -308,8 +310,13 @@
     async def _ask_since(
         self, target: EdgeTarget, since_ms: int, purpose: str
     ) -> RunState:
-        """Returns what a target has answered since a time; asks if need be."""
+        """Returns what a target has answered since a time; asks if need be.
+
+        One that did not answer may do so soon after.
+        """
         run = self._get_run(target)
+        if run.state in _UNANSWERED:
+            since_ms = max(since_ms, self._clock.now_ms() - SURVEY_TTL_MS)
         while run.state is None or run.asked_ms < since_ms:
             await self._ask_together(target, run, purpose)
         return run.state
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -22,6 +22,7 @@
     StreamRecords,
     hash_attempt,
 )
+from peridotbend.edge.targetruns import SURVEY_TTL_MS
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 from peridotbend.platform.runners import PlatformTargetClient
@@ -40,6 +41,7 @@
     GONE,
     LEASE_MS,
     SECOND_START_MS,
+    SILENT,
     _RunsTest,
 )
 
@@ -90,6 +92,15 @@
         self.client.starts["i-1"] = Ok(SECOND_START_MS)
         assert not self.confirm_begin(early, connected_at_ms)
 
+    def test_target_that_was_silent_for_a_moment_is_asked_again(self) -> None:
+        """Guards against streams that are cut by a silence that is over."""
+        connected_at_ms = self.clock.now_ms()
+        self.client.starts["i-1"] = SILENT
+        assert not self.confirm_begin(self.target, connected_at_ms)
+        self.client.starts["i-1"] = Ok(FIRST_START_MS)
+        self.clock.advance(SURVEY_TTL_MS + 1)
+        assert self.confirm_begin(self.target, connected_at_ms)
+
     def test_begin_at_an_unknown_process_is_not_confirmed(self) -> None:
         """Guards against the same where nothing is known of the one before."""
         connected_at_ms = self.clock.now_ms()
