--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import unittest
+import unittest.mock
 
 import anyio
 from anyio.abc import SocketStream
@@ -12,9 +13,16 @@
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import CallError
+from peridotbend.domain.verdicts import NotRun
 from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.ports import StoreError, StoreFailure, TargetSend
 from peridotbend.edge.readerrole import ReaderRole
+from peridotbend.edge.streamrecords import (
+    BegunStream,
+    StreamRecords,
+    hash_attempt,
+)
+from peridotbend.edge.targetruns import SURVEY_TTL_MS
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 from peridotbend.platform.runners import PlatformTargetClient
@@ -33,6 +41,7 @@
     GONE,
     LEASE_MS,
     SECOND_START_MS,
+    SILENT,
     _RunsTest,
 )
 
@@ -83,6 +92,15 @@
         self.client.starts["i-1"] = Ok(SECOND_START_MS)
         assert not self.confirm_begin(early, connected_at_ms)
 
+    def test_target_that_was_silent_for_a_moment_is_asked_again(self) -> None:
+        """Guards against streams that are cut by a silence that is over."""
+        connected_at_ms = self.clock.now_ms()
+        self.client.starts["i-1"] = SILENT
+        assert not self.confirm_begin(self.target, connected_at_ms)
+        self.client.starts["i-1"] = Ok(FIRST_START_MS)
+        self.clock.advance(SURVEY_TTL_MS + 1)
+        assert self.confirm_begin(self.target, connected_at_ms)
+
     def test_begin_at_an_unknown_process_is_not_confirmed(self) -> None:
         """Guards against the same where nothing is known of the one before."""
         connected_at_ms = self.clock.now_ms()
@@ -148,6 +166,32 @@
         return harness
 
 
+class BudgetTest(_StreamTest):
+    """The budget of extra sends that all instances share."""
+
+    def test_send_that_was_not_made_is_not_counted(self) -> None:
+        """Guards against a budget that is spent on other processes."""
+        harness = self.make_harness(
+            ScriptedReply(chunks=(make_event(1),), breaks_connection=True),
+            ScriptedReply(fails_to_connect=True),
+            ScriptedReply(fails_to_connect=True),
+            ScriptedReply(chunks=(make_event(2),)),
+        )
+        spent: list[str] = []
+        try_spend = harness.budget.try_spend
+
+        def note_spent(service: str, instances: int) -> bool:
+            spent.append(service)
+            return try_spend(service, instances)
+
+        with unittest.mock.patch.object(
+            harness.budget, "try_spend", note_spent
+        ):
+            assert anyio.run(harness.serve).is_complete
+        assert len(harness.client.written_sends) == 2
+        assert spent == ["engine"]
+
+
 class WaitTest(_StreamTest):
     """Requests that wait for a target of which another process has the name."""
 
@@ -197,6 +241,53 @@
         assert anyio.run(run)
 
 
+class _DoubtingWitness:
+    """Another instance, which says that nobody can place a stream."""
+
+    def __init__(self, records: StreamRecords):
+        self._records = records
+
+    async def ask(self, attempt: str) -> str | None:
+        self._records.note_told(hash_attempt(attempt), "")
+        return self._records.find(hash_attempt(attempt))
+
+    def tell(self, stream: BegunStream) -> None:
+        """Does nothing."""
+
+
+class UncertainStreamTest(unittest.TestCase):
+    """Streams of which their own instance can't tell the version."""
+
+    def _list(self, harness: RelayHarness, *versions: str) -> None:
+        for number, software in enumerate(versions, start=1):
+            target = make_target(f"i-{number}")
+            target = dataclasses.replace(target, software=software)
+            harness.targets.put(target)
+        harness.timeline.update("engine")
+
+    def test_kept_prompt_does_not_place_an_uncertain_stream(self) -> None:
+        """Guards against a guess where the answer is that nobody knows."""
+        harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
+        self._list(harness, "v1", "v1", "v1")
+        harness.clock.advance(60_000)
+        self._list(harness, "v1", "v2", "v2")
+        moved = next(
+            f"a{number}"
+            for number in range(100)
+            if harness.timeline.choose("engine", f"a{number}") == "v2"
+        )
+        # A target keeps the prompt from an earlier request of the session.
+        harness.client.parts["i-2"] = frozenset(("s",))
+        witness = _DoubtingWitness(harness.origins._records)
+        harness.origins.witnesses = witness
+        take_up = dataclasses.replace(
+            CALL, resumes=moved, last_event_id="1", session="s"
+        )
+        responder = anyio.run(harness.serve, take_up)
+        assert not harness.client.sends
+        assert isinstance(responder.verdict, NotRun)
+
+
 class QuestionTest(unittest.TestCase):
     """The question that is asked on the connection of a call."""
 
