Give the two stores of a fleet with a cut instance the same revisions

Cause: a test in which one instance reaches its targets through a peer only gives it a store of its own, which names a port that refuses connections. The entries of the other store had higher revisions, so the cut instance took them over as soon as it heard its peer, and its links were never lost: 30 s later the test failed.

Change: the revisions are equal, and the second instance starts while the first one is paused, so that each keeps the entries of its own store. What is checked is unchanged.

--- a/tests/test_edge_oracle.py
+++ b/tests/test_edge_oracle.py
@@ -34,6 +34,7 @@
     Reply,
     TargetSend,
 )
+from peridotbend.edge.targets import EdgeTarget
 from tests.edgefakes import (
     CALL,
     CONFIG,
--- a/tests/troubledfleet.py
+++ b/tests/troubledfleet.py
@@ -247,6 +247,7 @@
     async def start(fleet: EdgeFleet) -> None:
         troubled = TroubledFleet(fleet, answers)
         cut_store = FakeStore()
+        cut_store.revision = fleet.store.revision
         listener = listen("127.0.0.1", 0)
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         async with troubled.serve_target() as port:
@@ -258,9 +259,13 @@
                     cut_child = fleet.spawn(
                         HOSTS[0], platform={"address": address}, bounds=BOUNDS
                     )
+                    # The two stores list the same revisions, and an instance
+                    # keeps the entries that it has heard of first.
+                    await fleet.wait_ready(HOSTS[0])
+                    cut_child.pause()
                     fleet.spawn(HOSTS[1])
-                    for host in HOSTS:
-                        await fleet.wait_ready(host)
+                    await fleet.wait_ready(HOSTS[1])
+                    cut_child.resume()
                     with anyio.fail_after(WAIT_TIMEOUT_S):
                         while '"peer-live"' not in cut_child.output:
                             await anyio.sleep(0.02)
