Count the time for a new connection from the answer, not the question

Cause: the connection that follows had to be established within 50 ms of the question. A busy target answers later than that.

Change: within 200 ms of the answer.

--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -30,8 +30,8 @@
 from peridotbend.domain.text import Target
 
 CONNECT_TIMEOUT_S = 1.0
-# No process ends and starts again within this time.
-RESTART_MS = 50
+# No process that has just answered ends and starts again within this time.
+RESTART_MS = 200
 # What a target says of itself grows with the requests that it runs.
 MAX_QUESTION_BYTES = 262_144
 # Within this time the kernel has closed all sockets of a process that ended.
@@ -192,8 +192,8 @@
         connection = opened.ok_value
         is_usable = False
         try:
-            checked_at_ms = self._clock.now_ms()
             problem = await self._check(connection, target, call.check)
+            answered_at_ms = self._clock.now_ms()
             # Some targets close a connection after any answer.
             is_usable = problem is None and not connection.is_closed()
         finally:
@@ -207,7 +207,7 @@
         if isinstance(opened, Err):
             return opened
         connection = opened.ok_value
-        if connection.connected_at_ms - checked_at_ms <= RESTART_MS:
+        if connection.connected_at_ms - answered_at_ms <= RESTART_MS:
             return Ok(connection)
         await self._release(connection, call, request)
         return Err(_UNANSWERED)
