--- /dev/null
+++ b/src/peridotbend_emulator/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded soak: real edge daemons under faults, checked by callers."""
--- /dev/null
+++ b/src/peridotbend_emulator/soak/checks.py
@@ -0,0 +1,211 @@
+"""What callers and runners of a soak may see, checked as they see it."""
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+from peridotbend.platform import wire
+from peridotbend_emulator.soak.messages import Answer, split_lines
+from peridotbend_emulator.soak.record import Finding, Rule
+
+# Statuses that promise that the request has not run and never will.
+PROMISES = frozenset((408, 421, 429, 503))
+FIELD_SEPARATOR = "|"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """What a runner writes in an event of a stream."""
+
+    path: str
+    software: str
+    padding: str
+    number: int
+
+    def encode(self) -> bytes:
+        """Returns the bytes of the event."""
+        fields = (self.path, self.software, self.padding, str(self.number))
+        text = FIELD_SEPARATOR.join(fields)
+        return f"id: {self.number}\ndata: {text}\n\n".encode()
+
+
+def parse_event(block: bytes) -> StreamEvent | None:
+    """Returns an event without its blank line; None if it is none."""
+    lines = [
+        line
+        for line in split_lines(block)
+        if not line.startswith(f"{wire.WEIGHT_VERSIONS}:")
+    ]
+    if len(lines) != 2 or not lines[1].startswith("data: "):
+        return None
+    fields = lines[1].removeprefix("data: ").split(FIELD_SEPARATOR)
+    if len(fields) != 4 or lines[0] != f"id: {fields[3]}":
+        return None
+    if not fields[3].isdecimal():
+        return None
+    return StreamEvent(fields[0], fields[1], fields[2], int(fields[3]))
+
+
+class StreamCheck:
+    """Checks one stream over all answers that bring parts of it."""
+
+    def __init__(self, path: str, count: int):
+        self.path = path
+        self.count = count
+        # The software of the runner of each event that came, in order.
+        self.held: list[str] = []
+        self.is_broken = False
+        self._rest = b""
+
+    def begin_answer(self) -> None:
+        """Begins another answer; part of an event is lost with the last."""
+        self._rest = b""
+
+    def take(self, data: bytes) -> Iterator[Finding]:
+        """Checks the next bytes of an answer, up to the first fault."""
+        *blocks, self._rest = (self._rest + data).split(b"\n\n")
+        for block in blocks:
+            if self.is_broken:
+                return
+            yield from self._take_event(block)
+
+    def end_answer(self) -> Iterator[Finding]:
+        """Checks an answer that ended as complete."""
+        if self.is_broken:
+            return
+        if len(self.held) < self.count:
+            yield self._fail(
+                Rule.ORDER,
+                f"ends as complete after {len(self.held)} of {self.count}",
+            )
+        elif self._rest.strip():
+            yield self._fail(
+                Rule.ORDER, f"bytes after the last event: {self._rest[:60]!r}"
+            )
+
+    def _take_event(self, block: bytes) -> Iterator[Finding]:
+        due = len(self.held) + 1
+        event = parse_event(block)
+        if event is None:
+            detail = f"event {due} was due, got {block[:60]!r}"
+            yield self._fail(Rule.ORDER, detail)
+        elif event.path != self.path:
+            yield self._fail(Rule.MIXED, f"got event {due} of {event.path}")
+        elif event.number != due or due > self.count:
+            detail = f"event {due} of {self.count} was due, got {event.number}"
+            yield self._fail(Rule.ORDER, detail)
+        elif self.held and self.held[0] != event.software:
+            detail = f"began at {self.held[0]}, event {due} of {event.software}"
+            yield self._fail(Rule.ORDER, f"joined of two versions: {detail}")
+        else:
+            self.held.append(event.software)
+
+    def _fail(self, rule: Rule, detail: str) -> Finding:
+        self.is_broken = True
+        return Finding(rule, self.path, detail)
+
+
+def make_body(path: str, attempt: str, size: int) -> bytes:
+    """Returns the whole body that each runner answers to a call."""
+    unit = f"{path} {attempt} ".encode()
+    return (unit * (size // len(unit) + 1))[:size] + b" end"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stamp:
+    """What a runner says of its answer in one header."""
+
+    runner: str
+    attempt: str
+    status: int
+
+    def encode(self) -> str:
+        """Returns the value of the header."""
+        return f"{self.runner}/{self.attempt}/{self.status}"
+
+
+def parse_stamp(text: str) -> Stamp | None:
+    """Returns a stamp; None if the text is none."""
+    runner, _, rest = text.partition("/")
+    attempt, _, status = rest.partition("/")
+    return Stamp(runner, attempt, int(status)) if status.isdecimal() else None
+
+
+def check_head(path: str, attempt: str, answer: Answer) -> Iterator[Finding]:
+    """Checks that an answer belongs to its request and has the right status."""
+    text = answer.get(wire.SERVER_STAMP)
+    stamp = parse_stamp(text)
+    if stamp is None:
+        if 200 <= answer.status < 300 or text:
+            detail = f"status {answer.status} with the stamp {text!r}"
+            yield Finding(Rule.MIXED, path, detail)
+        return
+    if stamp.attempt != attempt:
+        detail = f"attempt {attempt} got the answer to {stamp.attempt}"
+        yield Finding(Rule.MIXED, path, detail)
+    elif stamp.status != answer.status:
+        detail = f"{answer.status}, but the runner answered {stamp.status}"
+        yield Finding(Rule.MIXED, path, f"{attempt} got {detail}")
+    if answer.get(wire.ATTEMPT_ID) not in ("", attempt):
+        detail = f"{attempt} got the ID {answer.get(wire.ATTEMPT_ID)}"
+        yield Finding(Rule.MIXED, path, detail)
+
+
+def check_call(
+    path: str, attempt: str, size: int, answer: Answer
+) -> Iterator[Finding]:
+    """Checks the whole answer to a call of the application service."""
+    yield from check_head(path, attempt, answer)
+    if answer.status != 200 or not answer.is_complete:
+        return
+    expected = make_body(path, attempt, size)
+    if answer.body == expected:
+        return
+    if expected.startswith(answer.body):
+        detail = f"ends as complete after {len(answer.body)} of {len(expected)}"
+        yield Finding(Rule.ORDER, path, f"{attempt}: the body {detail} bytes")
+    else:
+        detail = f"another body: {answer.body[:60]!r}"
+        yield Finding(Rule.MIXED, path, f"{attempt} got {detail}")
+
+
+class RunLedger:
+    """Which attempts ran, and which were said not to have run."""
+
+    def __init__(self) -> None:
+        # Attempts that may run once at most.
+        self._single: set[str] = set()
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._refused: dict[str, int] = {}
+
+    def note_single(self, attempt: str) -> None:
+        """Notes that an attempt may run once at most."""
+        self._single.add(attempt)
+
+    def count_runs(self, attempt: str) -> int:
+        """Returns how often an attempt has begun to run."""
+        return self._runs[attempt]
+
+    def note_run(self, path: str, attempt: str) -> Iterator[Finding]:
+        """Checks a run that begins at a runner."""
+        self._runs[attempt] += 1
+        if attempt not in self._single:
+            return
+        if self._runs[attempt] > 1:
+            detail = f"{attempt} began run {self._runs[attempt]}"
+            yield Finding(Rule.TWICE, path, detail)
+        if attempt in self._refused:
+            status = self._refused[attempt]
+            detail = f"{attempt} runs after it was answered {status}"
+            yield Finding(Rule.REFUSED, path, detail)
+
+    def note_answer(
+        self, path: str, attempt: str, status: int
+    ) -> Iterator[Finding]:
+        """Checks the status that a caller got."""
+        if attempt not in self._single or status not in PROMISES:
+            return
+        self._refused[attempt] = status
+        if self._runs[attempt]:
+            detail = f"{attempt} was answered {status} and has run"
+            yield Finding(Rule.REFUSED, path, detail)
--- /dev/null
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -0,0 +1,183 @@
+"""The instances, runners and store of a soak."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+from peridotbend.domain.clock import Clock
+from peridotbend.platform import wire
+from peridotbend_emulator.soak.instances import Instance, InstanceSettings
+from peridotbend_emulator.soak.links import Link, LinkState
+from peridotbend_emulator.soak.platform.documents import (
+    CALL_SERVICE,
+    STREAM_SERVICE,
+    Entry,
+    InstancePorts,
+    make_config,
+)
+from peridotbend_emulator.soak.platform.store import StoreStandIn
+from peridotbend_emulator.soak.runners import (
+    Behaviour,
+    Runner,
+    StartCounter,
+)
+from peridotbend_emulator.soak.settings import SoakSettings
+
+VERSIONS = ("v1", "v2")
+STREAM_RUNNERS = 6
+CALL_RUNNERS = 3
+SLOTS = 10
+# Last numbers of the addresses.
+STORE_HOST = 200
+FIRST_INSTANCE_HOST = 210
+FIRST_RUNNER_HOST = 220
+SEED_INSTANCES = 3
+# Until the instances know each other and the runners.
+SETTLE_S = 0.5
+
+
+class SoakFleet:
+    """The processes and stand-ins of a run."""
+
+    def __init__(
+        self, settings: SoakSettings, behaviour: Behaviour, clock: Clock
+    ):
+        count = settings.instance_count
+        self.starts = StartCounter(clock)
+        self.links = [Link(index) for index in range(count)]
+        self.store = StoreStandIn(f"{settings.net}.{STORE_HOST}", count)
+        self.runners: list[Runner] = []
+        self.instances: list[Instance] = []
+        self._settings = settings
+        self._behaviour = behaviour
+        self._is_store_away = False
+
+    @property
+    def is_store_away(self) -> bool:
+        """Whether the store was stopped."""
+        return self._is_store_away
+
+    def stop_store(self) -> None:
+        """Takes the store away."""
+        self._is_store_away = True
+        self.store.stop()
+
+    async def start_store(self) -> None:
+        """Brings the store back at the addresses that it had."""
+        await self.store.start()
+        self._is_store_away = False
+
+    async def start(self) -> None:
+        """Starts everything and waits until all instances are ready.
+
+        Raises:
+            NotReadyError: an instance did not become ready.
+        """
+        await self.store.start()
+        self.store.put(wire.CONFIG_KEY, lambda index: make_config())
+        if self._settings.faults.has("peer"):
+            self.links[0].state = LinkState.REFUSED
+            self.links[0].is_fixed = True
+        await self._start_runners()
+        self._create_instances()
+        for instance in self.instances:
+            instance.spawn()
+        for instance in self.instances:
+            await instance.wait_ready()
+        await asyncio.sleep(SETTLE_S)
+
+    def stop(self) -> None:
+        """Ends the processes that the soak started, and the stand-ins."""
+        for instance in self.instances:
+            instance.kill()
+        for runner in self.runners:
+            runner.die(in_order=False)
+        self.store.stop()
+
+    def list_entry(self, runner: Runner, entry: Entry) -> None:
+        """Writes an entry of a runner to the store."""
+        self.store.put(
+            wire.TARGET_PREFIX + runner.start.name,
+            lambda index: entry.describe(runner.find_address(index)),
+        )
+
+    def remove_entry(self, runner: Runner) -> None:
+        """Removes the entry of a runner from the store."""
+        self.store.delete(wire.TARGET_PREFIX + runner.start.name)
+
+    async def apply_link(self, link: Link) -> None:
+        """Makes the connections of an instance behave as its link says."""
+        for runner in self.runners:
+            await runner.apply_link(link)
+
+    async def _start_runners(self) -> None:
+        net = self._settings.net
+        for number in range(STREAM_RUNNERS + CALL_RUNNERS):
+            is_pool = number < STREAM_RUNNERS
+            name = self.starts.make_name()
+            version = VERSIONS[number % len(VERSIONS)]
+            start = self.starts.make_start(name, version)
+            runner = Runner(
+                start,
+                STREAM_SERVICE if is_pool else CALL_SERVICE,
+                f"{net}.{FIRST_RUNNER_HOST + number}",
+                SLOTS,
+                self._behaviour,
+                self.links,
+            )
+            self.runners.append(runner)
+            await runner.launch(start)
+            self.list_entry(runner, runner.make_entry())
+
+    def _create_instances(self) -> None:
+        net, other = self._settings.net, self._settings.other_build
+        hosts = [
+            f"{net}.{FIRST_INSTANCE_HOST + index}"
+            for index in range(len(self.links))
+        ]
+        ports = _choose_ports(hosts[0])
+        has_builds = self._settings.faults.has("builds")
+        for index, host in enumerate(hosts):
+            instance = InstanceSettings(
+                index=index,
+                host=host,
+                ports=ports,
+                seed_hosts=tuple(hosts[:SEED_INSTANCES]),
+                store_address=self.store.find_address(index),
+                folder=self._settings.folder,
+                source=other if has_builds and index % 2 else None,
+            )
+            self.instances.append(Instance(instance))
+
+
+def _choose_ports(host: str) -> InstancePorts:
+    """Returns free ports; the second internal one follows the first."""
+    with contextlib.ExitStack() as stack:
+        tcp = []
+        for _ in range(3):
+            listener = stack.enter_context(socket.socket())
+            listener.bind((host, 0))
+            tcp.append(int(listener.getsockname()[1]))
+        while True:
+            first = stack.enter_context(_open_datagram_socket())
+            first.bind((host, 0))
+            port = int(first.getsockname()[1])
+            second = stack.enter_context(_open_datagram_socket())
+            with contextlib.suppress(OSError, OverflowError):
+                second.bind((host, port + 1))
+                return InstancePorts(tcp[0], tcp[1], tcp[2], port)
+
+
+def _open_datagram_socket() -> socket.socket:
+    return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(fleet: SoakFleet) -> AsyncIterator[None]:
+    """Starts a fleet, and ends its processes whatever happens."""
+    try:
+        await fleet.start()
+        yield
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/src/peridotbend_emulator/soak/platform/__init__.py
@@ -0,0 +1,1 @@
+"""What the soak says in the words of the users' platform."""
--- /dev/null
+++ b/src/peridotbend_emulator/soak/record.py
@@ -0,0 +1,71 @@
+"""The record of a soak: what happened when, and what was found."""
+
+import dataclasses
+import enum
+import pathlib
+import sys
+
+from peridotbend.domain.clock import Clock
+
+
+class Rule(enum.Enum):
+    """A promise that a soak checks."""
+
+    ORDER = "ORDER"
+    MIXED = "MIXED"
+    TWICE = "TWICE"
+    REFUSED = "REFUSED"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """A broken promise."""
+
+    rule: Rule
+    # What was asked for, as the path of the request.
+    subject: str
+    detail: str
+
+
+class Record:
+    """Writes `record.txt`, `faults.txt` and `findings.txt` of a run."""
+
+    def __init__(self, folder: pathlib.Path, clock: Clock):
+        self.findings: list[Finding] = []
+        self._clock = clock
+        self._start_ms = clock.now_ms()
+        self._files = {
+            name: (folder / f"{name}.txt").open("w", encoding="utf-8")
+            for name in ("record", "faults", "findings")
+        }
+
+    def write(self, text: str) -> None:
+        """Writes a line to the record."""
+        self._write("record", text)
+
+    def note_fault(self, text: str) -> None:
+        """Writes a fault to the record and to the list of faults."""
+        self._write("faults", text)
+        self._write("record", f"FAULT {text}")
+
+    def add_finding(self, finding: Finding) -> None:
+        """Notes a broken promise, also on standard error."""
+        self.findings.append(finding)
+        text = f"{finding.rule.value} {finding.subject}: {finding.detail}"
+        self._write("findings", text)
+        self._write("record", f"FINDING {text}")
+        print(f"BAD {text}", file=sys.stderr, flush=True)
+
+    def close(self) -> None:
+        """Closes the files."""
+        for file in self._files.values():
+            file.close()
+
+    def _write(self, name: str, text: str) -> None:
+        spent_ms = self._clock.now_ms() - self._start_ms
+        # Lines are on disk at once, since a run may be interrupted.
+        print(
+            f"{spent_ms / 1_000:8.3f} {text}",
+            file=self._files[name],
+            flush=True,
+        )
--- /dev/null
+++ b/src/peridotbend_emulator/soak/run.py
@@ -0,0 +1,139 @@
+"""Plays a soak from its seed."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Callable
+
+from peridotbend.domain.clock import SystemClock
+from peridotbend_emulator.soak.behaviours import SoakBehaviour
+from peridotbend_emulator.soak.callers import (
+    Caller,
+    CallerContext,
+    ChannelPool,
+    Job,
+)
+from peridotbend_emulator.soak.checks import RunLedger
+from peridotbend_emulator.soak.disturbances import (
+    DisturbanceSeries,
+    Occupation,
+)
+from peridotbend_emulator.soak.faults import Dice
+from peridotbend_emulator.soak.fleet import SoakFleet, run_fleet
+from peridotbend_emulator.soak.platform.documents import ROUTES
+from peridotbend_emulator.soak.record import Finding, Record
+from peridotbend_emulator.soak.settings import SoakSettings
+
+DiceMaker = Callable[[str], Dice]
+SERIES_COUNT = 2
+# Streams matter most, and those that can be resumed meet most mechanisms.
+ROUTE_WEIGHTS = (9, 4, 4, 3, 2, 2)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoakResult:
+    """What a run found."""
+
+    calls: int
+    # Calls answered as complete.
+    served: int
+    # Calls sent more than once.
+    repeated: int
+    findings: tuple[Finding, ...]
+
+    def describe(self) -> str:
+        """Returns a line on the run."""
+        counts = collections.Counter(f.rule.value for f in self.findings)
+        found = " ".join(f"{rule}={n}" for rule, n in sorted(counts.items()))
+        return (
+            f"{self.calls} calls, {self.served} served, {self.repeated} sent"
+            f" again, {len(self.findings)} findings {found}".rstrip()
+        )
+
+
+def run_soak(settings: SoakSettings) -> SoakResult:
+    """Plays a soak, and leaves its record in the folder of the settings."""
+    settings.folder.mkdir(parents=True, exist_ok=True)
+    record = Record(settings.folder, SystemClock())
+    try:
+        return asyncio.run(_play(settings, record))
+    finally:
+        record.close()
+
+
+async def _play(settings: SoakSettings, record: Record) -> SoakResult:
+    clock = SystemClock()
+    ledger = RunLedger()
+
+    def make_dice(subject: str) -> Dice:
+        return Dice(settings.faults, settings.seed, subject)
+
+    behaviour = SoakBehaviour(make_dice, ledger, record)
+    fleet = SoakFleet(settings, behaviour, clock)
+    pool = ChannelPool()
+    async with run_fleet(fleet), _disturb(fleet, make_dice, record):
+        context = CallerContext(
+            fleet.instances, pool, ledger, record, clock, settings.seed
+        )
+        callers = await _call(context, settings, make_dice)
+    pool.close()
+    return SoakResult(
+        calls=len(callers),
+        served=sum(caller.is_served for caller in callers),
+        repeated=sum(caller.tries > 1 for caller in callers),
+        findings=tuple(record.findings),
+    )
+
+
+@contextlib.asynccontextmanager
+async def _disturb(
+    fleet: SoakFleet, make_dice: DiceMaker, record: Record
+) -> AsyncIterator[None]:
+    """Plays the series of faults beside the callers."""
+    occupation = Occupation()
+    series = [
+        DisturbanceSeries(
+            fleet, make_dice(f"series/{number}"), record, occupation
+        )
+        for number in range(SERIES_COUNT)
+    ]
+    tasks = [asyncio.create_task(one.run()) for one in series]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        for result in results:
+            # An error in a series would leave the run without its faults.
+            if isinstance(result, Exception):
+                raise result
+
+
+async def _call(
+    context: CallerContext, settings: SoakSettings, make_dice: DiceMaker
+) -> list[Caller]:
+    """Sends calls until the time is over, and waits for their ends."""
+    end_ms = context.clock.now_ms() + round(settings.duration_s * 1_000)
+    pace = make_dice("pace").rng
+    callers: list[Caller] = []
+    async with asyncio.TaskGroup() as tasks:
+        while context.clock.now_ms() < end_ms:
+            dice = make_dice(f"caller/{len(callers)}")
+            caller = Caller(context, _make_job(len(callers), dice), dice)
+            callers.append(caller)
+            tasks.create_task(caller.run())
+            await asyncio.sleep(pace.expovariate(settings.calls_per_s))
+    return callers
+
+
+def _make_job(serial: int, dice: Dice) -> Job:
+    route = dice.rng.choices(ROUTES, ROUTE_WEIGHTS)[0]
+    return Job(
+        serial=serial,
+        route=route,
+        size=dice.rng.randint(*route.sizes),
+        is_slow=dice.roll("slow"),
+        is_http10=dice.roll("http10"),
+    )
--- /dev/null
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -0,0 +1,308 @@
+"""Stand-ins for runners, which die and start again at their addresses."""
+
+import asyncio
+import contextlib
+import dataclasses
+import errno
+import json
+import socket
+import struct
+from collections.abc import Sequence
+from typing import Protocol
+
+from peridotbend.domain.clock import Clock
+from peridotbend.platform import wire
+from peridotbend_emulator.soak.links import REFUSING_STATES, Link, LinkState
+from peridotbend_emulator.soak.messages import (
+    Request,
+    make_answer,
+    read_request,
+)
+from peridotbend_emulator.soak.platform.documents import (
+    Entry,
+    make_part_list,
+    make_report,
+)
+
+# Requests that a runner holds beyond its slots before it turns more away.
+QUEUE_LENGTH = 20
+# A port may be in use for a moment after the process before has gone.
+BIND_ATTEMPTS = 50
+BIND_INTERVAL_S = 0.1
+GATE_INTERVAL_S = 0.05
+READ_LIMIT_BYTES = 16 * 1_048_576
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """One start of a runner."""
+
+    name: str
+    software: str
+    started_at_ms: int
+
+
+class Connection:
+    """A connection of an instance to one start of a runner."""
+
+    def __init__(
+        self, process: "RunnerProcess", link: Link, writer: asyncio.StreamWriter
+    ):
+        self.process = process
+        self.link = link
+        self._writer = writer
+
+    async def send(self, data: bytes) -> None:
+        """Sends data, once neither the runner nor the link is silent."""
+        while self.process.is_silent or self.link.state is LinkState.SILENT:
+            await asyncio.sleep(GATE_INTERVAL_S)
+        self._writer.write(data)
+        await self._writer.drain()
+
+    def reset(self) -> None:
+        """Resets the connection."""
+        with contextlib.suppress(OSError):
+            self._writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        self._writer.transport.abort()
+
+    def drop(self) -> None:
+        """Closes the connection as the kernel does for a dead process."""
+        self._writer.transport.abort()
+
+    def close(self) -> None:
+        """Closes the connection after all data."""
+        self._writer.close()
+
+
+class Behaviour(Protocol):
+    """How a runner answers the requests that it accepts."""
+
+    async def answer(self, connection: Connection, request: Request) -> bool:
+        """Answers; tells whether the connection may be used again."""
+        ...
+
+
+class RunnerProcess:
+    """One start of a runner, with its listeners and connections."""
+
+    def __init__(self, start: Start, slots: int, behaviour: Behaviour):
+        self.start = start
+        self.is_silent = False
+        self._slots = slots
+        self._behaviour = behaviour
+        self._active = 0
+        self._connections: dict[Connection, asyncio.Task[None]] = {}
+        self._servers: dict[int, asyncio.Server] = {}
+
+    async def listen(self, link: Link, host: str, port: int) -> int:
+        """Listens for an instance; returns the port."""
+        for _ in range(BIND_ATTEMPTS):
+            try:
+                server = await asyncio.start_server(
+                    lambda reader, writer: self._serve(link, reader, writer),
+                    host,
+                    port,
+                    limit=READ_LIMIT_BYTES,
+                )
+                break
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+            await asyncio.sleep(BIND_INTERVAL_S)
+        else:
+            raise OSError(errno.EADDRINUSE, f"{host}:{port} stays in use")
+        self._servers[link.index] = server
+        return int(server.sockets[0].getsockname()[1])
+
+    def is_listening(self, link: Link) -> bool:
+        """Tells whether an instance can connect."""
+        return link.index in self._servers
+
+    def stop_listening(self, link: Link) -> None:
+        """Refuses new connections of an instance."""
+        if server := self._servers.pop(link.index, None):
+            server.close()
+
+    def reset_connections(self, link: Link) -> None:
+        """Resets the connections of an instance."""
+        for connection in tuple(self._connections):
+            if connection.link is link:
+                connection.reset()
+
+    def die(self, in_order: bool) -> None:
+        """Ends at once.
+
+        Args:
+            in_order: whether the kernel closes the connections in order, and
+                does not reset them.
+        """
+        for server in self._servers.values():
+            server.close()
+        self._servers.clear()
+        for connection, task in tuple(self._connections.items()):
+            if in_order:
+                connection.drop()
+            else:
+                connection.reset()
+            task.cancel()
+        self._connections.clear()
+
+    async def _serve(
+        self,
+        link: Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        connection = Connection(self, link, writer)
+        if link.state is LinkState.RESET:
+            connection.reset()
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections[connection] = task
+        try:
+            while (request := await read_request(reader)) is not None:
+                if not await self._answer(connection, request):
+                    break
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._connections.pop(connection, None)
+            connection.close()
+
+    async def _answer(self, connection: Connection, request: Request) -> bool:
+        if request.method == "GET":
+            status, page = self._describe(request.target)
+            body = json.dumps(page).encode()
+            name = ("X-Instance-Id", self.start.name)
+            await connection.send(make_answer(status, body, (name,)))
+            return True
+        if request.get(wire.EXPECT_INSTANCE) != self.start.name:
+            await connection.send(make_answer(421, b"", _echo(request)))
+            return True
+        if self._active >= self._slots + QUEUE_LENGTH:
+            await connection.send(make_rejection(request))
+            return True
+        self._active += 1
+        try:
+            return await self._behaviour.answer(connection, request)
+        finally:
+            self._active -= 1
+
+    def _describe(self, path: str) -> tuple[int, dict[str, object]]:
+        born_ms = self.start.started_at_ms
+        if path.startswith(wire.REPORT_CALL):
+            return 200, make_report(born_ms, 0, self._active)
+        if path.startswith(wire.PARTS_CALL):
+            return 200, make_part_list(born_ms)
+        return (200 if path == "/healthz" else 404), {}
+
+
+def _echo(request: Request) -> Sequence[tuple[str, str]]:
+    return ((wire.ATTEMPT_ID, request.get(wire.ATTEMPT_ID)),)
+
+
+def make_rejection(request: Request) -> bytes:
+    """Returns the answer to a request that is turned away."""
+    headers = (*_echo(request), (wire.NOT_EXECUTED, "1"))
+    return make_answer(503, b"", headers)
+
+
+class Runner:
+    """A runner at addresses that outlive its processes."""
+
+    def __init__(
+        self,
+        start: Start,
+        service: str,
+        host: str,
+        slots: int,
+        behaviour: Behaviour,
+        links: Sequence[Link],
+    ):
+        self.start = start
+        self.service = service
+        self.slots = slots
+        self._host = host
+        self._behaviour = behaviour
+        self._links = links
+        # By instance; chosen at the first start.
+        self._ports = [0] * len(links)
+        self._process: RunnerProcess | None = None
+        self._sequence = 0
+
+    async def launch(self, start: Start) -> None:
+        """Starts a process."""
+        self.start = start
+        self._process = RunnerProcess(start, self.slots, self._behaviour)
+        self._sequence = 0
+        for link in self._links:
+            if link.state not in REFUSING_STATES or not self._ports[link.index]:
+                port = self._ports[link.index]
+                self._ports[link.index] = await self._process.listen(
+                    link, self._host, port
+                )
+        for link in self._links:
+            await self.apply_link(link)
+
+    def die(self, in_order: bool) -> None:
+        """Ends the process at once; see `RunnerProcess.die`."""
+        if self._process is not None:
+            self._process.die(in_order)
+            self._process = None
+
+    def set_silent(self, is_silent: bool) -> None:
+        """Begins or ends a silence of the process."""
+        if self._process is not None:
+            self._process.is_silent = is_silent
+
+    async def apply_link(self, link: Link) -> None:
+        """Makes the connections of an instance behave as its link says."""
+        process = self._process
+        if process is None:
+            return
+        if link.state in (LinkState.REFUSED, LinkState.RESET):
+            process.reset_connections(link)
+        if link.state in REFUSING_STATES:
+            process.stop_listening(link)
+        elif not process.is_listening(link):
+            port = self._ports[link.index]
+            await process.listen(link, self._host, port)
+
+    def make_entry(
+        self, start: Start | None = None, is_leaving: bool = False
+    ) -> Entry:
+        """Returns the next entry of this runner, or of another start."""
+        start = start or self.start
+        self._sequence += 1
+        return Entry(
+            service=self.service,
+            software=start.software,
+            slots=self.slots,
+            started_at_ms=start.started_at_ms,
+            sequence=self._sequence,
+            is_leaving=is_leaving,
+        )
+
+    def find_address(self, index: int) -> str:
+        """Returns the address for an instance."""
+        return f"{self._host}:{self._ports[index]}"
+
+
+class StartCounter:
+    """Gives out the starts of runners."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._count = 0
+
+    def make_name(self) -> str:
+        """Returns an ID that no runner had."""
+        self._count += 1
+        return f"i-{self._count}"
+
+    def make_start(self, name: str, software: str) -> Start:
+        """Returns a start at this moment."""
+        return Start(name, software, self._clock.wall_ms())
