--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -1,6 +1,7 @@
 """How the runners of a soak answer, with the faults of single runs."""
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable, Iterator, Sequence
 
@@ -65,13 +66,17 @@
         self._make_dice = make_dice
         self._ledger = ledger
         self._record = record
+        # How often each attempt has arrived, since all sends differ.
+        self._arrivals: collections.Counter[str] = collections.Counter()
 
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Answers; tells whether the connection may be used again."""
         attempt = request.get(wire.ATTEMPT_ID)
-        serial = self._ledger.count_runs(attempt)
-        dice = self._make_dice(f"run/{attempt}/{serial}")
+        dice = self._make_dice(f"run/{attempt}/{self._arrivals[attempt]}")
+        self._arrivals[attempt] += 1
         if dice.roll("reject"):
+            name = connection.process.start.name
+            self._record.note_fault(f"reject at {name} of {attempt}")
             await connection.send(make_rejection(request))
             return True
         for finding in self._ledger.note_run(request.target, attempt):
@@ -83,7 +88,10 @@
         )
         run = _Run(connection, request, dice, self._record)
         is_kept = await run.answer()
-        return is_kept and not dice.roll("length-close")
+        if is_kept and dice.roll("length-close"):
+            self._record.note_fault(f"length-close after run {attempt}")
+            return False
+        return is_kept
 
 
 class _Run:
@@ -103,6 +111,8 @@
         self._attempt = request.get(wire.ATTEMPT_ID)
         self._subject = parse_subject(request.target)
         self._is_unframed = dice.roll("unframed")
+        if self._is_unframed:
+            self._note("unframed")
 
     async def answer(self) -> bool:
         """Answers; tells whether the connection may be used again."""
@@ -170,6 +180,7 @@
             # Drawn in any case, so that other choices stay the same.
             is_pausing = rng.random() < EVENT_SILENCE_SHARE
             if is_pausing and self._dice.plan.has("silence"):
+                self._note(f"silence after event {number}")
                 await asyncio.sleep(rng.uniform(*SILENCE_S))
             await asyncio.sleep(gap_s)
         if not self._is_unframed:
@@ -201,6 +212,7 @@
         )
         data = event.encode()
         if self._dice.roll("weights"):
+            self._note(f"weights in event {number}")
             version = self._dice.rng.randint(1, 9)
             data = f"{wire.WEIGHT_VERSIONS}: {version}\n".encode() + data
         return data
--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from peridotbend.domain.clock import Clock
 from peridotbend.platform import wire
@@ -20,6 +20,7 @@
     StreamCheck,
     check_call,
     check_head,
+    check_unasked,
 )
 from peridotbend_emulator.soak.faults import Dice
 from peridotbend_emulator.soak.instances import Instance
@@ -43,7 +44,7 @@
 FAILED_STATUSES = frozenset((0, 502, 504))
 BODY = b"x" * 64
 # Padding of an event for slow callers, so that its stream fills buffers.
-SLOW_PADDING = 2_000
+SLOW_PADDING = 8_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,10 +84,11 @@
         """Keeps a connection."""
         self._kept[index].append(channel)
 
-    def close(self) -> None:
-        """Closes all connections."""
-        for kept in self._kept.values():
+    def close(self) -> Iterator[Finding]:
+        """Closes all connections; yields what came unasked."""
+        for index, kept in self._kept.items():
             for channel in kept:
+                yield from check_unasked(f"instance {index}", channel.unread)
                 channel.close()
 
 
@@ -122,6 +124,12 @@
 
     async def run(self) -> None:
         """Sends the request until it is answered or not worth sending."""
+        for name, is_struck in (
+            ("slow", self._job.is_slow),
+            ("http10", self._job.is_http10),
+        ):
+            if is_struck:
+                self._context.record.note_fault(f"{name} for {self._job.path}")
         limit_ms = self._job.route.timeout_ms
         start_ms = self._context.clock.now_ms()
         instances = self._context.instances
@@ -164,9 +172,10 @@
         is_leaving = self._dice.roll("leave")
         patience_s = left_s + LATE_S
         if is_leaving:
+            context.record.note_fault(f"caller of {attempt} leaves early")
             patience_s = self._dice.rng.uniform(0.05, 1.0)
         is_kept = self._dice.roll("keep") and not job.is_http10
-        self._check.begin_answer()
+        self._check.begin_answer(attempt)
         had = len(self._check.held)
         head = self._make_head(attempt, left_s)
         context.record.write(
@@ -179,7 +188,8 @@
             answer = await self._exchange(
                 channel, head + BODY, attempt, patience_s
             )
-            if is_kept and answer.is_complete and not channel.end:
+            is_ending = answer.get("connection").lower() == "close"
+            if is_kept and answer.is_complete and not is_ending:
                 context.pool.keep(instance.index, channel)
             else:
                 channel.close()
@@ -198,10 +208,8 @@
         job, context = self._job, self._context
         kept = context.pool.pop(instance.index)
         if kept is not None and not number and not job.is_slow:
-            if kept.unread:
-                self._report(
-                    Rule.MIXED, f"got {kept.unread[:60]!r} before its request"
-                )
+            for finding in check_unasked(job.path, kept.unread):
+                context.record.add_finding(finding)
             if kept.is_idle:
                 return kept
         try:
@@ -232,11 +240,7 @@
         if not self._job.is_stream or not 200 <= reader.status < 300:
             return
         for finding in self._check.take(data):
-            self._context.record.add_finding(
-                dataclasses.replace(
-                    finding, detail=f"{finding.detail} in {attempt}"
-                )
-            )
+            self._context.record.add_finding(finding)
         if self._check.held and not self._first_attempt:
             self._first_attempt = attempt
 
@@ -255,11 +259,7 @@
             if 200 <= answer.status < 300 and answer.is_complete:
                 findings += self._check.end_answer()
         for finding in findings:
-            context.record.add_finding(
-                dataclasses.replace(
-                    finding, detail=f"{finding.detail} in {attempt}"
-                )
-            )
+            context.record.add_finding(finding)
 
     def _report(self, rule: Rule, detail: str) -> None:
         self._context.record.add_finding(Finding(rule, self._job.path, detail))
--- a/src/peridotbend_emulator/soak/channels.py
+++ b/src/peridotbend_emulator/soak/channels.py
@@ -15,7 +15,7 @@
 
 # Small buffers, so that an instance notices a slow reader soon.
 SLOW_BUFFER_BYTES = 4_096
-SLOW_READ_PAUSE_S = 0.05
+SLOW_READ_PAUSE_S = 0.02
 MAX_STATUS_LINE_CHARS = 60
 
 
--- a/src/peridotbend_emulator/soak/checks.py
+++ b/src/peridotbend_emulator/soak/checks.py
@@ -55,10 +55,12 @@
         # The software of the runner of each event that came, in order.
         self.held: list[str] = []
         self.is_broken = False
+        self._attempt = ""
         self._rest = b""
 
-    def begin_answer(self) -> None:
+    def begin_answer(self, attempt: str) -> None:
         """Begins another answer; part of an event is lost with the last."""
+        self._attempt = attempt
         self._rest = b""
 
     def take(self, data: bytes) -> Iterator[Finding]:
@@ -102,7 +104,7 @@
 
     def _fail(self, rule: Rule, detail: str) -> Finding:
         self.is_broken = True
-        return Finding(rule, self.path, detail)
+        return Finding(rule, self.path, f"{self._attempt}: {detail}")
 
 
 def make_body(path: str, attempt: str, size: int) -> bytes:
@@ -169,6 +171,13 @@
         yield Finding(Rule.MIXED, path, f"{attempt} got {detail}")
 
 
+def check_unasked(subject: str, data: bytes) -> Iterator[Finding]:
+    """Checks what came on a connection on which no request waited."""
+    if data:
+        detail = f"no request waited for {data[:60]!r}"
+        yield Finding(Rule.MIXED, subject, detail)
+
+
 class RunLedger:
     """Which attempts ran, and which were said not to have run."""
 
@@ -182,10 +191,6 @@
         """Notes that an attempt may run once at most."""
         self._single.add(attempt)
 
-    def count_runs(self, attempt: str) -> int:
-        """Returns how often an attempt has begun to run."""
-        return self._runs[attempt]
-
     def note_run(self, path: str, attempt: str) -> Iterator[Finding]:
         """Checks a run that begins at a runner."""
         self._runs[attempt] += 1
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -25,6 +25,8 @@
     # longest lag of the entry in seconds. Other faults don't use it.
     share: float
     effect: str
+    # Whether it is played if no fault is named.
+    is_usual: bool = True
 
 
 # Longest lag of an entry behind the start of its runner, in seconds.
@@ -44,7 +46,7 @@
     FaultKind("leave", Place.CALLER, 0.04, "a caller leaves early"),
     FaultKind("keep", Place.CALLER, 0.6, "a caller keeps its connection"),
     FaultKind("slow", Place.CALLER, 0.08, "a caller reads slowly"),
-    FaultKind("http10", Place.CALLER, 0.06, "a caller speaks HTTP/1.0"),
+    FaultKind("http10", Place.CALLER, 0.06, "a caller speaks HTTP/1.0", False),
     FaultKind("crash", Place.SERIES, 0, "a runner dies, connections reset"),
     FaultKind("fin", Place.SERIES, 0, "a runner dies, connections closed"),
     FaultKind("drain", Place.SERIES, 0, "a runner leaves and is replaced"),
@@ -61,9 +63,11 @@
     FaultKind("hup", Place.SERIES, 0, "an instance reads its settings again"),
     FaultKind("cut", Place.SERIES, 0, "an instance is cut off from runners"),
     FaultKind("herd", Place.SERIES, 0, "all instances are killed at once"),
-    FaultKind("eight", Place.FLEET, 0, "eight instances instead of three"),
-    FaultKind("peer", Place.FLEET, 0, "instance 0 reaches no runner"),
-    FaultKind("builds", Place.FLEET, 0, "every second instance: other build"),
+    FaultKind("eight", Place.FLEET, 0, "eight instances, not three", False),
+    FaultKind("peer", Place.FLEET, 0, "instance 0 reaches no runner", False),
+    FaultKind(
+        "builds", Place.FLEET, 0, "half of the instances: other build", False
+    ),
 )
 KINDS_BY_NAME: Mapping[str, FaultKind] = {kind.name: kind for kind in KINDS}
 
@@ -94,7 +98,7 @@
 def parse_faults(words: Iterable[str]) -> FaultPlan:
     """Returns the plan of words like `break` or `break=0.3`.
 
-    Without a word, all faults are played that leave the fleet as it is.
+    Without a word, the usual faults are played.
 
     Raises:
         UnknownFaultError: a word names no fault or an invalid share.
@@ -112,7 +116,7 @@
                 f"{word}: the share is no number"
             ) from error
     if not shares:
-        shares = {k.name: k.share for k in KINDS if k.place is not Place.FLEET}
+        shares = {kind.name: kind.share for kind in KINDS if kind.is_usual}
     return FaultPlan(shares)
 
 
--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -77,7 +77,8 @@
             fleet.instances, pool, ledger, record, clock, settings.seed
         )
         callers = await _call(context, settings, make_dice)
-    pool.close()
+    for finding in pool.close():
+        record.add_finding(finding)
     return SoakResult(
         calls=len(callers),
         served=sum(caller.is_served for caller in callers),
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -42,6 +42,15 @@
     started_at_ms: int
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection; an orderly end would complete some answers."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
+
+
 class Connection:
     """A connection of an instance to one start of a runner."""
 
@@ -61,11 +70,7 @@
 
     def reset(self) -> None:
         """Resets the connection."""
-        with contextlib.suppress(OSError):
-            self._writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
-        self._writer.transport.abort()
+        reset_connection(self._writer)
 
     def drop(self) -> None:
         """Closes the connection as the kernel does for a dead process."""
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,354 @@
+"""Tests of the soak: its checks, its choices, and short runs with a seed."""
+
+import asyncio
+import pathlib
+import shutil
+import tempfile
+import unittest
+from collections.abc import Callable
+
+from peridotbend.platform import wire
+from peridotbend_emulator.soak.channels import (
+    AnswerReader,
+    ChannelEndedError,
+    open_channel,
+)
+from peridotbend_emulator.soak.checks import (
+    RunLedger,
+    Stamp,
+    StreamCheck,
+    StreamEvent,
+    check_call,
+    check_head,
+    check_unasked,
+    make_body,
+)
+from peridotbend_emulator.soak.faults import (
+    KINDS,
+    Dice,
+    UnknownFaultError,
+    parse_faults,
+)
+from peridotbend_emulator.soak.messages import Answer
+from peridotbend_emulator.soak.record import Finding, Rule
+from peridotbend_emulator.soak.run import run_soak
+from peridotbend_emulator.soak.runners import reset_connection
+from peridotbend_emulator.soak.settings import LOOPBACK_NET, SoakSettings
+
+PATH = "/r/1/4/0"
+ATTEMPT = "a-1"
+
+
+def encode(number: int, software: str = "v1", path: str = PATH) -> bytes:
+    """Returns an event as a runner writes it."""
+    return StreamEvent(path, software, "", number).encode()
+
+
+def check_stream(*answers: bytes) -> list[Finding]:
+    """Checks a stream of four events; the last answer ends as complete."""
+    check = StreamCheck(PATH, 4)
+    findings: list[Finding] = []
+    for number, answer in enumerate(answers):
+        check.begin_answer(f"a-{number}")
+        # Events arrive in parts.
+        for begin in range(0, len(answer), 7):
+            findings += check.take(answer[begin : begin + 7])
+    return [*findings, *check.end_answer()]
+
+
+class StreamCheckTest(unittest.TestCase):
+    """Checks of a stream over all its answers."""
+
+    def _expect(self, rule: Rule, detail: str, *answers: bytes) -> None:
+        findings = check_stream(*answers)
+        assert len(findings) == 1, findings
+        assert findings[0].rule is rule, findings
+        assert detail in findings[0].detail, findings
+
+    def test_sound_streams_have_no_finding(self) -> None:
+        """Guards against findings where nothing is wrong."""
+        whole = b"".join(map(encode, (1, 2, 3, 4)))
+        weights = f"{wire.WEIGHT_VERSIONS}: 3\n".encode()
+        cases = (
+            (whole,),
+            (weights + whole,),
+            (encode(1) + encode(2)[:9], encode(2) + encode(3) + encode(4)),
+            (whole, b""),
+        )
+        for answers in cases:
+            assert check_stream(*answers) == [], answers
+
+    def test_missing_event(self) -> None:
+        """Guards against a gap that isn't noticed."""
+        self._expect(Rule.ORDER, "event 2 of 4", encode(1) + encode(3))
+
+    def test_event_that_comes_twice(self) -> None:
+        """Guards against a repeated event, also one of another answer."""
+        self._expect(Rule.ORDER, "got 1", encode(1) + encode(1))
+        self._expect(Rule.ORDER, "got 2", encode(1) + encode(2), encode(2))
+
+    def test_event_beyond_the_last_one(self) -> None:
+        """Guards against a stream that goes on after its end."""
+        whole = b"".join(map(encode, (1, 2, 3, 4)))
+        self._expect(Rule.ORDER, "got 5", whole + encode(5))
+
+    def test_event_of_another_request(self) -> None:
+        """Guards against pieces of two requests in one stream."""
+        other = encode(2, path="/r/2/4/0")
+        self._expect(Rule.MIXED, "/r/2/4/0", encode(1) + other)
+
+    def test_two_versions_in_one_answer(self) -> None:
+        """Guards against a stream that another version goes on with."""
+        answer = encode(1) + encode(2, "v2")
+        self._expect(Rule.ORDER, "joined of two versions", answer)
+
+    def test_two_versions_over_take_ups(self) -> None:
+        """Guards against a take-up at another version."""
+        answers = encode(1), encode(2, "v2")
+        self._expect(Rule.ORDER, "joined of two versions", *answers)
+
+    def test_end_that_comes_too_early(self) -> None:
+        """Guards against a stream that looks whole and isn't."""
+        self._expect(Rule.ORDER, "after 1 of 4", encode(1))
+        self._expect(Rule.ORDER, "after 0 of 4", b"")
+
+    def test_foreign_bytes(self) -> None:
+        """Guards against bytes among the events that are none."""
+        self._expect(Rule.ORDER, "was due", encode(1) + b"data: zz\n\n")
+        whole = b"".join(map(encode, (1, 2, 3, 4)))
+        self._expect(Rule.ORDER, "bytes after", whole + b"HTTP/1.1 200")
+
+
+def make_answer(
+    body: bytes, status: int = 200, stamp: Stamp | None = None, echo: str = ""
+) -> Answer:
+    """Returns a complete answer, as its runner would stamp it."""
+    stamp = stamp or Stamp("i-1", ATTEMPT, status)
+    headers = (
+        (wire.SERVER_STAMP, stamp.encode()),
+        (wire.ATTEMPT_ID, echo or ATTEMPT),
+    )
+    return Answer(status, headers, body, True, "complete")
+
+
+class AnswerCheckTest(unittest.TestCase):
+    """Checks of single answers."""
+
+    def _expect(self, rule: Rule, detail: str, answer: Answer) -> None:
+        findings = list(check_call(PATH, ATTEMPT, 300, answer))
+        assert len(findings) == 1, findings
+        assert findings[0].rule is rule, findings
+        assert detail in findings[0].detail, findings
+
+    def test_sound_answers_have_no_finding(self) -> None:
+        """Guards against findings where nothing is wrong."""
+        body = make_body(PATH, ATTEMPT, 300)
+        broken = Answer(200, make_answer(b"").headers, body[:9], False, "reset")
+        own = Answer(503, (), b"", True, "complete")
+        failed = make_answer(b"failed", 500)
+        for answer in (make_answer(body), broken, own, failed):
+            assert list(check_call(PATH, ATTEMPT, 300, answer)) == [], answer
+
+    def test_body_that_ends_too_early(self) -> None:
+        """Guards against a cut body that looks whole."""
+        body = make_body(PATH, ATTEMPT, 300)
+        self._expect(Rule.ORDER, "300 of 304", make_answer(body[:300]))
+
+    def test_other_body(self) -> None:
+        """Guards against the body of another request."""
+        body = make_body(PATH, "a-2", 300)
+        self._expect(Rule.MIXED, "another body", make_answer(body))
+
+    def test_answer_to_another_attempt(self) -> None:
+        """Guards against answers that are exchanged."""
+        body = make_body(PATH, ATTEMPT, 300)
+        stamp = Stamp("i-1", "a-2", 200)
+        self._expect(Rule.MIXED, "to a-2", make_answer(body, stamp=stamp))
+        self._expect(Rule.MIXED, "ID a-2", make_answer(body, echo="a-2"))
+
+    def test_success_that_no_runner_gave(self) -> None:
+        """Guards against a success of the system's own making."""
+        answer = Answer(
+            200, (), make_body(PATH, ATTEMPT, 300), True, "complete"
+        )
+        self._expect(Rule.MIXED, "stamp ''", answer)
+
+    def test_status_that_the_runner_did_not_give(self) -> None:
+        """Guards against a failure turned into a success, or the reverse."""
+        for status, given in ((200, 500), (502, 200)):
+            body = make_body(PATH, ATTEMPT, 300)
+            stamp = Stamp("i-1", ATTEMPT, given)
+            answer = make_answer(body, status, stamp)
+            self._expect(Rule.MIXED, f"answered {given}", answer)
+            assert list(check_head(PATH, ATTEMPT, answer))
+
+    def test_bytes_without_a_request(self) -> None:
+        """Guards against answers on a connection where none is due."""
+        assert list(check_unasked(PATH, b"")) == []
+        (finding,) = check_unasked(PATH, b"HTTP/1.1 200 OK")
+        assert finding.rule is Rule.MIXED
+
+
+class RunLedgerTest(unittest.TestCase):
+    """Checks of runs against what may run, and what was said of it."""
+
+    def setUp(self) -> None:
+        self.ledger = RunLedger()
+        self.ledger.note_single(ATTEMPT)
+
+    def test_second_run(self) -> None:
+        """Guards against a call that may run once and runs twice."""
+        assert list(self.ledger.note_run(PATH, ATTEMPT)) == []
+        (finding,) = self.ledger.note_run(PATH, ATTEMPT)
+        assert finding.rule is Rule.TWICE
+
+    def test_second_run_of_what_may_be_repeated(self) -> None:
+        """Guards against findings on idempotent calls."""
+        for _ in range(2):
+            assert list(self.ledger.note_run(PATH, "a-2")) == []
+        assert list(self.ledger.note_answer(PATH, "a-2", 503)) == []
+
+    def test_refusal_of_what_has_run(self) -> None:
+        """Guards against a promise that isn't true."""
+        list(self.ledger.note_run(PATH, ATTEMPT))
+        assert list(self.ledger.note_answer(PATH, ATTEMPT, 502)) == []
+        for status in (408, 421, 429, 503):
+            (finding,) = self.ledger.note_answer(PATH, ATTEMPT, status)
+            assert finding.rule is Rule.REFUSED
+
+    def test_run_after_a_refusal(self) -> None:
+        """Guards against a request that runs after its caller was refused."""
+        assert list(self.ledger.note_answer(PATH, ATTEMPT, 503)) == []
+        (finding,) = self.ledger.note_run(PATH, ATTEMPT)
+        assert finding.rule is Rule.REFUSED
+
+
+class FaultPlanTest(unittest.TestCase):
+    """The faults of a run and the choices from its seed."""
+
+    def test_words_name_faults_and_shares(self) -> None:
+        """Guards against a fault that is asked for and not played."""
+        plan = parse_faults(["break=0.5", "inplace"])
+        assert plan.shares["break"] == 0.5
+        assert plan.list_series() == ("inplace",)
+        assert not plan.has("crash")
+        usual = {kind.name for kind in KINDS if kind.is_usual}
+        assert set(parse_faults([]).shares) == usual
+
+    def test_unknown_words_are_errors(self) -> None:
+        """Guards against a run without the fault of a misspelt word."""
+        for word in ("brake", "break=often"):
+            with self.assertRaises(UnknownFaultError):
+                parse_faults([word])
+
+    def test_choices_depend_on_seed_and_subject_alone(self) -> None:
+        """Guards against runs that a seed doesn't repeat."""
+        plan = parse_faults(["break=0.5"])
+
+        def draw(seed: int, subject: str) -> list[bool]:
+            dice = Dice(plan, seed, subject)
+            return [dice.roll("break") for _ in range(50)]
+
+        assert draw(1, "run/a") == draw(1, "run/a")
+        assert draw(1, "run/a") != draw(2, "run/a")
+        assert draw(1, "run/a") != draw(1, "run/b")
+
+    def test_fault_that_is_not_played_changes_no_other(self) -> None:
+        """Guards against seeds that mean other things with other faults."""
+        drawn = []
+        for words in (["break=0.5"], ["break=0.5", "reset=0.5"]):
+            dice = Dice(parse_faults(words), 1, "run/a")
+            rolls = [
+                (dice.roll("reset"), dice.roll("break")) for _ in range(50)
+            ]
+            drawn.append([is_broken for _, is_broken in rolls])
+        assert drawn[0] == drawn[1]
+
+
+class ChannelTest(unittest.TestCase):
+    """How callers see the end of a connection."""
+
+    def _read(self, end: Callable[[asyncio.StreamWriter], None]) -> str:
+        """Returns how an answer without a length ended."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+            await writer.drain()
+            await reader.readexactly(4)
+            end(writer)
+
+        async def play() -> str:
+            server = await asyncio.start_server(serve, f"{LOOPBACK_NET}.9")
+            address = server.sockets[0].getsockname()[:2]
+            channel = await open_channel(address, is_slow=True)
+            reader = AnswerReader(lambda data: channel.write(b"more"))
+            try:
+                await reader.read(channel)
+            except ChannelEndedError:
+                return channel.end
+            finally:
+                channel.close()
+                server.close()
+            return "complete"
+
+        return asyncio.run(play())
+
+    def test_end_in_order_completes_an_answer(self) -> None:
+        """Guards against an orderly end that is taken for a reset."""
+        assert self._read(lambda writer: writer.close()) == "complete"
+
+    def test_reset_does_not_complete_an_answer(self) -> None:
+        """Guards against a cut answer that the soak takes for whole."""
+        assert self._read(reset_connection) == "reset"
+
+
+# Faults that break no promise on the code as it is.
+HELD = (
+    "reject fail silence break reset garble weights unframed extra"
+    " length-close leave keep slow crash drain release same dark store term"
+    " kill pause hup cut herd"
+)
+
+
+class SoakTest(unittest.TestCase):
+    """Short runs with a seed on real daemons."""
+
+    def _play(self, seed: int, duration_s: float, faults: str) -> None:
+        folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        settings = SoakSettings(
+            seed=seed,
+            duration_s=duration_s,
+            faults=parse_faults(faults.split()),
+            output=folder,
+        )
+        result = run_soak(settings)
+        # A run that serves little shows little.
+        assert result.served > 0.5 * result.calls, result.describe()
+        assert not result.findings, (settings.folder, result.findings[:5])
+        shutil.rmtree(folder)
+
+    def test_faults_break_no_promise(self) -> None:
+        """Guards against faults that overlap and break a promise."""
+        self._play(1, 30.0, HELD)
+
+    def test_unlisted_restarts_join_no_versions(self) -> None:
+        """Guards against streams that another version goes on with.
+
+        A runner starts again under its ID with other software, and its entry
+        tells of it late, or only after a second restart.
+        """
+        self._play(12, 20.0, "inplace crashloop break reset")
+
+    def test_early_entries_join_no_versions(self) -> None:
+        """Guards against the same where the entry comes before the start."""
+        self._play(14, 15.0, "early break reset")
+
+    def test_dead_runners_complete_no_answers(self) -> None:
+        """Guards against answers that end with their runner and look whole."""
+        self._play(22, 15.0, "fin unframed=0.3")
+
+    def test_callers_of_http_1_0_get_no_chunks(self) -> None:
+        """Guards against a framing that HTTP/1.0 doesn't have."""
+        self._play(3, 3.0, "http10=0.5 keep")
