--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,11 @@
 SEED ?= 1
 STEPS ?= 3000
 SEEDS ?= 3
+MINUTES ?= 1
+FAULTS ?=
+OTHER_BUILD ?=
 
-.PHONY: setup demo test lint format fuzz model mutants replay measure cost capacity
+.PHONY: setup demo test lint format fuzz model mutants replay measure cost capacity soak
 
 setup: $(VENV)/.installed
 
@@ -41,6 +44,14 @@
 fuzz: setup
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
 
+# `make soak FAULTS="inplace break=0.3"` plays only these faults; the fault
+# `builds` needs the folder of the packages of another build in OTHER_BUILD.
+soak: setup
+	$(BIN)/python -m peridotbend_emulator.soak --seed $(SEED) \
+		--minutes $(MINUTES) --faults "$(FAULTS)" \
+		$(if $(OUTPUT),--output "$(OUTPUT)") \
+		$(if $(OTHER_BUILD),--other-build "$(OTHER_BUILD)")
+
 # Takes two minutes, and less with `ARGS="--pattern bursts --details"`.
 replay: setup
 	$(BIN)/python -m peridotbend_emulator.replay $(ARGS)
--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -24,7 +24,7 @@
 )
 from peridotbend_emulator.soak.faults import Dice
 from peridotbend_emulator.soak.instances import Instance
-from peridotbend_emulator.soak.messages import Answer, make_head
+from peridotbend_emulator.soak.messages import Answer, is_framed, make_head
 from peridotbend_emulator.soak.platform.documents import (
     HOST_NAME,
     KEY,
@@ -181,13 +181,21 @@
         context.record.write(
             f"SENT {attempt} to {instance.index} {job.path} from {had}"
         )
-        channel = await self._open(instance, number)
+        may_reuse = not number and not job.is_slow and not job.is_http10
+        channel = await self._open(instance, may_reuse)
         if isinstance(channel, Answer):
             answer = channel
         else:
+            kills = instance.kills
             answer = await self._exchange(
                 channel, head + BODY, attempt, patience_s
             )
+            if instance.kills > kills and not is_framed(answer):
+                # The kernel ends the connections of a killed instance as the
+                # end of such an answer does.
+                answer = dataclasses.replace(
+                    answer, is_complete=False, outcome="closed"
+                )
             is_ending = answer.get("connection").lower() == "close"
             if is_kept and answer.is_complete and not is_ending:
                 context.pool.keep(instance.index, channel)
@@ -203,15 +211,18 @@
         self._check_answer(attempt, answer)
         return answer
 
-    async def _open(self, instance: Instance, number: int) -> Channel | Answer:
+    async def _open(
+        self, instance: Instance, may_reuse: bool
+    ) -> Channel | Answer:
         """Returns a connection, or the answer if there is none."""
         job, context = self._job, self._context
-        kept = context.pool.pop(instance.index)
-        if kept is not None and not number and not job.is_slow:
+        kept = context.pool.pop(instance.index) if may_reuse else None
+        if kept is not None:
             for finding in check_unasked(job.path, kept.unread):
                 context.record.add_finding(finding)
             if kept.is_idle:
                 return kept
+            kept.close()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 return await open_channel(instance.address, job.is_slow)
--- a/src/peridotbend_emulator/soak/instances.py
+++ b/src/peridotbend_emulator/soak/instances.py
@@ -48,6 +48,8 @@
     def __init__(self, settings: InstanceSettings):
         self.index = settings.index
         self.address = settings.host, settings.ports.callers
+        # How often it was killed, which cuts its answers unannounced.
+        self.kills = 0
         self._settings = settings
         self._process: subprocess.Popen[bytes] | None = None
         self._log_path = settings.folder / f"instance-{settings.index}.log"
@@ -134,7 +136,8 @@
 
     def kill(self) -> None:
         """Ends the process at once, also if it is paused."""
-        if self._process is not None:
+        if self._process is not None and self.is_running:
+            self.kills += 1
             self._process.kill()
             self._process.wait()
 
--- a/src/peridotbend_emulator/soak/messages.py
+++ b/src/peridotbend_emulator/soak/messages.py
@@ -46,6 +46,11 @@
     return next((v for n, v in headers if n.lower() == name), "")
 
 
+def is_framed(answer: Answer) -> bool:
+    """Tells whether an answer has chunks or a length."""
+    return bool(answer.get("transfer-encoding") or answer.get("content-length"))
+
+
 def split_lines(block: bytes) -> list[str]:
     """Returns the lines of an event."""
     return block.decode("latin-1").replace("\r\n", "\n").split("\n")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,6 +35,9 @@
 from peridotbend_emulator.soak.runners import reset_connection
 from peridotbend_emulator.soak.settings import LOOPBACK_NET, SoakSettings
 
+OPERATIONS_PAGE = (
+    pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
+)
 PATH = "/r/1/4/0"
 ATTEMPT = "a-1"
 
@@ -265,6 +268,16 @@
         assert drawn[0] == drawn[1]
 
 
+class PageTest(unittest.TestCase):
+    """The page for operators."""
+
+    def test_page_names_each_fault(self) -> None:
+        """Guards against a fault that operators can't look up."""
+        page = OPERATIONS_PAGE.read_text(encoding="utf-8")
+        for kind in KINDS:
+            assert f"| `{kind.name}` |" in page, kind
+
+
 class ChannelTest(unittest.TestCase):
     """How callers see the end of a connection."""
 
