--- a/src/peridotbend_emulator/soak/__main__.py
+++ b/src/peridotbend_emulator/soak/__main__.py
@@ -70,8 +70,9 @@
     )
     try:
         result = run_soak(settings)
-    except NotReadyError as error:
+    except (NotReadyError, OSError) as error:
         click.echo(f"seed {seed}: could not run: {error}", err=True)
+        click.echo(f"record and logs: {settings.folder}", err=True)
         sys.exit(EXIT_CANNOT_RUN)
     click.echo(f"seed {seed}: {result.describe()}")
     if result.findings:
