--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,15 @@
 """Tests of the soak: its checks, its choices, and short runs with a seed."""
 
 import asyncio
+import functools
+import json
 import pathlib
 import shutil
 import tempfile
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
+from peridotbend.domain.clock import SystemClock
 from peridotbend.platform import wire
 from peridotbend_emulator.soak.channels import (
     AnswerReader,
@@ -29,10 +32,16 @@
     UnknownFaultError,
     parse_faults,
 )
-from peridotbend_emulator.soak.messages import Answer
+from peridotbend_emulator.soak.links import Link, LinkState
+from peridotbend_emulator.soak.messages import Answer, Request
 from peridotbend_emulator.soak.record import Finding, Rule
 from peridotbend_emulator.soak.run import run_soak
-from peridotbend_emulator.soak.runners import reset_connection
+from peridotbend_emulator.soak.runners import (
+    Connection,
+    Runner,
+    StartCounter,
+    reset_connection,
+)
 from peridotbend_emulator.soak.settings import LOOPBACK_NET, SoakSettings
 
 OPERATIONS_PAGE = (
@@ -317,6 +326,113 @@
         assert self._read(reset_connection) == "reset"
 
 
+class SilentBehaviour:
+    """Begins answers without a length, and ends none."""
+
+    async def answer(self, connection: Connection, request: Request) -> bool:
+        """Sends a head and a part of a body."""
+        await connection.send(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await asyncio.Event().wait()
+        return False
+
+
+class RunnerTest(unittest.TestCase):
+    """The stand-ins for runners."""
+
+    def _play(self, check: Callable[[Runner, Link], Awaitable[None]]) -> None:
+        """Runs a check with a runner at one instance."""
+
+        async def play() -> None:
+            link = Link(0)
+            start = StartCounter(SystemClock()).make_start("i-1", "v1")
+            runner = Runner(
+                start, "s", f"{LOOPBACK_NET}.9", 1, SilentBehaviour(), [link]
+            )
+            await runner.launch(start)
+            try:
+                await check(runner, link)
+            finally:
+                runner.die(in_order=False)
+
+        asyncio.run(play())
+
+    async def _ask(
+        self, runner: Runner, head: str, on_body: Callable[[], None]
+    ) -> Answer:
+        """Sends a request; `on_body` is called when a part of the body came."""
+        host, _, port = runner.find_address(0).partition(":")
+        channel = await open_channel((host, int(port)), is_slow=False)
+        reader = AnswerReader(lambda data: on_body())
+        channel.write(f"{head}\r\n\r\n".encode())
+        try:
+            async with asyncio.timeout(0.5):
+                await reader.read(channel)
+        except ChannelEndedError:
+            return reader.make_answer(channel.end)
+        except TimeoutError:
+            return reader.make_answer("timeout")
+        finally:
+            channel.close()
+        return reader.make_answer("complete")
+
+    def test_report_names_the_start(self) -> None:
+        """Guards against stand-ins that can't be asked who they are."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            for call in (wire.REPORT_CALL, wire.PARTS_CALL):
+                head = f"GET {call} HTTP/1.1"
+                answer = await self._ask(runner, head, lambda: None)
+                started_at_ms = json.loads(answer.body)["born"]
+                assert started_at_ms == runner.start.started_at_ms
+
+        self._play(check)
+
+    def test_request_for_another_runner_does_not_run(self) -> None:
+        """Guards against runs of requests for the runner before."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            head = f"POST / HTTP/1.1\r\n{wire.EXPECT_INSTANCE}: i-2"
+            answer = await self._ask(runner, head, lambda: None)
+            assert answer.status == 421
+
+        self._play(check)
+
+    def test_deaths_end_connections_in_order_or_by_reset(self) -> None:
+        """Guards against a fault that plays another one."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            head = f"POST / HTTP/1.1\r\n{wire.EXPECT_INSTANCE}: i-1"
+            for in_order, outcome in ((True, "complete"), (False, "reset")):
+                answer = await self._ask(
+                    runner, head, functools.partial(runner.die, in_order)
+                )
+                assert answer.outcome == outcome, answer
+                await runner.launch(runner.start)
+
+        self._play(check)
+
+    def test_links_that_are_cut(self) -> None:
+        """Guards against a cut that lets requests through."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            head = f"GET {wire.REPORT_CALL} HTTP/1.1"
+            for state in (LinkState.REFUSED, LinkState.CLOSED_TO_NEW):
+                link.state = state
+                await runner.apply_link(link)
+                with self.assertRaises(ConnectionRefusedError):
+                    await self._ask(runner, head, lambda: None)
+            link.state = LinkState.SILENT
+            await runner.apply_link(link)
+            answer = await self._ask(runner, head, lambda: None)
+            assert answer.outcome == "timeout"
+            link.state = LinkState.OPEN
+            await runner.apply_link(link)
+            answer = await self._ask(runner, head, lambda: None)
+            assert answer.status == 200
+
+        self._play(check)
+
+
 # As the pages say of recovery; a run that serves less shows little.
 MIN_SERVED_SHARE = 0.25
 # Faults that break no promise on the code as it is.
