--- a/src/peridotbend_emulator/soak/disturbances.py
+++ b/src/peridotbend_emulator/soak/disturbances.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import random
 import signal
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from typing import TypeVar
@@ -62,16 +64,25 @@
     def __init__(
         self,
         fleet: SoakFleet,
-        dice: Dice,
+        make_dice: Callable[[int], Dice],
         record: Record,
         occupation: Occupation,
     ):
+        """Creates a series.
+
+        Args:
+            fleet: what it disturbs.
+            make_dice: returns the choices of a fault by its number, so that
+                one that is passed over doesn't change those after it.
+            record: of the run.
+            occupation: shared with the other series.
+        """
         self._fleet = fleet
-        self._dice = dice
-        self._rng = dice.rng
+        self._make_dice = make_dice
+        self._dice = make_dice(0)
         self._record = record
         self._occupation = occupation
-        self._names = dice.plan.list_series()
+        self._names = self._dice.plan.list_series()
         self._runner_faults: Mapping[
             str, Callable[[Runner], Awaitable[None]]
         ] = {
@@ -97,7 +108,10 @@
 
     async def run(self) -> None:
         """Plays faults until it is cancelled."""
-        while self._names:
+        if not self._names:
+            return
+        for number in itertools.count():
+            self._dice = self._make_dice(number)
             await self._sleep(PAUSE_BETWEEN_S)
             name = self._rng.choice(self._names)
             if name in self._runner_faults:
@@ -109,6 +123,10 @@
             else:
                 await self._kill_all()
 
+    @property
+    def _rng(self) -> random.Random:
+        return self._dice.rng
+
     async def _disturb_runner(self, name: str) -> None:
         runner = self._choose(self._list_runners(name))
         if runner is not None:
--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -93,12 +93,16 @@
 ) -> AsyncIterator[None]:
     """Plays the series of faults beside the callers."""
     occupation = Occupation()
-    series = [
-        DisturbanceSeries(
-            fleet, make_dice(f"series/{number}"), record, occupation
+
+    def make_series(number: int) -> DisturbanceSeries:
+        return DisturbanceSeries(
+            fleet,
+            lambda fault: make_dice(f"series/{number}/{fault}"),
+            record,
+            occupation,
         )
-        for number in range(SERIES_COUNT)
-    ]
+
+    series = [make_series(number) for number in range(SERIES_COUNT)]
     tasks = [asyncio.create_task(one.run()) for one in series]
     try:
         yield
