--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SEEDS ?= 3
 MINUTES ?= 1
 FAULTS ?=
+OUTPUT ?=
 OTHER_BUILD ?=
 
 .PHONY: setup demo test lint format fuzz model mutants replay measure cost capacity soak
--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -12,7 +12,7 @@
     StreamEvent,
     make_body,
 )
-from peridotbend_emulator.soak.faults import Dice
+from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.messages import (
     Request,
     make_answer,
@@ -59,11 +59,11 @@
 
     def __init__(
         self,
-        make_dice: Callable[[str], Dice],
+        make_choices: Callable[[str], Choices],
         ledger: RunLedger,
         record: Record,
     ):
-        self._make_dice = make_dice
+        self._make_choices = make_choices
         self._ledger = ledger
         self._record = record
         # How often each attempt has arrived, since all sends differ.
@@ -72,9 +72,9 @@
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Answers; tells whether the connection may be used again."""
         attempt = request.get(wire.ATTEMPT_ID)
-        dice = self._make_dice(f"run/{attempt}/{self._arrivals[attempt]}")
+        choices = self._make_choices(f"run/{attempt}/{self._arrivals[attempt]}")
         self._arrivals[attempt] += 1
-        if dice.roll("reject"):
+        if choices.draw_fault("reject"):
             name = connection.process.start.name
             self._record.note_fault(f"reject at {name} of {attempt}")
             await connection.send(make_rejection(request))
@@ -86,9 +86,9 @@
             f"RUN {start.name} {start.software} {attempt} {request.target}"
             f" after {request.get(wire.LAST_EVENT_ID) or 0}"
         )
-        run = _Run(connection, request, dice, self._record)
+        run = _Run(connection, request, choices, self._record)
         is_kept = await run.answer()
-        if is_kept and dice.roll("length-close"):
+        if is_kept and choices.draw_fault("length-close"):
             self._record.note_fault(f"length-close after run {attempt}")
             return False
         return is_kept
@@ -101,32 +101,32 @@
         self,
         connection: Connection,
         request: Request,
-        dice: Dice,
+        choices: Choices,
         record: Record,
     ):
         self._connection = connection
         self._request = request
-        self._dice = dice
+        self._choices = choices
         self._record = record
         self._attempt = request.get(wire.ATTEMPT_ID)
         self._subject = parse_subject(request.target)
-        self._is_unframed = dice.roll("unframed")
+        self._is_unframed = choices.draw_fault("unframed")
         if self._is_unframed:
             self._note("unframed")
 
     async def answer(self) -> bool:
         """Answers; tells whether the connection may be used again."""
-        await asyncio.sleep(self._dice.rng.uniform(0.005, 0.1))
-        if self._dice.roll("silence"):
+        await asyncio.sleep(self._choices.rng.uniform(0.005, 0.1))
+        if self._choices.draw_fault("silence"):
             self._note("silence")
-            await asyncio.sleep(self._dice.rng.uniform(*SILENCE_S))
+            await asyncio.sleep(self._choices.rng.uniform(*SILENCE_S))
         if self._request.get(wire.TOKEN_COUNT):
             is_whole = await self._send_stream()
         else:
             is_whole = await self._send_body()
         if not is_whole or self._is_unframed:
             return False
-        if self._dice.roll("extra"):
+        if self._choices.draw_fault("extra"):
             await self._send_extra_answer()
         return True
 
@@ -159,7 +159,7 @@
         await self._connection.send(make_head("HTTP/1.1 200 OK", headers))
 
     async def _send_stream(self) -> bool:
-        rng = self._dice.rng
+        rng = self._choices.rng
         last = int(self._request.get(wire.LAST_EVENT_ID) or 0)
         plan = self._plan_breaks(last)
         gap_s = rng.choice((0.0, 0.005, 0.03, 0.1))
@@ -179,7 +179,7 @@
             await self._put(data)
             # Drawn in any case, so that other choices stay the same.
             is_pausing = rng.random() < EVENT_SILENCE_SHARE
-            if is_pausing and self._dice.plan.has("silence"):
+            if is_pausing and self._choices.plan.has("silence"):
                 self._note(f"silence after event {number}")
                 await asyncio.sleep(rng.uniform(*SILENCE_S))
             await asyncio.sleep(gap_s)
@@ -189,13 +189,15 @@
 
     def _plan_breaks(self, last: int) -> BreakPlan:
         """Chooses where faults strike, also if there is no event left."""
-        dice, size = self._dice, self._subject.size
-        struck = [dice.roll(name) for name in ("break", "reset", "garble")]
-        if self._is_unframed and dice.plan.has("peer"):
-            struck[1] |= dice.rng.random() < PEER_RESET_SHARE
+        choices, size = self._choices, self._subject.size
+        struck = [
+            choices.draw_fault(name) for name in ("break", "reset", "garble")
+        ]
+        if self._is_unframed and choices.plan.has("peer"):
+            struck[1] |= choices.rng.random() < PEER_RESET_SHARE
         if last >= size:
             return BreakPlan()
-        places = [dice.rng.randint(last + 1, size) for _ in struck]
+        places = [choices.rng.randint(last + 1, size) for _ in struck]
         return BreakPlan(
             *(
                 place if is_struck else 0
@@ -211,26 +213,28 @@
             number,
         )
         data = event.encode()
-        if self._dice.roll("weights"):
+        if self._choices.draw_fault("weights"):
             self._note(f"weights in event {number}")
-            version = self._dice.rng.randint(1, 9)
+            version = self._choices.rng.randint(1, 9)
             data = f"{wire.WEIGHT_VERSIONS}: {version}\n".encode() + data
         return data
 
     async def _stop_inside(self, data: bytes) -> None:
         """Breaks off inside an event or a body."""
-        size = self._dice.rng.randint(1, len(data) - 1)
-        is_reset = self._dice.rng.random() < 0.5
+        size = self._choices.rng.randint(1, len(data) - 1)
+        is_reset = self._choices.rng.random() < 0.5
         self._note(f"break inside, {'reset' if is_reset else 'closed'},")
         await self._put(data[:size])
         if is_reset:
             self._connection.reset()
 
     async def _send_body(self) -> bool:
-        rng = self._dice.rng
+        rng = self._choices.rng
         path, size = self._request.target, self._subject.size
-        has_failed = self._dice.roll("fail")
-        is_reset, is_broken = self._dice.roll("reset"), self._dice.roll("break")
+        has_failed = self._choices.draw_fault("fail")
+        is_reset, is_broken = self._choices.draw_fault(
+            "reset"
+        ), self._choices.draw_fault("break")
         has_length = rng.random() < 0.5
         body = make_body(path, self._attempt, size)
         if has_failed:
@@ -265,8 +269,8 @@
         return True
 
     async def _send_extra_answer(self) -> None:
-        if self._dice.rng.random() < 0.5:
-            await asyncio.sleep(self._dice.rng.uniform(0, 0.05))
+        if self._choices.rng.random() < 0.5:
+            await asyncio.sleep(self._choices.rng.uniform(0, 0.05))
         self._note("an extra answer")
         event = StreamEvent("/none/0/0/0", "none", "", 1).encode()
         headers = (
--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -22,7 +22,7 @@
     check_head,
     check_unasked,
 )
-from peridotbend_emulator.soak.faults import Dice
+from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.instances import Instance
 from peridotbend_emulator.soak.messages import Answer, is_framed, make_head
 from peridotbend_emulator.soak.platform.documents import (
@@ -107,12 +107,12 @@
 class Caller:
     """One caller with one job."""
 
-    def __init__(self, context: CallerContext, job: Job, dice: Dice):
+    def __init__(self, context: CallerContext, job: Job, choices: Choices):
         self.is_served = False
         self.tries = 0
         self._context = context
         self._job = job
-        self._dice = dice
+        self._choices = choices
         self._check = StreamCheck(job.path, job.size)
         # The attempt that brought the first event.
         self._first_attempt = ""
@@ -133,7 +133,7 @@
         limit_ms = self._job.route.timeout_ms
         start_ms = self._context.clock.now_ms()
         instances = self._context.instances
-        where = self._dice.rng.randrange(len(instances))
+        where = self._choices.rng.randrange(len(instances))
         for number in range(MAX_ATTEMPTS):
             spent_ms = self._context.clock.now_ms() - start_ms
             left_s = (limit_ms - spent_ms) / 1_000
@@ -169,12 +169,12 @@
         attempt = f"{context.seed & 0xFFFF:04x}{job.serial:08x}{number:04x}"
         if job.route.runs_once:
             context.ledger.note_single(attempt)
-        is_leaving = self._dice.roll("leave")
+        is_leaving = self._choices.draw_fault("leave")
         patience_s = left_s + LATE_S
         if is_leaving:
             context.record.note_fault(f"caller of {attempt} leaves early")
-            patience_s = self._dice.rng.uniform(0.05, 1.0)
-        is_kept = self._dice.roll("keep") and not job.is_http10
+            patience_s = self._choices.rng.uniform(0.05, 1.0)
+        is_kept = self._choices.draw_fault("keep") and not job.is_http10
         self._check.begin_answer(attempt)
         had = len(self._check.held)
         head = self._make_head(attempt, left_s)
--- a/src/peridotbend_emulator/soak/disturbances.py
+++ b/src/peridotbend_emulator/soak/disturbances.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from typing import TypeVar
 
-from peridotbend_emulator.soak.faults import Dice
+from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.fleet import VERSIONS, SoakFleet
 from peridotbend_emulator.soak.instances import Instance, NotReadyError
 from peridotbend_emulator.soak.links import CUT_STATES, LinkState
@@ -64,7 +64,7 @@
     def __init__(
         self,
         fleet: SoakFleet,
-        make_dice: Callable[[int], Dice],
+        make_choices: Callable[[int], Choices],
         record: Record,
         occupation: Occupation,
     ):
@@ -72,17 +72,17 @@
 
         Args:
             fleet: what it disturbs.
-            make_dice: returns the choices of a fault by its number, so that
+            make_choices: returns the choices of a fault by its number, so that
                 one that is passed over doesn't change those after it.
             record: of the run.
             occupation: shared with the other series.
         """
         self._fleet = fleet
-        self._make_dice = make_dice
-        self._dice = make_dice(0)
+        self._make_choices = make_choices
+        self._choices = make_choices(0)
         self._record = record
         self._occupation = occupation
-        self._names = self._dice.plan.list_series()
+        self._names = self._choices.plan.list_series()
         self._runner_faults: Mapping[
             str, Callable[[Runner], Awaitable[None]]
         ] = {
@@ -111,7 +111,7 @@
         if not self._names:
             return
         for number in itertools.count():
-            self._dice = self._make_dice(number)
+            self._choices = self._make_choices(number)
             await self._sleep(PAUSE_BETWEEN_S)
             name = self._rng.choice(self._names)
             if name in self._runner_faults:
@@ -125,7 +125,7 @@
 
     @property
     def _rng(self) -> random.Random:
-        return self._dice.rng
+        return self._choices.rng
 
     async def _disturb_runner(self, name: str) -> None:
         runner = self._choose(self._list_runners(name))
@@ -237,7 +237,7 @@
     ) -> None:
         drawn = self._rng.random()
         if in_order is None:
-            in_order = self._dice.plan.has("fin") and drawn < IN_ORDER_SHARE
+            in_order = self._choices.plan.has("fin") and drawn < IN_ORDER_SHARE
         end = "closed in order" if in_order else "reset"
         start = runner.start
         self._note(f"{fault} {start.name}: {start.software} dies, {end}")
@@ -276,7 +276,7 @@
         return self._choose_other(runner)
 
     async def _lag(self, fault: str) -> None:
-        longest_s = self._dice.plan.shares[fault]
+        longest_s = self._choices.plan.shares[fault]
         await asyncio.sleep(self._rng.uniform(0.0, longest_s))
 
     # Faults of instances and of the store.
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -120,7 +120,7 @@
     return FaultPlan(shares)
 
 
-class Dice:
+class Choices:
     """The choices for one subject, which the seed and its name determine.
 
     Subjects have generators of their own, so that the timing of one doesn't
@@ -131,7 +131,7 @@
         self.plan = plan
         self.rng = random.Random(f"{seed}/{subject}")
 
-    def roll(self, name: str) -> bool:
+    def draw_fault(self, name: str) -> bool:
         """Tells whether a fault strikes here."""
         drawn = self.rng.random()
         return drawn < self.plan.shares.get(name, 0.0)
--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -19,13 +19,13 @@
     DisturbanceSeries,
     Occupation,
 )
-from peridotbend_emulator.soak.faults import Dice
+from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.fleet import SoakFleet, run_fleet
 from peridotbend_emulator.soak.platform.documents import ROUTES
 from peridotbend_emulator.soak.record import Finding, Record
 from peridotbend_emulator.soak.settings import SoakSettings
 
-DiceMaker = Callable[[str], Dice]
+ChoicesMaker = Callable[[str], Choices]
 SERIES_COUNT = 2
 # Streams matter most, and those that can be resumed meet most mechanisms.
 ROUTE_WEIGHTS = (9, 4, 4, 3, 2, 2)
@@ -66,17 +66,17 @@
     clock = SystemClock()
     ledger = RunLedger()
 
-    def make_dice(subject: str) -> Dice:
-        return Dice(settings.faults, settings.seed, subject)
+    def make_choices(subject: str) -> Choices:
+        return Choices(settings.faults, settings.seed, subject)
 
-    behaviour = SoakBehaviour(make_dice, ledger, record)
+    behaviour = SoakBehaviour(make_choices, ledger, record)
     fleet = SoakFleet(settings, behaviour, clock)
     pool = ChannelPool()
-    async with run_fleet(fleet), _disturb(fleet, make_dice, record):
+    async with run_fleet(fleet), _disturb(fleet, make_choices, record):
         context = CallerContext(
             fleet.instances, pool, ledger, record, clock, settings.seed
         )
-        callers = await _call(context, settings, make_dice)
+        callers = await _call(context, settings, make_choices)
     for finding in pool.close():
         record.add_finding(finding)
     return SoakResult(
@@ -89,7 +89,7 @@
 
 @contextlib.asynccontextmanager
 async def _disturb(
-    fleet: SoakFleet, make_dice: DiceMaker, record: Record
+    fleet: SoakFleet, make_choices: ChoicesMaker, record: Record
 ) -> AsyncIterator[None]:
     """Plays the series of faults beside the callers."""
     occupation = Occupation()
@@ -97,7 +97,7 @@
     def make_series(number: int) -> DisturbanceSeries:
         return DisturbanceSeries(
             fleet,
-            lambda fault: make_dice(f"series/{number}/{fault}"),
+            lambda fault: make_choices(f"series/{number}/{fault}"),
             record,
             occupation,
         )
@@ -117,28 +117,28 @@
 
 
 async def _call(
-    context: CallerContext, settings: SoakSettings, make_dice: DiceMaker
+    context: CallerContext, settings: SoakSettings, make_choices: ChoicesMaker
 ) -> list[Caller]:
     """Sends calls until the time is over, and waits for their ends."""
     end_ms = context.clock.now_ms() + round(settings.duration_s * 1_000)
-    pace = make_dice("pace").rng
+    pace = make_choices("pace").rng
     callers: list[Caller] = []
     async with asyncio.TaskGroup() as tasks:
         while context.clock.now_ms() < end_ms:
-            dice = make_dice(f"caller/{len(callers)}")
-            caller = Caller(context, _make_job(len(callers), dice), dice)
+            choices = make_choices(f"caller/{len(callers)}")
+            caller = Caller(context, _make_job(len(callers), choices), choices)
             callers.append(caller)
             tasks.create_task(caller.run())
             await asyncio.sleep(pace.expovariate(settings.calls_per_s))
     return callers
 
 
-def _make_job(serial: int, dice: Dice) -> Job:
-    route = dice.rng.choices(ROUTES, ROUTE_WEIGHTS)[0]
+def _make_job(serial: int, choices: Choices) -> Job:
+    route = choices.rng.choices(ROUTES, ROUTE_WEIGHTS)[0]
     return Job(
         serial=serial,
         route=route,
-        size=dice.rng.randint(*route.sizes),
-        is_slow=dice.roll("slow"),
-        is_http10=dice.roll("http10"),
+        size=choices.rng.randint(*route.sizes),
+        is_slow=choices.draw_fault("slow"),
+        is_http10=choices.draw_fault("http10"),
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,7 +28,7 @@
 )
 from peridotbend_emulator.soak.faults import (
     KINDS,
-    Dice,
+    Choices,
     UnknownFaultError,
     parse_faults,
 )
@@ -258,8 +258,8 @@
         plan = parse_faults(["break=0.5"])
 
         def draw(seed: int, subject: str) -> list[bool]:
-            dice = Dice(plan, seed, subject)
-            return [dice.roll("break") for _ in range(50)]
+            choices = Choices(plan, seed, subject)
+            return [choices.draw_fault("break") for _ in range(50)]
 
         assert draw(1, "run/a") == draw(1, "run/a")
         assert draw(1, "run/a") != draw(2, "run/a")
@@ -269,11 +269,12 @@
         """Guards against seeds that mean other things with other faults."""
         drawn = []
         for words in (["break=0.5"], ["break=0.5", "reset=0.5"]):
-            dice = Dice(parse_faults(words), 1, "run/a")
-            rolls = [
-                (dice.roll("reset"), dice.roll("break")) for _ in range(50)
+            choices = Choices(parse_faults(words), 1, "run/a")
+            draws = [
+                (choices.draw_fault("reset"), choices.draw_fault("break"))
+                for _ in range(50)
             ]
-            drawn.append([is_broken for _, is_broken in rolls])
+            drawn.append([is_broken for _, is_broken in draws])
         assert drawn[0] == drawn[1]
 
 
