--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -472,7 +472,7 @@
         A runner starts again under its ID with other software, and its entry
         tells of it late, or only after a second restart.
         """
-        self._play(12, 20.0, "inplace crashloop break reset")
+        self._play(12, 20.0, "inplace crashloop break=0.4 reset")
 
     def test_early_entries_join_no_versions(self) -> None:
         """Guards against the same where the entry comes before the start."""
@@ -480,7 +480,7 @@
 
     def test_dead_runners_complete_no_answers(self) -> None:
         """Guards against answers that end with their runner and look whole."""
-        self._play(22, 15.0, "fin unframed=0.3")
+        self._play(22, 15.0, "fin unframed=0.7")
 
     def test_callers_of_http_1_0_get_no_chunks(self) -> None:
         """Guards against a framing that HTTP/1.0 doesn't have."""
