--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -22,8 +22,7 @@
     StreamRecords,
     hash_attempt,
 )
-from peridotbend.edge.targetruns import SURVEY_TTL_MS
-from peridotbend.edge.targetruns import ASK_TIMEOUT_MS
+from peridotbend.edge.targetruns import ASK_TIMEOUT_MS, SURVEY_TTL_MS
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 from peridotbend.platform.runners import PlatformTargetClient
