Show that a reset between two events of an unframed stream is no end

A peer that carries such a stream has to tell its reset from its end. It does: a stream that may go on is completed by another run, one that may run once is broken off for its caller after one send, with and without a peer (real daemons, UnframedResetTest). No fault was found.

--- a/tests/test_edge_trouble.py
+++ b/tests/test_edge_trouble.py
@@ -37,6 +37,7 @@
     ForeignAnswer,
     Framing,
     Place,
+    UnframedReset,
     list_fewer_answers,
     list_foreign_answers,
 )
@@ -170,6 +171,27 @@
         run_with_trouble(answers, check)
 
 
+class UnframedResetTest(unittest.TestCase):
+    """A stream that ends with its connection, and is reset in between."""
+
+    def test_reset_between_two_events_is_no_end(self) -> None:
+        """Guards against a reset that looks like the end of the stream.
+
+        A peer that carries the connection has to tell the two apart.
+        """
+
+        async def check(troubled: TroubledFleet) -> None:
+            problems = await troubled.list_problems(RESUMABLE_PATH, Place.FIRST)
+            assert not problems, "\n".join(problems)
+            path = f"{SINGLE_RUN_PATH}0/{Place.FIRST.value}/x"
+            assert await troubled.call(path) is None
+            assert troubled.target.sends[path] == 1
+
+        for run in (run_with_trouble, run_with_peer):
+            with self.subTest(run=run.__name__):
+                run([UnframedReset()], check)
+
+
 class HeadInPiecesTest(unittest.TestCase):
     """Heads that come in pieces, or never to their end."""
 
--- a/tests/troubledtargets.py
+++ b/tests/troubledtargets.py
@@ -104,6 +104,21 @@
         return ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnframedReset:
+    """A stream without length and chunks, reset between two events."""
+
+    name: str = "unframed stream, reset between events"
+
+    async def list_pieces(self, attempt: str) -> AsyncIterator[bytes]:
+        """Yields the head and the first events."""
+        yield _encode_head(
+            "200 OK", attempt, "Content-Type: text/event-stream"
+        ) + make_events(1, EVENTS_BEFORE_CUT)
+        # Lets the instance read the events before the reset.
+        await asyncio.sleep(0.05)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndlessHead:
     """A head that never ends."""
@@ -272,6 +287,13 @@
     ) -> None:
         request = await reader.readuntil(b"\r\n\r\n")
         lines = request.decode().split("\r\n")
+        if lines[0].startswith("GET /-/"):
+            writer.write(
+                b"HTTP/1.1 404 Not Found\r\nConnection: close\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            await writer.drain()
+            return
         headers = dict(line.lower().split(": ", 1) for line in lines[1:-2])
         await reader.readexactly(int(headers["content-length"]))
         number, place_name = lines[0].split("/")[2:4]
@@ -281,23 +303,30 @@
         self.sends[attempt] += 1
         first_event = int(headers.get(wire.LAST_EVENT_ID, "0")) + 1
         if place is not Place.NONE and send == (place is Place.RESUMED):
-            pieces = self._answers[int(number)].list_pieces(attempt)
+            answer = self._answers[int(number)]
+            pieces = answer.list_pieces(attempt)
             await _write_until_closed(pieces, reader, writer)
+            if isinstance(answer, UnframedReset):
+                _reset_when_closed(writer)
         elif place is Place.RESUMED and send == 0:
             last_event = first_event + EVENTS_BEFORE_CUT - 1
             writer.write(_encode_sound(attempt, first_event, last_event)[:-5])
             await writer.drain()
             # Lets the instance read the events before the reset.
             await asyncio.sleep(0.02)
-            linger = struct.pack("ii", 1, 0)
-            writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, linger
-            )
+            _reset_when_closed(writer)
         else:
             writer.write(_encode_sound(attempt, first_event, EVENTS))
             await writer.drain()
 
 
+def _reset_when_closed(writer: asyncio.StreamWriter) -> None:
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+
+
 async def _write_until_closed(
     pieces: AsyncIterator[bytes],
     reader: asyncio.StreamReader,
