Take only an answer of a target for a link that works

Cause: a connect that succeeded cleared the failures before it, and two ended a cut. What cuts an instance off may accept connections, as a proxy does, and then reset them, stay silent, answer by itself or hang after a head. Such an instance never counted as cut off, and no peer was asked to connect for it.

Change: whether a new connection brings an answer of the target is seen where answers are read (adapters/answerwatch.py). After three without, to two targets or more, three direct probes ask for a report; if none is answered, a peer connects for the next request, and an answer through it shows that the links are lost. Probes need an answer, too. While targets are down for all, the pauses between such trials double up to 32 s. A peer whose connection brought no answer is asked after the others for 1 s.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -71,6 +71,7 @@
     """
 
     pace: ConnectionPace
+    link: httpcore.AsyncNetworkStream
     connected_at_ms = 0
     _interim_answers = 0
     # Whether a call was sent here before the current one.
@@ -210,6 +211,7 @@
             raise
         connection = Connection(origin, stream, KEEPALIVE_EXPIRY_S)
         connection.pace = ConnectionPace(self._shared_pace)
+        connection.link = stream
         connection.connected_at_ms = self._clock.now_ms()
         connection.may_keep = self._dialer.allows_reuse(target)
         return connection
--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -10,7 +10,12 @@
 import httpcore
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
+from result import Err
 
+from peridotbend.adapters.answerwatch import (
+    GATEWAY_STATUSES,
+    UNAVAILABLE_STATUS,
+)
 from peridotbend.adapters.connections import (
     Dialer,
     DirectDialer,
@@ -23,6 +28,8 @@
     ChannelPool,
     limit_message_size,
 )
+from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.hedging import try_in_turn
 from peridotbend.domain.paths import (
@@ -32,7 +39,8 @@
     TargetLookup,
     TargetPaths,
 )
-from peridotbend.domain.ports import EventLog
+from peridotbend.domain.ports import AnswerHead, EventLog, TargetCall
+from peridotbend.domain.text import Target
 from peridotbend.wire import edge_pb2 as pb
 from peridotbend.wire.edge_grpc import PathsStub
 
@@ -47,14 +55,29 @@
 # are back.
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.25
+# For the answer, connect included.
+PROBE_ANSWER_TIMEOUT_S = 0.5
+# Direct probes at the same time before a peer is tried. Targets in trouble of
+# their own leave some without an answer.
+DOUBT_PROBES = 3
+# The load of a target of the product's own interface.
+LOAD_CALL = TargetCall("GET", "/v1/load", (), b"", 500, reuse_connection=False)
 
 _Stream = grpclib.client.Stream[pb.PathChunk, pb.PathChunk]
 
 
+def is_no_gateway_status(head: AnswerHead) -> bool:
+    """Tells whether an answer to a probe comes from a target."""
+    return head.status not in (*GATEWAY_STATUSES, UNAVAILABLE_STATUS)
+
+
 class RelayedStream(httpcore.AsyncNetworkStream):
     """A connection to a target that a peer holds."""
 
-    def __init__(self, stream: _Stream, on_close: Callable[[], None]):
+    def __init__(
+        self, stream: _Stream, peer: str, on_close: Callable[[], None]
+    ):
+        self.peer = peer
         self._stream = stream
         self._on_close = on_close
         self._is_closed = False
@@ -103,25 +126,46 @@
         return None
 
 
+class _DirectWay:
+    """Connects over the links of this instance, as they are set now."""
+
+    def __init__(self, paths: "PathDialer"):
+        self._paths = paths
+
+    def allows_reuse(self, target: Endpoint) -> bool:
+        return False
+
+    async def connect(
+        self, target: Endpoint, timeout_s: float
+    ) -> httpcore.AsyncNetworkStream:
+        return await self._paths.direct.connect(target, timeout_s)
+
+
 class PathDialer:
     """Connects directly, or through a peer when the own links are cut."""
 
     def __init__(
         self,
+        clock: Clock,
         paths: TargetPaths,
         targets: TargetLookup,
         peers: PathPeers,
         choice: PeerChoice,
         log: EventLog,
+        probe_call: TargetCall = LOAD_CALL,
+        is_probe_answer: Callable[[AnswerHead], bool] = is_no_gateway_status,
     ):
         """Creates the dialer.
 
         Args:
+            clock: source of time.
             paths: the state of the own links.
             targets: the listed targets, for probes.
             peers: the instances to ask.
             choice: chooses among them.
             log: tells which of them fail.
+            probe_call: shows over a direct connection that a target is there.
+            is_probe_answer: tells whether the target has answered it.
         """
         # Connects over the links of this instance.
         self.direct: Dialer = DirectDialer()
@@ -133,6 +177,13 @@
         self._log = log
         # Connections held by each peer.
         self._active: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+        self._prober = HttpTargetClient(
+            PROBE_TIMEOUT_S, _DirectWay(self), clock
+        )
+        self._turn = 0
+        self._probe_call = probe_call
+        self._is_probe_answer = is_probe_answer
 
     def close(self) -> None:
         """Closes the connections to peers."""
@@ -154,6 +205,11 @@
         """Connects to a target."""
         if self._paths.is_lost(target.service):
             return await self._connect_by_peer(target, timeout_s)
+        is_trial = self._paths.begin_trial(target.service)
+        if is_trial and not await self._probe_some(target):
+            # What this instance reaches of the target shows in the answer.
+            with contextlib.suppress(httpcore.ConnectError):
+                return await self._connect_by_peer(target, timeout_s)
         try:
             stream = await self.direct.connect(target, timeout_s)
         except (httpcore.ConnectTimeout, httpcore.ConnectError) as error:
@@ -166,9 +222,40 @@
                 # Not known to be the target's own refusal.
                 raise httpcore.ConnectError(str(error)) from None
             raise
-        self._paths.note_connected(target.service, target.name)
+        self._paths.note_connected(target.service)
         return stream
 
+    def note_answered(
+        self,
+        target: Endpoint,
+        stream: httpcore.AsyncNetworkStream,
+        connected_at_ms: int,
+    ) -> None:
+        """Records that a target answered over a new connection."""
+        if isinstance(stream, RelayedStream):
+            self._choice.note_answered(stream.peer)
+            self._paths.note_relayed_answer(
+                target.service, target.name, stream.peer
+            )
+        else:
+            self._paths.note_answered(
+                target.service, target.name, connected_at_ms
+            )
+
+    def note_unanswered(
+        self,
+        target: Endpoint,
+        stream: httpcore.AsyncNetworkStream,
+        connected_at_ms: int,
+    ) -> None:
+        """Records that a new connection brings no answer."""
+        if isinstance(stream, RelayedStream):
+            self._choice.note_unanswered(stream.peer, target.service)
+        else:
+            self._paths.note_unanswered(
+                target.service, target.name, connected_at_ms
+            )
+
     async def probe(self) -> None:
         """Finds out whether lost links are back, until cancelled."""
         turn = 0
@@ -184,15 +271,57 @@
                     if not self._paths.is_lost(service):
                         break
 
+    async def _probe_some(self, target: Endpoint) -> bool:
+        """Asks some targets directly; tells whether one answers."""
+        service = target.service
+        others = [
+            other
+            for other in self._targets.list_for(service)
+            if other.name != target.name
+        ]
+        self._turn += 1
+        start = self._turn % max(1, len(others))
+        probed = [target, *others[start:], *others[:start]]
+        is_answered = False
+
+        async def ask(number: int) -> None:
+            nonlocal is_answered
+            if await self._probe(probed[number % len(probed)]):
+                is_answered = True
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(DOUBT_PROBES):
+                tasks.start_soon(ask, number)
+        return is_answered
+
     async def _probe(self, target: Endpoint) -> bool:
-        try:
-            stream = await self.direct.connect(target, PROBE_TIMEOUT_S)
-        except (httpcore.ConnectTimeout, httpcore.ConnectError):
-            self._paths.note_failed(target.service, target.name)
-            return False
-        await stream.aclose()
-        self._paths.note_connected(target.service, target.name)
-        return True
+        """Asks a target directly; tells whether it answers."""
+        started_at_ms = self._clock.now_ms()
+        address = Target(
+            target.name, target.service, "", target.host, target.port
+        )
+        is_answered = False
+        with anyio.move_on_after(PROBE_ANSWER_TIMEOUT_S):
+            async with self._prober.open(
+                address, self._probe_call, lambda: True
+            ) as opened:
+                if isinstance(opened, Err):
+                    if not opened.err_value.written:
+                        self._paths.note_failed(target.service, target.name)
+                        return False
+                elif self._is_probe_answer(opened.ok_value.head):
+                    chunks = opened.ok_value.chunks()
+                    is_answered = all([c.is_ok() async for c in chunks])
+        if is_answered:
+            self._paths.note_answered(
+                target.service, target.name, started_at_ms
+            )
+        else:
+            self._paths.note_unanswered(
+                target.service, target.name, started_at_ms
+            )
+        return is_answered
 
     async def _connect_by_peer(
         self, target: Endpoint, timeout_s: float
@@ -215,7 +344,6 @@
                 self._note_failed_peer(peer, target, error)
                 return False
             found.append(stream)
-            self._choice.note_connected(peer)
             self._paths.note_relayed(target.service, target.name, peer)
             return True
 
@@ -268,7 +396,9 @@
                 await _reset(stream)
             raise
         self._active[peer] += 1
-        return RelayedStream(stream, lambda: self._active.subtract((peer,)))
+        return RelayedStream(
+            stream, peer, lambda: self._active.subtract((peer,))
+        )
 
     def _note_failed_peer(
         self, peer: str, target: Endpoint, error: Exception
--- a/src/peridotbend/adapters/pathserver.py
+++ b/src/peridotbend/adapters/pathserver.py
@@ -120,7 +120,7 @@
             if is_connection_refused(error) and not is_own_fault:
                 state = pb.REFUSED
             return pb.PathChunk(state=state, detail=str(error))
-        self._paths.note_connected(target.service, target.name)
+        self._paths.note_connected(target.service)
         try:
             await stream.send_message(pb.PathChunk())
             return await _pass_on(stream, connection)
--- a/src/peridotbend/adapters/peerpaths.py
+++ b/src/peridotbend/adapters/peerpaths.py
@@ -1,8 +1,13 @@
 """The ways to the targets that instances have and lend each other."""
 
 import random
+from collections.abc import Callable
 
-from peridotbend.adapters.pathclient import PathDialer
+from peridotbend.adapters.pathclient import (
+    LOAD_CALL,
+    PathDialer,
+    is_no_gateway_status,
+)
 from peridotbend.adapters.pathserver import PathServer
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.paths import (
@@ -11,7 +16,7 @@
     TargetLookup,
     TargetPaths,
 )
-from peridotbend.domain.ports import EventLog
+from peridotbend.domain.ports import AnswerHead, EventLog, TargetCall
 
 
 class PeerPaths:
@@ -25,9 +30,18 @@
         peers: PathPeers,
         log: EventLog,
         connect_timeout_s: float,
+        probe_call: TargetCall = LOAD_CALL,
+        is_probe_answer: Callable[[AnswerHead], bool] = is_no_gateway_status,
     ):
         self.state = TargetPaths(clock, log, targets)
         self.server = PathServer(targets, self.state, peers, connect_timeout_s)
         self.dialer = PathDialer(
-            self.state, targets, peers, PeerChoice(clock, rng, peers), log
+            clock,
+            self.state,
+            targets,
+            peers,
+            PeerChoice(clock, rng, peers),
+            log,
+            probe_call,
+            is_probe_answer,
         )
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -9,6 +9,12 @@
 import httpcore
 from result import Err, Ok, Result
 
+from peridotbend.adapters.answerwatch import (
+    AnswerCheck,
+    AnswerWatch,
+    ReachSink,
+    is_no_gateway_answer,
+)
 from peridotbend.adapters.connections import (
     ConnectionPool,
     Dialer,
@@ -81,8 +87,10 @@
         response: httpcore.Response,
         is_reused: bool,
         connected_at_ms: int = 0,
+        watch: AnswerWatch | None = None,
     ):
         self._response = response
+        self._watch = watch
         names = {name.lower() for name, _ in response.headers}
         has_chunks = b"transfer-encoding" in names
         dropped = _DROPPED_WITH_CHUNKS if has_chunks else _HOP_BY_HOP
@@ -102,12 +110,20 @@
         """Yields the body in chunks; an Err comes last if the call fails."""
         try:
             async for chunk in self._response.aiter_stream():
+                if self._watch is not None:
+                    self._watch.note_data()
                 yield Ok(chunk)
         except httpcore.TimeoutException as error:
+            self._note_error(error)
             yield Err(_make_error(CallFailure.TIMEOUT, True, error))
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            self._note_error(error)
             yield Err(_make_error(CallFailure.BROKEN, True, error))
 
+    def _note_error(self, error: Exception) -> None:
+        if self._watch is not None:
+            self._watch.note_error(error)
+
 
 class HttpTargetClient:
     """Sends calls to targets and tracks whether any byte was written."""
@@ -117,8 +133,12 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         dialer: Dialer | None = None,
         clock: Clock | None = None,
+        reach: ReachSink | None = None,
+        is_answer: AnswerCheck = is_no_gateway_answer,
     ) -> None:
         self._pool = ConnectionPool(dialer, clock)
+        self._reach = reach
+        self._is_answer = is_answer
         self._connect_timeout_s = connect_timeout_s
 
     async def aclose(self) -> None:
@@ -154,21 +174,27 @@
                 failure = CallFailure.REFUSED
             yield Err(_make_error(failure, False, error))
             return
+        watch = AnswerWatch(self._reach, self._is_answer, target, connection)
         try:
-            opened = await _send(connection, request, write_gate)
+            opened = await _send(connection, request, write_gate, watch)
             try:
-                is_reused = connection.is_reused
-                connected_at_ms = connection.connected_at_ms
-                yield opened.map(
-                    lambda response: HttpAnswer(
-                        response, is_reused, connected_at_ms
-                    )
+                if isinstance(opened, Err):
+                    yield opened
+                    return
+                answer = HttpAnswer(
+                    opened.ok_value,
+                    connection.is_reused,
+                    connection.connected_at_ms,
+                    watch,
                 )
+                watch.note_head(call, answer.head)
+                yield Ok(answer)
             finally:
                 if isinstance(opened, Ok):
                     with anyio.CancelScope(shield=True):
                         await opened.ok_value.aclose()
         finally:
+            watch.close()
             with anyio.CancelScope(shield=True):
                 await self._pool.release(connection, origin, reuse)
 
@@ -177,6 +203,7 @@
     connection: httpcore.AsyncHTTP11Connection,
     request: httpcore.Request,
     write_gate: _WriteGate,
+    watch: AnswerWatch,
 ) -> Result[httpcore.Response, CallError]:
     try:
         response = await connection.handle_async_request(request)
@@ -192,6 +219,7 @@
             failure = CallFailure.TIMEOUT
         if not write_gate.written:
             failure = CallFailure.CONNECT
+        watch.note_error(error)
         return Err(_make_error(failure, write_gate.written, error))
     # h11 lets these pass, but they could not be sent to a caller.
     if any(_CONTROL_CHARACTER.search(value) for _, value in response.headers):
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -52,6 +52,11 @@
     read_target_order,
 )
 from peridotbend.platform.ingress import EdgeApp, HealthApp
+from peridotbend.platform.reach import (
+    PROBE_CALL,
+    is_report,
+    is_target_answer,
+)
 from peridotbend.platform.runners import PlatformTargetClient
 from peridotbend.platform.store import StoreClient
 
@@ -107,12 +112,19 @@
             ),
             log,
             CONNECT_TIMEOUT_S,
+            PROBE_CALL,
+            is_report,
         )
         self._dependencies = make_dependencies(
             settings,
             self._clock,
             PlatformTargetClient(
-                HttpTargetClient(CONNECT_TIMEOUT_S, self._paths.dialer)
+                HttpTargetClient(
+                    CONNECT_TIMEOUT_S,
+                    self._paths.dialer,
+                    reach=self._paths.dialer,
+                    is_answer=is_target_answer,
+                )
             ),
             status,
             log,
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -207,7 +207,9 @@
             CONNECT_TIMEOUT_S,
         )
         stack.callback(self.paths.dialer.close)
-        targets = HttpTargetClient(CONNECT_TIMEOUT_S, self.paths.dialer)
+        self.target_client = targets = HttpTargetClient(
+            CONNECT_TIMEOUT_S, self.paths.dialer, reach=self.paths.dialer
+        )
         stack.push_async_callback(targets.aclose)
         self.load_poller = LoadPoller(
             targets, self.clock, self.settings.zone, self._record_load
--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -153,6 +153,9 @@
     ) -> None:
         """Answers one request."""
         headers = {n.decode(): v.decode() for n, v in scope["headers"]}
+        if scope["path"].startswith("/-/"):
+            await respond(send, 404, b"")
+            return
         is_meant = headers.get(wire.EXPECT_INSTANCE) == self.name
         if not (is_meant or self.accepts_any_name):
             await respond(send, 421, b"")
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -4,11 +4,15 @@
 import collections
 import contextlib
 import dataclasses
+import enum
+import functools
+import itertools
 import random
 import socket
 import struct
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import AbstractAsyncContextManager
 
 import anyio
 import grpclib.server
@@ -16,7 +20,7 @@
 from result import Err, Result
 
 from peridotbend.adapters import pathclient
-from peridotbend.adapters.pathclient import PathDialer
+from peridotbend.adapters.pathclient import DOUBT_PROBES, PathDialer
 from peridotbend.adapters.pathserver import PathServer
 from peridotbend.adapters.publishedpeers import PublishedServer
 from peridotbend.adapters.serving import HttpServer, listen
@@ -24,9 +28,12 @@
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.daemon import BACKEND_OPTIONS
 from peridotbend.domain.clock import ManualClock, SystemClock
+from peridotbend.domain.events import Event
 from peridotbend.domain.paths import (
     FAILURE_TTL_MS,
+    QUICK_TRIALS,
     REFRESH_MS,
+    TRIAL_INTERVAL_MS,
     Endpoint,
     PeerChoice,
     TargetPaths,
@@ -52,6 +59,8 @@
 # others serve at the first try.
 MIN_SERVED_SHARE = 2 / 3
 SLOTS = 64
+CALL_TIMEOUT_MS = 5_000
+CALLS = 40
 
 
 @contextlib.contextmanager
@@ -113,17 +122,103 @@
         tasks.cancel_scope.cancel()
 
 
+class CutForm(enum.Enum):
+    """What becomes of a connection that something on the way accepts."""
+
+    RESET = "reset"
+    SILENT = "silent"
+    PAGE = "page"
+    HANGS_AFTER_HEAD = "hangs after the head"
+
+
+class CuttingProxy:
+    """Accepts connections in place of targets, and passes nothing on."""
+
+    def __init__(self, *forms: CutForm):
+        self._forms = itertools.cycle(forms)
+        self.accepted = 0
+        self._writers: list[asyncio.StreamWriter] = []
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> AsyncIterator[int]:
+        """Runs the proxy and yields its port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        try:
+            yield server.sockets[0].getsockname()[1]
+        finally:
+            server.close()
+            for writer in self._writers:
+                reset_connection(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        self._writers.append(writer)
+        form = next(self._forms)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            if form is not CutForm.RESET:
+                request = await reader.readuntil(b"\r\n\r\n")
+                await self._answer(form, request, reader, writer)
+        reset_connection(writer)
+
+    async def _answer(
+        self,
+        form: CutForm,
+        request: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if form is CutForm.PAGE:
+            page = b"<html>no server is available</html>"
+            writer.write(
+                b"HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/html\r\n"
+                b"Content-Length: %d\r\n\r\n" % len(page) + page
+            )
+        elif form is CutForm.HANGS_AFTER_HEAD:
+            attempts = [
+                line + b"\r\nX-Server-Stamp: a\r\n"
+                for line in request.split(b"\r\n")
+                if line.lower().startswith(b"x-attempt-id:")
+            ]
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                b"Content-Length: 999\r\n" + b"".join(attempts) + b"\r\n"
+            )
+        await writer.drain()
+        while await reader.read(65_536):
+            pass
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection so that the other end gets a reset."""
+    if not writer.transport.is_closing():
+        with contextlib.suppress(OSError):
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        writer.transport.abort()
+
+
+ALL_FORMS = {
+    **{form.value: (form,) for form in CutForm},
+    "mixed": tuple(CutForm),
+}
+
+
 class UnreachableTargetsTest(unittest.TestCase):
     """An instance that reaches its callers and peers, but no target."""
 
-    def _count_served(self, path: str, port: int) -> tuple[int, list[str]]:
+    def _count_served(
+        self, path: str, run_cut: Callable[[], AbstractAsyncContextManager[int]]
+    ) -> tuple[int, list[str]]:
         """Returns the requests served at the first try, and what ran."""
         served = 0
         ran: list[str] = []
 
         async def check(fleet: EdgeFleet) -> None:
             nonlocal served
-            async with start_cut_off(fleet, port):
+            async with run_cut() as port, start_cut_off(fleet, port):
                 for number in range(REQUESTS):
                     attempt = f"a-{number}"
                     answer = await fleet.call(HOSTS[0], path, attempt)
@@ -137,8 +232,10 @@
         run_with_fleet(check)
         return served, ran
 
-    def _check(self, path: str, port: int) -> None:
-        served, ran = self._count_served(path, port)
+    def _check(
+        self, path: str, run_cut: Callable[[], AbstractAsyncContextManager[int]]
+    ) -> None:
+        served, ran = self._count_served(path, run_cut)
         assert served >= MIN_SERVED_SHARE * REQUESTS, served
         assert len(ran) == len(set(ran)), "an attempt ran twice"
 
@@ -146,13 +243,27 @@
         """Guards against an own lost link that is taken for dead targets."""
         for path in ("/quotes/1", "/orders/1"):
             with self.subTest(path=path), refuse_connections() as port:
-                self._check(path, port)
+                self._check(path, lambda: contextlib.nullcontext(port))
 
     def test_hanging_connections_do_not_refuse_callers(self) -> None:
         """Guards against the same where connects get no answer."""
         for path in ("/quotes/1", "/orders/1"):
             with self.subTest(path=path), ignore_connections() as port:
-                self._check(path, port)
+                self._check(path, lambda: contextlib.nullcontext(port))
+
+    def test_accepted_connections_do_not_refuse_callers(self) -> None:
+        """Guards against a connect that is taken for a link that works."""
+        for form, path in (
+            ("reset", "/quotes/1"),
+            ("reset", "/orders/1"),
+            ("page", "/orders/1"),
+            ("silent", "/orders/1"),
+            ("hangs after the head", "/quotes/1"),
+            ("mixed", "/orders/1"),
+        ):
+            with self.subTest(form=form, path=path):
+                proxy = CuttingProxy(*ALL_FORMS[form])
+                self._check(path, proxy.run)
 
 
 class RawTarget:
@@ -164,6 +275,9 @@
         # Keeps connections open after the answer while it is cleared.
         self.may_end = asyncio.Event()
         self.may_end.set()
+        # Of connections that are reset in place of an answer.
+        self.reset_share = 0.0
+        self.rng = random.Random(11)
         self.received = bytearray()
         self.ended = asyncio.Event()
 
@@ -172,6 +286,9 @@
     ) -> None:
         """Serves one connection."""
         self.received += await reader.read(65_536)
+        if self.rng.random() < self.reset_share:
+            reset_connection(writer)
+            return
         writer.write(self.answer)
         await writer.drain()
         closed = asyncio.create_task(reader.read())
@@ -220,6 +337,16 @@
         return host in HOSTS
 
 
+class _CountingPaths(TargetPaths):
+    """Counts direct connects that succeed."""
+
+    connects = 0
+
+    def note_connected(self, service: str) -> None:
+        self.connects += 1
+        super().note_connected(service)
+
+
 class OtherInstance:
     """An instance that connects to targets for others."""
 
@@ -227,12 +354,17 @@
         self.host = host
         clock = SystemClock()
         self.targets = TargetList(clock)
-        self.paths = TargetPaths(clock, RecordingLog(), self.targets)
+        self.paths = _CountingPaths(clock, RecordingLog(), self.targets)
         self.server = PathServer(
             self.targets, self.paths, HOSTS.__contains__, 1
         )
         self._is_older_build = is_older_build
 
+    @property
+    def connects(self) -> int:
+        """Connections to targets that were established for others."""
+        return self.paths.connects
+
     async def start(self, port: int) -> None:
         """Starts to serve peers."""
         older = [PublishedServer({})]
@@ -258,6 +390,8 @@
         self.targets = TargetList(self.clock)
         self.paths = TargetPaths(self.clock, self.log, self.targets)
         self.is_cut = True
+        # Accepts direct connections in place of the targets while they are cut.
+        self.proxy_port = 0
         self.connects = 0
 
     async def run(self, check: Callable[[], Awaitable[None]]) -> None:
@@ -274,6 +408,7 @@
             await other.start(peer_port)
         peers = FixedPeers([other.host for other in self.others], peer_port)
         self.dialer = PathDialer(
+            self.clock,
             self.paths,
             self.targets,
             peers,
@@ -281,7 +416,7 @@
             self.log,
         )
         self.dialer.direct = self
-        self.client = HttpTargetClient(0.2, self.dialer)
+        self.client = HttpTargetClient(0.2, self.dialer, reach=self.dialer)
         with anyio.fail_after(TIMEOUT_S):
             await check()
         await self.client.aclose()
@@ -299,6 +434,8 @@
     ) -> httpcore.AsyncNetworkStream:
         """Connects directly, unless the links are cut."""
         self.connects += 1
+        if self.is_cut and self.proxy_port:
+            return await connect("127.0.0.1", self.proxy_port, timeout_s)
         if self.is_cut:
             raise httpcore.ConnectTimeout("cut")
         return await connect(target.host, target.port, timeout_s)
@@ -322,7 +459,7 @@
     ]:
         """Sends a call."""
         target = Target(name, "engine", "zone-a", "127.0.0.1", self.port)
-        request = TargetCall("POST", "/quotes/1", (), b"plan", 5_000)
+        request = TargetCall("POST", "/quotes/1", (), b"plan", CALL_TIMEOUT_MS)
         return self.client.open(target, request, lambda: True)
 
     async def lose_links(self) -> None:
@@ -512,6 +649,159 @@
         run_paths(harness, check)
 
 
+class AcceptedConnectionTest(unittest.TestCase):
+    """Direct connections that something on the way accepts."""
+
+    answer = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    )
+
+    def setUp(self) -> None:
+        self._names = itertools.cycle(("i-1", "i-2"))
+
+    async def _call_all(self, harness: PathHarness, count: int) -> int:
+        """Calls the targets in turn; returns how many answered."""
+        answered = 0
+        for _ in range(count):
+            answered += isinstance(await harness.call(next(self._names)), list)
+        return answered
+
+    def _run_cut(
+        self,
+        harness: PathHarness,
+        check: Callable[[CuttingProxy], Awaitable[None]],
+        *forms: CutForm,
+    ) -> None:
+        async def run() -> None:
+            proxy = CuttingProxy(*forms)
+            async with proxy.run() as harness.proxy_port:
+                await check(proxy)
+
+        run_paths(harness, run)
+
+    def test_peer_serves_in_every_form_of_a_cut(self) -> None:
+        """Guards against a connect that is taken for a link that works."""
+        for name, forms in ALL_FORMS.items():
+            harness = PathHarness(
+                RawTarget(self.answer), OtherInstance(HOSTS[1])
+            )
+
+            async def check(proxy: CuttingProxy, harness: PathHarness) -> None:
+                # More than any form takes to be noticed.
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(4):
+                        tasks.start_soon(self._call_all, harness, 1)
+                    await anyio.sleep(1.2)
+                    await self._call_all(harness, 1)
+                    assert await self._call_all(harness, CALLS) == CALLS
+                    assert harness.paths.is_lost("engine")
+                    tasks.cancel_scope.cancel()
+
+            with self.subTest(form=name):
+                self._run_cut(
+                    harness, functools.partial(check, harness=harness), *forms
+                )
+
+    def test_probes_that_are_only_accepted_bring_nothing_back(self) -> None:
+        """Guards against links taken for sound since a proxy accepts."""
+        harness = PathHarness(RawTarget(self.answer), OtherInstance(HOSTS[1]))
+
+        async def check(proxy: CuttingProxy) -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.dialer.probe)
+                await self._call_all(harness, 6)
+                accepted = proxy.accepted
+                await anyio.sleep(2.2)
+                assert proxy.accepted > accepted + 2
+                assert harness.paths.is_lost("engine")
+                assert await self._call_all(harness, 10) == 10
+                harness.is_cut = False
+                while harness.paths.is_lost("engine"):
+                    await anyio.sleep(0.02)
+                tasks.cancel_scope.cancel()
+
+        self._run_cut(harness, check, CutForm.RESET)
+
+    def test_peer_with_the_same_cut_is_passed_over(self) -> None:
+        """Guards against a peer that connects, but only to the same proxy."""
+        cut_off, older = OtherInstance(make_host(24)), OtherInstance(
+            make_host(25), is_older_build=True
+        )
+        sound = OtherInstance(HOSTS[1])
+        harness = PathHarness(RawTarget(self.answer), cut_off, older, sound)
+
+        async def check(proxy: CuttingProxy) -> None:
+            for name in ("i-1", "i-2"):
+                cut_off.targets.put(
+                    dataclasses.replace(
+                        TARGET, name=name, port=harness.proxy_port
+                    )
+                )
+            await self._call_all(harness, 4)
+            await anyio.sleep(TRIAL_INTERVAL_MS / 1_000)
+            answered = 0
+            for _ in range(CALLS):
+                answered += await self._call_all(harness, 1)
+                await anyio.sleep(0.02)
+            assert harness.paths.is_lost("engine")
+            assert answered >= MIN_SERVED_SHARE * CALLS, answered
+
+        self._run_cut(harness, check, CutForm.RESET)
+
+    def test_targets_down_for_all_are_not_tried_again_and_again(self) -> None:
+        """Guards against peers that connect for each failed request."""
+        target = RawTarget(b"", is_reset=True)
+        harness = PathHarness(target, OtherInstance(HOSTS[1]))
+        harness.is_cut = False
+
+        async def check() -> None:
+            for _ in range(CALLS):
+                assert await self._call_all(harness, 1) == 0
+                await anyio.sleep(0.05)
+            assert not harness.paths.is_lost("engine")
+            relayed = harness.others[0].connects
+            assert 0 < relayed <= QUICK_TRIALS + 1, relayed
+            # A call each, and some probes in place of that of a trial.
+            extra = (DOUBT_PROBES - 1) * (QUICK_TRIALS + 1)
+            assert harness.connects <= CALLS + extra, harness.connects
+
+        run_paths(harness, check)
+
+    def test_targets_in_trouble_of_their_own_do_not_look_cut(self) -> None:
+        """Guards against relaying because targets reset some answers."""
+        lost = doubted = 0
+        for seed in range(10):
+            target = RawTarget(self.answer)
+            target.reset_share = 0.3
+            target.rng = random.Random(seed)
+            harness = PathHarness(target, OtherInstance(HOSTS[1]))
+            harness.is_cut = False
+
+            async def check(harness: PathHarness) -> None:
+                await self._call_all(harness, 5 * CALLS)
+                extra = harness.connects - 5 * CALLS
+                assert extra <= DOUBT_PROBES, extra
+
+            run_paths(harness, functools.partial(check, harness))
+            doubted += harness.log.count(Event.TARGET_LINKS_DOUBTED)
+            lost += harness.log.count(Event.TARGET_LINKS_LOST)
+        assert doubted > 5, doubted
+        # Three probes reset, and a peer answered, by chance.
+        assert lost <= 1, lost
+
+    def test_sound_targets_get_no_more_connections(self) -> None:
+        """Guards against probes and connections that nothing asked for."""
+        harness = PathHarness(RawTarget(self.answer), OtherInstance(HOSTS[1]))
+        harness.is_cut = False
+
+        async def check() -> None:
+            assert await self._call_all(harness, CALLS) == CALLS
+            assert harness.connects == CALLS
+            assert not harness.others[0].connects
+
+        run_paths(harness, check)
+
+
 class TargetPathsTest(unittest.TestCase):
     """What an instance concludes from its connects."""
 
@@ -529,9 +819,57 @@
         assert not self.paths.is_suspect("engine")
         self.paths.note_failed("engine", "i-2")
         assert self.paths.is_suspect("engine")
-        self.paths.note_connected("engine", "i-3")
+        self.paths.note_connected("engine")
         assert not self.paths.is_suspect("engine")
 
+    def _miss(self, *names: str) -> None:
+        for name in names:
+            self.paths.note_unanswered("engine", name, self.clock.now_ms())
+
+    def test_few_unanswered_connections_are_no_doubt(self) -> None:
+        """Guards against a cut seen in one target that resets."""
+        self._miss("i-1", "i-1", "i-1", "i-1")
+        assert not self.paths.is_doubtful("engine")
+        self.clock.advance(1)
+        self.paths.note_answered("engine", "i-3", self.clock.now_ms())
+        self._miss("i-1", "i-2")
+        assert not self.paths.is_doubtful("engine")
+        self._miss("i-2")
+        assert self.paths.is_doubtful("engine")
+
+    def test_connections_that_live_on_show_no_sound_links(self) -> None:
+        """Guards against answers over connections from before a cut."""
+        before_ms = self.clock.now_ms()
+        self.clock.advance(10)
+        self._miss("i-1", "i-2", "i-2")
+        self.paths.note_answered("engine", "i-3", before_ms)
+        assert self.paths.is_doubtful("engine")
+        self.clock.advance(10)
+        self.paths.note_answered("engine", "i-3", self.clock.now_ms())
+        assert not self.paths.is_doubtful("engine")
+
+    def test_unanswered_and_failed_connections_count_together(self) -> None:
+        """Guards against a cut that refuses some and accepts some."""
+        self.paths.note_failed("engine", "i-1")
+        self.paths.note_connected("engine")
+        self._miss("i-2")
+        assert not self.paths.is_doubtful("engine")
+        self.paths.note_failed("engine", "i-1")
+        assert self.paths.is_doubtful("engine")
+
+    def test_trials_become_rare(self) -> None:
+        """Guards against peers asked again and again for dead targets."""
+        trials = 0
+        for _ in range(600):
+            self._miss("i-1", "i-2", "i-3")
+            trials += self.paths.begin_trial("engine")
+            self.clock.advance(100)
+        # 4 in a row, then after 2, 4, 8, 16 and 32 s.
+        assert trials == QUICK_TRIALS + 4, trials
+        assert not self.paths.is_lost("engine")
+        self.paths.note_relayed_answer("engine", "i-1", "10.0.0.2")
+        assert self.paths.is_lost("engine")
+
     def test_old_failures_are_forgotten(self) -> None:
         """Guards against failures hours apart that look like one cut."""
         self.paths.note_failed("engine", "i-1")
@@ -555,17 +893,29 @@
         for name in ("i-1", "i-2"):
             self.paths.note_failed("engine", name)
         self.paths.note_relayed("engine", "i-2", "10.0.0.2")
-        self.paths.note_connected("engine", "i-1")
+        self.paths.note_answered("engine", "i-1", self.clock.now_ms())
         self.paths.note_failed("engine", "i-2")
-        self.paths.note_connected("engine", "i-1")
+        self.paths.note_answered("engine", "i-1", self.clock.now_ms())
         assert self.paths.is_lost("engine")
-        self.paths.note_connected("engine", "i-2")
+        self.paths.note_answered("engine", "i-2", self.clock.now_ms())
         assert not self.paths.is_lost("engine")
 
 
 class PeerChoiceTest(unittest.TestCase):
     """Which instances are asked to connect."""
 
+    def test_peer_without_answers_is_asked_last(self) -> None:
+        """Guards against a cut peer that is preferred, or never asked."""
+        clock = ManualClock()
+        hosts = ["10.0.0.1", "10.1.0.1"]
+        all_peers = FixedPeers(hosts, zone="10.0")
+        peers = PeerChoice(clock, random.Random(7), all_peers)
+        assert peers.choose("engine", ()) == hosts[0]
+        peers.note_unanswered(hosts[0], "engine")
+        assert peers.choose("engine", ()) == hosts[1]
+        assert peers.choose("engine", hosts[1:]) == hosts[0]
+        assert peers.choose("shop", ()) == hosts[0]
+
     def test_half_of_a_large_fleet_may_be_cut_off_too(self) -> None:
         """Guards against asking peers that cannot help again and again."""
         clock = ManualClock()
@@ -584,7 +934,7 @@
                 tried.add(host)
                 asked[host] += 1
                 if host not in cut:
-                    peers.note_connected(host)
+                    peers.note_answered(host)
                     break
                 peers.note_failed(host, "engine")
             else:
