--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -9,6 +9,12 @@
 import httpcore
 from result import Err, Ok, Result
 
+from peridotbend.adapters.answerwatch import (
+    AnswerCheck,
+    AnswerWatch,
+    ReachSink,
+    is_no_gateway_answer,
+)
 from peridotbend.adapters.connections import (
     Connection,
     ConnectionPool,
@@ -20,6 +26,7 @@
 )
 from peridotbend.domain.clock import Clock, SystemClock
 from peridotbend.domain.ports import (
+    RESTART_MS,
     AnswerHead,
     CallError,
     CallFailure,
@@ -30,8 +37,6 @@
 from peridotbend.domain.text import Target
 
 CONNECT_TIMEOUT_S = 1.0
-# No process that has just answered ends and starts again within this time.
-RESTART_MS = 200
 # What a target says of itself grows with the requests that it runs.
 MAX_QUESTION_BYTES = 262_144
 # Within this time the kernel has closed all sockets of a process that ended.
@@ -97,8 +102,10 @@
         is_reused: bool,
         connected_at_ms: int = 0,
         method: str = "GET",
+        watch: AnswerWatch | None = None,
     ):
         self._response = response
+        self._watch = watch
         has_body = (
             method != "HEAD" and response.status not in _STATUSES_WITHOUT_BODY
         )
@@ -121,12 +128,20 @@
         """Yields the body in chunks; an Err comes last if the call fails."""
         try:
             async for chunk in self._response.aiter_stream():
+                if self._watch is not None:
+                    self._watch.note_data()
                 yield Ok(chunk)
         except httpcore.TimeoutException as error:
+            self._note_error(error)
             yield Err(_make_error(CallFailure.TIMEOUT, True, error))
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            self._note_error(error)
             yield Err(_make_error(CallFailure.BROKEN, True, error))
 
+    def _note_error(self, error: Exception) -> None:
+        if self._watch is not None:
+            self._watch.note_error(error)
+
 
 class HttpTargetClient:
     """Sends calls to targets and tracks whether any byte was written."""
@@ -136,10 +151,14 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         dialer: Dialer | None = None,
         clock: Clock | None = None,
+        reach: ReachSink | None = None,
+        is_answer: AnswerCheck = is_no_gateway_answer,
     ) -> None:
         self._clock = clock or SystemClock()
         self._dialer = dialer or DirectDialer()
         self._pool = ConnectionPool(self._dialer, self._clock)
+        self._reach = reach
+        self._is_answer = is_answer
         self._connect_timeout_s = connect_timeout_s
 
     async def aclose(self) -> None:
@@ -165,21 +184,28 @@
             yield acquired
             return
         connection = acquired.ok_value
+        watch = AnswerWatch(self._reach, self._is_answer, target, connection)
         try:
-            opened = await _send(connection, request, write_gate)
+            opened = await _send(connection, request, write_gate, watch)
             try:
-                is_reused = connection.is_reused
-                connected_at_ms = connection.connected_at_ms
-                yield opened.map(
-                    lambda response: HttpAnswer(
-                        response, is_reused, connected_at_ms, call.method
-                    )
+                if isinstance(opened, Err):
+                    yield opened
+                    return
+                answer = HttpAnswer(
+                    opened.ok_value,
+                    connection.is_reused,
+                    connection.connected_at_ms,
+                    call.method,
+                    watch,
                 )
+                watch.note_head(call, answer.head)
+                yield Ok(answer)
             finally:
                 if isinstance(opened, Ok):
                     with anyio.CancelScope(shield=True):
                         await opened.ok_value.aclose()
         finally:
+            watch.close()
             await self._release(connection, call, request)
 
     async def _acquire(
@@ -259,23 +285,31 @@
         request = _make_request(
             target, check.question, gate, self._connect_timeout_s
         )
-        opened = await _send(connection, request, gate)
-        if isinstance(opened, Err):
-            detail = f"asked who it is: {opened.err_value.detail}"
-            return CallError(CallFailure.CONNECT, False, detail)
-        answer = HttpAnswer(opened.ok_value, connection.is_reused)
+        watch = AnswerWatch(self._reach, self._is_answer, target, connection)
         body = bytearray()
         try:
-            async for chunk in answer.chunks():
-                if isinstance(chunk, Err):
-                    detail = f"asked who it is: {chunk.err_value.detail}"
-                    return CallError(CallFailure.CONNECT, False, detail)
-                body += chunk.ok_value
-                if len(body) > MAX_QUESTION_BYTES:
-                    break
+            opened = await _send(connection, request, gate, watch)
+            if isinstance(opened, Err):
+                return _make_question_error(opened.err_value)
+            answer = HttpAnswer(
+                opened.ok_value,
+                connection.is_reused,
+                connection.connected_at_ms,
+                watch=watch,
+            )
+            watch.note_head(check.question, answer.head)
+            try:
+                async for chunk in answer.chunks():
+                    if isinstance(chunk, Err):
+                        return _make_question_error(chunk.err_value)
+                    body += chunk.ok_value
+                    if len(body) > MAX_QUESTION_BYTES:
+                        break
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await opened.ok_value.aclose()
         finally:
-            with anyio.CancelScope(shield=True):
-                await opened.ok_value.aclose()
+            watch.close()
         problem = check.find_problem(
             answer.head.status,
             bytes(body),
@@ -318,6 +352,7 @@
     connection: httpcore.AsyncHTTP11Connection,
     request: httpcore.Request,
     write_gate: _WriteGate,
+    watch: AnswerWatch,
 ) -> Result[httpcore.Response, CallError]:
     try:
         response = await connection.handle_async_request(request)
@@ -333,6 +368,7 @@
             failure = CallFailure.TIMEOUT
         if not write_gate.written:
             failure = CallFailure.CONNECT
+        watch.note_error(error)
         return Err(_make_error(failure, write_gate.written, error))
     # h11 lets these pass, but they could not be sent to a caller.
     if any(_CONTROL_CHARACTER.search(value) for _, value in response.headers):
@@ -382,6 +418,12 @@
     )
 
 
+def _make_question_error(error: CallError) -> CallError:
+    return CallError(
+        CallFailure.CONNECT, False, f"asked who it is: {error.detail}"
+    )
+
+
 def _make_connect_error(error: Exception) -> CallError:
     is_refused = is_connection_refused(error)
     failure = CallFailure.REFUSED if is_refused else CallFailure.CONNECT
--- a/src/peridotbend/domain/ports.py
+++ b/src/peridotbend/domain/ports.py
@@ -15,6 +15,10 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+# No process that has just answered ends and starts again within this time.
+RESTART_MS = 200
+
+
 class ConnectionCheck(Protocol):
     """Finds out who answers on a connection before a call is sent on it."""
 
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -17,7 +17,7 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
-from peridotbend.domain.ports import CallFailure, EventLog
+from peridotbend.domain.ports import RESTART_MS, CallFailure, EventLog
 from peridotbend.edge.ports import EdgeTargetClient
 from peridotbend.edge.targets import EdgeTarget, TargetList
 
@@ -407,8 +407,14 @@
     target: EdgeTarget
 
     def is_needed(self, connected_at_ms: int) -> bool:
-        """Tells whether the target has to be asked on a connection."""
-        return not self.runs.is_proven(self.target, connected_at_ms)
+        """Tells whether the target has to be asked on a connection.
+
+        Streams that break at the same moment share a question.
+        """
+        return not any(
+            self.runs.is_proven(self.target, at_ms)
+            for at_ms in (connected_at_ms, connected_at_ms - RESTART_MS)
+        )
 
     def accepts(
         self, told_start_ms: int | None, connected_at_ms: int, asked_at_ms: int
--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -159,6 +159,9 @@
             report = json.dumps({"born": self.started_at_ms}).encode()
             await respond(send, 200, report)
             return
+        if scope["path"].startswith("/-/"):
+            await respond(send, 404, b"")
+            return
         is_meant = headers.get(wire.EXPECT_INSTANCE) == self.name
         if not (is_meant or self.accepts_any_name):
             await respond(send, 421, b"")
