--- a/tests/troubledtargets.py
+++ b/tests/troubledtargets.py
@@ -105,8 +105,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class EndlessHead:
-    """A head that never ends."""
+class EndlessAnswer:
+    """An answer that never ends."""
 
     name: str
     start: bytes
@@ -199,14 +199,14 @@
     + f"{wire.ATTEMPT_ID}: ATTEMPT\r\n{wire.SERVER_STAMP}: s\r\n".encode()
 )
 ENDLESS_HEADS: list[TroubledAnswer] = [
-    EndlessHead("no byte", b""),
-    EndlessHead("half of a status line", b"HTTP/1.1 20"),
-    EndlessHead("half of a header line", _HEAD_START + b"Content-Ty"),
-    EndlessHead("no empty line", _HEAD_START),
-    EndlessHead("status line without end", b"HTTP/1.1 200 ", b"O"),
-    EndlessHead("header line without end", _HEAD_START + b"a: ", b"b"),
-    EndlessHead("header lines without end", _HEAD_START, b"a: b\r\n"),
-    EndlessHead("line without end, no HTTP", b"", b"\xff"),
+    EndlessAnswer("no byte", b""),
+    EndlessAnswer("half of a status line", b"HTTP/1.1 20"),
+    EndlessAnswer("half of a header line", _HEAD_START + b"Content-Ty"),
+    EndlessAnswer("no empty line", _HEAD_START),
+    EndlessAnswer("status line without end", b"HTTP/1.1 200 ", b"O"),
+    EndlessAnswer("header line without end", _HEAD_START + b"a: ", b"b"),
+    EndlessAnswer("header lines without end", _HEAD_START, b"a: b\r\n"),
+    EndlessAnswer("line without end, no HTTP", b"", b"\xff"),
 ]
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -62,7 +62,7 @@
         "src/peridotbend/platform/runners.py",
         "if any(answered != attempt for answered in answered_attempts):",
         "if False:",
-        ("test_edge_clients",),
+        ("test_edge_clients", "test_stories.SecondCopyTest"),
     ),
     Mutant(
         "reset-taken-for-the-end",
@@ -134,7 +134,7 @@
         EDGE + "relay.py",
         "if request.may_have_run and not request.route.may_repeat:",
         "if False:",
-        ("test_edge_relay", "test_edge_oracle"),
+        ("test_edge_relay", "test_edge_oracle", "test_stories.LostAnswerTest"),
     ),
     Mutant(
         "dispatch-not-marked",
@@ -143,7 +143,7 @@
         "            request.may_have_run = True\n"
         "            request.sends += 1",
         "            request.sends += 1",
-        ("test_edge_relay", "test_edge_oracle"),
+        ("test_edge_relay", "test_edge_oracle", "test_stories.LostAnswerTest"),
     ),
     Mutant(
         "rejection-forgets-earlier-runs",
@@ -151,7 +151,7 @@
         EDGE + "sends.py",
         "request.may_have_run = may_have_run_before",
         "request.may_have_run = False",
-        ("test_edge_oracle", "test_edge_relay"),
+        ("test_edge_oracle", "test_edge_relay", "test_stories.LostAnswerTest"),
     ),
     Mutant(
         "not-found-before-the-configuration",
@@ -240,7 +240,7 @@
         "src/peridotbend/edgenode.py",
         "await self._server.stop()",
         "pass",
-        ("test_edge_processes",),
+        ("test_edge_processes", "test_stories.PlannedStopTest"),
     ),
     Mutant(
         "silent-run-cut-without-a-place",
@@ -858,6 +858,23 @@
         "has_feeds = all(",
         ("test_stories_processes.RestartTest",),
     ),
+    Mutant(
+        "drip-taken-for-progress",
+        "LOST",
+        EDGE + "delivery.py",
+        "            events = request.events.feed(chunk.ok_value)\n",
+        "            events = request.events.feed(chunk.ok_value)\n"
+        "            tracked_send.note_data(self._clock.now_ms())\n",
+        ("test_stories.StreamPaceTest",),
+    ),
+    Mutant(
+        "slow-stream-taken-for-stalled",
+        "LOST",
+        EDGE + "inflight.py",
+        "STREAM_SILENCE_TIMEOUT_MS = 800",
+        "STREAM_SILENCE_TIMEOUT_MS = 300",
+        ("test_stories.StreamPaceTest",),
+    ),
     Mutant(
         "refusal-of-no-attempt",
         "REFUSED",
