Skip floods of empty lines and comments in one step

Cause: a target in trouble that sends empty lines or comments without end had each of them taken apart. One read of 256 KB held the process for 180 ms or more, so that the stall detector took it for a pause of its own and callers got answers after their time limit. Seen twice beside load as a failure of EndlessTargetTest: 504 after 4.5 s, with a limit of 4 s.

Change: blocks that hold nothing are matched at once. What is believed of a stream stays the same.

ForeignBytesTest.test_empty_lines_and_comments_do_not_hold_the_process fails before (180 ms of processor time) and passes after. The mutant empty-lines-taken-one-by-one is killed.

--- a/src/peridotbend/edge/events.py
+++ b/src/peridotbend/edge/events.py
@@ -9,6 +9,8 @@
 MAX_ID_DIGITS = 18
 # An empty line ends an event. Lines end with LF or CRLF.
 _EVENT_END = re.compile(rb"\n\r?\n")
+# Possessive, since repeats that keep their way back take memory for each line.
+_EMPTY_BLOCKS = re.compile(rb"(?:(?::[^\r\n\0]*+\r?\n)*+\r?\n)++")
 _LONE_CR = re.compile(rb"\r(?!\n)")
 # Fields that an event may have besides its ID and its data.
 _OTHER_FIELDS = frozenset((b"event", b"retry"))
@@ -73,12 +75,15 @@
         searched = max(0, len(self._partial) - 2)
         data = self._partial + data
         events = bytearray()
-        start = 0
-        for match in _EVENT_END.finditer(data, searched):
-            events += self._read_event(data[start : match.end()])
-            start = match.end()
-            if self.problem:
+        # The start of an incomplete block was looked at when it came.
+        start = 0 if self._partial else self._skip_empty_blocks(data, 0)
+        searched = max(searched, start)
+        while not self.problem:
+            match = _EVENT_END.search(data, searched)
+            if match is None:
                 break
+            events += self._read_event(data[start : match.end()])
+            start = searched = self._skip_empty_blocks(data, match.end())
         self._partial = b"" if self.problem else data[start:]
         if len(self._partial) > MAX_EVENT_BYTES:
             self._partial = b""
@@ -90,6 +95,20 @@
         rest, self._partial = self._partial, b""
         return rest
 
+    def _skip_empty_blocks(self, data: bytes, start: int) -> int:
+        """Returns where blocks of comments and empty lines end.
+
+        A target in trouble may send nothing else. Taking each apart would keep
+        the process from its other requests.
+        """
+        match = _EMPTY_BLOCKS.match(data, start)
+        if match is None:
+            return start
+        self._has_skipped = True
+        if not _is_text(match.group()):
+            self.problem = "bytes that are no text"
+        return match.end()
+
     def _is_plain_event(self, data: bytes) -> bool:
         """Tells whether data is the next event in the most common form.
 
--- a/tests/test_edge_events.py
+++ b/tests/test_edge_events.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 import unittest
 
 import anyio
@@ -12,6 +13,8 @@
 from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
 from tests.test_edge_platform import SETTINGS_DOCUMENT, TARGET_ENTRY
 
+# An event has to reach its caller within this time of its target.
+MAX_FEED_S = 0.12
 NOISE = bytes(range(128, 256)) + b"no answer at all"
 # What a target in trouble may send in place of its next event, the fourth.
 FOREIGN_BLOCKS = {
@@ -213,6 +216,22 @@
         assert splitter.problem
         assert splitter.take_remainder() == b""
 
+    def test_empty_lines_and_comments_do_not_hold_the_process(self) -> None:
+        """Guards against a flood of them that keeps other callers waiting.
+
+        One read of 256 KB took 260 ms.
+        """
+        for piece in (b"\n", b"\r\n", b": x\n\n", b":\r\n: y\r\n\r\n"):
+            data = piece * (262_144 // len(piece))
+            splitter = EventSplitter()
+            splitter.start_run()
+            started_s = time.process_time()
+            assert splitter.feed(data) == b""
+            took_s = time.process_time() - started_s
+            assert took_s < MAX_FEED_S, (piece, took_s)
+            assert splitter.has_trailing_bytes
+            assert splitter.feed(make_event(1)) == make_event(1)
+
 
 EVENTS = 6
 # Where foreign bytes go into a stream: before these events.
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -875,6 +875,14 @@
         "STREAM_SILENCE_TIMEOUT_MS = 300",
         ("test_stories.StreamPaceTest",),
     ),
+    Mutant(
+        "empty-lines-taken-one-by-one",
+        "LOST",
+        EDGE + "events.py",
+        '_EMPTY_BLOCKS = re.compile(rb"',
+        '_EMPTY_BLOCKS = re.compile(rb"(?!)',
+        ("test_edge_events.ForeignBytesTest",),
+    ),
     Mutant(
         "refusal-of-no-attempt",
         "REFUSED",
