--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -88,7 +88,7 @@
         names: dict[str, Any] = {
             "SystemClock": lambda: self.clock,
             "PrometheusMeter": lambda clock: FakeMeter(self),
-            "HttpTargetClient": lambda *_: FakeTargetClient(
+            "HttpTargetClient": lambda *_, **__: FakeTargetClient(
                 self, _get_current_process()
             ),
             "ChannelPool": lambda: FakeChannelPool(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -701,7 +701,7 @@
         "LOST",
         EDGE + "origins.py",
         "if chosen != stream.software and not stream.is_uncertain:",
-        "            if False:\n",
+        "if False:",
         ("test_edge_origins.WitnessTest",),
     ),
     Mutant(
