Give the fleets of tests an allowance that no machine can spend

The account of these fleets may spend 468 requests a second and 46 at once after a start. The test calls as fast as it can, so that a fast machine meets this limit, which is none of its subjects.

No check is changed; the tests of allowances have their own accounts.

--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -30,8 +30,17 @@
 EXIT_TIMEOUT_S = 10.0
 NO_HEADERS: Mapping[str, str] = types.MappingProxyType({})
 HOSTS = (make_host(21), make_host(22))
+# More than the calls of any test can spend, on however fast a machine.
+AMPLE_TOKENS = 1_000_000_000
 CONFIG = {
     **CONFIG_DOCUMENT,
+    "tenants": [
+        {
+            **CONFIG_DOCUMENT["tenants"][0],
+            "rate_per_s": AMPLE_TOKENS,
+            "burst": AMPLE_TOKENS,
+        }
+    ],
     "routes": [
         {**CONFIG_DOCUMENT["routes"][0], "split": None, "service": "engine"},
         {
