Bound every number and value of settings, store and callers

Cause: settings were read by YAML's safe loader, which raises ValueError for a date such as 0000-00-00 and for an integer of 5,000 digits, RecursionError for deep nesting, and gave numbers whose thousandfold is infinite. Only YAMLError was caught, so the process ended, also at a reload and for a field that nothing reads. An error text of a list of aliases was as large as the list written out.

Change: the loader keeps dates as text and names the place of what it can't construct; Fields has one bound for all numbers, with exact comparisons; counts that no prompt has are no counts.

--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -108,15 +108,14 @@
 def _read_order(body: bytes, name: str) -> int:
     """Returns a number of a document, 0 if it has none."""
     try:
-        number = Fields(json.loads(body)).get_int(name, 0)
+        return Fields(json.loads(body)).get_int(name, 0, maximum=MAX_ORDER)
     except (ValueError, RecursionError, BadFieldError):
         return 0
-    return number if number <= MAX_ORDER else 0
 
 
 def _read_config(fields: Fields) -> EdgeConfig:
     return EdgeConfig(
-        version=fields.get_int("version"),
+        version=fields.get_int("version", maximum=MAX_ORDER),
         routes=tuple(fields.get_list("routes", _read_route, optional=False)),
         accounts=tuple(fields.get_list("tenants", _read_account)),
         limits=_read_limits(fields.get_mapping("limits")),
--- a/src/peridotbend/platform/fields.py
+++ b/src/peridotbend/platform/fields.py
@@ -1,10 +1,12 @@
 """Typed access to the fields of decoded JSON and YAML documents."""
 
-import math
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 T = TypeVar("T")
+# Largest number of a document. Sums and products of a few such numbers are
+# exact, or at least finite.
+MAX_NUMBER = 10**15
 
 
 class BadFieldError(Exception):
@@ -34,34 +36,23 @@
         name: str,
         default: int | None = None,
         minimum: int = 0,
-        maximum: int | None = None,
+        maximum: int = MAX_NUMBER,
     ) -> int:
         """Returns an integer from `minimum` to `maximum`."""
-        number = self.get_number(name, default, minimum)
+        number = self._get_number(name, default, minimum, maximum)
         if number != int(number):
             raise self._make_error(name, "an integer", number)
-        if maximum is not None and number > maximum:
-            raise self._make_error(name, f"at most {maximum}", number)
         return int(number)
 
     def get_number(
-        self, name: str, default: float | None = None, minimum: float = 0.0
+        self,
+        name: str,
+        default: float | None = None,
+        minimum: float = 0.0,
+        maximum: float = MAX_NUMBER,
     ) -> float:
-        """Returns a finite number that is at least `minimum`."""
-        value = self._get(name, default)
-        is_number = isinstance(value, int | float)
-        if not is_number or isinstance(value, bool) or not value >= minimum:
-            raise self._make_error(
-                name, f"a number of at least {minimum}", value
-            )
-        try:
-            number = float(value)
-        except OverflowError:
-            # An integer of more than 308 digits.
-            number = math.inf
-        if math.isinf(number):
-            raise self._make_error(name, "a finite number", value)
-        return number
+        """Returns a number from `minimum` to `maximum`."""
+        return float(self._get_number(name, default, minimum, maximum))
 
     def get_bool(self, name: str, default: bool | None = None) -> bool:
         """Returns a boolean."""
@@ -103,6 +94,21 @@
             raise BadFieldError(f"{self._path_of(name)}: missing")
         return value
 
+    def _get_number(
+        self, name: str, default: float | None, minimum: float, maximum: float
+    ) -> int | float:
+        value = self._get(name, default)
+        is_number = isinstance(value, int | float)
+        # NaN is not at least anything.
+        if not is_number or isinstance(value, bool) or not value >= minimum:
+            raise self._make_error(
+                name, f"a number of at least {minimum}", value
+            )
+        if value > maximum:
+            raise self._make_error(name, f"at most {maximum}", value)
+        number: int | float = value
+        return number
+
     def _path_of(self, name: str) -> str:
         return f"{self._path}.{name}" if self._path else name
 
@@ -110,10 +116,23 @@
         self, name: str, wanted: str, value: object
     ) -> BadFieldError:
         return BadFieldError(
-            f"{self._path_of(name)}: must be {wanted}, not {str(value)[:80]!r}"
+            f"{self._path_of(name)}: must be {wanted}, not {_describe(value)}"
         )
 
 
+def _describe(value: object) -> str:
+    """Returns a short text on a value of a document.
+
+    Aliases make a container of YAML exponentially larger than its file, and an
+    integer may have more digits than Python converts.
+    """
+    if isinstance(value, str | float | bool) or value is None:
+        return repr(str(value)[:80])
+    if isinstance(value, int):
+        return repr(str(value)) if abs(value) <= MAX_NUMBER else "a larger one"
+    return f"a value of type {type(value).__name__}"
+
+
 def is_encodable(text: str) -> bool:
     """Tells whether a text can be sent; JSON may hold half a character."""
     try:
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -1,6 +1,5 @@
 """ASGI applications for callers and for the platform's readiness check."""
 
-import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -18,6 +17,7 @@
 from peridotbend.edge.ports import AnswerBrokenError, EdgeCall
 from peridotbend.edge.relay import Relay
 from peridotbend.platform import wire
+from peridotbend.platform.fields import MAX_NUMBER
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -45,6 +45,8 @@
 MAX_BODIES_BYTES = 48 * 1_048_576
 # Used for refusals that specify no Retry-After of their own.
 DEFAULT_RETRY_AFTER_MS = 1_000
+# More tokens than any prompt or answer has.
+MAX_TOKENS = 2**31 - 1
 
 
 class CallerGoneError(Exception):
@@ -213,7 +215,9 @@
         headers=_select_headers(raw),
         body=body,
         key=authorization[len(_KEY_SCHEME) :].strip() if has_key else "",
-        deadline_ms=_parse_number(headers.get(wire.DEADLINE_MS, "")),
+        deadline_ms=_parse_number(
+            headers.get(wire.DEADLINE_MS, ""), MAX_NUMBER
+        ),
         prompt_tokens=tokens[0] if tokens else None,
         max_output_tokens=tokens[1] if tokens else 0,
         session=parts[-1],
@@ -285,18 +289,19 @@
 
 def _parse_token_counts(text: str) -> tuple[int, int] | None:
     first, _, second = text.partition(",")
-    numbers = _parse_number(first), _parse_number(second)
-    if numbers[0] is None or numbers[1] is None:
+    prompt = _parse_number(first, MAX_TOKENS)
+    output = _parse_number(second, MAX_TOKENS)
+    if prompt is None or output is None:
         return None
-    return numbers[0], numbers[1]
+    return prompt, output
 
 
-def _parse_number(text: str) -> int | None:
+def _parse_number(text: str, maximum: int) -> int | None:
     try:
         number = float(text)
     except ValueError:
         return None
-    return round(number) if math.isfinite(number) and number >= 0 else None
+    return round(number) if 0 <= number <= maximum else None
 
 
 class HealthApp:
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -1,5 +1,7 @@
 """Reads the settings file that the platform provides to each process."""
 
+from typing import Any
+
 import yaml
 from result import Err, Ok, Result
 
@@ -12,10 +14,34 @@
 )
 
 
+class _SettingsLoader(yaml.SafeLoader):
+    """Loads YAML whose dates stay text, since no setting is a date."""
+
+    def construct_object(self, node: yaml.Node, deep: bool = False) -> Any:
+        """Returns the value of a node; its errors name the place."""
+        try:
+            return super().construct_object(node, deep)
+        except (ValueError, LookupError, OverflowError) as error:
+            raise yaml.constructor.ConstructorError(
+                None, None, f"invalid value: {error}", node.start_mark
+            ) from error
+
+
+def _construct_text(loader: yaml.SafeLoader, node: yaml.ScalarNode) -> str:
+    return str(loader.construct_scalar(node))
+
+
+_SettingsLoader.add_constructor("tag:yaml.org,2002:timestamp", _construct_text)
+
+
 def parse_settings(text: str) -> Result[EdgeSettings, str]:
-    """Decodes the settings; the error names the invalid field."""
+    """Decodes the settings; the error names the invalid field or its place."""
     try:
-        return Ok(_read_settings(Fields(yaml.safe_load(text))))
+        # A loader of the safe kind.
+        document = yaml.load(text, Loader=_SettingsLoader)
+        return Ok(_read_settings(Fields(document)))
+    except RecursionError:
+        return Err("the settings are nested too deeply")
     except (yaml.YAMLError, BadFieldError) as error:
         return Err(str(error))
 
