--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -20,6 +20,9 @@
 EDGE = "src/peridotbend/edge/"
 # Limit for the tests of one mutant, since a mutant may cause a hang.
 TEST_TIMEOUT_S = 400
+# Limit for the tests of all mutants, one after the other, on the unchanged
+# source.
+BASELINE_TIMEOUT_S = 3_600
 MAX_PARALLEL_MUTANTS = 3
 # Tests that start processes on fixed addresses; only one mutant at a time may
 # run them.
@@ -1027,7 +1030,9 @@
 _process_tests_lock = threading.Lock()
 
 
-def _run_tests(copy: pathlib.Path, tests: tuple[str, ...]) -> str | None:
+def _run_tests(
+    copy: pathlib.Path, tests: tuple[str, ...], timeout_s: int = TEST_TIMEOUT_S
+) -> str | None:
     """Returns the tests that fail in a copy of the tree, or None."""
     starts_processes = any(
         name.partition(".")[0] in PROCESS_TESTS for name in tests
@@ -1039,7 +1044,7 @@
             env={**os.environ, "PYTHONPATH": str(copy / "src")},
             capture_output=True,
             text=True,
-            timeout=TEST_TIMEOUT_S,
+            timeout=timeout_s,
         )
     if result.returncode == 0:
         return None
@@ -1080,7 +1085,9 @@
 def check_baseline(tests: set[str]) -> str | None:
     """Returns the tests that fail on the unchanged source, or None."""
     with tempfile.TemporaryDirectory() as folder:
-        return _run_tests(_copy_tree(folder), tuple(sorted(tests)))
+        return _run_tests(
+            _copy_tree(folder), tuple(sorted(tests)), BASELINE_TIMEOUT_S
+        )
 
 
 def main() -> None:
