Send answers to callers of HTTP/1.0 without chunks

Cause: uvicorn chunks every answer without a length, whichever version the caller speaks, and sends 100 Continue to callers of HTTP/1.0 as well.

Change: for a request of HTTP/1.0, the application is wrapped so that an answer without a length ends with its connection. The server is that of the edge and of the product's own interface, so both change.

--- a/src/peridotbend/adapters/asgi.py
+++ b/src/peridotbend/adapters/asgi.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -7,9 +7,13 @@
 from typing import Any
 
 from uvicorn.config import Config
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 from uvicorn.server import ServerState
 
+from peridotbend.adapters.closedelimited import CloseDelimitedApp
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 
 # Connections above max_connections that are accepted only to be refused with
@@ -150,6 +154,9 @@
         self._reading_headers = False
         self._framing_bytes = 0
         self._stop_header_timer()
+        if self.parser.get_http_version() == "1.0":
+            # A caller of this version takes an interim answer for the answer.
+            self.expect_100_continue = False
         super().on_headers_complete()
 
     def on_chunk_header(self) -> None:
@@ -221,6 +228,11 @@
             + EARLIER_CALL_NOTE,
         )
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        if cycle.scope["http_version"] == "1.0":
+            app = CloseDelimitedApp(app, cycle)
+        super()._start_asgi_task(cycle, app)
+
     def _choose_verdict(self, reason: Reason) -> Verdict:
         """Returns NotRun only if the request certainly contained no ID."""
         headers = self.headers or []
