Drop a pipelined request whose body goes bad

Cause: when a malformed chunk, or one limit too many, ends the input of a connection on which an earlier request is still being served, the later request stayed in the pipeline. It was started after the earlier answer and waited for a body that is discarded: without end at the edge, 10 s at the product's own interface.

Change: such a request is dropped, and the connection closes after the earlier answer.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -83,6 +83,8 @@
         self._header_bytes = 0
         # Bytes of the current body that are neither data nor chunk sizes.
         self._framing_bytes = 0
+        # The request before the current one, if it is still being served.
+        self._earlier_cycle: RequestResponseCycle | None = None
         # True once an error response was sent; further input is discarded.
         self._refused = False
         self._header_timer: asyncio.TimerHandle | None = None
@@ -157,6 +159,8 @@
         if self.parser.get_http_version() == "1.0":
             # A caller of this version takes an interim answer for the answer.
             self.expect_100_continue = False
+        is_serving = self._is_serving_request()
+        self._earlier_cycle = self.cycle if is_serving else None
         super().on_headers_complete()
 
     def on_chunk_header(self) -> None:
@@ -258,6 +262,7 @@
         """Sends an error in place of the application, then closes."""
         self._refused = True
         self._stop_header_timer()
+        self._drop_incomplete_request()
         cycle = self.cycle
         if self._is_serving_request():
             # The caller would take anything written now for the response to the
@@ -287,6 +292,12 @@
         self._stop_stall_timer()
         self._stall_timer = self.loop.call_later(LINGERING_CLOSE_S, self._abort)
 
+    def _drop_incomplete_request(self) -> None:
+        """Drops a waiting request the rest of whose body is discarded."""
+        if self.pipeline and self.cycle.more_body:
+            self.pipeline.popleft()
+            self.cycle = self._earlier_cycle  # type: ignore[assignment]
+
     def _start_header_timer(self) -> None:
         if self._header_timer is None:
             self._header_timer = self.loop.call_later(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -584,3 +584,25 @@
             writer.close()
 
         run_with_entry(test)
+
+    def test_request_whose_body_goes_bad_behind_a_good_one(self) -> None:
+        """Guards against a connection that waits for a body without end."""
+
+        async def test(entry: EntryNode) -> None:
+            entry.target.unblocked.clear()
+            reader, writer = await entry.connect()
+            writer.write(encode_request("GET", ORDERS + "/1"))
+            await entry.wait_for(lambda: len(entry.target.ran) == 1)
+            call = encode_request(
+                "POST", ORDERS, b"", "Transfer-Encoding: chunked"
+            )
+            writer.write(call + b"not hexadecimal\r\n")
+            await anyio.sleep(0.02)
+            entry.target.unblocked.set()
+            reply = await read_reply(reader)
+            assert (reply.status, reply.verdict) == (200, "completed")
+            assert await reader.read() == b""
+            assert len(entry.target.ran) == 1
+            writer.close()
+
+        run_with_entry(test)
