Ignore offers to upgrade, and refuse CONNECT

Cause: for a request with Upgrade and Connection: Upgrade (or Proxy-Connection: Upgrade), and for CONNECT, httptools ends the message with its head and raises an exception that uvicorn ignores. The body in the same packet was lost; one in the next packet was parsed as a request.

Change: the head is parsed again without the offer, so that the request is an ordinary one with its body (RFC 9110, 7.8). CONNECT is refused with 400 and its connection closed. HTTP2-Settings is not forwarded.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -6,6 +6,7 @@
 import resource
 from typing import Any
 
+import httptools
 from uvicorn.config import Config
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
@@ -13,6 +14,7 @@
 )
 from uvicorn.server import ServerState
 
+from peridotbend.adapters import requestheads
 from peridotbend.adapters.closedelimited import CloseDelimitedApp
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 
@@ -79,6 +81,8 @@
         self._last_read = b""
         self._messages_started = 0
         self._reading_headers = False
+        # Why the current message is refused; "" if it isn't or can't be parsed.
+        self._problem = ""
         # Header bytes in reads after the one in which the headers started.
         self._header_bytes = 0
         # Bytes of the current body that are neither data nor chunk sizes.
@@ -119,7 +123,11 @@
         messages_before = self._messages_started if self._reading_headers else 0
         self._last_read = data
         self._framing_bytes += len(data)
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        try:
+            self._parse(data)
+        except httptools.HttpParserError as error:
+            self.send_400_response(str(error))
         self._last_read = b""
         self._framing_bytes = max(0, self._framing_bytes)
         is_same_head = messages_before == self._messages_started
@@ -135,6 +143,39 @@
             # as well.
             self._start_header_timer()
 
+    def _parse(self, data: bytes) -> None:
+        """Parses data and ignores offers to switch to another protocol.
+
+        httptools takes all that follows an offer for the other protocol, and
+        starts anew with the next packet. A server that ignores the offer has
+        an ordinary request with a body (RFC 9110, 7.8).
+
+        Raises:
+            HttpParserError: the data is not valid HTTP.
+        """
+        rest = memoryview(data)
+        while rest:
+            try:
+                self.parser.feed_data(rest)
+            except httptools.HttpParserUpgrade as offer:
+                rest = rest[offer.args[0] :]
+                head = requestheads.encode_without_offer(
+                    self.parser.get_method(),
+                    self.url,
+                    self.parser.get_http_version(),
+                    self.headers,
+                )
+                self.parser = self._make_parser()
+                self.parser.feed_data(head)
+            else:
+                return
+
+    def _make_parser(self) -> httptools.HttpRequestParser:
+        parser = httptools.HttpRequestParser(self)
+        # As uvicorn sets it.
+        parser.set_dangerous_leniencies(lenient_data_after_close=True)
+        return parser
+
     def on_message_begin(self) -> None:
         """Starts the header timer and the count of header bytes."""
         super().on_message_begin()
@@ -152,8 +193,19 @@
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
-        """Starts the request."""
+        """Starts the request, or refuses it.
+
+        Raises:
+            HttpParserError: it is refused.
+        """
+        method = self.parser.get_method()
+        self._problem = requestheads.find_problem(method) or ""
+        if self.parser.should_upgrade() and not self._problem:
+            # The head is parsed again.
+            return
         self._reading_headers = False
+        if self._problem:
+            raise httptools.HttpParserError(self._problem)
         self._framing_bytes = 0
         self._stop_header_timer()
         if self.parser.get_http_version() == "1.0":
@@ -163,6 +215,11 @@
         self._earlier_cycle = self.cycle if is_serving else None
         super().on_headers_complete()
 
+    def on_message_complete(self) -> None:
+        """Ends the body, but not at an offer, whose head is parsed again."""
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
     def on_chunk_header(self) -> None:
         """Allows for the framing of one chunk."""
         self._framing_bytes -= CHUNK_FRAMING_BYTES
@@ -201,9 +258,9 @@
             self._stop_stall_timer()
 
     def send_400_response(self, msg: str) -> None:
-        """Refuses input that is not valid HTTP."""
+        """Refuses input that is not valid HTTP, or not served."""
         verdict = self._choose_verdict(Reason.BAD_INPUT)
-        message = (
+        message = self._problem or (
             "This is no valid HTTP/1.1 request; correct its request line,"
             " headers or framing."
         )
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -25,7 +25,7 @@
 # Hop-by-hop headers, and Content-Length, since the framing is created anew for
 # the target.
 _CONNECTION_HEADERS = frozenset((
-    "connection", "content-length", "expect", "keep-alive",
+    "connection", "content-length", "expect", "http2-settings", "keep-alive",
     "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
     "trailer", "transfer-encoding", "upgrade",
 ))  # fmt: skip
--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -97,6 +97,8 @@
     def __init__(self) -> None:
         # Paths of the requests that ran, in order of arrival.
         self.ran: list[str] = []
+        # Their bodies.
+        self.bodies: list[bytes] = []
         # While it is cleared, answers and the rest of streams are held back.
         self.unblocked = asyncio.Event()
         self.unblocked.set()
@@ -134,6 +136,7 @@
             self._write(writer, {**report, "incarnation": self.incarnation})
             return
         self.ran.append(path)
+        self.bodies.append(body)
         reply = self.next_replies.pop(0) if self.next_replies else self.reply
         if reply:
             writer.write(reply)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -606,3 +606,32 @@
             writer.close()
 
         run_with_entry(test)
+
+
+class UpgradeOfferTest(unittest.TestCase):
+    """Requests with an offer to switch to another protocol."""
+
+    offer = ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c")
+
+    def test_request_runs_with_its_body(self) -> None:
+        """Guards against bodies that are lost, or run as requests."""
+        inner = encode_request("GET", f"{ORDERS}/7")
+
+        async def test(entry: EntryNode) -> None:
+            for pause_s in (0.0, 0.02):
+                key = f"Idempotency-Key: {await entry.reserve()}"
+                order = encode_request("POST", ORDERS, inner, key, *self.offer)
+                reader, writer = await entry.connect()
+                writer.write(order[: -len(inner)])
+                await writer.drain()
+                await anyio.sleep(pause_s)
+                writer.write(inner)
+                reply = await read_reply(reader)
+                assert (reply.status, reply.verdict) == (200, "completed")
+                writer.write_eof()
+                assert await reader.read() == b""
+                writer.close()
+            assert entry.target.ran == [ORDERS] * 2
+            assert entry.target.bodies == [inner] * 2
+
+        run_with_entry(test)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -849,6 +849,14 @@
         "        super().on_header(name, value)\n",
         ("test_endless_processes.EndlessCallerTest",),
     ),
+    Mutant(
+        "body-behind-an-offer-dropped",
+        "UNASKED",
+        "src/peridotbend/adapters/boundedconnections.py",
+        "                self.parser.feed_data(head)\n",
+        "                return\n",
+        ("test_caller_framing.OfferTest",),
+    ),
     Mutant(
         "chunk-extensions-without-a-bound",
         "LOST",
