Pass on an empty query

Cause: uvicorn and ASGI tell an empty query apart from none nowhere, so that /path? ran as /path, at the edge and at the product's own interface.

Change: the connection notes an empty query in the request's state, and both interfaces read path and query in one place.

Measured: two new tests and both property tests, whose targets now include empty queries, failed before and pass now, as do test_callers, test_edge_platform and test_edge_framing.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -15,6 +15,7 @@
 from uvicorn.server import ServerState
 
 from peridotbend.adapters import requestheads
+from peridotbend.adapters.asgi import EMPTY_QUERY
 from peridotbend.adapters.closedelimited import CloseDelimitedApp
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 
@@ -214,6 +215,8 @@
         is_serving = self._is_serving_request()
         self._earlier_cycle = self.cycle if is_serving else None
         super().on_headers_complete()
+        if self.url.endswith(b"?") and not self.scope["query_string"]:
+            self.scope["state"][EMPTY_QUERY] = True
 
     def on_message_complete(self) -> None:
         """Ends the body, but not at an offer, whose head is parsed again."""
--- a/src/peridotbend/adapters/exchanges.py
+++ b/src/peridotbend/adapters/exchanges.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from peridotbend.adapters import answerheads
+from peridotbend.adapters.asgi import find_target
 from peridotbend.adapters.messages import explain_reason
 from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.ports import AnswerHead, AnswerPart
@@ -83,9 +84,7 @@
     @property
     def path_and_query(self) -> str:
         """The path as received, not unquoted, with the query string."""
-        path: bytes = self._scope.get("raw_path") or self.path.encode()
-        query: bytes = self._scope["query_string"]
-        return (path + b"?" + query if query else path).decode("latin-1")
+        return find_target(self._scope)
 
     def forwarded_headers(self) -> tuple[tuple[str, str], ...]:
         """Returns the headers to forward to a target."""
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from peridotbend.adapters.asgi import Send, respond
+from peridotbend.adapters.asgi import Send, find_target, respond
 from peridotbend.domain.answers import ByteBudget, SubBudget
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import (
@@ -198,9 +198,6 @@
     attempt = headers.get(wire.ATTEMPT_ID, "")
     if not attempt:
         return None
-    path = scope["raw_path"].decode("latin-1")
-    if scope["query_string"]:
-        path = f"{path}?{scope['query_string'].decode('latin-1')}"
     authorization = headers.get("authorization", "")
     has_key = authorization.lower().startswith(_KEY_SCHEME)
     tokens = _parse_token_counts(headers.get(wire.TOKEN_COUNT, ""))
@@ -209,7 +206,7 @@
         attempt=attempt,
         method=scope["method"],
         host=headers.get("host", "").partition(":")[0],
-        path=path,
+        path=find_target(scope),
         headers=_select_headers(raw),
         body=body,
         key=authorization[len(_KEY_SCHEME) :].strip() if has_key else "",
--- a/tests/test_caller_framing.py
+++ b/tests/test_caller_framing.py
@@ -36,7 +36,7 @@
     ("Expect: 100-continue",),
     ("Expect: 100-continue", *H2C),
 )
-TARGETS = ("/a", "/a/b?c=1&d", "/a/%2F/2f")
+TARGETS = ("/a", "/a/b?c=1&d", "/a/%2F/2f", "/a?", "/a??", "//a/?b?")
 TRAILERS: tuple[tuple[str, ...], ...] = (
     (),
     (f"{wire.ATTEMPT_ID}: trailer", "X-Model: trailer"),
@@ -207,3 +207,13 @@
                 assert not outcome.calls, outcome
                 assert outcome.statuses == [400], outcome.written
                 assert outcome.is_closed
+
+
+class TargetTest(unittest.TestCase):
+    """Path and query of requests."""
+
+    def test_target_is_passed_on_as_it_came(self) -> None:
+        """Guards against an empty query that is dropped."""
+        for target in (*TARGETS, "/?", "/a/?"):
+            outcome = asyncio.run(feed([encode("a1", target, (), b"x")]))
+            assert [call.path for call in outcome.calls] == [target]
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -546,6 +546,21 @@
         run_with_entry(test)
 
 
+class TargetTest(unittest.TestCase):
+    """Path and query of requests."""
+
+    def test_target_is_passed_on_as_it_came(self) -> None:
+        """Guards against an empty query that is dropped."""
+        targets = [f"{ORDERS}/{end}" for end in ("1", "1?", "1??", "%2F?a=b")]
+
+        async def test(entry: EntryNode) -> None:
+            for target in targets:
+                assert (await entry.call("GET", target)).status == 200
+            assert entry.target.ran == targets
+
+        run_with_entry(test)
+
+
 class PipelineTest(unittest.TestCase):
     """Pipelined requests on one connection."""
 
