Refuse heads that can be read in two ways

Cause: the parser and uvicorn accept heads of which they use one reading. Of two Host headers the last chose the route and both went to the target; an absolute target's host was ignored; a fragment was dropped; a body coded "gzip, chunked" was passed on without its coding, though still coded; chunks were read over HTTP/1.0; HTTP/0.9 and HTTP/2.0 in a request line were answered as HTTP/1.1.

Change: such a message is refused with 400 and a reason, and its connection is closed. An absolute target whose host is that of Host is served as before.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -14,9 +14,9 @@
 )
 from uvicorn.server import ServerState
 
-from peridotbend.adapters import requestheads
 from peridotbend.adapters.asgi import EMPTY_QUERY
 from peridotbend.adapters.closedelimited import CloseDelimitedApp
+from peridotbend.adapters.requestheads import RequestHead
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 
 # Connections above max_connections that are accepted only to be refused with
@@ -160,17 +160,20 @@
                 self.parser.feed_data(rest)
             except httptools.HttpParserUpgrade as offer:
                 rest = rest[offer.args[0] :]
-                head = requestheads.encode_without_offer(
-                    self.parser.get_method(),
-                    self.url,
-                    self.parser.get_http_version(),
-                    self.headers,
-                )
+                head = self._get_head().encode_without_offer()
                 self.parser = self._make_parser()
                 self.parser.feed_data(head)
             else:
                 return
 
+    def _get_head(self) -> RequestHead:
+        return RequestHead(
+            self.parser.get_method(),
+            self.url,
+            self.parser.get_http_version(),
+            self.headers,
+        )
+
     def _make_parser(self) -> httptools.HttpRequestParser:
         parser = httptools.HttpRequestParser(self)
         # As uvicorn sets it.
@@ -199,8 +202,8 @@
         Raises:
             HttpParserError: it is refused.
         """
-        method = self.parser.get_method()
-        self._problem = requestheads.find_problem(method) or ""
+        head = self._get_head()
+        self._problem = head.find_problem() or ""
         if self.parser.should_upgrade() and not self._problem:
             # The head is parsed again.
             return
@@ -209,7 +212,7 @@
             raise httptools.HttpParserError(self._problem)
         self._framing_bytes = 0
         self._stop_header_timer()
-        if self.parser.get_http_version() == "1.0":
+        if head.version == "1.0":
             # A caller of this version takes an interim answer for the answer.
             self.expect_100_continue = False
         is_serving = self._is_serving_request()
--- a/tests/fedconnections.py
+++ b/tests/fedconnections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import re
 from collections.abc import Iterable
 from typing import Any, cast
 
@@ -80,11 +81,8 @@
     @property
     def statuses(self) -> list[int]:
         """The statuses of the final answers."""
-        return [
-            int(part[:3])
-            for part in self.written.split(b"HTTP/1.1 ")[1:]
-            if not part.startswith(b"1")
-        ]
+        found = re.findall(rb"HTTP/1\.1 ([2-5][0-9]{2}) ", self.written)
+        return [int(status) for status in found]
 
 
 class Feeder:
--- a/tests/test_caller_framing.py
+++ b/tests/test_caller_framing.py
@@ -217,3 +217,68 @@
         for target in (*TARGETS, "/?", "/a/?"):
             outcome = asyncio.run(feed([encode("a1", target, (), b"x")]))
             assert [call.path for call in outcome.calls] == [target]
+
+    def test_absolute_target_is_an_ordinary_one(self) -> None:
+        """Guards against proxies' callers that are refused."""
+        data = encode("a1", "http://X/a?b=1", (), b"x")
+        outcome = asyncio.run(feed([data]))
+        assert [call.path for call in outcome.calls] == ["/a?b=1"]
+
+
+class AmbiguousHeadTest(unittest.TestCase):
+    """Heads that two readers may understand in two ways."""
+
+    def _check(self, data: bytes, status: int = 400) -> None:
+        """Sends a request and one behind it, in all cuts; neither may run."""
+        for outcome in feed_all_cuts(data + INNER):
+            assert not outcome.calls, (data, outcome.calls)
+            assert outcome.statuses == [status], (data, outcome.written)
+            assert outcome.is_closed, data
+
+    def test_codings_of_the_body_are_refused(self) -> None:
+        """Guards against bodies that are passed on undecoded."""
+        for value in ("gzip, chunked", ",chunked", "chunked,", "gzip", ""):
+            with self.subTest(value):
+                line = f"Transfer-Encoding: {value}"
+                data = encode("a1", "/a", (line,), None)
+                self._check(data + b"0\r\n\r\n")
+
+    def test_chunks_over_http_1_0_are_refused(self) -> None:
+        """Guards against bodies that HTTP/1.0 ends elsewhere (RFC 9112)."""
+        line = "Transfer-Encoding: chunked"
+        data = encode("a1", "/a", (line,), None, version="1.0")
+        self._check(data + b"0\r\n\r\n")
+
+    def test_two_lengths_are_refused(self) -> None:
+        """Guards against bodies that are run as requests."""
+        for lines in (
+            ("Content-Length: 0",),
+            ("Content-Length: 1",),
+            ("Transfer-Encoding: chunked",),
+            ("Transfer-Encoding: chunked", *H2C),
+            ("Content-Length: 0", *H2C),
+        ):
+            with self.subTest(lines):
+                self._check(encode("a1", "/a", lines, b"x"))
+
+    def test_two_hosts_are_refused(self) -> None:
+        """Guards against a route by one host and a run by another."""
+        self._check(encode("a1", "/a", ("Host: y",), None))
+        for target in ("http://y/a", "http://u@x/a", "http://x:1/a"):
+            with self.subTest(target):
+                self._check(encode("a1", target, (), None))
+
+    def test_fragment_is_refused(self) -> None:
+        """Guards against a part of the target that is dropped."""
+        for target in ("/a#b", "/a?b#", "http://x/a#b"):
+            with self.subTest(target):
+                self._check(encode("a1", target, (), None))
+
+    def test_other_versions_are_refused(self) -> None:
+        """Guards against answers in a version that the caller doesn't read."""
+        for version in ("0.9", "2.0", "1.2"):
+            with self.subTest(version):
+                self._check(encode("a1", "/a", (), None, version=version))
+        with self.subTest("none"):
+            data = encode("a1", "/a", (), None)
+            self._check(data.replace(b" HTTP/1.1", b"", 1))
