Notice a request ID that comes in two packets

Cause: before an error, httptools withholds the last header that it has read. The search for the ID in the last packet misses one that was cut, so that malformed headers were refused with "not run" although an earlier call with that ID may have run.

Change: "not run" is only said of malformed headers that came in one packet.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -80,6 +80,8 @@
         super().__init__(config, server_state, app_state, _loop)
         self._limits = limits
         self._last_read = b""
+        # Whether the current message began in it.
+        self._began_in_last_read = False
         self._messages_started = 0
         self._reading_headers = False
         # Why the current message is refused; "" if it isn't or can't be parsed.
@@ -123,6 +125,7 @@
             return
         messages_before = self._messages_started if self._reading_headers else 0
         self._last_read = data
+        self._began_in_last_read = False
         self._framing_bytes += len(data)
         self._unset_keepalive_if_required()
         try:
@@ -184,6 +187,7 @@
         """Starts the header timer and the count of header bytes."""
         super().on_message_begin()
         self._messages_started += 1
+        self._began_in_last_read = True
         self._reading_headers = True
         self._header_bytes = 0
         self._start_header_timer()
@@ -308,7 +312,10 @@
         headers_ended = (
             b"\n\r\n" in self._last_read or b"\n\n" in self._last_read
         )
-        if has_key or (self._reading_headers and not headers_ended):
+        # The parser withholds the last header before an error, part of which
+        # may have been in an earlier read.
+        is_all_read = headers_ended and self._began_in_last_read
+        if has_key or (self._reading_headers and not is_all_read):
             return MayHaveRun(reason)
         return NotRun(reason)
 
--- a/tests/test_caller_framing.py
+++ b/tests/test_caller_framing.py
@@ -282,3 +282,14 @@
         with self.subTest("none"):
             data = encode("a1", "/a", (), None)
             self._check(data.replace(b" HTTP/1.1", b"", 1))
+
+
+class VerdictTest(unittest.TestCase):
+    """What a refusal of malformed headers says of earlier calls."""
+
+    def test_id_that_is_cut_is_noticed(self) -> None:
+        """Guards against "not run" for an ID with which a call may have run."""
+        lines = (b"POST /a HTTP/1.1", b"Idempotency-Key: abc", b"no colon")
+        for outcome in feed_all_cuts(b"\r\n".join((*lines, b"", b""))):
+            assert outcome.statuses == [400]
+            assert b"verdict: may-have-run" in outcome.written, outcome
