Keep listed headers of a connection from targets

Cause: the product's own interface forwarded headers that Connection lists, and HTTP2-Settings, which concern only the caller's connection (RFC 9110, 7.6.1). The edge dropped them already.

Change: both interfaces find these headers in one place.

Measured: the new test failed before and passes now; 61 tests of test_callers, test_edge_platform, test_node, test_node_paths and test_stories pass.

--- a/src/peridotbend/adapters/asgi.py
+++ b/src/peridotbend/adapters/asgi.py
@@ -1,6 +1,6 @@
 """Helpers shared by the small ASGI applications."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -28,3 +28,13 @@
     if query or scope.get("state", {}).get(EMPTY_QUERY):
         path = path + b"?" + query
     return path.decode("latin-1")
+
+
+def find_connection_options(headers: Iterable[tuple[str, str]]) -> set[str]:
+    """Returns the names of the headers that concern only the connection."""
+    return {
+        part.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for part in value.split(",")
+    }
--- a/src/peridotbend/adapters/exchanges.py
+++ b/src/peridotbend/adapters/exchanges.py
@@ -15,7 +15,7 @@
 from result import Err, Ok, Result
 
 from peridotbend.adapters import answerheads
-from peridotbend.adapters.asgi import find_target
+from peridotbend.adapters.asgi import find_connection_options, find_target
 from peridotbend.adapters.messages import explain_reason
 from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.ports import AnswerHead, AnswerPart
@@ -45,6 +45,7 @@
         "content-length",
         "expect",
         "host",
+        "http2-settings",
         "idempotency-key",
         "peridotbend-deadline-ms",
         "peridotbend-request",
@@ -88,11 +89,8 @@
 
     def forwarded_headers(self) -> tuple[tuple[str, str], ...]:
         """Returns the headers to forward to a target."""
-        return tuple(
-            item
-            for item in self.raw_headers
-            if item[0] not in _CONSUMED_HEADERS
-        )
+        dropped = _CONSUMED_HEADERS | find_connection_options(self.raw_headers)
+        return tuple(i for i in self.raw_headers if i[0] not in dropped)
 
     def query_int(self, name: str) -> int | None:
         """Returns a query parameter; 0 if it is absent, None if invalid."""
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -6,7 +6,12 @@
 
 import anyio
 
-from peridotbend.adapters.asgi import Send, find_target, respond
+from peridotbend.adapters.asgi import (
+    Send,
+    find_connection_options,
+    find_target,
+    respond,
+)
 from peridotbend.domain.answers import ByteBudget, SubBudget
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import (
@@ -224,12 +229,7 @@
     raw: list[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
     """Returns the headers that are forwarded to a target."""
-    connection_options = {
-        part.strip().lower()
-        for name, value in raw
-        if name == "connection"
-        for part in value.split(",")
-    }
+    connection_options = find_connection_options(raw)
     # Targets need Host, even if Connection lists it as hop-by-hop.
     connection_options.discard("host")
     return tuple(
--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -97,7 +97,8 @@
     def __init__(self) -> None:
         # Paths of the requests that ran, in order of arrival.
         self.ran: list[str] = []
-        # Their bodies.
+        # Their heads and bodies.
+        self.heads: list[bytes] = []
         self.bodies: list[bytes] = []
         # While it is cleared, answers and the rest of streams are held back.
         self.unblocked = asyncio.Event()
@@ -123,9 +124,10 @@
                 for line in head.lower().split(b"\r\n"):
                     if line.startswith(b"content-length:"):
                         length = int(line[15:])
-                await self._answer(
-                    path, await reader.readexactly(length), writer
-                )
+                body = await reader.readexactly(length)
+                if path != "/v1/load":
+                    self.heads.append(head)
+                await self._answer(path, body, writer)
         writer.close()
 
     async def _answer(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -561,6 +561,26 @@
         run_with_entry(test)
 
 
+class ConnectionHeadersTest(unittest.TestCase):
+    """Headers that concern only the caller's connection."""
+
+    def test_listed_headers_are_not_passed_on(self) -> None:
+        """Guards against headers that the target takes for its connection's."""
+        lines = ("Connection: close, X-Hop", "X-Hop: 1", "X-Other: 1")
+
+        async def test(entry: EntryNode) -> None:
+            key = f"Idempotency-Key: {await entry.reserve()}"
+            offer = ("HTTP2-Settings: AAM", "Upgrade: h2c", "TE: trailers")
+            reply = await entry.call("POST", ORDERS, b"1", key, *lines, *offer)
+            assert reply.status == 200
+            (head,) = entry.target.heads
+            assert b"\r\nx-other: 1\r\n" in head.lower(), head
+            for name in (b"x-hop", b"http2-settings", b"upgrade", b"te:"):
+                assert name not in head.lower(), head
+
+        run_with_entry(test)
+
+
 class PipelineTest(unittest.TestCase):
     """Pipelined requests on one connection."""
 
