Draw requests that end their connection

The property tests now also draw a last request of HTTP/1.0 or with Connection: close, with a request behind it that must not run.

--- a/tests/test_caller_framing.py
+++ b/tests/test_caller_framing.py
@@ -83,7 +83,10 @@
 
 @st.composite
 def draw_requests(draw: st.DrawFn) -> bytes:
-    """Draws one or two valid requests on one connection."""
+    """Draws one to three valid requests on one connection.
+
+    The last one may end the connection, with a request behind it.
+    """
     requests = []
     for number in range(draw(st.integers(1, 2))):
         attempt = f"a{number}"
@@ -102,6 +105,16 @@
             requests.append(
                 encode_chunked(attempt, target, offer, chunks, trailers)
             )
+    last = draw(st.sampled_from(("", "1.0", "close")))
+    if last:
+        offer = draw(st.sampled_from(OFFERS))
+        if last == "close":
+            offer = (*offer, "Connection: close")
+        version = "1.0" if last == "1.0" else "1.1"
+        requests += [
+            encode("last", "/a", offer, INNER, version=version),
+            draw(st.sampled_from((b"", INNER))),
+        ]
     return b"".join(requests)
 
 
