--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -6,10 +6,17 @@
 import resource
 from typing import Any
 
+import httptools
 from uvicorn.config import Config
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 from uvicorn.server import ServerState
 
+from peridotbend.adapters.asgi import EMPTY_QUERY
+from peridotbend.adapters.closedelimited import CloseDelimitedApp
+from peridotbend.adapters.requestheads import RequestHead
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 
 # Connections above max_connections that are accepted only to be refused with
@@ -73,12 +80,18 @@
         super().__init__(config, server_state, app_state, _loop)
         self._limits = limits
         self._last_read = b""
+        # Whether the current message began in it.
+        self._began_in_last_read = False
         self._messages_started = 0
         self._reading_headers = False
+        # Why the current message is refused; "" if it isn't or can't be parsed.
+        self._problem = ""
         # Header bytes in reads after the one in which the headers started.
         self._header_bytes = 0
         # Bytes of the current body that are neither data nor chunk sizes.
         self._framing_bytes = 0
+        # The request before the current one, if it is still being served.
+        self._earlier_cycle: RequestResponseCycle | None = None
         # True once an error response was sent; further input is discarded.
         self._refused = False
         self._header_timer: asyncio.TimerHandle | None = None
@@ -112,8 +125,13 @@
             return
         messages_before = self._messages_started if self._reading_headers else 0
         self._last_read = data
+        self._began_in_last_read = False
         self._framing_bytes += len(data)
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        try:
+            self._parse(data)
+        except httptools.HttpParserError as error:
+            self.send_400_response(str(error))
         self._last_read = b""
         self._framing_bytes = max(0, self._framing_bytes)
         is_same_head = messages_before == self._messages_started
@@ -129,10 +147,47 @@
             # as well.
             self._start_header_timer()
 
+    def _parse(self, data: bytes) -> None:
+        """Parses data and ignores offers to switch to another protocol.
+
+        httptools takes all that follows an offer for the other protocol, and
+        starts anew with the next packet. A server that ignores the offer has
+        an ordinary request with a body (RFC 9110, 7.8).
+
+        Raises:
+            HttpParserError: the data is not valid HTTP.
+        """
+        rest = memoryview(data)
+        while rest:
+            try:
+                self.parser.feed_data(rest)
+            except httptools.HttpParserUpgrade as offer:
+                rest = rest[offer.args[0] :]
+                head = self._get_head().encode_without_offer()
+                self.parser = self._make_parser()
+                self.parser.feed_data(head)
+            else:
+                return
+
+    def _get_head(self) -> RequestHead:
+        return RequestHead(
+            self.parser.get_method(),
+            self.url,
+            self.parser.get_http_version(),
+            self.headers,
+        )
+
+    def _make_parser(self) -> httptools.HttpRequestParser:
+        parser = httptools.HttpRequestParser(self)
+        # As uvicorn sets it.
+        parser.set_dangerous_leniencies(lenient_data_after_close=True)
+        return parser
+
     def on_message_begin(self) -> None:
         """Starts the header timer and the count of header bytes."""
         super().on_message_begin()
         self._messages_started += 1
+        self._began_in_last_read = True
         self._reading_headers = True
         self._header_bytes = 0
         self._start_header_timer()
@@ -146,11 +201,34 @@
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
-        """Starts the request."""
+        """Starts the request, or refuses it.
+
+        Raises:
+            HttpParserError: it is refused.
+        """
+        head = self._get_head()
+        self._problem = head.find_problem() or ""
+        if self.parser.should_upgrade() and not self._problem:
+            # The head is parsed again.
+            return
         self._reading_headers = False
+        if self._problem:
+            raise httptools.HttpParserError(self._problem)
         self._framing_bytes = 0
         self._stop_header_timer()
+        if head.version == "1.0":
+            # A caller of this version takes an interim answer for the answer.
+            self.expect_100_continue = False
+        is_serving = self._is_serving_request()
+        self._earlier_cycle = self.cycle if is_serving else None
         super().on_headers_complete()
+        if self.url.endswith(b"?") and not self.scope["query_string"]:
+            self.scope["state"][EMPTY_QUERY] = True
+
+    def on_message_complete(self) -> None:
+        """Ends the body, but not at an offer, whose head is parsed again."""
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
 
     def on_chunk_header(self) -> None:
         """Allows for the framing of one chunk."""
@@ -190,9 +268,9 @@
             self._stop_stall_timer()
 
     def send_400_response(self, msg: str) -> None:
-        """Refuses input that is not valid HTTP."""
+        """Refuses input that is not valid HTTP, or not served."""
         verdict = self._choose_verdict(Reason.BAD_INPUT)
-        message = (
+        message = self._problem or (
             "This is no valid HTTP/1.1 request; correct its request line,"
             " headers or framing."
         )
@@ -221,6 +299,11 @@
             + EARLIER_CALL_NOTE,
         )
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        if cycle.scope["http_version"] == "1.0":
+            app = CloseDelimitedApp(app, cycle)
+        super()._start_asgi_task(cycle, app)
+
     def _choose_verdict(self, reason: Reason) -> Verdict:
         """Returns NotRun only if the request certainly contained no ID."""
         headers = self.headers or []
@@ -229,7 +312,10 @@
         headers_ended = (
             b"\n\r\n" in self._last_read or b"\n\n" in self._last_read
         )
-        if has_key or (self._reading_headers and not headers_ended):
+        # The parser withholds the last header before an error, part of which
+        # may have been in an earlier read.
+        is_all_read = headers_ended and self._began_in_last_read
+        if has_key or (self._reading_headers and not is_all_read):
             return MayHaveRun(reason)
         return NotRun(reason)
 
@@ -246,6 +332,7 @@
         """Sends an error in place of the application, then closes."""
         self._refused = True
         self._stop_header_timer()
+        self._drop_incomplete_request()
         cycle = self.cycle
         if self._is_serving_request():
             # The caller would take anything written now for the response to the
@@ -275,6 +362,12 @@
         self._stop_stall_timer()
         self._stall_timer = self.loop.call_later(LINGERING_CLOSE_S, self._abort)
 
+    def _drop_incomplete_request(self) -> None:
+        """Drops a waiting request the rest of whose body is discarded."""
+        if self.pipeline and self.cycle.more_body:
+            self.pipeline.popleft()
+            self.cycle = self._earlier_cycle  # type: ignore[assignment]
+
     def _start_header_timer(self) -> None:
         if self._header_timer is None:
             self._header_timer = self.loop.call_later(
--- a/src/peridotbend/adapters/exchanges.py
+++ b/src/peridotbend/adapters/exchanges.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from peridotbend.adapters import answerheads
+from peridotbend.adapters.asgi import find_connection_options, find_target
 from peridotbend.adapters.messages import explain_reason
 from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.ports import AnswerHead, AnswerPart
@@ -44,6 +45,7 @@
         "content-length",
         "expect",
         "host",
+        "http2-settings",
         "idempotency-key",
         "peridotbend-deadline-ms",
         "peridotbend-request",
@@ -83,17 +85,12 @@
     @property
     def path_and_query(self) -> str:
         """The path as received, not unquoted, with the query string."""
-        path: bytes = self._scope.get("raw_path") or self.path.encode()
-        query: bytes = self._scope["query_string"]
-        return (path + b"?" + query if query else path).decode("latin-1")
+        return find_target(self._scope)
 
     def forwarded_headers(self) -> tuple[tuple[str, str], ...]:
         """Returns the headers to forward to a target."""
-        return tuple(
-            item
-            for item in self.raw_headers
-            if item[0] not in _CONSUMED_HEADERS
-        )
+        dropped = _CONSUMED_HEADERS | find_connection_options(self.raw_headers)
+        return tuple(i for i in self.raw_headers if i[0] not in dropped)
 
     def query_int(self, name: str) -> int | None:
         """Returns a query parameter; 0 if it is absent, None if invalid."""
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -5,7 +5,12 @@
 
 import anyio
 
-from peridotbend.adapters.asgi import Send, respond
+from peridotbend.adapters.asgi import (
+    Send,
+    find_connection_options,
+    find_target,
+    respond,
+)
 from peridotbend.domain.answers import ByteBudget, SubBudget
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import (
@@ -25,7 +30,7 @@
 # Hop-by-hop headers, and Content-Length, since the framing is created anew for
 # the target.
 _CONNECTION_HEADERS = frozenset((
-    "connection", "content-length", "expect", "keep-alive",
+    "connection", "content-length", "expect", "http2-settings", "keep-alive",
     "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
     "trailer", "transfer-encoding", "upgrade",
 ))  # fmt: skip
@@ -200,9 +205,6 @@
     attempt = headers.get(wire.ATTEMPT_ID, "")
     if not attempt:
         return None
-    path = scope["raw_path"].decode("latin-1")
-    if scope["query_string"]:
-        path = f"{path}?{scope['query_string'].decode('latin-1')}"
     authorization = headers.get("authorization", "")
     has_key = authorization.lower().startswith(_KEY_SCHEME)
     tokens = _parse_token_counts(headers.get(wire.TOKEN_COUNT, ""))
@@ -211,7 +213,7 @@
         attempt=attempt,
         method=scope["method"],
         host=headers.get("host", "").partition(":")[0],
-        path=path,
+        path=find_target(scope),
         headers=_select_headers(raw),
         body=body,
         key=authorization[len(_KEY_SCHEME) :].strip() if has_key else "",
@@ -231,12 +233,7 @@
     raw: list[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
     """Returns the headers that are forwarded to a target."""
-    connection_options = {
-        part.strip().lower()
-        for name, value in raw
-        if name == "connection"
-        for part in value.split(",")
-    }
+    connection_options = find_connection_options(raw)
     # Targets need Host, even if Connection lists it as hop-by-hop.
     connection_options.discard("host")
     return tuple(
--- a/tests/edgenode.py
+++ b/tests/edgenode.py
@@ -97,6 +97,9 @@
     def __init__(self) -> None:
         # Paths of the requests that ran, in order of arrival.
         self.ran: list[str] = []
+        # Their heads and bodies.
+        self.heads: list[bytes] = []
+        self.bodies: list[bytes] = []
         # While it is cleared, answers and the rest of streams are held back.
         self.unblocked = asyncio.Event()
         self.unblocked.set()
@@ -121,9 +124,10 @@
                 for line in head.lower().split(b"\r\n"):
                     if line.startswith(b"content-length:"):
                         length = int(line[15:])
-                await self._answer(
-                    path, await reader.readexactly(length), writer
-                )
+                body = await reader.readexactly(length)
+                if path != "/v1/load":
+                    self.heads.append(head)
+                await self._answer(path, body, writer)
         writer.close()
 
     async def _answer(
@@ -134,6 +138,7 @@
             self._write(writer, {**report, "incarnation": self.incarnation})
             return
         self.ran.append(path)
+        self.bodies.append(body)
         reply = self.next_replies.pop(0) if self.next_replies else self.reply
         if reply:
             writer.write(reply)
