Count a mix of versions that was replaced a moment ago

VersionTimeline.list_choices read the past mixes of a service before it noticed that the list of targets had changed, so that a mix replaced since the last update was missing from the versions at which a stream may have begun. In a daemon this concerns removals that were deferred and take effect when the list is read. The list is now updated first.

Cause: a generator that updated its source after reading it. Evidence: the new test, which failed before (choices were {v2}) and passes now; found while a test was written that asks for the versions of the last minute.

--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -250,10 +250,11 @@
         changes.append(change)
 
     def _list_mixes(self, service: str, since_ms: int) -> Iterable[VersionMix]:
+        current = self.update(service)
         for past in self._past.get(service, ()):
             if past.until_ms >= since_ms:
                 yield past.mix
-        yield self.update(service)
+        yield current
 
     def _append(self, service: str, past: PastMix) -> None:
         kept = self._past.setdefault(service, collections.deque())
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -306,6 +306,19 @@
         for attempt in attempts:
             assert len(timeline.list_choices("engine", attempt, later_ms)) == 1
 
+    def test_version_counts_at_once_after_its_last_target(self) -> None:
+        """Guards against choices that lack the mix that was just replaced."""
+        clock = ManualClock()
+        targets = TargetList(clock)
+        timeline = VersionTimeline(clock, targets)
+        timeline.note_listing()
+        targets.put(dataclasses.replace(make_target("i-1"), software="v1"))
+        timeline.update("engine")
+        targets.remove("i-1")
+        targets.put(dataclasses.replace(make_target("i-2"), software="v2"))
+        choices = timeline.list_choices("engine", "a", clock.now_ms())
+        assert choices == {"v1", "v2"}, choices
+
     def test_run_keeps_the_version_of_its_first_entry(self) -> None:
         """Guards against an entry that changes before its process does."""
         targets = TargetList(ManualClock())
