Ask who answers before a stream begins among versions

What callers saw: a stream of two software versions. A process that nobody had listed began it and died before its own entry; its death was taken for that of the listed process, whose version then went on.

Cause: the start of the process was never asked for while it lived, and one death explained both that the stream ended and that nobody could be asked.

A new stream is now checked on its own connection, before it is sent, if nothing proves the connection and the service has several versions or had them in the last minute. The check and its answer are those that resumed streams use already: no further connection, and one question for each connection that is younger than the last proof. Services with one version ask nothing, as before.

--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -154,15 +154,22 @@
     ) -> RunCheck | None:
         """Returns a check that the listed run of a target answers.
 
-        A stream that goes on depends on it, and one that begins where a
-        connection has just ended could not go on later.
+        A stream that goes on depends on it. One that begins could not go on
+        later where a connection has just ended, or could go on at a version
+        that did not begin it where a service has several.
         """
         if not request.route.is_resumable_stream:
             return None
-        runs = self._dependencies.runs
-        if request.is_resumed or runs.is_doubtful(target):
-            return runs.make_check(target)
-        return None
+        runs, timeline = self._dependencies.runs, self._dependencies.timeline
+
+        def is_due() -> bool:
+            return (
+                request.is_resumed
+                or runs.is_doubtful(target)
+                or timeline.has_versions(target.service)
+            )
+
+        return runs.make_check(target, is_due)
 
     async def _deliver(
         self,
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -226,9 +226,17 @@
         """Tells whether a connection has ended since a run was last proven."""
         return self._find_ended_ms(target) is not None
 
-    def make_check(self, target: EdgeTarget) -> "TargetRunCheck":
-        """Returns the check of the connections of one send."""
-        return TargetRunCheck(self, target)
+    def make_check(
+        self, target: EdgeTarget, is_due: Callable[[], bool] = lambda: True
+    ) -> "TargetRunCheck":
+        """Returns the check of the connections of one send.
+
+        Args:
+            target: as it is listed.
+            is_due: tells whether the run has to be known, once there is a
+                connection.
+        """
+        return TargetRunCheck(self, target, is_due)
 
     async def confirm_begin(
         self, target: EdgeTarget, connected_at_ms: int
@@ -405,16 +413,18 @@
 
     runs: TargetRuns
     target: EdgeTarget
+    is_due: Callable[[], bool]
 
     def is_needed(self, connected_at_ms: int) -> bool:
         """Tells whether the target has to be asked on a connection.
 
         Streams that break at the same moment share a question.
         """
-        return not any(
+        is_known = any(
             self.runs.is_proven(self.target, at_ms)
             for at_ms in (connected_at_ms, connected_at_ms - RESTART_MS)
         )
+        return not is_known and self.is_due()
 
     def accepts(
         self, told_start_ms: int | None, connected_at_ms: int, asked_at_ms: int
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -165,6 +165,11 @@
             for version, _ in mix.slots
         }
 
+    def has_versions(self, service: str) -> bool:
+        """Tells whether a service has, or had lately, more than one version."""
+        since_ms = self._clock.now_ms() - KEPT_MS
+        return len(self.list_versions(service, since_ms)) > 1
+
     def has_lost_target(
         self, service: str, software: str, since_ms: int
     ) -> bool:
--- a/tests/test_edge_restarts_review.py
+++ b/tests/test_edge_restarts_review.py
@@ -3,12 +3,15 @@
 import unittest
 
 from tests.edgerestarts import (
+    EVENTS,
     RestartableTarget,
     RestartFleet,
     run_with_targets,
 )
 
 CALLS = 6
+# Enough that some are placed at each version and each of its targets.
+MANY_CALLS = 30
 
 
 class ExpiredEntryTest(unittest.TestCase):
@@ -69,3 +72,59 @@
             assert dying.ran
 
         run_with_targets([dying, sound], check)
+
+
+class SeveralVersionsTest(unittest.TestCase):
+    """Services whose targets have several versions."""
+
+    def test_process_that_dies_unlisted_does_not_join(self) -> None:
+        """Guards against a death that counts as one of the listed process.
+
+        The instance had no use of the process before when that one died.
+        """
+        dying, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        other = RestartableTarget("i-3", "v2")
+
+        async def check(fleet: RestartFleet) -> None:
+            await dying.restart("v2")
+            dying.dies_after = 2
+            for number in range(MANY_CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert len(set(answer.software)) <= 1, answer
+            assert dying.asked and sound.ran and other.ran
+
+        run_with_targets([dying, sound, other], check)
+
+    def test_young_instance_does_not_join_after_an_early_entry(self) -> None:
+        """Guards against a process before the only entry that is known."""
+        early, sound = RestartableTarget("i-1", "v2"), RestartableTarget("i-2")
+        other = RestartableTarget("i-3", "v2")
+        early.started_at_ms += 60_000
+
+        async def check(fleet: RestartFleet) -> None:
+            early.software = "v1"
+            early.started_at_ms -= 60_000
+            early.dies_after = 2
+            for number in range(MANY_CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert len(set(answer.software)) <= 1, answer
+            assert early.asked and sound.ran and other.ran
+
+        run_with_targets([early, sound, other], check)
+
+    def test_connection_is_asked_for_once(self) -> None:
+        """Guards against a question for each sound stream."""
+        targets = [
+            RestartableTarget("i-1"),
+            RestartableTarget("i-2"),
+            RestartableTarget("i-3", "v2"),
+        ]
+
+        async def check(fleet: RestartFleet) -> None:
+            for number in range(MANY_CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert answer.is_whole and len(answer.software) == EVENTS
+            for target in targets:
+                assert target.asked <= target.connected <= 1, target.name
+
+        run_with_targets(targets, check)
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -17,7 +17,7 @@
     TargetRuns,
 )
 from peridotbend.edge.targets import EdgeTarget, TargetList
-from peridotbend.edge.versions import VersionTimeline
+from peridotbend.edge.versions import KEPT_MS, VersionTimeline
 from tests.edgefakes import (
     ACCOUNT,
     CALL,
@@ -319,6 +319,22 @@
         choices = timeline.list_choices("engine", "a", clock.now_ms())
         assert choices == {"v1", "v2"}, choices
 
+    def test_version_that_left_lately_still_counts(self) -> None:
+        """Guards against trust in a name that served another version."""
+        clock = ManualClock()
+        targets = TargetList(clock)
+        timeline = VersionTimeline(clock, targets)
+        timeline.note_listing()
+        for name, software in (("i-1", "v1"), ("i-2", "v2")):
+            targets.put(
+                dataclasses.replace(make_target(name), software=software)
+            )
+        assert timeline.has_versions("engine")
+        targets.remove("i-2")
+        assert timeline.has_versions("engine")
+        clock.advance(KEPT_MS + 1)
+        assert not timeline.has_versions("engine")
+
     def test_run_keeps_the_version_of_its_first_entry(self) -> None:
         """Guards against an entry that changes before its process does."""
         targets = TargetList(ManualClock())
