Count idle connections that close before their time as ends

What callers saw: a stream of two software versions at the first process of a release. The process before it had died while its connections to this instance were idle, so that the death of its unlisted successor was the only one that this instance knew of and was taken for that of the listed process.

Cause: an idle connection that the target has closed was dropped unnoticed. Each such end could not count, since targets also close connections that were idle for too long. They state that time in Keep-Alive, so the pool now reports an idle connection that ends earlier, at the moment it ends. Such an end makes the next stream on a young connection ask who answers, as the end of a send does. Ends after the stated time, or without one, count as before.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -1,6 +1,9 @@
 """Pool of HTTP connections to targets."""
 
+import functools
+import re
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import anyio
@@ -8,13 +11,17 @@
 import httpcore
 
 from peridotbend.adapters.pacing import ConnectionPace, SharedPace
-from peridotbend.adapters.sockets import connect
+from peridotbend.adapters.sockets import TargetStream, connect
 from peridotbend.domain.clock import Clock, SystemClock
 from peridotbend.domain.paths import Endpoint
 
 MAX_CONNECTIONS = 4_096
 MAX_IDLE_CONNECTIONS = 256
 KEEPALIVE_EXPIRY_S = 20.0
+# A target begins to count when it has written the end of its answer, before
+# this process has read it.
+EARLY_CLOSE_MARGIN_MS = 500
+_STATED_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 
 # Sound targets send at most one interim answer, such as 100 or 103.
 MAX_INTERIM_ANSWERS = 8
@@ -78,6 +85,26 @@
     is_reused = False
     # Whether the connection may serve another call.
     may_keep = True
+    # For how long the target keeps it while it is idle, as its answers state;
+    # 0 if they don't.
+    keep_alive_ms = 0
+    idle_since_ms = 0
+
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        """Sends a request, and reads the head of the answer."""
+        response = await super().handle_async_request(request)
+        for name, value in response.headers:
+            if name.lower() == b"keep-alive":
+                stated = _STATED_TIMEOUT.search(value)
+                self.keep_alive_ms = int(stated[1]) * 1_000 if stated else 0
+        return response
+
+    def is_kept_by_target(self, now_ms: int) -> bool:
+        """Tells whether the target has said that it keeps it until later."""
+        until_ms = self.idle_since_ms + self.keep_alive_ms
+        return now_ms < until_ms - EARLY_CLOSE_MARGIN_MS
 
     @property
     def has_extra_bytes(self) -> bool:
@@ -129,6 +156,9 @@
         # Idle connections of all targets, the longest idle first.
         self._idle: OrderedDict[Connection, httpcore.Origin] = OrderedDict()
         self._idle_by_target: dict[tuple[bytes, int], list[Connection]] = {}
+        # Called when a target closes an idle connection before the time that
+        # it has stated.
+        self.on_early_close: Callable[[Endpoint], None] = lambda target: None
 
     async def acquire(
         self,
@@ -165,6 +195,7 @@
             await self._close(connection)
             return
         self._idle[connection] = origin
+        connection.idle_since_ms = self._clock.now_ms()
         key = (origin.host, origin.port)
         self._idle_by_target.setdefault(key, []).append(connection)
         while self._idle:
@@ -214,8 +245,17 @@
         connection.link = stream
         connection.connected_at_ms = self._clock.now_ms()
         connection.may_keep = self._dialer.allows_reuse(target)
+        if isinstance(stream, TargetStream):
+            stream.on_end = functools.partial(
+                self._note_end, connection, target
+            )
         return connection
 
+    def _note_end(self, connection: Connection, target: Endpoint) -> None:
+        is_idle = connection in self._idle
+        if is_idle and connection.is_kept_by_target(self._clock.now_ms()):
+            self.on_early_close(target)
+
     async def _close(self, connection: Connection) -> None:
         self._connection_slots.release()
         await connection.aclose()
--- a/src/peridotbend/adapters/sockets.py
+++ b/src/peridotbend/adapters/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from collections.abc import Callable
 from socket import SO_ERROR, SOL_SOCKET
 from typing import Any, cast
 
@@ -33,6 +34,8 @@
         self._read_deadline = 0.0
         self._timer_deadline = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        # Called when the other side has closed.
+        self.on_end: Callable[[], None] = lambda: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -55,15 +58,13 @@
         code = socket.getsockopt(SOL_SOCKET, SO_ERROR) if socket else 0
         if code:
             self._error = ConnectionResetError(code, os.strerror(code))
-        self._ended = True
-        self._wake_read()
+        self._note_end()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wakes pending reads and writes."""
-        self._ended = True
         self._error = self._error or exc
-        self._wake_read()
+        self._note_end()
         self.resume_writing()
         self._stop_timer()
 
@@ -146,6 +147,12 @@
         finally:
             self._read_waiter = None
 
+    def _note_end(self) -> None:
+        has_ended, self._ended = self._ended, True
+        self._wake_read()
+        if not has_ended:
+            self.on_end()
+
     def _wake_read(self) -> None:
         if self._read_waiter is not None and not self._read_waiter.done():
             self._read_waiter.set_result(None)
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -25,6 +25,7 @@
     is_connection_refused,
 )
 from peridotbend.domain.clock import Clock, SystemClock
+from peridotbend.domain.paths import Endpoint
 from peridotbend.domain.ports import (
     RESTART_MS,
     AnswerHead,
@@ -161,6 +162,10 @@
         self._is_answer = is_answer
         self._connect_timeout_s = connect_timeout_s
 
+    def watch_idle(self, on_early_close: Callable[[Endpoint], None]) -> None:
+        """Sets what is called with targets that close connections early."""
+        self._pool.on_early_close = on_early_close
+
     async def aclose(self) -> None:
         """Closes all idle connections."""
         await self._pool.aclose()
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -133,6 +133,15 @@
         if self._find_ended_ms(target) is None:
             self._get_run(target).ended_ms = self._clock.now_ms()
 
+    def note_early_close(self, name: str) -> None:
+        """Records that a target closed an idle connection before its time.
+
+        The connections of a process that ends are closed.
+        """
+        target = self._targets.find(name)
+        if target is not None:
+            self.note_end(target)
+
     def note_listed(self, target: EdgeTarget) -> None:
         """Records that a run is listed, perhaps after another of its name."""
         before = self._unlisted.pop(target.name, None)
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -120,23 +120,26 @@
             PROBE_CALL,
             is_report,
         )
+        http_client = HttpTargetClient(
+            CONNECT_TIMEOUT_S,
+            self._paths.dialer,
+            reach=self._paths.dialer,
+            is_answer=is_target_answer,
+        )
         self._dependencies = make_dependencies(
             settings,
             self._clock,
-            PlatformTargetClient(
-                HttpTargetClient(
-                    CONNECT_TIMEOUT_S,
-                    self._paths.dialer,
-                    reach=self._paths.dialer,
-                    is_answer=is_target_answer,
-                )
-            ),
+            PlatformTargetClient(http_client),
             status,
             log,
             self._metrics,
             self._rng,
             targets,
         )
+        runs = self._dependencies.runs
+        http_client.watch_idle(
+            lambda target: runs.note_early_close(target.name)
+        )
         self._relay = Relay(self._dependencies)
         identity = InstanceIdentity(
             settings.name, host, settings.zone, self._incarnation
--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -26,6 +26,8 @@
 EVENT_SILENCE_SHARE = 0.003
 BODY_PART_BYTES = 1_500
 MAX_CALL_S = 0.1
+# Longer than a run: runners close no idle connection for its age.
+KEEP_ALIVE = "timeout=3600"
 # Share of the unframed streams that are reset between two events in a run in
 # which peers connect for an instance.
 PEER_RESET_SHARE = 0.5
@@ -140,6 +142,7 @@
         return (
             (wire.ATTEMPT_ID, self._attempt),
             (wire.SERVER_STAMP, stamp),
+            ("Keep-Alive", KEEP_ALIVE),
         )
 
     async def _put(self, data: bytes) -> None:
--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -41,6 +41,8 @@
         # After so many events the process falls silent, also when it is asked;
         # 0 for never.
         self.stalls_after = 0
+        # For how long it says that it keeps idle connections; 0 if it doesn't.
+        self.keep_alive_s = 0
         self._is_silent = False
         # Size of the parts of a body, filled up; 0 for as long as they are.
         self.part_bytes = 0
@@ -155,6 +157,8 @@
     def _make_answer_head(self, attempt: str, is_stream: bool) -> bytes:
         kind = "text/event-stream" if is_stream else "text/plain"
         framing = {"Transfer-Encoding": "chunked"}
+        if self.keep_alive_s:
+            framing["Keep-Alive"] = f"timeout={self.keep_alive_s}"
         if self.is_unframed:
             framing = {"Connection": "close"}
         return _make_head(
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -9,7 +9,8 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from peridotbend.adapters import connections
-from peridotbend.adapters.connections import ConnectionPool
+from peridotbend.adapters.connections import Connection, ConnectionPool
+from peridotbend.domain.clock import Clock, ManualClock
 from peridotbend.domain.text import Target
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -19,6 +20,8 @@
     check: Callable[
         [ConnectionPool, httpcore.URL, list[SocketStream]], Awaitable[None]
     ],
+    clock: Clock | None = None,
+    answer: bytes = ANSWER,
 ) -> None:
     """Runs a check against a server that records accepted connections."""
     accepted: list[SocketStream] = []
@@ -27,14 +30,14 @@
         accepted.append(stream)
         try:
             while await stream.receive():
-                await stream.send(ANSWER)
+                await stream.send(answer)
         except (anyio.EndOfStream, anyio.ClosedResourceError):
             await stream.aclose()
 
     async def run() -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(SocketAttribute.local_port)
-        pool = ConnectionPool()
+        pool = ConnectionPool(clock=clock)
         async with listener, anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, serve)
             url = httpcore.URL(
@@ -54,13 +57,14 @@
 
 async def _call(
     pool: ConnectionPool, url: httpcore.URL, reuse: bool = True
-) -> None:
+) -> Connection:
     connection = await pool.acquire(url.origin, reuse, 5.0, _make_target(url))
     request = httpcore.Request("GET", url, headers=[("Host", "test")])
     response = await connection.handle_async_request(request)
     await response.aread()
     await response.aclose()
     await pool.release(connection, url.origin, reuse)
+    return connection
 
 
 class ConnectionPoolTest(unittest.TestCase):
@@ -103,6 +107,39 @@
 
         _run_check(check)
 
+    def test_connection_that_closes_before_its_time_is_reported(self) -> None:
+        """Guards against the end of a process that nobody notices."""
+        for stated, idle_ms, expected in (
+            (b"Keep-Alive: timeout=5\r\n", 4_000, ["t-1"]),
+            (b"keep-alive: max=9, timeout=5\r\n", 4_000, ["t-1"]),
+            (b"Keep-Alive: timeout=5\r\n", 5_000, []),
+            (b"Keep-Alive: soon\r\n", 0, []),
+            (b"", 0, []),
+        ):
+            with self.subTest(stated=stated, idle_ms=idle_ms):
+                self._check_reports(stated, idle_ms, expected)
+
+    def _check_reports(
+        self, stated: bytes, idle_ms: int, expected: list[str]
+    ) -> None:
+        clock = ManualClock()
+        reported: list[str] = []
+
+        async def check(
+            pool: ConnectionPool,
+            url: httpcore.URL,
+            accepted: list[SocketStream],
+        ) -> None:
+            pool.on_early_close = lambda target: reported.append(target.name)
+            connection = await _call(pool, url)
+            clock.advance(idle_ms)
+            await accepted[0].aclose()
+            while not connection.has_expired():
+                await anyio.sleep(0.01)
+
+        _run_check(check, clock, ANSWER[:-2] + stated + b"\r\n")
+        assert reported == expected, reported
+
     def test_bounds_count_each_connection_once(self) -> None:
         """Guards against leaked slots, which would block all further calls."""
 
--- a/tests/test_edge_restarts_review.py
+++ b/tests/test_edge_restarts_review.py
@@ -1,9 +1,11 @@
 """Tests of targets whose names were not listed between two processes."""
 
+import asyncio
 import unittest
 
 from tests.edgerestarts import (
     EVENTS,
+    CallerAnswer,
     RestartableTarget,
     RestartFleet,
     run_with_targets,
@@ -12,6 +14,13 @@
 CALLS = 6
 # Enough that some are placed at each version and each of its targets.
 MANY_CALLS = 30
+# Calls that come together use all targets within so many rounds.
+MAX_ROUNDS = 10
+
+
+async def _call_together(fleet: RestartFleet) -> list[CallerAnswer]:
+    calls = (fleet.call(f"/quotes/{number}") for number in range(CALLS))
+    return await asyncio.gather(*calls)
 
 
 class ExpiredEntryTest(unittest.TestCase):
@@ -73,6 +82,27 @@
 
         run_with_targets([dying, sound], check)
 
+    def test_process_after_an_idle_one_does_not_join(self) -> None:
+        """Guards against an end of idle connections that nobody notices."""
+        dying, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        dying.keep_alive_s = sound.keep_alive_s = 60
+
+        async def check(fleet: RestartFleet) -> None:
+            for _ in range(MAX_ROUNDS):
+                await _call_together(fleet)
+                if dying.ran and sound.ran:
+                    break
+            await dying.restart("v2")
+            dying.dies_after = 2
+            for _ in range(MAX_ROUNDS):
+                for answer in await _call_together(fleet):
+                    assert len(set(answer.software)) <= 1, answer
+                if dying.asked:
+                    break
+            assert dying.asked
+
+        run_with_targets([dying, sound], check)
+
 
 class SeveralVersionsTest(unittest.TestCase):
     """Services whose targets have several versions."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -975,6 +975,22 @@
         "or False",
         ("test_edge_restarts_review.SeveralVersionsTest",),
     ),
+    Mutant(
+        "early-close-unnoticed",
+        "ORDER",
+        "src/peridotbend/adapters/connections.py",
+        "if is_idle and connection.is_kept_by_target(self._clock.now_ms()):",
+        "if False:",
+        ("test_connections",),
+    ),
+    Mutant(
+        "idle-timeout-taken-for-an-end",
+        "LOST",
+        "src/peridotbend/adapters/connections.py",
+        "return now_ms < until_ms - EARLY_CLOSE_MARGIN_MS",
+        "return True",
+        ("test_connections",),
+    ),
     Mutant(
         "version-forgotten-with-its-last-target",
         "ORDER",
