--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -474,6 +474,14 @@
         """
         self._play(12, 20.0, "inplace crashloop break=0.4 reset")
 
+    def test_two_unlisted_deaths_join_no_versions(self) -> None:
+        """Guards against a death that counts as one of the listed process.
+
+        Another process had died before it, and neither had an entry.
+        """
+        self._play(310, 6.0, "crashloop")
+        self._play(746, 6.0, "crashloop fin")
+
     def test_early_entries_join_no_versions(self) -> None:
         """Guards against the same where the entry comes before the start."""
         self._play(14, 15.0, "early break reset")
