Close a kept connection to a target once something arrives on it

Cause: a target in trouble may go on sending after the end of its answer. If that arrived only after the connection had been put back, nothing looked at it before the next call: up to 256 KB were held for each of 256 kept connections, and the target went on until its buffers were full.

Change: an idle connection is watched, and closed with the first input or end. has_expired is asked when it is put back, for what has arrived by then. The close before the stated keep-alive time is told from here as before.

Measured: the two new tests in test_connections fail without the change (a timeout after 10 s; nothing counts idle connections) and pass with it. 73 tests of connections, sockets, targets, paths, restarts and endless bytes pass. The new mutant is killed. The stand-in of that module no longer fails when a connection with unread data is closed.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -1,6 +1,5 @@
 """Pool of HTTP connections to targets."""
 
-import functools
 import re
 from collections import OrderedDict
 from collections.abc import Callable
@@ -79,6 +78,7 @@
 
     pace: ConnectionPace
     link: httpcore.AsyncNetworkStream
+    target: Endpoint
     connected_at_ms = 0
     _interim_answers = 0
     # Whether a call was sent here before the current one.
@@ -191,13 +191,15 @@
     ) -> None:
         """Returns a connection to the pool, or closes it."""
         may_keep = reuse and connection.may_keep and connection.is_idle()
-        if not may_keep or connection.has_extra_bytes:
+        is_unusable = connection.has_extra_bytes or connection.has_expired()
+        if not may_keep or is_unusable:
             await self._close(connection)
             return
         self._idle[connection] = origin
         connection.idle_since_ms = self._clock.now_ms()
         key = (origin.host, origin.port)
         self._idle_by_target.setdefault(key, []).append(connection)
+        self._watch_idle(connection)
         while self._idle:
             oldest = next(iter(self._idle))
             is_over_limit = len(self._idle) > MAX_IDLE_CONNECTIONS
@@ -219,8 +221,14 @@
             self._remove_idle(connection)
             await self._close(connection)
 
+    def count_idle(self) -> int:
+        """Returns how many connections are kept for later calls."""
+        return len(self._idle)
+
     def _remove_idle(self, connection: Connection) -> None:
         origin = self._idle.pop(connection)
+        if isinstance(connection.link, TargetStream):
+            connection.link.on_input = None
         key = (origin.host, origin.port)
         idle = self._idle_by_target[key]
         idle.remove(connection)
@@ -245,16 +253,28 @@
         connection.link = stream
         connection.connected_at_ms = self._clock.now_ms()
         connection.may_keep = self._dialer.allows_reuse(target)
-        if isinstance(stream, TargetStream):
-            stream.on_end = functools.partial(
-                self._note_end, connection, target
-            )
+        connection.target = target
         return connection
 
-    def _note_end(self, connection: Connection, target: Endpoint) -> None:
-        is_idle = connection in self._idle
-        if is_idle and connection.is_kept_by_target(self._clock.now_ms()):
-            self.on_early_close(target)
+    def _watch_idle(self, connection: Connection) -> None:
+        """Closes an idle connection once something arrives on it.
+
+        A sound target sends nothing there. One that sends an answer without
+        end may go on with it after the call.
+        """
+        stream = connection.link
+        if not isinstance(stream, TargetStream):
+            return
+
+        def close() -> None:
+            self._remove_idle(connection)
+            self._connection_slots.release()
+            stream.abort()
+            is_early = connection.is_kept_by_target(self._clock.now_ms())
+            if stream.has_ended and is_early:
+                self.on_early_close(connection.target)
+
+        stream.on_input = close
 
     async def _close(self, connection: Connection) -> None:
         self._connection_slots.release()
--- a/src/peridotbend/adapters/sockets.py
+++ b/src/peridotbend/adapters/sockets.py
@@ -34,8 +34,8 @@
         self._read_deadline = 0.0
         self._timer_deadline = 0.0
         self._timer: asyncio.TimerHandle | None = None
-        # Called when the other side has closed.
-        self.on_end: Callable[[], None] = lambda: None
+        # Called when data arrives or the other side closes, while set.
+        self.on_input: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -49,6 +49,8 @@
             self._paused = True
             self._transport.pause_reading()
         self._wake_read()
+        if self.on_input is not None:
+            self.on_input()
 
     def eof_received(self) -> bool:
         """Records the end of the data; aclose closes the transport."""
@@ -122,8 +124,18 @@
         if self._error is not None:
             raise httpcore.WriteError(str(self._error)) from self._error
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the other side has closed."""
+        return self._ended
+
     async def aclose(self) -> None:
         """Closes the connection and discards unsent data."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self.on_input = None
         self._stop_timer()
         self._transport.abort()
 
@@ -150,8 +162,8 @@
     def _note_end(self) -> None:
         has_ended, self._ended = self._ended, True
         self._wake_read()
-        if not has_ended:
-            self.on_end()
+        if not has_ended and self.on_input is not None:
+            self.on_input()
 
     def _wake_read(self) -> None:
         if self._read_waiter is not None and not self._read_waiter.done():
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,5 +1,6 @@
 """Tests of the pool of connections to targets."""
 
+import contextlib
 import unittest
 from collections.abc import Awaitable, Callable
 from unittest import mock
@@ -14,6 +15,7 @@
 from peridotbend.domain.text import Target
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+WAIT_TIMEOUT_S = 10.0
 
 
 def _run_check(
@@ -31,7 +33,11 @@
         try:
             while await stream.receive():
                 await stream.send(answer)
-        except (anyio.EndOfStream, anyio.ClosedResourceError):
+        except (
+            anyio.EndOfStream,
+            anyio.ClosedResourceError,
+            anyio.BrokenResourceError,
+        ):
             await stream.aclose()
 
     async def run() -> None:
@@ -172,3 +178,45 @@
             mock.patch.object(connections, "MAX_IDLE_CONNECTIONS", 1),
         ):
             _run_check(check)
+
+    def test_bytes_on_an_idle_connection_close_it(self) -> None:
+        """Guards against a target that sends on while nothing reads.
+
+        An endless answer may go on only after its call has ended. Each kept
+        connection held up to MAX_BUFFERED_BYTES of it until the next call.
+        """
+
+        async def check(
+            pool: ConnectionPool,
+            url: httpcore.URL,
+            accepted: list[SocketStream],
+        ) -> None:
+            await _call(pool, url)
+            with anyio.fail_after(WAIT_TIMEOUT_S):
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    while True:
+                        await accepted[0].send(b"x" * 65_536)
+            assert pool.count_idle() == 0
+            await _call(pool, url)
+            assert len(accepted) == 2
+
+        _run_check(check)
+
+    def test_idle_connection_that_its_target_closes_is_closed(self) -> None:
+        """Guards against sockets that stay half open until the next call."""
+
+        async def check(
+            pool: ConnectionPool,
+            url: httpcore.URL,
+            accepted: list[SocketStream],
+        ) -> None:
+            await _call(pool, url)
+            assert pool.count_idle() == 1
+            await accepted[0].send_eof()
+            with anyio.fail_after(WAIT_TIMEOUT_S):
+                while pool.count_idle():
+                    await anyio.sleep(0.01)
+            await _call(pool, url)
+            assert len(accepted) == 2
+
+        _run_check(check)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1066,6 +1066,14 @@
         "target, 0",
         ("test_edge_runs",),
     ),
+    Mutant(
+        "idle-input-kept",
+        "none",
+        "src/peridotbend/adapters/connections.py",
+        "        stream.on_input = close\n",
+        "",
+        ("test_connections",),
+    ),
 )
 
 
