Keep a begun answer at its target through a silence

Cause: the stall detector judges an answer that is no event stream by the time since its send, also when its caller has read a part. The request went to another target, whose whole answer was passed on behind the first part. With a length in the head uvicorn closed the connection (LOST); without one, the caller got parts of two runs as one answer (MIXED).

Change: an answer is final from the moment that a part goes to its caller. No place is reserved for it elsewhere, and it is not sent again.

--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -108,16 +108,15 @@
         body = bytearray()
         async for chunk in answer.chunks():
             if isinstance(chunk, Err):
-                # Another answer does not continue this one.
-                request.is_final = request.head_sent
                 return FailedAnswer(chunk.err_value, answer.head)
             body += chunk.ok_value
             if len(body) > MAX_HELD_BYTES or request.head_sent:
+                # Another answer does not continue this one.
+                request.is_final = True
                 await self._start_once(request, answer.head, responder)
                 await responder.send(bytes(body))
                 body.clear()
         if not await self._outlives(target, answer.head):
-            request.is_final = request.head_sent
             return FailedAnswer(_DEAD_END, answer.head)
         status = answer.head.status
         failed = status >= ERROR_STATUS
@@ -128,6 +127,7 @@
             request.held_error = (answer.head, bytes(body))
             request.failed_targets.add(target.name)
             return MayHaveRun(Reason.TARGET_FAILED)
+        request.is_final = True
         await self._start_once(request, answer.head, responder)
         if body:
             await responder.send(bytes(body))
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -204,6 +204,8 @@
             whether there is one. If not, the request stays, since the silent
             target may still continue.
         """
+        if request.is_final:
+            return False
         if request.failover_slot is not None:
             return True
         if not self._has_attempts_left(request):
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -300,6 +300,10 @@
         self.asked.append(target.name)
         return self.starts.get(target.name, Ok(target.started_at_ms or None))
 
+    def make_answer(self, reply: ScriptedReply, target: str) -> ScriptedAnswer:
+        """Returns the answer with the content of a reply."""
+        return ScriptedAnswer(reply, target)
+
     async def list_prompt_parts(
         self, target: EdgeTarget, timeout_ms: int
     ) -> frozenset[str] | None:
@@ -341,7 +345,7 @@
         if reply.failure is not None:
             yield reply.failure
         else:
-            answer = ScriptedAnswer(reply, send.target.name)
+            answer = self.make_answer(reply, send.target.name)
             answer.head = dataclasses.replace(
                 answer.head, connected_at_ms=self.connected_at_ms
             )
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -251,6 +251,23 @@
         "        if slot is None:\n            return True\n",
         ("test_edge_streams",),
     ),
+    Mutant(
+        "begun-answer-given-up-in-a-silence",
+        "LOST",
+        EDGE + "relay.py",
+        "        if request.is_final:\n            return False\n"
+        "        if request.failover_slot",
+        "        if request.failover_slot",
+        ("test_edge_silence",),
+    ),
+    Mutant(
+        "begun-answer-joined-with-another",
+        "MIXED",
+        EDGE + "delivery.py",
+        "                request.is_final = True\n",
+        "",
+        ("test_edge_silence",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
