Wait for a slow caller at the end of its stream

Cause: while the last event is written to a caller, its send is marked as blocked; while the end of the stream waits for the same caller, it was not. The target, which has sent all, then counted as silent: the stream was sent again, and broken off if the second answer had no event.

Change: the send stays marked once the stream has ended at its target.

The new test ended with a broken answer before; its mutant is killed.

--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -188,6 +188,8 @@
                 return FailedAnswer(early_end, answer.head)
         if not await self._outlives(target, answer.head):
             return FailedAnswer(_DEAD_END, answer.head, has_survived)
+        # Only the caller is waited for from here on.
+        tracked_send.is_blocked = True
         await self._start_once(request, head, responder)
         await responder.finish()
         self._note_answer(target, answer.head, failed=False)
--- a/tests/test_edge_silence.py
+++ b/tests/test_edge_silence.py
@@ -19,6 +19,7 @@
     ScriptedAnswer,
     ScriptedReply,
     ScriptedTargetClient,
+    make_event,
 )
 
 LOOKUP = dataclasses.replace(
@@ -139,3 +140,19 @@
                 assert responder.body == LARGE_PART + REST
                 assert len(harness.client.sends) == 1
                 assert harness.log.count(Event.SEND_STALLED) == 0
+
+
+class SlowCallerTest(unittest.TestCase):
+    """Callers that take their answer more slowly than it comes."""
+
+    def test_end_of_a_stream_waits_for_a_slow_caller(self) -> None:
+        """Guards against sending a whole stream again while it is read.
+
+        Its target has sent all, so that it is silent.
+        """
+        stream = ScriptedReply(chunks=(make_event(1),))
+        harness = _make_harness(stream, ScriptedReply(chunks=()))
+        responder = SlowResponder(lambda: _stall(harness))
+        _serve(harness, CALL, responder)
+        assert responder.is_complete
+        assert len(harness.client.sends) == 1
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -268,6 +268,14 @@
         "",
         ("test_edge_silence",),
     ),
+    Mutant(
+        "read-stream-taken-for-silent",
+        "LOST",
+        EDGE + "delivery.py",
+        "        tracked_send.is_blocked = True\n        await",
+        "        await",
+        ("test_edge_silence",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
