Count a target's silence from when its caller has read

Cause: the time without data of one stream ran on while its caller did not read. Right after the caller had read on, a check found a silence of more than half of the caller's timeout, and left the sound target; the stream was broken off where no other one could go on.

Change: data is awaited from the last data or, if later, from the time at which the caller has taken it.

The new test ended with a broken answer before; its mutant is killed.

--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -169,8 +169,7 @@
                 tracked_send.is_blocked = True
                 await self._start_once(request, head, responder)
                 await responder.send(events)
-                tracked_send.is_blocked = False
-                self._dependencies.health.note_activity(target.name)
+                tracked_send.note_unblocked(self._clock.now_ms())
             if request.events.problem:
                 error = _make_foreign_error(request.events.problem)
                 return FailedAnswer(error, answer.head, has_survived)
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -46,6 +46,8 @@
     # When the first and the last data arrived; None before the first.
     first_data_ms: int | None = None
     last_data_ms: int | None = None
+    # Since when data of the target is awaited; None before the first.
+    awaited_since_ms: int | None = None
     # Set while data is being written to the caller. A slow caller blocks
     # reading from the target, so the silence is not the fault of the target.
     is_blocked: bool = False
@@ -57,7 +59,13 @@
             self.health.note_event_interval(self.target, interval_ms)
         else:
             self.first_data_ms = arrived_at_ms
-        self.last_data_ms = arrived_at_ms
+        self.last_data_ms = self.awaited_since_ms = arrived_at_ms
+        self.health.note_activity(self.target)
+
+    def note_unblocked(self, now_ms: int) -> None:
+        """Records that the caller has taken the data."""
+        self.is_blocked = False
+        self.awaited_since_ms = now_ms
         self.health.note_activity(self.target)
 
     @property
@@ -128,16 +136,16 @@
         waited_ms = self._clock.now_ms() - send.sent_at_ms
         if route.kind is RouteKind.STREAM:
             stall_timeout_ms = STALL_TIMEOUT_SHARE * route.caller_timeout_ms
-            if send.last_data_ms is None:
+            if send.awaited_since_ms is None:
                 silent = (
                     silence_ms
                     > FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_ms
                 )
                 return silent or waited_ms > stall_timeout_ms
-            since_data_ms = self._clock.now_ms() - send.last_data_ms
+            awaited_ms = self._clock.now_ms() - send.awaited_since_ms
             return (
                 silence_ms > STREAM_SILENCE_TIMEOUT_MS
-                or since_data_ms > stall_timeout_ms
+                or awaited_ms > stall_timeout_ms
             )
         return waited_ms > min(
             UNSTREAMED_TIMEOUT_OBJECTIVES * route.objective_ms,
--- a/tests/test_edge_silence.py
+++ b/tests/test_edge_silence.py
@@ -156,3 +156,18 @@
         _serve(harness, CALL, responder)
         assert responder.is_complete
         assert len(harness.client.sends) == 1
+
+    def test_time_of_a_slow_caller_is_no_silence_of_its_target(self) -> None:
+        """Guards against leaving a target as soon as its caller has read on."""
+        stream = ScriptedReply(chunks=(make_event(1), make_event(2)))
+        harness = _make_harness(stream, ScriptedReply(chunks=()))
+
+        async def check_after_reading() -> None:
+            harness.stall_detector.check()
+            await anyio.sleep(0)
+
+        harness.client.pause = check_after_reading
+        responder = SlowResponder(lambda: _stall(harness))
+        _serve(harness, CALL, responder)
+        assert responder.body == make_event(1) + make_event(2)
+        assert len(harness.client.sends) == 1
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -276,6 +276,14 @@
         "        await",
         ("test_edge_silence",),
     ),
+    Mutant(
+        "time-of-the-caller-taken-for-silence",
+        "LOST",
+        EDGE + "inflight.py",
+        "        self.awaited_since_ms = now_ms\n",
+        "",
+        ("test_edge_silence",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
