Pass nothing on from a target that is being left

Cause: a cancellation reaches a task only where it waits. Data that had arrived in the same turn of the event loop as the check for stalls was still passed on; the cancellation followed while the answer waited for a slow caller. An answer that had just become final was cut; of a stream, an event that was counted as passed on was lost.

Change: a delivery ends before it passes data or an end on, if its send has been cancelled.

--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -95,7 +95,7 @@
                     _make_no_stream_error(answer), answer.head, True
                 )
         return await self._deliver_unstreamed(
-            request, target, answer, responder
+            request, target, answer, tracked_send, responder
         )
 
     async def _deliver_unstreamed(
@@ -103,10 +103,12 @@
         request: ActiveRequest,
         target: EdgeTarget,
         answer: EdgeAnswer,
+        tracked_send: TrackedSend,
         responder: Responder,
     ) -> FailedAnswer | MayHaveRun | None:
         body = bytearray()
         async for chunk in answer.chunks():
+            await tracked_send.end_if_left()
             if isinstance(chunk, Err):
                 return FailedAnswer(chunk.err_value, answer.head)
             body += chunk.ok_value
@@ -116,6 +118,7 @@
                 await self._start_once(request, answer.head, responder)
                 await responder.send(bytes(body))
                 body.clear()
+        await tracked_send.end_if_left()
         if not await self._outlives(target, answer.head):
             return FailedAnswer(_DEAD_END, answer.head)
         status = answer.head.status
@@ -154,6 +157,7 @@
         head = _drop_length(answer.head)
         request.events.start_run(answer.event_header)
         async for chunk in answer.chunks():
+            await tracked_send.end_if_left()
             if isinstance(chunk, Err):
                 return FailedAnswer(chunk.err_value, answer.head, has_survived)
             events = request.events.feed(chunk.ok_value)
@@ -173,6 +177,7 @@
             if request.events.problem:
                 error = _make_foreign_error(request.events.problem)
                 return FailedAnswer(error, answer.head, has_survived)
+        await tracked_send.end_if_left()
         # A stream without a length also ends when its target crashes, so that
         # the end alone does not tell that no event is left to resume.
         is_cut = not answer.head.is_delimited and (
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 
 import anyio
+import anyio.lowlevel
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.pauses import PauseDetector
@@ -68,6 +69,15 @@
         self.awaited_since_ms = now_ms
         self.health.note_activity(self.target)
 
+    async def end_if_left(self) -> None:
+        """Ends the delivery if the send was cancelled.
+
+        The cancellation reaches a task only where it waits, so that data which
+        has just arrived could still be passed on.
+        """
+        if self.scope.cancel_called:
+            await anyio.lowlevel.checkpoint()
+
     @property
     def flowed_ms(self) -> int:
         """Time between the first and the last data."""
--- a/tests/test_edge_silence.py
+++ b/tests/test_edge_silence.py
@@ -1,6 +1,7 @@
 """Tests of answers in which a sound target, or the caller, pauses."""
 
 import dataclasses
+import functools
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -28,8 +29,10 @@
 # More than is held back, so that the caller has read a part.
 LARGE_PART = b"s" * (MAX_HELD_BYTES + 1)
 REST = b"rest"
-# Longer than a silent target is waited for where another one can go on.
-SILENCE_MS = 2_000
+# Longer than a silent target is waited for where another one can go on, and
+# within the time limits of the routes.
+STREAM_SILENCE_MS = 2_000
+LOOKUP_SILENCE_MS = 500
 WAIT_TIMEOUT_S = 20.0
 
 Step = Callable[[], Awaitable[None]]
@@ -62,6 +65,28 @@
         return PausedAnswer(reply, target, lambda: self.pause())
 
 
+class PausedHarness(RelayHarness):
+    """A relay with targets that pause inside their answers."""
+
+    def __init__(self, *replies: ScriptedReply):
+        self.paused_client = PausedTargetClient(*replies)
+        super().__init__(client=self.paused_client)
+        self.client = self.paused_client
+
+    def pass_time(self, call: EdgeCall) -> None:
+        """Lets time pass without data, while sends are watched for stalls."""
+        is_lookup = call is LOOKUP
+        silence_ms = LOOKUP_SILENCE_MS if is_lookup else STREAM_SILENCE_MS
+        for _ in range(10):
+            self.clock.advance(silence_ms // 10)
+            self.stall_detector.check()
+
+    async def stall(self, call: EdgeCall = CALL) -> None:
+        """Waits without data until a target that may be left has been left."""
+        self.pass_time(call)
+        await anyio.sleep(0)
+
+
 class SlowResponder(RecordingResponder):
     """A caller that takes its answer only after a step of the test."""
 
@@ -70,9 +95,9 @@
         self._read = read
 
     async def send(self, data: bytes) -> None:
-        """Records a part of the body."""
-        await super().send(data)
+        """Records a part of the body once that before it has been read."""
         await self._read()
+        await super().send(data)
 
     async def finish(self) -> None:
         """Records the end once everything before it has been read."""
@@ -80,28 +105,8 @@
         await super().finish()
 
 
-def _make_harness(*replies: ScriptedReply) -> RelayHarness:
-    client = PausedTargetClient(*replies)
-    harness = RelayHarness(client=client)
-    harness.client = client
-
-    async def pause() -> None:
-        await _stall(harness)
-
-    client.pause = pause
-    return harness
-
-
-async def _stall(harness: RelayHarness) -> None:
-    """Lets time pass without data, while sends are watched for stalls."""
-    for _ in range(10):
-        harness.clock.advance(SILENCE_MS // 10)
-        harness.stall_detector.check()
-        await anyio.sleep(0)
-
-
 def _serve(
-    harness: RelayHarness,
+    harness: PausedHarness,
     call: EdgeCall,
     responder: RecordingResponder | None = None,
 ) -> RecordingResponder:
@@ -134,13 +139,47 @@
                     is_event_stream=False,
                 )
                 other = dataclasses.replace(reply, chunks=(b"of another run",))
-                harness = _make_harness(reply, other)
+                harness = PausedHarness(reply, other)
+
+                harness.paused_client.pause = functools.partial(
+                    harness.stall, call
+                )
                 responder = _serve(harness, call)
                 assert responder.is_complete
                 assert responder.body == LARGE_PART + REST
                 assert len(harness.client.sends) == 1
                 assert harness.log.count(Event.SEND_STALLED) == 0
 
+    def test_data_that_comes_as_the_target_is_left_is_not_passed_on(
+        self,
+    ) -> None:
+        """Guards against passing on a part of a run that is being left.
+
+        The rest of the answer would be cut, or an event lost.
+        """
+        for call, is_stream, parts, rest in (
+            (LOOKUP, False, (b"start", LARGE_PART), (b"another",)),
+            (LOOKUP, False, (LARGE_PART[:-1], b""), (b"another",)),
+            (CALL, True, (make_event(1), make_event(2)), (make_event(2),)),
+        ):
+            with self.subTest(path=call.path, size=len(parts[0])):
+                first = ScriptedReply(chunks=parts, is_event_stream=is_stream)
+                second = dataclasses.replace(first, chunks=rest)
+                harness = PausedHarness(first, second)
+
+                async def leave(
+                    harness: PausedHarness = harness, call: EdgeCall = call
+                ) -> None:
+                    harness.pass_time(call)
+
+                harness.paused_client.pause = leave
+                responder = SlowResponder(anyio.lowlevel.checkpoint)
+                _serve(harness, call, responder)
+                assert responder.is_complete
+                expected = b"".join(parts if is_stream else rest)
+                assert responder.body == expected
+                assert len(harness.client.sends) == 2
+
 
 class SlowCallerTest(unittest.TestCase):
     """Callers that take their answer more slowly than it comes."""
@@ -151,8 +190,8 @@
         Its target has sent all, so that it is silent.
         """
         stream = ScriptedReply(chunks=(make_event(1),))
-        harness = _make_harness(stream, ScriptedReply(chunks=()))
-        responder = SlowResponder(lambda: _stall(harness))
+        harness = PausedHarness(stream, ScriptedReply(chunks=()))
+        responder = SlowResponder(harness.stall)
         _serve(harness, CALL, responder)
         assert responder.is_complete
         assert len(harness.client.sends) == 1
@@ -160,14 +199,14 @@
     def test_time_of_a_slow_caller_is_no_silence_of_its_target(self) -> None:
         """Guards against leaving a target as soon as its caller has read on."""
         stream = ScriptedReply(chunks=(make_event(1), make_event(2)))
-        harness = _make_harness(stream, ScriptedReply(chunks=()))
+        harness = PausedHarness(stream, ScriptedReply(chunks=()))
 
         async def check_after_reading() -> None:
             harness.stall_detector.check()
             await anyio.sleep(0)
 
-        harness.client.pause = check_after_reading
-        responder = SlowResponder(lambda: _stall(harness))
+        harness.paused_client.pause = check_after_reading
+        responder = SlowResponder(harness.stall)
         _serve(harness, CALL, responder)
         assert responder.body == make_event(1) + make_event(2)
         assert len(harness.client.sends) == 1
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -284,6 +284,14 @@
         "",
         ("test_edge_silence",),
     ),
+    Mutant(
+        "data-of-a-target-that-is-left",
+        "LOST",
+        EDGE + "inflight.py",
+        "if self.scope.cancel_called:",
+        "if False:",
+        ("test_edge_silence",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
