Judge a whole answer by its last part, not its send

Cause: an answer that is no event stream was given up two response-time objectives after its send, however fast its body came. Of hundreds of KB from a slow but sound target, the first run was ended and the second began with less time, past which it was cut at the deadline.

Change: the time counts from the last 16 KiB of the body. Fewer bytes are no progress, so that a target that drips is left as before.

The test of an answer that flows saw two sends before and sees one; that of a drip passes before and after. Both mutants are killed.

--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -112,6 +112,7 @@
             if isinstance(chunk, Err):
                 return FailedAnswer(chunk.err_value, answer.head)
             body += chunk.ok_value
+            tracked_send.note_body(len(chunk.ok_value), self._clock.now_ms())
             if len(body) > MAX_HELD_BYTES or request.head_sent:
                 # Another answer does not continue this one.
                 request.is_final = True
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -24,12 +24,15 @@
 # The request waits for a slot in the batch and for its prompt to be processed,
 # which takes longest when no other stream shows that the target is alive.
 FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.5
-# Timeout for an answer that is not streamed, in response-time objectives. Such
-# answers are small, so a late one indicates a stalled target.
+# Timeout for an answer that is not streamed, or for its next part, in
+# response-time objectives.
 UNSTREAMED_TIMEOUT_OBJECTIVES = 2.0
 # Upper bound of that timeout, as a fraction of the time limit of the route, so
 # that the other target has time to answer.
 UNSTREAMED_TIMEOUT_SHARE = 0.4
+# Size of such a part. Fewer bytes are no progress: a stalled target may send a
+# few now and then.
+UNSTREAMED_PART_BYTES = 16_384
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -52,6 +55,8 @@
     # Set while data is being written to the caller. A slow caller blocks
     # reading from the target, so the silence is not the fault of the target.
     is_blocked: bool = False
+    # Bytes of an answer that is not streamed, since its last part.
+    partial_bytes: int = 0
 
     def note_data(self, arrived_at_ms: int) -> None:
         """Records that a part of the answer arrived."""
@@ -63,6 +68,14 @@
         self.last_data_ms = self.awaited_since_ms = arrived_at_ms
         self.health.note_activity(self.target)
 
+    def note_body(self, size: int, arrived_at_ms: int) -> None:
+        """Records bytes of an answer that is not streamed."""
+        self.partial_bytes += size
+        if self.partial_bytes >= UNSTREAMED_PART_BYTES:
+            self.partial_bytes = 0
+            self.awaited_since_ms = arrived_at_ms
+            self.health.note_activity(self.target)
+
     def note_unblocked(self, now_ms: int) -> None:
         """Records that the caller has taken the data."""
         self.is_blocked = False
@@ -143,19 +156,20 @@
     def _is_stalled(self, send: TrackedSend) -> bool:
         route = send.route
         silence_ms = self._health.find_silence_ms(send.target, send.sent_at_ms)
-        waited_ms = self._clock.now_ms() - send.sent_at_ms
+        now_ms = self._clock.now_ms()
+        since_ms = send.awaited_since_ms
+        waited_ms = now_ms - (send.sent_at_ms if since_ms is None else since_ms)
         if route.kind is RouteKind.STREAM:
             stall_timeout_ms = STALL_TIMEOUT_SHARE * route.caller_timeout_ms
-            if send.awaited_since_ms is None:
+            if since_ms is None:
                 silent = (
                     silence_ms
                     > FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_ms
                 )
                 return silent or waited_ms > stall_timeout_ms
-            awaited_ms = self._clock.now_ms() - send.awaited_since_ms
             return (
                 silence_ms > STREAM_SILENCE_TIMEOUT_MS
-                or awaited_ms > stall_timeout_ms
+                or waited_ms > stall_timeout_ms
             )
         return waited_ms > min(
             UNSTREAMED_TIMEOUT_OBJECTIVES * route.objective_ms,
--- a/tests/test_edge_silence.py
+++ b/tests/test_edge_silence.py
@@ -150,6 +150,34 @@
                 assert len(harness.client.sends) == 1
                 assert harness.log.count(Event.SEND_STALLED) == 0
 
+    def _serve_in_parts(self, part_bytes: int) -> PausedHarness:
+        """Serves a lookup whose answer comes in seven parts, 100 ms apart."""
+        reply = ScriptedReply(
+            chunks=(b"s" * part_bytes,) * 7, is_event_stream=False
+        )
+        harness = PausedHarness(reply, reply)
+
+        async def wait() -> None:
+            harness.clock.advance(100)
+            harness.stall_detector.check()
+            await anyio.sleep(0)
+
+        harness.paused_client.pause = wait
+        responder = _serve(harness, LOOKUP)
+        assert responder.body == b"".join(reply.chunks)
+        return harness
+
+    def test_large_answer_that_flows_stays_at_its_target(self) -> None:
+        """Guards against running a request again while its answer flows.
+
+        The second run begins with less time left, and is not left again.
+        """
+        assert len(self._serve_in_parts(32_768).client.sends) == 1
+
+    def test_answer_that_drips_is_asked_of_another_target(self) -> None:
+        """Guards against bytes now and then that count as progress."""
+        assert len(self._serve_in_parts(1_024).client.sends) == 2
+
     def test_data_that_comes_as_the_target_is_left_is_not_passed_on(
         self,
     ) -> None:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -292,6 +292,22 @@
         "if False:",
         ("test_edge_silence",),
     ),
+    Mutant(
+        "answer-that-flows-taken-for-stalled",
+        "LOST",
+        EDGE + "inflight.py",
+        "        if self.partial_bytes >= UNSTREAMED_PART_BYTES:",
+        "        if False:",
+        ("test_edge_silence",),
+    ),
+    Mutant(
+        "drip-of-a-whole-answer-taken-for-progress",
+        "LOST",
+        EDGE + "inflight.py",
+        "UNSTREAMED_PART_BYTES = 16_384",
+        "UNSTREAMED_PART_BYTES = 1",
+        ("test_edge_silence",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
