Give each relayed answer a window of its own at a peer

Cause: what a peer may send to an instance over one channel is 4 MiB, and 1 MiB for each answer. Four callers that read slowly use all of it up; every other answer through that peer then stops, and no new connection to a target is made there.

Before, the new test ended with "not reached by any peer that was asked"; its mutant is killed. A second new test, of an answer that is read after its target and the peer's wait have ended, passes before and after.

--- a/src/peridotbend/adapters/peers.py
+++ b/src/peridotbend/adapters/peers.py
@@ -108,7 +108,8 @@
 class ChannelPool:
     """Holds one channel per peer address; a channel connects on first use."""
 
-    def __init__(self) -> None:
+    def __init__(self, config: Configuration | None = None) -> None:
+        self._config = config or make_http2_configuration()
         self._channels: dict[tuple[str, int], grpclib.client.Channel] = {}
 
     def open(self, host: str, port: int) -> grpclib.client.Channel:
@@ -119,9 +120,7 @@
             if len(self._channels) >= MAX_CHANNELS:
                 oldest = next(iter(self._channels))
                 self._channels.pop(oldest).close()
-            channel = grpclib.client.Channel(
-                host, port, config=make_http2_configuration()
-            )
+            channel = grpclib.client.Channel(host, port, config=self._config)
         # Reinsertion keeps the least recently used channel first.
         self._channels[key] = channel
         return channel
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -13,13 +13,14 @@
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import AbstractAsyncContextManager
+from unittest import mock
 
 import anyio
 import grpclib.server
 import httpcore
 from result import Err, Result
 
-from peridotbend.adapters import pathclient
+from peridotbend.adapters import pathclient, pathserver
 from peridotbend.adapters.pathclient import DOUBT_PROBES, PathDialer
 from peridotbend.adapters.pathserver import PathServer
 from peridotbend.adapters.publishedpeers import PublishedServer
@@ -61,6 +62,8 @@
 SLOTS = 64
 CALL_TIMEOUT_MS = 5_000
 CALLS = 40
+# More than enough to fill what one connection to a peer may hold.
+SLOW_CALLERS = 8
 
 
 @contextlib.contextmanager
@@ -547,6 +550,49 @@
 
         run_paths(harness, check)
 
+    def test_slow_callers_hold_up_no_other_answer(self) -> None:
+        """Guards against callers that use up what a peer may send to all."""
+        body = b"s" * 2_000_000
+        target = RawTarget(b"HTTP/1.1 200 OK\r\n\r\n" + body)
+        harness = PathHarness(target, OtherInstance(HOSTS[1]))
+
+        async def check() -> None:
+            await harness.lose_links()
+            async with contextlib.AsyncExitStack() as stack:
+                slow = []
+                for _ in range(SLOW_CALLERS):
+                    opened = await stack.enter_async_context(harness.open())
+                    slow.append(opened.unwrap().chunks())
+                # By then the peer can most likely send no more to them.
+                await anyio.sleep(0.5)
+                chunks = await harness.call()
+                assert isinstance(chunks, list), chunks
+                assert b"".join(chunks) == body
+                for answer in slow:
+                    parts = [part.unwrap() async for part in answer]
+                    assert b"".join(parts) == body
+
+        run_paths(harness, check)
+
+    @mock.patch.object(pathserver, "END_TIMEOUT_S", 0.01)
+    def test_slow_caller_gets_what_its_target_has_sent(self) -> None:
+        """Guards against an end by the peer that overtakes the answer."""
+        body = b"s" * 300_000
+        target = RawTarget(b"HTTP/1.1 200 OK\r\n\r\n" + body)
+        harness = PathHarness(target, OtherInstance(HOSTS[1]))
+
+        async def check() -> None:
+            await harness.lose_links()
+            async with harness.open() as opened:
+                await target.ended.wait()
+                await anyio.sleep(0.5)
+                parts = [
+                    part.unwrap() async for part in opened.unwrap().chunks()
+                ]
+                assert b"".join(parts) == body
+
+        run_paths(harness, check)
+
     def test_peers_that_cannot_help_are_passed_over(self) -> None:
         """Guards against requests that fail since the wrong peer was asked."""
         older = OtherInstance(HOSTS[0], is_older_build=True)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -308,6 +308,14 @@
         "UNSTREAMED_PART_BYTES = 1",
         ("test_edge_silence",),
     ),
+    Mutant(
+        "slow-callers-share-a-window",
+        "LOST",
+        "src/peridotbend/adapters/pathclient.py",
+        "MAX_CONNECTIONS * STREAM_WINDOW_BYTES",
+        "STREAM_WINDOW_BYTES",
+        ("test_edge_paths.RelayedConnectionTest",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
