Remember that a whole request was answered

Cause: of a request as a whole, an answer was remembered only if a death had been counted for it before.

Change: answers of whole requests are remembered like those of prompt parts, in a table of their own that pushes out no parts.

The new test of the relay was refused as quarantined before; both mutants are killed.

--- a/src/peridotbend/edge/crashes.py
+++ b/src/peridotbend/edge/crashes.py
@@ -31,7 +31,8 @@
 # for this time after its first event does not.
 SURVIVAL_MS = 500
 MAX_BROKEN = 2_048
-# Bounds on memory: traits of requests that were answered, and targets.
+# Bounds on memory: requests that were answered, their parts, and targets.
+MAX_SOUND_REQUESTS = 8_192
 MAX_SOUND_TRAITS = 4_096
 MAX_TARGETS = 8_192
 # Label of the trait that only exact repeats of a request share.
@@ -105,6 +106,10 @@
         self._sound_at_ms: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
         )
+        # The same for whole requests, which are many and would push out parts.
+        self._answered_at_ms: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
         self._known_causes: set[frozenset[int]] = set()
         self._refreshed_at_ms = clock.now_ms() - REFRESH_INTERVAL_MS
         # Selects the part of the evidence in the next digest.
@@ -161,9 +166,11 @@
         now_ms = self._clock.now_ms()
         for trait, label in traits.items():
             self._evidence.note_sound(trait, now_ms)
-            if label != FINGERPRINT_LABEL or trait in self._evidence:
-                self._sound_at_ms[trait] = now_ms
-                self._sound_at_ms.move_to_end(trait)
+            is_request = label == FINGERPRINT_LABEL
+            table = self._answered_at_ms if is_request else self._sound_at_ms
+            table[trait] = now_ms
+            table.move_to_end(trait)
+        _trim(self._answered_at_ms, MAX_SOUND_REQUESTS)
         _trim(self._sound_at_ms, MAX_SOUND_TRAITS)
         self._log_changed_causes()
 
@@ -246,7 +253,9 @@
 
     def _apply_own_answers(self, trait: int) -> None:
         """Clears a trait if a request with it was answered after the deaths."""
-        sound_at_ms = self._sound_at_ms.get(trait)
+        sound_at_ms = self._sound_at_ms.get(
+            trait, self._answered_at_ms.get(trait)
+        )
         oldest_ms = self._clock.now_ms() - EVIDENCE_TTL_MS
         if sound_at_ms is not None and sound_at_ms >= oldest_ms:
             self._evidence.note_sound(trait, sound_at_ms)
--- a/tests/test_edge_budgets.py
+++ b/tests/test_edge_budgets.py
@@ -9,6 +9,7 @@
 from peridotbend.edge.crashes import (
     ALIVE_MARGIN_MS,
     FINGERPRINT_LABEL,
+    MAX_SOUND_REQUESTS,
     CrashTracker,
 )
 from peridotbend.edge.evidence import (
@@ -361,6 +362,14 @@
         self._note_deaths(4, 1, 9)
         assert self.crashes.find_cause({9}) == {9}
 
+    def test_requests_that_were_answered_push_out_no_part(self) -> None:
+        """Guards against a flood of requests after which parts look unsound."""
+        self.crashes.note_sound({9: "x"})
+        for number in range(MAX_SOUND_REQUESTS + 1):
+            self.crashes.note_sound({100 + number: FINGERPRINT_LABEL})
+        self._note_deaths(0, MAX_CRASHES, 9)
+        assert self.crashes.find_cause({9}) is None
+
     def test_part_with_many_old_deaths_can_turn_bad(self) -> None:
         """Guards against cleared deaths that leave no room for new ones."""
         for number in range(MAX_DEATHS):
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -294,6 +294,25 @@
         assert fields["cause"] == ["request"]
         assert fields["crashed_targets"] == 3
 
+    def test_loss_of_targets_quarantines_no_request_that_was_answered(
+        self,
+    ) -> None:
+        """Guards against refusing a common request after three targets died.
+
+        It was in flight at each of them, as it is sent again and again.
+        """
+        broken = ScriptedReply(failure=CONNECTION_RESET)
+        harness = RelayHarness(SUCCESS, broken, broken, broken, SUCCESS)
+        for number in range(4):
+            call = dataclasses.replace(ORDER, attempt=f"attempt-{number}")
+            _serve(harness, call)
+        # They died at once, which shows only now.
+        for send in harness.client.sends[1:4]:
+            harness.crashes.note_target_dead(send.target)
+        assert harness.log.count(Event.SUSPECT_RECORDED) == 3
+        last = _serve(harness, dataclasses.replace(ORDER, attempt="last"))
+        assert last.is_complete, last.verdict
+
     def test_error_of_a_target_clears_no_suspect(self) -> None:
         """Guards against targets that fail requests before they run them."""
         error = ScriptedReply(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -316,6 +316,22 @@
         "STREAM_WINDOW_BYTES",
         ("test_edge_paths.RelayedConnectionTest",),
     ),
+    Mutant(
+        "answered-request-forgotten",
+        "REFUSED",
+        EDGE + "crashes.py",
+        "            trait, self._answered_at_ms.get(trait)\n",
+        "            trait\n",
+        ("test_edge_relay.CrashTest",),
+    ),
+    Mutant(
+        "requests-kept-among-the-parts",
+        "REFUSED",
+        EDGE + "crashes.py",
+        "self._answered_at_ms if is_request else self._sound_at_ms",
+        "self._sound_at_ms",
+        ("test_edge_budgets.CrashCauseTest",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
