Let the kernel notice that a target's host is gone

Cause: an answer that no other target can go on with is no longer given up in a silence. A host that is gone ends no connection, so that such an answer, and one that may run once, waited up to its deadline.

Change: connections to targets, also those held for a peer, ask a silent host after 3 s and end after three probes without an answer. A frozen process is not affected, since its kernel answers.

The new test failed before and its mutant is killed. It checks the options of the socket and how the error ends a read; a host that is gone was not played, as nothing here can cut a connection without ending it.

--- a/src/peridotbend/adapters/sockets.py
+++ b/src/peridotbend/adapters/sockets.py
@@ -2,7 +2,15 @@
 
 import asyncio
 import os
-from socket import SO_ERROR, SOL_SOCKET
+from socket import (
+    IPPROTO_TCP,
+    SO_ERROR,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+)
 from typing import Any, cast
 
 import anyio
@@ -11,6 +19,14 @@
 # Above this, reading from the socket pauses, so that TCP flow control slows a
 # target whose response is read slowly.
 MAX_BUFFERED_BYTES = 262_144
+# The kernel asks a silent host after 3 s, and ends the connection if it does
+# not answer three times within 3 s. That of a process that is silent answers.
+KEEPALIVE_OPTIONS = (
+    (SOL_SOCKET, SO_KEEPALIVE, 1),
+    (IPPROTO_TCP, TCP_KEEPIDLE, 3),
+    (IPPROTO_TCP, TCP_KEEPINTVL, 1),
+    (IPPROTO_TCP, TCP_KEEPCNT, 3),
+)
 
 
 class TargetStream(asyncio.Protocol, httpcore.AsyncNetworkStream):
@@ -37,6 +53,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
         self._transport = cast(asyncio.Transport, transport)
+        socket = transport.get_extra_info("socket")
+        if socket is not None:
+            for level, option, value in KEEPALIVE_OPTIONS:
+                socket.setsockopt(level, option, value)
 
     def data_received(self, data: bytes) -> None:
         """Buffers the data for the next read."""
@@ -127,7 +147,9 @@
         self._transport.abort()
 
     def get_extra_info(self, info: str) -> Any:
-        """Returns whether a read would not block, for `is_readable`."""
+        """Returns the socket, or for `is_readable` if a read does not block."""
+        if info == "socket":
+            return self._transport.get_extra_info("socket")
         if info == "is_readable":
             return bool(self._received) or self._ended
         return None
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,5 +1,6 @@
 """Tests of the TCP streams to targets."""
 
+import errno
 import socket
 import struct
 import unittest
@@ -127,6 +128,39 @@
         anyio.run(run)
 
 
+class LostHostTest(unittest.TestCase):
+    """Connections to a host that is gone, which ends none of them."""
+
+    def test_host_that_answers_no_probe_ends_its_connections(self) -> None:
+        """Guards against answers that wait for a dead host to their deadline.
+
+        The kernel sends the probes, and ends the connection without answers.
+        """
+
+        async def check() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                client = await connect(*listener.getsockname(), 5.0)
+                used = client.get_extra_info("socket")
+                assert used.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+                limit_s = [
+                    used.getsockopt(socket.IPPROTO_TCP, option)
+                    for option in (
+                        socket.TCP_KEEPIDLE,
+                        socket.TCP_KEEPINTVL,
+                        socket.TCP_KEEPCNT,
+                    )
+                ]
+                assert limit_s[0] + limit_s[1] * limit_s[2] <= 10, limit_s
+                error = TimeoutError(errno.ETIMEDOUT, "no answer to probes")
+                client.connection_lost(error)
+                with self.assertRaises(httpcore.ReadError):
+                    await client.read(10, LONG_TIMEOUT_S)
+                await client.aclose()
+
+        anyio.run(check)
+        anyio.run(check, backend_options={"use_uvloop": True})
+
+
 class ResetTest(unittest.TestCase):
     """Connections that a target resets."""
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -332,6 +332,14 @@
         "self._sound_at_ms",
         ("test_edge_budgets.CrashCauseTest",),
     ),
+    Mutant(
+        "lost-host-not-noticed",
+        "LOST",
+        "src/peridotbend/adapters/sockets.py",
+        "(SOL_SOCKET, SO_KEEPALIVE, 1)",
+        "(SOL_SOCKET, SO_KEEPALIVE, 0)",
+        ("test_sockets",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
