Keep a caller that reads its answer slowly

Cause: the timer of a caller that does not read was stopped only once nearly all of what waits for it had been read, and the keep-alive timer dropped a connection whose last answer was written but not read to its end. A caller that read on, too slowly for one period, lost its answer; one that had just read the end was closed as idle.

Change: each timer starts again if bytes have been read since its start.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -83,6 +83,9 @@
         self._refused = False
         self._header_timer: asyncio.TimerHandle | None = None
         self._stall_timer: asyncio.TimerHandle | None = None
+        # Bytes of responses that the caller had not read when the keep-alive
+        # timer was started.
+        self._unread_bytes = 0
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -168,12 +171,22 @@
         `write_stall_timeout_s`.
         """
         super().on_response_complete()
+        self._unread_bytes = self.transport.get_write_buffer_size()
         if self.transport.is_closing():
             self._start_stall_timer()
 
     def timeout_keep_alive_handler(self) -> None:
-        """Closes an idle connection, even if the response was not read."""
-        if self.transport.get_write_buffer_size():
+        """Closes an idle connection, even if the response was not read.
+
+        One whose caller has read on meanwhile was not idle.
+        """
+        unread_bytes = self.transport.get_write_buffer_size()
+        if unread_bytes < self._unread_bytes:
+            self._unread_bytes = unread_bytes
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+        elif unread_bytes:
             self.transport.abort()
         else:
             super().timeout_keep_alive_handler()
@@ -284,9 +297,19 @@
     def _start_stall_timer(self) -> None:
         if self._stall_timer is None:
             self._stall_timer = self.loop.call_later(
-                self._limits.write_stall_timeout_s, self._abort
+                self._limits.write_stall_timeout_s,
+                self._check_stall,
+                self.transport.get_write_buffer_size(),
             )
 
+    def _check_stall(self, unread_before: int) -> None:
+        """Drops a connection whose caller has read nothing for too long."""
+        self._stall_timer = None
+        if self.transport.get_write_buffer_size() < unread_before:
+            self._start_stall_timer()
+        else:
+            self._abort()
+
     def _abort(self) -> None:
         self.transport.abort()
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -4,10 +4,17 @@
 import contextlib
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import cast
+from unittest import mock
 
 import anyio
+import uvicorn
+from uvicorn.server import ServerState
 
-from peridotbend.adapters.boundedconnections import ConnectionLimits
+from peridotbend.adapters.boundedconnections import (
+    BoundedConnection,
+    ConnectionLimits,
+)
 from peridotbend.adapters.exchanges import Receive, Scope, Send
 from peridotbend.adapters.serving import HttpServer, ListenError, listen
 from peridotbend.daemon import BACKEND_OPTIONS
@@ -140,6 +147,103 @@
         run_with_server(test, ConnectionLimits(write_stall_timeout_s=0.1))
 
 
+class _ManualLoop:
+    """Collects timers, which a test fires."""
+
+    def __init__(self) -> None:
+        self._timers: list[asyncio.TimerHandle] = []
+
+    def call_later(
+        self, delay_s: float, callback: Callable[..., None], *args: object
+    ) -> asyncio.TimerHandle:
+        """Adds a timer."""
+        loop = cast(asyncio.AbstractEventLoop, mock.Mock())
+        timer = asyncio.TimerHandle(delay_s, callback, args, loop)
+        self._timers.append(timer)
+        return timer
+
+    def drop_all(self) -> None:
+        """Forgets all timers."""
+        self._timers.clear()
+
+    def fire_all(self) -> None:
+        """Lets the time of all timers pass."""
+        timers, self._timers = self._timers, []
+        for timer in timers:
+            if not timer.cancelled():
+                timer._run()
+
+
+class _FakeTransport(asyncio.Transport):
+    """A connection whose caller has not read some bytes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.unread_bytes = 1_000
+        self.is_aborted = False
+        self.is_closed = False
+
+    def get_write_buffer_size(self) -> int:
+        return self.unread_bytes
+
+    def is_closing(self) -> bool:
+        return self.is_aborted or self.is_closed
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class SlowReaderTest(unittest.TestCase):
+    """Callers that read their responses slowly."""
+
+    def setUp(self) -> None:
+        """Creates a connection."""
+        self.loop = _ManualLoop()
+        self.transport = _FakeTransport()
+        config = uvicorn.Config(serve_large, log_config=None)
+        config.load()
+        self.connection = BoundedConnection(
+            ConnectionLimits(),
+            config,
+            ServerState(),
+            {},
+            cast(asyncio.AbstractEventLoop, self.loop),
+        )
+        self.connection.connection_made(self.transport)
+        # Its request has arrived.
+        self.loop.drop_all()
+
+    def _check(self) -> None:
+        for _ in range(3):
+            self.transport.unread_bytes -= 100
+            self.loop.fire_all()
+            assert not self.transport.is_closing()
+        self.loop.fire_all()
+        assert self.transport.is_aborted
+
+    def test_caller_that_reads_on_is_not_dropped(self) -> None:
+        """Guards against cutting an answer that is read slowly."""
+        self.connection.pause_writing()
+        self._check()
+
+    def test_caller_that_reads_the_end_is_not_idle(self) -> None:
+        """Guards against cutting an answer that was written but not read."""
+        self.connection.on_response_complete()
+        self._check()
+
+    def test_caller_that_has_read_all_may_stay_idle(self) -> None:
+        """Guards against closing a channel right after its last answer."""
+        self.connection.on_response_complete()
+        self.transport.unread_bytes = 0
+        self.loop.fire_all()
+        assert not self.transport.is_closing()
+        self.loop.fire_all()
+        assert self.transport.is_closed
+
+
 class ConnectionLimitTest(unittest.TestCase):
     """The limit on the number of connections."""
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -340,6 +340,22 @@
         "(SOL_SOCKET, SO_KEEPALIVE, 0)",
         ("test_sockets",),
     ),
+    Mutant(
+        "slow-reader-taken-for-stalled",
+        "LOST",
+        "src/peridotbend/adapters/boundedconnections.py",
+        "if self.transport.get_write_buffer_size() < unread_before:",
+        "if False:",
+        ("test_serving.SlowReaderTest",),
+    ),
+    Mutant(
+        "slow-reader-taken-for-idle",
+        "LOST",
+        "src/peridotbend/adapters/boundedconnections.py",
+        "if unread_bytes < self._unread_bytes:",
+        "if False:",
+        ("test_serving.SlowReaderTest",),
+    ),
     Mutant(
         "place-counted-for-several-streams",
         "LOST",
