--- a/tests/test_edge_trouble.py
+++ b/tests/test_edge_trouble.py
@@ -11,6 +11,7 @@
     read_lines,
 )
 from peridotbend.domain.streams import EVENT_STREAM_TYPE
+from peridotbend.edge.delivery import MAX_HELD_BYTES
 from peridotbend.edgedaemon import DEFAULT_METRICS_PORT
 from peridotbend.platform import wire
 from peridotbend_emulator.launch import Child
@@ -36,6 +37,7 @@
     WHOLE,
     ForeignAnswer,
     Framing,
+    PausedAnswer,
     Place,
     UnframedReset,
     list_fewer_answers,
@@ -52,6 +54,8 @@
     )
 )
 TROUBLED = (Place.FIRST, Place.RESUMED)
+# Longer than a silent target is waited for where another one can go on.
+PAUSE_S = 3.0
 
 
 class ForeignAnswerProcessTest(unittest.TestCase):
@@ -171,6 +175,34 @@
         run_with_trouble(answers, check)
 
 
+class PausedAnswerProcessTest(unittest.TestCase):
+    """Sound targets that pause inside a large answer."""
+
+    def test_pause_does_not_end_an_answer_that_has_begun(self) -> None:
+        """Guards against leaving a target whose answer no other continues.
+
+        A peer that carries the connection must not end it either.
+        """
+        body = b"s" * (2 * MAX_HELD_BYTES)
+        answers = [PausedAnswer("pause", body, PAUSE_S)]
+
+        async def check(troubled: TroubledFleet) -> None:
+            async def call(prefix: str) -> None:
+                path = f"{prefix}0/{Place.FIRST.value}/x"
+                answer = await troubled.call(path)
+                assert answer is not None, prefix
+                assert (answer.status, answer.content) == (200, body), prefix
+                assert troubled.target.sends[path] == 1, prefix
+
+            async with anyio.create_task_group() as tasks:
+                for prefix in (IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH):
+                    tasks.start_soon(call, prefix)
+
+        for run in (run_with_trouble, run_with_peer):
+            with self.subTest(run=run.__name__):
+                run(answers, check)
+
+
 class UnframedResetTest(unittest.TestCase):
     """A stream that ends with its connection, and is reset in between."""
 
--- a/tests/troubledtargets.py
+++ b/tests/troubledtargets.py
@@ -122,6 +122,23 @@
         await asyncio.sleep(0.05)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PausedAnswer:
+    """A sound answer of any type, in the middle of which the target pauses."""
+
+    name: str
+    body: bytes
+    pause_s: float
+
+    async def list_pieces(self, attempt: str) -> AsyncIterator[bytes]:
+        """Yields the answer with a pause before its last byte."""
+        head = _encode_head("200 OK", attempt, "Transfer-Encoding: chunked")
+        data = _encode_body(self.body, Framing.CHUNKS)
+        yield head + data[: len(self.body)]
+        await asyncio.sleep(self.pause_s)
+        yield data[len(self.body) :]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndlessAnswer:
     """An answer that never ends."""
