Give each relayed body a window of its own at a peer

Cause: what an instance may send to a peer over one channel is 4 MiB, and 1 MiB for each body. A few large bodies to targets that do not read use all of it up, and no other request gets through to that peer.

Change: the server of peers has the windows that the client of paths has since; both come from one function.

The new test ended with "not reached by any peer that was asked" before. It sets the windows in its own stand-in of an instance; that the daemon uses the same ones is by reading.

--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -8,7 +8,6 @@
 import anyio
 import grpclib.client
 import httpcore
-from grpclib.config import Configuration
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from result import Err
@@ -24,8 +23,8 @@
     is_connection_refused,
 )
 from peridotbend.adapters.pathserver import (
-    MAX_CONNECTIONS,
     MAX_MESSAGE_BYTES,
+    make_path_configuration,
     split_data,
 )
 from peridotbend.adapters.peers import (
@@ -65,9 +64,6 @@
 # Direct probes at the same time before a peer is tried. Targets in trouble of
 # their own leave some without an answer.
 DOUBT_PROBES = 3
-# What a peer may send to one caller that does not read. The window of a channel
-# holds that of all its callers, so that none holds up another.
-STREAM_WINDOW_BYTES = 131_072
 # The load of a target of the product's own interface.
 LOAD_CALL = TargetCall("GET", "/v1/load", (), b"", 500, reuse_connection=False)
 
@@ -181,14 +177,7 @@
         self._targets = targets
         self._peers = peers
         self._choice = choice
-        self._channels = ChannelPool(
-            Configuration(
-                http2_connection_window_size=(
-                    MAX_CONNECTIONS * STREAM_WINDOW_BYTES
-                ),
-                http2_stream_window_size=STREAM_WINDOW_BYTES,
-            )
-        )
+        self._channels = ChannelPool(make_path_configuration())
         self._log = log
         # Connections held by each peer.
         self._active: collections.Counter[str] = collections.Counter()
--- a/src/peridotbend/adapters/pathserver.py
+++ b/src/peridotbend/adapters/pathserver.py
@@ -7,6 +7,7 @@
 import grpclib.protocol
 import grpclib.server
 import httpcore
+from grpclib.config import Configuration
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
@@ -28,9 +29,24 @@
 FIRST_MESSAGE_TIMEOUT_S = 1.0
 END_TIMEOUT_S = 1.0
 
+# What each connection may have on its way to one that does not read. Direct
+# ones buffer 256 KB.
+STREAM_WINDOW_BYTES = 131_072
+
 _Stream = grpclib.server.Stream[pb.PathChunk, pb.PathChunk]
 
 
+def make_path_configuration() -> Configuration:
+    """Returns HTTP/2 settings with which no connection holds up another.
+
+    The window of the channel holds that of all connections of one peer.
+    """
+    return Configuration(
+        http2_connection_window_size=MAX_CONNECTIONS * STREAM_WINDOW_BYTES,
+        http2_stream_window_size=STREAM_WINDOW_BYTES,
+    )
+
+
 class PathServer(PathsBase):
     """Passes on the bytes between another instance and a target.
 
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -13,8 +13,9 @@
 from peridotbend.adapters.edgemetrics import EdgeMetrics
 from peridotbend.adapters.gossip import Gossip
 from peridotbend.adapters.originlink import OriginLink
+from peridotbend.adapters.pathserver import make_path_configuration
 from peridotbend.adapters.peerpaths import PeerPaths
-from peridotbend.adapters.peers import ChannelPool, make_http2_configuration
+from peridotbend.adapters.peers import ChannelPool
 from peridotbend.adapters.publishedpeers import (
     PublishedFetcher,
     PublishedServer,
@@ -276,7 +277,7 @@
         self._add_gauges()
         peer_server = grpclib.server.Server(
             [PublishedServer(self._feeds), self._paths.server],
-            config=make_http2_configuration(),
+            config=make_path_configuration(),
         )
         await peer_server.start(*settings.peers)
         for task in (
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -22,7 +22,10 @@
 
 from peridotbend.adapters import pathclient, pathserver
 from peridotbend.adapters.pathclient import DOUBT_PROBES, PathDialer
-from peridotbend.adapters.pathserver import PathServer
+from peridotbend.adapters.pathserver import (
+    PathServer,
+    make_path_configuration,
+)
 from peridotbend.adapters.publishedpeers import PublishedServer
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.adapters.sockets import connect
@@ -310,6 +313,20 @@
         self.ended.set()
 
 
+class UnreadTarget(RawTarget):
+    """A target that reads no large body, until it is released."""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"content-length: 4\r\n" in head.lower():
+            writer.write(self.answer)
+        await self.may_end.wait()
+        reset_connection(writer)
+
+
 class FixedPeers:
     """Instances on given hosts, all near unless a zone is given."""
 
@@ -372,7 +389,8 @@
         """Starts to serve peers."""
         older = [PublishedServer({})]
         self._grpc = grpclib.server.Server(
-            older if self._is_older_build else [self.server]
+            older if self._is_older_build else [self.server],
+            config=make_path_configuration(),
         )
         await self._grpc.start(self.host, port)
 
@@ -456,13 +474,13 @@
         return chunks
 
     def open(
-        self, name: str = "i-1"
+        self, name: str = "i-1", body: bytes = b"plan"
     ) -> contextlib.AbstractAsyncContextManager[
         "Result[TargetAnswer, CallError]"
     ]:
         """Sends a call."""
         target = Target(name, "engine", "zone-a", "127.0.0.1", self.port)
-        request = TargetCall("POST", "/quotes/1", (), b"plan", CALL_TIMEOUT_MS)
+        request = TargetCall("POST", "/quotes/1", (), body, CALL_TIMEOUT_MS)
         return self.client.open(target, request, lambda: True)
 
     async def lose_links(self) -> None:
@@ -574,6 +592,31 @@
 
         run_paths(harness, check)
 
+    def test_targets_that_read_slowly_hold_up_no_other_request(self) -> None:
+        """Guards against bodies that use up what an instance may send."""
+        target = UnreadTarget(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        target.may_end.clear()
+        harness = PathHarness(target, OtherInstance(HOSTS[1]))
+
+        async def send_large() -> None:
+            # More than the kernel takes for a target that does not read.
+            async with harness.open(body=bytes(32 << 20)):
+                pass
+
+        async def check() -> None:
+            await harness.lose_links()
+            async with anyio.create_task_group() as tasks:
+                for _ in range(SLOW_CALLERS):
+                    tasks.start_soon(send_large)
+                # By then most likely no more is taken of the bodies.
+                await anyio.sleep(1.0)
+                async with harness.open() as opened:
+                    assert opened.is_ok(), opened
+                tasks.cancel_scope.cancel()
+            target.may_end.set()
+
+        run_paths(harness, check)
+
     @mock.patch.object(pathserver, "END_TIMEOUT_S", 0.01)
     def test_slow_caller_gets_what_its_target_has_sent(self) -> None:
         """Guards against an end by the peer that overtakes the answer."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -311,7 +311,7 @@
     Mutant(
         "slow-callers-share-a-window",
         "LOST",
-        "src/peridotbend/adapters/pathclient.py",
+        "src/peridotbend/adapters/pathserver.py",
         "MAX_CONNECTIONS * STREAM_WINDOW_BYTES",
         "STREAM_WINDOW_BYTES",
         ("test_edge_paths.RelayedConnectionTest",),
