--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -22,7 +22,11 @@
     PeerLostError,
     is_connection_refused,
 )
-from peridotbend.adapters.pathserver import MAX_MESSAGE_BYTES, split_data
+from peridotbend.adapters.pathserver import (
+    MAX_MESSAGE_BYTES,
+    make_path_configuration,
+    split_data,
+)
 from peridotbend.adapters.peers import (
     PEER_ERRORS,
     ChannelPool,
@@ -173,7 +177,7 @@
         self._targets = targets
         self._peers = peers
         self._choice = choice
-        self._channels = ChannelPool()
+        self._channels = ChannelPool(make_path_configuration())
         self._log = log
         # Connections held by each peer.
         self._active: collections.Counter[str] = collections.Counter()
--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -95,7 +95,7 @@
                     _make_no_stream_error(answer), answer.head, True
                 )
         return await self._deliver_unstreamed(
-            request, target, answer, responder
+            request, target, answer, tracked_send, responder
         )
 
     async def _deliver_unstreamed(
@@ -103,21 +103,24 @@
         request: ActiveRequest,
         target: EdgeTarget,
         answer: EdgeAnswer,
+        tracked_send: TrackedSend,
         responder: Responder,
     ) -> FailedAnswer | MayHaveRun | None:
         body = bytearray()
         async for chunk in answer.chunks():
+            await tracked_send.end_if_left()
             if isinstance(chunk, Err):
-                # Another answer does not continue this one.
-                request.is_final = request.head_sent
                 return FailedAnswer(chunk.err_value, answer.head)
             body += chunk.ok_value
+            tracked_send.note_body(len(chunk.ok_value), self._clock.now_ms())
             if len(body) > MAX_HELD_BYTES or request.head_sent:
+                # Another answer does not continue this one.
+                request.is_final = True
                 await self._start_once(request, answer.head, responder)
                 await responder.send(bytes(body))
                 body.clear()
+        await tracked_send.end_if_left()
         if not await self._outlives(target, answer.head):
-            request.is_final = request.head_sent
             return FailedAnswer(_DEAD_END, answer.head)
         status = answer.head.status
         failed = status >= ERROR_STATUS
@@ -128,6 +131,7 @@
             request.held_error = (answer.head, bytes(body))
             request.failed_targets.add(target.name)
             return MayHaveRun(Reason.TARGET_FAILED)
+        request.is_final = True
         await self._start_once(request, answer.head, responder)
         if body:
             await responder.send(bytes(body))
@@ -154,6 +158,7 @@
         head = _drop_length(answer.head)
         request.events.start_run(answer.event_header)
         async for chunk in answer.chunks():
+            await tracked_send.end_if_left()
             if isinstance(chunk, Err):
                 return FailedAnswer(chunk.err_value, answer.head, has_survived)
             events = request.events.feed(chunk.ok_value)
@@ -169,11 +174,11 @@
                 tracked_send.is_blocked = True
                 await self._start_once(request, head, responder)
                 await responder.send(events)
-                tracked_send.is_blocked = False
-                self._dependencies.health.note_activity(target.name)
+                tracked_send.note_unblocked(self._clock.now_ms())
             if request.events.problem:
                 error = _make_foreign_error(request.events.problem)
                 return FailedAnswer(error, answer.head, has_survived)
+        await tracked_send.end_if_left()
         # A stream without a length also ends when its target crashes, so that
         # the end alone does not tell that no event is left to resume.
         is_cut = not answer.head.is_delimited and (
@@ -188,6 +193,8 @@
                 return FailedAnswer(early_end, answer.head)
         if not await self._outlives(target, answer.head):
             return FailedAnswer(_DEAD_END, answer.head, has_survived)
+        # Only the caller is waited for from here on.
+        tracked_send.is_blocked = True
         await self._start_once(request, head, responder)
         await responder.finish()
         self._note_answer(target, answer.head, failed=False)
