Close the connections that wait longest when places run out

Cause: an instance holds 2,048 connections of callers and 256 more. Callers that opened them and finished no request kept all others out: each further connection was closed unanswered, until a time limit ended the idle ones, and for ever where bodies were dripped. The grant of descriptors in the settings (limits.max_fds) was not read.

Change: at its bound a listener closes the connection that has waited longest for its caller: idle ones and parts of heads first, then parts of bodies (408, nothing has run). One that has waited under 100 ms, that is served, or whose answer is still being sent stays. The bound follows max_fds. Two gauges show the connections held and those closed.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -10,6 +10,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from peridotbend.adapters.waitingconnections import WaitingConnections
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 
 # Connections above max_connections that are accepted only to be refused with
@@ -48,10 +49,14 @@
     def cap_to_open_files(self) -> "ConnectionLimits":
         """Returns the limits, capped by the file descriptor limit."""
         files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return self if files == resource.RLIM_INFINITY else self.cap_to(files)
+
+    def cap_to(self, files: int) -> "ConnectionLimits":
+        """Returns the limits, capped for a number of file descriptors."""
         available = max(1, files - MAX_REFUSED_CONNECTIONS - RESERVED_FILES)
-        if files == resource.RLIM_INFINITY or available >= self.max_connections:
-            return self
-        return dataclasses.replace(self, max_connections=available)
+        return dataclasses.replace(
+            self, max_connections=min(available, self.max_connections)
+        )
 
 
 class BoundedConnection(HttpToolsProtocol):
@@ -65,6 +70,7 @@
     def __init__(
         self,
         limits: ConnectionLimits,
+        waiting: WaitingConnections,
         config: Config,
         server_state: ServerState,
         app_state: dict[str, Any],
@@ -72,6 +78,7 @@
     ):
         super().__init__(config, server_state, app_state, _loop)
         self._limits = limits
+        self._waiting = waiting
         self._last_read = b""
         self._messages_started = 0
         self._reading_headers = False
@@ -87,9 +94,14 @@
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
-        """Accepts a connection, or aborts it if far above the limit."""
+        """Accepts a connection, and closes those that waited longest above it.
+
+        It is aborted if it is far above the limit and no other can be closed.
+        """
         super().connection_made(transport)
         excess = len(self.connections) - self._limits.max_connections
+        while excess > 0 and self._waiting.close_oldest():
+            excess -= 1
         if excess > MAX_REFUSED_CONNECTIONS:
             transport.abort()
             return
@@ -97,11 +109,13 @@
             # The application sends the refusal, because only it sees which
             # ID a call carries.
             self.app_state = {**self.app_state, "over_limit": True}
+        self._waiting.wait_for_head(self)
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops the timers and discards further input."""
         super().connection_lost(exc)
+        self._waiting.remove(self)
         self._stop_header_timer()
         self._stop_stall_timer()
         self._refused = True
@@ -135,6 +149,8 @@
         self._messages_started += 1
         self._reading_headers = True
         self._header_bytes = 0
+        if not self._is_serving_request():
+            self._waiting.wait_for_head(self)
         self._start_header_timer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -150,7 +166,10 @@
         self._reading_headers = False
         self._framing_bytes = 0
         self._stop_header_timer()
+        is_pipelined = self._is_serving_request()
         super().on_headers_complete()
+        if not is_pipelined:
+            self._waiting.wait_for_body(self)
 
     def on_chunk_header(self) -> None:
         """Allows for the framing of one chunk."""
@@ -161,6 +180,12 @@
         self._framing_bytes -= len(body)
         super().on_body(body)
 
+    def on_message_complete(self) -> None:
+        """Ends the body."""
+        super().on_message_complete()
+        if self._is_serving_request():
+            self._waiting.remove(self)
+
     def on_response_complete(self) -> None:
         """Continues with the next request.
 
@@ -170,6 +195,24 @@
         super().on_response_complete()
         if self.transport.is_closing():
             self._start_stall_timer()
+        elif self._is_reading_body():
+            self._waiting.wait_for_body(self)
+        elif not self._is_serving_request():
+            self._waiting.wait_for_head(self)
+
+    def give_way(self) -> bool:
+        """Closes the connection, unless an answer is still being sent."""
+        is_reading_body = self._is_reading_body()
+        if self.transport.get_write_buffer_size() or (
+            is_reading_body and self.cycle.response_started
+        ):
+            return False
+        # It takes up no place while its last bytes are sent.
+        self.connections.discard(self)
+        if self._reading_headers or is_reading_body:
+            self._refuse_slow()
+        self.transport.close()
+        return True
 
     def timeout_keep_alive_handler(self) -> None:
         """Closes an idle connection, even if the response was not read."""
@@ -214,10 +257,14 @@
         if not self._reading_headers and not self._is_serving_request():
             self.transport.close()
             return
+        self._refuse_slow()
+
+    def _refuse_slow(self) -> None:
+        part = "headers" if self._reading_headers else "body"
         self._refuse(
             408,
             MayHaveRun(Reason.BAD_INPUT),
-            "The headers did not arrive in time; send them faster."
+            f"The {part} did not arrive in time; send it faster."
             + EARLIER_CALL_NOTE,
         )
 
--- a/src/peridotbend/adapters/serving.py
+++ b/src/peridotbend/adapters/serving.py
@@ -15,6 +15,8 @@
     BoundedConnection,
     ConnectionLimits,
 )
+from peridotbend.adapters.waitingconnections import WaitingConnections
+from peridotbend.domain.clock import SystemClock
 
 # uvicorn's loop renews the Date header once a second.
 DATE_INTERVAL_S = 1.0
@@ -69,9 +71,10 @@
         limits: ConnectionLimits | None = None,
     ):
         self._limits = (limits or ConnectionLimits()).cap_to_open_files()
+        self._waiting = waiting = WaitingConnections(SystemClock())
 
         def make_connection(*args: Any, **kwargs: Any) -> BoundedConnection:
-            return BoundedConnection(self._limits, *args, **kwargs)
+            return BoundedConnection(self._limits, waiting, *args, **kwargs)
 
         self._config = uvicorn.Config(
             app,
@@ -109,6 +112,10 @@
         """Returns the number of open connections."""
         return len(self._server.server_state.connections)
 
+    def count_closed(self) -> int:
+        """Returns how many connections were closed for others so far."""
+        return self._waiting.closed
+
     def count_tasks(self) -> int:
         """Returns the number of requests that are being served."""
         return len(self._server.server_state.tasks)
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -51,6 +51,8 @@
     allowance_slack: float
     # How long the store keeps its history; 0 if unknown.
     store_history_ms: int = 0
+    # File descriptors of the process; 0 if unknown.
+    max_open_files: int = 0
 
     def find_fixed_changes(self, changed: "EdgeSettings") -> tuple[str, ...]:
         """Returns the names of changed settings that need a restart."""
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 from result import Err
 
+from peridotbend.adapters.boundedconnections import ConnectionLimits
 from peridotbend.adapters.edgemetrics import EdgeMetrics
 from peridotbend.adapters.gossip import Gossip
 from peridotbend.adapters.originlink import OriginLink
@@ -268,7 +269,9 @@
         stack.callback(channels.close)
         stack.callback(self._paths.dialer.close)
         fetcher = PublishedFetcher(channels, settings.peers[1], self._log)
-        self._server = HttpServer(self._app, listen(*settings.callers))
+        self._server = HttpServer(
+            self._app, listen(*settings.callers), _make_limits(settings)
+        )
         health = HttpServer(HealthApp(self._is_ready), listen(*settings.health))
         metrics = HttpServer(
             self._metrics, listen(settings.peers[0], self._metrics_port)
@@ -306,6 +309,16 @@
         add_gauge(
             "active_calls", "Calls being served.", lambda: self._app.active
         )
+        add_gauge(
+            "caller_connections",
+            "Open connections of callers.",
+            self._server.count_connections,
+        )
+        add_gauge(
+            "closed_connections",
+            "Connections closed as others needed their places.",
+            self._server.count_closed,
+        )
         add_gauge(
             "waiting_requests",
             "Requests that wait for a place at a target.",
@@ -615,5 +628,12 @@
         self._log.emit(Event.DRAIN_FINISHED, active=self._app.active)
 
 
+def _make_limits(settings: EdgeSettings) -> ConnectionLimits:
+    limits = ConnectionLimits()
+    if settings.max_open_files:
+        return limits.cap_to(settings.max_open_files)
+    return limits
+
+
 def _find_target_name(key: str) -> str:
     return key.removeprefix(wire.TARGET_PREFIX)
