End bodies that outlast their request, and free their memory

Cause: the edge waited for the body of a request without a limit, and a dozen callers that sent most of a large body and then nothing held the 48 MB that all bodies share, so that every other body was refused. Parts of a byte each took some 40 times their size, since they were kept as a list.

Change: a body has to arrive within the time limit of its request, the caller's or its route's; then 503, not run. If the memory is full, the body that has been arriving longest, and for a second at least, is refused (503) and its memory freed at once. Bodies are kept in one buffer.

BodyReservation becomes IncomingBody of adapters/bodyintake.py; its test checks the same bounds.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -85,6 +85,12 @@
                     request.account.name, request.tokens
                 )
 
+    def find_time_limit_ms(self, host: str, path: str) -> int | None:
+        """Returns the time limit of a route; None if there is none."""
+        config = self._dependencies.holder.config
+        route = config.find_route(host, path) if config else None
+        return route.timeout_ms if route else None
+
     def end_all(self) -> None:
         """Ends all requests with an answer, as the process has to exit."""
         self._is_ending = True
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -7,7 +7,8 @@
 import anyio
 
 from peridotbend.adapters.asgi import Send, respond
-from peridotbend.domain.answers import ByteBudget, SubBudget
+from peridotbend.adapters.bodyintake import BodyIntake, IncomingBody
+from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import (
     STATUS_BY_REASON,
@@ -43,6 +44,8 @@
 # Limit on the total size of all request bodies. The smallest machines have only
 # 150 MB of memory.
 MAX_BODIES_BYTES = 48 * 1_048_576
+# For bodies of requests that no route gives a time.
+DEFAULT_BODY_TIMEOUT_MS = 10_000
 # Used for refusals that specify no Retry-After of their own.
 DEFAULT_RETRY_AFTER_MS = 1_000
 
@@ -57,7 +60,7 @@
     def __init__(self, relay: Relay, find_body_limit: Callable[[], int]):
         self._relay = relay
         self._find_body_limit = find_body_limit
-        self._bodies = ByteBudget(MAX_BODIES_BYTES)
+        self._intake = BodyIntake(MAX_BODIES_BYTES, SystemClock())
         # Set when shutdown begins; answers then close their connections.
         self.is_closing = False
         # Set when what comes now could not be completed any more.
@@ -78,9 +81,9 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         responder = AsgiResponder(send, self)
-        reservation = BodyReservation(self._bodies, self._find_body_limit())
+        incoming = IncomingBody(self._intake, self._find_body_limit())
         try:
-            body = await _read_body(receive, reservation)
+            body = await self._read_body(scope, receive, incoming)
             if isinstance(body, NotRun):
                 await responder.refuse(body)
             elif self.is_refusing:
@@ -90,7 +93,31 @@
         except CallerGoneError:
             return
         finally:
-            reservation.release()
+            incoming.release()
+
+    async def _read_body(
+        self, scope: Scope, receive: Receive, incoming: IncomingBody
+    ) -> bytes | NotRun:
+        """Returns the body, or a refusal if it takes too long or much."""
+        with anyio.move_on_after(self._find_body_time_s(scope)):
+            return await incoming.collect(lambda: _read_part(receive))
+        return NotRun(Reason.DEADLINE)
+
+    def _find_body_time_s(self, scope: Scope) -> float:
+        """Returns the time limit of a request, which its body has to keep."""
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        host = headers.get("host", "").partition(":")[0]
+        path = scope["raw_path"].decode("latin-1")
+        limit_ms = self._relay.find_time_limit_ms(host, path)
+        if limit_ms is None:
+            limit_ms = DEFAULT_BODY_TIMEOUT_MS
+        stated_ms = _parse_number(headers.get(wire.DEADLINE_MS, ""))
+        if stated_ms is not None:
+            limit_ms = min(limit_ms, stated_ms)
+        return limit_ms / 1_000
 
     async def _answer(
         self,
@@ -242,40 +269,12 @@
     )
 
 
-class BodyReservation:
-    """Memory reserved for the body of one request."""
-
-    def __init__(self, budget: ByteBudget, limit_bytes: int):
-        self._part = SubBudget(budget, limit_bytes)
-
-    def take(self, size: int) -> NotRun | None:
-        """Reserves memory for a part of the body; returns a refusal if full."""
-        if self._part.used_bytes + size > self._part.limit_bytes:
-            return NotRun(Reason.TOO_LARGE)
-        if not self._part.reserve(size):
-            return NotRun(Reason.AT_CAPACITY)
-        return None
-
-    def release(self) -> None:
-        """Releases the reserved memory."""
-        self._part.release(self._part.used_bytes)
-
-
-async def _read_body(
-    receive: Receive, reservation: BodyReservation
-) -> bytes | NotRun:
-    """Returns the body, or a refusal if it exceeds a memory limit."""
-    parts = []
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerGoneError
-        parts.append(message.get("body", b""))
-        refusal = reservation.take(len(parts[-1]))
-        if refusal is not None:
-            return refusal
-        if not message.get("more_body"):
-            return b"".join(parts)
+async def _read_part(receive: Receive) -> tuple[bytes, bool]:
+    """Returns the next part of a body, and whether there are more."""
+    message = await receive()
+    if message["type"] == "http.disconnect":
+        raise CallerGoneError
+    return message.get("body", b""), bool(message.get("more_body"))
 
 
 def _parse_prompt_parts(prefix: str) -> tuple[str, ...]:
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -5,10 +5,16 @@
 import unittest
 from typing import Any
 
+import anyio
 import yaml
 from result import Err
 
-from peridotbend.domain.answers import ByteBudget
+from peridotbend.adapters.bodyintake import (
+    MIN_ARRIVAL_MS,
+    BodyIntake,
+    IncomingBody,
+)
+from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 from peridotbend.edge.config import RouteKind
 from peridotbend.platform import wire
@@ -21,7 +27,6 @@
     read_target_order,
 )
 from peridotbend.platform.ingress import (
-    BodyReservation,
     decode_call,
     map_verdict_to_status,
 )
@@ -370,15 +375,51 @@
 
     def test_limits_of_one_body_and_of_all_bodies(self) -> None:
         """Guards against callers that exhaust the memory together."""
-        budget = ByteBudget(100)
-        first, second = BodyReservation(budget, 80), BodyReservation(budget, 80)
+        intake = BodyIntake(100, ManualClock())
+        first, second = IncomingBody(intake, 80), IncomingBody(intake, 80)
         assert first.take(60) is None
         assert first.take(30) == NotRun(Reason.TOO_LARGE)
         assert second.take(60) == NotRun(Reason.AT_CAPACITY)
         first.release()
         assert second.take(60) is None
         second.release()
-        assert budget.used_bytes == 0
+        assert intake.budget.used_bytes == 0
+
+    def test_bodies_that_stop_arriving(self) -> None:
+        """Guards against callers that hold the memory for all bodies.
+
+        Thirteen of them, with a part of a large body each, had every other
+        request refused until they left.
+        """
+        clock = ManualClock()
+        intake = BodyIntake(100, clock)
+
+        async def play() -> None:
+            stopped, other = IncomingBody(intake, 90), IncomingBody(intake, 80)
+            refusals: list[bytes | NotRun] = []
+            begun = anyio.Event()
+
+            async def read_part() -> tuple[bytes, bool]:
+                if begun.is_set():
+                    await anyio.sleep_forever()
+                begun.set()
+                return b"x" * 90, True
+
+            async def collect() -> None:
+                refusals.append(await stopped.collect(read_part))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(collect)
+                await begun.wait()
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(MIN_ARRIVAL_MS - 1)
+                assert other.take(60) == NotRun(Reason.AT_CAPACITY)
+                clock.advance(1)
+                assert other.take(60) is None
+            assert refusals == [NotRun(Reason.AT_CAPACITY)]
+
+        anyio.run(play)
+        assert intake.budget.used_bytes == 60
 
 
 class StatusTest(unittest.TestCase):
