Let the soak change clocks, settings, configuration and the store

Change: faults oneway, delay, clock, settings, config and restore. A loopback proxy stands between callers, instances and the store; an instance starts with another time of day in its own process; the store goes back to a copy and its runners write their entries again. New checks: LOST (a planned stop cuts what was read), LATE (eight or more, and over a quarter, of the answers that are due or of the refusals), CONFIG (a process goes back to an older version, seen by keys that one version has), BOUNDS (memory and descriptors of the settings). They skip what was disturbed within contact_ms, as the users' pages say.

Runs with FAULTS draw the same choices as before; those without play more faults.

--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -86,7 +86,7 @@
             f"RUN {start.name} {start.software} {attempt} {request.target}"
             f" after {request.get(wire.LAST_EVENT_ID) or 0}"
         )
-        run = _Run(connection, request, choices, self._record)
+        run = _Run(connection, request, choices, self._record, self._ledger)
         is_kept = await run.answer()
         if is_kept and choices.draw_fault("length-close"):
             self._record.note_fault(f"length-close after run {attempt}")
@@ -103,7 +103,9 @@
         request: Request,
         choices: Choices,
         record: Record,
+        ledger: RunLedger,
     ):
+        self._ledger = ledger
         self._connection = connection
         self._request = request
         self._choices = choices
@@ -134,6 +136,10 @@
         name = self._connection.process.start.name
         self._record.note_fault(f"{text} at {name} in run {self._attempt}")
 
+    def _note_break(self, text: str) -> None:
+        self._ledger.note_break(self._attempt)
+        self._note(text)
+
     def _list_headers(self, status: int) -> Sequence[tuple[str, str]]:
         name = self._connection.process.start.name
         stamp = Stamp(name, self._attempt, status).encode()
@@ -170,11 +176,11 @@
                 await self._stop_inside(data)
                 return False
             if number == plan.reset:
-                self._note(f"reset before event {number}")
+                self._note_break(f"reset before event {number}")
                 self._connection.reset()
                 return False
             if number == plan.garble:
-                self._note(f"foreign bytes before event {number}")
+                self._note_break(f"foreign bytes before event {number}")
                 await self._put(rng.choice(tuple(_list_foreign(number))))
             await self._put(data)
             # Drawn in any case, so that other choices stay the same.
@@ -223,7 +229,7 @@
         """Breaks off inside an event or a body."""
         size = self._choices.rng.randint(1, len(data) - 1)
         is_reset = self._choices.rng.random() < 0.5
-        self._note(f"break inside, {'reset' if is_reset else 'closed'},")
+        self._note_break(f"break inside, {'reset' if is_reset else 'closed'},")
         await self._put(data[:size])
         if is_reset:
             self._connection.reset()
@@ -243,14 +249,14 @@
             await self._connection.send(make_answer(500, b"failed", headers))
             return True
         if is_reset:
-            self._note("reset without an answer")
+            self._note_break("reset without an answer")
             self._connection.reset()
             return False
         if has_length and not self._is_unframed:
             headers = self._list_headers(200)
             data = make_answer(200, body, headers)
             if is_broken:
-                self._note("break inside a body with a length")
+                self._note_break("break inside a body with a length")
                 data = data[:-1]
             await self._connection.send(data)
             return not is_broken
@@ -260,7 +266,7 @@
             await self._put(body[begin : begin + BODY_PART_BYTES])
             if is_broken:
                 # Without a length, only a reset tells that this isn't all.
-                self._note("break inside a body")
+                self._note_break("break inside a body")
                 self._connection.reset()
                 return False
             await asyncio.sleep(rng.uniform(0, MAX_CALL_S / parts))
--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -23,6 +23,12 @@
     check_unasked,
 )
 from peridotbend_emulator.soak.faults import Choices
+from peridotbend_emulator.soak.fleetchecks import (
+    Attempt,
+    LateCheck,
+    TouchLog,
+    check_stop,
+)
 from peridotbend_emulator.soak.instances import Instance
 from peridotbend_emulator.soak.messages import Answer, is_framed, make_head
 from peridotbend_emulator.soak.platform.documents import (
@@ -102,6 +108,8 @@
     record: Record
     clock: Clock
     seed: int
+    touch: TouchLog
+    late: LateCheck
 
 
 class Caller:
@@ -183,6 +191,7 @@
         )
         may_reuse = not number and not job.is_slow and not job.is_http10
         channel = await self._open(instance, may_reuse)
+        sent_at_ms = context.clock.now_ms()
         if isinstance(channel, Answer):
             answer = channel
         else:
@@ -209,8 +218,30 @@
             f" events {had}+{len(self._check.held) - had}"
         )
         self._check_answer(attempt, answer)
+        if not is_leaving and not job.is_slow and answer.outcome != "refused":
+            self._check_times(
+                Attempt(
+                    job.path,
+                    attempt,
+                    instance.index,
+                    sent_at_ms,
+                    context.clock.now_ms(),
+                    round(left_s * 1_000),
+                    answer,
+                    context.ledger.has_run(attempt),
+                    context.ledger.is_broken(attempt),
+                )
+            )
         return answer
 
+    def _check_times(self, attempt: Attempt) -> None:
+        context, answer = self._context, attempt.answer
+        for finding in check_stop(attempt, context.touch):
+            context.record.add_finding(finding)
+        if context.touch.is_in_touch(attempt.instance, attempt.sent_at_ms):
+            is_own = not answer.get(wire.SERVER_STAMP)
+            context.late.note(attempt, is_own and answer.status in PROMISES)
+
     async def _open(
         self, instance: Instance, may_reuse: bool
     ) -> Channel | Answer:
--- a/src/peridotbend_emulator/soak/checks.py
+++ b/src/peridotbend_emulator/soak/checks.py
@@ -186,11 +186,25 @@
         self._single: set[str] = set()
         self._runs: collections.Counter[str] = collections.Counter()
         self._refused: dict[str, int] = {}
+        # Attempts whose runner broke off.
+        self._broken: set[str] = set()
 
     def note_single(self, attempt: str) -> None:
         """Notes that an attempt may run once at most."""
         self._single.add(attempt)
 
+    def note_break(self, attempt: str) -> None:
+        """Notes that a runner breaks off its answer."""
+        self._broken.add(attempt)
+
+    def has_run(self, attempt: str) -> bool:
+        """Tells whether a run of an attempt began."""
+        return self._runs[attempt] > 0
+
+    def is_broken(self, attempt: str) -> bool:
+        """Tells whether a runner broke off its answer to an attempt."""
+        return attempt in self._broken
+
     def note_run(self, path: str, attempt: str) -> Iterator[Finding]:
         """Checks a run that begins at a runner."""
         self._runs[attempt] += 1
--- a/src/peridotbend_emulator/soak/disturbances.py
+++ b/src/peridotbend_emulator/soak/disturbances.py
@@ -10,13 +10,17 @@
 
 from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.fleet import VERSIONS, SoakFleet
+from peridotbend_emulator.soak.fleetchecks import TouchLog
 from peridotbend_emulator.soak.instances import Instance, NotReadyError
-from peridotbend_emulator.soak.links import CUT_STATES, LinkState
+from peridotbend_emulator.soak.links import CUT_STATES, Link, LinkState
 from peridotbend_emulator.soak.platform.documents import (
     DRAIN_S,
     GRACE_S,
+    HEARTBEAT_S,
+    SETTINGS_CHANGES,
     STREAM_SERVICE,
 )
+from peridotbend_emulator.soak.proxies import Direction, Gate
 from peridotbend_emulator.soak.record import Record
 from peridotbend_emulator.soak.runners import Runner, Start
 
@@ -25,6 +29,11 @@
 LONG_DOWN_S = (0.2, 2.5)
 AWAY_S = (0.3, 3.0)
 SILENT_S = (0.5, 4.0)
+DELAY_S = (0.01, 0.3)
+# The time of day of a machine may be off by seconds.
+CLOCK_MS = 10_000
+# The platform removes an entry that is not written again for so long.
+LEASE_HEARTBEATS = 3
 # Added to the time for which a leaving runner serves on.
 DRAIN_MARGIN_S = (0.2, 1.0)
 # Where "fin" is played, this share of all deaths closes connections in order.
@@ -67,6 +76,7 @@
         make_choices: Callable[[int], Choices],
         record: Record,
         occupation: Occupation,
+        touch: TouchLog,
     ):
         """Creates a series.
 
@@ -76,7 +86,9 @@
                 one that is passed over doesn't change those after it.
             record: of the run.
             occupation: shared with the other series.
+            touch: notes what is disturbed.
         """
+        self._touch = touch
         self._fleet = fleet
         self._make_choices = make_choices
         self._choices = make_choices(0)
@@ -104,6 +116,16 @@
             "pause": self._pause,
             "hup": self._reload,
             "cut": self._cut,
+            "oneway": self._hold_one_way,
+            "delay": self._delay,
+            "clock": self._change_clock,
+            "settings": self._change_settings,
+        }
+        self._fleet_faults: Mapping[str, Callable[[], Awaitable[None]]] = {
+            "store": self._stop_store,
+            "herd": self._kill_all,
+            "config": self._write_config,
+            "restore": self._restore_store,
         }
 
     async def run(self) -> None:
@@ -118,10 +140,8 @@
                 await self._disturb_runner(name)
             elif name in self._instance_faults:
                 await self._disturb_instance(name)
-            elif name == "store":
-                await self._stop_store()
             else:
-                await self._kill_all()
+                await self._fleet_faults[name]()
 
     @property
     def _rng(self) -> random.Random:
@@ -130,13 +150,16 @@
     async def _disturb_runner(self, name: str) -> None:
         runner = self._choose(self._list_runners(name))
         if runner is not None:
-            with self._occupation.hold(runner):
+            with self._occupation.hold(runner), self._touch.hold(name, -1):
                 await self._runner_faults[name](runner)
 
     async def _disturb_instance(self, name: str) -> None:
         instance = self._choose(self._fleet.instances)
         if instance is not None:
-            with self._occupation.hold(instance):
+            with (
+                self._occupation.hold(instance),
+                self._touch.hold(name, instance.index),
+            ):
                 await self._instance_faults[name](instance)
 
     def _list_runners(self, fault: str) -> list[Runner]:
@@ -324,28 +347,109 @@
         link = self._fleet.links[instance.index]
         if link.is_fixed:
             return
-        link.state = self._rng.choice(CUT_STATES)
-        self._note(f"cut {instance.index}: {link.state.value}")
+        state = self._rng.choice(CUT_STATES)
+        self._note(f"cut {instance.index}: {state.value}")
+        await self._set_link(link, state)
+        self._note(f"cut {instance.index}: over")
+
+    async def _set_link(self, link: Link, state: LinkState) -> None:
+        """Keeps a link in a state for some seconds."""
+        if link.is_fixed:
+            return
+        link.state = state
         await self._fleet.apply_link(link)
         await self._sleep(SILENT_S)
         link.state = LinkState.OPEN
         await self._fleet.apply_link(link)
-        self._note(f"cut {instance.index}: over")
+
+    async def _hold_one_way(self, instance: Instance) -> None:
+        """Holds the bytes of one direction of one side of an instance."""
+        side = self._rng.choice(("callers", "store", "runners"))
+        direction = self._rng.choice(tuple(Direction))
+        self._note(f"oneway {instance.index}: {side}, {direction.value}")
+        if side == "runners":
+            is_out = direction is Direction.OUT
+            state = LinkState.DEAF if is_out else LinkState.SILENT
+            await self._set_link(self._fleet.links[instance.index], state)
+        else:
+            gate = self._find_gate(instance, side, direction)
+            gate.is_held = True
+            await self._sleep(SILENT_S)
+            gate.is_held = False
+        self._note(f"oneway {instance.index}: over")
+
+    async def _delay(self, instance: Instance) -> None:
+        side = self._rng.choice(("callers", "store"))
+        delay_s = self._rng.uniform(*DELAY_S)
+        self._note(f"delay {instance.index}: {side}, {delay_s:.3f} s")
+        gates = [self._find_gate(instance, side, d) for d in Direction]
+        for gate in gates:
+            gate.delay_s = delay_s
+        await self._sleep(SILENT_S)
+        for gate in gates:
+            gate.delay_s = 0.0
+        self._note(f"delay {instance.index}: over")
+
+    def _find_gate(
+        self, instance: Instance, side: str, direction: Direction
+    ) -> Gate:
+        callers, store = self._fleet.proxies[instance.index]
+        return (callers if side == "callers" else store).gates[direction]
+
+    async def _change_clock(self, instance: Instance) -> None:
+        instance.clock_offset_ms = self._rng.randint(-CLOCK_MS, CLOCK_MS)
+        self._note(f"clock {instance.index}: {instance.clock_offset_ms} ms")
+        if self._rng.random() < 0.5:
+            instance.send_signal(signal.SIGTERM)
+            await instance.wait_exit(GRACE_S)
+        await self._respawn(instance)
+
+    async def _change_settings(self, instance: Instance) -> None:
+        """Changes settings, and takes the change back."""
+        name = self._rng.choice(tuple(SETTINGS_CHANGES))
+        for changes in (SETTINGS_CHANGES[name], {}):
+            has_signal = self._rng.random() < 0.5
+            what = name if changes else "as before"
+            self._note(
+                f"settings {instance.index}: {what}, signal: {has_signal}"
+            )
+            instance.write_settings(**changes)
+            if has_signal:
+                instance.send_signal(signal.SIGHUP)
+            await self._sleep(SILENT_S)
+
+    async def _write_config(self) -> None:
+        self._fleet.write_config()
+        self._note(f"config: version {self._fleet.config_version}")
+
+    async def _restore_store(self) -> None:
+        """Loses what is written to the store in some seconds."""
+        copy = self._fleet.store.copy()
+        self._note(f"restore: copy of revision {copy.revision}")
+        await self._sleep(AWAY_S)
+        with self._touch.hold("restore"):
+            self._note("restore: the store goes back to the copy")
+            self._fleet.store.restore(copy)
+            await asyncio.sleep(HEARTBEAT_S)
+            self._fleet.write_entries_again()
+            await asyncio.sleep(LEASE_HEARTBEATS * HEARTBEAT_S)
+            self._fleet.expire_entries()
 
     async def _stop_store(self) -> None:
         if self._fleet.is_store_away:
             return
-        self._note("store away")
-        self._fleet.stop_store()
-        await self._sleep(AWAY_S)
-        await self._fleet.start_store()
-        self._note("store back")
+        with self._touch.hold("store"):
+            self._note("store away")
+            self._fleet.stop_store()
+            await self._sleep(AWAY_S)
+            await self._fleet.start_store()
+            self._note("store back")
 
     async def _kill_all(self) -> None:
         instances = self._fleet.instances
         if not all(map(self._occupation.is_free, instances)):
             return
-        with self._occupation.hold(*instances):
+        with self._occupation.hold(*instances), self._touch.hold("herd"):
             self._note("herd: all instances are killed")
             for instance in instances:
                 instance.kill()
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -63,6 +63,12 @@
     FaultKind("hup", Place.SERIES, 0, "an instance reads its settings again"),
     FaultKind("cut", Place.SERIES, 0, "an instance is cut off from runners"),
     FaultKind("herd", Place.SERIES, 0, "all instances are killed at once"),
+    FaultKind("oneway", Place.SERIES, 0, "bytes are held in one direction"),
+    FaultKind("delay", Place.SERIES, 0, "bytes are delayed"),
+    FaultKind("clock", Place.SERIES, 0, "an instance has another time of day"),
+    FaultKind("settings", Place.SERIES, 0, "other settings, also broken ones"),
+    FaultKind("config", Place.SERIES, 0, "a new configuration is written"),
+    FaultKind("restore", Place.SERIES, 0, "the store goes back to a copy"),
     FaultKind("eight", Place.FLEET, 0, "eight instances, not three", False),
     FaultKind("peer", Place.FLEET, 0, "instance 0 reaches no runner", False),
     FaultKind(
@@ -86,6 +92,10 @@
         """Tells whether a fault is played."""
         return name in self.shares
 
+    def has_any(self, *names: str) -> bool:
+        """Tells whether one of some faults is played."""
+        return any(name in self.shares for name in names)
+
     def list_series(self) -> tuple[str, ...]:
         """Returns the faults that come in series, in a fixed order."""
         return tuple(
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import itertools
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 from peridotbend.domain.clock import Clock
 from peridotbend.platform import wire
@@ -11,12 +13,14 @@
 from peridotbend_emulator.soak.links import Link, LinkState
 from peridotbend_emulator.soak.platform.documents import (
     CALL_SERVICE,
+    FIRST_VERSION,
     STREAM_SERVICE,
     Entry,
     InstancePorts,
     make_config,
 )
 from peridotbend_emulator.soak.platform.store import StoreStandIn
+from peridotbend_emulator.soak.proxies import LoopbackProxy
 from peridotbend_emulator.soak.runners import (
     Behaviour,
     Runner,
@@ -52,6 +56,12 @@
         self._settings = settings
         self._behaviour = behaviour
         self._is_store_away = False
+        # The newest configuration that was written.
+        self.config_version = FIRST_VERSION
+        # What each runner wrote last.
+        self._entries: dict[Runner, Entry] = {}
+        # In front of the instances and of the store, one for each instance.
+        self.proxies: list[tuple[LoopbackProxy, LoopbackProxy]] = []
 
     @property
     def is_store_away(self) -> bool:
@@ -75,12 +85,12 @@
             NotReadyError: an instance did not become ready.
         """
         await self.store.start()
-        self.store.put(wire.CONFIG_KEY, lambda index: make_config())
+        self._put_config()
         if self._settings.faults.has("peer"):
             self.links[0].state = LinkState.REFUSED
             self.links[0].is_fixed = True
         await self._start_runners()
-        self._create_instances()
+        await self._create_instances()
         for instance in self.instances:
             instance.spawn()
         for instance in self.instances:
@@ -94,9 +104,38 @@
         for runner in self.runners:
             runner.die(in_order=False)
         self.store.stop()
+        for proxy in itertools.chain.from_iterable(self.proxies):
+            proxy.stop()
+
+    def write_config(self) -> None:
+        """Writes the next version of the configuration."""
+        self.config_version += 1
+        self._put_config()
+
+    def _put_config(self) -> None:
+        document = make_config(self.config_version)
+        self.store.put(wire.CONFIG_KEY, lambda index: document)
+
+    def write_entries_again(self) -> None:
+        """Writes the entries of runners that run, as each heartbeat does."""
+        for runner, entry in tuple(self._entries.items()):
+            is_current = entry.started_at_ms >= runner.start.started_at_ms
+            if runner.is_running and is_current:
+                sequence = runner.make_entry().sequence
+                self.list_entry(
+                    runner, dataclasses.replace(entry, sequence=sequence)
+                )
+
+    def expire_entries(self) -> None:
+        """Removes the entries that nobody writes any more."""
+        names = {runner.start.name for runner in self._entries}
+        for key in self.store.list_keys(wire.TARGET_PREFIX):
+            if key.removeprefix(wire.TARGET_PREFIX) not in names:
+                self.store.delete(key)
 
     def list_entry(self, runner: Runner, entry: Entry) -> None:
         """Writes an entry of a runner to the store."""
+        self._entries[runner] = entry
         self.store.put(
             wire.TARGET_PREFIX + runner.start.name,
             lambda index: entry.describe(runner.find_address(index)),
@@ -104,6 +143,7 @@
 
     def remove_entry(self, runner: Runner) -> None:
         """Removes the entry of a runner from the store."""
+        self._entries.pop(runner, None)
         self.store.delete(wire.TARGET_PREFIX + runner.start.name)
 
     async def apply_link(self, link: Link) -> None:
@@ -130,13 +170,15 @@
             await runner.launch(start)
             self.list_entry(runner, runner.make_entry())
 
-    def _create_instances(self) -> None:
+    async def _create_instances(self) -> None:
         net, other = self._settings.net, self._settings.other_build
         hosts = [
             f"{net}.{FIRST_INSTANCE_HOST + index}"
             for index in range(len(self.links))
         ]
         ports = _choose_ports(hosts[0])
+        if self._settings.faults.has_any("oneway", "delay"):
+            await self._start_proxies(hosts, ports)
         has_builds = self._settings.faults.has("builds")
         for index, host in enumerate(hosts):
             instance = InstanceSettings(
@@ -144,12 +186,35 @@
                 host=host,
                 ports=ports,
                 seed_hosts=tuple(hosts[:SEED_INSTANCES]),
-                store_address=self.store.find_address(index),
+                store_address=self._find_store_address(index),
                 folder=self._settings.folder,
                 source=other if has_builds and index % 2 else None,
+                callers_address=(
+                    self.proxies[index][0].address if self.proxies else None
+                ),
             )
             self.instances.append(Instance(instance))
 
+    async def _start_proxies(
+        self, hosts: Sequence[str], ports: InstancePorts
+    ) -> None:
+        own_host = f"{self._settings.net}.{STORE_HOST}"
+        for index, host in enumerate(hosts):
+            store_host, _, port = self.store.find_address(index).partition(":")
+            pair = (
+                LoopbackProxy(own_host, (host, ports.callers)),
+                LoopbackProxy(own_host, (store_host, int(port))),
+            )
+            self.proxies.append(pair)
+            for proxy in pair:
+                await proxy.start()
+
+    def _find_store_address(self, index: int) -> str:
+        if not self.proxies:
+            return self.store.find_address(index)
+        host, port = self.proxies[index][1].address
+        return f"{host}:{port}"
+
 
 def _choose_ports(host: str) -> InstancePorts:
     """Returns free ports; the second internal one follows the first."""
--- a/src/peridotbend_emulator/soak/instances.py
+++ b/src/peridotbend_emulator/soak/instances.py
@@ -18,6 +18,7 @@
 
 MODULE = "peridotbend.edgedaemon"
 WRAPPER = "peridotbend_emulator.runchild"
+CLOCK_WRAPPER = "peridotbend_emulator.soak.clockchild"
 READY_TIMEOUT_S = 40.0
 READY_INTERVAL_S = 0.05
 CALL_TIMEOUT_S = 1.0
@@ -40,6 +41,8 @@
     folder: pathlib.Path
     # Folder of the packages of another build.
     source: pathlib.Path | None = None
+    # Of a proxy between the callers and the instance.
+    callers_address: tuple[str, int] | None = None
 
 
 class Instance:
@@ -47,15 +50,19 @@
 
     def __init__(self, settings: InstanceSettings):
         self.index = settings.index
-        self.address = settings.host, settings.ports.callers
+        self.host = settings.host
+        own_address = settings.host, settings.ports.callers
+        self.address = settings.callers_address or own_address
+        # Added to the time of day of the next process.
+        self.clock_offset_ms = 0
         # How often it was killed, which cuts its answers unannounced.
         self.kills = 0
         self._settings = settings
         self._process: subprocess.Popen[bytes] | None = None
         self._log_path = settings.folder / f"instance-{settings.index}.log"
 
-    def write_settings(self) -> pathlib.Path:
-        """Writes the settings file, in one step."""
+    def write_settings(self, **changes: object) -> pathlib.Path:
+        """Writes the settings file, with changes, in one step."""
         own = self._settings
         document = make_settings(
             f"edge-{own.index}",
@@ -66,7 +73,8 @@
         )
         path = own.folder / f"settings-{own.index}.yaml"
         part = path.with_suffix(".part")
-        part.write_text(yaml.safe_dump(document), encoding="utf-8")
+        text = yaml.safe_dump({**document, **changes})
+        part.write_text(text, encoding="utf-8")
         part.replace(path)
         return path
 
@@ -78,6 +86,7 @@
             "-m",
             WRAPPER,
             str(os.getpid()),
+            *self._list_clock_words(),
             MODULE,
             "--settings",
             str(path),
@@ -114,6 +123,11 @@
             f" {READY_TIMEOUT_S:.0f} s; see {self._log_path}"
         )
 
+    @property
+    def pid(self) -> int:
+        """The ID of the process; 0 if none was started."""
+        return self._process.pid if self._process is not None else 0
+
     @property
     def is_running(self) -> bool:
         """Whether the process runs."""
@@ -141,6 +155,11 @@
             self._process.kill()
             self._process.wait()
 
+    def _list_clock_words(self) -> list[str]:
+        if not self.clock_offset_ms:
+            return []
+        return [CLOCK_WRAPPER, str(self.clock_offset_ms)]
+
     def _make_environ(self) -> dict[str, str]:
         source = self._settings.source
         if source is None:
--- a/src/peridotbend_emulator/soak/links.py
+++ b/src/peridotbend_emulator/soak/links.py
@@ -15,9 +15,16 @@
     RESET = "reset"
     # Connections stay open, and nothing comes through.
     SILENT = "silent"
+    # Requests stay unread, while answers to others come through.
+    DEAF = "deaf"
 
 
-CUT_STATES = tuple(state for state in LinkState if state is not LinkState.OPEN)
+CUT_STATES = (
+    LinkState.REFUSED,
+    LinkState.CLOSED_TO_NEW,
+    LinkState.RESET,
+    LinkState.SILENT,
+)
 REFUSING_STATES = frozenset((LinkState.REFUSED, LinkState.CLOSED_TO_NEW))
 
 
--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -11,6 +11,23 @@
 ZONE = "zone-a"
 DRAIN_S = 2.0
 GRACE_S = 8.0
+HEARTBEAT_S = 1.2
+CONTACT_MS = 3_000
+LOSS_SLACK_MS = 200
+ROLLBACK_SLACK_MS = 250
+MEMORY_MB = 300
+MAX_FILES = 4_100
+FIRST_VERSION = 7
+
+
+# Changes of the settings file of a running instance: one that it applies, one
+# that needs a restart, one that is not valid, and one that it doesn't know.
+SETTINGS_CHANGES: dict[str, dict[str, Any]] = {
+    "no seeds": {"seeds": []},
+    "another zone": {"zone": "zone-b"},
+    "no address": {"listen": {}},
+    "a new field": {"a_new_field": [1]},
+}
 
 
 class Kind(enum.Enum):
@@ -52,10 +69,15 @@
 )
 
 
-def make_config() -> dict[str, Any]:
+def make_key(version: int) -> str:
+    """Returns the key that only one version of the configuration has."""
+    return f"{KEY}-{version}"
+
+
+def make_config(version: int = FIRST_VERSION) -> dict[str, Any]:
     """Returns the configuration that the operator writes."""
     return {
-        "version": 7,
+        "version": version,
         "routes": [_describe_route(route) for route in ROUTES],
         "services": [
             {"name": name, "health_path": "/healthz", "max_conns": 370}
@@ -70,7 +92,7 @@
         "tenants": [
             {
                 "name": "acme",
-                "api_keys": [KEY],
+                "api_keys": [KEY, make_key(version)],
                 "priority": 1,
                 "unit": "token_stream",
                 "uncached_tokens": 200,
@@ -134,10 +156,14 @@
         },
         "internal_ports": [ports.internal, ports.internal + 1],
         "seeds": [f"{seed}:{ports.peers}" for seed in seed_hosts],
-        "limits": {"max_fds": 4_100, "memory_mb": 300, "cores": 2},
-        "heartbeat_ms": 1_200,
+        "limits": {
+            "max_fds": MAX_FILES,
+            "memory_mb": MEMORY_MB,
+            "cores": 2,
+        },
+        "heartbeat_ms": round(HEARTBEAT_S * 1_000),
         "bounds": {
-            "contact_ms": 3_000,
+            "contact_ms": CONTACT_MS,
             "drain_ms": round(DRAIN_S * 1_000),
             "grace_s": GRACE_S,
             "config_apply_ms": 2_000,
--- a/src/peridotbend_emulator/soak/platform/store.py
+++ b/src/peridotbend_emulator/soak/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
 import functools
 import json
 import urllib.parse
@@ -16,10 +17,20 @@
     read_request,
 )
 
+Event = tuple[str, int, "DocumentMaker | None"]
 # Returns the document of a key for an instance, given by its index.
 DocumentMaker = Callable[[int], dict[str, Any]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The content of a store at one moment."""
+
+    revision: int
+    items: dict[str, tuple[int, DocumentMaker]]
+    history: list[Event]
+
+
 class StoreStandIn:
     """Keys that can be listed and watched.
 
@@ -33,7 +44,9 @@
         self._revision = 100
         self._items: dict[str, tuple[int, DocumentMaker]] = {}
         # Key, revision and document, which is None for a removal.
-        self._history: list[tuple[str, int, DocumentMaker | None]] = []
+        self._history: list[Event] = []
+        # How many times it was restored.
+        self._era = 1
         self._changed = asyncio.Event()
         self._servers: list[asyncio.Server] = []
         self._writers: set[asyncio.StreamWriter] = set()
@@ -72,8 +85,28 @@
             del self._items[key]
             self._add_event(key, None)
 
+    def list_keys(self, prefix: str) -> list[str]:
+        """Returns the keys below a prefix."""
+        return [key for key in self._items if key.startswith(prefix)]
+
+    def copy(self) -> StoreCopy:
+        """Returns a copy to restore."""
+        items, history = dict(self._items), list(self._history)
+        return StoreCopy(self._revision, items, history)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Goes back to a copy; what was written since is lost."""
+        self._era += 1
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._wake_watches()
+
     def _add_event(self, key: str, make_document: DocumentMaker | None) -> None:
         self._history.append((key, self._revision, make_document))
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -89,7 +122,7 @@
                 while (request := await read_request(reader)) is not None:
                     status, page = await self._answer(index, request)
                     body = json.dumps(page).encode()
-                    era = (wire.STORE_ERA, "1")
+                    era = (wire.STORE_ERA, str(self._era))
                     writer.write(make_answer(status, body, (era,)))
                     await writer.drain()
         finally:
@@ -128,7 +161,7 @@
         events: list[dict[str, Any]] = []
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["wait_ms"]) / 1_000):
-                while True:
+                while after <= self._revision:
                     changed = self._changed
                     events = self._list_events(
                         index, query["path_prefix"], after
@@ -136,6 +169,8 @@
                     if events:
                         break
                     await changed.wait()
+        if after > self._revision:
+            return 410, {"store_revision": self._revision}
         return 200, {"events": events, "store_revision": self._revision}
 
     def _list_events(
--- a/src/peridotbend_emulator/soak/record.py
+++ b/src/peridotbend_emulator/soak/record.py
@@ -15,6 +15,14 @@
     MIXED = "MIXED"
     TWICE = "TWICE"
     REFUSED = "REFUSED"
+    # A planned stop cuts a request.
+    LOST = "LOST"
+    # Answers and refusals come after the time of their callers.
+    LATE = "LATE"
+    # A process goes back to an older configuration.
+    CONFIG = "CONFIG"
+    # A process uses more memory or descriptors than it has.
+    BOUNDS = "BOUNDS"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -4,7 +4,13 @@
 import collections
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Coroutine,
+    Iterable,
+    Iterator,
+)
 
 from peridotbend.domain.clock import SystemClock
 from peridotbend_emulator.soak.behaviours import SoakBehaviour
@@ -21,6 +27,8 @@
 )
 from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.fleet import SoakFleet, run_fleet
+from peridotbend_emulator.soak.fleetchecks import LateCheck, TouchLog
+from peridotbend_emulator.soak.operator import Operator
 from peridotbend_emulator.soak.platform.documents import ROUTES
 from peridotbend_emulator.soak.record import Finding, Record
 from peridotbend_emulator.soak.settings import SoakSettings
@@ -41,6 +49,8 @@
     # Calls sent more than once.
     repeated: int
     findings: tuple[Finding, ...]
+    # Versions of the configuration that were seen in force.
+    versions: frozenset[int]
 
     def describe(self) -> str:
         """Returns a line on the run."""
@@ -71,27 +81,45 @@
 
     behaviour = SoakBehaviour(make_choices, ledger, record)
     fleet = SoakFleet(settings, behaviour, clock)
-    pool = ChannelPool()
-    async with run_fleet(fleet), _disturb(fleet, make_choices, record):
+    pool, touch, late = ChannelPool(), TouchLog(clock), LateCheck()
+    operator = Operator(fleet, record, clock, make_choices("operator"))
+    async with run_fleet(fleet):
+        tasks = [
+            *_make_series(fleet, make_choices, record, touch),
+            operator.watch_resources(),
+        ]
+        if settings.faults.has("config"):
+            tasks.append(operator.watch_config())
         context = CallerContext(
-            fleet.instances, pool, ledger, record, clock, settings.seed
+            fleet.instances,
+            pool,
+            ledger,
+            record,
+            clock,
+            settings.seed,
+            touch,
+            late,
         )
-        callers = await _call(context, settings, make_choices)
-    for finding in pool.close():
+        async with _run_beside(tasks):
+            callers = await _call(context, settings, make_choices)
+    for finding in (*pool.close(), *late.end()):
         record.add_finding(finding)
     return SoakResult(
         calls=len(callers),
         served=sum(caller.is_served for caller in callers),
         repeated=sum(caller.tries > 1 for caller in callers),
         findings=tuple(record.findings),
+        versions=frozenset(operator.versions_seen),
     )
 
 
-@contextlib.asynccontextmanager
-async def _disturb(
-    fleet: SoakFleet, make_choices: ChoicesMaker, record: Record
-) -> AsyncIterator[None]:
-    """Plays the series of faults beside the callers."""
+def _make_series(
+    fleet: SoakFleet,
+    make_choices: ChoicesMaker,
+    record: Record,
+    touch: TouchLog,
+) -> Iterator[Coroutine[None, None, None]]:
+    """Yields the series of faults."""
     occupation = Occupation()
 
     def make_series(number: int) -> DisturbanceSeries:
@@ -100,10 +128,19 @@
             lambda fault: make_choices(f"series/{number}/{fault}"),
             record,
             occupation,
+            touch,
         )
 
-    series = [make_series(number) for number in range(SERIES_COUNT)]
-    tasks = [asyncio.create_task(one.run()) for one in series]
+    for number in range(SERIES_COUNT):
+        yield make_series(number).run()
+
+
+@contextlib.asynccontextmanager
+async def _run_beside(
+    coroutines: Iterable[Coroutine[None, None, None]],
+) -> AsyncIterator[None]:
+    """Runs what goes on beside the callers until they have ended."""
+    tasks = [asyncio.create_task(one) for one in coroutines]
     try:
         yield
     finally:
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -169,6 +169,8 @@
         self._connections[connection] = task
         try:
             while (request := await read_request(reader)) is not None:
+                while link.state is LinkState.DEAF:
+                    await asyncio.sleep(GATE_INTERVAL_S)
                 if not await self._answer(connection, request):
                     break
         except (ConnectionError, asyncio.CancelledError):
@@ -238,6 +240,11 @@
         self._process: RunnerProcess | None = None
         self._sequence = 0
 
+    @property
+    def is_running(self) -> bool:
+        """Whether there is a process."""
+        return self._process is not None
+
     async def launch(self, start: Start) -> None:
         """Starts a process."""
         self.start = start
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak: its checks, its choices, and short runs with a seed."""
 
 import asyncio
+import contextlib
 import functools
 import json
 import pathlib
@@ -8,11 +9,13 @@
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
-from peridotbend.domain.clock import SystemClock
+from peridotbend.domain.clock import ManualClock, SystemClock
 from peridotbend.platform import wire
 from peridotbend_emulator.soak.channels import (
     AnswerReader,
+    Channel,
     ChannelEndedError,
     open_channel,
 )
@@ -32,10 +35,26 @@
     UnknownFaultError,
     parse_faults,
 )
+from peridotbend_emulator.soak.fleetchecks import (
+    MIN_LATE,
+    Attempt,
+    ConfigCheck,
+    LateCheck,
+    TouchLog,
+    check_resources,
+    check_stop,
+)
 from peridotbend_emulator.soak.links import Link, LinkState
 from peridotbend_emulator.soak.messages import Answer, Request
+from peridotbend_emulator.soak.platform.documents import (
+    CONTACT_MS,
+    MAX_FILES,
+    MEMORY_MB,
+)
+from peridotbend_emulator.soak.platform.store import StoreStandIn
+from peridotbend_emulator.soak.proxies import LoopbackProxy
 from peridotbend_emulator.soak.record import Finding, Rule
-from peridotbend_emulator.soak.run import run_soak
+from peridotbend_emulator.soak.run import SoakResult, run_soak
 from peridotbend_emulator.soak.runners import (
     Connection,
     Runner,
@@ -235,6 +254,249 @@
         assert finding.rule is Rule.REFUSED
 
 
+def make_attempt(
+    outcome: str, took_ms: int, sent_at_ms: int = 0, **more: Any
+) -> Attempt:
+    """Returns an attempt at instance 0 whose caller gave it 1.5 s."""
+    given: dict[str, Any] = {
+        "limit_ms": 1_500,
+        "answer": Answer(outcome=outcome),
+        "has_run": True,
+        "is_broken": False,
+        **more,
+    }
+    ended_at_ms = sent_at_ms + took_ms
+    return Attempt(PATH, ATTEMPT, 0, sent_at_ms, ended_at_ms, **given)
+
+
+class StopCheckTest(unittest.TestCase):
+    """Checks of requests around a planned stop."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.touch = TouchLog(self.clock)
+
+    def _check(self, **more: Any) -> list[Finding]:
+        """Checks a request that is cut 0.5 s after a SIGTERM."""
+        given = {"outcome": "reset", "took_ms": 500, **more}
+        with self.touch.hold("term", 0):
+            attempt = make_attempt(sent_at_ms=self.clock.now_ms(), **given)
+            self.clock.advance(500)
+            return list(check_stop(attempt, self.touch))
+
+    def test_request_that_a_stop_cuts(self) -> None:
+        """Guards against a planned stop that cuts what was passed on.
+
+        What was not passed on may be cut while it crosses the close.
+        """
+        for given in ({}, {"outcome": "closed"}, {"has_run": False}):
+            (finding,) = self._check(**given)
+            assert finding.rule is Rule.LOST, given
+
+    def test_ends_that_a_stop_does_not_cause(self) -> None:
+        """Guards against findings where nothing is wrong."""
+        for given in (
+            {"has_run": False, "took_ms": 150},
+            {"is_broken": True},
+            {"took_ms": 1_500},
+            {"outcome": "complete"},
+        ):
+            assert self._check(**given) == [], given
+        # The stops are over.
+        self.clock.advance(1)
+        attempt = make_attempt("reset", 500, self.clock.now_ms())
+        assert list(check_stop(attempt, self.touch)) == []
+
+    def test_cuts_beside_an_unplanned_fault(self) -> None:
+        """Guards against a finding for what another fault cuts."""
+        with self.touch.hold("kill", 1):
+            assert self._check() == []
+        self.clock.advance(CONTACT_MS)
+        assert self._check() == []
+        self.clock.advance(1)
+        assert len(self._check()) == 1
+
+
+class TouchTest(unittest.TestCase):
+    """When the time bounds hold for an instance."""
+
+    def test_instance_is_out_of_touch_for_a_while(self) -> None:
+        """Guards against findings on an instance that was disturbed."""
+        clock = ManualClock()
+        touch = TouchLog(clock)
+
+        def list_in_touch() -> list[bool]:
+            return [touch.is_in_touch(i, clock.now_ms()) for i in (0, 1)]
+
+        with touch.hold("pause", 0):
+            assert list_in_touch() == [False, True]
+        with touch.hold("store"):
+            assert list_in_touch() == [False, False]
+        clock.advance(CONTACT_MS)
+        assert list_in_touch() == [False, False]
+        clock.advance(1)
+        assert list_in_touch() == [True, True]
+
+
+class LateCheckTest(unittest.TestCase):
+    """Checks of answers and refusals that come too late."""
+
+    def _check(self, late: int, due: int, refused_ms: int) -> list[Finding]:
+        check = LateCheck()
+        for number in range(due):
+            outcome = "timeout" if number < late else "complete"
+            check.note(make_attempt(outcome, 2_000), False)
+        for _ in range(MIN_LATE):
+            check.note(make_attempt("complete", refused_ms), True)
+        return list(check.end())
+
+    def test_answers_that_never_come(self) -> None:
+        """Guards against callers that are not told of their time limit."""
+        (finding,) = self._check(8, 31, refused_ms=100)
+        assert finding.rule is Rule.LATE and "8 of 31" in finding.detail
+        assert self._check(8, 32, refused_ms=100) == []
+        assert self._check(7, 7, refused_ms=100) == []
+
+    def test_refusals_that_leave_no_time(self) -> None:
+        """Guards against refusals after which callers can't try again."""
+        (finding,) = self._check(0, 8, refused_ms=1_126)
+        assert finding.rule is Rule.LATE and "refusals" in finding.detail
+        assert self._check(0, 8, refused_ms=1_125) == []
+
+
+class ConfigCheckTest(unittest.TestCase):
+    """Checks of the configuration in force."""
+
+    def test_older_version_in_one_process(self) -> None:
+        """Guards against a configuration that comes back."""
+        check = ConfigCheck()
+        assert list(check.note(0, 10, 8, 0, 100)) == []
+        # Sent before the new version was seen, or within the slack after it.
+        assert list(check.note(0, 10, 7, 50, 150)) == []
+        assert list(check.note(0, 10, 7, 350, 400)) == []
+        (finding,) = check.note(0, 10, 7, 351, 400)
+        assert finding.rule is Rule.CONFIG
+
+    def test_older_version_in_another_process(self) -> None:
+        """Guards against findings on a process that has just started."""
+        check = ConfigCheck()
+        for instance, pid in ((0, 10), (0, 11), (1, 12)):
+            version = 8 if pid == 10 else 7
+            found = check.note(instance, pid, version, pid * 1_000, pid * 1_000)
+            assert list(found) == []
+
+
+class ResourceCheckTest(unittest.TestCase):
+    """Checks of the memory and the descriptors of a process."""
+
+    def test_use_beyond_the_limits(self) -> None:
+        """Guards against a process that grows without bounds."""
+        most = MEMORY_MB << 20
+        assert list(check_resources(0, most, MAX_FILES)) == []
+        for used, files in ((most + (1 << 20), 9), (9, MAX_FILES + 1)):
+            (finding,) = check_resources(0, used, files)
+            assert finding.rule is Rule.BOUNDS
+
+
+class ProxyTest(unittest.TestCase):
+    """The proxy between callers, instances and the store."""
+
+    def _play(
+        self, check: Callable[[LoopbackProxy, Channel], Awaitable[None]]
+    ) -> None:
+        """Runs a check with a connection to a server that echoes lines."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(asyncio.CancelledError):
+                while line := await reader.readline():
+                    if line == b"reset\n":
+                        reset_connection(writer)
+                        return
+                    if line == b"close\n":
+                        break
+                    writer.write(line)
+            writer.close()
+
+        async def play() -> None:
+            server = await asyncio.start_server(serve, f"{LOOPBACK_NET}.9")
+            upstream = server.sockets[0].getsockname()[:2]
+            proxy = LoopbackProxy(f"{LOOPBACK_NET}.9", upstream)
+            await proxy.start()
+            channel = await open_channel(proxy.address, is_slow=False)
+            try:
+                await check(proxy, channel)
+            finally:
+                channel.close()
+                proxy.stop()
+                server.close()
+
+        asyncio.run(play())
+
+    def test_held_direction(self) -> None:
+        """Guards against a one-way cut that lets bytes through."""
+
+        async def check(proxy: LoopbackProxy, channel: Channel) -> None:
+            for gate in proxy.gates.values():
+                gate.is_held = True
+                channel.write(b"x\n")
+                with self.assertRaises(TimeoutError):
+                    async with asyncio.timeout(0.3):
+                        await channel.read_until(b"\n")
+                gate.is_held = False
+                assert await channel.read_until(b"\n") == b"x\n"
+
+        self._play(check)
+
+    def test_delayed_bytes(self) -> None:
+        """Guards against a delay that isn't played."""
+
+        async def check(proxy: LoopbackProxy, channel: Channel) -> None:
+            clock = SystemClock()
+            for gate in proxy.gates.values():
+                gate.delay_s = 0.1
+            began_ms = clock.now_ms()
+            channel.write(b"x\n")
+            await channel.read_until(b"\n")
+            assert clock.now_ms() - began_ms >= 199
+
+        self._play(check)
+
+    def test_ends_pass(self) -> None:
+        """Guards against a reset that the proxy turns into an orderly end."""
+
+        def make_check(
+            end: str,
+        ) -> Callable[[LoopbackProxy, Channel], Awaitable[None]]:
+            async def check(proxy: LoopbackProxy, channel: Channel) -> None:
+                word = "reset" if end == "reset" else "close"
+                channel.write(f"{word}\n".encode())
+                with self.assertRaises(ChannelEndedError):
+                    await channel.read_until(b"\n")
+                assert channel.end == end
+
+            return check
+
+        for end in ("closed", "reset"):
+            self._play(make_check(end))
+
+
+class StoreTest(unittest.TestCase):
+    """The stand-in for the store."""
+
+    def test_restored_copy(self) -> None:
+        """Guards against a restore that loses nothing."""
+        store = StoreStandIn(f"{LOOPBACK_NET}.9", 1)
+        store.put("a/1", lambda index: {})
+        copy = store.copy()
+        store.put("a/2", lambda index: {})
+        store.delete("a/1")
+        assert store.list_keys("a/") == ["a/2"]
+        store.restore(copy)
+        assert store.list_keys("a/") == ["a/1"]
+
+
 class FaultPlanTest(unittest.TestCase):
     """The faults of a run and the choices from its seed."""
 
@@ -447,7 +709,7 @@
 class SoakTest(unittest.TestCase):
     """Short runs with a seed on real daemons."""
 
-    def _play(self, seed: int, duration_s: float, faults: str) -> None:
+    def _play(self, seed: int, duration_s: float, faults: str) -> SoakResult:
         folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         settings = SoakSettings(
             seed=seed,
@@ -461,6 +723,7 @@
         ), result.describe()
         assert not result.findings, (settings.folder, result.findings[:5])
         shutil.rmtree(folder)
+        return result
 
     def test_faults_break_no_promise(self) -> None:
         """Guards against faults that overlap and break a promise."""
@@ -482,6 +745,15 @@
         """Guards against answers that end with their runner and look whole."""
         self._play(22, 15.0, "fin unframed=0.7")
 
+    def test_operators_work_breaks_no_promise(self) -> None:
+        """Guards against stops, settings and copies that break a promise.
+
+        A store that goes back to a copy brings back no configuration.
+        """
+        faults = "oneway delay clock settings config restore term keep"
+        result = self._play(10003, 6.0, faults)
+        assert len(result.versions) > 1, result.versions
+
     def test_callers_of_http_1_0_get_no_chunks(self) -> None:
         """Guards against a framing that HTTP/1.0 doesn't have."""
         self._play(3, 3.0, "http10=0.5 keep")
