Release the bytes of a handed request that fails to start

Cause: a request taken over from a peer reserves the size of its body. If the successor couldn't start it, for example since the text in force has no such kind, the bytes stayed reserved until the request expired.

Change: they are released when the request ends.

Measured: test_request_that_cannot_start_holds_no_bytes fails before and passes after.

--- a/src/peridotbend/domain/handover.py
+++ b/src/peridotbend/domain/handover.py
@@ -131,6 +131,7 @@
         started = self._service.start_queued(record)
         if isinstance(started, Err):
             record.end(started.err_value)
+            self._table.release_unused_bytes(record)
 
     def _pack(self, record: RequestRecord) -> HandedRecord:
         now_ms = self._clock.now_ms()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,5 +1,7 @@
 """Tests of the hand-over of records at shutdown."""
 
+import dataclasses
+
 from peridotbend.domain.ports import RecordState
 from peridotbend.domain.verdicts import Reason
 from tests.fakenode import SimNode
@@ -82,6 +84,27 @@
         self.run_for(1_500)
         assert len(self.world.runs[token]) == 1
 
+    def test_request_that_cannot_start_holds_no_bytes(self) -> None:
+        """Guards against answer bytes that stay reserved until the expiry."""
+        token = self.reserve(self.a1, "quote")
+        self.send(self.a1, "quote", token, ms=0)
+        self.world.run_for(1)
+        found = self.a1.records.find(token)
+        assert found is not None
+        handed = dataclasses.replace(
+            self.a1.record_transfer._pack(found),
+            state=RecordState.QUEUED,
+            kind="no-such-kind",
+            body=b"x" * 1_000,
+        )
+        used_bytes = self.a2.records.budget.used_bytes
+        transfer = self.a2.record_transfer
+        assert transfer.import_records("a1", 1, [handed]) == [token]
+        record = self.a2.records.find(token)
+        assert record is not None and record.state is RecordState.NOT_RUN
+        assert record.reserved_bytes == 0
+        assert self.a2.records.budget.used_bytes == used_bytes
+
     def test_draining_instance_takes_nothing_over(self) -> None:
         """Guards against records handed to an instance that also shuts down."""
         token = self.reserve(self.a1)
