Let the operators' view name what it needs of a node

Cause: node.py imports inspection.py, which imported the node for its types.

Change: inspection.py names the parts that operators see as a protocol.

Measured: tests/test_imports.py finds this one circle before and none after.

--- a/src/peridotbend/inspection.py
+++ b/src/peridotbend/inspection.py
@@ -1,21 +1,61 @@
 """State of a running node for operators: status, dump and explanations."""
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from peridotbend.adapters.callers import CallerApp
+from peridotbend.adapters.metrics import PrometheusMeter
 from peridotbend.adapters.operators import OperatorHooks
+from peridotbend.adapters.platform import AbsentPlatform, HttpPlatform
+from peridotbend.adapters.serving import HttpServer
+from peridotbend.adapters.settings import NodeSettings
+from peridotbend.adapters.textsync import TextSync
+from peridotbend.domain.clock import SystemClock
+from peridotbend.domain.dispatch import Dispatcher
+from peridotbend.domain.membership import Roster
 from peridotbend.domain.ports import SuspectState
-from peridotbend.domain.records import RequestRecord
+from peridotbend.domain.quarantine import SuspectTable
+from peridotbend.domain.records import RequestRecord, RequestTable
 from peridotbend.domain.requestids import LOG_KEY_LENGTH
-
-if TYPE_CHECKING:
-    from peridotbend.node import Node
+from peridotbend.domain.requests import RequestService
+from peridotbend.domain.scheduler import Scheduler
+from peridotbend.domain.text import Target
+from peridotbend.domain.textstore import ConfigStore
 
 # Limits the dump to the newest records; a dump of all records takes megabytes.
 MAX_DUMPED_RECORDS = 200
 MAX_LISTED_FINGERPRINTS = 4_096
 
 
-def make_operator_hooks(node: "Node") -> OperatorHooks:
+class InspectedNode(Protocol):
+    """The parts of a node that operators see."""
+
+    settings: NodeSettings
+    clock: SystemClock
+    incarnation: int
+    meter: PrometheusMeter
+    roster: Roster
+    config_store: ConfigStore
+    suspects: SuspectTable
+    scheduler: Scheduler
+    records: RequestTable
+    service: RequestService
+    dispatcher: Dispatcher
+    platform: HttpPlatform | AbsentPlatform
+    text_sync: TextSync
+    caller_app: CallerApp
+    caller_server: HttpServer
+
+    @property
+    def targets(self) -> tuple[Target, ...]:
+        """The targets of the configuration in force."""
+        ...
+
+    def start_drain(self) -> None:
+        """Starts a graceful shutdown and returns at once."""
+        ...
+
+
+def make_operator_hooks(node: InspectedNode) -> OperatorHooks:
     """Returns the callbacks of the operators' application."""
     return OperatorHooks(
         render_metrics=node.meter.render,
@@ -28,12 +68,12 @@
     )
 
 
-def is_ready(node: "Node") -> bool:
+def is_ready(node: InspectedNode) -> bool:
     """Tells whether new requests are accepted."""
     return node.config_store.current is not None and not node.service.draining
 
 
-def summarize_node(node: "Node") -> dict[str, object]:
+def summarize_node(node: InspectedNode) -> dict[str, object]:
     """Returns the status summary for operators."""
     accepted_at_ms = node.config_store.accepted_at_ms
     conflict = node.config_store.conflict
@@ -65,7 +105,7 @@
     }
 
 
-def dump_node(node: "Node") -> dict[str, object]:
+def dump_node(node: InspectedNode) -> dict[str, object]:
     """Returns the whole state except for secrets and bodies."""
     records = list(node.records)[-MAX_DUMPED_RECORDS:]
     return {
@@ -88,7 +128,9 @@
     }
 
 
-def describe_record(node: "Node", record: RequestRecord) -> dict[str, object]:
+def describe_record(
+    node: InspectedNode, record: RequestRecord
+) -> dict[str, object]:
     """Returns a record without its answer and its full ID."""
     verdict = record.answer.verdict
     return {
@@ -105,7 +147,9 @@
     }
 
 
-def explain_request(node: "Node", request_id: str) -> dict[str, object] | None:
+def explain_request(
+    node: InspectedNode, request_id: str
+) -> dict[str, object] | None:
     """Returns the record of an ID or of an ID's first characters."""
     record = node.records.find(request_id)
     if record is None and len(request_id) >= LOG_KEY_LENGTH:
@@ -114,7 +158,7 @@
     return describe_record(node, record) if record else None
 
 
-def list_quarantine(node: "Node") -> list[dict[str, object]]:
+def list_quarantine(node: InspectedNode) -> list[dict[str, object]]:
     """Returns suspected and quarantined fingerprints."""
     return [
         {
