Split the refusal of a connection into its steps

BoundedConnection._refuse decided, ended the request and wrote the answer in 35 lines. The steps are functions of their own; nothing else changes.

Measured: test_serving and test_callers pass, which hold what is answered.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -293,35 +293,26 @@
         """Sends an error in place of the application, then closes."""
         self._refused = True
         self._stop_header_timer()
-        cycle = self.cycle
-        if self._is_serving_request():
-            # The caller would take anything written now for the response to the
-            # previous request, unless it is still sending that request's body.
-            if self.pipeline or not cycle.more_body or cycle.response_started:
-                cycle.keep_alive = False
-                return
-            cycle.disconnected = True
-            cycle.message_event.set()
-        assert verdict.reason is not None
-        error = {
-            "code": verdict.reason.value,
-            "message": message,
-            "verdict": verdict.label,
-            "request": None,
-            "retry_after_ms": 0,
-        }
-        body = json.dumps({"error": error}).encode()
-        head = (
-            f"HTTP/1.1 {status} {_REASON_PHRASES[status]}\r\n"
-            f"peridotbend-verdict: {verdict.label}\r\n"
-            "content-type: application/json\r\n"
-            f"content-length: {len(body)}\r\n"
-            "connection: close\r\n\r\n"
-        )
-        self.transport.write(head.encode() + body)
+        if not self._end_request():
+            return
+        self.transport.write(_make_refusal(status, verdict, message))
         self._stop_stall_timer()
         self._stall_timer = self.loop.call_later(LINGERING_CLOSE_S, self._abort)
 
+    def _end_request(self) -> bool:
+        """Ends the request that is being read; tells if it can be answered."""
+        if not self._is_serving_request():
+            return True
+        cycle = self.cycle
+        # The caller would take anything written now for the response to the
+        # previous request, unless it is still sending that request's body.
+        if self.pipeline or not cycle.more_body or cycle.response_started:
+            cycle.keep_alive = False
+            return False
+        cycle.disconnected = True
+        cycle.message_event.set()
+        return True
+
     def _start_header_timer(self) -> None:
         if self._header_timer is None:
             self._header_timer = self.loop.call_later(
@@ -346,3 +337,23 @@
         if self._stall_timer is not None:
             self._stall_timer.cancel()
             self._stall_timer = None
+
+
+def _make_refusal(status: int, verdict: Verdict, message: str) -> bytes:
+    assert verdict.reason is not None
+    error = {
+        "code": verdict.reason.value,
+        "message": message,
+        "verdict": verdict.label,
+        "request": None,
+        "retry_after_ms": 0,
+    }
+    body = json.dumps({"error": error}).encode()
+    head = (
+        f"HTTP/1.1 {status} {_REASON_PHRASES[status]}\r\n"
+        f"peridotbend-verdict: {verdict.label}\r\n"
+        "content-type: application/json\r\n"
+        f"content-length: {len(body)}\r\n"
+        "connection: close\r\n\r\n"
+    )
+    return head.encode() + body
