Define once the constants that two modules share

Cause: the fill of engines, the statuses 421 and 503 of targets, the number of tiers and the time of a lingering close stood in two modules each, which have to agree.

Change: one module defines each, the other imports it. Constants that only happen to have the same name and value stay.

Measured: test_shared_constants_stand_once names all five before and none after.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -20,7 +20,9 @@
 RESERVED_FILES = 256
 # More than the size line of a chunk and the end of its data take.
 CHUNK_FRAMING_BYTES = 24
-# Time for a caller to read an error response before the connection is closed.
+# Time for a caller to read an error response before the connection is closed,
+# in which its body is read and discarded. Closing at once would reset the
+# connection, and the caller could lose the response.
 LINGERING_CLOSE_S = 1.0
 # For calls whose headers were not read completely and may contain an ID.
 EARLIER_CALL_NOTE = (
--- a/src/peridotbend/adapters/exchanges.py
+++ b/src/peridotbend/adapters/exchanges.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from peridotbend.adapters import answerheads
+from peridotbend.adapters.boundedconnections import LINGERING_CLOSE_S
 from peridotbend.adapters.messages import explain_reason
 from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.ports import AnswerHead, AnswerPart
@@ -31,9 +32,6 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-# How long the body of a refused call is read and discarded. Closing at once
-# would reset the connection, and the caller could lose the error response.
-LINGERING_CLOSE_S = 1.0
 CAPACITY_RETRY_MS = 1_000
 # Numbers with more than 15 digits are parsed as this value.
 MAX_PARSED_NUMBER = 10**15
--- a/src/peridotbend/adapters/peerdigest.py
+++ b/src/peridotbend/adapters/peerdigest.py
@@ -9,6 +9,7 @@
 from peridotbend.domain.membership import Roster
 from peridotbend.domain.peertable import Peer
 from peridotbend.domain.ports import FingerprintEntry, Share, SuspectState
+from peridotbend.domain.text import MAX_TIERS
 from peridotbend.domain.textstore import ConfigStore
 from peridotbend.wire import peer_pb2 as pb
 
@@ -22,7 +23,6 @@
 MAX_LEAVING = 256
 MAX_FINGERPRINTS = 256
 MAX_TARGETS = 1_024
-MAX_TIERS = 16
 MAX_NAME_CHARS = 256
 # Unchanged fingerprints are repeated once in this many digests, to update their
 # remaining times.
--- a/src/peridotbend/adapters/textschema.py
+++ b/src/peridotbend/adapters/textschema.py
@@ -15,6 +15,7 @@
 from result import Err
 
 from peridotbend.adapters.units import parse_duration_ms, parse_size_bytes
+from peridotbend.domain.text import MAX_TIERS
 
 # Pydantic error type of the checks below; its context has `problem` and
 # `remedy`.
@@ -26,7 +27,6 @@
 DEFAULT_INITIAL_WINDOW = 8_192
 DEFAULT_MIN_WINDOW = 1_024
 DEFAULT_MAX_WINDOW = 65_536
-MAX_TIERS = 16
 DEFAULT_MAX_QUEUE = 256
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 DEFAULT_MAX_ANSWER_BYTES = 1 << 20
--- a/src/peridotbend/domain/text.py
+++ b/src/peridotbend/domain/text.py
@@ -8,6 +8,9 @@
 import dataclasses
 import enum
 
+# Tiers of one text, and those that digests name.
+MAX_TIERS = 16
+
 
 class EngineType(enum.StrEnum):
     """Type of the back ends of a service."""
--- a/src/peridotbend/edge/brittle.py
+++ b/src/peridotbend/edge/brittle.py
@@ -29,7 +29,9 @@
 REPORT_INTERVAL_MS = 500
 # Services in one digest, so that it fits into a packet.
 MAX_REPORTED = 8
-# Places that are used of a target, as a fraction of its slots.
+# Limit on the requests in flight at a runner, as a fraction of its slots. It is
+# below 1 because a full batch slows down every stream in it, and because the
+# counts reported by peers are about 50 ms old.
 ENGINE_FILL = 0.9
 OTHER_FILL = 1.0
 # Fraction of the rejections that is used. The rest covers instances that do not
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -4,17 +4,13 @@
 from collections.abc import Callable, Iterable
 
 from peridotbend.domain.rendezvous import rank
-from peridotbend.edge.brittle import BrittleTargets
+from peridotbend.edge.brittle import ENGINE_FILL, BrittleTargets
 from peridotbend.edge.health import FAILURE_SLACK, TargetHealth
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import EdgeTarget
 
-# Limit on the requests in flight at a runner, as a fraction of its slots. It is
-# below 1 because a full batch slows down every stream in it, and because the
-# counts reported by peers are about 50 ms old.
-ENGINE_FILL = 0.9
 # Limit for requests on routes of rank 0, the highest, which may use the last
 # slots so that they rarely wait.
 TOP_RANK_FILL = 1.05
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -7,6 +7,7 @@
 import anyio
 from result import Err, Ok, Result
 
+from peridotbend.adapters.answerwatch import UNAVAILABLE_STATUS
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.domain.ports import (
     AnswerHead,
@@ -29,9 +30,8 @@
     decode_prompt_parts,
     decode_start,
 )
+from peridotbend.platform.reach import MISDIRECTED_STATUS
 
-MISDIRECTED_STATUS = 421
-UNAVAILABLE_STATUS = 503
 # Lower bound of the deadline header, since targets take 0 as no deadline.
 MIN_DEADLINE_MS = 1
 # Bounds the numbers that targets name, which are requests a second, rejections
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,11 +1,20 @@
 """Tests of what the modules of the product import."""
 
 import ast
+import collections
 import graphlib
 import pathlib
 import unittest
 
 SOURCE_DIR = pathlib.Path(__file__).parent.parent / "src"
+# What two modules have to agree on.
+SHARED_CONSTANTS = (
+    "ENGINE_FILL",
+    "LINGERING_CLOSE_S",
+    "MAX_TIERS",
+    "MISDIRECTED_STATUS",
+    "UNAVAILABLE_STATUS",
+)
 
 
 def list_imports(tree: ast.Module) -> set[str]:
@@ -36,3 +45,13 @@
         }
         # Raises CycleError, which names the modules.
         graphlib.TopologicalSorter(graph).prepare()
+
+    def test_shared_constants_stand_once(self) -> None:
+        """Guards against a limit that is changed in one of two places."""
+        counts: collections.Counter[str] = collections.Counter()
+        for path in (SOURCE_DIR / "peridotbend").rglob("*.py"):
+            for statement in ast.parse(path.read_text()).body:
+                if isinstance(statement, ast.Assign):
+                    counts.update(map(ast.unparse, statement.targets))
+        twice = [name for name in SHARED_CONSTANTS if counts[name] != 1]
+        assert not twice, twice
