--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -17,6 +17,7 @@
 from peridotbend.adapters.asgi import EMPTY_QUERY
 from peridotbend.adapters.closedelimited import CloseDelimitedApp
 from peridotbend.adapters.requestheads import RequestHead
+from peridotbend.adapters.waitingconnections import WaitingConnections
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 
 # Connections above max_connections that are accepted only to be refused with
@@ -26,7 +27,9 @@
 RESERVED_FILES = 256
 # More than the size line of a chunk and the end of its data take.
 CHUNK_FRAMING_BYTES = 24
-# Time for a caller to read an error response before the connection is closed.
+# Time for a caller to read an error response before the connection is closed,
+# in which its body is read and discarded. Closing at once would reset the
+# connection, and the caller could lose the response.
 LINGERING_CLOSE_S = 1.0
 # For calls whose headers were not read completely and may contain an ID.
 EARLIER_CALL_NOTE = (
@@ -55,10 +58,14 @@
     def cap_to_open_files(self) -> "ConnectionLimits":
         """Returns the limits, capped by the file descriptor limit."""
         files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return self if files == resource.RLIM_INFINITY else self.cap_to(files)
+
+    def cap_to(self, files: int) -> "ConnectionLimits":
+        """Returns the limits, capped for a number of file descriptors."""
         available = max(1, files - MAX_REFUSED_CONNECTIONS - RESERVED_FILES)
-        if files == resource.RLIM_INFINITY or available >= self.max_connections:
-            return self
-        return dataclasses.replace(self, max_connections=available)
+        return dataclasses.replace(
+            self, max_connections=min(available, self.max_connections)
+        )
 
 
 class BoundedConnection(HttpToolsProtocol):
@@ -72,6 +79,7 @@
     def __init__(
         self,
         limits: ConnectionLimits,
+        waiting: WaitingConnections,
         config: Config,
         server_state: ServerState,
         app_state: dict[str, Any],
@@ -79,6 +87,7 @@
     ):
         super().__init__(config, server_state, app_state, _loop)
         self._limits = limits
+        self._waiting = waiting
         self._last_read = b""
         # Whether the current message began in it.
         self._began_in_last_read = False
@@ -103,9 +112,14 @@
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
-        """Accepts a connection, or aborts it if far above the limit."""
+        """Accepts a connection, and closes those that waited longest above it.
+
+        It is aborted if it is far above the limit and no other can be closed.
+        """
         super().connection_made(transport)
         excess = len(self.connections) - self._limits.max_connections
+        while excess > 0 and self._waiting.close_oldest():
+            excess -= 1
         if excess > MAX_REFUSED_CONNECTIONS:
             transport.abort()
             return
@@ -113,11 +127,13 @@
             # The application sends the refusal, because only it sees which
             # ID a call carries.
             self.app_state = {**self.app_state, "over_limit": True}
+        self._waiting.wait_for_head(self)
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops the timers and discards further input."""
         super().connection_lost(exc)
+        self._waiting.remove(self)
         self._stop_header_timer()
         self._stop_stall_timer()
         self._refused = True
@@ -193,6 +209,8 @@
         self._began_in_last_read = True
         self._reading_headers = True
         self._header_bytes = 0
+        if not self._is_serving_request():
+            self._waiting.wait_for_head(self)
         self._start_header_timer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -227,11 +245,8 @@
         super().on_headers_complete()
         if self.url.endswith(b"?") and not self.scope["query_string"]:
             self.scope["state"][EMPTY_QUERY] = True
-
-    def on_message_complete(self) -> None:
-        """Ends the body, but not at an offer, whose head is parsed again."""
-        if not self.parser.should_upgrade():
-            super().on_message_complete()
+        if not is_serving:
+            self._waiting.wait_for_body(self)
 
     def on_chunk_header(self) -> None:
         """Allows for the framing of one chunk."""
@@ -242,6 +257,14 @@
         self._framing_bytes -= len(body)
         super().on_body(body)
 
+    def on_message_complete(self) -> None:
+        """Ends the body, but not at an offer, whose head is parsed again."""
+        if self.parser.should_upgrade():
+            return
+        super().on_message_complete()
+        if self._is_serving_request():
+            self._waiting.remove(self)
+
     def on_response_complete(self) -> None:
         """Continues with the next request.
 
@@ -252,6 +275,24 @@
         self._unread_bytes = self.transport.get_write_buffer_size()
         if self.transport.is_closing():
             self._start_stall_timer()
+        elif self._is_reading_body():
+            self._waiting.wait_for_body(self)
+        elif not self._is_serving_request():
+            self._waiting.wait_for_head(self)
+
+    def give_way(self) -> bool:
+        """Closes the connection, unless an answer is still being sent."""
+        is_reading_body = self._is_reading_body()
+        if self.transport.get_write_buffer_size() or (
+            is_reading_body and self.cycle.response_started
+        ):
+            return False
+        # It takes up no place while its last bytes are sent.
+        self.connections.discard(self)
+        if self._reading_headers or is_reading_body:
+            self._refuse_slow()
+        self.transport.close()
+        return True
 
     def timeout_keep_alive_handler(self) -> None:
         """Closes an idle connection, even if the response was not read.
@@ -305,10 +346,14 @@
         if not self._reading_headers and not self._is_serving_request():
             self.transport.close()
             return
+        self._refuse_slow()
+
+    def _refuse_slow(self) -> None:
+        part = "headers" if self._reading_headers else "body"
         self._refuse(
             408,
             MayHaveRun(Reason.BAD_INPUT),
-            "The headers did not arrive in time; send them faster."
+            f"The {part} did not arrive in time; send it faster."
             + EARLIER_CALL_NOTE,
         )
 
@@ -346,35 +391,26 @@
         self._refused = True
         self._stop_header_timer()
         self._drop_incomplete_request()
-        cycle = self.cycle
-        if self._is_serving_request():
-            # The caller would take anything written now for the response to the
-            # previous request, unless it is still sending that request's body.
-            if self.pipeline or not cycle.more_body or cycle.response_started:
-                cycle.keep_alive = False
-                return
-            cycle.disconnected = True
-            cycle.message_event.set()
-        assert verdict.reason is not None
-        error = {
-            "code": verdict.reason.value,
-            "message": message,
-            "verdict": verdict.label,
-            "request": None,
-            "retry_after_ms": 0,
-        }
-        body = json.dumps({"error": error}).encode()
-        head = (
-            f"HTTP/1.1 {status} {_REASON_PHRASES[status]}\r\n"
-            f"peridotbend-verdict: {verdict.label}\r\n"
-            "content-type: application/json\r\n"
-            f"content-length: {len(body)}\r\n"
-            "connection: close\r\n\r\n"
-        )
-        self.transport.write(head.encode() + body)
+        if not self._end_request():
+            return
+        self.transport.write(_make_refusal(status, verdict, message))
         self._stop_stall_timer()
         self._stall_timer = self.loop.call_later(LINGERING_CLOSE_S, self._abort)
 
+    def _end_request(self) -> bool:
+        """Ends the request that is being read; tells if it can be answered."""
+        if not self._is_serving_request():
+            return True
+        cycle = self.cycle
+        # The caller would take anything written now for the response to the
+        # previous request, unless it is still sending that request's body.
+        if self.pipeline or not cycle.more_body or cycle.response_started:
+            cycle.keep_alive = False
+            return False
+        cycle.disconnected = True
+        cycle.message_event.set()
+        return True
+
     def _drop_incomplete_request(self) -> None:
         """Drops a waiting request the rest of whose body is discarded."""
         if self.pipeline and self.cycle.more_body:
@@ -415,3 +451,23 @@
         if self._stall_timer is not None:
             self._stall_timer.cancel()
             self._stall_timer = None
+
+
+def _make_refusal(status: int, verdict: Verdict, message: str) -> bytes:
+    assert verdict.reason is not None
+    error = {
+        "code": verdict.reason.value,
+        "message": message,
+        "verdict": verdict.label,
+        "request": None,
+        "retry_after_ms": 0,
+    }
+    body = json.dumps({"error": error}).encode()
+    head = (
+        f"HTTP/1.1 {status} {_REASON_PHRASES[status]}\r\n"
+        f"peridotbend-verdict: {verdict.label}\r\n"
+        "content-type: application/json\r\n"
+        f"content-length: {len(body)}\r\n"
+        "connection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- a/tests/fedconnections.py
+++ b/tests/fedconnections.py
@@ -13,6 +13,8 @@
     BoundedConnection,
     ConnectionLimits,
 )
+from peridotbend.adapters.waitingconnections import WaitingConnections
+from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.edge.ports import EdgeCall, Responder
 from peridotbend.edge.relay import Relay
@@ -29,6 +31,11 @@
     def __init__(self) -> None:
         self.calls: list[EdgeCall] = []
 
+    def find_time_limit_ms(self, host: str, path: str) -> int | None:
+        """Returns None, since there are no routes."""
+        del host, path
+        return None
+
     async def serve(self, call: EdgeCall, responder: Responder) -> None:
         """Answers one call."""
         self.calls.append(call)
@@ -99,7 +106,11 @@
         self._relay.calls = []
         transport = _Transport()
         connection = BoundedConnection(
-            ConnectionLimits(), self._config, ServerState(), {}
+            ConnectionLimits(),
+            WaitingConnections(SystemClock()),
+            self._config,
+            ServerState(),
+            {},
         )
         connection.connection_made(transport)
         for packet in packets:
