Play cuts from some runners in the soak, and check RECOVER

The soak cut an instance off from all runners only. Seven faults now cut instance 0 off from a share of them, or with `zone` from those of one zone, 2 s after the first call: reset, silent, a page, a head and nothing more, a head that echoes the attempt, refused, hanging. `many` has 30 runners of one slot, `once` only calls that may run once. First tries at instance 0 are compared with those at the others, by the rule's bound.

--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -16,6 +16,7 @@
 )
 from peridotbend_emulator.soak.checks import (
     PROMISES,
+    FirstTries,
     RunLedger,
     StreamCheck,
     check_call,
@@ -99,6 +100,9 @@
     instances: Sequence[Instance]
     pool: ChannelPool
     ledger: RunLedger
+    # Of calls that begin when all know of a cut that lasts for the whole run.
+    first_tries: FirstTries
+    counts_from_ms: int
     record: Record
     clock: Clock
     seed: int
@@ -142,11 +146,18 @@
             instance = instances[(where + number) % len(instances)]
             self.tries += 1
             answer = await self._attempt(instance, number, left_s)
+            if not number and start_ms >= self._context.counts_from_ms:
+                self._count_first(instance, answer)
             if not self._may_repeat(answer):
                 return
             pause_s = _parse_seconds(answer.get(wire.RETRY_AFTER))
             await asyncio.sleep(min(pause_s, left_s / 3))
 
+    def _count_first(self, instance: Instance, answer: Answer) -> None:
+        if answer.outcome != "left":
+            is_served = answer.status == 200 and answer.is_complete
+            self._context.first_tries.note(instance.index, is_served)
+
     def _may_repeat(self, answer: Answer) -> bool:
         if self._check.is_broken or answer.outcome == "left":
             return False
--- a/src/peridotbend_emulator/soak/checks.py
+++ b/src/peridotbend_emulator/soak/checks.py
@@ -11,6 +11,11 @@
 # Statuses that promise that the request has not run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
 FIELD_SEPARATOR = "|"
+# First tries at an instance are served at least this share as often as at the
+# others, unless few of them fail.
+RECOVER_SHARE = 2 / 3
+RECOVER_SLACK = 10
+RECOVER_SLACK_SHARE = 1 / 50
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -214,3 +219,34 @@
         if self._runs[attempt]:
             detail = f"{attempt} was answered {status} and has run"
             yield Finding(Rule.REFUSED, path, detail)
+
+
+class FirstTries:
+    """How often the first try of a call was served, by instance."""
+
+    def __init__(self) -> None:
+        self.tries: collections.Counter[int] = collections.Counter()
+        self.served: collections.Counter[int] = collections.Counter()
+
+    def note(self, instance: int, is_served: bool) -> None:
+        """Notes how a first try at an instance ended."""
+        self.tries[instance] += 1
+        self.served[instance] += is_served
+
+    def describe(self) -> str:
+        """Returns the served and all first tries by instance."""
+        return ", ".join(
+            f"{self.served[index]} of {tries}"
+            for index, tries in sorted(self.tries.items())
+        )
+
+    def check(self, instance: int) -> Iterator[Finding]:
+        """Checks an instance that is cut off against the others."""
+        tries, served = self.tries[instance], self.served[instance]
+        others = self.tries.total() - tries
+        others_served = self.served.total() - served
+        slack = RECOVER_SLACK + RECOVER_SLACK_SHARE * self.tries.total()
+        is_less = served * others < RECOVER_SHARE * others_served * tries
+        if is_less and tries - served > slack:
+            detail = f"first tries served, by instance: {self.describe()}"
+            yield Finding(Rule.RECOVER, f"instance {instance}", detail)
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -29,6 +29,8 @@
     is_usual: bool = True
 
 
+# Share of the runners that an instance with a partial cut does not reach.
+PARTIAL_CUT_SHARE = 0.67
 # Longest lag of an entry behind the start of its runner, in seconds.
 ENTRY_LAG_S = 1.2
 
@@ -63,7 +65,24 @@
     FaultKind("hup", Place.SERIES, 0, "an instance reads its settings again"),
     FaultKind("cut", Place.SERIES, 0, "an instance is cut off from runners"),
     FaultKind("herd", Place.SERIES, 0, "all instances are killed at once"),
+    FaultKind("many", Place.FLEET, 0, "30 small stream runners", False),
+    FaultKind("once", Place.FLEET, 0, "only calls that run once", False),
     FaultKind("eight", Place.FLEET, 0, "eight instances, not three", False),
+    *(
+        FaultKind(
+            name, Place.FLEET, PARTIAL_CUT_SHARE, f"{effect}; see zone", False
+        )
+        for name, effect in (
+            ("part-reset", "instance 0 reaches few runners: reset"),
+            ("part-silent", "the same: accepted, silent"),
+            ("part-page", "the same: a foreign page"),
+            ("part-head", "the same: a head, nothing more"),
+            ("part-echo", "the same: a head without a stamp"),
+            ("part-refused", "the same: refused"),
+            ("part-hanging", "the same: connects hang"),
+        )
+    ),
+    FaultKind("zone", Place.FLEET, 0, "a partial cut strikes one zone", False),
     FaultKind("peer", Place.FLEET, 0, "instance 0 reaches no runner", False),
     FaultKind(
         "builds", Place.FLEET, 0, "half of the instances: other build", False
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -8,10 +8,12 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.platform import wire
 from peridotbend_emulator.soak.instances import Instance, InstanceSettings
-from peridotbend_emulator.soak.links import Link, LinkState
+from peridotbend_emulator.soak.links import PARTIAL_CUTS, Link, LinkState
 from peridotbend_emulator.soak.platform.documents import (
     CALL_SERVICE,
+    OTHER_ZONE,
     STREAM_SERVICE,
+    ZONE,
     Entry,
     InstancePorts,
     make_config,
@@ -26,13 +28,18 @@
 
 VERSIONS = ("v1", "v2")
 STREAM_RUNNERS = 6
+MANY_STREAM_RUNNERS = 30
 CALL_RUNNERS = 3
 SLOTS = 10
+# Of each of many runners.
+FEW_SLOTS = 1
 # Last numbers of the addresses.
 STORE_HOST = 200
 FIRST_INSTANCE_HOST = 210
 FIRST_RUNNER_HOST = 220
 SEED_INSTANCES = 3
+# Every third runner is in another zone, in runs where that matters.
+ZONE_INTERVAL = 3
 # Until the instances know each other and the runners.
 SETTLE_S = 0.5
 
@@ -52,6 +59,9 @@
         self._settings = settings
         self._behaviour = behaviour
         self._is_store_away = False
+        self._stream_runners = STREAM_RUNNERS
+        if settings.faults.has("many"):
+            self._stream_runners = MANY_STREAM_RUNNERS
 
     @property
     def is_store_away(self) -> bool:
@@ -111,18 +121,49 @@
         for runner in self.runners:
             await runner.apply_link(link)
 
+    async def cut_some_links(self) -> None:
+        """Cuts instance 0 off from some runners, if that is to be played."""
+        faults, link = self._settings.faults, self.links[0]
+        for name, state in PARTIAL_CUTS.items():
+            if faults.has(name):
+                link.state = state
+                link.is_fixed = True
+                link.spared = frozenset(
+                    self._find_runner_host(number)
+                    for number in range(self._stream_runners + CALL_RUNNERS)
+                    if not self._is_cut_off(number, faults.shares[name])
+                )
+        if link.is_fixed:
+            await self.apply_link(link)
+
+    def _is_cut_off(self, number: int, share: float) -> bool:
+        if self._settings.faults.has("zone"):
+            return self._find_zone(number) == OTHER_ZONE
+        count = self._stream_runners
+        if number >= count:
+            number, count = number - count, CALL_RUNNERS
+        return number < round(share * count)
+
+    def _find_zone(self, number: int) -> str:
+        has_zones = self._settings.faults.has("zone")
+        return ZONE if not has_zones or number % ZONE_INTERVAL else OTHER_ZONE
+
+    def _find_runner_host(self, number: int) -> str:
+        return f"{self._settings.net}.{FIRST_RUNNER_HOST + number}"
+
     async def _start_runners(self) -> None:
-        net = self._settings.net
-        for number in range(STREAM_RUNNERS + CALL_RUNNERS):
-            is_pool = number < STREAM_RUNNERS
+        for number in range(self._stream_runners + CALL_RUNNERS):
+            is_pool = number < self._stream_runners
+            has_few = is_pool and self._stream_runners > STREAM_RUNNERS
             name = self.starts.make_name()
             version = VERSIONS[number % len(VERSIONS)]
             start = self.starts.make_start(name, version)
             runner = Runner(
                 start,
                 STREAM_SERVICE if is_pool else CALL_SERVICE,
-                f"{net}.{FIRST_RUNNER_HOST + number}",
-                SLOTS,
+                self._find_runner_host(number),
+                self._find_zone(number),
+                FEW_SLOTS if has_few else SLOTS,
                 self._behaviour,
                 self.links,
             )
--- a/src/peridotbend_emulator/soak/links.py
+++ b/src/peridotbend_emulator/soak/links.py
@@ -15,17 +15,47 @@
     RESET = "reset"
     # Connections stay open, and nothing comes through.
     SILENT = "silent"
-
-
-CUT_STATES = tuple(state for state in LinkState if state is not LinkState.OPEN)
+    # Something on the way accepts new connections. It answers none of them, or
+    # with a page of its own, or with a head that no body follows, with or
+    # without the stamp of a runner.
+    UNANSWERED = "unanswered"
+    PAGE = "page"
+    HEAD_ONLY = "head only"
+    ECHO = "echo"
+    # New connections are never established.
+    HANGING = "hanging"
+
+
+CUT_STATES = (
+    LinkState.REFUSED,
+    LinkState.CLOSED_TO_NEW,
+    LinkState.RESET,
+    LinkState.SILENT,
+)
+# The fault that cuts some links for a whole run in each form.
+PARTIAL_CUTS = {
+    "part-reset": LinkState.RESET,
+    "part-silent": LinkState.UNANSWERED,
+    "part-page": LinkState.PAGE,
+    "part-head": LinkState.HEAD_ONLY,
+    "part-echo": LinkState.ECHO,
+    "part-refused": LinkState.REFUSED,
+    "part-hanging": LinkState.HANGING,
+}
 REFUSING_STATES = frozenset((LinkState.REFUSED, LinkState.CLOSED_TO_NEW))
 
 
 class Link:
-    """The link of one instance to all runners."""
+    """The links of one instance to the runners."""
 
     def __init__(self, index: int):
         self.index = index
         self.state = LinkState.OPEN
         # An instance may be cut off for the whole run.
         self.is_fixed = False
+        # Addresses of runners to which the state does not apply.
+        self.spared: frozenset[str] = frozenset()
+
+    def find_state(self, host: str) -> LinkState:
+        """Returns how connections to the runner at an address behave."""
+        return LinkState.OPEN if host in self.spared else self.state
--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -9,6 +9,8 @@
 STREAM_SERVICE = "peridot-pool"
 CALL_SERVICE = "peridot-app"
 ZONE = "zone-a"
+OTHER_ZONE = "zone-b"
+CONTACT_MS = 3_000
 DRAIN_S = 2.0
 GRACE_S = 8.0
 
@@ -126,7 +128,7 @@
         "ip": host,
         "zone": ZONE,
         "region": "r",
-        "zones": {ZONE: "r"},
+        "zones": {ZONE: "r", OTHER_ZONE: "r"},
         "listen": {
             "frontend": f"{host}:{ports.callers}",
             "ready": f"{host}:{ports.health}",
@@ -137,7 +139,7 @@
         "limits": {"max_fds": 4_100, "memory_mb": 300, "cores": 2},
         "heartbeat_ms": 1_200,
         "bounds": {
-            "contact_ms": 3_000,
+            "contact_ms": CONTACT_MS,
             "drain_ms": round(DRAIN_S * 1_000),
             "grace_s": GRACE_S,
             "config_apply_ms": 2_000,
@@ -162,6 +164,7 @@
     """The entry of a runner, the same for all instances but its address."""
 
     service: str
+    zone: str
     software: str
     slots: int
     started_at_ms: int
@@ -173,7 +176,7 @@
         return {
             "service": self.service,
             "address": address,
-            "zone": ZONE,
+            "zone": self.zone,
             "version": self.software,
             "slots": self.slots,
             "state": "draining" if self.is_leaving else "ready",
--- a/src/peridotbend_emulator/soak/record.py
+++ b/src/peridotbend_emulator/soak/record.py
@@ -15,6 +15,7 @@
     MIXED = "MIXED"
     TWICE = "TWICE"
     REFUSED = "REFUSED"
+    RECOVER = "RECOVER"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -14,20 +14,23 @@
     ChannelPool,
     Job,
 )
-from peridotbend_emulator.soak.checks import RunLedger
+from peridotbend_emulator.soak.checks import FirstTries, RunLedger
 from peridotbend_emulator.soak.disturbances import (
     DisturbanceSeries,
     Occupation,
 )
 from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.fleet import SoakFleet, run_fleet
-from peridotbend_emulator.soak.platform.documents import ROUTES
+from peridotbend_emulator.soak.links import PARTIAL_CUTS
+from peridotbend_emulator.soak.platform.documents import CONTACT_MS, ROUTES
 from peridotbend_emulator.soak.record import Finding, Record
 from peridotbend_emulator.soak.settings import SoakSettings
 
 ChoicesMaker = Callable[[str], Choices]
 SERIES_COUNT = 2
 # Streams matter most, and those that can be resumed meet most mechanisms.
+# A cut that lasts to the end begins this long after the first call.
+CUT_AFTER_MS = 2_000
 ROUTE_WEIGHTS = (9, 4, 4, 3, 2, 2)
 
 
@@ -41,6 +44,8 @@
     # Calls sent more than once.
     repeated: int
     findings: tuple[Finding, ...]
+    # Served and all first tries by instance.
+    first_tries: str
 
     def describe(self) -> str:
         """Returns a line on the run."""
@@ -48,7 +53,8 @@
         found = " ".join(f"{rule}={n}" for rule, n in sorted(counts.items()))
         return (
             f"{self.calls} calls, {self.served} served, {self.repeated} sent"
-            f" again, {len(self.findings)} findings {found}".rstrip()
+            f" again, first tries served: {self.first_tries},"
+            f" {len(self.findings)} findings {found}".rstrip()
         )
 
 
@@ -72,21 +78,41 @@
     behaviour = SoakBehaviour(make_choices, ledger, record)
     fleet = SoakFleet(settings, behaviour, clock)
     pool = ChannelPool()
+    first_tries = FirstTries()
     async with run_fleet(fleet), _disturb(fleet, make_choices, record):
         context = CallerContext(
-            fleet.instances, pool, ledger, record, clock, settings.seed
+            fleet.instances,
+            pool,
+            ledger,
+            first_tries,
+            clock.now_ms() + CUT_AFTER_MS + CONTACT_MS,
+            record,
+            clock,
+            settings.seed,
         )
+        cutting = asyncio.create_task(_cut_some_links(fleet))
         callers = await _call(context, settings, make_choices)
-    for finding in pool.close():
+        await cutting
+    findings = [*pool.close()]
+    if any(map(settings.faults.has, PARTIAL_CUTS)):
+        findings += first_tries.check(0)
+    for finding in findings:
         record.add_finding(finding)
     return SoakResult(
         calls=len(callers),
         served=sum(caller.is_served for caller in callers),
         repeated=sum(caller.tries > 1 for caller in callers),
         findings=tuple(record.findings),
+        first_tries=first_tries.describe(),
     )
 
 
+async def _cut_some_links(fleet: SoakFleet) -> None:
+    """Begins a cut once the instances hold connections to runners."""
+    await asyncio.sleep(CUT_AFTER_MS / 1_000)
+    await fleet.cut_some_links()
+
+
 @contextlib.asynccontextmanager
 async def _disturb(
     fleet: SoakFleet, make_choices: ChoicesMaker, record: Record
@@ -135,6 +161,8 @@
 
 def _make_job(serial: int, choices: Choices) -> Job:
     route = choices.rng.choices(ROUTES, ROUTE_WEIGHTS)[0]
+    if choices.plan.has("once"):
+        route = choices.rng.choice([r for r in ROUTES if r.runs_once])
     return Job(
         serial=serial,
         route=route,
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -12,6 +12,7 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.platform import wire
+from peridotbend_emulator.soak.cuts import HangingListener, intercept
 from peridotbend_emulator.soak.links import REFUSING_STATES, Link, LinkState
 from peridotbend_emulator.soak.messages import (
     Request,
@@ -31,6 +32,16 @@
 BIND_INTERVAL_S = 0.1
 GATE_INTERVAL_S = 0.05
 READ_LIMIT_BYTES = 16 * 1_048_576
+# Links whose open connections end.
+RESETTING_STATES = frozenset(LinkState) - {
+    LinkState.OPEN,
+    LinkState.CLOSED_TO_NEW,
+    LinkState.SILENT,
+}
+# Links whose accepted connections reach the runner.
+SERVED_STATES = frozenset(
+    (LinkState.OPEN, LinkState.CLOSED_TO_NEW, LinkState.SILENT)
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,7 +74,7 @@
 
     async def send(self, data: bytes) -> None:
         """Sends data, once neither the runner nor the link is silent."""
-        while self.process.is_silent or self.link.state is LinkState.SILENT:
+        while self.process.is_silent or self._state is LinkState.SILENT:
             await asyncio.sleep(GATE_INTERVAL_S)
         self._writer.write(data)
         await self._writer.drain()
@@ -72,6 +83,10 @@
         """Resets the connection."""
         reset_connection(self._writer)
 
+    @property
+    def _state(self) -> LinkState:
+        return self.link.find_state(self.process.host)
+
     def drop(self) -> None:
         """Closes the connection as the kernel does for a dead process."""
         self._writer.transport.abort()
@@ -92,22 +107,29 @@
 class RunnerProcess:
     """One start of a runner, with its listeners and connections."""
 
-    def __init__(self, start: Start, slots: int, behaviour: Behaviour):
+    def __init__(
+        self, start: Start, host: str, slots: int, behaviour: Behaviour
+    ):
         self.start = start
+        self.host = host
         self.is_silent = False
         self._slots = slots
         self._behaviour = behaviour
         self._active = 0
         self._connections: dict[Connection, asyncio.Task[None]] = {}
-        self._servers: dict[int, asyncio.Server] = {}
+        self._servers: dict[int, asyncio.Server | HangingListener] = {}
 
-    async def listen(self, link: Link, host: str, port: int) -> int:
+    async def listen(self, link: Link, port: int) -> int:
         """Listens for an instance; returns the port."""
+        if link.find_state(self.host) is LinkState.HANGING:
+            hanging = HangingListener(self.host, port)
+            self._servers[link.index] = hanging
+            return hanging.port
         for _ in range(BIND_ATTEMPTS):
             try:
                 server = await asyncio.start_server(
                     lambda reader, writer: self._serve(link, reader, writer),
-                    host,
+                    self.host,
                     port,
                     limit=READ_LIMIT_BYTES,
                 )
@@ -117,7 +139,7 @@
                     raise
             await asyncio.sleep(BIND_INTERVAL_S)
         else:
-            raise OSError(errno.EADDRINUSE, f"{host}:{port} stays in use")
+            raise OSError(errno.EADDRINUSE, f"{self.host}:{port} stays in use")
         self._servers[link.index] = server
         return int(server.sockets[0].getsockname()[1])
 
@@ -161,9 +183,13 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         connection = Connection(self, link, writer)
-        if link.state is LinkState.RESET:
+        state = link.find_state(self.host)
+        if state is LinkState.RESET:
             connection.reset()
             return
+        if state not in SERVED_STATES:
+            await intercept(state, reader, writer)
+            return
         task = asyncio.current_task()
         assert task is not None
         self._connections[connection] = task
@@ -223,6 +249,7 @@
         start: Start,
         service: str,
         host: str,
+        zone: str,
         slots: int,
         behaviour: Behaviour,
         links: Sequence[Link],
@@ -231,6 +258,7 @@
         self.service = service
         self.slots = slots
         self._host = host
+        self._zone = zone
         self._behaviour = behaviour
         self._links = links
         # By instance; chosen at the first start.
@@ -241,14 +269,15 @@
     async def launch(self, start: Start) -> None:
         """Starts a process."""
         self.start = start
-        self._process = RunnerProcess(start, self.slots, self._behaviour)
+        self._process = RunnerProcess(
+            start, self._host, self.slots, self._behaviour
+        )
         self._sequence = 0
         for link in self._links:
-            if link.state not in REFUSING_STATES or not self._ports[link.index]:
-                port = self._ports[link.index]
-                self._ports[link.index] = await self._process.listen(
-                    link, self._host, port
-                )
+            port = self._ports[link.index]
+            if link.find_state(self._host) not in REFUSING_STATES or not port:
+                port = await self._process.listen(link, port)
+                self._ports[link.index] = port
         for link in self._links:
             await self.apply_link(link)
 
@@ -268,13 +297,16 @@
         process = self._process
         if process is None:
             return
-        if link.state in (LinkState.REFUSED, LinkState.RESET):
+        state = link.find_state(self._host)
+        if state in RESETTING_STATES:
             process.reset_connections(link)
-        if link.state in REFUSING_STATES:
+        if state is LinkState.HANGING:
+            process.stop_listening(link)
+        if state in REFUSING_STATES:
             process.stop_listening(link)
         elif not process.is_listening(link):
             port = self._ports[link.index]
-            await process.listen(link, self._host, port)
+            await process.listen(link, port)
 
     def make_entry(
         self, start: Start | None = None, is_leaving: bool = False
@@ -284,6 +316,7 @@
         self._sequence += 1
         return Entry(
             service=self.service,
+            zone=self._zone,
             software=start.software,
             slots=self.slots,
             started_at_ms=start.started_at_ms,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     open_channel,
 )
 from peridotbend_emulator.soak.checks import (
+    FirstTries,
     RunLedger,
     Stamp,
     StreamCheck,
@@ -34,6 +35,7 @@
 )
 from peridotbend_emulator.soak.links import Link, LinkState
 from peridotbend_emulator.soak.messages import Answer, Request
+from peridotbend_emulator.soak.platform.documents import ZONE
 from peridotbend_emulator.soak.record import Finding, Rule
 from peridotbend_emulator.soak.run import run_soak
 from peridotbend_emulator.soak.runners import (
@@ -235,6 +237,31 @@
         assert finding.rule is Rule.REFUSED
 
 
+class FirstTriesTest(unittest.TestCase):
+    """What an instance that is cut off serves beside the others."""
+
+    def _make_tries(self, served: int, tries: int) -> FirstTries:
+        first_tries = FirstTries()
+        for number in range(tries):
+            first_tries.note(0, number < served)
+            first_tries.note(1, True)
+        return first_tries
+
+    def test_instance_that_serves_less_than_the_others(self) -> None:
+        """Guards against refusals that look like the lot of all."""
+        first_tries = self._make_tries(60, 100)
+        assert [f.rule for f in first_tries.check(0)] == [Rule.RECOVER]
+        assert not list(first_tries.check(1))
+
+    def test_instance_that_serves_two_thirds(self) -> None:
+        """Guards against a bound that is tighter than the stated one."""
+        assert not list(self._make_tries(67, 100).check(0))
+
+    def test_few_failures_are_allowed(self) -> None:
+        """Guards against findings in runs with few calls."""
+        assert not list(self._make_tries(2, 12).check(0))
+
+
 class FaultPlanTest(unittest.TestCase):
     """The faults of a run and the choices from its seed."""
 
@@ -347,7 +374,13 @@
             link = Link(0)
             start = StartCounter(SystemClock()).make_start("i-1", "v1")
             runner = Runner(
-                start, "s", f"{LOOPBACK_NET}.9", 1, SilentBehaviour(), [link]
+                start,
+                "s",
+                f"{LOOPBACK_NET}.9",
+                ZONE,
+                1,
+                SilentBehaviour(),
+                [link],
             )
             await runner.launch(start)
             try:
@@ -412,6 +445,33 @@
 
         self._play(check)
 
+    def test_links_that_something_else_accepts(self) -> None:
+        """Guards against a cut that lets requests through."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            head = f"GET {wire.REPORT_CALL} HTTP/1.1"
+            for state, status, outcome in (
+                (LinkState.UNANSWERED, 0, "timeout"),
+                (LinkState.PAGE, 502, "complete"),
+                (LinkState.HEAD_ONLY, 200, "timeout"),
+                (LinkState.ECHO, 200, "timeout"),
+            ):
+                link.state = state
+                await runner.apply_link(link)
+                answer = await self._ask(runner, head, lambda: None)
+                assert (answer.status, answer.outcome) == (status, outcome)
+            link.state = LinkState.HANGING
+            await runner.apply_link(link)
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    await self._ask(runner, head, lambda: None)
+            link.spared = frozenset((f"{LOOPBACK_NET}.9",))
+            await runner.launch(runner.start)
+            answer = await self._ask(runner, head, lambda: None)
+            assert answer.status == 200
+
+        self._play(check)
+
     def test_links_that_are_cut(self) -> None:
         """Guards against a cut that lets requests through."""
 
