Take no head without a stamp for an answer of the target

Something that stands before the targets and repeats the attempt ID in its answers counted as the target: its head voided the doubt, while the request failed, since the client asks for the stamp. Only a stamped answer, or a rejection, now shows that a target is reached.

--- a/src/peridotbend/platform/reach.py
+++ b/src/peridotbend/platform/reach.py
@@ -16,7 +16,8 @@
 def is_target_answer(call: TargetCall, head: AnswerHead) -> bool | None:
     """Tells whether a target gave an answer; None if that can't be told.
 
-    Targets echo the attempt ID. Rejections need not have one.
+    Targets echo the attempt ID and stamp their answers. Something else that
+    echoes headers has no stamp. Rejections need neither.
     """
     attempts = [v for n, v in call.headers if n.lower() == wire.ATTEMPT_ID]
     if not attempts:
@@ -25,7 +26,9 @@
         head, wire.NOT_EXECUTED
     ):
         return True
-    return attempts[0] in list_header_values(head, wire.ATTEMPT_ID)
+    return attempts[0] in list_header_values(head, wire.ATTEMPT_ID) and bool(
+        find_header(head, wire.SERVER_STAMP)
+    )
 
 
 def is_report(head: AnswerHead) -> bool:
--- a/tests/test_edge_clients.py
+++ b/tests/test_edge_clients.py
@@ -17,7 +17,12 @@
 
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.daemon import BACKEND_OPTIONS
-from peridotbend.domain.ports import CallError, CallFailure
+from peridotbend.domain.ports import (
+    AnswerHead,
+    CallError,
+    CallFailure,
+    TargetCall,
+)
 from peridotbend.edge.ports import (
     EdgeCall,
     Rejection,
@@ -28,6 +33,7 @@
 from peridotbend.edge.published import Position
 from peridotbend.platform import wire
 from peridotbend.platform.documents import read_target_order
+from peridotbend.platform.reach import is_target_answer
 from peridotbend.platform.runners import PlatformTargetClient
 from peridotbend.platform.store import MAX_ANSWER_BYTES, StoreClient
 from tests.edgefakes import CALL, TARGET, RelayHarness, ScriptedReply
@@ -501,6 +507,31 @@
             assert not isinstance(reply, Rejection | CallError), status
 
 
+class TargetAnswerTest(unittest.TestCase):
+    """Which answers show that a target is reached."""
+
+    call = TargetCall(
+        "POST", "/quotes/1", ((wire.ATTEMPT_ID, "a-1"),), b"", 1_000
+    )
+
+    def _is_answer(self, status: int, *headers: tuple[str, str]) -> bool | None:
+        return is_target_answer(self.call, AnswerHead(status, headers, True))
+
+    def test_head_that_something_else_echoes(self) -> None:
+        """Guards against a cut hidden by what repeats the attempt ID."""
+        echoed = (wire.ATTEMPT_ID, "a-1")
+        stamped = (wire.SERVER_STAMP, "s")
+        assert not self._is_answer(200, echoed)
+        assert not self._is_answer(200, stamped)
+        assert self._is_answer(200, echoed, stamped)
+        assert self._is_answer(500, echoed, stamped)
+
+    def test_rejections_need_no_stamp(self) -> None:
+        """Guards against targets at their limits that look cut off."""
+        assert self._is_answer(503, (wire.NOT_EXECUTED, "1"))
+        assert self._is_answer(421)
+
+
 class KeptConnectionTest(unittest.TestCase):
     """Refusals that a target writes once more on a connection in use again."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -542,6 +542,14 @@
         """Guards against answers that end with their runner and look whole."""
         self._play(22, 15.0, "fin unframed=0.7")
 
+    def test_partial_cuts_refuse_no_callers(self) -> None:
+        """Guards against an instance that fails what its peers could serve.
+
+        It reaches few of many runners, and something that echoes the attempt
+        answers for the others.
+        """
+        self._play(7, 15.0, "part-echo=0.84 many")
+
     def test_callers_of_http_1_0_get_no_chunks(self) -> None:
         """Guards against a framing that HTTP/1.0 doesn't have."""
         self._play(3, 3.0, "http10=0.5 keep")
