--- a/src/peridotbend/adapters/answerwatch.py
+++ b/src/peridotbend/adapters/answerwatch.py
@@ -6,9 +6,14 @@
 
 import httpcore
 
-from peridotbend.adapters.connections import Connection, PeerLostError
+from peridotbend.adapters.connections import (
+    Connection,
+    ForeignBytesError,
+    PeerLostError,
+)
 from peridotbend.domain.paths import Endpoint
 from peridotbend.domain.ports import AnswerHead, TargetCall
+from peridotbend.domain.targetreach import LinkFault
 
 # Shorter silences tell nothing: the caller may have left, and targets take
 # their time.
@@ -45,6 +50,7 @@
         target: Endpoint,
         stream: httpcore.AsyncNetworkStream,
         connected_at_ms: int,
+        fault: LinkFault,
     ) -> None:
         """Records that a connection ended, or is silent, without an answer."""
         ...
@@ -78,26 +84,29 @@
         if is_answer is None:
             self._end()
         elif not is_answer:
-            self._report(False)
+            self._report(LinkFault.FOREIGN)
         self._has_head = True
         self._restart_timer()
 
     def note_data(self) -> None:
-        """Records a part of the body."""
-        self._report(True)
+        """Records a part of the body, or its end."""
+        self._report(None)
 
     def note_error(self, error: Exception) -> None:
         """Records that the connection failed."""
         is_timeout = isinstance(error, httpcore.TimeoutException)
         if isinstance(error, PeerLostError) or is_timeout:
             self._end()
+        elif isinstance(error, ForeignBytesError):
+            self._report(LinkFault.FOREIGN)
         else:
-            self._report(False)
+            self._report(LinkFault.RESET)
 
     def close(self) -> None:
-        """Records that no more of the answer is awaited."""
-        if self._has_head and not self._is_silent:
-            self._report(True)
+        """Records that no more of the answer is awaited.
+
+        A head alone shows nothing: something else may have sent it.
+        """
         self._end()
 
     def _restart_timer(self) -> None:
@@ -112,18 +121,19 @@
         # The answer may still come.
         if self._sink is not None and not self._is_silent:
             self._is_silent = True
-            self._sink.note_unanswered(*self._describe())
+            fault = LinkFault.HEAD_ONLY if self._has_head else LinkFault.SILENT
+            self._sink.note_unanswered(*self._describe(), fault)
 
-    def _report(self, is_answered: bool) -> None:
+    def _report(self, fault: LinkFault | None) -> None:
         if self._is_done or self._sink is None:
             return
-        if is_answered:
+        if fault is None:
             self._sink.note_answered(*self._describe())
         else:
             # Another page may come in place of the next answer.
             self._connection.may_keep = False
             if not self._is_silent:
-                self._sink.note_unanswered(*self._describe())
+                self._sink.note_unanswered(*self._describe(), fault)
         self._end()
 
     def _describe(self) -> tuple[Endpoint, httpcore.AsyncNetworkStream, int]:
--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -3,44 +3,50 @@
 import collections
 import contextlib
 from collections.abc import Callable, Iterable
-from typing import Any
 
 import anyio
-import grpclib.client
 import httpcore
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
-from result import Err
 
-from peridotbend.adapters.answerwatch import (
-    GATEWAY_STATUSES,
-    UNAVAILABLE_STATUS,
-)
 from peridotbend.adapters.connections import (
     Dialer,
     DirectDialer,
-    PeerLostError,
     is_connection_refused,
 )
-from peridotbend.adapters.pathserver import MAX_MESSAGE_BYTES, split_data
+from peridotbend.adapters.pathserver import MAX_MESSAGE_BYTES
 from peridotbend.adapters.peers import (
     PEER_ERRORS,
     ChannelPool,
     limit_message_size,
 )
-from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.adapters.relayedstream import (
+    RelayedStream,
+    describe_error,
+    reset_call,
+)
+from peridotbend.adapters.targetprobes import (
+    LOAD_CALL,
+    TargetProber,
+    UnkeptConnections,
+    is_no_gateway_status,
+)
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.hedging import try_in_turn
+from peridotbend.domain.pathpeers import PathPeers, PeerChoice
 from peridotbend.domain.paths import (
+    MIN_ANSWERED,
     Endpoint,
-    PathPeers,
-    PeerChoice,
     TargetLookup,
     TargetPaths,
 )
-from peridotbend.domain.ports import AnswerHead, EventLog, TargetCall
-from peridotbend.domain.text import Target
+from peridotbend.domain.ports import (
+    AnswerHead,
+    EventLog,
+    TargetCall,
+)
+from peridotbend.domain.targetreach import LinkFault
 from peridotbend.wire import edge_pb2 as pb
 from peridotbend.wire.edge_grpc import PathsStub
 
@@ -54,91 +60,44 @@
 # Interval and timeout of the direct connects that find out whether the links
 # are back.
 PROBE_INTERVAL_S = 0.5
-PROBE_TIMEOUT_S = 0.25
 # For the answer, connect included.
 PROBE_ANSWER_TIMEOUT_S = 0.5
 # Direct probes at the same time before a peer is tried. Targets in trouble of
 # their own leave some without an answer.
 DOUBT_PROBES = 3
-# The load of a target of the product's own interface.
-LOAD_CALL = TargetCall("GET", "/v1/load", (), b"", 500, reuse_connection=False)
+# Targets without an answer in a row after which no more of those whose links
+# alone are lost are asked whether these are back.
+MAX_FAILED_PROBES = 2
+# Targets that are asked at the same time in a survey.
+SURVEY_WIDTH = 8
+# After one of these, more probes of a target would only take longer.
+_SLOW_FAULTS = frozenset(
+    (LinkFault.HANGING, LinkFault.SILENT, LinkFault.HEAD_ONLY)
+)
 
-_Stream = grpclib.client.Stream[pb.PathChunk, pb.PathChunk]
 
+class _DirectWay(UnkeptConnections):
+    """Connects over the links of this instance, as they are set now."""
 
-def is_no_gateway_status(head: AnswerHead) -> bool:
-    """Tells whether an answer to a probe comes from a target."""
-    return head.status not in (*GATEWAY_STATUSES, UNAVAILABLE_STATUS)
+    def __init__(self, paths: "PathDialer"):
+        self._paths = paths
 
+    async def connect(
+        self, target: Endpoint, timeout_s: float
+    ) -> httpcore.AsyncNetworkStream:
+        return await self._paths.direct.connect(target, timeout_s)
 
-class RelayedStream(httpcore.AsyncNetworkStream):
-    """A connection to a target that a peer holds."""
 
-    def __init__(
-        self, stream: _Stream, peer: str, on_close: Callable[[], None]
-    ):
-        self.peer = peer
-        self._stream = stream
-        self._on_close = on_close
-        self._is_closed = False
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Returns the next data, or b"" at the end of the stream."""
-        try:
-            with anyio.fail_after(timeout):
-                chunk = await self._stream.recv_message()
-        except TimeoutError as error:
-            raise httpcore.ReadTimeout(
-                f"nothing arrived in {timeout} s"
-            ) from error
-        except PEER_ERRORS as error:
-            raise PeerLostError(_describe(error)) from error
-        if chunk is None:
-            raise PeerLostError("the peer ended the call")
-        if chunk.state == pb.ENDED:
-            return b""
-        if chunk.state != pb.OPEN:
-            raise httpcore.ReadError(chunk.detail)
-        return chunk.data
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Writes data, and waits while the peer does not take it."""
-        try:
-            with anyio.fail_after(timeout):
-                for part in split_data(buffer):
-                    await self._stream.send_message(pb.PathChunk(data=part))
-        except TimeoutError as error:
-            raise httpcore.WriteTimeout(
-                f"the peer took nothing in {timeout} s"
-            ) from error
-        except PEER_ERRORS as error:
-            raise httpcore.WriteError(_describe(error)) from error
-
-    async def aclose(self) -> None:
-        """Ends the connection, which ends the request at the target."""
-        if not self._is_closed:
-            self._is_closed = True
-            self._on_close()
-            await _reset(self._stream)
-
-    def get_extra_info(self, info: str) -> Any:
-        """Returns nothing; the connection is not kept."""
-        return None
-
-
-class _DirectWay:
-    """Connects over the links of this instance, as they are set now."""
+class _PeerWay(UnkeptConnections):
+    """Connects through peers, whatever is known of the own links."""
 
     def __init__(self, paths: "PathDialer"):
         self._paths = paths
 
-    def allows_reuse(self, target: Endpoint) -> bool:
-        return False
-
     async def connect(
         self, target: Endpoint, timeout_s: float
     ) -> httpcore.AsyncNetworkStream:
-        return await self._paths.direct.connect(target, timeout_s)
+        return await self._paths.connect_by_peer(target, timeout_s)
 
 
 class PathDialer:
@@ -178,12 +137,13 @@
         # Connections held by each peer.
         self._active: collections.Counter[str] = collections.Counter()
         self._clock = clock
-        self._prober = HttpTargetClient(
-            PROBE_TIMEOUT_S, _DirectWay(self), clock
+        self._prober = TargetProber(
+            _DirectWay(self), clock, probe_call, is_probe_answer
+        )
+        self._peer_prober = TargetProber(
+            _PeerWay(self), clock, probe_call, is_probe_answer, self
         )
         self._turn = 0
-        self._probe_call = probe_call
-        self._is_probe_answer = is_probe_answer
 
     def close(self) -> None:
         """Closes the connections to peers."""
@@ -196,28 +156,37 @@
         """
         service = target.service
         return not (
-            self._paths.is_lost(service) or self._paths.is_suspect(service)
+            self._paths.is_target_lost(service, target.name)
+            or self._paths.is_suspect(service)
         )
 
     async def connect(
         self, target: Endpoint, timeout_s: float
     ) -> httpcore.AsyncNetworkStream:
         """Connects to a target."""
-        if self._paths.is_lost(target.service):
-            return await self._connect_by_peer(target, timeout_s)
+        if self._paths.is_target_lost(target.service, target.name):
+            return await self.connect_by_peer(target, timeout_s)
         is_trial = self._paths.begin_trial(target.service)
         if is_trial and not await self._probe_some(target):
             # What this instance reaches of the target shows in the answer.
             with contextlib.suppress(httpcore.ConnectError):
-                return await self._connect_by_peer(target, timeout_s)
+                return await self.connect_by_peer(target, timeout_s)
+        elif await self._is_unanswering(target):
+            return await self._connect_around(target, timeout_s)
         try:
             stream = await self.direct.connect(target, timeout_s)
         except (httpcore.ConnectTimeout, httpcore.ConnectError) as error:
-            self._paths.note_failed(target.service, target.name)
+            self._paths.note_failed(
+                target.service, target.name, _find_connect_fault(error)
+            )
             if not self._paths.is_suspect(target.service):
+                if self._begin_target_trial(target):
+                    # The own error says more of the target.
+                    with contextlib.suppress(httpcore.ConnectError):
+                        return await self.connect_by_peer(target, timeout_s)
                 raise
             with contextlib.suppress(_NoPeerError):
-                return await self._connect_by_peer(target, timeout_s)
+                return await self.connect_by_peer(target, timeout_s)
             if is_connection_refused(error):
                 # Not known to be the target's own refusal.
                 raise httpcore.ConnectError(str(error)) from None
@@ -247,13 +216,14 @@
         target: Endpoint,
         stream: httpcore.AsyncNetworkStream,
         connected_at_ms: int,
+        fault: LinkFault,
     ) -> None:
         """Records that a new connection brings no answer."""
         if isinstance(stream, RelayedStream):
             self._choice.note_unanswered(stream.peer, target.service)
         else:
             self._paths.note_unanswered(
-                target.service, target.name, connected_at_ms
+                target.service, target.name, connected_at_ms, fault
             )
 
     async def probe(self) -> None:
@@ -266,10 +236,104 @@
                 targets = self._targets.list_for(service)
                 for offset in range(len(targets)):
                     target = targets[(turn + offset) % len(targets)]
-                    if not await self._probe(target):
+                    if await self._probe(target) is not None:
                         break
                     if not self._paths.is_lost(service):
                         break
+            await self._test_doubtful()
+            for service in self._paths.list_services():
+                await self._probe_lost_targets(service, turn)
+                if self._paths.begin_survey(service):
+                    await self._survey(service)
+
+    async def _test_doubtful(self) -> None:
+        """Finds out whether some doubted targets are reached by peers only.
+
+        A target that is silent may have no room for the request that would.
+        """
+        tested: set[str] = set()
+        for service, name in self._paths.list_doubtful():
+            target = self._targets.find(name)
+            if target is None or service in tested:
+                continue
+            tested.add(service)
+            self._paths.note_doubted(service, name)
+            if await self._probe(target) is not None:
+                await self._probe_by_peer(target)
+
+    async def _probe_lost_targets(self, service: str, turn: int) -> None:
+        """Asks targets whose own links are lost, until one does not answer."""
+        lost = [
+            target
+            for target in self._targets.list_for(service)
+            if target.name in self._paths.list_lost_targets(service)
+        ]
+        failed = 0
+        for offset in range(len(lost)):
+            target = lost[(turn * MAX_FAILED_PROBES + offset) % len(lost)]
+            for _ in range(MIN_ANSWERED):
+                if await self._probe(target) is not None:
+                    failed += 1
+                    break
+            if failed >= MAX_FAILED_PROBES:
+                return
+
+    async def _survey(self, service: str) -> None:
+        """Asks all targets of a service, directly and then through peers."""
+        limiter = anyio.CapacityLimiter(SURVEY_WIDTH)
+
+        async def ask(target: Endpoint) -> None:
+            async with limiter:
+                if await self._probe(target) is not None:
+                    await self._probe_by_peer(target)
+
+        async with anyio.create_task_group() as tasks:
+            for target in self._targets.list_for(service):
+                if not self._paths.is_target_lost(service, target.name):
+                    tasks.start_soon(ask, target)
+
+    async def _probe_by_peer(self, target: Endpoint) -> None:
+        """Finds out whether a doubted target answers through a peer."""
+        if self._begin_target_trial(target):
+            with anyio.move_on_after(PROBE_ANSWER_TIMEOUT_S):
+                await self._peer_prober.ask(target)
+
+    async def _is_unanswering(self, target: Endpoint) -> bool:
+        """Tells whether a doubted target accepts connections in vain."""
+        service, name = target.service, target.name
+        if not self._paths.is_target_doubtful(service, name):
+            return False
+        if not self._paths.was_accepted(service, name):
+            # The connect itself shows whether it still fails.
+            return False
+        self._paths.note_doubted(service, name)
+        for _ in range(DOUBT_PROBES):
+            fault = await self._probe(target)
+            if fault is None or not fault.is_accepted:
+                return False
+            if fault in _SLOW_FAULTS:
+                break
+            if not self._paths.may_try_peer(service, name):
+                break
+        return True
+
+    async def _connect_around(
+        self, target: Endpoint, timeout_s: float
+    ) -> RelayedStream:
+        """Connects to a target that does not answer here, if a peer can.
+
+        Raises:
+            httpcore.ConnectError: none can, or none is to be tried yet.
+        """
+        if self._begin_target_trial(target):
+            with contextlib.suppress(httpcore.ConnectError):
+                return await self.connect_by_peer(target, timeout_s)
+        raise httpcore.ConnectError(
+            f"{target.name} accepts connections and does not answer"
+        )
+
+    def _begin_target_trial(self, target: Endpoint) -> bool:
+        return self._paths.begin_target_trial(target.service, target.name)
 
     async def _probe_some(self, target: Endpoint) -> bool:
         """Asks some targets directly; tells whether one answers."""
@@ -286,7 +350,8 @@
 
         async def ask(number: int) -> None:
             nonlocal is_answered
-            if await self._probe(probed[number % len(probed)]):
+            fault = await self._probe(probed[number % len(probed)])
+            if fault is None:
                 is_answered = True
                 tasks.cancel_scope.cancel()
 
@@ -295,35 +360,22 @@
                 tasks.start_soon(ask, number)
         return is_answered
 
-    async def _probe(self, target: Endpoint) -> bool:
-        """Asks a target directly; tells whether it answers."""
+    async def _probe(self, target: Endpoint) -> LinkFault | None:
+        """Asks a target directly; returns what is wrong, if anything."""
         started_at_ms = self._clock.now_ms()
-        address = Target(
-            target.name, target.service, "", target.host, target.port
-        )
-        is_answered = False
+        fault: LinkFault | None = LinkFault.SILENT
         with anyio.move_on_after(PROBE_ANSWER_TIMEOUT_S):
-            async with self._prober.open(
-                address, self._probe_call, lambda: True
-            ) as opened:
-                if isinstance(opened, Err):
-                    if not opened.err_value.written:
-                        self._paths.note_failed(target.service, target.name)
-                        return False
-                elif self._is_probe_answer(opened.ok_value.head):
-                    chunks = opened.ok_value.chunks()
-                    is_answered = all([c.is_ok() async for c in chunks])
-        if is_answered:
-            self._paths.note_answered(
-                target.service, target.name, started_at_ms
-            )
+            fault = await self._prober.ask(target)
+        service, name = target.service, target.name
+        if fault is None:
+            self._paths.note_answered(service, name, started_at_ms)
+        elif fault.is_accepted:
+            self._paths.note_unanswered(service, name, started_at_ms, fault)
         else:
-            self._paths.note_unanswered(
-                target.service, target.name, started_at_ms
-            )
-        return is_answered
+            self._paths.note_failed(service, name, fault)
+        return fault
 
-    async def _connect_by_peer(
+    async def connect_by_peer(
         self, target: Endpoint, timeout_s: float
     ) -> RelayedStream:
         """Connects through the first peer that can.
@@ -393,7 +445,7 @@
                 raise _NotConnectedError(first.state, first.detail)
         except BaseException:
             with anyio.CancelScope(shield=True):
-                await _reset(stream)
+                await reset_call(stream)
             raise
         self._active[peer] += 1
         return RelayedStream(
@@ -407,7 +459,7 @@
             Event.PEER_PATH_FAILED,
             peer=peer,
             target=target.name,
-            detail=_describe(error),
+            detail=describe_error(error),
         )
         if isinstance(error, _NotConnectedError):
             if error.state == pb.UNABLE:
@@ -433,17 +485,11 @@
     """There is no peer to ask."""
 
 
+def _find_connect_fault(error: Exception) -> LinkFault:
+    is_timeout = isinstance(error, httpcore.ConnectTimeout)
+    return LinkFault.HANGING if is_timeout else LinkFault.REFUSED
+
+
 async def _close_all(streams: Iterable[RelayedStream]) -> None:
     for stream in streams:
         await stream.aclose()
-
-
-async def _reset(stream: _Stream) -> None:
-    """Ends a call at once, whatever its state."""
-    error = ConnectionAbortedError()
-    with contextlib.suppress(*PEER_ERRORS):
-        await stream.__aexit__(type(error), error, None)
-
-
-def _describe(error: BaseException) -> str:
-    return f"{type(error).__name__}: {error}"
--- a/src/peridotbend/adapters/pathserver.py
+++ b/src/peridotbend/adapters/pathserver.py
@@ -13,7 +13,9 @@
 from peridotbend.adapters.connections import is_connection_refused
 from peridotbend.adapters.peers import limit_message_size
 from peridotbend.adapters.sockets import TargetStream, connect
-from peridotbend.domain.paths import PathPeers, TargetLookup, TargetPaths
+from peridotbend.domain.pathpeers import PathPeers
+from peridotbend.domain.paths import TargetLookup, TargetPaths
+from peridotbend.domain.targetreach import LinkFault
 from peridotbend.wire import edge_pb2 as pb
 from peridotbend.wire.edge_grpc import PathsBase
 
@@ -107,12 +109,19 @@
             problem = "no own links"
         if problem or target is None:
             return pb.PathChunk(state=pb.UNABLE, detail=problem)
+        if self._paths.is_target_lost(target.service, name):
+            return pb.PathChunk(
+                state=pb.UNREACHABLE, detail="no own link to the target"
+            )
         try:
             connection = await connect(
                 target.host, target.port, self._connect_timeout_s
             )
         except (httpcore.ConnectTimeout, httpcore.ConnectError) as error:
-            self._paths.note_failed(target.service, target.name)
+            fault = LinkFault.REFUSED
+            if isinstance(error, httpcore.ConnectTimeout):
+                fault = LinkFault.HANGING
+            self._paths.note_failed(target.service, target.name, fault)
             # The links of this instance may be cut as well, so that it is not
             # the target that refuses.
             is_own_fault = self._paths.is_suspect(target.service)
--- a/src/peridotbend/adapters/peerpaths.py
+++ b/src/peridotbend/adapters/peerpaths.py
@@ -3,19 +3,15 @@
 import random
 from collections.abc import Callable
 
-from peridotbend.adapters.pathclient import (
+from peridotbend.adapters.pathclient import PathDialer
+from peridotbend.adapters.pathserver import PathServer
+from peridotbend.adapters.targetprobes import (
     LOAD_CALL,
-    PathDialer,
     is_no_gateway_status,
 )
-from peridotbend.adapters.pathserver import PathServer
 from peridotbend.domain.clock import Clock
-from peridotbend.domain.paths import (
-    PathPeers,
-    PeerChoice,
-    TargetLookup,
-    TargetPaths,
-)
+from peridotbend.domain.pathpeers import PathPeers, PeerChoice
+from peridotbend.domain.paths import TargetLookup, TargetPaths
 from peridotbend.domain.ports import AnswerHead, EventLog, TargetCall
 
 
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -131,6 +131,8 @@
                 if self._watch is not None:
                     self._watch.note_data()
                 yield Ok(chunk)
+            if self._watch is not None:
+                self._watch.note_data()
         except httpcore.TimeoutException as error:
             self._note_error(error)
             yield Err(_make_error(CallFailure.TIMEOUT, True, error))
--- a/src/peridotbend/domain/paths.py
+++ b/src/peridotbend/domain/paths.py
@@ -4,17 +4,31 @@
 and peers still reach it. A connect that fails does not tell the two apart; a
 peer that connects where this instance could not does. A connect that succeeds
 shows nothing either, since what cuts a link may accept it: only an answer of
-the target does.
+the target does. An instance may also reach some targets of a service and not
+others, so that links are judged by service and by target.
 """
 
 import dataclasses
-import random
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from typing import Protocol
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
+from peridotbend.domain.targetreach import (
+    MIN_NEXT_MISSES,
+    MIN_SILENT_TARGETS,
+    MIN_TARGET_MISSES,
+    QUICK_TRIALS,
+    UNANSWERED_TTL_MS,
+    LinkFault,
+    Miss,
+    TargetReach,
+    TrialPlan,
+    count_faults,
+    drop_old,
+    find_form,
+)
 
 # Targets of one service to which connects fail one after the other before a
 # peer is asked. A single one is more likely to be down itself.
@@ -27,28 +41,8 @@
 # New connections in a row without an answer before the links are doubted.
 # Targets in trouble of their own leave some without one.
 MIN_UNANSWERED = 3
-# Longer than for failed connects, since silent connections may be far apart. An
-# answer voids them at once.
-UNANSWERED_TTL_MS = 20_000
-# A peer is tried this often in a row while the links are doubted, then after
-# pauses that double: the targets may be down for all.
-QUICK_TRIALS = 4
-TRIAL_INTERVAL_MS = 200
-FIRST_TRIAL_PAUSE_MS = 2_000
-MAX_TRIAL_PAUSE_MS = 32_000
 # The next one after a direct answer has shown that the links are sound.
 TRIAL_HOLD_MS = 1_000
-# Bounds on memory, and on what one event lists.
-MAX_MISSED = 32
-# How long a peer that could not connect is passed over.
-AVOID_PEER_MS = 1_000
-# Peers among which the connections are spread, once they have been found.
-PROVEN_PEERS = 3
-# Fraction of the connections for which another peer is tried until then.
-EXPLORE_SHARE = 0.1
-# The list of peers is derived anew at this interval: in a large fleet it is too
-# long to walk for each connection.
-REFRESH_MS = 500
 
 
 class Endpoint(Protocol):
@@ -87,52 +81,47 @@
         ...
 
 
-class PathPeers(Protocol):
-    """The other instances, by a name that identifies each of them."""
-
-    def list_serving(self) -> list[str]:
-        """Returns the instances that may serve callers now."""
-        ...
-
-    def is_near(self, peer: str) -> bool:
-        """Tells whether an instance is in the availability zone of this one."""
-        ...
-
-    def locate(self, peer: str) -> tuple[str, int]:
-        """Returns the address at which an instance serves its peers."""
-        ...
-
-    def is_instance(self, host: str) -> bool:
-        """Tells whether a host is that of an instance."""
-        ...
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Miss:
-    """A new direct connection that brought no answer."""
-
-    # When it was established, or failed.
-    at_ms: int
-    target: str
-    was_accepted: bool
-
-
 @dataclasses.dataclass(slots=True)
 class _ServicePath:
     # Time of the last failed connect by target, since the last that succeeded.
     failed_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     # Since the last direct answer, failed connects included.
-    missed: list[_Miss] = dataclasses.field(default_factory=list)
-    # Peers tried since the links are doubted, and when the next one may be.
-    trials: int = 0
-    next_trial_at_ms: int = 0
+    missed: list[Miss] = dataclasses.field(default_factory=list)
+    plan: TrialPlan = dataclasses.field(
+        default_factory=lambda: TrialPlan(QUICK_TRIALS)
+    )
     is_lost: bool = False
+    # The form of the cut, once the links are lost.
+    form: str = ""
     # Direct answers in a row since the links were lost.
     answered: int = 0
+    # Targets with connections that brought no answer, by name.
+    targets: dict[str, TargetReach] = dataclasses.field(default_factory=dict)
+    # No single target is doubted until then.
+    hold_until_ms: int = 0
+    # Whether all targets were asked since the link to one of them was lost.
+    is_surveyed: bool = False
+
+    def hold(self, until_ms: int) -> None:
+        """Begins no trial until then, since a doubt was void."""
+        self.hold_until_ms = until_ms
+        self.plan.next_at_ms = until_ms
 
     def forget_missed(self, before_ms: int) -> None:
         """Drops connections up to a time."""
-        self.missed = [miss for miss in self.missed if miss.at_ms > before_ms]
+        self.missed = drop_old(self.missed, before_ms)
+
+    def count_silent(self, now_ms: int) -> int:
+        """Returns the number of targets that do not answer."""
+        oldest_ms = now_ms - UNANSWERED_TTL_MS
+        return sum(
+            any(miss.at_ms > oldest_ms for miss in reach.missed)
+            for reach in self.targets.values()
+        )
+
+    def has_lost_target(self) -> bool:
+        """Tells whether a single target is reached by peers only."""
+        return any(reach.is_lost for reach in self.targets.values())
 
 
 class TargetPaths:
@@ -161,7 +150,7 @@
         path.forget_missed(self._clock.now_ms() - UNANSWERED_TTL_MS)
         targets = {miss.target for miss in path.missed}
         return (
-            any(miss.was_accepted for miss in path.missed)
+            any(miss.fault.is_accepted for miss in path.missed)
             and len(path.missed)
             > self._limit_to_targets(service, MIN_UNANSWERED - 1)
             and len(targets)
@@ -177,33 +166,144 @@
         """Returns the services whose targets are reached by peers only."""
         return [name for name, path in self._paths.items() if path.is_lost]
 
+    def is_target_lost(self, service: str, target: str) -> bool:
+        """Tells whether a target is reached by peers only."""
+        path = self._paths.get(service)
+        if path is None:
+            return False
+        reach = path.targets.get(target)
+        return path.is_lost or (reach is not None and reach.is_lost)
+
+    def list_lost_targets(self, service: str) -> list[str]:
+        """Returns the targets that alone are reached by peers only."""
+        path = self._paths.get(service)
+        if path is None:
+            return []
+        return [name for name, reach in path.targets.items() if reach.is_lost]
+
+    def describe_lost(self) -> dict[str, str]:
+        """Returns the targets that are reached by peers only, with the form."""
+        forms = {}
+        for service, path in self._paths.items():
+            for target in self._targets.list_for(service):
+                reach = path.targets.get(target.name)
+                if path.is_lost:
+                    forms[target.name] = path.form
+                elif reach is not None and reach.is_lost:
+                    forms[target.name] = reach.form
+        return forms
+
+    def count_lost(self, form: str) -> int:
+        """Returns the number of such targets by the form of the cut."""
+        return list(self.describe_lost().values()).count(form)
+
+    def is_target_doubtful(self, service: str, target: str) -> bool:
+        """Tells whether a target does not answer, though others may.
+
+        While none answers, the links to all of them are doubted instead.
+        """
+        path = self._paths.get(service)
+        reach = path.targets.get(target) if path else None
+        if path is None or reach is None or path.is_lost or reach.is_lost:
+            return False
+        now_ms = self._clock.now_ms()
+        if now_ms < path.hold_until_ms or self.is_doubtful(service):
+            return False
+        is_cut_likely = (
+            path.has_lost_target()
+            or path.count_silent(now_ms) >= MIN_SILENT_TARGETS
+        )
+        min_missed = MIN_NEXT_MISSES if is_cut_likely else MIN_TARGET_MISSES
+        return reach.is_doubtful(now_ms, min_missed)
+
+    def list_doubtful(self) -> list[tuple[str, str]]:
+        """Returns service and target of links that a trial may test now."""
+        return [
+            (service, name)
+            for service, path in self._paths.items()
+            for name in path.targets
+            if self.is_target_doubtful(service, name)
+            and self.may_try_peer(service, name)
+        ]
+
+    def list_services(self) -> list[str]:
+        """Returns the services with targets that alone are lost."""
+        for service, path in self._paths.items():
+            if path.has_lost_target():
+                self._drop_unlisted(service, path)
+        return [n for n, path in self._paths.items() if path.has_lost_target()]
+
+    def begin_survey(self, service: str) -> bool:
+        """Tells whether all targets of a service are to be asked.
+
+        That is so once, when the link to one of them alone is lost: a cut
+        seldom strikes a single target.
+        """
+        path = self._paths[service]
+        is_new = not path.is_surveyed and not path.is_lost
+        path.is_surveyed = path.is_surveyed or is_new
+        return is_new
+
+    def may_try_peer(self, service: str, target: str) -> bool:
+        """Tells whether a trial of a doubted target may begin now."""
+        reach = self._paths[service].targets[target]
+        return self._clock.now_ms() >= reach.plan.next_at_ms
+
+    def was_accepted(self, service: str, target: str) -> bool:
+        """Tells whether the last unanswered connection was established."""
+        path = self._paths.get(service)
+        reach = path.targets.get(target) if path else None
+        missed = reach.missed if reach else []
+        return bool(missed) and missed[-1].fault.is_accepted
+
+    def begin_target_trial(self, service: str, target: str) -> bool:
+        """Tells whether a peer is to be tried for a target alone."""
+        if not self.is_target_doubtful(service, target):
+            return False
+        reach = self._paths[service].targets[target]
+        self.note_doubted(service, target)
+        return reach.plan.begin(self._clock.now_ms())
+
+    def note_doubted(self, service: str, target: str) -> None:
+        """Logs, once, that the link to a target is doubted."""
+        reach = self._paths[service].targets[target]
+        if not reach.is_logged:
+            reach.is_logged = True
+            self._log.emit(
+                Event.TARGET_LINKS_DOUBTED,
+                service=service,
+                scope=target,
+                **_describe_missed(reach.missed),
+            )
+
     def begin_trial(self, service: str) -> bool:
         """Tells whether a peer is to be tried since the links are doubted."""
         path = self._paths.get(service)
         if path is None or path.is_lost or not self.is_doubtful(service):
             return False
-        now_ms = self._clock.now_ms()
-        if now_ms < path.next_trial_at_ms:
+        if not path.plan.begin(self._clock.now_ms()):
             return False
-        path.trials += 1
-        pauses = path.trials - QUICK_TRIALS
-        wait_ms = TRIAL_INTERVAL_MS
-        if pauses >= 0:
-            wait_ms = FIRST_TRIAL_PAUSE_MS * 2 ** min(pauses, 16)
-        path.next_trial_at_ms = now_ms + min(wait_ms, MAX_TRIAL_PAUSE_MS)
-        if path.trials == 1:
+        if path.plan.trials == 1:
             self._log.emit(
                 Event.TARGET_LINKS_DOUBTED,
                 service=service,
-                **_describe_missed(path),
+                scope="service",
+                **_describe_missed(path.missed),
             )
         return True
 
-    def note_failed(self, service: str, target: str) -> None:
+    def note_failed(
+        self,
+        service: str,
+        target: str,
+        fault: LinkFault = LinkFault.REFUSED,
+    ) -> None:
         """Records that a direct connect failed."""
         path = self._paths.setdefault(service, _ServicePath())
         path.failed_at_ms[target] = self._clock.now_ms()
-        self._note_missed(path, _Miss(self._clock.now_ms(), target, False))
+        self._note_missed(
+            service, path, Miss(self._clock.now_ms(), target, fault)
+        )
 
     def note_connected(self, service: str) -> None:
         """Records that a direct connect succeeded.
@@ -215,11 +315,15 @@
             path.failed_at_ms.clear()
 
     def note_unanswered(
-        self, service: str, target: str, connected_at_ms: int
+        self,
+        service: str,
+        target: str,
+        connected_at_ms: int,
+        fault: LinkFault = LinkFault.RESET,
     ) -> None:
         """Records that a direct connection brings no answer."""
         path = self._paths.setdefault(service, _ServicePath())
-        self._note_missed(path, _Miss(connected_at_ms, target, True))
+        self._note_missed(service, path, Miss(connected_at_ms, target, fault))
 
     def note_answered(
         self, service: str, target: str, connected_at_ms: int
@@ -232,20 +336,24 @@
         path = self._paths.get(service)
         if path is None:
             return
+        self._note_target_answered(service, path, target, connected_at_ms)
         path.forget_missed(connected_at_ms)
         if path.missed:
             return
-        if path.trials:
-            path.trials = 0
-            hold_ms = TRIAL_HOLD_MS
-            path.next_trial_at_ms = self._clock.now_ms() + hold_ms
+        if path.plan.trials:
+            path.plan.trials = 0
+            path.hold(self._clock.now_ms() + TRIAL_HOLD_MS)
         if not path.is_lost:
             return
         path.answered += 1
         if path.answered >= self._limit_to_targets(service, MIN_ANSWERED):
             path.is_lost = False
+            self._keep_lost_targets(path)
             self._log.emit(
-                Event.TARGET_LINKS_BACK, service=service, target=target
+                Event.TARGET_LINKS_BACK,
+                service=service,
+                scope="service",
+                target=target,
             )
 
     def note_relayed(self, service: str, target: str, peer: str) -> None:
@@ -256,8 +364,68 @@
     def note_relayed_answer(self, service: str, target: str, peer: str) -> None:
         """Records that a target answered over a connection of a peer."""
         path = self._paths.get(service)
-        if path is not None and path.trials:
+        if path is None:
+            return
+        if path.plan.trials:
             self._lose(service, target, peer)
+        reach = path.targets.get(target)
+        if reach is not None and reach.plan.trials:
+            self._lose_target(service, target, peer)
+
+    def _note_target_answered(
+        self, service: str, path: _ServicePath, target: str, at_ms: int
+    ) -> None:
+        reach = path.targets.get(target)
+        if reach is None:
+            return
+        later = drop_old(reach.missed, at_ms)
+        if later:
+            reach.missed = later
+            return
+        now_ms = self._clock.now_ms()
+        if not reach.is_lost:
+            if not reach.is_logged:
+                # Nothing was asked because of the doubt.
+                reach.missed = []
+            elif not reach.note_void(now_ms):
+                path.hold(now_ms + TRIAL_HOLD_MS)
+            return
+        reach.missed = []
+        reach.answered += 1
+        if reach.answered >= MIN_ANSWERED:
+            del path.targets[target]
+            path.is_surveyed = path.is_surveyed and path.has_lost_target()
+            self._log.emit(
+                Event.TARGET_LINKS_BACK,
+                service=service,
+                scope=target,
+                target=target,
+            )
+
+    def _keep_lost_targets(self, path: _ServicePath) -> None:
+        """Goes on with peers for targets that have not answered so far."""
+        for reach in path.targets.values():
+            if reach.missed:
+                reach.is_lost = True
+                reach.answered = 0
+                reach.form = find_form(reach.missed)
+
+    def _lose_target(self, service: str, target: str, peer: str) -> None:
+        if not self.is_target_doubtful(service, target):
+            return
+        reach = self._paths[service].targets[target]
+        reach.is_lost = True
+        reach.answered = 0
+        reach.form = find_form(reach.missed)
+        self._log.emit(
+            Event.TARGET_LINKS_LOST,
+            service=service,
+            scope=target,
+            target=target,
+            peer=peer,
+            form=reach.form,
+            **_describe_missed(reach.missed),
+        )
 
     def _lose(self, service: str, target: str, peer: str) -> None:
         path = self._paths[service]
@@ -265,141 +433,42 @@
             return
         path.is_lost = True
         path.answered = 0
+        path.form = find_form(path.missed)
         self._log.emit(
             Event.TARGET_LINKS_LOST,
             service=service,
+            scope="service",
             target=target,
             peer=peer,
+            form=path.form,
             failed=sorted(path.failed_at_ms),
-            **_describe_missed(path),
+            **_describe_missed(path.missed),
         )
 
-    def _note_missed(self, path: _ServicePath, miss: _Miss) -> None:
-        path.forget_missed(self._clock.now_ms() - UNANSWERED_TTL_MS)
-        path.missed.append(miss)
-        del path.missed[:-MAX_MISSED]
+    def _note_missed(
+        self, service: str, path: _ServicePath, miss: Miss
+    ) -> None:
+        oldest_ms = self._clock.now_ms() - UNANSWERED_TTL_MS
+        path.missed = drop_old([*path.missed, miss], oldest_ms)
         path.answered = 0
+        if miss.target not in path.targets:
+            self._drop_unlisted(service, path)
+        path.targets.setdefault(miss.target, TargetReach()).note_missed(miss)
+
+    def _drop_unlisted(self, service: str, path: _ServicePath) -> None:
+        """Forgets targets that are gone, and answer no more."""
+        listed = {target.name for target in self._targets.list_for(service)}
+        for name in path.targets.keys() - listed:
+            del path.targets[name]
 
     def _limit_to_targets(self, service: str, count: int) -> int:
         return max(1, min(count, len(self._targets.list_for(service))))
 
 
-def _describe_missed(path: _ServicePath) -> dict[str, object]:
-    unanswered = {miss.target for miss in path.missed if miss.was_accepted}
+def _describe_missed(missed: list[Miss]) -> dict[str, object]:
+    unanswered = {miss.target for miss in missed if miss.fault.is_accepted}
     return {
         "unanswered": sorted(unanswered),
-        "failed_connects": sum(not m.was_accepted for m in path.missed),
+        "failed_connects": sum(not m.fault.is_accepted for m in missed),
+        "forms": count_faults(missed),
     }
-
-
-class PeerChoice:
-    """Chooses the instances that connect to targets for this one."""
-
-    def __init__(self, clock: Clock, rng: random.Random, peers: PathPeers):
-        """Creates the choice.
-
-        Args:
-            clock: source of time.
-            rng: spreads the connections.
-            peers: the instances; those of the same zone cost less to reach.
-        """
-        self._clock = clock
-        self._rng = rng
-        self._peers = peers
-        self._near: list[str] = []
-        self._far: list[str] = []
-        self._refreshed_at_ms: int | None = None
-        # Peers that brought answers lately, the last one at the end.
-        self._proven: dict[str, None] = {}
-        # By host and service; an empty service stands for all of them.
-        self._avoid_until_ms: dict[tuple[str, str], int] = {}
-        # Asked only if there is no other, by the same keys.
-        self._doubted_until_ms: dict[tuple[str, str], int] = {}
-
-    def choose(self, service: str, exclude: Collection[str]) -> str:
-        """Returns a peer that may reach the targets of a service, or ""."""
-        self._refresh()
-        proven = list(self._proven)
-        pools = [proven, self._near, self._far]
-        is_exploring = self._rng.random() < EXPLORE_SHARE
-        if is_exploring and len(proven) < PROVEN_PEERS:
-            pools = [self._near, self._far, proven]
-        doubted: list[str] = []
-        for pool in pools:
-            hosts = [
-                host
-                for host in pool
-                if host not in exclude and not self._is_avoided(host, service)
-            ]
-            trusted = [h for h in hosts if not self._is_doubted(h, service)]
-            if trusted:
-                return self._rng.choice(trusted)
-            doubted.extend(hosts)
-        return self._rng.choice(doubted) if doubted else ""
-
-    def note_answered(self, host: str) -> None:
-        """Records that a target answered over a connection of a peer."""
-        self._proven.pop(host, None)
-        self._proven[host] = None
-        if len(self._proven) > PROVEN_PEERS:
-            del self._proven[next(iter(self._proven))]
-
-    def note_unreachable(self, host: str) -> None:
-        """Records that a peer did not reach a target.
-
-        It may reach others, so that it is only asked after those that did.
-        """
-        self._proven.pop(host, None)
-
-    def note_unanswered(self, host: str, service: str) -> None:
-        """Records that a connection of a peer brought no answer of a target.
-
-        The links of that peer may be cut as well, without its knowledge.
-        """
-        self._proven.pop(host, None)
-        until_ms = self._clock.now_ms() + AVOID_PEER_MS
-        self._doubted_until_ms[host, service] = until_ms
-
-    def note_failed(self, host: str, service: str = "") -> None:
-        """Records that a peer did not answer, or takes no connections.
-
-        Args:
-            host: of the peer.
-            service: whose targets it does not reach; empty for all.
-        """
-        self._proven.pop(host, None)
-        until_ms = self._clock.now_ms() + AVOID_PEER_MS
-        self._avoid_until_ms[host, service] = until_ms
-
-    def _is_avoided(self, host: str, service: str) -> bool:
-        now_ms = self._clock.now_ms()
-        return any(
-            self._avoid_until_ms.get((host, name), now_ms) > now_ms
-            for name in (service, "")
-        )
-
-    def _is_doubted(self, host: str, service: str) -> bool:
-        now_ms = self._clock.now_ms()
-        return self._doubted_until_ms.get((host, service), now_ms) > now_ms
-
-    def _refresh(self) -> None:
-        now_ms = self._clock.now_ms()
-        last_ms = self._refreshed_at_ms
-        if last_ms is not None and now_ms - last_ms < REFRESH_MS:
-            return
-        self._refreshed_at_ms = now_ms
-        hosts = self._peers.list_serving()
-        self._near = [h for h in hosts if self._peers.is_near(h)]
-        self._far = [h for h in hosts if not self._peers.is_near(h)]
-        known = set(hosts)
-        self._proven = {h: None for h in self._proven if h in known}
-        self._avoid_until_ms = {
-            key: until_ms
-            for key, until_ms in self._avoid_until_ms.items()
-            if until_ms > now_ms
-        }
-        self._doubted_until_ms = {
-            key: until_ms
-            for key, until_ms in self._doubted_until_ms.items()
-            if until_ms > now_ms
-        }
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -29,21 +29,21 @@
 from peridotbend.daemon import BACKEND_OPTIONS
 from peridotbend.domain.clock import ManualClock, SystemClock
 from peridotbend.domain.events import Event
-from peridotbend.domain.paths import (
-    FAILURE_TTL_MS,
-    QUICK_TRIALS,
-    REFRESH_MS,
-    TRIAL_INTERVAL_MS,
-    Endpoint,
-    PeerChoice,
-    TargetPaths,
-)
+from peridotbend.domain.pathpeers import REFRESH_MS, PeerChoice
+from peridotbend.domain.paths import FAILURE_TTL_MS, Endpoint, TargetPaths
 from peridotbend.domain.ports import (
     CallError,
     CallFailure,
     TargetAnswer,
     TargetCall,
 )
+from peridotbend.domain.targetreach import (
+    MIN_TARGET_MISSES,
+    QUICK_TARGET_TRIALS,
+    QUICK_TRIALS,
+    TRIAL_INTERVAL_MS,
+    LinkFault,
+)
 from peridotbend.domain.text import Target
 from peridotbend.edge.targets import TargetList
 from peridotbend.platform import wire
@@ -390,6 +390,8 @@
         self.targets = TargetList(self.clock)
         self.paths = TargetPaths(self.clock, self.log, self.targets)
         self.is_cut = True
+        # The targets that a cut strikes, if it does not strike all.
+        self.cut_names: set[str] = set()
         # Accepts direct connections in place of the targets while they are cut.
         self.proxy_port = 0
         self.connects = 0
@@ -404,6 +406,7 @@
                 targets.put(entry)
         with listen(HOSTS[0], 0) as unused:
             peer_port = unused.getsockname()[1]
+        self.peer_port = peer_port
         for other in self.others:
             await other.start(peer_port)
         peers = FixedPeers([other.host for other in self.others], peer_port)
@@ -434,9 +437,11 @@
     ) -> httpcore.AsyncNetworkStream:
         """Connects directly, unless the links are cut."""
         self.connects += 1
-        if self.is_cut and self.proxy_port:
+        is_struck = not self.cut_names or target.name in self.cut_names
+        is_cut = self.is_cut and is_struck
+        if is_cut and self.proxy_port:
             return await connect("127.0.0.1", self.proxy_port, timeout_s)
-        if self.is_cut:
+        if is_cut:
             raise httpcore.ConnectTimeout("cut")
         return await connect(target.host, target.port, timeout_s)
 
@@ -802,6 +807,222 @@
         run_paths(harness, check)
 
 
+class PartialCutTest(unittest.TestCase):
+    """An instance that reaches some targets of a service, and not others."""
+
+    answer = AcceptedConnectionTest.answer
+
+    def _make_harness(self, *others: OtherInstance) -> PathHarness:
+        harness = PathHarness(RawTarget(self.answer), *others)
+        harness.cut_names = {"i-1"}
+        return harness
+
+    def _run(
+        self,
+        harness: PathHarness,
+        check: Callable[[], Awaitable[None]],
+        *forms: CutForm,
+    ) -> None:
+        """Runs a check; without a form, connects hang."""
+
+        async def run() -> None:
+            if not forms:
+                await check()
+                return
+            async with CuttingProxy(*forms).run() as harness.proxy_port:
+                await check()
+
+        run_paths(harness, run)
+
+    async def _lose_target(self, harness: PathHarness) -> None:
+        """Calls both targets until the link to the first one counts as lost."""
+        while not harness.paths.list_lost_targets("engine"):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.call, "i-1")
+                for _ in range(3):
+                    assert await harness.call("i-2") == []
+                with anyio.move_on_after(1.2):
+                    while not harness.paths.list_lost_targets("engine"):
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+    def test_answers_of_other_targets_hide_no_cut(self) -> None:
+        """Guards against one answer that voids the doubt of a service."""
+        for name, forms in {**ALL_FORMS, "hanging": ()}.items():
+            harness = self._make_harness(OtherInstance(HOSTS[1]))
+
+            async def check(harness: PathHarness) -> None:
+                await self._lose_target(harness)
+                connects = harness.connects
+                for _ in range(CALLS):
+                    assert await harness.call("i-1") == []
+                assert harness.connects == connects
+                assert not harness.paths.is_lost("engine")
+                assert await harness.call("i-2") == []
+                assert harness.connects == connects + 1
+
+            with self.subTest(form=name):
+                self._run(harness, functools.partial(check, harness), *forms)
+
+    def test_nothing_is_written_to_a_doubted_target_without_a_peer(
+        self,
+    ) -> None:
+        """Guards against requests lost in a cut that others need not enter."""
+        for name, forms in ALL_FORMS.items():
+            harness = self._make_harness()
+
+            async def check(harness: PathHarness) -> None:
+                # Up to what shows the cut.
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(2):
+                        tasks.start_soon(harness.call, "i-1")
+                    await anyio.sleep(1.2)
+                    tasks.cancel_scope.cancel()
+                for _ in range(3):
+                    assert await harness.call("i-2") == []
+                    error = await harness.call("i-1")
+                    assert isinstance(error, CallError)
+                    assert not error.written, error
+
+            with self.subTest(form=name):
+                self._run(harness, functools.partial(check, harness), *forms)
+
+    def test_link_that_is_back_is_used_again(self) -> None:
+        """Guards against relaying one target for ever."""
+        harness = self._make_harness(OtherInstance(HOSTS[1]))
+
+        async def check() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.dialer.probe)
+                await self._lose_target(harness)
+                await anyio.sleep(1.2)
+                assert harness.paths.list_lost_targets("engine") == ["i-1"]
+                harness.is_cut = False
+                while harness.paths.list_lost_targets("engine"):
+                    await anyio.sleep(0.02)
+                before = harness.connects
+                assert await harness.call("i-1") == []
+                assert harness.connects == before + 1
+                tasks.cancel_scope.cancel()
+
+        self._run(harness, check, CutForm.RESET)
+
+    def test_target_down_for_all_is_not_tried_again_and_again(self) -> None:
+        """Guards against peers that connect for each failed request."""
+        other = OtherInstance(HOSTS[1])
+        harness = self._make_harness(other)
+
+        async def check() -> None:
+            other.targets.put(
+                dataclasses.replace(TARGET, name="i-1", port=harness.proxy_port)
+            )
+            for _ in range(CALLS):
+                assert isinstance(await harness.call("i-1"), CallError)
+                assert await harness.call("i-2") == []
+                await anyio.sleep(0.05)
+            assert not harness.paths.list_lost_targets("engine")
+            assert 0 < other.connects <= QUICK_TARGET_TRIALS + 1
+            # A call or a probe each, and some probes more for each trial.
+            extra = DOUBT_PROBES * (QUICK_TARGET_TRIALS + 1)
+            assert harness.connects <= 2 * CALLS + extra, harness.connects
+
+        self._run(harness, check, CutForm.RESET)
+
+    def test_peer_without_a_link_to_one_target_helps_with_others(self) -> None:
+        """Guards against a peer that is passed over for a whole service."""
+        partly = OtherInstance(HOSTS[1])
+        harness = self._make_harness(partly)
+
+        async def check() -> None:
+            lose_target(partly.paths, "i-1")
+            for name in ("i-1", "i-2"):
+                lose_target(harness.paths, name)
+            error = await harness.call("i-1")
+            assert isinstance(error, CallError)
+            assert not error.written
+            assert await harness.call("i-2") == []
+            assert partly.connects == 1
+
+        self._run(harness, check)
+
+    def test_other_targets_of_a_cut_are_found_without_requests(self) -> None:
+        """Guards against a request that fails for each target of a cut."""
+        other = OtherInstance(HOSTS[1])
+        harness = self._make_harness(other)
+        harness.cut_names = {"i-1", "i-3", "i-4"}
+
+        async def check() -> None:
+            self._list_more(harness, "i-3", "i-4")
+            lose_target(harness.paths, "i-1")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.dialer.probe)
+                while len(harness.paths.list_lost_targets("engine")) < 3:
+                    await anyio.sleep(0.02)
+                tasks.cancel_scope.cancel()
+            for name in ("i-3", "i-4", "i-2"):
+                assert await harness.call(name) == []
+
+        self._run(harness, check, CutForm.RESET)
+
+    def test_silent_targets_without_room_are_tested(self) -> None:
+        """Guards against a cut that shows in one connection to each target."""
+        harness = self._make_harness(OtherInstance(HOSTS[1]))
+        harness.cut_names = {"i-1", "i-3", "i-4"}
+
+        async def check() -> None:
+            self._list_more(harness, "i-3", "i-4")
+            now_ms = harness.clock.now_ms()
+            for name in ("i-1", "i-3", "i-4"):
+                harness.paths.note_unanswered(
+                    "engine", name, now_ms, LinkFault.SILENT
+                )
+            await anyio.sleep(0.01)
+            assert await harness.call("i-2") == []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.dialer.probe)
+                while len(harness.paths.list_lost_targets("engine")) < 3:
+                    await anyio.sleep(0.02)
+                tasks.cancel_scope.cancel()
+
+        self._run(harness, check, CutForm.SILENT)
+
+    def test_head_alone_is_no_answer(self) -> None:
+        """Guards against a doubt that a head from something else voids."""
+        harness = self._make_harness()
+
+        async def check() -> None:
+            now_ms = harness.clock.now_ms()
+            harness.paths.note_unanswered("engine", "i-1", now_ms)
+            await anyio.sleep(0.01)
+            async with harness.open("i-1") as opened:
+                assert opened.is_ok()
+            now_ms = harness.clock.now_ms()
+            harness.paths.note_unanswered("engine", "i-1", now_ms)
+            assert harness.paths.is_target_doubtful("engine", "i-1")
+
+        self._run(harness, check, CutForm.HANGS_AFTER_HEAD)
+
+    def _list_more(self, harness: PathHarness, *names: str) -> None:
+        for name in names:
+            entry = dataclasses.replace(TARGET, name=name, port=harness.port)
+            for targets in (
+                harness.targets,
+                *(other.targets for other in harness.others),
+            ):
+                targets.put(entry)
+
+
+def lose_target(paths: TargetPaths, name: str) -> None:
+    """Lets the link to one target count as lost."""
+    now_ms = SystemClock().now_ms()
+    for _ in range(MIN_TARGET_MISSES):
+        paths.note_unanswered("engine", name, now_ms)
+    paths.note_answered("engine", "i-3", now_ms)
+    assert paths.begin_target_trial("engine", name)
+    paths.note_relayed_answer("engine", name, "peer")
+    assert name in paths.list_lost_targets("engine")
+
+
 class TargetPathsTest(unittest.TestCase):
     """What an instance concludes from its connects."""
 
@@ -810,7 +1031,8 @@
         self.targets = TargetList(self.clock)
         for name in ("i-1", "i-2", "i-3"):
             self.targets.put(make_target(name))
-        self.paths = TargetPaths(self.clock, RecordingLog(), self.targets)
+        self.log = RecordingLog()
+        self.paths = TargetPaths(self.clock, self.log, self.targets)
 
     def test_one_failed_target_is_no_lost_link(self) -> None:
         """Guards against asking peers for each target that crashed."""
@@ -870,6 +1092,61 @@
         self.paths.note_relayed_answer("engine", "i-1", "10.0.0.2")
         assert self.paths.is_lost("engine")
 
+    def test_slow_target_is_doubted_less_and_less(self) -> None:
+        """Guards against probes of targets that only take their time."""
+        doubts = 0
+        for _ in range(600):
+            connected_at_ms = self.clock.now_ms()
+            for _ in range(MIN_TARGET_MISSES):
+                self.paths.note_unanswered(
+                    "engine", "i-1", connected_at_ms, LinkFault.SILENT
+                )
+            doubts += self.paths.begin_target_trial("engine", "i-1")
+            self.clock.advance(100)
+            self.paths.note_answered("engine", "i-1", connected_at_ms)
+        # After 1, 2, 4, 8, 16, 16 and 16 s.
+        assert 5 <= doubts <= 9, doubts
+
+    def test_troubled_target_is_doubted_once_a_second(self) -> None:
+        """Guards against probes of targets that reset some answers."""
+        doubts = 0
+        for _ in range(600):
+            self._miss("i-1", "i-1")
+            doubts += self.paths.begin_target_trial("engine", "i-1")
+            self.clock.advance(50)
+            self.paths.note_answered("engine", "i-1", self.clock.now_ms())
+            self.clock.advance(50)
+        assert doubts <= 61, doubts
+
+    def test_trials_of_one_target_become_rare(self) -> None:
+        """Guards against peers asked again and again for a dead target."""
+        trials = 0
+        for _ in range(600):
+            self._miss("i-1", "i-1")
+            self.clock.advance(50)
+            self.paths.note_answered("engine", "i-2", self.clock.now_ms())
+            trials += self.paths.begin_target_trial("engine", "i-1")
+            self.clock.advance(50)
+        # 2 in a row, then after 2, 4, 8, 16 and 32 s.
+        assert trials == QUICK_TARGET_TRIALS + 4, trials
+
+    def test_lost_targets_are_named_with_the_form_of_the_cut(self) -> None:
+        """Guards against a log and a gauge that hide what a cut looks like."""
+        for fault in (LinkFault.SILENT, LinkFault.SILENT):
+            self.paths.note_unanswered(
+                "engine", "i-1", self.clock.now_ms(), fault
+            )
+        self.paths.note_answered("engine", "i-2", self.clock.now_ms())
+        assert self.paths.begin_target_trial("engine", "i-1")
+        self.paths.note_relayed_answer("engine", "i-1", "10.0.0.2")
+        assert self.paths.describe_lost() == {"i-1": "silent"}
+        assert self.paths.count_lost("silent") == 1
+        event, fields = self.log.events[-1]
+        assert event is Event.TARGET_LINKS_LOST
+        assert fields["scope"] == "i-1"
+        assert fields["form"] == "silent"
+        assert fields["forms"] == {"silent": 2}
+
     def test_old_failures_are_forgotten(self) -> None:
         """Guards against failures hours apart that look like one cut."""
         self.paths.note_failed("engine", "i-1")
