Let the soak's runners name the type of their reports

The protocol gives reports as application/json, and a probe takes nothing else for the answer of a target. The stand-ins named no type, so that each probe of a sound runner counted as bytes of something else.

--- a/src/peridotbend/adapters/edgemetrics.py
+++ b/src/peridotbend/adapters/edgemetrics.py
@@ -1,6 +1,7 @@
 """Metrics of an entry instance on the users' platform."""
 
-from collections.abc import Awaitable, Callable
+import functools
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from prometheus_client import (
@@ -59,6 +60,24 @@
         )
         gauge.set_function(read)
 
+    def add_gauges(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        values: Iterable[str],
+        read: Callable[[str], float],
+    ) -> None:
+        """Adds a gauge for each value of a label, read like `add_gauge`."""
+        gauge = Gauge(
+            f"peridotbend_edge_{name}",
+            description,
+            (label,),
+            registry=self._registry,
+        )
+        for value in values:
+            gauge.labels(value).set_function(functools.partial(read, value))
+
     def observe_end(self, kind: str, outcome: str, took_ms: int) -> None:
         """Counts a request that ended; `kind` is the kind of its route."""
         self._requests.labels(kind, outcome).inc()
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -25,6 +25,7 @@
 from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
+from peridotbend.domain.targetreach import FORMS
 from peridotbend.edge.config import EdgeConfig
 from peridotbend.edge.exchange import DigestExchange
 from peridotbend.edge.feeds import Feed, RestoreRules
@@ -226,6 +227,7 @@
             "brittle": self._dependencies.brittle.dump(),
             "pauses": self._dependencies.pauses.dump(),
             "lost_links": self._paths.state.list_lost(),
+            "lost_targets": self._paths.state.describe_lost(),
             "relayed": self._paths.server.active,
         }
 
@@ -341,6 +343,13 @@
             "Services whose targets are reached through peers only.",
             lambda: len(self._paths.state.list_lost()),
         )
+        self._metrics.add_gauges(
+            "lost_targets",
+            "Targets reached through peers only, by the form of the cut.",
+            "form",
+            FORMS,
+            self._paths.state.count_lost,
+        )
         add_gauge(
             "relayed_connections",
             "Connections to targets that are held for peers.",
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -207,8 +207,11 @@
         if request.method == "GET":
             status, page = self._describe(request.target)
             body = json.dumps(page).encode()
-            name = ("X-Instance-Id", self.start.name)
-            await connection.send(make_answer(status, body, (name,)))
+            headers = (
+                ("X-Instance-Id", self.start.name),
+                ("Content-Type", "application/json"),
+            )
+            await connection.send(make_answer(status, body, headers))
             return True
         if request.get(wire.EXPECT_INSTANCE) != self.start.name:
             await connection.send(make_answer(421, b"", _echo(request)))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -418,6 +418,8 @@
                 answer = await self._ask(runner, head, lambda: None)
                 started_at_ms = json.loads(answer.body)["born"]
                 assert started_at_ms == runner.start.started_at_ms
+                # As the protocol has it; a probe takes no other answer.
+                assert answer.get("content-type") == "application/json"
 
         self._play(check)
 
