--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -436,9 +436,9 @@
     Mutant(
         "accepting-proxy-ends-a-cut",
         "RECOVER",
-        "src/peridotbend/adapters/pathclient.py",
-        "        is_answered = False\n",
-        "        is_answered = True\n",
+        "src/peridotbend/adapters/targetprobes.py",
+        "                return _find_fault(opened.err_value)\n",
+        "                return None\n",
         ("test_edge_paths",),
     ),
     Mutant(
@@ -452,7 +452,7 @@
     Mutant(
         "dead-targets-tried-again-and-again",
         "BUDGET",
-        "src/peridotbend/domain/paths.py",
+        "src/peridotbend/domain/targetreach.py",
         "        if pauses >= 0:\n",
         "        if False:\n",
         ("test_edge_paths",),
@@ -460,11 +460,71 @@
     Mutant(
         "silent-peer-preferred",
         "RECOVER",
-        "src/peridotbend/domain/paths.py",
+        "src/peridotbend/domain/pathpeers.py",
         "        self._doubted_until_ms[host, service] = until_ms\n",
         "",
         ("test_edge_paths",),
     ),
+    Mutant(
+        "answers-of-other-targets-hide-a-cut",
+        "RECOVER",
+        "src/peridotbend/domain/paths.py",
+        "        return reach.is_doubtful(now_ms, min_missed)\n",
+        "        return False\n",
+        ("test_edge_paths",),
+    ),
+    Mutant(
+        "requests-written-to-a-doubted-target",
+        "RECOVER",
+        "src/peridotbend/adapters/pathclient.py",
+        "        elif await self._is_unanswering(target):\n",
+        "        elif False:\n",
+        ("test_edge_paths",),
+    ),
+    Mutant(
+        "head-alone-taken-for-an-answer",
+        "RECOVER",
+        "src/peridotbend/adapters/answerwatch.py",
+        "        A head alone shows nothing: something else may have sent it.\n"
+        '        """\n',
+        "        A head alone shows nothing: something else may have sent it.\n"
+        '        """\n'
+        "        if self._has_head:\n"
+        "            self._report(None)\n",
+        ("test_edge_paths",),
+    ),
+    Mutant(
+        "one-request-lost-for-each-target-of-a-cut",
+        "RECOVER",
+        "src/peridotbend/adapters/pathclient.py",
+        "                if self._paths.begin_survey(service):\n",
+        "                if False:\n",
+        ("test_edge_paths",),
+    ),
+    Mutant(
+        "full-silent-targets-never-tested",
+        "RECOVER",
+        "src/peridotbend/adapters/pathclient.py",
+        "            await self._test_doubtful()\n",
+        "",
+        ("test_edge_paths",),
+    ),
+    Mutant(
+        "slow-targets-probed-again-and-again",
+        "BUDGET",
+        "src/peridotbend/domain/targetreach.py",
+        "        self.hold_ms = max(hold_ms, FIRST_HOLD_MS)\n",
+        "        self.hold_ms = 0\n",
+        ("test_edge_paths",),
+    ),
+    Mutant(
+        "peer-passed-over-for-a-whole-service",
+        "RECOVER",
+        "src/peridotbend/adapters/pathserver.py",
+        "                state=pb.UNREACHABLE, detail=",
+        "                state=pb.UNABLE, detail=",
+        ("test_edge_paths",),
+    ),
     Mutant(
         "dead-peer-blamed-on-the-target",
         "RECOVER",
