--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -9,6 +9,8 @@
 STREAM_SERVICE = "peridot-pool"
 CALL_SERVICE = "peridot-app"
 ZONE = "zone-a"
+OTHER_ZONE = "zone-b"
+CONTACT_MS = 3_000
 DRAIN_S = 2.0
 GRACE_S = 8.0
 HEARTBEAT_S = 1.2
@@ -148,7 +150,7 @@
         "ip": host,
         "zone": ZONE,
         "region": "r",
-        "zones": {ZONE: "r"},
+        "zones": {ZONE: "r", OTHER_ZONE: "r"},
         "listen": {
             "frontend": f"{host}:{ports.callers}",
             "ready": f"{host}:{ports.health}",
@@ -188,6 +190,7 @@
     """The entry of a runner, the same for all instances but its address."""
 
     service: str
+    zone: str
     software: str
     slots: int
     started_at_ms: int
@@ -199,7 +202,7 @@
         return {
             "service": self.service,
             "address": address,
-            "zone": ZONE,
+            "zone": self.zone,
             "version": self.software,
             "slots": self.slots,
             "state": "draining" if self.is_leaving else "ready",
--- a/src/peridotbend_emulator/soak/record.py
+++ b/src/peridotbend_emulator/soak/record.py
@@ -23,6 +23,7 @@
     CONFIG = "CONFIG"
     # A process uses more memory or descriptors than it has.
     BOUNDS = "BOUNDS"
+    RECOVER = "RECOVER"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
     open_channel,
 )
 from peridotbend_emulator.soak.checks import (
+    FirstTries,
     RunLedger,
     Stamp,
     StreamCheck,
@@ -50,6 +51,7 @@
     CONTACT_MS,
     MAX_FILES,
     MEMORY_MB,
+    ZONE,
 )
 from peridotbend_emulator.soak.platform.store import StoreStandIn
 from peridotbend_emulator.soak.proxies import LoopbackProxy
@@ -497,6 +499,31 @@
         assert store.list_keys("a/") == ["a/1"]
 
 
+class FirstTriesTest(unittest.TestCase):
+    """What an instance that is cut off serves beside the others."""
+
+    def _make_tries(self, served: int, tries: int) -> FirstTries:
+        first_tries = FirstTries()
+        for number in range(tries):
+            first_tries.note(0, number < served)
+            first_tries.note(1, True)
+        return first_tries
+
+    def test_instance_that_serves_less_than_the_others(self) -> None:
+        """Guards against refusals that look like the lot of all."""
+        first_tries = self._make_tries(60, 100)
+        assert [f.rule for f in first_tries.check(0)] == [Rule.RECOVER]
+        assert not list(first_tries.check(1))
+
+    def test_instance_that_serves_two_thirds(self) -> None:
+        """Guards against a bound that is tighter than the stated one."""
+        assert not list(self._make_tries(67, 100).check(0))
+
+    def test_few_failures_are_allowed(self) -> None:
+        """Guards against findings in runs with few calls."""
+        assert not list(self._make_tries(2, 12).check(0))
+
+
 class FaultPlanTest(unittest.TestCase):
     """The faults of a run and the choices from its seed."""
 
@@ -609,7 +636,13 @@
             link = Link(0)
             start = StartCounter(SystemClock()).make_start("i-1", "v1")
             runner = Runner(
-                start, "s", f"{LOOPBACK_NET}.9", 1, SilentBehaviour(), [link]
+                start,
+                "s",
+                f"{LOOPBACK_NET}.9",
+                ZONE,
+                1,
+                SilentBehaviour(),
+                [link],
             )
             await runner.launch(start)
             try:
@@ -647,6 +680,8 @@
                 answer = await self._ask(runner, head, lambda: None)
                 started_at_ms = json.loads(answer.body)["born"]
                 assert started_at_ms == runner.start.started_at_ms
+                # As the protocol has it; a probe takes no other answer.
+                assert answer.get("content-type") == "application/json"
 
         self._play(check)
 
@@ -674,6 +709,33 @@
 
         self._play(check)
 
+    def test_links_that_something_else_accepts(self) -> None:
+        """Guards against a cut that lets requests through."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            head = f"GET {wire.REPORT_CALL} HTTP/1.1"
+            for state, status, outcome in (
+                (LinkState.UNANSWERED, 0, "timeout"),
+                (LinkState.PAGE, 502, "complete"),
+                (LinkState.HEAD_ONLY, 200, "timeout"),
+                (LinkState.ECHO, 200, "timeout"),
+            ):
+                link.state = state
+                await runner.apply_link(link)
+                answer = await self._ask(runner, head, lambda: None)
+                assert (answer.status, answer.outcome) == (status, outcome)
+            link.state = LinkState.HANGING
+            await runner.apply_link(link)
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    await self._ask(runner, head, lambda: None)
+            link.spared = frozenset((f"{LOOPBACK_NET}.9",))
+            await runner.launch(runner.start)
+            answer = await self._ask(runner, head, lambda: None)
+            assert answer.status == 200
+
+        self._play(check)
+
     def test_links_that_are_cut(self) -> None:
         """Guards against a cut that lets requests through."""
 
@@ -762,6 +824,14 @@
         result = self._play(10003, 6.0, faults)
         assert len(result.versions) > 1, result.versions
 
+    def test_partial_cuts_refuse_no_callers(self) -> None:
+        """Guards against an instance that fails what its peers could serve.
+
+        It reaches few of many runners, and something that echoes the attempt
+        answers for the others.
+        """
+        self._play(7, 15.0, "part-echo=0.84 many")
+
     def test_callers_of_http_1_0_get_no_chunks(self) -> None:
         """Guards against a framing that HTTP/1.0 doesn't have."""
         self._play(3, 3.0, "http10=0.5 keep")
