--- a/src/peridotbend/adapters/answerwatch.py
+++ b/src/peridotbend/adapters/answerwatch.py
@@ -103,10 +103,9 @@
             self._report(LinkFault.RESET)
 
     def close(self) -> None:
-        """Records that no more of the answer is awaited.
-
-        A head alone shows nothing: something else may have sent it.
-        """
+        """Records that no more of the answer is awaited."""
+        if self._has_head and not self._is_silent:
+            self._report(None)
         self._end()
 
     def _restart_timer(self) -> None:
--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -171,8 +171,11 @@
             # What this instance reaches of the target shows in the answer.
             with contextlib.suppress(httpcore.ConnectError):
                 return await self.connect_by_peer(target, timeout_s)
-        elif await self._is_unanswering(target):
-            return await self._connect_around(target, timeout_s)
+        elif await self._is_unanswering(target) and self._begin_target_trial(
+            target
+        ):
+            with contextlib.suppress(httpcore.ConnectError):
+                return await self.connect_by_peer(target, timeout_s)
         try:
             stream = await self.direct.connect(target, timeout_s)
         except (httpcore.ConnectTimeout, httpcore.ConnectError) as error:
@@ -306,6 +309,8 @@
         if not self._paths.was_accepted(service, name):
             # The connect itself shows whether it still fails.
             return False
+        if not self._paths.may_try_peer(service, name):
+            return False
         self._paths.note_doubted(service, name)
         for _ in range(DOUBT_PROBES):
             fault = await self._probe(target)
@@ -313,25 +318,8 @@
                 return False
             if fault in _SLOW_FAULTS:
                 break
-            if not self._paths.may_try_peer(service, name):
-                break
         return True
 
-    async def _connect_around(
-        self, target: Endpoint, timeout_s: float
-    ) -> RelayedStream:
-        """Connects to a target that does not answer here, if a peer can.
-
-        Raises:
-            httpcore.ConnectError: none can, or none is to be tried yet.
-        """
-        if self._begin_target_trial(target):
-            with contextlib.suppress(httpcore.ConnectError):
-                return await self.connect_by_peer(target, timeout_s)
-        raise httpcore.ConnectError(
-            f"{target.name} accepts connections and does not answer"
-        )
-
     def _begin_target_trial(self, target: Endpoint) -> bool:
         return self._paths.begin_target_trial(target.service, target.name)
 
