Lose a configuration with each restore of the soak's store

Cause: a configuration seldom fell between the copy of the store and its restore, so that the check of CONFIG had little to see: one of seven restores in 34 s.

Change: with the fault config, restore writes one after the copy. Occupation moves to a module of its own.

--- a/src/peridotbend_emulator/soak/disturbances.py
+++ b/src/peridotbend_emulator/soak/disturbances.py
@@ -1,11 +1,10 @@
 """Faults that come in series, and overlap with those of the other series."""
 
 import asyncio
-import contextlib
 import itertools
 import random
 import signal
-from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import TypeVar
 
 from peridotbend_emulator.soak.faults import Choices
@@ -13,6 +12,7 @@
 from peridotbend_emulator.soak.fleetchecks import TouchLog
 from peridotbend_emulator.soak.instances import Instance, NotReadyError
 from peridotbend_emulator.soak.links import CUT_STATES, Link, LinkState
+from peridotbend_emulator.soak.occupation import Occupation
 from peridotbend_emulator.soak.platform.documents import (
     DRAIN_S,
     GRACE_S,
@@ -47,26 +47,6 @@
 _Subject = TypeVar("_Subject", Runner, Instance)
 
 
-class Occupation:
-    """The runners and instances at which a series is at work."""
-
-    def __init__(self) -> None:
-        self._taken: set[Runner | Instance] = set()
-
-    def is_free(self, subject: Runner | Instance) -> bool:
-        """Tells whether no series is at work there."""
-        return subject not in self._taken
-
-    @contextlib.contextmanager
-    def hold(self, *subjects: Runner | Instance) -> Iterator[None]:
-        """Keeps other series away."""
-        self._taken.update(subjects)
-        try:
-            yield
-        finally:
-            self._taken.difference_update(subjects)
-
-
 class DisturbanceSeries:
     """Plays one fault after another."""
 
@@ -426,6 +406,8 @@
         """Loses what is written to the store in some seconds."""
         copy = self._fleet.store.copy()
         self._note(f"restore: copy of revision {copy.revision}")
+        if self._choices.plan.has("config"):
+            await self._write_config()
         await self._sleep(AWAY_S)
         with self._touch.hold("restore"):
             self._note("restore: the store goes back to the copy")
--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -21,13 +21,11 @@
     Job,
 )
 from peridotbend_emulator.soak.checks import RunLedger
-from peridotbend_emulator.soak.disturbances import (
-    DisturbanceSeries,
-    Occupation,
-)
+from peridotbend_emulator.soak.disturbances import DisturbanceSeries
 from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.fleet import SoakFleet, run_fleet
 from peridotbend_emulator.soak.fleetchecks import LateCheck, TouchLog
+from peridotbend_emulator.soak.occupation import Occupation
 from peridotbend_emulator.soak.operator import Operator
 from peridotbend_emulator.soak.platform.documents import ROUTES
 from peridotbend_emulator.soak.record import Finding, Record
