--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -22,9 +22,10 @@
     StreamRecords,
     hash_attempt,
 )
-from peridotbend.edge.targetruns import ASK_TIMEOUT_MS, SURVEY_TTL_MS
+from peridotbend.edge.targetruns import SURVEY_TTL_MS
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
+from peridotbend.platform import runners
 from peridotbend.platform.runners import PlatformTargetClient
 from tests.edgefakes import (
     CALL,
@@ -291,6 +292,7 @@
 class QuestionTest(unittest.TestCase):
     """The question that is asked on the connection of a call."""
 
+    @unittest.mock.patch.object(runners, "ASK_TIMEOUT_MS", 250)
     def test_question_that_is_answered_slowly_ends(self) -> None:
         """Guards against a slot that a dripping target holds."""
 
@@ -322,7 +324,7 @@
             send = TargetSend(CALL, target, "", 5_000, "", True, check=_Check())
             async with listener, anyio.create_task_group() as tasks:
                 tasks.start_soon(listener.serve, drip)
-                with anyio.fail_after(ASK_TIMEOUT_MS / 1_000 + 0.5):
+                with anyio.fail_after(1.0):
                     async with client.open(send, lambda: True) as reply:
                         assert isinstance(reply, CallError), reply
                 tasks.cancel_scope.cancel()
