Close no connection for another while a request runs on it

Cause: a connection that gives way was refused with 408 even if it had been refused before, while its caller had time to read that answer. One with a request that ran and an incomplete one behind it counted as waiting for a body, although the request before it was still running.

Change: a connection that was refused is closed without a second answer, and one with a request in its pipeline does not wait for a body.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -275,7 +275,7 @@
         self._unread_bytes = self.transport.get_write_buffer_size()
         if self.transport.is_closing():
             self._start_stall_timer()
-        elif self._is_reading_body():
+        elif self._is_reading_body() and not self.pipeline:
             self._waiting.wait_for_body(self)
         elif not self._is_serving_request():
             self._waiting.wait_for_head(self)
@@ -289,7 +289,7 @@
             return False
         # It takes up no place while its last bytes are sent.
         self.connections.discard(self)
-        if self._reading_headers or is_reading_body:
+        if not self._refused and (self._reading_headers or is_reading_body):
             self._refuse_slow()
         self.transport.close()
         return True
