Take the time of the body from the caller's deadline

Cause: the deadline that a caller states was counted anew once its body had arrived, so that a target was given more time than was left.

Change: the time since the head is taken from the stated deadline. The time limit of the route still counts from the end of the body.

Result: test_body_time, with a body that takes 400 ms of 5,000 ms, saw 5,000 ms passed on before the change and passes with it. test_edge_platform, test_edge_heads and test_caller_framing pass.

--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -1,5 +1,6 @@
 """ASGI applications for callers and for the platform's readiness check."""
 
+import dataclasses
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -67,7 +68,8 @@
     def __init__(self, relay: Relay, find_body_limit: Callable[[], int]):
         self._relay = relay
         self._find_body_limit = find_body_limit
-        self._intake = BodyIntake(MAX_BODIES_BYTES, SystemClock())
+        self._clock = SystemClock()
+        self._intake = BodyIntake(MAX_BODIES_BYTES, self._clock)
         # Set when shutdown begins; answers then close their connections.
         self.is_closing = False
         # Set when what comes now could not be completed any more.
@@ -89,6 +91,7 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         responder = AsgiResponder(send, self)
         incoming = IncomingBody(self._intake, self._find_body_limit())
+        begun_ms = self._clock.now_ms()
         try:
             body = await self._read_body(scope, receive, incoming)
             if isinstance(body, NotRun):
@@ -96,7 +99,14 @@
             elif self.is_refusing:
                 await responder.refuse(NotRun(Reason.DRAINING))
             else:
-                await self._answer(scope, body, receive, responder)
+                call = decode_call(scope, body)
+                if call is not None and call.deadline_ms is not None:
+                    # It counts from the request, not from the end of its body.
+                    left_ms = begun_ms + call.deadline_ms - self._clock.now_ms()
+                    call = dataclasses.replace(
+                        call, deadline_ms=max(0, left_ms)
+                    )
+                await self._answer(call, receive, responder)
         except CallerGoneError:
             return
         finally:
@@ -128,12 +138,10 @@
 
     async def _answer(
         self,
-        scope: Scope,
-        body: bytes,
+        call: EdgeCall | None,
         receive: Receive,
         responder: "AsgiResponder",
     ) -> None:
-        call = decode_call(scope, body)
         if call is None:
             await responder.refuse(NotRun(Reason.BAD_INPUT))
             return
