Leave a target also while the end of its answer is confirmed

Cause: the end of an answer without length or chunks is confirmed by asking its target. If the check for stalls cancelled the send in the turn of the event loop in which the target had answered, the end was passed on nevertheless, and the cancellation followed: an answer with a slow caller was cut, and a stream that had ended was sent to another target, which then ended it again.

Change: a delivery ends also after the confirmation, if its send has been cancelled.

The targets of that module now wait while their connections are closed, and an answer that ends twice fails each of its tests.

--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -122,6 +122,7 @@
         await tracked_send.end_if_left()
         if not await self._outlives(target, answer.head):
             return FailedAnswer(_DEAD_END, answer.head)
+        await tracked_send.end_if_left()
         status = answer.head.status
         failed = status >= ERROR_STATUS
         self._note_answer(target, answer.head, failed)
@@ -193,6 +194,7 @@
                 return FailedAnswer(early_end, answer.head)
         if not await self._outlives(target, answer.head):
             return FailedAnswer(_DEAD_END, answer.head, has_survived)
+        await tracked_send.end_if_left()
         # Only the caller is waited for from here on.
         tracked_send.is_blocked = True
         await self._start_once(request, head, responder)
--- a/tests/test_edge_silence.py
+++ b/tests/test_edge_silence.py
@@ -1,9 +1,11 @@
 """Tests of answers in which a sound target, or the caller, pauses."""
 
+import contextlib
 import dataclasses
 import functools
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
+from unittest import mock
 
 import anyio
 import anyio.lowlevel
@@ -12,7 +14,8 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallError
 from peridotbend.edge.delivery import MAX_HELD_BYTES
-from peridotbend.edge.ports import EdgeCall
+from peridotbend.edge.ports import EdgeCall, Reply, TargetSend
+from peridotbend.edge.targets import EdgeTarget
 from tests.edgefakes import (
     CALL,
     RecordingResponder,
@@ -60,6 +63,15 @@
         super().__init__(*replies)
         self.pause: Step = anyio.lowlevel.checkpoint
 
+    @contextlib.asynccontextmanager
+    async def open(
+        self, send: TargetSend, gate: Callable[[], bool]
+    ) -> AsyncIterator[Reply]:
+        """Returns the next reply; waits while its connection is closed."""
+        async with super().open(send, gate) as reply:
+            yield reply
+        await anyio.lowlevel.checkpoint()
+
     def make_answer(self, reply: ScriptedReply, target: str) -> ScriptedAnswer:
         """Returns an answer that pauses."""
         return PausedAnswer(reply, target, lambda: self.pause())
@@ -87,6 +99,10 @@
         await anyio.sleep(0)
 
 
+async def read_at_once() -> None:
+    """Takes no time, as a caller that keeps up."""
+
+
 class SlowResponder(RecordingResponder):
     """A caller that takes its answer only after a step of the test."""
 
@@ -101,6 +117,7 @@
 
     async def finish(self) -> None:
         """Records the end once everything before it has been read."""
+        assert not self.is_complete, "an answer ends twice"
         await self._read()
         await super().finish()
 
@@ -208,6 +225,48 @@
                 assert responder.body == expected
                 assert len(harness.client.sends) == 2
 
+    def test_end_that_is_confirmed_as_the_target_is_left_is_no_end(
+        self,
+    ) -> None:
+        """Guards against cutting an answer whose end had to be confirmed.
+
+        The check for stalls came in the turn in which its target had answered.
+        A stream that its caller had read to the end was sent again.
+        """
+        events = (make_event(1), make_event(2))
+        for call, parts, rest, read in (
+            (LOOKUP, (b"start",), (b"another",), anyio.lowlevel.checkpoint),
+            (CALL, events, (make_event(3),), read_at_once),
+        ):
+            with self.subTest(path=call.path):
+                first = ScriptedReply(
+                    chunks=parts,
+                    is_event_stream=call is CALL,
+                    is_delimited=False,
+                )
+                second = dataclasses.replace(
+                    first, chunks=rest, is_delimited=True
+                )
+                harness = PausedHarness(first, second)
+
+                async def confirm(
+                    target: EdgeTarget,
+                    ended_at_ms: int,
+                    harness: PausedHarness = harness,
+                    call: EdgeCall = call,
+                ) -> bool:
+                    del target, ended_at_ms
+                    harness.pass_time(call)
+                    return True
+
+                responder = SlowResponder(read)
+                with mock.patch.object(harness.runs, "confirm_end", confirm):
+                    _serve(harness, call, responder)
+                assert responder.is_complete
+                expected = rest if call is LOOKUP else (*parts, *rest)
+                assert responder.body == b"".join(expected)
+                assert len(harness.client.sends) == 2
+
 
 class SlowCallerTest(unittest.TestCase):
     """Callers that take their answer more slowly than it comes."""
