Read nothing more of a message that was refused

Cause: after an answer 400, the limits on the headers and on the framing of the body were still checked for the same read, and the timer of the headers was started again. A message that was invalid and too large got 400 and 431 on one connection, and with a header timeout under a second 400 and 408.

Change: a read ends with the refusal.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -152,6 +152,8 @@
         except httptools.HttpParserError as error:
             self.send_400_response(str(error))
         self._last_read = b""
+        if self._refused:
+            return
         self._framing_bytes = max(0, self._framing_bytes)
         is_same_head = messages_before == self._messages_started
         if self._is_reading_body():
--- a/tests/test_caller_framing.py
+++ b/tests/test_caller_framing.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from peridotbend.adapters.boundedconnections import ConnectionLimits
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.platform import wire
 from tests.fedconnections import Feeder, Outcome, feed
@@ -297,6 +298,21 @@
             self._check(data.replace(b" HTTP/1.1", b"", 1))
 
 
+class RefusalTest(unittest.TestCase):
+    """Messages with more than one fault."""
+
+    def test_invalid_and_too_large_message_gets_one_answer(self) -> None:
+        """Guards against a second answer after the one that refuses."""
+        padding = b"x" * (2 * ConnectionLimits().max_header_bytes)
+        chunked = encode("a1", "/a", ("Transfer-Encoding: chunked",), None)
+        for packets in (
+            (b"GET / HTTP/1.1\r\n", b"X: " + padding + b"\r\nb d: e\r\n"),
+            (chunked, b"1;" + padding + b"\r\nx\r\nz\r\n"),
+        ):
+            with self.subTest(packets[0]):
+                assert asyncio.run(feed(packets)).statuses == [400]
+
+
 class VerdictTest(unittest.TestCase):
     """What a refusal of malformed headers says of earlier calls."""
 
