Keep a connection whose body ends after its answer

Cause: the rest of a body that came after its answer was taken for bytes that start no request. It stopped the keep-alive timer and started that of the headers, which nothing stopped when the body ended, so that the connection was closed while its caller could still use it.

Change: the end of such a body stops the timer of the headers and starts the keep-alive timer.

Result: the first test of test_early_answers failed before, as the connection had been closed after the header timeout, and passes with the change. The second guards the change itself, against closing a connection whose next request has come with the end of the body. test_caller_framing, test_serving, test_giving_way, test_callers and test_edge_platform pass.

--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -91,6 +91,8 @@
         self._last_read = b""
         # Whether the current message began in it.
         self._began_in_last_read = False
+        # Whether a message ended in it whose response was complete before.
+        self._is_answered_message_over = False
         self._messages_started = 0
         self._reading_headers = False
         # Why the current message is refused; "" if it isn't or can't be parsed.
@@ -144,7 +146,7 @@
             return
         messages_before = self._messages_started if self._reading_headers else 0
         self._last_read = data
-        self._began_in_last_read = False
+        self._began_in_last_read = self._is_answered_message_over = False
         self._framing_bytes += len(data)
         self._unset_keepalive_if_required()
         try:
@@ -163,7 +165,12 @@
             self._header_bytes += len(data)
             if self._header_bytes > self._limits.max_header_bytes:
                 self._refuse_too_large("headers")
-        elif not self._is_serving_request():
+        elif self._is_serving_request():
+            return
+        elif self._is_answered_message_over and not self._reading_headers:
+            # The connection is idle from now on.
+            self._start_keep_alive_timer()
+        else:
             # Bytes that start no request, such as empty lines, start the timer
             # as well.
             self._start_header_timer()
@@ -266,6 +273,9 @@
         super().on_message_complete()
         if self._is_serving_request():
             self._waiting.remove(self)
+        else:
+            self._is_answered_message_over = True
+            self._stop_header_timer()
 
     def on_response_complete(self) -> None:
         """Continues with the next request.
@@ -304,9 +314,7 @@
         unread_bytes = self.transport.get_write_buffer_size()
         if unread_bytes < self._unread_bytes:
             self._unread_bytes = unread_bytes
-            self.timeout_keep_alive_task = self.loop.call_later(
-                self.timeout_keep_alive, self.timeout_keep_alive_handler
-            )
+            self._start_keep_alive_timer()
         elif unread_bytes:
             self.transport.abort()
         else:
@@ -425,6 +433,11 @@
                 self._limits.header_timeout_s, self._handle_header_timeout
             )
 
+    def _start_keep_alive_timer(self) -> None:
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
     def _start_stall_timer(self) -> None:
         if self._stall_timer is None:
             self._stall_timer = self.loop.call_later(
