Let no body give way unless that makes room

Cause: with the memory for bodies full, the slowest bodies were refused one by one until the new part had room or none was left. If most of the memory was held by requests whose bodies had arrived, all slow bodies were refused, and the new one as well.

Change: bodies give way only if the memory that they free is enough.

Result: the new test of test_edge_platform failed before and passes with the change; test_slowbodies_processes and test_caller_framing pass.

--- a/src/peridotbend/adapters/bodyintake.py
+++ b/src/peridotbend/adapters/bodyintake.py
@@ -36,16 +36,22 @@
         """Notes that a body has arrived, or never will."""
         self._arriving.pop(body, None)
 
-    def refuse_oldest(self, other: "IncomingBody") -> bool:
-        """Refuses the slowest body that arrives; tells if there was one."""
+    def make_room(self, size: int, other: "IncomingBody") -> bool:
+        """Refuses the slowest bodies that arrive, if that frees the memory."""
         latest_ms = self._clock.now_ms() - MIN_ARRIVAL_MS
+        free_bytes = self.budget.limit_bytes - self.budget.used_bytes
+        slowest: list[IncomingBody] = []
         for body, since_ms in self._arriving.items():
-            if since_ms > latest_ms:
-                return False
+            if free_bytes >= size or since_ms > latest_ms:
+                break
             if body is not other and body.used_bytes:
-                body.give_way()
-                return True
-        return False
+                slowest.append(body)
+                free_bytes += body.used_bytes
+        if free_bytes < size:
+            return False
+        for body in slowest:
+            body.give_way()
+        return True
 
 
 class IncomingBody:
@@ -85,9 +91,10 @@
         """Reserves memory for a part; returns a refusal if there is none."""
         if self._reserved.used_bytes + size > self._reserved.limit_bytes:
             return NotRun(Reason.TOO_LARGE)
-        while not self._reserved.reserve(size):
-            if not self._intake.refuse_oldest(self):
-                return NotRun(Reason.AT_CAPACITY)
+        if not self._intake.make_room(size, self):
+            return NotRun(Reason.AT_CAPACITY)
+        is_reserved = self._reserved.reserve(size)
+        assert is_reserved, "no room was made"
         return None
 
     def give_way(self) -> None:
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -421,6 +421,24 @@
         anyio.run(play)
         assert intake.budget.used_bytes == 60
 
+    def test_bodies_do_not_give_way_in_vain(self) -> None:
+        """Guards against refusing bodies for one that has no room anyway.
+
+        Bodies that have arrived stay, and may take up most of the memory.
+        """
+        clock = ManualClock()
+        intake = BodyIntake(100, clock)
+        arrived, slow = IncomingBody(intake, 80), IncomingBody(intake, 80)
+        assert arrived.take(80) is None
+        intake.begin(slow)
+        assert slow.take(10) is None
+        clock.advance(MIN_ARRIVAL_MS)
+        other = IncomingBody(intake, 80)
+        assert other.take(60) == NotRun(Reason.AT_CAPACITY)
+        assert slow.used_bytes == 10
+        assert other.take(20) is None
+        assert slow.used_bytes == 0
+
 
 class StatusTest(unittest.TestCase):
     """The HTTP status of a refusal."""
