--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -91,6 +91,8 @@
         self._last_read = b""
         # Whether the current message began in it.
         self._began_in_last_read = False
+        # Whether a message ended in it whose response was complete before.
+        self._is_answered_message_over = False
         self._messages_started = 0
         self._reading_headers = False
         # Why the current message is refused; "" if it isn't or can't be parsed.
@@ -144,7 +146,7 @@
             return
         messages_before = self._messages_started if self._reading_headers else 0
         self._last_read = data
-        self._began_in_last_read = False
+        self._began_in_last_read = self._is_answered_message_over = False
         self._framing_bytes += len(data)
         self._unset_keepalive_if_required()
         try:
@@ -152,6 +154,8 @@
         except httptools.HttpParserError as error:
             self.send_400_response(str(error))
         self._last_read = b""
+        if self._refused:
+            return
         self._framing_bytes = max(0, self._framing_bytes)
         is_same_head = messages_before == self._messages_started
         if self._is_reading_body():
@@ -161,7 +165,12 @@
             self._header_bytes += len(data)
             if self._header_bytes > self._limits.max_header_bytes:
                 self._refuse_too_large("headers")
-        elif not self._is_serving_request():
+        elif self._is_serving_request():
+            return
+        elif self._is_answered_message_over and not self._reading_headers:
+            # The connection is idle from now on.
+            self._start_keep_alive_timer()
+        else:
             # Bytes that start no request, such as empty lines, start the timer
             # as well.
             self._start_header_timer()
@@ -264,6 +273,9 @@
         super().on_message_complete()
         if self._is_serving_request():
             self._waiting.remove(self)
+        else:
+            self._is_answered_message_over = True
+            self._stop_header_timer()
 
     def on_response_complete(self) -> None:
         """Continues with the next request.
@@ -275,7 +287,7 @@
         self._unread_bytes = self.transport.get_write_buffer_size()
         if self.transport.is_closing():
             self._start_stall_timer()
-        elif self._is_reading_body():
+        elif self._is_reading_body() and not self.pipeline:
             self._waiting.wait_for_body(self)
         elif not self._is_serving_request():
             self._waiting.wait_for_head(self)
@@ -289,7 +301,7 @@
             return False
         # It takes up no place while its last bytes are sent.
         self.connections.discard(self)
-        if self._reading_headers or is_reading_body:
+        if not self._refused and (self._reading_headers or is_reading_body):
             self._refuse_slow()
         self.transport.close()
         return True
@@ -302,9 +314,7 @@
         unread_bytes = self.transport.get_write_buffer_size()
         if unread_bytes < self._unread_bytes:
             self._unread_bytes = unread_bytes
-            self.timeout_keep_alive_task = self.loop.call_later(
-                self.timeout_keep_alive, self.timeout_keep_alive_handler
-            )
+            self._start_keep_alive_timer()
         elif unread_bytes:
             self.transport.abort()
         else:
@@ -423,6 +433,11 @@
                 self._limits.header_timeout_s, self._handle_header_timeout
             )
 
+    def _start_keep_alive_timer(self) -> None:
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
     def _start_stall_timer(self) -> None:
         if self._stall_timer is None:
             self._stall_timer = self.loop.call_later(
