Skip doubted targets that were forgotten while others were asked

The list of doubted targets was made before the first of them was asked, which takes up to a second. One that was removed and listed again in that time has no record of its link any more, and the log entry of its doubt raised a KeyError in the task that probes, which ends the instance. Each target is now checked again before it is asked.

test_target_that_is_listed_anew_ends_no_probes failed before and passes.

--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -262,6 +262,9 @@
             target = self._targets.find(name)
             if target is None or service in tested:
                 continue
+            if not self._paths.is_target_doubtful(service, name):
+                # It may have been forgotten while others were tested.
+                continue
             tested.add(service)
             self._paths.note_doubted(service, name)
             if await self._probe(target) is not None:
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -1052,6 +1052,36 @@
 
         self._run(harness, check, CutForm.SILENT)
 
+    def test_target_that_is_listed_anew_ends_no_probes(self) -> None:
+        """Guards against a process that ends as a doubted target restarts."""
+        harness = self._make_harness(OtherInstance(HOSTS[1]))
+
+        async def relist() -> None:
+            while not harness.connects:
+                await anyio.sleep(0)
+            entry = harness.targets.find("s-1")
+            assert entry is not None
+            harness.targets.remove("s-1")
+            # Forgets targets that are not listed.
+            harness.paths.note_failed("shop", "s-2")
+            harness.targets.put(entry)
+
+        async def check() -> None:
+            for name in ("s-1", "s-2"):
+                entry = dataclasses.replace(TARGET, name=name, service="shop")
+                harness.targets.put(entry)
+            now_ms = harness.clock.now_ms()
+            for service, name in (("engine", "i-1"), ("shop", "s-1")):
+                for _ in range(MIN_TARGET_MISSES):
+                    harness.paths.note_unanswered(service, name, now_ms)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.dialer.probe)
+                await relist()
+                await anyio.sleep(1.2)
+                tasks.cancel_scope.cancel()
+
+        self._run(harness, check, CutForm.SILENT)
+
     def _list_more(self, harness: PathHarness, *names: str) -> None:
         for name in names:
             entry = dataclasses.replace(TARGET, name=name, port=harness.port)
