Lose a service only while its links are doubted

A trial of a service counts until a direct answer is later than all misses. With one target cut and others answering, the misses of that target keep it pending, so that the answer through a peer to a trial of the one target made the whole service count as lost. The doubt of the service is now checked when the answer arrives.

test_answered_trial_is_not_taken_for_a_later_one failed before and passes.

--- a/src/peridotbend/domain/paths.py
+++ b/src/peridotbend/domain/paths.py
@@ -366,7 +366,7 @@
         path = self._paths.get(service)
         if path is None:
             return
-        if path.plan.trials:
+        if path.plan.trials and self.is_doubtful(service):
             self._lose(service, target, peer)
         reach = path.targets.get(target)
         if reach is not None and reach.plan.trials:
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -1227,6 +1227,21 @@
         assert fields["form"] == "silent"
         assert fields["forms"] == {"silent": 2}
 
+    def test_answered_trial_is_not_taken_for_a_later_one(self) -> None:
+        """Guards against a service lost by the trial of one target."""
+        self._miss("i-1", "i-2", "i-1")
+        assert self.paths.begin_trial("engine")
+        self.clock.advance(1)
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(1)
+        self._miss("i-1")
+        self.paths.note_answered("engine", "i-3", connected_at_ms)
+        assert not self.paths.is_doubtful("engine")
+        assert self.paths.begin_target_trial("engine", "i-1")
+        self.paths.note_relayed_answer("engine", "i-1", "10.0.0.2")
+        assert not self.paths.is_lost("engine")
+        assert self.paths.list_lost_targets("engine") == ["i-1"]
+
     def test_old_failures_are_forgotten(self) -> None:
         """Guards against failures hours apart that look like one cut."""
         self.paths.note_failed("engine", "i-1")
