Keep no connection that a peer holds

Whether a connection is kept was decided by the state of the target's link alone. A trial connects through a peer before the link counts as lost, so that its connection was kept if the doubt was void by then. Later calls went through the peer though the link worked, the peer had one place less, and the end of such a connection does not show while it is idle.

test_connection_of_a_peer_is_not_kept failed before and passes.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -252,7 +252,9 @@
         connection.pace = ConnectionPace(self._shared_pace)
         connection.link = stream
         connection.connected_at_ms = self._clock.now_ms()
-        connection.may_keep = self._dialer.allows_reuse(target)
+        # The end of a connection that a peer holds does not show while idle.
+        is_direct = isinstance(stream, TargetStream)
+        connection.may_keep = is_direct and self._dialer.allows_reuse(target)
         connection.target = target
         return connection
 
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -327,6 +327,19 @@
         reset_connection(writer)
 
 
+class KeepingTarget(RawTarget):
+    """Answers all calls that come over a connection."""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves a connection."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while await reader.readuntil(b"plan"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+
 class FixedPeers:
     """Instances on given hosts, all near unless a zone is given."""
 
@@ -1082,6 +1095,36 @@
 
         self._run(harness, check, CutForm.SILENT)
 
+    def test_connection_of_a_peer_is_not_kept(self) -> None:
+        """Guards against calls that go through a peer though the links work.
+
+        The doubt may be void before the answer has arrived.
+        """
+        other = OtherInstance(HOSTS[1])
+        harness = PathHarness(KeepingTarget(), other)
+        harness.cut_names = {"i-1"}
+
+        async def check() -> None:
+            now_ms = harness.clock.now_ms()
+            for _ in range(MIN_TARGET_MISSES):
+                harness.paths.note_unanswered("engine", "i-1", now_ms)
+            async with harness.open("i-1") as opened:
+                assert not isinstance(opened, Err)
+                harness.is_cut = False
+                await anyio.sleep(0.01)
+                harness.paths.note_answered(
+                    "engine", "i-1", harness.clock.now_ms()
+                )
+                async for _ in opened.ok_value.chunks():
+                    pass
+            assert other.connects == 1
+            assert not harness.paths.list_lost_targets("engine")
+            before = harness.connects
+            assert await harness.call("i-1") == []
+            assert harness.connects == before + 1
+
+        self._run(harness, check, CutForm.RESET)
+
     def _list_more(self, harness: PathHarness, *names: str) -> None:
         for name in names:
             entry = dataclasses.replace(TARGET, name=name, port=harness.port)
