List doubted targets in one pass

For each target with misses, twice a second, all targets with misses were counted anew; likewise the lost targets for each listed one. What depends on the service only is now found once: 0.002 s.

test_doubts_of_a_large_service_are_listed_in_one_pass failed before and passes.

--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -272,11 +272,8 @@
 
     async def _probe_lost_targets(self, service: str, turn: int) -> None:
         """Asks targets whose own links are lost, until one does not answer."""
-        lost = [
-            target
-            for target in self._targets.list_for(service)
-            if target.name in self._paths.list_lost_targets(service)
-        ]
+        names = frozenset(self._paths.list_lost_targets(service))
+        lost = [t for t in self._targets.list_for(service) if t.name in names]
         failed = 0
         for offset in range(len(lost)):
             target = lost[(turn * MAX_FAILED_PROBES + offset) % len(lost)]
--- a/src/peridotbend/domain/paths.py
+++ b/src/peridotbend/domain/paths.py
@@ -123,6 +123,14 @@
         """Tells whether a single target is reached by peers only."""
         return any(reach.is_lost for reach in self.targets.values())
 
+    def find_min_missed(self, now_ms: int) -> int:
+        """Returns from how many misses on the link to a target is doubted."""
+        is_cut_likely = (
+            self.has_lost_target()
+            or self.count_silent(now_ms) >= MIN_SILENT_TARGETS
+        )
+        return MIN_NEXT_MISSES if is_cut_likely else MIN_TARGET_MISSES
+
 
 class TargetPaths:
     """The state of this instance's own links, by service."""
@@ -209,22 +217,25 @@
         now_ms = self._clock.now_ms()
         if now_ms < path.hold_until_ms or self.is_doubtful(service):
             return False
-        is_cut_likely = (
-            path.has_lost_target()
-            or path.count_silent(now_ms) >= MIN_SILENT_TARGETS
-        )
-        min_missed = MIN_NEXT_MISSES if is_cut_likely else MIN_TARGET_MISSES
-        return reach.is_doubtful(now_ms, min_missed)
+        return reach.is_doubtful(now_ms, path.find_min_missed(now_ms))
 
     def list_doubtful(self) -> list[tuple[str, str]]:
         """Returns service and target of links that a trial may test now."""
-        return [
-            (service, name)
-            for service, path in self._paths.items()
-            for name in path.targets
-            if self.is_target_doubtful(service, name)
-            and self.may_try_peer(service, name)
-        ]
+        now_ms = self._clock.now_ms()
+        found: list[tuple[str, str]] = []
+        for service, path in self._paths.items():
+            is_held = path.is_lost or now_ms < path.hold_until_ms
+            if is_held or self.is_doubtful(service):
+                continue
+            min_missed = path.find_min_missed(now_ms)
+            found.extend(
+                (service, name)
+                for name, reach in path.targets.items()
+                if not reach.is_lost
+                and reach.is_doubtful(now_ms, min_missed)
+                and now_ms >= reach.plan.next_at_ms
+            )
+        return found
 
     def list_services(self) -> list[str]:
         """Returns the services with targets that alone are lost."""
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -31,6 +31,7 @@
 from peridotbend.adapters.sockets import connect
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.daemon import BACKEND_OPTIONS
+from peridotbend.domain import paths
 from peridotbend.domain.clock import ManualClock, SystemClock
 from peridotbend.domain.events import Event
 from peridotbend.domain.pathpeers import REFRESH_MS, PeerChoice
@@ -1285,6 +1286,23 @@
         assert not self.paths.is_lost("engine")
         assert self.paths.list_lost_targets("engine") == ["i-1"]
 
+    def test_doubts_of_a_large_service_are_listed_in_one_pass(self) -> None:
+        """Guards against an event loop that stands still in a large cut."""
+        names = [f"i-{number}" for number in range(50)]
+        for name in names:
+            self.targets.put(make_target(name))
+        self._miss(*names, *names)
+        self.clock.advance(1)
+        self.paths.note_answered("engine", "i-60", self.clock.now_ms())
+        with mock.patch.object(
+            paths._ServicePath,
+            "count_silent",
+            autospec=True,
+            side_effect=paths._ServicePath.count_silent,
+        ) as count_silent:
+            assert len(self.paths.list_doubtful()) == len(names)
+        assert count_silent.call_count == 1
+
     def test_old_failures_are_forgotten(self) -> None:
         """Guards against failures hours apart that look like one cut."""
         self.paths.note_failed("engine", "i-1")
