Go on with probes of lost links during a survey

The survey of a service asks 8 targets at a time, and each silent one takes up to a second. Until it ended no link was probed, so that links of all services stayed lost after the end of a cut: 3.5 s with 64 silent targets, by calculation minutes with thousands. The survey now has its own task, one for each service at a time.

test_survey_does_not_delay_the_end_of_a_cut failed before and passes.

--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import itertools
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -147,6 +148,8 @@
             _PeerWay(self), clock, probe_call, is_probe_answer, self
         )
         self._turn = 0
+        # Services of which all targets are being asked.
+        self._surveyed: set[str] = set()
 
     def close(self) -> None:
         """Closes the connections to peers."""
@@ -234,23 +237,29 @@
 
     async def probe(self) -> None:
         """Finds out whether lost links are back, until cancelled."""
-        turn = 0
-        while True:
-            await anyio.sleep(PROBE_INTERVAL_S)
-            turn += 1
-            for service in self._paths.list_lost():
-                targets = self._targets.list_for(service)
-                for offset in range(len(targets)):
-                    target = targets[(turn + offset) % len(targets)]
-                    if await self._probe(target) is not None:
-                        break
-                    if not self._paths.is_lost(service):
-                        break
-            await self._test_doubtful()
-            for service in self._paths.list_services():
-                await self._probe_lost_targets(service, turn)
-                if self._paths.begin_survey(service):
-                    await self._survey(service)
+        async with anyio.create_task_group() as tasks:
+            for turn in itertools.count(1):
+                await anyio.sleep(PROBE_INTERVAL_S)
+                await self._probe_lost_services(turn)
+                await self._test_doubtful()
+                for service in self._paths.list_services():
+                    await self._probe_lost_targets(service, turn)
+                    is_asked = service in self._surveyed
+                    if not is_asked and self._paths.begin_survey(service):
+                        # Takes long if many targets do not answer.
+                        self._surveyed.add(service)
+                        tasks.start_soon(self._survey, service)
+
+    async def _probe_lost_services(self, turn: int) -> None:
+        """Asks targets of each lost service, until one does not answer."""
+        for service in self._paths.list_lost():
+            targets = self._targets.list_for(service)
+            for offset in range(len(targets)):
+                target = targets[(turn + offset) % len(targets)]
+                if await self._probe(target) is not None:
+                    break
+                if not self._paths.is_lost(service):
+                    break
 
     async def _test_doubtful(self) -> None:
         """Finds out whether some doubted targets are reached by peers only.
@@ -297,6 +306,7 @@
             for target in self._targets.list_for(service):
                 if not self._paths.is_target_lost(service, target.name):
                     tasks.start_soon(ask, target)
+        self._surveyed.discard(service)
 
     async def _probe_by_peer(self, target: Endpoint) -> None:
         """Finds out whether a doubted target answers through a peer."""
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -1126,6 +1126,29 @@
 
         self._run(harness, check, CutForm.RESET)
 
+    def test_survey_does_not_delay_the_end_of_a_cut(self) -> None:
+        """Guards against relaying a target while others are asked."""
+        harness = self._make_harness(OtherInstance(HOSTS[1]))
+        silent = [f"silent-{number}" for number in range(64)]
+        harness.cut_names = {"i-1", *silent}
+
+        async def check() -> None:
+            self._list_more(harness, *silent)
+            lose_target(harness.paths, "i-1")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.dialer.probe)
+                while harness.connects <= 2 * pathclient.SURVEY_WIDTH:
+                    await anyio.sleep(0.02)
+                harness.cut_names.remove("i-1")
+                asked = harness.connects
+                while harness.paths.is_target_lost("engine", "i-1"):
+                    await anyio.sleep(0.02)
+                # The survey still has targets to ask.
+                assert harness.connects - asked < len(silent) - 16
+                tasks.cancel_scope.cancel()
+
+        self._run(harness, check, CutForm.SILENT)
+
     def _list_more(self, harness: PathHarness, *names: str) -> None:
         for name in names:
             entry = dataclasses.replace(TARGET, name=name, port=harness.port)
