Ask a doubted target for one request at a time

Each request to a doubted target sent up to three probes of its own, until the first one had begun the trial. 40 requests at the same time made 159 connections to a target that resets them. Requests that arrive while the target is asked now connect directly at once, as they did after their probes.

test_requests_to_a_doubted_target_share_its_probes failed before and passes.

--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -150,6 +150,8 @@
         self._turn = 0
         # Services of which all targets are being asked.
         self._surveyed: set[str] = set()
+        # Doubted targets that are being asked since a request waits.
+        self._tested: set[str] = set()
 
     def close(self) -> None:
         """Closes the connections to peers."""
@@ -324,13 +326,19 @@
             return False
         if not self._paths.may_try_peer(service, name):
             return False
+        if name in self._tested:
+            return False
         self._paths.note_doubted(service, name)
-        for _ in range(DOUBT_PROBES):
-            fault = await self._probe(target)
-            if fault is None or not fault.is_accepted:
-                return False
-            if fault in _SLOW_FAULTS:
-                break
+        self._tested.add(name)
+        try:
+            for _ in range(DOUBT_PROBES):
+                fault = await self._probe(target)
+                if fault is None or not fault.is_accepted:
+                    return False
+                if fault in _SLOW_FAULTS:
+                    break
+        finally:
+            self._tested.discard(name)
         return True
 
     def _begin_target_trial(self, target: Endpoint) -> bool:
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -1149,6 +1149,21 @@
 
         self._run(harness, check, CutForm.SILENT)
 
+    def test_requests_to_a_doubted_target_share_its_probes(self) -> None:
+        """Guards against probes that grow with the load of a target."""
+        harness = self._make_harness(OtherInstance(HOSTS[1]))
+
+        async def check() -> None:
+            now_ms = harness.clock.now_ms()
+            for _ in range(MIN_TARGET_MISSES):
+                harness.paths.note_unanswered("engine", "i-1", now_ms)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(CALLS):
+                    tasks.start_soon(harness.call, "i-1")
+            assert harness.connects <= CALLS + DOUBT_PROBES, harness.connects
+
+        self._run(harness, check, CutForm.RESET)
+
     def _list_more(self, harness: PathHarness, *names: str) -> None:
         for name in names:
             entry = dataclasses.replace(TARGET, name=name, port=harness.port)
