Raise no doubt of a target from connects for peers

An instance that was asked for a target that is down doubted its own link to it after two connects, without a request of its own. It then probed the target and asked further instances, which did the same. Connects for peers still count for the links to the whole service, as in.

test_peer_that_is_asked_for_a_dead_target_asks_no_others failed before and passes.

--- a/src/peridotbend/adapters/pathserver.py
+++ b/src/peridotbend/adapters/pathserver.py
@@ -137,7 +137,9 @@
             fault = LinkFault.REFUSED
             if isinstance(error, httpcore.ConnectTimeout):
                 fault = LinkFault.HANGING
-            self._paths.note_failed(target.service, target.name, fault)
+            self._paths.note_failed(
+                target.service, target.name, fault, is_for_peer=True
+            )
             # The links of this instance may be cut as well, so that it is not
             # the target that refuses.
             is_own_fault = self._paths.is_suspect(target.service)
--- a/src/peridotbend/domain/paths.py
+++ b/src/peridotbend/domain/paths.py
@@ -308,12 +308,18 @@
         service: str,
         target: str,
         fault: LinkFault = LinkFault.REFUSED,
+        is_for_peer: bool = False,
     ) -> None:
-        """Records that a direct connect failed."""
+        """Records that a direct connect failed.
+
+        One for a peer raises no doubt of a single target: if that is down for
+        all, each instance that is asked would ask others.
+        """
         path = self._paths.setdefault(service, _ServicePath())
-        path.failed_at_ms[target] = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        path.failed_at_ms[target] = now_ms
         self._note_missed(
-            service, path, Miss(self._clock.now_ms(), target, fault)
+            service, path, Miss(now_ms, target, fault), is_for_peer
         )
 
     def note_connected(self, service: str) -> None:
@@ -457,11 +463,17 @@
         )
 
     def _note_missed(
-        self, service: str, path: _ServicePath, miss: Miss
+        self,
+        service: str,
+        path: _ServicePath,
+        miss: Miss,
+        is_for_peer: bool = False,
     ) -> None:
         oldest_ms = self._clock.now_ms() - UNANSWERED_TTL_MS
         path.missed = drop_old([*path.missed, miss], oldest_ms)
         path.answered = 0
+        if is_for_peer:
+            return
         if miss.target not in path.targets:
             self._drop_unlisted(service, path)
         path.targets.setdefault(miss.target, TargetReach()).note_missed(miss)
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -1164,6 +1164,27 @@
 
         self._run(harness, check, CutForm.RESET)
 
+    def test_peer_that_is_asked_for_a_dead_target_asks_no_others(self) -> None:
+        """Guards against one dead target that all instances ask for."""
+        other = OtherInstance(HOSTS[1])
+        harness = self._make_harness(other)
+
+        async def check() -> None:
+            with refuse_connections() as port:
+                harness.proxy_port = port
+                other.targets.put(
+                    dataclasses.replace(TARGET, name="i-1", port=port)
+                )
+                for _ in range(CALLS):
+                    assert isinstance(await harness.call("i-1"), CallError)
+                    assert await harness.call("i-2") == []
+                    await anyio.sleep(0.02)
+            asked = [event for event, _ in harness.log.events]
+            assert asked.count(Event.PEER_PATH_FAILED) >= MIN_TARGET_MISSES
+            assert other.paths.list_doubtful() == []
+
+        self._run(harness, check)
+
     def _list_more(self, harness: PathHarness, *names: str) -> None:
         for name in names:
             entry = dataclasses.replace(TARGET, name=name, port=harness.port)
