--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -31,6 +31,7 @@
 from peridotbend.adapters.sockets import connect
 from peridotbend.adapters.targets import HttpTargetClient
 from peridotbend.daemon import BACKEND_OPTIONS
+from peridotbend.domain import paths
 from peridotbend.domain.clock import ManualClock, SystemClock
 from peridotbend.domain.events import Event
 from peridotbend.domain.pathpeers import REFRESH_MS, PeerChoice
@@ -327,6 +328,19 @@
         reset_connection(writer)
 
 
+class KeepingTarget(RawTarget):
+    """Answers all calls that come over a connection."""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves a connection."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while await reader.readuntil(b"plan"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+
 class FixedPeers:
     """Instances on given hosts, all near unless a zone is given."""
 
@@ -1052,6 +1066,125 @@
 
         self._run(harness, check, CutForm.SILENT)
 
+    def test_target_that_is_listed_anew_ends_no_probes(self) -> None:
+        """Guards against a process that ends as a doubted target restarts."""
+        harness = self._make_harness(OtherInstance(HOSTS[1]))
+
+        async def relist() -> None:
+            while not harness.connects:
+                await anyio.sleep(0)
+            entry = harness.targets.find("s-1")
+            assert entry is not None
+            harness.targets.remove("s-1")
+            # Forgets targets that are not listed.
+            harness.paths.note_failed("shop", "s-2")
+            harness.targets.put(entry)
+
+        async def check() -> None:
+            for name in ("s-1", "s-2"):
+                entry = dataclasses.replace(TARGET, name=name, service="shop")
+                harness.targets.put(entry)
+            now_ms = harness.clock.now_ms()
+            for service, name in (("engine", "i-1"), ("shop", "s-1")):
+                for _ in range(MIN_TARGET_MISSES):
+                    harness.paths.note_unanswered(service, name, now_ms)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.dialer.probe)
+                await relist()
+                await anyio.sleep(1.2)
+                tasks.cancel_scope.cancel()
+
+        self._run(harness, check, CutForm.SILENT)
+
+    def test_connection_of_a_peer_is_not_kept(self) -> None:
+        """Guards against calls that go through a peer though the links work.
+
+        The doubt may be void before the answer has arrived.
+        """
+        other = OtherInstance(HOSTS[1])
+        harness = PathHarness(KeepingTarget(), other)
+        harness.cut_names = {"i-1"}
+
+        async def check() -> None:
+            now_ms = harness.clock.now_ms()
+            for _ in range(MIN_TARGET_MISSES):
+                harness.paths.note_unanswered("engine", "i-1", now_ms)
+            async with harness.open("i-1") as opened:
+                assert not isinstance(opened, Err)
+                harness.is_cut = False
+                await anyio.sleep(0.01)
+                harness.paths.note_answered(
+                    "engine", "i-1", harness.clock.now_ms()
+                )
+                async for _ in opened.ok_value.chunks():
+                    pass
+            assert other.connects == 1
+            assert not harness.paths.list_lost_targets("engine")
+            before = harness.connects
+            assert await harness.call("i-1") == []
+            assert harness.connects == before + 1
+
+        self._run(harness, check, CutForm.RESET)
+
+    def test_survey_does_not_delay_the_end_of_a_cut(self) -> None:
+        """Guards against relaying a target while others are asked."""
+        harness = self._make_harness(OtherInstance(HOSTS[1]))
+        silent = [f"silent-{number}" for number in range(64)]
+        harness.cut_names = {"i-1", *silent}
+
+        async def check() -> None:
+            self._list_more(harness, *silent)
+            lose_target(harness.paths, "i-1")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(harness.dialer.probe)
+                while harness.connects <= 2 * pathclient.SURVEY_WIDTH:
+                    await anyio.sleep(0.02)
+                harness.cut_names.remove("i-1")
+                asked = harness.connects
+                while harness.paths.is_target_lost("engine", "i-1"):
+                    await anyio.sleep(0.02)
+                # The survey still has targets to ask.
+                assert harness.connects - asked < len(silent) - 16
+                tasks.cancel_scope.cancel()
+
+        self._run(harness, check, CutForm.SILENT)
+
+    def test_requests_to_a_doubted_target_share_its_probes(self) -> None:
+        """Guards against probes that grow with the load of a target."""
+        harness = self._make_harness(OtherInstance(HOSTS[1]))
+
+        async def check() -> None:
+            now_ms = harness.clock.now_ms()
+            for _ in range(MIN_TARGET_MISSES):
+                harness.paths.note_unanswered("engine", "i-1", now_ms)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(CALLS):
+                    tasks.start_soon(harness.call, "i-1")
+            assert harness.connects <= CALLS + DOUBT_PROBES, harness.connects
+
+        self._run(harness, check, CutForm.RESET)
+
+    def test_peer_that_is_asked_for_a_dead_target_asks_no_others(self) -> None:
+        """Guards against one dead target that all instances ask for."""
+        other = OtherInstance(HOSTS[1])
+        harness = self._make_harness(other)
+
+        async def check() -> None:
+            with refuse_connections() as port:
+                harness.proxy_port = port
+                other.targets.put(
+                    dataclasses.replace(TARGET, name="i-1", port=port)
+                )
+                for _ in range(CALLS):
+                    assert isinstance(await harness.call("i-1"), CallError)
+                    assert await harness.call("i-2") == []
+                    await anyio.sleep(0.02)
+            asked = [event for event, _ in harness.log.events]
+            assert asked.count(Event.PEER_PATH_FAILED) >= MIN_TARGET_MISSES
+            assert other.paths.list_doubtful() == []
+
+        self._run(harness, check)
+
     def _list_more(self, harness: PathHarness, *names: str) -> None:
         for name in names:
             entry = dataclasses.replace(TARGET, name=name, port=harness.port)
@@ -1197,6 +1330,38 @@
         assert fields["form"] == "silent"
         assert fields["forms"] == {"silent": 2}
 
+    def test_answered_trial_is_not_taken_for_a_later_one(self) -> None:
+        """Guards against a service lost by the trial of one target."""
+        self._miss("i-1", "i-2", "i-1")
+        assert self.paths.begin_trial("engine")
+        self.clock.advance(1)
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(1)
+        self._miss("i-1")
+        self.paths.note_answered("engine", "i-3", connected_at_ms)
+        assert not self.paths.is_doubtful("engine")
+        assert self.paths.begin_target_trial("engine", "i-1")
+        self.paths.note_relayed_answer("engine", "i-1", "10.0.0.2")
+        assert not self.paths.is_lost("engine")
+        assert self.paths.list_lost_targets("engine") == ["i-1"]
+
+    def test_doubts_of_a_large_service_are_listed_in_one_pass(self) -> None:
+        """Guards against an event loop that stands still in a large cut."""
+        names = [f"i-{number}" for number in range(50)]
+        for name in names:
+            self.targets.put(make_target(name))
+        self._miss(*names, *names)
+        self.clock.advance(1)
+        self.paths.note_answered("engine", "i-60", self.clock.now_ms())
+        with mock.patch.object(
+            paths._ServicePath,
+            "count_silent",
+            autospec=True,
+            side_effect=paths._ServicePath.count_silent,
+        ) as count_silent:
+            assert len(self.paths.list_doubtful()) == len(names)
+        assert count_silent.call_count == 1
+
     def test_old_failures_are_forgotten(self) -> None:
         """Guards against failures hours apart that look like one cut."""
         self.paths.note_failed("engine", "i-1")
