--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -114,9 +114,10 @@
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
-        """Accepts a connection, and closes those that waited longest above it.
+        """Accepts a connection; above the limit, closes the longest waiting.
 
-        It is aborted if it is far above the limit and no other can be closed.
+        If none can be closed, the connection is refused, or aborted if there
+        are too many to refuse.
         """
         super().connection_made(transport)
         excess = len(self.connections) - self._limits.max_connections
--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -17,8 +17,8 @@
 MAX_CONNECTIONS = 4_096
 MAX_IDLE_CONNECTIONS = 256
 KEEPALIVE_EXPIRY_S = 20.0
-# A target begins to count when it has written the end of its answer, before
-# this process has read it.
+# A target counts the idle time from when it has written the end of its answer,
+# which is before this process has read it.
 EARLY_CLOSE_MARGIN_MS = 500
 _STATED_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 
--- a/src/peridotbend/adapters/requestheads.py
+++ b/src/peridotbend/adapters/requestheads.py
@@ -18,8 +18,8 @@
     def find_problem(self) -> str | None:
         """Returns why the message is refused, or None.
 
-        Refused is what two readers may understand in two ways, such as this
-        process and a target, or a proxy of the caller and this process.
+        That is the case if another reader of the same bytes, such as a target
+        or a proxy in front of this process, may understand them differently.
         """
         if self.method == b"CONNECT":
             # What follows such a head belongs to a tunnel.
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -37,7 +37,7 @@
 def parse_settings(text: str) -> Result[EdgeSettings, str]:
     """Decodes the settings; the error names the invalid field or its place."""
     try:
-        # A loader of the safe kind.
+        # Derived from SafeLoader, so that no tag creates other objects.
         document = yaml.load(text, Loader=_SettingsLoader)
         return Ok(_read_settings(Fields(document)))
     except RecursionError:
