Log what decides which process a stream came from

The question on the connection of a send was logged only if another start was named, and after a break nothing told which evidence was taken.

Change: 419 is logged for these questions too, with the purpose send; 421 names the evidence after each break. No decision changes.

Checked: test_edge_runs, test_edge_runs_review and test_logs pass (43).

--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -72,6 +72,7 @@
         Event.TARGET_REJECTED,
         Event.TARGET_CALL_FAILED,
         Event.TARGET_ASKED,
+        Event.TARGET_RUN_JUDGED,
         Event.ANSWER_BROKEN,
         Event.CALLER_GONE,
     )
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -60,6 +60,23 @@
     UNREACHABLE = "unreachable"
 
 
+class BeginEvidence(enum.StrEnum):
+    """What tells that a connection led to the listed run of a target."""
+
+    # The entry outlived the connection's begin, or the target was asked.
+    LISTING = "listing"
+    # The target names the listed start, and has since before.
+    ANSWER = "answer"
+    # All processes that it may have led to have the same software.
+    SOFTWARE = "software"
+    # A process has answered that does not name its start.
+    UNNAMED = "unnamed"
+    # Nothing listens there, which the death of the listed run explains.
+    DEATH = "death"
+    # Another process may have had the name.
+    NONE = "none"
+
+
 _STATE_BY_FAILURE = {
     CallFailure.REFUSED: RunState.GONE,
     CallFailure.TIMEOUT: RunState.SILENT,
@@ -256,29 +273,47 @@
         target that does not answer tells nothing: a process that stalls may be
         such a one.
         """
+        evidence = await self._find_evidence(target, connected_at_ms)
+        self._log.emit(
+            Event.TARGET_RUN_JUDGED,
+            target=target.name,
+            started_at_ms=target.started_at_ms,
+            connected_ms=self._clock.now_ms() - connected_at_ms,
+            evidence=evidence.value,
+        )
+        return evidence is not BeginEvidence.NONE
+
+    async def _find_evidence(
+        self, target: EdgeTarget, connected_at_ms: int
+    ) -> BeginEvidence:
         if self.is_proven(target, connected_at_ms):
-            return True
+            return BeginEvidence.LISTING
         run = self._get_run(target)
         if connected_at_ms < run.since_ms:
             # It was this run or the one before.
-            return (
+            is_same = (
                 run.before is not None
                 and run.before.software == target.software
                 and not self._has_ended(run.before, connected_at_ms)
             )
+            return BeginEvidence.SOFTWARE if is_same else BeginEvidence.NONE
         listed = self._targets.find(target.name)
         if listed is not None and listed.run_hash != target.run_hash:
             # It was this run or the next one.
-            return listed.software == target.software and not self._has_ended(
-                target, connected_at_ms
-            )
+            is_same = listed.software == target.software
+            if is_same and not self._has_ended(target, connected_at_ms):
+                return BeginEvidence.SOFTWARE
+            return BeginEvidence.NONE
         state = await self._ask_firmly(target, connected_at_ms, "origin")
-        if state in (RunState.LIVES, RunState.UNNAMED):
-            return True
+        if state is RunState.LIVES:
+            return BeginEvidence.ANSWER
+        if state is RunState.UNNAMED:
+            return BeginEvidence.UNNAMED
         # One death explains that it is gone.
-        return state is RunState.GONE and not self._has_ended(
+        is_explained = state is RunState.GONE and not self._has_ended(
             target, connected_at_ms
         )
+        return BeginEvidence.DEATH if is_explained else BeginEvidence.NONE
 
     async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
         """Tells whether a run outlived the end of an answer.
@@ -360,6 +395,22 @@
             del self._asking[target.run_hash]
             done.set()
 
+    def note_check(
+        self,
+        target: EdgeTarget,
+        told_ms: int | None,
+        connected_at_ms: int,
+        asked_at_ms: int,
+    ) -> bool:
+        """Records the answer on the connection of a send, before it is sent.
+
+        Returns:
+            whether the send may go on there.
+        """
+        state = self.note_start(target, told_ms, asked_at_ms, connected_at_ms)
+        self._log_asked(target, "send", state, told_ms, asked_at_ms)
+        return state is not RunState.REPLACED
+
     async def _ask(self, target: EdgeTarget, run: _Run, purpose: str) -> None:
         asked_at_ms = self._clock.now_ms()
         told = await self._client.read_start(target, ASK_TIMEOUT_MS)
@@ -372,13 +423,23 @@
                 told.err_value.failure, RunState.UNREACHABLE
             )
         run.asked_ms, run.state = asked_at_ms, state
+        self._log_asked(target, purpose, state, told_start_ms, asked_at_ms)
+
+    def _log_asked(
+        self,
+        target: EdgeTarget,
+        purpose: str,
+        state: RunState,
+        told_ms: int | None,
+        asked_at_ms: int,
+    ) -> None:
         self._log.emit(
             Event.TARGET_ASKED,
             target=target.name,
             purpose=purpose,
             state=state.value,
             started_at_ms=target.started_at_ms,
-            told_start_ms=told_start_ms,
+            told_start_ms=told_ms,
             took_ms=self._clock.now_ms() - asked_at_ms,
         )
 
@@ -439,7 +500,6 @@
         self, told_start_ms: int | None, connected_at_ms: int, asked_at_ms: int
     ) -> bool:
         """Tells whether a process is the listed run, by its own words."""
-        state = self.runs.note_start(
-            self.target, told_start_ms, asked_at_ms, connected_at_ms
+        return self.runs.note_check(
+            self.target, told_start_ms, connected_at_ms, asked_at_ms
         )
-        return state is not RunState.REPLACED
