--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -41,6 +41,11 @@
         # After so many events the process falls silent, also when it is asked;
         # 0 for never.
         self.stalls_after = 0
+        # Statuses and bodies that it answers in turn when it is asked who it
+        # is; its start if there are none.
+        self.reports: Sequence[tuple[int, bytes]] = ()
+        # Whether another process listens as soon as one has died.
+        self.returns_at_once = False
         # For how long it says that it keeps idle connections; 0 if it doesn't.
         self.keep_alive_s = 0
         self._is_silent = False
@@ -106,8 +111,13 @@
             await asyncio.sleep(CALL_TIMEOUT_S)
         if path == wire.REPORT_CALL:
             self.asked += 1
-            body = json.dumps({"born": self.started_at_ms}).encode()
-            writer.write(_make_head(200, {"Content-Length": str(len(body))}))
+            status, body = (
+                200,
+                json.dumps({"born": self.started_at_ms}).encode(),
+            )
+            if self.reports:
+                status, body = self.reports[self.asked % len(self.reports)]
+            writer.write(_make_head(status, {"Content-Length": str(len(body))}))
             writer.write(body)
             return True
         if path.startswith("/-/"):
@@ -130,6 +140,8 @@
                 await asyncio.sleep(CALL_TIMEOUT_S)
             if count and count == self.dies_after:
                 self.die()
+                if self.returns_at_once:
+                    await self.start()
                 return False
             writer.write(part if self.is_unframed else _make_chunk(part))
             await writer.drain()
