Take no answer without a start for one of the listed run

What callers saw: a stream that broke off went on at another version, if the target that began it had started again and answered the question for its start with a damaged body, a failure or a start out of range.

Cause: such an answer counted as one of a target that never names its start, and was believed. Evidence: 419 unnamed for origin, then 300 of the same attempt at a target of the listed version.

Change: after a break only an answer that names the listed start confirms it. A target whose answers tell nothing is asked up to three times, since one in trouble may send a damaged answer now and then. Entries without a start are believed as before: nothing tells their runs apart.

test_begin_at_an_unnamed_process_does_not_go_on failed before and passes; 34 tests of test_edge_runs and its review pass.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -31,6 +31,9 @@
 LEASE_HEARTBEATS = 3
 # Time for a write to reach the store, and for the store to remove the entry.
 LEASE_MARGIN_MS = 500
+# Questions to a target whose answers tell nothing, as they are damaged or its
+# connection fails.
+MAX_QUESTIONS = 3
 # How long a target gets no streams after another process has answered. It is
 # then asked again.
 REPLACED_TTL_MS = 1_000
@@ -50,7 +53,7 @@
     LIVES = "lives"
     # Another one has.
     REPLACED = "replaced"
-    # A process has answered that does not name its start.
+    # A process has answered that does not name its start, which tells nothing.
     UNNAMED = "unnamed"
     # Nothing listens there.
     GONE = "gone"
@@ -69,8 +72,6 @@
     ANSWER = "answer"
     # All processes that it may have led to have the same software.
     SOFTWARE = "software"
-    # A process has answered that does not name its start.
-    UNNAMED = "unnamed"
     # Nothing listens there, which the death of the listed run explains.
     DEATH = "death"
     # Another process may have had the name.
@@ -82,6 +83,7 @@
     CallFailure.TIMEOUT: RunState.SILENT,
 }
 _UNANSWERED = frozenset((RunState.SILENT, RunState.UNREACHABLE))
+_UNTOLD = frozenset((RunState.UNNAMED, RunState.UNREACHABLE))
 
 
 @dataclasses.dataclass(slots=True)
@@ -307,8 +309,6 @@
         state = await self._ask_firmly(target, connected_at_ms, "origin")
         if state is RunState.LIVES:
             return BeginEvidence.ANSWER
-        if state is RunState.UNNAMED:
-            return BeginEvidence.UNNAMED
         # One death explains that it is gone.
         is_explained = state is RunState.GONE and not self._has_ended(
             target, connected_at_ms
@@ -352,16 +352,19 @@
     async def _ask_firmly(
         self, target: EdgeTarget, since_ms: int, purpose: str
     ) -> RunState:
-        """Asks as `_ask_since`, and once more if the connection failed.
+        """Asks as `_ask_since`, and again if the answer tells nothing.
 
-        A kept one may have been about to be reset.
+        A kept connection may have been about to be reset, and a target in
+        trouble may send a damaged answer now and then.
         """
         state = await self._ask_since(target, since_ms, purpose)
-        if state is not RunState.UNREACHABLE:
-            return state
         run = self._get_run(target)
-        await self._ask_together(target, run, purpose)
-        return run.state or state
+        for _ in range(MAX_QUESTIONS - 1):
+            if state not in _UNTOLD:
+                break
+            await self._ask_together(target, run, purpose)
+            state = run.state or state
+        return state
 
     async def _ask_since(
         self, target: EdgeTarget, since_ms: int, purpose: str
