Send the rest of a stream only to a process that names its start

What callers saw: a stream of one version that broke off went on at a process of another, whose answer to the question on the connection of the send named no start.

Cause: the check of the connection took such an answer for one of a target that never names its start. Evidence: 419 unnamed for send, then events of the other version.

Change: a send that goes on with a stream needs an answer that names the listed start; otherwise another target is tried. A stream that begins is sent all the same, since it can be judged when it breaks, and a service whose targets can't say who they are goes on serving.

test_stream_does_not_go_on_at_an_unnamed_process failed before and passes.

--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -156,7 +156,8 @@
 
         A stream that goes on depends on it. One that begins could not go on
         later where a connection has just ended, or could go on at a version
-        that did not begin it where a service has several.
+        that did not begin it where a service has several; if the answer tells
+        nothing, it begins all the same, and is judged when it breaks.
         """
         if not request.route.is_resumable_stream:
             return None
@@ -169,7 +170,7 @@
                 or timeline.has_versions(target.service)
             )
 
-        return runs.make_check(target, is_due)
+        return runs.make_check(target, is_due, must_know=request.is_resumed)
 
     async def _deliver(
         self,
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -255,16 +255,20 @@
         return self._find_ended_ms(target) is not None
 
     def make_check(
-        self, target: EdgeTarget, is_due: Callable[[], bool] = lambda: True
+        self,
+        target: EdgeTarget,
+        is_due: Callable[[], bool] = lambda: True,
+        must_know: bool = True,
     ) -> "TargetRunCheck":
         """Returns the check of the connections of one send.
 
         Args:
             target: as it is listed.
-            is_due: tells whether the run has to be known, once there is a
+            is_due: tells whether the target has to be asked, once there is a
                 connection.
+            must_know: whether the send needs an answer that names the start.
         """
-        return TargetRunCheck(self, target, is_due)
+        return TargetRunCheck(self, target, is_due, must_know)
 
     async def confirm_begin(
         self, target: EdgeTarget, connected_at_ms: int
@@ -404,15 +408,11 @@
         told_ms: int | None,
         connected_at_ms: int,
         asked_at_ms: int,
-    ) -> bool:
-        """Records the answer on the connection of a send, before it is sent.
-
-        Returns:
-            whether the send may go on there.
-        """
+    ) -> RunState:
+        """Records the answer on the connection of a send, before it is sent."""
         state = self.note_start(target, told_ms, asked_at_ms, connected_at_ms)
         self._log_asked(target, "send", state, told_ms, asked_at_ms)
-        return state is not RunState.REPLACED
+        return state
 
     async def _ask(self, target: EdgeTarget, run: _Run, purpose: str) -> None:
         asked_at_ms = self._clock.now_ms()
@@ -487,6 +487,7 @@
     runs: TargetRuns
     target: EdgeTarget
     is_due: Callable[[], bool]
+    must_know: bool
 
     def is_needed(self, connected_at_ms: int) -> bool:
         """Tells whether the target has to be asked on a connection.
@@ -503,6 +504,9 @@
         self, told_start_ms: int | None, connected_at_ms: int, asked_at_ms: int
     ) -> bool:
         """Tells whether a process is the listed run, by its own words."""
-        return self.runs.note_check(
+        state = self.runs.note_check(
             self.target, told_start_ms, connected_at_ms, asked_at_ms
         )
+        if state is RunState.UNNAMED:
+            return not self.must_know
+        return state is not RunState.REPLACED
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -82,6 +82,8 @@
         told_start_ms = decode_start(body) if status == 200 else None
         if self.run.accepts(told_start_ms, connected_at_ms, asked_at_ms):
             return ""
+        if told_start_ms is None:
+            return f"it names no start, status {status}"
         return f"it started at {told_start_ms}, which is not listed"
 
 
