Take no answer without a start for life after an end

What callers saw: a stream without length or chunks that ended as complete after two of six events. Its target had died, the kernel had closed the connection in order, and the next process at the address answered the question for its start with a damaged body or a failure.

Cause: any answer counted as life of the process that had ended the answer. Change: only one that names the listed start does; where no start is listed, any answer does, as before.

One expectation of test_only_an_answer_shows_life was wrong: an answer without a start, of a target whose entry names one, was expected to show life. It is now expected not to, and a further test holds the case in which no start is listed.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -325,7 +325,9 @@
         The connections of a process that dies may close in order as well.
         """
         state = await self._ask_firmly(target, ended_at_ms, "end")
-        return state in (RunState.LIVES, RunState.UNNAMED)
+        # Where no start is listed, any answer is that of the target.
+        is_named = bool(target.started_at_ms)
+        return state is (RunState.LIVES if is_named else RunState.UNNAMED)
 
     async def find_replaced(self, targets: Iterable[EdgeTarget]) -> list[str]:
         """Returns the targets whose names other processes have."""
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -219,7 +219,7 @@
         """Guards against an end that is believed without evidence."""
         for told, expected in (
             (Ok(FIRST_START_MS), True),
-            (Ok(None), True),
+            (Ok(None), False),
             (Ok(SECOND_START_MS), False),
             (GONE, False),
             (SILENT, False),
@@ -229,6 +229,14 @@
             self.clock.advance(1)
             assert self.confirm_end() is expected, told
 
+    def test_any_answer_shows_life_where_no_start_is_listed(self) -> None:
+        """Guards against cuts where nothing could ever be known."""
+        self.target = self.put("i-2", 0)
+        for told, expected in ((Ok(None), True), (GONE, False)):
+            self.client.starts["i-2"] = told
+            self.clock.advance(1)
+            assert self.confirm_end() is expected, told
+
     def test_ends_of_a_moment_share_a_question(self) -> None:
         """Guards against a question for each of many streams."""
 
