Place no take-up by a target that does not say who it is

What callers saw: a stream that its caller took up elsewhere, after its instance had been killed, went on at another version than it began.

Cause: before a take-up the targets of the version are asked, and only one that named another start spoke against it. One that had started again and answered without a start counted as the listed run.

One that is silent or gone does not, since it can't be told from one that has crashed.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -293,11 +293,11 @@
                     choices = set()
                 else:
                     choices = versions & survey.holders.keys()
-        replaced: list[str] = []
+        doubtful: list[str] = []
         if len(choices) == 1:
             # The list of targets may lag behind one that began the stream.
-            replaced = await self._find_replaced(service, min(choices))
-            if replaced:
+            doubtful = await self._find_doubtful(service, min(choices))
+            if doubtful:
                 choices = set()
         self._log.emit(
             Event.STREAM_TAKEN_UP,
@@ -312,14 +312,14 @@
             recorded=told,
             holders=sorted(survey.holders) if survey else None,
             possible=sorted(survey.possible) if survey else None,
-            replaced=replaced,
+            replaced=doubtful,
             choices=sorted(choices),
         )
         return next(iter(choices)) if len(choices) == 1 else None
 
-    async def _find_replaced(self, service: str, software: str) -> list[str]:
-        """Returns the targets of a version that are other processes now."""
-        return await self._runs.find_replaced(
+    async def _find_doubtful(self, service: str, software: str) -> list[str]:
+        """Returns the targets of a version that may be other processes now."""
+        return await self._runs.find_doubtful(
             target
             for target in self._timeline.list_targets(service)
             if target.software == software
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -84,6 +84,8 @@
 }
 _UNANSWERED = frozenset((RunState.SILENT, RunState.UNREACHABLE))
 _UNTOLD = frozenset((RunState.UNNAMED, RunState.UNREACHABLE))
+# A process has answered that is not, or may not be, the listed run.
+_OTHERS = frozenset((RunState.REPLACED, RunState.UNNAMED))
 
 
 @dataclasses.dataclass(slots=True)
@@ -329,22 +331,25 @@
         is_named = bool(target.started_at_ms)
         return state is (RunState.LIVES if is_named else RunState.UNNAMED)
 
-    async def find_replaced(self, targets: Iterable[EdgeTarget]) -> list[str]:
-        """Returns the targets whose names other processes have."""
-        since_ms = self._clock.now_ms() - SURVEY_TTL_MS
-        replaced: list[str] = []
-
-        async def ask(target: EdgeTarget) -> None:
-            state = await self._ask_since(target, since_ms, "take-up")
-            if state is RunState.REPLACED:
-                replaced.append(target.name)
+    async def find_doubtful(self, targets: Iterable[EdgeTarget]) -> list[str]:
+        """Returns the targets whose names other processes have, or may have.
 
+        One that is silent or gone can't be told from one that has crashed.
+        """
+        since_ms = self._clock.now_ms() - SURVEY_TTL_MS
         asked = [target for target in targets if target.started_at_ms]
+        asked = asked[:MAX_SURVEYED]
         with anyio.move_on_after(SURVEY_TIMEOUT_MS / 1_000):
             async with anyio.create_task_group() as tasks:
-                for target in asked[:MAX_SURVEYED]:
-                    tasks.start_soon(ask, target)
-        return sorted(replaced)
+                for target in asked:
+                    tasks.start_soon(
+                        self._ask_firmly, target, since_ms, "take-up"
+                    )
+        return sorted(
+            target.name
+            for target in asked
+            if self._get_run(target).state in _OTHERS
+        )
 
     def _has_ended(self, target: EdgeTarget, before_ms: int) -> bool:
         """Tells whether a run may have ended before a time.
