Let an answer prove the connections before its request

A target that answers a request over a connection that leads to its listed run lived when the request was sent, so connections established before lead to that run as well.

This asks nothing, opens nothing and is noted once a send, not an event. The time is that before the connection was acquired, so a first answer on a connection does not vouch for itself, and an answer that waited for a slow caller proves no more than a quick one.

--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -110,6 +110,9 @@
                     return self._note_rejection(request, target, reply)
                 if isinstance(reply, CallError):
                     return self._note_error(request, target, reply)
+                self._dependencies.runs.note_answered(
+                    target, reply.head.connected_at_ms, tracked_send.sent_at_ms
+                )
                 return await self._deliver(
                     request, target, reply, tracked_send, responder
                 )
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -229,6 +229,27 @@
             )
         return RunState.REPLACED
 
+    def note_answered(
+        self, target: EdgeTarget, connected_at_ms: int, sent_at_ms: int
+    ) -> None:
+        """Records that a request was answered.
+
+        A run that answers lived when the request was sent, so connections that
+        were established before lead to it as well.
+
+        Args:
+            target: as it is listed.
+            connected_at_ms: when the connection was established.
+            sent_at_ms: when the request was about to be sent, at the latest.
+        """
+        if not target.started_at_ms or sent_at_ms <= connected_at_ms:
+            return
+        proven_ms = self._find_proven_ms(target)
+        if proven_ms is not None and proven_ms >= sent_at_ms:
+            return
+        if self.is_proven(target, connected_at_ms):
+            self._get_run(target).proven_ms = sent_at_ms
+
     def is_proven(self, target: EdgeTarget, connected_at_ms: int) -> bool:
         """Tells whether a connection is known to lead to a run.
 
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -108,6 +108,31 @@
         assert self.confirm_begin(self.target, connected_at_ms + 5)
         assert self.client.asked == ["i-1", "i-1"]
 
+    def test_answer_proves_the_connections_before_its_request(self) -> None:
+        """Guards against doubt about connections beside one that is known."""
+        old_ms = self.clock.now_ms()
+        self.runs.note_start(self.target, FIRST_START_MS, old_ms)
+        self.clock.advance(100)
+        young_ms = self.clock.now_ms()
+        self.clock.advance(100)
+        sent_at_ms = self.clock.now_ms()
+        self.runs.note_answered(self.target, young_ms, sent_at_ms)
+        assert not self.runs.is_proven(self.target, young_ms)
+        self.runs.note_answered(self.target, old_ms, sent_at_ms)
+        assert self.runs.is_proven(self.target, young_ms)
+        assert not self.runs.is_proven(self.target, sent_at_ms + 1)
+        self.runs.note_answered(self.target, young_ms, sent_at_ms + 100)
+        assert self.runs.is_proven(self.target, sent_at_ms + 100)
+
+    def test_first_answer_of_a_connection_proves_nothing(self) -> None:
+        """Guards against a connection that vouches for itself."""
+        sent_at_ms = self.clock.now_ms()
+        self.clock.advance(5)
+        connected_at_ms = self.clock.now_ms()
+        self.runs.note_start(self.target, FIRST_START_MS, connected_at_ms)
+        self.runs.note_answered(self.target, connected_at_ms, sent_at_ms)
+        assert not self.runs.is_proven(self.target, connected_at_ms + 1)
+
 
 class TakeOverTest(_RunsTest):
     """Runs that are listed under the name of another one."""
