Believe no death without a witness of who died

What callers saw: a stream with two events of one version and four of another, where one version was known. The first process of a release had died before its entry was written, and so had the one before it.

Cause: a target that is gone at the break counted as the listed process, unless a connection had ended before without an explanation. An instance that had no connection to the process before saw one death of two. Its own connection was the only witness, and vouched for itself.

Change: after a break only the list, an answer over a connection that is known, or a question that is answered proves who sent the first part. Where none does, the stream waits up to 1.5 s if the list may prove it by then, and a take-up up to 2 s; a doubt that was told to others ends when its instance has the proof. Sound streams ask nothing and open nothing, as before.

--- a/src/peridotbend/edge/originpeers.py
+++ b/src/peridotbend/edge/originpeers.py
@@ -92,11 +92,17 @@
         self.is_certain: Callable[[BegunStream], bool] = lambda stream: True
         self.confirm_later: Callable[[BegunStream], None] = lambda stream: None
 
-    async def ask(self, attempt: str) -> str | None:
-        """Returns the version at which a stream began; None if nobody knows."""
+    async def ask(self, attempt: str, is_repeated: bool = False) -> str | None:
+        """Returns the version at which a stream began; None if nobody knows.
+
+        Args:
+            attempt: that began it.
+            is_repeated: whether a doubt that others told may be over.
+        """
         key = hash_attempt(attempt)
         known = self._records.find(key)
-        if known is not None or self._records.is_uncertain(key):
+        is_told = known is not None or self._records.is_uncertain(key)
+        if is_told and not is_repeated:
             return known
         question = self._questions.get(key)
         if question is None:
@@ -175,7 +181,7 @@
         If not, whoever asks repeats it while the answer is found out.
         """
         begun = self._records.find_begun(key)
-        if begun is None or begun.is_uncertain or self.is_certain(begun):
+        if begun is None or begun.is_uncertain != self.is_certain(begun):
             return True
         self.confirm_later(begun)
         return False
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -25,6 +25,11 @@
 DISTRUST_MS = 30_000
 # Another instance counts as lost only this long after its last digest.
 LOSS_NOTICE_MS = 2_000
+# How long a caller that takes up a stream waits for the end of a doubt, in
+# which the list of targets may come to prove who began it.
+TAKE_UP_WAIT_MS = 2_000
+# Pause between questions to the other instances meanwhile.
+ASK_AGAIN_MS = 250
 # Pause after a failed attempt to read the history.
 READ_RETRY_MS = 500
 
@@ -48,8 +53,13 @@
 class OriginWitnesses(Protocol):
     """The other instances, which have seen streams begin."""
 
-    async def ask(self, attempt: str) -> str | None:
-        """Returns the version at which a stream began; None if not known."""
+    async def ask(self, attempt: str, is_repeated: bool = False) -> str | None:
+        """Returns the version at which a stream began; None if not known.
+
+        Args:
+            attempt: that began it.
+            is_repeated: whether a doubt that others told may be over.
+        """
         ...
 
     def tell(self, stream: BegunStream) -> None:
@@ -60,7 +70,7 @@
 class NoWitnesses:
     """There are no other instances."""
 
-    async def ask(self, attempt: str) -> str | None:
+    async def ask(self, attempt: str, is_repeated: bool = False) -> str | None:
         """Returns None."""
         return None
 
@@ -153,8 +163,13 @@
 
         Others are told if nobody can know.
         """
-        if stream.is_uncertain or self.is_certain(stream):
-            return not stream.is_uncertain
+        if self.is_certain(stream):
+            if stream.is_uncertain:
+                # The list has proven its connection since.
+                self.witnesses.tell(self._records.note_outcome(stream, True))
+            return True
+        if stream.is_uncertain:
+            return False
         assert stream.target is not None, "others are certain"
         is_right = await self._runs.confirm_begin(
             stream.target, stream.connected_at_ms
@@ -172,6 +187,19 @@
         self.witnesses.tell(outcome)
         return False
 
+    async def wait_confirmed(self, stream: BegunStream, limit_ms: int) -> bool:
+        """Confirms a stream as soon as the list of targets may prove it."""
+        if await self.confirm(stream):
+            return True
+        assert stream.target is not None, "others are certain"
+        return await self._runs.wait_proven(
+            stream.target, stream.connected_at_ms, limit_ms
+        ) and await self.confirm(self.find_own(stream))
+
+    def find_own(self, stream: BegunStream) -> BegunStream:
+        """Returns what is recorded now of an own stream."""
+        return self._records.find_begun(hash_attempt(stream.attempt)) or stream
+
     def is_certain(self, stream: BegunStream) -> bool:
         """Tells whether the version of an own stream is known to be right."""
         return (
@@ -244,9 +272,7 @@
     ) -> str | None:
         """Returns the version at which a stream began, None if not certain."""
         key = hash_attempt(call.resumes)
-        begun = self._records.find_begun(key)
-        if begun is not None:
-            await self.confirm(begun)
+        await self._settle(key, call)
         known = self._records.find(key)
         if known is not None or self._records.is_uncertain(key):
             self._log.emit(
@@ -317,6 +343,19 @@
         )
         return next(iter(choices)) if len(choices) == 1 else None
 
+    async def _settle(self, key: int, call: EdgeCall) -> None:
+        """Waits for the end of a doubt about a stream, if it may end soon."""
+        begun = self._records.find_begun(key)
+        if begun is not None:
+            await self.wait_confirmed(begun, TAKE_UP_WAIT_MS)
+            return
+        until_ms = self._clock.now_ms() + TAKE_UP_WAIT_MS
+        while (
+            self._records.is_uncertain(key) and self._clock.now_ms() < until_ms
+        ):
+            await anyio.sleep(ASK_AGAIN_MS / 1_000)
+            await self.witnesses.ask(call.resumes, is_repeated=True)
+
     async def _find_doubtful(self, service: str, software: str) -> list[str]:
         """Returns the targets of a version that may be other processes now."""
         return await self._runs.find_doubtful(
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -21,6 +21,9 @@
 # A request with less time left than this is not sent, since no target could
 # complete it.
 MIN_SEND_MS = 20
+# How long a broken stream may wait until it is certain which version began it.
+# Callers abandon one after a gap of two seconds at the earliest.
+ORIGIN_WAIT_MS = 1_500
 # A connection that fails before a byte is written does not count as a send.
 # This limit only ends requests whose targets are all unreachable.
 MAX_CONNECT_FAILURES = 6
@@ -235,7 +238,9 @@
         stream = request.begun
         if stream is None or not self._has_attempts_left(request):
             return True
-        return await self._dependencies.origins.confirm(stream)
+        return await self._dependencies.origins.wait_confirmed(
+            stream, ORIGIN_WAIT_MS
+        )
 
     def _may_send_again(self, request: ActiveRequest) -> bool:
         if request.is_final:
--- a/src/peridotbend/edge/streamrecords.py
+++ b/src/peridotbend/edge/streamrecords.py
@@ -35,9 +35,11 @@
 class _ToldStream:
     """What another instance said of a stream."""
 
-    # Empty if two instances contradicted each other.
+    # Empty if the instance that knows it can't tell the version, or if two
+    # instances contradicted each other.
     software: str
     told_at_ms: int
+    is_contradicted: bool = False
 
 
 class StreamRecords:
@@ -81,12 +83,17 @@
         return stream
 
     def note_told(self, key: int, software: str) -> None:
-        """Records what another instance says of a stream."""
+        """Records what another instance says of a stream.
+
+        A version takes the place of a doubt, since it has been proven.
+        """
         now_ms = self._clock.now_ms()
-        known = self._told.get(key)
-        if known is not None and known.software != software:
-            software = ""
-        self._told[key] = _ToldStream(software, now_ms)
+        known = self._told.get(key) or _ToldStream("", now_ms)
+        is_contradicted = known.is_contradicted or bool(
+            software and known.software and software != known.software
+        )
+        software = "" if is_contradicted else software or known.software
+        self._told[key] = _ToldStream(software, now_ms, is_contradicted)
         self._told.move_to_end(key)
         oldest_ms = now_ms - KEPT_MS
         while (
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 from result import Ok
@@ -72,8 +72,6 @@
     ANSWER = "answer"
     # All processes that it may have led to have the same software.
     SOFTWARE = "software"
-    # Nothing listens there, which the death of the listed run explains.
-    DEATH = "death"
     # Another process may have had the name.
     NONE = "none"
 
@@ -111,6 +109,11 @@
     state: RunState | None = None
 
 
+async def _trust_list() -> bool:
+    """Stands for a list of targets that always lacks nothing."""
+    return True
+
+
 class TargetRuns:
     """The runs of targets, by what they and their connections tell."""
 
@@ -138,6 +141,8 @@
         self._lease_ms = LEASE_HEARTBEATS * heartbeat_ms + LEASE_MARGIN_MS
         # Returns the time as of which the list of targets is known.
         self.find_listing_ms: Callable[[], int | None] = lambda: None
+        # Reads the list again, unless that was done just now.
+        self.confirm_listing: Callable[[], Awaitable[bool]] = _trust_list
         # By the hash of the run, the one that changed last at the end.
         self._runs: collections.OrderedDict[int, _Run] = (
             collections.OrderedDict()
@@ -299,8 +304,8 @@
         """Tells whether what came over a connection was written by a run.
 
         If not, an unlisted process with the same name may have written it. A
-        target that does not answer tells nothing: a process that stalls may be
-        such a one.
+        target that does not answer, or is gone, tells nothing: the one that
+        stalled or died may have been such a process.
         """
         evidence = await self._find_evidence(target, connected_at_ms)
         self._log.emit(
@@ -334,13 +339,26 @@
                 return BeginEvidence.SOFTWARE
             return BeginEvidence.NONE
         state = await self._ask_firmly(target, connected_at_ms, "origin")
-        if state is RunState.LIVES:
-            return BeginEvidence.ANSWER
-        # One death explains that it is gone.
-        is_explained = state is RunState.GONE and not self._has_ended(
-            target, connected_at_ms
-        )
-        return BeginEvidence.DEATH if is_explained else BeginEvidence.NONE
+        is_alive = state is RunState.LIVES
+        return BeginEvidence.ANSWER if is_alive else BeginEvidence.NONE
+
+    async def wait_proven(
+        self, target: EdgeTarget, connected_at_ms: int, limit_ms: int
+    ) -> bool:
+        """Waits until the list can prove a connection; tells whether it does.
+
+        Args:
+            target: as it was listed.
+            connected_at_ms: when the connection was established.
+            limit_ms: the longest wait.
+        """
+        due_ms = connected_at_ms + self._lease_ms - self._clock.now_ms()
+        if due_ms > limit_ms:
+            return False
+        await anyio.sleep(max(0, due_ms) / 1_000)
+        if not self.is_proven(target, connected_at_ms):
+            await self.confirm_listing()
+        return self.is_proven(target, connected_at_ms)
 
     async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
         """Tells whether a run outlived the end of an answer.
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -411,9 +411,9 @@
             wire.TARGET_PREFIX
         ].known_as_of_ms
         self._dependencies.origins.history = self._history
-        self._dependencies.origins.confirm_targets = self._feeds[
-            wire.TARGET_PREFIX
-        ].confirm
+        confirm_targets = self._feeds[wire.TARGET_PREFIX].confirm
+        self._dependencies.runs.confirm_listing = confirm_targets
+        self._dependencies.origins.confirm_targets = confirm_targets
 
     def _make_feed(
         self,
--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -17,6 +17,13 @@
 FIRST_START_MS = 1_790_000_000_000
 SERVICE = "engine"
 EVENTS = 6
+# After three heartbeats of 2 s, 0.5 s and the time of a watch, an entry that is
+# still listed tells who lived before.
+LEASE_S = 8.0
+# Calls that come at the same moment.
+TOGETHER = 6
+# Calls that come together use all targets within so many rounds.
+MAX_ROUNDS = 10
 # Longer than any call may take.
 CALL_TIMEOUT_S = 15.0
 # Long enough that a stream has events under way when a test interferes.
@@ -59,6 +66,11 @@
         self._port = 0
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def is_dead(self) -> bool:
+        """Whether there is no process."""
+        return self._server is None
+
     async def start(self) -> None:
         """Listens, at the same address after a restart."""
         self._server = await asyncio.start_server(
@@ -249,6 +261,19 @@
         for host in HOSTS[:count]:
             await self._fleet.wait_ready(host)
 
+    async def prove_connections(self) -> None:
+        """Waits until the list proves a kept connection to each target."""
+        for _ in range(MAX_ROUNDS):
+            await self.call_together()
+            if all(target.ran for target in self.targets):
+                break
+        await asyncio.sleep(LEASE_S)
+
+    async def call_together(self) -> list["CallerAnswer"]:
+        """Sends calls that come at the same moment."""
+        calls = (self.call(f"/quotes/{n}") for n in range(TOGETHER))
+        return await asyncio.gather(*calls)
+
     def list_target(self, target: RestartableTarget) -> None:
         """Writes the entry of a target as it is now."""
         self._fleet.store.put(f"servers/{target.name}", target.describe())
