Take two entries of one version for no proof of what lay between

What callers saw: by a unit test only, a stream that began at a process without an entry goes on at the version of the entries before and after it, as when a release fails in place and is rolled back.

Cause: a connection that led to one of two listed runs of the same version was believed to lead to no third process. Change: one of the two has to be proven for the connection, by the list, by an answer over a known connection or by its own word.

test_process_between_runs_of_one_version_is_a_doubt failed before. Two expectations of beliefs without proof change with it, and each is held with the proof instead: test_entry_of_the_next_run_decides_by_its_version and test_connection_from_before_is_of_either_run.

The cost: after a restart in place with the same version, a stream whose connection nothing proves ends broken.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -70,7 +70,7 @@
     LISTING = "listing"
     # The target names the listed start, and has since before.
     ANSWER = "answer"
-    # All processes that it may have led to have the same software.
+    # It led to another run of the name, which has the same software.
     SOFTWARE = "software"
     # Another process may have had the name.
     NONE = "none"
@@ -324,24 +324,26 @@
             return BeginEvidence.LISTING
         run = self._get_run(target)
         if connected_at_ms < run.since_ms:
-            # It was this run or the one before.
-            is_same = (
-                run.before is not None
-                and run.before.software == target.software
-                and not self._has_ended(run.before, connected_at_ms)
-            )
-            return BeginEvidence.SOFTWARE if is_same else BeginEvidence.NONE
+            return self._compare_software(target, run.before, connected_at_ms)
         listed = self._targets.find(target.name)
         if listed is not None and listed.run_hash != target.run_hash:
-            # It was this run or the next one.
-            is_same = listed.software == target.software
-            if is_same and not self._has_ended(target, connected_at_ms):
-                return BeginEvidence.SOFTWARE
-            return BeginEvidence.NONE
+            return self._compare_software(target, listed, connected_at_ms)
         state = await self._ask_firmly(target, connected_at_ms, "origin")
         is_alive = state is RunState.LIVES
         return BeginEvidence.ANSWER if is_alive else BeginEvidence.NONE
 
+    def _compare_software(
+        self, target: EdgeTarget, other: EdgeTarget | None, connected_at_ms: int
+    ) -> BeginEvidence:
+        """Returns what another run of a name tells of a connection.
+
+        Between two runs there may have been a process without an entry.
+        """
+        if other is None or other.software != target.software:
+            return BeginEvidence.NONE
+        is_proven = self.is_proven(other, connected_at_ms)
+        return BeginEvidence.SOFTWARE if is_proven else BeginEvidence.NONE
+
     async def wait_proven(
         self, target: EdgeTarget, connected_at_ms: int, limit_ms: int
     ) -> bool:
@@ -390,15 +392,6 @@
             if self._get_run(target).state in _OTHERS
         )
 
-    def _has_ended(self, target: EdgeTarget, before_ms: int) -> bool:
-        """Tells whether a run may have ended before a time.
-
-        After an end of a connection that was not explained, any number of
-        processes may have had the name.
-        """
-        ended_ms = self._find_ended_ms(target)
-        return ended_ms is not None and ended_ms <= before_ms
-
     async def _ask_firmly(
         self, target: EdgeTarget, since_ms: int, purpose: str
     ) -> RunState:
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -150,7 +150,10 @@
         """Guards against a kept connection to the process before."""
         assert not self.runs.is_proven(self.next, self.old_connection_ms)
         assert not self.confirm_begin(self.next, self.old_connection_ms)
-        self.runs.note_taken_over(self.next, self.next)
+        before = dataclasses.replace(self.target, software="v2")
+        self.runs.note_taken_over(self.next, before)
+        assert not self.confirm_begin(self.next, self.old_connection_ms)
+        self.runs.note_start(before, FIRST_START_MS, self.old_connection_ms)
         assert self.confirm_begin(self.next, self.old_connection_ms)
         assert not self.client.asked
 
@@ -248,12 +251,23 @@
             (SECOND_START_MS, "v1", True),
             (SECOND_START_MS + 1, "v2", False),
         ):
-            self.put("i-1", start_ms, software)
+            listed = self.put("i-1", start_ms, software)
             connected_at_ms = self.clock.now_ms()
+            self.runs.note_start(listed, start_ms, connected_at_ms)
             certain = self.confirm_begin(self.target, connected_at_ms)
             assert certain is expected, software
         assert not self.client.asked
 
+    def test_process_between_runs_of_one_version_is_a_doubt(self) -> None:
+        """Guards against a release that failed unlisted and was rolled back."""
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(100)
+        listed = self.put("i-1", SECOND_START_MS, "v1")
+        assert not self.confirm_begin(self.target, connected_at_ms)
+        self.runs.note_start(listed, SECOND_START_MS, self.clock.now_ms())
+        self.runs.note_taken_over(listed, self.target)
+        assert not self.confirm_begin(self.target, connected_at_ms)
+
     def test_target_without_a_start_is_believed(self) -> None:
         """Guards against cuts where nothing could ever be known."""
         target = self.put("i-2", 0)
