Ask the others of a take-up whose targets have not all answered

What callers saw: a stream that its caller left after two events of one version, and took up at another instance, went on at another version.

Cause: the stream had begun at a process without an entry, which had died since. The other instance placed the take-up by the entries; before it goes on it asks the targets of the version who they are, and a target that is gone spoke against nothing. The instance that had begun the stream was not asked, as the placement alone left no doubt.

Change: if a target of the version doesn't answer, the other instances are asked. The one that began the stream knows over which connection, and judges it as it does after a break. If nobody knows of the stream, the placement counts, as before.

test_take_up_after_the_death_of_its_process_does_not_join failed before and passes.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -16,7 +16,7 @@
     StreamRecords,
     hash_attempt,
 )
-from peridotbend.edge.targetruns import TargetRuns
+from peridotbend.edge.targetruns import RunSurvey, TargetRuns
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 
@@ -319,12 +319,14 @@
                     choices = set()
                 else:
                     choices = versions & survey.holders.keys()
-        doubtful: list[str] = []
+        runs = RunSurvey((), ())
         if len(choices) == 1:
             # The list of targets may lag behind one that began the stream.
-            doubtful = await self._find_doubtful(service, min(choices))
-            if doubtful:
+            runs = await self._survey_runs(service, min(choices))
+            if runs.others:
                 choices = set()
+            elif runs.unanswered and call.resumes and told is None:
+                choices = await self._narrow_by_witnesses(key, call, choices)
         self._log.emit(
             Event.STREAM_TAKEN_UP,
             attempt=call.attempt,
@@ -338,7 +340,8 @@
             recorded=told,
             holders=sorted(survey.holders) if survey else None,
             possible=sorted(survey.possible) if survey else None,
-            replaced=doubtful,
+            replaced=list(runs.others),
+            unanswered=list(runs.unanswered),
             choices=sorted(choices),
         )
         return next(iter(choices)) if len(choices) == 1 else None
@@ -356,14 +359,29 @@
             await anyio.sleep(ASK_AGAIN_MS / 1_000)
             await self.witnesses.ask(call.resumes, is_repeated=True)
 
-    async def _find_doubtful(self, service: str, software: str) -> list[str]:
-        """Returns the targets of a version that may be other processes now."""
-        return await self._runs.find_doubtful(
+    async def _survey_runs(self, service: str, software: str) -> RunSurvey:
+        """Asks the targets of a version which processes they are now."""
+        return await self._runs.survey(
             target
             for target in self._timeline.list_targets(service)
             if target.software == software
         )
 
+    async def _narrow_by_witnesses(
+        self, key: int, call: EdgeCall, choices: set[str]
+    ) -> set[str]:
+        """Returns the versions that the instance that began a stream allows.
+
+        What began it may be a process without an entry that is gone.
+        """
+        told = await self.witnesses.ask(call.resumes)
+        if told is None:
+            await self._settle(key, call)
+            told = self._records.find(key)
+        if told is not None:
+            return choices & {told}
+        return set() if self._records.is_uncertain(key) else choices
+
     def _narrow(
         self,
         placed: set[str],
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -86,6 +86,17 @@
 _OTHERS = frozenset((RunState.REPLACED, RunState.UNNAMED))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunSurvey:
+    """What some targets tell of their processes, by name."""
+
+    # Those that are, or may be, other processes than the listed ones.
+    others: tuple[str, ...]
+    # Those that have not answered. One that is gone can't be told from one
+    # that has crashed.
+    unanswered: tuple[str, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class _Run:
     """What is known of one run of a target.
@@ -372,11 +383,8 @@
         is_named = bool(target.started_at_ms)
         return state is (RunState.LIVES if is_named else RunState.UNNAMED)
 
-    async def find_doubtful(self, targets: Iterable[EdgeTarget]) -> list[str]:
-        """Returns the targets whose names other processes have, or may have.
-
-        One that is silent or gone can't be told from one that has crashed.
-        """
+    async def survey(self, targets: Iterable[EdgeTarget]) -> RunSurvey:
+        """Asks targets which processes they are."""
         since_ms = self._clock.now_ms() - SURVEY_TTL_MS
         asked = [target for target in targets if target.started_at_ms]
         asked = asked[:MAX_SURVEYED]
@@ -386,10 +394,16 @@
                     tasks.start_soon(
                         self._ask_firmly, target, since_ms, "take-up"
                     )
-        return sorted(
-            target.name
-            for target in asked
-            if self._get_run(target).state in _OTHERS
+        states = {target.name: self._get_run(target).state for target in asked}
+        return RunSurvey(
+            tuple(sorted(n for n, state in states.items() if state in _OTHERS)),
+            tuple(
+                sorted(
+                    name
+                    for name, state in states.items()
+                    if state not in _OTHERS and state is not RunState.LIVES
+                )
+            ),
         )
 
     async def _ask_firmly(
--- a/tests/test_edge_restarts_review.py
+++ b/tests/test_edge_restarts_review.py
@@ -1,7 +1,10 @@
 """Tests of targets whose names were not listed between two processes."""
 
+import asyncio
 import unittest
 
+from peridotbend.edge.versions import VIEW_LAG_MS
+from tests.edgefleet import HOSTS
 from tests.edgerestarts import (
     EVENTS,
     MAX_ROUNDS,
@@ -74,6 +77,31 @@
 
         run_with_targets([dying, sound], check)
 
+    def test_take_up_after_the_death_of_its_process_does_not_join(
+        self,
+    ) -> None:
+        """Guards against a take-up that is placed as its entry still says."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            # A process that is younger knows that it has not seen all.
+            await asyncio.sleep((VIEW_LAG_MS + 500) / 1_000)
+            await restarted.restart("v2")
+            begun = [
+                await fleet.call_and_leave(f"/quotes/{number}", events=2)
+                for number in range(CALLS)
+            ]
+            restarted.die()
+            assert restarted.ran
+            for number, answer in enumerate(begun):
+                rest = await fleet.call(
+                    f"/quotes/{number}", HOSTS[1], 2, answer.attempt
+                )
+                joined = {*answer.software, *rest.software}
+                assert len(joined) <= 1, (answer, rest)
+
+        run_with_targets([restarted, sound], check, instances=2)
+
     def test_process_after_an_idle_one_does_not_join(self) -> None:
         """Guards against an end of idle connections that nobody notices."""
         dying, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
