Split the soak's faults of runners from those of instances

The faults of runners are now in runnerfaults.py, those of instances and of the store in instancefaults.py; disturbances.py chooses what is struck.

--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -30,6 +30,7 @@
 from peridotbend_emulator.soak.operator import Operator
 from peridotbend_emulator.soak.platform.documents import CONTACT_MS, ROUTES
 from peridotbend_emulator.soak.record import Finding, Record
+from peridotbend_emulator.soak.seriescontext import SeriesContext
 from peridotbend_emulator.soak.settings import SoakSettings
 
 ChoicesMaker = Callable[[str], Choices]
@@ -141,8 +142,8 @@
     """Yields the series of faults."""
     occupation = Occupation()
 
-    def make_series(number: int) -> DisturbanceSeries:
-        return DisturbanceSeries(
+    def make_context(number: int) -> SeriesContext:
+        return SeriesContext(
             fleet,
             lambda fault: make_choices(f"series/{number}/{fault}"),
             record,
@@ -151,7 +152,7 @@
         )
 
     for number in range(SERIES_COUNT):
-        yield make_series(number).run()
+        yield DisturbanceSeries(make_context(number)).run()
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/src/peridotbend_emulator/soak/runnerfaults.py
@@ -0,0 +1,177 @@
+"""Faults of the runners as processes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+
+from peridotbend_emulator.soak.fleet import VERSIONS
+from peridotbend_emulator.soak.platform.documents import (
+    DRAIN_S,
+    STREAM_SERVICE,
+)
+from peridotbend_emulator.soak.runners import Runner, Start
+from peridotbend_emulator.soak.seriescontext import (
+    DOWN_S,
+    LONG_DOWN_S,
+    SILENT_S,
+    SeriesContext,
+)
+
+# Added to the time for which a leaving runner serves on.
+DRAIN_MARGIN_S = (0.2, 1.0)
+# Where "fin" is played, this share of all deaths closes connections in order.
+IN_ORDER_SHARE = 0.5
+# Runners of a version below which none may leave it, so that streams that
+# began at it can go on.
+MIN_OF_VERSION = 2
+# The version of a runner matters to streams only.
+VERSION_FAULTS = frozenset(("inplace", "same", "early", "crashloop"))
+
+
+class RunnerFaults:
+    """Plays the faults that strike one runner."""
+
+    def __init__(self, context: SeriesContext):
+        self._context = context
+        self._fleet = context.fleet
+        self.by_name: Mapping[str, Callable[[Runner], Awaitable[None]]] = {
+            "crash": self._crash,
+            "fin": self._crash_in_order,
+            "drain": self._drain,
+            "release": self._release,
+            "inplace": self._restart_as_other,
+            "same": self._restart_as_same,
+            "early": self._announce_early,
+            "crashloop": self._restart_twice,
+            "dark": self._silence,
+        }
+
+    def list_runners(self, fault: str) -> list[Runner]:
+        """Returns the runners that a fault may strike."""
+        if fault not in VERSION_FAULTS:
+            return self._fleet.runners
+        return [r for r in self._fleet.runners if r.service == STREAM_SERVICE]
+
+    async def _crash(self, runner: Runner) -> None:
+        self._die(runner, "crash")
+        await self._return(runner)
+
+    async def _crash_in_order(self, runner: Runner) -> None:
+        self._die(runner, "fin", in_order=True)
+        await self._return(runner)
+
+    async def _return(self, runner: Runner) -> None:
+        """Starts a runner again, with the ID that it had or another."""
+        await self._context.sleep(LONG_DOWN_S)
+        name = runner.start.name
+        if self._context.rng.random() < 0.5:
+            self._fleet.remove_entry(runner)
+            name = self._fleet.starts.make_name()
+        await self._launch(runner, name, runner.start.software)
+        self._list(runner)
+
+    async def _drain(self, runner: Runner) -> None:
+        await self._leave(runner, "drain")
+        name = self._fleet.starts.make_name()
+        await self._launch(runner, name, runner.start.software)
+        self._list(runner)
+
+    async def _release(self, runner: Runner) -> None:
+        await self._leave(runner, "release")
+        name = self._fleet.starts.make_name()
+        await self._launch(runner, name, self._choose_other(runner))
+        self._list(runner)
+
+    async def _leave(self, runner: Runner, fault: str) -> None:
+        self._context.note(f"{fault} {runner.start.name}: draining")
+        self._fleet.list_entry(runner, runner.make_entry(is_leaving=True))
+        await asyncio.sleep(DRAIN_S)
+        await self._context.sleep(DRAIN_MARGIN_S)
+        self._fleet.remove_entry(runner)
+        self._die(runner, fault)
+
+    async def _restart_as_other(self, runner: Runner) -> None:
+        await self._restart(runner, "inplace", self._choose_other(runner))
+
+    async def _restart_as_same(self, runner: Runner) -> None:
+        await self._restart(runner, "same", runner.start.software)
+
+    async def _restart(self, runner: Runner, fault: str, software: str) -> None:
+        self._die(runner, fault)
+        await self._context.sleep(DOWN_S)
+        await self._launch(runner, runner.start.name, software)
+        await self._lag(fault)
+        self._list(runner)
+
+    async def _announce_early(self, runner: Runner) -> None:
+        """Writes the entry of the next start while the last one serves."""
+        software = self._choose_other(runner)
+        start = self._fleet.starts.make_start(runner.start.name, software)
+        self._context.note(f"early {start.name}: entry of {start.software}")
+        self._fleet.list_entry(runner, runner.make_entry(start))
+        await self._lag("early")
+        self._die(runner, "early")
+        await self._context.sleep(DOWN_S)
+        await self._launch_start(runner, start)
+
+    async def _restart_twice(self, runner: Runner) -> None:
+        for software in (self._choose_other(runner), self._choose_any(runner)):
+            self._die(runner, "crashloop")
+            await self._context.sleep(DOWN_S)
+            await self._launch(runner, runner.start.name, software)
+            await self._lag("crashloop")
+        self._list(runner)
+
+    async def _silence(self, runner: Runner) -> None:
+        self._context.note(f"dark {runner.start.name}")
+        runner.set_silent(True)
+        await self._context.sleep(SILENT_S)
+        runner.set_silent(False)
+
+    def _die(
+        self, runner: Runner, fault: str, in_order: bool | None = None
+    ) -> None:
+        drawn = self._context.rng.random()
+        if in_order is None:
+            in_order = self._context.plan.has("fin") and drawn < IN_ORDER_SHARE
+        end = "closed in order" if in_order else "reset"
+        start = runner.start
+        self._context.note(
+            f"{fault} {start.name}: {start.software} dies, {end}"
+        )
+        runner.die(in_order)
+
+    async def _launch(self, runner: Runner, name: str, software: str) -> None:
+        start = self._fleet.starts.make_start(name, software)
+        await self._launch_start(runner, start)
+
+    async def _launch_start(self, runner: Runner, start: Start) -> None:
+        await runner.launch(start)
+        self._context.note(f"{start.name} listens as {start.software}")
+
+    def _list(self, runner: Runner) -> None:
+        self._fleet.list_entry(runner, runner.make_entry())
+        start = runner.start
+        self._context.note(f"{start.name} listed as {start.software}")
+
+    def _choose_other(self, runner: Runner) -> str:
+        """Returns the other version, unless too few runners keep the own."""
+        own = runner.start.software
+        others = [
+            other
+            for other in self._fleet.runners
+            if other is not runner
+            and other.service == runner.service
+            and other.start.software == own
+        ]
+        if len(others) < MIN_OF_VERSION and runner.service == STREAM_SERVICE:
+            return own
+        return next(version for version in VERSIONS if version != own)
+
+    def _choose_any(self, runner: Runner) -> str:
+        if self._context.rng.random() < 0.5:
+            return runner.start.software
+        return self._choose_other(runner)
+
+    async def _lag(self, fault: str) -> None:
+        longest_s = self._context.plan.shares[fault]
+        await asyncio.sleep(self._context.rng.uniform(0.0, longest_s))
