Play runners whose report names no start in the soak

make soak always answered a report with the right start, so that it never played no evidence of a process as evidence. bad-report: a share (0.3) of the answers to /-/report is cut, empty, no object, or names its start as text or out of range. mute: runners answer /-/report and /-/kv-list with 404. Neither is usual.

--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import json
 from collections.abc import Callable, Iterator, Sequence
 
 from peridotbend.platform import wire
@@ -19,8 +20,17 @@
     make_chunk,
     make_head,
 )
+from peridotbend_emulator.soak.platform.documents import (
+    list_bad_reports,
+    make_part_list,
+    make_report,
+)
 from peridotbend_emulator.soak.record import Record
-from peridotbend_emulator.soak.runners import Connection, make_rejection
+from peridotbend_emulator.soak.runners import (
+    Connection,
+    Start,
+    make_rejection,
+)
 
 SILENCE_S = (0.3, 1.2)
 EVENT_SILENCE_SHARE = 0.003
@@ -70,6 +80,7 @@
         self._record = record
         # How often each attempt has arrived, since all sends differ.
         self._arrivals: collections.Counter[str] = collections.Counter()
+        self._reports: collections.Counter[str] = collections.Counter()
 
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Answers; tells whether the connection may be used again."""
@@ -95,6 +106,27 @@
             return False
         return is_kept
 
+    def report(self, start: Start, active: int) -> tuple[int, bytes]:
+        """Returns the status and body with which a start tells of itself."""
+        choices = self._make_choices(
+            f"report/{start.name}/{self._reports[start.name]}"
+        )
+        self._reports[start.name] += 1
+        if choices.plan.has("mute"):
+            return 404, b""
+        born_ms = start.started_at_ms
+        if choices.draw_fault("bad-report"):
+            body = choices.rng.choice(list_bad_reports(born_ms))
+            self._record.note_fault(f"bad-report at {start.name}: {body!r}")
+            return 200, body
+        return 200, json.dumps(make_report(born_ms, 0, active)).encode()
+
+    def list_parts(self, start: Start) -> tuple[int, bytes]:
+        """Returns the same of the list of prompt parts that it keeps."""
+        if self._make_choices("parts").plan.has("mute"):
+            return 404, b""
+        return 200, json.dumps(make_part_list(start.started_at_ms)).encode()
+
 
 class _Run:
     """One run of a request."""
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -45,6 +45,7 @@
     FaultKind("unframed", Place.RUN, 0.1, "an answer ends with its connection"),
     FaultKind("extra", Place.RUN, 0.05, "an answer is followed by another"),
     FaultKind("length-close", Place.RUN, 0.05, "a connection isn't kept"),
+    FaultKind("bad-report", Place.RUN, 0.3, "a report is not valid", False),
     FaultKind("leave", Place.CALLER, 0.04, "a caller leaves early"),
     FaultKind("keep", Place.CALLER, 0.6, "a caller keeps its connection"),
     FaultKind("slow", Place.CALLER, 0.08, "a caller reads slowly"),
@@ -72,6 +73,7 @@
     FaultKind("config", Place.SERIES, 0, "a new configuration is written"),
     FaultKind("restore", Place.SERIES, 0, "the store goes back to a copy"),
     FaultKind("many", Place.FLEET, 0, "30 small stream runners", False),
+    FaultKind("mute", Place.FLEET, 0, "runners tell no start: 404", False),
     FaultKind("once", Place.FLEET, 0, "only calls that run once", False),
     FaultKind("eight", Place.FLEET, 0, "eight instances, not three", False),
     *(
--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import json
 from typing import Any
 
 HOST_NAME = "shop.example"
@@ -234,6 +235,20 @@
     }
 
 
+def list_bad_reports(started_at_ms: int) -> tuple[bytes, ...]:
+    """Returns reports that are cut, empty, no object, or name no start."""
+    report = make_report(started_at_ms, 0, 0)
+    whole = json.dumps(report).encode()
+    bad_starts = str(started_at_ms), 1e300, 1 << 70, -1
+    return (
+        whole[: len(whole) // 2],
+        b"",
+        b"[1]",
+        b"{}",
+        *(json.dumps({**report, "born": bad}).encode() for bad in bad_starts),
+    )
+
+
 def make_part_list(started_at_ms: int) -> dict[str, Any]:
     """Returns the list of the prompt parts that a runner keeps: none."""
     return {
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import errno
-import json
 import socket
 import struct
 from collections.abc import Sequence
@@ -21,8 +20,6 @@
 )
 from peridotbend_emulator.soak.platform.documents import (
     Entry,
-    make_part_list,
-    make_report,
 )
 
 # Requests that a runner holds beyond its slots before it turns more away.
@@ -103,6 +100,14 @@
         """Answers; tells whether the connection may be used again."""
         ...
 
+    def report(self, start: Start, active: int) -> tuple[int, bytes]:
+        """Returns the status and body with which a start tells of itself."""
+        ...
+
+    def list_parts(self, start: Start) -> tuple[int, bytes]:
+        """Returns the same of the list of prompt parts that it keeps."""
+        ...
+
 
 class RunnerProcess:
     """One start of a runner, with its listeners and connections."""
@@ -207,8 +212,7 @@
 
     async def _answer(self, connection: Connection, request: Request) -> bool:
         if request.method == "GET":
-            status, page = self._describe(request.target)
-            body = json.dumps(page).encode()
+            status, body = self._describe(request.target)
             headers = (
                 ("X-Instance-Id", self.start.name),
                 ("Content-Type", "application/json"),
@@ -227,13 +231,12 @@
         finally:
             self._active -= 1
 
-    def _describe(self, path: str) -> tuple[int, dict[str, object]]:
-        born_ms = self.start.started_at_ms
+    def _describe(self, path: str) -> tuple[int, bytes]:
         if path.startswith(wire.REPORT_CALL):
-            return 200, make_report(born_ms, 0, self._active)
+            return self._behaviour.report(self.start, self._active)
         if path.startswith(wire.PARTS_CALL):
-            return 200, make_part_list(born_ms)
-        return (200 if path == "/healthz" else 404), {}
+            return self._behaviour.list_parts(self.start)
+        return (200 if path == "/healthz" else 404), b"{}"
 
 
 def _echo(request: Request) -> Sequence[tuple[str, str]]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,11 +8,14 @@
 import shutil
 import tempfile
 import unittest
+import unittest.mock
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from peridotbend.domain.clock import ManualClock, SystemClock
 from peridotbend.platform import wire
+from peridotbend.platform.documents import decode_start
+from peridotbend_emulator.soak.behaviours import SoakBehaviour
 from peridotbend_emulator.soak.channels import (
     AnswerReader,
     Channel,
@@ -52,6 +55,9 @@
     MAX_FILES,
     MEMORY_MB,
     ZONE,
+    list_bad_reports,
+    make_part_list,
+    make_report,
 )
 from peridotbend_emulator.soak.platform.store import StoreStandIn
 from peridotbend_emulator.soak.proxies import LoopbackProxy
@@ -60,6 +66,7 @@
 from peridotbend_emulator.soak.runners import (
     Connection,
     Runner,
+    Start,
     StartCounter,
     reset_connection,
 )
@@ -625,6 +632,25 @@
         await asyncio.Event().wait()
         return False
 
+    def report(self, start: Start, active: int) -> tuple[int, bytes]:
+        """Returns a sound report."""
+        page = make_report(start.started_at_ms, 0, active)
+        return 200, json.dumps(page).encode()
+
+    def list_parts(self, start: Start) -> tuple[int, bytes]:
+        """Returns an empty list."""
+        page = make_part_list(start.started_at_ms)
+        return 200, json.dumps(page).encode()
+
+
+def make_behaviour(*words: str) -> SoakBehaviour:
+    """Returns how runners answer under some faults."""
+    return SoakBehaviour(
+        functools.partial(Choices, parse_faults(words), 1),
+        RunLedger(),
+        unittest.mock.Mock(),
+    )
+
 
 class RunnerTest(unittest.TestCase):
     """The stand-ins for runners."""
@@ -685,6 +711,24 @@
 
         self._play(check)
 
+    def test_bad_reports_name_no_start(self) -> None:
+        """Guards against reports that the soak takes for bad and aren't."""
+        started_at_ms = SystemClock().wall_ms()
+        for body in list_bad_reports(started_at_ms):
+            assert decode_start(body) is None, body
+        start = Start("i-1", "v1", started_at_ms)
+        behaviour = make_behaviour("bad-report")
+        answers = [behaviour.report(start, 0)[1] for _ in range(100)]
+        bad = sum(decode_start(body) is None for body in answers)
+        assert 20 <= bad <= 40, bad
+
+    def test_mute_runners_name_no_start(self) -> None:
+        """Guards against runners that the soak takes for mute and aren't."""
+        start = Start("i-1", "v1", 1)
+        behaviour = make_behaviour("mute")
+        for answer in behaviour.report(start, 0), behaviour.list_parts(start):
+            assert answer == (404, b"")
+
     def test_request_for_another_runner_does_not_run(self) -> None:
         """Guards against runs of requests for the runner before."""
 
@@ -807,6 +851,10 @@
         self._play(310, 6.0, "crashloop")
         self._play(746, 6.0, "crashloop fin")
 
+    def test_bad_reports_join_no_versions(self) -> None:
+        """Guards against an answer without a start that counts as one."""
+        self._play(371, 15.0, "inplace break reset bad-report")
+
     def test_early_entries_join_no_versions(self) -> None:
         """Guards against the same where the entry comes before the start."""
         self._play(14, 15.0, "early break reset")
