Play releases under the IDs in the soak

Nothing in make soak played a service that has had one version, and a release in which runners keep their IDs. onever: all runners begin with one version. roll: a runner starts again as the newest version, or as the next one once all have it; a third through a process that dies before its entry. Neither is usual.

The run of the tests plays the release with entries in time (roll=0).

--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -58,6 +58,9 @@
     FaultKind("same", Place.SERIES, ENTRY_LAG_S, "same version, same ID"),
     FaultKind("early", Place.SERIES, ENTRY_LAG_S, "entry before its runner"),
     FaultKind("crashloop", Place.SERIES, ENTRY_LAG_S, "two starts, one entry"),
+    FaultKind(
+        "roll", Place.SERIES, ENTRY_LAG_S, "newest version, same ID", False
+    ),
     FaultKind("dark", Place.SERIES, 0, "a runner is silent for seconds"),
     FaultKind("store", Place.SERIES, 0, "the store is away"),
     FaultKind("term", Place.SERIES, 0, "an instance is stopped and restarted"),
@@ -73,6 +76,7 @@
     FaultKind("config", Place.SERIES, 0, "a new configuration is written"),
     FaultKind("restore", Place.SERIES, 0, "the store goes back to a copy"),
     FaultKind("many", Place.FLEET, 0, "30 small stream runners", False),
+    FaultKind("onever", Place.FLEET, 0, "runners begin as one version", False),
     FaultKind("mute", Place.FLEET, 0, "runners tell no start: 404", False),
     FaultKind("once", Place.FLEET, 0, "only calls that run once", False),
     FaultKind("eight", Place.FLEET, 0, "eight instances, not three", False),
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -197,6 +197,8 @@
             has_few = is_pool and self._stream_runners > STREAM_RUNNERS
             name = self.starts.make_name()
             version = VERSIONS[number % len(VERSIONS)]
+            if self._settings.faults.has("onever"):
+                version = VERSIONS[0]
             start = self.starts.make_start(name, version)
             runner = Runner(
                 start,
--- a/src/peridotbend_emulator/soak/runnerfaults.py
+++ b/src/peridotbend_emulator/soak/runnerfaults.py
@@ -1,7 +1,7 @@
 """Faults of the runners as processes."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 from peridotbend_emulator.soak.fleet import VERSIONS
 from peridotbend_emulator.soak.platform.documents import (
@@ -24,7 +24,9 @@
 # began at it can go on.
 MIN_OF_VERSION = 2
 # The version of a runner matters to streams only.
-VERSION_FAULTS = frozenset(("inplace", "same", "early", "crashloop"))
+VERSION_FAULTS = frozenset(("inplace", "same", "early", "crashloop", "roll"))
+# In a release, this share of the processes dies before its entry is written.
+DEAD_ON_RELEASE_SHARE = 1 / 3
 
 
 class RunnerFaults:
@@ -42,6 +44,7 @@
             "same": self._restart_as_same,
             "early": self._announce_early,
             "crashloop": self._restart_twice,
+            "roll": self._roll,
             "dark": self._silence,
         }
 
@@ -121,6 +124,19 @@
             await self._lag("crashloop")
         self._list(runner)
 
+    async def _roll(self, runner: Runner) -> None:
+        """Goes on with a release, or begins one if the last is complete."""
+        newest = find_newest(
+            [r.start.software for r in self.list_runners("roll")]
+        )
+        is_doomed = self._context.rng.random() < DEAD_ON_RELEASE_SHARE
+        for _ in range(1 + is_doomed):
+            self._die(runner, "roll")
+            await self._context.sleep(DOWN_S)
+            await self._launch(runner, runner.start.name, newest)
+            await self._lag("roll")
+        self._list(runner)
+
     async def _silence(self, runner: Runner) -> None:
         self._context.note(f"dark {runner.start.name}")
         runner.set_silent(True)
@@ -175,3 +191,10 @@
     async def _lag(self, fault: str) -> None:
         longest_s = self._context.plan.shares[fault]
         await asyncio.sleep(self._context.rng.uniform(0.0, longest_s))
+
+
+def find_newest(versions: Sequence[str]) -> str:
+    """Returns the version that a release rolls out over the given ones."""
+    numbers = [int(version.removeprefix("v")) for version in versions]
+    newest = max(numbers)
+    return f"v{newest + (min(numbers) == newest)}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -63,6 +63,7 @@
 from peridotbend_emulator.soak.proxies import LoopbackProxy
 from peridotbend_emulator.soak.record import Finding, Rule
 from peridotbend_emulator.soak.run import SoakResult, run_soak
+from peridotbend_emulator.soak.runnerfaults import find_newest
 from peridotbend_emulator.soak.runners import (
     Connection,
     Runner,
@@ -574,6 +575,17 @@
         assert drawn[0] == drawn[1]
 
 
+class ReleaseTest(unittest.TestCase):
+    """The versions of a release under the IDs."""
+
+    def test_release_goes_on_until_all_have_its_version(self) -> None:
+        """Guards against a release that goes back or never begins."""
+        assert find_newest(["v1", "v1"]) == "v2"
+        assert find_newest(["v1", "v2"]) == "v2"
+        assert find_newest(["v9", "v10"]) == "v10"
+        assert find_newest(["v10", "v10"]) == "v11"
+
+
 class PageTest(unittest.TestCase):
     """The page for operators."""
 
@@ -855,6 +867,14 @@
         """Guards against an answer without a start that counts as one."""
         self._play(371, 15.0, "inplace break reset bad-report")
 
+    def test_releases_under_the_ids_join_no_versions(self) -> None:
+        """Guards against a release that a stream goes on across.
+
+        The service had one version. Entries are written at once: KNOWN-RED.txt
+        has what later ones show.
+        """
+        self._play(301, 15.0, "onever roll=0 break reset")
+
     def test_early_entries_join_no_versions(self) -> None:
         """Guards against the same where the entry comes before the start."""
         self._play(14, 15.0, "early break reset")
