Play callers that take their streams up elsewhere at once

A caller that left ended its stream, so that what another instance did with a take-up right after was never seen. abandon: a caller leaves a resumable stream early (0.3) and takes it up at another instance at once; the stream is checked over all its tries.

Each event now names its run and the event before the run. The ORDER check thereby sees two runs that are joined where the versions agree: a run may go on only after the last event held, and not at all in a stream that can't be resumed.

--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -12,6 +12,7 @@
     Stamp,
     StreamEvent,
     make_body,
+    make_run_name,
 )
 from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.messages import (
@@ -85,7 +86,8 @@
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Answers; tells whether the connection may be used again."""
         attempt = request.get(wire.ATTEMPT_ID)
-        choices = self._make_choices(f"run/{attempt}/{self._arrivals[attempt]}")
+        arrival = self._arrivals[attempt]
+        choices = self._make_choices(f"run/{attempt}/{arrival}")
         self._arrivals[attempt] += 1
         if choices.draw_fault("reject"):
             name = connection.process.start.name
@@ -99,7 +101,9 @@
             f"RUN {start.name} {start.software} {attempt} {request.target}"
             f" after {request.get(wire.LAST_EVENT_ID) or 0}"
         )
-        run = _Run(connection, request, choices, self._record, self._ledger)
+        run = _Run(
+            connection, request, choices, self._record, self._ledger, arrival
+        )
         is_kept = await run.answer()
         if is_kept and choices.draw_fault("length-close"):
             self._record.note_fault(f"length-close after run {attempt}")
@@ -138,6 +142,7 @@
         choices: Choices,
         record: Record,
         ledger: RunLedger,
+        arrival: int,
     ):
         self._ledger = ledger
         self._connection = connection
@@ -146,6 +151,8 @@
         self._record = record
         self._attempt = request.get(wire.ATTEMPT_ID)
         self._subject = parse_subject(request.target)
+        self._last = int(request.get(wire.LAST_EVENT_ID) or 0)
+        self._name = make_run_name(self._attempt, arrival, self._last)
         self._is_unframed = choices.draw_fault("unframed")
         if self._is_unframed:
             self._note("unframed")
@@ -201,7 +208,7 @@
 
     async def _send_stream(self) -> bool:
         rng = self._choices.rng
-        last = int(self._request.get(wire.LAST_EVENT_ID) or 0)
+        last = self._last
         plan = self._plan_breaks(last)
         gap_s = rng.choice((0.0, 0.005, 0.03, 0.1))
         await self._send_head("text/event-stream")
@@ -250,6 +257,7 @@
         event = StreamEvent(
             self._request.target,
             self._connection.process.start.software,
+            self._name,
             "." * self._subject.padding,
             number,
         )
@@ -313,7 +321,7 @@
         if self._choices.rng.random() < 0.5:
             await asyncio.sleep(self._choices.rng.uniform(0, 0.05))
         self._note("an extra answer")
-        event = StreamEvent("/none/0/0/0", "none", "", 1).encode()
+        event = StreamEvent("/none/0/0/0", "none", "none", "", 1).encode()
         headers = (
             ("Content-Type", "text/event-stream"),
             *self._list_headers(200),
--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -125,7 +125,8 @@
         self._context = context
         self._job = job
         self._choices = choices
-        self._check = StreamCheck(job.path, job.size)
+        route = job.route
+        self._check = StreamCheck(job.path, job.size, route.is_resumable)
         # The attempt that brought the first event.
         self._first_attempt = ""
 
@@ -158,17 +159,21 @@
                 self._count_first(instance, answer)
             if not self._may_repeat(answer):
                 return
+            if answer.outcome == "abandoned":
+                continue
             pause_s = _parse_seconds(answer.get(wire.RETRY_AFTER))
             await asyncio.sleep(min(pause_s, left_s / 3))
 
     def _count_first(self, instance: Instance, answer: Answer) -> None:
-        if answer.outcome != "left":
+        if answer.outcome not in ("left", "abandoned"):
             is_served = answer.status == 200 and answer.is_complete
             self._context.first_tries.note(instance.index, is_served)
 
     def _may_repeat(self, answer: Answer) -> bool:
         if self._check.is_broken or answer.outcome == "left":
             return False
+        if answer.outcome == "abandoned":
+            return True
         if 200 <= answer.status < 300:
             if answer.is_complete:
                 self.is_served = True
@@ -188,10 +193,10 @@
         attempt = f"{context.seed & 0xFFFF:04x}{job.serial:08x}{number:04x}"
         if job.route.runs_once:
             context.ledger.note_single(attempt)
-        is_leaving = self._choices.draw_fault("leave")
+        leaving = self._draw_leaving()
         patience_s = left_s + LATE_S
-        if is_leaving:
-            context.record.note_fault(f"caller of {attempt} leaves early")
+        if leaving:
+            context.record.note_fault(f"caller of {attempt}: {leaving} early")
             patience_s = self._choices.rng.uniform(0.05, 1.0)
         is_kept = self._choices.draw_fault("keep") and not job.is_http10
         self._check.begin_answer(attempt)
@@ -221,15 +226,15 @@
                 context.pool.keep(instance.index, channel)
             else:
                 channel.close()
-        if is_leaving and answer.outcome == "timeout":
-            answer = dataclasses.replace(answer, outcome="left")
+        if leaving and answer.outcome == "timeout":
+            answer = dataclasses.replace(answer, outcome=leaving)
         context.record.write(
             f"ANSWER {attempt} {answer.outcome} {answer.status}"
             f" {answer.get(wire.SERVER_STAMP) or '-'}"
             f" events {had}+{len(self._check.held) - had}"
         )
         self._check_answer(attempt, answer)
-        if not is_leaving and not job.is_slow and answer.outcome != "refused":
+        if not leaving and not job.is_slow and answer.outcome != "refused":
             self._check_times(
                 Attempt(
                     job.path,
@@ -245,6 +250,17 @@
             )
         return answer
 
+    def _draw_leaving(self) -> str:
+        """Returns the outcome of an answer that a caller leaves, or ""."""
+        if self._choices.draw_fault("leave"):
+            return "left"
+        # Only a stream can be taken up.
+        may_abandon = self._job.route.is_resumable
+        # Not drawn in other runs, whose seeds keep their meaning.
+        if may_abandon and self._choices.plan.has("abandon"):
+            return "abandoned" if self._choices.draw_fault("abandon") else ""
+        return ""
+
     def _check_times(self, attempt: Attempt) -> None:
         context, answer = self._context, attempt.answer
         for finding in check_stop(attempt, context.touch):
--- a/src/peridotbend_emulator/soak/checks.py
+++ b/src/peridotbend_emulator/soak/checks.py
@@ -24,13 +24,14 @@
 
     path: str
     software: str
+    # Names the run, and the last event before it.
+    run: str
     padding: str
     number: int
 
     def encode(self) -> bytes:
         """Returns the bytes of the event."""
-        fields = (self.path, self.software, self.padding, str(self.number))
-        text = FIELD_SEPARATOR.join(fields)
+        text = FIELD_SEPARATOR.join(map(str, dataclasses.astuple(self)))
         return f"id: {self.number}\ndata: {text}\n\n".encode()
 
 
@@ -44,19 +45,27 @@
     if len(lines) != 2 or not lines[1].startswith("data: "):
         return None
     fields = lines[1].removeprefix("data: ").split(FIELD_SEPARATOR)
-    if len(fields) != 4 or lines[0] != f"id: {fields[3]}":
+    if len(fields) != 5 or lines[0] != f"id: {fields[4]}":
         return None
-    if not fields[3].isdecimal():
+    if not fields[4].isdecimal():
         return None
-    return StreamEvent(fields[0], fields[1], fields[2], int(fields[3]))
+    path, software, run, padding, number = fields
+    return StreamEvent(path, software, run, padding, int(number))
+
+
+def make_run_name(attempt: str, arrival: int, last: int) -> str:
+    """Returns the name of a run that goes on after an event."""
+    return f"{attempt}.{arrival}+{last}"
 
 
 class StreamCheck:
     """Checks one stream over all answers that bring parts of it."""
 
-    def __init__(self, path: str, count: int):
+    def __init__(self, path: str, count: int, is_resumable: bool = True):
         self.path = path
         self.count = count
+        self._is_resumable = is_resumable
+        self._run = ""
         # The software of the runner of each event that came, in order.
         self.held: list[str] = []
         self.is_broken = False
@@ -104,9 +113,19 @@
         elif self.held and self.held[0] != event.software:
             detail = f"began at {self.held[0]}, event {due} of {event.software}"
             yield self._fail(Rule.ORDER, f"joined of two versions: {detail}")
+        elif event.run != self._run and not self._may_go_on(event.run):
+            detail = f"{self._run or 'nothing'}, event {due} of {event.run}"
+            yield self._fail(Rule.ORDER, f"joined of two runs: {detail}")
         else:
+            self._run = event.run
             self.held.append(event.software)
 
+    def _may_go_on(self, run: str) -> bool:
+        """Tells whether a run may follow what came so far."""
+        _, _, last = run.rpartition("+")
+        may_follow = self._is_resumable or not self.held
+        return may_follow and last == str(len(self.held))
+
     def _fail(self, rule: Rule, detail: str) -> Finding:
         self.is_broken = True
         return Finding(rule, self.path, f"{self._attempt}: {detail}")
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -47,6 +47,7 @@
     FaultKind("length-close", Place.RUN, 0.05, "a connection isn't kept"),
     FaultKind("bad-report", Place.RUN, 0.3, "a report is not valid", False),
     FaultKind("leave", Place.CALLER, 0.04, "a caller leaves early"),
+    FaultKind("abandon", Place.CALLER, 0.3, "a caller goes elsewhere", False),
     FaultKind("keep", Place.CALLER, 0.6, "a caller keeps its connection"),
     FaultKind("slow", Place.CALLER, 0.08, "a caller reads slowly"),
     FaultKind("http10", Place.CALLER, 0.06, "a caller speaks HTTP/1.0", False),
--- a/src/peridotbend_emulator/soak/messages.py
+++ b/src/peridotbend_emulator/soak/messages.py
@@ -32,7 +32,8 @@
     body: bytes = b""
     # Whether the answer ended as its framing says.
     is_complete: bool = False
-    # "complete", "closed", "reset", "refused", "timeout" or "left".
+    # "complete", "closed", "reset", "refused" or "timeout"; "left" or
+    # "abandoned" if the caller had enough.
     outcome: str = ""
 
     def get(self, name: str) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -80,9 +80,11 @@
 ATTEMPT = "a-1"
 
 
-def encode(number: int, software: str = "v1", path: str = PATH) -> bytes:
+def encode(
+    number: int, software: str = "v1", path: str = PATH, run: str = "r+0"
+) -> bytes:
     """Returns an event as a runner writes it."""
-    return StreamEvent(path, software, "", number).encode()
+    return StreamEvent(path, software, run, "", number).encode()
 
 
 def check_stream(*answers: bytes) -> list[Finding]:
@@ -114,6 +116,7 @@
             (whole,),
             (weights + whole,),
             (encode(1) + encode(2)[:9], encode(2) + encode(3) + encode(4)),
+            (encode(1), b"".join(encode(n, run="s+1") for n in (2, 3, 4))),
             (whole, b""),
         )
         for answers in cases:
@@ -148,6 +151,20 @@
         answers = encode(1), encode(2, "v2")
         self._expect(Rule.ORDER, "joined of two versions", *answers)
 
+    def test_two_runs_of_one_version(self) -> None:
+        """Guards against a run that doesn't go on where the last one ended."""
+        cases = encode(2, run="s+0"), encode(2, run="s+2")
+        for other in cases:
+            self._expect(Rule.ORDER, "two runs: r+0", encode(1) + other)
+            self._expect(Rule.ORDER, "two runs: r+0", encode(1), other)
+
+    def test_two_runs_of_a_stream_that_may_run_once(self) -> None:
+        """Guards against a second run that goes on where none may."""
+        check = StreamCheck(PATH, 4, is_resumable=False)
+        assert not list(check.take(encode(1)))
+        (finding,) = check.take(encode(2, run="s+1"))
+        assert "two runs" in finding.detail
+
     def test_end_that_comes_too_early(self) -> None:
         """Guards against a stream that looks whole and isn't."""
         self._expect(Rule.ORDER, "after 1 of 4", encode(1))
@@ -875,6 +892,11 @@
         """
         self._play(301, 15.0, "onever roll=0 break reset")
 
+    def test_abandoned_streams_are_checked_to_their_end(self) -> None:
+        """Guards against take-ups that the soak no longer plays or checks."""
+        result = self._play(334, 10.0, "abandon inplace reset")
+        assert result.repeated > result.calls / 20, result.describe()
+
     def test_early_entries_join_no_versions(self) -> None:
         """Guards against the same where the entry comes before the start."""
         self._play(14, 15.0, "early break reset")
