Play fleets that form groups in the soak

Fleets of up to 17 instances exchange digests directly, so that no soak had relays of groups beside restarts. groups: 63 instances. It is not usual, and no test starts it.

Not run: the load of the machine was 13 to 23, and a run by hand waits for one below 6.

--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -81,6 +81,7 @@
     FaultKind("mute", Place.FLEET, 0, "runners tell no start: 404", False),
     FaultKind("once", Place.FLEET, 0, "only calls that run once", False),
     FaultKind("eight", Place.FLEET, 0, "eight instances, not three", False),
+    FaultKind("groups", Place.FLEET, 0, "63 instances, in groups", False),
     *(
         FaultKind(
             name, Place.FLEET, PARTIAL_CUT_SHARE, f"{effect}; see zone", False
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -39,7 +39,7 @@
 FEW_SLOTS = 1
 # Last numbers of the addresses.
 STORE_HOST = 200
-FIRST_INSTANCE_HOST = 210
+FIRST_INSTANCE_HOST = 130
 FIRST_RUNNER_HOST = 220
 SEED_INSTANCES = 3
 # Every third runner is in another zone, in runs where that matters.
--- a/src/peridotbend_emulator/soak/settings.py
+++ b/src/peridotbend_emulator/soak/settings.py
@@ -10,6 +10,8 @@
 LOOPBACK_NET = os.environ.get("LOOPBACK_TEST_NET", "127.0.0")
 DEFAULT_INSTANCES = 3
 MANY_INSTANCES = 8
+# Beyond 17, instances form groups, whose relays sum what their members say.
+GROUPED_INSTANCES = 63
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +32,8 @@
     @property
     def instance_count(self) -> int:
         """The number of entry instances."""
+        if self.faults.has("groups"):
+            return GROUPED_INSTANCES
         if self.faults.has("eight"):
             return MANY_INSTANCES
         return DEFAULT_INSTANCES
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from peridotbend.domain.clock import ManualClock, SystemClock
+from peridotbend.edge.groups import MAX_MESH_PEERS
 from peridotbend.platform import wire
 from peridotbend.platform.documents import decode_start
 from peridotbend_emulator.soak.behaviours import SoakBehaviour
@@ -39,6 +40,13 @@
     UnknownFaultError,
     parse_faults,
 )
+from peridotbend_emulator.soak.fleet import (
+    CALL_RUNNERS,
+    FIRST_INSTANCE_HOST,
+    FIRST_RUNNER_HOST,
+    MANY_STREAM_RUNNERS,
+    STORE_HOST,
+)
 from peridotbend_emulator.soak.fleetchecks import (
     MIN_LATE,
     Attempt,
@@ -592,6 +600,21 @@
         assert drawn[0] == drawn[1]
 
 
+class FleetTest(unittest.TestCase):
+    """The processes of a run."""
+
+    def test_grouped_instances_have_hosts_of_their_own(self) -> None:
+        """Guards against a fleet too small for groups, or shared addresses."""
+        settings = SoakSettings(
+            1, 1.0, parse_faults(["groups", "many"]), pathlib.Path()
+        )
+        count = settings.instance_count
+        assert count > MAX_MESH_PEERS + 1
+        assert FIRST_INSTANCE_HOST + count <= STORE_HOST
+        runner_count = MANY_STREAM_RUNNERS + CALL_RUNNERS
+        assert FIRST_RUNNER_HOST + runner_count <= 255
+
+
 class ReleaseTest(unittest.TestCase):
     """The versions of a release under the IDs."""
 
