Play partitions between the instances of two zones in the soak

The instances of a soak always reached each other, so that a take-up could always ask the one that knows where its stream came from. split: every second instance and every third runner is in another zone, and for 0.5 to 4 s the instances of the two are cut off from each other: datagrams are lost, connections reset, new ones never established. The daemons run in soak/splitchild.py for that, which hooks into their event loop, since loopback packets of single hosts can't be dropped without rights. A split doesn't begin within another one.

--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -70,6 +70,7 @@
     FaultKind("hup", Place.SERIES, 0, "an instance reads its settings again"),
     FaultKind("cut", Place.SERIES, 0, "an instance is cut off from runners"),
     FaultKind("herd", Place.SERIES, 0, "all instances are killed at once"),
+    FaultKind("split", Place.SERIES, 0, "two zones are cut off", False),
     FaultKind("oneway", Place.SERIES, 0, "bytes are held in one direction"),
     FaultKind("delay", Place.SERIES, 0, "bytes are delayed"),
     FaultKind("clock", Place.SERIES, 0, "an instance has another time of day"),
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -63,6 +63,8 @@
         self._settings = settings
         self._behaviour = behaviour
         self._is_store_away = False
+        # Whether the zones are cut off from each other.
+        self.is_split = False
         # The newest configuration that was written.
         self.config_version = FIRST_VERSION
         # What each runner wrote last.
@@ -185,7 +187,7 @@
         return number < round(share * count)
 
     def _find_zone(self, number: int) -> str:
-        has_zones = self._settings.faults.has("zone")
+        has_zones = self._settings.faults.has_any("zone", "split")
         return ZONE if not has_zones or number % ZONE_INTERVAL else OTHER_ZONE
 
     def _find_runner_host(self, number: int) -> str:
@@ -223,6 +225,7 @@
         if self._settings.faults.has_any("oneway", "delay"):
             await self._start_proxies(hosts, ports)
         has_builds = self._settings.faults.has("builds")
+        has_split = self._settings.faults.has("split")
         for index, host in enumerate(hosts):
             instance = InstanceSettings(
                 index=index,
@@ -231,6 +234,8 @@
                 seed_hosts=tuple(hosts[:SEED_INSTANCES]),
                 store_address=self._find_store_address(index),
                 folder=self._settings.folder,
+                zone=OTHER_ZONE if has_split and index % 2 else ZONE,
+                may_be_split=has_split,
                 source=other if has_builds and index % 2 else None,
                 callers_address=(
                     self.proxies[index][0].address if self.proxies else None
--- a/src/peridotbend_emulator/soak/instancefaults.py
+++ b/src/peridotbend_emulator/soak/instancefaults.py
@@ -47,6 +47,7 @@
         self.of_fleet: Mapping[str, Callable[[], Awaitable[None]]] = {
             "store": self._stop_store,
             "herd": self._kill_all,
+            "split": self._split_zones,
             "config": self._write_config,
             "restore": self._restore_store,
         }
@@ -202,6 +203,25 @@
             await self._fleet.start_store()
             self._context.note("store back")
 
+    async def _split_zones(self) -> None:
+        """Cuts the instances of two zones off from each other."""
+        if self._fleet.is_split:
+            return
+        with self._context.touch.hold("split"):
+            self._context.note("split")
+            self._fleet.is_split = True
+            for instance in self._fleet.instances:
+                instance.cut_off(
+                    other.host
+                    for other in self._fleet.instances
+                    if other.zone != instance.zone
+                )
+            await self._context.sleep(SILENT_S)
+            for instance in self._fleet.instances:
+                instance.cut_off(())
+            self._fleet.is_split = False
+            self._context.note("split: over")
+
     async def _kill_all(self) -> None:
         instances = self._fleet.instances
         if not all(map(self._context.occupation.is_free, instances)):
--- a/src/peridotbend_emulator/soak/instances.py
+++ b/src/peridotbend_emulator/soak/instances.py
@@ -7,17 +7,20 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterable
 
 import yaml
 
 from peridotbend.platform import wire
 from peridotbend_emulator.soak.platform.documents import (
+    ZONE,
     InstancePorts,
     make_settings,
 )
 
 MODULE = "peridotbend.edgedaemon"
 WRAPPER = "peridotbend_emulator.runchild"
+SPLIT_WRAPPER = "peridotbend_emulator.soak.splitchild"
 CLOCK_WRAPPER = "peridotbend_emulator.soak.clockchild"
 READY_TIMEOUT_S = 40.0
 READY_INTERVAL_S = 0.05
@@ -43,6 +46,9 @@
     source: pathlib.Path | None = None
     # Of a proxy between the callers and the instance.
     callers_address: tuple[str, int] | None = None
+    zone: str = ZONE
+    # Whether hosts can be cut off from it.
+    may_be_split: bool = False
 
 
 class Instance:
@@ -60,6 +66,18 @@
         self._settings = settings
         self._process: subprocess.Popen[bytes] | None = None
         self._log_path = settings.folder / f"instance-{settings.index}.log"
+        self._cut_path = settings.folder / f"cut-{settings.index}.txt"
+
+    @property
+    def zone(self) -> str:
+        """The availability zone."""
+        return self._settings.zone
+
+    def cut_off(self, hosts: Iterable[str]) -> None:
+        """Cuts other instances off; without any, ends all cuts."""
+        part = self._cut_path.with_suffix(".part")
+        part.write_text(" ".join(hosts), encoding="utf-8")
+        part.replace(self._cut_path)
 
     def write_settings(self, **changes: object) -> pathlib.Path:
         """Writes the settings file, with changes, in one step."""
@@ -70,6 +88,7 @@
             own.ports,
             own.seed_hosts,
             own.store_address,
+            own.zone,
         )
         path = own.folder / f"settings-{own.index}.yaml"
         part = path.with_suffix(".part")
@@ -86,7 +105,7 @@
             "-m",
             WRAPPER,
             str(os.getpid()),
-            *self._list_clock_words(),
+            *self._list_wrapper_words(),
             MODULE,
             "--settings",
             str(path),
@@ -155,10 +174,13 @@
             self._process.kill()
             self._process.wait()
 
-    def _list_clock_words(self) -> list[str]:
-        if not self.clock_offset_ms:
-            return []
-        return [CLOCK_WRAPPER, str(self.clock_offset_ms)]
+    def _list_wrapper_words(self) -> list[str]:
+        words = []
+        if self.clock_offset_ms:
+            words += [CLOCK_WRAPPER, str(self.clock_offset_ms)]
+        if self._settings.may_be_split:
+            words += [SPLIT_WRAPPER, str(self._cut_path)]
+        return words
 
     def _make_environ(self) -> dict[str, str]:
         source = self._settings.source
--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -142,6 +142,7 @@
     ports: InstancePorts,
     seed_hosts: tuple[str, ...],
     store_address: str,
+    zone: str = ZONE,
 ) -> dict[str, Any]:
     """Returns the settings file of an instance."""
     return {
@@ -149,7 +150,7 @@
         "role": "edge",
         "serves": ["edge", "control_plane"],
         "ip": host,
-        "zone": ZONE,
+        "zone": zone,
         "region": "r",
         "zones": {ZONE: "r", OTHER_ZONE: "r"},
         "listen": {
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -80,6 +80,7 @@
     reset_connection,
 )
 from peridotbend_emulator.soak.settings import LOOPBACK_NET, SoakSettings
+from peridotbend_emulator.soak.splitchild import HostCut
 
 OPERATIONS_PAGE = (
     pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
@@ -615,6 +616,34 @@
         assert FIRST_RUNNER_HOST + runner_count <= 255
 
 
+class HostCutTest(unittest.TestCase):
+    """How instances are cut off from each other."""
+
+    def test_hosts_that_are_cut_off(self) -> None:
+        """Guards against a partition that lets bytes through."""
+        cut, transport = HostCut(), unittest.mock.Mock()
+        transport.is_closing.return_value = False
+        connect = unittest.mock.AsyncMock(return_value=(transport, None))
+
+        async def play() -> None:
+            sender, _ = await cut.open_datagrams(connect)
+            await cut.connect(connect, "factory", "127.0.0.1", 80)
+            cut.apply(frozenset(("127.0.0.1",)))
+            await asyncio.sleep(0)
+            transport.abort.assert_called_once_with()
+            for host in ("127.0.0.1", "127.0.0.2"):
+                sender.sendto(b"x", (host, 80))
+            transport.sendto.assert_called_once_with(b"x", ("127.0.0.2", 80))
+            await cut.connect(connect, "factory", "127.0.0.2", 80)
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await cut.connect(connect, "factory", "127.0.0.1", 80)
+            cut.apply(frozenset())
+            await cut.connect(connect, "factory", "127.0.0.1", 80)
+
+        asyncio.run(play())
+
+
 class ReleaseTest(unittest.TestCase):
     """The versions of a release under the IDs."""
 
@@ -920,6 +949,10 @@
         result = self._play(334, 10.0, "abandon inplace reset")
         assert result.repeated > result.calls / 20, result.describe()
 
+    def test_partitions_of_zones_break_no_promise(self) -> None:
+        """Guards against take-ups that nobody can be asked about."""
+        self._play(5, 15.0, "split abandon inplace break reset")
+
     def test_early_entries_join_no_versions(self) -> None:
         """Guards against the same where the entry comes before the start."""
         self._play(14, 15.0, "early break reset")
