Play services that take over each other's addresses in the soak

Addresses of runners that are gone are used again by other services, and no soak played that. reuse: runners of the stream and the call service die and are replaced, after a second, at each other's addresses under new IDs; the entries of the dead go at once or only with the new ones. A runner now runs a request that names no X-Expect-Instance, as the protocol has it, so that the new ROUTE check can fail: a request runs only at a service to which its route leads. An entry keeps the address with which it was written.

--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -11,6 +11,7 @@
     RunLedger,
     Stamp,
     StreamEvent,
+    check_route,
     make_body,
     make_run_name,
 )
@@ -94,7 +95,10 @@
             self._record.note_fault(f"reject at {name} of {attempt}")
             await connection.send(make_rejection(request))
             return True
-        for finding in self._ledger.note_run(request.target, attempt):
+        for finding in (
+            *self._ledger.note_run(request.target, attempt),
+            *check_route(request.target, connection.process.service),
+        ):
             self._record.add_finding(finding)
         start = connection.process.start
         self._record.write(
--- a/src/peridotbend_emulator/soak/checks.py
+++ b/src/peridotbend_emulator/soak/checks.py
@@ -6,6 +6,7 @@
 
 from peridotbend.platform import wire
 from peridotbend_emulator.soak.messages import Answer, split_lines
+from peridotbend_emulator.soak.platform.documents import ROUTES
 from peridotbend_emulator.soak.record import Finding, Rule
 
 # Statuses that promise that the request has not run and never will.
@@ -195,6 +196,13 @@
         yield Finding(Rule.MIXED, path, f"{attempt} got {detail}")
 
 
+def check_route(path: str, service: str) -> Iterator[Finding]:
+    """Checks that a request runs at a service to which its route leads."""
+    route = next((r for r in ROUTES if path.startswith(r.prefix)), None)
+    if route is None or route.service != service:
+        yield Finding(Rule.ROUTE, path, f"ran at a runner of {service}")
+
+
 def check_unasked(subject: str, data: bytes) -> Iterator[Finding]:
     """Checks what came on a connection on which no request waited."""
     if data:
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -62,6 +62,7 @@
     FaultKind(
         "roll", Place.SERIES, ENTRY_LAG_S, "newest version, same ID", False
     ),
+    FaultKind("reuse", Place.SERIES, ENTRY_LAG_S, "addresses change", False),
     FaultKind("dark", Place.SERIES, 0, "a runner is silent for seconds"),
     FaultKind("store", Place.SERIES, 0, "the store is away"),
     FaultKind("term", Place.SERIES, 0, "an instance is stopped and restarted"),
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -148,9 +148,10 @@
     def list_entry(self, runner: Runner, entry: Entry) -> None:
         """Writes an entry of a runner to the store."""
         self._entries[runner] = entry
+        addresses = [runner.find_address(link.index) for link in self.links]
         self.store.put(
             wire.TARGET_PREFIX + runner.start.name,
-            lambda index: entry.describe(runner.find_address(index)),
+            lambda index: entry.describe(addresses[index]),
         )
 
     def remove_entry(self, runner: Runner) -> None:
--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -15,6 +15,8 @@
 DRAIN_S = 2.0
 GRACE_S = 8.0
 HEARTBEAT_S = 1.2
+# An address may have another runner so long after the last one has ended.
+REUSE_AFTER_S = 1.0
 CONTACT_MS = 3_000
 LOSS_SLACK_MS = 200
 ROLLBACK_SLACK_MS = 250
@@ -54,6 +56,12 @@
     # Range of the number of events, or of the bytes of a body.
     sizes: tuple[int, int] = (9, 60)
 
+    @property
+    def service(self) -> str:
+        """The service whose runners may run its requests."""
+        is_stream = self.kind is Kind.STREAM
+        return STREAM_SERVICE if is_stream else CALL_SERVICE
+
     @property
     def runs_once(self) -> bool:
         """Whether an attempt may run once at most."""
@@ -116,7 +124,7 @@
         "timeout_ms": route.timeout_ms,
         "goal_ms": route.objective_ms,
         "priority": 2,
-        "service": STREAM_SERVICE if is_stream else CALL_SERVICE,
+        "service": route.service,
         "max_attempts": route.max_attempts,
         "public": False,
         "sticky": is_stream,
--- a/src/peridotbend_emulator/soak/record.py
+++ b/src/peridotbend_emulator/soak/record.py
@@ -24,6 +24,8 @@
     # A process uses more memory or descriptors than it has.
     BOUNDS = "BOUNDS"
     RECOVER = "RECOVER"
+    # A service runs a request that isn't for it.
+    ROUTE = "ROUTE"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotbend_emulator/soak/runnerfaults.py
+++ b/src/peridotbend_emulator/soak/runnerfaults.py
@@ -1,11 +1,19 @@
 """Faults of the runners as processes."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 
+from peridotbend.platform import wire
 from peridotbend_emulator.soak.fleet import VERSIONS
 from peridotbend_emulator.soak.platform.documents import (
     DRAIN_S,
+    REUSE_AFTER_S,
     STREAM_SERVICE,
 )
 from peridotbend_emulator.soak.runners import Runner, Start
@@ -45,6 +53,7 @@
             "early": self._announce_early,
             "crashloop": self._restart_twice,
             "roll": self._roll,
+            "reuse": self._exchange_addresses,
             "dark": self._silence,
         }
 
@@ -137,6 +146,40 @@
             await self._lag("roll")
         self._list(runner)
 
+    async def _exchange_addresses(self, runner: Runner) -> None:
+        """Replaces runners of two services at each other's addresses."""
+        occupation = self._context.occupation
+        others = [
+            other
+            for other in self._fleet.runners
+            if other.service != runner.service and occupation.is_free(other)
+        ]
+        if not others:
+            return
+        other = self._context.rng.choice(others)
+        with occupation.hold(other):
+            pair = runner, other
+            keys = [wire.TARGET_PREFIX + one.start.name for one in pair]
+            for one in pair:
+                self._die(one, "reuse")
+            # Entries of runners that say nothing may outlive them.
+            is_late = self._context.rng.random() < 0.5
+            if not is_late:
+                self._remove(keys)
+            await asyncio.sleep(REUSE_AFTER_S)
+            runner.exchange_addresses(other)
+            for one in pair:
+                name = self._fleet.starts.make_name()
+                await self._launch(one, name, one.start.software)
+            await self._lag("reuse")
+            self._remove(keys)
+            for one in pair:
+                self._list(one)
+
+    def _remove(self, keys: Iterable[str]) -> None:
+        for key in keys:
+            self._fleet.store.delete(key)
+
     async def _silence(self, runner: Runner) -> None:
         self._context.note(f"dark {runner.start.name}")
         runner.set_silent(True)
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -113,9 +113,15 @@
     """One start of a runner, with its listeners and connections."""
 
     def __init__(
-        self, start: Start, host: str, slots: int, behaviour: Behaviour
+        self,
+        start: Start,
+        service: str,
+        host: str,
+        slots: int,
+        behaviour: Behaviour,
     ):
         self.start = start
+        self.service = service
         self.host = host
         self.is_silent = False
         self._slots = slots
@@ -219,7 +225,9 @@
             )
             await connection.send(make_answer(status, body, headers))
             return True
-        if request.get(wire.EXPECT_INSTANCE) != self.start.name:
+        # Without the header, any runner runs the request.
+        expected = request.get(wire.EXPECT_INSTANCE)
+        if expected and expected != self.start.name:
             await connection.send(make_answer(421, b"", _echo(request)))
             return True
         if self._active >= self._slots + QUEUE_LENGTH:
@@ -283,7 +291,7 @@
         """Starts a process."""
         self.start = start
         self._process = RunnerProcess(
-            start, self._host, self.slots, self._behaviour
+            start, self.service, self._host, self.slots, self._behaviour
         )
         self._sequence = 0
         for link in self._links:
@@ -337,6 +345,12 @@
             is_leaving=is_leaving,
         )
 
+    def exchange_addresses(self, other: "Runner") -> None:
+        """Takes the addresses of another runner, and leaves it its own."""
+        self._host, other._host = other._host, self._host
+        self._zone, other._zone = other._zone, self._zone
+        self._ports, other._ports = other._ports, self._ports
+
     def find_address(self, index: int) -> str:
         """Returns the address for an instance."""
         return f"{self._host}:{self._ports[index]}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
     StreamEvent,
     check_call,
     check_head,
+    check_route,
     check_unasked,
     make_body,
 )
@@ -59,9 +60,11 @@
 from peridotbend_emulator.soak.links import Link, LinkState
 from peridotbend_emulator.soak.messages import Answer, Request
 from peridotbend_emulator.soak.platform.documents import (
+    CALL_SERVICE,
     CONTACT_MS,
     MAX_FILES,
     MEMORY_MB,
+    STREAM_SERVICE,
     ZONE,
     list_bad_reports,
     make_part_list,
@@ -249,6 +252,18 @@
             self._expect(Rule.MIXED, f"answered {given}", answer)
             assert list(check_head(PATH, ATTEMPT, answer))
 
+    def test_run_at_another_service(self) -> None:
+        """Guards against requests that run where their route doesn't lead."""
+        assert list(check_route("/r/1/4/0", STREAM_SERVICE)) == []
+        assert list(check_route("/n/1/4/0", CALL_SERVICE)) == []
+        for path, service in (
+            ("/r/1/4/0", CALL_SERVICE),
+            ("/i/1/4/0", STREAM_SERVICE),
+            ("/x/1/4/0", STREAM_SERVICE),
+        ):
+            (finding,) = check_route(path, service)
+            assert finding.rule is Rule.ROUTE
+
     def test_bytes_without_a_request(self) -> None:
         """Guards against answers on a connection where none is due."""
         assert list(check_unasked(PATH, b"")) == []
@@ -953,6 +968,10 @@
         """Guards against take-ups that nobody can be asked about."""
         self._play(5, 15.0, "split abandon inplace break reset")
 
+    def test_reused_addresses_mix_no_services(self) -> None:
+        """Guards against requests at a runner of another service."""
+        self._play(8, 15.0, "reuse break reset keep")
+
     def test_early_entries_join_no_versions(self) -> None:
         """Guards against the same where the entry comes before the start."""
         self._play(14, 15.0, "early break reset")
