--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import json
 from collections.abc import Callable, Iterator, Sequence
 
 from peridotbend.platform import wire
@@ -10,7 +11,9 @@
     RunLedger,
     Stamp,
     StreamEvent,
+    check_route,
     make_body,
+    make_run_name,
 )
 from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.messages import (
@@ -19,8 +22,17 @@
     make_chunk,
     make_head,
 )
+from peridotbend_emulator.soak.platform.documents import (
+    list_bad_reports,
+    make_part_list,
+    make_report,
+)
 from peridotbend_emulator.soak.record import Record
-from peridotbend_emulator.soak.runners import Connection, make_rejection
+from peridotbend_emulator.soak.runners import (
+    Connection,
+    Start,
+    make_rejection,
+)
 
 SILENCE_S = (0.3, 1.2)
 EVENT_SILENCE_SHARE = 0.003
@@ -70,31 +82,59 @@
         self._record = record
         # How often each attempt has arrived, since all sends differ.
         self._arrivals: collections.Counter[str] = collections.Counter()
+        self._reports: collections.Counter[str] = collections.Counter()
 
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Answers; tells whether the connection may be used again."""
         attempt = request.get(wire.ATTEMPT_ID)
-        choices = self._make_choices(f"run/{attempt}/{self._arrivals[attempt]}")
+        arrival = self._arrivals[attempt]
+        choices = self._make_choices(f"run/{attempt}/{arrival}")
         self._arrivals[attempt] += 1
         if choices.draw_fault("reject"):
             name = connection.process.start.name
             self._record.note_fault(f"reject at {name} of {attempt}")
             await connection.send(make_rejection(request))
             return True
-        for finding in self._ledger.note_run(request.target, attempt):
+        for finding in (
+            *self._ledger.note_run(request.target, attempt),
+            *check_route(request.target, connection.process.service),
+        ):
             self._record.add_finding(finding)
         start = connection.process.start
         self._record.write(
             f"RUN {start.name} {start.software} {attempt} {request.target}"
             f" after {request.get(wire.LAST_EVENT_ID) or 0}"
         )
-        run = _Run(connection, request, choices, self._record, self._ledger)
+        run = _Run(
+            connection, request, choices, self._record, self._ledger, arrival
+        )
         is_kept = await run.answer()
         if is_kept and choices.draw_fault("length-close"):
             self._record.note_fault(f"length-close after run {attempt}")
             return False
         return is_kept
 
+    def report(self, start: Start, active: int) -> tuple[int, bytes]:
+        """Returns the status and body with which a start tells of itself."""
+        choices = self._make_choices(
+            f"report/{start.name}/{self._reports[start.name]}"
+        )
+        self._reports[start.name] += 1
+        if choices.plan.has("mute"):
+            return 404, b""
+        born_ms = start.started_at_ms
+        if choices.draw_fault("bad-report"):
+            body = choices.rng.choice(list_bad_reports(born_ms))
+            self._record.note_fault(f"bad-report at {start.name}: {body!r}")
+            return 200, body
+        return 200, json.dumps(make_report(born_ms, 0, active)).encode()
+
+    def list_parts(self, start: Start) -> tuple[int, bytes]:
+        """Returns the same of the list of prompt parts that it keeps."""
+        if self._make_choices("parts").plan.has("mute"):
+            return 404, b""
+        return 200, json.dumps(make_part_list(start.started_at_ms)).encode()
+
 
 class _Run:
     """One run of a request."""
@@ -106,6 +146,7 @@
         choices: Choices,
         record: Record,
         ledger: RunLedger,
+        arrival: int,
     ):
         self._ledger = ledger
         self._connection = connection
@@ -114,6 +155,8 @@
         self._record = record
         self._attempt = request.get(wire.ATTEMPT_ID)
         self._subject = parse_subject(request.target)
+        self._last = int(request.get(wire.LAST_EVENT_ID) or 0)
+        self._name = make_run_name(self._attempt, arrival, self._last)
         self._is_unframed = choices.draw_fault("unframed")
         if self._is_unframed:
             self._note("unframed")
@@ -169,7 +212,7 @@
 
     async def _send_stream(self) -> bool:
         rng = self._choices.rng
-        last = int(self._request.get(wire.LAST_EVENT_ID) or 0)
+        last = self._last
         plan = self._plan_breaks(last)
         gap_s = rng.choice((0.0, 0.005, 0.03, 0.1))
         await self._send_head("text/event-stream")
@@ -218,6 +261,7 @@
         event = StreamEvent(
             self._request.target,
             self._connection.process.start.software,
+            self._name,
             "." * self._subject.padding,
             number,
         )
@@ -281,7 +325,7 @@
         if self._choices.rng.random() < 0.5:
             await asyncio.sleep(self._choices.rng.uniform(0, 0.05))
         self._note("an extra answer")
-        event = StreamEvent("/none/0/0/0", "none", "", 1).encode()
+        event = StreamEvent("/none/0/0/0", "none", "none", "", 1).encode()
         headers = (
             ("Content-Type", "text/event-stream"),
             *self._list_headers(200),
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -45,7 +45,9 @@
     FaultKind("unframed", Place.RUN, 0.1, "an answer ends with its connection"),
     FaultKind("extra", Place.RUN, 0.05, "an answer is followed by another"),
     FaultKind("length-close", Place.RUN, 0.05, "a connection isn't kept"),
+    FaultKind("bad-report", Place.RUN, 0.3, "a report is not valid", False),
     FaultKind("leave", Place.CALLER, 0.04, "a caller leaves early"),
+    FaultKind("abandon", Place.CALLER, 0.3, "a caller goes elsewhere", False),
     FaultKind("keep", Place.CALLER, 0.6, "a caller keeps its connection"),
     FaultKind("slow", Place.CALLER, 0.08, "a caller reads slowly"),
     FaultKind("http10", Place.CALLER, 0.06, "a caller speaks HTTP/1.0", False),
@@ -57,6 +59,10 @@
     FaultKind("same", Place.SERIES, ENTRY_LAG_S, "same version, same ID"),
     FaultKind("early", Place.SERIES, ENTRY_LAG_S, "entry before its runner"),
     FaultKind("crashloop", Place.SERIES, ENTRY_LAG_S, "two starts, one entry"),
+    FaultKind(
+        "roll", Place.SERIES, ENTRY_LAG_S, "newest version, same ID", False
+    ),
+    FaultKind("reuse", Place.SERIES, ENTRY_LAG_S, "addresses change", False),
     FaultKind("dark", Place.SERIES, 0, "a runner is silent for seconds"),
     FaultKind("store", Place.SERIES, 0, "the store is away"),
     FaultKind("term", Place.SERIES, 0, "an instance is stopped and restarted"),
@@ -65,6 +71,7 @@
     FaultKind("hup", Place.SERIES, 0, "an instance reads its settings again"),
     FaultKind("cut", Place.SERIES, 0, "an instance is cut off from runners"),
     FaultKind("herd", Place.SERIES, 0, "all instances are killed at once"),
+    FaultKind("split", Place.SERIES, 0, "two zones are cut off", False),
     FaultKind("oneway", Place.SERIES, 0, "bytes are held in one direction"),
     FaultKind("delay", Place.SERIES, 0, "bytes are delayed"),
     FaultKind("clock", Place.SERIES, 0, "an instance has another time of day"),
@@ -72,8 +79,11 @@
     FaultKind("config", Place.SERIES, 0, "a new configuration is written"),
     FaultKind("restore", Place.SERIES, 0, "the store goes back to a copy"),
     FaultKind("many", Place.FLEET, 0, "30 small stream runners", False),
+    FaultKind("onever", Place.FLEET, 0, "runners begin as one version", False),
+    FaultKind("mute", Place.FLEET, 0, "runners tell no start: 404", False),
     FaultKind("once", Place.FLEET, 0, "only calls that run once", False),
     FaultKind("eight", Place.FLEET, 0, "eight instances, not three", False),
+    FaultKind("groups", Place.FLEET, 0, "63 instances, in groups", False),
     *(
         FaultKind(
             name, Place.FLEET, PARTIAL_CUT_SHARE, f"{effect}; see zone", False
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -39,7 +39,7 @@
 FEW_SLOTS = 1
 # Last numbers of the addresses.
 STORE_HOST = 200
-FIRST_INSTANCE_HOST = 210
+FIRST_INSTANCE_HOST = 130
 FIRST_RUNNER_HOST = 220
 SEED_INSTANCES = 3
 # Every third runner is in another zone, in runs where that matters.
@@ -63,6 +63,8 @@
         self._settings = settings
         self._behaviour = behaviour
         self._is_store_away = False
+        # Whether the zones are cut off from each other.
+        self.is_split = False
         # The newest configuration that was written.
         self.config_version = FIRST_VERSION
         # What each runner wrote last.
@@ -146,9 +148,10 @@
     def list_entry(self, runner: Runner, entry: Entry) -> None:
         """Writes an entry of a runner to the store."""
         self._entries[runner] = entry
+        addresses = [runner.find_address(link.index) for link in self.links]
         self.store.put(
             wire.TARGET_PREFIX + runner.start.name,
-            lambda index: entry.describe(runner.find_address(index)),
+            lambda index: entry.describe(addresses[index]),
         )
 
     def remove_entry(self, runner: Runner) -> None:
@@ -185,7 +188,7 @@
         return number < round(share * count)
 
     def _find_zone(self, number: int) -> str:
-        has_zones = self._settings.faults.has("zone")
+        has_zones = self._settings.faults.has_any("zone", "split")
         return ZONE if not has_zones or number % ZONE_INTERVAL else OTHER_ZONE
 
     def _find_runner_host(self, number: int) -> str:
@@ -197,6 +200,8 @@
             has_few = is_pool and self._stream_runners > STREAM_RUNNERS
             name = self.starts.make_name()
             version = VERSIONS[number % len(VERSIONS)]
+            if self._settings.faults.has("onever"):
+                version = VERSIONS[0]
             start = self.starts.make_start(name, version)
             runner = Runner(
                 start,
@@ -221,6 +226,7 @@
         if self._settings.faults.has_any("oneway", "delay"):
             await self._start_proxies(hosts, ports)
         has_builds = self._settings.faults.has("builds")
+        has_split = self._settings.faults.has("split")
         for index, host in enumerate(hosts):
             instance = InstanceSettings(
                 index=index,
@@ -229,6 +235,8 @@
                 seed_hosts=tuple(hosts[:SEED_INSTANCES]),
                 store_address=self._find_store_address(index),
                 folder=self._settings.folder,
+                zone=OTHER_ZONE if has_split and index % 2 else ZONE,
+                may_be_split=has_split,
                 source=other if has_builds and index % 2 else None,
                 callers_address=(
                     self.proxies[index][0].address if self.proxies else None
--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import json
 from typing import Any
 
 HOST_NAME = "shop.example"
@@ -14,6 +15,8 @@
 DRAIN_S = 2.0
 GRACE_S = 8.0
 HEARTBEAT_S = 1.2
+# An address may have another runner so long after the last one has ended.
+REUSE_AFTER_S = 1.0
 CONTACT_MS = 3_000
 LOSS_SLACK_MS = 200
 ROLLBACK_SLACK_MS = 250
@@ -53,6 +56,12 @@
     # Range of the number of events, or of the bytes of a body.
     sizes: tuple[int, int] = (9, 60)
 
+    @property
+    def service(self) -> str:
+        """The service whose runners may run its requests."""
+        is_stream = self.kind is Kind.STREAM
+        return STREAM_SERVICE if is_stream else CALL_SERVICE
+
     @property
     def runs_once(self) -> bool:
         """Whether an attempt may run once at most."""
@@ -115,7 +124,7 @@
         "timeout_ms": route.timeout_ms,
         "goal_ms": route.objective_ms,
         "priority": 2,
-        "service": STREAM_SERVICE if is_stream else CALL_SERVICE,
+        "service": route.service,
         "max_attempts": route.max_attempts,
         "public": False,
         "sticky": is_stream,
@@ -141,6 +150,7 @@
     ports: InstancePorts,
     seed_hosts: tuple[str, ...],
     store_address: str,
+    zone: str = ZONE,
 ) -> dict[str, Any]:
     """Returns the settings file of an instance."""
     return {
@@ -148,7 +158,7 @@
         "role": "edge",
         "serves": ["edge", "control_plane"],
         "ip": host,
-        "zone": ZONE,
+        "zone": zone,
         "region": "r",
         "zones": {ZONE: "r", OTHER_ZONE: "r"},
         "listen": {
@@ -234,6 +244,20 @@
     }
 
 
+def list_bad_reports(started_at_ms: int) -> tuple[bytes, ...]:
+    """Returns reports that are cut, empty, no object, or name no start."""
+    report = make_report(started_at_ms, 0, 0)
+    whole = json.dumps(report).encode()
+    bad_starts = str(started_at_ms), 1e300, 1 << 70, -1
+    return (
+        whole[: len(whole) // 2],
+        b"",
+        b"[1]",
+        b"{}",
+        *(json.dumps({**report, "born": bad}).encode() for bad in bad_starts),
+    )
+
+
 def make_part_list(started_at_ms: int) -> dict[str, Any]:
     """Returns the list of the prompt parts that a runner keeps: none."""
     return {
