Take no address of a peer with a scope

Cause: an address such as fe80::1%X passes ipaddress, whatever X is. The resolver encodes X and raises UnicodeError if it is long, which no link to a peer expects: one member in a digest, or one instance in the list of the platform, ended each process that heard of it.

Change: an address with a scope is none. A scope names an interface of another machine, so that no such address could be used before either.

test_address_that_is_none_ends_no_process and test_hosts_that_are_no_addresses_are_left_out failed before and pass.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -183,7 +183,8 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return True
+    # A scope is that of another machine, and may be any text.
+    return "%" not in host
 
 
 def _unpack_counts(message: pb.UseDigest) -> dict[int, int]:
--- a/src/peridotbend/adapters/peerwire.py
+++ b/src/peridotbend/adapters/peerwire.py
@@ -11,11 +11,12 @@
 def split_address(text: str) -> tuple[str, int] | None:
     """Splits `ip:port`; returns None if the text has another form.
 
-    Connecting to a name can raise more than the errors of a connection.
+    Connecting to a name can raise more than the errors of a connection, and so
+    can one to an address with a scope, which is that of another machine.
     """
     host, _, port = text.rpartition(":")
     host = host.strip("[]")
-    if not port.isascii() or len(port) > 5:
+    if "%" in host or not port.isascii() or len(port) > 5:
         return None
     if not port.isdigit() or not 0 < int(port) < 65_536:
         return None
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -145,6 +145,7 @@
     def test_hosts_that_are_no_addresses_are_left_out(self) -> None:
         """Guards against a list of hosts that ends its receivers."""
         hosts = ["no such", "a..b", "x" * 64, "a\0b", "", "\u2603", "1.2.3"]
+        hosts += ["fe80::1%\0", "fe80::1%" + "\u00e9" * 64, "fe80::1%eth0"]
         message = pb.UseDigest(
             name="a", host=HOSTS[1], known_hosts=[*hosts, HOSTS[2]]
         )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -106,7 +106,9 @@
 
     async def test_address_that_is_none_ends_no_process(self) -> None:
         """Guards against a digest that ends each process that it reaches."""
-        for host in ("a..b", "x" * 64, "a\0b"):
+        scopes = ("\0", "\u00e9" * 64, "eth0")
+        scoped = [f"[fe80::1%{scope}]" for scope in scopes]
+        for host in ("a..b", "x" * 64, "a\0b", *scoped):
             nodes = await self.start(2)
             sink = DigestSink(
                 nodes[0].roster,
