Pass over a peer whose state this build does not know

Cause: the error of a peer that could not connect named its state by PathState.Name, which raises ValueError for a number of a later build. Neither requests through peers nor the probes expect it; in the probes it ended the process.

Change: a state that is not known is named by its number, and the peer counts as one that failed.

test_peer_with_a_later_state_is_passed_over failed before (ValueError) and passes.

--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -485,8 +485,11 @@
 class _NotConnectedError(Exception):
     """A peer could not connect to a target."""
 
-    def __init__(self, state: pb.PathState, detail: str):
-        super().__init__(f"{pb.PathState.Name(state)}: {detail}")
+    def __init__(self, state: int, detail: str):
+        # A later build may send other states.
+        is_known = state in pb.PathState.values()
+        name = pb.PathState.Name(state) if is_known else str(state)
+        super().__init__(f"{name}: {detail}")
         self.state = state
 
 
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -13,6 +13,7 @@
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import AbstractAsyncContextManager
+from typing import Any
 from unittest import mock
 
 import anyio
@@ -52,6 +53,8 @@
 from peridotbend.domain.text import Target
 from peridotbend.edge.targets import TargetList
 from peridotbend.platform import wire
+from peridotbend.wire import edge_pb2
+from peridotbend.wire.edge_grpc import PathsBase
 from tests.edgefakes import TARGET, RecordingLog, make_target
 from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
 from tests.edgestandins import FakeStore
@@ -381,6 +384,14 @@
         super().note_connected(service)
 
 
+class _LaterPathServer(PathsBase):
+    """Answers each call with a state that this build does not know."""
+
+    async def Connect(self, stream: Any) -> None:  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(edge_pb2.PathChunk(state=77))
+
+
 class OtherInstance:
     """An instance that connects to targets for others."""
 
@@ -389,7 +400,7 @@
         clock = SystemClock()
         self.targets = TargetList(clock)
         self.paths = _CountingPaths(clock, RecordingLog(), self.targets)
-        self.server = PathServer(
+        self.server: Any = PathServer(
             self.targets, self.paths, HOSTS.__contains__, 1
         )
         self._is_older_build = is_older_build
@@ -700,6 +711,22 @@
 
         run_paths(harness, check)
 
+    def test_peer_with_a_later_state_is_passed_over(self) -> None:
+        """Guards against a later build that ends requests and probes."""
+        later, sound = OtherInstance(make_host(23)), OtherInstance(HOSTS[1])
+        later.server = _LaterPathServer()
+        target = RawTarget(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        harness = PathHarness(target, later, sound)
+
+        async def check() -> None:
+            await harness.lose_links()
+            for _ in range(4):
+                assert await harness.call() == []
+            events = [event for event, _ in harness.log.events]
+            assert Event.PEER_PATH_FAILED in events
+
+        run_paths(harness, check)
+
     def test_only_listed_targets_are_reached(self) -> None:
         """Guards against an instance that connects to any address."""
         other = OtherInstance(HOSTS[1])
