Refuse hunks of a text that overlap or go back

Cause: a reply with a text lists the lines that it replaces, and these were taken in any order. Each hunk that goes back repeats the source, so a reply of 2 MB could ask for more than the memory of the process: 100 hunks of 8 bytes made 101 MB of a source of 1 MB, before the digest was compared. A reply that overlaps was also taken if its digest fits.

Change: such a reply has no text, and the complete source is fetched.

test_hunks_that_go_back_are_refused failed before and passes.

--- a/src/peridotbend/adapters/peerclient.py
+++ b/src/peridotbend/adapters/peerclient.py
@@ -323,6 +323,8 @@
         return reply.yaml or None
     hunks = [Hunk(hunk.start, hunk.end, hunk.text) for hunk in reply.hunks]
     source = apply_delta(current.source, hunks)
+    if source is None:
+        return None
     digest = hashlib.sha256(source.encode()).digest()
     return source if digest == reply.digest else None
 
--- a/src/peridotbend/domain/textdelta.py
+++ b/src/peridotbend/domain/textdelta.py
@@ -36,12 +36,18 @@
     ]
 
 
-def apply_delta(old: str, hunks: Iterable[Hunk]) -> str:
-    """Returns the new source; the caller has to check its digest."""
+def apply_delta(old: str, hunks: Iterable[Hunk]) -> str | None:
+    """Returns the new source; the caller has to check its digest.
+
+    Returns None if hunks overlap, are out of order or exceed the source. Each
+    that goes back would repeat the source, up to more than the memory.
+    """
     lines = _split(old)
     parts: list[str] = []
     position = 0
     for hunk in hunks:
+        if not position <= hunk.start <= hunk.end <= len(lines):
+            return None
         parts += lines[position : hunk.start]
         parts.append(hunk.text)
         position = hunk.end
--- a/tests/test_textdelta.py
+++ b/tests/test_textdelta.py
@@ -29,3 +29,15 @@
             Hunk(0, 1, "version: 2\n"),
             Hunk(1_001, 1_002, "target-1000: 10.9.9.9\n"),
         ]
+
+    def test_hunks_that_go_back_are_refused(self) -> None:
+        """Guards against a small reply that repeats the source at will."""
+        old = "a\nb\nc\n"
+        for hunks in (
+            [Hunk(9, 0, ""), Hunk(9, 0, "")],
+            [Hunk(0, 2, ""), Hunk(1, 3, "")],
+            [Hunk(2, 1, "")],
+            [Hunk(2, 2**32 - 1, "")],
+        ):
+            assert apply_delta(old, hunks) is None, hunks
+        assert apply_delta(old, [Hunk(0, 1, ""), Hunk(1, 4, "")]) == ""
