Refuse changes of peers that no store publishes

Cause: what a peer knows of the store was believed as far as its types go. A revision, era or order above 2^63 - 1, which the store's own answers may not have, hides all later changes of the store for as long as the process lives, and is passed on. Keys of another prefix were taken as well, as entries of the wrong kind.

Change: such a reply is refused as a whole, and logged as a fetch that failed.

test_revision_beyond_those_of_the_store_is_refused and test_key_of_another_prefix_is_refused failed before, on the code with the new name of the decoder, and pass; test_edge_feeds and test_edge_eras pass.

--- a/src/peridotbend/adapters/publishedpeers.py
+++ b/src/peridotbend/adapters/publishedpeers.py
@@ -23,6 +23,8 @@
 MAX_REQUEST_BYTES = 16_384
 # A single configuration may take 1 MB.
 MAX_REPLY_BYTES = 16 * 1_048_576
+# Greatest revision, era and order of a store.
+MAX_SEQUENCE = 2**63 - 1
 
 
 class PublishedServer(PublishedBase):
@@ -42,7 +44,7 @@
         if request is None or feed is None:
             raise GRPCError(Status.INVALID_ARGUMENT, "unknown prefix")
         after = FeedState(Position(request.era, request.after), request.version)
-        await stream.send_message(_pack_changes(feed.items.list_changes(after)))
+        await stream.send_message(pack_changes(feed.items.list_changes(after)))
 
 
 class PublishedFetcher:
@@ -85,10 +87,20 @@
             # call would hang as well.
             self._channels.drop(host, self._port)
             raise
-        return _unpack_changes(reply) if reply is not None else None
+        if reply is None:
+            return None
+        changes = unpack_changes(reply, prefix)
+        if changes is None:
+            self._log.emit(
+                Event.PEER_FETCH_FAILED,
+                peer=host,
+                prefix=prefix,
+                detail="changes that no store publishes",
+            )
+        return changes
 
 
-def _pack_changes(changes: Changes) -> pb.ChangesReply:
+def pack_changes(changes: Changes) -> pb.ChangesReply:
     return pb.ChangesReply(
         items=[
             pb.PublishedItem(
@@ -108,7 +120,19 @@
     )
 
 
-def _unpack_changes(reply: pb.ChangesReply) -> Changes:
+def unpack_changes(reply: pb.ChangesReply, prefix: str) -> Changes | None:
+    """Returns changes below a prefix; None if no store publishes such ones.
+
+    A number that no later change exceeds would hide all later changes.
+    """
+    numbers = [reply.revision, reply.era]
+    for item in reply.items:
+        if not item.key.startswith(prefix):
+            return None
+        numbers += [item.revision, item.era]
+        numbers += [item.first_order, item.second_order]
+    if max(numbers) > MAX_SEQUENCE:
+        return None
     items = tuple(
         Item(
             item.key,
