Refuse notices with versions longer than any instance tells

Cause: an instance tells versions of up to 64 characters, and took longer ones. 20,000 of them are kept for a minute, each up to the size of a datagram, which is more than 1 GB.

Change: a notice with a longer one is not valid.

test_version_that_no_instance_tells_is_refused failed before and passes; test_edge_origins passes.

--- a/src/peridotbend/adapters/originlink.py
+++ b/src/peridotbend/adapters/originlink.py
@@ -4,7 +4,11 @@
 from anyio.abc import UDPSocket
 from google.protobuf.message import DecodeError
 
-from peridotbend.edge.originpeers import OriginNotice, OriginPeers
+from peridotbend.edge.originpeers import (
+    MAX_VERSION_CHARS,
+    OriginNotice,
+    OriginPeers,
+)
 from peridotbend.edge.settings import Address
 from peridotbend.wire import edge_pb2 as pb
 
@@ -90,6 +94,8 @@
         return None
     if len(message.told) != len(message.versions):
         return None
+    if any(len(version) > MAX_VERSION_CHARS for version in message.versions):
+        return None
     return OriginNotice(
         tuple(message.asked),
         dict(zip(message.told, message.versions, strict=True)),
--- a/tests/test_peer_values.py
+++ b/tests/test_peer_values.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from peridotbend.adapters.originlink import decode_notice, encode_notice
 from peridotbend.adapters.publishedpeers import unpack_changes
+from peridotbend.edge.originpeers import MAX_VERSION_CHARS, OriginNotice
 from peridotbend.edge.published import Changes
 from peridotbend.wire import edge_pb2
 from tests.test_values import MAX_DECODED
@@ -32,3 +34,14 @@
         reply = edge_pb2.ChangesReply(revision=3, era=1, whole=True)
         reply.items.add(key="other/a", revision=3, era=1, value=b"x")
         assert unpack_changes(reply, "config/") is None
+
+
+class NoticeValueTest(unittest.TestCase):
+    """Notices on the origins of streams."""
+
+    def test_version_that_no_instance_tells_is_refused(self) -> None:
+        """Guards against versions that fill the memory."""
+        longest = OriginNotice(told={1: "v" * MAX_VERSION_CHARS})
+        assert decode_notice(encode_notice(longest)) == longest
+        longer = OriginNotice(told={1: "v" * (MAX_VERSION_CHARS + 1)})
+        assert decode_notice(encode_notice(longer)) is None
