Leave out limits in datagrams that no target names

Cause: only numbers that are infinite or none were left out of the limits that instances tell each other. The headers of targets give 0 to 10^9. A limit below zero leaves no instance that may send: one datagram stopped a target for the whole fleet until the limit expired.

Change: limits are 0 to 10^15, like other amounts of a digest.

test_limits_that_no_target_names_are_left_out failed before and passes; test_digests, test_edge_limits and test_edge_brittle pass (20).

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -2,7 +2,6 @@
 
 import functools
 import ipaddress
-import math
 import socket
 from collections.abc import Iterable, Sequence
 from typing import TypeVar
@@ -235,10 +234,11 @@
 def _unpack_limits(
     limits: Iterable[pb.TargetLimit],
 ) -> tuple[NamedLimit, ...]:
+    # Leaves out what is no number as well.
     return tuple(
         _unpack_limit(packed)
         for packed in limits
-        if math.isfinite(packed.per_s)
+        if 0 <= packed.per_s <= MAX_AMOUNT
     )
 
 
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -228,6 +228,22 @@
         )
         assert decode_digest(encode_digest(aged)) is not None
 
+    def test_limits_that_no_target_names_are_left_out(self) -> None:
+        """Guards against a limit below zero, which stops a target for all."""
+        for per_s in (-1.0, -1e308, 1e308, float("nan"), float("inf")):
+            limit = pb.TargetLimit(target=1, per_s=per_s)
+            sound = pb.TargetLimit(target=2, per_s=3.0)
+            message = pb.UseDigest(
+                name="a",
+                host=HOSTS[1],
+                limits=[limit, sound],
+                brittle=[limit, sound],
+            )
+            digest = decode_digest(message.SerializeToString())
+            assert digest is not None
+            assert digest.limits == (NamedLimit(2, 3.0, 0),), per_s
+            assert digest.brittle == (NamedLimit(2, 3.0, 0),), per_s
+
     def test_counts_of_zero_are_no_reports(self) -> None:
         """Guards against the removal of a total that is gone already."""
         use = pb.TargetUse(target="t", in_flight=0)
