Refuse heads and calls of peers that HTTP cannot carry

Cause: status, headers, method and path in messages of peers were used as they came. A header with a line end became more headers at the caller, one outside of Latin-1 or a status of 0 turned a complete answer into an internal error, and a call with such a header failed inside the client for targets.

Change: they are checked where they are decoded. An answer with such a head counts as interrupted, a call or record is refused as invalid.

test_head_that_http_cannot_carry_is_not_passed_on and test_call_that_http_cannot_carry_is_refused failed before and pass; test_peerclient, test_handover and test_peers pass (29).

--- a/src/peridotbend/adapters/peerserver.py
+++ b/src/peridotbend/adapters/peerserver.py
@@ -122,7 +122,11 @@
         self._active_forwards += 1
         try:
             call = await self._receive(stream, self._limits.max_forward_bytes)
-            parts = self._handler.serve_peer(peerwire.unpack_call(call))
+            try:
+                unpacked = peerwire.unpack_call(call)
+            except ValueError as error:
+                raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+            parts = self._handler.serve_peer(unpacked)
             with anyio.fail_after(self._limits.forward_timeout_s):
                 await self._send_parts(stream, parts, max(0, call.offset))
         except TimeoutError as error:
--- a/src/peridotbend/adapters/peerwire.py
+++ b/src/peridotbend/adapters/peerwire.py
@@ -1,12 +1,17 @@
 """Conversions between peer messages and domain types."""
 
 import ipaddress
+import re
 from collections.abc import Iterable
 
 from peridotbend.domain import ports, verdicts
 from peridotbend.domain.ports import RecordState
 from peridotbend.wire import peer_pb2 as pb
 
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_FIELD_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+_REQUEST_TARGET = re.compile(r"[\x21-\x7e\x80-\xff]*")
+
 
 def split_address(text: str) -> tuple[str, int] | None:
     """Splits `ip:port`; returns None if the text has another form.
@@ -33,8 +38,16 @@
 
 
 def unpack_headers(headers: Iterable[pb.Header]) -> ports.Headers:
-    """Converts messages to headers."""
-    return tuple((h.name, h.value) for h in headers)
+    """Converts messages to headers.
+
+    Raises:
+        ValueError: HTTP cannot carry one of them.
+    """
+    unpacked = tuple((h.name, h.value) for h in headers)
+    for name, value in unpacked:
+        if not _TOKEN.fullmatch(name) or not _FIELD_VALUE.fullmatch(value):
+            raise ValueError(f"malformed header {name[:60]!r}")
+    return unpacked
 
 
 def pack_call(call: ports.PeerCall) -> pb.ForwardCall:
@@ -53,7 +66,12 @@
 
 
 def unpack_call(message: pb.ForwardCall) -> ports.PeerCall:
-    """Converts a message to a forwarded call."""
+    """Converts a message to a forwarded call.
+
+    Raises:
+        ValueError: HTTP cannot carry it.
+    """
+    _check_request_line(message.method, message.path)
     return ports.PeerCall(
         request_id=message.request_id,
         account=message.account,
@@ -107,12 +125,22 @@
 
 
 def unpack_head(message: pb.AnswerHead) -> ports.AnswerHead:
-    """Converts a message to the head of an answer."""
+    """Converts a message to the head of an answer.
+
+    Raises:
+        ValueError: HTTP cannot carry it.
+    """
+    if not 100 <= message.status <= 999:
+        raise ValueError(f"malformed status {message.status}")
     return ports.AnswerHead(message.status, unpack_headers(message.headers))
 
 
 def unpack_chunk(message: pb.AnswerChunk) -> ports.AnswerPart:
-    """Converts a message to a part of an answer."""
+    """Converts a message to a part of an answer.
+
+    Raises:
+        ValueError: the verdict is unknown, or HTTP cannot carry the head.
+    """
     return ports.AnswerPart(
         head=unpack_head(message.head) if message.HasField("head") else None,
         data=message.data,
@@ -163,9 +191,11 @@
     """Converts a message to a record.
 
     Raises:
-        ValueError: the verdict is unknown.
+        ValueError: the verdict is unknown, or HTTP cannot carry its call or
+            head.
         KeyError: the state is unknown.
     """
+    _check_request_line(message.method, message.path)
     return ports.HandedRecord(
         request_id=message.request_id,
         account=message.account,
@@ -188,6 +218,14 @@
     )
 
 
+def _check_request_line(method: str, path: str) -> None:
+    # Both are empty in a fetch, and in a record that was not started.
+    if method and not _TOKEN.fullmatch(method):
+        raise ValueError(f"malformed method {method[:60]!r}")
+    if not _REQUEST_TARGET.fullmatch(path):
+        raise ValueError(f"malformed path {path[:60]!r}")
+
+
 def clamp_ms(ms: int) -> int:
     """Limits a duration to the range of an unsigned 32-bit message field."""
     return max(0, min(ms, 2**32 - 1))
--- a/src/peridotbend/adapters/publishedpeers.py
+++ b/src/peridotbend/adapters/publishedpeers.py
@@ -101,6 +101,7 @@
 
 
 def pack_changes(changes: Changes) -> pb.ChangesReply:
+    """Converts changes to a message."""
     return pb.ChangesReply(
         items=[
             pb.PublishedItem(
--- a/tests/test_peerclient.py
+++ b/tests/test_peerclient.py
@@ -99,6 +99,45 @@
         assert [p.verdict for p in parts if p.verdict] == [Completed()]
         assert parts[-1].verdict == Completed()
 
+    async def test_head_that_http_cannot_carry_is_not_passed_on(self) -> None:
+        """Guards against a caller that gets headers of the peer's making."""
+        heads = (
+            AnswerHead(200, (("a", "b\r\nset-cookie: c"),)),
+            AnswerHead(200, (("a", "\u2603"),)),
+            AnswerHead(200, (("a b", "c"),)),
+            AnswerHead(200, (("", "c"),)),
+            AnswerHead(0, ()),
+            AnswerHead(-1, ()),
+        )
+        nodes = await self.start(2)
+        async with run_nodes(*nodes):
+            await self.wait_until_live(nodes)
+            for head in heads:
+                nodes[1].handler.parts = [
+                    AnswerPart(head=head, verdict=Completed())
+                ]
+                with self.assertRaises(PeerUnreachableError):
+                    await self.collect(nodes[0], "e1", 2)
+
+    async def test_call_that_http_cannot_carry_is_refused(self) -> None:
+        """Guards against a call whose parts run as requests of their own."""
+        nodes = await self.start(2)
+        nodes[1].handler.parts = ANSWER
+        async with run_nodes(*nodes):
+            await self.wait_until_live(nodes)
+            for changes in (
+                {"method": "GET /y HTTP/1.1\r\n"},
+                {"path": "/x y"},
+                {"path": "/\u2603"},
+                {"headers": (("a", "b\r\ncontent-length: 0"),)},
+                {"headers": (("a\r\n", "b"),)},
+            ):
+                call = dataclasses.replace(CALL, **changes)  # type: ignore[arg-type]
+                with self.assertRaises(PeerUnreachableError):
+                    async for _ in nodes[0].client.forward("e1", 2, call):
+                        pass
+        assert not nodes[1].handler.calls
+
     async def test_final_refusal_of_the_minter_is_passed_on(self) -> None:
         """Guards against a successor that runs a request its minter forgot."""
         nodes = await self.start(3)
