Refuse settings that no later call takes

Cause: an address with a scope, the URL of the platform and the path of the text were checked by parsers that let any text pass in some parts. A label of more than 63 characters, half a character or a NUL raises ValueError where the address, URL or path is used, which nothing there expects: the process ended with a traceback at its start, or with the first call to the platform.

Change: these values are refused with the key or the variable that has them, and what to write.

test_values_that_no_call_takes_are_refused failed before and passes; test_settings passes.

--- a/src/peridotbend/adapters/settings.py
+++ b/src/peridotbend/adapters/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import ipaddress
+import os
 import urllib.parse
 from collections.abc import Mapping
 from typing import Annotated, Literal
@@ -71,6 +72,9 @@
 
 def _check_ip(value: str) -> str:
     try:
+        if not (value.isascii() and value.isprintable()):
+            # A scope may be any text, but no interface has such a name.
+            raise ValueError
         return str(ipaddress.ip_address(value))
     except ValueError:
         raise custom_error(
@@ -84,6 +88,10 @@
     try:
         parts = urllib.parse.urlsplit(value)
         is_valid = bool(parts.hostname) and parts.port != 0
+        is_printable = value.isascii() and value.isprintable()
+        is_valid = is_valid and is_printable and " " not in value
+        # As the resolver does; it raises for an empty or a long label.
+        (parts.hostname or "").encode("idna")
     except ValueError:
         is_valid = False
     if not is_valid or parts.scheme != "http" or parts.path not in ("", "/"):
@@ -93,6 +101,18 @@
     return value.rstrip("/")
 
 
+def _check_path(value: str) -> str:
+    try:
+        is_valid = b"\0" not in os.fsencode(value)
+    except ValueError:
+        is_valid = False
+    if not is_valid:
+        raise custom_error(
+            f"is not a path ({value[:60]!r})", "write the path of a file"
+        )
+    return value
+
+
 Host = Annotated[str, AfterValidator(_check_ip)]
 Port = Annotated[int, Field(ge=0, le=65_535)]
 
@@ -103,7 +123,7 @@
     name: Name
     zone: Name
     platform_url: Annotated[str, AfterValidator(_check_url)] | None = None
-    text_file: str | None = None
+    text_file: Annotated[str, AfterValidator(_check_path)] | None = None
     caller_host: Host = "127.0.0.1"
     caller_port: Port = 8080
     # On loopback by default, because operators see all request IDs of the
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -85,6 +85,24 @@
             assert problem in found[0].problem, found
             assert remedy in found[0].remedy, found
 
+    def test_values_that_no_call_takes_are_refused(self) -> None:
+        """Guards against a process that ends later, with a traceback."""
+        long_label = "\u00e9" * 64
+        for field, value in (
+            ("caller_host", "::1%\0"),
+            ("peer_host", f"::1%{long_label}"),
+            ("platform_url", "http://a..b:1"),
+            ("platform_url", f"http://{'x' * 64}:1"),
+            ("platform_url", f"http://{long_label}:1"),
+            ("platform_url", "http://\udcff:1"),
+            ("platform_url", "http://a b:1"),
+            ("text_file", "a\0b"),
+            ("text_file", "\ud800"),
+        ):
+            variable = f"PERIDOTBEND_{field.upper()}"
+            problems = load_invalid(None, {**REQUIRED, variable: value})
+            assert [p.key for p in problems] == [variable], value
+
     def test_missing_settings_are_all_reported(self) -> None:
         """Guards against a start without a name or a configuration source."""
         assert {p.key for p in load_invalid(None, {})} == {"name", "zone"}
