--- /dev/null
+++ b/tests/test_edge_evidence_review.py
@@ -0,0 +1,136 @@
+"""Tests of take-ups and ends for which evidence is missing or out of date."""
+
+import asyncio
+import unittest
+
+import anyio
+from result import Ok
+
+from peridotbend.edge.targetruns import (
+    SURVEY_TIMEOUT_MS,
+    SURVEY_TTL_MS,
+    RunSurvey,
+)
+from peridotbend.edge.versions import VIEW_LAG_MS
+from tests.edgefleet import HOSTS
+from tests.edgerestarts import (
+    EVENTS,
+    RestartableTarget,
+    RestartFleet,
+    run_with_targets,
+)
+from tests.test_edge_runs import FIRST_START_MS, SECOND_START_MS, _RunsTest
+
+CALLS = 6
+
+
+class SurveyTest(_RunsTest):
+    """What targets tell before a stream is taken up."""
+
+    def survey(self) -> RunSurvey:
+        """Asks the listed target."""
+
+        async def ask() -> RunSurvey:
+            return await self.runs.survey([self.target])
+
+        return anyio.run(ask)
+
+    def _fall_silent(self) -> None:
+        async def read_start(target: object, timeout_ms: int) -> object:
+            await anyio.sleep(4 * SURVEY_TIMEOUT_MS / 1_000)
+            return Ok(FIRST_START_MS)
+
+        self.client.read_start = read_start  # type: ignore[method-assign,assignment]
+
+    def test_old_answer_is_no_answer(self) -> None:
+        """Guards against a silent target that counts as one that lives."""
+        assert self.survey() == RunSurvey((), ())
+        self.clock.advance(60_000)
+        self._fall_silent()
+        assert self.survey() == RunSurvey((), ("i-1",))
+
+    def test_old_answer_of_another_process_refuses_nothing(self) -> None:
+        """Guards against take-ups that are refused for a doubt that is over."""
+        self.client.starts["i-1"] = Ok(SECOND_START_MS)
+        assert self.survey() == RunSurvey(("i-1",), ())
+        self.clock.advance(SURVEY_TTL_MS + 1)
+        self._fall_silent()
+        assert self.survey() == RunSurvey((), ("i-1",))
+
+
+class UnlistedTakeUpTest(unittest.TestCase):
+    """Streams of unlisted processes that callers take up elsewhere."""
+
+    def _take_up(
+        self,
+        restarted: RestartableTarget,
+        fleet: RestartFleet,
+        begun: list,
+    ):
+        pass
+
+    def test_stalled_process_does_not_join_another(self) -> None:
+        """Guards against a doubt that its instance has yet to find out."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            # A process that is younger knows that it has not seen all.
+            await asyncio.sleep((VIEW_LAG_MS + 500) / 1_000)
+            await restarted.restart("v2")
+            restarted.stalls_after = 2
+            for number in range(CALLS):
+                path = f"/quotes/{number}"
+                answer = await fleet.call_and_leave(path, events=2)
+                rest = await fleet.call(path, HOSTS[1], 2, answer.attempt)
+                joined = {*answer.software, *rest.software}
+                assert len(joined) <= 1, (answer, rest)
+                if restarted.ran:
+                    break
+            assert restarted.ran
+
+        run_with_targets([restarted, sound], check, instances=2)
+
+    def test_process_whose_entry_is_gone_does_not_join_another(self) -> None:
+        """Guards against a take-up that asks only those that are listed."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            await asyncio.sleep((VIEW_LAG_MS + 500) / 1_000)
+            await restarted.restart("v2")
+            begun = [
+                await fleet.call_and_leave(f"/quotes/{number}", events=2)
+                for number in range(CALLS)
+            ]
+            assert restarted.ran
+            restarted.die()
+            await fleet.remove_target(restarted)
+            for number, answer in enumerate(begun):
+                rest = await fleet.call(
+                    f"/quotes/{number}", HOSTS[1], 2, answer.attempt
+                )
+                joined = {*answer.software, *rest.software}
+                assert len(joined) <= 1, (answer, rest)
+
+        run_with_targets([restarted, sound], check, instances=2)
+
+
+class EarlyEntryTest(unittest.TestCase):
+    """Entries that are written before their processes listen."""
+
+    def test_body_of_the_process_before_does_not_look_whole(self) -> None:
+        """Guards against the next process that vouches for the one before."""
+        early, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        early.is_unframed = early.returns_at_once = True
+        early.dies_after = 3
+
+        async def check(fleet: RestartFleet) -> None:
+            early.started_at_ms = SECOND_START_MS
+            fleet.list_target(early)
+            await fleet.wait_listed(early)
+            for number in range(CALLS):
+                answer = await fleet.call(f"/lookups/{number}")
+                is_complete = answer.body.count(b";") == EVENTS
+                assert is_complete or not answer.is_whole, answer
+            assert early.ran
+
+        run_with_targets([early, sound], check)
