Take no old answer of a target for one to a survey

What callers saw: a stream that its caller took up elsewhere went on at another version than it began, if the process that began it had fallen silent.

Cause: the survey before a take-up read the state that a target had when it was last asked, however long ago, if no answer came within 250 ms. So a silent target counted as one that lives, or as another process.

Change: only an answer since the survey counts; without one the target is unanswered.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -394,7 +394,9 @@
                     tasks.start_soon(
                         self._ask_firmly, target, since_ms, "take-up"
                     )
-        states = {target.name: self._get_run(target).state for target in asked}
+        states = {
+            target.name: self._find_state(target, since_ms) for target in asked
+        }
         return RunSurvey(
             tuple(sorted(n for n, state in states.items() if state in _OTHERS)),
             tuple(
@@ -406,6 +408,13 @@
             ),
         )
 
+    def _find_state(self, target: EdgeTarget, since_ms: int) -> RunState:
+        """Returns what a target has answered since a time."""
+        run = self._get_run(target)
+        if run.state is None or run.asked_ms < since_ms:
+            return RunState.SILENT
+        return run.state
+
     async def _ask_firmly(
         self, target: EdgeTarget, since_ms: int, purpose: str
     ) -> RunState:
--- a/tests/test_edge_evidence_review.py
+++ b/tests/test_edge_evidence_review.py
@@ -14,6 +14,7 @@
 from peridotbend.edge.versions import VIEW_LAG_MS
 from tests.edgefleet import HOSTS
 from tests.edgerestarts import (
+    EVENT_GAP_S,
     EVENTS,
     RestartableTarget,
     RestartFleet,
@@ -61,14 +62,6 @@
 class UnlistedTakeUpTest(unittest.TestCase):
     """Streams of unlisted processes that callers take up elsewhere."""
 
-    def _take_up(
-        self,
-        restarted: RestartableTarget,
-        fleet: RestartFleet,
-        begun: list,
-    ):
-        pass
-
     def test_stalled_process_does_not_join_another(self) -> None:
         """Guards against a doubt that its instance has yet to find out."""
         restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
@@ -81,6 +74,8 @@
             for number in range(CALLS):
                 path = f"/quotes/{number}"
                 answer = await fleet.call_and_leave(path, events=2)
+                # Until its process has fallen silent.
+                await asyncio.sleep(5 * EVENT_GAP_S)
                 rest = await fleet.call(path, HOSTS[1], 2, answer.attempt)
                 joined = {*answer.software, *rest.software}
                 assert len(joined) <= 1, (answer, rest)
