Wait for the instance that asks who began a stream

What callers saw: a stream of two events of one version, taken up at another instance 100 ms after its caller had left, went on at another version. The process that began it had fallen silent.

Cause: the instance that began the stream asks that process for up to 1.5 s before it answers others. The one that takes up waited for 250 ms, and took the missing answer for one of an instance that knows nothing.

Change: where a target of the version has not answered, the take-up waits up to 2 s for all live instances, and is refused if one of them still owes an answer. Instances that are lost are not waited for.

--- a/src/peridotbend/edge/originpeers.py
+++ b/src/peridotbend/edge/originpeers.py
@@ -46,6 +46,10 @@
         """Returns all known hosts."""
         ...
 
+    def list_live_hosts(self) -> list[str]:
+        """Returns the hosts of instances that were heard of just now."""
+        ...
+
     def list_recent_hosts(self) -> list[str]:
         """Returns the hosts of instances that may serve callers now."""
         ...
@@ -100,15 +104,42 @@
             is_repeated: whether a doubt that others told may be over.
         """
         key = hash_attempt(attempt)
-        known = self._records.find(key)
-        is_told = known is not None or self._records.is_uncertain(key)
-        if is_told and not is_repeated:
-            return known
+        if is_repeated or not self._is_told(key):
+            await self._ask(key)
+        return self._records.find(key)
+
+    async def ask_live(self, attempt: str, limit_ms: int) -> bool:
+        """Asks until each live instance has answered, or one knows.
+
+        The one that began a stream answers once it has asked its target.
+
+        Args:
+            attempt: that began the stream.
+            limit_ms: the longest wait.
+
+        Returns:
+            whether that was so in time.
+        """
+        key = hash_attempt(attempt)
+        with anyio.move_on_after(limit_ms / 1_000):
+            while not self._is_told(key):
+                unanswered = await self._ask(key)
+                if unanswered.isdisjoint(self._members.list_live_hosts()):
+                    return True
+        return self._is_told(key)
+
+    def _is_told(self, key: int) -> bool:
+        return self._records.find(
+            key
+        ) is not None or self._records.is_uncertain(key)
+
+    async def _ask(self, key: int) -> set[str]:
+        """Asks all instances; returns those that have not answered."""
         question = self._questions.get(key)
         if question is None:
             question = _Question(self._members.list_hosts())
             if not question.unanswered:
-                return None
+                return set()
             self._questions[key] = question
         try:
             with anyio.move_on_after(ANSWER_TIMEOUT_S):
@@ -119,7 +150,7 @@
                         await question.done.wait()
         finally:
             self._questions.pop(key, None)
-        return self._records.find(key)
+        return question.unanswered
 
     def tell(self, stream: BegunStream) -> None:
         """Tells other instances of an own stream.
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -62,6 +62,10 @@
         """
         ...
 
+    async def ask_live(self, attempt: str, limit_ms: int) -> bool:
+        """Tells whether all live instances answered in time, or one knows."""
+        ...
+
     def tell(self, stream: BegunStream) -> None:
         """Tells others of a stream of this instance."""
         ...
@@ -74,6 +78,10 @@
         """Returns None."""
         return None
 
+    async def ask_live(self, attempt: str, limit_ms: int) -> bool:
+        """Returns True."""
+        return True
+
     def tell(self, stream: BegunStream) -> None:
         """Does nothing."""
 
@@ -325,7 +333,7 @@
             runs = await self._survey_runs(service, min(choices))
             if runs.others:
                 choices = set()
-            elif runs.unanswered and call.resumes and told is None:
+            elif call.resumes and told is None and runs.unanswered:
                 choices = await self._narrow_by_witnesses(key, call, choices)
         self._log.emit(
             Event.STREAM_TAKEN_UP,
@@ -374,13 +382,14 @@
 
         What began it may be a process without an entry that is gone.
         """
-        told = await self.witnesses.ask(call.resumes)
-        if told is None:
-            await self._settle(key, call)
-            told = self._records.find(key)
-        if told is not None:
-            return choices & {told}
-        return set() if self._records.is_uncertain(key) else choices
+        if not await self.witnesses.ask_live(call.resumes, TAKE_UP_WAIT_MS):
+            # The one that began it may be asking what is left of its target.
+            return set()
+        await self._settle(key, call)
+        told = self._records.find(key)
+        if told is None and not self._records.is_uncertain(key):
+            return choices
+        return choices & {told}
 
     def _narrow(
         self,
--- a/tests/test_edge_evidence_review.py
+++ b/tests/test_edge_evidence_review.py
@@ -6,12 +6,14 @@
 import anyio
 from result import Ok
 
+from peridotbend.edge.originpeers import OriginPeers
 from peridotbend.edge.targetruns import (
     SURVEY_TIMEOUT_MS,
     SURVEY_TTL_MS,
     RunSurvey,
 )
 from peridotbend.edge.versions import VIEW_LAG_MS
+from peridotbend_emulator.virtualtime import run_virtual
 from tests.edgefleet import HOSTS
 from tests.edgerestarts import (
     EVENT_GAP_S,
@@ -20,9 +22,12 @@
     RestartFleet,
     run_with_targets,
 )
+from tests.test_edge_origins import ZONES, _Network
 from tests.test_edge_runs import FIRST_START_MS, SECOND_START_MS, _RunsTest
 
 CALLS = 6
+FIRST_HOST, *_, LAST_HOST = ZONES
+LIMIT_MS = 2_000
 
 
 class SurveyTest(_RunsTest):
@@ -109,6 +114,31 @@
         run_with_targets([restarted, sound], check, instances=2)
 
 
+class LiveWitnessTest(unittest.TestCase):
+    """Instances that have yet to answer a question."""
+
+    def test_missing_answer_is_not_one_of_an_instance_that_knows_nothing(
+        self,
+    ) -> None:
+        """Guards against a take-up while its instance asks a silent target."""
+        for dead, expected in ((set[str](), True), ({FIRST_HOST}, False)):
+            network = _Network()
+            network.dead = dead
+            asker = network.peers[LAST_HOST]
+            outcome: list[bool] = []
+
+            async def ask(
+                peers: OriginPeers = asker, outcome: list[bool] = outcome
+            ) -> None:
+                outcome.append(await peers.ask_live("a1", LIMIT_MS))
+
+            started_ms = network.clock.now_ms()
+            run_virtual(network.clock, ask())
+            assert outcome == [expected], dead
+            waited_ms = network.clock.now_ms() - started_ms
+            assert waited_ms == (0 if expected else LIMIT_MS)
+
+
 class EarlyEntryTest(unittest.TestCase):
     """Entries that are written before their processes listen."""
 
--- a/tests/test_edge_origins.py
+++ b/tests/test_edge_origins.py
@@ -54,6 +54,9 @@
     def list_hosts(self) -> list[str]:
         return list(self._hosts)
 
+    def list_live_hosts(self) -> list[str]:
+        return list(self._hosts)
+
     def list_recent_hosts(self) -> list[str]:
         return list(self._hosts)
 
@@ -309,6 +312,9 @@
     async def ask(self, attempt: str, is_repeated: bool = False) -> str | None:
         return self.answer
 
+    async def ask_live(self, attempt: str, limit_ms: int) -> bool:
+        return True
+
     def tell(self, stream: BegunStream) -> None:
         self.told.append(stream.attempt)
 
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -253,6 +253,9 @@
         self._records.note_told(hash_attempt(attempt), "")
         return self._records.find(hash_attempt(attempt))
 
+    async def ask_live(self, attempt: str, limit_ms: int) -> bool:
+        return True
+
     def tell(self, stream: BegunStream) -> None:
         """Does nothing."""
 
