Ask the others of a take-up whose version has lost a target

What callers saw: a stream of two events of one version, taken up at another instance within two seconds, went on at another version. It had begun at a process without an entry, which had died, and the older entry of its name had been removed in between.

Cause: before a take-up only listed targets are asked, so a target that is gone from the list spoke against nothing, while one that is listed and gone has the other instances asked.

Change: the other instances are asked also where a target of the version has gone since the stream may have begun. If nobody knows of the stream, the placement counts, as before.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -330,10 +330,14 @@
         runs = RunSurvey((), ())
         if len(choices) == 1:
             # The list of targets may lag behind one that began the stream.
-            runs = await self._survey_runs(service, min(choices))
+            (chosen,) = choices
+            runs = await self._survey_runs(service, chosen)
+            is_open = bool(runs.unanswered) or self._timeline.has_lost_target(
+                service, chosen, since_ms
+            )
             if runs.others:
                 choices = set()
-            elif call.resumes and told is None and runs.unanswered:
+            elif is_open and call.resumes and told is None:
                 choices = await self._narrow_by_witnesses(key, call, choices)
         self._log.emit(
             Event.STREAM_TAKEN_UP,
@@ -378,10 +382,7 @@
     async def _narrow_by_witnesses(
         self, key: int, call: EdgeCall, choices: set[str]
     ) -> set[str]:
-        """Returns the versions that the instance that began a stream allows.
-
-        What began it may be a process without an entry that is gone.
-        """
+        """Returns the versions that the instance that began a stream allows."""
         if not await self.witnesses.ask_live(call.resumes, TAKE_UP_WAIT_MS):
             # The one that began it may be asking what is left of its target.
             return set()
