--- /dev/null
+++ b/tests/test_edge_evidence_review.py
@@ -0,0 +1,142 @@
+"""Tests of take-ups and ends for which evidence is missing or out of date."""
+
+import asyncio
+import unittest
+
+import anyio
+from result import Ok
+
+from peridotbend.edge.originpeers import OriginPeers
+from peridotbend.edge.targetruns import (
+    SURVEY_TIMEOUT_MS,
+    SURVEY_TTL_MS,
+    RunSurvey,
+)
+from peridotbend.edge.versions import VIEW_LAG_MS
+from peridotbend_emulator.virtualtime import run_virtual
+from tests.edgefleet import HOSTS
+from tests.edgerestarts import (
+    EVENT_GAP_S,
+    RestartableTarget,
+    RestartFleet,
+    run_with_targets,
+)
+from tests.test_edge_origins import ZONES, _Network
+from tests.test_edge_runs import FIRST_START_MS, SECOND_START_MS, _RunsTest
+
+CALLS = 6
+FIRST_HOST, *_, LAST_HOST = ZONES
+LIMIT_MS = 2_000
+
+
+class SurveyTest(_RunsTest):
+    """What targets tell before a stream is taken up."""
+
+    def survey(self) -> RunSurvey:
+        """Asks the listed target."""
+
+        async def ask() -> RunSurvey:
+            return await self.runs.survey([self.target])
+
+        return anyio.run(ask)
+
+    def _fall_silent(self) -> None:
+        async def read_start(target: object, timeout_ms: int) -> object:
+            await anyio.sleep(4 * SURVEY_TIMEOUT_MS / 1_000)
+            return Ok(FIRST_START_MS)
+
+        self.client.read_start = read_start  # type: ignore[method-assign,assignment]
+
+    def test_old_answer_is_no_answer(self) -> None:
+        """Guards against a silent target that counts as one that lives."""
+        assert self.survey() == RunSurvey((), ())
+        self.clock.advance(60_000)
+        self._fall_silent()
+        assert self.survey() == RunSurvey((), ("i-1",))
+
+    def test_old_answer_of_another_process_refuses_nothing(self) -> None:
+        """Guards against take-ups that are refused for a doubt that is over."""
+        self.client.starts["i-1"] = Ok(SECOND_START_MS)
+        assert self.survey() == RunSurvey(("i-1",), ())
+        self.clock.advance(SURVEY_TTL_MS + 1)
+        self._fall_silent()
+        assert self.survey() == RunSurvey((), ("i-1",))
+
+
+class UnlistedTakeUpTest(unittest.TestCase):
+    """Streams of unlisted processes that callers take up elsewhere."""
+
+    def test_stalled_process_does_not_join_another(self) -> None:
+        """Guards against a doubt that its instance has yet to find out."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            # A process that is younger knows that it has not seen all.
+            await asyncio.sleep((VIEW_LAG_MS + 500) / 1_000)
+            await restarted.restart("v2")
+            restarted.stalls_after = 2
+            for number in range(CALLS):
+                path = f"/quotes/{number}"
+                answer = await fleet.call_and_leave(path, events=2)
+                # Until its process has fallen silent.
+                await asyncio.sleep(5 * EVENT_GAP_S)
+                rest = await fleet.call(path, HOSTS[1], 2, answer.attempt)
+                joined = {*answer.software, *rest.software}
+                assert len(joined) <= 1, (answer, rest)
+                if restarted.ran:
+                    break
+            assert restarted.ran
+
+        run_with_targets([restarted, sound], check, instances=2)
+
+    def test_process_whose_entry_is_gone_does_not_join_another(self) -> None:
+        """Guards against a take-up that asks only those that are listed."""
+        restarted, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+
+        async def check(fleet: RestartFleet) -> None:
+            await asyncio.sleep((VIEW_LAG_MS + 500) / 1_000)
+            await restarted.restart("v2")
+            begun = [
+                await fleet.call_and_leave(f"/quotes/{number}", events=2)
+                for number in range(CALLS)
+            ]
+            assert restarted.ran
+            restarted.die()
+            await fleet.remove_target(restarted)
+            # Together, since a take-up states how long ago its stream began.
+            rests = await asyncio.gather(
+                *(
+                    fleet.call(f"/quotes/{n}", HOSTS[1], 2, answer.attempt)
+                    for n, answer in enumerate(begun)
+                )
+            )
+            for answer, rest in zip(begun, rests, strict=True):
+                joined = {*answer.software, *rest.software}
+                assert len(joined) <= 1, (answer, rest)
+
+        run_with_targets([restarted, sound], check, instances=2)
+
+
+class LiveWitnessTest(unittest.TestCase):
+    """Instances that have yet to answer a question."""
+
+    def test_missing_answer_is_not_one_of_an_instance_that_knows_nothing(
+        self,
+    ) -> None:
+        """Guards against a take-up while its instance asks a silent target."""
+        for dead, expected in ((set[str](), True), ({FIRST_HOST}, False)):
+            network = _Network()
+            network.dead = dead
+            asker = network.peers[LAST_HOST]
+            outcome: list[bool] = []
+
+            async def ask(
+                peers: OriginPeers = asker, outcome: list[bool] = outcome
+            ) -> None:
+                outcome.append(await peers.ask_live("a1", LIMIT_MS))
+
+            started_ms = network.clock.now_ms()
+            run_virtual(network.clock, ask())
+            assert outcome == [expected], dead
+            waited_ms = network.clock.now_ms() - started_ms
+            assert waited_ms == (0 if expected else LIMIT_MS)
