Read the list of targets again if it was read too early

What callers saw: by a unit test only, a stream whose target died ended broken although the list proved its connection 100 ms later.

Cause: the wait for the list ends when the list may first prove the connection. A list that was read within 200 ms isn't read again, and a watch that has just ended tells of the time at which it began. So of two streams whose connections are less than 200 ms apart, the second one could be cut.

Change: if the list is still too old, it is read again after 250 ms. If it is not, it isn't read at all.

--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -34,6 +34,8 @@
 # Questions to a target whose answers tell nothing, as they are damaged or its
 # connection fails.
 MAX_QUESTIONS = 3
+# Pause before the list is read again, as one that has just been read is not.
+READ_AGAIN_MS = 250
 # How long a target gets no streams after another process has answered. It is
 # then asked again.
 REPLACED_TTL_MS = 1_000
@@ -365,12 +367,18 @@
             connected_at_ms: when the connection was established.
             limit_ms: the longest wait.
         """
-        due_ms = connected_at_ms + self._lease_ms - self._clock.now_ms()
-        if due_ms > limit_ms:
+        due_ms = connected_at_ms + self._lease_ms
+        left_ms = due_ms - self._clock.now_ms()
+        if left_ms > limit_ms:
             return False
-        await anyio.sleep(max(0, due_ms) / 1_000)
-        if not self.is_proven(target, connected_at_ms):
-            await self.confirm_listing()
+        for wait_ms in (max(0, left_ms), READ_AGAIN_MS):
+            await anyio.sleep(wait_ms / 1_000)
+            listing_ms = self.find_listing_ms()
+            is_old = listing_ms is None or listing_ms < due_ms
+            if is_old and not await self.confirm_listing():
+                break
+            if not is_old or self.is_proven(target, connected_at_ms):
+                break
         return self.is_proven(target, connected_at_ms)
 
     async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
--- a/tests/test_edge_evidence_review.py
+++ b/tests/test_edge_evidence_review.py
@@ -6,6 +6,7 @@
 import anyio
 from result import Ok
 
+from peridotbend.edge.feeds import FRESH_MS
 from peridotbend.edge.originpeers import OriginPeers
 from peridotbend.edge.targetruns import (
     SURVEY_TIMEOUT_MS,
@@ -22,7 +23,12 @@
     run_with_targets,
 )
 from tests.test_edge_origins import ZONES, _Network
-from tests.test_edge_runs import FIRST_START_MS, SECOND_START_MS, _RunsTest
+from tests.test_edge_runs import (
+    FIRST_START_MS,
+    LEASE_MS,
+    SECOND_START_MS,
+    _RunsTest,
+)
 
 CALLS = 6
 FIRST_HOST, *_, LAST_HOST = ZONES
@@ -63,6 +69,39 @@
         assert self.survey() == RunSurvey((), ("i-1",))
 
 
+class ListingProofTest(_RunsTest):
+    """Waits for the list of targets to prove a connection."""
+
+    def test_listing_that_was_just_read_is_read_again(self) -> None:
+        """Guards against streams that are cut as a read came a bit early.
+
+        A list that was read within `FRESH_MS` isn't read again, and a watch
+        tells of the time at which it began.
+        """
+        self.runs.find_listing_ms = lambda: listed_ms
+        connected_at_ms = listed_ms = self.clock.now_ms()
+        read_at_ms = connected_at_ms + LEASE_MS - FRESH_MS // 2
+
+        async def confirm() -> bool:
+            nonlocal listed_ms
+            if self.clock.now_ms() - read_at_ms > FRESH_MS:
+                listed_ms = self.clock.now_ms()
+            return True
+
+        self.runs.confirm_listing = confirm
+        outcome: list[bool] = []
+
+        async def wait() -> None:
+            outcome.append(
+                await self.runs.wait_proven(
+                    self.target, connected_at_ms, LEASE_MS
+                )
+            )
+
+        run_virtual(self.clock, wait())
+        assert outcome == [True]
+
+
 class UnlistedTakeUpTest(unittest.TestCase):
     """Streams of unlisted processes that callers take up elsewhere."""
 
