Add failing tests of entries that come before their processes

An entry is written while the process before still answers, and its own process listens as soon as that one has died. Its answer then names the listed start, and vouches for what the process before has sent: - at an instance that has just started, with one version known, a stream of two versions (2 events of v1, 4 of v2); - a body without a length that ends as complete after 3 of 6 parts, as requests that are no streams are never asked who answers.

--- a/tests/test_edge_evidence_review.py
+++ b/tests/test_edge_evidence_review.py
@@ -18,6 +18,7 @@
 from tests.edgefleet import HOSTS
 from tests.edgerestarts import (
     EVENT_GAP_S,
+    EVENTS,
     RestartableTarget,
     RestartFleet,
     run_with_targets,
@@ -179,3 +180,54 @@
             assert outcome == [expected], dead
             waited_ms = network.clock.now_ms() - started_ms
             assert waited_ms == (0 if expected else LIMIT_MS)
+
+
+class _ReplacedTarget(RestartableTarget):
+    """A target whose next process is the one that its entry names."""
+
+    async def start(self) -> None:
+        if self.ran:
+            self.software, self.started_at_ms = "v2", SECOND_START_MS
+        await super().start()
+
+
+class EarlyEntryTest(unittest.TestCase):
+    """Entries that are written before their processes listen."""
+
+    def test_stream_of_the_process_before_does_not_join(self) -> None:
+        """Guards against the same for a stream at an instance that is young.
+
+        It has never known the entry of the process before.
+        """
+        early, sound = _ReplacedTarget("i-1", "v2"), RestartableTarget("i-2")
+        early.started_at_ms = SECOND_START_MS
+        early.returns_at_once = True
+        early.dies_after = 2
+        sound.software = "v2"
+
+        async def check(fleet: RestartFleet) -> None:
+            early.software, early.started_at_ms = "v1", FIRST_START_MS
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert len(set(answer.software)) <= 1, answer
+            assert early.ran
+
+        run_with_targets([early, sound], check)
+
+    def test_body_of_the_process_before_does_not_look_whole(self) -> None:
+        """Guards against the next process that vouches for the one before."""
+        early, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        early.is_unframed = early.returns_at_once = True
+        early.dies_after = 3
+
+        async def check(fleet: RestartFleet) -> None:
+            early.started_at_ms = SECOND_START_MS
+            fleet.list_target(early)
+            await fleet.wait_listed(early)
+            for number in range(CALLS):
+                answer = await fleet.call(f"/lookups/{number}")
+                is_complete = answer.body.count(b";") == EVENTS
+                assert is_complete or not answer.is_whole, answer
+            assert early.ran
+
+        run_with_targets([early, sound], check)
