State the time left when a test takes a stream up

It takes up six streams in a row, each with the 15 s of a caller that begins now. A take-up that waits 2 s makes the next ones claim that their streams began after the entry had changed, so the older placement doesn't count for them.

What is expected of the answers is unchanged.

--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -233,6 +233,8 @@
         self._fleet = fleet
         self.targets = targets
         self._attempts = 0
+        # When each attempt began, or the one that it resumes.
+        self._begun_s: dict[str, float] = {}
         self._children: list[Child] = []
         self.host = HOSTS[0]
 
@@ -312,12 +314,17 @@
         """Sends a call, or takes a stream up that an attempt began."""
         self._attempts += 1
         attempt = f"t{self._attempts}"
+        now_s = asyncio.get_running_loop().time()
+        # A caller that takes a stream up has the rest of its time left.
+        begun_s = self._begun_s.get(resumes, now_s)
+        self._begun_s[attempt] = begun_s
+        left_ms = round((CALL_TIMEOUT_S - (now_s - begun_s)) * 1_000)
         lines = [
             f"POST {path} HTTP/1.1",
             "Host: shop.example",
             "Authorization: Token key-1",
             f"{wire.ATTEMPT_ID}: {attempt}",
-            f"{wire.DEADLINE_MS}: 15000",
+            f"{wire.DEADLINE_MS}: {left_ms}",
             "Content-Length: 4",
         ]
         if resumes:
