--- a/tests/test_edge_evidence_review.py
+++ b/tests/test_edge_evidence_review.py
@@ -6,6 +6,7 @@
 import anyio
 from result import Ok
 
+from peridotbend.edge.feeds import FRESH_MS
 from peridotbend.edge.originpeers import OriginPeers
 from peridotbend.edge.targetruns import (
     SURVEY_TIMEOUT_MS,
@@ -17,12 +18,18 @@
 from tests.edgefleet import HOSTS
 from tests.edgerestarts import (
     EVENT_GAP_S,
+    EVENTS,
     RestartableTarget,
     RestartFleet,
     run_with_targets,
 )
 from tests.test_edge_origins import ZONES, _Network
-from tests.test_edge_runs import FIRST_START_MS, SECOND_START_MS, _RunsTest
+from tests.test_edge_runs import (
+    FIRST_START_MS,
+    LEASE_MS,
+    SECOND_START_MS,
+    _RunsTest,
+)
 
 CALLS = 6
 FIRST_HOST, *_, LAST_HOST = ZONES
@@ -63,6 +70,39 @@
         assert self.survey() == RunSurvey((), ("i-1",))
 
 
+class ListingProofTest(_RunsTest):
+    """Waits for the list of targets to prove a connection."""
+
+    def test_listing_that_was_just_read_is_read_again(self) -> None:
+        """Guards against streams that are cut as a read came a bit early.
+
+        A list that was read within `FRESH_MS` isn't read again, and a watch
+        tells of the time at which it began.
+        """
+        self.runs.find_listing_ms = lambda: listed_ms
+        connected_at_ms = listed_ms = self.clock.now_ms()
+        read_at_ms = connected_at_ms + LEASE_MS - FRESH_MS // 2
+
+        async def confirm() -> bool:
+            nonlocal listed_ms
+            if self.clock.now_ms() - read_at_ms > FRESH_MS:
+                listed_ms = self.clock.now_ms()
+            return True
+
+        self.runs.confirm_listing = confirm
+        outcome: list[bool] = []
+
+        async def wait() -> None:
+            outcome.append(
+                await self.runs.wait_proven(
+                    self.target, connected_at_ms, LEASE_MS
+                )
+            )
+
+        run_virtual(self.clock, wait())
+        assert outcome == [True]
+
+
 class UnlistedTakeUpTest(unittest.TestCase):
     """Streams of unlisted processes that callers take up elsewhere."""
 
@@ -140,3 +180,54 @@
             assert outcome == [expected], dead
             waited_ms = network.clock.now_ms() - started_ms
             assert waited_ms == (0 if expected else LIMIT_MS)
+
+
+class _ReplacedTarget(RestartableTarget):
+    """A target whose next process is the one that its entry names."""
+
+    async def start(self) -> None:
+        if self.ran:
+            self.software, self.started_at_ms = "v2", SECOND_START_MS
+        await super().start()
+
+
+class EarlyEntryTest(unittest.TestCase):
+    """Entries that are written before their processes listen."""
+
+    def test_stream_of_the_process_before_does_not_join(self) -> None:
+        """Guards against the same for a stream at an instance that is young.
+
+        It has never known the entry of the process before.
+        """
+        early, sound = _ReplacedTarget("i-1", "v2"), RestartableTarget("i-2")
+        early.started_at_ms = SECOND_START_MS
+        early.returns_at_once = True
+        early.dies_after = 2
+        sound.software = "v2"
+
+        async def check(fleet: RestartFleet) -> None:
+            early.software, early.started_at_ms = "v1", FIRST_START_MS
+            for number in range(CALLS):
+                answer = await fleet.call(f"/quotes/{number}")
+                assert len(set(answer.software)) <= 1, answer
+            assert early.ran
+
+        run_with_targets([early, sound], check)
+
+    def test_body_of_the_process_before_does_not_look_whole(self) -> None:
+        """Guards against the next process that vouches for the one before."""
+        early, sound = RestartableTarget("i-1"), RestartableTarget("i-2")
+        early.is_unframed = early.returns_at_once = True
+        early.dies_after = 3
+
+        async def check(fleet: RestartFleet) -> None:
+            early.started_at_ms = SECOND_START_MS
+            fleet.list_target(early)
+            await fleet.wait_listed(early)
+            for number in range(CALLS):
+                answer = await fleet.call(f"/lookups/{number}")
+                is_complete = answer.body.count(b";") == EVENTS
+                assert is_complete or not answer.is_whole, answer
+            assert early.ran
+
+        run_with_targets([early, sound], check)
