Doubt links at one miss only if a share of targets is silent

Cause: with three targets without an answer each, whatever the size of their service, one miss was enough for a doubt. Of hundreds of sound targets some are silent at any time, and each doubt costs a probe and a trial through a peer.

Change: one in 20 targets has to be silent, three at the least. Up to 79 targets nothing changes.

--- a/src/peridotbend/domain/paths.py
+++ b/src/peridotbend/domain/paths.py
@@ -20,6 +20,7 @@
     MIN_SILENT_TARGETS,
     MIN_TARGET_MISSES,
     QUICK_TRIALS,
+    SILENT_DIVISOR,
     UNANSWERED_TTL_MS,
     LinkFault,
     Miss,
@@ -123,11 +124,16 @@
         """Tells whether a single target is reached by peers only."""
         return any(reach.is_lost for reach in self.targets.values())
 
-    def find_min_missed(self, now_ms: int) -> int:
-        """Returns from how many misses on the link to a target is doubted."""
+    def find_min_missed(self, now_ms: int, listed: int) -> int:
+        """Returns from how many misses on the link to a target is doubted.
+
+        Args:
+            now_ms: the current time.
+            listed: the number of targets of the service.
+        """
+        min_silent = max(MIN_SILENT_TARGETS, listed // SILENT_DIVISOR)
         is_cut_likely = (
-            self.has_lost_target()
-            or self.count_silent(now_ms) >= MIN_SILENT_TARGETS
+            self.has_lost_target() or self.count_silent(now_ms) >= min_silent
         )
         return MIN_NEXT_MISSES if is_cut_likely else MIN_TARGET_MISSES
 
@@ -217,7 +223,8 @@
         now_ms = self._clock.now_ms()
         if now_ms < path.hold_until_ms or self.is_doubtful(service):
             return False
-        return reach.is_doubtful(now_ms, path.find_min_missed(now_ms))
+        listed = len(self._targets.list_for(service))
+        return reach.is_doubtful(now_ms, path.find_min_missed(now_ms, listed))
 
     def list_doubtful(self) -> list[tuple[str, str]]:
         """Returns service and target of links that a trial may test now."""
@@ -227,7 +234,8 @@
             is_held = path.is_lost or now_ms < path.hold_until_ms
             if is_held or self.is_doubtful(service):
                 continue
-            min_missed = path.find_min_missed(now_ms)
+            listed = len(self._targets.list_for(service))
+            min_missed = path.find_min_missed(now_ms, listed)
             found.extend(
                 (service, name)
                 for name, reach in path.targets.items()
--- a/src/peridotbend/domain/targetreach.py
+++ b/src/peridotbend/domain/targetreach.py
@@ -20,6 +20,9 @@
 # not answer. One that is silent may have no room for a second connection.
 MIN_NEXT_MISSES = 1
 MIN_SILENT_TARGETS = 3
+# Of a large service, one in so many has to be silent: among hundreds of sound
+# targets some are at any time.
+SILENT_DIVISOR = 20
 # No next doubt of a target for so long after an answer has voided one. The time
 # doubles while the target is only slow.
 FIRST_HOLD_MS = 1_000
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -1389,6 +1389,26 @@
             assert len(self.paths.list_doubtful()) == len(names)
         assert count_silent.call_count == 1
 
+    def test_few_silent_targets_of_many_raise_no_doubts(self) -> None:
+        """Guards against a large service that is probed for each miss."""
+        names = [f"i-{number}" for number in range(1, 201)]
+        for name in names:
+            self.targets.put(make_target(name))
+        self.paths.note_answered("engine", "i-200", self.clock.now_ms())
+
+        def miss(count: int) -> int:
+            for name in names[:count]:
+                if not self.paths.was_accepted("engine", name):
+                    self._miss(name)
+            self.clock.advance(1)
+            self.paths.note_answered("engine", "i-200", self.clock.now_ms())
+            return len(self.paths.list_doubtful())
+
+        assert miss(9) == 0
+        assert miss(10) == 10
+        self._miss("i-150")
+        assert self.paths.is_target_doubtful("engine", "i-150")
+
     def test_old_failures_are_forgotten(self) -> None:
         """Guards against failures hours apart that look like one cut."""
         self.paths.note_failed("engine", "i-1")
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -581,7 +581,7 @@
         "RECOVER",
         "src/peridotbend/domain/paths.py",
         "        return reach.is_doubtful("
-        "now_ms, path.find_min_missed(now_ms))\n",
+        "now_ms, path.find_min_missed(now_ms, listed))\n",
         "        return False\n",
         ("test_edge_paths",),
     ),
