Divide the rates of targets in a module of its own

The rate that a target names for all instances together was divided among the first instances by rendezvous hashing inside RateLimits. Another bound in sum, that of cold targets, needs the same. RateShares holds the hosts, the place of this instance, its part and what it saved up; RateLimits keeps what targets named and says how a limit is divided.

The place of an instance that is far behind the last sender is estimated from its own weight, without ranking all hosts, and hosts are listed once for all targets: thousands of targets may be bounded at the same time.

--- a/src/peridotbend/domain/rendezvous.py
+++ b/src/peridotbend/domain/rendezvous.py
@@ -18,14 +18,19 @@
     removing a name does not change the order of the others.
     """
 
-    def weigh(item: T) -> tuple[int, str]:
+    def weigh_item(item: T) -> tuple[int, str]:
         label = get_name(item)
-        # The length prefix tells apart (key, name) pairs whose concatenations
-        # are equal.
-        prefix = len(key).to_bytes(4, "big") + key
-        return xxhash.xxh3_64_intdigest(prefix + label.encode()), label
+        return weigh(key, label), label
 
-    return sorted(items, key=weigh, reverse=True)
+    return sorted(items, key=weigh_item, reverse=True)
+
+
+def weigh(key: bytes, name: str) -> int:
+    """Returns the weight of a name for a key, a number of 64 bits."""
+    # The length prefix tells apart (key, name) pairs whose concatenations are
+    # equal.
+    prefix = len(key).to_bytes(4, "big") + key
+    return xxhash.xxh3_64_intdigest(prefix + name.encode())
 
 
 def choose_weighted(key: str, entries: Sequence[tuple[str, float]]) -> str:
--- a/src/peridotbend/edge/ratelimits.py
+++ b/src/peridotbend/edge/ratelimits.py
@@ -8,7 +8,7 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
-from peridotbend.domain.rendezvous import rank
+from peridotbend.edge.rateshares import Division, RateShares
 from peridotbend.edge.targets import EdgeTarget
 
 # An answer without a limit lifts the last one only after this time: answers may
@@ -27,8 +27,6 @@
 # Rate at which a target is tried that takes no requests at all, since only an
 # answer tells that it does again.
 MIN_RATE_PER_S = 0.1
-# Interval at which an instance finds its share again. Others join and leave.
-SHARE_INTERVAL_MS = 500
 # Limits in one digest; the others follow in the next ones.
 MAX_DIGEST_LIMITS = 16
 # Changes are repeated in all digests for this time, as datagrams get lost. It
@@ -59,22 +57,13 @@
     per_s: float | None
     # When an answer last said so.
     heard_at_ms: int
-    # Requests that this instance may send now, at most 1.
-    level: float = 0.0
-    refilled_at_ms: int = 0
-    # Requests a second that this instance may send; None before it is known.
-    share_per_s: float | None = None
-    share_found_at_ms: int = 0
 
 
 class RateLimits:
     """The limits of targets that take fewer requests than they have slots for.
 
     A limit is the number of requests a second that a target takes from all
-    instances together. A few instances, chosen by rendezvous hashing, may send
-    to such a target, and each has an equal part of the limit. The sum holds
-    without counts from other instances, which would be late by more than the
-    time between two requests.
+    instances together.
     """
 
     def __init__(
@@ -86,8 +75,9 @@
     ):
         self._clock = clock
         self._log = log
-        self._own_host = own_host
-        self._list_other_hosts = list_other_hosts
+        self._shares = RateShares(
+            clock, own_host, list_other_hosts, divide_limit
+        )
         # By the hash of the target's run, the one that changed last at the end.
         # A target whose entry lapses for a while keeps its limit.
         self._limits: collections.OrderedDict[int, _Limit] = (
@@ -126,14 +116,12 @@
         limit = self._limits.get(target.run_hash)
         if limit is None or limit.per_s is None:
             return True
-        self._refill(target.run_hash, limit)
-        return limit.level >= 1
+        return self._shares.has_room(target.run_hash, limit.per_s)
 
     def take(self, target: EdgeTarget) -> None:
         """Counts a request that this instance sends to a target."""
-        limit = self._limits.get(target.run_hash) if self._limits else None
-        if limit is not None and limit.per_s is not None:
-            limit.level -= 1
+        if self._limits:
+            self._shares.take(target.run_hash)
 
     def list_for_digest(self) -> tuple[NamedLimit, ...]:
         """Returns the limits that are due for the next digest."""
@@ -172,7 +160,7 @@
         return {
             f"{target:08x}": {
                 "per_s": limit.per_s,
-                "share_per_s": limit.share_per_s,
+                "share_per_s": self._shares.find_part(target),
             }
             for target, limit in self._limits.items()
         }
@@ -183,42 +171,19 @@
             limit = self._limits[target] = _Limit(per_s, heard_at_ms)
             self._changed_at_ms = self._clock.now_ms()
         elif limit.per_s != per_s:
-            if limit.per_s is None or per_s is None:
-                limit.share_per_s = None
-            limit.share_found_at_ms = 0
+            if per_s is None:
+                self._shares.forget(target)
             self._changed_at_ms = self._clock.now_ms()
         limit.per_s = per_s
         limit.heard_at_ms = heard_at_ms
         self._limits.move_to_end(target)
         if len(self._limits) > MAX_LIMITS:
-            self._limits.popitem(last=False)
+            dropped, _ = self._limits.popitem(last=False)
+            self._shares.forget(dropped)
 
-    def _refill(self, target: int, limit: _Limit) -> None:
-        now_ms = self._clock.now_ms()
-        if limit.share_per_s is None:
-            self._find_share(target, limit)
-            limit.refilled_at_ms = now_ms
-        passed_ms = now_ms - limit.refilled_at_ms
-        limit.refilled_at_ms = now_ms
-        assert limit.share_per_s is not None
-        gained = limit.share_per_s * passed_ms / 1_000
-        limit.level = min(1.0, limit.level + gained)
-        if now_ms - limit.share_found_at_ms >= SHARE_INTERVAL_MS:
-            self._find_share(target, limit)
-
-    def _find_share(self, target: int, limit: _Limit) -> None:
-        assert limit.per_s is not None
-        hosts = [self._own_host, *self._list_other_hosts()]
-        ranked = rank(target.to_bytes(8, "big"), hosts, lambda host: host)
-        place = ranked.index(self._own_host)
-        senders = int(
-            min(len(hosts), MIN_SENDERS + SENDERS_PER_LIMIT * limit.per_s)
-        )
-        if limit.share_per_s is None:
-            # The senders begin one after the other.
-            limit.level = place / senders if place < senders else 0.0
-        limit.share_per_s = 0.0
-        if place < senders:
-            rate_per_s = max(MIN_RATE_PER_S, USED_SHARE * limit.per_s)
-            limit.share_per_s = rate_per_s / senders
-        limit.share_found_at_ms = self._clock.now_ms()
+
+def divide_limit(per_s: float, hosts: int) -> Division:
+    """Divides a limit among the instances that may send to its target."""
+    senders = int(min(hosts, MIN_SENDERS + SENDERS_PER_LIMIT * per_s))
+    rate_per_s = max(MIN_RATE_PER_S, USED_SHARE * per_s)
+    return Division(senders, rate_per_s / senders)
--- /dev/null
+++ b/src/peridotbend/edge/rateshares.py
@@ -0,0 +1,145 @@
+"""Rates of targets that hold in sum over all instances.
+
+A few instances, chosen by rendezvous hashing, may send to a target with a
+bounded rate, and each has an equal part. The sum holds without counts from
+other instances, which would be late by more than the time between two requests.
+"""
+
+import dataclasses
+import math
+from collections.abc import Callable, Iterable
+
+from peridotbend.domain.clock import Clock
+from peridotbend.domain.rendezvous import rank, weigh
+
+# Interval at which the other instances are listed again.
+HOSTS_INTERVAL_MS = 500
+# The place of an instance is first estimated from its weight alone, as ranking
+# all hosts takes far longer. One that is estimated to be this many standard
+# deviations behind the last sender is none: an error would only lose its part.
+MAX_PLACE_ERROR = 6.0
+# 2 to the number of bits in a weight.
+WEIGHT_RANGE = 2.0**64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Division:
+    """How many instances may send to a target, and how much each."""
+
+    senders: int
+    # Requests a second of one sender. It saves up one request at most, so that
+    # two are never closer to each other than this rate says.
+    part_per_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Share:
+    # Rate or bound of the target that was divided.
+    whole: float
+    # Requests that this instance may send now, at most 1.
+    level: float
+    refilled_at_ms: int
+    # Requests a second that this instance may send; 0 if it is no sender.
+    part_per_s: float = 0.0
+    # Version of the list of hosts for which the part was found.
+    hosts_version: int = 0
+
+
+class RateShares:
+    """The parts that this instance has of the rates of targets."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        own_host: str,
+        list_other_hosts: Callable[[], Iterable[str]],
+        divide: Callable[[float, int], Division],
+    ):
+        """Creates the shares, of which there are none yet.
+
+        Args:
+            clock: source of time.
+            own_host: the host of this instance.
+            list_other_hosts: lists the instances that have a part as well.
+            divide: divides the rate of a target among a number of instances.
+        """
+        self._clock = clock
+        self._own_host = own_host
+        self._list_other_hosts = list_other_hosts
+        self._divide = divide
+        # By the hash of the target's run.
+        self._shares: dict[int, _Share] = {}
+        self._hosts: list[str] = []
+        self._hosts_version = 0
+        self._hosts_listed_at_ms = 0
+
+    def has_room(self, target: int, whole: float) -> bool:
+        """Tells whether this instance may send a request to a target now.
+
+        Args:
+            target: the hash of the target's run.
+            whole: the rate or bound of the target, over all instances.
+        """
+        share = self._shares.get(target)
+        now_ms = self._clock.now_ms()
+        self._refresh_hosts(now_ms)
+        if share is None:
+            share = self._shares[target] = _Share(whole, 0.0, now_ms)
+            place, division = self._find_part(target, share)
+            if place < division.senders:
+                # The senders begin one after the other.
+                share.level = place / division.senders
+        passed_ms = now_ms - share.refilled_at_ms
+        share.refilled_at_ms = now_ms
+        gained = share.part_per_s * passed_ms / 1_000
+        share.level = min(1.0, share.level + gained)
+        if share.hosts_version != self._hosts_version or share.whole != whole:
+            share.whole = whole
+            self._find_part(target, share)
+        return share.part_per_s > 0 and share.level >= 1
+
+    def take(self, target: int) -> None:
+        """Counts a request that this instance sends to a target."""
+        share = self._shares.get(target)
+        if share is not None:
+            share.level -= 1
+
+    def forget(self, target: int) -> None:
+        """Removes a target whose rate is not bounded any more."""
+        self._shares.pop(target, None)
+
+    def find_part(self, target: int) -> float | None:
+        """Returns the requests a second of this instance, None if unknown."""
+        share = self._shares.get(target)
+        return share.part_per_s if share else None
+
+    def _refresh_hosts(self, now_ms: int) -> None:
+        is_recent = now_ms - self._hosts_listed_at_ms < HOSTS_INTERVAL_MS
+        if self._hosts and is_recent:
+            return
+        self._hosts_listed_at_ms = now_ms
+        hosts = [self._own_host, *sorted(self._list_other_hosts())]
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._hosts_version += 1
+
+    def _find_part(self, target: int, share: _Share) -> tuple[int, Division]:
+        division = self._divide(share.whole, len(self._hosts))
+        place = self._find_place(target, division.senders)
+        share.part_per_s = 0.0
+        if place < division.senders:
+            share.part_per_s = division.part_per_s
+        share.hosts_version = self._hosts_version
+        return place, division
+
+    def _find_place(self, target: int, senders: int) -> int:
+        """Returns the place of this instance; inexact far behind the last."""
+        key = target.to_bytes(8, "big")
+        count = len(self._hosts)
+        weight = weigh(key, self._own_host)
+        estimate = (1 - weight / WEIGHT_RANGE) * count
+        margin = MAX_PLACE_ERROR * math.sqrt(max(1.0, estimate))
+        if estimate - margin > senders:
+            return count
+        ranked = rank(key, self._hosts, lambda host: host)
+        return ranked.index(self._own_host)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -213,8 +213,8 @@
         "limit-not-divided",
         "LIMIT",
         EDGE + "ratelimits.py",
-        "limit.share_per_s = rate_per_s / senders",
-        "limit.share_per_s = rate_per_s",
+        "return Division(senders, rate_per_s / senders)",
+        "return Division(senders, rate_per_s)",
         ("test_edge_limits",),
     ),
     Mutant(
