Bound what cold targets get from all instances together

A target that has just started, or that became cold at any moment, falls over if it gets more requests in a second than the settings allow. Nothing read that it is cold.

cold_left_ms of its entry and cold_per_s of its service are read, with the bounds of the settings. RateShares divides nine tenths of the bound: with up to eight instances each has an equal part, beyond that the first ones by rendezvous hashing send one request in 1.25 s each. All hosts that may still run have a part, reachable or not. A process sends nothing to cold targets until it has heard of others and its list of them has not grown for 3 s; one that was suspended, or that neither hears others nor reads the store, takes all targets for cold. A permit holds for 200 ms and one send.

test_edge_cold checks each second at the targets in fleets of 8, 63 and 195 instances.

--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -52,6 +52,7 @@
         Event.PEER_LOST,
         Event.CONFIG_REFUSED,
         Event.ENTRY_SKIPPED,
+        Event.ENTRY_FIELD_IGNORED,
         Event.STORE_RESTORED,
         Event.SETTINGS_REFUSED,
         Event.LINES_DROPPED,
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -11,6 +11,7 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.verdicts import NotRun, Reason
 from peridotbend.edge.brittle import BrittleTargets
+from peridotbend.edge.coldtargets import ColdTargets, Permit
 from peridotbend.edge.config import Route
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ratelimits import RateLimits
@@ -68,7 +69,10 @@
         target: EdgeTarget,
         on_release: Callable[[], None],
         in_flight: int = 1,
+        permit: Permit | None = None,
     ):
+        # Allows the send if the target is cold.
+        self.permit = permit
         self.target = target
         # Known requests in flight at the target, including this one.
         self.in_flight = in_flight
@@ -94,6 +98,7 @@
         occupancy: Occupancy,
         rate_limits: RateLimits,
         brittle: BrittleTargets,
+        cold: ColdTargets,
         selector: Selector,
         rng: random.Random,
     ):
@@ -102,6 +107,7 @@
         self._occupancy = occupancy
         self._rate_limits = rate_limits
         self._brittle = brittle
+        self._cold = cold
         self._selector = selector
         self._rng = rng
         self._sequence = itertools.count()
@@ -226,6 +232,7 @@
         )
         self._occupancy.add(target.name)
         self._rate_limits.take(target)
+        permit = self._cold.take(target)
 
         def on_release() -> None:
             self._occupancy.remove(target.name)
@@ -236,7 +243,7 @@
             self.grant_slots(criteria.service)
 
         in_flight = self._occupancy.count(target.name)
-        slot = Slot(target, on_release, in_flight)
+        slot = Slot(target, on_release, in_flight, permit)
         return slot
 
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
--- a/src/peridotbend/edge/config.py
+++ b/src/peridotbend/edge/config.py
@@ -82,6 +82,15 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """The properties of a service that all its targets share."""
+
+    name: str
+    # Requests a second that a cold target takes; None if not bounded.
+    cold_per_s: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Account:
     """A client account with its keys and allowance."""
@@ -115,6 +124,7 @@
     routes: tuple[Route, ...]
     accounts: tuple[Account, ...]
     limits: CallerLimits
+    services: tuple[Service, ...] = ()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of a host with the longest prefix of the path."""
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -9,6 +9,7 @@
 from peridotbend.edge.allowances import Allowances
 from peridotbend.edge.backlog import Backlog
 from peridotbend.edge.brittle import BrittleTargets
+from peridotbend.edge.coldtargets import ColdTargets, FleetView
 from peridotbend.edge.configholder import ConfigHolder
 from peridotbend.edge.crashes import CrashTracker
 from peridotbend.edge.health import TargetHealth
@@ -43,6 +44,18 @@
         """Returns the hosts of other instances that may serve callers now."""
         ...
 
+    def list_possible_hosts(self) -> list[str]:
+        """Returns the hosts of other instances that may run, if cut off."""
+        ...
+
+    def knows_fleet(self) -> bool:
+        """Tells whether this process has learned of the other instances."""
+        ...
+
+    def is_informed(self) -> bool:
+        """Tells whether news of the platform reach this instance."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayDependencies:
@@ -57,6 +70,7 @@
     crashes: CrashTracker
     rate_limits: RateLimits
     brittle: BrittleTargets
+    cold: ColdTargets
     pauses: TargetPauses
     runs: TargetRuns
     stall_detector: StallDetector
@@ -108,6 +122,15 @@
     brittle = BrittleTargets(
         clock, log, settings.peers[0], fleet.list_recent_hosts
     )
+    cold = ColdTargets(
+        clock,
+        log,
+        settings,
+        FleetView(
+            fleet.list_possible_hosts, fleet.knows_fleet, fleet.is_informed
+        ),
+    )
+    holder.subscribe(lambda config: cold.apply_services(config.services))
     pauses = TargetPauses(clock)
     records = StreamRecords(clock)
     runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
@@ -117,6 +140,7 @@
         health,
         rate_limits,
         brittle,
+        cold,
         pauses,
         runs.is_replaced,
     )
@@ -125,13 +149,21 @@
         holder=holder,
         targets=targets,
         backlog=Backlog(
-            clock, targets, occupancy, rate_limits, brittle, selector, rng
+            clock,
+            targets,
+            occupancy,
+            rate_limits,
+            brittle,
+            cold,
+            selector,
+            rng,
         ),
         occupancy=occupancy,
         health=health,
         crashes=CrashTracker(clock, log),
         rate_limits=rate_limits,
         brittle=brittle,
+        cold=cold,
         pauses=pauses,
         runs=runs,
         stall_detector=StallDetector(clock, health),
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -9,6 +9,7 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.allowances import AllowanceUse
+from peridotbend.edge.contact import FleetContact
 from peridotbend.edge.evidence import Suspicion
 from peridotbend.edge.published import FeedState
 from peridotbend.edge.ratelimits import NamedLimit
@@ -22,6 +23,9 @@
 # Nobody has heard of a peer for this long: its part of a shared rate is given
 # to others. In a large fleet, news of a peer passes through several instances.
 RECENT_MS = 5_000
+# A peer that expired may still run on the other side of a partition. Bounds in
+# sum keep its part for this time.
+FORMER_MS = 600_000
 MAX_PEERS = 1_024
 
 
@@ -128,6 +132,9 @@
         self._clock = clock
         self._log = log
         self._peers: dict[str, _Peer] = {}
+        # When peers expired, by host, the last one at the end.
+        self._former_ms: dict[str, int] = {}
+        self.contact = FleetContact(clock)
         # Changes whenever a host or its zone becomes known or is removed.
         self.version = 0
 
@@ -140,6 +147,8 @@
             return
         if len(self._peers) < MAX_PEERS:
             self._peers[host] = _Peer(host, self._clock.now_ms())
+            self._former_ms.pop(host, None)
+            self.contact.note_new_host()
             self.version += 1
 
     def add_member(self, member: Member) -> None:
@@ -150,6 +159,8 @@
         peer = self._peers.get(member.host)
         if peer is None:
             return
+        if not member.age_ms:
+            self.contact.note_heard()
         heard_at_ms = self._clock.now_ms() - member.age_ms
         if heard_at_ms > max(peer.added_at_ms, peer.last_digest_at_ms or 0):
             peer.is_draining = member.is_draining
@@ -217,6 +228,7 @@
         peer.incarnation = digest.incarnation
         peer.sequence = digest.sequence
         peer.last_digest_at_ms = self._clock.now_ms()
+        self.contact.note_heard()
         peer.is_draining = digest.is_draining
         self._set_zone(peer, digest.zone)
         for host in digest.known_hosts:
@@ -228,6 +240,7 @@
     def check(self, on_peer_lost: Callable[[str], None]) -> None:
         """Updates the liveness of peers, and removes expired ones."""
         now_ms = self._clock.now_ms()
+        self.contact.note_turn()
         for host, peer in list(self._peers.items()):
             live = self._is_live(peer, now_ms)
             if live is not peer.is_live:
@@ -239,12 +252,26 @@
             last_ms = max(peer.last_digest_at_ms or 0, peer.added_at_ms)
             if now_ms - last_ms > PEER_EXPIRY_MS:
                 del self._peers[host]
+                self._note_former(host)
                 self.version += 1
 
     def list_hosts(self) -> list[str]:
         """Returns all known hosts."""
         return list(self._peers)
 
+    def list_possible_hosts(self) -> list[str]:
+        """Returns all hosts whose instances may still run."""
+        oldest_ms = self._clock.now_ms() - FORMER_MS
+        former = (
+            h for h, at_ms in self._former_ms.items() if at_ms > oldest_ms
+        )
+        return [*self._peers, *former]
+
+    def _note_former(self, host: str) -> None:
+        self._former_ms[host] = self._clock.now_ms()
+        if len(self._former_ms) > MAX_PEERS:
+            del self._former_ms[next(iter(self._former_ms))]
+
     def choose_any(self) -> str:
         """Returns a random known host, or an empty string."""
         return self._rng.choice(list(self._peers)) if self._peers else ""
--- a/src/peridotbend/edge/rateshares.py
+++ b/src/peridotbend/edge/rateshares.py
@@ -18,6 +18,8 @@
 # all hosts takes far longer. One that is estimated to be this many standard
 # deviations behind the last sender is none: an error would only lose its part.
 MAX_PLACE_ERROR = 6.0
+# Bounds memory: a target that nobody asked about for this time is forgotten.
+UNUSED_MS = 60_000
 # 2 to the number of bits in a weight.
 WEIGHT_RANGE = 2.0**64
 
@@ -72,6 +74,7 @@
         self._hosts: list[str] = []
         self._hosts_version = 0
         self._hosts_listed_at_ms = 0
+        self._pruned_at_ms = clock.now_ms()
 
     def has_room(self, target: int, whole: float) -> bool:
         """Tells whether this instance may send a request to a target now.
@@ -118,11 +121,23 @@
         if self._hosts and is_recent:
             return
         self._hosts_listed_at_ms = now_ms
+        self._prune(now_ms)
         hosts = [self._own_host, *sorted(self._list_other_hosts())]
         if hosts != self._hosts:
             self._hosts = hosts
             self._hosts_version += 1
 
+    def _prune(self, now_ms: int) -> None:
+        if now_ms - self._pruned_at_ms < UNUSED_MS:
+            return
+        oldest_ms = self._pruned_at_ms
+        self._pruned_at_ms = now_ms
+        self._shares = {
+            target: share
+            for target, share in self._shares.items()
+            if share.refilled_at_ms >= oldest_ms
+        }
+
     def _find_part(self, target: int, share: _Share) -> tuple[int, Division]:
         division = self._divide(share.whole, len(self._hosts))
         place = self._find_place(target, division.senders)
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -5,6 +5,7 @@
 
 from peridotbend.domain.rendezvous import rank
 from peridotbend.edge.brittle import ENGINE_FILL, BrittleTargets
+from peridotbend.edge.coldtargets import ColdTargets
 from peridotbend.edge.health import FAILURE_SLACK, TargetHealth
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ratelimits import RateLimits
@@ -60,6 +61,7 @@
         health: TargetHealth,
         rate_limits: RateLimits,
         brittle: BrittleTargets,
+        cold: ColdTargets,
         pauses: TargetPauses,
         is_replaced: Callable[[EdgeTarget], bool] = lambda target: False,
     ):
@@ -67,6 +69,7 @@
         # Tells whether another process has the name of a listed target.
         self._is_replaced = is_replaced
         self._brittle = brittle
+        self._cold = cold
         self._rate_limits = rate_limits
         self._zone = zone
         self._occupancy = occupancy
@@ -121,7 +124,9 @@
             is_generation = criteria.is_generation
             if not self._brittle.has_room(target, own, is_generation):
                 return False
-        return self._rate_limits.has_room(target)
+        return self._cold.has_room(target) and self._rate_limits.has_room(
+            target
+        )
 
     def _find_limit(
         self, criteria: TargetCriteria, target: EdgeTarget
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -77,6 +77,8 @@
                 return False
             if self._clock.now_ms() >= request.deadline_at_ms:
                 return False
+            if not self._dependencies.cold.may_write(target, slot.permit):
+                return False
             request.may_have_run = True
             request.sends += 1
             request.has_paid = False
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -49,6 +49,11 @@
     allowance_window_ms: int
     allowance_overage: float
     allowance_slack: float
+    # Limit on the requests that a cold target gets in a second from all
+    # instances: a multiple of what it takes plus a fixed number. None for no
+    # limit.
+    cold_overage: float | None = None
+    cold_slack: float = 0.0
     # How long the store keeps its history; 0 if unknown.
     store_history_ms: int = 0
     # File descriptors of the process; 0 if unknown.
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -32,6 +32,11 @@
     # Version of the target's software. What two versions write does not fit
     # together in one stream. Empty if unknown.
     software: str = ""
+    # How long the target stays cold, as of its entry; None if not told. Each
+    # entry of a cold target says something else, so that it is not compared.
+    cold_left_ms: int | None = dataclasses.field(default=None, compare=False)
+    # Why the entry does not tell although it has the field.
+    cold_problem: str = dataclasses.field(default="", compare=False)
 
     @property
     def run_hash(self) -> int:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -183,6 +183,7 @@
         witnesses.is_certain = origins.is_certain
         witnesses.confirm_later = origins.confirm_later
         self._build_feeds()
+        status.reaches_store = lambda: self._find_feed_status().reads_store
         self._dependencies.holder.subscribe(self._apply_limits)
 
     def start_drain(self) -> None:
@@ -230,6 +231,7 @@
             "crashes": self._dependencies.crashes.dump(),
             "limits": self._dependencies.rate_limits.dump(),
             "brittle": self._dependencies.brittle.dump(),
+            "cold": self._dependencies.cold.dump(),
             "pauses": self._dependencies.pauses.dump(),
             "lost_links": self._paths.state.list_lost(),
             "lost_targets": self._paths.state.describe_lost(),
@@ -252,6 +254,7 @@
         self._store.set_address(settings.store)
         self._dependencies.allowances.apply_settings(settings)
         self._dependencies.budget.apply_settings(settings)
+        self._dependencies.cold.apply_settings(settings)
         self._log.emit(Event.SETTINGS_RELOADED, seeds=len(settings.seeds))
 
     async def run(self) -> None:
@@ -345,6 +348,11 @@
             "Targets that name a limit on the rate of requests.",
             self._dependencies.rate_limits.count_limited,
         )
+        add_gauge(
+            "cold_targets",
+            "Targets that say that they are cold.",
+            self._dependencies.cold.count,
+        )
         add_gauge(
             "suspected_traits",
             "Requests and prompt parts in flight at a target when it died.",
@@ -532,6 +540,7 @@
                 self._dependencies.crashes.note_target_dead(previous)
                 self._dependencies.runs.note_unlisted(previous)
             self._dependencies.runs.note_listed(target)
+            self._dependencies.cold.note_entry(target, previous)
             self._dependencies.targets.put(target)
             if previous is None:
                 self._dependencies.crashes.note_target_listed(target)
@@ -566,6 +575,7 @@
             self._dependencies.runs.note_unlisted(previous)
             self._dependencies.targets.remove(name)
             self._dependencies.occupancy.forget_target(name)
+            self._dependencies.cold.note_removed(name)
             if not previous.is_leaving:
                 self._dependencies.crashes.note_target_removed(previous)
             self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import json
+import math
 import re
 
 from result import Err, Ok, Result
@@ -12,6 +13,7 @@
     EdgeConfig,
     Route,
     RouteKind,
+    Service,
     WeightedService,
 )
 from peridotbend.edge.published import WriteOrder
@@ -35,6 +37,9 @@
 MAX_START_MS = 253_402_300_799_999
 # More requests at once than any target has connections for.
 MAX_SLOTS = 65_536
+# Longest time for which a target may say that it stays cold. A larger number is
+# no time of a start.
+MAX_COLD_MS = 3_600_000
 # Largest number that peers exchange.
 MAX_ORDER = 2**63 - 1
 # Names of targets are sent in a header. A backslash is left of a key that was
@@ -119,9 +124,18 @@
         routes=tuple(fields.get_list("routes", _read_route, optional=False)),
         accounts=tuple(fields.get_list("tenants", _read_account)),
         limits=_read_limits(fields.get_mapping("limits")),
+        services=tuple(fields.get_list("services", _read_service)),
     )
 
 
+def _read_service(value: object, path: str) -> Service:
+    fields = Fields(value, path)
+    cold_per_s = None
+    if "cold_per_s" in fields:
+        cold_per_s = fields.get_number("cold_per_s")
+    return Service(fields.get_str("name"), cold_per_s)
+
+
 def _read_limits(fields: Fields) -> CallerLimits:
     return CallerLimits(
         max_header_bytes=fields.get_int("max_header_bytes", minimum=1),
@@ -202,6 +216,7 @@
         started_at_ms = fields.get_int(
             "born", minimum=MIN_START_MS, maximum=MAX_START_MS
         )
+    cold_left_ms, cold_problem = _read_cold_left(fields)
     # Only orders the entries; an entry damaged here may be damaged elsewhere.
     fields.get_int("sequence", 0, maximum=MAX_ORDER)
     return EdgeTarget(
@@ -214,9 +229,25 @@
         is_leaving=state == "draining",
         started_at_ms=started_at_ms,
         software=fields.get_str("version"),
+        cold_left_ms=cold_left_ms,
+        cold_problem=cold_problem,
     )
 
 
+def _read_cold_left(fields: Fields) -> tuple[int | None, str]:
+    """Returns how long a target stays cold, and why this is not known.
+
+    An odd number is no reason to give a target up.
+    """
+    if "cold_left_ms" not in fields:
+        return None, ""
+    try:
+        left_ms = fields.get_number("cold_left_ms", maximum=MAX_COLD_MS)
+    except BadFieldError as error:
+        return None, str(error)
+    return math.ceil(left_ms), ""
+
+
 def _read_part(value: object, path: str) -> str:
     # A list whose second entry is the ID.
     if not isinstance(value, list) or len(value) < 2:
--- a/src/peridotbend/platform/settings.py
+++ b/src/peridotbend/platform/settings.py
@@ -94,6 +94,12 @@
         ),
         allowance_overage=bounds.get_number("quota_overage", 0.0),
         allowance_slack=bounds.get_number("quota_slack", 0.0),
+        cold_overage=(
+            bounds.get_number("cold_overage")
+            if "cold_overage" in bounds
+            else None
+        ),
+        cold_slack=bounds.get_number("cold_slack", 0.0),
     )
 
 
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -193,6 +193,18 @@
         """Returns no hosts; the engines name no limits."""
         return []
 
+    def list_possible_hosts(self) -> list[str]:
+        """Returns no hosts; the engines are not cold."""
+        return []
+
+    def knows_fleet(self) -> bool:
+        """Returns true."""
+        return True
+
+    def is_informed(self) -> bool:
+        """Returns true."""
+        return True
+
 
 class _Instance:
     """The decision code of one instance."""
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -367,6 +367,18 @@
         """Returns no others."""
         return []
 
+    def list_possible_hosts(self) -> list[str]:
+        """Returns no others."""
+        return []
+
+    def knows_fleet(self) -> bool:
+        """Returns true."""
+        return True
+
+    def is_informed(self) -> bool:
+        """Returns true."""
+        return True
+
 
 class RelayHarness:
     """A relay with fake ports and scripted targets."""
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -30,6 +30,7 @@
     TargetSend,
 )
 from peridotbend.edge.relay import Relay
+from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.sharedstate import (
     FeedStatus,
     InstanceIdentity,
@@ -41,6 +42,7 @@
     CALL,
     CONFIG,
     SETTINGS,
+    TARGET,
     RecordingLog,
     RecordingMeter,
     RecordingResponder,
@@ -60,6 +62,8 @@
 # The platform removes the entry of a silent runner after this time.
 LEASE_MS = 3_600
 DIGEST_INTERVAL_MS = 50
+# Time after which an instance has what it missed while it was frozen or cut.
+NEWS_MS = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,6 +106,9 @@
         # Its answer to all requests, which is none of a run; None if it is
         # sound.
         self.foreign: ScriptedReply | None = None
+        # When it became cold, and until when it is.
+        self.cold_from_ms = 0
+        self.cold_until_ms = 0
         self.active = 0
 
     def crash(self) -> None:
@@ -226,6 +233,8 @@
         rng = fleet.rng
         self.host = host
         self.zone = zone
+        # Entries that arrive when the process goes on.
+        self.pending: list[EdgeTarget] = []
         self.log = RecordingLog()
         peers = PeerRegistry(host, fleet.clock, self.log, rng)
         for seed in seeds:
@@ -233,7 +242,7 @@
         directory = GroupDirectory(host, zone, peers, fleet.clock)
         status = FleetStatus(peers, directory)
         self.dependencies = make_dependencies(
-            dataclasses.replace(SETTINGS, peers=(host, 8_229)),
+            dataclasses.replace(fleet.settings, peers=(host, 8_229)),
             fleet.clock,
             _RunnerClient(fleet, host),
             status,
@@ -266,6 +275,16 @@
         self.exchange.on_legacy_peer = (
             self.dependencies.origins.note_legacy_peer
         )
+        self.status = status
+        status.reaches_store = lambda: host not in fleet.cut_hosts
+
+    def list_target(self, target: EdgeTarget) -> None:
+        """Applies the entry of a target."""
+        targets = self.dependencies.targets
+        previous = targets.find(target.name)
+        self.dependencies.cold.note_entry(target, previous)
+        targets.put(target)
+        self.dependencies.backlog.grant_slots(target.service)
 
     async def run(self) -> None:
         """Runs the tasks of the process."""
@@ -284,8 +303,10 @@
         runners: int = 5,
         config: EdgeConfig = CONFIG,
         seed: int = 1,
+        settings: EdgeSettings = SETTINGS,
     ) -> None:
         self.clock = ManualClock()
+        self.settings = settings
         self.config = config
         self.rng = random.Random(seed)
         self.runners: dict[str, Runner] = {}
@@ -303,6 +324,10 @@
         self.prepare_runner: Callable[[Runner], None] = lambda runner: None
         # Hosts that exchange no digests with the others.
         self.cut_hosts: set[str] = set()
+        # Slots in the entries of runners.
+        self.listed_slots = TARGET.slots
+        # Hosts whose process is suspended.
+        self.frozen_hosts: set[str] = set()
         # Hosts of an older build, which says nothing of software versions.
         self.older_hosts: set[str] = set()
         self._zones_by_host = {
@@ -353,9 +378,9 @@
         seeds = [seed for seed in self.hosts[:3] if seed != host]
         instance = RunnerInstance(self, host, zone, seeds)
         self.instances[host] = instance
-        for name, runner in self.runners.items():
+        for runner in self.runners.values():
             if not runner.is_down:
-                instance.dependencies.targets.put(make_target(name))
+                instance.list_target(self._make_entry(runner))
         scope = self._scopes[host] = anyio.CancelScope()
 
         async def run() -> None:
@@ -445,9 +470,52 @@
         name = f"i-{self._started}"
         self.runners[name] = Runner(name)
         self.prepare_runner(self.runners[name])
-        for instance in self.instances.values():
-            instance.dependencies.targets.put(make_target(name))
-            instance.dependencies.backlog.grant_slots("engine")
+        self._publish(self.runners[name])
+
+    def _make_entry(self, runner: Runner) -> EdgeTarget:
+        left_ms = max(0, runner.cold_until_ms - self.now_ms)
+        return dataclasses.replace(
+            make_target(runner.name),
+            slots=self.listed_slots,
+            cold_left_ms=left_ms,
+        )
+
+    def _publish(self, runner: Runner) -> None:
+        """Lists a runner at all instances that get news."""
+        entry = self._make_entry(runner)
+        for host, instance in self.instances.items():
+            if host in self.frozen_hosts | self.cut_hosts:
+                instance.pending.append(entry)
+            else:
+                instance.list_target(entry)
+
+    def make_cold(self, runner: Runner, left_ms: int) -> None:
+        """Makes a runner cold, which all instances that get news learn."""
+        runner.cold_from_ms = self.now_ms
+        runner.cold_until_ms = self.now_ms + left_ms
+        self._publish(runner)
+
+    def thaw(self, host: str) -> None:
+        """Lets a process go on; what it missed arrives a little later."""
+        self.frozen_hosts.discard(host)
+        self._bring_news(host)
+
+    def rejoin(self, host: str) -> None:
+        """Ends the cut of a host."""
+        self.cut_hosts.discard(host)
+        self._bring_news(host)
+
+    def _bring_news(self, host: str) -> None:
+        assert self._tasks is not None
+
+        async def run() -> None:
+            await anyio.sleep(NEWS_MS / 1_000)
+            instance = self.instances[host]
+            entries, instance.pending = instance.pending, []
+            for entry in entries:
+                instance.list_target(entry)
+
+        self._tasks.start_soon(run)
 
     async def _replace_runner(self, runner: Runner) -> None:
         await anyio.sleep(RESTART_MS / 1_000)
@@ -463,6 +531,8 @@
         while True:
             await anyio.sleep(DIGEST_INTERVAL_MS / 1_000)
             for sender in list(self.instances.values()):
+                if sender.host in self.frozen_hosts:
+                    continue
                 for outgoing in sender.exchange.collect():
                     data = encode_digest(outgoing.digest)
                     for index, host in enumerate(outgoing.hosts):
@@ -475,6 +545,8 @@
         receiver = self.instances.get(host)
         if receiver is None or self.cut_hosts & {sender, host}:
             return
+        if host in self.frozen_hosts:
+            return
         digest = decode_digest(data)
         assert digest is not None
         if sender in self.older_hosts:
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -11,6 +11,7 @@
 from peridotbend.domain.verdicts import NotRun, Reason
 from peridotbend.edge.backlog import Backlog, Slot
 from peridotbend.edge.brittle import BrittleTargets
+from peridotbend.edge.coldtargets import ColdTargets, FleetView
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
@@ -18,7 +19,7 @@
 from peridotbend.edge.selection import Selector, TargetCriteria
 from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import REMOVAL_GRACE_MS, EdgeTarget, TargetList
-from tests.edgefakes import STREAM_ROUTE, RecordingLog, make_target
+from tests.edgefakes import SETTINGS, STREAM_ROUTE, RecordingLog, make_target
 
 CRITERIA = TargetCriteria("engine", True, (0, 1))
 # Its requests wait for a slot for more than a second.
@@ -37,12 +38,19 @@
         self.health = TargetHealth(self.clock)
         rate_limits = RateLimits(self.clock, RecordingLog(), "10.0.0.1", list)
         brittle = BrittleTargets(self.clock, RecordingLog(), "10.0.0.1", list)
+        self.cold = ColdTargets(
+            self.clock,
+            RecordingLog(),
+            SETTINGS,
+            FleetView(list, lambda: True, lambda: True),
+        )
         self.selector = Selector(
             "zone-a",
             self.occupancy,
             self.health,
             rate_limits,
             brittle,
+            self.cold,
             TargetPauses(self.clock),
         )
         self.backlog = Backlog(
@@ -51,6 +59,7 @@
             self.occupancy,
             rate_limits,
             brittle,
+            self.cold,
             self.selector,
             random.Random(1),
         )
