Measure the choice of a target, and rank hosts for it faster

The first choice after 2,533 targets became cold took 265 ms, as 720 hosts were ranked for some hundred of them. The place of this instance is now counted from weights alone, without sorting.

--- a/src/peridotbend/domain/rendezvous.py
+++ b/src/peridotbend/domain/rendezvous.py
@@ -7,6 +7,10 @@
 import xxhash
 
 T = TypeVar("T")
+# 2 to the number of bits in a weight.
+_WEIGHT_RANGE = 2.0**64
+# In standard deviations. An estimate of a place is hardly ever off by more.
+_MAX_PLACE_ERROR = 6.0
 
 
 def rank(
@@ -17,20 +21,35 @@
     Every process that knows the same names computes the same order. Adding or
     removing a name does not change the order of the others.
     """
+    prefix = _make_prefix(key)
 
-    def weigh_item(item: T) -> tuple[int, str]:
+    def weigh(item: T) -> tuple[int, str]:
         label = get_name(item)
-        return weigh(key, label), label
+        return xxhash.xxh3_64_intdigest(prefix + label.encode()), label
 
-    return sorted(items, key=weigh_item, reverse=True)
+    return sorted(items, key=weigh, reverse=True)
 
 
-def weigh(key: bytes, name: str) -> int:
-    """Returns the weight of a name for a key, a number of 64 bits."""
-    # The length prefix tells apart (key, name) pairs whose concatenations are
-    # equal.
-    prefix = len(key).to_bytes(4, "big") + key
-    return xxhash.xxh3_64_intdigest(prefix + name.encode())
+def find_place(
+    key: bytes, name: bytes, others: Sequence[bytes], last: int
+) -> int:
+    """Returns how many of the others precede a name in the order for a key.
+
+    Where the weight of the name alone shows that it is far behind the place
+    `last`, the result is their number.
+    """
+    prefix = _make_prefix(key)
+    weigh = xxhash.xxh3_64_intdigest
+    own = weigh(prefix + name)
+    expected = (1 - own / _WEIGHT_RANGE) * len(others)
+    if expected - _MAX_PLACE_ERROR * math.sqrt(max(1.0, expected)) > last:
+        return len(others)
+    return sum(weigh(prefix + other) > own for other in others)
+
+
+def _make_prefix(key: bytes) -> bytes:
+    # The length tells apart (key, name) pairs whose concatenations are equal.
+    return len(key).to_bytes(4, "big") + key
 
 
 def choose_weighted(key: str, entries: Sequence[tuple[str, float]]) -> str:
--- a/src/peridotbend/edge/coldtargets.py
+++ b/src/peridotbend/edge/coldtargets.py
@@ -154,6 +154,10 @@
 
     def has_room(self, target: EdgeTarget) -> bool:
         """Tells whether this instance may send a request to a target now."""
+        if not self._bounds:
+            return True
+        if target.name not in self._cold and self._is_informed():
+            return True
         bound = self._find_bound(target)
         if bound is None:
             return True
--- a/src/peridotbend/edge/rateshares.py
+++ b/src/peridotbend/edge/rateshares.py
@@ -6,22 +6,15 @@
 """
 
 import dataclasses
-import math
 from collections.abc import Callable, Iterable
 
 from peridotbend.domain.clock import Clock
-from peridotbend.domain.rendezvous import rank, weigh
+from peridotbend.domain.rendezvous import find_place
 
 # Interval at which the other instances are listed again.
 HOSTS_INTERVAL_MS = 500
-# The place of an instance is first estimated from its weight alone, as ranking
-# all hosts takes far longer. One that is estimated to be this many standard
-# deviations behind the last sender is none: an error would only lose its part.
-MAX_PLACE_ERROR = 6.0
 # Bounds memory: a target that nobody asked about for this time is forgotten.
 UNUSED_MS = 60_000
-# 2 to the number of bits in a weight.
-WEIGHT_RANGE = 2.0**64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,12 +59,13 @@
             divide: divides the rate of a target among a number of instances.
         """
         self._clock = clock
-        self._own_host = own_host
+        self._own_host = own_host.encode()
         self._list_other_hosts = list_other_hosts
         self._divide = divide
         # By the hash of the target's run.
         self._shares: dict[int, _Share] = {}
-        self._hosts: list[str] = []
+        # The names of the other instances.
+        self._hosts: list[bytes] = []
         self._hosts_version = 0
         self._hosts_listed_at_ms = 0
         self._pruned_at_ms = clock.now_ms()
@@ -83,9 +77,9 @@
             target: the hash of the target's run.
             whole: the rate or bound of the target, over all instances.
         """
-        share = self._shares.get(target)
         now_ms = self._clock.now_ms()
         self._refresh_hosts(now_ms)
+        share = self._shares.get(target)
         if share is None:
             share = self._shares[target] = _Share(whole, 0.0, now_ms)
             place, division = self._find_part(target, share)
@@ -118,12 +112,12 @@
 
     def _refresh_hosts(self, now_ms: int) -> None:
         is_recent = now_ms - self._hosts_listed_at_ms < HOSTS_INTERVAL_MS
-        if self._hosts and is_recent:
+        if self._hosts_version and is_recent:
             return
         self._hosts_listed_at_ms = now_ms
         self._prune(now_ms)
-        hosts = [self._own_host, *sorted(self._list_other_hosts())]
-        if hosts != self._hosts:
+        hosts = sorted(host.encode() for host in self._list_other_hosts())
+        if hosts != self._hosts or not self._hosts_version:
             self._hosts = hosts
             self._hosts_version += 1
 
@@ -139,22 +133,11 @@
         }
 
     def _find_part(self, target: int, share: _Share) -> tuple[int, Division]:
-        division = self._divide(share.whole, len(self._hosts))
-        place = self._find_place(target, division.senders)
+        division = self._divide(share.whole, 1 + len(self._hosts))
+        key = target.to_bytes(8, "big")
+        place = find_place(key, self._own_host, self._hosts, division.senders)
         share.part_per_s = 0.0
         if place < division.senders:
             share.part_per_s = division.part_per_s
         share.hosts_version = self._hosts_version
         return place, division
-
-    def _find_place(self, target: int, senders: int) -> int:
-        """Returns the place of this instance; inexact far behind the last."""
-        key = target.to_bytes(8, "big")
-        count = len(self._hosts)
-        weight = weigh(key, self._own_host)
-        estimate = (1 - weight / WEIGHT_RANGE) * count
-        margin = MAX_PLACE_ERROR * math.sqrt(max(1.0, estimate))
-        if estimate - margin > senders:
-            return count
-        ranked = rank(key, self._hosts, lambda host: host)
-        return ranked.index(self._own_host)
--- a/src/peridotbend_emulator/cost.py
+++ b/src/peridotbend_emulator/cost.py
@@ -28,6 +28,7 @@
     run_callers,
     start_fleet,
 )
+from peridotbend_emulator.costselection import measure_selection
 from peridotbend_emulator.costtraffic import (
     EVENT_GAP_MS,
     EVENTS_PER_STREAM,
@@ -50,6 +51,7 @@
     "tables": measure_tables,
     "text": measure_text,
     "roles": measure_roles,
+    "selection": measure_selection,
 }
 
 
--- a/tests/edgestandins.py
+++ b/tests/edgestandins.py
@@ -143,6 +143,8 @@
         self.started_attempts: list[str] = []
         # The names of the targets that they were meant for.
         self.started_names: list[str] = []
+        # When they arrived, on the clock of the event loop.
+        self.started_at_s: list[float] = []
         # Whether it stands for several targets at one address.
         self.accepts_any_name = False
         # Further headers of all answers.
@@ -169,6 +171,7 @@
         attempt = headers[wire.ATTEMPT_ID]
         self.started_attempts.append(attempt)
         self.started_names.append(headers[wire.EXPECT_INSTANCE])
+        self.started_at_s.append(anyio.current_time())
         answer_headers = (
             (wire.ATTEMPT_ID, attempt),
             (wire.SERVER_STAMP, self.name),
--- a/tests/test_edge_cold.py
+++ b/tests/test_edge_cold.py
@@ -8,6 +8,7 @@
 
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
+from peridotbend.domain.rendezvous import find_place, rank
 from peridotbend.edge.coldtargets import (
     MIN_DIVISOR,
     PERMIT_MS,
@@ -374,3 +375,19 @@
                 assert len(set(status.list_possible_hosts())) == 7
 
         fleet.run(script)
+
+
+class PlaceTest(unittest.TestCase):
+    """The place of a host among others."""
+
+    def test_place_is_that_in_the_ranking(self) -> None:
+        """Guards against two hosts that take the same place."""
+        hosts = [f"10.0.{n // 250}.{n % 250}" for n in range(195)]
+        for number in range(50):
+            key = number.to_bytes(8, "big")
+            ranked = rank(key, hosts, lambda host: host)
+            for place, host in enumerate(ranked):
+                others = [h.encode() for h in hosts if h != host]
+                found = find_place(key, host.encode(), others, 20)
+                # Far behind the last sender, the place is not needed.
+                assert found == place or (found == 194 and place > 40)
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -17,8 +17,10 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason, Verdict
 from peridotbend.edge.config import RouteKind
+from peridotbend.edge.targets import EdgeTarget
 from peridotbend.platform import wire
 from peridotbend.platform.documents import (
+    MAX_COLD_MS,
     MAX_ORDER,
     decode_config,
     decode_prompt_parts,
@@ -117,6 +119,11 @@
     return json.dumps(document).encode()
 
 
+def _decode_cold(value: object) -> EdgeTarget:
+    entry = {**TARGET_ENTRY, "cold_left_ms": value}
+    return decode_target("i-1", encode_document(entry)).unwrap()
+
+
 class SettingsFileTest(unittest.TestCase):
     """Parsing of the settings file."""
 
@@ -127,6 +134,14 @@
         assert settings.seeds[1] == ("10.2.0.17", 8_229)
         assert settings.grace_ms == 8_000
         assert settings.resend_share == 0.2
+        assert settings.cold_overage is None
+
+    def test_bounds_of_cold_targets_are_read(self) -> None:
+        """Guards against a bound that the settings name in vain."""
+        bounds = {"grace_s": 8, "cold_overage": 1.5, "cold_slack": 5}
+        document = {**SETTINGS_DOCUMENT, "bounds": bounds}
+        settings = parse_settings(yaml.safe_dump(document)).unwrap()
+        assert (settings.cold_overage, settings.cold_slack) == (1.5, 5.0)
 
     def test_problem_names_the_field(self) -> None:
         """Guards against an error that does not name the wrong field."""
@@ -135,6 +150,8 @@
             ("internal_ports", [7600], "internal_ports"),
             ("listen", {"frontend": "nowhere"}, "frontend"),
             ("bounds", {"grace_s": "long"}, "bounds.grace_s"),
+            ("bounds", {"cold_overage": "much"}, "bounds.cold_overage"),
+            ("bounds", {"cold_slack": -1}, "bounds.cold_slack"),
         ):
             document = {**SETTINGS_DOCUMENT, field: value}
             problem = parse_settings(yaml.safe_dump(document)).unwrap_err()
@@ -148,6 +165,17 @@
 class ConfigDocumentTest(unittest.TestCase):
     """Decoding of the configuration in the store."""
 
+    def test_rate_of_cold_targets_is_read(self) -> None:
+        """Guards against a bound that the configuration names in vain."""
+        services = [
+            {"name": "engine", "cold_per_s": 12.5},
+            {"name": "shop", "cold_per_s": 0},
+            {"name": "other"},
+        ]
+        body = encode_document({**CONFIG_DOCUMENT, "services": services})
+        config = decode_config(body).unwrap()
+        assert [s.cold_per_s for s in config.services] == [12.5, 0.0, None]
+
     def test_longest_prefix_decides(self) -> None:
         """Guards against requests routed by a shorter prefix."""
         config = decode_config(encode_document(CONFIG_DOCUMENT)).unwrap()
@@ -178,6 +206,10 @@
             ({"routes": [{**ROUTE_DOCUMENT, "route_kind": "x"}]}, "route_kind"),
             ({"routes": None}, "routes"),
             ({"limits": []}, "limits"),
+            (
+                {"services": [{"name": "engine", "cold_per_s": "few"}]},
+                "services[0].cold_per_s",
+            ),
         ):
             result = decode_config(
                 encode_document({**CONFIG_DOCUMENT, **change})
@@ -248,6 +280,19 @@
             assert isinstance(decode_target("i-1", body), Err)
             assert read_target_order(body) == (0, 0)
 
+    def test_cold_time_is_read(self) -> None:
+        """Guards against a cold target that gets its usual load."""
+        for value, left_ms in ((0, 0), (2_999, 2_999), (0.5, 1), (None, None)):
+            target = _decode_cold(value)
+            assert (target.cold_left_ms, target.cold_problem) == (left_ms, "")
+
+    def test_odd_cold_time_tells_nothing(self) -> None:
+        """Guards against an odd number that ends the use of a target."""
+        for value in (-1, "long", True, [], {}, MAX_COLD_MS + 1, 10**400):
+            target = _decode_cold(value)
+            assert target.cold_left_ms is None, value
+            assert "cold_left_ms" in target.cold_problem, value
+
     def test_name_that_no_header_can_hold_names_no_target(self) -> None:
         """Guards against an entry that fails each request sent to it."""
         body = encode_document(TARGET_ENTRY)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -217,6 +217,22 @@
         "return Division(senders, rate_per_s)",
         ("test_edge_limits",),
     ),
+    Mutant(
+        "cold-targets-not-bounded",
+        "FAILBACK",
+        EDGE + "coldtargets.py",
+        "bound = self._bounds.get(target.service) if self._bounds else None",
+        "bound = None",
+        ("test_edge_cold",),
+    ),
+    Mutant(
+        "cold-bound-not-divided",
+        "FAILBACK",
+        EDGE + "coldtargets.py",
+        "each = max(1, permits // max(hosts, MIN_DIVISOR))",
+        "each = permits",
+        ("test_edge_cold",),
+    ),
     Mutant(
         "prompt-parts-not-suspected",
         "BUDGET",
