Take a target that has ended for cold

A target that starts again under its name is cold before its new entry is known. Until then it got the load of all instances. One that refuses a connect now counts as cold for cold_start_s of its service from then on, or until its entry says otherwise. A broken or silent connection does not count: it does not show that the process has ended.

--- a/src/peridotbend/edge/coldtargets.py
+++ b/src/peridotbend/edge/coldtargets.py
@@ -79,6 +79,8 @@
         self._fleet = fleet
         self._settings = settings
         self._services: tuple[Service, ...] = ()
+        # How long targets stay cold after their start, by service.
+        self._start_times_ms: dict[str, int] = {}
         # By the name of the service; empty if nothing is bounded.
         self._bounds: dict[str, float] = {}
         self._informed_at_ms: int | None = None
@@ -100,6 +102,9 @@
     def apply_services(self, services: tuple[Service, ...]) -> None:
         """Applies the services of a new configuration."""
         self._services = services
+        self._start_times_ms = {
+            service.name: service.cold_start_ms for service in services
+        }
         self._find_bounds()
 
     def note_entry(
@@ -130,13 +135,7 @@
         if known is not None and known.started_at_ms == target.started_at_ms:
             quiet_until_ms = known.quiet_until_ms
         else:
-            self._log.emit(
-                Event.TARGET_COLD,
-                target=target.name,
-                service=target.service,
-                left_ms=target.cold_left_ms,
-                bound=self._bounds.get(target.service),
-            )
+            self._log_cold(target, target.cold_left_ms)
             if is_same_run:
                 quiet_until_ms += WINDOW_MS
         self._cold[target.name] = _ColdTime(
@@ -145,6 +144,23 @@
             quiet_until_ms,
         )
 
+    def note_ended(self, target: EdgeTarget) -> None:
+        """Records that nothing listens at the address of a target.
+
+        If it starts again under its name, it is cold before its entry says so.
+        """
+        start_ms = self._start_times_ms.get(target.service, 0)
+        if not start_ms:
+            return
+        now_ms = self._clock.now_ms()
+        known = self._find(target)
+        if known is None:
+            self._log_cold(target, start_ms)
+            known = _ColdTime(target.started_at_ms, now_ms, now_ms)
+        self._cold[target.name] = dataclasses.replace(
+            known, until_ms=max(known.until_ms, now_ms + start_ms)
+        )
+
     def note_removed(self, name: str) -> None:
         """Records that a target is not listed.
 
@@ -254,6 +270,15 @@
         del self._cold[name]
         self._log.emit(Event.TARGET_WARM, target=name)
 
+    def _log_cold(self, target: EdgeTarget, left_ms: int) -> None:
+        self._log.emit(
+            Event.TARGET_COLD,
+            target=target.name,
+            service=target.service,
+            left_ms=left_ms,
+            bound=self._bounds.get(target.service),
+        )
+
     def _log_problem(self, target: EdgeTarget) -> None:
         problem = target.cold_problem
         if problem and self._problems.get(target.name) != problem:
--- a/src/peridotbend/edge/config.py
+++ b/src/peridotbend/edge/config.py
@@ -89,6 +89,8 @@
     name: str
     # Requests a second that a cold target takes; None if not bounded.
     cold_per_s: float | None = None
+    # How long a target stays cold after its start.
+    cold_start_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -254,6 +254,7 @@
             request.allow_silent_targets()
         if error.failure is CallFailure.REFUSED:
             self._dependencies.crashes.note_target_dead(target)
+            self._dependencies.cold.note_ended(target)
         self._dependencies.meter.count_send(error.failure.value)
         self._report.log(
             Event.TARGET_CALL_FAILED,
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -350,7 +350,7 @@
         )
         add_gauge(
             "cold_targets",
-            "Targets that say that they are cold.",
+            "Targets that say that they are cold, or have ended.",
             self._dependencies.cold.count,
         )
         add_gauge(
--- a/tests/test_edge_cold.py
+++ b/tests/test_edge_cold.py
@@ -126,17 +126,19 @@
                 rng = random.Random(2)
 
                 def prepare(runner: Runner) -> None:
-                    runner.cold_until_ms = 7_000
+                    runner.cold_until_ms = 9_500
 
                 fleet.prepare_runner = prepare
 
                 async def script(
                     fleet: RunnerFleet = fleet, rng: random.Random = rng
                 ) -> None:
-                    await send_for(fleet, rng, 6_000, 400.0)
+                    await send_for(fleet, rng, 8_000, 400.0)
 
                 fleet.run(script)
                 self._check(fleet)
+                # Instances that know the others by then do send.
+                assert fleet.arrivals
 
     def test_bound_holds_while_instances_are_in_trouble(self) -> None:
         """Guards against instances that miss who else sends, or the news."""
@@ -313,6 +315,17 @@
         self.cold.note_entry(self.target, None)
         assert self._count_sends(STEP_MS) == 1_000
 
+    def test_target_that_ended_is_cold_before_its_entry_says_so(self) -> None:
+        """Guards against the load of all on a target that is back."""
+        self.cold.apply_services((Service("engine", COLD_PER_S, 3_000),))
+        self.cold.note_ended(TARGET)
+        assert self._count_sends(1_000) <= 2
+        self.cold.note_ended(TARGET)
+        assert self._count_sends(2_900) <= 5
+        self.clock.advance(100)
+        assert self._count_sends(STEP_MS) == 1_000
+        assert self.log.count(Event.TARGET_COLD) == 1
+
     def test_changed_settings_apply(self) -> None:
         """Guards against bounds of the settings as of the start."""
         self.cold.note_entry(self.target, None)
--- a/tests/test_edge_platform.py
+++ b/tests/test_edge_platform.py
@@ -168,13 +168,14 @@
     def test_rate_of_cold_targets_is_read(self) -> None:
         """Guards against a bound that the configuration names in vain."""
         services = [
-            {"name": "engine", "cold_per_s": 12.5},
+            {"name": "engine", "cold_per_s": 12.5, "cold_start_s": 2.5},
             {"name": "shop", "cold_per_s": 0},
             {"name": "other"},
         ]
         body = encode_document({**CONFIG_DOCUMENT, "services": services})
         config = decode_config(body).unwrap()
         assert [s.cold_per_s for s in config.services] == [12.5, 0.0, None]
+        assert [s.cold_start_ms for s in config.services] == [2_500, 0, 0]
 
     def test_longest_prefix_decides(self) -> None:
         """Guards against requests routed by a shorter prefix."""
