--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -77,6 +77,8 @@
                 return False
             if self._clock.now_ms() >= request.deadline_at_ms:
                 return False
+            if not self._dependencies.cold.may_write(target, slot.permit):
+                return False
             request.may_have_run = True
             request.sends += 1
             request.has_paid = False
@@ -252,6 +254,7 @@
             request.allow_silent_targets()
         if error.failure is CallFailure.REFUSED:
             self._dependencies.crashes.note_target_dead(target)
+            self._dependencies.cold.note_ended(target)
         self._dependencies.meter.count_send(error.failure.value)
         self._report.log(
             Event.TARGET_CALL_FAILED,
