--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -13,7 +13,6 @@
     StreamEvent,
     check_route,
     make_body,
-    make_run_name,
 )
 from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.messages import (
@@ -45,20 +44,6 @@
 PEER_RESET_SHARE = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Subject:
-    """What a request asks for; its path says it, as /ROUTE/SERIAL/SIZE/PAD."""
-
-    size: int
-    padding: int
-
-
-def parse_subject(path: str) -> Subject:
-    """Returns what a path asks for."""
-    _, _, size, padding = path.strip("/").split("/")
-    return Subject(int(size), int(padding))
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class BreakPlan:
     """The events at which the faults of a stream strike; 0 for never."""
@@ -68,125 +53,116 @@
     garble: int = 0
 
 
+@dataclasses.dataclass
 class SoakBehaviour:
     """Answers streams and calls, and notes each run."""
 
-    def __init__(
-        self,
-        make_choices: Callable[[str], Choices],
-        ledger: RunLedger,
-        record: Record,
-    ):
-        self._make_choices = make_choices
-        self._ledger = ledger
-        self._record = record
-        # How often each attempt has arrived, since all sends differ.
+    make_choices: Callable[[str], Choices]
+    ledger: RunLedger
+    record: Record
+
+    def __post_init__(self) -> None:
+        """Begins without runs."""
+        # How often each attempt or question has arrived, since all differ.
         self._arrivals: collections.Counter[str] = collections.Counter()
-        self._reports: collections.Counter[str] = collections.Counter()
 
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Answers; tells whether the connection may be used again."""
         attempt = request.get(wire.ATTEMPT_ID)
         arrival = self._arrivals[attempt]
-        choices = self._make_choices(f"run/{attempt}/{arrival}")
+        choices = self.make_choices(f"run/{attempt}/{arrival}")
         self._arrivals[attempt] += 1
         if choices.draw_fault("reject"):
             name = connection.process.start.name
-            self._record.note_fault(f"reject at {name} of {attempt}")
+            self.record.note_fault(f"reject at {name} of {attempt}")
             await connection.send(make_rejection(request))
             return True
-        for finding in (
-            *self._ledger.note_run(request.target, attempt),
-            *check_route(request.target, connection.process.service),
-        ):
-            self._record.add_finding(finding)
+        path, service = request.target, connection.process.service
+        self.record.add_findings(self.ledger.note_run(path, attempt))
+        self.record.add_findings(check_route(path, service))
         start = connection.process.start
-        self._record.write(
+        self.record.write(
             f"RUN {start.name} {start.software} {attempt} {request.target}"
             f" after {request.get(wire.LAST_EVENT_ID) or 0}"
         )
         run = _Run(
-            connection, request, choices, self._record, self._ledger, arrival
+            connection, request, choices, self.record, self.ledger, arrival
         )
         is_kept = await run.answer()
         if is_kept and choices.draw_fault("length-close"):
-            self._record.note_fault(f"length-close after run {attempt}")
+            self.record.note_fault(f"length-close after run {attempt}")
             return False
         return is_kept
 
-    def report(self, start: Start, active: int) -> tuple[int, bytes]:
+    def describe(
+        self, start: Start, active: int, call: str
+    ) -> tuple[int, bytes]:
         """Returns the status and body with which a start tells of itself."""
-        choices = self._make_choices(
-            f"report/{start.name}/{self._reports[start.name]}"
-        )
-        self._reports[start.name] += 1
+        subject = f"{start.name}{call}"
+        choices = self.make_choices(f"{subject}/{self._arrivals[subject]}")
+        self._arrivals[subject] += 1
+        born_ms = start.started_at_ms
         if choices.plan.has("mute"):
             return 404, b""
-        born_ms = start.started_at_ms
+        if call == wire.PARTS_CALL:
+            return 200, json.dumps(make_part_list(born_ms)).encode()
         if choices.draw_fault("bad-report"):
             body = choices.rng.choice(list_bad_reports(born_ms))
-            self._record.note_fault(f"bad-report at {start.name}: {body!r}")
+            self.record.note_fault(f"bad-report at {start.name}: {body!r}")
             return 200, body
         return 200, json.dumps(make_report(born_ms, 0, active)).encode()
 
-    def list_parts(self, start: Start) -> tuple[int, bytes]:
-        """Returns the same of the list of prompt parts that it keeps."""
-        if self._make_choices("parts").plan.has("mute"):
-            return 404, b""
-        return 200, json.dumps(make_part_list(start.started_at_ms)).encode()
-
 
+@dataclasses.dataclass
 class _Run:
     """One run of a request."""
 
-    def __init__(
-        self,
-        connection: Connection,
-        request: Request,
-        choices: Choices,
-        record: Record,
-        ledger: RunLedger,
-        arrival: int,
-    ):
-        self._ledger = ledger
-        self._connection = connection
-        self._request = request
-        self._choices = choices
-        self._record = record
-        self._attempt = request.get(wire.ATTEMPT_ID)
-        self._subject = parse_subject(request.target)
-        self._last = int(request.get(wire.LAST_EVENT_ID) or 0)
-        self._name = make_run_name(self._attempt, arrival, self._last)
-        self._is_unframed = choices.draw_fault("unframed")
+    connection: Connection
+    request: Request
+    choices: Choices
+    record: Record
+    ledger: RunLedger
+    # How often the attempt had arrived before.
+    arrival: int
+
+    def __post_init__(self) -> None:
+        """Reads the request."""
+        self._attempt = self.request.get(wire.ATTEMPT_ID)
+        # The path says what to send, as /ROUTE/SERIAL/SIZE/PADDING.
+        *_, size, padding = self.request.target.split("/")
+        self._size, self._padding = int(size), int(padding)
+        self._last = int(self.request.get(wire.LAST_EVENT_ID) or 0)
+        self._name = f"{self._attempt}.{self.arrival}+{self._last}"
+        self._is_unframed = self.choices.draw_fault("unframed")
         if self._is_unframed:
             self._note("unframed")
 
     async def answer(self) -> bool:
         """Answers; tells whether the connection may be used again."""
-        await asyncio.sleep(self._choices.rng.uniform(0.005, 0.1))
-        if self._choices.draw_fault("silence"):
+        await asyncio.sleep(self.choices.rng.uniform(0.005, 0.1))
+        if self.choices.draw_fault("silence"):
             self._note("silence")
-            await asyncio.sleep(self._choices.rng.uniform(*SILENCE_S))
-        if self._request.get(wire.TOKEN_COUNT):
+            await asyncio.sleep(self.choices.rng.uniform(*SILENCE_S))
+        if self.request.get(wire.TOKEN_COUNT):
             is_whole = await self._send_stream()
         else:
             is_whole = await self._send_body()
         if not is_whole or self._is_unframed:
             return False
-        if self._choices.draw_fault("extra"):
+        if self.choices.draw_fault("extra"):
             await self._send_extra_answer()
         return True
 
     def _note(self, text: str) -> None:
-        name = self._connection.process.start.name
-        self._record.note_fault(f"{text} at {name} in run {self._attempt}")
+        name = self.connection.process.start.name
+        self.record.note_fault(f"{text} at {name} in run {self._attempt}")
 
     def _note_break(self, text: str) -> None:
-        self._ledger.note_break(self._attempt)
+        self.ledger.note_break(self._attempt)
         self._note(text)
 
     def _list_headers(self, status: int) -> Sequence[tuple[str, str]]:
-        name = self._connection.process.start.name
+        name = self.connection.process.start.name
         stamp = Stamp(name, self._attempt, status).encode()
         return (
             (wire.ATTEMPT_ID, self._attempt),
@@ -195,7 +171,7 @@
         )
 
     async def _put(self, data: bytes) -> None:
-        await self._connection.send(
+        await self.connection.send(
             data if self._is_unframed else make_chunk(data)
         )
 
@@ -208,22 +184,22 @@
             *self._list_headers(200),
             framing,
         )
-        await self._connection.send(make_head("HTTP/1.1 200 OK", headers))
+        await self.connection.send(make_head("HTTP/1.1 200 OK", headers))
 
     async def _send_stream(self) -> bool:
-        rng = self._choices.rng
+        rng = self.choices.rng
         last = self._last
         plan = self._plan_breaks(last)
         gap_s = rng.choice((0.0, 0.005, 0.03, 0.1))
         await self._send_head("text/event-stream")
-        for number in range(last + 1, self._subject.size + 1):
+        for number in range(last + 1, self._size + 1):
             data = self._make_event(number)
             if number == plan.stop:
                 await self._stop_inside(data)
                 return False
             if number == plan.reset:
                 self._note_break(f"reset before event {number}")
-                self._connection.reset()
+                self.connection.reset()
                 return False
             if number == plan.garble:
                 self._note_break(f"foreign bytes before event {number}")
@@ -231,17 +207,17 @@
             await self._put(data)
             # Drawn in any case, so that other choices stay the same.
             is_pausing = rng.random() < EVENT_SILENCE_SHARE
-            if is_pausing and self._choices.plan.has("silence"):
+            if is_pausing and self.choices.plan.has("silence"):
                 self._note(f"silence after event {number}")
                 await asyncio.sleep(rng.uniform(*SILENCE_S))
             await asyncio.sleep(gap_s)
         if not self._is_unframed:
-            await self._connection.send(make_chunk(b""))
+            await self.connection.send(make_chunk(b""))
         return True
 
     def _plan_breaks(self, last: int) -> BreakPlan:
         """Chooses where faults strike, also if there is no event left."""
-        choices, size = self._choices, self._subject.size
+        choices, size = self.choices, self._size
         struck = [
             choices.draw_fault(name) for name in ("break", "reset", "garble")
         ]
@@ -259,45 +235,45 @@
 
     def _make_event(self, number: int) -> bytes:
         event = StreamEvent(
-            self._request.target,
-            self._connection.process.start.software,
+            self.request.target,
+            self.connection.process.start.software,
             self._name,
-            "." * self._subject.padding,
+            "." * self._padding,
             number,
         )
         data = event.encode()
-        if self._choices.draw_fault("weights"):
+        if self.choices.draw_fault("weights"):
             self._note(f"weights in event {number}")
-            version = self._choices.rng.randint(1, 9)
+            version = self.choices.rng.randint(1, 9)
             data = f"{wire.WEIGHT_VERSIONS}: {version}\n".encode() + data
         return data
 
     async def _stop_inside(self, data: bytes) -> None:
         """Breaks off inside an event or a body."""
-        size = self._choices.rng.randint(1, len(data) - 1)
-        is_reset = self._choices.rng.random() < 0.5
+        size = self.choices.rng.randint(1, len(data) - 1)
+        is_reset = self.choices.rng.random() < 0.5
         self._note_break(f"break inside, {'reset' if is_reset else 'closed'},")
         await self._put(data[:size])
         if is_reset:
-            self._connection.reset()
+            self.connection.reset()
 
     async def _send_body(self) -> bool:
-        rng = self._choices.rng
-        path, size = self._request.target, self._subject.size
-        has_failed = self._choices.draw_fault("fail")
-        is_reset, is_broken = self._choices.draw_fault(
+        rng = self.choices.rng
+        path, size = self.request.target, self._size
+        has_failed = self.choices.draw_fault("fail")
+        is_reset, is_broken = self.choices.draw_fault(
             "reset"
-        ), self._choices.draw_fault("break")
+        ), self.choices.draw_fault("break")
         has_length = rng.random() < 0.5
         body = make_body(path, self._attempt, size)
         if has_failed:
             self._note("status 500")
             headers = self._list_headers(500)
-            await self._connection.send(make_answer(500, b"failed", headers))
+            await self.connection.send(make_answer(500, b"failed", headers))
             return True
         if is_reset:
             self._note_break("reset without an answer")
-            self._connection.reset()
+            self.connection.reset()
             return False
         if has_length and not self._is_unframed:
             headers = self._list_headers(200)
@@ -305,7 +281,7 @@
             if is_broken:
                 self._note_break("break inside a body with a length")
                 data = data[:-1]
-            await self._connection.send(data)
+            await self.connection.send(data)
             return not is_broken
         await self._send_head("application/octet-stream")
         parts = max(1, len(body) // BODY_PART_BYTES)
@@ -314,23 +290,23 @@
             if is_broken:
                 # Without a length, only a reset tells that this isn't all.
                 self._note_break("break inside a body")
-                self._connection.reset()
+                self.connection.reset()
                 return False
             await asyncio.sleep(rng.uniform(0, MAX_CALL_S / parts))
         if not self._is_unframed:
-            await self._connection.send(make_chunk(b""))
+            await self.connection.send(make_chunk(b""))
         return True
 
     async def _send_extra_answer(self) -> None:
-        if self._choices.rng.random() < 0.5:
-            await asyncio.sleep(self._choices.rng.uniform(0, 0.05))
+        if self.choices.rng.random() < 0.5:
+            await asyncio.sleep(self.choices.rng.uniform(0, 0.05))
         self._note("an extra answer")
         event = StreamEvent("/none/0/0/0", "none", "none", "", 1).encode()
         headers = (
             ("Content-Type", "text/event-stream"),
             *self._list_headers(200),
         )
-        await self._connection.send(make_answer(200, event, headers))
+        await self.connection.send(make_answer(200, event, headers))
 
 
 def _list_foreign(number: int) -> Iterator[bytes]:
--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -263,8 +263,7 @@
 
     def _check_times(self, attempt: Attempt) -> None:
         context, answer = self._context, attempt.answer
-        for finding in check_stop(attempt, context.touch):
-            context.record.add_finding(finding)
+        context.record.add_findings(check_stop(attempt, context.touch))
         if context.touch.is_in_touch(attempt.instance, attempt.sent_at_ms):
             is_own = not answer.get(wire.SERVER_STAMP)
             context.late.note(attempt, is_own and answer.status in PROMISES)
@@ -276,8 +275,7 @@
         job, context = self._job, self._context
         kept = context.pool.pop(instance.index) if may_reuse else None
         if kept is not None:
-            for finding in check_unasked(job.path, kept.unread):
-                context.record.add_finding(finding)
+            context.record.add_findings(check_unasked(job.path, kept.unread))
             if kept.is_idle:
                 return kept
             kept.close()
@@ -308,8 +306,7 @@
         """Checks the events of a stream as they arrive."""
         if not self._job.is_stream or not 200 <= reader.status < 300:
             return
-        for finding in self._check.take(data):
-            self._context.record.add_finding(finding)
+        self._context.record.add_findings(self._check.take(data))
         if self._check.held and not self._first_attempt:
             self._first_attempt = attempt
 
@@ -327,11 +324,11 @@
             findings += check_head(job.path, attempt, answer)
             if 200 <= answer.status < 300 and answer.is_complete:
                 findings += self._check.end_answer()
-        for finding in findings:
-            context.record.add_finding(finding)
+        context.record.add_findings(findings)
 
     def _report(self, rule: Rule, detail: str) -> None:
-        self._context.record.add_finding(Finding(rule, self._job.path, detail))
+        finding = Finding(rule, self._job.path, detail)
+        self._context.record.add_findings([finding])
 
     def _make_head(self, attempt: str, left_s: float) -> bytes:
         job = self._job
--- a/src/peridotbend_emulator/soak/channels.py
+++ b/src/peridotbend_emulator/soak/channels.py
@@ -1,6 +1,7 @@
 """Connections of callers, which tell an orderly end from a reset."""
 
 import asyncio
+import contextlib
 import dataclasses
 import socket
 from collections.abc import Callable
@@ -135,6 +136,22 @@
     return channel
 
 
+async def ask_status(
+    address: tuple[str, int], request: bytes, timeout_s: float
+) -> int:
+    """Sends a request on a connection of its own; returns 0 if it fails."""
+    reader = AnswerReader(lambda data: None)
+    with contextlib.suppress(
+        OSError, TimeoutError, ChannelEndedError, BadAnswerError
+    ):
+        async with asyncio.timeout(timeout_s):
+            channel = await open_channel(address, is_slow=False)
+            with contextlib.closing(channel):
+                channel.write(request)
+                await reader.read(channel)
+    return reader.status
+
+
 @dataclasses.dataclass(slots=True)
 class AnswerReader:
     """Reads one answer; what was read so far stays if it is cut off."""
@@ -153,9 +170,8 @@
         """
         first, self.headers = parse_head(await channel.read_until(HEAD_END))
         words = first.split(" ")
-        if not words[0].startswith("HTTP/1.") or not words[1:2]:
-            raise BadAnswerError(first[:MAX_STATUS_LINE_CHARS])
-        if not words[1].isdecimal():
+        is_http = words[0].startswith("HTTP/1.")
+        if not is_http or not "".join(words[1:2]).isdecimal():
             raise BadAnswerError(first[:MAX_STATUS_LINE_CHARS])
         self.status = int(words[1])
         size = find_header(self.headers, "content-length")
--- a/src/peridotbend_emulator/soak/checks.py
+++ b/src/peridotbend_emulator/soak/checks.py
@@ -25,7 +25,7 @@
 
     path: str
     software: str
-    # Names the run, and the last event before it.
+    # Names the run, and after a plus sign the last event before it.
     run: str
     padding: str
     number: int
@@ -54,11 +54,6 @@
     return StreamEvent(path, software, run, padding, int(number))
 
 
-def make_run_name(attempt: str, arrival: int, last: int) -> str:
-    """Returns the name of a run that goes on after an event."""
-    return f"{attempt}.{arrival}+{last}"
-
-
 class StreamCheck:
     """Checks one stream over all answers that bring parts of it."""
 
--- a/src/peridotbend_emulator/soak/disturbances.py
+++ b/src/peridotbend_emulator/soak/disturbances.py
@@ -44,7 +44,7 @@
         runner = self._choose(faults.list_runners(name))
         if runner is not None:
             with context.occupation.hold(runner), context.touch.hold(name, -1):
-                await faults.by_name[name](runner)
+                await faults.by_name[name](runner, name)
 
     async def _disturb_instance(self, name: str) -> None:
         context = self._context
@@ -54,7 +54,9 @@
                 context.occupation.hold(instance),
                 context.touch.hold(name, instance.index),
             ):
+                context.note(f"{name} {instance.index}")
                 await self._instance_faults.by_name[name](instance)
+                context.note(f"{name} {instance.index}: over")
 
     def _choose(self, subjects: Sequence[_Subject]) -> _Subject | None:
         """Returns the first free one from a random place on, if any."""
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -117,11 +117,7 @@
 
     shares: Mapping[str, float]
 
-    def has(self, name: str) -> bool:
-        """Tells whether a fault is played."""
-        return name in self.shares
-
-    def has_any(self, *names: str) -> bool:
+    def has(self, *names: str) -> bool:
         """Tells whether one of some faults is played."""
         return any(name in self.shares for name in names)
 
@@ -172,5 +168,4 @@
 
     def draw_fault(self, name: str) -> bool:
         """Tells whether a fault strikes here."""
-        drawn = self.rng.random()
-        return drawn < self.plan.shares.get(name, 0.0)
+        return self.rng.random() < self.plan.shares.get(name, 0.0)
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -62,11 +62,8 @@
         self.instances: list[Instance] = []
         self._settings = settings
         self._behaviour = behaviour
-        self._is_store_away = False
-        # Whether the zones are cut off from each other.
-        self.is_split = False
         # The newest configuration that was written.
-        self.config_version = FIRST_VERSION
+        self.config_version = FIRST_VERSION - 1
         # What each runner wrote last.
         self._entries: dict[Runner, Entry] = {}
         # In front of the instances and of the store, one for each instance.
@@ -75,21 +72,6 @@
         if settings.faults.has("many"):
             self._stream_runners = MANY_STREAM_RUNNERS
 
-    @property
-    def is_store_away(self) -> bool:
-        """Whether the store was stopped."""
-        return self._is_store_away
-
-    def stop_store(self) -> None:
-        """Takes the store away."""
-        self._is_store_away = True
-        self.store.stop()
-
-    async def start_store(self) -> None:
-        """Brings the store back at the addresses that it had."""
-        await self.store.start()
-        self._is_store_away = False
-
     async def start(self) -> None:
         """Starts everything and waits until all instances are ready.
 
@@ -97,7 +79,7 @@
             NotReadyError: an instance did not become ready.
         """
         await self.store.start()
-        self._put_config()
+        self.write_config()
         if self._settings.faults.has("peer"):
             self.links[0].state = LinkState.REFUSED
             self.links[0].is_fixed = True
@@ -122,9 +104,6 @@
     def write_config(self) -> None:
         """Writes the next version of the configuration."""
         self.config_version += 1
-        self._put_config()
-
-    def _put_config(self) -> None:
         document = make_config(self.config_version)
         self.store.put(wire.CONFIG_KEY, lambda index: document)
 
@@ -188,7 +167,7 @@
         return number < round(share * count)
 
     def _find_zone(self, number: int) -> str:
-        has_zones = self._settings.faults.has_any("zone", "split")
+        has_zones = self._settings.faults.has("zone", "split")
         return ZONE if not has_zones or number % ZONE_INTERVAL else OTHER_ZONE
 
     def _find_runner_host(self, number: int) -> str:
@@ -223,7 +202,7 @@
             for index in range(len(self.links))
         ]
         ports = _choose_ports(hosts[0])
-        if self._settings.faults.has_any("oneway", "delay"):
+        if self._settings.faults.has("oneway", "delay"):
             await self._start_proxies(hosts, ports)
         has_builds = self._settings.faults.has("builds")
         has_split = self._settings.faults.has("split")
@@ -268,25 +247,20 @@
 def _choose_ports(host: str) -> InstancePorts:
     """Returns free ports; the second internal one follows the first."""
     with contextlib.ExitStack() as stack:
-        tcp = []
-        for _ in range(3):
-            listener = stack.enter_context(socket.socket())
-            listener.bind((host, 0))
-            tcp.append(int(listener.getsockname()[1]))
+
+        def bind(kind: socket.SocketKind, port: int = 0) -> int:
+            listener = stack.enter_context(socket.socket(type=kind))
+            listener.bind((host, port))
+            return int(listener.getsockname()[1])
+
+        tcp = [bind(socket.SOCK_STREAM) for _ in range(3)]
         while True:
-            first = stack.enter_context(_open_datagram_socket())
-            first.bind((host, 0))
-            port = int(first.getsockname()[1])
-            second = stack.enter_context(_open_datagram_socket())
+            port = bind(socket.SOCK_DGRAM)
             with contextlib.suppress(OSError, OverflowError):
-                second.bind((host, port + 1))
+                bind(socket.SOCK_DGRAM, port + 1)
                 return InstancePorts(tcp[0], tcp[1], tcp[2], port)
 
 
-def _open_datagram_socket() -> socket.socket:
-    return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-
-
 @contextlib.asynccontextmanager
 async def run_fleet(fleet: SoakFleet) -> AsyncIterator[None]:
     """Starts a fleet, and ends its processes whatever happens."""
--- a/src/peridotbend_emulator/soak/instancefaults.py
+++ b/src/peridotbend_emulator/soak/instancefaults.py
@@ -35,7 +35,7 @@
         self._fleet = context.fleet
         self.by_name: Mapping[str, Callable[[Instance], Awaitable[None]]] = {
             "term": self._terminate,
-            "kill": self._kill,
+            "kill": self._respawn,
             "pause": self._pause,
             "hup": self._reload,
             "cut": self._cut,
@@ -53,7 +53,6 @@
         }
 
     async def _terminate(self, instance: Instance) -> None:
-        self._context.note(f"term {instance.index}")
         instance.send_signal(signal.SIGTERM)
         if not await instance.wait_exit(GRACE_S):
             self._context.note(
@@ -61,10 +60,6 @@
             )
         await self._respawn(instance)
 
-    async def _kill(self, instance: Instance) -> None:
-        self._context.note(f"kill {instance.index}")
-        await self._respawn(instance)
-
     async def _respawn(self, instance: Instance) -> None:
         instance.kill()
         await self._context.sleep(DOWN_S)
@@ -79,28 +74,25 @@
             self._context.note(str(error))
 
     async def _pause(self, instance: Instance) -> None:
-        self._context.note(f"pause {instance.index}")
         instance.send_signal(signal.SIGSTOP)
         try:
             await self._context.sleep(LONG_DOWN_S)
         finally:
             instance.send_signal(signal.SIGCONT)
 
-    async def _reload(self, instance: Instance) -> None:
+    async def _reload(self, instance: Instance, change: str = "") -> None:
         has_signal = self._context.rng.random() < 0.5
-        self._context.note(f"hup {instance.index}, signal: {has_signal}")
-        instance.write_settings()
+        what = change or "as before"
+        self._context.note(f"{instance.index}: {what}, signal: {has_signal}")
+        instance.write_settings(**SETTINGS_CHANGES.get(change, {}))
         if has_signal:
             instance.send_signal(signal.SIGHUP)
 
     async def _cut(self, instance: Instance) -> None:
         link = self._fleet.links[instance.index]
-        if link.is_fixed:
-            return
         state = self._context.rng.choice(CUT_STATES)
-        self._context.note(f"cut {instance.index}: {state.value}")
+        self._context.note(f"{instance.index}: {state.value}")
         await self._set_link(link, state)
-        self._context.note(f"cut {instance.index}: over")
 
     async def _set_link(self, link: Link, state: LinkState) -> None:
         """Keeps a link in a state for some seconds."""
@@ -116,9 +108,7 @@
         """Holds the bytes of one direction of one side of an instance."""
         side = self._context.rng.choice(("callers", "store", "runners"))
         direction = self._context.rng.choice(tuple(Direction))
-        self._context.note(
-            f"oneway {instance.index}: {side}, {direction.value}"
-        )
+        self._context.note(f"{instance.index}: {side}, {direction.value}")
         if side == "runners":
             is_out = direction is Direction.OUT
             state = LinkState.DEAF if is_out else LinkState.SILENT
@@ -128,19 +118,17 @@
             gate.is_held = True
             await self._context.sleep(SILENT_S)
             gate.is_held = False
-        self._context.note(f"oneway {instance.index}: over")
 
     async def _delay(self, instance: Instance) -> None:
         side = self._context.rng.choice(("callers", "store"))
         delay_s = self._context.rng.uniform(*DELAY_S)
-        self._context.note(f"delay {instance.index}: {side}, {delay_s:.3f} s")
+        self._context.note(f"{instance.index}: {side}, {delay_s:.3f} s")
         gates = [self._find_gate(instance, side, d) for d in Direction]
         for gate in gates:
             gate.delay_s = delay_s
         await self._context.sleep(SILENT_S)
         for gate in gates:
             gate.delay_s = 0.0
-        self._context.note(f"delay {instance.index}: over")
 
     def _find_gate(
         self, instance: Instance, side: str, direction: Direction
@@ -152,9 +140,7 @@
         instance.clock_offset_ms = self._context.rng.randint(
             -CLOCK_MS, CLOCK_MS
         )
-        self._context.note(
-            f"clock {instance.index}: {instance.clock_offset_ms} ms"
-        )
+        self._context.note(f"{instance.index}: {instance.clock_offset_ms} ms")
         if self._context.rng.random() < 0.5:
             instance.send_signal(signal.SIGTERM)
             await instance.wait_exit(GRACE_S)
@@ -162,16 +148,8 @@
 
     async def _change_settings(self, instance: Instance) -> None:
         """Changes settings, and takes the change back."""
-        name = self._context.rng.choice(tuple(SETTINGS_CHANGES))
-        for changes in (SETTINGS_CHANGES[name], {}):
-            has_signal = self._context.rng.random() < 0.5
-            what = name if changes else "as before"
-            self._context.note(
-                f"settings {instance.index}: {what}, signal: {has_signal}"
-            )
-            instance.write_settings(**changes)
-            if has_signal:
-                instance.send_signal(signal.SIGHUP)
+        for change in (self._context.rng.choice(tuple(SETTINGS_CHANGES)), ""):
+            await self._reload(instance, change)
             await self._context.sleep(SILENT_S)
 
     async def _write_config(self) -> None:
@@ -194,33 +172,29 @@
             self._fleet.expire_entries()
 
     async def _stop_store(self) -> None:
-        if self._fleet.is_store_away:
+        context, store = self._context, self._fleet.store
+        if not context.occupation.is_free(store):
             return
-        with self._context.touch.hold("store"):
-            self._context.note("store away")
-            self._fleet.stop_store()
-            await self._context.sleep(AWAY_S)
-            await self._fleet.start_store()
-            self._context.note("store back")
+        with context.occupation.hold(store), context.touch.hold("store"):
+            context.note("store away")
+            store.stop()
+            await context.sleep(AWAY_S)
+            await store.start()
+            context.note("store back")
 
     async def _split_zones(self) -> None:
         """Cuts the instances of two zones off from each other."""
-        if self._fleet.is_split:
+        context, instances = self._context, self._fleet.instances
+        if not context.occupation.is_free("split"):
             return
-        with self._context.touch.hold("split"):
-            self._context.note("split")
-            self._fleet.is_split = True
-            for instance in self._fleet.instances:
-                instance.cut_off(
-                    other.host
-                    for other in self._fleet.instances
-                    if other.zone != instance.zone
-                )
-            await self._context.sleep(SILENT_S)
-            for instance in self._fleet.instances:
-                instance.cut_off(())
-            self._fleet.is_split = False
-            self._context.note("split: over")
+        with context.occupation.hold("split"), context.touch.hold("split"):
+            context.note("split")
+            for one in instances:
+                one.cut_off([i.host for i in instances if i.zone != one.zone])
+            await context.sleep(SILENT_S)
+            for one in instances:
+                one.cut_off(())
+            context.note("split: over")
 
     async def _kill_all(self) -> None:
         instances = self._fleet.instances
--- a/src/peridotbend_emulator/soak/instances.py
+++ b/src/peridotbend_emulator/soak/instances.py
@@ -12,6 +12,8 @@
 import yaml
 
 from peridotbend.platform import wire
+from peridotbend_emulator.soak.channels import ask_status
+from peridotbend_emulator.soak.messages import make_head
 from peridotbend_emulator.soak.platform.documents import (
     ZONE,
     InstancePorts,
@@ -75,9 +77,7 @@
 
     def cut_off(self, hosts: Iterable[str]) -> None:
         """Cuts other instances off; without any, ends all cuts."""
-        part = self._cut_path.with_suffix(".part")
-        part.write_text(" ".join(hosts), encoding="utf-8")
-        part.replace(self._cut_path)
+        _replace(self._cut_path, " ".join(hosts))
 
     def write_settings(self, **changes: object) -> pathlib.Path:
         """Writes the settings file, with changes, in one step."""
@@ -91,10 +91,7 @@
             own.zone,
         )
         path = own.folder / f"settings-{own.index}.yaml"
-        part = path.with_suffix(".part")
-        text = yaml.safe_dump({**document, **changes})
-        part.write_text(text, encoding="utf-8")
-        part.replace(path)
+        _replace(path, yaml.safe_dump({**document, **changes}))
         return path
 
     def spawn(self) -> None:
@@ -192,16 +189,12 @@
         return {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
 
     async def _is_ready(self) -> bool:
-        host, port = self._settings.host, self._settings.ports.health
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, port)
-                try:
-                    head = f"GET {wire.READY_PATH} HTTP/1.1\r\nHost: x\r\n\r\n"
-                    writer.write(head.encode())
-                    line = await reader.readline()
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError):
-            return False
-        return line.split(b" ")[1:2] == [b"200"]
+        address = self._settings.host, self._settings.ports.health
+        head = make_head(f"GET {wire.READY_PATH} HTTP/1.1", [("Host", "x")])
+        return await ask_status(address, head, CALL_TIMEOUT_S) == 200
+
+
+def _replace(path: pathlib.Path, text: str) -> None:
+    part = path.with_suffix(".part")
+    part.write_text(text, encoding="utf-8")
+    part.replace(path)
--- a/src/peridotbend_emulator/soak/operator.py
+++ b/src/peridotbend_emulator/soak/operator.py
@@ -2,19 +2,15 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
+import random
 from collections.abc import Iterator
 
 from peridotbend.domain.clock import Clock
 from peridotbend.platform import wire
 from peridotbend_emulator.procstat import parse_resident_bytes
-from peridotbend_emulator.soak.channels import (
-    AnswerReader,
-    BadAnswerError,
-    ChannelEndedError,
-    open_channel,
-)
-from peridotbend_emulator.soak.faults import Choices
+from peridotbend_emulator.soak.channels import ask_status
 from peridotbend_emulator.soak.fleet import SoakFleet
 from peridotbend_emulator.soak.fleetchecks import ConfigCheck, check_resources
 from peridotbend_emulator.soak.instances import Instance
@@ -34,16 +30,17 @@
 PATH = "/i/config/0/0"
 
 
+@dataclasses.dataclass
 class Operator:
     """Watches the configuration in force and the use of resources."""
 
-    def __init__(
-        self, fleet: SoakFleet, record: Record, clock: Clock, choices: Choices
-    ):
-        self._fleet = fleet
-        self._record = record
-        self._clock = clock
-        self._rng = choices.rng
+    fleet: SoakFleet
+    record: Record
+    clock: Clock
+    rng: random.Random
+
+    def __post_init__(self) -> None:
+        """Begins without answers."""
         self._check = ConfigCheck()
         self._count = 0
         self.versions_seen: set[int] = set()
@@ -51,29 +48,29 @@
     async def watch_config(self) -> None:
         """Looks for versions in force until it is cancelled."""
         while True:
-            instance = self._rng.choice(self._fleet.instances)
-            newest = self._fleet.config_version
+            instance = self.rng.choice(self.fleet.instances)
+            newest = self.fleet.config_version
             oldest = max(FIRST_VERSION, newest - VERSIONS_LOOKED_FOR + 1)
-            await self._look(instance, self._rng.randint(oldest, newest))
+            await self._look(instance, self.rng.randint(oldest, newest))
             await asyncio.sleep(LOOK_INTERVAL_S)
 
     async def watch_resources(self) -> None:
         """Checks memory and descriptors until it is cancelled."""
         while True:
-            for instance in self._fleet.instances:
+            for instance in self.fleet.instances:
                 # A process may end at any moment.
                 with contextlib.suppress(OSError, ValueError):
-                    self._add(check_process(instance))
+                    self.record.add_findings(check_process(instance))
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
     async def _look(self, instance: Instance, version: int) -> None:
         """Asks whether the key of a version is in force at an instance."""
-        pid, sent_ms = instance.pid, self._clock.now_ms()
+        pid, sent_ms = instance.pid, self.clock.now_ms()
         status = await self._call(instance, make_key(version))
         if status == 200 and pid == instance.pid:
             self.versions_seen.add(version)
-            now_ms = self._clock.now_ms()
-            self._add(
+            now_ms = self.clock.now_ms()
+            self.record.add_findings(
                 self._check.note(instance.index, pid, version, sent_ms, now_ms)
             )
 
@@ -86,20 +83,8 @@
             ("Authorization", f"Token {key}"),
             ("Content-Length", "0"),
         ]
-        reader = AnswerReader(lambda data: None)
-        with contextlib.suppress(
-            OSError, TimeoutError, ChannelEndedError, BadAnswerError
-        ):
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                channel = await open_channel(instance.address, is_slow=False)
-                with contextlib.closing(channel):
-                    channel.write(make_head(f"POST {PATH} HTTP/1.1", headers))
-                    await reader.read(channel)
-        return reader.status
-
-    def _add(self, findings: Iterator[Finding]) -> None:
-        for finding in findings:
-            self._record.add_finding(finding)
+        request = make_head(f"POST {PATH} HTTP/1.1", headers)
+        return await ask_status(instance.address, request, ANSWER_TIMEOUT_S)
 
 
 def check_process(instance: Instance) -> Iterator[Finding]:
--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -11,7 +11,6 @@
 CALL_SERVICE = "peridot-app"
 ZONE = "zone-a"
 OTHER_ZONE = "zone-b"
-CONTACT_MS = 3_000
 DRAIN_S = 2.0
 GRACE_S = 8.0
 HEARTBEAT_S = 1.2
--- a/src/peridotbend_emulator/soak/platform/store.py
+++ b/src/peridotbend_emulator/soak/platform/store.py
@@ -78,12 +78,12 @@
         self._items[key] = self._revision, make_document
         self._add_event(key, make_document)
 
-    def delete(self, key: str) -> None:
-        """Removes a key, if there is one."""
-        if key in self._items:
-            self._revision += 1
-            del self._items[key]
-            self._add_event(key, None)
+    def delete(self, *keys: str) -> None:
+        """Removes keys, as far as they are there."""
+        for key in keys:
+            if self._items.pop(key, None):
+                self._revision += 1
+                self._add_event(key, None)
 
     def list_keys(self, prefix: str) -> list[str]:
         """Returns the keys below a prefix."""
--- a/src/peridotbend_emulator/soak/record.py
+++ b/src/peridotbend_emulator/soak/record.py
@@ -4,6 +4,7 @@
 import enum
 import pathlib
 import sys
+from collections.abc import Iterable
 
 from peridotbend.domain.clock import Clock
 
@@ -59,13 +60,14 @@
         self._write("faults", text)
         self._write("record", f"FAULT {text}")
 
-    def add_finding(self, finding: Finding) -> None:
-        """Notes a broken promise, also on standard error."""
-        self.findings.append(finding)
-        text = f"{finding.rule.value} {finding.subject}: {finding.detail}"
-        self._write("findings", text)
-        self._write("record", f"FINDING {text}")
-        print(f"BAD {text}", file=sys.stderr, flush=True)
+    def add_findings(self, findings: Iterable[Finding]) -> None:
+        """Notes broken promises, also on standard error."""
+        for finding in findings:
+            self.findings.append(finding)
+            text = f"{finding.rule.value} {finding.subject}: {finding.detail}"
+            self._write("findings", text)
+            self._write("record", f"FINDING {text}")
+            print(f"BAD {text}", file=sys.stderr, flush=True)
 
     def close(self) -> None:
         """Closes the files."""
--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import dataclasses
+import functools
 from collections.abc import (
     AsyncIterator,
     Callable,
@@ -26,11 +27,10 @@
 from peridotbend_emulator.soak.fleet import SoakFleet, run_fleet
 from peridotbend_emulator.soak.fleetchecks import LateCheck, TouchLog
 from peridotbend_emulator.soak.links import PARTIAL_CUTS
-from peridotbend_emulator.soak.occupation import Occupation
 from peridotbend_emulator.soak.operator import Operator
 from peridotbend_emulator.soak.platform.documents import CONTACT_MS, ROUTES
 from peridotbend_emulator.soak.record import Finding, Record
-from peridotbend_emulator.soak.seriescontext import SeriesContext
+from peridotbend_emulator.soak.seriescontext import Occupation, SeriesContext
 from peridotbend_emulator.soak.settings import SoakSettings
 
 ChoicesMaker = Callable[[str], Choices]
@@ -88,7 +88,7 @@
     fleet = SoakFleet(settings, behaviour, clock)
     pool, touch, late = ChannelPool(), TouchLog(clock), LateCheck()
     first_tries = FirstTries()
-    operator = Operator(fleet, record, clock, make_choices("operator"))
+    operator = Operator(fleet, record, clock, make_choices("operator").rng)
     async with run_fleet(fleet):
         tasks = [
             *_make_series(fleet, make_choices, record, touch),
@@ -115,8 +115,7 @@
     findings = [*pool.close(), *late.end()]
     if any(map(settings.faults.has, PARTIAL_CUTS)):
         findings += first_tries.check(0)
-    for finding in findings:
-        record.add_finding(finding)
+    record.add_findings(findings)
     return SoakResult(
         calls=len(callers),
         served=sum(caller.is_served for caller in callers),
@@ -142,17 +141,13 @@
     """Yields the series of faults."""
     occupation = Occupation()
 
-    def make_context(number: int) -> SeriesContext:
-        return SeriesContext(
-            fleet,
-            lambda fault: make_choices(f"series/{number}/{fault}"),
-            record,
-            occupation,
-            touch,
-        )
+    def make(number: int, fault: int) -> Choices:
+        return make_choices(f"series/{number}/{fault}")
 
     for number in range(SERIES_COUNT):
-        yield DisturbanceSeries(make_context(number)).run()
+        make_own = functools.partial(make, number)
+        context = SeriesContext(fleet, make_own, record, occupation, touch)
+        yield DisturbanceSeries(context).run()
 
 
 @contextlib.asynccontextmanager
--- a/src/peridotbend_emulator/soak/runnerfaults.py
+++ b/src/peridotbend_emulator/soak/runnerfaults.py
@@ -1,13 +1,7 @@
 """Faults of the runners as processes."""
 
 import asyncio
-from collections.abc import (
-    Awaitable,
-    Callable,
-    Iterable,
-    Mapping,
-    Sequence,
-)
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 from peridotbend.platform import wire
 from peridotbend_emulator.soak.fleet import VERSIONS
@@ -33,23 +27,24 @@
 MIN_OF_VERSION = 2
 # The version of a runner matters to streams only.
 VERSION_FAULTS = frozenset(("inplace", "same", "early", "crashloop", "roll"))
+OWN_VERSION_FAULTS = frozenset(("drain", "same"))
 # In a release, this share of the processes dies before its entry is written.
 DEAD_ON_RELEASE_SHARE = 1 / 3
 
 
 class RunnerFaults:
-    """Plays the faults that strike one runner."""
+    """Plays the faults that strike one runner, given with their names."""
 
     def __init__(self, context: SeriesContext):
         self._context = context
         self._fleet = context.fleet
-        self.by_name: Mapping[str, Callable[[Runner], Awaitable[None]]] = {
+        self.by_name: Mapping[str, Callable[[Runner, str], Awaitable[None]]] = {
             "crash": self._crash,
-            "fin": self._crash_in_order,
-            "drain": self._drain,
-            "release": self._release,
-            "inplace": self._restart_as_other,
-            "same": self._restart_as_same,
+            "fin": self._crash,
+            "drain": self._replace,
+            "release": self._replace,
+            "inplace": self._restart,
+            "same": self._restart,
             "early": self._announce_early,
             "crashloop": self._restart_twice,
             "roll": self._roll,
@@ -63,16 +58,9 @@
             return self._fleet.runners
         return [r for r in self._fleet.runners if r.service == STREAM_SERVICE]
 
-    async def _crash(self, runner: Runner) -> None:
-        self._die(runner, "crash")
-        await self._return(runner)
-
-    async def _crash_in_order(self, runner: Runner) -> None:
-        self._die(runner, "fin", in_order=True)
-        await self._return(runner)
-
-    async def _return(self, runner: Runner) -> None:
+    async def _crash(self, runner: Runner, fault: str) -> None:
         """Starts a runner again, with the ID that it had or another."""
+        self._die(runner, fault)
         await self._context.sleep(LONG_DOWN_S)
         name = runner.start.name
         if self._context.rng.random() < 0.5:
@@ -81,72 +69,60 @@
         await self._launch(runner, name, runner.start.software)
         self._list(runner)
 
-    async def _drain(self, runner: Runner) -> None:
-        await self._leave(runner, "drain")
-        name = self._fleet.starts.make_name()
-        await self._launch(runner, name, runner.start.software)
-        self._list(runner)
-
-    async def _release(self, runner: Runner) -> None:
-        await self._leave(runner, "release")
-        name = self._fleet.starts.make_name()
-        await self._launch(runner, name, self._choose_other(runner))
-        self._list(runner)
-
-    async def _leave(self, runner: Runner, fault: str) -> None:
+    async def _replace(self, runner: Runner, fault: str) -> None:
         self._context.note(f"{fault} {runner.start.name}: draining")
         self._fleet.list_entry(runner, runner.make_entry(is_leaving=True))
         await asyncio.sleep(DRAIN_S)
         await self._context.sleep(DRAIN_MARGIN_S)
         self._fleet.remove_entry(runner)
         self._die(runner, fault)
+        software = self._choose_software(runner, fault)
+        name = self._fleet.starts.make_name()
+        await self._launch(runner, name, software)
+        self._list(runner)
 
-    async def _restart_as_other(self, runner: Runner) -> None:
-        await self._restart(runner, "inplace", self._choose_other(runner))
-
-    async def _restart_as_same(self, runner: Runner) -> None:
-        await self._restart(runner, "same", runner.start.software)
+    async def _restart(self, runner: Runner, fault: str) -> None:
+        software = self._choose_software(runner, fault)
+        await self._restart_unlisted(runner, fault, software)
+        self._list(runner)
 
-    async def _restart(self, runner: Runner, fault: str, software: str) -> None:
+    async def _restart_unlisted(
+        self, runner: Runner, fault: str, software: str
+    ) -> None:
         self._die(runner, fault)
         await self._context.sleep(DOWN_S)
         await self._launch(runner, runner.start.name, software)
         await self._lag(fault)
-        self._list(runner)
 
-    async def _announce_early(self, runner: Runner) -> None:
+    async def _announce_early(self, runner: Runner, fault: str) -> None:
         """Writes the entry of the next start while the last one serves."""
-        software = self._choose_other(runner)
+        software = self._choose_software(runner, fault)
         start = self._fleet.starts.make_start(runner.start.name, software)
-        self._context.note(f"early {start.name}: entry of {start.software}")
+        self._context.note(f"{fault} {start.name}: entry of {start.software}")
         self._fleet.list_entry(runner, runner.make_entry(start))
-        await self._lag("early")
-        self._die(runner, "early")
+        await self._lag(fault)
+        self._die(runner, fault)
         await self._context.sleep(DOWN_S)
         await self._launch_start(runner, start)
 
-    async def _restart_twice(self, runner: Runner) -> None:
-        for software in (self._choose_other(runner), self._choose_any(runner)):
-            self._die(runner, "crashloop")
-            await self._context.sleep(DOWN_S)
-            await self._launch(runner, runner.start.name, software)
-            await self._lag("crashloop")
+    async def _restart_twice(self, runner: Runner, fault: str) -> None:
+        own, other = runner.start.software, self._choose_other(runner)
+        any_one = own if self._context.rng.random() < 0.5 else other
+        for next_software in (other, any_one):
+            await self._restart_unlisted(runner, fault, next_software)
         self._list(runner)
 
-    async def _roll(self, runner: Runner) -> None:
+    async def _roll(self, runner: Runner, fault: str) -> None:
         """Goes on with a release, or begins one if the last is complete."""
         newest = find_newest(
-            [r.start.software for r in self.list_runners("roll")]
+            [r.start.software for r in self.list_runners(fault)]
         )
         is_doomed = self._context.rng.random() < DEAD_ON_RELEASE_SHARE
         for _ in range(1 + is_doomed):
-            self._die(runner, "roll")
-            await self._context.sleep(DOWN_S)
-            await self._launch(runner, runner.start.name, newest)
-            await self._lag("roll")
+            await self._restart_unlisted(runner, fault, newest)
         self._list(runner)
 
-    async def _exchange_addresses(self, runner: Runner) -> None:
+    async def _exchange_addresses(self, runner: Runner, fault: str) -> None:
         """Replaces runners of two services at each other's addresses."""
         occupation = self._context.occupation
         others = [
@@ -161,37 +137,31 @@
             pair = runner, other
             keys = [wire.TARGET_PREFIX + one.start.name for one in pair]
             for one in pair:
-                self._die(one, "reuse")
+                self._die(one, fault)
             # Entries of runners that say nothing may outlive them.
-            is_late = self._context.rng.random() < 0.5
-            if not is_late:
-                self._remove(keys)
+            if self._context.rng.random() < 0.5:
+                self._fleet.store.delete(*keys)
             await asyncio.sleep(REUSE_AFTER_S)
             runner.exchange_addresses(other)
             for one in pair:
                 name = self._fleet.starts.make_name()
                 await self._launch(one, name, one.start.software)
-            await self._lag("reuse")
-            self._remove(keys)
+            await self._lag(fault)
+            self._fleet.store.delete(*keys)
             for one in pair:
                 self._list(one)
 
-    def _remove(self, keys: Iterable[str]) -> None:
-        for key in keys:
-            self._fleet.store.delete(key)
-
-    async def _silence(self, runner: Runner) -> None:
-        self._context.note(f"dark {runner.start.name}")
+    async def _silence(self, runner: Runner, fault: str) -> None:
+        self._context.note(f"{fault} {runner.start.name}")
         runner.set_silent(True)
         await self._context.sleep(SILENT_S)
         runner.set_silent(False)
 
-    def _die(
-        self, runner: Runner, fault: str, in_order: bool | None = None
-    ) -> None:
-        drawn = self._context.rng.random()
-        if in_order is None:
-            in_order = self._context.plan.has("fin") and drawn < IN_ORDER_SHARE
+    def _die(self, runner: Runner, fault: str) -> None:
+        is_struck = self._context.rng.random() < IN_ORDER_SHARE
+        in_order = fault == "fin" or (
+            self._context.plan.has("fin") and is_struck
+        )
         end = "closed in order" if in_order else "reset"
         start = runner.start
         self._context.note(
@@ -226,8 +196,8 @@
             return own
         return next(version for version in VERSIONS if version != own)
 
-    def _choose_any(self, runner: Runner) -> str:
-        if self._context.rng.random() < 0.5:
+    def _choose_software(self, runner: Runner, fault: str) -> str:
+        if fault in OWN_VERSION_FAULTS:
             return runner.start.software
         return self._choose_other(runner)
 
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -100,32 +100,23 @@
         """Answers; tells whether the connection may be used again."""
         ...
 
-    def report(self, start: Start, active: int) -> tuple[int, bytes]:
+    def describe(
+        self, start: Start, active: int, call: str
+    ) -> tuple[int, bytes]:
         """Returns the status and body with which a start tells of itself."""
         ...
 
-    def list_parts(self, start: Start) -> tuple[int, bytes]:
-        """Returns the same of the list of prompt parts that it keeps."""
-        ...
-
 
 class RunnerProcess:
     """One start of a runner, with its listeners and connections."""
 
-    def __init__(
-        self,
-        start: Start,
-        service: str,
-        host: str,
-        slots: int,
-        behaviour: Behaviour,
-    ):
-        self.start = start
-        self.service = service
-        self.host = host
+    def __init__(self, runner: "Runner"):
+        self.start = runner.start
+        self.service = runner.service
+        self.host = runner.host
         self.is_silent = False
-        self._slots = slots
-        self._behaviour = behaviour
+        self._slots = runner.slots
+        self._behaviour = runner.behaviour
         self._active = 0
         self._connections: dict[Connection, asyncio.Task[None]] = {}
         self._servers: dict[int, asyncio.Server | HangingListener] = {}
@@ -240,10 +231,9 @@
             self._active -= 1
 
     def _describe(self, path: str) -> tuple[int, bytes]:
-        if path.startswith(wire.REPORT_CALL):
-            return self._behaviour.report(self.start, self._active)
-        if path.startswith(wire.PARTS_CALL):
-            return self._behaviour.list_parts(self.start)
+        for call in (wire.REPORT_CALL, wire.PARTS_CALL):
+            if path.startswith(call):
+                return self._behaviour.describe(self.start, self._active, call)
         return (200 if path == "/healthz" else 404), b"{}"
 
 
@@ -257,28 +247,22 @@
     return make_answer(503, b"", headers)
 
 
+@dataclasses.dataclass(eq=False)
 class Runner:
     """A runner at addresses that outlive its processes."""
 
-    def __init__(
-        self,
-        start: Start,
-        service: str,
-        host: str,
-        zone: str,
-        slots: int,
-        behaviour: Behaviour,
-        links: Sequence[Link],
-    ):
-        self.start = start
-        self.service = service
-        self.slots = slots
-        self._host = host
-        self._zone = zone
-        self._behaviour = behaviour
-        self._links = links
+    start: Start
+    service: str
+    host: str
+    zone: str
+    slots: int
+    behaviour: Behaviour
+    links: Sequence[Link]
+
+    def __post_init__(self) -> None:
+        """Begins without a process."""
         # By instance; chosen at the first start.
-        self._ports = [0] * len(links)
+        self._ports = [0] * len(self.links)
         self._process: RunnerProcess | None = None
         self._sequence = 0
 
@@ -290,16 +274,14 @@
     async def launch(self, start: Start) -> None:
         """Starts a process."""
         self.start = start
-        self._process = RunnerProcess(
-            start, self.service, self._host, self.slots, self._behaviour
-        )
+        self._process = RunnerProcess(self)
         self._sequence = 0
-        for link in self._links:
+        for link in self.links:
             port = self._ports[link.index]
-            if link.find_state(self._host) not in REFUSING_STATES or not port:
+            if link.find_state(self.host) not in REFUSING_STATES or not port:
                 port = await self._process.listen(link, port)
                 self._ports[link.index] = port
-        for link in self._links:
+        for link in self.links:
             await self.apply_link(link)
 
     def die(self, in_order: bool) -> None:
@@ -318,7 +300,7 @@
         process = self._process
         if process is None:
             return
-        state = link.find_state(self._host)
+        state = link.find_state(self.host)
         if state in RESETTING_STATES:
             process.reset_connections(link)
         if state is LinkState.HANGING:
@@ -337,7 +319,7 @@
         self._sequence += 1
         return Entry(
             service=self.service,
-            zone=self._zone,
+            zone=self.zone,
             software=start.software,
             slots=self.slots,
             started_at_ms=start.started_at_ms,
@@ -347,13 +329,13 @@
 
     def exchange_addresses(self, other: "Runner") -> None:
         """Takes the addresses of another runner, and leaves it its own."""
-        self._host, other._host = other._host, self._host
-        self._zone, other._zone = other._zone, self._zone
+        self.host, other.host = other.host, self.host
+        self.zone, other.zone = other.zone, self.zone
         self._ports, other._ports = other._ports, self._ports
 
     def find_address(self, index: int) -> str:
         """Returns the address for an instance."""
-        return f"{self._host}:{self._ports[index]}"
+        return f"{self.host}:{self._ports[index]}"
 
 
 class StartCounter:
--- a/src/peridotbend_emulator/soak/settings.py
+++ b/src/peridotbend_emulator/soak/settings.py
@@ -34,9 +34,8 @@
         """The number of entry instances."""
         if self.faults.has("groups"):
             return GROUPED_INSTANCES
-        if self.faults.has("eight"):
-            return MANY_INSTANCES
-        return DEFAULT_INSTANCES
+        has_many = self.faults.has("eight")
+        return MANY_INSTANCES if has_many else DEFAULT_INSTANCES
 
     @property
     def folder(self) -> pathlib.Path:
--- a/src/peridotbend_emulator/soak/splitchild.py
+++ b/src/peridotbend_emulator/soak/splitchild.py
@@ -7,110 +7,78 @@
 
 import asyncio
 import contextlib
-import functools
 import pathlib
 import runpy
 import sys
-import threading
-import time
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import uvloop
 
+from peridotbend.adapters.eventloop import BACKEND_OPTIONS
+
 POLL_INTERVAL_S = 0.02
+BASE: Any = asyncio.SelectorEventLoop
+if BACKEND_OPTIONS["use_uvloop"]:
+    BASE = uvloop.Loop
 
-ConnectCall = Callable[..., Awaitable[tuple[Any, Any]]]
 
+class SplitLoop(BASE):  # type: ignore[misc]
+    """The event loop of the daemons, in which hosts can be cut off."""
 
-class HostCut:
-    """The hosts that are cut off, and the connections to all."""
+    path = pathlib.Path()
 
     def __init__(self) -> None:
+        super().__init__()
         self.hosts: frozenset[str] = frozenset()
-        # With the event loops that they belong to.
-        self._connections: list[tuple[str, Any, Any]] = []
-
-    def apply(self, hosts: frozenset[str]) -> None:
-        """Cuts some hosts off; called by a thread beside the event loop."""
-        self.hosts = hosts
-        for host, loop, transport in tuple(self._connections):
-            if host in hosts:
-                loop.call_soon_threadsafe(transport.abort)
-
-    async def connect(
-        self,
-        connect: ConnectCall,
-        factory: Any,
-        host: Any = None,
-        *given: Any,
-        **named: Any,
-    ) -> tuple[Any, Any]:
+        self._connections: list[tuple[str, Any]] = []
+        self.call_soon(self._read_hosts)
+
+    async def create_connection(
+        self, factory: Any, host: Any = None, *given: Any, **named: Any
+    ) -> Any:
         """Connects to a host once it is not cut off."""
         while host in self.hosts:
             await asyncio.sleep(POLL_INTERVAL_S)
-        transport, protocol = await connect(factory, host, *given, **named)
-        loop = asyncio.get_running_loop()
-        kept = [one for one in self._connections if not one[2].is_closing()]
-        self._connections = [*kept, (host, loop, transport)]
-        return transport, protocol
-
-    async def open_datagrams(
-        self, connect: ConnectCall, *given: Any, **named: Any
-    ) -> tuple[Any, Any]:
+        pair = await super().create_connection(factory, host, *given, **named)
+        kept = [one for one in self._connections if not one[1].is_closing()]
+        self._connections = [*kept, (host, pair[0])]
+        return pair
+
+    async def create_datagram_endpoint(self, *given: Any, **named: Any) -> Any:
         """Opens an endpoint whose datagrams to hosts cut off are lost."""
-        transport, protocol = await connect(*given, **named)
-        return CutSender(transport, self), protocol
+        pair = await super().create_datagram_endpoint(*given, **named)
+        return CutSender(pair[0], self), pair[1]
+
+    def _read_hosts(self) -> None:
+        with contextlib.suppress(FileNotFoundError):
+            self.hosts = frozenset(self.path.read_text("utf-8").split())
+        for host, transport in self._connections:
+            if host in self.hosts:
+                transport.abort()
+        self.call_later(POLL_INTERVAL_S, self._read_hosts)
 
 
 class CutSender:
     """A transport of datagrams that loses those to hosts cut off."""
 
-    def __init__(self, transport: Any, cut: HostCut):
+    def __init__(self, transport: Any, loop: SplitLoop):
         self._transport = transport
-        self._cut = cut
+        self._loop = loop
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._transport, name)
 
     def sendto(self, data: bytes, address: Any = None) -> None:
         """Sends a datagram, or loses it."""
-        if address is None or address[0] not in self._cut.hosts:
+        if address is None or address[0] not in self._loop.hosts:
             self._transport.sendto(data, address)
 
 
-def install(cut: HostCut, loop_class: Any) -> None:
-    """Makes the connections of an event loop follow a cut."""
-    connect = loop_class.create_connection
-    open_datagrams = loop_class.create_datagram_endpoint
-    loop_class.create_connection = lambda loop, *given, **named: cut.connect(
-        functools.partial(connect, loop), *given, **named
-    )
-    loop_class.create_datagram_endpoint = (
-        lambda loop, *given, **named: cut.open_datagrams(
-            functools.partial(open_datagrams, loop), *given, **named
-        )
-    )
-
-
-def watch(cut: HostCut, path: pathlib.Path) -> None:
-    """Applies what a file says for as long as the process lasts."""
-    while True:
-        with contextlib.suppress(FileNotFoundError):
-            hosts = frozenset(path.read_text(encoding="utf-8").split())
-            if hosts != cut.hosts:
-                cut.apply(hosts)
-        time.sleep(POLL_INTERVAL_S)
-
-
 def main() -> None:
-    """Runs the module with both kinds of event loop that daemons use."""
-    path, module = pathlib.Path(sys.argv[1]), sys.argv[2]
-    cut = HostCut()
-    for loop_class in (uvloop.Loop, asyncio.SelectorEventLoop):
-        install(cut, loop_class)
-    threading.Thread(target=watch, args=(cut, path), daemon=True).start()
-    sys.argv = sys.argv[2:]
+    """Runs the module in the event loop that can be cut."""
+    SplitLoop.path = pathlib.Path(sys.argv[1])
+    uvloop.new_event_loop = asyncio.new_event_loop = SplitLoop
+    module, sys.argv = sys.argv[2], sys.argv[2:]
     runpy.run_module(module, run_name="__main__", alter_sys=True)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -67,8 +67,6 @@
     STREAM_SERVICE,
     ZONE,
     list_bad_reports,
-    make_part_list,
-    make_report,
 )
 from peridotbend_emulator.soak.platform.store import StoreStandIn
 from peridotbend_emulator.soak.proxies import LoopbackProxy
@@ -83,7 +81,7 @@
     reset_connection,
 )
 from peridotbend_emulator.soak.settings import LOOPBACK_NET, SoakSettings
-from peridotbend_emulator.soak.splitchild import HostCut
+from peridotbend_emulator.soak.splitchild import POLL_INTERVAL_S, SplitLoop
 
 OPERATIONS_PAGE = (
     pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
@@ -631,32 +629,52 @@
         assert FIRST_RUNNER_HOST + runner_count <= 255
 
 
-class HostCutTest(unittest.TestCase):
+class SplitLoopTest(unittest.TestCase):
     """How instances are cut off from each other."""
 
     def test_hosts_that_are_cut_off(self) -> None:
         """Guards against a partition that lets bytes through."""
-        cut, transport = HostCut(), unittest.mock.Mock()
-        transport.is_closing.return_value = False
-        connect = unittest.mock.AsyncMock(return_value=(transport, None))
-
-        async def play() -> None:
-            sender, _ = await cut.open_datagrams(connect)
-            await cut.connect(connect, "factory", "127.0.0.1", 80)
-            cut.apply(frozenset(("127.0.0.1",)))
-            await asyncio.sleep(0)
-            transport.abort.assert_called_once_with()
-            for host in ("127.0.0.1", "127.0.0.2"):
-                sender.sendto(b"x", (host, 80))
-            transport.sendto.assert_called_once_with(b"x", ("127.0.0.2", 80))
-            await cut.connect(connect, "factory", "127.0.0.2", 80)
-            with self.assertRaises(TimeoutError):
-                async with asyncio.timeout(0.1):
-                    await cut.connect(connect, "factory", "127.0.0.1", 80)
-            cut.apply(frozenset())
-            await cut.connect(connect, "factory", "127.0.0.1", 80)
+        host = f"{LOOPBACK_NET}.9"
+        received = unittest.mock.Mock(spec=asyncio.DatagramProtocol)
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "cut.txt"
+
+            async def set_cut(hosts: str) -> None:
+                path.write_text(hosts, encoding="utf-8")
+                await asyncio.sleep(5 * POLL_INTERVAL_S)
+
+            async def play() -> None:
+                loop = asyncio.get_running_loop()
+                server = await asyncio.start_server(lambda r, w: None, host)
+                address = server.sockets[0].getsockname()[:2]
+                endpoint, _ = await loop.create_datagram_endpoint(
+                    lambda: received, local_addr=(host, 0)
+                )
+                own_address = endpoint.get_extra_info("sockname")[:2]
+                reader, _ = await asyncio.open_connection(*address)
+                await set_cut(host)
+                endpoint.sendto(b"lost", own_address)
+                assert reader.at_eof() or reader.exception()
+                with self.assertRaises(TimeoutError):
+                    async with asyncio.timeout(0.2):
+                        await asyncio.open_connection(*address)
+                await set_cut("")
+                endpoint.sendto(b"sent", own_address)
+                _, writer = await asyncio.open_connection(*address)
+                await asyncio.sleep(5 * POLL_INTERVAL_S)
+                assert not writer.is_closing()
+                received.datagram_received.assert_called_once_with(
+                    b"sent", own_address
+                )
+                endpoint.close()
+                writer.close()
+                server.close()
 
-        asyncio.run(play())
+            with (
+                unittest.mock.patch.object(SplitLoop, "path", path),
+                asyncio.Runner(loop_factory=SplitLoop) as runner,
+            ):
+                runner.run(play())
 
 
 class ReleaseTest(unittest.TestCase):
@@ -728,15 +746,11 @@
         await asyncio.Event().wait()
         return False
 
-    def report(self, start: Start, active: int) -> tuple[int, bytes]:
-        """Returns a sound report."""
-        page = make_report(start.started_at_ms, 0, active)
-        return 200, json.dumps(page).encode()
-
-    def list_parts(self, start: Start) -> tuple[int, bytes]:
-        """Returns an empty list."""
-        page = make_part_list(start.started_at_ms)
-        return 200, json.dumps(page).encode()
+    def describe(
+        self, start: Start, active: int, call: str
+    ) -> tuple[int, bytes]:
+        """Tells what a sound runner tells."""
+        return make_behaviour("crash").describe(start, active, call)
 
 
 def make_behaviour(*words: str) -> SoakBehaviour:
@@ -814,7 +828,10 @@
             assert decode_start(body) is None, body
         start = Start("i-1", "v1", started_at_ms)
         behaviour = make_behaviour("bad-report")
-        answers = [behaviour.report(start, 0)[1] for _ in range(100)]
+        answers = [
+            behaviour.describe(start, 0, wire.REPORT_CALL)[1]
+            for _ in range(100)
+        ]
         bad = sum(decode_start(body) is None for body in answers)
         assert 20 <= bad <= 40, bad
 
@@ -822,8 +839,8 @@
         """Guards against runners that the soak takes for mute and aren't."""
         start = Start("i-1", "v1", 1)
         behaviour = make_behaviour("mute")
-        for answer in behaviour.report(start, 0), behaviour.list_parts(start):
-            assert answer == (404, b"")
+        for call in (wire.REPORT_CALL, wire.PARTS_CALL):
+            assert behaviour.describe(start, 0, call) == (404, b"")
 
     def test_request_for_another_runner_does_not_run(self) -> None:
         """Guards against runs of requests for the runner before."""
