Play kept prompts, holds and named memory in the soak

Stand-ins of the soak kept nothing, so that lists of kept parts beside restarts and the system's own headers were not played. kept: each start keeps the parts and runs that it has read, and tells the parts in /-/kv-list; a runner goes on from memory that Kv-From names, refuses what it doesn't have, and lets a lease (X-Kv-Hold) in ahead. Callers (0.2) name the memory of the request before. A run that goes on from another request's memory breaks MIXED. The system sends neither header itself so far, so that the check sees only those of callers, and stands ready for later ones.

--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 import json
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from peridotbend.platform import wire
 from peridotbend_emulator.soak.checks import (
@@ -15,6 +15,7 @@
     make_body,
 )
 from peridotbend_emulator.soak.faults import Choices
+from peridotbend_emulator.soak.memory import PromptMemory
 from peridotbend_emulator.soak.messages import (
     Request,
     make_answer,
@@ -30,6 +31,7 @@
 from peridotbend_emulator.soak.runners import (
     Connection,
     Start,
+    Told,
     make_rejection,
 )
 
@@ -44,15 +46,6 @@
 PEER_RESET_SHARE = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BreakPlan:
-    """The events at which the faults of a stream strike; 0 for never."""
-
-    stop: int = 0
-    reset: int = 0
-    garble: int = 0
-
-
 @dataclasses.dataclass
 class SoakBehaviour:
     """Answers streams and calls, and notes each run."""
@@ -65,6 +58,7 @@
         """Begins without runs."""
         # How often each attempt or question has arrived, since all differ.
         self._arrivals: collections.Counter[str] = collections.Counter()
+        self._memory = PromptMemory()
 
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Answers; tells whether the connection may be used again."""
@@ -72,15 +66,16 @@
         arrival = self._arrivals[attempt]
         choices = self.make_choices(f"run/{attempt}/{arrival}")
         self._arrivals[attempt] += 1
-        if choices.draw_fault("reject"):
-            name = connection.process.start.name
-            self.record.note_fault(f"reject at {name} of {attempt}")
+        start = connection.process.start
+        is_rejected = choices.draw_fault("reject")
+        if is_rejected or not self._memory.has_source(start, request):
+            self.record.note_fault(f"reject at {start.name} of {attempt}")
             await connection.send(make_rejection(request))
             return True
         path, service = request.target, connection.process.service
         self.record.add_findings(self.ledger.note_run(path, attempt))
         self.record.add_findings(check_route(path, service))
-        start = connection.process.start
+        self.record.add_findings(self._memory.note_run(start, request))
         self.record.write(
             f"RUN {start.name} {start.software} {attempt} {request.target}"
             f" after {request.get(wire.LAST_EVENT_ID) or 0}"
@@ -94,9 +89,7 @@
             return False
         return is_kept
 
-    def describe(
-        self, start: Start, active: int, call: str
-    ) -> tuple[int, bytes]:
+    def describe(self, start: Start, active: int, call: str) -> Told:
         """Returns the status and body with which a start tells of itself."""
         subject = f"{start.name}{call}"
         choices = self.make_choices(f"{subject}/{self._arrivals[subject]}")
@@ -105,7 +98,9 @@
         if choices.plan.has("mute"):
             return 404, b""
         if call == wire.PARTS_CALL:
-            return 200, json.dumps(make_part_list(born_ms)).encode()
+            has_parts = choices.plan.has("kept")
+            parts = self._memory.parts[start] if has_parts else {}
+            return 200, json.dumps(make_part_list(born_ms, parts)).encode()
         if choices.draw_fault("bad-report"):
             body = choices.rng.choice(list_bad_reports(born_ms))
             self.record.note_fault(f"bad-report at {start.name}: {body!r}")
@@ -188,20 +183,19 @@
 
     async def _send_stream(self) -> bool:
         rng = self.choices.rng
-        last = self._last
-        plan = self._plan_breaks(last)
+        plan = self._plan_breaks()
         gap_s = rng.choice((0.0, 0.005, 0.03, 0.1))
         await self._send_head("text/event-stream")
-        for number in range(last + 1, self._size + 1):
+        for number in range(self._last + 1, self._size + 1):
             data = self._make_event(number)
-            if number == plan.stop:
+            if number == plan["break"]:
                 await self._stop_inside(data)
                 return False
-            if number == plan.reset:
+            if number == plan["reset"]:
                 self._note_break(f"reset before event {number}")
                 self.connection.reset()
                 return False
-            if number == plan.garble:
+            if number == plan["garble"]:
                 self._note_break(f"foreign bytes before event {number}")
                 await self._put(rng.choice(tuple(_list_foreign(number))))
             await self._put(data)
@@ -215,23 +209,21 @@
             await self.connection.send(make_chunk(b""))
         return True
 
-    def _plan_breaks(self, last: int) -> BreakPlan:
-        """Chooses where faults strike, also if there is no event left."""
-        choices, size = self.choices, self._size
-        struck = [
-            choices.draw_fault(name) for name in ("break", "reset", "garble")
-        ]
+    def _plan_breaks(self) -> Mapping[str, int]:
+        """Chooses at which events faults strike; 0 for never."""
+        choices = self.choices
+        struck = {
+            name: choices.draw_fault(name)
+            for name in ("break", "reset", "garble")
+        }
         if self._is_unframed and choices.plan.has("peer"):
-            struck[1] |= choices.rng.random() < PEER_RESET_SHARE
-        if last >= size:
-            return BreakPlan()
-        places = [choices.rng.randint(last + 1, size) for _ in struck]
-        return BreakPlan(
-            *(
-                place if is_struck else 0
-                for is_struck, place in zip(struck, places, strict=True)
-            )
-        )
+            struck["reset"] |= choices.rng.random() < PEER_RESET_SHARE
+        if self._last >= self._size:
+            return dict.fromkeys(struck, 0)
+        return {
+            name: choices.rng.randint(self._last + 1, self._size) * is_struck
+            for name, is_struck in struck.items()
+        }
 
     def _make_event(self, number: int) -> bytes:
         event = StreamEvent(
@@ -261,9 +253,8 @@
         rng = self.choices.rng
         path, size = self.request.target, self._size
         has_failed = self.choices.draw_fault("fail")
-        is_reset, is_broken = self.choices.draw_fault(
-            "reset"
-        ), self.choices.draw_fault("break")
+        is_reset = self.choices.draw_fault("reset")
+        is_broken = self.choices.draw_fault("break")
         has_length = rng.random() < 0.5
         body = make_body(path, self._attempt, size)
         if has_failed:
--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -190,7 +190,7 @@
         self, instance: Instance, number: int, left_s: float
     ) -> Answer:
         context, job = self._context, self._job
-        attempt = f"{context.seed & 0xFFFF:04x}{job.serial:08x}{number:04x}"
+        attempt = make_attempt(context.seed, job.serial, number)
         if job.route.runs_once:
             context.ledger.note_single(attempt)
         leaving = self._draw_leaving()
@@ -347,6 +347,14 @@
                 (wire.TOKEN_COUNT, f"700,{job.size}"),
                 (wire.PROMPT_PREFIX, f"5c1e07a2:60,{own_part}"),
             ]
+        if self._choices.plan.has("kept") and self._choices.draw_fault("kept"):
+            self._context.record.note_fault(f"kept for {job.path}")
+            # The call before, whose runner may keep its prompt.
+            other = make_attempt(self._context.seed, job.serial - 1, 0)
+            headers += [
+                (wire.KV_FROM, f"{HOST_NAME}:80/{other}"),
+                (wire.KV_HOLD, other),
+            ]
         if self._check.held:
             headers += [
                 (wire.RESUMES, self._first_attempt),
@@ -355,6 +363,11 @@
         return make_head(f"POST {job.path} HTTP/{version}", headers)
 
 
+def make_attempt(seed: int, serial: int, number: int) -> str:
+    """Returns the ID of an attempt of a job."""
+    return f"{seed & 0xFFFF:04x}{serial & 0xFFFFFFFF:08x}{number:04x}"
+
+
 def _parse_seconds(text: str) -> float:
     try:
         return float(text)
--- a/src/peridotbend_emulator/soak/disturbances.py
+++ b/src/peridotbend_emulator/soak/disturbances.py
@@ -26,7 +26,7 @@
     async def run(self) -> None:
         """Plays faults until it is cancelled."""
         context = self._context
-        if not (names := context.plan.list_series()):
+        if not (names := context.choices.plan.list_series()):
             return
         for number in itertools.count():
             context.begin_fault(number)
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Iterable, Mapping
 
+from peridotbend_emulator.soak.links import PARTIAL_CUTS
+
 
 class Place(enum.Enum):
     """Where a fault takes effect."""
@@ -48,6 +50,7 @@
     FaultKind("bad-report", Place.RUN, 0.3, "a report is not valid", False),
     FaultKind("leave", Place.CALLER, 0.04, "a caller leaves early"),
     FaultKind("abandon", Place.CALLER, 0.3, "a caller goes elsewhere", False),
+    FaultKind("kept", Place.CALLER, 0.2, "memory of others is named", False),
     FaultKind("keep", Place.CALLER, 0.6, "a caller keeps its connection"),
     FaultKind("slow", Place.CALLER, 0.08, "a caller reads slowly"),
     FaultKind("http10", Place.CALLER, 0.06, "a caller speaks HTTP/1.0", False),
@@ -86,17 +89,13 @@
     FaultKind("groups", Place.FLEET, 0, "63 instances, in groups", False),
     *(
         FaultKind(
-            name, Place.FLEET, PARTIAL_CUT_SHARE, f"{effect}; see zone", False
-        )
-        for name, effect in (
-            ("part-reset", "instance 0 reaches few runners: reset"),
-            ("part-silent", "the same: accepted, silent"),
-            ("part-page", "the same: a foreign page"),
-            ("part-head", "the same: a head, nothing more"),
-            ("part-echo", "the same: a head without a stamp"),
-            ("part-refused", "the same: refused"),
-            ("part-hanging", "the same: connects hang"),
+            name,
+            Place.FLEET,
+            PARTIAL_CUT_SHARE,
+            f"few runners: {state.value}",
+            False,
         )
+        for name, state in PARTIAL_CUTS.items()
     ),
     FaultKind("zone", Place.FLEET, 0, "a partial cut strikes one zone", False),
     FaultKind("peer", Place.FLEET, 0, "instance 0 reaches no runner", False),
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -111,7 +111,7 @@
         """Writes the entries of runners that run, as each heartbeat does."""
         for runner, entry in tuple(self._entries.items()):
             is_current = entry.started_at_ms >= runner.start.started_at_ms
-            if runner.is_running and is_current:
+            if runner.process and is_current:
                 sequence = runner.make_entry().sequence
                 self.list_entry(
                     runner, dataclasses.replace(entry, sequence=sequence)
--- a/src/peridotbend_emulator/soak/instancefaults.py
+++ b/src/peridotbend_emulator/soak/instancefaults.py
@@ -159,8 +159,8 @@
     async def _restore_store(self) -> None:
         """Loses what is written to the store in some seconds."""
         copy = self._fleet.store.copy()
-        self._context.note(f"restore: copy of revision {copy.revision}")
-        if self._context.plan.has("config"):
+        self._context.note(f"restore: copy of revision {copy[0]}")
+        if self._context.choices.plan.has("config"):
             await self._write_config()
         await self._context.sleep(AWAY_S)
         with self._context.touch.hold("restore"):
--- a/src/peridotbend_emulator/soak/instances.py
+++ b/src/peridotbend_emulator/soak/instances.py
@@ -59,6 +59,7 @@
     def __init__(self, settings: InstanceSettings):
         self.index = settings.index
         self.host = settings.host
+        self.zone = settings.zone
         own_address = settings.host, settings.ports.callers
         self.address = settings.callers_address or own_address
         # Added to the time of day of the next process.
@@ -70,11 +71,6 @@
         self._log_path = settings.folder / f"instance-{settings.index}.log"
         self._cut_path = settings.folder / f"cut-{settings.index}.txt"
 
-    @property
-    def zone(self) -> str:
-        """The availability zone."""
-        return self._settings.zone
-
     def cut_off(self, hosts: Iterable[str]) -> None:
         """Cuts other instances off; without any, ends all cuts."""
         _replace(self._cut_path, " ".join(hosts))
--- a/src/peridotbend_emulator/soak/platform/documents.py
+++ b/src/peridotbend_emulator/soak/platform/documents.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import json
+from collections.abc import Mapping
 from typing import Any
 
 HOST_NAME = "shop.example"
@@ -257,11 +258,11 @@
     )
 
 
-def make_part_list(started_at_ms: int) -> dict[str, Any]:
-    """Returns the list of the prompt parts that a runner keeps: none."""
+def make_part_list(born_ms: int, parts: Mapping[str, int]) -> dict[str, Any]:
+    """Returns the list of the prompt parts that a runner keeps."""
     return {
-        "epoch": started_at_ms,
+        "epoch": born_ms,
         "next": 1,
-        "held": [],
-        "born": started_at_ms,
+        "held": [["", name, tokens, "m"] for name, tokens in parts.items()],
+        "born": born_ms,
     }
--- a/src/peridotbend_emulator/soak/platform/store.py
+++ b/src/peridotbend_emulator/soak/platform/store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import contextlib
-import dataclasses
 import functools
 import json
 import urllib.parse
@@ -18,19 +17,12 @@
 )
 
 Event = tuple[str, int, "DocumentMaker | None"]
+# The revision, the content and the history of a store at one moment.
+StoreCopy = tuple[int, dict[str, tuple[int, "DocumentMaker"]], list[Event]]
 # Returns the document of a key for an instance, given by its index.
 DocumentMaker = Callable[[int], dict[str, Any]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreCopy:
-    """The content of a store at one moment."""
-
-    revision: int
-    items: dict[str, tuple[int, DocumentMaker]]
-    history: list[Event]
-
-
 class StoreStandIn:
     """Keys that can be listed and watched.
 
@@ -91,15 +83,12 @@
 
     def copy(self) -> StoreCopy:
         """Returns a copy to restore."""
-        items, history = dict(self._items), list(self._history)
-        return StoreCopy(self._revision, items, history)
+        return self._revision, dict(self._items), list(self._history)
 
     def restore(self, copy: StoreCopy) -> None:
         """Goes back to a copy; what was written since is lost."""
         self._era += 1
-        self._revision = copy.revision
-        self._items = dict(copy.items)
-        self._history = list(copy.history)
+        self._revision, self._items, self._history = copy
         self._wake_watches()
 
     def _add_event(self, key: str, make_document: DocumentMaker | None) -> None:
--- a/src/peridotbend_emulator/soak/runnerfaults.py
+++ b/src/peridotbend_emulator/soak/runnerfaults.py
@@ -125,11 +125,8 @@
     async def _exchange_addresses(self, runner: Runner, fault: str) -> None:
         """Replaces runners of two services at each other's addresses."""
         occupation = self._context.occupation
-        others = [
-            other
-            for other in self._fleet.runners
-            if other.service != runner.service and occupation.is_free(other)
-        ]
+        free = filter(occupation.is_free, self._fleet.runners)
+        others = [other for other in free if other.service != runner.service]
         if not others:
             return
         other = self._context.rng.choice(others)
@@ -153,15 +150,15 @@
 
     async def _silence(self, runner: Runner, fault: str) -> None:
         self._context.note(f"{fault} {runner.start.name}")
-        runner.set_silent(True)
-        await self._context.sleep(SILENT_S)
-        runner.set_silent(False)
+        if (process := runner.process) is not None:
+            process.is_silent = True
+            await self._context.sleep(SILENT_S)
+            process.is_silent = False
 
     def _die(self, runner: Runner, fault: str) -> None:
         is_struck = self._context.rng.random() < IN_ORDER_SHARE
-        in_order = fault == "fin" or (
-            self._context.plan.has("fin") and is_struck
-        )
+        has_fin = self._context.choices.plan.has("fin")
+        in_order = fault == "fin" or (has_fin and is_struck)
         end = "closed in order" if in_order else "reset"
         start = runner.start
         self._context.note(
@@ -185,14 +182,11 @@
     def _choose_other(self, runner: Runner) -> str:
         """Returns the other version, unless too few runners keep the own."""
         own = runner.start.software
-        others = [
-            other
+        same = sum(
+            (other.service, other.start.software) == (runner.service, own)
             for other in self._fleet.runners
-            if other is not runner
-            and other.service == runner.service
-            and other.start.software == own
-        ]
-        if len(others) < MIN_OF_VERSION and runner.service == STREAM_SERVICE:
+        )
+        if same <= MIN_OF_VERSION and runner.service == STREAM_SERVICE:
             return own
         return next(version for version in VERSIONS if version != own)
 
@@ -202,7 +196,7 @@
         return self._choose_other(runner)
 
     async def _lag(self, fault: str) -> None:
-        longest_s = self._context.plan.shares[fault]
+        longest_s = self._context.choices.plan.shares[fault]
         await asyncio.sleep(self._context.rng.uniform(0.0, longest_s))
 
 
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -41,6 +41,10 @@
 )
 
 
+# Status and body of what a runner tells of itself.
+Told = tuple[int, bytes]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
     """One start of a runner."""
@@ -100,9 +104,7 @@
         """Answers; tells whether the connection may be used again."""
         ...
 
-    def describe(
-        self, start: Start, active: int, call: str
-    ) -> tuple[int, bytes]:
+    def describe(self, start: Start, active: int, call: str) -> Told:
         """Returns the status and body with which a start tells of itself."""
         ...
 
@@ -221,7 +223,9 @@
         if expected and expected != self.start.name:
             await connection.send(make_answer(421, b"", _echo(request)))
             return True
-        if self._active >= self._slots + QUEUE_LENGTH:
+        # A lease lets its request in ahead of all that wait.
+        has_lease = bool(request.get(wire.KV_HOLD))
+        if self._active >= self._slots + QUEUE_LENGTH and not has_lease:
             await connection.send(make_rejection(request))
             return True
         self._active += 1
@@ -263,51 +267,39 @@
         """Begins without a process."""
         # By instance; chosen at the first start.
         self._ports = [0] * len(self.links)
-        self._process: RunnerProcess | None = None
+        self.process: RunnerProcess | None = None
         self._sequence = 0
 
-    @property
-    def is_running(self) -> bool:
-        """Whether there is a process."""
-        return self._process is not None
-
     async def launch(self, start: Start) -> None:
         """Starts a process."""
         self.start = start
-        self._process = RunnerProcess(self)
+        self.process = RunnerProcess(self)
         self._sequence = 0
         for link in self.links:
             port = self._ports[link.index]
             if link.find_state(self.host) not in REFUSING_STATES or not port:
-                port = await self._process.listen(link, port)
+                port = await self.process.listen(link, port)
                 self._ports[link.index] = port
         for link in self.links:
             await self.apply_link(link)
 
     def die(self, in_order: bool) -> None:
         """Ends the process at once; see `RunnerProcess.die`."""
-        if self._process is not None:
-            self._process.die(in_order)
-            self._process = None
-
-    def set_silent(self, is_silent: bool) -> None:
-        """Begins or ends a silence of the process."""
-        if self._process is not None:
-            self._process.is_silent = is_silent
+        if self.process is not None:
+            self.process.die(in_order)
+            self.process = None
 
     async def apply_link(self, link: Link) -> None:
         """Makes the connections of an instance behave as its link says."""
-        process = self._process
+        process = self.process
         if process is None:
             return
         state = link.find_state(self.host)
         if state in RESETTING_STATES:
             process.reset_connections(link)
-        if state is LinkState.HANGING:
-            process.stop_listening(link)
-        if state in REFUSING_STATES:
+        if state is LinkState.HANGING or state in REFUSING_STATES:
             process.stop_listening(link)
-        elif not process.is_listening(link):
+        if state not in REFUSING_STATES and not process.is_listening(link):
             port = self._ports[link.index]
             await process.listen(link, port)
 
--- a/src/peridotbend_emulator/soak/seriescontext.py
+++ b/src/peridotbend_emulator/soak/seriescontext.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable, Iterator
 
-from peridotbend_emulator.soak.faults import Choices, FaultPlan
+from peridotbend_emulator.soak.faults import Choices
 from peridotbend_emulator.soak.fleet import SoakFleet
 from peridotbend_emulator.soak.fleetchecks import TouchLog
 from peridotbend_emulator.soak.record import Record
@@ -56,16 +56,11 @@
     @property
     def rng(self) -> random.Random:
         """The generator of the current fault."""
-        return self._choices.rng
-
-    @property
-    def plan(self) -> FaultPlan:
-        """The faults of the run."""
-        return self._choices.plan
+        return self.choices.rng
 
     def begin_fault(self, number: int) -> None:
         """Takes the choices of the next fault."""
-        self._choices = self.make_choices(number)
+        self.choices = self.make_choices(number)
 
     def note(self, text: str) -> None:
         """Notes what happens."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -58,6 +58,7 @@
     check_stop,
 )
 from peridotbend_emulator.soak.links import Link, LinkState
+from peridotbend_emulator.soak.memory import PromptMemory
 from peridotbend_emulator.soak.messages import Answer, Request
 from peridotbend_emulator.soak.platform.documents import (
     CALL_SERVICE,
@@ -629,6 +630,45 @@
         assert FIRST_RUNNER_HOST + runner_count <= 255
 
 
+class PromptMemoryTest(unittest.TestCase):
+    """What runners keep of prompts."""
+
+    def setUp(self) -> None:
+        self.memory = PromptMemory()
+        self.start = Start("i-1", "v1", 1)
+
+    def _note(self, path: str, attempt: str, source: str) -> list[Finding]:
+        headers = (
+            (wire.ATTEMPT_ID, attempt),
+            (wire.PROMPT_PREFIX, "5c1e07a2:60"),
+            (wire.KV_FROM, source),
+        )
+        request = Request("POST", path, headers)
+        assert self.memory.has_source(self.start, request) == (
+            source != "h:1/a-9"
+        )
+        return list(self.memory.note_run(self.start, request))
+
+    def test_memory_of_another_request(self) -> None:
+        """Guards against a run that goes on from a foreign prompt."""
+        assert not self._note(PATH, "a-1", "")
+        assert not self._note(PATH, "a-2", "h:1/a-1")
+        assert not self._note(PATH, "a-3", "h:1/a-9")
+        (finding,) = self._note("/r/2/4/0", "a-4", "h:1/a-1")
+        assert finding.rule is Rule.MIXED and PATH in finding.detail
+
+    def test_memory_ends_with_its_process(self) -> None:
+        """Guards against prompts that outlive a restart under the same ID."""
+        self._note(PATH, "a-1", "")
+        assert self.memory.parts[self.start] == {"5c1e07a2": 60}
+        after = Start("i-1", "v1", 2)
+        assert not self.memory.parts[after]
+        headers = ((wire.KV_FROM, "h:1/a-1"),)
+        request = Request("POST", PATH, headers)
+        assert self.memory.has_source(self.start, request)
+        assert not self.memory.has_source(after, request)
+
+
 class SplitLoopTest(unittest.TestCase):
     """How instances are cut off from each other."""
 
@@ -989,6 +1029,13 @@
         """Guards against requests at a runner of another service."""
         self._play(8, 15.0, "reuse break reset keep")
 
+    def test_memory_of_other_requests_is_not_used(self) -> None:
+        """Guards against a caller that names the memory of another request.
+
+        What a runner keeps is lost when it dies, also under its ID.
+        """
+        self._play(9, 15.0, "kept=0.5 inplace same crash break")
+
     def test_early_entries_join_no_versions(self) -> None:
         """Guards against the same where the entry comes before the start."""
         self._play(14, 15.0, "early break reset")
