Send nothing new to evacuated zones

Cause: the operator's keys op/evacuate/ZONE arrived with the watch of op/ and were passed over, so requests went on to reach the targets of an evacuated zone.

Change: the entries evacuate zones in the list of targets, so that the selection, the gate before the first byte, extra sends, resumed streams and the connects for other instances leave them out. A service with no other zone refuses at once. Streams that run there go on. New streams are placed among the targets that are left, and a process that has just started counts the evacuations of the kept history as possible.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -174,6 +174,7 @@
             return
         now_ms = self._clock.now_ms()
         targets = self._targets.list_for(service)
+        is_evacuated = self._targets.is_evacuated(service)
         still_waiting: list[_Waiter] = []
         # Criteria for which all targets are full. Within this call slots are
         # only taken, so other requests with the same criteria would find none.
@@ -188,7 +189,9 @@
                     full_for.add(criteria)
             if target is not None and waiter.wait_until_ms > now_ms:
                 self._grant(waiter, target)
-            elif waiter.wait_until_ms <= now_ms + self._find_pause_ms(
+            elif (
+                is_evacuated and waiter.criteria.rank != RESUME_RANK
+            ) or waiter.wait_until_ms <= now_ms + self._find_pause_ms(
                 waiter, targets
             ):
                 # Its time is over, or will be before a target takes requests.
--- a/src/peridotbend/edge/published.py
+++ b/src/peridotbend/edge/published.py
@@ -190,6 +190,13 @@
         """Tells whether an item is of an era before the current one."""
         return item.position.era < self.position.era
 
+    def _has_version(self, *items: Item) -> bool:
+        """Tells whether the value of a key has a version.
+
+        Beside versioned values, a prefix may have some without.
+        """
+        return self._is_versioned and any(item.order[0] for item in items)
+
     def _is_forgotten(self, item: Item, known: Item | None) -> bool:
         """Tells whether a peer offers what the restored store did not have."""
         is_missing = known is None or known.value is None
@@ -197,7 +204,7 @@
             is_missing
             and item.value is not None
             and self._is_of_earlier_era(item)
-            and not self._is_versioned
+            and not self._has_version(item)
         )
 
     def _is_removed(self, item: Item) -> bool:
@@ -206,7 +213,7 @@
             item.value is not None
             and item.position.era == self._compacted.era
             and item.position <= self._compacted
-            and not self._is_versioned
+            and not self._has_version(item)
         )
 
     def _take(self, item: Item, known: Item | None) -> bool:
@@ -225,7 +232,8 @@
     def _withhold(self, item: Item, known: Item) -> None:
         """Keeps an entry that a restored store offers, without using it."""
         is_offered = item.position.era > known.position.era
-        if is_offered and item.value is not None and not self._is_versioned:
+        is_versioned = self._has_version(item, known)
+        if is_offered and item.value is not None and not is_versioned:
             self._withheld[item.key] = item
 
     def _supersedes(self, item: Item, known: Item) -> bool:
@@ -233,10 +241,11 @@
         if item.position.era == known.position.era:
             return item.position > known.position
         later = max(item, known, key=lambda one: one.position)
-        if later.value is None and not self._is_versioned:
+        is_versioned = self._has_version(item, known)
+        if later.value is None and not is_versioned:
             # A removal in a later era is not a memory of the copy.
             return later is item
-        if item.value is None and self._is_versioned:
+        if item.value is None and is_versioned:
             return False
         rank = (item.order, item.value is None)
         known_rank = (known.order, known.value is None)
--- a/src/peridotbend/edge/targethistory.py
+++ b/src/peridotbend/edge/targethistory.py
@@ -1,15 +1,18 @@
 """What the store tells of targets before this process first listed them."""
 
 import dataclasses
-from collections.abc import Callable, Mapping
+import itertools
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from result import Err, Result
 
 from peridotbend.domain.clock import Clock
+from peridotbend.edge.evacuations import EvacuatedZones
 from peridotbend.edge.ports import PublishedReader, StoreFailure
 from peridotbend.edge.published import Changes, Item, Position
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.edge.versions import (
+    VIEW_LAG_MS,
     PastMix,
     VersionChange,
     VersionMix,
@@ -23,6 +26,8 @@
 # The search for the oldest kept revision doubles its distance up to this many
 # revisions. Entries change when a target starts, drains or leaves.
 MAX_DISTANCE = 65_536
+# Bounds the combinations of zones for which past mixes are computed.
+MAX_PAST_ZONES = 3
 # Before any time that a clock gives.
 _ALWAYS_MS = -(2**62)
 
@@ -38,6 +43,41 @@
     until_ms: int
 
 
+class EvacuationHistory:
+    """Reads which zones were evacuated before this process started."""
+
+    def __init__(
+        self,
+        reader: PublishedReader,
+        find_zone: Callable[[str], str],
+        evacuated: EvacuatedZones,
+    ):
+        """Creates a reader.
+
+        Args:
+            reader: of the keys that operators write.
+            find_zone: returns the zone that a key evacuates, or "".
+            evacuated: the zones that are evacuated now.
+        """
+        self._reader = reader
+        self._find_zone = find_zone
+        self._evacuated = evacuated
+
+    async def read(self, after: int) -> frozenset[str] | None:
+        """Returns the zones that may have been evacuated since a revision.
+
+        None if that is not known, or if there are too many.
+        """
+        result = await self._reader.watch(after, 0)
+        if isinstance(result, Err):
+            return None
+        zones = set(self._evacuated)
+        for item in result.ok_value.items:
+            zones.add(self._find_zone(item.key))
+        zones.discard("")
+        return frozenset(zones) if len(zones) <= MAX_PAST_ZONES else None
+
+
 class TargetHistory:
     """Reads the kept history of targets into the timeline of versions.
 
@@ -52,6 +92,7 @@
         timeline: VersionTimeline,
         clock: Clock,
         kept_ms: int,
+        evacuations: EvacuationHistory | None = None,
     ):
         """Creates a reader.
 
@@ -61,7 +102,9 @@
             timeline: gets what was read.
             clock: source of time.
             kept_ms: how long the store keeps its history; 0 if unknown.
+            evacuations: what is kept of them; None if there are none.
         """
+        self._evacuations = evacuations
         self._reader = reader
         self._decode = decode
         self._timeline = timeline
@@ -97,10 +140,15 @@
         after, changes = found
         if changes.position.era != self._listed_at.era:
             return False
+        zones: frozenset[str] | None = frozenset()
+        if self._evacuations is not None:
+            zones = await self._evacuations.read(after)
+        if zones is None or self.is_read:
+            return self.is_read
         covered_since_ms = asked_at_ms - self._kept_ms
         if not after:
             covered_since_ms = _ALWAYS_MS
-        self._insert(changes, covered_since_ms)
+        self._insert(changes, covered_since_ms, zones)
         self.is_read = True
         return True
 
@@ -131,7 +179,16 @@
             if lost >= 0 and best is not None and best[0] - lost <= 1:
                 return best
 
-    def _insert(self, changes: Changes, covered_since_ms: int) -> None:
+    def _insert(
+        self, changes: Changes, covered_since_ms: int, zones: Collection[str]
+    ) -> None:
+        """Adds the history to the timeline.
+
+        Args:
+            changes: of the targets.
+            covered_since_ms: since when all changes are known.
+            zones: that may have been evacuated at any time since then.
+        """
         assert self._listed_at is not None
         items = sorted(
             (
@@ -143,7 +200,9 @@
         )
         steps = self._date(items, covered_since_ms)
         state = self._find_state_before(steps, covered_since_ms)
-        mixes = {service: state.make_mix(service) for service in state.ready}
+        mixes = {
+            service: state.make_mixes(service, zones) for service in state.ready
+        }
         past: dict[str, list[PastMix]] = {}
         replaced: dict[str, list[VersionChange]] = {}
         for step in steps:
@@ -152,10 +211,18 @@
                 replaced.setdefault(step.target.service, []).append(change)
             for service in state.apply(step):
                 previous = mixes.get(service)
-                mixes[service] = state.make_mix(service)
+                mixes[service] = state.make_mixes(service, zones)
                 if previous is not None and mixes[service] != previous:
-                    entry = PastMix(previous, step.until_ms)
-                    past.setdefault(service, []).append(entry)
+                    past.setdefault(service, []).extend(
+                        PastMix(mix, step.until_ms) for mix in previous
+                    )
+        listed_ms = self._timeline.covered_since_ms
+        assert listed_ms is not None
+        for service, possible in mixes.items():
+            # The first is the one that was listed.
+            past.setdefault(service, []).extend(
+                PastMix(mix, listed_ms + VIEW_LAG_MS) for mix in possible[1:]
+            )
         self._timeline.insert_history(past, covered_since_ms, replaced)
 
     def _date(self, items: list[Item], covered_since_ms: int) -> list[_Change]:
@@ -252,9 +319,32 @@
             if name is not None
         }
 
-    def make_mix(self, service: str) -> VersionMix:
-        """Returns the mix of a service."""
+    def make_mixes(
+        self, service: str, zones: Collection[str]
+    ) -> tuple[VersionMix, ...]:
+        """Returns the mixes that a service may have had.
+
+        Args:
+            service: of the targets.
+            zones: that may have been evacuated. The first mix is the one
+                without any evacuation.
+        """
         targets = self.ready.get(service, {}).values()
         # Those that are not known may be of any service.
         slots = max((target.slots for target in targets), default=0)
-        return make_mix(targets, len(self.unknown) * slots)
+        mixes = {
+            make_mix(
+                (t for t in targets if t.zone not in evacuated),
+                len(self.unknown) * slots,
+            ): None
+            for evacuated in _list_subsets(zones)
+        }
+        return tuple(mixes)
+
+
+def _list_subsets(zones: Collection[str]) -> Iterable[tuple[str, ...]]:
+    """Returns all subsets, the empty one first."""
+    return itertools.chain.from_iterable(
+        itertools.combinations(sorted(zones), count)
+        for count in range(len(zones) + 1)
+    )
--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from peridotbend.domain.clock import Clock
+from peridotbend.edge.evacuations import EvacuatedZones
 from peridotbend.edge.hashes import hash_name
 from peridotbend.edge.leavingruns import LeavingRuns
 
@@ -43,17 +44,21 @@
     """All listed targets, indexed by name and service.
 
     A target accepts requests unless its entry or its own answers say that it
-    leaves. While the store is unreachable, and for a grace period after it
-    recovers, a removal may only mean that the entry expired, so it is deferred.
+    leaves, or its zone is evacuated. While the store is unreachable, and for a
+    grace period after it recovers, a removal may only mean that the entry
+    expired, so it is deferred.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, evacuated: EvacuatedZones | None = None):
         self._clock = clock
+        if evacuated is None:
+            evacuated = EvacuatedZones(clock)
+        self.evacuated = evacuated
         self._targets: dict[str, EdgeTarget] = {}
         # Time at which each deferred removal takes effect, by target name.
         self._removals_due_ms: dict[str, int] = {}
-        # By service, those that accept requests, and those whose entries say
-        # so.
+        # By service, those that accept requests, and those that do as far as
+        # the store tells.
         self._by_service: dict[str, list[EdgeTarget]] = {}
         self._listed_by_service: dict[str, list[EdgeTarget]] = {}
         self._leaving_runs = LeavingRuns(clock)
@@ -79,6 +84,35 @@
         Entries that are missing in it are written again.
         """
         self._store_recovered_at_ms = self._clock.now_ms()
+        self.evacuated.note_store_restored()
+
+    def evacuate(self, zone: str) -> bool:
+        """Sends nothing new to a zone from now on; tells if that is new."""
+        self._clear_indexes()
+        return self.evacuated.put(zone)
+
+    def readmit(self, zone: str) -> bool:
+        """Takes an evacuation back; tells whether it has ended."""
+        self._clear_indexes()
+        return self.evacuated.remove(zone)
+
+    def readmit_overdue(self) -> list[str]:
+        """Ends the evacuations that a restored store lacks, after some time."""
+        ended = self.evacuated.remove_overdue()
+        if ended:
+            self._clear_indexes()
+        return ended
+
+    def is_evacuated(self, service: str) -> bool:
+        """Tells whether evacuations leave a service without any target."""
+        return (
+            bool(self.evacuated)
+            and not self.list_listed(service)
+            and any(
+                target.service == service and not target.is_leaving
+                for target in self._targets.values()
+            )
+        )
 
     def note_leaving(self, target: EdgeTarget) -> bool:
         """Records that a target said that it leaves; tells if it is new."""
@@ -149,9 +183,10 @@
         return found
 
     def list_listed(self, service: str) -> list[EdgeTarget]:
-        """Returns the targets of a service whose entries accept requests.
+        """Returns the targets of a service that the store lets have requests.
 
-        All instances that read the store have the same.
+        They do not leave, and their zones are not evacuated. All instances
+        that read the store have the same.
         """
         self._remove_overdue()
         found = self._listed_by_service.get(service)
@@ -159,7 +194,9 @@
             found = [
                 target
                 for target in self._targets.values()
-                if target.service == service and not target.is_leaving
+                if target.service == service
+                and not target.is_leaving
+                and target.zone not in self.evacuated
             ]
             self._listed_by_service[service] = found
         return found
@@ -170,6 +207,7 @@
         return (
             known is not None
             and not known.is_leaving
+            and known.zone not in self.evacuated
             and known.started_at_ms == target.started_at_ms
             and known.software == target.software
             and not self._has_said_leaving(target)
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -29,6 +29,8 @@
 from peridotbend.domain.ports import EventLog
 from peridotbend.domain.targetreach import FORMS
 from peridotbend.edge.config import EdgeConfig
+from peridotbend.edge.evacuationentries import EvacuationEntries
+from peridotbend.edge.evacuations import EvacuatedZones
 from peridotbend.edge.exchange import DigestExchange
 from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.fleetstatus import FleetStatus
@@ -45,12 +47,14 @@
     InstanceIdentity,
     SharedState,
 )
-from peridotbend.edge.targethistory import TargetHistory
+from peridotbend.edge.targethistory import EvacuationHistory, TargetHistory
 from peridotbend.edge.targets import AcceptingTargets, TargetList
 from peridotbend.platform import wire
 from peridotbend.platform.documents import (
     decode_config,
+    decode_evacuation,
     decode_target,
+    find_evacuated_zone,
     read_config_order,
     read_target_order,
 )
@@ -110,7 +114,10 @@
         )
         self._status = status = FleetStatus(self._peers, directory)
         self._reader_role = ReaderRole(self._rng)
-        targets = TargetList(self._clock)
+        self._withhold_ms = WITHHOLD_HEARTBEATS * settings.heartbeat_ms
+        targets = TargetList(
+            self._clock, EvacuatedZones(self._clock, self._withhold_ms)
+        )
         self._paths = PeerPaths(
             self._clock,
             self._rng,
@@ -182,6 +189,13 @@
         origins.witnesses = witnesses
         witnesses.is_certain = origins.is_certain
         witnesses.confirm_later = origins.confirm_later
+        self._evacuations = EvacuationEntries(
+            targets,
+            decode_evacuation,
+            find_evacuated_zone,
+            log,
+            self._update_services,
+        )
         self._build_feeds()
         self._dependencies.holder.subscribe(self._apply_limits)
 
@@ -217,6 +231,7 @@
                 }
                 for target in self._dependencies.targets
             },
+            "evacuated": self._dependencies.targets.evacuated.dump(),
             "health": self._dependencies.health.dump(),
             "peers": self._peers.dump(),
             "reads_store": self._reader_role.is_reader,
@@ -340,6 +355,11 @@
             "Known targets.",
             lambda: len(self._dependencies.targets),
         )
+        add_gauge(
+            "evacuated_zones",
+            "Zones whose targets get nothing new.",
+            lambda: len(self._dependencies.targets.evacuated),
+        )
         add_gauge(
             "limited_targets",
             "Targets that name a limit on the rate of requests.",
@@ -388,8 +408,9 @@
             wire.CONFIG_PREFIX: self._make_feed(
                 wire.CONFIG_PREFIX,
                 read_config_order,
-                self._apply_config_items,
+                self._apply_operator_items,
                 is_versioned=True,
+                unordered_prefix=wire.EVACUATION_PREFIX,
             ),
             wire.TARGET_PREFIX: self._make_feed(
                 wire.TARGET_PREFIX,
@@ -406,14 +427,19 @@
             self._dependencies.timeline,
             self._clock,
             self._settings.store_history_ms,
+            EvacuationHistory(
+                self._store.make_prefix_reader(
+                    wire.CONFIG_PREFIX, read_config_order
+                ),
+                find_evacuated_zone,
+                self._dependencies.targets.evacuated,
+            ),
         )
         self._dependencies.runs.find_listing_ms = lambda: self._feeds[
             wire.TARGET_PREFIX
         ].known_as_of_ms
         self._dependencies.origins.history = self._history
-        self._dependencies.origins.confirm_targets = self._feeds[
-            wire.TARGET_PREFIX
-        ].confirm
+        self._dependencies.origins.confirm_targets = self._confirm_targets
 
     def _make_feed(
         self,
@@ -421,15 +447,18 @@
         read_order: Callable[[bytes], WriteOrder],
         apply: Callable[[list[Item]], None],
         is_versioned: bool,
+        unordered_prefix: str = "",
     ) -> Feed:
         rules = RestoreRules(
             is_versioned,
-            WITHHOLD_HEARTBEATS * self._settings.heartbeat_ms,
+            self._withhold_ms,
             self._dependencies.targets.note_store_restored,
         )
         return Feed(
             prefix,
-            self._store.make_prefix_reader(prefix, read_order),
+            self._store.make_prefix_reader(
+                prefix, read_order, unordered_prefix
+            ),
             apply,
             self._clock,
             self._log,
@@ -438,6 +467,18 @@
             rules,
         )
 
+    async def _confirm_targets(self) -> bool:
+        """Tells whether nothing is missing that places streams by version.
+
+        Evacuations matter only where there are several versions.
+        """
+        if not await self._feeds[wire.TARGET_PREFIX].confirm():
+            return False
+        timeline = self._dependencies.timeline
+        if not any(map(timeline.has_versions, self._list_services())):
+            return True
+        return await self._feeds[wire.CONFIG_PREFIX].confirm()
+
     def _get_max_body_bytes(self) -> int:
         config = self._dependencies.holder.config
         return (
@@ -482,7 +523,12 @@
         else:
             self._dependencies.targets.note_store_unreachable()
 
-    def _apply_config_items(self, items: list[Item]) -> None:
+    def _apply_operator_items(self, items: list[Item]) -> None:
+        self._evacuations.apply(
+            item
+            for item in items
+            if item.key.startswith(wire.EVACUATION_PREFIX)
+        )
         for item in items:
             if item.key != wire.CONFIG_KEY or item.value is None:
                 continue
@@ -554,9 +600,14 @@
                     for target in self._dependencies.targets
                 },
             )
-        for service in {
-            target.service for target in self._dependencies.targets
-        }:
+        self._update_services()
+
+    def _list_services(self) -> set[str]:
+        return {target.service for target in self._dependencies.targets}
+
+    def _update_services(self) -> None:
+        """Applies which targets accept requests now."""
+        for service in self._list_services():
             self._dependencies.timeline.update(service)
             self._dependencies.backlog.grant_slots(service)
 
@@ -600,6 +651,7 @@
         )
         for feed in self._feeds.values():
             feed.release_withheld()
+        self._evacuations.end_lost()
 
     def _apply_reader_role(self) -> None:
         """Reads the store, or stops it, as the relays are heard of."""
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -16,6 +16,7 @@
 )
 from peridotbend.edge.published import WriteOrder
 from peridotbend.edge.targets import EdgeTarget
+from peridotbend.platform import wire
 from peridotbend.platform.fields import (
     BadFieldError,
     Fields,
@@ -40,6 +41,9 @@
 # Names of targets are sent in a header. A backslash is left of a key that was
 # no text.
 _TARGET_NAME = re.compile(r"[!-\[\]-~]+")
+# A slash would begin another key, and a backslash is left of one that was no
+# text.
+_ZONE_NAME = re.compile(r"[^\s\0-\x1f\x7f/\\]+")
 
 
 def decode_config(body: bytes) -> Result[EdgeConfig, str]:
@@ -58,6 +62,31 @@
         return Err(str(error))
 
 
+def find_evacuated_zone(key: str) -> str:
+    """Returns the zone that a key of an operator evacuates, or ""."""
+    if not key.startswith(wire.EVACUATION_PREFIX):
+        return ""
+    zone = key.removeprefix(wire.EVACUATION_PREFIX)
+    return zone if _ZONE_NAME.fullmatch(zone) else ""
+
+
+def decode_evacuation(key: str, body: bytes) -> Result[str, str]:
+    """Returns the zone that an entry evacuates; the error names what is odd.
+
+    The key says it all. Its value has to be a document, as all that operators
+    write is, or empty.
+    """
+    zone = find_evacuated_zone(key)
+    if not zone:
+        return Err("the key names no zone")
+    try:
+        if body:
+            json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return Err(f"value: {error}")
+    return Ok(zone)
+
+
 def decode_prompt_parts(
     body: bytes, started_at_ms: int
 ) -> Result[frozenset[str], str]:
--- a/src/peridotbend/platform/store.py
+++ b/src/peridotbend/platform/store.py
@@ -62,15 +62,20 @@
         self._target = Target("store", "store", "", host, port)
 
     def make_prefix_reader(
-        self, prefix: str, read_order: Callable[[bytes], WriteOrder]
+        self,
+        prefix: str,
+        read_order: Callable[[bytes], WriteOrder],
+        unordered_prefix: str = "",
     ) -> "PrefixReader":
         """Returns a reader for the keys below a prefix.
 
         Args:
             prefix: of the keys.
             read_order: returns what the writer of a value counts itself.
+            unordered_prefix: of the keys whose values have no such order;
+                empty for none.
         """
-        return PrefixReader(self, prefix, read_order)
+        return PrefixReader(self, prefix, read_order, unordered_prefix)
 
     async def get(
         self, call: str, query: dict[str, str], timeout_s: float
@@ -118,10 +123,12 @@
         client: StoreClient,
         prefix: str,
         read_order: Callable[[bytes], WriteOrder],
+        unordered_prefix: str = "",
     ):
         self._client = client
         self._prefix = prefix
         self._read_order = read_order
+        self._unordered_prefix = unordered_prefix
 
     async def list_items(self) -> Result[Changes, StoreError]:
         """Returns all items.
@@ -206,6 +213,9 @@
         if entry.get("deleted"):
             return Item(key, position, None)
         value = base64.b64decode(entry["value"], validate=True)
+        unordered = self._unordered_prefix
+        if unordered and key.startswith(unordered):
+            return Item(key, position, value)
         return Item(key, position, value, self._read_order(value))
 
 
--- a/src/peridotbend/platform/wire.py
+++ b/src/peridotbend/platform/wire.py
@@ -84,5 +84,7 @@
 # Keys and key prefixes in the store.
 CONFIG_KEY = "op/config"
 CONFIG_PREFIX = "op/"
+# Followed by a zone whose targets are to get nothing until the key is removed.
+EVACUATION_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
-KEYS = (CONFIG_KEY, CONFIG_PREFIX, TARGET_PREFIX)
+KEYS = (CONFIG_KEY, CONFIG_PREFIX, EVACUATION_PREFIX, TARGET_PREFIX)
