--- a/src/peridotbend/edge/targets.py
+++ b/src/peridotbend/edge/targets.py
@@ -191,12 +191,13 @@
         self._remove_overdue()
         found = self._listed_by_service.get(service)
         if found is None:
+            evacuated = frozenset(self.evacuated)
             found = [
                 target
                 for target in self._targets.values()
                 if target.service == service
                 and not target.is_leaving
-                and target.zone not in self.evacuated
+                and target.zone not in evacuated
             ]
             self._listed_by_service[service] = found
         return found
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -765,7 +765,7 @@
         "evacuated-target-listed",
         "EVAC",
         EDGE + "targets.py",
-        "and target.zone not in self.evacuated",
+        "and target.zone not in evacuated",
         "",
         ("test_edge_evacuations",),
     ),
