Let probes of links go on while they find something

Cause: a round of probes of lost targets ended after two without an answer, one after the other, so that a large cut that heals in part came back by some two or three targets a second, and the others were relayed meanwhile. A survey asked each target of its service, thousands of sound ones for a single one that is cut.

Change: eight targets are asked at a time. A round of lost ones goes on for four that do not answer for each that is back, up to 64 targets; a survey ends after 32 sound targets, and 32 more for each without an answer, in an order that does not follow zones. While nothing is back, a round asks two targets as before, but both at once.

Ruled out: rounds as tasks of their own. Beside a survey their misses count for the whole service, and the cut was not found (test_silent_targets_without_room_are_tested).

--- a/src/peridotbend/adapters/pathclient.py
+++ b/src/peridotbend/adapters/pathclient.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import itertools
+import random
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -24,6 +25,7 @@
     ChannelPool,
     limit_message_size,
 )
+from peridotbend.adapters.proberounds import probe_while_useful
 from peridotbend.adapters.relayedstream import (
     RelayedStream,
     describe_error,
@@ -69,11 +71,16 @@
 # Direct probes at the same time before a peer is tried. Targets in trouble of
 # their own leave some without an answer.
 DOUBT_PROBES = 3
-# Targets without an answer in a row after which no more of those whose links
-# alone are lost are asked whether these are back.
+# Targets without an answer after which no more of those whose links alone are
+# lost are asked whether these are back, and how many more for each that is.
 MAX_FAILED_PROBES = 2
-# Targets that are asked at the same time in a survey.
-SURVEY_WIDTH = 8
+FAILED_PROBES_PER_LINK = 4
+# Of these in one round, since other services wait for its end.
+MAX_LOST_PROBED = 64
+# Targets with an answer after which a survey ends, and how many more for each
+# without one. A cut from an availability zone strikes one target in 9 or more.
+MAX_SOUND_SURVEYED = 32
+SOUND_SURVEYED_PER_FAULT = 32
 # After one of these, more probes of a target would only take longer.
 _SLOW_FAULTS = frozenset(
     (LinkFault.HANGING, LinkFault.SILENT, LinkFault.HEAD_ONLY)
@@ -148,8 +155,10 @@
             _PeerWay(self), clock, probe_call, is_probe_answer, self
         )
         self._turn = 0
-        # Services of which all targets are being asked.
+        # Services whose targets are being asked.
         self._surveyed: set[str] = set()
+        # Where the next round of probes of lost targets begins, by service.
+        self._next_lost: collections.Counter[str] = collections.Counter()
         # Doubted targets that are being asked since a request waits.
         self._tested: set[str] = set()
 
@@ -245,7 +254,7 @@
                 await self._probe_lost_services(turn)
                 await self._test_doubtful()
                 for service in self._paths.list_services():
-                    await self._probe_lost_targets(service, turn)
+                    await self._probe_lost_targets(service)
                     is_asked = service in self._surveyed
                     if not is_asked and self._paths.begin_survey(service):
                         # Takes long if many targets do not answer.
@@ -281,33 +290,48 @@
             if await self._probe(target) is not None:
                 await self._probe_by_peer(target)
 
-    async def _probe_lost_targets(self, service: str, turn: int) -> None:
-        """Asks targets whose own links are lost, until one does not answer."""
+    async def _probe_lost_targets(self, service: str) -> None:
+        """Asks targets whose own links are lost, while some are back."""
         names = frozenset(self._paths.list_lost_targets(service))
         lost = [t for t in self._targets.list_for(service) if t.name in names]
-        failed = 0
-        for offset in range(len(lost)):
-            target = lost[(turn * MAX_FAILED_PROBES + offset) % len(lost)]
+        start = self._next_lost[service] % max(1, len(lost))
+
+        async def is_back(target: Endpoint) -> bool:
             for _ in range(MIN_ANSWERED):
                 if await self._probe(target) is not None:
-                    failed += 1
-                    break
-            if failed >= MAX_FAILED_PROBES:
-                return
+                    return False
+            return True
+
+        # Those that are back leave the list.
+        self._next_lost[service] = start + await probe_while_useful(
+            (lost[start:] + lost[:start])[:MAX_LOST_PROBED],
+            is_back,
+            MAX_FAILED_PROBES,
+            FAILED_PROBES_PER_LINK,
+        )
 
     async def _survey(self, service: str) -> None:
-        """Asks all targets of a service, directly and then through peers."""
-        limiter = anyio.CapacityLimiter(SURVEY_WIDTH)
+        """Asks targets of a service, directly and then through peers."""
 
-        async def ask(target: Endpoint) -> None:
-            async with limiter:
-                if await self._probe(target) is not None:
-                    await self._probe_by_peer(target)
+        async def is_unanswering(target: Endpoint) -> bool:
+            if await self._probe(target) is None:
+                return False
+            await self._probe_by_peer(target)
+            return True
 
-        async with anyio.create_task_group() as tasks:
-            for target in self._targets.list_for(service):
-                if not self._paths.is_target_lost(service, target.name):
-                    tasks.start_soon(ask, target)
+        targets = [
+            target
+            for target in self._targets.list_for(service)
+            if not self._paths.is_target_lost(service, target.name)
+        ]
+        # Those of one zone may be listed next to each other.
+        random.Random(service).shuffle(targets)
+        await probe_while_useful(
+            targets,
+            is_unanswering,
+            MAX_SOUND_SURVEYED,
+            SOUND_SURVEYED_PER_FAULT,
+        )
         self._surveyed.discard(service)
 
     async def _probe_by_peer(self, target: Endpoint) -> None:
--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -27,6 +27,7 @@
     PathServer,
     make_path_configuration,
 )
+from peridotbend.adapters.proberounds import PROBE_WIDTH
 from peridotbend.adapters.publishedpeers import PublishedServer
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.adapters.sockets import connect
@@ -55,6 +56,7 @@
 from peridotbend.platform import wire
 from peridotbend.wire import edge_pb2
 from peridotbend.wire.edge_grpc import PathsBase
+from peridotbend_emulator.virtualtime import run_virtual
 from tests.edgefakes import TARGET, RecordingLog, make_target
 from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
 from tests.edgestandins import FakeStore
@@ -1164,7 +1166,7 @@
             lose_target(harness.paths, "i-1")
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(harness.dialer.probe)
-                while harness.connects <= 2 * pathclient.SURVEY_WIDTH:
+                while harness.connects <= 2 * PROBE_WIDTH:
                     await anyio.sleep(0.02)
                 harness.cut_names.remove("i-1")
                 asked = harness.connects
@@ -1222,6 +1224,82 @@
                 targets.put(entry)
 
 
+class LargeServiceTest(unittest.TestCase):
+    """Probes of a service with hundreds of targets, in virtual time."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.targets = TargetList(self.clock)
+        self.names = [f"i-{number}" for number in range(300)]
+        for name in self.names:
+            self.targets.put(make_target(name))
+        self.paths = TargetPaths(self.clock, RecordingLog(), self.targets)
+        self.silent: set[str] = set()
+        self.asked: list[str] = []
+        peers = FixedPeers()
+        choice = PeerChoice(self.clock, random.Random(1), peers)
+        self.dialer = PathDialer(
+            self.clock, self.paths, self.targets, peers, choice, RecordingLog()
+        )
+        self.dialer._prober = mock.Mock(ask=self._ask)
+
+    async def _ask(self, target: Endpoint) -> LinkFault | None:
+        """Answers after some milliseconds, or not at all."""
+        self.asked.append(target.name)
+        await anyio.sleep(10 if target.name in self.silent else 0.005)
+        return None
+
+    def _lose(self, *names: str) -> None:
+        """Lets the links to some targets count as lost."""
+        now_ms = self.clock.now_ms()
+        for name in names:
+            for _ in range(MIN_TARGET_MISSES):
+                self.paths.note_unanswered("engine", name, now_ms)
+            self.paths.note_answered("engine", "sound", now_ms)
+            assert self.paths.begin_target_trial("engine", name)
+            self.paths.note_relayed_answer("engine", name, "peer")
+        assert len(self.paths.list_lost_targets("engine")) == len(names)
+
+    def _run(self, seconds: float) -> None:
+        async def run() -> None:
+            with anyio.move_on_after(seconds):
+                await self.dialer.probe()
+
+        run_virtual(self.clock, run())
+
+    def test_links_are_back_soon_after_a_cut_that_heals_in_part(self) -> None:
+        """Guards against relaying two thirds of a service for minutes."""
+        self._lose(*self.names)
+        self.silent = set(self.names[::3])
+        self._run(15)
+        assert set(self.paths.list_lost_targets("engine")) == self.silent
+
+    def test_probes_of_lost_targets_that_stay_silent_are_few(self) -> None:
+        """Guards against probes that grow with the size of a cut."""
+        self._lose(*self.names)
+        self.silent = set(self.names)
+        self.paths.begin_survey("engine")
+        self._run(20)
+        assert len(set(self.asked)) > 20
+        # Two in each round, which takes 1 s.
+        assert len(self.asked) <= 2 * 21, len(self.asked)
+
+    def test_survey_of_sound_targets_ends_early(self) -> None:
+        """Guards against a probe to each target for one that is cut."""
+        self.silent = {"i-1"}
+        self._lose("i-1")
+        self._run(20)
+        surveyed = [name for name in self.asked if name != "i-1"]
+        assert 0 < len(surveyed) <= 40, len(surveyed)
+
+    def test_survey_goes_on_while_it_finds_targets_of_a_cut(self) -> None:
+        """Guards against a survey that ends before it has asked enough."""
+        self.silent = set(self.names[:33])
+        self._lose("i-1")
+        self._run(20)
+        assert self.silent <= set(self.asked)
+
+
 def lose_target(paths: TargetPaths, name: str) -> None:
     """Lets the link to one target count as lost."""
     now_ms = SystemClock().now_ms()
