Bound sequences and positions in datagrams

Cause: sequences, revisions, eras and versions in digests went up to 2^64 - 1. A peer that names a position beyond those of the store is ahead for ever, and is asked for changes with each of its digests.

Change: up to 2^63 - 1, as in documents and in changes of peers. A datagram with another sequence is refused, such a feed is left out.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -28,6 +28,8 @@
 MAX_IN_FLIGHT = 1_000_000
 MAX_INSTANCES = 65_536
 MAX_AMOUNT = 1e15
+# Of what an instance or the store counts.
+MAX_SEQUENCE = 2**63 - 1
 # Leaves room for an age to grow until it is passed on.
 MAX_AGE_UNITS = 2**31
 # Unit of the ages of members and of deaths.
@@ -123,6 +125,8 @@
     scope = _SCOPES_BY_NUMBER.get(message.scope)
     if scope is None or len(message.zone) > MAX_NAME_CHARS:
         return None
+    if max(message.sequence, message.echoed_sequence) > MAX_SEQUENCE:
+        return None
     levels = _zip_dict(message.account_hashes, message.account_levels)
     spent = _zip_dict(message.account_hashes, message.account_spent)
     uses = {
@@ -150,6 +154,7 @@
                 Position(feed.era, feed.revision), feed.version
             )
             for feed in message.feeds
+            if max(feed.era, feed.revision, feed.version) <= MAX_SEQUENCE
         },
         in_flight={
             use.target: min(use.in_flight, MAX_IN_FLIGHT)
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -244,6 +244,20 @@
             assert digest.limits == (NamedLimit(2, 3.0, 0),), per_s
             assert digest.brittle == (NamedLimit(2, 3.0, 0),), per_s
 
+    def test_sequences_that_nobody_reaches_are_refused(self) -> None:
+        """Guards against a peer that is asked for ever for what it lacks."""
+        message = pb.UseDigest(name="a", host=HOSTS[1], sequence=2**63 - 1)
+        for field in ("revision", "era", "version"):
+            feed = pb.FeedState(prefix=field, **{field: 2**63})
+            message.feeds.append(feed)
+        message.feeds.add(prefix="sound", revision=2**63 - 1)
+        digest = decode_digest(message.SerializeToString())
+        assert digest is not None
+        assert list(digest.feeds) == ["sound"]
+        for field in ("sequence", "echoed_sequence"):
+            message = pb.UseDigest(name="a", host=HOSTS[1], **{field: 2**63})
+            assert decode_digest(message.SerializeToString()) is None, field
+
     def test_counts_of_zero_are_no_reports(self) -> None:
         """Guards against the removal of a total that is gone already."""
         use = pb.TargetUse(target="t", in_flight=0)
