Take streams up at the same moment in a test of dead processes

test_take_up_after_the_death_of_its_process_does_not_join failed in 2 of 6 runs: its six take-ups in turn wait up to 2 s each, so the last ones come more than a lease (6.5 s) after the death, and the stand-in of the store still lists the entry, which the platform removes by then. So the list proves a connection that led to another process. The take-ups now come at the same moment; the assertion is unchanged. 6 of 6 runs pass.

--- a/tests/test_edge_restarts_review.py
+++ b/tests/test_edge_restarts_review.py
@@ -93,10 +93,15 @@
             ]
             restarted.die()
             assert restarted.ran
-            for number, answer in enumerate(begun):
-                rest = await fleet.call(
-                    f"/quotes/{number}", HOSTS[1], 2, answer.attempt
+            # Each may wait, and the platform lists no entry of a dead process
+            # for as long as all of them would take in turn.
+            rests = await asyncio.gather(
+                *(
+                    fleet.call(f"/quotes/{number}", HOSTS[1], 2, answer.attempt)
+                    for number, answer in enumerate(begun)
                 )
+            )
+            for answer, rest in zip(begun, rests, strict=True):
                 joined = {*answer.software, *rest.software}
                 assert len(joined) <= 1, (answer, rest)
 
