--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1324,7 +1324,8 @@
         "connection-vouches-for-itself",
         "ORDER",
         EDGE + "targetruns.py",
-        "if self.is_proven(target, connected_at_ms):\n            self._get_run",
+        "if self.is_proven(target, connected_at_ms):\n"
+        "            self._get_run",
         "if True:\n            self._get_run",
         ("test_edge_runs",),
     ),
