--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -70,7 +70,7 @@
 
     # The entry outlived the connection's begin, or the target was asked.
     LISTING = "listing"
-    # The target names the listed start, and has since before.
+    # The target has named the listed start since, when it was asked.
     ANSWER = "answer"
     # It led to another run of the name, which has the same software.
     SOFTWARE = "software"
