Count outstanding prompt tokens and predict first events

Selection counted requests, although prompts have 60 to 54,600 tokens and runners differ in speed by a factor of five. The new package load counts the outstanding prompt tokens of each target, learns speeds from first events, and predicts the first event of one more request; digests carry the tokens.

The costs are not tuned yet.

--- a/src/peridotbend/adapters/digests.py
+++ b/src/peridotbend/adapters/digests.py
@@ -32,11 +32,22 @@
 MAX_SEQUENCE = 2**63 - 1
 # Leaves room for an age to grow until it is passed on.
 MAX_AGE_UNITS = 2**31
+# Unit of outstanding prompt tokens. It is read in less than a ms, and lets most
+# amounts fit into two bytes.
+TOKEN_UNIT = 16
+MAX_TOKEN_UNITS = 2**26
 # Unit of the ages of members and of deaths.
 AGE_UNIT_MS = 100
 # Lists of a digest in the order in which entries are omitted from one that is
 # too large; the least urgent first.
-_OMITTED_FIRST = ("known_hosts", "members", "accounts", "uses", "crashes")
+_OMITTED_FIRST = (
+    "target_prompt_units",
+    "known_hosts",
+    "members",
+    "accounts",
+    "uses",
+    "crashes",
+)
 
 _SCOPES = {
     Scope.OWN: pb.OWN,
@@ -69,7 +80,11 @@
             for prefix, state in digest.feeds.items()
         ],
         uses=[
-            pb.TargetUse(target=target, in_flight=count)
+            pb.TargetUse(
+                target=target,
+                in_flight=count,
+                prompt_units=_pack_tokens(digest.prompt_tokens.get(target, 0)),
+            )
             for target, count in digest.in_flight.items()
         ],
         accounts=[
@@ -89,6 +104,7 @@
         expected_instances=digest.expected_instances,
         target_hashes=digest.target_counts.keys(),
         target_counts=digest.target_counts.values(),
+        target_prompt_units=_list_prompt_units(digest),
         partial_counts=digest.is_partial,
         members=_pack_members(digest.members),
         places_by_version=digest.places_by_version,
@@ -171,7 +187,13 @@
         is_store_reachable=message.store_reachable,
         live_instances=min(message.live_instances, MAX_INSTANCES),
         expected_instances=min(message.expected_instances, MAX_INSTANCES),
+        prompt_tokens={
+            use.target: _unpack_tokens(use.prompt_units)
+            for use in message.uses
+            if use.prompt_units
+        },
         target_counts=_unpack_counts(message),
+        target_prompt_tokens=_unpack_prompt_units(message),
         is_partial=message.partial_counts,
         account_levels=levels,
         account_spent=spent,
@@ -201,6 +223,27 @@
     }
 
 
+def _list_prompt_units(digest: Digest) -> list[int]:
+    """Returns the tokens in the order of the counts; none if all are 0."""
+    tokens = digest.target_prompt_tokens
+    if not any(tokens.values()):
+        return []
+    return [_pack_tokens(tokens.get(name, 0)) for name in digest.target_counts]
+
+
+def _unpack_prompt_units(message: pb.UseDigest) -> dict[int, int]:
+    units = _zip_dict(message.target_hashes, message.target_prompt_units)
+    return {target: _unpack_tokens(n) for target, n in units.items() if n}
+
+
+def _pack_tokens(tokens: int) -> int:
+    return min(-(-tokens // TOKEN_UNIT), MAX_TOKEN_UNITS)
+
+
+def _unpack_tokens(units: int) -> int:
+    return min(units, MAX_TOKEN_UNITS) * TOKEN_UNIT
+
+
 def _pack_suspicion(suspicion: Suspicion) -> pb.Suspicion:
     deaths = suspicion.deaths
     return pb.Suspicion(
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -17,6 +17,7 @@
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.selection import Selector, TargetCriteria
 from peridotbend.edge.targets import EdgeTarget, TargetList
+from peridotbend.load.work import WorkTicket
 
 # Maximum wait for a slot, as a fraction of the response-time objective. After
 # that the request is refused, early enough for its caller to react.
@@ -70,12 +71,15 @@
         on_release: Callable[[], None],
         in_flight: int = 1,
         permit: Permit | None = None,
+        ticket: WorkTicket | None = None,
     ):
         # Allows the send if the target is cold.
         self.permit = permit
         self.target = target
         # Known requests in flight at the target, including this one.
         self.in_flight = in_flight
+        # The prompt that the target has to read; None if it is not counted.
+        self.ticket = ticket
         self._on_release = on_release
         self._released = False
         # Whether the target had no room.
@@ -187,8 +191,7 @@
         full_for: set[TargetCriteria] = set()
         for waiter in queue:
             target = None
-            # The session only affects which of the free targets is chosen.
-            criteria = dataclasses.replace(waiter.criteria, session="")
+            criteria = waiter.criteria.make_class()
             if criteria not in full_for:
                 target = self._selector.choose(waiter.criteria, targets)
                 if target is None:
@@ -236,9 +239,11 @@
         self._occupancy.add(target.name)
         self._rate_limits.take(target)
         permit = self._cold.take(target)
+        ticket = self._selector.start_work(criteria, target)
 
         def on_release() -> None:
             self._occupancy.remove(target.name)
+            self._selector.end_work(ticket)
             if slot.is_rejected:
                 self._brittle.note_rejection(target)
             elif is_borrowed:
@@ -246,7 +251,7 @@
             self.grant_slots(criteria.service)
 
         in_flight = self._occupancy.count(target.name)
-        slot = Slot(target, on_release, in_flight, permit)
+        slot = Slot(target, on_release, in_flight, permit, ticket)
         return slot
 
     def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
--- a/src/peridotbend/edge/config.py
+++ b/src/peridotbend/edge/config.py
@@ -91,6 +91,8 @@
     cold_per_s: float | None = None
     # How long a target stays cold after its start.
     cold_start_ms: int = 0
+    # Whether its targets read prompts, for a time that depends on their length.
+    has_engine: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotbend/edge/exchange.py
+++ b/src/peridotbend/edge/exchange.py
@@ -365,6 +365,7 @@
         spent = {n: use.spent for n, use in digest.allowances.items()}
         content = (
             digest.in_flight,
+            digest.prompt_tokens,
             spent,
             digest.is_draining,
             digest.feeds,
--- a/src/peridotbend/edge/health.py
+++ b/src/peridotbend/edge/health.py
@@ -38,6 +38,11 @@
         self._clock = clock
         self._records: dict[str, _TargetRecord] = {}
 
+    @property
+    def now_ms(self) -> int:
+        """The current time."""
+        return self._clock.now_ms()
+
     def note_answer(self, target: str, failed: bool) -> None:
         """Records a complete answer; `failed` means an error status."""
         record = self._get_record(target)
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -57,6 +57,8 @@
     is_blocked: bool = False
     # Bytes of an answer that is not streamed, since its last part.
     partial_bytes: int = 0
+    # Called when the first data arrives.
+    on_first_data: Callable[[], None] = lambda: None
 
     def note_data(self, arrived_at_ms: int) -> None:
         """Records that a part of the answer arrived."""
@@ -65,6 +67,7 @@
             self.health.note_event_interval(self.target, interval_ms)
         else:
             self.first_data_ms = arrived_at_ms
+            self.on_first_data()
         self.last_data_ms = self.awaited_since_ms = arrived_at_ms
         self.health.note_activity(self.target)
 
--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -1,4 +1,4 @@
-"""Requests in flight at each target, summed over all instances."""
+"""What all instances together have in flight at each target."""
 
 from collections.abc import Callable, Mapping
 
@@ -8,7 +8,9 @@
 
 
 class Occupancy:
-    """Counts own requests in flight and those reported by other instances.
+    """Counts what is in flight, own and as reported by other instances.
+
+    Counts requests, or the tokens of their prompts.
 
     Reports are replaced as a whole, and the totals are updated by the
     difference, so that a count is one look-up whatever the size of the fleet.
@@ -31,14 +33,14 @@
         """Requests of this instance in flight, by target."""
         return self._own
 
-    def add(self, target: str) -> None:
+    def add(self, target: str, amount: int = 1) -> None:
         """Counts the start of a request at a target."""
-        self._own[target] = self._own.get(target, 0) + 1
+        self._own[target] = self._own.get(target, 0) + amount
         self.on_change()
 
-    def remove(self, target: str) -> None:
+    def remove(self, target: str, amount: int = 1) -> None:
         """Counts the end of a request at a target."""
-        left = self._own[target] - 1
+        left = self._own[target] - amount
         if left:
             self._own[target] = left
         else:
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -27,6 +27,7 @@
 from peridotbend.edge.targetruns import TargetRuns
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VersionTimeline
+from peridotbend.load.work import TargetWork
 
 
 class Fleet(Protocol):
@@ -67,6 +68,7 @@
     backlog: Backlog
     occupancy: Occupancy
     health: TargetHealth
+    work: TargetWork
     crashes: CrashTracker
     rate_limits: RateLimits
     brittle: BrittleTargets
@@ -113,6 +115,8 @@
         targets = TargetList(clock)
     occupancy = Occupancy(clock)
     health = TargetHealth(clock)
+    work = TargetWork(clock, health.find_pace_ms)
+    holder.subscribe(lambda config: work.apply_services(config.services))
     timeline = VersionTimeline(clock, targets)
     allowances = Allowances(clock, settings, fleet.find_live_share)
     holder.subscribe(lambda config: allowances.apply(config.accounts))
@@ -143,6 +147,7 @@
         cold,
         pauses,
         runs.is_replaced,
+        work,
     )
     return RelayDependencies(
         clock=clock,
@@ -160,6 +165,7 @@
         ),
         occupancy=occupancy,
         health=health,
+        work=work,
         crashes=CrashTracker(clock, log),
         rate_limits=rate_limits,
         brittle=brittle,
--- a/src/peridotbend/edge/peers.py
+++ b/src/peridotbend/edge/peers.py
@@ -91,6 +91,12 @@
     # Requests in flight by the hash of the target's name; used in place of
     # `in_flight` by digests that cover several instances.
     target_counts: Mapping[int, int] = dataclasses.field(default_factory=dict)
+    # Outstanding prompt tokens, by target in OWN digests, otherwise by the hash
+    # of the target's name. Without an entry they are unknown.
+    prompt_tokens: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    target_prompt_tokens: Mapping[int, int] = dataclasses.field(
+        default_factory=dict
+    )
     # Whether targets that are not listed keep their last count.
     is_partial: bool = False
     # By the hash of the account's name: tokens left, in FLEET digests.
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -204,8 +204,25 @@
             frozenset(exclude),
             software,
             needs_listed_run,
+            request.call.prompt_tokens,
+            None if avoid else self._find_due_ms(request),
         )
 
+    def _find_due_ms(self, request: ActiveRequest) -> int | None:
+        """Returns when the first event is due; None if it is not awaited.
+
+        What was sent before goes anywhere, as its refusal might mean that it
+        has run.
+        """
+        if request.sends or request.is_resumed:
+            return None
+        age_ms = 0
+        if request.call.deadline_ms is not None:
+            # A caller that was refused before has less time left.
+            age_ms = request.route.timeout_ms - request.call.deadline_ms
+        objective_ms = request.route.objective_ms
+        return request.started_at_ms + objective_ms - max(0, age_ms)
+
     def _reserve_failover(self, request: ActiveRequest, target: str) -> bool:
         """Reserves a slot for a request whose target is silent.
 
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -1,7 +1,7 @@
 """Target selection by load, health, zone and session affinity."""
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from peridotbend.domain.rendezvous import rank
 from peridotbend.edge.brittle import ENGINE_FILL, BrittleTargets
@@ -11,6 +11,7 @@
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import EdgeTarget
+from peridotbend.load.work import Estimate, TargetWork, WorkTicket
 
 # Limit for requests on routes of rank 0, the highest, which may use the last
 # slots so that they rarely wait.
@@ -27,6 +28,12 @@
 # Breaks ties in favor of the own zone. Traffic between zones costs money, but
 # far less than a slot in a batch.
 OTHER_ZONE_PENALTY = 0.02
+MAX_READING_MS = 400.0
+LOAD_WEIGHT = 1.0
+OTHERS_WEIGHT = 0.0
+# Waiting requests whose first events are due within the same interval are taken
+# for equally urgent.
+DUE_CLASS_MS = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,11 +52,29 @@
     software: str | None = None
     # Whether the process that is listed for the target has to answer.
     needs_listed_run: bool = False
+    # Tokens of the prompt; None if the caller does not state them.
+    prompt_tokens: int | None = None
+    # When the first event has to arrive; None if it is not awaited.
+    due_at_ms: int | None = None
 
     def admits(self, target: EdgeTarget) -> bool:
         """Tells whether a target may serve the request at all."""
         return self.software is None or target.software == self.software
 
+    def make_class(self) -> "TargetCriteria":
+        """Returns what is the same for requests that find room alike.
+
+        The session only affects which of the free targets is chosen. Requests
+        of about the same size and urgency need not be tried one by one.
+        """
+        tokens, due_at_ms = self.prompt_tokens, self.due_at_ms
+        return dataclasses.replace(
+            self,
+            session="",
+            prompt_tokens=tokens and 1 << tokens.bit_length(),
+            due_at_ms=due_at_ms and due_at_ms // DUE_CLASS_MS,
+        )
+
 
 class Selector:
     """Chooses the target with the lowest cost among those below their limit."""
@@ -64,6 +89,7 @@
         cold: ColdTargets,
         pauses: TargetPauses,
         is_replaced: Callable[[EdgeTarget], bool] = lambda target: False,
+        work: TargetWork | None = None,
     ):
         self._pauses = pauses
         # Tells whether another process has the name of a listed target.
@@ -74,6 +100,7 @@
         self._zone = zone
         self._occupancy = occupancy
         self._health = health
+        self._work = work
 
     def choose(
         self, criteria: TargetCriteria, targets: Iterable[EdgeTarget]
@@ -95,10 +122,31 @@
         with_room = [t for t in candidates if self._has_room(criteria, t)]
         if not with_room:
             return None
+        estimates = self._estimate(criteria, candidates)
+        if estimates is not None:
+            with_room = self._select_by_work(criteria, with_room, estimates)
+            if not with_room:
+                return None
         return min(
-            with_room, key=self._make_cost_function(criteria, candidates)
+            with_room,
+            key=self._make_cost_function(criteria, candidates, estimates),
         )
 
+    def start_work(
+        self, criteria: TargetCriteria, target: EdgeTarget
+    ) -> WorkTicket | None:
+        """Counts the prompt of a request; None if it is not counted."""
+        work, tokens = self._work, criteria.prompt_tokens
+        is_counted = criteria.is_generation and tokens is not None
+        if work is None or not is_counted or not work.covers(target.service):
+            return None
+        return work.start(target.name, tokens or 0, target.service)
+
+    def end_work(self, ticket: WorkTicket | None) -> None:
+        """Ends the count of a prompt."""
+        if self._work is not None and ticket is not None:
+            self._work.end(ticket)
+
     def find_pause_ms(
         self, criteria: TargetCriteria, targets: Iterable[EdgeTarget]
     ) -> int:
@@ -138,8 +186,51 @@
         fill = TOP_RANK_FILL if criteria.rank[1] <= 0 else ENGINE_FILL
         return max(1.0, fill * target.slots)
 
-    def _make_cost_function(
+    def _estimate(
         self, criteria: TargetCriteria, candidates: list[EdgeTarget]
+    ) -> Mapping[str, Estimate] | None:
+        """Returns when the first event would arrive, by target, if known."""
+        work, tokens = self._work, criteria.prompt_tokens
+        if work is None or not criteria.is_generation or tokens is None:
+            return None
+        names = [target.name for target in candidates]
+        return work.estimate(criteria.service, names, tokens)
+
+    def _select_by_work(
+        self,
+        criteria: TargetCriteria,
+        with_room: list[EdgeTarget],
+        estimates: Mapping[str, Estimate],
+    ) -> list[EdgeTarget]:
+        """Returns the targets where a request is on time, or may be late.
+
+        Returns none if it should wait, as it can still be on time.
+        """
+        not_delaying = [
+            t
+            for t in with_room
+            if not estimates[t.name].ahead_tokens
+            or estimates[t.name].reading_ms <= MAX_READING_MS
+        ]
+        if criteria.due_at_ms is None:
+            return not_delaying or with_room
+        left_ms = criteria.due_at_ms - self._health.now_ms
+        if left_ms <= 0:
+            return not_delaying
+        on_time = [
+            t for t in not_delaying if estimates[t.name].total_ms <= left_ms
+        ]
+        if on_time:
+            return on_time
+        if any(e.least_ms <= left_ms for e in estimates.values()):
+            return []
+        return not_delaying
+
+    def _make_cost_function(
+        self,
+        criteria: TargetCriteria,
+        candidates: list[EdgeTarget],
+        estimates: Mapping[str, Estimate] | None,
     ) -> Callable[[EdgeTarget], tuple[float, str]]:
         failure_shares = [
             self._health.find_failure_share(t.name) for t in candidates
@@ -156,8 +247,22 @@
             session_target = rank(key, candidates, lambda t: t.name)[0].name
 
         def find_cost(target: EdgeTarget) -> tuple[float, str]:
-            cost = (self._occupancy.count(target.name) + 1) / target.slots
-            if criteria.is_generation:
+            cost = (
+                LOAD_WEIGHT
+                * (self._occupancy.count(target.name) + 1)
+                / target.slots
+            )
+            if estimates is not None:
+                cost *= (paces[target.name] or mean_pace) / mean_pace
+                e = estimates[target.name]
+                cost += e.total_ms / 500
+                cost += (
+                    OTHERS_WEIGHT
+                    * self._occupancy.count(target.name)
+                    * (e.least_ms)
+                    / 500
+                )
+            elif criteria.is_generation:
                 # The speed of runners differs severalfold. The cost of a
                 # request is its share of the slots multiplied by the relative
                 # time for which it occupies them.
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -1,5 +1,6 @@
 """Sends a request to one target, and records how that ends."""
 
+import functools
 from collections.abc import Callable
 
 from peridotbend.domain.events import Event
@@ -90,6 +91,7 @@
             target=target.name,
             in_flight=slot.in_flight,
             slots=target.slots,
+            predicted_ms=slot.ticket and slot.ticket.predicted_ms,
             parts=request.call.shared_parts,
             software=target.software,
             started_at_ms=target.started_at_ms,
@@ -112,6 +114,10 @@
                     return self._note_rejection(request, target, reply)
                 if isinstance(reply, CallError):
                     return self._note_error(request, target, reply)
+                if slot.ticket is not None:
+                    tracked_send.on_first_data = functools.partial(
+                        self._dependencies.work.note_first_event, slot.ticket
+                    )
                 self._dependencies.runs.note_answered(
                     target, reply.head.connected_at_ms, tracked_send.sent_at_ms
                 )
--- a/src/peridotbend/edge/sharedstate.py
+++ b/src/peridotbend/edge/sharedstate.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import TypeVar
 
 from peridotbend.edge.allowances import Allowances
@@ -18,6 +18,8 @@
 # Entries in one digest, so that it fits into one packet. The remaining ones
 # follow in the next digests.
 MAX_COUNTS = 128
+# The same for targets with their outstanding prompt tokens.
+MAX_COUNTS_AND_TOKENS = 96
 MAX_ACCOUNTS = 24
 # An answer of a relay refers to one of the last few digests.
 MAX_KEPT_DIGESTS = 64
@@ -48,20 +50,17 @@
 class _Rotation:
     """Selects a part of a table at a time, and all of it in turn."""
 
-    def __init__(self, size: int):
-        self._size = size
+    def __init__(self) -> None:
         self._cursor = 0
 
-    def select(self, table: Mapping[int, Value]) -> dict[int, Value]:
-        """Returns the next part."""
-        if len(table) <= self._size:
+    def select(self, table: Mapping[int, Value], size: int) -> dict[int, Value]:
+        """Returns the next part, of at most `size` entries."""
+        if len(table) <= size:
             return dict(table)
         keys = sorted(table)
         start = self._cursor % len(keys)
-        self._cursor = start + self._size
-        chosen = itertools.islice(
-            itertools.cycle(keys), start, start + self._size
-        )
+        self._cursor = start + size
+        chosen = itertools.islice(itertools.cycle(keys), start, start + size)
         return {key: table[key] for key in chosen}
 
 
@@ -72,6 +71,7 @@
         self,
         identity: InstanceIdentity,
         occupancy: Occupancy,
+        tokens: Occupancy,
         allowances: Allowances,
         crashes: CrashTracker,
         rate_limits: RateLimits,
@@ -82,6 +82,8 @@
     ):
         self._identity = identity
         self._occupancy = occupancy
+        # The outstanding prompt tokens.
+        self._tokens = tokens
         self._allowances = allowances
         self._crashes = crashes
         self._rate_limits = rate_limits
@@ -99,14 +101,15 @@
             Scope.GROUP: {},
             Scope.FLEET: {},
         }
-        self._count_rotations = {
-            scope: _Rotation(MAX_COUNTS) for scope in self._counted
-        }
+        self._count_rotations = {scope: _Rotation() for scope in self._counted}
         self._account_rotations = {
-            scope: _Rotation(MAX_ACCOUNTS) for scope in self._counted
+            scope: _Rotation() for scope in self._counted
         }
         self._view: dict[int, int] = {}
         self._group_counts: dict[str, dict[int, int]] = {}
+        # The same for the outstanding prompt tokens.
+        self._token_view: dict[int, int] = {}
+        self._group_tokens: dict[str, dict[int, int]] = {}
 
     @property
     def identity(self) -> InstanceIdentity:
@@ -145,6 +148,7 @@
         digest = dataclasses.replace(
             self._make_base(sequence),
             in_flight=dict(self._occupancy.own),
+            prompt_tokens=dict(self._tokens.own),
             allowances=self._allowances.list_uses(),
         )
         self._own[sequence] = digest
@@ -156,24 +160,27 @@
         self, sequence: int, members: set[str], live: int
     ) -> Digest:
         """Returns the sums over the group, for relays of other groups."""
+        tokens = self._tokens.list_sum(members)
         counts, is_partial = self._select_counts(
-            Scope.GROUP, self._occupancy.list_sum(members)
+            Scope.GROUP, self._occupancy.list_sum(members), bool(tokens)
         )
         return dataclasses.replace(
             self._make_base(sequence),
             scope=Scope.GROUP,
             live_instances=live,
             target_counts=counts,
+            target_prompt_tokens=_pick(tokens, counts),
             is_partial=is_partial,
             account_spent=self._account_rotations[Scope.GROUP].select(
-                self._allowances.list_group_spent()
+                self._allowances.list_group_spent(), MAX_ACCOUNTS
             ),
         )
 
     def describe_fleet(self, sequence: int, live: int, expected: int) -> Digest:
         """Returns the totals over all groups, for the members of the own."""
+        tokens = self._tokens.list_totals()
         counts, is_partial = self._select_counts(
-            Scope.FLEET, self._occupancy.list_totals()
+            Scope.FLEET, self._occupancy.list_totals(), bool(tokens)
         )
         return dataclasses.replace(
             self._make_base(sequence),
@@ -181,24 +188,35 @@
             live_instances=live,
             expected_instances=expected,
             target_counts=counts,
+            target_prompt_tokens=_pick(tokens, counts),
             is_partial=is_partial,
             account_levels=self._account_rotations[Scope.FLEET].select(
-                self._allowances.list_levels()
+                self._allowances.list_levels(), MAX_ACCOUNTS
             ),
         )
 
     def apply_own(self, digest: Digest) -> None:
         """Applies the digest of another instance."""
         self._occupancy.record_peer(digest.host, digest.in_flight)
+        self._tokens.record_peer(digest.host, digest.prompt_tokens)
         self._allowances.record_peer(
             digest.host, digest.incarnation, digest.allowances
         )
 
     def apply_group(self, source: str, digest: Digest) -> None:
         """Applies the sums of another group."""
-        counts = _merge_counts(self._group_counts.get(source, {}), digest)
+        counts = _merge_counts(
+            self._group_counts.get(source, {}), digest.target_counts, digest
+        )
+        tokens = _merge_counts(
+            self._group_tokens.get(source, {}),
+            digest.target_prompt_tokens,
+            digest,
+        )
         self._group_counts[source] = counts
+        self._group_tokens[source] = tokens
         self._occupancy.record_group(source, counts)
+        self._tokens.record_group(source, tokens)
         self._allowances.record_group(
             source, digest.incarnation, digest.account_spent
         )
@@ -209,26 +227,40 @@
         included = None
         if incarnation == self._identity.incarnation:
             included = self._own.get(sequence)
-        self._view = _merge_counts(self._view, digest)
-        others = dict(self._view)
+        self._view = _merge_counts(self._view, digest.target_counts, digest)
+        self._token_view = _merge_counts(
+            self._token_view, digest.target_prompt_tokens, digest
+        )
+        counts, tokens = dict(self._view), dict(self._token_view)
         spent: dict[str, float] = {}
         if included is not None:
             spent = {n: use.spent for n, use in included.allowances.items()}
-            for name, count in included.in_flight.items():
-                target = self._occupancy.find_hash(name)
-                others[target] = others.get(target, 0) - count
-        self._occupancy.set_view(others)
+            self._subtract(counts, included.in_flight)
+            self._subtract(tokens, included.prompt_tokens)
+        self._occupancy.set_view(counts)
+        self._tokens.set_view(tokens)
         self._allowances.adopt_levels(digest.account_levels, spent)
 
     def drop_fleet(self) -> None:
         """Returns to the reports of instances and groups."""
-        self._view = {}
+        self._view, self._token_view = {}, {}
         self._occupancy.set_view(None)
+        self._tokens.set_view(None)
 
     def drop_source(self, source: str) -> None:
         """Drops the state of an instance or a group that is not heard of."""
         self._group_counts.pop(source, None)
+        self._group_tokens.pop(source, None)
         self._occupancy.forget_peer(source)
+        self._tokens.forget_peer(source)
+
+    def _subtract(
+        self, totals: dict[int, int], included: Mapping[str, int]
+    ) -> None:
+        """Takes what an own digest told out of the totals that include it."""
+        for name, amount in included.items():
+            target = self._occupancy.find_hash(name)
+            totals[target] = totals.get(target, 0) - amount
 
     def _make_base(self, sequence: int) -> Digest:
         feeds = self._find_feed_status()
@@ -247,15 +279,16 @@
         )
 
     def _select_counts(
-        self, scope: Scope, counts: Mapping[int, int]
+        self, scope: Scope, counts: Mapping[int, int], has_tokens: bool
     ) -> tuple[dict[int, int], bool]:
         """Returns the counts for a digest, and whether they are only a part."""
         counted = self._counted[scope]
-        if len(counts) <= MAX_COUNTS and len(counted) <= MAX_COUNTS:
+        size = MAX_COUNTS_AND_TOKENS if has_tokens else MAX_COUNTS
+        if len(counts) <= size and len(counted) <= size:
             self._counted[scope] = dict.fromkeys(counts, 0)
             return dict(counts), False
         table = {**counted, **counts}
-        chosen = self._count_rotations[scope].select(table)
+        chosen = self._count_rotations[scope].select(table, size)
         # A target whose zero is included now need not be listed again.
         self._counted[scope] = {
             target: 0
@@ -265,10 +298,19 @@
         return chosen, True
 
 
+def _pick(tokens: Mapping[int, int], counts: Iterable[int]) -> dict[int, int]:
+    """Returns the tokens of the targets in `counts`, none if all are 0."""
+    if not tokens:
+        return {}
+    return {target: tokens.get(target, 0) for target in counts}
+
+
 def _merge_counts(
-    previous: Mapping[int, int], digest: Digest
+    previous: Mapping[int, int], told: Mapping[int, int], digest: Digest
 ) -> dict[int, int]:
+    """Returns the amounts after a digest that told some or all of them."""
     if not digest.is_partial:
-        return dict(digest.target_counts)
-    merged = {**previous, **digest.target_counts}
-    return {target: count for target, count in merged.items() if count}
+        return dict(told)
+    # A target whose count is told and whose amount is not has none.
+    merged = {**previous, **dict.fromkeys(digest.target_counts, 0), **told}
+    return {target: amount for target, amount in merged.items() if amount}
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -157,6 +157,7 @@
         state = SharedState(
             identity,
             self._dependencies.occupancy,
+            self._dependencies.work.tokens,
             self._dependencies.allowances,
             self._dependencies.crashes,
             self._dependencies.rate_limits,
@@ -234,6 +235,7 @@
             },
             "evacuated": self._dependencies.targets.evacuated.dump(),
             "health": self._dependencies.health.dump(),
+            "work": self._dependencies.work.dump(),
             "peers": self._peers.dump(),
             "reads_store": self._reader_role.is_reader,
             "is_relay": self._exchange.is_relay,
@@ -586,6 +588,7 @@
             previous = self._dependencies.targets.find(name)
             if previous and previous.started_at_ms != target.started_at_ms:
                 self._dependencies.health.forget(name)
+                self._dependencies.work.forget(name)
                 self._dependencies.crashes.note_target_dead(previous)
                 self._dependencies.runs.note_unlisted(previous)
             self._dependencies.runs.note_listed(target)
@@ -629,6 +632,7 @@
             self._dependencies.runs.note_unlisted(previous)
             self._dependencies.targets.remove(name)
             self._dependencies.occupancy.forget_target(name)
+            self._dependencies.work.forget(name)
             self._dependencies.cold.note_removed(name)
             if not previous.is_leaving:
                 self._dependencies.crashes.note_target_removed(previous)
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -163,7 +163,9 @@
     if "cold_per_s" in fields:
         cold_per_s = fields.get_number("cold_per_s")
     cold_start_ms = math.ceil(fields.get_number("cold_start_s", 0.0) * 1_000)
-    return Service(fields.get_str("name"), cold_per_s, cold_start_ms)
+    return Service(
+        fields.get_str("name"), cold_per_s, cold_start_ms, "engine" in fields
+    )
 
 
 def _read_limits(fields: Fields) -> CallerLimits:
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -19,22 +19,17 @@
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import Verdict
 from peridotbend.edge import config as edge_config
+from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.parts import make_dependencies
 from peridotbend.edge.ports import AnswerBrokenError, EdgeCall
 from peridotbend.edge.relay import Relay
 from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.targets import EdgeTarget
-from peridotbend_emulator.replayengine import (
-    TOKENS_PER_EVENT,
-    ReplayClient,
-    ReplayEngine,
-)
+from peridotbend_emulator.replayengine import ReplayClient, ReplayEngine
 from peridotbend_emulator.replayload import (
-    DURATION_MS,
-    GAP_OBJECTIVE_MS,
-    KINDS,
     PATTERNS,
     POLICIES,
+    Deployment,
     Kind,
     Pattern,
     Policy,
@@ -44,14 +39,13 @@
 
 HOST = "replay.example"
 SERVICE = "engine"
-INSTANCES = 8
-SLOTS = 11
 # A refused responder retries once, as the users' callers do.
 RETRIES = 1
 # Shape parameters of the log-normal lengths: outputs vary widely around their
 # mean.
 OUTPUT_SIGMA = 0.8
-PROMPT_SIGMA = 0.25
+# Requests with longer prompts than nine tenths of their kind are counted apart.
+LARGE_QUANTILE = 1.2816
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +57,9 @@
     late: int = 0
     refused: int = 0
     failed: int = 0
+    # Those with the longest prompts, and how many of them were answered.
+    large: int = 0
+    large_served: int = 0
     offered_value: float = 0.0
     earned_value: float = 0.0
 
@@ -132,7 +129,7 @@
         self.verdict = verdict
 
 
-def _make_route(kind: Kind) -> edge_config.Route:
+def _make_route(kind: Kind, gap_objective_ms: int) -> edge_config.Route:
     return edge_config.Route(
         name=kind.name,
         host=HOST,
@@ -142,7 +139,7 @@
         max_attempts=2,
         timeout_ms=kind.timeout_ms,
         objective_ms=kind.objective_ms,
-        gap_objective_ms=GAP_OBJECTIVE_MS,
+        gap_objective_ms=gap_objective_ms,
         rank=kind.rank,
         is_public=True,
         is_generation=True,
@@ -150,12 +147,21 @@
     )
 
 
-CONFIG = edge_config.EdgeConfig(
-    version=1,
-    routes=tuple(map(_make_route, KINDS)),
-    accounts=(),
-    limits=edge_config.CallerLimits(16_384, 4_194_304, 3_000, 15_000),
-)
+def _make_config(
+    deployment: Deployment, policy: Policy
+) -> edge_config.EdgeConfig:
+    return edge_config.EdgeConfig(
+        version=1,
+        routes=tuple(
+            _make_route(kind, deployment.gap_objective_ms)
+            for kind in deployment.kinds
+        ),
+        accounts=(),
+        limits=edge_config.CallerLimits(16_384, 4_194_304, 3_000, 15_000),
+        services=(edge_config.Service(SERVICE, has_engine=policy.predicts),),
+    )
+
+
 _UNUSED_ADDRESS = ("127.0.0.1", 1)
 SETTINGS = EdgeSettings(
     name="replay",
@@ -181,9 +187,12 @@
 class _ConnectedFleet:
     """A fleet of which every instance hears from all others."""
 
+    def __init__(self, instances: int):
+        self._instances = instances
+
     def count_instances(self) -> int:
         """Returns how many instances there are."""
-        return INSTANCES
+        return self._instances
 
     def find_live_share(self) -> float:
         """Returns 1, as no instance is cut off."""
@@ -210,19 +219,24 @@
     """The decision code of one instance."""
 
     def __init__(
-        self, clock: ManualClock, client: ReplayClient, rng: random.Random
+        self,
+        clock: ManualClock,
+        client: ReplayClient,
+        rng: random.Random,
+        config: edge_config.EdgeConfig,
+        instances: int,
     ):
         telemetry = _NullTelemetry()
         self.dependencies = make_dependencies(
             SETTINGS,
             clock,
             client,
-            _ConnectedFleet(),
+            _ConnectedFleet(instances),
             telemetry,
             telemetry,
             rng,
         )
-        self.dependencies.holder.offer(CONFIG)
+        self.dependencies.holder.offer(config)
         self.relay = Relay(self.dependencies)
 
 
@@ -231,12 +245,15 @@
 
     def __init__(self, pattern: Pattern, policy: Policy, seed: int):
         self._pattern = pattern
+        self._deployment = pattern.deployment
         self._policy = policy
         self._rng = random.Random(seed)
         self._clock = ManualClock()
         self._started_at_ms = self._clock.now_ms()
         self._event_counts: dict[str, int] = {}
-        self._results = {kind.name: _KindResult() for kind in KINDS}
+        self._results = {
+            kind.name: _KindResult() for kind in self._deployment.kinds
+        }
         self._refusals: dict[str, list[int]] = collections.defaultdict(list)
 
     def run(self) -> Outcome:
@@ -256,20 +273,41 @@
         return self._clock.now_ms() - self._started_at_ms
 
     async def _run_pattern(self) -> None:
+        deployment = self._deployment
         engines = {
-            f"i-{number}": ReplayEngine(SLOTS, factor)
+            f"i-{number}": ReplayEngine(
+                deployment.slots, factor, deployment.figures
+            )
             for number, factor in enumerate(self._pattern.step_time_factors)
         }
-        client = ReplayClient(engines, self._event_counts.__getitem__)
+        client = ReplayClient(
+            engines,
+            self._event_counts.__getitem__,
+            deployment.figures.tokens_per_event,
+        )
+        config = _make_config(deployment, self._policy)
         # The instances have random generators of their own, so that a policy
         # does not change the load.
         instances = [
-            _Instance(self._clock, client, random.Random(number))
-            for number in range(INSTANCES)
+            _Instance(
+                self._clock,
+                client,
+                random.Random(number),
+                config,
+                deployment.instances,
+            )
+            for number in range(deployment.instances)
         ]
         for name in engines:
             target = EdgeTarget(
-                name, SERVICE, HOST, 1, SETTINGS.zone, SLOTS, False, 0
+                name,
+                SERVICE,
+                HOST,
+                1,
+                SETTINGS.zone,
+                deployment.slots,
+                False,
+                0,
             )
             for instance in instances:
                 instance.dependencies.targets.put(target)
@@ -280,7 +318,11 @@
                 tasks.start_soon(instance.dependencies.backlog.run)
                 tasks.start_soon(instance.dependencies.stall_detector.run)
             if self._policy.exchanges_occupancy:
-                tasks.start_soon(self._exchange_occupancy, instances)
+                tasks.start_soon(self._exchange_digests, instances)
+            if self._pattern.slow is not None:
+                tasks.start_soon(
+                    self._slow_down, list(engines.values()), *self._pattern.slow
+                )
             if self._pattern.crash is not None:
                 tasks.start_soon(
                     self._crash_and_restart, engines, *self._pattern.crash
@@ -293,37 +335,58 @@
 
     def _draw_arrivals(self) -> list[tuple[int, Kind]]:
         arrivals = []
-        for kind in KINDS:
+        for kind in self._deployment.kinds:
             at_ms = 0.0
             while True:
                 rate_per_s = kind.arrivals_per_s * self._find_rate_factor(
-                    round(at_ms)
+                    kind.name, round(at_ms)
                 )
                 at_ms += self._rng.expovariate(rate_per_s / 1_000)
-                if at_ms >= DURATION_MS:
+                if at_ms >= self._pattern.duration_ms:
                     break
                 arrivals.append((round(at_ms), kind))
         return sorted(arrivals, key=lambda arrival: arrival[0])
 
-    def _find_rate_factor(self, at_ms: int) -> float:
+    def _find_rate_factor(self, kind: str, at_ms: int) -> float:
+        rate_share = self._pattern.rate_share
+        if self._pattern.kind_burst is not None:
+            name, start_ms, end_ms, factor = self._pattern.kind_burst
+            if kind == name and start_ms <= at_ms < end_ms:
+                return rate_share * factor
         for start_ms, end_ms, factor in self._pattern.bursts:
             if start_ms <= at_ms < end_ms:
-                return factor
-        return 1.0
-
-    async def _exchange_occupancy(self, instances: list[_Instance]) -> None:
+                return rate_share * factor
+        return rate_share
+
+    async def _exchange_digests(self, instances: list[_Instance]) -> None:
+        """Tells all instances what each has in flight, and its tokens."""
+        tables = [[i.dependencies.occupancy for i in instances]]
+        if self._policy.exchanges_tokens:
+            tables.append([i.dependencies.work.tokens for i in instances])
+        pending = [list[dict[int, int]]() for _ in tables]
         while True:
-            await anyio.sleep(self._policy.digest_interval_ms / 1_000)
-            occupancies = [
-                dict(instance.dependencies.occupancy.own)
-                for instance in instances
-            ]
-            for instance in instances:
-                for number, occupancy in enumerate(occupancies):
-                    if instances[number] is not instance:
-                        instance.dependencies.occupancy.record_peer(
-                            str(number), occupancy
-                        )
+            await anyio.sleep(self._deployment.digest_interval_ms / 1_000)
+            for number, table in enumerate(tables):
+                views = _sum_others(table)
+                if self._deployment.has_relays:
+                    views, pending[number] = pending[number], views
+                for occupancy, view in zip(table, views, strict=False):
+                    occupancy.set_view(view)
+
+    async def _slow_down(
+        self,
+        engines: list[ReplayEngine],
+        numbers: tuple[int, ...],
+        start_ms: int,
+        end_ms: int,
+        factor: float,
+    ) -> None:
+        await anyio.sleep(start_ms / 1_000)
+        for number in numbers:
+            engines[number].step_time_factor *= factor
+        await anyio.sleep((end_ms - start_ms) / 1_000)
+        for number in numbers:
+            engines[number].step_time_factor /= factor
 
     async def _crash_and_restart(
         self,
@@ -342,10 +405,16 @@
         self, kind: Kind, instances: list[_Instance]
     ) -> None:
         """Sends a request, and again after a refusal while retries are left."""
-        prompt_tokens = self._draw_length(kind.mean_prompt_tokens, PROMPT_SIGMA)
+        deployment = self._deployment
+        prompt_tokens = kind.fixed_tokens + self._draw_length(
+            kind.mean_prompt_tokens, deployment.prompt_sigma
+        )
+        prompt_tokens = min(prompt_tokens, deployment.max_prompt_tokens)
         events = self._draw_length(kind.mean_events, OUTPUT_SIGMA)
-        weighted_tokens = prompt_tokens + 10 * TOKENS_PER_EVENT * events
-        value_factor = min(4.0, 0.3 + 0.7 * weighted_tokens / kind.mean_size)
+        per_event = deployment.figures.tokens_per_event
+        size = prompt_tokens + 10 * per_event * events
+        mean_size = kind.find_mean_size(per_event)
+        value_factor = min(4.0, 0.3 + 0.7 * size / mean_size)
         result = self._results[kind.name]
         result.offered += 1
         result.offered_value += kind.value_on_time * value_factor
@@ -377,7 +446,8 @@
             if attempt == RETRIES or not 0 < wait_ms < left_ms:
                 break
             await anyio.sleep(wait_ms / 1_000)
-        self._record_result(kind, responder, sent_at_ms, value_factor)
+        is_large = prompt_tokens > self._find_large(kind)
+        self._record_result(kind, responder, sent_at_ms, value_factor, is_large)
 
     def _record_result(
         self,
@@ -385,14 +455,19 @@
         responder: _RecordingResponder,
         sent_at_ms: int,
         value_factor: float,
+        is_large: bool,
     ) -> None:
         result = self._results[kind.name]
+        result.large += is_large
+        result.large_served += is_large and responder.is_complete
         if not responder.is_complete or responder.first_event_ms is None:
             result.refused += responder.verdict is not None
             result.failed += responder.verdict is None
             return
         first_event_latency_ms = responder.first_event_ms - sent_at_ms
-        meets_gap_objective = responder.longest_gap_ms <= GAP_OBJECTIVE_MS
+        meets_gap_objective = (
+            responder.longest_gap_ms <= self._deployment.gap_objective_ms
+        )
         if first_event_latency_ms <= kind.objective_ms and meets_gap_objective:
             result.on_time += 1
             result.earned_value += kind.value_on_time * value_factor
@@ -400,12 +475,34 @@
             result.late += 1
             result.earned_value += kind.value_late * value_factor
 
+    def _find_large(self, kind: Kind) -> float:
+        """Returns the prompt tokens that one in ten requests exceeds."""
+        sigma = self._deployment.prompt_sigma
+        quantile = math.exp(LARGE_QUANTILE * sigma - sigma * sigma / 2)
+        return kind.fixed_tokens + kind.mean_prompt_tokens * quantile
+
     def _draw_length(self, mean: float, sigma: float) -> int:
         """Draws a whole number from a log-normal distribution of that mean."""
         mu = math.log(mean) - sigma * sigma / 2
         return max(1, round(self._rng.lognormvariate(mu, sigma)))
 
 
+def _sum_others(table: list[Occupancy]) -> list[dict[int, int]]:
+    """Returns what the other instances have, for each one."""
+    totals: dict[int, int] = {}
+    for occupancy in table:
+        for name, amount in occupancy.own.items():
+            target = occupancy.find_hash(name)
+            totals[target] = totals.get(target, 0) + amount
+    views = []
+    for occupancy in table:
+        view = dict(totals)
+        for name, amount in occupancy.own.items():
+            view[occupancy.find_hash(name)] -= amount
+        views.append(view)
+    return views
+
+
 def format_outcome(outcome: Outcome) -> str:
     """Returns the results of one replay as a table."""
     lines = [f"  value earned {outcome.earned_share:.3f}"]
@@ -414,7 +511,8 @@
             f"  {name:15} offered {result.offered:5}  "
             f"on time {result.on_time:5}  late {result.late:4}  "
             f"refused {result.refused:4}  failed {result.failed:4}  "
-            f"value earned {result.earned_value / result.offered_value:.3f}"
+            f"value earned {result.earned_value / result.offered_value:.3f}  "
+            f"large {result.large_served}/{result.large}"
         )
     for reason, (number, median_ms) in sorted(outcome.refusals.items()):
         lines.append(f"  {reason}: {number}, median at {median_ms} ms")
@@ -429,23 +527,26 @@
     help="Runs of each policy and pattern.",
 )
 @click.option("--pattern", "only", help="Run only the pattern of this name.")
+@click.option("--policy", "policy", help="Run only the policy of this name.")
 @click.option(
     "--details",
     is_flag=True,
     help="Print tables by kind of request and reason of refusal.",
 )
-def main(seeds: int, only: str | None, details: bool) -> None:
+def main(
+    seeds: int, only: str | None, policy: str | None, details: bool
+) -> None:
     """Prints the part of the value that each policy earns, by pattern."""
     patterns = [p for p in PATTERNS if only in (None, p.name)]
     if not patterns:
         raise click.BadParameter(f"no load pattern is named {only}")
     click.echo(f"{'policy':18}" + "".join(f"{p.name:>10}" for p in patterns))
-    for policy in POLICIES:
-        row = f"{policy.name:18}"
+    for chosen in [p for p in POLICIES if policy in (None, p.name)]:
+        row = f"{chosen.name:18}"
         tables = []
         for pattern in patterns:
             outcomes = [
-                Replay(pattern, policy, seed).run() for seed in range(seeds)
+                Replay(pattern, chosen, seed).run() for seed in range(seeds)
             ]
             mean_share = (
                 sum(outcome.earned_share for outcome in outcomes) / seeds
--- a/src/peridotbend_emulator/replayengine.py
+++ b/src/peridotbend_emulator/replayengine.py
@@ -24,6 +24,18 @@
 CONNECT_MS = 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineFigures:
+    """What the users' data sheets tell of their engines."""
+
+    step_ms: float = STEP_MS
+    prompt_tokens_per_ms: float = PROMPT_TOKENS_PER_MS
+    tokens_per_event: int = TOKENS_PER_EVENT
+
+
+NOMINAL = EngineFigures()
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class _Job:
     prompt_tokens: int
@@ -43,8 +55,14 @@
 class ReplayEngine:
     """An engine that admits requests in order of arrival to one batch."""
 
-    def __init__(self, slots: int, step_time_factor: float):
+    def __init__(
+        self,
+        slots: int,
+        step_time_factor: float,
+        figures: EngineFigures = NOMINAL,
+    ):
         self._slots = slots
+        self._figures = figures
         self.step_time_factor = step_time_factor
         self.is_down = False
         self._waiting: deque[_Job] = deque()
@@ -66,6 +84,7 @@
 
     async def run(self) -> None:
         """Runs steps until cancelled."""
+        per_event = self._figures.tokens_per_event
         while True:
             self._batch = [job for job in self._batch if not job.is_cancelled]
             elapsed_ms = self._admit()
@@ -74,25 +93,27 @@
                 if not self._waiting:
                     await self._arrived.wait()
                 continue
-            elapsed_ms += STEP_MS + STEP_MS_PER_REQUEST * len(self._batch)
+            elapsed_ms += self._figures.step_ms
+            elapsed_ms += STEP_MS_PER_REQUEST * len(self._batch)
             await anyio.sleep(elapsed_ms * self.step_time_factor / 1_000)
             for job in self._batch:
                 job.produced_tokens += 1
-                if job.produced_tokens % TOKENS_PER_EVENT == 0:
+                if job.produced_tokens % per_event == 0:
                     job.push(True)
             self._batch = [
                 job
                 for job in self._batch
-                if job.produced_tokens < job.events * TOKENS_PER_EVENT
+                if job.produced_tokens < job.events * per_event
             ]
 
     def _admit(self) -> float:
         """Fills the batch; returns the time to process the new prompts."""
         prefill_ms = 0.0
+        per_ms = self._figures.prompt_tokens_per_ms
         while self._waiting and len(self._batch) < self._slots:
             job = self._waiting.popleft()
             if not job.is_cancelled:
-                prefill_ms += job.prompt_tokens / PROMPT_TOKENS_PER_MS
+                prefill_ms += job.prompt_tokens / per_ms
                 self._batch.append(job)
         return prefill_ms
 
@@ -135,13 +156,16 @@
         self,
         engines: dict[str, ReplayEngine],
         count_events: Callable[[str], int],
+        tokens_per_event: int = TOKENS_PER_EVENT,
     ):
         """Creates a client.
 
         Args:
             engines: engines by the name of their target.
             count_events: returns how many events the answer to an attempt has.
+            tokens_per_event: tokens in one event.
         """
+        self._tokens_per_event = tokens_per_event
         self._engines = engines
         self._count_events = count_events
 
@@ -176,7 +200,7 @@
         )
         prompt_tokens = send.call.prompt_tokens or 0
         job = _Job(
-            math.ceil(prompt_tokens + received_events * TOKENS_PER_EVENT),
+            math.ceil(prompt_tokens + received_events * self._tokens_per_event),
             remaining_events,
         )
         engine.submit(job)
--- a/tests/edgegroups.py
+++ b/tests/edgegroups.py
@@ -113,6 +113,7 @@
         self.directory = GroupDirectory(host, zone, self.peers, clock)
         self.status = FleetStatus(self.peers, self.directory)
         self.occupancy = Occupancy(clock)
+        self.tokens = Occupancy(clock)
         self.allowances = Allowances(
             clock, SETTINGS, self.status.find_live_share
         )
@@ -122,6 +123,7 @@
         state = SharedState(
             InstanceIdentity(host, host, zone, rng.getrandbits(63)),
             self.occupancy,
+            self.tokens,
             self.allowances,
             self.crashes,
             RateLimits(clock, RecordingLog(), host, list),
