Plan retries of refused callers and share room between accounts

Cause: Retry-After was 1 s whatever the backlog, a returned caller waited as briefly as a new one and was refused a second time, and one account at many times its rate took the room of the others.

Change: load/queueing.py plans waits and returns, load/shares.py compares accounts, edge/backlog.py asks both. The last room is left to requests that go first while room is short for them.

--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -9,6 +9,10 @@
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.edge.streamrecords import BegunStream
+from peridotbend.load.queueing import CallerTerms
+
+# An output token takes a step of the batch, a prompt token a part of one.
+OUTPUT_TOKEN_WORK = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,3 +76,15 @@
         return self.head_sent or (
             self.route.is_resumable_stream and self.call.takes_up
         )
+
+
+def make_terms(request: ActiveRequest) -> CallerTerms:
+    """Returns what a request owes to its caller and its account."""
+    call = request.call
+    work = None
+    if call.prompt_tokens is not None:
+        work = float(
+            call.prompt_tokens + OUTPUT_TOKEN_WORK * call.max_output_tokens
+        )
+    account = request.account.name if request.account else ""
+    return CallerTerms(account, work, call.deadline_ms)
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -3,30 +3,35 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 from result import Err, Ok, Result
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.verdicts import NotRun, Reason
-from peridotbend.edge.brittle import BrittleTargets
+from peridotbend.edge.brittle import ENGINE_FILL, BrittleTargets
 from peridotbend.edge.coldtargets import ColdTargets, Permit
-from peridotbend.edge.config import Route
+from peridotbend.edge.config import Account, Route
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ratelimits import RateLimits
-from peridotbend.edge.selection import Selector, TargetCriteria
+from peridotbend.edge.selection import (
+    NON_RUNNER_FILL,
+    TOP_RANK_FILL,
+    Selector,
+    TargetCriteria,
+)
 from peridotbend.edge.targets import EdgeTarget, TargetList
+from peridotbend.load.queueing import (
+    CallerTerms,
+    ReturnPlanner,
+    WaitPlan,
+    find_plain_retry_ms,
+    plan_resumed_wait,
+    plan_wait,
+)
+from peridotbend.load.shares import FairShares
 
-# Maximum wait for a slot, as a fraction of the response-time objective. After
-# that the request is refused, early enough for its caller to react.
-WAIT_TIMEOUT_SHARE = 0.12
-# Lower bound of that wait, for routes with an objective of a few ms: two check
-# intervals.
-MIN_WAIT_TIMEOUT_MS = 20
-# Maximum wait of a stream that broke midway, as a fraction of the time after
-# which its caller abandons it.
-RESUME_WAIT_TIMEOUT_SHARE = 0.5
 # Precedes all other ranks: a partly delivered stream is lost unless it resumes.
 RESUME_RANK = (-1, -1)
 # Interval of the checks for expired requests, outdated peer reports and targets
@@ -35,30 +40,48 @@
 # Bounds memory only. No more than a few hundred requests can get a slot within
 # their maximum wait.
 MAX_WAITING = 2_000
-# Retry-After of refused requests. Bursts last a few seconds and callers retry
-# once. 1 s and 3 s made no difference in trials; the shorter time leaves more
-# of the caller's deadline for the retry.
-SHED_RETRY_MS = 1_000
-# Upper bound of Retry-After, as a fraction of the time limit of the route:
-# callers accept at most a third of their remaining time.
-SHED_RETRY_SHARE = 0.25
-# Keeps callers that were refused together from retrying simultaneously.
-SHED_RETRY_JITTER = (0.7, 1.3)
+# Work of a request that states no token count, to compare accounts by.
+PLAIN_WORK = 1.0
+# Part of the room that is left to requests that come first while room is short
+# for them: those of higher ranks, and of accounts within their share. Instances
+# know of each other's requests only how many are in flight.
+RESERVED_SHARE = 0.1
+# For this long after a request had to wait, room counts as short for its rank.
+# Callers of one kind arrive at an instance every few hundred ms.
+SHORTAGE_MS = 500
+NO_TERMS = CallerTerms()
+
+# Rank, and whether the account has had more than its share.
+_Precedence = tuple[tuple[int, int], bool]
 
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Waiter:
     criteria: TargetCriteria
     route: Route
+    terms: CallerTerms
+    plan: WaitPlan
     sequence: int
+    arrived_at_ms: int
     wait_until_ms: int
+    end_at_ms: int
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     result: "Result[Slot, NotRun] | None" = None
 
     @property
-    def order(self) -> tuple[tuple[int, int], int]:
-        """Sort key: lowest rank number first, then order of arrival."""
-        return self.criteria.rank, self.sequence
+    def is_planned(self) -> bool:
+        """Whether the rules for requests with a token count apply."""
+        return self.terms.work is not None
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller already has a part of the answer."""
+        return self.criteria.rank == RESUME_RANK
+
+    def is_late(self, now_ms: int) -> bool:
+        """Tells whether a returned request can't be on time any more."""
+        on_time_until_ms = self.arrived_at_ms + self.plan.on_time_ms
+        return self.plan.is_returned and now_ms >= on_time_until_ms
 
 
 class Slot:
@@ -89,7 +112,12 @@
 
 
 class Backlog:
-    """Grants slots to waiting requests by rank, then order of arrival."""
+    """Grants slots to waiting requests.
+
+    The lowest rank number goes first, then accounts within their share, then
+    requests that can be on time, then the account with the lowest use, then
+    the order of arrival.
+    """
 
     def __init__(
         self,
@@ -112,6 +140,12 @@
         self._rng = rng
         self._sequence = itertools.count()
         self._waiting: dict[str, list[_Waiter]] = {}
+        self._planner = ReturnPlanner(clock, rng)
+        # By service and rank, as accounts compete within a rank.
+        self._shares: dict[tuple[str, tuple[int, int]], FairShares] = {}
+        self._weights: dict[str, float] = {}
+        # Until when room is short, by service and precedence.
+        self._short_until_ms: dict[str, dict[_Precedence, int]] = {}
         self._has_waiting = anyio.Event()
 
     def count_waiting(self, service: str) -> int:
@@ -128,12 +162,40 @@
         target = self._selector.choose(criteria, targets)
         return self._make_slot(criteria, target) if target else None
 
+    def apply_accounts(self, accounts: Iterable[Account]) -> None:
+        """Weighs accounts by their allowances; equally if one has none."""
+        rates = {account.name: account.tokens_per_s for account in accounts}
+        self._weights = rates if all(rates.values()) else {}
+        for shares in self._shares.values():
+            shares.apply_weights(self._weights)
+
+    def dump(self) -> dict[str, dict[str, object]]:
+        """Returns the recent use of each account, by service and rank."""
+        return {
+            f"{service} {rank[0]}.{rank[1]}": {
+                account: {
+                    "work": round(work),
+                    "is_over": shares.is_over_share(account),
+                }
+                for account, work in shares.list_use().items()
+            }
+            for (service, rank), shares in self._shares.items()
+        }
+
+    def describe(self, service: str, route: str) -> dict[str, object]:
+        """Returns the state behind a refusal, for logs."""
+        return {
+            "waiting": self.count_waiting(service),
+            **self._planner.describe(route),
+        }
+
     async def acquire(
         self,
         criteria: TargetCriteria,
         route: Route,
         end_at_ms: int,
         is_resumed: bool = False,
+        terms: CallerTerms = NO_TERMS,
     ) -> Result[Slot, NotRun]:
         """Waits for a slot.
 
@@ -145,24 +207,37 @@
                 timeout of its caller.
             end_at_ms: latest time until which to wait.
             is_resumed: whether the caller already has a part of the answer.
+            terms: account, work and deadline of the request.
         """
         now_ms = self._clock.now_ms()
-        wait_timeout_ms = round(WAIT_TIMEOUT_SHARE * route.objective_ms)
         if is_resumed:
-            wait_timeout_ms = round(
-                RESUME_WAIT_TIMEOUT_SHARE * route.caller_timeout_ms
-            )
+            plan = plan_resumed_wait(route)
             criteria = dataclasses.replace(criteria, rank=RESUME_RANK)
-        wait_timeout_ms = max(MIN_WAIT_TIMEOUT_MS, wait_timeout_ms)
-        wait_until_ms = min(end_at_ms, now_ms + wait_timeout_ms)
-        waiter = _Waiter(criteria, route, next(self._sequence), wait_until_ms)
+        else:
+            age_ms = 0
+            if terms.work is not None:
+                age_ms = self._planner.find_age_ms(route, terms.deadline_ms)
+            plan = plan_wait(route, age_ms, end_at_ms - now_ms)
+        waiter = _Waiter(
+            criteria,
+            route,
+            terms,
+            plan,
+            next(self._sequence),
+            now_ms,
+            min(end_at_ms, now_ms + plan.timeout_ms),
+            end_at_ms,
+        )
         queue = self._waiting.setdefault(criteria.service, [])
         if len(queue) >= MAX_WAITING:
-            retry_after_ms = self.find_retry_after(route)
+            retry_after_ms = self._plan_return(waiter)
             return Err(NotRun(Reason.AT_CAPACITY, retry_after_ms))
+        self._note_arrived(waiter)
         queue.append(waiter)
-        queue.sort(key=lambda w: w.order)
         self.grant_slots(criteria.service)
+        if waiter.result is None and self._is_hopeless(waiter):
+            self._waiting[criteria.service].remove(waiter)
+            self._refuse(waiter, self._targets.list_for(criteria.service))
         try:
             if waiter.result is None:
                 self._has_waiting.set()
@@ -179,6 +254,7 @@
         if not queue:
             return
         now_ms = self._clock.now_ms()
+        queue.sort(key=lambda waiter: self._find_order(waiter, now_ms))
         targets = self._targets.list_for(service)
         is_evacuated = self._targets.is_evacuated(service)
         still_waiting: list[_Waiter] = []
@@ -193,10 +269,14 @@
                 target = self._selector.choose(waiter.criteria, targets)
                 if target is None:
                     full_for.add(criteria)
+                elif self._must_leave_room(waiter, targets):
+                    target = None
             if target is not None and waiter.wait_until_ms > now_ms:
                 self._grant(waiter, target)
-            elif (
-                is_evacuated and waiter.criteria.rank != RESUME_RANK
+                continue
+            self._note_shortage(waiter)
+            if (
+                is_evacuated and not waiter.is_resumed
             ) or waiter.wait_until_ms <= now_ms + self._find_pause_ms(
                 waiter, targets
             ):
@@ -217,11 +297,100 @@
                     self.grant_slots(service)
 
     def find_retry_after(self, route: Route) -> int:
-        """Returns after how many ms a refused caller should retry."""
-        wait_ms = min(SHED_RETRY_MS, SHED_RETRY_SHARE * route.timeout_ms)
-        return round(wait_ms * self._rng.uniform(*SHED_RETRY_JITTER))
+        """Returns after how many ms a caller should retry in any case."""
+        return find_plain_retry_ms(route, self._rng)
+
+    def _note_arrived(self, waiter: _Waiter) -> None:
+        if waiter.is_resumed or waiter.plan.is_returned:
+            return
+        if waiter.is_planned:
+            self._planner.note_arrived(waiter.route.name)
+        if waiter.terms.account:
+            self._find_shares(waiter).note_offered(
+                waiter.terms.account, waiter.terms.work or PLAIN_WORK
+            )
+
+    def _find_shares(self, waiter: _Waiter) -> FairShares:
+        key = waiter.criteria.service, waiter.criteria.rank
+        shares = self._shares.get(key)
+        if shares is None:
+            shares = self._shares[key] = FairShares(self._clock)
+            shares.apply_weights(self._weights)
+        return shares
+
+    def _find_order(
+        self, waiter: _Waiter, now_ms: int
+    ) -> tuple[_Precedence, bool, float, int]:
+        """Returns the sort key of the queue."""
+        account = waiter.terms.account
+        use = 0.0
+        if account and not waiter.is_resumed:
+            use = self._find_shares(waiter).find_order(account)
+        return (
+            self._find_precedence(waiter),
+            waiter.is_late(now_ms),
+            use,
+            waiter.sequence,
+        )
+
+    def _find_precedence(self, waiter: _Waiter) -> _Precedence:
+        account = waiter.terms.account
+        is_over = (
+            bool(account)
+            and not waiter.is_resumed
+            and self._find_shares(waiter).is_over_share(account)
+        )
+        return waiter.criteria.rank, is_over
+
+    def _note_shortage(self, waiter: _Waiter) -> None:
+        short = self._short_until_ms.setdefault(waiter.criteria.service, {})
+        until_ms = self._clock.now_ms() + SHORTAGE_MS
+        short[self._find_precedence(waiter)] = until_ms
+
+    def _must_leave_room(
+        self, waiter: _Waiter, targets: list[EdgeTarget]
+    ) -> bool:
+        """Tells whether the last room is for requests that go first.
+
+        Those may wait at other instances, which this one can't see.
+        """
+        if waiter.is_resumed or not (waiter.is_planned or waiter.terms.account):
+            return False
+        now_ms = self._clock.now_ms()
+        short = self._short_until_ms.get(waiter.criteria.service, {})
+        precedence = self._find_precedence(waiter)
+        if not any(
+            until_ms > now_ms and other < precedence
+            for other, until_ms in short.items()
+        ):
+            return False
+        fill = NON_RUNNER_FILL
+        if waiter.criteria.is_generation:
+            is_top = waiter.criteria.rank[1] <= 0
+            fill = TOP_RANK_FILL if is_top else ENGINE_FILL
+        in_flight = sum(self._occupancy.count(t.name) for t in targets)
+        slots = sum(target.slots for target in targets)
+        return in_flight >= (1 - RESERVED_SHARE) * fill * slots
+
+    def _is_hopeless(self, waiter: _Waiter) -> bool:
+        """Tells whether the requests ahead take longer than this one waits."""
+        if not waiter.is_planned or waiter.plan.is_returned:
+            return False
+        if waiter.is_resumed:
+            return False
+        queue = self._waiting[waiter.criteria.service]
+        ahead = queue[: queue.index(waiter)]
+        routes = {other.route.name for other in ahead} | {waiter.route.name}
+        granted_per_ms = sum(map(self._planner.find_grants_per_ms, routes))
+        return len(ahead) > granted_per_ms * waiter.plan.timeout_ms > 0
 
     def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
+        if waiter.is_planned and not waiter.is_resumed:
+            self._planner.note_granted(waiter.route.name)
+        if waiter.terms.account and not waiter.is_resumed:
+            self._find_shares(waiter).note_granted(
+                waiter.terms.account, waiter.terms.work or PLAIN_WORK
+            )
         waiter.result = Ok(self._make_slot(waiter.criteria, target))
         waiter.done.set()
 
@@ -253,12 +422,23 @@
         has_target = any(map(waiter.criteria.admits, targets))
         reason = Reason.SHED if has_target else Reason.NO_TARGET
         retry_after_ms = max(
-            self.find_retry_after(waiter.route),
-            self._find_pause_ms(waiter, targets),
+            self._plan_return(waiter), self._find_pause_ms(waiter, targets)
         )
         waiter.result = Err(NotRun(reason, retry_after_ms))
         waiter.done.set()
 
+    def _plan_return(self, waiter: _Waiter) -> int:
+        route = waiter.route
+        if not waiter.is_planned or waiter.is_resumed:
+            return find_plain_retry_ms(route, self._rng)
+        self._planner.note_refused(route.name)
+        queue = self._waiting.get(waiter.criteria.service, ())
+        return self._planner.find_retry_after_ms(
+            route,
+            waiter.end_at_ms - self._clock.now_ms(),
+            sum(other.route.name == route.name for other in queue),
+        )
+
     def _find_pause_ms(self, waiter: _Waiter, targets: list[EdgeTarget]) -> int:
         return self._selector.find_pause_ms(waiter.criteria, targets)
 
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -144,20 +144,15 @@
         pauses,
         runs.is_replaced,
     )
+    backlog = Backlog(
+        clock, targets, occupancy, rate_limits, brittle, cold, selector, rng
+    )
+    holder.subscribe(lambda config: backlog.apply_accounts(config.accounts))
     return RelayDependencies(
         clock=clock,
         holder=holder,
         targets=targets,
-        backlog=Backlog(
-            clock,
-            targets,
-            occupancy,
-            rate_limits,
-            brittle,
-            cold,
-            selector,
-            rng,
-        ),
+        backlog=backlog,
         occupancy=occupancy,
         health=health,
         crashes=CrashTracker(clock, log),
--- a/src/peridotbend/edge/refusals.py
+++ b/src/peridotbend/edge/refusals.py
@@ -26,7 +26,7 @@
         "targets": len(targets),
         "slots": sum(target.slots for target in targets),
         "in_flight": sum(dependencies.occupancy.count(t.name) for t in targets),
-        "waiting": dependencies.backlog.count_waiting(request.service),
+        **dependencies.backlog.describe(request.service, request.route.name),
     }
 
 
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -5,7 +5,7 @@
 
 from peridotbend.domain.events import Event
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
-from peridotbend.edge.activerequests import ActiveRequest
+from peridotbend.edge.activerequests import ActiveRequest, make_terms
 from peridotbend.edge.admission import QUARANTINED, Admission
 from peridotbend.edge.backlog import Slot
 from peridotbend.edge.parts import RelayDependencies
@@ -141,6 +141,7 @@
             request.route,
             request.deadline_at_ms - MIN_SEND_MS,
             is_resumed=request.is_resumed,
+            terms=make_terms(request),
         )
 
     async def _find_origin(self, request: ActiveRequest) -> NotRun | None:
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -238,6 +238,7 @@
             "reads_store": self._reader_role.is_reader,
             "is_relay": self._exchange.is_relay,
             "waiting": self._dependencies.backlog.count_all(),
+            "shares": self._dependencies.backlog.dump(),
             "active": self._app.active,
             "allowances": {
                 n: round(use.level)
--- /dev/null
+++ b/src/peridotbend/load/queueing.py
@@ -0,0 +1,240 @@
+"""Waits and retries in bursts, in which not all requests can be served."""
+
+import bisect
+import dataclasses
+import random
+
+from peridotbend.domain.clock import Clock
+from peridotbend.edge.config import Route
+from peridotbend.load.windows import SlidingSum
+
+# Maximum wait of a new request for a slot, as a fraction of the response-time
+# objective. After that the request is refused, early enough for its caller to
+# react.
+WAIT_TIMEOUT_SHARE = 0.12
+# Lower bound of that wait, for routes with an objective of a few ms: two check
+# intervals of the queue.
+MIN_WAIT_TIMEOUT_MS = 20
+# Maximum wait of a stream that broke midway, as a fraction of the time after
+# which its caller abandons it.
+RESUME_WAIT_TIMEOUT_SHARE = 0.5
+# Maximum wait of a returned request, as a fraction of its remaining time. The
+# rest is for its answer.
+RETURN_WAIT_SHARE = 0.5
+# Retry-After of an instance without observations. 1 s and 3 s made no
+# difference in trials; the shorter time leaves more of the caller's deadline.
+UNKNOWN_RETRY_MS = 1_000
+# Keeps callers that were refused together from retrying simultaneously.
+UNKNOWN_RETRY_JITTER = (0.7, 1.3)
+# Callers that return sooner meet the same shortage.
+MIN_RETRY_MS = 300
+# Upper bound of Retry-After, as a fraction of the time limit of the route and
+# of the time that the caller has left, of which it accepts a third.
+MAX_RETRY_SHARE = 0.25
+MAX_RETRY_LEFT_SHARE = 1 / 3
+# While room is short for longer than callers can be sent away, they return in
+# the last part of that time, evenly spread.
+SPREAD_SHARE = 0.5
+# Fraction of the granted slots that returned requests get at least. The load
+# outside bursts leaves about this much of the capacity.
+RETURN_SHARE = 0.25
+# Long enough for a rate of a few grants a second, shorter than a burst.
+RATE_WINDOW_MS = 2_000
+# For this long, the longest deadline seen tells how long callers wait at first.
+DEADLINE_WINDOW_MS = 10_000
+# Callers set out with deadlines that differ by some transit time.
+MIN_AGE_MS = 100
+# A refused request is back after Retry-After and its first wait. One that is
+# older states a deadline of its own, and counts as new.
+AGE_MARGIN_MS = 1_000
+# Bounds memory only.
+MAX_RETURNING = 5_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerTerms:
+    """What a request in the queue owes to its caller and its account."""
+
+    # Name of the account; "" if the configuration has none.
+    account: str = ""
+    # Prompt tokens and ten times the output tokens; None if not stated.
+    work: float | None = None
+    # How long the caller waits, as it states; None if it does not.
+    deadline_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitPlan:
+    """How long a request waits for a slot, and among which requests."""
+
+    timeout_ms: int
+    # Whether the caller returns after a refusal.
+    is_returned: bool
+    # Time after which the answer can't be on time; 0 if it is too late already.
+    on_time_ms: int
+
+
+def plan_wait(route: Route, age_ms: int, left_ms: int) -> WaitPlan:
+    """Returns how long a request waits.
+
+    A returned request is mostly too late already, so that waiting costs it
+    nothing, while its caller does not return a second time.
+
+    Args:
+        route: the route of the request.
+        age_ms: time since the caller's first attempt; 0 if this is the first.
+        left_ms: time until the deadline of the caller.
+    """
+    if not age_ms:
+        timeout_ms = round(WAIT_TIMEOUT_SHARE * route.objective_ms)
+        return WaitPlan(
+            max(MIN_WAIT_TIMEOUT_MS, timeout_ms), False, route.objective_ms
+        )
+    timeout_ms = min(
+        # The caller abandons a request without a first event.
+        route.caller_timeout_ms - route.objective_ms,
+        round(RETURN_WAIT_SHARE * left_ms),
+    )
+    on_time_ms = max(0, route.objective_ms - age_ms)
+    return WaitPlan(max(MIN_WAIT_TIMEOUT_MS, timeout_ms), True, on_time_ms)
+
+
+def plan_resumed_wait(route: Route) -> WaitPlan:
+    """Returns how long a stream waits that broke midway."""
+    timeout_ms = round(RESUME_WAIT_TIMEOUT_SHARE * route.caller_timeout_ms)
+    return WaitPlan(
+        max(MIN_WAIT_TIMEOUT_MS, timeout_ms), False, route.objective_ms
+    )
+
+
+def find_plain_retry_ms(route: Route, rng: random.Random) -> int:
+    """Returns Retry-After without any observations."""
+    wait_ms = min(UNKNOWN_RETRY_MS, MAX_RETRY_SHARE * route.timeout_ms)
+    return round(wait_ms * rng.uniform(*UNKNOWN_RETRY_JITTER))
+
+
+class _RouteLoad:
+    """What one instance has seen of a route lately."""
+
+    def __init__(self, clock: Clock):
+        self.arrived = SlidingSum(clock, RATE_WINDOW_MS)
+        self.granted = SlidingSum(clock, RATE_WINDOW_MS)
+        self.refused = SlidingSum(clock, RATE_WINDOW_MS)
+        # Times at which refused callers return, ascending.
+        self.returns_at_ms: list[int] = []
+        # Longest plausible deadline of the current and of the last window.
+        self.deadline_window = 0
+        self.longest_ms = 0
+        self.longest_before_ms = 0
+
+
+class ReturnPlanner:
+    """Plans when refused callers return, so that they find room.
+
+    Routes are planned for apart, since those of a low rank get slots much later
+    than others.
+    """
+
+    def __init__(self, clock: Clock, rng: random.Random):
+        self._clock = clock
+        self._rng = rng
+        self._loads: dict[str, _RouteLoad] = {}
+
+    def note_arrived(self, route: str) -> None:
+        """Counts a request that was not refused before."""
+        self._find_load(route).arrived.add(1)
+
+    def note_granted(self, route: str) -> None:
+        """Counts a granted slot."""
+        self._find_load(route).granted.add(1)
+
+    def note_refused(self, route: str) -> None:
+        """Counts a refusal."""
+        self._find_load(route).refused.add(1)
+
+    def find_grants_per_ms(self, route: str) -> float:
+        """Returns the rate at which requests of a route got slots lately."""
+        load = self._loads.get(route)
+        return load.granted.find() / RATE_WINDOW_MS if load else 0.0
+
+    def find_retry_after_ms(
+        self, route: Route, left_ms: int, waiting: int = 0
+    ) -> int:
+        """Returns after how many ms a refused caller should retry.
+
+        It is the time until the waiting requests and the refused callers that
+        are yet to return have got slots, so that each refused caller gets a
+        time of its own.
+
+        Args:
+            route: the route of the request.
+            left_ms: time until the deadline of the caller.
+            waiting: requests of the route that wait for a slot.
+        """
+        longest_ms = max(
+            0.0,
+            min(
+                MAX_RETRY_SHARE * route.timeout_ms,
+                MAX_RETRY_LEFT_SHARE * left_ms,
+            ),
+        )
+        load = self._find_load(route.name)
+        granted, refused = load.granted.find(), load.refused.find()
+        if not granted and refused <= 1:
+            return find_plain_retry_ms(route, self._rng)
+        returning = self.count_returning(route.name)
+        spare = max(granted - load.arrived.find(), RETURN_SHARE * granted)
+        if spare:
+            ahead = waiting + returning + 1
+            retry_ms = MIN_RETRY_MS + ahead * RATE_WINDOW_MS / spare
+        else:
+            retry_ms = longest_ms
+        if retry_ms >= longest_ms:
+            retry_ms = longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)
+        if returning < MAX_RETURNING:
+            bisect.insort(
+                load.returns_at_ms, self._clock.now_ms() + round(retry_ms)
+            )
+        return round(retry_ms)
+
+    def count_returning(self, route: str) -> int:
+        """Returns how many refused callers are yet to return."""
+        load = self._loads.get(route)
+        if load is None:
+            return 0
+        past = bisect.bisect_right(load.returns_at_ms, self._clock.now_ms())
+        del load.returns_at_ms[:past]
+        return len(load.returns_at_ms)
+
+    def find_age_ms(self, route: Route, deadline_ms: int | None) -> int:
+        """Returns the time since the first attempt of a caller; 0 if new.
+
+        It is the longest deadline seen on the route lately minus that of this
+        attempt. A missing or implausible deadline counts as new.
+        """
+        if deadline_ms is None or not 0 < deadline_ms <= route.timeout_ms:
+            return 0
+        load = self._find_load(route.name)
+        window = self._clock.now_ms() // DEADLINE_WINDOW_MS
+        if window != load.deadline_window:
+            is_next = window == load.deadline_window + 1
+            load.longest_before_ms = load.longest_ms if is_next else 0
+            load.longest_ms = 0
+            load.deadline_window = window
+        load.longest_ms = max(load.longest_ms, deadline_ms)
+        age_ms = max(load.longest_ms, load.longest_before_ms) - deadline_ms
+        max_age_ms = MAX_RETRY_SHARE * route.timeout_ms + AGE_MARGIN_MS
+        return age_ms if MIN_AGE_MS <= age_ms <= max_age_ms else 0
+
+    def describe(self, route: str) -> dict[str, object]:
+        """Returns what decides Retry-After, for logs."""
+        return {
+            "returning": self.count_returning(route),
+            "granted_per_s": round(1_000 * self.find_grants_per_ms(route), 1),
+        }
+
+    def _find_load(self, route: str) -> _RouteLoad:
+        load = self._loads.get(route)
+        if load is None:
+            load = self._loads[route] = _RouteLoad(self._clock)
+        return load
--- /dev/null
+++ b/src/peridotbend_emulator/replayaccounts.py
@@ -0,0 +1,520 @@
+"""Replays shortages of room with accounts, in virtual time.
+
+Shows who is served when not all requests can be: by kind of request, by
+account, and after a refusal. Run `python -m
+peridotbend_emulator.replayaccounts`.
+"""
+
+import collections
+import contextlib
+import dataclasses
+import importlib
+import math
+import random
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
+
+import anyio
+import click
+
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.ports import AnswerHead
+from peridotbend.domain.verdicts import Verdict
+from peridotbend.edge import config as edge_config
+from peridotbend.edge.parts import RelayDependencies, make_dependencies
+from peridotbend.edge.ports import (
+    AnswerBrokenError,
+    EdgeCall,
+    Reply,
+    TargetSend,
+)
+from peridotbend.edge.relay import Relay
+from peridotbend.edge.targets import EdgeTarget
+from peridotbend.load.queueing import CallerTerms
+from peridotbend_emulator.replay import SETTINGS
+from peridotbend_emulator.replayengine import (
+    TOKENS_PER_EVENT,
+    ReplayClient,
+    ReplayEngine,
+)
+from peridotbend_emulator.replayload import Kind
+from peridotbend_emulator.virtualtime import run_virtual
+
+HOST = "replay.example"
+SERVICE = "engine"
+# Two fifths of the users' first deployment under load, with as many requests
+# for each instance and engine.
+INSTANCES = 10
+SPEEDS = (0.55, 0.7, 0.8, 0.9, 1.0, 1.0, 1.0, 1.1, 1.2, 1.4, 1.8, 2.4)
+SLOTS = 9
+RATE_SHARE = 0.26
+KINDS = (
+    Kind("digest", 70.8, 6_670, 55, 819, 15_354, 6.3, 1.9, 0),
+    Kind("chat", 49.1, 688, 42, 408, 12_232, 2.0, 0.61, 1),
+    Kind("tag", 107.0, 1_860, 3, 509, 3_056, 0.28, 0.08, 2),
+)
+GAP_OBJECTIVE_MS = 500
+ACCOUNTS = tuple(f"account-{number}" for number in range(10))
+DIGEST_INTERVAL_MS = 50
+# A lower rank was served at the same time if it was sent within this time
+# before a refusal.
+SAME_TIME_MS = 100
+OUTPUT_SIGMA = 0.8
+PROMPT_SIGMA = 0.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shortage:
+    """A load over time."""
+
+    name: str
+    # Start in ms, end in ms, and the factor on the rates in between.
+    bursts: tuple[tuple[int, int, float], ...] = ()
+    # Start in ms, end in ms, and the factor of the first account only.
+    surge: tuple[int, int, float] = (0, 0, 1.0)
+    duration_ms: int = 20_000
+
+    def find_factor(self, at_ms: int, account: str) -> float:
+        """Returns the factor on the rate of an account."""
+        factor = 1.0
+        for start_ms, end_ms, burst_factor in self.bursts:
+            if start_ms <= at_ms < end_ms:
+                factor = burst_factor
+        start_ms, end_ms, surge_factor = self.surge
+        if account == ACCOUNTS[0] and start_ms <= at_ms < end_ms:
+            factor *= surge_factor
+        return factor
+
+
+SHORTAGES = (
+    Shortage("calm", duration_ms=10_000),
+    Shortage("burst-2.4", ((3_000, 8_000, 2.4),)),
+    Shortage("burst-3.5", ((3_000, 7_000, 3.5),)),
+    Shortage("sustained", ((0, 20_000, 1.7),)),
+    Shortage("surge", surge=(3_000, 13_000, 8.0)),
+    Shortage("calm-surge", surge=(3_000, 8_000, 3.0), duration_ms=10_000),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShortagePolicy:
+    """Values that replace those of the decision code, by module and name."""
+
+    name: str
+    values: Mapping[tuple[str, str], object] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def _hide_terms(request: object) -> CallerTerms:
+    """Makes the queue serve requests as those without a token count."""
+    return CallerTerms()
+
+
+_PLAIN = {("edge.relay", "make_terms"): _hide_terms}
+SHORTAGE_POLICIES = (
+    ShortagePolicy("as-is"),
+    ShortagePolicy("plain", _PLAIN),
+    ShortagePolicy(
+        "plain-wait-0.4",
+        {**_PLAIN, ("load.queueing", "WAIT_TIMEOUT_SHARE"): 0.4},
+    ),
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """Counts of requests by outcome, and their value."""
+
+    offered: int = 0
+    on_time: int = 0
+    late: int = 0
+    refused_once: int = 0
+    refused_twice: int = 0
+    failed: int = 0
+    offered_value: float = 0.0
+    earned_value: float = 0.0
+    # Refusals while a lower rank was served.
+    passed_over: int = 0
+
+    @property
+    def earned_share(self) -> float:
+        """The part of the offered value that was earned."""
+        return self.earned_value / max(self.offered_value, 1e-9)
+
+
+class _NullTelemetry:
+
+    def emit(self, event: object, **fields: object) -> None:
+        """Discards a log line."""
+
+    def observe_end(self, kind: str, outcome: str, took_ms: int) -> None:
+        """Discards the end of a request."""
+
+    def count_send(self, outcome: str) -> None:
+        """Discards a send."""
+
+
+class _Fleet:
+
+    def count_instances(self) -> int:
+        """Returns how many instances there are."""
+        return INSTANCES
+
+    def find_live_share(self) -> float:
+        """Returns 1, as no instance is cut off."""
+        return 1.0
+
+    def list_recent_hosts(self) -> list[str]:
+        """Returns no hosts; the engines name no limits."""
+        return []
+
+    def list_possible_hosts(self) -> list[str]:
+        """Returns no hosts; the engines are not cold."""
+        return []
+
+    def knows_fleet(self) -> bool:
+        """Returns true."""
+        return True
+
+    def is_informed(self) -> bool:
+        """Returns true."""
+        return True
+
+
+class _Responder:
+    """Records the times of events; ends the wait for the first one."""
+
+    def __init__(self, clock: ManualClock, scope: anyio.CancelScope):
+        self._clock = clock
+        self._scope = scope
+        self._last_ms = 0
+        self.first_ms: int | None = None
+        self.longest_gap_ms = 0
+        self.is_complete = False
+        self.verdict: Verdict | None = None
+
+    async def start(self, head: AnswerHead) -> None:
+        """Ignores the head."""
+
+    async def send(self, data: bytes) -> None:
+        """Records the time of an event."""
+        now_ms = self._clock.now_ms()
+        if self.first_ms is None:
+            self.first_ms = now_ms
+            self._scope.deadline = math.inf
+        else:
+            self.longest_gap_ms = max(
+                self.longest_gap_ms, now_ms - self._last_ms
+            )
+        self._last_ms = now_ms
+
+    async def finish(self) -> None:
+        """Records the end of a complete answer."""
+        self.is_complete = True
+
+    async def refuse(self, verdict: Verdict) -> None:
+        """Records a refusal."""
+        self.verdict = verdict
+
+
+class _RecordingClient(ReplayClient):
+    """Records which ranks are sent when."""
+
+    def __init__(
+        self,
+        clock: ManualClock,
+        engines: dict[str, ReplayEngine],
+        count_events: Callable[[str], int],
+    ):
+        super().__init__(engines, count_events)
+        self._clock = clock
+        self.last_sent_ms: dict[int, int] = {}
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, send: TargetSend, gate: Callable[[], bool]
+    ) -> AsyncIterator[Reply]:
+        """Sends a request."""
+        rank = next(
+            k.rank for k in KINDS if send.call.attempt.startswith(k.name)
+        )
+        self.last_sent_ms[rank] = self._clock.now_ms()
+        async with super().open(send, gate) as reply:
+            yield reply
+
+
+def _make_route(kind: Kind) -> edge_config.Route:
+    return edge_config.Route(
+        name=kind.name,
+        host=HOST,
+        prefix=f"/{kind.name}/",
+        kind=edge_config.RouteKind.STREAM,
+        services=(edge_config.WeightedService(SERVICE, 1.0),),
+        max_attempts=2,
+        timeout_ms=kind.timeout_ms,
+        objective_ms=kind.objective_ms,
+        gap_objective_ms=GAP_OBJECTIVE_MS,
+        rank=kind.rank,
+        is_public=False,
+        is_generation=True,
+        can_resume=True,
+    )
+
+
+ROUTES = {kind.name: _make_route(kind) for kind in KINDS}
+CONFIG = edge_config.EdgeConfig(
+    version=1,
+    routes=tuple(ROUTES.values()),
+    accounts=tuple(
+        edge_config.Account(name, frozenset([name]), None, 0.0, 0.0, 0.0)
+        for name in ACCOUNTS
+    ),
+    limits=edge_config.CallerLimits(16_384, 4_194_304, 3_000, 15_000),
+)
+
+
+@contextlib.contextmanager
+def _apply(policy: ShortagePolicy) -> Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        for (module_name, name), value in policy.values.items():
+            module = importlib.import_module(f"peridotbend.{module_name}")
+            stack.callback(setattr, module, name, getattr(module, name))
+            setattr(module, name, value)
+        yield
+
+
+class AccountReplay:
+    """One run of a shortage under one policy."""
+
+    def __init__(self, shortage: Shortage, policy: ShortagePolicy, seed: int):
+        self._shortage = shortage
+        self._policy = policy
+        self._rng = random.Random(seed)
+        self._clock = ManualClock()
+        self._start_ms = self._clock.now_ms()
+        self._event_counts: dict[str, int] = {}
+        self._instances: list[RelayDependencies] = []
+        self._relays: list[Relay] = []
+        self.by_kind: dict[str, Tally] = collections.defaultdict(Tally)
+        # During the surge only.
+        self.by_account: dict[str, Tally] = collections.defaultdict(Tally)
+
+    def run(self) -> None:
+        """Runs the load to its end."""
+        with _apply(self._policy):
+            run_virtual(self._clock, self._run())
+
+    async def _run(self) -> None:
+        engines = {
+            f"i-{number}": ReplayEngine(SLOTS, factor)
+            for number, factor in enumerate(SPEEDS)
+        }
+        self._client = _RecordingClient(
+            self._clock, engines, self._event_counts.__getitem__
+        )
+        telemetry = _NullTelemetry()
+        for number in range(INSTANCES):
+            dependencies = make_dependencies(
+                SETTINGS,
+                self._clock,
+                self._client,
+                _Fleet(),
+                telemetry,
+                telemetry,
+                random.Random(number),
+            )
+            dependencies.holder.offer(CONFIG)
+            for name in engines:
+                dependencies.targets.put(
+                    EdgeTarget(
+                        name, SERVICE, HOST, 1, SETTINGS.zone, SLOTS, False, 0
+                    )
+                )
+            self._instances.append(dependencies)
+            self._relays.append(Relay(dependencies))
+        async with anyio.create_task_group() as tasks:
+            for engine in engines.values():
+                tasks.start_soon(engine.run)
+            for dependencies in self._instances:
+                tasks.start_soon(dependencies.backlog.run)
+                tasks.start_soon(dependencies.stall_detector.run)
+            tasks.start_soon(self._exchange)
+            async with anyio.create_task_group() as callers:
+                for at_ms, kind, account in self._draw_arrivals():
+                    elapsed_ms = self._clock.now_ms() - self._start_ms
+                    await anyio.sleep(max(0, at_ms - elapsed_ms) / 1_000)
+                    callers.start_soon(self._call, kind, account)
+            tasks.cancel_scope.cancel()
+
+    async def _exchange(self) -> None:
+        while True:
+            await anyio.sleep(DIGEST_INTERVAL_MS / 1_000)
+            counts = [dict(d.occupancy.own) for d in self._instances]
+            for receiver, dependencies in enumerate(self._instances):
+                for number, count in enumerate(counts):
+                    if number != receiver:
+                        dependencies.occupancy.record_peer(str(number), count)
+
+    def _draw_arrivals(self) -> list[tuple[int, Kind, str]]:
+        arrivals = []
+        for kind in KINDS:
+            for account in ACCOUNTS:
+                at_ms = 0.0
+                rate_per_s = RATE_SHARE * kind.arrivals_per_s / len(ACCOUNTS)
+                while True:
+                    factor = self._shortage.find_factor(round(at_ms), account)
+                    at_ms += self._rng.expovariate(rate_per_s * factor / 1_000)
+                    if at_ms >= self._shortage.duration_ms:
+                        break
+                    arrivals.append((round(at_ms), kind, account))
+        return sorted(arrivals, key=lambda arrival: arrival[0])
+
+    async def _call(self, kind: Kind, account: str) -> None:
+        prompt_tokens = self._draw(kind.mean_prompt_tokens, PROMPT_SIGMA)
+        events = self._draw(kind.mean_events, OUTPUT_SIGMA)
+        output_tokens = TOKENS_PER_EVENT * events
+        size = (prompt_tokens + 10 * output_tokens) / kind.mean_size
+        value = min(4.0, 0.3 + 0.7 * size)
+        sent_at_ms = self._clock.now_ms()
+        surge_start_ms, surge_end_ms, _ = self._shortage.surge
+        tallies = [self.by_kind[kind.name]]
+        if surge_start_ms <= sent_at_ms - self._start_ms < surge_end_ms:
+            tallies.append(self.by_account[account])
+        for tally in tallies:
+            tally.offered += 1
+            tally.offered_value += kind.value_on_time * value
+        for is_last in (False, True):
+            responder = await self._attempt(
+                kind, account, prompt_tokens, events, sent_at_ms
+            )
+            verdict = responder.verdict
+            retry_ms = getattr(verdict, "retry_after_ms", None)
+            if retry_ms is None:
+                break
+            is_passed_over = any(
+                rank > kind.rank
+                and self._clock.now_ms() - last_ms <= SAME_TIME_MS
+                for rank, last_ms in self._client.last_sent_ms.items()
+            )
+            for tally in tallies:
+                tally.refused_once += not is_last
+                tally.refused_twice += is_last
+                tally.passed_over += is_passed_over
+            left_ms = sent_at_ms + kind.timeout_ms - self._clock.now_ms()
+            if not is_last:
+                await anyio.sleep(min(retry_ms, left_ms / 3) / 1_000)
+        for tally in tallies:
+            self._record(tally, kind, responder, sent_at_ms, value)
+
+    async def _attempt(
+        self,
+        kind: Kind,
+        account: str,
+        prompt_tokens: int,
+        events: int,
+        sent_at_ms: int,
+    ) -> _Responder:
+        attempt = f"{kind.name}-{len(self._event_counts)}"
+        self._event_counts[attempt] = events
+        relay = self._rng.choice(self._relays)
+        spent_ms = self._clock.now_ms() - sent_at_ms
+        call = EdgeCall(
+            attempt=attempt,
+            method="POST",
+            host=HOST,
+            path=f"/{kind.name}/x",
+            headers=(),
+            body=b"",
+            key=account,
+            deadline_ms=kind.timeout_ms - spent_ms,
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=TOKENS_PER_EVENT * events,
+        )
+        abandon_s = ROUTES[kind.name].caller_timeout_ms / 1_000
+        with anyio.move_on_after(abandon_s) as scope:
+            responder = _Responder(self._clock, scope)
+            with contextlib.suppress(AnswerBrokenError):
+                await relay.serve(call, responder)
+        return responder
+
+    def _record(
+        self,
+        tally: Tally,
+        kind: Kind,
+        responder: _Responder,
+        sent_at_ms: int,
+        value: float,
+    ) -> None:
+        if not responder.is_complete or responder.first_ms is None:
+            tally.failed += responder.verdict is None
+            return
+        is_on_time = (
+            responder.first_ms - sent_at_ms <= kind.objective_ms
+            and responder.longest_gap_ms <= GAP_OBJECTIVE_MS
+        )
+        tally.on_time += is_on_time
+        tally.late += not is_on_time
+        tally.earned_value += value * (
+            kind.value_on_time if is_on_time else kind.value_late
+        )
+
+    def _draw(self, mean: float, sigma: float) -> int:
+        mu = math.log(mean) - sigma * sigma / 2
+        return max(1, round(self._rng.lognormvariate(mu, sigma)))
+
+
+def add_tallies(tallies: Iterator[Tally]) -> Tally:
+    """Returns the sum of tallies."""
+    total = Tally()
+    for tally in tallies:
+        for field in dataclasses.fields(Tally):
+            value = getattr(total, field.name) + getattr(tally, field.name)
+            setattr(total, field.name, value)
+    return total
+
+
+def _format(label: str, tally: Tally) -> str:
+    return (
+        f"  {label:14} value {tally.earned_share:.3f}  "
+        f"offered {tally.offered:5}  on time {tally.on_time:5}  "
+        f"late {tally.late:4}  refused once {tally.refused_once:4}  "
+        f"twice {tally.refused_twice:4}  failed {tally.failed:3}  "
+        f"passed over {tally.passed_over:4}"
+    )
+
+
+@click.command()
+@click.option("--seeds", default=2, show_default=True, help="Runs of each.")
+@click.option("--load", "only", help="Run only the load of this name.")
+@click.option("--policy", "chosen", help="Run only the policy of this name.")
+def main(seeds: int, only: str | None, chosen: str | None) -> None:
+    """Prints who is served, by load and policy."""
+    for shortage in SHORTAGES:
+        if only not in (None, shortage.name):
+            continue
+        for policy in SHORTAGE_POLICIES:
+            if chosen not in (None, policy.name):
+                continue
+            runs = [
+                AccountReplay(shortage, policy, seed) for seed in range(seeds)
+            ]
+            for run in runs:
+                run.run()
+            total = add_tallies(t for r in runs for t in r.by_kind.values())
+            click.echo(_format(f"{shortage.name} {policy.name}", total))
+            for kind in KINDS:
+                tallies = (run.by_kind[kind.name] for run in runs)
+                click.echo(_format(f"  {kind.name}", add_tallies(tallies)))
+            if shortage.surge[2] > 1:
+                first = (run.by_account[ACCOUNTS[0]] for run in runs)
+                others = (
+                    run.by_account[name]
+                    for run in runs
+                    for name in ACCOUNTS[1:]
+                )
+                click.echo(_format("  surging", add_tallies(first)))
+                click.echo(_format("  others", add_tallies(others)))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/peridotbend_emulator/replayload.py
+++ b/src/peridotbend_emulator/replayload.py
@@ -90,7 +90,7 @@
 POLICIES = (
     Policy("as-is"),
     Policy("own-use-only", exchanges_occupancy=False),
-    Policy("wait-3-objectives", {("backlog", "WAIT_TIMEOUT_SHARE"): 3.0}),
+    Policy("wait-3-objectives", {("load.queueing", "WAIT_TIMEOUT_SHARE"): 3.0}),
     Policy("pace-ignored", {("health", "PACE_SMOOTHING"): 0.0}),
     Policy(
         "fill-1.3",
@@ -107,7 +107,8 @@
     """Sets the constants of a policy and restores them on exit."""
     original_values = {}
     for (module_name, name), value in policy.constants.items():
-        module = importlib.import_module(f"peridotbend.edge.{module_name}")
+        package = "peridotbend" if "." in module_name else "peridotbend.edge"
+        module = importlib.import_module(f"{package}.{module_name}")
         original_values[module, name] = getattr(module, name)
         setattr(module, name, value)
     try:
