--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -149,20 +149,15 @@
         runs.is_replaced,
         work,
     )
+    backlog = Backlog(
+        clock, targets, occupancy, rate_limits, brittle, cold, selector, rng
+    )
+    holder.subscribe(lambda config: backlog.apply_accounts(config.accounts))
     return RelayDependencies(
         clock=clock,
         holder=holder,
         targets=targets,
-        backlog=Backlog(
-            clock,
-            targets,
-            occupancy,
-            rate_limits,
-            brittle,
-            cold,
-            selector,
-            rng,
-        ),
+        backlog=backlog,
         occupancy=occupancy,
         health=health,
         work=work,
--- a/src/peridotbend/load/__init__.py
+++ b/src/peridotbend/load/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions on load that exceeds, or is uneven to, the capacity of targets."""
+"""Decisions under load, without input or output."""
--- a/src/peridotbend_emulator/replayload.py
+++ b/src/peridotbend_emulator/replayload.py
@@ -181,7 +181,7 @@
     Policy("counts-only", predicts=False),
     Policy("own-tokens-only", exchanges_tokens=False),
     Policy("own-use-only", exchanges_occupancy=False),
-    Policy("wait-3-objectives", {("edge.backlog", "WAIT_TIMEOUT_SHARE"): 3.0}),
+    Policy("wait-3-objectives", {("load.queueing", "WAIT_TIMEOUT_SHARE"): 3.0}),
     Policy("pace-ignored", {("edge.health", "PACE_SMOOTHING"): 0.0}),
     Policy(
         "fill-1.3",
