Let requests that are late already leave the last room

Cause: returned requests, which wait for seconds, took every slot that became free before new ones that could be on time.

Change: a late request leaves a part of the room in any case, and goes before lower ranks only in the last second of its wait.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -42,17 +42,25 @@
 MAX_WAITING = 2_000
 # Work of a request that states no token count, to compare accounts by.
 PLAIN_WORK = 1.0
-# Part of the room that is left to requests that come first while room is short
-# for them: those of higher ranks, and of accounts within their share. Instances
-# know of each other's requests only how many are in flight.
-RESERVED_SHARE = 0.1
+# Part of the room that is left to each group of requests that goes first, while
+# room is short for it. Instances know of each other's requests only how many
+# are in flight.
+RESERVED_SHARE = 0.05
+MAX_RESERVED_SHARE = 0.25
+# Parts that a request that can't be on time leaves in any case, as a full batch
+# makes others late.
+LATE_STEPS = 2
 # For this long after a request had to wait, room counts as short for its rank.
 # Callers of one kind arrive at an instance every few hundred ms.
 SHORTAGE_MS = 500
 NO_TERMS = CallerTerms()
 
-# Rank, and whether the account has had more than its share.
-_Precedence = tuple[tuple[int, int], bool]
+# A request that can't be on time lets lower ranks go first until this long before
+# the end of its wait: room is often back by then.
+URGENT_MS = 1_000
+# Whether it may still wait, rank, whether the account has had more than its share, and whether the answer
+# can't be on time any more.
+_Precedence = tuple[bool, tuple[int, int], bool, bool]
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -320,32 +328,29 @@
 
     def _find_order(
         self, waiter: _Waiter, now_ms: int
-    ) -> tuple[_Precedence, bool, float, int]:
+    ) -> tuple[_Precedence, float, int]:
         """Returns the sort key of the queue."""
         account = waiter.terms.account
         use = 0.0
         if account and not waiter.is_resumed:
             use = self._find_shares(waiter).find_order(account)
-        return (
-            self._find_precedence(waiter),
-            waiter.is_late(now_ms),
-            use,
-            waiter.sequence,
-        )
+        return self._find_precedence(waiter, now_ms), use, waiter.sequence
 
-    def _find_precedence(self, waiter: _Waiter) -> _Precedence:
+    def _find_precedence(self, waiter: _Waiter, now_ms: int) -> _Precedence:
         account = waiter.terms.account
         is_over = (
             bool(account)
             and not waiter.is_resumed
             and self._find_shares(waiter).is_over_share(account)
         )
-        return waiter.criteria.rank, is_over
+        is_late = waiter.is_late(now_ms)
+        may_wait = is_late and waiter.wait_until_ms - now_ms > URGENT_MS
+        return may_wait, waiter.criteria.rank, is_over, is_late
 
     def _note_shortage(self, waiter: _Waiter) -> None:
         short = self._short_until_ms.setdefault(waiter.criteria.service, {})
-        until_ms = self._clock.now_ms() + SHORTAGE_MS
-        short[self._find_precedence(waiter)] = until_ms
+        now_ms = self._clock.now_ms()
+        short[self._find_precedence(waiter, now_ms)] = now_ms + SHORTAGE_MS
 
     def _must_leave_room(
         self, waiter: _Waiter, targets: list[EdgeTarget]
@@ -358,11 +363,16 @@
             return False
         now_ms = self._clock.now_ms()
         short = self._short_until_ms.get(waiter.criteria.service, {})
-        precedence = self._find_precedence(waiter)
-        if not any(
-            until_ms > now_ms and other < precedence
+        precedence = self._find_precedence(waiter, now_ms)
+        first = [
+            other
             for other, until_ms in short.items()
-        ):
+            if until_ms > now_ms and other < precedence
+        ]
+        steps = len(first)
+        if any(is_late for *_, is_late in (*first, precedence)):
+            steps += LATE_STEPS
+        if not steps:
             return False
         fill = NON_RUNNER_FILL
         if waiter.criteria.is_generation:
@@ -370,7 +380,8 @@
             fill = TOP_RANK_FILL if is_top else ENGINE_FILL
         in_flight = sum(self._occupancy.count(t.name) for t in targets)
         slots = sum(target.slots for target in targets)
-        return in_flight >= (1 - RESERVED_SHARE) * fill * slots
+        reserved = min(MAX_RESERVED_SHARE, steps * RESERVED_SHARE)
+        return in_flight >= (1 - reserved) * fill * slots
 
     def _is_hopeless(self, waiter: _Waiter) -> bool:
         """Tells whether the requests ahead take longer than this one waits."""
--- a/src/peridotbend/load/shares.py
+++ b/src/peridotbend/load/shares.py
@@ -14,7 +14,7 @@
 USE_WINDOW_MS = 4_000
 # An account is over its share only by this factor, since the use of a few
 # seconds scatters around its mean.
-SHARE_SLACK = 1.25
+SHARE_SLACK = 1.0
 # How long a level is used before it is computed again.
 LEVEL_LIFETIME_MS = 100
 # Accounts kept; beyond this, those without recent use are dropped.
--- a/src/peridotbend_emulator/replayaccounts.py
+++ b/src/peridotbend_emulator/replayaccounts.py
@@ -91,6 +91,7 @@
     Shortage("burst-3.5", ((3_000, 7_000, 3.5),)),
     Shortage("sustained", ((0, 20_000, 1.7),)),
     Shortage("surge", surge=(3_000, 13_000, 8.0)),
+    Shortage("busy-surge", ((0, 13_000, 1.3),), surge=(3_000, 13_000, 8.0)),
     Shortage("calm-surge", surge=(3_000, 8_000, 3.0), duration_ms=10_000),
 )
 
@@ -402,7 +403,7 @@
                 tally.passed_over += is_passed_over
             left_ms = sent_at_ms + kind.timeout_ms - self._clock.now_ms()
             if not is_last:
-                await anyio.sleep(min(retry_ms, left_ms / 3) / 1_000)
+                await anyio.sleep(max(0, min(retry_ms, left_ms / 3)) / 1_000)
         for tally in tallies:
             self._record(tally, kind, responder, sent_at_ms, value)
 
