Ramp up runners that have started, returned or slowed down

Cause: a runner that has just started got its full load at once and was late with it, since nothing but requests in flight was known of it.

Change: load/pace.py keeps a limit for such a runner. Answers in time raise it, signs of overload lower it, as sums of all instances: the counts travel in the table of requests in flight, so that the digests keep their form. Free places are offered to a part of the instances at a time. The share of limited targets bounds how far each of them is limited.

--- a/src/peridotbend/edge/configholder.py
+++ b/src/peridotbend/edge/configholder.py
@@ -19,6 +19,15 @@
         """Calls `callback` with each configuration that becomes active."""
         self._callbacks.append(callback)
 
+    def is_generating(self, service: str) -> bool:
+        """Tells whether generations are sent to a service."""
+        routes = self.config.routes if self.config is not None else ()
+        return any(
+            route.is_generation
+            and any(used.name == service for used in route.services)
+            for route in routes
+        )
+
     def offer(self, config: EdgeConfig) -> bool:
         """Activates a configuration if it is newer than the current one."""
         if self.config is not None and config.version <= self.config.version:
--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -166,6 +166,7 @@
             if events:
                 # Other bytes are no progress: a stalled target may send a few
                 # now and then.
+                self._note_pace(tracked_send)
                 tracked_send.note_data(self._clock.now_ms())
                 if not has_survived and tracked_send.flowed_ms >= SURVIVAL_MS:
                     has_survived = True
@@ -221,6 +222,19 @@
             target, self._clock.now_ms()
         )
 
+    def _note_pace(self, send: TrackedSend) -> None:
+        """Records how long the target took for an event."""
+        now_ms, route = self._clock.now_ms(), send.route
+        if not route.is_generation:
+            return
+        paces = self._dependencies.paces
+        if send.awaited_since_ms is None:
+            took_ms = now_ms - send.sent_at_ms
+            paces.note_first_event(send.target, took_ms, route.objective_ms)
+            return
+        gap_ms = now_ms - send.awaited_since_ms
+        paces.note_pause(send.target, gap_ms, route.gap_objective_ms)
+
     def _note_begun(
         self, request: ActiveRequest, target: EdgeTarget, head: AnswerHead
     ) -> None:
--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -45,6 +45,23 @@
             del self._own[target]
         self.on_change()
 
+    @property
+    def has_reports(self) -> bool:
+        """Whether counts of other instances are known."""
+        self._drop_outdated()
+        return bool(self._reports) or self._view is not None
+
+    def set_own(self, name: str, count: int) -> None:
+        """Replaces a count of this instance, which need not be a target's."""
+        if count == self._own.get(name, 0):
+            return
+        if count:
+            self._own[name] = count
+        else:
+            del self._own[name]
+            self._hashes.pop(name, None)
+        self.on_change()
+
     def record_peer(self, peer: str, use: Mapping[str, int]) -> None:
         """Replaces the requests in flight reported by a peer."""
         counts = {self.find_hash(name): count for name, count in use.items()}
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -27,6 +27,7 @@
 from peridotbend.edge.targetruns import TargetRuns
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VersionTimeline
+from peridotbend.load.pace import TargetPaces
 
 
 class Fleet(Protocol):
@@ -72,6 +73,7 @@
     brittle: BrittleTargets
     cold: ColdTargets
     pauses: TargetPauses
+    paces: TargetPaces
     runs: TargetRuns
     stall_detector: StallDetector
     timeline: VersionTimeline
@@ -132,6 +134,9 @@
     )
     holder.subscribe(lambda config: cold.apply_services(config.services))
     pauses = TargetPauses(clock)
+    paces = TargetPaces(
+        clock, log, occupancy, settings.name, fleet.count_instances
+    )
     records = StreamRecords(clock)
     runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
     selector = Selector(
@@ -143,6 +148,7 @@
         cold,
         pauses,
         runs.is_replaced,
+        paces.find_limit,
     )
     return RelayDependencies(
         clock=clock,
@@ -165,6 +171,7 @@
         brittle=brittle,
         cold=cold,
         pauses=pauses,
+        paces=paces,
         runs=runs,
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -1,6 +1,7 @@
 """Target selection by load, health, zone and session affinity."""
 
 import dataclasses
+import math
 from collections.abc import Callable, Iterable
 
 from peridotbend.domain.rendezvous import rank
@@ -64,8 +65,11 @@
         cold: ColdTargets,
         pauses: TargetPauses,
         is_replaced: Callable[[EdgeTarget], bool] = lambda target: False,
+        find_paced_limit: Callable[[str, int], float] = lambda *_: math.inf,
     ):
         self._pauses = pauses
+        # Returns how many requests a runner may have while it ramps up.
+        self._find_paced_limit = find_paced_limit
         # Tells whether another process has the name of a listed target.
         self._is_replaced = is_replaced
         self._brittle = brittle
@@ -117,6 +121,9 @@
 
     def _has_room(self, criteria: TargetCriteria, target: EdgeTarget) -> bool:
         limit = self._find_limit(criteria, target)
+        if criteria.is_generation:
+            paced = self._find_paced_limit(target.name, target.slots)
+            limit = min(limit, paced)
         if self._occupancy.count(target.name) >= limit:
             return False
         if self._brittle.is_brittle(target.service):
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -97,6 +97,8 @@
             resumes=request.call.resumes,
         )
 
+        self._dependencies.paces.note_sent(target.name)
+
         def reserve_failover() -> bool:
             return self._reserve_failover(request, target.name)
 
@@ -207,6 +209,8 @@
             request.rejections += 1
             request.sends -= 1
             request.allow_silent_targets()
+        if request.route.is_generation:
+            self._dependencies.paces.note_failure(target.name)
         if rejection is Rejection.MISDIRECTED:
             self._dependencies.health.note_failure(target.name)
             self._dependencies.crashes.note_target_dead(target)
@@ -242,6 +246,8 @@
         request.failed_targets.add(target.name)
         if error.blames_target and error.failure is not CallFailure.GATE:
             self._dependencies.health.note_failure(target.name)
+            if request.route.is_generation:
+                self._dependencies.paces.note_failure(target.name)
         is_broken = error.failure is CallFailure.BROKEN
         if error.blames_target and is_broken and not has_survived:
             self._dependencies.crashes.note_broken_connection(
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -248,6 +248,7 @@
             "brittle": self._dependencies.brittle.dump(),
             "cold": self._dependencies.cold.dump(),
             "pauses": self._dependencies.pauses.dump(),
+            "paces": self._dependencies.paces.dump(),
             "lost_links": self._paths.state.list_lost(),
             "lost_targets": self._paths.state.describe_lost(),
             "relayed": self._paths.server.active,
@@ -373,6 +374,11 @@
             "Targets that say that they are cold, or have ended.",
             self._dependencies.cold.count,
         )
+        add_gauge(
+            "limited_starts",
+            "Targets that are ramped up after a start, return or overload.",
+            self._dependencies.paces.count,
+        )
         add_gauge(
             "suspected_traits",
             "Requests and prompt parts in flight at a target when it died.",
@@ -590,6 +596,13 @@
                 self._dependencies.runs.note_unlisted(previous)
             self._dependencies.runs.note_listed(target)
             self._dependencies.cold.note_entry(target, previous)
+            self._dependencies.paces.note_listed(
+                name,
+                target.service,
+                target.started_at_ms,
+                fresh=self._history.has_listing
+                and self._dependencies.holder.is_generating(target.service),
+            )
             self._dependencies.targets.put(target)
             if previous is None:
                 self._dependencies.crashes.note_target_listed(target)
@@ -630,6 +643,7 @@
             self._dependencies.targets.remove(name)
             self._dependencies.occupancy.forget_target(name)
             self._dependencies.cold.note_removed(name)
+            self._dependencies.paces.forget(name)
             if not previous.is_leaving:
                 self._dependencies.crashes.note_target_removed(previous)
             self._log.emit(Event.TARGET_REMOVED, target=name, revision=revision)
@@ -665,6 +679,7 @@
         for feed in self._feeds.values():
             feed.release_withheld()
         self._evacuations.end_lost()
+        self._dependencies.paces.check()
 
     def _apply_reader_role(self) -> None:
         """Reads the store, or stops it, as the relays are heard of."""
--- /dev/null
+++ b/src/peridotbend/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, without input or output."""
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -181,9 +181,12 @@
 class _ConnectedFleet:
     """A fleet of which every instance hears from all others."""
 
+    def __init__(self, size: int):
+        self._size = size
+
     def count_instances(self) -> int:
         """Returns how many instances there are."""
-        return INSTANCES
+        return self._size
 
     def find_live_share(self) -> float:
         """Returns 1, as no instance is cut off."""
@@ -206,21 +209,22 @@
         return True
 
 
-class _Instance:
+class ReplayInstance:
     """The decision code of one instance."""
 
     def __init__(
-        self, clock: ManualClock, client: ReplayClient, rng: random.Random
+        self, clock: ManualClock, client: ReplayClient, number: int, size: int
     ):
         telemetry = _NullTelemetry()
         self.dependencies = make_dependencies(
-            SETTINGS,
+            dataclasses.replace(SETTINGS, name=f"replay-{number}"),
             clock,
             client,
-            _ConnectedFleet(),
+            _ConnectedFleet(size),
             telemetry,
             telemetry,
-            rng,
+            # A generator of its own, so that a policy does not change the load.
+            random.Random(number),
         )
         self.dependencies.holder.offer(CONFIG)
         self.relay = Relay(self.dependencies)
@@ -261,10 +265,8 @@
             for number, factor in enumerate(self._pattern.step_time_factors)
         }
         client = ReplayClient(engines, self._event_counts.__getitem__)
-        # The instances have random generators of their own, so that a policy
-        # does not change the load.
         instances = [
-            _Instance(self._clock, client, random.Random(number))
+            ReplayInstance(self._clock, client, number, INSTANCES)
             for number in range(INSTANCES)
         ]
         for name in engines:
@@ -273,6 +275,7 @@
             )
             for instance in instances:
                 instance.dependencies.targets.put(target)
+                instance.dependencies.paces.note_listed(name, SERVICE, 0, False)
         async with anyio.create_task_group() as tasks:
             for engine in engines.values():
                 tasks.start_soon(engine.run)
@@ -311,7 +314,9 @@
                 return factor
         return 1.0
 
-    async def _exchange_occupancy(self, instances: list[_Instance]) -> None:
+    async def _exchange_occupancy(
+        self, instances: list[ReplayInstance]
+    ) -> None:
         while True:
             await anyio.sleep(self._policy.digest_interval_ms / 1_000)
             occupancies = [
@@ -324,6 +329,7 @@
                         instance.dependencies.occupancy.record_peer(
                             str(number), occupancy
                         )
+                instance.dependencies.paces.check()
 
     async def _crash_and_restart(
         self,
@@ -339,7 +345,7 @@
         engine.is_down = False
 
     async def _send_with_retries(
-        self, kind: Kind, instances: list[_Instance]
+        self, kind: Kind, instances: list[ReplayInstance]
     ) -> None:
         """Sends a request, and again after a refusal while retries are left."""
         prompt_tokens = self._draw_length(kind.mean_prompt_tokens, PROMPT_SIGMA)
--- a/src/peridotbend_emulator/replayengine.py
+++ b/src/peridotbend_emulator/replayengine.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import math
+import random
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 
@@ -45,12 +46,22 @@
 
     def __init__(self, slots: int, step_time_factor: float):
         self._slots = slots
+        self._rng = random.Random(slots)
         self.step_time_factor = step_time_factor
         self.is_down = False
+        # Fraction of the requests that break as they are admitted.
+        self.failing_share = 0.0
+        # Tokens that were produced.
+        self.produced_tokens = 0
         self._waiting: deque[_Job] = deque()
         self._batch: list[_Job] = []
         self._arrived = anyio.Event()
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that run or wait here."""
+        return len(self._waiting) + len(self._batch)
+
     def submit(self, job: _Job) -> None:
         """Queues a request."""
         self._waiting.append(job)
@@ -76,6 +87,7 @@
                 continue
             elapsed_ms += STEP_MS + STEP_MS_PER_REQUEST * len(self._batch)
             await anyio.sleep(elapsed_ms * self.step_time_factor / 1_000)
+            self.produced_tokens += len(self._batch)
             for job in self._batch:
                 job.produced_tokens += 1
                 if job.produced_tokens % TOKENS_PER_EVENT == 0:
@@ -91,7 +103,9 @@
         prefill_ms = 0.0
         while self._waiting and len(self._batch) < self._slots:
             job = self._waiting.popleft()
-            if not job.is_cancelled:
+            if self.failing_share and self._rng.random() < self.failing_share:
+                job.push(False)
+            elif not job.is_cancelled:
                 prefill_ms += job.prompt_tokens / PROMPT_TOKENS_PER_MS
                 self._batch.append(job)
         return prefill_ms
--- /dev/null
+++ b/tests/test_load_pace.py
@@ -0,0 +1,225 @@
+"""Tests of the limits of targets that return or are slow, without a network."""
+
+import math
+import unittest
+
+from peridotbend.domain.clock import ManualClock
+from peridotbend.domain.events import Event
+from peridotbend.edge.occupancy import Occupancy
+from peridotbend.load.pace import (
+    MIN_SIGNS,
+    RETURN_SHARE,
+    START_SHARE,
+    WINDOW_MS,
+    TargetPaces,
+)
+from peridotbend.load.ramp import QUIET_MS
+from tests.edgefakes import RecordingLog
+
+SLOTS = 10
+NAMES = [f"i-{number}" for number in range(10)]
+OBJECTIVE_MS = 400
+
+
+class _Instance:
+    """The paces of one instance, and what it knows of the others."""
+
+    def __init__(self, clock: ManualClock, size: int, number: int):
+        self.log = RecordingLog()
+        self.occupancy = Occupancy(clock)
+        self.paces = TargetPaces(
+            clock, self.log, self.occupancy, f"edge-{number}", lambda: size
+        )
+        for name in NAMES:
+            self.paces.note_listed(name, "engine", 1, fresh=False)
+
+    def answer(self, name: str, took_ms: int, times: int = 1) -> None:
+        """Records first events of a target."""
+        for _ in range(times):
+            self.paces.note_first_event(name, took_ms, OBJECTIVE_MS)
+
+    def find(self, name: str = "i-0") -> float:
+        """Returns the limit of a target, without rounding errors."""
+        return round(self.paces.find_limit(name, SLOTS), 6)
+
+
+class _Fleet:
+    """Instances that tell each other their counts."""
+
+    def __init__(self, size: int):
+        self.clock = ManualClock()
+        self.instances = [
+            _Instance(self.clock, size, number) for number in range(size)
+        ]
+
+    def exchange(self) -> None:
+        """Delivers the counts of all instances."""
+        own = [dict(instance.occupancy.own) for instance in self.instances]
+        for receiver in self.instances:
+            for number, counts in enumerate(own):
+                if self.instances[number] is not receiver:
+                    receiver.occupancy.record_peer(str(number), counts)
+            receiver.paces.check()
+
+    def restart(self, *names: str) -> None:
+        """Lists targets that have started again."""
+        for instance in self.instances:
+            for name in names:
+                instance.paces.note_listed(name, "engine", 2, fresh=True)
+
+
+class TargetPacesTest(unittest.TestCase):
+    """Limits at a single instance."""
+
+    def setUp(self) -> None:
+        self.fleet = _Fleet(1)
+        self.one = self.fleet.instances[0]
+
+    def test_started_target_grows_with_answers_in_time(self) -> None:
+        """Guards against a full load at once on a target that just started."""
+        self.fleet.restart("i-0")
+        assert self.one.find() == START_SHARE * SLOTS
+        self.one.answer("i-0", 100, times=2)
+        assert self.one.find() == START_SHARE * SLOTS + 2
+        self.one.answer("i-0", 100, times=8)
+        assert self.one.find() == math.inf
+        assert self.one.log.count(Event.TARGET_RAMP_BEGUN) == 1
+        assert self.one.log.count(Event.TARGET_RAMP_ENDED) == 1
+
+    def test_late_answers_lower_the_limit_once_for_each_send(self) -> None:
+        """Guards against a cold target that is filled while it is late."""
+        self.fleet.restart("i-0")
+        self.one.answer("i-0", 100, times=4)
+        assert self.one.find() == 6
+        self.fleet.clock.advance(1_000)
+        self.one.answer("i-0", 900, times=3)
+        assert self.one.find() == 3
+        # Requests that were sent under the limit before tell nothing new.
+        self.one.answer("i-0", 900, times=3)
+        assert self.one.find() == 3
+
+    def test_targets_that_were_in_service_are_not_limited(self) -> None:
+        """Guards against a restarted instance that halves the capacity."""
+        assert all(math.isinf(self.one.find(name)) for name in NAMES)
+
+    def test_lost_answer_does_not_limit_a_target(self) -> None:
+        """Guards against targets that lose their share by one lost answer."""
+        for _ in range(10):
+            self.one.paces.note_failure("i-0")
+            self.fleet.clock.advance(WINDOW_MS)
+        assert self.one.find() == math.inf
+
+    def test_target_that_alone_is_late_is_limited_and_regains(self) -> None:
+        """Guards against a slow phase that the target's callers sit through."""
+        self.one.answer("i-0", 900, times=MIN_SIGNS)
+        assert self.one.find() < 0.6 * SLOTS
+        self.one.answer("i-0", 100, times=6)
+        assert self.one.find() == math.inf
+
+    def test_long_pauses_count(self) -> None:
+        """Guards against a target whose streams stall and that stays full."""
+        for _ in range(MIN_SIGNS):
+            self.one.paces.note_pause("i-0", 500, 400)
+            self.one.paces.note_pause("i-1", 500, 0)
+            self.one.paces.note_pause("i-2", 300, 400)
+        limited = [name for name in NAMES if self.one.find(name) < math.inf]
+        assert limited == ["i-0"]
+
+    def test_burst_that_delays_all_targets_limits_none(self) -> None:
+        """Guards against limits that collapse when the load is the cause."""
+        for _ in range(3 * MIN_SIGNS):
+            for name in NAMES:
+                self.one.answer(name, 900)
+        assert self.one.paces.count() <= 1
+
+    def test_all_targets_together_keep_their_slots(self) -> None:
+        """Guards against refusals when a whole service has just started."""
+        self.fleet.restart(*NAMES)
+        assert sum(map(self.one.find, NAMES)) == len(NAMES) * SLOTS
+
+    def test_half_of_the_targets_keep_half_of_their_slots(self) -> None:
+        """Guards against survivors that get all of a zone's load."""
+        self.fleet.restart(*NAMES[:5])
+        assert self.one.find() == 0.5 * SLOTS
+
+    def test_target_that_returns_with_its_start_keeps_more(self) -> None:
+        """Guards against treating a target that only seemed gone as new."""
+        self.one.paces.forget("i-0")
+        self.one.paces.note_listed("i-0", "engine", 1, fresh=True)
+        assert self.one.find() == RETURN_SHARE * SLOTS
+
+    def test_idle_target_is_no_longer_limited_after_a_while(self) -> None:
+        """Guards against a limit that lasts as nobody sends there."""
+        self.fleet.restart("i-0")
+        self.fleet.clock.advance(QUIET_MS)
+        assert self.one.find() == math.inf
+
+    def test_removed_target_leaves_nothing(self) -> None:
+        """Guards against counts that are told of targets that are gone."""
+        self.fleet.restart("i-0")
+        self.one.answer("i-0", 100)
+        self.one.paces.forget("i-0")
+        assert not self.one.occupancy.own
+        assert self.one.paces.count() == 0
+
+
+class PacesFleetTest(unittest.TestCase):
+    """Limits of many instances, each of which sees few answers."""
+
+    def test_instances_agree_on_a_limit(self) -> None:
+        """Guards against a target that each of 63 instances has to learn."""
+        fleet = _Fleet(63)
+        fleet.restart("i-0")
+        for instance in fleet.instances[:5]:
+            instance.answer("i-0", 100)
+        fleet.exchange()
+        for instance in fleet.instances:
+            instance.find()
+        shares = {
+            instance.paces.dump()["i-0"]["share"]
+            for instance in fleet.instances
+        }
+        assert shares == {round(START_SHARE + 0.5, 2)}
+
+    def test_only_some_instances_send_at_once(self) -> None:
+        """Guards against 63 instances that all take the same two places."""
+        fleet = _Fleet(63)
+        fleet.restart("i-0")
+        fleet.exchange()
+        turns = []
+        for _ in range(30):
+            fleet.clock.advance(150)
+            fleet.exchange()
+            turns.append(sum(i.find() > 0 for i in fleet.instances))
+        assert 1 <= sum(turns) / len(turns) <= 4
+
+    def test_all_instances_have_a_turn_when_all_targets_start(self) -> None:
+        """Guards against refusals while all targets could take requests."""
+        fleet = _Fleet(63)
+        fleet.restart(*NAMES)
+        fleet.exchange()
+        for instance in fleet.instances:
+            assert any(instance.find(name) > 0 for name in NAMES)
+
+    def test_one_instance_does_not_convince_the_others(self) -> None:
+        """Guards against one broken link that limits targets everywhere."""
+        fleet = _Fleet(8)
+        for _ in range(3 * MIN_SIGNS):
+            fleet.instances[0].paces.note_failure("i-0")
+        fleet.exchange()
+        assert fleet.instances[0].find() < math.inf
+        assert fleet.instances[1].find() == math.inf
+
+    def test_signs_of_several_instances_add_up(self) -> None:
+        """Guards against a slow target of which each instance sees little."""
+        fleet = _Fleet(63)
+        for instance in fleet.instances[:MIN_SIGNS]:
+            instance.answer("i-0", 900)
+        fleet.exchange()
+        assert all(i.paces.count() == 1 for i in fleet.instances)
+
+    def test_instance_without_reports_uses_its_part(self) -> None:
+        """Guards against instances that each fill a limit without reports."""
+        fleet = _Fleet(8)
+        fleet.restart("i-0")
+        assert fleet.instances[0].find() == START_SHARE * SLOTS / 8
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -18,6 +18,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 EDGE = "src/peridotbend/edge/"
+LOAD = "src/peridotbend/load/"
 # Limit for the tests of one mutant, since a mutant may cause a hang.
 TEST_TIMEOUT_S = 400
 # Limit for the tests of all mutants, one after the other, on the unchanged
@@ -237,6 +238,63 @@
         "each = permits",
         ("test_edge_cold",),
     ),
+    Mutant(
+        "started-target-filled-at-once",
+        "RAMP",
+        LOAD + "pace.py",
+        "        if record is None or record.ramp is None:\n"
+        "            return math.inf\n        self._step",
+        "        return math.inf\n        self._step",
+        ("test_load_pace",),
+    ),
+    Mutant(
+        "late-target-not-lowered",
+        "RAMP",
+        LOAD + "ramp.py",
+        "if new_signs and self.pending_signs > tolerated * total:",
+        "if False:",
+        ("test_load_pace",),
+    ),
+    Mutant(
+        "slow-target-not-limited",
+        "RAMP",
+        LOAD + "pace.py",
+        "        if signs < MIN_SIGNS:\n",
+        "        if signs:\n",
+        ("test_load_pace",),
+    ),
+    Mutant(
+        "burst-limits-all-targets",
+        "RAMP",
+        LOAD + "pace.py",
+        "if others and signs < OUTLIER_FACTOR * sum(others) / len(others):",
+        "if False:",
+        ("test_load_pace",),
+    ),
+    Mutant(
+        "service-that-started-refuses",
+        "RAMP",
+        LOAD + "pace.py",
+        "max(ramp.share, service.ramping / len(service.targets))",
+        "ramp.share",
+        ("test_load_pace",),
+    ),
+    Mutant(
+        "free-places-taken-by-all",
+        "RAMP",
+        LOAD + "pace.py",
+        "if part >= 1.0 or instances == 1:",
+        "if True:",
+        ("test_load_pace",),
+    ),
+    Mutant(
+        "one-instance-convinces-all",
+        "RAMP",
+        LOAD + "pace.py",
+        "min(record.signs, MAX_REPORTED_SIGNS)",
+        "record.signs",
+        ("test_load_pace",),
+    ),
     Mutant(
         "prompt-parts-not-suspected",
         "BUDGET",
