--- a/src/peridotbend_emulator/replayramps.py
+++ b/src/peridotbend_emulator/replayramps.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from unittest import mock
 
+from peridotbend.edge.hashes import hash_name
 from peridotbend.load import pace
 from peridotbend.load.ramp import FULL_SHARE, Ramp
 
@@ -79,8 +80,9 @@
     def _has_turn(
         self, record: pace._Record, free: float, instances: int
     ) -> bool:
-        number = (hash(record.name) + int(self._instance)) % instances
-        return number < free + self._counts.count(record.name)
+        number = int(self._instance.rpartition("-")[2])
+        place = (hash_name(record.name) + number) % instances
+        return place < free + self._counts.count(record.name)
 
 
 RAMPS: dict[str, type[pace.TargetPaces]] = {
