Check configurations of the platform before publishing

Cause: a mistake in the configuration showed only when instances refused it, one field at a time, or not at all where an entry can never match.

Change: `peridotbend check FILE [--against FILE] [--json]` takes the value of op/config: all bad fields at once, entries that never match, limits that contradict each other, a version that no instance takes over, and what differs from the version in force. Exit code 4 tells warnings from errors.

--- a/src/peridotbend/cli.py
+++ b/src/peridotbend/cli.py
@@ -11,10 +11,19 @@
 from peridotbend import __version__
 from peridotbend.adapters import explanations, operatorclient, tables
 from peridotbend.adapters.yamltext import parse_text
+from peridotbend.platform.configcheck import (
+    Severity,
+    check_config,
+    compare_configs,
+    is_platform_config,
+    render_json,
+)
+from peridotbend.platform.documents import decode_config
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
+EXIT_WARNINGS = 4
 DEFAULT_OPERATOR_URL = "http://127.0.0.1:8081"
 
 EXIT_HELP = """
@@ -25,6 +34,7 @@
      logs names the request
   2  wrong usage, or a file that cannot be read
   3  the daemon cannot be reached
+  4  a configuration of the platform has warnings, but no errors
 """
 
 
@@ -55,14 +65,26 @@
 
 @main.command(epilog=EXIT_HELP)
 @click.argument("text", type=click.File("rb"))
-def check(text: BinaryIO) -> None:
-    """Checks the file TEXT as a daemon would (- reads standard input)."""
-    name = getattr(text, "name", "-")
-    try:
-        source = text.read().decode()
-    except (OSError, UnicodeDecodeError) as error:
-        click.echo(f"{name}: cannot be read: {error}", err=True)
-        sys.exit(EXIT_USAGE)
+@click.option(
+    "--against",
+    type=click.File("rb"),
+    help="Compare with this configuration of the platform, which is in force.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print findings as JSON.")
+def check(text: BinaryIO, against: BinaryIO | None, as_json: bool) -> None:
+    """Checks the file TEXT as a daemon would (- reads standard input).
+
+    TEXT may be a configuration of the users' platform as well.
+    """
+    name, source = _read_file(text)
+    if is_platform_config(source.encode()):
+        in_force = _read_file(against)[1] if against is not None else None
+        sys.exit(_check_platform_config(name, source, in_force, as_json))
+    if against is not None or as_json:
+        raise click.UsageError(
+            "--against and --json need a configuration of the platform, with"
+            " a list of routes"
+        )
     parsed = parse_text(source)
     if isinstance(parsed, Err):
         for problem in parsed.err_value:
@@ -77,6 +99,46 @@
     )
 
 
+def _read_file(file: BinaryIO) -> tuple[str, str]:
+    """Returns the name and the content of a file, or exits."""
+    name = getattr(file, "name", "-")
+    try:
+        return name, file.read().decode()
+    except (OSError, UnicodeDecodeError) as error:
+        click.echo(f"{name}: cannot be read: {error}", err=True)
+        sys.exit(EXIT_USAGE)
+
+
+def _check_platform_config(
+    name: str, source: str, in_force: str | None, as_json: bool
+) -> int:
+    """Prints what is wrong with a configuration; returns the exit code."""
+    old = None
+    if in_force is not None:
+        decoded = decode_config(in_force.encode())
+        if isinstance(decoded, Err):
+            click.echo(f"--against: {decoded.err_value}", err=True)
+            return EXIT_USAGE
+        old = decoded.ok_value
+    findings = check_config(source.encode(), old)
+    new = decode_config(source.encode())
+    differences = []
+    if old is not None and not isinstance(new, Err):
+        differences = compare_configs(old, new.ok_value)
+    if as_json:
+        click.echo(render_json(findings, differences))
+    else:
+        for finding in findings:
+            click.echo(f"{name}: {finding}", err=True)
+        for line in differences:
+            click.echo(f"{name}: {line}")
+        if not findings:
+            click.echo(f"{name}: no problems")
+    if any(found.severity is Severity.ERROR for found in findings):
+        return EXIT_FAILURE
+    return EXIT_WARNINGS if findings else 0
+
+
 @main.command(epilog=EXIT_HELP)
 @operator_url_option
 def dump(operator_url: str) -> None:
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -4,6 +4,7 @@
 import json
 import math
 import re
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
@@ -59,6 +60,37 @@
         return Err(str(error))
 
 
+def list_bad_fields(body: bytes) -> list[str]:
+    """Returns the problems of a configuration, the first of each entry."""
+    try:
+        fields = Fields(json.loads(body))
+    except (ValueError, RecursionError, BadFieldError) as error:
+        return [str(error)]
+    problems: list[str] = []
+
+    def note(read: Callable[[], object]) -> None:
+        try:
+            read()
+        except BadFieldError as error:
+            problems.append(str(error))
+
+    def note_entry(
+        read: Callable[[object, str], object],
+    ) -> Callable[[object, str], None]:
+        return lambda value, path: note(lambda: read(value, path))
+
+    note(lambda: fields.get_int("version", maximum=MAX_ORDER))
+    note(
+        lambda: fields.get_list(
+            "routes", note_entry(_read_route), optional=False
+        )
+    )
+    note(lambda: fields.get_list("tenants", note_entry(_read_account)))
+    note(lambda: _read_limits(fields.get_mapping("limits")))
+    note(lambda: fields.get_list("services", note_entry(_read_service)))
+    return problems
+
+
 def decode_target(name: str, body: bytes) -> Result[EdgeTarget, str]:
     """Decodes the entry of a target; the error names the invalid field."""
     try:
