Test ramps through the relay and through groups of instances

Cause: the tests of the limits did not show that selection, answers and failures reach them, nor that relays pass the evidence on.

Change: three tests with runners in virtual time, mutants of the hooks, and the host in place of the name of an instance for the choice of turns, as two instances may have one name.

--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -135,7 +135,7 @@
     holder.subscribe(lambda config: cold.apply_services(config.services))
     pauses = TargetPauses(clock)
     paces = TargetPaces(
-        clock, log, occupancy, settings.name, fleet.count_instances
+        clock, log, occupancy, settings.peers[0], fleet.count_instances
     )
     records = StreamRecords(clock)
     runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -217,7 +217,7 @@
     ):
         telemetry = _NullTelemetry()
         self.dependencies = make_dependencies(
-            dataclasses.replace(SETTINGS, name=f"replay-{number}"),
+            dataclasses.replace(SETTINGS, peers=(f"replay-{number}", 1)),
             clock,
             client,
             _ConnectedFleet(size),
--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -3,6 +3,8 @@
 import math
 import unittest
 
+import anyio
+
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
 from peridotbend.edge.occupancy import Occupancy
@@ -15,6 +17,7 @@
 )
 from peridotbend.load.ramp import QUIET_MS
 from tests.edgefakes import RecordingLog
+from tests.edgerunners import RunnerFleet
 
 SLOTS = 10
 NAMES = [f"i-{number}" for number in range(10)]
@@ -163,6 +166,50 @@
         assert self.one.paces.count() == 0
 
 
+class RelayTest(unittest.TestCase):
+    """Requests through the relay, at runners of ten slots each."""
+
+    def test_started_runner_gets_few_requests_until_it_answers(self) -> None:
+        """Guards against selection and answers that pass the limits by."""
+        fleet = RunnerFleet(zones=1, per_zone=1)
+
+        async def script() -> None:
+            [instance] = fleet.instances.values()
+            for name in fleet.runners:
+                instance.dependencies.paces.note_listed(
+                    name, "engine", 1, fresh=name == "i-1"
+                )
+            arrivals = []
+            for _ in range(2):
+                for _ in range(30):
+                    fleet.send(instance.host)
+                await anyio.sleep(0.02)
+                arrivals.append(sum(a.runner == "i-1" for a in fleet.arrivals))
+                await anyio.sleep(2)
+            assert arrivals[0] == START_SHARE * SLOTS
+            assert arrivals[1] > 2 * arrivals[0]
+
+        fleet.run(script)
+
+    def test_failing_runner_is_limited(self) -> None:
+        """Guards against failures of sends that are not counted."""
+        fleet = RunnerFleet(zones=1, per_zone=1)
+
+        async def script() -> None:
+            [instance] = fleet.instances.values()
+            for name in fleet.runners:
+                instance.dependencies.paces.note_listed(
+                    name, "engine", 1, False
+                )
+            fleet.runners["i-1"].is_down = True
+            for _ in range(30):
+                fleet.send(instance.host)
+            await anyio.sleep(0.5)
+            assert list(instance.dependencies.paces.dump()) == ["i-1"]
+
+        fleet.run(script)
+
+
 class PacesFleetTest(unittest.TestCase):
     """Limits of many instances, each of which sees few answers."""
 
@@ -181,6 +228,25 @@
         }
         assert shares == {round(START_SHARE + 0.5, 2)}
 
+    def test_relays_pass_the_evidence_on(self) -> None:
+        """Guards against evidence that stays in the group of an instance."""
+        fleet = RunnerFleet(zones=4, per_zone=6)
+
+        async def script() -> None:
+            paces = [i.dependencies.paces for i in fleet.instances.values()]
+            for each in paces:
+                for name in NAMES:
+                    each.note_listed(name, "engine", 1, fresh=name == "i-1")
+            for each in paces[::8]:
+                each.note_first_event("i-1", 100, OBJECTIVE_MS)
+            await anyio.sleep(1)
+            for each in paces:
+                each.find_limit("i-1", SLOTS)
+            shares = {each.dump()["i-1"]["share"] for each in paces}
+            assert shares == {START_SHARE + 0.3}
+
+        fleet.run(script)
+
     def test_only_some_instances_send_at_once(self) -> None:
         """Guards against 63 instances that all take the same two places."""
         fleet = _Fleet(63)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -287,6 +287,32 @@
         "if True:",
         ("test_load_pace",),
     ),
+    Mutant(
+        "selection-without-pace",
+        "RAMP",
+        EDGE + "selection.py",
+        "limit = min(limit, paced)",
+        "limit = min(limit, math.inf)",
+        ("test_load_pace",),
+    ),
+    Mutant(
+        "first-events-not-noted",
+        "RAMP",
+        EDGE + "delivery.py",
+        "self._note_pace(tracked_send)",
+        "pass",
+        ("test_load_pace",),
+    ),
+    Mutant(
+        "failures-not-noted",
+        "RAMP",
+        EDGE + "sends.py",
+        "            if request.route.is_generation:\n"
+        "                self._dependencies.paces.note_failure(target.name)\n"
+        "        is_broken",
+        "        is_broken",
+        ("test_load_pace",),
+    ),
     Mutant(
         "one-instance-convinces-all",
         "RAMP",
