--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -22,7 +22,6 @@
     TargetCriteria,
 )
 from peridotbend.edge.targets import EdgeTarget, TargetList
-from peridotbend.load.work import WorkTicket
 from peridotbend.load.queueing import (
     CallerTerms,
     ReturnPlanner,
@@ -32,6 +31,7 @@
     plan_wait,
 )
 from peridotbend.load.shares import FairShares
+from peridotbend.load.work import WorkTicket
 
 # Precedes all other ranks: a partly delivered stream is lost unless it resumes.
 RESUME_RANK = (-1, -1)
@@ -59,8 +59,8 @@
 # A request that can't be on time lets lower ranks go first until this long before
 # the end of its wait: room is often back by then.
 URGENT_MS = 1_000
-# Whether it may still wait, rank, whether the account has had more than its share, and whether the answer
-# can't be on time any more.
+# Whether it may still wait, rank, whether the account has had more than its
+# share, and whether the answer can't be on time any more.
 _Precedence = tuple[bool, tuple[int, int], bool, bool]
 
 
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -27,6 +27,7 @@
 from peridotbend.edge.targetruns import TargetRuns
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VersionTimeline
+from peridotbend.load.pace import TargetPaces
 from peridotbend.load.work import TargetWork
 
 
@@ -74,6 +75,7 @@
     brittle: BrittleTargets
     cold: ColdTargets
     pauses: TargetPauses
+    paces: TargetPaces
     runs: TargetRuns
     stall_detector: StallDetector
     timeline: VersionTimeline
@@ -136,6 +138,9 @@
     )
     holder.subscribe(lambda config: cold.apply_services(config.services))
     pauses = TargetPauses(clock)
+    paces = TargetPaces(
+        clock, log, occupancy, settings.peers[0], fleet.count_instances
+    )
     records = StreamRecords(clock)
     runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
     selector = Selector(
@@ -148,6 +153,7 @@
         pauses,
         runs.is_replaced,
         work,
+        paces.find_limit,
     )
     backlog = Backlog(
         clock, targets, occupancy, rate_limits, brittle, cold, selector, rng
@@ -166,6 +172,7 @@
         brittle=brittle,
         cold=cold,
         pauses=pauses,
+        paces=paces,
         runs=runs,
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -147,9 +147,10 @@
     )
 
 
-def _make_config(
+def make_config(
     deployment: Deployment, policy: Policy
 ) -> edge_config.EdgeConfig:
+    """Returns the configuration of all instances."""
     return edge_config.EdgeConfig(
         version=1,
         routes=tuple(
@@ -215,26 +216,27 @@
         return True
 
 
-class _Instance:
+class ReplayInstance:
     """The decision code of one instance."""
 
     def __init__(
         self,
         clock: ManualClock,
         client: ReplayClient,
-        rng: random.Random,
+        number: int,
         config: edge_config.EdgeConfig,
         instances: int,
     ):
         telemetry = _NullTelemetry()
         self.dependencies = make_dependencies(
-            SETTINGS,
+            dataclasses.replace(SETTINGS, peers=(f"replay-{number}", 1)),
             clock,
             client,
             _ConnectedFleet(instances),
             telemetry,
             telemetry,
-            rng,
+            # A generator of its own, so that a policy does not change the load.
+            random.Random(number),
         )
         self.dependencies.holder.offer(config)
         self.relay = Relay(self.dependencies)
@@ -285,16 +287,10 @@
             self._event_counts.__getitem__,
             deployment.figures.tokens_per_event,
         )
-        config = _make_config(deployment, self._policy)
-        # The instances have random generators of their own, so that a policy
-        # does not change the load.
+        config = make_config(deployment, self._policy)
         instances = [
-            _Instance(
-                self._clock,
-                client,
-                random.Random(number),
-                config,
-                deployment.instances,
+            ReplayInstance(
+                self._clock, client, number, config, deployment.instances
             )
             for number in range(deployment.instances)
         ]
@@ -311,6 +307,7 @@
             )
             for instance in instances:
                 instance.dependencies.targets.put(target)
+                instance.dependencies.paces.note_listed(name, SERVICE, 0, False)
         async with anyio.create_task_group() as tasks:
             for engine in engines.values():
                 tasks.start_soon(engine.run)
@@ -358,7 +355,7 @@
                 return rate_share * factor
         return rate_share
 
-    async def _exchange_digests(self, instances: list[_Instance]) -> None:
+    async def _exchange_digests(self, instances: list[ReplayInstance]) -> None:
         """Tells all instances what each has in flight, and its tokens."""
         tables = [[i.dependencies.occupancy for i in instances]]
         if self._policy.exchanges_tokens:
@@ -372,6 +369,8 @@
                     views, pending[number] = pending[number], views
                 for occupancy, view in zip(table, views, strict=False):
                     occupancy.set_view(view)
+            for instance in instances:
+                instance.dependencies.paces.check()
 
     async def _slow_down(
         self,
@@ -402,7 +401,7 @@
         engine.is_down = False
 
     async def _send_with_retries(
-        self, kind: Kind, instances: list[_Instance]
+        self, kind: Kind, instances: list[ReplayInstance]
     ) -> None:
         """Sends a request, and again after a refusal while retries are left."""
         deployment = self._deployment
--- a/src/peridotbend_emulator/replayaccounts.py
+++ b/src/peridotbend_emulator/replayaccounts.py
@@ -374,7 +374,9 @@
         prompt_tokens = self._draw(kind.mean_prompt_tokens, PROMPT_SIGMA)
         events = self._draw(kind.mean_events, OUTPUT_SIGMA)
         output_tokens = TOKENS_PER_EVENT * events
-        size = (prompt_tokens + 10 * output_tokens) / kind.mean_size
+        size = (prompt_tokens + 10 * output_tokens) / kind.find_mean_size(
+            TOKENS_PER_EVENT
+        )
         value = min(4.0, 0.3 + 0.7 * size)
         sent_at_ms = self._clock.now_ms()
         surge_start_ms, surge_end_ms, _ = self._shortage.surge
--- a/src/peridotbend_emulator/replayengine.py
+++ b/src/peridotbend_emulator/replayengine.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import math
+import random
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 
@@ -63,12 +64,22 @@
     ):
         self._slots = slots
         self._figures = figures
+        self._rng = random.Random(slots)
         self.step_time_factor = step_time_factor
         self.is_down = False
+        # Fraction of the requests that break as they are admitted.
+        self.failing_share = 0.0
+        # Tokens that were produced.
+        self.produced_tokens = 0
         self._waiting: deque[_Job] = deque()
         self._batch: list[_Job] = []
         self._arrived = anyio.Event()
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that run or wait here."""
+        return len(self._waiting) + len(self._batch)
+
     def submit(self, job: _Job) -> None:
         """Queues a request."""
         self._waiting.append(job)
@@ -96,6 +107,7 @@
             elapsed_ms += self._figures.step_ms
             elapsed_ms += STEP_MS_PER_REQUEST * len(self._batch)
             await anyio.sleep(elapsed_ms * self.step_time_factor / 1_000)
+            self.produced_tokens += len(self._batch)
             for job in self._batch:
                 job.produced_tokens += 1
                 if job.produced_tokens % per_event == 0:
@@ -112,7 +124,9 @@
         per_ms = self._figures.prompt_tokens_per_ms
         while self._waiting and len(self._batch) < self._slots:
             job = self._waiting.popleft()
-            if not job.is_cancelled:
+            if self.failing_share and self._rng.random() < self.failing_share:
+                job.push(False)
+            elif not job.is_cancelled:
                 prefill_ms += job.prompt_tokens / per_ms
                 self._batch.append(job)
         return prefill_ms
