Ask a target for its start before its first use

Cause: an instance that has just listed a target believed that its connections led to the listed process since ever, so the first answer that names the listed start vouched for what the process before had sent, in the time in which the entry was there and the process was not.

Change: a run that is listed has to name its start before it is used, on the connection of a stream, or over one of its own (250 ms) for other requests; three questions that told nothing are enough. Its first answer proves no connection from before, neither after a break nor at an end without a length.

--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -218,7 +218,7 @@
         Only a body without length or chunks leaves that open.
         """
         return head.is_delimited or await self._dependencies.runs.confirm_end(
-            target, self._clock.now_ms()
+            target, self._clock.now_ms(), head.connected_at_ms
         )
 
     def _note_begun(
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -69,6 +69,9 @@
         """
         target = slot.target
         may_have_run_before = request.may_have_run
+        if not request.route.is_resumable_stream:
+            # A stream asks on its own connection.
+            await self._dependencies.runs.ask_first(target)
 
         def open_gate() -> bool:
             if not self._dependencies.targets.is_current(target):
@@ -160,9 +163,10 @@
         """Returns a check that the listed run of a target answers.
 
         A stream that goes on depends on it. One that begins could not go on
-        later where a connection has just ended, or could go on at a version
-        that did not begin it where a service has several; if the answer tells
-        nothing, it begins all the same, and is judged when it breaks.
+        later at a target that has not been used before, or where a connection
+        has just ended, or could go on at a version that did not begin it where
+        a service has several; if the answer tells nothing, it begins all the
+        same, and is judged when it breaks.
         """
         if not request.route.is_resumable_stream:
             return None
@@ -171,6 +175,7 @@
         def is_due() -> bool:
             return (
                 request.is_resumed
+                or runs.awaits_name(target)
                 or runs.is_doubtful(target)
                 or timeline.has_versions(target.service)
             )
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -31,6 +31,8 @@
 LEASE_HEARTBEATS = 3
 # Time for a write to reach the store, and for the store to remove the entry.
 LEASE_MARGIN_MS = 500
+# Limits what a short request waits for the answer of a target that is new.
+FIRST_QUESTION_TIMEOUT_MS = 250
 # Questions to a target whose answers tell nothing, as they are damaged or its
 # connection fails.
 MAX_QUESTIONS = 3
@@ -117,6 +119,13 @@
     ended_ms: int | None = None
     # When another process last said that it has the name.
     replaced_ms: int | None = None
+    # Whether it has yet to name its start, since it was listed. Until then the
+    # process before may still answer, though the entry is there.
+    awaits_name: bool = False
+    # Questions before its first use that told nothing, and when the last one
+    # was begun.
+    first_questions: int = 0
+    first_asked_ms: int = 0
     # When the target was last asked, and what followed.
     asked_ms: int = 0
     state: RunState | None = None
@@ -184,8 +193,16 @@
     def note_listed(self, target: EdgeTarget) -> None:
         """Records that a run is listed, perhaps after another of its name."""
         before = self._unlisted.pop(target.name, None)
+        listed = self._targets.find(target.name)
         if before is not None and before.run_hash != target.run_hash:
             self.note_taken_over(target, before)
+        elif target.run_hash not in self._runs and (
+            listed is None or listed.run_hash != target.run_hash
+        ):
+            # This process has not seen who had the name before.
+            run = self._get_run(target)
+            run.awaits_name = bool(target.started_at_ms)
+            run.since_ms = self._clock.now_ms()
 
     def note_taken_over(self, target: EdgeTarget, before: EdgeTarget) -> None:
         """Records that a run is listed under the name of another one.
@@ -195,6 +212,8 @@
         run = self._get_run(target)
         run.before = before
         run.since_ms = run.ended_ms = self._clock.now_ms()
+        run.awaits_name = bool(target.started_at_ms)
+        run.first_questions = 0
 
     def note_unlisted(self, target: EdgeTarget) -> None:
         """Records that a run is no longer listed, or is about to be."""
@@ -226,7 +245,13 @@
         if told_ms == target.started_at_ms:
             run.proven_ms = max(run.proven_ms or 0, asked_at_ms)
             run.replaced_ms = None
-            if connected_at_ms is not None:
+            if run.awaits_name:
+                # Connections from before may lead to the process before.
+                run.awaits_name = False
+                run.since_ms = (
+                    asked_at_ms if connected_at_ms is None else connected_at_ms
+                )
+            elif connected_at_ms is not None:
                 run.since_ms = min(run.since_ms, connected_at_ms)
             if run.ended_ms is not None and run.ended_ms <= asked_at_ms:
                 run.ended_ms = None
@@ -295,6 +320,38 @@
         """Tells whether a connection has ended since a run was last proven."""
         return self._find_ended_ms(target) is not None
 
+    def awaits_name(self, target: EdgeTarget) -> bool:
+        """Tells whether a run has to name its start before it is used.
+
+        One whose answers tell nothing is used all the same.
+        """
+        run = self._runs.get(target.run_hash)
+        if run is None or not run.awaits_name:
+            return False
+        return run.first_questions < MAX_QUESTIONS
+
+    def note_first_question(self, target: EdgeTarget) -> None:
+        """Records that a target is asked before its first use.
+
+        Sends that begin at the same moment count once.
+        """
+        run, now_ms = self._get_run(target), self._clock.now_ms()
+        if run.awaits_name and now_ms >= run.first_asked_ms + ASK_TIMEOUT_MS:
+            run.first_asked_ms = now_ms
+            run.first_questions += 1
+
+    async def ask_first(self, target: EdgeTarget) -> None:
+        """Asks a target before its first use for requests that may not wait.
+
+        What it answers decides later whether an answer that has neither length
+        nor chunks is whole.
+        """
+        if not self.awaits_name(target):
+            return
+        self.note_first_question(target)
+        with anyio.move_on_after(FIRST_QUESTION_TIMEOUT_MS / 1_000):
+            await self._ask_together(target, self._get_run(target), "first")
+
     def make_check(
         self,
         target: EdgeTarget,
@@ -342,7 +399,9 @@
         if listed is not None and listed.run_hash != target.run_hash:
             return self._compare_software(target, listed, connected_at_ms)
         state = await self._ask_firmly(target, connected_at_ms, "origin")
-        is_alive = state is RunState.LIVES
+        # Its first answer says nothing of connections from before.
+        is_its_own = connected_at_ms >= run.since_ms
+        is_alive = state is RunState.LIVES and is_its_own
         return BeginEvidence.ANSWER if is_alive else BeginEvidence.NONE
 
     def _compare_software(
@@ -381,15 +440,26 @@
                 break
         return self.is_proven(target, connected_at_ms)
 
-    async def confirm_end(self, target: EdgeTarget, ended_at_ms: int) -> bool:
+    async def confirm_end(
+        self, target: EdgeTarget, ended_at_ms: int, connected_at_ms: int
+    ) -> bool:
         """Tells whether a run outlived the end of an answer.
 
-        The connections of a process that dies may close in order as well.
+        The connections of a process that dies may close in order as well, and
+        another process may answer then.
+
+        Args:
+            target: as it is listed.
+            ended_at_ms: when the answer ended.
+            connected_at_ms: when the connection that it came over was
+                established.
         """
         state = await self._ask_firmly(target, ended_at_ms, "end")
-        # Where no start is listed, any answer is that of the target.
-        is_named = bool(target.started_at_ms)
-        return state is (RunState.LIVES if is_named else RunState.UNNAMED)
+        if not target.started_at_ms:
+            # Where no start is listed, any answer is that of the target.
+            return state is RunState.UNNAMED
+        is_its_own = connected_at_ms >= self._get_run(target).since_ms
+        return state is RunState.LIVES and is_its_own
 
     async def survey(self, targets: Iterable[EdgeTarget]) -> RunSurvey:
         """Asks targets which processes they are."""
@@ -481,6 +551,8 @@
     ) -> RunState:
         """Records the answer on the connection of a send, before it is sent."""
         state = self.note_start(target, told_ms, asked_at_ms, connected_at_ms)
+        if state is RunState.UNNAMED:
+            self._get_run(target).first_questions += 1
         self._log_asked(target, "send", state, told_ms, asked_at_ms)
         return state
 
@@ -568,7 +640,10 @@
             self.runs.is_proven(self.target, at_ms)
             for at_ms in (connected_at_ms, connected_at_ms - RESTART_MS)
         )
-        return not is_known and self.is_due()
+        if is_known or not self.is_due():
+            return False
+        self.runs.note_first_question(self.target)
+        return True
 
     def accepts(
         self, told_start_ms: int | None, connected_at_ms: int, asked_at_ms: int
