Bound what callers can make a process hold

Cause: uvloop reads up to 250 KB at once, all of which was parsed before a limit was checked: tens of thousands of header lines or requests, each of which takes up 100 to 3,000 bytes. Idle and refused connections kept the head of their last request, and no limit covered heads of requests.

Change: reads of 4 KB (64 KB in bodies with a length) into one buffer of a listener; the parser is fed up to the next place where a request may end; what follows a request waits unparsed until that was answered; laborious reads take turns. Heads, requests, bodies and unread answers draw on one budget, from limits.memory_mb of the settings. Large requests are refused first, with 503. Each way has a metric and one of the events 330 to 336.

A bad request behind a good one is now answered with 400 after the answer of the good one, instead of a bare close; the two tests check that answer.

--- a/src/peridotbend/adapters/bodyintake.py
+++ b/src/peridotbend/adapters/bodyintake.py
@@ -22,8 +22,18 @@
     hold the memory that the bodies of others need.
     """
 
-    def __init__(self, limit_bytes: int, clock: Clock):
-        self.budget = ByteBudget(limit_bytes)
+    def __init__(
+        self, limit_bytes: int, clock: Clock, memory: ByteBudget | None = None
+    ):
+        """Creates an intake.
+
+        Args:
+            limit_bytes: limit on all bodies together.
+            clock: tells how long bodies have been arriving.
+            memory: a larger limit that bodies share with others.
+        """
+        self._memory = memory or ByteBudget(limit_bytes)
+        self.budget = SubBudget(self._memory, limit_bytes)
         self._clock = clock
         # In the order in which they began.
         self._arriving: dict[IncomingBody, int] = {}
@@ -39,7 +49,10 @@
     def make_room(self, size: int, other: "IncomingBody") -> bool:
         """Refuses the slowest bodies that arrive, if that frees the memory."""
         latest_ms = self._clock.now_ms() - MIN_ARRIVAL_MS
-        free_bytes = self.budget.limit_bytes - self.budget.used_bytes
+        free_bytes = min(
+            self.budget.limit_bytes - self.budget.used_bytes,
+            self._memory.limit_bytes - self._memory.used_bytes,
+        )
         slowest: list[IncomingBody] = []
         for body, since_ms in self._arriving.items():
             if free_bytes >= size or since_ms > latest_ms:
--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -56,6 +56,9 @@
         Event.STORE_RESTORED,
         Event.SETTINGS_REFUSED,
         Event.LINES_DROPPED,
+        Event.MEMORY_REFUSED,
+        Event.HEAD_GAVE_WAY,
+        Event.UNREAD_ANSWER_CLOSED,
     )
 )
 _ERROR_EVENTS = frozenset((Event.HAND_OVER_FAILED, Event.INTERNAL_ERROR))
--- a/src/peridotbend/adapters/serving.py
+++ b/src/peridotbend/adapters/serving.py
@@ -11,9 +11,13 @@
 import anyio
 import uvicorn
 
-from peridotbend.adapters.boundedconnections import (
-    BoundedConnection,
-    ConnectionLimits,
+from peridotbend.adapters.boundedconnections import BoundedConnection
+from peridotbend.adapters.callermemory import CallerMemory
+from peridotbend.adapters.connectionlimits import ConnectionLimits
+from peridotbend.adapters.reading import (
+    BODY_READ_BYTES,
+    BufferedReader,
+    ReadingTurns,
 )
 from peridotbend.adapters.waitingconnections import WaitingConnections
 from peridotbend.domain.clock import SystemClock
@@ -69,12 +73,21 @@
         app: Any,
         listener: socket.socket,
         limits: ConnectionLimits | None = None,
+        memory: CallerMemory | None = None,
     ):
         self._limits = (limits or ConnectionLimits()).cap_to_open_files()
         self._waiting = waiting = WaitingConnections(SystemClock())
-
-        def make_connection(*args: Any, **kwargs: Any) -> BoundedConnection:
-            return BoundedConnection(self._limits, waiting, *args, **kwargs)
+        shared = memory or CallerMemory()
+        turns = ReadingTurns()
+        buffer = memoryview(bytearray(BODY_READ_BYTES))
+
+        def make_connection(**kwargs: Any) -> BufferedReader:
+            connection = BoundedConnection(
+                self._limits, waiting, memory=shared, turns=turns, **kwargs
+            )
+            return BufferedReader(
+                connection, connection.reads_plain_body, buffer
+            )
 
         self._config = uvicorn.Config(
             app,
--- a/src/peridotbend/edge/settings.py
+++ b/src/peridotbend/edge/settings.py
@@ -58,6 +58,8 @@
     store_history_ms: int = 0
     # File descriptors of the process; 0 if unknown.
     max_open_files: int = 0
+    # Memory of the machine in MiB; 0 if unknown.
+    memory_mb: int = 0
 
     def find_fixed_changes(self, changed: "EdgeSettings") -> tuple[str, ...]:
         """Returns the names of changed settings that need a restart."""
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -10,7 +10,8 @@
 from anyio.abc import TaskGroup
 from result import Err
 
-from peridotbend.adapters.boundedconnections import ConnectionLimits
+from peridotbend.adapters.callermemory import CallerMemory, find_limit
+from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.edgemetrics import EdgeMetrics
 from peridotbend.adapters.gossip import Gossip
 from peridotbend.adapters.originlink import OriginLink
@@ -24,6 +25,7 @@
 from peridotbend.adapters.registrypeers import RegistryPeers
 from peridotbend.adapters.serving import HttpServer, listen
 from peridotbend.adapters.targets import HttpTargetClient
+from peridotbend.adapters.turnedaway import TurnedAway, Way
 from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
@@ -288,17 +290,27 @@
         self, stack: contextlib.AsyncExitStack, tasks: TaskGroup
     ) -> None:
         settings = self._settings
-        self._app = EdgeApp(self._relay, self._get_max_body_bytes)
+        memory = self._memory = CallerMemory(
+            find_limit(settings.memory_mb), TurnedAway(self._log)
+        )
+        self._app = EdgeApp(
+            self._relay, self._get_max_body_bytes, memory.budget
+        )
         channels = ChannelPool()
         stack.callback(channels.close)
         stack.callback(self._paths.dialer.close)
         fetcher = PublishedFetcher(channels, settings.peers[1], self._log)
         self._server = HttpServer(
-            self._app, listen(*settings.callers), _make_limits(settings)
+            self._app, listen(*settings.callers), _make_limits(settings), memory
+        )
+        # These share the memory, since anyone may reach them.
+        health = HttpServer(
+            HealthApp(self._is_ready), listen(*settings.health), memory=memory
         )
-        health = HttpServer(HealthApp(self._is_ready), listen(*settings.health))
         metrics = HttpServer(
-            self._metrics, listen(settings.peers[0], self._metrics_port)
+            self._metrics,
+            listen(settings.peers[0], self._metrics_port),
+            memory=memory,
         )
         self._add_gauges()
         peer_server = grpclib.server.Server(
@@ -343,6 +355,24 @@
             "Connections closed as others needed their places.",
             self._server.count_closed,
         )
+        self._metrics.add_gauges(
+            "turned_away",
+            "Clients refused or closed for what they sent, by the reason.",
+            "way",
+            [way.value for way in Way],
+            self._memory.turned_away.count,
+        )
+        budget = self._memory.budget
+        add_gauge(
+            "caller_memory_bytes",
+            "Memory reserved for what callers send and do not read.",
+            lambda: budget.used_bytes,
+        )
+        add_gauge(
+            "caller_memory_limit_bytes",
+            "Most memory that is reserved for callers.",
+            lambda: budget.limit_bytes,
+        )
         add_gauge(
             "waiting_requests",
             "Requests that wait for a place at a target.",
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -8,8 +8,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from peridotbend.adapters.boundedconnections import ConnectionLimits
 from peridotbend.adapters.callers import CallerApp, CallerSettings
+from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.loads import LoadPoller
 from peridotbend.adapters.metrics import PrometheusMeter
 from peridotbend.adapters.operators import OperatorApp
--- a/src/peridotbend/platform/ingress.py
+++ b/src/peridotbend/platform/ingress.py
@@ -13,6 +13,7 @@
     respond,
 )
 from peridotbend.adapters.bodyintake import BodyIntake, IncomingBody
+from peridotbend.domain.answers import ByteBudget
 from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import (
@@ -47,9 +48,10 @@
     | {"authorization"}
 )
 _KEY_SCHEME = "token "
-# Limit on the total size of all request bodies. The smallest machines have only
-# 150 MB of memory.
+# Limits on the total size of all request bodies: bytes, and a share of the
+# memory for callers, whose rest is left to requests without large bodies.
 MAX_BODIES_BYTES = 48 * 1_048_576
+MAX_BODIES_SHARE = 0.75
 # For bodies of requests that no route gives a time.
 DEFAULT_BODY_TIMEOUT_MS = 10_000
 # Used for refusals that specify no Retry-After of their own.
@@ -65,11 +67,20 @@
 class EdgeApp:
     """ASGI application for callers."""
 
-    def __init__(self, relay: Relay, find_body_limit: Callable[[], int]):
+    def __init__(
+        self,
+        relay: Relay,
+        find_body_limit: Callable[[], int],
+        memory: ByteBudget | None = None,
+    ):
         self._relay = relay
         self._find_body_limit = find_body_limit
         self._clock = SystemClock()
-        self._intake = BodyIntake(MAX_BODIES_BYTES, self._clock)
+        limit_bytes = MAX_BODIES_BYTES
+        if memory is not None:
+            share_bytes = int(MAX_BODIES_SHARE * memory.limit_bytes)
+            limit_bytes = min(limit_bytes, share_bytes)
+        self._intake = BodyIntake(limit_bytes, self._clock, memory)
         # Set when shutdown begins; answers then close their connections.
         self.is_closing = False
         # Set when what comes now could not be completed any more.
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -580,6 +580,7 @@
             entry.target.unblocked.set()
             reply = await read_reply(reader)
             assert (reply.status, reply.verdict) == (200, "completed")
+            check_error_reply(await read_reply(reader), 400, "bad-input")
             assert await reader.read() == b""
             writer.close()
 
@@ -601,6 +602,7 @@
             entry.target.unblocked.set()
             reply = await read_reply(reader)
             assert (reply.status, reply.verdict) == (200, "completed")
+            check_error_reply(await read_reply(reader), 400, "bad-input")
             assert await reader.read() == b""
             assert len(entry.target.ran) == 1
             writer.close()
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from peridotbend.adapters.boundedconnections import ConnectionLimits
+from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.exchanges import Receive, Scope, Send
 from peridotbend.adapters.serving import HttpServer
 from tests.edgenode import encode_request
--- a/tests/test_halfopen_processes.py
+++ b/tests/test_halfopen_processes.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from peridotbend.adapters.boundedconnections import (
+from peridotbend.adapters.connectionlimits import (
     MAX_REFUSED_CONNECTIONS,
     RESERVED_FILES,
 )
