--- a/src/peridotbend/adapters/boundedconnections.py
+++ b/src/peridotbend/adapters/boundedconnections.py
@@ -56,6 +56,8 @@
 # Header lines and chunks in one read that take longer to parse than several
 # ordinary requests.
 MAX_ITEMS_PER_TURN = 256
+# The input of a refused connection is read in parts of this size.
+DISCARD_BYTES = 65_536
 
 
 class BoundedConnection(HttpToolsProtocol):
@@ -157,9 +159,9 @@
         for cycle, _ in self.pipeline:
             self._release_request(cycle)
 
-    def reads_plain_body(self) -> bool:
-        """Tells if what comes is discarded, or a body with a length."""
-        return self._refused or self._body_left > 0
+    def count_plain_bytes(self) -> int:
+        """Returns how many bytes will be discarded, or belong to a body."""
+        return DISCARD_BYTES if self._refused else self._body_left
 
     def data_received(self, data: bytes) -> None:
         """Parses the data, unless an error response was sent."""
--- a/src/peridotbend/adapters/reading.py
+++ b/src/peridotbend/adapters/reading.py
@@ -78,19 +78,19 @@
     def __init__(
         self,
         connection: asyncio.Protocol,
-        reads_plain_body: Callable[[], bool],
+        count_plain_bytes: Callable[[], int],
         buffer: memoryview,
     ):
         """Creates a reader.
 
         Args:
             connection: takes over what is read.
-            reads_plain_body: tells whether a large read takes little parsing.
+            count_plain_bytes: tells how much will come that needs no parsing.
             buffer: of BODY_READ_BYTES; it may be shared by all readers of an
                 event loop, since each read is taken over at once.
         """
         self._connection = connection
-        self._reads_plain_body = reads_plain_body
+        self._count_plain_bytes = count_plain_bytes
         self._large = buffer
         self._small = buffer[:READ_BYTES]
 
@@ -109,8 +109,10 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns where to read to, as large as the next read may be."""
         del sizehint
-        if self._reads_plain_body():
-            return self._large
+        plain_bytes = self._count_plain_bytes()
+        if plain_bytes > READ_BYTES:
+            # Not beyond, since what follows may have to be kept.
+            return self._large[:plain_bytes]
         return self._small
 
     def buffer_updated(self, nbytes: int) -> None:
--- a/src/peridotbend/adapters/serving.py
+++ b/src/peridotbend/adapters/serving.py
@@ -86,7 +86,7 @@
                 self._limits, waiting, memory=shared, turns=turns, **kwargs
             )
             return BufferedReader(
-                connection, connection.reads_plain_body, buffer
+                connection, connection.count_plain_bytes, buffer
             )
 
         self._config = uvicorn.Config(
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from peridotbend.adapters.callermemory import CallerMemory
 from peridotbend.adapters.callers import CallerApp, CallerSettings
 from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.loads import LoadPoller
@@ -30,6 +31,7 @@
 from peridotbend.adapters.targets import CONNECT_TIMEOUT_S, HttpTargetClient
 from peridotbend.adapters.textcache import TextParser
 from peridotbend.adapters.textsync import TextSync
+from peridotbend.adapters.turnedaway import TurnedAway
 from peridotbend.domain.clock import SystemClock
 from peridotbend.domain.dispatch import Dispatcher
 from peridotbend.domain.events import Event
@@ -170,6 +172,7 @@
             self._log,
         )
         operator_app = OperatorApp(make_operator_hooks(self))
+        memory = CallerMemory(turned_away=TurnedAway(self._log))
         self.caller_server = HttpServer(
             self.caller_app,
             caller_socket,
@@ -177,9 +180,13 @@
                 max_connections=self.settings.max_connections,
                 max_header_bytes=self.settings.max_header_bytes,
             ),
+            memory,
+        )
+        operator_server = HttpServer(
+            operator_app, operator_socket, memory=memory
         )
         tasks.start_soon(self.caller_server.run)
-        tasks.start_soon(HttpServer(operator_app, operator_socket).run)
+        tasks.start_soon(operator_server.run)
         tasks.start_soon(self.peer_links.run)
         tasks.start_soon(self.text_sync.run)
         tasks.start_soon(self.scheduler.run)
--- /dev/null
+++ b/tests/test_caller_memory.py
@@ -0,0 +1,138 @@
+"""Tests of the memory that callers share, and of requests in a row."""
+
+import asyncio
+import unittest
+
+from peridotbend.adapters.callermemory import (
+    HEADROOM,
+    MIB,
+    MIN_HOLD_MS,
+    MIN_LIMIT_BYTES,
+    CallerMemory,
+    find_limit,
+)
+from peridotbend.adapters.connectionlimits import ConnectionLimits
+from peridotbend.adapters.exchanges import Receive, Scope, Send
+from peridotbend.adapters.serving import HttpServer
+from peridotbend.adapters.turnedaway import TurnedAway, Way
+from peridotbend.domain.clock import ManualClock
+from tests.test_serving import run_with_server
+
+COUNT = 500
+
+
+class _Holder:
+    """Frees its memory when it is told to."""
+
+    def __init__(self, memory: CallerMemory, size: int):
+        self.ways: list[Way] = []
+        self._memory = memory
+        self._size = size
+        memory.budget.reserve(size)
+
+    def free_memory(self, way: Way) -> None:
+        """Notes why."""
+        self.ways.append(way)
+        self._memory.budget.release(self._size)
+
+
+async def _echo(scope: Scope, receive: Receive, send: Send) -> None:
+    """Answers with the body of the request."""
+    del scope
+    body, has_more = b"", True
+    while has_more:
+        message = await receive()
+        body += message["body"]
+        has_more = message["more_body"]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": 200,
+            "headers": [(b"content-length", str(len(body)).encode())],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+class CallerMemoryTest(unittest.TestCase):
+    """Who gets memory if it is short."""
+
+    def setUp(self) -> None:
+        """Creates a memory of 1,000 bytes."""
+        self.clock = ManualClock()
+        self.memory = CallerMemory(1_000, clock=self.clock)
+
+    def test_large_requests_are_refused_first(self) -> None:
+        """Guards against large heads that use up what ordinary ones need."""
+        large = _Holder(self.memory, 0)
+        size = 1_000 // (HEADROOM + 1)
+        assert self.memory.reserve_head(large, size, size)
+        assert not self.memory.reserve_head(large, size, size)
+        assert self.memory.reserve_head(large, 50, 50)
+
+    def test_incomplete_heads_give_way(self) -> None:
+        """Guards against heads that are held back to keep others out."""
+        held, asking = _Holder(self.memory, 800), _Holder(self.memory, 0)
+        self.memory.hold_head(held)
+        assert not self.memory.reserve_head(asking, 100, 100)
+        self.clock.advance(MIN_HOLD_MS)
+        assert self.memory.reserve_head(asking, 100, 100)
+        assert held.ways == [Way.HEAD_GAVE_WAY]
+
+    def test_unread_answers_give_way(self) -> None:
+        """Guards against callers that read nothing and keep others out."""
+        held, asking = _Holder(self.memory, 800), _Holder(self.memory, 0)
+        self.memory.hold_unread(held)
+        self.clock.advance(MIN_HOLD_MS)
+        assert self.memory.reserve_unread(asking, 400) == 400
+        assert held.ways == [Way.UNREAD_ANSWER]
+
+    def test_unread_answers_never_exceed_the_limit(self) -> None:
+        """Guards against a charge that is released but was never made."""
+        asking = _Holder(self.memory, 900)
+        assert self.memory.reserve_unread(asking, 400) == 100
+
+    def test_limit_follows_the_machine(self) -> None:
+        """Guards against a limit above what the process leaves."""
+        assert find_limit(40) == MIN_LIMIT_BYTES
+        assert 60 * MIB < find_limit(200) < 100 * MIB
+        assert find_limit(300) < 150 * MIB
+
+    def test_log_lines_are_few(self) -> None:
+        """Guards against clients that fill the log."""
+        turned_away = TurnedAway(clock=self.clock)
+        for _ in range(3):
+            turned_away.note(Way.SLOW)
+        assert turned_away.count("slow") == 3
+
+
+class RequestsInARowTest(unittest.TestCase):
+    """Requests that are sent without a wait for answers."""
+
+    def test_all_are_answered(self) -> None:
+        """Guards against polite callers that lose requests to the bounds.
+
+        Cut anywhere, with empty lines, chunks and blank lines in bodies.
+        """
+        head = b"POST / HTTP/1.1\r\nHost: x\r\n"
+        requests = (
+            b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+            head + b"Content-Length: 9\r\n\r\n\r\n\r\n\n\n\r\nx",
+            head + b"Transfer-Encoding: chunked\r\n\r\n"
+            b"4\r\n\r\n\r\n\r\n0\r\na: b\r\n\r\n\r\n",
+        )
+
+        async def test(server: HttpServer, port: int) -> None:
+            del server
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"".join(requests) * COUNT)
+            writer.write(
+                b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            )
+            answers = await reader.read(-1)
+            writer.close()
+            assert answers.count(b"HTTP/1.1 200 ") == 3 * COUNT + 1
+            assert answers.count(b"\r\n\r\n\r\n\r\n\n\n\r\nx") == COUNT
+            assert answers.count(b": 4\r\n\r\n\r\n\r\nHTTP") == COUNT
+
+        run_with_server(test, ConnectionLimits(), _echo)
