Place requests where their first event is in time

A target that is predicted to miss the objective is skipped while another one meets it, prompts to read are bounded per target, and a request waits only while a target can still be on time for it.

--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -1,6 +1,6 @@
 """What all instances together have in flight at each target."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from peridotbend.domain.clock import Clock
 from peridotbend.edge.hashes import hash_name
@@ -82,6 +82,18 @@
         count = others.get(self.find_hash(target), 0)
         return self._own.get(target, 0) + max(0, count)
 
+    def count_each(self, targets: Iterable[str]) -> list[int]:
+        """Returns what is in flight at each of some targets."""
+        self._drop_outdated()
+        others = self._totals if self._view is None else self._view
+        own, find_hash = self._own, self.find_hash
+        if not others:
+            return [own.get(target, 0) for target in targets]
+        return [
+            own.get(target, 0) + max(0, others.get(find_hash(target), 0))
+            for target in targets
+        ]
+
     def list_totals(self) -> dict[int, int]:
         """Returns the requests of all instances in flight, by target hash."""
         self._drop_outdated()
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -148,6 +148,7 @@
         pauses,
         runs.is_replaced,
         work,
+        rng,
     )
     return RelayDependencies(
         clock=clock,
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -14,6 +14,7 @@
 from peridotbend.edge.reports import RequestReporter
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.edge.sends import Sender
+from peridotbend.load.placement import Prompt
 
 # Time beyond the deadline for which this process waits. A target ends a request
 # at its deadline and reports that; its answer takes precedence.
@@ -204,8 +205,20 @@
             frozenset(exclude),
             software,
             needs_listed_run,
+            self._describe_prompt(request, bool(avoid)),
+        )
+
+    def _describe_prompt(
+        self, request: ActiveRequest, is_failover: bool
+    ) -> Prompt | None:
+        route = request.route
+        if request.call.prompt_tokens is None:
+            return None
+        return Prompt(
             request.call.prompt_tokens,
-            None if avoid else self._find_due_ms(request),
+            None if is_failover else self._find_due_ms(request),
+            route.objective_ms,
+            route.gap_objective_ms or route.objective_ms,
         )
 
     def _find_due_ms(self, request: ActiveRequest) -> int | None:
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -1,6 +1,7 @@
 """Target selection by load, health, zone and session affinity."""
 
 import dataclasses
+import random
 from collections.abc import Callable, Iterable, Mapping
 
 from peridotbend.domain.rendezvous import rank
@@ -11,6 +12,7 @@
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import EdgeTarget
+from peridotbend.load.placement import Prompt, find_admissible
 from peridotbend.load.work import Estimate, TargetWork, WorkTicket
 
 # Limit for requests on routes of rank 0, the highest, which may use the last
@@ -28,12 +30,15 @@
 # Breaks ties in favor of the own zone. Traffic between zones costs money, but
 # far less than a slot in a batch.
 OTHER_ZONE_PENALTY = 0.02
-MAX_READING_MS = 400.0
-LOAD_WEIGHT = 1.0
-OTHERS_WEIGHT = 0.0
-# Waiting requests whose first events are due within the same interval are taken
-# for equally urgent.
-DUE_CLASS_MS = 100
+# Weight of the occupied slots where first events are predicted. The prediction
+# in objectives has the weight 1, and slots the rest of a stream.
+LOAD_WEIGHT = 0.3
+# Upper bound of a random amount added to that cost. Many instances with the
+# same reports would otherwise choose the same target at once.
+SPREAD = 0.3
+# Targets that are compared by prediction; a random sample of a larger service.
+# The best of so many is close to the best of all.
+MAX_COMPARED = 128
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,28 +57,20 @@
     software: str | None = None
     # Whether the process that is listed for the target has to answer.
     needs_listed_run: bool = False
-    # Tokens of the prompt; None if the caller does not state them.
-    prompt_tokens: int | None = None
-    # When the first event has to arrive; None if it is not awaited.
-    due_at_ms: int | None = None
+    # What the target has to read first; None if the caller does not tell.
+    prompt: Prompt | None = None
 
     def admits(self, target: EdgeTarget) -> bool:
         """Tells whether a target may serve the request at all."""
         return self.software is None or target.software == self.software
 
     def make_class(self) -> "TargetCriteria":
-        """Returns what is the same for requests that find room alike.
+        """Returns the same for requests that find room alike.
 
-        The session only affects which of the free targets is chosen. Requests
-        of about the same size and urgency need not be tried one by one.
+        The session only affects which of the free targets is chosen.
         """
-        tokens, due_at_ms = self.prompt_tokens, self.due_at_ms
-        return dataclasses.replace(
-            self,
-            session="",
-            prompt_tokens=tokens and 1 << tokens.bit_length(),
-            due_at_ms=due_at_ms and due_at_ms // DUE_CLASS_MS,
-        )
+        prompt = self.prompt and self.prompt.make_class()
+        return dataclasses.replace(self, session="", prompt=prompt)
 
 
 class Selector:
@@ -90,6 +87,7 @@
         pauses: TargetPauses,
         is_replaced: Callable[[EdgeTarget], bool] = lambda target: False,
         work: TargetWork | None = None,
+        rng: random.Random | None = None,
     ):
         self._pauses = pauses
         # Tells whether another process has the name of a listed target.
@@ -100,7 +98,9 @@
         self._zone = zone
         self._occupancy = occupancy
         self._health = health
+        # Without it, requests are placed by counts.
         self._work = work
+        self._rng = rng or random.Random()
 
     def choose(
         self, criteria: TargetCriteria, targets: Iterable[EdgeTarget]
@@ -119,12 +119,56 @@
         candidates = healthy or usable
         if not candidates:
             return None
+        if self._counts_work(criteria) and len(candidates) > MAX_COMPARED:
+            return self._choose_among_many(criteria, candidates)
+        return self._choose_among(criteria, candidates)
+
+    def _choose_among_many(
+        self, criteria: TargetCriteria, candidates: list[EdgeTarget]
+    ) -> EdgeTarget | None:
+        """Compares only some of the targets; those with room, if need be."""
+        chosen = self._choose_among(
+            criteria, self._sample(criteria, candidates)
+        )
+        if chosen is not None:
+            return chosen
+        with_room = [t for t in candidates if self._has_room(criteria, t)]
+        if not with_room:
+            return None
+        return self._choose_among(criteria, self._sample(criteria, with_room))
+
+    def _sample(
+        self, criteria: TargetCriteria, targets: list[EdgeTarget]
+    ) -> list[EdgeTarget]:
+        """Returns some targets at random, and the one of the session."""
+        if len(targets) <= MAX_COMPARED:
+            return targets
+        sample = self._rng.sample(targets, MAX_COMPARED)
+        if criteria.session:
+            key = criteria.session.encode()
+            session_target = rank(key, targets, lambda t: t.name)[0]
+            if session_target not in sample:
+                sample.append(session_target)
+        return sample
+
+    def _choose_among(
+        self, criteria: TargetCriteria, candidates: list[EdgeTarget]
+    ) -> EdgeTarget | None:
+        """Returns the best of some targets, or None if it has to wait."""
         with_room = [t for t in candidates if self._has_room(criteria, t)]
         if not with_room:
             return None
         estimates = self._estimate(criteria, candidates)
-        if estimates is not None:
-            with_room = self._select_by_work(criteria, with_room, estimates)
+        if estimates is not None and criteria.prompt is not None:
+            names = find_admissible(
+                criteria.prompt,
+                self._health.now_ms,
+                estimates,
+                dict.fromkeys(target.name for target in with_room),
+            )
+            if len(names) < len(with_room):
+                admissible = set(names)
+                with_room = [t for t in with_room if t.name in admissible]
             if not with_room:
                 return None
         return min(
@@ -136,11 +180,12 @@
         self, criteria: TargetCriteria, target: EdgeTarget
     ) -> WorkTicket | None:
         """Counts the prompt of a request; None if it is not counted."""
-        work, tokens = self._work, criteria.prompt_tokens
-        is_counted = criteria.is_generation and tokens is not None
-        if work is None or not is_counted or not work.covers(target.service):
+        if not self._counts_work(criteria):
             return None
-        return work.start(target.name, tokens or 0, target.service)
+        assert self._work is not None and criteria.prompt is not None
+        return self._work.start(
+            target.name, criteria.prompt.tokens, target.service
+        )
 
     def end_work(self, ticket: WorkTicket | None) -> None:
         """Ends the count of a prompt."""
@@ -186,45 +231,25 @@
         fill = TOP_RANK_FILL if criteria.rank[1] <= 0 else ENGINE_FILL
         return max(1.0, fill * target.slots)
 
+    def _counts_work(self, criteria: TargetCriteria) -> bool:
+        return (
+            self._work is not None
+            and criteria.prompt is not None
+            and criteria.is_generation
+            and self._work.covers(criteria.service)
+        )
+
     def _estimate(
         self, criteria: TargetCriteria, candidates: list[EdgeTarget]
     ) -> Mapping[str, Estimate] | None:
         """Returns when the first event would arrive, by target, if known."""
-        work, tokens = self._work, criteria.prompt_tokens
-        if work is None or not criteria.is_generation or tokens is None:
+        if not self._counts_work(criteria):
             return None
+        assert self._work is not None and criteria.prompt is not None
         names = [target.name for target in candidates]
-        return work.estimate(criteria.service, names, tokens)
-
-    def _select_by_work(
-        self,
-        criteria: TargetCriteria,
-        with_room: list[EdgeTarget],
-        estimates: Mapping[str, Estimate],
-    ) -> list[EdgeTarget]:
-        """Returns the targets where a request is on time, or may be late.
-
-        Returns none if it should wait, as it can still be on time.
-        """
-        not_delaying = [
-            t
-            for t in with_room
-            if not estimates[t.name].ahead_tokens
-            or estimates[t.name].reading_ms <= MAX_READING_MS
-        ]
-        if criteria.due_at_ms is None:
-            return not_delaying or with_room
-        left_ms = criteria.due_at_ms - self._health.now_ms
-        if left_ms <= 0:
-            return not_delaying
-        on_time = [
-            t for t in not_delaying if estimates[t.name].total_ms <= left_ms
-        ]
-        if on_time:
-            return on_time
-        if any(e.least_ms <= left_ms for e in estimates.values()):
-            return []
-        return not_delaying
+        return self._work.estimate(
+            criteria.service, names, criteria.prompt.tokens
+        )
 
     def _make_cost_function(
         self,
@@ -246,27 +271,19 @@
             key = criteria.session.encode()
             session_target = rank(key, candidates, lambda t: t.name)[0].name
 
+        objective_ms = criteria.prompt.objective_ms if criteria.prompt else 1
+
         def find_cost(target: EdgeTarget) -> tuple[float, str]:
-            cost = (
-                LOAD_WEIGHT
-                * (self._occupancy.count(target.name) + 1)
-                / target.slots
-            )
-            if estimates is not None:
-                cost *= (paces[target.name] or mean_pace) / mean_pace
-                e = estimates[target.name]
-                cost += e.total_ms / 500
-                cost += (
-                    OTHERS_WEIGHT
-                    * self._occupancy.count(target.name)
-                    * (e.least_ms)
-                    / 500
-                )
-            elif criteria.is_generation:
+            cost = (self._occupancy.count(target.name) + 1) / target.slots
+            if criteria.is_generation:
                 # The speed of runners differs severalfold. The cost of a
                 # request is its share of the slots multiplied by the relative
                 # time for which it occupies them.
                 cost *= (paces[target.name] or mean_pace) / mean_pace
+            if estimates is not None:
+                cost *= LOAD_WEIGHT
+                cost += estimates[target.name].total_ms / objective_ms
+                cost += SPREAD * self._rng.random()
             if target.name == session_target:
                 cost -= SESSION_AFFINITY_BONUS
             if target.zone != self._zone:
--- a/src/peridotbend/load/work.py
+++ b/src/peridotbend/load/work.py
@@ -99,6 +99,11 @@
         self.ms_per_token = min(max(slope, 0.0), through_origin)
         self.base_ms = max(0.0, mean_y - self.ms_per_token * mean_x)
 
+    @property
+    def mean_ms(self) -> float:
+        """Mean time to a first event."""
+        return max(1.0, self.y / self.weight) if self.weight else 1.0
+
     def predict_ms(self, tokens: float) -> float:
         """Returns the time to a first event behind so many tokens."""
         return self.ms_per_token * tokens + self.base_ms
@@ -117,19 +122,14 @@
         self.took_ms = FACTOR_RETENTION * self.took_ms + took_ms
         self.predicted_ms = FACTOR_RETENTION * self.predicted_ms + predicted_ms
 
-    def find_factor(self, mean_ms: float) -> float:
+    def find_factor(self, prior_ms: float) -> float:
         """Returns the ratio of actual to predicted times.
 
-        A target of which little is known is like the others, whose first
-        events take `mean_ms`.
+        It is 1 for the time `prior_ms` that is added to both.
         """
-        prior_ms = PRIOR_SAMPLES * mean_ms
         return (self.took_ms + prior_ms) / (self.predicted_ms + prior_ms)
 
 
-_UNKNOWN = _Record()
-
-
 class TargetWork:
     """Prompt tokens that targets have to read, and their learned speeds."""
 
@@ -230,28 +230,29 @@
         if line is None or line.count < MIN_SAMPLES:
             return None
         targets = list(targets)
-        paces = [p for p in map(self._find_pace_ms, targets) if p]
-        if len(paces) > 1:
-            self._mean_paces[service] = sum(paces) / len(paces)
-        mean_ms = max(1.0, line.y / line.weight)
+        paces = list(map(self._find_pace_ms, targets))
+        known = [pace for pace in paces if pace]
+        if len(known) > 1:
+            self._mean_paces[service] = sum(known) / len(known)
+        mean_pace = self._mean_paces.get(service, 0.0)
+        prior_ms = PRIOR_SAMPLES * line.mean_ms
+        aheads = self.tokens.count_each(targets)
         found = {}
-        for target in targets:
-            factor = self._find_factor(target, service, mean_ms)
-            ahead = self.tokens.count(target)
+        for target, pace, ahead in zip(targets, paces, aheads, strict=True):
+            factor = pace / mean_pace if pace and mean_pace else 1.0
+            record = self._records.get(target)
+            if record is not None:
+                factor *= record.find_factor(prior_ms)
+            factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
             base_ms = factor * line.base_ms
-            own_ms = factor * line.ms_per_token * prompt_tokens
-            reading_ms = factor * line.ms_per_token * ahead + own_ms
+            ms_per_token = factor * line.ms_per_token
+            own_ms = ms_per_token * prompt_tokens
+            reading_ms = ms_per_token * ahead + own_ms
             found[target] = Estimate(
                 ahead, reading_ms, reading_ms + base_ms, own_ms + base_ms
             )
         return found
 
-    def _find_factor(self, target: str, service: str, mean_ms: float) -> float:
-        """Returns the times at a target relative to those of its service."""
-        factor = self._find_relative_pace(target, service)
-        factor *= self._records.get(target, _UNKNOWN).find_factor(mean_ms)
-        return min(max(factor, MIN_FACTOR), MAX_FACTOR)
-
     def _find_relative_pace(self, target: str, service: str) -> float:
         """Returns how slow the streams of a target are, 1 if unknown."""
         mean_ms = self._mean_paces.get(service, 0.0)
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -7,10 +7,9 @@
 
 import collections
 import contextlib
-import dataclasses
+import itertools
 import math
 import random
-from collections.abc import Mapping
 
 import anyio
 import click
@@ -18,27 +17,32 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import Verdict
-from peridotbend.edge import config as edge_config
-from peridotbend.edge.occupancy import Occupancy
-from peridotbend.edge.parts import make_dependencies
 from peridotbend.edge.ports import AnswerBrokenError, EdgeCall
-from peridotbend.edge.relay import Relay
-from peridotbend.edge.settings import EdgeSettings
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend_emulator.replayengine import ReplayClient, ReplayEngine
+from peridotbend_emulator.replayfleet import (
+    HOST,
+    SERVICE,
+    SETTINGS,
+    ReplayInstance,
+    make_config,
+    sum_others,
+)
 from peridotbend_emulator.replayload import (
     PATTERNS,
     POLICIES,
-    Deployment,
     Kind,
     Pattern,
     Policy,
     apply_policy,
 )
+from peridotbend_emulator.replayresults import (
+    KindResult,
+    Outcome,
+    format_outcome,
+)
 from peridotbend_emulator.virtualtime import run_virtual
 
-HOST = "replay.example"
-SERVICE = "engine"
 # A refused responder retries once, as the users' callers do.
 RETRIES = 1
 # Shape parameters of the log-normal lengths: outputs vary widely around their
@@ -48,54 +52,6 @@
 LARGE_QUANTILE = 1.2816
 
 
-@dataclasses.dataclass(slots=True)
-class _KindResult:
-    """Counts of the requests of one kind, by outcome, and their value."""
-
-    offered: int = 0
-    on_time: int = 0
-    late: int = 0
-    refused: int = 0
-    failed: int = 0
-    # Those with the longest prompts, and how many of them were answered.
-    large: int = 0
-    large_served: int = 0
-    offered_value: float = 0.0
-    earned_value: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
-    """The results of one replay."""
-
-    by_kind: Mapping[str, _KindResult]
-    # Number and median time of the refusals, by reason.
-    refusals: Mapping[str, tuple[int, int]]
-
-    @property
-    def earned_share(self) -> float:
-        """The part of the offered value that was earned."""
-        offered_value = sum(
-            result.offered_value for result in self.by_kind.values()
-        )
-        return (
-            sum(c.earned_value for c in self.by_kind.values()) / offered_value
-        )
-
-
-class _NullTelemetry:
-    """Event log and meter that discard everything."""
-
-    def emit(self, event: object, **fields: object) -> None:
-        """Discards a log line."""
-
-    def observe_end(self, kind: str, outcome: str, took_ms: int) -> None:
-        """Discards the end of a request."""
-
-    def count_send(self, outcome: str) -> None:
-        """Discards a send."""
-
-
 class _RecordingResponder:
     """Responder that records when the events of one attempt arrive."""
 
@@ -129,117 +85,6 @@
         self.verdict = verdict
 
 
-def _make_route(kind: Kind, gap_objective_ms: int) -> edge_config.Route:
-    return edge_config.Route(
-        name=kind.name,
-        host=HOST,
-        prefix=f"/{kind.name}/",
-        kind=edge_config.RouteKind.STREAM,
-        services=(edge_config.WeightedService(SERVICE, 1.0),),
-        max_attempts=2,
-        timeout_ms=kind.timeout_ms,
-        objective_ms=kind.objective_ms,
-        gap_objective_ms=gap_objective_ms,
-        rank=kind.rank,
-        is_public=True,
-        is_generation=True,
-        can_resume=True,
-    )
-
-
-def _make_config(
-    deployment: Deployment, policy: Policy
-) -> edge_config.EdgeConfig:
-    return edge_config.EdgeConfig(
-        version=1,
-        routes=tuple(
-            _make_route(kind, deployment.gap_objective_ms)
-            for kind in deployment.kinds
-        ),
-        accounts=(),
-        limits=edge_config.CallerLimits(16_384, 4_194_304, 3_000, 15_000),
-        services=(edge_config.Service(SERVICE, has_engine=policy.predicts),),
-    )
-
-
-_UNUSED_ADDRESS = ("127.0.0.1", 1)
-SETTINGS = EdgeSettings(
-    name="replay",
-    zone="zone-a",
-    callers=_UNUSED_ADDRESS,
-    health=_UNUSED_ADDRESS,
-    peers=_UNUSED_ADDRESS,
-    digests=_UNUSED_ADDRESS,
-    origins=_UNUSED_ADDRESS,
-    seeds=(),
-    store=_UNUSED_ADDRESS,
-    heartbeat_ms=1_200,
-    grace_ms=8_000,
-    resend_share=0.2,
-    resend_slack=56.0,
-    resend_window_ms=10_000,
-    allowance_window_ms=8_000,
-    allowance_overage=0.25,
-    allowance_slack=140_000.0,
-)
-
-
-class _ConnectedFleet:
-    """A fleet of which every instance hears from all others."""
-
-    def __init__(self, instances: int):
-        self._instances = instances
-
-    def count_instances(self) -> int:
-        """Returns how many instances there are."""
-        return self._instances
-
-    def find_live_share(self) -> float:
-        """Returns 1, as no instance is cut off."""
-        return 1.0
-
-    def list_recent_hosts(self) -> list[str]:
-        """Returns no hosts; the engines name no limits."""
-        return []
-
-    def list_possible_hosts(self) -> list[str]:
-        """Returns no hosts; the engines are not cold."""
-        return []
-
-    def knows_fleet(self) -> bool:
-        """Returns true."""
-        return True
-
-    def is_informed(self) -> bool:
-        """Returns true."""
-        return True
-
-
-class _Instance:
-    """The decision code of one instance."""
-
-    def __init__(
-        self,
-        clock: ManualClock,
-        client: ReplayClient,
-        rng: random.Random,
-        config: edge_config.EdgeConfig,
-        instances: int,
-    ):
-        telemetry = _NullTelemetry()
-        self.dependencies = make_dependencies(
-            SETTINGS,
-            clock,
-            client,
-            _ConnectedFleet(instances),
-            telemetry,
-            telemetry,
-            rng,
-        )
-        self.dependencies.holder.offer(config)
-        self.relay = Relay(self.dependencies)
-
-
 class Replay:
     """One run of a load pattern under one policy."""
 
@@ -252,7 +97,7 @@
         self._started_at_ms = self._clock.now_ms()
         self._event_counts: dict[str, int] = {}
         self._results = {
-            kind.name: _KindResult() for kind in self._deployment.kinds
+            kind.name: KindResult() for kind in self._deployment.kinds
         }
         self._refusals: dict[str, list[int]] = collections.defaultdict(list)
 
@@ -266,6 +111,7 @@
                 reason: (len(times), sorted(times)[len(times) // 2])
                 for reason, times in self._refusals.items()
             },
+            self._client.rejections,
         )
 
     @property
@@ -280,16 +126,16 @@
             )
             for number, factor in enumerate(self._pattern.step_time_factors)
         }
-        client = ReplayClient(
+        client = self._client = ReplayClient(
             engines,
             self._event_counts.__getitem__,
             deployment.figures.tokens_per_event,
         )
-        config = _make_config(deployment, self._policy)
+        config = make_config(deployment, self._policy)
         # The instances have random generators of their own, so that a policy
         # does not change the load.
         instances = [
-            _Instance(
+            ReplayInstance(
                 self._clock,
                 client,
                 random.Random(number),
@@ -358,20 +204,22 @@
                 return rate_share * factor
         return rate_share
 
-    async def _exchange_digests(self, instances: list[_Instance]) -> None:
+    async def _exchange_digests(self, instances: list[ReplayInstance]) -> None:
         """Tells all instances what each has in flight, and its tokens."""
         tables = [[i.dependencies.occupancy for i in instances]]
         if self._policy.exchanges_tokens:
             tables.append([i.dependencies.work.tokens for i in instances])
-        pending = [list[dict[int, int]]() for _ in tables]
-        while True:
-            await anyio.sleep(self._deployment.digest_interval_ms / 1_000)
-            for number, table in enumerate(tables):
-                views = _sum_others(table)
-                if self._deployment.has_relays:
-                    views, pending[number] = pending[number], views
-                for occupancy, view in zip(table, views, strict=False):
-                    occupancy.set_view(view)
+        age_ms = self._deployment.digest_age_ms
+        interval_ms = self._deployment.digest_interval_ms
+        # Relays answer at different times.
+        phases = interval_ms // age_ms if age_ms else 1
+        for phase in itertools.cycle(range(phases)):
+            await anyio.sleep((interval_ms / phases - age_ms) / 1_000)
+            views = [sum_others(table) for table in tables]
+            await anyio.sleep(age_ms / 1_000)
+            for table, sums in zip(tables, views, strict=True):
+                for index in range(phase, len(table), phases):
+                    table[index].set_view(sums[index])
 
     async def _slow_down(
         self,
@@ -402,7 +250,7 @@
         engine.is_down = False
 
     async def _send_with_retries(
-        self, kind: Kind, instances: list[_Instance]
+        self, kind: Kind, instances: list[ReplayInstance]
     ) -> None:
         """Sends a request, and again after a refusal while retries are left."""
         deployment = self._deployment
@@ -487,38 +335,6 @@
         return max(1, round(self._rng.lognormvariate(mu, sigma)))
 
 
-def _sum_others(table: list[Occupancy]) -> list[dict[int, int]]:
-    """Returns what the other instances have, for each one."""
-    totals: dict[int, int] = {}
-    for occupancy in table:
-        for name, amount in occupancy.own.items():
-            target = occupancy.find_hash(name)
-            totals[target] = totals.get(target, 0) + amount
-    views = []
-    for occupancy in table:
-        view = dict(totals)
-        for name, amount in occupancy.own.items():
-            view[occupancy.find_hash(name)] -= amount
-        views.append(view)
-    return views
-
-
-def format_outcome(outcome: Outcome) -> str:
-    """Returns the results of one replay as a table."""
-    lines = [f"  value earned {outcome.earned_share:.3f}"]
-    for name, result in outcome.by_kind.items():
-        lines.append(
-            f"  {name:15} offered {result.offered:5}  "
-            f"on time {result.on_time:5}  late {result.late:4}  "
-            f"refused {result.refused:4}  failed {result.failed:4}  "
-            f"value earned {result.earned_value / result.offered_value:.3f}  "
-            f"large {result.large_served}/{result.large}"
-        )
-    for reason, (number, median_ms) in sorted(outcome.refusals.items()):
-        lines.append(f"  {reason}: {number}, median at {median_ms} ms")
-    return "\n".join(lines)
-
-
 @click.command()
 @click.option(
     "--seeds",
--- a/src/peridotbend_emulator/replayengine.py
+++ b/src/peridotbend_emulator/replayengine.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
-from peridotbend.edge.ports import Reply, TargetSend
+from peridotbend.edge.ports import Rejection, Reply, TargetSend
 from peridotbend.edge.targets import EdgeTarget
 
 # From the users' data sheets: the duration of a step of the batch, the prompt
@@ -31,6 +31,8 @@
     step_ms: float = STEP_MS
     prompt_tokens_per_ms: float = PROMPT_TOKENS_PER_MS
     tokens_per_event: int = TOKENS_PER_EVENT
+    # Requests that wait for a slot; further ones are rejected.
+    max_waiting: int = 1_000_000
 
 
 NOMINAL = EngineFigures()
@@ -69,6 +71,13 @@
         self._batch: list[_Job] = []
         self._arrived = anyio.Event()
 
+    @property
+    def is_full(self) -> bool:
+        """Whether a request would be rejected."""
+        jobs = (*self._waiting, *self._batch)
+        running = sum(not job.is_cancelled for job in jobs)
+        return running >= self._slots + self._figures.max_waiting
+
     def submit(self, job: _Job) -> None:
         """Queues a request."""
         self._waiting.append(job)
@@ -166,6 +175,8 @@
             tokens_per_event: tokens in one event.
         """
         self._tokens_per_event = tokens_per_event
+        # Requests that reached a full engine.
+        self.rejections = 0
         self._engines = engines
         self._count_events = count_events
 
@@ -194,6 +205,10 @@
         if not gate():
             yield CallError(CallFailure.GATE, False)
             return
+        if engine.is_full:
+            self.rejections += 1
+            yield Rejection.UNAVAILABLE
+            return
         received_events = int(send.last_event_id or 0)
         remaining_events = max(
             1, self._count_events(send.call.attempt) - received_events
--- a/src/peridotbend_emulator/replayload.py
+++ b/src/peridotbend_emulator/replayload.py
@@ -61,16 +61,15 @@
     # Shape of the log-normal prompt lengths, and the longest one.
     prompt_sigma: float = 0.25
     max_prompt_tokens: int = 1_000_000
-    # Whether instances learn of each other through relays: what they know is
-    # one interval older.
-    has_relays: bool = False
+    # How often an instance learns of the others, and how old that is then.
     digest_interval_ms: int = 50
+    digest_age_ms: int = 0
 
 
 SMALL = Deployment()
 # The engine model has less throughput than the users' engines; with this part
 # of their requests, it is as busy as theirs before a burst.
-RATE_SHARE = 0.7
+RATE_SHARE = 0.6
 COMPETING = Deployment(
     kinds=(
         Kind("digest", 70.8, 6_610, 55, 819, 15_354, 6.3, 1.9, 0, 60),
@@ -79,12 +78,12 @@
     ),
     instances=25,
     slots=9,
-    figures=EngineFigures(3.74, 81.9, 7),
+    figures=EngineFigures(3.74, 81.9, 7, max_waiting=2),
     gap_objective_ms=500,
     prompt_sigma=1.0,
     max_prompt_tokens=54_600,
-    has_relays=True,
     digest_interval_ms=100,
+    digest_age_ms=50,
 )
 UNEVEN = dataclasses.replace(
     COMPETING,
@@ -95,7 +94,7 @@
     ),
     instances=63,
     slots=10,
-    figures=EngineFigures(3.88, 66.2, 7),
+    figures=EngineFigures(3.88, 66.2, 7, max_waiting=2),
     gap_objective_ms=400,
 )
 
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -12,6 +12,8 @@
 from peridotbend.edge.backlog import Backlog, Slot
 from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.coldtargets import ColdTargets, FleetView
+from peridotbend.edge.config import Service
+from peridotbend.edge.hashes import hash_name
 from peridotbend.edge.health import TargetHealth
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
@@ -19,6 +21,8 @@
 from peridotbend.edge.selection import Selector, TargetCriteria
 from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import REMOVAL_GRACE_MS, EdgeTarget, TargetList
+from peridotbend.load.placement import Prompt
+from peridotbend.load.work import TargetWork
 from tests.edgefakes import SETTINGS, STREAM_ROUTE, RecordingLog, make_target
 
 CRITERIA = TargetCriteria("engine", True, (0, 1))
@@ -44,6 +48,8 @@
             SETTINGS,
             FleetView(list, lambda: True, lambda: True),
         )
+        self.work = TargetWork(self.clock, self.health.find_pace_ms)
+        self.work.apply_services([Service("engine", has_engine=True)])
         self.selector = Selector(
             "zone-a",
             self.occupancy,
@@ -52,6 +58,8 @@
             brittle,
             self.cold,
             TargetPauses(self.clock),
+            work=self.work,
+            rng=random.Random(1),
         )
         self.backlog = Backlog(
             self.clock,
@@ -68,6 +76,22 @@
         """Returns the target that would be selected for a request."""
         return self.selector.choose(criteria, self.targets.list_for("engine"))
 
+    def measure(self, tokens_per_ms: float, *names: str) -> None:
+        """Lets targets read prompts of different size at a speed."""
+        for name in names:
+            for number in range(10):
+                tokens = 1_000 * (1 + number % 4)
+                ticket = self.work.start(name, tokens, "engine")
+                self.clock.advance(round(tokens / tokens_per_ms) + 30)
+                self.work.note_first_event(ticket)
+
+    def make_criteria(self, tokens: int, left_ms: int) -> TargetCriteria:
+        """Returns a request whose first event is due after `left_ms`."""
+        due_at_ms = self.clock.now_ms() + left_ms
+        return dataclasses.replace(
+            CRITERIA, prompt=Prompt(tokens, due_at_ms, 400, 400)
+        )
+
     def fill(self, target: str, count: int, peer: str = "") -> None:
         """Adds requests in flight at a target, by default of this instance."""
         if peer:
@@ -181,6 +205,52 @@
         assert harness.choose(criteria) != first
 
 
+class WorkTest(unittest.TestCase):
+    """Selection by the predicted first event."""
+
+    def _choose(self, harness: _SelectionHarness, *request: int) -> str:
+        target = harness.choose(harness.make_criteria(*request))
+        return target.name if target else ""
+
+    def test_prompts_ahead_count_and_not_only_requests(self) -> None:
+        """Guards against a request behind one prompt that reads for long."""
+        harness = _SelectionHarness("i-1", "i-2")
+        harness.measure(50.0, "i-1", "i-2")
+        harness.work.record_others({hash_name("i-1"): 30_000})
+        harness.fill("i-2", 4)
+        assert self._choose(harness, 1_000, 400) == "i-2"
+        # The request may be late at any target with a free slot.
+        harness.fill("i-2", 5)
+        assert self._choose(harness, 1_000, 400) == ""
+        assert self._choose(harness, 1_000, -1) == "i-1"
+
+    def test_request_waits_only_while_it_can_be_on_time(self) -> None:
+        """Guards against prompts that no target is fast enough to serve."""
+        harness = _SelectionHarness("i-1")
+        harness.measure(50.0, "i-1")
+        harness.work.record_others({hash_name("i-1"): 20_000})
+        assert self._choose(harness, 1_000, 400) == ""
+        assert self._choose(harness, 54_600, 400) == "i-1"
+
+    def test_long_prompt_goes_where_nothing_is_read(self) -> None:
+        """Guards against streams that pause for longer than allowed."""
+        harness = _SelectionHarness("i-1", "i-2")
+        harness.measure(50.0, "i-1", "i-2")
+        harness.work.record_others({hash_name("i-1"): 100})
+        harness.fill("i-2", 6)
+        assert self._choose(harness, 25_000, 900) == "i-2"
+
+    def test_slots_count_the_prompt_until_its_first_event(self) -> None:
+        """Guards against prompts that stay counted after a failed send."""
+        harness = _SelectionHarness("i-1")
+        criteria = harness.make_criteria(1_000, 400)
+        slots = [harness.backlog.try_acquire(criteria) for _ in range(2)]
+        assert harness.work.list_own() == {"i-1": 2_000}
+        for slot in filter(None, slots):
+            slot.release()
+        assert not harness.work.list_own()
+
+
 class BacklogTest(unittest.TestCase):
     """Requests that wait for a slot."""
 
--- a/tests/test_load_work.py
+++ b/tests/test_load_work.py
@@ -16,6 +16,7 @@
 from peridotbend.edge.config import Service
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
 from peridotbend.load.work import MIN_SAMPLES, TargetWork, WorkTicket
+from peridotbend.wire import edge_pb2 as pb
 from tests.edgegroups import GroupFleet
 
 TARGETS = st.sampled_from(["i-1", "i-2", "i-3"])
@@ -115,6 +116,22 @@
                 assert known.keys() == decoded.target_counts.keys()
         assert max(sizes) <= MAX_DATAGRAM_BYTES, max(sizes)
 
+    def test_digests_without_tokens_are_taken(self) -> None:
+        """Guards against an upgrade in which the builds ignore each other."""
+        fleet = GroupFleet(1, 2)
+        one, other = fleet.instances.values()
+        one.occupancy.add("i-1")
+        one.tokens.add("i-1", 100)
+        (outgoing,) = one.exchange.collect()
+        message = pb.UseDigest.FromString(encode_digest(outgoing.digest))
+        assert [use.prompt_units for use in message.uses] == [7]
+        message.uses[0].ClearField("prompt_units")
+        decoded = decode_digest(message.SerializeToString())
+        assert decoded is not None
+        other.exchange.receive(decoded)
+        assert other.occupancy.count("i-1") == 1
+        assert other.tokens.count("i-1") == 0
+
 
 class PredictionTest(unittest.TestCase):
     """When the first event of one more request arrives."""
