--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -153,6 +153,7 @@
         pauses,
         runs.is_replaced,
         work,
+        rng,
         paces.find_limit,
     )
     backlog = Backlog(
--- a/src/peridotbend_emulator/replaytargets.py
+++ b/src/peridotbend_emulator/replaytargets.py
@@ -11,15 +11,15 @@
 import click
 
 from peridotbend.edge.targets import EdgeTarget
-from peridotbend_emulator.replay import (
+from peridotbend_emulator.replay import Replay
+from peridotbend_emulator.replayengine import ReplayClient, ReplayEngine
+from peridotbend_emulator.replayfleet import (
     HOST,
     SERVICE,
     SETTINGS,
-    Replay,
     ReplayInstance,
     make_config,
 )
-from peridotbend_emulator.replayengine import ReplayClient, ReplayEngine
 from peridotbend_emulator.replayload import (
     DURATION_MS,
     SMALL,
