Spend less on limited targets in selection

A choice looks at all targets, and waiting requests repeat it: reports of others are applied every 20 ms, and a turn is drawn once for its period.

--- a/src/peridotbend/load/pace.py
+++ b/src/peridotbend/load/pace.py
@@ -39,10 +39,13 @@
 COMMON_SIGN_SHARE = 0.3
 # Until the others know of a request; covers two rounds of digests.
 REPORT_LAG_MS = 150
+# Reports of others are applied at most this often: a choice looks at all
+# targets, and waiting requests repeat it every 10 ms.
+STEP_INTERVAL_MS = 20
 # Time constant of the rate at which this instance sends.
 RATE_TAU_MS = 2_000
 # Targets that one call of `check` looks at, which bounds its time.
-MAX_CHECKED = 256
+MAX_CHECKED = 64
 # Bounds memory: targets that were removed, and may return.
 MAX_REMOVED = 1_024
 
@@ -73,6 +76,11 @@
     signs: int = 0
     halved_at_ms: int = 0
     ramp: Ramp | None = None
+    # When the limit is next adapted.
+    step_due_ms: int = 0
+    # A number below 1 that is drawn for each period of `REPORT_LAG_MS`.
+    turn: int = -1
+    draw: float = 0.0
 
     # Names of the counts that instances share: signs of overload without a
     # limit; answers in time and signs of overload under a limit.
@@ -196,6 +204,7 @@
             service.sign_share *= 1 - SIGN_SMOOTHING
         else:
             ramp.own_on_time += 1
+            record.step_due_ms = 0
             self._counts.set_own(record.on_time_name, ramp.own_on_time)
 
     def note_pause(self, target: str, gap_ms: int, allowed_ms: int) -> None:
@@ -220,7 +229,8 @@
         record = self._records.get(target)
         if record is None or record.ramp is None:
             return math.inf
-        self._step(record, record.ramp, slots)
+        if self._clock.now_ms() >= record.step_due_ms:
+            self._step(record, record.ramp, slots)
         if record.ramp is None:
             return math.inf
         limit = max(1.0, self._find_share(record, record.ramp) * slots)
@@ -291,8 +301,11 @@
         if part >= 1.0 or instances == 1:
             return True
         turn = self._clock.now_ms() // REPORT_LAG_MS
-        key = f"{self._instance}/{record.name}/{turn}"
-        return xxhash.xxh32_intdigest(key.encode()) < part * 2**32
+        if turn != record.turn:
+            record.turn = turn
+            key = f"{self._instance}/{record.name}/{turn}"
+            record.draw = xxhash.xxh32_intdigest(key.encode()) / 2**32
+        return record.draw < part
 
     def _find_sends(self, service: _Service) -> float:
         age_ms = self._clock.now_ms() - service.sent_at_ms
@@ -305,6 +318,7 @@
             # Requests that were sent under the limit before tell nothing new.
             if now_ms - took_ms >= ramp.lowered_at_ms:
                 ramp.own_signs += 1
+                record.step_due_ms = 0
                 self._counts.set_own(record.late_name, ramp.own_signs)
             return
         service = self._services[record.service]
@@ -388,6 +402,7 @@
         self._counts.set_own(record.signs_name, 0)
 
     def _step(self, record: _Record, ramp: Ramp, slots: int) -> None:
+        record.step_due_ms = self._clock.now_ms() + STEP_INTERVAL_MS
         ramp.step(
             self._counts.count(record.on_time_name),
             self._counts.count(record.late_name),
