--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -233,7 +233,11 @@
             paces.note_first_event(send.target, took_ms, route.objective_ms)
             return
         gap_ms = now_ms - send.awaited_since_ms
-        paces.note_pause(send.target, gap_ms, route.gap_objective_ms)
+        # One long prompt delays all streams of a batch, again and again, so
+        # that a stream counts once.
+        if 0 < route.gap_objective_ms < gap_ms and not send.has_paused:
+            send.has_paused = True
+            paces.note_pause(send.target, gap_ms, route.gap_objective_ms)
 
     def _note_begun(
         self, request: ActiveRequest, target: EdgeTarget, head: AnswerHead
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -55,6 +55,8 @@
     # Set while data is being written to the caller. A slow caller blocks
     # reading from the target, so the silence is not the fault of the target.
     is_blocked: bool = False
+    # Whether a pause between events exceeded the objective.
+    has_paused: bool = False
     # Bytes of an answer that is not streamed, since its last part.
     partial_bytes: int = 0
 
--- a/src/peridotbend/load/pace.py
+++ b/src/peridotbend/load/pace.py
@@ -25,7 +25,7 @@
 RETURN_SHARE = 0.5
 # Signs of overload within a window or two, after which a target that was in
 # service is limited. A lost answer now and then does not limit a target.
-MIN_SIGNS = 4
+MIN_SIGNS = 8
 WINDOW_MS = 1_000
 # By what factor they exceed those of the other targets of the service. If all
 # have them, the load or this instance is the cause.
