--- a/src/peridotbend/load/pace.py
+++ b/src/peridotbend/load/pace.py
@@ -23,9 +23,12 @@
 START_SHARE = 0.2
 # Limit of one that was known a moment ago: its entry was gone for a while.
 RETURN_SHARE = 0.5
+# A target that started longer ago has been in service: its entry was away, or
+# this instance. Clocks of machines differ by less.
+NEW_MS = 10_000
 # Signs of overload within a window or two, after which a target that was in
 # service is limited. A lost answer now and then does not limit a target.
-MIN_SIGNS = 4
+MIN_SIGNS = 8
 WINDOW_MS = 1_000
 # By what factor they exceed those of the other targets of the service. If all
 # have them, the load or this instance is the cause.
@@ -39,10 +42,13 @@
 COMMON_SIGN_SHARE = 0.3
 # Until the others know of a request; covers two rounds of digests.
 REPORT_LAG_MS = 150
+# Reports of others are applied at most this often: a choice looks at all
+# targets, and waiting requests repeat it every 10 ms.
+STEP_INTERVAL_MS = 20
 # Time constant of the rate at which this instance sends.
 RATE_TAU_MS = 2_000
 # Targets that one call of `check` looks at, which bounds its time.
-MAX_CHECKED = 256
+MAX_CHECKED = 64
 # Bounds memory: targets that were removed, and may return.
 MAX_REMOVED = 1_024
 
@@ -73,6 +79,11 @@
     signs: int = 0
     halved_at_ms: int = 0
     ramp: Ramp | None = None
+    # When the limit is next adapted.
+    step_due_ms: int = 0
+    # A number below 1 that is drawn for each period of `REPORT_LAG_MS`.
+    turn: int = -1
+    draw: float = 0.0
 
     # Names of the counts that instances share: signs of overload without a
     # limit; answers in time and signs of overload under a limit.
@@ -114,6 +125,7 @@
         counts: SharedCounts,
         instance: str,
         count_instances: Callable[[], int],
+        is_generating: Callable[[str], bool],
     ):
         """Creates paces without any target.
 
@@ -123,12 +135,15 @@
             counts: requests in flight, and the evidence of all instances.
             instance: name of this instance.
             count_instances: returns how many there are.
+            is_generating: tells whether a service consists of model runners.
+                Other targets are not limited.
         """
         self._clock = clock
         self._log = log
         self._counts = counts
         self._instance = instance
         self._count_instances = count_instances
+        self._is_generating = is_generating
         self._records: dict[str, _Record] = {}
         self._services: dict[str, _Service] = {}
         # When each removed target had started, the one removed last at the end.
@@ -145,22 +160,23 @@
         Args:
             target: its name.
             service: the service to which it belongs.
-            started_at_ms: Unix time of its start.
+            started_at_ms: Unix time of its start; 0 if unknown.
             fresh: whether it became known after this instance had started.
         """
         known = self._records.get(target)
         if known is not None and known.started_at_ms == started_at_ms:
             return
-        removed_start_ms = self._removed.pop(target, None)
+        was_known = self._removed.pop(target, None) == started_at_ms
         if known is not None:
             self._drop(known)
         record = _Record(target, service, started_at_ms)
         self._records[target] = record
         self._services.setdefault(service, _Service()).targets[target] = record
-        if fresh and removed_start_ms == started_at_ms:
-            self._begin(record, RETURN_SHARE, "return")
-        elif fresh:
+        age_ms = self._clock.wall_ms() - started_at_ms
+        if age_ms < NEW_MS and not was_known:
             self._begin(record, START_SHARE, "start")
+        elif fresh:
+            self._begin(record, RETURN_SHARE, "return")
 
     def forget(self, target: str) -> None:
         """Drops a target that is no longer listed."""
@@ -196,6 +212,7 @@
             service.sign_share *= 1 - SIGN_SMOOTHING
         else:
             ramp.own_on_time += 1
+            record.step_due_ms = 0
             self._counts.set_own(record.on_time_name, ramp.own_on_time)
 
     def note_pause(self, target: str, gap_ms: int, allowed_ms: int) -> None:
@@ -220,7 +237,8 @@
         record = self._records.get(target)
         if record is None or record.ramp is None:
             return math.inf
-        self._step(record, record.ramp, slots)
+        if self._clock.now_ms() >= record.step_due_ms:
+            self._step(record, record.ramp, slots)
         if record.ramp is None:
             return math.inf
         limit = max(1.0, self._find_share(record, record.ramp) * slots)
@@ -291,8 +309,11 @@
         if part >= 1.0 or instances == 1:
             return True
         turn = self._clock.now_ms() // REPORT_LAG_MS
-        key = f"{self._instance}/{record.name}/{turn}"
-        return xxhash.xxh32_intdigest(key.encode()) < part * 2**32
+        if turn != record.turn:
+            record.turn = turn
+            key = f"{self._instance}/{record.name}/{turn}"
+            record.draw = xxhash.xxh32_intdigest(key.encode()) / 2**32
+        return record.draw < part
 
     def _find_sends(self, service: _Service) -> float:
         age_ms = self._clock.now_ms() - service.sent_at_ms
@@ -305,6 +326,7 @@
             # Requests that were sent under the limit before tell nothing new.
             if now_ms - took_ms >= ramp.lowered_at_ms:
                 ramp.own_signs += 1
+                record.step_due_ms = 0
                 self._counts.set_own(record.late_name, ramp.own_signs)
             return
         service = self._services[record.service]
@@ -348,6 +370,8 @@
         return max(record.signs, self._counts.count(record.signs_name))
 
     def _begin(self, record: _Record, share: float, cause: str) -> None:
+        if not self._is_generating(record.service):
+            return
         now_ms = self._clock.now_ms()
         record.ramp = Ramp(
             share,
@@ -388,6 +412,7 @@
         self._counts.set_own(record.signs_name, 0)
 
     def _step(self, record: _Record, ramp: Ramp, slots: int) -> None:
+        record.step_due_ms = self._clock.now_ms() + STEP_INTERVAL_MS
         ramp.step(
             self._counts.count(record.on_time_name),
             self._counts.count(record.late_name),
