--- a/src/peridotbend_emulator/replayaccounts.py
+++ b/src/peridotbend_emulator/replayaccounts.py
@@ -30,12 +30,12 @@
 from peridotbend.edge.relay import Relay
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.load.queueing import CallerTerms
-from peridotbend_emulator.replay import SETTINGS
 from peridotbend_emulator.replayengine import (
     TOKENS_PER_EVENT,
     ReplayClient,
     ReplayEngine,
 )
+from peridotbend_emulator.replayfleet import SETTINGS
 from peridotbend_emulator.replayload import Kind
 from peridotbend_emulator.virtualtime import run_virtual
 
