--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -43,6 +43,9 @@
 # Interval of the checks for expired requests, outdated peer reports and targets
 # that are available again.
 CHECK_INTERVAL_MS = 10
+# Interval of these checks while other instances report nothing new. Pauses and
+# limits of targets end by time.
+MAX_CHECK_INTERVAL_MS = 50
 # Bounds memory only. No more than a few hundred requests can get a slot within
 # their maximum wait.
 MAX_WAITING = 2_000
@@ -144,6 +147,8 @@
         self._shares: dict[tuple[str, tuple[int, int]], FairShares] = {}
         self._weights: dict[str, float] = {}
         self._shortages: dict[str, Shortages] = {}
+        # When each service was last checked, and the reports known then.
+        self._checked: dict[str, tuple[int, int]] = {}
         self._has_waiting = anyio.Event()
 
     def count_waiting(self, service: str) -> int:
@@ -252,6 +257,7 @@
         if not queue:
             return
         now_ms = self._clock.now_ms()
+        self._checked[service] = now_ms, self._occupancy.reports_version
         queue.sort(key=lambda waiter: self._find_order(waiter, now_ms))
         targets = self._targets.list_for(service)
         is_evacuated = self._targets.is_evacuated(service)
@@ -293,7 +299,22 @@
             while self.count_all():
                 await anyio.sleep(CHECK_INTERVAL_MS / 1_000)
                 for service in list(self._waiting):
-                    self.grant_slots(service)
+                    if self._is_check_due(service):
+                        self.grant_slots(service)
+
+    def _is_check_due(self, service: str) -> bool:
+        """Tells whether a check may have another result than the last one.
+
+        A choice among all targets for each waiting request is costly.
+        """
+        now_ms = self._clock.now_ms()
+        version = self._occupancy.reports_version
+        checked_at_ms, checked_version = self._checked.get(service, (0, -1))
+        return (
+            version != checked_version
+            or now_ms - checked_at_ms >= MAX_CHECK_INTERVAL_MS
+            or any(w.wait_until_ms <= now_ms for w in self._waiting[service])
+        )
 
     def find_retry_after(self, route: Route) -> int:
         """Returns after how many ms a caller should retry in any case."""
--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -27,6 +27,8 @@
         self.on_change: Callable[[], None] = lambda: None
         # The counts of a relay, which replace the reports while it is set.
         self._view: Mapping[int, int] | None = None
+        # Changes with each report of other instances.
+        self.reports_version = 0
 
     @property
     def own(self) -> Mapping[str, int]:
@@ -72,6 +74,7 @@
     def record_group(self, source: str, counts: Mapping[int, int]) -> None:
         """Replaces the requests in flight reported by a source."""
         self.forget_peer(source)
+        self.reports_version += 1
         self._reports[source] = self._clock.now_ms(), counts
         for target, count in counts.items():
             self._totals[target] = self._totals.get(target, 0) + count
@@ -89,6 +92,7 @@
     def set_view(self, counts: Mapping[int, int] | None) -> None:
         """Sets the counts of all other instances, or None to use reports."""
         self._view = counts
+        self.reports_version += 1
 
     def count(self, target: str) -> int:
         """Returns the requests in flight at a target."""
