--- a/src/peridotbend/load/work.py
+++ b/src/peridotbend/load/work.py
@@ -113,6 +113,7 @@
 class _Record:
     """How a target compares with its service."""
 
+    service: str
     took_ms: float = 0.0
     predicted_ms: float = 0.0
 
@@ -189,7 +190,9 @@
         took_ms = self._clock.now_ms() - ticket.started_at_ms
         line = self._lines.setdefault(ticket.service, _Line())
         line.add(tokens, took_ms)
-        record = self._records.setdefault(ticket.target, _Record())
+        record = self._records.setdefault(
+            ticket.target, _Record(ticket.service)
+        )
         pace = self._find_relative_pace(ticket.target, ticket.service)
         record.add(took_ms, pace * line.predict_ms(tokens))
 
@@ -253,6 +256,13 @@
             )
         return found
 
+    def _find_factor(self, target: str, record: _Record) -> float:
+        """Returns the times at a target relative to those of its service."""
+        prior_ms = PRIOR_SAMPLES * self._lines[record.service].mean_ms
+        factor = self._find_relative_pace(target, record.service)
+        factor *= record.find_factor(prior_ms)
+        return min(max(factor, MIN_FACTOR), MAX_FACTOR)
+
     def _find_relative_pace(self, target: str, service: str) -> float:
         """Returns how slow the streams of a target are, 1 if unknown."""
         mean_ms = self._mean_paces.get(service, 0.0)
@@ -275,7 +285,17 @@
         return {name: self._dump_target(name) for name in sorted(names)}
 
     def _dump_target(self, name: str) -> dict[str, object]:
-        return {
+        described: dict[str, object] = {
             "outstanding_tokens": self.tokens.count(name),
             "own_tokens": self.tokens.own.get(name, 0),
         }
+        record = self._records.get(name)
+        if record is not None:
+            line = self._lines[record.service]
+            factor = self._find_factor(name, record)
+            ms_per_token = factor * line.ms_per_token
+            described["tokens_per_ms"] = (
+                round(1 / ms_per_token, 1) if ms_per_token else None
+            )
+            described["base_ms"] = round(factor * line.base_ms, 1)
+        return described
