--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -76,6 +76,22 @@
         )
 
 
+class PredictionTest(unittest.TestCase):
+    """Engines of which four are at a quarter of their speed for a while."""
+
+    def test_predicted_first_events_serve_more_than_counts(self) -> None:
+        """Guards against long prompts, and slow engines, that look free."""
+        predicted = _replay("slow", "as-is")
+        counted = _replay("slow", "counts-only")
+        assert predicted.earned_share > counted.earned_share + 0.02
+        for result in predicted.by_kind.values():
+            # The longest prompts are served as often as the others.
+            served = result.on_time + result.late
+            assert result.large_served / result.large > 0.98 * (
+                served / result.offered
+            )
+
+
 class ReplayEngineTest(unittest.TestCase):
     """The emulated engine in virtual time."""
 
