Take a body for broken that a reset follows

Cause: a body with neither length nor chunks counted as whole once its connection ended in order and its target still answered. Where a reset follows the end within milliseconds, as of a process that fails during an upload, the caller got the part as a complete answer: 200 with 14 bytes, at callers of HTTP/1.0, with a kept connection, with Expect and with chunked uploads.

Change: behind the end of such a body the client of targets waits 20 ms for an error of the socket, and so does a peer that passes the end on. A connection that is lost behind its end, before this side closes it, counts as reset.

--- a/src/peridotbend/adapters/pathserver.py
+++ b/src/peridotbend/adapters/pathserver.py
@@ -171,6 +171,8 @@
             while data := await connection.read(MAX_CHUNK_BYTES, None):
                 for part in split_data(data):
                     await stream.send_message(pb.PathChunk(data=part))
+            # The other instance can't tell whether a reset follows.
+            await connection.confirm_end()
             tasks.cancel_scope.cancel()
     except* httpcore.NetworkError as errors:
         detail = str(errors.exceptions[0])
--- a/src/peridotbend/adapters/sockets.py
+++ b/src/peridotbend/adapters/sockets.py
@@ -20,6 +20,11 @@
 # Above this, reading from the socket pauses, so that TCP flow control slows a
 # target whose response is read slowly.
 MAX_BUFFERED_BYTES = 262_144
+# A process that fails may end its data in order and reset the connection then.
+# Both follow each other within a few ms; an answer whose end only its
+# connection tells waits for that long.
+RESET_WAIT_S = 0.02
+RESET_CHECK_S = 0.002
 # The kernel asks a silent host after 3 s, and ends the connection if it does
 # not answer three times within 3 s. That of a process that is silent answers.
 KEEPALIVE_OPTIONS = (
@@ -44,6 +49,8 @@
         self._received_bytes = 0
         self._paused = False
         self._ended = False
+        # Whether this side has closed the connection.
+        self._is_aborted = False
         self._error: Exception | None = None
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
@@ -76,15 +83,16 @@
         """Records the end of the data; aclose closes the transport."""
         # libuv reports a connection reset that follows data as an end of file.
         # Only the socket's pending error still shows that the response was cut.
-        socket = self._transport.get_extra_info("socket")
-        code = socket.getsockopt(SOL_SOCKET, SO_ERROR) if socket else 0
-        if code:
-            self._error = ConnectionResetError(code, os.strerror(code))
+        self._note_pending_error()
         self._note_end()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wakes pending reads and writes."""
+        if self._ended and not self._is_aborted:
+            # The connection stays behind the end of the data, unless it is
+            # reset; event loops may not tell that.
+            exc = exc or ConnectionResetError("reset behind the end")
         self._error = self._error or exc
         self._note_end()
         self.resume_writing()
@@ -144,6 +152,30 @@
         if self._error is not None:
             raise httpcore.WriteError(str(self._error)) from self._error
 
+    async def confirm_end(self) -> None:
+        """Waits for a reset behind the end of the data.
+
+        Raises:
+            httpcore.ReadError: the connection was reset.
+        """
+        deadline = self._loop.time() + RESET_WAIT_S
+        while True:
+            self._note_pending_error()
+            if self._error is not None:
+                raise httpcore.ReadError(str(self._error)) from self._error
+            if self._loop.time() >= deadline:
+                return
+            await asyncio.sleep(RESET_CHECK_S)
+
+    def _note_pending_error(self) -> None:
+        """Records an error of the socket that was not told yet."""
+        if self._error is not None or self._transport.is_closing():
+            return
+        socket = self._transport.get_extra_info("socket")
+        code = socket.getsockopt(SOL_SOCKET, SO_ERROR) if socket else 0
+        if code:
+            self._error = ConnectionResetError(code, os.strerror(code))
+
     @property
     def has_ended(self) -> bool:
         """Whether the other side has closed."""
@@ -155,6 +187,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once."""
+        self._is_aborted = True
         self.on_input = None
         self._stop_timer()
         self._transport.abort()
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -24,6 +24,7 @@
     PeerLostError,
     is_connection_refused,
 )
+from peridotbend.adapters.sockets import TargetStream
 from peridotbend.domain.clock import Clock, SystemClock
 from peridotbend.domain.paths import Endpoint
 from peridotbend.domain.ports import (
@@ -104,7 +105,9 @@
         connected_at_ms: int = 0,
         method: str = "GET",
         watch: AnswerWatch | None = None,
+        link: httpcore.AsyncNetworkStream | None = None,
     ):
+        self._link = link
         self._response = response
         self._watch = watch
         has_body = (
@@ -132,6 +135,11 @@
                 if self._watch is not None:
                     self._watch.note_data()
                 yield Ok(chunk)
+            # A peer waits for a reset itself, behind the end of any connection.
+            if not self.head.is_delimited and isinstance(
+                self._link, TargetStream
+            ):
+                await self._link.confirm_end()
             if self._watch is not None:
                 self._watch.note_data()
         except httpcore.TimeoutException as error:
@@ -204,6 +212,7 @@
                     connection.connected_at_ms,
                     call.method,
                     watch,
+                    connection.link,
                 )
                 watch.note_head(call, answer.head)
                 yield Ok(answer)
--- a/tests/troubledfleet.py
+++ b/tests/troubledfleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import (
     AsyncIterator,
     Awaitable,
@@ -9,6 +10,7 @@
     Mapping,
     Sequence,
 )
+from typing import Protocol
 
 import anyio
 import httpcore
@@ -95,15 +97,31 @@
 BOUNDS = {**SETTINGS_DOCUMENT["bounds"], "retry_slack": 100_000}
 
 
+class RawTarget(Protocol):
+    """A target that serves connections itself."""
+
+    # The number of sends of each attempt.
+    sends: Counter[str]
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        ...
+
+
 class TroubledFleet:
     """A fleet with a service whose target answers as one in trouble."""
 
     def __init__(
-        self, fleet: EdgeFleet, answers: Sequence[TroubledAnswer]
+        self,
+        fleet: EdgeFleet,
+        answers: Sequence[TroubledAnswer],
+        target: RawTarget | None = None,
     ) -> None:
         self.fleet = fleet
         self.answers = answers
-        self.target = TroubledTarget(answers)
+        self.target = target or TroubledTarget(answers)
 
     @contextlib.asynccontextmanager
     async def serve_target(self) -> AsyncIterator[int]:
@@ -238,6 +256,7 @@
 def run_with_peer(
     answers: Sequence[TroubledAnswer],
     check: Callable[[TroubledFleet], Awaitable[None]],
+    target: RawTarget | None = None,
 ) -> None:
     """Runs a check with an instance that reaches targets through a peer only.
 
@@ -245,7 +264,7 @@
     """
 
     async def start(fleet: EdgeFleet) -> None:
-        troubled = TroubledFleet(fleet, answers)
+        troubled = TroubledFleet(fleet, answers, target)
         cut_store = FakeStore()
         cut_store.revision = fleet.store.revision
         listener = listen("127.0.0.1", 0)
