Let a peer receive a call to its end

Cause: when a target ended a connection, the peer that held it cancelled the receipt of a message from the other instance, and read on inside the rest of it ('Compression not implemented', application error). The answer could be lost (PeerLostError), and the caller's connection closed behind it.

Change: one task receives for as long as the call lasts, and drops what comes after the end of the connection.

--- a/src/peridotbend/adapters/pathserver.py
+++ b/src/peridotbend/adapters/pathserver.py
@@ -1,5 +1,6 @@
 """Connects to targets for instances that do not reach them."""
 
+import contextlib
 import ipaddress
 from collections.abc import Iterator
 
@@ -93,6 +94,8 @@
         self.active += 1
         try:
             last = await self._serve(stream, first.target)
+            if last is None:
+                return
             await stream.send_message(last)
             # Until the other instance has read it, and ends the call.
             with anyio.move_on_after(END_TIMEOUT_S):
@@ -111,8 +114,12 @@
         is_local = ipaddress.ip_address(host).is_loopback
         return is_local or self._peers.is_instance(host)
 
-    async def _serve(self, stream: _Stream, name: str) -> pb.PathChunk:
-        """Serves a connection to its end; returns the last message."""
+    async def _serve(self, stream: _Stream, name: str) -> pb.PathChunk | None:
+        """Serves a connection to its end.
+
+        Returns:
+            the last message if there is no connection; None if it was sent.
+        """
         target = self._targets.find(name)
         problem = ""
         if target is None:
@@ -150,34 +157,50 @@
         self._paths.note_connected(target.service)
         try:
             await stream.send_message(pb.PathChunk())
-            return await _pass_on(stream, connection)
+            await _pass_on(stream, connection)
+            return None
         finally:
             await connection.aclose()
 
 
-async def _pass_on(stream: _Stream, connection: TargetStream) -> pb.PathChunk:
-    """Passes bytes both ways; returns how the target ended the connection."""
-    last = pb.PathChunk(state=pb.ENDED)
+async def _pass_on(stream: _Stream, connection: TargetStream) -> None:
+    """Passes bytes both ways, until the other instance ends the call."""
+    has_ended = False
 
     async def send_to_target() -> None:
+        # It receives for as long as the call lasts: a cancelled receipt may
+        # have read a part of a message, and the next one would begin inside it.
         while (chunk := await stream.recv_message()) is not None:
-            await connection.write(chunk.data, None)
-        # The other instance has ended the call.
+            if has_ended:
+                continue
+            # Reading shows the end of the connection as well.
+            with contextlib.suppress(httpcore.NetworkError):
+                await connection.write(chunk.data, None)
         tasks.cancel_scope.cancel()
 
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send_to_target)
+        last = await _send_to_instance(stream, connection)
+        has_ended = True
+        await connection.aclose()
+        await stream.send_message(last)
+        # Until the other instance has read it.
+        tasks.cancel_scope.deadline = anyio.current_time() + END_TIMEOUT_S
+
+
+async def _send_to_instance(
+    stream: _Stream, connection: TargetStream
+) -> pb.PathChunk:
+    """Passes on what a target sends; returns how it ended the connection."""
     try:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(send_to_target)
-            while data := await connection.read(MAX_CHUNK_BYTES, None):
-                for part in split_data(data):
-                    await stream.send_message(pb.PathChunk(data=part))
-            # The other instance can't tell whether a reset follows.
-            await connection.confirm_end()
-            tasks.cancel_scope.cancel()
-    except* httpcore.NetworkError as errors:
-        detail = str(errors.exceptions[0])
-        last = pb.PathChunk(state=pb.REFUSED, detail=detail)
-    return last
+        while data := await connection.read(MAX_CHUNK_BYTES, None):
+            for part in split_data(data):
+                await stream.send_message(pb.PathChunk(data=part))
+        # The other instance can't tell whether a reset follows.
+        await connection.confirm_end()
+    except httpcore.NetworkError as error:
+        return pb.PathChunk(state=pb.REFUSED, detail=str(error))
+    return pb.PathChunk(state=pb.ENDED)
 
 
 def split_data(data: bytes) -> Iterator[bytes]:
