Keep what is known of a replaced process until its start is named

Cause: that another process has the name of a target was forgotten after 1 s. Then the entry (which outlives its process while the store is away), a kept connection that was proven, or an answer without a start were believed again, so a stream was sent to the process, or its begin counted as proven. And a stream that left a silent target with a reserved slot went on without evidence once no time for a further attempt was left.

Change: connections since another process answered prove nothing, whatever the entry or an old connection says, until an answer names the listed start or another entry is listed. Each send of a stream asks, one at a time after each second. A reserved slot needs the evidence of a break.

--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -236,7 +236,11 @@
     async def _may_continue(self, request: ActiveRequest) -> bool:
         """Tells whether it is certain which version sent what has arrived."""
         stream = request.begun
-        if stream is None or not self._has_attempts_left(request):
+        if stream is None:
+            return True
+        has_slot = request.failover_slot is not None
+        if not has_slot and not self._has_attempts_left(request):
+            # It ends in any case.
             return True
         return await self._dependencies.origins.wait_confirmed(
             stream, ORIGIN_WAIT_MS
--- a/src/peridotbend/edge/targetruns.py
+++ b/src/peridotbend/edge/targetruns.py
@@ -38,8 +38,9 @@
 MAX_QUESTIONS = 3
 # Pause before the list is read again, as one that has just been read is not.
 READ_AGAIN_MS = 250
-# How long a target gets no streams after another process has answered. It is
-# then asked again.
+# How long a target gets no streams after another process has answered. One of
+# them asks it again then, so that a service is not lost; only the listed start
+# ends what is known.
 REPLACED_TTL_MS = 1_000
 # All streams that are taken up within this time share the questions, and all
 # that broke share those that were not answered.
@@ -117,7 +118,9 @@
     proven_ms: int | None = None
     # When a connection to it first ended since then.
     ended_ms: int | None = None
-    # When another process last said that it has the name.
+    # Since when another process is known to have the name, until the listed
+    # start is named again; and when it last said so, or was to be asked.
+    other_ms: int | None = None
     replaced_ms: int | None = None
     # Whether it has yet to name its start, since it was listed. Until then the
     # process before may still answer, though the entry is there.
@@ -244,7 +247,7 @@
             return RunState.UNNAMED
         if told_ms == target.started_at_ms:
             run.proven_ms = max(run.proven_ms or 0, asked_at_ms)
-            run.replaced_ms = None
+            run.replaced_ms = run.other_ms = None
             if run.awaits_name:
                 # Connections from before may lead to the process before.
                 run.awaits_name = False
@@ -259,9 +262,14 @@
         if told_ms < target.started_at_ms:
             # The process before still answers, though this one is listed.
             run.since_ms = self._clock.now_ms()
-        if not self.is_replaced(target):
-            run.replaced_ms = self._clock.now_ms()
-            self.note_end(target)
+        is_known = run.other_ms is not None
+        run.replaced_ms = self._clock.now_ms()
+        run.other_ms = min(
+            asked_at_ms if connected_at_ms is None else connected_at_ms,
+            asked_at_ms if run.other_ms is None else run.other_ms,
+        )
+        self.note_end(target)
+        if not is_known:
             self._log.emit(
                 Event.TARGET_REPLACED,
                 target=target.name,
@@ -308,7 +316,10 @@
         return proven_ms is not None and proven_ms >= connected_at_ms
 
     def is_replaced(self, target: EdgeTarget) -> bool:
-        """Tells whether another process has the name of a listed target."""
+        """Tells whether a target gets no streams, as another one has its name.
+
+        That ends now and then, so that the target is asked again.
+        """
         if not self._runs:
             return False
         run = self._runs.get(target.run_hash)
@@ -316,6 +327,17 @@
             return False
         return self._clock.now_ms() < run.replaced_ms + REPLACED_TTL_MS
 
+    def has_other(self, target: EdgeTarget) -> bool:
+        """Tells whether another process was the last that named its start."""
+        run = self._runs.get(target.run_hash)
+        return run is not None and run.other_ms is not None
+
+    def note_trial(self, target: EdgeTarget) -> None:
+        """Records that a stream is about to ask a target that was replaced."""
+        run = self._runs.get(target.run_hash)
+        if run is not None and run.other_ms is not None:
+            run.replaced_ms = self._clock.now_ms()
+
     def is_doubtful(self, target: EdgeTarget) -> bool:
         """Tells whether a connection has ended since a run was last proven."""
         return self._find_ended_ms(target) is not None
@@ -366,6 +388,7 @@
                 connection.
             must_know: whether the send needs an answer that names the start.
         """
+        self.note_trial(target)
         return TargetRunCheck(self, target, is_due, must_know)
 
     async def confirm_begin(
@@ -589,6 +612,18 @@
         )
 
     def _find_proven_ms(self, target: EdgeTarget) -> int | None:
+        """Returns the latest time at which a run is known to have its name.
+
+        Neither its entry nor an old connection tells of a time at which another
+        process had answered.
+        """
+        proven_ms = self._find_shown_ms(target)
+        run = self._runs.get(target.run_hash)
+        if proven_ms is None or run is None or run.other_ms is None:
+            return proven_ms
+        return min(proven_ms, run.other_ms - 1)
+
+    def _find_shown_ms(self, target: EdgeTarget) -> int | None:
         run = self._runs.get(target.run_hash)
         proven_ms = run.proven_ms if run is not None else None
         listed = self._targets.find(target.name)
@@ -636,12 +671,13 @@
 
         Streams that break at the same moment share a question.
         """
-        is_known = any(
-            self.runs.is_proven(self.target, at_ms)
-            for at_ms in (connected_at_ms, connected_at_ms - RESTART_MS)
-        )
-        if is_known or not self.is_due():
-            return False
+        if not self.runs.has_other(self.target):
+            is_known = any(
+                self.runs.is_proven(self.target, at_ms)
+                for at_ms in (connected_at_ms, connected_at_ms - RESTART_MS)
+            )
+            if is_known or not self.is_due():
+                return False
         self.runs.note_first_question(self.target)
         return True
 
@@ -653,5 +689,6 @@
             self.target, told_start_ms, connected_at_ms, asked_at_ms
         )
         if state is RunState.UNNAMED:
-            return not self.must_know
+            # It does not speak against what another process has said.
+            return not self.must_know and not self.runs.has_other(self.target)
         return state is not RunState.REPLACED
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+import unittest.mock
 
 import anyio
 from result import Err, Ok
@@ -218,6 +219,80 @@
         assert self.client.asked == ["i-2"]
 
 
+class ReplacedTest(_RunsTest):
+    """Runs in whose place another process has answered."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.kept_ms = self.clock.now_ms()
+        self.runs.note_start(self.target, FIRST_START_MS, self.kept_ms)
+        self.clock.advance(100)
+        self.told_ms = self.clock.now_ms()
+        self.runs.note_start(self.target, SECOND_START_MS, self.told_ms)
+        self.clock.advance(100)
+
+    def test_list_proves_no_connection_since_then(self) -> None:
+        """Guards against an entry that outlives its process in an outage."""
+        connected_at_ms = self.clock.now_ms()
+        self.runs.find_listing_ms = self.clock.now_ms
+        self.clock.advance(2 * LEASE_MS)
+        assert self.runs.is_proven(self.target, self.kept_ms)
+        assert not self.runs.is_proven(self.target, self.told_ms)
+        assert not self.runs.is_proven(self.target, connected_at_ms)
+
+    def test_kept_connection_proves_no_later_one(self) -> None:
+        """Guards against an old connection that speaks for a new process."""
+        connected_at_ms = self.clock.now_ms()
+        self.clock.advance(100)
+        now_ms = self.clock.now_ms()
+        self.runs.note_answered(self.target, self.kept_ms, now_ms)
+        assert not self.runs.is_proven(self.target, connected_at_ms)
+
+    def test_stream_asks_until_the_listed_start_is_named(self) -> None:
+        """Guards against knowledge that ends by time and not by an event."""
+        self.clock.advance(100 * REPLACED_TTL_MS)
+        connected_at_ms = self.clock.now_ms()
+        check = self.runs.make_check(self.target, lambda: False, False)
+        for at_ms in (self.kept_ms, connected_at_ms):
+            assert check.is_needed(at_ms)
+        now_ms = self.clock.now_ms()
+        assert not check.accepts(None, connected_at_ms, now_ms)
+        assert not check.accepts(SECOND_START_MS, connected_at_ms, now_ms)
+        assert check.is_needed(connected_at_ms)
+        assert check.accepts(FIRST_START_MS, connected_at_ms, now_ms)
+        assert not check.is_needed(connected_at_ms)
+        assert not self.runs.is_replaced(self.target)
+
+    def test_one_stream_at_a_time_asks_again(self) -> None:
+        """Guards against many streams that turn to a target in vain."""
+        assert self.runs.is_replaced(self.target)
+        self.clock.advance(REPLACED_TTL_MS)
+        assert not self.runs.is_replaced(self.target)
+        self.runs.make_check(self.target)
+        assert self.runs.is_replaced(self.target)
+        self.clock.advance(REPLACED_TTL_MS)
+        assert not self.runs.is_replaced(self.target)
+
+
+class StalledStreamTest(unittest.TestCase):
+    """Streams that leave a silent target."""
+
+    def test_reserved_slot_is_no_evidence(self) -> None:
+        """Guards against a rest that follows a begin of nobody knows whom."""
+        harness = RelayHarness()
+        request = unittest.mock.Mock()
+        request.may_have_run = True
+        request.route.may_repeat = True
+        # The time for a further send has passed since the slot was reserved.
+        request.sends, request.route.max_attempts = 1, 2
+        request.deadline_at_ms = harness.clock.now_ms()
+        confirm = unittest.mock.AsyncMock(return_value=False)
+        with unittest.mock.patch.object(
+            harness.origins, "wait_confirmed", confirm
+        ):
+            assert not anyio.run(harness.relay._may_continue, request)
+
+
 class BeginTest(_RunsTest):
     """Whether the listed run sent the first part of a stream."""
 
