Check that clients turned away fill no log

The test counted them only, without a log. It now checks that a second line comes after MIN_LOG_INTERVAL_MS and carries the count since the first.

--- a/src/peridotbend/adapters/turnedaway.py
+++ b/src/peridotbend/adapters/turnedaway.py
@@ -1,7 +1,6 @@
 """Counts and logs the clients that are turned away for what they send."""
 
 import enum
-from collections.abc import Callable
 
 from peridotbend.domain.clock import Clock, SystemClock
 from peridotbend.domain.events import Event
@@ -61,7 +60,3 @@
     def count(self, label: str) -> int:
         """Returns how many were turned away so far, by the value of a way."""
         return self._counts[Way(label)]
-
-
-# Notes a client that is turned away.
-NoteWay = Callable[[Way], None]
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from peridotbend.adapters.callermemory import (
     HEADROOM,
@@ -14,7 +15,11 @@
 from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.exchanges import Receive, Scope, Send
 from peridotbend.adapters.serving import HttpServer
-from peridotbend.adapters.turnedaway import TurnedAway, Way
+from peridotbend.adapters.turnedaway import (
+    MIN_LOG_INTERVAL_MS,
+    TurnedAway,
+    Way,
+)
 from peridotbend.domain.clock import ManualClock
 from tests.test_serving import run_with_server
 
@@ -100,10 +105,15 @@
 
     def test_log_lines_are_few(self) -> None:
         """Guards against clients that fill the log."""
-        turned_away = TurnedAway(clock=self.clock)
+        log = mock.Mock()
+        turned_away = TurnedAway(log, self.clock)
         for _ in range(3):
             turned_away.note(Way.SLOW)
-        assert turned_away.count("slow") == 3
+        self.clock.advance(MIN_LOG_INTERVAL_MS)
+        turned_away.note(Way.SLOW)
+        assert turned_away.count("slow") == 4
+        counts = [call.kwargs["count"] for call in log.emit.call_args_list]
+        assert counts == [1, 3], counts
 
 
 class RequestsInARowTest(unittest.TestCase):
