--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -2,19 +2,24 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from peridotbend.adapters.callermemory import (
     HEADROOM,
     MIB,
-    MIN_HOLD_MS,
     MIN_LIMIT_BYTES,
+    MIN_UNREAD_MS,
     CallerMemory,
     find_limit,
 )
 from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.exchanges import Receive, Scope, Send
 from peridotbend.adapters.serving import HttpServer
-from peridotbend.adapters.turnedaway import TurnedAway, Way
+from peridotbend.adapters.turnedaway import (
+    MIN_LOG_INTERVAL_MS,
+    TurnedAway,
+    Way,
+)
 from peridotbend.domain.clock import ManualClock
 from tests.test_serving import run_with_server
 
@@ -75,7 +80,7 @@
         held, asking = _Holder(self.memory, 800), _Holder(self.memory, 0)
         self.memory.hold_head(held)
         assert not self.memory.reserve_head(asking, 100, 100)
-        self.clock.advance(MIN_HOLD_MS)
+        self.clock.advance(MIN_UNREAD_MS)
         assert self.memory.reserve_head(asking, 100, 100)
         assert held.ways == [Way.HEAD_GAVE_WAY]
 
@@ -83,7 +88,7 @@
         """Guards against callers that read nothing and keep others out."""
         held, asking = _Holder(self.memory, 800), _Holder(self.memory, 0)
         self.memory.hold_unread(held)
-        self.clock.advance(MIN_HOLD_MS)
+        self.clock.advance(MIN_UNREAD_MS)
         assert self.memory.reserve_unread(asking, 400) == 400
         assert held.ways == [Way.UNREAD_ANSWER]
 
@@ -100,10 +105,15 @@
 
     def test_log_lines_are_few(self) -> None:
         """Guards against clients that fill the log."""
-        turned_away = TurnedAway(clock=self.clock)
+        log = mock.Mock()
+        turned_away = TurnedAway(log, self.clock)
         for _ in range(3):
             turned_away.note(Way.SLOW)
-        assert turned_away.count("slow") == 3
+        self.clock.advance(MIN_LOG_INTERVAL_MS)
+        turned_away.note(Way.SLOW)
+        assert turned_away.count("slow") == 4
+        counts = [call.kwargs["count"] for call in log.emit.call_args_list]
+        assert counts == [1, 3], counts
 
 
 class RequestsInARowTest(unittest.TestCase):
