--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -60,6 +60,8 @@
     arrived_at_ms: int
     wait_until_ms: int
     end_at_ms: int
+    # As of the last time that the queue was put in order.
+    precedence: Precedence | None = None
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     result: "Result[Slot, NotRun] | None" = None
 
@@ -263,14 +265,13 @@
                 target = self._selector.choose(waiter.criteria, targets)
                 if target is None:
                     full_for.add(criteria)
-                elif self._must_leave_room(waiter, targets, now_ms):
+                elif self._must_leave_room(waiter, targets):
                     target = None
             if target is not None and waiter.wait_until_ms > now_ms:
                 self._grant(waiter, target)
                 continue
-            self._find_shortages(service).note(
-                self._find_precedence(waiter, now_ms)
-            )
+            assert waiter.precedence is not None
+            self._find_shortages(service).note(waiter.precedence)
             if (
                 is_evacuated and not waiter.is_resumed
             ) or waiter.wait_until_ms <= now_ms + self._find_pause_ms(
@@ -322,7 +323,8 @@
         use = 0.0
         if account and not waiter.is_resumed:
             use = self._find_shares(waiter).find_order(account)
-        return self._find_precedence(waiter, now_ms), use, waiter.sequence
+        waiter.precedence = self._find_precedence(waiter, now_ms)
+        return waiter.precedence, use, waiter.sequence
 
     def _find_precedence(self, waiter: _Waiter, now_ms: int) -> Precedence:
         account = waiter.terms.account
@@ -339,15 +341,14 @@
         )
 
     def _must_leave_room(
-        self, waiter: _Waiter, targets: list[EdgeTarget], now_ms: int
+        self, waiter: _Waiter, targets: list[EdgeTarget]
     ) -> bool:
         """Tells whether the last room is for requests that go first."""
         if waiter.is_resumed or not (waiter.is_planned or waiter.terms.account):
             return False
+        assert waiter.precedence is not None
         shortages = self._find_shortages(waiter.criteria.service)
-        reserved = shortages.find_reserved_share(
-            self._find_precedence(waiter, now_ms)
-        )
+        reserved = shortages.find_reserved_share(waiter.precedence)
         if not reserved:
             return False
         fill = NON_RUNNER_FILL
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -996,7 +996,7 @@
         "room-not-left-in-the-queue",
         "Starved",
         EDGE + "backlog.py",
-        "elif self._must_leave_room(waiter, targets, now_ms):",
+        "elif self._must_leave_room(waiter, targets):",
         "elif False:",
         ("test_load_queueing",),
     ),
