--- a/src/peridotbend/load/work.py
+++ b/src/peridotbend/load/work.py
@@ -48,7 +48,7 @@
     ahead_tokens: float
     started_at_ms: int
     # Time from the start to the first event; None if not predicted.
-    predicted_ms: float | None
+    predicted_ms: int | None
     is_outstanding: bool = True
 
 
@@ -172,13 +172,16 @@
     ) -> WorkTicket:
         """Counts a prompt that is sent to a target."""
         prompt_tokens = max(1, prompt_tokens)
+        predicted_ms = self.predict_first_event_ms(
+            target, prompt_tokens, service
+        )
         ticket = WorkTicket(
             target,
             service,
             prompt_tokens,
             self._count_ahead((target,))[0],
             self._clock.now_ms(),
-            self.predict_first_event_ms(target, prompt_tokens, service),
+            None if predicted_ms is None else round(predicted_ms),
         )
         self._tickets.setdefault(target, {})[ticket] = None
         self.tokens.add(target, prompt_tokens)
--- a/src/peridotbend_emulator/replayload.py
+++ b/src/peridotbend_emulator/replayload.py
@@ -67,8 +67,7 @@
 
 
 SMALL = Deployment()
-# The engine model has less throughput than the users' engines; with this part
-# of their requests, it is as busy as theirs before a burst.
+# At the full rates, the emulated engines are overloaded without any burst.
 RATE_SHARE = 0.6
 COMPETING = Deployment(
     kinds=(
