--- a/src/peridotbend/load/work.py
+++ b/src/peridotbend/load/work.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from peridotbend.domain.clock import Clock
@@ -27,9 +27,6 @@
 # Long prompts deviate by more ms, so that they weigh less: a sample has the
 # weight 1 / (its tokens + this).
 LEVEL_TOKENS = 1_000.0
-# Part of the tokens that other instances report which counts as ahead. Their
-# reports are some 100 ms old, and most prompts are read within that time.
-OTHERS_SHARE = 0.5
 # Bounds the estimates of a target relative to those of its service. Engines
 # differ by a factor of five, and slow phases add one of four.
 MIN_FACTOR, MAX_FACTOR = 0.1, 20.0
@@ -44,8 +41,8 @@
     target: str
     service: str
     prompt_tokens: int
-    # Prompt tokens that were probably ahead at the target.
-    ahead_tokens: float
+    # Known prompt tokens outstanding at the target before this one.
+    ahead_tokens: int
     started_at_ms: int
     # Time from the start to the first event; None if not predicted.
     predicted_ms: int | None
@@ -55,8 +52,8 @@
 class Estimate(NamedTuple):
     """When the first event of one more request would arrive, in ms."""
 
-    # Prompt tokens that are probably read before.
-    ahead_tokens: float
+    # Prompt tokens that are read before.
+    ahead_tokens: int
     # Time in which these and the own ones are read.
     reading_ms: float
     # Time to the first event.
@@ -179,7 +176,7 @@
             target,
             service,
             prompt_tokens,
-            self._count_ahead((target,))[0],
+            self.tokens.count(target),
             self._clock.now_ms(),
             None if predicted_ms is None else round(predicted_ms),
         )
@@ -245,7 +242,7 @@
             self._mean_paces[service] = sum(known) / len(known)
         mean_pace = self._mean_paces.get(service, 0.0)
         prior_ms = PRIOR_SAMPLES * line.mean_ms
-        aheads = self._count_ahead(targets)
+        aheads = self.tokens.count_each(targets)
         found = {}
         for target, pace, ahead in zip(targets, paces, aheads, strict=True):
             factor = pace / mean_pace if pace and mean_pace else 1.0
@@ -262,15 +259,6 @@
             )
         return found
 
-    def _count_ahead(self, targets: Sequence[str]) -> list[float]:
-        """Returns the tokens that are probably read first at some targets."""
-        own = self.tokens.own
-        counts = self.tokens.count_each(targets)
-        return [
-            OTHERS_SHARE * count + (1 - OTHERS_SHARE) * own.get(target, 0)
-            for target, count in zip(targets, counts, strict=True)
-        ]
-
     def _find_factor(self, target: str, record: _Record) -> float:
         """Returns the times at a target relative to those of its service."""
         prior_ms = PRIOR_SAMPLES * self._lines[record.service].mean_ms
