Tell new runners from those that only became known

Cause: whether a runner is new was taken from the order of listings, so an instance that was cut off, or whose first listing came in parts, would have limited runners that had been in service all along; a restarted instance did not limit one that had just started.

Change: a runner that started less than 10 s ago ramps from the low limit, any other that appears later from half. Only services of generations ramp.

--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -135,7 +135,12 @@
     holder.subscribe(lambda config: cold.apply_services(config.services))
     pauses = TargetPauses(clock)
     paces = TargetPaces(
-        clock, log, occupancy, settings.peers[0], fleet.count_instances
+        clock,
+        log,
+        occupancy,
+        settings.peers[0],
+        fleet.count_instances,
+        holder.is_generating,
     )
     records = StreamRecords(clock)
     runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -600,8 +600,7 @@
                 name,
                 target.service,
                 target.started_at_ms,
-                fresh=self._history.has_listing
-                and self._dependencies.holder.is_generating(target.service),
+                fresh=self._history.has_listing,
             )
             self._dependencies.targets.put(target)
             if previous is None:
--- a/src/peridotbend/load/pace.py
+++ b/src/peridotbend/load/pace.py
@@ -23,6 +23,9 @@
 START_SHARE = 0.2
 # Limit of one that was known a moment ago: its entry was gone for a while.
 RETURN_SHARE = 0.5
+# A target that started longer ago has been in service: its entry was away, or
+# this instance. Clocks of machines differ by less.
+NEW_MS = 10_000
 # Signs of overload within a window or two, after which a target that was in
 # service is limited. A lost answer now and then does not limit a target.
 MIN_SIGNS = 8
@@ -122,6 +125,7 @@
         counts: SharedCounts,
         instance: str,
         count_instances: Callable[[], int],
+        is_generating: Callable[[str], bool],
     ):
         """Creates paces without any target.
 
@@ -131,12 +135,15 @@
             counts: requests in flight, and the evidence of all instances.
             instance: name of this instance.
             count_instances: returns how many there are.
+            is_generating: tells whether a service consists of model runners.
+                Other targets are not limited.
         """
         self._clock = clock
         self._log = log
         self._counts = counts
         self._instance = instance
         self._count_instances = count_instances
+        self._is_generating = is_generating
         self._records: dict[str, _Record] = {}
         self._services: dict[str, _Service] = {}
         # When each removed target had started, the one removed last at the end.
@@ -153,22 +160,23 @@
         Args:
             target: its name.
             service: the service to which it belongs.
-            started_at_ms: Unix time of its start.
+            started_at_ms: Unix time of its start; 0 if unknown.
             fresh: whether it became known after this instance had started.
         """
         known = self._records.get(target)
         if known is not None and known.started_at_ms == started_at_ms:
             return
-        removed_start_ms = self._removed.pop(target, None)
+        was_known = self._removed.pop(target, None) == started_at_ms
         if known is not None:
             self._drop(known)
         record = _Record(target, service, started_at_ms)
         self._records[target] = record
         self._services.setdefault(service, _Service()).targets[target] = record
-        if fresh and removed_start_ms == started_at_ms:
-            self._begin(record, RETURN_SHARE, "return")
-        elif fresh:
+        age_ms = self._clock.wall_ms() - started_at_ms
+        if age_ms < NEW_MS and not was_known:
             self._begin(record, START_SHARE, "start")
+        elif fresh:
+            self._begin(record, RETURN_SHARE, "return")
 
     def forget(self, target: str) -> None:
         """Drops a target that is no longer listed."""
@@ -362,6 +370,8 @@
         return max(record.signs, self._counts.count(record.signs_name))
 
     def _begin(self, record: _Record, share: float, cause: str) -> None:
+        if not self._is_generating(record.service):
+            return
         now_ms = self._clock.now_ms()
         record.ramp = Ramp(
             share,
--- a/src/peridotbend_emulator/replaytargets.py
+++ b/src/peridotbend_emulator/replaytargets.py
@@ -222,7 +222,8 @@
             engine.failing_share = 0.0
             engine.is_down = False
             if phase.is_listed_again:
-                self._list_target(f"i-{number}", phase.end_ms, fresh=True)
+                started_at_ms = self._clock.wall_ms()
+                self._list_target(f"i-{number}", started_at_ms, fresh=True)
 
     async def _exchange(self) -> None:
         """Passes on the sums of all instances, one round late in groups."""
--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -10,6 +10,7 @@
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.load.pace import (
     MIN_SIGNS,
+    NEW_MS,
     RETURN_SHARE,
     START_SHARE,
     WINDOW_MS,
@@ -31,7 +32,12 @@
         self.log = RecordingLog()
         self.occupancy = Occupancy(clock)
         self.paces = TargetPaces(
-            clock, self.log, self.occupancy, f"edge-{number}", lambda: size
+            clock,
+            self.log,
+            self.occupancy,
+            f"edge-{number}",
+            lambda: size,
+            lambda service: service == "engine",
         )
         for name in NAMES:
             self.paces.note_listed(name, "engine", 1, fresh=False)
@@ -68,7 +74,9 @@
         """Lists targets that have started again."""
         for instance in self.instances:
             for name in names:
-                instance.paces.note_listed(name, "engine", 2, fresh=True)
+                instance.paces.note_listed(
+                    name, "engine", self.clock.wall_ms(), fresh=True
+                )
 
 
 class TargetPacesTest(unittest.TestCase):
@@ -151,6 +159,25 @@
         self.one.paces.note_listed("i-0", "engine", 1, fresh=True)
         assert self.one.find() == RETURN_SHARE * SLOTS
 
+    def test_old_target_that_appears_is_not_taken_for_new(self) -> None:
+        """Guards against an instance that was cut off and starves targets."""
+        started_ms = self.fleet.clock.wall_ms() - NEW_MS
+        self.one.paces.note_listed("i-11", "engine", started_ms, fresh=True)
+        assert self.one.find("i-11") == RETURN_SHARE * SLOTS
+
+    def test_new_target_is_limited_in_a_first_listing(self) -> None:
+        """Guards against a restarted instance that fills a new target."""
+        started_ms = self.fleet.clock.wall_ms() - 1_000
+        self.one.paces.note_listed("i-11", "engine", started_ms, fresh=False)
+        assert self.one.find("i-11") == START_SHARE * SLOTS
+
+    def test_application_is_not_limited(self) -> None:
+        """Guards against limits where answers in time are not counted."""
+        started_ms = self.fleet.clock.wall_ms()
+        self.one.paces.note_listed("s-1", "shop", started_ms, fresh=True)
+        assert self.one.find("s-1") == math.inf
+        assert self.one.log.count(Event.TARGET_RAMP_BEGUN) == 0
+
     def test_idle_target_is_no_longer_limited_after_a_while(self) -> None:
         """Guards against a limit that lasts as nobody sends there."""
         self.fleet.restart("i-0")
@@ -176,8 +203,9 @@
         async def script() -> None:
             [instance] = fleet.instances.values()
             for name in fleet.runners:
+                started_ms = fleet.clock.wall_ms() if name == "i-1" else 1
                 instance.dependencies.paces.note_listed(
-                    name, "engine", 1, fresh=name == "i-1"
+                    name, "engine", started_ms, False
                 )
             arrivals = []
             for _ in range(2):
@@ -236,7 +264,8 @@
             paces = [i.dependencies.paces for i in fleet.instances.values()]
             for each in paces:
                 for name in NAMES:
-                    each.note_listed(name, "engine", 1, fresh=name == "i-1")
+                    started_ms = fleet.clock.wall_ms() if name == "i-1" else 1
+                    each.note_listed(name, "engine", started_ms, False)
             for each in paces[::8]:
                 each.note_first_event("i-1", 100, OBJECTIVE_MS)
             await anyio.sleep(1)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -243,8 +243,9 @@
         "RAMP",
         LOAD + "pace.py",
         "        if record is None or record.ramp is None:\n"
-        "            return math.inf\n        self._step",
-        "        return math.inf\n        self._step",
+        "            return math.inf\n        if self._clock",
+        "        if record is None or record.ramp is not None:\n"
+        "            return math.inf\n        if self._clock",
         ("test_load_pace",),
     ),
     Mutant(
