Let broken answers lower limits, but not begin them

Cause: a target that breaks most of its answers is avoided by its failures already; the limit on top of that only moved its load to the others.

Change: a send that failed after it had begun lowers the limit of a ramp, and begins none. Rejections and refused connections still do.

--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -210,7 +210,7 @@
             request.sends -= 1
             request.allow_silent_targets()
         if request.route.is_generation:
-            self._dependencies.paces.note_failure(target.name)
+            self._dependencies.paces.note_failure(target.name, False)
         if rejection is Rejection.MISDIRECTED:
             self._dependencies.health.note_failure(target.name)
             self._dependencies.crashes.note_target_dead(target)
@@ -247,7 +247,8 @@
         if error.blames_target and error.failure is not CallFailure.GATE:
             self._dependencies.health.note_failure(target.name)
             if request.route.is_generation:
-                self._dependencies.paces.note_failure(target.name)
+                has_begun = error.failure not in _UNSENT
+                self._dependencies.paces.note_failure(target.name, has_begun)
         is_broken = error.failure is CallFailure.BROKEN
         if error.blames_target and is_broken and not has_survived:
             self._dependencies.crashes.note_broken_connection(
--- a/src/peridotbend/load/pace.py
+++ b/src/peridotbend/load/pace.py
@@ -221,10 +221,14 @@
         if record is not None and 0 < allowed_ms < gap_ms:
             self._note_sign(record, gap_ms)
 
-    def note_failure(self, target: str) -> None:
-        """Records a rejection, or a send that failed."""
+    def note_failure(self, target: str, has_begun: bool) -> None:
+        """Records a rejection, or a send that failed.
+
+        A send that failed after it had begun may be the fault of its request,
+        and instances avoid such targets anyway: it only lowers a limit.
+        """
         record = self._records.get(target)
-        if record is not None:
+        if record is not None and not (has_begun and record.ramp is None):
             self._note_sign(record, 0)
 
     def find_limit(self, target: str, slots: int) -> float:
