--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -239,7 +239,13 @@
     with contextlib.suppress(OSError, asyncio.IncompleteReadError):
         request = await reader.readuntil(b"\r\n\r\n")
         lines = request.decode().split("\r\n")
-        number = int(lines[0].split(" ")[1].rsplit("/", 1)[1])
+        name = lines[0].split(" ")[1].rsplit("/", 1)[1]
+        if not name.isdigit():
+            # The question about its start tells nothing.
+            writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+            return
+        number = int(name)
         headers = dict(line.lower().split(": ", 1) for line in lines[1:-2])
         status, kind, data = ENDLESS_ANSWERS[number]
         head = (
