Recognize returned callers whose deadline exceeds the route's limit

Cause: callers state up to 6% more time than the time limit of their route, which counted as implausible, so that a caller that was refused looked new and was refused again. The work model took the age from the time limit and found it too short by as much.

Change: deadlines up to 1.1 times the limit count, and both ask the same planner.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -194,6 +194,10 @@
             **self._planner.describe(route),
         }
 
+    def find_age_ms(self, route: Route, deadline_ms: int | None) -> int:
+        """Returns the time since the first attempt of a caller; 0 if new."""
+        return self._planner.find_age_ms(route, deadline_ms)
+
     async def acquire(
         self,
         criteria: TargetCriteria,
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -230,12 +230,10 @@
         """
         if request.sends or request.is_resumed:
             return None
-        age_ms = 0
-        if request.call.deadline_ms is not None:
-            # A caller that was refused before has less time left.
-            age_ms = request.route.timeout_ms - request.call.deadline_ms
-        objective_ms = request.route.objective_ms
-        return request.started_at_ms + objective_ms - max(0, age_ms)
+        age_ms = self._dependencies.backlog.find_age_ms(
+            request.route, request.call.deadline_ms
+        )
+        return request.started_at_ms + request.route.objective_ms - age_ms
 
     def _reserve_failover(self, request: ActiveRequest, target: str) -> bool:
         """Reserves a slot for a request whose target is silent.
--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -42,6 +42,9 @@
 RATE_WINDOW_MS = 2_000
 # For this long, the longest deadline seen tells how long callers wait at first.
 DEADLINE_WINDOW_MS = 10_000
+# Callers may wait longer than the time limit of their route. One that states
+# much more would make all others look old.
+MAX_DEADLINE_FACTOR = 1.1
 # Callers set out with deadlines that differ by some transit time.
 MIN_AGE_MS = 100
 # A refused request is back after Retry-After and its first wait. One that is
@@ -212,7 +215,8 @@
         It is the longest deadline seen on the route lately minus that of this
         attempt. A missing or implausible deadline counts as new.
         """
-        if deadline_ms is None or not 0 < deadline_ms <= route.timeout_ms:
+        plausible_ms = MAX_DEADLINE_FACTOR * route.timeout_ms
+        if deadline_ms is None or not 0 < deadline_ms <= plausible_ms:
             return 0
         load = self._find_load(route.name)
         window = self._clock.now_ms() // DEADLINE_WINDOW_MS
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -97,6 +97,13 @@
         assert not self.planner.find_age_ms(ROUTE, FULL_MS)
         assert self.planner.find_age_ms(ROUTE, FULL_MS - 2_000) == 2_000
 
+    def test_caller_may_wait_longer_than_its_route(self) -> None:
+        """Guards against refusing again whoever states a longer deadline."""
+        longest_ms = round(1.06 * FULL_MS)
+        assert not self.planner.find_age_ms(ROUTE, longest_ms)
+        age_ms = self.planner.find_age_ms(ROUTE, longest_ms - 1_200)
+        assert age_ms == 1_200
+
     def test_implausible_deadline_counts_as_new(self) -> None:
         """Guards against one odd caller that makes all others look late."""
         for deadline_ms in (None, -5, 0, FULL_MS + 2_000):
