--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -239,6 +239,11 @@
     with contextlib.suppress(OSError, asyncio.IncompleteReadError):
         request = await reader.readuntil(b"\r\n\r\n")
         lines = request.decode().split("\r\n")
+        if lines[0].startswith("GET /-/"):
+            # It is asked for its start before its first use.
+            writer.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+            request = await reader.readuntil(b"\r\n\r\n")
+            lines = request.decode().split("\r\n")
         number = int(lines[0].split(" ")[1].rsplit("/", 1)[1])
         headers = dict(line.lower().split(": ", 1) for line in lines[1:-2])
         status, kind, data = ENDLESS_ANSWERS[number]
