--- a/src/peridotbend_emulator/replayaccounts.py
+++ b/src/peridotbend_emulator/replayaccounts.py
@@ -35,7 +35,11 @@
     ReplayClient,
     ReplayEngine,
 )
-from peridotbend_emulator.replayfleet import SETTINGS
+from peridotbend_emulator.replayfleet import (
+    SETTINGS,
+    ConnectedFleet,
+    NullTelemetry,
+)
 from peridotbend_emulator.replayload import Kind
 from peridotbend_emulator.virtualtime import run_virtual
 
@@ -143,45 +147,6 @@
         return self.earned_value / max(self.offered_value, 1e-9)
 
 
-class _NullTelemetry:
-
-    def emit(self, event: object, **fields: object) -> None:
-        """Discards a log line."""
-
-    def observe_end(self, kind: str, outcome: str, took_ms: int) -> None:
-        """Discards the end of a request."""
-
-    def count_send(self, outcome: str) -> None:
-        """Discards a send."""
-
-
-class _Fleet:
-
-    def count_instances(self) -> int:
-        """Returns how many instances there are."""
-        return INSTANCES
-
-    def find_live_share(self) -> float:
-        """Returns 1, as no instance is cut off."""
-        return 1.0
-
-    def list_recent_hosts(self) -> list[str]:
-        """Returns no hosts; the engines name no limits."""
-        return []
-
-    def list_possible_hosts(self) -> list[str]:
-        """Returns no hosts; the engines are not cold."""
-        return []
-
-    def knows_fleet(self) -> bool:
-        """Returns true."""
-        return True
-
-    def is_informed(self) -> bool:
-        """Returns true."""
-        return True
-
-
 class _Responder:
     """Records the times of events; ends the wait for the first one."""
 
@@ -315,13 +280,13 @@
         self._client = _RecordingClient(
             self._clock, engines, self._event_counts.__getitem__
         )
-        telemetry = _NullTelemetry()
+        telemetry = NullTelemetry()
         for number in range(INSTANCES):
             dependencies = make_dependencies(
                 SETTINGS,
                 self._clock,
                 self._client,
-                _Fleet(),
+                ConnectedFleet(INSTANCES),
                 telemetry,
                 telemetry,
                 random.Random(number),
--- a/src/peridotbend_emulator/replayfleet.py
+++ b/src/peridotbend_emulator/replayfleet.py
@@ -16,7 +16,7 @@
 SERVICE = "engine"
 
 
-class _NullTelemetry:
+class NullTelemetry:
     """Event log and meter that discard everything."""
 
     def emit(self, event: object, **fields: object) -> None:
@@ -85,7 +85,7 @@
 )
 
 
-class _ConnectedFleet:
+class ConnectedFleet:
     """A fleet of which every instance hears from all others."""
 
     def __init__(self, instances: int):
@@ -127,12 +127,12 @@
         config: edge_config.EdgeConfig,
         instances: int,
     ):
-        telemetry = _NullTelemetry()
+        telemetry = NullTelemetry()
         self.dependencies = make_dependencies(
             dataclasses.replace(SETTINGS, peers=(f"replay-{number}", 1)),
             clock,
             client,
-            _ConnectedFleet(instances),
+            ConnectedFleet(instances),
             telemetry,
             telemetry,
             # A generator of its own, so that a policy does not change the load.
