--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -40,12 +40,11 @@
 
 # Precedes all other ranks: a partly delivered stream is lost unless it resumes.
 RESUME_RANK = (-1, -1)
-# Interval of the checks for expired requests, outdated peer reports and targets
-# that are available again.
+# Shortest and longest interval of the checks for expired requests, reports of
+# other instances and targets that are available again. Reports come every 50 or
+# 100 ms; releases at this instance are granted at once.
 CHECK_INTERVAL_MS = 10
-# Interval of these checks while other instances report nothing new. Pauses and
-# limits of targets end by time.
-MAX_CHECK_INTERVAL_MS = 50
+MAX_CHECK_INTERVAL_MS = 25
 # Bounds memory only. No more than a few hundred requests can get a slot within
 # their maximum wait.
 MAX_WAITING = 2_000
@@ -302,11 +301,23 @@
             await self._has_waiting.wait()
             self._has_waiting = anyio.Event()
             while self.count_all():
-                await anyio.sleep(CHECK_INTERVAL_MS / 1_000)
+                await anyio.sleep(self._find_pause_s())
                 for service in list(self._waiting):
                     if self._is_check_due(service):
                         self.grant_slots(service)
 
+    def _find_pause_s(self) -> float:
+        """Returns the time to the next check, at which a wait may end."""
+        next_ms = min(
+            waiter.wait_until_ms
+            for queue in self._waiting.values()
+            for waiter in queue
+        )
+        pause_ms = next_ms - self._clock.now_ms()
+        return (
+            min(max(pause_ms, CHECK_INTERVAL_MS), MAX_CHECK_INTERVAL_MS) / 1_000
+        )
+
     def _is_check_due(self, service: str) -> bool:
         """Tells whether a check may have another result than the last one.
 
