Shorten waits of returned callers and share checks of the queue

Cause: a returned request waited for up to 3 s, and each waiting request was compared with all targets at each release and check.

Change: a returned request waits a quarter of its objective. In one pass, groups of requests that leave the last room to others are found once, and so are those for which no target has room.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -270,15 +270,24 @@
         # Criteria for which all targets are full. Within this call slots are
         # only taken, so other requests with the same criteria would find none.
         full_for: set[TargetCriteria] = set()
+        # The same without regard to the prompt.
+        without_room: set[TargetCriteria] = set()
+        # Groups of requests that leave the last room to others.
+        leaving: set[Precedence] = set()
         for waiter in queue:
             target = None
             criteria = waiter.criteria.make_class()
-            if criteria not in full_for:
+            kind = dataclasses.replace(criteria, prompt=None)
+            if (
+                criteria not in full_for
+                and kind not in without_room
+                and not self._must_leave_room(waiter, targets, leaving)
+            ):
                 target = self._selector.choose(waiter.criteria, targets)
                 if target is None:
                     full_for.add(criteria)
-                elif self._must_leave_room(waiter, targets):
-                    target = None
+                    if not self._selector.has_room(waiter.criteria, targets):
+                        without_room.add(kind)
             if target is not None and waiter.wait_until_ms > now_ms:
                 self._grant(waiter, target)
                 continue
@@ -380,12 +389,23 @@
         )
 
     def _must_leave_room(
-        self, waiter: _Waiter, targets: list[EdgeTarget]
+        self,
+        waiter: _Waiter,
+        targets: list[EdgeTarget],
+        leaving: set[Precedence],
     ) -> bool:
-        """Tells whether the last room is for requests that go first."""
+        """Tells whether the last room is for requests that go first.
+
+        Args:
+            waiter: the request.
+            targets: those of its service.
+            leaving: groups that have to leave it; a group is added to it.
+        """
         if waiter.is_resumed or not (waiter.is_planned or waiter.terms.account):
             return False
         assert waiter.precedence is not None
+        if waiter.precedence in leaving:
+            return True
         shortages = self._find_shortages(waiter.criteria.service)
         reserved = shortages.find_reserved_share(waiter.precedence)
         if not reserved:
@@ -396,7 +416,10 @@
             fill = TOP_RANK_FILL if is_top else ENGINE_FILL
         in_flight = sum(self._occupancy.count(t.name) for t in targets)
         slots = sum(target.slots for target in targets)
-        return in_flight >= (1 - reserved) * fill * slots
+        if in_flight < (1 - reserved) * fill * slots:
+            return False
+        leaving.add(waiter.precedence)
+        return True
 
     def _find_shortages(self, service: str) -> Shortages:
         shortages = self._shortages.get(service)
--- a/src/peridotbend/edge/selection.py
+++ b/src/peridotbend/edge/selection.py
@@ -127,6 +127,15 @@
             return self._choose_among_many(criteria, candidates)
         return self._choose_among(criteria, candidates)
 
+    def has_room(
+        self, criteria: TargetCriteria, targets: Iterable[EdgeTarget]
+    ) -> bool:
+        """Tells whether any target is below its limit, whatever the prompt."""
+        return any(
+            criteria.admits(target) and self._has_room(criteria, target)
+            for target in targets
+        )
+
     def _choose_among_many(
         self, criteria: TargetCriteria, candidates: list[EdgeTarget]
     ) -> EdgeTarget | None:
--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -18,9 +18,13 @@
 # Maximum wait of a stream that broke midway, as a fraction of the time after
 # which its caller abandons it.
 RESUME_WAIT_TIMEOUT_SHARE = 0.5
-# Maximum wait of a returned request, as a fraction of its remaining time. The
-# rest is for its answer.
-RETURN_WAIT_SHARE = 0.5
+# Maximum wait of a returned request, as a fraction of the objective. Waits of
+# seconds kept many requests in the queues of all instances, each of which is
+# compared with all targets again at each release: a day of the users at their
+# highest load took up its limit of processor time in half of its length.
+RETURN_WAIT_SHARE = 0.25
+# The same as a fraction of its remaining time; the rest is for its answer.
+RETURN_LEFT_SHARE = 0.5
 # Retry-After of an instance without observations. 1 s and 3 s made no
 # difference in trials; the shorter time leaves more of the caller's deadline.
 UNKNOWN_RETRY_MS = 1_000
@@ -94,9 +98,8 @@
             max(MIN_WAIT_TIMEOUT_MS, timeout_ms), False, route.objective_ms
         )
     timeout_ms = min(
-        # The caller abandons a request without a first event.
-        route.caller_timeout_ms - route.objective_ms,
-        round(RETURN_WAIT_SHARE * left_ms),
+        round(RETURN_WAIT_SHARE * route.objective_ms),
+        round(RETURN_LEFT_SHARE * left_ms),
     )
     on_time_ms = max(0, route.objective_ms - age_ms)
     return WaitPlan(max(MIN_WAIT_TIMEOUT_MS, timeout_ms), True, on_time_ms)
