--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -18,10 +18,9 @@
 # Maximum wait of a stream that broke midway, as a fraction of the time after
 # which its caller abandons it.
 RESUME_WAIT_TIMEOUT_SHARE = 0.5
-# Maximum wait of a returned request, as a fraction of the objective. Waits of
-# seconds kept many requests in the queues of all instances, each of which is
-# compared with all targets again at each release: a day of the users at their
-# highest load took up its limit of processor time in half of its length.
+# Maximum wait of a returned request, as a fraction of the objective. Each
+# waiting request is compared with all targets at each release, so that waits of
+# seconds doubled the processor time of a burst.
 RETURN_WAIT_SHARE = 0.25
 # The same as a fraction of its remaining time; the rest is for its answer.
 RETURN_LEFT_SHARE = 0.5
