Let the decisions under load import nothing of the edge

load/ named Service, Route and Occupancy of edge/, which imports load/ itself. The counts of prompt tokens are made in edge/parts.py and passed in.

A check in tests/test_imports.py fails with six imports before this change (queueing.py and work.py) and passes after it. Passing as well: test_load_work, test_load_queueing, test_load_pace, test_edge_decisions, test_replay and the tests on edgerunners.

--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -69,6 +69,7 @@
     backlog: Backlog
     occupancy: Occupancy
     health: TargetHealth
+    prompt_tokens: Occupancy
     work: TargetWork
     crashes: CrashTracker
     rate_limits: RateLimits
@@ -117,7 +118,8 @@
         targets = TargetList(clock)
     occupancy = Occupancy(clock)
     health = TargetHealth(clock)
-    work = TargetWork(clock, health.find_pace_ms)
+    prompt_tokens = Occupancy(clock)
+    work = TargetWork(clock, prompt_tokens, health.find_pace_ms)
     holder.subscribe(lambda config: work.apply_services(config.services))
     timeline = VersionTimeline(clock, targets)
     allowances = Allowances(clock, settings, fleet.find_live_share)
@@ -172,6 +174,7 @@
         backlog=backlog,
         occupancy=occupancy,
         health=health,
+        prompt_tokens=prompt_tokens,
         work=work,
         crashes=CrashTracker(clock, log),
         rate_limits=rate_limits,
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -159,7 +159,7 @@
         state = SharedState(
             identity,
             self._dependencies.occupancy,
-            self._dependencies.work.tokens,
+            self._dependencies.prompt_tokens,
             self._dependencies.allowances,
             self._dependencies.crashes,
             self._dependencies.rate_limits,
--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -5,7 +5,7 @@
 import random
 
 from peridotbend.domain.clock import Clock
-from peridotbend.edge.config import Route
+from peridotbend.load.config import Route
 from peridotbend.load.windows import SlidingSum
 
 # Maximum wait of a new request for a slot, as a fraction of the response-time
--- a/src/peridotbend/load/work.py
+++ b/src/peridotbend/load/work.py
@@ -7,11 +7,10 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from peridotbend.domain.clock import Clock
-from peridotbend.edge.config import Service
-from peridotbend.edge.occupancy import Occupancy
+from peridotbend.load.config import Service
 
 # Weight that a sample of a service keeps with each new one. Its line follows
 # changes within some hundred first events.
@@ -34,6 +33,39 @@
 MAX_SAMPLE_FACTOR = 8.0
 
 
+class TokenCounts(Protocol):
+    """Outstanding prompt tokens by target, summed over all instances."""
+
+    @property
+    def own(self) -> Mapping[str, int]:
+        """Tokens of this instance."""
+        ...
+
+    def add(self, target: str, amount: int) -> None:
+        """Adds tokens of this instance."""
+        ...
+
+    def remove(self, target: str, amount: int) -> None:
+        """Takes tokens of this instance back."""
+        ...
+
+    def count(self, target: str) -> int:
+        """Returns the tokens at a target."""
+        ...
+
+    def count_each(self, targets: Iterable[str]) -> list[int]:
+        """Returns the tokens at each of some targets."""
+        ...
+
+    def set_view(self, counts: Mapping[int, int]) -> None:
+        """Sets the tokens of all other instances, by hash of the target."""
+        ...
+
+    def forget_target(self, target: str) -> None:
+        """Drops what is kept about a removed target."""
+        ...
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class WorkTicket:
     """The prompt of one send, outstanding until its first event."""
@@ -135,19 +167,22 @@
     """Prompt tokens that targets have to read, and their learned speeds."""
 
     def __init__(
-        self, clock: Clock, find_pace_ms: Callable[[str], float] | None = None
+        self,
+        clock: Clock,
+        tokens: TokenCounts,
+        find_pace_ms: Callable[[str], float] | None = None,
     ):
         """Creates the model, without any measurement.
 
         Args:
             clock: source of time.
+            tokens: counts the outstanding tokens of all instances.
             find_pace_ms: returns the time between the stream events of a
                 target, 0 if unknown.
         """
         self._clock = clock
         self._find_pace_ms = find_pace_ms or (lambda target: 0.0)
-        # The outstanding tokens of all instances.
-        self.tokens = Occupancy(clock)
+        self._tokens = tokens
         self._engines: frozenset[str] = frozenset()
         self._lines: dict[str, _Line] = {}
         self._records: dict[str, _Record] = {}
@@ -176,12 +211,12 @@
             target,
             service,
             prompt_tokens,
-            self.tokens.count(target),
+            self._tokens.count(target),
             self._clock.now_ms(),
             None if predicted_ms is None else round(predicted_ms),
         )
         self._tickets.setdefault(target, {})[ticket] = None
-        self.tokens.add(target, prompt_tokens)
+        self._tokens.add(target, prompt_tokens)
         return ticket
 
     def note_first_event(self, ticket: WorkTicket) -> None:
@@ -208,15 +243,15 @@
         del tickets[ticket]
         if not tickets:
             del self._tickets[ticket.target]
-        self.tokens.remove(ticket.target, ticket.prompt_tokens)
+        self._tokens.remove(ticket.target, ticket.prompt_tokens)
 
     def list_own(self) -> Mapping[str, int]:
         """Returns the outstanding tokens of this instance, by target."""
-        return self.tokens.own
+        return self._tokens.own
 
     def record_others(self, tokens: Mapping[int, int]) -> None:
         """Sets the tokens of all other instances, by the hash of the target."""
-        self.tokens.set_view(tokens)
+        self._tokens.set_view(tokens)
 
     def predict_first_event_ms(
         self, target: str, prompt_tokens: int, service: str = ""
@@ -242,7 +277,7 @@
             self._mean_paces[service] = sum(known) / len(known)
         mean_pace = self._mean_paces.get(service, 0.0)
         prior_ms = PRIOR_SAMPLES * line.mean_ms
-        aheads = self.tokens.count_each(targets)
+        aheads = self._tokens.count_each(targets)
         found = {}
         for target, pace, ahead in zip(targets, paces, aheads, strict=True):
             factor = pace / mean_pace if pace and mean_pace else 1.0
@@ -280,17 +315,17 @@
         for ticket in list(self._tickets.get(target, ())):
             self.end(ticket)
         self._records.pop(target, None)
-        self.tokens.forget_target(target)
+        self._tokens.forget_target(target)
 
     def dump(self) -> dict[str, object]:
         """Returns the state for the operator API."""
-        names = {*self._records, *self.tokens.own}
+        names = {*self._records, *self._tokens.own}
         return {name: self._dump_target(name) for name in sorted(names)}
 
     def _dump_target(self, name: str) -> dict[str, object]:
         described: dict[str, object] = {
-            "outstanding_tokens": self.tokens.count(name),
-            "own_tokens": self.tokens.own.get(name, 0),
+            "outstanding_tokens": self._tokens.count(name),
+            "own_tokens": self._tokens.own.get(name, 0),
         }
         record = self._records.get(name)
         if record is not None:
--- a/src/peridotbend_emulator/replay.py
+++ b/src/peridotbend_emulator/replay.py
@@ -203,7 +203,7 @@
         """Tells all instances what each has in flight, and its tokens."""
         tables = [[i.dependencies.occupancy for i in instances]]
         if self._policy.exchanges_tokens:
-            tables.append([i.dependencies.work.tokens for i in instances])
+            tables.append([i.dependencies.prompt_tokens for i in instances])
         age_ms = self._deployment.digest_age_ms
         interval_ms = self._deployment.digest_interval_ms
         # Relays answer at different times.
--- a/tests/edgerunners.py
+++ b/tests/edgerunners.py
@@ -255,7 +255,7 @@
         state = SharedState(
             InstanceIdentity(host, host, zone, rng.getrandbits(63)),
             self.dependencies.occupancy,
-            self.dependencies.work.tokens,
+            self.dependencies.prompt_tokens,
             self.dependencies.allowances,
             self.dependencies.crashes,
             self.dependencies.rate_limits,
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -48,7 +48,9 @@
             SETTINGS,
             FleetView(list, lambda: True, lambda: True),
         )
-        self.work = TargetWork(self.clock, self.health.find_pace_ms)
+        self.work = TargetWork(
+            self.clock, Occupancy(self.clock), self.health.find_pace_ms
+        )
         self.work.apply_services([Service("engine", has_engine=True)])
         self.selector = Selector(
             "zone-a",
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -15,6 +15,12 @@
     "MISDIRECTED_STATUS",
     "UNAVAILABLE_STATUS",
 )
+# Packages that use the decisions under load, or that do input and output.
+OUTSIDE_LOAD = (
+    "peridotbend.adapters",
+    "peridotbend.edge",
+    "peridotbend.platform",
+)
 
 
 def list_imports(tree: ast.Module) -> set[str]:
@@ -46,6 +52,16 @@
         # Raises CycleError, which names the modules.
         graphlib.TopologicalSorter(graph).prepare()
 
+    def test_load_decisions_import_no_outer_package(self) -> None:
+        """Guards against decisions that can't be tested without the relay."""
+        wrong = sorted(
+            f"{path.name}: {name}"
+            for path in (SOURCE_DIR / "peridotbend" / "load").rglob("*.py")
+            for name in list_imports(ast.parse(path.read_text()))
+            if f"{name}.".startswith(tuple(f"{o}." for o in OUTSIDE_LOAD))
+        )
+        assert not wrong, wrong
+
     def test_shared_constants_stand_once(self) -> None:
         """Guards against a limit that is changed in one of two places."""
         counts: collections.Counter[str] = collections.Counter()
--- a/tests/test_load_work.py
+++ b/tests/test_load_work.py
@@ -14,6 +14,7 @@
 )
 from peridotbend.domain.clock import ManualClock
 from peridotbend.edge.config import Service
+from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
 from peridotbend.load.work import MIN_SAMPLES, TargetWork, WorkTicket
 from peridotbend.wire import edge_pb2 as pb
@@ -31,7 +32,7 @@
 
 def make_work(clock: ManualClock) -> TargetWork:
     """Returns a model of the service `engine`."""
-    work = TargetWork(clock)
+    work = TargetWork(clock, Occupancy(clock))
     work.apply_services([Service("engine", has_engine=True)])
     return work
 
