--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -256,7 +256,9 @@
         """Records a complete answer of a target."""
         self._dependencies.health.note_answer(target.name, failed)
         connected_at_ms = head.connected_at_ms
-        is_proven = self._dependencies.runs.is_proven(target, connected_at_ms)
+        is_proven = self._dependencies.run_records.is_proven(
+            target, connected_at_ms
+        )
         self._dependencies.crashes.note_target_alive(
             target, 0 if is_proven else connected_at_ms
         )
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -11,6 +11,7 @@
 from peridotbend.edge.config import Route
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.edge.promptparts import PartSurvey, PromptParts
+from peridotbend.edge.runrecords import RunRecords
 from peridotbend.edge.streamrecords import (
     BegunStream,
     StreamRecords,
@@ -109,10 +110,12 @@
         timeline: VersionTimeline,
         records: StreamRecords,
         parts: PromptParts,
+        run_records: RunRecords,
         runs: TargetRuns,
         log: EventLog,
     ):
         self._clock = clock
+        self._run_records = run_records
         self._runs = runs
         self._parts = parts
         self._timeline = timeline
@@ -216,7 +219,9 @@
         return (
             stream.target is None
             or stream.is_confirmed
-            or self._runs.is_proven(stream.target, stream.connected_at_ms)
+            or self._run_records.is_proven(
+                stream.target, stream.connected_at_ms
+            )
         )
 
     def confirm_later(self, stream: BegunStream) -> None:
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -19,6 +19,8 @@
 from peridotbend.edge.ports import EdgeMeter, EdgeTargetClient
 from peridotbend.edge.promptparts import PromptParts
 from peridotbend.edge.ratelimits import RateLimits
+from peridotbend.edge.runquestions import RunQuestions
+from peridotbend.edge.runrecords import RunRecords
 from peridotbend.edge.selection import Selector
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.settings import EdgeSettings
@@ -77,6 +79,8 @@
     cold: ColdTargets
     pauses: TargetPauses
     paces: TargetPaces
+    run_records: RunRecords
+    run_questions: RunQuestions
     runs: TargetRuns
     stall_detector: StallDetector
     timeline: VersionTimeline
@@ -149,7 +153,9 @@
         holder.is_generating,
     )
     records = StreamRecords(clock)
-    runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
+    run_records = RunRecords(clock, log, targets, settings.heartbeat_ms)
+    run_questions = RunQuestions(clock, log, run_records, client)
+    runs = TargetRuns(clock, log, targets, run_records, run_questions)
     selector = Selector(
         settings.zone,
         occupancy,
@@ -158,7 +164,7 @@
         brittle,
         cold,
         pauses,
-        runs.is_replaced,
+        run_records.is_replaced,
         work,
         rng,
         paces.find_limit,
@@ -182,6 +188,8 @@
         cold=cold,
         pauses=pauses,
         paces=paces,
+        run_records=run_records,
+        run_questions=run_questions,
         runs=runs,
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
@@ -191,6 +199,7 @@
             timeline,
             records,
             PromptParts(clock, targets, client, pauses),
+            run_records,
             runs,
             log,
         ),
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -186,7 +186,7 @@
         software = self._choose_software(request)
         targets = self._dependencies.targets.list_for(request.service)
         needs_listed_run = request.route.is_resumable_stream
-        is_replaced = self._dependencies.runs.is_replaced
+        is_replaced = self._dependencies.run_records.is_replaced
         if all(
             target.name in exclude
             for target in targets
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -72,7 +72,7 @@
         may_have_run_before = request.may_have_run
         if not request.route.is_resumable_stream:
             # A stream asks on its own connection.
-            await self._dependencies.runs.ask_first(target)
+            await self._dependencies.run_questions.ask_first(target)
 
         def open_gate() -> bool:
             if not self._dependencies.targets.is_current(target):
@@ -123,7 +123,7 @@
                     tracked_send.on_first_data = functools.partial(
                         self._dependencies.work.note_first_event, slot.ticket
                     )
-                self._dependencies.runs.note_answered(
+                self._dependencies.run_records.note_answered(
                     target, reply.head.connected_at_ms, tracked_send.sent_at_ms
                 )
                 return await self._deliver(
@@ -178,21 +178,24 @@
         """
         if not request.route.is_resumable_stream:
             return None
-        runs, timeline = self._dependencies.runs, self._dependencies.timeline
+        run_records = self._dependencies.run_records
+        timeline = self._dependencies.timeline
 
         def is_due() -> bool:
             return (
                 request.is_resumed
-                or runs.awaits_name(target)
+                or run_records.awaits_name(target)
                 or (
-                    runs.is_doubtful(target)
+                    run_records.is_doubtful(target)
                     # Another question would only spoil the connection.
-                    and not runs.tells_nothing(target)
+                    and not run_records.tells_nothing(target)
                 )
                 or timeline.has_versions(target.service)
             )
 
-        return runs.make_check(target, is_due, must_know=request.is_resumed)
+        return self._dependencies.runs.make_check(
+            target, is_due, must_know=request.is_resumed
+        )
 
     async def _deliver(
         self,
@@ -270,9 +273,9 @@
                 target, request.traits
             )
         if error.failure in _ENDS and error.blames_target:
-            self._dependencies.runs.note_end(target)
+            self._dependencies.run_records.note_end(target)
         if request.route.is_resumable_stream and error.blames_target:
-            self._dependencies.runs.note_untold(target)
+            self._dependencies.run_records.note_untold(target)
         if error.failure in _UNSENT:
             request.connect_failures += 1
             request.allow_silent_targets()
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -148,9 +148,9 @@
             self._rng,
             targets,
         )
-        runs = self._dependencies.runs
+        run_records = self._dependencies.run_records
         http_client.watch_idle(
-            lambda target: runs.note_early_close(target.name)
+            lambda target: run_records.note_early_close(target.name)
         )
         self._relay = Relay(self._dependencies)
         identity = InstanceIdentity(
@@ -482,7 +482,7 @@
                 self._dependencies.targets.evacuated,
             ),
         )
-        self._dependencies.runs.find_listing_ms = lambda: self._feeds[
+        self._dependencies.run_records.find_listing_ms = lambda: self._feeds[
             wire.TARGET_PREFIX
         ].known_as_of_ms
         self._dependencies.origins.history = self._history
@@ -627,8 +627,8 @@
                 self._dependencies.health.forget(name)
                 self._dependencies.work.forget(name)
                 self._dependencies.crashes.note_target_dead(previous)
-                self._dependencies.runs.note_unlisted(previous)
-            self._dependencies.runs.note_listed(target)
+                self._dependencies.run_records.note_unlisted(previous)
+            self._dependencies.run_records.note_listed(target)
             self._dependencies.cold.note_entry(target, previous)
             self._dependencies.paces.note_listed(
                 name,
@@ -672,7 +672,7 @@
     def _remove_target(self, name: str, revision: int) -> None:
         previous = self._dependencies.targets.find(name)
         if previous is not None:
-            self._dependencies.runs.note_unlisted(previous)
+            self._dependencies.run_records.note_unlisted(previous)
             self._dependencies.targets.remove(name)
             self._dependencies.occupancy.forget_target(name)
             self._dependencies.work.forget(name)
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -23,7 +23,7 @@
 )
 from peridotbend.domain.text import Target
 from peridotbend.edge.ports import Rejection, Reply, RunCheck, TargetSend
-from peridotbend.edge.targetruns import ASK_TIMEOUT_MS
+from peridotbend.edge.runquestions import ASK_TIMEOUT_MS
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.platform import wire
 from peridotbend.platform.documents import (
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -416,6 +416,7 @@
         self.pauses = dependencies.pauses
         self.timeline = dependencies.timeline
         self.origins = dependencies.origins
+        self.run_records = dependencies.run_records
         self.runs = dependencies.runs
         # The instance has run for longer than any stream.
         self.timeline.note_listing()
--- a/tests/test_edge_evidence_review.py
+++ b/tests/test_edge_evidence_review.py
@@ -9,11 +9,8 @@
 
 from peridotbend.edge.feeds import FRESH_MS
 from peridotbend.edge.originpeers import OriginPeers
-from peridotbend.edge.targetruns import (
-    SURVEY_TIMEOUT_MS,
-    SURVEY_TTL_MS,
-    RunSurvey,
-)
+from peridotbend.edge.runquestions import SURVEY_TTL_MS
+from peridotbend.edge.targetruns import SURVEY_TIMEOUT_MS, RunSurvey
 from peridotbend.edge.versions import VIEW_LAG_MS
 from peridotbend_emulator.virtualtime import run_virtual
 from tests.edgefleet import HOSTS
@@ -82,7 +79,7 @@
         A list that was read within `FRESH_MS` isn't read again, and a watch
         tells of the time at which it began.
         """
-        self.runs.find_listing_ms = lambda: listed_ms
+        self.run_records.find_listing_ms = lambda: listed_ms
         connected_at_ms = listed_ms = self.clock.now_ms()
         read_at_ms = connected_at_ms + LEASE_MS - FRESH_MS // 2
 
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -11,14 +11,15 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallError, CallFailure
 from peridotbend.edge.crashes import ALIVE_MARGIN_MS, make_traits
-from peridotbend.edge.targetruns import (
-    ASK_TIMEOUT_MS,
+from peridotbend.edge.runquestions import ASK_TIMEOUT_MS, RunQuestions
+from peridotbend.edge.runrecords import (
     LEASE_HEARTBEATS,
     LEASE_MARGIN_MS,
     MAX_QUESTIONS,
     REPLACED_TTL_MS,
-    TargetRuns,
+    RunRecords,
 )
+from peridotbend.edge.targetruns import TargetRuns
 from peridotbend.edge.targets import EdgeTarget, TargetList
 from peridotbend.edge.versions import KEPT_MS, VersionTimeline
 from tests.edgefakes import (
@@ -50,12 +51,18 @@
         self.log = RecordingLog()
         self.client = ScriptedTargetClient()
         self.targets = TargetList(self.clock)
+        self.run_records = RunRecords(
+            self.clock, self.log, self.targets, SETTINGS.heartbeat_ms
+        )
+        self.questions = RunQuestions(
+            self.clock, self.log, self.run_records, self.client
+        )
         self.runs = TargetRuns(
             self.clock,
             self.log,
             self.targets,
-            self.client,
-            SETTINGS.heartbeat_ms,
+            self.run_records,
+            self.questions,
         )
         self.target = self.put("i-1", FIRST_START_MS)
 
@@ -88,21 +95,23 @@
     def test_entry_proves_nothing_of_younger_connections(self) -> None:
         """Guards against an entry that is believed for what came after it."""
         now_ms = self.clock.now_ms()
-        assert not self.runs.is_proven(self.target, 0)
-        self.runs.find_listing_ms = lambda: now_ms
-        assert self.runs.is_proven(self.target, now_ms - LEASE_MS)
-        assert not self.runs.is_proven(self.target, now_ms - LEASE_MS + 1)
+        assert not self.run_records.is_proven(self.target, 0)
+        self.run_records.find_listing_ms = lambda: now_ms
+        assert self.run_records.is_proven(self.target, now_ms - LEASE_MS)
+        assert not self.run_records.is_proven(
+            self.target, now_ms - LEASE_MS + 1
+        )
 
     def test_proof_of_a_run_does_not_grow_after_its_entry(self) -> None:
         """Guards against an entry of the next run that speaks for this one."""
         listed_ms = [self.clock.now_ms()]
-        self.runs.find_listing_ms = lambda: listed_ms[0]
-        self.runs.note_unlisted(self.target)
+        self.run_records.find_listing_ms = lambda: listed_ms[0]
+        self.run_records.note_unlisted(self.target)
         self.put("i-1", SECOND_START_MS)
         listed_ms[0] += 60_000
         proven_ms = self.clock.now_ms() - LEASE_MS
-        assert self.runs.is_proven(self.target, proven_ms)
-        assert not self.runs.is_proven(self.target, proven_ms + 1)
+        assert self.run_records.is_proven(self.target, proven_ms)
+        assert not self.run_records.is_proven(self.target, proven_ms + 1)
 
     def test_target_that_names_its_start_proves_older_connections(self) -> None:
         """Guards against further questions about the same connections."""
@@ -117,27 +126,29 @@
     def test_answer_proves_the_connections_before_its_request(self) -> None:
         """Guards against doubt about connections beside one that is known."""
         old_ms = self.clock.now_ms()
-        self.runs.note_start(self.target, FIRST_START_MS, old_ms)
+        self.run_records.note_start(self.target, FIRST_START_MS, old_ms)
         self.clock.advance(100)
         young_ms = self.clock.now_ms()
         self.clock.advance(100)
         sent_at_ms = self.clock.now_ms()
-        self.runs.note_answered(self.target, young_ms, sent_at_ms)
-        assert not self.runs.is_proven(self.target, young_ms)
-        self.runs.note_answered(self.target, old_ms, sent_at_ms)
-        assert self.runs.is_proven(self.target, young_ms)
-        assert not self.runs.is_proven(self.target, sent_at_ms + 1)
-        self.runs.note_answered(self.target, young_ms, sent_at_ms + 100)
-        assert self.runs.is_proven(self.target, sent_at_ms + 100)
+        self.run_records.note_answered(self.target, young_ms, sent_at_ms)
+        assert not self.run_records.is_proven(self.target, young_ms)
+        self.run_records.note_answered(self.target, old_ms, sent_at_ms)
+        assert self.run_records.is_proven(self.target, young_ms)
+        assert not self.run_records.is_proven(self.target, sent_at_ms + 1)
+        self.run_records.note_answered(self.target, young_ms, sent_at_ms + 100)
+        assert self.run_records.is_proven(self.target, sent_at_ms + 100)
 
     def test_first_answer_of_a_connection_proves_nothing(self) -> None:
         """Guards against a connection that vouches for itself."""
         sent_at_ms = self.clock.now_ms()
         self.clock.advance(5)
         connected_at_ms = self.clock.now_ms()
-        self.runs.note_start(self.target, FIRST_START_MS, connected_at_ms)
-        self.runs.note_answered(self.target, connected_at_ms, sent_at_ms)
-        assert not self.runs.is_proven(self.target, connected_at_ms + 1)
+        self.run_records.note_start(
+            self.target, FIRST_START_MS, connected_at_ms
+        )
+        self.run_records.note_answered(self.target, connected_at_ms, sent_at_ms)
+        assert not self.run_records.is_proven(self.target, connected_at_ms + 1)
 
 
 class TakeOverTest(_RunsTest):
@@ -148,18 +159,20 @@
         self.old_connection_ms = self.clock.now_ms()
         self.clock.advance(60_000)
         self.next = self.put("i-1", SECOND_START_MS, "v2")
-        self.runs.note_taken_over(self.next, self.target)
+        self.run_records.note_taken_over(self.next, self.target)
         self.clock.advance(60_000)
-        self.runs.find_listing_ms = self.clock.now_ms
+        self.run_records.find_listing_ms = self.clock.now_ms
 
     def test_connection_from_before_is_of_either_run(self) -> None:
         """Guards against a kept connection to the process before."""
-        assert not self.runs.is_proven(self.next, self.old_connection_ms)
+        assert not self.run_records.is_proven(self.next, self.old_connection_ms)
         assert not self.confirm_begin(self.next, self.old_connection_ms)
         before = dataclasses.replace(self.target, software="v2")
-        self.runs.note_taken_over(self.next, before)
+        self.run_records.note_taken_over(self.next, before)
         assert not self.confirm_begin(self.next, self.old_connection_ms)
-        self.runs.note_start(before, FIRST_START_MS, self.old_connection_ms)
+        self.run_records.note_start(
+            before, FIRST_START_MS, self.old_connection_ms
+        )
         assert self.confirm_begin(self.next, self.old_connection_ms)
         assert not self.client.asked
 
@@ -179,7 +192,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.next = dataclasses.replace(self.target, name="i-2")
-        self.runs.note_listed(self.next)
+        self.run_records.note_listed(self.next)
         self.targets.put(self.next)
         self.client.starts["i-2"] = Ok(FIRST_START_MS)
         self.connected_at_ms = self.clock.now_ms()
@@ -187,15 +200,15 @@
 
     def test_first_answer_proves_no_connection_from_before(self) -> None:
         """Guards against a process that vouches for the one before."""
-        assert self.runs.awaits_name(self.next)
+        assert self.run_records.awaits_name(self.next)
         assert not self.confirm_begin(self.next, self.connected_at_ms)
-        assert not self.runs.awaits_name(self.next)
+        assert not self.run_records.awaits_name(self.next)
         assert self.confirm_begin(self.next, self.clock.now_ms())
 
     def test_answer_proves_its_own_connection(self) -> None:
         """Guards against doubt about a target that was asked before its use."""
         check = self.runs.make_check(
-            self.next, lambda: self.runs.awaits_name(self.next)
+            self.next, lambda: self.run_records.awaits_name(self.next)
         )
         assert check.is_needed(self.connected_at_ms)
         now_ms = self.clock.now_ms()
@@ -207,15 +220,15 @@
         """Guards against a question for each send to a target without one."""
         self.client.starts["i-2"] = SILENT
         for _ in range(2 * MAX_QUESTIONS):
-            anyio.run(self.runs.ask_first, self.next)
+            anyio.run(self.questions.ask_first, self.next)
             self.clock.advance(ASK_TIMEOUT_MS)
         assert self.client.asked == ["i-2"] * MAX_QUESTIONS
 
     def test_entry_that_is_written_again_asks_nothing(self) -> None:
         """Guards against a question for each change of an entry."""
-        anyio.run(self.runs.ask_first, self.next)
-        self.runs.note_listed(self.next)
-        anyio.run(self.runs.ask_first, self.next)
+        anyio.run(self.questions.ask_first, self.next)
+        self.run_records.note_listed(self.next)
+        anyio.run(self.questions.ask_first, self.next)
         assert self.client.asked == ["i-2"]
 
 
@@ -225,28 +238,28 @@
     def setUp(self) -> None:
         super().setUp()
         self.kept_ms = self.clock.now_ms()
-        self.runs.note_start(self.target, FIRST_START_MS, self.kept_ms)
+        self.run_records.note_start(self.target, FIRST_START_MS, self.kept_ms)
         self.clock.advance(100)
         self.told_ms = self.clock.now_ms()
-        self.runs.note_start(self.target, SECOND_START_MS, self.told_ms)
+        self.run_records.note_start(self.target, SECOND_START_MS, self.told_ms)
         self.clock.advance(100)
 
     def test_list_proves_no_connection_since_then(self) -> None:
         """Guards against an entry that outlives its process in an outage."""
         connected_at_ms = self.clock.now_ms()
-        self.runs.find_listing_ms = self.clock.now_ms
+        self.run_records.find_listing_ms = self.clock.now_ms
         self.clock.advance(2 * LEASE_MS)
-        assert self.runs.is_proven(self.target, self.kept_ms)
-        assert not self.runs.is_proven(self.target, self.told_ms)
-        assert not self.runs.is_proven(self.target, connected_at_ms)
+        assert self.run_records.is_proven(self.target, self.kept_ms)
+        assert not self.run_records.is_proven(self.target, self.told_ms)
+        assert not self.run_records.is_proven(self.target, connected_at_ms)
 
     def test_kept_connection_proves_no_later_one(self) -> None:
         """Guards against an old connection that speaks for a new process."""
         connected_at_ms = self.clock.now_ms()
         self.clock.advance(100)
         now_ms = self.clock.now_ms()
-        self.runs.note_answered(self.target, self.kept_ms, now_ms)
-        assert not self.runs.is_proven(self.target, connected_at_ms)
+        self.run_records.note_answered(self.target, self.kept_ms, now_ms)
+        assert not self.run_records.is_proven(self.target, connected_at_ms)
 
     def test_stream_asks_until_the_listed_start_is_named(self) -> None:
         """Guards against knowledge that ends by time and not by an event."""
@@ -261,17 +274,17 @@
         assert check.is_needed(connected_at_ms)
         assert check.accepts(FIRST_START_MS, connected_at_ms, now_ms)
         assert not check.is_needed(connected_at_ms)
-        assert not self.runs.is_replaced(self.target)
+        assert not self.run_records.is_replaced(self.target)
 
     def test_one_stream_at_a_time_asks_again(self) -> None:
         """Guards against many streams that turn to a target in vain."""
-        assert self.runs.is_replaced(self.target)
+        assert self.run_records.is_replaced(self.target)
         self.clock.advance(REPLACED_TTL_MS)
-        assert not self.runs.is_replaced(self.target)
+        assert not self.run_records.is_replaced(self.target)
         self.runs.make_check(self.target)
-        assert self.runs.is_replaced(self.target)
+        assert self.run_records.is_replaced(self.target)
         self.clock.advance(REPLACED_TTL_MS)
-        assert not self.runs.is_replaced(self.target)
+        assert not self.run_records.is_replaced(self.target)
 
 
 class StalledStreamTest(unittest.TestCase):
@@ -300,23 +313,23 @@
         """Guards against a begin at a target that has started again."""
         self.client.starts["i-1"] = Ok(SECOND_START_MS)
         assert not self.confirm_begin(self.target, self.clock.now_ms())
-        assert self.runs.is_replaced(self.target)
+        assert self.run_records.is_replaced(self.target)
         assert self.log.count(Event.TARGET_REPLACED) == 1
         self.clock.advance(REPLACED_TTL_MS)
-        assert not self.runs.is_replaced(self.target)
-        assert self.runs.is_doubtful(self.target)
+        assert not self.run_records.is_replaced(self.target)
+        assert self.run_records.is_doubtful(self.target)
 
     def test_death_of_a_proven_run_explains_a_break(self) -> None:
         """Guards against streams that are cut whenever a target dies."""
         self.client.starts["i-1"] = GONE
         old_ms = self.clock.now_ms()
-        self.runs.note_start(self.target, FIRST_START_MS, old_ms)
+        self.run_records.note_start(self.target, FIRST_START_MS, old_ms)
         self.clock.advance(100)
         connected_at_ms = self.clock.now_ms()
         self.clock.advance(100)
-        self.runs.note_answered(self.target, old_ms, self.clock.now_ms())
+        self.run_records.note_answered(self.target, old_ms, self.clock.now_ms())
         self.clock.advance(100)
-        self.runs.note_end(self.target)
+        self.run_records.note_end(self.target)
         assert self.confirm_begin(self.target, connected_at_ms)
 
     def test_death_without_a_witness_is_a_doubt(self) -> None:
@@ -324,12 +337,12 @@
         self.client.starts["i-1"] = GONE
         connected_at_ms = self.clock.now_ms()
         self.clock.advance(100)
-        self.runs.note_end(self.target)
+        self.run_records.note_end(self.target)
         assert not self.confirm_begin(self.target, connected_at_ms)
 
     def test_list_proves_a_dead_run_in_time(self) -> None:
         """Guards against streams that are cut just before the list tells."""
-        self.runs.find_listing_ms = self.clock.now_ms
+        self.run_records.find_listing_ms = self.clock.now_ms
         connected_at_ms = self.clock.now_ms()
         for passed_ms, expected in ((0, False), (LEASE_MS, True)):
             self.clock.advance(passed_ms)
@@ -340,7 +353,7 @@
 
     def test_process_between_two_runs_is_a_doubt(self) -> None:
         """Guards against a process that died before the next entry came."""
-        self.runs.note_end(self.target)
+        self.run_records.note_end(self.target)
         self.clock.advance(100)
         connected_at_ms = self.clock.now_ms()
         self.put("i-1", SECOND_START_MS, "v1")
@@ -364,11 +377,11 @@
     def test_second_death_in_a_row_is_a_doubt(self) -> None:
         """Guards against a process that came and went without an entry."""
         self.client.starts["i-1"] = GONE
-        self.runs.note_end(self.target)
+        self.run_records.note_end(self.target)
         self.clock.advance(100)
         connected_at_ms = self.clock.now_ms()
-        assert self.runs.is_doubtful(self.target)
-        self.runs.note_end(self.target)
+        assert self.run_records.is_doubtful(self.target)
+        self.run_records.note_end(self.target)
         assert not self.confirm_begin(self.target, connected_at_ms)
 
     def test_entry_of_the_next_run_decides_by_its_version(self) -> None:
@@ -379,7 +392,7 @@
         ):
             listed = self.put("i-1", start_ms, software)
             connected_at_ms = self.clock.now_ms()
-            self.runs.note_start(listed, start_ms, connected_at_ms)
+            self.run_records.note_start(listed, start_ms, connected_at_ms)
             certain = self.confirm_begin(self.target, connected_at_ms)
             assert certain is expected, software
         assert not self.client.asked
@@ -390,8 +403,10 @@
         self.clock.advance(100)
         listed = self.put("i-1", SECOND_START_MS, "v1")
         assert not self.confirm_begin(self.target, connected_at_ms)
-        self.runs.note_start(listed, SECOND_START_MS, self.clock.now_ms())
-        self.runs.note_taken_over(listed, self.target)
+        self.run_records.note_start(
+            listed, SECOND_START_MS, self.clock.now_ms()
+        )
+        self.run_records.note_taken_over(listed, self.target)
         assert not self.confirm_begin(self.target, connected_at_ms)
 
     def test_target_without_a_start_is_believed(self) -> None:
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -17,12 +17,12 @@
 from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.ports import StoreError, StoreFailure, TargetSend
 from peridotbend.edge.readerrole import ReaderRole
+from peridotbend.edge.runquestions import SURVEY_TTL_MS
 from peridotbend.edge.streamrecords import (
     BegunStream,
     StreamRecords,
     hash_attempt,
 )
-from peridotbend.edge.targetruns import SURVEY_TTL_MS
 from peridotbend.edge.targets import TargetList
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 from peridotbend.platform import runners
@@ -52,13 +52,13 @@
 
     def test_end_that_a_listing_refuted_does_not_count(self) -> None:
         """Guards against streams that are cut after an old, harmless break."""
-        self.runs.find_listing_ms = self.clock.now_ms
-        self.runs.note_end(self.target)
+        self.run_records.find_listing_ms = self.clock.now_ms
+        self.run_records.note_end(self.target)
         self.clock.advance(60_000)
-        assert not self.runs.is_doubtful(self.target)
+        assert not self.run_records.is_doubtful(self.target)
         connected_at_ms = self.clock.now_ms()
         self.clock.advance(100)
-        self.runs.note_end(self.target)
+        self.run_records.note_end(self.target)
         self.client.starts["i-1"] = GONE
         self.clock.advance(LEASE_MS)
         assert self.confirm_begin(self.target, connected_at_ms)
@@ -66,31 +66,31 @@
     def test_deferred_removal_proves_nothing(self) -> None:
         """Guards against a proof by an entry that is no longer there."""
         listing_ms = [self.clock.now_ms()]
-        self.runs.find_listing_ms = lambda: listing_ms[0]
+        self.run_records.find_listing_ms = lambda: listing_ms[0]
         self.targets.note_store_unreachable()
         self.clock.advance(10_000)
         connected_at_ms = self.clock.now_ms()
         self.clock.advance(LEASE_MS)
         self.targets.note_store_reachable()
-        self.runs.note_unlisted(self.target)
+        self.run_records.note_unlisted(self.target)
         self.targets.remove(self.target.name)
         listing_ms[0] = self.clock.now_ms()
         assert self.targets.find(self.target.name) is not None
-        assert not self.runs.is_proven(self.target, connected_at_ms)
+        assert not self.run_records.is_proven(self.target, connected_at_ms)
 
     def test_entry_long_before_its_process_proves_nothing(self) -> None:
         """Guards against a writer of an entry that has no address yet."""
-        self.runs.find_listing_ms = self.clock.now_ms
+        self.run_records.find_listing_ms = self.clock.now_ms
         early = self.put("i-1", SECOND_START_MS, "v2")
-        self.runs.note_taken_over(early, self.target)
+        self.run_records.note_taken_over(early, self.target)
         self.clock.advance(500)
         connected_at_ms = self.clock.now_ms()
         self.clock.advance(LEASE_MS)
         asked_at_ms = self.clock.now_ms()
-        self.runs.note_start(early, FIRST_START_MS, asked_at_ms)
-        assert not self.runs.is_proven(early, connected_at_ms)
+        self.run_records.note_start(early, FIRST_START_MS, asked_at_ms)
+        assert not self.run_records.is_proven(early, connected_at_ms)
         self.clock.advance(LEASE_MS)
-        assert not self.runs.is_proven(early, connected_at_ms)
+        assert not self.run_records.is_proven(early, connected_at_ms)
         self.client.starts["i-1"] = Ok(SECOND_START_MS)
         assert not self.confirm_begin(early, connected_at_ms)
 
@@ -108,18 +108,20 @@
         connected_at_ms = self.clock.now_ms()
         self.clock.advance(100)
         asked_at_ms = self.clock.now_ms()
-        self.runs.note_start(self.target, FIRST_START_MS - 1, asked_at_ms)
+        self.run_records.note_start(
+            self.target, FIRST_START_MS - 1, asked_at_ms
+        )
         self.clock.advance(100)
         assert not self.confirm_begin(self.target, connected_at_ms)
 
     def test_next_process_takes_no_proof_away(self) -> None:
         """Guards against streams that are cut although their begin is known."""
-        self.runs.find_listing_ms = self.clock.now_ms
+        self.run_records.find_listing_ms = self.clock.now_ms
         connected_at_ms = self.clock.now_ms() - LEASE_MS
-        assert self.runs.is_proven(self.target, connected_at_ms)
+        assert self.run_records.is_proven(self.target, connected_at_ms)
         now_ms = self.clock.now_ms()
-        self.runs.note_start(self.target, SECOND_START_MS, now_ms)
-        assert self.runs.is_proven(self.target, connected_at_ms)
+        self.run_records.note_start(self.target, SECOND_START_MS, now_ms)
+        assert self.run_records.is_proven(self.target, connected_at_ms)
 
 
 class LateEntryTest(unittest.TestCase):
@@ -218,7 +220,7 @@
         for busy in (other,):
             for _ in range(20):
                 harness.occupancy.add(busy.name)
-        harness.runs.find_listing_ms = clock.now_ms
+        harness.run_records.find_listing_ms = clock.now_ms
         replaced = dataclasses.replace(target, started_at_ms=SECOND_START_MS)
 
         async def run() -> bool:
@@ -231,7 +233,9 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(harness.backlog.run)
                 # Another process has answered, in place of the only free one.
-                harness.runs.note_start(target, SECOND_START_MS, clock.now_ms())
+                harness.run_records.note_start(
+                    target, SECOND_START_MS, clock.now_ms()
+                )
                 tasks.start_soon(serve)
                 await anyio.sleep(0.03)
                 harness.targets.put(replaced)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1469,7 +1469,7 @@
         "ORDER",
         EDGE + "sends.py",
         "                request.is_resumed\n"
-        "                or runs.awaits_name(target)\n"
+        "                or run_records.awaits_name(target)\n"
         "                or (\n",
         "                False and (\n",
         ("test_edge_restarts.UnlistedRestartTest",),
@@ -1525,7 +1525,7 @@
     Mutant(
         "older-connection-taken-for-the-next-run",
         "ORDER",
-        EDGE + "targetruns.py",
+        EDGE + "runrecords.py",
         "if run is not None and connected_at_ms < run.since_ms:",
         "if False:",
         ("test_edge_runs",),
@@ -1533,7 +1533,7 @@
     Mutant(
         "first-use-not-asked-for",
         "ORDER",
-        EDGE + "targetruns.py",
+        EDGE + "runrecords.py",
         "if run is None or not run.awaits_name:",
         "if True:",
         ("test_edge_runs.FirstUseTest",),
@@ -1541,7 +1541,7 @@
     Mutant(
         "first-answer-vouches-for-the-one-before",
         "ORDER",
-        EDGE + "targetruns.py",
+        EDGE + "runrecords.py",
         "if run.awaits_name:\n                # Conn",
         "if False:\n                # Conn",
         ("test_edge_runs.FirstUseTest",),
@@ -1549,7 +1549,7 @@
     Mutant(
         "entry-speaks-against-an-answer",
         "ORDER",
-        EDGE + "targetruns.py",
+        EDGE + "runrecords.py",
         "return min(proven_ms, run.other_ms - 1)",
         "return proven_ms",
         ("test_edge_runs.ReplacedTest",),
@@ -1557,7 +1557,7 @@
     Mutant(
         "replaced-process-forgotten",
         "ORDER",
-        EDGE + "targetruns.py",
+        EDGE + "runrecords.py",
         "return run is not None and run.other_ms is not None",
         "return False",
         ("test_edge_runs.ReplacedTest",),
@@ -1581,7 +1581,7 @@
     Mutant(
         "answer-without-a-start-believed",
         "ORDER",
-        EDGE + "targetruns.py",
+        EDGE + "runrecords.py",
         "if told_ms is None or not target.started_at_ms:\n"
         "            return RunState.UNNAMED",
         "if told_ms is None or not target.started_at_ms:\n"
@@ -1599,10 +1599,10 @@
     Mutant(
         "connection-vouches-for-itself",
         "ORDER",
-        EDGE + "targetruns.py",
+        EDGE + "runrecords.py",
         "if self.is_proven(target, connected_at_ms):\n"
-        "            self._get_run",
-        "if True:\n            self._get_run",
+        "            self.get(target)",
+        "if True:\n            self.get(target)",
         ("test_edge_runs",),
     ),
     Mutant(
@@ -1624,7 +1624,7 @@
     Mutant(
         "old-answer-taken-for-one-to-a-survey",
         "ORDER",
-        EDGE + "targetruns.py",
+        EDGE + "runquestions.py",
         "if run.state is None or run.asked_ms < since_ms:",
         "if run.state is None:",
         ("test_edge_evidence_review.SurveyTest",),
