--- a/src/peridotbend_emulator/replayaccounts.py
+++ b/src/peridotbend_emulator/replayaccounts.py
@@ -7,11 +7,9 @@
 
 import collections
 import contextlib
-import dataclasses
-import importlib
 import math
 import random
-from collections.abc import AsyncIterator, Callable, Iterator, Mapping
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import click
@@ -19,7 +17,6 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.domain.verdicts import Verdict
-from peridotbend.edge import config as edge_config
 from peridotbend.edge.parts import RelayDependencies, make_dependencies
 from peridotbend.edge.ports import (
     AnswerBrokenError,
@@ -29,7 +26,6 @@
 )
 from peridotbend.edge.relay import Relay
 from peridotbend.edge.targets import EdgeTarget
-from peridotbend.load.queueing import CallerTerms
 from peridotbend_emulator.replayengine import (
     TOKENS_PER_EVENT,
     ReplayClient,
@@ -41,23 +37,27 @@
     NullTelemetry,
 )
 from peridotbend_emulator.replayload import Kind
+from peridotbend_emulator.replayshortages import (
+    ACCOUNTS,
+    CONFIG,
+    GAP_OBJECTIVE_MS,
+    HOST,
+    INSTANCES,
+    KINDS,
+    RATE_SHARE,
+    ROUTES,
+    SERVICE,
+    SHORTAGE_POLICIES,
+    SHORTAGES,
+    SLOTS,
+    SPEEDS,
+    Shortage,
+    ShortagePolicy,
+    apply_shortage_policy,
+)
+from peridotbend_emulator.replaytallies import Tally, add_tallies, format_tally
 from peridotbend_emulator.virtualtime import run_virtual
 
-HOST = "replay.example"
-SERVICE = "engine"
-# Two fifths of the users' first deployment under load, with as many requests
-# for each instance and engine.
-INSTANCES = 10
-SPEEDS = (0.55, 0.7, 0.8, 0.9, 1.0, 1.0, 1.0, 1.1, 1.2, 1.4, 1.8, 2.4)
-SLOTS = 9
-RATE_SHARE = 0.26
-KINDS = (
-    Kind("digest", 70.8, 6_670, 55, 819, 15_354, 6.3, 1.9, 0),
-    Kind("chat", 49.1, 688, 42, 408, 12_232, 2.0, 0.61, 1),
-    Kind("tag", 107.0, 1_860, 3, 509, 3_056, 0.28, 0.08, 2),
-)
-GAP_OBJECTIVE_MS = 500
-ACCOUNTS = tuple(f"account-{number}" for number in range(10))
 DIGEST_INTERVAL_MS = 50
 # A lower rank was served at the same time if it was sent within this time
 # before a refusal.
@@ -66,87 +66,6 @@
 PROMPT_SIGMA = 0.6
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Shortage:
-    """A load over time."""
-
-    name: str
-    # Start in ms, end in ms, and the factor on the rates in between.
-    bursts: tuple[tuple[int, int, float], ...] = ()
-    # Start in ms, end in ms, and the factor of the first account only.
-    surge: tuple[int, int, float] = (0, 0, 1.0)
-    duration_ms: int = 20_000
-
-    def find_factor(self, at_ms: int, account: str) -> float:
-        """Returns the factor on the rate of an account."""
-        factor = 1.0
-        for start_ms, end_ms, burst_factor in self.bursts:
-            if start_ms <= at_ms < end_ms:
-                factor = burst_factor
-        start_ms, end_ms, surge_factor = self.surge
-        if account == ACCOUNTS[0] and start_ms <= at_ms < end_ms:
-            factor *= surge_factor
-        return factor
-
-
-SHORTAGES = (
-    Shortage("calm", duration_ms=10_000),
-    Shortage("burst-2.4", ((3_000, 8_000, 2.4),)),
-    Shortage("burst-3.5", ((3_000, 7_000, 3.5),)),
-    Shortage("sustained", ((0, 20_000, 1.7),)),
-    Shortage("surge", surge=(3_000, 13_000, 8.0)),
-    Shortage("busy-surge", ((0, 13_000, 1.3),), surge=(3_000, 13_000, 8.0)),
-    Shortage("calm-surge", surge=(3_000, 8_000, 3.0), duration_ms=10_000),
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShortagePolicy:
-    """Values that replace those of the decision code, by module and name."""
-
-    name: str
-    values: Mapping[tuple[str, str], object] = dataclasses.field(
-        default_factory=dict
-    )
-
-
-def _hide_terms(request: object) -> CallerTerms:
-    """Makes the queue serve requests as those without a token count."""
-    return CallerTerms()
-
-
-_PLAIN = {("edge.relay", "make_terms"): _hide_terms}
-SHORTAGE_POLICIES = (
-    ShortagePolicy("as-is"),
-    ShortagePolicy("plain", _PLAIN),
-    ShortagePolicy(
-        "plain-wait-0.4",
-        {**_PLAIN, ("load.queueing", "WAIT_TIMEOUT_SHARE"): 0.4},
-    ),
-)
-
-
-@dataclasses.dataclass(slots=True)
-class Tally:
-    """Counts of requests by outcome, and their value."""
-
-    offered: int = 0
-    on_time: int = 0
-    late: int = 0
-    refused_once: int = 0
-    refused_twice: int = 0
-    failed: int = 0
-    offered_value: float = 0.0
-    earned_value: float = 0.0
-    # Refusals while a lower rank was served.
-    passed_over: int = 0
-
-    @property
-    def earned_share(self) -> float:
-        """The part of the offered value that was earned."""
-        return self.earned_value / max(self.offered_value, 1e-9)
-
-
 class _Responder:
     """Records the times of events; ends the wait for the first one."""
 
@@ -209,46 +128,6 @@
             yield reply
 
 
-def _make_route(kind: Kind) -> edge_config.Route:
-    return edge_config.Route(
-        name=kind.name,
-        host=HOST,
-        prefix=f"/{kind.name}/",
-        kind=edge_config.RouteKind.STREAM,
-        services=(edge_config.WeightedService(SERVICE, 1.0),),
-        max_attempts=2,
-        timeout_ms=kind.timeout_ms,
-        objective_ms=kind.objective_ms,
-        gap_objective_ms=GAP_OBJECTIVE_MS,
-        rank=kind.rank,
-        is_public=False,
-        is_generation=True,
-        can_resume=True,
-    )
-
-
-ROUTES = {kind.name: _make_route(kind) for kind in KINDS}
-CONFIG = edge_config.EdgeConfig(
-    version=1,
-    routes=tuple(ROUTES.values()),
-    accounts=tuple(
-        edge_config.Account(name, frozenset([name]), None, 0.0, 0.0, 0.0)
-        for name in ACCOUNTS
-    ),
-    limits=edge_config.CallerLimits(16_384, 4_194_304, 3_000, 15_000),
-)
-
-
-@contextlib.contextmanager
-def _apply(policy: ShortagePolicy) -> Iterator[None]:
-    with contextlib.ExitStack() as stack:
-        for (module_name, name), value in policy.values.items():
-            module = importlib.import_module(f"peridotbend.{module_name}")
-            stack.callback(setattr, module, name, getattr(module, name))
-            setattr(module, name, value)
-        yield
-
-
 class AccountReplay:
     """One run of a shortage under one policy."""
 
@@ -269,7 +148,7 @@
 
     def run(self) -> None:
         """Runs the load to its end."""
-        with _apply(self._policy):
+        with apply_shortage_policy(self._policy):
             run_virtual(self._clock, self._run())
 
     async def _run(self) -> None:
@@ -433,26 +312,6 @@
         return max(1, round(self._rng.lognormvariate(mu, sigma)))
 
 
-def add_tallies(tallies: Iterator[Tally]) -> Tally:
-    """Returns the sum of tallies."""
-    total = Tally()
-    for tally in tallies:
-        for field in dataclasses.fields(Tally):
-            value = getattr(total, field.name) + getattr(tally, field.name)
-            setattr(total, field.name, value)
-    return total
-
-
-def _format(label: str, tally: Tally) -> str:
-    return (
-        f"  {label:14} value {tally.earned_share:.3f}  "
-        f"offered {tally.offered:5}  on time {tally.on_time:5}  "
-        f"late {tally.late:4}  refused once {tally.refused_once:4}  "
-        f"twice {tally.refused_twice:4}  failed {tally.failed:3}  "
-        f"passed over {tally.passed_over:4}"
-    )
-
-
 @click.command()
 @click.option("--seeds", default=2, show_default=True, help="Runs of each.")
 @click.option("--load", "only", help="Run only the load of this name.")
@@ -471,10 +330,10 @@
             for run in runs:
                 run.run()
             total = add_tallies(t for r in runs for t in r.by_kind.values())
-            click.echo(_format(f"{shortage.name} {policy.name}", total))
+            click.echo(format_tally(f"{shortage.name} {policy.name}", total))
             for kind in KINDS:
                 tallies = (run.by_kind[kind.name] for run in runs)
-                click.echo(_format(f"  {kind.name}", add_tallies(tallies)))
+                click.echo(format_tally(f"  {kind.name}", add_tallies(tallies)))
             if shortage.surge[2] > 1:
                 for kind in KINDS:
                     first, *others = (
@@ -483,9 +342,11 @@
                         )
                         for account in ACCOUNTS
                     )
-                    click.echo(_format(f"  {kind.name} surging", first))
+                    click.echo(format_tally(f"  {kind.name} surging", first))
                     others_tally = add_tallies(iter(others))
-                    click.echo(_format(f"  {kind.name} others", others_tally))
+                    click.echo(
+                        format_tally(f"  {kind.name} others", others_tally)
+                    )
 
 
 if __name__ == "__main__":
