--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -19,6 +19,8 @@
 from peridotbend.edge.ports import EdgeMeter, EdgeTargetClient
 from peridotbend.edge.promptparts import PromptParts
 from peridotbend.edge.ratelimits import RateLimits
+from peridotbend.edge.runquestions import RunQuestions
+from peridotbend.edge.runrecords import RunRecords
 from peridotbend.edge.selection import Selector
 from peridotbend.edge.sendbudget import SendBudget
 from peridotbend.edge.settings import EdgeSettings
@@ -69,6 +71,7 @@
     backlog: Backlog
     occupancy: Occupancy
     health: TargetHealth
+    prompt_tokens: Occupancy
     work: TargetWork
     crashes: CrashTracker
     rate_limits: RateLimits
@@ -76,6 +79,8 @@
     cold: ColdTargets
     pauses: TargetPauses
     paces: TargetPaces
+    run_records: RunRecords
+    run_questions: RunQuestions
     runs: TargetRuns
     stall_detector: StallDetector
     timeline: VersionTimeline
@@ -117,7 +122,8 @@
         targets = TargetList(clock)
     occupancy = Occupancy(clock)
     health = TargetHealth(clock)
-    work = TargetWork(clock, health.find_pace_ms)
+    prompt_tokens = Occupancy(clock)
+    work = TargetWork(clock, prompt_tokens, health.find_pace_ms)
     holder.subscribe(lambda config: work.apply_services(config.services))
     timeline = VersionTimeline(clock, targets)
     allowances = Allowances(clock, settings, fleet.find_live_share)
@@ -147,7 +153,9 @@
         holder.is_generating,
     )
     records = StreamRecords(clock)
-    runs = TargetRuns(clock, log, targets, client, settings.heartbeat_ms)
+    run_records = RunRecords(clock, log, targets, settings.heartbeat_ms)
+    run_questions = RunQuestions(clock, log, run_records, client)
+    runs = TargetRuns(clock, log, targets, run_records, run_questions)
     selector = Selector(
         settings.zone,
         occupancy,
@@ -156,7 +164,7 @@
         brittle,
         cold,
         pauses,
-        runs.is_replaced,
+        run_records.is_replaced,
         work,
         rng,
         paces.find_limit,
@@ -172,6 +180,7 @@
         backlog=backlog,
         occupancy=occupancy,
         health=health,
+        prompt_tokens=prompt_tokens,
         work=work,
         crashes=CrashTracker(clock, log),
         rate_limits=rate_limits,
@@ -179,6 +188,8 @@
         cold=cold,
         pauses=pauses,
         paces=paces,
+        run_records=run_records,
+        run_questions=run_questions,
         runs=runs,
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
@@ -188,6 +199,7 @@
             timeline,
             records,
             PromptParts(clock, targets, client, pauses),
+            run_records,
             runs,
             log,
         ),
