Limit Retry-After of first refusals to the time left

Cause: an instance without observations, and the first refusal of a route, answered 0.7 to 1.3 s whatever time the caller had left, although a caller accepts a third of it. With a short route the jitter exceeded a quarter of the time limit as well.

Change: the value is limited like an estimated one, to a third of the time left and a quarter of the time limit, spread over the second half of that.

--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -187,7 +187,8 @@
         load = self._find_load(route.name)
         granted, refused = load.granted.find(), load.refused.find()
         if not granted and refused <= 1:
-            return find_plain_retry_ms(route, self._rng)
+            retry_ms = find_plain_retry_ms(route, self._rng)
+            return round(self._limit_retry_ms(retry_ms, longest_ms))
         returning = self.count_returning(route.name)
         spare = max(granted - load.arrived.find(), RETURN_SHARE * granted)
         if spare:
@@ -195,8 +196,7 @@
             retry_ms = MIN_RETRY_MS + ahead * RATE_WINDOW_MS / spare
         else:
             retry_ms = longest_ms
-        if retry_ms >= longest_ms:
-            retry_ms = longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)
+        retry_ms = self._limit_retry_ms(retry_ms, longest_ms)
         if returning < MAX_RETURNING:
             bisect.insort(
                 load.returns_at_ms, self._clock.now_ms() + round(retry_ms)
@@ -233,6 +233,12 @@
         max_age_ms = MAX_RETRY_SHARE * route.timeout_ms + AGE_MARGIN_MS
         return age_ms if MIN_AGE_MS <= age_ms <= max_age_ms else 0
 
+    def _limit_retry_ms(self, retry_ms: float, longest_ms: float) -> float:
+        """Spreads the callers that can't wait until there is room."""
+        if retry_ms < longest_ms:
+            return retry_ms
+        return longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)
+
     def describe(self, route: str) -> dict[str, object]:
         """Returns what decides Retry-After, for logs."""
         return {
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -92,6 +92,15 @@
         self.load(granted=1, arrived=100)
         assert self.planner.find_retry_after_ms(ROUTE, 1_500) <= 500
 
+    def test_first_refusals_leave_two_thirds_of_the_time(self) -> None:
+        """Guards against a fixed second for a caller that has less left."""
+        for left_ms in (3_000, 1_500, 600):
+            retry_ms = self.planner.find_retry_after_ms(ROUTE, left_ms)
+            assert 0 < retry_ms <= left_ms / 3, (left_ms, retry_ms)
+        brief = dataclasses.replace(ROUTE, name="brief", timeout_ms=2_000)
+        for _ in range(20):
+            assert self.planner.find_retry_after_ms(brief, 2_000) <= 500
+
     def test_returned_caller_is_known_by_its_deadline(self) -> None:
         """Guards against refusing a caller that has no third attempt."""
         assert not self.planner.find_age_ms(ROUTE, FULL_MS)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1063,8 +1063,16 @@
         "refused-callers-return-last",
         "Starved",
         LOAD + "queueing.py",
-        "retry_ms = longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)",
-        "retry_ms = longest_ms",
+        "return longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)",
+        "return longest_ms",
+        ("test_load_queueing",),
+    ),
+    Mutant(
+        "first-refusals-beyond-the-callers-time",
+        "Starved",
+        LOAD + "queueing.py",
+        "return round(self._limit_retry_ms(retry_ms, longest_ms))",
+        "return retry_ms",
         ("test_load_queueing",),
     ),
     Mutant(
