Name a time to return to callers without any left

Cause: for a caller whose time was over Retry-After was 0 ms, for which the answer has the default of 1 s.

Change: the least value is 1 ms.

Result: test_refusal_without_time_left_names_a_time fails without the change and passes with it.

--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -32,6 +32,8 @@
 UNKNOWN_RETRY_JITTER = (0.7, 1.3)
 # Callers that return sooner meet the same shortage.
 MIN_RETRY_MS = 300
+# A caller without any time left is told this, as 0 stands for no Retry-After.
+LEAST_RETRY_MS = 1
 # Upper bound of Retry-After, as a fraction of the time limit of the route and
 # of the time that the caller has left, of which it accepts a third.
 MAX_RETRY_SHARE = 0.25
@@ -187,21 +189,19 @@
         load = self._find_load(route.name)
         granted, refused = load.granted.find(), load.refused.find()
         if not granted and refused <= 1:
-            retry_ms = find_plain_retry_ms(route, self._rng)
-            return round(self._limit_retry_ms(retry_ms, longest_ms))
+            plain_ms = find_plain_retry_ms(route, self._rng)
+            return self._limit_retry_ms(plain_ms, longest_ms)
         returning = self.count_returning(route.name)
         spare = max(granted - load.arrived.find(), RETURN_SHARE * granted)
         if spare:
             ahead = waiting + returning + 1
-            retry_ms = MIN_RETRY_MS + ahead * RATE_WINDOW_MS / spare
+            room_ms = MIN_RETRY_MS + ahead * RATE_WINDOW_MS / spare
         else:
-            retry_ms = longest_ms
-        retry_ms = self._limit_retry_ms(retry_ms, longest_ms)
+            room_ms = longest_ms
+        retry_ms = self._limit_retry_ms(room_ms, longest_ms)
         if returning < MAX_RETURNING:
-            bisect.insort(
-                load.returns_at_ms, self._clock.now_ms() + round(retry_ms)
-            )
-        return round(retry_ms)
+            bisect.insort(load.returns_at_ms, self._clock.now_ms() + retry_ms)
+        return retry_ms
 
     def count_returning(self, route: str) -> int:
         """Returns how many refused callers are yet to return."""
@@ -233,11 +233,11 @@
         max_age_ms = MAX_RETRY_SHARE * route.timeout_ms + AGE_MARGIN_MS
         return age_ms if MIN_AGE_MS <= age_ms <= max_age_ms else 0
 
-    def _limit_retry_ms(self, retry_ms: float, longest_ms: float) -> float:
+    def _limit_retry_ms(self, retry_ms: float, longest_ms: float) -> int:
         """Spreads the callers that can't wait until there is room."""
-        if retry_ms < longest_ms:
-            return retry_ms
-        return longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)
+        if retry_ms >= longest_ms:
+            retry_ms = longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)
+        return max(LEAST_RETRY_MS, round(retry_ms))
 
     def describe(self, route: str) -> dict[str, object]:
         """Returns what decides Retry-After, for logs."""
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -101,6 +101,13 @@
         for _ in range(20):
             assert self.planner.find_retry_after_ms(brief, 2_000) <= 500
 
+    def test_refusal_without_time_left_names_a_time(self) -> None:
+        """Guards against a 0, which is sent to the caller as a second."""
+        for _ in range(2):
+            for left_ms in (1, 0, -20):
+                assert self.planner.find_retry_after_ms(ROUTE, left_ms) == 1
+            self.load(granted=1, arrived=100)
+
     def test_returned_caller_is_known_by_its_deadline(self) -> None:
         """Guards against refusing a caller that has no third attempt."""
         assert not self.planner.find_age_ms(ROUTE, FULL_MS)
