Keep the shortest Retry-After in a long shortage

Cause: callers beyond the longest return were spread over its second half, which begins below 0.3 s for those with less than 1.8 s left.

Change: the spread begins at the shortest return if that is below the longest.

Result: test_long_shortage_keeps_the_shortest_return fails without the change and passes with it.

--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -236,7 +236,10 @@
     def _limit_retry_ms(self, retry_ms: float, longest_ms: float) -> int:
         """Spreads the callers that can't wait until there is room."""
         if retry_ms >= longest_ms:
-            retry_ms = longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)
+            earliest_ms = max((1 - SPREAD_SHARE) * longest_ms, MIN_RETRY_MS)
+            retry_ms = self._rng.uniform(
+                min(earliest_ms, longest_ms), longest_ms
+            )
         return max(LEAST_RETRY_MS, round(retry_ms))
 
     def describe(self, route: str) -> dict[str, object]:
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -19,6 +19,7 @@
 )
 from peridotbend.load.queueing import (
     MAX_RETRY_SHARE,
+    MIN_RETRY_MS,
     CallerTerms,
     ReturnPlanner,
     plan_wait,
@@ -108,6 +109,15 @@
                 assert self.planner.find_retry_after_ms(ROUTE, left_ms) == 1
             self.load(granted=1, arrived=100)
 
+    def test_long_shortage_keeps_the_shortest_return(self) -> None:
+        """Guards against returns into the same shortage."""
+        self.load(granted=1, arrived=100)
+        times = [
+            self.planner.find_retry_after_ms(ROUTE, 1_200) for _ in range(60)
+        ]
+        assert min(times) >= MIN_RETRY_MS
+        assert max(times) <= 400
+
     def test_returned_caller_is_known_by_its_deadline(self) -> None:
         """Guards against refusing a caller that has no third attempt."""
         assert not self.planner.find_age_ms(ROUTE, FULL_MS)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1063,8 +1063,16 @@
         "refused-callers-return-last",
         "Starved",
         LOAD + "queueing.py",
-        "retry_ms = longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)",
-        "retry_ms = longest_ms",
+        "min(earliest_ms, longest_ms), longest_ms",
+        "longest_ms, longest_ms",
+        ("test_load_queueing",),
+    ),
+    Mutant(
+        "refused-callers-return-too-soon",
+        "Starved",
+        LOAD + "queueing.py",
+        "max((1 - SPREAD_SHARE) * longest_ms, MIN_RETRY_MS)",
+        "(1 - SPREAD_SHARE) * longest_ms",
         ("test_load_queueing",),
     ),
     Mutant(
