Forget the largest request of an account after the window

Cause: an account may exceed its share by half of its largest request, which was never forgotten. Token counts are stated by callers, up to 2^31 - 1, so that one request with such a count freed its account from fair shares until the instance restarted.

Result: test_one_large_request_does_not_free_an_account_for_good fails without the change and passes with it.

--- a/src/peridotbend/load/shares.py
+++ b/src/peridotbend/load/shares.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 
 from peridotbend.domain.clock import Clock
-from peridotbend.load.windows import SlidingSum
+from peridotbend.load.windows import SlidingMaximum, SlidingSum
 
 # Long enough for several requests of each account at one instance, and shorter
 # than a burst, which lasts 3 to 6 s.
@@ -28,8 +28,8 @@
 
     offered: SlidingSum
     granted: SlidingSum
-    # The largest request; an account may always have one in its share.
-    largest: float = 0.0
+    # Of the requests; an account may always have one in its share.
+    largest: SlidingMaximum
 
 
 class FairShares:
@@ -56,7 +56,7 @@
         """Counts work that an account asks for."""
         use = self._find_use(account)
         use.offered.add(work)
-        use.largest = max(use.largest, work)
+        use.largest.add(work)
 
     def note_granted(self, account: str, work: float) -> None:
         """Counts work that an account was granted a slot for."""
@@ -76,7 +76,7 @@
         if use is None or level is None:
             return False
         share = SHARE_SLACK * level * self._find_weight(account)
-        return use.granted.find() > share + REQUEST_MARGIN * use.largest
+        return use.granted.find() > share + REQUEST_MARGIN * use.largest.find()
 
     def list_use(self) -> dict[str, float]:
         """Returns the work granted lately, by account."""
@@ -91,6 +91,7 @@
             use = self._uses[account] = _Use(
                 SlidingSum(self._clock, USE_WINDOW_MS),
                 SlidingSum(self._clock, USE_WINDOW_MS),
+                SlidingMaximum(self._clock, USE_WINDOW_MS),
             )
         return use
 
--- a/tests/test_load_shares.py
+++ b/tests/test_load_shares.py
@@ -64,6 +64,15 @@
         assert self.shares.is_over_share("hog")
         assert not any(map(self.shares.is_over_share, NAMES[1:]))
 
+    def test_one_large_request_does_not_free_an_account_for_good(self) -> None:
+        """Guards against an account that states a huge token count once."""
+        self.shares.note_offered("hog", 2_000_000_000)
+        self.clock.advance(USE_WINDOW_MS + 500)
+        _offer(self.shares, "hog", 16, 8)
+        for name in NAMES[1:]:
+            _offer(self.shares, name, 2, 1)
+        assert self.shares.is_over_share("hog")
+
     def test_nothing_is_limited_while_all_get_what_they_ask(self) -> None:
         """Guards against refusing an account for which there is room."""
         _offer(self.shares, "hog", 16, 16)
