Expect no return of callers refused twice

Cause: each refusal was planned as a return, although callers return only once. Under overload many are refused twice, and each of these kept the place of one that does return, so that Retry-After grew with callers that had left.

Change: a request that is recognized as returned gets its Retry-After as before, and is not counted among those yet to return.

Result: test_caller_refused_twice_is_not_expected_back fails without the change and passes with it. Mutant second-refusals-expected-back is killed.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -497,7 +497,10 @@
             return find_plain_retry_ms(route, self._rng)
         self._planner.note_refused(route.name)
         return self._planner.find_retry_after_ms(
-            route, waiter.end_at_ms - self._clock.now_ms(), waiting
+            route,
+            waiter.end_at_ms - self._clock.now_ms(),
+            waiting,
+            waiter.plan.is_returned,
         )
 
     def _find_pause_ms(self, waiter: _Waiter, targets: list[EdgeTarget]) -> int:
--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -166,7 +166,11 @@
         return load.granted.find() / RATE_WINDOW_MS if load else 0.0
 
     def find_retry_after_ms(
-        self, route: Route, left_ms: int, waiting: int = 0
+        self,
+        route: Route,
+        left_ms: int,
+        waiting: int = 0,
+        is_returned: bool = False,
     ) -> int:
         """Returns after how many ms a refused caller should retry.
 
@@ -178,6 +182,8 @@
             route: the route of the request.
             left_ms: time until the deadline of the caller.
             waiting: requests of the route that wait for a slot.
+            is_returned: whether the caller was refused before, after which it
+                does not come again.
         """
         longest_ms = max(
             0.0,
@@ -199,7 +205,7 @@
         else:
             room_ms = longest_ms
         retry_ms = self._limit_retry_ms(room_ms, longest_ms)
-        if returning < MAX_RETURNING:
+        if not is_returned and returning < MAX_RETURNING:
             bisect.insort(load.returns_at_ms, self._clock.now_ms() + retry_ms)
         return retry_ms
 
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -266,6 +266,21 @@
         # At least a quarter of the grants is for returns: one every 20 ms.
         assert self.retries_ms == [320 + 20 * number for number in range(10)]
 
+    async def test_caller_refused_twice_is_not_expected_back(self) -> None:
+        """Guards against room kept for callers that have no third attempt."""
+        for _ in range(40):
+            self.backlog._planner.note_granted(ROUTE.name)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(self.acquire, "returned", RETURNED)
+            await anyio.sleep(0.01)
+            self.harness.clock.advance(810)
+            self.free()
+        assert self.order == ["returned refused"] * 3
+        # Another caller may return as soon as after the first slot.
+        assert self.retries_ms == [350] * 3
+        assert not self.backlog._planner.count_returning(ROUTE.name)
+
     async def test_account_over_its_share_leaves_room(self) -> None:
         """Guards against one account at eight times its rate in a shortage."""
         accounts = [
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1131,6 +1131,14 @@
         "return round(retry_ms)",
         ("test_load_queueing",),
     ),
+    Mutant(
+        "second-refusals-expected-back",
+        "Starved",
+        LOAD + "queueing.py",
+        "if not is_returned and returning < MAX_RETURNING:",
+        "if returning < MAX_RETURNING:",
+        ("test_load_queueing",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
