Count slots of lower ranks before refusing at once

Cause: a new request is refused at once if those ahead take longer at the rate at which their routes and its own got slots. A kind that is rare has such a low rate although there is room: with one of its requests ahead the next was refused while lower ranks got every slot.

Change: the rate is that of the slots of the service that went to the rank of the request, to lower ranks and to the ranks ahead. The existing test of the refusal notes its two grants there.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -29,6 +29,7 @@
 )
 from peridotbend.load.queueing import (
     CallerTerms,
+    GrantRates,
     ReturnPlanner,
     WaitPlan,
     find_plain_retry_ms,
@@ -144,6 +145,7 @@
         self._sequence = itertools.count()
         self._waiting: dict[str, list[_Waiter]] = {}
         self._planner = ReturnPlanner(clock, rng)
+        self._rates = GrantRates(clock)
         # By service and rank, as accounts compete within a rank.
         self._shares: dict[tuple[str, tuple[int, int]], FairShares] = {}
         self._weights: dict[str, float] = {}
@@ -433,11 +435,15 @@
             return False
         queue = self._waiting[waiter.criteria.service]
         ahead = queue[: queue.index(waiter)]
-        routes = {other.route.name for other in ahead} | {waiter.route.name}
-        granted_per_ms = sum(map(self._planner.find_grants_per_ms, routes))
+        granted_per_ms = self._rates.find_per_ms(
+            waiter.criteria.service,
+            waiter.criteria.rank,
+            {other.criteria.rank for other in ahead},
+        )
         return len(ahead) > granted_per_ms * waiter.plan.timeout_ms > 0
 
     def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
+        self._rates.note(waiter.criteria.service, waiter.criteria.rank)
         if waiter.is_planned and not waiter.is_resumed:
             self._planner.note_granted(waiter.route.name)
         if waiter.terms.account and not waiter.is_resumed:
--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -136,6 +136,41 @@
         self.longest_before_ms = 0
 
 
+class GrantRates:
+    """How many slots a service grants, by the ranks that get them."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._granted: dict[str, dict[tuple[int, int], SlidingSum]] = {}
+
+    def note(self, service: str, rank: tuple[int, int]) -> None:
+        """Counts a granted slot."""
+        by_rank = self._granted.setdefault(service, {})
+        if rank not in by_rank:
+            by_rank[rank] = SlidingSum(self._clock, RATE_WINDOW_MS)
+        by_rank[rank].add(1)
+
+    def find_per_ms(
+        self, service: str, rank: tuple[int, int], ahead: set[tuple[int, int]]
+    ) -> float:
+        """Returns the rate of slots for a request and those ahead of it.
+
+        They also get what lower ranks were granted lately. A rank that is rare
+        was granted few slots although there was room.
+
+        Args:
+            service: of the request.
+            rank: of the request.
+            ahead: the ranks of those ahead.
+        """
+        granted = sum(
+            granted.find()
+            for other, granted in self._granted.get(service, {}).items()
+            if other >= rank or other in ahead
+        )
+        return granted / RATE_WINDOW_MS
+
+
 class ReturnPlanner:
     """Plans when refused callers return, so that they find room.
 
@@ -160,11 +195,6 @@
         """Counts a refusal."""
         self._find_load(route).refused.add(1)
 
-    def find_grants_per_ms(self, route: str) -> float:
-        """Returns the rate at which requests of a route got slots lately."""
-        load = self._loads.get(route)
-        return load.granted.find() / RATE_WINDOW_MS if load else 0.0
-
     def find_retry_after_ms(
         self,
         route: Route,
@@ -250,9 +280,11 @@
 
     def describe(self, route: str) -> dict[str, object]:
         """Returns what decides Retry-After, for logs."""
+        load = self._loads.get(route)
+        granted = load.granted.find() if load else 0.0
         return {
             "returning": self.count_returning(route),
-            "granted_per_s": round(1_000 * self.find_grants_per_ms(route), 1),
+            "granted_per_s": round(1_000 * granted / RATE_WINDOW_MS, 1),
         }
 
     def _find_load(self, route: str) -> _RouteLoad:
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -10,7 +10,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
 from peridotbend.edge.backlog import Backlog
-from peridotbend.edge.config import Account
+from peridotbend.edge.config import Account, Route
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.load.precedence import (
     SHORTAGE_MS,
@@ -20,7 +20,9 @@
 from peridotbend.load.queueing import (
     MAX_RETRY_SHARE,
     MIN_RETRY_MS,
+    RATE_WINDOW_MS,
     CallerTerms,
+    GrantRates,
     ReturnPlanner,
     plan_wait,
 )
@@ -146,6 +148,22 @@
         assert plan_wait(ROUTE, 2_000, 300).timeout_ms == 150
 
 
+class GrantRatesTest(unittest.TestCase):
+    """The rate at which slots become free for a request."""
+
+    def test_slots_of_higher_ranks_count_only_for_those_ahead(self) -> None:
+        """Guards against waits for slots that higher ranks take."""
+        rates = GrantRates(ManualClock())
+        for rank, count in enumerate((8, 4, 2)):
+            for _ in range(count):
+                rates.note("engine", (0, rank))
+        rates.note("other", (0, 1))
+        for ahead, granted in ((set(), 6), ({(0, 0)}, 14)):
+            found = rates.find_per_ms("engine", (0, 1), ahead)
+            assert found == granted / RATE_WINDOW_MS
+        assert not rates.find_per_ms("unknown", (0, 1), set())
+
+
 class ShortagesTest(unittest.TestCase):
     """The room that is left to requests that go first."""
 
@@ -193,13 +211,17 @@
         self.backlog._planner.find_age_ms(ROUTE, FULL_MS)
 
     async def acquire(
-        self, label: str, terms: CallerTerms, rank: int = 1
+        self,
+        label: str,
+        terms: CallerTerms,
+        rank: int = 1,
+        route: Route = ROUTE,
     ) -> None:
         """Waits for a slot and records the outcome under a label."""
         criteria = TargetCriteria("engine", True, (0, rank))
         result = await self.backlog.acquire(
             criteria,
-            ROUTE,
+            route,
             self.harness.clock.now_ms() + (terms.deadline_ms or FULL_MS),
             terms=terms,
         )
@@ -243,7 +265,7 @@
     async def test_request_without_a_chance_is_refused_at_once(self) -> None:
         """Guards against waits that only delay the caller's next attempt."""
         for _ in range(2):
-            self.backlog._planner.note_granted(ROUTE.name)
+            self.backlog._rates.note("engine", (0, 1))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.acquire, "first", NEW, 0)
             await anyio.sleep(0.01)
@@ -252,6 +274,23 @@
             assert self.order == ["second refused"]
             tasks.cancel_scope.cancel()
 
+    async def test_rare_request_waits_for_slots_of_lower_ranks(self) -> None:
+        """Guards against refusing a kind for being rare, with room below it."""
+        tags = dataclasses.replace(ROUTE, name="tags")
+        self.free("i-1", "i-2", "i-3", count=11)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(24):
+                tasks.start_soon(self.acquire, "tag", NEW, 2, tags)
+            tasks.start_soon(self.acquire, "rare", NEW, 0)
+            await anyio.sleep(0.01)
+            for name in ("i-1", "i-2", "i-3"):
+                self.harness.occupancy.add(name, 3)
+            for _ in range(2):
+                tasks.start_soon(self.acquire, "rare", NEW, 0)
+                await anyio.sleep(0.01)
+            self.free("i-1", "i-2", count=2)
+        assert self.order == ["tag"] * 24 + ["rare"] * 3
+
     async def test_requests_refused_together_count_once(self) -> None:
         """Guards against longer returns the more requests expire at once."""
         for _ in range(400):
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1139,6 +1139,14 @@
         "if returning < MAX_RETURNING:",
         ("test_load_queueing",),
     ),
+    Mutant(
+        "rare-kind-without-slots-of-lower-ranks",
+        "Starved",
+        LOAD + "queueing.py",
+        "if other >= rank or other in ahead",
+        "if other == rank or other in ahead",
+        ("test_load_queueing",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
