Take requests that go first into a full queue

Cause: a queue of 2,000 requests refused every further one, whatever its rank. A flood of low rank thus had streams that broke midway and requests of the first rank refused while it waited and was served.

Change: a request that goes before the last of a full queue takes its place, and the last one is refused. The queue is in order since the last arrival, so that this is one comparison.

Result: test_full_queue_takes_requests_that_go_first fails without the change and passes with it. Mutants full-queue-refuses-high-ranks and full-queue-serves-the-latest are killed.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -239,7 +239,7 @@
             end_at_ms,
         )
         queue = self._waiting.setdefault(criteria.service, [])
-        if len(queue) >= MAX_WAITING:
+        if len(queue) >= MAX_WAITING and not self._make_place(waiter):
             waiting = _count_by_route(queue)[route.name]
             retry_after_ms = self._plan_return(waiter, waiting)
             return Err(NotRun(Reason.AT_CAPACITY, retry_after_ms))
@@ -259,6 +259,22 @@
         assert waiter.result is not None
         return waiter.result
 
+    def _make_place(self, waiter: _Waiter) -> bool:
+        """Refuses the last of a full queue for a request that goes before it.
+
+        Returns:
+            whether there is a place now.
+        """
+        queue = self._waiting[waiter.criteria.service]
+        now_ms = self._clock.now_ms()
+        # Each request is put in order as it arrives.
+        last = queue[-1]
+        if self._find_order(waiter, now_ms) > self._find_order(last, now_ms):
+            return False
+        queue.pop()
+        self._refuse([last], self._targets.list_for(waiter.criteria.service))
+        return True
+
     def grant_slots(self, service: str) -> None:
         """Grants free slots to the waiting requests of a service."""
         queue = self._waiting.get(service)
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -3,12 +3,14 @@
 import dataclasses
 import random
 import unittest
+from unittest import mock
 
 import anyio
 from result import Ok
 
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
+from peridotbend.edge import backlog
 from peridotbend.edge.backlog import Backlog
 from peridotbend.edge.config import Account, Route
 from peridotbend.edge.selection import TargetCriteria
@@ -291,6 +293,22 @@
             self.free("i-1", "i-2", count=2)
         assert self.order == ["tag"] * 24 + ["rare"] * 3
 
+    async def test_full_queue_takes_requests_that_go_first(self) -> None:
+        """Guards against refusals of high ranks behind a flood of low ones."""
+        async with anyio.create_task_group() as tasks:
+            with mock.patch.object(backlog, "MAX_WAITING", 3):
+                for number in range(3):
+                    tasks.start_soon(self.acquire, f"low {number}", RETURNED)
+                await anyio.sleep(0.01)
+                tasks.start_soon(self.acquire, "high", NEW, 0)
+                await anyio.sleep(0.01)
+                tasks.start_soon(self.acquire, "lower", RETURNED, 2)
+                await anyio.sleep(0.01)
+            assert self.backlog.count_all() == 3
+            assert self.order == ["low 2 refused", "lower refused"]
+            self.free("i-1", "i-2", "i-3", count=9)
+        assert self.order[2:] == ["high", "low 0", "low 1"]
+
     async def test_requests_refused_together_count_once(self) -> None:
         """Guards against longer returns the more requests expire at once."""
         for _ in range(400):
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1147,6 +1147,22 @@
         "if other == rank or other in ahead",
         ("test_load_queueing",),
     ),
+    Mutant(
+        "full-queue-refuses-high-ranks",
+        "Starved",
+        EDGE + "backlog.py",
+        "if len(queue) >= MAX_WAITING and not self._make_place(waiter):",
+        "if len(queue) >= MAX_WAITING:",
+        ("test_load_queueing",),
+    ),
+    Mutant(
+        "full-queue-serves-the-latest",
+        "Starved",
+        EDGE + "backlog.py",
+        "if self._find_order(waiter, now_ms) > self._find_order(last, now_ms):",
+        "if False:",
+        ("test_load_queueing",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
