Ignore the longest tenth of deadlines in finding returns

Cause: a request counts as returned, and mostly as late, if others on its route stated a longer deadline within 10 to 20 s. One caller that states 1.1 times the time limit of the route thus made the requests of all others late: they waited behind others and were placed without their objective.

Change: the deadlines of two windows are counted in classes of 0.1 s, and the longest is that of the tenth longest of a hundred. With ten requests or less it is the longest as before.

Result: test_few_long_deadlines_do_not_make_others_look_late took a new request for 1.4 s old before, and passes now. Mutant odd-deadlines-taken-for-usual is killed.

--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -46,8 +46,12 @@
 RETURN_SHARE = 0.25
 # Long enough for a rate of a few grants a second, shorter than a burst.
 RATE_WINDOW_MS = 2_000
-# For this long, the longest deadline seen tells how long callers wait at first.
+# For this long, the longest deadlines seen tell how long callers wait at first.
 DEADLINE_WINDOW_MS = 10_000
+# Longer deadlines than those of this share of the callers tell nothing: a few
+# callers that wait for longer would make all others look old. At least half of
+# the requests are first attempts, as a caller returns once.
+LONGEST_SHARE = 0.1
 # Callers may wait longer than the time limit of their route. One that states
 # much more would make all others look old.
 MAX_DEADLINE_FACTOR = 1.1
@@ -121,6 +125,48 @@
     return round(wait_ms * rng.uniform(*UNKNOWN_RETRY_JITTER))
 
 
+class _Deadlines:
+    """How long the callers of a route wait at first."""
+
+    def __init__(self) -> None:
+        self._window = 0
+        # Number and maximum of the deadlines of each class of `MIN_AGE_MS`, in
+        # the current and in the last window.
+        self._current: dict[int, tuple[int, int]] = {}
+        self._before: dict[int, tuple[int, int]] = {}
+        # The classes of both, ascending, and how many deadlines they have.
+        self._classes: list[int] = []
+        self._total = 0
+
+    def add(self, deadline_ms: int, now_ms: int) -> None:
+        """Adds the deadline of one attempt."""
+        window = now_ms // DEADLINE_WINDOW_MS
+        if window != self._window:
+            is_next = window == self._window + 1
+            self._before = self._current if is_next else {}
+            self._current = {}
+            self._window = window
+            self._classes = sorted(self._before)
+            self._total = sum(count for count, _ in self._before.values())
+        key = deadline_ms // MIN_AGE_MS
+        if key not in self._current and key not in self._before:
+            bisect.insort(self._classes, key)
+        count, longest_ms = self._current.get(key, (0, 0))
+        self._current[key] = count + 1, max(longest_ms, deadline_ms)
+        self._total += 1
+
+    def find_longest_ms(self) -> int:
+        """Returns the longest deadline that is not an exception."""
+        left = LONGEST_SHARE * self._total
+        for key in reversed(self._classes):
+            count, longest_ms = self._current.get(key, (0, 0))
+            count_before, longest_before_ms = self._before.get(key, (0, 0))
+            left -= count + count_before
+            if left <= 0:
+                return max(longest_ms, longest_before_ms)
+        return 0
+
+
 class _RouteLoad:
     """What one instance has seen of a route lately."""
 
@@ -130,10 +176,7 @@
         self.refused = SlidingSum(clock, RATE_WINDOW_MS)
         # Times at which refused callers return, ascending.
         self.returns_at_ms: list[int] = []
-        # Longest plausible deadline of the current and of the last window.
-        self.deadline_window = 0
-        self.longest_ms = 0
-        self.longest_before_ms = 0
+        self.deadlines = _Deadlines()
 
 
 class GrantRates:
@@ -251,21 +294,15 @@
     def find_age_ms(self, route: Route, deadline_ms: int | None) -> int:
         """Returns the time since the first attempt of a caller; 0 if new.
 
-        It is the longest deadline seen on the route lately minus that of this
-        attempt. A missing or implausible deadline counts as new.
+        It is the longest usual deadline seen on the route lately minus that of
+        this attempt. A missing or implausible deadline counts as new.
         """
         plausible_ms = MAX_DEADLINE_FACTOR * route.timeout_ms
         if deadline_ms is None or not 0 < deadline_ms <= plausible_ms:
             return 0
         load = self._find_load(route.name)
-        window = self._clock.now_ms() // DEADLINE_WINDOW_MS
-        if window != load.deadline_window:
-            is_next = window == load.deadline_window + 1
-            load.longest_before_ms = load.longest_ms if is_next else 0
-            load.longest_ms = 0
-            load.deadline_window = window
-        load.longest_ms = max(load.longest_ms, deadline_ms)
-        age_ms = max(load.longest_ms, load.longest_before_ms) - deadline_ms
+        load.deadlines.add(deadline_ms, self._clock.now_ms())
+        age_ms = load.deadlines.find_longest_ms() - deadline_ms
         max_age_ms = MAX_RETRY_SHARE * route.timeout_ms + AGE_MARGIN_MS
         return age_ms if MIN_AGE_MS <= age_ms <= max_age_ms else 0
 
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -142,6 +142,21 @@
         # Longer ago than any return: the caller set out with less time.
         assert not self.planner.find_age_ms(ROUTE, 2_000)
 
+    def test_few_long_deadlines_do_not_make_others_look_late(self) -> None:
+        """Guards against one caller that demotes the requests of all others."""
+        odd_ms = round(1.09 * FULL_MS)
+        for number in range(200):
+            if number % 50 == 0:
+                assert not self.planner.find_age_ms(ROUTE, odd_ms)
+            deadline_ms = FULL_MS - number % 40
+            age_ms = self.planner.find_age_ms(ROUTE, deadline_ms)
+            # A few requests do not yet tell which deadline is usual.
+            assert not age_ms or number < 20, (number, age_ms)
+            if number % 3 == 0 and number > 20:
+                age_ms = self.planner.find_age_ms(ROUTE, FULL_MS - 2_000)
+                assert 1_800 <= age_ms <= 2_000, age_ms
+            self.clock.advance(100)
+
     def test_returned_request_waits_within_its_callers_time(self) -> None:
         """Guards against a second refusal while there is time to wait."""
         assert plan_wait(ROUTE, 0, FULL_MS).timeout_ms == 96
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1163,6 +1163,14 @@
         "if False:",
         ("test_load_queueing",),
     ),
+    Mutant(
+        "odd-deadlines-taken-for-usual",
+        "Starved",
+        LOAD + "queueing.py",
+        "            left -= count + count_before\n",
+        "            left = 0\n",
+        ("test_load_queueing",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
