Keep no hashes of the names of removed targets

Cause: each look-up of a shared count keeps the hash of its name. The three counts of the paces were looked up for each runner, and their hashes were dropped only if the count was above 0; a peer that still reported a removed target brought the hash of its name back. Runners that are replaced under new names thus left four entries each.

Change: setting a count to 0 drops its hash, and reports of peers keep none.

Result: test_removed_names_take_no_memory had 50 names left of 50 removed runners before, and none now.

--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -57,18 +57,23 @@
 
     def set_own(self, name: str, count: int) -> None:
         """Replaces a count of this instance, which need not be a target's."""
+        if not count:
+            self._hashes.pop(name, None)
         if count == self._own.get(name, 0):
             return
         if count:
             self._own[name] = count
         else:
             del self._own[name]
-            self._hashes.pop(name, None)
         self.on_change()
 
     def record_peer(self, peer: str, use: Mapping[str, int]) -> None:
         """Replaces the requests in flight reported by a peer."""
-        counts = {self.find_hash(name): count for name, count in use.items()}
+        # Names are not kept: a peer may not know yet that a target is gone.
+        counts = {
+            self._hashes.get(name) or hash_name(name): count
+            for name, count in use.items()
+        }
         self.record_group(peer, counts)
 
     def record_group(self, source: str, counts: Mapping[int, int]) -> None:
--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -201,6 +201,23 @@
         assert not self.one.occupancy.own
         assert self.one.paces.count() == 0
 
+    def test_removed_names_take_no_memory(self) -> None:
+        """Guards against memory that grows with each replaced runner."""
+        occupancy = self.one.occupancy
+        for number in range(50):
+            name = f"replaced-{number}"
+            occupancy.record_peer("10.0.0.9", {"i-1": 1})
+            self.one.paces.note_listed(name, "engine", 1, fresh=True)
+            self.one.answer(name, 100)
+            self.one.find(name)
+            self.one.paces.check()
+            self.one.paces.forget(name)
+            occupancy.forget_target(name)
+            # Another instance learns a little later that it is gone.
+            occupancy.record_peer("10.0.0.9", {name: 1})
+        known = [n for n in occupancy._hashes if n.startswith("replaced")]
+        assert not known, len(known)
+
 
 class RelayTest(unittest.TestCase):
     """Requests through the relay, at runners of ten slots each."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1171,6 +1171,14 @@
         "            left = 0\n",
         ("test_load_queueing",),
     ),
+    Mutant(
+        "names-of-removed-targets-kept",
+        "Starved",
+        EDGE + "occupancy.py",
+        "        if not count:\n            self._hashes.pop(name, None)\n",
+        "",
+        ("test_load_pace",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
