Limit what one stated token count teaches

Cause: callers state their token counts, up to 2^31 - 1. The first event of such a request, after the time of a short prompt, decided the slope of the service for over a thousand first events, and made its target look ten times as fast for some hundred of its own.

Change: a sample counts no more tokens than are read in its time at five times the learned speed, by which engines differ.

Result: two false counts lowered the prediction of another target from 134 to 56 ms before; test_false_token_count_changes_little bounds that to a quarter and passes now. After a change of speed by 4 nothing is cut. Mutant false-token-count-decides-the-slope is killed.

--- a/src/peridotbend/load/work.py
+++ b/src/peridotbend/load/work.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -32,6 +33,9 @@
 MIN_FACTOR, MAX_FACTOR = 0.1, 20.0
 # One stalled send does not make its target look worse than this.
 MAX_SAMPLE_FACTOR = 8.0
+# Callers may state more tokens than they send. No more count than are read at
+# this multiple of the speed of the service, by which engines differ.
+MAX_SPEED_FACTOR = 5.0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -99,6 +103,16 @@
         self.ms_per_token = min(max(slope, 0.0), through_origin)
         self.base_ms = max(0.0, mean_y - self.ms_per_token * mean_x)
 
+    def limit_tokens(self, tokens: int, took_ms: int) -> int:
+        """Returns the tokens of a sample, or the most that count in its time.
+
+        A single count far above the others would decide the slope alone.
+        """
+        if self.count < MIN_SAMPLES or not self.ms_per_token:
+            return tokens
+        most = MAX_SPEED_FACTOR * max(1, took_ms) / self.ms_per_token
+        return min(tokens, math.ceil(most))
+
     @property
     def mean_ms(self) -> float:
         """Mean time to a first event."""
@@ -192,6 +206,7 @@
         tokens = ticket.ahead_tokens + ticket.prompt_tokens
         took_ms = self._clock.now_ms() - ticket.started_at_ms
         line = self._lines.setdefault(ticket.service, _Line())
+        tokens = line.limit_tokens(tokens, took_ms)
         line.add(tokens, took_ms)
         record = self._records.setdefault(
             ticket.target, _Record(ticket.service)
--- a/tests/test_load_work.py
+++ b/tests/test_load_work.py
@@ -158,6 +158,26 @@
             actual_ms = 10_000 / tokens_per_ms + 30
             assert 0.6 * actual_ms < found < 1.6 * actual_ms, (target, found)
 
+    def test_false_token_count_changes_little(self) -> None:
+        """Guards against a caller whose count no target can have read."""
+        clock = ManualClock()
+        work = make_work(clock)
+        for _ in range(10):
+            teach(work, clock, "i-1", 80.0)
+            teach(work, clock, "i-2", 80.0)
+        expected_ms = work.predict_first_event_ms("i-2", 8_000, "engine")
+        assert expected_ms
+        for tokens in (2**31 - 1, 1_000_000):
+            ticket = work.start("i-1", tokens, "engine")
+            clock.advance(40)
+            work.note_first_event(ticket)
+        others_ms = work.predict_first_event_ms("i-2", 8_000, "engine")
+        assert others_ms and others_ms > 0.75 * expected_ms, others_ms
+        # The target itself looks faster for a few more first events.
+        teach(work, clock, "i-1", 80.0, 20)
+        found = work.predict_first_event_ms("i-1", 8_000, "engine")
+        assert found and found > 0.75 * expected_ms, (found, expected_ms)
+
     def test_restarted_target_is_unknown(self) -> None:
         """Guards against the speed of a process that is gone."""
         clock = ManualClock()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1179,6 +1179,14 @@
         "",
         ("test_load_pace",),
     ),
+    Mutant(
+        "false-token-count-decides-the-slope",
+        "Starved",
+        LOAD + "work.py",
+        "        tokens = line.limit_tokens(tokens, took_ms)\n",
+        "",
+        ("test_load_work",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
