Plan the return of callers whose request was rejected

Cause: a request that targets rejected until its attempts were used up was answered with the objective of the route as Retry-After, whatever time the caller had left and however many others were to return, and its return was not counted.

Change: for requests with a token count such a refusal is planned like that of a request that found no slot. Others are answered as before.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -366,6 +366,26 @@
         """Returns after how many ms a caller should retry in any case."""
         return find_plain_retry_ms(route, self._rng)
 
+    def plan_return(
+        self, service: str, route: Route, end_at_ms: int, terms: CallerTerms
+    ) -> int:
+        """Returns after how many ms a caller should retry after a rejection.
+
+        Args:
+            service: whose targets have rejected the request.
+            route: the route of the request.
+            end_at_ms: latest time until which the caller waits.
+            terms: work and deadline of the request, which has a token count.
+        """
+        age_ms = self._planner.find_age_ms(route, terms.deadline_ms)
+        self._planner.note_refused(route.name)
+        return self._planner.find_retry_after_ms(
+            route,
+            end_at_ms - self._clock.now_ms(),
+            _count_by_route(self._waiting.get(service, ()))[route.name],
+            bool(age_ms),
+        )
+
     def _note_arrived(self, waiter: _Waiter) -> None:
         if waiter.is_resumed or waiter.plan.is_returned:
             return
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -1,5 +1,7 @@
 """Serves one call: admission, target selection, retries and the answer."""
 
+import dataclasses
+
 import anyio
 from result import Err, Result
 
@@ -130,9 +132,30 @@
                 await self._may_continue(request)
                 and self._may_send_again(request)
             ):
-                await self._end(request, responder, refusal)
+                await self._end(
+                    request, responder, self._plan_return(request, refusal)
+                )
                 return
 
+    def _plan_return(
+        self, request: ActiveRequest, refusal: NotRun | MayHaveRun
+    ) -> NotRun | MayHaveRun:
+        """Returns a refusal with the time at which its caller finds room."""
+        terms = make_terms(request)
+        if (
+            not isinstance(refusal, NotRun)
+            or terms.work is None
+            or request.is_resumed
+        ):
+            return refusal
+        retry_after_ms = self._dependencies.backlog.plan_return(
+            request.service,
+            request.route,
+            request.deadline_at_ms - MIN_SEND_MS,
+            terms,
+        )
+        return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
+
     def _find_cause(self, request: ActiveRequest) -> frozenset[int] | None:
         return self._dependencies.crashes.find_cause(request.traits)
 
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -10,9 +10,11 @@
 
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
+from peridotbend.domain.verdicts import NotRun
 from peridotbend.edge import backlog
 from peridotbend.edge.backlog import Backlog
 from peridotbend.edge.config import Account, Route
+from peridotbend.edge.ports import Rejection
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.load.precedence import (
     SHORTAGE_MS,
@@ -28,7 +30,12 @@
     ReturnPlanner,
     plan_wait,
 )
-from tests.edgefakes import CALL, STREAM_ROUTE, RelayHarness
+from tests.edgefakes import (
+    CALL,
+    STREAM_ROUTE,
+    RelayHarness,
+    ScriptedReply,
+)
 
 ROUTE = STREAM_ROUTE
 FULL_MS = ROUTE.timeout_ms
@@ -412,3 +419,22 @@
         )
         assert line["waiting"] == 0
         assert {"returning", "granted_per_s"} <= line.keys()
+
+    async def test_refusal_by_targets_is_planned_like_others(self) -> None:
+        """Guards against an objective for a caller that has less time left."""
+        rejected = ScriptedReply(failure=Rejection.UNAVAILABLE)
+        harness = RelayHarness(rejected, rejected)
+        planner = harness.backlog._planner
+        for _ in range(40):
+            planner.note_granted(ROUTE.name)
+            planner.note_arrived(ROUTE.name)
+        responder = await harness.serve(CALL)
+        assert isinstance(responder.verdict, NotRun)
+        # A quarter of the 42 grants is for returns.
+        assert responder.verdict.retry_after_ms == 300 + round(2_000 / 10.5)
+        assert planner.count_returning(ROUTE.name) == 1
+        harness = RelayHarness(rejected, rejected)
+        call = dataclasses.replace(CALL, deadline_ms=900)
+        responder = await harness.serve(call)
+        assert isinstance(responder.verdict, NotRun)
+        assert responder.verdict.retry_after_ms <= 300
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1187,6 +1187,14 @@
         "",
         ("test_load_work",),
     ),
+    Mutant(
+        "rejected-requests-not-planned",
+        "Starved",
+        EDGE + "relay.py",
+        "return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)",
+        "return refusal",
+        ("test_load_queueing",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
