Leave no room to requests without a target

Cause: a request that waits for a target of its software version, while none is listed, counted as short of room.

Change: room counts as short only for requests that a target may serve.

Result: test_request_without_a_target_takes_no_room left the last usable slot idle before, and it is granted now. Mutant room-left-to-requests-without-a-target is killed.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -318,7 +318,9 @@
                 self._grant(waiter, target)
                 continue
             assert waiter.precedence is not None
-            self._find_shortages(service).note(waiter.precedence)
+            if any(map(waiter.criteria.admits, targets)):
+                # Room left by others would not help those without a target.
+                self._find_shortages(service).note(waiter.precedence)
             if (
                 is_evacuated and not waiter.is_resumed
             ) or waiter.wait_until_ms <= now_ms + self._find_pause_ms(
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -1,6 +1,7 @@
 """Tests of waits, refusals and returns in bursts of several times the load."""
 
 import dataclasses
+import functools
 import random
 import unittest
 from unittest import mock
@@ -331,6 +332,28 @@
             self.free("i-1", "i-2", "i-3", count=9)
         assert self.order[2:] == ["high", "low 0", "low 1"]
 
+    async def test_request_without_a_target_takes_no_room(self) -> None:
+        """Guards against room left idle for what no target may serve."""
+        self.free("i-1", "i-2", "i-3", count=2)
+        self.harness.occupancy.remove("i-1")
+        async with anyio.create_task_group() as tasks:
+            criteria = TargetCriteria("engine", True, (0, 0), software="gone")
+            end_at_ms = self.harness.clock.now_ms() + FULL_MS
+            tasks.start_soon(
+                functools.partial(
+                    self.backlog.acquire, criteria, ROUTE, end_at_ms, terms=NEW
+                )
+            )
+            await anyio.sleep(0.01)
+            assert self.backlog.count_all() == 1
+            # One of the 27 usable slots is free.
+            tasks.start_soon(self.acquire, "low", NEW, 2)
+            await anyio.sleep(0.01)
+            in_flight = sum(self.harness.occupancy.own.values())
+            tasks.cancel_scope.cancel()
+        assert in_flight == 27, in_flight
+        assert self.order == ["low"]
+
     async def test_requests_refused_together_count_once(self) -> None:
         """Guards against longer returns the more requests expire at once."""
         for _ in range(400):
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1195,6 +1195,14 @@
         "return refusal",
         ("test_load_queueing",),
     ),
+    Mutant(
+        "room-left-to-requests-without-a-target",
+        "Starved",
+        EDGE + "backlog.py",
+        "            if any(map(waiter.criteria.admits, targets)):\n",
+        "            if True:\n",
+        ("test_load_queueing",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
