--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -1,5 +1,6 @@
 """Queue of requests that wait for a slot at a target."""
 
+import collections
 import dataclasses
 import itertools
 import random
@@ -28,6 +29,7 @@
 )
 from peridotbend.load.queueing import (
     CallerTerms,
+    GrantRates,
     ReturnPlanner,
     WaitPlan,
     find_plain_retry_ms,
@@ -64,9 +66,17 @@
     end_at_ms: int
     # As of the last time that the queue was put in order.
     precedence: Precedence | None = None
+    # Stand for what finds room alike, with and without regard to the prompt.
+    # Computed once, as each pass of the queue compares them.
+    criteria_class: TargetCriteria = dataclasses.field(init=False)
+    kind: TargetCriteria = dataclasses.field(init=False)
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     result: "Result[Slot, NotRun] | None" = None
 
+    def __post_init__(self) -> None:
+        self.criteria_class = self.criteria.make_class()
+        self.kind = dataclasses.replace(self.criteria_class, prompt=None)
+
     @property
     def is_planned(self) -> bool:
         """Whether the rules for requests with a token count apply."""
@@ -143,6 +153,7 @@
         self._sequence = itertools.count()
         self._waiting: dict[str, list[_Waiter]] = {}
         self._planner = ReturnPlanner(clock, rng)
+        self._rates = GrantRates(clock)
         # By service and rank, as accounts compete within a rank.
         self._shares: dict[tuple[str, tuple[int, int]], FairShares] = {}
         self._weights: dict[str, float] = {}
@@ -236,15 +247,16 @@
             end_at_ms,
         )
         queue = self._waiting.setdefault(criteria.service, [])
-        if len(queue) >= MAX_WAITING:
-            retry_after_ms = self._plan_return(waiter)
+        if len(queue) >= MAX_WAITING and not self._make_place(waiter):
+            waiting = _count_by_route(queue)[route.name]
+            retry_after_ms = self._plan_return(waiter, waiting)
             return Err(NotRun(Reason.AT_CAPACITY, retry_after_ms))
         self._note_arrived(waiter)
         queue.append(waiter)
         self.grant_slots(criteria.service)
         if waiter.result is None and self._is_hopeless(waiter):
             self._waiting[criteria.service].remove(waiter)
-            self._refuse(waiter, self._targets.list_for(criteria.service))
+            self._refuse([waiter], self._targets.list_for(criteria.service))
         try:
             if waiter.result is None:
                 self._has_waiting.set()
@@ -255,6 +267,22 @@
         assert waiter.result is not None
         return waiter.result
 
+    def _make_place(self, waiter: _Waiter) -> bool:
+        """Refuses the last of a full queue for a request that goes before it.
+
+        Returns:
+            whether there is a place now.
+        """
+        queue = self._waiting[waiter.criteria.service]
+        now_ms = self._clock.now_ms()
+        # Each request is put in order as it arrives.
+        last = queue[-1]
+        if self._find_order(waiter, now_ms) > self._find_order(last, now_ms):
+            return False
+        queue.pop()
+        self._refuse([last], self._targets.list_for(waiter.criteria.service))
+        return True
+
     def grant_slots(self, service: str) -> None:
         """Grants free slots to the waiting requests of a service."""
         queue = self._waiting.get(service)
@@ -266,6 +294,7 @@
         targets = self._targets.list_for(service)
         is_evacuated = self._targets.is_evacuated(service)
         still_waiting: list[_Waiter] = []
+        refused: list[_Waiter] = []
         # Criteria for which all targets are full. Within this call slots are
         # only taken, so other requests with the same criteria would find none.
         full_for: set[TargetCriteria] = set()
@@ -275,33 +304,34 @@
         leaving: set[Precedence] = set()
         for waiter in queue:
             target = None
-            criteria = waiter.criteria.make_class()
-            kind = dataclasses.replace(criteria, prompt=None)
             if (
-                criteria not in full_for
-                and kind not in without_room
+                waiter.criteria_class not in full_for
+                and waiter.kind not in without_room
                 and not self._must_leave_room(waiter, targets, leaving)
             ):
                 target = self._selector.choose(waiter.criteria, targets)
                 if target is None:
-                    full_for.add(criteria)
+                    full_for.add(waiter.criteria_class)
                     if not self._selector.has_room(waiter.criteria, targets):
-                        without_room.add(kind)
+                        without_room.add(waiter.kind)
             if target is not None and waiter.wait_until_ms > now_ms:
                 self._grant(waiter, target)
                 continue
             assert waiter.precedence is not None
-            self._find_shortages(service).note(waiter.precedence)
+            if any(map(waiter.criteria.admits, targets)):
+                # Room left by others would not help those without a target.
+                self._find_shortages(service).note(waiter.precedence)
             if (
                 is_evacuated and not waiter.is_resumed
             ) or waiter.wait_until_ms <= now_ms + self._find_pause_ms(
                 waiter, targets
             ):
                 # Its time is over, or will be before a target takes requests.
-                self._refuse(waiter, targets)
+                refused.append(waiter)
             else:
                 still_waiting.append(waiter)
         self._waiting[service] = still_waiting
+        self._refuse(refused, targets)
 
     async def run(self) -> None:
         """Grants slots and refuses expired requests, while any wait."""
@@ -344,6 +374,26 @@
         """Returns after how many ms a caller should retry in any case."""
         return find_plain_retry_ms(route, self._rng)
 
+    def plan_return(
+        self, service: str, route: Route, end_at_ms: int, terms: CallerTerms
+    ) -> int:
+        """Returns after how many ms a caller should retry after a rejection.
+
+        Args:
+            service: whose targets have rejected the request.
+            route: the route of the request.
+            end_at_ms: latest time until which the caller waits.
+            terms: work and deadline of the request, which has a token count.
+        """
+        age_ms = self._planner.find_age_ms(route, terms.deadline_ms)
+        self._planner.note_refused(route.name)
+        return self._planner.find_retry_after_ms(
+            route,
+            end_at_ms - self._clock.now_ms(),
+            _count_by_route(self._waiting.get(service, ()))[route.name],
+            bool(age_ms),
+        )
+
     def _note_arrived(self, waiter: _Waiter) -> None:
         if waiter.is_resumed or waiter.plan.is_returned:
             return
@@ -429,11 +479,15 @@
             return False
         queue = self._waiting[waiter.criteria.service]
         ahead = queue[: queue.index(waiter)]
-        routes = {other.route.name for other in ahead} | {waiter.route.name}
-        granted_per_ms = sum(map(self._planner.find_grants_per_ms, routes))
+        granted_per_ms = self._rates.find_per_ms(
+            waiter.criteria.service,
+            waiter.criteria.rank,
+            {other.criteria.rank for other in ahead},
+        )
         return len(ahead) > granted_per_ms * waiter.plan.timeout_ms > 0
 
     def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
+        self._rates.note(waiter.criteria.service, waiter.criteria.rank)
         if waiter.is_planned and not waiter.is_resumed:
             self._planner.note_granted(waiter.route.name)
         if waiter.terms.account and not waiter.is_resumed:
@@ -469,25 +523,34 @@
         slot = Slot(target, on_release, in_flight, permit, ticket)
         return slot
 
-    def _refuse(self, waiter: _Waiter, targets: list[EdgeTarget]) -> None:
-        has_target = any(map(waiter.criteria.admits, targets))
-        reason = Reason.SHED if has_target else Reason.NO_TARGET
-        retry_after_ms = max(
-            self._plan_return(waiter), self._find_pause_ms(waiter, targets)
-        )
-        waiter.result = Err(NotRun(reason, retry_after_ms))
-        waiter.done.set()
+    def _refuse(
+        self, waiters: Iterable[_Waiter], targets: list[EdgeTarget]
+    ) -> None:
+        """Refuses requests of one service that have left its queue."""
+        waiting: collections.Counter[str] | None = None
+        for waiter in waiters:
+            if waiting is None:
+                queue = self._waiting.get(waiter.criteria.service, ())
+                waiting = _count_by_route(queue)
+            has_target = any(map(waiter.criteria.admits, targets))
+            reason = Reason.SHED if has_target else Reason.NO_TARGET
+            retry_after_ms = max(
+                self._plan_return(waiter, waiting[waiter.route.name]),
+                self._find_pause_ms(waiter, targets),
+            )
+            waiter.result = Err(NotRun(reason, retry_after_ms))
+            waiter.done.set()
 
-    def _plan_return(self, waiter: _Waiter) -> int:
+    def _plan_return(self, waiter: _Waiter, waiting: int) -> int:
         route = waiter.route
         if not waiter.is_planned or waiter.is_resumed:
             return find_plain_retry_ms(route, self._rng)
         self._planner.note_refused(route.name)
-        queue = self._waiting.get(waiter.criteria.service, ())
         return self._planner.find_retry_after_ms(
             route,
             waiter.end_at_ms - self._clock.now_ms(),
-            sum(other.route.name == route.name for other in queue),
+            waiting,
+            waiter.plan.is_returned,
         )
 
     def _find_pause_ms(self, waiter: _Waiter, targets: list[EdgeTarget]) -> int:
@@ -499,3 +562,7 @@
             queue.remove(waiter)
         elif waiter.result is not None and isinstance(waiter.result, Ok):
             waiter.result.ok_value.release()
+
+
+def _count_by_route(queue: Iterable[_Waiter]) -> collections.Counter[str]:
+    return collections.Counter(waiter.route.name for waiter in queue)
--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -32,6 +32,8 @@
 UNKNOWN_RETRY_JITTER = (0.7, 1.3)
 # Callers that return sooner meet the same shortage.
 MIN_RETRY_MS = 300
+# A caller without any time left is told this, as 0 stands for no Retry-After.
+LEAST_RETRY_MS = 1
 # Upper bound of Retry-After, as a fraction of the time limit of the route and
 # of the time that the caller has left, of which it accepts a third.
 MAX_RETRY_SHARE = 0.25
@@ -44,8 +46,12 @@
 RETURN_SHARE = 0.25
 # Long enough for a rate of a few grants a second, shorter than a burst.
 RATE_WINDOW_MS = 2_000
-# For this long, the longest deadline seen tells how long callers wait at first.
+# For this long, the longest deadlines seen tell how long callers wait at first.
 DEADLINE_WINDOW_MS = 10_000
+# Longer deadlines than those of this share of the callers tell nothing: a few
+# callers that wait for longer would make all others look old. At least half of
+# the requests are first attempts, as a caller returns once.
+LONGEST_SHARE = 0.1
 # Callers may wait longer than the time limit of their route. One that states
 # much more would make all others look old.
 MAX_DEADLINE_FACTOR = 1.1
@@ -119,6 +125,48 @@
     return round(wait_ms * rng.uniform(*UNKNOWN_RETRY_JITTER))
 
 
+class _Deadlines:
+    """How long the callers of a route wait at first."""
+
+    def __init__(self) -> None:
+        self._window = 0
+        # Number and maximum of the deadlines of each class of `MIN_AGE_MS`, in
+        # the current and in the last window.
+        self._current: dict[int, tuple[int, int]] = {}
+        self._before: dict[int, tuple[int, int]] = {}
+        # The classes of both, ascending, and how many deadlines they have.
+        self._classes: list[int] = []
+        self._total = 0
+
+    def add(self, deadline_ms: int, now_ms: int) -> None:
+        """Adds the deadline of one attempt."""
+        window = now_ms // DEADLINE_WINDOW_MS
+        if window != self._window:
+            is_next = window == self._window + 1
+            self._before = self._current if is_next else {}
+            self._current = {}
+            self._window = window
+            self._classes = sorted(self._before)
+            self._total = sum(count for count, _ in self._before.values())
+        key = deadline_ms // MIN_AGE_MS
+        if key not in self._current and key not in self._before:
+            bisect.insort(self._classes, key)
+        count, longest_ms = self._current.get(key, (0, 0))
+        self._current[key] = count + 1, max(longest_ms, deadline_ms)
+        self._total += 1
+
+    def find_longest_ms(self) -> int:
+        """Returns the longest deadline that is not an exception."""
+        left = LONGEST_SHARE * self._total
+        for key in reversed(self._classes):
+            count, longest_ms = self._current.get(key, (0, 0))
+            count_before, longest_before_ms = self._before.get(key, (0, 0))
+            left -= count + count_before
+            if left <= 0:
+                return max(longest_ms, longest_before_ms)
+        return 0
+
+
 class _RouteLoad:
     """What one instance has seen of a route lately."""
 
@@ -128,10 +176,42 @@
         self.refused = SlidingSum(clock, RATE_WINDOW_MS)
         # Times at which refused callers return, ascending.
         self.returns_at_ms: list[int] = []
-        # Longest plausible deadline of the current and of the last window.
-        self.deadline_window = 0
-        self.longest_ms = 0
-        self.longest_before_ms = 0
+        self.deadlines = _Deadlines()
+
+
+class GrantRates:
+    """How many slots a service grants, by the ranks that get them."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._granted: dict[str, dict[tuple[int, int], SlidingSum]] = {}
+
+    def note(self, service: str, rank: tuple[int, int]) -> None:
+        """Counts a granted slot."""
+        by_rank = self._granted.setdefault(service, {})
+        if rank not in by_rank:
+            by_rank[rank] = SlidingSum(self._clock, RATE_WINDOW_MS)
+        by_rank[rank].add(1)
+
+    def find_per_ms(
+        self, service: str, rank: tuple[int, int], ahead: set[tuple[int, int]]
+    ) -> float:
+        """Returns the rate of slots for a request and those ahead of it.
+
+        They also get what lower ranks were granted lately. A rank that is rare
+        was granted few slots although there was room.
+
+        Args:
+            service: of the request.
+            rank: of the request.
+            ahead: the ranks of those ahead.
+        """
+        granted = sum(
+            granted.find()
+            for other, granted in self._granted.get(service, {}).items()
+            if other >= rank or other in ahead
+        )
+        return granted / RATE_WINDOW_MS
 
 
 class ReturnPlanner:
@@ -158,13 +238,12 @@
         """Counts a refusal."""
         self._find_load(route).refused.add(1)
 
-    def find_grants_per_ms(self, route: str) -> float:
-        """Returns the rate at which requests of a route got slots lately."""
-        load = self._loads.get(route)
-        return load.granted.find() / RATE_WINDOW_MS if load else 0.0
-
     def find_retry_after_ms(
-        self, route: Route, left_ms: int, waiting: int = 0
+        self,
+        route: Route,
+        left_ms: int,
+        waiting: int = 0,
+        is_returned: bool = False,
     ) -> int:
         """Returns after how many ms a refused caller should retry.
 
@@ -176,6 +255,8 @@
             route: the route of the request.
             left_ms: time until the deadline of the caller.
             waiting: requests of the route that wait for a slot.
+            is_returned: whether the caller was refused before, after which it
+                does not come again.
         """
         longest_ms = max(
             0.0,
@@ -187,21 +268,19 @@
         load = self._find_load(route.name)
         granted, refused = load.granted.find(), load.refused.find()
         if not granted and refused <= 1:
-            return find_plain_retry_ms(route, self._rng)
+            plain_ms = find_plain_retry_ms(route, self._rng)
+            return self._limit_retry_ms(plain_ms, longest_ms)
         returning = self.count_returning(route.name)
         spare = max(granted - load.arrived.find(), RETURN_SHARE * granted)
         if spare:
             ahead = waiting + returning + 1
-            retry_ms = MIN_RETRY_MS + ahead * RATE_WINDOW_MS / spare
+            room_ms = MIN_RETRY_MS + ahead * RATE_WINDOW_MS / spare
         else:
-            retry_ms = longest_ms
-        if retry_ms >= longest_ms:
-            retry_ms = longest_ms * self._rng.uniform(1 - SPREAD_SHARE, 1)
-        if returning < MAX_RETURNING:
-            bisect.insort(
-                load.returns_at_ms, self._clock.now_ms() + round(retry_ms)
-            )
-        return round(retry_ms)
+            room_ms = longest_ms
+        retry_ms = self._limit_retry_ms(room_ms, longest_ms)
+        if not is_returned and returning < MAX_RETURNING:
+            bisect.insort(load.returns_at_ms, self._clock.now_ms() + retry_ms)
+        return retry_ms
 
     def count_returning(self, route: str) -> int:
         """Returns how many refused callers are yet to return."""
@@ -215,29 +294,34 @@
     def find_age_ms(self, route: Route, deadline_ms: int | None) -> int:
         """Returns the time since the first attempt of a caller; 0 if new.
 
-        It is the longest deadline seen on the route lately minus that of this
-        attempt. A missing or implausible deadline counts as new.
+        It is the longest usual deadline seen on the route lately minus that of
+        this attempt. A missing or implausible deadline counts as new.
         """
         plausible_ms = MAX_DEADLINE_FACTOR * route.timeout_ms
         if deadline_ms is None or not 0 < deadline_ms <= plausible_ms:
             return 0
         load = self._find_load(route.name)
-        window = self._clock.now_ms() // DEADLINE_WINDOW_MS
-        if window != load.deadline_window:
-            is_next = window == load.deadline_window + 1
-            load.longest_before_ms = load.longest_ms if is_next else 0
-            load.longest_ms = 0
-            load.deadline_window = window
-        load.longest_ms = max(load.longest_ms, deadline_ms)
-        age_ms = max(load.longest_ms, load.longest_before_ms) - deadline_ms
+        load.deadlines.add(deadline_ms, self._clock.now_ms())
+        age_ms = load.deadlines.find_longest_ms() - deadline_ms
         max_age_ms = MAX_RETRY_SHARE * route.timeout_ms + AGE_MARGIN_MS
         return age_ms if MIN_AGE_MS <= age_ms <= max_age_ms else 0
 
+    def _limit_retry_ms(self, retry_ms: float, longest_ms: float) -> int:
+        """Spreads the callers that can't wait until there is room."""
+        if retry_ms >= longest_ms:
+            earliest_ms = max((1 - SPREAD_SHARE) * longest_ms, MIN_RETRY_MS)
+            retry_ms = self._rng.uniform(
+                min(earliest_ms, longest_ms), longest_ms
+            )
+        return max(LEAST_RETRY_MS, round(retry_ms))
+
     def describe(self, route: str) -> dict[str, object]:
         """Returns what decides Retry-After, for logs."""
+        load = self._loads.get(route)
+        granted = load.granted.find() if load else 0.0
         return {
             "returning": self.count_returning(route),
-            "granted_per_s": round(1_000 * self.find_grants_per_ms(route), 1),
+            "granted_per_s": round(1_000 * granted / RATE_WINDOW_MS, 1),
         }
 
     def _find_load(self, route: str) -> _RouteLoad:
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -1,16 +1,21 @@
 """Tests of waits, refusals and returns in bursts of several times the load."""
 
 import dataclasses
+import functools
 import random
 import unittest
+from unittest import mock
 
 import anyio
 from result import Ok
 
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
+from peridotbend.domain.verdicts import NotRun
+from peridotbend.edge import backlog
 from peridotbend.edge.backlog import Backlog
-from peridotbend.edge.config import Account
+from peridotbend.edge.config import Account, Route
+from peridotbend.edge.ports import Rejection
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.load.precedence import (
     SHORTAGE_MS,
@@ -19,11 +24,19 @@
 )
 from peridotbend.load.queueing import (
     MAX_RETRY_SHARE,
+    MIN_RETRY_MS,
+    RATE_WINDOW_MS,
     CallerTerms,
+    GrantRates,
     ReturnPlanner,
     plan_wait,
 )
-from tests.edgefakes import CALL, STREAM_ROUTE, RelayHarness
+from tests.edgefakes import (
+    CALL,
+    STREAM_ROUTE,
+    RelayHarness,
+    ScriptedReply,
+)
 
 ROUTE = STREAM_ROUTE
 FULL_MS = ROUTE.timeout_ms
@@ -92,6 +105,31 @@
         self.load(granted=1, arrived=100)
         assert self.planner.find_retry_after_ms(ROUTE, 1_500) <= 500
 
+    def test_first_refusals_leave_two_thirds_of_the_time(self) -> None:
+        """Guards against a fixed second for a caller that has less left."""
+        for left_ms in (3_000, 1_500, 600):
+            retry_ms = self.planner.find_retry_after_ms(ROUTE, left_ms)
+            assert 0 < retry_ms <= left_ms / 3, (left_ms, retry_ms)
+        brief = dataclasses.replace(ROUTE, name="brief", timeout_ms=2_000)
+        for _ in range(20):
+            assert self.planner.find_retry_after_ms(brief, 2_000) <= 500
+
+    def test_refusal_without_time_left_names_a_time(self) -> None:
+        """Guards against a 0, which is sent to the caller as a second."""
+        for _ in range(2):
+            for left_ms in (1, 0, -20):
+                assert self.planner.find_retry_after_ms(ROUTE, left_ms) == 1
+            self.load(granted=1, arrived=100)
+
+    def test_long_shortage_keeps_the_shortest_return(self) -> None:
+        """Guards against returns into the same shortage."""
+        self.load(granted=1, arrived=100)
+        times = [
+            self.planner.find_retry_after_ms(ROUTE, 1_200) for _ in range(60)
+        ]
+        assert min(times) >= MIN_RETRY_MS
+        assert max(times) <= 400
+
     def test_returned_caller_is_known_by_its_deadline(self) -> None:
         """Guards against refusing a caller that has no third attempt."""
         assert not self.planner.find_age_ms(ROUTE, FULL_MS)
@@ -112,6 +150,21 @@
         # Longer ago than any return: the caller set out with less time.
         assert not self.planner.find_age_ms(ROUTE, 2_000)
 
+    def test_few_long_deadlines_do_not_make_others_look_late(self) -> None:
+        """Guards against one caller that demotes the requests of all others."""
+        odd_ms = round(1.09 * FULL_MS)
+        for number in range(200):
+            if number % 50 == 0:
+                assert not self.planner.find_age_ms(ROUTE, odd_ms)
+            deadline_ms = FULL_MS - number % 40
+            age_ms = self.planner.find_age_ms(ROUTE, deadline_ms)
+            # A few requests do not yet tell which deadline is usual.
+            assert not age_ms or number < 20, (number, age_ms)
+            if number % 3 == 0 and number > 20:
+                age_ms = self.planner.find_age_ms(ROUTE, FULL_MS - 2_000)
+                assert 1_800 <= age_ms <= 2_000, age_ms
+            self.clock.advance(100)
+
     def test_returned_request_waits_within_its_callers_time(self) -> None:
         """Guards against a second refusal while there is time to wait."""
         assert plan_wait(ROUTE, 0, FULL_MS).timeout_ms == 96
@@ -120,6 +173,22 @@
         assert plan_wait(ROUTE, 2_000, 300).timeout_ms == 150
 
 
+class GrantRatesTest(unittest.TestCase):
+    """The rate at which slots become free for a request."""
+
+    def test_slots_of_higher_ranks_count_only_for_those_ahead(self) -> None:
+        """Guards against waits for slots that higher ranks take."""
+        rates = GrantRates(ManualClock())
+        for rank, count in enumerate((8, 4, 2)):
+            for _ in range(count):
+                rates.note("engine", (0, rank))
+        rates.note("other", (0, 1))
+        for ahead, granted in ((set(), 6), ({(0, 0)}, 14)):
+            found = rates.find_per_ms("engine", (0, 1), ahead)
+            assert found == granted / RATE_WINDOW_MS
+        assert not rates.find_per_ms("unknown", (0, 1), set())
+
+
 class ShortagesTest(unittest.TestCase):
     """The room that is left to requests that go first."""
 
@@ -160,19 +229,24 @@
         self.harness = RelayHarness()
         self.backlog: Backlog = self.harness.backlog
         self.order: list[str] = []
+        self.retries_ms: list[int] = []
         for name in ("i-1", "i-2", "i-3"):
             for _ in range(11):
                 self.harness.occupancy.add(name)
         self.backlog._planner.find_age_ms(ROUTE, FULL_MS)
 
     async def acquire(
-        self, label: str, terms: CallerTerms, rank: int = 1
+        self,
+        label: str,
+        terms: CallerTerms,
+        rank: int = 1,
+        route: Route = ROUTE,
     ) -> None:
         """Waits for a slot and records the outcome under a label."""
         criteria = TargetCriteria("engine", True, (0, rank))
         result = await self.backlog.acquire(
             criteria,
-            ROUTE,
+            route,
             self.harness.clock.now_ms() + (terms.deadline_ms or FULL_MS),
             terms=terms,
         )
@@ -180,6 +254,7 @@
             self.order.append(label)
         else:
             self.order.append(f"{label} refused")
+            self.retries_ms.append(result.err_value.retry_after_ms)
 
     def free(self, *names: str, count: int = 1) -> None:
         """Frees slots and grants them."""
@@ -215,7 +290,7 @@
     async def test_request_without_a_chance_is_refused_at_once(self) -> None:
         """Guards against waits that only delay the caller's next attempt."""
         for _ in range(2):
-            self.backlog._planner.note_granted(ROUTE.name)
+            self.backlog._rates.note("engine", (0, 1))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.acquire, "first", NEW, 0)
             await anyio.sleep(0.01)
@@ -224,6 +299,90 @@
             assert self.order == ["second refused"]
             tasks.cancel_scope.cancel()
 
+    async def test_rare_request_waits_for_slots_of_lower_ranks(self) -> None:
+        """Guards against refusing a kind for being rare, with room below it."""
+        tags = dataclasses.replace(ROUTE, name="tags")
+        self.free("i-1", "i-2", "i-3", count=11)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(24):
+                tasks.start_soon(self.acquire, "tag", NEW, 2, tags)
+            tasks.start_soon(self.acquire, "rare", NEW, 0)
+            await anyio.sleep(0.01)
+            for name in ("i-1", "i-2", "i-3"):
+                self.harness.occupancy.add(name, 3)
+            for _ in range(2):
+                tasks.start_soon(self.acquire, "rare", NEW, 0)
+                await anyio.sleep(0.01)
+            self.free("i-1", "i-2", count=2)
+        assert self.order == ["tag"] * 24 + ["rare"] * 3
+
+    async def test_full_queue_takes_requests_that_go_first(self) -> None:
+        """Guards against refusals of high ranks behind a flood of low ones."""
+        async with anyio.create_task_group() as tasks:
+            with mock.patch.object(backlog, "MAX_WAITING", 3):
+                for number in range(3):
+                    tasks.start_soon(self.acquire, f"low {number}", RETURNED)
+                await anyio.sleep(0.01)
+                tasks.start_soon(self.acquire, "high", NEW, 0)
+                await anyio.sleep(0.01)
+                tasks.start_soon(self.acquire, "lower", RETURNED, 2)
+                await anyio.sleep(0.01)
+            assert self.backlog.count_all() == 3
+            assert self.order == ["low 2 refused", "lower refused"]
+            self.free("i-1", "i-2", "i-3", count=9)
+        assert self.order[2:] == ["high", "low 0", "low 1"]
+
+    async def test_request_without_a_target_takes_no_room(self) -> None:
+        """Guards against room left idle for what no target may serve."""
+        self.free("i-1", "i-2", "i-3", count=2)
+        self.harness.occupancy.remove("i-1")
+        async with anyio.create_task_group() as tasks:
+            criteria = TargetCriteria("engine", True, (0, 0), software="gone")
+            end_at_ms = self.harness.clock.now_ms() + FULL_MS
+            tasks.start_soon(
+                functools.partial(
+                    self.backlog.acquire, criteria, ROUTE, end_at_ms, terms=NEW
+                )
+            )
+            await anyio.sleep(0.01)
+            assert self.backlog.count_all() == 1
+            # One of the 27 usable slots is free.
+            tasks.start_soon(self.acquire, "low", NEW, 2)
+            await anyio.sleep(0.01)
+            in_flight = sum(self.harness.occupancy.own.values())
+            tasks.cancel_scope.cancel()
+        assert in_flight == 27, in_flight
+        assert self.order == ["low"]
+
+    async def test_requests_refused_together_count_once(self) -> None:
+        """Guards against longer returns the more requests expire at once."""
+        for _ in range(400):
+            self.backlog._planner.note_granted(ROUTE.name)
+            self.backlog._planner.note_arrived(ROUTE.name)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(10):
+                tasks.start_soon(self.acquire, "new", NEW)
+            await anyio.sleep(0.01)
+            self.harness.clock.advance(97)
+            self.free()
+        # At least a quarter of the grants is for returns: one every 20 ms.
+        assert self.retries_ms == [320 + 20 * number for number in range(10)]
+
+    async def test_caller_refused_twice_is_not_expected_back(self) -> None:
+        """Guards against room kept for callers that have no third attempt."""
+        for _ in range(40):
+            self.backlog._planner.note_granted(ROUTE.name)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(self.acquire, "returned", RETURNED)
+            await anyio.sleep(0.01)
+            self.harness.clock.advance(810)
+            self.free()
+        assert self.order == ["returned refused"] * 3
+        # Another caller may return as soon as after the first slot.
+        assert self.retries_ms == [350] * 3
+        assert not self.backlog._planner.count_returning(ROUTE.name)
+
     async def test_account_over_its_share_leaves_room(self) -> None:
         """Guards against one account at eight times its rate in a shortage."""
         accounts = [
@@ -283,3 +442,22 @@
         )
         assert line["waiting"] == 0
         assert {"returning", "granted_per_s"} <= line.keys()
+
+    async def test_refusal_by_targets_is_planned_like_others(self) -> None:
+        """Guards against an objective for a caller that has less time left."""
+        rejected = ScriptedReply(failure=Rejection.UNAVAILABLE)
+        harness = RelayHarness(rejected, rejected)
+        planner = harness.backlog._planner
+        for _ in range(40):
+            planner.note_granted(ROUTE.name)
+            planner.note_arrived(ROUTE.name)
+        responder = await harness.serve(CALL)
+        assert isinstance(responder.verdict, NotRun)
+        # A quarter of the 42 grants is for returns.
+        assert responder.verdict.retry_after_ms == 300 + round(2_000 / 10.5)
+        assert planner.count_returning(ROUTE.name) == 1
+        harness = RelayHarness(rejected, rejected)
+        call = dataclasses.replace(CALL, deadline_ms=900)
+        responder = await harness.serve(call)
+        assert isinstance(responder.verdict, NotRun)
+        assert responder.verdict.retry_after_ms <= 300
