Give back the memory of a refused request behind another

Cause: a request behind one that is being served was dropped from uvicorn's queue when the rest of its body was refused, but its charge was kept for the life of the process: 9 KB, or 2 MB with the shortest header lines, so that a few such callers left no memory for any request.

Change: the charge is released where the request is dropped.

Result: the added test failed before (memory still in use after the end of the connection) and passes.

--- a/src/peridotbend/adapters/refusingconnections.py
+++ b/src/peridotbend/adapters/refusingconnections.py
@@ -163,4 +163,5 @@
         """Drops a waiting request the rest of whose body is discarded."""
         if self.pipeline and self.cycle.more_body:
             self.pipeline.popleft()
+            self._release_request(self.cycle)
             self.cycle = self._earlier_cycle  # type: ignore[assignment]
--- a/tests/fedconnections.py
+++ b/tests/fedconnections.py
@@ -42,13 +42,16 @@
         await responder.finish()
 
 
-class _Transport(asyncio.Transport):
+class RecordingTransport(asyncio.Transport):
     """Records what is written and whether the connection is closed."""
 
     def __init__(self) -> None:
         super().__init__()
         self.written = b""
         self.is_paused = False
+        self.is_aborted = False
+        # What the caller has not read.
+        self.unread_bytes = 0
         self._is_closed = False
 
     def write(self, data: Any) -> None:
@@ -59,7 +62,7 @@
         self._is_closed = True
 
     def abort(self) -> None:
-        self._is_closed = True
+        self._is_closed = self.is_aborted = True
 
     def is_closing(self) -> bool:
         return self._is_closed
@@ -71,7 +74,7 @@
         self.is_paused = False
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unread_bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,7 +105,7 @@
     async def feed(self, packets: Iterable[bytes]) -> Outcome:
         """Feeds packets to a new connection until it is closed."""
         self._relay.calls = []
-        transport = _Transport()
+        transport = RecordingTransport()
         connection = BoundedConnection(
             ConnectionLimits(),
             WaitingConnections(SystemClock()),
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -2,8 +2,14 @@
 
 import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
 from unittest import mock
 
+import anyio
+from uvicorn.config import Config
+from uvicorn.server import ServerState
+
+from peridotbend.adapters.boundedconnections import BoundedConnection
 from peridotbend.adapters.callermemory import (
     HEADROOM,
     MIB,
@@ -20,7 +26,9 @@
     TurnedAway,
     Way,
 )
-from peridotbend.domain.clock import ManualClock
+from peridotbend.adapters.waitingconnections import WaitingConnections
+from peridotbend.domain.clock import ManualClock, SystemClock
+from tests.fedconnections import RecordingTransport
 from tests.test_serving import run_with_server
 
 COUNT = 500
@@ -146,3 +154,49 @@
             assert answers.count(b": 4\r\n\r\n\r\n\r\nHTTP") == COUNT
 
         run_with_server(test, ConnectionLimits(), _echo)
+
+
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+# A whole request and, in the same packet, the head of one behind it: a body in
+# chunks has no end that is known before it is parsed.
+TWO_REQUESTS = CHUNKED_HEAD + b"\r\n0\r\n\r\n" + CHUNKED_HEAD + b"\r\n"
+App = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+class ConnectionChargesTest(unittest.TestCase):
+    """What a connection still holds after its requests or its caller."""
+
+    def setUp(self) -> None:
+        """Creates a memory and a transport that records."""
+        self.memory = CallerMemory()
+        self.transport = RecordingTransport()
+
+    def _connect(
+        self, app: App, limits: ConnectionLimits | None = None
+    ) -> BoundedConnection:
+        config = Config(app, lifespan="off", log_config=None, ws="none")
+        config.load()
+        connection = BoundedConnection(
+            limits or ConnectionLimits(),
+            WaitingConnections(SystemClock()),
+            config,
+            ServerState(),
+            {},
+            memory=self.memory,
+        )
+        connection.connection_made(self.transport)
+        return connection
+
+    def test_refused_request_behind_another_is_given_back(self) -> None:
+        """Guards against memory that is lost with each refused request."""
+
+        async def test() -> None:
+            connection = self._connect(_echo)
+            connection.data_received(TWO_REQUESTS + b"no size\r\n")
+            with anyio.fail_after(20):
+                while connection.tasks:
+                    await anyio.sleep(0)
+            connection.connection_lost(None)
+
+        anyio.run(test)
+        assert self.memory.budget.used_bytes == 0
