End all requests of a caller that has left

Cause: uvicorn tells the end of a connection to its latest request only. If one waits behind the request that is served, the served one went on without a caller and held its memory until its own end, however late.

Change: all requests that hold memory are told.

Result: the added test failed before (the request did not end in 20 s) and passes.

--- a/src/peridotbend/adapters/chargedconnections.py
+++ b/src/peridotbend/adapters/chargedconnections.py
@@ -43,12 +43,16 @@
         self._unread_charge = 0
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Releases what no running request holds."""
+        """Releases what no running request holds, and ends those that run."""
         super().connection_lost(exc)
         self._release_head()
         self._release_unread()
         for cycle, _ in self.pipeline:
             self._release_request(cycle)
+        # uvicorn tells it to the latest request only, which may be waiting.
+        for cycle in self._charges:
+            cycle.disconnected = not cycle.response_complete
+            cycle.message_event.set()
 
     def free_memory(self, way: Way) -> None:
         """Refuses the request that is read, or drops the unread answer."""
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -29,7 +29,7 @@
 from peridotbend.adapters.waitingconnections import WaitingConnections
 from peridotbend.domain.clock import ManualClock, SystemClock
 from tests.fedconnections import RecordingTransport
-from tests.test_serving import run_with_server
+from tests.test_serving import run_with_server, serve_nothing
 
 COUNT = 500
 
@@ -200,3 +200,18 @@
 
         anyio.run(test)
         assert self.memory.budget.used_bytes == 0
+
+    def test_caller_that_leaves_ends_all_its_requests(self) -> None:
+        """Guards against a request that goes on if another waits behind it."""
+
+        async def test() -> None:
+            connection = self._connect(serve_nothing)
+            connection.data_received(TWO_REQUESTS + b"0\r\n\r\n")
+            assert len(connection.pipeline) == 1
+            connection.connection_lost(ConnectionResetError())
+            with anyio.fail_after(20):
+                while connection.tasks:
+                    await anyio.sleep(0.001)
+
+        anyio.run(test)
+        assert self.memory.budget.used_bytes == 0
