Drop the head of an answered request before its body

Cause: the memory of a head was given back when its request was answered, but the head was kept until the end of the body, which a caller can hold back for the idle time: up to 1 MB each that no limit counted.

Change: only a mark that there was a key stays, for the verdict of a refusal of the rest.

Result: the added test failed before (all header lines were still there) and passes.

--- a/src/peridotbend/adapters/chargedconnections.py
+++ b/src/peridotbend/adapters/chargedconnections.py
@@ -18,6 +18,9 @@
 from peridotbend.adapters.closedelimited import CloseDelimitedApp
 from peridotbend.adapters.turnedaway import Way
 
+# Names the ID of a call, in lower case.
+KEY_HEADER = b"idempotency-key"
+
 
 class ChargedConnection(HttpToolsProtocol):
     """uvicorn's protocol with memory that is reserved before it is used."""
@@ -110,13 +113,19 @@
         self._head_charge = 0
 
     def _release_request(self, cycle: RequestResponseCycle) -> None:
-        """Drops the head of a request that was answered."""
+        """Drops the head of a request that was answered or refused.
+
+        The connection would otherwise keep it while it is idle, or while the
+        rest of the body is held back. A refusal of the rest still has to tell
+        whether the request had a key.
+        """
         self._memory.budget.release(self._charges.pop(cycle, 0))
-        if not cycle.more_body:
-            # The connection would otherwise keep it while it is idle.
-            cycle.scope["headers"] = []
-            if cycle.scope is self.scope:
-                self.headers = []
+        headers = cycle.scope["headers"]
+        has_key = any(name == KEY_HEADER for name, _ in headers)
+        cycle.scope["headers"] = []
+        if cycle.scope is self.scope:
+            is_refusable = cycle.more_body and has_key
+            self.headers = [(KEY_HEADER, b"")] if is_refusable else []
 
     def _release_unread(self) -> None:
         self._memory.drop_unread(self)
--- a/src/peridotbend/adapters/refusingconnections.py
+++ b/src/peridotbend/adapters/refusingconnections.py
@@ -8,6 +8,7 @@
 from uvicorn.server import ServerState
 
 from peridotbend.adapters.callermemory import CallerMemory
+from peridotbend.adapters.chargedconnections import KEY_HEADER
 from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.connectionrefusals import make_refusal
 from peridotbend.adapters.timedconnections import TimedConnection
@@ -22,7 +23,6 @@
 EARLIER_CALL_NOTE = (
     " This call did not run; an earlier one with the same ID may have."
 )
-_KEY_HEADER = b"idempotency-key"
 
 
 class RefusingConnection(TimedConnection):
@@ -111,8 +111,8 @@
     def _choose_verdict(self, reason: Reason) -> Verdict:
         """Returns NotRun only if the request certainly contained no ID."""
         headers = self.headers or []
-        has_key = any(name == _KEY_HEADER for name, _ in headers)
-        has_key = has_key or _KEY_HEADER in self._last_read.lower()
+        has_key = any(name == KEY_HEADER for name, _ in headers)
+        has_key = has_key or KEY_HEADER in self._last_read.lower()
         headers_ended = (
             b"\n\r\n" in self._last_read or b"\n\n" in self._last_read
         )
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import cast
 from unittest import mock
 
 import anyio
@@ -215,3 +216,33 @@
 
         anyio.run(test)
         assert self.memory.budget.used_bytes == 0
+
+    def test_answered_head_is_dropped_before_its_body(self) -> None:
+        """Guards against uncharged heads while bodies are held back."""
+        scopes: list[Scope] = []
+
+        async def answer_early(
+            scope: Scope, receive: Receive, send: Send
+        ) -> None:
+            del receive
+            scopes.append(scope)
+            await send({"type": "http.response.start", "status": 200})
+            await send({"type": "http.response.body"})
+
+        async def test() -> None:
+            connection = self._connect(cast(App, answer_early))
+            connection.data_received(
+                CHUNKED_HEAD + b"Idempotency-Key: k\r\n" * 2 + b"\r\n"
+            )
+            with anyio.fail_after(20):
+                while connection.tasks:
+                    await anyio.sleep(0)
+            assert not scopes[0]["headers"]
+            assert len(connection.headers) == 1
+            # The request has run, and the caller may have sent it before.
+            connection.data_received(b"no size\r\n")
+            connection.connection_lost(None)
+
+        anyio.run(test)
+        assert b"verdict: may-have-run" in self.transport.written
+        assert self.memory.budget.used_bytes == 0
