Close refused connections whose callers read late

Cause: the timer that closes a refused connection was the one of unread answers, which is stopped once the caller reads on. The connection then stayed until the caller closed it.

Change: a timer of its own.

Result: the added test failed before (not closed within 20 s) and passes.

--- a/src/peridotbend/adapters/refusingconnections.py
+++ b/src/peridotbend/adapters/refusingconnections.py
@@ -50,6 +50,13 @@
         self._earlier_cycle: RequestResponseCycle | None = None
         # True once an error response was sent; further input is discarded.
         self._refused = False
+        self._linger_timer: asyncio.TimerHandle | None = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stops the timer of the refusal."""
+        super().connection_lost(exc)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
 
     def free_memory(self, way: Way) -> None:
         """Refuses the request that is read, or drops the unread answer."""
@@ -142,8 +149,10 @@
         if not self._end_request():
             return
         self.transport.write(make_refusal(status, verdict, message))
-        self._stop_stall_timer()
-        self._stall_timer = self.loop.call_later(LINGERING_CLOSE_S, self._abort)
+        # Not the timer of unread answers, which ends once the caller reads.
+        self._linger_timer = self.loop.call_later(
+            LINGERING_CLOSE_S, self._abort
+        )
 
     def _end_request(self) -> bool:
         """Ends the request that is being read; tells if it can be answered."""
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -246,3 +246,21 @@
         anyio.run(test)
         assert b"verdict: may-have-run" in self.transport.written
         assert self.memory.budget.used_bytes == 0
+
+    def test_caller_that_reads_late_does_not_keep_its_connection(self) -> None:
+        """Guards against refused connections that are never closed."""
+
+        async def test() -> None:
+            connection = self._connect(_echo)
+            connection.data_received(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            with anyio.fail_after(20):
+                while connection.tasks:
+                    await anyio.sleep(0)
+                connection.pause_writing()
+                connection.data_received(b"nonsense\r\n\r\n")
+                connection.resume_writing()
+                while not self.transport.is_aborted:
+                    await anyio.sleep(0.01)
+            connection.connection_lost(None)
+
+        anyio.run(test)
