End connections that close with unread answers

Cause: after empty lines, connections were closed without a timer. If a part of an answer was unread, below the size at which writing pauses, the connection stayed for as long as its caller read nothing.

Change: the time limit of unread answers starts at the close.

Result: both cases of the added test failed before (not ended within 20 s) and pass.

--- a/src/peridotbend/adapters/refusingconnections.py
+++ b/src/peridotbend/adapters/refusingconnections.py
@@ -89,7 +89,7 @@
         if not self._reading_headers and not self._is_serving_request():
             # The caller has its answer, or has asked for nothing.
             self._refused = True
-            self.transport.close()
+            self._close()
             return
         self._refuse(
             431,
@@ -101,7 +101,7 @@
     def _handle_header_timeout(self) -> None:
         self._header_timer = None
         if not self._reading_headers and not self._is_serving_request():
-            self.transport.close()
+            self._close()
             return
         self._refuse_slow()
 
--- a/src/peridotbend/adapters/timedconnections.py
+++ b/src/peridotbend/adapters/timedconnections.py
@@ -92,6 +92,11 @@
         else:
             self._abort()
 
+    def _close(self) -> None:
+        """Closes the connection, after a while even with unread answers."""
+        self.transport.close()
+        self._start_stall_timer()
+
     def _abort(self) -> None:
         self.transport.abort()
 
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -264,3 +264,25 @@
             connection.connection_lost(None)
 
         anyio.run(test)
+
+    def test_unread_bytes_do_not_keep_a_connection_that_closes(self) -> None:
+        """Guards against callers that read nothing, and send empty lines."""
+        limits = ConnectionLimits(
+            max_header_bytes=10,
+            header_timeout_s=0.01,
+            write_stall_timeout_s=0.01,
+        )
+        self.transport.unread_bytes = 100
+
+        async def test(sent: bytes) -> None:
+            connection = self._connect(_echo, limits)
+            connection.data_received(sent)
+            with anyio.fail_after(20):
+                while not self.transport.is_aborted:
+                    await anyio.sleep(0.01)
+            connection.connection_lost(None)
+
+        for sent in (b"\r\n", b"\r\n" * 6):
+            with self.subTest(sent=sent):
+                self.transport.is_aborted = False
+                anyio.run(test, sent)
