Keep answers from giving way to large requests

Cause: a request has to leave four times its size free. For one with thousands of header lines, up to 10 MB, every answer unread for 2 s was dropped, although such a request is owed nothing yet and is to be refused first.

Change: requests above 128 KiB close no connection with an unread answer; a full head of 100 lines takes up 97 KB.

--- a/src/peridotbend/adapters/callermemory.py
+++ b/src/peridotbend/adapters/callermemory.py
@@ -23,6 +23,9 @@
 # What must stay free, in multiples of a request's own memory. Large requests
 # are thereby refused first, and ordinary ones go on.
 HEADROOM = 4
+# Larger requests are refused rather than close a connection whose caller is
+# owed an answer. A full head of 100 lines takes up 97 KB with its request.
+MAX_ORDINARY_BYTES = 131_072
 # Time for which memory is held before its holder is closed for others. Proper
 # callers send a head at once; they may read an answer over a slow link.
 MIN_HEAD_MS = 250
@@ -65,7 +68,9 @@
         Returns:
             False if there is too little, even after others gave way.
         """
-        return self._make_room(holder, size + HEADROOM * total) and (
+        asked = size + HEADROOM * total
+        closes_answers = total <= MAX_ORDINARY_BYTES
+        return self._make_room(holder, asked, closes_answers) and (
             self.budget.reserve(size)
         )
 
@@ -77,7 +82,7 @@
         Returns:
             the reserved bytes, fewer if there are not as many left.
         """
-        if not self._make_room(holder, size):
+        if not self._make_room(holder, size, closes_answers=True):
             size = self.budget.limit_bytes - self.budget.used_bytes
         self.budget.reserve(size)
         return size
@@ -98,15 +103,17 @@
         """Notes that the caller reads on, or is gone."""
         self._unread.pop(holder, None)
 
-    def _make_room(self, asking: Holder, size: int) -> bool:
+    def _make_room(
+        self, asking: Holder, size: int, closes_answers: bool
+    ) -> bool:
         budget = self.budget
         if budget.used_bytes + size <= budget.limit_bytes:
             return True
         now_ms = self._clock.now_ms()
-        for held, way, min_ms in (
-            (self._heads, Way.HEAD_GAVE_WAY, MIN_HEAD_MS),
-            (self._unread, Way.UNREAD_ANSWER, MIN_UNREAD_MS),
-        ):
+        ways = [(self._heads, Way.HEAD_GAVE_WAY, MIN_HEAD_MS)]
+        if closes_answers:
+            ways.append((self._unread, Way.UNREAD_ANSWER, MIN_UNREAD_MS))
+        for held, way, min_ms in ways:
             while held and budget.used_bytes + size > budget.limit_bytes:
                 holder, since_ms = next(iter(held.items()))
                 if holder is asking or now_ms - since_ms < min_ms:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -13,6 +13,7 @@
 from peridotbend.adapters.boundedconnections import BoundedConnection
 from peridotbend.adapters.callermemory import (
     HEADROOM,
+    MAX_ORDINARY_BYTES,
     MIB,
     MIN_LIMIT_BYTES,
     MIN_UNREAD_MS,
@@ -101,6 +102,20 @@
         assert self.memory.reserve_unread(asking, 400) == 400
         assert held.ways == [Way.UNREAD_ANSWER]
 
+    def test_answers_do_not_give_way_to_large_requests(self) -> None:
+        """Guards against an answer that is lost to a head of many lines."""
+        memory = CallerMemory(10 * MAX_ORDINARY_BYTES, clock=self.clock)
+        held = _Holder(memory, 6 * MAX_ORDINARY_BYTES)
+        asking = _Holder(memory, 0)
+        memory.hold_unread(held)
+        self.clock.advance(MIN_UNREAD_MS)
+        size = 2 * MAX_ORDINARY_BYTES
+        assert not memory.reserve_head(asking, size, size)
+        assert not held.ways
+        size = MAX_ORDINARY_BYTES
+        assert memory.reserve_head(asking, size, size)
+        assert held.ways == [Way.UNREAD_ANSWER]
+
     def test_unread_answers_never_exceed_the_limit(self) -> None:
         """Guards against a charge that is released but was never made."""
         asking = _Holder(self.memory, 900)
