Test the wait for a reset behind an end without daemons

The wait for a reset was tested by daemons only, within 20 ms of the machine's time.

Change: three tests of the stream to a target. One waits for the reset for up to 60 s, so that its time does not matter.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -193,3 +193,65 @@
 
         anyio.run(check)
         anyio.run(check, backend_options={"use_uvloop": True})
+
+    def test_reset_behind_the_end_is_told(self) -> None:
+        """Guards against a part of an answer whose reset follows its end."""
+
+        async def check() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                client = await connect("127.0.0.1", port, 5.0)
+                server, _ = listener.accept()
+                server.shutdown(socket.SHUT_WR)
+                assert await client.read(10, LONG_TIMEOUT_S) == b""
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(_expect_reset, client)
+                    await anyio.lowlevel.checkpoint()
+                    linger = struct.pack("ii", 1, 0)
+                    server.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
+                    server.close()
+                await client.aclose()
+
+        with mock.patch.object(sockets, "RESET_WAIT_S", LONG_TIMEOUT_S):
+            anyio.run(check)
+            anyio.run(check, backend_options={"use_uvloop": True})
+
+    def test_connection_that_is_lost_behind_its_end_was_reset(self) -> None:
+        """Guards against a reset that the event loop takes before a check."""
+
+        async def check(is_closed_here: bool) -> None:
+            stream = TargetStream()
+            transport = mock.Mock()
+            transport.get_extra_info.return_value = None
+            stream.connection_made(transport)
+            stream.eof_received()
+            if is_closed_here:
+                stream.abort()
+            stream.connection_lost(None)
+            if is_closed_here:
+                assert await stream.read(10) == b""
+            else:
+                await _expect_reset(stream)
+
+        for is_closed_here in (False, True):
+            anyio.run(check, is_closed_here)
+
+    def test_end_without_a_reset_is_confirmed(self) -> None:
+        """Guards against whole answers that are taken for broken."""
+
+        async def check(client: TargetStream, server: SocketStream) -> None:
+            await server.send_eof()
+            assert await client.read(10, LONG_TIMEOUT_S) == b""
+            await client.confirm_end()
+
+        _run_check(check)
+
+
+async def _expect_reset(stream: TargetStream) -> None:
+    try:
+        await stream.confirm_end()
+    except httpcore.ReadError:
+        return
+    raise AssertionError("a reset was taken for an end")
