Test ends at a peer without daemons

Cause: the wait for a reset at the peer that holds a connection, and its receipt of whole messages, were tested by test_answers_through_a_peer only.

Change: a test with a reset for which the peer waits as long as needed, and one of the receipt.

--- a/tests/test_edge_paths.py
+++ b/tests/test_edge_paths.py
@@ -13,7 +13,7 @@
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import AbstractAsyncContextManager
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
 import anyio
@@ -21,7 +21,7 @@
 import httpcore
 from result import Err, Result
 
-from peridotbend.adapters import pathclient, pathserver
+from peridotbend.adapters import pathclient, pathserver, sockets
 from peridotbend.adapters.pathclient import DOUBT_PROBES, PathDialer
 from peridotbend.adapters.pathserver import (
     PathServer,
@@ -319,6 +319,21 @@
         self.ended.set()
 
 
+class LateResetTarget(RawTarget):
+    """A target that ends its data in order, and then resets."""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        await reader.readuntil(b"plan")
+        writer.write(self.answer)
+        writer.write_eof()
+        # Long enough that the end arrives alone.
+        await asyncio.sleep(0.1)
+        reset_connection(writer)
+
+
 class UnreadTarget(RawTarget):
     """A target that reads no large body, until it is released."""
 
@@ -527,6 +542,29 @@
     anyio.run(harness.run, check, backend_options=BACKEND_OPTIONS)
 
 
+class _FakeStream:
+    """A call whose other instance sends on until it is told of an end."""
+
+    def __init__(self) -> None:
+        self.was_told = anyio.Event()
+        # Whether a receipt was cancelled, which may leave a part of a message.
+        self.was_cut = False
+
+    async def recv_message(self) -> edge_pb2.PathChunk | None:
+        """Returns the end of the call, after the end of the connection."""
+        try:
+            await self.was_told.wait()
+        except asyncio.CancelledError:
+            self.was_cut = True
+            raise
+        return None
+
+    async def send_message(self, chunk: edge_pb2.PathChunk) -> None:
+        """Takes the end of the connection."""
+        assert chunk.state == edge_pb2.ENDED
+        self.was_told.set()
+
+
 class RelayedConnectionTest(unittest.TestCase):
     """Connections to targets that a peer holds."""
 
@@ -564,6 +602,34 @@
 
         run_paths(harness, check)
 
+    def test_reset_behind_the_end_does_not_look_complete(self) -> None:
+        """Guards against a peer that passes an end on before its reset."""
+        target = LateResetTarget(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        harness = PathHarness(target, OtherInstance(HOSTS[1]))
+
+        async def check() -> None:
+            await harness.lose_links()
+            error = await harness.call()
+            assert isinstance(error, CallError), error
+            assert error.failure is CallFailure.BROKEN
+
+        with mock.patch.object(sockets, "RESET_WAIT_S", TIMEOUT_S):
+            run_paths(harness, check)
+
+    def test_messages_are_received_whole_when_a_target_ends(self) -> None:
+        """Guards against a receipt that goes on inside a message."""
+        stream = _FakeStream()
+        connection = mock.AsyncMock()
+        connection.read.return_value = b""
+
+        async def check() -> None:
+            with anyio.fail_after(TIMEOUT_S):
+                await pathserver._pass_on(cast(Any, stream), connection)
+
+        anyio.run(check)
+        assert stream.was_told.is_set()
+        assert not stream.was_cut
+
     def test_peer_that_dies_blames_no_target(self) -> None:
         """Guards against a killed peer whose targets are taken for dead."""
         target = RawTarget(b"HTTP/1.1 200 OK\r\n\r\nhalf")
