Test the first use of targets whose bodies have no length

Cause: let the test of sound streams without a length use its targets first, so first use was no longer tested. No test failed without the question before a short request.

Change: the test of streams begins with unused targets again, and allows one more question for each; a test of short requests is added.

Without the question before a short request the added test fails with 502.

--- a/tests/test_edge_restarts.py
+++ b/tests/test_edge_restarts.py
@@ -237,12 +237,30 @@
             target.is_unframed = True
 
         async def check(fleet: RestartFleet) -> None:
-            await fleet.use_targets()
             for number in range(CALLS):
                 answer = await fleet.call(f"/quotes/{number}")
                 assert answer.is_whole and len(answer.software) == EVENTS
             assert len(first.ran) + len(second.ran) == CALLS
-            assert first.asked + second.asked <= CALLS
+            # Each end is asked about, and each target before its first use.
+            assert first.asked + second.asked <= CALLS + 2
+
+        run_with_targets([first, second], check)
+
+    def test_sound_body_without_a_length_is_whole_at_first_use(self) -> None:
+        """Guards against a target that is not asked before a short request.
+
+        Its first answer would not prove the connection that it came over.
+        """
+        first, second = RestartableTarget("i-1"), RestartableTarget("i-2")
+        for target in (first, second):
+            target.is_unframed = True
+
+        async def check(fleet: RestartFleet) -> None:
+            for number in range(CALLS):
+                answer = await fleet.call(f"/lookups/{number}")
+                assert answer.is_whole, answer
+                assert answer.body.count(b";") == EVENTS, answer
+            assert len(first.ran) + len(second.ran) == CALLS
 
         run_with_targets([first, second], check)
 
