Test cuts, small reads and turns without processes

Cause: each of cuts, reads of 4 KB and turns could be disabled, and all of test_hostile_processes passed: with one of cuts and small reads, the other keeps the memory low, and turns concern time, which those tests do not check.

Change: a test of each.

--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -10,18 +10,28 @@
 from uvicorn.config import Config
 from uvicorn.server import ServerState
 
-from peridotbend.adapters.boundedconnections import BoundedConnection
+from peridotbend.adapters.boundedconnections import (
+    MAX_ITEMS_PER_TURN,
+    BoundedConnection,
+)
 from peridotbend.adapters.callermemory import (
     HEADROOM,
     MAX_ORDINARY_BYTES,
     MIB,
     MIN_LIMIT_BYTES,
     MIN_UNREAD_MS,
+    REQUEST_BYTES,
     CallerMemory,
     find_limit,
 )
 from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.exchanges import Receive, Scope, Send
+from peridotbend.adapters.reading import (
+    BODY_READ_BYTES,
+    READ_BYTES,
+    BufferedReader,
+    ReadingTurns,
+)
 from peridotbend.adapters.serving import HttpServer
 from peridotbend.adapters.turnedaway import (
     MIN_LOG_INTERVAL_MS,
@@ -188,7 +198,11 @@
         self.transport = RecordingTransport()
 
     def _connect(
-        self, app: App, limits: ConnectionLimits | None = None
+        self,
+        app: App,
+        limits: ConnectionLimits | None = None,
+        turns: ReadingTurns | None = None,
+        transport: RecordingTransport | None = None,
     ) -> BoundedConnection:
         config = Config(app, lifespan="off", log_config=None, ws="none")
         config.load()
@@ -199,10 +213,73 @@
             ServerState(),
             {},
             memory=self.memory,
+            turns=turns,
         )
-        connection.connection_made(self.transport)
+        connection.connection_made(transport or self.transport)
         return connection
 
+    def test_requests_behind_another_are_not_parsed(self) -> None:
+        """Guards against thousands of requests that one read makes objects.
+
+        They wait as bytes, and no more of them is read.
+        """
+
+        async def test() -> None:
+            connection = self._connect(serve_nothing)
+            connection.data_received(b"GET / HTTP/1.1\r\nHost:\r\n\r\n" * 100)
+            assert len(connection.tasks) == 1
+            assert not connection.pipeline
+            assert self.memory.budget.used_bytes < 2 * REQUEST_BYTES
+            assert self.transport.is_paused
+            connection.connection_lost(ConnectionResetError())
+            with anyio.fail_after(20):
+                while connection.tasks:
+                    await anyio.sleep(0)
+
+        anyio.run(test)
+
+    def test_reads_are_small_unless_a_body_has_a_length(self) -> None:
+        """Guards against reads whose contents exceed every limit at once."""
+        plain_bytes = [0, READ_BYTES, 10 * READ_BYTES, 10 * BODY_READ_BYTES]
+        reader = BufferedReader(
+            mock.Mock(),
+            lambda: plain_bytes.pop(0),
+            memoryview(bytearray(BODY_READ_BYTES)),
+        )
+        sizes = [len(reader.get_buffer(-1)) for _ in range(4)]
+        assert sizes == [
+            READ_BYTES,
+            READ_BYTES,
+            10 * READ_BYTES,
+            BODY_READ_BYTES,
+        ]
+
+    def test_laborious_reads_take_turns(self) -> None:
+        """Guards against many such reads before one of an ordinary caller."""
+        turns = ReadingTurns()
+        transports = [RecordingTransport() for _ in range(3)]
+        chunks = b"1\r\nx\r\n" * (MAX_ITEMS_PER_TURN + 1)
+
+        async def test() -> None:
+            connections = [
+                self._connect(serve_nothing, turns=turns, transport=transport)
+                for transport in transports
+            ]
+            for connection in connections:
+                connection.data_received(CHUNKED_HEAD + b"\r\n" + chunks)
+            paused = []
+            for _ in range(len(transports) + 1):
+                paused.append(sum(each.is_paused for each in transports))
+                await anyio.lowlevel.checkpoint()
+            assert paused == [3, 2, 1, 0]
+            for connection in connections:
+                connection.connection_lost(ConnectionResetError())
+            with anyio.fail_after(20):
+                while any(each.tasks for each in connections):
+                    await anyio.sleep(0)
+
+        anyio.run(test)
+
     def test_refused_request_behind_another_is_given_back(self) -> None:
         """Guards against memory that is lost with each refused request."""
 
