--- a/src/peridotbend/adapters/refusingconnections.py
+++ b/src/peridotbend/adapters/refusingconnections.py
@@ -8,6 +8,7 @@
 from uvicorn.server import ServerState
 
 from peridotbend.adapters.callermemory import CallerMemory
+from peridotbend.adapters.chargedconnections import KEY_HEADER
 from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.connectionrefusals import make_refusal
 from peridotbend.adapters.timedconnections import TimedConnection
@@ -22,7 +23,6 @@
 EARLIER_CALL_NOTE = (
     " This call did not run; an earlier one with the same ID may have."
 )
-_KEY_HEADER = b"idempotency-key"
 
 
 class RefusingConnection(TimedConnection):
@@ -50,6 +50,13 @@
         self._earlier_cycle: RequestResponseCycle | None = None
         # True once an error response was sent; further input is discarded.
         self._refused = False
+        self._linger_timer: asyncio.TimerHandle | None = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stops the timer of the refusal."""
+        super().connection_lost(exc)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
 
     def free_memory(self, way: Way) -> None:
         """Refuses the request that is read, or drops the unread answer."""
@@ -82,7 +89,7 @@
         if not self._reading_headers and not self._is_serving_request():
             # The caller has its answer, or has asked for nothing.
             self._refused = True
-            self.transport.close()
+            self._close()
             return
         self._refuse(
             431,
@@ -94,7 +101,7 @@
     def _handle_header_timeout(self) -> None:
         self._header_timer = None
         if not self._reading_headers and not self._is_serving_request():
-            self.transport.close()
+            self._close()
             return
         self._refuse_slow()
 
@@ -111,8 +118,8 @@
     def _choose_verdict(self, reason: Reason) -> Verdict:
         """Returns NotRun only if the request certainly contained no ID."""
         headers = self.headers or []
-        has_key = any(name == _KEY_HEADER for name, _ in headers)
-        has_key = has_key or _KEY_HEADER in self._last_read.lower()
+        has_key = any(name == KEY_HEADER for name, _ in headers)
+        has_key = has_key or KEY_HEADER in self._last_read.lower()
         headers_ended = (
             b"\n\r\n" in self._last_read or b"\n\n" in self._last_read
         )
@@ -142,8 +149,10 @@
         if not self._end_request():
             return
         self.transport.write(make_refusal(status, verdict, message))
-        self._stop_stall_timer()
-        self._stall_timer = self.loop.call_later(LINGERING_CLOSE_S, self._abort)
+        # Not the timer of unread answers, which ends once the caller reads.
+        self._linger_timer = self.loop.call_later(
+            LINGERING_CLOSE_S, self._abort
+        )
 
     def _end_request(self) -> bool:
         """Ends the request that is being read; tells if it can be answered."""
@@ -163,4 +172,5 @@
         """Drops a waiting request the rest of whose body is discarded."""
         if self.pipeline and self.cycle.more_body:
             self.pipeline.popleft()
+            self._release_request(self.cycle)
             self.cycle = self._earlier_cycle  # type: ignore[assignment]
