Let the tests of first use ask the records of runs

Cause: two tests of the review were written before the runs of targets were split, and called methods that have moved.

Change: they call the records and the questions.

--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -233,18 +233,18 @@
 
     def test_entry_that_lapses_asks_nothing_when_it_returns(self) -> None:
         """Guards against a question for each loss of the store."""
-        anyio.run(self.runs.ask_first, self.next)
-        self.runs.note_unlisted(self.next)
+        anyio.run(self.questions.ask_first, self.next)
+        self.run_records.note_unlisted(self.next)
         self.targets.remove(self.next.name)
-        self.runs.note_listed(self.next)
+        self.run_records.note_listed(self.next)
         self.targets.put(self.next)
-        anyio.run(self.runs.ask_first, self.next)
+        anyio.run(self.questions.ask_first, self.next)
         assert self.client.asked == ["i-2"]
 
     def test_streams_that_come_together_ask_few_times(self) -> None:
         """Guards against a question for each stream to a target without one."""
         check = self.runs.make_check(
-            self.next, lambda: self.runs.awaits_name(self.next), False
+            self.next, lambda: self.run_records.awaits_name(self.next), False
         )
         now_ms = self.clock.now_ms()
         for _ in range(MAX_QUESTIONS):
