Limit heads and trailers of answers of targets and the store

Cause: the HTTP library takes 100 KB of a head or of trailers at once, and what a read holds beyond, with any number of lines. A short line becomes objects of 110 to 150 bytes, and of 230 to 280 while it is parsed, and uvloop allocates 250 KB for each read. Few answers of many short lines took more than the memory of the machine.

Change: what arrives is measured before it is parsed. A head or trailers above 32,768 bytes or 128 lines, more than 8 interim answers, or a line of 4,096 bytes before a chunk make a damaged answer (event 428, gauge peridotbend_edge_oversized_answers). Connections to targets read 64 KB at once into a shared buffer. The limit of 8 interim answers existed; it is counted with the others now, and its answer counts as garbled.

--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -9,6 +9,11 @@
 import h11
 import httpcore
 
+from peridotbend.adapters.answerlimits import (
+    AnswerLimit,
+    AnswerMeter,
+    OversizedAnswers,
+)
 from peridotbend.adapters.pacing import ConnectionPace, SharedPace
 from peridotbend.adapters.sockets import TargetStream, connect
 from peridotbend.domain.clock import Clock, SystemClock
@@ -22,9 +27,6 @@
 EARLY_CLOSE_MARGIN_MS = 500
 _STATED_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 
-# Sound targets send at most one interim answer, such as 100 or 103.
-MAX_INTERIM_ANSWERS = 8
-
 
 class PeerLostError(httpcore.ReadError):
     """A peer between here and the target broke off.
@@ -37,6 +39,14 @@
     """The other side sent what is no HTTP, without having closed."""
 
 
+class AnswerTooLargeError(ForeignBytesError):
+    """Lines of an answer exceed a limit."""
+
+    def __init__(self, limit: AnswerLimit):
+        super().__init__(f"the answer exceeds the limit on {limit.value}")
+        self.limit = limit
+
+
 class Dialer(Protocol):
     """Opens connections to targets."""
 
@@ -70,17 +80,45 @@
         return await connect(target.host, target.port, timeout_s)
 
 
+class _MeasuredStream(httpcore.AsyncNetworkStream):
+    """A connection whose answers are measured before they are parsed."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream):
+        self._stream = stream
+        self.meter = AnswerMeter()
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        data = await self._stream.read(max_bytes, timeout)
+        check_limit(self.meter.feed(data))
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        return self._stream.get_extra_info(info)
+
+
+def check_limit(exceeded: AnswerLimit | None) -> None:
+    """Raises an AnswerTooLargeError if a limit is exceeded."""
+    if exceeded is not None:
+        raise AnswerTooLargeError(exceeded)
+
+
 class Connection(httpcore.AsyncHTTP11Connection):
-    """An HTTP connection that limits interim answers, and the pace of parts.
+    """An HTTP connection that limits what answers hold, and their pace.
 
-    httpcore skips interim answers in a loop, and has no setting to end it.
+    httpcore skips interim answers in a loop, and has no setting to end it. It
+    parses any number of lines.
     """
 
     pace: ConnectionPace
     link: httpcore.AsyncNetworkStream
     target: Endpoint
     connected_at_ms = 0
-    _interim_answers = 0
     # Whether a call was sent here before the current one.
     is_reused = False
     # Whether the connection may serve another call.
@@ -90,10 +128,23 @@
     keep_alive_ms = 0
     idle_since_ms = 0
 
+    def __init__(
+        self,
+        origin: httpcore.Origin,
+        stream: httpcore.AsyncNetworkStream,
+        keepalive_expiry: float | None = None,
+        oversized: OversizedAnswers | None = None,
+    ):
+        measured = _MeasuredStream(stream)
+        super().__init__(origin, measured, keepalive_expiry)
+        self._meter = measured.meter
+        self._oversized = oversized or OversizedAnswers()
+
     async def handle_async_request(
         self, request: httpcore.Request
     ) -> httpcore.Response:
         """Sends a request, and reads the head of the answer."""
+        self._meter.start()
         response = await super().handle_async_request(request)
         for name, value in response.headers:
             if name.lower() == b"keep-alive":
@@ -118,6 +169,10 @@
         await self.pace.wait_turn()
         try:
             event = await super()._receive_event(timeout)
+            self._measure(event)
+        except AnswerTooLargeError as error:
+            self._oversized.note(error.limit, self.target.name)
+            raise
         except httpcore.RemoteProtocolError as error:
             # Without such a cause, or behind the end of the connection, what
             # is missing is an answer or the rest of one.
@@ -127,14 +182,25 @@
             raise
         if isinstance(event, h11.Data):
             self.pace.note_size(len(event.data))
-        if not isinstance(event, h11.InformationalResponse):
-            self._interim_answers = 0
-            return event
-        self._interim_answers += 1
-        if self._interim_answers > MAX_INTERIM_ANSWERS:
-            raise httpcore.RemoteProtocolError("too many interim answers")
         return event
 
+    def _measure(self, event: Any) -> None:
+        """Tells the meter what follows an event of the parser.
+
+        Raises:
+            AnswerTooLargeError: what has arrived already exceeds a limit.
+        """
+        if isinstance(event, h11.InformationalResponse):
+            rest, _ = self._h11_state.trailing_data
+            check_limit(self._meter.start_next_head(rest))
+        elif isinstance(event, h11.Response):
+            names = [name.lower() for name, _ in event.headers.raw_items()]
+            if b"transfer-encoding" in names:
+                rest, _ = self._h11_state.trailing_data
+                check_limit(self._meter.start_chunks(rest))
+            else:
+                self._meter.stop()
+
 
 class ConnectionPool:
     """Connections by target, each used by one call at a time.
@@ -145,9 +211,13 @@
     """
 
     def __init__(
-        self, dialer: Dialer | None = None, clock: Clock | None = None
+        self,
+        dialer: Dialer | None = None,
+        clock: Clock | None = None,
+        oversized: OversizedAnswers | None = None,
     ) -> None:
         self._dialer = dialer or DirectDialer()
+        self._oversized = oversized
         self._clock = clock or SystemClock()
         self._shared_pace = SharedPace()
         self._connection_slots = anyio.Semaphore(
@@ -248,7 +318,9 @@
         except BaseException:
             self._connection_slots.release()
             raise
-        connection = Connection(origin, stream, KEEPALIVE_EXPIRY_S)
+        connection = Connection(
+            origin, stream, KEEPALIVE_EXPIRY_S, self._oversized
+        )
         connection.pace = ConnectionPace(self._shared_pace)
         connection.link = stream
         connection.connected_at_ms = self._clock.now_ms()
--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -41,6 +41,7 @@
         Event.TEXT_CONFLICT,
         Event.PLATFORM_UNREACHABLE,
         Event.TARGET_FAILED,
+        Event.OVERSIZED_ANSWER,
         Event.TARGET_LINKS_LOST,
         Event.TARGET_REPLACED,
         Event.SERVICE_BRITTLE,
--- a/src/peridotbend/adapters/sockets.py
+++ b/src/peridotbend/adapters/sockets.py
@@ -20,6 +20,9 @@
 # Above this, reading from the socket pauses, so that TCP flow control slows a
 # target whose response is read slowly.
 MAX_BUFFERED_BYTES = 262_144
+# Bytes of one read. uvloop allocates 250 KB for each read of a protocol without
+# a buffer of its own, however little arrives.
+READ_BYTES = 65_536
 # A process that fails may end its data in order and reset the connection then.
 # Both follow each other within a few ms; an answer whose end only its
 # connection tells waits for that long.
@@ -35,7 +38,11 @@
 )
 
 
-class TargetStream(asyncio.Protocol, httpcore.AsyncNetworkStream):
+# Shared by all connections: what was read is copied before the next read.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
+
+class TargetStream(asyncio.BufferedProtocol, httpcore.AsyncNetworkStream):
     """Network stream for httpcore whose reads return all buffered data.
 
     The stream of httpcore's own backend creates a timer, a cancel scope and
@@ -68,10 +75,15 @@
             for level, option, value in KEEPALIVE_OPTIONS:
                 socket.setsockopt(level, option, value)
 
-    def data_received(self, data: bytes) -> None:
-        """Buffers the data for the next read."""
-        self._received.append(data)
-        self._received_bytes += len(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where to read to."""
+        del sizehint
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Keeps what was read for the next read."""
+        self._received.append(bytes(_read_buffer[:nbytes]))
+        self._received_bytes += nbytes
         if self._received_bytes > MAX_BUFFERED_BYTES and not self._paused:
             self._paused = True
             self._transport.pause_reading()
--- a/src/peridotbend/adapters/targets.py
+++ b/src/peridotbend/adapters/targets.py
@@ -9,6 +9,7 @@
 import httpcore
 from result import Err, Ok, Result
 
+from peridotbend.adapters.answerlimits import OversizedAnswers
 from peridotbend.adapters.answerwatch import (
     AnswerCheck,
     AnswerWatch,
@@ -164,10 +165,11 @@
         clock: Clock | None = None,
         reach: ReachSink | None = None,
         is_answer: AnswerCheck = is_no_gateway_answer,
+        oversized: OversizedAnswers | None = None,
     ) -> None:
         self._clock = clock or SystemClock()
         self._dialer = dialer or DirectDialer()
-        self._pool = ConnectionPool(self._dialer, self._clock)
+        self._pool = ConnectionPool(self._dialer, self._clock, oversized)
         self._reach = reach
         self._is_answer = is_answer
         self._connect_timeout_s = connect_timeout_s
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 from result import Err
 
+from peridotbend.adapters.answerlimits import AnswerLimit, OversizedAnswers
 from peridotbend.adapters.callermemory import CallerMemory, find_limit
 from peridotbend.adapters.connectionlimits import ConnectionLimits
 from peridotbend.adapters.edgemetrics import EdgeMetrics
@@ -132,11 +133,13 @@
             PROBE_CALL,
             is_report,
         )
+        self._oversized = OversizedAnswers(log, self._clock)
         http_client = HttpTargetClient(
             CONNECT_TIMEOUT_S,
             self._paths.dialer,
             reach=self._paths.dialer,
             is_answer=is_target_answer,
+            oversized=self._oversized,
         )
         self._dependencies = make_dependencies(
             settings,
@@ -366,6 +369,13 @@
             [way.value for way in Way],
             self._memory.turned_away.count,
         )
+        self._metrics.add_gauges(
+            "oversized_answers",
+            "Answers of targets and the store that exceeded a limit.",
+            "limit",
+            [limit.value for limit in AnswerLimit],
+            self._oversized.count,
+        )
         budget = self._memory.budget
         add_gauge(
             "caller_memory_bytes",
@@ -449,7 +459,8 @@
 
     def _build_feeds(self) -> None:
         self._store = StoreClient(
-            self._settings.store, HttpTargetClient(CONNECT_TIMEOUT_S)
+            self._settings.store,
+            HttpTargetClient(CONNECT_TIMEOUT_S, oversized=self._oversized),
         )
         self._feeds = {
             wire.CONFIG_PREFIX: self._make_feed(
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from peridotbend.adapters.answerlimits import OversizedAnswers
 from peridotbend.adapters.callermemory import CallerMemory
 from peridotbend.adapters.callers import CallerApp, CallerSettings
 from peridotbend.adapters.connectionlimits import ConnectionLimits
@@ -215,7 +216,10 @@
         )
         stack.callback(self.paths.dialer.close)
         self.target_client = targets = HttpTargetClient(
-            CONNECT_TIMEOUT_S, self.paths.dialer, reach=self.paths.dialer
+            CONNECT_TIMEOUT_S,
+            self.paths.dialer,
+            reach=self.paths.dialer,
+            oversized=OversizedAnswers(self._log, self.clock),
         )
         stack.push_async_callback(targets.aclose)
         self.load_poller = LoadPoller(
