--- a/src/peridotbend/adapters/answerlimits.py
+++ b/src/peridotbend/adapters/answerlimits.py
@@ -1,8 +1,9 @@
 """Limits on what surrounds the bodies of answers of targets and the store.
 
-The HTTP library keeps each line as several objects, about 600 bytes for the
-shortest line of 4 bytes, and takes 100 KB of them at once, with what a read
-holds beyond. What arrives is therefore measured before it is parsed.
+The HTTP library keeps each line as several objects: 110 to 150 bytes were
+measured for a line of 4 to 7 bytes, and 230 to 280 while it is parsed. It takes
+100 KB of them at once, with what a read holds beyond. What arrives is therefore
+measured before it is parsed.
 """
 
 import enum
--- a/src/peridotbend/adapters/connections.py
+++ b/src/peridotbend/adapters/connections.py
@@ -194,7 +194,7 @@
             rest, _ = self._h11_state.trailing_data
             check_limit(self._meter.start_next_head(rest))
         elif isinstance(event, h11.Response):
-            names = {name for name, _ in event.headers}
+            names = [name.lower() for name, _ in event.headers.raw_items()]
             if b"transfer-encoding" in names:
                 rest, _ = self._h11_state.trailing_data
                 check_limit(self._meter.start_chunks(rest))
