Test slots, waits and memory of the queue

Cause: with the release of a slot granted to a cancelled caller, the end of a wait with the time of its caller, the place of a returned request that can be on time, the rank of broken streams or the bound on accounts disabled, the tests of the decisions under load passed.

--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -1,5 +1,6 @@
 """Tests of waits, refusals and returns in bursts of several times the load."""
 
+import asyncio
 import dataclasses
 import functools
 import random
@@ -241,6 +242,7 @@
         terms: CallerTerms,
         rank: int = 1,
         route: Route = ROUTE,
+        is_resumed: bool = False,
     ) -> None:
         """Waits for a slot and records the outcome under a label."""
         criteria = TargetCriteria("engine", True, (0, rank))
@@ -248,6 +250,7 @@
             criteria,
             route,
             self.harness.clock.now_ms() + (terms.deadline_ms or FULL_MS),
+            is_resumed,
             terms=terms,
         )
         if isinstance(result, Ok):
@@ -354,6 +357,51 @@
         assert in_flight == 27, in_flight
         assert self.order == ["low"]
 
+    async def test_slot_granted_to_a_cancelled_caller_is_free(self) -> None:
+        """Guards against slots held for callers that left at their grant."""
+        task = asyncio.create_task(self.acquire("gone", NEW))
+        await asyncio.sleep(0.01)
+        # Both before the task runs again.
+        self.free("i-1", count=9)
+        assert self.harness.occupancy.own["i-1"] == 3
+        task.cancel()
+        await asyncio.wait([task])
+        assert task.cancelled()
+        assert self.harness.occupancy.own["i-1"] == 2
+
+    async def test_request_waits_no_longer_than_its_caller(self) -> None:
+        """Guards against grants to callers whose time is over."""
+        brief = dataclasses.replace(NEW, deadline_ms=50)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.acquire, "brief", brief)
+            await anyio.sleep(0.01)
+            self.harness.clock.advance(51)
+            self.free("i-1", count=9)
+        assert self.order == ["brief refused"]
+
+    async def test_returned_request_in_time_keeps_its_turn(self) -> None:
+        """Guards against callers that are late for having been refused."""
+        early = dataclasses.replace(RETURNED, deadline_ms=FULL_MS - 400)
+        async with anyio.create_task_group() as tasks:
+            for label, terms in (("returned", early), ("new", NEW)):
+                tasks.start_soon(self.acquire, label, terms)
+                await anyio.sleep(0.01)
+            self.free("i-1", "i-2", "i-3", count=9)
+        assert self.order == ["returned", "new"]
+
+    async def test_broken_stream_goes_first_and_waits(self) -> None:
+        """Guards against streams lost behind requests that have not begun."""
+        self.backlog._rates.note("engine", (0, 0))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.acquire, "new", NEW, 0)
+            await anyio.sleep(0.01)
+            for _ in range(2):
+                tasks.start_soon(self.acquire, "resumed", NEW, 1, ROUTE, True)
+                await anyio.sleep(0.01)
+            self.harness.clock.advance(95)
+            self.free("i-1", "i-2", "i-3", count=9)
+        assert self.order == ["resumed", "resumed", "new"]
+
     async def test_requests_refused_together_count_once(self) -> None:
         """Guards against longer returns the more requests expire at once."""
         for _ in range(400):
--- a/tests/test_load_shares.py
+++ b/tests/test_load_shares.py
@@ -1,11 +1,13 @@
 """Tests of fair shares: one account at many times its usual rate."""
 
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from peridotbend.domain.clock import ManualClock
+from peridotbend.load import shares
 from peridotbend.load.shares import USE_WINDOW_MS, FairShares
 
 NAMES = ("hog", "a", "b", "c")
@@ -49,6 +51,14 @@
         assert self.shares.find_order("hog") > self.shares.find_order("a")
         assert self.shares.is_over_share("hog")
 
+    def test_idle_accounts_take_no_memory(self) -> None:
+        """Guards against memory that grows with every account ever seen."""
+        with mock.patch.object(shares, "MAX_ACCOUNTS", 10):
+            for number in range(50):
+                _offer(self.shares, f"account-{number}", 1, 1)
+                self.clock.advance(USE_WINDOW_MS)
+        assert len(self.shares._uses) <= 10
+
     def test_use_is_forgotten(self) -> None:
         """Guards against an account that pays for a burst of long ago."""
         _offer(self.shares, "hog", 8, 8)
