Test the bounds of limits, predictions and shares

Cause: a limit that falls when an instance leaves the sums, or below one request, a stalled send that counts in full, an account over its share that leaves no more room than others, and weights with one allowance missing passed all tests of the decisions under load.

--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -16,7 +16,7 @@
     WINDOW_MS,
     TargetPaces,
 )
-from peridotbend.load.ramp import QUIET_MS
+from peridotbend.load.ramp import QUIET_MS, Ramp
 from tests.edgefakes import RecordingLog
 from tests.edgerunners import RunnerFleet
 
@@ -219,6 +219,30 @@
         assert not known, len(known)
 
 
+class RampTest(unittest.TestCase):
+    """The limit of one target, from the sums of all instances."""
+
+    def setUp(self) -> None:
+        self.ramp = Ramp(0.5, 0, seen_on_time=20, seen_signs=0)
+
+    def step(self, on_time: int, signs: int) -> float:
+        """Returns the share after new sums."""
+        self.ramp.step(on_time, signs, 0.0, SLOTS, 100)
+        return self.ramp.share
+
+    def test_sums_without_an_instance_change_nothing(self) -> None:
+        """Guards against limits that fall since an instance is not heard of."""
+        assert self.step(5, 0) == 0.5
+        # What is new counts from there.
+        assert self.step(6, 0) == 0.6
+
+    def test_limit_stays_at_one_request(self) -> None:
+        """Guards against limits that take many answers to grow again."""
+        for signs in range(1, 10):
+            self.step(20, signs)
+        assert self.ramp.share == 1 / SLOTS
+
+
 class RelayTest(unittest.TestCase):
     """Requests through the relay, at runners of ten slots each."""
 
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -217,6 +217,16 @@
         late = Precedence((0, 0), False, True)
         assert Shortages(ManualClock()).find_reserved_share(late) > 0
 
+    def test_account_over_its_share_leaves_more_room(self) -> None:
+        """Guards against one account that takes each slot as it is freed."""
+        shortages = Shortages(ManualClock())
+        over = Precedence((0, 1), True, False)
+        assert not shortages.find_reserved_share(over)
+        shortages.note(Precedence((0, 1), False, False))
+        lower = Precedence((0, 2), False, False)
+        reserved = shortages.find_reserved_share(over)
+        assert reserved > shortages.find_reserved_share(lower) > 0
+
     def test_account_over_its_share_goes_after_late_requests(self) -> None:
         """Guards against callers that one account has pushed out twice."""
         over = Precedence((0, 1), True, False)
@@ -431,6 +441,17 @@
         assert self.retries_ms == [350] * 3
         assert not self.backlog._planner.count_returning(ROUTE.name)
 
+    async def test_accounts_weigh_the_same_if_one_has_no_allowance(
+        self,
+    ) -> None:
+        """Guards against an account without a limit that has least weight."""
+        for rate, weights in ((0.0, {}), (50.0, {"acme": 100.0, "b": 50.0})):
+            self.backlog.apply_accounts(
+                Account(name, frozenset(), None, per_s, 0.0, 0.0)
+                for name, per_s in (("acme", 100.0), ("b", rate))
+            )
+            assert self.backlog._weights == weights
+
     async def test_account_over_its_share_leaves_room(self) -> None:
         """Guards against one account at eight times its rate in a shortage."""
         accounts = [
--- a/tests/test_load_work.py
+++ b/tests/test_load_work.py
@@ -178,6 +178,22 @@
         found = work.predict_first_event_ms("i-1", 8_000, "engine")
         assert found and found > 0.75 * expected_ms, (found, expected_ms)
 
+    def test_one_stalled_send_does_not_condemn_a_target(self) -> None:
+        """Guards against a target avoided for minutes after one pause."""
+        clock = ManualClock()
+        work = make_work(clock)
+        for _ in range(10):
+            teach(work, clock, "i-1", 80.0)
+            teach(work, clock, "i-2", 80.0)
+        expected_ms = work.predict_first_event_ms("i-1", 8_000, "engine")
+        ticket = work.start("i-1", 2_000, "engine")
+        clock.advance(20_000)
+        work.note_first_event(ticket)
+        found = work.predict_first_event_ms("i-1", 8_000, "engine")
+        others_ms = work.predict_first_event_ms("i-2", 8_000, "engine")
+        assert expected_ms and found and others_ms
+        assert found < 2.5 * others_ms, (found, others_ms)
+
     def test_restarted_target_is_unknown(self) -> None:
         """Guards against the speed of a process that is gone."""
         clock = ManualClock()
