Drop what is kept of removed routes and services

Cause: the observations of a route (up to 5,000 planned returns), and the shares, rates and shortages of a service were kept for good after it was removed from the configuration.

Change: a new configuration drops those of routes and services that it does not name. Services with waiting requests keep theirs until the next one.

Result: test_removed_routes_and_services_take_no_memory fails without the subscription and passes with it.

--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -183,6 +183,25 @@
         for shares in self._shares.values():
             shares.apply_weights(self._weights)
 
+    def apply_routes(self, routes: Iterable[Route]) -> None:
+        """Drops what is kept of routes and services that were removed.
+
+        Requests of removed ones that still wait are refused in their time.
+        """
+        routes = tuple(routes)
+        services = {share.name for r in routes for share in r.services}
+        services.update(name for name, queue in self._waiting.items() if queue)
+        self._planner.keep_routes({route.name for route in routes})
+        self._rates.keep_services(services)
+        self._shares = {
+            key: shares
+            for key, shares in self._shares.items()
+            if key[0] in services
+        }
+        for by_service in (self._waiting, self._shortages, self._checked):
+            for name in by_service.keys() - services:
+                del by_service[name]
+
     def dump(self) -> dict[str, dict[str, object]]:
         """Returns the recent use of each account, by service and rank."""
         return {
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -165,6 +165,7 @@
         clock, targets, occupancy, rate_limits, brittle, cold, selector, rng
     )
     holder.subscribe(lambda config: backlog.apply_accounts(config.accounts))
+    holder.subscribe(lambda config: backlog.apply_routes(config.routes))
     return RelayDependencies(
         clock=clock,
         holder=holder,
--- a/src/peridotbend/load/queueing.py
+++ b/src/peridotbend/load/queueing.py
@@ -3,6 +3,7 @@
 import bisect
 import dataclasses
 import random
+from collections.abc import Collection
 
 from peridotbend.domain.clock import Clock
 from peridotbend.edge.config import Route
@@ -186,6 +187,14 @@
         self._clock = clock
         self._granted: dict[str, dict[tuple[int, int], SlidingSum]] = {}
 
+    def keep_services(self, services: Collection[str]) -> None:
+        """Drops what was granted for all other services."""
+        self._granted = {
+            name: by_rank
+            for name, by_rank in self._granted.items()
+            if name in services
+        }
+
     def note(self, service: str, rank: tuple[int, int]) -> None:
         """Counts a granted slot."""
         by_rank = self._granted.setdefault(service, {})
@@ -226,6 +235,12 @@
         self._rng = rng
         self._loads: dict[str, _RouteLoad] = {}
 
+    def keep_routes(self, routes: Collection[str]) -> None:
+        """Drops what was seen of all other routes."""
+        self._loads = {
+            name: load for name, load in self._loads.items() if name in routes
+        }
+
     def note_arrived(self, route: str) -> None:
         """Counts a request that was not refused before."""
         self._find_load(route).arrived.add(1)
--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -15,7 +15,7 @@
 from peridotbend.domain.verdicts import NotRun
 from peridotbend.edge import backlog
 from peridotbend.edge.backlog import Backlog
-from peridotbend.edge.config import Account, Route
+from peridotbend.edge.config import Account, Route, WeightedService
 from peridotbend.edge.ports import Rejection
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.load.precedence import (
@@ -34,6 +34,7 @@
 )
 from tests.edgefakes import (
     CALL,
+    CONFIG,
     STREAM_ROUTE,
     RelayHarness,
     ScriptedReply,
@@ -412,6 +413,39 @@
             self.free("i-1", "i-2", "i-3", count=9)
         assert self.order == ["resumed", "resumed", "new"]
 
+    async def test_removed_routes_and_services_take_no_memory(self) -> None:
+        """Guards against memory that grows with each renamed route."""
+        kept = dataclasses.replace(CONFIG, version=CONFIG.version + 1)
+        for number in range(20):
+            name = f"renamed-{number}"
+            route = dataclasses.replace(
+                ROUTE, name=name, services=(WeightedService(name, 1.0),)
+            )
+            self.backlog.apply_routes((*kept.routes, route))
+            criteria = TargetCriteria(name, True, (0, 1))
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(
+                        self.backlog.acquire,
+                        criteria,
+                        route,
+                        self.harness.clock.now_ms() + FULL_MS,
+                        False,
+                        NEW,
+                    )
+                await anyio.sleep(0.01)
+                self.harness.clock.advance(97)
+                self.backlog.grant_slots(name)
+        assert not self.backlog.count_all()
+        self.harness.holder.offer(kept)
+        names = {route.name for route in kept.routes}
+        services = {"engine", "shop"}
+        assert self.backlog._planner._loads.keys() <= names
+        assert {service for service, _ in self.backlog._shares} <= services
+        assert self.backlog._shortages.keys() <= services
+        assert self.backlog._waiting.keys() <= services
+        assert self.backlog._checked.keys() <= services
+
     async def test_requests_refused_together_count_once(self) -> None:
         """Guards against longer returns the more requests expire at once."""
         for _ in range(400):
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1283,6 +1283,14 @@
         "self._weights = rates",
         ("test_load_queueing",),
     ),
+    Mutant(
+        "removed-routes-kept",
+        "Starved",
+        LOAD + "queueing.py",
+        "name: load for name, load in self._loads.items() if name in routes",
+        "name: load for name, load in self._loads.items()",
+        ("test_load_queueing",),
+    ),
     Mutant(
         "refused-requests-still-wait",
         "Starved",
