--- a/tests/test_load_queueing.py
+++ b/tests/test_load_queueing.py
@@ -1,5 +1,6 @@
 """Tests of waits, refusals and returns in bursts of several times the load."""
 
+import asyncio
 import dataclasses
 import functools
 import random
@@ -14,7 +15,7 @@
 from peridotbend.domain.verdicts import NotRun
 from peridotbend.edge import backlog
 from peridotbend.edge.backlog import Backlog
-from peridotbend.edge.config import Account, Route
+from peridotbend.edge.config import Account, Route, WeightedService
 from peridotbend.edge.ports import Rejection
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.load.precedence import (
@@ -33,6 +34,7 @@
 )
 from tests.edgefakes import (
     CALL,
+    CONFIG,
     STREAM_ROUTE,
     RelayHarness,
     ScriptedReply,
@@ -216,6 +218,16 @@
         late = Precedence((0, 0), False, True)
         assert Shortages(ManualClock()).find_reserved_share(late) > 0
 
+    def test_account_over_its_share_leaves_more_room(self) -> None:
+        """Guards against one account that takes each slot as it is freed."""
+        shortages = Shortages(ManualClock())
+        over = Precedence((0, 1), True, False)
+        assert not shortages.find_reserved_share(over)
+        shortages.note(Precedence((0, 1), False, False))
+        lower = Precedence((0, 2), False, False)
+        reserved = shortages.find_reserved_share(over)
+        assert reserved > shortages.find_reserved_share(lower) > 0
+
     def test_account_over_its_share_goes_after_late_requests(self) -> None:
         """Guards against callers that one account has pushed out twice."""
         over = Precedence((0, 1), True, False)
@@ -241,6 +253,7 @@
         terms: CallerTerms,
         rank: int = 1,
         route: Route = ROUTE,
+        is_resumed: bool = False,
     ) -> None:
         """Waits for a slot and records the outcome under a label."""
         criteria = TargetCriteria("engine", True, (0, rank))
@@ -248,6 +261,7 @@
             criteria,
             route,
             self.harness.clock.now_ms() + (terms.deadline_ms or FULL_MS),
+            is_resumed,
             terms=terms,
         )
         if isinstance(result, Ok):
@@ -354,6 +368,84 @@
         assert in_flight == 27, in_flight
         assert self.order == ["low"]
 
+    async def test_slot_granted_to_a_cancelled_caller_is_free(self) -> None:
+        """Guards against slots held for callers that left at their grant."""
+        task = asyncio.create_task(self.acquire("gone", NEW))
+        await asyncio.sleep(0.01)
+        # Both before the task runs again.
+        self.free("i-1", count=9)
+        assert self.harness.occupancy.own["i-1"] == 3
+        task.cancel()
+        await asyncio.wait([task])
+        assert task.cancelled()
+        assert self.harness.occupancy.own["i-1"] == 2
+
+    async def test_request_waits_no_longer_than_its_caller(self) -> None:
+        """Guards against grants to callers whose time is over."""
+        brief = dataclasses.replace(NEW, deadline_ms=50)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.acquire, "brief", brief)
+            await anyio.sleep(0.01)
+            self.harness.clock.advance(51)
+            self.free("i-1", count=9)
+        assert self.order == ["brief refused"]
+
+    async def test_returned_request_in_time_keeps_its_turn(self) -> None:
+        """Guards against callers that are late for having been refused."""
+        early = dataclasses.replace(RETURNED, deadline_ms=FULL_MS - 400)
+        async with anyio.create_task_group() as tasks:
+            for label, terms in (("returned", early), ("new", NEW)):
+                tasks.start_soon(self.acquire, label, terms)
+                await anyio.sleep(0.01)
+            self.free("i-1", "i-2", "i-3", count=9)
+        assert self.order == ["returned", "new"]
+
+    async def test_broken_stream_goes_first_and_waits(self) -> None:
+        """Guards against streams lost behind requests that have not begun."""
+        self.backlog._rates.note("engine", (0, 0))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.acquire, "new", NEW, 0)
+            await anyio.sleep(0.01)
+            for _ in range(2):
+                tasks.start_soon(self.acquire, "resumed", NEW, 1, ROUTE, True)
+                await anyio.sleep(0.01)
+            self.harness.clock.advance(95)
+            self.free("i-1", "i-2", "i-3", count=9)
+        assert self.order == ["resumed", "resumed", "new"]
+
+    async def test_removed_routes_and_services_take_no_memory(self) -> None:
+        """Guards against memory that grows with each renamed route."""
+        kept = dataclasses.replace(CONFIG, version=CONFIG.version + 1)
+        for number in range(20):
+            name = f"renamed-{number}"
+            route = dataclasses.replace(
+                ROUTE, name=name, services=(WeightedService(name, 1.0),)
+            )
+            self.backlog.apply_routes((*kept.routes, route))
+            criteria = TargetCriteria(name, True, (0, 1))
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(
+                        self.backlog.acquire,
+                        criteria,
+                        route,
+                        self.harness.clock.now_ms() + FULL_MS,
+                        False,
+                        NEW,
+                    )
+                await anyio.sleep(0.01)
+                self.harness.clock.advance(97)
+                self.backlog.grant_slots(name)
+        assert not self.backlog.count_all()
+        self.harness.holder.offer(kept)
+        names = {route.name for route in kept.routes}
+        services = {"engine", "shop"}
+        assert self.backlog._planner._loads.keys() <= names
+        assert {service for service, _ in self.backlog._shares} <= services
+        assert self.backlog._shortages.keys() <= services
+        assert self.backlog._waiting.keys() <= services
+        assert self.backlog._checked.keys() <= services
+
     async def test_requests_refused_together_count_once(self) -> None:
         """Guards against longer returns the more requests expire at once."""
         for _ in range(400):
@@ -383,6 +475,17 @@
         assert self.retries_ms == [350] * 3
         assert not self.backlog._planner.count_returning(ROUTE.name)
 
+    async def test_accounts_weigh_the_same_if_one_has_no_allowance(
+        self,
+    ) -> None:
+        """Guards against an account without a limit that has least weight."""
+        for rate, weights in ((0.0, {}), (50.0, {"acme": 100.0, "b": 50.0})):
+            self.backlog.apply_accounts(
+                Account(name, frozenset(), None, per_s, 0.0, 0.0)
+                for name, per_s in (("acme", 100.0), ("b", rate))
+            )
+            assert self.backlog._weights == weights
+
     async def test_account_over_its_share_leaves_room(self) -> None:
         """Guards against one account at eight times its rate in a shortage."""
         accounts = [
