Count no evidence again after an instance was cut off

Cause: when an instance heard of no other for 1.5 s, their counts left the sums of a ramp, and came back as new answers and new signs: the limit of a target rose or was halved again without any answer.

Change: without reports, and until all others can have reported again (150 ms), sums of the others do not shrink. Own evidence is counted apart from them, so that it counts meanwhile.

Result: test_reports_that_return_tell_nothing_new failed before and passes; two tests guard what must go on to count (own evidence, evidence of the next process). test_load_pace passes (28).

--- a/src/peridotbend/load/pace.py
+++ b/src/peridotbend/load/pace.py
@@ -81,6 +81,8 @@
     ramp: Ramp | None = None
     # When the limit is next adapted.
     step_due_ms: int = 0
+    # Since when others report; None while none does.
+    reported_ms: int | None = -REPORT_LAG_MS
     # A number below 1 that is drawn for each period of `REPORT_LAG_MS`.
     turn: int = -1
     draw: float = 0.0
@@ -416,13 +418,25 @@
         self._counts.set_own(record.signs_name, 0)
 
     def _step(self, record: _Record, ramp: Ramp, slots: int) -> None:
-        record.step_due_ms = self._clock.now_ms() + STEP_INTERVAL_MS
+        now_ms = self._clock.now_ms()
+        record.step_due_ms = now_ms + STEP_INTERVAL_MS
+        if self._counts.has_reports or self._count_instances() == 1:
+            if record.reported_ms is None:
+                record.reported_ms = now_ms
+        else:
+            record.reported_ms = None
+        # After a cut, the reports of the others come back one after another.
+        reported_ms = record.reported_ms
+        is_complete = reported_ms is not None and (
+            now_ms - reported_ms >= REPORT_LAG_MS
+        )
         ramp.step(
             self._counts.count(record.on_time_name),
             self._counts.count(record.late_name),
             self._services[record.service].sign_share,
             slots,
-            self._clock.now_ms(),
+            now_ms,
+            is_complete,
         )
-        if ramp.is_over(self._clock.now_ms()):
+        if ramp.is_over(now_ms):
             self._end(record, ramp)
--- a/src/peridotbend/load/ramp.py
+++ b/src/peridotbend/load/ramp.py
@@ -31,7 +31,7 @@
     # Fraction of the slots that may be used.
     share: float
     since_ms: int
-    # Sums of all instances as of the last step.
+    # Sums of the other instances as of the last step.
     seen_on_time: int
     seen_signs: int
     lowered_at_ms: int = dataclasses.field(init=False)
@@ -39,6 +39,9 @@
     # Of this instance.
     own_on_time: int = 0
     own_signs: int = 0
+    # Of this instance, as of the last step.
+    seen_own_on_time: int = 0
+    seen_own_signs: int = 0
     # What counts for the next change.
     pending_on_time: int = 0
     pending_signs: int = 0
@@ -53,6 +56,7 @@
         usual_share: float,
         slots: int,
         now_ms: int,
+        is_complete: bool = True,
     ) -> None:
         """Changes the limit by what has become known since the last step.
 
@@ -62,11 +66,10 @@
             usual_share: share of such signs at the other targets.
             slots: of the target.
             now_ms: current time.
+            is_complete: whether the sums include the other instances; if not,
+                they shrink, and what comes back later is not new.
         """
-        # Sums shrink when an instance is no longer heard of.
-        new_on_time = max(0, on_time - self.seen_on_time)
-        new_signs = max(0, signs - self.seen_signs)
-        self.seen_on_time, self.seen_signs = on_time, signs
+        new_on_time, new_signs = self._count_new(on_time, signs, is_complete)
         if new_signs:
             self.sign_at_ms = now_ms
         self.pending_on_time += new_on_time
@@ -82,6 +85,25 @@
             if total >= MAX_PENDING:
                 self.pending_on_time = self.pending_signs = 0
 
+    def _count_new(
+        self, on_time: int, signs: int, is_complete: bool
+    ) -> tuple[int, int]:
+        """Returns the answers in time and the signs since the last step."""
+        own_on_time = self.own_on_time - self.seen_own_on_time
+        own_signs = self.own_signs - self.seen_own_signs
+        self.seen_own_on_time = self.own_on_time
+        self.seen_own_signs = self.own_signs
+        # Sums shrink when an instance is no longer heard of.
+        on_time -= self.own_on_time
+        signs -= self.own_signs
+        new_on_time = max(0, on_time - self.seen_on_time)
+        new_signs = max(0, signs - self.seen_signs)
+        if is_complete or new_on_time:
+            self.seen_on_time = on_time
+        if is_complete or new_signs:
+            self.seen_signs = signs
+        return own_on_time + new_on_time, own_signs + new_signs
+
     def is_over(self, now_ms: int) -> bool:
         """Tells whether the target needs no limit any more."""
         is_quiet = now_ms - self.sign_at_ms >= QUIET_MS
--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -7,12 +7,13 @@
 
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
-from peridotbend.edge.occupancy import Occupancy
+from peridotbend.edge.occupancy import PEER_TIMEOUT_MS, Occupancy
 from peridotbend.load.pace import (
     MIN_SIGNS,
     NEW_MS,
     RETURN_SHARE,
     START_SHARE,
+    STEP_INTERVAL_MS,
     WINDOW_MS,
     TargetPaces,
 )
@@ -323,6 +324,74 @@
         fleet.exchange()
         assert all(i.paces.count() == 1 for i in fleet.instances)
 
+    def test_reports_that_return_tell_nothing_new(self) -> None:
+        """Guards against old answers and signs that count once more."""
+        fleet = _Fleet(8)
+        fleet.restart("i-0")
+        fleet.exchange()
+        for instance in fleet.instances[1:5]:
+            instance.answer("i-0", 100)
+        fleet.exchange()
+        one = fleet.instances[0]
+        one.find()
+        fleet.clock.advance(1_000)
+        for instance in fleet.instances[1:4]:
+            instance.answer("i-0", 500)
+        fleet.exchange()
+        one.find()
+        share = one.paces.dump()["i-0"]["share"]
+        assert share == round((START_SHARE + 0.4) / 2, 2)
+        # This instance is cut off, and hears of the others again.
+        fleet.clock.advance(PEER_TIMEOUT_MS + 1)
+        one.find()
+        assert not one.occupancy.has_reports
+        for number, other in enumerate(fleet.instances[1:], 1):
+            one.occupancy.record_peer(str(number), other.occupancy.own)
+            fleet.clock.advance(STEP_INTERVAL_MS)
+            one.find()
+        assert one.paces.dump()["i-0"]["share"] == share
+
+    def test_answers_to_the_next_process_count(self) -> None:
+        """Guards against evidence that is set off against older answers."""
+        fleet = _Fleet(8)
+        fleet.restart("i-0")
+        fleet.exchange()
+        for instance in fleet.instances[1:5]:
+            instance.answer("i-0", 100)
+        fleet.exchange()
+        one = fleet.instances[0]
+        fleet.clock.advance(STEP_INTERVAL_MS)
+        # The others list the next process a moment later.
+        fleet.restart("i-0")
+        fleet.exchange()
+        one.find()
+        fleet.instances[1].answer("i-0", 100)
+        fleet.exchange()
+        fleet.clock.advance(STEP_INTERVAL_MS)
+        one.find()
+        share = round(START_SHARE + 0.1, 2)
+        assert one.paces.dump()["i-0"]["share"] == share
+
+    def test_own_answers_count_without_reports(self) -> None:
+        """Guards against a limit that ignores signs while reports are lost."""
+        fleet = _Fleet(8)
+        fleet.restart("i-0")
+        fleet.exchange()
+        one = fleet.instances[0]
+        for instance in fleet.instances[1:5]:
+            instance.answer("i-0", 100)
+        fleet.exchange()
+        one.find()
+        fleet.clock.advance(PEER_TIMEOUT_MS + 1)
+        one.find()
+        one.answer("i-0", 500, times=3)
+        one.find()
+        lowered = round((START_SHARE + 0.4) / 2, 2)
+        assert one.paces.dump()["i-0"]["share"] == lowered
+        one.answer("i-0", 100)
+        one.find()
+        assert one.paces.dump()["i-0"]["share"] == round(lowered + 0.1, 2)
+
     def test_instance_without_reports_uses_its_part(self) -> None:
         """Guards against instances that each fill a limit without reports."""
         fleet = _Fleet(8)
