Let the replay of returning targets end with its figures

Cause: the outcome of a replay names the rejections of its client, which TargetReplay did not keep, so that replaytargets ended with an exception.

Change: it keeps its client.

Result: test_returned_target_gets_its_share ended with the AttributeError before and passes now.

--- a/src/peridotbend_emulator/replaytargets.py
+++ b/src/peridotbend_emulator/replaytargets.py
@@ -176,7 +176,9 @@
         self._engines = {
             f"i-{number}": ReplayEngine(SLOTS, 1.0) for number in _ALL
         }
-        client = ReplayClient(self._engines, self._event_counts.__getitem__)
+        client = self._client = ReplayClient(
+            self._engines, self._event_counts.__getitem__
+        )
         config = make_config(self._deployment, self._policy)
         self._instances = [
             ReplayInstance(self._clock, client, number, config, self._size)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,6 +8,7 @@
 from peridotbend_emulator.replay import Outcome, Replay
 from peridotbend_emulator.replayengine import ReplayEngine
 from peridotbend_emulator.replayload import PATTERNS, POLICIES
+from peridotbend_emulator.replaytargets import SCENARIOS, TargetReplay
 from peridotbend_emulator.virtualtime import run_virtual
 
 SEED = 3
@@ -92,6 +93,17 @@
             )
 
 
+class TargetReplayTest(unittest.TestCase):
+    """Replays of targets that return."""
+
+    def test_returned_target_gets_its_share(self) -> None:
+        """Guards against a comparison of ramps that ends without figures."""
+        scenario = next(s for s in SCENARIOS if s.name == "started-warm")
+        replay = TargetReplay(scenario, 2, SEED)
+        assert replay.run().earned_share > 0.8
+        assert replay.find_share_ms() is not None
+
+
 class ReplayEngineTest(unittest.TestCase):
     """The emulated engine in virtual time."""
 
