--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -40,7 +40,7 @@
 )
 from peridotbend.adapters.waitingconnections import WaitingConnections
 from peridotbend.domain.clock import ManualClock, SystemClock
-from tests.fedconnections import RecordingTransport
+from tests.fedconnections import ROUNDS, RecordingTransport
 from tests.test_serving import run_with_server, serve_nothing
 
 COUNT = 500
@@ -301,6 +301,9 @@
             connection = self._connect(serve_nothing)
             connection.data_received(TWO_REQUESTS + b"0\r\n\r\n")
             assert len(connection.pipeline) == 1
+            # The application waits for what follows.
+            for _ in range(ROUNDS):
+                await anyio.lowlevel.checkpoint()
             connection.connection_lost(ConnectionResetError())
             with anyio.fail_after(20):
                 while connection.tasks:
