Forget the hashes of counts that a pace looked up

Cause: the paces look up the counts of signs and answers of each runner, and the hash of each of these names was kept when the runner was removed: three entries for every name that a runner ever had.

Change: a count that is set to 0 forgets its hash, also if it was 0.

Result: test_removed_targets_take_up_no_memory failed before and passes; test_load_pace 29, test_edge_groups 27, test_inflight 3 pass.

--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -57,13 +57,15 @@
 
     def set_own(self, name: str, count: int) -> None:
         """Replaces a count of this instance, which need not be a target's."""
+        if not count:
+            # It is also there for names that were only looked up.
+            self._hashes.pop(name, None)
         if count == self._own.get(name, 0):
             return
         if count:
             self._own[name] = count
         else:
             del self._own[name]
-            self._hashes.pop(name, None)
         self.on_change()
 
     def record_peer(self, peer: str, use: Mapping[str, int]) -> None:
--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -202,6 +202,21 @@
         assert not self.one.occupancy.own
         assert self.one.paces.count() == 0
 
+    def test_removed_targets_take_up_no_memory(self) -> None:
+        """Guards against names that are kept of every target there ever was."""
+        occupancy = self.one.occupancy
+        occupancy.record_peer("other", {"i-1": 1})
+        known = set(occupancy._hashes)
+        started_ms = self.fleet.clock.wall_ms()
+        for fresh in (False, True):
+            self.one.paces.note_listed("i-11", "engine", started_ms, fresh)
+            self.one.paces.check()
+            self.one.find("i-11")
+            self.one.paces.forget("i-11")
+            occupancy.forget_target("i-11")
+        names = set(occupancy._hashes) - known
+        assert not [name for name in names if name.startswith("i-11")], names
+
 
 class RelayTest(unittest.TestCase):
     """Requests through the relay, at runners of ten slots each."""
