--- a/src/peridotbend/edge/occupancy.py
+++ b/src/peridotbend/edge/occupancy.py
@@ -58,6 +58,7 @@
     def set_own(self, name: str, count: int) -> None:
         """Replaces a count of this instance, which need not be a target's."""
         if not count:
+            # It is also there for names that were only looked up.
             self._hashes.pop(name, None)
         if count == self._own.get(name, 0):
             return
