Let idle instances use the only runner of a service

Cause: while a runner is limited, an instance takes every other one to be about to send a request in each period of 150 ms, and leaves the free places to a part of them. If no other runner is without a limit, those without a turn refuse their callers although the runner is idle.

Change: while all runners of a service are limited, the rate of this instance counts, with one request in 2 s more. The rule stays for the others (test_only_some_instances_send_at_once).

--- a/src/peridotbend/load/pace.py
+++ b/src/peridotbend/load/pace.py
@@ -307,8 +307,14 @@
             instances: number of instances.
         """
         service = self._services[record.service]
-        per_ms = self._find_sends(service) / RATE_TAU_MS
-        unreported = instances * max(1.0, per_ms * REPORT_LAG_MS)
+        sends = self._find_sends(service)
+        per_period = sends * REPORT_LAG_MS / RATE_TAU_MS
+        if service.ramping < len(service.targets):
+            per_period = max(1.0, per_period)
+        else:
+            # No other target takes the requests of those without a turn.
+            per_period += REPORT_LAG_MS / RATE_TAU_MS
+        unreported = instances * per_period
         part = free * service.ramping / unreported
         if part >= 1.0 or instances == 1:
             return True
--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -11,6 +11,7 @@
 from peridotbend.load.pace import (
     MIN_SIGNS,
     NEW_MS,
+    REPORT_LAG_MS,
     RETURN_SHARE,
     START_SHARE,
     WINDOW_MS,
@@ -346,6 +347,21 @@
         for instance in fleet.instances:
             assert any(instance.find(name) > 0 for name in NAMES)
 
+    def test_idle_instances_do_not_wait_for_turns(self) -> None:
+        """Guards against refusals at the only runner while it is idle."""
+        for size, least in ((25, 30), (300, 5)):
+            clock = ManualClock()
+            one = _Instance(clock, size, 0)
+            for name in NAMES[1:]:
+                one.paces.forget(name)
+            one.paces.note_listed("i-0", "engine", clock.wall_ms(), True)
+            turns = 0
+            for _ in range(30):
+                one.occupancy.record_peer("1", {})
+                turns += one.find() > 0
+                clock.advance(REPORT_LAG_MS)
+            assert turns >= least, (size, turns)
+
     def test_one_instance_does_not_convince_the_others(self) -> None:
         """Guards against one broken link that limits targets everywhere."""
         fleet = _Fleet(8)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1243,6 +1243,14 @@
         "if False:",
         ("test_load_shares",),
     ),
+    Mutant(
+        "only-runner-left-idle",
+        "RAMP",
+        LOAD + "pace.py",
+        "if service.ramping < len(service.targets):",
+        "if True:",
+        ("test_load_pace",),
+    ),
     Mutant(
         "sums-without-an-instance-lower-a-limit",
         "RAMP",
