--- a/tests/hostileanswers.py
+++ b/tests/hostileanswers.py
@@ -17,8 +17,8 @@
     run_with_fleet,
     wait_for_event,
 )
-from tests.halfopen import call_once, count_files
-from tests.hostilecrowd import MEMORY_MB, MIB, read_peak_bytes
+from tests.halfopen import call_once
+from tests.hostilecrowd import MEMORY_MB, MIB, read_peak_bytes, watch_files
 from tests.troubledfleet import BOUNDS, NON_IDEMPOTENT_PATH, put_service
 
 # Callers whose requests the target answers.
@@ -104,17 +104,11 @@
         await asyncio.sleep(0.01)
 
 
-async def _watch_files(child: Child, most: list[int]) -> None:
-    while True:
-        most.append(count_files(child))
-        await asyncio.sleep(0.05)
-
-
 async def _run_beside(child: Child, awaitables: list[Awaitable[None]]) -> int:
     """Runs for the time of a test; returns the most open descriptors."""
     files: list[int] = []
     tasks = [asyncio.ensure_future(a) for a in awaitables]
-    tasks.append(asyncio.create_task(_watch_files(child, files)))
+    tasks.append(asyncio.create_task(watch_files(child, files)))
     await asyncio.sleep(DURATION_S)
     for task in tasks:
         task.cancel()
--- a/tests/hostilecrowd.py
+++ b/tests/hostilecrowd.py
@@ -73,7 +73,7 @@
     yield from itertools.repeat(_LINES)
 
 
-async def _flood(
+async def flood(
     address: tuple[str, int], make: MakeInput, numbers: Iterator[int]
 ) -> None:
     """Sends on one connection after the other, and reads nothing."""
@@ -91,7 +91,8 @@
         await asyncio.sleep(0.01)
 
 
-async def _watch_files(child: Child, most: list[int]) -> None:
+async def watch_files(child: Child, most: list[int]) -> None:
+    """Adds the number of open descriptors again and again."""
     while True:
         most.append(count_files(child))
         await asyncio.sleep(0.05)
@@ -115,10 +116,9 @@
     files: list[int] = []
     numbers = itertools.count()
     tasks = [
-        asyncio.create_task(_flood(address, make, numbers))
-        for _ in range(CROWD)
+        asyncio.create_task(flood(address, make, numbers)) for _ in range(CROWD)
     ]
-    tasks.append(asyncio.create_task(_watch_files(child, files)))
+    tasks.append(asyncio.create_task(watch_files(child, files)))
     await asyncio.sleep(DURATION_S)
     for task in tasks:
         task.cancel()
