--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -4,10 +4,10 @@
 from collections.abc import Mapping
 
 from peridotbend.domain.ports import AnswerHead
-from peridotbend.edge.backlog import Slot
 from peridotbend.edge.config import Account, Route
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.ports import EdgeCall
+from peridotbend.edge.slots import Slot
 from peridotbend.edge.streamrecords import BegunStream
 from peridotbend.load.queueing import CallerTerms
 
--- a/src/peridotbend/edge/backlog.py
+++ b/src/peridotbend/edge/backlog.py
@@ -4,7 +4,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import anyio
 from result import Err, Ok, Result
@@ -12,7 +12,7 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.verdicts import NotRun, Reason
 from peridotbend.edge.brittle import ENGINE_FILL, BrittleTargets
-from peridotbend.edge.coldtargets import ColdTargets, Permit
+from peridotbend.edge.coldtargets import ColdTargets
 from peridotbend.edge.config import Account, Route
 from peridotbend.edge.occupancy import Occupancy
 from peridotbend.edge.ratelimits import RateLimits
@@ -22,6 +22,7 @@
     Selector,
     TargetCriteria,
 )
+from peridotbend.edge.slots import RESUME_RANK, Slot, Waiter
 from peridotbend.edge.targets import EdgeTarget, TargetList
 from peridotbend.load.precedence import (
     Precedence,
@@ -31,16 +32,12 @@
     CallerTerms,
     GrantRates,
     ReturnPlanner,
-    WaitPlan,
     find_plain_retry_ms,
     plan_resumed_wait,
     plan_wait,
 )
 from peridotbend.load.shares import FairShares
-from peridotbend.load.work import WorkTicket
 
-# Precedes all other ranks: a partly delivered stream is lost unless it resumes.
-RESUME_RANK = (-1, -1)
 # Shortest and longest interval of the checks for expired requests, reports of
 # other instances and targets that are available again. Reports come every 50 or
 # 100 ms; releases at this instance are granted at once.
@@ -54,75 +51,6 @@
 NO_TERMS = CallerTerms()
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class _Waiter:
-    criteria: TargetCriteria
-    route: Route
-    terms: CallerTerms
-    plan: WaitPlan
-    sequence: int
-    arrived_at_ms: int
-    wait_until_ms: int
-    end_at_ms: int
-    # As of the last time that the queue was put in order.
-    precedence: Precedence | None = None
-    # Stand for what finds room alike, with and without regard to the prompt.
-    # Computed once, as each pass of the queue compares them.
-    criteria_class: TargetCriteria = dataclasses.field(init=False)
-    kind: TargetCriteria = dataclasses.field(init=False)
-    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    result: "Result[Slot, NotRun] | None" = None
-
-    def __post_init__(self) -> None:
-        self.criteria_class = self.criteria.make_class()
-        self.kind = dataclasses.replace(self.criteria_class, prompt=None)
-
-    @property
-    def is_planned(self) -> bool:
-        """Whether the rules for requests with a token count apply."""
-        return self.terms.work is not None
-
-    @property
-    def is_resumed(self) -> bool:
-        """Whether the caller already has a part of the answer."""
-        return self.criteria.rank == RESUME_RANK
-
-    def is_late(self, now_ms: int) -> bool:
-        """Tells whether a returned request can't be on time any more."""
-        on_time_until_ms = self.arrived_at_ms + self.plan.on_time_ms
-        return self.plan.is_returned and now_ms >= on_time_until_ms
-
-
-class Slot:
-    """A slot granted at a target, held until `release`."""
-
-    def __init__(
-        self,
-        target: EdgeTarget,
-        on_release: Callable[[], None],
-        in_flight: int = 1,
-        permit: Permit | None = None,
-        ticket: WorkTicket | None = None,
-    ):
-        # Allows the send if the target is cold.
-        self.permit = permit
-        self.target = target
-        # Known requests in flight at the target, including this one.
-        self.in_flight = in_flight
-        # The prompt that the target has to read; None if it is not counted.
-        self.ticket = ticket
-        self._on_release = on_release
-        self._released = False
-        # Whether the target had no room.
-        self.is_rejected = False
-
-    def release(self) -> None:
-        """Frees the slot; further calls have no effect."""
-        if not self._released:
-            self._released = True
-            self._on_release()
-
-
 class Backlog:
     """Grants slots to waiting requests.
 
@@ -151,7 +79,7 @@
         self._selector = selector
         self._rng = rng
         self._sequence = itertools.count()
-        self._waiting: dict[str, list[_Waiter]] = {}
+        self._waiting: dict[str, list[Waiter]] = {}
         self._planner = ReturnPlanner(clock, rng)
         self._rates = GrantRates(clock)
         # By service and rank, as accounts compete within a rank.
@@ -255,7 +183,7 @@
             if terms.work is not None:
                 age_ms = self._planner.find_age_ms(route, terms.deadline_ms)
             plan = plan_wait(route, age_ms, end_at_ms - now_ms)
-        waiter = _Waiter(
+        waiter = Waiter(
             criteria,
             route,
             terms,
@@ -286,7 +214,7 @@
         assert waiter.result is not None
         return waiter.result
 
-    def _make_place(self, waiter: _Waiter) -> bool:
+    def _make_place(self, waiter: Waiter) -> bool:
         """Refuses the last of a full queue for a request that goes before it.
 
         Returns:
@@ -312,8 +240,8 @@
         queue.sort(key=lambda waiter: self._find_order(waiter, now_ms))
         targets = self._targets.list_for(service)
         is_evacuated = self._targets.is_evacuated(service)
-        still_waiting: list[_Waiter] = []
-        refused: list[_Waiter] = []
+        still_waiting: list[Waiter] = []
+        refused: list[Waiter] = []
         # Criteria for which all targets are full. Within this call slots are
         # only taken, so other requests with the same criteria would find none.
         full_for: set[TargetCriteria] = set()
@@ -413,7 +341,7 @@
             bool(age_ms),
         )
 
-    def _note_arrived(self, waiter: _Waiter) -> None:
+    def _note_arrived(self, waiter: Waiter) -> None:
         if waiter.is_resumed or waiter.plan.is_returned:
             return
         if waiter.is_planned:
@@ -423,7 +351,7 @@
                 waiter.terms.account, waiter.terms.work or PLAIN_WORK
             )
 
-    def _find_shares(self, waiter: _Waiter) -> FairShares:
+    def _find_shares(self, waiter: Waiter) -> FairShares:
         key = waiter.criteria.service, waiter.criteria.rank
         shares = self._shares.get(key)
         if shares is None:
@@ -432,7 +360,7 @@
         return shares
 
     def _find_order(
-        self, waiter: _Waiter, now_ms: int
+        self, waiter: Waiter, now_ms: int
     ) -> tuple[Precedence, float, int]:
         """Returns the sort key of the queue."""
         account = waiter.terms.account
@@ -442,7 +370,7 @@
         waiter.precedence = self._find_precedence(waiter, now_ms)
         return waiter.precedence, use, waiter.sequence
 
-    def _find_precedence(self, waiter: _Waiter, now_ms: int) -> Precedence:
+    def _find_precedence(self, waiter: Waiter, now_ms: int) -> Precedence:
         account = waiter.terms.account
         is_over = (
             bool(account)
@@ -453,7 +381,7 @@
 
     def _must_leave_room(
         self,
-        waiter: _Waiter,
+        waiter: Waiter,
         targets: list[EdgeTarget],
         leaving: set[Precedence],
     ) -> bool:
@@ -490,7 +418,7 @@
             shortages = self._shortages[service] = Shortages(self._clock)
         return shortages
 
-    def _is_hopeless(self, waiter: _Waiter) -> bool:
+    def _is_hopeless(self, waiter: Waiter) -> bool:
         """Tells whether the requests ahead take longer than this one waits."""
         if not waiter.is_planned or waiter.plan.is_returned:
             return False
@@ -505,7 +433,7 @@
         )
         return len(ahead) > granted_per_ms * waiter.plan.timeout_ms > 0
 
-    def _grant(self, waiter: _Waiter, target: EdgeTarget) -> None:
+    def _grant(self, waiter: Waiter, target: EdgeTarget) -> None:
         self._rates.note(waiter.criteria.service, waiter.criteria.rank)
         if waiter.is_planned and not waiter.is_resumed:
             self._planner.note_granted(waiter.route.name)
@@ -543,7 +471,7 @@
         return slot
 
     def _refuse(
-        self, waiters: Iterable[_Waiter], targets: list[EdgeTarget]
+        self, waiters: Iterable[Waiter], targets: list[EdgeTarget]
     ) -> None:
         """Refuses requests of one service that have left its queue."""
         waiting: collections.Counter[str] | None = None
@@ -560,7 +488,7 @@
             waiter.result = Err(NotRun(reason, retry_after_ms))
             waiter.done.set()
 
-    def _plan_return(self, waiter: _Waiter, waiting: int) -> int:
+    def _plan_return(self, waiter: Waiter, waiting: int) -> int:
         route = waiter.route
         if not waiter.is_planned or waiter.is_resumed:
             return find_plain_retry_ms(route, self._rng)
@@ -572,10 +500,10 @@
             waiter.plan.is_returned,
         )
 
-    def _find_pause_ms(self, waiter: _Waiter, targets: list[EdgeTarget]) -> int:
+    def _find_pause_ms(self, waiter: Waiter, targets: list[EdgeTarget]) -> int:
         return self._selector.find_pause_ms(waiter.criteria, targets)
 
-    def _cancel(self, waiter: _Waiter) -> None:
+    def _cancel(self, waiter: Waiter) -> None:
         queue = self._waiting.get(waiter.criteria.service, [])
         if waiter in queue:
             queue.remove(waiter)
@@ -583,5 +511,5 @@
             waiter.result.ok_value.release()
 
 
-def _count_by_route(queue: Iterable[_Waiter]) -> collections.Counter[str]:
+def _count_by_route(queue: Iterable[Waiter]) -> collections.Counter[str]:
     return collections.Counter(waiter.route.name for waiter in queue)
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -9,13 +9,13 @@
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 from peridotbend.edge.activerequests import ActiveRequest, make_terms
 from peridotbend.edge.admission import QUARANTINED, Admission
-from peridotbend.edge.backlog import Slot
 from peridotbend.edge.parts import RelayDependencies
 from peridotbend.edge.ports import AnswerBrokenError, EdgeCall, Responder
 from peridotbend.edge.refusals import describe_refusal
 from peridotbend.edge.reports import RequestReporter
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.edge.sends import Sender
+from peridotbend.edge.slots import Slot
 from peridotbend.load.placement import Prompt
 
 # Time beyond the deadline for which this process waits. A target ends a request
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -7,7 +7,6 @@
 from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 from peridotbend.edge.activerequests import ActiveRequest
-from peridotbend.edge.backlog import Slot
 from peridotbend.edge.delivery import Delivery, FailedAnswer
 from peridotbend.edge.inflight import TrackedSend
 from peridotbend.edge.parts import RelayDependencies
@@ -20,6 +19,7 @@
 )
 from peridotbend.edge.reports import RequestReporter, describe_type
 from peridotbend.edge.sendnotices import SendNotices
+from peridotbend.edge.slots import Slot
 from peridotbend.edge.targets import EdgeTarget
 
 # Bounds a log line.
--- a/tests/test_edge_decisions.py
+++ b/tests/test_edge_decisions.py
@@ -9,7 +9,7 @@
 
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.verdicts import NotRun, Reason
-from peridotbend.edge.backlog import Backlog, Slot
+from peridotbend.edge.backlog import Backlog
 from peridotbend.edge.brittle import BrittleTargets
 from peridotbend.edge.coldtargets import ColdTargets, FleetView
 from peridotbend.edge.config import Service
@@ -19,6 +19,7 @@
 from peridotbend.edge.peers import PEER_TIMEOUT_MS
 from peridotbend.edge.ratelimits import RateLimits
 from peridotbend.edge.selection import Selector, TargetCriteria
+from peridotbend.edge.slots import Slot
 from peridotbend.edge.targetpauses import TargetPauses
 from peridotbend.edge.targets import REMOVAL_GRACE_MS, EdgeTarget, TargetList
 from peridotbend.load.placement import Prompt
