Review: streams taken up at another software version

Cause: the age of a stream is computed from the longest time limit that an instance knows of the route. One without a first attempt on it knows only the route's own, so that a client that waits longer makes the stream look new.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,6 @@
 # They are Python files of review/common-2 that need the standard library only;
 # this compiles them, so that an error shows here.
 cd "$(dirname "$0")" || exit 1
-exec python3 -m compileall -q common-2 6 7 8 9 10
+for folder in common-2 6 7 8 9 10; do
+    [ ! -d "$folder" ] || python3 -m compileall -q "$folder" || exit 1
+done
--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -277,6 +277,8 @@
         self._beat: asyncio.Task[None] | None = None
         self.state = "ready"
         self.work_s = 0.01
+        # The last parts of the prompts that it has read, with their tokens.
+        self.kept: dict[str, int] = {}
 
     async def start(self, host: str, port: int = 0) -> None:
         """Listens, and registers."""
@@ -328,6 +330,37 @@
         await writer.drain()
         return True
 
+    async def answer_with_events(
+        self,
+        request: Request,
+        writer: asyncio.StreamWriter,
+        count: int,
+        interval_s: float,
+    ) -> bool:
+        """Streams events after the last one that the client has.
+
+        Each names the attempt and this runner with its version.
+        """
+        part, _, tokens = request.find("x-prompt-prefix").rpartition(",")[
+            2
+        ].partition(":")
+        if part:
+            self.kept[part] = int(tokens or 0)
+        last = int(request.find("last-event-id") or 0)
+        lines = [f"{n}: {v}" for n, v in self.make_headers(request)]
+        lines.append("Content-Type: text/event-stream")
+        lines.append("Transfer-Encoding: chunked")
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""])
+        writer.write(head.encode("latin-1"))
+        for number in range(last + 1, count + 1):
+            await asyncio.sleep(interval_s)
+            event = f"id: {number}\ndata: {self.version} {self.name}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -343,6 +376,13 @@
                     body = json.dumps(report).encode()
                     writer.write(encode_answer(200, head, body))
                     continue
+                if path == "/-/kv-list":
+                    held = [["", part, n, "m"] for part, n in self.kept.items()]
+                    kept = {"born": self.born, "epoch": 1, "next": 0}
+                    head = [("Content-Type", "application/json")]
+                    body = json.dumps({**kept, "held": held}).encode()
+                    writer.write(encode_answer(200, head, body))
+                    continue
                 if path.startswith("/-/"):
                     writer.write(encode_answer(404, [], b""))
                     continue
