Review: a restarted edge continues streams at another software version

Cause: an instance that starts while another one is silent does not note the loss, so that it trusts placements although the other one may act on old news. Change: review/6, a script.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,83 +1,138 @@
-"""SIGHUP reaches machines whose processes are starting."""
+"""An edge stands still while others restart and a release takes place."""
 
 import asyncio
 import pathlib
 import signal
 import sys
-import time
+from collections.abc import Awaitable, Callable
 
 sys.path.insert(
     0, str(pathlib.Path(__file__).resolve().parent.parent / "common-2")
 )
-from bed import Bed, Edge, has_trouble, make_config, make_route, run_case
-
-EDGES = 4
-# At most 0.3 of the machines get the signal at a time: one of four.
-ROLLED = 2
-ROUNDS = 3
-# From the start of the process to the change of its settings.
-CHANGE_AFTER_S = 0.15
-# The platform starts a process again that has ended, after a short delay.
-RESTART_DELAY_S = 0.5
-# The rule: three ends in the day, on a tenth of the machines, two at least.
-MAX_ENDS = 3
-MIN_MACHINES = 2
-
-
-async def wait_end(edge: Edge, timeout_s: float) -> int | None:
-    """Returns the exit code; None if the process goes on."""
-    until = time.monotonic() + timeout_s
-    while time.monotonic() < until:
-        if edge.process.poll() is not None:
-            return edge.process.returncode
-        await asyncio.sleep(0.02)
-    return None
+from bed import (
+    Bed,
+    Edge,
+    Runner,
+    has_trouble,
+    make_config,
+    make_route,
+    run_case,
+)
+from streams import (
+    MAX_MIXED,
+    Client,
+    count_mixed,
+    make_stream_route,
+    start_runner,
+)
+
+Add = Callable[[str], Awaitable[Runner]]
 
+EDGES = 8
+# Two of eight machines get SIGTERM and start again, one after the other
+# (roll_term, share 0.25, x 1, gap_s 1).
+RESTARTED = 2
+RESTART_GAP_S = 1.0
+# Half of the runners have the next version already. The other half is replaced,
+# one at a time (release, share 0.5, x 1, gap_s 1).
+RUNNERS = 4
+RELEASE_GAP_S = 1.0
+STREAMS = 96
+EVENTS = 60
+EVENT_INTERVAL_S = 0.2
+TIMEOUT_MS = 15_000
+# How long one machine of eight stands still (node_freeze, for_s 5).
+FREEZE_S = 5.0
+# The clients send this long before it goes on, over channels that they keep.
+SEND_BEFORE_S = 0.4
+# How long the runners of the old version go on after they drain.
+LINGER_S = 8.0
 
-async def roll(bed: Bed, edge: Edge, round_number: int) -> bool:
-    """Restarts a machine; tells whether the new process ended by itself."""
+
+async def restart(bed: Bed, edge: Edge, after_s: float) -> None:
+    """Restarts a process as planned."""
+    await asyncio.sleep(after_s)
     edge.signal(signal.SIGTERM)
     bed.record.note(f"{edge.host} gets SIGTERM")
-    code = await wait_end(edge, bed.bounds["grace_s"] + 1)
-    if code is None:
-        raise RuntimeError(f"{edge.host} did not stop in its grace time")
-    bed.record.note(f"{edge.host} has stopped with {code}")
-    edge.start()
+    while edge.process.poll() is None:
+        await asyncio.sleep(0.02)
+    edge.start(first_start=False)
     bed.record.note(f"{edge.host} starts again")
-    await asyncio.sleep(CHANGE_AFTER_S)
-    seeds = edge.settings["seeds"]
-    turn = round_number % len(seeds)
-    edge.write_settings(seeds=seeds[turn:] + seeds[:turn], first_start=False)
-    bed.record.note(f"the settings of {edge.host} change: seeds")
-    if has_trouble():
-        edge.signal(signal.SIGHUP)
-        bed.record.note(f"{edge.host} gets SIGHUP")
-    code = await wait_end(edge, 1.0)
-    if code is not None:
-        bed.record.tell(f"the process on {edge.host} ended by itself: {code}")
-        await asyncio.sleep(RESTART_DELAY_S)
-        edge.start()
     await bed.wait_ready(edge)
     bed.record.note(f"{edge.host} is ready")
-    return code is not None
+
+
+async def release(bed: Bed, old: list[Runner], add: Add) -> None:
+    """Replaces runners one at a time; they go on for some time."""
+    leaving = []
+    for number, runner in enumerate(old):
+        if number:
+            await asyncio.sleep(RELEASE_GAP_S / 2)
+        new = await add("v2")
+        bed.record.note(f"{new.name} starts with v2")
+        await asyncio.sleep(RELEASE_GAP_S / 2)
+        runner.state = "draining"
+        runner.register()
+        bed.record.note(f"{runner.name} of v1 is draining")
+        leaving.append(asyncio.create_task(leave(bed, runner)))
+    await asyncio.gather(*leaving)
+
+
+async def leave(bed: Bed, runner: Runner) -> None:
+    """Lets a runner that drains go on for some time, and then exit."""
+    await asyncio.sleep(LINGER_S)
+    bed.store.delete(f"servers/{runner.name}")
+    runner.crash()
+    bed.record.note(f"{runner.name} of v1 has left")
+
+
+async def freeze(bed: Bed, edge: Edge) -> None:
+    """Stops a machine for some time."""
+    edge.signal(signal.SIGSTOP)
+    bed.record.note(f"{edge.host} stands still")
+    await asyncio.sleep(FREEZE_S)
+    edge.signal(signal.SIGCONT)
+    bed.record.note(f"{edge.host} goes on")
 
 
 async def play(folder: pathlib.Path) -> bool:
     """Returns whether the rule was broken."""
-    bed = Bed(folder, EDGES, grace_s=8)
+    bed = Bed(folder, EDGES)
     try:
-        route = make_route("order", "/orders/", "non_idempotent")
-        await bed.start(make_config([route]))
-        for _ in range(3):
-            await bed.add_runner("app")
+        routes = [
+            make_stream_route(TIMEOUT_MS),
+            make_route("status", "/status/", "idempotent"),
+        ]
+        await bed.start(make_config(routes))
+
+        async def add(version: str) -> Runner:
+            return await start_runner(bed, version, EVENTS, EVENT_INTERVAL_S)
+
+        old = [await add("v1") for _ in range(RUNNERS // 2)]
+        for _ in range(RUNNERS // 2):
+            await add("v2")
+        await bed.add_runner("app", slots=20)
         await bed.start_edges()
-        ends = {edge.host: 0 for edge in bed.edges}
-        for round_number in range(ROUNDS):
-            for edge in bed.edges[:ROLLED]:
-                ends[edge.host] += await roll(bed, edge, round_number)
-        bed.record.tell(f"ends by machine: {ends}")
-        machines = sum(count >= MAX_ENDS for count in ends.values())
-        return machines >= max(MIN_MACHINES, EDGES / 10)
+        # All edges have first attempts of the route.
+        warm = [Client(bed, 1000 + n, TIMEOUT_MS) for n in range(EDGES)]
+        await asyncio.gather(*(w.run(e) for w, e in zip(warm, bed.edges)))
+        clients = [Client(bed, n, TIMEOUT_MS) for n in range(STREAMS)]
+        frozen = bed.edges[-1]
+        for client in clients:
+            await client.open_channel(frozen)
+        restarts = [
+            asyncio.create_task(restart(bed, edge, number * RESTART_GAP_S))
+            for number, edge in enumerate(bed.edges[:RESTARTED])
+        ]
+        # They serve for 2.6 s after SIGTERM.
+        await asyncio.sleep(2.5)
+        tasks = [asyncio.create_task(release(bed, old, add))]
+        if has_trouble():
+            tasks.append(asyncio.create_task(freeze(bed, frozen)))
+        await asyncio.sleep(FREEZE_S - SEND_BEFORE_S)
+        runs = [asyncio.create_task(c.run(frozen)) for c in clients]
+        await asyncio.wait_for(asyncio.gather(*runs, *tasks, *restarts), 45)
+        return count_mixed(bed, clients) > MAX_MIXED
     finally:
         bed.close()
 
--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -703,6 +703,9 @@
 def run_case(play: Callable[[pathlib.Path], Awaitable[bool]], path: str) -> None:
     """Plays a case and exits: 1 broken, 0 held, 2 could not run."""
     folder = pathlib.Path(path).resolve().parent
+    # The platform starts processes with the default action. nohup ignores the
+    # signal, and what is ignored stays so in a program that is started.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     try:
         is_broken = asyncio.run(play(folder))
     except Exception as error:  # The case itself has failed.
--- a/review/common-2/streams.py
+++ b/review/common-2/streams.py
@@ -5,7 +5,19 @@
 import time
 from typing import Any
 
-from bed import Bed, Edge, Request, Runner, encode_request, make_attempt, make_route
+from bed import (
+    Answer,
+    Bed,
+    Edge,
+    Request,
+    Runner,
+    encode_request,
+    make_attempt,
+    make_route,
+    receive_answer,
+)
+
+Channel = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 RETRIES = 3
 # The rule ORDER allows two streams with events of two versions.
@@ -18,15 +30,41 @@
     def __init__(self, bed: Bed, number: int, wait_ms: int):
         self._bed = bed
         self._wait_ms = wait_ms
-        self._begun = time.monotonic()
+        self._begun = 0.0
         self._part = f"{number:08x}"
         # Versions of the events, in order.
         self.versions: list[str] = []
         self.is_whole = False
         self.takes_up = 0
+        # A kept channel for the first attempt, which the client opens early.
+        self.channel: Channel | None = None
+
+    async def open_channel(self, edge: Edge) -> None:
+        """Opens a channel that is kept, and waits for one answer on it."""
+        port = self._bed.ports["frontend"]
+        self.channel = await asyncio.open_connection(edge.host, port)
+        reader, writer = self.channel
+        writer.write(encode_request("GET", "/status/1", make_attempt()))
+        answer = await receive_answer(reader)
+        if answer.status != 200:
+            raise RuntimeError(f"a kept channel has {answer.status}")
+
+    async def _send(self, edge: Edge, raw: bytes, timeout_s: float) -> Answer:
+        """Sends on the kept channel if there is one, else on a new one."""
+        if self.channel is None:
+            return await edge.ask(raw, timeout_s)
+        (reader, writer), self.channel = self.channel, None
+        writer.write(raw)
+        try:
+            return await asyncio.wait_for(receive_answer(reader), timeout_s)
+        except TimeoutError:
+            return Answer(0, [], b"", False, "no answer in time")
+        finally:
+            writer.transport.abort()
 
     async def run(self, edge: Edge) -> None:
         """Gets the stream, at first through one edge."""
+        self._begun = time.monotonic()
         first = ""
         for _ in range(1 + RETRIES):
             attempt = make_attempt()
@@ -66,7 +104,7 @@
             f"{attempt} is sent to {edge.host}, {left_ms} ms left,"
             f" {len(self.versions)} events, resumes {first or '-'}"
         )
-        answer = await edge.ask(raw, left_ms / 1000)
+        answer = await self._send(edge, raw, left_ms / 1000)
         blocks = answer.body.split(b"\n\n")[:-1]
         got = [block.split(b"data: ")[1].split()[0].decode() for block in blocks]
         self.versions += got
@@ -91,7 +129,7 @@
         count: events of each stream.
         interval_s: time between them.
     """
-    runner = await bed.add_runner("llm", slots=24, version=version)
+    runner = await bed.add_runner("llm", slots=40, version=version)
 
     async def handle(request: Request, writer: asyncio.StreamWriter) -> bool:
         return await runner.answer_with_events(
