--- a/review/6/case.py
+++ b/review/6/case.py
@@ -43,6 +43,8 @@
 TIMEOUT_MS = 15_000
 # How long one machine of eight stands still (node_freeze, for_s 5).
 FREEZE_S = 5.0
+# From its begin to that of the release.
+RELEASE_AFTER_S = 0.2
 # The clients send this long before it goes on, over channels that they keep.
 SEND_BEFORE_S = 0.4
 # How long the runners of the old version go on after they drain.
@@ -126,10 +128,12 @@
         ]
         # They serve for 2.6 s after SIGTERM.
         await asyncio.sleep(2.5)
-        tasks = [asyncio.create_task(release(bed, old, add))]
+        tasks = []
         if has_trouble():
             tasks.append(asyncio.create_task(freeze(bed, frozen)))
-        await asyncio.sleep(FREEZE_S - SEND_BEFORE_S)
+        await asyncio.sleep(RELEASE_AFTER_S)
+        tasks.append(asyncio.create_task(release(bed, old, add)))
+        await asyncio.sleep(FREEZE_S - RELEASE_AFTER_S - SEND_BEFORE_S)
         runs = [asyncio.create_task(c.run(frozen)) for c in clients]
         await asyncio.wait_for(asyncio.gather(*runs, *tasks, *restarts), 45)
         return count_mixed(bed, clients) > MAX_MIXED
--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -336,10 +336,12 @@
         writer: asyncio.StreamWriter,
         count: int,
         interval_s: float,
+        has_chunks: bool = True,
     ) -> bool:
         """Streams events after the last one that the client has.
 
-        Each names the attempt and this runner with its version.
+        Each names this runner and its version. Without chunks, the stream ends
+        with its connection.
         """
         part, _, tokens = request.find("x-prompt-prefix").rpartition(",")[
             2
@@ -349,17 +351,22 @@
         last = int(request.find("last-event-id") or 0)
         lines = [f"{n}: {v}" for n, v in self.make_headers(request)]
         lines.append("Content-Type: text/event-stream")
-        lines.append("Transfer-Encoding: chunked")
+        lines.append(
+            "Transfer-Encoding: chunked" if has_chunks else "Connection: close"
+        )
         head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""])
         writer.write(head.encode("latin-1"))
         for number in range(last + 1, count + 1):
             await asyncio.sleep(interval_s)
             event = f"id: {number}\ndata: {self.version} {self.name}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if has_chunks:
+                event = b"%x\r\n%s\r\n" % (len(event), event)
+            writer.write(event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if has_chunks:
+            writer.write(b"0\r\n\r\n")
         await writer.drain()
-        return True
+        return has_chunks
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/review/common-2/streams.py
+++ b/review/common-2/streams.py
@@ -27,8 +27,11 @@
 class Client:
     """A client with one stream, which it takes up again if it breaks off."""
 
-    def __init__(self, bed: Bed, number: int, wait_ms: int):
+    def __init__(
+        self, bed: Bed, number: int, wait_ms: int, retries: int = RETRIES
+    ):
         self._bed = bed
+        self._retries = retries
         self._wait_ms = wait_ms
         self._begun = 0.0
         self._part = f"{number:08x}"
@@ -36,6 +39,8 @@
         self.versions: list[str] = []
         self.is_whole = False
         self.takes_up = 0
+        # Whether a try that took the stream up brought events.
+        self.goes_on = False
         # A kept channel for the first attempt, which the client opens early.
         self.channel: Channel | None = None
 
@@ -66,7 +71,7 @@
         """Gets the stream, at first through one edge."""
         self._begun = time.monotonic()
         first = ""
-        for _ in range(1 + RETRIES):
+        for _ in range(1 + self._retries):
             attempt = make_attempt()
             wait_s = await self._try(edge, attempt, first)
             if self.is_whole or wait_s is None:
@@ -107,6 +112,7 @@
         answer = await self._send(edge, raw, left_ms / 1000)
         blocks = answer.body.split(b"\n\n")[:-1]
         got = [block.split(b"data: ")[1].split()[0].decode() for block in blocks]
+        self.goes_on = self.goes_on or bool(self.versions and got)
         self.versions += got
         self.is_whole = answer.status == 200 and answer.is_whole
         self._bed.record.note(
@@ -119,7 +125,12 @@
 
 
 async def start_runner(
-    bed: Bed, version: str, count: int, interval_s: float
+    bed: Bed,
+    version: str,
+    count: int,
+    interval_s: float,
+    slots: int = 40,
+    has_chunks: bool = True,
 ) -> Runner:
     """Starts a model runner of one software version.
 
@@ -128,12 +139,14 @@
         version: of the runner's software.
         count: events of each stream.
         interval_s: time between them.
+        slots: requests at once.
+        has_chunks: whether streams come in chunks, and end with the last one.
     """
-    runner = await bed.add_runner("llm", slots=40, version=version)
+    runner = await bed.add_runner("llm", slots=slots, version=version)
 
     async def handle(request: Request, writer: asyncio.StreamWriter) -> bool:
         return await runner.answer_with_events(
-            request, writer, count, interval_s
+            request, writer, count, interval_s, has_chunks
         )
 
     runner.handle = handle
