--- a/review/6/case.py
+++ b/review/6/case.py
@@ -117,7 +117,8 @@
         await bed.start_edges()
         # All edges have first attempts of the route.
         warm = [Client(bed, 1000 + n, TIMEOUT_MS) for n in range(EDGES)]
-        await asyncio.gather(*(w.run(e) for w, e in zip(warm, bed.edges)))
+        pairs = zip(warm, bed.edges, strict=True)
+        await asyncio.gather(*(client.run(edge) for client, edge in pairs))
         clients = [Client(bed, n, TIMEOUT_MS) for n in range(STREAMS)]
         frozen = bed.edges[-1]
         for client in clients:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -77,7 +77,9 @@
         for crash_at_s in CRASH_AT_S if has_trouble() else ():
             await asyncio.sleep(begun + crash_at_s - time.monotonic())
             struck = [runners.pop(0) for _ in range(CRASHED)]
-            crashes += [asyncio.create_task(crash(bed, r, runners)) for r in struck]
+            crashes += [
+                asyncio.create_task(crash(bed, r, runners)) for r in struck
+            ]
         await asyncio.wait_for(asyncio.gather(*lanes, *crashes), 60)
         taken_up = [c for c in clients if c.takes_up]
         going_on = sum(c.goes_on for c in taken_up)
--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -235,8 +235,7 @@
             events = [
                 event
                 for event in self._history
-                if event["revision"] > after
-                and event["key"].startswith(prefix)
+                if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left = until - time.monotonic()
             if events or left <= 0:
@@ -343,9 +342,9 @@
         Each names this runner and its version. Without chunks, the stream ends
         with its connection.
         """
-        part, _, tokens = request.find("x-prompt-prefix").rpartition(",")[
-            2
-        ].partition(":")
+        part, _, tokens = (
+            request.find("x-prompt-prefix").rpartition(",")[2].partition(":")
+        )
         if part:
             self.kept[part] = int(tokens or 0)
         last = int(request.find("last-event-id") or 0)
@@ -358,7 +357,8 @@
         writer.write(head.encode("latin-1"))
         for number in range(last + 1, count + 1):
             await asyncio.sleep(interval_s)
-            event = f"id: {number}\ndata: {self.version} {self.name}\n\n".encode()
+            data = f"{self.version} {self.name}"
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             if has_chunks:
                 event = b"%x\r\n%s\r\n" % (len(event), event)
             writer.write(event)
@@ -707,7 +707,9 @@
     }
 
 
-def run_case(play: Callable[[pathlib.Path], Awaitable[bool]], path: str) -> None:
+def run_case(
+    play: Callable[[pathlib.Path], Awaitable[bool]], path: str
+) -> None:
     """Plays a case and exits: 1 broken, 0 held, 2 could not run."""
     folder = pathlib.Path(path).resolve().parent
     # The platform starts processes with the default action. nohup ignores the
--- a/review/common-2/streams.py
+++ b/review/common-2/streams.py
@@ -81,7 +81,9 @@
             await asyncio.sleep(wait_s)
             # Retries reach other nodes.
             others = [e for e in self._bed.edges if e is not edge]
-            edge = random.choice([e for e in others if e.process.poll() is None])
+            edge = random.choice(
+                [e for e in others if e.process.poll() is None]
+            )
             self.takes_up += bool(self.versions)
 
     async def _try(self, edge: Edge, attempt: str, first: str) -> float | None:
@@ -111,7 +113,9 @@
         )
         answer = await self._send(edge, raw, left_ms / 1000)
         blocks = answer.body.split(b"\n\n")[:-1]
-        got = [block.split(b"data: ")[1].split()[0].decode() for block in blocks]
+        got = [
+            block.split(b"data: ")[1].split()[0].decode() for block in blocks
+        ]
         self.goes_on = self.goes_on or bool(self.versions and got)
         self.versions += got
         self.is_whole = answer.status == 200 and answer.is_whole
