--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import json
 import os
@@ -82,13 +83,15 @@
     """What was sent, answered and run, as lines of a file."""
 
     def __init__(self, folder: pathlib.Path):
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+        self._path = folder / "record.txt"
+        self._path.write_text("", encoding="utf-8")
         self._begun = time.monotonic()
 
     def note(self, text: str) -> None:
         """Adds a line with the seconds since the start."""
         line = f"{time.monotonic() - self._begun:8.3f} {text}"
-        print(line, file=self._file, flush=True)
+        with self._path.open("a", encoding="utf-8") as file:
+            print(line, file=file)
 
     def tell(self, text: str) -> None:
         """Adds a line, and prints it."""
@@ -240,10 +243,8 @@
             left = until - time.monotonic()
             if events or left <= 0:
                 break
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), left)
-            except TimeoutError:
-                pass
         return {"events": events, "store_revision": self.revision}
 
 
