--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,6 +23,7 @@
     Client,
     count_mixed,
     make_stream_route,
+    restart,
     start_runner,
 )
 
@@ -51,19 +52,6 @@
 LINGER_S = 8.0
 
 
-async def restart(bed: Bed, edge: Edge, after_s: float) -> None:
-    """Restarts a process as planned."""
-    await asyncio.sleep(after_s)
-    edge.signal(signal.SIGTERM)
-    bed.record.note(f"{edge.host} gets SIGTERM")
-    while edge.process.poll() is None:
-        await asyncio.sleep(0.02)
-    edge.start(first_start=False)
-    bed.record.note(f"{edge.host} starts again")
-    await bed.wait_ready(edge)
-    bed.record.note(f"{edge.host} is ready")
-
-
 async def release(bed: Bed, old: list[Runner], add: Add) -> None:
     """Replaces runners one at a time; they go on for some time."""
     leaving = []
--- a/review/common-2/streams.py
+++ b/review/common-2/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import time
 from typing import Any
 
@@ -157,6 +158,19 @@
     return runner
 
 
+async def restart(bed: Bed, edge: Edge, after_s: float = 0.0) -> None:
+    """Restarts a process as planned."""
+    await asyncio.sleep(after_s)
+    edge.signal(signal.SIGTERM)
+    bed.record.note(f"{edge.host} gets SIGTERM")
+    while edge.process.poll() is None:
+        await asyncio.sleep(0.02)
+    edge.start(first_start=False)
+    bed.record.note(f"{edge.host} starts again")
+    await bed.wait_ready(edge)
+    bed.record.note(f"{edge.host} is ready")
+
+
 def make_stream_route(timeout_ms: int) -> Any:
     """Returns a route of streams that may be resumed."""
     return make_route(
