--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,13 +1,23 @@
-"""An edge restarts as planned while its streams run, beside a release."""
+"""An edge stands still while others restart and a release takes place."""
 
 import asyncio
 import pathlib
+import signal
 import sys
+from collections.abc import Awaitable, Callable
 
 sys.path.insert(
     0, str(pathlib.Path(__file__).resolve().parent.parent / "common-2")
 )
-from bed import Bed, has_trouble, make_config, run_case
+from bed import (
+    Bed,
+    Edge,
+    Runner,
+    has_trouble,
+    make_config,
+    make_route,
+    run_case,
+)
 from streams import (
     MAX_MIXED,
     Client,
@@ -17,52 +27,104 @@
     start_runner,
 )
 
+Add = Callable[[str], Awaitable[Runner]]
+
 EDGES = 8
-# Of the service half is replaced, one runner at a time (release, share 0.5).
+# Two of eight machines get SIGTERM and start again, one after the other
+# (roll_term, share 0.25, x 1, gap_s 1).
+RESTARTED = 2
+RESTART_GAP_S = 1.0
+# Half of the runners have the next version already. The other half is replaced,
+# one at a time (release, share 0.5, x 1, gap_s 1).
 RUNNERS = 4
-REPLACED = 2
-STREAMS = 48
+RELEASE_GAP_S = 1.0
+STREAMS = 96
 EVENTS = 60
 EVENT_INTERVAL_S = 0.2
-# The longest time that the operator wants a stream kept waiting, and how long
-# its client waits.
 TIMEOUT_MS = 15_000
-CLIENT_WAIT_MS = 25_000
-RELEASE_GAP_S = 1.0
-# One machine of eight gets SIGTERM and starts again (roll_term). It ends what
-# still runs shortly before its grace time of 8 s is over.
-TERM_AFTER_S = 0.5
+# How long one machine of eight stands still (node_freeze, for_s 5).
+FREEZE_S = 5.0
+# From its begin to that of the release.
+RELEASE_AFTER_S = 0.2
+# The clients send this long before it goes on, over channels that they keep.
+SEND_BEFORE_S = 0.4
+# How long the runners of the old version go on after they drain.
+LINGER_S = 8.0
+
+
+async def release(bed: Bed, old: list[Runner], add: Add) -> None:
+    """Replaces runners one at a time; they go on for some time."""
+    leaving = []
+    for number, runner in enumerate(old):
+        if number:
+            await asyncio.sleep(RELEASE_GAP_S / 2)
+        new = await add("v2")
+        bed.record.note(f"{new.name} starts with v2")
+        await asyncio.sleep(RELEASE_GAP_S / 2)
+        runner.state = "draining"
+        runner.register()
+        bed.record.note(f"{runner.name} of v1 is draining")
+        leaving.append(asyncio.create_task(leave(bed, runner)))
+    await asyncio.gather(*leaving)
+
+
+async def leave(bed: Bed, runner: Runner) -> None:
+    """Lets a runner that drains go on for some time, and then exit."""
+    await asyncio.sleep(LINGER_S)
+    bed.store.delete(f"servers/{runner.name}")
+    runner.crash()
+    bed.record.note(f"{runner.name} of v1 has left")
+
+
+async def freeze(bed: Bed, edge: Edge) -> None:
+    """Stops a machine for some time."""
+    edge.signal(signal.SIGSTOP)
+    bed.record.note(f"{edge.host} stands still")
+    await asyncio.sleep(FREEZE_S)
+    edge.signal(signal.SIGCONT)
+    bed.record.note(f"{edge.host} goes on")
 
 
 async def play(folder: pathlib.Path) -> bool:
     """Returns whether the rule was broken."""
     bed = Bed(folder, EDGES)
     try:
-        await bed.start(make_config([make_stream_route(TIMEOUT_MS)]))
+        routes = [
+            make_stream_route(TIMEOUT_MS),
+            make_route("status", "/status/", "idempotent"),
+        ]
+        await bed.start(make_config(routes))
 
-        async def add(version):
+        async def add(version: str) -> Runner:
             return await start_runner(bed, version, EVENTS, EVENT_INTERVAL_S)
 
-        old = [await add("v1") for _ in range(RUNNERS)]
+        old = [await add("v1") for _ in range(RUNNERS // 2)]
+        for _ in range(RUNNERS // 2):
+            await add("v2")
+        await bed.add_runner("app", slots=20)
         await bed.start_edges()
-        await asyncio.sleep(3)
-        clients = [Client(bed, n, CLIENT_WAIT_MS) for n in range(STREAMS)]
-        # The platform chooses the node by a hash of the client; these have the
-        # same one.
-        runs = [asyncio.create_task(c.run(bed.edges[0])) for c in clients]
-        await asyncio.sleep(TERM_AFTER_S)
-        restarts = []
+        # All edges have first attempts of the route.
+        warm = [Client(bed, 1000 + n, TIMEOUT_MS) for n in range(EDGES)]
+        pairs = zip(warm, bed.edges, strict=True)
+        await asyncio.gather(*(client.run(edge) for client, edge in pairs))
+        clients = [Client(bed, n, TIMEOUT_MS) for n in range(STREAMS)]
+        frozen = bed.edges[-1]
+        for client in clients:
+            await client.open_channel(frozen)
+        restarts = [
+            asyncio.create_task(restart(bed, edge, number * RESTART_GAP_S))
+            for number, edge in enumerate(bed.edges[:RESTARTED])
+        ]
+        # They serve for 2.6 s after SIGTERM.
+        await asyncio.sleep(2.5)
+        tasks = []
         if has_trouble():
-            restarts = [asyncio.create_task(restart(bed, bed.edges[0]))]
-        await asyncio.sleep(1 - TERM_AFTER_S)
-        for number in range(REPLACED):
-            runner = await add("v2")
-            bed.record.note(f"{runner.name} starts with v2")
-            await asyncio.sleep(RELEASE_GAP_S)
-            old[number].state = "draining"
-            old[number].register()
-            bed.record.note(f"{old[number].name} of v1 is draining")
-        await asyncio.wait_for(asyncio.gather(*runs, *restarts), 45)
+            tasks.append(asyncio.create_task(freeze(bed, frozen)))
+        await asyncio.sleep(RELEASE_AFTER_S)
+        tasks.append(asyncio.create_task(release(bed, old, add)))
+        await asyncio.sleep(FREEZE_S - RELEASE_AFTER_S - SEND_BEFORE_S)
+        runs = [asyncio.create_task(c.run(frozen)) for c in clients]
+        await asyncio.wait_for(asyncio.gather(*runs, *tasks, *restarts), 45)
         return count_mixed(bed, clients) > MAX_MIXED
     finally:
         bed.close()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,8 @@
-"""An edge restarts as planned while its long streams run."""
+"""An edge restarts as planned while its streams run, beside a release."""
 
 import asyncio
 import pathlib
 import sys
-import time
 
 sys.path.insert(
     0, str(pathlib.Path(__file__).resolve().parent.parent / "common-2")
@@ -19,17 +18,20 @@
 )
 
 EDGES = 8
+# Of the service half is replaced, one runner at a time (release, share 0.5).
 RUNNERS = 4
+REPLACED = 2
 STREAMS = 48
-EVENTS = 230
-EVENT_INTERVAL_S = 0.35
-# How long a stream may last, for the operator and for its client.
-TIMEOUT_MS = 100_000
-# When one more runner is added, which is a quarter (scale_out, share 0.3).
-ADDED_AT_S = (1.0, 63.0)
+EVENTS = 60
+EVENT_INTERVAL_S = 0.2
+# The longest time that the operator wants a stream kept waiting, and how long
+# its client waits.
+TIMEOUT_MS = 15_000
+CLIENT_WAIT_MS = 25_000
+RELEASE_GAP_S = 1.0
 # One machine of eight gets SIGTERM and starts again (roll_term). It ends what
 # still runs shortly before its grace time of 8 s is over.
-TERM_AFTER_S = 60.0
+TERM_AFTER_S = 0.5
 
 
 async def play(folder: pathlib.Path) -> bool:
@@ -41,25 +43,26 @@
         async def add(version):
             return await start_runner(bed, version, EVENTS, EVENT_INTERVAL_S)
 
-        for _ in range(RUNNERS):
-            await add("v1")
+        old = [await add("v1") for _ in range(RUNNERS)]
         await bed.start_edges()
-        await asyncio.sleep(2)
-        clients = [Client(bed, n, TIMEOUT_MS) for n in range(STREAMS)]
+        await asyncio.sleep(3)
+        clients = [Client(bed, n, CLIENT_WAIT_MS) for n in range(STREAMS)]
         # The platform chooses the node by a hash of the client; these have the
         # same one.
         runs = [asyncio.create_task(c.run(bed.edges[0])) for c in clients]
-        begun = time.monotonic()
+        await asyncio.sleep(TERM_AFTER_S)
         restarts = []
         if has_trouble():
-            restart_later = restart(bed, bed.edges[0], TERM_AFTER_S)
-            restarts = [asyncio.create_task(restart_later)]
-        for added_at_s in ADDED_AT_S:
-            await asyncio.sleep(begun + added_at_s - time.monotonic())
+            restarts = [asyncio.create_task(restart(bed, bed.edges[0]))]
+        await asyncio.sleep(1 - TERM_AFTER_S)
+        for number in range(REPLACED):
             runner = await add("v2")
             bed.record.note(f"{runner.name} starts with v2")
-        left_s = begun + TIMEOUT_MS / 1000 - time.monotonic()
-        await asyncio.wait_for(asyncio.gather(*runs, *restarts), left_s)
+            await asyncio.sleep(RELEASE_GAP_S)
+            old[number].state = "draining"
+            old[number].register()
+            bed.record.note(f"{old[number].name} of v1 is draining")
+        await asyncio.wait_for(asyncio.gather(*runs, *restarts), 45)
         return count_mixed(bed, clients) > MAX_MIXED
     finally:
         bed.close()
