Review: a kill of all edges joins two versions after a release

Cause: after a kill of all instances only what the targets keep decides, and a version whose targets all left before counts as ruled out (_narrow). Clients of the stand-ins may choose among machines in rotation.

--- a/review/common-2/streams.py
+++ b/review/common-2/streams.py
@@ -31,7 +31,7 @@
     def __init__(
         self, bed: Bed, number: int, wait_ms: int, retries: int = RETRIES
     ):
-        self._bed = bed
+        self.bed = bed
         self._retries = retries
         self._wait_ms = wait_ms
         self._begun = 0.0
@@ -47,7 +47,7 @@
 
     async def open_channel(self, edge: Edge) -> None:
         """Opens a channel that is kept, and waits for one answer on it."""
-        port = self._bed.ports["frontend"]
+        port = self.bed.ports["frontend"]
         self.channel = await asyncio.open_connection(edge.host, port)
         reader, writer = self.channel
         writer.write(encode_request("GET", "/status/1", make_attempt()))
@@ -80,22 +80,29 @@
             if self.versions and not first:
                 first = attempt
             await asyncio.sleep(wait_s)
-            # Retries reach other nodes.
-            others = [e for e in self._bed.edges if e is not edge]
-            edge = random.choice(
-                [e for e in others if e.process.poll() is None]
-            )
+            edge = await self._find_other(edge)
             self.takes_up += bool(self.versions)
 
-    async def _try(self, edge: Edge, attempt: str, first: str) -> float | None:
-        """Makes one attempt; returns when to retry, None for never."""
-        waited_ms = (time.monotonic() - self._begun) * 1000
-        left_ms = round(self._wait_ms - waited_ms)
-        lines = [
+    async def _find_other(self, edge: Edge) -> Edge:
+        """Returns another node: retries reach other nodes."""
+        others = [e for e in self.bed.edges if e is not edge]
+        return random.choice(
+            [e for e in others if e.process.poll() is None] or others
+        )
+
+    def make_lines(self) -> list[str]:
+        """Returns the lines of the prompt that all requests have."""
+        return [
             "X-Model: m",
             "X-Token-Count: 600,480",
             f"X-Prompt-Prefix: abcd01:60,{self._part}:540",
         ]
+
+    async def _try(self, edge: Edge, attempt: str, first: str) -> float | None:
+        """Makes one attempt; returns when to retry, None for never."""
+        waited_ms = (time.monotonic() - self._begun) * 1000
+        left_ms = round(self._wait_ms - waited_ms)
+        lines = self.make_lines()
         if self.versions:
             lines += [f"Last-Event-Id: {len(self.versions)}"]
         if first:
@@ -108,7 +115,7 @@
             body=self._part.encode(),
             deadline_ms=left_ms,
         )
-        self._bed.record.note(
+        self.bed.record.note(
             f"{attempt} is sent to {edge.host}, {left_ms} ms left,"
             f" {len(self.versions)} events, resumes {first or '-'}"
         )
@@ -120,7 +127,7 @@
         self.goes_on = self.goes_on or bool(self.versions and got)
         self.versions += got
         self.is_whole = answer.status == 200 and answer.is_whole
-        self._bed.record.note(
+        self.bed.record.note(
             f"{attempt} is answered {answer.status}, whole {answer.is_whole},"
             f" {len(got)} events of {sorted(set(got))}"
         )
