--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,9 +29,9 @@
 
 Add = Callable[[str], Awaitable[Runner]]
 
-EDGES = 8
-# Half of the machines get SIGTERM and start again, one after the other
-# (roll_term, share 0.5, x 1, gap_s 1).
+EDGES = 10
+# Four of ten machines get SIGTERM and start again, one after the other
+# (roll_term, share 0.4, x 1, gap_s 1).
 RESTARTED = 4
 RESTART_GAP_S = 1.0
 # Half of the runners have the next version already. The other half is replaced,
@@ -42,7 +42,7 @@
 EVENTS = 60
 EVENT_INTERVAL_S = 0.2
 TIMEOUT_MS = 15_000
-# How long one machine of eight stands still (node_freeze, for_s 5).
+# How long one machine of ten stands still (node_freeze, share 0.1, for_s 5).
 FREEZE_S = 5.0
 # From its begin to that of the release.
 RELEASE_AFTER_S = 0.2
