Log the premises of a conclusion about the version of a stream

An instance that takes a stream up concludes from the mixes of versions that it knows. What that rests on (the limit from which the age is computed, what is left of it, how old the list of another instance may be, for how long the mixes are known) was computed in three places and was not in the log, so that three of the hypotheses could not be told apart.

OriginBasis holds all of it, and event 311 prints it. No decision changes.

tests.test_edge_versions and tests.test_edge_origins pass.

--- /dev/null
+++ b/src/peridotbend/edge/originbasis.py
@@ -0,0 +1,71 @@
+"""What a conclusion about the version of a stream rests on."""
+
+import dataclasses
+
+from peridotbend.edge.versions import VIEW_LAG_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginBasis:
+    """What an instance knows of the time since a stream began.
+
+    Times are in ms of the process's clock. A premise that is missing makes the
+    conclusion uncertain.
+    """
+
+    now_ms: int
+    # The longest time that a caller of the route is known to wait.
+    limit_ms: int
+    # The time that the caller has left; None if it has no limit.
+    left_ms: int | None
+    # Another instance may have placed streams by a list of targets as of this
+    # time; None if all are up to date.
+    lost_at_ms: int | None
+    # Since when all mixes of versions are known, and since when this process
+    # has seen them itself; None if they are not known.
+    covered_since_ms: int | None
+    observed_since_ms: int | None
+    # Whether nothing is missing in the own list of targets.
+    is_current: bool
+
+    @property
+    def since_ms(self) -> int:
+        """The oldest list of targets by which the stream may be placed."""
+        age_ms = max(0, self.limit_ms - (self.left_ms or 0))
+        since_ms = self.now_ms - age_ms
+        if self.lost_at_ms is not None:
+            since_ms = min(since_ms, self.lost_at_ms)
+        return since_ms - VIEW_LAG_MS
+
+    @property
+    def is_covered(self) -> bool:
+        """Whether all mixes are known since the stream may have begun."""
+        covered_ms = self.covered_since_ms
+        return covered_ms is not None and covered_ms <= self.since_ms
+
+    @property
+    def is_observed(self) -> bool:
+        """Whether this process has seen all changes since then itself."""
+        observed_ms = self.observed_since_ms
+        return (
+            self.is_current
+            and observed_ms is not None
+            and observed_ms <= self.since_ms
+        )
+
+    def describe(self) -> dict[str, object]:
+        """Returns the fields of a log line; times are ages."""
+        return {
+            "window_ms": self.now_ms - self.since_ms,
+            "limit_ms": self.limit_ms,
+            "left_ms": self.left_ms,
+            "lost_ms": self._find_age_ms(self.lost_at_ms),
+            "covered_ms": self._find_age_ms(self.covered_since_ms),
+            "observed_ms": self._find_age_ms(self.observed_since_ms),
+            "is_current": self.is_current,
+            "is_covered": self.is_covered,
+            "is_observed": self.is_observed,
+        }
+
+    def _find_age_ms(self, at_ms: int | None) -> int | None:
+        return None if at_ms is None else self.now_ms - at_ms
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -9,6 +9,7 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.config import Route
+from peridotbend.edge.originbasis import OriginBasis
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.edge.promptparts import PartSurvey, PromptParts
 from peridotbend.edge.runrecords import RunRecords
@@ -299,21 +300,15 @@
                 recorded=known,
             )
             return known
-        # An instance that is cut off, or stood still, lacks what others know.
-        is_current = await self.confirm_targets()
-        since_ms = self._find_earliest_begin(call, route)
-        covered_ms = self._timeline.covered_since_ms
-        if covered_ms is None or covered_ms > since_ms:
-            await self._read_history()
-            covered_ms = self._timeline.covered_since_ms
-        is_covered = covered_ms is not None and covered_ms <= since_ms
+        basis = await self._find_basis(call, route)
+        since_ms, is_covered = basis.since_ms, basis.is_covered
         versions = self._timeline.list_versions(service, since_ms)
         placed = versions
         if call.resumes and not self.has_legacy_peers():
             placed = self._timeline.list_choices(
                 service, call.resumes, since_ms
             )
-        is_observed = is_current and self._is_observed(since_ms)
+        is_observed = basis.is_observed
         choices = placed
         told: str | None = None
         survey: PartSurvey | None = None
@@ -352,11 +347,9 @@
             attempt=call.attempt,
             resumes=call.resumes,
             last_event=call.last_event_id,
-            window_ms=self._clock.now_ms() - since_ms,
-            is_covered=is_covered,
+            **basis.describe(),
             versions=sorted(versions),
             placed=sorted(placed),
-            is_observed=is_observed,
             recorded=told,
             holders=sorted(survey.holders) if survey else None,
             possible=sorted(survey.possible) if survey else None,
@@ -435,20 +428,31 @@
         start_ms = self._timeline.find_start(target)
         return start_ms is not None and start_ms >= since_ms
 
-    def _is_observed(self, since_ms: int) -> bool:
-        """Tells whether this process has seen all changes since then itself."""
-        observed_ms = self._timeline.observed_since_ms
-        return observed_ms is not None and observed_ms <= since_ms
+    async def _find_basis(self, call: EdgeCall, route: Route) -> OriginBasis:
+        """Returns what can be known of the begin of a stream."""
+        # An instance that is cut off, or stood still, lacks what others know.
+        is_current = await self.confirm_targets()
+        basis = self._make_basis(call, route, is_current)
+        if not basis.is_covered:
+            await self._read_history()
+            basis = self._make_basis(call, route, is_current)
+        return basis
 
-    def _find_earliest_begin(self, call: EdgeCall, route: Route) -> int:
+    def _make_basis(
+        self, call: EdgeCall, route: Route, is_current: bool
+    ) -> OriginBasis:
         now_ms = self._clock.now_ms()
-        longest_ms = max(route.timeout_ms, self._longest_ms.get(route.name, 0))
-        age_ms = max(0, longest_ms - (call.deadline_ms or 0))
-        since_ms = now_ms - age_ms
+        limit_ms = max(route.timeout_ms, self._longest_ms.get(route.name, 0))
         is_distrusted = not self._is_whole or now_ms < self._distrust_until_ms
-        if is_distrusted and self._lost_at_ms is not None:
-            since_ms = min(since_ms, self._lost_at_ms)
-        return since_ms - VIEW_LAG_MS
+        return OriginBasis(
+            now_ms,
+            limit_ms,
+            call.deadline_ms,
+            self._lost_at_ms if is_distrusted else None,
+            self._timeline.covered_since_ms,
+            self._timeline.observed_since_ms,
+            is_current,
+        )
 
     async def _read_history(self) -> None:
         async with self._reading:
