Don't rule a version out whose targets left before all was lost

Cause: after the loss of all memory a version was ruled out if none of its targets keeps the prompt. Targets that had gone before the process started did not count, since their streams had moved to others of the version. If none was left, they had not; the other version keeps the prompt of an earlier request.

Change: the history tells which targets were lost without another one of their version; such a version is ruled out only by a target that keeps as much of the prompt as the stream has read and generated.

Ruled out: refusing whenever a version has departed.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -321,7 +321,9 @@
                 # Its own instance says that nobody can know.
                 choices = set()
             else:
-                survey = await self._parts.find_holders(service, call.session)
+                survey = await self._parts.find_holders(
+                    service, call.session, call.count_written_tokens()
+                )
                 choices = versions
                 if is_covered:
                     choices = self._narrow(placed, survey, service, since_ms)
@@ -353,6 +355,7 @@
             recorded=told,
             holders=sorted(survey.holders) if survey else None,
             possible=sorted(survey.possible) if survey else None,
+            writers=sorted(survey.writers) if survey else None,
             replaced=list(runs.others),
             unanswered=list(runs.unanswered),
             choices=sorted(choices),
@@ -403,14 +406,22 @@
         """Returns the versions that what the targets keep leaves possible.
 
         A version is ruled out if all of its targets have answered and do not
-        keep the prompt, and this process has seen none of them go since the
-        stream may have begun. One that went before this process started does
-        not count: a stream that was alive until then had moved to another
-        target of its version, which has read the prompt as well.
+        keep the prompt, and none went that may have kept it. One that went
+        before this process started, while others of its version were left, does
+        not count: its streams went on at those, which have read the prompt as
+        well. If none was left, they may have broken off before, so that only a
+        target that keeps as much as this stream has generated decides.
         """
         if survey is None:
             return placed
         holders = placed & survey.holders.keys()
+        departed = {
+            version
+            for version in placed - survey.possible
+            if self._timeline.has_departed(service, version, since_ms)
+        }
+        if departed and survey.writers != holders:
+            return placed
         if holders == survey.holders.keys() and len(holders) == 1:
             (targets,) = survey.holders.values()
             if all(self._has_started_since(t, since_ms) for t in targets):
--- a/src/peridotbend/edge/ports.py
+++ b/src/peridotbend/edge/ports.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
@@ -13,6 +13,9 @@
 from peridotbend.edge.published import Changes
 from peridotbend.edge.targets import EdgeTarget
 
+# More than the events of any stream; converting longer text is slow.
+MAX_EVENT_DIGITS = 15
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EdgeCall:
@@ -35,6 +38,8 @@
     max_output_tokens: int = 0
     # ID of the last prompt prefix, which is the same within a session.
     session: str = ""
+    # Tokens of that part of the prompt; None if not stated.
+    session_tokens: int | None = None
     # IDs of the prompt parts before the last one. Other requests share them.
     shared_parts: tuple[str, ...] = ()
     # Last event that the caller received of a broken stream.
@@ -47,6 +52,19 @@
         """Whether the caller takes up a stream that broke off."""
         return bool(self.resumes or self.last_event_id)
 
+    def count_written_tokens(self) -> int | None:
+        """Returns how much a target keeps at least that sent a broken stream.
+
+        That are the tokens of the last prompt part and those generated, of
+        which each event has one or more. None if not known.
+        """
+        is_number = self.last_event_id.isdecimal()
+        if not is_number or len(self.last_event_id) > MAX_EVENT_DIGITS:
+            return None
+        if self.session_tokens is None:
+            return None
+        return self.session_tokens + int(self.last_event_id)
+
 
 class RunCheck(Protocol):
     """Finds out whether a connection leads to the listed run of a target."""
@@ -141,8 +159,11 @@
 
     async def list_prompt_parts(
         self, target: EdgeTarget, timeout_ms: int
-    ) -> frozenset[str] | None:
-        """Returns the prompt parts that a target keeps; None if not told."""
+    ) -> Mapping[str, int] | None:
+        """Returns the prompt parts that a target keeps; None if not told.
+
+        Each has the tokens kept of it, with those generated after it.
+        """
         ...
 
     async def read_start(
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -23,6 +23,8 @@
 MAX_STATES = 256
 # Bounds memory: two generations of the targets of the largest fleet.
 MAX_STARTS = 16_384
+# A target's name and when its process started, as Unix time.
+TargetRun = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +68,30 @@
     until_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PastLoss:
+    """A target that was removed before this process listed the targets."""
+
+    run: TargetRun
+    software: str
+    # When it was removed at the latest.
+    until_ms: int
+    # The others of its version that accepted requests then.
+    others: frozenset[TargetRun]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PastTargets:
+    """What is known of a service before this process listed its targets."""
+
+    # The mixes, the oldest first.
+    mixes: tuple[PastMix, ...] = ()
+    # The targets that changed their versions.
+    changes: tuple["VersionChange", ...] = ()
+    # The targets that were removed, the first one first.
+    losses: tuple[PastLoss, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionChange:
     """A target that started again under its name with another version.
@@ -98,6 +124,8 @@
         self._gone: dict[tuple[str, str], tuple[str, int]] = {}
         # When a run of a target was last removed, by service and software.
         self._lost_at_ms: dict[tuple[str, str], int] = {}
+        # The targets that were removed before, by service.
+        self._past_losses: dict[str, tuple[PastLoss, ...]] = {}
         # Called with the service when new streams may be placed differently.
         self.on_change: Callable[[str], None] = lambda service: None
         # When each run of a target started, in the time of this process.
@@ -181,25 +209,43 @@
         lost_at_ms = self._lost_at_ms.get((service, software))
         return lost_at_ms is not None and lost_at_ms >= since_ms
 
+    def has_departed(self, service: str, software: str, since_ms: int) -> bool:
+        """Tells whether a version had no target left for a lost one's streams.
+
+        Concerns targets that were removed before this process listed them. What
+        such a target kept is gone with it, and its streams went on nowhere.
+        """
+        listed = {
+            (target.name, target.started_at_ms)
+            for target in self._targets.list_listed(service)
+            if target.software == software
+        }
+        has_departed = False
+        for loss in reversed(self._past_losses.get(service, ())):
+            if loss.software != software:
+                continue
+            if loss.others & listed:
+                # Its streams went on at another one, and then with that one's.
+                listed.add(loss.run)
+            elif loss.until_ms >= since_ms:
+                has_departed = True
+        return has_departed
+
     def insert_history(
-        self,
-        past_by_service: Mapping[str, list[PastMix]],
-        covered_since_ms: int,
-        changes_by_service: Mapping[str, list[VersionChange]] | None = None,
+        self, past_by_service: Mapping[str, PastTargets], covered_since_ms: int
     ) -> None:
         """Adds what happened before this process listed the targets.
 
         Args:
-            past_by_service: the earlier mixes, the oldest first.
+            past_by_service: the targets of each service.
             covered_since_ms: since when all changes are known.
-            changes_by_service: the targets that changed their versions.
         """
-        for service, changes in (changes_by_service or {}).items():
-            for change in changes:
-                self._note_change(service, change)
         for service, past in past_by_service.items():
+            for change in past.changes:
+                self._note_change(service, change)
             known = self._past.setdefault(service, collections.deque())
-            known.extendleft(reversed(past))
+            known.extendleft(reversed(past.mixes))
+            self._past_losses[service] = past.losses
         assert self.covered_since_ms is not None
         self.covered_since_ms = min(self.covered_since_ms, covered_since_ms)
 
--- a/src/peridotbend/platform/documents.py
+++ b/src/peridotbend/platform/documents.py
@@ -4,7 +4,7 @@
 import json
 import math
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from result import Err, Ok, Result
 
@@ -21,6 +21,7 @@
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.platform import wire
 from peridotbend.platform.fields import (
+    MAX_NUMBER,
     BadFieldError,
     Fields,
     read_str,
@@ -126,8 +127,8 @@
 
 def decode_prompt_parts(
     body: bytes, started_at_ms: int
-) -> Result[frozenset[str], str]:
-    """Decodes the IDs of the prompt parts that a target keeps.
+) -> Result[Mapping[str, int], str]:
+    """Decodes the prompt parts that a target keeps, with their tokens.
 
     Args:
         body: of the answer.
@@ -142,7 +143,7 @@
         return Err(str(error))
     if started_at_ms and born_ms != started_at_ms:
         return Err("the target was restarted")
-    return Ok(frozenset(held))
+    return Ok(dict(held))
 
 
 def decode_start(body: bytes) -> int | None:
@@ -312,8 +313,12 @@
     return math.ceil(left_ms), ""
 
 
-def _read_part(value: object, path: str) -> str:
-    # A list whose second entry is the ID.
+def _read_part(value: object, path: str) -> tuple[str, int]:
+    # A list whose second entry is the ID, and its third one the tokens.
     if not isinstance(value, list) or len(value) < 2:
         raise BadFieldError(f"{path}: must be a list with an ID")
-    return read_str(value[1], path)
+    tokens = value[2] if len(value) > 2 else 0
+    if not isinstance(tokens, int) or not 0 <= tokens <= MAX_NUMBER:
+        # How much is kept is not known.
+        tokens = 0
+    return read_str(value[1], path), tokens
--- a/src/peridotbend/platform/runners.py
+++ b/src/peridotbend/platform/runners.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import anyio
 from result import Err, Ok, Result
@@ -95,7 +95,7 @@
 
     async def list_prompt_parts(
         self, target: EdgeTarget, timeout_ms: int
-    ) -> frozenset[str] | None:
+    ) -> Mapping[str, int] | None:
         """Returns the prompt parts that a target keeps; None if not told."""
         call = TargetCall("GET", wire.PARTS_CALL, (), b"", timeout_ms)
         answer = await self._ask(target, call, MAX_PARTS_BYTES)
--- a/src/peridotbend_emulator/replayengine.py
+++ b/src/peridotbend_emulator/replayengine.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import anyio
 from result import Err, Ok, Result
@@ -202,7 +202,7 @@
 
     async def list_prompt_parts(
         self, target: EdgeTarget, timeout_ms: int
-    ) -> frozenset[str] | None:
+    ) -> Mapping[str, int] | None:
         """Returns None: these engines tell nothing of their prompts."""
         return None
 
