Ask all instances before the version of a stream is computed

Cause: other instances were taken to place streams as of 2 s ago, unless this process had seen one of them go. A process that starts beside a silent one has not.

Change: in a service with several versions all live instances are asked first, and each has to answer. FleetGaps keeps the times in which not all were heard of; the one at the start of a process has no known begin, so that what it has seen itself doesn't count as all.

Ruled out: asking alone.

The stand-ins for witnesses in two tests answer ask_live as they answered ask; no check changed. tests.test_edge_runs, _runs_review, _evidence_review, _restarts_review, _evacuations, _fleetgaps and _origins: 113 passed.

--- a/src/peridotbend/edge/originbasis.py
+++ b/src/peridotbend/edge/originbasis.py
@@ -14,13 +14,15 @@
     """
 
     now_ms: int
+    # When the stream began at the earliest.
+    begin_ms: int
     # The longest time that a caller of the route is known to wait.
     limit_ms: int
     # The time that the caller has left; None if it has no limit.
     left_ms: int | None
-    # Another instance may have placed streams by a list of targets as of this
-    # time; None if all are up to date.
-    lost_at_ms: int | None
+    # By a list of targets as of when other instances may have placed the stream
+    # if it began at `begin_ms`; None if that is not known.
+    oldest_view_ms: int | None
     # Since when all mixes of versions are known, and since when this process
     # has seen them itself; None if they are not known.
     covered_since_ms: int | None
@@ -30,12 +32,17 @@
 
     @property
     def since_ms(self) -> int:
-        """The oldest list of targets by which the stream may be placed."""
-        age_ms = max(0, self.limit_ms - (self.left_ms or 0))
-        since_ms = self.now_ms - age_ms
-        if self.lost_at_ms is not None:
-            since_ms = min(since_ms, self.lost_at_ms)
-        return since_ms - VIEW_LAG_MS
+        """As of when the stream was placed, as far as that is known."""
+        if self.oldest_view_ms is None:
+            return self.begin_ms - VIEW_LAG_MS
+        return min(self.begin_ms, self.oldest_view_ms) - VIEW_LAG_MS
+
+    @property
+    def placed_since_ms(self) -> int:
+        """As of when the stream was placed at the earliest."""
+        if self.oldest_view_ms is None and self.covered_since_ms is not None:
+            return min(self.since_ms, self.covered_since_ms)
+        return self.since_ms
 
     @property
     def is_covered(self) -> bool:
@@ -45,10 +52,15 @@
 
     @property
     def is_observed(self) -> bool:
-        """Whether this process has seen all changes since then itself."""
+        """Whether this process has seen all changes since then itself.
+
+        It has not if another instance may have placed the stream by a list that
+        is older than this process.
+        """
         observed_ms = self.observed_since_ms
         return (
             self.is_current
+            and self.oldest_view_ms is not None
             and observed_ms is not None
             and observed_ms <= self.since_ms
         )
@@ -56,10 +68,10 @@
     def describe(self) -> dict[str, object]:
         """Returns the fields of a log line; times are ages."""
         return {
-            "window_ms": self.now_ms - self.since_ms,
+            "window_ms": self.now_ms - self.placed_since_ms,
             "limit_ms": self.limit_ms,
             "left_ms": self.left_ms,
-            "lost_ms": self._find_age_ms(self.lost_at_ms),
+            "view_ms": self._find_age_ms(self.oldest_view_ms),
             "covered_ms": self._find_age_ms(self.covered_since_ms),
             "observed_ms": self._find_age_ms(self.observed_since_ms),
             "is_current": self.is_current,
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -9,6 +9,7 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
 from peridotbend.edge.config import Route
+from peridotbend.edge.fleetgaps import FleetGaps
 from peridotbend.edge.originbasis import OriginBasis
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.edge.promptparts import PartSurvey, PromptParts
@@ -22,11 +23,9 @@
 from peridotbend.edge.targets import EdgeTarget
 from peridotbend.edge.versions import VIEW_LAG_MS, VersionTimeline
 
-# Streams of an instance that was not heard of, or of an older version of this
-# program, may go on for this long after it is heard of or was replaced.
+# Streams of an older version of this program may go on for this long after it
+# was replaced.
 DISTRUST_MS = 30_000
-# Another instance counts as lost only this long after its last digest.
-LOSS_NOTICE_MS = 2_000
 # How long a caller that takes up a stream waits for the end of a doubt, in
 # which the list of targets may come to prove who began it.
 TAKE_UP_WAIT_MS = 2_000
@@ -129,11 +128,7 @@
         self.confirm_targets: Callable[[], Awaitable[bool]] = _trust_list
         # The longest time that a caller of each route was ready to wait.
         self._longest_ms: dict[str, int] = {}
-        self._is_whole = False
-        # While not all instances are heard of, and for some time after, one of
-        # them may place streams as of this time.
-        self._lost_at_ms: int | None = None
-        self._distrust_until_ms = 0
+        self._gaps = FleetGaps(clock)
         self._legacy_until_ms: int | None = None
         # Own streams of which others ask, or are to be told, by attempt.
         self._unconfirmed: dict[str, tuple[BegunStream, bool]] = {}
@@ -267,13 +262,7 @@
 
     def note_fleet(self, is_whole: bool) -> None:
         """Records whether all other instances are heard of."""
-        now_ms = self._clock.now_ms()
-        if is_whole:
-            if not self._is_whole and self._lost_at_ms is not None:
-                self._distrust_until_ms = now_ms + DISTRUST_MS
-        elif self._is_whole and now_ms >= self._distrust_until_ms:
-            self._lost_at_ms = now_ms - LOSS_NOTICE_MS
-        self._is_whole = is_whole
+        self._gaps.note_fleet(is_whole)
 
     def note_legacy_peer(self) -> None:
         """Records a peer that places streams without regard to versions."""
@@ -301,26 +290,31 @@
             )
             return known
         basis = await self._find_basis(call, route)
-        since_ms, is_covered = basis.since_ms, basis.is_covered
+        since_ms, is_covered = basis.placed_since_ms, basis.is_covered
         versions = self._timeline.list_versions(service, since_ms)
         placed = versions
         if call.resumes and not self.has_legacy_peers():
             placed = self._timeline.list_choices(
                 service, call.resumes, since_ms
             )
-        is_observed = basis.is_observed
+        is_known = is_covered and basis.is_observed
         choices = placed
         told: str | None = None
+        is_answered = True
         survey: PartSurvey | None = None
-        if len(placed) != 1 or not (is_covered and is_observed):
+        if not is_known or self._timeline.has_versions(service):
+            # The instance that began the stream knows, however it placed it.
             if call.resumes:
-                told = await self.witnesses.ask(call.resumes)
+                is_answered = await self.witnesses.ask_live(
+                    call.resumes, TAKE_UP_WAIT_MS
+                )
+                told = self._records.find(key)
             if told is not None:
                 choices = {told}
-            elif self._records.is_uncertain(key):
-                # Its own instance says that nobody can know.
+            elif self._records.is_uncertain(key) or not is_answered:
+                # Its own instance says that nobody can know, or may know it.
                 choices = set()
-            else:
+            elif len(placed) != 1 or not is_known:
                 survey = await self._parts.find_holders(
                     service, call.session, call.count_written_tokens()
                 )
@@ -352,6 +346,7 @@
             **basis.describe(),
             versions=sorted(versions),
             placed=sorted(placed),
+            is_answered=is_answered,
             recorded=told,
             holders=sorted(survey.holders) if survey else None,
             possible=sorted(survey.possible) if survey else None,
@@ -444,7 +439,7 @@
         # An instance that is cut off, or stood still, lacks what others know.
         is_current = await self.confirm_targets()
         basis = self._make_basis(call, route, is_current)
-        if not basis.is_covered:
+        if not basis.is_covered or basis.oldest_view_ms is None:
             await self._read_history()
             basis = self._make_basis(call, route, is_current)
         return basis
@@ -454,12 +449,13 @@
     ) -> OriginBasis:
         now_ms = self._clock.now_ms()
         limit_ms = max(route.timeout_ms, self._longest_ms.get(route.name, 0))
-        is_distrusted = not self._is_whole or now_ms < self._distrust_until_ms
+        begin_ms = now_ms - max(0, limit_ms - (call.deadline_ms or 0))
         return OriginBasis(
             now_ms,
+            begin_ms,
             limit_ms,
             call.deadline_ms,
-            self._lost_at_ms if is_distrusted else None,
+            self._gaps.find_oldest_view(begin_ms),
             self._timeline.covered_since_ms,
             self._timeline.observed_since_ms,
             is_current,
--- a/tests/edgefakes.py
+++ b/tests/edgefakes.py
@@ -418,11 +418,13 @@
         self.budget = dependencies.budget
         self.pauses = dependencies.pauses
         self.timeline = dependencies.timeline
+        self.records = dependencies.records
         self.origins = dependencies.origins
         self.run_records = dependencies.run_records
         self.runs = dependencies.runs
-        # The instance has run for longer than any stream.
+        # The instance has run, and heard of all, for longer than any stream.
         self.timeline.note_listing()
+        self.origins.note_fleet(True)
         self.clock.advance(60_000)
         self.relay = Relay(dependencies)
         if config is not None:
--- a/tests/test_edge_origins.py
+++ b/tests/test_edge_origins.py
@@ -12,6 +12,7 @@
     encode_notice,
 )
 from peridotbend.domain.clock import ManualClock
+from peridotbend.edge.fleetgaps import FleetGaps
 from peridotbend.edge.originpeers import (
     ANSWER_TIMEOUT_S,
     MAX_ASKED,
@@ -305,15 +306,21 @@
 class _Witnesses:
     """Records what an instance tells, and answers as scripted."""
 
-    def __init__(self) -> None:
+    def __init__(self, records: StreamRecords) -> None:
+        self._records = records
         self.told: list[str] = []
         self.answer: str | None = None
+        self.is_silent = False
+        self.asked = 0
 
     async def ask(self, attempt: str, is_repeated: bool = False) -> str | None:
         return self.answer
 
     async def ask_live(self, attempt: str, limit_ms: int) -> bool:
-        return True
+        self.asked += 1
+        if self.answer is not None:
+            self._records.note_told(hash_attempt(attempt), self.answer)
+        return not self.is_silent
 
     def tell(self, stream: BegunStream) -> None:
         self.told.append(stream.attempt)
@@ -325,7 +332,7 @@
     def setUp(self) -> None:
         """Creates an instance with one target of version v1."""
         self.harness = RelayHarness()
-        self.witnesses = _Witnesses()
+        self.witnesses = _Witnesses(self.harness.records)
         self.harness.origins.witnesses = self.witnesses
         self._list(i_1="v1")
         self.harness.clock.advance(60_000)
@@ -397,6 +404,62 @@
         (send,) = self.harness.client.sends
         assert send.target.software == "v1"
 
+    def _take_up(self, attempt: str) -> list[str]:
+        """Takes a stream up; returns the versions that it was sent to."""
+        self.harness.client._replies = [ScriptedReply(chunks=(make_event(2),))]
+        take_up = dataclasses.replace(CALL, resumes=attempt, last_event_id="1")
+        anyio.run(self.harness.serve, take_up)
+        return [send.target.software for send in self.harness.client.sends]
+
+    def test_instance_that_began_a_stream_goes_before_its_placement(
+        self,
+    ) -> None:
+        """Guards against joined streams after an instance stood still.
+
+        It had begun them by its old list of targets, which an instance that
+        started meanwhile can't know.
+        """
+        self._list(i_1="v1", i_2="v2")
+        self.harness.clock.advance(60_000)
+        choose = self.harness.timeline.choose
+        attempts = (f"a{number}" for number in range(100))
+        attempt = next(a for a in attempts if choose("engine", a) == "v2")
+        self.witnesses.answer = "v1"
+        assert self._take_up(attempt) == ["v1"]
+
+    def test_instance_that_may_have_begun_a_stream_is_awaited(self) -> None:
+        """Guards against a conclusion that an instance may contradict."""
+        self._list(i_1="v1", i_2="v2")
+        self.harness.clock.advance(60_000)
+        self.witnesses.is_silent = True
+        assert self._take_up("a1") == []
+        self.witnesses.is_silent = False
+        assert len(self._take_up("a1")) == 1
+
+    def test_process_that_started_beside_a_silent_instance_asks(self) -> None:
+        """Guards against trust in the only version that it has ever seen.
+
+        The other instance stood still when it started, and goes on with an old
+        list: seen with review/7.
+        """
+        harness = self.harness
+        harness.origins._gaps = FleetGaps(harness.clock)
+        harness.clock.advance(20_000)
+        harness.origins.note_fleet(True)
+        harness.clock.advance(5_000)
+        self.witnesses.answer = "v2"
+        assert self._take_up("a1") == []
+        assert self.witnesses.asked
+        harness.clock.advance(60_000)
+        self.witnesses.asked = 0
+        assert self._take_up("a2") == ["v1"]
+        assert not self.witnesses.asked
+
+    def test_service_with_one_version_needs_no_question(self) -> None:
+        """Guards against datagrams for each take-up in a steady state."""
+        assert self._take_up("a1") == ["v1"]
+        assert not self.witnesses.asked
+
 
 class OriginProcessTest(unittest.TestCase):
     """Real daemons that ask each other."""
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -258,6 +258,7 @@
         return self._records.find(hash_attempt(attempt))
 
     async def ask_live(self, attempt: str, limit_ms: int) -> bool:
+        await self.ask(attempt)
         return True
 
     def tell(self, stream: BegunStream) -> None:
