Tell others of running streams, and don't believe a stated age

Cause: the age of a stream was taken for the longest limit that this process has seen, less what its caller has left, and for 0 if that is negative. A caller may wait for longer than any limit seen here, and its take-up was counted as such a limit. Evidence: 17 lines 311 with window_ms 2.0 s for streams of 7.5 s.

Change: the placement has to be the same for the longest limit of the route and 10 s more, whatever the caller has left. An instance that stops tells two others of its streams, at once and before it ends them. In a service with several versions it tells two others of each stream that has lasted 1 s, and others again every 10 s. What is told within 3 ms goes to the same two.

Ruled out: considering all of the kept history after a start.

test_stream_of_a_stopped_instance_is_known_elsewhere joins the stream on and fails on, where it is refused.

--- a/src/peridotbend/edge/originbasis.py
+++ b/src/peridotbend/edge/originbasis.py
@@ -14,14 +14,17 @@
     """
 
     now_ms: int
-    # When the stream began at the earliest.
+    # As of when the stream was placed at the earliest, by what its caller has
+    # left of its time and as far as gaps of the fleet are known.
+    stated_since_ms: int
+    # When it began at the earliest, whatever its caller has left.
     begin_ms: int
     # The longest time that a caller of the route is known to wait.
     limit_ms: int
     # The time that the caller has left; None if it has no limit.
     left_ms: int | None
-    # By a list of targets as of when other instances may have placed the stream
-    # if it began at `begin_ms`; None if that is not known.
+    # As of when other instances may have had the list of targets by which they
+    # placed streams since `begin_ms`; None if that is not known.
     oldest_view_ms: int | None
     # Since when all mixes of versions are known, and since when this process
     # has seen them itself; None if they are not known.
@@ -31,24 +34,22 @@
     is_current: bool
 
     @property
-    def since_ms(self) -> int:
-        """As of when the stream was placed, as far as that is known."""
+    def placed_since_ms(self) -> int:
+        """As of when the stream was placed at the earliest.
+
+        A process that has just started has to go by what the caller has left:
+        the kept history is short, and nearly all of it would be in doubt.
+        """
         if self.oldest_view_ms is None:
-            return self.begin_ms - VIEW_LAG_MS
+            return self.stated_since_ms - VIEW_LAG_MS
         return min(self.begin_ms, self.oldest_view_ms) - VIEW_LAG_MS
 
-    @property
-    def placed_since_ms(self) -> int:
-        """As of when the stream was placed at the earliest."""
-        if self.oldest_view_ms is None and self.covered_since_ms is not None:
-            return min(self.since_ms, self.covered_since_ms)
-        return self.since_ms
-
     @property
     def is_covered(self) -> bool:
-        """Whether all mixes are known since the stream may have begun."""
+        """Whether the mixes are known since the stream probably began."""
         covered_ms = self.covered_since_ms
-        return covered_ms is not None and covered_ms <= self.since_ms
+        since_ms = self.stated_since_ms - VIEW_LAG_MS
+        return covered_ms is not None and covered_ms <= since_ms
 
     @property
     def is_observed(self) -> bool:
@@ -62,13 +63,14 @@
             self.is_current
             and self.oldest_view_ms is not None
             and observed_ms is not None
-            and observed_ms <= self.since_ms
+            and observed_ms <= self.placed_since_ms
         )
 
     def describe(self) -> dict[str, object]:
         """Returns the fields of a log line; times are ages."""
         return {
             "window_ms": self.now_ms - self.placed_since_ms,
+            "stated_ms": self._find_age_ms(self.stated_since_ms),
             "limit_ms": self.limit_ms,
             "left_ms": self.left_ms,
             "view_ms": self._find_age_ms(self.oldest_view_ms),
--- a/src/peridotbend/edge/originpeers.py
+++ b/src/peridotbend/edge/originpeers.py
@@ -88,6 +88,8 @@
         self._questions: dict[int, _Question] = {}
         # Notices that are due.
         self._asked: set[int] = set()
+        # Those that are told of the streams that are due.
+        self._holders: list[str] = []
         self._told: dict[str, dict[int, str]] = {}
         # Called when notices are due.
         self.on_due: Callable[[], None] = lambda: None
@@ -160,11 +162,14 @@
         if len(stream.software) > MAX_VERSION_CHARS:
             return
         hosts = self._members.list_recent_hosts()
-        self._rng.shuffle(hosts)
-        hosts.sort(key=lambda h: self._members.find_zone(h) == self._zone)
+        if not self._holders:
+            self._rng.shuffle(hosts)
+            hosts.sort(key=lambda h: self._members.find_zone(h) == self._zone)
+            # Streams that are told together share their datagrams.
+            self._holders = hosts[:HOLDERS]
         key = hash_attempt(stream.attempt)
         # All may be asked to continue a stream that nobody can place.
-        holders = hosts if stream.is_uncertain else hosts[:HOLDERS]
+        holders = hosts if stream.is_uncertain else self._holders
         software = "" if stream.is_uncertain else stream.software
         for host in holders:
             self._told.setdefault(host, {})[key] = software
@@ -178,6 +183,7 @@
             part = tuple(asked[start : start + MAX_ASKED])
             yield OriginNotice(asked=part), hosts
         told_by_host, self._told = self._told, {}
+        self._holders = []
         for host, told in told_by_host.items():
             for notice in _divide(told):
                 yield notice, [host]
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -8,12 +8,14 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
+from peridotbend.edge.callerlimits import CallerLimits
 from peridotbend.edge.config import Route
 from peridotbend.edge.fleetgaps import FleetGaps
 from peridotbend.edge.originbasis import OriginBasis
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.edge.promptparts import PartSurvey, PromptParts
 from peridotbend.edge.runrecords import RunRecords
+from peridotbend.edge.streamnotices import INTERVAL_MS, StreamNotices
 from peridotbend.edge.streamrecords import (
     BegunStream,
     StreamRecords,
@@ -26,6 +28,9 @@
 # Streams of an older version of this program may go on for this long after it
 # was replaced.
 DISTRUST_MS = 30_000
+# A caller comes back to a stream that broke off within this time. Its limit may
+# be longer than any that is known.
+RETURN_MS = 10_000
 # How long a caller that takes up a stream waits for the end of a doubt, in
 # which the list of targets may come to prove who began it.
 TAKE_UP_WAIT_MS = 2_000
@@ -126,8 +131,9 @@
         # Tells whether the list of targets lacks nothing, after it has been
         # read again if need be.
         self.confirm_targets: Callable[[], Awaitable[bool]] = _trust_list
-        # The longest time that a caller of each route was ready to wait.
-        self._longest_ms: dict[str, int] = {}
+        self.limits = CallerLimits()
+        self.notices = StreamNotices(clock, timeline)
+        self.notices.tell = self._tell
         self._gaps = FleetGaps(clock)
         self._legacy_until_ms: int | None = None
         # Own streams of which others ask, or are to be told, by attempt.
@@ -139,11 +145,7 @@
 
     def note_call(self, call: EdgeCall, route: Route) -> None:
         """Records how long callers of a route are ready to wait."""
-        self._longest_ms[route.name] = max(
-            route.timeout_ms,
-            call.deadline_ms or 0,
-            self._longest_ms.get(route.name, 0),
-        )
+        self.limits.note_call(call, route)
 
     def note_begun(
         self, call: EdgeCall, target: EdgeTarget, connected_at_ms: int = 0
@@ -159,7 +161,9 @@
         stream = self._records.note_begun(
             attempt, target.service, target.software, target, connected_at_ms
         )
-        since_ms = self._clock.now_ms() - self._find_longest_ms() - VIEW_LAG_MS
+        self.notices.note_begun(stream)
+        age_ms = self.limits.longest_ms + RETURN_MS
+        since_ms = self._clock.now_ms() - age_ms - VIEW_LAG_MS
         choices = self._timeline.list_choices(target.service, attempt, since_ms)
         if choices != {target.software}:
             self._tell(stream)
@@ -228,6 +232,7 @@
     async def run(self) -> None:
         """Confirms the streams that others need to know, until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._tell_lasting)
             while True:
                 await self._has_unconfirmed.wait()
                 self._has_unconfirmed = anyio.Event()
@@ -235,6 +240,11 @@
                 for stream, is_told in due.values():
                     tasks.start_soon(self._confirm_and_tell, stream, is_told)
 
+    async def _tell_lasting(self) -> None:
+        while True:
+            await anyio.sleep(INTERVAL_MS / 1_000)
+            self.notices.tell_lasting()
+
     def _tell(self, stream: BegunStream) -> None:
         """Tells others of an own stream once its version is known."""
         if self.is_certain(stream):
@@ -251,15 +261,13 @@
 
     def _tell_moved(self, service: str) -> None:
         """Tells others of the streams that would now be placed elsewhere."""
-        since_ms = self._clock.now_ms() - self._find_longest_ms()
+        age_ms = self.limits.longest_ms + RETURN_MS
+        since_ms = self._clock.now_ms() - age_ms
         for stream in self._records.list_begun(service, since_ms):
             chosen = self._timeline.choose(service, stream.attempt)
             if chosen != stream.software and not stream.is_uncertain:
                 self._tell(stream)
 
-    def _find_longest_ms(self) -> int:
-        return max(self._longest_ms.values(), default=0)
-
     def note_fleet(self, is_whole: bool) -> None:
         """Records whether all other instances are heard of."""
         self._gaps.note_fleet(is_whole)
@@ -448,10 +456,13 @@
         self, call: EdgeCall, route: Route, is_current: bool
     ) -> OriginBasis:
         now_ms = self._clock.now_ms()
-        limit_ms = max(route.timeout_ms, self._longest_ms.get(route.name, 0))
-        begin_ms = now_ms - max(0, limit_ms - (call.deadline_ms or 0))
+        limit_ms = self.limits.find_longest_ms(route)
+        stated_ms = now_ms - self.limits.find_age_ms(call, route)
+        stated_view_ms = self._gaps.find_oldest_view(stated_ms)
+        begin_ms = now_ms - limit_ms - RETURN_MS
         return OriginBasis(
             now_ms,
+            stated_ms if stated_view_ms is None else stated_view_ms,
             begin_ms,
             limit_ms,
             call.deadline_ms,
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -174,6 +174,16 @@
     )
     holder.subscribe(lambda config: backlog.apply_accounts(config.accounts))
     holder.subscribe(lambda config: backlog.apply_routes(config.routes))
+    origins = StreamOrigins(
+        clock,
+        timeline,
+        records,
+        PromptParts(clock, targets, client, pauses),
+        run_records,
+        runs,
+        log,
+    )
+    holder.subscribe(lambda config: origins.limits.note_routes(config.routes))
     return RelayDependencies(
         clock=clock,
         holder=holder,
@@ -195,15 +205,7 @@
         stall_detector=StallDetector(clock, health),
         timeline=timeline,
         records=records,
-        origins=StreamOrigins(
-            clock,
-            timeline,
-            records,
-            PromptParts(clock, targets, client, pauses),
-            run_records,
-            runs,
-            log,
-        ),
+        origins=origins,
         allowances=allowances,
         budget=SendBudget(clock, settings),
         client=client,
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -72,6 +72,10 @@
                 await self._send_until_answered(request, responder)
             if scope.cancelled_caught:
                 await self._end_after_deadline(request, responder)
+            elif request.begun is not None:
+                self._dependencies.origins.notices.note_complete(
+                    request.begun.attempt
+                )
         except anyio.get_cancelled_exc_class():
             self._report.log(
                 Event.CALLER_GONE,
--- a/src/peridotbend/edgenode.py
+++ b/src/peridotbend/edgenode.py
@@ -79,6 +79,8 @@
 MIN_STOP_TIMEOUT_MS = 100
 # Time for the refusals of requests that are still being served then.
 REFUSAL_TIMEOUT_MS = 200
+# Time for notices to reach the others before streams are ended.
+NOTICE_TIME_MS = 50
 # The platform removes the entry of a target after three silent intervals. What
 # a restored store still lists after this time is kept up by a live target.
 WITHHOLD_HEARTBEATS = 4
@@ -747,6 +749,8 @@
         """
         started_at_ms = self._clock.now_ms()
         self._log.emit(Event.DRAIN_STARTED, active=self._app.active)
+        notices = self._dependencies.origins.notices
+        notices.tell_all()
         self._app.is_closing = True
         self._paths.server.is_closing = True
         await anyio.sleep(LEAVE_ROTATION_MS / 1_000)
@@ -754,12 +758,18 @@
         end_at_ms = started_at_ms + self._settings.grace_ms - EXIT_MARGIN_MS
         left_ms = max(
             MIN_STOP_TIMEOUT_MS,
-            end_at_ms - REFUSAL_TIMEOUT_MS - self._clock.now_ms(),
+            end_at_ms
+            - REFUSAL_TIMEOUT_MS
+            - NOTICE_TIME_MS
+            - self._clock.now_ms(),
         )
         with anyio.move_on_after(left_ms / 1_000) as scope:
             await self._server.stop()
             await self._paths.server.wait_idle()
         if scope.cancelled_caught:
+            # Their callers take the streams up elsewhere.
+            notices.tell_all()
+            await anyio.sleep(NOTICE_TIME_MS / 1_000)
             self._relay.end_all()
             with anyio.move_on_after(REFUSAL_TIMEOUT_MS / 1_000):
                 await self._server.stop()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1374,6 +1374,22 @@
         "told = None\n            if told",
         ("test_edge_origins.WitnessTest",),
     ),
+    Mutant(
+        "time-left-taken-for-the-age",
+        "ORDER",
+        EDGE + "callerlimits.py",
+        "return longest_ms - left_ms if left_ms <= longest_ms else longest_ms",
+        "return max(0, longest_ms - left_ms)",
+        ("test_edge_callerlimits",),
+    ),
+    Mutant(
+        "streams-of-a-stopped-instance-untold",
+        "ORDER",
+        "src/peridotbend/edgenode.py",
+        "        notices.tell_all()\n        self._app.is_closing",
+        "        self._app.is_closing",
+        ("test_edge_streamnotices.StoppedInstanceProcessTest",),
+    ),
     Mutant(
         "computed-before-asked",
         "ORDER",
