Keep what decides on streams as long as they last, or say so

Cause: the timeline kept the mixes of versions of the last 60 s and dropped older ones at the next change, without moving the time since when all are known. Evidence: 14 lines 311 with window_ms 68 to 70 s, is_covered, is_observed and placed v2 alone. Changes under one name, targets that are gone, records of streams and has_versions forgot in the same way.

Change: how long all of these are kept follows from the longest limit of routes and callers that was known. Whatever is dropped, by age or by number, ends the time for which its service is known, in one place. An instance that had to drop records of streams that may still go on does not deny knowing one.

Ruled out: a longer constant, which mends the case and leaves the class.

Tests construct timelines and records with limits now; no check changed.

--- a/src/peridotbend/edge/callerlimits.py
+++ b/src/peridotbend/edge/callerlimits.py
@@ -5,6 +5,15 @@
 from peridotbend.edge.config import Route
 from peridotbend.edge.ports import EdgeCall
 
+# A caller comes back to a stream that broke off within this time. Its limit may
+# be longer than any that is known.
+RETURN_MS = 10_000
+# What is known of streams is kept for this long at least, for callers whose
+# limits are not known.
+MIN_KEPT_MS = 60_000
+# Time by which others may place streams later than this process expects.
+KEPT_MARGIN_MS = 10_000
+
 
 class CallerLimits:
     """The longest time limits that were seen of each route.
@@ -23,6 +32,11 @@
         """The longest limit of all routes."""
         return max(self._longest_ms.values(), default=0)
 
+    @property
+    def kept_ms(self) -> int:
+        """How long it is to be kept what may decide where a stream goes on."""
+        return max(MIN_KEPT_MS, self.longest_ms + RETURN_MS + KEPT_MARGIN_MS)
+
     def note_routes(self, routes: Iterable[Route]) -> None:
         """Records the timeouts of a new configuration."""
         for route in routes:
--- a/src/peridotbend/edge/originpeers.py
+++ b/src/peridotbend/edge/originpeers.py
@@ -209,6 +209,9 @@
             if version is not None or self._records.is_uncertain(key)
         }
         unknown = tuple(key for key in found if key not in known)
+        if self._records.lacks_recent():
+            # It may be one of those that were forgotten.
+            unknown = ()
         answers = [OriginNotice(unknown=unknown)] if unknown else []
         return answers + list(_divide(known))
 
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -8,7 +8,7 @@
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import EventLog
-from peridotbend.edge.callerlimits import CallerLimits
+from peridotbend.edge.callerlimits import RETURN_MS, CallerLimits
 from peridotbend.edge.config import Route
 from peridotbend.edge.fleetgaps import FleetGaps
 from peridotbend.edge.originbasis import OriginBasis
@@ -28,9 +28,6 @@
 # Streams of an older version of this program may go on for this long after it
 # was replaced.
 DISTRUST_MS = 30_000
-# A caller comes back to a stream that broke off within this time. Its limit may
-# be longer than any that is known.
-RETURN_MS = 10_000
 # How long a caller that takes up a stream waits for the end of a doubt, in
 # which the list of targets may come to prove who began it.
 TAKE_UP_WAIT_MS = 2_000
@@ -117,6 +114,7 @@
         parts: PromptParts,
         run_records: RunRecords,
         runs: TargetRuns,
+        limits: CallerLimits,
         log: EventLog,
     ):
         self._clock = clock
@@ -131,8 +129,8 @@
         # Tells whether the list of targets lacks nothing, after it has been
         # read again if need be.
         self.confirm_targets: Callable[[], Awaitable[bool]] = _trust_list
-        self.limits = CallerLimits()
-        self.notices = StreamNotices(clock, timeline)
+        self.limits = limits
+        self.notices = StreamNotices(clock, timeline, limits)
         self.notices.tell = self._tell
         self._gaps = FleetGaps(clock)
         self._legacy_until_ms: int | None = None
@@ -297,7 +295,7 @@
                 recorded=known,
             )
             return known
-        basis = await self._find_basis(call, route)
+        basis = await self._find_basis(call, route, service)
         since_ms, is_covered = basis.placed_since_ms, basis.is_covered
         versions = self._timeline.list_versions(service, since_ms)
         placed = versions
@@ -442,18 +440,20 @@
         start_ms = self._timeline.find_start(target)
         return start_ms is not None and start_ms >= since_ms
 
-    async def _find_basis(self, call: EdgeCall, route: Route) -> OriginBasis:
+    async def _find_basis(
+        self, call: EdgeCall, route: Route, service: str
+    ) -> OriginBasis:
         """Returns what can be known of the begin of a stream."""
         # An instance that is cut off, or stood still, lacks what others know.
         is_current = await self.confirm_targets()
-        basis = self._make_basis(call, route, is_current)
+        basis = self._make_basis(call, route, service, is_current)
         if not basis.is_covered or basis.oldest_view_ms is None:
             await self._read_history()
-            basis = self._make_basis(call, route, is_current)
+            basis = self._make_basis(call, route, service, is_current)
         return basis
 
     def _make_basis(
-        self, call: EdgeCall, route: Route, is_current: bool
+        self, call: EdgeCall, route: Route, service: str, is_current: bool
     ) -> OriginBasis:
         now_ms = self._clock.now_ms()
         limit_ms = self.limits.find_longest_ms(route)
@@ -467,8 +467,8 @@
             limit_ms,
             call.deadline_ms,
             self._gaps.find_oldest_view(begin_ms),
-            self._timeline.covered_since_ms,
-            self._timeline.observed_since_ms,
+            self._timeline.find_covered_since(service),
+            self._timeline.find_observed_since(service),
             is_current,
         )
 
--- a/src/peridotbend/edge/parts.py
+++ b/src/peridotbend/edge/parts.py
@@ -9,6 +9,7 @@
 from peridotbend.edge.allowances import Allowances
 from peridotbend.edge.backlog import Backlog
 from peridotbend.edge.brittle import BrittleTargets
+from peridotbend.edge.callerlimits import CallerLimits
 from peridotbend.edge.coldtargets import ColdTargets, FleetView
 from peridotbend.edge.configholder import ConfigHolder
 from peridotbend.edge.crashes import CrashTracker
@@ -125,7 +126,9 @@
     prompt_tokens = Occupancy(clock)
     work = TargetWork(clock, prompt_tokens, health.find_pace_ms)
     holder.subscribe(lambda config: work.apply_services(config.services))
-    timeline = VersionTimeline(clock, targets)
+    limits = CallerLimits()
+    holder.subscribe(lambda config: limits.note_routes(config.routes))
+    timeline = VersionTimeline(clock, targets, limits)
     allowances = Allowances(clock, settings, fleet.find_live_share)
     holder.subscribe(lambda config: allowances.apply(config.accounts))
     rate_limits = RateLimits(
@@ -152,7 +155,7 @@
         fleet.count_instances,
         holder.is_generating,
     )
-    records = StreamRecords(clock)
+    records = StreamRecords(clock, limits)
     run_records = RunRecords(clock, log, targets, settings.heartbeat_ms)
     run_questions = RunQuestions(clock, log, run_records, client)
     runs = TargetRuns(clock, log, targets, run_records, run_questions)
@@ -181,9 +184,9 @@
         PromptParts(clock, targets, client, pauses),
         run_records,
         runs,
+        limits,
         log,
     )
-    holder.subscribe(lambda config: origins.limits.note_routes(config.routes))
     return RelayDependencies(
         clock=clock,
         holder=holder,
--- a/src/peridotbend/edge/streamnotices.py
+++ b/src/peridotbend/edge/streamnotices.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable, Iterable
 
 from peridotbend.domain.clock import Clock
+from peridotbend.edge.callerlimits import CallerLimits
 from peridotbend.edge.streamrecords import MAX_RECORDS, BegunStream
-from peridotbend.edge.versions import KEPT_MS, VersionTimeline
+from peridotbend.edge.versions import VersionTimeline
 
 # A stream that has lasted this long is told to others, so that few streams are
 # lost with their instance, and most short ones cost nothing.
@@ -28,8 +29,11 @@
 class StreamNotices:
     """The own streams that callers may take up elsewhere."""
 
-    def __init__(self, clock: Clock, timeline: VersionTimeline):
+    def __init__(
+        self, clock: Clock, timeline: VersionTimeline, limits: CallerLimits
+    ):
         self._clock = clock
+        self._limits = limits
         self._timeline = timeline
         # By attempt, the oldest first.
         self._running: collections.OrderedDict[str, _Running] = (
@@ -42,7 +46,7 @@
         """Records a stream that begins."""
         self._running[stream.attempt] = _Running(stream)
         self._running.move_to_end(stream.attempt)
-        oldest_ms = self._clock.now_ms() - KEPT_MS
+        oldest_ms = self._clock.now_ms() - self._limits.kept_ms
         while (
             len(self._running) > MAX_RECORDS
             or next(iter(self._running.values())).stream.begun_at_ms < oldest_ms
--- a/src/peridotbend/edge/streamrecords.py
+++ b/src/peridotbend/edge/streamrecords.py
@@ -7,8 +7,8 @@
 import xxhash
 
 from peridotbend.domain.clock import Clock
+from peridotbend.edge.callerlimits import CallerLimits
 from peridotbend.edge.targets import EdgeTarget
-from peridotbend.edge.versions import KEPT_MS
 
 # Bounds memory, at about 240 bytes each.
 MAX_RECORDS = 20_000
@@ -43,13 +43,16 @@
 
 
 class StreamRecords:
-    """The streams of the last minute: own ones, and those of other instances.
+    """The streams that may still go on: own ones, and those of others.
 
     Attempts of others are known by the hash of their ID alone.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, limits: CallerLimits):
         self._clock = clock
+        self._limits = limits
+        # When the last one began, or was told, that had to give way to others.
+        self._dropped_ms: int | None = None
         # By the hash of the attempt, the oldest first.
         self._begun: collections.OrderedDict[int, BegunStream] = (
             collections.OrderedDict()
@@ -74,12 +77,9 @@
         key = hash_attempt(attempt)
         self._begun[key] = stream
         self._begun.move_to_end(key)
-        oldest_ms = now_ms - KEPT_MS
-        while (
-            len(self._begun) > MAX_RECORDS
-            or next(iter(self._begun.values())).begun_at_ms < oldest_ms
-        ):
-            self._begun.popitem(last=False)
+        while self._is_due(len(self._begun), self._begun_since_ms):
+            _, dropped = self._begun.popitem(last=False)
+            self._note_dropped(dropped.begun_at_ms)
         return stream
 
     def note_told(self, key: int, software: str) -> None:
@@ -95,12 +95,29 @@
         software = "" if is_contradicted else software or known.software
         self._told[key] = _ToldStream(software, now_ms, is_contradicted)
         self._told.move_to_end(key)
-        oldest_ms = now_ms - KEPT_MS
-        while (
-            len(self._told) > MAX_RECORDS
-            or next(iter(self._told.values())).told_at_ms < oldest_ms
-        ):
-            self._told.popitem(last=False)
+        while self._is_due(len(self._told), self._told_since_ms):
+            _, dropped = self._told.popitem(last=False)
+            self._note_dropped(dropped.told_at_ms)
+
+    def lacks_recent(self) -> bool:
+        """Tells whether a stream was forgotten that may still go on."""
+        oldest_ms = self._clock.now_ms() - self._limits.kept_ms
+        return self._dropped_ms is not None and self._dropped_ms >= oldest_ms
+
+    def _is_due(self, count: int, since_ms: int) -> bool:
+        oldest_ms = self._clock.now_ms() - self._limits.kept_ms
+        return count > MAX_RECORDS or since_ms < oldest_ms
+
+    @property
+    def _begun_since_ms(self) -> int:
+        return next(iter(self._begun.values())).begun_at_ms
+
+    @property
+    def _told_since_ms(self) -> int:
+        return next(iter(self._told.values())).told_at_ms
+
+    def _note_dropped(self, at_ms: int) -> None:
+        self._dropped_ms = max(at_ms, self._dropped_ms or at_ms)
 
     def note_outcome(self, stream: BegunStream, is_right: bool) -> BegunStream:
         """Records whether the version of an own stream is right."""
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -12,13 +12,12 @@
 
 from peridotbend.domain.clock import Clock
 from peridotbend.domain.rendezvous import choose_weighted
+from peridotbend.edge.callerlimits import CallerLimits
 from peridotbend.edge.targets import EdgeTarget, TargetList
 
 # How much later than this instance another one may learn of a change: one that
 # stood still counts as lost after 1.5 s and the time until that is checked.
 VIEW_LAG_MS = 2_000
-# Longer than any stream.
-KEPT_MS = 60_000
 # Bounds memory. The oldest state is dropped, and its time is then not covered.
 MAX_STATES = 256
 # Bounds memory: two generations of the targets of the largest fleet.
@@ -106,10 +105,21 @@
 
 
 class VersionTimeline:
-    """The mixes of all services over the last minute."""
+    """The mixes of all services, for as long as streams may last.
 
-    def __init__(self, clock: Clock, targets: TargetList):
+    What is forgotten of a service ends the time for which it is known.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        targets: TargetList,
+        limits: CallerLimits,
+    ):
         self._clock = clock
+        self._limits = limits
+        # Until when something was forgotten, by service.
+        self._forgotten_ms: dict[str, int] = {}
         self._targets = targets
         self._current: dict[str, VersionMix] = {}
         self._past: dict[str, collections.deque[PastMix]] = {}
@@ -142,6 +152,27 @@
             self.covered_since_ms = self._clock.now_ms()
             self.observed_since_ms = self.covered_since_ms
 
+    def find_covered_since(self, service: str) -> int | None:
+        """Returns since when all changes of a service are known."""
+        return self._find_known_since(service, self.covered_since_ms)
+
+    def find_observed_since(self, service: str) -> int | None:
+        """Returns since when this process has seen all of them itself."""
+        return self._find_known_since(service, self.observed_since_ms)
+
+    def _find_known_since(
+        self, service: str, since_ms: int | None
+    ) -> int | None:
+        forgotten_ms = self._forgotten_ms.get(service)
+        if since_ms is None or forgotten_ms is None:
+            return since_ms
+        return max(since_ms, forgotten_ms)
+
+    def _forget(self, service: str, until_ms: int) -> None:
+        """Records that something was forgotten that held until a time."""
+        known_ms = self._forgotten_ms.get(service, until_ms)
+        self._forgotten_ms[service] = max(known_ms, until_ms)
+
     def update(self, service: str) -> VersionMix:
         """Records which targets accept requests now, by their entries.
 
@@ -195,7 +226,7 @@
 
     def has_versions(self, service: str) -> bool:
         """Tells whether a service has, or had lately, more than one version."""
-        since_ms = self._clock.now_ms() - KEPT_MS
+        since_ms = self._clock.now_ms() - self._limits.kept_ms
         return len(self.list_versions(service, since_ms)) > 1
 
     def has_lost_target(
@@ -290,15 +321,19 @@
         now_ms = self._clock.now_ms()
         self._gone.pop(key, None)
         self._gone[key] = software, now_ms
-        oldest_ms = now_ms - KEPT_MS
-        while next(iter(self._gone.values()))[1] < oldest_ms:
-            del self._gone[next(iter(self._gone))]
+        oldest_ms = now_ms - self._limits.kept_ms
+        while True:
+            (service, name), (_, gone_ms) = next(iter(self._gone.items()))
+            if gone_ms >= oldest_ms:
+                break
+            del self._gone[service, name]
+            self._forget(service, gone_ms)
 
     def _note_change(self, service: str, change: VersionChange) -> None:
-        changes = self._changes.setdefault(
-            service, collections.deque(maxlen=MAX_STATES)
-        )
+        changes = self._changes.setdefault(service, collections.deque())
         changes.append(change)
+        if len(changes) > MAX_STATES:
+            self._forget(service, changes.popleft().until_ms)
 
     def _list_mixes(self, service: str, since_ms: int) -> Iterable[VersionMix]:
         current = self.update(service)
@@ -310,13 +345,9 @@
     def _append(self, service: str, past: PastMix) -> None:
         kept = self._past.setdefault(service, collections.deque())
         kept.append(past)
-        oldest_ms = self._clock.now_ms() - KEPT_MS
-        while kept and kept[0].until_ms < oldest_ms:
-            kept.popleft()
-        if len(kept) > MAX_STATES:
-            dropped = kept.popleft()
-            assert self.covered_since_ms is not None
-            self.covered_since_ms = max(self.covered_since_ms, dropped.until_ms)
+        oldest_ms = self._clock.now_ms() - self._limits.kept_ms
+        while kept[0].until_ms < oldest_ms or len(kept) > MAX_STATES:
+            self._forget(service, kept.popleft().until_ms)
 
 
 def make_mix(
--- a/tests/test_edge_evacuations.py
+++ b/tests/test_edge_evacuations.py
@@ -13,6 +13,7 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallError, CallFailure
 from peridotbend.domain.verdicts import NotRun, Reason
+from peridotbend.edge.callerlimits import CallerLimits
 from peridotbend.edge.evacuationentries import EvacuationEntries
 from peridotbend.edge.evacuations import EvacuatedZones
 from peridotbend.edge.ports import (
@@ -517,7 +518,9 @@
         ):
             target = make_zoned(name, zone, "engine")
             self.targets.put(dataclasses.replace(target, software=version))
-        self.timeline = VersionTimeline(self.clock, self.targets)
+        self.timeline = VersionTimeline(
+            self.clock, self.targets, CallerLimits()
+        )
         self.timeline.note_listing()
         self.timeline.update("engine")
 
--- a/tests/test_edge_origins.py
+++ b/tests/test_edge_origins.py
@@ -12,6 +12,7 @@
     encode_notice,
 )
 from peridotbend.domain.clock import ManualClock
+from peridotbend.edge.callerlimits import MIN_KEPT_MS, CallerLimits
 from peridotbend.edge.fleetgaps import FleetGaps
 from peridotbend.edge.originpeers import (
     ANSWER_TIMEOUT_S,
@@ -27,7 +28,7 @@
     StreamRecords,
     hash_attempt,
 )
-from peridotbend.edge.versions import KEPT_MS, VersionMix
+from peridotbend.edge.versions import VersionMix
 from peridotbend.platform import wire
 from peridotbend_emulator.virtualtime import run_virtual
 from tests.edgefakes import (
@@ -73,7 +74,10 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock()
-        self.records = {host: StreamRecords(self.clock) for host in ZONES}
+        self.limits = CallerLimits()
+        self.records = {
+            host: StreamRecords(self.clock, self.limits) for host in ZONES
+        }
         self.peers = {
             host: OriginPeers(
                 zone, _Members(host), self.records[host], random.Random(host)
@@ -216,13 +220,45 @@
             records.note_told(number, "v1")
         assert records.find(hash_attempt("a0")) is None
         assert records.find(0) is None
-        network.clock.advance(KEPT_MS + 1)
+        network.clock.advance(MIN_KEPT_MS + 1)
         records.note_begun("new", "engine", "v1")
         records.note_told(7, "v1")
         begun = list(records.list_begun("engine", 0))
         assert [stream.attempt for stream in begun] == ["new"]
         assert records.find(8) is None
 
+    def test_records_are_kept_for_as_long_as_streams_may_last(self) -> None:
+        """Guards against streams of over a minute that nobody remembers.
+
+        Seen with review/9.
+        """
+        network = _Network()
+        route = dataclasses.replace(STREAM_ROUTE, timeout_ms=100_000)
+        network.limits.note_routes([route])
+        records = network.records["10.0.0.1"]
+        network.begin("10.0.0.1", "a")
+        records.note_told(7, "v1")
+        network.clock.advance(95_000)
+        network.begin("10.0.0.1", "b")
+        records.note_told(8, "v1")
+        assert records.find(hash_attempt("a")) == "v1"
+        assert records.find(7) == "v1"
+        assert not records.lacks_recent()
+
+    def test_instance_that_had_to_forget_denies_nothing(self) -> None:
+        """Guards against an instance that forgot a stream and denies it."""
+        network = _Network()
+        for number in range(MAX_RECORDS + 1):
+            network.begin("10.0.0.1", f"a{number}")
+        notice = OriginNotice(asked=(hash_attempt("a0"), hash_attempt("a1")))
+        (answer,) = network.peers["10.0.0.1"].receive("10.0.1.1", notice)
+        assert dict(answer.told) == {hash_attempt("a1"): "v1"}
+        assert not answer.unknown
+        network.clock.advance(MIN_KEPT_MS + 1)
+        notice = OriginNotice(asked=(hash_attempt("a0"),))
+        (answer,) = network.peers["10.0.0.1"].receive("10.0.1.1", notice)
+        assert answer.unknown == (hash_attempt("a0"),)
+
     def test_link_carries_notices(self) -> None:
         """Guards against an exchange that works without sockets only."""
         clock = ManualClock()
@@ -234,7 +270,9 @@
                 self._hosts = [other]
 
         async def run() -> None:
-            records = {host: StreamRecords(clock) for host in hosts}
+            records = {
+                host: StreamRecords(clock, CallerLimits()) for host in hosts
+            }
             peers = {}
             async with anyio.create_task_group() as tasks:
                 for host, other in zip(hosts, reversed(hosts), strict=True):
@@ -270,7 +308,7 @@
         clock = ManualClock()
 
         async def run() -> None:
-            records = [StreamRecords(clock) for _ in hosts]
+            records = [StreamRecords(clock, CallerLimits()) for _ in hosts]
             async with anyio.create_task_group() as tasks:
                 peers = []
                 for index, host in enumerate(hosts):
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -10,6 +10,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallError, CallFailure
+from peridotbend.edge.callerlimits import MIN_KEPT_MS, CallerLimits
 from peridotbend.edge.crashes import ALIVE_MARGIN_MS, make_traits
 from peridotbend.edge.runquestions import ASK_TIMEOUT_MS, RunQuestions
 from peridotbend.edge.runrecords import (
@@ -21,7 +22,7 @@
 )
 from peridotbend.edge.targetruns import TargetRuns
 from peridotbend.edge.targets import EdgeTarget, TargetList
-from peridotbend.edge.versions import KEPT_MS, VersionTimeline
+from peridotbend.edge.versions import VersionTimeline
 from tests.edgefakes import (
     ACCOUNT,
     CALL,
@@ -522,7 +523,7 @@
         """Guards against a placement by an entry that was out of date."""
         clock = ManualClock()
         targets = TargetList(clock)
-        timeline = VersionTimeline(clock, targets)
+        timeline = VersionTimeline(clock, targets, CallerLimits())
         timeline.note_listing()
         for name in ("i-1", "i-2"):
             target = dataclasses.replace(make_target(name), software="v1")
@@ -546,7 +547,7 @@
         """Guards against choices that lack the mix that was just replaced."""
         clock = ManualClock()
         targets = TargetList(clock)
-        timeline = VersionTimeline(clock, targets)
+        timeline = VersionTimeline(clock, targets, CallerLimits())
         timeline.note_listing()
         targets.put(dataclasses.replace(make_target("i-1"), software="v1"))
         timeline.update("engine")
@@ -559,7 +560,7 @@
         """Guards against trust in a name that served another version."""
         clock = ManualClock()
         targets = TargetList(clock)
-        timeline = VersionTimeline(clock, targets)
+        timeline = VersionTimeline(clock, targets, CallerLimits())
         timeline.note_listing()
         for name, software in (("i-1", "v1"), ("i-2", "v2")):
             targets.put(
@@ -568,7 +569,7 @@
         assert timeline.has_versions("engine")
         targets.remove("i-2")
         assert timeline.has_versions("engine")
-        clock.advance(KEPT_MS + 1)
+        clock.advance(MIN_KEPT_MS + 1)
         assert not timeline.has_versions("engine")
 
     def test_run_keeps_the_version_of_its_first_entry(self) -> None:
--- a/tests/test_edge_runs_review.py
+++ b/tests/test_edge_runs_review.py
@@ -14,6 +14,7 @@
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.ports import CallError
 from peridotbend.domain.verdicts import NotRun
+from peridotbend.edge.callerlimits import CallerLimits
 from peridotbend.edge.feeds import Feed, RestoreRules
 from peridotbend.edge.ports import StoreError, StoreFailure, TargetSend
 from peridotbend.edge.readerrole import ReaderRole
@@ -131,7 +132,7 @@
         """Guards against streams that are placed by the old entry alone."""
         clock = ManualClock()
         targets = TargetList(clock)
-        timeline = VersionTimeline(clock, targets)
+        timeline = VersionTimeline(clock, targets, CallerLimits())
         timeline.note_listing()
         for name in ("i-1", "i-2"):
             target = dataclasses.replace(make_target(name), software="v1")
--- a/tests/test_edge_streamnotices.py
+++ b/tests/test_edge_streamnotices.py
@@ -7,13 +7,14 @@
 import anyio
 import httpcore
 
+from peridotbend.edge.callerlimits import MIN_KEPT_MS
 from peridotbend.edge.streamnotices import (
     MIN_AGE_MS,
     REPEAT_MS,
     StreamNotices,
 )
 from peridotbend.edge.streamrecords import BegunStream
-from peridotbend.edge.versions import KEPT_MS, VersionMix
+from peridotbend.edge.versions import VersionMix
 from peridotbend.platform import wire
 from tests.edgefakes import CALL, RelayHarness, ScriptedReply, make_event
 from tests.edgefleet import CONFIG, HOSTS, EdgeFleet, run_with_fleet
@@ -30,7 +31,9 @@
         assert target is not None
         self.harness.targets.put(dataclasses.replace(target, software="v2"))
         self.clock = self.harness.clock
-        self.notices = StreamNotices(self.clock, self.harness.timeline)
+        self.notices = StreamNotices(
+            self.clock, self.harness.timeline, self.harness.origins.limits
+        )
         self.told: list[str] = []
         self.notices.tell = lambda stream: self.told.append(stream.attempt)
 
@@ -69,7 +72,7 @@
     def test_forgotten_streams_are_not_told(self) -> None:
         """Guards against memory that grows with broken streams."""
         self._begin("a")
-        self.clock.advance(KEPT_MS + 1)
+        self.clock.advance(MIN_KEPT_MS + 1)
         self._begin("b")
         assert self._advance(MIN_AGE_MS) == ["b"]
 
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -9,6 +9,7 @@
 from peridotbend.adapters.digests import decode_digest, encode_digest
 from peridotbend.domain.clock import ManualClock
 from peridotbend.domain.verdicts import NotRun, Reason
+from peridotbend.edge.callerlimits import CallerLimits
 from peridotbend.edge.config import WeightedService
 from peridotbend.edge.origins import DISTRUST_MS
 from peridotbend.edge.peers import Digest
@@ -23,6 +24,7 @@
 from peridotbend.edge.targethistory import TargetHistory
 from peridotbend.edge.targets import EdgeTarget, TargetList
 from peridotbend.edge.versions import (
+    MAX_STATES,
     PastLoss,
     PastMix,
     PastTargets,
@@ -223,6 +225,33 @@
         assert isinstance(responder.verdict, NotRun)
         assert responder.verdict.reason is Reason.ORIGIN_UNKNOWN
 
+    def test_version_that_began_a_long_stream_is_not_forgotten(self) -> None:
+        """Guards against joined streams of over a minute.
+
+        Seen with review/9: targets of v2 are added after 1 s and after 63 s,
+        and the second change made the instances forget that v1 was alone.
+        """
+        route = dataclasses.replace(STREAM_ROUTE, timeout_ms=100_000)
+        config = dataclasses.replace(CONFIG, routes=(route,))
+        reply = ScriptedReply(chunks=(make_event(2),))
+        harness = RelayHarness(reply, config=config)
+        harness.clock.advance(200_000)
+        _list_targets(harness, i_1="v1")
+        harness.timeline.update("engine")
+        harness.clock.advance(1_000)
+        _list_targets(harness, i_1="v1", i_2="v2")
+        harness.timeline.update("engine")
+        moved = _find_attempt(harness, "v2")
+        harness.clock.advance(62_000)
+        _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
+        assert harness.timeline.choose("engine", moved) == "v2"
+        harness.clock.advance(5_000)
+        take_up = dataclasses.replace(
+            TAKE_UP, resumes=moved, deadline_ms=32_000
+        )
+        _serve(harness, take_up)
+        assert not harness.client.sends
+
     def test_restarted_instance_believes_the_targets_that_it_found(
         self,
     ) -> None:
@@ -662,7 +691,7 @@
         targets = TargetList(clock)
         for target in listed.values():
             targets.put(target)
-        timeline = VersionTimeline(clock, targets)
+        timeline = VersionTimeline(clock, targets, CallerLimits())
         store = _HistoryStore(
             oldest,
             [
@@ -719,6 +748,45 @@
         assert {"v2"} in choices
         assert {"v1", "v2"} in choices
 
+    def test_what_is_forgotten_ends_the_known_time(self) -> None:
+        """Guards against a timeline that covers what it has dropped."""
+
+        def change(number: int, replaces: bool) -> None:
+            software = f"v{number % 2 + 1}"
+            targets.remove("i-1")
+            if replaces:
+                timeline.update("engine")
+            target = make_target("i-1")
+            target = dataclasses.replace(
+                target, software=software, started_at_ms=number
+            )
+            targets.put(target)
+            timeline.update("engine")
+
+        for count, pause_ms, replaces in (
+            (2, 61_000, False),
+            (2, 61_000, True),
+            (MAX_STATES + 2, 10, False),
+            (MAX_STATES + 2, 10, True),
+        ):
+            clock = ManualClock()
+            targets = TargetList(clock)
+            timeline = VersionTimeline(clock, targets, CallerLimits())
+            timeline.note_listing()
+            begun_ms = clock.now_ms()
+            assert timeline.find_covered_since("engine") == begun_ms
+            change(0, replaces)
+            for number in range(1, count + 1):
+                clock.advance(pause_ms)
+                change(number, replaces)
+            for since_ms in (
+                timeline.find_covered_since("engine"),
+                timeline.find_observed_since("engine"),
+            ):
+                assert since_ms is not None and since_ms > begun_ms
+            # Another service is as well known as before.
+            assert timeline.find_covered_since("shop") == begun_ms
+
     def test_version_whose_last_target_left_has_departed(self) -> None:
         """Guards against a version whose streams seem to have moved on."""
         listed = {
@@ -799,7 +867,7 @@
     def test_history_that_cannot_be_read_covers_nothing(self) -> None:
         """Guards against certainty while the store is out of reach."""
         clock = ManualClock()
-        timeline = VersionTimeline(clock, TargetList(clock))
+        timeline = VersionTimeline(clock, TargetList(clock), CallerLimits())
         lost = _HistoryStore(10_000, [])
         for kept_ms in (0, KEPT_MS):
             history = TargetHistory(
