Split the search for the origin of a stream

The method had grown to ninety lines that decide, ask and log. _investigate decides from the placement, the other instances and the targets; _Finding holds what they tell and describes it for event 311.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -1,5 +1,6 @@
 """Finds out at which software version a stream began that is taken up."""
 
+import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -94,16 +95,47 @@
     return True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Finding:
+    """What is found out of the version of a stream."""
+
+    # The versions that have served since it may have begun, and those of them
+    # at which its attempt may have been placed.
+    versions: set[str]
+    placed: set[str]
+    # Those that are left.
+    choices: set[str]
+    # Whether all live instances have answered that were asked, and what they
+    # told.
+    is_answered: bool = True
+    told: str | None = None
+    # What the targets keep of its prompt; None if they were not asked.
+    survey: PartSurvey | None = None
+
+    def describe(self) -> dict[str, object]:
+        """Returns the fields of a log line."""
+        survey = self.survey
+        return {
+            "versions": sorted(self.versions),
+            "placed": sorted(self.placed),
+            "is_answered": self.is_answered,
+            "recorded": self.told,
+            "holders": sorted(survey.holders) if survey else None,
+            "possible": sorted(survey.possible) if survey else None,
+            "writers": sorted(survey.writers) if survey else None,
+        }
+
+
 class StreamOrigins:
     """The versions at which streams began, as far as they can be known.
 
-    An instance remembers its own streams. For others it computes where they
-    were placed. If the result is not the same for all times at which they may
-    have begun, or if this process has not seen all that changed since then,
-    it asks the other instances: the one that began a stream knows, and has
-    told others of each stream whose placement is in doubt. Only if none of
-    them is left, the targets tell which of them keep the prompt. A target may
-    keep it from an earlier request, so the other versions have to be ruled out.
+    An instance remembers its own streams. Of others it asks all instances, if
+    their service has several versions or if this process has not seen all that
+    changed since they may have begun: the one that began a stream knows, and
+    has told others of it. If none of them knows, it computes where the stream
+    was placed. If that is not the same for all times at which it may have
+    begun, the targets tell which of them keep the prompt. A target may keep it
+    from an earlier request, so the other versions have to be ruled out.
     """
 
     def __init__(
@@ -296,53 +328,19 @@
             )
             return known
         basis = await self._find_basis(call, route, service)
-        since_ms, is_covered = basis.placed_since_ms, basis.is_covered
-        versions = self._timeline.list_versions(service, since_ms)
-        placed = versions
-        if call.resumes and not self.has_legacy_peers():
-            placed = self._timeline.list_choices(
-                service, call.resumes, since_ms
-            )
-        is_known = is_covered and basis.is_observed
-        choices = placed
-        told: str | None = None
-        is_answered = True
-        survey: PartSurvey | None = None
-        if not is_known or self._timeline.has_versions(service):
-            # The instance that began the stream knows, however it placed it.
-            if call.resumes:
-                is_answered = await self.witnesses.ask_live(
-                    call.resumes, TAKE_UP_WAIT_MS
-                )
-                told = self._records.find(key)
-            if told is not None:
-                choices = {told}
-            elif self._records.is_uncertain(key) or not is_answered:
-                # Its own instance says that nobody can know, or may know it.
-                choices = set()
-            elif len(placed) != 1 or not is_known:
-                survey = await self._parts.find_holders(
-                    service, call.session, call.count_written_tokens()
-                )
-                choices = versions
-                if is_covered:
-                    choices = self._narrow(placed, survey, service, since_ms)
-                elif survey is None or len(versions) != 1:
-                    # A target that has gone unseen may have kept the prompt.
-                    choices = set()
-                else:
-                    choices = versions & survey.holders.keys()
+        finding = await self._investigate(key, call, service, basis)
+        choices = finding.choices
         runs = RunSurvey((), ())
         if len(choices) == 1:
             # The list of targets may lag behind one that began the stream.
             (chosen,) = choices
             runs = await self._survey_runs(service, chosen)
             is_open = bool(runs.unanswered) or self._timeline.has_lost_target(
-                service, chosen, since_ms
+                service, chosen, basis.placed_since_ms
             )
             if runs.others:
                 choices = set()
-            elif is_open and call.resumes and told is None:
+            elif is_open and call.resumes and finding.told is None:
                 choices = await self._narrow_by_witnesses(key, call, choices)
         self._log.emit(
             Event.STREAM_TAKEN_UP,
@@ -350,19 +348,51 @@
             resumes=call.resumes,
             last_event=call.last_event_id,
             **basis.describe(),
-            versions=sorted(versions),
-            placed=sorted(placed),
-            is_answered=is_answered,
-            recorded=told,
-            holders=sorted(survey.holders) if survey else None,
-            possible=sorted(survey.possible) if survey else None,
-            writers=sorted(survey.writers) if survey else None,
+            **finding.describe(),
             replaced=list(runs.others),
             unanswered=list(runs.unanswered),
             choices=sorted(choices),
         )
         return next(iter(choices)) if len(choices) == 1 else None
 
+    async def _investigate(
+        self, key: int, call: EdgeCall, service: str, basis: OriginBasis
+    ) -> "_Finding":
+        """Returns what the placement, other instances and targets tell."""
+        since_ms = basis.placed_since_ms
+        versions = self._timeline.list_versions(service, since_ms)
+        placed = versions
+        if call.resumes and not self.has_legacy_peers():
+            placed = self._timeline.list_choices(
+                service, call.resumes, since_ms
+            )
+        is_known = basis.is_covered and basis.is_observed
+        if is_known and not self._timeline.has_versions(service):
+            return _Finding(versions, placed, placed)
+        # The instance that began the stream knows, however it placed it.
+        is_answered = not call.resumes or await self.witnesses.ask_live(
+            call.resumes, TAKE_UP_WAIT_MS
+        )
+        told = self._records.find(key) if call.resumes else None
+        if told is not None:
+            return _Finding(versions, placed, {told}, is_answered, told)
+        if self._records.is_uncertain(key) or not is_answered:
+            # Its own instance says that nobody can know, or may know it.
+            return _Finding(versions, placed, set(), is_answered)
+        if len(placed) == 1 and is_known:
+            return _Finding(versions, placed, placed)
+        survey = await self._parts.find_holders(
+            service, call.session, call.count_written_tokens()
+        )
+        if basis.is_covered:
+            choices = self._narrow(placed, survey, service, since_ms)
+        elif survey is None or len(versions) != 1:
+            # A target that has gone unseen may have kept the prompt.
+            choices = set()
+        else:
+            choices = versions & survey.holders.keys()
+        return _Finding(versions, placed, choices, survey=survey)
+
     async def _settle(self, key: int, call: EdgeCall) -> None:
         """Waits for the end of a doubt about a stream, if it may end soon."""
         begun = self._records.find_begun(key)
@@ -425,8 +455,10 @@
             return placed
         if holders == survey.holders.keys() and len(holders) == 1:
             (targets,) = survey.holders.values()
-            if all(self._has_started_since(t, since_ms) for t in targets):
-                # Older ones may keep it from any request of the session.
+            is_new = all(self._has_started_since(t, since_ms) for t in targets)
+            if is_new:
+                # Older ones, or those that keep less, may keep it from another
+                # request of the session.
                 return holders
         left = {
             version
