Believe a new target only if it keeps what was generated

A session with two requests within the age of one stream, the first one there and the second one at a version that has left since, goes on at the wrong version. docs/guarantees.md had it as not covered.

Change: such a target has to keep as many tokens as the part has and the caller has events, like one beside a departed version.

test_prompt_kept_by_a_new_target_decides_a_doubt has a case more, in which the target keeps the prompt alone; it fails without the change (sent to v2). Its other two cases now state the tokens that such targets keep.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -456,7 +456,7 @@
         if holders == survey.holders.keys() and len(holders) == 1:
             (targets,) = survey.holders.values()
             is_new = all(self._has_started_since(t, since_ms) for t in targets)
-            if is_new:
+            if is_new and survey.writers == holders:
                 # Older ones, or those that keep less, may keep it from another
                 # request of the session.
                 return holders
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -320,10 +320,15 @@
     def test_prompt_kept_by_a_new_target_decides_a_doubt(self) -> None:
         """Guards against refusing the streams of a version that just joined.
 
-        Seen as LOST on binhminh-orders, rejoined, seed 11, in a trial: the
-        last targets of the old version left after all instances were killed.
+        Seen as LOST on binhminh-orders, rejoined, seed 11, in a trial: the last
+        targets of the old version left after all instances were killed. What a
+        new target keeps of an earlier request is no proof: it lacks the events.
         """
-        for age_ms, expected in ((5_000, ["v2"]), (60_000, [])):
+        for age_ms, kept, expected in (
+            (5_000, 541, ["v2"]),
+            (5_000, 540, []),
+            (60_000, 541, []),
+        ):
             harness = RelayHarness(ScriptedReply(chunks=(make_event(2),)))
             _list_targets(harness, i_1="v1")
             harness.timeline.update("engine")
@@ -336,9 +341,10 @@
             )
             harness.timeline.update("engine")
             harness.client.parts["i-2"] = frozenset(("s",))
-            _serve(harness, TAKE_UP)
+            harness.client.part_tokens = kept
+            _serve(harness, dataclasses.replace(TAKE_UP, session_tokens=540))
             sent = [send.target.software for send in harness.client.sends]
-            assert sent == expected, age_ms
+            assert sent == expected, (age_ms, kept)
 
     def test_restarted_target_rules_no_version_out(self) -> None:
         """Guards against the empty memory of a target that was restarted."""
