Let the test of a lost instance outlast the window

The window of a stream now reaches back by the longest limit and 10 s, so that the test passed with the gap of the fleet ignored (mutant lost-instance-trusted was alive). The test now waits for 40 s instead of 20 s before it takes the stream up, which only the gap covers. It fails with the mutant and passes without it; the other 14 mutants of these fixes were killed.

--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -493,7 +493,8 @@
         harness.clock.advance(1_000)
         _list_targets(harness, i_1="v1", i_2="v2", i_3="v2")
         harness.timeline.update("engine")
-        harness.clock.advance(20_000)
+        # Longer than the window without the loss.
+        harness.clock.advance(40_000)
         take_up = dataclasses.replace(
             TAKE_UP, resumes=_find_attempt(harness, "v2")
         )
