Count a target as lost once when its name is used again

Found by reading: the history of a target that was removed and started again under its name had its first process as lost twice, the second time with the targets of the version that were left by then. A version could so count as departed though its streams had gone on, and their take-ups were refused.

test_target_is_lost_once fails without the change.

--- a/src/peridotbend/edge/targethistory.py
+++ b/src/peridotbend/edge/targethistory.py
@@ -305,6 +305,8 @@
         self._services: dict[str, str] = {}
         # The last entries of targets that were removed, by key.
         self._gone: dict[str, EdgeTarget] = {}
+        # Their runs.
+        self._lost: set[int] = set()
 
     def add(self, name: str, target: EdgeTarget) -> None:
         """Adds a target that accepts requests."""
@@ -328,7 +330,10 @@
             return None
         after = step.target
         is_same = after and after.started_at_ms == before.started_at_ms
-        return None if is_same else before
+        if is_same or before.run_hash in self._lost:
+            return None
+        self._lost.add(before.run_hash)
+        return before
 
     def make_loss(self, lost: EdgeTarget, step: _Change) -> PastLoss:
         """Describes a loss, after the step that brought it."""
--- a/tests/test_edge_versions.py
+++ b/tests/test_edge_versions.py
@@ -821,6 +821,27 @@
         # A target of v3 was left, and one of v4 started only later.
         assert departed == ["v1", "v4"]
 
+    def test_target_is_lost_once(self) -> None:
+        """Guards against a loss that is dated when its name is used again."""
+        listed = {
+            "n": self._make("n", "v2 5000 ready"),
+            "q": self._make("q", "v1 1000 ready"),
+        }
+        timeline, now_ms = self._read(
+            [
+                (805, "n", "v1 90000 leaving"),
+                (810, "p", "v1 80000 ready"),
+                (815, "n", None),
+                (817, "p", "v1 80000 leaving"),
+                (820, "n", "v2 5000 ready"),
+                (825, "q", "v1 1000 ready"),
+                (830, "p", None),
+            ],
+            listed,
+        )
+        # Its streams went on at p, and then at q.
+        assert not timeline.has_departed("engine", "v1", now_ms - 9_000)
+
     def test_start_bounds_when_the_states_before_it_ended(self) -> None:
         """Guards against doubt about changes long before a start."""
         listed = {"n": self._make("n", "v2 5000 ready")}
