Tell only of streams that are certain, and ask nobody for that

Its target is asked for that, and if it names no start the stream becomes uncertain, which all are told: a sound stream is given up before it breaks, also when an instance stops as planned.

test_notice_asks_no_target fails without the change (the target is asked); test_stream_is_told_once_its_version_is_certain guards the repetition.

--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -163,7 +163,7 @@
         self.confirm_targets: Callable[[], Awaitable[bool]] = _trust_list
         self.limits = limits
         self.notices = StreamNotices(clock, timeline, limits)
-        self.notices.tell = self._tell
+        self.notices.tell = self._tell_certain
         self._gaps = FleetGaps(clock)
         self._legacy_until_ms: int | None = None
         # Own streams of which others ask, or are to be told, by attempt.
@@ -275,6 +275,14 @@
             await anyio.sleep(INTERVAL_MS / 1_000)
             self.notices.tell_lasting()
 
+    def _tell_certain(self, stream: BegunStream) -> bool:
+        """Tells others of an own stream if its version is known."""
+        own = self.find_own(stream)
+        if own.is_uncertain or not self.is_certain(own):
+            return False
+        self.witnesses.tell(own)
+        return True
+
     def _tell(self, stream: BegunStream) -> None:
         """Tells others of an own stream once its version is known."""
         if self.is_certain(stream):
--- a/src/peridotbend/edge/streamnotices.py
+++ b/src/peridotbend/edge/streamnotices.py
@@ -39,8 +39,10 @@
         self._running: collections.OrderedDict[str, _Running] = (
             collections.OrderedDict()
         )
-        # Tells others of a stream once its version is certain.
-        self.tell: Callable[[BegunStream], None] = lambda stream: None
+        # Tells others of a stream if its version is certain, and whether it is.
+        # Its target is not asked for that: a stream that runs is mostly proven
+        # soon, and one that is not must not be given up before it breaks.
+        self.tell: Callable[[BegunStream], bool] = lambda stream: False
 
     def note_begun(self, stream: BegunStream) -> None:
         """Records a stream that begins."""
@@ -79,6 +81,6 @@
         self._tell(self._running.values())
 
     def _tell(self, due: Iterable[_Running]) -> None:
-        for running in list(due):
-            running.told_at_ms = self._clock.now_ms()
-            self.tell(running.stream)
+        for running in due:
+            if self.tell(running.stream):
+                running.told_at_ms = self._clock.now_ms()
--- a/tests/test_edge_streamnotices.py
+++ b/tests/test_edge_streamnotices.py
@@ -6,9 +6,12 @@
 
 import anyio
 import httpcore
+from result import Ok
 
 from peridotbend.edge.callerlimits import MIN_KEPT_MS
+from peridotbend.edge.origins import NoWitnesses
 from peridotbend.edge.streamnotices import (
+    INTERVAL_MS,
     MIN_AGE_MS,
     REPEAT_MS,
     StreamNotices,
@@ -35,7 +38,14 @@
             self.clock, self.harness.timeline, self.harness.origins.limits
         )
         self.told: list[str] = []
-        self.notices.tell = lambda stream: self.told.append(stream.attempt)
+        self.is_certain = True
+
+        def tell(stream: BegunStream) -> bool:
+            if self.is_certain:
+                self.told.append(stream.attempt)
+            return self.is_certain
+
+        self.notices.tell = tell
 
     def _begin(self, attempt: str, service: str = "engine") -> None:
         now_ms = self.clock.now_ms()
@@ -56,6 +66,49 @@
         assert self._advance(REPEAT_MS - 1) == []
         assert self._advance(1) == ["a"]
 
+    def test_stream_is_told_once_its_version_is_certain(self) -> None:
+        """Guards against a stream that is never told as it was once unsure."""
+        self._begin("a")
+        self.is_certain = False
+        assert self._advance(MIN_AGE_MS) == []
+        self.is_certain = True
+        assert self._advance(INTERVAL_MS) == ["a"]
+
+    def test_notice_asks_no_target(self) -> None:
+        """Guards against streams that are given up before they break.
+
+        A target that names no start is asked when a stream breaks; until then
+        the list of targets may prove the connection.
+        """
+        harness, told = self.harness, self.told
+        target = harness.targets.find("i-1")
+        assert target is not None
+        harness.client.starts["i-1"] = Ok(None)
+        started = dataclasses.replace(target, started_at_ms=7)
+        harness.targets.put(started)
+        harness.run_records.note_listed(started)
+        witnesses = harness.origins.witnesses = NoWitnesses()
+        witnesses.tell = lambda stream: told.append(stream.attempt)
+        # Others compute the same version, so that it is not in doubt.
+        choose = harness.timeline.choose
+        attempts = (f"a{number}" for number in range(100))
+        attempt = next(
+            a for a in attempts if choose("engine", a) == started.software
+        )
+        call = dataclasses.replace(CALL, attempt=attempt)
+        stream = harness.origins.note_begun(
+            call, started, harness.clock.now_ms()
+        )
+        harness.origins.notices.tell_all()
+
+        async def run() -> None:
+            with anyio.move_on_after(0.1):
+                await harness.origins.run()
+
+        anyio.run(run)
+        assert harness.client.asked == [] and told == []
+        assert not harness.origins.find_own(stream).is_uncertain
+
     def test_whole_stream_is_not_told(self) -> None:
         """Guards against notices for each short stream."""
         self._begin("a")
@@ -84,7 +137,12 @@
             harness = RelayHarness(*replies)
             told: list[str] = []
             notices = harness.origins.notices
-            notices.tell = lambda stream, told=told: told.append(stream.attempt)
+
+            def tell(stream: BegunStream, told: list[str] = told) -> bool:
+                told.append(stream.attempt)
+                return True
+
+            notices.tell = tell
 
             async def serve(harness: RelayHarness = harness) -> None:
                 with anyio.move_on_after(5):
