Rename and reword what had to be read twice

StreamRecords._must_drop, and the comments of the limits, the gaps of the fleet and the basis of a conclusion. No behaviour changes.

--- a/src/peridotbend/edge/callerlimits.py
+++ b/src/peridotbend/edge/callerlimits.py
@@ -11,7 +11,7 @@
 # What is known of streams is kept for this long at least, for callers whose
 # limits are not known.
 MIN_KEPT_MS = 60_000
-# Time by which others may place streams later than this process expects.
+# Covers the delay with which other instances learn of changes.
 KEPT_MARGIN_MS = 10_000
 
 
@@ -34,7 +34,7 @@
 
     @property
     def kept_ms(self) -> int:
-        """How long it is to be kept what may decide where a stream goes on."""
+        """How long anything is kept that decides where a stream goes on."""
         return max(MIN_KEPT_MS, self.longest_ms + RETURN_MS + KEPT_MARGIN_MS)
 
     def note_routes(self, routes: Iterable[Route]) -> None:
--- a/src/peridotbend/edge/fleetgaps.py
+++ b/src/peridotbend/edge/fleetgaps.py
@@ -50,9 +50,13 @@
                 )
 
     def find_oldest_view(self, since_ms: int) -> int | None:
-        """Returns as of when streams may be placed that began since a time.
+        """Returns the time of the oldest list that may have placed a stream.
 
-        None if that is not known.
+        Args:
+            since_ms: when the stream began at the earliest.
+
+        Returns:
+            the time; None if it is not known.
         """
         oldest_ms = since_ms
         for gap in reversed(self._gaps):
--- a/src/peridotbend/edge/originbasis.py
+++ b/src/peridotbend/edge/originbasis.py
@@ -23,8 +23,8 @@
     limit_ms: int
     # The time that the caller has left; None if it has no limit.
     left_ms: int | None
-    # As of when other instances may have had the list of targets by which they
-    # placed streams since `begin_ms`; None if that is not known.
+    # The time of the oldest list of targets by which another instance may have
+    # placed a stream since `begin_ms`; None if that is not known.
     oldest_view_ms: int | None
     # Since when all mixes of versions are known, and since when this process
     # has seen them itself; None if they are not known.
--- a/src/peridotbend/edge/origins.py
+++ b/src/peridotbend/edge/origins.py
@@ -365,7 +365,7 @@
 
     async def _investigate(
         self, key: int, call: EdgeCall, service: str, basis: OriginBasis
-    ) -> "_Finding":
+    ) -> _Finding:
         """Returns what the placement, other instances and targets tell."""
         since_ms = basis.placed_since_ms
         versions = self._timeline.list_versions(service, since_ms)
--- a/src/peridotbend/edge/streamrecords.py
+++ b/src/peridotbend/edge/streamrecords.py
@@ -77,7 +77,7 @@
         key = hash_attempt(attempt)
         self._begun[key] = stream
         self._begun.move_to_end(key)
-        while self._is_due(len(self._begun), self._begun_since_ms):
+        while self._must_drop(len(self._begun), self._begun_since_ms):
             _, dropped = self._begun.popitem(last=False)
             self._note_dropped(dropped.begun_at_ms)
         return stream
@@ -95,7 +95,7 @@
         software = "" if is_contradicted else software or known.software
         self._told[key] = _ToldStream(software, now_ms, is_contradicted)
         self._told.move_to_end(key)
-        while self._is_due(len(self._told), self._told_since_ms):
+        while self._must_drop(len(self._told), self._told_since_ms):
             _, dropped = self._told.popitem(last=False)
             self._note_dropped(dropped.told_at_ms)
 
@@ -104,7 +104,8 @@
         oldest_ms = self._clock.now_ms() - self._limits.kept_ms
         return self._dropped_ms is not None and self._dropped_ms >= oldest_ms
 
-    def _is_due(self, count: int, since_ms: int) -> bool:
+    def _must_drop(self, count: int, since_ms: int) -> bool:
+        """Tells whether the oldest of some records is too old or too many."""
         oldest_ms = self._clock.now_ms() - self._limits.kept_ms
         return count > MAX_RECORDS or since_ms < oldest_ms
 
--- a/src/peridotbend/edge/versions.py
+++ b/src/peridotbend/edge/versions.py
@@ -110,12 +110,7 @@
     What is forgotten of a service ends the time for which it is known.
     """
 
-    def __init__(
-        self,
-        clock: Clock,
-        targets: TargetList,
-        limits: CallerLimits,
-    ):
+    def __init__(self, clock: Clock, targets: TargetList, limits: CallerLimits):
         self._clock = clock
         self._limits = limits
         # Until when something was forgotten, by service.
