--- a/review/13/case.py
+++ b/review/13/case.py
@@ -6,7 +6,7 @@
 sys.path.insert(
     0, str(pathlib.Path(__file__).resolve().parents[1] / "common-3")
 )
-from versions import ReleaseCase, bed_module  # noqa: E402
+from versions import ReleaseCase, bed_module
 
 
 class ConversationCase(ReleaseCase):
--- a/review/common-3/clients.py
+++ b/review/common-3/clients.py
@@ -56,9 +56,7 @@
         line, headers = await read_head(self.reader)
         status = int(line.split(" ")[1])
         if "content-length" in headers:
-            body = await self.reader.readexactly(
-                int(headers["content-length"])
-            )
+            body = await self.reader.readexactly(int(headers["content-length"]))
         else:
             body = b""
             async for data in self._read_chunks():
@@ -69,7 +67,6 @@
             self.close()
         return status, headers, body
 
-
     async def _read_chunks(self):
         """Yields a body in chunks, at the speed of the link."""
         while True:
--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -84,11 +84,7 @@
 
 
 class Store:
-    """The platform's store: items, a history, range and watch calls.
-
-    Each instance has a listener of its own, so that it may see the runners at
-    other addresses than the others do; `rewrite` of a view replaces them.
-    """
+    """The platform's store: items, a history, range and watch calls."""
 
     def __init__(self):
         self.revision = 100
@@ -114,39 +110,51 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    async def listen(self, rewrite=None):
-        """Serves a view of the store; returns its port."""
+    async def listen(self):
+        """Begins to serve; returns the port."""
 
         async def serve(reader, writer):
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while True:
                     line, _ = await read_head(reader)
-                    body = await self._answer(line.split(" ")[1], rewrite)
-                    writer.write(make_answer(200, (
-                        ("Content-Type", "application/json"),
-                        ("Store-Era", "1"),
-                    ), body))
+                    body = await self._answer(line.split(" ")[1])
+                    writer.write(
+                        make_answer(
+                            200,
+                            (
+                                ("Content-Type", "application/json"),
+                                ("Store-Era", "1"),
+                            ),
+                            body,
+                        )
+                    )
                     await writer.drain()
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         return server.sockets[0].getsockname()[1]
 
-    async def _answer(self, target, rewrite):
+    async def _answer(self, target):
         path, _, query = target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         prefix = fields.get("path_prefix", "")
         if path == "/-/kv-range":
-            items = [self._encode(item, rewrite) for key, item
-                     in sorted(self.items.items()) if key.startswith(prefix)]
+            items = [
+                self._encode(item)
+                for key, item in sorted(self.items.items())
+                if key.startswith(prefix)
+            ]
             found = {"items": items, "has_more": False}
         else:
             after = int(fields["after"])
             end_s = time.monotonic() + int(fields.get("wait_ms", 0)) / 1_000
             while True:
-                events = [self._encode(event, rewrite) for event in self.history
-                          if event["revision"] > after
-                          and event["key"].startswith(prefix)]
+                events = [
+                    self._encode(event)
+                    for event in self.history
+                    if event["revision"] > after
+                    and event["key"].startswith(prefix)
+                ]
                 left_s = end_s - time.monotonic()
                 if events or left_s <= 0:
                     break
@@ -156,63 +164,17 @@
         found["store_revision"] = self.revision
         return json.dumps(found).encode()
 
-    def _encode(self, item, rewrite):
+    @staticmethod
+    def _encode(item):
         if item.get("deleted"):
             return item
-        document = item["value"]
-        if rewrite and item["key"].startswith("servers/"):
-            document = rewrite(item["key"], document)
-        text = json.dumps(document).encode()
-        return {**item, "value": base64.b64encode(text).decode(), "lease": 0,
-                "created": item["revision"]}
-
-
-class Proxy:
-    """Passes connections on, as long as it is open."""
-
-    def __init__(self, host, port):
-        self._address = host, port
-        self._server = None
-        self._port = 0
-        self._writers = set()
-
-    async def open(self):
-        """Begins to listen; returns the port, which stays the same."""
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self._port
-        )
-        self._port = self._server.sockets[0].getsockname()[1]
-        return self._port
-
-    def cut(self):
-        """Refuses new connections and resets the others."""
-        self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer):
-        try:
-            other = await asyncio.open_connection(*self._address)
-        except OSError:
-            writer.transport.abort()
-            return
-        pairs = (reader, other[1]), (other[0], writer)
-        self._writers |= {writer, other[1]}
-        tasks = [asyncio.ensure_future(self._pass_on(*p)) for p in pairs]
-        await asyncio.wait(tasks)
-        for end in (writer, other[1]):
-            self._writers.discard(end)
-            end.transport.abort()
-
-    @staticmethod
-    async def _pass_on(reader, writer):
-        with contextlib.suppress(OSError):
-            while data := await reader.read(65_536):
-                writer.write(data)
-                await writer.drain()
-            writer.write_eof()
-            return
-        writer.transport.abort()
+        text = json.dumps(item["value"]).encode()
+        return {
+            **item,
+            "value": base64.b64encode(text).decode(),
+            "lease": 0,
+            "created": item["revision"],
+        }
 
 
 class Instance:
@@ -246,16 +208,24 @@
             "limits": {"memory_mb": 300, "max_fds": 4100, **limits},
             "heartbeat_ms": 1200,
             "bounds": {
-                "contact_ms": 3000, "drain_ms": 2000, "grace_s": 8,
-                "loss_slack_ms": 200, "config_apply_ms": 2000,
-                "retry_budget_ratio": 0.2, "retry_window_s": 10,
-                "retry_slack": 56, "quota_window_s": 8,
-                "quota_overage": 0.25, "quota_slack": 140000,
+                "contact_ms": 3000,
+                "drain_ms": 2000,
+                "grace_s": 8,
+                "loss_slack_ms": 200,
+                "config_apply_ms": 2000,
+                "retry_budget_ratio": 0.2,
+                "retry_window_s": 10,
+                "retry_slack": 56,
+                "quota_window_s": 8,
+                "quota_overage": 0.25,
+                "quota_slack": 140000,
                 "recover_s": 12,
             },
             "platform": {
-                "address": f"127.0.0.1:{store_port}", "form": "read",
-                "reads_per_s": 2000, "history_s": 20,
+                "address": f"127.0.0.1:{store_port}",
+                "form": "read",
+                "reads_per_s": 2000,
+                "history_s": 20,
             },
         }
         # JSON is YAML.
@@ -265,13 +235,20 @@
         """Starts the process."""
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["edge"]["run"].split(" ")
-        environ = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
-                   if name in os.environ}
+        environ = {
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
+        }
         environ["PERIDOTBEND_CONFIG"] = str(self._path)
         environ["PYTHONPATH"] = str(ROOT / "target/deps")
         self.process = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, env=environ, stdin=asyncio.subprocess.DEVNULL,
-            stdout=self._log, stderr=self._log,
+            *command,
+            cwd=ROOT,
+            env=environ,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=self._log,
+            stderr=self._log,
         )
 
     async def wait_ready(self):
@@ -315,8 +292,12 @@
 def choose_ports(host):
     """Returns ports for instances that listen on hosts of their own."""
     frontend, ready, control = find_free_ports(host, 3)
-    return {"frontend": frontend, "ready": ready, "control": control,
-            "internal": find_free_pair(host)}
+    return {
+        "frontend": frontend,
+        "ready": ready,
+        "control": control,
+        "internal": find_free_pair(host),
+    }
 
 
 def make_folder():
--- a/review/common-3/versions.py
+++ b/review/common-3/versions.py
@@ -14,8 +14,8 @@
 sys.path.insert(
     0, str(pathlib.Path(__file__).resolve().parents[1] / "common-2")
 )
-import bed as bed_module  # noqa: E402
-from bed import (  # noqa: E402
+import bed as bed_module
+from bed import (
     Bed,
     encode_answer,
     encode_request,
@@ -23,7 +23,7 @@
     make_config,
     read_head,
 )
-from streams import (  # noqa: E402
+from streams import (
     MAX_MIXED,
     Client,
     count_mixed,
@@ -93,10 +93,13 @@
                     status = 410
                 else:
                     page = await self._watch(query)
-                writer.write(encode_answer(
-                    status, [("Content-Type", "application/json")],
-                    bed_module.json.dumps(page).encode(),
-                ))
+                writer.write(
+                    encode_answer(
+                        status,
+                        [("Content-Type", "application/json")],
+                        bed_module.json.dumps(page).encode(),
+                    )
+                )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -111,8 +114,12 @@
         """Has some short requests, and then gets the stream."""
         for _ in range(EARLIER):
             raw = encode_request(
-                "POST", "/quotes/short", make_attempt(), *self.make_lines(),
-                body=b"short", deadline_ms=TIMEOUT_MS,
+                "POST",
+                "/quotes/short",
+                make_attempt(),
+                *self.make_lines(),
+                body=b"short",
+                deadline_ms=TIMEOUT_MS,
             )
             answer = await random.choice(self.bed.edges).ask(raw)
             if answer.status != 200:
@@ -200,7 +207,8 @@
             )
             # What was generated is kept as well.
             part, _, tokens = (
-                request.find("x-prompt-prefix").rpartition(",")[2]
+                request.find("x-prompt-prefix")
+                .rpartition(",")[2]
                 .partition(":")
             )
             generated = (count - last) * EVENT_TOKENS
