--- a/tests/edgerestarts.py
+++ b/tests/edgerestarts.py
@@ -264,6 +264,10 @@
         for host in HOSTS[:count]:
             await self._fleet.wait_ready(host)
 
+    def stop(self) -> None:
+        """Begins the planned stop of the first daemon."""
+        self._children[0].terminate()
+
     async def use_targets(self) -> None:
         """Uses all targets, so that each has been asked for its start.
 
--- /dev/null
+++ b/tests/test_edge_failover.py
@@ -0,0 +1,166 @@
+"""Tests of requests that leave a silent target, and of those that stay."""
+
+import contextlib
+import dataclasses
+import unittest
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+from result import Ok, Result
+
+from peridotbend.domain.events import Event
+from peridotbend.domain.ports import CallError
+from peridotbend.edge.ports import AnswerBrokenError, Reply, TargetSend
+from tests.edgefakes import (
+    CALL,
+    RecordingResponder,
+    RelayHarness,
+    ScriptedAnswer,
+    ScriptedReply,
+    ScriptedTargetClient,
+    make_event,
+    make_target,
+)
+
+# Longer than a target may be silent whose streams another one can take.
+SILENCE_MS = 900
+FIRST, SECOND, THIRD = (make_event(number) for number in (1, 2, 3))
+
+
+class HeldAnswer(ScriptedAnswer):
+    """An answer whose second part waits for the test."""
+
+    def __init__(self, reply: ScriptedReply, target: str, goes_on: anyio.Event):
+        super().__init__(reply, target)
+        self._goes_on = goes_on
+
+    async def chunks(self) -> AsyncIterator[Result[bytes, CallError]]:
+        """Yields the first part, and the others once the test says so."""
+        is_first = True
+        async for chunk in super().chunks():
+            if not is_first or not self._reply.chunks:
+                await self._goes_on.wait()
+            is_first = False
+            yield chunk
+
+
+class QueueingClient(ScriptedTargetClient):
+    """Targets of which the first is silent, and the next ones may queue."""
+
+    def __init__(self, *replies: ScriptedReply, queued: int):
+        super().__init__(*replies)
+        # Sends after the first that wait before their answer begins.
+        self._queued = queued
+        self.goes_on = anyio.Event()
+        self.has_room = anyio.Event()
+        self.closed: list[str] = []
+
+    def make_answer(self, reply: ScriptedReply, target: str) -> ScriptedAnswer:
+        """Returns an answer that pauses if it is that of the first send."""
+        if len(self.sends) == 1:
+            return HeldAnswer(reply, target, self.goes_on)
+        return super().make_answer(reply, target)
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, send: TargetSend, gate: Callable[[], bool]
+    ) -> AsyncIterator[Reply]:
+        """Returns the next reply, once the target has room."""
+        must_wait = 0 < len(self.sends) <= self._queued
+        try:
+            async with super().open(send, gate) as reply:
+                if must_wait:
+                    await self.has_room.wait()
+                yield reply
+        finally:
+            self.closed.append(send.target.name)
+
+
+class FailoverHarness(RelayHarness):
+    """A relay whose first target falls silent after an event."""
+
+    def __init__(self, *replies: ScriptedReply, queued: int = 0):
+        self.queueing_client = QueueingClient(*replies, queued=queued)
+        super().__init__(client=self.queueing_client)
+        self.client = self.queueing_client
+        self.responder = RecordingResponder()
+        self.is_broken = False
+
+    async def serve_call(self) -> None:
+        """Serves the call of the test."""
+        try:
+            await self.relay.serve(CALL, self.responder)
+        except AnswerBrokenError:
+            self.is_broken = True
+
+    async def be_silent(self, silence_ms: int = SILENCE_MS) -> None:
+        """Lets time pass in which no target sends anything."""
+        await anyio.sleep(0.01)
+        for _ in range(silence_ms // 50):
+            self.clock.advance(50)
+            self.stall_detector.check()
+            await anyio.sleep(0.001)
+        await anyio.sleep(0.01)
+
+    def count_places(self) -> int:
+        """Returns the places that are taken at the targets."""
+        return sum(self.occupancy.own.values())
+
+
+class SilentTargetTest(unittest.TestCase):
+    """Streams at a target that sends nothing for a while."""
+
+    def test_stream_stays_until_another_target_answers(self) -> None:
+        """Guards against streams that are cut while they wait in a queue.
+
+        Seen as LOST: a stream left a runner that was silent for a second, for
+        the queue of a full one, and was cut there as its instance stopped.
+        """
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST, SECOND)),
+            ScriptedReply(chunks=(SECOND,)),
+            queued=1,
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent()
+                harness.queueing_client.goes_on.set()
+                await anyio.sleep(0.02)
+                harness.relay.end_all()
+
+        anyio.run(run)
+        assert harness.responder.is_complete
+        assert harness.responder.body == FIRST + SECOND
+        assert len(harness.client.sends) == 2
+        assert len(harness.queueing_client.closed) == 2
+        assert harness.count_places() == 0
+
+    def test_stream_whose_origin_is_not_known_stays(self) -> None:
+        """Guards against leaving a target for a stream that can't go on.
+
+        Seen in review/4: ten streams were cut at a runner that was silent for
+        1.1 s, as nothing told which of its processes had begun them.
+        """
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST, SECOND)),
+            ScriptedReply(chunks=(SECOND,)),
+        )
+        for name in ("i-1", "i-2", "i-3"):
+            target = dataclasses.replace(make_target(name), started_at_ms=7_000)
+            harness.targets.put(target)
+            harness.client.starts[name] = Ok(None)
+        harness.client.connected_at_ms = harness.clock.now_ms()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent(1_200)
+                harness.queueing_client.goes_on.set()
+
+        anyio.run(run)
+        assert not harness.is_broken
+        assert harness.responder.is_complete
+        assert harness.responder.body == FIRST + SECOND
+        assert harness.log.count(Event.ANSWER_BROKEN) == 0
