Leave a silent target of a stream only for one that answers

Cause: the send was cancelled when a slot elsewhere was reserved. The counts are 50 ms old, several instances take the same place, and routes of the first rank may use more places than slots; so the reserved place may be one in a queue. The target that was left went on 0.3 s later, with free slots.

A second send is now opened while the silent target is kept (edge/failover.py). The first to go on wins: an event of the silent target ends the second send, the head of the second answer ends the first. A target sends its head when it begins to run the request, so that a queue is never taken for a place, and a rejection changes nothing. Unstreamed requests move as before, as their callers get an answer in any case; so do streams whose origin is not known, a fault of its own.

--- a/src/peridotbend/adapters/logs.py
+++ b/src/peridotbend/adapters/logs.py
@@ -69,6 +69,7 @@
         Event.REQUEST_DISPATCHED,
         Event.STREAM_TAKEN_UP,
         Event.SEND_STALLED,
+        Event.FAILOVER_ENDED,
         Event.REQUEST_ENDED,
         Event.REQUEST_FORWARDED,
         Event.REQUEST_REFUSED,
--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -4,14 +4,20 @@
 import enum
 from collections.abc import Mapping
 
+from anyio.abc import TaskGroup
+
 from peridotbend.domain.ports import AnswerHead
 from peridotbend.edge.config import Account, Route
 from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.ports import EdgeCall
 from peridotbend.edge.slots import Slot
 from peridotbend.edge.streamrecords import BegunStream
+from peridotbend.edge.takeovers import Takeover
 from peridotbend.load.queueing import CallerTerms
 
+# A request with less time left than this is not sent, since no target could
+# complete it.
+MIN_SEND_MS = 20
 # An output token takes a step of the batch, a prompt token a part of one.
 OUTPUT_TOKEN_WORK = 10
 
@@ -50,6 +56,10 @@
     silent_targets: set[str] = dataclasses.field(default_factory=set)
     # The slot at the target that takes over from a silent one.
     failover_slot: Slot | None = None
+    # Runs sends to other targets; None if the answer is no stream.
+    tasks: TaskGroup | None = None
+    # The send to a target that may take over from a silent one.
+    takeover: Takeover | None = None
     connect_failures: int = 0
     # Rejections that do not count as sends.
     rejections: int = 0
@@ -80,6 +90,18 @@
         slot, self.failover_slot = self.failover_slot, None
         return slot
 
+    def has_attempts_left(self, now_ms: int) -> bool:
+        """Tells whether the request may be sent to another target."""
+        if self.may_have_run and not self.route.may_repeat:
+            return False
+        if self.sends >= self.route.max_attempts:
+            return False
+        return now_ms + MIN_SEND_MS < self.deadline_at_ms
+
+    def may_fail_over(self, now_ms: int) -> bool:
+        """Tells whether another target may complete the answer."""
+        return not self.is_final and self.has_attempts_left(now_ms)
+
     def allow_silent_targets(self) -> None:
         """Lets silent targets take the request again.
 
--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -79,21 +79,13 @@
             None if the caller received it; the refusal if it is an error that
             another target may make good.
         """
-        if answer.head.status in NOT_RUN_STATUSES:
-            # Rejections are told by another header and don't come here.
-            return FailedAnswer(_FALSE_REJECTION, answer.head, True)
-        if request.route.kind is RouteKind.STREAM:
-            # A run either fails or answers with an event stream.
-            status = answer.head.status
-            is_success = SUCCESS_STATUS <= status < REDIRECT_STATUS
-            if is_success and answer.is_event_stream:
-                return await self._deliver_stream(
-                    request, target, answer, tracked_send, responder
-                )
-            if status < FAILURE_STATUS or request.head_sent:
-                return FailedAnswer(
-                    _make_no_stream_error(answer), answer.head, True
-                )
+        problem = find_problem(request, answer)
+        if problem is not None:
+            return FailedAnswer(problem, answer.head, True)
+        if request.route.kind is RouteKind.STREAM and _is_stream(answer):
+            return await self._deliver_stream(
+                request, target, answer, tracked_send, responder
+            )
         return await self._deliver_unstreamed(
             request, target, answer, tracked_send, responder
         )
@@ -196,8 +188,7 @@
         if not await self._outlives(target, answer.head):
             return FailedAnswer(_DEAD_END, answer.head, has_survived)
         await tracked_send.end_if_left()
-        # Only the caller is waited for from here on.
-        tracked_send.is_blocked = True
+        tracked_send.note_end()
         await self._start_once(request, head, responder)
         await responder.finish()
         self._note_answer(target, answer.head, failed=False)
@@ -284,6 +275,27 @@
     return dataclasses.replace(head, headers=tuple(headers))
 
 
+def find_problem(
+    request: ActiveRequest, answer: EdgeAnswer
+) -> CallError | None:
+    """Returns why the head of an answer is not believed; None if it is."""
+    status = answer.head.status
+    if status in NOT_RUN_STATUSES:
+        # Rejections are told by another header and don't come here.
+        return _FALSE_REJECTION
+    if request.route.kind is not RouteKind.STREAM or _is_stream(answer):
+        return None
+    # A run either fails or answers with an event stream.
+    if status < FAILURE_STATUS or request.head_sent:
+        return _make_no_stream_error(answer)
+    return None
+
+
+def _is_stream(answer: EdgeAnswer) -> bool:
+    is_success = SUCCESS_STATUS <= answer.head.status < REDIRECT_STATUS
+    return is_success and answer.is_event_stream
+
+
 def _find_early_end(request: ActiveRequest) -> CallError | None:
     """Returns why a stream does not end with an answer without an event."""
     if not request.events.last_event_id:
--- a/src/peridotbend/edge/inflight.py
+++ b/src/peridotbend/edge/inflight.py
@@ -1,8 +1,9 @@
-"""Detection of stalled sends, which then fail over to another target."""
+"""Detection of stalled sends, which another target may take over."""
 
 import contextlib
 import dataclasses
 from collections.abc import Callable, Iterator
+from typing import Protocol
 
 import anyio
 import anyio.lowlevel
@@ -35,6 +36,21 @@
 UNSTREAMED_PART_BYTES = 16_384
 
 
+class FailoverStarter(Protocol):
+    """Asks another target while one is silent."""
+
+    def begin(self, send: "TrackedSend") -> None:
+        """Asks another target, unless one is being asked.
+
+        The send is cancelled once the other target answers.
+        """
+        ...
+
+    def abandon(self) -> None:
+        """Ends that, as the first target goes on."""
+        ...
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class TrackedSend:
     """A send of a request to a target that is watched for stalls."""
@@ -44,9 +60,7 @@
     sent_at_ms: int
     scope: anyio.CancelScope
     health: TargetHealth
-    # Reserves what another target needs to take over at once, and tells
-    # whether that succeeded.
-    reserve_failover: Callable[[], bool]
+    failover: FailoverStarter
     # When the first and the last data arrived; None before the first.
     first_data_ms: int | None = None
     last_data_ms: int | None = None
@@ -64,6 +78,7 @@
 
     def note_data(self, arrived_at_ms: int) -> None:
         """Records that a part of the answer arrived."""
+        self.failover.abandon()
         if self.last_data_ms is not None:
             interval_ms = arrived_at_ms - self.last_data_ms
             self.health.note_event_interval(self.target, interval_ms)
@@ -77,10 +92,16 @@
         """Records bytes of an answer that is not streamed."""
         self.partial_bytes += size
         if self.partial_bytes >= UNSTREAMED_PART_BYTES:
+            self.failover.abandon()
             self.partial_bytes = 0
             self.awaited_since_ms = arrived_at_ms
             self.health.note_activity(self.target)
 
+    def note_end(self) -> None:
+        """Records that all has arrived, so that only the caller is awaited."""
+        self.failover.abandon()
+        self.is_blocked = True
+
     def note_unblocked(self, now_ms: int) -> None:
         """Records that the caller has taken the data."""
         self.is_blocked = False
@@ -118,13 +139,19 @@
 
     @contextlib.contextmanager
     def track(
-        self, target: str, route: Route, reserve_failover: Callable[[], bool]
+        self,
+        target: str,
+        route: Route,
+        failover: FailoverStarter,
+        sent_at_ms: int,
     ) -> Iterator[TrackedSend]:
-        """Watches a send; the block is cancelled when the send stalls."""
+        """Watches a send.
+
+        The block is cancelled when the send stalls and another target answers.
+        """
         with anyio.CancelScope() as scope:
-            now_ms = self._clock.now_ms()
             send = TrackedSend(
-                target, route, now_ms, scope, self._health, reserve_failover
+                target, route, sent_at_ms, scope, self._health, failover
             )
             self._sends[send] = None
             self._has_sends.set()
@@ -134,18 +161,18 @@
                 del self._sends[send]
 
     def check(self) -> None:
-        """Cancels stalled sends that another target takes over.
+        """Asks other targets to take over the sends that stall.
 
-        Each one reserves its place before it is cancelled, so that those of
-        the same pass do not count on the same free place.
+        Each one reserves its place at once, so that those of the same pass do
+        not count on the same free place.
         """
         for send in list(self._sends):
             if send.is_blocked or not send.route.may_repeat:
                 continue
             if self._pauses.paused_since(send.sent_at_ms):
                 continue
-            if self._is_stalled(send) and send.reserve_failover():
-                send.scope.cancel()
+            if self._is_stalled(send):
+                send.failover.begin(send)
 
     async def run(self) -> None:
         """Checks for stalled sends periodically, while there are any."""
--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -8,6 +8,7 @@
 from peridotbend.domain.events import Event
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 from peridotbend.edge.activerequests import (
+    MIN_SEND_MS,
     ActiveRequest,
     Phase,
     make_terms,
@@ -20,14 +21,12 @@
 from peridotbend.edge.selection import TargetCriteria
 from peridotbend.edge.sends import Sender
 from peridotbend.edge.slots import Slot
+from peridotbend.edge.takeovers import Takeover
 from peridotbend.load.placement import Prompt
 
 # Time beyond the deadline for which this process waits. A target ends a request
 # at its deadline and reports that; its answer takes precedence.
 DEADLINE_MARGIN_MS = 100
-# A request with less time left than this is not sent, since no target could
-# complete it.
-MIN_SEND_MS = 20
 # How long a broken stream may wait until it is certain which version began it.
 # Callers abandon one after a gap of two seconds at the earliest.
 ORIGIN_WAIT_MS = 1_500
@@ -126,39 +125,62 @@
         self, request: ActiveRequest, responder: Responder
     ) -> None:
         request.enter(Phase.ORIGIN, self._clock.now_ms())
-        not_run = await self._find_origin(request)
-        if not_run is not None:
-            await self._end(request, responder, not_run)
-            return
+        refusal: NotRun | MayHaveRun | None = await self._find_origin(request)
+        if refusal is None and request.route.is_resumable_stream:
+            async with anyio.create_task_group() as request.tasks:
+                refusal = await self._send_repeatedly(request, responder)
+                request.tasks.cancel_scope.cancel()
+        elif refusal is None:
+            refusal = await self._send_repeatedly(request, responder)
+        if refusal is not None:
+            await self._end(request, responder, refusal)
+
+    async def _send_repeatedly(
+        self, request: ActiveRequest, responder: Responder
+    ) -> NotRun | MayHaveRun | None:
+        """Returns None if the caller received an answer, or the refusal."""
+        takeover: Takeover | None = None
         while True:
-            slot = request.take_failover_slot()
+            slot = takeover.slot if takeover else request.take_failover_slot()
             if slot is None:
                 request.enter(Phase.QUEUE, self._clock.now_ms())
                 acquired = await self._acquire(request)
                 if isinstance(acquired, Err):
-                    await self._end(request, responder, acquired.err_value)
-                    return
+                    return acquired.err_value
                 slot = acquired.ok_value
             try:
                 # A cause may have been found while the request waited or ran.
                 if self._find_cause(request) is not None:
-                    await self._end(request, responder, QUARANTINED)
-                    return
+                    return QUARANTINED
                 request.enter(Phase.TARGET, self._clock.now_ms())
-                refusal = await self._sender.send(request, slot, responder)
+                refusal = await self._sender.send(
+                    request, slot, responder, takeover
+                )
             finally:
                 slot.release()
             if refusal is None:
-                return
+                return None
+            takeover = await self._await_takeover(request)
+            if takeover is not None:
+                continue
             request.enter(Phase.ORIGIN, self._clock.now_ms())
             if not (
                 await self._may_continue(request)
                 and self._may_send_again(request)
             ):
-                await self._end(
-                    request, responder, self._plan_return(request, refusal)
-                )
-                return
+                return self._plan_return(request, refusal)
+
+    async def _await_takeover(self, request: ActiveRequest) -> Takeover | None:
+        """Returns the send of a target that goes on with a request, if any.
+
+        The first target may have failed before the other one has answered.
+        """
+        takeover = request.takeover
+        if takeover is None:
+            return None
+        await takeover.decided.wait()
+        request.takeover = None
+        return takeover if takeover.answer is not None else None
 
     def _plan_return(
         self, request: ActiveRequest, refusal: NotRun | MayHaveRun
@@ -281,40 +303,38 @@
         )
         return request.started_at_ms + request.route.objective_ms - age_ms
 
-    def _reserve_failover(self, request: ActiveRequest, target: str) -> bool:
+    def _reserve_failover(
+        self, request: ActiveRequest, target: str
+    ) -> Slot | None:
         """Reserves a slot for a request whose target is silent.
 
         Returns:
-            whether there is one. If not, the request stays, since the silent
+            None if there is none. The request then stays, since the silent
             target may still continue.
         """
-        if request.is_final:
-            return False
-        if request.failover_slot is not None:
-            return True
-        if not self._has_attempts_left(request):
-            return False
+        if request.connect_failures > MAX_CONNECT_FAILURES:
+            return None
+        if self._find_cause(request) is not None:
+            return None
         slot = self._dependencies.backlog.try_acquire(
             self._make_criteria(request, target)
         )
         if slot is None:
-            return False
+            return None
         if not request.has_paid and not self._dependencies.budget.try_spend(
             request.service, self._dependencies.fleet.count_instances()
         ):
             slot.release()
-            return False
-        request.failover_slot = slot
+            return None
         request.has_paid = True
-        return True
+        return slot
 
     async def _may_continue(self, request: ActiveRequest) -> bool:
         """Tells whether it is certain which version sent what has arrived."""
         stream = request.begun
         if stream is None:
             return True
-        has_slot = request.failover_slot is not None
-        if not has_slot and not self._has_attempts_left(request):
+        if not request.has_attempts_left(self._clock.now_ms()):
             # It ends in any case.
             return True
         return await self._dependencies.origins.wait_confirmed(
@@ -329,7 +349,7 @@
             return True
         if request.connect_failures > MAX_CONNECT_FAILURES:
             return False
-        if not self._has_attempts_left(request):
+        if not request.has_attempts_left(self._clock.now_ms()):
             return False
         if not request.sends or request.has_paid:
             # No byte was written, so this is not a further send.
@@ -339,13 +359,6 @@
         )
         return request.has_paid
 
-    def _has_attempts_left(self, request: ActiveRequest) -> bool:
-        if request.may_have_run and not request.route.may_repeat:
-            return False
-        if request.sends >= request.route.max_attempts:
-            return False
-        return self._clock.now_ms() + MIN_SEND_MS < request.deadline_at_ms
-
     async def _end(
         self,
         request: ActiveRequest,
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -1,18 +1,21 @@
 """Sends a request to one target, and records how that ends."""
 
+import contextlib
 import functools
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
 from peridotbend.domain.verdicts import MayHaveRun, NotRun, Reason
 from peridotbend.edge.activerequests import ActiveRequest
 from peridotbend.edge.delivery import Delivery, FailedAnswer
-from peridotbend.edge.inflight import TrackedSend
+from peridotbend.edge.failover import Failover, NoFailover
+from peridotbend.edge.inflight import FailoverStarter, TrackedSend
 from peridotbend.edge.parts import RelayDependencies
 from peridotbend.edge.ports import (
     EdgeAnswer,
     Rejection,
+    Reply,
     Responder,
     RunCheck,
     TargetSend,
@@ -20,6 +23,7 @@
 from peridotbend.edge.reports import RequestReporter, describe_type
 from peridotbend.edge.sendnotices import SendNotices
 from peridotbend.edge.slots import Slot
+from peridotbend.edge.takeovers import Takeover
 from peridotbend.edge.targets import EdgeTarget
 
 # Bounds a log line.
@@ -43,32 +47,90 @@
         self,
         dependencies: RelayDependencies,
         report: RequestReporter,
-        reserve_failover: Callable[[ActiveRequest, str], bool],
+        reserve: Callable[[ActiveRequest, str], Slot | None],
     ):
         """Creates a sender.
 
         Args:
             dependencies: the components of the instance.
             report: logs what happens to requests.
-            reserve_failover: reserves a slot for a request whose target is
-                silent, and tells whether there is one.
+            reserve: returns a slot at another target for a request whose
+                target is silent; None if there is none.
         """
         self._dependencies = dependencies
         self._clock = dependencies.clock
         self._report = report
-        self._reserve_failover = reserve_failover
+        self._reserve = reserve
         self._delivery = Delivery(dependencies, report)
 
     async def send(
-        self, request: ActiveRequest, slot: Slot, responder: Responder
+        self,
+        request: ActiveRequest,
+        slot: Slot,
+        responder: Responder,
+        takeover: Takeover | None = None,
     ) -> NotRun | MayHaveRun | None:
         """Sends a request to a target and delivers the answer.
 
+        Args:
+            request: to send.
+            slot: at the target.
+            responder: gets the answer.
+            takeover: the send, if the target has answered already.
+
         Returns:
             None if the caller received an answer, otherwise the refusal for
             the caller in case the request is not sent again.
         """
         target = slot.target
+        sent_at_ms = self._clock.now_ms()
+        if takeover is not None:
+            sent_at_ms = takeover.begun_at_ms
+        with self._dependencies.stall_detector.track(
+            target.name,
+            request.route,
+            self._make_failover(request, target),
+            sent_at_ms,
+        ) as tracked_send:
+            async with self._find_reply(request, slot, takeover) as reply:
+                if isinstance(reply, Rejection):
+                    return self.note_rejection(request, target, reply)
+                if isinstance(reply, CallError):
+                    return self.note_error(request, target, reply)
+                if slot.ticket is not None:
+                    tracked_send.on_first_data = functools.partial(
+                        self._dependencies.work.note_first_event, slot.ticket
+                    )
+                self._dependencies.run_records.note_answered(
+                    target, reply.head.connected_at_ms, sent_at_ms
+                )
+                return await self._deliver(
+                    request, target, reply, tracked_send, responder
+                )
+        # Another target goes on, as this one is silent.
+        self._report.log(
+            Event.SEND_STALLED,
+            request,
+            target=target.name,
+            waited_ms=self._clock.now_ms() - tracked_send.sent_at_ms,
+            flowed_ms=tracked_send.flowed_ms,
+            in_flight={
+                other.name: self._dependencies.occupancy.count(other.name)
+                for other in self._dependencies.targets.list_for(
+                    request.service
+                )[:MAX_LOGGED_TARGETS]
+            },
+        )
+        request.silent_targets.add(target.name)
+        silent_error = CallError(CallFailure.TIMEOUT, True, "silent target")
+        return self.note_error(request, target, silent_error)
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, request: ActiveRequest, slot: Slot
+    ) -> AsyncIterator[Reply]:
+        """Sends a request and waits for the head of the answer."""
+        target = slot.target
         may_have_run_before = request.may_have_run
         if not request.route.is_resumable_stream:
             # A stream asks on its own connection.
@@ -101,51 +163,33 @@
             last_event=request.events.last_event_id,
             resumes=request.call.resumes,
         )
-
         self._dependencies.paces.note_sent(target.name)
+        async with self._dependencies.client.open(
+            self._make_send(request, target), open_gate
+        ) as reply:
+            if isinstance(reply, Rejection):
+                request.may_have_run = may_have_run_before
+                slot.is_rejected = reply is Rejection.UNAVAILABLE
+            yield reply
 
-        def reserve_failover() -> bool:
-            return self._reserve_failover(request, target.name)
+    def _find_reply(
+        self, request: ActiveRequest, slot: Slot, takeover: Takeover | None
+    ) -> contextlib.AbstractAsyncContextManager[Reply]:
+        return takeover.open() if takeover else self.open(request, slot)
 
-        with self._dependencies.stall_detector.track(
-            target.name, request.route, reserve_failover
-        ) as tracked_send:
-            async with self._dependencies.client.open(
-                self._make_send(request, target), open_gate
-            ) as reply:
-                if isinstance(reply, Rejection):
-                    request.may_have_run = may_have_run_before
-                    slot.is_rejected = reply is Rejection.UNAVAILABLE
-                    return self._note_rejection(request, target, reply)
-                if isinstance(reply, CallError):
-                    return self._note_error(request, target, reply)
-                if slot.ticket is not None:
-                    tracked_send.on_first_data = functools.partial(
-                        self._dependencies.work.note_first_event, slot.ticket
-                    )
-                self._dependencies.run_records.note_answered(
-                    target, reply.head.connected_at_ms, tracked_send.sent_at_ms
-                )
-                return await self._deliver(
-                    request, target, reply, tracked_send, responder
-                )
-        # The stall detector cancelled the send, since the target is silent.
-        self._report.log(
-            Event.SEND_STALLED,
+    def _make_failover(
+        self, request: ActiveRequest, target: EdgeTarget
+    ) -> FailoverStarter:
+        if not request.route.may_repeat:
+            return NoFailover()
+        return Failover(
+            self._dependencies,
+            self,
+            self._report,
+            self._reserve,
             request,
-            target=target.name,
-            waited_ms=self._clock.now_ms() - tracked_send.sent_at_ms,
-            flowed_ms=tracked_send.flowed_ms,
-            in_flight={
-                other.name: self._dependencies.occupancy.count(other.name)
-                for other in self._dependencies.targets.list_for(
-                    request.service
-                )[:MAX_LOGGED_TARGETS]
-            },
+            target.name,
         )
-        request.silent_targets.add(target.name)
-        silent_error = CallError(CallFailure.TIMEOUT, True, "silent target")
-        return self._note_error(request, target, silent_error)
 
     def _make_send(
         self, request: ActiveRequest, target: EdgeTarget
@@ -210,7 +254,7 @@
         )
         if not isinstance(delivered, FailedAnswer):
             return delivered
-        return self._note_error(
+        return self.note_error(
             request,
             target,
             delivered.error,
@@ -218,9 +262,10 @@
             delivered.has_survived,
         )
 
-    def _note_rejection(
+    def note_rejection(
         self, request: ActiveRequest, target: EdgeTarget, rejection: Rejection
     ) -> NotRun | MayHaveRun:
+        """Records that a target did not run a request."""
         request.failed_targets.add(target.name)
         if request.head_sent and request.rejections < MAX_FREE_REJECTIONS:
             # Nothing ran there, and the caller has a part of the answer.
@@ -243,7 +288,7 @@
             return MayHaveRun(Reason.TARGET_FAILED)
         return NotRun(Reason.SHED, request.route.objective_ms)
 
-    def _note_error(
+    def note_error(
         self,
         request: ActiveRequest,
         target: EdgeTarget,
--- a/tests/test_edge_failover.py
+++ b/tests/test_edge_failover.py
@@ -10,7 +10,12 @@
 
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallError
-from peridotbend.edge.ports import AnswerBrokenError, Reply, TargetSend
+from peridotbend.edge.ports import (
+    AnswerBrokenError,
+    Rejection,
+    Reply,
+    TargetSend,
+)
 from tests.edgefakes import (
     CALL,
     RecordingResponder,
@@ -137,6 +142,105 @@
         assert len(harness.queueing_client.closed) == 2
         assert harness.count_places() == 0
 
+    def test_first_run_ends_as_the_next_one_answers(self) -> None:
+        """Guards against two targets that work on one stream.
+
+        The rule allows 400 ms; no time may pass with two runs that answer.
+        """
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST,), hangs=True),
+            ScriptedReply(chunks=(SECOND, THIRD), gap_s=0.01),
+            queued=1,
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent()
+                assert harness.client.open_count == 2
+                harness.queueing_client.has_room.set()
+                await anyio.sleep(0.005)
+                assert harness.client.open_count == 1
+
+        anyio.run(run)
+        assert harness.responder.body == FIRST + SECOND + THIRD
+        assert harness.responder.is_complete
+        assert harness.count_places() == 0
+
+    def test_queued_send_ends_as_the_silent_target_goes_on(self) -> None:
+        """Guards against a second run beside a first one that goes on."""
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST, SECOND, THIRD), gap_s=0.01),
+            ScriptedReply(chunks=(SECOND,)),
+            queued=1,
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent()
+                assert harness.client.open_count == 2
+                harness.queueing_client.goes_on.set()
+                await anyio.sleep(0.005)
+                assert harness.client.open_count == 1
+
+        anyio.run(run)
+        assert harness.responder.body == FIRST + SECOND + THIRD
+        ended = [f for e, f in harness.log.events if e is Event.FAILOVER_ENDED]
+        assert [f["outcome"] for f in ended] == ["abandoned"]
+        assert harness.log.count(Event.SEND_STALLED) == 0
+
+    def test_stream_stays_when_another_instance_took_its_place(self) -> None:
+        """Guards against a cut after a rejection that ran nothing.
+
+        The counts of other instances are old, so that a place that was free
+        may be taken. The first target goes on meanwhile.
+        """
+        full = ScriptedReply(failure=Rejection.UNAVAILABLE)
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST, SECOND)), *[full] * 8
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent()
+                assert harness.log.count(Event.TARGET_REJECTED) > 0
+                harness.queueing_client.goes_on.set()
+
+        anyio.run(run)
+        assert harness.responder.body == FIRST + SECOND
+        assert harness.responder.is_complete
+        names = [send.target.name for send in harness.client.sends]
+        assert names.count(names[0]) == 1, names
+        # The rejections are no sends.
+        assert len(set(names)) == 3, names
+        assert harness.count_places() == 0
+
+    def test_stream_that_breaks_goes_on_at_the_target_that_was_asked(
+        self,
+    ) -> None:
+        """Guards against a third send while the second may yet be answered."""
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST, b""), breaks_connection=True),
+            ScriptedReply(chunks=(SECOND, THIRD)),
+            queued=1,
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent()
+                harness.queueing_client.goes_on.set()
+                await anyio.sleep(0.01)
+                assert harness.log.count(Event.TARGET_CALL_FAILED) == 1
+                harness.queueing_client.has_room.set()
+
+        anyio.run(run)
+        assert harness.responder.body == FIRST + SECOND + THIRD
+        assert harness.responder.is_complete
+        assert len(harness.client.sends) == 2
+
     def test_stream_whose_origin_is_not_known_stays(self) -> None:
         """Guards against leaving a target for a stream that can't go on.
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -388,18 +388,18 @@
     Mutant(
         "silent-run-cut-without-a-place",
         "LOST",
-        EDGE + "relay.py",
-        "        if slot is None:\n            return False\n",
-        "        if slot is None:\n            return True\n",
+        EDGE + "failover.py",
+        "        if slot is None:\n            return\n",
+        "        if slot is None:\n            send.scope.cancel()\n"
+        "            return\n",
         ("test_edge_streams",),
     ),
     Mutant(
         "begun-answer-given-up-in-a-silence",
         "LOST",
-        EDGE + "relay.py",
-        "        if request.is_final:\n            return False\n"
-        "        if request.failover_slot",
-        "        if request.failover_slot",
+        EDGE + "activerequests.py",
+        "return not self.is_final and self.has",
+        "return self.has",
         ("test_edge_silence",),
     ),
     Mutant(
@@ -414,8 +414,8 @@
         "read-stream-taken-for-silent",
         "LOST",
         EDGE + "delivery.py",
-        "        tracked_send.is_blocked = True\n        await",
-        "        await",
+        "        tracked_send.note_end()\n",
+        "",
         ("test_edge_silence",),
     ),
     Mutant(
@@ -502,8 +502,9 @@
         "place-counted-for-several-streams",
         "LOST",
         EDGE + "relay.py",
-        "        request.failover_slot = slot\n",
-        "        slot.release()\n",
+        "        request.has_paid = True\n        return slot\n",
+        "        request.has_paid = True\n        slot.release()\n"
+        "        return slot\n",
         ("test_edge_streams",),
     ),
     Mutant(
@@ -512,7 +513,31 @@
         EDGE + "sends.py",
         "MAX_FREE_REJECTIONS = 3",
         "MAX_FREE_REJECTIONS = 0",
-        ("test_edge_streams",),
+        ("test_edge_failover",),
+    ),
+    Mutant(
+        "silent-target-left-for-a-queue",
+        "LOST",
+        EDGE + "failover.py",
+        "        if request.tasks is None or not self._is_origin_known():\n",
+        "        if True:\n",
+        ("test_edge_failover",),
+    ),
+    Mutant(
+        "first-run-goes-on-beside-the-next",
+        "TWICE",
+        EDGE + "failover.py",
+        "        send.scope.cancel()\n        return Outcome",
+        "        return Outcome",
+        ("test_edge_failover",),
+    ),
+    Mutant(
+        "next-run-goes-on-beside-the-first",
+        "TWICE",
+        EDGE + "failover.py",
+        "            takeover.scope.cancel()\n",
+        "",
+        ("test_edge_failover",),
     ),
     Mutant(
         "one-answer-holds-the-loop",
