Keep promises and attempts true while two sends of a stream are open

Found by reading again; no caller has seen it. While another target is asked, the first send may still wait for its connection. A rejection by the other target then took back "may have run" although the first send had been written meanwhile, so that a caller could be told "not run" of a request that runs (REFUSED); and both sends could be written on a route that allows one (BUDGET).

ActiveRequest counts the sends that may have run, and a rejection takes back only its own. The gate before the first byte checks the attempts of the route. Also: a second target that is silent in turn is given up if a third one may be asked, and a doubt about the first target's process that arises meanwhile keeps the stream there.

--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -65,7 +65,8 @@
     rejections: int = 0
     # Names of targets whose answers ended properly without an event.
     empty_targets: set[str] = dataclasses.field(default_factory=set)
-    may_have_run: bool = False
+    # Sends that were written and not rejected; two may be open at a time.
+    possible_runs: int = 0
     head_sent: bool = False
     # Whether no other target can complete the answer that has begun.
     is_final: bool = False
@@ -85,6 +86,11 @@
         """Records what the request waits for from now on."""
         self.phase, self.phase_since_ms = phase, now_ms
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request, or may run it yet."""
+        return self.possible_runs > 0
+
     def take_failover_slot(self) -> Slot | None:
         """Returns the reserved slot, which its taker releases."""
         slot, self.failover_slot = self.failover_slot, None
--- a/src/peridotbend/edge/failover.py
+++ b/src/peridotbend/edge/failover.py
@@ -1,15 +1,21 @@
 """Moves a request away from a silent target once another one answers."""
 
 import enum
+import math
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
+import anyio
+
 from peridotbend.domain.events import Event
-from peridotbend.domain.ports import AnswerHead, CallError
+from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
 from peridotbend.edge.activerequests import ActiveRequest
 from peridotbend.edge.delivery import find_problem
-from peridotbend.edge.inflight import TrackedSend
+from peridotbend.edge.inflight import (
+    FIRST_EVENT_TIMEOUT_OBJECTIVES,
+    TrackedSend,
+)
 from peridotbend.edge.parts import RelayDependencies
 from peridotbend.edge.ports import Rejection, Reply
 from peridotbend.edge.reports import RequestReporter
@@ -19,6 +25,7 @@
 
 # Pause between questions about the begin of a stream.
 ASK_AGAIN_MS = 500
+_UNANSWERED = CallError(CallFailure.TIMEOUT, True, "no answer in time")
 
 
 class Outcome(enum.StrEnum):
@@ -139,20 +146,34 @@
         outcome = Outcome.ABANDONED
         try:
             with takeover.scope:
-                async with self._opener.open(
-                    self._request, takeover.slot
-                ) as reply:
-                    outcome = self._decide(takeover, reply, send)
-                    self._log_end(takeover, outcome)
-                    takeover.decided.set()
-                    if takeover.answer is not None:
-                        await takeover.finished.wait()
+                with anyio.move_on_after(self._find_patience_s()) as patience:
+                    async with self._opener.open(
+                        self._request, takeover.slot
+                    ) as reply:
+                        patience.deadline = math.inf
+                        outcome = self._decide(takeover, reply, send)
+                        self._log_end(takeover, outcome)
+                        takeover.decided.set()
+                        if takeover.answer is not None:
+                            await takeover.finished.wait()
+                if patience.cancelled_caught:
+                    outcome = self._fail(takeover, _UNANSWERED)
         finally:
             if not takeover.decided.is_set():
                 self._log_end(takeover, outcome)
                 takeover.decided.set()
             takeover.slot.release()
 
+    def _find_patience_s(self) -> float | None:
+        """Returns how long the other target is waited for; None if to the end.
+
+        The last one that may be asked is waited for.
+        """
+        route = self._request.route
+        if self._request.sends + 1 >= route.max_attempts:
+            return None
+        return FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_ms / 1_000
+
     def _decide(
         self, takeover: Takeover, reply: Reply, send: TrackedSend
     ) -> Outcome:
@@ -167,9 +188,10 @@
         problem = find_problem(request, reply)
         if problem is not None:
             return self._fail(takeover, problem, reply.head)
-        if send.is_blocked or request.is_final:
+        is_over = send.is_blocked or request.is_final
+        if is_over or not self._is_origin_known():
             # The first target has sent the end in the meantime, or what no
-            # other one continues.
+            # other one continues, or its process has come into doubt.
             self._end(takeover)
             return Outcome.ABANDONED
         takeover.answer = reply
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -131,7 +131,6 @@
     ) -> AsyncIterator[Reply]:
         """Sends a request and waits for the head of the answer."""
         target = slot.target
-        may_have_run_before = request.may_have_run
         if not request.route.is_resumable_stream:
             # A stream asks on its own connection.
             await self._dependencies.run_questions.ask_first(target)
@@ -143,9 +142,12 @@
                 return False
             if self._clock.now_ms() >= request.deadline_at_ms:
                 return False
+            if request.sends >= request.route.max_attempts:
+                # Two sends may have waited for their connections.
+                return False
             if not self._dependencies.cold.may_write(target, slot.permit):
                 return False
-            request.may_have_run = True
+            request.possible_runs += 1
             request.sends += 1
             request.has_paid = False
             return True
@@ -168,7 +170,7 @@
             self._make_send(request, target), open_gate
         ) as reply:
             if isinstance(reply, Rejection):
-                request.may_have_run = may_have_run_before
+                request.possible_runs -= 1
                 slot.is_rejected = reply is Rejection.UNAVAILABLE
             yield reply
 
--- a/tests/test_edge_failover.py
+++ b/tests/test_edge_failover.py
@@ -4,12 +4,15 @@
 import dataclasses
 import unittest
 from collections.abc import AsyncIterator, Callable
+from unittest import mock
 
 import anyio
 from result import Ok, Result
 
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import CallError
+from peridotbend.domain.verdicts import MayHaveRun, Reason
+from peridotbend.edge.config import EdgeConfig
 from peridotbend.edge.ports import (
     AnswerBrokenError,
     Rejection,
@@ -18,6 +21,7 @@
 )
 from tests.edgefakes import (
     CALL,
+    CONFIG,
     RecordingResponder,
     RelayHarness,
     ScriptedAnswer,
@@ -29,6 +33,8 @@
 
 # Longer than a target may be silent whose streams another one can take.
 SILENCE_MS = 900
+# The same for a target that has not sent an event.
+NO_EVENT_MS = 2_200
 FIRST, SECOND, THIRD = (make_event(number) for number in (1, 2, 3))
 
 
@@ -58,6 +64,9 @@
         self._queued = queued
         self.goes_on = anyio.Event()
         self.has_room = anyio.Event()
+        # Set once the first send has a connection.
+        self.may_write = anyio.Event()
+        self.may_write.set()
         self.closed: list[str] = []
 
     def make_answer(self, reply: ScriptedReply, target: str) -> ScriptedAnswer:
@@ -66,6 +75,15 @@
             return HeldAnswer(reply, target, self.goes_on)
         return super().make_answer(reply, target)
 
+    @contextlib.asynccontextmanager
+    async def _answer(
+        self, send: TargetSend, gate: Callable[[], bool]
+    ) -> AsyncIterator[Reply]:
+        if len(self.sends) == 1:
+            await self.may_write.wait()
+        async with super()._answer(send, gate) as reply:
+            yield reply
+
     @contextlib.asynccontextmanager
     async def open(
         self, send: TargetSend, gate: Callable[[], bool]
@@ -84,9 +102,14 @@
 class FailoverHarness(RelayHarness):
     """A relay whose first target falls silent after an event."""
 
-    def __init__(self, *replies: ScriptedReply, queued: int = 0):
+    def __init__(
+        self,
+        *replies: ScriptedReply,
+        queued: int = 0,
+        config: EdgeConfig = CONFIG,
+    ):
         self.queueing_client = QueueingClient(*replies, queued=queued)
-        super().__init__(client=self.queueing_client)
+        super().__init__(client=self.queueing_client, config=config)
         self.client = self.queueing_client
         self.responder = RecordingResponder()
         self.is_broken = False
@@ -112,6 +135,50 @@
         return sum(self.occupancy.own.values())
 
 
+class UnwrittenSendTest(unittest.TestCase):
+    """First sends that are still without a connection."""
+
+    def _be_silent_and_write(self, harness: FailoverHarness) -> None:
+        """Lets the first send write after another target was asked."""
+        harness.queueing_client.may_write = anyio.Event()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent(NO_EVENT_MS)
+                assert len(harness.client.written_sends) == 1
+                harness.queueing_client.may_write.set()
+                await anyio.sleep(0.01)
+                harness.queueing_client.has_room.set()
+                await anyio.sleep(0.01)
+                harness.relay.end_all()
+
+        anyio.run(run)
+
+    def test_rejection_does_not_hide_a_run_that_began_meanwhile(self) -> None:
+        """Guards against "not run" for a request that runs at its target."""
+        harness = FailoverHarness(
+            ScriptedReply(failure=Rejection.UNAVAILABLE),
+            ScriptedReply(hangs=True),
+            queued=1,
+        )
+        self._be_silent_and_write(harness)
+        assert harness.responder.verdict == MayHaveRun(Reason.TARGET_TIMEOUT)
+
+    def test_both_sends_keep_to_the_attempts_of_the_route(self) -> None:
+        """Guards against more targets than the route allows."""
+        route = dataclasses.replace(CONFIG.routes[0], max_attempts=1)
+        config = dataclasses.replace(CONFIG, routes=(route,))
+        harness = FailoverHarness(
+            ScriptedReply(hangs=True),
+            ScriptedReply(hangs=True),
+            queued=1,
+            config=config,
+        )
+        self._be_silent_and_write(harness)
+        assert len(harness.client.written_sends) == 1
+
+
 class SilentTargetTest(unittest.TestCase):
     """Streams at a target that sends nothing for a while."""
 
@@ -241,6 +308,60 @@
         assert harness.responder.is_complete
         assert len(harness.client.sends) == 2
 
+    def test_doubt_that_arises_while_a_target_is_asked_keeps_the_stream(
+        self,
+    ) -> None:
+        """Guards against a rest that follows a begin of nobody knows whom."""
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST, SECOND)),
+            ScriptedReply(chunks=(SECOND,)),
+            queued=1,
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent()
+                assert harness.client.open_count == 2
+                with mock.patch.object(
+                    harness.origins, "is_certain", return_value=False
+                ):
+                    harness.queueing_client.has_room.set()
+                    await anyio.sleep(0.01)
+                assert harness.client.open_count == 1
+                harness.queueing_client.goes_on.set()
+
+        anyio.run(run)
+        assert harness.responder.body == FIRST + SECOND
+        assert harness.responder.is_complete
+        assert harness.log.count(Event.SEND_STALLED) == 0
+
+    def test_third_target_is_asked_if_the_second_is_silent_too(self) -> None:
+        """Guards against waiting for one silent target after another."""
+        objective_ms = 20
+        route = dataclasses.replace(
+            CONFIG.routes[0], max_attempts=3, objective_ms=objective_ms
+        )
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST,), hangs=True),
+            ScriptedReply(chunks=(SECOND,)),
+            ScriptedReply(chunks=(SECOND, THIRD)),
+            queued=1,
+            config=dataclasses.replace(CONFIG, routes=(route,)),
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent()
+                await anyio.sleep(4 * objective_ms / 1_000)
+                harness.stall_detector.check()
+
+        anyio.run(run)
+        assert harness.responder.body == FIRST + SECOND + THIRD
+        assert harness.responder.is_complete
+        assert len({s.target.name for s in harness.client.sends}) == 3
+
     def test_stream_whose_origin_is_not_known_stays(self) -> None:
         """Guards against leaving a target for a stream that can't go on.
 
--- a/tests/test_edge_runs.py
+++ b/tests/test_edge_runs.py
@@ -309,25 +309,6 @@
         assert not self.run_records.is_replaced(self.target)
 
 
-class StalledStreamTest(unittest.TestCase):
-    """Streams that leave a silent target."""
-
-    def test_reserved_slot_is_no_evidence(self) -> None:
-        """Guards against a rest that follows a begin of nobody knows whom."""
-        harness = RelayHarness()
-        request = unittest.mock.Mock()
-        request.may_have_run = True
-        request.route.may_repeat = True
-        # The time for a further send has passed since the slot was reserved.
-        request.sends, request.route.max_attempts = 1, 2
-        request.deadline_at_ms = harness.clock.now_ms()
-        confirm = unittest.mock.AsyncMock(return_value=False)
-        with unittest.mock.patch.object(
-            harness.origins, "wait_confirmed", confirm
-        ):
-            assert not anyio.run(harness.relay._may_continue, request)
-
-
 class BeginTest(_RunsTest):
     """Whether the listed run sent the first part of a stream."""
 
