--- a/src/peridotbend/edge/relay.py
+++ b/src/peridotbend/edge/relay.py
@@ -367,9 +367,8 @@
     ) -> None:
         """Ends a request that will not be sent again."""
         if request.head_sent:
-            self._report.note_broken(
-                request, refusal.reason, self._find_drain_ms()
-            )
+            reason = Reason.DRAINING if self._is_ending else refusal.reason
+            self._report.note_broken(request, reason, self._find_drain_ms())
             raise AnswerBrokenError
         if request.held_error is not None:
             head, body = request.held_error
--- a/tests/test_edge_failover.py
+++ b/tests/test_edge_failover.py
@@ -336,6 +336,23 @@
         assert harness.responder.is_complete
         assert harness.log.count(Event.SEND_STALLED) == 0
 
+    def test_end_of_the_grace_period_is_named_as_the_reason(self) -> None:
+        """Guards against taking the cut of a stop for a silent target."""
+        harness = FailoverHarness(ScriptedReply(chunks=(FIRST,), hangs=True))
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await anyio.sleep(0.01)
+                harness.relay.note_drain()
+                harness.relay.end_all()
+
+        anyio.run(run)
+        events = harness.log.events
+        (fields,) = (f for event, f in events if event is Event.ANSWER_BROKEN)
+        assert fields["reason"] is Reason.DRAINING, fields
+        assert fields["phase"] == "target", fields
+
     def test_third_target_is_asked_if_the_second_is_silent_too(self) -> None:
         """Guards against waiting for one silent target after another."""
         objective_ms = 20
