--- a/src/peridotbend/edge/activerequests.py
+++ b/src/peridotbend/edge/activerequests.py
@@ -56,7 +56,8 @@
     silent_targets: set[str] = dataclasses.field(default_factory=set)
     # The slot at the target that takes over from a silent one.
     failover_slot: Slot | None = None
-    # Runs sends to other targets; None if the answer is no stream.
+    # Runs sends to other targets; None unless the answer is a stream that may
+    # go on elsewhere.
     tasks: TaskGroup | None = None
     # The send to a target that may take over from a silent one.
     takeover: Takeover | None = None
