--- a/src/peridotbend/edge/delivery.py
+++ b/src/peridotbend/edge/delivery.py
@@ -170,7 +170,7 @@
                 await responder.send(events)
                 tracked_send.note_unblocked(self._clock.now_ms())
             if request.events.problem:
-                error = _make_foreign_error(request.events.problem)
+                error = make_foreign_error(request.events.problem)
                 return FailedAnswer(error, answer.head, has_survived)
         await tracked_send.end_if_left()
         # A stream without a length also ends when its target crashes, so that
@@ -182,7 +182,7 @@
             return FailedAnswer(_CUT_STREAM, answer.head, has_survived)
         if not has_events:
             request.empty_targets.add(target.name)
-            early_end = _find_early_end(request)
+            early_end = find_early_end(request)
             if early_end is not None:
                 return FailedAnswer(early_end, answer.head)
         if not await self._outlives(target, answer.head):
@@ -296,7 +296,7 @@
     return is_success and answer.is_event_stream
 
 
-def _find_early_end(request: ActiveRequest) -> CallError | None:
+def find_early_end(request: ActiveRequest) -> CallError | None:
     """Returns why a stream does not end with an answer without an event."""
     if not request.events.last_event_id:
         return _EMPTY_STREAM
@@ -315,6 +315,6 @@
     )
 
 
-def _make_foreign_error(problem: str) -> CallError:
+def make_foreign_error(problem: str) -> CallError:
     """Returns the error of a target that sent what is no event of its run."""
     return CallError(CallFailure.FOREIGN, True, f"foreign bytes: {problem}")
--- a/src/peridotbend/edge/failover.py
+++ b/src/peridotbend/edge/failover.py
@@ -7,25 +7,39 @@
 from typing import Protocol
 
 import anyio
+from result import Err, Result
 
 from peridotbend.domain.events import Event
 from peridotbend.domain.ports import AnswerHead, CallError, CallFailure
 from peridotbend.edge.activerequests import ActiveRequest
-from peridotbend.edge.delivery import find_problem
+from peridotbend.edge.delivery import (
+    find_early_end,
+    find_problem,
+    make_foreign_error,
+)
+from peridotbend.edge.events import EventSplitter
 from peridotbend.edge.inflight import (
     FIRST_EVENT_TIMEOUT_OBJECTIVES,
     TrackedSend,
 )
 from peridotbend.edge.parts import RelayDependencies
-from peridotbend.edge.ports import Rejection, Reply
+from peridotbend.edge.ports import EdgeAnswer, Rejection, Reply
 from peridotbend.edge.reports import RequestReporter
 from peridotbend.edge.slots import Slot
-from peridotbend.edge.takeovers import Takeover
+from peridotbend.edge.takeovers import ReadAnswer, Takeover
 from peridotbend.edge.targets import EdgeTarget
 
 # Pause between questions about the begin of a stream.
 ASK_AGAIN_MS = 500
-_UNANSWERED = CallError(CallFailure.TIMEOUT, True, "no answer in time")
+# Pause after a failed call to another target.
+BEGIN_AGAIN_MS = 100
+# For how long two targets may work on a stream, half of what the platform
+# allows. The answer of the second one may break off behind its head.
+MAX_OVERLAP_MS = 200
+# It may be sound and have a queue.
+_UNANSWERED = CallError(
+    CallFailure.TIMEOUT, True, "no answer in time", blames_target=False
+)
 
 
 class Outcome(enum.StrEnum):
@@ -69,7 +83,8 @@
 class Failover:
     """Asks another target for what a silent one has yet to send.
 
-    The silent target of a stream is left once the other one begins to answer.
+    The silent target of a stream is left once the other one sends an event, or
+    shortly after the head of its answer, as both are at work from there on.
     Until then it may go on, and the other one may have no place, or queue the
     request. Other requests run at one target at a time, and get an answer also
     if the other one fails.
@@ -103,12 +118,16 @@
         self._request = request
         self._target = target
         self._ask_at_ms = 0
+        self._begin_at_ms = 0
 
     def begin(self, send: TrackedSend) -> None:
         """Asks another target, unless one is being asked."""
         request = self._request
+        now_ms = self._clock.now_ms()
         is_begun = request.takeover or request.failover_slot
-        if is_begun or not request.may_fail_over(self._clock.now_ms()):
+        if is_begun or now_ms < self._begin_at_ms:
+            return
+        if not request.may_fail_over(now_ms):
             return
         if not self._is_origin_known():
             return
@@ -150,12 +169,13 @@
                     async with self._opener.open(
                         self._request, takeover.slot
                     ) as reply:
-                        patience.deadline = math.inf
-                        outcome = self._decide(takeover, reply, send)
-                        self._log_end(takeover, outcome)
-                        takeover.decided.set()
-                        if takeover.answer is not None:
-                            await takeover.finished.wait()
+                        if not patience.cancel_called:
+                            patience.deadline = math.inf
+                            outcome = await self._decide(takeover, reply, send)
+                            self._log_end(takeover, outcome)
+                            takeover.decided.set()
+                            if takeover.answer is not None:
+                                await takeover.finished.wait()
                 if patience.cancelled_caught:
                     outcome = self._fail(takeover, _UNANSWERED)
         finally:
@@ -174,7 +194,7 @@
             return None
         return FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_ms / 1_000
 
-    def _decide(
+    async def _decide(
         self, takeover: Takeover, reply: Reply, send: TrackedSend
     ) -> Outcome:
         """Leaves the silent target if the other one answers."""
@@ -188,16 +208,67 @@
         problem = find_problem(request, reply)
         if problem is not None:
             return self._fail(takeover, problem, reply.head)
-        is_over = send.is_blocked or request.is_final
-        if is_over or not self._is_origin_known():
-            # The first target has sent the end in the meantime, or what no
-            # other one continues, or its process has come into doubt.
+        if not self._may_leave(takeover, send):
             self._end(takeover)
             return Outcome.ABANDONED
-        takeover.answer = reply
-        send.scope.cancel()
+        answer: EdgeAnswer | CallError = reply
+        if reply.is_event_stream:
+            assert request.tasks is not None, "streams have tasks"
+            request.tasks.start_soon(self._leave_later, takeover, send)
+            answer = await self._read_first_event(reply, takeover.slot.target)
+        if isinstance(answer, CallError):
+            return self._fail(takeover, answer, reply.head)
+        if not takeover.has_left and not self._may_leave(takeover, send):
+            self._end(takeover)
+            return Outcome.ABANDONED
+        takeover.answer = answer
+        self._leave(takeover, send)
         return Outcome.ANSWERED
 
+    def _may_leave(self, takeover: Takeover, send: TrackedSend) -> bool:
+        """Tells whether the silent target still has to be left.
+
+        It may have gone on in the same turn of the event loop, have sent the
+        end or what no other target continues, or its process may have come
+        into doubt.
+        """
+        return (
+            self._request.takeover is takeover
+            and not send.is_blocked
+            and not self._request.is_final
+            and self._is_origin_known()
+        )
+
+    def _leave(self, takeover: Takeover, send: TrackedSend) -> None:
+        takeover.has_left = True
+        send.scope.cancel()
+
+    async def _leave_later(self, takeover: Takeover, send: TrackedSend) -> None:
+        """Leaves the silent target although no event has come yet."""
+        await anyio.sleep(MAX_OVERLAP_MS / 1_000)
+        if not takeover.decided.is_set() and self._may_leave(takeover, send):
+            self._leave(takeover, send)
+
+    async def _read_first_event(
+        self, answer: EdgeAnswer, target: EdgeTarget
+    ) -> EdgeAnswer | CallError:
+        """Returns an answer once it has brought an event, or its end."""
+        request = self._request
+        events = EventSplitter(request.events.last_event_id)
+        events.start_run(answer.event_header)
+        chunks, read = answer.chunks(), list[Result[bytes, CallError]]()
+        async for chunk in chunks:
+            if isinstance(chunk, Err):
+                return chunk.err_value
+            read.append(chunk)
+            if events.feed(chunk.ok_value):
+                return ReadAnswer(answer, read, chunks)
+            if events.problem:
+                return make_foreign_error(events.problem)
+        request.empty_targets.add(target.name)
+        early_end = find_early_end(request)
+        return early_end or ReadAnswer(answer, read, chunks)
+
     def _fail(
         self,
         takeover: Takeover,
@@ -205,8 +276,12 @@
         head: AnswerHead | None = None,
     ) -> Outcome:
         self._end(takeover)
-        target = takeover.slot.target
-        self._opener.note_error(self._request, target, error, head)
+        self._begin_at_ms = self._clock.now_ms() + BEGIN_AGAIN_MS
+        request, target = self._request, takeover.slot.target
+        connect_failures = request.connect_failures
+        self._opener.note_error(request, target, error, head)
+        # The tries of the request are kept for when its target is lost.
+        request.connect_failures = connect_failures
         return Outcome.FAILED
 
     def _end(self, takeover: Takeover) -> None:
--- a/src/peridotbend/edge/sends.py
+++ b/src/peridotbend/edge/sends.py
@@ -28,8 +28,9 @@
 
 # Bounds a log line.
 MAX_LOGGED_TARGETS = 16
-# Rejections of a stream that has begun which do not count as sends. Counts of
-# other instances are some 50 ms old, so that several may take the same place.
+# Rejections of a request that has run elsewhere which do not count as sends.
+# Counts of other instances are some 50 ms old, so that several may take the
+# same place.
 MAX_FREE_REJECTIONS = 3
 _UNSENT = frozenset(
     (CallFailure.CONNECT, CallFailure.REFUSED, CallFailure.REPLACED)
@@ -269,8 +270,10 @@
     ) -> NotRun | MayHaveRun:
         """Records that a target did not run a request."""
         request.failed_targets.add(target.name)
-        if request.head_sent and request.rejections < MAX_FREE_REJECTIONS:
-            # Nothing ran there, and the caller has a part of the answer.
+        is_moving = request.head_sent or bool(request.silent_targets)
+        if is_moving and request.rejections < MAX_FREE_REJECTIONS:
+            # Nothing ran there, and the target before was left for it or has
+            # sent a part of the answer.
             request.rejections += 1
             request.sends -= 1
             request.allow_silent_targets()
--- a/tests/test_edge_failover.py
+++ b/tests/test_edge_failover.py
@@ -13,6 +13,7 @@
 from peridotbend.domain.ports import CallError
 from peridotbend.domain.verdicts import MayHaveRun, Reason
 from peridotbend.edge.config import EdgeConfig
+from peridotbend.edge.failover import BEGIN_AGAIN_MS, MAX_OVERLAP_MS
 from peridotbend.edge.ports import (
     AnswerBrokenError,
     Rejection,
@@ -35,6 +36,9 @@
 SILENCE_MS = 900
 # The same for a target that has not sent an event.
 NO_EVENT_MS = 2_200
+# For how long the rules let two targets work on a stream.
+ALLOWED_OVERLAP_MS = 400
+WAIT_TIMEOUT_S = 20.0
 FIRST, SECOND, THIRD = (make_event(number) for number in (1, 2, 3))
 
 
@@ -234,6 +238,30 @@
         assert harness.responder.is_complete
         assert harness.count_places() == 0
 
+    def test_first_run_ends_soon_after_the_head_of_the_next_one(self) -> None:
+        """Guards against two targets that work on one stream for long.
+
+        The rule allows 400 ms, also if the next target sends only a head.
+        """
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST,), hangs=True),
+            ScriptedReply(hangs=True),
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                await harness.be_silent()
+                with anyio.fail_after(WAIT_TIMEOUT_S):
+                    while harness.client.open_count != 1:
+                        await anyio.sleep(0.01)
+                first = harness.client.sends[0].target.name
+                assert harness.queueing_client.closed == [first]
+                harness.relay.end_all()
+
+        assert MAX_OVERLAP_MS < ALLOWED_OVERLAP_MS
+        anyio.run(run)
+
     def test_queued_send_ends_as_the_silent_target_goes_on(self) -> None:
         """Guards against a second run beside a first one that goes on."""
         harness = FailoverHarness(
@@ -372,6 +400,7 @@
                 group.start_soon(harness.serve_call)
                 await harness.be_silent()
                 await anyio.sleep(4 * objective_ms / 1_000)
+                harness.clock.advance(BEGIN_AGAIN_MS)
                 harness.stall_detector.check()
 
         anyio.run(run)
