Keep signals from the first line of each daemon

Cause: signals were taken once all modules were imported, the settings were read and the event loop ran. Until then the default actions held, and again from the end of the loop's receiver to the exit of the process.

The daemons act on what was kept when their loop runs; a kept SIGTERM or SIGINT ends them with code 0 before they listen. Handlers and no blocked mask: children and threads inherit a mask, and it protects nothing at the exit while another thread accepts the signal. peridotbendd ignores SIGHUP and SIGUSR1, which ended it at any time, and announces no readiness once a drain was requested.

Until the first line, about 7 to 11 ms of interpreter start, the default actions still hold.

--- a/deploy/edge.py
+++ b/deploy/edge.py
@@ -5,13 +5,18 @@
 """
 
 import gc
-import pathlib
 import sys
 
 # Collections during the start scan modules that stay loaded; they would take a
 # tenth of its processor time.
 gc.disable()
-sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "src"))
+# Without pathlib, as its import would delay taking the signals.
+sys.path.insert(0, __file__.rsplit("/", 2)[0] + "/src")
+
+from peridotbend.adapters import signals  # noqa: E402
+
+# The imports below take most of the start.
+signals.take()
 
 from peridotbend.edgedaemon import main  # noqa: E402
 
--- a/src/peridotbend/daemon.py
+++ b/src/peridotbend/daemon.py
@@ -1,5 +1,11 @@
 """The daemon `peridotbendd`, which runs on each entry instance."""
 
+from peridotbend.adapters import signals
+
+if __name__ == "__main__":
+    # The imports below take most of the start.
+    signals.take()
+
 import dataclasses
 import json
 import os
@@ -54,6 +60,8 @@
 
 async def run_node(settings: NodeSettings, log: EventLog) -> None:
     """Runs a node; SIGTERM and SIGINT drain it."""
+    if signals.is_end_requested():
+        return
     node = Node(settings, log)
     started = anyio.Event()
     async with anyio.create_task_group() as tasks:
@@ -64,8 +72,9 @@
 
 
 async def _watch_signals(node: Node) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
+    async for received in signals.receive():
+        # The others have no meaning here.
+        if received in (signal.SIGTERM, signal.SIGINT):
             node.start_drain()
 
 
--- a/src/peridotbend/edgedaemon.py
+++ b/src/peridotbend/edgedaemon.py
@@ -1,5 +1,11 @@
 """The daemon that runs an entry instance on the users' platform."""
 
+from peridotbend.adapters import signals
+
+if __name__ == "__main__":
+    # The imports below take most of the start.
+    signals.take()
+
 import os
 import signal
 import sys
@@ -73,6 +79,8 @@
 
 
 async def _run(node: EdgeNode, path: str, log: EventLog) -> None:
+    if signals.is_end_requested():
+        return
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_signals, node, path, log)
         tasks.start_soon(_watch_settings, node, path, log)
@@ -81,15 +89,13 @@
 
 
 async def _watch_signals(node: EdgeNode, path: str, log: EventLog) -> None:
-    watched = signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1
-    with anyio.open_signal_receiver(*watched) as signals:
-        async for received in signals:
-            if received == signal.SIGHUP:
-                _reload(node, path, log)
-            elif received == signal.SIGUSR1:
-                log.emit(Event.STATE_DUMPED, state=node.dump())
-            else:
-                node.start_drain()
+    async for received in signals.receive():
+        if received == signal.SIGHUP:
+            _reload(node, path, log)
+        elif received == signal.SIGUSR1:
+            log.emit(Event.STATE_DUMPED, state=node.dump())
+        else:
+            node.start_drain()
 
 
 async def _watch_settings(node: EdgeNode, path: str, log: EventLog) -> None:
--- a/src/peridotbend/node.py
+++ b/src/peridotbend/node.py
@@ -122,7 +122,8 @@
         try:
             async with anyio.create_task_group() as tasks:
                 await self._start(stack, tasks)
-                if started is not None:
+                is_draining = self._drain_requested.is_set()
+                if started is not None and not is_draining:
                     started.set()
                 await self._drain_requested.wait()
                 await self._drain_requests()
