Excuse late cuts of a stop only where a runner is at work

check_stop passed over each cut later than five sixths of the grace period. The rule excuses such a cut only if a runner still worked on the request in the last sixth, and if the request was sent no later than 3 s after the SIGTERM. Streams that wait for a runner, those whose runner has ended and those sent later count now, up to 1 s after the grace period.

The ledger of runs tells until when a runner worked on an attempt. A stand-in for a runner ends a run once the other side has closed, also while it is silent, so that a run that was left doesn't count as work. Two stops of an instance in a row count by the last one.

Measured: with the old condition, the tests of cuts at the end of the grace period and of two stops fail; without the change of the runners, test_silent_runner_ends_a_run_that_is_left fails.

--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -83,7 +83,8 @@
         run = _Run(
             connection, request, choices, self.record, self.ledger, arrival
         )
-        is_kept = await run.answer()
+        with self.ledger.hold_work(attempt):
+            is_kept = await run.answer()
         if is_kept and choices.draw_fault("length-close"):
             self.record.note_fault(f"length-close after run {attempt}")
             return False
--- a/src/peridotbend_emulator/soak/callers.py
+++ b/src/peridotbend_emulator/soak/callers.py
@@ -246,6 +246,7 @@
                     answer,
                     context.ledger.has_run(attempt),
                     context.ledger.is_broken(attempt),
+                    context.ledger.find_work_end_ms(attempt),
                 )
             )
         return answer
--- a/src/peridotbend_emulator/soak/checks.py
+++ b/src/peridotbend_emulator/soak/checks.py
@@ -1,9 +1,11 @@
 """What callers and runners of a soak may see, checked as they see it."""
 
 import collections
+import contextlib
 import dataclasses
 from collections.abc import Iterator
 
+from peridotbend.domain.clock import Clock
 from peridotbend.platform import wire
 from peridotbend_emulator.soak.messages import Answer, split_lines
 from peridotbend_emulator.soak.platform.documents import ROUTES
@@ -208,13 +210,17 @@
 class RunLedger:
     """Which attempts ran, and which were said not to have run."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock):
+        self._clock = clock
         # Attempts that may run once at most.
         self._single: set[str] = set()
         self._runs: collections.Counter[str] = collections.Counter()
         self._refused: dict[str, int] = {}
         # Attempts whose runner broke off.
         self._broken: set[str] = set()
+        # How many runners work on an attempt, and when the last one ended.
+        self._working: collections.Counter[str] = collections.Counter()
+        self._work_end_ms: dict[str, int] = {}
 
     def note_single(self, attempt: str) -> None:
         """Notes that an attempt may run once at most."""
@@ -224,6 +230,22 @@
         """Notes that a runner breaks off its answer."""
         self._broken.add(attempt)
 
+    @contextlib.contextmanager
+    def hold_work(self, attempt: str) -> Iterator[None]:
+        """Notes that a runner works on an attempt."""
+        self._working[attempt] += 1
+        try:
+            yield
+        finally:
+            self._working[attempt] -= 1
+            self._work_end_ms[attempt] = self._clock.now_ms()
+
+    def find_work_end_ms(self, attempt: str) -> int:
+        """Returns until when a runner worked on an attempt; 0 if none did."""
+        if self._working[attempt]:
+            return self._clock.now_ms()
+        return self._work_end_ms.get(attempt, 0)
+
     def has_run(self, attempt: str) -> bool:
         """Tells whether a run of an attempt began."""
         return self._runs[attempt] > 0
--- a/src/peridotbend_emulator/soak/fleetchecks.py
+++ b/src/peridotbend_emulator/soak/fleetchecks.py
@@ -22,8 +22,12 @@
 LATE_SHARE = 0.25
 # A refusal after this share of the caller's time leaves none to try again.
 REFUSAL_SHARE = 0.75
-# What a runner still works on so late in a planned stop may be cut.
+# What a runner still works on so late in a planned stop may be cut, if it was
+# sent early enough.
 STOP_SHARE = 5 / 6
+EXCUSED_UNTIL_MS = 3_000
+# A planned stop lasts until so long after the grace period.
+STOP_MARGIN_MS = 1_000
 # The fault that is a planned stop.
 PLANNED = "term"
 
@@ -68,10 +72,15 @@
             for span in self._list_spans(since_ms - CONTACT_MS)
         ):
             return None
-        for span in self._list_spans(since_ms):
-            if span.instance == instance:
-                return span.begin_ms
-        return None
+        # The last one, as the stop before may be over only just.
+        return max(
+            (
+                span.begin_ms
+                for span in self._list_spans(since_ms)
+                if span.instance == instance
+            ),
+            default=None,
+        )
 
     def _list_spans(self, since_ms: int) -> Iterator[_Span]:
         for span in self._spans:
@@ -94,6 +103,8 @@
     # Whether a run of it began, and whether its runner broke off.
     has_run: bool
     is_broken: bool
+    # Until when a runner worked on it; 0 if none did.
+    work_end_ms: int
 
     @property
     def took_ms(self) -> int:
@@ -108,7 +119,11 @@
     stop_ms = touch.find_stop_ms(attempt.instance, attempt.sent_at_ms)
     if stop_ms is None or attempt.took_ms >= attempt.limit_ms:
         return
-    if attempt.ended_at_ms - stop_ms >= STOP_SHARE * GRACE_S * 1_000:
+    grace_ms = GRACE_S * 1_000
+    if attempt.ended_at_ms - stop_ms > grace_ms + STOP_MARGIN_MS:
+        return
+    is_early = attempt.sent_at_ms - stop_ms <= EXCUSED_UNTIL_MS
+    if is_early and attempt.work_end_ms - stop_ms >= STOP_SHARE * grace_ms:
         return
     if attempt.has_run or attempt.took_ms > LOSS_SLACK_MS:
         detail = f"cut after {attempt.took_ms} ms of {attempt.limit_ms}"
--- a/src/peridotbend_emulator/soak/run.py
+++ b/src/peridotbend_emulator/soak/run.py
@@ -79,7 +79,7 @@
 
 async def _play(settings: SoakSettings, record: Record) -> SoakResult:
     clock = SystemClock()
-    ledger = RunLedger()
+    ledger = RunLedger(clock)
 
     def make_choices(subject: str) -> Choices:
         return Choices(settings.faults, settings.seed, subject)
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -67,19 +67,35 @@
     """A connection of an instance to one start of a runner."""
 
     def __init__(
-        self, process: "RunnerProcess", link: Link, writer: asyncio.StreamWriter
+        self,
+        process: "RunnerProcess",
+        link: Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ):
         self.process = process
         self.link = link
+        self._reader = reader
         self._writer = writer
 
     async def send(self, data: bytes) -> None:
-        """Sends data, once neither the runner nor the link is silent."""
+        """Sends data, once neither the runner nor the link is silent.
+
+        Raises:
+            ConnectionError: the connection has ended.
+        """
+        self.check_open()
         while self.process.is_silent or self._state is LinkState.SILENT:
             await asyncio.sleep(GATE_INTERVAL_S)
+            self.check_open()
         self._writer.write(data)
         await self._writer.drain()
 
+    def check_open(self) -> None:
+        """Raises a ConnectionError if the other side has closed."""
+        if self._reader.at_eof():
+            raise ConnectionResetError("the other side has closed")
+
     def reset(self) -> None:
         """Resets the connection."""
         reset_connection(self._writer)
@@ -186,7 +202,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        connection = Connection(self, link, writer)
+        connection = Connection(self, link, reader, writer)
         state = link.find_state(self.host)
         if state is LinkState.RESET:
             connection.reset()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,7 @@
 from peridotbend_emulator.soak.run import SoakResult, run_soak
 from peridotbend_emulator.soak.runnerfaults import find_newest
 from peridotbend_emulator.soak.runners import (
+    GATE_INTERVAL_S,
     Connection,
     Runner,
     Start,
@@ -274,7 +275,8 @@
     """Checks of runs against what may run, and what was said of it."""
 
     def setUp(self) -> None:
-        self.ledger = RunLedger()
+        self.clock = ManualClock()
+        self.ledger = RunLedger(self.clock)
         self.ledger.note_single(ATTEMPT)
 
     def test_second_run(self) -> None:
@@ -297,6 +299,18 @@
             (finding,) = self.ledger.note_answer(PATH, ATTEMPT, status)
             assert finding.rule is Rule.REFUSED
 
+    def test_end_of_the_work_on_an_attempt(self) -> None:
+        """Guards against a run that counts as under way after its end."""
+        assert self.ledger.find_work_end_ms(ATTEMPT) == 0
+        with self.ledger.hold_work(ATTEMPT):
+            with self.ledger.hold_work(ATTEMPT):
+                self.clock.advance(100)
+            self.clock.advance(100)
+            now_ms = self.clock.now_ms()
+            assert self.ledger.find_work_end_ms(ATTEMPT) == now_ms
+        self.clock.advance(100)
+        assert self.ledger.find_work_end_ms(ATTEMPT) == now_ms
+
     def test_run_after_a_refusal(self) -> None:
         """Guards against a request that runs after its caller was refused."""
         assert list(self.ledger.note_answer(PATH, ATTEMPT, 503)) == []
@@ -313,6 +327,7 @@
         "answer": Answer(outcome=outcome),
         "has_run": True,
         "is_broken": False,
+        "work_end_ms": 0,
         **more,
     }
     ended_at_ms = sent_at_ms + took_ms
@@ -357,6 +372,52 @@
         attempt = make_attempt("reset", 500, self.clock.now_ms())
         assert list(check_stop(attempt, self.touch)) == []
 
+    def _cut_at_end(
+        self,
+        sent_ms: int = 3_000,
+        work_end_ms: int = 7_300,
+        cut_ms: int = 7_300,
+    ) -> list[Finding]:
+        """Checks a cut late in a stop; times are since the SIGTERM."""
+        stop_ms = self.clock.now_ms()
+        with self.touch.hold("term", 0):
+            attempt = make_attempt(
+                "closed",
+                cut_ms - sent_ms,
+                stop_ms + sent_ms,
+                limit_ms=12_000,
+                work_end_ms=stop_ms + work_end_ms,
+            )
+            self.clock.advance(cut_ms)
+            return list(check_stop(attempt, self.touch))
+
+    def test_cuts_at_the_end_of_the_grace_period(self) -> None:
+        """Guards against cuts that pass as the end of a long run.
+
+        The stream waited for a runner, its runner had ended, or it was sent
+        when the stop had long begun.
+        """
+        assert self._cut_at_end() == []
+        assert self._cut_at_end(sent_ms=-1_000, work_end_ms=6_667) == []
+        for given in (
+            {"work_end_ms": 6_666},
+            {"sent_ms": 3_001},
+            {"work_end_ms": 3_810, "cut_ms": 9_000},
+        ):
+            (finding,) = self._cut_at_end(**given)
+            assert finding.rule is Rule.LOST, given
+        assert self._cut_at_end(work_end_ms=3_810, cut_ms=9_001) == []
+
+    def test_cut_by_the_second_of_two_stops(self) -> None:
+        """Guards against a cut that is taken for one after the first stop."""
+        with self.touch.hold("term", 0):
+            self.clock.advance(9_500)
+            sent_at_ms = self.clock.now_ms()
+        with self.touch.hold("term", 0):
+            attempt = make_attempt("reset", 500, sent_at_ms)
+            (finding,) = check_stop(attempt, self.touch)
+        assert finding.rule is Rule.LOST
+
     def test_cuts_beside_an_unplanned_fault(self) -> None:
         """Guards against a finding for what another fault cuts."""
         with self.touch.hold("kill", 1):
@@ -780,9 +841,17 @@
 class SilentBehaviour:
     """Begins answers without a length, and ends none."""
 
+    def __init__(self) -> None:
+        # Requests whose connection ended before an answer began.
+        self.left = 0
+
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Sends a head and a part of a body."""
-        await connection.send(b"HTTP/1.1 200 OK\r\n\r\npart")
+        try:
+            await connection.send(b"HTTP/1.1 200 OK\r\n\r\npart")
+        except ConnectionError:
+            self.left += 1
+            raise
         await asyncio.Event().wait()
         return False
 
@@ -797,7 +866,7 @@
     """Returns how runners answer under some faults."""
     return SoakBehaviour(
         functools.partial(Choices, parse_faults(words), 1),
-        RunLedger(),
+        RunLedger(SystemClock()),
         unittest.mock.Mock(),
     )
 
@@ -906,6 +975,21 @@
 
         self._play(check)
 
+    def test_silent_runner_ends_a_run_that_is_left(self) -> None:
+        """Guards against runs that count as under way once they are left."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            process, behaviour = runner.process, runner.behaviour
+            assert process and isinstance(behaviour, SilentBehaviour)
+            process.is_silent = True
+            head = f"POST / HTTP/1.1\r\n{wire.EXPECT_INSTANCE}: i-1"
+            answer = await self._ask(runner, head, lambda: None)
+            assert answer.outcome == "timeout"
+            await asyncio.sleep(3 * GATE_INTERVAL_S)
+            assert behaviour.left == 1
+
+        self._play(check)
+
     def test_links_that_something_else_accepts(self) -> None:
         """Guards against a cut that lets requests through."""
 
