--- a/src/peridotbend_emulator/soak/__main__.py
+++ b/src/peridotbend_emulator/soak/__main__.py
@@ -1,5 +1,6 @@
 """Plays a soak: `python -m peridotbend_emulator.soak --seed 1 --minutes 1`."""
 
+import ipaddress
 import pathlib
 import shutil
 import sys
@@ -20,6 +21,24 @@
 EXIT_CANNOT_RUN = 2
 
 
+def check_net(net: str) -> str:
+    """Returns the first three numbers of a loopback address, if they are.
+
+    Raises:
+        click.BadParameter: they are something else.
+    """
+    try:
+        is_valid = ipaddress.IPv4Address(f"{net}.1").is_loopback
+    except ipaddress.AddressValueError:
+        is_valid = False
+    if not is_valid:
+        raise click.BadParameter(
+            f"{net!r} is not three numbers of a loopback address,"
+            " like 127.0.12"
+        )
+    return net
+
+
 @click.command(
     epilog="Faults: " + "; ".join(f"{k.name}: {k.effect}" for k in KINDS)
 )
@@ -40,7 +59,13 @@
     type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
     help='Folder of the packages of another build, for the fault "builds".',
 )
-@click.option("--net", default=LOOPBACK_NET, show_default=True)
+@click.option(
+    "--net",
+    default=LOOPBACK_NET,
+    show_default=True,
+    callback=lambda context, option, value: check_net(value),
+    help="First three numbers of the loopback addresses.",
+)
 def main(
     seed: int,
     minutes: float,
@@ -51,7 +76,8 @@
 ) -> None:
     """Plays faults on real daemons and checks what callers and runners see.
 
-    Exit codes: 0 nothing found, 1 a promise was broken, 2 it could not run.
+    Exit codes: 0 nothing found, 1 a promise was broken, 2 it could not run or
+    served no call.
     """
     try:
         plan = parse_faults(faults.split())
@@ -78,6 +104,13 @@
     if result.findings:
         click.echo(f"record and logs: {settings.folder}")
         sys.exit(EXIT_FOUND)
+    if not result.served:
+        click.echo(
+            f"seed {seed}: no call was served, so the run shows nothing",
+            err=True,
+        )
+        click.echo(f"record and logs: {settings.folder}", err=True)
+        sys.exit(EXIT_CANNOT_RUN)
     if output is None:
         shutil.rmtree(folder)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,10 +12,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import click.testing
+
 from peridotbend.domain.clock import ManualClock, SystemClock
 from peridotbend.edge.groups import MAX_MESH_PEERS
 from peridotbend.platform import wire
 from peridotbend.platform.documents import decode_start
+from peridotbend_emulator.soak import __main__ as soak_command
 from peridotbend_emulator.soak.behaviours import SoakBehaviour
 from peridotbend_emulator.soak.channels import (
     AnswerReader,
@@ -1049,6 +1052,38 @@
 )
 
 
+class CommandTest(unittest.TestCase):
+    """The command line."""
+
+    def _run(self, served: int, *words: str) -> click.testing.Result:
+        """Runs the command with a made-up result."""
+        result = SoakResult(9, served, 0, (), frozenset(), "")
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            unittest.mock.patch.object(
+                soak_command, "run_soak", return_value=result
+            ),
+        ):
+            return click.testing.CliRunner().invoke(
+                soak_command.main, ["--output", folder, *words]
+            )
+
+    def test_run_that_serves_no_call(self) -> None:
+        """Guards against a run that shows nothing and counts as sound."""
+        assert self._run(1).exit_code == 0
+        answer = self._run(0)
+        assert answer.exit_code == 2
+        assert "no call was served" in answer.output
+
+    def test_addresses_that_are_no_loopback_net(self) -> None:
+        """Guards against runs whose daemons can't listen."""
+        assert self._run(1, "--net", "127.60.0").exit_code == 0
+        for net in ("127.60", "127.0.0.1", "127.0.256", "10.0.0", "", "x"):
+            answer = self._run(1, "--net", net)
+            assert answer.exit_code == 2, net
+            assert "three numbers" in answer.output, answer.output
+
+
 class SoakTest(unittest.TestCase):
     """Short runs with a seed on real daemons."""
 
