Play silent runners beside a stop in the soak

With the fault `still`, three stream runners are silent for 0.9 to 1.3 s at random moments of the grace period of each `term` and go on. TouchLog doesn't count that, since a silence is no reason to end an answer sooner. Requests beyond the slots of a runner wait there, and streams last so long that some are under way when the grace period ends. Other faults play as before.

Measured: without the silence, without the queue, or with the silence held in TouchLog, one test each fails.

--- a/src/peridotbend_emulator/soak/behaviours.py
+++ b/src/peridotbend_emulator/soak/behaviours.py
@@ -41,6 +41,10 @@
 MAX_CALL_S = 0.1
 # Longer than a run: runners close no idle connection for its age.
 KEEP_ALIVE = "timeout=3600"
+# Where runners pause beside a stop, streams last so long that they are under
+# way when its grace period ends, and no event is late.
+LONG_STREAM_S = (4.0, 9.0)
+MAX_GAP_S = 0.25
 # Share of the unframed streams that are reset between two events in a run in
 # which peers connect for an instance.
 PEER_RESET_SHARE = 0.5
@@ -186,6 +190,8 @@
         rng = self.choices.rng
         plan = self._plan_breaks()
         gap_s = rng.choice((0.0, 0.005, 0.03, 0.1))
+        if self.choices.plan.has("still"):
+            gap_s = min(rng.uniform(*LONG_STREAM_S) / self._size, MAX_GAP_S)
         await self._send_head("text/event-stream")
         for number in range(self._last + 1, self._size + 1):
             data = self._make_event(number)
--- a/src/peridotbend_emulator/soak/faults.py
+++ b/src/peridotbend_emulator/soak/faults.py
@@ -99,6 +99,7 @@
     ),
     FaultKind("zone", Place.FLEET, 0, "a partial cut strikes one zone", False),
     FaultKind("peer", Place.FLEET, 0, "instance 0 reaches no runner", False),
+    FaultKind("still", Place.FLEET, 0, "runners pause beside a stop", False),
     FaultKind(
         "builds", Place.FLEET, 0, "half of the instances: other build", False
     ),
--- a/src/peridotbend_emulator/soak/fleet.py
+++ b/src/peridotbend_emulator/soak/fleet.py
@@ -190,6 +190,7 @@
                 FEW_SLOTS if has_few else SLOTS,
                 self._behaviour,
                 self.links,
+                has_queue=self._settings.faults.has("still"),
             )
             self.runners.append(runner)
             await runner.launch(start)
--- a/src/peridotbend_emulator/soak/instancefaults.py
+++ b/src/peridotbend_emulator/soak/instancefaults.py
@@ -10,6 +10,7 @@
     GRACE_S,
     HEARTBEAT_S,
     SETTINGS_CHANGES,
+    STREAM_SERVICE,
 )
 from peridotbend_emulator.soak.proxies import Direction, Gate
 from peridotbend_emulator.soak.seriescontext import (
@@ -23,6 +24,11 @@
 DELAY_S = (0.01, 0.3)
 # The time of day of a machine may be off by seconds.
 CLOCK_MS = 10_000
+# Of each stop, so many runners are silent for so long, and go on before the
+# grace period is over.
+STILL_COUNT = 3
+STILL_S = (0.9, 1.3)
+STILL_AFTER_S = (0.0, GRACE_S - STILL_S[1])
 # The platform removes an entry that is not written again for so long.
 LEASE_HEARTBEATS = 3
 
@@ -54,12 +60,42 @@
 
     async def _terminate(self, instance: Instance) -> None:
         instance.send_signal(signal.SIGTERM)
-        if not await instance.wait_exit(GRACE_S):
+        count = STILL_COUNT * self._context.choices.plan.has("still")
+        has_exited, *_ = await asyncio.gather(
+            instance.wait_exit(GRACE_S),
+            *(self._still_runner() for _ in range(count)),
+        )
+        if not has_exited:
             self._context.note(
                 f"{instance.index} runs {GRACE_S:.0f} s after SIGTERM"
             )
         await self._respawn(instance)
 
+    async def _still_runner(self) -> None:
+        """Makes a sound runner silent at some moment of a grace period.
+
+        That is no disturbance: a silence excuses no answer that ends sooner.
+        """
+        context = self._context
+        await context.sleep(STILL_AFTER_S)
+        free = [
+            runner
+            for runner in self._fleet.runners
+            if runner.service == STREAM_SERVICE
+            and context.occupation.is_free(runner)
+        ]
+        if not free:
+            return
+        runner = context.rng.choice(free)
+        if (process := runner.process) is None:
+            return
+        with context.occupation.hold(runner):
+            context.note(f"still {runner.start.name}")
+            process.is_silent = True
+            await context.sleep(STILL_S)
+            process.is_silent = False
+            context.note(f"still {runner.start.name}: over")
+
     async def _respawn(self, instance: Instance) -> None:
         instance.kill()
         await self._context.sleep(DOWN_S)
--- a/src/peridotbend_emulator/soak/runners.py
+++ b/src/peridotbend_emulator/soak/runners.py
@@ -136,6 +136,8 @@
         self._slots = runner.slots
         self._behaviour = runner.behaviour
         self._active = 0
+        self._places = asyncio.Semaphore(runner.slots)
+        self._has_queue = runner.has_queue
         self._connections: dict[Connection, asyncio.Task[None]] = {}
         self._servers: dict[int, asyncio.Server | HangingListener] = {}
 
@@ -246,7 +248,12 @@
             return True
         self._active += 1
         try:
-            return await self._behaviour.answer(connection, request)
+            if not self._has_queue:
+                return await self._behaviour.answer(connection, request)
+            async with self._places:
+                # A request whose sender has left the queue does not run.
+                connection.check_open()
+                return await self._behaviour.answer(connection, request)
         finally:
             self._active -= 1
 
@@ -278,6 +285,8 @@
     slots: int
     behaviour: Behaviour
     links: Sequence[Link]
+    # Whether requests beyond the slots wait, and do not run at once.
+    has_queue: bool = False
 
     def __post_init__(self) -> None:
         """Begins without a process."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 import pathlib
 import shutil
 import tempfile
+import types
 import unittest
 import unittest.mock
 from collections.abc import Awaitable, Callable
@@ -19,6 +20,7 @@
 from peridotbend.platform import wire
 from peridotbend.platform.documents import decode_start
 from peridotbend_emulator.soak import __main__ as soak_command
+from peridotbend_emulator.soak import instancefaults
 from peridotbend_emulator.soak.behaviours import SoakBehaviour
 from peridotbend_emulator.soak.channels import (
     AnswerReader,
@@ -60,12 +62,15 @@
     check_resources,
     check_stop,
 )
+from peridotbend_emulator.soak.instancefaults import InstanceFaults
+from peridotbend_emulator.soak.instances import Instance
 from peridotbend_emulator.soak.links import Link, LinkState
 from peridotbend_emulator.soak.memory import PromptMemory
 from peridotbend_emulator.soak.messages import Answer, Request
 from peridotbend_emulator.soak.platform.documents import (
     CALL_SERVICE,
     CONTACT_MS,
+    GRACE_S,
     MAX_FILES,
     MEMORY_MB,
     STREAM_SERVICE,
@@ -85,6 +90,7 @@
     StartCounter,
     reset_connection,
 )
+from peridotbend_emulator.soak.seriescontext import Occupation, SeriesContext
 from peridotbend_emulator.soak.settings import LOOPBACK_NET, SoakSettings
 from peridotbend_emulator.soak.splitchild import POLL_INTERVAL_S, SplitLoop
 
@@ -733,6 +739,60 @@
         assert not self.memory.has_source(after, request)
 
 
+class StillTest(unittest.TestCase):
+    """Runners that are silent while an instance stops."""
+
+    def _stop(self, *faults: str) -> tuple[list[bool], TouchLog]:
+        """Stops an instance; returns how silent the runner was meanwhile."""
+        process = types.SimpleNamespace(is_silent=False)
+        runner = unittest.mock.Mock(service=STREAM_SERVICE, process=process)
+        touch, seen = TouchLog(ManualClock()), list[bool]()
+        context = SeriesContext(
+            unittest.mock.Mock(runners=[runner]),
+            lambda number: Choices(parse_faults(faults), 1, f"series/{number}"),
+            unittest.mock.Mock(),
+            Occupation(),
+            touch,
+        )
+
+        async def wait_exit(timeout_s: float) -> bool:
+            for _ in range(20):
+                await asyncio.sleep(0.01)
+                seen.append(process.is_silent)
+                # Another series doesn't strike it meanwhile.
+                assert context.occupation.is_free(runner) != seen[-1]
+            return True
+
+        instance = unittest.mock.create_autospec(Instance, instance=True)
+        instance.index, instance.wait_exit = 0, wait_exit
+        with (
+            unittest.mock.patch.object(
+                instancefaults, "STILL_AFTER_S", (0.02, 0.05)
+            ),
+            unittest.mock.patch.object(instancefaults, "STILL_S", (0.05, 0.1)),
+        ):
+            asyncio.run(InstanceFaults(context).by_name["term"](instance))
+        assert not process.is_silent
+        return seen, touch
+
+    def test_runner_is_silent_and_goes_on(self) -> None:
+        """Guards against a stop beside which all runners answer."""
+        seen, _ = self._stop("term", "still")
+        assert not seen[0] and any(seen) and not seen[-1], seen
+        seen, _ = self._stop("term")
+        assert not any(seen)
+
+    def test_silence_is_no_disturbance(self) -> None:
+        """Guards against a silence that excuses what is cut."""
+        _, touch = self._stop("term", "still")
+        assert touch.is_in_touch(-1, 0) and touch.is_in_touch(0, 0)
+
+    def test_silence_ends_within_the_grace_period(self) -> None:
+        """Guards against a stop that the soak lets last longer for it."""
+        latest_s = instancefaults.STILL_AFTER_S[1] + instancefaults.STILL_S[1]
+        assert latest_s <= GRACE_S
+
+
 class SplitLoopTest(unittest.TestCase):
     """How instances are cut off from each other."""
 
@@ -842,20 +902,23 @@
 
 
 class SilentBehaviour:
-    """Begins answers without a length, and ends none."""
+    """Begins answers without a length, and ends none unless it is told to."""
 
     def __init__(self) -> None:
         # Requests whose connection ended before an answer began.
         self.left = 0
+        self.runs = 0
+        self.end = asyncio.Event()
 
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Sends a head and a part of a body."""
+        self.runs += 1
         try:
             await connection.send(b"HTTP/1.1 200 OK\r\n\r\npart")
         except ConnectionError:
             self.left += 1
             raise
-        await asyncio.Event().wait()
+        await self.end.wait()
         return False
 
     def describe(
@@ -993,6 +1056,35 @@
 
         self._play(check)
 
+    def test_requests_beyond_the_slots_wait(self) -> None:
+        """Guards against a queue that runs all at once, or what has left it."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            behaviour = runner.behaviour
+            assert isinstance(behaviour, SilentBehaviour)
+            head = f"POST / HTTP/1.1\r\n{wire.EXPECT_INSTANCE}: i-1"
+
+            async def ask() -> Answer:
+                return await self._ask(runner, head, lambda: None)
+
+            for has_queue, runs in ((False, 2), (True, 1)):
+                runner.die(in_order=False)
+                runner.has_queue, behaviour.runs = has_queue, 0
+                await runner.launch(runner.start)
+                await asyncio.gather(ask(), ask())
+                assert behaviour.runs == runs
+            process = runner.process
+            assert process is not None
+            # The first run goes on; what waited behind it has left.
+            await ask()
+            behaviour.end.set()
+            await asyncio.sleep(3 * GATE_INTERVAL_S)
+            assert behaviour.runs == 1
+            answer = await ask()
+            assert answer.status == 200 and behaviour.runs == 2
+
+        self._play(check)
+
     def test_links_that_something_else_accepts(self) -> None:
         """Guards against a cut that lets requests through."""
 
