--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1272,6 +1272,14 @@
         """
         self._play(7, 15.0, "part-echo=0.84 many")
 
+    def test_silent_runners_beside_a_stop_cut_no_streams(self) -> None:
+        """Guards against streams that are left for a silence and then cut.
+
+        Seed 1 had a stream that lacked only its end: its runner was silent,
+        and the one that was asked next had no event left either.
+        """
+        self._play(1, 20.0, "term still keep slow config eight")
+
     def test_callers_of_http_1_0_get_no_chunks(self) -> None:
         """Guards against a framing that HTTP/1.0 doesn't have."""
         self._play(3, 3.0, "http10=0.5 keep")
