--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,15 +7,20 @@
 import pathlib
 import shutil
 import tempfile
+import types
 import unittest
 import unittest.mock
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import click.testing
+
 from peridotbend.domain.clock import ManualClock, SystemClock
 from peridotbend.edge.groups import MAX_MESH_PEERS
 from peridotbend.platform import wire
 from peridotbend.platform.documents import decode_start
+from peridotbend_emulator.soak import __main__ as soak_command
+from peridotbend_emulator.soak import instancefaults
 from peridotbend_emulator.soak.behaviours import SoakBehaviour
 from peridotbend_emulator.soak.channels import (
     AnswerReader,
@@ -57,12 +62,15 @@
     check_resources,
     check_stop,
 )
+from peridotbend_emulator.soak.instancefaults import InstanceFaults
+from peridotbend_emulator.soak.instances import Instance
 from peridotbend_emulator.soak.links import Link, LinkState
 from peridotbend_emulator.soak.memory import PromptMemory
 from peridotbend_emulator.soak.messages import Answer, Request
 from peridotbend_emulator.soak.platform.documents import (
     CALL_SERVICE,
     CONTACT_MS,
+    GRACE_S,
     MAX_FILES,
     MEMORY_MB,
     STREAM_SERVICE,
@@ -75,12 +83,14 @@
 from peridotbend_emulator.soak.run import SoakResult, run_soak
 from peridotbend_emulator.soak.runnerfaults import find_newest
 from peridotbend_emulator.soak.runners import (
+    GATE_INTERVAL_S,
     Connection,
     Runner,
     Start,
     StartCounter,
     reset_connection,
 )
+from peridotbend_emulator.soak.seriescontext import Occupation, SeriesContext
 from peridotbend_emulator.soak.settings import LOOPBACK_NET, SoakSettings
 from peridotbend_emulator.soak.splitchild import POLL_INTERVAL_S, SplitLoop
 
@@ -274,7 +284,8 @@
     """Checks of runs against what may run, and what was said of it."""
 
     def setUp(self) -> None:
-        self.ledger = RunLedger()
+        self.clock = ManualClock()
+        self.ledger = RunLedger(self.clock)
         self.ledger.note_single(ATTEMPT)
 
     def test_second_run(self) -> None:
@@ -297,6 +308,18 @@
             (finding,) = self.ledger.note_answer(PATH, ATTEMPT, status)
             assert finding.rule is Rule.REFUSED
 
+    def test_end_of_the_work_on_an_attempt(self) -> None:
+        """Guards against a run that counts as under way after its end."""
+        assert self.ledger.find_work_end_ms(ATTEMPT) == 0
+        with self.ledger.hold_work(ATTEMPT):
+            with self.ledger.hold_work(ATTEMPT):
+                self.clock.advance(100)
+            self.clock.advance(100)
+            now_ms = self.clock.now_ms()
+            assert self.ledger.find_work_end_ms(ATTEMPT) == now_ms
+        self.clock.advance(100)
+        assert self.ledger.find_work_end_ms(ATTEMPT) == now_ms
+
     def test_run_after_a_refusal(self) -> None:
         """Guards against a request that runs after its caller was refused."""
         assert list(self.ledger.note_answer(PATH, ATTEMPT, 503)) == []
@@ -313,6 +336,7 @@
         "answer": Answer(outcome=outcome),
         "has_run": True,
         "is_broken": False,
+        "work_end_ms": 0,
         **more,
     }
     ended_at_ms = sent_at_ms + took_ms
@@ -357,6 +381,52 @@
         attempt = make_attempt("reset", 500, self.clock.now_ms())
         assert list(check_stop(attempt, self.touch)) == []
 
+    def _cut_at_end(
+        self,
+        sent_ms: int = 3_000,
+        work_end_ms: int = 7_300,
+        cut_ms: int = 7_300,
+    ) -> list[Finding]:
+        """Checks a cut late in a stop; times are since the SIGTERM."""
+        stop_ms = self.clock.now_ms()
+        with self.touch.hold("term", 0):
+            attempt = make_attempt(
+                "closed",
+                cut_ms - sent_ms,
+                stop_ms + sent_ms,
+                limit_ms=12_000,
+                work_end_ms=stop_ms + work_end_ms,
+            )
+            self.clock.advance(cut_ms)
+            return list(check_stop(attempt, self.touch))
+
+    def test_cuts_at_the_end_of_the_grace_period(self) -> None:
+        """Guards against cuts that pass as the end of a long run.
+
+        The stream waited for a runner, its runner had ended, or it was sent
+        when the stop had long begun.
+        """
+        assert self._cut_at_end() == []
+        assert self._cut_at_end(sent_ms=-1_000, work_end_ms=6_667) == []
+        for given in (
+            {"work_end_ms": 6_666},
+            {"sent_ms": 3_001},
+            {"work_end_ms": 3_810, "cut_ms": 9_000},
+        ):
+            (finding,) = self._cut_at_end(**given)
+            assert finding.rule is Rule.LOST, given
+        assert self._cut_at_end(work_end_ms=3_810, cut_ms=9_001) == []
+
+    def test_cut_by_the_second_of_two_stops(self) -> None:
+        """Guards against a cut that is taken for one after the first stop."""
+        with self.touch.hold("term", 0):
+            self.clock.advance(9_500)
+            sent_at_ms = self.clock.now_ms()
+        with self.touch.hold("term", 0):
+            attempt = make_attempt("reset", 500, sent_at_ms)
+            (finding,) = check_stop(attempt, self.touch)
+        assert finding.rule is Rule.LOST
+
     def test_cuts_beside_an_unplanned_fault(self) -> None:
         """Guards against a finding for what another fault cuts."""
         with self.touch.hold("kill", 1):
@@ -669,6 +739,60 @@
         assert not self.memory.has_source(after, request)
 
 
+class StillTest(unittest.TestCase):
+    """Runners that are silent while an instance stops."""
+
+    def _stop(self, *faults: str) -> tuple[list[bool], TouchLog]:
+        """Stops an instance; returns how silent the runner was meanwhile."""
+        process = types.SimpleNamespace(is_silent=False)
+        runner = unittest.mock.Mock(service=STREAM_SERVICE, process=process)
+        touch, seen = TouchLog(ManualClock()), list[bool]()
+        context = SeriesContext(
+            unittest.mock.Mock(runners=[runner]),
+            lambda number: Choices(parse_faults(faults), 1, f"series/{number}"),
+            unittest.mock.Mock(),
+            Occupation(),
+            touch,
+        )
+
+        async def wait_exit(timeout_s: float) -> bool:
+            for _ in range(20):
+                await asyncio.sleep(0.01)
+                seen.append(process.is_silent)
+                # Another series doesn't strike it meanwhile.
+                assert context.occupation.is_free(runner) != seen[-1]
+            return True
+
+        instance = unittest.mock.create_autospec(Instance, instance=True)
+        instance.index, instance.wait_exit = 0, wait_exit
+        with (
+            unittest.mock.patch.object(
+                instancefaults, "STILL_AFTER_S", (0.02, 0.05)
+            ),
+            unittest.mock.patch.object(instancefaults, "STILL_S", (0.05, 0.1)),
+        ):
+            asyncio.run(InstanceFaults(context).by_name["term"](instance))
+        assert not process.is_silent
+        return seen, touch
+
+    def test_runner_is_silent_and_goes_on(self) -> None:
+        """Guards against a stop beside which all runners answer."""
+        seen, _ = self._stop("term", "still")
+        assert not seen[0] and any(seen) and not seen[-1], seen
+        seen, _ = self._stop("term")
+        assert not any(seen)
+
+    def test_silence_is_no_disturbance(self) -> None:
+        """Guards against a silence that excuses what is cut."""
+        _, touch = self._stop("term", "still")
+        assert touch.is_in_touch(-1, 0) and touch.is_in_touch(0, 0)
+
+    def test_silence_ends_within_the_grace_period(self) -> None:
+        """Guards against a stop that the soak lets last longer for it."""
+        latest_s = instancefaults.STILL_AFTER_S[1] + instancefaults.STILL_S[1]
+        assert latest_s <= GRACE_S
+
+
 class SplitLoopTest(unittest.TestCase):
     """How instances are cut off from each other."""
 
@@ -778,12 +902,23 @@
 
 
 class SilentBehaviour:
-    """Begins answers without a length, and ends none."""
+    """Begins answers without a length, and ends none unless it is told to."""
+
+    def __init__(self) -> None:
+        # Requests whose connection ended before an answer began.
+        self.left = 0
+        self.runs = 0
+        self.end = asyncio.Event()
 
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Sends a head and a part of a body."""
-        await connection.send(b"HTTP/1.1 200 OK\r\n\r\npart")
-        await asyncio.Event().wait()
+        self.runs += 1
+        try:
+            await connection.send(b"HTTP/1.1 200 OK\r\n\r\npart")
+        except ConnectionError:
+            self.left += 1
+            raise
+        await self.end.wait()
         return False
 
     def describe(
@@ -797,7 +932,7 @@
     """Returns how runners answer under some faults."""
     return SoakBehaviour(
         functools.partial(Choices, parse_faults(words), 1),
-        RunLedger(),
+        RunLedger(SystemClock()),
         unittest.mock.Mock(),
     )
 
@@ -906,6 +1041,50 @@
 
         self._play(check)
 
+    def test_silent_runner_ends_a_run_that_is_left(self) -> None:
+        """Guards against runs that count as under way once they are left."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            process, behaviour = runner.process, runner.behaviour
+            assert process and isinstance(behaviour, SilentBehaviour)
+            process.is_silent = True
+            head = f"POST / HTTP/1.1\r\n{wire.EXPECT_INSTANCE}: i-1"
+            answer = await self._ask(runner, head, lambda: None)
+            assert answer.outcome == "timeout"
+            await asyncio.sleep(3 * GATE_INTERVAL_S)
+            assert behaviour.left == 1
+
+        self._play(check)
+
+    def test_requests_beyond_the_slots_wait(self) -> None:
+        """Guards against a queue that runs all at once, or what has left it."""
+
+        async def check(runner: Runner, link: Link) -> None:
+            behaviour = runner.behaviour
+            assert isinstance(behaviour, SilentBehaviour)
+            head = f"POST / HTTP/1.1\r\n{wire.EXPECT_INSTANCE}: i-1"
+
+            async def ask() -> Answer:
+                return await self._ask(runner, head, lambda: None)
+
+            for has_queue, runs in ((False, 2), (True, 1)):
+                runner.die(in_order=False)
+                runner.has_queue, behaviour.runs = has_queue, 0
+                await runner.launch(runner.start)
+                await asyncio.gather(ask(), ask())
+                assert behaviour.runs == runs
+            process = runner.process
+            assert process is not None
+            # The first run goes on; what waited behind it has left.
+            await ask()
+            behaviour.end.set()
+            await asyncio.sleep(3 * GATE_INTERVAL_S)
+            assert behaviour.runs == 1
+            answer = await ask()
+            assert answer.status == 200 and behaviour.runs == 2
+
+        self._play(check)
+
     def test_links_that_something_else_accepts(self) -> None:
         """Guards against a cut that lets requests through."""
 
@@ -965,6 +1144,38 @@
 )
 
 
+class CommandTest(unittest.TestCase):
+    """The command line."""
+
+    def _run(self, served: int, *words: str) -> click.testing.Result:
+        """Runs the command with a made-up result."""
+        result = SoakResult(9, served, 0, (), frozenset(), "")
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            unittest.mock.patch.object(
+                soak_command, "run_soak", return_value=result
+            ),
+        ):
+            return click.testing.CliRunner().invoke(
+                soak_command.main, ["--output", folder, *words]
+            )
+
+    def test_run_that_serves_no_call(self) -> None:
+        """Guards against a run that shows nothing and counts as sound."""
+        assert self._run(1).exit_code == 0
+        answer = self._run(0)
+        assert answer.exit_code == 2
+        assert "no call was served" in answer.output
+
+    def test_addresses_that_are_no_loopback_net(self) -> None:
+        """Guards against runs whose daemons can't listen."""
+        assert self._run(1, "--net", "127.60.0").exit_code == 0
+        for net in ("127.60", "127.0.0.1", "127.0.256", "10.0.0", "", "x"):
+            answer = self._run(1, "--net", net)
+            assert answer.exit_code == 2, net
+            assert "three numbers" in answer.output, answer.output
+
+
 class SoakTest(unittest.TestCase):
     """Short runs with a seed on real daemons."""
 
@@ -1061,6 +1272,14 @@
         """
         self._play(7, 15.0, "part-echo=0.84 many")
 
+    def test_silent_runners_beside_a_stop_cut_no_streams(self) -> None:
+        """Guards against streams that are left for a silence and then cut.
+
+        Seed 1 had a stream that lacked only its end: its runner was silent,
+        and the one that was asked next had no event left either.
+        """
+        self._play(1, 20.0, "term still keep slow config eight")
+
     def test_callers_of_http_1_0_get_no_chunks(self) -> None:
         """Guards against a framing that HTTP/1.0 doesn't have."""
         self._play(3, 3.0, "http10=0.5 keep")
