Move no stream whose callers have given it up by then

Cause: while the origin of a stream is not known it stays, and the list of targets proves a connection once it is older than the lease of an entry. Now it is moved within the time for which callers of its route wait for an event, or not at all.

test_proof_that_comes_after_the_time_of_callers_moves_nothing fails without the change.

--- a/src/peridotbend/edge/failover.py
+++ b/src/peridotbend/edge/failover.py
@@ -127,7 +127,7 @@
         is_begun = request.takeover or request.failover_slot
         if is_begun or now_ms < self._begin_at_ms:
             return
-        if not request.may_fail_over(now_ms):
+        if not request.may_fail_over(now_ms) or self._has_caller_left(send):
             return
         if not self._is_origin_known():
             return
@@ -149,6 +149,18 @@
             self._request.takeover = None
             takeover.scope.cancel()
 
+    def _has_caller_left(self, send: TrackedSend) -> bool:
+        """Tells whether callers no longer wait for the next event.
+
+        The list of targets proves a connection in the end, if the entry of a
+        process that is gone is not removed in time.
+        """
+        since_ms = send.awaited_since_ms
+        if since_ms is None:
+            return False
+        silence_ms = self._clock.now_ms() - since_ms
+        return silence_ms > self._request.route.caller_timeout_ms
+
     def _is_origin_known(self) -> bool:
         """Tells whether another target may go on; asks for it if not known."""
         begun, origins = self._request.begun, self._dependencies.origins
--- a/tests/test_edge_failover.py
+++ b/tests/test_edge_failover.py
@@ -381,6 +381,34 @@
         assert fields["reason"] is Reason.DRAINING, fields
         assert fields["phase"] == "target", fields
 
+    def test_proof_that_comes_after_the_time_of_callers_moves_nothing(
+        self,
+    ) -> None:
+        """Guards against a rest of another version after a long silence.
+
+        Seen in test_first_process_of_a_release_that_stalls_does_not_join: the
+        stream stayed until an old entry seemed to prove who had begun it.
+        """
+        harness = FailoverHarness(
+            ScriptedReply(chunks=(FIRST,), hangs=True),
+            ScriptedReply(chunks=(SECOND,)),
+        )
+        timeout_ms = CONFIG.routes[0].caller_timeout_ms
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(harness.serve_call)
+                with mock.patch.object(
+                    harness.origins, "is_certain", return_value=False
+                ):
+                    await harness.be_silent(timeout_ms + 100)
+                await harness.be_silent(200)
+                harness.relay.end_all()
+
+        anyio.run(run)
+        assert harness.is_broken
+        assert len(harness.client.sends) == 1
+
     def test_third_target_is_asked_if_the_second_is_silent_too(self) -> None:
         """Guards against waiting for one silent target after another."""
         objective_ms = 20
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -515,6 +515,14 @@
         "MAX_FREE_REJECTIONS = 0",
         ("test_edge_failover",),
     ),
+    Mutant(
+        "proof-after-the-time-of-callers-used",
+        "ORDER",
+        EDGE + "failover.py",
+        " or self._has_caller_left(send):",
+        ":",
+        ("test_edge_failover",),
+    ),
     Mutant(
         "head-taken-for-an-event",
         "LOST",
