Let the signal tests start from default actions, and exit without a race

The module sets what it finds ignored to the default actions while its tests run, as a platform starts a process.

Played beside itself, test_signals_change_no_exit_code then failed once: a signal that had arrived when its handler became SIG_IGN printed a traceback ("ignored due to race condition") at the exit. The signals are blocked for this change now. Under nohup all seven tests pass, and the test of the exit passed twice more beside it.

--- a/src/peridotbend/adapters/signals.py
+++ b/src/peridotbend/adapters/signals.py
@@ -68,5 +68,8 @@
 
 
 def _ignore() -> None:
+    # A signal that has arrived when its handler changes prints a traceback.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _TAKEN)
     for number in _TAKEN:
         signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, _TAKEN)
--- a/tests/test_signals_processes.py
+++ b/tests/test_signals_processes.py
@@ -67,6 +67,27 @@
 }
 
 
+_ignored: set[signal.Signals] = set()
+
+
+def setUpModule() -> None:
+    """Lets the daemons start with the default actions of the signals.
+
+    One that is ignored here, as SIGHUP is under nohup, would be lost before the
+    first line of a program.
+    """
+    for number in TAKEN:
+        if signal.getsignal(number) is signal.SIG_IGN:
+            signal.signal(number, signal.SIG_DFL)
+            _ignored.add(number)
+
+
+def tearDownModule() -> None:
+    """Ignores the signals again that were ignored."""
+    while _ignored:
+        signal.signal(_ignored.pop(), signal.SIG_IGN)
+
+
 class Start:
     """A process that prints the modules that it imports."""
 
