--- a/src/peridotbend/edge/failover.py
+++ b/src/peridotbend/edge/failover.py
@@ -138,7 +138,7 @@
             request.failover_slot = slot
             send.scope.cancel()
             return
-        takeover = Takeover(slot, self._clock.now_ms())
+        takeover = Takeover(slot, now_ms)
         request.takeover = takeover
         request.tasks.start_soon(self._take_over, takeover, send)
 
@@ -150,10 +150,10 @@
             takeover.scope.cancel()
 
     def _has_caller_left(self, send: TrackedSend) -> bool:
-        """Tells whether callers no longer wait for the next event.
+        """Tells whether callers of the route have given the stream up by now.
 
-        The list of targets proves a connection in the end, if the entry of a
-        process that is gone is not removed in time.
+        An entry that outlives its process seems to prove a connection to
+        another one once the connection is older than the lease of entries.
         """
         since_ms = send.awaited_since_ms
         if since_ms is None:
